--- /dev/null
+++ b/crates/calicohoist/src/cli/mod.rs
@@ -0,0 +1,280 @@
+//! The command line.
+//!
+//! Exit status: 0 done, 1 failed, 2 settings or arguments not accepted.
+
+mod operator;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use calicohoist_telemetry::{Event, LogFormat, LogSettings, emit, logging};
+use calicohoist_types::Findings;
+use eyre::Result;
+use log::LevelFilter;
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use crate::roles;
+use crate::settings::Settings;
+
+/// Status of refused settings or arguments.
+const EXIT_REFUSED: u8 = 2;
+const SIGNAL_POLL: Duration = Duration::from_millis(50);
+
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+/// Scheduler for agent programs.
+struct Arguments {
+    /// Shape of log lines: text or json
+    #[bpaf(argument::<String>("FORMAT"), parse(parse_format), fallback(LogFormat::Text))]
+    log_format: LogFormat,
+    /// Least severe level that is logged: error, warn, info, debug or trace
+    #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info))]
+    log_level: LevelFilter,
+    #[bpaf(external(command))]
+    command: Command,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Command {
+    /// Run a store machine
+    #[bpaf(command)]
+    Store {
+        /// Settings file
+        #[bpaf(argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Run a gateway
+    #[bpaf(command)]
+    Gateway {
+        /// Settings file
+        #[bpaf(argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Check a settings file and start nothing
+    #[bpaf(command)]
+    Check {
+        /// Settings file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Show resources
+    #[bpaf(command)]
+    Get {
+        #[bpaf(external(target))]
+        target: Target,
+        /// Kind: model, engine, service or tenant
+        #[bpaf(positional("KIND"))]
+        kind: String,
+        /// Name; without one, all of the kind
+        #[bpaf(positional("NAME"))]
+        name: Option<String>,
+    },
+    /// Declare the resources of a file, or report everything wrong with it
+    #[bpaf(command)]
+    Apply {
+        #[bpaf(external(target))]
+        target: Target,
+        /// TOML file with [[resource]] tables
+        #[bpaf(short('f'), long("file"), argument("FILE"))]
+        file: PathBuf,
+        /// Check only
+        dry_run: bool,
+    },
+    /// Delete a resource
+    #[bpaf(command)]
+    Delete {
+        #[bpaf(external(target))]
+        target: Target,
+        /// Kind
+        #[bpaf(positional("KIND"))]
+        kind: String,
+        /// Name
+        #[bpaf(positional("NAME"))]
+        name: String,
+        /// Only if it has this version
+        #[bpaf(argument("VERSION"))]
+        version: Option<u64>,
+    },
+    /// Follow changes from a revision on
+    #[bpaf(command)]
+    Watch {
+        #[bpaf(external(target))]
+        target: Target,
+        /// Start after this revision
+        #[bpaf(argument("REVISION"), fallback(0))]
+        after: u64,
+        /// End after this many changes
+        #[bpaf(argument("COUNT"))]
+        count: Option<usize>,
+    },
+    /// Show revisions and nodes
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external(target))]
+        target: Target,
+    },
+    /// Take an engine or service replica out of service, or put it back
+    #[bpaf(command)]
+    Drain {
+        #[bpaf(external(target))]
+        target: Target,
+        /// Kind: engine or service
+        #[bpaf(positional("KIND"))]
+        kind: String,
+        /// Name
+        #[bpaf(positional("NAME"))]
+        name: String,
+        /// Put it back
+        undo: bool,
+    },
+}
+
+#[derive(Clone, Debug, Bpaf)]
+struct Target {
+    /// Address of a gateway
+    #[bpaf(argument("ADDRESS"))]
+    gateway: SocketAddr,
+    /// Print JSON instead of a table
+    json: bool,
+}
+
+fn parse_format(text: String) -> Result<LogFormat, String> {
+    match text.as_str() {
+        "text" => Ok(LogFormat::Text),
+        "json" => Ok(LogFormat::Json),
+        _ => Err(format!(
+            "{text:?} is not accepted; accepted are text and json"
+        )),
+    }
+}
+
+/// Runs the command line of this process.
+pub fn run() -> ExitCode {
+    let arguments = match arguments().run_inner(bpaf::Args::current_args()) {
+        Ok(arguments) => arguments,
+        Err(failure) => {
+            failure.print_message(100);
+            let is_refusal = failure.exit_code() != 0;
+            return ExitCode::from(if is_refusal { EXIT_REFUSED } else { 0 });
+        }
+    };
+    let settings = LogSettings {
+        format: arguments.log_format,
+        level: arguments.log_level,
+    };
+    if let Err(error) = logging::install(settings) {
+        eprintln!("{error:#}");
+        return ExitCode::FAILURE;
+    }
+    match perform(arguments.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report(&error),
+    }
+}
+
+fn report(error: &eyre::Report) -> ExitCode {
+    if let Some(findings) = error.downcast_ref::<Findings>() {
+        for finding in &findings.0 {
+            eprintln!("{finding}");
+        }
+        return ExitCode::from(EXIT_REFUSED);
+    }
+    eprintln!("error: {error:#}");
+    ExitCode::FAILURE
+}
+
+fn perform(command: Command) -> Result<()> {
+    match command {
+        Command::Store { config } => run_store(&Settings::read(&config)?),
+        Command::Gateway { config } => run_gateway(&Settings::read(&config)?),
+        Command::Check { file } => {
+            Settings::read(&file)?;
+            println!("{}: accepted", file.display());
+            Ok(())
+        }
+        Command::Get { target, kind, name } => operator::get(&target, &kind, name.as_deref()),
+        Command::Apply {
+            target,
+            file,
+            dry_run,
+        } => operator::apply(&target, &file, dry_run),
+        Command::Delete {
+            target,
+            kind,
+            name,
+            version,
+        } => operator::delete(&target, &kind, &name, version),
+        Command::Watch {
+            target,
+            after,
+            count,
+        } => operator::watch(&target, after, count),
+        Command::Status { target } => operator::status(&target),
+        Command::Drain {
+            target,
+            kind,
+            name,
+            undo,
+        } => operator::drain(&target, &kind, &name, !undo),
+    }
+}
+
+/// Counts the signals that ask for a stop: the first plans it, the second cuts.
+fn watch_signals() -> Result<Arc<AtomicUsize>> {
+    let count = Arc::new(AtomicUsize::new(0));
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
+    let seen = count.clone();
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                seen.fetch_add(1, Ordering::SeqCst);
+            }
+        })?;
+    Ok(count)
+}
+
+fn wait_for_signal(signals: &AtomicUsize, wanted: usize) {
+    while signals.load(Ordering::SeqCst) < wanted {
+        std::thread::sleep(SIGNAL_POLL);
+    }
+}
+
+fn run_store(settings: &Settings) -> Result<()> {
+    let signals = watch_signals()?;
+    let (server, _health) = roles::start_store(settings)?;
+    while signals.load(Ordering::SeqCst) == 0 {
+        std::thread::sleep(SIGNAL_POLL);
+        if server.has_failed() {
+            eyre::bail!("the disk failed; this replica stops, its peers carry on");
+        }
+    }
+    emit!(Event::StopRequested, "store");
+    server.stop_gracefully();
+    emit!(Event::StopFinished, "store");
+    Ok(())
+}
+
+fn run_gateway(settings: &Settings) -> Result<()> {
+    let signals = watch_signals()?;
+    let server = roles::start_gateway(settings)?;
+    wait_for_signal(&signals, 1);
+    let cut = signals.clone();
+    std::thread::Builder::new()
+        .name("second-signal".to_owned())
+        .spawn(move || {
+            wait_for_signal(&cut, 2);
+            emit!(Event::StopForced, "second signal");
+            std::process::exit(1);
+        })?;
+    if roles::stop_gateway(server) {
+        Ok(())
+    } else {
+        eyre::bail!("calls were still under way when patience ran out")
+    }
+}
--- /dev/null
+++ b/crates/calicohoist/src/settings/mod.rs
@@ -0,0 +1,290 @@
+//! The settings file: typed, checked as a whole before anything starts.
+//!
+//! docs/CONFIGURATION.md lists every field with its default.
+
+mod reader;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use calicohoist_types::{Finding, Findings, NodeId, Zone};
+use reader::{ACCEPTED_NAME, Reader, Section};
+
+/// Most store machines of one fleet.
+const MAX_MACHINES: usize = 15;
+
+/// Everything a process needs to know.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the process; unique in its fleet.
+    pub name: NodeId,
+    /// Its zone.
+    pub zone: Zone,
+    /// The store machines.
+    pub machines: BTreeMap<u16, SocketAddr>,
+    /// Groups that hold programs; the same everywhere, for good.
+    pub program_groups: u32,
+    /// Settings of the role `store`.
+    pub store: Option<StoreSection>,
+    /// Settings of the role `gateway`.
+    pub gateway: Option<GatewaySection>,
+}
+
+/// Settings of the role `store`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreSection {
+    /// Number of this machine.
+    pub machine: u16,
+    /// Folder for log and snapshots.
+    pub data_folder: PathBuf,
+    /// Address of `/healthz`, `/readyz` and `/metrics`.
+    pub health: Option<SocketAddr>,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Shortest silence after which another leader is elected.
+    pub election: Duration,
+    /// Entries after which a group writes a snapshot.
+    pub entries_per_snapshot: u64,
+}
+
+/// Settings of the role `gateway`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySection {
+    /// Address for callers and operators.
+    pub http: SocketAddr,
+    /// Address for other gateways.
+    pub peers: SocketAddr,
+    /// The platform's list of machines.
+    pub platform: Option<SocketAddr>,
+    /// Requests served at a time.
+    pub workers: usize,
+    /// Largest accepted body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time a body may take to arrive.
+    pub body_timeout: Duration,
+    /// Longest time a call waits for an engine.
+    pub queue_timeout: Duration,
+    /// Longest time a call waits for an earlier one that has not arrived.
+    pub gap_timeout: Duration,
+    /// Silence of a back end after which an attempt is tried elsewhere.
+    pub stall_timeout: Duration,
+    /// Attempts of one call.
+    pub max_attempts: u32,
+    /// Calls waiting for one engine.
+    pub max_waiting_per_engine: usize,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it.
+    pub fn read(path: &std::path::Path) -> Result<Self, Findings> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&file, &text),
+            Err(error) => {
+                let mut finding = Finding::of_field("", error.to_string(), "a readable file");
+                finding.place.file = file;
+                Err(Findings(vec![finding]))
+            }
+        }
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    /// Everything that is wrong with it.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut reader = Reader::new(file, text);
+        let Some(document) = reader.parse() else {
+            return Err(Findings(reader.into_findings()));
+        };
+        let mut root = reader.root(document.as_table());
+        let settings = read_root(&mut reader, &mut root);
+        reader.finish(root);
+        let findings = reader.into_findings();
+        match settings {
+            Some(settings) if findings.is_empty() => Ok(settings),
+            _ => Err(Findings(findings)),
+        }
+    }
+}
+
+fn read_root(reader: &mut Reader<'_>, root: &mut Section<'_>) -> Option<Settings> {
+    let name = reader.name(root, "name");
+    let zone = reader.name(root, "zone");
+    let program_groups = reader.number(root, "program_groups", 1..=1_024, 4) as u32;
+    let machines = read_machines(reader, root);
+    let store = reader.section(root, "store");
+    let store = store.and_then(|section| read_store(reader, section, &machines));
+    let gateway = reader.section(root, "gateway");
+    let gateway = gateway.and_then(|section| read_gateway(reader, section));
+    if store.is_none() && gateway.is_none() && reader.is_clean() {
+        let accepted = "a table [store], [gateway] or both";
+        reader.add("", None, "names no role", accepted);
+    }
+    Some(Settings {
+        name: NodeId::new(name?),
+        zone: Zone::new(zone?),
+        machines,
+        program_groups,
+        store,
+        gateway,
+    })
+}
+
+fn read_machines(reader: &mut Reader<'_>, root: &mut Section<'_>) -> BTreeMap<u16, SocketAddr> {
+    let mut machines = BTreeMap::new();
+    let sections = reader.sections(root, "store_machines");
+    if sections.is_empty() || sections.len() > MAX_MACHINES {
+        let problem = format!("has {} entries", sections.len());
+        reader.add(
+            "store_machines",
+            None,
+            problem,
+            format!("1 to {MAX_MACHINES} tables"),
+        );
+    }
+    for mut section in sections {
+        let number = reader.required(&mut section, "number", "1 to 65535, each once", |item| {
+            u16::try_from(item.as_integer()?)
+                .ok()
+                .filter(|number| *number > 0)
+        });
+        let address = reader.address(&mut section, "address");
+        if let (Some(number), Some(address)) = (number, address) {
+            let is_taken = machines.values().any(|known| *known == address);
+            if is_taken {
+                let field = section.field("address");
+                reader.add(
+                    &field,
+                    section.span(),
+                    "is used twice",
+                    "an address of its own",
+                );
+            }
+            if machines.insert(number, address).is_some() {
+                let field = section.field("number");
+                reader.add(
+                    &field,
+                    section.span(),
+                    "is used twice",
+                    "a number of its own",
+                );
+            }
+        }
+        reader.finish(section);
+    }
+    machines
+}
+
+fn read_store(
+    reader: &mut Reader<'_>,
+    mut section: Section<'_>,
+    machines: &BTreeMap<u16, SocketAddr>,
+) -> Option<StoreSection> {
+    let known: Vec<String> = machines.keys().map(u16::to_string).collect();
+    let accepted = format!("one of store_machines: {}", known.join(", "));
+    let machine = reader.required(&mut section, "machine", &accepted, |item| {
+        let number = u16::try_from(item.as_integer()?).ok()?;
+        machines.contains_key(&number).then_some(number)
+    });
+    let data_folder = reader.required(&mut section, "data_folder", "a folder", |item| {
+        item.as_str()
+            .filter(|text| !text.is_empty())
+            .map(PathBuf::from)
+    });
+    let health = read_optional_address(reader, &mut section, "health");
+    let heartbeat = reader.number(&mut section, "heartbeat_ms", 5..=10_000, 60);
+    let election = reader.number(&mut section, "election_ms", 50..=60_000, 400);
+    let entries = reader.number(
+        &mut section,
+        "entries_per_snapshot",
+        100..=10_000_000,
+        20_000,
+    );
+    if election < heartbeat * 3 {
+        let field = section.field("election_ms");
+        let problem = format!("{election} leaves no room for a lost heartbeat");
+        reader.add(
+            &field,
+            section.span(),
+            problem,
+            format!("{} or more", heartbeat * 3),
+        );
+    }
+    reader.finish(section);
+    Some(StoreSection {
+        machine: machine?,
+        data_folder: data_folder?,
+        health,
+        heartbeat: Duration::from_millis(heartbeat),
+        election: Duration::from_millis(election),
+        entries_per_snapshot: entries,
+    })
+}
+
+fn read_gateway(reader: &mut Reader<'_>, mut section: Section<'_>) -> Option<GatewaySection> {
+    let http = reader.address(&mut section, "http");
+    let peers = reader.address(&mut section, "peers");
+    let platform = read_optional_address(reader, &mut section, "platform");
+    let gateway = GatewaySection {
+        http: http.unwrap_or_else(unspecified),
+        peers: peers.unwrap_or_else(unspecified),
+        platform,
+        workers: reader.number(&mut section, "workers", 1..=4_096, 64) as usize,
+        max_body_bytes: reader.number(
+            &mut section,
+            "max_body_bytes",
+            1_024..=67_108_864,
+            4_194_304,
+        ) as usize,
+        body_timeout: millis(reader.number(&mut section, "body_timeout_ms", 50..=600_000, 10_000)),
+        queue_timeout: millis(reader.number(
+            &mut section,
+            "queue_timeout_ms",
+            100..=3_600_000,
+            30_000,
+        )),
+        gap_timeout: millis(reader.number(&mut section, "gap_timeout_ms", 10..=600_000, 2_000)),
+        stall_timeout: millis(reader.number(
+            &mut section,
+            "stall_timeout_ms",
+            100..=600_000,
+            10_000,
+        )),
+        max_attempts: reader.number(&mut section, "max_attempts", 1..=20, 4) as u32,
+        max_waiting_per_engine: reader.number(
+            &mut section,
+            "max_waiting_per_engine",
+            1..=100_000,
+            256,
+        ) as usize,
+    };
+    reader.finish(section);
+    (http.is_some() && peers.is_some()).then_some(gateway)
+}
+
+fn read_optional_address(
+    reader: &mut Reader<'_>,
+    section: &mut Section<'_>,
+    name: &'static str,
+) -> Option<SocketAddr> {
+    reader.optional(section, name, "an IP number and port", |item| {
+        item.as_str()?.parse().ok()
+    })
+}
+
+fn unspecified() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
+
+fn millis(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+/// What a name may look like, for messages of the command line.
+pub const NAME_RULE: &str = ACCEPTED_NAME;
--- /dev/null
+++ b/crates/gateway/src/backend/engine.rs
@@ -0,0 +1,148 @@
+//! Model calls and cache control on an engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use calicohoist_http::{ClientError, EventReader, HttpClient, STREAM_DONE};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::backend_api::{CacheListing, CacheReleased, LoadReport};
+use calicohoist_types::openai::{
+    ChatChunk, ChatRequest, HEADER_ENGINE_ATTEMPT, HEADER_ENGINE_PRIORITY, HEADER_ENGINE_PROGRAM,
+};
+use calicohoist_types::{AttemptId, ProgramId};
+
+use super::{CONNECT_TIMEOUT, CONTROL_TIMEOUT};
+use crate::core::message::{BackendEvent, BackendFailure, EngineOrder, EngineReport};
+
+/// Carries an order out; `report` gets every event, the last one final.
+pub fn run(order: &EngineOrder, read_timeout: Duration, mut report: impl FnMut(BackendEvent)) {
+    let opened = match &order.resume {
+        Some(earlier) => resume(order, earlier, read_timeout),
+        None => start(order, read_timeout),
+    };
+    let expected = order.resume.as_ref().unwrap_or(&order.attempt).to_string();
+    match opened {
+        Ok(events) => follow(order, &expected, events, &mut report),
+        Err(failure) => report(BackendEvent::Failed(failure)),
+    }
+}
+
+type Events = EventReader<attohttpc::ResponseReader>;
+
+fn client(address: SocketAddr, read_timeout: Duration) -> HttpClient {
+    HttpClient::new(address, CONNECT_TIMEOUT, read_timeout)
+}
+
+fn start(order: &EngineOrder, read_timeout: Duration) -> Result<Events, BackendFailure> {
+    let mut request = ChatRequest::streamed(order.model.as_str(), &order.prompt);
+    request.max_tokens = Some(order.max_tokens);
+    request.continuation = order.continuation.clone();
+    let client = client(order.address, read_timeout)
+        .with_header(HEADER_ENGINE_ATTEMPT, order.attempt.to_string())
+        .with_header(HEADER_ENGINE_PROGRAM, order.attempt.call.program.as_str())
+        .with_header(HEADER_ENGINE_PRIORITY, order.priority.to_string());
+    client
+        .post_events("/v1/chat/completions", &request)
+        .map_err(|error| failure_of(&error))
+}
+
+fn resume(
+    order: &EngineOrder,
+    earlier: &AttemptId,
+    read_timeout: Duration,
+) -> Result<Events, BackendFailure> {
+    let opened = client(order.address, read_timeout).get_events(&format!("/v1/attempts/{earlier}"));
+    opened.map_err(|_| BackendFailure::NothingToResume)
+}
+
+/// A status other than success is given before a request starts.
+fn failure_of(error: &ClientError) -> BackendFailure {
+    match error {
+        ClientError::NotConnected(_) | ClientError::Status { .. } => BackendFailure::NotStarted,
+        ClientError::Broken(_) | ClientError::Malformed(_) => BackendFailure::Broken,
+    }
+}
+
+fn follow(
+    order: &EngineOrder,
+    expected: &str,
+    mut events: Events,
+    report: &mut impl FnMut(BackendEvent),
+) {
+    let mut offset = if order.resume.is_some() {
+        0
+    } else {
+        order.continuation.len()
+    };
+    loop {
+        let chunk = match next_chunk(&mut events) {
+            Some(chunk) => chunk,
+            None => return report(BackendEvent::Failed(BackendFailure::Broken)),
+        };
+        if chunk.id != expected {
+            emit!(Event::FrameMismatch, "got {} for {expected}", chunk.id);
+            return report(BackendEvent::Failed(BackendFailure::Broken));
+        }
+        let text = chunk.text().to_owned();
+        if !text.is_empty() {
+            let start = offset;
+            offset += text.len();
+            report(BackendEvent::Text {
+                offset: start,
+                text,
+            });
+        }
+        if let (Some(reason), Some(usage)) = (chunk.finish_reason(), chunk.usage) {
+            return report(BackendEvent::Done {
+                finish_reason: reason.to_owned(),
+                usage: usage.into(),
+            });
+        }
+    }
+}
+
+fn next_chunk(events: &mut Events) -> Option<ChatChunk> {
+    let data = events.next_data().ok()??;
+    if data == STREAM_DONE {
+        return None;
+    }
+    serde_json::from_str(&data).ok()
+}
+
+/// Cancels an attempt. Whether that worked does not matter: nobody listens to it.
+pub fn cancel(address: SocketAddr, attempt: &AttemptId) {
+    let path = format!("/v1/attempts/{attempt}");
+    let _ = client(address, CONTROL_TIMEOUT).delete::<serde_json::Value>(&path);
+}
+
+/// Releases a program's memory; `true` when the engine confirmed.
+pub fn release(address: SocketAddr, program: &ProgramId) -> bool {
+    let path = format!("/v1/cache/{program}");
+    client(address, CONTROL_TIMEOUT)
+        .delete::<CacheReleased>(&path)
+        .is_ok()
+}
+
+/// Programs the engine holds memory of; `None` when it does not answer.
+pub fn list(address: SocketAddr) -> Option<Vec<ProgramId>> {
+    let listing = client(address, CONTROL_TIMEOUT)
+        .get::<CacheListing>("/v1/cache")
+        .ok()?;
+    Some(
+        listing
+            .programs
+            .into_iter()
+            .map(|held| held.program)
+            .collect(),
+    )
+}
+
+/// What the engine says of itself; `None` when it does not answer.
+pub fn probe(address: SocketAddr) -> Option<EngineReport> {
+    let report = client(address, CONTROL_TIMEOUT)
+        .get::<LoadReport>("/v1/load")
+        .ok()?;
+    Some(EngineReport {
+        leaving: report.leaving,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/backend/service.rs
@@ -0,0 +1,70 @@
+//! Requests to replicas of tool services.
+
+use std::time::Duration;
+
+use calicohoist_http::{ClientError, HttpClient};
+use calicohoist_types::backend_api::{JobRequest, JobResult};
+use calicohoist_types::{Usage, openai};
+
+use super::CONNECT_TIMEOUT;
+use crate::core::message::{BackendEvent, BackendFailure, ServiceOrder};
+
+/// Why an answer of a service ends.
+const FINISH_REASON: &str = "stop";
+
+/// Carries an order out; `report` gets the answer and its end, or a failure.
+pub fn run(order: &ServiceOrder, read_timeout: Duration, mut report: impl FnMut(BackendEvent)) {
+    let client = HttpClient::new(order.address, CONNECT_TIMEOUT, read_timeout)
+        .with_header(openai::HEADER_KEY, order.key.as_str());
+    let result = if order.only_look_up {
+        look_up(&client, order)
+    } else {
+        execute(&client, order)
+    };
+    match result {
+        Ok(result) => {
+            report(BackendEvent::Text {
+                offset: 0,
+                text: result.output,
+            });
+            report(BackendEvent::Done {
+                finish_reason: FINISH_REASON.to_owned(),
+                usage: Usage::default(),
+            });
+        }
+        Err(failure) => report(BackendEvent::Failed(failure)),
+    }
+}
+
+fn execute(client: &HttpClient, order: &ServiceOrder) -> Result<JobResult, BackendFailure> {
+    let job = JobRequest {
+        key: order.key.as_str().to_owned(),
+        service: order.service.as_str().to_owned(),
+        input: order.input.clone(),
+    };
+    let result = client
+        .post::<_, JobResult>("/v1/jobs", &job)
+        .map_err(|error| match error {
+            ClientError::NotConnected(_) => BackendFailure::NotStarted,
+            // 503 is given before a job starts; any other failure may come after it.
+            ClientError::Status { status: 503, .. } => BackendFailure::NotStarted,
+            _ => BackendFailure::Broken,
+        })?;
+    checked(result, order)
+}
+
+fn look_up(client: &HttpClient, order: &ServiceOrder) -> Result<JobResult, BackendFailure> {
+    let key = order.key.as_str().replace('/', ":");
+    let result = client.get::<JobResult>(&format!("/v1/jobs/{key}"));
+    let result = result.map_err(|_| BackendFailure::NotSeen)?;
+    checked(result, order)
+}
+
+/// An answer under another key belongs to somebody else.
+fn checked(result: JobResult, order: &ServiceOrder) -> Result<JobResult, BackendFailure> {
+    if result.key == order.key.as_str() {
+        Ok(result)
+    } else {
+        Err(BackendFailure::Broken)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/flow/admit.rs
@@ -0,0 +1,371 @@
+//! Admission: asking the store, waiting for a turn, taking calls over.
+
+use std::time::Duration;
+
+use calicohoist_store::commands::program::{Admission, BeginCall, NewProgram, ProgramCommand};
+use calicohoist_store::queries::program::{CallView, ProgramAnswer, ProgramQuery};
+use calicohoist_store::state::programs::CallTarget;
+use calicohoist_store::{NodeRef, StoreReply};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{
+    AttemptId, CallId, ChatMessage, IdempotencyKey, Moment, NotRunReason, Outcome, ProgramId,
+    RequestId, Role, TenantId,
+};
+use rand::RngExt;
+
+use crate::core::call::{Call, Listener, Phase, Waiting};
+use crate::core::message::{Action, CallRequest, CallerEvent, Failure, FailureCause, Ticket, Work};
+use crate::core::{Gateway, Purpose, program_answer};
+
+/// Pause before the store is asked again about a turn.
+const TURN_POLL: Duration = Duration::from_millis(25);
+/// Tokens to generate when neither caller nor model sets a limit.
+const SERVICE_TOKENS: u64 = 0;
+
+impl Gateway {
+    pub(in crate::core) fn on_call(&mut self, now: Moment, ticket: Ticket, request: CallRequest) {
+        if let Some(failure) = self.refuse_at_the_door(now, &request) {
+            self.actions
+                .push(Action::ToCaller(ticket, CallerEvent::Failed(failure)));
+            return;
+        }
+        let is_alone = request.program.is_none();
+        let key = request.key.clone().unwrap_or_else(|| self.make_key());
+        let program = request
+            .program
+            .clone()
+            .unwrap_or_else(|| program_of_one(&request.tenant, &key));
+        let mut call = Call::new(request.tenant.clone(), program, key, ticket, now);
+        call.is_alone = is_alone;
+        call.request = Some(request);
+        let id = self.insert_call(call, ticket);
+        self.begin(now, id);
+    }
+
+    /// Refusals that need no word of the store.
+    fn refuse_at_the_door(&self, now: Moment, request: &CallRequest) -> Option<Failure> {
+        let cause = if self.stopping {
+            FailureCause::NotRun(NotRunReason::ShuttingDown)
+        } else if self.calls.len() >= self.settings.max_calls {
+            FailureCause::NotRun(NotRunReason::Overloaded)
+        } else if self.view.applied().0 == 0 && !self.view.has_lease(now) {
+            FailureCause::NotRun(NotRunReason::NoBackend)
+        } else {
+            match &request.work {
+                Work::Model { model, .. } if self.view.model(model).is_none() => {
+                    FailureCause::UnknownModel(model.clone())
+                }
+                Work::Service { service, .. } if !self.view.knows_service(service) => {
+                    FailureCause::UnknownService(service.clone())
+                }
+                _ => return None,
+            }
+        };
+        // Nothing durable was written. A request with the caller's own key may
+        // have run before, or may yet run as a resend, so only a request without
+        // one can be told that it did not run.
+        let outcome = if request.key.is_some() {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        Some(Failure {
+            outcome,
+            cause,
+            call: None,
+        })
+    }
+
+    fn make_key(&mut self) -> IdempotencyKey {
+        IdempotencyKey::new(format!("auto-{:016x}", self.random.random::<u64>()))
+    }
+
+    fn insert_call(&mut self, call: Call, ticket: Ticket) -> u64 {
+        self.next_call += 1;
+        let id = self.next_call;
+        self.calls.insert(id, call);
+        self.by_ticket.insert(ticket, id);
+        id
+    }
+
+    /// Asks the store to admit the call, or asks again.
+    pub(super) fn begin(&mut self, now: Moment, id: u64) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.phase = Phase::Beginning;
+        if call.attached.is_some() {
+            return self.ask_about_call(now, id);
+        }
+        let Some(request) = call.request.clone() else {
+            return;
+        };
+        let program = call.program.clone();
+        let begin = BeginCall {
+            program: program.clone(),
+            create: call
+                .is_alone
+                .then(|| self.program_for(id, &request))
+                .flatten(),
+            tenant: request.tenant.clone(),
+            sequence: request.sequence,
+            key: self.calls[&id].key.clone(),
+            target: target_of(&request.work),
+            repeatable: request.repeatable,
+            messages: messages_of(&request.work),
+            max_tokens: self.max_tokens(&request.work),
+            max_prompt_tokens: self.max_prompt_tokens(&request.work),
+            by: self.settings.node.clone(),
+        };
+        let command = ProgramCommand::Begin(Box::new(begin));
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    fn program_for(&self, id: u64, request: &CallRequest) -> Option<NewProgram> {
+        let call = self.calls.get(&id)?;
+        let limits = self.view.tenant(&request.tenant);
+        Some(NewProgram {
+            id: call.program.clone(),
+            parent: None,
+            request: RequestId::new(call.key.as_str()),
+            tenant: request.tenant.clone(),
+            budget_tokens: limits.default_program_tokens,
+            max_calls: 1,
+            lifetime_millis: None,
+        })
+    }
+
+    fn max_tokens(&self, work: &Work) -> u64 {
+        match work {
+            Work::Model {
+                model, max_tokens, ..
+            } => {
+                let limit = self
+                    .view
+                    .model(model)
+                    .map_or(0, |spec| spec.max_output_tokens);
+                max_tokens.unwrap_or(limit).min(limit)
+            }
+            Work::Service { .. } => SERVICE_TOKENS,
+        }
+    }
+
+    fn max_prompt_tokens(&self, work: &Work) -> u64 {
+        match work {
+            Work::Model { model, .. } => self
+                .view
+                .model(model)
+                .map_or(0, |spec| spec.max_prompt_tokens),
+            Work::Service { .. } => u64::MAX,
+        }
+    }
+
+    pub(super) fn wait_for_turn(&mut self, now: Moment, id: u64, is_running: bool) {
+        let (what, patience) = if is_running {
+            (Waiting::RunningCall, self.settings.duplicate_timeout)
+        } else {
+            (Waiting::EarlierCall, self.settings.gap_timeout)
+        };
+        self.wait(now, id, what, patience);
+    }
+
+    fn wait(&mut self, now: Moment, id: u64, what: Waiting, patience: Duration) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.phase = Phase::WaitingTurn {
+            again_at: now + TURN_POLL,
+            until: call.since + patience,
+            what,
+        };
+    }
+
+    /// The same request is under way: here, in a gateway that lives, or in one
+    /// that is gone.
+    pub(super) fn on_running_elsewhere(
+        &mut self,
+        now: Moment,
+        id: u64,
+        attempt: AttemptId,
+        by: &NodeRef,
+    ) {
+        if *by == self.settings.node {
+            return match self.by_attempt.get(&attempt).copied() {
+                Some(other) if other != id => self.join(now, id, other),
+                // This gateway admitted it and forgot it, since the store's
+                // answer never came.
+                _ => self.claim(now, id, attempt),
+            };
+        }
+        if self.view.is_certainly_gone(now, by) {
+            emit!(Event::CallTakenOver, "{attempt} from {}", by.node);
+            return self.claim(now, id, attempt);
+        }
+        self.wait(now, id, Waiting::SameCall, self.settings.duplicate_timeout);
+    }
+
+    /// Moves the listeners of `id` to the call that runs already.
+    fn join(&mut self, now: Moment, id: u64, other: u64) {
+        let Some(joining) = self.calls.remove(&id) else {
+            return;
+        };
+        for listener in &joining.listeners {
+            self.by_ticket.insert(listener.ticket, other);
+        }
+        if let Some(call) = self.calls.get_mut(&other) {
+            call.listeners.extend(joining.listeners);
+        }
+        self.forward(now, other);
+    }
+
+    pub(super) fn claim(&mut self, now: Moment, id: u64, attempt: AttemptId) {
+        let by = self.settings.node.clone();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.phase = Phase::Claiming;
+        call.resumes = Some(attempt.clone());
+        let program = attempt.call.program.clone();
+        let command = ProgramCommand::Claim { attempt, by };
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    pub(super) fn start_admitted(&mut self, now: Moment, id: u64, admission: Box<Admission>) {
+        let attempt = admission.attempt.clone();
+        let previous = admission.previous.clone();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        self.by_attempt.insert(attempt.clone(), id);
+        call.attempt = Some(attempt);
+        call.admission = Some(admission);
+        self.retries.earn();
+        self.forward(now, id);
+        match previous {
+            Some(backend) => self.recover(now, id, backend),
+            None => self.route(now, id),
+        }
+    }
+
+    pub(in crate::core) fn on_attach(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        tenant: TenantId,
+        place: CallId,
+        offset: usize,
+    ) {
+        let is_same = |call: &Call| {
+            let attempt = call.attempt.as_ref();
+            call.tenant == tenant && attempt.is_some_and(|attempt| attempt.call == place)
+        };
+        let running = self
+            .calls
+            .iter()
+            .find(|(_, call)| is_same(call))
+            .map(|(id, _)| *id);
+        if let Some(id) = running {
+            self.by_ticket.insert(ticket, id);
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.listeners.push(Listener {
+                    ticket,
+                    sent: offset,
+                    told_admitted: false,
+                });
+            }
+            return self.forward(now, id);
+        }
+        let key = self.make_key();
+        let mut call = Call::new(tenant, place.program.clone(), key, ticket, now);
+        call.attached = Some(place);
+        call.listeners[0].sent = offset;
+        let id = self.insert_call(call, ticket);
+        self.begin(now, id);
+    }
+
+    /// The record has moved on: asks it what became of the call, and reports that.
+    pub(super) fn resolve(&mut self, now: Moment, id: u64) {
+        self.release_slot(now, id);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.phase = Phase::Beginning;
+        if let Some(attempt) = call.attempt.take() {
+            self.by_attempt.remove(&attempt);
+            call.attached = Some(attempt.call);
+        }
+        if call.attached.is_none() {
+            return self.fail_unknown(now, id, FailureCause::TakenOver);
+        }
+        self.ask_about_call(now, id);
+    }
+
+    fn ask_about_call(&mut self, now: Moment, id: u64) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(place) = call.attached.clone() else {
+            return;
+        };
+        let group = self.groups.group_of(&place.program);
+        let query = ProgramQuery::Call {
+            call: place,
+            tenant: call.tenant.clone(),
+        };
+        self.query(now, Purpose::Attach(id), group, query);
+    }
+
+    pub(in crate::core) fn on_attach_answer(
+        &mut self,
+        now: Moment,
+        id: u64,
+        reply: Option<StoreReply>,
+    ) {
+        match program_answer(reply) {
+            None => self.fail_unknown(now, id, FailureCause::StoreUnavailable),
+            Some(ProgramAnswer::Call(view)) => self.on_call_view(now, id, view),
+            Some(_) => self.fail(now, id, Outcome::NotRun, FailureCause::UnknownProgram),
+        }
+    }
+
+    fn on_call_view(&mut self, now: Moment, id: u64, view: CallView) {
+        let Some(place) = self.calls.get(&id).and_then(|call| call.attached.clone()) else {
+            return;
+        };
+        let attempt = AttemptId {
+            call: place,
+            number: view.attempts,
+        };
+        match (view.outcome, view.answer) {
+            (Some(Outcome::Completed), Some(answer)) => {
+                self.finish_stored(now, id, attempt, answer);
+            }
+            (Some(Outcome::NotRun), _) => {
+                let reason = view.reason.unwrap_or(NotRunReason::ProgramEnded);
+                self.fail_not_run(now, id, reason);
+            }
+            (Some(_), _) => self.fail_unknown(now, id, FailureCause::BackendLost),
+            (None, _) => self.on_running_elsewhere(now, id, attempt, &view.by),
+        }
+    }
+}
+
+/// The name of the program made for a single call: the same for each resend of it.
+fn program_of_one(tenant: &TenantId, key: &IdempotencyKey) -> ProgramId {
+    let digest = calicohoist_types::Digest::of(format!("{tenant}\n{key}").as_bytes());
+    ProgramId::new(format!("call-{:016x}", digest.prefix()))
+}
+
+fn target_of(work: &Work) -> CallTarget {
+    match work {
+        Work::Model { model, .. } => CallTarget::Model(model.clone()),
+        Work::Service { service, .. } => CallTarget::Service(service.clone()),
+    }
+}
+
+fn messages_of(work: &Work) -> Vec<ChatMessage> {
+    match work {
+        Work::Model { messages, .. } => messages.clone(),
+        Work::Service { input, .. } => vec![ChatMessage::new(Role::User, input)],
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/flow/finish.rs
@@ -0,0 +1,253 @@
+//! Storing answers, closing calls, and telling callers.
+
+use calicohoist_store::commands::program::{ProgramCommand, ProgramError};
+use calicohoist_store::state::programs::StoredAnswer;
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{AttemptId, CallId, Moment, NotRunReason, Outcome};
+
+use super::run::backend_name;
+use crate::core::call::{Call, Phase};
+use crate::core::message::{
+    Action, CallerEvent, Failure, FailureCause, Finish, PeerMessage, Ticket,
+};
+use crate::core::{Gateway, Purpose};
+
+impl Gateway {
+    /// Stores the whole answer; the caller gets its end once that is durable.
+    pub(super) fn complete(&mut self, now: Moment, id: u64, answer: StoredAnswer) {
+        let by = self.settings.node.clone();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = call.attempt.clone() else {
+            return;
+        };
+        let is_alone = call.is_alone;
+        call.phase = Phase::Completing;
+        call.answer = Some(answer.clone());
+        self.release_slot(now, id);
+        let program = attempt.call.program.clone();
+        let command = ProgramCommand::Complete {
+            attempt,
+            by,
+            answer,
+            ends_program: is_alone,
+        };
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    pub(super) fn finish(&mut self, now: Moment, id: u64) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if let (Some(attempt), Some(answer)) = (call.attempt.clone(), call.answer.clone()) {
+            self.finish_stored(now, id, attempt, answer);
+        }
+    }
+
+    /// Sends what is left of a stored answer, and its end.
+    pub(super) fn finish_stored(
+        &mut self,
+        now: Moment,
+        id: u64,
+        attempt: AttemptId,
+        answer: StoredAnswer,
+    ) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.attempt.get_or_insert_with(|| attempt.clone());
+            call.text = answer.text.clone();
+        }
+        self.forward(now, id);
+        self.tell_admitted(id);
+        let finish = Finish {
+            attempt,
+            finish_reason: answer.finish_reason,
+            usage: answer.usage,
+            backend: backend_name(&answer.backend),
+        };
+        self.end_call(now, id, &CallerEvent::Finished(finish));
+    }
+
+    /// Sends listeners what they lack of the answer so far.
+    ///
+    /// Nothing is said before there is text: until then a refusal can still have
+    /// a status of its own.
+    pub(super) fn forward(&mut self, _now: Moment, id: u64) {
+        let has_text = self
+            .calls
+            .get(&id)
+            .is_some_and(|call| !call.text.is_empty());
+        if !has_text {
+            return;
+        }
+        self.tell_admitted(id);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        for listener in &mut call.listeners {
+            let missing = call.text.get(listener.sent..).unwrap_or_default();
+            if !missing.is_empty() {
+                let event = CallerEvent::Text(missing.to_owned());
+                listener.sent = call.text.len();
+                self.actions.push(Action::ToCaller(listener.ticket, event));
+            }
+        }
+    }
+
+    fn tell_admitted(&mut self, id: u64) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = &call.attempt else {
+            return;
+        };
+        for listener in call
+            .listeners
+            .iter_mut()
+            .filter(|listener| !listener.told_admitted)
+        {
+            listener.told_admitted = true;
+            let event = CallerEvent::Admitted(attempt.clone());
+            self.actions.push(Action::ToCaller(listener.ticket, event));
+        }
+    }
+
+    /// Closes a call that was not dispatched in its present attempt.
+    pub(super) fn close(&mut self, now: Moment, id: u64, reason: NotRunReason) {
+        let by = self.settings.node.clone();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = call.attempt.clone() else {
+            return;
+        };
+        call.phase = Phase::Closing(reason);
+        let program = attempt.call.program.clone();
+        let command = ProgramCommand::Close {
+            attempt,
+            by,
+            reason,
+        };
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    /// Closes the place of a call that was never admitted.
+    pub(super) fn refuse(&mut self, now: Moment, id: u64, reason: NotRunReason) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let sequence = call.request.as_ref().and_then(|request| request.sequence);
+        let Some(sequence) = sequence else {
+            return self.fail_unknown(now, id, FailureCause::StillRunning);
+        };
+        call.phase = Phase::Closing(reason);
+        let program = call.program.clone();
+        let command = ProgramCommand::Refuse {
+            call: CallId {
+                program: program.clone(),
+                sequence,
+            },
+            tenant: call.tenant.clone(),
+            key: call.key.clone(),
+            reason,
+        };
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    pub(super) fn note_place(&mut self, id: u64, place: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.attached.get_or_insert(place);
+        }
+    }
+
+    pub(super) fn fail_not_run(&mut self, now: Moment, id: u64, reason: NotRunReason) {
+        self.fail(now, id, Outcome::NotRun, FailureCause::NotRun(reason));
+    }
+
+    pub(super) fn fail_unknown(&mut self, now: Moment, id: u64, cause: FailureCause) {
+        emit!(Event::OutcomeUnknown, "{cause:?}");
+        self.release_slot(now, id);
+        self.fail(now, id, Outcome::Unknown, cause);
+    }
+
+    pub(super) fn fail_given_up(&mut self, now: Moment, id: u64) {
+        let cause = self.calls.get_mut(&id).and_then(|call| call.cause.take());
+        self.fail_unknown(now, id, cause.unwrap_or(FailureCause::BackendLost));
+    }
+
+    /// The store refused to admit the call: nothing was changed.
+    pub(super) fn fail_refused(&mut self, now: Moment, id: u64, error: &ProgramError) {
+        let (outcome, cause) = match error {
+            ProgramError::KeyMismatch => (Outcome::NotRun, FailureCause::KeyMismatch),
+            ProgramError::NotActive(_) => (Outcome::NotRun, FailureCause::ProgramOver),
+            ProgramError::PromptTooLong(_) => (Outcome::NotRun, FailureCause::PromptTooLong),
+            ProgramError::Stale => (Outcome::Unknown, FailureCause::TakenOver),
+            _ => (Outcome::NotRun, FailureCause::UnknownProgram),
+        };
+        self.fail(now, id, outcome, cause);
+    }
+
+    pub(super) fn fail(&mut self, now: Moment, id: u64, outcome: Outcome, cause: FailureCause) {
+        let place = self.calls.get(&id).and_then(Call::place);
+        let failure = Failure {
+            outcome,
+            cause,
+            call: place,
+        };
+        self.end_call(now, id, &CallerEvent::Failed(failure));
+    }
+
+    fn end_call(&mut self, _now: Moment, id: u64, event: &CallerEvent) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        if let Some(attempt) = &call.attempt
+            && self.by_attempt.get(attempt) == Some(&id)
+        {
+            self.by_attempt.remove(attempt);
+        }
+        for listener in call.listeners {
+            self.by_ticket.remove(&listener.ticket);
+            self.actions
+                .push(Action::ToCaller(listener.ticket, event.clone()));
+        }
+    }
+
+    /// Gives the slot back, or the place in the queue.
+    pub(super) fn release_slot(&mut self, now: Moment, id: u64) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let queued = match &call.phase {
+            Phase::Queued { engine, .. } => Some((engine.clone(), call.attempt.clone())),
+            _ => None,
+        };
+        let held = call
+            .held_slot()
+            .map(|(engine, attempt)| (engine, Some(attempt)));
+        let Some((engine, Some(attempt))) = held.or(queued) else {
+            return;
+        };
+        if let Some(owner) = self.view.owner_of(&engine) {
+            self.tell(now, owner, PeerMessage::Release { attempt, engine });
+        }
+    }
+
+    pub(in crate::core) fn on_caller_gone(&mut self, ticket: Ticket) {
+        let Some(id) = self.by_ticket.remove(&ticket) else {
+            return;
+        };
+        if let Some(call) = self.calls.get_mut(&id) {
+            emit!(Event::CallerGone, "{}", call.program);
+            call.listeners.retain(|listener| listener.ticket != ticket);
+        }
+    }
+}
+
+impl Call {
+    /// Its place in its program, as far as known.
+    fn place(&self) -> Option<CallId> {
+        let attempted = self.attempt.as_ref().map(|attempt| attempt.call.clone());
+        attempted.or_else(|| self.attached.clone())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/flow/mod.rs
@@ -0,0 +1,73 @@
+//! What happens to calls, from admission to the final answer.
+//!
+//! - [`admit`]: asking the store, waiting for a turn, taking calls over;
+//! - [`route`]: choosing a back end and getting a slot;
+//! - [`run`]: what back ends report, retries, looking up lost requests;
+//! - [`finish`]: storing answers, refusals, telling callers;
+//! - [`timers`]: everything that happens because time passed.
+
+mod admit;
+mod finish;
+mod route;
+mod run;
+mod timers;
+
+use calicohoist_store::commands::program::{BeginOutcome, ProgramError, ProgramOutput};
+use calicohoist_types::Moment;
+
+use super::Gateway;
+use super::call::Phase;
+use super::message::FailureCause;
+
+impl Gateway {
+    /// The store answered a step of a call.
+    pub(super) fn on_call_answer(&mut self, now: Moment, id: u64, output: Option<ProgramOutput>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let phase = call.phase.clone();
+        match (phase, output) {
+            (_, None) => self.fail_unknown(now, id, FailureCause::StoreUnavailable),
+            (_, Some(ProgramOutput::Begin(outcome))) => self.on_begin(now, id, outcome),
+            (Phase::Dispatching, Some(ProgramOutput::Done)) => self.launch(now, id),
+            (Phase::Completing, Some(ProgramOutput::Done)) => self.finish(now, id),
+            (Phase::Closing(reason), Some(ProgramOutput::Done)) => {
+                self.fail_not_run(now, id, reason);
+            }
+            (Phase::GivingUp, Some(ProgramOutput::Done)) => self.fail_given_up(now, id),
+            (Phase::Retrying, Some(ProgramOutput::Retry(next))) => {
+                self.start_retry(now, id, next);
+            }
+            (Phase::Retrying, Some(ProgramOutput::Refused(ProgramError::NotRepeatable))) => {
+                self.give_up(now, id, FailureCause::BackendLost);
+            }
+            (Phase::Beginning, Some(ProgramOutput::Refused(error))) => {
+                self.fail_refused(now, id, &error);
+            }
+            // The record has moved on without this gateway: report what it says.
+            (_, Some(ProgramOutput::Refused(_))) => self.resolve(now, id),
+            (_, Some(_)) => {}
+        }
+    }
+
+    fn on_begin(&mut self, now: Moment, id: u64, outcome: BeginOutcome) {
+        match outcome {
+            BeginOutcome::Admitted(admission) => self.start_admitted(now, id, admission),
+            BeginOutcome::Answered(attempt, answer) => {
+                self.finish_stored(now, id, attempt, answer);
+            }
+            BeginOutcome::NotRun(call, reason) => {
+                self.note_place(id, call);
+                self.fail_not_run(now, id, reason);
+            }
+            BeginOutcome::Unknown(attempt) => self.claim(now, id, attempt),
+            BeginOutcome::Running { attempt, by } => {
+                self.on_running_elsewhere(now, id, attempt, &by);
+            }
+            BeginOutcome::NotYet {
+                expected: _,
+                is_running,
+            } => self.wait_for_turn(now, id, is_running),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/flow/route.rs
@@ -0,0 +1,351 @@
+//! Choosing a back end, getting a slot, and the durable mark before the send.
+
+use std::time::Duration;
+
+use calicohoist_scheduler::{CostInputs, choose};
+use calicohoist_store::commands::program::ProgramCommand;
+use calicohoist_store::state::programs::{Backend, CallTarget};
+use calicohoist_types::{
+    AttemptId, EngineId, EngineSpec, IdempotencyKey, ModelId, Moment, NotRunReason, ServiceId,
+};
+
+use crate::core::call::{Call, Phase, Target};
+use crate::core::message::{Action, EngineOrder, PeerMessage, ServiceOrder};
+use crate::core::{Gateway, Purpose};
+
+/// Pause before a call that no back end takes looks again.
+const ROUTE_POLL: Duration = Duration::from_millis(50);
+/// Pause before a request for a slot is repeated.
+const ENQUEUE_REPEAT: Duration = Duration::from_millis(500);
+
+impl Gateway {
+    /// Looks for a back end that takes the call.
+    pub(super) fn route(&mut self, now: Moment, id: u64) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(admission) = &call.admission else {
+            return;
+        };
+        if admission.attempt.number > self.settings.max_attempts + 1 {
+            return self.close(now, id, NotRunReason::RefusedByBackend);
+        }
+        match admission.target.clone() {
+            CallTarget::Model(model) => self.route_to_engine(now, id, &model),
+            CallTarget::Service(service) => self.route_to_replica(now, id, &service),
+        }
+    }
+
+    fn route_later(&mut self, now: Moment, id: u64) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            // What failed before may have come back, and nothing else is left.
+            call.excluded.clear();
+            call.phase = Phase::Routing {
+                again_at: now + ROUTE_POLL,
+            };
+        }
+    }
+
+    fn route_to_engine(&mut self, now: Moment, id: u64, model: &ModelId) {
+        let Some(engine) = self.choose_engine(now, id, model) else {
+            return self.route_later(now, id);
+        };
+        let Some(owner) = self.view.owner_of(&engine) else {
+            return self.route_later(now, id);
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.phase = Phase::Queued {
+            engine: engine.clone(),
+            owner,
+            again_at: now,
+        };
+        self.enqueue(now, id);
+    }
+
+    fn choose_engine(&self, now: Moment, id: u64, model: &ModelId) -> Option<EngineId> {
+        if !self.view.has_lease(now) {
+            return None;
+        }
+        let call = self.calls.get(&id)?;
+        let takes = |(engine, spec): &(EngineId, &EngineSpec)| {
+            let accepts = self.view.load(engine).is_some_and(|load| load.accepts);
+            let is_excluded = call.excluded.contains(engine.as_str());
+            spec.model == *model && accepts && self.view.may_use(engine) && !is_excluded
+        };
+        let candidates = self.view.engines().filter(takes);
+        let costed = candidates.map(|(engine, spec)| {
+            let inputs = self.cost_inputs(call, &engine, spec);
+            (engine, inputs)
+        });
+        choose(costed, &self.settings.weights)
+    }
+
+    fn cost_inputs(&self, call: &Call, engine: &EngineId, spec: &EngineSpec) -> CostInputs {
+        let load = self.view.load(engine);
+        let holdings = call
+            .admission
+            .iter()
+            .flat_map(|admission| &admission.holdings);
+        let held = holdings.clone().find(|(holder, _)| holder == engine);
+        // Loads are late: calls that went there from here count at least.
+        let own = self
+            .calls
+            .values()
+            .filter(|other| other.is_at(engine))
+            .count() as u32;
+        let running = load.map_or(0, |load| load.running);
+        let waiting = load.map_or(0, |load| load.waiting);
+        CostInputs {
+            prompt_tokens: call.prompt_tokens(),
+            held_tokens: held.map_or(0, |(_, tokens)| *tokens),
+            running: running.max(own),
+            waiting,
+            slots: spec.slots,
+            same_zone: spec.zone == self.settings.zone,
+        }
+    }
+
+    /// Asks the engine's owner for a slot, or asks again.
+    pub(super) fn enqueue(&mut self, now: Moment, id: u64) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Phase::Queued {
+            engine, again_at, ..
+        } = &mut call.phase
+        else {
+            return;
+        };
+        *again_at = now + ENQUEUE_REPEAT;
+        let engine = engine.clone();
+        let (Some(attempt), Some(admission)) = (call.attempt.clone(), &call.admission) else {
+            return;
+        };
+        let message = PeerMessage::Enqueue {
+            attempt,
+            engine: engine.clone(),
+            attained_tokens: admission.attained_tokens,
+            prompt_tokens: call.prompt_tokens(),
+        };
+        if let Some(owner) = self.view.owner_of(&engine) {
+            self.tell(now, owner, message);
+        }
+    }
+
+    pub(in crate::core) fn on_slot_refused(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        engine: EngineId,
+        overloaded: bool,
+    ) {
+        let Some(id) = self.by_attempt.get(&attempt).copied() else {
+            return;
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if !call.waits_for(&engine) {
+            return;
+        }
+        if overloaded {
+            call.excluded.insert(engine.as_str().to_owned());
+            if self.is_everything_full(now, id) {
+                return self.close(now, id, NotRunReason::Overloaded);
+            }
+            return self.route(now, id);
+        }
+        call.phase = Phase::Routing {
+            again_at: now + ROUTE_POLL,
+        };
+    }
+
+    /// Whether no engine is left that has not just refused for want of room.
+    fn is_everything_full(&self, now: Moment, id: u64) -> bool {
+        let admission = self.calls.get(&id).and_then(|call| call.admission.as_ref());
+        match admission.map(|admission| &admission.target) {
+            Some(CallTarget::Model(model)) => self.choose_engine(now, id, model).is_none(),
+            _ => false,
+        }
+    }
+
+    pub(in crate::core) fn on_granted(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        engine: EngineId,
+    ) {
+        let id = self.by_attempt.get(&attempt).copied();
+        let waits = |id: &u64| {
+            self.calls
+                .get(id)
+                .is_some_and(|call| call.waits_for(&engine))
+        };
+        let Some(id) = id.filter(waits) else {
+            let is_held = id.and_then(|id| self.calls.get(&id)?.held_slot());
+            if is_held.is_none_or(|(held, _)| held != engine)
+                && let Some(owner) = self.view.owner_of(&engine)
+            {
+                self.tell(now, owner, PeerMessage::Release { attempt, engine });
+            }
+            return;
+        };
+        let address = self.view.engine(&engine).map(|spec| spec.address);
+        let usable = address.filter(|_| self.view.has_lease(now) && self.view.may_use(&engine));
+        let target = usable.map(|address| Target {
+            backend: Backend::Engine(engine.clone()),
+            address,
+        });
+        match target {
+            Some(target) => self.dispatch(now, id, target),
+            None => {
+                if let Some(owner) = self.view.owner_of(&engine) {
+                    self.tell(now, owner, PeerMessage::Release { attempt, engine });
+                }
+                self.route_later(now, id);
+            }
+        }
+    }
+
+    fn route_to_replica(&mut self, now: Moment, id: u64, service: &ServiceId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let replicas = self.view.replicas(service);
+        let usable = replicas.into_iter().filter(|(name, spec)| {
+            let busy = self
+                .calls
+                .values()
+                .filter(|other| other.is_at_replica(name))
+                .count();
+            !call.excluded.contains(name) && busy < spec.slots as usize
+        });
+        let least_busy = usable.min_by_key(|(name, spec)| {
+            let busy = self
+                .calls
+                .values()
+                .filter(|other| other.is_at_replica(name))
+                .count();
+            (busy, spec.zone != self.settings.zone, name.clone())
+        });
+        match least_busy.filter(|_| self.view.has_lease(now)) {
+            Some((name, spec)) => {
+                let target = Target {
+                    backend: Backend::Replica(name),
+                    address: spec.address,
+                };
+                self.dispatch(now, id, target);
+            }
+            None => self.route_later(now, id),
+        }
+    }
+
+    /// Marks the attempt as possibly sent; [`Gateway::launch`] follows once the
+    /// mark is durable.
+    pub(super) fn dispatch(&mut self, now: Moment, id: u64, target: Target) {
+        let by = self.settings.node.clone();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = call.attempt.clone() else {
+            return;
+        };
+        let backend = target.backend.clone();
+        call.target = Some(target);
+        call.phase = Phase::Dispatching;
+        let program = attempt.call.program.clone();
+        let command = ProgramCommand::Dispatch {
+            attempt,
+            by,
+            backend,
+        };
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    /// The mark is durable: sends the attempt.
+    pub(super) fn launch(&mut self, now: Moment, id: u64) {
+        if !self.view.has_lease(now) {
+            // The view may be too old to know that the back end is leaving.
+            return self.retry(now, id, true);
+        }
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.phase = Phase::Running { progress: now };
+        call.continuation = call.text.len();
+        if let Some(order) = engine_order(call) {
+            self.actions.push(Action::RunOnEngine(Box::new(order)));
+        } else if let Some(order) = service_order(call, false) {
+            self.actions.push(Action::RunOnService(Box::new(order)));
+        }
+    }
+}
+
+impl Call {
+    /// Whether it waits for a slot of `engine`.
+    fn waits_for(&self, engine: &EngineId) -> bool {
+        matches!(&self.phase, Phase::Queued { engine: queued, .. } if queued == engine)
+    }
+
+    /// Whether it waits for or runs on `engine`.
+    fn is_at(&self, engine: &EngineId) -> bool {
+        let holds = self.held_slot().is_some_and(|(held, _)| held == *engine);
+        holds || self.waits_for(engine)
+    }
+
+    fn is_at_replica(&self, name: &str) -> bool {
+        let is_sent = matches!(
+            self.phase,
+            Phase::Dispatching | Phase::Running { .. } | Phase::LookingUp { .. }
+        );
+        let backend = self.target.as_ref().map(|target| &target.backend);
+        is_sent && matches!(backend, Some(Backend::Replica(replica)) if replica == name)
+    }
+}
+
+/// The order for the engine the call is dispatched to.
+pub(super) fn engine_order(call: &Call) -> Option<EngineOrder> {
+    let (target, admission) = (call.target.as_ref()?, call.admission.as_ref()?);
+    let (Backend::Engine(engine), CallTarget::Model(model)) = (&target.backend, &admission.target)
+    else {
+        return None;
+    };
+    Some(EngineOrder {
+        attempt: call.attempt.clone()?,
+        engine: engine.clone(),
+        address: target.address,
+        model: model.clone(),
+        prompt: admission.prompt.clone(),
+        continuation: call.text.clone(),
+        max_tokens: admission.max_tokens,
+        priority: admission.attained_tokens,
+        resume: call.resumes.clone(),
+    })
+}
+
+/// The order for the replica the call is dispatched to.
+pub(super) fn service_order(call: &Call, only_look_up: bool) -> Option<ServiceOrder> {
+    let (target, admission) = (call.target.as_ref()?, call.admission.as_ref()?);
+    let CallTarget::Service(service) = &admission.target else {
+        return None;
+    };
+    let attempt = call.attempt.clone()?;
+    Some(ServiceOrder {
+        address: target.address,
+        service: service.clone(),
+        key: service_key(call, &attempt),
+        input: admission
+            .prompt
+            .last()
+            .map(|message| message.content.clone())?,
+        only_look_up,
+        attempt,
+    })
+}
+
+/// The key that every attempt of one call shares.
+fn service_key(call: &Call, attempt: &AttemptId) -> IdempotencyKey {
+    IdempotencyKey::new(format!("{}/{}", attempt.call, call.key))
+}
--- /dev/null
+++ b/crates/gateway/src/core/flow/run.rs
@@ -0,0 +1,232 @@
+//! What back ends report, retries, and looking up requests that got lost.
+
+use calicohoist_scheduler::backoff;
+use calicohoist_store::commands::program::ProgramCommand;
+use calicohoist_store::state::programs::{Backend, StoredAnswer};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{AttemptId, Moment};
+use rand::RngExt;
+
+use super::route::{engine_order, service_order};
+use crate::core::call::{Phase, Target};
+use crate::core::message::{Action, BackendEvent, BackendFailure, FailureCause};
+use crate::core::{Gateway, Purpose};
+
+impl Gateway {
+    pub(in crate::core) fn on_backend(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        event: BackendEvent,
+    ) {
+        // Events of attempts that were replaced are nobody's any more.
+        let Some(id) = self.by_attempt.get(&attempt).copied() else {
+            return;
+        };
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        if !matches!(call.phase, Phase::Running { .. } | Phase::LookingUp { .. }) {
+            return;
+        }
+        match event {
+            BackendEvent::Text { offset, text } => self.on_text(now, id, offset, &text),
+            BackendEvent::Done {
+                finish_reason,
+                usage,
+            } => {
+                let answer = StoredAnswer {
+                    text: call.text.clone(),
+                    finish_reason,
+                    usage,
+                    backend: match &call.target {
+                        Some(target) => target.backend.clone(),
+                        None => return,
+                    },
+                };
+                self.complete(now, id, answer);
+            }
+            BackendEvent::Failed(failure) => self.on_attempt_failed(now, id, failure),
+        }
+    }
+
+    fn on_text(&mut self, now: Moment, id: u64, offset: usize, text: &str) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let known = call.text.len();
+        if offset > known || call.text.get(offset..) != text.get(..known - offset.min(known)) {
+            // A hole, or other text than before: this is not the same answer.
+            emit!(Event::FrameMismatch, "{:?} at byte {offset}", call.attempt);
+            return self.on_attempt_failed(now, id, BackendFailure::Broken);
+        }
+        call.text.push_str(&text[known - offset..]);
+        call.phase = Phase::Running { progress: now };
+        self.forward(now, id);
+    }
+
+    pub(super) fn on_attempt_failed(&mut self, now: Moment, id: u64, failure: BackendFailure) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        emit!(
+            Event::AttemptFailed,
+            "{:?}: {failure:?}",
+            call.attempt.as_ref().map(AttemptId::to_string)
+        );
+        let was_lookup = matches!(call.phase, Phase::LookingUp { .. });
+        if let Some(target) = call
+            .target
+            .as_ref()
+            .filter(|_| failure != BackendFailure::NothingToResume)
+        {
+            call.excluded.insert(backend_name(&target.backend));
+        }
+        let repeatable = call
+            .admission
+            .as_ref()
+            .is_some_and(|admission| admission.repeatable);
+        self.release_slot(now, id);
+        let never_sent = failure == BackendFailure::NotStarted && !was_lookup;
+        let may_retry = never_sent || (repeatable && !was_lookup && self.retries.spend());
+        if may_retry {
+            self.retry(now, id, never_sent);
+        } else {
+            self.give_up(now, id, FailureCause::BackendLost);
+        }
+    }
+
+    /// Asks for another attempt.
+    pub(super) fn retry(&mut self, now: Moment, id: u64, never_sent: bool) {
+        self.release_slot(now, id);
+        let by = self.settings.node.clone();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = call.attempt.clone() else {
+            return;
+        };
+        call.phase = Phase::Retrying;
+        call.resumes = None;
+        let program = attempt.call.program.clone();
+        let command = ProgramCommand::Retry {
+            attempt,
+            by,
+            never_sent,
+        };
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    pub(super) fn start_retry(&mut self, now: Moment, id: u64, next: AttemptId) {
+        let jitter = self.random.random::<f64>();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if let Some(old) = call.attempt.replace(next.clone()) {
+            self.by_attempt.remove(&old);
+        }
+        self.by_attempt.insert(next.clone(), id);
+        call.target = None;
+        call.phase = Phase::Routing {
+            again_at: now + backoff(next.number - 1, jitter),
+        };
+        if let Some(admission) = &mut call.admission {
+            admission.attempt = next;
+        }
+    }
+
+    /// Finds out what became of an attempt that another gateway had sent.
+    pub(super) fn recover(&mut self, now: Moment, id: u64, backend: Backend) {
+        let address = match &backend {
+            Backend::Engine(engine) => self.view.engine(engine).map(|spec| spec.address),
+            Backend::Replica(name) => self.view.replica(name).map(|spec| spec.address),
+        };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let repeatable = call
+            .admission
+            .as_ref()
+            .is_some_and(|admission| admission.repeatable);
+        let Some(address) = address else {
+            return if repeatable {
+                self.route(now, id)
+            } else {
+                self.give_up(now, id, FailureCause::BackendLost)
+            };
+        };
+        let is_engine = matches!(backend, Backend::Engine(_));
+        let target = Target { backend, address };
+        match (repeatable, is_engine) {
+            // The engine may still have the stream: resume it under a new mark.
+            (true, true) => self.dispatch(now, id, target),
+            (true, false) => self.route(now, id),
+            (false, true) => {
+                call.target = Some(target);
+                call.phase = Phase::Running { progress: now };
+                if let Some(order) = engine_order(call) {
+                    self.actions.push(Action::RunOnEngine(Box::new(order)));
+                }
+            }
+            (false, false) => {
+                call.target = Some(target);
+                call.phase = Phase::LookingUp { since: now };
+                if let Some(order) = service_order(call, true) {
+                    self.actions.push(Action::RunOnService(Box::new(order)));
+                }
+            }
+        }
+    }
+
+    pub(super) fn give_up(&mut self, now: Moment, id: u64, cause: FailureCause) {
+        self.release_slot(now, id);
+        let by = self.settings.node.clone();
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(attempt) = call.attempt.clone() else {
+            return;
+        };
+        call.phase = Phase::GivingUp;
+        call.cause = Some(cause);
+        let program = attempt.call.program.clone();
+        let command = ProgramCommand::GiveUp { attempt, by };
+        self.command(now, Purpose::Call(id), &program, command);
+    }
+
+    /// The program of the attempt was cancelled, here or through another gateway.
+    pub(in crate::core) fn on_cancel(&mut self, now: Moment, attempt: &AttemptId) {
+        let Some(id) = self.by_attempt.get(attempt).copied() else {
+            return;
+        };
+        self.cancel_on_engine(id);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.cancelled = true;
+        }
+        self.resolve(now, id);
+    }
+
+    /// Tells the engine that nobody wants the attempt any more.
+    pub(super) fn cancel_on_engine(&mut self, id: u64) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let is_running = matches!(call.phase, Phase::Running { .. });
+        if let (true, Some(target), Some(attempt)) = (is_running, &call.target, &call.attempt)
+            && matches!(target.backend, Backend::Engine(_))
+        {
+            self.actions.push(Action::CancelOnEngine {
+                attempt: call.resumes.clone().unwrap_or_else(|| attempt.clone()),
+                address: target.address,
+            });
+        }
+    }
+}
+
+/// A back end's name, for lists of back ends to avoid.
+pub(super) fn backend_name(backend: &Backend) -> String {
+    match backend {
+        Backend::Engine(engine) => engine.as_str().to_owned(),
+        Backend::Replica(name) => name.clone(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/memory.rs
@@ -0,0 +1,143 @@
+//! Release of engine memory that ended programs hold.
+//!
+//! The record of a program lists every engine that may hold its history; ending
+//! it makes release orders in the store. The owner of an engine carries them out
+//! and confirms each. A sweep compares the engine's own listing with the records,
+//! for memory that no record knows of.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use calicohoist_store::StoreReply;
+use calicohoist_store::commands::program::ProgramCommand;
+use calicohoist_store::queries::program::{ProgramAnswer, ProgramQuery};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{EngineId, Moment, ProgramId};
+
+use super::message::Action;
+use super::{Gateway, Purpose, program_answer};
+
+/// Time between questions for new release orders.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between listings of one engine.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(3);
+/// Pause after a release that failed.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Release orders fetched at a time for one engine.
+const FETCH_LIMIT: usize = 64;
+
+/// Release orders under way.
+#[derive(Debug, Default)]
+pub(crate) struct MemoryDuty {
+    next_ask: Moment,
+    next_sweep: Moment,
+    /// Orders that were sent, and not before when each may be sent again.
+    sent: BTreeMap<(EngineId, ProgramId), Moment>,
+}
+
+impl Gateway {
+    pub(super) fn run_memory(&mut self, now: Moment) {
+        let engines: Vec<EngineId> = self.owner.engines().cloned().collect();
+        if engines.is_empty() || !self.view.has_lease(now) {
+            return;
+        }
+        if now >= self.memory.next_ask {
+            self.memory.next_ask = now + ASK_INTERVAL;
+            self.memory.sent.retain(|_, again| *again > now);
+            self.ask_for_releases(now, &engines);
+        }
+        if now >= self.memory.next_sweep {
+            self.memory.next_sweep = now + SWEEP_INTERVAL;
+            for engine in engines {
+                if let Some(spec) = self.view.engine(&engine) {
+                    let address = spec.address;
+                    self.actions.push(Action::ListCache { engine, address });
+                }
+            }
+        }
+    }
+
+    fn ask_for_releases(&mut self, now: Moment, engines: &[EngineId]) {
+        for group in self.groups.program_groups() {
+            let query = ProgramQuery::Releases {
+                engines: engines.to_vec(),
+                limit: FETCH_LIMIT,
+            };
+            self.query(now, Purpose::Releases, group, query);
+        }
+    }
+
+    pub(super) fn on_releases(&mut self, now: Moment, reply: Option<StoreReply>) {
+        if let Some(ProgramAnswer::Releases(orders)) = program_answer(reply) {
+            for (engine, program) in orders {
+                self.release(now, engine, program);
+            }
+        }
+    }
+
+    fn release(&mut self, now: Moment, engine: EngineId, program: ProgramId) {
+        let Some(address) = self.view.engine(&engine).map(|spec| spec.address) else {
+            return;
+        };
+        let order = (engine.clone(), program.clone());
+        if self.memory.sent.contains_key(&order) {
+            return;
+        }
+        self.memory.sent.insert(order, now + RETRY_PAUSE);
+        self.actions.push(Action::ReleaseCache {
+            engine,
+            address,
+            program,
+        });
+    }
+
+    pub(super) fn on_cache_released(
+        &mut self,
+        now: Moment,
+        engine: EngineId,
+        program: ProgramId,
+        confirmed: bool,
+    ) {
+        if !confirmed {
+            emit!(Event::CacheReleaseFailed, "{program} on {engine}");
+            return;
+        }
+        emit!(Event::CacheReleased, "{program} on {engine}");
+        let command = ProgramCommand::Released {
+            engine,
+            program: program.clone(),
+        };
+        self.command(now, Purpose::Forget, &program, command);
+    }
+
+    pub(super) fn on_cache_listing(
+        &mut self,
+        now: Moment,
+        engine: EngineId,
+        programs: Vec<ProgramId>,
+    ) {
+        let mut by_group: BTreeMap<_, Vec<ProgramId>> = BTreeMap::new();
+        for program in programs {
+            let group = self.groups.group_of(&program);
+            by_group.entry(group).or_default().push(program);
+        }
+        for (group, programs) in by_group {
+            let purpose = Purpose::NotActive(engine.clone());
+            self.query(now, purpose, group, ProgramQuery::NotActive(programs));
+        }
+    }
+
+    pub(super) fn on_not_active(
+        &mut self,
+        now: Moment,
+        engine: &EngineId,
+        reply: Option<StoreReply>,
+    ) {
+        if let Some(ProgramAnswer::Programs(programs)) = program_answer(reply) {
+            for program in programs {
+                emit!(Event::CacheOrphanFound, "{program} on {engine}");
+                self.release(now, engine.clone(), program);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/mod.rs
@@ -0,0 +1,439 @@
+//! Everything a gateway decides, as a state machine without I/O.
+//!
+//! [`Gateway`] takes [`Input`]s and the passing of time, and returns [`Action`]s.
+//! Its parts: [`view`] is what it knows of the fleet and its lease, [`owner`]
+//! the queues of the engines it owns, [`memory`] the release of engine memory,
+//! [`call`] one call under way, and `flow` what happens to calls.
+
+pub mod call;
+mod flow;
+pub mod memory;
+pub mod message;
+pub mod owner;
+pub mod view;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use calicohoist_replication::GroupId;
+use calicohoist_scheduler::{CostWeights, RetryBudget};
+use calicohoist_store::commands::program::{ProgramCommand, ProgramOutput};
+use calicohoist_store::queries::program::{ProgramAnswer, ProgramQuery};
+use calicohoist_store::{
+    Answer, Command, GroupMap, Heartbeat, NodeRef, Output, Query, RouterEvent, StoreReply,
+    StoreRequest, StoreRouter,
+};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{AttemptId, EngineId, Moment, ProgramId, Zone};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use call::Call;
+use memory::MemoryDuty;
+pub use message::{Action, CallerEvent, Input, PeerMessage, Ticket};
+use owner::EngineOwner;
+use view::FleetView;
+
+/// Settings of a gateway's decisions.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// This start of this gateway.
+    pub node: NodeRef,
+    /// Where other gateways reach it.
+    pub peer_address: SocketAddr,
+    /// Its zone.
+    pub zone: Zone,
+    /// Numbers of the store machines.
+    pub store_machines: Vec<u16>,
+    /// Groups that hold programs.
+    pub program_groups: u32,
+    /// Longest time a call waits for a slot.
+    pub queue_timeout: Duration,
+    /// Longest time a call waits for an earlier one that has not arrived.
+    pub gap_timeout: Duration,
+    /// Silence of a back end after which an attempt is tried elsewhere.
+    pub stall_timeout: Duration,
+    /// Longest time a request waits for the same request elsewhere.
+    pub duplicate_timeout: Duration,
+    /// Calls under way in this gateway; more are refused.
+    pub max_calls: usize,
+    /// Calls waiting for one engine.
+    pub max_waiting_per_engine: usize,
+    /// Attempts of one call.
+    pub max_attempts: u32,
+    /// Weights of the routing cost.
+    pub weights: CostWeights,
+    /// Whether leaving back ends are known from the platform's list.
+    pub has_platform: bool,
+    /// Seed of jitter and names.
+    pub seed: u64,
+}
+
+/// Time between heartbeats to the store.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Patience with the store for one request.
+const STORE_PATIENCE: Duration = Duration::from_secs(10);
+/// Time between the lists of held slots that owners get.
+const HOLDING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What an answer of the store is for.
+#[derive(Debug)]
+enum Purpose {
+    /// A step of a call.
+    Call(u64),
+    /// A caller's own request.
+    Caller(Ticket),
+    /// A caller that wants a stored answer.
+    Attach(u64),
+    /// The lease; sent at this moment.
+    Heartbeat(Moment),
+    /// Programs whose memory is to be released.
+    Releases,
+    /// Which programs of an engine's listing have ended.
+    NotActive(EngineId),
+    /// Nothing waits for it.
+    Forget,
+}
+
+/// A gateway.
+pub struct Gateway {
+    settings: GatewaySettings,
+    groups: GroupMap,
+    random: ChaCha8Rng,
+    router: StoreRouter,
+    purposes: BTreeMap<u64, Purpose>,
+    next_token: u64,
+    view: FleetView,
+    owner: EngineOwner,
+    memory: MemoryDuty,
+    calls: BTreeMap<u64, Call>,
+    by_attempt: BTreeMap<AttemptId, u64>,
+    by_ticket: BTreeMap<Ticket, u64>,
+    next_call: u64,
+    retries: RetryBudget,
+    next_heartbeat: Moment,
+    heartbeat_is_out: bool,
+    next_holding: Moment,
+    stopping: bool,
+    stopped: bool,
+    actions: Vec<Action>,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings, now: Moment) -> Self {
+        let offset = settings.seed as usize;
+        let router = StoreRouter::new(settings.store_machines.clone(), offset);
+        Self {
+            groups: GroupMap::new(settings.program_groups),
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            router,
+            purposes: BTreeMap::new(),
+            next_token: 0,
+            view: FleetView::new(settings.has_platform, now),
+            owner: EngineOwner::new(settings.max_waiting_per_engine),
+            memory: MemoryDuty::default(),
+            calls: BTreeMap::new(),
+            by_attempt: BTreeMap::new(),
+            by_ticket: BTreeMap::new(),
+            next_call: 0,
+            retries: RetryBudget::default(),
+            next_heartbeat: now,
+            heartbeat_is_out: false,
+            next_holding: now,
+            stopping: false,
+            stopped: false,
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// What this gateway knows of the fleet.
+    pub fn view(&self) -> &FleetView {
+        &self.view
+    }
+
+    /// Calls under way.
+    pub fn calls_under_way(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// Whether it may start work now.
+    pub fn is_ready(&self, now: Moment) -> bool {
+        !self.stopping && self.view.has_lease(now)
+    }
+
+    /// Takes one input and returns what to do.
+    pub fn step(&mut self, now: Moment, input: Input) -> Vec<Action> {
+        match input {
+            Input::Call(ticket, request) => self.on_call(now, ticket, *request),
+            Input::Attach {
+                ticket,
+                tenant,
+                call,
+                offset,
+            } => self.on_attach(now, ticket, tenant, call, offset),
+            Input::Ask(ticket, request) => {
+                self.ask(now, Purpose::Caller(ticket), *request);
+            }
+            Input::CallerGone(ticket) => self.on_caller_gone(ticket),
+            Input::StoreReply { id, reply } => self.router.on_reply(now, id, reply),
+            Input::Peer { from, message } => self.on_peer(now, from, message),
+            Input::Backend(attempt, event) => self.on_backend(now, attempt, event),
+            Input::CacheReleased {
+                engine,
+                program,
+                confirmed,
+            } => self.on_cache_released(now, engine, program, confirmed),
+            Input::CacheListing { engine, programs } => {
+                self.on_cache_listing(now, engine, programs);
+            }
+            Input::EngineProbe { engine, report } => {
+                self.owner.on_probe(now, &engine, report);
+                self.run_owner(now);
+            }
+            Input::Platform(list) => self.view.on_platform(now, list),
+            Input::Stop => self.begin_stop(now),
+        }
+        self.take_actions(now)
+    }
+
+    /// Lets time pass and returns what to do.
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        self.router.tick(now);
+        self.view.tick(now);
+        if now >= self.next_heartbeat && !self.heartbeat_is_out {
+            self.send_heartbeat(now);
+        }
+        self.run_owner(now);
+        self.run_memory(now);
+        self.send_holdings(now);
+        self.tick_calls(now);
+        self.finish_stop(now);
+        self.take_actions(now)
+    }
+
+    fn take_actions(&mut self, now: Moment) -> Vec<Action> {
+        // A reply may lead to another request, so this goes on until nothing is new.
+        loop {
+            let events = self.router.take_events();
+            if events.is_empty() {
+                return std::mem::take(&mut self.actions);
+            }
+            for event in events {
+                self.on_router_event(now, event);
+            }
+        }
+    }
+
+    fn on_router_event(&mut self, now: Moment, event: RouterEvent) {
+        match event {
+            RouterEvent::Send {
+                machine,
+                id,
+                request,
+            } => self.actions.push(Action::ToStore {
+                machine,
+                id,
+                request: Box::new(request),
+            }),
+            RouterEvent::Done { token, reply } => {
+                if let Some(purpose) = self.purposes.remove(&token) {
+                    self.on_store_answer(now, purpose, reply);
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, now: Moment, purpose: Purpose, request: StoreRequest) {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.purposes.insert(token, purpose);
+        self.router.ask(now, token, request, STORE_PATIENCE);
+    }
+
+    fn command(
+        &mut self,
+        now: Moment,
+        purpose: Purpose,
+        program: &ProgramId,
+        command: ProgramCommand,
+    ) {
+        let group = self.groups.group_of(program);
+        let request = StoreRequest::Command(group, Command::Program(command));
+        self.ask(now, purpose, request);
+    }
+
+    fn query(&mut self, now: Moment, purpose: Purpose, group: GroupId, query: ProgramQuery) {
+        let request = StoreRequest::Query(group, Query::Program(query));
+        self.ask(now, purpose, request);
+    }
+
+    fn on_store_answer(&mut self, now: Moment, purpose: Purpose, reply: Option<StoreReply>) {
+        match purpose {
+            Purpose::Call(call) => {
+                let output = reply.and_then(program_output);
+                self.on_call_answer(now, call, output);
+            }
+            Purpose::Caller(ticket) => self.on_caller_answer(now, ticket, reply),
+            Purpose::Attach(call) => self.on_attach_answer(now, call, reply),
+            Purpose::Heartbeat(sent) => self.on_heartbeat_answer(now, sent, reply),
+            Purpose::Releases => self.on_releases(now, reply),
+            Purpose::NotActive(engine) => self.on_not_active(now, &engine, reply),
+            Purpose::Forget => {}
+        }
+    }
+
+    fn on_caller_answer(&mut self, now: Moment, ticket: Ticket, reply: Option<StoreReply>) {
+        if let Some(StoreReply::Output(Output::Program(ProgramOutput::Cancelled(running)))) = &reply
+        {
+            for (attempt, by) in running.clone() {
+                self.tell(now, by.node, PeerMessage::Cancel { attempt });
+            }
+        }
+        let event = CallerEvent::Store(reply.map(Box::new));
+        self.actions.push(Action::ToCaller(ticket, event));
+    }
+
+    /// Says something to a gateway, perhaps this one.
+    fn tell(&mut self, now: Moment, to: calicohoist_types::NodeId, message: PeerMessage) {
+        if to == self.settings.node.node {
+            return self.on_peer(now, to, message);
+        }
+        if let Some(address) = self.view.address_of(&to) {
+            self.actions.push(Action::ToPeer {
+                to,
+                address,
+                message,
+            });
+        }
+    }
+
+    fn send_heartbeat(&mut self, now: Moment) {
+        self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+        self.heartbeat_is_out = true;
+        let heartbeat = Heartbeat {
+            from: self.settings.node.clone(),
+            peer_address: self.settings.peer_address,
+            zone: self.settings.zone.clone(),
+            applied: self.view.applied(),
+            nodes_version: self.view.nodes_version(),
+            loads: self.owner.loads(now, &self.view),
+            stopping: self.stopping,
+        };
+        let request = StoreRequest::Heartbeat(Box::new(heartbeat));
+        self.next_token += 1;
+        let token = self.next_token;
+        self.purposes.insert(token, Purpose::Heartbeat(now));
+        self.router
+            .ask(now, token, request, calicohoist_store::nodes::LEASE);
+    }
+
+    fn on_heartbeat_answer(&mut self, now: Moment, sent: Moment, reply: Option<StoreReply>) {
+        self.heartbeat_is_out = false;
+        let Some(StoreReply::Heartbeat(reply)) = reply else {
+            return;
+        };
+        let applied_before = self.view.applied();
+        self.view.on_heartbeat(now, sent, *reply);
+        if self.view.applied() > applied_before {
+            emit!(
+                Event::ConfigurationApplied,
+                "revision {}",
+                self.view.applied()
+            );
+            // The sooner the store hears of it, the sooner it is in force.
+            self.next_heartbeat = now;
+        }
+        self.run_owner(now);
+    }
+
+    /// Updates which engines this gateway owns, and gives out slots.
+    fn run_owner(&mut self, now: Moment) {
+        let own = self.settings.node.node.clone();
+        let stopping = self.stopping;
+        let outcome = self.owner.run(now, &own, &self.view, stopping);
+        for (engine, address) in outcome.probes {
+            self.actions.push(Action::ProbeEngine { engine, address });
+        }
+        for (to, message) in outcome.messages {
+            self.tell(now, to, message);
+        }
+    }
+
+    fn on_peer(&mut self, now: Moment, from: calicohoist_types::NodeId, message: PeerMessage) {
+        match message {
+            PeerMessage::Granted { attempt, engine } => self.on_granted(now, attempt, engine),
+            PeerMessage::Refused {
+                attempt,
+                engine,
+                overloaded,
+            } => self.on_slot_refused(now, attempt, engine, overloaded),
+            PeerMessage::Cancel { attempt } => self.on_cancel(now, &attempt),
+            message => {
+                let answer = self.owner.on_message(now, from.clone(), message);
+                if let Some(answer) = answer {
+                    self.tell(now, from, answer);
+                }
+                self.run_owner(now);
+            }
+        }
+    }
+
+    fn send_holdings(&mut self, now: Moment) {
+        if now < self.next_holding {
+            return;
+        }
+        self.next_holding = now + HOLDING_INTERVAL;
+        let mut by_engine: BTreeMap<EngineId, Vec<AttemptId>> = BTreeMap::new();
+        for call in self.calls.values() {
+            if let Some((engine, attempt)) = call.held_slot() {
+                by_engine.entry(engine).or_default().push(attempt);
+            }
+        }
+        for (engine, attempts) in by_engine {
+            if let Some(owner) = self.view.owner_of(&engine) {
+                self.tell(now, owner, PeerMessage::Holding { engine, attempts });
+            }
+        }
+    }
+
+    fn begin_stop(&mut self, now: Moment) {
+        if self.stopping {
+            return;
+        }
+        emit!(Event::StopRequested, "{} calls under way", self.calls.len());
+        self.stopping = true;
+        self.next_heartbeat = now;
+        self.run_owner(now);
+    }
+
+    fn finish_stop(&mut self, now: Moment) {
+        let handed_over =
+            self.view.knows_stopping(&self.settings.node) || !self.view.has_lease(now);
+        if self.stopping && !self.stopped && self.calls.is_empty() && handed_over {
+            self.stopped = true;
+            self.actions.push(Action::Stopped);
+        }
+    }
+}
+
+fn program_output(reply: StoreReply) -> Option<ProgramOutput> {
+    match reply {
+        StoreReply::Output(Output::Program(output)) => Some(output),
+        _ => None,
+    }
+}
+
+fn program_answer(reply: Option<StoreReply>) -> Option<ProgramAnswer> {
+    match reply {
+        Some(StoreReply::Answer(Answer::Program(answer))) => Some(answer),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/owner.rs
@@ -0,0 +1,235 @@
+//! The queues of the engines that this gateway owns.
+//!
+//! Two gateways may both believe that they own an engine for a moment. That
+//! costs order, not safety: the engine itself batches what it gets, and every
+//! attempt is fenced in the program's record.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use calicohoist_scheduler::{EngineQueue, QueueEntry};
+use calicohoist_store::EngineLoad;
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{EngineId, Moment, NodeId};
+
+use super::message::{EngineReport, PeerMessage};
+use super::view::FleetView;
+
+/// Time between probes of an owned engine.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// An engine that has not answered for this long gets no new work.
+const PROBE_EXPIRY: Duration = Duration::from_secs(3);
+/// A slot is not taken back for a missing mention while it is younger than this.
+const HOLDING_GRACE: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Default)]
+struct OwnedEngine {
+    queue: EngineQueue,
+    next_probe: Moment,
+    answered: Option<Moment>,
+    leaving: bool,
+}
+
+/// What follows from a run of the owner's duty.
+#[derive(Debug, Default)]
+pub(crate) struct OwnerOutcome {
+    /// Engines to probe.
+    pub(crate) probes: Vec<(EngineId, SocketAddr)>,
+    /// Messages to holders.
+    pub(crate) messages: Vec<(NodeId, PeerMessage)>,
+}
+
+/// All owned engines.
+#[derive(Debug)]
+pub(crate) struct EngineOwner {
+    engines: BTreeMap<EngineId, OwnedEngine>,
+    max_waiting: usize,
+}
+
+impl EngineOwner {
+    pub(crate) fn new(max_waiting: usize) -> Self {
+        Self {
+            engines: BTreeMap::new(),
+            max_waiting,
+        }
+    }
+
+    /// The owned engines.
+    pub(crate) fn engines(&self) -> impl Iterator<Item = &EngineId> {
+        self.engines.keys()
+    }
+
+    /// Follows the view: takes over and gives up engines, gives out slots.
+    pub(crate) fn run(
+        &mut self,
+        now: Moment,
+        own: &NodeId,
+        view: &FleetView,
+        stopping: bool,
+    ) -> OwnerOutcome {
+        let mut outcome = OwnerOutcome::default();
+        self.follow_ownership(own, view, stopping, &mut outcome);
+        for (engine, owned) in &mut self.engines {
+            let Some(spec) = view.engine(engine) else {
+                continue;
+            };
+            owned.queue.drop_holders(|holder| view.is_listed(holder));
+            if now >= owned.next_probe {
+                owned.next_probe = now + PROBE_INTERVAL;
+                outcome.probes.push((engine.clone(), spec.address));
+            }
+            if !view.may_use(engine) || owned.leaving {
+                bounce(engine, owned, &mut outcome);
+            } else if owned.is_fresh(now) && view.has_lease(now) {
+                grant(now, engine, spec.slots, owned, &mut outcome);
+            }
+        }
+        outcome
+    }
+
+    fn follow_ownership(
+        &mut self,
+        own: &NodeId,
+        view: &FleetView,
+        stopping: bool,
+        outcome: &mut OwnerOutcome,
+    ) {
+        let is_own = |engine: &EngineId| !stopping && view.owner_of(engine).as_ref() == Some(own);
+        let engines = view.engines().map(|(engine, _)| engine);
+        let wanted: BTreeSet<EngineId> = engines.filter(is_own).collect();
+        let given_up: Vec<EngineId> = self
+            .engines
+            .keys()
+            .filter(|engine| !wanted.contains(engine))
+            .cloned()
+            .collect();
+        for engine in given_up {
+            emit!(Event::EngineDisowned, "{engine}");
+            if let Some(mut owned) = self.engines.remove(&engine) {
+                bounce(&engine, &mut owned, outcome);
+            }
+        }
+        for engine in wanted {
+            self.engines.entry(engine.clone()).or_insert_with(|| {
+                emit!(Event::EngineOwned, "{engine}");
+                OwnedEngine::default()
+            });
+        }
+    }
+
+    pub(crate) fn on_probe(
+        &mut self,
+        now: Moment,
+        engine: &EngineId,
+        report: Option<EngineReport>,
+    ) {
+        if let (Some(owned), Some(report)) = (self.engines.get_mut(engine), report) {
+            owned.answered = Some(now);
+            owned.leaving = report.leaving;
+        }
+    }
+
+    /// Takes a message of a holder; returns the answer, if one is due at once.
+    pub(crate) fn on_message(
+        &mut self,
+        now: Moment,
+        from: NodeId,
+        message: PeerMessage,
+    ) -> Option<PeerMessage> {
+        match message {
+            PeerMessage::Enqueue {
+                attempt,
+                engine,
+                attained_tokens,
+                prompt_tokens,
+            } => {
+                let refused = |overloaded| {
+                    Some(PeerMessage::Refused {
+                        attempt: attempt.clone(),
+                        engine: engine.clone(),
+                        overloaded,
+                    })
+                };
+                let Some(owned) = self.engines.get_mut(&engine) else {
+                    return refused(false);
+                };
+                if owned.queue.is_running(&attempt) {
+                    return Some(PeerMessage::Granted { attempt, engine });
+                }
+                let entry = QueueEntry {
+                    attempt: attempt.clone(),
+                    holder: from,
+                    attained_tokens,
+                    prompt_tokens,
+                    since: now,
+                };
+                let added = owned.queue.add(entry, self.max_waiting);
+                if added.is_err() { refused(true) } else { None }
+            }
+            PeerMessage::Release { attempt, engine } => {
+                if let Some(owned) = self.engines.get_mut(&engine) {
+                    owned.queue.remove(&attempt);
+                }
+                None
+            }
+            PeerMessage::Holding { engine, attempts } => {
+                if let Some(owned) = self.engines.get_mut(&engine) {
+                    for attempt in &attempts {
+                        owned.queue.adopt(attempt.clone(), from.clone(), now);
+                    }
+                    owned.queue.reconcile(&from, &attempts, now - HOLDING_GRACE);
+                }
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Loads of the owned engines, for routing.
+    pub(crate) fn loads(&self, now: Moment, view: &FleetView) -> Vec<EngineLoad> {
+        let load = |(engine, owned): (&EngineId, &OwnedEngine)| EngineLoad {
+            engine: engine.clone(),
+            running: owned.queue.running(),
+            waiting: owned.queue.waiting(),
+            waiting_tokens: owned.queue.waiting_tokens(),
+            accepts: view.may_use(engine) && !owned.leaving && owned.is_fresh(now),
+        };
+        self.engines.iter().map(load).collect()
+    }
+}
+
+impl OwnedEngine {
+    fn is_fresh(&self, now: Moment) -> bool {
+        self.answered
+            .is_some_and(|answered| now.since(answered) < PROBE_EXPIRY)
+    }
+}
+
+fn grant(
+    now: Moment,
+    engine: &EngineId,
+    slots: u32,
+    owned: &mut OwnedEngine,
+    outcome: &mut OwnerOutcome,
+) {
+    for entry in owned.queue.grant(now, slots) {
+        let message = PeerMessage::Granted {
+            attempt: entry.attempt,
+            engine: engine.clone(),
+        };
+        outcome.messages.push((entry.holder, message));
+    }
+}
+
+/// Sends every waiting call back to its holder, to go elsewhere.
+fn bounce(engine: &EngineId, owned: &mut OwnedEngine, outcome: &mut OwnerOutcome) {
+    for entry in owned.queue.take_waiting() {
+        let message = PeerMessage::Refused {
+            attempt: entry.attempt,
+            engine: engine.clone(),
+            overloaded: false,
+        };
+        outcome.messages.push((entry.holder, message));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/view.rs
@@ -0,0 +1,287 @@
+//! What a gateway knows of the fleet: its lease, the configuration, the other
+//! gateways, loads, and which back ends are leaving.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use calicohoist_scheduler::owner_of;
+use calicohoist_store::queries::resource::{Update, UpdateContent};
+use calicohoist_store::{EngineLoad, HeartbeatReply, NodeInfo, NodeRef};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{
+    EngineId, EngineSpec, MachineState, MachineStatus, ModelId, ModelSpec, Moment, NodeId,
+    Resource, ResourceKey, ResourceKind, ResourceSpec, Revision, ServiceId, ServiceSpec, TenantId,
+    TenantSpec,
+};
+
+/// Limits of a tenant that no operator declared.
+pub const DEFAULT_TENANT: TenantSpec = TenantSpec {
+    default_program_tokens: 200_000,
+    max_program_tokens: 1_000_000,
+    max_calls: 1_000,
+};
+
+/// What a gateway knows of the fleet.
+#[derive(Debug)]
+pub struct FleetView {
+    lease_until: Moment,
+    had_lease: bool,
+    applied: Revision,
+    in_force: Revision,
+    resources: BTreeMap<ResourceKey, Resource>,
+    nodes: BTreeMap<NodeId, NodeInfo>,
+    nodes_version: u64,
+    nodes_complete: bool,
+    loads: BTreeMap<EngineId, EngineLoad>,
+    leaving: BTreeSet<String>,
+    has_platform: bool,
+}
+
+impl FleetView {
+    /// A view that knows nothing.
+    pub fn new(has_platform: bool, _now: Moment) -> Self {
+        Self {
+            lease_until: Moment::ZERO,
+            had_lease: false,
+            applied: Revision::default(),
+            in_force: Revision::default(),
+            resources: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            nodes_version: 0,
+            nodes_complete: false,
+            loads: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            has_platform,
+        }
+    }
+
+    /// Whether the gateway may start work: its view is at most a lease old.
+    pub fn has_lease(&self, now: Moment) -> bool {
+        now < self.lease_until
+    }
+
+    /// Revision of the configuration it acts on.
+    pub fn applied(&self) -> Revision {
+        self.applied
+    }
+
+    /// Every node acts on this revision or a later one.
+    pub fn in_force(&self) -> Revision {
+        self.in_force
+    }
+
+    /// Version of the list of gateways.
+    pub fn nodes_version(&self) -> u64 {
+        self.nodes_version
+    }
+
+    pub(crate) fn tick(&mut self, now: Moment) {
+        let has_lease = self.has_lease(now);
+        if self.had_lease && !has_lease {
+            emit!(Event::LeaseLost, "no answer from the store");
+        }
+        if !self.had_lease && has_lease {
+            emit!(Event::LeaseHeld, "at revision {}", self.applied);
+        }
+        self.had_lease = has_lease;
+    }
+
+    pub(crate) fn on_heartbeat(&mut self, now: Moment, sent: Moment, reply: HeartbeatReply) {
+        self.lease_until = self.lease_until.max(sent + reply.lease);
+        self.nodes_complete = reply.nodes_complete;
+        self.nodes_version = reply.nodes_version;
+        if let Some(nodes) = reply.nodes {
+            let by_name = nodes.into_iter().map(|info| (info.node.node.clone(), info));
+            self.nodes = by_name.collect();
+        }
+        let by_engine = reply
+            .loads
+            .into_iter()
+            .map(|load| (load.engine.clone(), load));
+        self.loads = by_engine.collect();
+        self.in_force = self.in_force.max(reply.in_force);
+        self.apply(reply.update);
+        self.tick(now);
+    }
+
+    /// Applies an update unless it is older than what is known already.
+    fn apply(&mut self, update: Update) {
+        if update.revision <= self.applied {
+            return;
+        }
+        match update.content {
+            UpdateContent::Whole(resources) => {
+                let by_key = resources
+                    .into_iter()
+                    .map(|resource| (resource.key.clone(), resource));
+                self.resources = by_key.collect();
+            }
+            UpdateContent::Changes(changes) => {
+                for change in changes
+                    .into_iter()
+                    .filter(|change| change.revision > self.applied)
+                {
+                    match change.after {
+                        Some(resource) => self.resources.insert(change.key, resource),
+                        None => self.resources.remove(&change.key),
+                    };
+                }
+            }
+        }
+        self.applied = update.revision;
+    }
+
+    pub(crate) fn on_platform(&mut self, _now: Moment, list: Option<Vec<MachineStatus>>) {
+        let Some(list) = list else {
+            return;
+        };
+        let leaving = list
+            .into_iter()
+            .filter(|machine| machine.state == MachineState::Leaving);
+        self.leaving = leaving.map(|machine| machine.name).collect();
+    }
+
+    /// Whether the view comes with a list of leaving machines.
+    pub fn has_platform(&self) -> bool {
+        self.has_platform
+    }
+
+    fn get(&self, kind: ResourceKind, name: &str) -> Option<&ResourceSpec> {
+        let key = ResourceKey {
+            kind,
+            name: name.to_owned(),
+        };
+        self.resources.get(&key).map(|resource| &resource.spec)
+    }
+
+    /// A model.
+    pub fn model(&self, model: &ModelId) -> Option<&ModelSpec> {
+        match self.get(ResourceKind::Model, model.as_str()) {
+            Some(ResourceSpec::Model(spec)) => Some(spec),
+            _ => None,
+        }
+    }
+
+    /// The names of all models.
+    pub fn models(&self) -> Vec<ModelId> {
+        let of_kind = self
+            .resources
+            .keys()
+            .filter(|key| key.kind == ResourceKind::Model);
+        of_kind.map(|key| ModelId::new(&key.name)).collect()
+    }
+
+    /// A tenant's limits.
+    pub fn tenant(&self, tenant: &TenantId) -> TenantSpec {
+        match self.get(ResourceKind::Tenant, tenant.as_str()) {
+            Some(ResourceSpec::Tenant(spec)) => spec.clone(),
+            _ => DEFAULT_TENANT,
+        }
+    }
+
+    /// The limits of all tenants that operators declared.
+    pub fn tenants(&self) -> BTreeMap<TenantId, TenantSpec> {
+        let declared = self
+            .resources
+            .values()
+            .filter_map(|resource| match &resource.spec {
+                ResourceSpec::Tenant(spec) => {
+                    Some((TenantId::new(&resource.key.name), spec.clone()))
+                }
+                _ => None,
+            });
+        declared.collect()
+    }
+
+    /// An engine.
+    pub fn engine(&self, engine: &EngineId) -> Option<&EngineSpec> {
+        match self.get(ResourceKind::Engine, engine.as_str()) {
+            Some(ResourceSpec::Engine(spec)) => Some(spec),
+            _ => None,
+        }
+    }
+
+    /// All engines.
+    pub fn engines(&self) -> impl Iterator<Item = (EngineId, &EngineSpec)> {
+        self.resources
+            .values()
+            .filter_map(|resource| match &resource.spec {
+                ResourceSpec::Engine(spec) => Some((EngineId::new(&resource.key.name), spec)),
+                _ => None,
+            })
+    }
+
+    /// Replicas of a service that take new work.
+    pub fn replicas(&self, service: &ServiceId) -> Vec<(String, ServiceSpec)> {
+        let replicas = self
+            .resources
+            .values()
+            .filter_map(|resource| match &resource.spec {
+                ResourceSpec::Service(spec) => Some((resource.key.name.clone(), spec.clone())),
+                _ => None,
+            });
+        let serves = |(name, spec): &(String, ServiceSpec)| {
+            spec.service == service.as_str() && !spec.drain && !self.leaving.contains(name)
+        };
+        replicas.filter(serves).collect()
+    }
+
+    /// A replica of a service by its name.
+    pub fn replica(&self, name: &str) -> Option<&ServiceSpec> {
+        match self.get(ResourceKind::Service, name) {
+            Some(ResourceSpec::Service(spec)) => Some(spec),
+            _ => None,
+        }
+    }
+
+    /// Whether any replica of `service` is declared.
+    pub fn knows_service(&self, service: &ServiceId) -> bool {
+        self.resources
+            .values()
+            .any(|resource| match &resource.spec {
+                ResourceSpec::Service(spec) => spec.service == service.as_str(),
+                _ => false,
+            })
+    }
+
+    /// Whether operator and platform let `engine` take new work.
+    pub fn may_use(&self, engine: &EngineId) -> bool {
+        let spec = self.engine(engine);
+        spec.is_some_and(|spec| !spec.drain) && !self.leaving.contains(engine.as_str())
+    }
+
+    /// What the engine's owner last said of it.
+    pub fn load(&self, engine: &EngineId) -> Option<&EngineLoad> {
+        self.loads.get(engine)
+    }
+
+    /// The gateway that keeps `engine`'s queue.
+    pub fn owner_of(&self, engine: &EngineId) -> Option<NodeId> {
+        let serving = self.nodes.values().filter(|info| !info.stopping);
+        owner_of(engine, serving.map(|info| &info.node.node)).cloned()
+    }
+
+    /// Where other gateways reach `node`.
+    pub fn address_of(&self, node: &NodeId) -> Option<SocketAddr> {
+        self.nodes.get(node).map(|info| info.peer_address)
+    }
+
+    /// Whether a gateway of that name has a lease.
+    pub fn is_listed(&self, node: &NodeId) -> bool {
+        self.nodes.contains_key(node)
+    }
+
+    /// Whether that start of that gateway certainly has no lease any more.
+    pub fn is_certainly_gone(&self, now: Moment, node: &NodeRef) -> bool {
+        let is_listed = self
+            .nodes
+            .get(&node.node)
+            .is_some_and(|info| info.node == *node);
+        self.has_lease(now) && self.nodes_complete && !is_listed
+    }
+
+    /// Whether the fleet has heard that this gateway is stopping.
+    pub(crate) fn knows_stopping(&self, node: &NodeRef) -> bool {
+        self.nodes.get(&node.node).is_some_and(|info| info.stopping)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/driver.rs
@@ -0,0 +1,453 @@
+//! Threads and rings around the core.
+//!
+//! Duties: `core` owns the [`Gateway`] and takes everything that happens from one
+//! bounded ring; HTTP workers serve callers; a bounded set of attempt threads
+//! talks to back ends; control threads release memory and probe engines; one
+//! duty reads the platform's list; links carry frames to store and peers.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use calicohoist_http::{HttpServer, ServerSettings};
+use calicohoist_store::GroupMap;
+use calicohoist_store::protocol::{StoreBack, StoreFrame};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{Moment, NodeId};
+use calicohoist_wire::{FrameServer, Link, Replier};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use serde::{Deserialize, Serialize};
+
+use crate::backend::{engine, platform, service};
+use crate::core::message::{Action, BackendEvent, BackendFailure, Input, PeerMessage};
+use crate::core::{Gateway, GatewaySettings};
+use crate::front::Front;
+use crate::front::callers::Callers;
+use crate::view::SharedView;
+
+/// Inputs that may wait for the core.
+const RING: usize = 65_536;
+/// Inputs taken before time passes again.
+const MAX_BATCH: usize = 256;
+/// How often time passes for the core.
+const TICK: Duration = Duration::from_millis(10);
+/// Control requests that may wait.
+const CONTROL_RING: usize = 4_096;
+/// Threads that carry out control requests.
+const CONTROL_THREADS: usize = 4;
+/// Time between readings of the platform's list.
+const PLATFORM_INTERVAL: Duration = Duration::from_secs(1);
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Settings of a gateway process.
+#[derive(Clone, Debug)]
+pub struct ServerConfig {
+    /// Settings of its decisions. Its peer address is replaced by the bound one.
+    pub core: GatewaySettings,
+    /// Store machines.
+    pub stores: BTreeMap<u16, SocketAddr>,
+    /// The platform's list of machines.
+    pub platform: Option<SocketAddr>,
+    /// Bounds of the HTTP server.
+    pub http: ServerSettings,
+    /// Attempts under way on back ends at a time.
+    pub attempt_threads: usize,
+}
+
+/// One frame between gateways.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerFrame {
+    /// The sender.
+    pub from: NodeId,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+/// What the core's ring carries.
+#[derive(Debug)]
+pub enum CoreInput {
+    /// For the core.
+    Input(Input),
+}
+
+/// A running gateway. Dropping it stops it at once, as a crash would.
+pub struct GatewayServer {
+    http: HttpServer,
+    peer_address: SocketAddr,
+    core: Sender<CoreInput>,
+    stop: Arc<AtomicBool>,
+    stopped: Receiver<()>,
+    threads: Vec<JoinHandle<()>>,
+    _peers: FrameServer,
+}
+
+impl GatewayServer {
+    /// Starts a gateway for callers on `http` and other gateways on `peers`.
+    ///
+    /// # Errors
+    /// When a socket or thread cannot be had.
+    pub fn start(
+        mut config: ServerConfig,
+        http: TcpListener,
+        peers: TcpListener,
+    ) -> std::io::Result<Self> {
+        let peer_address = peers.local_addr()?;
+        config.core.peer_address = peer_address;
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopping = Arc::new(AtomicBool::new(false));
+        let (sender, receiver) = bounded(RING);
+        let (stopped_sender, stopped) = bounded(1);
+        let callers = Arc::new(Callers::default());
+        let view = Arc::new(SharedView::default());
+        let peer_server = FrameServer::start(peers, peer_handler(sender.clone()))?;
+        let (attempts, mut threads) = start_attempt_threads(&config, &sender, &stop)?;
+        let (control, control_threads) = start_control_threads(&sender, &stop)?;
+        threads.extend(control_threads);
+        let duty = CoreDuty {
+            receiver,
+            callers: callers.clone(),
+            view: view.clone(),
+            stores: open_store_links(&config.stores, &sender)?,
+            peers: BTreeMap::new(),
+            attempts,
+            control,
+            core: sender.clone(),
+            own: config.core.node.node.clone(),
+            stop: stop.clone(),
+            stopping: stopping.clone(),
+            stopped: stopped_sender,
+        };
+        let settings = config.core.clone();
+        threads.push(spawn("core", move || duty.run(settings))?);
+        if let Some(address) = config.platform {
+            let (sender, stop) = (sender.clone(), stop.clone());
+            threads.push(spawn("platform", move || {
+                watch_platform(address, &sender, &stop)
+            })?);
+        }
+        let front = Front {
+            core: sender.clone(),
+            callers,
+            view,
+            groups: GroupMap::new(config.core.program_groups),
+            stopping,
+        };
+        let http = HttpServer::start_on(http, config.http, Arc::new(front))?;
+        Ok(Self {
+            http,
+            peer_address,
+            core: sender,
+            stop,
+            stopped,
+            threads,
+            _peers: peer_server,
+        })
+    }
+
+    /// Address for callers.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Address for other gateways.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Begins a planned stop: new calls are refused, those under way finish.
+    pub fn begin_stop(&self) {
+        let _ = self.core.send(CoreInput::Input(Input::Stop));
+    }
+
+    /// Waits for the planned stop to complete; `false` when `patience` ran out.
+    pub fn wait_stopped(&self, patience: Duration) -> bool {
+        self.stopped.recv_timeout(patience).is_ok()
+    }
+
+    /// A planned stop with patience; `true` when nothing was cut.
+    pub fn stop_gracefully(mut self, patience: Duration) -> bool {
+        self.begin_stop();
+        let complete = self.wait_stopped(patience);
+        let event = if complete {
+            Event::StopFinished
+        } else {
+            Event::StopForced
+        };
+        emit!(event, "gateway");
+        // Workers still write the last bytes of answers that are complete.
+        self.http.stop();
+        complete
+    }
+}
+
+impl Drop for GatewayServer {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> std::io::Result<JoinHandle<()>> {
+    std::thread::Builder::new().name(name.to_owned()).spawn(run)
+}
+
+fn peer_handler(core: Sender<CoreInput>) -> impl Fn(PeerFrame, &Replier<PeerFrame>) + Send + Sync {
+    move |frame, _| {
+        let _ = core.try_send(CoreInput::Input(Input::Peer {
+            from: frame.from,
+            message: frame.message,
+        }));
+    }
+}
+
+fn open_store_links(
+    stores: &BTreeMap<u16, SocketAddr>,
+    core: &Sender<CoreInput>,
+) -> std::io::Result<BTreeMap<u16, Link<StoreFrame>>> {
+    let mut links = BTreeMap::new();
+    for (machine, address) in stores {
+        let core = core.clone();
+        let link = Link::open(*address, move |back| {
+            if let StoreBack::Reply { id, reply } = back {
+                let _ = core.send(CoreInput::Input(Input::StoreReply { id, reply }));
+            }
+        })?;
+        links.insert(*machine, link);
+    }
+    Ok(links)
+}
+
+fn watch_platform(address: SocketAddr, core: &Sender<CoreInput>, stop: &AtomicBool) {
+    let mut next = Instant::now();
+    while !stop.load(Ordering::SeqCst) {
+        if Instant::now() >= next {
+            next = Instant::now() + PLATFORM_INTERVAL;
+            let list = platform::list(address);
+            let _ = core.send(CoreInput::Input(Input::Platform(list)));
+        }
+        std::thread::sleep(STOP_POLL);
+    }
+}
+
+/// Work for attempt and control threads.
+type Job = Box<dyn FnOnce(&Sender<CoreInput>) + Send>;
+/// A ring of jobs, and the threads behind it.
+type Crew = (Sender<Job>, Vec<JoinHandle<()>>);
+
+fn start_attempt_threads(
+    config: &ServerConfig,
+    core: &Sender<CoreInput>,
+    stop: &Arc<AtomicBool>,
+) -> std::io::Result<Crew> {
+    start_crew(
+        "attempt",
+        config.attempt_threads,
+        config.attempt_threads,
+        core,
+        stop,
+    )
+}
+
+fn start_control_threads(
+    core: &Sender<CoreInput>,
+    stop: &Arc<AtomicBool>,
+) -> std::io::Result<Crew> {
+    start_crew("control", CONTROL_THREADS, CONTROL_RING, core, stop)
+}
+
+fn start_crew(
+    name: &str,
+    threads: usize,
+    ring: usize,
+    core: &Sender<CoreInput>,
+    stop: &Arc<AtomicBool>,
+) -> std::io::Result<Crew> {
+    let (sender, receiver) = bounded::<Job>(ring);
+    let mut handles = Vec::new();
+    for index in 0..threads {
+        let (receiver, core, stop) = (receiver.clone(), core.clone(), stop.clone());
+        handles.push(spawn(&format!("{name}-{index}"), move || {
+            while !stop.load(Ordering::SeqCst) {
+                if let Ok(job) = receiver.recv_timeout(STOP_POLL) {
+                    job(&core);
+                }
+            }
+        })?);
+    }
+    Ok((sender, handles))
+}
+
+/// The duty that owns the core.
+struct CoreDuty {
+    receiver: Receiver<CoreInput>,
+    callers: Arc<Callers>,
+    view: Arc<SharedView>,
+    stores: BTreeMap<u16, Link<StoreFrame>>,
+    peers: BTreeMap<NodeId, (SocketAddr, Link<PeerFrame>)>,
+    attempts: Sender<Job>,
+    control: Sender<Job>,
+    core: Sender<CoreInput>,
+    own: NodeId,
+    stop: Arc<AtomicBool>,
+    stopping: Arc<AtomicBool>,
+    stopped: Sender<()>,
+}
+
+impl CoreDuty {
+    fn run(mut self, settings: GatewaySettings) {
+        let origin = Instant::now();
+        // The origin lies in the past, so that moments just before now exist.
+        let now = || Moment::from_micros(1_000_000) + origin.elapsed();
+        let stall_timeout = settings.stall_timeout;
+        let mut gateway = Gateway::new(settings, now());
+        let mut next_tick = now();
+        while !self.stop.load(Ordering::SeqCst) {
+            for input in self.take_batch() {
+                let actions = gateway.step(now(), input);
+                self.perform_all(actions, stall_timeout);
+            }
+            if now() >= next_tick {
+                next_tick = now() + TICK;
+                let actions = gateway.tick(now());
+                self.perform_all(actions, stall_timeout);
+                self.view.update(gateway.view(), gateway.is_ready(now()));
+                self.stopping.store(gateway.is_stopping(), Ordering::SeqCst);
+            }
+        }
+    }
+
+    fn take_batch(&self) -> Vec<Input> {
+        let mut batch = Vec::new();
+        match self.receiver.recv_timeout(TICK) {
+            Ok(CoreInput::Input(input)) => batch.push(input),
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return batch,
+        }
+        while batch.len() < MAX_BATCH {
+            match self.receiver.try_recv() {
+                Ok(CoreInput::Input(input)) => batch.push(input),
+                Err(_) => break,
+            }
+        }
+        batch
+    }
+
+    fn perform_all(&mut self, actions: Vec<Action>, stall_timeout: Duration) {
+        for action in actions {
+            self.perform(action, stall_timeout);
+        }
+    }
+
+    fn perform(&mut self, action: Action, stall_timeout: Duration) {
+        match action {
+            Action::ToStore {
+                machine,
+                id,
+                request,
+            } => {
+                if let Some(link) = self.stores.get(&machine) {
+                    let request = *request;
+                    link.send(StoreFrame::Request { id, request });
+                }
+            }
+            Action::ToPeer {
+                to,
+                address,
+                message,
+            } => self.send_to_peer(to, address, message),
+            Action::ToCaller(ticket, event) => {
+                self.callers.deliver(ticket, event);
+            }
+            Action::RunOnEngine(order) => {
+                let attempt = order.attempt.clone();
+                self.run_attempt(attempt, move |report| {
+                    engine::run(&order, stall_timeout, report);
+                });
+            }
+            Action::RunOnService(order) => {
+                let attempt = order.attempt.clone();
+                self.run_attempt(attempt, move |report| {
+                    service::run(&order, stall_timeout, report);
+                });
+            }
+            Action::CancelOnEngine { attempt, address } => {
+                self.control(move |_| engine::cancel(address, &attempt));
+            }
+            Action::ReleaseCache {
+                engine,
+                address,
+                program,
+            } => self.control(move |core| {
+                let confirmed = engine::release(address, &program);
+                let _ = core.send(CoreInput::Input(Input::CacheReleased {
+                    engine,
+                    program,
+                    confirmed,
+                }));
+            }),
+            Action::ListCache { engine, address } => self.control(move |core| {
+                if let Some(programs) = engine::list(address) {
+                    let _ = core.send(CoreInput::Input(Input::CacheListing { engine, programs }));
+                }
+            }),
+            Action::ProbeEngine { engine, address } => self.control(move |core| {
+                let report = engine::probe(address);
+                let _ = core.send(CoreInput::Input(Input::EngineProbe { engine, report }));
+            }),
+            Action::Stopped => {
+                let _ = self.stopped.try_send(());
+            }
+        }
+    }
+
+    /// Runs an attempt on a free thread. Without one it counts as not started,
+    /// since nothing was sent.
+    fn run_attempt(
+        &self,
+        attempt: calicohoist_types::AttemptId,
+        run: impl FnOnce(&mut dyn FnMut(BackendEvent)) + Send + 'static,
+    ) {
+        let name = attempt.clone();
+        let job: Job = Box::new(move |core| {
+            run(&mut |event| {
+                let _ = core.send(CoreInput::Input(Input::Backend(attempt.clone(), event)));
+            });
+        });
+        if self.attempts.try_send(job).is_err() {
+            let event = BackendEvent::Failed(BackendFailure::NotStarted);
+            let _ = self
+                .core
+                .try_send(CoreInput::Input(Input::Backend(name, event)));
+        }
+    }
+
+    fn control(&self, job: impl FnOnce(&Sender<CoreInput>) + Send + 'static) {
+        // A control request that finds no room is repeated by its duty.
+        let _ = self.control.try_send(Box::new(job));
+    }
+
+    fn send_to_peer(&mut self, to: NodeId, address: SocketAddr, message: PeerMessage) {
+        let has_link = self
+            .peers
+            .get(&to)
+            .is_some_and(|(known, _)| *known == address);
+        if !has_link {
+            match Link::open(address, |_: PeerFrame| {}) {
+                Ok(link) => {
+                    self.peers.insert(to.clone(), (address, link));
+                }
+                Err(_) => return,
+            }
+        }
+        if let Some((_, link)) = self.peers.get(&to) {
+            link.send(PeerFrame {
+                from: self.own.clone(),
+                message,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/chat.rs
@@ -0,0 +1,265 @@
+//! `POST /v1/chat/completions` and stored answers.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use calicohoist_http::{EventWriter, Exchange, STREAM_DONE};
+use calicohoist_types::openai::{
+    ChatChunk, ChatCompletion, ChatRequest, Choice, HEADER_ATTEMPT, HEADER_OUTCOME, HEADER_PROGRAM,
+    HEADER_SEQUENCE, ModelEntry, ModelList,
+};
+use calicohoist_types::{AttemptId, CallId, ChatMessage, ModelId, Outcome, ProgramId, Role};
+
+use super::callers::CallerRing;
+use super::errors::ApiError;
+use super::headers::{CallHeaders, tenant};
+use super::{Front, Reply};
+use crate::core::message::{CallRequest, CallerEvent, Finish, Input, Work};
+
+/// How an answer is to be written.
+struct Style {
+    model: String,
+    streamed: bool,
+    with_usage: bool,
+}
+
+impl Front {
+    pub(super) fn chat(&self, mut exchange: Exchange) {
+        match read_chat(&mut exchange) {
+            Ok((request, style)) => {
+                let ring = self.open();
+                let input = Input::Call(ring.ticket(), Box::new(request));
+                match self.send(input) {
+                    Ok(()) => self.answer(exchange, &ring, &style),
+                    Err(error) => error.reply(exchange),
+                }
+            }
+            Err(error) => error.reply(exchange),
+        }
+    }
+
+    pub(super) fn stored_answer(&self, exchange: Exchange, program: &str, sequence: &str) {
+        let mut found = Vec::new();
+        let tenant = tenant(&exchange, &mut found);
+        let offset = exchange
+            .query("offset")
+            .map_or(Some(0), |text| text.parse().ok());
+        let (Some(program), Ok(sequence), Some(offset)) =
+            (ProgramId::parse(program), sequence.parse(), offset)
+        else {
+            let error = ApiError::invalid_field(
+                "path",
+                "is not a call",
+                "a program, a place, a byte offset",
+            );
+            return error.reply(exchange);
+        };
+        let style = Style {
+            model: String::new(),
+            streamed: exchange.query("stream") == Some("true"),
+            with_usage: true,
+        };
+        let ring = self.open();
+        let input = Input::Attach {
+            ticket: ring.ticket(),
+            tenant,
+            call: CallId { program, sequence },
+            offset,
+        };
+        match self.send(input) {
+            Ok(()) => self.answer(exchange, &ring, &style),
+            Err(error) => error.reply(exchange),
+        }
+    }
+
+    /// Writes the answer of a call as it comes.
+    fn answer(&self, exchange: Exchange, ring: &CallerRing, style: &Style) {
+        // Until the call is admitted nothing is written, so that a refusal can
+        // still have its own status.
+        let attempt = loop {
+            match self.next_event(ring) {
+                Some(CallerEvent::Admitted(attempt)) => break attempt,
+                Some(CallerEvent::Failed(failure)) => {
+                    return ApiError::of_failure(&failure).reply(exchange);
+                }
+                Some(_) => {}
+                None => return ApiError::store_unavailable().reply(exchange),
+            }
+        };
+        if style.streamed {
+            self.stream(exchange, ring, style, &attempt);
+        } else {
+            self.gather(exchange, ring, style);
+        }
+    }
+
+    fn stream(&self, exchange: Exchange, ring: &CallerRing, style: &Style, attempt: &AttemptId) {
+        let headers = call_headers(attempt);
+        let Ok(mut events) = exchange.start_events(&headers) else {
+            return self.caller_gone(ring.ticket());
+        };
+        let id = answer_id(attempt);
+        loop {
+            let sent = match self.next_event(ring) {
+                Some(CallerEvent::Text(text)) => events.send(&ChatChunk::new(
+                    &id,
+                    created(),
+                    &style.model,
+                    Some(text),
+                    None,
+                )),
+                Some(CallerEvent::Finished(finish)) => {
+                    let _ = send_end(&mut events, &id, style, &finish);
+                    return;
+                }
+                Some(CallerEvent::Failed(failure)) => {
+                    let _ = events.send(&ApiError::of_failure(&failure).body());
+                    return;
+                }
+                Some(_) => Ok(()),
+                None => {
+                    let _ = events.send(&ApiError::store_unavailable().body());
+                    return;
+                }
+            };
+            if sent.is_err() {
+                return self.caller_gone(ring.ticket());
+            }
+        }
+    }
+
+    fn gather(&self, exchange: Exchange, ring: &CallerRing, style: &Style) {
+        let mut content = String::new();
+        loop {
+            match self.next_event(ring) {
+                Some(CallerEvent::Text(text)) => content.push_str(&text),
+                Some(CallerEvent::Finished(finish)) => {
+                    let mut headers = call_headers(&finish.attempt);
+                    headers.push((HEADER_OUTCOME, Outcome::Completed.as_str().to_owned()));
+                    let body = completion(style, &finish, content);
+                    return exchange.reply_json(200, &headers, &body);
+                }
+                Some(CallerEvent::Failed(failure)) => {
+                    return ApiError::of_failure(&failure).reply(exchange);
+                }
+                Some(_) => {}
+                None => return ApiError::store_unavailable().reply(exchange),
+            }
+        }
+    }
+
+    pub(super) fn list_models(&self) -> Reply {
+        let entry = |model: ModelId| ModelEntry {
+            id: model.to_string(),
+            object: "model".to_owned(),
+            created: 0,
+            owned_by: "calicohoist".to_owned(),
+        };
+        let list = ModelList {
+            object: "list".to_owned(),
+            data: self.view.models().into_iter().map(entry).collect(),
+        };
+        Reply::ok(serde_json::to_value(list).unwrap_or_default())
+    }
+}
+
+fn read_chat(exchange: &mut Exchange) -> Result<(CallRequest, Style), ApiError> {
+    let mut found = Vec::new();
+    let headers = CallHeaders::read(exchange, &mut found);
+    let body: ChatRequest = exchange.read_json()?;
+    let messages = body.plain_messages().unwrap_or_else(|mut more| {
+        found.append(&mut more);
+        Vec::new()
+    });
+    let model = ModelId::parse(&body.model);
+    if model.is_none() {
+        let problem = format!("{:?} is not a name", body.model);
+        found.push(calicohoist_types::Finding::of_field(
+            "model",
+            problem,
+            "a model of /v1/models",
+        ));
+    }
+    if body.token_limit() == Some(0) {
+        let field = "max_completion_tokens";
+        found.push(calicohoist_types::Finding::of_field(
+            field,
+            "is 0",
+            "1 or more",
+        ));
+    }
+    let Some(model) = model.filter(|_| found.is_empty()) else {
+        return Err(ApiError::invalid(found));
+    };
+    let style = Style {
+        model: body.model.clone(),
+        streamed: body.stream,
+        with_usage: body
+            .stream_options
+            .is_some_and(|options| options.include_usage),
+    };
+    let request = CallRequest {
+        tenant: headers.tenant,
+        program: headers.program,
+        sequence: headers.sequence,
+        key: headers.key,
+        repeatable: headers.repeatable.unwrap_or(true),
+        work: Work::Model {
+            model,
+            messages,
+            max_tokens: body.token_limit(),
+        },
+    };
+    Ok((request, style))
+}
+
+/// Headers that tell a caller where to ask again.
+pub(super) fn call_headers(attempt: &AttemptId) -> Vec<(&'static str, String)> {
+    vec![
+        (HEADER_PROGRAM, attempt.call.program.to_string()),
+        (HEADER_SEQUENCE, attempt.call.sequence.to_string()),
+        (HEADER_ATTEMPT, attempt.number.to_string()),
+    ]
+}
+
+fn answer_id(attempt: &AttemptId) -> String {
+    format!("chatcmpl-{}", attempt.call.to_string().replace('/', "-"))
+}
+
+fn created() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs()
+}
+
+fn send_end(
+    events: &mut EventWriter,
+    id: &str,
+    style: &Style,
+    finish: &Finish,
+) -> std::io::Result<()> {
+    let reason = Some(finish.finish_reason.clone());
+    events.send(&ChatChunk::new(id, created(), &style.model, None, reason))?;
+    if style.with_usage {
+        let mut chunk = ChatChunk::new(id, created(), &style.model, None, None);
+        chunk.choices.clear();
+        chunk.usage = Some(finish.usage.into());
+        events.send(&chunk)?;
+    }
+    events.send_text(STREAM_DONE)
+}
+
+fn completion(style: &Style, finish: &Finish, content: String) -> ChatCompletion {
+    ChatCompletion {
+        id: answer_id(&finish.attempt),
+        object: "chat.completion".to_owned(),
+        created: created(),
+        model: style.model.clone(),
+        choices: vec![Choice {
+            index: 0,
+            message: ChatMessage::new(Role::Assistant, content),
+            finish_reason: finish.finish_reason.clone(),
+        }],
+        usage: finish.usage.into(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/errors.rs
@@ -0,0 +1,290 @@
+//! Every refusal, with its status and whether the request ran.
+
+use calicohoist_http::{BodyError, Exchange};
+use calicohoist_store::commands::program::ProgramError;
+use calicohoist_types::openai::{ErrorBody, ErrorDetail, HEADER_OUTCOME};
+use calicohoist_types::{Finding, NotRunReason, Outcome};
+
+use crate::core::message::{Failure, FailureCause};
+
+const INVALID_REQUEST: &str = "invalid_request_error";
+const UNAVAILABLE: &str = "unavailable_error";
+const CONFLICT: &str = "conflict_error";
+const LIMIT: &str = "limit_error";
+
+/// Seconds after which a refused caller should come back.
+const RETRY_AFTER_SECONDS: u32 = 1;
+
+/// An error answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApiError {
+    status: u16,
+    kind: &'static str,
+    code: String,
+    message: String,
+    outcome: Option<Outcome>,
+    findings: Vec<Finding>,
+    retry_after: Option<u32>,
+    extra: Option<Box<serde_json::Value>>,
+}
+
+impl ApiError {
+    fn new(status: u16, kind: &'static str, code: &str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            kind,
+            code: code.to_owned(),
+            message: message.into(),
+            outcome: Some(Outcome::NotRun),
+            findings: Vec::new(),
+            retry_after: None,
+            extra: None,
+        }
+    }
+
+    /// The HTTP status.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Requests with everything that is wrong with them.
+    pub fn invalid(findings: Vec<Finding>) -> Self {
+        let lines: Vec<String> = findings.iter().map(Finding::to_string).collect();
+        Self {
+            findings,
+            ..Self::new(400, INVALID_REQUEST, "invalid_request", lines.join("; "))
+        }
+    }
+
+    /// One field that is wrong.
+    pub fn invalid_field(field: &str, problem: impl Into<String>, accepted: &str) -> Self {
+        Self::invalid(vec![Finding::of_field(field, problem, accepted)])
+    }
+
+    /// A path or method that does not exist.
+    pub fn no_such_endpoint(method: &str, path: &str) -> Self {
+        let message = format!("there is no endpoint {method} {path}");
+        Self::new(404, INVALID_REQUEST, "no_such_endpoint", message)
+    }
+
+    /// Something that was asked for by name does not exist.
+    pub fn missing(what: &str, name: &str) -> Self {
+        let code = format!("unknown_{what}");
+        Self::new(
+            404,
+            INVALID_REQUEST,
+            &code,
+            format!("there is no {what} {name:?}"),
+        )
+    }
+
+    /// No worker is free.
+    pub fn busy(has_key: bool) -> Self {
+        // Nothing durable says that a request with the caller's own key did not
+        // run before this one.
+        let outcome = if has_key {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        Self {
+            outcome: Some(outcome),
+            retry_after: Some(RETRY_AFTER_SECONDS),
+            ..Self::new(503, UNAVAILABLE, "overloaded", "every worker is busy")
+        }
+    }
+
+    /// The gateway is stopping.
+    pub fn shutting_down() -> Self {
+        Self {
+            retry_after: Some(RETRY_AFTER_SECONDS),
+            ..Self::new(
+                503,
+                UNAVAILABLE,
+                "shutting_down",
+                "this gateway is stopping",
+            )
+        }
+    }
+
+    /// The store did not answer in time, so a change may have taken effect.
+    pub fn store_unavailable() -> Self {
+        Self {
+            outcome: Some(Outcome::Unknown),
+            retry_after: Some(RETRY_AFTER_SECONDS),
+            ..Self::new(
+                503,
+                UNAVAILABLE,
+                "store_unavailable",
+                "the store did not answer in time",
+            )
+        }
+    }
+
+    /// The resource has another version than expected.
+    pub fn version_conflict(current: serde_json::Value) -> Self {
+        Self {
+            extra: Some(Box::new(current)),
+            ..Self::new(
+                409,
+                CONFLICT,
+                "version_conflict",
+                "the resource has another version",
+            )
+        }
+    }
+
+    /// A refusal of the program's record.
+    pub fn of_program(error: &ProgramError, program: &str) -> Self {
+        match error {
+            ProgramError::Missing => Self::missing("program", program),
+            ProgramError::Exists => Self::new(409, CONFLICT, "program_exists", "the name is taken"),
+            ProgramError::NotActive(_) => program_over(),
+            ProgramError::Busy(sequence) => {
+                let message = format!("call {sequence} is under way");
+                Self::new(409, CONFLICT, "call_under_way", message)
+            }
+            ProgramError::TooDeep => {
+                Self::new(422, LIMIT, "too_deep", "sub-agents are nested too deeply")
+            }
+            ProgramError::TooManyChildren => Self::new(
+                422,
+                LIMIT,
+                "too_many_agents",
+                "the program has too many sub-agents",
+            ),
+            ProgramError::PromptTooLong(_) => prompt_too_long(),
+            ProgramError::KeyMismatch => key_mismatch(),
+            ProgramError::Stale | ProgramError::NotRepeatable => Self::store_unavailable(),
+        }
+    }
+
+    /// A call that has no answer.
+    pub fn of_failure(failure: &Failure) -> Self {
+        let mut error = match &failure.cause {
+            FailureCause::NotRun(reason) => not_run(*reason),
+            FailureCause::UnknownModel(model) => Self::missing("model", model.as_str()),
+            FailureCause::UnknownService(service) => Self::missing("service", service.as_str()),
+            FailureCause::UnknownProgram => Self::new(
+                404,
+                INVALID_REQUEST,
+                "unknown_program",
+                "there is no such program",
+            ),
+            FailureCause::KeyMismatch => key_mismatch(),
+            FailureCause::ProgramOver => program_over(),
+            FailureCause::PromptTooLong => prompt_too_long(),
+            FailureCause::StoreUnavailable => Self::store_unavailable(),
+            FailureCause::BackendLost => Self::new(
+                502,
+                UNAVAILABLE,
+                "backend_lost",
+                "the back end did not say what became of the request",
+            ),
+            FailureCause::TakenOver => {
+                let message = "another gateway took the call over; ask for its answer";
+                Self::new(409, CONFLICT, "taken_over", message)
+            }
+            FailureCause::StillRunning => {
+                let message = "the same request is under way; ask for its answer";
+                Self {
+                    retry_after: Some(RETRY_AFTER_SECONDS),
+                    ..Self::new(409, CONFLICT, "still_running", message)
+                }
+            }
+        };
+        error.outcome = Some(failure.outcome);
+        error
+    }
+
+    /// The JSON body.
+    pub fn body(&self) -> ErrorBody {
+        let param = self
+            .findings
+            .first()
+            .map(|finding| finding.place.field.clone());
+        ErrorBody {
+            error: ErrorDetail {
+                message: self.message.clone(),
+                kind: self.kind.to_owned(),
+                param,
+                code: Some(self.code.clone()),
+                outcome: self.outcome.map(|outcome| outcome.as_str().to_owned()),
+                findings: self.findings.clone(),
+            },
+        }
+    }
+
+    /// Sends it.
+    pub fn reply(self, exchange: Exchange) {
+        let mut headers = Vec::new();
+        if let Some(outcome) = self.outcome {
+            headers.push((HEADER_OUTCOME, outcome.as_str().to_owned()));
+        }
+        if let Some(seconds) = self.retry_after {
+            headers.push(("retry-after", seconds.to_string()));
+        }
+        let mut body = serde_json::to_value(self.body()).unwrap_or_default();
+        if let Some(extra) = self.extra {
+            body["current"] = *extra;
+        }
+        exchange.reply_json(self.status, &headers, &body);
+    }
+}
+
+impl From<BodyError> for ApiError {
+    fn from(error: BodyError) -> Self {
+        let status = match &error {
+            BodyError::TooLarge { .. } => 413,
+            BodyError::Incomplete { .. } => 408,
+            BodyError::Malformed(_) => 400,
+        };
+        Self::new(
+            status,
+            INVALID_REQUEST,
+            "unreadable_body",
+            error.to_string(),
+        )
+    }
+}
+
+fn key_mismatch() -> ApiError {
+    let message = "this place of the program was used by another request";
+    ApiError::new(409, CONFLICT, "key_mismatch", message)
+}
+
+fn program_over() -> ApiError {
+    ApiError::new(
+        409,
+        CONFLICT,
+        "program_over",
+        "the program has ended or was cancelled",
+    )
+}
+
+fn prompt_too_long() -> ApiError {
+    let message = "the prompt with its history is longer than the model takes";
+    ApiError::new(400, INVALID_REQUEST, "context_length_exceeded", message)
+}
+
+fn not_run(reason: NotRunReason) -> ApiError {
+    let (status, kind) = match reason {
+        NotRunReason::ProgramEnded | NotRunReason::ProgramCancelled => (409, CONFLICT),
+        NotRunReason::BudgetExhausted => (402, LIMIT),
+        NotRunReason::TooManyCalls => (422, LIMIT),
+        NotRunReason::SequenceGap => (425, CONFLICT),
+        NotRunReason::TenantLimit => (429, LIMIT),
+        NotRunReason::NoBackend
+        | NotRunReason::Overloaded
+        | NotRunReason::RefusedByBackend
+        | NotRunReason::ShuttingDown => (503, UNAVAILABLE),
+    };
+    let message = format!(
+        "the request was not run: {}",
+        reason.as_str().replace('_', " ")
+    );
+    ApiError {
+        retry_after: reason.is_transient().then_some(RETRY_AFTER_SECONDS),
+        ..ApiError::new(status, kind, reason.as_str(), message)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/headers.rs
@@ -0,0 +1,113 @@
+//! The fields this project adds to requests, as headers.
+
+use calicohoist_http::Exchange;
+use calicohoist_types::openai::{
+    HEADER_KEY, HEADER_PROGRAM, HEADER_REPEATABLE, HEADER_SEQUENCE, HEADER_TENANT,
+};
+use calicohoist_types::{Finding, IdempotencyKey, ProgramId, TenantId};
+
+/// Tenant of callers that name none.
+pub const DEFAULT_TENANT_NAME: &str = "default";
+/// Highest accepted place of a call.
+const MAX_SEQUENCE: u64 = 1_000_000;
+const ACCEPTED_NAME: &str = "1 to 128 letters, digits, '-', '_', '.' or ':'";
+
+/// The added fields of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallHeaders {
+    /// The caller's tenant.
+    pub tenant: TenantId,
+    /// Its program.
+    pub program: Option<ProgramId>,
+    /// Its place.
+    pub sequence: Option<u64>,
+    /// Its key.
+    pub key: Option<IdempotencyKey>,
+    /// Whether it may run more than once, if the caller said so.
+    pub repeatable: Option<bool>,
+}
+
+impl CallHeaders {
+    /// Reads all fields; every wrong one is put into `found`.
+    pub fn read(exchange: &Exchange, found: &mut Vec<Finding>) -> Self {
+        let sequence = parse(
+            exchange,
+            HEADER_SEQUENCE,
+            found,
+            "1 to 1000000",
+            parse_sequence,
+        );
+        let program = parse(
+            exchange,
+            HEADER_PROGRAM,
+            found,
+            ACCEPTED_NAME,
+            ProgramId::parse,
+        );
+        if sequence.is_some() && program.is_none() && exchange.header(HEADER_PROGRAM).is_none() {
+            let problem = "is given without a program";
+            found.push(Finding::of_field(
+                HEADER_SEQUENCE,
+                problem,
+                "a calicohoist-program, too",
+            ));
+        }
+        Self {
+            tenant: tenant(exchange, found),
+            program,
+            sequence,
+            key: parse(
+                exchange,
+                HEADER_KEY,
+                found,
+                ACCEPTED_NAME,
+                IdempotencyKey::parse,
+            ),
+            repeatable: parse(
+                exchange,
+                HEADER_REPEATABLE,
+                found,
+                "true or false",
+                |text| text.parse().ok(),
+            ),
+        }
+    }
+}
+
+/// The caller's tenant.
+pub fn tenant(exchange: &Exchange, found: &mut Vec<Finding>) -> TenantId {
+    let given = parse(
+        exchange,
+        HEADER_TENANT,
+        found,
+        ACCEPTED_NAME,
+        TenantId::parse,
+    );
+    given.unwrap_or_else(|| TenantId::new(DEFAULT_TENANT_NAME))
+}
+
+fn parse_sequence(text: &str) -> Option<u64> {
+    text.parse()
+        .ok()
+        .filter(|sequence| (1..=MAX_SEQUENCE).contains(sequence))
+}
+
+fn parse<T>(
+    exchange: &Exchange,
+    name: &str,
+    found: &mut Vec<Finding>,
+    accepted: &str,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Option<T> {
+    let text = exchange.header(name)?;
+    let parsed = parse(text);
+    if parsed.is_none() {
+        let shown: String = text.chars().take(40).collect();
+        found.push(Finding::of_field(
+            name,
+            format!("{shown:?} is not accepted"),
+            accepted,
+        ));
+    }
+    parsed
+}
--- /dev/null
+++ b/crates/gateway/src/front/mod.rs
@@ -0,0 +1,161 @@
+//! Callers and operators over HTTP.
+//!
+//! - [`chat`]: the OpenAI chat endpoint and the stored answers;
+//! - [`programs`]: creating, looking at, ending and cancelling programs;
+//! - [`services`]: calls to tool services;
+//! - [`resources`]: the operators' resource API;
+//! - [`headers`]: the fields this project adds to requests;
+//! - [`errors`]: every refusal, with its status and whether the request ran;
+//! - [`callers`]: the way from the core back to a waiting worker.
+
+pub mod callers;
+pub mod chat;
+pub mod errors;
+pub mod headers;
+pub mod programs;
+pub mod resources;
+pub mod services;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use calicohoist_http::{Exchange, Handler};
+use calicohoist_store::{GroupMap, StoreReply, StoreRequest};
+use calicohoist_telemetry::{Event, emit, metrics};
+use crossbeam::channel::Sender;
+
+use crate::core::message::{CallerEvent, Input, Ticket};
+use crate::driver::CoreInput;
+use crate::view::SharedView;
+use callers::{CallerRing, Callers};
+use errors::ApiError;
+
+/// Longest silence of the core towards one worker; the core has timeouts of its own
+/// for everything, so this only ends what would otherwise be a fault.
+const CORE_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// What the endpoints share.
+pub struct Front {
+    pub(crate) core: Sender<CoreInput>,
+    pub(crate) callers: Arc<Callers>,
+    pub(crate) view: Arc<SharedView>,
+    pub(crate) groups: GroupMap,
+    pub(crate) stopping: Arc<AtomicBool>,
+}
+
+impl Front {
+    /// Registers a caller with the core's way back.
+    pub(crate) fn open(&self) -> CallerRing {
+        self.callers.open()
+    }
+
+    pub(crate) fn send(&self, input: Input) -> Result<(), ApiError> {
+        let sent = self.core.send(CoreInput::Input(input));
+        sent.map_err(|_| ApiError::shutting_down())
+    }
+
+    /// Asks the store and waits for its answer.
+    pub(crate) fn ask(&self, request: StoreRequest) -> Result<StoreReply, ApiError> {
+        let ring = self.open();
+        self.send(Input::Ask(ring.ticket(), Box::new(request)))?;
+        match ring.next(CORE_TIMEOUT) {
+            Some(CallerEvent::Store(Some(reply))) => Ok(*reply),
+            _ => Err(ApiError::store_unavailable()),
+        }
+    }
+
+    pub(crate) fn next_event(&self, ring: &CallerRing) -> Option<CallerEvent> {
+        ring.next(CORE_TIMEOUT)
+    }
+
+    pub(crate) fn caller_gone(&self, ticket: Ticket) {
+        let _ = self.core.send(CoreInput::Input(Input::CallerGone(ticket)));
+    }
+
+    fn respond(&self, mut exchange: Exchange) {
+        let method = exchange.method().to_owned();
+        let segments = exchange.segments();
+        let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
+        let result = match (method.as_str(), parts.as_slice()) {
+            ("POST", ["v1", "chat", "completions"]) => return self.chat(exchange),
+            ("GET", ["v1", "programs", program, "calls", sequence, "answer"]) => {
+                return self.stored_answer(exchange, program, sequence);
+            }
+            ("POST", ["v1", "services", service]) => {
+                return self.call_service(exchange, service);
+            }
+            ("GET", ["v1", "models"]) => Ok(self.list_models()),
+            ("POST", ["v1", "programs"]) => self.create_program(&mut exchange, None),
+            ("POST", ["v1", "programs", parent, "agents"]) => {
+                self.create_program(&mut exchange, Some(parent))
+            }
+            ("GET", ["v1", "programs", program]) => self.get_program(&exchange, program),
+            ("GET", ["v1", "programs", program, "history"]) => self.get_history(&exchange, program),
+            ("POST", ["v1", "programs", program, "end"]) => self.end_program(&exchange, program),
+            ("POST", ["v1", "programs", program, "cancel"]) => {
+                self.cancel_program(&exchange, program)
+            }
+            ("GET", ["apis", "v1", "status"]) => self.fleet_status(),
+            ("GET", ["apis", "v1", "groups"]) => self.group_status(),
+            ("GET", ["apis", "v1", "changes"]) => self.list_changes(&exchange),
+            ("GET", ["apis", "v1", kind]) => self.list_resources(&exchange, kind),
+            ("GET", ["apis", "v1", kind, name]) => self.get_resource(kind, name),
+            ("PUT", ["apis", "v1", kind, name]) => self.put_resource(&mut exchange, kind, name),
+            ("DELETE", ["apis", "v1", kind, name]) => self.delete_resource(&exchange, kind, name),
+            ("GET", ["healthz"]) => return exchange.reply_text(200, "text/plain", "ok\n"),
+            ("GET", ["readyz"]) => return self.ready(exchange),
+            ("GET", ["metrics"]) => {
+                return exchange.reply_text(200, metrics::CONTENT_TYPE, metrics::render());
+            }
+            _ => Err(ApiError::no_such_endpoint(&method, exchange.path())),
+        };
+        match result {
+            Ok(reply) => exchange.reply_json(reply.status, &reply.headers, &reply.body),
+            Err(error) => error.reply(exchange),
+        }
+    }
+
+    fn ready(&self, exchange: Exchange) {
+        if self.view.is_ready() && !self.stopping.load(Ordering::SeqCst) {
+            exchange.reply_text(200, "text/plain", "ready\n");
+        } else {
+            exchange.reply_text(503, "text/plain", "not ready\n");
+        }
+    }
+}
+
+/// A JSON answer.
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Extra headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: serde_json::Value,
+}
+
+impl Reply {
+    /// Status 200 with `body`.
+    pub fn ok(body: serde_json::Value) -> Self {
+        Self {
+            status: 200,
+            headers: Vec::new(),
+            body,
+        }
+    }
+}
+
+impl Handler for Front {
+    fn handle(&self, exchange: Exchange) {
+        self.respond(exchange);
+    }
+
+    fn refuse_busy(&self, exchange: Exchange) {
+        emit!(Event::RequestRefused, "busy: {}", exchange.path());
+        let has_key = exchange
+            .header(calicohoist_types::openai::HEADER_KEY)
+            .is_some();
+        ApiError::busy(has_key).reply(exchange);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front/resources.rs
@@ -0,0 +1,295 @@
+//! The operators' resource API.
+
+use calicohoist_http::Exchange;
+use calicohoist_store::commands::resource::{ResourceCommand, ResourceOutput};
+use calicohoist_store::queries::resource::{ResourceAnswer, ResourceQuery, UpdateContent};
+use calicohoist_store::state::RESOURCE_GROUP;
+use calicohoist_store::{Answer, Command, Output, Query, StoreReply, StoreRequest};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::{
+    Finding, RequestId, Resource, ResourceKey, ResourceKind, ResourceSpec, Revision, is_valid_name,
+};
+use rand::RngExt;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use super::errors::ApiError;
+use super::{Front, Reply};
+
+/// Header that identifies a change across resends.
+pub const HEADER_REQUEST: &str = "calicohoist-request";
+/// Header that names who changes something.
+pub const HEADER_ACTOR: &str = "calicohoist-actor";
+const DEFAULT_PAGE: usize = 100;
+
+impl Front {
+    pub(super) fn get_resource(&self, kind: &str, name: &str) -> Result<Reply, ApiError> {
+        let key = read_key(kind, name)?;
+        match self.resource_query(ResourceQuery::Get(key))? {
+            ResourceAnswer::Resource(Some(resource)) => Ok(Reply::ok(resource_json(&resource))),
+            _ => Err(ApiError::missing(kind, name)),
+        }
+    }
+
+    pub(super) fn list_resources(
+        &self,
+        exchange: &Exchange,
+        kind: &str,
+    ) -> Result<Reply, ApiError> {
+        let kind = read_kind(kind)?;
+        let query = ResourceQuery::List {
+            kind,
+            after: exchange.query("after").map(str::to_owned),
+            limit: number(exchange, "limit")?.unwrap_or(DEFAULT_PAGE),
+        };
+        match self.resource_query(query)? {
+            ResourceAnswer::Page {
+                resources,
+                has_more,
+                revision,
+            } => {
+                let items: Vec<Value> = resources.iter().map(resource_json).collect();
+                let next = resources.last().filter(|_| has_more);
+                let next = next.map(|resource| resource.key.name.clone());
+                Ok(Reply::ok(
+                    json!({ "items": items, "next": next, "revision": revision }),
+                ))
+            }
+            _ => Err(ApiError::store_unavailable()),
+        }
+    }
+
+    /// Changes after a revision; `whole` says that older ones are no longer kept
+    /// and the watcher has to start from the state given.
+    pub(super) fn list_changes(&self, exchange: &Exchange) -> Result<Reply, ApiError> {
+        let after = number(exchange, "after")?.unwrap_or(0) as u64;
+        let query = ResourceQuery::Changes {
+            after: Revision(after),
+            limit: number(exchange, "limit")?.unwrap_or(DEFAULT_PAGE),
+        };
+        let ResourceAnswer::Changes(update) = self.resource_query(query)? else {
+            return Err(ApiError::store_unavailable());
+        };
+        let revision = update.revision;
+        let body = match update.content {
+            UpdateContent::Whole(resources) => {
+                let items: Vec<Value> = resources.iter().map(resource_json).collect();
+                json!({ "revision": revision, "whole": true, "items": items })
+            }
+            UpdateContent::Changes(changes) => {
+                let changes: Vec<Value> = changes
+                    .into_iter()
+                    .map(|change| {
+                        json!({
+                            "revision": change.revision,
+                            "kind": change.key.kind,
+                            "name": change.key.name,
+                            "after": change.after.as_ref().map(resource_json),
+                            "actor": change.actor,
+                            "at_unix_millis": change.at,
+                        })
+                    })
+                    .collect();
+                json!({ "revision": revision, "whole": false, "changes": changes })
+            }
+        };
+        Ok(Reply::ok(body))
+    }
+
+    pub(super) fn put_resource(
+        &self,
+        exchange: &mut Exchange,
+        kind: &str,
+        name: &str,
+    ) -> Result<Reply, ApiError> {
+        let key = read_key(kind, name)?;
+        let mut command = read_command(exchange, key)?;
+        let body: Value = exchange.read_json()?;
+        let spec = read_spec(command.key.kind, body)?;
+        let found = spec.validate();
+        if !found.is_empty() {
+            emit!(
+                Event::ChangeRefused,
+                "{}: {} findings",
+                command.key,
+                found.len()
+            );
+            return Err(ApiError::invalid(found));
+        }
+        if exchange.query("dry_run") == Some("true") {
+            return Ok(Reply::ok(
+                json!({ "kind": kind, "name": name, "dry_run": true }),
+            ));
+        }
+        command.spec = Some(spec);
+        self.change(command)
+    }
+
+    pub(super) fn delete_resource(
+        &self,
+        exchange: &Exchange,
+        kind: &str,
+        name: &str,
+    ) -> Result<Reply, ApiError> {
+        let key = read_key(kind, name)?;
+        let command = read_command(exchange, key)?;
+        self.change(command)
+    }
+
+    fn change(&self, command: ResourceCommand) -> Result<Reply, ApiError> {
+        let key = command.key.clone();
+        let request = StoreRequest::Command(RESOURCE_GROUP, Command::Resource(command));
+        let StoreReply::Output(Output::Resource(output)) = self.ask(request)? else {
+            return Err(ApiError::store_unavailable());
+        };
+        match output {
+            ResourceOutput::Stored(resource) => {
+                emit!(
+                    Event::ChangeAccepted,
+                    "{key} at revision {}",
+                    resource.version
+                );
+                Ok(Reply::ok(resource_json(&resource)))
+            }
+            ResourceOutput::Deleted(revision) => {
+                emit!(
+                    Event::ChangeAccepted,
+                    "{key} deleted at revision {revision}"
+                );
+                Ok(Reply::ok(json!({ "deleted": true, "revision": revision })))
+            }
+            ResourceOutput::Conflict(current) => {
+                emit!(Event::ChangeRefused, "{key}: version conflict");
+                let current = current.as_ref().map(resource_json);
+                Err(ApiError::version_conflict(current.unwrap_or(Value::Null)))
+            }
+            ResourceOutput::Missing => Err(ApiError::missing(key.kind.as_str(), &key.name)),
+        }
+    }
+
+    pub(super) fn fleet_status(&self) -> Result<Reply, ApiError> {
+        let StoreReply::FleetStatus(status) = self.ask(StoreRequest::FleetStatus)? else {
+            return Err(ApiError::store_unavailable());
+        };
+        let nodes: Vec<Value> = status
+            .nodes
+            .iter()
+            .map(|(node, revision)| json!({ "node": node.node, "revision": revision }))
+            .collect();
+        let body = json!({
+            "revision": status.revision,
+            "in_force": status.in_force,
+            "nodes": nodes,
+        });
+        Ok(Reply::ok(body))
+    }
+
+    pub(super) fn group_status(&self) -> Result<Reply, ApiError> {
+        let StoreReply::GroupStatus(groups) = self.ask(StoreRequest::GroupStatus)? else {
+            return Err(ApiError::store_unavailable());
+        };
+        Ok(Reply::ok(json!({ "groups": groups })))
+    }
+
+    fn resource_query(&self, query: ResourceQuery) -> Result<ResourceAnswer, ApiError> {
+        let request = StoreRequest::Query(RESOURCE_GROUP, Query::Resource(query));
+        match self.ask(request)? {
+            StoreReply::Answer(Answer::Resource(answer)) => Ok(answer),
+            _ => Err(ApiError::store_unavailable()),
+        }
+    }
+}
+
+fn resource_json(resource: &Resource) -> Value {
+    let spec = match &resource.spec {
+        ResourceSpec::Model(spec) => serde_json::to_value(spec),
+        ResourceSpec::Engine(spec) => serde_json::to_value(spec),
+        ResourceSpec::Service(spec) => serde_json::to_value(spec),
+        ResourceSpec::Tenant(spec) => serde_json::to_value(spec),
+    };
+    json!({
+        "kind": resource.key.kind,
+        "name": resource.key.name,
+        "version": resource.version,
+        "spec": spec.unwrap_or_default(),
+    })
+}
+
+/// Reads the declaration of a resource of `kind`.
+///
+/// # Errors
+/// A finding with the field that is missing, unknown or of the wrong type.
+pub fn read_spec(kind: ResourceKind, body: Value) -> Result<ResourceSpec, ApiError> {
+    match kind {
+        ResourceKind::Model => typed(body).map(ResourceSpec::Model),
+        ResourceKind::Engine => typed(body).map(ResourceSpec::Engine),
+        ResourceKind::Service => typed(body).map(ResourceSpec::Service),
+        ResourceKind::Tenant => typed(body).map(ResourceSpec::Tenant),
+    }
+}
+
+fn typed<T: DeserializeOwned>(body: Value) -> Result<T, ApiError> {
+    serde_json::from_value(body).map_err(|error| {
+        ApiError::invalid_field("spec", error.to_string(), "the fields in docs/API.md")
+    })
+}
+
+fn read_kind(kind: &str) -> Result<ResourceKind, ApiError> {
+    ResourceKind::parse(kind).ok_or_else(|| ApiError::missing("kind", kind))
+}
+
+fn read_key(kind: &str, name: &str) -> Result<ResourceKey, ApiError> {
+    let kind = read_kind(kind)?;
+    if !is_valid_name(name) {
+        let accepted = "1 to 128 letters, digits, '-', '_', '.' or ':'";
+        return Err(ApiError::invalid_field(
+            "name",
+            format!("{name:?} is not a name"),
+            accepted,
+        ));
+    }
+    Ok(ResourceKey {
+        kind,
+        name: name.to_owned(),
+    })
+}
+
+fn read_command(exchange: &Exchange, key: ResourceKey) -> Result<ResourceCommand, ApiError> {
+    let mut found = Vec::new();
+    let expected = number(exchange, "version")?.map(|version| Revision(version as u64));
+    let random = || format!("auto-{:016x}", rand::rng().random::<u64>());
+    let request = exchange
+        .header(HEADER_REQUEST)
+        .map_or_else(random, str::to_owned);
+    if !is_valid_name(&request) {
+        found.push(Finding::of_field(
+            HEADER_REQUEST,
+            "is not a name",
+            "1 to 128 letters or digits",
+        ));
+    }
+    let actor = exchange
+        .header(HEADER_ACTOR)
+        .unwrap_or("operator")
+        .to_owned();
+    if !found.is_empty() {
+        return Err(ApiError::invalid(found));
+    }
+    Ok(ResourceCommand {
+        key,
+        spec: None,
+        expected,
+        request: RequestId::new(request),
+        actor,
+    })
+}
+
+fn number(exchange: &Exchange, name: &str) -> Result<Option<usize>, ApiError> {
+    let Some(text) = exchange.query(name) else {
+        return Ok(None);
+    };
+    let parsed = text.parse().map(Some);
+    parsed.map_err(|_| {
+        ApiError::invalid_field(name, format!("{text:?} is not a number"), "a whole number")
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/front/services.rs
@@ -0,0 +1,91 @@
+//! `POST /v1/services/{service}`: calls to tool services.
+
+use calicohoist_http::Exchange;
+use calicohoist_types::openai::HEADER_OUTCOME;
+use calicohoist_types::{Finding, Outcome, ServiceId};
+use serde::{Deserialize, Serialize};
+
+use super::Front;
+use super::chat::call_headers;
+use super::errors::ApiError;
+use super::headers::CallHeaders;
+use crate::core::message::{CallRequest, CallerEvent, Input, Work};
+
+/// Body of a service call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceRequest {
+    /// Input of the service.
+    pub input: String,
+}
+
+/// Answer to a service call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceReply {
+    /// What the service says.
+    pub output: String,
+    /// The replica that executed it.
+    pub replica: String,
+}
+
+impl Front {
+    pub(super) fn call_service(&self, mut exchange: Exchange, service: &str) {
+        let request = match read_request(&mut exchange, service) {
+            Ok(request) => request,
+            Err(error) => return error.reply(exchange),
+        };
+        let ring = self.open();
+        if let Err(error) = self.send(Input::Call(ring.ticket(), Box::new(request))) {
+            return error.reply(exchange);
+        }
+        let mut output = String::new();
+        loop {
+            match self.next_event(&ring) {
+                Some(CallerEvent::Text(text)) => output.push_str(&text),
+                Some(CallerEvent::Finished(finish)) => {
+                    let mut headers = call_headers(&finish.attempt);
+                    headers.push((HEADER_OUTCOME, Outcome::Completed.as_str().to_owned()));
+                    let reply = ServiceReply {
+                        output,
+                        replica: finish.backend,
+                    };
+                    return exchange.reply_json(200, &headers, &reply);
+                }
+                Some(CallerEvent::Failed(failure)) => {
+                    return ApiError::of_failure(&failure).reply(exchange);
+                }
+                Some(_) => {}
+                None => return ApiError::store_unavailable().reply(exchange),
+            }
+        }
+    }
+}
+
+fn read_request(exchange: &mut Exchange, service: &str) -> Result<CallRequest, ApiError> {
+    let mut found = Vec::new();
+    let headers = CallHeaders::read(exchange, &mut found);
+    let body: ServiceRequest = exchange.read_json()?;
+    let parsed = ServiceId::parse(service);
+    if parsed.is_none() {
+        found.push(Finding::of_field(
+            "service",
+            "is not a name",
+            "a declared service",
+        ));
+    }
+    let Some(service) = parsed.filter(|_| found.is_empty()) else {
+        return Err(ApiError::invalid(found));
+    };
+    Ok(CallRequest {
+        tenant: headers.tenant,
+        program: headers.program,
+        sequence: headers.sequence,
+        key: headers.key,
+        // Whoever says nothing gets the careful treatment.
+        repeatable: headers.repeatable.unwrap_or(false),
+        work: Work::Service {
+            service,
+            input: body.input,
+        },
+    })
+}
--- /dev/null
+++ b/crates/lab/src/bench.rs
@@ -0,0 +1,1 @@
+//! Benchmarks.
--- /dev/null
+++ b/crates/lab/src/check/calls.rs
@@ -0,0 +1,226 @@
+//! Promises about calls and programs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use calicohoist_emulator::answer::answer_text;
+use calicohoist_emulator::service::job_output;
+use calicohoist_emulator::{EngineRecord, ServiceRecord};
+use calicohoist_types::{ModelId, Moment, Outcome};
+
+use super::Verdict;
+use super::transcript::Transcripts;
+use crate::history::{Asked, CallTry, History, TryEnd};
+
+/// When the calls of one place began and ended at back ends.
+#[derive(Clone, Copy, Default)]
+struct Execution {
+    first_start: Option<Moment>,
+    first_end: Option<Moment>,
+}
+
+/// The program and place in a service's key, `PROGRAM/SEQUENCE/KEY`.
+fn place_of(record: &ServiceRecord) -> Option<(String, u64)> {
+    let mut parts = record.key.split('/');
+    let program = parts.next()?.to_owned();
+    Some((program, parts.next()?.parse().ok()?))
+}
+
+pub(super) fn call_order(history: &History) -> Verdict {
+    let mut executions: BTreeMap<(String, u64), Execution> = BTreeMap::new();
+    for record in &history.engine_records {
+        let call = &record.attempt.call;
+        let place = (call.program.to_string(), call.sequence);
+        let execution = executions.entry(place).or_default();
+        execution.first_start = earliest(execution.first_start, Some(record.arrived));
+        execution.first_end = earliest(execution.first_end, record.finished);
+    }
+    for record in &history.service_records {
+        if let Some(place) = place_of(record) {
+            let execution = executions.entry(place).or_default();
+            execution.first_start = earliest(execution.first_start, Some(record.first));
+            execution.first_end = earliest(execution.first_end, Some(record.first));
+        }
+    }
+    let mut verdict = Verdict::default();
+    let mut previous: Option<(&(String, u64), &Execution)> = None;
+    for (place, execution) in &executions {
+        if let Some((before, earlier)) = previous
+            && before.0 == place.0
+        {
+            let holds = match (earlier.first_end, execution.first_start) {
+                (Some(end), Some(start)) => end <= start,
+                _ => false,
+            };
+            verdict.look(holds, || {
+                format!("{place:?} began before {before:?} had ended")
+            });
+        }
+        previous = Some((place, execution));
+    }
+    verdict
+}
+
+fn earliest(known: Option<Moment>, new: Option<Moment>) -> Option<Moment> {
+    match (known, new) {
+        (Some(known), Some(new)) => Some(known.min(new)),
+        (known, new) => known.or(new),
+    }
+}
+
+pub(super) fn history_integrity(history: &History, transcripts: &Transcripts) -> Verdict {
+    let mut verdict = Verdict::default();
+    for record in &history.engine_records {
+        let call = &record.attempt.call;
+        let expected = transcripts.prompt(call.program.as_str(), call.sequence);
+        let holds = expected.as_ref() == Some(&record.prompt);
+        verdict.look(holds, || {
+            format!(
+                "{} ran with another history than its caller's",
+                record.attempt
+            )
+        });
+    }
+    verdict
+}
+
+pub(super) fn budget_limit(history: &History) -> Verdict {
+    let roots: BTreeMap<&str, &str> = history
+        .programs
+        .iter()
+        .map(|program| (program.id.as_str(), program.root.as_str()))
+        .collect();
+    let mut spent: BTreeMap<&str, u64> = BTreeMap::new();
+    for record in history
+        .engine_records
+        .iter()
+        .filter(|record| record.finished.is_some())
+    {
+        if let Some(root) = roots.get(record.program.as_str()) {
+            *spent.entry(root).or_default() += record.usage.total();
+        }
+    }
+    let mut verdict = Verdict::default();
+    for program in history
+        .programs
+        .iter()
+        .filter(|program| program.id == program.root)
+    {
+        let used = spent.get(program.id.as_str()).copied().unwrap_or_default();
+        let holds = used <= program.budget;
+        verdict.look(holds, || {
+            format!("{} used {used} of {}", program.id, program.budget)
+        });
+    }
+    verdict
+}
+
+pub(super) fn response_integrity(history: &History, transcripts: &Transcripts) -> Verdict {
+    let mut verdict = Verdict::default();
+    for call in &history.tries {
+        let TryEnd::Answered {
+            text,
+            finish_reason,
+            usage,
+        } = &call.end
+        else {
+            continue;
+        };
+        let expected = match &call.asked {
+            Asked::Service { service, input } => Some(job_output(service, input)),
+            Asked::Model { model, .. } => {
+                let prompt = transcripts.prompt(&call.program, call.sequence);
+                let is_cut = finish_reason == "length";
+                let limit = if is_cut {
+                    usage.completion_tokens
+                } else {
+                    u64::MAX
+                };
+                prompt.map(|prompt| answer_text(&ModelId::new(model), &prompt, limit))
+            }
+        };
+        verdict.look(expected.as_ref() == Some(text), || {
+            format!(
+                "{}/{} got {text:?} instead of {expected:?}",
+                call.program, call.sequence
+            )
+        });
+    }
+    verdict
+}
+
+pub(super) fn refused_not_executed(history: &History) -> Verdict {
+    let mut verdict = Verdict::default();
+    for refused in history.tries.iter().filter(|call| is_not_run(call)) {
+        let executed = match &refused.asked {
+            Asked::Service { .. } => service_executed(history, refused),
+            Asked::Model { .. } => engine_executed_unexplained(history, refused),
+        };
+        verdict.look(!executed, || {
+            format!(
+                "{}/{} was refused as not run, and ran",
+                refused.program, refused.sequence
+            )
+        });
+    }
+    verdict
+}
+
+fn is_not_run(call: &CallTry) -> bool {
+    let refused = TryEnd::Refused {
+        outcome: Outcome::NotRun,
+        code: String::new(),
+    };
+    std::mem::discriminant(&call.end) == std::mem::discriminant(&refused)
+        && matches!(
+            &call.end,
+            TryEnd::Refused {
+                outcome: Outcome::NotRun,
+                ..
+            }
+        )
+}
+
+fn service_executed(history: &History, refused: &CallTry) -> bool {
+    let key = format!("{}/{}/{}", refused.program, refused.sequence, refused.key);
+    history
+        .service_records
+        .iter()
+        .any(|record| record.key == key)
+}
+
+/// An execution counts against a refusal unless another try of the same call,
+/// which was not refused, had been sent before it.
+fn engine_executed_unexplained(history: &History, refused: &CallTry) -> bool {
+    let is_same =
+        |call: &CallTry| call.program == refused.program && call.sequence == refused.sequence;
+    let accepted = history
+        .tries
+        .iter()
+        .filter(|call| is_same(call) && !is_not_run(call));
+    let first_accepted = accepted.map(|call| call.sent).min();
+    let ran = |record: &&EngineRecord| {
+        let call = &record.attempt.call;
+        call.program.as_str() == refused.program && call.sequence == refused.sequence
+    };
+    let mut executions = history.engine_records.iter().filter(ran);
+    executions.any(|record| first_accepted.is_none_or(|sent| record.arrived < sent))
+}
+
+pub(super) fn at_most_once(history: &History) -> Verdict {
+    let once = history.tries.iter().filter(|call| !call.repeatable);
+    let keys: BTreeSet<String> = once
+        .map(|call| format!("{}/{}/{}", call.program, call.sequence, call.key))
+        .collect();
+    let mut verdict = Verdict::default();
+    for key in keys {
+        let of_key = history
+            .service_records
+            .iter()
+            .filter(|record| record.key == key);
+        let executions: u32 = of_key.map(|record| record.executions).sum();
+        verdict.look(executions <= 1, || {
+            format!("{key} was executed {executions} times")
+        });
+    }
+    verdict
+}
--- /dev/null
+++ b/crates/lab/src/fleet/files.rs
@@ -0,0 +1,1 @@
+//! Files for a fleet of real processes.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,96 @@
+//! The `calicohoist-lab` command.
+
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use calicohoist_lab::demo::{self, DemoSettings};
+use calicohoist_lab::deployment::Deployment;
+use calicohoist_lab::report;
+use calicohoist_telemetry::{LogFormat, LogSettings, logging};
+use eyre::Result;
+use log::LevelFilter;
+
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+/// Fleets, load and proof for calicohoist.
+struct Arguments {
+    /// Least severe level that is logged
+    #[bpaf(argument("LEVEL"), fallback(LevelFilter::Error))]
+    log_level: LevelFilter,
+    #[bpaf(external(command))]
+    command: Command,
+}
+
+#[derive(Clone, Debug, Bpaf)]
+enum Command {
+    /// Run programs on a fleet inside this process, and judge what happened
+    #[bpaf(command)]
+    Demo {
+        /// celje or kushiro
+        #[bpaf(argument("NAME"), fallback(Deployment::Celje))]
+        deployment: Deployment,
+        /// Programs to run
+        #[bpaf(argument("COUNT"), fallback(40))]
+        programs: usize,
+        /// Seed of the load
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Write the report here, too
+        #[bpaf(argument("FILE"))]
+        json: Option<PathBuf>,
+        /// Write everything that was recorded here
+        #[bpaf(argument("FILE"))]
+        history: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    let settings = LogSettings {
+        format: LogFormat::Text,
+        level: arguments.log_level,
+    };
+    match logging::install(settings).and_then(|()| perform(arguments.command)) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn perform(command: Command) -> Result<ExitCode> {
+    match command {
+        Command::Demo {
+            deployment,
+            programs,
+            seed,
+            json,
+            history,
+        } => {
+            let settings = DemoSettings {
+                deployment,
+                programs,
+                seed,
+                progress: std::io::stderr().is_terminal(),
+            };
+            let (outcome, recorded) = demo::run(&settings)?;
+            println!("{}", report::text(&outcome));
+            if let Some(file) = json {
+                std::fs::write(file, serde_json::to_vec_pretty(&outcome)?)?;
+            }
+            if let Some(file) = history {
+                std::fs::write(file, serde_json::to_vec(&recorded)?)?;
+            }
+            let failed = outcome.invariants.violations() > 0
+                || outcome.programs_completed < outcome.programs_started;
+            Ok(if failed {
+                ExitCode::FAILURE
+            } else {
+                ExitCode::SUCCESS
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/message.rs
@@ -0,0 +1,208 @@
+//! What replicas say to each other, and what a log holds.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A replicated group. 0 is the group of resources; the others hold programs.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct GroupId(pub u32);
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+/// A replica: a machine together with the disk that holds its promises.
+///
+/// A machine that lost its disk comes back under another `disk`, so that it can
+/// never vote as the replica that made the lost promises.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ReplicaId {
+    /// Number of the machine in the settings.
+    pub machine: u16,
+    /// Identity of its data folder; 0 for a disk of the first start.
+    pub disk: u32,
+}
+
+impl fmt::Display for ReplicaId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.machine, self.disk)
+    }
+}
+
+/// Election term.
+pub type Term = u64;
+/// Position in a group's log; the first entry has 1.
+pub type Index = u64;
+
+/// Who takes part in a group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Replicas whose acknowledgement counts.
+    pub voters: BTreeSet<ReplicaId>,
+    /// Replicas that receive the log but do not count yet.
+    pub learners: BTreeSet<ReplicaId>,
+}
+
+impl Membership {
+    /// Acknowledgements that make a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Voters and learners.
+    pub fn all(&self) -> impl Iterator<Item = ReplicaId> + '_ {
+        self.voters.iter().chain(&self.learners).copied()
+    }
+
+    /// Whether `replica` is a voter or learner.
+    pub fn contains(&self, replica: ReplicaId) -> bool {
+        self.voters.contains(&replica) || self.learners.contains(&replica)
+    }
+}
+
+/// What an entry of a log carries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryKind {
+    /// Nothing: a new leader commits one to learn what is committed.
+    Empty,
+    /// An encoded command for the state machine.
+    Command(Vec<u8>),
+    /// The membership from this entry on.
+    Membership(Membership),
+}
+
+/// One entry of a log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Term of the leader that proposed it.
+    pub term: Term,
+    /// Its position.
+    pub index: Index,
+    /// What it carries.
+    pub kind: EntryKind,
+}
+
+/// What a replica must remember across restarts besides its log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HardState {
+    /// Highest term seen.
+    pub term: Term,
+    /// Replica voted for in that term.
+    pub vote: Option<ReplicaId>,
+}
+
+/// The state machine's state after all entries up to `index`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Last entry the state includes.
+    pub index: Index,
+    /// Term of that entry.
+    pub term: Term,
+    /// Membership at that entry.
+    pub membership: Membership,
+    /// The encoded state.
+    pub data: Vec<u8>,
+}
+
+/// A message between two replicas of one group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for a vote, or whether one would be given (`pre`).
+    Vote {
+        /// Term the candidate has, or would have.
+        term: Term,
+        /// Index of its last entry.
+        last_index: Index,
+        /// Term of its last entry.
+        last_term: Term,
+        /// Only asks; the voter changes nothing.
+        pre: bool,
+        /// The leader itself asked for this election.
+        transfer: bool,
+    },
+    /// Answers [`Message::Vote`].
+    VoteReply {
+        /// Term of the voter, or the asked term when a pre-vote is granted.
+        term: Term,
+        /// Whether the vote is given.
+        granted: bool,
+        /// Answers a pre-vote.
+        pre: bool,
+    },
+    /// Heartbeat, and entries after `previous_index`.
+    Append {
+        /// Term of the leader.
+        term: Term,
+        /// Index before the first entry.
+        previous_index: Index,
+        /// Term at that index.
+        previous_term: Term,
+        /// Entries to append.
+        entries: Vec<Entry>,
+        /// Highest committed index.
+        commit: Index,
+        /// Numbers the leader's heartbeats; the lease counts from its sending.
+        round: u64,
+    },
+    /// Answers [`Message::Append`] and [`Message::Install`].
+    AppendReply {
+        /// Term of the follower.
+        term: Term,
+        /// Highest index known equal to the leader's, when accepted.
+        matched: Index,
+        /// Set when refused: where the leader should try next.
+        retry_from: Option<Index>,
+        /// Round of the message this answers.
+        round: u64,
+    },
+    /// Replaces a far-behind follower's state.
+    Install {
+        /// Term of the leader.
+        term: Term,
+        /// The state.
+        snapshot: Arc<Snapshot>,
+        /// Round, as in [`Message::Append`].
+        round: u64,
+    },
+    /// The leader asks the receiver to start an election at once.
+    Campaign {
+        /// Term of the leader.
+        term: Term,
+    },
+    /// A new replica asks the leader to let it join in place of its machine's old disk.
+    Join,
+}
+
+impl Message {
+    /// The sender's term; `None` for messages outside any term.
+    pub fn term(&self) -> Option<Term> {
+        match self {
+            Self::Vote { term, .. }
+            | Self::VoteReply { term, .. }
+            | Self::Append { term, .. }
+            | Self::AppendReply { term, .. }
+            | Self::Install { term, .. }
+            | Self::Campaign { term } => Some(*term),
+            Self::Join => None,
+        }
+    }
+}
+
+/// A message with the group it belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupMessage {
+    /// The group.
+    pub group: GroupId,
+    /// The message.
+    pub message: Message,
+}
