--- /dev/null
+++ b/crates/replication/src/node.rs
@@ -0,0 +1,555 @@
+//! All groups of one machine, with group commit and their state machines.
+//!
+//! A [`Node`] performs no I/O but through the [`DiskLog`] it is handed. Its
+//! driver feeds it messages, proposals and ticks, and calls [`Node::flush`],
+//! which makes all their writes durable with one sync and only then returns the
+//! messages and answers that depend on them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::Moment;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::message::{
+    Entry, EntryKind, GroupId, GroupMessage, Index, Membership, Message, ReplicaId, Snapshot, Term,
+};
+use crate::raft::{Effects, ProposeError, Raft, RaftSettings, ReadReadiness};
+use crate::storage::{Disk, DiskError, DiskLog, Recovered, Write};
+
+/// What a group replicates. Applying must depend on nothing but state and command.
+pub trait StateMachine {
+    /// Result of a command.
+    type Output;
+
+    /// A machine in its first state.
+    fn new(group: GroupId) -> Self;
+
+    /// Applies one committed command.
+    fn apply(&mut self, command: &[u8]) -> Self::Output;
+
+    /// The whole state, encoded.
+    fn snapshot(&self) -> Vec<u8>;
+
+    /// Replaces the state; `false` when `data` cannot be read.
+    fn restore(&mut self, data: &[u8]) -> bool;
+}
+
+/// Names a proposal or read towards the driver.
+pub type Ticket = u64;
+
+/// What the driver must do after a flush.
+#[derive(Debug)]
+pub enum NodeEvent<O> {
+    /// Send these messages in one frame.
+    Send {
+        /// Receiver.
+        to: ReplicaId,
+        /// Messages of all groups.
+        messages: Vec<GroupMessage>,
+    },
+    /// A proposal was committed and applied.
+    Applied {
+        /// The proposal.
+        ticket: Ticket,
+        /// Result of the command.
+        output: O,
+    },
+    /// The group's state may be read for this ticket now.
+    ReadReady {
+        /// The read.
+        ticket: Ticket,
+        /// Its group.
+        group: GroupId,
+    },
+    /// A proposal may or may not be applied in the end; a read was not answered.
+    Lost {
+        /// The proposal or read.
+        ticket: Ticket,
+    },
+    /// This replica won or lost the leadership of a group.
+    Leadership {
+        /// The group.
+        group: GroupId,
+        /// Won.
+        is_leader: bool,
+    },
+}
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Timing of its groups.
+    pub raft: RaftSettings,
+    /// Entries after which a group writes a snapshot.
+    pub entries_per_snapshot: u64,
+    /// Size of the log file, in bytes, from which it is rewritten.
+    pub log_rewrite_bytes: usize,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+}
+
+impl Default for NodeSettings {
+    fn default() -> Self {
+        Self {
+            raft: RaftSettings::default(),
+            entries_per_snapshot: 20_000,
+            log_rewrite_bytes: 64 << 20,
+            seed: 0,
+        }
+    }
+}
+
+struct Group<S> {
+    raft: Raft,
+    machine: S,
+    applied: Index,
+    proposals: BTreeMap<Index, (Term, Ticket)>,
+    reads: BTreeSet<Ticket>,
+}
+
+/// All groups of one machine.
+pub struct Node<S: StateMachine> {
+    id: ReplicaId,
+    settings: NodeSettings,
+    machines: Vec<u16>,
+    groups: BTreeMap<GroupId, Group<S>>,
+    next_join: Moment,
+}
+
+impl<S: StateMachine> Node<S> {
+    /// Starts from what was recovered. A folder without groups gets `groups` with
+    /// the first membership of `machines`, if its identity is that of a first start.
+    pub fn new(
+        id: ReplicaId,
+        settings: NodeSettings,
+        machines: &[u16],
+        groups: &[GroupId],
+        mut recovered: Recovered,
+        now: Moment,
+    ) -> Self {
+        let mut seeds = ChaCha8Rng::seed_from_u64(settings.seed ^ u64::from(id.machine) << 32);
+        let mut node = Self {
+            id,
+            machines: machines.to_vec(),
+            groups: BTreeMap::new(),
+            next_join: now,
+            settings,
+        };
+        for group in groups {
+            let seed = seeds.random();
+            let found = recovered.groups.remove(group);
+            let hard_state = found
+                .as_ref()
+                .map(|found| found.hard_state)
+                .unwrap_or_default();
+            let entries = found
+                .as_ref()
+                .map(|found| found.entries.clone())
+                .unwrap_or_default();
+            let stored = found
+                .map(|found| found.snapshot)
+                .filter(|found| found.index > 0);
+            let snapshot = stored.unwrap_or_else(|| node.first_snapshot());
+            node.add_group(*group, hard_state, snapshot, entries, seed, now);
+        }
+        node
+    }
+
+    fn add_group(
+        &mut self,
+        group: GroupId,
+        hard_state: crate::message::HardState,
+        snapshot: Arc<Snapshot>,
+        entries: Vec<Entry>,
+        seed: u64,
+        now: Moment,
+    ) {
+        let mut machine = S::new(group);
+        if !snapshot.data.is_empty() {
+            machine.restore(&snapshot.data);
+        }
+        let applied = snapshot.index;
+        let raft_settings = self.settings.raft;
+        let raft = Raft::new(
+            self.id,
+            raft_settings,
+            seed,
+            hard_state,
+            snapshot,
+            entries,
+            now,
+        );
+        let state = Group {
+            raft,
+            machine,
+            applied,
+            proposals: BTreeMap::new(),
+            reads: BTreeSet::new(),
+        };
+        self.groups.insert(group, state);
+    }
+
+    /// The state before the first entry. Only disks of the first start belong to
+    /// the first membership; a later disk has to join.
+    fn first_snapshot(&self) -> Arc<Snapshot> {
+        let first_disk = |machine: &u16| ReplicaId {
+            machine: *machine,
+            disk: 0,
+        };
+        Arc::new(Snapshot {
+            index: 0,
+            term: 0,
+            membership: Membership {
+                voters: self.machines.iter().map(first_disk).collect(),
+                learners: BTreeSet::new(),
+            },
+            data: Vec::new(),
+        })
+    }
+
+    /// This replica.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// The groups hosted here.
+    pub fn groups(&self) -> impl Iterator<Item = GroupId> + '_ {
+        self.groups.keys().copied()
+    }
+
+    /// The protocol state of a group.
+    pub fn raft(&self, group: GroupId) -> Option<&Raft> {
+        self.groups.get(&group).map(|state| &state.raft)
+    }
+
+    /// The state machine of a group, for reads that [`NodeEvent::ReadReady`] allowed.
+    pub fn machine(&self, group: GroupId) -> Option<&S> {
+        self.groups.get(&group).map(|state| &state.machine)
+    }
+
+    /// The machine that is believed to lead `group`.
+    pub fn leader_machine(&self, group: GroupId) -> Option<u16> {
+        let leader = self.groups.get(&group)?.raft.leader()?;
+        Some(leader.machine)
+    }
+
+    /// Whether this replica leads `group` under a lease and may answer reads.
+    pub fn may_read(&self, now: Moment, group: GroupId) -> bool {
+        let readiness = self
+            .groups
+            .get(&group)
+            .map(|state| state.raft.read_readiness(now));
+        readiness == Some(ReadReadiness::Ready)
+    }
+
+    /// Lets time pass in every group.
+    pub fn tick(&mut self, now: Moment) {
+        for state in self.groups.values_mut() {
+            state.raft.tick(now);
+        }
+        if now >= self.next_join {
+            self.next_join = now + self.settings.raft.election_min;
+            self.ask_to_join();
+        }
+    }
+
+    fn ask_to_join(&mut self) {
+        let others = self
+            .machines
+            .iter()
+            .filter(|machine| **machine != self.id.machine);
+        let others: Vec<ReplicaId> = others
+            .map(|machine| ReplicaId {
+                machine: *machine,
+                disk: 0,
+            })
+            .collect();
+        for state in self.groups.values_mut() {
+            state.raft.ask_to_join(&others);
+        }
+    }
+
+    /// Takes one frame from another replica.
+    pub fn receive(&mut self, now: Moment, from: ReplicaId, messages: Vec<GroupMessage>) {
+        for GroupMessage { group, message } in messages {
+            if let Some(state) = self.groups.get_mut(&group) {
+                state.raft.step(now, from, message);
+            }
+        }
+    }
+
+    /// Proposes a command to a group.
+    ///
+    /// # Errors
+    /// When this replica does not lead; the command will certainly not be applied.
+    pub fn propose(
+        &mut self,
+        group: GroupId,
+        command: Vec<u8>,
+        ticket: Ticket,
+    ) -> Result<(), ProposeError> {
+        let Some(state) = self.groups.get_mut(&group) else {
+            return Err(ProposeError::NotLeader(None));
+        };
+        let (term, index) = state.raft.propose(EntryKind::Command(command))?;
+        state.proposals.insert(index, (term, ticket));
+        Ok(())
+    }
+
+    /// Asks to read a group's state; answered by an event of a later flush.
+    ///
+    /// # Errors
+    /// When this replica does not lead.
+    pub fn read(&mut self, group: GroupId, ticket: Ticket) -> Result<(), ProposeError> {
+        let Some(state) = self.groups.get_mut(&group) else {
+            return Err(ProposeError::NotLeader(None));
+        };
+        if !state.raft.is_leader() {
+            return Err(ProposeError::NotLeader(state.raft.leader()));
+        }
+        state.reads.insert(ticket);
+        Ok(())
+    }
+
+    /// Gives the leadership of every group to another replica.
+    pub fn transfer_leadership(&mut self, now: Moment) {
+        for state in self.groups.values_mut() {
+            state.raft.transfer_leadership(now);
+        }
+    }
+
+    /// Whether this replica leads any group.
+    pub fn leads_any(&self) -> bool {
+        self.groups.values().any(|state| state.raft.is_leader())
+    }
+
+    /// Makes everything durable with one sync, then applies what is committed.
+    ///
+    /// # Errors
+    /// When the disk fails: this replica must stop taking part.
+    pub fn flush<D: Disk>(
+        &mut self,
+        now: Moment,
+        log: &mut DiskLog<D>,
+    ) -> Result<Vec<NodeEvent<S::Output>>, DiskError> {
+        let mut outbox = Outbox::default();
+        let mut writes = Vec::new();
+        for (group, state) in &mut self.groups {
+            state.raft.replicate(now);
+            let effects = state.raft.take_effects();
+            store_effects(*group, &effects, log, &mut writes)?;
+            state.take(*group, effects, &mut outbox);
+        }
+        if !writes.is_empty() {
+            log.commit(&writes)?;
+        }
+        for (group, state) in &mut self.groups {
+            let last = state.raft.last_index();
+            state.raft.persisted(last);
+            let effects = state.raft.take_effects();
+            state.take(*group, effects, &mut outbox);
+            state.answer_reads(now, *group, &mut outbox);
+        }
+        self.compact(log)?;
+        Ok(outbox.into_events())
+    }
+
+    fn compact<D: Disk>(&mut self, log: &mut DiskLog<D>) -> Result<(), DiskError> {
+        let mut writes = Vec::new();
+        for (group, state) in &mut self.groups {
+            let since = state.applied - state.raft.snapshot_index().min(state.applied);
+            if since < self.settings.entries_per_snapshot {
+                continue;
+            }
+            let data = state.machine.snapshot();
+            if let Some(snapshot) = state.raft.compact(state.applied, data) {
+                log.store_snapshot(*group, &snapshot)?;
+                writes.push(Write::Snapshot {
+                    group: *group,
+                    index: snapshot.index,
+                    clears_log: false,
+                });
+                emit!(
+                    Event::LogCompacted,
+                    "group {group} up to {}",
+                    snapshot.index
+                );
+            }
+        }
+        if log.bytes() > self.settings.log_rewrite_bytes {
+            return log.rewrite(&self.whole_state());
+        }
+        if writes.is_empty() {
+            return Ok(());
+        }
+        log.commit(&writes)
+    }
+
+    /// The writes that bring an empty log to the present state.
+    fn whole_state(&self) -> Vec<Write> {
+        let mut writes = Vec::new();
+        for (group, state) in &self.groups {
+            writes.push(Write::HardState(*group, state.raft.hard_state()));
+            let snapshot = state.raft.snapshot();
+            if snapshot.index > 0 {
+                writes.push(Write::Snapshot {
+                    group: *group,
+                    index: snapshot.index,
+                    clears_log: false,
+                });
+            }
+            writes.push(Write::Append(*group, state.raft.entries().to_vec()));
+        }
+        writes
+    }
+}
+
+fn store_effects<D: Disk>(
+    group: GroupId,
+    effects: &Effects,
+    log: &mut DiskLog<D>,
+    writes: &mut Vec<Write>,
+) -> Result<(), DiskError> {
+    if let Some(hard_state) = effects.hard_state {
+        writes.push(Write::HardState(group, hard_state));
+    }
+    if let Some(snapshot) = &effects.install {
+        log.store_snapshot(group, snapshot)?;
+        writes.push(Write::Snapshot {
+            group,
+            index: snapshot.index,
+            clears_log: true,
+        });
+    }
+    if let Some(from) = effects.truncate_from {
+        writes.push(Write::Truncate(group, from));
+    }
+    if !effects.append.is_empty() {
+        writes.push(Write::Append(group, effects.append.clone()));
+    }
+    Ok(())
+}
+
+impl<S: StateMachine> Group<S> {
+    fn take(&mut self, group: GroupId, effects: Effects, outbox: &mut Outbox<S::Output>) {
+        if let Some(snapshot) = &effects.install {
+            self.install(group, snapshot);
+        }
+        for (to, message) in effects.messages {
+            outbox.message(to, GroupMessage { group, message });
+        }
+        for entry in effects.committed {
+            self.apply(entry, outbox);
+        }
+        if let Some(is_leader) = effects.leadership {
+            if !is_leader {
+                self.lose_pending(outbox);
+            }
+            outbox
+                .events
+                .push(NodeEvent::Leadership { group, is_leader });
+        }
+    }
+
+    fn install(&mut self, group: GroupId, snapshot: &Snapshot) {
+        if self.machine.restore(&snapshot.data) {
+            emit!(
+                Event::SnapshotInstalled,
+                "group {group} at {}",
+                snapshot.index
+            );
+        } else {
+            emit!(
+                Event::LogCorrupt,
+                "group {group}: unreadable snapshot {}",
+                snapshot.index
+            );
+        }
+        self.applied = snapshot.index;
+    }
+
+    fn apply(&mut self, entry: Entry, outbox: &mut Outbox<S::Output>) {
+        self.applied = entry.index;
+        let waiting = self.proposals.remove(&entry.index);
+        let EntryKind::Command(command) = &entry.kind else {
+            if let Some((_, ticket)) = waiting {
+                outbox.events.push(NodeEvent::Lost { ticket });
+            }
+            return;
+        };
+        let output = self.machine.apply(command);
+        match waiting {
+            Some((term, ticket)) if term == entry.term => {
+                outbox.events.push(NodeEvent::Applied { ticket, output });
+            }
+            Some((_, ticket)) => outbox.events.push(NodeEvent::Lost { ticket }),
+            None => {}
+        }
+    }
+
+    fn lose_pending(&mut self, outbox: &mut Outbox<S::Output>) {
+        let proposals = std::mem::take(&mut self.proposals);
+        let reads = std::mem::take(&mut self.reads);
+        let tickets = proposals
+            .into_values()
+            .map(|(_, ticket)| ticket)
+            .chain(reads);
+        outbox
+            .events
+            .extend(tickets.map(|ticket| NodeEvent::Lost { ticket }));
+    }
+
+    fn answer_reads(&mut self, now: Moment, group: GroupId, outbox: &mut Outbox<S::Output>) {
+        if self.reads.is_empty() {
+            return;
+        }
+        match self.raft.read_readiness(now) {
+            ReadReadiness::Ready => {
+                let tickets = std::mem::take(&mut self.reads);
+                let ready = |ticket| NodeEvent::ReadReady { ticket, group };
+                outbox.events.extend(tickets.into_iter().map(ready));
+            }
+            ReadReadiness::NotYet => {}
+            ReadReadiness::NotLeader => {
+                let tickets = std::mem::take(&mut self.reads);
+                let lost = |ticket| NodeEvent::Lost { ticket };
+                outbox.events.extend(tickets.into_iter().map(lost));
+            }
+        }
+    }
+}
+
+/// Gathers the messages of all groups to one replica into one frame.
+struct Outbox<O> {
+    messages: BTreeMap<ReplicaId, Vec<GroupMessage>>,
+    events: Vec<NodeEvent<O>>,
+}
+
+impl<O> Default for Outbox<O> {
+    fn default() -> Self {
+        Self {
+            messages: BTreeMap::new(),
+            events: Vec::new(),
+        }
+    }
+}
+
+impl<O> Outbox<O> {
+    fn message(&mut self, to: ReplicaId, message: GroupMessage) {
+        self.messages.entry(to).or_default().push(message);
+    }
+
+    fn into_events(self) -> Vec<NodeEvent<O>> {
+        let send = |(to, messages)| NodeEvent::Send { to, messages };
+        let frames = self.messages.into_iter().map(send);
+        frames.chain(self.events).collect()
+    }
+}
+
+/// Whether a message asks to join; it is the only one from a stranger that counts.
+pub fn is_join(message: &GroupMessage) -> bool {
+    matches!(message.message, Message::Join)
+}
--- /dev/null
+++ b/crates/replication/src/raft/leader.rs
@@ -0,0 +1,428 @@
+//! Leading: replication, commit, the read lease, membership changes, hand-over.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use calicohoist_types::Moment;
+
+use super::{Raft, ReadReadiness, Role, peers, quorum_value};
+use crate::message::{EntryKind, Index, Membership, Message, ReplicaId};
+
+/// Rounds remembered while their answers are out.
+const MAX_ROUNDS: usize = 256;
+
+/// What a leader knows of one follower.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    /// Next entry to send.
+    next: Index,
+    /// Highest entry known durable there.
+    matched: Index,
+    /// Newest round it answered.
+    round: u64,
+    /// When it last answered.
+    heard: Moment,
+    /// A snapshot is on its way until this moment.
+    installing_until: Moment,
+}
+
+#[derive(Debug)]
+pub(super) struct LeaderState {
+    progress: BTreeMap<ReplicaId, Progress>,
+    /// First entry of this leader's term.
+    first_index: Index,
+    round: u64,
+    /// When each recent round was sent.
+    rounds: VecDeque<(u64, Moment)>,
+    lease_until: Moment,
+    next_heartbeat: Moment,
+    elected: Moment,
+    transfer_to: Option<(ReplicaId, Moment)>,
+}
+
+impl LeaderState {
+    pub(super) fn is_transferring(&self) -> bool {
+        self.transfer_to.is_some()
+    }
+}
+
+impl Raft {
+    pub(super) fn become_leader(&mut self, now: Moment) {
+        self.leader = Some(self.id);
+        self.effects.leadership = Some(true);
+        self.role = Role::Leader(LeaderState {
+            progress: BTreeMap::new(),
+            first_index: self.log.last_index() + 1,
+            round: 0,
+            rounds: VecDeque::new(),
+            lease_until: Moment::ZERO,
+            next_heartbeat: now,
+            elected: now,
+            transfer_to: None,
+        });
+        self.sync_progress(now);
+        self.append_own(EntryKind::Empty);
+        self.broadcast(now);
+    }
+
+    /// Makes the table of followers match the membership.
+    fn sync_progress(&mut self, now: Moment) {
+        let next = self.log.last_index() + 1;
+        let wanted = peers(self.membership(), self.id);
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        state.progress.retain(|peer, _| wanted.contains(peer));
+        for peer in wanted {
+            state.progress.entry(peer).or_insert(Progress {
+                next,
+                matched: 0,
+                round: 0,
+                heard: now,
+                installing_until: Moment::ZERO,
+            });
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self, now: Moment) {
+        if self.lost_quorum(now) {
+            let term = self.hard_state.term;
+            return self.become_follower(now, term, None);
+        }
+        self.expire_transfer(now);
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        if now >= state.next_heartbeat {
+            self.broadcast(now);
+        }
+    }
+
+    /// A leader that no quorum answers steps down, so that its callers look elsewhere.
+    fn lost_quorum(&self, now: Moment) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let mut heard: BTreeMap<ReplicaId, Moment> = state
+            .progress
+            .iter()
+            .map(|(peer, progress)| (*peer, progress.heard))
+            .collect();
+        heard.insert(self.id, now);
+        let quorum_heard = quorum_value(self.membership(), &heard);
+        now.since(quorum_heard.max(state.elected)) > self.settings.election_max
+    }
+
+    /// Sends every follower what it lacks, or an empty heartbeat.
+    pub fn broadcast(&mut self, now: Moment) {
+        let heartbeat = self.settings.heartbeat;
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        state.round += 1;
+        state.rounds.push_back((state.round, now));
+        if state.rounds.len() > MAX_ROUNDS {
+            state.rounds.pop_front();
+        }
+        state.next_heartbeat = now + heartbeat;
+        let followers: Vec<ReplicaId> = state.progress.keys().copied().collect();
+        for follower in followers {
+            self.send_append(now, follower, true);
+        }
+    }
+
+    /// Sends new entries to followers that are up to date with what was sent.
+    pub fn replicate(&mut self, now: Moment) {
+        let last = self.log.last_index();
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        let behind = state
+            .progress
+            .iter()
+            .filter(|(_, known)| known.next <= last);
+        let followers: Vec<ReplicaId> = behind.map(|(peer, _)| *peer).collect();
+        for follower in followers {
+            self.send_append(now, follower, false);
+        }
+    }
+
+    fn send_append(&mut self, now: Moment, to: ReplicaId, even_if_empty: bool) {
+        let settings = self.settings;
+        let term = self.hard_state.term;
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let round = state.round;
+        let Some(progress) = state.progress.get_mut(&to) else {
+            return;
+        };
+        let previous_index = progress.next - 1;
+        let Some(previous_term) = self.log.term_at(previous_index) else {
+            return self.send_snapshot(now, to);
+        };
+        let limit = settings.max_entries_per_message;
+        let entries = self
+            .log
+            .slice(progress.next, limit, settings.max_bytes_per_message);
+        if entries.is_empty() && !even_if_empty {
+            return;
+        }
+        progress.next += entries.len() as u64;
+        let message = Message::Append {
+            term,
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        self.send(to, message);
+    }
+
+    fn send_snapshot(&mut self, now: Moment, to: ReplicaId) {
+        let snapshot = self.log.snapshot().clone();
+        let term = self.hard_state.term;
+        let resend_after = self.settings.election_max;
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let round = state.round;
+        let Some(progress) = state.progress.get_mut(&to) else {
+            return;
+        };
+        if now < progress.installing_until {
+            // Keeps the follower from campaigning while the snapshot travels.
+            let heartbeat = Message::Append {
+                term,
+                previous_index: 0,
+                previous_term: 0,
+                entries: Vec::new(),
+                commit: 0,
+                round,
+            };
+            return self.send(to, heartbeat);
+        }
+        progress.installing_until = now + resend_after;
+        let message = Message::Install {
+            term,
+            snapshot,
+            round,
+        };
+        self.send(to, message);
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: Moment,
+        from: ReplicaId,
+        matched: Index,
+        retry_from: Option<Index>,
+        round: u64,
+    ) {
+        let last = self.log.last_index();
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard = now;
+        progress.round = progress.round.max(round);
+        match retry_from {
+            Some(index) => progress.next = index.clamp(progress.matched + 1, last + 1),
+            None if matched > progress.matched => {
+                progress.matched = matched.min(last);
+                progress.next = progress.next.max(progress.matched + 1);
+                progress.installing_until = Moment::ZERO;
+            }
+            None => {}
+        }
+        self.renew_lease();
+        self.advance_commit();
+        self.send_append(now, from, false);
+        self.continue_transfer(now);
+        self.manage_learners(now);
+    }
+
+    /// The lease runs from the *sending* of the newest round that a quorum answered.
+    fn renew_lease(&mut self) {
+        let length = self
+            .settings
+            .election_min
+            .saturating_sub(self.settings.clock_drift);
+        let membership = self.log.membership().1.clone();
+        let id = self.id;
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let mut answered: BTreeMap<ReplicaId, u64> = state
+            .progress
+            .iter()
+            .map(|(peer, progress)| (*peer, progress.round))
+            .collect();
+        answered.insert(id, state.round);
+        let round = quorum_value(&membership, &answered);
+        while state.rounds.front().is_some_and(|(sent, _)| *sent < round) {
+            state.rounds.pop_front();
+        }
+        let confirmed = state.rounds.front().filter(|(sent, _)| *sent == round);
+        if let Some((_, sent_at)) = confirmed
+            && state.transfer_to.is_none()
+        {
+            state.lease_until = state.lease_until.max(*sent_at + length);
+        }
+    }
+
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(state) = &self.role else {
+            return self.deliver();
+        };
+        let first_index = state.first_index;
+        let mut matched: BTreeMap<ReplicaId, Index> = state
+            .progress
+            .iter()
+            .map(|(peer, progress)| (*peer, progress.matched))
+            .collect();
+        matched.insert(self.id, self.persisted);
+        let agreed = quorum_value(self.membership(), &matched);
+        // Entries of earlier terms are committed only through one of this term.
+        if agreed >= first_index && agreed > self.commit {
+            self.commit = agreed;
+        }
+        self.deliver();
+    }
+
+    /// Whether the applied state may be read now.
+    pub fn read_readiness(&self, now: Moment) -> ReadReadiness {
+        let Role::Leader(state) = &self.role else {
+            return ReadReadiness::NotLeader;
+        };
+        let knows_commit = self.commit >= state.first_index;
+        let is_alone = self.membership().quorum() == 1;
+        if knows_commit && (is_alone || now < state.lease_until) {
+            ReadReadiness::Ready
+        } else {
+            ReadReadiness::NotYet
+        }
+    }
+
+    /// Hands leadership to the voter that is furthest along.
+    pub fn transfer_leadership(&mut self, now: Moment) {
+        let voters = self.membership().voters.clone();
+        let patience = self.settings.election_max;
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        let is_voter = |(peer, _): &(&ReplicaId, &Progress)| voters.contains(peer);
+        let candidates = state.progress.iter().filter(is_voter);
+        let Some((target, _)) = candidates.max_by_key(|(_, known)| (known.matched, known.heard))
+        else {
+            return;
+        };
+        state.transfer_to = Some((*target, now + patience));
+        // The successor may answer reads as soon as it wins.
+        state.lease_until = Moment::ZERO;
+        self.continue_transfer(now);
+    }
+
+    fn continue_transfer(&mut self, _now: Moment) {
+        let last = self.log.last_index();
+        let term = self.hard_state.term;
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        let Some((target, _)) = state.transfer_to else {
+            return;
+        };
+        let is_caught_up = state
+            .progress
+            .get(&target)
+            .is_some_and(|known| known.matched == last);
+        if is_caught_up {
+            self.send(target, Message::Campaign { term });
+        }
+    }
+
+    fn expire_transfer(&mut self, now: Moment) {
+        if let Role::Leader(state) = &mut self.role
+            && state
+                .transfer_to
+                .is_some_and(|(_, deadline)| now > deadline)
+        {
+            state.transfer_to = None;
+        }
+    }
+
+    /// A replica on a new disk asks to join: it first learns.
+    pub(super) fn on_join(&mut self, now: Moment, from: ReplicaId) {
+        let mut membership = self.membership().clone();
+        if !self.is_leader() || membership.contains(from) {
+            return;
+        }
+        membership
+            .learners
+            .retain(|known| known.machine != from.machine);
+        membership.learners.insert(from);
+        self.change_membership(now, membership);
+    }
+
+    fn change_membership(&mut self, now: Moment, membership: Membership) {
+        if self.propose(EntryKind::Membership(membership)).is_ok() {
+            self.sync_progress(now);
+            self.broadcast(now);
+        }
+    }
+
+    /// Promotes a learner that has everything, then retires its machine's old disk.
+    fn manage_learners(&mut self, now: Moment) {
+        if self.has_unfinished_change() {
+            return;
+        }
+        let commit = self.commit;
+        let membership = self.membership().clone();
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        let is_ready = |learner: &&ReplicaId| {
+            let known = state.progress.get(learner);
+            known.is_some_and(|progress| progress.matched >= commit)
+        };
+        if let Some(ready) = membership.learners.iter().find(is_ready).copied() {
+            let mut next = membership;
+            next.learners.remove(&ready);
+            next.voters.insert(ready);
+            return self.change_membership(now, next);
+        }
+        if let Some(retired) = retired_disk(&membership) {
+            let mut next = membership;
+            next.voters.remove(&retired);
+            self.change_membership(now, next);
+        }
+    }
+
+    /// Whether every machine of the group has one caught-up voter: then another
+    /// machine may be lost without losing anything.
+    pub fn is_fully_replicated(&self, now: Moment) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let membership = self.membership();
+        let is_settled = membership.learners.is_empty()
+            && retired_disk(membership).is_none()
+            && !self.has_unfinished_change();
+        let is_current = |progress: &Progress| {
+            let was_heard = now.since(progress.heard) <= self.settings.election_max;
+            was_heard && progress.matched >= self.commit
+        };
+        is_settled && state.progress.values().all(is_current)
+    }
+}
+
+/// The older disk of a machine that has two voters. Disks of a first start are 0,
+/// every later one is larger.
+fn retired_disk(membership: &Membership) -> Option<ReplicaId> {
+    let voters: Vec<ReplicaId> = membership.voters.iter().copied().collect();
+    let pairs = voters.windows(2);
+    let mut same_machine = pairs.filter(|pair| pair[0].machine == pair[1].machine);
+    same_machine.next().map(|pair| pair[0])
+}
--- /dev/null
+++ b/crates/store/src/service.rs
@@ -0,0 +1,343 @@
+//! One store machine as a state machine without I/O.
+//!
+//! The driver hands requests and peer messages in, and calls
+//! [`StoreService::flush`] after each batch; whatever depends on durability
+//! comes back only from there.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use calicohoist_replication::{
+    Disk, DiskError, DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings, Recovered,
+    ReplicaId, Ticket,
+};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::Moment;
+use calicohoist_wire::encode;
+
+use crate::commands::program::ProgramCommand;
+use crate::commands::{Command, Output, Stamped};
+use crate::nodes::{LEASE, NodeTable};
+use crate::protocol::{
+    FleetStatus, GroupStatus, Heartbeat, HeartbeatReply, StoreReply, StoreRequest,
+};
+use crate::queries::Query;
+use crate::queries::resource::MAX_PAGE;
+use crate::state::{GroupMap, GroupState, RESOURCE_GROUP};
+
+/// Time between housekeeping commands of a group's leader.
+const HOUSEKEEPING_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
+/// Requests under way on one machine; more are told to come back.
+const MAX_PENDING: usize = 65_536;
+
+/// Names the connection a request came in on.
+pub type ClientId = u64;
+
+/// What the driver must do.
+#[derive(Debug)]
+pub enum StoreAction {
+    /// Send messages to another store machine in one frame.
+    SendPeer {
+        /// The receiver.
+        to: ReplicaId,
+        /// The messages.
+        messages: Vec<GroupMessage>,
+    },
+    /// Answer a request.
+    Reply {
+        /// The connection.
+        client: ClientId,
+        /// The request on that connection.
+        id: u64,
+        /// The answer.
+        reply: StoreReply,
+    },
+}
+
+#[derive(Debug)]
+enum Pending {
+    Command(ClientId, u64),
+    Query(ClientId, u64, Query),
+    Heartbeat(ClientId, u64, Box<Heartbeat>),
+    FleetStatus(ClientId, u64),
+    Housekeeping,
+}
+
+/// One store machine.
+pub struct StoreService {
+    node: Node<GroupState>,
+    groups: GroupMap,
+    nodes: NodeTable,
+    leads: BTreeSet<GroupId>,
+    pending: BTreeMap<Ticket, Pending>,
+    next_ticket: Ticket,
+    actions: Vec<StoreAction>,
+    next_housekeeping: Moment,
+}
+
+impl StoreService {
+    /// Starts from what was recovered.
+    pub fn new(
+        id: ReplicaId,
+        settings: NodeSettings,
+        machines: &[u16],
+        groups: GroupMap,
+        recovered: Recovered,
+        now: Moment,
+    ) -> Self {
+        let node = Node::new(id, settings, machines, &groups.all(), recovered, now);
+        Self {
+            node,
+            groups,
+            nodes: NodeTable::default(),
+            leads: BTreeSet::new(),
+            pending: BTreeMap::new(),
+            next_ticket: 0,
+            actions: Vec::new(),
+            next_housekeeping: now + HOUSEKEEPING_INTERVAL,
+        }
+    }
+
+    /// The groups' protocol state and state machines.
+    pub fn node(&self) -> &Node<GroupState> {
+        &self.node
+    }
+
+    /// Whether the log holds anything, so that the fleet has started before.
+    pub fn has_started(&self) -> bool {
+        let last = |group| {
+            self.node
+                .raft(group)
+                .map_or(0, calicohoist_replication::Raft::last_index)
+        };
+        self.groups.all().into_iter().any(|group| last(group) > 0)
+    }
+
+    /// Takes a frame from another store machine.
+    pub fn receive(&mut self, now: Moment, from: ReplicaId, messages: Vec<GroupMessage>) {
+        self.node.receive(now, from, messages);
+    }
+
+    /// Takes a request.
+    pub fn request(
+        &mut self,
+        now: Moment,
+        unix_millis: u64,
+        client: ClientId,
+        id: u64,
+        request: StoreRequest,
+    ) {
+        if self.pending.len() >= MAX_PENDING {
+            return self.reply(client, id, StoreReply::Unavailable);
+        }
+        match request {
+            StoreRequest::Command(group, command) => {
+                self.propose(unix_millis, group, command, Pending::Command(client, id));
+            }
+            StoreRequest::Query(group, query) => {
+                self.read(group, Pending::Query(client, id, query));
+            }
+            StoreRequest::Heartbeat(heartbeat) => {
+                self.read(RESOURCE_GROUP, Pending::Heartbeat(client, id, heartbeat));
+            }
+            StoreRequest::FleetStatus => {
+                self.read(RESOURCE_GROUP, Pending::FleetStatus(client, id));
+            }
+            StoreRequest::GroupStatus => {
+                let status = self.group_status(now);
+                self.reply(client, id, StoreReply::GroupStatus(status));
+            }
+        }
+    }
+
+    fn reply(&mut self, client: ClientId, id: u64, reply: StoreReply) {
+        self.actions.push(StoreAction::Reply { client, id, reply });
+    }
+
+    fn ticket(&mut self, pending: Pending) -> Ticket {
+        self.next_ticket += 1;
+        self.pending.insert(self.next_ticket, pending);
+        self.next_ticket
+    }
+
+    fn propose(&mut self, at: u64, group: GroupId, command: Command, pending: Pending) {
+        let ticket = self.ticket(pending);
+        let Ok(bytes) = encode(&Stamped { at, command }) else {
+            return self.fail(ticket, StoreReply::Output(Output::Unsupported));
+        };
+        if self.node.propose(group, bytes, ticket).is_err() {
+            self.redirect(group, ticket);
+        }
+    }
+
+    fn read(&mut self, group: GroupId, pending: Pending) {
+        let ticket = self.ticket(pending);
+        if self.node.read(group, ticket).is_err() {
+            self.redirect(group, ticket);
+        }
+    }
+
+    fn redirect(&mut self, group: GroupId, ticket: Ticket) {
+        let own = self.node.id().machine;
+        let leader = self
+            .node
+            .leader_machine(group)
+            .filter(|leader| *leader != own);
+        self.fail(ticket, StoreReply::NotLeader(leader));
+    }
+
+    fn fail(&mut self, ticket: Ticket, reply: StoreReply) {
+        match self.pending.remove(&ticket) {
+            Some(
+                Pending::Command(client, id)
+                | Pending::Query(client, id, _)
+                | Pending::Heartbeat(client, id, _)
+                | Pending::FleetStatus(client, id),
+            ) => self.reply(client, id, reply),
+            Some(Pending::Housekeeping) | None => {}
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment, unix_millis: u64) {
+        self.node.tick(now);
+        self.nodes.expire(now);
+        if now < self.next_housekeeping {
+            return;
+        }
+        self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
+        let led: Vec<GroupId> = self.leads.iter().copied().collect();
+        for group in led.into_iter().filter(|group| *group != RESOURCE_GROUP) {
+            let command = Command::Program(ProgramCommand::Housekeeping);
+            self.propose(unix_millis, group, command, Pending::Housekeeping);
+        }
+    }
+
+    /// Gives leadership away, for a planned stop.
+    pub fn hand_over(&mut self, now: Moment) {
+        self.node.transfer_leadership(now);
+    }
+
+    /// Whether this machine leads any group.
+    pub fn leads_any(&self) -> bool {
+        self.node.leads_any()
+    }
+
+    /// Makes everything durable, and returns what may be said then.
+    ///
+    /// # Errors
+    /// When the disk fails: this machine must stop taking part.
+    pub fn flush<D: Disk>(
+        &mut self,
+        now: Moment,
+        log: &mut DiskLog<D>,
+    ) -> Result<Vec<StoreAction>, DiskError> {
+        for event in self.node.flush(now, log)? {
+            self.on_event(now, event);
+        }
+        Ok(std::mem::take(&mut self.actions))
+    }
+
+    fn on_event(&mut self, now: Moment, event: NodeEvent<Output>) {
+        match event {
+            NodeEvent::Send { to, messages } => {
+                self.actions.push(StoreAction::SendPeer { to, messages });
+            }
+            NodeEvent::Applied { ticket, output } => {
+                self.fail(ticket, StoreReply::Output(output));
+            }
+            NodeEvent::ReadReady { ticket, group } => self.answer_read(now, ticket, group),
+            NodeEvent::Lost { ticket } => self.fail(ticket, StoreReply::Lost),
+            NodeEvent::Leadership { group, is_leader } => {
+                self.on_leadership(now, group, is_leader);
+            }
+        }
+    }
+
+    fn on_leadership(&mut self, now: Moment, group: GroupId, is_leader: bool) {
+        if is_leader {
+            emit!(Event::BecameLeader, "group {group}");
+            self.leads.insert(group);
+            if group == RESOURCE_GROUP {
+                self.nodes.start(now);
+            }
+        } else {
+            emit!(Event::LostLeadership, "group {group}");
+            self.leads.remove(&group);
+        }
+    }
+
+    fn answer_read(&mut self, now: Moment, ticket: Ticket, group: GroupId) {
+        let Some(pending) = self.pending.remove(&ticket) else {
+            return;
+        };
+        match pending {
+            Pending::Query(client, id, query) => {
+                if let Some(state) = self.node.machine(group) {
+                    let answer = state.answer(query);
+                    self.reply(client, id, StoreReply::Answer(answer));
+                }
+            }
+            Pending::Heartbeat(client, id, heartbeat) => {
+                let reply = self.answer_heartbeat(now, &heartbeat);
+                self.reply(client, id, reply);
+            }
+            Pending::FleetStatus(client, id) => {
+                let status = self.fleet_status(now);
+                self.reply(client, id, StoreReply::FleetStatus(status));
+            }
+            Pending::Command(..) | Pending::Housekeeping => {}
+        }
+    }
+
+    fn answer_heartbeat(&mut self, now: Moment, heartbeat: &Heartbeat) -> StoreReply {
+        if !self.nodes.renew(now, heartbeat) {
+            return StoreReply::Unavailable;
+        }
+        let Some(GroupState::Resources(table)) = self.node.machine(RESOURCE_GROUP) else {
+            return StoreReply::Unavailable;
+        };
+        let update = table.update_after(heartbeat.applied, MAX_PAGE);
+        let version = self.nodes.version();
+        let is_known = heartbeat.nodes_version == version;
+        StoreReply::Heartbeat(Box::new(HeartbeatReply {
+            lease: LEASE,
+            nodes_version: version,
+            nodes: (!is_known).then(|| self.nodes.nodes()),
+            nodes_complete: self.nodes.is_complete(now),
+            loads: self.nodes.loads(),
+            in_force: self.nodes.in_force(now, table.revision()),
+            update,
+        }))
+    }
+
+    fn fleet_status(&mut self, now: Moment) -> FleetStatus {
+        let Some(GroupState::Resources(table)) = self.node.machine(RESOURCE_GROUP) else {
+            return FleetStatus::default();
+        };
+        FleetStatus {
+            revision: table.revision(),
+            in_force: self.nodes.in_force(now, table.revision()),
+            nodes: self.nodes.revisions(),
+        }
+    }
+
+    /// Status of every group on this machine.
+    pub fn group_status(&self, now: Moment) -> Vec<GroupStatus> {
+        let groups = self.groups.all();
+        let rafts = groups
+            .into_iter()
+            .filter_map(|group| Some((group, self.node.raft(group)?)));
+        rafts
+            .map(|(group, raft)| GroupStatus {
+                group,
+                is_leader: raft.is_leader(),
+                leader: raft.leader().map(|leader| leader.machine),
+                term: raft.term(),
+                commit: raft.commit(),
+                voters: raft.membership().voters.iter().copied().collect(),
+                learners: raft.membership().learners.iter().copied().collect(),
+                fully_replicated: raft.is_fully_replicated(now),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/events.rs
@@ -0,0 +1,121 @@
+//! Every log event has a number that never changes its meaning.
+//!
+//! `docs/EVENTS.md` is the catalogue; a test compares it with this list.
+
+use std::fmt;
+
+use log::Level;
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $level:ident;)+) => {
+        /// A numbered event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $($(#[$doc])* $name,)+
+        }
+
+        impl Event {
+            /// Every event, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$name),+];
+
+            /// Its number.
+            pub const fn code(self) -> u16 {
+                match self { $(Self::$name => $code),+ }
+            }
+
+            /// Its name in the catalogue.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => stringify!($name)),+ }
+            }
+
+            /// The level it is logged at.
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level),+ }
+            }
+        }
+    };
+}
+
+events! {
+    /// A role has bound its sockets and serves.
+    RoleStarted = 1001, Info;
+    /// A planned stop began.
+    StopRequested = 1002, Info;
+    /// A planned stop ended; nothing was cut.
+    StopFinished = 1003, Info;
+    /// A planned stop ended by force.
+    StopForced = 1004, Warn;
+    /// A replica became leader of a group.
+    BecameLeader = 2001, Info;
+    /// A replica stopped leading a group.
+    LostLeadership = 2002, Info;
+    /// The tail of a log was incomplete and was cut.
+    LogTailCut = 2003, Warn;
+    /// A log or snapshot is damaged; the replica stops.
+    LogCorrupt = 2004, Error;
+    /// A write to disk failed; the replica stops taking part.
+    DiskFailed = 2005, Error;
+    /// A snapshot was written and the log before it dropped.
+    LogCompacted = 2006, Info;
+    /// A replica installed a snapshot from its leader.
+    SnapshotInstalled = 2007, Info;
+    /// A frame from a peer could not be read; the link was closed.
+    FrameRefused = 3001, Warn;
+    /// A connection was refused since the limit is reached.
+    LinkLimitReached = 3002, Warn;
+    /// A caller's request was refused before it was parsed whole.
+    RequestRefused = 4001, Debug;
+    /// A connection was closed since its body came too slowly.
+    SlowBodyClosed = 4002, Warn;
+    /// A request was refused since every worker is busy.
+    WorkersBusy = 4003, Warn;
+    /// A caller went away before its answer was complete; the call goes on.
+    CallerGone = 4004, Info;
+    /// An attempt on a back end failed.
+    AttemptFailed = 4101, Warn;
+    /// A call of a lost gateway was taken over.
+    CallTakenOver = 4102, Info;
+    /// An answer frame belonged to another attempt and was dropped.
+    FrameMismatch = 4103, Error;
+    /// The outcome of a call could not be learned.
+    OutcomeUnknown = 4104, Warn;
+    /// Engine memory of an ended program was released.
+    CacheReleased = 4201, Debug;
+    /// A release order failed and will be retried.
+    CacheReleaseFailed = 4202, Warn;
+    /// A listing of an engine showed memory of a program that has ended.
+    CacheOrphanFound = 4203, Warn;
+    /// Cache events were missing; the engine is listed anew.
+    CacheEventGap = 4204, Info;
+    /// A node took over an engine's queue.
+    EngineOwned = 4301, Info;
+    /// A node no longer owns an engine's queue.
+    EngineDisowned = 4302, Info;
+    /// A node lost its lease and starts no new work.
+    LeaseLost = 5001, Warn;
+    /// A node holds a lease again.
+    LeaseHeld = 5002, Info;
+    /// A node applied a newer revision of the configuration.
+    ConfigurationApplied = 5003, Info;
+    /// An operator's change was accepted.
+    ChangeAccepted = 5101, Info;
+    /// An operator's change was refused.
+    ChangeRefused = 5102, Info;
+    /// The platform's list of machines could not be read.
+    PlatformUnreachable = 6001, Warn;
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "CH{:04}", self.code())
+    }
+}
+
+/// Logs `event` at its level with a message in `format!` syntax.
+#[macro_export]
+macro_rules! emit {
+    ($event:expr, $($message:tt)+) => {{
+        let event: $crate::Event = $event;
+        ::log::log!(event.level(), event = event.code() as u64; $($message)+);
+    }};
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,8 @@
+//! Numbered log events, log output, and the registry of metrics.
+
+pub mod events;
+pub mod logging;
+pub mod metrics;
+
+pub use events::Event;
+pub use logging::{LogFormat, LogSettings};
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,29 @@
+//! Identifiers, units, resources and outcomes that every other crate shares.
+//!
+//! Nothing here performs I/O, reads a clock or draws a random number.
+
+pub mod backend_api;
+pub mod chat;
+pub mod digest;
+pub mod finding;
+pub mod ids;
+pub mod machine;
+pub mod openai;
+pub mod outcome;
+pub mod resource;
+pub mod time;
+
+pub use chat::{ChatMessage, Role, Usage, count_tokens};
+pub use digest::{Digest, HistoryDigest};
+pub use finding::{Finding, Findings, Place};
+pub use ids::{
+    AttemptId, CallId, EngineId, IdempotencyKey, Incarnation, ModelId, NodeId, ProgramId,
+    RequestId, Revision, ServiceId, TenantId, Zone, is_valid_name,
+};
+pub use machine::{MachineState, MachineStatus};
+pub use outcome::{NotRunReason, Outcome};
+pub use resource::{
+    EngineSpec, ModelSpec, Resource, ResourceKey, ResourceKind, ResourceSpec, ServiceSpec,
+    TenantSpec,
+};
+pub use time::Moment;
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,159 @@
+//! One outgoing connection that is kept alive.
+
+use std::io::{BufReader, BufWriter, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use calicohoist_telemetry::{Event, emit};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::frame::{FrameError, read_frame, write_frame};
+
+/// Frames that may wait for the connection.
+const RING: usize = 4_096;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// A connection to one address that reconnects by itself.
+///
+/// Frames sent while there is no connection, or while the ring is full, are dropped.
+pub struct Link<Out> {
+    sender: Sender<Out>,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl<Out: Serialize + Send + 'static> Link<Out> {
+    /// Opens a link; `on_frame` runs on a reader thread for each frame that comes back.
+    ///
+    /// # Errors
+    /// When a thread cannot be started.
+    pub fn open<In: DeserializeOwned + Send + 'static>(
+        address: SocketAddr,
+        on_frame: impl Fn(In) + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        let (sender, receiver) = bounded(RING);
+        let stop = Arc::new(AtomicBool::new(false));
+        let writer = LinkWriter {
+            address,
+            receiver,
+            on_frame: Arc::new(on_frame),
+            stop: stop.clone(),
+        };
+        let thread = std::thread::Builder::new()
+            .name("wire-link".to_owned())
+            .spawn(move || writer.run())?;
+        Ok(Self {
+            sender,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Queues a frame; `false` when the ring was full and the frame was dropped.
+    pub fn send(&self, frame: Out) -> bool {
+        self.sender.try_send(frame).is_ok()
+    }
+}
+
+impl<Out> Drop for Link<Out> {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct LinkWriter<Out, In> {
+    address: SocketAddr,
+    receiver: Receiver<Out>,
+    on_frame: Arc<dyn Fn(In) + Send + Sync>,
+    stop: Arc<AtomicBool>,
+}
+
+impl<Out: Serialize, In: DeserializeOwned + Send + 'static> LinkWriter<Out, In> {
+    fn run(self) {
+        while !self.stopped() {
+            match TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT) {
+                Ok(stream) => self.serve_connection(&stream),
+                Err(_) => self.drop_frames_for(RECONNECT_PAUSE),
+            }
+        }
+    }
+
+    fn stopped(&self) -> bool {
+        self.stop.load(Ordering::SeqCst)
+    }
+
+    /// While nobody listens, frames are stale by the time somebody does.
+    fn drop_frames_for(&self, pause: Duration) {
+        std::thread::sleep(pause);
+        while self.receiver.try_recv().is_ok() {}
+    }
+
+    fn serve_connection(&self, stream: &TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(reading) = stream.try_clone() else {
+            return;
+        };
+        let broken = Arc::new(AtomicBool::new(false));
+        let reader = self.spawn_reader(reading, broken.clone());
+        let mut output = BufWriter::new(stream);
+        while !self.stopped() && !broken.load(Ordering::SeqCst) {
+            if self.write_waiting(&mut output).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        if let Ok(reader) = reader {
+            let _ = reader.join();
+        }
+    }
+
+    fn write_waiting(&self, output: &mut BufWriter<&TcpStream>) -> Result<(), FrameError> {
+        match self.receiver.recv_timeout(STOP_POLL) {
+            Ok(frame) => write_frame(output, &frame)?,
+            Err(RecvTimeoutError::Timeout) => return Ok(()),
+            Err(RecvTimeoutError::Disconnected) => {
+                return Err(FrameError::Io(std::io::ErrorKind::BrokenPipe.into()));
+            }
+        };
+        while let Ok(frame) = self.receiver.try_recv() {
+            write_frame(output, &frame)?;
+        }
+        output.flush()?;
+        Ok(())
+    }
+
+    fn spawn_reader(
+        &self,
+        stream: TcpStream,
+        broken: Arc<AtomicBool>,
+    ) -> std::io::Result<JoinHandle<()>> {
+        let on_frame = self.on_frame.clone();
+        let address = self.address;
+        std::thread::Builder::new()
+            .name("wire-link-read".to_owned())
+            .spawn(move || {
+                let mut input = BufReader::new(stream);
+                loop {
+                    match read_frame(&mut input) {
+                        Ok(frame) => on_frame(frame),
+                        Err(FrameError::Io(_)) => break,
+                        Err(error) => {
+                            emit!(Event::FrameRefused, "from {address}: {error}");
+                            break;
+                        }
+                    }
+                }
+                broken.store(true, Ordering::SeqCst);
+            })
+    }
+}
