--- a/crates/calicohoist/src/cli/mod.rs
+++ b/crates/calicohoist/src/cli/mod.rs
@@ -147,9 +147,7 @@
     match text.as_str() {
         "text" => Ok(LogFormat::Text),
         "json" => Ok(LogFormat::Json),
-        _ => Err(format!(
-            "{text:?} is not accepted; accepted are text and json"
-        )),
+        _ => Err(format!("{text:?} is not accepted; accepted are text and json")),
     }
 }
 
@@ -163,10 +161,7 @@
             return ExitCode::from(if is_refusal { EXIT_REFUSED } else { 0 });
         }
     };
-    let settings = LogSettings {
-        format: arguments.log_format,
-        level: arguments.log_level,
-    };
+    let settings = LogSettings { format: arguments.log_format, level: arguments.log_level };
     if let Err(error) = logging::install(settings) {
         eprintln!("{error:#}");
         return ExitCode::FAILURE;
@@ -198,29 +193,15 @@
             Ok(())
         }
         Command::Get { target, kind, name } => operator::get(&target, &kind, name.as_deref()),
-        Command::Apply {
-            target,
-            file,
-            dry_run,
-        } => operator::apply(&target, &file, dry_run),
-        Command::Delete {
-            target,
-            kind,
-            name,
-            version,
-        } => operator::delete(&target, &kind, &name, version),
-        Command::Watch {
-            target,
-            after,
-            count,
-        } => operator::watch(&target, after, count),
+        Command::Apply { target, file, dry_run } => operator::apply(&target, &file, dry_run),
+        Command::Delete { target, kind, name, version } => {
+            operator::delete(&target, &kind, &name, version)
+        }
+        Command::Watch { target, after, count } => operator::watch(&target, after, count),
         Command::Status { target } => operator::status(&target),
-        Command::Drain {
-            target,
-            kind,
-            name,
-            undo,
-        } => operator::drain(&target, &kind, &name, !undo),
+        Command::Drain { target, kind, name, undo } => {
+            operator::drain(&target, &kind, &name, !undo)
+        }
     }
 }
 
@@ -229,13 +210,11 @@
     let count = Arc::new(AtomicUsize::new(0));
     let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
     let seen = count.clone();
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            for _ in signals.forever() {
-                seen.fetch_add(1, Ordering::SeqCst);
-            }
-        })?;
+    std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for _ in signals.forever() {
+            seen.fetch_add(1, Ordering::SeqCst);
+        }
+    })?;
     Ok(count)
 }
 
@@ -265,13 +244,11 @@
     let server = roles::start_gateway(settings)?;
     wait_for_signal(&signals, 1);
     let cut = signals.clone();
-    std::thread::Builder::new()
-        .name("second-signal".to_owned())
-        .spawn(move || {
-            wait_for_signal(&cut, 2);
-            emit!(Event::StopForced, "second signal");
-            std::process::exit(1);
-        })?;
+    std::thread::Builder::new().name("second-signal".to_owned()).spawn(move || {
+        wait_for_signal(&cut, 2);
+        emit!(Event::StopForced, "second signal");
+        std::process::exit(1);
+    })?;
     if roles::stop_gateway(server) {
         Ok(())
     } else {
--- a/crates/calicohoist/src/cli/operator.rs
+++ b/crates/calicohoist/src/cli/operator.rs
@@ -54,17 +54,10 @@
         return Ok(());
     }
     let mut table = Table::new();
-    table
-        .load_preset(NOTHING)
-        .set_header(["KIND", "NAME", "VERSION", "SPEC"]);
+    table.load_preset(NOTHING).set_header(["KIND", "NAME", "VERSION", "SPEC"]);
     for item in &items {
         let text = |field: &str| item[field].to_string().replace('"', "");
-        table.add_row([
-            text("kind"),
-            text("name"),
-            text("version"),
-            item["spec"].to_string(),
-        ]);
+        table.add_row([text("kind"), text("name"), text("version"), item["spec"].to_string()]);
     }
     println!("{table}");
     Ok(())
@@ -121,33 +114,19 @@
         finding.place.line = line;
         Findings(vec![finding])
     })?;
-    let tables = document
-        .get("resource")
-        .and_then(|item| item.as_array_of_tables());
+    let tables = document.get("resource").and_then(|item| item.as_array_of_tables());
     let tables = tables.ok_or_else(|| eyre!("{}: no [[resource]] tables", file.display()))?;
     let mut declared = Vec::new();
     for table in tables {
         let line = table.span().map_or(1, |span| line_of(&text, span.start));
-        let field = |name: &str| {
-            table
-                .get(name)
-                .and_then(|item| item.as_str())
-                .map(str::to_owned)
-        };
+        let field = |name: &str| table.get(name).and_then(|item| item.as_str()).map(str::to_owned);
         let (Some(kind), Some(name)) = (field("kind"), field("name")) else {
             bail!("{}:{line}: a resource needs kind and name", file.display());
         };
         let spec = table.get("spec").and_then(|item| item.as_table_like());
         let fields = spec.into_iter().flat_map(|spec| spec.iter());
-        let spec = fields
-            .map(|(name, item)| (name.to_owned(), json_of(item)))
-            .collect();
-        declared.push(Declared {
-            line,
-            kind,
-            name,
-            spec: Value::Object(spec),
-        });
+        let spec = fields.map(|(name, item)| (name.to_owned(), json_of(item))).collect();
+        declared.push(Declared { line, kind, name, spec: Value::Object(spec) });
     }
     Ok(declared)
 }
@@ -170,12 +149,7 @@
 
 /// Declares one resource; returns what is wrong with it.
 fn put(target: &Target, file: &Path, resource: &Declared, dry_run: bool) -> Result<Vec<Finding>> {
-    let Declared {
-        line,
-        kind,
-        name,
-        spec,
-    } = resource;
+    let Declared { line, kind, name, spec } = resource;
     let path = format!("/apis/v1/{kind}/{name}?dry_run={dry_run}");
     let sender = client(target).with_header(HEADER_REQUEST, request_id());
     let response = sender.exchange_json(Method::PUT, &path, spec)?;
@@ -186,10 +160,7 @@
     let mut findings: Vec<Finding> =
         serde_json::from_value(body["error"]["findings"].clone()).unwrap_or_default();
     if findings.is_empty() {
-        let message = body["error"]["message"]
-            .as_str()
-            .unwrap_or("refused")
-            .to_owned();
+        let message = body["error"]["message"].as_str().unwrap_or("refused").to_owned();
         findings.push(Finding::of_field("", message, "see docs/API.md"));
     }
     for finding in &mut findings {
@@ -250,10 +221,7 @@
         print_json(&json!({ "fleet": status, "groups": groups["groups"] }));
         return Ok(());
     }
-    println!(
-        "accepted revision {}, in force {}",
-        status["revision"], status["in_force"]
-    );
+    println!("accepted revision {}, in force {}", status["revision"], status["in_force"]);
     let mut table = Table::new();
     table.load_preset(NOTHING).set_header(["NODE", "REVISION"]);
     for node in status["nodes"].as_array().into_iter().flatten() {
@@ -262,19 +230,11 @@
     }
     println!("{table}");
     let mut table = Table::new();
-    table
-        .load_preset(NOTHING)
-        .set_header(["GROUP", "LEADER", "TERM", "COMMIT", "VOTERS"]);
+    table.load_preset(NOTHING).set_header(["GROUP", "LEADER", "TERM", "COMMIT", "VOTERS"]);
     for group in groups["groups"].as_array().into_iter().flatten() {
         let voters = group["voters"].as_array().map_or(0, Vec::len);
         let text = |field: &str| group[field].to_string();
-        let row = [
-            text("group"),
-            text("leader"),
-            text("term"),
-            text("commit"),
-            voters.to_string(),
-        ];
+        let row = [text("group"), text("leader"), text("term"), text("commit"), voters.to_string()];
         table.add_row(row);
     }
     println!("{table}");
@@ -282,10 +242,7 @@
 }
 
 pub(super) fn drain(target: &Target, kind: &str, name: &str, drain: bool) -> Result<()> {
-    let drainable = [
-        ResourceKind::Engine.as_str(),
-        ResourceKind::Service.as_str(),
-    ];
+    let drainable = [ResourceKind::Engine.as_str(), ResourceKind::Service.as_str()];
     if !drainable.contains(&kind) {
         bail!("{kind:?} cannot be drained; accepted are engine and service");
     }
--- a/crates/calicohoist/src/roles.rs
+++ b/crates/calicohoist/src/roles.rs
@@ -45,10 +45,7 @@
 pub fn gateway_config(settings: &Settings, section: &GatewaySection) -> ServerConfig {
     let mut random = rand::rng();
     let core = GatewaySettings {
-        node: NodeRef {
-            node: settings.name.clone(),
-            incarnation: Incarnation(incarnation()),
-        },
+        node: NodeRef { node: settings.name.clone(), incarnation: Incarnation(incarnation()) },
         peer_address: section.peers,
         zone: settings.zone.clone(),
         store_machines: settings.machines.keys().copied().collect(),
@@ -115,12 +112,7 @@
     let listener = bind(address)?;
     let server = StoreServer::start(store_settings(settings, section), listener)?;
     let health = section.health.map(start_health).transpose()?;
-    emit!(
-        Event::RoleStarted,
-        "store {} address={}",
-        section.machine,
-        server.address()
-    );
+    emit!(Event::RoleStarted, "store {} address={}", section.machine, server.address());
     Ok((server, health))
 }
 
@@ -129,15 +121,8 @@
 }
 
 fn start_health(address: SocketAddr) -> Result<HttpServer> {
-    let settings = ServerSettings {
-        workers: 2,
-        ..ServerSettings::default()
-    };
-    Ok(HttpServer::start_on(
-        bind(address)?,
-        settings,
-        Arc::new(Health),
-    )?)
+    let settings = ServerSettings { workers: 2, ..ServerSettings::default() };
+    Ok(HttpServer::start_on(bind(address)?, settings, Arc::new(Health))?)
 }
 
 /// Stops a gateway as planned; `false` when calls had to be cut.
--- a/crates/calicohoist/src/settings/mod.rs
+++ b/crates/calicohoist/src/settings/mod.rs
@@ -141,39 +141,22 @@
     let sections = reader.sections(root, "store_machines");
     if sections.is_empty() || sections.len() > MAX_MACHINES {
         let problem = format!("has {} entries", sections.len());
-        reader.add(
-            "store_machines",
-            None,
-            problem,
-            format!("1 to {MAX_MACHINES} tables"),
-        );
+        reader.add("store_machines", None, problem, format!("1 to {MAX_MACHINES} tables"));
     }
     for mut section in sections {
         let number = reader.required(&mut section, "number", "1 to 65535, each once", |item| {
-            u16::try_from(item.as_integer()?)
-                .ok()
-                .filter(|number| *number > 0)
+            u16::try_from(item.as_integer()?).ok().filter(|number| *number > 0)
         });
         let address = reader.address(&mut section, "address");
         if let (Some(number), Some(address)) = (number, address) {
             let is_taken = machines.values().any(|known| *known == address);
             if is_taken {
                 let field = section.field("address");
-                reader.add(
-                    &field,
-                    section.span(),
-                    "is used twice",
-                    "an address of its own",
-                );
+                reader.add(&field, section.span(), "is used twice", "an address of its own");
             }
             if machines.insert(number, address).is_some() {
                 let field = section.field("number");
-                reader.add(
-                    &field,
-                    section.span(),
-                    "is used twice",
-                    "a number of its own",
-                );
+                reader.add(&field, section.span(), "is used twice", "a number of its own");
             }
         }
         reader.finish(section);
@@ -193,28 +176,16 @@
         machines.contains_key(&number).then_some(number)
     });
     let data_folder = reader.required(&mut section, "data_folder", "a folder", |item| {
-        item.as_str()
-            .filter(|text| !text.is_empty())
-            .map(PathBuf::from)
+        item.as_str().filter(|text| !text.is_empty()).map(PathBuf::from)
     });
     let health = read_optional_address(reader, &mut section, "health");
     let heartbeat = reader.number(&mut section, "heartbeat_ms", 5..=10_000, 60);
     let election = reader.number(&mut section, "election_ms", 50..=60_000, 400);
-    let entries = reader.number(
-        &mut section,
-        "entries_per_snapshot",
-        100..=10_000_000,
-        20_000,
-    );
+    let entries = reader.number(&mut section, "entries_per_snapshot", 100..=10_000_000, 20_000);
     if election < heartbeat * 3 {
         let field = section.field("election_ms");
         let problem = format!("{election} leaves no room for a lost heartbeat");
-        reader.add(
-            &field,
-            section.span(),
-            problem,
-            format!("{} or more", heartbeat * 3),
-        );
+        reader.add(&field, section.span(), problem, format!("{} or more", heartbeat * 3));
     }
     reader.finish(section);
     Some(StoreSection {
@@ -236,12 +207,8 @@
         peers: peers.unwrap_or_else(unspecified),
         platform,
         workers: reader.number(&mut section, "workers", 1..=4_096, 64) as usize,
-        max_body_bytes: reader.number(
-            &mut section,
-            "max_body_bytes",
-            1_024..=67_108_864,
-            4_194_304,
-        ) as usize,
+        max_body_bytes: reader.number(&mut section, "max_body_bytes", 1_024..=67_108_864, 4_194_304)
+            as usize,
         body_timeout: millis(reader.number(&mut section, "body_timeout_ms", 50..=600_000, 10_000)),
         queue_timeout: millis(reader.number(
             &mut section,
@@ -273,9 +240,7 @@
     section: &mut Section<'_>,
     name: &'static str,
 ) -> Option<SocketAddr> {
-    reader.optional(section, name, "an IP number and port", |item| {
-        item.as_str()?.parse().ok()
-    })
+    reader.optional(section, name, "an IP number and port", |item| item.as_str()?.parse().ok())
 }
 
 fn unspecified() -> SocketAddr {
--- a/crates/calicohoist/src/settings/reader.rs
+++ b/crates/calicohoist/src/settings/reader.rs
@@ -28,11 +28,7 @@
 impl<'a> Reader<'a> {
     /// A reader of `text`, which came from `file`.
     pub fn new(file: &'a str, text: &'a str) -> Self {
-        Self {
-            file,
-            text,
-            findings: Vec::new(),
-        }
+        Self { file, text, findings: Vec::new() }
     }
 
     /// Parses the document; `None`, with a finding, when it is not TOML.
@@ -77,23 +73,13 @@
     fn position(&self, byte: usize) -> (usize, usize) {
         let before = &self.text[..byte.min(self.text.len())];
         let line = before.matches('\n').count() + 1;
-        let column = before
-            .chars()
-            .rev()
-            .take_while(|character| *character != '\n')
-            .count()
-            + 1;
+        let column = before.chars().rev().take_while(|character| *character != '\n').count() + 1;
         (line, column)
     }
 
     /// The whole document as a section.
     pub fn root<'t>(&self, table: &'t Table) -> Section<'t> {
-        Section {
-            path: String::new(),
-            table,
-            span: None,
-            known: Vec::new(),
-        }
+        Section { path: String::new(), table, span: None, known: Vec::new() }
     }
 
     /// A table inside `section`, if it is there.
@@ -105,12 +91,9 @@
         let item = section.take(name)?;
         let field = section.field(name);
         match item.as_table_like() {
-            Some(table) => Some(Section {
-                path: field,
-                table,
-                span: item.span(),
-                known: Vec::new(),
-            }),
+            Some(table) => {
+                Some(Section { path: field, table, span: item.span(), known: Vec::new() })
+            }
             None => {
                 self.add(&field, item.span(), "is not a table", format!("[{name}]"));
                 None
@@ -129,12 +112,7 @@
         };
         let field = section.field(name);
         let Some(tables) = item.as_array_of_tables() else {
-            self.add(
-                &field,
-                item.span(),
-                "is not a list of tables",
-                format!("[[{field}]]"),
-            );
+            self.add(&field, item.span(), "is not a list of tables", format!("[[{field}]]"));
             return Vec::new();
         };
         let numbered = tables.iter().enumerate();
@@ -211,12 +189,9 @@
 
     /// A required socket address.
     pub fn address(&mut self, section: &mut Section<'_>, name: &'static str) -> Option<SocketAddr> {
-        self.required(
-            section,
-            name,
-            "an IP number and port, such as \"10.0.0.1:7100\"",
-            |item| item.as_str()?.parse().ok(),
-        )
+        self.required(section, name, "an IP number and port, such as \"10.0.0.1:7100\"", |item| {
+            item.as_str()?.parse().ok()
+        })
     }
 
     /// A required name.
@@ -241,11 +216,7 @@
 
     /// The path of a field of this section.
     pub fn field(&self, name: &str) -> String {
-        if self.path.is_empty() {
-            name.to_owned()
-        } else {
-            format!("{}.{name}", self.path)
-        }
+        if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) }
     }
 
     /// Where the section stands.
@@ -254,8 +225,6 @@
     }
 
     fn key_span(&self, name: &str) -> Option<Range<usize>> {
-        self.table
-            .get_key_value(name)
-            .and_then(|(key, _)| key.span())
+        self.table.get_key_value(name).and_then(|(key, _)| key.span())
     }
 }
--- a/crates/emulator/src/clock.rs
+++ b/crates/emulator/src/clock.rs
@@ -1,21 +1,19 @@
-//! Real time as [`Moment`]s that all emulated parts of a process share.
+//! Real time as [`Moment`]s that all emulated parts and callers of a machine share.
 
-use std::sync::OnceLock;
-use std::time::{Duration, Instant};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use calicohoist_types::Moment;
 
-static ORIGIN: OnceLock<Instant> = OnceLock::new();
-
-/// The process's real clock.
+/// The machine's real clock. Its moments count from the start of Unix time, so
+/// that records of several processes can be compared.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RealClock;
 
 impl RealClock {
-    /// Time since the clock was first read in this process.
+    /// Now.
     pub fn now(self) -> Moment {
-        let origin = ORIGIN.get_or_init(Instant::now);
-        Moment::ZERO + origin.elapsed()
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Moment::ZERO + since.unwrap_or_default()
     }
 
     /// Sleeps until `moment`.
--- a/crates/emulator/src/engine/cache.rs
+++ b/crates/emulator/src/engine/cache.rs
@@ -39,10 +39,7 @@
 
     /// How many of `hashes`, from the first on, are held.
     pub fn held_prefix(&self, hashes: &[BlockHash]) -> usize {
-        hashes
-            .iter()
-            .take_while(|hash| self.blocks.contains_key(hash))
-            .count()
+        hashes.iter().take_while(|hash| self.blocks.contains_key(hash)).count()
     }
 
     /// Stores blocks for `program` and pins them while a request uses them.
@@ -82,9 +79,7 @@
             return true;
         }
         let unused = self.blocks.iter().filter(|(_, block)| block.pins == 0);
-        let oldest = unused
-            .min_by_key(|(_, block)| block.last_used)
-            .map(|(hash, _)| *hash);
+        let oldest = unused.min_by_key(|(_, block)| block.last_used).map(|(hash, _)| *hash);
         match oldest {
             Some(hash) => {
                 self.drop_block(hash);
@@ -133,19 +128,13 @@
 
     /// The blocks that `program` holds.
     pub fn blocks_of(&self, program: &ProgramId) -> Vec<BlockHash> {
-        let held = self
-            .blocks
-            .iter()
-            .filter(|(_, block)| block.holders.contains(program));
+        let held = self.blocks.iter().filter(|(_, block)| block.holders.contains(program));
         held.map(|(hash, _)| *hash).collect()
     }
 
     /// Programs with the tokens held for each.
     pub fn listing(&self) -> Vec<(ProgramId, u64)> {
-        self.tokens
-            .iter()
-            .map(|(program, tokens)| (program.clone(), *tokens))
-            .collect()
+        self.tokens.iter().map(|(program, tokens)| (program.clone(), *tokens)).collect()
     }
 
     /// Blocks in use.
@@ -162,9 +151,6 @@
     pub fn take_changes(&mut self) -> Vec<(ProgramId, u64)> {
         let changed = std::mem::take(&mut self.changed);
         let held = |program: &ProgramId| self.tokens.get(program).copied().unwrap_or_default();
-        changed
-            .into_iter()
-            .map(|program| (program.clone(), held(&program)))
-            .collect()
+        changed.into_iter().map(|program| (program.clone(), held(&program))).collect()
     }
 }
--- a/crates/emulator/src/engine/model.rs
+++ b/crates/emulator/src/engine/model.rs
@@ -140,6 +140,8 @@
     name: String,
     profile: EngineProfile,
     model: ModelId,
+    /// The model whose weights are on their way; nothing is served meanwhile.
+    loading: Option<ModelId>,
     role: EngineRole,
     adapters: Vec<String>,
     fence: (u64, u64),
@@ -164,6 +166,7 @@
             cache: BlockCache::new(profile.blocks),
             profile,
             model,
+            loading: None,
             role: EngineRole::Both,
             adapters: Vec::new(),
             fence: (0, 0),
@@ -202,17 +205,14 @@
         if self.leaving {
             return Err(Refusal::Leaving);
         }
-        if submission.model != self.model {
+        if submission.model != self.model || self.loading.is_some() {
             return Err(Refusal::WrongModel);
         }
         if self.records.contains_key(&submission.attempt) {
             return Err(Refusal::Duplicate);
         }
         let sequence = Sequence::new(submission, now);
-        self.records.insert(
-            sequence.submission.attempt.clone(),
-            self.record_of(&sequence),
-        );
+        self.records.insert(sequence.submission.attempt.clone(), self.record_of(&sequence));
         self.waiting.push(sequence);
         self.start_step(now);
         Ok(())
@@ -235,9 +235,8 @@
         let is_other = |sequence: &Sequence| sequence.submission.attempt != *attempt;
         let before = self.waiting.len() + self.running.len();
         self.waiting.retain(is_other);
-        let (kept, dropped): (Vec<Sequence>, Vec<Sequence>) = std::mem::take(&mut self.running)
-            .into_iter()
-            .partition(is_other);
+        let (kept, dropped): (Vec<Sequence>, Vec<Sequence>) =
+            std::mem::take(&mut self.running).into_iter().partition(is_other);
         self.running = kept;
         for sequence in &dropped {
             self.cache.unpin(&sequence.hashes[..sequence.stored]);
@@ -293,15 +292,12 @@
         let profile = &self.profile;
         let prefill = profile.per_prefill_token.mul_f64(prefill_tokens as f64);
         let decode = profile.per_decode.mul_f64(f64::from(decoding));
-        let reading = profile
-            .per_thousand_history
-            .mul_f64(history as f64 / 1_000.0);
+        let reading = profile.per_thousand_history.mul_f64(history as f64 / 1_000.0);
         profile.step_base + prefill + decode + reading
     }
 
     fn admit(&mut self, now: Moment) {
-        self.waiting
-            .sort_by_key(|sequence| (sequence.submission.priority, sequence.arrived));
+        self.waiting.sort_by_key(|sequence| (sequence.submission.priority, sequence.arrived));
         while self.running.len() < self.profile.max_batch && !self.waiting.is_empty() {
             let mut sequence = self.waiting.remove(0);
             let held = self.cache.held_prefix(&sequence.hashes) as u64 * BLOCK_TOKENS;
@@ -365,11 +361,7 @@
             record.finished = Some(end);
             record.usage = usage;
         }
-        outputs.push(EngineOutput::Done {
-            attempt: attempt.clone(),
-            finish_reason,
-            usage,
-        });
+        outputs.push(EngineOutput::Done { attempt: attempt.clone(), finish_reason, usage });
     }
 
     /// Keeps the blocks of prompt and answer for the program's next call.
@@ -388,13 +380,8 @@
             if self.random.random_bool(self.profile.event_loss) {
                 continue;
             }
-            let event = CacheEvent {
-                number: self.next_event,
-                program,
-                tokens,
-            };
-            self.events
-                .push_back((now + self.profile.event_delay, event));
+            let event = CacheEvent { number: self.next_event, program, tokens };
+            self.events.push_back((now + self.profile.event_delay, event));
             if self.events.len() > MAX_EVENTS {
                 self.events.pop_front();
             }
@@ -426,15 +413,8 @@
     /// The load as it was one lag ago; only `leaving` is up to date.
     pub fn load(&mut self, now: Moment) -> LoadReport {
         self.note_load(now);
-        let oldest = self
-            .loads
-            .front()
-            .map(|(_, report)| report.clone())
-            .unwrap_or_default();
-        LoadReport {
-            leaving: self.leaving,
-            ..oldest
-        }
+        let oldest = self.loads.front().map(|(_, report)| report.clone()).unwrap_or_default();
+        LoadReport { leaving: self.leaving, ..oldest }
     }
 
     /// Programs with the tokens held for each.
@@ -446,9 +426,8 @@
     pub fn release(&mut self, now: Moment, program: &ProgramId) -> u64 {
         let all = self.waiting.iter().chain(&self.running);
         let own = all.filter(|sequence| sequence.submission.program == *program);
-        let attempts: Vec<AttemptId> = own
-            .map(|sequence| sequence.submission.attempt.clone())
-            .collect();
+        let attempts: Vec<AttemptId> =
+            own.map(|sequence| sequence.submission.attempt.clone()).collect();
         for attempt in attempts {
             self.cancel(&attempt);
         }
@@ -483,16 +462,24 @@
         if accepted {
             self.fence = number;
             match &order.order {
-                EngineInstruction::LoadModel { model, .. } => self.model = model.clone(),
+                EngineInstruction::LoadModel { model, .. } => self.loading = Some(model.clone()),
                 EngineInstruction::LoadAdapter { adapter } => self.adapters.push(adapter.clone()),
                 EngineInstruction::SetRole { role } => self.role = *role,
                 EngineInstruction::Leave => self.leaving = true,
             }
         }
-        OrderReply {
-            accepted,
-            epoch: self.fence.0,
-            sequence: self.fence.1,
+        OrderReply { accepted, epoch: self.fence.0, sequence: self.fence.1 }
+    }
+
+    /// The model whose weights are on their way.
+    pub fn loading(&self) -> Option<&ModelId> {
+        self.loading.as_ref()
+    }
+
+    /// The weights have arrived: serves the model that was ordered last.
+    pub fn finish_loading(&mut self) {
+        if let Some(model) = self.loading.take() {
+            self.model = model;
         }
     }
 
@@ -511,11 +498,7 @@
     fn new(submission: Submission, arrived: Moment) -> Self {
         let prompt_tokens = submission.prompt.iter().map(ChatMessage::tokens).sum();
         let answer = answer_tokens(&submission.model, &submission.prompt);
-        let continued = submission
-            .continuation
-            .split_whitespace()
-            .count()
-            .min(answer.len());
+        let continued = submission.continuation.split_whitespace().count().min(answer.len());
         let hashes = block_hashes(&submission.prompt);
         Self {
             submission,
@@ -537,17 +520,10 @@
     }
 
     fn generate(&mut self) -> Option<String> {
-        let word = self
-            .answer
-            .get(self.generated)
-            .filter(|_| self.generated < self.limit())?;
+        let word = self.answer.get(self.generated).filter(|_| self.generated < self.limit())?;
         let is_first = self.generated == 0;
         self.generated += 1;
-        Some(if is_first {
-            (*word).to_owned()
-        } else {
-            format!(" {word}")
-        })
+        Some(if is_first { (*word).to_owned() } else { format!(" {word}") })
     }
 
     fn finish_reason(&self) -> Option<&'static str> {
--- a/crates/emulator/src/engine/server.rs
+++ b/crates/emulator/src/engine/server.rs
@@ -6,15 +6,16 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use calicohoist_http::{Exchange, Handler, HttpServer, STREAM_DONE, ServerSettings};
+use calicohoist_http::{Exchange, Handler, HttpClient, HttpServer, STREAM_DONE, ServerSettings};
 use calicohoist_types::backend_api::{
-    CacheListing, CacheReleased, CachedProgram, ExportedCache, FencedOrder,
+    CacheListing, CacheReleased, CachedProgram, ExportedCache, FencedOrder, TransferReply,
+    TransferRequest,
 };
 use calicohoist_types::openai::{
     ChatChunk, ChatRequest, ErrorBody, ErrorDetail, HEADER_ENGINE_ATTEMPT, HEADER_ENGINE_PRIORITY,
     HEADER_ENGINE_PROGRAM, ModelEntry, ModelList,
 };
-use calicohoist_types::{AttemptId, ModelId, ProgramId};
+use calicohoist_types::{AttemptId, EngineId, ModelId, Moment, ProgramId};
 use parking_lot::Mutex;
 use serde_json::json;
 
@@ -26,6 +27,9 @@
 /// How often the engine's duty looks for the end of a step when idle.
 const IDLE_POLL: Duration = Duration::from_millis(2);
 
+/// Patience with the weight store.
+const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Settings of an engine server.
 #[derive(Clone, Debug)]
 pub struct EngineServerSettings {
@@ -37,6 +41,8 @@
     pub profile: EngineProfile,
     /// One-way delay of the network before it.
     pub delay: Duration,
+    /// The weight store that models are loaded from; without one they load at once.
+    pub weights: Option<SocketAddr>,
     /// Seed of event losses.
     pub seed: u64,
 }
@@ -46,6 +52,8 @@
     streams: Streams,
     delay: Duration,
     clock: RealClock,
+    weights: Option<SocketAddr>,
+    loads_until: Mutex<Option<Moment>>,
     hung: AtomicBool,
 }
 
@@ -64,36 +72,26 @@
     /// When a thread cannot be started.
     pub fn start(settings: EngineServerSettings, listener: TcpListener) -> std::io::Result<Self> {
         let workers = settings.profile.max_batch * 2 + 8;
-        let model = EngineModel::new(
-            settings.name,
-            settings.profile,
-            settings.model,
-            settings.seed,
-        );
+        let model =
+            EngineModel::new(settings.name, settings.profile, settings.model, settings.seed);
         let handler = Arc::new(EngineHandler {
             model: Mutex::new(model),
             streams: Streams::default(),
             delay: settings.delay,
             clock: RealClock,
+            weights: settings.weights,
+            loads_until: Mutex::new(None),
             hung: AtomicBool::new(false),
         });
-        let server_settings = ServerSettings {
-            workers,
-            queue: workers * 4,
-            ..ServerSettings::default()
-        };
+        let server_settings =
+            ServerSettings { workers, queue: workers * 4, ..ServerSettings::default() };
         let http = HttpServer::start_on(listener, server_settings, handler.clone())?;
         let stop = Arc::new(AtomicBool::new(false));
         let (duty, stop_seen) = (handler.clone(), stop.clone());
         let thread = std::thread::Builder::new()
             .name("engine-steps".to_owned())
             .spawn(move || duty.run_steps(&stop_seen))?;
-        Ok(Self {
-            http,
-            handler,
-            stop,
-            thread: Some(thread),
-        })
+        Ok(Self { http, handler, stop, thread: Some(thread) })
     }
 
     /// The bound address.
@@ -141,13 +139,16 @@
             }
             let next = {
                 let mut model = self.model.lock();
-                let outputs = model.advance(self.clock.now());
+                let now = self.clock.now();
+                if self.loads_until.lock().take_if(|ready| *ready <= now).is_some() {
+                    model.finish_loading();
+                }
+                let outputs = model.advance(now);
                 self.streams.add(outputs);
                 model.next_step_end()
             };
             let idle_until = self.clock.now() + IDLE_POLL;
-            self.clock
-                .sleep_until(next.unwrap_or(idle_until).min(idle_until));
+            self.clock.sleep_until(next.unwrap_or(idle_until).min(idle_until));
         }
     }
 
@@ -159,18 +160,12 @@
         let Ok(prompt) = request.plain_messages() else {
             return refuse(exchange, 400, "messages must be text");
         };
-        let attempt = exchange
-            .header(HEADER_ENGINE_ATTEMPT)
-            .and_then(AttemptId::parse);
-        let program = exchange
-            .header(HEADER_ENGINE_PROGRAM)
-            .and_then(ProgramId::parse);
+        let attempt = exchange.header(HEADER_ENGINE_ATTEMPT).and_then(AttemptId::parse);
+        let program = exchange.header(HEADER_ENGINE_PROGRAM).and_then(ProgramId::parse);
         let (Some(attempt), Some(program)) = (attempt, program) else {
             return refuse(exchange, 400, "x-request-id and x-cache-owner are needed");
         };
-        let priority = exchange
-            .header(HEADER_ENGINE_PRIORITY)
-            .and_then(|text| text.parse().ok());
+        let priority = exchange.header(HEADER_ENGINE_PRIORITY).and_then(|text| text.parse().ok());
         let max_tokens = request.token_limit().unwrap_or(u64::MAX);
         let submission = Submission {
             attempt: attempt.clone(),
@@ -205,10 +200,7 @@
                 // Keeps the connection known to be alive, as real engines do.
                 More::NotYet if self.hung.load(Ordering::SeqCst) => {}
                 More::NotYet => {
-                    if events
-                        .send(&ChatChunk::new(&id, 0, model, None, None))
-                        .is_err()
-                    {
+                    if events.send(&ChatChunk::new(&id, 0, model, None, None)).is_err() {
                         return;
                     }
                 }
@@ -260,9 +252,7 @@
 
     fn list_cache(&self, exchange: Exchange) {
         let held = self.model.lock().listing().into_iter();
-        let programs = held
-            .map(|(program, tokens)| CachedProgram { program, tokens })
-            .collect();
+        let programs = held.map(|(program, tokens)| CachedProgram { program, tokens }).collect();
         exchange.reply_json(200, &[], &CacheListing { programs });
     }
 
@@ -273,10 +263,7 @@
             created: 0,
             owned_by: "engine".to_owned(),
         };
-        let list = ModelList {
-            object: "list".to_owned(),
-            data: vec![entry],
-        };
+        let list = ModelList { object: "list".to_owned(), data: vec![entry] };
         exchange.reply_json(200, &[], &list);
     }
 
@@ -284,6 +271,9 @@
         match exchange.read_json::<FencedOrder>() {
             Ok(order) => {
                 let reply = self.model.lock().order(&order);
+                if reply.accepted {
+                    self.fetch_weights();
+                }
                 let status = if reply.accepted { 200 } else { 409 };
                 exchange.reply_json(status, &[], &reply);
             }
@@ -291,6 +281,26 @@
         }
     }
 
+    /// Starts the transfer of the model that is to be loaded, if one is.
+    fn fetch_weights(&self) {
+        let (name, loading) = {
+            let model = self.model.lock();
+            (model.name().to_owned(), model.loading().cloned())
+        };
+        let Some(model) = loading else {
+            return;
+        };
+        let wait = self.weights.and_then(|address| {
+            let client = HttpClient::new(address, WEIGHTS_TIMEOUT, WEIGHTS_TIMEOUT);
+            let engine = EngineId::new(name);
+            let request = TransferRequest { engine, model };
+            client.post::<_, TransferReply>("/v1/transfers", &request).ok()
+        });
+        let wait =
+            wait.map_or(Duration::ZERO, |reply| Duration::from_micros(reply.ready_in_micros));
+        *self.loads_until.lock() = Some(self.clock.now() + wait);
+    }
+
     fn export(&self, exchange: Exchange, program: &str) {
         let exported = self.model.lock().export(&ProgramId::new(program));
         std::thread::sleep(Duration::from_micros(exported.transfer_micros));
@@ -309,10 +319,7 @@
     }
 
     fn events(&self, exchange: Exchange) {
-        let after = exchange
-            .query("after")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
+        let after = exchange.query("after").and_then(|text| text.parse().ok()).unwrap_or(0);
         let events = self.model.lock().events_after(self.clock.now(), after);
         exchange.reply_json(200, &[], &events);
     }
--- a/crates/emulator/src/engine/streams.rs
+++ b/crates/emulator/src/engine/streams.rs
@@ -69,11 +69,9 @@
                 EngineOutput::Text { attempt, text } => {
                     states.entry(attempt).or_default().pieces.push(text);
                 }
-                EngineOutput::Done {
-                    attempt,
-                    finish_reason,
-                    usage,
-                } => states.entry(attempt).or_default().end = Some((finish_reason, usage)),
+                EngineOutput::Done { attempt, finish_reason, usage } => {
+                    states.entry(attempt).or_default().end = Some((finish_reason, usage))
+                }
             }
         }
         drop(states);
@@ -95,10 +93,9 @@
         match states.get(attempt) {
             None => More::Gone,
             Some(state) if state.cancelled => More::Gone,
-            Some(state) if state.pieces.len() > seen || state.end.is_some() => More::Pieces(
-                state.pieces[seen.min(state.pieces.len())..].to_vec(),
-                state.end,
-            ),
+            Some(state) if state.pieces.len() > seen || state.end.is_some() => {
+                More::Pieces(state.pieces[seen.min(state.pieces.len())..].to_vec(), state.end)
+            }
             Some(_) => More::NotYet,
         }
     }
--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -23,11 +23,7 @@
 impl PlatformModel {
     /// A list of live machines that shows changes after `lag`.
     pub fn new(machines: Vec<String>, lag: Duration) -> Self {
-        Self {
-            lag,
-            leaving: BTreeMap::new(),
-            machines,
-        }
+        Self { lag, leaving: BTreeMap::new(), machines }
     }
 
     /// Announces that a machine will go.
@@ -66,14 +62,8 @@
     /// # Errors
     /// When a thread cannot be started.
     pub fn start(model: PlatformModel, listener: TcpListener) -> std::io::Result<Self> {
-        let handler = Arc::new(PlatformHandler {
-            model: Mutex::new(model),
-            clock: RealClock,
-        });
-        let settings = ServerSettings {
-            workers: 4,
-            ..ServerSettings::default()
-        };
+        let handler = Arc::new(PlatformHandler { model: Mutex::new(model), clock: RealClock });
+        let settings = ServerSettings { workers: 4, ..ServerSettings::default() };
         let http = HttpServer::start_on(listener, settings, handler.clone())?;
         Ok(Self { http, handler })
     }
--- a/crates/emulator/src/service.rs
+++ b/crates/emulator/src/service.rs
@@ -69,30 +69,21 @@
     /// Executes a job.
     pub fn execute(&mut self, now: Moment, job: &JobRequest) -> JobResult {
         let output = job_output(&job.service, &job.input);
-        let record = self
-            .records
-            .entry(job.key.clone())
-            .or_insert_with(|| ServiceRecord {
-                replica: self.replica.clone(),
-                key: job.key.clone(),
-                executions: 0,
-                first: now,
-                output: output.clone(),
-            });
-        record.executions += 1;
-        JobResult {
+        let record = self.records.entry(job.key.clone()).or_insert_with(|| ServiceRecord {
+            replica: self.replica.clone(),
             key: job.key.clone(),
-            output,
-        }
+            executions: 0,
+            first: now,
+            output: output.clone(),
+        });
+        record.executions += 1;
+        JobResult { key: job.key.clone(), output }
     }
 
     /// What became of a key.
     pub fn look_up(&self, key: &str) -> Option<JobResult> {
         let record = self.records.get(key)?;
-        Some(JobResult {
-            key: key.to_owned(),
-            output: record.output.clone(),
-        })
+        Some(JobResult { key: key.to_owned(), output: record.output.clone() })
     }
 
     /// Every key it executed.
--- a/crates/emulator/src/weights.rs
+++ b/crates/emulator/src/weights.rs
@@ -24,11 +24,7 @@
 impl WeightStoreModel {
     /// A store of `bytes_per_second` with the models' sizes in bytes.
     pub fn new(bytes_per_second: u64, sizes: BTreeMap<ModelId, u64>) -> Self {
-        Self {
-            bytes_per_second: bytes_per_second.max(1),
-            sizes,
-            busy_until: Moment::ZERO,
-        }
+        Self { bytes_per_second: bytes_per_second.max(1), sizes, busy_until: Moment::ZERO }
     }
 
     /// Queues a transfer; returns when it will have arrived, or `None` for a
@@ -57,14 +53,8 @@
     /// # Errors
     /// When a thread cannot be started.
     pub fn start(model: WeightStoreModel, listener: TcpListener) -> std::io::Result<Self> {
-        let handler = Arc::new(WeightHandler {
-            model: Mutex::new(model),
-            clock: RealClock,
-        });
-        let settings = ServerSettings {
-            workers: 2,
-            ..ServerSettings::default()
-        };
+        let handler = Arc::new(WeightHandler { model: Mutex::new(model), clock: RealClock });
+        let settings = ServerSettings { workers: 2, ..ServerSettings::default() };
         let http = HttpServer::start_on(listener, settings, handler)?;
         Ok(Self { http })
     }
--- a/crates/gateway/src/backend/engine.rs
+++ b/crates/gateway/src/backend/engine.rs
@@ -41,9 +41,7 @@
         .with_header(HEADER_ENGINE_ATTEMPT, order.attempt.to_string())
         .with_header(HEADER_ENGINE_PROGRAM, order.attempt.call.program.as_str())
         .with_header(HEADER_ENGINE_PRIORITY, order.priority.to_string());
-    client
-        .post_events("/v1/chat/completions", &request)
-        .map_err(|error| failure_of(&error))
+    client.post_events("/v1/chat/completions", &request).map_err(|error| failure_of(&error))
 }
 
 fn resume(
@@ -69,11 +67,7 @@
     mut events: Events,
     report: &mut impl FnMut(BackendEvent),
 ) {
-    let mut offset = if order.resume.is_some() {
-        0
-    } else {
-        order.continuation.len()
-    };
+    let mut offset = if order.resume.is_some() { 0 } else { order.continuation.len() };
     loop {
         let chunk = match next_chunk(&mut events) {
             Some(chunk) => chunk,
@@ -87,10 +81,7 @@
         if !text.is_empty() {
             let start = offset;
             offset += text.len();
-            report(BackendEvent::Text {
-                offset: start,
-                text,
-            });
+            report(BackendEvent::Text { offset: start, text });
         }
         if let (Some(reason), Some(usage)) = (chunk.finish_reason(), chunk.usage) {
             return report(BackendEvent::Done {
@@ -118,31 +109,17 @@
 /// Releases a program's memory; `true` when the engine confirmed.
 pub fn release(address: SocketAddr, program: &ProgramId) -> bool {
     let path = format!("/v1/cache/{program}");
-    client(address, CONTROL_TIMEOUT)
-        .delete::<CacheReleased>(&path)
-        .is_ok()
+    client(address, CONTROL_TIMEOUT).delete::<CacheReleased>(&path).is_ok()
 }
 
 /// Programs the engine holds memory of; `None` when it does not answer.
 pub fn list(address: SocketAddr) -> Option<Vec<ProgramId>> {
-    let listing = client(address, CONTROL_TIMEOUT)
-        .get::<CacheListing>("/v1/cache")
-        .ok()?;
-    Some(
-        listing
-            .programs
-            .into_iter()
-            .map(|held| held.program)
-            .collect(),
-    )
+    let listing = client(address, CONTROL_TIMEOUT).get::<CacheListing>("/v1/cache").ok()?;
+    Some(listing.programs.into_iter().map(|held| held.program).collect())
 }
 
 /// What the engine says of itself; `None` when it does not answer.
 pub fn probe(address: SocketAddr) -> Option<EngineReport> {
-    let report = client(address, CONTROL_TIMEOUT)
-        .get::<LoadReport>("/v1/load")
-        .ok()?;
-    Some(EngineReport {
-        leaving: report.leaving,
-    })
+    let report = client(address, CONTROL_TIMEOUT).get::<LoadReport>("/v1/load").ok()?;
+    Some(EngineReport { leaving: report.leaving })
 }
--- a/crates/gateway/src/backend/service.rs
+++ b/crates/gateway/src/backend/service.rs
@@ -16,17 +16,10 @@
 pub fn run(order: &ServiceOrder, read_timeout: Duration, mut report: impl FnMut(BackendEvent)) {
     let client = HttpClient::new(order.address, CONNECT_TIMEOUT, read_timeout)
         .with_header(openai::HEADER_KEY, order.key.as_str());
-    let result = if order.only_look_up {
-        look_up(&client, order)
-    } else {
-        execute(&client, order)
-    };
+    let result = if order.only_look_up { look_up(&client, order) } else { execute(&client, order) };
     match result {
         Ok(result) => {
-            report(BackendEvent::Text {
-                offset: 0,
-                text: result.output,
-            });
+            report(BackendEvent::Text { offset: 0, text: result.output });
             report(BackendEvent::Done {
                 finish_reason: FINISH_REASON.to_owned(),
                 usage: Usage::default(),
@@ -42,14 +35,12 @@
         service: order.service.as_str().to_owned(),
         input: order.input.clone(),
     };
-    let result = client
-        .post::<_, JobResult>("/v1/jobs", &job)
-        .map_err(|error| match error {
-            ClientError::NotConnected(_) => BackendFailure::NotStarted,
-            // 503 is given before a job starts; any other failure may come after it.
-            ClientError::Status { status: 503, .. } => BackendFailure::NotStarted,
-            _ => BackendFailure::Broken,
-        })?;
+    let result = client.post::<_, JobResult>("/v1/jobs", &job).map_err(|error| match error {
+        ClientError::NotConnected(_) => BackendFailure::NotStarted,
+        // 503 is given before a job starts; any other failure may come after it.
+        ClientError::Status { status: 503, .. } => BackendFailure::NotStarted,
+        _ => BackendFailure::Broken,
+    })?;
     checked(result, order)
 }
 
@@ -62,9 +53,5 @@
 
 /// An answer under another key belongs to somebody else.
 fn checked(result: JobResult, order: &ServiceOrder) -> Result<JobResult, BackendFailure> {
-    if result.key == order.key.as_str() {
-        Ok(result)
-    } else {
-        Err(BackendFailure::Broken)
-    }
+    if result.key == order.key.as_str() { Ok(result) } else { Err(BackendFailure::Broken) }
 }
--- a/crates/gateway/src/core/call.rs
+++ b/crates/gateway/src/core/call.rs
@@ -147,11 +147,7 @@
         listener: Ticket,
         now: Moment,
     ) -> Self {
-        let listener = Listener {
-            ticket: listener,
-            sent: 0,
-            told_admitted: false,
-        };
+        let listener = Listener { ticket: listener, sent: 0, told_admitted: false };
         Self {
             request: None,
             tenant,
@@ -177,10 +173,8 @@
 
     /// The slot it holds, if it does.
     pub fn held_slot(&self) -> Option<(EngineId, AttemptId)> {
-        let has_slot = matches!(
-            self.phase,
-            Phase::Dispatching | Phase::Running { .. } | Phase::Completing
-        );
+        let has_slot =
+            matches!(self.phase, Phase::Dispatching | Phase::Running { .. } | Phase::Completing);
         let target = self.target.as_ref().filter(|_| has_slot)?;
         match &target.backend {
             Backend::Engine(engine) => Some((engine.clone(), self.attempt.clone()?)),
@@ -190,10 +184,7 @@
 
     /// Tokens of its prompt.
     pub fn prompt_tokens(&self) -> u64 {
-        let prompt = self
-            .admission
-            .iter()
-            .flat_map(|admission| &admission.prompt);
+        let prompt = self.admission.iter().flat_map(|admission| &admission.prompt);
         prompt.map(ChatMessage::tokens).sum()
     }
 }
--- a/crates/gateway/src/core/flow/admit.rs
+++ b/crates/gateway/src/core/flow/admit.rs
@@ -25,16 +25,13 @@
 impl Gateway {
     pub(in crate::core) fn on_call(&mut self, now: Moment, ticket: Ticket, request: CallRequest) {
         if let Some(failure) = self.refuse_at_the_door(now, &request) {
-            self.actions
-                .push(Action::ToCaller(ticket, CallerEvent::Failed(failure)));
+            self.actions.push(Action::ToCaller(ticket, CallerEvent::Failed(failure)));
             return;
         }
         let is_alone = request.program.is_none();
         let key = request.key.clone().unwrap_or_else(|| self.make_key());
-        let program = request
-            .program
-            .clone()
-            .unwrap_or_else(|| program_of_one(&request.tenant, &key));
+        let program =
+            request.program.clone().unwrap_or_else(|| program_of_one(&request.tenant, &key));
         let mut call = Call::new(request.tenant.clone(), program, key, ticket, now);
         call.is_alone = is_alone;
         call.request = Some(request);
@@ -64,16 +61,8 @@
         // Nothing durable was written. A request with the caller's own key may
         // have run before, or may yet run as a resend, so only a request without
         // one can be told that it did not run.
-        let outcome = if request.key.is_some() {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        Some(Failure {
-            outcome,
-            cause,
-            call: None,
-        })
+        let outcome = if request.key.is_some() { Outcome::Unknown } else { Outcome::NotRun };
+        Some(Failure { outcome, cause, call: None })
     }
 
     fn make_key(&mut self) -> IdempotencyKey {
@@ -103,10 +92,7 @@
         let program = call.program.clone();
         let begin = BeginCall {
             program: program.clone(),
-            create: call
-                .is_alone
-                .then(|| self.program_for(id, &request))
-                .flatten(),
+            create: call.is_alone.then(|| self.program_for(id, &request)).flatten(),
             tenant: request.tenant.clone(),
             sequence: request.sequence,
             key: self.calls[&id].key.clone(),
@@ -137,13 +123,8 @@
 
     fn max_tokens(&self, work: &Work) -> u64 {
         match work {
-            Work::Model {
-                model, max_tokens, ..
-            } => {
-                let limit = self
-                    .view
-                    .model(model)
-                    .map_or(0, |spec| spec.max_output_tokens);
+            Work::Model { model, max_tokens, .. } => {
+                let limit = self.view.model(model).map_or(0, |spec| spec.max_output_tokens);
                 max_tokens.unwrap_or(limit).min(limit)
             }
             Work::Service { .. } => SERVICE_TOKENS,
@@ -152,10 +133,9 @@
 
     fn max_prompt_tokens(&self, work: &Work) -> u64 {
         match work {
-            Work::Model { model, .. } => self
-                .view
-                .model(model)
-                .map_or(0, |spec| spec.max_prompt_tokens),
+            Work::Model { model, .. } => {
+                self.view.model(model).map_or(0, |spec| spec.max_prompt_tokens)
+            }
             Work::Service { .. } => u64::MAX,
         }
     }
@@ -173,11 +153,8 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        call.phase = Phase::WaitingTurn {
-            again_at: now + TURN_POLL,
-            until: call.since + patience,
-            what,
-        };
+        call.phase =
+            Phase::WaitingTurn { again_at: now + TURN_POLL, until: call.since + patience, what };
     }
 
     /// The same request is under way: here, in a gateway that lives, or in one
@@ -259,19 +236,11 @@
             let attempt = call.attempt.as_ref();
             call.tenant == tenant && attempt.is_some_and(|attempt| attempt.call == place)
         };
-        let running = self
-            .calls
-            .iter()
-            .find(|(_, call)| is_same(call))
-            .map(|(id, _)| *id);
+        let running = self.calls.iter().find(|(_, call)| is_same(call)).map(|(id, _)| *id);
         if let Some(id) = running {
             self.by_ticket.insert(ticket, id);
             if let Some(call) = self.calls.get_mut(&id) {
-                call.listeners.push(Listener {
-                    ticket,
-                    sent: offset,
-                    told_admitted: false,
-                });
+                call.listeners.push(Listener { ticket, sent: offset, told_admitted: false });
             }
             return self.forward(now, id);
         }
@@ -308,10 +277,7 @@
             return;
         };
         let group = self.groups.group_of(&place.program);
-        let query = ProgramQuery::Call {
-            call: place,
-            tenant: call.tenant.clone(),
-        };
+        let query = ProgramQuery::Call { call: place, tenant: call.tenant.clone() };
         self.query(now, Purpose::Attach(id), group, query);
     }
 
@@ -332,10 +298,7 @@
         let Some(place) = self.calls.get(&id).and_then(|call| call.attached.clone()) else {
             return;
         };
-        let attempt = AttemptId {
-            call: place,
-            number: view.attempts,
-        };
+        let attempt = AttemptId { call: place, number: view.attempts };
         match (view.outcome, view.answer) {
             (Some(Outcome::Completed), Some(answer)) => {
                 self.finish_stored(now, id, attempt, answer);
--- a/crates/gateway/src/core/flow/finish.rs
+++ b/crates/gateway/src/core/flow/finish.rs
@@ -27,12 +27,7 @@
         call.answer = Some(answer.clone());
         self.release_slot(now, id);
         let program = attempt.call.program.clone();
-        let command = ProgramCommand::Complete {
-            attempt,
-            by,
-            answer,
-            ends_program: is_alone,
-        };
+        let command = ProgramCommand::Complete { attempt, by, answer, ends_program: is_alone };
         self.command(now, Purpose::Call(id), &program, command);
     }
 
@@ -73,10 +68,7 @@
     /// Nothing is said before there is text: until then a refusal can still have
     /// a status of its own.
     pub(super) fn forward(&mut self, _now: Moment, id: u64) {
-        let has_text = self
-            .calls
-            .get(&id)
-            .is_some_and(|call| !call.text.is_empty());
+        let has_text = self.calls.get(&id).is_some_and(|call| !call.text.is_empty());
         if !has_text {
             return;
         }
@@ -101,11 +93,7 @@
         let Some(attempt) = &call.attempt else {
             return;
         };
-        for listener in call
-            .listeners
-            .iter_mut()
-            .filter(|listener| !listener.told_admitted)
-        {
+        for listener in call.listeners.iter_mut().filter(|listener| !listener.told_admitted) {
             listener.told_admitted = true;
             let event = CallerEvent::Admitted(attempt.clone());
             self.actions.push(Action::ToCaller(listener.ticket, event));
@@ -123,11 +111,7 @@
         };
         call.phase = Phase::Closing(reason);
         let program = attempt.call.program.clone();
-        let command = ProgramCommand::Close {
-            attempt,
-            by,
-            reason,
-        };
+        let command = ProgramCommand::Close { attempt, by, reason };
         self.command(now, Purpose::Call(id), &program, command);
     }
 
@@ -143,10 +127,7 @@
         call.phase = Phase::Closing(reason);
         let program = call.program.clone();
         let command = ProgramCommand::Refuse {
-            call: CallId {
-                program: program.clone(),
-                sequence,
-            },
+            call: CallId { program: program.clone(), sequence },
             tenant: call.tenant.clone(),
             key: call.key.clone(),
             reason,
@@ -189,11 +170,7 @@
 
     pub(super) fn fail(&mut self, now: Moment, id: u64, outcome: Outcome, cause: FailureCause) {
         let place = self.calls.get(&id).and_then(Call::place);
-        let failure = Failure {
-            outcome,
-            cause,
-            call: place,
-        };
+        let failure = Failure { outcome, cause, call: place };
         self.end_call(now, id, &CallerEvent::Failed(failure));
     }
 
@@ -208,8 +185,7 @@
         }
         for listener in call.listeners {
             self.by_ticket.remove(&listener.ticket);
-            self.actions
-                .push(Action::ToCaller(listener.ticket, event.clone()));
+            self.actions.push(Action::ToCaller(listener.ticket, event.clone()));
         }
     }
 
@@ -222,9 +198,7 @@
             Phase::Queued { engine, .. } => Some((engine.clone(), call.attempt.clone())),
             _ => None,
         };
-        let held = call
-            .held_slot()
-            .map(|(engine, attempt)| (engine, Some(attempt)));
+        let held = call.held_slot().map(|(engine, attempt)| (engine, Some(attempt)));
         let Some((engine, Some(attempt))) = held.or(queued) else {
             return;
         };
--- a/crates/gateway/src/core/flow/mod.rs
+++ b/crates/gateway/src/core/flow/mod.rs
@@ -64,10 +64,9 @@
             BeginOutcome::Running { attempt, by } => {
                 self.on_running_elsewhere(now, id, attempt, &by);
             }
-            BeginOutcome::NotYet {
-                expected: _,
-                is_running,
-            } => self.wait_for_turn(now, id, is_running),
+            BeginOutcome::NotYet { expected: _, is_running } => {
+                self.wait_for_turn(now, id, is_running)
+            }
         }
     }
 }
--- a/crates/gateway/src/core/flow/route.rs
+++ b/crates/gateway/src/core/flow/route.rs
@@ -40,9 +40,7 @@
         if let Some(call) = self.calls.get_mut(&id) {
             // What failed before may have come back, and nothing else is left.
             call.excluded.clear();
-            call.phase = Phase::Routing {
-                again_at: now + ROUTE_POLL,
-            };
+            call.phase = Phase::Routing { again_at: now + ROUTE_POLL };
         }
     }
 
@@ -56,11 +54,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        call.phase = Phase::Queued {
-            engine: engine.clone(),
-            owner,
-            again_at: now,
-        };
+        call.phase = Phase::Queued { engine: engine.clone(), owner, again_at: now };
         self.enqueue(now, id);
     }
 
@@ -84,17 +78,10 @@
 
     fn cost_inputs(&self, call: &Call, engine: &EngineId, spec: &EngineSpec) -> CostInputs {
         let load = self.view.load(engine);
-        let holdings = call
-            .admission
-            .iter()
-            .flat_map(|admission| &admission.holdings);
+        let holdings = call.admission.iter().flat_map(|admission| &admission.holdings);
         let held = holdings.clone().find(|(holder, _)| holder == engine);
         // Loads are late: calls that went there from here count at least.
-        let own = self
-            .calls
-            .values()
-            .filter(|other| other.is_at(engine))
-            .count() as u32;
+        let own = self.calls.values().filter(|other| other.is_at(engine)).count() as u32;
         let running = load.map_or(0, |load| load.running);
         let waiting = load.map_or(0, |load| load.waiting);
         CostInputs {
@@ -112,10 +99,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let Phase::Queued {
-            engine, again_at, ..
-        } = &mut call.phase
-        else {
+        let Phase::Queued { engine, again_at, .. } = &mut call.phase else {
             return;
         };
         *again_at = now + ENQUEUE_REPEAT;
@@ -157,9 +141,7 @@
             }
             return self.route(now, id);
         }
-        call.phase = Phase::Routing {
-            again_at: now + ROUTE_POLL,
-        };
+        call.phase = Phase::Routing { again_at: now + ROUTE_POLL };
     }
 
     /// Whether no engine is left that has not just refused for want of room.
@@ -178,11 +160,7 @@
         engine: EngineId,
     ) {
         let id = self.by_attempt.get(&attempt).copied();
-        let waits = |id: &u64| {
-            self.calls
-                .get(id)
-                .is_some_and(|call| call.waits_for(&engine))
-        };
+        let waits = |id: &u64| self.calls.get(id).is_some_and(|call| call.waits_for(&engine));
         let Some(id) = id.filter(waits) else {
             let is_held = id.and_then(|id| self.calls.get(&id)?.held_slot());
             if is_held.is_none_or(|(held, _)| held != engine)
@@ -194,10 +172,8 @@
         };
         let address = self.view.engine(&engine).map(|spec| spec.address);
         let usable = address.filter(|_| self.view.has_lease(now) && self.view.may_use(&engine));
-        let target = usable.map(|address| Target {
-            backend: Backend::Engine(engine.clone()),
-            address,
-        });
+        let target =
+            usable.map(|address| Target { backend: Backend::Engine(engine.clone()), address });
         match target {
             Some(target) => self.dispatch(now, id, target),
             None => {
@@ -215,27 +191,16 @@
         };
         let replicas = self.view.replicas(service);
         let usable = replicas.into_iter().filter(|(name, spec)| {
-            let busy = self
-                .calls
-                .values()
-                .filter(|other| other.is_at_replica(name))
-                .count();
+            let busy = self.calls.values().filter(|other| other.is_at_replica(name)).count();
             !call.excluded.contains(name) && busy < spec.slots as usize
         });
         let least_busy = usable.min_by_key(|(name, spec)| {
-            let busy = self
-                .calls
-                .values()
-                .filter(|other| other.is_at_replica(name))
-                .count();
+            let busy = self.calls.values().filter(|other| other.is_at_replica(name)).count();
             (busy, spec.zone != self.settings.zone, name.clone())
         });
         match least_busy.filter(|_| self.view.has_lease(now)) {
             Some((name, spec)) => {
-                let target = Target {
-                    backend: Backend::Replica(name),
-                    address: spec.address,
-                };
+                let target = Target { backend: Backend::Replica(name), address: spec.address };
                 self.dispatch(now, id, target);
             }
             None => self.route_later(now, id),
@@ -256,11 +221,7 @@
         call.target = Some(target);
         call.phase = Phase::Dispatching;
         let program = attempt.call.program.clone();
-        let command = ProgramCommand::Dispatch {
-            attempt,
-            by,
-            backend,
-        };
+        let command = ProgramCommand::Dispatch { attempt, by, backend };
         self.command(now, Purpose::Call(id), &program, command);
     }
 
@@ -336,10 +297,7 @@
         address: target.address,
         service: service.clone(),
         key: service_key(call, &attempt),
-        input: admission
-            .prompt
-            .last()
-            .map(|message| message.content.clone())?,
+        input: admission.prompt.last().map(|message| message.content.clone())?,
         only_look_up,
         attempt,
     })
--- a/crates/gateway/src/core/flow/run.rs
+++ b/crates/gateway/src/core/flow/run.rs
@@ -31,10 +31,7 @@
         }
         match event {
             BackendEvent::Text { offset, text } => self.on_text(now, id, offset, &text),
-            BackendEvent::Done {
-                finish_reason,
-                usage,
-            } => {
+            BackendEvent::Done { finish_reason, usage } => {
                 let answer = StoredAnswer {
                     text: call.text.clone(),
                     finish_reason,
@@ -75,17 +72,12 @@
             call.attempt.as_ref().map(AttemptId::to_string)
         );
         let was_lookup = matches!(call.phase, Phase::LookingUp { .. });
-        if let Some(target) = call
-            .target
-            .as_ref()
-            .filter(|_| failure != BackendFailure::NothingToResume)
+        if let Some(target) =
+            call.target.as_ref().filter(|_| failure != BackendFailure::NothingToResume)
         {
             call.excluded.insert(backend_name(&target.backend));
         }
-        let repeatable = call
-            .admission
-            .as_ref()
-            .is_some_and(|admission| admission.repeatable);
+        let repeatable = call.admission.as_ref().is_some_and(|admission| admission.repeatable);
         self.release_slot(now, id);
         let never_sent = failure == BackendFailure::NotStarted && !was_lookup;
         let may_retry = never_sent || (repeatable && !was_lookup && self.retries.spend());
@@ -109,11 +101,7 @@
         call.phase = Phase::Retrying;
         call.resumes = None;
         let program = attempt.call.program.clone();
-        let command = ProgramCommand::Retry {
-            attempt,
-            by,
-            never_sent,
-        };
+        let command = ProgramCommand::Retry { attempt, by, never_sent };
         self.command(now, Purpose::Call(id), &program, command);
     }
 
@@ -127,9 +115,7 @@
         }
         self.by_attempt.insert(next.clone(), id);
         call.target = None;
-        call.phase = Phase::Routing {
-            again_at: now + backoff(next.number - 1, jitter),
-        };
+        call.phase = Phase::Routing { again_at: now + backoff(next.number - 1, jitter) };
         if let Some(admission) = &mut call.admission {
             admission.attempt = next;
         }
@@ -144,10 +130,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        let repeatable = call
-            .admission
-            .as_ref()
-            .is_some_and(|admission| admission.repeatable);
+        let repeatable = call.admission.as_ref().is_some_and(|admission| admission.repeatable);
         let Some(address) = address else {
             return if repeatable {
                 self.route(now, id)
--- a/crates/gateway/src/core/flow/timers.rs
+++ b/crates/gateway/src/core/flow/timers.rs
@@ -47,11 +47,7 @@
             Phase::Queued { .. } if has_waited_long => {
                 Some(Due::CloseQueued(NotRunReason::Overloaded))
             }
-            Phase::Queued {
-                again_at,
-                owner,
-                engine,
-            } => {
+            Phase::Queued { again_at, owner, engine } => {
                 let owner_changed = self.view.owner_of(engine).as_ref() != Some(owner);
                 (now >= *again_at || owner_changed).then_some(Due::Enqueue)
             }
--- a/crates/gateway/src/core/memory.rs
+++ b/crates/gateway/src/core/memory.rs
@@ -59,10 +59,7 @@
 
     fn ask_for_releases(&mut self, now: Moment, engines: &[EngineId]) {
         for group in self.groups.program_groups() {
-            let query = ProgramQuery::Releases {
-                engines: engines.to_vec(),
-                limit: FETCH_LIMIT,
-            };
+            let query = ProgramQuery::Releases { engines: engines.to_vec(), limit: FETCH_LIMIT };
             self.query(now, Purpose::Releases, group, query);
         }
     }
@@ -84,11 +81,7 @@
             return;
         }
         self.memory.sent.insert(order, now + RETRY_PAUSE);
-        self.actions.push(Action::ReleaseCache {
-            engine,
-            address,
-            program,
-        });
+        self.actions.push(Action::ReleaseCache { engine, address, program });
     }
 
     pub(super) fn on_cache_released(
@@ -103,10 +96,7 @@
             return;
         }
         emit!(Event::CacheReleased, "{program} on {engine}");
-        let command = ProgramCommand::Released {
-            engine,
-            program: program.clone(),
-        };
+        let command = ProgramCommand::Released { engine, program: program.clone() };
         self.command(now, Purpose::Forget, &program, command);
     }
 
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -173,12 +173,9 @@
     pub fn step(&mut self, now: Moment, input: Input) -> Vec<Action> {
         match input {
             Input::Call(ticket, request) => self.on_call(now, ticket, *request),
-            Input::Attach {
-                ticket,
-                tenant,
-                call,
-                offset,
-            } => self.on_attach(now, ticket, tenant, call, offset),
+            Input::Attach { ticket, tenant, call, offset } => {
+                self.on_attach(now, ticket, tenant, call, offset)
+            }
             Input::Ask(ticket, request) => {
                 self.ask(now, Purpose::Caller(ticket), *request);
             }
@@ -186,11 +183,9 @@
             Input::StoreReply { id, reply } => self.router.on_reply(now, id, reply),
             Input::Peer { from, message } => self.on_peer(now, from, message),
             Input::Backend(attempt, event) => self.on_backend(now, attempt, event),
-            Input::CacheReleased {
-                engine,
-                program,
-                confirmed,
-            } => self.on_cache_released(now, engine, program, confirmed),
+            Input::CacheReleased { engine, program, confirmed } => {
+                self.on_cache_released(now, engine, program, confirmed)
+            }
             Input::CacheListing { engine, programs } => {
                 self.on_cache_listing(now, engine, programs);
             }
@@ -234,15 +229,9 @@
 
     fn on_router_event(&mut self, now: Moment, event: RouterEvent) {
         match event {
-            RouterEvent::Send {
-                machine,
-                id,
-                request,
-            } => self.actions.push(Action::ToStore {
-                machine,
-                id,
-                request: Box::new(request),
-            }),
+            RouterEvent::Send { machine, id, request } => {
+                self.actions.push(Action::ToStore { machine, id, request: Box::new(request) })
+            }
             RouterEvent::Done { token, reply } => {
                 if let Some(purpose) = self.purposes.remove(&token) {
                     self.on_store_answer(now, purpose, reply);
@@ -307,11 +296,7 @@
             return self.on_peer(now, to, message);
         }
         if let Some(address) = self.view.address_of(&to) {
-            self.actions.push(Action::ToPeer {
-                to,
-                address,
-                message,
-            });
+            self.actions.push(Action::ToPeer { to, address, message });
         }
     }
 
@@ -331,8 +316,7 @@
         self.next_token += 1;
         let token = self.next_token;
         self.purposes.insert(token, Purpose::Heartbeat(now));
-        self.router
-            .ask(now, token, request, calicohoist_store::nodes::LEASE);
+        self.router.ask(now, token, request, calicohoist_store::nodes::LEASE);
     }
 
     fn on_heartbeat_answer(&mut self, now: Moment, sent: Moment, reply: Option<StoreReply>) {
@@ -343,11 +327,7 @@
         let applied_before = self.view.applied();
         self.view.on_heartbeat(now, sent, *reply);
         if self.view.applied() > applied_before {
-            emit!(
-                Event::ConfigurationApplied,
-                "revision {}",
-                self.view.applied()
-            );
+            emit!(Event::ConfigurationApplied, "revision {}", self.view.applied());
             // The sooner the store hears of it, the sooner it is in force.
             self.next_heartbeat = now;
         }
@@ -370,11 +350,9 @@
     fn on_peer(&mut self, now: Moment, from: calicohoist_types::NodeId, message: PeerMessage) {
         match message {
             PeerMessage::Granted { attempt, engine } => self.on_granted(now, attempt, engine),
-            PeerMessage::Refused {
-                attempt,
-                engine,
-                overloaded,
-            } => self.on_slot_refused(now, attempt, engine, overloaded),
+            PeerMessage::Refused { attempt, engine, overloaded } => {
+                self.on_slot_refused(now, attempt, engine, overloaded)
+            }
             PeerMessage::Cancel { attempt } => self.on_cancel(now, &attempt),
             message => {
                 let answer = self.owner.on_message(now, from.clone(), message);
--- a/crates/gateway/src/core/owner.rs
+++ b/crates/gateway/src/core/owner.rs
@@ -49,10 +49,7 @@
 
 impl EngineOwner {
     pub(crate) fn new(max_waiting: usize) -> Self {
-        Self {
-            engines: BTreeMap::new(),
-            max_waiting,
-        }
+        Self { engines: BTreeMap::new(), max_waiting }
     }
 
     /// The owned engines.
@@ -98,12 +95,8 @@
         let is_own = |engine: &EngineId| !stopping && view.owner_of(engine).as_ref() == Some(own);
         let engines = view.engines().map(|(engine, _)| engine);
         let wanted: BTreeSet<EngineId> = engines.filter(is_own).collect();
-        let given_up: Vec<EngineId> = self
-            .engines
-            .keys()
-            .filter(|engine| !wanted.contains(engine))
-            .cloned()
-            .collect();
+        let given_up: Vec<EngineId> =
+            self.engines.keys().filter(|engine| !wanted.contains(engine)).cloned().collect();
         for engine in given_up {
             emit!(Event::EngineDisowned, "{engine}");
             if let Some(mut owned) = self.engines.remove(&engine) {
@@ -138,12 +131,7 @@
         message: PeerMessage,
     ) -> Option<PeerMessage> {
         match message {
-            PeerMessage::Enqueue {
-                attempt,
-                engine,
-                attained_tokens,
-                prompt_tokens,
-            } => {
+            PeerMessage::Enqueue { attempt, engine, attained_tokens, prompt_tokens } => {
                 let refused = |overloaded| {
                     Some(PeerMessage::Refused {
                         attempt: attempt.clone(),
@@ -201,8 +189,7 @@
 
 impl OwnedEngine {
     fn is_fresh(&self, now: Moment) -> bool {
-        self.answered
-            .is_some_and(|answered| now.since(answered) < PROBE_EXPIRY)
+        self.answered.is_some_and(|answered| now.since(answered) < PROBE_EXPIRY)
     }
 }
 
@@ -214,10 +201,7 @@
     outcome: &mut OwnerOutcome,
 ) {
     for entry in owned.queue.grant(now, slots) {
-        let message = PeerMessage::Granted {
-            attempt: entry.attempt,
-            engine: engine.clone(),
-        };
+        let message = PeerMessage::Granted { attempt: entry.attempt, engine: engine.clone() };
         outcome.messages.push((entry.holder, message));
     }
 }
--- a/crates/gateway/src/core/view.rs
+++ b/crates/gateway/src/core/view.rs
@@ -15,11 +15,8 @@
 };
 
 /// Limits of a tenant that no operator declared.
-pub const DEFAULT_TENANT: TenantSpec = TenantSpec {
-    default_program_tokens: 200_000,
-    max_program_tokens: 1_000_000,
-    max_calls: 1_000,
-};
+pub const DEFAULT_TENANT: TenantSpec =
+    TenantSpec { default_program_tokens: 200_000, max_program_tokens: 1_000_000, max_calls: 1_000 };
 
 /// What a gateway knows of the fleet.
 #[derive(Debug)]
@@ -94,10 +91,7 @@
             let by_name = nodes.into_iter().map(|info| (info.node.node.clone(), info));
             self.nodes = by_name.collect();
         }
-        let by_engine = reply
-            .loads
-            .into_iter()
-            .map(|load| (load.engine.clone(), load));
+        let by_engine = reply.loads.into_iter().map(|load| (load.engine.clone(), load));
         self.loads = by_engine.collect();
         self.in_force = self.in_force.max(reply.in_force);
         self.apply(reply.update);
@@ -111,16 +105,11 @@
         }
         match update.content {
             UpdateContent::Whole(resources) => {
-                let by_key = resources
-                    .into_iter()
-                    .map(|resource| (resource.key.clone(), resource));
+                let by_key = resources.into_iter().map(|resource| (resource.key.clone(), resource));
                 self.resources = by_key.collect();
             }
             UpdateContent::Changes(changes) => {
-                for change in changes
-                    .into_iter()
-                    .filter(|change| change.revision > self.applied)
-                {
+                for change in changes.into_iter().filter(|change| change.revision > self.applied) {
                     match change.after {
                         Some(resource) => self.resources.insert(change.key, resource),
                         None => self.resources.remove(&change.key),
@@ -135,9 +124,7 @@
         let Some(list) = list else {
             return;
         };
-        let leaving = list
-            .into_iter()
-            .filter(|machine| machine.state == MachineState::Leaving);
+        let leaving = list.into_iter().filter(|machine| machine.state == MachineState::Leaving);
         self.leaving = leaving.map(|machine| machine.name).collect();
     }
 
@@ -147,10 +134,7 @@
     }
 
     fn get(&self, kind: ResourceKind, name: &str) -> Option<&ResourceSpec> {
-        let key = ResourceKey {
-            kind,
-            name: name.to_owned(),
-        };
+        let key = ResourceKey { kind, name: name.to_owned() };
         self.resources.get(&key).map(|resource| &resource.spec)
     }
 
@@ -164,10 +148,7 @@
 
     /// The names of all models.
     pub fn models(&self) -> Vec<ModelId> {
-        let of_kind = self
-            .resources
-            .keys()
-            .filter(|key| key.kind == ResourceKind::Model);
+        let of_kind = self.resources.keys().filter(|key| key.kind == ResourceKind::Model);
         of_kind.map(|key| ModelId::new(&key.name)).collect()
     }
 
@@ -181,15 +162,10 @@
 
     /// The limits of all tenants that operators declared.
     pub fn tenants(&self) -> BTreeMap<TenantId, TenantSpec> {
-        let declared = self
-            .resources
-            .values()
-            .filter_map(|resource| match &resource.spec {
-                ResourceSpec::Tenant(spec) => {
-                    Some((TenantId::new(&resource.key.name), spec.clone()))
-                }
-                _ => None,
-            });
+        let declared = self.resources.values().filter_map(|resource| match &resource.spec {
+            ResourceSpec::Tenant(spec) => Some((TenantId::new(&resource.key.name), spec.clone())),
+            _ => None,
+        });
         declared.collect()
     }
 
@@ -203,23 +179,18 @@
 
     /// All engines.
     pub fn engines(&self) -> impl Iterator<Item = (EngineId, &EngineSpec)> {
-        self.resources
-            .values()
-            .filter_map(|resource| match &resource.spec {
-                ResourceSpec::Engine(spec) => Some((EngineId::new(&resource.key.name), spec)),
-                _ => None,
-            })
+        self.resources.values().filter_map(|resource| match &resource.spec {
+            ResourceSpec::Engine(spec) => Some((EngineId::new(&resource.key.name), spec)),
+            _ => None,
+        })
     }
 
     /// Replicas of a service that take new work.
     pub fn replicas(&self, service: &ServiceId) -> Vec<(String, ServiceSpec)> {
-        let replicas = self
-            .resources
-            .values()
-            .filter_map(|resource| match &resource.spec {
-                ResourceSpec::Service(spec) => Some((resource.key.name.clone(), spec.clone())),
-                _ => None,
-            });
+        let replicas = self.resources.values().filter_map(|resource| match &resource.spec {
+            ResourceSpec::Service(spec) => Some((resource.key.name.clone(), spec.clone())),
+            _ => None,
+        });
         let serves = |(name, spec): &(String, ServiceSpec)| {
             spec.service == service.as_str() && !spec.drain && !self.leaving.contains(name)
         };
@@ -236,12 +207,10 @@
 
     /// Whether any replica of `service` is declared.
     pub fn knows_service(&self, service: &ServiceId) -> bool {
-        self.resources
-            .values()
-            .any(|resource| match &resource.spec {
-                ResourceSpec::Service(spec) => spec.service == service.as_str(),
-                _ => false,
-            })
+        self.resources.values().any(|resource| match &resource.spec {
+            ResourceSpec::Service(spec) => spec.service == service.as_str(),
+            _ => false,
+        })
     }
 
     /// Whether operator and platform let `engine` take new work.
@@ -273,10 +242,7 @@
 
     /// Whether that start of that gateway certainly has no lease any more.
     pub fn is_certainly_gone(&self, now: Moment, node: &NodeRef) -> bool {
-        let is_listed = self
-            .nodes
-            .get(&node.node)
-            .is_some_and(|info| info.node == *node);
+        let is_listed = self.nodes.get(&node.node).is_some_and(|info| info.node == *node);
         self.has_lease(now) && self.nodes_complete && !is_listed
     }
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -124,9 +124,7 @@
         threads.push(spawn("core", move || duty.run(settings))?);
         if let Some(address) = config.platform {
             let (sender, stop) = (sender.clone(), stop.clone());
-            threads.push(spawn("platform", move || {
-                watch_platform(address, &sender, &stop)
-            })?);
+            threads.push(spawn("platform", move || watch_platform(address, &sender, &stop))?);
         }
         let front = Front {
             core: sender.clone(),
@@ -136,15 +134,7 @@
             stopping,
         };
         let http = HttpServer::start_on(http, config.http, Arc::new(front))?;
-        Ok(Self {
-            http,
-            peer_address,
-            core: sender,
-            stop,
-            stopped,
-            threads,
-            _peers: peer_server,
-        })
+        Ok(Self { http, peer_address, core: sender, stop, stopped, threads, _peers: peer_server })
     }
 
     /// Address for callers.
@@ -171,11 +161,7 @@
     pub fn stop_gracefully(mut self, patience: Duration) -> bool {
         self.begin_stop();
         let complete = self.wait_stopped(patience);
-        let event = if complete {
-            Event::StopFinished
-        } else {
-            Event::StopForced
-        };
+        let event = if complete { Event::StopFinished } else { Event::StopForced };
         emit!(event, "gateway");
         // Workers still write the last bytes of answers that are complete.
         self.http.stop();
@@ -198,10 +184,8 @@
 
 fn peer_handler(core: Sender<CoreInput>) -> impl Fn(PeerFrame, &Replier<PeerFrame>) + Send + Sync {
     move |frame, _| {
-        let _ = core.try_send(CoreInput::Input(Input::Peer {
-            from: frame.from,
-            message: frame.message,
-        }));
+        let _ = core
+            .try_send(CoreInput::Input(Input::Peer { from: frame.from, message: frame.message }));
     }
 }
 
@@ -244,13 +228,7 @@
     core: &Sender<CoreInput>,
     stop: &Arc<AtomicBool>,
 ) -> std::io::Result<Crew> {
-    start_crew(
-        "attempt",
-        config.attempt_threads,
-        config.attempt_threads,
-        core,
-        stop,
-    )
+    start_crew("attempt", config.attempt_threads, config.attempt_threads, core, stop)
 }
 
 fn start_control_threads(
@@ -344,21 +322,13 @@
 
     fn perform(&mut self, action: Action, stall_timeout: Duration) {
         match action {
-            Action::ToStore {
-                machine,
-                id,
-                request,
-            } => {
+            Action::ToStore { machine, id, request } => {
                 if let Some(link) = self.stores.get(&machine) {
                     let request = *request;
                     link.send(StoreFrame::Request { id, request });
                 }
             }
-            Action::ToPeer {
-                to,
-                address,
-                message,
-            } => self.send_to_peer(to, address, message),
+            Action::ToPeer { to, address, message } => self.send_to_peer(to, address, message),
             Action::ToCaller(ticket, event) => {
                 self.callers.deliver(ticket, event);
             }
@@ -377,11 +347,7 @@
             Action::CancelOnEngine { attempt, address } => {
                 self.control(move |_| engine::cancel(address, &attempt));
             }
-            Action::ReleaseCache {
-                engine,
-                address,
-                program,
-            } => self.control(move |core| {
+            Action::ReleaseCache { engine, address, program } => self.control(move |core| {
                 let confirmed = engine::release(address, &program);
                 let _ = core.send(CoreInput::Input(Input::CacheReleased {
                     engine,
@@ -419,9 +385,7 @@
         });
         if self.attempts.try_send(job).is_err() {
             let event = BackendEvent::Failed(BackendFailure::NotStarted);
-            let _ = self
-                .core
-                .try_send(CoreInput::Input(Input::Backend(name, event)));
+            let _ = self.core.try_send(CoreInput::Input(Input::Backend(name, event)));
         }
     }
 
@@ -431,10 +395,7 @@
     }
 
     fn send_to_peer(&mut self, to: NodeId, address: SocketAddr, message: PeerMessage) {
-        let has_link = self
-            .peers
-            .get(&to)
-            .is_some_and(|(known, _)| *known == address);
+        let has_link = self.peers.get(&to).is_some_and(|(known, _)| *known == address);
         if !has_link {
             match Link::open(address, |_: PeerFrame| {}) {
                 Ok(link) => {
@@ -444,10 +405,7 @@
             }
         }
         if let Some((_, link)) = self.peers.get(&to) {
-            link.send(PeerFrame {
-                from: self.own.clone(),
-                message,
-            });
+            link.send(PeerFrame { from: self.own.clone(), message });
         }
     }
 }
--- a/crates/gateway/src/front/callers.rs
+++ b/crates/gateway/src/front/callers.rs
@@ -27,19 +27,13 @@
         let ticket = self.next.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, receiver) = bounded(RING);
         self.rings.lock().insert(ticket, sender);
-        CallerRing {
-            ticket,
-            receiver,
-            callers: self.clone(),
-        }
+        CallerRing { ticket, receiver, callers: self.clone() }
     }
 
     /// Hands an event to its worker; `false` when nobody takes it.
     pub fn deliver(&self, ticket: Ticket, event: CallerEvent) -> bool {
         let rings = self.rings.lock();
-        rings
-            .get(&ticket)
-            .is_some_and(|ring| ring.try_send(event).is_ok())
+        rings.get(&ticket).is_some_and(|ring| ring.try_send(event).is_ok())
     }
 }
 
--- a/crates/gateway/src/front/chat.rs
+++ b/crates/gateway/src/front/chat.rs
@@ -40,9 +40,7 @@
     pub(super) fn stored_answer(&self, exchange: Exchange, program: &str, sequence: &str) {
         let mut found = Vec::new();
         let tenant = tenant(&exchange, &mut found);
-        let offset = exchange
-            .query("offset")
-            .map_or(Some(0), |text| text.parse().ok());
+        let offset = exchange.query("offset").map_or(Some(0), |text| text.parse().ok());
         let (Some(program), Ok(sequence), Some(offset)) =
             (ProgramId::parse(program), sequence.parse(), offset)
         else {
@@ -100,13 +98,9 @@
         let id = answer_id(attempt);
         loop {
             let sent = match self.next_event(ring) {
-                Some(CallerEvent::Text(text)) => events.send(&ChatChunk::new(
-                    &id,
-                    created(),
-                    &style.model,
-                    Some(text),
-                    None,
-                )),
+                Some(CallerEvent::Text(text)) => {
+                    events.send(&ChatChunk::new(&id, created(), &style.model, Some(text), None))
+                }
                 Some(CallerEvent::Finished(finish)) => {
                     let _ = send_end(&mut events, &id, style, &finish);
                     return;
@@ -173,19 +167,11 @@
     let model = ModelId::parse(&body.model);
     if model.is_none() {
         let problem = format!("{:?} is not a name", body.model);
-        found.push(calicohoist_types::Finding::of_field(
-            "model",
-            problem,
-            "a model of /v1/models",
-        ));
+        found.push(calicohoist_types::Finding::of_field("model", problem, "a model of /v1/models"));
     }
     if body.token_limit() == Some(0) {
         let field = "max_completion_tokens";
-        found.push(calicohoist_types::Finding::of_field(
-            field,
-            "is 0",
-            "1 or more",
-        ));
+        found.push(calicohoist_types::Finding::of_field(field, "is 0", "1 or more"));
     }
     let Some(model) = model.filter(|_| found.is_empty()) else {
         return Err(ApiError::invalid(found));
@@ -193,9 +179,7 @@
     let style = Style {
         model: body.model.clone(),
         streamed: body.stream,
-        with_usage: body
-            .stream_options
-            .is_some_and(|options| options.include_usage),
+        with_usage: body.stream_options.is_some_and(|options| options.include_usage),
     };
     let request = CallRequest {
         tenant: headers.tenant,
@@ -203,11 +187,7 @@
         sequence: headers.sequence,
         key: headers.key,
         repeatable: headers.repeatable.unwrap_or(true),
-        work: Work::Model {
-            model,
-            messages,
-            max_tokens: body.token_limit(),
-        },
+        work: Work::Model { model, messages, max_tokens: body.token_limit() },
     };
     Ok((request, style))
 }
@@ -226,10 +206,7 @@
 }
 
 fn created() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_secs()
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
 }
 
 fn send_end(
--- a/crates/gateway/src/front/errors.rs
+++ b/crates/gateway/src/front/errors.rs
@@ -50,10 +50,7 @@
     /// Requests with everything that is wrong with them.
     pub fn invalid(findings: Vec<Finding>) -> Self {
         let lines: Vec<String> = findings.iter().map(Finding::to_string).collect();
-        Self {
-            findings,
-            ..Self::new(400, INVALID_REQUEST, "invalid_request", lines.join("; "))
-        }
+        Self { findings, ..Self::new(400, INVALID_REQUEST, "invalid_request", lines.join("; ")) }
     }
 
     /// One field that is wrong.
@@ -70,23 +67,14 @@
     /// Something that was asked for by name does not exist.
     pub fn missing(what: &str, name: &str) -> Self {
         let code = format!("unknown_{what}");
-        Self::new(
-            404,
-            INVALID_REQUEST,
-            &code,
-            format!("there is no {what} {name:?}"),
-        )
+        Self::new(404, INVALID_REQUEST, &code, format!("there is no {what} {name:?}"))
     }
 
     /// No worker is free.
     pub fn busy(has_key: bool) -> Self {
         // Nothing durable says that a request with the caller's own key did not
         // run before this one.
-        let outcome = if has_key {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
+        let outcome = if has_key { Outcome::Unknown } else { Outcome::NotRun };
         Self {
             outcome: Some(outcome),
             retry_after: Some(RETRY_AFTER_SECONDS),
@@ -98,12 +86,7 @@
     pub fn shutting_down() -> Self {
         Self {
             retry_after: Some(RETRY_AFTER_SECONDS),
-            ..Self::new(
-                503,
-                UNAVAILABLE,
-                "shutting_down",
-                "this gateway is stopping",
-            )
+            ..Self::new(503, UNAVAILABLE, "shutting_down", "this gateway is stopping")
         }
     }
 
@@ -112,12 +95,7 @@
         Self {
             outcome: Some(Outcome::Unknown),
             retry_after: Some(RETRY_AFTER_SECONDS),
-            ..Self::new(
-                503,
-                UNAVAILABLE,
-                "store_unavailable",
-                "the store did not answer in time",
-            )
+            ..Self::new(503, UNAVAILABLE, "store_unavailable", "the store did not answer in time")
         }
     }
 
@@ -125,12 +103,7 @@
     pub fn version_conflict(current: serde_json::Value) -> Self {
         Self {
             extra: Some(Box::new(current)),
-            ..Self::new(
-                409,
-                CONFLICT,
-                "version_conflict",
-                "the resource has another version",
-            )
+            ..Self::new(409, CONFLICT, "version_conflict", "the resource has another version")
         }
     }
 
@@ -147,12 +120,9 @@
             ProgramError::TooDeep => {
                 Self::new(422, LIMIT, "too_deep", "sub-agents are nested too deeply")
             }
-            ProgramError::TooManyChildren => Self::new(
-                422,
-                LIMIT,
-                "too_many_agents",
-                "the program has too many sub-agents",
-            ),
+            ProgramError::TooManyChildren => {
+                Self::new(422, LIMIT, "too_many_agents", "the program has too many sub-agents")
+            }
             ProgramError::PromptTooLong(_) => prompt_too_long(),
             ProgramError::KeyMismatch => key_mismatch(),
             ProgramError::Stale | ProgramError::NotRepeatable => Self::store_unavailable(),
@@ -165,12 +135,9 @@
             FailureCause::NotRun(reason) => not_run(*reason),
             FailureCause::UnknownModel(model) => Self::missing("model", model.as_str()),
             FailureCause::UnknownService(service) => Self::missing("service", service.as_str()),
-            FailureCause::UnknownProgram => Self::new(
-                404,
-                INVALID_REQUEST,
-                "unknown_program",
-                "there is no such program",
-            ),
+            FailureCause::UnknownProgram => {
+                Self::new(404, INVALID_REQUEST, "unknown_program", "there is no such program")
+            }
             FailureCause::KeyMismatch => key_mismatch(),
             FailureCause::ProgramOver => program_over(),
             FailureCause::PromptTooLong => prompt_too_long(),
@@ -199,10 +166,7 @@
 
     /// The JSON body.
     pub fn body(&self) -> ErrorBody {
-        let param = self
-            .findings
-            .first()
-            .map(|finding| finding.place.field.clone());
+        let param = self.findings.first().map(|finding| finding.place.field.clone());
         ErrorBody {
             error: ErrorDetail {
                 message: self.message.clone(),
@@ -239,12 +203,7 @@
             BodyError::Incomplete { .. } => 408,
             BodyError::Malformed(_) => 400,
         };
-        Self::new(
-            status,
-            INVALID_REQUEST,
-            "unreadable_body",
-            error.to_string(),
-        )
+        Self::new(status, INVALID_REQUEST, "unreadable_body", error.to_string())
     }
 }
 
@@ -254,12 +213,7 @@
 }
 
 fn program_over() -> ApiError {
-    ApiError::new(
-        409,
-        CONFLICT,
-        "program_over",
-        "the program has ended or was cancelled",
-    )
+    ApiError::new(409, CONFLICT, "program_over", "the program has ended or was cancelled")
 }
 
 fn prompt_too_long() -> ApiError {
@@ -279,10 +233,7 @@
         | NotRunReason::RefusedByBackend
         | NotRunReason::ShuttingDown => (503, UNAVAILABLE),
     };
-    let message = format!(
-        "the request was not run: {}",
-        reason.as_str().replace('_', " ")
-    );
+    let message = format!("the request was not run: {}", reason.as_str().replace('_', " "));
     ApiError {
         retry_after: reason.is_transient().then_some(RETRY_AFTER_SECONDS),
         ..ApiError::new(status, kind, reason.as_str(), message)
--- a/crates/gateway/src/front/headers.rs
+++ b/crates/gateway/src/front/headers.rs
@@ -30,66 +30,32 @@
 impl CallHeaders {
     /// Reads all fields; every wrong one is put into `found`.
     pub fn read(exchange: &Exchange, found: &mut Vec<Finding>) -> Self {
-        let sequence = parse(
-            exchange,
-            HEADER_SEQUENCE,
-            found,
-            "1 to 1000000",
-            parse_sequence,
-        );
-        let program = parse(
-            exchange,
-            HEADER_PROGRAM,
-            found,
-            ACCEPTED_NAME,
-            ProgramId::parse,
-        );
+        let sequence = parse(exchange, HEADER_SEQUENCE, found, "1 to 1000000", parse_sequence);
+        let program = parse(exchange, HEADER_PROGRAM, found, ACCEPTED_NAME, ProgramId::parse);
         if sequence.is_some() && program.is_none() && exchange.header(HEADER_PROGRAM).is_none() {
             let problem = "is given without a program";
-            found.push(Finding::of_field(
-                HEADER_SEQUENCE,
-                problem,
-                "a calicohoist-program, too",
-            ));
+            found.push(Finding::of_field(HEADER_SEQUENCE, problem, "a calicohoist-program, too"));
         }
         Self {
             tenant: tenant(exchange, found),
             program,
             sequence,
-            key: parse(
-                exchange,
-                HEADER_KEY,
-                found,
-                ACCEPTED_NAME,
-                IdempotencyKey::parse,
-            ),
-            repeatable: parse(
-                exchange,
-                HEADER_REPEATABLE,
-                found,
-                "true or false",
-                |text| text.parse().ok(),
-            ),
+            key: parse(exchange, HEADER_KEY, found, ACCEPTED_NAME, IdempotencyKey::parse),
+            repeatable: parse(exchange, HEADER_REPEATABLE, found, "true or false", |text| {
+                text.parse().ok()
+            }),
         }
     }
 }
 
 /// The caller's tenant.
 pub fn tenant(exchange: &Exchange, found: &mut Vec<Finding>) -> TenantId {
-    let given = parse(
-        exchange,
-        HEADER_TENANT,
-        found,
-        ACCEPTED_NAME,
-        TenantId::parse,
-    );
+    let given = parse(exchange, HEADER_TENANT, found, ACCEPTED_NAME, TenantId::parse);
     given.unwrap_or_else(|| TenantId::new(DEFAULT_TENANT_NAME))
 }
 
 fn parse_sequence(text: &str) -> Option<u64> {
-    text.parse()
-        .ok()
-        .filter(|sequence| (1..=MAX_SEQUENCE).contains(sequence))
+    text.parse().ok().filter(|sequence| (1..=MAX_SEQUENCE).contains(sequence))
 }
 
 fn parse<T>(
@@ -103,11 +69,7 @@
     let parsed = parse(text);
     if parsed.is_none() {
         let shown: String = text.chars().take(40).collect();
-        found.push(Finding::of_field(
-            name,
-            format!("{shown:?} is not accepted"),
-            accepted,
-        ));
+        found.push(Finding::of_field(name, format!("{shown:?} is not accepted"), accepted));
     }
     parsed
 }
--- a/crates/gateway/src/front/mod.rs
+++ b/crates/gateway/src/front/mod.rs
@@ -138,11 +138,7 @@
 impl Reply {
     /// Status 200 with `body`.
     pub fn ok(body: serde_json::Value) -> Self {
-        Self {
-            status: 200,
-            headers: Vec::new(),
-            body,
-        }
+        Self { status: 200, headers: Vec::new(), body }
     }
 }
 
@@ -153,9 +149,7 @@
 
     fn refuse_busy(&self, exchange: Exchange) {
         emit!(Event::RequestRefused, "busy: {}", exchange.path());
-        let has_key = exchange
-            .header(calicohoist_types::openai::HEADER_KEY)
-            .is_some();
+        let has_key = exchange.header(calicohoist_types::openai::HEADER_KEY).is_some();
         ApiError::busy(has_key).reply(exchange);
     }
 }
--- a/crates/gateway/src/front/programs.rs
+++ b/crates/gateway/src/front/programs.rs
@@ -53,11 +53,9 @@
         let name = new.id.to_string();
         let program = new.parent.clone().unwrap_or_else(|| new.id.clone());
         match self.program_command(&program, ProgramCommand::Create(new))? {
-            ProgramOutput::Created(id) => Ok(Reply {
-                status: 201,
-                headers: Vec::new(),
-                body: json!({ "id": id }),
-            }),
+            ProgramOutput::Created(id) => {
+                Ok(Reply { status: 201, headers: Vec::new(), body: json!({ "id": id }) })
+            }
             ProgramOutput::Refused(error) => Err(ApiError::of_program(&error, &name)),
             _ => Err(ApiError::store_unavailable()),
         }
@@ -82,11 +80,7 @@
         let id = body.id.clone().unwrap_or_else(|| format!("p-{random}"));
         if !is_root_name(&id) {
             let accepted = "1 to 128 letters, digits, '-', '_' or ':'";
-            found.push(Finding::of_field(
-                "id",
-                format!("{id:?} is not a name"),
-                accepted,
-            ));
+            found.push(Finding::of_field("id", format!("{id:?} is not a name"), accepted));
         }
         NewProgram {
             id: ProgramId::new(id),
@@ -101,10 +95,7 @@
 
     pub(super) fn get_program(&self, exchange: &Exchange, id: &str) -> Result<Reply, ApiError> {
         let (program, tenant) = read_path(exchange, id)?;
-        let query = ProgramQuery::Get {
-            program: program.clone(),
-            tenant,
-        };
+        let query = ProgramQuery::Get { program: program.clone(), tenant };
         match self.program_query(&program, query)? {
             ProgramAnswer::Program(view) => {
                 Ok(Reply::ok(serde_json::to_value(view).unwrap_or_default()))
@@ -115,10 +106,7 @@
 
     pub(super) fn get_history(&self, exchange: &Exchange, id: &str) -> Result<Reply, ApiError> {
         let (program, tenant) = read_path(exchange, id)?;
-        let query = ProgramQuery::History {
-            program: program.clone(),
-            tenant,
-        };
+        let query = ProgramQuery::History { program: program.clone(), tenant };
         match self.program_query(&program, query)? {
             ProgramAnswer::History(messages) => Ok(Reply::ok(json!({ "messages": messages }))),
             _ => Err(ApiError::missing("program", id)),
@@ -127,10 +115,7 @@
 
     pub(super) fn end_program(&self, exchange: &Exchange, id: &str) -> Result<Reply, ApiError> {
         let (program, tenant) = read_path(exchange, id)?;
-        let command = ProgramCommand::End {
-            program: program.clone(),
-            tenant,
-        };
+        let command = ProgramCommand::End { program: program.clone(), tenant };
         match self.program_command(&program, command)? {
             ProgramOutput::Done => Ok(Reply::ok(json!({ "id": id, "state": "ended" }))),
             ProgramOutput::Refused(error) => Err(ApiError::of_program(&error, id)),
@@ -140,10 +125,7 @@
 
     pub(super) fn cancel_program(&self, exchange: &Exchange, id: &str) -> Result<Reply, ApiError> {
         let (program, tenant) = read_path(exchange, id)?;
-        let command = ProgramCommand::Cancel {
-            program: program.clone(),
-            tenant,
-        };
+        let command = ProgramCommand::Cancel { program: program.clone(), tenant };
         match self.program_command(&program, command)? {
             ProgramOutput::Cancelled(running) => {
                 let body = json!({ "id": id, "state": "cancelled", "calls_cut": running.len() });
--- a/crates/gateway/src/front/resources.rs
+++ b/crates/gateway/src/front/resources.rs
@@ -43,17 +43,11 @@
             limit: number(exchange, "limit")?.unwrap_or(DEFAULT_PAGE),
         };
         match self.resource_query(query)? {
-            ResourceAnswer::Page {
-                resources,
-                has_more,
-                revision,
-            } => {
+            ResourceAnswer::Page { resources, has_more, revision } => {
                 let items: Vec<Value> = resources.iter().map(resource_json).collect();
                 let next = resources.last().filter(|_| has_more);
                 let next = next.map(|resource| resource.key.name.clone());
-                Ok(Reply::ok(
-                    json!({ "items": items, "next": next, "revision": revision }),
-                ))
+                Ok(Reply::ok(json!({ "items": items, "next": next, "revision": revision })))
             }
             _ => Err(ApiError::store_unavailable()),
         }
@@ -108,18 +102,11 @@
         let spec = read_spec(command.key.kind, body)?;
         let found = spec.validate();
         if !found.is_empty() {
-            emit!(
-                Event::ChangeRefused,
-                "{}: {} findings",
-                command.key,
-                found.len()
-            );
+            emit!(Event::ChangeRefused, "{}: {} findings", command.key, found.len());
             return Err(ApiError::invalid(found));
         }
         if exchange.query("dry_run") == Some("true") {
-            return Ok(Reply::ok(
-                json!({ "kind": kind, "name": name, "dry_run": true }),
-            ));
+            return Ok(Reply::ok(json!({ "kind": kind, "name": name, "dry_run": true })));
         }
         command.spec = Some(spec);
         self.change(command)
@@ -144,18 +131,11 @@
         };
         match output {
             ResourceOutput::Stored(resource) => {
-                emit!(
-                    Event::ChangeAccepted,
-                    "{key} at revision {}",
-                    resource.version
-                );
+                emit!(Event::ChangeAccepted, "{key} at revision {}", resource.version);
                 Ok(Reply::ok(resource_json(&resource)))
             }
             ResourceOutput::Deleted(revision) => {
-                emit!(
-                    Event::ChangeAccepted,
-                    "{key} deleted at revision {revision}"
-                );
+                emit!(Event::ChangeAccepted, "{key} deleted at revision {revision}");
                 Ok(Reply::ok(json!({ "deleted": true, "revision": revision })))
             }
             ResourceOutput::Conflict(current) => {
@@ -242,25 +222,16 @@
     let kind = read_kind(kind)?;
     if !is_valid_name(name) {
         let accepted = "1 to 128 letters, digits, '-', '_', '.' or ':'";
-        return Err(ApiError::invalid_field(
-            "name",
-            format!("{name:?} is not a name"),
-            accepted,
-        ));
+        return Err(ApiError::invalid_field("name", format!("{name:?} is not a name"), accepted));
     }
-    Ok(ResourceKey {
-        kind,
-        name: name.to_owned(),
-    })
+    Ok(ResourceKey { kind, name: name.to_owned() })
 }
 
 fn read_command(exchange: &Exchange, key: ResourceKey) -> Result<ResourceCommand, ApiError> {
     let mut found = Vec::new();
     let expected = number(exchange, "version")?.map(|version| Revision(version as u64));
     let random = || format!("auto-{:016x}", rand::rng().random::<u64>());
-    let request = exchange
-        .header(HEADER_REQUEST)
-        .map_or_else(random, str::to_owned);
+    let request = exchange.header(HEADER_REQUEST).map_or_else(random, str::to_owned);
     if !is_valid_name(&request) {
         found.push(Finding::of_field(
             HEADER_REQUEST,
@@ -268,20 +239,11 @@
             "1 to 128 letters or digits",
         ));
     }
-    let actor = exchange
-        .header(HEADER_ACTOR)
-        .unwrap_or("operator")
-        .to_owned();
+    let actor = exchange.header(HEADER_ACTOR).unwrap_or("operator").to_owned();
     if !found.is_empty() {
         return Err(ApiError::invalid(found));
     }
-    Ok(ResourceCommand {
-        key,
-        spec: None,
-        expected,
-        request: RequestId::new(request),
-        actor,
-    })
+    Ok(ResourceCommand { key, spec: None, expected, request: RequestId::new(request), actor })
 }
 
 fn number(exchange: &Exchange, name: &str) -> Result<Option<usize>, ApiError> {
--- a/crates/gateway/src/front/services.rs
+++ b/crates/gateway/src/front/services.rs
@@ -45,10 +45,7 @@
                 Some(CallerEvent::Finished(finish)) => {
                     let mut headers = call_headers(&finish.attempt);
                     headers.push((HEADER_OUTCOME, Outcome::Completed.as_str().to_owned()));
-                    let reply = ServiceReply {
-                        output,
-                        replica: finish.backend,
-                    };
+                    let reply = ServiceReply { output, replica: finish.backend };
                     return exchange.reply_json(200, &headers, &reply);
                 }
                 Some(CallerEvent::Failed(failure)) => {
@@ -67,11 +64,7 @@
     let body: ServiceRequest = exchange.read_json()?;
     let parsed = ServiceId::parse(service);
     if parsed.is_none() {
-        found.push(Finding::of_field(
-            "service",
-            "is not a name",
-            "a declared service",
-        ));
+        found.push(Finding::of_field("service", "is not a name", "a declared service"));
     }
     let Some(service) = parsed.filter(|_| found.is_empty()) else {
         return Err(ApiError::invalid(found));
@@ -83,9 +76,6 @@
         key: headers.key,
         // Whoever says nothing gets the careful treatment.
         repeatable: headers.repeatable.unwrap_or(false),
-        work: Work::Service {
-            service,
-            input: body.input,
-        },
+        work: Work::Service { service, input: body.input },
     })
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -49,10 +49,6 @@
     /// A tenant's limits.
     pub fn tenant(&self, tenant: &TenantId) -> TenantSpec {
         let shared = self.shared.read();
-        shared
-            .tenants
-            .get(tenant)
-            .cloned()
-            .unwrap_or(DEFAULT_TENANT)
+        shared.tenants.get(tenant).cloned().unwrap_or(DEFAULT_TENANT)
     }
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -155,8 +155,7 @@
         path: &str,
         body: &B,
     ) -> Result<attohttpc::Response, ClientError> {
-        self.exchange_json(method, path, body)
-            .and_then(accept_status)
+        self.exchange_json(method, path, body).and_then(accept_status)
     }
 
     fn send_empty(&self, method: Method, path: &str) -> Result<attohttpc::Response, ClientError> {
@@ -189,9 +188,7 @@
     use std::io::Read;
     let mut body = Vec::new();
     let mut reader = response.split().2.take(MAX_REPLY_BYTES);
-    reader
-        .read_to_end(&mut body)
-        .map_err(|error| ClientError::Broken(error.to_string()))?;
+    reader.read_to_end(&mut body).map_err(|error| ClientError::Broken(error.to_string()))?;
     serde_json::from_slice(&body).map_err(|error| ClientError::Malformed(error.to_string()))
 }
 
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -29,19 +29,12 @@
         chunked: bool,
         headers: &[HeaderPair],
     ) -> io::Result<Self> {
-        write!(
-            writer,
-            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
-        )?;
+        write!(writer, "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n")?;
         write!(writer, "cache-control: no-store\r\n")?;
         for (name, value) in headers {
             write!(writer, "{name}: {value}\r\n")?;
         }
-        let framing = if chunked {
-            "transfer-encoding: chunked"
-        } else {
-            "connection: close"
-        };
+        let framing = if chunked { "transfer-encoding: chunked" } else { "connection: close" };
         write!(writer, "{framing}\r\n\r\n")?;
         writer.flush()?;
         let output = if chunked {
@@ -88,9 +81,7 @@
 impl<R: Read> EventReader<R> {
     /// Reads from `input`.
     pub fn new(input: R) -> Self {
-        Self {
-            input: BufReader::new(input),
-        }
+        Self { input: BufReader::new(input) }
     }
 
     /// The next data field; `None` at the end of the stream.
@@ -100,9 +91,7 @@
     pub fn next_data(&mut self) -> io::Result<Option<String>> {
         loop {
             let mut line = String::new();
-            let read = (&mut self.input)
-                .take(MAX_LINE_BYTES)
-                .read_line(&mut line)?;
+            let read = (&mut self.input).take(MAX_LINE_BYTES).read_line(&mut line)?;
             if read == 0 {
                 return Ok(None);
             }
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -20,10 +20,7 @@
 
 impl From<&ServerSettings> for BodyLimits {
     fn from(settings: &ServerSettings) -> Self {
-        Self {
-            max_bytes: settings.max_body_bytes,
-            timeout: settings.body_timeout,
-        }
+        Self { max_bytes: settings.max_body_bytes, timeout: settings.body_timeout }
     }
 }
 
@@ -63,13 +60,7 @@
     pub(crate) fn new(request: Request, limits: BodyLimits, watch: SlowPeerWatch) -> Self {
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        Self {
-            path: path.to_owned(),
-            query: query.to_owned(),
-            request,
-            limits,
-            watch,
-        }
+        Self { path: path.to_owned(), query: query.to_owned(), request, limits, watch }
     }
 
     /// The method, in capitals.
@@ -90,10 +81,7 @@
 
     /// The value of `name` in the query.
     pub fn query(&self, name: &str) -> Option<&str> {
-        let pairs = self
-            .query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='));
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
         let mut matching = pairs.filter(|(key, _)| *key == name);
         matching.next().map(|(_, value)| value)
     }
@@ -113,11 +101,7 @@
     /// See [`BodyError`].
     pub fn read_body(&mut self) -> Result<Vec<u8>, BodyError> {
         let limit = self.limits.max_bytes;
-        if self
-            .request
-            .body_length()
-            .is_some_and(|length| length > limit)
-        {
+        if self.request.body_length().is_some_and(|length| length > limit) {
             return Err(BodyError::TooLarge { limit });
         }
         let timeout = self.limits.timeout;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -96,12 +96,7 @@
         let (sender, receiver) = bounded(settings.queue);
         let mut threads = vec![watchdog];
         for index in 0..settings.workers {
-            threads.push(spawn_worker(
-                index,
-                receiver.clone(),
-                handler.clone(),
-                &stop,
-            )?);
+            threads.push(spawn_worker(index, receiver.clone(), handler.clone(), &stop)?);
         }
         let acceptor = Acceptor {
             server,
@@ -113,11 +108,7 @@
         };
         threads.push(spawn_named("http-accept", move || acceptor.run())?);
         threads.push(spawn_listener_wake(address, stop.clone())?);
-        Ok(Self {
-            address,
-            stop,
-            threads,
-        })
+        Ok(Self { address, stop, threads })
     }
 
     /// The bound address.
--- a/crates/http/src/slow_peer.rs
+++ b/crates/http/src/slow_peer.rs
@@ -30,19 +30,13 @@
     /// Watches `peer` until the guard is dropped.
     pub(crate) fn guard(&self, peer: SocketAddr, timeout: Duration) -> WatchGuard {
         self.deadlines.lock().insert(peer, Instant::now() + timeout);
-        WatchGuard {
-            watch: self.clone(),
-            peer,
-        }
+        WatchGuard { watch: self.clone(), peer }
     }
 
     fn take_overdue(&self, now: Instant) -> Vec<SocketAddr> {
         let mut deadlines = self.deadlines.lock();
         let is_overdue = |_: &SocketAddr, deadline: &mut Instant| *deadline <= now;
-        deadlines
-            .extract_if(is_overdue)
-            .map(|(peer, _)| peer)
-            .collect()
+        deadlines.extract_if(is_overdue).map(|(peer, _)| peer).collect()
     }
 }
 
@@ -65,9 +59,8 @@
     pub(crate) fn start(stop: Arc<AtomicBool>) -> io::Result<(SlowPeerWatch, JoinHandle<()>)> {
         let watch = SlowPeerWatch::default();
         let watched = watch.clone();
-        let thread = std::thread::Builder::new()
-            .name("http-watchdog".to_owned())
-            .spawn(move || {
+        let thread =
+            std::thread::Builder::new().name("http-watchdog".to_owned()).spawn(move || {
                 while !stop.load(Ordering::SeqCst) {
                     std::thread::sleep(CHECK_INTERVAL);
                     for peer in watched.take_overdue(Instant::now()) {
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -4,6 +4,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use attohttpc::{Method, Response};
@@ -36,6 +37,8 @@
     pub model: String,
     /// The service they use.
     pub service: String,
+    /// Tries under way at each gateway.
+    pub under_way: Vec<AtomicUsize>,
     /// Every try.
     pub tries: Mutex<Vec<CallTry>>,
 }
@@ -174,6 +177,8 @@
         hang_up: bool,
     ) -> TryEnd {
         let sent = self.clock.now();
+        let under_way = &self.context.under_way[gateway % self.context.gateways.len()];
+        under_way.fetch_add(1, Ordering::SeqCst);
         std::thread::sleep(self.context.delay);
         let sender = self
             .client(gateway)
@@ -189,14 +194,13 @@
                 self.read_answer(response, gateway, sequence, hang_up)
             }
             Asked::Service { service, input } => {
-                let request = ServiceRequest {
-                    input: input.clone(),
-                };
+                let request = ServiceRequest { input: input.clone() };
                 let path = format!("/v1/services/{service}");
                 read_service(sender.exchange_json(Method::POST, &path, &request))
             }
         };
         std::thread::sleep(self.context.delay);
+        under_way.fetch_sub(1, Ordering::SeqCst);
         self.context.tries.lock().push(CallTry {
             program: self.program.clone(),
             sequence,
@@ -250,9 +254,7 @@
     pub fn end(&mut self) -> bool {
         (0..MAX_TRIES).any(|_| {
             let path = format!("/v1/programs/{}/end", self.program);
-            let ended = self
-                .client(self.gateway)
-                .post::<_, serde_json::Value>(&path, &());
+            let ended = self.client(self.gateway).post::<_, serde_json::Value>(&path, &());
             if ended.is_err() {
                 self.gateway += 1;
                 std::thread::sleep(RETRY_PAUSE);
@@ -265,12 +267,7 @@
     pub fn start_agent(&mut self, key: &str) -> Option<Self> {
         let path = format!("/v1/programs/{}/agents", self.program);
         let id = self.create(&path, key, &serde_json::json!({}))?;
-        Some(Self::new(
-            self.context.clone(),
-            &id,
-            &self.tenant,
-            self.gateway,
-        ))
+        Some(Self::new(self.context.clone(), &id, &self.tenant, self.gateway))
     }
 
     /// Creates the caller's own program.
@@ -315,11 +312,7 @@
         };
         if data == STREAM_DONE {
             let finish_reason = finish_reason.unwrap_or_default();
-            return TryEnd::Answered {
-                text: std::mem::take(text),
-                finish_reason,
-                usage,
-            };
+            return TryEnd::Answered { text: std::mem::take(text), finish_reason, usage };
         }
         if let Ok(error) = serde_json::from_str::<ErrorBody>(&data) {
             return refused(&error);
@@ -370,18 +363,11 @@
         Some("not_run") => Outcome::NotRun,
         _ => Outcome::Unknown,
     };
-    TryEnd::Refused {
-        outcome,
-        code: error.error.code.clone().unwrap_or_default(),
-    }
+    TryEnd::Refused { outcome, code: error.error.code.clone().unwrap_or_default() }
 }
 
 fn transport_end(error: &ClientError) -> TryEnd {
-    if error.never_sent() {
-        TryEnd::NotConnected
-    } else {
-        TryEnd::Cut
-    }
+    if error.never_sent() { TryEnd::NotConnected } else { TryEnd::Cut }
 }
 
 fn is_worth_another_try(code: &str) -> bool {
--- a/crates/lab/src/check/calls.rs
+++ b/crates/lab/src/check/calls.rs
@@ -51,9 +51,7 @@
                 (Some(end), Some(start)) => end <= start,
                 _ => false,
             };
-            verdict.look(holds, || {
-                format!("{place:?} began before {before:?} had ended")
-            });
+            verdict.look(holds, || format!("{place:?} began before {before:?} had ended"));
         }
         previous = Some((place, execution));
     }
@@ -74,10 +72,7 @@
         let expected = transcripts.prompt(call.program.as_str(), call.sequence);
         let holds = expected.as_ref() == Some(&record.prompt);
         verdict.look(holds, || {
-            format!(
-                "{} ran with another history than its caller's",
-                record.attempt
-            )
+            format!("{} ran with another history than its caller's", record.attempt)
         });
     }
     verdict
@@ -90,26 +85,16 @@
         .map(|program| (program.id.as_str(), program.root.as_str()))
         .collect();
     let mut spent: BTreeMap<&str, u64> = BTreeMap::new();
-    for record in history
-        .engine_records
-        .iter()
-        .filter(|record| record.finished.is_some())
-    {
+    for record in history.engine_records.iter().filter(|record| record.finished.is_some()) {
         if let Some(root) = roots.get(record.program.as_str()) {
             *spent.entry(root).or_default() += record.usage.total();
         }
     }
     let mut verdict = Verdict::default();
-    for program in history
-        .programs
-        .iter()
-        .filter(|program| program.id == program.root)
-    {
+    for program in history.programs.iter().filter(|program| program.id == program.root) {
         let used = spent.get(program.id.as_str()).copied().unwrap_or_default();
         let holds = used <= program.budget;
-        verdict.look(holds, || {
-            format!("{} used {used} of {}", program.id, program.budget)
-        });
+        verdict.look(holds, || format!("{} used {used} of {}", program.id, program.budget));
     }
     verdict
 }
@@ -117,12 +102,7 @@
 pub(super) fn response_integrity(history: &History, transcripts: &Transcripts) -> Verdict {
     let mut verdict = Verdict::default();
     for call in &history.tries {
-        let TryEnd::Answered {
-            text,
-            finish_reason,
-            usage,
-        } = &call.end
-        else {
+        let TryEnd::Answered { text, finish_reason, usage } = &call.end else {
             continue;
         };
         let expected = match &call.asked {
@@ -130,19 +110,12 @@
             Asked::Model { model, .. } => {
                 let prompt = transcripts.prompt(&call.program, call.sequence);
                 let is_cut = finish_reason == "length";
-                let limit = if is_cut {
-                    usage.completion_tokens
-                } else {
-                    u64::MAX
-                };
+                let limit = if is_cut { usage.completion_tokens } else { u64::MAX };
                 prompt.map(|prompt| answer_text(&ModelId::new(model), &prompt, limit))
             }
         };
         verdict.look(expected.as_ref() == Some(text), || {
-            format!(
-                "{}/{} got {text:?} instead of {expected:?}",
-                call.program, call.sequence
-            )
+            format!("{}/{} got {text:?} instead of {expected:?}", call.program, call.sequence)
         });
     }
     verdict
@@ -156,36 +129,21 @@
             Asked::Model { .. } => engine_executed_unexplained(history, refused),
         };
         verdict.look(!executed, || {
-            format!(
-                "{}/{} was refused as not run, and ran",
-                refused.program, refused.sequence
-            )
+            format!("{}/{} was refused as not run, and ran", refused.program, refused.sequence)
         });
     }
     verdict
 }
 
 fn is_not_run(call: &CallTry) -> bool {
-    let refused = TryEnd::Refused {
-        outcome: Outcome::NotRun,
-        code: String::new(),
-    };
+    let refused = TryEnd::Refused { outcome: Outcome::NotRun, code: String::new() };
     std::mem::discriminant(&call.end) == std::mem::discriminant(&refused)
-        && matches!(
-            &call.end,
-            TryEnd::Refused {
-                outcome: Outcome::NotRun,
-                ..
-            }
-        )
+        && matches!(&call.end, TryEnd::Refused { outcome: Outcome::NotRun, .. })
 }
 
 fn service_executed(history: &History, refused: &CallTry) -> bool {
     let key = format!("{}/{}/{}", refused.program, refused.sequence, refused.key);
-    history
-        .service_records
-        .iter()
-        .any(|record| record.key == key)
+    history.service_records.iter().any(|record| record.key == key)
 }
 
 /// An execution counts against a refusal unless another try of the same call,
@@ -193,10 +151,7 @@
 fn engine_executed_unexplained(history: &History, refused: &CallTry) -> bool {
     let is_same =
         |call: &CallTry| call.program == refused.program && call.sequence == refused.sequence;
-    let accepted = history
-        .tries
-        .iter()
-        .filter(|call| is_same(call) && !is_not_run(call));
+    let accepted = history.tries.iter().filter(|call| is_same(call) && !is_not_run(call));
     let first_accepted = accepted.map(|call| call.sent).min();
     let ran = |record: &&EngineRecord| {
         let call = &record.attempt.call;
@@ -208,19 +163,13 @@
 
 pub(super) fn at_most_once(history: &History) -> Verdict {
     let once = history.tries.iter().filter(|call| !call.repeatable);
-    let keys: BTreeSet<String> = once
-        .map(|call| format!("{}/{}/{}", call.program, call.sequence, call.key))
-        .collect();
+    let keys: BTreeSet<String> =
+        once.map(|call| format!("{}/{}/{}", call.program, call.sequence, call.key)).collect();
     let mut verdict = Verdict::default();
     for key in keys {
-        let of_key = history
-            .service_records
-            .iter()
-            .filter(|record| record.key == key);
+        let of_key = history.service_records.iter().filter(|record| record.key == key);
         let executions: u32 = of_key.map(|record| record.executions).sum();
-        verdict.look(executions <= 1, || {
-            format!("{key} was executed {executions} times")
-        });
+        verdict.look(executions <= 1, || format!("{key} was executed {executions} times"));
     }
     verdict
 }
--- a/crates/lab/src/check/fleet.rs
+++ b/crates/lab/src/check/fleet.rs
@@ -11,10 +11,7 @@
 pub const DRAIN_GRACE: Duration = Duration::from_secs(4);
 
 pub(super) fn cache_release(history: &History) -> Verdict {
-    let ended = history
-        .programs
-        .iter()
-        .filter(|program| program.ended.is_some());
+    let ended = history.programs.iter().filter(|program| program.ended.is_some());
     let ended: BTreeSet<&str> = ended.map(|program| program.id.as_str()).collect();
     let ran: BTreeSet<(&str, &str)> = history
         .engine_records
@@ -28,9 +25,7 @@
             .holdings
             .iter()
             .find(|holding| holding.program == program && holding.engine == engine);
-        verdict.look(held.is_none(), || {
-            format!("{engine} still holds memory of {program}")
-        });
+        verdict.look(held.is_none(), || format!("{engine} still holds memory of {program}"));
     }
     verdict
 }
@@ -39,19 +34,14 @@
     let mut verdict = Verdict::default();
     for drain in &history.drains {
         let deadline = drain.at + DRAIN_GRACE;
-        let of_engine = history
-            .engine_records
-            .iter()
-            .filter(|record| record.engine == drain.engine);
+        let of_engine =
+            history.engine_records.iter().filter(|record| record.engine == drain.engine);
         let late: Vec<String> = of_engine
             .filter(|record| record.arrived > deadline)
             .map(|record| record.attempt.to_string())
             .collect();
         verdict.look(late.is_empty(), || {
-            format!(
-                "{} got {late:?} after it was taken out of service",
-                drain.engine
-            )
+            format!("{} got {late:?} after it was taken out of service", drain.engine)
         });
     }
     verdict
@@ -60,19 +50,11 @@
 pub(super) fn graceful_shutdown(history: &History) -> Verdict {
     let mut verdict = Verdict::default();
     for stop in &history.stops {
-        verdict.look(stop.complete, || {
-            format!("gateway {} stopped by force", stop.gateway)
-        });
-        let at_gateway = history
-            .tries
-            .iter()
-            .filter(|call| call.gateway == stop.gateway);
+        verdict.look(stop.complete, || format!("gateway {} stopped by force", stop.gateway));
+        let at_gateway = history.tries.iter().filter(|call| call.gateway == stop.gateway);
         for call in at_gateway.filter(|call| call.sent < stop.began && call.ended > stop.began) {
             verdict.look(call.end != TryEnd::Cut, || {
-                format!(
-                    "{}/{} was cut by a planned stop",
-                    call.program, call.sequence
-                )
+                format!("{}/{} was cut by a planned stop", call.program, call.sequence)
             });
         }
     }
--- a/crates/lab/src/check/mod.rs
+++ b/crates/lab/src/check/mod.rs
@@ -84,10 +84,7 @@
 
     /// Violations of all promises.
     pub fn violations(&self) -> u64 {
-        self.named()
-            .iter()
-            .map(|(_, verdict)| verdict.violations)
-            .sum()
+        self.named().iter().map(|(_, verdict)| verdict.violations).sum()
     }
 }
 
--- a/crates/lab/src/check/transcript.rs
+++ b/crates/lab/src/check/transcript.rs
@@ -25,10 +25,9 @@
                 continue;
             };
             let places = programs.entry(call.program.clone()).or_default();
-            let place = places.entry(call.sequence).or_insert_with(|| Place {
-                messages: messages.clone(),
-                answer: None,
-            });
+            let place = places
+                .entry(call.sequence)
+                .or_insert_with(|| Place { messages: messages.clone(), answer: None });
             if let TryEnd::Answered { text, .. } = &call.end {
                 place.messages.clone_from(messages);
                 place.answer = Some(text.clone());
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -18,19 +18,17 @@
 use crate::caller::{Caller, CallerContext, Manner};
 use crate::check::{Invariants, check};
 use crate::deployment::Deployment;
-use crate::fleet::EmbeddedFleet;
 use crate::fleet::resources::Operator;
-use crate::history::{
-    Asked, ConfigProbe, DrainEvent, History, Holding, ProgramTrace, StopEvent, TryEnd,
-};
+use crate::fleet::{EmbeddedFleet, FleetControl, FleetMap};
+use crate::history::{Asked, ConfigProbe, DrainEvent, History, Holding, ProgramTrace, TryEnd};
 use crate::workload::{Habit, ProgramPlan, Step, draw};
 
 /// Programs start within this time.
 const START_WINDOW: Duration = Duration::from_secs(15);
 /// Longest wait for engines to have released everything.
 const RELEASE_PATIENCE: Duration = Duration::from_secs(20);
-/// Longest wait for a planned stop.
-const STOP_PATIENCE: Duration = Duration::from_secs(60);
+/// Calls that the gateway to be stopped should have under way.
+const CALLS_AT_STOP: usize = 2;
 /// Changes of the configuration that are probed.
 const CONFIG_CHANGES: u64 = 3;
 /// The gateway that is stopped as planned.
@@ -94,11 +92,7 @@
             let position = ((values.len() as f64 * share).ceil() as usize).saturating_sub(1);
             values.get(position).copied().unwrap_or_default()
         };
-        Self {
-            p50: at(0.50),
-            p95: at(0.95),
-            p99: at(0.99),
-        }
+        Self { p50: at(0.50), p95: at(0.95), p99: at(0.99) }
     }
 }
 
@@ -109,43 +103,35 @@
 pub fn run(settings: &DemoSettings) -> Result<(DemoReport, History)> {
     let folder = tempfile::tempdir()?;
     let mut fleet = EmbeddedFleet::start(settings.deployment, folder.path(), settings.seed)?;
+    Ok(run_on(&mut fleet, settings))
+}
+
+/// Runs the load and the disturbances on a fleet that is ready.
+pub fn run_on(fleet: &mut impl FleetControl, settings: &DemoSettings) -> (DemoReport, History) {
+    let gateways = fleet.map().gateways.clone();
     let context = Arc::new(CallerContext {
-        gateways: fleet.gateway_addresses.clone(),
+        under_way: gateways.iter().map(|_| AtomicUsize::new(0)).collect(),
+        gateways,
         delay: settings.deployment.client_delay(),
         model: settings.deployment.model().to_owned(),
         service: settings.deployment.service().to_owned(),
         tries: Mutex::new(Vec::new()),
     });
-    let plans = draw(
-        settings.deployment,
-        settings.programs,
-        START_WINDOW,
-        settings.seed,
-    );
+    let plans = draw(settings.deployment, settings.programs, START_WINDOW, settings.seed);
     let load = Load::start(plans, &context, settings.progress);
-    let mut history = disturb(&mut fleet, &load);
+    let mut history = disturb(fleet, &load, &context);
     history.programs = load.wait();
-    history.holdings = wait_for_release(&fleet, &history.programs);
+    let map = fleet.map();
+    history.holdings = wait_for_release(map, &history.programs);
     history.tries = std::mem::take(&mut *context.tries.lock());
-    history.engine_records = fleet
-        .engines
-        .iter()
-        .flat_map(|(_, engine)| engine.records())
-        .collect();
-    history.service_records = fleet
-        .replicas
-        .iter()
-        .flat_map(|(_, replica)| replica.records())
-        .collect();
-    Ok((report(settings, &history), history))
+    history.engine_records = map.engine_records();
+    history.service_records = map.service_records();
+    (report(settings, &history), history)
 }
 
 fn report(settings: &DemoSettings, history: &History) -> DemoReport {
-    let roots: Vec<&ProgramTrace> = history
-        .programs
-        .iter()
-        .filter(|program| program.id == program.root)
-        .collect();
+    let roots: Vec<&ProgramTrace> =
+        history.programs.iter().filter(|program| program.id == program.root).collect();
     let answered = |end: &TryEnd| matches!(end, TryEnd::Answered { .. });
     let prints: std::collections::BTreeSet<String> = history
         .tries
@@ -154,10 +140,7 @@
         .filter(|call| answered(&call.end))
         .map(|call| format!("{}/{}/{}", call.program, call.sequence, call.key))
         .collect();
-    let executed = history
-        .service_records
-        .iter()
-        .filter(|record| prints.contains(&record.key));
+    let executed = history.service_records.iter().filter(|record| prints.contains(&record.key));
     let latency = |program: &&&ProgramTrace| {
         let ended = program.ended?;
         Some(ended.since(program.started).as_millis() as u64)
@@ -168,10 +151,7 @@
         .filter(|call| answered(&call.end))
         .map(|call| (call.program.as_str(), call.sequence))
         .collect();
-    let slowest = history
-        .probes
-        .iter()
-        .map(|probe| probe.in_force.since(probe.accepted));
+    let slowest = history.probes.iter().map(|probe| probe.in_force.since(probe.accepted));
     DemoReport {
         deployment: settings.deployment,
         seed: settings.seed,
@@ -199,11 +179,7 @@
 impl Load {
     fn start(plans: Vec<ProgramPlan>, context: &Arc<CallerContext>, progress: bool) -> Self {
         let total = plans.len();
-        let bar = if progress {
-            ProgressBar::new(total as u64)
-        } else {
-            ProgressBar::hidden()
-        };
+        let bar = if progress { ProgressBar::new(total as u64) } else { ProgressBar::hidden() };
         if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} programs {elapsed}") {
             bar.set_style(style);
         }
@@ -223,12 +199,7 @@
                 })
             })
             .collect();
-        Self {
-            threads,
-            done,
-            total,
-            bar,
-        }
+        Self { threads, done, total, bar }
     }
 
     /// Waits until `share` of the programs are done.
@@ -239,11 +210,12 @@
         }
     }
 
+    fn is_nearly_done(&self) -> bool {
+        self.done.load(Ordering::SeqCst) * 10 >= self.total * 9
+    }
+
     fn wait(self) -> Vec<ProgramTrace> {
-        let traces = self
-            .threads
-            .into_iter()
-            .flat_map(|thread| thread.join().unwrap_or_default());
+        let traces = self.threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default());
         let traces = traces.collect();
         self.bar.finish_and_clear();
         traces
@@ -261,12 +233,8 @@
         return Vec::new();
     }
     let mut traces = Vec::new();
-    let mut runner = ProgramRunner {
-        caller,
-        habit: plan.habit,
-        root: plan.id.clone(),
-        traces: &mut traces,
-    };
+    let mut runner =
+        ProgramRunner { caller, habit: plan.habit, root: plan.id.clone(), traces: &mut traces };
     let completed = runner.run(&plan.steps);
     let ended = runner.end();
     // A program that is short of budget is over when the budget is.
@@ -299,18 +267,9 @@
                     true
                 }
                 Step::Ask(messages) => self.ask(position, messages, &mut from_agents),
-                Step::Service {
-                    input,
-                    repeatable,
-                    twice,
-                } => {
-                    let manner = Manner {
-                        twice: *twice,
-                        hang_up: false,
-                    };
-                    self.caller
-                        .use_service(input.clone(), *repeatable, manner)
-                        .is_ok()
+                Step::Service { input, repeatable, twice } => {
+                    let manner = Manner { twice: *twice, hang_up: false };
+                    self.caller.use_service(input.clone(), *repeatable, manner).is_ok()
                 }
                 Step::Agents(agents) => {
                     from_agents = self.run_agents(position, agents);
@@ -331,9 +290,8 @@
         from_agents: &mut Vec<String>,
     ) -> bool {
         let results = std::mem::take(from_agents).into_iter();
-        let mut all: Vec<ChatMessage> = results
-            .map(|text| ChatMessage::new(Role::Tool, text))
-            .collect();
+        let mut all: Vec<ChatMessage> =
+            results.map(|text| ChatMessage::new(Role::Tool, text)).collect();
         all.extend(messages.iter().cloned());
         if self.habit == Habit::SendsTooEarly && position == 0 {
             self.caller.send_too_early(all.clone());
@@ -398,26 +356,38 @@
 }
 
 /// What happens to the fleet while the programs run.
-fn disturb(fleet: &mut EmbeddedFleet, load: &Load) -> History {
+fn disturb(fleet: &mut impl FleetControl, load: &Load, context: &CallerContext) -> History {
     let mut history = History::default();
-    let operator = fleet.operator();
+    let operator = fleet.map().operator();
     for change in 0..CONFIG_CHANGES {
         load.wait_for_share(0.1 * change as f64);
-        history
-            .probes
-            .extend(change_and_probe(fleet, &operator, change));
+        history.probes.extend(change_and_probe(fleet, &operator, change));
     }
     load.wait_for_share(0.2);
-    history.drains.extend(drain_one(fleet, &operator));
+    history.drains.extend(drain_one(fleet.map(), &operator));
     load.wait_for_share(0.25);
-    history.drains.push(announce_leaving(fleet));
+    history.drains.push(announce_leaving(fleet.map()));
     load.wait_for_share(0.35);
-    history.stops.extend(stop_one(fleet));
+    wait_for_calls(load, context);
+    history.stops.extend(fleet.stop_gateway(STOPPED_GATEWAY));
     history
 }
 
+/// Waits until the gateway that is to be stopped has calls under way, so that
+/// the stop has something to cut.
+fn wait_for_calls(load: &Load, context: &CallerContext) {
+    let under_way = || context.under_way[STOPPED_GATEWAY].load(Ordering::SeqCst);
+    while under_way() < CALLS_AT_STOP && !load.is_nearly_done() {
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// Changes a limit, waits until it is in force, and sees whether each gateway keeps it.
-fn change_and_probe(fleet: &EmbeddedFleet, operator: &Operator, change: u64) -> Vec<ConfigProbe> {
+fn change_and_probe(
+    fleet: &impl FleetControl,
+    operator: &Operator,
+    change: u64,
+) -> Vec<ConfigProbe> {
     let limit = 1_000 * (change + 1);
     let spec = json!({
         "default_program_tokens": limit,
@@ -432,8 +402,8 @@
         return Vec::new();
     }
     let in_force = RealClock.now();
-    let gateways = fleet.gateway_addresses.iter().enumerate();
-    let running = gateways.filter(|(index, _)| fleet.gateways[*index].is_some());
+    let gateways = fleet.map().gateways.iter().enumerate();
+    let running = gateways.filter(|(index, _)| fleet.is_running(*index));
     running
         .map(|(gateway, address)| ConfigProbe {
             revision,
@@ -453,54 +423,31 @@
     let create =
         |budget: u64| client.post::<_, Value>("/v1/programs", &json!({ "budget_tokens": budget }));
     let takes = create(limit).is_ok();
-    let refuses = matches!(
-        create(limit + 1),
-        Err(ClientError::Status { status: 400, .. })
-    );
+    let refuses = matches!(create(limit + 1), Err(ClientError::Status { status: 400, .. }));
     takes && refuses
 }
 
-fn drain_one(fleet: &EmbeddedFleet, operator: &Operator) -> Option<DrainEvent> {
-    let (name, _) = fleet.engines.last()?;
-    let mut spec = operator.spec("engine", name).ok()?;
+fn drain_one(map: &FleetMap, operator: &Operator) -> Option<DrainEvent> {
+    let engine = map.engines.last()?;
+    let mut spec = operator.spec("engine", &engine.name).ok()?;
     spec["drain"] = json!(true);
-    operator.put("engine", name, &spec).ok()?;
-    Some(DrainEvent {
-        engine: name.clone(),
-        at: RealClock.now(),
-    })
+    operator.put("engine", &engine.name, &spec).ok()?;
+    Some(DrainEvent { engine: engine.name.clone(), at: RealClock.now() })
 }
 
-fn announce_leaving(fleet: &EmbeddedFleet) -> DrainEvent {
-    let (name, _) = &fleet.engines[0];
-    fleet.platform.announce_leaving(name);
-    DrainEvent {
-        engine: name.clone(),
-        at: RealClock.now(),
-    }
-}
-
-fn stop_one(fleet: &mut EmbeddedFleet) -> Option<StopEvent> {
-    let gateway = fleet.gateways[STOPPED_GATEWAY].take()?;
-    let began = RealClock.now();
-    let complete = gateway.stop_gracefully(STOP_PATIENCE);
-    Some(StopEvent {
-        gateway: STOPPED_GATEWAY,
-        began,
-        ended: RealClock.now(),
-        complete,
-    })
+fn announce_leaving(map: &FleetMap) -> DrainEvent {
+    let name = &map.engines[0].name;
+    map.announce_leaving(name);
+    DrainEvent { engine: name.clone(), at: RealClock.now() }
 }
 
 /// Waits until no engine holds memory of an ended program, or patience runs out.
-fn wait_for_release(fleet: &EmbeddedFleet, programs: &[ProgramTrace]) -> Vec<Holding> {
+fn wait_for_release(map: &FleetMap, programs: &[ProgramTrace]) -> Vec<Holding> {
     let deadline = Instant::now() + RELEASE_PATIENCE;
     loop {
-        let held = holdings(fleet);
+        let held = map.holdings();
         let is_ended = |holding: &Holding| {
-            programs
-                .iter()
-                .any(|program| program.id == holding.program && program.ended.is_some())
+            programs.iter().any(|program| program.id == holding.program && program.ended.is_some())
         };
         if Instant::now() >= deadline || !held.iter().any(is_ended) {
             return held;
@@ -508,17 +455,3 @@
         std::thread::sleep(Duration::from_millis(100));
     }
 }
-
-fn holdings(fleet: &EmbeddedFleet) -> Vec<Holding> {
-    let mut held = Vec::new();
-    for (name, engine) in &fleet.engines {
-        for (program, tokens) in engine.holdings() {
-            held.push(Holding {
-                engine: name.clone(),
-                program: program.to_string(),
-                tokens,
-            });
-        }
-    }
-    held
-}
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -22,9 +22,7 @@
         match text {
             "celje" => Ok(Self::Celje),
             "kushiro" => Ok(Self::Kushiro),
-            _ => Err(format!(
-                "{text:?} is not accepted; accepted are celje and kushiro"
-            )),
+            _ => Err(format!("{text:?} is not accepted; accepted are celje and kushiro")),
         }
     }
 }
--- a/crates/lab/src/fleet/embedded.rs
+++ b/crates/lab/src/fleet/embedded.rs
@@ -1,33 +1,25 @@
 //! All roles and stand-ins as threads of one process, over loopback sockets.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
 use calicohoist::roles::{gateway_config, store_settings};
 use calicohoist::settings::{GatewaySection, Settings, StoreSection};
-use calicohoist_emulator::engine::model::EngineProfile;
-use calicohoist_emulator::{
-    EngineServer, EngineServerSettings, PlatformModel, PlatformServer, ServiceModel, ServiceServer,
-    WeightStoreModel, WeightStoreServer,
-};
+use calicohoist_emulator::RealClock;
 use calicohoist_gateway::GatewayServer;
 use calicohoist_store::driver::StoreServer;
-use calicohoist_types::{ModelId, NodeId, Zone};
+use calicohoist_types::{NodeId, Zone};
 use eyre::{Result, eyre};
 
-use super::resources::{BackEnd, Declaration, Operator};
+use super::backends::{Backends, FleetSize, bind};
+use super::control::{FleetControl, FleetMap};
 use crate::deployment::Deployment;
+use crate::history::StopEvent;
 
-/// Time by which the platform's list lags.
-pub const PLATFORM_LAG: Duration = Duration::from_secs(1);
-const ENGINE_SLOTS: u32 = 8;
-const REPLICA_SLOTS: u32 = 4;
-const FASTEST_JOB: Duration = Duration::from_millis(60);
-/// Rate of the weight store and size of a model, in bytes.
-const WEIGHT_RATE: u64 = 2_000_000_000;
-const MODEL_BYTES: u64 = 16_000_000_000;
+/// Longest wait for a planned stop.
+const STOP_PATIENCE: Duration = Duration::from_secs(60);
 
 /// A fleet in this process.
 pub struct EmbeddedFleet {
@@ -35,163 +27,115 @@
     pub stores: Vec<StoreServer>,
     /// Gateways; `None` where one was stopped.
     pub gateways: Vec<Option<GatewayServer>>,
-    /// Addresses of all gateways, the stopped ones included.
-    pub gateway_addresses: Vec<SocketAddr>,
-    /// Engines by name.
-    pub engines: Vec<(String, EngineServer)>,
-    /// Service replicas by name.
-    pub replicas: Vec<(String, ServiceServer)>,
-    /// The platform's list.
-    pub platform: PlatformServer,
-    /// The weight store.
-    pub weights: WeightStoreServer,
-}
-
-/// Binds a free loopback port.
-///
-/// # Errors
-/// When none is free.
-pub fn bind() -> std::io::Result<TcpListener> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+    /// The stand-ins.
+    pub backends: Backends,
+    map: FleetMap,
 }
 
 impl EmbeddedFleet {
-    /// Starts everything, and declares the back ends as an operator would.
+    /// Starts a fleet of a deployment's size.
     ///
     /// # Errors
     /// When a part cannot be started or the fleet does not become ready.
     pub fn start(deployment: Deployment, data: &Path, seed: u64) -> Result<Self> {
-        let zones = deployment.zones();
-        let engines = start_engines(deployment, seed)?;
-        let replicas = start_replicas(deployment, seed)?;
-        let names = engines.iter().map(|(name, _)| name.clone());
-        let machines = names
-            .chain(replicas.iter().map(|(name, _)| name.clone()))
-            .collect();
-        let platform = PlatformServer::start(PlatformModel::new(machines, PLATFORM_LAG), bind()?)?;
-        let sizes = BTreeMap::from([(ModelId::new(deployment.model()), MODEL_BYTES)]);
-        let weights = WeightStoreServer::start(WeightStoreModel::new(WEIGHT_RATE, sizes), bind()?)?;
-        let stores = start_stores(deployment, data)?;
+        let tune = |section: &mut GatewaySection| section.workers = 64;
+        Self::start_with(deployment, FleetSize::of(deployment), data, seed, tune)
+    }
+
+    /// Starts a fleet of any size; `tune` changes the gateways' settings.
+    ///
+    /// # Errors
+    /// When a part cannot be started or the fleet does not become ready.
+    pub fn start_with(
+        deployment: Deployment,
+        size: FleetSize,
+        data: &Path,
+        seed: u64,
+        tune: impl Fn(&mut GatewaySection),
+    ) -> Result<Self> {
+        let backends = Backends::start(deployment, size, seed)?;
+        let stores = start_stores(deployment, size, data)?;
         let machines: BTreeMap<u16, SocketAddr> =
             (1..).zip(stores.iter().map(StoreServer::address)).collect();
+        let zones = deployment.zones();
         let mut gateways = Vec::new();
-        for index in 0..deployment.gateways() {
+        for index in 0..size.gateways {
             let name = format!("gateway-{index}");
-            let zone = zones[index % zones.len()];
-            let section = gateway_section(platform.address());
-            let settings = settings(&name, zone, &machines, None, Some(section.clone()));
+            let mut section = gateway_section(backends.platform.address());
+            tune(&mut section);
+            let settings =
+                settings(&name, zones[index % zones.len()], &machines, None, Some(section.clone()));
             let config = gateway_config(&settings, &section);
             gateways.push(GatewayServer::start(config, bind()?, bind()?)?);
         }
-        let fleet = Self {
-            stores,
-            gateway_addresses: gateways.iter().map(GatewayServer::http_address).collect(),
-            gateways: gateways.into_iter().map(Some).collect(),
-            engines,
-            replicas,
-            platform,
-            weights,
+        let map = FleetMap {
+            deployment,
+            gateways: gateways.iter().map(GatewayServer::http_address).collect(),
+            engines: backends.engine_endpoints(),
+            replicas: backends.replica_endpoints(),
+            platform: backends.platform.address(),
         };
-        fleet.declare(deployment)?;
+        let fleet =
+            Self { stores, gateways: gateways.into_iter().map(Some).collect(), backends, map };
+        fleet.declare()?;
         Ok(fleet)
     }
 
-    fn declare(&self, deployment: Deployment) -> Result<()> {
-        let operator = self.operator();
+    fn declare(&self) -> Result<()> {
+        let operator = self.map.operator();
         if !operator.wait_ready() {
             return Err(eyre!("the fleet did not become ready"));
         }
-        let zones = deployment.zones();
-        let back_end = |index: usize, name: &str, address: SocketAddr, slots: u32| BackEnd {
-            name: name.to_owned(),
-            address,
-            zone: zones[index % zones.len()].to_owned(),
-            slots,
-        };
-        let engines = self.engines.iter().enumerate();
-        let replicas = self.replicas.iter().enumerate();
-        let declaration = Declaration {
-            model: deployment.model().to_owned(),
-            service: deployment.service().to_owned(),
-            engines: engines
-                .map(|(index, (name, server))| {
-                    back_end(index, name, server.address(), ENGINE_SLOTS)
-                })
-                .collect(),
-            replicas: replicas
-                .map(|(index, (name, server))| {
-                    back_end(index, name, server.address(), REPLICA_SLOTS)
-                })
-                .collect(),
-        };
-        let revision = operator.declare_fleet(&declaration)?;
+        let revision = operator.declare_fleet(&self.backends.declaration())?;
         if operator.wait_in_force(revision) {
             Ok(())
         } else {
             Err(eyre!("revision {revision} did not come into force"))
         }
     }
+}
 
-    /// An operator at the first gateway.
-    pub fn operator(&self) -> Operator {
-        Operator::new(self.gateway_addresses[0])
+impl FleetControl for EmbeddedFleet {
+    fn map(&self) -> &FleetMap {
+        &self.map
     }
-}
 
-fn start_engines(deployment: Deployment, seed: u64) -> Result<Vec<(String, EngineServer)>> {
-    let mut engines = Vec::new();
-    for index in 0..deployment.engines() {
-        let name = format!("engine-{index}");
-        let settings = EngineServerSettings {
-            name: name.clone(),
-            model: ModelId::new(deployment.model()),
-            profile: EngineProfile::default(),
-            delay: deployment.zone_delay(),
-            seed: seed ^ (index as u64) << 8,
-        };
-        engines.push((name, EngineServer::start(settings, bind()?)?));
+    fn is_running(&self, gateway: usize) -> bool {
+        self.gateways[gateway].is_some()
     }
-    Ok(engines)
-}
 
-fn start_replicas(deployment: Deployment, seed: u64) -> Result<Vec<(String, ServiceServer)>> {
-    let mut replicas = Vec::new();
-    for index in 0..deployment.replicas() {
-        let name = format!("{}-{index}", deployment.service());
-        let model = ServiceModel::new(&name, FASTEST_JOB, seed ^ (index as u64) << 16);
-        let server = ServiceServer::start(model, deployment.zone_delay(), bind()?)?;
-        replicas.push((name, server));
+    fn stop_gateway(&mut self, gateway: usize) -> Option<StopEvent> {
+        let server = self.gateways[gateway].take()?;
+        let began = RealClock.now();
+        let complete = server.stop_gracefully(STOP_PATIENCE);
+        Some(StopEvent { gateway, began, ended: RealClock.now(), complete })
     }
-    Ok(replicas)
 }
 
-fn start_stores(deployment: Deployment, data: &Path) -> Result<Vec<StoreServer>> {
+fn start_stores(deployment: Deployment, size: FleetSize, data: &Path) -> Result<Vec<StoreServer>> {
     let mut listeners = Vec::new();
-    for _ in 0..deployment.stores() {
+    for _ in 0..size.stores {
         listeners.push(bind()?);
     }
     let mut machines = BTreeMap::new();
     for (number, listener) in (1..).zip(&listeners) {
         machines.insert(number, listener.local_addr()?);
     }
+    let zones = deployment.zones();
     let mut stores = Vec::new();
     for (machine, listener) in (1..).zip(listeners) {
-        let zones = deployment.zones();
         let zone = zones[usize::from(machine) % zones.len()];
+        let name = format!("store-{machine}");
         let section = StoreSection {
             machine,
-            data_folder: data.join(format!("store-{machine}")),
+            data_folder: data.join(&name),
             health: None,
             heartbeat: Duration::from_millis(60),
             election: Duration::from_millis(400),
             entries_per_snapshot: 20_000,
         };
-        let name = format!("store-{machine}");
         let settings = settings(&name, zone, &machines, Some(section.clone()), None);
-        stores.push(StoreServer::start(
-            store_settings(&settings, &section),
-            listener,
-        )?);
+        stores.push(StoreServer::start(store_settings(&settings, &section), listener)?);
     }
     Ok(stores)
 }
--- a/crates/lab/src/fleet/resources.rs
+++ b/crates/lab/src/fleet/resources.rs
@@ -21,9 +21,7 @@
 impl Operator {
     /// An operator that uses the gateway at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            client: HttpClient::new(address, CONNECT_TIMEOUT, REPLY_TIMEOUT),
-        }
+        Self { client: HttpClient::new(address, CONNECT_TIMEOUT, REPLY_TIMEOUT) }
     }
 
     /// Waits until the gateway answers and has a lease; `false` when it does not.
@@ -31,9 +29,7 @@
         wait_until(|| {
             let status = self.client.get::<Value>("/apis/v1/status");
             status.is_ok_and(|status| {
-                status["nodes"]
-                    .as_array()
-                    .is_some_and(|nodes| !nodes.is_empty())
+                status["nodes"].as_array().is_some_and(|nodes| !nodes.is_empty())
             })
         })
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,12 +1,16 @@
 //! The `calicohoist-lab` command.
 
 use std::io::IsTerminal;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bpaf::Bpaf;
-use calicohoist_lab::demo::{self, DemoSettings};
+use calicohoist_lab::demo::{self, DemoReport, DemoSettings};
 use calicohoist_lab::deployment::Deployment;
+use calicohoist_lab::fleet::FleetControl;
+use calicohoist_lab::fleet::backends::{Backends, FleetSize};
+use calicohoist_lab::fleet::files::{self, ProcessFleet};
 use calicohoist_lab::report;
 use calicohoist_telemetry::{LogFormat, LogSettings, logging};
 use eyre::Result;
@@ -44,14 +48,43 @@
         #[bpaf(argument("FILE"))]
         history: Option<PathBuf>,
     },
+    /// Run the stand-ins of a fleet of processes and write its settings files
+    #[bpaf(command)]
+    Backends {
+        /// celje or kushiro
+        #[bpaf(argument("NAME"), fallback(Deployment::Celje))]
+        deployment: Deployment,
+        /// Folder for the files
+        #[bpaf(argument("FOLDER"))]
+        folder: PathBuf,
+        /// Seed of the stand-ins
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// End by itself after this many seconds
+        #[bpaf(argument("SECONDS"), fallback(600))]
+        seconds: u64,
+    },
+    /// Run programs on a fleet of processes, and judge what happened
+    #[bpaf(command)]
+    Fleet {
+        /// Folder with the fleet's files
+        #[bpaf(argument("FOLDER"))]
+        folder: PathBuf,
+        /// Programs to run
+        #[bpaf(argument("COUNT"), fallback(40))]
+        programs: usize,
+        /// Seed of the load
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Write the report here, too
+        #[bpaf(argument("FILE"))]
+        json: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    let settings = LogSettings {
-        format: LogFormat::Text,
-        level: arguments.log_level,
-    };
+    let settings = LogSettings { format: LogFormat::Text, level: arguments.log_level };
     match logging::install(settings).and_then(|()| perform(arguments.command)) {
         Ok(code) => code,
         Err(error) => {
@@ -63,13 +96,7 @@
 
 fn perform(command: Command) -> Result<ExitCode> {
     match command {
-        Command::Demo {
-            deployment,
-            programs,
-            seed,
-            json,
-            history,
-        } => {
+        Command::Demo { deployment, programs, seed, json, history } => {
             let settings = DemoSettings {
                 deployment,
                 programs,
@@ -77,20 +104,40 @@
                 progress: std::io::stderr().is_terminal(),
             };
             let (outcome, recorded) = demo::run(&settings)?;
-            println!("{}", report::text(&outcome));
-            if let Some(file) = json {
-                std::fs::write(file, serde_json::to_vec_pretty(&outcome)?)?;
-            }
             if let Some(file) = history {
                 std::fs::write(file, serde_json::to_vec(&recorded)?)?;
             }
-            let failed = outcome.invariants.violations() > 0
-                || outcome.programs_completed < outcome.programs_started;
-            Ok(if failed {
-                ExitCode::FAILURE
-            } else {
-                ExitCode::SUCCESS
-            })
+            conclude(&outcome, json.as_deref())
+        }
+        Command::Backends { deployment, folder, seed, seconds } => {
+            let size = FleetSize::of(deployment);
+            let backends = Backends::start(deployment, size, seed)?;
+            files::write(&folder, deployment, size, &backends)?;
+            println!("ready");
+            std::thread::sleep(Duration::from_secs(seconds));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Fleet { folder, programs, seed, json } => {
+            let mut fleet = ProcessFleet::open(&folder)?;
+            let settings = DemoSettings {
+                deployment: fleet.map().deployment,
+                programs,
+                seed,
+                progress: std::io::stderr().is_terminal(),
+            };
+            let (outcome, _) = demo::run_on(&mut fleet, &settings);
+            conclude(&outcome, json.as_deref())
         }
     }
 }
+
+/// Prints and stores a report; the status says whether everything held.
+fn conclude(outcome: &DemoReport, json: Option<&Path>) -> Result<ExitCode> {
+    println!("{}", report::text(outcome));
+    if let Some(file) = json {
+        std::fs::write(file, serde_json::to_vec_pretty(outcome)?)?;
+    }
+    let failed = outcome.invariants.violations() > 0
+        || outcome.programs_completed < outcome.programs_started;
+    Ok(if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -21,24 +21,13 @@
             report.program_latency_ms.p95,
             report.program_latency_ms.p99
         ),
-        format!(
-            "slowest change      {} ms until in force everywhere",
-            report.slowest_change_ms
-        ),
+        format!("slowest change      {} ms until in force everywhere", report.slowest_change_ms),
         String::new(),
         format!("{:<24} {:>8} {:>11}", "promise", "checked", "violations"),
     ];
     for (name, verdict) in report.invariants.named() {
-        lines.push(format!(
-            "{name:<24} {:>8} {:>11}",
-            verdict.checked, verdict.violations
-        ));
-        lines.extend(
-            verdict
-                .examples
-                .iter()
-                .map(|example| format!("    {example}")),
-        );
+        lines.push(format!("{name:<24} {:>8} {:>11}", verdict.checked, verdict.violations));
+        lines.extend(verdict.examples.iter().map(|example| format!("    {example}")));
     }
     lines.join("\n")
 }
--- a/crates/lab/src/workload.rs
+++ b/crates/lab/src/workload.rs
@@ -76,13 +76,8 @@
 
 /// Draws `count` programs that start within `window`.
 pub fn draw(deployment: Deployment, count: usize, window: Duration, seed: u64) -> Vec<ProgramPlan> {
-    let mut drawer = Drawer {
-        random: ChaCha8Rng::seed_from_u64(seed),
-        deployment,
-    };
-    (0..count)
-        .map(|index| drawer.program(index, window, seed))
-        .collect()
+    let mut drawer = Drawer { random: ChaCha8Rng::seed_from_u64(seed), deployment };
+    (0..count).map(|index| drawer.program(index, window, seed)).collect()
 }
 
 struct Drawer {
@@ -107,11 +102,7 @@
             id: format!("{name}-{seed}-{index}"),
             tenant: format!("{name}-{}", index % 3),
             start: window.mul_f64(self.random.random_range(0.0..1.0)),
-            budget: if habit == Habit::ShortOfBudget {
-                SHORT_BUDGET
-            } else {
-                AMPLE_BUDGET
-            },
+            budget: if habit == Habit::ShortOfBudget { SHORT_BUDGET } else { AMPLE_BUDGET },
             steps,
             habit,
         }
@@ -172,9 +163,8 @@
     }
 
     fn words(&mut self, count: usize) -> String {
-        let words: Vec<String> = (0..count)
-            .map(|_| format!("w{}", self.random.random_range(0..5_000)))
-            .collect();
+        let words: Vec<String> =
+            (0..count).map(|_| format!("w{}", self.random.random_range(0..5_000))).collect();
         words.join(" ")
     }
 
@@ -183,15 +173,9 @@
     }
 
     fn first_ask(&mut self, task: &str) -> Step {
-        let system = format!(
-            "You work for {}. Keep to the house rules.",
-            self.deployment.name()
-        );
+        let system = format!("You work for {}. Keep to the house rules.", self.deployment.name());
         let text = format!("{task} {}. {}", self.subject(), self.words(60));
-        Step::Ask(vec![
-            ChatMessage::new(Role::System, system),
-            ChatMessage::new(Role::User, text),
-        ])
+        Step::Ask(vec![ChatMessage::new(Role::System, system), ChatMessage::new(Role::User, text)])
     }
 
     fn ask(&mut self, task: &str) -> Step {
--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -141,17 +141,9 @@
         for group in groups {
             let seed = seeds.random();
             let found = recovered.groups.remove(group);
-            let hard_state = found
-                .as_ref()
-                .map(|found| found.hard_state)
-                .unwrap_or_default();
-            let entries = found
-                .as_ref()
-                .map(|found| found.entries.clone())
-                .unwrap_or_default();
-            let stored = found
-                .map(|found| found.snapshot)
-                .filter(|found| found.index > 0);
+            let hard_state = found.as_ref().map(|found| found.hard_state).unwrap_or_default();
+            let entries = found.as_ref().map(|found| found.entries.clone()).unwrap_or_default();
+            let stored = found.map(|found| found.snapshot).filter(|found| found.index > 0);
             let snapshot = stored.unwrap_or_else(|| node.first_snapshot());
             node.add_group(*group, hard_state, snapshot, entries, seed, now);
         }
@@ -173,32 +165,16 @@
         }
         let applied = snapshot.index;
         let raft_settings = self.settings.raft;
-        let raft = Raft::new(
-            self.id,
-            raft_settings,
-            seed,
-            hard_state,
-            snapshot,
-            entries,
-            now,
-        );
-        let state = Group {
-            raft,
-            machine,
-            applied,
-            proposals: BTreeMap::new(),
-            reads: BTreeSet::new(),
-        };
+        let raft = Raft::new(self.id, raft_settings, seed, hard_state, snapshot, entries, now);
+        let state =
+            Group { raft, machine, applied, proposals: BTreeMap::new(), reads: BTreeSet::new() };
         self.groups.insert(group, state);
     }
 
     /// The state before the first entry. Only disks of the first start belong to
     /// the first membership; a later disk has to join.
     fn first_snapshot(&self) -> Arc<Snapshot> {
-        let first_disk = |machine: &u16| ReplicaId {
-            machine: *machine,
-            disk: 0,
-        };
+        let first_disk = |machine: &u16| ReplicaId { machine: *machine, disk: 0 };
         Arc::new(Snapshot {
             index: 0,
             term: 0,
@@ -238,10 +214,7 @@
 
     /// Whether this replica leads `group` under a lease and may answer reads.
     pub fn may_read(&self, now: Moment, group: GroupId) -> bool {
-        let readiness = self
-            .groups
-            .get(&group)
-            .map(|state| state.raft.read_readiness(now));
+        let readiness = self.groups.get(&group).map(|state| state.raft.read_readiness(now));
         readiness == Some(ReadReadiness::Ready)
     }
 
@@ -257,16 +230,9 @@
     }
 
     fn ask_to_join(&mut self) {
-        let others = self
-            .machines
-            .iter()
-            .filter(|machine| **machine != self.id.machine);
-        let others: Vec<ReplicaId> = others
-            .map(|machine| ReplicaId {
-                machine: *machine,
-                disk: 0,
-            })
-            .collect();
+        let others = self.machines.iter().filter(|machine| **machine != self.id.machine);
+        let others: Vec<ReplicaId> =
+            others.map(|machine| ReplicaId { machine: *machine, disk: 0 }).collect();
         for state in self.groups.values_mut() {
             state.raft.ask_to_join(&others);
         }
@@ -372,11 +338,7 @@
                     index: snapshot.index,
                     clears_log: false,
                 });
-                emit!(
-                    Event::LogCompacted,
-                    "group {group} up to {}",
-                    snapshot.index
-                );
+                emit!(Event::LogCompacted, "group {group} up to {}", snapshot.index);
             }
         }
         if log.bytes() > self.settings.log_rewrite_bytes {
@@ -418,11 +380,7 @@
     }
     if let Some(snapshot) = &effects.install {
         log.store_snapshot(group, snapshot)?;
-        writes.push(Write::Snapshot {
-            group,
-            index: snapshot.index,
-            clears_log: true,
-        });
+        writes.push(Write::Snapshot { group, index: snapshot.index, clears_log: true });
     }
     if let Some(from) = effects.truncate_from {
         writes.push(Write::Truncate(group, from));
@@ -448,25 +406,15 @@
             if !is_leader {
                 self.lose_pending(outbox);
             }
-            outbox
-                .events
-                .push(NodeEvent::Leadership { group, is_leader });
+            outbox.events.push(NodeEvent::Leadership { group, is_leader });
         }
     }
 
     fn install(&mut self, group: GroupId, snapshot: &Snapshot) {
         if self.machine.restore(&snapshot.data) {
-            emit!(
-                Event::SnapshotInstalled,
-                "group {group} at {}",
-                snapshot.index
-            );
+            emit!(Event::SnapshotInstalled, "group {group} at {}", snapshot.index);
         } else {
-            emit!(
-                Event::LogCorrupt,
-                "group {group}: unreadable snapshot {}",
-                snapshot.index
-            );
+            emit!(Event::LogCorrupt, "group {group}: unreadable snapshot {}", snapshot.index);
         }
         self.applied = snapshot.index;
     }
@@ -493,13 +441,8 @@
     fn lose_pending(&mut self, outbox: &mut Outbox<S::Output>) {
         let proposals = std::mem::take(&mut self.proposals);
         let reads = std::mem::take(&mut self.reads);
-        let tickets = proposals
-            .into_values()
-            .map(|(_, ticket)| ticket)
-            .chain(reads);
-        outbox
-            .events
-            .extend(tickets.map(|ticket| NodeEvent::Lost { ticket }));
+        let tickets = proposals.into_values().map(|(_, ticket)| ticket).chain(reads);
+        outbox.events.extend(tickets.map(|ticket| NodeEvent::Lost { ticket }));
     }
 
     fn answer_reads(&mut self, now: Moment, group: GroupId, outbox: &mut Outbox<S::Output>) {
@@ -530,10 +473,7 @@
 
 impl<O> Default for Outbox<O> {
     fn default() -> Self {
-        Self {
-            messages: BTreeMap::new(),
-            events: Vec::new(),
-        }
+        Self { messages: BTreeMap::new(), events: Vec::new() }
     }
 }
 
--- a/crates/replication/src/raft/election.rs
+++ b/crates/replication/src/raft/election.rs
@@ -18,16 +18,10 @@
         self.leader = None;
         let term = self.hard_state.term + 1;
         if !pre {
-            self.hard_state = HardState {
-                term,
-                vote: Some(self.id),
-            };
+            self.hard_state = HardState { term, vote: Some(self.id) };
             self.effects.hard_state = Some(self.hard_state);
         }
-        self.role = Role::Candidate {
-            pre,
-            granted: BTreeSet::from([self.id]),
-        };
+        self.role = Role::Candidate { pre, granted: BTreeSet::from([self.id]) };
         if self.membership().quorum() == 1 {
             return self.win(now, pre, transfer);
         }
@@ -40,13 +34,7 @@
         let mut voters = self.membership().voters.clone();
         voters.remove(&self.id);
         for voter in voters {
-            let message = Message::Vote {
-                term,
-                last_index,
-                last_term,
-                pre,
-                transfer,
-            };
+            let message = Message::Vote { term, last_index, last_term, pre, transfer };
             self.send(voter, message);
         }
     }
@@ -79,14 +67,7 @@
     }
 
     pub(super) fn on_vote(&mut self, now: Moment, from: ReplicaId, message: &Message) {
-        let Message::Vote {
-            term,
-            last_index,
-            last_term,
-            pre,
-            ..
-        } = message
-        else {
+        let Message::Vote { term, last_index, last_term, pre, .. } = message else {
             return;
         };
         let ours = (self.log.last_term(), self.log.last_index());
--- a/crates/replication/src/raft/follower.rs
+++ b/crates/replication/src/raft/follower.rs
@@ -70,12 +70,7 @@
         round: u64,
     ) {
         let term = self.hard_state.term;
-        let reply = Message::AppendReply {
-            term,
-            matched,
-            retry_from,
-            round,
-        };
+        let reply = Message::AppendReply { term, matched, retry_from, round };
         self.send(to, reply);
     }
 
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -102,11 +102,8 @@
         let Role::Leader(state) = &self.role else {
             return false;
         };
-        let mut heard: BTreeMap<ReplicaId, Moment> = state
-            .progress
-            .iter()
-            .map(|(peer, progress)| (*peer, progress.heard))
-            .collect();
+        let mut heard: BTreeMap<ReplicaId, Moment> =
+            state.progress.iter().map(|(peer, progress)| (*peer, progress.heard)).collect();
         heard.insert(self.id, now);
         let quorum_heard = quorum_value(self.membership(), &heard);
         now.since(quorum_heard.max(state.elected)) > self.settings.election_max
@@ -136,10 +133,7 @@
         let Role::Leader(state) = &self.role else {
             return;
         };
-        let behind = state
-            .progress
-            .iter()
-            .filter(|(_, known)| known.next <= last);
+        let behind = state.progress.iter().filter(|(_, known)| known.next <= last);
         let followers: Vec<ReplicaId> = behind.map(|(peer, _)| *peer).collect();
         for follower in followers {
             self.send_append(now, follower, false);
@@ -161,9 +155,7 @@
             return self.send_snapshot(now, to);
         };
         let limit = settings.max_entries_per_message;
-        let entries = self
-            .log
-            .slice(progress.next, limit, settings.max_bytes_per_message);
+        let entries = self.log.slice(progress.next, limit, settings.max_bytes_per_message);
         if entries.is_empty() && !even_if_empty {
             return;
         }
@@ -203,11 +195,7 @@
             return self.send(to, heartbeat);
         }
         progress.installing_until = now + resend_after;
-        let message = Message::Install {
-            term,
-            snapshot,
-            round,
-        };
+        let message = Message::Install { term, snapshot, round };
         self.send(to, message);
     }
 
@@ -246,20 +234,14 @@
 
     /// The lease runs from the *sending* of the newest round that a quorum answered.
     fn renew_lease(&mut self) {
-        let length = self
-            .settings
-            .election_min
-            .saturating_sub(self.settings.clock_drift);
+        let length = self.settings.election_min.saturating_sub(self.settings.clock_drift);
         let membership = self.log.membership().1.clone();
         let id = self.id;
         let Role::Leader(state) = &mut self.role else {
             return;
         };
-        let mut answered: BTreeMap<ReplicaId, u64> = state
-            .progress
-            .iter()
-            .map(|(peer, progress)| (*peer, progress.round))
-            .collect();
+        let mut answered: BTreeMap<ReplicaId, u64> =
+            state.progress.iter().map(|(peer, progress)| (*peer, progress.round)).collect();
         answered.insert(id, state.round);
         let round = quorum_value(&membership, &answered);
         while state.rounds.front().is_some_and(|(sent, _)| *sent < round) {
@@ -278,11 +260,8 @@
             return self.deliver();
         };
         let first_index = state.first_index;
-        let mut matched: BTreeMap<ReplicaId, Index> = state
-            .progress
-            .iter()
-            .map(|(peer, progress)| (*peer, progress.matched))
-            .collect();
+        let mut matched: BTreeMap<ReplicaId, Index> =
+            state.progress.iter().map(|(peer, progress)| (*peer, progress.matched)).collect();
         matched.insert(self.id, self.persisted);
         let agreed = quorum_value(self.membership(), &matched);
         // Entries of earlier terms are committed only through one of this term.
@@ -334,10 +313,7 @@
         let Some((target, _)) = state.transfer_to else {
             return;
         };
-        let is_caught_up = state
-            .progress
-            .get(&target)
-            .is_some_and(|known| known.matched == last);
+        let is_caught_up = state.progress.get(&target).is_some_and(|known| known.matched == last);
         if is_caught_up {
             self.send(target, Message::Campaign { term });
         }
@@ -345,9 +321,7 @@
 
     fn expire_transfer(&mut self, now: Moment) {
         if let Role::Leader(state) = &mut self.role
-            && state
-                .transfer_to
-                .is_some_and(|(_, deadline)| now > deadline)
+            && state.transfer_to.is_some_and(|(_, deadline)| now > deadline)
         {
             state.transfer_to = None;
         }
@@ -359,9 +333,7 @@
         if !self.is_leader() || membership.contains(from) {
             return;
         }
-        membership
-            .learners
-            .retain(|known| known.machine != from.machine);
+        membership.learners.retain(|known| known.machine != from.machine);
         membership.learners.insert(from);
         self.change_membership(now, membership);
     }
--- a/crates/replication/src/raft/log.rs
+++ b/crates/replication/src/raft/log.rs
@@ -25,15 +25,11 @@
     }
 
     pub(crate) fn last_index(&self) -> Index {
-        self.entries
-            .last()
-            .map_or(self.snapshot.index, |entry| entry.index)
+        self.entries.last().map_or(self.snapshot.index, |entry| entry.index)
     }
 
     pub(crate) fn last_term(&self) -> Term {
-        self.entries
-            .last()
-            .map_or(self.snapshot.term, |entry| entry.term)
+        self.entries.last().map_or(self.snapshot.term, |entry| entry.term)
     }
 
     /// Term at `index`; `None` when the log does not hold it.
@@ -103,24 +99,16 @@
 
     /// The newest membership in the log; it holds from the moment it is appended.
     pub(crate) fn membership(&self) -> (Index, &Membership) {
-        let newest = self
-            .entries
-            .iter()
-            .rev()
-            .find_map(|entry| match &entry.kind {
-                EntryKind::Membership(membership) => Some((entry.index, membership)),
-                EntryKind::Empty | EntryKind::Command(_) => None,
-            });
+        let newest = self.entries.iter().rev().find_map(|entry| match &entry.kind {
+            EntryKind::Membership(membership) => Some((entry.index, membership)),
+            EntryKind::Empty | EntryKind::Command(_) => None,
+        });
         newest.unwrap_or((self.snapshot.index, &self.snapshot.membership))
     }
 
     /// The membership that held at `index`.
     pub(crate) fn membership_at(&self, index: Index) -> Membership {
-        let up_to_index = self
-            .entries
-            .iter()
-            .rev()
-            .filter(|entry| entry.index <= index);
+        let up_to_index = self.entries.iter().rev().filter(|entry| entry.index <= index);
         let newest = up_to_index.into_iter().find_map(|entry| match &entry.kind {
             EntryKind::Membership(membership) => Some(membership.clone()),
             EntryKind::Empty | EntryKind::Command(_) => None,
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -97,10 +97,7 @@
 #[derive(Debug)]
 enum Role {
     Follower,
-    Candidate {
-        pre: bool,
-        granted: BTreeSet<ReplicaId>,
-    },
+    Candidate { pre: bool, granted: BTreeSet<ReplicaId> },
     Leader(LeaderState),
 }
 
@@ -235,30 +232,18 @@
             Message::VoteReply { granted, pre, term } => {
                 self.on_vote_reply(now, from, term, granted, pre);
             }
-            Message::Append {
-                previous_index,
-                previous_term,
-                entries,
-                commit,
-                round,
-                ..
-            } => {
+            Message::Append { previous_index, previous_term, entries, commit, round, .. } => {
                 self.follow(now, from);
                 let previous = (previous_index, previous_term);
                 self.on_append(from, previous, entries, commit, round);
             }
-            Message::Install {
-                snapshot, round, ..
-            } => {
+            Message::Install { snapshot, round, .. } => {
                 self.follow(now, from);
                 self.on_install(from, snapshot, round);
             }
-            Message::AppendReply {
-                matched,
-                retry_from,
-                round,
-                ..
-            } => self.on_append_reply(now, from, matched, retry_from, round),
+            Message::AppendReply { matched, retry_from, round, .. } => {
+                self.on_append_reply(now, from, matched, retry_from, round)
+            }
             Message::Campaign { .. } => self.campaign(now, false, true),
             Message::Join => {}
         }
@@ -306,12 +291,8 @@
         if index <= self.log.snapshot().index {
             return None;
         }
-        let snapshot = Arc::new(Snapshot {
-            index,
-            term,
-            membership: self.log.membership_at(index),
-            data,
-        });
+        let snapshot =
+            Arc::new(Snapshot { index, term, membership: self.log.membership_at(index), data });
         self.log.compact(snapshot.clone());
         Some(snapshot)
     }
@@ -370,12 +351,8 @@
         match message {
             // The old leader learns of the newer term from the answer.
             Message::Append { round, .. } | Message::Install { round, .. } => {
-                let reply = Message::AppendReply {
-                    term,
-                    matched: 0,
-                    retry_from: None,
-                    round: *round,
-                };
+                let reply =
+                    Message::AppendReply { term, matched: 0, retry_from: None, round: *round };
                 self.send(from, reply);
             }
             Message::Vote { .. } => self.refuse_vote(from, message),
@@ -408,8 +385,5 @@
     let mut sorted: Vec<V> = membership.voters.iter().map(value_of).collect();
     sorted.sort_unstable();
     let position = sorted.len().checked_sub(membership.quorum());
-    position
-        .and_then(|at| sorted.get(at))
-        .copied()
-        .unwrap_or_default()
+    position.and_then(|at| sorted.get(at)).copied().unwrap_or_default()
 }
--- a/crates/replication/src/storage/disk.rs
+++ b/crates/replication/src/storage/disk.rs
@@ -74,10 +74,7 @@
             file: folder.display().to_string(),
             source,
         })?;
-        Ok(Self {
-            folder: folder.to_owned(),
-            open: None,
-        })
+        Ok(Self { folder: folder.to_owned(), open: None })
     }
 
     fn path(&self, name: &str) -> PathBuf {
@@ -85,11 +82,7 @@
     }
 
     fn check<T>(operation: &'static str, name: &str, done: io::Result<T>) -> Result<T, DiskError> {
-        done.map_err(|source| DiskError::Io {
-            operation,
-            file: name.to_owned(),
-            source,
-        })
+        done.map_err(|source| DiskError::Io { operation, file: name.to_owned(), source })
     }
 
     fn sync_folder(&self) -> Result<(), DiskError> {
@@ -170,11 +163,7 @@
 
     fn list(&self) -> Result<Vec<String>, DiskError> {
         let entries = Self::check("list", "data folder", fs::read_dir(&self.folder))?;
-        let names = entries
-            .flatten()
-            .filter_map(|entry| entry.file_name().into_string().ok());
-        Ok(names
-            .filter(|name| !name.ends_with(TEMPORARY_SUFFIX))
-            .collect())
+        let names = entries.flatten().filter_map(|entry| entry.file_name().into_string().ok());
+        Ok(names.filter(|name| !name.ends_with(TEMPORARY_SUFFIX)).collect())
     }
 }
--- a/crates/replication/src/storage/log.rs
+++ b/crates/replication/src/storage/log.rs
@@ -82,16 +82,9 @@
     /// [`DiskError::Corrupt`] when a file is damaged other than by a crash.
     pub fn open(disk: D) -> Result<(Self, Recovered), DiskError> {
         let number = newest_log(&disk)?;
-        let mut log = Self {
-            disk,
-            number,
-            bytes: 0,
-        };
+        let mut log = Self { disk, number, bytes: 0 };
         let replayed = log.replay()?;
-        let mut recovered = Recovered {
-            disk: log.read_identity()?,
-            groups: BTreeMap::new(),
-        };
+        let mut recovered = Recovered { disk: log.read_identity()?, groups: BTreeMap::new() };
         for (group, replay) in replayed {
             let snapshot = log.read_snapshot(group, replay.snapshot)?;
             let found = RecoveredGroup {
@@ -201,9 +194,7 @@
                 }
                 Found::Frame(payload, next) => {
                     let writes: Vec<Write> = decoded(&name, offset, payload)?;
-                    writes
-                        .into_iter()
-                        .for_each(|write| replay_write(&mut groups, write));
+                    writes.into_iter().for_each(|write| replay_write(&mut groups, write));
                     offset = next;
                 }
             }
@@ -255,25 +246,17 @@
         Write::Append(group, entries) => {
             groups.entry(group).or_default().entries.extend(entries);
         }
-        Write::Snapshot {
-            group,
-            index,
-            clears_log,
-        } => {
+        Write::Snapshot { group, index, clears_log } => {
             let replay = groups.entry(group).or_default();
             replay.snapshot = Some(index);
-            replay
-                .entries
-                .retain(|entry| !clears_log && entry.index > index);
+            replay.entries.retain(|entry| !clears_log && entry.index > index);
         }
     }
 }
 
 fn newest_log(disk: &impl Disk) -> Result<u64, DiskError> {
     let names = disk.list()?;
-    let numbers = names
-        .iter()
-        .filter_map(|name| name.strip_prefix(LOG_PREFIX)?.parse().ok());
+    let numbers = names.iter().filter_map(|name| name.strip_prefix(LOG_PREFIX)?.parse().ok());
     Ok(numbers.max().unwrap_or(1))
 }
 
@@ -286,11 +269,7 @@
 }
 
 fn corrupt(file: &str, offset: usize, problem: &str) -> DiskError {
-    DiskError::Corrupt {
-        file: file.to_owned(),
-        offset,
-        problem: problem.to_owned(),
-    }
+    DiskError::Corrupt { file: file.to_owned(), offset, problem: problem.to_owned() }
 }
 
 fn encoded<T: Serialize>(file: &str, value: &T) -> Result<Vec<u8>, DiskError> {
--- a/crates/scheduler/src/cost.rs
+++ b/crates/scheduler/src/cost.rs
@@ -13,11 +13,7 @@
 
 impl Default for CostWeights {
     fn default() -> Self {
-        Self {
-            per_missing_token: 0.25,
-            per_call: 600.0,
-            other_zone: 3.0,
-        }
+        Self { per_missing_token: 0.25, per_call: 600.0, other_zone: 3.0 }
     }
 }
 
@@ -48,11 +44,7 @@
     let queueing = beyond_slots / slots * weights.per_call;
     // Calls that share a batch slow each other down even when a slot is free.
     let sharing = ahead.min(slots) / slots * weights.per_call * SHARING;
-    let distance = if inputs.same_zone {
-        0.0
-    } else {
-        weights.other_zone
-    };
+    let distance = if inputs.same_zone { 0.0 } else { weights.other_zone };
     compute + queueing + sharing + distance
 }
 
