--- a/crates/store/src/commands/program.rs
+++ b/crates/store/src/commands/program.rs
@@ -264,34 +264,20 @@
         let applied = match command {
             ProgramCommand::Create(new) => self.create(new).map(ProgramOutput::Created),
             ProgramCommand::Begin(begin) => self.begin(*begin).map(ProgramOutput::Begin),
-            ProgramCommand::Dispatch {
-                attempt,
-                by,
-                backend,
-            } => self.dispatch(&attempt, &by, backend),
-            ProgramCommand::Retry {
-                attempt,
-                by,
-                never_sent,
-            } => self.retry(&attempt, &by, never_sent),
+            ProgramCommand::Dispatch { attempt, by, backend } => {
+                self.dispatch(&attempt, &by, backend)
+            }
+            ProgramCommand::Retry { attempt, by, never_sent } => {
+                self.retry(&attempt, &by, never_sent)
+            }
             ProgramCommand::Claim { attempt, by } => self.claim(&attempt, by),
-            ProgramCommand::Complete {
-                attempt,
-                by,
-                answer,
-                ends_program,
-            } => self.complete(&attempt, &by, answer, ends_program),
-            ProgramCommand::Close {
-                attempt,
-                by,
-                reason,
-            } => self.close(&attempt, &by, reason),
-            ProgramCommand::Refuse {
-                call,
-                tenant,
-                key,
-                reason,
-            } => self.refuse(call, &tenant, key, reason),
+            ProgramCommand::Complete { attempt, by, answer, ends_program } => {
+                self.complete(&attempt, &by, answer, ends_program)
+            }
+            ProgramCommand::Close { attempt, by, reason } => self.close(&attempt, &by, reason),
+            ProgramCommand::Refuse { call, tenant, key, reason } => {
+                self.refuse(call, &tenant, key, reason)
+            }
             ProgramCommand::GiveUp { attempt, by } => self.give_up(&attempt, &by),
             ProgramCommand::End { program, tenant } => self.end(&program, &tenant),
             ProgramCommand::Cancel { program, tenant } => self.cancel(&program, &tenant),
@@ -318,11 +304,7 @@
         if let Some(existing) = self.programs.get(&new.id) {
             // The creation itself is remembered as the child "of nobody".
             let is_resend = existing.children.get(&new.request) == Some(&new.id);
-            return if is_resend {
-                Ok(new.id)
-            } else {
-                Err(ProgramError::Exists)
-            };
+            return if is_resend { Ok(new.id) } else { Err(ProgramError::Exists) };
         }
         let id = new.id.clone();
         let request = new.request.clone();
@@ -367,10 +349,7 @@
             state: ProgramState::Active,
             created_at: self.clock,
             deadline_at,
-            budget: Budget {
-                limit: new.budget_tokens,
-                ..Budget::default()
-            },
+            budget: Budget { limit: new.budget_tokens, ..Budget::default() },
             max_calls: new.max_calls,
             next_sequence: 1,
             calls: Default::default(),
@@ -416,10 +395,7 @@
             let same_key = record.calls.iter().find(|(_, call)| call.key == begin.key);
             same_key.map_or(record.next_sequence, |(sequence, _)| *sequence)
         });
-        let call = CallId {
-            program: begin.program.clone(),
-            sequence,
-        };
+        let call = CallId { program: begin.program.clone(), sequence };
         if let Some(known) = record.calls.get(&sequence)
             && let Some(outcome) = known_outcome(&call, known, &begin.key)?
         {
@@ -431,10 +407,7 @@
         if sequence > record.next_sequence {
             let expected = record.next_sequence;
             let is_running = record.running_call().is_some();
-            return Ok(BeginOutcome::NotYet {
-                expected,
-                is_running,
-            });
+            return Ok(BeginOutcome::NotYet { expected, is_running });
         }
         self.admit(call, begin)
     }
@@ -444,41 +417,24 @@
             return Err(ProgramError::Missing);
         };
         let is_model = matches!(begin.target, CallTarget::Model(_));
-        let prompt: Vec<ChatMessage> = record
-            .history
-            .iter()
-            .chain(&begin.messages)
-            .cloned()
-            .collect();
-        let prompt_tokens: u64 = if is_model {
-            prompt.iter().map(ChatMessage::tokens).sum()
-        } else {
-            0
-        };
+        let prompt: Vec<ChatMessage> =
+            record.history.iter().chain(&begin.messages).cloned().collect();
+        let prompt_tokens: u64 =
+            if is_model { prompt.iter().map(ChatMessage::tokens).sum() } else { 0 };
         if prompt_tokens > begin.max_prompt_tokens {
             return Err(ProgramError::PromptTooLong(prompt_tokens));
         }
-        let available = self
-            .budget_mut(&call.program)
-            .map_or(0, |budget| budget.available());
-        let max_tokens = begin
-            .max_tokens
-            .min(available.saturating_sub(prompt_tokens));
+        let available = self.budget_mut(&call.program).map_or(0, |budget| budget.available());
+        let max_tokens = begin.max_tokens.min(available.saturating_sub(prompt_tokens));
         if is_model && max_tokens == 0 {
             return Ok(self.close_key(call, begin, NotRunReason::BudgetExhausted));
         }
-        let reserved = if is_model {
-            prompt_tokens + max_tokens
-        } else {
-            0
-        };
+        let reserved = if is_model { prompt_tokens + max_tokens } else { 0 };
         if let Some(budget) = self.budget_mut(&call.program) {
             budget.reserved += reserved;
         }
         let earlier = self.call_mut(&call);
-        let closed = earlier
-            .map(|earlier| std::mem::take(&mut earlier.closed))
-            .unwrap_or_default();
+        let closed = earlier.map(|earlier| std::mem::take(&mut earlier.closed)).unwrap_or_default();
         let previous_attempt = self.call_mut(&call).map_or(0, |earlier| earlier.attempt);
         let record = CallRecord {
             target: begin.target,
@@ -504,31 +460,16 @@
         call: &CallId,
         previous: Option<Backend>,
     ) -> Result<BeginOutcome, ProgramError> {
-        let record = self
-            .programs
-            .get(&call.program)
-            .ok_or(ProgramError::Missing)?;
-        let found = record
-            .calls
-            .get(&call.sequence)
-            .ok_or(ProgramError::Missing)?;
+        let record = self.programs.get(&call.program).ok_or(ProgramError::Missing)?;
+        let found = record.calls.get(&call.sequence).ok_or(ProgramError::Missing)?;
         let is_model = matches!(found.target, CallTarget::Model(_));
         // A service gets only its own input, not the conversation.
-        let history = record
-            .history
-            .iter()
-            .take(if is_model { usize::MAX } else { 0 });
+        let history = record.history.iter().take(if is_model { usize::MAX } else { 0 });
         let prompt: Vec<ChatMessage> = history.chain(&found.messages).cloned().collect();
         let prompt_tokens: u64 = prompt.iter().map(ChatMessage::tokens).sum();
-        let holdings = record
-            .holdings
-            .iter()
-            .map(|(engine, tokens)| (engine.clone(), *tokens));
+        let holdings = record.holdings.iter().map(|(engine, tokens)| (engine.clone(), *tokens));
         Ok(BeginOutcome::Admitted(Box::new(Admission {
-            attempt: AttemptId {
-                call: call.clone(),
-                number: found.attempt,
-            },
+            attempt: AttemptId { call: call.clone(), number: found.attempt },
             target: found.target.clone(),
             repeatable: found.repeatable,
             digest: record.digest.append_all(&found.messages),
@@ -545,24 +486,18 @@
         let Some(record) = self.programs.get_mut(&call.program) else {
             return BeginOutcome::NotRun(call, reason);
         };
-        let closed = ClosedKey {
-            key: begin.key.clone(),
-            reason,
-        };
-        let entry = record
-            .calls
-            .entry(call.sequence)
-            .or_insert_with(|| CallRecord {
-                target: begin.target,
-                repeatable: begin.repeatable,
-                key: begin.key,
-                attempt: 0,
-                by: begin.by,
-                reserved: 0,
-                messages: Vec::new(),
-                state: CallState::NotRun(reason),
-                closed: Vec::new(),
-            });
+        let closed = ClosedKey { key: begin.key.clone(), reason };
+        let entry = record.calls.entry(call.sequence).or_insert_with(|| CallRecord {
+            target: begin.target,
+            repeatable: begin.repeatable,
+            key: begin.key,
+            attempt: 0,
+            by: begin.by,
+            reserved: 0,
+            messages: Vec::new(),
+            state: CallState::NotRun(reason),
+            closed: Vec::new(),
+        });
         remember_closed(entry, closed);
         BeginOutcome::NotRun(call, reason)
     }
@@ -606,9 +541,7 @@
             _ => return Err(ProgramError::Stale),
         }
         if state != Some(ProgramState::Active) {
-            return Err(ProgramError::NotActive(
-                state.unwrap_or(ProgramState::Ended),
-            ));
+            return Err(ProgramError::NotActive(state.unwrap_or(ProgramState::Ended)));
         }
         call.state = CallState::Dispatched(backend.clone());
         let own: u64 = call.messages.iter().map(ChatMessage::tokens).sum();
@@ -621,10 +554,7 @@
 
     fn retry(&mut self, attempt: &AttemptId, by: &NodeRef, never_sent: bool) -> Applied {
         let call = self.call_mut(&attempt.call).ok_or(ProgramError::Missing)?;
-        let next = AttemptId {
-            call: attempt.call.clone(),
-            number: attempt.number + 1,
-        };
+        let next = AttemptId { call: attempt.call.clone(), number: attempt.number + 1 };
         let is_resend = call.attempt == next.number && call.by == *by && call.is_running();
         if is_resend {
             return Ok(ProgramOutput::Retry(next));
@@ -661,8 +591,7 @@
                 call.state = CallState::Admitted;
             }
         }
-        self.admission(&attempt.call, previous)
-            .map(ProgramOutput::Begin)
+        self.admission(&attempt.call, previous).map(ProgramOutput::Begin)
     }
 
     fn complete(
@@ -691,10 +620,7 @@
         let Some(record) = self.programs.get_mut(&program) else {
             return Err(ProgramError::Missing);
         };
-        let computed = answer
-            .usage
-            .total()
-            .saturating_sub(answer.usage.cached_tokens);
+        let computed = answer.usage.total().saturating_sub(answer.usage.cached_tokens);
         record.attained_tokens += computed;
         let is_in_order = record.next_sequence == attempt.call.sequence;
         if is_in_order {
@@ -793,10 +719,7 @@
             .filter(|id| is_in_tree(id))
             .cloned()
             .collect();
-        members
-            .iter()
-            .filter_map(|member| self.cancel_one(member))
-            .collect()
+        members.iter().filter_map(|member| self.cancel_one(member)).collect()
     }
 
     fn cancel_one(&mut self, program: &ProgramId) -> Option<(AttemptId, NodeRef)> {
@@ -806,10 +729,7 @@
         }
         let running = record.running_call().map(|(sequence, call)| {
             let attempt = AttemptId {
-                call: CallId {
-                    program: program.clone(),
-                    sequence,
-                },
+                call: CallId { program: program.clone(), sequence },
                 number: call.attempt,
             };
             (attempt, call.by.clone())
@@ -870,16 +790,9 @@
         for program in overdue {
             self.cancel_tree(&program, true);
         }
-        let oldest = (
-            self.clock.saturating_sub(RETENTION_MILLIS),
-            ProgramId::new(""),
-        );
-        let old: Vec<(u64, ProgramId)> = self
-            .ended
-            .range(..oldest)
-            .take(HOUSEKEEPING_BATCH)
-            .cloned()
-            .collect();
+        let oldest = (self.clock.saturating_sub(RETENTION_MILLIS), ProgramId::new(""));
+        let old: Vec<(u64, ProgramId)> =
+            self.ended.range(..oldest).take(HOUSEKEEPING_BATCH).cloned().collect();
         for (at, program) in old {
             self.forget(at, &program);
         }
@@ -888,10 +801,8 @@
     /// Forgets an ended program unless an engine has still to release its memory
     /// or its tree still runs.
     fn forget(&mut self, at: u64, program: &ProgramId) {
-        let holds_memory = self
-            .programs
-            .get(program)
-            .is_some_and(|record| !record.holdings.is_empty());
+        let holds_memory =
+            self.programs.get(program).is_some_and(|record| !record.holdings.is_empty());
         if holds_memory {
             return;
         }
@@ -927,18 +838,14 @@
     if let Some(closed) = known.closed.iter().find(|closed| closed.key == *key) {
         return Ok(Some(BeginOutcome::NotRun(call.clone(), closed.reason)));
     }
-    let attempt = AttemptId {
-        call: call.clone(),
-        number: known.attempt,
-    };
+    let attempt = AttemptId { call: call.clone(), number: known.attempt };
     let has_same_key = known.key == *key;
     match &known.state {
         CallState::NotRun(_) => Ok(None),
         _ if !has_same_key => Err(ProgramError::KeyMismatch),
-        CallState::Admitted | CallState::Dispatched(_) => Ok(Some(BeginOutcome::Running {
-            attempt,
-            by: known.by.clone(),
-        })),
+        CallState::Admitted | CallState::Dispatched(_) => {
+            Ok(Some(BeginOutcome::Running { attempt, by: known.by.clone() }))
+        }
         CallState::Completed(answer) => Ok(Some(BeginOutcome::Answered(attempt, answer.clone()))),
         CallState::Unknown(_) => Ok(Some(BeginOutcome::Unknown(attempt))),
     }
--- a/crates/store/src/commands/resource.rs
+++ b/crates/store/src/commands/resource.rs
@@ -66,32 +66,16 @@
         actor: String,
     ) -> ResourceOutput {
         let version = self.next_revision();
-        let resource = Resource {
-            key: key.clone(),
-            version,
-            spec,
-        };
+        let resource = Resource { key: key.clone(), version, spec };
         self.resources.insert(key.clone(), resource.clone());
-        self.record(Change {
-            revision: version,
-            key,
-            after: Some(resource.clone()),
-            actor,
-            at,
-        });
+        self.record(Change { revision: version, key, after: Some(resource.clone()), actor, at });
         ResourceOutput::Stored(resource)
     }
 
     fn delete(&mut self, at: u64, key: ResourceKey, actor: String) -> ResourceOutput {
         let revision = self.next_revision();
         self.resources.remove(&key);
-        self.record(Change {
-            revision,
-            key,
-            after: None,
-            actor,
-            at,
-        });
+        self.record(Change { revision, key, after: None, actor, at });
         ResourceOutput::Deleted(revision)
     }
 
--- a/crates/store/src/driver.rs
+++ b/crates/store/src/driver.rs
@@ -62,23 +62,10 @@
 }
 
 enum Input {
-    Peer {
-        from: ReplicaId,
-        messages: Vec<GroupMessage>,
-    },
-    Request {
-        client: u64,
-        id: u64,
-        request: StoreRequest,
-        replier: Replier<StoreBack>,
-    },
-    AskStarted {
-        replier: Replier<StoreBack>,
-    },
-    Started {
-        machine: u16,
-        started: bool,
-    },
+    Peer { from: ReplicaId, messages: Vec<GroupMessage> },
+    Request { client: u64, id: u64, request: StoreRequest, replier: Replier<StoreBack> },
+    AskStarted { replier: Replier<StoreBack> },
+    Started { machine: u16, started: bool },
 }
 
 /// A running store machine. Dropping it stops it at once, as a crash would.
@@ -117,22 +104,13 @@
             hand_over: hand_over.clone(),
         };
         let failed_seen = failed.clone();
-        let thread = std::thread::Builder::new()
-            .name("store".to_owned())
-            .spawn(move || {
-                if let Err(error) = duty.run(log, recovered) {
-                    failed_seen.store(true, Ordering::SeqCst);
-                    emit!(Event::DiskFailed, "{error}");
-                }
-            })?;
-        Ok(Self {
-            address,
-            stop,
-            hand_over,
-            failed,
-            thread: Some(thread),
-            _server: server,
-        })
+        let thread = std::thread::Builder::new().name("store".to_owned()).spawn(move || {
+            if let Err(error) = duty.run(log, recovered) {
+                failed_seen.store(true, Ordering::SeqCst);
+                emit!(Event::DiskFailed, "{error}");
+            }
+        })?;
+        Ok(Self { address, stop, hand_over, failed, thread: Some(thread), _server: server })
     }
 
     /// The bound address.
@@ -167,10 +145,7 @@
     settings: &StoreSettings,
     sender: &Sender<Input>,
 ) -> std::io::Result<BTreeMap<u16, Link<StoreFrame>>> {
-    let others = settings
-        .machines
-        .iter()
-        .filter(|(machine, _)| **machine != settings.machine);
+    let others = settings.machines.iter().filter(|(machine, _)| **machine != settings.machine);
     let mut links = BTreeMap::new();
     for (machine, address) in others {
         let sender = sender.clone();
@@ -195,9 +170,7 @@
                 request,
                 replier: replier.clone(),
             },
-            StoreFrame::AskStarted { .. } => Input::AskStarted {
-                replier: replier.clone(),
-            },
+            StoreFrame::AskStarted { .. } => Input::AskStarted { replier: replier.clone() },
         };
         if let Err(TrySendError::Full(Input::Request { id, replier, .. })) = sender.try_send(input)
         {
@@ -235,10 +208,7 @@
             return Ok(());
         };
         self.disk = disk;
-        let id = ReplicaId {
-            machine: self.settings.machine,
-            disk,
-        };
+        let id = ReplicaId { machine: self.settings.machine, disk };
         let machines: Vec<u16> = self.settings.machines.keys().copied().collect();
         let groups = GroupMap::new(self.settings.program_groups);
         let mut node_settings = self.settings.node.clone();
@@ -294,12 +264,7 @@
         let now = self.now();
         match input {
             Input::Peer { from, messages } => service.receive(now, from, messages),
-            Input::Request {
-                client,
-                id,
-                request,
-                replier,
-            } => {
+            Input::Request { client, id, request, replier } => {
                 self.clients.insert(client, replier);
                 service.request(now, unix_millis(), client, id, request);
             }
@@ -316,10 +281,7 @@
     fn perform(&mut self, action: StoreAction) {
         match action {
             StoreAction::SendPeer { to, messages } => {
-                let from = ReplicaId {
-                    machine: self.settings.machine,
-                    disk: self.disk,
-                };
+                let from = ReplicaId { machine: self.settings.machine, disk: self.disk };
                 if let Some(link) = self.links.get(&to.machine) {
                     link.send(StoreFrame::Peer { from, messages });
                 }
@@ -349,11 +311,7 @@
         let Some(has_started) = self.ask_whether_started() else {
             return Ok(None);
         };
-        let disk = if has_started {
-            rand::rng().random_range(1..=u32::MAX)
-        } else {
-            0
-        };
+        let disk = if has_started { rand::rng().random_range(1..=u32::MAX) } else { 0 };
         log.write_identity(disk)?;
         Ok(Some(disk))
     }
@@ -390,8 +348,6 @@
 }
 
 fn unix_millis() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/store/src/nodes.rs
+++ b/crates/store/src/nodes.rs
@@ -89,10 +89,7 @@
 
     /// All nodes with a lease.
     pub fn nodes(&self) -> Vec<NodeInfo> {
-        self.nodes
-            .values()
-            .map(|entry| entry.info.clone())
-            .collect()
+        self.nodes.values().map(|entry| entry.info.clone()).collect()
     }
 
     /// The nodes with the revision each acts on.
@@ -103,10 +100,7 @@
 
     /// Loads of all engines.
     pub fn loads(&self) -> Vec<EngineLoad> {
-        self.nodes
-            .values()
-            .flat_map(|entry| entry.loads.clone())
-            .collect()
+        self.nodes.values().flat_map(|entry| entry.loads.clone()).collect()
     }
 
     /// The highest revision that every node with a lease acts on. Never goes back.
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -23,10 +23,7 @@
 impl NodeRef {
     /// Stands where no gateway took part.
     pub fn nobody() -> Self {
-        Self {
-            node: NodeId::new("nobody"),
-            incarnation: Incarnation(0),
-        }
+        Self { node: NodeId::new("nobody"), incarnation: Incarnation(0) }
     }
 }
 
--- a/crates/store/src/queries/program.rs
+++ b/crates/store/src/queries/program.rs
@@ -165,9 +165,7 @@
             budget: root.budget,
             history_messages: record.history.len(),
             engines: record.holdings.keys().cloned().collect(),
-            calls: calls
-                .map(|(sequence, call)| CallView::new(*sequence, call, false))
-                .collect(),
+            calls: calls.map(|(sequence, call)| CallView::new(*sequence, call, false)).collect(),
         })
     }
 
@@ -183,11 +181,7 @@
         let mut pending = Vec::new();
         for engine in engines {
             let programs = self.releases.get(engine).into_iter().flatten();
-            pending.extend(
-                programs
-                    .take(limit)
-                    .map(|program| (engine.clone(), program.clone())),
-            );
+            pending.extend(programs.take(limit).map(|program| (engine.clone(), program.clone())));
         }
         ProgramAnswer::Releases(pending)
     }
--- a/crates/store/src/queries/resource.rs
+++ b/crates/store/src/queries/resource.rs
@@ -79,10 +79,7 @@
     }
 
     fn list(&self, kind: ResourceKind, after: Option<&str>, limit: usize) -> ResourceAnswer {
-        let of_kind = self
-            .resources
-            .values()
-            .filter(|resource| resource.key.kind == kind);
+        let of_kind = self.resources.values().filter(|resource| resource.key.kind == kind);
         let is_after =
             |resource: &&Resource| after.is_none_or(|after| resource.key.name.as_str() > after);
         let limit = limit.clamp(1, MAX_PAGE);
@@ -90,11 +87,7 @@
             of_kind.filter(is_after).take(limit + 1).cloned().collect();
         let has_more = resources.len() > limit;
         resources.truncate(limit);
-        ResourceAnswer::Page {
-            resources,
-            has_more,
-            revision: self.revision,
-        }
+        ResourceAnswer::Page { resources, has_more, revision: self.revision }
     }
 
     /// What a watcher at `after` lacks.
@@ -108,9 +101,6 @@
         let newer = self.changes.iter().filter(|change| change.revision > after);
         let changes: Vec<Change> = newer.take(limit.clamp(1, MAX_PAGE)).cloned().collect();
         let revision = changes.last().map_or(after, |change| change.revision);
-        Update {
-            revision,
-            content: UpdateContent::Changes(changes),
-        }
+        Update { revision, content: UpdateContent::Changes(changes) }
     }
 }
--- a/crates/store/src/router.rs
+++ b/crates/store/src/router.rs
@@ -76,12 +76,7 @@
 
     /// Sends `request`; its answer comes as [`RouterEvent::Done`] with `token`.
     pub fn ask(&mut self, now: Moment, token: u64, request: StoreRequest, patience: Duration) {
-        let waiting = Waiting {
-            request,
-            deadline: now + patience,
-            sent: None,
-            next_try: now,
-        };
+        let waiting = Waiting { request, deadline: now + patience, sent: None, next_try: now };
         self.waiting.insert(token, waiting);
         self.send(now, token);
     }
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -104,11 +104,8 @@
 
     /// Whether the log holds anything, so that the fleet has started before.
     pub fn has_started(&self) -> bool {
-        let last = |group| {
-            self.node
-                .raft(group)
-                .map_or(0, calicohoist_replication::Raft::last_index)
-        };
+        let last =
+            |group| self.node.raft(group).map_or(0, calicohoist_replication::Raft::last_index);
         self.groups.all().into_iter().any(|group| last(group) > 0)
     }
 
@@ -178,10 +175,7 @@
 
     fn redirect(&mut self, group: GroupId, ticket: Ticket) {
         let own = self.node.id().machine;
-        let leader = self
-            .node
-            .leader_machine(group)
-            .filter(|leader| *leader != own);
+        let leader = self.node.leader_machine(group).filter(|leader| *leader != own);
         self.fail(ticket, StoreReply::NotLeader(leader));
     }
 
@@ -324,9 +318,7 @@
     /// Status of every group on this machine.
     pub fn group_status(&self, now: Moment) -> Vec<GroupStatus> {
         let groups = self.groups.all();
-        let rafts = groups
-            .into_iter()
-            .filter_map(|group| Some((group, self.node.raft(group)?)));
+        let rafts = groups.into_iter().filter_map(|group| Some((group, self.node.raft(group)?)));
         rafts
             .map(|(group, raft)| GroupStatus {
                 group,
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -25,9 +25,7 @@
 impl GroupMap {
     /// A map over `program_groups` groups, at least one.
     pub fn new(program_groups: u32) -> Self {
-        Self {
-            program_groups: program_groups.max(1),
-        }
+        Self { program_groups: program_groups.max(1) }
     }
 
     /// The group of `program`.
@@ -45,9 +43,7 @@
 
     /// Every group.
     pub fn all(&self) -> Vec<GroupId> {
-        std::iter::once(RESOURCE_GROUP)
-            .chain(self.program_groups())
-            .collect()
+        std::iter::once(RESOURCE_GROUP).chain(self.program_groups()).collect()
     }
 }
 
--- a/crates/store/src/state/programs.rs
+++ b/crates/store/src/state/programs.rs
@@ -236,9 +236,7 @@
 
     pub(crate) fn budget_mut(&mut self, program: &ProgramId) -> Option<&mut Budget> {
         let root = root_of(program);
-        self.programs
-            .get_mut(&root)
-            .map(|record| &mut record.budget)
+        self.programs.get_mut(&root).map(|record| &mut record.budget)
     }
 
     /// Remembers that `engine` must release what it holds of an ended program.
--- a/crates/types/src/chat.rs
+++ b/crates/types/src/chat.rs
@@ -43,10 +43,7 @@
 impl ChatMessage {
     /// A message of `role` with `content`.
     pub fn new(role: Role, content: impl Into<String>) -> Self {
-        Self {
-            role,
-            content: content.into(),
-        }
+        Self { role, content: content.into() }
     }
 
     /// Estimated prompt tokens of this message, its role marker included.
@@ -66,10 +63,8 @@
 /// The estimate is used to reserve budget before the back end reports usage; it
 /// equals the emulated engines' tokenizer.
 pub fn count_tokens(text: &str) -> u64 {
-    let tokens: usize = text
-        .split_whitespace()
-        .map(|word| word.len().div_ceil(BYTES_PER_TOKEN))
-        .sum();
+    let tokens: usize =
+        text.split_whitespace().map(|word| word.len().div_ceil(BYTES_PER_TOKEN)).sum();
     tokens as u64
 }
 
--- a/crates/types/src/digest.rs
+++ b/crates/types/src/digest.rs
@@ -71,8 +71,6 @@
     /// Digest after all of `messages` were appended in order.
     #[must_use]
     pub fn append_all<'a>(self, messages: impl IntoIterator<Item = &'a ChatMessage>) -> Self {
-        messages
-            .into_iter()
-            .fold(self, |digest, message| digest.append(message))
+        messages.into_iter().fold(self, |digest, message| digest.append(message))
     }
 }
--- a/crates/types/src/finding.rs
+++ b/crates/types/src/finding.rs
@@ -35,15 +35,8 @@
         problem: impl Into<String>,
         accepted: impl Into<String>,
     ) -> Self {
-        let place = Place {
-            field: field.into(),
-            ..Place::default()
-        };
-        Self {
-            place,
-            problem: problem.into(),
-            accepted: accepted.into(),
-        }
+        let place = Place { field: field.into(), ..Place::default() };
+        Self { place, problem: problem.into(), accepted: accepted.into() }
     }
 }
 
@@ -77,11 +70,7 @@
 impl Findings {
     /// `Ok` when nothing was found.
     pub fn into_result(found: Vec<Finding>) -> Result<(), Self> {
-        if found.is_empty() {
-            Ok(())
-        } else {
-            Err(Self(found))
-        }
+        if found.is_empty() { Ok(()) } else { Err(Self(found)) }
     }
 
     fn joined(&self) -> String {
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -122,10 +122,7 @@
         let sequence = parts.next()?.parse().ok()?;
         let number = parts.next()?.parse().ok()?;
         let ends_here = parts.next().is_none();
-        ends_here.then_some(Self {
-            call: CallId { program, sequence },
-            number,
-        })
+        ends_here.then_some(Self { call: CallId { program, sequence }, number })
     }
 }
 
--- a/crates/types/src/openai.rs
+++ b/crates/types/src/openai.rs
@@ -99,9 +99,7 @@
             stream: true,
             max_tokens: None,
             max_completion_tokens: None,
-            stream_options: Some(StreamOptions {
-                include_usage: true,
-            }),
+            stream_options: Some(StreamOptions { include_usage: true }),
             continuation: String::new(),
         }
     }
@@ -119,30 +117,18 @@
         let mut found = Vec::new();
         let mut messages = Vec::new();
         if self.messages.is_empty() {
-            found.push(Finding::of_field(
-                "messages",
-                "is empty",
-                "at least one message",
-            ));
+            found.push(Finding::of_field("messages", "is empty", "at least one message"));
         }
         for (index, message) in self.messages.iter().enumerate() {
             match plain_text(message.content.as_ref()) {
                 Some(text) => messages.push(ChatMessage::new(message.role, text)),
                 None => {
                     let field = format!("messages[{index}].content");
-                    found.push(Finding::of_field(
-                        field,
-                        "is not text",
-                        "text or text parts",
-                    ));
+                    found.push(Finding::of_field(field, "is not text", "text or text parts"));
                 }
             }
         }
-        if found.is_empty() {
-            Ok(messages)
-        } else {
-            Err(found)
-        }
+        if found.is_empty() { Ok(messages) } else { Err(found) }
     }
 }
 
@@ -158,10 +144,7 @@
 
 impl From<&ChatMessage> for RequestMessage {
     fn from(message: &ChatMessage) -> Self {
-        Self {
-            role: message.role,
-            content: Some(Content::Text(message.content.clone())),
-        }
+        Self { role: message.role, content: Some(Content::Text(message.content.clone())) }
     }
 }
 
@@ -193,9 +176,7 @@
             prompt_tokens: usage.prompt_tokens,
             completion_tokens: usage.completion_tokens,
             total_tokens: usage.total(),
-            prompt_tokens_details: PromptDetails {
-                cached_tokens: usage.cached_tokens,
-            },
+            prompt_tokens_details: PromptDetails { cached_tokens: usage.cached_tokens },
         }
     }
 }
@@ -288,30 +269,20 @@
         text: Option<String>,
         end: Option<String>,
     ) -> Self {
-        let delta = Delta {
-            role: None,
-            content: text,
-        };
+        let delta = Delta { role: None, content: text };
         Self {
             id: id.to_owned(),
             object: "chat.completion.chunk".to_owned(),
             created,
             model: model.to_owned(),
-            choices: vec![ChunkChoice {
-                index: 0,
-                delta,
-                finish_reason: end,
-            }],
+            choices: vec![ChunkChoice { index: 0, delta, finish_reason: end }],
             usage: None,
         }
     }
 
     /// The text this chunk adds.
     pub fn text(&self) -> &str {
-        let content = self
-            .choices
-            .first()
-            .and_then(|choice| choice.delta.content.as_deref());
+        let content = self.choices.first().and_then(|choice| choice.delta.content.as_deref());
         content.unwrap_or_default()
     }
 
--- a/crates/types/src/resource.rs
+++ b/crates/types/src/resource.rs
@@ -167,22 +167,12 @@
                 );
             }
             Self::Engine(spec) => {
-                check_range(
-                    &mut found,
-                    "slots",
-                    u64::from(spec.slots),
-                    u64::from(MAX_SLOTS),
-                );
+                check_range(&mut found, "slots", u64::from(spec.slots), u64::from(MAX_SLOTS));
                 check_name(&mut found, "model", spec.model.as_str());
                 check_name(&mut found, "zone", spec.zone.as_str());
             }
             Self::Service(spec) => {
-                check_range(
-                    &mut found,
-                    "slots",
-                    u64::from(spec.slots),
-                    u64::from(MAX_SLOTS),
-                );
+                check_range(&mut found, "slots", u64::from(spec.slots), u64::from(MAX_SLOTS));
                 check_name(&mut found, "service", &spec.service);
                 check_name(&mut found, "zone", spec.zone.as_str());
             }
@@ -194,18 +184,8 @@
 
 fn validate_tenant(found: &mut Vec<Finding>, spec: &TenantSpec) {
     let largest = u64::from(u32::MAX);
-    check_range(
-        found,
-        "max_program_tokens",
-        spec.max_program_tokens,
-        largest,
-    );
-    check_range(
-        found,
-        "default_program_tokens",
-        spec.default_program_tokens,
-        largest,
-    );
+    check_range(found, "max_program_tokens", spec.max_program_tokens, largest);
+    check_range(found, "default_program_tokens", spec.default_program_tokens, largest);
     check_range(found, "max_calls", spec.max_calls, largest);
     if spec.default_program_tokens > spec.max_program_tokens {
         found.push(Finding::of_field(
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -35,9 +35,7 @@
 
 /// Integers have a fixed width: a flipped bit cannot change the meaning of what follows.
 fn codec() -> Configuration<LittleEndian, Fixint, Limit<MAX_FRAME_BYTES>> {
-    bincode::config::standard()
-        .with_fixed_int_encoding()
-        .with_limit::<MAX_FRAME_BYTES>()
+    bincode::config::standard().with_fixed_int_encoding().with_limit::<MAX_FRAME_BYTES>()
 }
 
 /// Encodes a message without a frame header.
@@ -55,9 +53,7 @@
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
     let (message, used) = bincode::serde::decode_from_slice(bytes, codec())?;
     if used != bytes.len() {
-        return Err(FrameError::Decode(bincode::error::DecodeError::Other(
-            "bytes left over",
-        )));
+        return Err(FrameError::Decode(bincode::error::DecodeError::Other("bytes left over")));
     }
     Ok(message)
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -40,20 +40,11 @@
     ) -> std::io::Result<Self> {
         let (sender, receiver) = bounded(RING);
         let stop = Arc::new(AtomicBool::new(false));
-        let writer = LinkWriter {
-            address,
-            receiver,
-            on_frame: Arc::new(on_frame),
-            stop: stop.clone(),
-        };
-        let thread = std::thread::Builder::new()
-            .name("wire-link".to_owned())
-            .spawn(move || writer.run())?;
-        Ok(Self {
-            sender,
-            stop,
-            thread: Some(thread),
-        })
+        let writer =
+            LinkWriter { address, receiver, on_frame: Arc::new(on_frame), stop: stop.clone() };
+        let thread =
+            std::thread::Builder::new().name("wire-link".to_owned()).spawn(move || writer.run())?;
+        Ok(Self { sender, stop, thread: Some(thread) })
     }
 
     /// Queues a frame; `false` when the ring was full and the frame was dropped.
@@ -139,21 +130,19 @@
     ) -> std::io::Result<JoinHandle<()>> {
         let on_frame = self.on_frame.clone();
         let address = self.address;
-        std::thread::Builder::new()
-            .name("wire-link-read".to_owned())
-            .spawn(move || {
-                let mut input = BufReader::new(stream);
-                loop {
-                    match read_frame(&mut input) {
-                        Ok(frame) => on_frame(frame),
-                        Err(FrameError::Io(_)) => break,
-                        Err(error) => {
-                            emit!(Event::FrameRefused, "from {address}: {error}");
-                            break;
-                        }
+        std::thread::Builder::new().name("wire-link-read".to_owned()).spawn(move || {
+            let mut input = BufReader::new(stream);
+            loop {
+                match read_frame(&mut input) {
+                    Ok(frame) => on_frame(frame),
+                    Err(FrameError::Io(_)) => break,
+                    Err(error) => {
+                        emit!(Event::FrameRefused, "from {address}: {error}");
+                        break;
                     }
                 }
-                broken.store(true, Ordering::SeqCst);
-            })
+            }
+            broken.store(true, Ordering::SeqCst);
+        })
     }
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -28,9 +28,7 @@
 
 impl<Out> Clone for Replier<Out> {
     fn clone(&self) -> Self {
-        Self {
-            sender: self.sender.clone(),
-        }
+        Self { sender: self.sender.clone() }
     }
 }
 
@@ -77,12 +75,7 @@
         let thread = std::thread::Builder::new()
             .name("wire-accept".to_owned())
             .spawn(move || accept_loop(&listener, &stop_seen, &open_seen, &on_frame))?;
-        Ok(Self {
-            address,
-            stop,
-            open,
-            thread: Some(thread),
-        })
+        Ok(Self { address, stop, open, thread: Some(thread) })
     }
 
     /// The bound address.
@@ -150,13 +143,11 @@
         .spawn(move || write_replies(&writing, &receiver, &writer_done))?;
     let open = open.clone();
     open.count.fetch_add(1, Ordering::SeqCst);
-    std::thread::Builder::new()
-        .name("wire-read".to_owned())
-        .spawn(move || {
-            read_frames(&stream, peer, &replier, &*on_frame);
-            done.store(true, Ordering::SeqCst);
-            open.count.fetch_sub(1, Ordering::SeqCst);
-        })?;
+    std::thread::Builder::new().name("wire-read".to_owned()).spawn(move || {
+        read_frames(&stream, peer, &replier, &*on_frame);
+        done.store(true, Ordering::SeqCst);
+        open.count.fetch_sub(1, Ordering::SeqCst);
+    })?;
     Ok(())
 }
 
