--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use calicohoist_lab::bench::{self, BenchSettings};
 use calicohoist_lab::demo::{self, DemoReport, DemoSettings};
 use calicohoist_lab::deployment::Deployment;
 use calicohoist_lab::fleet::FleetControl;
@@ -48,6 +49,19 @@
         #[bpaf(argument("FILE"))]
         history: Option<PathBuf>,
     },
+    /// Measure what the path adds to a call, and the rate one gateway holds
+    #[bpaf(command)]
+    Bench {
+        /// Calls of each kind for the added latency
+        #[bpaf(argument("COUNT"), fallback(300))]
+        calls: usize,
+        /// Seconds of each step of the rate
+        #[bpaf(argument("SECONDS"), fallback(4))]
+        seconds: u64,
+        /// Write the report here, too
+        #[bpaf(argument("FILE"))]
+        json: Option<PathBuf>,
+    },
     /// Run the stand-ins of a fleet of processes and write its settings files
     #[bpaf(command)]
     Backends {
@@ -109,6 +123,15 @@
             }
             conclude(&outcome, json.as_deref())
         }
+        Command::Bench { calls, seconds, json } => {
+            let settings = BenchSettings { calls, step: Duration::from_secs(seconds) };
+            let text = serde_json::to_string_pretty(&bench::run(settings)?)?;
+            println!("{text}");
+            if let Some(file) = json {
+                std::fs::write(file, text)?;
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Backends { deployment, folder, seed, seconds } => {
             let size = FleetSize::of(deployment);
             let backends = Backends::start(deployment, size, seed)?;
