Add the simulator: fleets in virtual time under drawn faults

Cause: promises were judged only on runs in real time, where few failures can be brought about and none can be repeated.

--- a/crates/lab/src/check/fleet.rs
+++ b/crates/lab/src/check/fleet.rs
@@ -71,5 +71,10 @@
             )
         });
     }
+    for winners in &history.races {
+        verdict.look(*winners == 1, || {
+            format!("{winners} of two changes with the same version were accepted")
+        });
+    }
     verdict
 }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -74,7 +74,7 @@
 }
 
 /// Three percentiles.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Percentiles {
     /// Median.
     pub p50: u64,
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -157,4 +157,6 @@
     pub stops: Vec<StopEvent>,
     /// Looks at the configuration.
     pub probes: Vec<ConfigProbe>,
+    /// Winners of each race of two operators that named the same version.
+    pub races: Vec<u32>,
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`history`]: what callers, engines and services recorded;
 //! - [`check`]: the ten invariants, judged from those records alone;
 //! - [`fleet`]: all roles and stand-ins in one process, or files for many;
+//! - [`sim`]: the product's state machines under virtual time, from one seed;
 //! - [`demo`], [`bench`]: the commands;
 //! - [`report`]: what a person reads at the end.
 
@@ -17,4 +18,5 @@
 pub mod fleet;
 pub mod history;
 pub mod report;
+pub mod sim;
 pub mod workload;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 use calicohoist_lab::fleet::backends::{Backends, FleetSize};
 use calicohoist_lab::fleet::files::{self, ProcessFleet};
 use calicohoist_lab::report;
+use calicohoist_lab::sim::{Scenario, SeedRange, SimReport, run_many};
 use calicohoist_telemetry::{LogFormat, LogSettings, logging};
 use eyre::Result;
 use log::LevelFilter;
@@ -62,6 +63,9 @@
         #[bpaf(argument("FILE"))]
         json: Option<PathBuf>,
     },
+    /// Run whole fleets in virtual time under faults, and judge what happened
+    #[bpaf(command)]
+    Sim(#[bpaf(external(sim_arguments))] SimArguments),
     /// Run the stand-ins of a fleet of processes and write its settings files
     #[bpaf(command)]
     Backends {
@@ -96,6 +100,34 @@
     },
 }
 
+#[derive(Clone, Debug, Bpaf)]
+struct SimArguments {
+    /// Print the names of all scenarios
+    list: bool,
+    /// Scenario to run; all of them when left out
+    #[bpaf(argument("NAME"))]
+    scenario: Option<Scenario>,
+    /// celje or kushiro
+    #[bpaf(argument("NAME"), fallback(Deployment::Celje))]
+    deployment: Deployment,
+    /// Everything that happens follows from this
+    #[bpaf(argument("SEED"), fallback(1))]
+    seed: u64,
+    /// Run many seeds on all cores, A up to but without B
+    #[bpaf(argument("A..B"))]
+    seeds: Option<SeedRange>,
+    /// Threads of many runs
+    #[bpaf(argument("COUNT"), fallback(default_threads()))]
+    threads: usize,
+    /// Write the report here, too
+    #[bpaf(argument("FILE"))]
+    json: Option<PathBuf>,
+}
+
+fn default_threads() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
+
 fn main() -> ExitCode {
     let arguments = arguments().run();
     let settings = LogSettings { format: LogFormat::Text, level: arguments.log_level };
@@ -132,6 +164,7 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Command::Sim(arguments) => simulate(&arguments),
         Command::Backends { deployment, folder, seed, seconds } => {
             let size = FleetSize::of(deployment);
             let backends = Backends::start(deployment, size, seed)?;
@@ -154,6 +187,40 @@
     }
 }
 
+fn simulate(arguments: &SimArguments) -> Result<ExitCode> {
+    if arguments.list {
+        Scenario::ALL.iter().for_each(|scenario| println!("{}", scenario.name()));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let scenarios = match arguments.scenario {
+        Some(scenario) => vec![scenario],
+        None => Scenario::ALL.to_vec(),
+    };
+    let seeds = arguments.seeds.as_ref().map_or(arguments.seed..arguments.seed + 1, |range| {
+        range.seeds.clone()
+    });
+    let mut all = Vec::new();
+    for scenario in scenarios {
+        let begin = std::time::Instant::now();
+        let reports =
+            run_many(scenario, arguments.deployment, seeds.clone(), arguments.threads);
+        println!("{}", report::sim_line(&reports, begin.elapsed()));
+        for report in reports.iter().filter(|report| !report.is_good()) {
+            println!("{}", report.describe());
+        }
+        all.extend(reports);
+    }
+    if let Some(file) = &arguments.json {
+        let json = match all.as_slice() {
+            [only] => serde_json::to_vec_pretty(only)?,
+            many => serde_json::to_vec_pretty(many)?,
+        };
+        std::fs::write(file, json)?;
+    }
+    let is_good = all.iter().all(SimReport::is_good);
+    Ok(if is_good { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 /// Prints and stores a report; the status says whether everything held.
 fn conclude(outcome: &DemoReport, json: Option<&Path>) -> Result<ExitCode> {
     println!("{}", report::text(outcome));
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,6 +1,9 @@
 //! What a person reads at the end of a run.
 
+use std::time::Duration;
+
 use crate::demo::DemoReport;
+use crate::sim::SimReport;
 
 /// The report as text.
 pub fn text(report: &DemoReport) -> String {
@@ -31,3 +34,21 @@
     }
     lines.join("\n")
 }
+
+/// One line about the runs of one scenario.
+pub fn sim_line(reports: &[SimReport], took: Duration) -> String {
+    let sum = |of: fn(&SimReport) -> u64| reports.iter().map(of).sum::<u64>();
+    let bad = reports.iter().filter(|report| !report.is_good()).count();
+    let name = reports.first().map_or("", |report| report.scenario.as_str());
+    let looks = |report: &SimReport| {
+        report.invariants.named().iter().map(|(_, verdict)| verdict.checked).sum()
+    };
+    format!(
+        "{name:<26} {:>5} runs {bad:>4} bad {:>6} faults {:>7} programs {:>9} looks {:>6} s",
+        reports.len(),
+        sum(|report| report.faults_injected),
+        sum(|report| report.programs as u64),
+        sum(looks),
+        took.as_secs()
+    )
+}
