--- a/crates/emulator/src/platform.rs
+++ b/crates/emulator/src/platform.rs
@@ -28,7 +28,7 @@
 
     /// Announces that a machine will go.
     pub fn announce_leaving(&mut self, now: Moment, machine: &str) {
-        self.leaving.insert(machine.to_owned(), now);
+        self.leaving.entry(machine.to_owned()).or_insert(now);
     }
 
     /// The list as it shows at `now`.
--- a/crates/gateway/src/core/call.rs
+++ b/crates/gateway/src/core/call.rs
@@ -84,6 +84,8 @@
     RunningCall,
     /// The same request in another gateway.
     SameCall,
+    /// The gateway's lease, and with it the newest configuration.
+    Lease,
 }
 
 /// Where an attempt was sent.
--- a/crates/gateway/src/core/flow/admit.rs
+++ b/crates/gateway/src/core/flow/admit.rs
@@ -89,6 +89,10 @@
         let Some(request) = call.request.clone() else {
             return;
         };
+        if !self.view.has_lease(now) {
+            // Limits of an old configuration must not be used.
+            return self.wait(now, id, Waiting::Lease, self.settings.gap_timeout);
+        }
         let program = call.program.clone();
         let begin = BeginCall {
             program: program.clone(),
@@ -216,6 +220,10 @@
         self.by_attempt.insert(attempt.clone(), id);
         call.attempt = Some(attempt);
         call.admission = Some(admission);
+        if previous.is_none() {
+            // Nothing was sent, so there is no stream to resume.
+            call.resumes = None;
+        }
         self.retries.earn();
         self.forward(now, id);
         match previous {
--- a/crates/gateway/src/core/flow/mod.rs
+++ b/crates/gateway/src/core/flow/mod.rs
@@ -38,7 +38,8 @@
             (Phase::Retrying, Some(ProgramOutput::Retry(next))) => {
                 self.start_retry(now, id, next);
             }
-            (Phase::Retrying, Some(ProgramOutput::Refused(ProgramError::NotRepeatable))) => {
+            (Phase::Retrying, Some(ProgramOutput::Refused(ProgramError::NotRepeatable)))
+            | (Phase::Dispatching, Some(ProgramOutput::Refused(ProgramError::BudgetExhausted))) => {
                 self.give_up(now, id, FailureCause::BackendLost);
             }
             (Phase::Beginning, Some(ProgramOutput::Refused(error))) => {
--- a/crates/gateway/src/core/flow/route.rs
+++ b/crates/gateway/src/core/flow/route.rs
@@ -221,7 +221,8 @@
         call.target = Some(target);
         call.phase = Phase::Dispatching;
         let program = attempt.call.program.clone();
-        let command = ProgramCommand::Dispatch { attempt, by, backend };
+        let resumes = call.resumes.is_some();
+        let command = ProgramCommand::Dispatch { attempt, by, backend, resumes };
         self.command(now, Purpose::Call(id), &program, command);
     }
 
--- a/crates/gateway/src/core/flow/run.rs
+++ b/crates/gateway/src/core/flow/run.rs
@@ -78,8 +78,15 @@
             call.excluded.insert(backend_name(&target.backend));
         }
         let repeatable = call.admission.as_ref().is_some_and(|admission| admission.repeatable);
+        // An attempt that only asked for the rest of an earlier one ran nothing
+        // itself, but the earlier one may have run.
+        let only_resumed = call.resumes.is_some();
+        let never_sent = match failure {
+            BackendFailure::NotStarted => !was_lookup && (repeatable || !only_resumed),
+            BackendFailure::NothingToResume => repeatable,
+            _ => false,
+        };
         self.release_slot(now, id);
-        let never_sent = failure == BackendFailure::NotStarted && !was_lookup;
         let may_retry = never_sent || (repeatable && !was_lookup && self.retries.spend());
         if may_retry {
             self.retry(now, id, never_sent);
@@ -133,6 +140,7 @@
         let repeatable = call.admission.as_ref().is_some_and(|admission| admission.repeatable);
         let Some(address) = address else {
             return if repeatable {
+                call.resumes = None;
                 self.route(now, id)
             } else {
                 self.give_up(now, id, FailureCause::BackendLost)
@@ -143,7 +151,10 @@
         match (repeatable, is_engine) {
             // The engine may still have the stream: resume it under a new mark.
             (true, true) => self.dispatch(now, id, target),
-            (true, false) => self.route(now, id),
+            (true, false) => {
+                call.resumes = None;
+                self.route(now, id);
+            }
             (false, true) => {
                 call.target = Some(target);
                 call.phase = Phase::Running { progress: now };
--- a/crates/gateway/src/core/flow/timers.rs
+++ b/crates/gateway/src/core/flow/timers.rs
@@ -67,6 +67,9 @@
             Due::StopWaiting(Waiting::SameCall) => {
                 self.fail_unknown(now, id, FailureCause::StillRunning);
             }
+            Due::StopWaiting(Waiting::Lease) => {
+                self.fail_unknown(now, id, FailureCause::StoreUnavailable);
+            }
             Due::StopWaiting(_) => self.refuse(now, id, NotRunReason::SequenceGap),
             Due::Route => self.route(now, id),
             Due::Enqueue => self.enqueue_at_owner(now, id),
--- a/crates/gateway/src/core/view.rs
+++ b/crates/gateway/src/core/view.rs
@@ -84,7 +84,6 @@
     }
 
     pub(crate) fn on_heartbeat(&mut self, now: Moment, sent: Moment, reply: HeartbeatReply) {
-        self.lease_until = self.lease_until.max(sent + reply.lease);
         self.nodes_complete = reply.nodes_complete;
         self.nodes_version = reply.nodes_version;
         if let Some(nodes) = reply.nodes {
@@ -95,6 +94,10 @@
         self.loads = by_engine.collect();
         self.in_force = self.in_force.max(reply.in_force);
         self.apply(reply.update);
+        if self.applied >= self.in_force {
+            // Whoever may start work acts on the configuration that is in force.
+            self.lease_until = self.lease_until.max(sent + reply.lease);
+        }
         self.tick(now);
     }
 
--- a/crates/gateway/src/front/errors.rs
+++ b/crates/gateway/src/front/errors.rs
@@ -125,7 +125,9 @@
             }
             ProgramError::PromptTooLong(_) => prompt_too_long(),
             ProgramError::KeyMismatch => key_mismatch(),
-            ProgramError::Stale | ProgramError::NotRepeatable => Self::store_unavailable(),
+            ProgramError::Stale | ProgramError::NotRepeatable | ProgramError::BudgetExhausted => {
+                Self::store_unavailable()
+            }
         }
     }
 
--- a/crates/lab/src/check/calls.rs
+++ b/crates/lab/src/check/calls.rs
@@ -69,8 +69,7 @@
     let mut verdict = Verdict::default();
     for record in &history.engine_records {
         let call = &record.attempt.call;
-        let expected = transcripts.prompt(call.program.as_str(), call.sequence);
-        let holds = expected.as_ref() == Some(&record.prompt);
+        let holds = transcripts.was_asked(call.program.as_str(), call.sequence, &record.prompt);
         verdict.look(holds, || {
             format!("{} ran with another history than its caller's", record.attempt)
         });
@@ -85,7 +84,7 @@
         .map(|program| (program.id.as_str(), program.root.as_str()))
         .collect();
     let mut spent: BTreeMap<&str, u64> = BTreeMap::new();
-    for record in history.engine_records.iter().filter(|record| record.finished.is_some()) {
+    for record in &history.engine_records {
         if let Some(root) = roots.get(record.program.as_str()) {
             *spent.entry(root).or_default() += record.usage.total();
         }
@@ -106,15 +105,15 @@
             continue;
         };
         let expected = match &call.asked {
-            Asked::Service { service, input } => Some(job_output(service, input)),
-            Asked::Model { model, .. } => {
-                let prompt = transcripts.prompt(&call.program, call.sequence);
+            Asked::Service { service, input } => job_output(service, input),
+            Asked::Model { model, messages } => {
+                let prompt = transcripts.prompt(&call.program, call.sequence, messages);
                 let is_cut = finish_reason == "length";
                 let limit = if is_cut { usage.completion_tokens } else { u64::MAX };
-                prompt.map(|prompt| answer_text(&ModelId::new(model), &prompt, limit))
+                answer_text(&ModelId::new(model), &prompt, limit)
             }
         };
-        verdict.look(expected.as_ref() == Some(text), || {
+        verdict.look(expected == *text, || {
             format!("{}/{} got {text:?} instead of {expected:?}", call.program, call.sequence)
         });
     }
--- a/crates/lab/src/sim/caller.rs
+++ b/crates/lab/src/sim/caller.rs
@@ -9,7 +9,9 @@
 
 use calicohoist_gateway::core::message::{CallRequest, CallerEvent, Finish, Ticket, Work};
 use calicohoist_gateway::front::errors::ApiError;
-use calicohoist_store::commands::program::{NewProgram, ProgramCommand, ProgramOutput};
+use calicohoist_store::commands::program::{
+    NewProgram, ProgramCommand, ProgramError, ProgramOutput,
+};
 use calicohoist_store::{Command, GroupMap, Output, StoreReply, StoreRequest};
 use calicohoist_types::{
     CallId, ChatMessage, IdempotencyKey, ModelId, Moment, Outcome, ProgramId, RequestId, Role,
@@ -320,7 +322,8 @@
                 }
             }
             AskOwner::End(index) => {
-                let is_busy = matches!(output, Some(ProgramOutput::Refused(_)));
+                let refusal = output.as_ref();
+                let is_busy = matches!(refusal, Some(ProgramOutput::Refused(ProgramError::Busy(_))));
                 let is_ended = matches!(output, Some(ProgramOutput::Done));
                 if is_ended {
                     self.clients.programs[index].ended = Some(self.now);
@@ -496,18 +499,22 @@
         self.send_try(open);
     }
 
+    /// Sends the program's second call before the first one has ended.
     fn send_too_early(&mut self, index: usize) {
-        let Some((asked, repeatable, _)) = self.asked(index) else {
+        let program = &self.clients.programs[index];
+        let later = program.steps.iter().skip(program.position + 1);
+        let mut later = later.skip_while(|step| matches!(step, Step::Pause(_)));
+        let Some(Step::Ask(messages)) = later.next() else {
             return;
         };
-        let program = &self.clients.programs[index];
+        let model = self.deployment.model().to_owned();
         let sequence = program.sequence + 1;
         let early = OpenTry {
             program: index,
             sequence,
-            key: format!("early-{sequence}"),
-            asked,
-            repeatable,
+            key: format!("k{sequence}-0"),
+            asked: Asked::Model { model, messages: messages.clone() },
+            repeatable: true,
             gateway: program.gateway,
             sent: self.now,
             text: String::new(),
@@ -697,5 +704,6 @@
             | "program_ended"
             | "too_many_calls"
             | "unknown_program"
+            | "key_mismatch"
     )
 }
--- a/crates/lab/src/sim/disturb.rs
+++ b/crates/lab/src/sim/disturb.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use calicohoist_gateway::core::message::Input;
+use calicohoist_replication::ReplicaId;
 use calicohoist_types::Moment;
 use rand::RngExt;
 
@@ -36,7 +37,14 @@
 
 impl World {
     pub(super) fn begin_fault(&mut self, fault: Fault) {
-        if matches!(fault, Fault::LoseNextDisk(_)) && !self.is_fully_replicated() {
+        if let Fault::StopGateway(index, _) = fault
+            && self.gateways[index].frozen_until > self.now
+        {
+            // A process that stands still handles its signals when it goes on.
+            let until = self.gateways[index].frozen_until;
+            return self.plan(until, Happening::FaultBegins(fault));
+        }
+        if matches!(fault, Fault::LoseNextDisk(_)) && !self.is_repaired() {
             return self.plan_in(REPAIR_POLL, Happening::FaultBegins(fault));
         }
         self.faults += 1;
@@ -47,7 +55,8 @@
                 Some(span)
             }
             Fault::FreezeGateway(index, span) => {
-                self.gateways[index].frozen_until = now + span;
+                let part = &mut self.gateways[index];
+                part.frozen_until = part.frozen_until.max(now + span);
                 None
             }
             Fault::IsolateGateway(index, span) => {
@@ -88,7 +97,8 @@
                 Some(span)
             }
             Fault::FreezeStore(index, span) => {
-                self.stores[index].frozen_until = now + span;
+                let part = &mut self.stores[index];
+                part.frozen_until = part.frozen_until.max(now + span);
                 None
             }
             Fault::IsolateStore(index, span) => {
@@ -221,8 +231,9 @@
         self.network.isolate(Actor::Store(leader), true);
     }
 
-    /// Whether the status of every group says that a machine may be lost.
-    pub(super) fn is_fully_replicated(&self) -> bool {
+    /// Whether the status of every group says that a machine may be lost, with
+    /// every machine as it is now among the voters.
+    fn is_repaired(&self) -> bool {
         let now = self.now;
         let running = self.stores.iter().filter_map(|store| store.service.as_ref());
         let status: Vec<_> = running.flat_map(|service| service.group_status(now)).collect();
@@ -231,9 +242,14 @@
         groups.dedup();
         let is_safe = |group| {
             let leaders = status.iter().filter(|status| status.group == group && status.is_leader);
-            leaders.into_iter().any(|status| status.fully_replicated)
+            let mut leaders = leaders.into_iter();
+            leaders.any(|status| status.fully_replicated && self.is_current(&status.voters))
         };
-        !groups.is_empty() && groups.into_iter().all(is_safe)
+        self.stores.iter().all(|store| store.service.is_some()) && groups.into_iter().all(is_safe)
+    }
+
+    fn is_current(&self, voters: &[ReplicaId]) -> bool {
+        self.stores.iter().all(|store| voters.contains(&store.id))
     }
 
     fn stop_gateway(&mut self, index: usize, away: Duration) {
--- a/crates/lab/src/sim/run.rs
+++ b/crates/lab/src/sim/run.rs
@@ -13,6 +13,7 @@
 
 use super::backends::PROBE_MODEL;
 use super::disturb::MAX_CALLS;
+use super::fault::Fault;
 use super::scenario::{Planned, Scenario, Targets};
 use super::waste::{HeldSamples, WastedCache, rebuilt_share};
 use super::world::{Happening, START, World, WorldSize};
@@ -39,6 +40,8 @@
 const RELEASE_PATIENCE: Duration = Duration::from_secs(30);
 /// Time between looks at what engines hold.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Virtual time at which the fleet is up, in microseconds.
+const START_MICROS: u64 = START.as_micros() + START_UP.as_micros() as u64;
 /// Lines of an excerpt.
 const MAX_EXCERPT: usize = 16;
 
@@ -78,6 +81,8 @@
     pub wasted_cache: WastedCache,
     /// Virtual time of the run, in milliseconds.
     pub virtual_ms: u64,
+    /// The faults and when they began, in microseconds after the fleet was up.
+    pub faults: Vec<(u64, Fault)>,
     /// Lines of the history that show the first violation.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub excerpt: Vec<String>,
@@ -100,6 +105,9 @@
         if self.unfinished > 0 {
             lines.push(format!("{head}: {} programs did not come to an end", self.unfinished));
         }
+        for (at, fault) in &self.faults {
+            lines.push(format!("    fault at {} us: {fault:?}", START_MICROS + at));
+        }
         lines.extend(self.excerpt.iter().map(|line| format!("    {line}")));
         lines.join("\n")
     }
@@ -156,7 +164,11 @@
         advance_by(&mut world, &mut held, SAMPLE_INTERVAL);
     }
     wait_for_release(&mut world, &mut held);
-    conclude(settings, world, held)
+    let (mut report, history) = conclude(settings, world, held);
+    let micros = |(at, fault): &Planned| (at.as_micros() as u64, *fault);
+    report.faults = planned.iter().map(micros).collect();
+    report.faults.sort_by_key(|(at, _)| *at);
+    (report, history)
 }
 
 fn advance_by(world: &mut World, held: &mut HeldSamples, time: Duration) {
@@ -214,6 +226,7 @@
         faults_injected: world.faults,
         programs: roots.len(),
         unfinished,
+        faults: Vec::new(),
         excerpt: excerpt(&history, &invariants),
         invariants,
         program_latency_ms: Percentiles::of(latencies),
--- a/crates/lab/src/sim/scenario.rs
+++ b/crates/lab/src/sim/scenario.rs
@@ -213,7 +213,11 @@
         let first = self.pick(self.targets.stores);
         let second = (first + 1 + self.pick(self.targets.stores - 1)) % self.targets.stores;
         let at = self.span(1.0, 4.0);
-        vec![(at, Fault::LoseDisk(first)), (at + seconds(0.5), Fault::LoseNextDisk(second))]
+        vec![
+            (at, Fault::LoseDisk(first)),
+            (at + seconds(0.5), Fault::LoseNextDisk(second)),
+            (at + seconds(5.0), Fault::LoseNextDisk(first)),
+        ]
     }
 
     fn restart_after_lag(&mut self) -> Vec<Planned> {
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -502,7 +502,10 @@
         part.start += 1;
         part.core = None;
         for ticket in self.clients.tickets_at(index) {
-            let frame = Frame::News { ticket, news: ClientNews::Cut };
+            // A connection that the network broke ends in silence.
+            let is_open = self.clients.is_open(ticket);
+            let news = if is_open { ClientNews::Cut } else { ClientNews::TimedOut };
+            let frame = Frame::News { ticket, news };
             self.send_ordered(Actor::Gateway(index), Actor::Client, frame);
         }
     }
@@ -659,7 +662,10 @@
             self.plan_in(CLIENT_TIMEOUT, Happening::ClientTimeout(ticket));
         }
         let frame = Frame::Client { ticket, request };
-        self.send_ordered(Actor::Client, Actor::Gateway(gateway), frame);
+        let sent = self.send_ordered(Actor::Client, Actor::Gateway(gateway), frame);
+        if !sent {
+            self.clients.break_connection(ticket);
+        }
     }
 }
 
--- a/crates/store/src/commands/program.rs
+++ b/crates/store/src/commands/program.rs
@@ -83,6 +83,8 @@
         by: NodeRef,
         /// Where it will be sent.
         backend: Backend,
+        /// It only asks for the rest of an attempt that was sent there before.
+        resumes: bool,
     },
     /// Starts another attempt after one that failed.
     Retry {
@@ -230,6 +232,8 @@
     Stale,
     /// The call may not be tried again.
     NotRepeatable,
+    /// The budget does not pay for another attempt.
+    BudgetExhausted,
     /// Sub-agents are nested too deeply.
     TooDeep,
     /// The program has started too many sub-agents.
@@ -264,8 +268,8 @@
         let applied = match command {
             ProgramCommand::Create(new) => self.create(new).map(ProgramOutput::Created),
             ProgramCommand::Begin(begin) => self.begin(*begin).map(ProgramOutput::Begin),
-            ProgramCommand::Dispatch { attempt, by, backend } => {
-                self.dispatch(&attempt, &by, backend)
+            ProgramCommand::Dispatch { attempt, by, backend, resumes } => {
+                self.dispatch(&attempt, &by, backend, resumes)
             }
             ProgramCommand::Retry { attempt, by, never_sent } => {
                 self.retry(&attempt, &by, never_sent)
@@ -445,6 +449,7 @@
             reserved,
             messages: begin.messages,
             state: CallState::Admitted,
+            uncharged: None,
             closed,
         };
         let program = call.program.clone();
@@ -496,6 +501,7 @@
             reserved: 0,
             messages: Vec::new(),
             state: CallState::NotRun(reason),
+            uncharged: None,
             closed: Vec::new(),
         });
         remember_closed(entry, closed);
@@ -531,7 +537,13 @@
         Ok(ProgramOutput::Begin(self.close_key(call, begin, reason)))
     }
 
-    fn dispatch(&mut self, attempt: &AttemptId, by: &NodeRef, backend: Backend) -> Applied {
+    fn dispatch(
+        &mut self,
+        attempt: &AttemptId,
+        by: &NodeRef,
+        backend: Backend,
+        resumes: bool,
+    ) -> Applied {
         let program = &attempt.call.program;
         let state = self.programs.get(program).map(|record| record.state);
         let call = self.current(attempt, by).ok_or(ProgramError::Stale)?;
@@ -543,6 +555,10 @@
         if state != Some(ProgramState::Active) {
             return Err(ProgramError::NotActive(state.unwrap_or(ProgramState::Ended)));
         }
+        if !resumes {
+            self.charge_lost_attempt(&attempt.call)?;
+        }
+        let call = self.current(attempt, by).ok_or(ProgramError::Stale)?;
         call.state = CallState::Dispatched(backend.clone());
         let own: u64 = call.messages.iter().map(ChatMessage::tokens).sum();
         if let (Backend::Engine(engine), Some(record)) = (backend, self.programs.get_mut(program)) {
@@ -552,6 +568,23 @@
         Ok(ProgramOutput::Done)
     }
 
+    /// Charges the budget for an attempt that was sent and whose answer was lost:
+    /// it may have used all that was set aside for it. What is set aside then
+    /// covers the next attempt.
+    fn charge_lost_attempt(&mut self, place: &CallId) -> Result<(), ProgramError> {
+        let call = self.call_mut(place).ok_or(ProgramError::Missing)?;
+        let reserved = if call.uncharged.is_some() { call.reserved } else { 0 };
+        let budget = self.budget_mut(&place.program).ok_or(ProgramError::Missing)?;
+        if budget.available() < reserved {
+            return Err(ProgramError::BudgetExhausted);
+        }
+        budget.spent += reserved;
+        if let Some(call) = self.call_mut(place) {
+            call.uncharged = None;
+        }
+        Ok(())
+    }
+
     fn retry(&mut self, attempt: &AttemptId, by: &NodeRef, never_sent: bool) -> Applied {
         let call = self.call_mut(&attempt.call).ok_or(ProgramError::Missing)?;
         let next = AttemptId { call: attempt.call.clone(), number: attempt.number + 1 };
@@ -566,6 +599,9 @@
         if was_sent && !call.repeatable {
             return Err(ProgramError::NotRepeatable);
         }
+        if let (CallState::Dispatched(backend), true) = (&call.state, was_sent) {
+            call.uncharged = Some(backend.clone());
+        }
         call.attempt = next.number;
         call.state = CallState::Admitted;
         Ok(ProgramOutput::Retry(next))
@@ -588,6 +624,7 @@
             // A request that must not run twice keeps its mark: only its back end
             // can tell what became of it.
             if call.repeatable && call.is_running() {
+                call.uncharged = previous.clone().or(call.uncharged.take());
                 call.state = CallState::Admitted;
             }
         }
@@ -673,6 +710,10 @@
         }
         match &call.state {
             CallState::Dispatched(backend) => call.state = CallState::Unknown(backend.clone()),
+            CallState::Admitted => {
+                let earlier = call.uncharged.take().ok_or(ProgramError::Stale)?;
+                call.state = CallState::Unknown(earlier);
+            }
             CallState::Unknown(_) => return Ok(ProgramOutput::Done),
             _ => return Err(ProgramError::Stale),
         }
--- a/crates/store/src/state/programs.rs
+++ b/crates/store/src/state/programs.rs
@@ -126,6 +126,9 @@
     pub messages: Vec<ChatMessage>,
     /// Where it stands.
     pub state: CallState,
+    /// Where an earlier attempt was sent whose usage nobody knows and the budget
+    /// was not charged for yet; the reservation covers it.
+    pub uncharged: Option<Backend>,
     /// Earlier keys of this place that were closed as not run.
     pub closed: Vec<ClosedKey>,
 }
