Account for control traffic at a ladder of sizes; cut what grew with its product

Cause: with 390 hollow gateways before 600 engines every gateway hashed every pair of engine and gateway on each of its steps, and every heartbeat's answer named the load of every engine. scale did not get through 100 gateways in 250 s. Change: owners are kept and worked out only when gateways or engines change; loads are published once a second as changes; frames use variable integers; releases are asked for each second; resources of a kind are found by range, not by a look at all.

--- a/crates/gateway/src/core/flow/route.rs
+++ b/crates/gateway/src/core/flow/route.rs
@@ -1,5 +1,6 @@
 //! Choosing a back end, getting a slot, and the durable mark before the send.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use calicohoist_scheduler::{CostInputs, choose};
@@ -69,23 +70,41 @@
             spec.model == *model && accepts && self.view.may_use(engine) && !is_excluded
         };
         let candidates = self.view.engines().filter(takes);
+        let own = self.calls_by_engine();
+        let prompt_tokens = call.prompt_tokens();
         let costed = candidates.map(|(engine, spec)| {
-            let inputs = self.cost_inputs(call, &engine, spec);
+            let own = own.get(&engine).copied().unwrap_or_default();
+            let inputs = self.cost_inputs(call, prompt_tokens, own, &engine, spec);
             (engine, inputs)
         });
         choose(costed, &self.settings.weights)
     }
 
-    fn cost_inputs(&self, call: &Call, engine: &EngineId, spec: &EngineSpec) -> CostInputs {
+    /// Calls of this gateway that wait for or run on each engine.
+    fn calls_by_engine(&self) -> BTreeMap<EngineId, u32> {
+        let mut counts = BTreeMap::new();
+        for engine in self.calls.values().filter_map(Call::engine) {
+            *counts.entry(engine).or_default() += 1;
+        }
+        counts
+    }
+
+    fn cost_inputs(
+        &self,
+        call: &Call,
+        prompt_tokens: u64,
+        own: u32,
+        engine: &EngineId,
+        spec: &EngineSpec,
+    ) -> CostInputs {
         let load = self.view.load(engine);
         let holdings = call.admission.iter().flat_map(|admission| &admission.holdings);
         let held = holdings.clone().find(|(holder, _)| holder == engine);
         // Loads are late: calls that went there from here count at least.
-        let own = self.calls.values().filter(|other| other.is_at(engine)).count() as u32;
         let running = load.map_or(0, |load| load.running);
         let waiting = load.map_or(0, |load| load.waiting);
         CostInputs {
-            prompt_tokens: call.prompt_tokens(),
+            prompt_tokens,
             held_tokens: held.map_or(0, |(_, tokens)| *tokens),
             running: running.max(own),
             waiting,
@@ -251,10 +270,12 @@
         matches!(&self.phase, Phase::Queued { engine: queued, .. } if queued == engine)
     }
 
-    /// Whether it waits for or runs on `engine`.
-    fn is_at(&self, engine: &EngineId) -> bool {
-        let holds = self.held_slot().is_some_and(|(held, _)| held == *engine);
-        holds || self.waits_for(engine)
+    /// The engine it waits for or runs on.
+    fn engine(&self) -> Option<EngineId> {
+        match &self.phase {
+            Phase::Queued { engine, .. } => Some(engine.clone()),
+            _ => self.held_slot().map(|(engine, _)| engine),
+        }
     }
 
     fn is_at_replica(&self, name: &str) -> bool {
--- a/crates/gateway/src/core/memory.rs
+++ b/crates/gateway/src/core/memory.rs
@@ -18,7 +18,7 @@
 use super::{Gateway, Purpose, program_answer};
 
 /// Time between questions for new release orders.
-const ASK_INTERVAL: Duration = Duration::from_millis(200);
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between listings of one engine.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(3);
 /// Pause after a release that failed.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -310,6 +310,7 @@
             applied: self.view.applied(),
             nodes_version: self.view.nodes_version(),
             loads: self.owner.loads(now, &self.view),
+            loads_version: self.view.loads_version(),
             stopping: self.stopping,
         };
         let request = StoreRequest::Heartbeat(Box::new(heartbeat));
--- a/crates/gateway/src/core/owner.rs
+++ b/crates/gateway/src/core/owner.rs
@@ -44,12 +44,14 @@
 #[derive(Debug)]
 pub(crate) struct EngineOwner {
     engines: BTreeMap<EngineId, OwnedEngine>,
+    /// Version of the owners that was followed last, and whether it was stopping.
+    followed: Option<(u64, bool)>,
     max_waiting: usize,
 }
 
 impl EngineOwner {
     pub(crate) fn new(max_waiting: usize) -> Self {
-        Self { engines: BTreeMap::new(), max_waiting }
+        Self { engines: BTreeMap::new(), followed: None, max_waiting }
     }
 
     /// The owned engines.
@@ -92,6 +94,10 @@
         stopping: bool,
         outcome: &mut OwnerOutcome,
     ) {
+        let current = (view.owners_version(), stopping);
+        if self.followed.replace(current) == Some(current) {
+            return;
+        }
         let is_own = |engine: &EngineId| !stopping && view.owner_of(engine).as_ref() == Some(own);
         let engines = view.engines().map(|(engine, _)| engine);
         let wanted: BTreeSet<EngineId> = engines.filter(is_own).collect();
--- a/crates/gateway/src/core/view.rs
+++ b/crates/gateway/src/core/view.rs
@@ -6,6 +6,7 @@
 
 use calicohoist_scheduler::owner_of;
 use calicohoist_store::queries::resource::{Update, UpdateContent};
+use calicohoist_store::protocol::LoadsUpdate;
 use calicohoist_store::{EngineLoad, HeartbeatReply, NodeInfo, NodeRef};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::{
@@ -30,6 +31,11 @@
     nodes_version: u64,
     nodes_complete: bool,
     loads: BTreeMap<EngineId, EngineLoad>,
+    loads_version: u64,
+    /// The gateway that keeps each engine's queue.
+    owners: BTreeMap<EngineId, NodeId>,
+    /// Changes with every change of `owners`.
+    owners_version: u64,
     leaving: BTreeSet<String>,
     has_platform: bool,
 }
@@ -47,6 +53,9 @@
             nodes_version: 0,
             nodes_complete: false,
             loads: BTreeMap::new(),
+            loads_version: 0,
+            owners: BTreeMap::new(),
+            owners_version: 0,
             leaving: BTreeSet::new(),
             has_platform,
         }
@@ -89,11 +98,15 @@
         if let Some(nodes) = reply.nodes {
             let by_name = nodes.into_iter().map(|info| (info.node.node.clone(), info));
             self.nodes = by_name.collect();
+            self.owners.clear();
         }
-        let by_engine = reply.loads.into_iter().map(|load| (load.engine.clone(), load));
-        self.loads = by_engine.collect();
+        self.apply_loads(reply.loads);
         self.in_force = self.in_force.max(reply.in_force);
+        let applied_before = self.applied;
         self.apply(reply.update);
+        if self.owners.is_empty() || self.applied != applied_before {
+            self.update_owners();
+        }
         if self.applied >= self.in_force {
             // Whoever may start work acts on the configuration that is in force.
             self.lease_until = self.lease_until.max(sent + reply.lease);
@@ -101,6 +114,43 @@
         self.tick(now);
     }
 
+    fn apply_loads(&mut self, update: LoadsUpdate) {
+        if update.is_whole {
+            self.loads.clear();
+        }
+        self.loads_version = update.version;
+        for load in update.changed {
+            self.loads.insert(load.engine.clone(), load);
+        }
+        for engine in update.gone {
+            self.loads.remove(&engine);
+        }
+    }
+
+    /// Finds the owners of engines that are new, or of all when gateways changed.
+    fn update_owners(&mut self) {
+        let engines: BTreeSet<EngineId> = self.engines().map(|(engine, _)| engine).collect();
+        let before = self.owners.len();
+        self.owners.retain(|engine, _| engines.contains(engine));
+        let mut is_changed = self.owners.len() != before || self.owners.is_empty();
+        for engine in engines {
+            if !self.owners.contains_key(&engine)
+                && let Some(owner) = self.compute_owner(&engine)
+            {
+                self.owners.insert(engine, owner);
+                is_changed = true;
+            }
+        }
+        if is_changed {
+            self.owners_version += 1;
+        }
+    }
+
+    fn compute_owner(&self, engine: &EngineId) -> Option<NodeId> {
+        let serving = self.nodes.values().filter(|info| !info.stopping);
+        owner_of(engine, serving.map(|info| &info.node.node)).cloned()
+    }
+
     /// Applies an update unless it is older than what is known already.
     fn apply(&mut self, update: Update) {
         if update.revision <= self.applied {
@@ -141,6 +191,14 @@
         self.resources.get(&key).map(|resource| &resource.spec)
     }
 
+    /// All resources of a kind, without a look at the others: there may be tens
+    /// of thousands of tenants.
+    fn of_kind(&self, kind: ResourceKind) -> impl Iterator<Item = &Resource> {
+        let first = ResourceKey { kind, name: String::new() };
+        let from_first = self.resources.range(first..).map(|(_, resource)| resource);
+        from_first.take_while(move |resource| resource.key.kind == kind)
+    }
+
     /// A model.
     pub fn model(&self, model: &ModelId) -> Option<&ModelSpec> {
         match self.get(ResourceKind::Model, model.as_str()) {
@@ -151,8 +209,8 @@
 
     /// The names of all models.
     pub fn models(&self) -> Vec<ModelId> {
-        let of_kind = self.resources.keys().filter(|key| key.kind == ResourceKind::Model);
-        of_kind.map(|key| ModelId::new(&key.name)).collect()
+        let models = self.of_kind(ResourceKind::Model);
+        models.map(|resource| ModelId::new(&resource.key.name)).collect()
     }
 
     /// A tenant's limits.
@@ -165,7 +223,7 @@
 
     /// The limits of all tenants that operators declared.
     pub fn tenants(&self) -> BTreeMap<TenantId, TenantSpec> {
-        let declared = self.resources.values().filter_map(|resource| match &resource.spec {
+        let declared = self.of_kind(ResourceKind::Tenant).filter_map(|resource| match &resource.spec {
             ResourceSpec::Tenant(spec) => Some((TenantId::new(&resource.key.name), spec.clone())),
             _ => None,
         });
@@ -182,7 +240,7 @@
 
     /// All engines.
     pub fn engines(&self) -> impl Iterator<Item = (EngineId, &EngineSpec)> {
-        self.resources.values().filter_map(|resource| match &resource.spec {
+        self.of_kind(ResourceKind::Engine).filter_map(|resource| match &resource.spec {
             ResourceSpec::Engine(spec) => Some((EngineId::new(&resource.key.name), spec)),
             _ => None,
         })
@@ -190,7 +248,7 @@
 
     /// Replicas of a service that take new work.
     pub fn replicas(&self, service: &ServiceId) -> Vec<(String, ServiceSpec)> {
-        let replicas = self.resources.values().filter_map(|resource| match &resource.spec {
+        let replicas = self.of_kind(ResourceKind::Service).filter_map(|resource| match &resource.spec {
             ResourceSpec::Service(spec) => Some((resource.key.name.clone(), spec.clone())),
             _ => None,
         });
@@ -210,7 +268,7 @@
 
     /// Whether any replica of `service` is declared.
     pub fn knows_service(&self, service: &ServiceId) -> bool {
-        self.resources.values().any(|resource| match &resource.spec {
+        self.of_kind(ResourceKind::Service).any(|resource| match &resource.spec {
             ResourceSpec::Service(spec) => spec.service == service.as_str(),
             _ => false,
         })
@@ -229,8 +287,17 @@
 
     /// The gateway that keeps `engine`'s queue.
     pub fn owner_of(&self, engine: &EngineId) -> Option<NodeId> {
-        let serving = self.nodes.values().filter(|info| !info.stopping);
-        owner_of(engine, serving.map(|info| &info.node.node)).cloned()
+        self.owners.get(engine).cloned()
+    }
+
+    /// Changes whenever an engine gets another owner.
+    pub fn owners_version(&self) -> u64 {
+        self.owners_version
+    }
+
+    /// Version of the loads of all engines.
+    pub fn loads_version(&self) -> u64 {
+        self.loads_version
     }
 
     /// Where other gateways reach `node`.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`check`]: the ten invariants, judged from those records alone;
 //! - [`fleet`]: all roles and stand-ins in one process, or files for many;
 //! - [`sim`]: the product's state machines under virtual time, from one seed;
+//! - [`scale`]: costs at a ladder of sizes, their slopes, and the design size;
 //! - [`demo`], [`bench`]: the commands;
 //! - [`report`]: what a person reads at the end.
 
@@ -18,5 +19,6 @@
 pub mod fleet;
 pub mod history;
 pub mod report;
+pub mod scale;
 pub mod sim;
 pub mod workload;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,8 @@
 use calicohoist_lab::fleet::backends::{Backends, FleetSize};
 use calicohoist_lab::fleet::files::{self, ProcessFleet};
 use calicohoist_lab::report;
+use calicohoist_lab::scale::capacity::{self, DESIGN};
+use calicohoist_lab::scale;
 use calicohoist_lab::sim::{Scenario, SeedRange, SimReport, run_many};
 use calicohoist_telemetry::{LogFormat, LogSettings, logging};
 use eyre::Result;
@@ -66,6 +68,23 @@
     /// Run whole fleets in virtual time under faults, and judge what happened
     #[bpaf(command)]
     Sim(#[bpaf(external(sim_arguments))] SimArguments),
+    /// Measure costs at a ladder of sizes, and their slopes
+    #[bpaf(command)]
+    Scale {
+        /// Most hollow gateways
+        #[bpaf(argument("COUNT"), fallback(390))]
+        largest: usize,
+        /// Write the report here
+        #[bpaf(argument("FILE"))]
+        json: PathBuf,
+    },
+    /// Work out the design size from measured slopes, as a table
+    #[bpaf(command)]
+    Capacity {
+        /// Report of `scale`
+        #[bpaf(argument("FILE"))]
+        slopes: PathBuf,
+    },
     /// Run the stand-ins of a fleet of processes and write its settings files
     #[bpaf(command)]
     Backends {
@@ -165,6 +184,17 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Sim(arguments) => simulate(&arguments),
+        Command::Scale { largest, json } => {
+            let report = scale::run(largest, |step| eprintln!("measuring {step}"));
+            std::fs::write(json, serde_json::to_vec_pretty(&report)?)?;
+            println!("{}", capacity::table(&report, &DESIGN));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Capacity { slopes } => {
+            let report = serde_json::from_slice(&std::fs::read(slopes)?)?;
+            println!("{}", capacity::table(&report, &DESIGN));
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Backends { deployment, folder, seed, seconds } => {
             let size = FleetSize::of(deployment);
             let backends = Backends::start(deployment, size, seed)?;
--- /dev/null
+++ b/crates/lab/src/sim/account.rs
@@ -0,0 +1,77 @@
+//! What messages and steps cost each part of a simulated fleet.
+//!
+//! Bytes are those of the encoded frame as it would travel, without TCP and IP.
+//! Busy time is real time spent in the product's own state machines and in the
+//! encoding of what they send; sockets and the kernel are not in it.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use calicohoist_store::protocol::{StoreBack, StoreFrame};
+use calicohoist_wire::encode;
+
+use super::frame::{Actor, Frame};
+
+/// Bytes of length and checksum before each frame.
+const FRAME_HEADER: u64 = 8;
+
+/// Costs of one part.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Frames sent and received.
+    pub messages: u64,
+    /// Bytes sent and received.
+    pub bytes: u64,
+    /// Time spent.
+    pub busy: Duration,
+}
+
+/// Costs of all parts.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    costs: BTreeMap<Actor, Cost>,
+}
+
+impl Account {
+    /// Costs of one part.
+    pub fn cost(&self, actor: Actor) -> Cost {
+        self.costs.get(&actor).copied().unwrap_or_default()
+    }
+
+    pub(super) fn note_busy(&mut self, actor: Actor, busy: Duration) {
+        self.costs.entry(actor).or_default().busy += busy;
+    }
+
+    pub(super) fn note_frame(&mut self, from: Actor, to: Actor, frame: &Frame) {
+        let begin = Instant::now();
+        let Some(bytes) = control_bytes(frame) else {
+            return;
+        };
+        let encoding = begin.elapsed();
+        for actor in [from, to] {
+            let cost = self.costs.entry(actor).or_default();
+            cost.messages += 1;
+            cost.bytes += bytes;
+            // Taking a frame apart costs about what putting it together does.
+            cost.busy += encoding;
+        }
+    }
+}
+
+/// Bytes of a frame between the product's own processes; `None` for others.
+fn control_bytes(frame: &Frame) -> Option<u64> {
+    let encoded = match frame {
+        Frame::StorePeer { from, messages } => {
+            encode(&StoreFrame::Peer { from: *from, messages: messages.clone() })
+        }
+        Frame::StoreRequest { id, request, .. } => {
+            encode(&StoreFrame::Request { id: *id, request: (**request).clone() })
+        }
+        Frame::StoreReply { id, reply, .. } => {
+            encode(&StoreBack::Reply { id: *id, reply: reply.clone() })
+        }
+        Frame::GatewayPeer { message, .. } => encode(message),
+        _ => return None,
+    };
+    Some(encoded.ok()?.len() as u64 + FRAME_HEADER)
+}
--- a/crates/lab/src/sim/caller.rs
+++ b/crates/lab/src/sim/caller.rs
@@ -124,6 +124,8 @@
 pub struct Clients {
     pub(super) programs: Vec<ProgramRun>,
     pub(super) tasks: Vec<OperatorTask>,
+    /// Times from the acceptance of a change until it was in force everywhere.
+    pub(super) change_times: Vec<Duration>,
     /// Changes of the probed limit, by their task.
     pub(super) probe_changes: BTreeMap<usize, ProbeChange>,
     open: BTreeMap<Ticket, (usize, Open)>,
@@ -179,7 +181,7 @@
 
 impl World {
     /// Adds a program that starts as planned.
-    pub(super) fn add_program(&mut self, plan: ProgramPlan, max_calls: u64) {
+    pub fn add_program(&mut self, plan: ProgramPlan, max_calls: u64) {
         let index = self.clients.programs.len();
         let start = plan.start;
         self.clients.programs.push(ProgramRun {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -1,6 +1,7 @@
 //! The simulator: the product's own state machines, whole fleets in one thread
 //! under virtual time, every message, disk and clock from one seed.
 //!
+//! - [`account`]: what messages and steps cost each part;
 //! - [`disk`]: a disk that loses what was not synced, fills up, or is lost;
 //! - [`frame`]: everything that travels, and who can send it;
 //! - [`network`]: delays, losses, repetitions and cuts;
@@ -14,6 +15,7 @@
 //! - [`scenario`]: the named scenarios, and what they do when;
 //! - [`run`]: one run, its report, and many runs on all cores.
 
+pub mod account;
 pub mod backends;
 pub mod caller;
 pub mod disk;
--- a/crates/lab/src/sim/operator.rs
+++ b/crates/lab/src/sim/operator.rs
@@ -18,7 +18,7 @@
 use super::world::{Happening, World};
 use crate::history::ConfigProbe;
 
-const POLL: Duration = Duration::from_millis(100);
+const POLL: Duration = Duration::from_millis(20);
 /// Limits a probe cycles through; all are shorter than the shortest answer.
 const PROBE_LIMITS: u64 = 7;
 /// Tries of a probe before it is given up.
@@ -94,7 +94,7 @@
 
 impl World {
     /// Declares the whole fleet.
-    pub(super) fn declare_fleet(&mut self) {
+    pub fn declare_fleet(&mut self) {
         let mut left = Vec::new();
         let model = self.deployment.model();
         left.push(change(key(ResourceKind::Model, model), model_spec(64), "model".into()));
@@ -156,6 +156,20 @@
         }));
     }
 
+    /// Makes a change and notes when it is in force everywhere.
+    pub fn time_change(&mut self) {
+        self.probe_change();
+        let task = self.clients.tasks.len() - 1;
+        if let Some(OperatorTask::Probe(probe)) = self.clients.tasks.get_mut(task) {
+            probe.gateways_left.clear();
+        }
+    }
+
+    /// Milliseconds from the acceptance of each change until it was in force.
+    pub fn change_times(&self) -> Vec<u64> {
+        self.clients.change_times.iter().map(|time| time.as_millis() as u64).collect()
+    }
+
     /// Makes many changes one after the other.
     pub(super) fn many_changes(&mut self, count: u32) {
         let name = |number: u32| format!("bulk-{}", number % 50);
@@ -253,7 +267,9 @@
             }
             (OperatorTask::Probe(probe), StoreReply::FleetStatus(status)) => {
                 let wanted = probe.accepted.map_or(Revision(0), |(revision, _)| revision);
-                if status.in_force >= wanted {
+                if status.in_force >= wanted && probe.in_force.is_none() {
+                    let accepted = probe.accepted.map_or(now, |(_, at)| at);
+                    self.clients.change_times.push(now.since(accepted));
                     probe.in_force = Some(now);
                 }
                 self.plan_in(POLL, Happening::ClientWake(Wake::Operator(index)));
@@ -316,7 +332,7 @@
             return;
         };
         let Some(CallerEvent::Finished(finish)) = event else {
-            return self.plan_in(POLL * 5, Happening::ClientWake(Wake::Operator(index)));
+            return self.plan_in(POLL * 25, Happening::ClientWake(Wake::Operator(index)));
         };
         let Some(gateway) = probe.gateways_left.pop() else {
             return;
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use calicohoist_emulator::PlatformModel;
 use calicohoist_gateway::core::message::{Action, CallerEvent, Input, Ticket};
@@ -13,6 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::account::Account;
 use super::backends::{EnginePart, ReplicaPart};
 use super::caller::Clients;
 use super::disk::SimDisk;
@@ -20,7 +21,7 @@
 use super::frame::{Actor, ClientNews, ClientRequest, Frame, Start};
 use super::network::Network;
 use crate::deployment::Deployment;
-use crate::history::History;
+use crate::history::{History, TryEnd};
 
 /// Groups that hold programs.
 pub const PROGRAM_GROUPS: u32 = 2;
@@ -155,6 +156,8 @@
     pub(super) faults: u64,
     parked: BTreeMap<Actor, Vec<Frame>>,
     pub(super) events: u64,
+    /// What each part costs, when a run asks for it.
+    pub(crate) account: Option<Account>,
     digest: blake3::Hasher,
 }
 
@@ -186,6 +189,7 @@
             faults: 0,
             parked: BTreeMap::new(),
             events: 0,
+            account: None,
             digest: blake3::Hasher::new(),
         };
         for index in 0..size.stores {
@@ -229,6 +233,27 @@
         true
     }
 
+    /// The present moment.
+    pub fn now(&self) -> Moment {
+        self.now
+    }
+
+    /// Lets the clock go on to a moment up to which everything has happened.
+    pub fn set_now(&mut self, now: Moment) {
+        self.now = self.now.max(now);
+    }
+
+    /// Model calls that were answered, and the average tokens of their prompts.
+    pub fn answered_model_calls(&self) -> (usize, f64) {
+        let answered = self.history.tries.iter().filter_map(|call| match &call.end {
+            TryEnd::Answered { usage, .. } if usage.prompt_tokens > 0 => Some(usage.prompt_tokens),
+            _ => None,
+        });
+        let prompts: Vec<u64> = answered.collect();
+        let sum: u64 = prompts.iter().sum();
+        (prompts.len(), sum as f64 / prompts.len().max(1) as f64)
+    }
+
     /// Digest of everything that happened, and of what was recorded of it.
     pub fn digest_with(&self, history: &History) -> String {
         let mut digest = self.digest.clone();
@@ -269,6 +294,12 @@
         if is_report && self.now < self.lose_reports_until {
             return;
         }
+        let begin = Instant::now();
+        self.arrive_at(to, frame);
+        self.note_busy(to, begin);
+    }
+
+    fn arrive_at(&mut self, to: Actor, frame: Frame) {
         match to {
             Actor::Store(index) => self.store_input(index, frame),
             Actor::Gateway(index) => self.gateway_input(index, frame),
@@ -285,6 +316,9 @@
 
     /// Sends a frame that may be lost, repeated or overtaken.
     pub(super) fn send(&mut self, from: Actor, to: Actor, frame: Frame) {
+        if let Some(account) = &mut self.account {
+            account.note_frame(from, to, &frame);
+        }
         let arrivals = self.network.arrivals(self.now, from, to, &mut self.random);
         for at in arrivals {
             self.plan(at, Happening::Arrive(to, Box::new(frame.clone())));
@@ -326,6 +360,18 @@
     }
 
     fn tick(&mut self, actor: Actor, start: Start) {
+        let begin = Instant::now();
+        self.tick_part(actor, start);
+        self.note_busy(actor, begin);
+    }
+
+    fn note_busy(&mut self, actor: Actor, begin: Instant) {
+        if let Some(account) = &mut self.account {
+            account.note_busy(actor, begin.elapsed());
+        }
+    }
+
+    fn tick_part(&mut self, actor: Actor, start: Start) {
         match actor {
             Actor::Store(index) if self.stores[index].start == start => {
                 let frozen_until = self.stores[index].frozen_until;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod commands;
 pub mod driver;
+pub mod loads;
 pub mod nodes;
 pub mod protocol;
 pub mod queries;
@@ -19,7 +20,7 @@
 
 pub use commands::{Command, Output};
 pub use protocol::{
-    EngineLoad, Heartbeat, HeartbeatReply, NodeInfo, NodeRef, StoreReply, StoreRequest,
+    EngineLoad, LoadsUpdate, Heartbeat, HeartbeatReply, NodeInfo, NodeRef, StoreReply, StoreRequest,
 };
 pub use queries::{Answer, Query};
 pub use router::{RouterEvent, StoreRouter};
--- a/crates/store/src/nodes.rs
+++ b/crates/store/src/nodes.rs
@@ -9,7 +9,8 @@
 
 use calicohoist_types::{Moment, NodeId, Revision};
 
-use crate::protocol::{EngineLoad, Heartbeat, NodeInfo, NodeRef};
+use crate::loads::LoadTable;
+use crate::protocol::{EngineLoad, Heartbeat, LoadsUpdate, NodeInfo, NodeRef};
 
 /// How long a lease runs from the sending of its heartbeat.
 pub const LEASE: Duration = Duration::from_millis(1_500);
@@ -31,6 +32,7 @@
     version: u64,
     complete_from: Moment,
     in_force: Revision,
+    loads: LoadTable,
 }
 
 impl NodeTable {
@@ -40,6 +42,7 @@
         // Versions of different leaders must not be equal by chance.
         self.version = now.as_micros();
         self.complete_from = now + LEASE + LEASE_MARGIN;
+        self.loads.start(now);
     }
 
     /// Whether every lease that may be valid is in the table.
@@ -78,13 +81,17 @@
         true
     }
 
-    /// Drops leases that ran out.
+    /// Drops leases that ran out, and publishes loads when it is time.
     pub fn expire(&mut self, now: Moment) {
         let before = self.nodes.len();
         self.nodes.retain(|_, entry| entry.expires > now);
         if self.nodes.len() != before {
             self.version += 1;
         }
+        if self.loads.is_due(now) {
+            let current = self.nodes.values().flat_map(|entry| &entry.loads);
+            self.loads.publish(now, current);
+        }
     }
 
     /// All nodes with a lease.
@@ -98,9 +105,9 @@
         self.nodes.values().map(pair).collect()
     }
 
-    /// Loads of all engines.
-    pub fn loads(&self) -> Vec<EngineLoad> {
-        self.nodes.values().flat_map(|entry| entry.loads.clone()).collect()
+    /// What a gateway that knows version `known` of the loads lacks.
+    pub fn loads_after(&self, known: u64) -> LoadsUpdate {
+        self.loads.after(known)
     }
 
     /// The highest revision that every node with a lease acts on. Never goes back.
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -57,6 +57,8 @@
     pub nodes_version: u64,
     /// Load of the engines it owns.
     pub loads: Vec<EngineLoad>,
+    /// Version of the loads of all engines it knows.
+    pub loads_version: u64,
     /// It is stopping: it takes no new work and owns no engine.
     pub stopping: bool,
 }
@@ -74,6 +76,19 @@
     pub stopping: bool,
 }
 
+/// What brings a gateway's loads from one version to a later one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadsUpdate {
+    /// The version it brings to.
+    pub version: u64,
+    /// Whether `changed` is everything, so that other loads are to be forgotten.
+    pub is_whole: bool,
+    /// Loads that are new or changed.
+    pub changed: Vec<EngineLoad>,
+    /// Engines without a load any more.
+    pub gone: Vec<EngineId>,
+}
+
 /// Answer to a [`Heartbeat`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeartbeatReply {
@@ -85,8 +100,8 @@
     pub nodes: Option<Vec<NodeInfo>>,
     /// Whether a gateway that is not listed certainly has no lease.
     pub nodes_complete: bool,
-    /// Loads of all engines.
-    pub loads: Vec<EngineLoad>,
+    /// Loads of engines that the gateway lacks.
+    pub loads: LoadsUpdate,
     /// Changes of the configuration that the gateway lacks.
     pub update: Update,
     /// Every node acts on this revision or a later one.
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -298,7 +298,7 @@
             nodes_version: version,
             nodes: (!is_known).then(|| self.nodes.nodes()),
             nodes_complete: self.nodes.is_complete(now),
-            loads: self.nodes.loads(),
+            loads: self.nodes.loads_after(heartbeat.loads_version),
             in_force: self.nodes.in_force(now, table.revision()),
             update,
         }))
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 
-use bincode::config::{Configuration, Fixint, Limit, LittleEndian};
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -33,9 +33,10 @@
     Encode(#[from] bincode::error::EncodeError),
 }
 
-/// Integers have a fixed width: a flipped bit cannot change the meaning of what follows.
-fn codec() -> Configuration<LittleEndian, Fixint, Limit<MAX_FRAME_BYTES>> {
-    bincode::config::standard().with_fixed_int_encoding().with_limit::<MAX_FRAME_BYTES>()
+/// Small integers take one byte, which halves the loads that every gateway gets;
+/// the frame's checksum is what catches flipped bits.
+fn codec() -> Configuration<LittleEndian, Varint, Limit<MAX_FRAME_BYTES>> {
+    bincode::config::standard().with_limit::<MAX_FRAME_BYTES>()
 }
 
 /// Encodes a message without a frame header.
