--- a/crates/gateway/src/core/call.rs
+++ b/crates/gateway/src/core/call.rs
@@ -6,8 +6,7 @@
 use calicohoist_store::commands::program::Admission;
 use calicohoist_store::state::programs::{Backend, StoredAnswer};
 use calicohoist_types::{
-    AttemptId, CallId, ChatMessage, EngineId, IdempotencyKey, Moment, NodeId, NotRunReason,
-    ProgramId, TenantId,
+    AttemptId, CallId, EngineId, IdempotencyKey, Moment, NodeId, NotRunReason, ProgramId, TenantId,
 };
 
 use super::message::{CallRequest, FailureCause, Ticket};
@@ -186,7 +185,6 @@
 
     /// Tokens of its prompt.
     pub fn prompt_tokens(&self) -> u64 {
-        let prompt = self.admission.iter().flat_map(|admission| &admission.prompt);
-        prompt.map(ChatMessage::tokens).sum()
+        self.admission.as_ref().map_or(0, |admission| admission.prompt_tokens)
     }
 }
--- a/crates/gateway/src/core/view.rs
+++ b/crates/gateway/src/core/view.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 use calicohoist_scheduler::owner_of;
-use calicohoist_store::queries::resource::{Update, UpdateContent};
 use calicohoist_store::protocol::LoadsUpdate;
+use calicohoist_store::queries::resource::{Update, UpdateContent};
 use calicohoist_store::{EngineLoad, HeartbeatReply, NodeInfo, NodeRef};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::{
@@ -223,10 +223,13 @@
 
     /// The limits of all tenants that operators declared.
     pub fn tenants(&self) -> BTreeMap<TenantId, TenantSpec> {
-        let declared = self.of_kind(ResourceKind::Tenant).filter_map(|resource| match &resource.spec {
-            ResourceSpec::Tenant(spec) => Some((TenantId::new(&resource.key.name), spec.clone())),
-            _ => None,
-        });
+        let declared =
+            self.of_kind(ResourceKind::Tenant).filter_map(|resource| match &resource.spec {
+                ResourceSpec::Tenant(spec) => {
+                    Some((TenantId::new(&resource.key.name), spec.clone()))
+                }
+                _ => None,
+            });
         declared.collect()
     }
 
@@ -248,10 +251,11 @@
 
     /// Replicas of a service that take new work.
     pub fn replicas(&self, service: &ServiceId) -> Vec<(String, ServiceSpec)> {
-        let replicas = self.of_kind(ResourceKind::Service).filter_map(|resource| match &resource.spec {
-            ResourceSpec::Service(spec) => Some((resource.key.name.clone(), spec.clone())),
-            _ => None,
-        });
+        let replicas =
+            self.of_kind(ResourceKind::Service).filter_map(|resource| match &resource.spec {
+                ResourceSpec::Service(spec) => Some((resource.key.name.clone(), spec.clone())),
+                _ => None,
+            });
         let serves = |(name, spec): &(String, ServiceSpec)| {
             spec.service == service.as_str() && !spec.drain && !self.leaving.contains(name)
         };
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -33,7 +33,7 @@
 /// Inputs taken before time passes again.
 const MAX_BATCH: usize = 256;
 /// How often time passes for the core.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 /// Control requests that may wait.
 const CONTROL_RING: usize = 4_096;
 /// Threads that carry out control requests.
@@ -250,10 +250,12 @@
     for index in 0..threads {
         let (receiver, core, stop) = (receiver.clone(), core.clone(), stop.clone());
         handles.push(spawn(&format!("{name}-{index}"), move || {
-            while !stop.load(Ordering::SeqCst) {
-                if let Ok(job) = receiver.recv_timeout(STOP_POLL) {
-                    job(&core);
+            // The ring is closed when the core ends; an idle thread costs nothing.
+            while let Ok(job) = receiver.recv() {
+                if stop.load(Ordering::SeqCst) {
+                    return;
                 }
+                job(&core);
             }
         })?);
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -96,7 +96,7 @@
         let (sender, receiver) = bounded(settings.queue);
         let mut threads = vec![watchdog];
         for index in 0..settings.workers {
-            threads.push(spawn_worker(index, receiver.clone(), handler.clone(), &stop)?);
+            threads.push(spawn_worker(index, receiver.clone(), handler.clone())?);
         }
         let acceptor = Acceptor {
             server,
@@ -163,16 +163,11 @@
     index: usize,
     receiver: Receiver<Exchange>,
     handler: Arc<dyn Handler>,
-    stop: &Arc<AtomicBool>,
 ) -> io::Result<JoinHandle<()>> {
-    let stop = stop.clone();
     spawn_named(&format!("http-worker-{index}"), move || {
-        loop {
-            match receiver.recv_timeout(STOP_POLL) {
-                Ok(exchange) => handler.handle(exchange),
-                Err(_) if stop.load(Ordering::SeqCst) => return,
-                Err(_) => {}
-            }
+        // The ring is closed when the acceptor ends; an idle worker costs nothing.
+        while let Ok(exchange) = receiver.recv() {
+            handler.handle(exchange);
         }
     })
 }
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -57,7 +57,8 @@
 /// The table in Markdown.
 pub fn table(report: &ScaleReport, size: &DesignSize) -> String {
     let mut lines = vec![
-        "| role and amount | slope (± error), as measured | at the design size | limit |".to_owned(),
+        "| role and amount | slope (± error), as measured | at the design size | limit |"
+            .to_owned(),
         "|---|---|---|---|".to_owned(),
     ];
     lines.extend(gateway_rows(report, size));
@@ -75,7 +76,7 @@
 
 fn gateway_rows(report: &ScaleReport, size: &DesignSize) -> Vec<String> {
     let slopes = &report.slopes;
-    let bytes = slopes.gateway_bytes.at(size.nodes);
+    let bytes = slopes.gateway_bytes.at(size.nodes) + report.load_bytes * size.engines;
     let core = slopes.gateway_core.at(size.nodes);
     let tenants = slopes.tenant_bytes.at(size.tenants);
     let change = report.changes.in_force_ms;
@@ -83,10 +84,13 @@
         row(
             "gateway: control bytes a second",
             &format!(
-                "{:.0} + {:.2} (± {:.2}) a node",
-                slopes.gateway_bytes.base, slopes.gateway_bytes.per_unit, slopes.gateway_bytes.error
+                "{:.0} + {:.2} (± {:.2}) a node, and {:.0} for each engine's load",
+                slopes.gateway_bytes.base,
+                slopes.gateway_bytes.per_unit,
+                slopes.gateway_bytes.error,
+                report.load_bytes
             ),
-            &format!("{:.1} KiB/s", bytes / KIB),
+            &format!("{:.1} KiB/s when every load changes each second", bytes / KIB),
             &format!(
                 "{:.0} KiB/s: {}",
                 size.bytes_per_second / KIB,
@@ -141,11 +145,7 @@
             "a change in force on every node",
             &format!("measured on {} hollow gateways", report.changes.gateways),
             &format!("p50 {} ms, p99 {} ms", change.p50, change.p99),
-            &format!(
-                "{:.0} ms: {}",
-                size.change_ms,
-                verdict(change.p99 as f64, size.change_ms)
-            ),
+            &format!("{:.0} ms: {}", size.change_ms, verdict(change.p99 as f64, size.change_ms)),
         ),
     ]
 }
@@ -208,7 +208,9 @@
             "store machine: memory of one program",
             &format!(
                 "{:.0} + {:.2} (± {:.2}) bytes a token of history",
-                slopes.program_bytes.base, slopes.program_bytes.per_unit, slopes.program_bytes.error
+                slopes.program_bytes.base,
+                slopes.program_bytes.per_unit,
+                slopes.program_bytes.error
             ),
             &format!(
                 "{:.0} KiB; {:.0} MiB per 1,000 programs; {:.1} GiB for {programs_here:.0} programs",
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::ENTRIES_PER_SNAPSHOT;
 use crate::demo::Percentiles;
 use crate::deployment::Deployment;
 use crate::sim::account::Account;
@@ -79,7 +80,13 @@
 }
 
 fn start(gateways: usize) -> World {
-    let size = WorldSize { stores: 3, gateways, engines: engines_of(gateways), replicas: 10 };
+    let size = WorldSize {
+        stores: 3,
+        gateways,
+        engines: engines_of(gateways),
+        replicas: 10,
+        entries_per_snapshot: ENTRIES_PER_SNAPSHOT,
+    };
     let mut world = World::new(Deployment::Celje, size, SEED);
     world.declare_fleet();
     advance(&mut world, START_UP);
@@ -124,4 +131,3 @@
     let times = world.change_times();
     ChangeTimes { gateways, changes: times.len(), in_force_ms: Percentiles::of(times) }
 }
-
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -19,6 +19,9 @@
 use programs::{CallPoint, MemoryPoint};
 use slope::Slope;
 
+/// Entries after which a group writes a snapshot, as in the product's settings.
+const ENTRIES_PER_SNAPSHOT: u64 = 20_000;
+
 /// Everything that was measured, and the lines through it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ScaleReport {
@@ -26,6 +29,8 @@
     pub control: Vec<ControlPoint>,
     /// Times of changes at the largest number.
     pub changes: ChangeTimes,
+    /// Encoded bytes of one engine's load.
+    pub load_bytes: f64,
     /// Calls of programs with histories of growing length.
     pub calls: Vec<CallPoint>,
     /// Memory of a store machine.
@@ -66,17 +71,19 @@
 
 /// Measures everything, control with up to `largest` gateways.
 pub fn run(largest: usize, progress: impl Fn(&str)) -> ScaleReport {
+    // Memory first, while nothing that was freed could be taken for unused.
+    progress("memory of programs and tenants");
+    let tenants = programs::measure_tenants();
+    let memory = programs::measure_memory();
     progress("control of hollow gateways");
     let (control, changes) = control::measure(largest);
     progress("calls by length of history");
     let calls = programs::measure_calls();
-    progress("memory of programs and tenants");
-    let memory = programs::measure_memory();
-    let tenants = programs::measure_tenants();
     progress("routing decisions");
     let decisions = decisions::measure();
     let slopes = slopes(&control, &calls, &memory, &tenants, &decisions);
-    ScaleReport { control, changes, calls, memory, tenants, decisions, slopes }
+    let load_bytes = programs::load_bytes();
+    ScaleReport { control, changes, load_bytes, calls, memory, tenants, decisions, slopes }
 }
 
 fn slopes(
@@ -92,9 +99,8 @@
     let by_tokens = |value: fn(&CallPoint) -> f64| {
         Slope::of(calls.iter().map(|point| (point.prompt_tokens, value(point))))
     };
-    let bytes_per_item = |points: &[MemoryPoint]| {
-        Slope::of(points.iter().map(|point| (point.size, point.bytes)))
-    };
+    let bytes_per_item =
+        |points: &[MemoryPoint]| Slope::of(points.iter().map(|point| (point.size, point.bytes)));
     Slopes {
         gateway_bytes: by_gateways(|point| point.gateway_bytes_per_second),
         gateway_messages: by_gateways(|point| point.gateway_messages_per_second),
--- a/crates/lab/src/scale/programs.rs
+++ b/crates/lab/src/scale/programs.rs
@@ -8,7 +8,7 @@
 use calicohoist_store::commands::resource::ResourceCommand;
 use calicohoist_store::state::RESOURCE_GROUP;
 use calicohoist_store::state::programs::{Backend, CallTarget, StoredAnswer};
-use calicohoist_store::{Command, GroupState, NodeRef};
+use calicohoist_store::{Command, EngineLoad, GroupState, NodeRef};
 use calicohoist_types::{
     AttemptId, CallId, ChatMessage, EngineId, IdempotencyKey, ModelId, ProgramId, RequestId,
     ResourceKey, ResourceKind, ResourceSpec, Role, TenantId, TenantSpec, Usage,
@@ -16,6 +16,7 @@
 use calicohoist_wire::encode;
 use serde::{Deserialize, Serialize};
 
+use super::ENTRIES_PER_SNAPSHOT;
 use crate::deployment::Deployment;
 use crate::sim::account::{Account, Cost};
 use crate::sim::frame::Actor;
@@ -70,7 +71,13 @@
 }
 
 fn measure_call(tokens_per_turn: usize) -> CallPoint {
-    let size = WorldSize { stores: 3, gateways: 2, engines: 6, replicas: 2 };
+    let size = WorldSize {
+        stores: 3,
+        gateways: 2,
+        engines: 6,
+        replicas: 2,
+        entries_per_snapshot: ENTRIES_PER_SNAPSHOT,
+    };
     let mut world = World::new(Deployment::Celje, size, 1);
     world.declare_fleet();
     advance(&mut world, START_UP);
@@ -252,8 +259,7 @@
 ) -> [ProgramCommand; 3] {
     let by = NodeRef::nobody();
     let backend = Backend::Engine(EngineId::new("engine-1"));
-    let attempt =
-        AttemptId { call: CallId { program: program.clone(), sequence }, number: 1 };
+    let attempt = AttemptId { call: CallId { program: program.clone(), sequence }, number: 1 };
     let begin = BeginCall {
         program: program.clone(),
         create: None,
@@ -285,6 +291,18 @@
     ]
 }
 
+/// Encoded bytes of one engine's load, as every gateway gets it when it changed.
+pub fn load_bytes() -> f64 {
+    let load = EngineLoad {
+        engine: EngineId::new("engine-599"),
+        running: 8,
+        waiting: 4,
+        waiting_tokens: 16_000,
+        accepts: true,
+    };
+    encode(&load).map_or(0.0, |bytes| bytes.len() as f64)
+}
+
 /// Resident memory of this process.
 fn resident_bytes() -> f64 {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/lab/src/scale/slope.rs
+++ b/crates/lab/src/scale/slope.rs
@@ -24,7 +24,8 @@
     fn fit(sizes: Vec<f64>, values: Vec<f64>) -> Option<Self> {
         let data = vec![("value", values), ("size", sizes)];
         let data = RegressionDataBuilder::new().build_from(data).ok()?;
-        let model = FormulaRegressionBuilder::new().data(&data).formula("value ~ size").fit().ok()?;
+        let model =
+            FormulaRegressionBuilder::new().data(&data).formula("value ~ size").fit().ok()?;
         let parameters = model.parameters();
         Some(Self {
             base: *parameters.first()?,
--- a/crates/lab/src/sim/account.rs
+++ b/crates/lab/src/sim/account.rs
@@ -7,11 +7,12 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use calicohoist_store::protocol::{StoreBack, StoreFrame};
 use calicohoist_wire::encode;
 
 use super::frame::{Actor, Frame};
 
+/// Stands for the variant of the frame's enumeration, which takes one byte.
+const VARIANT: u8 = 0;
 /// Bytes of length and checksum before each frame.
 const FRAME_HEADER: u64 = 8;
 
@@ -30,6 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Account {
     costs: BTreeMap<Actor, Cost>,
+    /// Time of the simulated network within the present step.
+    network: Duration,
 }
 
 impl Account {
@@ -39,7 +42,13 @@
     }
 
     pub(super) fn note_busy(&mut self, actor: Actor, busy: Duration) {
-        self.costs.entry(actor).or_default().busy += busy;
+        let network = std::mem::take(&mut self.network);
+        self.costs.entry(actor).or_default().busy += busy.saturating_sub(network);
+    }
+
+    /// Time that the simulation and not the product spent.
+    pub(super) fn note_network(&mut self, time: Duration) {
+        self.network += time;
     }
 
     pub(super) fn note_frame(&mut self, from: Actor, to: Actor, frame: &Frame) {
@@ -61,15 +70,9 @@
 /// Bytes of a frame between the product's own processes; `None` for others.
 fn control_bytes(frame: &Frame) -> Option<u64> {
     let encoded = match frame {
-        Frame::StorePeer { from, messages } => {
-            encode(&StoreFrame::Peer { from: *from, messages: messages.clone() })
-        }
-        Frame::StoreRequest { id, request, .. } => {
-            encode(&StoreFrame::Request { id: *id, request: (**request).clone() })
-        }
-        Frame::StoreReply { id, reply, .. } => {
-            encode(&StoreBack::Reply { id: *id, reply: reply.clone() })
-        }
+        Frame::StorePeer { from, messages } => encode(&(VARIANT, from, messages)),
+        Frame::StoreRequest { id, request, .. } => encode(&(VARIANT, id, &**request)),
+        Frame::StoreReply { id, reply, .. } => encode(&(VARIANT, id, reply)),
         Frame::GatewayPeer { message, .. } => encode(message),
         _ => return None,
     };
--- a/crates/lab/src/sim/run.rs
+++ b/crates/lab/src/sim/run.rs
@@ -24,7 +24,9 @@
 use crate::workload::draw;
 
 /// Sizes of a simulated fleet.
-const SIZE: WorldSize = WorldSize { stores: 3, gateways: 4, engines: 6, replicas: 4 };
+const SIZE: WorldSize =
+    // Few entries, so that snapshots are written and sent in every run.
+    WorldSize { stores: 3, gateways: 4, engines: 6, replicas: 4, entries_per_snapshot: 300 };
 /// The fleet has this long to come up and be declared.
 const START_UP: Duration = Duration::from_secs(5);
 /// Programs start within this time.
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -133,6 +133,8 @@
     pub engines: usize,
     /// Replicas.
     pub replicas: usize,
+    /// Entries after which a group writes a snapshot.
+    pub entries_per_snapshot: u64,
 }
 
 /// Everything.
@@ -158,6 +160,7 @@
     pub(super) events: u64,
     /// What each part costs, when a run asks for it.
     pub(crate) account: Option<Account>,
+    entries_per_snapshot: u64,
     digest: blake3::Hasher,
 }
 
@@ -190,6 +193,7 @@
             parked: BTreeMap::new(),
             events: 0,
             account: None,
+            entries_per_snapshot: size.entries_per_snapshot,
             digest: blake3::Hasher::new(),
         };
         for index in 0..size.stores {
@@ -316,6 +320,7 @@
 
     /// Sends a frame that may be lost, repeated or overtaken.
     pub(super) fn send(&mut self, from: Actor, to: Actor, frame: Frame) {
+        let begin = Instant::now();
         if let Some(account) = &mut self.account {
             account.note_frame(from, to, &frame);
         }
@@ -323,6 +328,9 @@
         for at in arrivals {
             self.plan(at, Happening::Arrive(to, Box::new(frame.clone())));
         }
+        if let Some(account) = &mut self.account {
+            account.note_network(begin.elapsed());
+        }
     }
 
     /// Sends a frame on a connection that keeps its order; `false` when it is cut.
@@ -421,7 +429,7 @@
         part.id = ReplicaId { machine: index as u16 + 1, disk: identity };
         let settings = NodeSettings {
             raft: RaftSettings::default(),
-            entries_per_snapshot: 300,
+            entries_per_snapshot: self.entries_per_snapshot,
             log_rewrite_bytes: 256 << 10,
             seed: self.random.random(),
         };
--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -117,6 +117,8 @@
     machines: Vec<u16>,
     groups: BTreeMap<GroupId, Group<S>>,
     next_join: Moment,
+    /// Size of the log file after it was rewritten last.
+    rewritten_bytes: usize,
 }
 
 impl<S: StateMachine> Node<S> {
@@ -136,6 +138,7 @@
             machines: machines.to_vec(),
             groups: BTreeMap::new(),
             next_join: now,
+            rewritten_bytes: 0,
             settings,
         };
         for group in groups {
@@ -341,8 +344,13 @@
                 emit!(Event::LogCompacted, "group {group} up to {}", snapshot.index);
             }
         }
-        if log.bytes() > self.settings.log_rewrite_bytes {
-            return log.rewrite(&self.whole_state());
+        // Entries that no snapshot covers yet stay in the file, so it must have
+        // doubled, or every flush would rewrite it.
+        let limit = self.settings.log_rewrite_bytes.max(self.rewritten_bytes * 2);
+        if log.bytes() > limit {
+            log.rewrite(&self.whole_state())?;
+            self.rewritten_bytes = log.bytes();
+            return Ok(());
         }
         if writes.is_empty() {
             return Ok(());
--- a/crates/store/src/commands/program.rs
+++ b/crates/store/src/commands/program.rs
@@ -176,6 +176,8 @@
     pub repeatable: bool,
     /// The whole prompt: the history and the call's own messages.
     pub prompt: Vec<ChatMessage>,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u64,
     /// Digest of the whole prompt.
     pub digest: HistoryDigest,
     /// Most tokens to generate, cut to what the budget allows.
@@ -360,6 +362,7 @@
             next_sequence: 1,
             calls: Default::default(),
             history: Vec::new(),
+            history_tokens: 0,
             digest: HistoryDigest::empty(&id),
             holdings: Default::default(),
             attained_tokens: 0,
@@ -423,10 +426,8 @@
             return Err(ProgramError::Missing);
         };
         let is_model = matches!(begin.target, CallTarget::Model(_));
-        let prompt: Vec<ChatMessage> =
-            record.history.iter().chain(&begin.messages).cloned().collect();
-        let prompt_tokens: u64 =
-            if is_model { prompt.iter().map(ChatMessage::tokens).sum() } else { 0 };
+        let own_tokens: u64 = begin.messages.iter().map(ChatMessage::tokens).sum();
+        let prompt_tokens = if is_model { record.history_tokens + own_tokens } else { 0 };
         if prompt_tokens > begin.max_prompt_tokens {
             return Err(ProgramError::PromptTooLong(prompt_tokens));
         }
@@ -473,7 +474,8 @@
         // A service gets only its own input, not the conversation.
         let history = record.history.iter().take(if is_model { usize::MAX } else { 0 });
         let prompt: Vec<ChatMessage> = history.chain(&found.messages).cloned().collect();
-        let prompt_tokens: u64 = prompt.iter().map(ChatMessage::tokens).sum();
+        let own_tokens: u64 = found.messages.iter().map(ChatMessage::tokens).sum();
+        let prompt_tokens = if is_model { record.history_tokens + own_tokens } else { own_tokens };
         let holdings = record.holdings.iter().map(|(engine, tokens)| (engine.clone(), *tokens));
         Ok(BeginOutcome::Admitted(Box::new(Admission {
             attempt: AttemptId { call: call.clone(), number: found.attempt },
@@ -481,6 +483,7 @@
             repeatable: found.repeatable,
             digest: record.digest.append_all(&found.messages),
             prompt,
+            prompt_tokens,
             max_tokens: found.reserved.saturating_sub(prompt_tokens),
             holdings: holdings.collect(),
             attained_tokens: record.attained_tokens,
@@ -564,8 +567,7 @@
         call.state = CallState::Dispatched(backend.clone());
         let own: u64 = call.messages.iter().map(ChatMessage::tokens).sum();
         if let (Backend::Engine(engine), Some(record)) = (backend, self.programs.get_mut(program)) {
-            let held: u64 = record.history.iter().map(ChatMessage::tokens).sum();
-            record.holdings.insert(engine, held + own);
+            record.holdings.insert(engine, record.history_tokens + own);
         }
         Ok(ProgramOutput::Done)
     }
@@ -866,6 +868,7 @@
         let reply = ChatMessage::new(calicohoist_types::Role::Assistant, answer);
         for message in messages.into_iter().chain(std::iter::once(reply)) {
             self.digest = self.digest.append(&message);
+            self.history_tokens += message.tokens();
             self.history.push(message);
         }
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use commands::{Command, Output};
 pub use protocol::{
-    EngineLoad, LoadsUpdate, Heartbeat, HeartbeatReply, NodeInfo, NodeRef, StoreReply, StoreRequest,
+    EngineLoad, Heartbeat, HeartbeatReply, LoadsUpdate, NodeInfo, NodeRef, StoreReply, StoreRequest,
 };
 pub use queries::{Answer, Query};
 pub use router::{RouterEvent, StoreRouter};
--- a/crates/store/src/state/programs.rs
+++ b/crates/store/src/state/programs.rs
@@ -181,6 +181,8 @@
     pub calls: BTreeMap<u64, CallRecord>,
     /// Its conversation so far.
     pub history: Vec<ChatMessage>,
+    /// Tokens of the conversation, counted once for each message.
+    pub history_tokens: u64,
     /// Chained digest of the conversation.
     pub digest: HistoryDigest,
     /// Engines that may hold its history, and the prompt tokens last sent there.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,5 +1,6 @@
 //! One outgoing connection that is kept alive.
 
+use std::convert::Infallible;
 use std::io::{BufReader, BufWriter, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -8,7 +9,7 @@
 use std::time::Duration;
 
 use calicohoist_telemetry::{Event, emit};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded, select};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -18,13 +19,13 @@
 const RING: usize = 4_096;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
-const STOP_POLL: Duration = Duration::from_millis(50);
 
 /// A connection to one address that reconnects by itself.
 ///
 /// Frames sent while there is no connection, or while the ring is full, are dropped.
 pub struct Link<Out> {
-    sender: Sender<Out>,
+    /// `None` only while the link is being closed.
+    sender: Option<Sender<Out>>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -44,18 +45,20 @@
             LinkWriter { address, receiver, on_frame: Arc::new(on_frame), stop: stop.clone() };
         let thread =
             std::thread::Builder::new().name("wire-link".to_owned()).spawn(move || writer.run())?;
-        Ok(Self { sender, stop, thread: Some(thread) })
+        Ok(Self { sender: Some(sender), stop, thread: Some(thread) })
     }
 
     /// Queues a frame; `false` when the ring was full and the frame was dropped.
     pub fn send(&self, frame: Out) -> bool {
-        self.sender.try_send(frame).is_ok()
+        self.sender.as_ref().is_some_and(|sender| sender.try_send(frame).is_ok())
     }
 }
 
 impl<Out> Drop for Link<Out> {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
+        // Closing the ring wakes the writer.
+        drop(self.sender.take());
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -94,11 +97,12 @@
         let Ok(reading) = stream.try_clone() else {
             return;
         };
-        let broken = Arc::new(AtomicBool::new(false));
-        let reader = self.spawn_reader(reading, broken.clone());
+        // The reader keeps one end; the other tells the writer that it has ended.
+        let (alive, reader_ended) = bounded::<Infallible>(0);
+        let reader = self.spawn_reader(reading, alive);
         let mut output = BufWriter::new(stream);
-        while !self.stopped() && !broken.load(Ordering::SeqCst) {
-            if self.write_waiting(&mut output).is_err() {
+        while !self.stopped() {
+            if self.write_waiting(&mut output, &reader_ended).is_err() {
                 break;
             }
         }
@@ -108,14 +112,17 @@
         }
     }
 
-    fn write_waiting(&self, output: &mut BufWriter<&TcpStream>) -> Result<(), FrameError> {
-        match self.receiver.recv_timeout(STOP_POLL) {
-            Ok(frame) => write_frame(output, &frame)?,
-            Err(RecvTimeoutError::Timeout) => return Ok(()),
-            Err(RecvTimeoutError::Disconnected) => {
-                return Err(FrameError::Io(std::io::ErrorKind::BrokenPipe.into()));
-            }
+    fn write_waiting(
+        &self,
+        output: &mut BufWriter<&TcpStream>,
+        reader_ended: &Receiver<Infallible>,
+    ) -> Result<(), FrameError> {
+        let ended = || FrameError::Io(std::io::ErrorKind::BrokenPipe.into());
+        let frame = select! {
+            recv(self.receiver) -> frame => frame.map_err(|_| ended())?,
+            recv(reader_ended) -> _ => return Err(ended()),
         };
+        write_frame(output, &frame)?;
         while let Ok(frame) = self.receiver.try_recv() {
             write_frame(output, &frame)?;
         }
@@ -126,7 +133,7 @@
     fn spawn_reader(
         &self,
         stream: TcpStream,
-        broken: Arc<AtomicBool>,
+        alive: Sender<Infallible>,
     ) -> std::io::Result<JoinHandle<()>> {
         let on_frame = self.on_frame.clone();
         let address = self.address;
@@ -142,7 +149,7 @@
                     }
                 }
             }
-            broken.store(true, Ordering::SeqCst);
+            drop(alive);
         })
     }
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,5 +1,6 @@
 //! Accepts links and answers on the connection a frame came in on.
 
+use std::convert::Infallible;
 use std::io::{BufReader, BufWriter, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -8,7 +9,7 @@
 use std::time::Duration;
 
 use calicohoist_telemetry::{Event, emit};
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::channel::{Receiver, Sender, bounded, select};
 use parking_lot::Mutex;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -136,16 +137,16 @@
     remember(open, stream.try_clone()?);
     let (sender, receiver) = bounded(RING);
     let replier = Replier { sender };
-    let done = Arc::new(AtomicBool::new(false));
-    let writer_done = done.clone();
+    // The reader keeps one end; the other tells the writer that it has ended.
+    let (alive, reader_ended) = bounded::<Infallible>(0);
     std::thread::Builder::new()
         .name("wire-write".to_owned())
-        .spawn(move || write_replies(&writing, &receiver, &writer_done))?;
+        .spawn(move || write_replies(&writing, &receiver, &reader_ended))?;
     let open = open.clone();
     open.count.fetch_add(1, Ordering::SeqCst);
     std::thread::Builder::new().name("wire-read".to_owned()).spawn(move || {
         read_frames(&stream, peer, &replier, &*on_frame);
-        done.store(true, Ordering::SeqCst);
+        drop(alive);
         open.count.fetch_sub(1, Ordering::SeqCst);
     })?;
     Ok(())
@@ -180,17 +181,22 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
-fn write_replies<Out: Serialize>(stream: &TcpStream, receiver: &Receiver<Out>, done: &AtomicBool) {
+fn write_replies<Out: Serialize>(
+    stream: &TcpStream,
+    receiver: &Receiver<Out>,
+    reader_ended: &Receiver<Infallible>,
+) {
     let mut output = BufWriter::new(stream);
-    while !done.load(Ordering::SeqCst) {
-        match receiver.recv_timeout(STOP_POLL) {
-            Ok(reply) => {
-                if write_batch(&mut output, reply, receiver).is_err() {
-                    break;
-                }
-            }
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => break,
+    loop {
+        let reply = select! {
+            recv(receiver) -> reply => reply,
+            recv(reader_ended) -> _ => break,
+        };
+        let Ok(reply) = reply else {
+            break;
+        };
+        if write_batch(&mut output, reply, receiver).is_err() {
+            break;
         }
     }
     let _ = stream.shutdown(Shutdown::Both);
