--- a/crates/calicohoist/tests/settings.rs
+++ b/crates/calicohoist/tests/settings.rs
@@ -48,7 +48,7 @@
     for finding in &found {
         let line = finding.place.line.expect("each finding has a line");
         let name = finding.place.field.rsplit('.').next().expect("a field");
-        let text_line = text.lines().nth(line as usize - 1).expect("the line is in the file");
+        let text_line = text.lines().nth(line - 1).expect("the line is in the file");
         assert!(text_line.contains(name), "{name} is said to be in line {line}: {text_line:?}");
         assert!(!finding.accepted.is_empty());
     }
--- a/crates/gateway/src/core/flow/finish.rs
+++ b/crates/gateway/src/core/flow/finish.rs
@@ -10,6 +10,7 @@
 use crate::core::message::{
     Action, CallerEvent, Failure, FailureCause, Finish, PeerMessage, Ticket,
 };
+use crate::core::metrics::{CALLS_ENDED, count};
 use crate::core::{Gateway, Purpose};
 
 impl Gateway {
@@ -178,6 +179,11 @@
         let Some(call) = self.calls.remove(&id) else {
             return;
         };
+        let outcome = match event {
+            CallerEvent::Failed(failure) => failure.outcome,
+            _ => Outcome::Completed,
+        };
+        count(&CALLS_ENDED, outcome.as_str());
         if let Some(attempt) = &call.attempt
             && self.by_attempt.get(attempt) == Some(&id)
         {
--- a/crates/gateway/src/core/flow/route.rs
+++ b/crates/gateway/src/core/flow/route.rs
@@ -12,6 +12,7 @@
 
 use crate::core::call::{Call, Phase, Target};
 use crate::core::message::{Action, EngineOrder, PeerMessage, ServiceOrder};
+use crate::core::metrics::{ATTEMPTS_SENT, count};
 use crate::core::{Gateway, Purpose};
 
 /// Pause before a call that no back end takes looks again.
@@ -254,6 +255,8 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        let kind = if call.resumes.is_some() { "resumed" } else { "new" };
+        count(&ATTEMPTS_SENT, kind);
         call.phase = Phase::Running { progress: now };
         call.continuation = call.text.len();
         if let Some(order) = engine_order(call) {
--- a/crates/gateway/src/core/message.rs
+++ b/crates/gateway/src/core/message.rs
@@ -150,6 +150,18 @@
     NotSeen,
 }
 
+impl BackendFailure {
+    /// Its name, for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotStarted => "not_started",
+            Self::NothingToResume => "nothing_to_resume",
+            Self::Broken => "broken",
+            Self::NotSeen => "not_seen",
+        }
+    }
+}
+
 /// What gateways say to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod flow;
 pub mod memory;
 pub mod message;
+mod metrics;
 pub mod owner;
 pub mod view;
 
@@ -211,6 +212,8 @@
         self.send_holdings(now);
         self.tick_calls(now);
         self.finish_stop(now);
+        metrics::show(&metrics::CALLS_UNDER_WAY, self.calls.len() as u64);
+        metrics::show(&metrics::APPLIED_REVISION, self.view.applied().0);
         self.take_actions(now)
     }
 
--- a/crates/lab/tests/linearizability.rs
+++ b/crates/lab/tests/linearizability.rs
@@ -294,7 +294,7 @@
     }
 
     /// Answers, at the very end, what may have taken effect, and judges.
-    fn is_linearizable(mut self) -> (bool, usize) {
+    fn judge(mut self) -> (bool, usize) {
         let waiting: Vec<u64> = self.open.keys().copied().collect();
         waiting.into_iter().for_each(|ticket| self.give_up(ticket));
         let unanswered: Vec<_> = self
@@ -318,7 +318,7 @@
     for _ in 0..steps {
         cluster.step();
     }
-    cluster.is_linearizable()
+    cluster.judge()
 }
 
 #[test]
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod commands;
 pub mod driver;
 pub mod loads;
+mod metrics;
 pub mod nodes;
 pub mod protocol;
 pub mod queries;
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -155,6 +155,18 @@
     GroupStatus,
 }
 
+impl StoreRequest {
+    /// Name of its kind, for metrics.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Command(..) => "command",
+            Self::Query(..) => "query",
+            Self::Heartbeat(_) => "heartbeat",
+            Self::FleetStatus | Self::GroupStatus => "status",
+        }
+    }
+}
+
 /// Answer to a [`StoreRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreReply {
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -16,6 +16,7 @@
 
 use crate::commands::program::ProgramCommand;
 use crate::commands::{Command, Output, Stamped};
+use crate::metrics;
 use crate::nodes::{LEASE, NodeTable};
 use crate::protocol::{
     FleetStatus, GroupStatus, Heartbeat, HeartbeatReply, StoreReply, StoreRequest,
@@ -126,6 +127,7 @@
         if self.pending.len() >= MAX_PENDING {
             return self.reply(client, id, StoreReply::Unavailable);
         }
+        metrics::count_request(request.kind());
         match request {
             StoreRequest::Command(group, command) => {
                 self.propose(unix_millis, group, command, Pending::Command(client, id));
@@ -258,6 +260,7 @@
             emit!(Event::LostLeadership, "group {group}");
             self.leads.remove(&group);
         }
+        metrics::show_groups_led(self.leads.len());
     }
 
     fn answer_read(&mut self, now: Moment, ticket: Ticket, group: GroupId) {
