--- a/crates/gateway/src/core/flow/admit.rs
+++ b/crates/gateway/src/core/flow/admit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use calicohoist_store::broken::{Rule, is_broken};
 use calicohoist_store::commands::program::{Admission, BeginCall, NewProgram, ProgramCommand};
 use calicohoist_store::queries::program::{CallView, ProgramAnswer, ProgramQuery};
 use calicohoist_store::state::programs::CallTarget;
@@ -89,7 +90,7 @@
         let Some(request) = call.request.clone() else {
             return;
         };
-        if !self.view.has_lease(now) {
+        if !self.view.has_lease(now) && !is_broken(Rule::UseCurrentLimits) {
             // Limits of an old configuration must not be used.
             return self.wait(now, id, Waiting::Lease, self.settings.gap_timeout);
         }
@@ -240,6 +241,7 @@
         place: CallId,
         offset: usize,
     ) {
+        let offset = if is_broken(Rule::ResumeAtOffset) { 0 } else { offset };
         let is_same = |call: &Call| {
             let attempt = call.attempt.as_ref();
             call.tenant == tenant && attempt.is_some_and(|attempt| attempt.call == place)
--- a/crates/gateway/src/core/flow/run.rs
+++ b/crates/gateway/src/core/flow/run.rs
@@ -1,6 +1,7 @@
 //! What back ends report, retries, and looking up requests that got lost.
 
 use calicohoist_scheduler::backoff;
+use calicohoist_store::broken::{Rule, is_broken};
 use calicohoist_store::commands::program::ProgramCommand;
 use calicohoist_store::state::programs::{Backend, StoredAnswer};
 use calicohoist_telemetry::{Event, emit};
@@ -79,7 +80,8 @@
         {
             call.excluded.insert(backend_name(&target.backend));
         }
-        let repeatable = call.admission.as_ref().is_some_and(|admission| admission.repeatable);
+        let repeatable = call.admission.as_ref().is_some_and(|admission| admission.repeatable)
+            || is_broken(Rule::RepeatOnlyRepeatable);
         // An attempt that only asked for the rest of an earlier one ran nothing
         // itself, but the earlier one may have run.
         let only_resumed = call.resumes.is_some();
--- a/crates/gateway/src/core/memory.rs
+++ b/crates/gateway/src/core/memory.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use calicohoist_store::StoreReply;
+use calicohoist_store::broken::{Rule, is_broken};
 use calicohoist_store::commands::program::ProgramCommand;
 use calicohoist_store::queries::program::{ProgramAnswer, ProgramQuery};
 use calicohoist_telemetry::{Event, emit};
@@ -124,7 +125,8 @@
         reply: Option<StoreReply>,
     ) {
         if let Some(ProgramAnswer::Programs(programs)) = program_answer(reply) {
-            for program in programs {
+            let orphans = programs.into_iter().filter(|_| !is_broken(Rule::ReleaseMemory));
+            for program in orphans {
                 emit!(Event::CacheOrphanFound, "{program} on {engine}");
                 self.release(now, engine.clone(), program);
             }
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -19,6 +19,7 @@
 
 use calicohoist_replication::GroupId;
 use calicohoist_scheduler::{CostWeights, RetryBudget};
+use calicohoist_store::broken::{Rule, is_broken};
 use calicohoist_store::commands::program::{ProgramCommand, ProgramOutput};
 use calicohoist_store::queries::program::{ProgramAnswer, ProgramQuery};
 use calicohoist_store::{
@@ -399,7 +400,8 @@
     fn finish_stop(&mut self, now: Moment) {
         let handed_over =
             self.view.knows_stopping(&self.settings.node) || !self.view.has_lease(now);
-        if self.stopping && !self.stopped && self.calls.is_empty() && handed_over {
+        let is_idle = self.calls.is_empty() || is_broken(Rule::FinishCalls);
+        if self.stopping && !self.stopped && is_idle && handed_over {
             self.stopped = true;
             self.actions.push(Action::Stopped);
         }
--- a/crates/gateway/src/core/view.rs
+++ b/crates/gateway/src/core/view.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use calicohoist_scheduler::owner_of;
+use calicohoist_store::broken::{Rule, is_broken};
 use calicohoist_store::protocol::LoadsUpdate;
 use calicohoist_store::queries::resource::{Update, UpdateContent};
 use calicohoist_store::{EngineLoad, HeartbeatReply, NodeInfo, NodeRef};
@@ -281,6 +282,9 @@
     /// Whether operator and platform let `engine` take new work.
     pub fn may_use(&self, engine: &EngineId) -> bool {
         let spec = self.engine(engine);
+        if is_broken(Rule::AvoidLeaving) {
+            return spec.is_some();
+        }
         spec.is_some_and(|spec| !spec.drain) && !self.leaving.contains(engine.as_str())
     }
 
--- a/crates/lab/tests/simulation.rs
+++ b/crates/lab/tests/simulation.rs
@@ -10,7 +10,7 @@
 use proptest::test_runner::RngSeed;
 
 /// Seeds of each scenario and deployment; many more are run by hand.
-const SEEDS: u64 = 12;
+const SEEDS: u64 = 200;
 
 fn assert_good(report: &SimReport) {
     assert!(report.is_good(), "{}", report.describe());
@@ -22,9 +22,14 @@
     report
 }
 
+/// Half of the cores: both deployments run at the same time.
+fn threads() -> usize {
+    std::thread::available_parallelism().map_or(1, |cores| cores.get().div_ceil(2))
+}
+
 fn run_all(deployment: Deployment) {
     for scenario in Scenario::ALL {
-        let reports = run_many(*scenario, deployment, 0..SEEDS, 4);
+        let reports = run_many(*scenario, deployment, 0..SEEDS, threads());
         assert_eq!(reports.len() as u64, SEEDS);
         reports.iter().for_each(assert_good);
         let looks: u64 = reports
--- a/crates/store/src/commands/program.rs
+++ b/crates/store/src/commands/program.rs
@@ -10,6 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::broken::{Rule, is_broken};
 use crate::protocol::NodeRef;
 use crate::state::programs::{
     Backend, Budget, CHILD_SEPARATOR, CallRecord, CallState, CallTarget, ClosedKey, EarlierAttempt,
@@ -413,7 +414,7 @@
         if let Some(reason) = reason_to_refuse(record) {
             return Ok(self.close_key(call, begin, reason));
         }
-        if sequence > record.next_sequence {
+        if sequence > record.next_sequence && !is_broken(Rule::WaitForTurn) {
             let expected = record.next_sequence;
             let is_running = record.running_call().is_some();
             return Ok(BeginOutcome::NotYet { expected, is_running });
@@ -583,7 +584,9 @@
         if budget.available() < reserved {
             return Err(ProgramError::BudgetExhausted);
         }
-        budget.spent += reserved;
+        if !is_broken(Rule::ChargeLostAttempts) {
+            budget.spent += reserved;
+        }
         let earlier = self.call_mut(place).and_then(|call| call.earlier.as_mut());
         if let Some(earlier) = earlier {
             earlier.charged = true;
@@ -602,7 +605,7 @@
             return Err(ProgramError::Stale);
         }
         let was_sent = matches!(call.state, CallState::Dispatched(_)) && !never_sent;
-        if was_sent && !call.repeatable {
+        if was_sent && !call.repeatable && !is_broken(Rule::RepeatOnlyRepeatable) {
             return Err(ProgramError::NotRepeatable);
         }
         if let (CallState::Dispatched(backend), true) = (&call.state, was_sent) {
@@ -671,7 +674,7 @@
         if is_in_order {
             record.next_sequence += 1;
         }
-        if is_model && is_in_order && !was_unknown {
+        if is_model && is_in_order && !was_unknown && !is_broken(Rule::KeepAnswers) {
             record.append_history(messages, &answer.text);
         }
         if let (Backend::Engine(engine), true) = (&answer.backend, is_model) {
@@ -699,10 +702,11 @@
             return Ok(ProgramOutput::Done);
         }
         let call = self.current(attempt, by).ok_or(ProgramError::Stale)?;
-        if !matches!(call.state, CallState::Admitted) {
+        let may_close = is_broken(Rule::KeepMayHaveRun);
+        if !may_close && !matches!(call.state, CallState::Admitted) {
             return Err(ProgramError::Stale);
         }
-        if call.earlier.is_some() {
+        if !may_close && call.earlier.is_some() {
             return Err(ProgramError::MayHaveRun);
         }
         let reserved = std::mem::take(&mut call.reserved);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`router`]: the client side of it: finds leaders, repeats, gives up;
 //! - [`driver`]: threads, sockets and disk around the service.
 
+pub mod broken;
 pub mod commands;
 pub mod driver;
 pub mod loads;
--- a/crates/store/src/state/programs.rs
+++ b/crates/store/src/state/programs.rs
@@ -8,6 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::broken::{Rule, is_broken};
 use crate::protocol::NodeRef;
 
 /// Separates the names of a program and its sub-agent.
@@ -255,6 +256,8 @@
 
     /// Remembers that `engine` must release what it holds of an ended program.
     pub(crate) fn order_release(&mut self, engine: EngineId, program: ProgramId) {
-        self.releases.entry(engine).or_default().insert(program);
+        if !is_broken(Rule::ReleaseMemory) {
+            self.releases.entry(engine).or_default().insert(program);
+        }
     }
 }
