--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -74,6 +74,9 @@
 
 /// Time between heartbeats to the store.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Requests that were on their way when a stop began are read and refused within
+/// this time; ending at once would cut them.
+const STOP_GRACE: Duration = Duration::from_millis(250);
 /// Patience with the store for one request.
 const STORE_PATIENCE: Duration = Duration::from_secs(10);
 /// Time between the lists of held slots that owners get.
@@ -118,6 +121,8 @@
     heartbeat_is_out: bool,
     next_holding: Moment,
     stopping: bool,
+    /// A planned stop does not complete before this moment.
+    may_stop_from: Moment,
     stopped: bool,
     actions: Vec<Action>,
 }
@@ -145,6 +150,7 @@
             heartbeat_is_out: false,
             next_holding: now,
             stopping: false,
+            may_stop_from: Moment::ZERO,
             stopped: false,
             actions: Vec::new(),
             settings,
@@ -393,6 +399,7 @@
         }
         emit!(Event::StopRequested, "{} calls under way", self.calls.len());
         self.stopping = true;
+        self.may_stop_from = now + STOP_GRACE;
         self.next_heartbeat = now;
         self.run_owner(now);
     }
@@ -401,7 +408,8 @@
         let handed_over =
             self.view.knows_stopping(&self.settings.node) || !self.view.has_lease(now);
         let is_idle = self.calls.is_empty() || is_broken(Rule::FinishCalls);
-        if self.stopping && !self.stopped && is_idle && handed_over {
+        let is_due = self.stopping && !self.stopped && now >= self.may_stop_from;
+        if is_due && is_idle && handed_over {
             self.stopped = true;
             self.actions.push(Action::Stopped);
         }
--- a/crates/lab/src/sim/disturb.rs
+++ b/crates/lab/src/sim/disturb.rs
@@ -55,8 +55,11 @@
                 Some(span)
             }
             Fault::FreezeGateway(index, span) => {
+                // A process that is down cannot stand still.
                 let part = &mut self.gateways[index];
-                part.frozen_until = part.frozen_until.max(now + span);
+                if part.core.is_some() {
+                    part.frozen_until = part.frozen_until.max(now + span);
+                }
                 None
             }
             Fault::IsolateGateway(index, span) => {
@@ -98,7 +101,9 @@
             }
             Fault::FreezeStore(index, span) => {
                 let part = &mut self.stores[index];
-                part.frozen_until = part.frozen_until.max(now + span);
+                if part.service.is_some() {
+                    part.frozen_until = part.frozen_until.max(now + span);
+                }
                 None
             }
             Fault::IsolateStore(index, span) => {
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -445,9 +445,11 @@
     /// Stops a store machine without warning. `kept` bytes of what was not
     /// synced remain.
     pub(super) fn kill_store(&mut self, index: usize, kept: usize) {
+        self.parked.remove(&Actor::Store(index));
         let part = &mut self.stores[index];
         part.start += 1;
         part.service = None;
+        part.frozen_until = Moment::ZERO;
         part.inbox.clear();
         part.waiting = None;
         if let Some(log) = part.log.take() {
@@ -581,9 +583,12 @@
 
     /// Stops a gateway; every connection to it breaks.
     pub(super) fn kill_gateway(&mut self, index: usize) {
+        // What had arrived at a process that stood still dies with it.
+        self.parked.remove(&Actor::Gateway(index));
         let part = &mut self.gateways[index];
         part.start += 1;
         part.core = None;
+        part.frozen_until = Moment::ZERO;
         for ticket in self.clients.tickets_at(index) {
             // A connection that the network broke ends in silence.
             let is_open = self.clients.is_open(ticket);
--- a/crates/lab/tests/simulation.rs
+++ b/crates/lab/tests/simulation.rs
@@ -102,6 +102,13 @@
     run_seed(Deployment::Celje, Scenario::SecondLossAfterRepair, 66);
 }
 
+#[test]
+fn a_planned_stop_right_after_a_standstill_cuts_no_request() {
+    run_seed(Deployment::Celje, Scenario::Twice, 827);
+    run_seed(Deployment::Celje, Scenario::Twice, 9_305);
+    run_seed(Deployment::Celje, Scenario::Twice, 9_443);
+}
+
 fn drawn_fault() -> impl Strategy<Value = Fault> {
     let span = (200u64..6_000).prop_map(Duration::from_millis);
     prop_oneof![
