Write once what stood twice: counters, sub-agents, zones, slopes, runs

Cause: read once more as a whole, the code held copies and derived state. Two functions of the simulated disk that nothing called are gone. Ruled out: the same verbs in bpaf's subcommands and the arms of begin_fault, which share a shape and no logic.

--- a/crates/gateway/src/core/flow/finish.rs
+++ b/crates/gateway/src/core/flow/finish.rs
@@ -10,7 +10,7 @@
 use crate::core::message::{
     Action, CallerEvent, Failure, FailureCause, Finish, PeerMessage, Ticket,
 };
-use crate::core::metrics::{CALLS_ENDED, count};
+use crate::core::metrics::CALLS_ENDED;
 use crate::core::{Gateway, Purpose};
 
 impl Gateway {
@@ -183,7 +183,7 @@
             CallerEvent::Failed(failure) => failure.outcome,
             _ => Outcome::Completed,
         };
-        count(&CALLS_ENDED, outcome.as_str());
+        CALLS_ENDED.count(outcome.as_str());
         if let Some(attempt) = &call.attempt
             && self.by_attempt.get(attempt) == Some(&id)
         {
--- a/crates/gateway/src/core/flow/route.rs
+++ b/crates/gateway/src/core/flow/route.rs
@@ -12,7 +12,7 @@
 
 use crate::core::call::{Call, Phase, Target};
 use crate::core::message::{Action, EngineOrder, PeerMessage, ServiceOrder};
-use crate::core::metrics::{ATTEMPTS_SENT, count};
+use crate::core::metrics::ATTEMPTS_SENT;
 use crate::core::{Gateway, Purpose};
 
 /// Pause before a call that no back end takes looks again.
@@ -256,7 +256,7 @@
             return;
         };
         let kind = if call.resumes.is_some() { "resumed" } else { "new" };
-        count(&ATTEMPTS_SENT, kind);
+        ATTEMPTS_SENT.count(kind);
         call.phase = Phase::Running { progress: now };
         call.continuation = call.text.len();
         if let Some(order) = engine_order(call) {
--- a/crates/gateway/src/core/flow/run.rs
+++ b/crates/gateway/src/core/flow/run.rs
@@ -11,7 +11,7 @@
 use super::route::{engine_order, service_order};
 use crate::core::call::{Phase, Target};
 use crate::core::message::{Action, BackendEvent, BackendFailure, FailureCause};
-use crate::core::metrics::{ATTEMPTS_FAILED, count};
+use crate::core::metrics::ATTEMPTS_FAILED;
 use crate::core::{Gateway, Purpose};
 
 impl Gateway {
@@ -73,7 +73,7 @@
             "{:?}: {failure:?}",
             call.attempt.as_ref().map(AttemptId::to_string)
         );
-        count(&ATTEMPTS_FAILED, failure.as_str());
+        ATTEMPTS_FAILED.count(failure.as_str());
         let was_lookup = matches!(call.phase, Phase::LookingUp { .. });
         if let Some(target) =
             call.target.as_ref().filter(|_| failure != BackendFailure::NothingToResume)
--- a/crates/gateway/src/core/view.rs
+++ b/crates/gateway/src/core/view.rs
@@ -96,17 +96,17 @@
     pub(crate) fn on_heartbeat(&mut self, now: Moment, sent: Moment, reply: HeartbeatReply) {
         self.nodes_complete = reply.nodes_complete;
         self.nodes_version = reply.nodes_version;
+        let nodes_changed = reply.nodes.is_some();
         if let Some(nodes) = reply.nodes {
             let by_name = nodes.into_iter().map(|info| (info.node.node.clone(), info));
             self.nodes = by_name.collect();
-            self.owners.clear();
         }
         self.apply_loads(reply.loads);
         self.in_force = self.in_force.max(reply.in_force);
         let applied_before = self.applied;
         self.apply(reply.update);
-        if self.owners.is_empty() || self.applied != applied_before {
-            self.update_owners();
+        if nodes_changed || self.applied != applied_before {
+            self.update_owners(nodes_changed);
         }
         if self.applied >= self.in_force {
             // Whoever may start work acts on the configuration that is in force.
@@ -129,20 +129,17 @@
     }
 
     /// Finds the owners of engines that are new, or of all when gateways changed.
-    fn update_owners(&mut self) {
-        let engines: BTreeSet<EngineId> = self.engines().map(|(engine, _)| engine).collect();
-        let before = self.owners.len();
-        self.owners.retain(|engine, _| engines.contains(engine));
-        let mut is_changed = self.owners.len() != before || self.owners.is_empty();
-        for engine in engines {
-            if !self.owners.contains_key(&engine)
-                && let Some(owner) = self.compute_owner(&engine)
-            {
-                self.owners.insert(engine, owner);
-                is_changed = true;
-            }
-        }
-        if is_changed {
+    fn update_owners(&mut self, nodes_changed: bool) {
+        let known = |engine: &EngineId| self.owners.get(engine).filter(|_| !nodes_changed).cloned();
+        let owners: BTreeMap<EngineId, NodeId> = self
+            .engines()
+            .filter_map(|(engine, _)| {
+                let owner = known(&engine).or_else(|| self.compute_owner(&engine))?;
+                Some((engine, owner))
+            })
+            .collect();
+        if owners != self.owners {
+            self.owners = owners;
             self.owners_version += 1;
         }
     }
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -370,7 +370,8 @@
     if error.never_sent() { TryEnd::NotConnected } else { TryEnd::Cut }
 }
 
-fn is_worth_another_try(code: &str) -> bool {
+/// Whether a refusal with this code may turn out otherwise later.
+pub(crate) fn is_worth_another_try(code: &str) -> bool {
     !matches!(
         code,
         "budget_exhausted"
--- a/crates/lab/src/scale/capacity.rs
+++ b/crates/lab/src/scale/capacity.rs
@@ -4,6 +4,7 @@
 //! so that page and figures cannot drift apart.
 
 use super::ScaleReport;
+use super::slope::Slope;
 
 /// The size to design for.
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +71,12 @@
     format!("| {name} | {slope} | {value} | {limit} |")
 }
 
+/// A slope in words, with the digits of its base and of its growth.
+fn line(slope: &Slope, base_digits: usize, digits: usize, unit: &str) -> String {
+    let Slope { base, per_unit, error } = slope;
+    format!("{base:.base_digits$} + {per_unit:.digits$} (± {error:.digits$}) {unit}")
+}
+
 fn verdict(value: f64, limit: f64) -> &'static str {
     if value <= limit { "holds" } else { "**missed**" }
 }
@@ -99,21 +106,13 @@
         ),
         row(
             "gateway: control messages a second",
-            &format!(
-                "{:.1} + {:.4} (± {:.4}) a node",
-                slopes.gateway_messages.base,
-                slopes.gateway_messages.per_unit,
-                slopes.gateway_messages.error
-            ),
+            &line(&slopes.gateway_messages, 1, 4, "a node"),
             &format!("{:.0}", slopes.gateway_messages.at(size.nodes)),
             "none given",
         ),
         row(
             "gateway: control, percent of a core",
-            &format!(
-                "{:.3} + {:.5} (± {:.5}) a node",
-                slopes.gateway_core.base, slopes.gateway_core.per_unit, slopes.gateway_core.error
-            ),
+            &line(&slopes.gateway_core, 3, 5, "a node"),
             &format!("{core:.2} %"),
             &format!("{} %: {}", size.core_percent, verdict(core, size.core_percent)),
         ),
@@ -132,12 +131,7 @@
         ),
         row(
             "gateway: one routing decision",
-            &format!(
-                "{:.0} + {:.2} (± {:.2}) ns an engine",
-                slopes.decision_nanos.base,
-                slopes.decision_nanos.per_unit,
-                slopes.decision_nanos.error
-            ),
+            &line(&slopes.decision_nanos, 0, 2, "ns an engine"),
             &format!("{:.1} µs", slopes.decision_nanos.at(size.engines) / 1e3),
             "none given",
         ),
@@ -162,28 +156,19 @@
     vec![
         row(
             "leader of group 0: bytes a second",
-            &format!(
-                "{:.0} + {:.0} (± {:.0}) a node",
-                slopes.store_bytes.base, slopes.store_bytes.per_unit, slopes.store_bytes.error
-            ),
+            &line(&slopes.store_bytes, 0, 0, "a node"),
             &format!("{:.1} MiB/s", bytes / MIB),
             "one of the 9 machines",
         ),
         row(
             "leader of group 0: percent of a core",
-            &format!(
-                "{:.2} + {:.4} (± {:.4}) a node",
-                slopes.store_core.base, slopes.store_core.per_unit, slopes.store_core.error
-            ),
+            &line(&slopes.store_core, 2, 4, "a node"),
             &format!("{core:.1} %"),
             "one of the 9 machines",
         ),
         row(
             "store machine: time of one call",
-            &format!(
-                "{:.0} + {:.4} (± {:.4}) µs a prompt token",
-                slopes.call_micros.base, slopes.call_micros.per_unit, slopes.call_micros.error
-            ),
+            &line(&slopes.call_micros, 0, 4, "µs a prompt token"),
             &format!(
                 "{call_micros:.0} µs at {:.0} tokens; {:.2} cores for {leaders_share:.0} calls/s",
                 size.history_tokens,
@@ -193,10 +178,7 @@
         ),
         row(
             "store machine: bytes of one call",
-            &format!(
-                "{:.0} + {:.2} (± {:.2}) a prompt token",
-                slopes.call_bytes.base, slopes.call_bytes.per_unit, slopes.call_bytes.error
-            ),
+            &line(&slopes.call_bytes, 0, 2, "a prompt token"),
             &format!(
                 "{:.0} KiB; {:.1} MiB/s for {leaders_share:.0} calls/s",
                 call_bytes / KIB,
@@ -206,12 +188,7 @@
         ),
         row(
             "store machine: memory of one program",
-            &format!(
-                "{:.0} + {:.2} (± {:.2}) bytes a token of history",
-                slopes.program_bytes.base,
-                slopes.program_bytes.per_unit,
-                slopes.program_bytes.error
-            ),
+            &line(&slopes.program_bytes, 0, 2, "bytes a token of history"),
             &format!(
                 "{:.0} KiB; {:.0} MiB per 1,000 programs; {:.1} GiB for {programs_here:.0} programs",
                 program / KIB,
--- a/crates/lab/src/scale/control.rs
+++ b/crates/lab/src/scale/control.rs
@@ -89,27 +89,20 @@
     };
     let mut world = World::new(Deployment::Celje, size, SEED);
     world.declare_fleet();
-    advance(&mut world, START_UP);
+    world.run_for(START_UP);
     world
 }
 
-fn advance(world: &mut World, time: Duration) {
-    let end = world.now() + time;
-    while world.advance(end) {}
-    world.set_now(end);
-}
-
 fn measure_idle(world: &mut World, gateways: usize) -> ControlPoint {
     world.account = Some(Account::default());
-    advance(world, MEASURED);
+    world.run_for(MEASURED);
     let account = world.account.take().unwrap_or_default();
     let seconds = MEASURED.as_secs_f64();
     let sum = |value: fn(crate::sim::account::Cost) -> f64| {
         let costs = (0..gateways).map(|index| value(account.cost(Actor::Gateway(index))));
         costs.sum::<f64>() / gateways as f64 / seconds
     };
-    let busiest = (0..3).map(|index| account.cost(Actor::Store(index)));
-    let busiest = busiest.max_by_key(|cost| cost.bytes).unwrap_or_default();
+    let busiest = account.busiest_store();
     ControlPoint {
         gateways,
         engines: engines_of(gateways),
@@ -125,9 +118,9 @@
 fn measure_changes(world: &mut World, gateways: usize) -> ChangeTimes {
     for _ in 0..CHANGES {
         world.time_change();
-        advance(world, CHANGE_INTERVAL);
+        world.run_for(CHANGE_INTERVAL);
     }
-    advance(world, CHANGE_INTERVAL * 5);
+    world.run_for(CHANGE_INTERVAL * 5);
     let times = world.change_times();
     ChangeTimes { gateways, changes: times.len(), in_force_ms: Percentiles::of(times) }
 }
--- a/crates/lab/src/scale/programs.rs
+++ b/crates/lab/src/scale/programs.rs
@@ -80,15 +80,15 @@
     };
     let mut world = World::new(Deployment::Celje, size, 1);
     world.declare_fleet();
-    advance(&mut world, START_UP);
+    world.run_for(START_UP);
     world.account = Some(Account::default());
-    advance(&mut world, START_UP);
+    world.run_for(START_UP);
     let idle = costs(&world).map(|cost| per_second(cost, START_UP));
     for number in 0..CALL_PROGRAMS {
         world.add_program(plan(number, tokens_per_turn), TURNS as u64 + 1);
     }
     world.account = Some(Account::default());
-    advance(&mut world, CALL_RUN);
+    world.run_for(CALL_RUN);
     let total = costs(&world).map(|cost| per_second(cost, CALL_RUN));
     let (calls, prompt_tokens) = world.answered_model_calls();
     let seconds = CALL_RUN.as_secs_f64();
@@ -124,8 +124,7 @@
 /// Costs of the busiest store machine, and of all gateways.
 fn costs(world: &World) -> [Cost; 2] {
     let account = world.account.clone().unwrap_or_default();
-    let stores = (0..3).map(|index| account.cost(Actor::Store(index)));
-    let busiest = stores.max_by_key(|cost| cost.bytes).unwrap_or_default();
+    let busiest = account.busiest_store();
     let gateways = (0..2).map(|index| account.cost(Actor::Gateway(index)));
     let all = gateways.fold(Cost::default(), |sum, cost| Cost {
         messages: sum.messages + cost.messages,
@@ -135,12 +134,6 @@
     [busiest, all]
 }
 
-fn advance(world: &mut World, time: Duration) {
-    let end = world.now() + time;
-    while world.advance(end) {}
-    world.set_now(end);
-}
-
 fn plan(number: usize, tokens_per_turn: usize) -> ProgramPlan {
     let ask = |turn: usize| {
         let text = words(tokens_per_turn, number * 1_000 + turn);
--- a/crates/lab/src/sim/account.rs
+++ b/crates/lab/src/sim/account.rs
@@ -41,6 +41,14 @@
         self.costs.get(&actor).copied().unwrap_or_default()
     }
 
+    /// Costs of the store machine with the most traffic.
+    pub fn busiest_store(&self) -> Cost {
+        let costs = self.costs.iter();
+        let stores = costs.filter(|(actor, _)| matches!(actor, Actor::Store(_)));
+        let busiest = stores.max_by_key(|(_, cost)| cost.bytes);
+        busiest.map(|(_, cost)| *cost).unwrap_or_default()
+    }
+
     pub(super) fn note_busy(&mut self, actor: Actor, busy: Duration) {
         let network = std::mem::take(&mut self.network);
         self.costs.entry(actor).or_default().busy += busy.saturating_sub(network);
--- a/crates/lab/src/sim/caller.rs
+++ b/crates/lab/src/sim/caller.rs
@@ -21,6 +21,7 @@
 use super::frame::{ClientNews, ClientRequest};
 use super::operator::{OperatorTask, ProbeChange};
 use super::world::{Happening, PROGRAM_GROUPS, World};
+use crate::caller::is_worth_another_try;
 use crate::history::{Asked, CallTry, ProgramTrace, TryEnd};
 use crate::workload::{Habit, ProgramPlan, Step};
 
@@ -28,6 +29,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Tries of one call before its caller gives up.
 const MAX_TRIES: u32 = 40;
+/// Calls of a sub-agent, at most.
+const AGENT_CALLS: u64 = 100;
 /// Pieces of an answer after which a caller hangs up on purpose.
 const PIECES_BEFORE_HANG_UP: u32 = 3;
 
@@ -119,6 +122,36 @@
     hung_up: bool,
 }
 
+impl ProgramRun {
+    /// A program that has not begun; its root is itself.
+    fn new(id: String, tenant: String, steps: Vec<Step>, gateway: usize, started: Moment) -> Self {
+        Self {
+            root: id.clone(),
+            id,
+            tenant,
+            budget: 0,
+            max_calls: AGENT_CALLS,
+            steps,
+            habit: Habit::Plain,
+            gateway,
+            position: 0,
+            sequence: 1,
+            round: 0,
+            tries: 0,
+            started,
+            ended: None,
+            went_well: true,
+            is_over: false,
+            parent: None,
+            agents_left: 0,
+            agent_answers: BTreeMap::new(),
+            number_in_parent: 0,
+            last_answer: String::new(),
+            hung_up: false,
+        }
+    }
+}
+
 /// Everybody who calls.
 #[derive(Debug, Default)]
 pub struct Clients {
@@ -184,29 +217,12 @@
     pub fn add_program(&mut self, plan: ProgramPlan, max_calls: u64) {
         let index = self.clients.programs.len();
         let start = plan.start;
+        let started = self.now + start;
         self.clients.programs.push(ProgramRun {
-            root: plan.id.clone(),
-            id: plan.id,
-            tenant: plan.tenant,
             budget: plan.budget,
             max_calls,
-            steps: plan.steps,
             habit: plan.habit,
-            gateway: index,
-            position: 0,
-            sequence: 1,
-            round: 0,
-            tries: 0,
-            started: self.now + start,
-            ended: None,
-            went_well: true,
-            is_over: false,
-            parent: None,
-            agents_left: 0,
-            agent_answers: BTreeMap::new(),
-            number_in_parent: 0,
-            last_answer: String::new(),
-            hung_up: false,
+            ..ProgramRun::new(plan.id, plan.tenant, plan.steps, index, started)
         });
         self.create_program(index, start);
     }
@@ -389,7 +405,7 @@
             request: RequestId::new(format!("agent-{}-{}-{number}", program.id, program.position)),
             tenant: TenantId::new(&program.tenant),
             budget_tokens: 0,
-            max_calls: 100,
+            max_calls: AGENT_CALLS,
             lifetime_millis: None,
         };
         let request = program_command(&parent, ProgramCommand::Create(new));
@@ -402,29 +418,13 @@
         let Some(Step::Agents(agents)) = owner.steps.get(owner.position) else {
             return;
         };
+        let steps = agents[number].clone();
+        let (tenant, gateway) = (owner.tenant.clone(), owner.gateway + number);
         let agent = ProgramRun {
-            id: id.to_string(),
             root: owner.root.clone(),
-            tenant: owner.tenant.clone(),
-            budget: 0,
-            max_calls: 100,
-            steps: agents[number].clone(),
-            habit: Habit::Plain,
-            gateway: owner.gateway + number,
-            position: 0,
-            sequence: 1,
-            round: 0,
-            tries: 0,
-            started: self.now,
-            ended: None,
-            went_well: true,
-            is_over: false,
             parent: Some(parent),
-            agents_left: 0,
-            agent_answers: BTreeMap::new(),
             number_in_parent: number,
-            last_answer: String::new(),
-            hung_up: false,
+            ..ProgramRun::new(id.to_string(), tenant, steps, gateway, self.now)
         };
         let index = self.clients.programs.len();
         self.clients.programs.push(agent);
@@ -710,14 +710,5 @@
 }
 
 fn is_final(code: &str) -> bool {
-    matches!(
-        code,
-        "budget_exhausted"
-            | "program_over"
-            | "program_cancelled"
-            | "program_ended"
-            | "too_many_calls"
-            | "unknown_program"
-            | "key_mismatch"
-    )
+    !is_worth_another_try(code) || matches!(code, "unknown_program" | "key_mismatch")
 }
--- a/crates/lab/src/sim/disk.rs
+++ b/crates/lab/src/sim/disk.rs
@@ -56,17 +56,6 @@
         std::mem::take(&mut self.syncs)
     }
 
-    /// Flips one bit of a file, if it is that long.
-    pub fn flip_bit(&mut self, name: &str, byte: usize, bit: u8) -> bool {
-        let found = self.files.get_mut(name).and_then(|file| file.durable.get_mut(byte));
-        found.map(|byte| *byte ^= 1 << (bit % 8)).is_some()
-    }
-
-    /// Length of a file's durable part.
-    pub fn length(&self, name: &str) -> usize {
-        self.files.get(name).map_or(0, |file| file.durable.len())
-    }
-
     fn check_room(&self, name: &str) -> Result<(), DiskError> {
         if !self.full {
             return Ok(());
--- a/crates/lab/src/sim/network.rs
+++ b/crates/lab/src/sim/network.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use calicohoist_types::Moment;
+use calicohoist_types::{Moment, Zone};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -39,6 +39,11 @@
     }
 }
 
+/// Name of the zone that the part with this number is in.
+pub fn zone_name(index: usize) -> Zone {
+    Zone::new(format!("zone-{}", index % ZONES))
+}
+
 impl Network {
     /// A network with the delays of a deployment.
     pub fn new(deployment: Deployment) -> Self {
--- a/crates/lab/src/sim/operator.rs
+++ b/crates/lab/src/sim/operator.rs
@@ -9,15 +9,18 @@
 use calicohoist_store::{Command, Output, StoreReply, StoreRequest};
 use calicohoist_types::{
     ChatMessage, EngineSpec, ModelId, ModelSpec, Moment, RequestId, ResourceKey, ResourceKind,
-    ResourceSpec, Revision, Role, ServiceSpec, TenantId, Zone,
+    ResourceSpec, Revision, Role, ServiceSpec, TenantId,
 };
 
-use super::backends::PROBE_MODEL;
+use super::backends::{EnginePart, PROBE_MODEL};
 use super::caller::{AskOwner, Wake};
 use super::frame::ClientRequest;
+use super::network::zone_name;
 use super::world::{Happening, World};
 use crate::history::ConfigProbe;
 
+/// Calls that run on an engine at a time.
+const ENGINE_SLOTS: u32 = 6;
 const POLL: Duration = Duration::from_millis(20);
 /// Limits a probe cycles through; all are shorter than the shortest answer.
 const PROBE_LIMITS: u64 = 7;
@@ -88,6 +91,16 @@
     ResourceSpec::Model(ModelSpec { max_output_tokens, max_prompt_tokens: 100_000 })
 }
 
+fn engine_spec(index: usize, engine: &EnginePart, drain: bool) -> ResourceSpec {
+    ResourceSpec::Engine(EngineSpec {
+        address: engine.address,
+        zone: zone_name(index),
+        model: engine.model_name.clone(),
+        slots: ENGINE_SLOTS,
+        drain,
+    })
+}
+
 fn command(change: ResourceCommand) -> StoreRequest {
     StoreRequest::Command(RESOURCE_GROUP, Command::Resource(change))
 }
@@ -101,13 +114,7 @@
         let probe = key(ResourceKind::Model, PROBE_MODEL);
         left.push(change(probe, model_spec(PROBE_LIMITS), "probe-model".into()));
         for (index, engine) in self.engines.iter().enumerate() {
-            let spec = ResourceSpec::Engine(EngineSpec {
-                address: engine.address,
-                zone: Zone::new(format!("zone-{}", index % 4)),
-                model: engine.model_name.clone(),
-                slots: 6,
-                drain: false,
-            });
+            let spec = engine_spec(index, engine, false);
             let name = engine.name.as_str();
             left.push(change(key(ResourceKind::Engine, name), spec, format!("declare-{name}")));
         }
@@ -115,7 +122,7 @@
             let spec = ResourceSpec::Service(ServiceSpec {
                 service: self.deployment.service().to_owned(),
                 address: replica.address,
-                zone: Zone::new(format!("zone-{}", index % 4)),
+                zone: zone_name(index),
                 slots: 4,
                 drain: false,
             });
@@ -129,13 +136,7 @@
     /// Has an operator drain an engine.
     pub(super) fn drain_engine(&mut self, engine: usize) {
         let part = &self.engines[engine];
-        let spec = ResourceSpec::Engine(EngineSpec {
-            address: part.address,
-            zone: Zone::new(format!("zone-{}", engine % 4)),
-            model: part.model_name.clone(),
-            slots: 6,
-            drain: true,
-        });
+        let spec = engine_spec(engine, part, true);
         let name = part.name.as_str();
         let drain = change(key(ResourceKind::Engine, name), spec, format!("drain-{name}"));
         self.add_task(OperatorTask::Declare { left: vec![drain] });
--- a/crates/lab/src/sim/run.rs
+++ b/crates/lab/src/sim/run.rs
@@ -14,7 +14,7 @@
 use super::backends::PROBE_MODEL;
 use super::disturb::MAX_CALLS;
 use super::fault::Fault;
-use super::scenario::{Planned, Scenario, Targets};
+use super::scenario::{Planned, Scenario};
 use super::waste::{HeldSamples, WastedCache, rebuilt_share};
 use super::world::{Happening, START, World, WorldSize};
 use crate::check::{Invariants, check};
@@ -144,14 +144,8 @@
 
 /// Runs one seed with the faults that its scenario draws.
 pub fn run(settings: &SimSettings) -> (SimReport, History) {
-    let targets = Targets {
-        gateways: SIZE.gateways,
-        engines: SIZE.engines,
-        replicas: SIZE.replicas,
-        stores: SIZE.stores,
-    };
     let mut random = ChaCha8Rng::seed_from_u64(settings.seed ^ FAULT_SEED);
-    let planned = settings.scenario.plan(targets, &mut random);
+    let planned = settings.scenario.plan(SIZE, &mut random);
     run_planned(settings, &planned)
 }
 
--- a/crates/lab/src/sim/scenario.rs
+++ b/crates/lab/src/sim/scenario.rs
@@ -7,6 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::fault::Fault;
+use super::world::WorldSize;
 
 /// Faults of random scenarios fall into this time.
 const FAULT_WINDOW: Duration = Duration::from_secs(14);
@@ -88,26 +89,13 @@
     }
 }
 
-/// Numbers of parts that faults may hit.
-#[derive(Clone, Copy, Debug)]
-pub struct Targets {
-    /// Gateways.
-    pub gateways: usize,
-    /// Engines.
-    pub engines: usize,
-    /// Replicas.
-    pub replicas: usize,
-    /// Store machines.
-    pub stores: usize,
-}
-
 fn seconds(count: f64) -> Duration {
     Duration::from_secs_f64(count)
 }
 
 impl Scenario {
     /// Draws the faults of one run.
-    pub fn plan(self, targets: Targets, random: &mut ChaCha8Rng) -> Vec<Planned> {
+    pub fn plan(self, targets: WorldSize, random: &mut ChaCha8Rng) -> Vec<Planned> {
         let mut planner = Planner { targets, random };
         match self {
             Self::Calm => Vec::new(),
@@ -145,7 +133,7 @@
 }
 
 struct Planner<'a> {
-    targets: Targets,
+    targets: WorldSize,
     random: &'a mut ChaCha8Rng,
 }
 
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -9,7 +9,7 @@
 use calicohoist_gateway::{Gateway, GatewaySettings};
 use calicohoist_replication::{DiskLog, NodeSettings, RaftSettings, ReplicaId};
 use calicohoist_store::{GroupMap, NodeRef, StoreAction, StoreReply, StoreService};
-use calicohoist_types::{EngineId, Incarnation, Moment, NodeId, Zone};
+use calicohoist_types::{EngineId, Incarnation, Moment, NodeId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -19,7 +19,7 @@
 use super::disk::SimDisk;
 use super::fault::Fault;
 use super::frame::{Actor, ClientNews, ClientRequest, Frame, Start};
-use super::network::Network;
+use super::network::{Network, zone_name};
 use crate::deployment::Deployment;
 use crate::history::{History, TryEnd};
 
@@ -242,9 +242,11 @@
         self.now
     }
 
-    /// Lets the clock go on to a moment up to which everything has happened.
-    pub fn set_now(&mut self, now: Moment) {
-        self.now = self.now.max(now);
+    /// Lets everything happen that is due within a time.
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.advance(end) {}
+        self.now = end;
     }
 
     /// Model calls that were answered, and the average tokens of their prompts.
@@ -561,7 +563,7 @@
         let settings = GatewaySettings {
             node: NodeRef { node: part.name.clone(), incarnation: Incarnation(part.start) },
             peer_address: ([127, 0, 0, 1], 9_000 + index as u16).into(),
-            zone: Zone::new(format!("zone-{}", index % 4)),
+            zone: zone_name(index),
             store_machines: (1..=stores).collect(),
             program_groups: PROGRAM_GROUPS,
             queue_timeout: Duration::from_secs(15),
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -226,10 +226,10 @@
         let Some(progress) = state.progress.get_mut(&to) else {
             return;
         };
-        if now < progress.installing_until && !is_heartbeat {
-            return;
-        }
         if now < progress.installing_until {
+            if !is_heartbeat {
+                return;
+            }
             // Keeps the follower from campaigning while the snapshot travels.
             let heartbeat = Message::Append {
                 term,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -2,7 +2,11 @@
 //!
 //! Metrics are declared beside the code that they count; this module only collects them.
 
-use prometheus::{Encoder, TextEncoder};
+use std::sync::OnceLock;
+
+use prometheus::{
+    Encoder, IntCounterVec, IntGauge, TextEncoder, register_int_counter_vec, register_int_gauge,
+};
 
 /// Content type of [`render`]'s text.
 pub const CONTENT_TYPE: &str = "text/plain; version=0.0.4";
@@ -17,3 +21,51 @@
     }
     String::from_utf8(text).unwrap_or_default()
 }
+
+/// A counter with one label, registered when it first counts.
+pub struct Counter {
+    name: &'static str,
+    help: &'static str,
+    label: &'static str,
+    registered: OnceLock<Option<IntCounterVec>>,
+}
+
+impl Counter {
+    /// A counter called `name`, told apart by the values of `label`.
+    pub const fn new(name: &'static str, help: &'static str, label: &'static str) -> Self {
+        Self { name, help, label, registered: OnceLock::new() }
+    }
+
+    /// Counts one under `value` of the label.
+    pub fn count(&self, value: &str) {
+        let registered = self
+            .registered
+            .get_or_init(|| register_int_counter_vec!(self.name, self.help, &[self.label]).ok());
+        if let Some(counter) = registered {
+            counter.with_label_values(&[value]).inc();
+        }
+    }
+}
+
+/// A value that goes up and down, registered when it is first shown.
+pub struct Gauge {
+    name: &'static str,
+    help: &'static str,
+    registered: OnceLock<Option<IntGauge>>,
+}
+
+impl Gauge {
+    /// A gauge called `name`.
+    pub const fn new(name: &'static str, help: &'static str) -> Self {
+        Self { name, help, registered: OnceLock::new() }
+    }
+
+    /// Shows `value`.
+    pub fn show(&self, value: u64) {
+        let registered =
+            self.registered.get_or_init(|| register_int_gauge!(self.name, self.help).ok());
+        if let Some(gauge) = registered {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        }
+    }
+}
