--- a/crates/calicohoist/src/cli/mod.rs
+++ b/crates/calicohoist/src/cli/mod.rs
@@ -90,15 +90,15 @@
     Delete {
         #[bpaf(external(target))]
         target: Target,
+        /// Only if it has this version
+        #[bpaf(argument("VERSION"))]
+        version: Option<u64>,
         /// Kind
         #[bpaf(positional("KIND"))]
         kind: String,
         /// Name
         #[bpaf(positional("NAME"))]
         name: String,
-        /// Only if it has this version
-        #[bpaf(argument("VERSION"))]
-        version: Option<u64>,
     },
     /// Follow changes from a revision on
     #[bpaf(command)]
@@ -123,14 +123,14 @@
     Drain {
         #[bpaf(external(target))]
         target: Target,
+        /// Put it back
+        undo: bool,
         /// Kind: engine or service
         #[bpaf(positional("KIND"))]
         kind: String,
         /// Name
         #[bpaf(positional("NAME"))]
         name: String,
-        /// Put it back
-        undo: bool,
     },
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -20,6 +20,9 @@
 use eyre::Result;
 use log::LevelFilter;
 
+/// The slopes that the repository records, from its root.
+const RECORDED_SLOPES: &str = "docs/capacity/scale.json";
+
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 /// Fleets, load and proof for calicohoist.
@@ -82,7 +85,7 @@
     #[bpaf(command)]
     Capacity {
         /// Report of `scale`
-        #[bpaf(argument("FILE"))]
+        #[bpaf(argument("FILE"), fallback(PathBuf::from(RECORDED_SLOPES)))]
         slopes: PathBuf,
     },
     /// Run the stand-ins of a fleet of processes and write its settings files
