--- a/crates/calicohoist/src/cli/mod.rs
+++ b/crates/calicohoist/src/cli/mod.rs
@@ -3,6 +3,7 @@
 //! Exit status: 0 done, 1 failed, 2 settings or arguments not accepted.
 
 mod operator;
+mod serve;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -12,6 +13,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use calicohoist_platform::NODE_FILE_VARIABLE;
 use calicohoist_telemetry::{Event, LogFormat, LogSettings, emit, logging};
 use calicohoist_types::Findings;
 use eyre::Result;
@@ -55,6 +57,15 @@
         #[bpaf(argument("FILE"))]
         config: PathBuf,
     },
+    /// Run the role that the platform's settings file names
+    #[bpaf(command)]
+    Serve {
+        /// The platform's settings file
+        #[bpaf(long("node-file"), env(NODE_FILE_VARIABLE), argument("FILE"))]
+        node_file: PathBuf,
+        /// Check the file and start nothing
+        check: bool,
+    },
     /// Check a settings file and start nothing
     #[bpaf(command)]
     Check {
@@ -187,6 +198,7 @@
     match command {
         Command::Store { config } => run_store(&Settings::read(&config)?),
         Command::Gateway { config } => run_gateway(&Settings::read(&config)?),
+        Command::Serve { node_file, check } => serve::run(&node_file, check),
         Command::Check { file } => {
             Settings::read(&file)?;
             println!("{}: accepted", file.display());
--- a/crates/calicohoist/src/settings/mod.rs
+++ b/crates/calicohoist/src/settings/mod.rs
@@ -23,7 +23,7 @@
     /// Its zone.
     pub zone: Zone,
     /// The store machines.
-    pub machines: BTreeMap<u16, SocketAddr>,
+    pub machines: BTreeMap<u32, SocketAddr>,
     /// Groups that hold programs; the same everywhere, for good.
     pub program_groups: u32,
     /// Settings of the role `store`.
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreSection {
     /// Number of this machine.
-    pub machine: u16,
+    pub machine: u32,
     /// Folder for log and snapshots.
     pub data_folder: PathBuf,
     /// Address of `/healthz`, `/readyz` and `/metrics`.
@@ -136,7 +136,7 @@
     })
 }
 
-fn read_machines(reader: &mut Reader<'_>, root: &mut Section<'_>) -> BTreeMap<u16, SocketAddr> {
+fn read_machines(reader: &mut Reader<'_>, root: &mut Section<'_>) -> BTreeMap<u32, SocketAddr> {
     let mut machines = BTreeMap::new();
     let sections = reader.sections(root, "store_machines");
     if sections.is_empty() || sections.len() > MAX_MACHINES {
@@ -145,7 +145,7 @@
     }
     for mut section in sections {
         let number = reader.required(&mut section, "number", "1 to 65535, each once", |item| {
-            u16::try_from(item.as_integer()?).ok().filter(|number| *number > 0)
+            u32::try_from(item.as_integer()?).ok().filter(|number| *number > 0)
         });
         let address = reader.address(&mut section, "address");
         if let (Some(number), Some(address)) = (number, address) {
@@ -167,12 +167,12 @@
 fn read_store(
     reader: &mut Reader<'_>,
     mut section: Section<'_>,
-    machines: &BTreeMap<u16, SocketAddr>,
+    machines: &BTreeMap<u32, SocketAddr>,
 ) -> Option<StoreSection> {
-    let known: Vec<String> = machines.keys().map(u16::to_string).collect();
+    let known: Vec<String> = machines.keys().map(u32::to_string).collect();
     let accepted = format!("one of store_machines: {}", known.join(", "));
     let machine = reader.required(&mut section, "machine", &accepted, |item| {
-        let number = u16::try_from(item.as_integer()?).ok()?;
+        let number = u32::try_from(item.as_integer()?).ok()?;
         machines.contains_key(&number).then_some(number)
     });
     let data_folder = reader.required(&mut section, "data_folder", "a folder", |item| {
--- a/crates/calicohoist/tests/command_line.rs
+++ b/crates/calicohoist/tests/command_line.rs
@@ -2,8 +2,8 @@
 
 use std::process::{Command, Output};
 
-const SUBCOMMANDS: [&str; 9] =
-    ["store", "gateway", "check", "get", "apply", "delete", "watch", "status", "drain"];
+const SUBCOMMANDS: [&str; 10] =
+    ["store", "gateway", "serve", "check", "get", "apply", "delete", "watch", "status", "drain"];
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_calicohoist")).args(arguments).output().expect("runs")
--- /dev/null
+++ b/crates/discovery/src/lib.rs
@@ -0,0 +1,127 @@
+//! Reads the list of replicas from the platform's discovery service.
+//!
+//! A reading is a series of pages over one connection. A reading that misses a page
+//! is of no use: a replica that is absent counts as gone.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use calicohoist_routing::Replica;
+use calicohoist_transport::tcp;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+
+const PATIENCE: Duration = Duration::from_millis(1_000);
+const MAX_PAGE_BYTES: usize = 4 << 20;
+/// More pages than any fleet has: an endless list must not hold the reader.
+const MAX_PAGES: usize = 256;
+
+/// One page of the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Its replicas.
+    pub replicas: Vec<Replica>,
+    /// Names the next page; `None` on the last.
+    pub next: Option<String>,
+}
+
+/// How the platform's list is asked for and written.
+pub trait ListCodec: Send + Sync {
+    /// Path and query of a page; the first one without a token.
+    fn page_path(&self, token: Option<&str>) -> String;
+
+    /// Reads a page; `None` when it is not one.
+    fn parse_page(&self, body: &[u8]) -> Option<Page>;
+}
+
+/// Why the list could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// No connection, or it broke.
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    /// The exchange failed.
+    #[error("exchange: {0}")]
+    Http(#[from] hyper::Error),
+    /// The service refused.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// The answer is not a list, or has no end.
+    #[error("not a list")]
+    NotAList,
+    /// No answer in time.
+    #[error("no answer in time")]
+    Timeout,
+}
+
+/// Reads the list from one address.
+#[derive(Clone)]
+pub struct ListReader {
+    address: SocketAddr,
+    codec: Arc<dyn ListCodec>,
+}
+
+impl ListReader {
+    /// Reads from `address`.
+    pub fn new(address: SocketAddr, codec: Arc<dyn ListCodec>) -> Self {
+        Self { address, codec }
+    }
+
+    /// All replicas, as of now.
+    ///
+    /// # Errors
+    /// See [`ReadError`].
+    pub async fn read(&self) -> Result<Vec<Replica>, ReadError> {
+        let reading = tokio::time::timeout(PATIENCE, self.read_pages());
+        reading.await.unwrap_or(Err(ReadError::Timeout))
+    }
+
+    async fn read_pages(&self) -> Result<Vec<Replica>, ReadError> {
+        let stream = tcp::connect(self.address, PATIENCE, PATIENCE).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(connection);
+        let result = self.follow_pages(&mut sender).await;
+        driver.abort();
+        result
+    }
+
+    async fn follow_pages(
+        &self,
+        sender: &mut SendRequest<Empty<Bytes>>,
+    ) -> Result<Vec<Replica>, ReadError> {
+        let mut replicas = Vec::new();
+        let mut token = None;
+        for _ in 0..MAX_PAGES {
+            let path = self.codec.page_path(token.as_deref());
+            let body = self.get(sender, &path).await?;
+            let page = self.codec.parse_page(&body).ok_or(ReadError::NotAList)?;
+            replicas.extend(page.replicas);
+            token = page.next;
+            if token.is_none() {
+                return Ok(replicas);
+            }
+        }
+        Err(ReadError::NotAList)
+    }
+
+    async fn get(
+        &self,
+        sender: &mut SendRequest<Empty<Bytes>>,
+        path: &str,
+    ) -> Result<Bytes, ReadError> {
+        sender.ready().await?;
+        let request = Request::get(path).header("host", self.address.to_string());
+        let request = request.body(Empty::new()).map_err(|_| ReadError::NotAList)?;
+        let response = sender.send_request(request).await?;
+        if response.status() != StatusCode::OK {
+            return Err(ReadError::Status(response.status()));
+        }
+        let body = Limited::new(response.into_body(), MAX_PAGE_BYTES);
+        let body = body.collect().await.map_err(|_| ReadError::NotAList)?;
+        Ok(body.to_bytes())
+    }
+}
--- a/crates/gateway/src/core/message.rs
+++ b/crates/gateway/src/core/message.rs
@@ -331,7 +331,7 @@
     /// Send a request to a store machine.
     ToStore {
         /// The machine.
-        machine: u16,
+        machine: u32,
         /// Names the try.
         id: u64,
         /// The request.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -47,7 +47,7 @@
     /// Its zone.
     pub zone: Zone,
     /// Numbers of the store machines.
-    pub store_machines: Vec<u16>,
+    pub store_machines: Vec<u32>,
     /// Groups that hold programs.
     pub program_groups: u32,
     /// Longest time a call waits for a slot.
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -48,7 +48,7 @@
     /// Settings of its decisions. Its peer address is replaced by the bound one.
     pub core: GatewaySettings,
     /// Store machines.
-    pub stores: BTreeMap<u16, SocketAddr>,
+    pub stores: BTreeMap<u32, SocketAddr>,
     /// The platform's list of machines.
     pub platform: Option<SocketAddr>,
     /// Bounds of the HTTP server.
@@ -190,9 +190,9 @@
 }
 
 fn open_store_links(
-    stores: &BTreeMap<u16, SocketAddr>,
+    stores: &BTreeMap<u32, SocketAddr>,
     core: &Sender<CoreInput>,
-) -> std::io::Result<BTreeMap<u16, Link<StoreFrame>>> {
+) -> std::io::Result<BTreeMap<u32, Link<StoreFrame>>> {
     let mut links = BTreeMap::new();
     for (machine, address) in stores {
         let core = core.clone();
@@ -267,7 +267,7 @@
     receiver: Receiver<CoreInput>,
     callers: Arc<Callers>,
     view: Arc<SharedView>,
-    stores: BTreeMap<u16, Link<StoreFrame>>,
+    stores: BTreeMap<u32, Link<StoreFrame>>,
     peers: BTreeMap<NodeId, (SocketAddr, Link<PeerFrame>)>,
     attempts: Sender<Job>,
     control: Sender<Job>,
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -92,7 +92,7 @@
     }
 
     /// Store machines, each in a zone of its own.
-    pub const fn stores(self) -> u16 {
+    pub const fn stores(self) -> u32 {
         3
     }
 }
--- a/crates/lab/src/fleet/backends.rs
+++ b/crates/lab/src/fleet/backends.rs
@@ -35,7 +35,7 @@
     /// Gateways.
     pub gateways: usize,
     /// Store machines.
-    pub stores: u16,
+    pub stores: u32,
 }
 
 impl FleetSize {
--- a/crates/lab/src/fleet/embedded.rs
+++ b/crates/lab/src/fleet/embedded.rs
@@ -55,7 +55,7 @@
     ) -> Result<Self> {
         let backends = Backends::start(deployment, size, seed)?;
         let stores = start_stores(deployment, size, data)?;
-        let machines: BTreeMap<u16, SocketAddr> =
+        let machines: BTreeMap<u32, SocketAddr> =
             (1..).zip(stores.iter().map(StoreServer::address)).collect();
         let zones = deployment.zones();
         let mut gateways = Vec::new();
@@ -124,7 +124,7 @@
     let zones = deployment.zones();
     let mut stores = Vec::new();
     for (machine, listener) in (1..).zip(listeners) {
-        let zone = zones[usize::from(machine) % zones.len()];
+        let zone = zones[machine as usize % zones.len()];
         let name = format!("store-{machine}");
         let section = StoreSection {
             machine,
@@ -143,7 +143,7 @@
 fn settings(
     name: &str,
     zone: &str,
-    machines: &BTreeMap<u16, SocketAddr>,
+    machines: &BTreeMap<u32, SocketAddr>,
     store: Option<StoreSection>,
     gateway: Option<GatewaySection>,
 ) -> Settings {
--- a/crates/lab/src/fleet/files.rs
+++ b/crates/lab/src/fleet/files.rs
@@ -38,10 +38,10 @@
 ) -> Result<FleetMap> {
     std::fs::create_dir_all(folder)?;
     let zones = deployment.zones();
-    let stores = free_addresses(usize::from(size.stores))?;
-    let machines: BTreeMap<u16, SocketAddr> = (1..).zip(stores).collect();
+    let stores = free_addresses(size.stores as usize)?;
+    let machines: BTreeMap<u32, SocketAddr> = (1..).zip(stores).collect();
     for machine in machines.keys() {
-        let zone = zones[usize::from(*machine) % zones.len()];
+        let zone = zones[*machine as usize % zones.len()];
         let name = format!("store-{machine}");
         let mut text = common(&name, zone, &machines)?;
         let data = folder.join(format!("data-{machine}"));
@@ -81,7 +81,7 @@
     Ok(addresses?)
 }
 
-fn common(name: &str, zone: &str, machines: &BTreeMap<u16, SocketAddr>) -> Result<String> {
+fn common(name: &str, zone: &str, machines: &BTreeMap<u32, SocketAddr>) -> Result<String> {
     let mut text = format!("name = \"{name}\"\nzone = \"{zone}\"\nprogram_groups = 4\n");
     for (number, address) in machines {
         write!(text, "\n[[store_machines]]\nnumber = {number}\naddress = \"{address}\"\n")?;
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -428,14 +428,14 @@
             let _ = log.write_identity(disk);
             disk
         });
-        part.id = ReplicaId { machine: index as u16 + 1, disk: identity };
+        part.id = ReplicaId { machine: index as u32 + 1, disk: identity };
         let settings = NodeSettings {
             raft: RaftSettings::default(),
             entries_per_snapshot: self.entries_per_snapshot,
             log_rewrite_bytes: 256 << 10,
             seed: self.random.random(),
         };
-        let numbers: Vec<u16> = (1..=machines as u16).collect();
+        let numbers: Vec<u32> = (1..=machines as u32).collect();
         let groups = GroupMap::new(PROGRAM_GROUPS);
         part.service =
             Some(StoreService::new(part.id, settings, &numbers, groups, recovered, self.now));
@@ -528,7 +528,7 @@
         for action in actions {
             match action {
                 StoreAction::SendPeer { to, messages } => {
-                    let to = Actor::Store(usize::from(to.machine) - 1);
+                    let to = Actor::Store(to.machine as usize - 1);
                     self.send(Actor::Store(index), to, Frame::StorePeer { from, messages });
                 }
                 StoreAction::Reply { client, id, reply } => self.reply(index, client, id, reply),
@@ -555,7 +555,7 @@
     pub(super) fn start_gateway(&mut self, index: usize) {
         let seed = self.random.random();
         let now = self.now;
-        let stores = self.stores.len() as u16;
+        let stores = self.stores.len() as u32;
         let part = &mut self.gateways[index];
         part.start += 1;
         part.frozen_until = Moment::ZERO;
@@ -677,7 +677,7 @@
         match action {
             Action::ToStore { machine, id, request } => {
                 let frame = Frame::StoreRequest { gateway: index, start, id, request };
-                self.send(from, Actor::Store(usize::from(machine) - 1), frame);
+                self.send(from, Actor::Store(machine as usize - 1), frame);
             }
             Action::ToPeer { to, message, .. } => {
                 let own = self.gateways[index].name.clone();
@@ -767,7 +767,7 @@
             service: None,
             log: None,
             disk: SimDisk::default(),
-            id: ReplicaId { machine: index as u16 + 1, disk: 0 },
+            id: ReplicaId { machine: index as u32 + 1, disk: 0 },
             start: 0,
             frozen_until: Moment::ZERO,
             sync: SYNC,
--- a/crates/lab/tests/linearizability.rs
+++ b/crates/lab/tests/linearizability.rs
@@ -16,7 +16,7 @@
 use todc_utils::specifications::register::{RegisterOperation, RegisterSpecification};
 
 const GROUP: GroupId = GroupId(0);
-const MACHINES: [u16; 3] = [1, 2, 3];
+const MACHINES: [u32; 3] = [1, 2, 3];
 const STEP: Duration = Duration::from_millis(5);
 const STEPS: u64 = 2_000;
 const SHORT_STEPS: u64 = 500;
@@ -281,7 +281,7 @@
     }
 
     fn send(&mut self, index: usize, from: ReplicaId, to: ReplicaId, messages: Vec<GroupMessage>) {
-        let to = usize::from(to.machine) - 1;
+        let to = to.machine as usize - 1;
         let is_cut = self.cut.is_some_and(|(cut, _)| cut == index || cut == to);
         if is_cut || self.random.random_bool(0.05) {
             return;
--- /dev/null
+++ b/crates/ledger/src/queries.rs
@@ -0,0 +1,18 @@
+//! What is read from the state, once a quorum stands behind the reader.
+
+use crate::commands::TurnId;
+use crate::state::{HeldConfiguration, LedgerState};
+
+/// The configuration in force; `None` before the first.
+pub fn configuration(state: &LedgerState) -> Option<&HeldConfiguration> {
+    let held = state.configuration();
+    (held.version > 0).then_some(held)
+}
+
+/// All input and output before a turn that continues from `previous`.
+pub fn history(state: &LedgerState, previous: Option<&TurnId>) -> Option<Vec<u8>> {
+    match previous {
+        Some(previous) => state.turns().history(previous),
+        None => Some(Vec::new()),
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/server/gateways.rs
@@ -0,0 +1,180 @@
+//! Questions of gateways.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+use super::list::Reading;
+use super::replica::{ReplicaHandle, Request, Response, Standing};
+use crate::commands::{Command, Output};
+use crate::protocol::{Answer, Ask, ListMark, News, Question, Reply, Seen};
+
+/// Longest time that a watch is held when nothing is newer.
+const WATCH_HOLD: Duration = Duration::from_millis(500);
+/// Reports of load older than this are dropped.
+const LOAD_AGE: Duration = Duration::from_millis(2_000);
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// What all connections of gateways share.
+#[derive(Clone)]
+pub struct Hub {
+    replica: ReplicaHandle,
+    standing: watch::Receiver<Standing>,
+    list: watch::Receiver<Reading>,
+    loads: Arc<Mutex<HashMap<String, LoadReport>>>,
+}
+
+struct LoadReport {
+    at: Instant,
+    loads: Vec<(String, u32)>,
+}
+
+impl Hub {
+    /// Answers from `replica` and the readings of the list.
+    pub fn new(
+        replica: ReplicaHandle,
+        standing: watch::Receiver<Standing>,
+        list: watch::Receiver<Reading>,
+    ) -> Self {
+        Self { replica, standing, list, loads: Arc::default() }
+    }
+
+    fn not_leader(&self, leader: Option<u32>) -> Answer {
+        Answer::NotLeader { leader, machines: self.standing.borrow().machines.clone() }
+    }
+
+    /// Answers once something is newer than what was seen, or after a while.
+    async fn watch(&self, seen: Seen) -> Answer {
+        self.note_load(&seen);
+        let mut standing = self.standing.clone();
+        let mut list = self.list.clone();
+        let news = async {
+            loop {
+                let is_stale = {
+                    let standing = standing.borrow_and_update();
+                    let list = list.borrow_and_update();
+                    !standing.is_leader
+                        || standing.configuration > seen.configuration
+                        || (list.mark.term == standing.term && list.mark != seen.list)
+                };
+                if is_stale {
+                    return;
+                }
+                tokio::select! {
+                    changed = standing.changed() => if changed.is_err() { return },
+                    changed = list.changed() => if changed.is_err() { return },
+                }
+            }
+        };
+        let _ = tokio::time::timeout(WATCH_HOLD, news).await;
+        self.confirmed_news(&seen).await
+    }
+
+    /// What is newer, with a quorum behind it.
+    async fn confirmed_news(&self, seen: &Seen) -> Answer {
+        let held = match self.replica.call(Request::ReadConfiguration).await {
+            Response::Configuration(held) => held,
+            Response::NotLeader(leader) => return self.not_leader(leader),
+            _ => return Answer::Unavailable,
+        };
+        let reading = self.list.borrow().clone();
+        let standing = self.standing.borrow().clone();
+        let configuration = held.filter(|held| held.version > seen.configuration);
+        let is_current = reading.mark.term == standing.term;
+        let is_newer =
+            is_current && reading.mark != seen.list && reading.mark != ListMark::default();
+        let age = reading.read_at.filter(|_| is_current).map(|at| at.elapsed().as_millis());
+        Answer::News(News {
+            configuration: configuration.map(|held| (held.version, held.document)),
+            list: is_newer.then(|| (reading.mark, reading.list.as_ref().clone())),
+            list_age_ms: age.and_then(|age| u64::try_from(age).ok()),
+            loads: self.loads_of_others(&seen.gateway),
+            machines: standing.machines,
+        })
+    }
+
+    fn note_load(&self, seen: &Seen) {
+        let report = LoadReport { at: Instant::now(), loads: seen.loads.clone() };
+        let mut loads = self.loads.lock();
+        loads.insert(seen.gateway.clone(), report);
+        loads.retain(|_, report| report.at.elapsed() < LOAD_AGE);
+    }
+
+    fn loads_of_others(&self, gateway: &str) -> Vec<(String, u32)> {
+        let loads = self.loads.lock();
+        let others = loads.iter().filter(|(name, _)| *name != gateway);
+        let mut sum: HashMap<&str, u32> = HashMap::new();
+        for (replica, load) in others.flat_map(|(_, report)| &report.loads) {
+            *sum.entry(replica).or_default() += load;
+        }
+        sum.into_iter().map(|(replica, load)| (replica.to_owned(), load)).collect()
+    }
+}
+
+/// Takes connections of gateways.
+pub async fn accept(listener: TcpListener, hub: Hub) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await
+            && tcp::prepare(&stream, USER_TIMEOUT).is_ok()
+        {
+            tokio::spawn(serve(stream, hub.clone()));
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, hub: Hub) {
+    let (input, output) = stream.into_split();
+    let replies = spawn_writer(output);
+    let mut frames = FrameReader::new(input);
+    while let Ok(Ask { number, question }) = frames.next().await {
+        let back = Back { number, replies: replies.clone() };
+        match question {
+            Question::Reserve(reserve) => {
+                let hub_of_answer = hub.clone();
+                let respond = Box::new(move |response| back.send(hub_of_answer.answer(response)));
+                hub.replica.ask(Request::Reserve(reserve), respond);
+            }
+            Question::Settle(settle) => {
+                let hub_of_answer = hub.clone();
+                let respond = Box::new(move |response| back.send(hub_of_answer.answer(response)));
+                hub.replica.ask(Request::Change(Command::Settle(settle)), respond);
+            }
+            Question::Watch(seen) => {
+                let hub = hub.clone();
+                tokio::spawn(async move { back.send(hub.watch(seen).await) });
+            }
+        }
+    }
+}
+
+impl Hub {
+    fn answer(&self, response: Response) -> Answer {
+        match response {
+            Response::Reserved(reservation, history) => Answer::Reserved { reservation, history },
+            Response::Changed(Output::Done) => Answer::Settled,
+            Response::NotLeader(leader) => self.not_leader(leader),
+            _ => Answer::Unavailable,
+        }
+    }
+}
+
+/// The way back to the asker.
+struct Back {
+    number: u64,
+    replies: mpsc::Sender<Vec<u8>>,
+}
+
+impl Back {
+    /// A connection that does not take its answers loses them; its owner asks again.
+    fn send(self, answer: Answer) {
+        let reply = Reply { number: self.number, answer };
+        if let Ok(frame) = encode_frame(&reply) {
+            let _ = self.replies.try_send(frame);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/server/list.rs
@@ -0,0 +1,75 @@
+//! The leader reads the list of replicas for all gateways.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use calicohoist_routing::ReplicaList;
+use calicohoist_telemetry::{Event, emit};
+use tokio::sync::watch;
+
+use super::LedgerSettings;
+use super::replica::Standing;
+use crate::protocol::ListMark;
+
+/// The newest reading of this machine.
+#[derive(Clone, Debug, Default)]
+pub struct Reading {
+    /// Tells it from others.
+    pub mark: ListMark,
+    /// What was read.
+    pub list: Arc<ReplicaList>,
+    /// When it was read last, changed or not.
+    pub read_at: Option<Instant>,
+}
+
+/// Reads the list while this machine leads.
+pub fn spawn(
+    settings: &LedgerSettings,
+    standing: watch::Receiver<Standing>,
+) -> watch::Receiver<Reading> {
+    let (out, readings) = watch::channel(Reading::default());
+    let settings = settings.clone();
+    tokio::spawn(async move { run(settings, standing, out).await });
+    readings
+}
+
+async fn run(
+    settings: LedgerSettings,
+    mut standing: watch::Receiver<Standing>,
+    out: watch::Sender<Reading>,
+) {
+    let Some(reader) = settings.list else {
+        return;
+    };
+    loop {
+        if standing.wait_for(|standing| standing.is_leader).await.is_err() {
+            return;
+        }
+        let term = standing.borrow().term;
+        let began = Instant::now();
+        match reader.read().await {
+            Ok(replicas) => publish(&out, term, replicas, began),
+            Err(error) => emit!(Event::PlatformUnreachable, "list of replicas: {error}"),
+        }
+        tokio::time::sleep(settings.list_interval.saturating_sub(began.elapsed())).await;
+    }
+}
+
+fn publish(
+    out: &watch::Sender<Reading>,
+    term: u64,
+    replicas: Vec<calicohoist_routing::Replica>,
+    read_at: Instant,
+) {
+    out.send_if_modified(|reading| {
+        reading.read_at = Some(read_at);
+        let is_same = reading.mark.term == term && reading.list.replicas == replicas;
+        if is_same {
+            return false;
+        }
+        let version = reading.mark.version + 1;
+        reading.mark = ListMark { term, version };
+        reading.list = Arc::new(ReplicaList { version, replicas });
+        true
+    });
+}
--- /dev/null
+++ b/crates/ledger/src/server/mod.rs
@@ -0,0 +1,131 @@
+//! The process of a ledger machine.
+//!
+//! A thread for each duty: [`replica`] takes part in the replicated log and waits on
+//! the disk; the network thread runs the tasks of [`peers`], [`gateways`],
+//! [`control`] and [`list`]. Bounded rings join them.
+
+pub mod control;
+pub mod gateways;
+pub mod list;
+pub mod peers;
+pub mod replica;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use calicohoist_discovery::ListReader;
+use calicohoist_replication::RaftSettings;
+use calicohoist_telemetry::{Event, emit};
+use tokio::sync::watch;
+
+use control::ControlCodec;
+use replica::{ReplicaHandle, ReplicaThread};
+
+/// Where ledger machines listen; the ports are the same on all of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    /// For each other.
+    pub peers: u16,
+    /// For gateways.
+    pub gateways: u16,
+    /// For operators.
+    pub control: u16,
+}
+
+/// Settings of a ledger machine.
+#[derive(Clone)]
+pub struct LedgerSettings {
+    /// Name for operators.
+    pub name: String,
+    /// Its address; the number of a machine is its IPv4 address.
+    pub ip: Ipv4Addr,
+    /// Machines to ask first, and the founders at the very first start.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Whether this is the very first start of the whole system.
+    pub bootstrap: bool,
+    /// Where the log is kept.
+    pub data_folder: PathBuf,
+    /// Where it listens.
+    pub ports: Ports,
+    /// Timing and size of the group.
+    pub raft: RaftSettings,
+    /// Machines whose loss must be borne.
+    pub tolerated_losses: usize,
+    /// Reads the list of replicas while this machine leads.
+    pub list: Option<ListReader>,
+    /// Time between two readings of the list.
+    pub list_interval: Duration,
+    /// How operators speak.
+    pub control: Arc<dyn ControlCodec>,
+}
+
+impl LedgerSettings {
+    /// Time between two readings of the list of replicas.
+    pub const LIST_INTERVAL: Duration = Duration::from_millis(700);
+
+    /// Timing of a group whose failover is felt by every turn.
+    pub fn raft() -> RaftSettings {
+        RaftSettings {
+            heartbeat: Duration::from_millis(60),
+            election_min: Duration::from_millis(300),
+            election_max: Duration::from_millis(600),
+            clock_drift: Duration::from_millis(30),
+            replace_after: Duration::from_millis(2_000),
+            ..RaftSettings::default()
+        }
+    }
+}
+
+/// Number of the machine at `ip`.
+pub fn machine_number(ip: Ipv4Addr) -> u32 {
+    ip.to_bits()
+}
+
+/// Address of a machine's `port`.
+pub fn machine_address(machine: u32, port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::from_bits(machine)), port)
+}
+
+/// Runs a ledger machine until `stop` turns true.
+///
+/// # Errors
+/// When a socket cannot be bound, the log cannot be opened, or the disk fails.
+pub async fn run(settings: LedgerSettings, mut stop: watch::Receiver<bool>) -> eyre::Result<()> {
+    let (frames_out, frames) = tokio::sync::mpsc::channel(peers::RING);
+    let thread = ReplicaThread::open(&settings, frames_out)?;
+    let identity = thread.id();
+    let (handle, standing, failure) = thread.start()?;
+    let peer_listener = listen(&settings, settings.ports.peers)?;
+    let gateway_listener = listen(&settings, settings.ports.gateways)?;
+    let control_listener = listen(&settings, settings.ports.control)?;
+    tokio::spawn(peers::send(settings.clone(), identity, frames));
+    tokio::spawn(peers::accept(peer_listener, identity, handle.clone()));
+    let list = list::spawn(&settings, standing.clone());
+    let hub = gateways::Hub::new(handle.clone(), standing.clone(), list);
+    tokio::spawn(gateways::accept(gateway_listener, hub));
+    tokio::spawn(control::accept(control_listener, settings.clone(), handle.clone(), standing));
+    emit!(Event::RoleStarted, "ledger {} replica={identity} ip={}", settings.name, settings.ip);
+    tokio::select! {
+        failed = failure => eyre::bail!("the replica stopped: {}", failed.unwrap_or_default()),
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    emit!(Event::StopRequested, "ledger {}", settings.name);
+    hand_over(&handle).await;
+    emit!(Event::StopFinished, "ledger {}", settings.name);
+    Ok(())
+}
+
+fn listen(settings: &LedgerSettings, port: u16) -> eyre::Result<tokio::net::TcpListener> {
+    let address = SocketAddr::new(IpAddr::V4(settings.ip), port);
+    let listener = calicohoist_transport::bind(address);
+    listener.map_err(|error| eyre::eyre!("cannot listen on {address}: {error}"))
+}
+
+/// Gives the leadership away and lets what is under way end.
+async fn hand_over(handle: &ReplicaHandle) {
+    const HAND_OVER: Duration = Duration::from_millis(400);
+    handle.hand_over();
+    tokio::time::sleep(HAND_OVER).await;
+}
--- /dev/null
+++ b/crates/ledger/src/server/replica.rs
@@ -0,0 +1,507 @@
+//! The thread that takes part in the replicated log.
+//!
+//! It is the only one that waits on the disk. A leader whose disk hangs therefore
+//! sends no heartbeats either, and loses the leadership.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use calicohoist_replication::{
+    DirectoryDisk, DiskError, DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings,
+    ReplicaId, Ticket,
+};
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_types::Moment;
+use calicohoist_wire::encode;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use rand::RngExt;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::peers::Outgoing;
+use super::{LedgerSettings, machine_number};
+use crate::commands::{Command, Output, Reservation, ReserveTurn, RetiringOutcome};
+use crate::queries;
+use crate::state::{HeldConfiguration, LedgerState};
+
+/// The only group: whoever reads a configuration and whoever reserves ask the same leader.
+const GROUP: GroupId = GroupId(0);
+const RING: usize = 8_192;
+/// Inputs taken before one flush.
+const BATCH: usize = 512;
+const TICK: Duration = Duration::from_millis(20);
+/// How often a leader lets the state's clock run on.
+const ADVANCE_EVERY: Duration = Duration::from_secs(5);
+const ENTRIES_PER_SNAPSHOT: u64 = 8_000;
+
+/// What is asked of the replica.
+#[derive(Debug)]
+pub enum Request {
+    /// Change the state.
+    Change(Command),
+    /// Reserve, and read the history with it.
+    Reserve(ReserveTurn),
+    /// Read the configuration, with a quorum behind it.
+    ReadConfiguration,
+    /// Empty a machine.
+    Retire(String),
+    /// Whether a machine is empty.
+    ReadRetiring(String),
+}
+
+/// What the replica answers.
+#[derive(Debug)]
+pub enum Response {
+    /// The change was made.
+    Changed(Output),
+    /// What came of a reservation, and the history when granted.
+    Reserved(Reservation, Vec<u8>),
+    /// The configuration; `None` before the first.
+    Configuration(Option<HeldConfiguration>),
+    /// What came of retiring.
+    Retiring(RetiringOutcome),
+    /// Whether a machine that is being emptied is empty; `None` when it is not being emptied.
+    Retired(Option<bool>),
+    /// Another machine leads.
+    NotLeader(Option<u32>),
+    /// It may or may not be done in the end.
+    Lost,
+}
+
+/// Takes the response on the replica's thread; must not wait.
+pub type Respond = Box<dyn FnOnce(Response) + Send>;
+
+enum Input {
+    Frame { from: ReplicaId, messages: Vec<GroupMessage> },
+    Greeting { from: ReplicaId, name: String },
+    Request(Request, Respond),
+    HandOver,
+}
+
+/// What other tasks may know of the group at any time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Current term.
+    pub term: u64,
+    /// Machine believed to lead.
+    pub leader: Option<u32>,
+    /// Whether it is this one.
+    pub is_leader: bool,
+    /// Version of the configuration applied here.
+    pub configuration: u64,
+    /// Machines of the group.
+    pub machines: Vec<u32>,
+}
+
+/// The way into the thread.
+#[derive(Clone)]
+pub struct ReplicaHandle {
+    inputs: Sender<Input>,
+}
+
+impl ReplicaHandle {
+    /// Hands in messages of another replica; dropped when the ring is full.
+    pub fn frame(&self, from: ReplicaId, messages: Vec<GroupMessage>) {
+        let _ = self.inputs.try_send(Input::Frame { from, messages });
+    }
+
+    /// Hands in the name of another machine.
+    pub fn greeting(&self, from: ReplicaId, name: String) {
+        let _ = self.inputs.try_send(Input::Greeting { from, name });
+    }
+
+    /// Asks something; a full ring answers at once.
+    pub fn ask(&self, request: Request, respond: Respond) {
+        if let Err(refused) = self.inputs.try_send(Input::Request(request, respond))
+            && let Input::Request(_, respond) = refused.into_inner()
+        {
+            respond(Response::NotLeader(None));
+        }
+    }
+
+    /// Asks something and waits for the response.
+    pub async fn call(&self, request: Request) -> Response {
+        let (sender, receiver) = oneshot::channel();
+        self.ask(
+            request,
+            Box::new(move |response| {
+                let _ = sender.send(response);
+            }),
+        );
+        receiver.await.unwrap_or(Response::Lost)
+    }
+
+    /// Gives the leadership to another replica.
+    pub fn hand_over(&self) {
+        let _ = self.inputs.try_send(Input::HandOver);
+    }
+}
+
+enum Pending {
+    Change(Respond),
+    Reserve(ReserveTurn, Respond),
+    Retire(Respond),
+    ReadConfiguration(Respond),
+    ReadRetiring(String, Respond),
+}
+
+/// The replica with its disk, before its thread runs.
+pub struct ReplicaThread {
+    node: Node<LedgerState>,
+    log: DiskLog<DirectoryDisk>,
+    origin: Instant,
+    name: String,
+    tolerated_losses: usize,
+    frames: mpsc::Sender<Outgoing>,
+    pending: BTreeMap<Ticket, Pending>,
+    next_ticket: Ticket,
+    names: BTreeMap<u32, String>,
+    advanced: Instant,
+    standing: Standing,
+}
+
+impl ReplicaThread {
+    /// Opens the log.
+    ///
+    /// # Errors
+    /// When the disk fails or its content is damaged.
+    pub fn open(settings: &LedgerSettings, frames: mpsc::Sender<Outgoing>) -> eyre::Result<Self> {
+        let disk = DirectoryDisk::open(&settings.data_folder)?;
+        let (mut log, recovered) = DiskLog::open(disk)?;
+        let machine = machine_number(settings.ip);
+        let disk = match recovered.disk {
+            Some(disk) => disk,
+            None => {
+                let disk = new_identity(settings);
+                log.write_identity(disk)?;
+                disk
+            }
+        };
+        let id = ReplicaId { machine, disk };
+        let seeds: Vec<u32> = settings.seeds.iter().copied().map(machine_number).collect();
+        let node_settings = NodeSettings {
+            raft: settings.raft,
+            entries_per_snapshot: ENTRIES_PER_SNAPSHOT,
+            seed: rand::rng().random(),
+            ..NodeSettings::default()
+        };
+        let origin = Instant::now();
+        let node = Node::new(id, node_settings, &seeds, &[GROUP], recovered, Moment::ZERO);
+        Ok(Self {
+            node,
+            log,
+            origin,
+            name: settings.name.clone(),
+            tolerated_losses: settings.tolerated_losses,
+            frames,
+            pending: BTreeMap::new(),
+            next_ticket: 0,
+            names: BTreeMap::from([(machine, settings.name.clone())]),
+            advanced: origin,
+            standing: Standing::default(),
+        })
+    }
+
+    /// Identity of this replica.
+    pub fn id(&self) -> ReplicaId {
+        self.node.id()
+    }
+
+    /// Starts the thread. The last value tells why it ended, should it end.
+    ///
+    /// # Errors
+    /// When no thread can be started.
+    pub fn start(
+        self,
+    ) -> std::io::Result<(ReplicaHandle, watch::Receiver<Standing>, oneshot::Receiver<String>)>
+    {
+        let (inputs, receiver) = bounded(RING);
+        let (standing_out, standing) = watch::channel(Standing::default());
+        let (failure_out, failure) = oneshot::channel();
+        thread::Builder::new().name("replica".to_owned()).spawn(move || {
+            if let Err(error) = self.run(&receiver, &standing_out) {
+                emit!(Event::DiskFailed, "{error}");
+                let _ = failure_out.send(error.to_string());
+            }
+        })?;
+        Ok((ReplicaHandle { inputs }, standing, failure))
+    }
+
+    fn run(
+        mut self,
+        inputs: &Receiver<Input>,
+        standing: &watch::Sender<Standing>,
+    ) -> Result<(), DiskError> {
+        loop {
+            match inputs.recv_timeout(TICK) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            for input in inputs.try_iter().take(BATCH) {
+                self.take(input);
+            }
+            let now = self.now();
+            self.node.tick(now);
+            self.keep_house();
+            let frames = self.frames.clone();
+            let send_early = |to, messages| send(&frames, to, messages);
+            let events = self.node.flush_with(now, &mut self.log, send_early)?;
+            for event in events {
+                self.on_event(event);
+            }
+            self.publish(standing);
+        }
+    }
+
+    fn now(&self) -> Moment {
+        let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Moment::from_micros(micros)
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Frame { from, messages } => {
+                let now = self.now();
+                self.node.receive(now, from, messages);
+            }
+            Input::Greeting { from, name } => {
+                self.names.insert(from.machine, name);
+            }
+            Input::Request(request, respond) => self.on_request(request, respond),
+            Input::HandOver => {
+                let now = self.now();
+                self.node.transfer_leadership(now);
+            }
+        }
+    }
+
+    fn on_request(&mut self, request: Request, respond: Respond) {
+        match request {
+            Request::Change(command) => self.propose(&command, Pending::Change(respond)),
+            Request::Reserve(reserve) => {
+                let command = Command::Reserve(reserve.clone());
+                self.propose(&command, Pending::Reserve(reserve, respond));
+            }
+            Request::Retire(name) => {
+                let command = self.retire_command(name);
+                self.propose(&command, Pending::Retire(respond));
+            }
+            Request::ReadConfiguration => self.read(Pending::ReadConfiguration(respond)),
+            Request::ReadRetiring(name) => self.read(Pending::ReadRetiring(name, respond)),
+        }
+    }
+
+    fn retire_command(&self, name: String) -> Command {
+        let machines = self.node.machine(GROUP).map(LedgerState::machines);
+        let retiring = machines.map(|machines| machines.retiring_numbers()).unwrap_or_default();
+        let number = machines.and_then(|machines| machines.number(&name));
+        let stays = |machine: &&u32| !retiring.contains(machine) && Some(**machine) != number;
+        let remaining = self.standing.machines.iter().filter(stays).count();
+        let must_remain = 2 * self.tolerated_losses + 1;
+        Command::Retire { name, remaining, must_remain }
+    }
+
+    fn propose(&mut self, command: &Command, pending: Pending) {
+        let ticket = self.ticket();
+        let Ok(encoded) = encode(command) else {
+            return self.answer(pending, Answered::Lost);
+        };
+        match self.node.propose(GROUP, encoded, ticket) {
+            Ok(()) => {
+                self.pending.insert(ticket, pending);
+            }
+            Err(_) => self.refuse(pending),
+        }
+    }
+
+    fn read(&mut self, pending: Pending) {
+        let ticket = self.ticket();
+        match self.node.read(GROUP, ticket) {
+            Ok(()) => {
+                self.pending.insert(ticket, pending);
+            }
+            Err(_) => self.refuse(pending),
+        }
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    fn refuse(&mut self, pending: Pending) {
+        let leader = self.node.leader_machine(GROUP);
+        let leader = leader.filter(|leader| *leader != self.node.id().machine);
+        self.answer(pending, Answered::NotLeader(leader));
+    }
+
+    /// What a leader does by itself: the state's clock, and the names of machines.
+    fn keep_house(&mut self) {
+        let is_leader = self.node.raft(GROUP).is_some_and(|raft| raft.is_leader());
+        let Some(state) = self.node.machine(GROUP) else {
+            return;
+        };
+        let retiring = state.machines().retiring_numbers();
+        if !is_leader {
+            self.advanced = Instant::now();
+            return self.node.set_evicted(&retiring);
+        }
+        let is_new =
+            |(machine, name): &(&u32, &String)| state.machines().number(name) != Some(**machine);
+        let unknown: Vec<(u32, String)> = self
+            .names
+            .iter()
+            .filter(is_new)
+            .map(|(machine, name)| (*machine, name.clone()))
+            .collect();
+        self.node.set_evicted(&retiring);
+        for (machine, name) in unknown {
+            self.propose_silently(&Command::Enroll { name, machine });
+        }
+        self.names.clear();
+        self.names.insert(self.node.id().machine, self.name.clone());
+        let elapsed = self.advanced.elapsed();
+        if elapsed >= ADVANCE_EVERY {
+            self.advanced = Instant::now();
+            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or_default();
+            self.propose_silently(&Command::Advance { elapsed_ms });
+        }
+    }
+
+    fn propose_silently(&mut self, command: &Command) {
+        self.propose(command, Pending::Change(Box::new(|_| {})));
+    }
+
+    fn on_event(&mut self, event: NodeEvent<Output>) {
+        match event {
+            NodeEvent::Send { to, messages } => send(&self.frames, to, messages),
+            NodeEvent::Applied { ticket, output } => {
+                if let Some(pending) = self.pending.remove(&ticket) {
+                    self.answer(pending, Answered::Output(output));
+                }
+            }
+            NodeEvent::ReadReady { ticket, .. } => {
+                if let Some(pending) = self.pending.remove(&ticket) {
+                    self.answer(pending, Answered::MayRead);
+                }
+            }
+            NodeEvent::Lost { ticket } => {
+                if let Some(pending) = self.pending.remove(&ticket) {
+                    self.answer(pending, Answered::Lost);
+                }
+            }
+            NodeEvent::Leadership { is_leader, .. } => {
+                let event = if is_leader { Event::BecameLeader } else { Event::LostLeadership };
+                emit!(event, "{} term={}", self.name, self.term());
+            }
+        }
+    }
+
+    fn term(&self) -> u64 {
+        self.node.raft(GROUP).map_or(0, |raft| raft.term())
+    }
+
+    fn answer(&self, pending: Pending, answered: Answered) {
+        let leads = match answered {
+            Answered::NotLeader(leader) => return pending.respond()(Response::NotLeader(leader)),
+            Answered::Lost => return pending.respond()(Response::Lost),
+            Answered::Output(output) => Some(output),
+            Answered::MayRead => None,
+        };
+        let Some(state) = self.node.machine(GROUP) else {
+            return pending.respond()(Response::Lost);
+        };
+        match (pending, leads) {
+            (Pending::Change(respond), Some(output)) => respond(Response::Changed(output)),
+            (Pending::Reserve(reserve, respond), Some(Output::Reservation(reservation))) => {
+                respond(reserved(state, &reserve, reservation));
+            }
+            (Pending::Retire(respond), Some(Output::Retiring(outcome))) => {
+                respond(Response::Retiring(outcome));
+            }
+            (Pending::ReadConfiguration(respond), None) => {
+                respond(Response::Configuration(queries::configuration(state).cloned()));
+            }
+            (Pending::ReadRetiring(name, respond), None) => {
+                respond(Response::Retired(self.is_retired(state, &name)));
+            }
+            (pending, _) => pending.respond()(Response::Lost),
+        }
+    }
+
+    /// Whether a retiring machine holds no replica, with as many voters as wanted without it.
+    fn is_retired(&self, state: &LedgerState, name: &str) -> Option<bool> {
+        if !state.machines().is_retiring(name) {
+            return None;
+        }
+        let number = state.machines().number(name);
+        let raft = self.node.raft(GROUP)?;
+        let membership = raft.membership();
+        let is_member = membership.all().any(|replica| Some(replica.machine) == number);
+        let has_votes = membership.voters.len() > 2 * self.tolerated_losses;
+        let is_settled = raft.has_settled_membership();
+        Some(!is_member && has_votes && is_settled)
+    }
+
+    fn publish(&mut self, out: &watch::Sender<Standing>) {
+        let Some(raft) = self.node.raft(GROUP) else {
+            return;
+        };
+        let configuration = self.node.machine(GROUP).map(|state| state.configuration().version);
+        let machines = raft.membership().all().map(|replica| replica.machine);
+        let standing = Standing {
+            term: raft.term(),
+            leader: raft.leader().map(|leader| leader.machine),
+            is_leader: raft.is_leader(),
+            configuration: configuration.unwrap_or_default(),
+            machines: machines.collect(),
+        };
+        if standing != self.standing {
+            self.standing = standing.clone();
+            out.send_replace(standing);
+        }
+    }
+}
+
+/// How a pending request ended.
+enum Answered {
+    Output(Output),
+    MayRead,
+    NotLeader(Option<u32>),
+    Lost,
+}
+
+impl Pending {
+    fn respond(self) -> Respond {
+        match self {
+            Self::Change(respond)
+            | Self::Reserve(_, respond)
+            | Self::Retire(respond)
+            | Self::ReadConfiguration(respond)
+            | Self::ReadRetiring(_, respond) => respond,
+        }
+    }
+}
+
+fn reserved(state: &LedgerState, reserve: &ReserveTurn, reservation: Reservation) -> Response {
+    if reservation != Reservation::Granted {
+        return Response::Reserved(reservation, Vec::new());
+    }
+    match queries::history(state, reserve.previous.as_ref()) {
+        Some(history) => Response::Reserved(reservation, history),
+        // Expired between two entries of the log.
+        None => Response::Reserved(Reservation::NoSuchTurn, Vec::new()),
+    }
+}
+
+/// A new data folder belongs to a founder only at the very first start.
+fn new_identity(settings: &LedgerSettings) -> u32 {
+    let is_founder = settings.bootstrap && settings.seeds.contains(&settings.ip);
+    if is_founder { 0 } else { rand::rng().random_range(1..=u32::MAX) }
+}
+
+fn send(frames: &mpsc::Sender<Outgoing>, to: ReplicaId, messages: Vec<GroupMessage>) {
+    // A full ring drops them, as a network would.
+    let _ = frames.try_send(Outgoing { to, messages });
+}
--- /dev/null
+++ b/crates/ledger/src/state/mod.rs
@@ -0,0 +1,131 @@
+//! The replicated state machine.
+
+mod accounts;
+mod machines;
+mod turns;
+
+pub use accounts::Accounts;
+pub use machines::Machines;
+pub use turns::Turns;
+
+use calicohoist_replication::{GroupId, StateMachine};
+use calicohoist_wire::{decode, encode};
+use serde::{Deserialize, Serialize};
+
+use crate::commands::{Command, Output, Reservation, ReserveTurn, SettleTurn};
+
+/// The configuration with the highest version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldConfiguration {
+    /// Its version; 0 before the first.
+    pub version: u64,
+    /// The document, as the operator sent it.
+    pub document: Vec<u8>,
+}
+
+/// The whole state of a ledger.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerState {
+    /// Time that leaders have counted, in ms. It never runs ahead of true time.
+    clock_ms: u64,
+    configuration: HeldConfiguration,
+    accounts: Accounts,
+    turns: Turns,
+    machines: Machines,
+}
+
+impl LedgerState {
+    /// The configuration in force.
+    pub fn configuration(&self) -> &HeldConfiguration {
+        &self.configuration
+    }
+
+    /// The retained turns.
+    pub fn turns(&self) -> &Turns {
+        &self.turns
+    }
+
+    /// The accounts of programs.
+    pub fn accounts(&self) -> &Accounts {
+        &self.accounts
+    }
+
+    /// The machines of the ledger.
+    pub fn machines(&self) -> &Machines {
+        &self.machines
+    }
+
+    fn perform(&mut self, command: Command) -> Output {
+        match command {
+            Command::PutConfiguration { version, document } => {
+                if version > self.configuration.version {
+                    self.configuration = HeldConfiguration { version, document };
+                }
+                Output::Configuration { version: self.configuration.version }
+            }
+            Command::Reserve(reserve) => Output::Reservation(self.reserve(reserve)),
+            Command::Settle(settle) => {
+                self.settle(settle);
+                Output::Done
+            }
+            Command::Advance { elapsed_ms } => {
+                self.clock_ms += elapsed_ms;
+                self.accounts.expire(self.clock_ms);
+                self.turns.expire(self.clock_ms);
+                Output::Done
+            }
+            Command::Enroll { name, machine } => {
+                self.machines.enroll(name, machine);
+                Output::Done
+            }
+            Command::Retire { name, remaining, must_remain } => {
+                Output::Retiring(self.machines.retire(&name, remaining >= must_remain))
+            }
+        }
+    }
+
+    fn reserve(&mut self, reserve: ReserveTurn) -> Reservation {
+        let is_missing = reserve.previous.as_ref().is_some_and(|turn| !self.turns.contains(turn));
+        if is_missing {
+            return Reservation::NoSuchTurn;
+        }
+        if let Some(previous) = &reserve.previous {
+            self.turns.keep_until(previous, self.clock_ms + reserve.retention_ms);
+        }
+        self.accounts.reserve(&reserve, self.clock_ms)
+    }
+
+    fn settle(&mut self, settle: SettleTurn) {
+        self.accounts.settle(&settle, self.clock_ms);
+        if let Some(retained) = settle.retained {
+            let until_ms = self.clock_ms + settle.retention_ms;
+            self.turns.insert(settle.turn, retained, until_ms);
+        }
+    }
+}
+
+impl StateMachine for LedgerState {
+    type Output = Output;
+
+    fn new(_group: GroupId) -> Self {
+        Self::default()
+    }
+
+    fn apply(&mut self, command: &[u8]) -> Output {
+        decode(command).map_or(Output::Unreadable, |command| self.perform(command))
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode(self).unwrap_or_default()
+    }
+
+    fn restore(&mut self, data: &[u8]) -> bool {
+        match decode(data) {
+            Ok(state) => {
+                *self = state;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/app.rs
@@ -0,0 +1,112 @@
+//! What all requests of a process share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use calicohoist_ledger::client::LedgerClient;
+use calicohoist_routing::{CostWeights, RouteTable};
+use parking_lot::RwLock;
+
+use crate::dialect::Dialect;
+use crate::fleet::Fleet;
+use crate::settings::ProxySettings;
+use crate::upstream::Pool;
+
+/// The shared state of a gateway.
+pub struct App {
+    /// What the gateway was told at its start.
+    pub settings: ProxySettings,
+    /// Asks the ledger.
+    pub ledger: LedgerClient,
+    /// The replicas.
+    pub fleet: Fleet,
+    /// Kept connections to them.
+    pub pool: Pool,
+    /// Costs in the choice of a replica.
+    pub weights: CostWeights,
+    table: RwLock<Option<Arc<RouteTable>>>,
+    has_list: AtomicBool,
+    is_stopping: AtomicBool,
+    under_way: AtomicUsize,
+}
+
+impl App {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: ProxySettings) -> Self {
+        let ledger = LedgerClient::new(&settings.ledger_seeds, settings.ledger_port);
+        Self {
+            settings,
+            ledger,
+            fleet: Fleet::default(),
+            pool: Pool::default(),
+            weights: CostWeights::default(),
+            table: RwLock::new(None),
+            has_list: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            under_way: AtomicUsize::new(0),
+        }
+    }
+
+    /// How this platform writes.
+    pub fn dialect(&self) -> &dyn Dialect {
+        self.settings.dialect.as_ref()
+    }
+
+    /// The routes in force here; `None` before the first configuration.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().clone()
+    }
+
+    /// Puts a table in force, unless a newer one is. A gateway never goes back.
+    pub fn put_table(&self, table: RouteTable) -> bool {
+        let mut held = self.table.write();
+        let is_newer = held.as_ref().is_none_or(|held| held.version() < table.version());
+        if is_newer {
+            *held = Some(Arc::new(table));
+        }
+        is_newer
+    }
+
+    /// Notes that the replicas are known.
+    pub fn note_list(&self) {
+        self.has_list.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let knows_enough = self.has_list.load(Ordering::Relaxed) && self.table.read().is_some();
+        knows_enough && !self.is_stopping()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop: the gateway calls itself unready and ends connections.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        self.under_way.fetch_add(1, Ordering::Relaxed);
+        RequestGuard { app: Arc::clone(self) }
+    }
+
+    /// Requests whose answers are not complete.
+    pub fn requests_under_way(&self) -> usize {
+        self.under_way.load(Ordering::Relaxed)
+    }
+}
+
+/// A request whose answer is not complete.
+pub struct RequestGuard {
+    app: Arc<App>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.app.under_way.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet.rs
@@ -0,0 +1,160 @@
+//! The replicas and what is known of each.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use calicohoist_routing::select::Affinity;
+use calicohoist_routing::{Candidate, CostWeights, Replica, ReplicaState, choose};
+use parking_lot::{Mutex, RwLock};
+
+/// A replica with its load and its recent troubles.
+#[derive(Debug)]
+pub struct Member {
+    /// As discovery lists it.
+    pub replica: Replica,
+    own_load: AtomicU32,
+    other_load: AtomicU32,
+    trouble: Mutex<Option<Trouble>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Trouble {
+    until: Instant,
+    penalty: Duration,
+}
+
+impl Member {
+    fn new(replica: Replica) -> Self {
+        Self {
+            replica,
+            own_load: AtomicU32::new(0),
+            other_load: AtomicU32::new(0),
+            trouble: Mutex::new(None),
+        }
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn begin(self: &Arc<Self>) -> LoadGuard {
+        self.own_load.fetch_add(1, Ordering::Relaxed);
+        LoadGuard { member: Arc::clone(self) }
+    }
+
+    /// Makes this replica less attractive for a while.
+    pub fn note_trouble(&self, penalty: Duration, lasting: Duration) {
+        *self.trouble.lock() = Some(Trouble { until: Instant::now() + lasting, penalty });
+    }
+
+    fn penalty(&self, now: Instant) -> Duration {
+        let trouble = *self.trouble.lock();
+        trouble.filter(|trouble| trouble.until > now).map_or(Duration::ZERO, |known| known.penalty)
+    }
+
+    fn load(&self) -> u32 {
+        self.own_load.load(Ordering::Relaxed) + self.other_load.load(Ordering::Relaxed)
+    }
+}
+
+/// A request that runs or waits at a replica.
+#[derive(Debug)]
+pub struct LoadGuard {
+    member: Arc<Member>,
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.member.own_load.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+type ByService = HashMap<String, Vec<Arc<Member>>>;
+
+/// All replicas, by service.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    services: RwLock<Arc<ByService>>,
+}
+
+impl Fleet {
+    /// Replaces the list. What is known of replicas that stay is kept.
+    pub fn update(&self, replicas: Vec<Replica>) {
+        let before = self.services.read().clone();
+        let known: HashMap<&str, &Arc<Member>> =
+            before.values().flatten().map(|member| (member.replica.id.as_str(), member)).collect();
+        let mut services = ByService::new();
+        for replica in replicas {
+            let member = match known.get(replica.id.as_str()) {
+                Some(member) if member.replica == replica => Arc::clone(member),
+                Some(member) => Arc::new(member.with(replica)),
+                None => Arc::new(Member::new(replica)),
+            };
+            services.entry(member.replica.service.clone()).or_default().push(member);
+        }
+        *self.services.write() = Arc::new(services);
+    }
+
+    /// Takes in the loads of all other gateways, by replica.
+    pub fn set_other_loads(&self, loads: &[(String, u32)]) {
+        let loads: HashMap<&str, u32> =
+            loads.iter().map(|(id, load)| (id.as_str(), *load)).collect();
+        for member in self.services.read().values().flatten() {
+            let load = loads.get(member.replica.id.as_str()).copied().unwrap_or_default();
+            member.other_load.store(load, Ordering::Relaxed);
+        }
+    }
+
+    /// Requests under way from here, by replica; idle replicas are left out.
+    pub fn own_loads(&self) -> Vec<(String, u32)> {
+        let services = self.services.read();
+        let loads = services
+            .values()
+            .flatten()
+            .map(|member| (member.replica.id.clone(), member.own_load.load(Ordering::Relaxed)));
+        loads.filter(|(_, load)| *load > 0).collect()
+    }
+
+    /// Identities of all replicas.
+    pub fn ids(&self) -> Vec<String> {
+        let services = self.services.read();
+        services.values().flatten().map(|member| member.replica.id.clone()).collect()
+    }
+
+    /// The cheapest replica of `service` that takes new work and is not in `excluded`.
+    pub fn choose(
+        &self,
+        service: &str,
+        zone: &str,
+        excluded: &[String],
+        affinity: Affinity,
+        weights: &CostWeights,
+    ) -> Option<Arc<Member>> {
+        let services = self.services.read().clone();
+        let is_open = |member: &&Arc<Member>| {
+            member.replica.state == ReplicaState::Ready && !excluded.contains(&member.replica.id)
+        };
+        let members: Vec<&Arc<Member>> = services.get(service)?.iter().filter(is_open).collect();
+        let now = Instant::now();
+        let candidates: Vec<Candidate<'_>> = members
+            .iter()
+            .map(|member| Candidate {
+                id: &member.replica.id,
+                slots: member.replica.slots,
+                load: member.load(),
+                is_near: member.replica.zone == zone,
+                penalty: member.penalty(now),
+            })
+            .collect();
+        choose(&candidates, affinity, weights).map(|index| Arc::clone(members[index]))
+    }
+}
+
+impl Member {
+    /// The same start of a replica with a new state.
+    fn with(&self, replica: Replica) -> Self {
+        let member = Self::new(replica);
+        // Guards of the old entry count down there; its load is forgotten here.
+        *member.trouble.lock() = *self.trouble.lock();
+        member
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -0,0 +1,165 @@
+//! Finding a replica that runs a request.
+//!
+//! A request goes to another replica when it surely did not run, or when it may run
+//! twice. A replica that states that it did not run a request is not counted as an
+//! attempt.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use calicohoist_telemetry::{Event, emit};
+
+use super::call::Call;
+use super::refusal::{NotRunReason, Refusal};
+use crate::app::App;
+use crate::dialect::OutgoingHead;
+use crate::upstream::{Checkout, Exchange, ExchangeError, Outgoing, exchange};
+
+/// Replicas that are asked before a request is refused.
+const MAX_REPLICAS_ASKED: usize = 4;
+/// Less time than this is no offer to a replica.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+
+/// What a replica that could not be reached is avoided with, and for how long.
+const UNREACHABLE_PENALTY: (Duration, Duration) =
+    (Duration::from_millis(800), Duration::from_millis(2_000));
+/// The same for one that gave no answer.
+const SILENT_PENALTY: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(2_000));
+/// The same for one that was full.
+const FULL_PENALTY: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(200));
+
+/// What a request takes along to a replica.
+#[derive(Clone, Debug)]
+pub struct Payload {
+    /// The body, history included.
+    pub body: Bytes,
+    /// Continue after this event.
+    pub last_event: Option<String>,
+}
+
+/// The replicas that a request was sent to.
+#[derive(Clone, Debug, Default)]
+pub struct Trail {
+    excluded: Vec<String>,
+    /// Attempts that may have run.
+    pub attempts: u32,
+    refused_at: usize,
+}
+
+impl Trail {
+    /// Leaves a replica out from now on.
+    pub fn exclude(&mut self, replica: &str) {
+        self.excluded.push(replica.to_owned());
+    }
+}
+
+/// Sends a request until a replica answers it.
+///
+/// # Errors
+/// When it did not run, or nobody knows.
+pub async fn dispatch(
+    app: &App,
+    call: &Call,
+    payload: &Payload,
+    trail: &mut Trail,
+) -> Result<Exchange, Refusal> {
+    let service = call.service().ok_or_else(no_replica)?;
+    let outgoing = Outgoing {
+        method: &call.method,
+        uri: &call.uri,
+        headers: &call.headers,
+        request_id: &call.head.request_id,
+        body: payload.body.clone(),
+    };
+    loop {
+        if call.left() < LEAST_TIME {
+            return Err(out_of_time(trail));
+        }
+        let zone = &app.settings.zone;
+        let affinity = call.affinity();
+        let chosen = app.fleet.choose(&service.name, zone, &trail.excluded, affinity, &app.weights);
+        let Some(member) = chosen else {
+            return Err(nobody_left(trail));
+        };
+        let head = OutgoingHead {
+            deadline: call.left(),
+            replica: &member.replica.id,
+            priority: service.engine.as_ref().map(|_| priority_of(call)),
+            last_event: payload.last_event.as_deref(),
+        };
+        let dialect = app.dialect();
+        let deadline = call.deadline;
+        let began = Instant::now();
+        let result =
+            exchange(&app.pool, dialect, &member, &outgoing, head, deadline, Checkout::Any).await;
+        let error = match result {
+            Ok(exchange) => {
+                trail.attempts += 1;
+                return Ok(exchange);
+            }
+            Err(error) => error,
+        };
+        emit!(
+            Event::AttemptFailed,
+            "request={} replica={} error={error} attempts={} after_ms={}",
+            call.head.request_id,
+            member.replica.id,
+            trail.attempts,
+            began.elapsed().as_millis()
+        );
+        trail.exclude(&member.replica.id);
+        match error {
+            ExchangeError::NotSent => {
+                member.note_trouble(UNREACHABLE_PENALTY.0, UNREACHABLE_PENALTY.1);
+                trail.refused_at += 1;
+            }
+            ExchangeError::NotExecuted => {
+                member.note_trouble(FULL_PENALTY.0, FULL_PENALTY.1);
+                trail.refused_at += 1;
+            }
+            ExchangeError::Unknown => {
+                member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
+                trail.attempts += 1;
+                let may_repeat = call.route.is_repeatable();
+                if !may_repeat || trail.attempts >= call.route.max_attempts {
+                    return Err(Refusal::Unknown);
+                }
+            }
+            ExchangeError::Deadline => {
+                trail.attempts += 1;
+                return Err(Refusal::Deadline);
+            }
+        }
+        if trail.refused_at >= MAX_REPLICAS_ASKED {
+            return Err(nobody_left(trail));
+        }
+    }
+}
+
+/// Rank in the queue of an engine: that of the route, and within it programs that
+/// have little time left first.
+fn priority_of(call: &Call) -> u8 {
+    const MIDDLE: u8 = 4;
+    (MIDDLE + call.route.priority).min(9)
+}
+
+fn no_replica() -> Refusal {
+    const RETRY_AFTER: Duration = Duration::from_millis(500);
+    Refusal::not_run(NotRunReason::NoReplica, RETRY_AFTER)
+}
+
+fn nobody_left(trail: &Trail) -> Refusal {
+    const RETRY_AFTER: Duration = Duration::from_millis(150);
+    if trail.attempts > 0 {
+        return Refusal::Unknown;
+    }
+    if trail.refused_at == 0 {
+        return no_replica();
+    }
+    Refusal::not_run(NotRunReason::ReplicasFull, RETRY_AFTER)
+}
+
+fn out_of_time(trail: &Trail) -> Refusal {
+    if trail.attempts > 0 { Refusal::Deadline } else { nobody_left(trail) }
+}
--- /dev/null
+++ b/crates/proxy/src/flow/mod.rs
@@ -0,0 +1,88 @@
+//! The way of one request.
+//!
+//! [`handle`] decides what it is; [`dispatch`] finds a replica that runs it; [`plain`]
+//! and [`stream`] carry the answer; [`turn`] keeps accounts and histories of programs.
+
+mod answer;
+mod call;
+mod dispatch;
+mod plain;
+mod refusal;
+mod stream;
+mod turn;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use calicohoist_routing::{Limits, RouteKind};
+use calicohoist_telemetry::{Event, emit};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Request, Response};
+
+use crate::app::App;
+pub use answer::{AnswerBody, BodyError};
+use call::Call;
+use refusal::Refusal;
+
+/// Longest time that a request's body may take.
+const BODY_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Serves one request of a caller.
+pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let received = Instant::now();
+    let guard = app.begin_request();
+    match read_call(&app, request, received).await {
+        Ok(call) => {
+            let call = Arc::new(call);
+            let result = match call.route.kind {
+                RouteKind::Stream => stream::serve(&app, &call, guard).await,
+                RouteKind::Safe | RouteKind::Unsafe => plain::serve(&app, &call).await,
+            };
+            result.unwrap_or_else(|refusal| {
+                log_refusal(&call.head.request_id, &call.route.name, received, &refusal);
+                refusal.into_response(app.dialect())
+            })
+        }
+        Err((id, refusal)) => {
+            log_refusal(&id, "-", received, &refusal);
+            refusal.into_response(app.dialect())
+        }
+    }
+}
+
+fn log_refusal(id: &str, route: &str, received: Instant, refusal: &Refusal) {
+    let millis = received.elapsed().as_millis();
+    emit!(Event::RequestEnded, "request={id} route={route} outcome={refusal} after_ms={millis}");
+}
+
+/// Understands a request and reads it whole; on failure its identity goes along.
+async fn read_call(
+    app: &Arc<App>,
+    request: Request<Incoming>,
+    received: Instant,
+) -> Result<Call, (String, Refusal)> {
+    let (parts, body) = request.into_parts();
+    let unnamed = |refusal| ("-".to_owned(), refusal);
+    let table = app.table().ok_or_else(|| unnamed(Refusal::NoConfiguration))?;
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = table.find(host, parts.uri.path()).cloned();
+    let route = route.ok_or_else(|| unnamed(Refusal::NoRoute))?;
+    let head = app.dialect().read_call(&parts.headers);
+    let head = head.map_err(|finding| unnamed(Refusal::Malformed(finding)))?;
+    let id = head.request_id.clone();
+    let body = read_body(body, table.limits()).await.map_err(|refusal| (id, refusal))?;
+    Ok(Call::new(table, route, head, parts, body, received))
+}
+
+async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
+    let body = Limited::new(body, limits.max_body_bytes).collect();
+    match tokio::time::timeout(BODY_PATIENCE, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) => Err(Refusal::BodyCut),
+        Err(_) => Err(Refusal::BodyTooSlow),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/flow/plain.rs
@@ -0,0 +1,86 @@
+//! Requests with one whole answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use calicohoist_routing::RouteKind;
+use calicohoist_telemetry::{Event, emit};
+use http_body_util::{BodyExt, Limited};
+use hyper::Response;
+
+use super::answer::AnswerBody;
+use super::call::{Call, remove_connection_headers};
+use super::dispatch::{Payload, Trail, dispatch};
+use super::refusal::Refusal;
+use crate::app::App;
+use crate::upstream::Exchange;
+
+/// Largest whole answer that is held, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Serves a request whose answer is read whole before it is passed on, so that a cut
+/// answer of a repeatable request can be replaced by another replica's.
+///
+/// # Errors
+/// When no replica gave a whole answer.
+pub async fn serve(app: &Arc<App>, call: &Arc<Call>) -> Result<Response<AnswerBody>, Refusal> {
+    let payload = Payload { body: call.body.clone(), last_event: None };
+    let mut trail = Trail::default();
+    loop {
+        let exchange = dispatch(app, call, &payload, &mut trail).await?;
+        let replica = exchange.member.replica.id.clone();
+        match collect(app, call, exchange).await {
+            Ok(response) => {
+                log_end(call, &replica, &response, &trail);
+                return Ok(response.map(AnswerBody::whole));
+            }
+            Err(refusal) => {
+                let may_repeat = call.route.kind == RouteKind::Safe;
+                if !may_repeat || trail.attempts >= call.route.max_attempts {
+                    return Err(refusal);
+                }
+                trail.exclude(&replica);
+            }
+        }
+    }
+}
+
+/// Reads the whole answer.
+pub async fn collect(
+    app: &App,
+    call: &Call,
+    exchange: Exchange,
+) -> Result<Response<Bytes>, Refusal> {
+    const AVOIDED_FOR: Duration = Duration::from_millis(1_000);
+    const PENALTY: Duration = Duration::from_millis(50);
+    let mut exchange = exchange;
+    let body = Limited::new(exchange.response.body_mut(), MAX_ANSWER_BYTES).collect();
+    let body = match tokio::time::timeout_at(call.deadline.into(), body).await {
+        Err(_) => return Err(Refusal::Deadline),
+        Ok(Err(_)) => {
+            exchange.member.note_trouble(PENALTY, AVOIDED_FOR);
+            return Err(Refusal::Unknown);
+        }
+        Ok(Ok(body)) => body.to_bytes(),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = exchange.response.status();
+    *response.headers_mut() = std::mem::take(exchange.response.headers_mut());
+    remove_connection_headers(response.headers_mut());
+    exchange.finish(&app.pool);
+    Ok(response)
+}
+
+/// The last line of a request that a replica answered.
+pub fn log_end(call: &Call, replica: &str, response: &Response<Bytes>, trail: &Trail) {
+    emit!(
+        Event::RequestEnded,
+        "request={} route={} replica={replica} outcome={} attempts={} after_ms={}",
+        call.head.request_id,
+        call.route.name,
+        response.status().as_u16(),
+        trail.attempts,
+        Instant::now().duration_since(call.received).as_millis()
+    );
+}
--- /dev/null
+++ b/crates/proxy/src/flow/refusal.rs
@@ -0,0 +1,116 @@
+//! Answers of the gateway's own.
+//!
+//! Three outcomes are kept apart: the request did not run and never will (408, 429,
+//! 503), nobody knows (502, 504), or it ran, and then the answer is the replica's.
+
+use std::time::Duration;
+
+use calicohoist_types::Finding;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Response, StatusCode};
+
+use super::answer::AnswerBody;
+use crate::dialect::Dialect;
+
+/// Why a request has no answer of a replica.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    #[error("no configuration")]
+    NoConfiguration,
+    /// No route has this host and path.
+    #[error("no route")]
+    NoRoute,
+    /// A header cannot be accepted.
+    #[error("malformed: {0}")]
+    Malformed(Finding),
+    /// The body is over the limit.
+    #[error("body too large")]
+    BodyTooLarge,
+    /// The body ended early.
+    #[error("body cut")]
+    BodyCut,
+    /// The body did not come in time.
+    #[error("body too slow")]
+    BodyTooSlow,
+    /// The turn does not fit into what is left of the program's budget.
+    #[error("budget spent")]
+    BudgetSpent,
+    /// The turn that it continues from does not exist.
+    #[error("no such turn")]
+    NoSuchTurn,
+    /// It did not run and never will; it may come back after a while.
+    #[error("not run: {reason}")]
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// It may have run.
+    #[error("outcome unknown")]
+    Unknown,
+    /// It may have run; its time is over.
+    #[error("deadline")]
+    Deadline,
+}
+
+/// Why a request did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotRunReason {
+    /// No replica of the service is listed.
+    #[error("no replica")]
+    NoReplica,
+    /// Every replica that was asked refused or could not be reached.
+    #[error("replicas full")]
+    ReplicasFull,
+    /// The ledger did not answer.
+    #[error("ledger unavailable")]
+    LedgerUnavailable,
+}
+
+impl Refusal {
+    /// A request that did not run.
+    pub fn not_run(reason: NotRunReason, retry_after: Duration) -> Self {
+        Self::NotRun { reason, retry_after }
+    }
+
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::NoConfiguration | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
+            Self::Malformed(_) | Self::BodyCut => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        const BEFORE_FIRST_CONFIGURATION: Duration = Duration::from_millis(300);
+        match self {
+            Self::NoConfiguration => Some(BEFORE_FIRST_CONFIGURATION),
+            Self::NotRun { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn into_response(self, dialect: &dyn Dialect) -> Response<AnswerBody> {
+        let body = serde_json_string(&self.to_string());
+        let mut response = Response::new(AnswerBody::whole(body));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+        if let Some(after) = self.retry_after() {
+            dialect.write_retry_after(headers, after);
+        }
+        response
+    }
+}
+
+fn serde_json_string(error: &str) -> bytes::Bytes {
+    serde_json::json!({ "error": error }).to_string().into()
+}
--- /dev/null
+++ b/crates/proxy/src/flow/turn.rs
@@ -0,0 +1,185 @@
+//! Accounts and histories of programs.
+//!
+//! Before a turn goes to a replica, its most is reserved in the ledger, which hands
+//! back what was said before. When it ends, what was used is settled; a retained turn
+//! is durable before the end of its answer leaves.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
+use calicohoist_ledger::{Answer, Question};
+use calicohoist_telemetry::{Event, emit};
+
+use super::call::Call;
+use super::refusal::{NotRunReason, Refusal};
+use crate::app::App;
+
+/// Longest time that a turn waits for its reservation: an election fits in.
+const RESERVE_PATIENCE: Duration = Duration::from_millis(1_000);
+/// How long the ledger is asked to note the end of a turn that nobody waits for.
+const BACKGROUND_PATIENCE: Duration = Duration::from_secs(20);
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// A turn with its reservation. Dropped without an end, it settles in the background.
+pub struct Turn {
+    app: Arc<App>,
+    call: Arc<Call>,
+    /// What the replica receives: what was said before, and the new input.
+    pub body: Bytes,
+    /// Tokens handed to the caller so far.
+    pub used_tokens: u64,
+    /// The data of the events so far, when the turn is retained.
+    output: Vec<u8>,
+    is_settled: bool,
+}
+
+/// Whether the ledger has a part in this request.
+fn needs_ledger(call: &Call) -> bool {
+    let has_account = call.head.budget.is_some() && call.head.program.is_some();
+    has_account || call.route.retain || call.head.previous_turn.is_some()
+}
+
+impl Turn {
+    /// Reserves what the turn may use, and reads what was said before.
+    ///
+    /// # Errors
+    /// When it must not run, or the ledger does not answer.
+    pub async fn begin(app: &Arc<App>, call: &Arc<Call>) -> Result<Self, Refusal> {
+        let mut turn = Self {
+            app: Arc::clone(app),
+            call: Arc::clone(call),
+            body: call.body.clone(),
+            used_tokens: 0,
+            output: Vec::new(),
+            is_settled: false,
+        };
+        if !needs_ledger(call) {
+            turn.is_settled = true;
+            return Ok(turn);
+        }
+        let question = Question::Reserve(reserve_of(call));
+        let deadline = call.deadline.min(Instant::now() + RESERVE_PATIENCE);
+        let answer = app.ledger.ask(&question, deadline).await;
+        // From here on the drop of `turn` settles what may have been reserved.
+        match answer {
+            Ok(Answer::Reserved { reservation, history }) => turn.admit(reservation, &history),
+            _ => Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER)),
+        }
+    }
+
+    fn admit(mut self, reservation: Reservation, history: &[u8]) -> Result<Self, Refusal> {
+        match reservation {
+            Reservation::Granted => {
+                if self.call.route.retain && !history.is_empty() {
+                    self.body = concatenated(history, &self.call.body);
+                }
+                Ok(self)
+            }
+            Reservation::BudgetSpent => {
+                self.is_settled = true;
+                Err(Refusal::BudgetSpent)
+            }
+            Reservation::NoSuchTurn => {
+                self.is_settled = true;
+                Err(Refusal::NoSuchTurn)
+            }
+            Reservation::Ended => {
+                self.is_settled = true;
+                Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER))
+            }
+        }
+    }
+
+    /// Counts an event that goes to the caller.
+    pub fn note_event(&mut self, data: Option<&[u8]>, tokens: u64) {
+        self.used_tokens += tokens;
+        if let (Some(data), true) = (data, self.call.route.retain) {
+            self.output.extend_from_slice(data);
+            self.output.push(b'\n');
+        }
+    }
+
+    /// Ends a turn whose answer is whole; a retained one is durable afterwards.
+    ///
+    /// # Errors
+    /// When the ledger does not confirm it in time: the answer must not end whole.
+    pub async fn complete(mut self) -> Result<(), Refusal> {
+        if self.is_settled {
+            return Ok(());
+        }
+        if !self.call.route.retain {
+            // The drop settles; nobody has to wait for it.
+            return Ok(());
+        }
+        let retained = RetainedTurn {
+            previous: self.call.head.previous_turn.clone(),
+            input: self.call.body.to_vec(),
+            output: std::mem::take(&mut self.output),
+        };
+        let question = Question::Settle(settle_of(&self.call, self.used_tokens, Some(retained)));
+        match self.app.ledger.ask(&question, self.call.deadline).await {
+            Ok(Answer::Settled) => {
+                self.is_settled = true;
+                Ok(())
+            }
+            _ => Err(Refusal::Unknown),
+        }
+    }
+}
+
+impl Drop for Turn {
+    /// A caller that left, a replica that broke: what was handed out is settled.
+    fn drop(&mut self) {
+        if self.is_settled {
+            return;
+        }
+        let app = Arc::clone(&self.app);
+        let id = self.call.head.request_id.clone();
+        let question = Question::Settle(settle_of(&self.call, self.used_tokens, None));
+        tokio::spawn(async move {
+            let deadline = Instant::now() + BACKGROUND_PATIENCE;
+            if app.ledger.ask(&question, deadline).await.is_err() {
+                emit!(Event::SettlementLost, "request={id} stays charged with its most");
+            }
+        });
+    }
+}
+
+fn concatenated(history: &[u8], input: &Bytes) -> Bytes {
+    let mut body = BytesMut::with_capacity(history.len() + input.len());
+    body.extend_from_slice(history);
+    body.extend_from_slice(input);
+    body.freeze()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn reserve_of(call: &Call) -> ReserveTurn {
+    ReserveTurn {
+        program: account_of(call),
+        turn: call.head.request_id.clone(),
+        most_tokens: call.head.most_tokens,
+        budget: call.head.budget.unwrap_or(u64::MAX),
+        previous: call.head.previous_turn.clone().filter(|_| call.route.retain),
+        retention_ms: millis(call.route.retention),
+    }
+}
+
+fn settle_of(call: &Call, used_tokens: u64, retained: Option<RetainedTurn>) -> SettleTurn {
+    SettleTurn {
+        program: account_of(call),
+        turn: call.head.request_id.clone(),
+        used_tokens,
+        retention_ms: millis(call.route.retention),
+        retained,
+    }
+}
+
+/// The program whose account is charged; a turn without a budget has none.
+fn account_of(call: &Call) -> Option<String> {
+    call.head.program.clone().filter(|_| call.head.budget.is_some())
+}
--- /dev/null
+++ b/crates/proxy/src/front/mod.rs
@@ -0,0 +1,59 @@
+//! The sockets that callers connect to.
+
+mod connections;
+mod ready;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use calicohoist_telemetry::{Event, emit};
+use tokio::sync::watch;
+
+use crate::app::App;
+use crate::news;
+use crate::settings::ProxySettings;
+
+/// Time in which callers learn that the gateway is not ready, before it stops listening.
+const LAME_DUCK: Duration = Duration::from_millis(2_600);
+/// Left of the grace when answers that are not complete are cut.
+const GRACE_RESERVE: Duration = Duration::from_millis(400);
+const END_POLL: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until `stop` turns true and its requests have ended.
+///
+/// # Errors
+/// When a socket cannot be bound.
+pub async fn run(settings: ProxySettings, mut stop: watch::Receiver<bool>) -> eyre::Result<()> {
+    let http = listen(settings.http)?;
+    let ready = listen(settings.ready)?;
+    let app = Arc::new(App::new(settings));
+    let (closing, closing_seen) = watch::channel(false);
+    emit!(Event::RoleStarted, "gateway {} http={}", app.settings.name, app.settings.http);
+    tokio::spawn(news::follow(Arc::clone(&app)));
+    tokio::spawn(ready::accept(ready, Arc::clone(&app)));
+    let accepting = tokio::spawn(connections::accept(http, Arc::clone(&app), closing_seen));
+    if stop.wait_for(|stop| *stop).await.is_err() {
+        return Ok(());
+    }
+    emit!(Event::StopRequested, "gateway {}", app.settings.name);
+    let grace = app.settings.grace.saturating_sub(GRACE_RESERVE);
+    let cut_at = Instant::now() + grace;
+    app.stop();
+    tokio::time::sleep(LAME_DUCK.min(grace / 2)).await;
+    accepting.abort();
+    closing.send_replace(true);
+    while app.requests_under_way() > 0 && Instant::now() < cut_at {
+        tokio::time::sleep(END_POLL).await;
+    }
+    // What was written last must leave the process.
+    tokio::time::sleep(END_POLL).await;
+    let left = app.requests_under_way();
+    let event = if left == 0 { Event::StopFinished } else { Event::StopForced };
+    emit!(event, "gateway {} cut={left}", app.settings.name);
+    Ok(())
+}
+
+fn listen(address: std::net::SocketAddr) -> eyre::Result<tokio::net::TcpListener> {
+    let listener = calicohoist_transport::bind(address);
+    listener.map_err(|error| eyre::eyre!("cannot listen on {address}: {error}"))
+}
--- /dev/null
+++ b/crates/proxy/src/news.rs
@@ -0,0 +1,116 @@
+//! Configuration, replicas and loads, as the ledger tells them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use calicohoist_ledger::protocol::{ListMark, News, Seen};
+use calicohoist_ledger::{Answer, Question};
+use calicohoist_routing::{Replica, RouteTable};
+use calicohoist_telemetry::{Event, emit};
+
+use crate::app::App;
+
+/// Longest time that one watch is asked for.
+const WATCH_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Age of the newest reading from which a gateway reads for itself.
+const LIST_AGE: Duration = Duration::from_millis(2_000);
+/// Time between two readings of its own.
+const OWN_READING_INTERVAL: Duration = Duration::from_millis(1_200);
+/// How often the age is looked at.
+const AGE_CHECK: Duration = Duration::from_millis(400);
+
+/// Follows the ledger, and discovery where the ledger says nothing.
+pub async fn follow(app: Arc<App>) {
+    let follower = Follower { app, state: parking_lot::Mutex::default() };
+    tokio::join!(follower.watch_ledger(), follower.watch_list());
+}
+
+#[derive(Default)]
+struct FollowerState {
+    list: ListMark,
+    /// When the newest list known here was read, by whomever.
+    list_read: Option<Instant>,
+}
+
+struct Follower {
+    app: Arc<App>,
+    state: parking_lot::Mutex<FollowerState>,
+}
+
+impl Follower {
+    async fn watch_ledger(&self) {
+        loop {
+            let seen = Seen {
+                gateway: self.app.settings.name.clone(),
+                configuration: self.app.table().map_or(0, |table| table.version()),
+                list: self.state.lock().list,
+                loads: self.app.fleet.own_loads(),
+            };
+            let deadline = Instant::now() + WATCH_PATIENCE;
+            if let Ok(Answer::News(news)) =
+                self.app.ledger.ask(&Question::Watch(seen), deadline).await
+            {
+                self.take(news);
+            }
+        }
+    }
+
+    fn take(&self, news: News) {
+        self.app.ledger.learn_machines(news.machines);
+        self.app.fleet.set_other_loads(&news.loads);
+        if let Some((version, document)) = news.configuration {
+            self.apply(version, &document);
+        }
+        if let Some((mark, list)) = news.list {
+            emit!(Event::ListApplied, "leader term={} version={}", mark.term, mark.version);
+            self.put_list(list.replicas);
+            self.state.lock().list = mark;
+        }
+        if let Some(age) = news.list_age_ms {
+            let read = Instant::now().checked_sub(Duration::from_millis(age));
+            let mut state = self.state.lock();
+            state.list_read = state.list_read.max(read);
+        }
+    }
+
+    fn apply(&self, version: u64, document: &[u8]) {
+        match self.app.dialect().parse_configuration(document) {
+            Ok(configuration) => {
+                if self.app.put_table(RouteTable::new(configuration)) {
+                    emit!(Event::ConfigurationApplied, "version={version}");
+                }
+            }
+            Err(findings) => emit!(Event::ChangeRefused, "version={version}: {findings}"),
+        }
+    }
+
+    fn put_list(&self, replicas: Vec<Replica>) {
+        self.app.fleet.update(replicas);
+        self.app.pool.retain(&self.app.fleet.ids());
+        self.app.note_list();
+    }
+
+    /// Reads the list here when no leader has told of a reading lately.
+    async fn watch_list(&self) {
+        tokio::time::sleep(LIST_AGE).await;
+        loop {
+            let age = self.state.lock().list_read.map(|read| read.elapsed());
+            if age.is_some_and(|age| age < LIST_AGE) {
+                tokio::time::sleep(AGE_CHECK).await;
+                continue;
+            }
+            let began = Instant::now();
+            match self.app.settings.list.read().await {
+                Ok(replicas) => {
+                    emit!(Event::ListApplied, "own reading replicas={}", replicas.len());
+                    self.put_list(replicas);
+                    let mut state = self.state.lock();
+                    // The leader's list is to be told anew, whatever its version.
+                    state.list = ListMark::default();
+                }
+                Err(error) => emit!(Event::PlatformUnreachable, "list of replicas: {error}"),
+            }
+            tokio::time::sleep(OWN_READING_INTERVAL.saturating_sub(began.elapsed())).await;
+        }
+    }
+}
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -28,7 +28,7 @@
 )]
 pub struct ReplicaId {
     /// Number of the machine in the settings.
-    pub machine: u16,
+    pub machine: u32,
     /// Identity of its data folder; 0 for a disk of the first start.
     pub disk: u32,
 }
--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -114,7 +114,7 @@
 pub struct Node<S: StateMachine> {
     id: ReplicaId,
     settings: NodeSettings,
-    machines: Vec<u16>,
+    machines: Vec<u32>,
     groups: BTreeMap<GroupId, Group<S>>,
     next_join: Moment,
     /// Size of the log file after it was rewritten last.
@@ -127,7 +127,7 @@
     pub fn new(
         id: ReplicaId,
         settings: NodeSettings,
-        machines: &[u16],
+        machines: &[u32],
         groups: &[GroupId],
         mut recovered: Recovered,
         now: Moment,
@@ -177,7 +177,7 @@
     /// The state before the first entry. Only disks of the first start belong to
     /// the first membership; a later disk has to join.
     fn first_snapshot(&self) -> Arc<Snapshot> {
-        let first_disk = |machine: &u16| ReplicaId { machine: *machine, disk: 0 };
+        let first_disk = |machine: &u32| ReplicaId { machine: *machine, disk: 0 };
         Arc::new(Snapshot {
             index: 0,
             term: 0,
@@ -210,7 +210,7 @@
     }
 
     /// The machine that is believed to lead `group`.
-    pub fn leader_machine(&self, group: GroupId) -> Option<u16> {
+    pub fn leader_machine(&self, group: GroupId) -> Option<u32> {
         let leader = self.groups.get(&group)?.raft.leader()?;
         Some(leader.machine)
     }
@@ -290,6 +290,13 @@
         }
     }
 
+    /// Names the machines whose replicas every group is to move elsewhere.
+    pub fn set_evicted(&mut self, machines: &BTreeSet<u32>) {
+        for state in self.groups.values_mut() {
+            state.raft.set_evicted(machines.clone());
+        }
+    }
+
     /// Whether this replica leads any group.
     pub fn leads_any(&self) -> bool {
         self.groups.values().any(|state| state.raft.is_leader())
@@ -304,14 +311,39 @@
         now: Moment,
         log: &mut DiskLog<D>,
     ) -> Result<Vec<NodeEvent<S::Output>>, DiskError> {
+        let mut events = Vec::new();
+        let later = self.flush_with(now, log, |to, messages| {
+            events.push(NodeEvent::Send { to, messages });
+        })?;
+        events.extend(later);
+        Ok(events)
+    }
+
+    /// Like [`Node::flush`], but hands out what a leader may send to its followers
+    /// before its own sync, so that all disks sync at the same time (Ongaro 2014,
+    /// section 10.2.1). The leader counts itself only after its own sync.
+    ///
+    /// # Errors
+    /// When the disk fails: this replica must stop taking part.
+    pub fn flush_with<D: Disk>(
+        &mut self,
+        now: Moment,
+        log: &mut DiskLog<D>,
+        mut send_early: impl FnMut(ReplicaId, Vec<GroupMessage>),
+    ) -> Result<Vec<NodeEvent<S::Output>>, DiskError> {
+        let mut early: Outbox<()> = Outbox::default();
         let mut outbox = Outbox::default();
         let mut writes = Vec::new();
         for (group, state) in &mut self.groups {
             state.raft.replicate(now);
-            let effects = state.raft.take_effects();
+            let mut effects = state.raft.take_effects();
             store_effects(*group, &effects, log, &mut writes)?;
+            take_early_messages(*group, &mut effects, &mut early);
             state.take(*group, effects, &mut outbox);
         }
+        for (to, messages) in early.messages {
+            send_early(to, messages);
+        }
         if !writes.is_empty() {
             log.commit(&writes)?;
         }
@@ -377,6 +409,24 @@
     }
 }
 
+/// Moves the messages that promise nothing about this replica's own disk.
+fn take_early_messages<O>(group: GroupId, effects: &mut Effects, early: &mut Outbox<O>) {
+    let changes_promise = effects.hard_state.is_some()
+        || effects.truncate_from.is_some()
+        || effects.install.is_some();
+    if changes_promise {
+        return;
+    }
+    let messages = std::mem::take(&mut effects.messages);
+    for (to, message) in messages {
+        if matches!(message, Message::Append { .. }) {
+            early.message(to, GroupMessage { group, message });
+        } else {
+            effects.messages.push((to, message));
+        }
+    }
+}
+
 fn store_effects<D: Disk>(
     group: GroupId,
     effects: &Effects,
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -5,22 +5,22 @@
 use calicohoist_types::Moment;
 
 use super::{Raft, ReadReadiness, Role, peers, quorum_value};
-use crate::message::{EntryKind, Index, Membership, Message, Refused, ReplicaId};
+use crate::message::{EntryKind, Index, Message, Refused, ReplicaId};
 
 /// Rounds remembered while their answers are out.
 const MAX_ROUNDS: usize = 256;
 
 /// What a leader knows of one follower.
 #[derive(Clone, Copy, Debug)]
-struct Progress {
+pub(super) struct Progress {
     /// Next entry to send.
     next: Index,
     /// Highest entry known durable there.
-    matched: Index,
+    pub(super) matched: Index,
     /// Newest round it answered.
     round: u64,
     /// When it last answered.
-    heard: Moment,
+    pub(super) heard: Moment,
     /// A snapshot is on its way until this moment.
     installing_until: Moment,
     flow: Flow,
@@ -41,7 +41,7 @@
 
 #[derive(Debug)]
 pub(super) struct LeaderState {
-    progress: BTreeMap<ReplicaId, Progress>,
+    pub(super) progress: BTreeMap<ReplicaId, Progress>,
     /// First entry of this leader's term.
     first_index: Index,
     round: u64,
@@ -105,7 +105,7 @@
     }
 
     /// Makes the table of followers match the membership.
-    fn sync_progress(&mut self, now: Moment) {
+    pub(super) fn sync_progress(&mut self, now: Moment) {
         let next = self.log.last_index() + 1;
         let wanted = peers(self.membership(), self.id);
         let Role::Leader(state) = &mut self.role else {
@@ -130,6 +130,7 @@
             return self.become_follower(now, term, None);
         }
         self.expire_transfer(now);
+        self.manage_members(now);
         let Role::Leader(state) = &self.role else {
             return;
         };
@@ -271,7 +272,7 @@
         self.advance_commit();
         self.send_append(now, from, false);
         self.continue_transfer(now);
-        self.manage_learners(now);
+        self.manage_members(now);
     }
 
     /// The lease runs from the *sending* of the newest round that a quorum answered.
@@ -368,75 +369,4 @@
             state.transfer_to = None;
         }
     }
-
-    /// A replica on a new disk asks to join: it first learns.
-    pub(super) fn on_join(&mut self, now: Moment, from: ReplicaId) {
-        let mut membership = self.membership().clone();
-        if !self.is_leader() || membership.contains(from) {
-            return;
-        }
-        membership.learners.retain(|known| known.machine != from.machine);
-        membership.learners.insert(from);
-        self.change_membership(now, membership);
-    }
-
-    fn change_membership(&mut self, now: Moment, membership: Membership) {
-        if self.propose(EntryKind::Membership(membership)).is_ok() {
-            self.sync_progress(now);
-            self.broadcast(now);
-        }
-    }
-
-    /// Promotes a learner that has everything, then retires its machine's old disk.
-    fn manage_learners(&mut self, now: Moment) {
-        if self.has_unfinished_change() {
-            return;
-        }
-        let commit = self.commit;
-        let membership = self.membership().clone();
-        let Role::Leader(state) = &self.role else {
-            return;
-        };
-        let is_ready = |learner: &&ReplicaId| {
-            let known = state.progress.get(learner);
-            known.is_some_and(|progress| progress.matched >= commit)
-        };
-        if let Some(ready) = membership.learners.iter().find(is_ready).copied() {
-            let mut next = membership;
-            next.learners.remove(&ready);
-            next.voters.insert(ready);
-            return self.change_membership(now, next);
-        }
-        if let Some(retired) = retired_disk(&membership) {
-            let mut next = membership;
-            next.voters.remove(&retired);
-            self.change_membership(now, next);
-        }
-    }
-
-    /// Whether every machine of the group has one caught-up voter: then another
-    /// machine may be lost without losing anything.
-    pub fn is_fully_replicated(&self, now: Moment) -> bool {
-        let Role::Leader(state) = &self.role else {
-            return false;
-        };
-        let membership = self.membership();
-        let is_settled = membership.learners.is_empty()
-            && retired_disk(membership).is_none()
-            && !self.has_unfinished_change();
-        let is_current = |progress: &Progress| {
-            let was_heard = now.since(progress.heard) <= self.settings.election_max;
-            was_heard && progress.matched >= self.commit
-        };
-        is_settled && state.progress.values().all(is_current)
-    }
-}
-
-/// The older disk of a machine that has two voters. Disks of a first start are 0,
-/// every later one is larger.
-fn retired_disk(membership: &Membership) -> Option<ReplicaId> {
-    let voters: Vec<ReplicaId> = membership.voters.iter().copied().collect();
-    let pairs = voters.windows(2);
-    let mut same_machine = pairs.filter(|pair| pair[0].machine == pair[1].machine);
-    same_machine.next().map(|pair| pair[0])
 }
--- a/crates/replication/src/raft/log.rs
+++ b/crates/replication/src/raft/log.rs
@@ -9,11 +9,16 @@
 pub(crate) struct RaftLog {
     snapshot: Arc<Snapshot>,
     entries: Vec<Entry>,
+    /// Where the entries that change the membership are: every step asks for the
+    /// newest, and a search through all entries grew with the log.
+    changes: Vec<Index>,
 }
 
 impl RaftLog {
     pub(crate) fn new(snapshot: Arc<Snapshot>, entries: Vec<Entry>) -> Self {
-        Self { snapshot, entries }
+        let changes = entries.iter().filter(|entry| changes_membership(entry));
+        let changes = changes.map(|entry| entry.index).collect();
+        Self { snapshot, entries, changes }
     }
 
     pub(crate) fn snapshot(&self) -> &Arc<Snapshot> {
@@ -60,12 +65,16 @@
 
     /// Entries in `(after, up_to]`.
     pub(crate) fn between(&self, after: Index, up_to: Index) -> Vec<Entry> {
-        let is_wanted = |entry: &&Entry| entry.index > after && entry.index <= up_to;
-        self.entries.iter().filter(is_wanted).cloned().collect()
+        let offset = |index: Index| index.saturating_sub(self.snapshot.index) as usize;
+        let wanted = self.entries.get(offset(after)..offset(up_to).min(self.entries.len()));
+        wanted.unwrap_or_default().to_vec()
     }
 
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        if changes_membership(&entry) {
+            self.changes.push(entry.index);
+        }
         self.entries.push(entry);
     }
 
@@ -73,18 +82,21 @@
     pub(crate) fn truncate_from(&mut self, from: Index) {
         let keep = from.saturating_sub(self.snapshot.index + 1) as usize;
         self.entries.truncate(keep);
+        self.changes.retain(|index| *index < from);
     }
 
     /// Replaces everything by a snapshot.
     pub(crate) fn reset(&mut self, snapshot: Arc<Snapshot>) {
         self.snapshot = snapshot;
         self.entries.clear();
+        self.changes.clear();
     }
 
     /// Drops the entries that a new snapshot covers.
     pub(crate) fn compact(&mut self, snapshot: Arc<Snapshot>) {
         let index = snapshot.index;
         self.entries.retain(|entry| entry.index > index);
+        self.changes.retain(|change| *change > index);
         self.snapshot = snapshot;
     }
 
@@ -99,24 +111,29 @@
 
     /// The newest membership in the log; it holds from the moment it is appended.
     pub(crate) fn membership(&self) -> (Index, &Membership) {
-        let newest = self.entries.iter().rev().find_map(|entry| match &entry.kind {
-            EntryKind::Membership(membership) => Some((entry.index, membership)),
-            EntryKind::Empty | EntryKind::Command(_) => None,
-        });
+        let newest = self.changes.last().and_then(|index| self.change_at(*index));
         newest.unwrap_or((self.snapshot.index, &self.snapshot.membership))
     }
 
+    fn change_at(&self, index: Index) -> Option<(Index, &Membership)> {
+        match &self.get(index)?.kind {
+            EntryKind::Membership(membership) => Some((index, membership)),
+            EntryKind::Empty | EntryKind::Command(_) => None,
+        }
+    }
+
     /// The membership that held at `index`.
     pub(crate) fn membership_at(&self, index: Index) -> Membership {
-        let up_to_index = self.entries.iter().rev().filter(|entry| entry.index <= index);
-        let newest = up_to_index.into_iter().find_map(|entry| match &entry.kind {
-            EntryKind::Membership(membership) => Some(membership.clone()),
-            EntryKind::Empty | EntryKind::Command(_) => None,
-        });
-        newest.unwrap_or_else(|| self.snapshot.membership.clone())
+        let newest = self.changes.iter().rev().find(|change| **change <= index);
+        let newest = newest.and_then(|change| self.change_at(*change));
+        newest.map_or_else(|| self.snapshot.membership.clone(), |(_, found)| found.clone())
     }
 }
 
+fn changes_membership(entry: &Entry) -> bool {
+    matches!(entry.kind, EntryKind::Membership(_))
+}
+
 fn entry_bytes(entry: &Entry) -> usize {
     match &entry.kind {
         EntryKind::Command(command) => command.len(),
--- /dev/null
+++ b/crates/replication/src/raft/membership.rs
@@ -0,0 +1,179 @@
+//! Membership changes that a leader makes by itself, one replica at a time.
+//!
+//! A new disk learns first. It gets a vote when one is free: because the group has
+//! fewer voters than wanted, or because a voter is replaced. A voter is replaced
+//! when its machine has a newer disk, when it is evicted, or when it has been silent
+//! for long. The replaced voter leaves *before* its successor votes: as it cannot
+//! acknowledge anything, the smaller group needs no more live voters than before.
+
+use std::collections::BTreeSet;
+
+use calicohoist_types::Moment;
+
+use super::leader::Progress;
+use super::{Raft, Role};
+use crate::message::{EntryKind, Membership, ReplicaId};
+
+/// A silent learner is dropped after this many times the patience with a voter.
+const FORGET_FACTOR: u32 = 10;
+
+impl Raft {
+    /// Names the machines that must hold no replica. The leader moves their votes to
+    /// other machines and refuses their requests to join.
+    pub fn set_evicted(&mut self, machines: BTreeSet<u32>) {
+        self.evicted = machines;
+    }
+
+    /// A replica on a new disk, or on a new machine, asks to join: it first learns.
+    pub(super) fn on_join(&mut self, now: Moment, from: ReplicaId) {
+        let mut membership = self.membership().clone();
+        let is_evicted = self.evicted.contains(&from.machine);
+        if !self.is_leader() || membership.contains(from) || is_evicted {
+            return;
+        }
+        membership.learners.retain(|known| known.machine != from.machine);
+        membership.learners.insert(from);
+        self.change_membership(now, membership);
+    }
+
+    fn change_membership(&mut self, now: Moment, membership: Membership) {
+        if self.propose(EntryKind::Membership(membership)).is_ok() {
+            self.sync_progress(now);
+            self.broadcast(now);
+        }
+    }
+
+    /// Makes at most one change: drops a replaced voter, or gives a learner its vote.
+    pub(super) fn manage_members(&mut self, now: Moment) {
+        if self.has_unfinished_change() {
+            return;
+        }
+        if let Some(next) = self.next_membership(now) {
+            self.change_membership(now, next);
+        }
+    }
+
+    fn next_membership(&self, now: Moment) -> Option<Membership> {
+        let membership = self.membership();
+        let ready = self.ready_learners(now);
+        if let Some(learner) = self.learner_with_free_vote(membership, &ready) {
+            let mut next = membership.clone();
+            next.learners.remove(&learner);
+            next.voters.insert(learner);
+            return Some(next);
+        }
+        if let Some(replaced) = self.replaced_voter(now, membership, &ready) {
+            let mut next = membership.clone();
+            next.voters.remove(&replaced);
+            return Some(next);
+        }
+        let useless = self.useless_learner(now, membership)?;
+        let mut next = membership.clone();
+        next.learners.remove(&useless);
+        Some(next)
+    }
+
+    /// Learners that have everything committed and answered lately.
+    fn ready_learners(&self, now: Moment) -> Vec<ReplicaId> {
+        let Role::Leader(state) = &self.role else {
+            return Vec::new();
+        };
+        let is_ready = |learner: &&ReplicaId| {
+            let known = state.progress.get(learner);
+            known.is_some_and(|known| known.matched >= self.commit && self.was_heard(now, known))
+        };
+        let learners = self.membership().learners.iter();
+        let may_vote = |learner: &&ReplicaId| !self.evicted.contains(&learner.machine);
+        learners.filter(is_ready).filter(may_vote).copied().collect()
+    }
+
+    fn was_heard(&self, now: Moment, progress: &Progress) -> bool {
+        now.since(progress.heard) <= self.settings.election_max
+    }
+
+    fn learner_with_free_vote(
+        &self,
+        membership: &Membership,
+        ready: &[ReplicaId],
+    ) -> Option<ReplicaId> {
+        if membership.voters.len() >= self.settings.voters {
+            return None;
+        }
+        let has_voter = |learner: &&ReplicaId| {
+            membership.voters.iter().any(|voter| voter.machine == learner.machine)
+        };
+        ready.iter().find(|learner| !has_voter(learner)).copied()
+    }
+
+    /// A voter whose vote a ready learner is to take over.
+    fn replaced_voter(
+        &self,
+        now: Moment,
+        membership: &Membership,
+        ready: &[ReplicaId],
+    ) -> Option<ReplicaId> {
+        let has_newer_disk =
+            |voter: &&ReplicaId| ready.iter().any(|learner| learner.machine == voter.machine);
+        let others = |voter: &&ReplicaId| **voter != self.id;
+        let mut voters = membership.voters.iter().filter(others);
+        if let Some(voter) = voters.clone().find(has_newer_disk) {
+            return Some(*voter);
+        }
+        if ready.is_empty() && membership.voters.len() <= self.settings.voters {
+            return None;
+        }
+        voters.find(|voter| self.is_lost(now, voter)).copied()
+    }
+
+    /// Whether a voter is to be replaced: evicted, or silent for too long.
+    fn is_lost(&self, now: Moment, voter: &ReplicaId) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let silent = state.progress.get(voter).map(|known| now.since(known.heard));
+        let is_silent = silent.is_some_and(|silent| silent > self.settings.replace_after);
+        self.evicted.contains(&voter.machine) || is_silent
+    }
+
+    /// A learner that is evicted, or that nobody has heard of for very long.
+    fn useless_learner(&self, now: Moment, membership: &Membership) -> Option<ReplicaId> {
+        let Role::Leader(state) = &self.role else {
+            return None;
+        };
+        let forget_after = self.settings.replace_after.saturating_mul(FORGET_FACTOR);
+        let is_gone = |learner: &&ReplicaId| {
+            let silent = state.progress.get(learner).map(|known| now.since(known.heard));
+            silent.is_some_and(|silent| silent > forget_after)
+        };
+        let is_evicted = |learner: &&ReplicaId| self.evicted.contains(&learner.machine);
+        let mut learners = membership.learners.iter();
+        learners.find(|learner| is_gone(learner) || is_evicted(learner)).copied()
+    }
+
+    /// Whether the newest membership is committed.
+    pub fn has_settled_membership(&self) -> bool {
+        !self.has_unfinished_change()
+    }
+
+    /// Whether every machine of the group has one caught-up voter: then another
+    /// machine may be lost without losing anything.
+    pub fn is_fully_replicated(&self, now: Moment) -> bool {
+        let Role::Leader(state) = &self.role else {
+            return false;
+        };
+        let membership = self.membership();
+        let has_pending = membership.learners.iter().any(|learner| {
+            let same_machine = |voter: &&ReplicaId| voter.machine == learner.machine;
+            membership.voters.iter().any(|voter| same_machine(&voter))
+        });
+        let wants_voters = membership.voters.len() < self.settings.voters;
+        let is_settled = !has_pending
+            && !(wants_voters && !membership.learners.is_empty())
+            && !self.has_unfinished_change();
+        let is_current = |progress: &Progress| {
+            let was_heard = now.since(progress.heard) <= self.settings.election_max;
+            was_heard && progress.matched >= self.commit
+        };
+        is_settled && state.progress.values().all(is_current)
+    }
+}
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -8,6 +8,7 @@
 mod follower;
 mod leader;
 mod log;
+mod membership;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -34,6 +35,10 @@
     pub election_max: Duration,
     /// By how much clocks of two machines may differ over one election timeout.
     pub clock_drift: Duration,
+    /// Voters that a group is to have; further replicas stay learners and step in.
+    pub voters: usize,
+    /// Silence after which a ready learner takes a voter's place.
+    pub replace_after: Duration,
     /// Most entries in one message.
     pub max_entries_per_message: usize,
     /// Most bytes of commands in one message, about.
@@ -47,6 +52,8 @@
             election_min: Duration::from_millis(400),
             election_max: Duration::from_millis(800),
             clock_drift: Duration::from_millis(40),
+            voters: usize::MAX,
+            replace_after: Duration::MAX,
             max_entries_per_message: 512,
             max_bytes_per_message: 4 << 20,
         }
@@ -119,6 +126,8 @@
     election_deadline: Moment,
     /// No vote is given before this moment, since a leader may hold a lease.
     votes_from: Moment,
+    /// Machines that must hold no replica.
+    evicted: BTreeSet<u32>,
     effects: Effects,
 }
 
@@ -150,6 +159,7 @@
             // A replica forgets at a restart which leader it acknowledged, and
             // that leader may still hold a lease because of it.
             votes_from: now + settings.election_min,
+            evicted: BTreeSet::new(),
             effects: Effects::default(),
         };
         raft.reset_election_deadline(now);
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,62 @@
+//! From host and path to a route.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::configuration::{Configuration, Limits, Route, Service};
+
+/// A configuration, indexed for look-ups.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    limits: Limits,
+    /// Routes of each host, longest prefix first.
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<String, Arc<Service>>,
+}
+
+impl RouteTable {
+    /// Indexes a valid configuration.
+    pub fn new(configuration: Configuration) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in configuration.routes {
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let services = configuration.services.into_iter();
+        let services = services.map(|service| (service.name.clone(), Arc::new(service)));
+        Self {
+            version: configuration.version,
+            limits: configuration.limits,
+            hosts,
+            services: services.collect(),
+        }
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bounds on callers.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// The route with the longest prefix of `path` among those of `host`.
+    ///
+    /// `host` may carry a port and `path` a query; both are ignored.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let path = path.split_once('?').map_or(path, |(before, _)| before);
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// The service called `name`.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+}
--- a/crates/store/src/driver.rs
+++ b/crates/store/src/driver.rs
@@ -39,9 +39,9 @@
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
     /// Number of this machine.
-    pub machine: u16,
+    pub machine: u32,
     /// All machines, this one included, with their addresses.
-    pub machines: BTreeMap<u16, SocketAddr>,
+    pub machines: BTreeMap<u32, SocketAddr>,
     /// Folder for log and snapshots.
     pub data_folder: PathBuf,
     /// Groups that hold programs.
@@ -65,7 +65,7 @@
     Peer { from: ReplicaId, messages: Vec<GroupMessage> },
     Request { client: u64, id: u64, request: StoreRequest, replier: Replier<StoreBack> },
     AskStarted { replier: Replier<StoreBack> },
-    Started { machine: u16, started: bool },
+    Started { machine: u32, started: bool },
 }
 
 /// A running store machine. Dropping it stops it at once, as a crash would.
@@ -144,7 +144,7 @@
 fn open_links(
     settings: &StoreSettings,
     sender: &Sender<Input>,
-) -> std::io::Result<BTreeMap<u16, Link<StoreFrame>>> {
+) -> std::io::Result<BTreeMap<u32, Link<StoreFrame>>> {
     let others = settings.machines.iter().filter(|(machine, _)| **machine != settings.machine);
     let mut links = BTreeMap::new();
     for (machine, address) in others {
@@ -183,7 +183,7 @@
 /// The duty that owns service and disk.
 struct StoreDuty {
     settings: StoreSettings,
-    links: BTreeMap<u16, Link<StoreFrame>>,
+    links: BTreeMap<u32, Link<StoreFrame>>,
     receiver: Receiver<Input>,
     clients: BTreeMap<u64, Replier<StoreBack>>,
     /// Identity of the data folder, once it is settled.
@@ -209,7 +209,7 @@
         };
         self.disk = disk;
         let id = ReplicaId { machine: self.settings.machine, disk };
-        let machines: Vec<u16> = self.settings.machines.keys().copied().collect();
+        let machines: Vec<u32> = self.settings.machines.keys().copied().collect();
         let groups = GroupMap::new(self.settings.program_groups);
         let mut node_settings = self.settings.node.clone();
         node_settings.seed ^= rand::rng().random::<u64>();
--- a/crates/store/src/protocol.rs
+++ b/crates/store/src/protocol.rs
@@ -116,7 +116,7 @@
     /// Whether the machine leads it.
     pub is_leader: bool,
     /// The machine that leads it, as far as known.
-    pub leader: Option<u16>,
+    pub leader: Option<u32>,
     /// Its term.
     pub term: u64,
     /// Highest committed index.
@@ -181,7 +181,7 @@
     /// The groups.
     GroupStatus(Vec<GroupStatus>),
     /// Ask the machine named, or any other.
-    NotLeader(Option<u16>),
+    NotLeader(Option<u32>),
     /// The command may or may not take effect.
     Lost,
     /// The machine takes no writes (for instance since its disk is full).
@@ -208,7 +208,7 @@
     /// From a store machine with an empty folder: has this fleet started before?
     AskStarted {
         /// The machine that asks.
-        machine: u16,
+        machine: u32,
     },
 }
 
@@ -225,7 +225,7 @@
     /// Answer to [`StoreFrame::AskStarted`].
     Started {
         /// The machine that answers.
-        machine: u16,
+        machine: u32,
         /// Its log holds entries, so the fleet has started before.
         started: bool,
     },
--- a/crates/store/src/router.rs
+++ b/crates/store/src/router.rs
@@ -23,7 +23,7 @@
     /// Send this frame to a store machine.
     Send {
         /// The machine.
-        machine: u16,
+        machine: u32,
         /// Names the try.
         id: u64,
         /// The request.
@@ -43,7 +43,7 @@
     request: StoreRequest,
     deadline: Moment,
     /// The try that is out, and where.
-    sent: Option<(u64, u16)>,
+    sent: Option<(u64, u32)>,
     /// When to send, or send again.
     next_try: Moment,
 }
@@ -51,8 +51,8 @@
 /// Requests under way to the store machines.
 #[derive(Debug)]
 pub struct StoreRouter {
-    machines: Vec<u16>,
-    leaders: BTreeMap<GroupId, u16>,
+    machines: Vec<u32>,
+    leaders: BTreeMap<GroupId, u32>,
     waiting: BTreeMap<u64, Waiting>,
     tries: BTreeMap<u64, u64>,
     next_id: u64,
@@ -62,7 +62,7 @@
 
 impl StoreRouter {
     /// A router over `machines`. `offset` spreads first tries over the machines.
-    pub fn new(machines: Vec<u16>, offset: usize) -> Self {
+    pub fn new(machines: Vec<u32>, offset: usize) -> Self {
         Self {
             machines,
             leaders: BTreeMap::new(),
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -80,7 +80,7 @@
     pub fn new(
         id: ReplicaId,
         settings: NodeSettings,
-        machines: &[u16],
+        machines: &[u32],
         groups: GroupMap,
         recovered: Recovered,
         now: Moment,
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -79,6 +79,12 @@
     FrameMismatch = 4103, Error;
     /// The outcome of a call could not be learned.
     OutcomeUnknown = 4104, Warn;
+    /// A request's last line: what became of it.
+    RequestEnded = 4105, Info;
+    /// A replica broke off a stream.
+    StreamBroken = 4106, Warn;
+    /// The end of a turn could not be noted; it stays charged with its most.
+    SettlementLost = 4107, Warn;
     /// Engine memory of an ended program was released.
     CacheReleased = 4201, Debug;
     /// A release order failed and will be retried.
@@ -101,6 +107,12 @@
     ChangeAccepted = 5101, Info;
     /// An operator's change was refused.
     ChangeRefused = 5102, Info;
+    /// A gateway has a connection to the ledger's leader.
+    LedgerConnected = 5201, Info;
+    /// A gateway gave up on a ledger machine and turns to another.
+    LedgerLost = 5202, Warn;
+    /// A gateway applied a list of replicas.
+    ListApplied = 5204, Info;
     /// The platform's list of machines could not be read.
     PlatformUnreachable = 6001, Warn;
 }
