Resume a broken stream at the same replica first; wait for quiet before a planned stop ends

A reset does not tell whether the replica or the network broke, so the stream goes back to the replica where it began, which also holds its prompt; only one that cannot be reached is left for another. Ruled out: the token budgets of programs. The stop looked once at what was under way and then slept 50 ms: a request that came in meanwhile was cut. It now waits until nothing has been under way for 150 ms, settlements included. Not reproduced, so watched. Also: a leader changes the membership only after committing in its own term.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -120,6 +120,14 @@
         services.values().flatten().map(|member| member.replica.id.clone()).collect()
     }
 
+    /// Whether this start of a replica is listed and takes new work.
+    pub fn is_open(&self, replica: &Replica) -> bool {
+        let services = self.services.read();
+        let members = services.get(&replica.service).map(Vec::as_slice).unwrap_or_default();
+        let mut listed = members.iter().map(|member| &member.replica);
+        listed.any(|listed| listed.id == replica.id && listed.state == ReplicaState::Ready)
+    }
+
     /// The cheapest replica of `service` that takes new work and is not in `excluded`.
     pub fn choose(
         &self,
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -4,6 +4,7 @@
 //! twice. A replica that states that it did not run a request is not counted as an
 //! attempt.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 use crate::dialect::OutgoingHead;
+use crate::fleet::Member;
 use crate::upstream::{Checkout, Exchange, ExchangeError, Outgoing, exchange};
 
 /// Replicas that are asked before a request is refused.
@@ -42,12 +44,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct Trail {
     excluded: Vec<String>,
+    /// The replica that has, or may have, begun to run the request. It is asked again
+    /// before any other: its connection may have broken while it works on.
+    began_at: Option<Arc<Member>>,
     /// Attempts that may have run.
     pub attempts: u32,
     refused_at: usize,
 }
 
 impl Trail {
+    /// Notes where the request began to run.
+    pub fn note_began(&mut self, member: &Arc<Member>) {
+        self.began_at = Some(Arc::clone(member));
+    }
+
     /// Leaves a replica out from now on.
     pub fn exclude(&mut self, replica: &str) {
         self.excluded.push(replica.to_owned());
@@ -76,10 +86,7 @@
         if call.left() < LEAST_TIME {
             return Err(out_of_time(trail));
         }
-        let zone = &app.settings.zone;
-        let affinity = call.affinity();
-        let chosen = app.fleet.choose(&service.name, zone, &trail.excluded, affinity, &app.weights);
-        let Some(member) = chosen else {
+        let Some(member) = choose(app, call, &service.name, trail) else {
             return Err(nobody_left(trail));
         };
         let head = OutgoingHead {
@@ -137,6 +144,17 @@
     }
 }
 
+/// Where to go next: back to where the request began, else to the cheapest replica.
+fn choose(app: &App, call: &Call, service: &str, trail: &mut Trail) -> Option<Arc<Member>> {
+    if let Some(began_at) = trail.began_at.take()
+        && app.fleet.is_open(&began_at.replica)
+    {
+        return Some(began_at);
+    }
+    let zone = &app.settings.zone;
+    app.fleet.choose(service, zone, &trail.excluded, call.affinity(), &app.weights)
+}
+
 /// Rank in the queue of an engine: that of the route, and within it programs that
 /// have little time left first.
 fn priority_of(call: &Call) -> u8 {
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -241,7 +241,7 @@
         if !self.call.route.resumable {
             return Err(Refusal::Unknown);
         }
-        self.trail.exclude(&broken.replica.id.clone());
+        self.trail.note_began(broken);
         self.payload.last_event = self.last_event.map(|id| id.to_string());
         let exchange = dispatch(&self.app, &self.call, &self.payload, &mut self.trail).await?;
         if !is_event_stream(&exchange) {
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -138,7 +138,10 @@
         let app = Arc::clone(&self.app);
         let id = self.call.head.request_id.clone();
         let question = Question::Settle(settle_of(&self.call, self.used_tokens, None));
+        // A planned stop waits for it.
+        let guard = app.begin_request();
         tokio::spawn(async move {
+            let _guard = guard;
             let deadline = Instant::now() + BACKGROUND_PATIENCE;
             if app.ledger.ask(&question, deadline).await.is_err() {
                 emit!(Event::SettlementLost, "request={id} stays charged with its most");
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -17,7 +17,9 @@
 const LAME_DUCK: Duration = Duration::from_millis(2_600);
 /// Left of the grace when answers that are not complete are cut.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
-const END_POLL: Duration = Duration::from_millis(50);
+const END_POLL: Duration = Duration::from_millis(25);
+/// How long nothing must have been under way before the process ends.
+const QUIET: Duration = Duration::from_millis(150);
 
 /// Runs a gateway until `stop` turns true and its requests have ended.
 ///
@@ -42,17 +44,25 @@
     tokio::time::sleep(LAME_DUCK.min(grace / 2)).await;
     accepting.abort();
     closing.send_replace(true);
-    while app.requests_under_way() > 0 && Instant::now() < cut_at {
-        tokio::time::sleep(END_POLL).await;
-    }
-    // What was written last must leave the process.
-    tokio::time::sleep(END_POLL).await;
+    wait_until_quiet(&app, cut_at).await;
     let left = app.requests_under_way();
     let event = if left == 0 { Event::StopFinished } else { Event::StopForced };
     emit!(event, "gateway {} cut={left}", app.settings.name);
     Ok(())
 }
 
+/// Waits until no request has been under way for a while: one that was on its way when
+/// its connection was told to end still comes in.
+async fn wait_until_quiet(app: &App, cut_at: Instant) {
+    let mut quiet_since = Instant::now();
+    while quiet_since.elapsed() < QUIET && Instant::now() < cut_at {
+        tokio::time::sleep(END_POLL).await;
+        if app.requests_under_way() > 0 {
+            quiet_since = Instant::now();
+        }
+    }
+}
+
 fn listen(address: std::net::SocketAddr) -> eyre::Result<tokio::net::TcpListener> {
     let listener = calicohoist_transport::bind(address);
     listener.map_err(|error| eyre::eyre!("cannot listen on {address}: {error}"))
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -314,6 +314,14 @@
         self.deliver();
     }
 
+    /// Whether this leader has committed an entry of its own term.
+    pub(super) fn has_committed_in_term(&self) -> bool {
+        match &self.role {
+            Role::Leader(state) => self.commit >= state.first_index,
+            Role::Follower | Role::Candidate { .. } => false,
+        }
+    }
+
     /// Whether the applied state may be read now.
     pub fn read_readiness(&self, now: Moment) -> ReadReadiness {
         let Role::Leader(state) = &self.role else {
--- a/crates/replication/src/raft/membership.rs
+++ b/crates/replication/src/raft/membership.rs
@@ -36,7 +36,13 @@
         self.change_membership(now, membership);
     }
 
+    /// A change waits until the leader has committed an entry of its own term: two
+    /// leaders that change different memberships could otherwise both find a majority
+    /// (Ongaro, raft-dev, 2015).
     fn change_membership(&mut self, now: Moment, membership: Membership) {
+        if !self.has_committed_in_term() {
+            return;
+        }
         if self.propose(EntryKind::Membership(membership)).is_ok() {
             self.sync_progress(now);
             self.broadcast(now);
