--- a/crates/calicohoist/src/cli/serve.rs
+++ b/crates/calicohoist/src/cli/serve.rs
@@ -2,7 +2,9 @@
 
 use std::path::Path;
 
+use calicohoist_ledger::server;
 use calicohoist_platform::{NodeRole, read_node_file};
+use calicohoist_proxy::front;
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -24,8 +26,14 @@
     runtime.block_on(async {
         let stop = watch_signals()?;
         match role {
-            NodeRole::Gateway(settings) => calicohoist_proxy::front::run(settings, stop).await,
-            NodeRole::Ledger(settings) => calicohoist_ledger::server::run(settings, stop).await,
+            NodeRole::Gateway(settings) => {
+                let listeners = front::Listeners::bind(&settings)?;
+                front::run(settings, listeners, stop).await
+            }
+            NodeRole::Ledger(settings) => {
+                let listeners = server::Listeners::bind(&settings)?;
+                server::run(settings, listeners, stop).await
+            }
         }
     })
 }
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -18,6 +18,7 @@
 use calicohoist_discovery::ListReader;
 use calicohoist_replication::RaftSettings;
 use calicohoist_telemetry::{Event, emit};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use control::ControlCodec;
@@ -88,24 +89,52 @@
     SocketAddr::new(IpAddr::V4(Ipv4Addr::from_bits(machine)), port)
 }
 
+/// The sockets of a ledger machine, already listening.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For other ledger machines.
+    pub peers: TcpListener,
+    /// For gateways.
+    pub gateways: TcpListener,
+    /// For operators.
+    pub control: TcpListener,
+}
+
+impl Listeners {
+    /// Listens where the settings say.
+    ///
+    /// # Errors
+    /// When an address is taken.
+    pub fn bind(settings: &LedgerSettings) -> eyre::Result<Self> {
+        let ports = settings.ports;
+        Ok(Self {
+            peers: listen(settings, ports.peers)?,
+            gateways: listen(settings, ports.gateways)?,
+            control: listen(settings, ports.control)?,
+        })
+    }
+}
+
 /// Runs a ledger machine until `stop` turns true.
 ///
 /// # Errors
-/// When a socket cannot be bound, the log cannot be opened, or the disk fails.
-pub async fn run(settings: LedgerSettings, mut stop: watch::Receiver<bool>) -> eyre::Result<()> {
+/// When the log cannot be opened, or the disk fails.
+pub async fn run(
+    settings: LedgerSettings,
+    listeners: Listeners,
+    mut stop: watch::Receiver<bool>,
+) -> eyre::Result<()> {
     let (frames_out, frames) = tokio::sync::mpsc::channel(peers::RING);
     let thread = ReplicaThread::open(&settings, frames_out)?;
     let identity = thread.id();
     let (handle, standing, failure) = thread.start()?;
-    let peer_listener = listen(&settings, settings.ports.peers)?;
-    let gateway_listener = listen(&settings, settings.ports.gateways)?;
-    let control_listener = listen(&settings, settings.ports.control)?;
     tokio::spawn(peers::send(settings.clone(), identity, frames));
-    tokio::spawn(peers::accept(peer_listener, identity, handle.clone()));
+    tokio::spawn(peers::accept(listeners.peers, identity, handle.clone()));
     let list = list::spawn(&settings, standing.clone());
     let hub = gateways::Hub::new(handle.clone(), standing.clone(), list);
-    tokio::spawn(gateways::accept(gateway_listener, hub));
-    tokio::spawn(control::accept(control_listener, settings.clone(), handle.clone(), standing));
+    tokio::spawn(gateways::accept(listeners.gateways, hub));
+    let control = control::accept(listeners.control, settings.clone(), handle.clone(), standing);
+    tokio::spawn(control);
     emit!(Event::RoleStarted, "ledger {} replica={identity} ip={}", settings.name, settings.ip);
     tokio::select! {
         failed = failure => eyre::bail!("the replica stopped: {}", failed.unwrap_or_default()),
@@ -117,7 +146,7 @@
     Ok(())
 }
 
-fn listen(settings: &LedgerSettings, port: u16) -> eyre::Result<tokio::net::TcpListener> {
+fn listen(settings: &LedgerSettings, port: u16) -> eyre::Result<TcpListener> {
     let address = SocketAddr::new(IpAddr::V4(settings.ip), port);
     let listener = calicohoist_transport::bind(address);
     listener.map_err(|error| eyre::eyre!("cannot listen on {address}: {error}"))
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -3,10 +3,12 @@
 mod connections;
 mod ready;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::app::App;
@@ -21,13 +23,35 @@
 /// How long nothing must have been under way before the process ends.
 const QUIET: Duration = Duration::from_millis(150);
 
+/// The sockets of a gateway, already listening.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For callers.
+    pub http: TcpListener,
+    /// For questions whether it is ready.
+    pub ready: TcpListener,
+}
+
+impl Listeners {
+    /// Listens where the settings say.
+    ///
+    /// # Errors
+    /// When an address is taken.
+    pub fn bind(settings: &ProxySettings) -> eyre::Result<Self> {
+        Ok(Self { http: listen(settings.http)?, ready: listen(settings.ready)? })
+    }
+}
+
 /// Runs a gateway until `stop` turns true and its requests have ended.
 ///
 /// # Errors
-/// When a socket cannot be bound.
-pub async fn run(settings: ProxySettings, mut stop: watch::Receiver<bool>) -> eyre::Result<()> {
-    let http = listen(settings.http)?;
-    let ready = listen(settings.ready)?;
+/// None today; a role that cannot go on says why.
+pub async fn run(
+    settings: ProxySettings,
+    listeners: Listeners,
+    mut stop: watch::Receiver<bool>,
+) -> eyre::Result<()> {
+    let Listeners { http, ready } = listeners;
     let app = Arc::new(App::new(settings));
     let (closing, closing_seen) = watch::channel(false);
     emit!(Event::RoleStarted, "gateway {} http={}", app.settings.name, app.settings.http);
@@ -63,7 +87,7 @@
     }
 }
 
-fn listen(address: std::net::SocketAddr) -> eyre::Result<tokio::net::TcpListener> {
+fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
     let listener = calicohoist_transport::bind(address);
     listener.map_err(|error| eyre::eyre!("cannot listen on {address}: {error}"))
 }
--- /dev/null
+++ b/crates/routing/tests/select.rs
@@ -0,0 +1,74 @@
+//! The choice of a replica.
+
+use std::time::Duration;
+
+use calicohoist_routing::{Affinity, Candidate, CostWeights, choose};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn candidate(id: &str, load: u32) -> Candidate<'_> {
+    Candidate { id, slots: 4, load, is_near: true, penalty: Duration::ZERO }
+}
+
+const IDS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+fn fleet(loads: [u32; 6]) -> Vec<Candidate<'static>> {
+    IDS.iter().zip(loads).map(|(id, load)| candidate(id, load)).collect()
+}
+
+#[test]
+fn nobody_is_chosen_from_none() {
+    assert_eq!(choose(&[], Affinity::default(), &CostWeights::default()), None);
+}
+
+#[test]
+fn without_affinity_the_least_loaded_is_chosen() {
+    let chosen = choose(&fleet([3, 2, 1, 2, 3, 4]), Affinity::default(), &CostWeights::default());
+    assert_eq!(chosen, Some(2));
+}
+
+#[test]
+fn a_full_home_is_left_when_waiting_costs_more_than_reading() {
+    let weights = CostWeights::default();
+    let affinity = Affinity { key: Some(7), tokens: 600 };
+    let home = choose(&fleet([0; 6]), affinity, &weights).expect("a home");
+    let mut loads = [0; 6];
+    loads[home] = 40;
+    assert_ne!(choose(&fleet(loads), affinity, &weights), Some(home));
+}
+
+#[test]
+fn a_penalty_moves_work_away() {
+    let mut candidates = fleet([0; 6]);
+    let weights = CostWeights::default();
+    let affinity = Affinity { key: Some(7), tokens: 600 };
+    let home = choose(&candidates, affinity, &weights).expect("a home");
+    candidates[home].penalty = Duration::from_secs(1);
+    assert_ne!(choose(&candidates, affinity, &weights), Some(home));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Gateways that list the replicas in another order choose the same one, and a
+    /// replica that leaves moves only what was placed on it.
+    #[test]
+    fn placement_is_agreed_and_stable(key: u64, rotation in 0usize..6, gone in 0usize..6) {
+        let weights = CostWeights::default();
+        let affinity = Affinity { key: Some(key), tokens: 10_000 };
+        let candidates = fleet([0; 6]);
+        let chosen = candidates[choose(&candidates, affinity, &weights).expect("one")].id;
+        let mut rotated = candidates.clone();
+        rotated.rotate_left(rotation);
+        let other = rotated[choose(&rotated, affinity, &weights).expect("one")].id;
+        prop_assert_eq!(chosen, other);
+        let mut fewer = candidates;
+        let gone = fewer.remove(gone).id;
+        let after = fewer[choose(&fewer, affinity, &weights).expect("one")].id;
+        prop_assert!(chosen == gone || chosen == after);
+    }
+}
