--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -425,7 +425,7 @@
         let identity = recovered.disk.unwrap_or_else(|| {
             // What the driver finds out by asking the other machines.
             let disk = if has_started { self.random.random_range(1..=u32::MAX) } else { 0 };
-            let _ = log.write_identity(disk);
+            let _ = log.write_identity(disk, &[]);
             disk
         });
         part.id = ReplicaId { machine: index as u32 + 1, disk: identity };
@@ -434,6 +434,7 @@
             entries_per_snapshot: self.entries_per_snapshot,
             log_rewrite_bytes: 256 << 10,
             seed: self.random.random(),
+            contacts: Vec::new(),
         };
         let numbers: Vec<u32> = (1..=machines as u32).collect();
         let groups = GroupMap::new(PROGRAM_GROUPS);
--- a/crates/ledger/src/server/replica.rs
+++ b/crates/ledger/src/server/replica.rs
@@ -169,24 +169,26 @@
         let disk = DirectoryDisk::open(&settings.data_folder)?;
         let (mut log, recovered) = DiskLog::open(disk)?;
         let machine = machine_number(settings.ip);
-        let disk = match recovered.disk {
-            Some(disk) => disk,
+        let seeds: Vec<u32> = settings.seeds.iter().copied().map(machine_number).collect();
+        let (disk, founders) = match recovered.disk {
+            Some(disk) => (disk, recovered.founders.clone()),
             None => {
                 let disk = new_identity(settings);
-                log.write_identity(disk)?;
-                disk
+                let founders = if disk == 0 { seeds.clone() } else { Vec::new() };
+                log.write_identity(disk, &founders)?;
+                (disk, founders)
             }
         };
         let id = ReplicaId { machine, disk };
-        let seeds: Vec<u32> = settings.seeds.iter().copied().map(machine_number).collect();
         let node_settings = NodeSettings {
             raft: settings.raft,
             entries_per_snapshot: ENTRIES_PER_SNAPSHOT,
             seed: rand::rng().random(),
+            contacts: seeds,
             ..NodeSettings::default()
         };
         let origin = Instant::now();
-        let node = Node::new(id, node_settings, &seeds, &[GROUP], recovered, Moment::ZERO);
+        let node = Node::new(id, node_settings, &founders, &[GROUP], recovered, Moment::ZERO);
         Ok(Self {
             node,
             log,
@@ -355,6 +357,10 @@
             .filter(is_new)
             .map(|(machine, name)| (*machine, name.clone()))
             .collect();
+        if retiring.contains(&self.node.id().machine) {
+            let now = self.now();
+            self.node.transfer_leadership(now);
+        }
         self.node.set_evicted(&retiring);
         for (machine, name) in unknown {
             self.propose_silently(&Command::Enroll { name, machine });
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use calicohoist_routing::Configuration;
-use calicohoist_types::{Finding, Findings};
+use calicohoist_types::Findings;
 use hyper::HeaderMap;
 
 /// What a caller says about its request, beside method, path and body.
@@ -66,8 +66,8 @@
     /// Reads a request's headers.
     ///
     /// # Errors
-    /// The first header that cannot be accepted.
-    fn read_call(&self, headers: &HeaderMap) -> Result<CallHead, Finding>;
+    /// Every header that cannot be accepted.
+    fn read_call(&self, headers: &HeaderMap) -> Result<CallHead, Findings>;
 
     /// Replaces the headers that the gateway sets itself.
     fn write_call(&self, headers: &mut HeaderMap, outgoing: &OutgoingHead<'_>);
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -71,7 +71,7 @@
     let route = table.find(host, parts.uri.path()).cloned();
     let route = route.ok_or_else(|| unnamed(Refusal::NoRoute))?;
     let head = app.dialect().read_call(&parts.headers);
-    let head = head.map_err(|finding| unnamed(Refusal::Malformed(finding)))?;
+    let head = head.map_err(|findings| unnamed(Refusal::Malformed(findings)))?;
     let id = head.request_id.clone();
     let body = read_body(body, table.limits()).await.map_err(|refusal| (id, refusal))?;
     Ok(Call::new(table, route, head, parts, body, received))
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use calicohoist_types::Finding;
+use calicohoist_types::Findings;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Response, StatusCode};
 
@@ -21,9 +21,9 @@
     /// No route has this host and path.
     #[error("no route")]
     NoRoute,
-    /// A header cannot be accepted.
+    /// Headers cannot be accepted.
     #[error("malformed: {0}")]
-    Malformed(Finding),
+    Malformed(Findings),
     /// The body is over the limit.
     #[error("body too large")]
     BodyTooLarge,
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -68,16 +68,23 @@
         address: SocketAddr,
         checkout: Checkout,
     ) -> io::Result<PooledConnection> {
-        while checkout == Checkout::Any {
-            let Some(mut idle) = self.pop(replica) else {
-                break;
-            };
+        if checkout == Checkout::Any
+            && let Some(sender) = self.free_connection(replica).await
+        {
+            return Ok(PooledConnection { sender, is_reused: true });
+        }
+        open(address).await
+    }
+
+    /// The kept connection that was used last and is still free.
+    async fn free_connection(&self, replica: &str) -> Option<SendRequest<Full<Bytes>>> {
+        loop {
+            let mut idle = self.pop(replica)?;
             let ready = tokio::time::timeout(READY_PATIENCE, idle.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Ok(PooledConnection { sender: idle.sender, is_reused: true });
+                return Some(idle.sender);
             }
         }
-        open(address).await
     }
 
     fn pop(&self, replica: &str) -> Option<Idle> {
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -45,28 +45,54 @@
 pub type Index = u64;
 
 /// Who takes part in a group.
+///
+/// While one voter is exchanged for another, the membership is *joint*: decisions need
+/// a majority of the voters and a majority of the outgoing voters (Ongaro 2014, section
+/// 4.3). Changing the two one after the other would leave a smaller or a larger group
+/// in between, which a second loss at that moment stops for good.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// Replicas whose acknowledgement counts.
     pub voters: BTreeSet<ReplicaId>,
+    /// The voters before an exchange that is not finished; else empty.
+    pub outgoing: BTreeSet<ReplicaId>,
     /// Replicas that receive the log but do not count yet.
     pub learners: BTreeSet<ReplicaId>,
 }
 
 impl Membership {
-    /// Acknowledgements that make a majority.
-    pub fn quorum(&self) -> usize {
-        self.voters.len() / 2 + 1
+    /// Whether an exchange of voters is not finished.
+    pub fn is_joint(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
+    /// Whether `granted` holds a majority of every set that counts.
+    pub fn has_quorum(&self, granted: &BTreeSet<ReplicaId>) -> bool {
+        let is_majority = |voters: &BTreeSet<ReplicaId>| {
+            voters.is_empty() || voters.intersection(granted).count() > voters.len() / 2
+        };
+        is_majority(&self.voters) && is_majority(&self.outgoing)
+    }
+
+    /// Whether `replica` has a vote.
+    pub fn is_voter(&self, replica: ReplicaId) -> bool {
+        self.voters.contains(&replica) || self.outgoing.contains(&replica)
+    }
+
+    /// Everybody with a vote.
+    pub fn all_voters(&self) -> BTreeSet<ReplicaId> {
+        self.voters.union(&self.outgoing).copied().collect()
     }
 
     /// Voters and learners.
     pub fn all(&self) -> impl Iterator<Item = ReplicaId> + '_ {
-        self.voters.iter().chain(&self.learners).copied()
+        let leaving = self.outgoing.difference(&self.voters);
+        self.voters.iter().chain(leaving).chain(&self.learners).copied()
     }
 
     /// Whether `replica` is a voter or learner.
     pub fn contains(&self, replica: ReplicaId) -> bool {
-        self.voters.contains(&replica) || self.learners.contains(&replica)
+        self.is_voter(replica) || self.learners.contains(&replica)
     }
 }
 
@@ -181,6 +207,11 @@
     },
     /// A new replica asks the leader to let it join in place of its machine's old disk.
     Join,
+    /// Answers a replica that is no member: this one leads, ask it to join.
+    LeaderHint {
+        /// The leader.
+        leader: ReplicaId,
+    },
 }
 
 impl Message {
@@ -193,7 +224,7 @@
             | Self::AppendReply { term, .. }
             | Self::Install { term, .. }
             | Self::Campaign { term } => Some(*term),
-            Self::Join => None,
+            Self::Join | Self::LeaderHint { .. } => None,
         }
     }
 }
--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node.rs
@@ -89,6 +89,8 @@
     pub log_rewrite_bytes: usize,
     /// Seed of the election timeouts.
     pub seed: u64,
+    /// Machines to ask for membership, beside those that are known.
+    pub contacts: Vec<u32>,
 }
 
 impl Default for NodeSettings {
@@ -98,6 +100,7 @@
             entries_per_snapshot: 20_000,
             log_rewrite_bytes: 64 << 20,
             seed: 0,
+            contacts: Vec::new(),
         }
     }
 }
@@ -174,16 +177,17 @@
         self.groups.insert(group, state);
     }
 
-    /// The state before the first entry. Only disks of the first start belong to
-    /// the first membership; a later disk has to join.
+    /// The state before the first entry. Only disks of the first start know and belong
+    /// to the first membership; a later disk has to join, and learns it from the log.
     fn first_snapshot(&self) -> Arc<Snapshot> {
         let first_disk = |machine: &u32| ReplicaId { machine: *machine, disk: 0 };
+        let founders: &[u32] = if self.id.disk == 0 { &self.machines } else { &[] };
         Arc::new(Snapshot {
             index: 0,
             term: 0,
             membership: Membership {
-                voters: self.machines.iter().map(first_disk).collect(),
-                learners: BTreeSet::new(),
+                voters: founders.iter().map(first_disk).collect(),
+                ..Membership::default()
             },
             data: Vec::new(),
         })
@@ -233,7 +237,8 @@
     }
 
     fn ask_to_join(&mut self) {
-        let others = self.machines.iter().filter(|machine| **machine != self.id.machine);
+        let known = self.machines.iter().chain(&self.settings.contacts);
+        let others = known.filter(|machine| **machine != self.id.machine);
         let others: Vec<ReplicaId> =
             others.map(|machine| ReplicaId { machine: *machine, disk: 0 }).collect();
         for state in self.groups.values_mut() {
--- a/crates/replication/src/raft/election.rs
+++ b/crates/replication/src/raft/election.rs
@@ -10,7 +10,7 @@
 impl Raft {
     /// Starts an election, or with `pre` asks first whether one would be won.
     pub(super) fn campaign(&mut self, now: Moment, pre: bool, transfer: bool) {
-        let is_voter = self.membership().voters.contains(&self.id);
+        let is_voter = self.membership().is_voter(self.id);
         self.reset_election_deadline(now);
         if !is_voter {
             return;
@@ -22,7 +22,7 @@
             self.effects.hard_state = Some(self.hard_state);
         }
         self.role = Role::Candidate { pre, granted: BTreeSet::from([self.id]) };
-        if self.membership().quorum() == 1 {
+        if self.membership().has_quorum(&BTreeSet::from([self.id])) {
             return self.win(now, pre, transfer);
         }
         self.ask_for_votes(term, pre, transfer);
@@ -31,7 +31,7 @@
     fn ask_for_votes(&mut self, term: Term, pre: bool, transfer: bool) {
         let last_index = self.log.last_index();
         let last_term = self.log.last_term();
-        let mut voters = self.membership().voters.clone();
+        let mut voters = self.membership().all_voters();
         voters.remove(&self.id);
         for voter in voters {
             let message = Message::Vote { term, last_index, last_term, pre, transfer };
@@ -98,8 +98,8 @@
         was_pre: bool,
     ) {
         let wanted = self.hard_state.term + u64::from(was_pre);
-        let quorum = self.membership().quorum();
-        let is_voter = self.membership().voters.contains(&from);
+        let membership = self.membership().clone();
+        let is_voter = membership.is_voter(from);
         let Role::Candidate { pre, granted } = &mut self.role else {
             return;
         };
@@ -107,7 +107,7 @@
             return;
         }
         granted.insert(from);
-        if granted.len() >= quorum {
+        if membership.has_quorum(granted) {
             self.win(now, was_pre, false);
         }
     }
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -1,6 +1,6 @@
 //! Leading: replication, commit, the read lease, membership changes, hand-over.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use calicohoist_types::Moment;
 
@@ -328,7 +328,7 @@
             return ReadReadiness::NotLeader;
         };
         let knows_commit = self.commit >= state.first_index;
-        let is_alone = self.membership().quorum() == 1;
+        let is_alone = self.membership().has_quorum(&BTreeSet::from([self.id]));
         if knows_commit && (is_alone || now < state.lease_until) {
             ReadReadiness::Ready
         } else {
@@ -343,6 +343,9 @@
         let Role::Leader(state) = &mut self.role else {
             return;
         };
+        if state.is_transferring() {
+            return;
+        }
         let is_voter = |(peer, _): &(&ReplicaId, &Progress)| voters.contains(peer);
         let candidates = state.progress.iter().filter(is_voter);
         let Some((target, _)) = candidates.max_by_key(|(_, known)| (known.matched, known.heard))
--- a/crates/replication/src/raft/membership.rs
+++ b/crates/replication/src/raft/membership.rs
@@ -1,10 +1,8 @@
 //! Membership changes that a leader makes by itself, one replica at a time.
 //!
-//! A new disk learns first. It gets a vote when one is free: because the group has
-//! fewer voters than wanted, or because a voter is replaced. A voter is replaced
-//! when its machine has a newer disk, when it is evicted, or when it has been silent
-//! for long. The replaced voter leaves *before* its successor votes: as it cannot
-//! acknowledge anything, the smaller group needs no more live voters than before.
+//! A new disk learns first. It gets a vote when the group has fewer voters than wanted,
+//! or in exchange for a voter that is replaced: whose machine has a newer disk, that is
+//! evicted, or that has been silent for long.
 
 use std::collections::BTreeSet;
 
@@ -12,7 +10,7 @@
 
 use super::leader::Progress;
 use super::{Raft, Role};
-use crate::message::{EntryKind, Membership, ReplicaId};
+use crate::message::{EntryKind, Membership, Message, ReplicaId};
 
 /// A silent learner is dropped after this many times the patience with a voter.
 const FORGET_FACTOR: u32 = 3;
@@ -24,8 +22,30 @@
         self.evicted = machines;
     }
 
+    /// Whether this replica knows a leader whose group `from` does not belong to.
+    pub(super) fn is_unaware_outsider(&self, from: ReplicaId) -> bool {
+        self.leader.is_some() && !self.membership().contains(from)
+    }
+
+    /// Messages that need no membership. Whoever does not lead names the leader: a new
+    /// machine may know only members that follow.
+    pub(super) fn on_outsider(&mut self, now: Moment, from: ReplicaId, message: &Message) {
+        match message {
+            Message::LeaderHint { leader } if *leader != self.id => {
+                self.send(*leader, Message::Join);
+            }
+            Message::Join if self.is_leader() => self.on_join(now, from),
+            Message::Join => {
+                if let Some(leader) = self.leader.filter(|leader| *leader != from) {
+                    self.send(from, Message::LeaderHint { leader });
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// A replica on a new disk, or on a new machine, asks to join: it first learns.
-    pub(super) fn on_join(&mut self, now: Moment, from: ReplicaId) {
+    fn on_join(&mut self, now: Moment, from: ReplicaId) {
         let mut membership = self.membership().clone();
         let is_evicted = self.evicted.contains(&from.machine);
         if !self.is_leader() || membership.contains(from) || is_evicted {
@@ -61,6 +81,10 @@
 
     fn next_membership(&self, now: Moment) -> Option<Membership> {
         let membership = self.membership();
+        if membership.is_joint() {
+            let outgoing = BTreeSet::new();
+            return Some(Membership { outgoing, ..membership.clone() });
+        }
         let ready = self.ready_learners(now);
         if let Some(learner) = self.learner_with_free_vote(membership, &ready) {
             let mut next = membership.clone();
@@ -68,9 +92,12 @@
             next.voters.insert(learner);
             return Some(next);
         }
-        if let Some(replaced) = self.replaced_voter(now, membership, &ready) {
+        if let Some((replaced, successor)) = self.exchange(now, membership, &ready) {
             let mut next = membership.clone();
+            next.outgoing = membership.voters.clone();
             next.voters.remove(&replaced);
+            next.voters.insert(successor);
+            next.learners.remove(&successor);
             return Some(next);
         }
         let useless = self.useless_learner(now, membership)?;
@@ -111,24 +138,22 @@
         ready.iter().find(|learner| !has_voter(learner)).copied()
     }
 
-    /// A voter whose vote a ready learner is to take over.
-    fn replaced_voter(
+    /// A voter that is replaced, and the ready learner that takes its vote over.
+    fn exchange(
         &self,
         now: Moment,
         membership: &Membership,
         ready: &[ReplicaId],
-    ) -> Option<ReplicaId> {
-        let has_newer_disk =
-            |voter: &&ReplicaId| ready.iter().any(|learner| learner.machine == voter.machine);
-        let others = |voter: &&ReplicaId| **voter != self.id;
-        let mut voters = membership.voters.iter().filter(others);
-        if let Some(voter) = voters.clone().find(has_newer_disk) {
-            return Some(*voter);
-        }
-        if ready.is_empty() && membership.voters.len() <= self.settings.voters {
-            return None;
+    ) -> Option<(ReplicaId, ReplicaId)> {
+        let others = membership.voters.iter().filter(|voter| **voter != self.id);
+        for voter in others.clone() {
+            let newer_disk = ready.iter().find(|learner| learner.machine == voter.machine);
+            if let Some(successor) = newer_disk {
+                return Some((*voter, *successor));
+            }
         }
-        voters.find(|voter| self.is_lost(now, voter)).copied()
+        let replaced = others.into_iter().find(|voter| self.is_lost(now, voter))?;
+        ready.first().map(|successor| (*replaced, *successor))
     }
 
     /// Whether a voter is to be replaced: evicted, or silent for too long.
@@ -172,15 +197,16 @@
             let same_machine = |voter: &&ReplicaId| voter.machine == learner.machine;
             membership.voters.iter().any(|voter| same_machine(&voter))
         });
-        let wants_voters = membership.voters.len() < self.settings.voters;
-        let is_settled = !has_pending
-            && !(wants_voters && !membership.learners.is_empty())
-            && !self.has_unfinished_change();
+        let lacks_voters = membership.voters.len() < self.settings.voters;
+        let lets_wait = lacks_voters && !membership.learners.is_empty();
+        let is_changing = has_pending || lets_wait || self.has_unfinished_change();
         let is_current = |progress: &Progress| {
             let was_heard = now.since(progress.heard) <= self.settings.election_max;
             was_heard && progress.matched >= self.commit
         };
         let mut others = membership.voters.iter().filter(|voter| **voter != self.id);
-        is_settled && others.all(|voter| state.progress.get(voter).is_some_and(is_current))
+        !is_changing
+            && !membership.is_joint()
+            && others.all(|voter| state.progress.get(voter).is_some_and(is_current))
     }
 }
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -226,8 +226,12 @@
     /// Takes a message from another replica.
     pub fn step(&mut self, now: Moment, from: ReplicaId, message: Message) {
         let Some(term) = message.term() else {
-            return self.on_join(now, from);
+            return self.on_outsider(now, from, &message);
         };
+        if matches!(message, Message::Vote { .. }) && self.is_unaware_outsider(from) {
+            // It was replaced while it was away, and believes to be a voter.
+            self.on_outsider(now, from, &Message::Join);
+        }
         if self.must_ignore_vote(now, &message) {
             return self.refuse_vote(from, &message);
         }
@@ -255,7 +259,7 @@
                 self.on_append_reply(now, from, matched, refused, round)
             }
             Message::Campaign { .. } => self.campaign(now, false, true),
-            Message::Join => {}
+            Message::Join | Message::LeaderHint { .. } => {}
         }
     }
 
@@ -384,15 +388,28 @@
     membership.all().filter(|peer| *peer != id).collect()
 }
 
-/// Per-replica values that a quorum reaches: the largest value such that a
-/// quorum of `voters` has at least it.
+/// Per-replica values that a quorum reaches: the largest value such that a majority of
+/// every set that counts has at least it.
 fn quorum_value<V: Ord + Copy + Default>(
     membership: &Membership,
     values: &BTreeMap<ReplicaId, V>,
+) -> V {
+    let of_voters = majority_value(&membership.voters, values);
+    if membership.is_joint() {
+        of_voters.min(majority_value(&membership.outgoing, values))
+    } else {
+        of_voters
+    }
+}
+
+fn majority_value<V: Ord + Copy + Default>(
+    voters: &BTreeSet<ReplicaId>,
+    values: &BTreeMap<ReplicaId, V>,
 ) -> V {
     let value_of = |voter: &ReplicaId| values.get(voter).copied().unwrap_or_default();
-    let mut sorted: Vec<V> = membership.voters.iter().map(value_of).collect();
+    let mut sorted: Vec<V> = voters.iter().map(value_of).collect();
     sorted.sort_unstable();
-    let position = sorted.len().checked_sub(membership.quorum());
+    let majority = voters.len() / 2 + 1;
+    let position = sorted.len().checked_sub(majority);
     position.and_then(|at| sorted.get(at)).copied().unwrap_or_default()
 }
--- a/crates/replication/src/storage/frame.rs
+++ b/crates/replication/src/storage/frame.rs
@@ -2,14 +2,16 @@
 //!
 //! A frame is one batch of writes, synced together: a header with its own
 //! checksum, then the payload. That tells a write which was cut short by a crash
-//! (the file ends inside the frame, or in zeros that were never written) from
-//! damage to something that was stored whole.
+//! (the file ends inside the frame, or the frame is the last and ends in zeros that
+//! were never overwritten) from damage to something that was stored whole.
 
 use super::DiskError;
 
 /// Marker, payload length, payload checksum, header checksum.
 pub(super) const HEADER_BYTES: usize = 16;
 const MARKER: u32 = 0x4348_4C31;
+/// Zeros at the end of the file from which on the last frame counts as torn.
+const TORN_ZEROS: usize = 8;
 
 /// Appends a frame with `payload` to `output`.
 pub(super) fn write(output: &mut Vec<u8>, payload: &[u8]) {
@@ -49,7 +51,11 @@
         offset,
         problem: problem.to_owned(),
     };
+    let is_torn = rest.ends_with(&[0; TORN_ZEROS]);
     let (header, after) = rest.split_at(HEADER_BYTES);
+    if is_torn && after.iter().all(|byte| *byte == 0) {
+        return Ok(Found::CutShort);
+    }
     if crc32c::crc32c(&header[..12]) != word(header, 12) || word(header, 0) != MARKER {
         return Err(corrupt("the frame header does not match its checksum"));
     }
@@ -58,6 +64,10 @@
         return Ok(Found::CutShort);
     };
     if crc32c::crc32c(payload) != word(header, 8) {
+        let is_last = after.len() == length;
+        if is_last && is_torn {
+            return Ok(Found::CutShort);
+        }
         return Err(corrupt("the payload does not match its checksum"));
     }
     Ok(Found::Frame(payload, offset + HEADER_BYTES + length))
--- a/crates/replication/src/storage/log.rs
+++ b/crates/replication/src/storage/log.rs
@@ -56,6 +56,8 @@
 pub struct Recovered {
     /// Identity of the data folder; `None` for a folder that was never used.
     pub disk: Option<u32>,
+    /// Machines of the first membership, on a disk of the first start.
+    pub founders: Vec<u32>,
     /// The groups.
     pub groups: BTreeMap<GroupId, RecoveredGroup>,
 }
@@ -84,7 +86,8 @@
         let number = newest_log(&disk)?;
         let mut log = Self { disk, number, bytes: 0 };
         let replayed = log.replay()?;
-        let mut recovered = Recovered { disk: log.read_identity()?, groups: BTreeMap::new() };
+        let (disk, founders) = log.read_identity()?;
+        let mut recovered = Recovered { disk, founders, groups: BTreeMap::new() };
         for (group, replay) in replayed {
             let snapshot = log.read_snapshot(group, replay.snapshot)?;
             let found = RecoveredGroup {
@@ -97,13 +100,15 @@
         Ok((log, recovered))
     }
 
-    /// Stores the identity of a new data folder.
+    /// Stores the identity of a new data folder, and the founders if it is one of theirs.
     ///
     /// # Errors
     /// When the disk fails.
-    pub fn write_identity(&mut self, disk: u32) -> Result<(), DiskError> {
+    pub fn write_identity(&mut self, disk: u32, founders: &[u32]) -> Result<(), DiskError> {
         let mut file = Vec::new();
-        frame::write(&mut file, &disk.to_le_bytes());
+        let words = std::iter::once(&disk).chain(founders);
+        let payload: Vec<u8> = words.flat_map(|word| word.to_le_bytes()).collect();
+        frame::write(&mut file, &payload);
         self.disk.replace(IDENTITY_FILE, &file)
     }
 
@@ -203,16 +208,19 @@
         Ok(groups)
     }
 
-    fn read_identity(&self) -> Result<Option<u32>, DiskError> {
+    fn read_identity(&self) -> Result<(Option<u32>, Vec<u32>), DiskError> {
         let Some(bytes) = self.disk.read(IDENTITY_FILE)? else {
-            return Ok(None);
+            return Ok((None, Vec::new()));
         };
         let Found::Frame(payload, _) = frame::read(IDENTITY_FILE, &bytes, 0)? else {
             return Err(corrupt(IDENTITY_FILE, 0, "incomplete"));
         };
-        let number = <[u8; 4]>::try_from(payload);
-        let number = number.map_err(|_| corrupt(IDENTITY_FILE, 0, "wrong length"))?;
-        Ok(Some(u32::from_le_bytes(number)))
+        let (words, rest) = payload.as_chunks::<4>();
+        let mut numbers = words.iter().map(|word| u32::from_le_bytes(*word));
+        match numbers.next() {
+            Some(disk) if rest.is_empty() => Ok((Some(disk), numbers.collect())),
+            _ => Err(corrupt(IDENTITY_FILE, 0, "wrong length")),
+        }
     }
 
     fn read_snapshot(&self, group: GroupId, index: Option<Index>) -> Result<Snapshot, DiskError> {
--- a/crates/replication/tests/log.rs
+++ b/crates/replication/tests/log.rs
@@ -56,6 +56,26 @@
 proptest! {
     #![proptest_config(config())]
 
+    /// The file system had room for the write, but only its first part was stored.
+    #[test]
+    fn a_last_write_that_ends_in_zeros_is_cut(count in 2u64..12, share in 0.0f64..1.0) {
+        let (folder, file) = written(count);
+        let whole = std::fs::read(&file).expect("the log");
+        let before = {
+            let (shorter, file) = written(count - 1);
+            let length = std::fs::read(&file).expect("the log").len();
+            drop(shorter);
+            length
+        };
+        let last = whole.len() - before;
+        let stored = before + ((last - 9) as f64 * share) as usize;
+        let mut torn = whole;
+        torn[stored..].fill(0);
+        std::fs::write(&file, &torn).expect("damage");
+        let entries = reopen(&folder).expect("a torn tail is no damage");
+        prop_assert_eq!(entries.len() as u64, count - 1);
+    }
+
     #[test]
     fn a_tail_cut_anywhere_leaves_a_prefix(count in 1u64..12, share in 0.0f64..1.0) {
         let (folder, file) = written(count);
--- a/crates/store/src/driver.rs
+++ b/crates/store/src/driver.rs
@@ -312,7 +312,7 @@
             return Ok(None);
         };
         let disk = if has_started { rand::rng().random_range(1..=u32::MAX) } else { 0 };
-        log.write_identity(disk)?;
+        log.write_identity(disk, &[])?;
         Ok(Some(disk))
     }
 
