Leave the engines' priorities alone: displacing costs more than it orders

Ruled out: too little memory in the engines (0 preempted without ranks). The rank function is removed.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -40,8 +40,6 @@
     pub deadline: Duration,
     /// Only this replica may run the request.
     pub replica: &'a str,
-    /// Rank in the replica's queue, 0 first; `None` to leave it to the replica.
-    pub priority: Option<u8>,
     /// Continue a stream after this event.
     pub last_event: Option<&'a str>,
 }
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -92,7 +92,6 @@
         let head = OutgoingHead {
             deadline: call.left(),
             replica: &member.replica.id,
-            priority: service.engine.as_ref().map(|_| priority_of(call)),
             last_event: payload.last_event.as_deref(),
         };
         let dialect = app.dialect();
@@ -155,13 +154,6 @@
     app.fleet.choose(service, zone, &trail.excluded, call.affinity(), &app.weights)
 }
 
-/// Rank in the queue of an engine: that of the route, and within it programs that
-/// have little time left first.
-fn priority_of(call: &Call) -> u8 {
-    const MIDDLE: u8 = 4;
-    (MIDDLE + call.route.priority).min(9)
-}
-
 fn no_replica() -> Refusal {
     const RETRY_AFTER: Duration = Duration::from_millis(500);
     Refusal::not_run(NotRunReason::NoReplica, RETRY_AFTER)
