--- a/crates/calicohoist/src/cli/mod.rs
+++ b/crates/calicohoist/src/cli/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit status: 0 done, 1 failed, 2 settings or arguments not accepted.
 
+mod explain;
 mod operator;
 mod serve;
 
@@ -13,7 +14,6 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use calicohoist_platform::NODE_FILE_VARIABLE;
 use calicohoist_telemetry::{Event, LogFormat, LogSettings, emit, logging};
 use calicohoist_types::Findings;
 use eyre::Result;
@@ -22,6 +22,8 @@
 
 use crate::roles;
 use crate::settings::Settings;
+use explain::{ExplainArguments, explain_arguments};
+use serve::{ServeArguments, serve_arguments};
 
 /// Status of refused settings or arguments.
 const EXIT_REFUSED: u8 = 2;
@@ -59,13 +61,10 @@
     },
     /// Run the role that the platform's settings file names
     #[bpaf(command)]
-    Serve {
-        /// The platform's settings file
-        #[bpaf(long("node-file"), env(NODE_FILE_VARIABLE), argument("FILE"))]
-        node_file: PathBuf,
-        /// Check the file and start nothing
-        check: bool,
-    },
+    Serve(#[bpaf(external(serve_arguments))] ServeArguments),
+    /// Tell the story of a request or program from log files of `serve`
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_arguments))] ExplainArguments),
     /// Check a settings file and start nothing
     #[bpaf(command)]
     Check {
@@ -172,12 +171,16 @@
             return ExitCode::from(if is_refusal { EXIT_REFUSED } else { 0 });
         }
     };
-    let settings = LogSettings { format: arguments.log_format, level: arguments.log_level };
-    if let Err(error) = logging::install(settings) {
-        eprintln!("{error:#}");
-        return ExitCode::FAILURE;
-    }
-    match perform(arguments.command) {
+    let settings = LogSettings {
+        format: arguments.log_format,
+        level: arguments.log_level,
+        node: String::new(),
+    };
+    let performed = match arguments.command {
+        Command::Serve(serve) => serve::run(serve, settings),
+        command => logging::install(settings).and_then(|()| perform(command)),
+    };
+    match performed {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => report(&error),
     }
@@ -198,7 +201,8 @@
     match command {
         Command::Store { config } => run_store(&Settings::read(&config)?),
         Command::Gateway { config } => run_gateway(&Settings::read(&config)?),
-        Command::Serve { node_file, check } => serve::run(&node_file, check),
+        Command::Serve(_) => eyre::bail!("serve installs its own logger"),
+        Command::Explain(arguments) => explain::run(&arguments),
         Command::Check { file } => {
             Settings::read(&file)?;
             println!("{}: accepted", file.display());
--- a/crates/calicohoist/src/cli/serve.rs
+++ b/crates/calicohoist/src/cli/serve.rs
@@ -1,30 +1,65 @@
 //! `calicohoist serve`: the role that a settings file of the platform names.
 
-use std::path::Path;
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
 
+use bpaf::Bpaf;
+use bytes::Bytes;
 use calicohoist_ledger::server;
-use calicohoist_platform::{NodeRole, read_node_file};
+use calicohoist_platform::{NODE_FILE_VARIABLE, NodeRole, read_node_file};
 use calicohoist_proxy::front;
+use calicohoist_telemetry::{Event, LogSettings, emit, logging, metrics};
 use eyre::{Result, WrapErr};
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+/// Arguments of `serve`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ServeArguments {
+    /// The platform's settings file
+    #[bpaf(long("node-file"), env(NODE_FILE_VARIABLE), argument("FILE"))]
+    node_file: PathBuf,
+    /// Port of the metrics; none are served without it
+    #[bpaf(long("metrics-port"), argument("PORT"))]
+    metrics_port: Option<u16>,
+    /// Check the file and start nothing
+    #[bpaf(long("check"))]
+    check: bool,
+}
+
 /// Runs the role until SIGTERM or SIGINT, or only checks the file.
 ///
 /// # Errors
 /// When the file is not accepted, or the role cannot start or go on.
-pub fn run(node_file: &Path, check: bool) -> Result<()> {
-    let text = std::fs::read_to_string(node_file)
-        .wrap_err_with(|| format!("cannot read {}", node_file.display()))?;
+pub fn run(arguments: ServeArguments, mut log: LogSettings) -> Result<()> {
+    let file = &arguments.node_file;
+    let text = std::fs::read_to_string(file)
+        .wrap_err_with(|| format!("cannot read {}", file.display()))?;
     let role = read_node_file(&text)?;
-    if check {
-        println!("{}: accepted", node_file.display());
+    if arguments.check {
+        println!("{}: accepted", file.display());
         return Ok(());
     }
+    let (name, ip) = match &role {
+        NodeRole::Gateway(settings) => (settings.name.clone(), settings.http.ip()),
+        NodeRole::Ledger(settings) => (settings.name.clone(), IpAddr::V4(settings.ip)),
+    };
+    log.node = name;
+    logging::install_bounded(log)?;
     // One thread carries all sockets: on a fraction of a core, threads only take turns.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(async {
+    let result = runtime.block_on(async {
         let stop = watch_signals()?;
+        if let Some(port) = arguments.metrics_port {
+            let listener = calicohoist_transport::bind(SocketAddr::new(ip, port))?;
+            tokio::spawn(serve_metrics(listener));
+        }
         match role {
             NodeRole::Gateway(settings) => {
                 let listeners = front::Listeners::bind(&settings)?;
@@ -35,10 +70,15 @@
                 server::run(settings, listeners, stop).await
             }
         }
-    })
+    });
+    if let Err(error) = &result {
+        emit!(Event::StopForced; reason = format!("{error:#}"));
+    }
+    logging::drain();
+    result
 }
 
-/// Turns true at SIGTERM or SIGINT. SIGHUP is taken and changes nothing: what a role
+/// Turns true at SIGTERM or SIGINT. SIGHUP is noted and changes nothing: what a role
 /// needs of the file it needs at its start only.
 fn watch_signals() -> Result<watch::Receiver<bool>> {
     let (stop, stopped) = watch::channel(false);
@@ -50,10 +90,29 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = hang_up.recv() => log::info!("settings file changed; nothing to apply"),
+                _ = hang_up.recv() => emit!(Event::SettingsReloaded; changed = "nothing"),
             }
         }
         stop.send_replace(true);
     });
     Ok(stopped)
 }
+
+/// Answers every request with the metrics of this process.
+async fn serve_metrics(listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let service = service_fn(|_request| async {
+            let mut response = hyper::Response::new(Full::new(Bytes::from(metrics::render())));
+            let content = HeaderValue::from_static(metrics::CONTENT_TYPE);
+            response.headers_mut().insert(CONTENT_TYPE, content);
+            Ok::<_, Infallible>(response)
+        });
+        tokio::spawn(async move {
+            let server = hyper::server::conn::http1::Builder::new();
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
--- a/crates/calicohoist/tests/command_line.rs
+++ b/crates/calicohoist/tests/command_line.rs
@@ -2,8 +2,10 @@
 
 use std::process::{Command, Output};
 
-const SUBCOMMANDS: [&str; 10] =
-    ["store", "gateway", "serve", "check", "get", "apply", "delete", "watch", "status", "drain"];
+const SUBCOMMANDS: [&str; 11] = [
+    "store", "gateway", "serve", "explain", "check", "get", "apply", "delete", "watch", "status",
+    "drain",
+];
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_calicohoist")).args(arguments).output().expect("runs")
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -152,7 +152,8 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    let settings = LogSettings { format: LogFormat::Text, level: arguments.log_level };
+    let settings =
+        LogSettings { format: LogFormat::Text, level: arguments.log_level, node: String::new() };
     match logging::install(settings).and_then(|()| perform(arguments.command)) {
         Ok(code) => code,
         Err(error) => {
--- a/crates/ledger/src/client.rs
+++ b/crates/ledger/src/client.rs
@@ -135,7 +135,7 @@
             Connection { machine, questions: spawn_writer(output), waiting: Arc::clone(&waiting) };
         tokio::spawn(read_answers(FrameReader::new(input), waiting));
         self.shared.state.lock().connection = Some(connection.clone());
-        emit!(Event::LedgerConnected, "machine={address}");
+        emit!(Event::LedgerConnected; machine = address);
         Some(connection)
     }
 
@@ -187,7 +187,7 @@
         }
         if state.connection.take().is_some() {
             let address = machine_address(asked, self.shared.port);
-            emit!(Event::LedgerLost, "machine={address}");
+            emit!(Event::LedgerLost; machine = address);
         }
     }
 }
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -140,14 +140,14 @@
             Ok(call) => call,
             Err(CallError::Unknown) => return self.render(&ControlOutcome::NotFound),
             Err(CallError::Invalid(findings)) => {
-                emit!(Event::ChangeRefused, "{} {path}: {findings}", head.method);
+                emit!(Event::ChangeRefused; call = format!("{} {path}", head.method), findings = findings);
                 return self.render(&ControlOutcome::Invalid(findings));
             }
         };
         let request = to_request(call.clone(), &body);
         let response = tokio::time::timeout(PATIENCE, self.replica.call(request)).await;
         let response = response.unwrap_or(Response::Lost);
-        emit!(Event::ChangeAccepted, "{call:?}: {}", summary(&response));
+        emit!(Event::ControlCall; call = format!("{call:?}"), outcome = summary(&response));
         match response {
             Response::NotLeader(leader) => self.redirect(leader, &path),
             response => self.render(&to_outcome(response)),
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -135,14 +135,14 @@
     tokio::spawn(gateways::accept(listeners.gateways, hub));
     let control = control::accept(listeners.control, settings.clone(), handle.clone(), standing);
     tokio::spawn(control);
-    emit!(Event::RoleStarted, "ledger {} replica={identity} ip={}", settings.name, settings.ip);
+    emit!(Event::RoleStarted; role = "ledger", replica = identity, ip = settings.ip);
     tokio::select! {
         failed = failure => eyre::bail!("the replica stopped: {}", failed.unwrap_or_default()),
         _ = stop.wait_for(|stop| *stop) => {}
     }
-    emit!(Event::StopRequested, "ledger {}", settings.name);
+    emit!(Event::StopRequested; role = "ledger");
     hand_over(&handle).await;
-    emit!(Event::StopFinished, "ledger {}", settings.name);
+    emit!(Event::StopFinished; role = "ledger");
     Ok(())
 }
 
--- a/crates/ledger/src/server/replica.rs
+++ b/crates/ledger/src/server/replica.rs
@@ -11,6 +11,7 @@
     DirectoryDisk, DiskError, DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings,
     ReplicaId, Ticket,
 };
+use calicohoist_telemetry::metrics::Gauge;
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::Moment;
 use calicohoist_wire::encode;
@@ -34,6 +35,8 @@
 const ADVANCE_EVERY: Duration = Duration::from_secs(5);
 const ENTRIES_PER_SNAPSHOT: u64 = 8_000;
 
+static LEADS: Gauge = Gauge::new("calicohoist_ledger_leads", "1 while this machine leads");
+
 /// What is asked of the replica.
 #[derive(Debug)]
 pub enum Request {
@@ -399,7 +402,8 @@
             }
             NodeEvent::Leadership { is_leader, .. } => {
                 let event = if is_leader { Event::BecameLeader } else { Event::LostLeadership };
-                emit!(event, "{} term={}", self.name, self.term());
+                LEADS.show(u64::from(is_leader));
+                emit!(event; machine = self.name, term = self.term());
             }
         }
     }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -51,8 +51,14 @@
         trouble.filter(|trouble| trouble.until > now).map_or(Duration::ZERO, |known| known.penalty)
     }
 
+    /// Requests of this gateway and of all others.
+    pub fn loads(&self) -> (u32, u32) {
+        (self.own_load.load(Ordering::Relaxed), self.other_load.load(Ordering::Relaxed))
+    }
+
     fn load(&self) -> u32 {
-        self.own_load.load(Ordering::Relaxed) + self.other_load.load(Ordering::Relaxed)
+        let (own, others) = self.loads();
+        own + others
     }
 }
 
@@ -74,6 +80,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     services: RwLock<Arc<ByService>>,
+    /// When the newest list known here was read, by whomever.
+    list_read: Mutex<Option<Instant>>,
 }
 
 impl Fleet {
@@ -94,6 +102,17 @@
         *self.services.write() = Arc::new(services);
     }
 
+    /// Notes when the list was read, if that is later than what is known.
+    pub fn note_list_read(&self, read: Option<Instant>) {
+        let mut known = self.list_read.lock();
+        *known = (*known).max(read);
+    }
+
+    /// Age of the newest reading; the longest time before the first.
+    pub fn list_age(&self) -> Duration {
+        self.list_read.lock().map_or(Duration::MAX, |read| read.elapsed())
+    }
+
     /// Takes in the loads of all other gateways, by replica.
     pub fn set_other_loads(&self, loads: &[(String, u32)]) {
         let loads: HashMap<&str, u32> =
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
@@ -17,6 +18,12 @@
 use crate::fleet::Member;
 use crate::upstream::{Checkout, Exchange, ExchangeError, Outgoing, exchange};
 
+static ATTEMPTS_FAILED: Counter = Counter::new(
+    "calicohoist_proxy_attempts_failed_total",
+    "Attempts without an answer, by error",
+    "error",
+);
+
 /// Replicas that are asked before a request is refused.
 const MAX_REPLICAS_ASKED: usize = 4;
 /// Less time than this is no offer to a replica.
@@ -97,6 +104,16 @@
         let dialect = app.dialect();
         let deadline = call.deadline;
         let began = Instant::now();
+        let (own_load, other_load) = member.loads();
+        emit!(
+            Event::RequestSent;
+            request = call.head.request_id,
+            replica = member.replica.id,
+            own_load = own_load,
+            other_load = other_load,
+            list_age_ms = app.fleet.list_age().as_millis(),
+            left_ms = call.left().as_millis(),
+        );
         let result =
             exchange(&app.pool, dialect, &member, &outgoing, head, deadline, Checkout::Any).await;
         let error = match result {
@@ -106,13 +123,14 @@
             }
             Err(error) => error,
         };
+        ATTEMPTS_FAILED.count(&error.to_string());
         emit!(
-            Event::AttemptFailed,
-            "request={} replica={} error={error} attempts={} after_ms={}",
-            call.head.request_id,
-            member.replica.id,
-            trail.attempts,
-            began.elapsed().as_millis()
+            Event::AttemptFailed;
+            request = call.head.request_id,
+            replica = member.replica.id,
+            error = error,
+            attempts = trail.attempts,
+            after_ms = began.elapsed().as_millis(),
         );
         trail.exclude(&member.replica.id);
         match error {
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use calicohoist_routing::{Limits, RouteKind};
+use calicohoist_telemetry::metrics::Times;
 use calicohoist_telemetry::{Event, emit};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -37,6 +38,7 @@
     match read_call(&app, request, received).await {
         Ok(call) => {
             let call = Arc::new(call);
+            log_taken(&call);
             let result = match call.route.kind {
                 RouteKind::Stream => stream::serve(&app, &call, guard).await,
                 RouteKind::Safe | RouteKind::Unsafe => plain::serve(&app, &call).await,
@@ -54,8 +56,37 @@
 }
 
 fn log_refusal(id: &str, route: &str, received: Instant, refusal: &Refusal) {
-    let millis = received.elapsed().as_millis();
-    emit!(Event::RequestEnded, "request={id} route={route} outcome={refusal} after_ms={millis}");
+    note_end(refusal.word(), received.elapsed());
+    emit!(
+        Event::RequestEnded;
+        request = id,
+        route = route,
+        outcome = refusal,
+        after_ms = received.elapsed().as_millis(),
+    );
+}
+
+static REQUEST_TIMES: Times = Times::new(
+    "calicohoist_request_seconds",
+    "Time from a request's head to the end of its answer, by outcome",
+    "outcome",
+);
+
+/// Counts a request that has ended.
+fn note_end(outcome: &str, time: Duration) {
+    REQUEST_TIMES.note(outcome, time);
+}
+
+fn log_taken(call: &Call) {
+    emit!(
+        Event::RequestTaken;
+        request = call.head.request_id,
+        program = call.head.program.as_deref().unwrap_or("-"),
+        route = call.route.name,
+        configuration = call.table.version(),
+        bytes = call.body.len(),
+        left_ms = call.left().as_millis(),
+    );
 }
 
 /// Understands a request and reads it whole; on failure its identity goes along.
--- a/crates/proxy/src/flow/plain.rs
+++ b/crates/proxy/src/flow/plain.rs
@@ -1,7 +1,7 @@
 //! Requests with one whole answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use calicohoist_routing::RouteKind;
@@ -74,13 +74,15 @@
 
 /// The last line of a request that a replica answered.
 pub fn log_end(call: &Call, replica: &str, response: &Response<Bytes>, trail: &Trail) {
+    let outcome = response.status();
+    super::note_end(outcome.as_str(), call.received.elapsed());
     emit!(
-        Event::RequestEnded,
-        "request={} route={} replica={replica} outcome={} attempts={} after_ms={}",
-        call.head.request_id,
-        call.route.name,
-        response.status().as_u16(),
-        trail.attempts,
-        Instant::now().duration_since(call.received).as_millis()
+        Event::RequestEnded;
+        request = call.head.request_id,
+        route = call.route.name,
+        replica = replica,
+        outcome = outcome.as_u16(),
+        attempts = trail.attempts,
+        after_ms = call.received.elapsed().as_millis(),
     );
 }
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -75,6 +75,21 @@
         Self::NotRun { reason, retry_after }
     }
 
+    /// One word for metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::Malformed(_) => "malformed",
+            Self::BodyTooLarge | Self::BodyCut | Self::BodyTooSlow => "bad_body",
+            Self::BudgetSpent => "budget_spent",
+            Self::NoSuchTurn => "no_such_turn",
+            Self::NotRun { .. } => "not_run",
+            Self::Unknown => "unknown",
+            Self::Deadline => "deadline",
+        }
+    }
+
     fn status(&self) -> StatusCode {
         match self {
             Self::NoConfiguration | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -160,15 +160,16 @@
     }
 
     fn log_end(&self, outcome: &str) {
+        super::note_end(outcome, self.call.received.elapsed());
         emit!(
-            Event::RequestEnded,
-            "request={} route={} replica={} outcome={outcome} events={} attempts={} after_ms={}",
-            self.call.head.request_id,
-            self.call.route.name,
-            self.exchange.member.replica.id,
-            self.events,
-            self.trail.attempts,
-            self.call.received.elapsed().as_millis()
+            Event::RequestEnded;
+            request = self.call.head.request_id,
+            route = self.call.route.name,
+            replica = self.exchange.member.replica.id,
+            outcome = outcome,
+            events = self.events,
+            attempts = self.trail.attempts,
+            after_ms = self.call.received.elapsed().as_millis(),
         );
     }
 
@@ -231,12 +232,11 @@
         let broken = &self.exchange.member;
         broken.note_trouble(PENALTY, AVOIDED_FOR);
         emit!(
-            Event::StreamBroken,
-            "request={} replica={} events={} resumable={}",
-            self.call.head.request_id,
-            broken.replica.id,
-            self.events,
-            self.call.route.resumable
+            Event::StreamBroken;
+            request = self.call.head.request_id,
+            replica = broken.replica.id,
+            events = self.events,
+            resumable = self.call.route.resumable,
         );
         if !self.call.route.resumable {
             return Err(Refusal::Unknown);
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -8,14 +8,22 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use calicohoist_ledger::client::AskError;
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{Answer, Question};
+use calicohoist_telemetry::metrics::Times;
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 
+static LEDGER_TIMES: Times = Times::new(
+    "calicohoist_ledger_answer_seconds",
+    "Time until the ledger answered, by question",
+    "question",
+);
+
 /// Longest time that a turn waits for its reservation: an election fits in.
 const RESERVE_PATIENCE: Duration = Duration::from_millis(1_000);
 /// How long the ledger is asked to note the end of a turn that nobody waits for.
@@ -61,7 +69,10 @@
         }
         let question = Question::Reserve(reserve_of(call));
         let deadline = call.deadline.min(Instant::now() + RESERVE_PATIENCE);
+        let began = Instant::now();
         let answer = app.ledger.ask(&question, deadline).await;
+        LEDGER_TIMES.note("reserve", began.elapsed());
+        log_reserved(call, &answer, began);
         // From here on the drop of `turn` settles what may have been reserved.
         match answer {
             Ok(Answer::Reserved { reservation, history }) => turn.admit(reservation, &history),
@@ -119,9 +130,18 @@
             output: std::mem::take(&mut self.output),
         };
         let question = Question::Settle(settle_of(&self.call, self.used_tokens, Some(retained)));
-        match self.app.ledger.ask(&question, self.call.deadline).await {
+        let began = Instant::now();
+        let answer = self.app.ledger.ask(&question, self.call.deadline).await;
+        LEDGER_TIMES.note("settle", began.elapsed());
+        match answer {
             Ok(Answer::Settled) => {
                 self.is_settled = true;
+                emit!(
+                    Event::TurnSettled;
+                    request = self.call.head.request_id,
+                    tokens = self.used_tokens,
+                    after_ms = began.elapsed().as_millis(),
+                );
                 Ok(())
             }
             _ => Err(Refusal::Unknown),
@@ -144,12 +164,33 @@
             let _guard = guard;
             let deadline = Instant::now() + BACKGROUND_PATIENCE;
             if app.ledger.ask(&question, deadline).await.is_err() {
-                emit!(Event::SettlementLost, "request={id} stays charged with its most");
+                emit!(Event::SettlementLost; request = id);
             }
         });
     }
 }
 
+fn log_reserved(call: &Call, answer: &Result<Answer, AskError>, began: Instant) {
+    let (outcome, history) = match answer {
+        Ok(Answer::Reserved { reservation, history }) => {
+            (format!("{reservation:?}"), history.len())
+        }
+        Ok(_) => ("unexpected answer".to_owned(), 0),
+        Err(error) => (error.to_string(), 0),
+    };
+    emit!(
+        Event::TurnReserved;
+        request = call.head.request_id,
+        program = call.head.program.as_deref().unwrap_or("-"),
+        previous_turn = call.head.previous_turn.as_deref().unwrap_or("-"),
+        most_tokens = call.head.most_tokens,
+        budget = call.head.budget.unwrap_or_default(),
+        outcome = outcome,
+        history_bytes = history,
+        after_ms = began.elapsed().as_millis(),
+    );
+}
+
 fn concatenated(history: &[u8], input: &Bytes) -> Bytes {
     let mut body = BytesMut::with_capacity(history.len() + input.len());
     body.extend_from_slice(history);
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -54,14 +54,14 @@
     let Listeners { http, ready } = listeners;
     let app = Arc::new(App::new(settings));
     let (closing, closing_seen) = watch::channel(false);
-    emit!(Event::RoleStarted, "gateway {} http={}", app.settings.name, app.settings.http);
+    emit!(Event::RoleStarted; role = "gateway", http = app.settings.http);
     tokio::spawn(news::follow(Arc::clone(&app)));
     tokio::spawn(ready::accept(ready, Arc::clone(&app)));
     let accepting = tokio::spawn(connections::accept(http, Arc::clone(&app), closing_seen));
     if stop.wait_for(|stop| *stop).await.is_err() {
         return Ok(());
     }
-    emit!(Event::StopRequested, "gateway {}", app.settings.name);
+    emit!(Event::StopRequested; role = "gateway", under_way = app.requests_under_way());
     let grace = app.settings.grace.saturating_sub(GRACE_RESERVE);
     let cut_at = Instant::now() + grace;
     app.stop();
@@ -71,7 +71,7 @@
     wait_until_quiet(&app, cut_at).await;
     let left = app.requests_under_way();
     let event = if left == 0 { Event::StopFinished } else { Event::StopForced };
-    emit!(event, "gateway {} cut={left}", app.settings.name);
+    emit!(event; role = "gateway", cut = left);
     Ok(())
 }
 
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -28,8 +28,6 @@
 #[derive(Default)]
 struct FollowerState {
     list: ListMark,
-    /// When the newest list known here was read, by whomever.
-    list_read: Option<Instant>,
 }
 
 struct Follower {
@@ -62,14 +60,19 @@
             self.apply(version, &document);
         }
         if let Some((mark, list)) = news.list {
-            emit!(Event::ListApplied, "leader term={} version={}", mark.term, mark.version);
+            emit!(
+                Event::ListApplied;
+                source = "leader",
+                term = mark.term,
+                version = mark.version,
+                replicas = list.replicas.len(),
+            );
             self.put_list(list.replicas);
             self.state.lock().list = mark;
         }
         if let Some(age) = news.list_age_ms {
             let read = Instant::now().checked_sub(Duration::from_millis(age));
-            let mut state = self.state.lock();
-            state.list_read = state.list_read.max(read);
+            self.app.fleet.note_list_read(read);
         }
     }
 
@@ -77,7 +80,7 @@
         match self.app.dialect().parse_configuration(document) {
             Ok(configuration) => {
                 if self.app.put_table(RouteTable::new(configuration)) {
-                    emit!(Event::ConfigurationApplied, "version={version}");
+                    emit!(Event::ConfigurationApplied; version = version);
                 }
             }
             Err(findings) => emit!(Event::ChangeRefused, "version={version}: {findings}"),
@@ -94,15 +97,14 @@
     async fn watch_list(&self) {
         tokio::time::sleep(LIST_AGE).await;
         loop {
-            let age = self.state.lock().list_read.map(|read| read.elapsed());
-            if age.is_some_and(|age| age < LIST_AGE) {
+            if self.app.fleet.list_age() < LIST_AGE {
                 tokio::time::sleep(AGE_CHECK).await;
                 continue;
             }
             let began = Instant::now();
             match self.app.settings.list.read().await {
                 Ok(replicas) => {
-                    emit!(Event::ListApplied, "own reading replicas={}", replicas.len());
+                    emit!(Event::ListApplied; source = "own reading", replicas = replicas.len());
                     self.put_list(replicas);
                     let mut state = self.state.lock();
                     // The leader's list is to be told anew, whatever its version.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -45,6 +45,8 @@
     StopFinished = 1003, Info;
     /// A planned stop ended by force.
     StopForced = 1004, Warn;
+    /// The settings file has changed.
+    SettingsReloaded = 1005, Info;
     /// A replica became leader of a group.
     BecameLeader = 2001, Info;
     /// A replica stopped leading a group.
@@ -85,6 +87,14 @@
     StreamBroken = 4106, Warn;
     /// The end of a turn could not be noted; it stays charged with its most.
     SettlementLost = 4107, Warn;
+    /// A gateway read a request whole and found its route.
+    RequestTaken = 4108, Info;
+    /// The ledger answered whether a turn may run.
+    TurnReserved = 4109, Info;
+    /// A request goes to a replica.
+    RequestSent = 4110, Info;
+    /// The end of a turn is durable.
+    TurnSettled = 4111, Info;
     /// Engine memory of an ended program was released.
     CacheReleased = 4201, Debug;
     /// A release order failed and will be retried.
@@ -107,6 +117,8 @@
     ChangeAccepted = 5101, Info;
     /// An operator's change was refused.
     ChangeRefused = 5102, Info;
+    /// An operator's call was understood and answered.
+    ControlCall = 5103, Info;
     /// A gateway has a connection to the ledger's leader.
     LedgerConnected = 5201, Info;
     /// A gateway gave up on a ledger machine and turns to another.
@@ -117,15 +129,26 @@
     PlatformUnreachable = 6001, Warn;
 }
 
+impl Event {
+    /// Steps on the way of a request that goes well.
+    pub const REQUEST_STEPS: [Self; 4] =
+        [Self::RequestTaken, Self::TurnReserved, Self::RequestSent, Self::TurnSettled];
+}
+
 impl fmt::Display for Event {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "CH{:04}", self.code())
     }
 }
 
-/// Logs `event` at its level with a message in `format!` syntax.
+/// Logs `event` at its level, with fields (`emit!(event; key = value)`, each value shown
+/// by `Display`) or with a message in `format!` syntax (`emit!(event, "...")`).
 #[macro_export]
 macro_rules! emit {
+    ($event:expr; $($key:ident = $value:expr),+ $(,)?) => {{
+        let event: $crate::Event = $event;
+        ::log::log!(event.level(), event = event.code() as u64, $($key:% = $value),+; "");
+    }};
     ($event:expr, $($message:tt)+) => {{
         let event: $crate::Event = $event;
         ::log::log!(event.level(), event = event.code() as u64; $($message)+);
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,5 +1,6 @@
 //! Numbered log events, log output, and the registry of metrics.
 
+pub mod bounded;
 pub mod events;
 pub mod logging;
 pub mod metrics;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,8 +4,11 @@
 
 use std::sync::OnceLock;
 
+use std::time::Duration;
+
 use prometheus::{
-    Encoder, IntCounterVec, IntGauge, TextEncoder, register_int_counter_vec, register_int_gauge,
+    Encoder, HistogramVec, IntCounterVec, IntGauge, TextEncoder, register_histogram_vec,
+    register_int_counter_vec, register_int_gauge,
 };
 
 /// Content type of [`render`]'s text.
@@ -69,3 +72,33 @@
         }
     }
 }
+
+/// Upper bounds of the buckets of times, in seconds.
+const TIME_BUCKETS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+/// Times with one label, registered when one is first measured.
+pub struct Times {
+    name: &'static str,
+    help: &'static str,
+    label: &'static str,
+    registered: OnceLock<Option<HistogramVec>>,
+}
+
+impl Times {
+    /// Times called `name`, told apart by the values of `label`.
+    pub const fn new(name: &'static str, help: &'static str, label: &'static str) -> Self {
+        Self { name, help, label, registered: OnceLock::new() }
+    }
+
+    /// Notes one time under `value` of the label.
+    pub fn note(&self, value: &str, time: Duration) {
+        let registered = self.registered.get_or_init(|| {
+            let buckets = TIME_BUCKETS.to_vec();
+            register_histogram_vec!(self.name, self.help, &[self.label], buckets).ok()
+        });
+        if let Some(times) = registered {
+            times.with_label_values(&[value]).observe(time.as_secs_f64());
+        }
+    }
+}
