Tell of callers that leave early; write the log in pieces that arrive whole

Causes: a request whose caller left before the first event ended without a line; and of batches longer than 8 KiB only the first part arrived, so one write now takes 4 KiB at most. A write that fails counts its lines as left out.

--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -39,10 +39,12 @@
         Ok(call) => {
             let call = Arc::new(call);
             log_taken(&call);
+            let abandoned = Abandoned::new(&call);
             let result = match call.route.kind {
                 RouteKind::Stream => stream::serve(&app, &call, guard).await,
                 RouteKind::Safe | RouteKind::Unsafe => plain::serve(&app, &call).await,
             };
+            abandoned.disarm();
             result.unwrap_or_else(|refusal| {
                 log_refusal(&call.head.request_id, &call.route.name, received, &refusal);
                 refusal.into_response(app.dialect())
@@ -89,6 +91,38 @@
     );
 }
 
+/// Tells of a request whose caller leaves before there is an answer: the library then
+/// drops everything that serves it.
+struct Abandoned {
+    call: Option<Arc<Call>>,
+}
+
+impl Abandoned {
+    fn new(call: &Arc<Call>) -> Self {
+        Self { call: Some(Arc::clone(call)) }
+    }
+
+    fn disarm(mut self) {
+        self.call = None;
+    }
+}
+
+impl Drop for Abandoned {
+    fn drop(&mut self) {
+        let Some(call) = &self.call else {
+            return;
+        };
+        note_end("caller_left", call.received.elapsed());
+        emit!(
+            Event::RequestEnded;
+            request = call.head.request_id,
+            route = call.route.name,
+            outcome = "caller left before an answer",
+            after_ms = call.received.elapsed().as_millis(),
+        );
+    }
+}
+
 /// Understands a request and reads it whole; on failure its identity goes along.
 async fn read_call(
     app: &Arc<App>,
--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -24,6 +24,9 @@
 const GATHER: Duration = Duration::from_millis(20);
 /// Time in which what waits is written.
 pub const DRAIN: Duration = Duration::from_millis(40);
+/// Bytes of one write: pipes take so many whole (`PIPE_BUF`), and collectors that read
+/// a fixed number of bytes at a time keep lines apart.
+const MOST_WRITTEN: usize = 4_096;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// What a line is worth under pressure.
@@ -94,17 +97,44 @@
 fn write_lines(mut output: impl Write, lines: &Receiver<String>, left_out: &AtomicU64) {
     while let Ok(first) = lines.recv() {
         thread::sleep(GATHER);
-        let mut batch = first;
-        batch.push('\n');
+        let mut batch = Batch::default();
+        batch.push(&mut output, &first, left_out);
         for line in lines.try_iter() {
-            batch.push_str(&line);
-            batch.push('\n');
+            batch.push(&mut output, &line, left_out);
         }
         let count = left_out.swap(0, Ordering::Relaxed);
         if count > 0 {
-            batch.push_str(&format!("{{\"name\":\"LinesLeftOut\",\"count\":{count}}}\n"));
+            let line = format!("{{\"name\":\"LinesLeftOut\",\"count\":{count}}}");
+            batch.push(&mut output, &line, left_out);
         }
-        // Whoever reads may be gone; the process goes on without a log.
-        let _ = output.write_all(batch.as_bytes()).and_then(|()| output.flush());
+        batch.write(&mut output, left_out);
+    }
+}
+
+/// Lines that go out with one write.
+#[derive(Default)]
+struct Batch {
+    text: String,
+    lines: u64,
+}
+
+impl Batch {
+    fn push(&mut self, output: &mut impl Write, line: &str, left_out: &AtomicU64) {
+        if self.text.len() + line.len() >= MOST_WRITTEN {
+            self.write(output, left_out);
+        }
+        self.text.push_str(line);
+        self.text.push('\n');
+        self.lines += 1;
+    }
+
+    /// Whoever reads may be gone; then the process goes on without a log.
+    fn write(&mut self, output: &mut impl Write, left_out: &AtomicU64) {
+        let written = output.write_all(self.text.as_bytes()).and_then(|()| output.flush());
+        if written.is_err() {
+            left_out.fetch_add(self.lines, Ordering::Relaxed);
+        }
+        self.text.clear();
+        self.lines = 0;
     }
 }
