--- a/crates/replication/src/raft/election.rs
+++ b/crates/replication/src/raft/election.rs
@@ -12,10 +12,11 @@
     pub(super) fn campaign(&mut self, now: Moment, pre: bool, transfer: bool) {
         let is_voter = self.membership().is_voter(self.id);
         self.reset_election_deadline(now);
+        // Also without a vote: a leader that is silent for so long is none to be named.
+        self.leader = None;
         if !is_voter {
             return;
         }
-        self.leader = None;
         let term = self.hard_state.term + 1;
         if !pre {
             self.hard_state = HardState { term, vote: Some(self.id) };
