--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -9,6 +9,7 @@
 pub mod list;
 pub mod peers;
 pub mod replica;
+pub mod slowness;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -69,10 +70,10 @@
     /// Timing of a group whose failover is felt by every turn.
     pub fn raft() -> RaftSettings {
         RaftSettings {
-            heartbeat: Duration::from_millis(60),
-            election_min: Duration::from_millis(300),
-            election_max: Duration::from_millis(600),
-            clock_drift: Duration::from_millis(30),
+            heartbeat: Duration::from_millis(45),
+            election_min: Duration::from_millis(180),
+            election_max: Duration::from_millis(360),
+            clock_drift: Duration::from_millis(20),
             replace_after: Duration::from_millis(2_000),
             ..RaftSettings::default()
         }
--- a/crates/ledger/src/server/replica.rs
+++ b/crates/ledger/src/server/replica.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::peers::Outgoing;
+use super::slowness::Slowness;
 use super::{LedgerSettings, machine_number};
 use crate::commands::{Command, Output, Reservation, ReserveTurn, RetiringOutcome};
 use crate::queries;
@@ -160,6 +161,7 @@
     next_ticket: Ticket,
     names: BTreeMap<u32, String>,
     advanced: Instant,
+    slowness: Slowness,
     standing: Standing,
 }
 
@@ -203,6 +205,7 @@
             next_ticket: 0,
             names: BTreeMap::from([(machine, settings.name.clone())]),
             advanced: origin,
+            slowness: Slowness::default(),
             standing: Standing::default(),
         })
     }
@@ -251,7 +254,12 @@
             self.keep_house();
             let frames = self.frames.clone();
             let send_early = |to, messages| send(&frames, to, messages);
+            let began = Instant::now();
             let events = self.node.flush_with(now, &mut self.log, send_early)?;
+            if self.slowness.note(began.elapsed()) && self.node.leads_any() {
+                emit!(Event::SlowLeader; machine = self.name, flush_ms = began.elapsed().as_millis());
+                self.node.transfer_leadership(now);
+            }
             for event in events {
                 self.on_event(event);
             }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -61,6 +61,8 @@
     LogCompacted = 2006, Info;
     /// A replica installed a snapshot from its leader.
     SnapshotInstalled = 2007, Info;
+    /// A leader's flushes take long; it gives the leadership away.
+    SlowLeader = 2008, Warn;
     /// A frame from a peer could not be read; the link was closed.
     FrameRefused = 3001, Warn;
     /// A connection was refused since the limit is reached.
