--- a/crates/lab/tests/command_line.rs
+++ b/crates/lab/tests/command_line.rs
@@ -1,50 +1,26 @@
 //! The command line of the lab explains itself.
 
-use std::process::{Command, Output};
+#[path = "../../calicohoist/tests/support/mod.rs"]
+mod support;
 
-const SUBCOMMANDS: [&str; 7] = ["demo", "bench", "sim", "scale", "capacity", "backends", "fleet"];
-
-fn run(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_calicohoist-lab")).args(arguments).output().expect("runs")
-}
-
-fn assert_help(arguments: &[&str]) {
-    let output = run(arguments);
-    let text = String::from_utf8_lossy(&output.stdout);
-    assert!(output.status.success(), "{arguments:?}: {output:?}");
-    assert!(text.contains("Usage:"), "{arguments:?}: {text}");
-}
+use std::process::Command;
 
-#[test]
-fn help_of_the_program_names_every_subcommand() {
-    assert_help(&["--help"]);
-    let output = run(&["--help"]);
-    let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    for subcommand in SUBCOMMANDS {
-        assert!(text.contains(subcommand), "{subcommand} is missing in {text}");
-    }
-}
+const PROGRAM: &str = env!("CARGO_BIN_EXE_calicohoist-lab");
+const SUBCOMMANDS: [&str; 7] = ["demo", "bench", "sim", "scale", "capacity", "backends", "fleet"];
 
 #[test]
-fn every_subcommand_has_help() {
-    for subcommand in SUBCOMMANDS {
-        assert_help(&[subcommand, "--help"]);
-    }
+fn every_subcommand_is_named_and_has_help() {
+    support::assert_everything_has_help(PROGRAM, &SUBCOMMANDS);
 }
 
 #[test]
 fn shells_get_completion() {
-    for style in ["bash", "zsh", "fish"] {
-        let output = run(&[&format!("--bpaf-complete-style-{style}")]);
-        assert!(output.status.success(), "{style}: {output:?}");
-        assert!(!output.stdout.is_empty(), "{style}");
-    }
+    support::assert_completion(PROGRAM);
 }
 
 #[test]
 fn capacity_takes_the_recorded_slopes_by_itself() {
     let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_calicohoist-lab"));
-    let output = command.arg("capacity").current_dir(root).output().expect("runs");
+    let output = Command::new(PROGRAM).arg("capacity").current_dir(root).output().expect("runs");
     assert!(output.status.success(), "{output:?}");
 }
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use bytes::{Buf, BytesMut};
-use calicohoist_wire::frame::MAX_FRAME_BYTES;
+use calicohoist_wire::{FrameError, MAX_FRAME_BYTES, write_frame};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt};
@@ -11,36 +11,13 @@
 const HEADER_BYTES: usize = 8;
 const READ_BYTES: usize = 16 << 10;
 
-/// Why a connection cannot be read further.
-#[derive(Debug, thiserror::Error)]
-pub enum FrameError {
-    /// The connection broke or ended.
-    #[error("connection: {0}")]
-    Io(#[from] io::Error),
-    /// The length is over the limit.
-    #[error("frame of {0} bytes is too long")]
-    TooLong(usize),
-    /// The checksum does not match.
-    #[error("checksum mismatch")]
-    Checksum,
-    /// The payload is not a message.
-    #[error("payload: {0}")]
-    Payload(#[from] calicohoist_wire::FrameError),
-}
-
 /// Encodes `message` as a frame.
 ///
 /// # Errors
 /// When it cannot be represented or is too long.
 pub fn encode_frame<T: Serialize>(message: &T) -> Result<Vec<u8>, FrameError> {
-    let payload = calicohoist_wire::encode(message)?;
-    if payload.len() > MAX_FRAME_BYTES {
-        return Err(FrameError::TooLong(payload.len()));
-    }
-    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
-    frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&crc32c::crc32c(&payload).to_le_bytes());
-    frame.extend_from_slice(&payload);
+    let mut frame = Vec::new();
+    write_frame(&mut frame, message)?;
     Ok(frame)
 }
 
@@ -90,6 +67,6 @@
         if crc32c::crc32c(&payload) != checksum {
             return Err(FrameError::Checksum);
         }
-        Ok(Some(calicohoist_wire::decode(&payload)?))
+        calicohoist_wire::decode(&payload).map(Some)
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod tcp;
 
-pub use frame::{FrameError, FrameReader, encode_frame};
+pub use calicohoist_wire::FrameError;
+pub use frame::{FrameReader, encode_frame};
 pub use link::{Link, spawn_writer};
 pub use tcp::{bind, connect};
