Keep programs at their replica: a running request costs a further one 0.6 ms, not 2

Cause: at 2 ms a home with a few more running requests was left though reading the prompt anew cost more than their company; a slot more slows a step by 0.01 ms.

--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -40,7 +40,7 @@
     fn default() -> Self {
         Self {
             service_time: Duration::from_millis(80),
-            per_running: Duration::from_millis(2),
+            per_running: Duration::from_micros(600),
             tokens_per_ms: 60,
             zone_crossing: Duration::from_millis(1),
         }
