Place turns at the ledger's leader, which sees all of them begin and end

A gateway chose a replica by its own requests and by loads of other gateways that were up to a second old, while a turn takes a quarter of one; and each program had one home by hashing, however full it was.

Change: every turn asks the leader for a reservation anyway. Its answer now names a replica, chosen with the turns under way at each (begun by the reservation, ended by the settlement) and an index of the prompt parts that each is believed to hold, by a pure cost: waiting, reading what is not held, disturbing those that run, leaving the zone. The gateway follows unless the replica is gone, leaving or gave trouble lately; its own choice stays as the way without an answer.

--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -85,7 +85,7 @@
     pub async fn ask(&self, question: &Question, deadline: Instant) -> Result<Answer, AskError> {
         let patience = match question {
             Question::Watch(_) => WATCH_PATIENCE,
-            Question::Reserve(_) | Question::Settle(_) => ANSWER_PATIENCE,
+            Question::Reserve { .. } | Question::Settle { .. } => ANSWER_PATIENCE,
         };
         while Instant::now() < deadline {
             let left = deadline.saturating_duration_since(Instant::now());
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -3,7 +3,7 @@
 //! One connection carries many questions at a time; the number tells which answer
 //! belongs to which. Every question may be asked again, of any machine.
 
-use calicohoist_routing::ReplicaList;
+use calicohoist_routing::{PlacementRequest, ReplicaList};
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{Reservation, ReserveTurn, SettleTurn};
@@ -30,9 +30,19 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Question {
     /// May this turn run, and what came before it?
-    Reserve(ReserveTurn),
+    Reserve {
+        /// What to set aside.
+        reserve: ReserveTurn,
+        /// Where it may run; `None` when it needs no place.
+        placement: Option<PlacementRequest>,
+    },
     /// Keep the end of this turn.
-    Settle(SettleTurn),
+    Settle {
+        /// What was used, and what is kept.
+        settle: SettleTurn,
+        /// The replica that ran it.
+        ran_at: Option<String>,
+    },
     /// What is newer than this? Held for a while when nothing is.
     Watch(Seen),
 }
@@ -68,6 +78,8 @@
         reservation: Reservation,
         /// All input and output before it, when granted.
         history: Vec<u8>,
+        /// The replica that it is best sent to, as the leader sees it.
+        replica: Option<String>,
     },
     /// The end of the turn is durable.
     Settled,
--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use calicohoist_routing::{PlacementRequest, Placer};
 use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -11,7 +12,7 @@
 
 use super::list::Reading;
 use super::replica::{ReplicaHandle, Request, Response, Standing};
-use crate::commands::{Command, Output};
+use crate::commands::{Command, Output, Reservation, ReserveTurn, SettleTurn};
 use crate::protocol::{Answer, Ask, ListMark, News, Question, Reply, Seen};
 
 /// Longest time that a watch is held when nothing is newer.
@@ -27,6 +28,15 @@
     standing: watch::Receiver<Standing>,
     list: watch::Receiver<Reading>,
     loads: Arc<Mutex<HashMap<String, LoadReport>>>,
+    /// Places turns; of use on the leader only, which alone grants reservations.
+    placement: Arc<Mutex<Placement>>,
+}
+
+#[derive(Default)]
+struct Placement {
+    placer: Placer,
+    /// The list whose replicas the placer was told last.
+    list: ListMark,
 }
 
 struct LoadReport {
@@ -41,7 +51,7 @@
         standing: watch::Receiver<Standing>,
         list: watch::Receiver<Reading>,
     ) -> Self {
-        Self { replica, standing, list, loads: Arc::default() }
+        Self { replica, standing, list, loads: Arc::default(), placement: Arc::default() }
     }
 
     fn not_leader(&self, leader: Option<u32>) -> Answer {
@@ -134,16 +144,8 @@
     while let Ok(Ask { number, question }) = frames.next().await {
         let back = Back { number, replies: replies.clone() };
         match question {
-            Question::Reserve(reserve) => {
-                let hub_of_answer = hub.clone();
-                let respond = Box::new(move |response| back.send(hub_of_answer.answer(response)));
-                hub.replica.ask(Request::Reserve(reserve), respond);
-            }
-            Question::Settle(settle) => {
-                let hub_of_answer = hub.clone();
-                let respond = Box::new(move |response| back.send(hub_of_answer.answer(response)));
-                hub.replica.ask(Request::Change(Command::Settle(settle)), respond);
-            }
+            Question::Reserve { reserve, placement } => hub.reserve(reserve, placement, back),
+            Question::Settle { settle, ran_at } => hub.settle(settle, ran_at.as_deref(), back),
             Question::Watch(seen) => {
                 let hub = hub.clone();
                 tokio::spawn(async move { back.send(hub.watch(seen).await) });
@@ -153,9 +155,45 @@
 }
 
 impl Hub {
+    /// Reserves, and places the turn when that is granted.
+    fn reserve(&self, reserve: ReserveTurn, placement: Option<PlacementRequest>, back: Back) {
+        let hub = self.clone();
+        let turn = reserve.turn.clone();
+        let respond = Box::new(move |response| {
+            let mut answer = hub.answer(response);
+            if let Answer::Reserved { reservation: Reservation::Granted, replica, .. } = &mut answer
+                && let Some(placement) = placement
+            {
+                *replica = hub.place(&turn, &placement);
+            }
+            back.send(answer);
+        });
+        self.replica.ask(Request::Reserve(reserve), respond);
+    }
+
+    fn place(&self, turn: &str, request: &PlacementRequest) -> Option<String> {
+        let reading = self.list.borrow().clone();
+        let mut placement = self.placement.lock();
+        if placement.list != reading.mark {
+            placement.list = reading.mark;
+            placement.placer.retain(&reading.list.replicas);
+        }
+        placement.placer.place(turn, request, &reading.list.replicas, Instant::now())
+    }
+
+    /// Settles. The turn has ended, whether or not that becomes durable here.
+    fn settle(&self, settle: SettleTurn, ran_at: Option<&str>, back: Back) {
+        self.placement.lock().placer.end(&settle.turn, ran_at, settle.used_tokens);
+        let hub = self.clone();
+        let respond = Box::new(move |response| back.send(hub.answer(response)));
+        self.replica.ask(Request::Change(Command::Settle(settle)), respond);
+    }
+
     fn answer(&self, response: Response) -> Answer {
         match response {
-            Response::Reserved(reservation, history) => Answer::Reserved { reservation, history },
+            Response::Reserved(reservation, history) => {
+                Answer::Reserved { reservation, history, replica: None }
+            }
             Response::Changed(Output::Done) => Answer::Settled,
             Response::NotLeader(leader) => self.not_leader(leader),
             _ => Answer::Unavailable,
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use calicohoist_routing::Configuration;
+use calicohoist_routing::{Configuration, PromptPart};
 use calicohoist_types::Findings;
 use hyper::HeaderMap;
 
@@ -25,8 +25,8 @@
     pub prompt_tokens: u64,
     /// Most tokens that are generated.
     pub most_tokens: u64,
-    /// Parts of the prompt in order: identity and tokens.
-    pub prompt_parts: Vec<(u64, u64)>,
+    /// Parts of the prompt, in order.
+    pub prompt: Vec<PromptPart>,
     /// The turn that this one continues from.
     pub previous_turn: Option<String>,
     /// The last event that the caller has, when it takes up a broken stream.
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -147,6 +147,15 @@
         listed.any(|listed| listed.id == replica.id && listed.state == ReplicaState::Ready)
     }
 
+    /// A replica that takes new work and gave no trouble lately.
+    pub fn untroubled(&self, service: &str, id: &str) -> Option<Arc<Member>> {
+        let services = self.services.read();
+        let member = services.get(service)?.iter().find(|member| member.replica.id == id)?;
+        let is_open = member.replica.state == ReplicaState::Ready;
+        let is_fine = member.penalty(Instant::now()).is_zero();
+        (is_open && is_fine).then(|| Arc::clone(member))
+    }
+
     /// The cheapest replica of `service` that takes new work and is not in `excluded`.
     pub fn choose(
         &self,
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -77,7 +77,7 @@
 
     /// Where it would like to run.
     pub fn affinity(&self) -> Affinity {
-        let key = self.head.program.as_deref().filter(|_| !self.head.prompt_parts.is_empty());
+        let key = self.head.program.as_deref().filter(|_| !self.head.prompt.is_empty());
         let tokens = u32::try_from(self.head.prompt_tokens).unwrap_or(u32::MAX);
         Affinity { key: key.map(|key| stable_hash(&[key.as_bytes()])), tokens }
     }
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -57,9 +57,16 @@
     /// Attempts that may have run.
     pub attempts: u32,
     refused_at: usize,
+    /// The replica to begin with, while nothing speaks against it.
+    placed_on: Option<String>,
 }
 
 impl Trail {
+    /// Nobody was asked yet; `placed_on` is to be asked first.
+    pub fn placed_on(replica: Option<String>) -> Self {
+        Self { placed_on: replica, ..Self::default() }
+    }
+
     /// Notes where the request began to run.
     pub fn note_began(&mut self, member: &Arc<Member>) {
         self.began_at = Some(Arc::clone(member));
@@ -161,13 +168,19 @@
     }
 }
 
-/// Where to go next: back to where the request began, else to the cheapest replica.
+/// Where to go next: back to where the request began, then where it was placed, else to
+/// the cheapest replica.
 fn choose(app: &App, call: &Call, service: &str, trail: &mut Trail) -> Option<Arc<Member>> {
     if let Some(began_at) = trail.began_at.take()
         && app.fleet.is_open(&began_at.replica)
     {
         return Some(began_at);
     }
+    if let Some(placed_on) = trail.placed_on.take()
+        && let Some(member) = app.fleet.untroubled(service, &placed_on)
+    {
+        return Some(member);
+    }
     let zone = &app.settings.zone;
     app.fleet.choose(service, zone, &trail.excluded, call.affinity(), &app.weights)
 }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -36,10 +36,11 @@
     call: &Arc<Call>,
     guard: RequestGuard,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let turn = Turn::begin(app, call).await?;
+    let mut turn = Turn::begin(app, call).await?;
     let payload = Payload { body: turn.body.clone(), last_event: call.head.last_event.clone() };
-    let mut trail = Trail::default();
+    let mut trail = Trail::placed_on(turn.placed_on.take());
     let exchange = dispatch(app, call, &payload, &mut trail).await?;
+    turn.ran_at = Some(exchange.member.replica.id.clone());
     if !is_event_stream(&exchange) {
         let response = plain::collect(app, call, exchange).await?;
         plain::log_end(call, "-", &response, &trail);
@@ -247,6 +248,7 @@
         if !is_event_stream(&exchange) {
             return Err(Refusal::Unknown);
         }
+        self.turn.ran_at = Some(exchange.member.replica.id.clone());
         self.exchange = exchange;
         self.splitter = EventSplitter::default();
         Ok(())
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -11,6 +11,7 @@
 use calicohoist_ledger::client::AskError;
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{Answer, Question};
+use calicohoist_routing::PlacementRequest;
 use calicohoist_telemetry::metrics::Times;
 use calicohoist_telemetry::{Event, emit};
 
@@ -36,6 +37,10 @@
     call: Arc<Call>,
     /// What the replica receives: what was said before, and the new input.
     pub body: Bytes,
+    /// The replica that it is best sent to, as the ledger sees it.
+    pub placed_on: Option<String>,
+    /// The replica that runs it.
+    pub ran_at: Option<String>,
     /// Tokens handed to the caller so far.
     pub used_tokens: u64,
     /// The data of the events so far, when the turn is retained.
@@ -59,6 +64,8 @@
             app: Arc::clone(app),
             call: Arc::clone(call),
             body: call.body.clone(),
+            placed_on: None,
+            ran_at: None,
             used_tokens: 0,
             output: Vec::new(),
             is_settled: false,
@@ -67,7 +74,8 @@
             turn.is_settled = true;
             return Ok(turn);
         }
-        let question = Question::Reserve(reserve_of(call));
+        let question =
+            Question::Reserve { reserve: reserve_of(call), placement: placement_of(app, call) };
         let deadline = call.deadline.min(Instant::now() + RESERVE_PATIENCE);
         let began = Instant::now();
         let answer = app.ledger.ask(&question, deadline).await;
@@ -75,7 +83,10 @@
         log_reserved(call, &answer, began);
         // From here on the drop of `turn` settles what may have been reserved.
         match answer {
-            Ok(Answer::Reserved { reservation, history }) => turn.admit(reservation, &history),
+            Ok(Answer::Reserved { reservation, history, replica }) => {
+                turn.placed_on = replica;
+                turn.admit(reservation, &history)
+            }
             _ => Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER)),
         }
     }
@@ -129,7 +140,10 @@
             input: self.call.body.to_vec(),
             output: std::mem::take(&mut self.output),
         };
-        let question = Question::Settle(settle_of(&self.call, self.used_tokens, Some(retained)));
+        let question = Question::Settle {
+            settle: settle_of(&self.call, self.used_tokens, Some(retained)),
+            ran_at: self.ran_at.take(),
+        };
         let began = Instant::now();
         let answer = self.app.ledger.ask(&question, self.call.deadline).await;
         LEDGER_TIMES.note("settle", began.elapsed());
@@ -157,7 +171,10 @@
         }
         let app = Arc::clone(&self.app);
         let id = self.call.head.request_id.clone();
-        let question = Question::Settle(settle_of(&self.call, self.used_tokens, None));
+        let question = Question::Settle {
+            settle: settle_of(&self.call, self.used_tokens, None),
+            ran_at: self.ran_at.take(),
+        };
         // A planned stop waits for it.
         let guard = app.begin_request();
         tokio::spawn(async move {
@@ -171,12 +188,12 @@
 }
 
 fn log_reserved(call: &Call, answer: &Result<Answer, AskError>, began: Instant) {
-    let (outcome, history) = match answer {
-        Ok(Answer::Reserved { reservation, history }) => {
-            (format!("{reservation:?}"), history.len())
+    let (outcome, history, replica) = match answer {
+        Ok(Answer::Reserved { reservation, history, replica }) => {
+            (format!("{reservation:?}"), history.len(), replica.as_deref())
         }
-        Ok(_) => ("unexpected answer".to_owned(), 0),
-        Err(error) => (error.to_string(), 0),
+        Ok(_) => ("unexpected answer".to_owned(), 0, None),
+        Err(error) => (error.to_string(), 0, None),
     };
     emit!(
         Event::TurnReserved;
@@ -187,6 +204,7 @@
         budget = call.head.budget.unwrap_or_default(),
         outcome = outcome,
         history_bytes = history,
+        replica = replica.unwrap_or("-"),
         after_ms = began.elapsed().as_millis(),
     );
 }
@@ -213,6 +231,19 @@
     }
 }
 
+/// What the ledger needs to place a turn whose prompt is known.
+fn placement_of(app: &App, call: &Call) -> Option<PlacementRequest> {
+    let service = call.service()?;
+    let engine = service.engine.as_ref()?;
+    Some(PlacementRequest {
+        service: service.name.clone(),
+        zone: app.settings.zone.clone(),
+        prompt: call.head.prompt.clone(),
+        memory_tokens: engine.memory_tokens,
+        left_ms: millis(call.left()),
+    })
+}
+
 fn settle_of(call: &Call, used_tokens: u64, retained: Option<RetainedTurn>) -> SettleTurn {
     SettleTurn {
         program: account_of(call),
--- /dev/null
+++ b/crates/routing/src/placement.rs
@@ -0,0 +1,193 @@
+//! Placement of turns by a process that sees all of them.
+//!
+//! [`Placer`] counts the turns under way at each replica and keeps an index of the
+//! prompts that each holds. It places a turn where the time that it takes, and the time
+//! by which it delays the turns already there, are least.
+//!
+//! All of it is soft state: whoever begins with an empty placer places by load alone.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::prefix::{PrefixIndex, PromptPart};
+use crate::replica::{Replica, ReplicaState};
+
+/// How often turns are sought whose end nobody told.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A turn that is to be placed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementRequest {
+    /// The service that runs it.
+    pub service: String,
+    /// Zone of the gateway that sends it.
+    pub zone: String,
+    /// Its prompt.
+    pub prompt: Vec<PromptPart>,
+    /// Tokens that the memory of one replica holds.
+    pub memory_tokens: u64,
+    /// Time after which the turn has ended in any case, in ms.
+    pub left_ms: u64,
+}
+
+/// What waiting, reading and sharing a replica cost.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementWeights {
+    /// Time that one turn holds a slot, about.
+    pub turn_time: Duration,
+    /// Delay that a running turn brings to a further one: it reads prompts, too.
+    pub per_running: Duration,
+    /// Prompt tokens that a replica reads in a millisecond.
+    pub tokens_per_ms: u32,
+    /// Share of the reading time that each running turn loses by it.
+    pub reading_disturbs: f64,
+    /// Cost of leaving the zone of the gateway.
+    pub zone_crossing: Duration,
+}
+
+impl Default for PlacementWeights {
+    fn default() -> Self {
+        Self {
+            turn_time: Duration::from_millis(250),
+            per_running: Duration::from_millis(8),
+            tokens_per_ms: 64,
+            reading_disturbs: 0.3,
+            zone_crossing: Duration::from_millis(2),
+        }
+    }
+}
+
+/// A turn under way.
+#[derive(Clone, Debug)]
+struct PlacedTurn {
+    replica: String,
+    prompt: Vec<PromptPart>,
+    memory_tokens: u64,
+    ends_by: Instant,
+}
+
+/// Places turns, and learns from where they ran.
+#[derive(Debug, Default)]
+pub struct Placer {
+    weights: PlacementWeights,
+    turns: HashMap<String, PlacedTurn>,
+    loads: HashMap<String, u32>,
+    index: PrefixIndex,
+    expired_at: Option<Instant>,
+}
+
+impl Placer {
+    /// A placer that knows of no turn.
+    pub fn new(weights: PlacementWeights) -> Self {
+        Self { weights, ..Self::default() }
+    }
+
+    /// The replica for a turn, among `replicas`. A turn that is asked for again stays
+    /// where it was placed. `None` when no replica takes it.
+    pub fn place(
+        &mut self,
+        turn: &str,
+        request: &PlacementRequest,
+        replicas: &[Replica],
+        now: Instant,
+    ) -> Option<String> {
+        self.expire(now);
+        let is_open = |replica: &&Replica| {
+            replica.service == request.service && replica.state == ReplicaState::Ready
+        };
+        let open: Vec<&Replica> = replicas.iter().filter(is_open).collect();
+        if let Some(placed) = self.turns.get(turn)
+            && open.iter().any(|replica| replica.id == placed.replica)
+        {
+            return Some(placed.replica.clone());
+        }
+        // Of equals, the one whose memory has most room.
+        let rank =
+            |replica: &&&Replica| (self.cost(replica, request), self.index.held(&replica.id));
+        let chosen = open.iter().min_by_key(rank)?;
+        let chosen = chosen.id.clone();
+        self.begin(turn, &chosen, request, now);
+        Some(chosen)
+    }
+
+    /// A turn has ended. `ran_at` is the replica that ran it, which may be another than
+    /// the one it was placed on, and `generated` what it made, in tokens.
+    pub fn end(&mut self, turn: &str, ran_at: Option<&str>, generated: u64) {
+        let Some(mut placed) = self.forget(turn) else {
+            return;
+        };
+        let Some(ran_at) = ran_at else {
+            return;
+        };
+        if let Some(last) = placed.prompt.last_mut() {
+            last.tokens = last.tokens.saturating_add(u32::try_from(generated).unwrap_or(u32::MAX));
+        }
+        self.index.note(ran_at, &placed.prompt, placed.memory_tokens);
+    }
+
+    /// Forgets what is known of replicas that are not in `replicas`.
+    pub fn retain(&mut self, replicas: &[Replica]) {
+        self.index.retain(|id| replicas.iter().any(|replica| replica.id == id));
+    }
+
+    /// Turns under way at a replica.
+    pub fn load(&self, replica: &str) -> u32 {
+        self.loads.get(replica).copied().unwrap_or_default()
+    }
+
+    fn begin(&mut self, turn: &str, replica: &str, request: &PlacementRequest, now: Instant) {
+        self.forget(turn);
+        // The next turns may come before this one ends.
+        self.index.note(replica, &request.prompt, request.memory_tokens);
+        *self.loads.entry(replica.to_owned()).or_default() += 1;
+        let placed = PlacedTurn {
+            replica: replica.to_owned(),
+            prompt: request.prompt.clone(),
+            memory_tokens: request.memory_tokens,
+            ends_by: now + Duration::from_millis(request.left_ms),
+        };
+        self.turns.insert(turn.to_owned(), placed);
+    }
+
+    fn forget(&mut self, turn: &str) -> Option<PlacedTurn> {
+        let placed = self.turns.remove(turn)?;
+        if let Some(load) = self.loads.get_mut(&placed.replica) {
+            *load -= 1;
+            if *load == 0 {
+                self.loads.remove(&placed.replica);
+            }
+        }
+        Some(placed)
+    }
+
+    /// Drops turns whose time is over and whose end nobody told; looks seldom.
+    fn expire(&mut self, now: Instant) {
+        if self.expired_at.is_some_and(|at| now < at + EXPIRY_INTERVAL) {
+            return;
+        }
+        self.expired_at = Some(now);
+        let ended = self.turns.iter().filter(|(_, placed)| placed.ends_by <= now);
+        let ended: Vec<String> = ended.map(|(turn, _)| turn.clone()).collect();
+        for turn in ended {
+            self.forget(&turn);
+        }
+    }
+
+    fn cost(&self, replica: &Replica, request: &PlacementRequest) -> Duration {
+        let weights = &self.weights;
+        let slots = replica.slots.max(1);
+        let load = self.load(&replica.id);
+        let running = load.min(slots);
+        let ahead = (load + 1).saturating_sub(slots);
+        let waiting = weights.turn_time * ahead / slots;
+        let unread = self.index.unread(&replica.id, &request.prompt);
+        let reading_ms = unread as f64 / f64::from(weights.tokens_per_ms.max(1));
+        let disturbed = 1.0 + weights.reading_disturbs * f64::from(running);
+        let reading = Duration::from_secs_f64(reading_ms * disturbed / 1_000.0);
+        let is_near = replica.zone == request.zone;
+        let crossing = if is_near { Duration::ZERO } else { weights.zone_crossing };
+        waiting + reading + weights.per_running * running + crossing
+    }
+}
