--- a/crates/lab/tests/ledger_members.rs
+++ b/crates/lab/tests/ledger_members.rs
@@ -2,14 +2,14 @@
 //! in virtual time: nothing acknowledged is lost, configurations never go back, and
 //! the group always gets its voters back.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use calicohoist_lab::sim::disk::SimDisk;
-use calicohoist_ledger::LedgerState;
 use calicohoist_ledger::commands::{Command, Output, RetainedTurn, SettleTurn};
+use calicohoist_ledger::{HistoryPiece, LedgerState};
 use calicohoist_replication::{
-    DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings, RaftSettings, ReplicaId,
+    DiskLog, GroupId, GroupMessage, Message, Node, NodeEvent, NodeSettings, RaftSettings, ReplicaId,
 };
 use calicohoist_types::Moment;
 use calicohoist_wire::encode;
@@ -23,6 +23,9 @@
 const STEP: Duration = Duration::from_millis(5);
 const TROUBLED_STEPS: u64 = 6_000;
 const CALM_STEPS: u64 = 3_000;
+/// Longer than a whole run by the state's own clock.
+const KEPT_MS: u64 = 600_000;
+const BRIEFLY_KEPT_MS: u64 = 200;
 const REPLACE_AFTER: Duration = Duration::from_millis(2_000);
 
 struct Machine {
@@ -48,14 +51,18 @@
     next_version: u64,
     waiting: BTreeMap<u64, Asked>,
     acknowledged_version: u64,
-    acknowledged_turns: BTreeSet<String>,
+    /// Acknowledged turns, each with the one that it continued from.
+    acknowledged_turns: BTreeMap<String, Option<String>>,
+    /// Parts of segments that replicas fetched from each other.
+    chunks: usize,
     disks_lost: usize,
     is_calm: bool,
 }
 
 enum Asked {
     Configuration(u64),
-    Turn(String),
+    Turn { turn: String, previous: Option<String> },
+    Housekeeping,
     Read { not_before: u64 },
 }
 
@@ -73,7 +80,8 @@
             next_version: 0,
             waiting: BTreeMap::new(),
             acknowledged_version: 0,
-            acknowledged_turns: BTreeSet::new(),
+            acknowledged_turns: BTreeMap::new(),
+            chunks: 0,
             disks_lost: 0,
             is_calm: false,
         };
@@ -205,7 +213,7 @@
         if self.machines[index].frozen_until > self.now {
             return;
         }
-        let choice = self.random.random_range(0..3);
+        let choice = self.random.random_range(0..8);
         let (command, asked) = match choice {
             0 => {
                 self.next_version += 1;
@@ -213,10 +221,18 @@
                 let command = Command::PutConfiguration { version, document: vec![7; 50] };
                 (Some(command), Asked::Configuration(version))
             }
-            1 => {
+            1 | 2 => {
                 let turn = format!("t{ticket}");
-                (Some(retained(&turn)), Asked::Turn(turn))
+                let previous = self.some_acknowledged_turn();
+                let command = retained(&turn, previous.clone(), KEPT_MS);
+                (Some(command), Asked::Turn { turn, previous })
             }
+            3 => {
+                let command = retained(&format!("brief{ticket}"), None, BRIEFLY_KEPT_MS);
+                (Some(command), Asked::Housekeeping)
+            }
+            4 => (Some(Command::Advance { elapsed_ms: 40 }), Asked::Housekeeping),
+            5 => (Some(Command::Seal), Asked::Housekeeping),
             _ => (None, Asked::Read { not_before: self.acknowledged_version }),
         };
         let Some(node) = &mut self.machines[index].node else {
@@ -231,6 +247,15 @@
         }
     }
 
+    fn some_acknowledged_turn(&mut self) -> Option<String> {
+        let count = self.acknowledged_turns.len();
+        if count == 0 || self.random.random_bool(0.3) {
+            return None;
+        }
+        let position = self.random.random_range(0..count);
+        self.acknowledged_turns.keys().nth(position).cloned()
+    }
+
     fn deliver(&mut self) {
         let due: Vec<_> = self.frames.extract_if(.., |frame| frame.0 <= self.now).collect();
         for (_, from, to, messages) in due {
@@ -250,6 +275,10 @@
                 is_for_this_disk || calicohoist_replication::node::is_join(message)
             };
             let messages: Vec<GroupMessage> = messages.into_iter().filter(is_wanted).collect();
+            let is_chunk = |wanted: &&GroupMessage| {
+                matches!(wanted.message, Message::SegmentChunk { total: Some(_), .. })
+            };
+            self.chunks += messages.iter().filter(is_chunk).count();
             node.receive(self.now, from, messages);
         }
     }
@@ -305,8 +334,8 @@
                 );
                 self.acknowledged_version = self.acknowledged_version.max(version);
             }
-            Some(Asked::Turn(turn)) => {
-                self.acknowledged_turns.insert(turn);
+            Some(Asked::Turn { turn, previous }) => {
+                self.acknowledged_turns.insert(turn, previous);
             }
             _ => {}
         }
@@ -356,13 +385,59 @@
         let held = state.configuration().version;
         let acknowledged = self.acknowledged_version;
         assert!(held >= acknowledged, "seed {seed}: {held} after {acknowledged}");
-        for turn in &self.acknowledged_turns {
+        for turn in self.acknowledged_turns.keys() {
             assert!(state.turns().contains(turn), "seed {seed}: {turn} is lost");
         }
+        for machine in &self.machines {
+            self.judge_histories(seed, machine);
+        }
         assert!(self.is_repaired(), "seed {seed} is not repaired:\n{self:?}");
     }
 }
 
+impl Cluster {
+    /// Every replica can read, from its own disk, all of each history that it knows.
+    fn judge_histories(&self, seed: u64, machine: &Machine) {
+        let (Some(node), Some(log)) = (&machine.node, &machine.log) else {
+            return;
+        };
+        let Some(state) = node.machine(GROUP) else {
+            return;
+        };
+        for turn in self.acknowledged_turns.keys() {
+            let Some(pieces) = state.turns().history(turn) else {
+                continue;
+            };
+            let mut found = Vec::new();
+            for piece in pieces {
+                match piece {
+                    HistoryPiece::Held(bytes) => found.extend_from_slice(bytes),
+                    HistoryPiece::Stored(stored) => {
+                        let length = stored.length as usize;
+                        let read = log.read_segment(GROUP, stored.segment, stored.offset, length);
+                        let bytes = read.expect("the disk works");
+                        assert!(stored.matches(&bytes), "seed {seed}: {turn}: {stored:?}");
+                        found.extend(bytes);
+                    }
+                }
+            }
+            let found = String::from_utf8(found).expect("text");
+            let number = machine.number;
+            assert_eq!(found, self.expected_history(turn), "seed {seed}: {turn} on {number}");
+        }
+    }
+
+    fn expected_history(&self, turn: &str) -> String {
+        let mut line = vec![turn.to_owned()];
+        let mut next = self.acknowledged_turns.get(turn).cloned().flatten();
+        while let Some(turn) = next {
+            next = self.acknowledged_turns.get(&turn).cloned().flatten();
+            line.push(turn);
+        }
+        line.iter().rev().map(|turn| said_in(turn)).collect()
+    }
+}
+
 impl std::fmt::Debug for Cluster {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         for machine in &self.machines {
@@ -387,25 +462,33 @@
     }
 }
 
-fn retained(turn: &str) -> Command {
+/// All that was said in a turn; each turn says something else.
+fn said_in(turn: &str) -> String {
+    format!("<{}>", turn.repeat(12))
+}
+
+fn retained(turn: &str, previous: Option<String>, retention_ms: u64) -> Command {
+    let said = said_in(turn).into_bytes();
+    let (input, output) = said.split_at(said.len() / 2);
     Command::Settle(SettleTurn {
         program: None,
         turn: turn.to_owned(),
         used_tokens: 0,
-        retention_ms: 60_000,
-        retained: Some(RetainedTurn { previous: None, input: vec![1; 40], output: vec![2; 40] }),
+        retention_ms,
+        retained: Some(RetainedTurn { previous, input: input.to_vec(), output: output.to_vec() }),
     })
 }
 
 #[test]
 fn nothing_acknowledged_is_lost_whatever_machines_do() {
     let mut disks_lost = 0;
+    let mut chunks = 0;
     let mut acknowledged = 0;
     for seed in 0..80 {
         let mut cluster = Cluster::new(seed);
         for _ in 0..TROUBLED_STEPS {
             cluster.disturb();
-            if cluster.random.random_bool(0.3) {
+            if cluster.random.random_bool(0.5) {
                 cluster.ask();
             }
             cluster.step();
@@ -414,8 +497,10 @@
         (0..CALM_STEPS).for_each(|_| cluster.step());
         cluster.judge(seed);
         disks_lost += cluster.disks_lost;
+        chunks += cluster.chunks;
         acknowledged += cluster.acknowledged_turns.len();
     }
     assert!(disks_lost > 80, "only {disks_lost} disks were lost");
+    assert!(chunks > 400, "only {chunks} parts of segments were fetched");
     assert!(acknowledged > 2_000, "only {acknowledged} turns were acknowledged");
 }
--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -45,6 +45,8 @@
         /// Machines that must be left.
         must_remain: usize,
     },
+    /// Moves what was said in retained turns out of memory into a segment.
+    Seal,
 }
 
 /// Sets tokens aside for one turn.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -18,4 +18,4 @@
 
 pub use commands::{Command, Output, Reservation, RetiringOutcome};
 pub use protocol::{Answer, Question};
-pub use state::LedgerState;
+pub use state::{HistoryPiece, LedgerState, StoredBytes};
--- a/crates/ledger/src/queries.rs
+++ b/crates/ledger/src/queries.rs
@@ -1,7 +1,7 @@
 //! What is read from the state, once a quorum stands behind the reader.
 
 use crate::commands::TurnId;
-use crate::state::{HeldConfiguration, LedgerState};
+use crate::state::{HeldConfiguration, HistoryPiece, LedgerState};
 
 /// The configuration in force; `None` before the first.
 pub fn configuration(state: &LedgerState) -> Option<&HeldConfiguration> {
@@ -9,8 +9,12 @@
     (held.version > 0).then_some(held)
 }
 
-/// All input and output before a turn that continues from `previous`.
-pub fn history(state: &LedgerState, previous: Option<&TurnId>) -> Option<Vec<u8>> {
+/// All input and output before a turn that continues from `previous`, oldest first;
+/// `None` when part of it is not kept.
+pub fn history<'a>(
+    state: &'a LedgerState,
+    previous: Option<&TurnId>,
+) -> Option<Vec<HistoryPiece<'a>>> {
     match previous {
         Some(previous) => state.turns().history(previous),
         None => Some(Vec::new()),
--- a/crates/ledger/src/server/replica.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -3,6 +3,8 @@
 //! It is the only one that waits on the disk. A leader whose disk hangs therefore
 //! sends no heartbeats either, and loses the leadership.
 
+mod request;
+
 use std::collections::BTreeMap;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,16 +17,19 @@
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::Moment;
 use calicohoist_wire::encode;
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, bounded};
 use rand::RngExt;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use request::Input;
+pub use request::{ReplicaHandle, Request, Respond, Response, Standing};
+
 use super::peers::Outgoing;
 use super::slowness::Slowness;
 use super::{LedgerSettings, machine_number};
-use crate::commands::{Command, Output, Reservation, ReserveTurn, RetiringOutcome};
+use crate::commands::{Command, Output, Reservation, ReserveTurn};
 use crate::queries;
-use crate::state::{HeldConfiguration, LedgerState};
+use crate::state::{HistoryPiece, LedgerState, StoredBytes};
 
 /// The only group: whoever reads a configuration and whoever reserves ask the same leader.
 const GROUP: GroupId = GroupId(0);
@@ -35,112 +40,16 @@
 /// How often a leader lets the state's clock run on.
 const ADVANCE_EVERY: Duration = Duration::from_secs(5);
 const ENTRIES_PER_SNAPSHOT: u64 = 8_000;
+/// Size of the log file, in bytes, from which it is rewritten.
+const LOG_REWRITE_BYTES: usize = 6 << 20;
+/// Bytes of retained turns in memory from which they are moved to disk. The entries that
+/// brought them are in memory, too, until the snapshot that comes with it.
+const SEAL_BYTES: u64 = 2 << 20;
+/// How long the leader waits for a sealing that it has proposed.
+const SEAL_PATIENCE: Duration = Duration::from_secs(1);
 
 static LEADS: Gauge = Gauge::new("calicohoist_ledger_leads", "1 while this machine leads");
 
-/// What is asked of the replica.
-#[derive(Debug)]
-pub enum Request {
-    /// Change the state.
-    Change(Command),
-    /// Reserve, and read the history with it.
-    Reserve(ReserveTurn),
-    /// Read the configuration, with a quorum behind it.
-    ReadConfiguration,
-    /// Empty a machine.
-    Retire(String),
-    /// Whether a machine is empty.
-    ReadRetiring(String),
-}
-
-/// What the replica answers.
-#[derive(Debug)]
-pub enum Response {
-    /// The change was made.
-    Changed(Output),
-    /// What came of a reservation, and the history when granted.
-    Reserved(Reservation, Vec<u8>),
-    /// The configuration; `None` before the first.
-    Configuration(Option<HeldConfiguration>),
-    /// What came of retiring.
-    Retiring(RetiringOutcome),
-    /// Whether a machine that is being emptied is empty; `None` when it is not being emptied.
-    Retired(Option<bool>),
-    /// Another machine leads.
-    NotLeader(Option<u32>),
-    /// It may or may not be done in the end.
-    Lost,
-}
-
-/// Takes the response on the replica's thread; must not wait.
-pub type Respond = Box<dyn FnOnce(Response) + Send>;
-
-enum Input {
-    Frame { from: ReplicaId, messages: Vec<GroupMessage> },
-    Greeting { from: ReplicaId, name: String },
-    Request(Request, Respond),
-    HandOver,
-}
-
-/// What other tasks may know of the group at any time.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Standing {
-    /// Current term.
-    pub term: u64,
-    /// Machine believed to lead.
-    pub leader: Option<u32>,
-    /// Whether it is this one.
-    pub is_leader: bool,
-    /// Version of the configuration applied here.
-    pub configuration: u64,
-    /// Machines of the group.
-    pub machines: Vec<u32>,
-}
-
-/// The way into the thread.
-#[derive(Clone)]
-pub struct ReplicaHandle {
-    inputs: Sender<Input>,
-}
-
-impl ReplicaHandle {
-    /// Hands in messages of another replica; dropped when the ring is full.
-    pub fn frame(&self, from: ReplicaId, messages: Vec<GroupMessage>) {
-        let _ = self.inputs.try_send(Input::Frame { from, messages });
-    }
-
-    /// Hands in the name of another machine.
-    pub fn greeting(&self, from: ReplicaId, name: String) {
-        let _ = self.inputs.try_send(Input::Greeting { from, name });
-    }
-
-    /// Asks something; a full ring answers at once.
-    pub fn ask(&self, request: Request, respond: Respond) {
-        if let Err(refused) = self.inputs.try_send(Input::Request(request, respond))
-            && let Input::Request(_, respond) = refused.into_inner()
-        {
-            respond(Response::NotLeader(None));
-        }
-    }
-
-    /// Asks something and waits for the response.
-    pub async fn call(&self, request: Request) -> Response {
-        let (sender, receiver) = oneshot::channel();
-        self.ask(
-            request,
-            Box::new(move |response| {
-                let _ = sender.send(response);
-            }),
-        );
-        receiver.await.unwrap_or(Response::Lost)
-    }
-
-    /// Gives the leadership to another replica.
-    pub fn hand_over(&self) {
-        let _ = self.inputs.try_send(Input::HandOver);
-    }
-}
-
 enum Pending {
     Change(Respond),
     Reserve(ReserveTurn, Respond),
@@ -161,6 +70,7 @@
     next_ticket: Ticket,
     names: BTreeMap<u32, String>,
     advanced: Instant,
+    seal_proposed: Option<Instant>,
     slowness: Slowness,
     standing: Standing,
 }
@@ -188,9 +98,9 @@
         let node_settings = NodeSettings {
             raft: settings.raft,
             entries_per_snapshot: ENTRIES_PER_SNAPSHOT,
+            log_rewrite_bytes: LOG_REWRITE_BYTES,
             seed: rand::rng().random(),
             contacts: seeds,
-            ..NodeSettings::default()
         };
         let origin = Instant::now();
         let node = Node::new(id, node_settings, &founders, &[GROUP], recovered, Moment::ZERO);
@@ -205,6 +115,7 @@
             next_ticket: 0,
             names: BTreeMap::from([(machine, settings.name.clone())]),
             advanced: origin,
+            seal_proposed: None,
             slowness: Slowness::default(),
             standing: Standing::default(),
         })
@@ -378,6 +289,7 @@
         }
         self.names.clear();
         self.names.insert(self.node.id().machine, self.name.clone());
+        self.seal_when_due();
         let elapsed = self.advanced.elapsed();
         if elapsed >= ADVANCE_EVERY {
             self.advanced = Instant::now();
@@ -386,6 +298,20 @@
         }
     }
 
+    /// Moves retained turns out of memory once they have become many.
+    fn seal_when_due(&mut self) {
+        let unsealed = self.node.machine(GROUP).map(|state| state.turns().unsealed_bytes());
+        if unsealed.unwrap_or_default() < SEAL_BYTES {
+            self.seal_proposed = None;
+            return;
+        }
+        let is_proposed = self.seal_proposed.is_some_and(|at| at.elapsed() < SEAL_PATIENCE);
+        if !is_proposed {
+            self.seal_proposed = Some(Instant::now());
+            self.propose_silently(&Command::Seal);
+        }
+    }
+
     fn propose_silently(&mut self, command: &Command) {
         self.propose(command, Pending::Change(Box::new(|_| {})));
     }
@@ -433,7 +359,7 @@
         match (pending, leads) {
             (Pending::Change(respond), Some(output)) => respond(Response::Changed(output)),
             (Pending::Reserve(reserve, respond), Some(Output::Reservation(reservation))) => {
-                respond(reserved(state, &reserve, reservation));
+                respond(self.reserved(state, &reserve, reservation));
             }
             (Pending::Retire(respond), Some(Output::Retiring(outcome))) => {
                 respond(Response::Retiring(outcome));
@@ -448,6 +374,47 @@
         }
     }
 
+    fn reserved(
+        &self,
+        state: &LedgerState,
+        reserve: &ReserveTurn,
+        reservation: Reservation,
+    ) -> Response {
+        if reservation != Reservation::Granted {
+            return Response::Reserved(reservation, Vec::new());
+        }
+        let Some(pieces) = queries::history(state, reserve.previous.as_ref()) else {
+            // Expired between two entries of the log.
+            return Response::Reserved(Reservation::NoSuchTurn, Vec::new());
+        };
+        match self.read_history(&pieces) {
+            Ok(history) => Response::Reserved(reservation, history),
+            Err(error) => {
+                emit!(Event::DiskFailed, "history of {}: {error}", reserve.turn);
+                Response::Lost
+            }
+        }
+    }
+
+    fn read_history(&self, pieces: &[HistoryPiece<'_>]) -> Result<Vec<u8>, DiskError> {
+        let mut history = Vec::new();
+        for piece in pieces {
+            match piece {
+                HistoryPiece::Held(bytes) => history.extend_from_slice(bytes),
+                HistoryPiece::Stored(stored) => {
+                    let length = stored.length as usize;
+                    let bytes =
+                        self.log.read_segment(GROUP, stored.segment, stored.offset, length)?;
+                    if !stored.matches(&bytes) {
+                        return Err(damaged(stored));
+                    }
+                    history.extend(bytes);
+                }
+            }
+        }
+        Ok(history)
+    }
+
     /// Whether a retiring machine holds no replica, with as many voters as wanted without it.
     fn is_retired(&self, state: &LedgerState, name: &str) -> Option<bool> {
         if !state.machines().is_retiring(name) {
@@ -502,14 +469,11 @@
     }
 }
 
-fn reserved(state: &LedgerState, reserve: &ReserveTurn, reservation: Reservation) -> Response {
-    if reservation != Reservation::Granted {
-        return Response::Reserved(reservation, Vec::new());
-    }
-    match queries::history(state, reserve.previous.as_ref()) {
-        Some(history) => Response::Reserved(reservation, history),
-        // Expired between two entries of the log.
-        None => Response::Reserved(Reservation::NoSuchTurn, Vec::new()),
+fn damaged(stored: &StoredBytes) -> DiskError {
+    DiskError::Corrupt {
+        file: format!("segment {}", stored.segment),
+        offset: usize::try_from(stored.offset).unwrap_or(usize::MAX),
+        problem: "not what was stored".to_owned(),
     }
 }
 
--- /dev/null
+++ b/crates/ledger/src/server/replica/request.rs
@@ -0,0 +1,111 @@
+//! The way into the replica's thread: what is asked, and what it answers.
+
+use calicohoist_replication::{GroupMessage, ReplicaId};
+use crossbeam::channel::Sender;
+use tokio::sync::oneshot;
+
+use crate::commands::{Command, Output, Reservation, ReserveTurn, RetiringOutcome};
+use crate::state::HeldConfiguration;
+
+/// What is asked of the replica.
+#[derive(Debug)]
+pub enum Request {
+    /// Change the state.
+    Change(Command),
+    /// Reserve, and read the history with it.
+    Reserve(ReserveTurn),
+    /// Read the configuration, with a quorum behind it.
+    ReadConfiguration,
+    /// Empty a machine.
+    Retire(String),
+    /// Whether a machine is empty.
+    ReadRetiring(String),
+}
+
+/// What the replica answers.
+#[derive(Debug)]
+pub enum Response {
+    /// The change was made.
+    Changed(Output),
+    /// What came of a reservation, and the history when granted.
+    Reserved(Reservation, Vec<u8>),
+    /// The configuration; `None` before the first.
+    Configuration(Option<HeldConfiguration>),
+    /// What came of retiring.
+    Retiring(RetiringOutcome),
+    /// Whether a machine that is being emptied is empty; `None` when it is not being emptied.
+    Retired(Option<bool>),
+    /// Another machine leads.
+    NotLeader(Option<u32>),
+    /// It may or may not be done in the end.
+    Lost,
+}
+
+/// Takes the response on the replica's thread; must not wait.
+pub type Respond = Box<dyn FnOnce(Response) + Send>;
+
+pub(super) enum Input {
+    Frame { from: ReplicaId, messages: Vec<GroupMessage> },
+    Greeting { from: ReplicaId, name: String },
+    Request(Request, Respond),
+    HandOver,
+}
+
+/// What other tasks may know of the group at any time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Current term.
+    pub term: u64,
+    /// Machine believed to lead.
+    pub leader: Option<u32>,
+    /// Whether it is this one.
+    pub is_leader: bool,
+    /// Version of the configuration applied here.
+    pub configuration: u64,
+    /// Machines of the group.
+    pub machines: Vec<u32>,
+}
+
+/// The way into the thread.
+#[derive(Clone)]
+pub struct ReplicaHandle {
+    pub(super) inputs: Sender<Input>,
+}
+
+impl ReplicaHandle {
+    /// Hands in messages of another replica; dropped when the ring is full.
+    pub fn frame(&self, from: ReplicaId, messages: Vec<GroupMessage>) {
+        let _ = self.inputs.try_send(Input::Frame { from, messages });
+    }
+
+    /// Hands in the name of another machine.
+    pub fn greeting(&self, from: ReplicaId, name: String) {
+        let _ = self.inputs.try_send(Input::Greeting { from, name });
+    }
+
+    /// Asks something; a full ring answers at once.
+    pub fn ask(&self, request: Request, respond: Respond) {
+        if let Err(refused) = self.inputs.try_send(Input::Request(request, respond))
+            && let Input::Request(_, respond) = refused.into_inner()
+        {
+            respond(Response::NotLeader(None));
+        }
+    }
+
+    /// Asks something and waits for the response.
+    pub async fn call(&self, request: Request) -> Response {
+        let (sender, receiver) = oneshot::channel();
+        self.ask(
+            request,
+            Box::new(move |response| {
+                let _ = sender.send(response);
+            }),
+        );
+        receiver.await.unwrap_or(Response::Lost)
+    }
+
+    /// Gives the leadership to another replica.
+    pub fn hand_over(&self) {
+        let _ = self.inputs.try_send(Input::HandOver);
+    }
+}
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -6,9 +6,11 @@
 
 pub use accounts::Accounts;
 pub use machines::Machines;
-pub use turns::Turns;
+pub use turns::{HistoryPiece, StoredBytes, Turns};
 
-use calicohoist_replication::{GroupId, StateMachine};
+use std::collections::BTreeSet;
+
+use calicohoist_replication::{GroupId, SealedSegment, SegmentId, StateMachine};
 use calicohoist_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +34,9 @@
     accounts: Accounts,
     turns: Turns,
     machines: Machines,
+    /// Segments that are to be stored.
+    #[serde(skip)]
+    sealed: Vec<SealedSegment>,
 }
 
 impl LedgerState {
@@ -81,6 +86,10 @@
             Command::Retire { name, remaining, must_remain } => {
                 Output::Retiring(self.machines.retire(&name, remaining >= must_remain))
             }
+            Command::Seal => {
+                self.sealed.extend(self.turns.seal());
+                Output::Done
+            }
         }
     }
 
@@ -119,6 +128,14 @@
         encode(self).unwrap_or_default()
     }
 
+    fn segments(&self) -> BTreeSet<SegmentId> {
+        self.turns.segments()
+    }
+
+    fn take_sealed(&mut self) -> Vec<SealedSegment> {
+        std::mem::take(&mut self.sealed)
+    }
+
     fn restore(&mut self, data: &[u8]) -> bool {
         match decode(data) {
             Ok(state) => {
--- a/crates/ledger/tests/state.rs
+++ b/crates/ledger/tests/state.rs
@@ -5,7 +5,7 @@
 use calicohoist_ledger::commands::{
     Command, Output, Reservation, ReserveTurn, RetainedTurn, RetiringOutcome, SettleTurn,
 };
-use calicohoist_ledger::{LedgerState, queries};
+use calicohoist_ledger::{HistoryPiece, LedgerState, queries};
 use calicohoist_replication::{GroupId, StateMachine};
 use calicohoist_wire::encode;
 use proptest::prelude::*;
@@ -66,7 +66,13 @@
 }
 
 fn history(state: &LedgerState, turn: &str) -> Option<String> {
-    let history = queries::history(state, Some(&turn.to_owned()))?;
+    let mut history = Vec::new();
+    for piece in queries::history(state, Some(&turn.to_owned()))? {
+        match piece {
+            HistoryPiece::Held(bytes) => history.extend_from_slice(bytes),
+            HistoryPiece::Stored(stored) => panic!("{stored:?} was never sealed"),
+        }
+    }
     String::from_utf8(history).ok()
 }
 
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -18,8 +18,8 @@
 
 pub use message::{
     Entry, EntryKind, GroupId, GroupMessage, HardState, Index, Membership, Message, ReplicaId,
-    Snapshot, Term,
+    SegmentId, Snapshot, Term,
 };
-pub use node::{Node, NodeEvent, NodeSettings, StateMachine, Ticket};
+pub use node::{Node, NodeEvent, NodeSettings, SealedSegment, SegmentPiece, StateMachine, Ticket};
 pub use raft::{Raft, RaftSettings, ReadReadiness};
 pub use storage::{DirectoryDisk, Disk, DiskError, DiskLog, Recovered};
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -44,6 +44,28 @@
 /// Position in a group's log; the first entry has 1.
 pub type Index = u64;
 
+/// A segment: an immutable file with values of a group's state that are too many for
+/// memory. The state numbers its segments in the order of its log, so that all replicas
+/// write the same segments under the same numbers.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct SegmentId(pub u64);
+
+impl SegmentId {
+    /// The one that is sealed after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for SegmentId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
 /// Who takes part in a group.
 ///
 /// While one voter is exchanged for another, the membership is *joint*: decisions need
@@ -136,6 +158,8 @@
     pub term: Term,
     /// Membership at that entry.
     pub membership: Membership,
+    /// Segments that the state refers to; it counts only where all of them are held.
+    pub segments: BTreeSet<SegmentId>,
     /// The encoded state.
     pub data: Vec<u8>,
 }
@@ -200,6 +224,24 @@
         /// Round, as in [`Message::Append`].
         round: u64,
     },
+    /// Asks for a part of a segment that a snapshot refers to.
+    FetchSegment {
+        /// The segment.
+        segment: SegmentId,
+        /// First byte that is wanted.
+        offset: u64,
+    },
+    /// Answers [`Message::FetchSegment`].
+    SegmentChunk {
+        /// The segment.
+        segment: SegmentId,
+        /// Where `bytes` begin.
+        offset: u64,
+        /// Length of the whole segment; `None` when it is not held.
+        total: Option<u64>,
+        /// The part.
+        bytes: Vec<u8>,
+    },
     /// The leader asks the receiver to start an election at once.
     Campaign {
         /// Term of the leader.
@@ -224,7 +266,10 @@
             | Self::AppendReply { term, .. }
             | Self::Install { term, .. }
             | Self::Campaign { term } => Some(*term),
-            Self::Join | Self::LeaderHint { .. } => None,
+            Self::Join
+            | Self::LeaderHint { .. }
+            | Self::FetchSegment { .. }
+            | Self::SegmentChunk { .. } => None,
         }
     }
 }
--- a/crates/replication/src/node.rs
+++ b/crates/replication/src/node/mod.rs
@@ -5,19 +5,24 @@
 //! which makes all their writes durable with one sync and only then returns the
 //! messages and answers that depend on them.
 
+mod group;
+mod outbox;
+mod transfer;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::Moment;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::message::{
-    Entry, EntryKind, GroupId, GroupMessage, Index, Membership, Message, ReplicaId, Snapshot, Term,
+    EntryKind, GroupId, GroupMessage, Membership, Message, ReplicaId, SegmentId, Snapshot,
 };
 use crate::raft::{Effects, ProposeError, Raft, RaftSettings, ReadReadiness};
 use crate::storage::{Disk, DiskError, DiskLog, Recovered, Write};
+use group::Group;
+use outbox::Outbox;
 
 /// What a group replicates. Applying must depend on nothing but state and command.
 pub trait StateMachine {
@@ -30,13 +35,49 @@
     /// Applies one committed command.
     fn apply(&mut self, command: &[u8]) -> Self::Output;
 
-    /// The whole state, encoded.
+    /// The whole state, encoded, without what its segments hold.
     fn snapshot(&self) -> Vec<u8>;
 
+    /// The segments that the state refers to.
+    fn segments(&self) -> BTreeSet<SegmentId> {
+        BTreeSet::new()
+    }
+
+    /// The segments that commands have sealed since the last call, to be stored now.
+    /// Only then does a snapshot refer to them.
+    fn take_sealed(&mut self) -> Vec<SealedSegment> {
+        Vec::new()
+    }
+
     /// Replaces the state; `false` when `data` cannot be read.
     fn restore(&mut self, data: &[u8]) -> bool;
 }
 
+/// A segment that is to be stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SealedSegment {
+    /// Its number.
+    pub id: SegmentId,
+    /// What it is made of, in order.
+    pub pieces: Vec<SegmentPiece>,
+}
+
+/// Part of a segment that is to be stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SegmentPiece {
+    /// These bytes.
+    Bytes(Vec<u8>),
+    /// Bytes of an earlier segment.
+    Stored {
+        /// The earlier segment.
+        segment: SegmentId,
+        /// Where they begin there.
+        offset: u64,
+        /// How many they are.
+        length: usize,
+    },
+}
+
 /// Names a proposal or read towards the driver.
 pub type Ticket = u64;
 
@@ -105,14 +146,6 @@
     }
 }
 
-struct Group<S> {
-    raft: Raft,
-    machine: S,
-    applied: Index,
-    proposals: BTreeMap<Index, (Term, Ticket)>,
-    reads: BTreeSet<Ticket>,
-}
-
 /// All groups of one machine.
 pub struct Node<S: StateMachine> {
     id: ReplicaId,
@@ -148,35 +181,23 @@
             let seed = seeds.random();
             let found = recovered.groups.remove(group);
             let hard_state = found.as_ref().map(|found| found.hard_state).unwrap_or_default();
-            let entries = found.as_ref().map(|found| found.entries.clone()).unwrap_or_default();
-            let stored = found.map(|found| found.snapshot).filter(|found| found.index > 0);
+            let (entries, stored) = found.map(|found| (found.entries, found.snapshot)).unzip();
+            let entries = entries.unwrap_or_default();
+            let stored = stored.filter(|stored| stored.index > 0);
             let snapshot = stored.unwrap_or_else(|| node.first_snapshot());
-            node.add_group(*group, hard_state, snapshot, entries, seed, now);
+            let of_group = recovered.segments.iter().filter(|(owner, _)| owner == group);
+            let held = of_group.map(|(_, segment)| *segment).collect();
+            let raft_settings = node.settings.raft;
+            let mut machine = S::new(*group);
+            if !snapshot.data.is_empty() {
+                machine.restore(&snapshot.data);
+            }
+            let raft = Raft::new(id, raft_settings, seed, hard_state, snapshot, entries, now);
+            node.groups.insert(*group, Group::new(*group, raft, machine, held));
         }
         node
     }
 
-    fn add_group(
-        &mut self,
-        group: GroupId,
-        hard_state: crate::message::HardState,
-        snapshot: Arc<Snapshot>,
-        entries: Vec<Entry>,
-        seed: u64,
-        now: Moment,
-    ) {
-        let mut machine = S::new(group);
-        if !snapshot.data.is_empty() {
-            machine.restore(&snapshot.data);
-        }
-        let applied = snapshot.index;
-        let raft_settings = self.settings.raft;
-        let raft = Raft::new(self.id, raft_settings, seed, hard_state, snapshot, entries, now);
-        let state =
-            Group { raft, machine, applied, proposals: BTreeMap::new(), reads: BTreeSet::new() };
-        self.groups.insert(group, state);
-    }
-
     /// The state before the first entry. Only disks of the first start know and belong
     /// to the first membership; a later disk has to join, and learns it from the log.
     fn first_snapshot(&self) -> Arc<Snapshot> {
@@ -189,6 +210,7 @@
                 voters: founders.iter().map(first_disk).collect(),
                 ..Membership::default()
             },
+            segments: BTreeSet::new(),
             data: Vec::new(),
         })
     }
@@ -250,7 +272,7 @@
     pub fn receive(&mut self, now: Moment, from: ReplicaId, messages: Vec<GroupMessage>) {
         for GroupMessage { group, message } in messages {
             if let Some(state) = self.groups.get_mut(&group) {
-                state.raft.step(now, from, message);
+                state.receive(now, from, message);
             }
         }
     }
@@ -269,7 +291,7 @@
             return Err(ProposeError::NotLeader(None));
         };
         let (term, index) = state.raft.propose(EntryKind::Command(command))?;
-        state.proposals.insert(index, (term, ticket));
+        state.expect(index, term, ticket);
         Ok(())
     }
 
@@ -340,11 +362,12 @@
         let mut outbox = Outbox::default();
         let mut writes = Vec::new();
         for (group, state) in &mut self.groups {
+            state.move_segments(now, log, &mut outbox)?;
             state.raft.replicate(now);
             let mut effects = state.raft.take_effects();
             store_effects(*group, &effects, log, &mut writes)?;
             take_early_messages(*group, &mut effects, &mut early);
-            state.take(*group, effects, &mut outbox);
+            state.take(effects, &mut outbox);
         }
         for (to, messages) in early.messages {
             send_early(to, messages);
@@ -352,12 +375,12 @@
         if !writes.is_empty() {
             log.commit(&writes)?;
         }
-        for (group, state) in &mut self.groups {
+        for state in self.groups.values_mut() {
             let last = state.raft.last_index();
             state.raft.persisted(last);
             let effects = state.raft.take_effects();
-            state.take(*group, effects, &mut outbox);
-            state.answer_reads(now, *group, &mut outbox);
+            state.take(effects, &mut outbox);
+            state.answer_reads(now, &mut outbox);
         }
         self.compact(log)?;
         Ok(outbox.into_events())
@@ -365,20 +388,12 @@
 
     fn compact<D: Disk>(&mut self, log: &mut DiskLog<D>) -> Result<(), DiskError> {
         let mut writes = Vec::new();
+        let mut replaced = Vec::new();
         for (group, state) in &mut self.groups {
-            let since = state.applied - state.raft.snapshot_index().min(state.applied);
-            if since < self.settings.entries_per_snapshot {
-                continue;
-            }
-            let data = state.machine.snapshot();
-            if let Some(snapshot) = state.raft.compact(state.applied, data) {
-                log.store_snapshot(*group, &snapshot)?;
-                writes.push(Write::Snapshot {
-                    group: *group,
-                    index: snapshot.index,
-                    clears_log: false,
-                });
-                emit!(Event::LogCompacted, "group {group} up to {}", snapshot.index);
+            let before = state.raft.snapshot().clone();
+            if let Some(write) = state.compact(log, self.settings.entries_per_snapshot)? {
+                writes.push(write);
+                replaced.push((*group, before));
             }
         }
         // Entries that no snapshot covers yet stay in the file, so it must have
@@ -387,12 +402,15 @@
         if log.bytes() > limit {
             log.rewrite(&self.whole_state())?;
             self.rewritten_bytes = log.bytes();
-            return Ok(());
+        } else if !writes.is_empty() {
+            log.commit(&writes)?;
         }
-        if writes.is_empty() {
-            return Ok(());
+        for (group, before) in replaced {
+            if let Some(state) = self.groups.get_mut(&group) {
+                state.drop_unused(log, &before)?;
+            }
         }
-        log.commit(&writes)
+        Ok(())
     }
 
     /// The writes that bring an empty log to the present state.
@@ -454,104 +472,6 @@
     Ok(())
 }
 
-impl<S: StateMachine> Group<S> {
-    fn take(&mut self, group: GroupId, effects: Effects, outbox: &mut Outbox<S::Output>) {
-        if let Some(snapshot) = &effects.install {
-            self.install(group, snapshot);
-        }
-        for (to, message) in effects.messages {
-            outbox.message(to, GroupMessage { group, message });
-        }
-        for entry in effects.committed {
-            self.apply(entry, outbox);
-        }
-        if let Some(is_leader) = effects.leadership {
-            if !is_leader {
-                self.lose_pending(outbox);
-            }
-            outbox.events.push(NodeEvent::Leadership { group, is_leader });
-        }
-    }
-
-    fn install(&mut self, group: GroupId, snapshot: &Snapshot) {
-        if self.machine.restore(&snapshot.data) {
-            emit!(Event::SnapshotInstalled, "group {group} at {}", snapshot.index);
-        } else {
-            emit!(Event::LogCorrupt, "group {group}: unreadable snapshot {}", snapshot.index);
-        }
-        self.applied = snapshot.index;
-    }
-
-    fn apply(&mut self, entry: Entry, outbox: &mut Outbox<S::Output>) {
-        self.applied = entry.index;
-        let waiting = self.proposals.remove(&entry.index);
-        let EntryKind::Command(command) = &entry.kind else {
-            if let Some((_, ticket)) = waiting {
-                outbox.events.push(NodeEvent::Lost { ticket });
-            }
-            return;
-        };
-        let output = self.machine.apply(command);
-        match waiting {
-            Some((term, ticket)) if term == entry.term => {
-                outbox.events.push(NodeEvent::Applied { ticket, output });
-            }
-            Some((_, ticket)) => outbox.events.push(NodeEvent::Lost { ticket }),
-            None => {}
-        }
-    }
-
-    fn lose_pending(&mut self, outbox: &mut Outbox<S::Output>) {
-        let proposals = std::mem::take(&mut self.proposals);
-        let reads = std::mem::take(&mut self.reads);
-        let tickets = proposals.into_values().map(|(_, ticket)| ticket).chain(reads);
-        outbox.events.extend(tickets.map(|ticket| NodeEvent::Lost { ticket }));
-    }
-
-    fn answer_reads(&mut self, now: Moment, group: GroupId, outbox: &mut Outbox<S::Output>) {
-        if self.reads.is_empty() {
-            return;
-        }
-        match self.raft.read_readiness(now) {
-            ReadReadiness::Ready => {
-                let tickets = std::mem::take(&mut self.reads);
-                let ready = |ticket| NodeEvent::ReadReady { ticket, group };
-                outbox.events.extend(tickets.into_iter().map(ready));
-            }
-            ReadReadiness::NotYet => {}
-            ReadReadiness::NotLeader => {
-                let tickets = std::mem::take(&mut self.reads);
-                let lost = |ticket| NodeEvent::Lost { ticket };
-                outbox.events.extend(tickets.into_iter().map(lost));
-            }
-        }
-    }
-}
-
-/// Gathers the messages of all groups to one replica into one frame.
-struct Outbox<O> {
-    messages: BTreeMap<ReplicaId, Vec<GroupMessage>>,
-    events: Vec<NodeEvent<O>>,
-}
-
-impl<O> Default for Outbox<O> {
-    fn default() -> Self {
-        Self { messages: BTreeMap::new(), events: Vec::new() }
-    }
-}
-
-impl<O> Outbox<O> {
-    fn message(&mut self, to: ReplicaId, message: GroupMessage) {
-        self.messages.entry(to).or_default().push(message);
-    }
-
-    fn into_events(self) -> Vec<NodeEvent<O>> {
-        let send = |(to, messages)| NodeEvent::Send { to, messages };
-        let frames = self.messages.into_iter().map(send);
-        frames.chain(self.events).collect()
-    }
-}
-
 /// Whether a message asks to join; it is the only one from a stranger that counts.
 pub fn is_join(message: &GroupMessage) -> bool {
     matches!(message.message, Message::Join)
--- a/crates/replication/src/raft/follower.rs
+++ b/crates/replication/src/raft/follower.rs
@@ -77,8 +77,7 @@
 
     pub(super) fn on_install(&mut self, from: ReplicaId, snapshot: Arc<Snapshot>, round: u64) {
         let index = snapshot.index;
-        let has_prefix = self.log.term_at(index) == Some(snapshot.term);
-        if index > self.commit && has_prefix {
+        if index > self.commit && !self.needs_snapshot(&snapshot) {
             // Entries after the snapshot may be acknowledged: they must stay.
             self.commit = index;
             self.deliver();
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -247,6 +247,16 @@
         self.send(to, message);
     }
 
+    /// A follower is fetching what a snapshot refers to: it needs no second one yet.
+    pub fn note_installing(&mut self, now: Moment, follower: ReplicaId) {
+        let until = now + self.settings.election_max;
+        if let Role::Leader(state) = &mut self.role
+            && let Some(progress) = state.progress.get_mut(&follower)
+        {
+            progress.installing_until = until;
+        }
+    }
+
     pub(super) fn on_append_reply(
         &mut self,
         now: Moment,
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -19,7 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::message::{
-    Entry, EntryKind, HardState, Index, Membership, Message, ReplicaId, Snapshot, Term,
+    Entry, EntryKind, HardState, Index, Membership, Message, ReplicaId, SegmentId, Snapshot, Term,
 };
 use leader::LeaderState;
 use log::RaftLog;
@@ -259,7 +259,11 @@
                 self.on_append_reply(now, from, matched, refused, round)
             }
             Message::Campaign { .. } => self.campaign(now, false, true),
-            Message::Join | Message::LeaderHint { .. } => {}
+            // Those without a term were answered above; segments travel outside the protocol.
+            Message::Join
+            | Message::LeaderHint { .. }
+            | Message::FetchSegment { .. }
+            | Message::SegmentChunk { .. } => {}
         }
     }
 
@@ -300,17 +304,28 @@
     }
 
     /// Replaces the entries up to `index` by a snapshot of the applied state.
-    pub fn compact(&mut self, index: Index, data: Vec<u8>) -> Option<Arc<Snapshot>> {
+    pub fn compact(
+        &mut self,
+        index: Index,
+        segments: BTreeSet<SegmentId>,
+        data: Vec<u8>,
+    ) -> Option<Arc<Snapshot>> {
         let term = self.log.term_at(index)?;
         if index <= self.log.snapshot().index {
             return None;
         }
-        let snapshot =
-            Arc::new(Snapshot { index, term, membership: self.log.membership_at(index), data });
+        let membership = self.log.membership_at(index);
+        let snapshot = Arc::new(Snapshot { index, term, membership, segments, data });
         self.log.compact(snapshot.clone());
         Some(snapshot)
     }
 
+    /// Whether the state of `snapshot` would replace the one held here.
+    pub fn needs_snapshot(&self, snapshot: &Snapshot) -> bool {
+        let has_prefix = self.log.term_at(snapshot.index) == Some(snapshot.term);
+        snapshot.index > self.commit && !has_prefix
+    }
+
     /// The tail of the log after the last snapshot.
     pub fn entries(&self) -> &[Entry] {
         self.log.entries()
--- a/crates/replication/src/storage/disk.rs
+++ b/crates/replication/src/storage/disk.rs
@@ -2,7 +2,7 @@
 //! can lose what was not synced.
 
 use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
 use super::DiskError;
@@ -15,6 +15,26 @@
     /// When the disk fails.
     fn read(&self, name: &str) -> Result<Option<Vec<u8>>, DiskError>;
 
+    /// `length` bytes of `name` from `offset` on; fewer at its end, none where there is no
+    /// such file.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    fn read_range(&self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, DiskError> {
+        let whole = self.read(name)?.unwrap_or_default();
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(whole.len());
+        let end = start.saturating_add(length).min(whole.len());
+        Ok(whole[start..end].to_vec())
+    }
+
+    /// Length of `name`, in bytes; `None` when there is no such file.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    fn length(&self, name: &str) -> Result<Option<u64>, DiskError> {
+        Ok(self.read(name)?.map(|whole| whole.len() as u64))
+    }
+
     /// Appends to `name`, which is created if need be. Not durable before [`Disk::sync`].
     ///
     /// # Errors
@@ -118,6 +138,27 @@
         }
     }
 
+    fn read_range(&self, name: &str, offset: u64, length: usize) -> Result<Vec<u8>, DiskError> {
+        let mut bytes = Vec::with_capacity(length);
+        let mut read = || {
+            let mut file = File::open(self.path(name))?;
+            file.seek(SeekFrom::Start(offset))?;
+            file.take(length as u64).read_to_end(&mut bytes)
+        };
+        match read() {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(Vec::new()),
+            done => Self::check("read", name, done).map(|_| bytes),
+        }
+    }
+
+    fn length(&self, name: &str) -> Result<Option<u64>, DiskError> {
+        match fs::metadata(self.path(name)) {
+            Ok(metadata) => Ok(Some(metadata.len())),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Self::check("look up", name, Err(error)),
+        }
+    }
+
     fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
         let written = self.file(name)?.write_all(bytes);
         Self::check("append", name, written)
--- a/crates/replication/src/storage/log.rs
+++ b/crates/replication/src/storage/log.rs
@@ -4,7 +4,7 @@
 //! durable. Snapshots are files of their own; a new log file starts with
 //! references to them when the old one has grown.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use calicohoist_telemetry::{Event, emit};
@@ -13,10 +13,11 @@
 
 use super::frame::{self, Found};
 use super::{Disk, DiskError};
-use crate::message::{Entry, GroupId, HardState, Index, Membership, Snapshot};
+use crate::message::{Entry, GroupId, HardState, Index, Membership, SegmentId, Snapshot};
 
 const LOG_PREFIX: &str = "log-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
+const SEGMENT_PREFIX: &str = "segment-";
 const IDENTITY_FILE: &str = "identity";
 
 /// One change to a group's stored state.
@@ -60,6 +61,8 @@
     pub founders: Vec<u32>,
     /// The groups.
     pub groups: BTreeMap<GroupId, RecoveredGroup>,
+    /// Segments that are held whole.
+    pub segments: BTreeSet<(GroupId, SegmentId)>,
 }
 
 #[derive(Debug, Default)]
@@ -87,7 +90,8 @@
         let mut log = Self { disk, number, bytes: 0 };
         let replayed = log.replay()?;
         let (disk, founders) = log.read_identity()?;
-        let mut recovered = Recovered { disk, founders, groups: BTreeMap::new() };
+        let segments = log.segments()?;
+        let mut recovered = Recovered { disk, founders, groups: BTreeMap::new(), segments };
         for (group, replay) in replayed {
             let snapshot = log.read_snapshot(group, replay.snapshot)?;
             let found = RecoveredGroup {
@@ -142,6 +146,77 @@
         self.disk.replace(&name, &file)
     }
 
+    /// Drops the snapshot files of a group other than those at `kept`.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn remove_snapshots_but(
+        &mut self,
+        group: GroupId,
+        kept: &[Index],
+    ) -> Result<(), DiskError> {
+        let kept: Vec<String> = kept.iter().map(|index| snapshot_name(group, *index)).collect();
+        let of_group = format!("{SNAPSHOT_PREFIX}{group}-");
+        for name in self.disk.list()? {
+            if name.starts_with(&of_group) && !kept.contains(&name) {
+                self.disk.remove(&name)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Stores a whole segment, durably.
+    ///
+    /// # Errors
+    /// When the disk fails or is full.
+    pub fn store_segment(
+        &mut self,
+        group: GroupId,
+        segment: SegmentId,
+        bytes: &[u8],
+    ) -> Result<(), DiskError> {
+        self.disk.replace(&segment_name(group, segment), bytes)
+    }
+
+    /// Part of a segment; shorter than `length` at its end.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn read_segment(
+        &self,
+        group: GroupId,
+        segment: SegmentId,
+        offset: u64,
+        length: usize,
+    ) -> Result<Vec<u8>, DiskError> {
+        self.disk.read_range(&segment_name(group, segment), offset, length)
+    }
+
+    /// Length of a segment, in bytes; `None` when it is not held.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn segment_length(
+        &self,
+        group: GroupId,
+        segment: SegmentId,
+    ) -> Result<Option<u64>, DiskError> {
+        self.disk.length(&segment_name(group, segment))
+    }
+
+    /// Drops a segment.
+    ///
+    /// # Errors
+    /// When the disk fails.
+    pub fn remove_segment(&mut self, group: GroupId, segment: SegmentId) -> Result<(), DiskError> {
+        self.disk.remove(&segment_name(group, segment))
+    }
+
+    fn segments(&self) -> Result<BTreeSet<(GroupId, SegmentId)>, DiskError> {
+        let names = self.disk.list()?;
+        Ok(names.iter().filter_map(|name| segment_of(name)).collect())
+    }
+
     /// Starts a new log file that holds only `writes`, and drops what it replaces.
     ///
     /// # Errors
@@ -229,6 +304,7 @@
                 index: 0,
                 term: 0,
                 membership: Membership::default(),
+                segments: BTreeSet::new(),
                 data: Vec::new(),
             });
         };
@@ -276,6 +352,15 @@
     format!("{SNAPSHOT_PREFIX}{group}-{index:012}")
 }
 
+fn segment_name(group: GroupId, segment: SegmentId) -> String {
+    format!("{SEGMENT_PREFIX}{group}-{:012}", segment.0)
+}
+
+fn segment_of(name: &str) -> Option<(GroupId, SegmentId)> {
+    let (group, segment) = name.strip_prefix(SEGMENT_PREFIX)?.split_once('-')?;
+    Some((GroupId(group.parse().ok()?), SegmentId(segment.parse().ok()?)))
+}
+
 fn corrupt(file: &str, offset: usize, problem: &str) -> DiskError {
     DiskError::Corrupt { file: file.to_owned(), offset, problem: problem.to_owned() }
 }
