Give an attempt of a safe request half of the time that is left; name requests that come too late

Requests that arrived with 2 and 18 ms left were logged as "no replica".

Change: while another attempt may follow, one attempt of a safe request is waited for until half of the time is over; then another replica is asked. The replica is still told all of what the caller waits. Requests with too little time are refused as not run under that name. An exchange computes the time left itself, and its check-out parameter, which was always the same, is gone.

--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use calicohoist_routing::select::Affinity;
-use calicohoist_routing::{Route, RouteTable, Service, stable_hash};
+use calicohoist_routing::{Route, RouteKind, RouteTable, Service, stable_hash};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
@@ -67,6 +67,15 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Until when an attempt may take after `attempts` others. A replica may run a request
+    /// and lose its answer: while a request may run again, one attempt gets at most half
+    /// of the time that is left. A stream shows by its events that it is alive.
+    pub fn attempt_deadline(&self, attempts: u32) -> Instant {
+        let may_follow =
+            self.route.kind == RouteKind::Safe && attempts + 1 < self.route.max_attempts;
+        if may_follow { Instant::now() + self.left() / 2 } else { self.deadline }
+    }
+
     /// The service that its route's weights choose. A program stays with one service,
     /// since what a replica holds of its prompt is of no use at another.
     pub fn service(&self) -> Option<&Arc<Service>> {
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -14,9 +14,8 @@
 use super::call::Call;
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
-use crate::dialect::OutgoingHead;
 use crate::fleet::Member;
-use crate::upstream::{Checkout, Exchange, ExchangeError, Outgoing, exchange};
+use crate::upstream::{Exchange, ExchangeError, Outgoing, exchange};
 
 static ATTEMPTS_FAILED: Counter = Counter::new(
     "calicohoist_proxy_attempts_failed_total",
@@ -95,6 +94,8 @@
         headers: &call.headers,
         request_id: &call.head.request_id,
         body: payload.body.clone(),
+        last_event: payload.last_event.as_deref(),
+        deadline: call.deadline,
     };
     loop {
         if call.left() < LEAST_TIME {
@@ -103,13 +104,8 @@
         let Some(member) = choose(app, call, &service.name, trail) else {
             return Err(nobody_left(trail));
         };
-        let head = OutgoingHead {
-            deadline: call.left(),
-            replica: &member.replica.id,
-            last_event: payload.last_event.as_deref(),
-        };
         let dialect = app.dialect();
-        let deadline = call.deadline;
+        let patience = call.attempt_deadline(trail.attempts);
         let began = Instant::now();
         let (own_load, other_load) = member.loads();
         emit!(
@@ -121,8 +117,7 @@
             list_age_ms = app.fleet.list_age().as_millis(),
             left_ms = call.left().as_millis(),
         );
-        let result =
-            exchange(&app.pool, dialect, &member, &outgoing, head, deadline, Checkout::Any).await;
+        let result = exchange(&app.pool, dialect, &member, &outgoing, patience).await;
         let error = match result {
             Ok(exchange) => {
                 trail.attempts += 1;
@@ -158,8 +153,11 @@
                 }
             }
             ExchangeError::Deadline => {
+                member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
                 trail.attempts += 1;
-                return Err(Refusal::Deadline);
+                if call.left() < LEAST_TIME {
+                    return Err(Refusal::Deadline);
+                }
             }
         }
         if trail.refused_at >= MAX_REPLICAS_ASKED {
@@ -202,5 +200,8 @@
 }
 
 fn out_of_time(trail: &Trail) -> Refusal {
-    if trail.attempts > 0 { Refusal::Deadline } else { nobody_left(trail) }
+    if trail.attempts > 0 {
+        return Refusal::Deadline;
+    }
+    Refusal::not_run(NotRunReason::TooLate, Duration::ZERO)
 }
--- a/crates/proxy/src/flow/plain.rs
+++ b/crates/proxy/src/flow/plain.rs
@@ -1,7 +1,7 @@
 //! Requests with one whole answer.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_routing::RouteKind;
@@ -30,7 +30,8 @@
     loop {
         let exchange = dispatch(app, call, &payload, &mut trail).await?;
         let replica = exchange.member.replica.id.clone();
-        match collect(app, call, exchange).await {
+        let deadline = call.attempt_deadline(trail.attempts - 1);
+        match collect(app, deadline, exchange).await {
             Ok(response) => {
                 log_end(call, &replica, &response, &trail);
                 return Ok(response.map(AnswerBody::whole));
@@ -49,14 +50,14 @@
 /// Reads the whole answer.
 pub async fn collect(
     app: &App,
-    call: &Call,
+    deadline: Instant,
     exchange: Exchange,
 ) -> Result<Response<Bytes>, Refusal> {
     const AVOIDED_FOR: Duration = Duration::from_millis(1_000);
     const PENALTY: Duration = Duration::from_millis(50);
     let mut exchange = exchange;
     let body = Limited::new(exchange.response.body_mut(), MAX_ANSWER_BYTES).collect();
-    let body = match tokio::time::timeout_at(call.deadline.into(), body).await {
+    let body = match tokio::time::timeout_at(deadline.into(), body).await {
         Err(_) => return Err(Refusal::Deadline),
         Ok(Err(_)) => {
             exchange.member.note_trouble(PENALTY, AVOIDED_FOR);
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -64,6 +64,9 @@
     /// Every replica that was asked refused or could not be reached.
     #[error("replicas full")]
     ReplicasFull,
+    /// It came with too little time to be offered to a replica.
+    #[error("too little time")]
+    TooLate,
     /// The ledger did not answer.
     #[error("ledger unavailable")]
     LedgerUnavailable,
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -42,7 +42,7 @@
     let exchange = dispatch(app, call, &payload, &mut trail).await?;
     turn.ran_at = Some(exchange.member.replica.id.clone());
     if !is_event_stream(&exchange) {
-        let response = plain::collect(app, call, exchange).await?;
+        let response = plain::collect(app, call.deadline, exchange).await?;
         plain::log_end(call, "-", &response, &trail);
         return Ok(response.map(AnswerBody::whole));
     }
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -27,6 +27,10 @@
     pub request_id: &'a str,
     /// The whole body.
     pub body: Bytes,
+    /// Continue a stream after this event.
+    pub last_event: Option<&'a str>,
+    /// Until when the caller waits; the replica is told what is left.
+    pub deadline: Instant,
 }
 
 /// Why an exchange gave no answer.
@@ -74,7 +78,7 @@
     }
 }
 
-/// Sends a request and waits for the head of its answer.
+/// Sends a request and waits for the head of its answer, until `patience` at the latest.
 ///
 /// # Errors
 /// See [`ExchangeError`].
@@ -83,19 +87,17 @@
     dialect: &dyn Dialect,
     member: &Arc<Member>,
     outgoing: &Outgoing<'_>,
-    head: OutgoingHead<'_>,
-    deadline: Instant,
-    checkout: Checkout,
+    patience: Instant,
 ) -> Result<Exchange, ExchangeError> {
     let load = member.begin();
     let replica = &member.replica;
-    let mut checkout = checkout;
+    let mut checkout = Checkout::Any;
     loop {
         let connection = pool.check_out(&replica.id, replica.address, checkout).await;
         let mut connection = connection.map_err(|_| ExchangeError::NotSent)?;
-        let request = build(dialect, outgoing, &head, deadline);
+        let request = build(dialect, outgoing, &replica.id);
         let sending = connection.sender.try_send_request(request);
-        let answered = tokio::time::timeout_at(deadline.into(), sending).await;
+        let answered = tokio::time::timeout_at(patience.into(), sending).await;
         match answered {
             Err(_) => return Err(ExchangeError::Deadline),
             Ok(Err(mut failed)) => {
@@ -135,18 +137,13 @@
     }
 }
 
-fn build(
-    dialect: &dyn Dialect,
-    outgoing: &Outgoing<'_>,
-    head: &OutgoingHead<'_>,
-    deadline: Instant,
-) -> Request<Full<Bytes>> {
+fn build(dialect: &dyn Dialect, outgoing: &Outgoing<'_>, replica: &str) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
-    let left = deadline.saturating_duration_since(Instant::now());
-    let head = OutgoingHead { deadline: left, ..head.clone() };
+    let left = outgoing.deadline.saturating_duration_since(Instant::now());
+    let head = OutgoingHead { deadline: left, replica, last_event: outgoing.last_event };
     dialect.write_call(request.headers_mut(), &head);
     request
 }
