--- a/crates/calicohoist/src/cli/serve.rs
+++ b/crates/calicohoist/src/cli/serve.rs
@@ -1,7 +1,7 @@
 //! `calicohoist serve`: the role that a settings file of the platform names.
 
 use std::convert::Infallible;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
@@ -28,6 +28,10 @@
     /// Port of the metrics; none are served without it
     #[bpaf(long("metrics-port"), argument("PORT"))]
     metrics_port: Option<u16>,
+    /// Ledger machines: listen on this address instead of the machine's own, which others
+    /// reach through a forwarder
+    #[bpaf(long("bind"), argument("IP"))]
+    bind: Option<Ipv4Addr>,
     /// Check the file and start nothing
     #[bpaf(long("check"))]
     check: bool,
@@ -66,7 +70,8 @@
                 front::run(settings, listeners, stop).await
             }
             NodeRole::Ledger(settings) => {
-                let listeners = server::Listeners::bind(&settings)?;
+                let listeners =
+                    server::Listeners::bind(arguments.bind.unwrap_or(settings.ip), settings.ports)?;
                 server::run(settings, listeners, stop).await
             }
         }
--- /dev/null
+++ b/crates/calicohoist/tests/machines/mod.rs
@@ -0,0 +1,210 @@
+//! The product's real processes, as the machines of a small deployment on loopback.
+//!
+//! Other machines reach a store machine at its address, where a forwarder may stand; the
+//! process itself listens on another.
+
+#![allow(dead_code, unused_imports)]
+
+use std::fs;
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+use tempfile::TempDir;
+
+pub mod forwarder;
+
+use crate::support::{ListServer, Reply, client, exchange, request_head, wait_until};
+
+pub const STORES: [&str; 3] = ["127.0.0.11", "127.0.0.12", "127.0.0.13"];
+/// Where store processes listen behind forwarders.
+pub const BOUND: [&str; 3] = ["127.0.1.11", "127.0.1.12", "127.0.1.13"];
+pub const FRONTS: [&str; 2] = ["127.0.0.21", "127.0.0.22"];
+
+/// Ports that are alike on all machines.
+#[derive(Clone, Copy)]
+pub struct Ports {
+    pub internal: u16,
+    pub control: u16,
+    pub http: u16,
+    pub ready: u16,
+}
+
+impl Ports {
+    /// Ports that are free on every address just now.
+    pub fn free() -> Self {
+        let candidates = std::iter::repeat_with(|| {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            listener.local_addr().expect("an address").port()
+        });
+        let is_free = |port: &u16| {
+            let addresses = STORES.iter().chain(&FRONTS).chain(&BOUND);
+            *port < u16::MAX
+                && addresses.into_iter().all(|address| {
+                    TcpListener::bind((*address, *port)).is_ok()
+                        && TcpListener::bind((*address, port + 1)).is_ok()
+                })
+        };
+        let mut found: Vec<u16> = Vec::new();
+        for port in candidates.filter(is_free) {
+            if found.iter().all(|known| known.abs_diff(port) > 1) {
+                found.push(port);
+            }
+            if let [internal, control, http, ready] = found[..] {
+                return Self { internal, control, http, ready };
+            }
+        }
+        unreachable!("the candidates never end")
+    }
+}
+
+pub struct Process {
+    pub child: Child,
+    pub ip: &'static str,
+}
+
+impl Process {
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal that does not end the process.
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill_process(Pid::from_child(&self.child), signal);
+    }
+
+    pub fn terminate(&mut self) -> bool {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, Signal::TERM).expect("signalled");
+        self.child.wait().expect("ended").success()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub struct Machines {
+    pub folder: TempDir,
+    pub list: ListServer,
+    pub ports: Ports,
+    /// Where processes find the list, if not at its own address.
+    pub list_address: Option<SocketAddr>,
+}
+
+impl Machines {
+    pub fn new() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        Self { folder, list: ListServer::start(), ports: Ports::free(), list_address: None }
+    }
+
+    pub fn data_folder(&self, ip: &str) -> PathBuf {
+        self.folder.path().join(format!("data-{ip}"))
+    }
+
+    pub fn start(&self, ip: &'static str, bootstrap: bool) -> Process {
+        self.start_bound(ip, ip, bootstrap)
+    }
+
+    /// Starts a machine whose store process listens on `bind`.
+    pub fn start_bound(&self, ip: &'static str, bind: &str, bootstrap: bool) -> Process {
+        let Ports { internal, control, http, ready } = self.ports;
+        let is_store = STORES.contains(&ip);
+        let seeds: Vec<String> =
+            STORES.iter().map(|seed| format!("\"{seed}:{control}\"")).collect();
+        let (serves, listen, data) = if is_store {
+            let data = format!("data_dir = {:?}\n", self.data_folder(ip));
+            ("\"store\",\"control\"", format!("control = \"{ip}:{control}\""), data)
+        } else {
+            let listen = format!("front_http = \"{ip}:{http}\"\nready = \"{ip}:{ready}\"");
+            ("\"front\"", listen, String::new())
+        };
+        let text = format!(
+            "node_name = \"node-{ip}\"\nip = \"{ip}\"\nzone = \"hall\"\nserves = [{serves}]\n\
+             internal_ports = [{internal},{}]\nseeds = [{}]\nbootstrap = {bootstrap}\n{data}\
+             [listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n[bounds]\ngrace_s = 8\n\
+             [cloud]\naddress = \"{}\"\n",
+            internal + 1,
+            seeds.join(","),
+            self.list_address.unwrap_or(self.list.address),
+        );
+        let file = self.folder.path().join(format!("{ip}.toml"));
+        fs::write(&file, text).expect("a settings file");
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.path().join(format!("{ip}.log")))
+            .expect("a log");
+        let bind: &[&str] = if is_store { &["--bind", bind] } else { &[] };
+        let child = Command::new(env!("CARGO_BIN_EXE_calicohoist"))
+            .args(["--log-format", "json", "serve", "--node-file"])
+            .arg(&file)
+            .args(bind)
+            .stdout(Stdio::from(log.try_clone().expect("a handle")))
+            .stderr(Stdio::from(log))
+            .spawn()
+            .expect("started");
+        Process { child, ip }
+    }
+
+    pub fn control(&self, ip: &str) -> SocketAddr {
+        SocketAddr::new(ip.parse().expect("an address"), self.ports.control)
+    }
+
+    /// Asks every store machine until one answers 200 by itself.
+    pub fn operator(&self, method: &str, path: &str, body: &str) -> Option<(Reply, &'static str)> {
+        STORES.iter().find_map(|ip| {
+            let mut stream = std::net::TcpStream::connect(self.control(ip)).ok()?;
+            let request = format!(
+                "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            stream.write_all(request.as_bytes()).ok()?;
+            let reply = client::read_reply(&mut std::io::BufReader::new(stream));
+            (reply.status == 200).then_some((reply, *ip))
+        })
+    }
+
+    pub fn leader(&self) -> &'static str {
+        let mut leader = None;
+        wait_until("somebody leads", || self.operator("GET", "/-/config", "").is_some());
+        while leader.is_none() {
+            leader = self.operator("GET", "/-/config", "").map(|(_, ip)| ip);
+        }
+        leader.unwrap_or(STORES[0])
+    }
+
+    pub fn http(&self, ip: &str) -> SocketAddr {
+        SocketAddr::new(ip.parse().expect("an address"), self.ports.http)
+    }
+
+    pub fn is_ready(&self, ip: &str) -> bool {
+        let address = SocketAddr::new(ip.parse().expect("an address"), self.ports.ready);
+        std::net::TcpStream::connect(address).is_ok()
+            && client::control(address, "GET", "/-/ready", "").status == 200
+    }
+
+    /// A turn, asked again as its caller would until it is whole; returns its identity.
+    pub fn turn(&self, front: &str, name: &str, previous: Option<&str>, input: &str) -> String {
+        let line = previous.map(|previous| format!("Calicohoist-Previous-Turn: {previous}"));
+        let more: Vec<&str> = line.as_deref().into_iter().collect();
+        for attempt in 0.. {
+            let id = format!("{name}-{attempt}");
+            let head = request_head("POST", "/retained/a", &id, input.len(), &more);
+            let reply = exchange(self.http(front), format!("{head}{input}").as_bytes());
+            assert_ne!(reply.status, 404, "{id} after {previous:?}");
+            if reply.status == 200 && reply.is_complete {
+                return id;
+            }
+            assert!(attempt < 400, "{name} never ended whole: {}", reply.status);
+            std::thread::sleep(std::time::Duration::from_millis(25));
+        }
+        unreachable!("the attempts end by themselves")
+    }
+}
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -102,16 +102,15 @@
 }
 
 impl Listeners {
-    /// Listens where the settings say.
+    /// Listens on `ip`: that of the machine, or another one behind a forwarder.
     ///
     /// # Errors
     /// When an address is taken.
-    pub fn bind(settings: &LedgerSettings) -> eyre::Result<Self> {
-        let ports = settings.ports;
+    pub fn bind(ip: Ipv4Addr, ports: Ports) -> eyre::Result<Self> {
         Ok(Self {
-            peers: listen(settings, ports.peers)?,
-            gateways: listen(settings, ports.gateways)?,
-            control: listen(settings, ports.control)?,
+            peers: listen(ip, ports.peers)?,
+            gateways: listen(ip, ports.gateways)?,
+            control: listen(ip, ports.control)?,
         })
     }
 }
@@ -147,8 +146,8 @@
     Ok(())
 }
 
-fn listen(settings: &LedgerSettings, port: u16) -> eyre::Result<TcpListener> {
-    let address = SocketAddr::new(IpAddr::V4(settings.ip), port);
+fn listen(ip: Ipv4Addr, port: u16) -> eyre::Result<TcpListener> {
+    let address = SocketAddr::new(IpAddr::V4(ip), port);
     let listener = calicohoist_transport::bind(address);
     listener.map_err(|error| eyre::eyre!("cannot listen on {address}: {error}"))
 }
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Plays the soak of real processes with fresh seeds.
+# Usage: scripts/soak.sh [SEEDS] [SECONDS PER SEED] [FIRST SEED]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+count=${1:-10}
+seconds=${2:-20}
+first=${3:-$(date +%s)}
+export CALICOHOIST_SOAK_SEEDS="$first..$((first + count))"
+export CALICOHOIST_SOAK_SECONDS="$seconds"
+echo "seeds $CALICOHOIST_SOAK_SEEDS, $seconds s each"
+cargo test --locked -p calicohoist --test soak -- --nocapture
