Avoid replicas that show no sign of work

Change: the placer notes when a turn last ended at each replica. One that has turns under way and ended none for 800 ms is suspected, and so is one for 1.5 s after a turn that it never answered; a suspected replica costs a second more than others. Any end takes the suspicion away.

Ruled out: frozen gateways (their log lines go on), one program's sub-agents (they are of many programs).

Test: a_replica_that_ends_nothing_any_more_gets_no_further_turns.

--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -183,7 +183,8 @@
 
     /// Settles. The turn has ended, whether or not that becomes durable here.
     fn settle(&self, settle: SettleTurn, ran_at: Option<&str>, back: Back) {
-        self.placement.lock().placer.end(&settle.turn, ran_at, settle.used_tokens);
+        let now = Instant::now();
+        self.placement.lock().placer.end(&settle.turn, ran_at, settle.used_tokens, now);
         let hub = self.clone();
         let respond = Box::new(move |response| back.send(hub.answer(response)));
         self.replica.ask(Request::Change(Command::Settle(settle)), respond);
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -14,6 +14,12 @@
 use crate::prefix::{PrefixIndex, PromptPart};
 use crate::replica::{Replica, ReplicaState};
 
+/// Silence of a replica with turns under way from which it is suspected: some turn ends
+/// every tenth of a second or so where several run, and most are shorter than this.
+const SUSPECT_AFTER: Duration = Duration::from_millis(800);
+/// How long a replica stays suspected after a turn ended that it never answered.
+const SUSPECT_FOR: Duration = Duration::from_millis(1_500);
+
 /// How often turns are sought whose end nobody told.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -45,6 +51,8 @@
     pub reading_disturbs: f64,
     /// Cost of leaving the zone of the gateway.
     pub zone_crossing: Duration,
+    /// Cost of a replica that shows no sign of work.
+    pub suspicion: Duration,
 }
 
 impl Default for PlacementWeights {
@@ -55,6 +63,7 @@
             tokens_per_ms: 64,
             reading_disturbs: 0.3,
             zone_crossing: Duration::from_millis(2),
+            suspicion: Duration::from_secs(1),
         }
     }
 }
@@ -65,15 +74,24 @@
     replica: String,
     prompt: Vec<PromptPart>,
     memory_tokens: u64,
+    began: Instant,
     ends_by: Instant,
 }
 
+/// When a replica last showed that it works.
+#[derive(Clone, Copy, Debug)]
+struct Signs {
+    last: Instant,
+    suspected_until: Option<Instant>,
+}
+
 /// Places turns, and learns from where they ran.
 #[derive(Debug, Default)]
 pub struct Placer {
     weights: PlacementWeights,
     turns: HashMap<String, PlacedTurn>,
     loads: HashMap<String, u32>,
+    signs: HashMap<String, Signs>,
     index: PrefixIndex,
     expired_at: Option<Instant>,
 }
@@ -105,7 +123,7 @@
         }
         // Of equals, the one whose memory has most room.
         let rank =
-            |replica: &&&Replica| (self.cost(replica, request), self.index.held(&replica.id));
+            |replica: &&&Replica| (self.cost(replica, request, now), self.index.held(&replica.id));
         let chosen = open.iter().min_by_key(rank)?;
         let chosen = chosen.id.clone();
         self.begin(turn, &chosen, request, now);
@@ -113,14 +131,16 @@
     }
 
     /// A turn has ended. `ran_at` is the replica that ran it, which may be another than
-    /// the one it was placed on, and `generated` what it made, in tokens.
-    pub fn end(&mut self, turn: &str, ran_at: Option<&str>, generated: u64) {
+    /// the one it was placed on, and `generated` what it made, in tokens. `None` when no
+    /// replica answered.
+    pub fn end(&mut self, turn: &str, ran_at: Option<&str>, generated: u64, now: Instant) {
         let Some(mut placed) = self.forget(turn) else {
             return;
         };
         let Some(ran_at) = ran_at else {
-            return;
+            return self.note_unanswered(&placed, now);
         };
+        self.signs.insert(ran_at.to_owned(), Signs { last: now, suspected_until: None });
         if let Some(last) = placed.prompt.last_mut() {
             last.tokens = last.tokens.saturating_add(u32::try_from(generated).unwrap_or(u32::MAX));
         }
@@ -129,7 +149,9 @@
 
     /// Forgets what is known of replicas that are not in `replicas`.
     pub fn retain(&mut self, replicas: &[Replica]) {
-        self.index.retain(|id| replicas.iter().any(|replica| replica.id == id));
+        let is_listed = |id: &str| replicas.iter().any(|replica| replica.id == id);
+        self.index.retain(is_listed);
+        self.signs.retain(|id, _| is_listed(id));
     }
 
     /// Turns under way at a replica.
@@ -141,16 +163,43 @@
         self.forget(turn);
         // The next turns may come before this one ends.
         self.index.note(replica, &request.prompt, request.memory_tokens);
-        *self.loads.entry(replica.to_owned()).or_default() += 1;
+        let load = self.loads.entry(replica.to_owned()).or_default();
+        if *load == 0 {
+            let fresh = Signs { last: now, suspected_until: None };
+            self.signs.entry(replica.to_owned()).or_insert(fresh).last = now;
+        }
+        *load += 1;
         let placed = PlacedTurn {
             replica: replica.to_owned(),
             prompt: request.prompt.clone(),
             memory_tokens: request.memory_tokens,
+            began: now,
             ends_by: now + Duration::from_millis(request.left_ms),
         };
         self.turns.insert(turn.to_owned(), placed);
     }
 
+    /// A turn ended that nobody answered: its caller left, or every replica refused.
+    fn note_unanswered(&mut self, placed: &PlacedTurn, now: Instant) {
+        if now < placed.began + SUSPECT_AFTER {
+            return;
+        }
+        if let Some(signs) = self.signs.get_mut(&placed.replica)
+            && signs.last <= placed.began
+        {
+            signs.suspected_until = Some(now + SUSPECT_FOR);
+        }
+    }
+
+    /// Whether a replica has turns and shows no sign of working on them.
+    fn is_suspected(&self, replica: &str, now: Instant) -> bool {
+        let Some(signs) = self.signs.get(replica) else {
+            return false;
+        };
+        let is_silent = self.load(replica) > 0 && now >= signs.last + SUSPECT_AFTER;
+        is_silent || signs.suspected_until.is_some_and(|until| now < until)
+    }
+
     fn forget(&mut self, turn: &str) -> Option<PlacedTurn> {
         let placed = self.turns.remove(turn)?;
         if let Some(load) = self.loads.get_mut(&placed.replica) {
@@ -175,7 +224,7 @@
         }
     }
 
-    fn cost(&self, replica: &Replica, request: &PlacementRequest) -> Duration {
+    fn cost(&self, replica: &Replica, request: &PlacementRequest, now: Instant) -> Duration {
         let weights = &self.weights;
         let slots = replica.slots.max(1);
         let load = self.load(&replica.id);
@@ -188,6 +237,8 @@
         let reading = Duration::from_secs_f64(reading_ms * disturbed / 1_000.0);
         let is_near = replica.zone == request.zone;
         let crossing = if is_near { Duration::ZERO } else { weights.zone_crossing };
-        waiting + reading + weights.per_running * running + crossing
+        let is_suspected = self.is_suspected(&replica.id, now);
+        let suspicion = if is_suspected { weights.suspicion } else { Duration::ZERO };
+        waiting + reading + weights.per_running * running + crossing + suspicion
     }
 }
--- a/crates/routing/tests/placement.rs
+++ b/crates/routing/tests/placement.rs
@@ -58,10 +58,10 @@
     let replicas = fleet(4);
     let now = Instant::now();
     let first = placer.place("a", &request(&[part(1, 500), part(2, 700)]), &replicas, now);
-    placer.end("a", first.as_deref(), 80);
+    placer.end("a", first.as_deref(), 80, now);
     let other = placer.place("x", &request(&[part(9, 700)]), &replicas, now);
     assert_ne!(first, other, "a replica that holds nothing is as good for another prompt");
-    placer.end("x", other.as_deref(), 0);
+    placer.end("x", other.as_deref(), 0, now);
     let second = placer.place("b", &request(&[part(1, 500), part(2, 1_400)]), &replicas, now);
     assert_eq!(first, second);
 }
@@ -74,7 +74,7 @@
     let prompt = [part(2, 3_000)];
     let placed = placer.place("a", &request(&prompt), &replicas, now).expect("a place");
     let ran_at = replicas.iter().find(|replica| replica.id != placed).expect("another");
-    placer.end("a", Some(&ran_at.id), 100);
+    placer.end("a", Some(&ran_at.id), 100, now);
     let grown = [part(2, 3_300)];
     // Both are believed to hold it: the one that was to read it may have begun to.
     let next = placer.place("b", &request(&grown), &replicas, now).expect("a place");
@@ -119,13 +119,42 @@
     assert_eq!(placer.load("r0"), 2, "the first has run out of time");
 }
 
+#[test]
+fn a_replica_that_ends_nothing_any_more_gets_no_further_turns() {
+    let mut placer = Placer::new(PlacementWeights::default());
+    let replicas = fleet(2);
+    let mut now = Instant::now();
+    let silent = placer.place("s", &request(&[part(1, 900)]), &replicas, now).expect("a place");
+    // The other one works; the silent one would be the cheaper of the two.
+    for turn in 0..3 {
+        let name = format!("o{turn}");
+        placer.place(&name, &request(&[part(100 + turn, 900)]), &replicas, now);
+    }
+    now += Duration::from_millis(900);
+    let other = replicas.iter().find(|replica| replica.id != silent).expect("another");
+    for turn in ["o0", "o1", "o2"] {
+        placer.end(turn, Some(&other.id), 10, now);
+    }
+    let grown = [part(1, 1_000)];
+    let next = placer.place("n", &request(&grown), &replicas, now);
+    assert_eq!(next.as_deref(), Some(other.id.as_str()));
+    placer.end("n", Some(&other.id), 10, now);
+    // Its caller gives up: the replica stays suspected for a while, though it is idle now.
+    placer.end("s", None, 0, now);
+    let later = placer.place("l", &request(&[part(8, 10)]), &replicas, now);
+    assert_eq!(later.as_deref(), Some(other.id.as_str()));
+    now += Duration::from_secs(3);
+    let back = placer.place("b", &request(&[part(9, 10)]), &replicas, now);
+    assert_eq!(back.as_deref(), Some(silent.as_str()), "the other one has a turn under way");
+}
+
 #[test]
 fn nobody_is_placed_on_a_replica_that_leaves() {
     let mut placer = Placer::new(PlacementWeights::default());
     let mut replicas = fleet(2);
     let now = Instant::now();
     let home = placer.place("a", &request(&[part(1, 5_000)]), &replicas, now).expect("a place");
-    placer.end("a", Some(&home), 0);
+    placer.end("a", Some(&home), 0, now);
     for replica in &mut replicas {
         if replica.id == home {
             replica.state = ReplicaState::Draining;
@@ -186,7 +215,7 @@
                 placer.place(&name, &request(&[part(u64::from(turn), 300)]), &replicas, now);
                 under_way.insert(name);
             } else {
-                placer.end(&name, Some("r1"), 10);
+                placer.end(&name, Some("r1"), 10, now);
                 under_way.remove(&name);
             }
         }
