--- a/crates/lab/tests/ledger_members.rs
+++ b/crates/lab/tests/ledger_members.rs
@@ -476,6 +476,7 @@
         used_tokens: 0,
         retention_ms,
         retained: Some(RetainedTurn { previous, input: input.to_vec(), output: output.to_vec() }),
+        run: None,
     })
 }
 
--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -28,6 +28,8 @@
 const ANSWER_PATIENCE: Duration = Duration::from_millis(250);
 /// A watch is held on purpose, so it may stay silent for longer.
 const WATCH_PATIENCE: Duration = Duration::from_millis(1_000);
+/// A turn waits for a replica on purpose, too.
+const PLACE_PATIENCE: Duration = Duration::from_millis(2_200);
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
 
 /// Why a question has no answer.
@@ -85,6 +87,7 @@
     pub async fn ask(&self, question: &Question, deadline: Instant) -> Result<Answer, AskError> {
         let patience = match question {
             Question::Watch(_) => WATCH_PATIENCE,
+            Question::Place { .. } => PLACE_PATIENCE,
             Question::Reserve { .. } | Question::Settle { .. } => ANSWER_PATIENCE,
         };
         while Instant::now() < deadline {
--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -3,6 +3,7 @@
 //! Every command may be applied twice with the effect of once: a caller that got no
 //! answer sends the same command again, perhaps to another leader.
 
+use calicohoist_scheduler::TurnRun;
 use serde::{Deserialize, Serialize};
 
 /// Identity of a program, as its caller gave it.
@@ -79,6 +80,8 @@
     pub retention_ms: u64,
     /// What is kept of a turn that ended whole on a retaining route.
     pub retained: Option<RetainedTurn>,
+    /// Where it ran; every machine learns from it what replicas hold.
+    pub run: Option<Box<TurnRun>>,
 }
 
 /// What is kept of a turn.
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -3,10 +3,11 @@
 //! One connection carries many questions at a time; the number tells which answer
 //! belongs to which. Every question may be asked again, of any machine.
 
-use calicohoist_routing::{PlacementRequest, ReplicaList};
+use calicohoist_routing::ReplicaList;
+use calicohoist_scheduler::{Decision, PlacementRequest};
 use serde::{Deserialize, Serialize};
 
-use crate::commands::{Reservation, ReserveTurn, SettleTurn};
+use crate::commands::{Reservation, ReserveTurn, SettleTurn, TurnId};
 
 /// A numbered question.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -36,13 +37,15 @@
         /// Where it may run; `None` when it needs no place.
         placement: Option<PlacementRequest>,
     },
-    /// Keep the end of this turn.
-    Settle {
-        /// What was used, and what is kept.
-        settle: SettleTurn,
-        /// The replica that ran it.
-        ran_at: Option<String>,
+    /// Where does this turn run, whose reservation was granted? Held while it waits.
+    Place {
+        /// The turn.
+        turn: TurnId,
+        /// Where it may run.
+        placement: PlacementRequest,
     },
+    /// Keep the end of this turn.
+    Settle(SettleTurn),
     /// What is newer than this? Held for a while when nothing is.
     Watch(Seen),
 }
@@ -78,9 +81,13 @@
         reservation: Reservation,
         /// All input and output before it, when granted.
         history: Vec<u8>,
-        /// The replica that it is best sent to, as the leader sees it.
-        replica: Option<String>,
+        /// When and where it runs; `None` when it needs no place.
+        decision: Option<Decision>,
+        /// Whether its program has begun with an earlier turn.
+        is_under_way: bool,
     },
+    /// When and where a turn runs.
+    Placed(Decision),
     /// The end of the turn is durable.
     Settled,
     /// What is newer than what was seen.
--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::{PlacementRequest, Placer};
+use calicohoist_scheduler::PlacementRequest;
 use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -12,6 +12,7 @@
 
 use super::list::Reading;
 use super::replica::{ReplicaHandle, Request, Response, Standing};
+use super::turns::TurnDesk;
 use crate::commands::{Command, Output, Reservation, ReserveTurn, SettleTurn};
 use crate::protocol::{Answer, Ask, ListMark, News, Question, Reply, Seen};
 
@@ -19,6 +20,8 @@
 const WATCH_HOLD: Duration = Duration::from_millis(500);
 /// Reports of load older than this are dropped.
 const LOAD_AGE: Duration = Duration::from_millis(2_000);
+/// Time between two looks at waiting turns.
+const TEND_INTERVAL: Duration = Duration::from_millis(20);
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// What all connections of gateways share.
@@ -28,15 +31,8 @@
     standing: watch::Receiver<Standing>,
     list: watch::Receiver<Reading>,
     loads: Arc<Mutex<HashMap<String, LoadReport>>>,
-    /// Places turns; of use on the leader only, which alone grants reservations.
-    placement: Arc<Mutex<Placement>>,
-}
-
-#[derive(Default)]
-struct Placement {
-    placer: Placer,
-    /// The list whose replicas the placer was told last.
-    list: ListMark,
+    /// Turns of programs; of use on the leader only, which alone grants reservations.
+    turns: Arc<TurnDesk>,
 }
 
 struct LoadReport {
@@ -50,8 +46,9 @@
         replica: ReplicaHandle,
         standing: watch::Receiver<Standing>,
         list: watch::Receiver<Reading>,
+        turns: Arc<TurnDesk>,
     ) -> Self {
-        Self { replica, standing, list, loads: Arc::default(), placement: Arc::default() }
+        Self { replica, standing, list, loads: Arc::default(), turns }
     }
 
     fn not_leader(&self, leader: Option<u32>) -> Answer {
@@ -113,6 +110,10 @@
         let mut loads = self.loads.lock();
         loads.insert(seen.gateway.clone(), report);
         loads.retain(|_, report| report.at.elapsed() < LOAD_AGE);
+        let standing = self.standing.borrow();
+        if standing.is_leader {
+            self.turns.note_report(standing.term, &seen.gateway, &seen.loads);
+        }
     }
 
     fn loads_of_others(&self, gateway: &str) -> Vec<(String, u32)> {
@@ -145,7 +146,8 @@
         let back = Back { number, replies: replies.clone() };
         match question {
             Question::Reserve { reserve, placement } => hub.reserve(reserve, placement, back),
-            Question::Settle { settle, ran_at } => hub.settle(settle, ran_at.as_deref(), back),
+            Question::Place { turn, placement } => hub.place(turn, placement, back),
+            Question::Settle(settle) => hub.settle(settle, back),
             Question::Watch(seen) => {
                 let hub = hub.clone();
                 tokio::spawn(async move { back.send(hub.watch(seen).await) });
@@ -155,36 +157,49 @@
 }
 
 impl Hub {
-    /// Reserves, and places the turn when that is granted.
+    /// Reserves, and decides when and where the turn runs once that is granted.
     fn reserve(&self, reserve: ReserveTurn, placement: Option<PlacementRequest>, back: Back) {
         let hub = self.clone();
         let turn = reserve.turn.clone();
         let respond = Box::new(move |response| {
             let mut answer = hub.answer(response);
-            if let Answer::Reserved { reservation: Reservation::Granted, replica, .. } = &mut answer
-                && let Some(placement) = placement
+            if let Answer::Reserved {
+                reservation: Reservation::Granted,
+                decision,
+                is_under_way,
+                ..
+            } = &mut answer
+                && let Some(mut placement) = placement
             {
-                *replica = hub.place(&turn, &placement);
+                placement.is_under_way = *is_under_way;
+                *decision = Some(hub.turns.arrive(hub.term(), &turn, placement, &hub.replicas()));
             }
             back.send(answer);
         });
         self.replica.ask(Request::Reserve(reserve), respond);
     }
 
-    fn place(&self, turn: &str, request: &PlacementRequest) -> Option<String> {
-        let reading = self.list.borrow().clone();
-        let mut placement = self.placement.lock();
-        if placement.list != reading.mark {
-            placement.list = reading.mark;
-            placement.placer.retain(&reading.list.replicas);
+    /// Answers once it is decided where a turn runs.
+    fn place(&self, turn: String, placement: PlacementRequest, back: Back) {
+        let standing = self.standing.borrow().clone();
+        if !standing.is_leader {
+            return back.send(self.not_leader(standing.leader));
         }
-        placement.placer.place(turn, request, &reading.list.replicas, Instant::now())
+        self.turns.place(standing.term, turn, placement, &self.replicas(), back);
+    }
+
+    fn term(&self) -> u64 {
+        self.standing.borrow().term
+    }
+
+    /// The newest list of replicas.
+    fn replicas(&self) -> Reading {
+        self.list.borrow().clone()
     }
 
     /// Settles. The turn has ended, whether or not that becomes durable here.
-    fn settle(&self, settle: SettleTurn, ran_at: Option<&str>, back: Back) {
-        let now = Instant::now();
-        self.placement.lock().placer.end(&settle.turn, ran_at, settle.used_tokens, now);
+    fn settle(&self, settle: SettleTurn, back: Back) {
+        self.turns.end(&settle, &self.replicas());
         let hub = self.clone();
         let respond = Box::new(move |response| back.send(hub.answer(response)));
         self.replica.ask(Request::Change(Command::Settle(settle)), respond);
@@ -192,25 +207,40 @@
 
     fn answer(&self, response: Response) -> Answer {
         match response {
-            Response::Reserved(reservation, history) => {
-                Answer::Reserved { reservation, history, replica: None }
+            Response::Reserved { reservation, history, is_under_way } => {
+                Answer::Reserved { reservation, history, decision: None, is_under_way }
             }
             Response::Changed(Output::Done) => Answer::Settled,
             Response::NotLeader(leader) => self.not_leader(leader),
             _ => Answer::Unavailable,
         }
     }
+
+    /// Looks after waiting turns for as long as the process runs.
+    pub async fn tend_turns(self) {
+        let mut standing = self.standing.clone();
+        loop {
+            self.turns.wait_for_work().await;
+            let is_leader = standing.borrow_and_update().is_leader;
+            if is_leader {
+                self.turns.decide(&self.replicas());
+            } else {
+                self.turns.dismiss(&self.not_leader(standing.borrow().leader));
+            }
+            tokio::time::sleep(TEND_INTERVAL).await;
+        }
+    }
 }
 
 /// The way back to the asker.
-struct Back {
+pub(super) struct Back {
     number: u64,
     replies: mpsc::Sender<Vec<u8>>,
 }
 
 impl Back {
     /// A connection that does not take its answers loses them; its owner asks again.
-    fn send(self, answer: Answer) {
+    pub(super) fn send(self, answer: Answer) {
         let reply = Reply { number: self.number, answer };
         if let Ok(frame) = encode_frame(&reply) {
             let _ = self.replies.try_send(frame);
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -10,6 +10,7 @@
 pub mod peers;
 pub mod replica;
 pub mod slowness;
+pub mod turns;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -125,13 +126,15 @@
     mut stop: watch::Receiver<bool>,
 ) -> eyre::Result<()> {
     let (frames_out, frames) = tokio::sync::mpsc::channel(peers::RING);
-    let thread = ReplicaThread::open(&settings, frames_out)?;
+    let turns = Arc::new(turns::TurnDesk::default());
+    let thread = ReplicaThread::open(&settings, frames_out, Arc::clone(&turns))?;
     let identity = thread.id();
     let (handle, standing, failure) = thread.start()?;
     tokio::spawn(peers::send(settings.clone(), identity, frames));
     tokio::spawn(peers::accept(listeners.peers, identity, handle.clone()));
     let list = list::spawn(&settings, standing.clone());
-    let hub = gateways::Hub::new(handle.clone(), standing.clone(), list);
+    let hub = gateways::Hub::new(handle.clone(), standing.clone(), list, turns);
+    tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
     let control = control::accept(listeners.control, settings.clone(), handle.clone(), standing);
     tokio::spawn(control);
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -6,6 +6,7 @@
 mod request;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,7 @@
 
 use super::peers::Outgoing;
 use super::slowness::Slowness;
+use super::turns::TurnDesk;
 use super::{LedgerSettings, machine_number};
 use crate::commands::{Command, Output, Reservation, ReserveTurn};
 use crate::queries;
@@ -73,6 +75,10 @@
     seal_proposed: Option<Instant>,
     slowness: Slowness,
     standing: Standing,
+    /// Takes what is told of runs.
+    turns: Arc<TurnDesk>,
+    /// Number of the next run to tell.
+    next_run: u64,
 }
 
 impl ReplicaThread {
@@ -80,7 +86,14 @@
     ///
     /// # Errors
     /// When the disk fails or its content is damaged.
-    pub fn open(settings: &LedgerSettings, frames: mpsc::Sender<Outgoing>) -> eyre::Result<Self> {
+    pub fn open(
+        settings: &LedgerSettings,
+        frames: mpsc::Sender<Outgoing>,
+        turns: Arc<TurnDesk>,
+    ) -> eyre::Result<Self> {
+        // A replica that reads its log acknowledges no leader: that time counts towards the
+        // one for which it must not vote after a restart.
+        let origin = Instant::now();
         let disk = DirectoryDisk::open(&settings.data_folder)?;
         let (mut log, recovered) = DiskLog::open(disk)?;
         let machine = machine_number(settings.ip);
@@ -102,8 +115,15 @@
             seed: rand::rng().random(),
             contacts: seeds,
         };
-        let origin = Instant::now();
+        let entries = recovered.groups.values().map(|group| group.entries.len()).sum::<usize>();
         let node = Node::new(id, node_settings, &founders, &[GROUP], recovered, Moment::ZERO);
+        emit!(
+            Event::LogOpened;
+            machine = settings.name,
+            entries = entries,
+            bytes = log.bytes(),
+            after_ms = origin.elapsed().as_millis(),
+        );
         Ok(Self {
             node,
             log,
@@ -118,6 +138,8 @@
             seal_proposed: None,
             slowness: Slowness::default(),
             standing: Standing::default(),
+            turns,
+            next_run: 0,
         })
     }
 
@@ -174,6 +196,7 @@
             for event in events {
                 self.on_event(event);
             }
+            self.tell_runs();
             self.publish(standing);
         }
     }
@@ -380,15 +403,23 @@
         reserve: &ReserveTurn,
         reservation: Reservation,
     ) -> Response {
+        let ended = |reservation| Response::Reserved {
+            reservation,
+            history: Vec::new(),
+            is_under_way: false,
+        };
         if reservation != Reservation::Granted {
-            return Response::Reserved(reservation, Vec::new());
+            return ended(reservation);
         }
         let Some(pieces) = queries::history(state, reserve.previous.as_ref()) else {
             // Expired between two entries of the log.
-            return Response::Reserved(Reservation::NoSuchTurn, Vec::new());
+            return ended(Reservation::NoSuchTurn);
         };
         match self.read_history(&pieces) {
-            Ok(history) => Response::Reserved(reservation, history),
+            Ok(history) => {
+                let is_under_way = is_under_way(state, reserve);
+                Response::Reserved { reservation, history, is_under_way }
+            }
             Err(error) => {
                 emit!(Event::DiskFailed, "history of {}: {error}", reserve.turn);
                 Response::Lost
@@ -429,6 +460,17 @@
         Some(!is_member && has_votes && is_settled)
     }
 
+    /// Tells where turns ran, as the log says.
+    fn tell_runs(&mut self) {
+        let Some(runs) = self.node.machine(GROUP).map(LedgerState::runs) else {
+            return;
+        };
+        if runs.next() != self.next_run {
+            self.turns.learn(runs.since(self.next_run));
+            self.next_run = runs.next();
+        }
+    }
+
     fn publish(&mut self, out: &watch::Sender<Standing>) {
         let Some(raft) = self.node.raft(GROUP) else {
             return;
@@ -469,6 +511,15 @@
     }
 }
 
+/// Whether a turn's program has begun with another one: its account tells, or without an
+/// account the turn that it continues from.
+fn is_under_way(state: &LedgerState, reserve: &ReserveTurn) -> bool {
+    match &reserve.program {
+        Some(program) => state.accounts().turns(program) > 1,
+        None => reserve.previous.is_some(),
+    }
+}
+
 fn damaged(stored: &StoredBytes) -> DiskError {
     DiskError::Corrupt {
         file: format!("segment {}", stored.segment),
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -27,8 +27,15 @@
 pub enum Response {
     /// The change was made.
     Changed(Output),
-    /// What came of a reservation, and the history when granted.
-    Reserved(Reservation, Vec<u8>),
+    /// What came of a reservation.
+    Reserved {
+        /// Whether the turn may run.
+        reservation: Reservation,
+        /// What was said before, when granted.
+        history: Vec<u8>,
+        /// Whether its program has begun with an earlier turn.
+        is_under_way: bool,
+    },
     /// The configuration; `None` before the first.
     Configuration(Option<HeldConfiguration>),
     /// What came of retiring.
--- a/crates/ledger/src/state/accounts.rs
+++ b/crates/ledger/src/state/accounts.rs
@@ -84,6 +84,11 @@
         self.programs.get(program).map_or(0, |account| account.charged)
     }
 
+    /// Turns that a program has reserved so far.
+    pub fn turns(&self, program: &str) -> usize {
+        self.programs.get(program).map_or(0, |account| account.charges.len())
+    }
+
     /// Accounts held.
     pub fn len(&self) -> usize {
         self.programs.len()
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -2,10 +2,12 @@
 
 mod accounts;
 mod machines;
+mod runs;
 mod turns;
 
 pub use accounts::Accounts;
 pub use machines::Machines;
+pub use runs::RecentRuns;
 pub use turns::{HistoryPiece, StoredBytes, Turns};
 
 use std::collections::BTreeSet;
@@ -34,6 +36,9 @@
     accounts: Accounts,
     turns: Turns,
     machines: Machines,
+    /// Where turns ran lately.
+    #[serde(skip)]
+    runs: RecentRuns,
     /// Segments that are to be stored.
     #[serde(skip)]
     sealed: Vec<SealedSegment>,
@@ -60,6 +65,11 @@
         &self.machines
     }
 
+    /// Where turns ran lately.
+    pub fn runs(&self) -> &RecentRuns {
+        &self.runs
+    }
+
     fn perform(&mut self, command: Command) -> Output {
         match command {
             Command::PutConfiguration { version, document } => {
@@ -106,6 +116,9 @@
 
     fn settle(&mut self, settle: SettleTurn) {
         self.accounts.settle(&settle, self.clock_ms);
+        if let Some(run) = settle.run {
+            self.runs.push(*run);
+        }
         if let Some(retained) = settle.retained {
             let until_ms = self.clock_ms + settle.retention_ms;
             self.turns.insert(settle.turn, retained, until_ms);
@@ -139,7 +152,8 @@
     fn restore(&mut self, data: &[u8]) -> bool {
         match decode(data) {
             Ok(state) => {
-                *self = state;
+                let runs = std::mem::take(&mut self.runs);
+                *self = Self { runs, ..state };
                 true
             }
             Err(_) => false,
--- a/crates/ledger/tests/state.rs
+++ b/crates/ledger/tests/state.rs
@@ -48,6 +48,7 @@
         used_tokens,
         retention_ms: RETENTION_MS,
         retained: None,
+        run: None,
     })
 }
 
@@ -62,6 +63,7 @@
             input: input.as_bytes().to_vec(),
             output: output.as_bytes().to_vec(),
         }),
+        run: None,
     })
 }
 
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use calicohoist_routing::{Configuration, PromptPart};
+use calicohoist_routing::Configuration;
+use calicohoist_scheduler::PromptPart;
 use calicohoist_types::Findings;
 use hyper::HeaderMap;
 
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -67,6 +67,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Time that is left until its program should be over.
+    pub fn finish_left(&self) -> Option<Duration> {
+        self.head.finish.map(|finish| finish.saturating_sub(self.received.elapsed()))
+    }
+
     /// Until when an attempt may take after `attempts` others. A replica may run a request
     /// and lose its answer: while a request may run again, one attempt gets at most half
     /// of the time that is left. A stream shows by its events that it is alive.
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -5,7 +5,7 @@
 //! passed on; any other answer is cut so that it looks cut.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_telemetry::{Event, emit};
@@ -39,7 +39,9 @@
     let mut turn = Turn::begin(app, call).await?;
     let payload = Payload { body: turn.body.clone(), last_event: call.head.last_event.clone() };
     let mut trail = Trail::placed_on(turn.placed_on.take());
+    let sent = Instant::now();
     let exchange = dispatch(app, call, &payload, &mut trail).await?;
+    turn.sent = Some(sent);
     turn.ran_at = Some(exchange.member.replica.id.clone());
     if !is_event_stream(&exchange) {
         let response = plain::collect(app, call.deadline, exchange).await?;
@@ -248,6 +250,8 @@
         if !is_event_stream(&exchange) {
             return Err(Refusal::Unknown);
         }
+        // A run in two pieces says nothing of the engine's speed.
+        self.turn.sent = None;
         self.turn.ran_at = Some(exchange.member.replica.id.clone());
         self.exchange = exchange;
         self.splitter = EventSplitter::default();
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -11,7 +11,7 @@
 use calicohoist_ledger::client::AskError;
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{Answer, Question};
-use calicohoist_routing::PlacementRequest;
+use calicohoist_scheduler::{Decision, PlacementRequest, RunSample, TurnRun};
 use calicohoist_telemetry::metrics::Times;
 use calicohoist_telemetry::{Event, emit};
 
@@ -29,6 +29,8 @@
 const RESERVE_PATIENCE: Duration = Duration::from_millis(1_000);
 /// How long the ledger is asked to note the end of a turn that nobody waits for.
 const BACKGROUND_PATIENCE: Duration = Duration::from_secs(20);
+/// Longest time that a turn waits for its place.
+const PLACE_PATIENCE: Duration = Duration::from_millis(2_500);
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// A turn with its reservation. Dropped without an end, it settles in the background.
@@ -41,6 +43,10 @@
     pub placed_on: Option<String>,
     /// The replica that runs it.
     pub ran_at: Option<String>,
+    /// When it went to that replica.
+    pub sent: Option<Instant>,
+    /// Whether its answer ended whole.
+    is_whole: bool,
     /// Tokens handed to the caller so far.
     pub used_tokens: u64,
     /// The data of the events so far, when the turn is retained.
@@ -66,6 +72,8 @@
             body: call.body.clone(),
             placed_on: None,
             ran_at: None,
+            sent: None,
+            is_whole: false,
             used_tokens: 0,
             output: Vec::new(),
             is_settled: false,
@@ -83,14 +91,44 @@
         log_reserved(call, &answer, began);
         // From here on the drop of `turn` settles what may have been reserved.
         match answer {
-            Ok(Answer::Reserved { reservation, history, replica }) => {
-                turn.placed_on = replica;
-                turn.admit(reservation, &history)
+            Ok(Answer::Reserved { reservation, history, decision, is_under_way }) => {
+                let mut turn = turn.admit(reservation, &history)?;
+                turn.place(decision, is_under_way).await?;
+                Ok(turn)
             }
             _ => Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER)),
         }
     }
 
+    /// Waits until it is decided when and where the turn runs.
+    async fn place(&mut self, first: Option<Decision>, is_under_way: bool) -> Result<(), Refusal> {
+        let mut decision = first;
+        let began = Instant::now();
+        let deadline = self.call.deadline.min(began + PLACE_PATIENCE);
+        while decision == Some(Decision::Wait) {
+            let Some(placement) = placement_of(&self.app, &self.call) else {
+                return Ok(());
+            };
+            let placement = PlacementRequest { is_under_way, ..placement };
+            let question = Question::Place { turn: self.call.head.request_id.clone(), placement };
+            decision = match self.app.ledger.ask(&question, deadline).await {
+                Ok(Answer::Placed(decision)) => Some(decision),
+                // Nobody leads: the turn looks for a replica by itself.
+                _ => None,
+            };
+            LEDGER_TIMES.note("place", began.elapsed());
+            log_placed(&self.call, decision.as_ref(), began);
+        }
+        match decision {
+            Some(Decision::Run(replica)) => self.placed_on = Some(replica),
+            Some(Decision::Refuse(after)) => {
+                return Err(Refusal::not_run(NotRunReason::ReplicasFull, after));
+            }
+            Some(Decision::RunAnywhere | Decision::Wait) | None => {}
+        }
+        Ok(())
+    }
+
     fn admit(mut self, reservation: Reservation, history: &[u8]) -> Result<Self, Refusal> {
         match reservation {
             Reservation::Granted => {
@@ -123,6 +161,35 @@
         }
     }
 
+    fn settlement(&self, retained: Option<RetainedTurn>) -> SettleTurn {
+        SettleTurn {
+            program: account_of(&self.call),
+            turn: self.call.head.request_id.clone(),
+            used_tokens: self.used_tokens,
+            retention_ms: millis(self.call.route.retention),
+            retained,
+            run: self.run().map(Box::new),
+        }
+    }
+
+    /// What the replica that ran the turn has read by it.
+    fn run(&self) -> Option<TurnRun> {
+        let replica = self.ran_at.clone()?;
+        let service = self.call.service()?;
+        let engine = service.engine.as_ref()?;
+        let mut prompt = self.call.head.prompt.clone();
+        if let Some(last) = prompt.last_mut() {
+            let generated = u32::try_from(self.used_tokens).unwrap_or(u32::MAX);
+            last.tokens = last.tokens.saturating_add(generated);
+        }
+        let sample = self.sent.filter(|_| self.is_whole).map(|sent| RunSample {
+            generated: u32::try_from(self.used_tokens).unwrap_or(u32::MAX),
+            time_ms: u32::try_from(millis(sent.elapsed())).unwrap_or(u32::MAX),
+        });
+        let service = service.name.clone();
+        Some(TurnRun { replica, prompt, memory_tokens: engine.memory_tokens, service, sample })
+    }
+
     /// Ends a turn whose answer is whole; a retained one is durable afterwards.
     ///
     /// # Errors
@@ -131,6 +198,7 @@
         if self.is_settled {
             return Ok(());
         }
+        self.is_whole = true;
         if !self.call.route.retain {
             // The drop settles; nobody has to wait for it.
             return Ok(());
@@ -140,10 +208,7 @@
             input: self.call.body.to_vec(),
             output: std::mem::take(&mut self.output),
         };
-        let question = Question::Settle {
-            settle: settle_of(&self.call, self.used_tokens, Some(retained)),
-            ran_at: self.ran_at.take(),
-        };
+        let question = Question::Settle(self.settlement(Some(retained)));
         let began = Instant::now();
         let answer = self.app.ledger.ask(&question, self.call.deadline).await;
         LEDGER_TIMES.note("settle", began.elapsed());
@@ -171,10 +236,7 @@
         }
         let app = Arc::clone(&self.app);
         let id = self.call.head.request_id.clone();
-        let question = Question::Settle {
-            settle: settle_of(&self.call, self.used_tokens, None),
-            ran_at: self.ran_at.take(),
-        };
+        let question = Question::Settle(self.settlement(None));
         // A planned stop waits for it.
         let guard = app.begin_request();
         tokio::spawn(async move {
@@ -187,14 +249,26 @@
     }
 }
 
+fn log_placed(call: &Call, decision: Option<&Decision>, began: Instant) {
+    let outcome = decision.map_or_else(|| "no leader".to_owned(), |known| format!("{known:?}"));
+    emit!(
+        Event::TurnPlaced;
+        request = call.head.request_id,
+        outcome = outcome,
+        waited_ms = began.elapsed().as_millis(),
+        left_ms = call.left().as_millis(),
+    );
+}
+
 fn log_reserved(call: &Call, answer: &Result<Answer, AskError>, began: Instant) {
-    let (outcome, history, replica) = match answer {
-        Ok(Answer::Reserved { reservation, history, replica }) => {
-            (format!("{reservation:?}"), history.len(), replica.as_deref())
+    let (outcome, history, decision) = match answer {
+        Ok(Answer::Reserved { reservation, history, decision, .. }) => {
+            (format!("{reservation:?}"), history.len(), decision.as_ref())
         }
         Ok(_) => ("unexpected answer".to_owned(), 0, None),
         Err(error) => (error.to_string(), 0, None),
     };
+    let decision = decision.map_or_else(|| "-".to_owned(), |known| format!("{known:?}"));
     emit!(
         Event::TurnReserved;
         request = call.head.request_id,
@@ -204,7 +278,8 @@
         budget = call.head.budget.unwrap_or_default(),
         outcome = outcome,
         history_bytes = history,
-        replica = replica.unwrap_or("-"),
+        decision = decision,
+        finish_ms = call.head.finish.map_or(-1, |left| left.as_millis().cast_signed()),
         after_ms = began.elapsed().as_millis(),
     );
 }
@@ -241,19 +316,13 @@
         prompt: call.head.prompt.clone(),
         memory_tokens: engine.memory_tokens,
         left_ms: millis(call.left()),
+        program: call.head.program.clone(),
+        finish_ms: call.finish_left().map(millis),
+        priority: call.route.priority,
+        is_under_way: false,
     })
 }
 
-fn settle_of(call: &Call, used_tokens: u64, retained: Option<RetainedTurn>) -> SettleTurn {
-    SettleTurn {
-        program: account_of(call),
-        turn: call.head.request_id.clone(),
-        used_tokens,
-        retention_ms: millis(call.route.retention),
-        retained,
-    }
-}
-
 /// The program whose account is charged; a turn without a budget has none.
 fn account_of(call: &Call) -> Option<String> {
     call.head.program.clone().filter(|_| call.head.budget.is_some())
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,22 +3,16 @@
 //! Everything here is a pure function of its arguments: no clock, no socket.
 //!
 //! - [`configuration`]: a whole, versioned configuration and what makes it valid;
-//! - [`placement`]: the choice for turns, by a process that sees all of them;
-//! - [`prefix`]: what replicas are believed to hold of prompts;
 //! - [`table`]: from host and path to a route;
 //! - [`replica`]: the replicas of services, as discovery lists them;
 //! - [`select`]: the choice of a replica by cost.
 
 pub mod configuration;
-pub mod placement;
-pub mod prefix;
 pub mod replica;
 pub mod select;
 pub mod table;
 
 pub use configuration::{Backend, Configuration, Engine, Limits, Route, RouteKind, Service};
-pub use placement::{PlacementRequest, PlacementWeights, Placer};
-pub use prefix::{PrefixIndex, PromptPart};
 pub use replica::{Replica, ReplicaList, ReplicaState};
 pub use select::{Affinity, Candidate, CostWeights, choose, stable_hash};
 pub use table::RouteTable;
--- /dev/null
+++ b/crates/scheduler/src/admission.rs
@@ -0,0 +1,228 @@
+//! When a turn runs, and where.
+//!
+//! Replicas admit what reaches them in the order of arrival, and every turn that runs
+//! slows the others down. [`TurnScheduler`] keeps turns back while the replicas are busy
+//! and lets them go in an order of its own: what can still be in time before what cannot,
+//! programs under way before new ones, urgent routes before others.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use calicohoist_routing::Replica;
+use serde::{Deserialize, Serialize};
+
+use crate::placement::{Placement, PlacementRequest, Placer, RunLimit, TurnRun};
+use crate::speed::EngineSpeed;
+
+/// Turns that may wait at a time.
+const MAX_WAITING: usize = 1_000;
+/// Longest time that a turn waits.
+const MAX_WAIT: Duration = Duration::from_millis(1_800);
+/// Share of the time left to a turn that it may wait.
+const WAIT_SHARE: f64 = 0.45;
+/// A waiting turn that nobody asked for lately is forgotten.
+const ASKED_WITHIN: Duration = Duration::from_millis(2_500);
+/// Share of the time that a program is given which it needs itself.
+const NEEDED_SHARE: f64 = 0.8;
+/// How many times the time that it takes alone a turn may take for a new program to begin.
+const MOST_SLOWDOWN: f64 = 2.8;
+
+/// How long a new leader waits for the gateways' reports of load.
+const REPORTS_WITHIN: Duration = Duration::from_millis(60);
+/// How long turns are counted that an earlier leader placed and whose ends nobody tells.
+const INHERITED_FOR: Duration = Duration::from_millis(1_500);
+
+/// What becomes of a turn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decision {
+    /// It runs at this replica.
+    Run(String),
+    /// No replica is known to take it; whoever asks may know better.
+    RunAnywhere,
+    /// It waits.
+    Wait,
+    /// It does not run now; it may come back after this time.
+    Refuse(Duration),
+}
+
+/// A turn that waits for a replica.
+#[derive(Clone, Debug)]
+struct WaitingTurn {
+    request: PlacementRequest,
+    arrived: Instant,
+    asked: Instant,
+    give_up: Instant,
+    /// When its program should be over.
+    finish: Instant,
+    /// When it must have begun for that.
+    begin_by: Instant,
+}
+
+/// Order among waiting turns: the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_late: bool,
+    is_new: bool,
+    priority: u8,
+    finish: Instant,
+}
+
+impl WaitingTurn {
+    fn new(request: PlacementRequest, now: Instant) -> Self {
+        let left = Duration::from_millis(request.left_ms);
+        let finish_left = request.finish_ms.map_or(left, Duration::from_millis);
+        let needed =
+            if request.is_under_way { Duration::ZERO } else { finish_left.mul_f64(NEEDED_SHARE) };
+        let finish = now + finish_left;
+        Self {
+            arrived: now,
+            asked: now,
+            give_up: now + left.mul_f64(WAIT_SHARE).min(MAX_WAIT),
+            finish,
+            begin_by: finish.checked_sub(needed).unwrap_or(now),
+            request,
+        }
+    }
+
+    fn rank(&self, now: Instant) -> Rank {
+        Rank {
+            is_late: self.begin_by <= now,
+            is_new: !self.request.is_under_way,
+            priority: self.request.priority,
+            finish: self.finish,
+        }
+    }
+
+    fn limit(&self) -> RunLimit {
+        if self.request.is_under_way {
+            RunLimit::Unlimited
+        } else {
+            RunLimit::Slowdown(MOST_SLOWDOWN)
+        }
+    }
+}
+
+/// Decides when and where turns run, and learns from their ends.
+#[derive(Debug, Default)]
+pub struct TurnScheduler {
+    placer: Placer,
+    waiting: HashMap<String, WaitingTurn>,
+    /// Before this moment nothing is decided: the loads of replicas are still coming in.
+    opens: Option<Instant>,
+}
+
+impl TurnScheduler {
+    /// Begins a term as leader: turns under way are those that gateways will tell of.
+    pub fn begin_term(&mut self, now: Instant) {
+        self.placer.begin_term();
+        self.waiting.clear();
+        self.opens = Some(now + REPORTS_WITHIN);
+    }
+
+    /// Counts what a gateway has under way since before this term.
+    pub fn inherit(&mut self, loads: &[(String, u32)], now: Instant) {
+        self.placer.inherit(loads, now, INHERITED_FOR);
+    }
+
+    /// Learns what a replica has read.
+    pub fn learn(&mut self, run: &TurnRun) {
+        self.placer.learn(run);
+    }
+
+    /// What becomes of a turn that arrives, or is asked for again.
+    pub fn arrive(
+        &mut self,
+        turn: &str,
+        request: PlacementRequest,
+        replicas: &[Replica],
+        now: Instant,
+    ) -> Decision {
+        if let Some(waiting) = self.waiting.get_mut(turn) {
+            waiting.asked = now;
+            return Decision::Wait;
+        }
+        if self.waiting.len() >= MAX_WAITING {
+            return Decision::Refuse(MAX_WAIT);
+        }
+        let arrived = WaitingTurn::new(request, now);
+        let goes_first = |waiting: &WaitingTurn| waiting.rank(now) < arrived.rank(now);
+        let must_queue = !arrived.request.is_under_way && self.waiting.values().any(goes_first);
+        if self.is_open(now) && (!must_queue || self.placer.is_placed(turn)) {
+            let placed = self.placer.place(turn, &arrived.request, replicas, arrived.limit(), now);
+            match placed {
+                Placement::At(replica) => return Decision::Run(replica),
+                Placement::NoReplica => return Decision::RunAnywhere,
+                Placement::NoRoom => {}
+            }
+        }
+        self.waiting.insert(turn.to_owned(), arrived);
+        Decision::Wait
+    }
+
+    /// Decides about waiting turns, as far as something can be decided now.
+    pub fn decide(&mut self, replicas: &[Replica], now: Instant) -> Vec<(String, Decision)> {
+        let mut decided = Vec::new();
+        self.waiting.retain(|_, waiting| now < waiting.asked + ASKED_WITHIN);
+        while self.is_open(now)
+            && let Some(turn) = self.first(now)
+        {
+            let waiting = &self.waiting[&turn];
+            let limit = waiting.limit();
+            let placed = self.placer.place(&turn, &waiting.request, replicas, limit, now);
+            let decision = match placed {
+                Placement::At(replica) => Decision::Run(replica),
+                Placement::NoReplica => Decision::RunAnywhere,
+                Placement::NoRoom => break,
+            };
+            self.waiting.remove(&turn);
+            decided.push((turn, decision));
+        }
+        self.give_up(now, &mut decided);
+        decided
+    }
+
+    /// A turn has ended, whether or not it ever ran; see [`Placer::end`].
+    pub fn end(&mut self, turn: &str, ran_at: Option<&str>, now: Instant) {
+        self.waiting.remove(turn);
+        self.placer.end(turn, ran_at, now);
+    }
+
+    /// Forgets what is known of replicas that are not in `replicas`.
+    pub fn retain(&mut self, replicas: &[Replica]) {
+        self.placer.retain(replicas);
+    }
+
+    /// What is learned of engines, by service.
+    pub fn speeds(&self) -> impl Iterator<Item = (&str, &EngineSpeed)> {
+        self.placer.speeds()
+    }
+
+    /// Turns that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// How long a turn has waited.
+    pub fn waited(&self, turn: &str, now: Instant) -> Option<Duration> {
+        self.waiting.get(turn).map(|waiting| now.saturating_duration_since(waiting.arrived))
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        self.opens.is_none_or(|opens| opens <= now)
+    }
+
+    fn first(&self, now: Instant) -> Option<String> {
+        let first = self.waiting.iter().min_by_key(|(turn, waiting)| (waiting.rank(now), *turn));
+        first.map(|(turn, _)| turn.clone())
+    }
+
+    fn give_up(&mut self, now: Instant, decided: &mut Vec<(String, Decision)>) {
+        let is_over = |waiting: &WaitingTurn| waiting.give_up <= now;
+        let over = self.waiting.iter().filter(|(_, waiting)| is_over(waiting));
+        let over: Vec<String> = over.map(|(turn, _)| turn.clone()).collect();
+        for turn in over {
+            self.waiting.remove(&turn);
+            decided.push((turn, Decision::Refuse(Duration::from_millis(300))));
+        }
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,5 +1,9 @@
 //! Pure scheduling decisions.
 //!
+//! - [`admission`]: when a turn runs, by a process that sees all of them;
+//! - [`placement`]: where it runs;
+//! - [`prefix`]: what replicas are believed to hold of prompts;
+//! - [`speed`]: how fast engines are, learned from turns that ended;
 //! - [`cost`]: what routing a call to an engine would cost;
 //! - [`queue`]: which waiting call an engine takes next;
 //! - [`ownership`]: which gateway keeps an engine's queue;
@@ -7,12 +11,20 @@
 //!
 //! Nothing here reads a clock, draws a random number or knows its callers.
 
+pub mod admission;
 pub mod cost;
 pub mod ownership;
+pub mod placement;
+pub mod prefix;
 pub mod queue;
 pub mod retry;
+pub mod speed;
 
+pub use admission::{Decision, TurnScheduler};
 pub use cost::{CostInputs, CostWeights, choose, cost_millis};
 pub use ownership::owner_of;
+pub use placement::{Placement, PlacementRequest, PlacementWeights, Placer, RunLimit, TurnRun};
+pub use prefix::{PrefixIndex, PromptPart};
 pub use queue::{EngineQueue, QueueEntry, QueueFull};
 pub use retry::{RetryBudget, backoff};
+pub use speed::{EngineSpeed, RunSample};
--- /dev/null
+++ b/crates/scheduler/src/placement.rs
@@ -0,0 +1,410 @@
+//! Placement of turns by a process that sees all of them.
+//!
+//! [`Placer`] counts the turns under way at each replica and keeps an index of the
+//! prompts that each holds. It places a turn where the time that it takes, and the time
+//! by which it delays the turns already there, are least.
+//!
+//! All of it is soft state: whoever begins with an empty placer places by load alone.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use calicohoist_routing::{Replica, ReplicaState};
+use serde::{Deserialize, Serialize};
+
+use crate::prefix::{PrefixIndex, PromptPart};
+use crate::speed::{EngineSpeed, RunSample};
+
+/// Silence of a replica with turns under way from which it is suspected: some turn ends
+/// every tenth of a second or so where several run, and most are shorter than this.
+const SUSPECT_AFTER: Duration = Duration::from_millis(800);
+/// How long a replica stays suspected after a turn ended that it never answered.
+const SUSPECT_FOR: Duration = Duration::from_millis(1_500);
+
+/// A replica is little loaded when at most one in so many of its slots is taken.
+const SPREADING_LOAD: u32 = 3;
+/// Share of a memory up to which shared parts are spread.
+const SPREADING_MEMORY: f64 = 0.7;
+/// Share of the cost of reading that is not counted where shared parts are spread.
+const SPREADING_DISCOUNT: f64 = 0.95;
+
+/// One turn more than slots is let to a replica for so many slots.
+const RESERVE_SLOTS: u32 = 12;
+/// Whatever the slowdown, one in so many slots is used.
+const LEAST_SLOTS: u32 = 4;
+
+/// How often turns are sought whose end nobody told.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A turn that is to be placed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementRequest {
+    /// The service that runs it.
+    pub service: String,
+    /// Zone of the gateway that sends it.
+    pub zone: String,
+    /// Its prompt.
+    pub prompt: Vec<PromptPart>,
+    /// Tokens that the memory of one replica holds.
+    pub memory_tokens: u64,
+    /// Time after which the turn has ended in any case, in ms.
+    pub left_ms: u64,
+    /// The program it belongs to.
+    pub program: Option<String>,
+    /// Time until that program should be over, in ms; 0 when it should be by now.
+    pub finish_ms: Option<u64>,
+    /// Rank of its route; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether its program has begun with an earlier turn.
+    pub is_under_way: bool,
+}
+
+/// Where a turn ran, and what its replica has read by it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRun {
+    /// The replica.
+    pub replica: String,
+    /// The prompt; its last part includes what was generated.
+    pub prompt: Vec<PromptPart>,
+    /// Tokens that the memory of one replica holds.
+    pub memory_tokens: u64,
+    /// The service.
+    pub service: String,
+    /// How long it took, when it ended whole.
+    pub sample: Option<RunSample>,
+}
+
+/// How many turns may be under way at a replica for one more to go there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RunLimit {
+    /// Any number.
+    Unlimited,
+    /// As many as keep each turn within this many times the time that it takes alone, up to
+    /// the replica's slots.
+    Slowdown(f64),
+}
+
+impl RunLimit {
+    fn turns(self, slots: u32, speed: &EngineSpeed) -> u32 {
+        match self {
+            Self::Unlimited => u32::MAX,
+            Self::Slowdown(slowdown) => {
+                let least = slots.div_ceil(LEAST_SLOTS);
+                let turns = speed.turns_within(slowdown);
+                turns.map_or(slots, |turns| turns.round() as u32).clamp(least, with_reserve(slots))
+            }
+        }
+    }
+}
+
+/// The slots, and a turn that is on its way while another ends.
+fn with_reserve(slots: u32) -> u32 {
+    slots.max(1) + slots.div_ceil(RESERVE_SLOTS)
+}
+
+/// What came of the search for a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// This replica is the best one.
+    At(String),
+    /// Every replica that takes work has reached the limit.
+    NoRoom,
+    /// No replica takes work.
+    NoReplica,
+}
+
+/// What waiting, reading and sharing a replica cost.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementWeights {
+    /// Time that one turn holds a slot, in ms, while nothing is learned of it.
+    pub turn_ms: f64,
+    /// Delay that a running turn brings to a further one, in ms, likewise.
+    pub delay_ms: f64,
+    /// Prompt tokens that a replica reads in a millisecond.
+    pub tokens_per_ms: f64,
+    /// Share of the reading time that each running turn loses by it.
+    pub reading_disturbs: f64,
+    /// Cost of leaving the zone of the gateway.
+    pub zone_crossing: Duration,
+    /// Cost of a replica that shows no sign of work.
+    pub suspicion: Duration,
+}
+
+impl Default for PlacementWeights {
+    fn default() -> Self {
+        Self {
+            turn_ms: 250.0,
+            delay_ms: 8.0,
+            tokens_per_ms: 64.0,
+            reading_disturbs: 0.3,
+            zone_crossing: Duration::from_millis(2),
+            suspicion: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A turn under way.
+#[derive(Clone, Debug)]
+struct PlacedTurn {
+    replica: String,
+    service: String,
+    /// Turns that were under way there as it began.
+    beside: u32,
+    began: Instant,
+    ends_by: Instant,
+}
+
+/// Turns at a replica that somebody else placed; nobody may tell of their ends.
+#[derive(Clone, Copy, Debug)]
+struct InheritedLoad {
+    turns: u32,
+    until: Instant,
+}
+
+/// When a replica last showed that it works.
+#[derive(Clone, Copy, Debug)]
+struct Signs {
+    last: Instant,
+    suspected_until: Option<Instant>,
+}
+
+/// Places turns, and learns from where they ran.
+#[derive(Debug, Default)]
+pub struct Placer {
+    weights: PlacementWeights,
+    turns: HashMap<String, PlacedTurn>,
+    loads: HashMap<String, u32>,
+    signs: HashMap<String, Signs>,
+    /// Turns that an earlier leader placed, by replica.
+    inherited: HashMap<String, InheritedLoad>,
+    index: PrefixIndex,
+    /// What is learned of engines, by service.
+    speeds: HashMap<String, EngineSpeed>,
+    expired_at: Option<Instant>,
+}
+
+impl Placer {
+    /// A placer that knows of no turn.
+    pub fn new(weights: PlacementWeights) -> Self {
+        Self { weights, ..Self::default() }
+    }
+
+    /// The replica for a turn, among those of `replicas` that are below the limit. A turn
+    /// that is asked for again stays where it was placed.
+    pub fn place(
+        &mut self,
+        turn: &str,
+        request: &PlacementRequest,
+        replicas: &[Replica],
+        limit: RunLimit,
+        now: Instant,
+    ) -> Placement {
+        self.expire(now);
+        let is_open = |replica: &&Replica| {
+            replica.service == request.service && replica.state == ReplicaState::Ready
+        };
+        let open: Vec<&Replica> = replicas.iter().filter(is_open).collect();
+        if let Some(placed) = self.turns.get(turn)
+            && open.iter().any(|replica| replica.id == placed.replica)
+        {
+            return Placement::At(placed.replica.clone());
+        }
+        if open.is_empty() {
+            return Placement::NoReplica;
+        }
+        let speed = self.speed(&request.service);
+        let has_room =
+            |replica: &&&Replica| self.load(&replica.id) < limit.turns(replica.slots, &speed);
+        // Of equals, the one whose memory has most room.
+        let rank =
+            |replica: &&&Replica| (self.cost(replica, request, now), self.index.held(&replica.id));
+        let Some(chosen) = open.iter().filter(has_room).min_by_key(rank) else {
+            return Placement::NoRoom;
+        };
+        let chosen = chosen.id.clone();
+        self.begin(turn, &chosen, request, now);
+        Placement::At(chosen)
+    }
+
+    /// A turn has ended. `ran_at` is the replica that ran it, which may be another than
+    /// the one it was placed on. `None` when no replica answered.
+    pub fn end(&mut self, turn: &str, ran_at: Option<&str>, now: Instant) {
+        let placed = self.forget(turn);
+        let Some(ran_at) = ran_at else {
+            if let Some(placed) = placed {
+                self.note_unanswered(&placed, now);
+            }
+            return;
+        };
+        if let Some(placed) = placed.as_ref().filter(|placed| placed.replica == ran_at) {
+            self.note_running(placed);
+        }
+        if placed.is_none()
+            && let Some(inherited) = self.inherited.get_mut(ran_at)
+        {
+            inherited.turns = inherited.turns.saturating_sub(1);
+        }
+        self.signs.insert(ran_at.to_owned(), Signs { last: now, suspected_until: None });
+    }
+
+    /// What is learned of a service's engines.
+    fn speed(&self, service: &str) -> EngineSpeed {
+        self.speeds.get(service).copied().unwrap_or_default()
+    }
+
+    /// What is learned of engines, by service.
+    pub fn speeds(&self) -> impl Iterator<Item = (&str, &EngineSpeed)> {
+        self.speeds.iter().map(|(service, speed)| (service.as_str(), speed))
+    }
+
+    fn note_running(&mut self, placed: &PlacedTurn) {
+        let turns = f64::midpoint(f64::from(placed.beside), f64::from(self.load(&placed.replica)));
+        self.speeds.entry(placed.service.clone()).or_default().note_running(turns);
+    }
+
+    /// Learns what a replica has read, whoever placed the turn there.
+    pub fn learn(&mut self, run: &TurnRun) {
+        self.index.note(&run.replica, &run.prompt, run.memory_tokens);
+        if let Some(sample) = run.sample {
+            self.speeds.entry(run.service.clone()).or_default().note_run(sample);
+        }
+    }
+
+    /// Begins anew with the turns under way, and keeps what is known of prompts.
+    pub fn begin_term(&mut self) {
+        self.turns.clear();
+        self.loads.clear();
+        self.signs.clear();
+        self.inherited.clear();
+        self.speeds.values_mut().for_each(EngineSpeed::forget_running);
+    }
+
+    /// Counts turns that another leader placed, until they end or `lasting` is over.
+    pub fn inherit(&mut self, loads: &[(String, u32)], now: Instant, lasting: Duration) {
+        for (replica, turns) in loads {
+            let none = InheritedLoad { turns: 0, until: now };
+            let inherited = self.inherited.entry(replica.clone()).or_insert(none);
+            inherited.turns += turns;
+            inherited.until = now + lasting;
+        }
+    }
+
+    /// Forgets what is known of replicas that are not in `replicas`.
+    pub fn retain(&mut self, replicas: &[Replica]) {
+        let is_listed = |id: &str| replicas.iter().any(|replica| replica.id == id);
+        self.index.retain(is_listed);
+        self.signs.retain(|id, _| is_listed(id));
+    }
+
+    /// Whether a turn is under way.
+    pub fn is_placed(&self, turn: &str) -> bool {
+        self.turns.contains_key(turn)
+    }
+
+    /// Turns under way at a replica.
+    pub fn load(&self, replica: &str) -> u32 {
+        let placed = self.loads.get(replica).copied().unwrap_or_default();
+        placed + self.inherited.get(replica).map_or(0, |inherited| inherited.turns)
+    }
+
+    fn begin(&mut self, turn: &str, replica: &str, request: &PlacementRequest, now: Instant) {
+        self.forget(turn);
+        let beside = self.load(replica);
+        // The next turns may come before this one ends.
+        self.index.note(replica, &request.prompt, request.memory_tokens);
+        let load = self.loads.entry(replica.to_owned()).or_default();
+        if *load == 0 {
+            let fresh = Signs { last: now, suspected_until: None };
+            self.signs.entry(replica.to_owned()).or_insert(fresh).last = now;
+        }
+        *load += 1;
+        let placed = PlacedTurn {
+            replica: replica.to_owned(),
+            service: request.service.clone(),
+            beside,
+            began: now,
+            ends_by: now + Duration::from_millis(request.left_ms),
+        };
+        self.turns.insert(turn.to_owned(), placed);
+    }
+
+    /// A turn ended that nobody answered: its caller left, or every replica refused.
+    fn note_unanswered(&mut self, placed: &PlacedTurn, now: Instant) {
+        if now < placed.began + SUSPECT_AFTER {
+            return;
+        }
+        if let Some(signs) = self.signs.get_mut(&placed.replica)
+            && signs.last <= placed.began
+        {
+            signs.suspected_until = Some(now + SUSPECT_FOR);
+        }
+    }
+
+    /// Whether a replica has turns and shows no sign of working on them.
+    fn is_suspected(&self, replica: &str, now: Instant) -> bool {
+        let Some(signs) = self.signs.get(replica) else {
+            return false;
+        };
+        let is_silent = self.load(replica) > 0 && now >= signs.last + SUSPECT_AFTER;
+        is_silent || signs.suspected_until.is_some_and(|until| now < until)
+    }
+
+    fn forget(&mut self, turn: &str) -> Option<PlacedTurn> {
+        let placed = self.turns.remove(turn)?;
+        if let Some(load) = self.loads.get_mut(&placed.replica) {
+            *load -= 1;
+            if *load == 0 {
+                self.loads.remove(&placed.replica);
+            }
+        }
+        Some(placed)
+    }
+
+    /// Drops turns whose time is over and whose end nobody told; looks seldom.
+    fn expire(&mut self, now: Instant) {
+        if self.expired_at.is_some_and(|at| now < at + EXPIRY_INTERVAL) {
+            return;
+        }
+        self.expired_at = Some(now);
+        self.inherited.retain(|_, inherited| now < inherited.until);
+        let ended = self.turns.iter().filter(|(_, placed)| placed.ends_by <= now);
+        let ended: Vec<String> = ended.map(|(turn, _)| turn.clone()).collect();
+        for turn in ended {
+            self.forget(&turn);
+        }
+    }
+
+    /// Whether a replica may read shared parts that others hold, so that it has them when
+    /// it is needed: it is little loaded, and its memory has room.
+    fn may_spread(&self, replica: &Replica, unread: u64, request: &PlacementRequest) -> bool {
+        let is_calm = self.load(&replica.id) * SPREADING_LOAD <= replica.slots;
+        let held = self.index.held(&replica.id) + unread;
+        is_calm && held as f64 <= request.memory_tokens as f64 * SPREADING_MEMORY
+    }
+
+    fn cost(&self, replica: &Replica, request: &PlacementRequest, now: Instant) -> Duration {
+        let weights = &self.weights;
+        let speed = self.speed(&request.service);
+        let slots = replica.slots.max(1);
+        let load = self.load(&replica.id);
+        let running = load.min(slots);
+        let ahead = (load + 1).saturating_sub(slots);
+        let turn_ms = speed.turn_ms().unwrap_or(weights.turn_ms);
+        let waiting_ms = turn_ms * f64::from(ahead) / f64::from(slots);
+        let unread = self.index.unread(&replica.id, &request.prompt);
+        let spared = if self.may_spread(replica, unread, request) {
+            self.index.unread_shared(&replica.id, &request.prompt) as f64 * SPREADING_DISCOUNT
+        } else {
+            0.0
+        };
+        let disturbed = 1.0 + weights.reading_disturbs * f64::from(running);
+        let reading_ms = (unread as f64 - spared) / weights.tokens_per_ms * disturbed;
+        let sharing_ms = speed.delay_ms().unwrap_or(weights.delay_ms) * f64::from(running);
+        let slowness = Duration::from_secs_f64((waiting_ms + reading_ms + sharing_ms) / 1_000.0);
+        let is_near = replica.zone == request.zone;
+        let crossing = if is_near { Duration::ZERO } else { weights.zone_crossing };
+        let is_suspected = self.is_suspected(&replica.id, now);
+        let suspicion = if is_suspected { weights.suspicion } else { Duration::ZERO };
+        slowness + crossing + suspicion
+    }
+}
--- a/crates/routing/src/prefix.rs
+++ b/crates/scheduler/src/prefix.rs
@@ -89,6 +89,12 @@
         whole - self.memories.get(replica).map_or(0, |memory| memory.held(prompt))
     }
 
+    /// Of [`unread`](Self::unread), the tokens of parts that other prompts may share: all
+    /// but the last one.
+    pub fn unread_shared(&self, replica: &str, prompt: &[PromptPart]) -> u64 {
+        prompt.split_last().map_or(0, |(_, shared)| self.unread(replica, shared))
+    }
+
     /// Tokens that the replica holds.
     pub fn held(&self, replica: &str) -> u64 {
         self.memories.get(replica).map_or(0, |memory| memory.tokens)
--- /dev/null
+++ b/crates/scheduler/tests/admission.rs
@@ -0,0 +1,234 @@
+//! When turns run, by a process that sees all of them.
+
+use std::time::{Duration, Instant};
+
+use calicohoist_routing::{Replica, ReplicaState};
+use calicohoist_scheduler::{
+    Decision, PlacementRequest, PromptPart, RunSample, TurnRun, TurnScheduler,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SLOTS: u32 = 4;
+/// Turns that go to one replica of [`SLOTS`] while nothing is learned.
+const ROOM: usize = SLOTS as usize;
+
+fn replicas(count: usize) -> Vec<Replica> {
+    let replica = |number: usize| Replica {
+        id: format!("r{number}"),
+        service: "llm".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".to_owned(),
+        slots: SLOTS,
+        state: ReplicaState::Ready,
+    };
+    (0..count).map(replica).collect()
+}
+
+fn request(program: &str, finish_ms: u64) -> PlacementRequest {
+    PlacementRequest {
+        service: "llm".to_owned(),
+        zone: "z".to_owned(),
+        prompt: vec![PromptPart { id: 1, tokens: 10 }],
+        memory_tokens: 10_000,
+        left_ms: 4_000,
+        program: Some(program.to_owned()),
+        finish_ms: Some(finish_ms),
+        priority: 1,
+        is_under_way: false,
+    }
+}
+
+fn under_way(program: &str) -> PlacementRequest {
+    PlacementRequest { is_under_way: true, ..request(program, 2_000) }
+}
+
+/// A scheduler whose only replica has no room for new programs.
+fn busy(replicas: &[Replica], now: Instant) -> TurnScheduler {
+    let mut scheduler = TurnScheduler::default();
+    for turn in 0..ROOM {
+        let decision = scheduler.arrive(&format!("busy{turn}"), request("b", 9_000), replicas, now);
+        assert!(matches!(decision, Decision::Run(_)));
+    }
+    scheduler
+}
+
+fn turns_of(decided: &[(String, Decision)]) -> Vec<&str> {
+    decided.iter().map(|(turn, _)| turn.as_str()).collect()
+}
+
+#[test]
+fn new_programs_wait_while_replicas_are_busy() {
+    let (replicas, now) = (replicas(1), Instant::now());
+    let mut scheduler = busy(&replicas, now);
+    assert_eq!(scheduler.arrive("n", request("n", 2_000), &replicas, now), Decision::Wait);
+    assert_eq!(scheduler.decide(&replicas, now), []);
+    scheduler.end("busy0", Some("r0"), now);
+    let decided = scheduler.decide(&replicas, now);
+    assert_eq!(decided, [("n".to_owned(), Decision::Run("r0".to_owned()))]);
+    assert_eq!(scheduler.waiting(), 0);
+}
+
+#[test]
+fn programs_under_way_do_not_wait() {
+    let (replicas, now) = (replicas(1), Instant::now());
+    let mut scheduler = busy(&replicas, now);
+    scheduler.arrive("n", request("n", 2_000), &replicas, now);
+    let decision = scheduler.arrive("u", under_way("u"), &replicas, now);
+    assert_eq!(decision, Decision::Run("r0".to_owned()));
+}
+
+#[test]
+fn who_can_still_be_in_time_goes_before_who_cannot() {
+    let (replicas, now) = (replicas(1), Instant::now());
+    let mut scheduler = busy(&replicas, now);
+    scheduler.arrive("late", request("l", 0), &replicas, now);
+    scheduler.arrive("soon", request("s", 2_000), &replicas, now);
+    scheduler.arrive("sooner", request("t", 1_000), &replicas, now);
+    let urgent = PlacementRequest { priority: 0, ..request("u", 3_000) };
+    scheduler.arrive("urgent", urgent, &replicas, now);
+    let mut order = Vec::new();
+    for turn in 0..ROOM {
+        scheduler.end(&format!("busy{turn}"), Some("r0"), now);
+        order.extend(scheduler.decide(&replicas, now));
+    }
+    assert_eq!(turns_of(&order), ["urgent", "sooner", "soon", "late"]);
+}
+
+#[test]
+fn a_turn_that_waits_too_long_is_told_when_to_come_back() {
+    let (replicas, now) = (replicas(1), Instant::now());
+    let mut scheduler = busy(&replicas, now);
+    scheduler.arrive("n", request("n", 2_000), &replicas, now);
+    let later = now + Duration::from_millis(1_900);
+    let decided = scheduler.decide(&replicas, later);
+    assert_eq!(turns_of(&decided), ["n"]);
+    assert!(matches!(decided[0].1, Decision::Refuse(after) if !after.is_zero()));
+    assert!(later < now + Duration::from_millis(4_000) / 2, "well before its deadline");
+}
+
+#[test]
+fn a_full_queue_refuses_at_once() {
+    let (replicas, now) = (replicas(1), Instant::now());
+    let mut scheduler = busy(&replicas, now);
+    let decisions: Vec<Decision> = (0..2_000)
+        .map(|turn| scheduler.arrive(&format!("n{turn}"), request("n", 2_000), &replicas, now))
+        .collect();
+    assert!(scheduler.waiting() <= 1_000);
+    assert!(matches!(decisions.last(), Some(Decision::Refuse(_))));
+}
+
+#[test]
+fn a_new_leader_waits_for_reports_and_counts_them() {
+    let (replicas, now) = (replicas(1), Instant::now());
+    let mut scheduler = TurnScheduler::default();
+    scheduler.begin_term(now);
+    assert_eq!(scheduler.arrive("n", request("n", 2_000), &replicas, now), Decision::Wait);
+    scheduler.inherit(&[("r0".to_owned(), SLOTS)], now);
+    let open = now + Duration::from_millis(100);
+    assert_eq!(scheduler.decide(&replicas, open), [], "the replica is full already");
+    scheduler.end("of another leader", Some("r0"), open);
+    assert_eq!(turns_of(&scheduler.decide(&replicas, open)), ["n"]);
+}
+
+#[test]
+fn engines_that_slow_down_get_fewer_new_programs() {
+    let (replicas, now) = (replicas(1), Instant::now());
+    let mut scheduler = TurnScheduler::default();
+    let run = |time_ms| TurnRun {
+        replica: "r0".to_owned(),
+        prompt: Vec::new(),
+        memory_tokens: 10_000,
+        service: "llm".to_owned(),
+        sample: Some(RunSample { generated: 100, time_ms }),
+    };
+    for _ in 0..100 {
+        scheduler.learn(&run(100));
+    }
+    // Three turns beside each other take six times as long.
+    for round in 0..100 {
+        for turn in 0..3 {
+            scheduler.arrive(&format!("{round}-{turn}"), under_way("u"), &replicas, now);
+        }
+        for turn in 0..3 {
+            scheduler.end(&format!("{round}-{turn}"), Some("r0"), now);
+            scheduler.learn(&run(600));
+        }
+    }
+    let first = scheduler.arrive("a", request("a", 2_000), &replicas, now);
+    assert_eq!(first, Decision::Run("r0".to_owned()), "one at least");
+    assert_eq!(scheduler.arrive("b", request("b", 2_000), &replicas, now), Decision::Wait);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Arrive { is_under_way: bool, finish_ms: u64, priority: u8 },
+    End,
+    Pass { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (any::<bool>(), 0u64..4_000, 0u8..3).prop_map(|(is_under_way, finish_ms, priority)| {
+            Step::Arrive { is_under_way, finish_ms, priority }
+        }),
+        Just(Step::End),
+        (0u64..400).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever comes and ends: every turn is decided about once, within its bound, and
+    /// nobody waits while a replica has room for it.
+    #[test]
+    fn every_turn_is_decided_about(steps in proptest::collection::vec(step(), 1..300)) {
+        let replicas = replicas(2);
+        let mut now = Instant::now();
+        let mut scheduler = TurnScheduler::default();
+        let mut running: Vec<(String, String)> = Vec::new();
+        let mut waiting: Vec<(String, Instant)> = Vec::new();
+        for (number, step) in steps.iter().enumerate() {
+            let turn = format!("t{number}");
+            match step {
+                Step::Arrive { is_under_way, finish_ms, priority } => {
+                    let request = PlacementRequest {
+                        is_under_way: *is_under_way,
+                        priority: *priority,
+                        ..request(&turn, *finish_ms)
+                    };
+                    match scheduler.arrive(&turn, request, &replicas, now) {
+                        Decision::Run(replica) => running.push((turn, replica)),
+                        Decision::Wait => waiting.push((turn, now)),
+                        decision => prop_assert!(false, "{decision:?}"),
+                    }
+                }
+                Step::End if running.is_empty() => {}
+                Step::End => {
+                    let (turn, replica) = running.remove(0);
+                    scheduler.end(&turn, Some(&replica), now);
+                }
+                Step::Pass { ms } => now += Duration::from_millis(*ms),
+            }
+            for (turn, decision) in scheduler.decide(&replicas, now) {
+                let place = waiting.iter().position(|(waiting, _)| *waiting == turn);
+                prop_assert!(place.is_some(), "{turn} is decided about twice");
+                waiting.swap_remove(place.unwrap_or_default());
+                if let Decision::Run(replica) = decision {
+                    running.push((turn, replica));
+                }
+            }
+            prop_assert_eq!(scheduler.waiting(), waiting.len());
+            let bound = Duration::from_millis(1_800);
+            prop_assert!(waiting.iter().all(|(_, since)| now < *since + bound));
+            // Turns expire at the scheduler by themselves; only a lower bound is known here.
+            let is_idle = running.is_empty() && !waiting.is_empty();
+            prop_assert!(!is_idle, "{} wait for idle replicas", waiting.len());
+        }
+    }
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -63,6 +63,8 @@
     SnapshotInstalled = 2007, Info;
     /// A leader's flushes take long; it gives the leadership away.
     SlowLeader = 2008, Warn;
+    /// A replica has read its log after a start.
+    LogOpened = 2009, Info;
     /// A frame from a peer could not be read; the link was closed.
     FrameRefused = 3001, Warn;
     /// A connection was refused since the limit is reached.
@@ -97,6 +99,10 @@
     RequestSent = 4110, Info;
     /// The end of a turn is durable.
     TurnSettled = 4111, Info;
+    /// It is decided when and where a turn runs that had to wait.
+    TurnPlaced = 4112, Info;
+    /// What the leader has learned of a service's engines.
+    EngineSpeed = 4113, Info;
     /// Engine memory of an ended program was released.
     CacheReleased = 4201, Debug;
     /// A release order failed and will be retried.
