Weigh a running turn as a share of a turn's time; spread shared parts at intervals

Cause: the learned delay of one running turn was the gap between present and best time divided by the turns beside it: 30 to 106 ms in calm seconds, when the gap is noise. Change: the delay is 0.12 of the time that a turn takes at its best (its own delay and that of the others); a replica is given shared parts to read once in 100 ms at most.

--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -81,7 +81,7 @@
                 service = service,
                 turn_ms = shown(speed.turn_ms()),
                 slowdown = shown(speed.slowdown()),
-                delay_ms = shown(speed.delay_ms()),
+                alone_ms = shown(speed.alone_ms()),
                 waiting = self.scheduler.waiting(),
             );
         }
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -316,7 +316,6 @@
         prompt: call.head.prompt.clone(),
         memory_tokens: engine.memory_tokens,
         left_ms: millis(call.left()),
-        program: call.head.program.clone(),
         finish_ms: call.finish_left().map(millis),
         priority: call.route.priority,
         is_under_way: false,
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -20,11 +20,15 @@
 const MAX_WAIT: Duration = Duration::from_millis(1_800);
 /// Share of the time left to a turn that it may wait.
 const WAIT_SHARE: f64 = 0.45;
+/// When a refused turn may come back: many turns end within this time.
+const COME_BACK_AFTER: Duration = Duration::from_millis(300);
 /// A waiting turn that nobody asked for lately is forgotten.
 const ASKED_WITHIN: Duration = Duration::from_millis(2_500);
-/// Share of the time that a program is given which it needs itself.
+/// Share of the time until its finish that a new program needs itself. One that has waited
+/// for the rest of it counts as late.
 const NEEDED_SHARE: f64 = 0.8;
-/// How many times the time that it takes alone a turn may take for a new program to begin.
+/// New programs begin while a turn takes at most so many times as long as at its best.
+/// Measured: see the rounds in `docs/DECISIONS.md`.
 const MOST_SLOWDOWN: f64 = 2.8;
 
 /// How long a new leader waits for the gateways' reports of load.
@@ -49,7 +53,6 @@
 #[derive(Clone, Debug)]
 struct WaitingTurn {
     request: PlacementRequest,
-    arrived: Instant,
     asked: Instant,
     give_up: Instant,
     /// When its program should be over.
@@ -75,7 +78,6 @@
             if request.is_under_way { Duration::ZERO } else { finish_left.mul_f64(NEEDED_SHARE) };
         let finish = now + finish_left;
         Self {
-            arrived: now,
             asked: now,
             give_up: now + left.mul_f64(WAIT_SHARE).min(MAX_WAIT),
             finish,
@@ -142,7 +144,7 @@
             return Decision::Wait;
         }
         if self.waiting.len() >= MAX_WAITING {
-            return Decision::Refuse(MAX_WAIT);
+            return Decision::Refuse(COME_BACK_AFTER);
         }
         let arrived = WaitingTurn::new(request, now);
         let goes_first = |waiting: &WaitingTurn| waiting.rank(now) < arrived.rank(now);
@@ -202,11 +204,6 @@
         self.waiting.len()
     }
 
-    /// How long a turn has waited.
-    pub fn waited(&self, turn: &str, now: Instant) -> Option<Duration> {
-        self.waiting.get(turn).map(|waiting| now.saturating_duration_since(waiting.arrived))
-    }
-
     fn is_open(&self, now: Instant) -> bool {
         self.opens.is_none_or(|opens| opens <= now)
     }
@@ -222,7 +219,7 @@
         let over: Vec<String> = over.map(|(turn, _)| turn.clone()).collect();
         for turn in over {
             self.waiting.remove(&turn);
-            decided.push((turn, Decision::Refuse(Duration::from_millis(300))));
+            decided.push((turn, Decision::Refuse(COME_BACK_AFTER)));
         }
     }
 }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -23,6 +23,8 @@
 
 /// A replica is little loaded when at most one in so many of its slots is taken.
 const SPREADING_LOAD: u32 = 3;
+/// Time between two such readings at one replica.
+const SPREADING_INTERVAL: Duration = Duration::from_millis(100);
 /// Share of a memory up to which shared parts are spread.
 const SPREADING_MEMORY: f64 = 0.7;
 /// Share of the cost of reading that is not counted where shared parts are spread.
@@ -49,8 +51,6 @@
     pub memory_tokens: u64,
     /// Time after which the turn has ended in any case, in ms.
     pub left_ms: u64,
-    /// The program it belongs to.
-    pub program: Option<String>,
     /// Time until that program should be over, in ms; 0 when it should be by now.
     pub finish_ms: Option<u64>,
     /// Rank of its route; 0 is the most urgent.
@@ -118,8 +118,8 @@
 pub struct PlacementWeights {
     /// Time that one turn holds a slot, in ms, while nothing is learned of it.
     pub turn_ms: f64,
-    /// Delay that a running turn brings to a further one, in ms, likewise.
-    pub delay_ms: f64,
+    /// Delay that a running turn brings to a further one, as a share of a turn's time.
+    pub delay_share: f64,
     /// Prompt tokens that a replica reads in a millisecond.
     pub tokens_per_ms: f64,
     /// Share of the reading time that each running turn loses by it.
@@ -134,7 +134,7 @@
     fn default() -> Self {
         Self {
             turn_ms: 250.0,
-            delay_ms: 8.0,
+            delay_share: 0.12,
             tokens_per_ms: 64.0,
             reading_disturbs: 0.3,
             zone_crossing: Duration::from_millis(2),
@@ -178,6 +178,8 @@
     /// Turns that an earlier leader placed, by replica.
     inherited: HashMap<String, InheritedLoad>,
     index: PrefixIndex,
+    /// When a replica was last given shared parts to read.
+    spread: HashMap<String, Instant>,
     /// What is learned of engines, by service.
     speeds: HashMap<String, EngineSpeed>,
     expired_at: Option<Instant>,
@@ -294,6 +296,7 @@
         let is_listed = |id: &str| replicas.iter().any(|replica| replica.id == id);
         self.index.retain(is_listed);
         self.signs.retain(|id, _| is_listed(id));
+        self.spread.retain(|id, _| is_listed(id));
     }
 
     /// Whether a turn is under way.
@@ -309,6 +312,9 @@
 
     fn begin(&mut self, turn: &str, replica: &str, request: &PlacementRequest, now: Instant) {
         self.forget(turn);
+        if self.index.unread_shared(replica, &request.prompt) > 0 {
+            self.spread.insert(replica.to_owned(), now);
+        }
         let beside = self.load(replica);
         // The next turns may come before this one ends.
         self.index.note(replica, &request.prompt, request.memory_tokens);
@@ -376,8 +382,16 @@
 
     /// Whether a replica may read shared parts that others hold, so that it has them when
     /// it is needed: it is little loaded, and its memory has room.
-    fn may_spread(&self, replica: &Replica, unread: u64, request: &PlacementRequest) -> bool {
-        let is_calm = self.load(&replica.id) * SPREADING_LOAD <= replica.slots;
+    fn may_spread(
+        &self,
+        replica: &Replica,
+        unread: u64,
+        request: &PlacementRequest,
+        now: Instant,
+    ) -> bool {
+        let has_rested =
+            self.spread.get(&replica.id).is_none_or(|at| now >= *at + SPREADING_INTERVAL);
+        let is_calm = has_rested && self.load(&replica.id) * SPREADING_LOAD <= replica.slots;
         let held = self.index.held(&replica.id) + unread;
         is_calm && held as f64 <= request.memory_tokens as f64 * SPREADING_MEMORY
     }
@@ -392,14 +406,15 @@
         let turn_ms = speed.turn_ms().unwrap_or(weights.turn_ms);
         let waiting_ms = turn_ms * f64::from(ahead) / f64::from(slots);
         let unread = self.index.unread(&replica.id, &request.prompt);
-        let spared = if self.may_spread(replica, unread, request) {
+        let spared = if self.may_spread(replica, unread, request, now) {
             self.index.unread_shared(&replica.id, &request.prompt) as f64 * SPREADING_DISCOUNT
         } else {
             0.0
         };
         let disturbed = 1.0 + weights.reading_disturbs * f64::from(running);
         let reading_ms = (unread as f64 - spared) / weights.tokens_per_ms * disturbed;
-        let sharing_ms = speed.delay_ms().unwrap_or(weights.delay_ms) * f64::from(running);
+        let alone_ms = speed.alone_ms().unwrap_or(weights.turn_ms);
+        let sharing_ms = alone_ms * weights.delay_share * f64::from(running);
         let slowness = Duration::from_secs_f64((waiting_ms + reading_ms + sharing_ms) / 1_000.0);
         let is_near = replica.zone == request.zone;
         let crossing = if is_near { Duration::ZERO } else { weights.zone_crossing };
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -94,10 +94,8 @@
         (self.samples >= LEAST_SAMPLES).then_some(self.present_ms * self.tokens)
     }
 
-    /// Time by which each turn delays another one at the same replica, in ms.
-    pub fn delay_ms(&self) -> Option<f64> {
-        let excess = (self.present_ms - self.alone_ms).max(0.0);
-        let running = self.running?.max(1.0);
-        (self.samples >= LEAST_SAMPLES).then_some(excess * self.tokens / running)
+    /// Time that a turn takes at its best, in ms.
+    pub fn alone_ms(&self) -> Option<f64> {
+        (self.samples >= LEAST_SAMPLES).then_some(self.alone_ms * self.tokens)
     }
 }
