--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -257,6 +257,18 @@
 }
 
 impl Message {
+    /// Tells a follower that its leader lives, and nothing of the log.
+    pub fn bare_heartbeat(term: Term, round: u64) -> Self {
+        Self::Append {
+            term,
+            previous_index: 0,
+            previous_term: 0,
+            entries: Vec::new(),
+            commit: 0,
+            round,
+        }
+    }
+
     /// The sender's term; `None` for messages outside any term.
     pub fn term(&self) -> Option<Term> {
         match self {
--- a/crates/replication/src/node/group.rs
+++ b/crates/replication/src/node/group.rs
@@ -1,6 +1,7 @@
 //! One group of a machine: its protocol state, its state machine and who waits.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::Moment;
@@ -76,7 +77,7 @@
         now: Moment,
         from: ReplicaId,
         (term, round): (Term, u64),
-        snapshot: std::sync::Arc<Snapshot>,
+        snapshot: Arc<Snapshot>,
     ) {
         let is_whole = snapshot.segments.is_subset(&self.held);
         let is_stale = term < self.raft.term();
@@ -88,15 +89,7 @@
             None => self.incoming = Some(Incoming::new(from, term, round, snapshot)),
         }
         // Until the segments are here it is no more than a heartbeat.
-        let heartbeat = Message::Append {
-            term,
-            previous_index: 0,
-            previous_term: 0,
-            entries: Vec::new(),
-            commit: 0,
-            round,
-        };
-        self.raft.step(now, from, heartbeat);
+        self.raft.step(now, from, Message::bare_heartbeat(term, round));
     }
 
     fn on_chunk(
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -232,15 +232,7 @@
                 return;
             }
             // Keeps the follower from campaigning while the snapshot travels.
-            let heartbeat = Message::Append {
-                term,
-                previous_index: 0,
-                previous_term: 0,
-                entries: Vec::new(),
-                commit: 0,
-                round,
-            };
-            return self.send(to, heartbeat);
+            return self.send(to, Message::bare_heartbeat(term, round));
         }
         progress.installing_until = now + resend_after;
         let message = Message::Install { term, snapshot, round };
--- a/crates/replication/src/storage/log.rs
+++ b/crates/replication/src/storage/log.rs
@@ -156,13 +156,7 @@
         kept: &[Index],
     ) -> Result<(), DiskError> {
         let kept: Vec<String> = kept.iter().map(|index| snapshot_name(group, *index)).collect();
-        let of_group = format!("{SNAPSHOT_PREFIX}{group}-");
-        for name in self.disk.list()? {
-            if name.starts_with(&of_group) && !kept.contains(&name) {
-                self.disk.remove(&name)?;
-            }
-        }
-        Ok(())
+        self.remove_files_but(&format!("{SNAPSHOT_PREFIX}{group}-"), &kept)
     }
 
     /// Stores a whole segment, durably.
@@ -251,8 +245,13 @@
                 _ => None,
             })
             .collect();
+        self.remove_files_but(SNAPSHOT_PREFIX, &in_use)
+    }
+
+    /// Removes the files whose names begin with `prefix`, but for those in `kept`.
+    fn remove_files_but(&mut self, prefix: &str, kept: &[String]) -> Result<(), DiskError> {
         for name in self.disk.list()? {
-            if name.starts_with(SNAPSHOT_PREFIX) && !in_use.contains(&name) {
+            if name.starts_with(prefix) && !kept.contains(&name) {
                 self.disk.remove(&name)?;
             }
         }
