Let a machine that leads no more forget the turns that wait

Cause: found by reading. A deposed leader answered those who waited, but its scheduler kept the turns; it leads no more, so nothing decides about them and their ends go to the next leader. It then woke up every 20 ms until it led again. Change: dismissing clears the waiting turns, too. Ruled out: stopping the loop on a machine that does not lead: whoever still waits there would not be sent on. Test: a_machine_that_leads_no_more_has_no_work_left, which failed before, in paused time.

--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -168,7 +168,9 @@
 
     /// Tells everybody who waits that another machine decides.
     pub fn dismiss(&self, answer: &Answer) {
-        for (_, back) in self.state.lock().backs.drain() {
+        let mut state = self.state.lock();
+        state.scheduler.dismiss();
+        for (_, back) in state.backs.drain() {
             back.send(answer.clone());
         }
     }
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -117,10 +117,15 @@
     /// Begins a term as leader: turns under way are those that gateways will tell of.
     pub fn begin_term(&mut self, now: Instant) {
         self.placer.begin_term();
-        self.waiting.clear();
+        self.dismiss();
         self.opens = Some(now + REPORTS_WITHIN);
     }
 
+    /// Forgets the turns that wait: another leader decides about them.
+    pub fn dismiss(&mut self) {
+        self.waiting.clear();
+    }
+
     /// Counts what a gateway has under way since before this term.
     pub fn inherit(&mut self, loads: &[(String, u32)], now: Instant) {
         self.placer.inherit(loads, now, INHERITED_FOR);
