Say less for the same: first table, place of a turn, learned speed

Cause: the change read as one. - The wait for a gateway's first table had a notification, a loop, a counter and a guard of its own; a watch channel and a semaphore of the runtime are the same, and the fast path is inside. - The leader never answers a question for a place with `Wait`, so asking stood in a loop that ran once. - A waiting turn's last question was kept to forget it after 2.5 s; it is refused after 1.8 s at the latest, so that never acted. - A service's speed was looked up for each replica of a choice, and a new turn's rank for each waiting one; the tokens generated were converted twice. - Three figures of a speed each had the same guard. Change: as said; the limit's comment tells its bounds, a reading of the list is called one. No bound, order or answer changes; no test is touched.

--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -172,7 +172,7 @@
                 && let Some(mut placement) = placement
             {
                 placement.is_under_way = *is_under_way;
-                *decision = Some(hub.turns.arrive(hub.term(), &turn, placement, &hub.replicas()));
+                *decision = Some(hub.turns.arrive(hub.term(), &turn, placement, &hub.reading()));
             }
             back.send(answer);
         });
@@ -185,21 +185,21 @@
         if !standing.is_leader {
             return back.send(self.not_leader(standing.leader));
         }
-        self.turns.place(standing.term, turn, placement, &self.replicas(), back);
+        self.turns.place(standing.term, turn, placement, &self.reading(), back);
     }
 
     fn term(&self) -> u64 {
         self.standing.borrow().term
     }
 
-    /// The newest list of replicas.
-    fn replicas(&self) -> Reading {
+    /// The newest reading of the list of replicas.
+    fn reading(&self) -> Reading {
         self.list.borrow().clone()
     }
 
     /// Settles. The turn has ended, whether or not that becomes durable here.
     fn settle(&self, settle: SettleTurn, back: Back) {
-        self.turns.end(&settle, &self.replicas());
+        self.turns.end(&settle, &self.reading());
         let hub = self.clone();
         let respond = Box::new(move |response| back.send(hub.answer(response)));
         self.replica.ask(Request::Change(Command::Settle(settle)), respond);
@@ -218,14 +218,13 @@
 
     /// Looks after waiting turns for as long as the process runs.
     pub async fn tend_turns(self) {
-        let mut standing = self.standing.clone();
         loop {
             self.turns.wait_for_work().await;
-            let is_leader = standing.borrow_and_update().is_leader;
-            if is_leader {
-                self.turns.decide(&self.replicas());
+            let standing = self.standing.borrow().clone();
+            if standing.is_leader {
+                self.turns.decide(&self.reading());
             } else {
-                self.turns.dismiss(&self.not_leader(standing.borrow().leader));
+                self.turns.dismiss(&self.not_leader(standing.leader));
             }
             tokio::time::sleep(TEND_INTERVAL).await;
         }
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -6,8 +6,7 @@
 
 use calicohoist_ledger::client::LedgerClient;
 use calicohoist_routing::{CostWeights, RouteTable};
-use parking_lot::RwLock;
-use tokio::sync::Notify;
+use tokio::sync::{Semaphore, watch};
 
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
@@ -15,7 +14,7 @@
 use crate::upstream::Pool;
 
 /// Requests that may wait for the first table.
-const MAX_WAITING_FOR_TABLE: usize = 256;
+const MAX_TABLE_WAITERS: usize = 256;
 
 /// The shared state of a gateway.
 pub struct App {
@@ -29,11 +28,9 @@
     pub pool: Pool,
     /// Costs in the choice of a replica.
     pub weights: CostWeights,
-    table: RwLock<Option<Arc<RouteTable>>>,
-    /// Told when the first table comes.
-    has_table: Notify,
-    /// Requests that wait for it.
-    waiting_for_table: AtomicUsize,
+    table: watch::Sender<Option<Arc<RouteTable>>>,
+    /// Places for requests that wait for the first table.
+    table_waiters: Semaphore,
     has_list: AtomicBool,
     is_stopping: AtomicBool,
     under_way: AtomicUsize,
@@ -49,9 +46,8 @@
             fleet: Fleet::default(),
             pool: Pool::default(),
             weights: CostWeights::default(),
-            table: RwLock::new(None),
-            has_table: Notify::new(),
-            waiting_for_table: AtomicUsize::new(0),
+            table: watch::Sender::new(None),
+            table_waiters: Semaphore::new(MAX_TABLE_WAITERS),
             has_list: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             under_way: AtomicUsize::new(0),
@@ -65,34 +61,30 @@
 
     /// The routes in force here; `None` before the first configuration.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
-        self.table.read().clone()
+        self.table.borrow().clone()
     }
 
     /// The routes in force here, once there are any; `None` when none came within
     /// `patience`, or when too many requests wait for them.
     pub async fn wait_for_table(&self, patience: Duration) -> Option<Arc<RouteTable>> {
-        let _waiting = WaitingGuard::enter(&self.waiting_for_table)?;
-        let table = async {
-            loop {
-                let notified = self.has_table.notified();
-                if let Some(table) = self.table() {
-                    return table;
-                }
-                notified.await;
-            }
-        };
-        tokio::time::timeout(patience, table).await.ok()
+        if let Some(table) = self.table() {
+            return Some(table);
+        }
+        let _place = self.table_waiters.try_acquire().ok()?;
+        let mut tables = self.table.subscribe();
+        let table = tables.wait_for(Option::is_some);
+        tokio::time::timeout(patience, table).await.ok()?.ok()?.clone()
     }
 
     /// Puts a table in force, unless a newer one is. A gateway never goes back.
     pub fn put_table(&self, table: RouteTable) -> bool {
-        let mut held = self.table.write();
-        let is_newer = held.as_ref().is_none_or(|held| held.version() < table.version());
-        if is_newer {
-            *held = Some(Arc::new(table));
-            self.has_table.notify_waiters();
-        }
-        is_newer
+        self.table.send_if_modified(|held| {
+            let is_newer = held.as_ref().is_none_or(|held| held.version() < table.version());
+            if is_newer {
+                *held = Some(Arc::new(table));
+            }
+            is_newer
+        })
     }
 
     /// Notes that the replicas are known.
@@ -102,7 +94,7 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        let knows_enough = self.has_list.load(Ordering::Relaxed) && self.table.read().is_some();
+        let knows_enough = self.has_list.load(Ordering::Relaxed) && self.table.borrow().is_some();
         knows_enough && !self.is_stopping()
     }
 
@@ -128,24 +120,6 @@
     }
 }
 
-/// Counts a request that waits for the first table.
-struct WaitingGuard<'a>(&'a AtomicUsize);
-
-impl<'a> WaitingGuard<'a> {
-    /// `None` when as many wait as may.
-    fn enter(waiting: &'a AtomicUsize) -> Option<Self> {
-        let guard = Self(waiting);
-        let before = waiting.fetch_add(1, Ordering::Relaxed);
-        (before < MAX_WAITING_FOR_TABLE).then_some(guard)
-    }
-}
-
-impl Drop for WaitingGuard<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// A request whose answer is not complete.
 pub struct RequestGuard {
     app: Arc<App>,
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -135,10 +135,7 @@
 ) -> Result<Call, (String, Refusal)> {
     let (parts, body) = request.into_parts();
     let unnamed = |refusal| ("-".to_owned(), refusal);
-    let table = match app.table() {
-        Some(table) => Some(table),
-        None => app.wait_for_table(CONFIGURATION_PATIENCE).await,
-    };
+    let table = app.wait_for_table(CONFIGURATION_PATIENCE).await;
     let table = table.ok_or_else(|| unnamed(Refusal::NoConfiguration))?;
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = table.find(host, parts.uri.path()).cloned();
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -102,23 +102,10 @@
 
     /// Waits until it is decided when and where the turn runs.
     async fn place(&mut self, first: Option<Decision>, is_under_way: bool) -> Result<(), Refusal> {
-        let mut decision = first;
-        let began = Instant::now();
-        let deadline = self.call.deadline.min(began + PLACE_PATIENCE);
-        while decision == Some(Decision::Wait) {
-            let Some(placement) = placement_of(&self.app, &self.call) else {
-                return Ok(());
-            };
-            let placement = PlacementRequest { is_under_way, ..placement };
-            let question = Question::Place { turn: self.call.head.request_id.clone(), placement };
-            decision = match self.app.ledger.ask(&question, deadline).await {
-                Ok(Answer::Placed(decision)) => Some(decision),
-                // Nobody leads: the turn looks for a replica by itself.
-                _ => None,
-            };
-            LEDGER_TIMES.note("place", began.elapsed());
-            log_placed(&self.call, decision.as_ref(), began);
-        }
+        let decision = match first {
+            Some(Decision::Wait) => self.wait_for_place(is_under_way).await,
+            decided => decided,
+        };
         match decision {
             Some(Decision::Run(replica)) => self.placed_on = Some(replica),
             Some(Decision::Refuse(after)) => {
@@ -129,6 +116,23 @@
         Ok(())
     }
 
+    /// Asks until it is decided; `None` when nobody leads, and the turn looks for a replica
+    /// by itself.
+    async fn wait_for_place(&self, is_under_way: bool) -> Option<Decision> {
+        let placement = placement_of(&self.app, &self.call)?;
+        let placement = PlacementRequest { is_under_way, ..placement };
+        let question = Question::Place { turn: self.call.head.request_id.clone(), placement };
+        let began = Instant::now();
+        let deadline = self.call.deadline.min(began + PLACE_PATIENCE);
+        let decision = match self.app.ledger.ask(&question, deadline).await {
+            Ok(Answer::Placed(decision)) => Some(decision),
+            _ => None,
+        };
+        LEDGER_TIMES.note("place", began.elapsed());
+        log_placed(&self.call, decision.as_ref(), began);
+        decision
+    }
+
     fn admit(mut self, reservation: Reservation, history: &[u8]) -> Result<Self, Refusal> {
         match reservation {
             Reservation::Granted => {
@@ -177,13 +181,13 @@
         let replica = self.ran_at.clone()?;
         let service = self.call.service()?;
         let engine = service.engine.as_ref()?;
+        let generated = u32::try_from(self.used_tokens).unwrap_or(u32::MAX);
         let mut prompt = self.call.head.prompt.clone();
         if let Some(last) = prompt.last_mut() {
-            let generated = u32::try_from(self.used_tokens).unwrap_or(u32::MAX);
             last.tokens = last.tokens.saturating_add(generated);
         }
         let sample = self.sent.filter(|_| self.is_whole).map(|sent| RunSample {
-            generated: u32::try_from(self.used_tokens).unwrap_or(u32::MAX),
+            generated,
             time_ms: u32::try_from(millis(sent.elapsed())).unwrap_or(u32::MAX),
         });
         let service = service.name.clone();
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -22,8 +22,6 @@
 const WAIT_SHARE: f64 = 0.45;
 /// When a refused turn may come back: many turns end within this time.
 const COME_BACK_AFTER: Duration = Duration::from_millis(300);
-/// A waiting turn that nobody asked for lately is forgotten.
-const ASKED_WITHIN: Duration = Duration::from_millis(2_500);
 /// Share of the time until its finish that a new program needs itself. One that has waited
 /// for the rest of it counts as late.
 const NEEDED_SHARE: f64 = 0.8;
@@ -53,7 +51,6 @@
 #[derive(Clone, Debug)]
 struct WaitingTurn {
     request: PlacementRequest,
-    asked: Instant,
     give_up: Instant,
     /// When its program should be over.
     finish: Instant,
@@ -78,7 +75,6 @@
             if request.is_under_way { Duration::ZERO } else { finish_left.mul_f64(NEEDED_SHARE) };
         let finish = now + finish_left;
         Self {
-            asked: now,
             give_up: now + left.mul_f64(WAIT_SHARE).min(MAX_WAIT),
             finish,
             begin_by: finish.checked_sub(needed).unwrap_or(now),
@@ -144,15 +140,15 @@
         replicas: &[Replica],
         now: Instant,
     ) -> Decision {
-        if let Some(waiting) = self.waiting.get_mut(turn) {
-            waiting.asked = now;
+        if self.waiting.contains_key(turn) {
             return Decision::Wait;
         }
         if self.waiting.len() >= MAX_WAITING {
             return Decision::Refuse(COME_BACK_AFTER);
         }
         let arrived = WaitingTurn::new(request, now);
-        let goes_first = |waiting: &WaitingTurn| waiting.rank(now) < arrived.rank(now);
+        let rank = arrived.rank(now);
+        let goes_first = |waiting: &WaitingTurn| waiting.rank(now) < rank;
         let must_queue = !arrived.request.is_under_way && self.waiting.values().any(goes_first);
         if self.is_open(now) && (!must_queue || self.placer.is_placed(turn)) {
             let placed = self.placer.place(turn, &arrived.request, replicas, arrived.limit(), now);
@@ -169,7 +165,6 @@
     /// Decides about waiting turns, as far as something can be decided now.
     pub fn decide(&mut self, replicas: &[Replica], now: Instant) -> Vec<(String, Decision)> {
         let mut decided = Vec::new();
-        self.waiting.retain(|_, waiting| now < waiting.asked + ASKED_WITHIN);
         while self.is_open(now)
             && let Some(turn) = self.first(now)
         {
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -79,8 +79,8 @@
 pub enum RunLimit {
     /// Any number.
     Unlimited,
-    /// As many as keep each turn within this many times the time that it takes alone, up to
-    /// the replica's slots.
+    /// As many as keep each turn within this many times the time that it takes alone: a
+    /// quarter of the replica's slots at least, its slots and a reserve at most.
     Slowdown(f64),
 }
 
@@ -218,8 +218,9 @@
         let has_room =
             |replica: &&&Replica| self.load(&replica.id) < limit.turns(replica.slots, &speed);
         // Of equals, the one whose memory has most room.
-        let rank =
-            |replica: &&&Replica| (self.cost(replica, request, now), self.index.held(&replica.id));
+        let rank = |replica: &&&Replica| {
+            (self.cost(replica, request, &speed, now), self.index.held(&replica.id))
+        };
         let Some(chosen) = open.iter().filter(has_room).min_by_key(rank) else {
             return Placement::NoRoom;
         };
@@ -381,7 +382,7 @@
     }
 
     /// Whether a replica may read shared parts that others hold, so that it has them when
-    /// it is needed: it is little loaded, and its memory has room.
+    /// it is needed: it did not do so just now, is little loaded, and its memory has room.
     fn may_spread(
         &self,
         replica: &Replica,
@@ -391,14 +392,20 @@
     ) -> bool {
         let has_rested =
             self.spread.get(&replica.id).is_none_or(|at| now >= *at + SPREADING_INTERVAL);
-        let is_calm = has_rested && self.load(&replica.id) * SPREADING_LOAD <= replica.slots;
+        let is_calm = self.load(&replica.id) * SPREADING_LOAD <= replica.slots;
         let held = self.index.held(&replica.id) + unread;
-        is_calm && held as f64 <= request.memory_tokens as f64 * SPREADING_MEMORY
+        let has_memory = held as f64 <= request.memory_tokens as f64 * SPREADING_MEMORY;
+        has_rested && is_calm && has_memory
     }
 
-    fn cost(&self, replica: &Replica, request: &PlacementRequest, now: Instant) -> Duration {
+    fn cost(
+        &self,
+        replica: &Replica,
+        request: &PlacementRequest,
+        speed: &EngineSpeed,
+        now: Instant,
+    ) -> Duration {
         let weights = &self.weights;
-        let speed = self.speed(&request.service);
         let slots = replica.slots.max(1);
         let load = self.load(&replica.id);
         let running = load.min(slots);
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -76,7 +76,7 @@
 
     /// How many times as long as alone a turn takes now; `None` while too little is known.
     pub fn slowdown(&self) -> Option<f64> {
-        (self.samples >= LEAST_SAMPLES).then(|| self.present_ms / self.alone_ms)
+        self.known(self.present_ms / self.alone_ms)
     }
 
     /// How many turns may run at a replica for a turn to take `slowdown` times as long as
@@ -91,11 +91,15 @@
 
     /// Time that a turn takes now, in ms.
     pub fn turn_ms(&self) -> Option<f64> {
-        (self.samples >= LEAST_SAMPLES).then_some(self.present_ms * self.tokens)
+        self.known(self.present_ms * self.tokens)
     }
 
     /// Time that a turn takes at its best, in ms.
     pub fn alone_ms(&self) -> Option<f64> {
-        (self.samples >= LEAST_SAMPLES).then_some(self.alone_ms * self.tokens)
+        self.known(self.alone_ms * self.tokens)
+    }
+
+    fn known(&self, figure: f64) -> Option<f64> {
+        (self.samples >= LEAST_SAMPLES).then_some(figure)
     }
 }
