Take the time to read a prompt from the learned time of a token

Cause: read as a newcomer would, the policy still named a speed of engines: 64 prompt tokens read in a millisecond, that of the first two sites. Each running turn feels a reading in full, where 0.3 of it was counted. Until fifty turns have ended, 3.125 ms a token is assumed: 64 a ms, as before. Test: turns_go_to_the_same_replicas_however_fast_engines_are; it fails with a fixed time.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -120,8 +120,10 @@
     pub turn_ms: f64,
     /// Delay that a running turn brings to a further one, as a share of a turn's time.
     pub delay_share: f64,
-    /// Prompt tokens that a replica reads in a millisecond.
-    pub tokens_per_ms: f64,
+    /// Time that one generated token takes alone, in ms, while nothing is learned of it.
+    pub token_ms: f64,
+    /// Prompt tokens that a replica reads in the time of one generated token.
+    pub reads_per_token: f64,
     /// Share of the reading time that each running turn loses by it.
     pub reading_disturbs: f64,
     /// Cost of leaving the zone of the gateway.
@@ -135,8 +137,9 @@
         Self {
             turn_ms: 250.0,
             delay_share: 0.12,
-            tokens_per_ms: 64.0,
-            reading_disturbs: 0.3,
+            token_ms: 3.125,
+            reads_per_token: 200.0,
+            reading_disturbs: 1.0,
             zone_crossing: Duration::from_millis(2),
             suspicion: Duration::from_secs(1),
         }
@@ -419,7 +422,8 @@
             0.0
         };
         let disturbed = 1.0 + weights.reading_disturbs * f64::from(running);
-        let reading_ms = (unread as f64 - spared) / weights.tokens_per_ms * disturbed;
+        let read_ms = speed.token_ms().unwrap_or(weights.token_ms) / weights.reads_per_token;
+        let reading_ms = (unread as f64 - spared) * read_ms * disturbed;
         let alone_ms = speed.alone_ms().unwrap_or(weights.turn_ms);
         let sharing_ms = alone_ms * weights.delay_share * f64::from(running);
         let slowness = Duration::from_secs_f64((waiting_ms + reading_ms + sharing_ms) / 1_000.0);
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -94,6 +94,11 @@
         self.known(self.present_ms * self.tokens)
     }
 
+    /// Time that one generated token takes at its best, in ms.
+    pub fn token_ms(&self) -> Option<f64> {
+        self.known(self.alone_ms)
+    }
+
     /// Time that a turn takes at its best, in ms.
     pub fn alone_ms(&self) -> Option<f64> {
         self.known(self.alone_ms * self.tokens)
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -5,7 +5,7 @@
 use calicohoist_routing::{Replica, ReplicaState};
 use calicohoist_scheduler::{
     Placement, PlacementRequest, PlacementWeights, Placer, PrefixIndex, PromptPart, RunLimit,
-    TurnRun,
+    RunSample, TurnRun,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -172,6 +172,35 @@
     assert_eq!(home, next, "reading it once more would disturb those that run there");
 }
 
+/// Where turns go that share a prompt, at engines that need `token_ms` for a token alone.
+fn homes_at_engines_of(token_ms: f64) -> Vec<Option<String>> {
+    const GENERATED: u32 = 80;
+    let time_ms = (token_ms * f64::from(GENERATED)) as u32;
+    let mut placer = Placer::new(PlacementWeights::default());
+    let replicas = fleet(3);
+    let now = Instant::now();
+    for _ in 0..100 {
+        let sample = Some(RunSample { generated: GENERATED, time_ms });
+        placer.learn(&TurnRun { sample, ..run("r0", &[], 0) });
+    }
+    let placed = (0..20).map(|turn| {
+        let prompt = [part(1, 6_000), part(100 + turn, 400)];
+        let request = PlacementRequest { memory_tokens: 9_000, ..request(&prompt) };
+        place(&mut placer, &format!("t{turn}"), &request, &replicas, now)
+    });
+    placed.collect()
+}
+
+#[test]
+fn turns_go_to_the_same_replicas_however_fast_engines_are() {
+    let homes = homes_at_engines_of(1.0);
+    assert!(homes[0] == homes[1], "the prompt is held there");
+    assert!(homes.iter().any(|home| *home != homes[0]), "twenty are too many for one");
+    for token_ms in [0.25, 0.5, 4.0, 20.0] {
+        assert_eq!(homes_at_engines_of(token_ms), homes, "{token_ms} ms a token");
+    }
+}
+
 #[test]
 fn a_limit_holds_turns_back_until_one_ends() {
     let mut placer = Placer::new(PlacementWeights::default());
