Look each replica up once for a placement

Cause: the leader places every turn of the fleet.

Change: what is known of a replica stands in one entry and is looked up once for each placement, with its memory; the maps use foldhash, which is seeded for each map. Costs and order are the same.

Ruled out: fewer candidates (power of two choices): it would lose prompts that are held.

All tests of the scheduler pass unchanged.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -6,13 +6,13 @@
 //!
 //! All of it is soft state: whoever begins with an empty placer places by load alone.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::{Replica, ReplicaState};
+use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
-use crate::prefix::{PrefixIndex, PromptPart};
+use crate::prefix::{Memory, PrefixIndex, PromptPart, Unread};
 use crate::speed::{EngineSpeed, RunSample};
 
 /// Silence of a replica with turns under way from which it is suspected: some turn ends
@@ -171,18 +171,76 @@
     suspected_until: Option<Instant>,
 }
 
+/// What is known of one replica, but for its memory.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReplicaView {
+    /// Turns under way there that were placed in this term.
+    placed: u32,
+    /// Turns that an earlier leader placed there.
+    inherited: Option<InheritedLoad>,
+    signs: Option<Signs>,
+    /// When it was last given shared parts to read.
+    spread: Option<Instant>,
+}
+
+impl ReplicaView {
+    fn load(&self) -> u32 {
+        self.placed + self.inherited.map_or(0, |inherited| inherited.turns)
+    }
+
+    /// Whether the replica has turns and shows no sign of working on them.
+    fn is_suspected(&self, now: Instant) -> bool {
+        let Some(signs) = self.signs else {
+            return false;
+        };
+        let is_silent = self.load() > 0 && now >= signs.last + SUSPECT_AFTER;
+        is_silent || signs.suspected_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the replica may read shared parts that others hold, so that it has them
+    /// when it is needed: it did not do so just now, is little loaded, and its memory has
+    /// room.
+    fn may_spread(
+        &self,
+        replica: &Replica,
+        holds: u64,
+        unread: u64,
+        request: &PlacementRequest,
+        now: Instant,
+    ) -> bool {
+        let has_rested = self.spread.is_none_or(|at| now >= at + SPREADING_INTERVAL);
+        let is_calm = self.load() * SPREADING_LOAD <= replica.slots;
+        let full = request.memory_tokens as f64 * SPREADING_MEMORY;
+        has_rested && is_calm && (holds + unread) as f64 <= full
+    }
+}
+
+/// A replica that takes work, with all that its cost depends on: looked up once for each
+/// placement, since a leader places hundreds of turns a second among a hundred replicas.
+#[derive(Clone, Copy)]
+struct PlacementCandidate<'a> {
+    replica: &'a Replica,
+    view: ReplicaView,
+    memory: Option<&'a Memory>,
+}
+
+impl PlacementCandidate<'_> {
+    fn holds(&self) -> u64 {
+        self.memory.map_or(0, Memory::tokens)
+    }
+
+    fn unread(&self, prompt: &[PromptPart]) -> Unread {
+        self.memory.map_or_else(|| Memory::default().unread(prompt), |known| known.unread(prompt))
+    }
+}
+
 /// Places turns, and learns from where they ran.
 #[derive(Debug, Default)]
 pub struct Placer {
     weights: PlacementWeights,
     turns: HashMap<String, PlacedTurn>,
-    loads: HashMap<String, u32>,
-    signs: HashMap<String, Signs>,
-    /// Turns that an earlier leader placed, by replica.
-    inherited: HashMap<String, InheritedLoad>,
+    views: HashMap<String, ReplicaView>,
     index: PrefixIndex,
-    /// When a replica was last given shared parts to read.
-    spread: HashMap<String, Instant>,
     /// What is learned of engines, by service.
     speeds: HashMap<String, EngineSpeed>,
     expired_at: Option<Instant>,
@@ -218,20 +276,27 @@
             return Placement::NoReplica;
         }
         let speed = self.speed(&request.service);
-        let has_room =
-            |replica: &&&Replica| self.load(&replica.id) < limit.turns(replica.slots, &speed);
+        let candidates = open.iter().map(|replica| self.candidate(replica));
+        let has_room = |candidate: &PlacementCandidate<'_>| {
+            candidate.view.load() < limit.turns(candidate.replica.slots, &speed)
+        };
         // Of equals, the one whose memory has most room.
-        let rank = |replica: &&&Replica| {
-            (self.cost(replica, request, &speed, now), self.index.held(&replica.id))
+        let rank = |candidate: &PlacementCandidate<'_>| {
+            (self.cost(candidate, request, &speed, now), candidate.holds())
         };
-        let Some(chosen) = open.iter().filter(has_room).min_by_key(rank) else {
+        let Some(chosen) = candidates.filter(has_room).min_by_key(rank) else {
             return Placement::NoRoom;
         };
-        let chosen = chosen.id.clone();
+        let chosen = chosen.replica.id.clone();
         self.begin(turn, &chosen, request, now);
         Placement::At(chosen)
     }
 
+    fn candidate<'a>(&'a self, replica: &'a Replica) -> PlacementCandidate<'a> {
+        let view = self.views.get(&replica.id).copied().unwrap_or_default();
+        PlacementCandidate { replica, view, memory: self.index.memory(&replica.id) }
+    }
+
     /// A turn has ended. `ran_at` is the replica that ran it, which may be another than
     /// the one it was placed on. `None` when no replica answered.
     pub fn end(&mut self, turn: &str, ran_at: Option<&str>, now: Instant) {
@@ -246,11 +311,17 @@
             self.note_running(placed);
         }
         if placed.is_none()
-            && let Some(inherited) = self.inherited.get_mut(ran_at)
+            && let Some(view) = self.views.get_mut(ran_at)
+            && let Some(inherited) = &mut view.inherited
         {
             inherited.turns = inherited.turns.saturating_sub(1);
         }
-        self.signs.insert(ran_at.to_owned(), Signs { last: now, suspected_until: None });
+        self.view(ran_at).signs = Some(Signs { last: now, suspected_until: None });
+    }
+
+    /// What is known of a replica, to be changed.
+    fn view(&mut self, replica: &str) -> &mut ReplicaView {
+        self.views.entry(replica.to_owned()).or_default()
     }
 
     /// What is learned of a service's engines.
@@ -279,9 +350,9 @@
     /// Begins anew with the turns under way, and keeps what is known of prompts.
     pub fn begin_term(&mut self) {
         self.turns.clear();
-        self.loads.clear();
-        self.signs.clear();
-        self.inherited.clear();
+        for view in self.views.values_mut() {
+            *view = ReplicaView { spread: view.spread, ..ReplicaView::default() };
+        }
         self.speeds.values_mut().for_each(EngineSpeed::forget_running);
     }
 
@@ -289,18 +360,24 @@
     pub fn inherit(&mut self, loads: &[(String, u32)], now: Instant, lasting: Duration) {
         for (replica, turns) in loads {
             let none = InheritedLoad { turns: 0, until: now };
-            let inherited = self.inherited.entry(replica.clone()).or_insert(none);
+            let inherited = self.view(replica).inherited.get_or_insert(none);
             inherited.turns += turns;
             inherited.until = now + lasting;
         }
     }
 
-    /// Forgets what is known of replicas that are not in `replicas`.
+    /// Forgets what is known of replicas that are not in `replicas`, but for turns under
+    /// way there.
     pub fn retain(&mut self, replicas: &[Replica]) {
-        let is_listed = |id: &str| replicas.iter().any(|replica| replica.id == id);
-        self.index.retain(is_listed);
-        self.signs.retain(|id, _| is_listed(id));
-        self.spread.retain(|id, _| is_listed(id));
+        let listed: HashSet<&str> = replicas.iter().map(|replica| replica.id.as_str()).collect();
+        self.index.retain(|id| listed.contains(id));
+        for (id, view) in &mut self.views {
+            if !listed.contains(id.as_str()) {
+                view.signs = None;
+                view.spread = None;
+            }
+        }
+        self.views.retain(|id, view| view.load() > 0 || listed.contains(id.as_str()));
     }
 
     /// Whether a turn is under way.
@@ -310,24 +387,25 @@
 
     /// Turns under way at a replica.
     pub fn load(&self, replica: &str) -> u32 {
-        let placed = self.loads.get(replica).copied().unwrap_or_default();
-        placed + self.inherited.get(replica).map_or(0, |inherited| inherited.turns)
+        self.views.get(replica).map_or(0, ReplicaView::load)
     }
 
     fn begin(&mut self, turn: &str, replica: &str, request: &PlacementRequest, now: Instant) {
         self.forget(turn);
-        if self.index.unread_shared(replica, &request.prompt) > 0 {
-            self.spread.insert(replica.to_owned(), now);
-        }
-        let beside = self.load(replica);
+        let shared = request.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        let reads_shared = self.index.unread(replica, shared) > 0;
         // The next turns may come before this one ends.
         self.index.note(replica, &request.prompt, request.memory_tokens);
-        let load = self.loads.entry(replica.to_owned()).or_default();
-        if *load == 0 {
+        let view = self.view(replica);
+        if reads_shared {
+            view.spread = Some(now);
+        }
+        let beside = view.load();
+        if view.placed == 0 {
             let fresh = Signs { last: now, suspected_until: None };
-            self.signs.entry(replica.to_owned()).or_insert(fresh).last = now;
+            view.signs.get_or_insert(fresh).last = now;
         }
-        *load += 1;
+        view.placed += 1;
         let placed = PlacedTurn {
             replica: replica.to_owned(),
             service: request.service.clone(),
@@ -343,29 +421,18 @@
         if now < placed.began + SUSPECT_AFTER {
             return;
         }
-        if let Some(signs) = self.signs.get_mut(&placed.replica)
+        if let Some(view) = self.views.get_mut(&placed.replica)
+            && let Some(signs) = &mut view.signs
             && signs.last <= placed.began
         {
             signs.suspected_until = Some(now + SUSPECT_FOR);
         }
     }
 
-    /// Whether a replica has turns and shows no sign of working on them.
-    fn is_suspected(&self, replica: &str, now: Instant) -> bool {
-        let Some(signs) = self.signs.get(replica) else {
-            return false;
-        };
-        let is_silent = self.load(replica) > 0 && now >= signs.last + SUSPECT_AFTER;
-        is_silent || signs.suspected_until.is_some_and(|until| now < until)
-    }
-
     fn forget(&mut self, turn: &str) -> Option<PlacedTurn> {
         let placed = self.turns.remove(turn)?;
-        if let Some(load) = self.loads.get_mut(&placed.replica) {
-            *load -= 1;
-            if *load == 0 {
-                self.loads.remove(&placed.replica);
-            }
+        if let Some(view) = self.views.get_mut(&placed.replica) {
+            view.placed = view.placed.saturating_sub(1);
         }
         Some(placed)
     }
@@ -376,7 +443,9 @@
             return;
         }
         self.expired_at = Some(now);
-        self.inherited.retain(|_, inherited| now < inherited.until);
+        for view in self.views.values_mut() {
+            view.inherited = view.inherited.filter(|inherited| now < inherited.until);
+        }
         let ended = self.turns.iter().filter(|(_, placed)| placed.ends_by <= now);
         let ended: Vec<String> = ended.map(|(turn, _)| turn.clone()).collect();
         for turn in ended {
@@ -384,53 +453,36 @@
         }
     }
 
-    /// Whether a replica may read shared parts that others hold, so that it has them when
-    /// it is needed: it did not do so just now, is little loaded, and its memory has room.
-    fn may_spread(
-        &self,
-        replica: &Replica,
-        unread: u64,
-        request: &PlacementRequest,
-        now: Instant,
-    ) -> bool {
-        let has_rested =
-            self.spread.get(&replica.id).is_none_or(|at| now >= *at + SPREADING_INTERVAL);
-        let is_calm = self.load(&replica.id) * SPREADING_LOAD <= replica.slots;
-        let held = self.index.held(&replica.id) + unread;
-        let has_memory = held as f64 <= request.memory_tokens as f64 * SPREADING_MEMORY;
-        has_rested && is_calm && has_memory
-    }
-
     fn cost(
         &self,
-        replica: &Replica,
+        candidate: &PlacementCandidate<'_>,
         request: &PlacementRequest,
         speed: &EngineSpeed,
         now: Instant,
     ) -> Duration {
         let weights = &self.weights;
+        let PlacementCandidate { replica, view, .. } = candidate;
         let slots = replica.slots.max(1);
-        let load = self.load(&replica.id);
+        let load = view.load();
         let running = load.min(slots);
         let ahead = (load + 1).saturating_sub(slots);
         let turn_ms = speed.turn_ms().unwrap_or(weights.turn_ms);
         let waiting_ms = turn_ms * f64::from(ahead) / f64::from(slots);
-        let unread = self.index.unread(&replica.id, &request.prompt);
-        let spared = if self.may_spread(replica, unread, request, now) {
-            self.index.unread_shared(&replica.id, &request.prompt) as f64 * SPREADING_DISCOUNT
+        let unread = candidate.unread(&request.prompt);
+        let spared = if view.may_spread(replica, candidate.holds(), unread.all, request, now) {
+            unread.shared as f64 * SPREADING_DISCOUNT
         } else {
             0.0
         };
         let disturbed = 1.0 + weights.reading_disturbs * f64::from(running);
         let read_ms = speed.token_ms().unwrap_or(weights.token_ms) / weights.reads_per_token;
-        let reading_ms = (unread as f64 - spared) * read_ms * disturbed;
+        let reading_ms = (unread.all as f64 - spared) * read_ms * disturbed;
         let alone_ms = speed.alone_ms().unwrap_or(weights.turn_ms);
         let sharing_ms = alone_ms * weights.delay_share * f64::from(running);
         let slowness = Duration::from_secs_f64((waiting_ms + reading_ms + sharing_ms) / 1_000.0);
         let is_near = replica.zone == request.zone;
         let crossing = if is_near { Duration::ZERO } else { weights.zone_crossing };
-        let is_suspected = self.is_suspected(&replica.id, now);
-        let suspicion = if is_suspected { weights.suspicion } else { Duration::ZERO };
+        let suspicion = if view.is_suspected(now) { weights.suspicion } else { Duration::ZERO };
         slowness + crossing + suspicion
     }
 }
--- a/crates/scheduler/src/prefix.rs
+++ b/crates/scheduler/src/prefix.rs
@@ -4,8 +4,7 @@
 //! memory allows. The index is an estimate kept from what was placed where: replicas
 //! are not asked. A wrong entry costs reading a prompt anew and nothing else.
 
-use std::collections::HashMap;
-
+use foldhash::HashMap;
 use serde::{Deserialize, Serialize};
 
 /// One part of a prompt. Prompts that share a part have it under one identity, and a
@@ -29,12 +28,27 @@
 
 /// What one replica holds.
 #[derive(Clone, Debug, Default)]
-struct Memory {
+pub(crate) struct Memory {
     parts: HashMap<u64, HeldPart>,
     tokens: u64,
 }
 
 impl Memory {
+    /// Tokens that are held in all.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Tokens of the prompt that would have to be read, and those among them of parts that
+    /// other prompts may share: all but the last one.
+    pub(crate) fn unread(&self, prompt: &[PromptPart]) -> Unread {
+        let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
+        Unread {
+            all: tokens_of(prompt) - self.held(prompt),
+            shared: tokens_of(shared) - self.held(shared),
+        }
+    }
+
     /// Tokens at the front of the prompt that are held.
     fn held(&self, prompt: &[PromptPart]) -> u64 {
         let mut held = 0;
@@ -75,6 +89,19 @@
     }
 }
 
+/// Tokens of a prompt that a replica would have to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Unread {
+    /// Of the whole prompt.
+    pub(crate) all: u64,
+    /// Of parts that other prompts may share.
+    pub(crate) shared: u64,
+}
+
+fn tokens_of(prompt: &[PromptPart]) -> u64 {
+    prompt.iter().map(|part| u64::from(part.tokens)).sum()
+}
+
 /// What all replicas are believed to hold, by their identity.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixIndex {
@@ -83,21 +110,15 @@
 }
 
 impl PrefixIndex {
-    /// Tokens of the prompt that the replica would have to read.
-    pub fn unread(&self, replica: &str, prompt: &[PromptPart]) -> u64 {
-        let whole: u64 = prompt.iter().map(|part| u64::from(part.tokens)).sum();
-        whole - self.memories.get(replica).map_or(0, |memory| memory.held(prompt))
+    /// What the replica holds; `None` when nothing is known of it.
+    pub(crate) fn memory(&self, replica: &str) -> Option<&Memory> {
+        self.memories.get(replica)
     }
 
-    /// Of [`unread`](Self::unread), the tokens of parts that other prompts may share: all
-    /// but the last one.
-    pub fn unread_shared(&self, replica: &str, prompt: &[PromptPart]) -> u64 {
-        prompt.split_last().map_or(0, |(_, shared)| self.unread(replica, shared))
-    }
-
-    /// Tokens that the replica holds.
-    pub fn held(&self, replica: &str) -> u64 {
-        self.memories.get(replica).map_or(0, |memory| memory.tokens)
+    /// Tokens of the prompt that the replica would have to read.
+    pub fn unread(&self, replica: &str, prompt: &[PromptPart]) -> u64 {
+        let held = self.memories.get(replica).map_or(0, |memory| memory.held(prompt));
+        tokens_of(prompt) - held
     }
 
     /// Notes that the replica reads the prompt; its memory holds `capacity` tokens.
