Feed the log to voters and spares only; further machines stand by

Cause: on the large sites 36 ledger machines are one group of 5 voters and 31 learners.

Change: a group has so many voters and so many spares (RaftSettings::spares). A machine that asks to join beyond them is told to stand by and whom to ask: it asks the leader once a second, is named to operators and gateways as knowing the leader, and takes the next vacant place. Learners that no vote waits for get entries with the heartbeats.

The old test (all machines learn) stands unchanged.

Ruled out: starting fewer ledger machines alone: what a machine costs would still grow with them.

--- a/crates/lab/tests/ledger_members.rs
+++ b/crates/lab/tests/ledger_members.rs
@@ -2,14 +2,15 @@
 //! in virtual time: nothing acknowledged is lost, configurations never go back, and
 //! the group always gets its voters back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use calicohoist_lab::sim::disk::SimDisk;
 use calicohoist_ledger::commands::{Command, Output, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{HistoryPiece, LedgerState};
 use calicohoist_replication::{
-    DiskLog, GroupId, GroupMessage, Message, Node, NodeEvent, NodeSettings, RaftSettings, ReplicaId,
+    DiskLog, GroupId, GroupMessage, Message, Node, NodeEvent, NodeSettings, Raft, RaftSettings,
+    ReplicaId,
 };
 use calicohoist_types::Moment;
 use calicohoist_wire::encode;
@@ -57,6 +58,8 @@
     chunks: usize,
     disks_lost: usize,
     is_calm: bool,
+    /// Learners that the group is to have.
+    spares: usize,
 }
 
 enum Asked {
@@ -84,6 +87,7 @@
             chunks: 0,
             disks_lost: 0,
             is_calm: false,
+            spares: usize::MAX,
         };
         for number in FOUNDERS {
             cluster.add_machine(number, 0);
@@ -92,6 +96,18 @@
         cluster
     }
 
+    /// More machines than the group needs: one spare learns, the others stand by.
+    fn with_standbys(seed: u64, count: u32) -> Self {
+        let mut cluster = Self::new(seed);
+        cluster.spares = 1;
+        for _ in 0..count {
+            let number = cluster.next_machine;
+            cluster.next_machine += 1;
+            cluster.add_machine(number, 900 + number);
+        }
+        cluster
+    }
+
     fn add_machine(&mut self, number: u32, disk_identity: u32) {
         let starts_at = Some(self.now);
         self.machines.push(Machine {
@@ -108,6 +124,7 @@
     fn start(&mut self, index: usize) {
         let seed = self.random.random();
         let contacts: Vec<u32> = self.machines.iter().take(3).map(|known| known.number).collect();
+        let spares = self.spares;
         let machine = &mut self.machines[index];
         machine.starts_at = None;
         let disk = std::mem::take(&mut machine.disk);
@@ -117,6 +134,7 @@
         let id = ReplicaId { machine: machine.number, disk: identity };
         let raft = RaftSettings {
             voters: VOTERS,
+            spares,
             replace_after: REPLACE_AFTER,
             ..RaftSettings::default()
         };
@@ -505,3 +523,60 @@
     assert!(chunks > 400, "only {chunks} parts of segments were fetched");
     assert!(acknowledged > 2_000, "only {acknowledged} turns were acknowledged");
 }
+
+/// A group of three with a spare, among seven machines.
+#[test]
+fn machines_that_stand_by_hold_nothing_and_step_in_when_others_are_lost() {
+    const STANDBYS: u32 = 3;
+    let mut disks_lost = 0;
+    for seed in 0..30 {
+        let mut cluster = Cluster::with_standbys(seed, STANDBYS);
+        for _ in 0..TROUBLED_STEPS {
+            cluster.disturb();
+            if cluster.random.random_bool(0.5) {
+                cluster.ask();
+            }
+            cluster.step();
+            cluster.judge_size(seed);
+        }
+        cluster.calm_down();
+        (0..CALM_STEPS).for_each(|_| cluster.step());
+        cluster.judge(seed);
+        cluster.judge_standbys(seed);
+        disks_lost += cluster.disks_lost;
+    }
+    assert!(disks_lost > 20, "only {disks_lost} disks were lost");
+}
+
+impl Cluster {
+    /// No leader lets in more machines than voters and spares.
+    fn judge_size(&self, seed: u64) {
+        let Some(raft) = self.leading_raft() else {
+            return;
+        };
+        let machines: BTreeSet<u32> =
+            raft.membership().all().map(|replica| replica.machine).collect();
+        assert!(machines.len() <= VOTERS + self.spares, "seed {seed}:\n{self:?}");
+    }
+
+    /// In the end the group is whole, and every other machine knows where it is.
+    fn judge_standbys(&self, seed: u64) {
+        let leader = self.leading_raft().expect("somebody leads");
+        let mut members = leader.member_machines();
+        members.sort_unstable();
+        assert_eq!(members.len(), VOTERS + self.spares, "seed {seed}:\n{self:?}");
+        for machine in &self.machines {
+            let raft = machine.node.as_ref().and_then(|node| node.raft(GROUP)).expect("runs");
+            assert_eq!(raft.leader(), Some(leader.id()), "seed {seed}: {}", machine.number);
+            let mut known = raft.member_machines();
+            known.sort_unstable();
+            assert_eq!(known, members, "seed {seed}: {}", machine.number);
+        }
+        let others = self.machines.len() - members.len();
+        assert_eq!(leader.standby_machines(self.now).len(), others, "seed {seed}");
+    }
+
+    fn leading_raft(&self) -> Option<&Raft> {
+        self.machines[self.leader()?].node.as_ref()?.raft(GROUP)
+    }
+}
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -254,6 +254,12 @@
         /// The leader.
         leader: ReplicaId,
     },
+    /// The leader's answer to [`Message::Join`] when the group has replicas enough: the
+    /// asker holds nothing, and asks again after a while.
+    Standby {
+        /// Machines of the group.
+        machines: Vec<u32>,
+    },
 }
 
 impl Message {
@@ -280,6 +286,7 @@
             | Self::Campaign { term } => Some(*term),
             Self::Join
             | Self::LeaderHint { .. }
+            | Self::Standby { .. }
             | Self::FetchSegment { .. }
             | Self::SegmentChunk { .. } => None,
         }
--- a/crates/replication/src/node/mod.rs
+++ b/crates/replication/src/node/mod.rs
@@ -254,17 +254,17 @@
         }
         if now >= self.next_join {
             self.next_join = now + self.settings.raft.election_min;
-            self.ask_to_join();
+            self.ask_to_join(now);
         }
     }
 
-    fn ask_to_join(&mut self) {
+    fn ask_to_join(&mut self, now: Moment) {
         let known = self.machines.iter().chain(&self.settings.contacts);
         let others = known.filter(|machine| **machine != self.id.machine);
         let others: Vec<ReplicaId> =
             others.map(|machine| ReplicaId { machine: *machine, disk: 0 }).collect();
         for state in self.groups.values_mut() {
-            state.raft.ask_to_join(&others);
+            state.raft.ask_to_join(now, &others);
         }
     }
 
--- a/crates/replication/src/raft/election.rs
+++ b/crates/replication/src/raft/election.rs
@@ -4,7 +4,7 @@
 
 use calicohoist_types::Moment;
 
-use super::{Raft, Role, peers};
+use super::{Raft, Role};
 use crate::message::{HardState, Message, ReplicaId, Term};
 
 impl Raft {
@@ -115,6 +115,7 @@
 
     /// A valid leader was heard.
     pub(super) fn follow(&mut self, now: Moment, leader: ReplicaId) {
+        self.standby = None;
         let term = self.hard_state.term;
         if !matches!(self.role, Role::Follower) || self.leader != Some(leader) {
             self.become_follower(now, term, Some(leader));
@@ -122,16 +123,4 @@
         self.votes_from = now + self.settings.election_min;
         self.reset_election_deadline(now);
     }
-
-    /// Asks every known replica to be let in, when not a member.
-    pub fn ask_to_join(&mut self, machines: &[ReplicaId]) {
-        let is_member = self.membership().contains(self.id);
-        if is_member {
-            return;
-        }
-        let known = peers(self.membership(), self.id);
-        for peer in known.into_iter().chain(machines.iter().copied()) {
-            self.send(peer, Message::Join);
-        }
-    }
 }
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -9,6 +9,11 @@
 
 /// Rounds remembered while their answers are out.
 const MAX_ROUNDS: usize = 256;
+/// Snapshots on their way at a time: each is encoded whole for its receiver.
+const MAX_INSTALLS: usize = 2;
+/// A learner that no vote waits for is sent entries with the heartbeats, or when it
+/// lacks this many.
+const LEARNER_BATCH: u64 = 128;
 
 /// What a leader knows of one follower.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +56,8 @@
     next_heartbeat: Moment,
     elected: Moment,
     transfer_to: Option<(ReplicaId, Moment)>,
+    /// Machines that stand by, with the moment at which each asked last.
+    pub(super) standbys: BTreeMap<u32, Moment>,
 }
 
 impl Progress {
@@ -98,6 +105,7 @@
             next_heartbeat: now,
             elected: now,
             transfer_to: None,
+            standbys: BTreeMap::new(),
         });
         self.sync_progress(now);
         self.append_own(EntryKind::Empty);
@@ -171,17 +179,28 @@
 
     /// Sends new entries to followers that are up to date with what was sent.
     pub fn replicate(&mut self, now: Moment) {
-        let last = self.log.last_index();
         let Role::Leader(state) = &self.role else {
             return;
         };
-        let behind = state.progress.iter().filter(|(_, known)| known.next <= last);
+        let wants_learners = self.wants_learners(now);
+        let wants_entries = |(peer, known): &(&ReplicaId, &Progress)| {
+            self.is_sent_entries(**peer, known, wants_learners)
+        };
+        let behind = state.progress.iter().filter(wants_entries);
         let followers: Vec<ReplicaId> = behind.map(|(peer, _)| *peer).collect();
         for follower in followers {
             self.send_append(now, follower, false);
         }
     }
 
+    /// Whether new entries go to a follower at once. For learners that no vote waits for,
+    /// a message with each entry would cost the leader as much as for a voter.
+    fn is_sent_entries(&self, peer: ReplicaId, known: &Progress, wants_learners: bool) -> bool {
+        let lacking = (self.log.last_index() + 1).saturating_sub(known.next);
+        let is_due = wants_learners || self.membership().is_voter(peer);
+        lacking > 0 && (is_due || lacking >= LEARNER_BATCH)
+    }
+
     fn send_append(&mut self, now: Moment, to: ReplicaId, even_if_empty: bool) {
         let settings = self.settings;
         let term = self.hard_state.term;
@@ -196,7 +215,13 @@
         let Some(previous_term) = self.log.term_at(previous_index) else {
             return self.send_snapshot(now, to, even_if_empty);
         };
-        let limit = settings.max_entries_per_message;
+        let in_flight = match progress.flow {
+            Flow::Stream => previous_index.saturating_sub(progress.matched),
+            Flow::Probe { .. } => 0,
+        };
+        let room = settings.max_entries_in_flight.saturating_sub(in_flight);
+        let limit = usize::try_from(room).unwrap_or(usize::MAX);
+        let limit = limit.min(settings.max_entries_per_message);
         let entries = self.log.slice(progress.next, limit, settings.max_bytes_per_message);
         if !even_if_empty && (entries.is_empty() || progress.flow == Flow::Probe { is_out: true }) {
             return;
@@ -224,10 +249,12 @@
             return;
         };
         let round = state.round;
+        let others = state.progress.iter().filter(|(peer, _)| **peer != to);
+        let installs = others.filter(|(_, known)| now < known.installing_until).count();
         let Some(progress) = state.progress.get_mut(&to) else {
             return;
         };
-        if now < progress.installing_until {
+        if now < progress.installing_until || installs >= MAX_INSTALLS {
             if !is_heartbeat {
                 return;
             }
@@ -272,11 +299,22 @@
         }
         self.renew_lease();
         self.advance_commit();
-        self.send_append(now, from, false);
+        self.continue_stream(now, from);
         self.continue_transfer(now);
         self.manage_members(now);
     }
 
+    fn continue_stream(&mut self, now: Moment, to: ReplicaId) {
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        let wants_learners = self.wants_learners(now);
+        let known = state.progress.get(&to);
+        if known.is_some_and(|known| self.is_sent_entries(to, known, wants_learners)) {
+            self.send_append(now, to, false);
+        }
+    }
+
     /// The lease runs from the *sending* of the newest round that a quorum answered.
     fn renew_lease(&mut self) {
         let length = self.settings.election_min.saturating_sub(self.settings.clock_drift);
--- a/crates/replication/src/raft/membership.rs
+++ b/crates/replication/src/raft/membership.rs
@@ -5,15 +5,32 @@
 //! evicted, or that has been silent for long.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use calicohoist_types::Moment;
 
 use super::leader::Progress;
-use super::{Raft, Role};
+use super::{Raft, Role, peers};
 use crate::message::{EntryKind, Membership, Message, ReplicaId};
 
 /// A silent learner is dropped after this many times the patience with a voter.
 const FORGET_FACTOR: u32 = 3;
+/// Time between two questions of a machine that stands by. A place that falls vacant is
+/// taken within it.
+const STANDBY_RENEWAL: Duration = Duration::from_millis(1_000);
+/// How long a machine that stands by takes the leader for one: two of its answers may be lost.
+const STANDBY_HOLDS: Duration = Duration::from_millis(3_200);
+
+/// What a leader told a replica that is to stand by.
+#[derive(Clone, Debug)]
+pub(super) struct StandbyOrder {
+    leader: ReplicaId,
+    machines: Vec<u32>,
+    /// When to ask again.
+    renew_at: Moment,
+    /// From when the leader counts as unknown.
+    ends: Moment,
+}
 
 impl Raft {
     /// Names the machines that must hold no replica. The leader moves their votes to
@@ -35,6 +52,7 @@
                 self.send(*leader, Message::Join);
             }
             Message::Join if self.is_leader() => self.on_join(now, from),
+            Message::Standby { machines } => self.on_standby(now, from, machines.clone()),
             Message::Join => {
                 if let Some(leader) = self.leader.filter(|leader| *leader != from) {
                     self.send(from, Message::LeaderHint { leader });
@@ -51,11 +69,89 @@
         if !self.is_leader() || membership.contains(from) || is_evicted {
             return;
         }
+        if !self.has_room_for(from) {
+            return self.let_stand_by(now, from);
+        }
         membership.learners.retain(|known| known.machine != from.machine);
         membership.learners.insert(from);
         self.change_membership(now, membership);
     }
 
+    /// Whether a replica may learn: its machine has a part in the group already, or there
+    /// are fewer replicas than wanted.
+    fn has_room_for(&self, from: ReplicaId) -> bool {
+        let membership = self.membership();
+        let machines: BTreeSet<u32> = membership.all().map(|replica| replica.machine).collect();
+        let wanted = self.settings.voters.saturating_add(self.settings.spares);
+        machines.contains(&from.machine) || machines.len() < wanted
+    }
+
+    fn let_stand_by(&mut self, now: Moment, from: ReplicaId) {
+        let machines = self.membership().all().map(|replica| replica.machine).collect();
+        if let Role::Leader(state) = &mut self.role {
+            state.standbys.insert(from.machine, now);
+        }
+        self.send(from, Message::Standby { machines });
+    }
+
+    /// A leader whose group needs no further replica: there is nothing to campaign for.
+    fn on_standby(&mut self, now: Moment, leader: ReplicaId, machines: Vec<u32>) {
+        if self.is_leader() {
+            return;
+        }
+        let ends = now + STANDBY_HOLDS;
+        self.standby =
+            Some(StandbyOrder { leader, machines, renew_at: now + STANDBY_RENEWAL, ends });
+        self.role = Role::Follower;
+        self.leader = Some(leader);
+        self.election_deadline = ends;
+    }
+
+    /// Asks to be let in, when not a member: the leader whose group needed no further
+    /// replica, or every known replica.
+    pub fn ask_to_join(&mut self, now: Moment, machines: &[ReplicaId]) {
+        let standby = self.standby.as_ref().filter(|order| now < order.ends);
+        if standby.is_some_and(|order| now < order.renew_at) {
+            return;
+        }
+        if let Some(order) = standby {
+            let leader = order.leader;
+            return self.send(leader, Message::Join);
+        }
+        // A voter campaigns. A learner that hears no leader may have been left out meanwhile:
+        // nobody would tell it.
+        let is_voter = self.membership().is_voter(self.id);
+        let is_led = self.membership().contains(self.id) && self.leader.is_some();
+        if is_voter || is_led {
+            return;
+        }
+        let known = peers(self.membership(), self.id);
+        for peer in known.into_iter().chain(machines.iter().copied()) {
+            self.send(peer, Message::Join);
+        }
+    }
+
+    /// Machines of the group: those that the leader named, while this replica stands by.
+    pub fn member_machines(&self) -> Vec<u32> {
+        match &self.standby {
+            Some(order) => order.machines.clone(),
+            None => self.membership().all().map(|replica| replica.machine).collect(),
+        }
+    }
+
+    /// Machines without a replica that a leader may call on: they asked lately.
+    pub fn standby_machines(&self, now: Moment) -> BTreeSet<u32> {
+        let Role::Leader(state) = &self.role else {
+            return BTreeSet::new();
+        };
+        let asked_lately = |(_, asked): &(&u32, &Moment)| now.since(**asked) <= STANDBY_HOLDS;
+        let members: BTreeSet<u32> =
+            self.membership().all().map(|replica| replica.machine).collect();
+        let standbys = state.standbys.iter().filter(asked_lately);
+        let standbys = standbys.map(|(machine, _)| *machine);
+        standbys.filter(|machine| !members.contains(machine)).collect()
+    }
+
     /// A change waits until the leader has committed an entry of its own term: two
     /// leaders that change different memberships could otherwise both find a majority
     /// (Ongaro, raft-dev, 2015).
@@ -106,6 +202,18 @@
         Some(next)
     }
 
+    /// Whether a learner may be given a vote soon.
+    pub(super) fn wants_learners(&self, now: Moment) -> bool {
+        let membership = self.membership();
+        let has_vote = |learner: &ReplicaId| {
+            membership.voters.iter().any(|voter| voter.machine == learner.machine)
+        };
+        membership.voters.len() < self.settings.voters
+            || membership.is_joint()
+            || membership.learners.iter().any(has_vote)
+            || membership.voters.iter().any(|voter| *voter != self.id && self.is_lost(now, voter))
+    }
+
     /// Learners that have everything committed and answered lately.
     fn ready_learners(&self, now: Moment) -> Vec<ReplicaId> {
         let Role::Leader(state) = &self.role else {
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -23,6 +23,7 @@
 };
 use leader::LeaderState;
 use log::RaftLog;
+use membership::StandbyOrder;
 
 /// Timing and batch limits of a group.
 #[derive(Clone, Copy, Debug)]
@@ -37,12 +38,18 @@
     pub clock_drift: Duration,
     /// Voters that a group is to have; further replicas stay learners and step in.
     pub voters: usize,
+    /// Learners that a group is to have beside its voters. Further machines stand by:
+    /// they hold nothing, and cost the leader a message a second.
+    pub spares: usize,
     /// Silence after which a ready learner takes a voter's place.
     pub replace_after: Duration,
     /// Most entries in one message.
     pub max_entries_per_message: usize,
     /// Most bytes of commands in one message, about.
     pub max_bytes_per_message: usize,
+    /// Most entries on their way to one follower; it bounds what a leader queues for a
+    /// follower that is slow.
+    pub max_entries_in_flight: u64,
 }
 
 impl Default for RaftSettings {
@@ -53,9 +60,11 @@
             election_max: Duration::from_millis(800),
             clock_drift: Duration::from_millis(40),
             voters: usize::MAX,
+            spares: usize::MAX,
             replace_after: Duration::MAX,
             max_entries_per_message: 512,
             max_bytes_per_message: 4 << 20,
+            max_entries_in_flight: 4_096,
         }
     }
 }
@@ -128,6 +137,8 @@
     votes_from: Moment,
     /// Machines that must hold no replica.
     evicted: BTreeSet<u32>,
+    /// What the leader of a group told that this replica is no member of.
+    standby: Option<StandbyOrder>,
     effects: Effects,
 }
 
@@ -160,6 +171,7 @@
             // that leader may still hold a lease because of it.
             votes_from: now + settings.election_min,
             evicted: BTreeSet::new(),
+            standby: None,
             effects: Effects::default(),
         };
         raft.reset_election_deadline(now);
@@ -262,6 +274,7 @@
             // Those without a term were answered above; segments travel outside the protocol.
             Message::Join
             | Message::LeaderHint { .. }
+            | Message::Standby { .. }
             | Message::FetchSegment { .. }
             | Message::SegmentChunk { .. } => {}
         }
