Ask a slow leader once; find a new one once for all questions

Cause: a question without an answer for 250 ms was asked of another machine, over a new connection, and the old connection was dropped with everything that waited on it. Repeated, it became a second entry of the log.

Change: - Client: one question at a time looks for a leader, with a message that touches neither log nor disk, and the others wait for it. A silent leader is left only when another machine no longer names it. Pauses grow and differ between gateways, and so does the order in which machines are asked. - A machine without a leader holds the search for 150 ms instead of answering at once. - Leader: a command that is asked for again while it is under way gets the outcome of the first. Reservations and reads that waited for longer than their askers are not begun. - Lists of replicas carry a digest: a new leader that reads the same list need not send it again. Loads go out as numbers in the order of the list, from one sum for all gateways; they were names and numbers, summed for each gateway and answer. A watch no longer copies the configuration. - Retiring counts machines that stand by among those that remain.

--- /dev/null
+++ b/crates/ledger/src/client/connection.rs
@@ -0,0 +1,105 @@
+//! One connection to a ledger machine, shared by all questions to it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
+use parking_lot::Mutex;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::protocol::{Answer, Ask, Question, Reply};
+
+/// Within one zone or the next a connection opens in a few milliseconds.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
+/// Written bytes that stay unacknowledged for so long break the connection.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// An open connection.
+#[derive(Clone)]
+pub(super) struct Connection {
+    questions: mpsc::Sender<Vec<u8>>,
+    state: Arc<ConnectionState>,
+}
+
+struct ConnectionState {
+    is_open: AtomicBool,
+    /// Who waits for which answer.
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    /// When the last answer came, to whichever question.
+    heard: Mutex<Instant>,
+}
+
+impl Connection {
+    /// Connects; `None` when the machine refuses or stays silent.
+    pub(super) async fn open(address: SocketAddr) -> Option<Self> {
+        let stream = tcp::connect(address, CONNECT_PATIENCE, USER_TIMEOUT).await.ok()?;
+        let (input, output) = stream.into_split();
+        let state = ConnectionState {
+            is_open: AtomicBool::new(true),
+            waiting: Mutex::default(),
+            heard: Mutex::new(Instant::now()),
+        };
+        let connection = Self { questions: spawn_writer(output), state: Arc::new(state) };
+        tokio::spawn(read_answers(FrameReader::new(input), Arc::clone(&connection.state)));
+        Some(connection)
+    }
+
+    /// Whether it has not broken.
+    pub(super) fn is_open(&self) -> bool {
+        self.state.is_open.load(Ordering::Relaxed)
+    }
+
+    /// When the machine answered last.
+    pub(super) fn heard(&self) -> Instant {
+        *self.state.heard.lock()
+    }
+
+    /// Sends a question; `None` when the connection is broken or its queue is full.
+    pub(super) fn ask(&self, number: u64, question: &Question) -> Option<PendingAnswer> {
+        let frame = encode_frame(&Ask { number, question: question.clone() }).ok()?;
+        let (sender, receiver) = oneshot::channel();
+        self.state.waiting.lock().insert(number, sender);
+        let pending = PendingAnswer { number, receiver, state: Arc::clone(&self.state) };
+        if !self.is_open() {
+            return None;
+        }
+        self.questions.try_send(frame).ok()?;
+        Some(pending)
+    }
+}
+
+/// The answer that a question waits for; dropped, it is forgotten.
+pub(super) struct PendingAnswer {
+    number: u64,
+    receiver: oneshot::Receiver<Answer>,
+    state: Arc<ConnectionState>,
+}
+
+impl PendingAnswer {
+    /// The answer; `None` when the connection broke.
+    pub(super) async fn answer(&mut self) -> Option<Answer> {
+        (&mut self.receiver).await.ok()
+    }
+}
+
+impl Drop for PendingAnswer {
+    fn drop(&mut self) {
+        self.state.waiting.lock().remove(&self.number);
+    }
+}
+
+async fn read_answers(mut frames: FrameReader<OwnedReadHalf>, state: Arc<ConnectionState>) {
+    while let Ok(Reply { number, answer }) = frames.next().await {
+        *state.heard.lock() = Instant::now();
+        if let Some(sender) = state.waiting.lock().remove(&number) {
+            let _ = sender.send(answer);
+        }
+    }
+    // Whoever waits sees that the connection broke, and nobody begins to.
+    state.is_open.store(false, Ordering::Relaxed);
+    state.waiting.lock().clear();
+}
--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -1,36 +1,52 @@
 //! The asking side, in a gateway.
 //!
-//! [`LedgerClient`] asks the machine that it believes to lead, and finds another when
-//! that machine refuses, breaks the connection or stays silent. Connections to machines
-//! that were asked before are kept: during an election the leader changes often. All
-//! questions may be repeated, so it repeats them until their deadline.
+//! [`LedgerClient`] asks the machine that leads. All questions may be repeated, so it
+//! repeats them until their deadline; but a leader that is slow must not be asked more
+//! often because of it. Three things keep that so:
+//!
+//! - One question at a time looks for a leader, with a message that costs nothing; the
+//!   others wait for what it finds.
+//! - A leader that stays silent is left only when another machine no longer names it as
+//!   the leader. As long as it does, the question and the connection stay.
+//! - Pauses between tries grow, and differ from gateway to gateway.
 
+mod connection;
 mod targets;
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
-use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
 use parking_lot::Mutex;
-use tokio::sync::{mpsc, oneshot};
+use rand::RngExt;
+use tokio::time::timeout;
 
-use crate::protocol::{Answer, Ask, Question, Reply};
+use crate::protocol::{Answer, Question};
 use crate::server::{machine_address, machine_number};
+use connection::Connection;
 pub use targets::Targets;
 
-const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
-const USER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Silence after which a question is asked elsewhere.
+/// Silence of a leader after which another machine is asked whether it still leads: an
+/// election takes 180 to 360 ms.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(250);
 /// A watch is held on purpose, so it may stay silent for longer.
 const WATCH_PATIENCE: Duration = Duration::from_millis(1_000);
 /// A turn waits for a replica on purpose, too.
 const PLACE_PATIENCE: Duration = Duration::from_millis(2_200);
-const RETRY_PAUSE: Duration = Duration::from_millis(25);
+/// Silence after which the connection is opened anew, whoever is said to lead: the way to
+/// the leader may be cut while the other machines reach it.
+const MOST_SILENCE: Duration = Duration::from_millis(1_200);
+/// How long the word of another machine that the leader leads is taken for true.
+const VOUCHED_FOR: Duration = Duration::from_millis(400);
+/// Longest time for the answer of a machine that is asked who leads; it holds the
+/// question for a while when nobody does.
+const SEARCH_PATIENCE: Duration = Duration::from_millis(300);
+/// First pause between two tries; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause between two tries, well below the time of an election.
+const LONGEST_PAUSE: Duration = Duration::from_millis(160);
 
 /// Why a question has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -51,32 +67,43 @@
     state: Mutex<State>,
     /// Held while a connection is opened, so that one task opens it for all.
     opening: tokio::sync::Mutex<()>,
+    /// Held by the question that looks for a leader, for all.
+    searching: tokio::sync::Mutex<()>,
 }
 
 struct State {
     targets: Targets,
     connections: HashMap<u32, Connection>,
     next_number: u64,
+    /// Until when a silent leader counts as leading.
+    vouched_until: Option<Instant>,
 }
 
-#[derive(Clone)]
-struct Connection {
-    questions: mpsc::Sender<Vec<u8>>,
-    waiting: Waiting,
-    is_open: Arc<AtomicBool>,
+/// How one try of a question ended.
+enum Attempt {
+    Answered(Answer),
+    /// The leader cannot tell now; it may be asked again after a pause.
+    Unavailable,
+    /// It does not lead, is gone, or stayed silent.
+    Left,
 }
 
-/// Who waits for which answer.
-type Waiting = Arc<Mutex<HashMap<u64, oneshot::Sender<Answer>>>>;
-
 impl LedgerClient {
     /// Asks the machines at `seeds` first; all listen on `port`.
     pub fn new(seeds: &[Ipv4Addr], port: u16) -> Self {
         let seeds = seeds.iter().copied().map(machine_number).collect();
-        let state =
-            State { targets: Targets::new(seeds), connections: HashMap::new(), next_number: 0 };
-        let shared =
-            Shared { port, state: Mutex::new(state), opening: tokio::sync::Mutex::new(()) };
+        let state = State {
+            targets: Targets::new(seeds, rand::rng().random()),
+            connections: HashMap::new(),
+            next_number: 0,
+            vouched_until: None,
+        };
+        let shared = Shared {
+            port,
+            state: Mutex::new(state),
+            opening: tokio::sync::Mutex::new(()),
+            searching: tokio::sync::Mutex::new(()),
+        };
         Self { shared: Arc::new(shared) }
     }
 
@@ -85,53 +112,156 @@
     /// # Errors
     /// [`AskError::Deadline`].
     pub async fn ask(&self, question: &Question, deadline: Instant) -> Result<Answer, AskError> {
-        let patience = match question {
-            Question::Watch(_) => WATCH_PATIENCE,
-            Question::Place { .. } => PLACE_PATIENCE,
-            Question::Reserve { .. } | Question::Settle { .. } => ANSWER_PATIENCE,
+        let until_deadline = deadline.saturating_duration_since(Instant::now());
+        let asked = timeout(until_deadline, self.ask_until_answered(question)).await;
+        asked.map_err(|_| AskError::Deadline)
+    }
+
+    async fn ask_until_answered(&self, question: &Question) -> Answer {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let leader = self.leader().await;
+            match self.attempt(leader, question).await {
+                Attempt::Answered(answer) => return answer,
+                Attempt::Left => {}
+                Attempt::Unavailable => rest(&mut pause).await,
+            }
+        }
+    }
+
+    /// The machine that leads; looks for it when it is not known.
+    async fn leader(&self) -> u32 {
+        if let Some(leader) = self.known_leader() {
+            return leader;
+        }
+        let _searching = self.shared.searching.lock().await;
+        let mut pause = FIRST_PAUSE;
+        loop {
+            if let Some(leader) = self.known_leader() {
+                return leader;
+            }
+            if !self.search().await {
+                rest(&mut pause).await;
+            }
+        }
+    }
+
+    fn known_leader(&self) -> Option<u32> {
+        self.shared.state.lock().targets.leader()
+    }
+
+    /// Asks the next machine whether it leads; returns whether there is another one to be
+    /// asked at once.
+    async fn search(&self) -> bool {
+        let asked = self.shared.state.lock().targets.current();
+        match self.ask_who_leads(asked).await {
+            Some(Answer::Leads { machines }) => {
+                let mut state = self.shared.state.lock();
+                state.targets.learn(machines);
+                state.targets.confirm(asked);
+                true
+            }
+            Some(Answer::NotLeader { leader, machines }) => {
+                self.learn_machines(machines);
+                self.move_on(asked, leader)
+            }
+            _ => {
+                self.drop_connection(asked);
+                self.move_on(asked, None)
+            }
+        }
+    }
+
+    async fn ask_who_leads(&self, machine: u32) -> Option<Answer> {
+        let asking = async {
+            let connection = self.connection(machine).await?;
+            connection.ask(self.next_number(), &Question::FindLeader)?.answer().await
         };
-        while Instant::now() < deadline {
-            let left = deadline.saturating_duration_since(Instant::now());
-            let asked = self.shared.state.lock().targets.current();
-            let attempt = self.ask_once(asked, question);
-            let may_go_on = match tokio::time::timeout(patience.min(left), attempt).await {
-                Ok(Some(Answer::NotLeader { leader, machines })) => {
-                    self.learn_machines(machines);
-                    self.move_on(asked, leader)
+        timeout(SEARCH_PATIENCE, asking).await.ok().flatten()
+    }
+
+    /// Asks `leader` once, and waits while it is there.
+    async fn attempt(&self, leader: u32, question: &Question) -> Attempt {
+        let Some(connection) = self.connection(leader).await else {
+            return self.leave(leader);
+        };
+        let Some(mut pending) = connection.ask(self.next_number(), question) else {
+            return self.leave(leader);
+        };
+        let asked = Instant::now();
+        let mut patience = patience_for(question);
+        loop {
+            let silent_since = connection.heard().max(asked);
+            let silent_for = silent_since.elapsed();
+            if silent_for >= patience {
+                if patience >= MOST_SILENCE || !self.is_vouched_for(leader).await {
+                    return self.leave(leader);
                 }
-                Ok(Some(Answer::Unavailable)) => false,
-                Ok(Some(answer)) => return Ok(answer),
-                Ok(None) | Err(_) => {
-                    self.drop_connection(asked);
-                    self.move_on(asked, None)
+                patience = (patience * 2).min(MOST_SILENCE);
+            }
+            let wait = patience.saturating_sub(silent_for);
+            match timeout(wait, pending.answer()).await {
+                Ok(Some(Answer::NotLeader { leader: hint, machines })) => {
+                    self.learn_machines(machines);
+                    self.move_on(leader, hint);
+                    return Attempt::Left;
                 }
-            };
-            if !may_go_on {
-                tokio::time::sleep(RETRY_PAUSE.min(left)).await;
+                Ok(Some(Answer::Unavailable)) => return Attempt::Unavailable,
+                Ok(Some(answer)) => return Attempt::Answered(answer),
+                Ok(None) => return self.leave(leader),
+                Err(_) => {}
             }
         }
-        Err(AskError::Deadline)
     }
 
-    /// `None` when there is no connection or it broke.
-    async fn ask_once(&self, machine: u32, question: &Question) -> Option<Answer> {
-        let connection = self.connection(machine).await?;
-        let number = {
-            let mut state = self.shared.state.lock();
-            state.next_number += 1;
-            state.next_number
+    /// Whether another machine names the silent `leader` as the leader.
+    async fn is_vouched_for(&self, leader: u32) -> bool {
+        let _searching = self.shared.searching.lock().await;
+        let other = {
+            let state = self.shared.state.lock();
+            if state.targets.leader() != Some(leader) {
+                return false;
+            }
+            if state.vouched_until.is_some_and(|until| Instant::now() < until) {
+                return true;
+            }
+            state.targets.longest_not_asked(leader)
+        };
+        let Some(other) = other else {
+            return false;
         };
-        let frame = encode_frame(&Ask { number, question: question.clone() }).ok()?;
-        let (sender, receiver) = oneshot::channel();
-        connection.waiting.lock().insert(number, sender);
-        let forget = Forget { number, waiting: connection.waiting.clone() };
-        if !connection.is_open.load(Ordering::Relaxed) {
-            return None;
+        let answer = self.ask_who_leads(other).await;
+        let named = match answer {
+            Some(Answer::NotLeader { leader: named, .. }) => named,
+            Some(Answer::Leads { .. }) => Some(other),
+            _ => None,
+        };
+        let is_named = named == Some(leader);
+        emit!(
+            Event::LedgerSilent;
+            machine = machine_address(leader, self.shared.port),
+            asked = machine_address(other, self.shared.port),
+            is_named = is_named,
+        );
+        if is_named {
+            self.shared.state.lock().vouched_until = Some(Instant::now() + VOUCHED_FOR);
+        } else if named.is_none() {
+            // Whoever does not answer is not asked first the next time.
+            self.shared.state.lock().targets.refused(other, None, Instant::now());
         }
-        connection.questions.try_send(frame).ok()?;
-        let answer = receiver.await.ok();
-        drop(forget);
-        answer
+        is_named
+    }
+
+    fn leave(&self, machine: u32) -> Attempt {
+        self.drop_connection(machine);
+        self.move_on(machine, None);
+        Attempt::Left
+    }
+
+    fn next_number(&self) -> u64 {
+        let mut state = self.shared.state.lock();
+        state.next_number += 1;
+        state.next_number
     }
 
     async fn connection(&self, machine: u32) -> Option<Connection> {
@@ -143,14 +273,7 @@
             return Some(connection);
         }
         let address = machine_address(machine, self.shared.port);
-        let stream = tcp::connect(address, CONNECT_PATIENCE, USER_TIMEOUT).await.ok()?;
-        let (input, output) = stream.into_split();
-        let connection = Connection {
-            questions: spawn_writer(output),
-            waiting: Arc::default(),
-            is_open: Arc::new(AtomicBool::new(true)),
-        };
-        tokio::spawn(read_answers(FrameReader::new(input), connection.clone()));
+        let connection = Connection::open(address).await?;
         self.shared.state.lock().connections.insert(machine, connection.clone());
         emit!(Event::LedgerConnected; machine = address);
         Some(connection)
@@ -159,7 +282,7 @@
     fn open_connection(&self, machine: u32) -> Option<Connection> {
         let state = self.shared.state.lock();
         let connection = state.connections.get(&machine)?;
-        connection.is_open.load(Ordering::Relaxed).then(|| connection.clone())
+        connection.is_open().then(|| connection.clone())
     }
 
     /// Notes the machines that a member knows.
@@ -181,28 +304,20 @@
     }
 }
 
-/// Forgets a question that nobody waits for any more.
-struct Forget {
-    number: u64,
-    waiting: Waiting,
-}
-
-impl Drop for Forget {
-    fn drop(&mut self) {
-        self.waiting.lock().remove(&self.number);
+/// Silence of a leader that a question bears before anything is done about it.
+fn patience_for(question: &Question) -> Duration {
+    match question {
+        Question::Watch(_) => WATCH_PATIENCE,
+        Question::Place { .. } => PLACE_PATIENCE,
+        Question::Reserve { .. } | Question::Settle { .. } | Question::FindLeader => {
+            ANSWER_PATIENCE
+        }
     }
 }
 
-async fn read_answers(
-    mut frames: FrameReader<tokio::net::tcp::OwnedReadHalf>,
-    connection: Connection,
-) {
-    while let Ok(Reply { number, answer }) = frames.next().await {
-        if let Some(sender) = connection.waiting.lock().remove(&number) {
-            let _ = sender.send(answer);
-        }
-    }
-    // Whoever waits sees that the connection broke, and nobody begins to.
-    connection.is_open.store(false, Ordering::Relaxed);
-    connection.waiting.lock().clear();
+/// Sleeps for about `pause`, and makes the next one longer.
+async fn rest(pause: &mut Duration) {
+    let share = rand::rng().random_range(0.5..1.5);
+    tokio::time::sleep(pause.mul_f64(share)).await;
+    *pause = (*pause * 2).min(LONGEST_PAUSE);
 }
--- a/crates/ledger/src/client/targets.rs
+++ b/crates/ledger/src/client/targets.rs
@@ -2,9 +2,12 @@
 //!
 //! A machine that was cut off goes on to name the leader that it knew, and that leader
 //! may have been deposed. A hint to a machine that has just refused is therefore not
-//! followed; whoever was not asked for the longest time is next.
+//! followed; whoever was not asked for the longest time is next. Of machines that were
+//! not asked yet each gateway has an order of its own: hundreds of gateways that look
+//! for a leader at once must not all ask the same machine.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// A machine that refused, or stayed silent, is not asked again on a hint within this.
@@ -16,14 +19,25 @@
     seeds: Vec<u32>,
     machines: Vec<u32>,
     target: u32,
+    /// Whether the target said that it leads, and nothing spoke against it since.
+    is_confirmed: bool,
     refused: HashMap<u32, Instant>,
+    /// Tells the order of this gateway from that of others.
+    salt: u64,
 }
 
 impl Targets {
-    /// Begins with the first of `seeds`.
-    pub fn new(seeds: Vec<u32>) -> Self {
-        let target = seeds.first().copied().unwrap_or_default();
-        Self { machines: seeds.clone(), seeds, target, refused: HashMap::new() }
+    /// Begins with one of `seeds`; `salt` decides which.
+    pub fn new(seeds: Vec<u32>, salt: u64) -> Self {
+        let first = seeds.iter().copied().min_by_key(|seed| place(salt, *seed));
+        Self {
+            machines: seeds.clone(),
+            seeds,
+            target: first.unwrap_or_default(),
+            is_confirmed: false,
+            refused: HashMap::new(),
+            salt,
+        }
     }
 
     /// The machine to ask.
@@ -31,6 +45,17 @@
         self.target
     }
 
+    /// The machine that leads, as far as is known.
+    pub fn leader(&self) -> Option<u32> {
+        self.is_confirmed.then_some(self.target)
+    }
+
+    /// `machine` said that it leads.
+    pub fn confirm(&mut self, machine: u32) {
+        self.target = machine;
+        self.is_confirmed = true;
+    }
+
     /// Notes the machines of the group, as a member knows them.
     pub fn learn(&mut self, machines: Vec<u32>) {
         if !machines.is_empty() {
@@ -46,6 +71,7 @@
             // Another question has moved on already.
             return true;
         }
+        self.is_confirmed = false;
         let hint = hint.filter(|hint| *hint != asked && !self.has_just_refused(*hint, now));
         let next = hint.or_else(|| self.longest_not_asked(asked));
         if let Some(next) = next {
@@ -59,9 +85,18 @@
         refused.is_some_and(|at| now.saturating_duration_since(*at) < REFUSAL_HOLDS)
     }
 
-    fn longest_not_asked(&self, except: u32) -> Option<u32> {
+    /// The machine, other than `except`, that refused longest ago.
+    pub fn longest_not_asked(&self, except: u32) -> Option<u32> {
         let known = self.machines.iter().chain(&self.seeds).copied();
         let others = known.filter(|machine| *machine != except);
-        others.min_by_key(|machine| self.refused.get(machine).copied())
+        others
+            .min_by_key(|machine| (self.refused.get(machine).copied(), place(self.salt, *machine)))
     }
 }
+
+/// Place of a machine in the order of one gateway.
+fn place(salt: u64, machine: u32) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (salt, machine).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -3,7 +3,9 @@
 //! One connection carries many questions at a time; the number tells which answer
 //! belongs to which. Every question may be asked again, of any machine.
 
-use calicohoist_routing::ReplicaList;
+use std::fmt;
+
+use calicohoist_routing::{Replica, ReplicaList};
 use calicohoist_scheduler::{Decision, PlacementRequest};
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +50,8 @@
     Settle(SettleTurn),
     /// What is newer than this? Held for a while when nothing is.
     Watch(Seen),
+    /// Who leads? Held for a while when nobody does. It touches neither log nor disk.
+    FindLeader,
 }
 
 /// What a gateway has seen so far.
@@ -57,19 +61,37 @@
     pub gateway: String,
     /// Version of its configuration.
     pub configuration: u64,
-    /// Identity of its list of replicas.
+    /// Its list of replicas.
     pub list: ListMark,
     /// Requests that it has under way, by replica.
     pub loads: Vec<(String, u32)>,
 }
 
-/// Tells lists of replicas apart, those of different leaders too.
+/// Digest of a list of replicas. Leaders that read the same list give it the same mark, so
+/// that a change of leader is no reason to send it to every gateway; 0 is no list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListMark {
-    /// Term of the leader that read it.
-    pub term: u64,
-    /// Its version under that leader.
-    pub version: u64,
+#[serde(transparent)]
+pub struct ListMark(u64);
+
+impl ListMark {
+    /// The mark of a list with these replicas, in this order.
+    pub fn of(replicas: &[Replica]) -> Self {
+        let mut digest = blake3::Hasher::new();
+        for replica in replicas {
+            // A list that cannot be encoded differs from every other one by its length.
+            let encoded = calicohoist_wire::encode(replica).unwrap_or_default();
+            digest.update(&(encoded.len() as u64).to_le_bytes());
+            digest.update(&encoded);
+        }
+        let first = digest.finalize().as_bytes().first_chunk().copied().unwrap_or_default();
+        Self(u64::from_le_bytes(first).max(1))
+    }
+}
+
+impl fmt::Display for ListMark {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
 }
 
 /// What a ledger machine answers.
@@ -92,6 +114,11 @@
     Settled,
     /// What is newer than what was seen.
     News(News),
+    /// The machine that was asked leads.
+    Leads {
+        /// All machines of the group.
+        machines: Vec<u32>,
+    },
     /// Another machine leads.
     NotLeader {
         /// The one believed to.
@@ -112,8 +139,11 @@
     pub list: Option<(ListMark, ReplicaList)>,
     /// Age of the newest reading of discovery, in ms; `None` before the first.
     pub list_age_ms: Option<u64>,
-    /// Requests that all other gateways have under way, by replica.
-    pub loads: Vec<(String, u32)>,
+    /// Requests that all other gateways have under way, for each replica of the newest
+    /// list, in its order.
+    pub loads: Vec<u32>,
+    /// The list that `loads` goes with.
+    pub loads_of: ListMark,
     /// All machines known.
     pub machines: Vec<u32>,
 }
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -184,7 +184,7 @@
         ControlCall::PutConfiguration { version } => {
             Request::Change(Command::PutConfiguration { version, document: body.to_vec() })
         }
-        ControlCall::GetConfiguration => Request::ReadConfiguration,
+        ControlCall::GetConfiguration => Request::ReadConfiguration { newer_than: 0 },
         ControlCall::Retire { machine } => Request::Retire(machine),
         ControlCall::GetRetiring { machine } => Request::ReadRetiring(machine),
     }
--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -1,6 +1,5 @@
 //! Questions of gateways.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +10,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::list::Reading;
+use super::loads::LoadBoard;
 use super::replica::{ReplicaHandle, Request, Response, Standing};
 use super::turns::TurnDesk;
 use crate::commands::{Command, Output, Reservation, ReserveTurn, SettleTurn};
@@ -18,8 +18,9 @@
 
 /// Longest time that a watch is held when nothing is newer.
 const WATCH_HOLD: Duration = Duration::from_millis(500);
-/// Reports of load older than this are dropped.
-const LOAD_AGE: Duration = Duration::from_millis(2_000);
+/// How long a gateway that looks for a leader is kept waiting while nobody leads: what it
+/// would do meanwhile is ask again.
+const FIND_HOLD: Duration = Duration::from_millis(150);
 /// Time between two looks at waiting turns.
 const TEND_INTERVAL: Duration = Duration::from_millis(20);
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -30,16 +31,11 @@
     replica: ReplicaHandle,
     standing: watch::Receiver<Standing>,
     list: watch::Receiver<Reading>,
-    loads: Arc<Mutex<HashMap<String, LoadReport>>>,
+    loads: Arc<Mutex<LoadBoard>>,
     /// Turns of programs; of use on the leader only, which alone grants reservations.
     turns: Arc<TurnDesk>,
 }
 
-struct LoadReport {
-    at: Instant,
-    loads: Vec<(String, u32)>,
-}
-
 impl Hub {
     /// Answers from `replica` and the readings of the list.
     pub fn new(
@@ -55,6 +51,18 @@
         Answer::NotLeader { leader, machines: self.standing.borrow().machines.clone() }
     }
 
+    /// Who leads, as soon as somebody does.
+    async fn find_leader(&self) -> Answer {
+        let mut standing = self.standing.clone();
+        let known = standing.wait_for(|standing| standing.leader.is_some());
+        let _ = tokio::time::timeout(FIND_HOLD, known).await;
+        let standing = self.standing.borrow().clone();
+        if standing.is_leader {
+            return Answer::Leads { machines: standing.machines };
+        }
+        Answer::NotLeader { leader: standing.leader, machines: standing.machines }
+    }
+
     /// Answers once something is newer than what was seen, or after a while.
     async fn watch(&self, seen: Seen) -> Answer {
         self.note_load(&seen);
@@ -67,7 +75,7 @@
                     let list = list.borrow_and_update();
                     !standing.is_leader
                         || standing.configuration > seen.configuration
-                        || (list.mark.term == standing.term && list.mark != seen.list)
+                        || (list.term == standing.term && list.mark != seen.list)
                 };
                 if is_stale {
                     return;
@@ -84,47 +92,35 @@
 
     /// What is newer, with a quorum behind it.
     async fn confirmed_news(&self, seen: &Seen) -> Answer {
-        let held = match self.replica.call(Request::ReadConfiguration).await {
+        let read = Request::ReadConfiguration { newer_than: seen.configuration };
+        let held = match self.replica.call(read).await {
             Response::Configuration(held) => held,
             Response::NotLeader(leader) => return self.not_leader(leader),
             _ => return Answer::Unavailable,
         };
         let reading = self.list.borrow().clone();
         let standing = self.standing.borrow().clone();
-        let configuration = held.filter(|held| held.version > seen.configuration);
-        let is_current = reading.mark.term == standing.term;
+        let is_current = reading.term == standing.term;
         let is_newer =
             is_current && reading.mark != seen.list && reading.mark != ListMark::default();
         let age = reading.read_at.filter(|_| is_current).map(|at| at.elapsed().as_millis());
         Answer::News(News {
-            configuration: configuration.map(|held| (held.version, held.document)),
+            configuration: held.map(|held| (held.version, held.document)),
             list: is_newer.then(|| (reading.mark, reading.list.as_ref().clone())),
             list_age_ms: age.and_then(|age| u64::try_from(age).ok()),
-            loads: self.loads_of_others(&seen.gateway),
+            loads: self.loads.lock().of_others(&seen.gateway, &reading, Instant::now()),
+            loads_of: reading.mark,
             machines: standing.machines,
         })
     }
 
     fn note_load(&self, seen: &Seen) {
-        let report = LoadReport { at: Instant::now(), loads: seen.loads.clone() };
-        let mut loads = self.loads.lock();
-        loads.insert(seen.gateway.clone(), report);
-        loads.retain(|_, report| report.at.elapsed() < LOAD_AGE);
+        self.loads.lock().note(&seen.gateway, &seen.loads, Instant::now());
         let standing = self.standing.borrow();
         if standing.is_leader {
             self.turns.note_report(standing.term, &seen.gateway, &seen.loads);
         }
     }
-
-    fn loads_of_others(&self, gateway: &str) -> Vec<(String, u32)> {
-        let loads = self.loads.lock();
-        let others = loads.iter().filter(|(name, _)| *name != gateway);
-        let mut sum: HashMap<&str, u32> = HashMap::new();
-        for (replica, load) in others.flat_map(|(_, report)| &report.loads) {
-            *sum.entry(replica).or_default() += load;
-        }
-        sum.into_iter().map(|(replica, load)| (replica.to_owned(), load)).collect()
-    }
 }
 
 /// Takes connections of gateways.
@@ -148,6 +144,10 @@
             Question::Reserve { reserve, placement } => hub.reserve(reserve, placement, back),
             Question::Place { turn, placement } => hub.place(turn, placement, back),
             Question::Settle(settle) => hub.settle(settle, back),
+            Question::FindLeader => {
+                let hub = hub.clone();
+                tokio::spawn(async move { back.send(hub.find_leader().await) });
+            }
             Question::Watch(seen) => {
                 let hub = hub.clone();
                 tokio::spawn(async move { back.send(hub.watch(seen).await) });
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -16,6 +16,8 @@
 pub struct Reading {
     /// Tells it from others.
     pub mark: ListMark,
+    /// Term in which this machine led when it read it.
+    pub term: u64,
     /// What was read.
     pub list: Arc<ReplicaList>,
     /// When it was read last, changed or not.
@@ -61,15 +63,19 @@
     replicas: Vec<calicohoist_routing::Replica>,
     read_at: Instant,
 ) {
+    let mark = ListMark::of(&replicas);
     out.send_if_modified(|reading| {
         reading.read_at = Some(read_at);
-        let is_same = reading.mark.term == term && reading.list.replicas == replicas;
+        let is_same = reading.term == term && reading.mark == mark;
         if is_same {
             return false;
         }
-        let version = reading.mark.version + 1;
-        reading.mark = ListMark { term, version };
-        reading.list = Arc::new(ReplicaList { version, replicas });
+        reading.term = term;
+        if reading.mark != mark {
+            let version = reading.list.version + 1;
+            reading.mark = mark;
+            reading.list = Arc::new(ReplicaList { version, replicas });
+        }
         true
     });
 }
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod gateways;
 pub mod list;
+pub mod loads;
 pub mod peers;
 pub mod replica;
 pub mod slowness;
@@ -76,9 +77,21 @@
             election_max: Duration::from_millis(360),
             clock_drift: Duration::from_millis(20),
             replace_after: Duration::from_millis(2_000),
+            max_bytes_per_message: 1 << 20,
+            max_entries_in_flight: 1_024,
             ..RaftSettings::default()
         }
     }
+
+    /// The same for a group that is to bear so many losses at a time: as many voters as
+    /// that takes, and a spare for each loss. Every further machine stands by.
+    pub fn raft_for(tolerated_losses: usize) -> RaftSettings {
+        RaftSettings {
+            voters: 2 * tolerated_losses + 1,
+            spares: tolerated_losses.max(1),
+            ..Self::raft()
+        }
+    }
 }
 
 /// Number of the machine at `ip`.
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -3,6 +3,7 @@
 //! It is the only one that waits on the disk. A leader whose disk hangs therefore
 //! sends no heartbeats either, and loses the leadership.
 
+mod pending;
 mod request;
 
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
 use rand::RngExt;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use pending::{Answered, CommandDigest, Pending, PendingTable};
 use request::Input;
 pub use request::{ReplicaHandle, Request, Respond, Response, Standing};
 
@@ -47,19 +49,13 @@
 /// Bytes of retained turns in memory from which they are moved to disk. The entries that
 /// brought them are in memory, too, until the snapshot that comes with it.
 const SEAL_BYTES: u64 = 2 << 20;
+/// Age from which a reservation or a read is not begun any more: gateways wait for 1 s.
+const REQUEST_PATIENCE: Duration = Duration::from_millis(900);
 /// How long the leader waits for a sealing that it has proposed.
 const SEAL_PATIENCE: Duration = Duration::from_secs(1);
 
 static LEADS: Gauge = Gauge::new("calicohoist_ledger_leads", "1 while this machine leads");
 
-enum Pending {
-    Change(Respond),
-    Reserve(ReserveTurn, Respond),
-    Retire(Respond),
-    ReadConfiguration(Respond),
-    ReadRetiring(String, Respond),
-}
-
 /// The replica with its disk, before its thread runs.
 pub struct ReplicaThread {
     node: Node<LedgerState>,
@@ -68,8 +64,7 @@
     name: String,
     tolerated_losses: usize,
     frames: mpsc::Sender<Outgoing>,
-    pending: BTreeMap<Ticket, Pending>,
-    next_ticket: Ticket,
+    pending: PendingTable,
     names: BTreeMap<u32, String>,
     advanced: Instant,
     seal_proposed: Option<Instant>,
@@ -131,8 +126,7 @@
             name: settings.name.clone(),
             tolerated_losses: settings.tolerated_losses,
             frames,
-            pending: BTreeMap::new(),
-            next_ticket: 0,
+            pending: PendingTable::default(),
             names: BTreeMap::from([(machine, settings.name.clone())]),
             advanced: origin,
             seal_proposed: None,
@@ -215,7 +209,12 @@
             Input::Greeting { from, name } => {
                 self.names.insert(from.machine, name);
             }
-            Input::Request(request, respond) => self.on_request(request, respond),
+            Input::Request { request, respond, asked } => {
+                if is_overdue(&request, asked.elapsed()) {
+                    return respond(Response::Overdue);
+                }
+                self.on_request(request, respond);
+            }
             Input::HandOver => {
                 let now = self.now();
                 self.node.transfer_leadership(now);
@@ -234,7 +233,9 @@
                 let command = self.retire_command(name);
                 self.propose(&command, Pending::Retire(respond));
             }
-            Request::ReadConfiguration => self.read(Pending::ReadConfiguration(respond)),
+            Request::ReadConfiguration { newer_than } => {
+                self.read(Pending::ReadConfiguration { newer_than, respond });
+            }
             Request::ReadRetiring(name) => self.read(Pending::ReadRetiring(name, respond)),
         }
     }
@@ -244,39 +245,37 @@
         let retiring = machines.map(|machines| machines.retiring_numbers()).unwrap_or_default();
         let number = machines.and_then(|machines| machines.number(&name));
         let stays = |machine: &&u32| !retiring.contains(machine) && Some(**machine) != number;
-        let remaining = self.standing.machines.iter().filter(stays).count();
+        let now = self.now();
+        let standbys = self.node.raft(GROUP).map(|raft| raft.standby_machines(now));
+        let standbys = standbys.unwrap_or_default();
+        let remaining = self.standing.machines.iter().chain(&standbys).filter(stays).count();
         let must_remain = 2 * self.tolerated_losses + 1;
         Command::Retire { name, remaining, must_remain }
     }
 
-    fn propose(&mut self, command: &Command, pending: Pending) {
-        let ticket = self.ticket();
+    fn propose(&mut self, command: &Command, asker: Pending) {
         let Ok(encoded) = encode(command) else {
-            return self.answer(pending, Answered::Lost);
+            return self.answer(asker, Answered::Lost);
         };
+        let digest = CommandDigest::of(&encoded);
+        let Some(asker) = self.pending.join(digest, asker) else {
+            return;
+        };
+        let ticket = self.pending.ticket();
         match self.node.propose(GROUP, encoded, ticket) {
-            Ok(()) => {
-                self.pending.insert(ticket, pending);
-            }
-            Err(_) => self.refuse(pending),
+            Ok(()) => self.pending.add_command(ticket, digest, asker),
+            Err(_) => self.refuse(asker),
         }
     }
 
-    fn read(&mut self, pending: Pending) {
-        let ticket = self.ticket();
+    fn read(&mut self, asker: Pending) {
+        let ticket = self.pending.ticket();
         match self.node.read(GROUP, ticket) {
-            Ok(()) => {
-                self.pending.insert(ticket, pending);
-            }
-            Err(_) => self.refuse(pending),
+            Ok(()) => self.pending.add_read(ticket, asker),
+            Err(_) => self.refuse(asker),
         }
     }
 
-    fn ticket(&mut self) -> Ticket {
-        self.next_ticket += 1;
-        self.next_ticket
-    }
-
     fn refuse(&mut self, pending: Pending) {
         let leader = self.node.leader_machine(GROUP);
         let leader = leader.filter(|leader| *leader != self.node.id().machine);
@@ -343,20 +342,10 @@
         match event {
             NodeEvent::Send { to, messages } => send(&self.frames, to, messages),
             NodeEvent::Applied { ticket, output } => {
-                if let Some(pending) = self.pending.remove(&ticket) {
-                    self.answer(pending, Answered::Output(output));
-                }
-            }
-            NodeEvent::ReadReady { ticket, .. } => {
-                if let Some(pending) = self.pending.remove(&ticket) {
-                    self.answer(pending, Answered::MayRead);
-                }
-            }
-            NodeEvent::Lost { ticket } => {
-                if let Some(pending) = self.pending.remove(&ticket) {
-                    self.answer(pending, Answered::Lost);
-                }
+                self.answer_all(ticket, &Answered::Output(output));
             }
+            NodeEvent::ReadReady { ticket, .. } => self.answer_all(ticket, &Answered::MayRead),
+            NodeEvent::Lost { ticket } => self.answer_all(ticket, &Answered::Lost),
             NodeEvent::Leadership { is_leader, .. } => {
                 let event = if is_leader { Event::BecameLeader } else { Event::LostLeadership };
                 LEADS.show(u64::from(is_leader));
@@ -369,6 +358,12 @@
         self.node.raft(GROUP).map_or(0, |raft| raft.term())
     }
 
+    fn answer_all(&mut self, ticket: Ticket, answered: &Answered) {
+        for asker in self.pending.take(ticket) {
+            self.answer(asker, answered.clone());
+        }
+    }
+
     fn answer(&self, pending: Pending, answered: Answered) {
         let leads = match answered {
             Answered::NotLeader(leader) => return pending.respond()(Response::NotLeader(leader)),
@@ -387,8 +382,9 @@
             (Pending::Retire(respond), Some(Output::Retiring(outcome))) => {
                 respond(Response::Retiring(outcome));
             }
-            (Pending::ReadConfiguration(respond), None) => {
-                respond(Response::Configuration(queries::configuration(state).cloned()));
+            (Pending::ReadConfiguration { newer_than, respond }, None) => {
+                let held = queries::configuration(state).filter(|held| held.version > newer_than);
+                respond(Response::Configuration(held.cloned()));
             }
             (Pending::ReadRetiring(name, respond), None) => {
                 respond(Response::Retired(self.is_retired(state, &name)));
@@ -476,13 +472,12 @@
             return;
         };
         let configuration = self.node.machine(GROUP).map(|state| state.configuration().version);
-        let machines = raft.membership().all().map(|replica| replica.machine);
         let standing = Standing {
             term: raft.term(),
             leader: raft.leader().map(|leader| leader.machine),
             is_leader: raft.is_leader(),
             configuration: configuration.unwrap_or_default(),
-            machines: machines.collect(),
+            machines: raft.member_machines(),
         };
         if standing != self.standing {
             self.standing = standing.clone();
@@ -491,23 +486,11 @@
     }
 }
 
-/// How a pending request ended.
-enum Answered {
-    Output(Output),
-    MayRead,
-    NotLeader(Option<u32>),
-    Lost,
-}
-
-impl Pending {
-    fn respond(self) -> Respond {
-        match self {
-            Self::Change(respond)
-            | Self::Reserve(_, respond)
-            | Self::Retire(respond)
-            | Self::ReadConfiguration(respond)
-            | Self::ReadRetiring(_, respond) => respond,
-        }
+/// Whether whoever asked has given up by now. Ends of turns are never given up.
+fn is_overdue(request: &Request, age: Duration) -> bool {
+    match request {
+        Request::Reserve(_) | Request::ReadConfiguration { .. } => age > REQUEST_PATIENCE,
+        Request::Change(_) | Request::Retire(_) | Request::ReadRetiring(_) => false,
     }
 }
 
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -1,5 +1,7 @@
 //! The way into the replica's thread: what is asked, and what it answers.
 
+use std::time::Instant;
+
 use calicohoist_replication::{GroupMessage, ReplicaId};
 use crossbeam::channel::Sender;
 use tokio::sync::oneshot;
@@ -14,8 +16,11 @@
     Change(Command),
     /// Reserve, and read the history with it.
     Reserve(ReserveTurn),
-    /// Read the configuration, with a quorum behind it.
-    ReadConfiguration,
+    /// Read the configuration, with a quorum behind it, if its version is higher than this.
+    ReadConfiguration {
+        /// The version that the asker holds; 0 for none.
+        newer_than: u64,
+    },
     /// Empty a machine.
     Retire(String),
     /// Whether a machine is empty.
@@ -23,7 +28,7 @@
 }
 
 /// What the replica answers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Response {
     /// The change was made.
     Changed(Output),
@@ -36,7 +41,7 @@
         /// Whether its program has begun with an earlier turn.
         is_under_way: bool,
     },
-    /// The configuration; `None` before the first.
+    /// The configuration; `None` when there is no newer one.
     Configuration(Option<HeldConfiguration>),
     /// What came of retiring.
     Retiring(RetiringOutcome),
@@ -44,6 +49,8 @@
     Retired(Option<bool>),
     /// Another machine leads.
     NotLeader(Option<u32>),
+    /// It waited for longer than its asker does, and was not begun.
+    Overdue,
     /// It may or may not be done in the end.
     Lost,
 }
@@ -54,7 +61,7 @@
 pub(super) enum Input {
     Frame { from: ReplicaId, messages: Vec<GroupMessage> },
     Greeting { from: ReplicaId, name: String },
-    Request(Request, Respond),
+    Request { request: Request, respond: Respond, asked: Instant },
     HandOver,
 }
 
@@ -90,12 +97,13 @@
         let _ = self.inputs.try_send(Input::Greeting { from, name });
     }
 
-    /// Asks something; a full ring answers at once.
+    /// Asks something; a full ring answers at once that it is not begun.
     pub fn ask(&self, request: Request, respond: Respond) {
-        if let Err(refused) = self.inputs.try_send(Input::Request(request, respond))
-            && let Input::Request(_, respond) = refused.into_inner()
+        let input = Input::Request { request, respond, asked: Instant::now() };
+        if let Err(refused) = self.inputs.try_send(input)
+            && let Input::Request { respond, .. } = refused.into_inner()
         {
-            respond(Response::NotLeader(None));
+            respond(Response::Overdue);
         }
     }
 
--- a/crates/ledger/tests/targets.rs
+++ b/crates/ledger/tests/targets.rs
@@ -10,7 +10,9 @@
 const NEW_LEADER: u32 = 4;
 
 fn targets() -> Targets {
-    Targets::new(vec![OLD_LEADER, CUT_OFF, FOLLOWER])
+    let seeds = vec![OLD_LEADER, CUT_OFF, FOLLOWER];
+    let mut orders = (0..).map(|salt| Targets::new(seeds.clone(), salt));
+    orders.find(|targets| targets.current() == OLD_LEADER).expect("some order begins with it")
 }
 
 #[test]
@@ -57,3 +59,26 @@
     targets.refused(OLD_LEADER, Some(CUT_OFF), now);
     assert_eq!(targets.current(), FOLLOWER);
 }
+
+/// Hundreds of gateways look for a leader at the same moment.
+#[test]
+fn gateways_do_not_all_ask_the_same_machine_first() {
+    let machines: Vec<u32> = (1..=7).collect();
+    let mut first_asked = [0_u32; 8];
+    for salt in 0..255 {
+        let targets = Targets::new(machines.clone(), salt);
+        first_asked[targets.current() as usize] += 1;
+    }
+    let most = first_asked.iter().max();
+    assert!(most.is_some_and(|most| *most < 2 * 255 / 7), "{first_asked:?}");
+}
+
+#[test]
+fn a_leader_is_known_only_once_it_has_said_so() {
+    let mut targets = targets();
+    assert_eq!(targets.leader(), None);
+    targets.confirm(FOLLOWER);
+    assert_eq!(targets.leader(), Some(FOLLOWER));
+    targets.refused(FOLLOWER, None, Instant::now());
+    assert_eq!(targets.leader(), None);
+}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -80,6 +80,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     services: RwLock<Arc<ByService>>,
+    /// The same members in the order of the list.
+    listed: RwLock<Vec<Arc<Member>>>,
     /// When the newest list known here was read, by whomever.
     list_read: Mutex<Option<Instant>>,
 }
@@ -91,14 +93,17 @@
         let known: HashMap<&str, &Arc<Member>> =
             before.values().flatten().map(|member| (member.replica.id.as_str(), member)).collect();
         let mut services = ByService::new();
+        let mut listed = Vec::with_capacity(replicas.len());
         for replica in replicas {
             let member = match known.get(replica.id.as_str()) {
                 Some(member) if member.replica == replica => Arc::clone(member),
                 Some(member) => Arc::new(member.with(replica)),
                 None => Arc::new(Member::new(replica)),
             };
+            listed.push(Arc::clone(&member));
             services.entry(member.replica.service.clone()).or_default().push(member);
         }
+        *self.listed.write() = listed;
         *self.services.write() = Arc::new(services);
     }
 
@@ -113,13 +118,11 @@
         self.list_read.lock().map_or(Duration::MAX, |read| read.elapsed())
     }
 
-    /// Takes in the loads of all other gateways, by replica.
-    pub fn set_other_loads(&self, loads: &[(String, u32)]) {
-        let loads: HashMap<&str, u32> =
-            loads.iter().map(|(id, load)| (id.as_str(), *load)).collect();
-        for member in self.services.read().values().flatten() {
-            let load = loads.get(member.replica.id.as_str()).copied().unwrap_or_default();
-            member.other_load.store(load, Ordering::Relaxed);
+    /// Takes in the loads of all other gateways, in the order of the list that was put
+    /// in last.
+    pub fn set_other_loads(&self, loads: &[u32]) {
+        for (member, load) in self.listed.read().iter().zip(loads) {
+            member.other_load.store(*load, Ordering::Relaxed);
         }
     }
 
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -55,7 +55,6 @@
 
     fn take(&self, news: News) {
         self.app.ledger.learn_machines(news.machines);
-        self.app.fleet.set_other_loads(&news.loads);
         if let Some((version, document)) = news.configuration {
             self.apply(version, &document);
         }
@@ -63,13 +62,15 @@
             emit!(
                 Event::ListApplied;
                 source = "leader",
-                term = mark.term,
-                version = mark.version,
+                list = mark,
                 replicas = list.replicas.len(),
             );
             self.put_list(list.replicas);
             self.state.lock().list = mark;
         }
+        if news.loads_of == self.state.lock().list {
+            self.app.fleet.set_other_loads(&news.loads);
+        }
         if let Some(age) = news.list_age_ms {
             let read = Instant::now().checked_sub(Duration::from_millis(age));
             self.app.fleet.note_list_read(read);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -131,6 +131,8 @@
     LedgerConnected = 5201, Info;
     /// A gateway gave up on a ledger machine and turns to another.
     LedgerLost = 5202, Warn;
+    /// The leader was silent; another machine was asked whether it still leads.
+    LedgerSilent = 5206, Warn;
     /// A gateway applied a list of replicas.
     ListApplied = 5204, Info;
     /// The platform's list of machines could not be read.
