--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -12,6 +12,7 @@
 
 mod connection;
 mod targets;
+mod timing;
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -27,26 +28,7 @@
 use crate::server::{machine_address, machine_number};
 use connection::Connection;
 pub use targets::Targets;
-
-/// Silence of a leader after which another machine is asked whether it still leads: an
-/// election takes 180 to 360 ms.
-const ANSWER_PATIENCE: Duration = Duration::from_millis(250);
-/// A watch is held on purpose, so it may stay silent for longer.
-const WATCH_PATIENCE: Duration = Duration::from_millis(1_000);
-/// A turn waits for a replica on purpose, too.
-const PLACE_PATIENCE: Duration = Duration::from_millis(2_200);
-/// Silence after which the connection is opened anew, whoever is said to lead: the way to
-/// the leader may be cut while the other machines reach it.
-const MOST_SILENCE: Duration = Duration::from_millis(1_200);
-/// How long the word of another machine that the leader leads is taken for true.
-const VOUCHED_FOR: Duration = Duration::from_millis(400);
-/// Longest time for the answer of a machine that is asked who leads; it holds the
-/// question for a while when nobody does.
-const SEARCH_PATIENCE: Duration = Duration::from_millis(300);
-/// First pause between two tries; it doubles up to [`LONGEST_PAUSE`].
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
-/// Longest pause between two tries, well below the time of an election.
-const LONGEST_PAUSE: Duration = Duration::from_millis(160);
+pub use timing::ClientTiming;
 
 /// Why a question has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -64,6 +46,7 @@
 
 struct Shared {
     port: u16,
+    timing: ClientTiming,
     state: Mutex<State>,
     /// Held while a connection is opened, so that one task opens it for all.
     opening: tokio::sync::Mutex<()>,
@@ -91,6 +74,11 @@
 impl LedgerClient {
     /// Asks the machines at `seeds` first; all listen on `port`.
     pub fn new(seeds: &[Ipv4Addr], port: u16) -> Self {
+        Self::with_timing(seeds, port, ClientTiming::default())
+    }
+
+    /// The same, with other times.
+    pub fn with_timing(seeds: &[Ipv4Addr], port: u16, timing: ClientTiming) -> Self {
         let seeds = seeds.iter().copied().map(machine_number).collect();
         let state = State {
             targets: Targets::new(seeds, rand::rng().random()),
@@ -100,6 +88,7 @@
         };
         let shared = Shared {
             port,
+            timing,
             state: Mutex::new(state),
             opening: tokio::sync::Mutex::new(()),
             searching: tokio::sync::Mutex::new(()),
@@ -118,13 +107,13 @@
     }
 
     async fn ask_until_answered(&self, question: &Question) -> Answer {
-        let mut pause = FIRST_PAUSE;
+        let mut pause = self.shared.timing.first_pause;
         loop {
             let leader = self.leader().await;
             match self.attempt(leader, question).await {
                 Attempt::Answered(answer) => return answer,
                 Attempt::Left => {}
-                Attempt::Unavailable => rest(&mut pause).await,
+                Attempt::Unavailable => self.rest(&mut pause).await,
             }
         }
     }
@@ -135,13 +124,13 @@
             return leader;
         }
         let _searching = self.shared.searching.lock().await;
-        let mut pause = FIRST_PAUSE;
+        let mut pause = self.shared.timing.first_pause;
         loop {
             if let Some(leader) = self.known_leader() {
                 return leader;
             }
             if !self.search().await {
-                rest(&mut pause).await;
+                self.rest(&mut pause).await;
             }
         }
     }
@@ -177,7 +166,7 @@
             let connection = self.connection(machine).await?;
             connection.ask(self.next_number(), &Question::FindLeader)?.answer().await
         };
-        timeout(SEARCH_PATIENCE, asking).await.ok().flatten()
+        timeout(self.shared.timing.search_patience, asking).await.ok().flatten()
     }
 
     /// Asks `leader` once, and waits while it is there.
@@ -189,15 +178,16 @@
             return self.leave(leader);
         };
         let asked = Instant::now();
-        let mut patience = patience_for(question);
+        let most_silence = self.shared.timing.most_silence;
+        let mut patience = self.shared.timing.patience_for(question);
         loop {
             let silent_since = connection.heard().max(asked);
             let silent_for = silent_since.elapsed();
             if silent_for >= patience {
-                if patience >= MOST_SILENCE || !self.is_vouched_for(leader).await {
+                if patience >= most_silence || !self.is_vouched_for(leader).await {
                     return self.leave(leader);
                 }
-                patience = (patience * 2).min(MOST_SILENCE);
+                patience = (patience * 2).min(most_silence);
             }
             let wait = patience.saturating_sub(silent_for);
             match timeout(wait, pending.answer()).await {
@@ -244,7 +234,8 @@
             is_named = is_named,
         );
         if is_named {
-            self.shared.state.lock().vouched_until = Some(Instant::now() + VOUCHED_FOR);
+            self.shared.state.lock().vouched_until =
+                Some(Instant::now() + self.shared.timing.vouched_for);
         } else if named.is_none() {
             // Whoever does not answer is not asked first the next time.
             self.shared.state.lock().targets.refused(other, None, Instant::now());
@@ -302,22 +293,11 @@
             emit!(Event::LedgerLost; machine = address);
         }
     }
-}
 
-/// Silence of a leader that a question bears before anything is done about it.
-fn patience_for(question: &Question) -> Duration {
-    match question {
-        Question::Watch(_) => WATCH_PATIENCE,
-        Question::Place { .. } => PLACE_PATIENCE,
-        Question::Reserve { .. } | Question::Settle { .. } | Question::FindLeader => {
-            ANSWER_PATIENCE
-        }
+    /// Sleeps for about `pause`, and makes the next one longer.
+    async fn rest(&self, pause: &mut Duration) {
+        let share = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(pause.mul_f64(share)).await;
+        *pause = (*pause * 2).min(self.shared.timing.longest_pause);
     }
 }
-
-/// Sleeps for about `pause`, and makes the next one longer.
-async fn rest(pause: &mut Duration) {
-    let share = rand::rng().random_range(0.5..1.5);
-    tokio::time::sleep(pause.mul_f64(share)).await;
-    *pause = (*pause * 2).min(LONGEST_PAUSE);
-}
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -3,7 +3,7 @@
 //! It is the only one that waits on the disk. A leader whose disk hangs therefore
 //! sends no heartbeats either, and loses the leadership.
 
-mod pending;
+pub mod pending;
 mod request;
 
 use std::collections::BTreeMap;
--- a/crates/ledger/src/server/replica/pending.rs
+++ b/crates/ledger/src/server/replica/pending.rs
@@ -11,16 +11,27 @@
 use crate::commands::{Output, ReserveTurn};
 
 /// An asker, with what is needed to answer it.
-pub(super) enum Pending {
+pub enum Pending {
+    /// Wants what came of a change.
     Change(Respond),
+    /// Wants what came of a reservation, with the history.
     Reserve(ReserveTurn, Respond),
+    /// Wants what came of emptying a machine.
     Retire(Respond),
-    ReadConfiguration { newer_than: u64, respond: Respond },
+    /// Wants the configuration, if it is newer than the one it holds.
+    ReadConfiguration {
+        /// Version that it holds.
+        newer_than: u64,
+        /// Takes the response.
+        respond: Respond,
+    },
+    /// Wants to know whether a machine is empty.
     ReadRetiring(String, Respond),
 }
 
 impl Pending {
-    pub(super) fn respond(self) -> Respond {
+    /// What takes the response.
+    pub fn respond(self) -> Respond {
         match self {
             Self::Change(respond)
             | Self::Reserve(_, respond)
@@ -33,19 +44,24 @@
 
 /// How a pending request ended.
 #[derive(Clone, Debug)]
-pub(super) enum Answered {
+pub enum Answered {
+    /// The command was applied.
     Output(Output),
+    /// The state may be read.
     MayRead,
+    /// Another machine leads.
     NotLeader(Option<u32>),
+    /// It may or may not be applied in the end.
     Lost,
 }
 
 /// Digest of an encoded command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) struct CommandDigest([u8; 32]);
+pub struct CommandDigest([u8; 32]);
 
 impl CommandDigest {
-    pub(super) fn of(encoded: &[u8]) -> Self {
+    /// Of these bytes.
+    pub fn of(encoded: &[u8]) -> Self {
         Self(*blake3::hash(encoded).as_bytes())
     }
 }
@@ -58,7 +74,7 @@
 
 /// All that is under way, by ticket.
 #[derive(Default)]
-pub(super) struct PendingTable {
+pub struct PendingTable {
     entries: BTreeMap<Ticket, PendingEntry>,
     tickets: HashMap<CommandDigest, Ticket>,
     next_ticket: Ticket,
@@ -66,13 +82,13 @@
 
 impl PendingTable {
     /// A ticket that was not used before.
-    pub(super) fn ticket(&mut self) -> Ticket {
+    pub fn ticket(&mut self) -> Ticket {
         self.next_ticket += 1;
         self.next_ticket
     }
 
     /// Adds an asker to the same command, if it is under way; else gives it back.
-    pub(super) fn join(&mut self, command: CommandDigest, asker: Pending) -> Option<Pending> {
+    pub fn join(&mut self, command: CommandDigest, asker: Pending) -> Option<Pending> {
         let ticket = self.tickets.get(&command);
         match ticket.and_then(|ticket| self.entries.get_mut(ticket)) {
             Some(entry) => {
@@ -84,19 +100,19 @@
     }
 
     /// Adds a command that was proposed.
-    pub(super) fn add_command(&mut self, ticket: Ticket, command: CommandDigest, asker: Pending) {
+    pub fn add_command(&mut self, ticket: Ticket, command: CommandDigest, asker: Pending) {
         self.tickets.insert(command, ticket);
         let entry = PendingEntry { command: Some(command), askers: vec![asker] };
         self.entries.insert(ticket, entry);
     }
 
     /// Adds a read.
-    pub(super) fn add_read(&mut self, ticket: Ticket, asker: Pending) {
+    pub fn add_read(&mut self, ticket: Ticket, asker: Pending) {
         self.entries.insert(ticket, PendingEntry { command: None, askers: vec![asker] });
     }
 
     /// Removes what has ended; returns its askers.
-    pub(super) fn take(&mut self, ticket: Ticket) -> Vec<Pending> {
+    pub fn take(&mut self, ticket: Ticket) -> Vec<Pending> {
         let Some(entry) = self.entries.remove(&ticket) else {
             return Vec::new();
         };
--- /dev/null
+++ b/crates/ledger/tests/client.rs
@@ -0,0 +1,240 @@
+//! How gateways ask: stand-ins of ledger machines count what reaches them.
+//!
+//! The times of the client are long where a slow machine could change the outcome, and
+//! stand-ins answer on events, not after times.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use calicohoist_ledger::client::{ClientTiming, LedgerClient};
+use calicohoist_ledger::commands::{Reservation, ReserveTurn};
+use calicohoist_ledger::protocol::{Answer, Ask, Question, Reply};
+use calicohoist_transport::{FrameReader, encode_frame};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+const MACHINES: usize = 3;
+const LONG: Duration = Duration::from_secs(60);
+
+/// What one stand-in has seen.
+#[derive(Default)]
+struct Seen {
+    connections: AtomicUsize,
+    reservations: AtomicUsize,
+    searches: AtomicUsize,
+}
+
+/// Stand-ins at 127.0.0.1 to 127.0.0.3 on one port.
+struct Ledger {
+    port: u16,
+    /// Position of the machine that leads; another number when none does.
+    leader: AtomicUsize,
+    seen: [Seen; MACHINES],
+    /// Searches that all machines have had.
+    searches: AtomicU32,
+    searched: Notify,
+    /// Reservations are answered once there were so many searches.
+    answers_after: AtomicU32,
+}
+
+fn address(position: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 0, 1 + u8::try_from(position).expect("few machines"))
+}
+
+fn number(position: usize) -> u32 {
+    address(position).to_bits()
+}
+
+impl Ledger {
+    async fn start(leader: usize) -> Arc<Self> {
+        let (port, listeners) = listeners().await;
+        let ledger = Arc::new(Self {
+            port,
+            leader: AtomicUsize::new(leader),
+            seen: Default::default(),
+            searches: AtomicU32::new(0),
+            searched: Notify::new(),
+            answers_after: AtomicU32::new(0),
+        });
+        for (position, listener) in listeners.into_iter().enumerate() {
+            tokio::spawn(Arc::clone(&ledger).accept(position, listener));
+        }
+        ledger
+    }
+
+    fn client(&self) -> LedgerClient {
+        let timing = ClientTiming {
+            answer_patience: Duration::from_millis(50),
+            vouched_for: Duration::ZERO,
+            most_silence: LONG,
+            search_patience: LONG,
+            ..ClientTiming::default()
+        };
+        let seeds: Vec<Ipv4Addr> = (0..MACHINES).map(address).collect();
+        LedgerClient::with_timing(&seeds, self.port, timing)
+    }
+
+    async fn accept(self: Arc<Self>, position: usize, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            self.seen[position].connections.fetch_add(1, Ordering::SeqCst);
+            tokio::spawn(Arc::clone(&self).serve(position, stream));
+        }
+    }
+
+    async fn serve(self: Arc<Self>, position: usize, stream: TcpStream) {
+        let (input, output) = stream.into_split();
+        let output = Arc::new(tokio::sync::Mutex::new(output));
+        let mut frames = FrameReader::new(input);
+        while let Ok(Ask { number, question }) = frames.next().await {
+            let ledger = Arc::clone(&self);
+            let output = Arc::clone(&output);
+            tokio::spawn(async move {
+                let answer = ledger.answer(position, question).await;
+                let frame = encode_frame(&Reply { number, answer }).expect("encodes");
+                let _ = output.lock().await.write_all(&frame).await;
+            });
+        }
+    }
+
+    async fn answer(&self, position: usize, question: Question) -> Answer {
+        let leads = self.leader.load(Ordering::SeqCst) == position;
+        if matches!(question, Question::FindLeader) {
+            self.seen[position].searches.fetch_add(1, Ordering::SeqCst);
+            self.searches.fetch_add(1, Ordering::SeqCst);
+            self.searched.notify_waiters();
+        } else if leads {
+            self.seen[position].reservations.fetch_add(1, Ordering::SeqCst);
+            self.wait_for_searches().await;
+        }
+        let machines = (0..MACHINES).map(number).collect();
+        match question {
+            Question::FindLeader if leads => Answer::Leads { machines },
+            Question::Reserve { .. } if leads => Answer::Reserved {
+                reservation: Reservation::Granted,
+                history: Vec::new(),
+                decision: None,
+                is_under_way: false,
+            },
+            _ => {
+                let leader = self.leader.load(Ordering::SeqCst);
+                let leader = (leader < MACHINES).then(|| number(leader));
+                Answer::NotLeader { leader, machines }
+            }
+        }
+    }
+
+    async fn wait_for_searches(&self) {
+        loop {
+            let searched = self.searched.notified();
+            let wanted = self.answers_after.load(Ordering::SeqCst);
+            if self.searches.load(Ordering::SeqCst) >= wanted {
+                return;
+            }
+            searched.await;
+        }
+    }
+}
+
+/// A port that is free at every address.
+async fn listeners() -> (u16, Vec<TcpListener>) {
+    loop {
+        let first = TcpListener::bind((address(0), 0)).await.expect("a port");
+        let port = first.local_addr().expect("bound").port();
+        let mut listeners = vec![first];
+        for position in 1..MACHINES {
+            let wanted = SocketAddr::from((address(position), port));
+            let Ok(listener) = TcpListener::bind(wanted).await else {
+                break;
+            };
+            listeners.push(listener);
+        }
+        if listeners.len() == MACHINES {
+            return (port, listeners);
+        }
+    }
+}
+
+fn reservation(turn: usize) -> Question {
+    let reserve = ReserveTurn {
+        program: None,
+        turn: format!("turn-{turn}"),
+        most_tokens: 10,
+        budget: u64::MAX,
+        previous: None,
+        retention_ms: 1_000,
+    };
+    Question::Reserve { reserve, placement: None }
+}
+
+async fn reserve(client: &LedgerClient, turn: usize) -> bool {
+    let answer = client.ask(&reservation(turn), Instant::now() + LONG).await;
+    matches!(answer, Ok(Answer::Reserved { .. }))
+}
+
+async fn reserve_all(client: &LedgerClient, count: usize) {
+    let turns = (0..count).map(|turn| {
+        let client = client.clone();
+        tokio::spawn(async move { reserve(&client, turn).await })
+    });
+    for turn in turns.collect::<Vec<_>>() {
+        assert!(turn.await.expect("no panic"), "every turn is reserved");
+    }
+}
+
+/// What made a slow leader collapse: whoever had no answer within 250 ms asked again, and
+/// dropped the connection with everything that waited on it.
+#[tokio::test]
+async fn a_slow_leader_is_asked_once() {
+    const TURNS: usize = 20;
+    const LEADER: usize = 1;
+    let ledger = Ledger::start(LEADER).await;
+    let client = ledger.client();
+    assert!(reserve(&client, TURNS).await);
+    // It stays silent until its followers were asked five times whether it leads.
+    let so_far = ledger.searches.load(Ordering::SeqCst);
+    ledger.answers_after.store(so_far + 5, Ordering::SeqCst);
+    reserve_all(&client, TURNS).await;
+    let seen = &ledger.seen[LEADER];
+    assert_eq!(seen.reservations.load(Ordering::SeqCst), TURNS + 1, "each turn was asked once");
+    assert_eq!(seen.connections.load(Ordering::SeqCst), 1, "over one connection");
+}
+
+/// A silent machine that the others no longer take for the leader is left.
+#[tokio::test]
+async fn a_silent_machine_that_leads_no_more_is_left() {
+    const OLD: usize = 0;
+    const NEW: usize = 2;
+    let ledger = Ledger::start(OLD).await;
+    let client = ledger.client();
+    assert!(reserve(&client, 0).await);
+    ledger.answers_after.store(u32::MAX, Ordering::SeqCst);
+    let asking = tokio::spawn({
+        let client = client.clone();
+        async move { reserve(&client, 1).await }
+    });
+    while ledger.seen[OLD].reservations.load(Ordering::SeqCst) < 2 {
+        tokio::task::yield_now().await;
+    }
+    ledger.leader.store(NEW, Ordering::SeqCst);
+    while ledger.seen[NEW].reservations.load(Ordering::SeqCst) == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    ledger.answers_after.store(0, Ordering::SeqCst);
+    ledger.searched.notify_waiters();
+    assert!(asking.await.expect("no panic"));
+}
+
+/// However many questions wait, one of them looks for the leader.
+#[tokio::test]
+async fn one_question_looks_for_the_leader_for_all() {
+    const TURNS: usize = 50;
+    let ledger = Ledger::start(2).await;
+    let client = ledger.client();
+    reserve_all(&client, TURNS).await;
+    let searches = ledger.searches.load(Ordering::SeqCst);
+    let most = u32::try_from(MACHINES).expect("few machines");
+    assert!(searches <= most, "{searches} searches for {TURNS} questions");
+}
--- /dev/null
+++ b/crates/ledger/tests/loads.rs
@@ -0,0 +1,73 @@
+//! Loads of replicas as gateways report them, and the marks of lists.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use calicohoist_ledger::protocol::ListMark;
+use calicohoist_ledger::server::list::Reading;
+use calicohoist_ledger::server::loads::LoadBoard;
+use calicohoist_routing::{Replica, ReplicaList, ReplicaState};
+
+fn replica(id: &str) -> Replica {
+    Replica {
+        id: id.to_owned(),
+        service: "models".to_owned(),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        zone: "hall".to_owned(),
+        slots: 4,
+        state: ReplicaState::Ready,
+    }
+}
+
+fn reading(ids: &[&str]) -> Reading {
+    let replicas: Vec<Replica> = ids.iter().map(|id| replica(id)).collect();
+    let mark = ListMark::of(&replicas);
+    let list = Arc::new(ReplicaList { version: 1, replicas });
+    Reading { mark, list, term: 1, read_at: None }
+}
+
+fn loads(of: &[(&str, u32)]) -> Vec<(String, u32)> {
+    of.iter().map(|(id, load)| ((*id).to_owned(), *load)).collect()
+}
+
+#[test]
+fn a_gateway_is_told_the_loads_of_all_others() {
+    let now = Instant::now();
+    let mut board = LoadBoard::default();
+    board.note("front-1", &loads(&[("a", 2), ("b", 1)]), now);
+    board.note("front-2", &loads(&[("b", 3), ("gone", 9)]), now);
+    let list = reading(&["a", "b", "c"]);
+    assert_eq!(board.of_others("front-1", &list, now), [0, 3, 0]);
+    assert_eq!(board.of_others("front-2", &list, now), [2, 1, 0]);
+    assert_eq!(board.of_others("front-3", &list, now), [2, 4, 0]);
+}
+
+#[test]
+fn loads_follow_the_order_of_the_newest_list() {
+    let now = Instant::now();
+    let mut board = LoadBoard::default();
+    board.note("front-1", &loads(&[("a", 2), ("b", 1)]), now);
+    assert_eq!(board.of_others("front-2", &reading(&["a", "b"]), now), [2, 1]);
+    assert_eq!(board.of_others("front-2", &reading(&["b", "c", "a"]), now), [1, 0, 2]);
+}
+
+#[test]
+fn old_reports_are_dropped() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(10);
+    let mut board = LoadBoard::default();
+    board.note("front-1", &loads(&[("a", 2)]), now);
+    assert_eq!(board.of_others("front-2", &reading(&["a"]), later), [0]);
+}
+
+#[test]
+fn equal_lists_have_equal_marks_whoever_read_them() {
+    let mark = |ids: &[&str]| reading(ids).mark;
+    assert_eq!(mark(&["a", "b"]), mark(&["a", "b"]));
+    assert_ne!(mark(&["a", "b"]), mark(&["b", "a"]));
+    assert_ne!(mark(&["a"]), mark(&["a", "b"]));
+    assert_ne!(mark(&[]), ListMark::default(), "an empty list is a list");
+    let mut leaving = replica("a");
+    leaving.state = ReplicaState::Draining;
+    assert_ne!(ListMark::of(&[leaving]), mark(&["a"]));
+}
