Bound the bytes that wait in a link between ledger machines

A follower that is slow or frozen could have 1,024 frames queued, each of up to a megabyte of entries, for each of its peers.

--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -2,6 +2,8 @@
 //! whenever it breaks.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -13,6 +15,9 @@
 
 /// Frames that may wait for a connection; more are dropped.
 const QUEUE: usize = 1_024;
+/// Bytes of frames that may wait in a link; more are dropped. A frame that finds none
+/// waiting is taken whatever its size: a snapshot may be larger.
+const QUEUE_BYTES: usize = 4 << 20;
 /// Frames written with one system call.
 const BATCH: usize = 64;
 const CONNECT_PATIENCE: Duration = Duration::from_millis(300);
@@ -24,58 +29,99 @@
 #[derive(Debug)]
 pub struct Link {
     queue: mpsc::Sender<Vec<u8>>,
+    /// Bytes of frames that are queued.
+    waiting: Arc<AtomicUsize>,
 }
 
 impl Link {
     /// Opens a link within a runtime. Every connection begins with `greeting`.
     pub fn open(address: SocketAddr, greeting: Vec<u8>) -> Self {
         let (queue, frames) = mpsc::channel(QUEUE);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let frames = LinkFrames { frames, waiting: Arc::clone(&waiting) };
         tokio::spawn(run(address, greeting, frames));
-        Self { queue }
+        Self { queue, waiting }
     }
 
     /// Queues a message; `false` when it was dropped.
     pub fn send<T: Serialize>(&self, message: &T) -> bool {
-        encode_frame(message).is_ok_and(|frame| self.queue.try_send(frame).is_ok())
+        encode_frame(message).is_ok_and(|frame| self.send_frame(frame))
+    }
+
+    fn send_frame(&self, frame: Vec<u8>) -> bool {
+        let bytes = frame.len();
+        let before = self.waiting.fetch_add(bytes, Ordering::Relaxed);
+        let has_room = before == 0 || before + bytes <= QUEUE_BYTES;
+        let is_queued = has_room && self.queue.try_send(frame).is_ok();
+        if !is_queued {
+            self.waiting.fetch_sub(bytes, Ordering::Relaxed);
+        }
+        is_queued
+    }
+}
+
+/// The receiving end of a link's queue.
+struct LinkFrames {
+    frames: mpsc::Receiver<Vec<u8>>,
+    waiting: Arc<AtomicUsize>,
+}
+
+impl LinkFrames {
+    /// Waits for frames and takes up to [`BATCH`] of them; none once the link is gone.
+    async fn take(&mut self) -> Vec<Vec<u8>> {
+        let mut taken = Vec::new();
+        self.frames.recv_many(&mut taken, BATCH).await;
+        let bytes = taken.iter().map(Vec::len).sum();
+        self.waiting.fetch_sub(bytes, Ordering::Relaxed);
+        taken
+    }
+
+    /// Drops what waits: it is out of date.
+    fn drop_all(&mut self) {
+        while let Ok(frame) = self.frames.try_recv() {
+            self.waiting.fetch_sub(frame.len(), Ordering::Relaxed);
+        }
     }
 }
 
 /// Connects when there is something to send, so that links to machines that are
 /// gone cost nothing.
-async fn run(address: SocketAddr, greeting: Vec<u8>, mut frames: mpsc::Receiver<Vec<u8>>) {
-    while let Some(first) = frames.recv().await {
+async fn run(address: SocketAddr, greeting: Vec<u8>, mut frames: LinkFrames) {
+    loop {
+        let first = frames.take().await;
+        if first.is_empty() {
+            return;
+        }
         match tcp::connect(address, CONNECT_PATIENCE, USER_TIMEOUT).await {
             Ok(mut stream) => {
-                let opening = [greeting.as_slice(), first.as_slice()].concat();
-                if stream.write_all(&opening).await.is_ok() {
-                    write_until_broken(&mut stream, &mut frames).await;
+                let opening = [greeting.as_slice(), &first.concat()].concat();
+                let mut written = stream.write_all(&opening).await;
+                while written.is_ok() {
+                    let batch = frames.take().await;
+                    if batch.is_empty() {
+                        return;
+                    }
+                    written = stream.write_all(&batch.concat()).await;
                 }
             }
             Err(_) => tokio::time::sleep(RECONNECT_PAUSE).await,
         }
-        // What waited is out of date by now.
-        while frames.try_recv().is_ok() {}
-    }
-}
-
-/// Writes queued frames, several at a time, until the queue closes or a write fails.
-async fn write_until_broken(
-    output: &mut (impl AsyncWrite + Unpin),
-    frames: &mut mpsc::Receiver<Vec<u8>>,
-) {
-    let mut batch = Vec::with_capacity(BATCH);
-    while frames.recv_many(&mut batch, BATCH).await > 0 {
-        let bytes = batch.concat();
-        batch.clear();
-        if output.write_all(&bytes).await.is_err() {
-            return;
-        }
+        frames.drop_all();
     }
 }
 
-/// A queue whose frames are written to `output` by a task of their own.
+/// A queue whose frames are written to `output`, several at a time, by a task of their own.
 pub fn spawn_writer(mut output: impl AsyncWrite + Unpin + Send + 'static) -> mpsc::Sender<Vec<u8>> {
     let (queue, mut frames) = mpsc::channel(QUEUE);
-    tokio::spawn(async move { write_until_broken(&mut output, &mut frames).await });
+    tokio::spawn(async move {
+        let mut batch: Vec<Vec<u8>> = Vec::with_capacity(BATCH);
+        while frames.recv_many(&mut batch, BATCH).await > 0 {
+            let bytes = batch.concat();
+            batch.clear();
+            if output.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    });
     queue
 }
