Serve callers by their keys; keep tenants, and headers that are not theirs, apart

Change: - A configuration holds tenants with keys, priority and limit; two tenants with one key, a name that stands twice or cannot be a header's value, and a limit that is no amount are findings. - A gateway hashes keys with a secret of its process (blake3, keyed) and forgets their text. A request without a known key is answered 401 at once, except on public routes; one that comes before the first configuration still gets 503.

--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use calicohoist_ledger::client::LedgerClient;
-use calicohoist_routing::{CostWeights, RouteTable};
+use calicohoist_routing::{CostWeights, KeySecret, RouteTable};
 use tokio::sync::{Semaphore, watch};
 
 use crate::dialect::Dialect;
@@ -28,6 +28,8 @@
     pub pool: Pool,
     /// Costs in the choice of a replica.
     pub weights: CostWeights,
+    /// Hashes the keys of callers.
+    pub key_secret: KeySecret,
     table: watch::Sender<Option<Arc<RouteTable>>>,
     /// Places for requests that wait for the first table.
     table_waiters: Semaphore,
@@ -47,6 +49,7 @@
             fleet,
             pool: Pool::default(),
             weights: CostWeights::default(),
+            key_secret: KeySecret::new(rand::random()),
             table: watch::Sender::new(None),
             table_waiters: Semaphore::new(MAX_TABLE_WAITERS),
             has_list: AtomicBool::new(false),
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -4,10 +4,11 @@
 
 use std::time::Duration;
 
-use calicohoist_routing::Configuration;
+use calicohoist_routing::{Configuration, Credential};
 use calicohoist_scheduler::PromptPart;
 use calicohoist_types::Findings;
 use hyper::HeaderMap;
+use hyper::header::HeaderName;
 
 /// What a caller says about its request, beside method, path and body.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -32,6 +33,8 @@
     pub previous_turn: Option<String>,
     /// The last event that the caller has, when it takes up a broken stream.
     pub last_event: Option<String>,
+    /// The object that the request concerns.
+    pub object: Option<String>,
 }
 
 /// What a gateway tells a replica.
@@ -43,6 +46,19 @@
     pub replica: &'a str,
     /// Continue a stream after this event.
     pub last_event: Option<&'a str>,
+    /// The tenant that sent the request.
+    pub tenant: Option<&'a str>,
+}
+
+/// Who decides the value of a header that reaches a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeaderOwner {
+    /// Whoever sent the request. What nobody knows is the caller's, too.
+    Caller,
+    /// The gateway: a caller's value is dropped.
+    Gateway,
+    /// One connection: it is not passed on.
+    Connection,
 }
 
 /// What a replica says about its answer.
@@ -62,6 +78,15 @@
     /// Everything that is wrong with it.
     fn parse_configuration(&self, document: &[u8]) -> Result<Configuration, Findings>;
 
+    /// What a request shows of whom it comes from.
+    fn read_credential(&self, headers: &HeaderMap) -> Credential;
+
+    /// Who decides the value of a header that reaches a replica.
+    fn owner_of(&self, header: &HeaderName) -> HeaderOwner;
+
+    /// Removes what only the gateway may know of whom a request comes from.
+    fn remove_credential(&self, headers: &mut HeaderMap);
+
     /// Reads a request's headers.
     ///
     /// # Errors
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -5,21 +5,34 @@
 
 use bytes::Bytes;
 use calicohoist_routing::select::Affinity;
-use calicohoist_routing::{Route, RouteKind, RouteTable, Service, stable_hash};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use calicohoist_routing::{Route, RouteKind, RouteTable, Service, Tenant, stable_hash};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
 
 use crate::dialect::CallHead;
 
+/// Stands between a tenant's name and a name of its own. It can stand in neither: names of
+/// tenants are checked, and others come from headers.
+const SCOPE_SEPARATOR: char = '\u{1f}';
+
+/// A request that may come in: where it goes, on which terms, and whose it is.
+pub struct Admission {
+    /// The routes that were in force when it came.
+    pub table: Arc<RouteTable>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Whose it is.
+    pub tenant: Option<Arc<Tenant>>,
+}
+
 /// A request that was read whole.
 pub struct Call {
     /// The routes that were in force when it came.
     pub table: Arc<RouteTable>,
     /// Its route.
     pub route: Arc<Route>,
+    /// Whose it is; `None` where no key is needed and none was shown.
+    pub tenant: Option<Arc<Tenant>>,
     /// What its caller says about it.
     pub head: CallHead,
     /// Its method.
@@ -37,31 +50,50 @@
 }
 
 impl Call {
-    /// A request on `route`.
+    /// A request of `admission` with its headers read as `head`.
     pub fn new(
-        table: Arc<RouteTable>,
-        route: Arc<Route>,
+        admission: Admission,
         head: CallHead,
         parts: Parts,
         body: Bytes,
         received: Instant,
     ) -> Self {
+        let Admission { table, route, tenant } = admission;
         let patience = head.deadline.map_or(route.timeout, |own| own.min(route.timeout));
-        let mut headers = parts.headers;
-        remove_connection_headers(&mut headers);
         Self {
             table,
             route,
+            tenant,
             head,
             method: parts.method,
             uri: parts.uri,
-            headers,
+            headers: parts.headers,
             body,
             received,
             deadline: received + patience,
         }
     }
 
+    /// Name of the tenant.
+    pub fn tenant_name(&self) -> Option<&str> {
+        self.tenant.as_ref().map(|tenant| tenant.id.as_str())
+    }
+
+    /// A program's or turn's name as the ledger knows it. Each tenant has names of its own,
+    /// so that another tenant's turn is as unknown as one that never was.
+    pub fn scoped(&self, name: &str) -> String {
+        match self.tenant_name() {
+            Some(tenant) => format!("{tenant}{SCOPE_SEPARATOR}{name}"),
+            None => name.to_owned(),
+        }
+    }
+
+    /// Rank among requests; 0 is the most urgent.
+    pub fn priority(&self) -> u8 {
+        let own = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -96,26 +128,3 @@
         Affinity { key: key.map(|key| stable_hash(&[key.as_bytes()])), tokens }
     }
 }
-
-/// Headers that concern one connection only.
-const CONNECTION_HEADERS: [HeaderName; 6] =
-    [CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
-
-/// Drops what concerns one connection only, and what `Connection` names.
-pub fn remove_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        headers.remove(name.as_str());
-    }
-    for name in CONNECTION_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-}
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -95,6 +95,7 @@
         request_id: &call.head.request_id,
         body: payload.body.clone(),
         last_event: payload.last_event.as_deref(),
+        tenant: call.tenant_name(),
         deadline: call.deadline,
     };
     loop {
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -1,11 +1,12 @@
 //! The way of one request.
 //!
-//! [`handle`] decides what it is; [`dispatch`] finds a replica that runs it; [`plain`]
+//! [`handle`] decides what it is and whose; [`dispatch`] finds a replica that runs it; [`plain`]
 //! and [`stream`] carry the answer; [`turn`] keeps accounts and histories of programs.
 
 mod answer;
 mod call;
 mod dispatch;
+mod headers;
 mod plain;
 mod refusal;
 mod stream;
@@ -15,18 +16,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_routing::{Limits, RouteKind};
+use calicohoist_routing::{Credential, Limits, Route, RouteKind, RouteTable, Tenant};
 use calicohoist_telemetry::metrics::Times;
 use calicohoist_telemetry::{Event, emit};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
-use hyper::{Request, Response};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Request, Response};
 
 use crate::app::App;
 pub use answer::{AnswerBody, BodyError};
-use call::Call;
-use refusal::Refusal;
+use call::{Admission, Call};
+use refusal::{KeyProblem, Refusal};
 
 /// Longest time that a request's body may take.
 const BODY_PATIENCE: Duration = Duration::from_secs(5);
@@ -88,6 +90,7 @@
         Event::RequestTaken;
         request = call.head.request_id,
         program = call.head.program.as_deref().unwrap_or("-"),
+        tenant = call.tenant_name().unwrap_or("-"),
         route = call.route.name,
         configuration = call.table.version(),
         bytes = call.body.len(),
@@ -133,18 +136,53 @@
     request: Request<Incoming>,
     received: Instant,
 ) -> Result<Call, (String, Refusal)> {
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let unnamed = |refusal| ("-".to_owned(), refusal);
-    let table = app.wait_for_table(CONFIGURATION_PATIENCE).await;
-    let table = table.ok_or_else(|| unnamed(Refusal::NoConfiguration))?;
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let route = table.find(host, parts.uri.path()).cloned();
-    let route = route.ok_or_else(|| unnamed(Refusal::NoRoute))?;
+    let admission = admit(app, &mut parts).await.map_err(unnamed)?;
     let head = app.dialect().read_call(&parts.headers);
     let head = head.map_err(|findings| unnamed(Refusal::Malformed(findings)))?;
+    headers::keep_callers(app.dialect(), &mut parts.headers);
     let id = head.request_id.clone();
-    let body = read_body(body, table.limits()).await.map_err(|refusal| (id, refusal))?;
-    Ok(Call::new(table, route, head, parts, body, received))
+    let limits = admission.table.limits();
+    let body = read_body(body, limits).await.map_err(|refusal| (id, refusal))?;
+    Ok(Call::new(admission, head, parts, body, received))
+}
+
+/// Finds where a request goes and whose it is. A key goes no further than this.
+async fn admit(app: &App, parts: &mut Parts) -> Result<Admission, Refusal> {
+    let table = app.wait_for_table(CONFIGURATION_PATIENCE).await;
+    let table = table.ok_or(Refusal::NoConfiguration)?;
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = table.find(host, parts.uri.path()).cloned().ok_or(Refusal::NoRoute)?;
+    let tenant = find_tenant(app, &table, &route, &mut parts.headers)?;
+    Ok(Admission { table, route, tenant })
+}
+
+/// The tenant that holds the key of a request. Without any tenant in the configuration,
+/// requests need no key, and what looks like one is a header like others.
+fn find_tenant(
+    app: &App,
+    table: &RouteTable,
+    route: &Route,
+    headers: &mut HeaderMap,
+) -> Result<Option<Arc<Tenant>>, Refusal> {
+    if table.keys().is_empty() {
+        return Ok(None);
+    }
+    let credential = app.dialect().read_credential(headers);
+    app.dialect().remove_credential(headers);
+    let problem = match credential {
+        Credential::Missing => KeyProblem::Missing,
+        Credential::Unreadable => KeyProblem::Unreadable,
+        Credential::Key(key) => match table.keys().holder(&key) {
+            Some(tenant) => return Ok(Some(Arc::clone(tenant))),
+            None => KeyProblem::Unknown,
+        },
+    };
+    if route.is_public {
+        return Ok(None);
+    }
+    Err(Refusal::Unauthorized { problem, configuration: table.version() })
 }
 
 async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, Refusal> {
--- a/crates/proxy/src/flow/plain.rs
+++ b/crates/proxy/src/flow/plain.rs
@@ -10,8 +10,9 @@
 use hyper::Response;
 
 use super::answer::AnswerBody;
-use super::call::{Call, remove_connection_headers};
+use super::call::Call;
 use super::dispatch::{Payload, Trail, dispatch};
+use super::headers::remove_connection_headers;
 use super::refusal::Refusal;
 use crate::app::App;
 use crate::upstream::Exchange;
@@ -68,7 +69,7 @@
     let mut response = Response::new(body);
     *response.status_mut() = exchange.response.status();
     *response.headers_mut() = std::mem::take(exchange.response.headers_mut());
-    remove_connection_headers(response.headers_mut());
+    remove_connection_headers(app.dialect(), response.headers_mut());
     exchange.finish(&app.pool);
     Ok(response)
 }
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use calicohoist_types::Findings;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 
 use super::answer::AnswerBody;
@@ -21,6 +21,14 @@
     /// No route has this host and path.
     #[error("no route")]
     NoRoute,
+    /// Nobody is known to hold the key that the request shows.
+    #[error("unauthorized: {problem}, configuration {configuration}")]
+    Unauthorized {
+        /// What is wrong with it.
+        problem: KeyProblem,
+        /// Version of the configuration that says so.
+        configuration: u64,
+    },
     /// Headers cannot be accepted.
     #[error("malformed: {0}")]
     Malformed(Findings),
@@ -55,6 +63,20 @@
     Deadline,
 }
 
+/// What is wrong with the key of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyProblem {
+    /// There is none.
+    #[error("no key")]
+    Missing,
+    /// It cannot be read.
+    #[error("unreadable key")]
+    Unreadable,
+    /// Nobody holds it.
+    #[error("unknown key")]
+    Unknown,
+}
+
 /// Why a request did not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NotRunReason {
@@ -83,6 +105,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NoRoute => "no_route",
+            Self::Unauthorized { .. } => "unauthorized",
             Self::Malformed(_) => "malformed",
             Self::BodyTooLarge | Self::BodyCut | Self::BodyTooSlow => "bad_body",
             Self::BudgetSpent => "budget_spent",
@@ -97,6 +120,7 @@
         match self {
             Self::NoConfiguration | Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute | Self::NoSuchTurn => StatusCode::NOT_FOUND,
+            Self::Unauthorized { .. } => StatusCode::UNAUTHORIZED,
             Self::Malformed(_) | Self::BodyCut => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
@@ -122,6 +146,9 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+        if matches!(self, Self::Unauthorized { .. }) {
+            headers.insert(WWW_AUTHENTICATE, hyper::header::HeaderValue::from_static("Bearer"));
+        }
         if let Some(after) = self.retry_after() {
             dialect.write_retry_after(headers, after);
         }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -15,8 +15,9 @@
 use tokio::sync::mpsc;
 
 use super::answer::{AnswerBody, BodyError};
-use super::call::{Call, remove_connection_headers};
+use super::call::Call;
 use super::dispatch::{Payload, Trail, dispatch};
+use super::headers::remove_connection_headers;
 use super::plain;
 use super::refusal::Refusal;
 use super::turn::Turn;
@@ -99,7 +100,7 @@
         exchange: Exchange,
     ) -> Self {
         let mut headers = exchange.response.headers().clone();
-        remove_connection_headers(&mut headers);
+        remove_connection_headers(app.dialect(), &mut headers);
         let engine = call.service().and_then(|service| service.engine.clone());
         let last_event = payload.last_event.as_deref().and_then(|id| id.parse().ok());
         Self {
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -121,7 +121,8 @@
     async fn wait_for_place(&self, is_under_way: bool) -> Option<Decision> {
         let placement = placement_of(&self.app, &self.call)?;
         let placement = PlacementRequest { is_under_way, ..placement };
-        let question = Question::Place { turn: self.call.head.request_id.clone(), placement };
+        let question =
+            Question::Place { turn: self.call.scoped(&self.call.head.request_id), placement };
         let began = Instant::now();
         let deadline = self.call.deadline.min(began + PLACE_PATIENCE);
         let decision = match self.app.ledger.ask(&question, deadline).await {
@@ -168,7 +169,7 @@
     fn settlement(&self, retained: Option<RetainedTurn>) -> SettleTurn {
         SettleTurn {
             program: account_of(&self.call),
-            turn: self.call.head.request_id.clone(),
+            turn: self.call.scoped(&self.call.head.request_id),
             used_tokens: self.used_tokens,
             retention_ms: millis(self.call.route.retention),
             retained,
@@ -208,7 +209,7 @@
             return Ok(());
         }
         let retained = RetainedTurn {
-            previous: self.call.head.previous_turn.clone(),
+            previous: scoped_previous(&self.call),
             input: self.call.body.to_vec(),
             output: std::mem::take(&mut self.output),
         };
@@ -302,10 +303,10 @@
 fn reserve_of(call: &Call) -> ReserveTurn {
     ReserveTurn {
         program: account_of(call),
-        turn: call.head.request_id.clone(),
+        turn: call.scoped(&call.head.request_id),
         most_tokens: call.head.most_tokens,
         budget: call.head.budget.unwrap_or(u64::MAX),
-        previous: call.head.previous_turn.clone().filter(|_| call.route.retain),
+        previous: scoped_previous(call).filter(|_| call.route.retain),
         retention_ms: millis(call.route.retention),
     }
 }
@@ -322,12 +323,18 @@
         memory_tokens: engine.memory_tokens,
         left_ms: millis(call.left()),
         finish_ms: call.finish_left().map(millis),
-        priority: call.route.priority,
+        priority: call.priority(),
         is_under_way: false,
     })
 }
 
 /// The program whose account is charged; a turn without a budget has none.
 fn account_of(call: &Call) -> Option<String> {
-    call.head.program.clone().filter(|_| call.head.budget.is_some())
+    let program = call.head.program.as_deref().filter(|_| call.head.budget.is_some());
+    program.map(|program| call.scoped(program))
+}
+
+/// The turn that a turn continues from.
+fn scoped_previous(call: &Call) -> Option<String> {
+    call.head.previous_turn.as_deref().map(|previous| call.scoped(previous))
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,5 +23,5 @@
 pub mod upstream;
 
 pub use app::App;
-pub use dialect::{AnswerHead, CallHead, Dialect, OutgoingHead};
+pub use dialect::{AnswerHead, CallHead, Dialect, HeaderOwner, OutgoingHead};
 pub use settings::ProxySettings;
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -80,7 +80,7 @@
     fn apply(&self, version: u64, document: &[u8]) {
         match self.app.dialect().parse_configuration(document) {
             Ok(configuration) => {
-                if self.app.put_table(RouteTable::new(configuration)) {
+                if self.app.put_table(RouteTable::new(configuration, &self.app.key_secret)) {
                     emit!(Event::ConfigurationApplied; version = version);
                 }
             }
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -29,6 +29,8 @@
     pub body: Bytes,
     /// Continue a stream after this event.
     pub last_event: Option<&'a str>,
+    /// The tenant that sent it.
+    pub tenant: Option<&'a str>,
     /// Until when the caller waits; the replica is told what is left.
     pub deadline: Instant,
 }
@@ -143,7 +145,8 @@
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
     let left = outgoing.deadline.saturating_duration_since(Instant::now());
-    let head = OutgoingHead { deadline: left, replica, last_event: outgoing.last_event };
+    let Outgoing { last_event, tenant, .. } = *outgoing;
+    let head = OutgoingHead { deadline: left, replica, last_event, tenant };
     dialect.write_call(request.headers_mut(), &head);
     request
 }
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -5,6 +5,8 @@
 
 use calicohoist_types::{Finding, Findings};
 
+use crate::tenant::{self, Tenant};
+
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -53,6 +55,10 @@
     pub retention: Duration,
     /// Whether a broken stream may be continued from its last event.
     pub resumable: bool,
+    /// Whether requests need no key.
+    pub is_public: bool,
+    /// Whether a replica serves a request faster that has seen its object lately.
+    pub is_sticky: bool,
 }
 
 impl Route {
@@ -137,6 +143,8 @@
     pub services: Vec<Service>,
     /// Bounds on callers.
     pub limits: Limits,
+    /// Who may send requests; without any, requests need no key.
+    pub tenants: Vec<Tenant>,
 }
 
 impl Configuration {
@@ -144,7 +152,8 @@
     ///
     /// # Errors
     /// When a route names an unknown service, shares its place with another, has no
-    /// weight or no time, or a name stands twice.
+    /// weight or no time, a name stands twice, two tenants share a key, or a limit is no
+    /// amount.
     pub fn validate(&self) -> Result<(), Findings> {
         let mut found = Vec::new();
         self.check_services(&mut found);
@@ -160,6 +169,7 @@
                 ));
             }
         }
+        tenant::check(&self.tenants, &mut found);
         Findings::into_result(found)
     }
 
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -4,20 +4,22 @@
 use std::sync::Arc;
 
 use crate::configuration::{Configuration, Limits, Route, Service};
+use crate::tenant::{KeyRing, KeySecret};
 
 /// A configuration, indexed for look-ups.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RouteTable {
     version: u64,
     limits: Limits,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<String, Arc<Service>>,
+    keys: KeyRing,
 }
 
 impl RouteTable {
-    /// Indexes a valid configuration.
-    pub fn new(configuration: Configuration) -> Self {
+    /// Indexes a valid configuration; its keys are hashed with `secret`.
+    pub fn new(configuration: Configuration, secret: &KeySecret) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in configuration.routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -32,6 +34,7 @@
             limits: configuration.limits,
             hosts,
             services: services.collect(),
+            keys: KeyRing::new(configuration.tenants, secret),
         }
     }
 
@@ -45,6 +48,11 @@
         self.limits
     }
 
+    /// Whose keys are whose.
+    pub fn keys(&self) -> &KeyRing {
+        &self.keys
+    }
+
     /// The route with the longest prefix of `path` among those of `host`.
     ///
     /// `host` may carry a port and `path` a query; both are ignored.
--- a/crates/routing/tests/configuration.rs
+++ b/crates/routing/tests/configuration.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use calicohoist_routing::{
-    Backend, Configuration, Limits, Route, RouteKind, RouteTable, Service, stable_hash,
+    Backend, Configuration, KeySecret, Route, RouteKind, RouteTable, Service, stable_hash,
 };
 
 fn route(name: &str, host: &str, prefix: &str, backends: &[(&str, u32)]) -> Route {
@@ -24,6 +24,8 @@
         retain: false,
         retention: Duration::from_secs(60),
         resumable: false,
+        is_public: false,
+        is_sticky: false,
     }
 }
 
@@ -33,7 +35,7 @@
 
 fn configuration(routes: Vec<Route>) -> Configuration {
     let services = vec![service("a"), service("b")];
-    Configuration { version: 1, routes, services, limits: Limits::default() }
+    Configuration { version: 1, routes, services, ..Configuration::default() }
 }
 
 #[test]
@@ -70,11 +72,12 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
-    let table = RouteTable::new(configuration(vec![
+    let routes = vec![
         route("short", "h", "/a/", &[("a", 1)]),
         route("long", "h", "/a/b/", &[("a", 1)]),
         route("other host", "i", "/a/b/c/", &[("a", 1)]),
-    ]));
+    ];
+    let table = RouteTable::new(configuration(routes), &KeySecret::new([7; 32]));
     let name = |host, path| table.find(host, path).map(|route| route.name.as_str());
     assert_eq!(name("h", "/a/x"), Some("short"));
     assert_eq!(name("h:8080", "/a/b/x?q=/a/"), Some("long"));
--- /dev/null
+++ b/crates/routing/tests/tenant.rs
@@ -0,0 +1,105 @@
+//! Keys belong to one tenant each, are found by their hash alone and are never shown.
+
+use std::collections::BTreeMap;
+
+use calicohoist_routing::{ApiKey, Configuration, KeyRing, KeySecret, RateLimit, Tenant};
+use calicohoist_types::TenantId;
+use proptest::prelude::*;
+
+fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    Tenant {
+        id: TenantId::new(name),
+        keys: keys.iter().map(|key| ApiKey::new(*key)).collect(),
+        priority: None,
+        limit: None,
+    }
+}
+
+fn limited(name: &str, per_second: f64, burst: f64) -> Tenant {
+    Tenant { limit: Some(RateLimit { per_second, burst }), ..tenant(name, &[]) }
+}
+
+fn fields_found(tenants: Vec<Tenant>) -> Vec<String> {
+    let configuration = Configuration { version: 1, tenants, ..Configuration::default() };
+    let findings = configuration.validate().expect_err("findings").0;
+    findings.into_iter().map(|finding| finding.place.field).collect()
+}
+
+#[test]
+fn everything_wrong_with_tenants_is_reported_at_once() {
+    let fields = fields_found(vec![
+        tenant("first", &["one", "two", "one"]),
+        tenant("second", &["three", "two"]),
+        tenant("first", &[]),
+        tenant("two words", &[]),
+        limited("negative", -1.0, 0.0),
+        limited("none", f64::NAN, 0.0),
+        limited("endless", 1.0, f64::INFINITY),
+    ]);
+    let expected = [
+        "tenants[1].api_keys",
+        "tenants[2].name",
+        "tenants[3].name",
+        "tenants[4].limit",
+        "tenants[5].limit",
+        "tenants[6].limit",
+    ];
+    assert_eq!(fields, expected);
+}
+
+#[test]
+fn large_limits_small_bursts_and_a_key_named_twice_by_one_tenant_are_fine() {
+    let tenants = vec![
+        tenant("first", &["one", "one"]),
+        limited("large", 1e12, 1e12),
+        limited("burstless", 5.0, 0.0),
+        limited("half", 0.5, 0.5),
+    ];
+    let configuration = Configuration { version: 1, tenants, ..Configuration::default() };
+    assert_eq!(configuration.validate(), Ok(()));
+}
+
+#[test]
+fn no_text_shows_a_key() {
+    let shown = tenant("first", &["very-secret"]);
+    assert!(!format!("{shown:?}").contains("very-secret"));
+    let secret = KeySecret::new([42; 32]);
+    let ring = KeyRing::new(vec![shown], &secret);
+    let text = format!("{ring:?} {secret:?}");
+    assert!(!text.contains("very-secret"));
+    assert!(!text.contains("42"));
+}
+
+#[test]
+fn fifty_thousand_tenants_are_held_and_found() {
+    let named = |number: u32| tenant(&format!("t{number}"), &[&format!("key-{number}")]);
+    let ring = KeyRing::new((0..50_000).map(named).collect(), &KeySecret::new([1; 32]));
+    assert_eq!(ring.len(), 50_000);
+    let holder = ring.holder(&ApiKey::new("key-49999")).expect("a holder");
+    assert_eq!(holder.id.as_str(), "t49999");
+    assert!(ring.holder(&ApiKey::new("key-50000")).is_none());
+}
+
+proptest! {
+    /// Whatever keys are held, each is found at its tenant and no other text is.
+    #[test]
+    fn a_key_leads_to_its_holder_only(
+        keys in proptest::collection::btree_map("[a-z0-9]{1,12}", 0_usize..5, 0..20),
+        other in "[a-z0-9 ]{0,13}",
+        secret in any::<[u8; 32]>(),
+    ) {
+        let mut held: BTreeMap<usize, Vec<&str>> = BTreeMap::new();
+        for (key, holder) in &keys {
+            held.entry(*holder).or_default().push(key);
+        }
+        let tenants = held.iter().map(|(holder, keys)| tenant(&format!("t{holder}"), keys));
+        let ring = KeyRing::new(tenants.collect(), &KeySecret::new(secret));
+        for (key, holder) in &keys {
+            let found = ring.holder(&ApiKey::new(key.as_str())).expect("a holder");
+            prop_assert_eq!(found.id.as_str(), format!("t{holder}"));
+        }
+        if !keys.contains_key(&other) {
+            prop_assert!(ring.holder(&ApiKey::new(other.as_str())).is_none());
+        }
+    }
+}
