Keep tenants within their limits, over all gateways together

Change: a crate of its own, `limiter`, without sockets and clocks. A turn asks along with its reservation and brings as many permits as requests have followed a turn lately; a request without one asks once, with a quorum confirmed. A new leader begins with part of a bucket, so that two changes of leader in a window exceed nothing. An attempt that may have run counts, a further one needs a permit of its own. A tenant that presses on its limit begins fewer programs, so that those under way end whole; whoever is refused gets a time of its own to come back.

Ruled out: a counter owned by one machine for each tenant (a way more for each tool call and one more thing to lose); letting requests through while no leader is known (a cut-off gateway would exceed every limit).

--- a/crates/ledger/src/client/timing.rs
+++ b/crates/ledger/src/client/timing.rs
@@ -55,9 +55,10 @@
         match question {
             Question::Watch(_) => self.watch_patience,
             Question::Place { .. } => self.place_patience,
-            Question::Reserve { .. } | Question::Settle { .. } | Question::FindLeader => {
-                self.answer_patience
-            }
+            Question::Reserve { .. }
+            | Question::Permit(_)
+            | Question::Settle { .. }
+            | Question::FindLeader => self.answer_patience,
         }
     }
 }
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 
+use calicohoist_limiter::{PermitAnswer, PermitRequest};
 use calicohoist_routing::{Replica, ReplicaList};
 use calicohoist_scheduler::{Decision, PlacementRequest};
 use serde::{Deserialize, Serialize};
@@ -38,7 +39,11 @@
         reserve: ReserveTurn,
         /// Where it may run; `None` when it needs no place.
         placement: Option<PlacementRequest>,
+        /// Asks for its permit; `None` without a limit.
+        permit: Option<PermitRequest>,
     },
+    /// May a request run that makes no reservation?
+    Permit(PermitRequest),
     /// Where does this turn run, whose reservation was granted? Held while it waits.
     Place {
         /// The turn.
@@ -107,7 +112,11 @@
         decision: Option<Decision>,
         /// Whether its program has begun with an earlier turn.
         is_under_way: bool,
+        /// Whether its tenant's limit lets it run; `None` without a limit.
+        permit: Option<PermitAnswer>,
     },
+    /// Whether a tenant's limit lets a request run.
+    Permit(PermitAnswer),
     /// When and where a turn runs.
     Placed(Decision),
     /// The end of the turn is durable.
--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use calicohoist_limiter::{PermitAnswer, PermitRequest, Purpose};
 use calicohoist_scheduler::PlacementRequest;
 use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
+use super::limits::LimitDesk;
 use super::list::Reading;
 use super::loads::LoadBoard;
 use super::replica::{ReplicaHandle, Request, Response, Standing};
@@ -34,6 +36,8 @@
     loads: Arc<Mutex<LoadBoard>>,
     /// Turns of programs; of use on the leader only, which alone grants reservations.
     turns: Arc<TurnDesk>,
+    /// Limits of tenants; of use on the leader only.
+    limits: Arc<LimitDesk>,
 }
 
 impl Hub {
@@ -43,8 +47,9 @@
         standing: watch::Receiver<Standing>,
         list: watch::Receiver<Reading>,
         turns: Arc<TurnDesk>,
+        limits: Arc<LimitDesk>,
     ) -> Self {
-        Self { replica, standing, list, loads: Arc::default(), turns }
+        Self { replica, standing, list, loads: Arc::default(), turns, limits }
     }
 
     fn not_leader(&self, leader: Option<u32>) -> Answer {
@@ -141,7 +146,10 @@
     while let Ok(Ask { number, question }) = frames.next().await {
         let back = Back { number, replies: replies.clone() };
         match question {
-            Question::Reserve { reserve, placement } => hub.reserve(reserve, placement, back),
+            Question::Reserve { reserve, placement, permit } => {
+                hub.reserve(reserve, placement, permit, back);
+            }
+            Question::Permit(permit) => hub.permit(permit, back),
             Question::Place { turn, placement } => hub.place(turn, placement, back),
             Question::Settle(settle) => hub.settle(settle, back),
             Question::FindLeader => {
@@ -157,28 +165,70 @@
 }
 
 impl Hub {
-    /// Reserves, and decides when and where the turn runs once that is granted.
-    fn reserve(&self, reserve: ReserveTurn, placement: Option<PlacementRequest>, back: Back) {
+    /// Reserves, and decides whether, when and where the turn runs once that is granted.
+    fn reserve(
+        &self,
+        reserve: ReserveTurn,
+        placement: Option<PlacementRequest>,
+        permit: Option<PermitRequest>,
+        back: Back,
+    ) {
+        if let Some(refusal) = permit.as_ref().and_then(|permit| self.refuse_early(permit)) {
+            return back.send(refusal);
+        }
         let hub = self.clone();
         let turn = reserve.turn.clone();
+        let program = reserve.program.clone();
         let respond = Box::new(move |response| {
             let mut answer = hub.answer(response);
             if let Answer::Reserved {
                 reservation: Reservation::Granted,
                 decision,
                 is_under_way,
+                permit: permitted,
                 ..
             } = &mut answer
-                && let Some(mut placement) = placement
             {
-                placement.is_under_way = *is_under_way;
-                *decision = Some(hub.turns.arrive(hub.term(), &turn, placement, &hub.reading()));
+                let purpose = match &program {
+                    Some(program) if *is_under_way => Purpose::GoOn(program),
+                    Some(program) => Purpose::Begin(program),
+                    None => Purpose::Single,
+                };
+                *permitted = permit.map(|permit| hub.limits.issue(hub.term(), &permit, purpose));
+                let may_run = !matches!(permitted, Some(PermitAnswer::OverLimit(_)));
+                if let Some(mut placement) = placement.filter(|_| may_run) {
+                    placement.is_under_way = *is_under_way;
+                    let decided = hub.turns.arrive(hub.term(), &turn, placement, &hub.reading());
+                    *decision = Some(decided);
+                }
             }
             back.send(answer);
         });
         self.replica.ask(Request::Reserve(reserve), respond);
     }
 
+    /// The answer to a turn whose tenant has nothing left, without a reservation.
+    fn refuse_early(&self, permit: &PermitRequest) -> Option<Answer> {
+        let standing = self.standing.borrow();
+        let term = standing.is_leader.then_some(standing.term)?;
+        self.limits.refuse_early(term, permit).map(Answer::Permit)
+    }
+
+    /// Issues a permit once a quorum is known to stand behind this machine: one that was
+    /// deposed must not issue what its successor issues again.
+    fn permit(&self, permit: PermitRequest, back: Back) {
+        let hub = self.clone();
+        let respond = Box::new(move |response| {
+            back.send(match response {
+                Response::Leads(term) => {
+                    Answer::Permit(hub.limits.issue(term, &permit, Purpose::Single))
+                }
+                response => hub.answer(response),
+            });
+        });
+        self.replica.ask(Request::ConfirmLeadership, respond);
+    }
+
     /// Answers once it is decided where a turn runs.
     fn place(&self, turn: String, placement: PlacementRequest, back: Back) {
         let standing = self.standing.borrow().clone();
@@ -208,7 +258,8 @@
     fn answer(&self, response: Response) -> Answer {
         match response {
             Response::Reserved { reservation, history, is_under_way } => {
-                Answer::Reserved { reservation, history, decision: None, is_under_way }
+                let (decision, permit) = (None, None);
+                Answer::Reserved { reservation, history, decision, is_under_way, permit }
             }
             Response::Changed(Output::Done) => Answer::Settled,
             Response::NotLeader(leader) => self.not_leader(leader),
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod control;
 pub mod gateways;
+pub mod limits;
 pub mod list;
 pub mod loads;
 pub mod peers;
@@ -19,6 +20,7 @@
 use std::time::Duration;
 
 use calicohoist_discovery::ListReader;
+use calicohoist_limiter::LimitTolerance;
 use calicohoist_replication::RaftSettings;
 use calicohoist_telemetry::{Event, emit};
 use tokio::net::TcpListener;
@@ -63,6 +65,8 @@
     pub list_interval: Duration,
     /// How operators speak.
     pub control: Arc<dyn ControlCodec>,
+    /// How exactly limits of tenants are kept.
+    pub limit_tolerance: LimitTolerance,
 }
 
 impl LedgerSettings {
@@ -146,7 +150,8 @@
     tokio::spawn(peers::send(settings.clone(), identity, frames));
     tokio::spawn(peers::accept(listeners.peers, identity, handle.clone()));
     let list = list::spawn(&settings, standing.clone());
-    let hub = gateways::Hub::new(handle.clone(), standing.clone(), list, turns);
+    let limits = Arc::new(limits::LimitDesk::new(settings.limit_tolerance));
+    let hub = gateways::Hub::new(handle.clone(), standing.clone(), list, turns, limits);
     tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
     let control = control::accept(listeners.control, settings.clone(), handle.clone(), standing);
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -236,6 +236,7 @@
             Request::ReadConfiguration { newer_than } => {
                 self.read(Pending::ReadConfiguration { newer_than, respond });
             }
+            Request::ConfirmLeadership => self.read(Pending::Confirm(respond)),
             Request::ReadRetiring(name) => self.read(Pending::ReadRetiring(name, respond)),
         }
     }
@@ -386,6 +387,7 @@
                 let held = queries::configuration(state).filter(|held| held.version > newer_than);
                 respond(Response::Configuration(held.cloned()));
             }
+            (Pending::Confirm(respond), None) => respond(Response::Leads(self.term())),
             (Pending::ReadRetiring(name, respond), None) => {
                 respond(Response::Retired(self.is_retired(state, &name)));
             }
@@ -489,7 +491,9 @@
 /// Whether whoever asked has given up by now. Ends of turns are never given up.
 fn is_overdue(request: &Request, age: Duration) -> bool {
     match request {
-        Request::Reserve(_) | Request::ReadConfiguration { .. } => age > REQUEST_PATIENCE,
+        Request::Reserve(_) | Request::ReadConfiguration { .. } | Request::ConfirmLeadership => {
+            age > REQUEST_PATIENCE
+        }
         Request::Change(_) | Request::Retire(_) | Request::ReadRetiring(_) => false,
     }
 }
--- a/crates/ledger/src/server/replica/pending.rs
+++ b/crates/ledger/src/server/replica/pending.rs
@@ -25,6 +25,8 @@
         /// Takes the response.
         respond: Respond,
     },
+    /// Wants to know that this machine leads.
+    Confirm(Respond),
     /// Wants to know whether a machine is empty.
     ReadRetiring(String, Respond),
 }
@@ -36,6 +38,7 @@
             Self::Change(respond)
             | Self::Reserve(_, respond)
             | Self::Retire(respond)
+            | Self::Confirm(respond)
             | Self::ReadConfiguration { respond, .. }
             | Self::ReadRetiring(_, respond) => respond,
         }
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -21,6 +21,8 @@
         /// The version that the asker holds; 0 for none.
         newer_than: u64,
     },
+    /// Make sure that this machine leads, with a quorum behind it.
+    ConfirmLeadership,
     /// Empty a machine.
     Retire(String),
     /// Whether a machine is empty.
@@ -47,6 +49,8 @@
     Retiring(RetiringOutcome),
     /// Whether a machine that is being emptied is empty; `None` when it is not being emptied.
     Retired(Option<bool>),
+    /// This machine leads in this term.
+    Leads(u64),
     /// Another machine leads.
     NotLeader(Option<u32>),
     /// It waited for longer than its asker does, and was not begun.
--- a/crates/ledger/tests/client.rs
+++ b/crates/ledger/tests/client.rs
@@ -117,6 +117,7 @@
                 history: Vec::new(),
                 decision: None,
                 is_under_way: false,
+                permit: None,
             },
             _ => {
                 let leader = self.leader.load(Ordering::SeqCst);
@@ -166,7 +167,7 @@
         previous: None,
         retention_ms: 1_000,
     };
-    Question::Reserve { reserve, placement: None }
+    Question::Reserve { reserve, placement: None, permit: None }
 }
 
 async fn reserve(client: &LedgerClient, turn: usize) -> bool {
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use calicohoist_ledger::client::LedgerClient;
+use calicohoist_limiter::PermitPurse;
 use calicohoist_routing::{CostWeights, KeySecret, RouteTable};
+use parking_lot::Mutex;
 use tokio::sync::{Semaphore, watch};
 
 use crate::dialect::Dialect;
@@ -28,6 +30,8 @@
     pub pool: Pool,
     /// Costs in the choice of a replica.
     pub weights: CostWeights,
+    /// Permits that tenants' limits leave to this gateway.
+    pub purse: Mutex<PermitPurse>,
     /// Hashes the keys of callers.
     pub key_secret: KeySecret,
     table: watch::Sender<Option<Arc<RouteTable>>>,
@@ -49,6 +53,7 @@
             fleet,
             pool: Pool::default(),
             weights: CostWeights::default(),
+            purse: Mutex::default(),
             key_secret: KeySecret::new(rand::random()),
             table: watch::Sender::new(None),
             table_waiters: Semaphore::new(MAX_TABLE_WAITERS),
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -12,6 +12,7 @@
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
+use super::permit::{self, Permit};
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 use crate::fleet::Member;
@@ -58,12 +59,14 @@
     refused_at: usize,
     /// The replica to begin with, while nothing speaks against it.
     placed_on: Option<String>,
+    /// Leave of the tenant's limit for the next attempt.
+    permit: Permit,
 }
 
 impl Trail {
     /// Nobody was asked yet; `placed_on` is to be asked first.
-    pub fn placed_on(replica: Option<String>) -> Self {
-        Self { placed_on: replica, ..Self::default() }
+    pub fn new(placed_on: Option<String>, permit: Permit) -> Self {
+        Self { placed_on, permit, ..Self::default() }
     }
 
     /// Notes where the request began to run.
@@ -102,6 +105,7 @@
         if call.left() < LEAST_TIME {
             return Err(out_of_time(trail));
         }
+        ensure_permit(app, call, trail).await?;
         let Some(member) = choose(app, call, &service.name, trail) else {
             return Err(nobody_left(trail));
         };
@@ -122,6 +126,7 @@
         let error = match result {
             Ok(exchange) => {
                 trail.attempts += 1;
+                trail.permit.spend();
                 return Ok(exchange);
             }
             Err(error) => error,
@@ -148,6 +153,7 @@
             ExchangeError::Unknown => {
                 member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
                 trail.attempts += 1;
+                trail.permit.spend();
                 let may_repeat = call.route.is_repeatable();
                 if !may_repeat || trail.attempts >= call.route.max_attempts {
                     return Err(Refusal::Unknown);
@@ -156,6 +162,7 @@
             ExchangeError::Deadline => {
                 member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
                 trail.attempts += 1;
+                trail.permit.spend();
                 if call.left() < LEAST_TIME {
                     return Err(Refusal::Deadline);
                 }
@@ -167,6 +174,22 @@
     }
 }
 
+/// Sees to it that the tenant's limit lets the next attempt run: each one that may run counts.
+async fn ensure_permit(app: &App, call: &Call, trail: &mut Trail) -> Result<(), Refusal> {
+    if trail.permit.holds(Instant::now()) {
+        return Ok(());
+    }
+    match permit::obtain(app, call).await {
+        Ok(permit) => {
+            trail.permit = permit;
+            Ok(())
+        }
+        // An earlier attempt may have run, so that "not run" would be a lie.
+        Err(_) if trail.attempts > 0 => Err(Refusal::Unknown),
+        Err(refusal) => Err(refusal),
+    }
+}
+
 /// Where to go next: back to where the request began, then where it was placed, else to
 /// the cheapest replica.
 fn choose(app: &App, call: &Call, service: &str, trail: &mut Trail) -> Option<Arc<Member>> {
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -1,12 +1,14 @@
 //! The way of one request.
 //!
-//! [`handle`] decides what it is and whose; [`dispatch`] finds a replica that runs it; [`plain`]
+//! [`handle`] decides what it is and whose; [`permit`] whether its tenant's limit lets it
+//! run; [`dispatch`] finds a replica that runs it; [`plain`]
 //! and [`stream`] carry the answer; [`turn`] keeps accounts and histories of programs.
 
 mod answer;
 mod call;
 mod dispatch;
 mod headers;
+mod permit;
 mod plain;
 mod refusal;
 mod stream;
--- /dev/null
+++ b/crates/proxy/src/flow/permit.rs
@@ -0,0 +1,134 @@
+//! Whether a tenant's limit lets a request run.
+//!
+//! A turn asks along with its reservation. Any other request spends a permit that a turn
+//! has brought, and asks when there is none.
+
+use std::time::{Duration, Instant};
+
+use calicohoist_ledger::{Answer, Question};
+use calicohoist_limiter::{PermitAnswer, PermitRequest};
+use calicohoist_telemetry::metrics::{Counter, Times};
+
+use super::call::Call;
+use super::refusal::{NotRunReason, Refusal};
+use crate::app::App;
+
+/// Share of the time left to a request in which the ledger may answer; the rest is for the
+/// replica.
+const ASK_SHARE: f64 = 0.6;
+/// Longest time for the ledger's answer: an election fits in.
+const ASK_PATIENCE: Duration = Duration::from_millis(1_000);
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+static PERMITS: Counter = Counter::new(
+    "calicohoist_proxy_permits_total",
+    "Permits of requests that are no turns, by where they came from",
+    "source",
+);
+static PERMIT_TIMES: Times = Times::new(
+    "calicohoist_permit_seconds",
+    "Time until the ledger answered for a permit, by outcome",
+    "outcome",
+);
+
+/// Leave of a tenant's limit for one request at one replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Permit {
+    /// There is none, or it was used.
+    #[default]
+    Missing,
+    /// The tenant has no limit.
+    Unlimited,
+    /// It holds until then.
+    Until(Instant),
+}
+
+impl Permit {
+    /// Whether a request may be sent now.
+    pub fn holds(self, now: Instant) -> bool {
+        match self {
+            Self::Missing => false,
+            Self::Unlimited => true,
+            Self::Until(until) => now < until,
+        }
+    }
+
+    /// A request was sent that may have run.
+    pub fn spend(&mut self) {
+        if matches!(self, Self::Until(_)) {
+            *self = Self::Missing;
+        }
+    }
+}
+
+/// Asks for a permit for a turn, and for those of the requests after it; `None` without a
+/// limit.
+pub fn request_for_turn(app: &App, call: &Call) -> Option<PermitRequest> {
+    let mut request = request_of(call)?;
+    request.spare = app.purse.lock().note_turn(&request.tenant, Instant::now());
+    Some(request)
+}
+
+/// A permit for a request that makes no reservation.
+///
+/// # Errors
+/// When the tenant has used up its limit, or the ledger does not answer.
+pub async fn obtain(app: &App, call: &Call) -> Result<Permit, Refusal> {
+    let Some(request) = request_of(call) else {
+        return Ok(Permit::Unlimited);
+    };
+    let now = Instant::now();
+    if app.purse.lock().spend(&request.tenant, now) {
+        PERMITS.count("held");
+        // It was spent here; how long it would have held does not matter any more.
+        return Ok(Permit::Until(call.deadline));
+    }
+    PERMITS.count("asked");
+    let deadline = now + call.left().mul_f64(ASK_SHARE).min(ASK_PATIENCE);
+    let answer = app.ledger.ask(&Question::Permit(request), deadline).await;
+    match answer {
+        Ok(Answer::Permit(answer)) => {
+            PERMIT_TIMES.note("answered", now.elapsed());
+            accept(app, call, answer, now)
+        }
+        _ => {
+            PERMIT_TIMES.note("no answer", now.elapsed());
+            Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER))
+        }
+    }
+}
+
+/// Takes in what the ledger answered to a question of `asked`.
+///
+/// # Errors
+/// When the tenant has used up its limit.
+pub fn accept(
+    app: &App,
+    call: &Call,
+    answer: PermitAnswer,
+    asked: Instant,
+) -> Result<Permit, Refusal> {
+    match answer {
+        PermitAnswer::Granted(grant) => {
+            if let Some(tenant) = &call.tenant {
+                app.purse.lock().put(&tenant.id, grant, asked, Instant::now());
+            }
+            Ok(Permit::Until(asked + grant.life))
+        }
+        PermitAnswer::OverLimit(retry_after) => Err(Refusal::OverLimit {
+            tenant: call.tenant_name().unwrap_or("-").to_owned(),
+            configuration: call.table.version(),
+            retry_after,
+        }),
+    }
+}
+
+fn request_of(call: &Call) -> Option<PermitRequest> {
+    let tenant = call.tenant.as_ref()?;
+    Some(PermitRequest {
+        tenant: tenant.id.clone(),
+        limit: tenant.limit?,
+        configuration: call.table.version(),
+        spare: 0,
+    })
+}
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -47,6 +47,16 @@
     /// The turn that it continues from does not exist.
     #[error("no such turn")]
     NoSuchTurn,
+    /// Its tenant has sent as much as its limit allows.
+    #[error("over the limit of {tenant}, configuration {configuration}")]
+    OverLimit {
+        /// The tenant.
+        tenant: String,
+        /// Version of the configuration that says so.
+        configuration: u64,
+        /// When there will be room.
+        retry_after: Duration,
+    },
     /// It did not run and never will; it may come back after a while.
     #[error("not run: {reason}")]
     NotRun {
@@ -110,6 +120,7 @@
             Self::BodyTooLarge | Self::BodyCut | Self::BodyTooSlow => "bad_body",
             Self::BudgetSpent => "budget_spent",
             Self::NoSuchTurn => "no_such_turn",
+            Self::OverLimit { .. } => "over_limit",
             Self::NotRun { .. } => "not_run",
             Self::Unknown => "unknown",
             Self::Deadline => "deadline",
@@ -125,6 +136,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Self::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -134,7 +146,9 @@
         const BEFORE_FIRST_CONFIGURATION: Duration = Duration::from_millis(300);
         match self {
             Self::NoConfiguration => Some(BEFORE_FIRST_CONFIGURATION),
-            Self::NotRun { retry_after, .. } => Some(*retry_after),
+            Self::NotRun { retry_after, .. } | Self::OverLimit { retry_after, .. } => {
+                Some(*retry_after)
+            }
             _ => None,
         }
     }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -39,7 +39,7 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut turn = Turn::begin(app, call).await?;
     let payload = Payload { body: turn.body.clone(), last_event: call.head.last_event.clone() };
-    let mut trail = Trail::placed_on(turn.placed_on.take());
+    let mut trail = Trail::new(turn.placed_on.take(), turn.permit);
     let sent = Instant::now();
     let exchange = dispatch(app, call, &payload, &mut trail).await?;
     turn.sent = Some(sent);
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -16,6 +16,7 @@
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
+use super::permit::{self, Permit};
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 
@@ -39,6 +40,8 @@
     call: Arc<Call>,
     /// What the replica receives: what was said before, and the new input.
     pub body: Bytes,
+    /// Leave of the tenant's limit.
+    pub permit: Permit,
     /// The replica that it is best sent to, as the ledger sees it.
     pub placed_on: Option<String>,
     /// The replica that runs it.
@@ -70,6 +73,7 @@
             app: Arc::clone(app),
             call: Arc::clone(call),
             body: call.body.clone(),
+            permit: Permit::Missing,
             placed_on: None,
             ran_at: None,
             sent: None,
@@ -82,8 +86,11 @@
             turn.is_settled = true;
             return Ok(turn);
         }
-        let question =
-            Question::Reserve { reserve: reserve_of(call), placement: placement_of(app, call) };
+        let question = Question::Reserve {
+            reserve: reserve_of(call),
+            placement: placement_of(app, call),
+            permit: permit::request_for_turn(app, call),
+        };
         let deadline = call.deadline.min(Instant::now() + RESERVE_PATIENCE);
         let began = Instant::now();
         let answer = app.ledger.ask(&question, deadline).await;
@@ -91,11 +98,21 @@
         log_reserved(call, &answer, began);
         // From here on the drop of `turn` settles what may have been reserved.
         match answer {
-            Ok(Answer::Reserved { reservation, history, decision, is_under_way }) => {
+            Ok(Answer::Reserved { reservation, history, decision, is_under_way, permit }) => {
                 let mut turn = turn.admit(reservation, &history)?;
+                turn.permit = match permit {
+                    Some(answer) => permit::accept(app, call, answer, began)?,
+                    None => Permit::Unlimited,
+                };
                 turn.place(decision, is_under_way).await?;
                 Ok(turn)
             }
+            Ok(Answer::Permit(answer)) => {
+                // Refused before anything was reserved.
+                turn.is_settled = true;
+                permit::accept(app, call, answer, began)?;
+                Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER))
+            }
             _ => Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER)),
         }
     }
@@ -270,6 +287,7 @@
         Ok(Answer::Reserved { reservation, history, decision, .. }) => {
             (format!("{reservation:?}"), history.len(), decision.as_ref())
         }
+        Ok(Answer::Permit(answer)) => (format!("{answer:?}"), 0, None),
         Ok(_) => ("unexpected answer".to_owned(), 0, None),
         Err(error) => (error.to_string(), 0, None),
     };
--- a/crates/routing/src/tenant.rs
+++ b/crates/routing/src/tenant.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use calicohoist_types::{Finding, TenantId};
+use serde::{Deserialize, Serialize};
 
 /// A key as a caller or an operator wrote it. It is never shown.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,7 +40,7 @@
 }
 
 /// Requests that a tenant may send, over all gateways together.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RateLimit {
     /// Requests a second in the long run.
     pub per_second: f64,
