Count by cause and second what was not served: calicohoist losses

The command reads the same log files, counts requests or programs by second, route and the outcome of their last line, and names an example. A program whose later request was served does not count. The reading of log lines moved out of explain, which both share. Also: a struct for the cases of the limiter's flaw test (clippy).

--- a/crates/calicohoist/src/cli/explain.rs
+++ b/crates/calicohoist/src/cli/explain.rs
@@ -1,12 +1,12 @@
 //! `calicohoist explain`: the story of one request or program, from log files.
 
-use std::fs::File;
-use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use eyre::{Result, WrapErr};
-use serde_json::{Map, Value};
+use eyre::Result;
+use serde_json::Value;
+
+use super::log_lines::{LogLine, read_all, text};
 
 /// Arguments of `explain`.
 #[derive(Clone, Debug, Bpaf)]
@@ -22,8 +22,6 @@
     files: Vec<PathBuf>,
 }
 
-type Line = Map<String, Value>;
-
 /// Changes of belief are shown from this many characters of the time on: to the second.
 const SECOND_LENGTH: usize = "2026-01-01T00:00:00".len();
 
@@ -45,14 +43,7 @@
 /// # Errors
 /// When a file cannot be read, or nothing is found.
 pub fn run(arguments: &ExplainArguments) -> Result<()> {
-    let mut lines = Vec::new();
-    if arguments.files.is_empty() {
-        read(&mut std::io::stdin().lock(), &mut lines)?;
-    }
-    for file in &arguments.files {
-        let opened = File::open(file).wrap_err_with(|| file.display().to_string())?;
-        read(&mut BufReader::new(opened), &mut lines)?;
-    }
+    let lines = read_all(&arguments.files)?;
     let told = story(&lines, &arguments.id, !arguments.only);
     if told.is_empty() {
         eyre::bail!("no line names {:?}", arguments.id);
@@ -63,51 +54,35 @@
     Ok(())
 }
 
-/// Lines may carry something before the object, as collectors of logs add it.
-fn read(input: &mut impl BufRead, lines: &mut Vec<Line>) -> Result<()> {
-    for line in input.lines() {
-        let line = line?;
-        let object = line.find('{').and_then(|start| serde_json::from_str(&line[start..]).ok());
-        if let Some(Value::Object(object)) = object {
-            lines.push(object);
-        }
-    }
-    Ok(())
-}
-
 /// The lines about `id` in order of time, and with `beliefs` what the processes that
 /// dealt with it came to believe in those seconds.
-fn story(lines: &[Line], id: &str, beliefs: bool) -> Vec<String> {
-    let names = |line: &&Line| line.values().any(|value| value.as_str() == Some(id));
-    let about: Vec<&Line> = lines.iter().filter(names).collect();
+fn story(lines: &[LogLine], id: &str, beliefs: bool) -> Vec<String> {
+    let names = |line: &&LogLine| line.values().any(|value| value.as_str() == Some(id));
+    let about: Vec<&LogLine> = lines.iter().filter(names).collect();
     let times = || about.iter().map(|line| second_of(line));
     let (Some(first), Some(last)) = (times().min(), times().max()) else {
         return Vec::new();
     };
     let nodes: Vec<&str> = about.iter().map(|line| text(line, "node")).collect();
-    let is_belief = |line: &&Line| {
+    let is_belief = |line: &&LogLine| {
         let second = second_of(line);
         let is_meanwhile = second >= first && second <= last;
         let is_leadership = text(line, "name").contains("Leader");
         let is_there = nodes.contains(&text(line, "node")) || is_leadership;
         beliefs && is_meanwhile && is_there && BELIEFS.contains(&text(line, "name"))
     };
-    let mut told: Vec<&Line> = about.clone();
+    let mut told: Vec<&LogLine> = about.clone();
     told.extend(lines.iter().filter(is_belief));
     told.sort_by_key(|line| text(line, "time"));
     told.into_iter().map(shown).collect()
 }
 
-fn text<'a>(line: &'a Line, key: &str) -> &'a str {
-    line.get(key).and_then(Value::as_str).unwrap_or_default()
-}
-
-fn second_of(line: &Line) -> &str {
+fn second_of(line: &LogLine) -> &str {
     let time = text(line, "time");
     time.get(..SECOND_LENGTH).unwrap_or(time)
 }
 
-fn shown(line: &Line) -> String {
+fn shown(line: &LogLine) -> String {
     const FIXED: [&str; 5] = ["time", "node", "name", "event", "level"];
     let fields = line.iter().filter(|(key, _)| !FIXED.contains(&key.as_str()));
     let fields: Vec<String> = fields
--- a/crates/calicohoist/src/cli/mod.rs
+++ b/crates/calicohoist/src/cli/mod.rs
@@ -3,6 +3,8 @@
 //! Exit status: 0 done, 1 failed, 2 settings or arguments not accepted.
 
 mod explain;
+mod log_lines;
+mod losses;
 mod operator;
 mod serve;
 
@@ -23,6 +25,7 @@
 use crate::roles;
 use crate::settings::Settings;
 use explain::{ExplainArguments, explain_arguments};
+use losses::{LossesArguments, losses_arguments};
 use serve::{ServeArguments, serve_arguments};
 
 /// Status of refused settings or arguments.
@@ -65,6 +68,9 @@
     /// Tell the story of a request or program from log files of `serve`
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_arguments))] ExplainArguments),
+    /// Count by cause and second what was not served, from log files of `serve`
+    #[bpaf(command)]
+    Losses(#[bpaf(external(losses_arguments))] LossesArguments),
     /// Check a settings file and start nothing
     #[bpaf(command)]
     Check {
@@ -203,6 +209,7 @@
         Command::Gateway { config } => run_gateway(&Settings::read(&config)?),
         Command::Serve(_) => eyre::bail!("serve installs its own logger"),
         Command::Explain(arguments) => explain::run(&arguments),
+        Command::Losses(arguments) => losses::run(&arguments),
         Command::Check { file } => {
             Settings::read(&file)?;
             println!("{}: accepted", file.display());
--- a/crates/limiter/tests/limits.rs
+++ b/crates/limiter/tests/limits.rs
@@ -108,25 +108,36 @@
     worst_excess(&outcome.ran[&0], limits.unwrap_or(demands[0].limit), from)
 }
 
+struct FlawCase {
+    flaw: Flaw,
+    troubles: Vec<(Duration, Trouble)>,
+    /// Windows that begin before this are not judged.
+    from: Duration,
+}
+
+impl FlawCase {
+    fn new(flaw: Flaw, troubles: Vec<(Duration, Trouble)>) -> Self {
+        Self { flaw, troubles, from: Duration::ZERO }
+    }
+}
+
 #[test]
 fn each_rule_broken_on_purpose_is_found() {
     let second = Duration::from_secs(1);
-    let changes: Vec<_> =
-        (1..4).map(|place| (place * 5 * second / 2, Trouble::LeaderChange)).collect();
-    let cuts: Vec<_> =
-        (0..GATEWAYS).map(|gateway| (second, Trouble::Cut(gateway, 20 * second))).collect();
-    let lowered = [(4 * second, Trouble::Limit(0, limit(10.0, 10.0)))];
+    let changes = (1..4).map(|place| (place * 5 * second / 2, Trouble::LeaderChange));
+    let cuts = (0..GATEWAYS).map(|gateway| (second, Trouble::Cut(gateway, 20 * second)));
+    let lowered = vec![(4 * second, Trouble::Limit(0, limit(10.0, 10.0)))];
     let after_lowered = 4 * second + APPLY + tolerance().window;
-    let cases: [(Flaw, &[(Duration, Trouble)], Duration); 4] = [
-        (Flaw::EndlessPermits, &[], Duration::ZERO),
-        (Flaw::FullBuckets, &changes, Duration::ZERO),
-        (Flaw::OpenWhenCut, &cuts, Duration::ZERO),
-        (Flaw::LimitStays, &lowered, after_lowered),
+    let cases = [
+        FlawCase::new(Flaw::EndlessPermits, Vec::new()),
+        FlawCase::new(Flaw::FullBuckets, changes.collect()),
+        FlawCase::new(Flaw::OpenWhenCut, cuts.collect()),
+        FlawCase { from: after_lowered, ..FlawCase::new(Flaw::LimitStays, lowered) },
     ];
-    for (flaw, troubles, from) in cases {
-        let right = excess_with(Flaw::None, troubles, from);
+    for FlawCase { flaw, troubles, from } in cases {
+        let right = excess_with(Flaw::None, &troubles, from);
         assert!(right <= 0.0, "without {flaw:?}: over by {right}");
-        let broken = excess_with(flaw, troubles, from);
+        let broken = excess_with(flaw, &troubles, from);
         assert!(broken > 0.0, "{flaw:?} is not found: {broken}");
     }
 }
