Count what a tenant sends over a sliding window, and note it in the log

Cause: a bucket of the burst refuses tenants that stay below their limit over every window: small ones have a rate and a burst of 14 a second and send 20 to 30 in one second, 83 to 89 in the busiest five (90 allowed).

Change: the issuer counts the permits of the last window (and the life of a permit more) against rate x window + burst. A new leader must know what the one before issued, or every tenant would have to be presumed at its limit: the leader notes what it issued in the log every 100 ms, at once when a tenant has half of the tolerance out without a note, and issues nothing beyond that. Every machine learns the notes.

Ruled out: reports of the gateways to a new leader (a lost gateway's share would be unknown); a larger bucket with a lower rate (refuses who sends at its rate for long).

--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -3,6 +3,7 @@
 //! Every command may be applied twice with the effect of once: a caller that got no
 //! answer sends the same command again, perhaps to another leader.
 
+use calicohoist_limiter::IssuedPermits;
 use calicohoist_scheduler::TurnRun;
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +49,13 @@
     },
     /// Moves what was said in retained turns out of memory into a segment.
     Seal,
+    /// Notes the permits that the leader has issued since its last note.
+    NotePermits {
+        /// By tenant.
+        issued: Vec<IssuedPermits>,
+        /// Time since the last such command of the same leader, in ms.
+        elapsed_ms: u64,
+    },
 }
 
 /// Sets tokens aside for one turn.
--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_limiter::{PermitAnswer, PermitRequest, Purpose};
+use calicohoist_limiter::{Issued, PermitAnswer, PermitRequest, Purpose};
 use calicohoist_scheduler::PlacementRequest;
 use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
 use parking_lot::Mutex;
@@ -194,7 +194,11 @@
                     Some(program) => Purpose::Begin(program),
                     None => Purpose::Single,
                 };
-                *permitted = permit.map(|permit| hub.limits.issue(hub.term(), &permit, purpose));
+                match permit.map(|permit| hub.limits.issue(hub.term(), &permit, purpose)) {
+                    Some(Issued::NotNow) => return back.send(Answer::Unavailable),
+                    Some(Issued::Answer(answer)) => *permitted = Some(answer),
+                    None => {}
+                }
                 let may_run = !matches!(permitted, Some(PermitAnswer::OverLimit(_)));
                 if let Some(mut placement) = placement.filter(|_| may_run) {
                     placement.is_under_way = *is_under_way;
@@ -220,9 +224,10 @@
         let hub = self.clone();
         let respond = Box::new(move |response| {
             back.send(match response {
-                Response::Leads(term) => {
-                    Answer::Permit(hub.limits.issue(term, &permit, Purpose::Single))
-                }
+                Response::Leads(term) => match hub.limits.issue(term, &permit, Purpose::Single) {
+                    Issued::Answer(answer) => Answer::Permit(answer),
+                    Issued::NotNow => Answer::Unavailable,
+                },
                 response => hub.answer(response),
             });
         });
--- a/crates/ledger/src/server/limits.rs
+++ b/crates/ledger/src/server/limits.rs
@@ -1,43 +1,100 @@
-//! Permits at the leader.
+//! Permits at the leader, and what every machine knows of those that others have issued.
 
-use std::time::Instant;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use calicohoist_limiter::{
-    LimitTolerance, PermitAnswer, PermitIssuer, PermitRequest, Purpose, TenantUse,
+    Issued, IssuedPermits, LimitTolerance, PermitAnswer, PermitIssuer, PermitRequest, Purpose,
+    TenantUse,
 };
 use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::replica::{ReplicaHandle, Request, Response};
+use crate::commands::{Command, Output};
+use crate::state::{KEPT_MS, PermitNote, PermitNotes};
+
+/// Time between two notes in the log, unless a tenant may get no more before one: short
+/// against a window of seconds, and ten entries a second beside hundreds of turns.
+const NOTE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Issues permits in one term after the other.
 pub struct LimitDesk {
     tolerance: LimitTolerance,
     state: Mutex<DeskState>,
+    /// There is something to note.
+    work: Notify,
+    /// Somebody waits for it.
+    hurry: Notify,
 }
 
 struct DeskState {
     /// The term in which it issues.
     term: u64,
     issuer: PermitIssuer,
+    /// When it noted last in this term.
+    noted: Option<Instant>,
+    /// Notes of all leaders, oldest first.
+    known: VecDeque<PermitNote>,
+    /// The clock of the notes when the newest one was read here, and when that was.
+    clock: (u64, Instant),
+}
+
+/// What is to be noted.
+struct UnnotedPermits {
+    term: u64,
+    issued: Vec<IssuedPermits>,
+    elapsed: Duration,
 }
 
 impl LimitDesk {
     /// Keeps limits as exactly as `tolerance` says.
     pub fn new(tolerance: LimitTolerance) -> Self {
-        let issuer = PermitIssuer::new(tolerance, Instant::now());
-        Self { tolerance, state: Mutex::new(DeskState { term: 0, issuer }) }
+        let state = DeskState {
+            term: 0,
+            issuer: PermitIssuer::new(tolerance),
+            noted: None,
+            known: VecDeque::new(),
+            clock: (0, Instant::now()),
+        };
+        Self { tolerance, state: Mutex::new(state), work: Notify::new(), hurry: Notify::new() }
     }
 
     /// What becomes of a request. `term` is that in which this machine leads now, with a
     /// quorum behind it.
-    pub fn issue(&self, term: u64, request: &PermitRequest, purpose: Purpose<'_>) -> PermitAnswer {
-        self.within(term, |issuer, now| issuer.issue(request, purpose, now))
+    pub fn issue(&self, term: u64, request: &PermitRequest, purpose: Purpose<'_>) -> Issued {
+        let issued = self.within(term, |issuer, now| issuer.issue(request, purpose, now));
+        match issued {
+            Issued::Answer(PermitAnswer::Granted(_)) => self.work.notify_one(),
+            Issued::Answer(PermitAnswer::OverLimit(_)) => {}
+            Issued::NotNow => self.hurry.notify_one(),
+        }
+        issued
     }
 
     /// The refusal of a request that no purpose could save; nothing has to be written for it.
     pub fn refuse_early(&self, term: u64, request: &PermitRequest) -> Option<PermitAnswer> {
-        self.within(term, |issuer, now| {
+        let issued = self.within(term, |issuer, now| {
             let is_exhausted = issuer.is_exhausted(request, now);
             is_exhausted.then(|| issuer.issue(request, Purpose::Single, now))
-        })
+        });
+        match issued {
+            Some(Issued::Answer(answer)) => Some(answer),
+            Some(Issued::NotNow) | None => None,
+        }
+    }
+
+    /// Learns what the log says of permits.
+    pub fn learn(&self, notes: &PermitNotes) {
+        let mut state = self.state.lock();
+        state.clock = (notes.clock_ms(), Instant::now());
+        let newest = state.known.back().map_or(0, |note| note.number);
+        state.known.extend(notes.after(newest).cloned());
+        let oldest = notes.clock_ms().saturating_sub(KEPT_MS);
+        while state.known.front().is_some_and(|note| note.at_ms < oldest) {
+            state.known.pop_front();
+        }
     }
 
     /// What tenants use of their limits.
@@ -50,8 +107,69 @@
         let mut state = self.state.lock();
         if state.term != term {
             state.term = term;
-            state.issuer = PermitIssuer::new(self.tolerance, now);
+            state.noted = None;
+            state.issuer = PermitIssuer::new(self.tolerance);
+            state.inherit();
         }
         act(&mut state.issuer, now)
     }
+
+    fn take_unnoted(&self) -> UnnotedPermits {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let elapsed = state.noted.map_or(Duration::ZERO, |noted| now - noted);
+        state.noted = Some(now);
+        UnnotedPermits { term: state.term, issued: state.issuer.take_unnoted(), elapsed }
+    }
+
+    /// Counts what was taken as noted, or as still to be noted.
+    fn end_note(&self, term: u64, issued: &[IssuedPermits], is_noted: bool) {
+        let mut state = self.state.lock();
+        if state.term != term {
+            return;
+        }
+        if is_noted {
+            state.issuer.confirm_noted(issued);
+        } else {
+            state.issuer.return_unnoted(issued);
+        }
+    }
+
+    /// Notes in the log what is issued, for as long as the process runs.
+    pub async fn keep_notes(self: Arc<Self>, replica: ReplicaHandle) {
+        loop {
+            self.work.notified().await;
+            let UnnotedPermits { term, issued, elapsed } = self.take_unnoted();
+            if issued.is_empty() {
+                continue;
+            }
+            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or_default();
+            let note = Command::NotePermits { issued: issued.clone(), elapsed_ms };
+            let response = replica.call(Request::Change(note)).await;
+            let is_noted = matches!(response, Response::Changed(Output::Done));
+            self.end_note(term, &issued, is_noted);
+            if !is_noted {
+                self.work.notify_one();
+            }
+            let _ = tokio::time::timeout(NOTE_INTERVAL, self.hurry.notified()).await;
+        }
+    }
+}
+
+impl DeskState {
+    /// Takes over what earlier leaders have noted. The time since the newest note was read
+    /// here is counted, that between two leaders is not, so that permits seem younger than
+    /// they are.
+    fn inherit(&mut self) {
+        let (clock_ms, read) = self.clock;
+        for note in &self.known {
+            let age = Duration::from_millis(clock_ms.saturating_sub(note.at_ms));
+            let Some(at) = read.checked_sub(age) else {
+                continue;
+            };
+            for issued in &note.issued {
+                self.issuer.inherit(issued, at);
+            }
+        }
+    }
 }
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -27,7 +27,7 @@
 use tokio::sync::watch;
 
 use control::ControlCodec;
-use replica::{ReplicaHandle, ReplicaThread};
+use replica::{Desks, ReplicaHandle, ReplicaThread};
 
 /// Where ledger machines listen; the ports are the same on all of them.
 #[derive(Clone, Copy, Debug)]
@@ -144,13 +144,15 @@
 ) -> eyre::Result<()> {
     let (frames_out, frames) = tokio::sync::mpsc::channel(peers::RING);
     let turns = Arc::new(turns::TurnDesk::default());
-    let thread = ReplicaThread::open(&settings, frames_out, Arc::clone(&turns))?;
+    let limits = Arc::new(limits::LimitDesk::new(settings.limit_tolerance));
+    let desks = Desks { turns: Arc::clone(&turns), limits: Arc::clone(&limits) };
+    let thread = ReplicaThread::open(&settings, frames_out, desks)?;
     let identity = thread.id();
     let (handle, standing, failure) = thread.start()?;
     tokio::spawn(peers::send(settings.clone(), identity, frames));
     tokio::spawn(peers::accept(listeners.peers, identity, handle.clone()));
     let list = list::spawn(&settings, standing.clone());
-    let limits = Arc::new(limits::LimitDesk::new(settings.limit_tolerance));
+    tokio::spawn(Arc::clone(&limits).keep_notes(handle.clone()));
     let hub = gateways::Hub::new(handle.clone(), standing.clone(), list, turns, limits);
     tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -27,6 +27,7 @@
 use request::Input;
 pub use request::{ReplicaHandle, Request, Respond, Response, Standing};
 
+use super::limits::LimitDesk;
 use super::peers::Outgoing;
 use super::slowness::Slowness;
 use super::turns::TurnDesk;
@@ -70,10 +71,20 @@
     seal_proposed: Option<Instant>,
     slowness: Slowness,
     standing: Standing,
-    /// Takes what is told of runs.
-    turns: Arc<TurnDesk>,
+    /// Take what the log tells.
+    desks: Desks,
     /// Number of the next run to tell.
     next_run: u64,
+    /// Number of the newest note of permits that was told.
+    told_permits: u64,
+}
+
+/// Who at this machine wants to know what the log tells of runs and permits.
+pub struct Desks {
+    /// Runs.
+    pub turns: Arc<TurnDesk>,
+    /// Permits.
+    pub limits: Arc<LimitDesk>,
 }
 
 impl ReplicaThread {
@@ -84,7 +95,7 @@
     pub fn open(
         settings: &LedgerSettings,
         frames: mpsc::Sender<Outgoing>,
-        turns: Arc<TurnDesk>,
+        desks: Desks,
     ) -> eyre::Result<Self> {
         // A replica that reads its log acknowledges no leader: that time counts towards the
         // one for which it must not vote after a restart.
@@ -132,8 +143,9 @@
             seal_proposed: None,
             slowness: Slowness::default(),
             standing: Standing::default(),
-            turns,
+            desks,
             next_run: 0,
+            told_permits: 0,
         })
     }
 
@@ -191,6 +203,7 @@
                 self.on_event(event);
             }
             self.tell_runs();
+            self.tell_permits();
             self.publish(standing);
         }
     }
@@ -464,11 +477,22 @@
             return;
         };
         if runs.next() != self.next_run {
-            self.turns.learn(runs.since(self.next_run));
+            self.desks.turns.learn(runs.since(self.next_run));
             self.next_run = runs.next();
         }
     }
 
+    /// Tells which permits were issued, as the log says.
+    fn tell_permits(&mut self) {
+        let Some(notes) = self.node.machine(GROUP).map(LedgerState::permits) else {
+            return;
+        };
+        if notes.newest() != self.told_permits {
+            self.told_permits = notes.newest();
+            self.desks.limits.learn(notes);
+        }
+    }
+
     fn publish(&mut self, out: &watch::Sender<Standing>) {
         let Some(raft) = self.node.raft(GROUP) else {
             return;
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -2,11 +2,13 @@
 
 mod accounts;
 mod machines;
+mod permits;
 mod runs;
 mod turns;
 
 pub use accounts::Accounts;
 pub use machines::Machines;
+pub use permits::{KEPT_MS, PermitNote, PermitNotes};
 pub use runs::RecentRuns;
 pub use turns::{HistoryPiece, StoredBytes, Turns};
 
@@ -36,6 +38,7 @@
     accounts: Accounts,
     turns: Turns,
     machines: Machines,
+    permits: PermitNotes,
     /// Where turns ran lately.
     #[serde(skip)]
     runs: RecentRuns,
@@ -44,6 +47,23 @@
     sealed: Vec<SealedSegment>,
 }
 
+/// A snapshot of a version that noted no permits.
+#[derive(Deserialize)]
+struct SnapshotBeforePermits {
+    clock_ms: u64,
+    configuration: HeldConfiguration,
+    accounts: Accounts,
+    turns: Turns,
+    machines: Machines,
+}
+
+impl From<SnapshotBeforePermits> for LedgerState {
+    fn from(snapshot: SnapshotBeforePermits) -> Self {
+        let SnapshotBeforePermits { clock_ms, configuration, accounts, turns, machines } = snapshot;
+        Self { clock_ms, configuration, accounts, turns, machines, ..Self::default() }
+    }
+}
+
 impl LedgerState {
     /// The configuration in force.
     pub fn configuration(&self) -> &HeldConfiguration {
@@ -65,6 +85,11 @@
         &self.machines
     }
 
+    /// Permits that were issued lately.
+    pub fn permits(&self) -> &PermitNotes {
+        &self.permits
+    }
+
     /// Where turns ran lately.
     pub fn runs(&self) -> &RecentRuns {
         &self.runs
@@ -100,6 +125,10 @@
                 self.sealed.extend(self.turns.seal());
                 Output::Done
             }
+            Command::NotePermits { issued, elapsed_ms } => {
+                self.permits.add(issued, elapsed_ms);
+                Output::Done
+            }
         }
     }
 
@@ -150,7 +179,8 @@
     }
 
     fn restore(&mut self, data: &[u8]) -> bool {
-        match decode(data) {
+        let older = || decode::<SnapshotBeforePermits>(data).map(Self::from);
+        match decode(data).or_else(|_| older()) {
             Ok(state) => {
                 let runs = std::mem::take(&mut self.runs);
                 *self = Self { runs, ..state };
--- /dev/null
+++ b/crates/ledger/tests/permits.rs
@@ -0,0 +1,119 @@
+//! What leaders have issued is in the log, in snapshots, and read from those of the version
+//! before.
+
+use std::time::Duration;
+
+use calicohoist_ledger::commands::Command;
+use calicohoist_ledger::server::limits::LimitDesk;
+use calicohoist_ledger::{LedgerState, Output, queries};
+use calicohoist_limiter::{
+    Issued, IssuedPermits, LimitTolerance, PermitAnswer, PermitRequest, Purpose,
+};
+use calicohoist_replication::{GroupId, StateMachine};
+use calicohoist_routing::RateLimit;
+use calicohoist_types::TenantId;
+use calicohoist_wire::encode;
+
+/// Log entries and the snapshot after them, written by the version that noted no permits: a
+/// configuration, a machine, a line of two retained turns (the first one sealed), and a third
+/// that is only reserved.
+const OLD_LOG: [&str; 9] = [
+    "0007027b7d",
+    "040773746f72652d3111",
+    "01010270310274311e6400fb60ea",
+    "020102703102743112fb60ea0100036f6e6505736169640a00",
+    "06",
+    "01010270310274321e6401027431fb60ea",
+    "020102703102743212fb60ea01010274310374776f05736169640a00",
+    "03fb8813",
+    "01010270310274331e6401027432fb60ea",
+];
+const OLD_SNAPSHOT: &str = "fb881307027b7d01027031420302743101120274320112027433001efbe8fd\
+    020274310001010008fcbcbdb3ddfbe8fd02743201027431000874776f736169640afbe8fd0102743208010108\
+    0801010773746f72652d311100";
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digit = |place: usize| u8::from_str_radix(&hex[place..place + 2], 16).expect("hex");
+    (0..hex.len()).step_by(2).map(digit).collect()
+}
+
+fn note(tenant: &str, count: u32, elapsed_ms: u64) -> Command {
+    let issued = vec![IssuedPermits { tenant: TenantId::new(tenant), count }];
+    Command::NotePermits { issued, elapsed_ms }
+}
+
+fn apply(state: &mut LedgerState, command: &Command) -> Output {
+    state.apply(&encode(command).expect("encodes"))
+}
+
+fn request(limit: RateLimit) -> PermitRequest {
+    PermitRequest { tenant: TenantId::new("t"), limit, configuration: 1, spare: 0 }
+}
+
+#[test]
+fn log_and_snapshot_of_the_version_before_are_read() {
+    let mut replayed = LedgerState::new(GroupId(0));
+    for entry in OLD_LOG {
+        assert_ne!(replayed.apply(&bytes(entry)), Output::Unreadable, "{entry}");
+    }
+    let mut restored = LedgerState::new(GroupId(0));
+    assert!(restored.restore(&bytes(OLD_SNAPSHOT)));
+    assert_eq!(restored.snapshot(), replayed.snapshot());
+    for state in [&replayed, &restored] {
+        assert_eq!(queries::configuration(state).map(|held| held.version), Some(7));
+        assert_eq!(state.machines().number("store-1"), Some(17));
+        assert_eq!(state.turns().history("t2").map(|pieces| pieces.len()), Some(2));
+        assert_eq!(state.accounts().charged("p1"), 18 + 18 + 30);
+        assert_eq!(state.permits().newest(), 0);
+    }
+}
+
+#[test]
+fn a_snapshot_carries_the_notes() {
+    let mut state = LedgerState::new(GroupId(0));
+    assert_eq!(apply(&mut state, &note("t", 3, 0)), Output::Done);
+    assert_eq!(apply(&mut state, &note("u", 4, 150)), Output::Done);
+    let mut restored = LedgerState::new(GroupId(0));
+    assert!(restored.restore(&state.snapshot()));
+    assert_eq!(restored, state);
+    assert_eq!(restored.permits().after(1).map(|note| note.at_ms).collect::<Vec<_>>(), [150]);
+}
+
+#[test]
+fn notes_are_kept_for_a_while_only() {
+    let mut state = LedgerState::new(GroupId(0));
+    for _ in 0..1_000 {
+        apply(&mut state, &note("t", 1, 100));
+    }
+    assert!(state.permits().after(0).count() <= 201);
+}
+
+#[test]
+fn the_next_leader_counts_what_the_one_before_has_issued() {
+    let tolerance =
+        LimitTolerance { window: Duration::from_secs(600), overshoot: 0.1, slack: 20.0 };
+    let limit = RateLimit { per_second: 0.0, burst: 10.0 };
+    let mut state = LedgerState::new(GroupId(0));
+    apply(&mut state, &note("t", 4, 0));
+    apply(&mut state, &note("t", 3, 100));
+    let desk = LimitDesk::new(tolerance);
+    desk.learn(state.permits());
+    // Told again, as after a snapshot.
+    desk.learn(state.permits());
+    let mut granted = 0;
+    while let Issued::Answer(PermitAnswer::Granted(grant)) =
+        desk.issue(2, &request(limit), Purpose::Single)
+    {
+        granted += grant.permits;
+        assert!(granted < 20, "no end");
+    }
+    assert_eq!(granted, 3);
+    assert!(desk.refuse_early(2, &request(limit)).is_some());
+    let uses = desk.uses();
+    assert_eq!(uses[0].issued, 10);
+    // A later term begins with what was noted, and with nothing else.
+    let Issued::Answer(PermitAnswer::Granted(_)) = desk.issue(3, &request(limit), Purpose::Single)
+    else {
+        panic!("refused");
+    };
+}
--- a/crates/limiter/src/issuer.rs
+++ b/crates/limiter/src/issuer.rs
@@ -1,8 +1,8 @@
 //! The leader's side: who gets a permit.
 //!
-//! A tenant with room in its bucket gets what it asks for. One that presses on its limit
-//! begins fewer programs, so that those under way get what they need: only a whole program
-//! is of use to anybody.
+//! A tenant gets what it asks for while the last window holds less than its limit allows. One
+//! that presses on its limit begins fewer programs, so that those under way get what they
+//! need: only a whole program is of use to anybody.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -10,16 +10,16 @@
 use calicohoist_routing::RateLimit;
 use calicohoist_types::TenantId;
 
-use crate::bucket::TokenBucket;
-use crate::permit::{PermitAnswer, PermitGrant, PermitRequest, Purpose};
+use crate::permit::{IssuedPermits, PermitAnswer, PermitGrant, PermitRequest, Purpose};
 use crate::tolerance::LimitTolerance;
+use crate::window::IssueWindow;
 
-/// A gateway gets permits in advance while a tenant's bucket is fuller than this share,
-/// else one at a time.
-const ADVANCE_SHARE: f64 = 0.5;
-/// A tenant presses on its limit while its bucket is less full than this share; then it
-/// begins fewer programs. At half a bucket, tenants that stay below their limits were refused
-/// 3 of 840 programs in the comparison of `tests/ways.rs`; at a quarter, none.
+/// A gateway gets permits in advance while a tenant has more than this share of its limit
+/// left, else one at a time.
+const ADVANCE_SHARE: f64 = 0.25;
+/// A tenant presses on its limit while it has less than this share of it left; then it begins
+/// fewer programs. At half of the limit, tenants that stay below theirs were refused 3 of 840
+/// programs in the comparison of `tests/ways.rs` with token buckets; at a quarter, none.
 const PRESSING_SHARE: f64 = 0.25;
 /// A program is under way until it has sent no turn for this time: longer than a turn with
 /// its tools takes.
@@ -31,10 +31,18 @@
 /// Requests a second of one program before anything is learned: a turn of 100 ms, and a
 /// tool or two with each.
 const FIRST_GUESS: f64 = 10.0;
-/// Time in which a pressing tenant may use up what is in its bucket.
-const USE_UP_WITHIN: Duration = Duration::from_secs(1);
-/// The longest time after which somebody is told to come back.
-const LATEST_RETURN: Duration = Duration::from_secs(5);
+/// Time for which there must be enough for all programs under way when one more begins: about
+/// as long as a program takes.
+const LOOK_AHEAD: Duration = Duration::from_millis(1_000);
+
+/// What the leader does about a request for permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Issued {
+    /// It answers.
+    Answer(PermitAnswer),
+    /// So many permits wait to be noted that none may be issued; a matter of milliseconds.
+    NotNow,
+}
 
 /// What one tenant uses of its limit.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,16 +51,23 @@
     pub tenant: TenantId,
     /// Its limit.
     pub limit: RateLimit,
-    /// Requests that it may send at once.
-    pub level: f64,
+    /// Permits issued within the last window.
+    pub issued: u64,
     /// Its programs under way.
     pub programs: usize,
 }
 
 #[derive(Debug)]
 struct TenantAccount {
+    tolerance: LimitTolerance,
     configuration: u64,
-    bucket: TokenBucket,
+    /// `None` before anything but what an earlier leader issued is known.
+    limit: Option<RateLimit>,
+    window: IssueWindow,
+    /// Permits that were issued and are not known to be noted.
+    unnoted: u32,
+    /// Those of them that nobody is noting yet.
+    to_note: u32,
     /// When each program under way was seen last.
     programs: HashMap<String, Instant>,
     /// Requests a second of one program, learned while the tenant presses.
@@ -67,84 +82,119 @@
 #[derive(Debug)]
 pub struct PermitIssuer {
     tolerance: LimitTolerance,
-    /// Since when it issues; buckets fill from then on.
-    began: Instant,
     tenants: HashMap<TenantId, TenantAccount>,
 }
 
 impl PermitIssuer {
     /// Knows nothing of what an earlier leader has issued.
-    pub fn new(tolerance: LimitTolerance, now: Instant) -> Self {
-        Self { tolerance, began: now, tenants: HashMap::new() }
+    pub fn new(tolerance: LimitTolerance) -> Self {
+        Self { tolerance, tenants: HashMap::new() }
+    }
+
+    /// Takes in what an earlier leader has noted as issued at some time; in order of time.
+    pub fn inherit(&mut self, issued: &IssuedPermits, at: Instant) {
+        self.account(&issued.tenant, at).window.add(issued.count, at);
     }
 
     /// Whether a request would be refused, whatever it is for.
     pub fn is_exhausted(&mut self, request: &PermitRequest, now: Instant) -> bool {
-        self.account(request, now).bucket.level(now) < 1.0
+        self.account_of(request, now).left(now) < 1.0
     }
 
     /// What becomes of a request.
-    pub fn issue(
-        &mut self,
-        request: &PermitRequest,
-        purpose: Purpose<'_>,
-        now: Instant,
-    ) -> PermitAnswer {
+    pub fn issue(&mut self, request: &PermitRequest, purpose: Purpose<'_>, now: Instant) -> Issued {
         let life = self.tolerance.permit_life();
-        let account = self.account(request, now);
+        let account = self.account_of(request, now);
         account.count(now);
-        let is_pressing = account.is_pressing(now);
         let may_run = match purpose {
-            Purpose::Begin(_) => !is_pressing || account.may_begin(now),
+            Purpose::Begin(_) => !account.is_pressing(now) || account.may_begin(now),
             Purpose::GoOn(_) | Purpose::Single => true,
         };
-        if !may_run || account.bucket.take(1, now) == 0 {
-            return PermitAnswer::OverLimit(account.come_back(purpose, now));
+        if !may_run || account.left(now) < 1.0 {
+            return Issued::Answer(PermitAnswer::OverLimit(account.come_back(purpose, now)));
+        }
+        let noteless = account.may_issue_noteless();
+        if noteless == 0 {
+            return Issued::NotNow;
         }
         account.note(purpose, now);
-        let spare = account.take_spare(request.spare, now);
-        PermitAnswer::Granted(PermitGrant { permits: 1 + spare, life })
+        let permits = 1 + account.spare(request.spare, now).min(noteless - 1);
+        account.issue(permits, now);
+        Issued::Answer(PermitAnswer::Granted(PermitGrant { permits, life }))
     }
 
-    /// What tenants use of their limits, those with the least room first.
+    /// Takes what is to be noted in the log.
+    pub fn take_unnoted(&mut self) -> Vec<IssuedPermits> {
+        let accounts = self.tenants.iter_mut();
+        let taken = accounts.map(|(tenant, account)| IssuedPermits {
+            tenant: tenant.clone(),
+            count: std::mem::take(&mut account.to_note),
+        });
+        taken.filter(|issued| issued.count > 0).collect()
+    }
+
+    /// What was taken is noted.
+    pub fn confirm_noted(&mut self, noted: &[IssuedPermits]) {
+        for issued in noted {
+            if let Some(account) = self.tenants.get_mut(&issued.tenant) {
+                account.unnoted = account.unnoted.saturating_sub(issued.count);
+            }
+        }
+    }
+
+    /// What was taken may not have been noted; it is to be noted again.
+    pub fn return_unnoted(&mut self, lost: &[IssuedPermits]) {
+        for issued in lost {
+            if let Some(account) = self.tenants.get_mut(&issued.tenant) {
+                account.to_note += issued.count;
+            }
+        }
+    }
+
+    /// What tenants with a limit use of it, those with the least left first.
     pub fn uses(&mut self, now: Instant) -> Vec<TenantUse> {
-        let used = self.tenants.iter_mut().map(|(tenant, account)| {
+        let tolerance = self.tolerance;
+        let used = self.tenants.iter_mut().filter_map(|(tenant, account)| {
             account.forget_ended(now);
-            TenantUse {
+            Some(TenantUse {
                 tenant: tenant.clone(),
-                limit: account.bucket.limit(),
-                level: account.bucket.level(now),
+                limit: account.limit?,
+                issued: account.window.total(tolerance.span(), now),
                 programs: account.programs.len(),
-            }
+            })
         });
         let mut uses: Vec<TenantUse> = used.collect();
-        uses.sort_by(|one, other| one.level.total_cmp(&other.level));
+        let left = |known: &TenantUse| tolerance.allowed(known.limit) - known.issued as f64;
+        uses.sort_by(|one, other| left(one).total_cmp(&left(other)));
         uses
     }
 
     /// The account of a request's tenant, under the newest limit that was told.
-    fn account(&mut self, request: &PermitRequest, now: Instant) -> &mut TenantAccount {
-        let PermitRequest { limit, configuration, .. } = *request;
-        let capacity = self.tolerance.capacity(limit);
-        let opening = self.tolerance.opening(limit);
-        let began = self.began;
-        let account = self.tenants.entry(request.tenant.clone()).or_insert_with(|| {
-            let bucket = TokenBucket::new(limit, capacity, opening, began);
-            TenantAccount::new(bucket, configuration, now)
-        });
-        if configuration > account.configuration {
-            account.configuration = configuration;
-            account.bucket.set_limit(limit, capacity, now);
+    fn account_of(&mut self, request: &PermitRequest, now: Instant) -> &mut TenantAccount {
+        let account = self.account(&request.tenant, now);
+        if account.limit.is_none() || request.configuration > account.configuration {
+            account.configuration = request.configuration;
+            account.limit = Some(request.limit);
         }
         account
     }
+
+    fn account(&mut self, tenant: &TenantId, now: Instant) -> &mut TenantAccount {
+        let tolerance = self.tolerance;
+        let fresh = || TenantAccount::new(tolerance, now);
+        self.tenants.entry(tenant.clone()).or_insert_with(fresh)
+    }
 }
 
 impl TenantAccount {
-    fn new(bucket: TokenBucket, configuration: u64, now: Instant) -> Self {
+    fn new(tolerance: LimitTolerance, now: Instant) -> Self {
         Self {
-            configuration,
-            bucket,
+            tolerance,
+            configuration: 0,
+            limit: None,
+            window: IssueWindow::default(),
+            unnoted: 0,
+            to_note: 0,
             programs: HashMap::new(),
             program_rate: FIRST_GUESS,
             counted_from: now,
@@ -153,16 +203,41 @@
         }
     }
 
+    fn allowed(&self) -> f64 {
+        self.limit.map_or(0.0, |limit| self.tolerance.allowed(limit))
+    }
+
+    /// Permits that may be issued now.
+    fn left(&mut self, now: Instant) -> f64 {
+        let issued = self.window.total(self.tolerance.span(), now);
+        self.allowed() - issued as f64
+    }
+
+    /// Permits that may be issued before any of the others is noted.
+    fn may_issue_noteless(&self) -> u32 {
+        let most = self.limit.map_or(0.0, |limit| self.tolerance.most_unnoted(limit));
+        // A limit that does not fit is none.
+        (most as u32).saturating_sub(self.unnoted)
+    }
+
+    fn issue(&mut self, count: u32, now: Instant) {
+        self.window.add(count, now);
+        self.unnoted += count;
+        self.to_note += count;
+    }
+
     fn is_pressing(&mut self, now: Instant) -> bool {
-        self.bucket.level(now) < self.bucket.capacity() * PRESSING_SHARE
+        self.left(now) < self.allowed() * PRESSING_SHARE
     }
 
     /// Whether one program more leaves enough for those under way.
     fn may_begin(&mut self, now: Instant) -> bool {
         self.forget_ended(now);
-        let left = self.bucket.level(now) / USE_UP_WITHIN.as_secs_f64();
         let programs = self.programs.len() + 1;
-        programs as f64 * self.program_rate <= self.bucket.limit().per_second + left
+        let needed = programs as f64 * self.program_rate * LOOK_AHEAD.as_secs_f64();
+        let stays = self.tolerance.span().saturating_sub(LOOK_AHEAD);
+        let gone = self.window.older_than(stays, now);
+        needed <= self.left(now) + gone as f64
     }
 
     fn note(&mut self, purpose: Purpose<'_>, now: Instant) {
@@ -193,24 +268,26 @@
         self.counted_from = now;
     }
 
-    fn take_spare(&mut self, wanted: u32, now: Instant) -> u32 {
-        let above = self.bucket.level(now) - self.bucket.capacity() * ADVANCE_SHARE;
-        // A level is never above what a `u32` holds by so much that it matters.
-        self.bucket.take(wanted.min(above.max(0.0) as u32), now)
+    /// Permits beyond the one that is asked for.
+    fn spare(&mut self, wanted: u32, now: Instant) -> u32 {
+        let above = self.left(now) - 1.0 - self.allowed() * ADVANCE_SHARE;
+        // Nobody wants more than fits.
+        wanted.min(above.max(0.0) as u32)
     }
 
     /// When a refused request finds room. Each one gets a time of its own, as far apart as
     /// the limit lets requests in, so that they do not all come back together.
     fn come_back(&mut self, purpose: Purpose<'_>, now: Instant) -> Duration {
-        let rate = self.bucket.limit().per_second.max(f64::MIN_POSITIVE);
+        let span = self.tolerance.span();
         let needed = match purpose {
             Purpose::Begin(_) => self.program_rate,
             Purpose::GoOn(_) | Purpose::Single => 1.0,
         };
-        let latest = now + LATEST_RETURN;
-        let apart = Duration::try_from_secs_f64(needed / rate).unwrap_or(LATEST_RETURN);
-        let next = self.next_return.max(now) + apart.min(LATEST_RETURN);
-        self.next_return = next.min(latest);
+        let apart = span.mul_f64((needed / self.allowed().max(1.0)).min(1.0));
+        let missing = (needed - self.left(now)).max(1.0);
+        let room = now + self.window.time_until_gone(missing as u64, span, now);
+        let next = self.next_return.max(room) + apart;
+        self.next_return = next.min(now + span);
         self.next_return - now
     }
 }
--- a/crates/limiter/src/permit.rs
+++ b/crates/limiter/src/permit.rs
@@ -40,6 +40,15 @@
     pub life: Duration,
 }
 
+/// Permits that were issued to one tenant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IssuedPermits {
+    /// The tenant.
+    pub tenant: TenantId,
+    /// How many.
+    pub count: u32,
+}
+
 /// What becomes of a request for permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PermitAnswer {
--- a/crates/limiter/src/tolerance.rs
+++ b/crates/limiter/src/tolerance.rs
@@ -1,13 +1,13 @@
 //! How exact a limit must be, and what follows from it.
 //!
-//! In every span of a window, a tenant's requests must not exceed what its limit allows by
-//! more than a share of that and a few. Two things use that up:
+//! A tenant may send its rate times the window, and its burst, in every span of a window.
+//! That must not be exceeded by more than a share of it and a few requests, whatever fails:
 //!
-//! - A permit is spent up to [`LimitTolerance::permit_life`] after it was issued, so that a
-//!   window holds what was issued in a slightly longer time: a share of the rate.
-//! - A leader does not know what the one before it issued. It begins with
-//!   [`LimitTolerance::opening`] instead of a full bucket, which is half of what is left, so
-//!   that two changes of leader fit in a window.
+//! - A permit is spent up to [`LimitTolerance::permit_life`] after it was issued. Permits are
+//!   therefore counted over [`LimitTolerance::span`], a window and that life.
+//! - A leader notes in the log what it issues, a little later. The next one does not know
+//!   the rest, which is [`LimitTolerance::most_unnoted`] at most: half of what may come on
+//!   top, so that two changes of leader fit in a window.
 
 use std::time::Duration;
 
@@ -30,32 +30,38 @@
 
 impl Default for LimitTolerance {
     /// For operators that say nothing: a tenth over five seconds, and one request for each
-    /// change of leader that a window may hold, so that no tenant begins with nothing.
+    /// change of leader that a window may hold.
     fn default() -> Self {
         Self { window: Duration::from_secs(5), overshoot: 0.1, slack: LEADER_CHANGES }
     }
 }
 
 impl LimitTolerance {
-    /// Time from the asking for a permit to its end.
+    /// Time from the asking for a permit to its end: a share of the window, as much as the
+    /// limit may be exceeded by.
     pub fn permit_life(&self) -> Duration {
         self.window.mul_f64(self.overshoot.clamp(0.0, 1.0))
     }
 
-    /// What a bucket holds at most: the burst, or one request where the burst is less.
-    pub fn capacity(&self, limit: RateLimit) -> f64 {
-        limit.burst.max(1.0)
+    /// Time over which issued permits are counted: all that are spent within a window were
+    /// issued within it.
+    pub fn span(&self) -> Duration {
+        self.window + self.permit_life()
     }
 
-    /// What a bucket holds when a leader begins.
-    pub fn opening(&self, limit: RateLimit) -> f64 {
-        let on_top = self.overshoot * limit.burst + self.slack;
-        (on_top / LEADER_CHANGES).min(self.capacity(limit))
+    /// Requests that a window holds at most by the limit alone; one at least.
+    pub fn allowed(&self, limit: RateLimit) -> f64 {
+        (limit.per_second * self.window.as_secs_f64() + limit.burst).max(1.0)
+    }
+
+    /// Permits that a leader may have issued and not noted in the log; one at least.
+    pub fn most_unnoted(&self, limit: RateLimit) -> f64 {
+        let on_top = self.allowed(limit) * self.overshoot + self.slack;
+        (on_top / LEADER_CHANGES).max(1.0)
     }
 
     /// The most requests that a window may hold.
     pub fn most_in_window(&self, limit: RateLimit) -> f64 {
-        let allowed = limit.per_second * self.window.as_secs_f64() + limit.burst;
-        allowed * (1.0 + self.overshoot) + self.slack
+        self.allowed(limit) * (1.0 + self.overshoot) + self.slack
     }
 }
--- a/crates/routing/tests/tenant.rs
+++ b/crates/routing/tests/tenant.rs
@@ -5,6 +5,15 @@
 use calicohoist_routing::{ApiKey, Configuration, KeyRing, KeySecret, RateLimit, Tenant};
 use calicohoist_types::TenantId;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(23),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
 
 fn tenant(name: &str, keys: &[&str]) -> Tenant {
     Tenant {
@@ -81,6 +90,8 @@
 }
 
 proptest! {
+    #![proptest_config(config())]
+
     /// Whatever keys are held, each is found at its tenant and no other text is.
     #[test]
     fn a_key_leads_to_its_holder_only(
