--- a/crates/proxy/src/flow/permit.rs
+++ b/crates/proxy/src/flow/permit.rs
@@ -85,11 +85,11 @@
     }
     PERMITS.count("asked");
     let deadline = now + call.left().mul_f64(ASK_SHARE).min(ASK_PATIENCE);
-    let answer = app.ledger.ask(&Question::Permit(request), deadline).await;
+    let answer = app.ledger.ask(&Question::Permit(request.clone()), deadline).await;
     match answer {
         Ok(Answer::Permit(answer)) => {
             PERMIT_TIMES.note("answered", now.elapsed());
-            accept(app, call, answer, now)
+            accept(app, &request, answer, now)
         }
         _ => {
             PERMIT_TIMES.note("no answer", now.elapsed());
@@ -104,20 +104,19 @@
 /// When the tenant has used up its limit.
 pub fn accept(
     app: &App,
-    call: &Call,
+    request: &PermitRequest,
     answer: PermitAnswer,
     asked: Instant,
 ) -> Result<Permit, Refusal> {
     match answer {
         PermitAnswer::Granted(grant) => {
-            if let Some(tenant) = &call.tenant {
-                app.purse.lock().put(&tenant.id, grant, asked, Instant::now());
-            }
+            app.purse.lock().put(&request.tenant, grant, asked, Instant::now());
             Ok(Permit::Until(asked + grant.life))
         }
         PermitAnswer::OverLimit(retry_after) => Err(Refusal::OverLimit {
-            tenant: call.tenant_name().unwrap_or("-").to_owned(),
-            configuration: call.table.version(),
+            tenant: request.tenant.clone(),
+            limit: request.limit,
+            configuration: request.configuration,
             retry_after,
         }),
     }
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use calicohoist_types::Findings;
+use calicohoist_routing::RateLimit;
+use calicohoist_types::{Findings, TenantId};
 use hyper::header::{CONTENT_TYPE, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 
@@ -48,10 +49,12 @@
     #[error("no such turn")]
     NoSuchTurn,
     /// Its tenant has sent as much as its limit allows.
-    #[error("over the limit of {tenant}, configuration {configuration}")]
+    #[error("over the limit of {tenant}, {limit}, configuration {configuration}")]
     OverLimit {
         /// The tenant.
-        tenant: String,
+        tenant: TenantId,
+        /// Its limit.
+        limit: RateLimit,
         /// Version of the configuration that says so.
         configuration: u64,
         /// When there will be room.
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -86,10 +86,11 @@
             turn.is_settled = true;
             return Ok(turn);
         }
+        let permit = permit::request_for_turn(app, call);
         let question = Question::Reserve {
             reserve: reserve_of(call),
             placement: placement_of(app, call),
-            permit: permit::request_for_turn(app, call),
+            permit: permit.clone(),
         };
         let deadline = call.deadline.min(Instant::now() + RESERVE_PATIENCE);
         let began = Instant::now();
@@ -98,10 +99,16 @@
         log_reserved(call, &answer, began);
         // From here on the drop of `turn` settles what may have been reserved.
         match answer {
-            Ok(Answer::Reserved { reservation, history, decision, is_under_way, permit }) => {
+            Ok(Answer::Reserved {
+                reservation,
+                history,
+                decision,
+                is_under_way,
+                permit: answer,
+            }) => {
                 let mut turn = turn.admit(reservation, &history)?;
-                turn.permit = match permit {
-                    Some(answer) => permit::accept(app, call, answer, began)?,
+                turn.permit = match permit.zip(answer) {
+                    Some((request, answer)) => permit::accept(app, &request, answer, began)?,
                     None => Permit::Unlimited,
                 };
                 turn.place(decision, is_under_way).await?;
@@ -110,7 +117,9 @@
             Ok(Answer::Permit(answer)) => {
                 // Refused before anything was reserved.
                 turn.is_settled = true;
-                permit::accept(app, call, answer, began)?;
+                if let Some(request) = &permit {
+                    permit::accept(app, request, answer, began)?;
+                }
                 Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER))
             }
             _ => Err(Refusal::not_run(NotRunReason::LedgerUnavailable, RETRY_AFTER)),
