--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -14,7 +14,7 @@
 use crate::dialect::Dialect;
 
 /// Why a request has no answer of a replica.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum Refusal {
     /// No configuration is known yet.
     #[error("no configuration")]
