Hold a request of a program under way until its tenant has room, when that is within 200 ms

A refusal costs its caller a try and a new connection, and a program fails by one call.

Change: the issuer knows from its window when the next place comes free. A request of a program under way gets that place and is answered then, when it is within 200 ms; else it is refused at once. First turns are never held here.

--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -8,6 +8,7 @@
 use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 
 use super::limits::LimitDesk;
@@ -38,10 +39,12 @@
     turns: Arc<TurnDesk>,
     /// Limits of tenants; of use on the leader only.
     limits: Arc<LimitDesk>,
+    /// Runs what the replica's thread must not wait for.
+    runtime: Handle,
 }
 
 impl Hub {
-    /// Answers from `replica` and the readings of the list.
+    /// Answers from `replica` and the readings of the list; made within a runtime.
     pub fn new(
         replica: ReplicaHandle,
         standing: watch::Receiver<Standing>,
@@ -49,7 +52,8 @@
         turns: Arc<TurnDesk>,
         limits: Arc<LimitDesk>,
     ) -> Self {
-        Self { replica, standing, list, loads: Arc::default(), turns, limits }
+        let runtime = Handle::current();
+        Self { replica, standing, list, loads: Arc::default(), turns, limits, runtime }
     }
 
     fn not_leader(&self, leader: Option<u32>) -> Answer {
@@ -181,36 +185,58 @@
         let program = reserve.program.clone();
         let respond = Box::new(move |response| {
             let mut answer = hub.answer(response);
-            if let Answer::Reserved {
-                reservation: Reservation::Granted,
-                decision,
-                is_under_way,
-                permit: permitted,
-                ..
-            } = &mut answer
-            {
-                let purpose = match &program {
-                    Some(program) if *is_under_way => Purpose::GoOn(program),
-                    Some(program) => Purpose::Begin(program),
-                    None => Purpose::Single,
-                };
-                match permit.map(|permit| hub.limits.issue(hub.term(), &permit, purpose)) {
-                    Some(Issued::NotNow) => return back.send(Answer::Unavailable),
-                    Some(Issued::Answer(answer)) => *permitted = Some(answer),
-                    None => {}
+            let Answer::Reserved { reservation, is_under_way, permit: permitted, .. } = &mut answer
+            else {
+                return back.send(answer);
+            };
+            if *reservation != Reservation::Granted {
+                return back.send(answer);
+            }
+            let purpose = match &program {
+                Some(program) if *is_under_way => Purpose::GoOn(program),
+                Some(program) => Purpose::Begin(program),
+                None => Purpose::Single,
+            };
+            let issued = permit.map(|permit| hub.limits.issue(hub.term(), &permit, purpose));
+            match issued {
+                None => back.send(hub.placed(answer, &turn, placement)),
+                Some(Issued::Answer(PermitAnswer::OverLimit(after))) => {
+                    *permitted = Some(PermitAnswer::OverLimit(after));
+                    back.send(answer);
+                }
+                Some(Issued::Answer(granted)) => {
+                    *permitted = Some(granted);
+                    back.send(hub.placed(answer, &turn, placement));
                 }
-                let may_run = !matches!(permitted, Some(PermitAnswer::OverLimit(_)));
-                if let Some(mut placement) = placement.filter(|_| may_run) {
-                    placement.is_under_way = *is_under_way;
-                    let decided = hub.turns.arrive(hub.term(), &turn, placement, &hub.reading());
-                    *decision = Some(decided);
+                Some(Issued::Later(grant, hold)) => {
+                    *permitted = Some(PermitAnswer::Granted(grant));
+                    hub.runtime.clone().spawn(async move {
+                        tokio::time::sleep(hold).await;
+                        back.send(hub.placed(answer, &turn, placement));
+                    });
                 }
+                Some(Issued::NotNow) => back.send(Answer::Unavailable),
             }
-            back.send(answer);
         });
         self.replica.ask(Request::Reserve(reserve), respond);
     }
 
+    /// The answer to a reservation that was granted, with the place of its turn.
+    fn placed(
+        &self,
+        mut answer: Answer,
+        turn: &str,
+        placement: Option<PlacementRequest>,
+    ) -> Answer {
+        if let Answer::Reserved { decision, is_under_way, .. } = &mut answer
+            && let Some(placement) = placement
+        {
+            let placement = PlacementRequest { is_under_way: *is_under_way, ..placement };
+            *decision = Some(self.turns.arrive(self.term(), turn, placement, &self.reading()));
+        }
+        answer
+    }
+
     /// The answer to a turn whose tenant has nothing left, without a reservation.
     fn refuse_early(&self, permit: &PermitRequest) -> Option<Answer> {
         let standing = self.standing.borrow();
@@ -223,13 +249,19 @@
     fn permit(&self, permit: PermitRequest, back: Back) {
         let hub = self.clone();
         let respond = Box::new(move |response| {
-            back.send(match response {
-                Response::Leads(term) => match hub.limits.issue(term, &permit, Purpose::Single) {
-                    Issued::Answer(answer) => Answer::Permit(answer),
-                    Issued::NotNow => Answer::Unavailable,
-                },
-                response => hub.answer(response),
-            });
+            let Response::Leads(term) = response else {
+                return back.send(hub.answer(response));
+            };
+            match hub.limits.issue(term, &permit, Purpose::Single) {
+                Issued::Answer(answer) => back.send(Answer::Permit(answer)),
+                Issued::Later(grant, hold) => {
+                    hub.runtime.spawn(async move {
+                        tokio::time::sleep(hold).await;
+                        back.send(Answer::Permit(PermitAnswer::Granted(grant)));
+                    });
+                }
+                Issued::NotNow => back.send(Answer::Unavailable),
+            }
         });
         self.replica.ask(Request::ConfirmLeadership, respond);
     }
--- a/crates/ledger/src/server/limits.rs
+++ b/crates/ledger/src/server/limits.rs
@@ -85,7 +85,7 @@
         });
         match issued {
             Some(Issued::Answer(answer)) => Some(answer),
-            Some(Issued::NotNow) | None => None,
+            Some(Issued::Later(..) | Issued::NotNow) | None => None,
         }
     }
 
--- a/crates/limiter/src/issuer.rs
+++ b/crates/limiter/src/issuer.rs
@@ -35,11 +35,18 @@
 /// as long as a program takes.
 const LOOK_AHEAD: Duration = Duration::from_millis(1_000);
 
+/// Longest time that a request of a program under way is held until there is room, which is
+/// known to come then. Shorter than a gateway waits for an answer before it asks about the
+/// leader (250 ms).
+const MOST_HOLD: Duration = Duration::from_millis(200);
+
 /// What the leader does about a request for permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Issued {
     /// It answers.
     Answer(PermitAnswer),
+    /// It answers with this after a while, when there is room.
+    Later(PermitGrant, Duration),
     /// So many permits wait to be noted that none may be issued; a matter of milliseconds.
     NotNow,
 }
@@ -101,7 +108,7 @@
 
     /// Whether a request would be refused, whatever it is for.
     pub fn is_exhausted(&mut self, request: &PermitRequest, now: Instant) -> bool {
-        self.account_of(request, now).left(now) < 1.0
+        self.account_of(request, now).time_until_room(now) > MOST_HOLD
     }
 
     /// What becomes of a request.
@@ -109,11 +116,14 @@
         let life = self.tolerance.permit_life();
         let account = self.account_of(request, now);
         account.count(now);
+        let hold = account.time_until_room(now);
         let may_run = match purpose {
-            Purpose::Begin(_) => !account.is_pressing(now) || account.may_begin(now),
-            Purpose::GoOn(_) | Purpose::Single => true,
+            Purpose::Begin(_) => {
+                hold.is_zero() && (!account.is_pressing(now) || account.may_begin(now))
+            }
+            Purpose::GoOn(_) | Purpose::Single => hold <= MOST_HOLD,
         };
-        if !may_run || account.left(now) < 1.0 {
+        if !may_run {
             return Issued::Answer(PermitAnswer::OverLimit(account.come_back(purpose, now)));
         }
         let noteless = account.may_issue_noteless();
@@ -122,8 +132,12 @@
         }
         account.note(purpose, now);
         let spare = account.spare(request.spare, now).min(noteless - 1);
-        account.issue(spare, now);
-        Issued::Answer(PermitAnswer::Granted(PermitGrant { permits: 1 + spare, life }))
+        account.issue(spare, now + hold);
+        let grant = PermitGrant { permits: 1 + spare, life };
+        if hold.is_zero() {
+            return Issued::Answer(PermitAnswer::Granted(grant));
+        }
+        Issued::Later(grant, hold)
     }
 
     /// Whether a tenant may soon get nothing more without a note.
@@ -223,6 +237,17 @@
         self.issuable() - self.issued(now) as f64
     }
 
+    /// How long it takes until one permit more may be issued. What was issued for a later time
+    /// counts already, so that nobody else gets that place.
+    fn time_until_room(&mut self, now: Instant) -> Duration {
+        let missing = 1.0 - self.left(now);
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        // Permits for later requests are few when there is no room; they are not counted on.
+        self.spent.time_until_gone(missing.ceil() as u64, self.tolerance.window, now)
+    }
+
     /// Permits that may be issued before any of the others is noted.
     fn may_issue_noteless(&self) -> u32 {
         let most = self.limit.map_or(0.0, |limit| self.tolerance.most_unnoted(limit));
