Leave replicas alone that fail one request after the other, as all gateways together see it

Change: gateways report a replica that gives no answer (one report at a time for each replica) to the leader, which counts the failures of all. After three within 300 ms it places no turn there and tells every gateway at once, for 1 s, twice as long each further time up to 8 s; never for more than a third of a service. A replica that fails one request in twenty stays in use.

--- a/crates/ledger/src/client/timing.rs
+++ b/crates/ledger/src/client/timing.rs
@@ -58,6 +58,7 @@
             Question::Reserve { .. }
             | Question::Permit(_)
             | Question::Settle { .. }
+            | Question::ReportFailure { .. }
             | Question::FindLeader => self.answer_patience,
         }
     }
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -55,6 +55,11 @@
     Settle(SettleTurn),
     /// What is newer than this? Held for a while when nothing is.
     Watch(Seen),
+    /// This replica gave no answer to a request.
+    ReportFailure {
+        /// Identity of the replica.
+        replica: String,
+    },
     /// Who leads? Held for a while when nobody does. It touches neither log nor disk.
     FindLeader,
 }
@@ -70,6 +75,17 @@
     pub list: ListMark,
     /// Requests that it has under way, by replica.
     pub loads: Vec<(String, u32)>,
+    /// The newest of its leader's changes to the replicas that are left alone.
+    pub failing: FailingMark,
+}
+
+/// Tells two states of the replicas that are left alone from each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailingMark {
+    /// Term of the leader.
+    pub term: u64,
+    /// Counts its changes.
+    pub change: u64,
 }
 
 /// Digest of a list of replicas. Leaders that read the same list give it the same mark, so
@@ -121,6 +137,8 @@
     Placed(Decision),
     /// The end of the turn is durable.
     Settled,
+    /// The report was taken.
+    Noted,
     /// What is newer than what was seen.
     News(News),
     /// The machine that was asked leads.
@@ -155,4 +173,6 @@
     pub loads_of: ListMark,
     /// All machines known.
     pub machines: Vec<u32>,
+    /// The replicas that are to be left alone, each for so many ms, if that has changed.
+    pub failing: Option<(FailingMark, Vec<(String, u32)>)>,
 }
--- a/crates/ledger/src/server/gateways.rs
+++ b/crates/ledger/src/server/gateways.rs
@@ -5,12 +5,14 @@
 
 use calicohoist_limiter::{Issued, PermitAnswer, PermitRequest, Purpose};
 use calicohoist_scheduler::PlacementRequest;
+use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, watch};
 
+use super::failures::FailureDesk;
 use super::limits::LimitDesk;
 use super::list::Reading;
 use super::loads::LoadBoard;
@@ -39,6 +41,8 @@
     turns: Arc<TurnDesk>,
     /// Limits of tenants; of use on the leader only.
     limits: Arc<LimitDesk>,
+    /// Replicas that fail; of use on the leader only.
+    failures: Arc<FailureDesk>,
     /// Runs what the replica's thread must not wait for.
     runtime: Handle,
 }
@@ -53,7 +57,8 @@
         limits: Arc<LimitDesk>,
     ) -> Self {
         let runtime = Handle::current();
-        Self { replica, standing, list, loads: Arc::default(), turns, limits, runtime }
+        let (loads, failures) = (Arc::default(), Arc::default());
+        Self { replica, standing, list, loads, turns, limits, failures, runtime }
     }
 
     fn not_leader(&self, leader: Option<u32>) -> Answer {
@@ -77,12 +82,15 @@
         self.note_load(&seen);
         let mut standing = self.standing.clone();
         let mut list = self.list.clone();
+        let mut failing = self.failures.subscribe();
         let news = async {
             loop {
                 let is_stale = {
                     let standing = standing.borrow_and_update();
                     let list = list.borrow_and_update();
+                    let failing = failing.borrow_and_update();
                     !standing.is_leader
+                        || (failing.term == standing.term && *failing != seen.failing)
                         || standing.configuration > seen.configuration
                         || (list.term == standing.term && list.mark != seen.list)
                 };
@@ -92,6 +100,7 @@
                 tokio::select! {
                     changed = standing.changed() => if changed.is_err() { return },
                     changed = list.changed() => if changed.is_err() { return },
+                    changed = failing.changed() => if changed.is_err() { return },
                 }
             }
         };
@@ -120,9 +129,27 @@
             loads: self.loads.lock().of_others(&seen.gateway, &reading, Instant::now()),
             loads_of: reading.mark,
             machines: standing.machines,
+            failing: self
+                .failures
+                .news(seen.failing)
+                .filter(|(mark, _)| mark.term == standing.term),
         })
     }
 
+    /// Counts a failure; everybody is told when it was one too many.
+    fn note_failure(&self, replica: &str, back: Back) {
+        let standing = self.standing.borrow().clone();
+        if !standing.is_leader {
+            return back.send(self.not_leader(standing.leader));
+        }
+        let replicas = &self.reading().list.replicas;
+        if let Some(rest) = self.failures.note(standing.term, replica, replicas) {
+            emit!(Event::ReplicaLeftAlone; replica = replica, for_ms = rest.as_millis());
+            self.turns.note_failing(replica, Instant::now() + rest);
+        }
+        back.send(Answer::Noted);
+    }
+
     fn note_load(&self, seen: &Seen) {
         self.loads.lock().note(&seen.gateway, &seen.loads, Instant::now());
         let standing = self.standing.borrow();
@@ -156,6 +183,7 @@
             Question::Permit(permit) => hub.permit(permit, back),
             Question::Place { turn, placement } => hub.place(turn, placement, back),
             Question::Settle(settle) => hub.settle(settle, back),
+            Question::ReportFailure { replica } => hub.note_failure(&replica, back),
             Question::FindLeader => {
                 let hub = hub.clone();
                 tokio::spawn(async move { back.send(hub.find_leader().await) });
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -5,6 +5,7 @@
 //! [`control`] and [`list`]. Bounded rings join them.
 
 pub mod control;
+pub mod failures;
 pub mod gateways;
 pub mod limits;
 pub mod list;
--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// A replica is known to fail until then.
+    pub fn note_failing(&self, replica: &str, until: Instant) {
+        self.state.lock().scheduler.note_failing(replica, until);
+    }
+
     /// Learns where turns ran.
     pub fn learn<'a>(&self, runs: impl Iterator<Item = &'a TurnRun>) {
         let mut state = self.state.lock();
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The replicas and what is known of each.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -11,6 +11,9 @@
 
 use crate::upstream::Pool;
 
+/// What a replica is avoided with that others found to fail: more than any wait.
+const FAILING_PENALTY: Duration = Duration::from_millis(800);
+
 /// A replica with its load and its recent troubles.
 #[derive(Debug)]
 pub struct Member {
@@ -91,6 +94,8 @@
     listed: RwLock<Vec<Arc<Member>>>,
     /// When the newest list known here was read, by whomever.
     list_read: Mutex<Option<Instant>>,
+    /// Replicas whose failures are being reported.
+    reporting: Mutex<HashSet<String>>,
 }
 
 impl Fleet {
@@ -101,6 +106,7 @@
             services: RwLock::default(),
             listed: RwLock::default(),
             list_read: Mutex::default(),
+            reporting: Mutex::default(),
         }
     }
 
@@ -131,6 +137,28 @@
         *self.services.write() = Arc::new(services);
     }
 
+    /// Makes replicas less attractive that others found to fail, each for so many ms.
+    pub fn note_failing(&self, failing: &[(String, u32)]) {
+        let listed = self.listed.read();
+        for (id, left_ms) in failing {
+            let lasting = Duration::from_millis(u64::from(*left_ms));
+            let member = listed.iter().find(|member| member.replica.id == *id);
+            if let Some(member) = member {
+                member.note_trouble(FAILING_PENALTY, lasting);
+            }
+        }
+    }
+
+    /// Whether a failure of this replica is to be reported: nobody here is doing so.
+    pub fn begin_report(&self, id: &str) -> bool {
+        self.reporting.lock().insert(id.to_owned())
+    }
+
+    /// The report of a failure was taken, or given up.
+    pub fn end_report(&self, id: &str) {
+        self.reporting.lock().remove(id);
+    }
+
     /// Notes when the list was read, if that is later than what is known.
     pub fn note_list_read(&self, read: Option<Instant>) {
         let mut known = self.list_read.lock();
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -12,6 +12,7 @@
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
+use super::failure;
 use super::permit::{self, Permit};
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
@@ -85,7 +86,7 @@
 /// # Errors
 /// When it did not run, or nobody knows.
 pub async fn dispatch(
-    app: &App,
+    app: &Arc<App>,
     call: &Call,
     payload: &Payload,
     trail: &mut Trail,
@@ -143,6 +144,7 @@
         trail.exclude(&member.replica.id);
         match error {
             ExchangeError::NotSent => {
+                failure::report(app, &member.replica.id);
                 member.note_trouble(UNREACHABLE_PENALTY.0, UNREACHABLE_PENALTY.1);
                 trail.refused_at += 1;
             }
@@ -151,6 +153,7 @@
                 trail.refused_at += 1;
             }
             ExchangeError::Unknown => {
+                failure::report(app, &member.replica.id);
                 member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
                 trail.attempts += 1;
                 trail.permit.lapse();
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod call;
 mod dispatch;
+mod failure;
 mod headers;
 mod permit;
 mod plain;
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -17,6 +17,7 @@
 use super::answer::{AnswerBody, BodyError};
 use super::call::Call;
 use super::dispatch::{Payload, Trail, dispatch};
+use super::failure;
 use super::headers::remove_connection_headers;
 use super::plain;
 use super::refusal::Refusal;
@@ -235,6 +236,7 @@
         const AVOIDED_FOR: Duration = Duration::from_millis(2_000);
         let broken = &self.exchange.member;
         broken.note_trouble(PENALTY, AVOIDED_FOR);
+        failure::report(&self.app, &broken.replica.id);
         emit!(
             Event::StreamBroken;
             request = self.call.head.request_id,
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::protocol::{ListMark, News, Seen};
+use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
 use calicohoist_routing::{Replica, RouteTable};
 use calicohoist_telemetry::{Event, emit};
@@ -28,6 +28,7 @@
 #[derive(Default)]
 struct FollowerState {
     list: ListMark,
+    failing: FailingMark,
 }
 
 struct Follower {
@@ -42,6 +43,7 @@
                 gateway: self.app.settings.name.clone(),
                 configuration: self.app.table().map_or(0, |table| table.version()),
                 list: self.state.lock().list,
+                failing: self.state.lock().failing,
                 loads: self.app.fleet.own_loads(),
             };
             let deadline = Instant::now() + WATCH_PATIENCE;
@@ -71,6 +73,10 @@
         if news.loads_of == self.state.lock().list {
             self.app.fleet.set_other_loads(&news.loads);
         }
+        if let Some((mark, failing)) = news.failing {
+            self.state.lock().failing = mark;
+            self.app.fleet.note_failing(&failing);
+        }
         if let Some(age) = news.list_age_ms {
             let read = Instant::now().checked_sub(Duration::from_millis(age));
             self.app.fleet.note_list_read(read);
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -189,6 +189,11 @@
         self.placer.end(turn, ran_at, now);
     }
 
+    /// A replica is known to fail until then.
+    pub fn note_failing(&mut self, replica: &str, until: Instant) {
+        self.placer.note_failing(replica, until);
+    }
+
     /// Forgets what is known of replicas that are not in `replicas`.
     pub fn retain(&mut self, replicas: &[Replica]) {
         self.placer.retain(replicas);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`admission`]: when a turn runs, by a process that sees all of them;
 //! - [`placement`]: where it runs;
 //! - [`prefix`]: what replicas are believed to hold of prompts;
+//! - [`failures`]: which replicas fail one request after the other;
 //! - [`speed`]: how fast engines are, learned from turns that ended;
 //! - [`cost`]: what routing a call to an engine would cost;
 //! - [`queue`]: which waiting call an engine takes next;
@@ -13,6 +14,7 @@
 
 pub mod admission;
 pub mod cost;
+pub mod failures;
 pub mod ownership;
 pub mod placement;
 pub mod prefix;
@@ -22,6 +24,7 @@
 
 pub use admission::{Decision, TurnScheduler};
 pub use cost::{CostInputs, CostWeights, choose, cost_millis};
+pub use failures::FailureBoard;
 pub use ownership::owner_of;
 pub use placement::{Placement, PlacementRequest, PlacementWeights, Placer, RunLimit, TurnRun};
 pub use prefix::{PrefixIndex, PromptPart};
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -184,6 +184,8 @@
     /// Turns that an earlier leader placed there.
     inherited: Option<InheritedLoad>,
     signs: Option<Signs>,
+    /// Until when it is known to fail.
+    fails_until: Option<Instant>,
     /// When it was last given shared parts to read.
     spread: Option<Instant>,
 }
@@ -193,8 +195,12 @@
         self.placed + self.inherited.map_or(0, |inherited| inherited.turns)
     }
 
-    /// Whether the replica has turns and shows no sign of working on them.
+    /// Whether the replica is known to fail, or has turns and shows no sign of working on
+    /// them.
     fn is_suspected(&self, now: Instant) -> bool {
+        if self.fails_until.is_some_and(|until| now < until) {
+            return true;
+        }
         let Some(signs) = self.signs else {
             return false;
         };
@@ -324,6 +330,11 @@
         self.view(ran_at).signs = Some(Signs { last: now, suspected_until: None });
     }
 
+    /// A replica is known to fail until then.
+    pub fn note_failing(&mut self, replica: &str, until: Instant) {
+        self.view(replica).fails_until = Some(until);
+    }
+
     /// What is known of a replica, to be changed.
     fn view(&mut self, replica: &str) -> &mut ReplicaView {
         self.views.entry(replica.to_owned()).or_default()
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -103,6 +103,8 @@
     TurnPlaced = 4112, Info;
     /// What the leader has learned of a service's engines.
     EngineSpeed = 4113, Info;
+    /// A replica failed one request after the other; no gateway uses it for a while.
+    ReplicaLeftAlone = 4114, Warn;
     /// Engine memory of an ended program was released.
     CacheReleased = 4201, Debug;
     /// A release order failed and will be retried.
