--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -25,7 +25,7 @@
     tokio::join!(follower.watch_ledger(), follower.watch_list());
 }
 
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 struct FollowerState {
     list: ListMark,
     failing: FailingMark,
@@ -39,11 +39,12 @@
 impl Follower {
     async fn watch_ledger(&self) {
         loop {
+            let FollowerState { list, failing } = *self.state.lock();
             let seen = Seen {
                 gateway: self.app.settings.name.clone(),
                 configuration: self.app.table().map_or(0, |table| table.version()),
-                list: self.state.lock().list,
-                failing: self.state.lock().failing,
+                list,
+                failing,
                 loads: self.app.fleet.own_loads(),
             };
             let deadline = Instant::now() + WATCH_PATIENCE;
