--- a/crates/ledger/src/server/limits.rs
+++ b/crates/ledger/src/server/limits.rs
@@ -8,6 +8,7 @@
     Issued, IssuedPermits, LimitTolerance, PermitAnswer, PermitIssuer, PermitRequest, Purpose,
     TenantUse,
 };
+use calicohoist_telemetry::{Event, emit};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -19,6 +20,13 @@
 /// against a window of seconds, and ten entries a second beside hundreds of turns.
 const NOTE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two reports on tenants that press on their limits.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Tenants that are named in one report, those with the least left.
+const MOST_REPORTED: usize = 5;
+/// Share of a limit from which on its use is reported.
+const REPORTED_SHARE: f64 = 0.75;
+
 /// Issues permits in one term after the other.
 pub struct LimitDesk {
     tolerance: LimitTolerance,
@@ -126,6 +134,23 @@
         UnnotedPermits { term: state.term, issued: state.issuer.take_unnoted(), elapsed }
     }
 
+    /// Logs which tenants press on their limits.
+    fn tell_pressed(&self) {
+        for used in self.uses().into_iter().take(MOST_REPORTED) {
+            let issuable = self.tolerance.issuable(used.limit);
+            if used.issued as f64 >= issuable * REPORTED_SHARE {
+                emit!(
+                    Event::LimitPressed;
+                    tenant = used.tenant,
+                    limit = used.limit,
+                    issued = used.issued,
+                    issuable = issuable as u64,
+                    programs = used.programs,
+                );
+            }
+        }
+    }
+
     /// Counts what was taken as noted, or as still to be noted.
     fn end_note(&self, term: u64, issued: &[IssuedPermits], is_noted: bool) {
         let mut state = self.state.lock();
@@ -141,8 +166,13 @@
 
     /// Notes in the log what is issued, for as long as the process runs.
     pub async fn keep_notes(self: Arc<Self>, replica: ReplicaHandle) {
+        let mut told = Instant::now();
         loop {
             self.work.notified().await;
+            if told.elapsed() >= REPORT_INTERVAL {
+                told = Instant::now();
+                self.tell_pressed();
+            }
             let UnnotedPermits { term, issued, elapsed } = self.take_unnoted();
             if issued.is_empty() {
                 continue;
--- a/crates/ledger/src/state/permits.rs
+++ b/crates/ledger/src/state/permits.rs
@@ -8,8 +8,9 @@
 use calicohoist_limiter::IssuedPermits;
 use serde::{Deserialize, Serialize};
 
-/// Time for which notes are kept, in ms: longer than any window of a limit that is accepted.
-pub const KEPT_MS: u64 = 20_000;
+/// Time for which notes are kept, in ms: longer than the longest window with the life of a
+/// permit in it, which is no longer than a window.
+pub const KEPT_MS: u64 = 30_000;
 
 /// Permits issued within a short time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/limiter/src/tolerance.rs
+++ b/crates/limiter/src/tolerance.rs
@@ -41,6 +41,10 @@
 }
 
 impl LimitTolerance {
+    /// The longest window that is accepted: notes of issued permits are kept for as long as
+    /// such a window and the life of a permit in it, and a third more.
+    pub const LONGEST_WINDOW: Duration = Duration::from_secs(10);
+
     /// Time from the asking for a permit in advance to its end.
     pub fn permit_life(&self) -> Duration {
         self.window.mul_f64(self.overshoot.clamp(0.0, 1.0))
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -105,6 +105,8 @@
     EngineSpeed = 4113, Info;
     /// A replica failed one request after the other; no gateway uses it for a while.
     ReplicaLeftAlone = 4114, Warn;
+    /// A tenant has used up most of what its limit allows.
+    LimitPressed = 4115, Info;
     /// Engine memory of an ended program was released.
     CacheReleased = 4201, Debug;
     /// A release order failed and will be retried.
