--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -33,8 +33,6 @@
     pub previous_turn: Option<String>,
     /// The last event that the caller has, when it takes up a broken stream.
     pub last_event: Option<String>,
-    /// The object that the request concerns.
-    pub object: Option<String>,
 }
 
 /// What a gateway tells a replica.
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -57,8 +57,6 @@
     pub resumable: bool,
     /// Whether requests need no key.
     pub is_public: bool,
-    /// Whether a replica serves a request faster that has seen its object lately.
-    pub is_sticky: bool,
 }
 
 impl Route {
--- a/crates/routing/tests/configuration.rs
+++ b/crates/routing/tests/configuration.rs
@@ -25,7 +25,6 @@
         retention: Duration::from_secs(60),
         resumable: false,
         is_public: false,
-        is_sticky: false,
     }
 }
 
