--- /dev/null
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -0,0 +1,130 @@
+//! Questions of gateways.
+//!
+//! - [`news`]: what they watch for, and what they report along with it;
+//! - [`turns`]: whether, when and where a request runs.
+
+mod news;
+mod turns;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+
+use super::failures::FailureDesk;
+use super::limits::LimitDesk;
+use super::list::Reading;
+use super::loads::LoadBoard;
+use super::replica::{ReplicaHandle, Standing};
+use super::turns::TurnDesk;
+use crate::protocol::{Answer, Ask, Question, Reply};
+
+/// How long a gateway that looks for a leader is kept waiting while nobody leads: what it
+/// would do meanwhile is ask again.
+const FIND_HOLD: Duration = Duration::from_millis(150);
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// What all connections of gateways share.
+#[derive(Clone)]
+pub struct Hub {
+    replica: ReplicaHandle,
+    standing: watch::Receiver<Standing>,
+    list: watch::Receiver<Reading>,
+    loads: Arc<Mutex<LoadBoard>>,
+    /// Turns of programs; of use on the leader only, which alone grants reservations.
+    turns: Arc<TurnDesk>,
+    /// Limits of tenants; of use on the leader only.
+    limits: Arc<LimitDesk>,
+    /// Replicas that fail; of use on the leader only.
+    failures: Arc<FailureDesk>,
+    /// Runs what the replica's thread must not wait for.
+    runtime: Handle,
+}
+
+impl Hub {
+    /// Answers from `replica` and the readings of the list; made within a runtime.
+    pub fn new(
+        replica: ReplicaHandle,
+        standing: watch::Receiver<Standing>,
+        list: watch::Receiver<Reading>,
+        turns: Arc<TurnDesk>,
+        limits: Arc<LimitDesk>,
+    ) -> Self {
+        let runtime = Handle::current();
+        let (loads, failures) = (Arc::default(), Arc::default());
+        Self { replica, standing, list, loads, turns, limits, failures, runtime }
+    }
+
+    fn not_leader(&self, leader: Option<u32>) -> Answer {
+        Answer::NotLeader { leader, machines: self.standing.borrow().machines.clone() }
+    }
+
+    /// Who leads, as soon as somebody does.
+    async fn find_leader(&self) -> Answer {
+        let mut standing = self.standing.clone();
+        let known = standing.wait_for(|standing| standing.leader.is_some());
+        let _ = tokio::time::timeout(FIND_HOLD, known).await;
+        let standing = self.standing.borrow().clone();
+        if standing.is_leader {
+            return Answer::Leads { machines: standing.machines };
+        }
+        Answer::NotLeader { leader: standing.leader, machines: standing.machines }
+    }
+}
+
+/// Takes connections of gateways.
+pub async fn accept(listener: TcpListener, hub: Hub) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await
+            && tcp::prepare(&stream, USER_TIMEOUT).is_ok()
+        {
+            tokio::spawn(serve(stream, hub.clone()));
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, hub: Hub) {
+    let (input, output) = stream.into_split();
+    let replies = spawn_writer(output);
+    let mut frames = FrameReader::new(input);
+    while let Ok(Ask { number, question }) = frames.next().await {
+        let back = Back { number, replies: replies.clone() };
+        match question {
+            Question::Reserve { reserve, placement, permit } => {
+                hub.reserve(reserve, placement, permit, back);
+            }
+            Question::Permit(permit) => hub.permit(permit, back),
+            Question::Place { turn, placement } => hub.place(turn, placement, back),
+            Question::Settle(settle) => hub.settle(settle, back),
+            Question::ReportFailure { replica } => hub.note_failure(&replica, back),
+            Question::FindLeader => {
+                let hub = hub.clone();
+                tokio::spawn(async move { back.send(hub.find_leader().await) });
+            }
+            Question::Watch(seen) => {
+                let hub = hub.clone();
+                tokio::spawn(async move { back.send(hub.watch(seen).await) });
+            }
+        }
+    }
+}
+
+/// The way back to the asker.
+pub(super) struct Back {
+    number: u64,
+    replies: mpsc::Sender<Vec<u8>>,
+}
+
+impl Back {
+    /// A connection that does not take its answers loses them; its owner asks again.
+    pub(super) fn send(self, answer: Answer) {
+        let reply = Reply { number: self.number, answer };
+        if let Ok(frame) = encode_frame(&reply) {
+            let _ = self.replies.try_send(frame);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/server/gateways/news.rs
@@ -0,0 +1,95 @@
+//! What gateways watch for, and what they report along with it.
+
+use std::time::{Duration, Instant};
+
+use calicohoist_telemetry::{Event, emit};
+
+use super::{Back, Hub};
+use crate::protocol::{Answer, ListMark, News, Seen};
+use crate::server::replica::{Request, Response};
+
+/// Longest time that a watch is held when nothing is newer.
+const WATCH_HOLD: Duration = Duration::from_millis(500);
+
+impl Hub {
+    /// Answers once something is newer than what was seen, or after a while.
+    pub(super) async fn watch(&self, seen: Seen) -> Answer {
+        self.note_load(&seen);
+        let mut standing = self.standing.clone();
+        let mut list = self.list.clone();
+        let mut failing = self.failures.subscribe();
+        let news = async {
+            loop {
+                let is_stale = {
+                    let standing = standing.borrow_and_update();
+                    let list = list.borrow_and_update();
+                    let failing = failing.borrow_and_update();
+                    !standing.is_leader
+                        || (failing.term == standing.term && *failing != seen.failing)
+                        || standing.configuration > seen.configuration
+                        || (list.term == standing.term && list.mark != seen.list)
+                };
+                if is_stale {
+                    return;
+                }
+                tokio::select! {
+                    changed = standing.changed() => if changed.is_err() { return },
+                    changed = list.changed() => if changed.is_err() { return },
+                    changed = failing.changed() => if changed.is_err() { return },
+                }
+            }
+        };
+        let _ = tokio::time::timeout(WATCH_HOLD, news).await;
+        self.confirmed_news(&seen).await
+    }
+
+    /// What is newer, with a quorum behind it.
+    async fn confirmed_news(&self, seen: &Seen) -> Answer {
+        let read = Request::ReadConfiguration { newer_than: seen.configuration };
+        let held = match self.replica.call(read).await {
+            Response::Configuration(held) => held,
+            Response::NotLeader(leader) => return self.not_leader(leader),
+            _ => return Answer::Unavailable,
+        };
+        let reading = self.list.borrow().clone();
+        let standing = self.standing.borrow().clone();
+        let is_current = reading.term == standing.term;
+        let is_newer =
+            is_current && reading.mark != seen.list && reading.mark != ListMark::default();
+        let age = reading.read_at.filter(|_| is_current).map(|at| at.elapsed().as_millis());
+        Answer::News(News {
+            configuration: held.map(|held| (held.version, held.document)),
+            list: is_newer.then(|| (reading.mark, reading.list.as_ref().clone())),
+            list_age_ms: age.and_then(|age| u64::try_from(age).ok()),
+            loads: self.loads.lock().of_others(&seen.gateway, &reading, Instant::now()),
+            loads_of: reading.mark,
+            machines: standing.machines,
+            failing: self
+                .failures
+                .news(seen.failing)
+                .filter(|(mark, _)| mark.term == standing.term),
+        })
+    }
+
+    /// Counts a failure; everybody is told when it was one too many.
+    pub(super) fn note_failure(&self, replica: &str, back: Back) {
+        let standing = self.standing.borrow().clone();
+        if !standing.is_leader {
+            return back.send(self.not_leader(standing.leader));
+        }
+        let replicas = &self.reading().list.replicas;
+        if let Some(rest) = self.failures.note(standing.term, replica, replicas) {
+            emit!(Event::ReplicaLeftAlone; replica = replica, for_ms = rest.as_millis());
+            self.turns.note_failing(replica, Instant::now() + rest);
+        }
+        back.send(Answer::Noted);
+    }
+
+    fn note_load(&self, seen: &Seen) {
+        self.loads.lock().note(&seen.gateway, &seen.loads, Instant::now());
+        let standing = self.standing.borrow();
+        if standing.is_leader {
+            self.turns.note_report(standing.term, &seen.gateway, &seen.loads);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -0,0 +1,166 @@
+//! Turns and permits: whether, when and where a request runs.
+
+use std::time::Duration;
+
+use calicohoist_limiter::{Issued, PermitAnswer, PermitRequest, Purpose};
+use calicohoist_scheduler::PlacementRequest;
+
+use super::{Back, Hub};
+use crate::commands::{Command, Output, Reservation, ReserveTurn, SettleTurn};
+use crate::protocol::Answer;
+use crate::server::list::Reading;
+use crate::server::replica::{Request, Response};
+
+/// Time between two looks at waiting turns.
+const TEND_INTERVAL: Duration = Duration::from_millis(20);
+
+impl Hub {
+    /// Reserves, and decides whether, when and where the turn runs once that is granted.
+    pub(super) fn reserve(
+        &self,
+        reserve: ReserveTurn,
+        placement: Option<PlacementRequest>,
+        permit: Option<PermitRequest>,
+        back: Back,
+    ) {
+        if let Some(refusal) = permit.as_ref().and_then(|permit| self.refuse_early(permit)) {
+            return back.send(refusal);
+        }
+        let hub = self.clone();
+        let turn = reserve.turn.clone();
+        let program = reserve.program.clone();
+        let respond = Box::new(move |response| {
+            let mut answer = hub.answer(response);
+            let Answer::Reserved { reservation, is_under_way, permit: permitted, .. } = &mut answer
+            else {
+                return back.send(answer);
+            };
+            if *reservation != Reservation::Granted {
+                return back.send(answer);
+            }
+            let purpose = match &program {
+                Some(program) if *is_under_way => Purpose::GoOn(program),
+                Some(program) => Purpose::Begin(program),
+                None => Purpose::Single,
+            };
+            let issued = permit.map(|permit| hub.limits.issue(hub.term(), &permit, purpose));
+            match issued {
+                None => back.send(hub.placed(answer, &turn, placement)),
+                Some(Issued::Answer(PermitAnswer::OverLimit(after))) => {
+                    *permitted = Some(PermitAnswer::OverLimit(after));
+                    back.send(answer);
+                }
+                Some(Issued::Answer(granted)) => {
+                    *permitted = Some(granted);
+                    back.send(hub.placed(answer, &turn, placement));
+                }
+                Some(Issued::Later(grant, hold)) => {
+                    *permitted = Some(PermitAnswer::Granted(grant));
+                    hub.runtime.clone().spawn(async move {
+                        tokio::time::sleep(hold).await;
+                        back.send(hub.placed(answer, &turn, placement));
+                    });
+                }
+                Some(Issued::NotNow) => back.send(Answer::Unavailable),
+            }
+        });
+        self.replica.ask(Request::Reserve(reserve), respond);
+    }
+
+    /// The answer to a reservation that was granted, with the place of its turn.
+    fn placed(
+        &self,
+        mut answer: Answer,
+        turn: &str,
+        placement: Option<PlacementRequest>,
+    ) -> Answer {
+        if let Answer::Reserved { decision, is_under_way, .. } = &mut answer
+            && let Some(placement) = placement
+        {
+            let placement = PlacementRequest { is_under_way: *is_under_way, ..placement };
+            *decision = Some(self.turns.arrive(self.term(), turn, placement, &self.reading()));
+        }
+        answer
+    }
+
+    /// The answer to a turn whose tenant has nothing left, without a reservation.
+    fn refuse_early(&self, permit: &PermitRequest) -> Option<Answer> {
+        let standing = self.standing.borrow();
+        let term = standing.is_leader.then_some(standing.term)?;
+        self.limits.refuse_early(term, permit).map(Answer::Permit)
+    }
+
+    /// Issues a permit once a quorum is known to stand behind this machine: one that was
+    /// deposed must not issue what its successor issues again.
+    pub(super) fn permit(&self, permit: PermitRequest, back: Back) {
+        let hub = self.clone();
+        let respond = Box::new(move |response| {
+            let Response::Leads(term) = response else {
+                return back.send(hub.answer(response));
+            };
+            match hub.limits.issue(term, &permit, Purpose::Single) {
+                Issued::Answer(answer) => back.send(Answer::Permit(answer)),
+                Issued::Later(grant, hold) => {
+                    hub.runtime.spawn(async move {
+                        tokio::time::sleep(hold).await;
+                        back.send(Answer::Permit(PermitAnswer::Granted(grant)));
+                    });
+                }
+                Issued::NotNow => back.send(Answer::Unavailable),
+            }
+        });
+        self.replica.ask(Request::ConfirmLeadership, respond);
+    }
+
+    /// Answers once it is decided where a turn runs.
+    pub(super) fn place(&self, turn: String, placement: PlacementRequest, back: Back) {
+        let standing = self.standing.borrow().clone();
+        if !standing.is_leader {
+            return back.send(self.not_leader(standing.leader));
+        }
+        self.turns.place(standing.term, turn, placement, &self.reading(), back);
+    }
+
+    fn term(&self) -> u64 {
+        self.standing.borrow().term
+    }
+
+    /// The newest reading of the list of replicas.
+    pub(super) fn reading(&self) -> Reading {
+        self.list.borrow().clone()
+    }
+
+    /// Settles. The turn has ended, whether or not that becomes durable here.
+    pub(super) fn settle(&self, settle: SettleTurn, back: Back) {
+        self.turns.end(&settle, &self.reading());
+        let hub = self.clone();
+        let respond = Box::new(move |response| back.send(hub.answer(response)));
+        self.replica.ask(Request::Change(Command::Settle(settle)), respond);
+    }
+
+    fn answer(&self, response: Response) -> Answer {
+        match response {
+            Response::Reserved { reservation, history, is_under_way } => {
+                let (decision, permit) = (None, None);
+                Answer::Reserved { reservation, history, decision, is_under_way, permit }
+            }
+            Response::Changed(Output::Done) => Answer::Settled,
+            Response::NotLeader(leader) => self.not_leader(leader),
+            _ => Answer::Unavailable,
+        }
+    }
+
+    /// Looks after waiting turns for as long as the process runs.
+    pub async fn tend_turns(self) {
+        loop {
+            self.turns.wait_for_work().await;
+            let standing = self.standing.borrow().clone();
+            if standing.is_leader {
+                self.turns.decide(&self.reading());
+            } else {
+                self.turns.dismiss(&self.not_leader(standing.leader));
+            }
+            tokio::time::sleep(TEND_INTERVAL).await;
+        }
+    }
+}
--- a/crates/limiter/src/issuer.rs
+++ b/crates/limiter/src/issuer.rs
@@ -10,39 +10,9 @@
 use calicohoist_routing::RateLimit;
 use calicohoist_types::TenantId;
 
+use crate::account::TenantAccount;
 use crate::permit::{IssuedPermits, PermitAnswer, PermitGrant, PermitRequest, Purpose};
 use crate::tolerance::LimitTolerance;
-use crate::window::IssueWindow;
-
-/// A gateway gets permits in advance while a tenant has more than this share of its limit
-/// left, else one at a time.
-const ADVANCE_SHARE: f64 = 0.5;
-/// The same as a number of requests: a burst of one program with sub-agents. What is issued in
-/// advance and not spent counts all the same; tenants of 13 a second were refused with 89 of
-/// 97 sent.
-const ADVANCE_LEAST: f64 = 64.0;
-/// A tenant presses on its limit while it has less than this share of it left; then it begins
-/// fewer programs. At half of the limit, tenants that stay below theirs were refused 3 of 840
-/// programs in the comparison of `tests/ways.rs` with token buckets; at a quarter, none.
-const PRESSING_SHARE: f64 = 0.25;
-/// A program is under way until it has sent no turn for this time: longer than a turn with
-/// its tools takes.
-const UNDER_WAY_FOR: Duration = Duration::from_millis(1_000);
-/// Time over which the requests of programs under way are counted.
-const COUNT_OVER: Duration = Duration::from_millis(1_000);
-/// Weight of the newest count in what is learned.
-const NEWEST_WEIGHT: f64 = 0.3;
-/// Requests a second of one program before anything is learned: a turn of 100 ms, and a
-/// tool or two with each.
-const FIRST_GUESS: f64 = 10.0;
-/// Time for which there must be enough for all programs under way when one more begins: about
-/// as long as a program takes.
-const LOOK_AHEAD: Duration = Duration::from_millis(1_000);
-
-/// Longest time that a request of a program under way is held until there is room, which is
-/// known to come then. Shorter than a gateway waits for an answer before it asks about the
-/// leader (250 ms).
-const MOST_HOLD: Duration = Duration::from_millis(200);
 
 /// What the leader does about a request for permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,30 +38,6 @@
     pub programs: usize,
 }
 
-#[derive(Debug)]
-struct TenantAccount {
-    tolerance: LimitTolerance,
-    configuration: u64,
-    /// `None` before anything but what an earlier leader issued is known.
-    limit: Option<RateLimit>,
-    /// Permits for requests that were sent at once.
-    spent: IssueWindow,
-    /// Permits for later requests.
-    advance: IssueWindow,
-    /// Permits that were issued and are not known to be noted.
-    unnoted: u32,
-    /// Those of them that nobody is noting yet.
-    to_note: u32,
-    /// When each program under way was seen last.
-    programs: HashMap<String, Instant>,
-    /// Requests a second of one program, learned while the tenant presses.
-    program_rate: f64,
-    counted_from: Instant,
-    counted: u32,
-    /// When the next one that is refused may come back.
-    next_return: Instant,
-}
-
 /// Issues permits for as long as one machine leads.
 #[derive(Debug)]
 pub struct PermitIssuer {
@@ -107,48 +53,22 @@
 
     /// Takes in what an earlier leader has noted as issued at some time; in order of time.
     pub fn inherit(&mut self, issued: &IssuedPermits, at: Instant) {
-        self.account(&issued.tenant, at).advance.add(issued.count, at);
+        self.account(&issued.tenant, at).inherit(issued.count, at);
     }
 
     /// Whether a request would be refused, whatever it is for.
     pub fn is_exhausted(&mut self, request: &PermitRequest, now: Instant) -> bool {
-        self.account_of(request, now).time_until_room(now) > MOST_HOLD
+        self.account_of(request, now).is_exhausted(now)
     }
 
     /// What becomes of a request.
     pub fn issue(&mut self, request: &PermitRequest, purpose: Purpose<'_>, now: Instant) -> Issued {
-        let life = self.tolerance.permit_life();
-        let account = self.account_of(request, now);
-        account.count(now);
-        let hold = account.time_until_room(now);
-        let may_run = match purpose {
-            Purpose::Begin(_) => {
-                hold.is_zero() && (!account.is_pressing(now) || account.may_begin(now))
-            }
-            Purpose::GoOn(_) | Purpose::Single => hold <= MOST_HOLD,
-        };
-        if !may_run {
-            return Issued::Answer(PermitAnswer::OverLimit(account.come_back(purpose, now)));
-        }
-        let noteless = account.may_issue_noteless();
-        if noteless == 0 {
-            return Issued::NotNow;
-        }
-        account.note(purpose, now);
-        let spare = account.spare(request.spare, now).min(noteless - 1);
-        account.issue(spare, now + hold);
-        let grant = PermitGrant { permits: 1 + spare, life };
-        if hold.is_zero() {
-            return Issued::Answer(PermitAnswer::Granted(grant));
-        }
-        Issued::Later(grant, hold)
+        self.account_of(request, now).decide(request.spare, purpose, now)
     }
 
     /// Whether a tenant may soon get nothing more without a note.
     pub fn wants_note(&self, tenant: &TenantId) -> bool {
-        self.tenants
-            .get(tenant)
-            .is_some_and(|account| account.may_issue_noteless() <= account.unnoted)
+        self.tenants.get(tenant).is_some_and(TenantAccount::wants_note)
     }
 
     /// Takes what is to be noted in the log.
@@ -156,7 +76,7 @@
         let accounts = self.tenants.iter_mut();
         let taken = accounts.map(|(tenant, account)| IssuedPermits {
             tenant: tenant.clone(),
-            count: std::mem::take(&mut account.to_note),
+            count: account.take_unnoted(),
         });
         taken.filter(|issued| issued.count > 0).collect()
     }
@@ -165,7 +85,7 @@
     pub fn confirm_noted(&mut self, noted: &[IssuedPermits]) {
         for issued in noted {
             if let Some(account) = self.tenants.get_mut(&issued.tenant) {
-                account.unnoted = account.unnoted.saturating_sub(issued.count);
+                account.confirm_noted(issued.count);
             }
         }
     }
@@ -174,7 +94,7 @@
     pub fn return_unnoted(&mut self, lost: &[IssuedPermits]) {
         for issued in lost {
             if let Some(account) = self.tenants.get_mut(&issued.tenant) {
-                account.to_note += issued.count;
+                account.return_unnoted(issued.count);
             }
         }
     }
@@ -183,13 +103,8 @@
     pub fn uses(&mut self, now: Instant) -> Vec<TenantUse> {
         let tolerance = self.tolerance;
         let used = self.tenants.iter_mut().filter_map(|(tenant, account)| {
-            account.forget_ended(now);
-            Some(TenantUse {
-                tenant: tenant.clone(),
-                limit: account.limit?,
-                issued: account.issued(now),
-                programs: account.programs.len(),
-            })
+            let (limit, issued, programs) = account.usage(now)?;
+            Some(TenantUse { tenant: tenant.clone(), limit, issued, programs })
         });
         let mut uses: Vec<TenantUse> = used.collect();
         let left = |known: &TenantUse| tolerance.allowed(known.limit) - known.issued as f64;
@@ -200,10 +115,7 @@
     /// The account of a request's tenant, under the newest limit that was told.
     fn account_of(&mut self, request: &PermitRequest, now: Instant) -> &mut TenantAccount {
         let account = self.account(&request.tenant, now);
-        if account.limit.is_none() || request.configuration > account.configuration {
-            account.configuration = request.configuration;
-            account.limit = Some(request.limit);
-        }
+        account.set_limit(request.limit, request.configuration);
         account
     }
 
@@ -213,130 +125,3 @@
         self.tenants.entry(tenant.clone()).or_insert_with(fresh)
     }
 }
-
-impl TenantAccount {
-    fn new(tolerance: LimitTolerance, now: Instant) -> Self {
-        Self {
-            tolerance,
-            configuration: 0,
-            limit: None,
-            spent: IssueWindow::default(),
-            advance: IssueWindow::default(),
-            unnoted: 0,
-            to_note: 0,
-            programs: HashMap::new(),
-            program_rate: FIRST_GUESS,
-            counted_from: now,
-            counted: 0,
-            next_return: now,
-        }
-    }
-
-    fn issuable(&self) -> f64 {
-        self.limit.map_or(0.0, |limit| self.tolerance.issuable(limit))
-    }
-
-    /// Permits that may be issued now.
-    fn left(&mut self, now: Instant) -> f64 {
-        self.issuable() - self.issued(now) as f64
-    }
-
-    /// How long it takes until one permit more may be issued. What was issued for a later time
-    /// counts already, so that nobody else gets that place.
-    fn time_until_room(&mut self, now: Instant) -> Duration {
-        let missing = 1.0 - self.left(now);
-        if missing <= 0.0 {
-            return Duration::ZERO;
-        }
-        // Permits for later requests are few when there is no room; they are not counted on.
-        self.spent.time_until_gone(missing.ceil() as u64, self.tolerance.window, now)
-    }
-
-    /// Permits that may be issued before any of the others is noted.
-    fn may_issue_noteless(&self) -> u32 {
-        let most = self.limit.map_or(0.0, |limit| self.tolerance.most_unnoted(limit));
-        // A limit that does not fit is none.
-        (most as u32).saturating_sub(self.unnoted)
-    }
-
-    /// Issues a permit for a request that is sent now, and some for later ones.
-    fn issue(&mut self, spare: u32, now: Instant) {
-        self.spent.add(1, now);
-        self.advance.add(spare, now);
-        self.unnoted += 1 + spare;
-        self.to_note += 1 + spare;
-    }
-
-    /// Permits that count towards the present window.
-    fn issued(&mut self, now: Instant) -> u64 {
-        let LimitTolerance { window, .. } = self.tolerance;
-        let life = self.tolerance.permit_life();
-        self.spent.total(window, now) + self.advance.total(window + life, now)
-    }
-
-    fn is_pressing(&mut self, now: Instant) -> bool {
-        self.left(now) < self.issuable() * PRESSING_SHARE
-    }
-
-    /// Whether one program more leaves enough for those under way.
-    fn may_begin(&mut self, now: Instant) -> bool {
-        self.forget_ended(now);
-        let programs = self.programs.len() + 1;
-        let needed = programs as f64 * self.program_rate * LOOK_AHEAD.as_secs_f64();
-        let stays = self.tolerance.window.saturating_sub(LOOK_AHEAD);
-        let gone = self.spent.older_than(stays, now) + self.advance.older_than(stays, now);
-        needed <= self.left(now) + gone as f64
-    }
-
-    fn note(&mut self, purpose: Purpose<'_>, now: Instant) {
-        self.counted += 1;
-        if let Purpose::Begin(program) | Purpose::GoOn(program) = purpose {
-            self.programs.insert(program.to_owned(), now);
-        }
-    }
-
-    fn forget_ended(&mut self, now: Instant) {
-        self.programs.retain(|_, seen| now < *seen + UNDER_WAY_FOR);
-    }
-
-    /// Learns what a program needs a second, once enough time has passed. While there is
-    /// room, permits go out in advance and tell nothing.
-    fn count(&mut self, now: Instant) {
-        let counted_over = now.saturating_duration_since(self.counted_from);
-        if counted_over < COUNT_OVER {
-            return;
-        }
-        self.forget_ended(now);
-        let programs = self.programs.len();
-        if programs > 0 && self.is_pressing(now) {
-            let rate = f64::from(self.counted) / counted_over.as_secs_f64() / programs as f64;
-            self.program_rate += NEWEST_WEIGHT * (rate - self.program_rate);
-        }
-        self.counted = 0;
-        self.counted_from = now;
-    }
-
-    /// Permits beyond the one that is asked for.
-    fn spare(&mut self, wanted: u32, now: Instant) -> u32 {
-        let kept = (self.issuable() * ADVANCE_SHARE).max(ADVANCE_LEAST);
-        let above = self.left(now) - 1.0 - kept;
-        // Nobody wants more than fits.
-        wanted.min(above.max(0.0) as u32)
-    }
-
-    /// When a refused request finds room. Each one gets a time of its own, as far apart as
-    /// the limit lets requests in, so that they do not all come back together.
-    fn come_back(&mut self, purpose: Purpose<'_>, now: Instant) -> Duration {
-        let LimitTolerance { window, .. } = self.tolerance;
-        let needed = match purpose {
-            Purpose::Begin(_) => self.program_rate,
-            Purpose::GoOn(_) | Purpose::Single => 1.0,
-        };
-        let apart = window.mul_f64((needed / self.issuable().max(1.0)).min(1.0));
-        let missing = (needed - self.left(now)).max(1.0);
-        let room = now + self.spent.time_until_gone(missing as u64, window, now);
-        let next = self.next_return.max(room) + apart;
-        self.next_return = next.min(now + window);
-        self.next_return - now
-    }
-}
--- a/crates/limiter/src/lib.rs
+++ b/crates/limiter/src/lib.rs
@@ -9,11 +9,13 @@
 //! - [`tolerance`]: how exact a limit must be, and what follows from it;
 //! - [`window`]: what a tenant was given lately;
 //! - [`permit`]: what gateways ask for and get;
+//! - `account`: what a leader knows of one tenant;
 //! - [`issuer`]: the leader's side;
 //! - [`purse`]: a gateway's side.
 //!
 //! Nothing here reads a clock, opens a socket or knows its callers.
 
+mod account;
 pub mod issuer;
 pub mod permit;
 pub mod purse;
