Read times and values of log lines in one place

explain and losses each cut a time to its second and showed a JSON value without quotes; both stand in log_lines now. Behaviour is the same.

--- a/crates/calicohoist/src/cli/explain.rs
+++ b/crates/calicohoist/src/cli/explain.rs
@@ -4,9 +4,8 @@
 
 use bpaf::Bpaf;
 use eyre::Result;
-use serde_json::Value;
 
-use super::log_lines::{LogLine, read_all, text};
+use super::log_lines::{LogLine, read_all, second_of, shown_value, text};
 
 /// Arguments of `explain`.
 #[derive(Clone, Debug, Bpaf)]
@@ -22,9 +21,6 @@
     files: Vec<PathBuf>,
 }
 
-/// Changes of belief are shown from this many characters of the time on: to the second.
-const SECOND_LENGTH: usize = "2026-01-01T00:00:00".len();
-
 /// What a process came to believe, by name of the event.
 const BELIEFS: [&str; 9] = [
     "BecameLeader",
@@ -77,20 +73,11 @@
     told.into_iter().map(shown).collect()
 }
 
-fn second_of(line: &LogLine) -> &str {
-    let time = text(line, "time");
-    time.get(..SECOND_LENGTH).unwrap_or(time)
-}
-
 fn shown(line: &LogLine) -> String {
     const FIXED: [&str; 5] = ["time", "node", "name", "event", "level"];
     let fields = line.iter().filter(|(key, _)| !FIXED.contains(&key.as_str()));
-    let fields: Vec<String> = fields
-        .map(|(key, value)| match value {
-            Value::String(text) => format!("{key}={text}"),
-            other => format!("{key}={other}"),
-        })
-        .collect();
+    let fields: Vec<String> =
+        fields.map(|(key, value)| format!("{key}={}", shown_value(value))).collect();
     let (time, node, name) = (text(line, "time"), text(line, "node"), text(line, "name"));
     format!("{time} {node} {name} {}", fields.join(" "))
 }
--- a/crates/calicohoist/src/cli/log_lines.rs
+++ b/crates/calicohoist/src/cli/log_lines.rs
@@ -38,6 +38,21 @@
     Ok(())
 }
 
+/// The time of a line up to the second.
+pub fn second_of(line: &LogLine) -> &str {
+    const SECOND_LENGTH: usize = "2026-01-01T00:00:00".len();
+    let time = text(line, "time");
+    time.get(..SECOND_LENGTH).unwrap_or(time)
+}
+
+/// A value as a person reads it: text without quotes.
+pub fn shown_value(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
 /// A field that is text; empty when there is none.
 pub fn text<'a>(line: &'a LogLine, key: &str) -> &'a str {
     line.get(key).and_then(Value::as_str).unwrap_or_default()
--- a/crates/calicohoist/src/cli/losses.rs
+++ b/crates/calicohoist/src/cli/losses.rs
@@ -9,9 +9,8 @@
 
 use bpaf::Bpaf;
 use eyre::Result;
-use serde_json::Value;
 
-use super::log_lines::{LogLine, read_all, text};
+use super::log_lines::{LogLine, read_all, second_of, shown_value, text};
 
 /// Arguments of `losses`.
 #[derive(Clone, Debug, Bpaf)]
@@ -39,6 +38,8 @@
     route: String,
     node: String,
     taken_at: String,
+    /// `taken_at` up to the second.
+    second: String,
     outcome: Option<String>,
 }
 
@@ -84,13 +85,14 @@
                     route: text(line, "route").to_owned(),
                     node: text(line, "node").to_owned(),
                     taken_at: text(line, "time").to_owned(),
+                    second: second_of(line).to_owned(),
                     outcome: None,
                 };
                 requests.insert(id.to_owned(), record);
             }
             "RequestEnded" => {
                 if let Some(record) = requests.get_mut(id) {
-                    record.outcome = Some(shown(line, "outcome"));
+                    record.outcome = Some(line.get("outcome").map(shown_value).unwrap_or_default());
                 }
             }
             "RoleStarted" => end_requests_of(text(line, "node"), &mut requests),
@@ -108,24 +110,15 @@
     }
 }
 
-fn shown(line: &LogLine, key: &str) -> String {
-    match line.get(key) {
-        Some(Value::String(text)) => text.clone(),
-        Some(other) => other.to_string(),
-        None => String::new(),
-    }
-}
-
 impl RequestRecord {
     fn is_served(&self) -> bool {
         self.outcome.as_deref().is_some_and(|outcome| SERVED.contains(&outcome))
     }
 
     fn key(&self) -> LossKey {
-        const SECOND_LENGTH: usize = "2026-01-01T00:00:00".len();
         let outcome = self.outcome.as_deref().unwrap_or(NO_LAST_LINE);
         LossKey {
-            second: self.taken_at.get(..SECOND_LENGTH).unwrap_or(&self.taken_at).to_owned(),
+            second: self.second.clone(),
             route: self.route.clone(),
             cause: outcome.to_owned(),
         }
