Sight: bytes of answers to gateways by kind, bytes that wait, size of a configuration

The figures of an outage told how much a leader sent, not what. Counter calicohoist_ledger_answered_bytes_total (configuration, list, loads, history, short), gauge calicohoist_ledger_waiting_bytes, bytes in the log lines of operators' calls and of configurations applied. No change of what is sent or when; the writer of a connection has a module of its own.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -6,10 +6,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
+use calicohoist_transport::{
+    FrameQueue, FrameReader, WaitingBytes, encode_frame, spawn_writer, tcp,
+};
 use parking_lot::Mutex;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::protocol::{Answer, Ask, Question, Reply};
 
@@ -21,7 +23,7 @@
 /// An open connection.
 #[derive(Clone)]
 pub(super) struct Connection {
-    questions: mpsc::Sender<Vec<u8>>,
+    questions: FrameQueue,
     state: Arc<ConnectionState>,
 }
 
@@ -43,7 +45,8 @@
             waiting: Mutex::default(),
             heard: Mutex::new(Instant::now()),
         };
-        let connection = Self { questions: spawn_writer(output), state: Arc::new(state) };
+        let questions = spawn_writer(output, WaitingBytes::default());
+        let connection = Self { questions, state: Arc::new(state) };
         tokio::spawn(read_answers(FrameReader::new(input), Arc::clone(&connection.state)));
         Some(connection)
     }
@@ -67,8 +70,7 @@
         if !self.is_open() {
             return None;
         }
-        self.questions.try_send(frame).ok()?;
-        Some(pending)
+        self.questions.send(frame).then_some(pending)
     }
 }
 
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -147,7 +147,12 @@
         let request = to_request(call.clone(), &body);
         let response = tokio::time::timeout(PATIENCE, self.replica.call(request)).await;
         let response = response.unwrap_or(Response::Lost);
-        emit!(Event::ControlCall; call = format!("{call:?}"), outcome = summary(&response));
+        emit!(
+            Event::ControlCall;
+            call = format!("{call:?}"),
+            bytes = body.len(),
+            outcome = summary(&response),
+        );
         match response {
             Response::NotLeader(leader) => self.redirect(leader, &path),
             response => self.render(&to_outcome(response)),
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -9,11 +9,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_transport::{FrameReader, encode_frame, spawn_writer, tcp};
+use calicohoist_telemetry::metrics::{Counter, Gauge};
+use calicohoist_transport::{
+    FrameQueue, FrameReader, WaitingBytes, encode_frame, spawn_writer, tcp,
+};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 use super::failures::FailureDesk;
 use super::limits::LimitDesk;
@@ -28,6 +31,16 @@
 const FIND_HOLD: Duration = Duration::from_millis(150);
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+static ANSWERED_BYTES: Counter = Counter::new(
+    "calicohoist_ledger_answered_bytes_total",
+    "Bytes of answers to gateways, by what takes most of them",
+    "answer",
+);
+static WAITING: Gauge = Gauge::new(
+    "calicohoist_ledger_waiting_bytes",
+    "Bytes of answers that wait for gateways to take them",
+);
+
 /// What all connections of gateways share.
 #[derive(Clone)]
 pub struct Hub {
@@ -41,6 +54,8 @@
     limits: Arc<LimitDesk>,
     /// Replicas that fail; of use on the leader only.
     failures: Arc<FailureDesk>,
+    /// Answers that wait on all connections.
+    waiting: WaitingBytes,
     /// Runs what the replica's thread must not wait for.
     runtime: Handle,
 }
@@ -56,7 +71,8 @@
     ) -> Self {
         let runtime = Handle::current();
         let (loads, failures) = (Arc::default(), Arc::default());
-        Self { replica, standing, list, loads, turns, limits, failures, runtime }
+        let waiting = WaitingBytes::default();
+        Self { replica, standing, list, loads, turns, limits, failures, waiting, runtime }
     }
 
     fn not_leader(&self, leader: Option<u32>) -> Answer {
@@ -89,10 +105,10 @@
 
 async fn serve(stream: TcpStream, hub: Hub) {
     let (input, output) = stream.into_split();
-    let replies = spawn_writer(output);
+    let replies = spawn_writer(output, hub.waiting.clone());
     let mut frames = FrameReader::new(input);
     while let Ok(Ask { number, question }) = frames.next().await {
-        let back = Back { number, replies: replies.clone() };
+        let back = Back { number, replies: replies.clone(), waiting: hub.waiting.clone() };
         match question {
             Question::Reserve { reserve, placement, permit } => {
                 hub.reserve(reserve, placement, permit, back);
@@ -116,15 +132,36 @@
 /// The way back to the asker.
 pub(super) struct Back {
     number: u64,
-    replies: mpsc::Sender<Vec<u8>>,
+    replies: FrameQueue,
+    waiting: WaitingBytes,
 }
 
 impl Back {
     /// A connection that does not take its answers loses them; its owner asks again.
     pub(super) fn send(self, answer: Answer) {
+        let kind = bulk_of(&answer);
         let reply = Reply { number: self.number, answer };
         if let Ok(frame) = encode_frame(&reply) {
-            let _ = self.replies.try_send(frame);
+            ANSWERED_BYTES.add(kind, frame.len() as u64);
+            let _ = self.replies.send(frame);
+            WAITING.show(self.waiting.get() as u64);
         }
     }
 }
+
+/// What takes most of an answer's bytes.
+fn bulk_of(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::News(news) if news.configuration.is_some() => "configuration",
+        Answer::News(news) if news.list.is_some() => "list",
+        Answer::News(_) => "loads",
+        Answer::Reserved { .. } => "history",
+        Answer::Permit(_)
+        | Answer::Placed(_)
+        | Answer::Settled
+        | Answer::Noted
+        | Answer::Leads { .. }
+        | Answer::NotLeader { .. }
+        | Answer::Unavailable => "short",
+    }
+}
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -88,7 +88,7 @@
         match self.app.dialect().parse_configuration(document) {
             Ok(configuration) => {
                 if self.app.put_table(RouteTable::new(configuration, &self.app.key_secret)) {
-                    emit!(Event::ConfigurationApplied; version = version);
+                    emit!(Event::ConfigurationApplied; version = version, bytes = document.len());
                 }
             }
             Err(findings) => emit!(Event::ChangeRefused, "version={version}: {findings}"),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -41,11 +41,16 @@
 
     /// Counts one under `value` of the label.
     pub fn count(&self, value: &str) {
+        self.add(value, 1);
+    }
+
+    /// Counts `amount` under `value` of the label.
+    pub fn add(&self, value: &str, amount: u64) {
         let registered = self
             .registered
             .get_or_init(|| register_int_counter_vec!(self.name, self.help, &[self.label]).ok());
         if let Some(counter) = registered {
-            counter.with_label_values(&[value]).inc();
+            counter.with_label_values(&[value]).inc_by(amount);
         }
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod frame;
 pub mod link;
 pub mod tcp;
+pub mod writer;
 
 pub use calicohoist_wire::FrameError;
 pub use frame::{FrameReader, encode_frame};
-pub use link::{Link, spawn_writer};
+pub use link::Link;
 pub use tcp::{bind, connect};
+pub use writer::{FrameQueue, WaitingBytes, spawn_writer};
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 
 use crate::frame::encode_frame;
@@ -109,19 +109,3 @@
         frames.drop_all();
     }
 }
-
-/// A queue whose frames are written to `output`, several at a time, by a task of their own.
-pub fn spawn_writer(mut output: impl AsyncWrite + Unpin + Send + 'static) -> mpsc::Sender<Vec<u8>> {
-    let (queue, mut frames) = mpsc::channel(QUEUE);
-    tokio::spawn(async move {
-        let mut batch: Vec<Vec<u8>> = Vec::with_capacity(BATCH);
-        while frames.recv_many(&mut batch, BATCH).await > 0 {
-            let bytes = batch.concat();
-            batch.clear();
-            if output.write_all(&bytes).await.is_err() {
-                return;
-            }
-        }
-    });
-    queue
-}
