Pack and encode a configuration or list once, however many gateways fetch it

Cause: each of 256 gateways that watch got a copy of the document, an encoding of the copy, and a third one in its connection's queue, all at the same moment: memory and traffic of a change grew with the gateways. Change: the state holds the document in shared bytes; the answer that holds it is compressed (lz4_flex) and encoded once a version, and frames of all connections refer to it. The list of replicas, which had the same cause, goes the same way. Large things are answers of their own now; a watch tells one at a time. A gateway that cannot read a configuration asks again after 500 ms: it came again at once.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -6,9 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use calicohoist_transport::{
-    FrameQueue, FrameReader, WaitingBytes, encode_frame, spawn_writer, tcp,
-};
+use calicohoist_transport::{Frame, FrameQueue, FrameReader, WaitingBytes, spawn_writer, tcp};
 use parking_lot::Mutex;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::oneshot;
@@ -63,7 +61,7 @@
 
     /// Sends a question; `None` when the connection is broken or its queue is full.
     pub(super) fn ask(&self, number: u64, question: &Question) -> Option<PendingAnswer> {
-        let frame = encode_frame(&Ask { number, question: question.clone() }).ok()?;
+        let frame = Frame::encode(&Ask { number, question: question.clone() }).ok()?;
         let (sender, receiver) = oneshot::channel();
         self.state.waiting.lock().insert(number, sender);
         let pending = PendingAnswer { number, receiver, state: Arc::clone(&self.state) };
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod client;
 pub mod commands;
+pub mod packed;
 pub mod protocol;
 pub mod queries;
 pub mod server;
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{Reservation, ReserveTurn, SettleTurn, TurnId};
+use crate::packed::PackedBytes;
 
 /// A numbered question.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -139,7 +140,21 @@
     Settled,
     /// The report was taken.
     Noted,
-    /// What is newer than what was seen.
+    /// A configuration that is newer than the one that was seen.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// The document.
+        document: PackedBytes,
+    },
+    /// A list of replicas that is not the one that was seen.
+    List {
+        /// Tells it from others.
+        mark: ListMark,
+        /// The list.
+        list: ReplicaList,
+    },
+    /// Nothing large is newer than what was seen.
     News(News),
     /// The machine that was asked leads.
     Leads {
@@ -160,10 +175,6 @@
 /// What a leader with a quorum behind it tells a gateway.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct News {
-    /// Version and document of a newer configuration.
-    pub configuration: Option<(u64, Vec<u8>)>,
-    /// A newer list of replicas.
-    pub list: Option<(ListMark, ReplicaList)>,
     /// Age of the newest reading of discovery, in ms; `None` before the first.
     pub list_age_ms: Option<u64>,
     /// Requests that all other gateways have under way, for each replica of the newest
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -66,7 +66,7 @@
     /// It is done.
     Done,
     /// The configuration in force, as it was sent.
-    Configuration(Vec<u8>),
+    Configuration(Bytes),
     /// Whether the machine is empty.
     Retiring {
         /// It is.
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -1,17 +1,20 @@
 //! Questions of gateways.
 //!
 //! - [`news`]: what they watch for, and what they report along with it;
+//! - [`shared`]: answers that are the same for all of them;
 //! - [`turns`]: whether, when and where a request runs.
 
 mod news;
+mod shared;
 mod turns;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use calicohoist_telemetry::metrics::{Counter, Gauge};
+use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::{
-    FrameQueue, FrameReader, WaitingBytes, encode_frame, spawn_writer, tcp,
+    Frame, FrameError, FrameQueue, FrameReader, WaitingBytes, spawn_writer, tcp,
 };
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -25,6 +28,7 @@
 use super::replica::{ReplicaHandle, Standing};
 use super::turns::TurnDesk;
 use crate::protocol::{Answer, Ask, Question, Reply};
+use shared::{SharedAnswer, SharedAnswers};
 
 /// How long a gateway that looks for a leader is kept waiting while nobody leads: what it
 /// would do meanwhile is ask again.
@@ -56,6 +60,7 @@
     failures: Arc<FailureDesk>,
     /// Answers that wait on all connections.
     waiting: WaitingBytes,
+    shared: Arc<Mutex<SharedAnswers>>,
     /// Runs what the replica's thread must not wait for.
     runtime: Handle,
 }
@@ -69,10 +74,18 @@
         turns: Arc<TurnDesk>,
         limits: Arc<LimitDesk>,
     ) -> Self {
-        let runtime = Handle::current();
-        let (loads, failures) = (Arc::default(), Arc::default());
-        let waiting = WaitingBytes::default();
-        Self { replica, standing, list, loads, turns, limits, failures, waiting, runtime }
+        Self {
+            replica,
+            standing,
+            list,
+            loads: Arc::default(),
+            turns,
+            limits,
+            failures: Arc::default(),
+            waiting: WaitingBytes::default(),
+            shared: Arc::default(),
+            runtime: Handle::current(),
+        }
     }
 
     fn not_leader(&self, leader: Option<u32>) -> Answer {
@@ -123,7 +136,7 @@
             }
             Question::Watch(seen) => {
                 let hub = hub.clone();
-                tokio::spawn(async move { back.send(hub.watch(seen).await) });
+                tokio::spawn(async move { hub.watch(seen, back).await });
             }
         }
     }
@@ -139,12 +152,36 @@
 impl Back {
     /// A connection that does not take its answers loses them; its owner asks again.
     pub(super) fn send(self, answer: Answer) {
-        let kind = bulk_of(&answer);
+        let bulk = bulk_of(&answer);
         let reply = Reply { number: self.number, answer };
-        if let Ok(frame) = encode_frame(&reply) {
-            ANSWERED_BYTES.add(kind, frame.len() as u64);
-            let _ = self.replies.send(frame);
-            WAITING.show(self.waiting.get() as u64);
+        self.send_frame(bulk, Frame::encode(&reply));
+    }
+
+    /// Sends an answer that other connections send, too.
+    fn send_shared(self, answer: &SharedAnswer) {
+        let frame = Frame::with_shared(&self.number, &answer.encoded);
+        self.send_frame(answer.bulk, frame);
+    }
+
+    fn send_if_encoded(self, answer: Result<SharedAnswer, FrameError>) {
+        match answer {
+            Ok(answer) => self.send_shared(&answer),
+            Err(error) => {
+                emit!(Event::AnswerTooLong; error = error);
+                self.send(Answer::Unavailable);
+            }
+        }
+    }
+
+    fn send_frame(self, bulk: &'static str, frame: Result<Frame, FrameError>) {
+        match frame {
+            Ok(frame) => {
+                ANSWERED_BYTES.add(bulk, frame.len() as u64);
+                let _ = self.replies.send(frame);
+                WAITING.show(self.waiting.get() as u64);
+            }
+            // The connection goes on, and the asker gives up at its deadline.
+            Err(error) => emit!(Event::AnswerTooLong; answer = bulk, error = error),
         }
     }
 }
@@ -152,8 +189,8 @@
 /// What takes most of an answer's bytes.
 fn bulk_of(answer: &Answer) -> &'static str {
     match answer {
-        Answer::News(news) if news.configuration.is_some() => "configuration",
-        Answer::News(news) if news.list.is_some() => "list",
+        Answer::Configuration { .. } => "configuration",
+        Answer::List { .. } => "list",
         Answer::News(_) => "loads",
         Answer::Reserved { .. } => "history",
         Answer::Permit(_)
--- a/crates/ledger/src/server/gateways/news.rs
+++ b/crates/ledger/src/server/gateways/news.rs
@@ -6,14 +6,15 @@
 
 use super::{Back, Hub};
 use crate::protocol::{Answer, ListMark, News, Seen};
-use crate::server::replica::{Request, Response};
+use crate::server::list::Reading;
+use crate::server::replica::{Request, Response, Standing};
 
 /// Longest time that a watch is held when nothing is newer.
 const WATCH_HOLD: Duration = Duration::from_millis(500);
 
 impl Hub {
     /// Answers once something is newer than what was seen, or after a while.
-    pub(super) async fn watch(&self, seen: Seen) -> Answer {
+    pub(super) async fn watch(&self, seen: Seen, back: Back) {
         self.note_load(&seen);
         let mut standing = self.standing.clone();
         let mut list = self.list.clone();
@@ -40,35 +41,42 @@
             }
         };
         let _ = tokio::time::timeout(WATCH_HOLD, news).await;
-        self.confirmed_news(&seen).await
+        self.tell_news(&seen, back).await;
     }
 
-    /// What is newer, with a quorum behind it.
-    async fn confirmed_news(&self, seen: &Seen) -> Answer {
+    /// Tells what is newer, with a quorum behind it: one large thing at a time, and then the rest.
+    async fn tell_news(&self, seen: &Seen, back: Back) {
         let read = Request::ReadConfiguration { newer_than: seen.configuration };
         let held = match self.replica.call(read).await {
             Response::Configuration(held) => held,
-            Response::NotLeader(leader) => return self.not_leader(leader),
-            _ => return Answer::Unavailable,
+            Response::NotLeader(leader) => return back.send(self.not_leader(leader)),
+            _ => return back.send(Answer::Unavailable),
         };
-        let reading = self.list.borrow().clone();
+        if let Some(held) = held {
+            let answer = self.shared.lock().configuration(&held);
+            return back.send_if_encoded(answer);
+        }
+        let reading = self.reading();
         let standing = self.standing.borrow().clone();
         let is_current = reading.term == standing.term;
-        let is_newer =
-            is_current && reading.mark != seen.list && reading.mark != ListMark::default();
+        if is_current && reading.mark != seen.list && reading.mark != ListMark::default() {
+            let answer = self.shared.lock().list(&reading);
+            return back.send_if_encoded(answer);
+        }
+        back.send(Answer::News(self.news(seen, &standing, &reading)));
+    }
+
+    fn news(&self, seen: &Seen, standing: &Standing, reading: &Reading) -> News {
+        let is_current = reading.term == standing.term;
         let age = reading.read_at.filter(|_| is_current).map(|at| at.elapsed().as_millis());
-        Answer::News(News {
-            configuration: held.map(|held| (held.version, held.document)),
-            list: is_newer.then(|| (reading.mark, reading.list.as_ref().clone())),
+        let failing = self.failures.news(seen.failing);
+        News {
             list_age_ms: age.and_then(|age| u64::try_from(age).ok()),
-            loads: self.loads.lock().of_others(&seen.gateway, &reading, Instant::now()),
+            loads: self.loads.lock().of_others(&seen.gateway, reading, Instant::now()),
             loads_of: reading.mark,
-            machines: standing.machines,
-            failing: self
-                .failures
-                .news(seen.failing)
-                .filter(|(mark, _)| mark.term == standing.term),
-        })
+            machines: standing.machines.clone(),
+            failing: failing.filter(|(mark, _)| mark.term == standing.term),
+        }
     }
 
     /// Counts a failure; everybody is told when it was one too many.
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -14,6 +14,7 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
 use calicohoist_replication::{GroupId, SealedSegment, SegmentId, StateMachine};
 use calicohoist_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
@@ -25,8 +26,8 @@
 pub struct HeldConfiguration {
     /// Its version; 0 before the first.
     pub version: u64,
-    /// The document, as the operator sent it.
-    pub document: Vec<u8>,
+    /// The document, as the operator sent it. All who read it share one copy.
+    pub document: Bytes,
 }
 
 /// The whole state of a ledger.
@@ -99,6 +100,7 @@
         match command {
             Command::PutConfiguration { version, document } => {
                 if version > self.configuration.version {
+                    let document = Bytes::from(document);
                     self.configuration = HeldConfiguration { version, document };
                 }
                 Output::Configuration { version: self.configuration.version }
--- a/crates/ledger/tests/state.rs
+++ b/crates/ledger/tests/state.rs
@@ -90,7 +90,7 @@
         let output = apply(&mut state, &put(version, text));
         assert_eq!(output, Output::Configuration { version: held });
     }
-    assert_eq!(state.configuration().document, b"seven");
+    assert_eq!(state.configuration().document, b"seven"[..]);
 }
 
 #[test]
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use calicohoist_ledger::client::AskError;
+use calicohoist_ledger::packed::PackedBytes;
 use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
-use calicohoist_routing::{Replica, RouteTable};
+use calicohoist_routing::{Replica, ReplicaList, RouteTable};
 use calicohoist_telemetry::{Event, emit};
 
 use crate::app::App;
@@ -16,6 +18,8 @@
 const LIST_AGE: Duration = Duration::from_millis(2_000);
 /// Time between two readings of its own.
 const OWN_READING_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Pause after a configuration that cannot be read here: it would come again at once.
+const REFUSED_PAUSE: Duration = Duration::from_millis(500);
 /// How often the age is looked at.
 const AGE_CHECK: Duration = Duration::from_millis(400);
 
@@ -48,29 +52,21 @@
                 loads: self.app.fleet.own_loads(),
             };
             let deadline = Instant::now() + WATCH_PATIENCE;
-            if let Ok(Answer::News(news)) =
-                self.app.ledger.ask(&Question::Watch(seen), deadline).await
-            {
-                self.take(news);
+            match self.app.ledger.ask(&Question::Watch(seen), deadline).await {
+                Ok(Answer::Configuration { version, document }) => {
+                    if !self.apply(version, &document) {
+                        tokio::time::sleep(REFUSED_PAUSE).await;
+                    }
+                }
+                Ok(Answer::List { mark, list }) => self.take_list(mark, list),
+                Ok(Answer::News(news)) => self.take(news),
+                Ok(_) | Err(AskError::Deadline) => {}
             }
         }
     }
 
     fn take(&self, news: News) {
         self.app.ledger.learn_machines(news.machines);
-        if let Some((version, document)) = news.configuration {
-            self.apply(version, &document);
-        }
-        if let Some((mark, list)) = news.list {
-            emit!(
-                Event::ListApplied;
-                source = "leader",
-                list = mark,
-                replicas = list.replicas.len(),
-            );
-            self.put_list(list.replicas);
-            self.state.lock().list = mark;
-        }
         if news.loads_of == self.state.lock().list {
             self.app.fleet.set_other_loads(&news.loads);
         }
@@ -84,14 +80,37 @@
         }
     }
 
-    fn apply(&self, version: u64, document: &[u8]) {
-        match self.app.dialect().parse_configuration(document) {
+    fn take_list(&self, mark: ListMark, list: ReplicaList) {
+        emit!(
+            Event::ListApplied;
+            source = "leader",
+            list = mark,
+            replicas = list.replicas.len(),
+        );
+        self.put_list(list.replicas);
+        self.state.lock().list = mark;
+    }
+
+    /// Puts a configuration in force; `false` when it is none.
+    fn apply(&self, version: u64, document: &PackedBytes) -> bool {
+        let document = match document.unpack() {
+            Ok(document) => document,
+            Err(error) => {
+                emit!(Event::ChangeRefused, "version={version}: {error}");
+                return false;
+            }
+        };
+        match self.app.dialect().parse_configuration(&document) {
             Ok(configuration) => {
                 if self.app.put_table(RouteTable::new(configuration, &self.app.key_secret)) {
                     emit!(Event::ConfigurationApplied; version = version, bytes = document.len());
                 }
+                true
+            }
+            Err(findings) => {
+                emit!(Event::ChangeRefused, "version={version}: {findings}");
+                false
             }
-            Err(findings) => emit!(Event::ChangeRefused, "version={version}: {findings}"),
         }
     }
 
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -135,6 +135,8 @@
     LedgerConnected = 5201, Info;
     /// A gateway gave up on a ledger machine and turns to another.
     LedgerLost = 5202, Warn;
+    /// An answer to a gateway cannot be encoded, or is too long for a frame.
+    AnswerTooLong = 5207, Error;
     /// The leader was silent; another machine was asked whether it still leads.
     LedgerSilent = 5206, Warn;
     /// A gateway applied a list of replicas.
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 
-use bytes::{Buf, BytesMut};
-use calicohoist_wire::{FrameError, MAX_FRAME_BYTES, write_frame};
+use bytes::{Buf, Bytes, BytesMut};
+use calicohoist_wire::{FrameError, MAX_FRAME_BYTES, encode, write_frame};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt};
@@ -21,6 +21,82 @@
     Ok(frame)
 }
 
+/// The last field of a message, encoded once for the frames of many connections.
+#[derive(Clone, Debug)]
+pub struct SharedField {
+    encoded: Bytes,
+    checksum: u32,
+}
+
+impl SharedField {
+    /// Encodes a field.
+    ///
+    /// # Errors
+    /// When it cannot be represented.
+    pub fn encode<T: Serialize>(field: &T) -> Result<Self, FrameError> {
+        let encoded = Bytes::from(encode(field)?);
+        let checksum = crc32c::crc32c(&encoded);
+        Ok(Self { encoded, checksum })
+    }
+}
+
+/// A frame that is to be written.
+#[derive(Clone, Debug)]
+pub struct Frame {
+    own: Vec<u8>,
+    shared: Bytes,
+}
+
+impl Frame {
+    /// The frame of `message`.
+    ///
+    /// # Errors
+    /// When it cannot be represented or is too long.
+    pub fn encode<T: Serialize>(message: &T) -> Result<Self, FrameError> {
+        Ok(Self { own: encode_frame(message)?, shared: Bytes::new() })
+    }
+
+    /// The frame of a message of two fields, of which many frames share the last: a message is
+    /// encoded as its fields, one after the other.
+    ///
+    /// # Errors
+    /// When it cannot be represented or is too long.
+    pub fn with_shared<T: Serialize>(first: &T, last: &SharedField) -> Result<Self, FrameError> {
+        let first = encode(first)?;
+        let shared = last.encoded.clone();
+        let length = first.len() + shared.len();
+        if length > MAX_FRAME_BYTES {
+            return Err(FrameError::TooLong(length));
+        }
+        let checksum = crc32c::crc32c_combine(crc32c::crc32c(&first), last.checksum, shared.len());
+        let mut own = Vec::with_capacity(HEADER_BYTES + first.len());
+        own.extend_from_slice(&(length as u32).to_le_bytes());
+        own.extend_from_slice(&checksum.to_le_bytes());
+        own.extend_from_slice(&first);
+        Ok(Self { own, shared })
+    }
+
+    /// Bytes on the wire.
+    pub fn len(&self) -> usize {
+        self.own.len() + self.shared.len()
+    }
+
+    /// Whether there are none; no frame is without its header.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Bytes that only this frame holds in memory.
+    pub fn own_bytes(&self) -> usize {
+        self.own.len()
+    }
+
+    /// What is to be written, in this order.
+    pub(crate) fn into_parts(self) -> (Vec<u8>, Bytes) {
+        (self.own, self.shared)
+    }
+}
+
 /// Reads frames; cancelling a read loses nothing.
 pub struct FrameReader<R> {
     input: R,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod writer;
 
 pub use calicohoist_wire::FrameError;
-pub use frame::{FrameReader, encode_frame};
+pub use frame::{Frame, FrameReader, SharedField, encode_frame};
 pub use link::Link;
 pub use tcp::{bind, connect};
 pub use writer::{FrameQueue, WaitingBytes, spawn_writer};
