--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -29,7 +29,8 @@
     is_open: AtomicBool,
     /// Who waits for which answer.
     waiting: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
-    /// When the last answer came, to whichever question.
+    /// When bytes of an answer came last, to whichever question. A whole answer may be long under
+    /// way: one of 2.6 MB that took 4 s was asked for again and again, and had not come after 60 s.
     heard: Mutex<Instant>,
 }
 
@@ -54,7 +55,7 @@
         self.state.is_open.load(Ordering::Relaxed)
     }
 
-    /// When the machine answered last.
+    /// When the machine last showed that it answers.
     pub(super) fn heard(&self) -> Instant {
         *self.state.heard.lock()
     }
@@ -93,8 +94,8 @@
 }
 
 async fn read_answers(mut frames: FrameReader<OwnedReadHalf>, state: Arc<ConnectionState>) {
-    while let Ok(Reply { number, answer }) = frames.next().await {
-        *state.heard.lock() = Instant::now();
+    let note_sign_of_life = || *state.heard.lock() = Instant::now();
+    while let Ok(Reply { number, answer }) = frames.next_noting(note_sign_of_life).await {
         if let Some(sender) = state.waiting.lock().remove(&number) {
             let _ = sender.send(answer);
         }
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -114,6 +114,17 @@
     /// # Errors
     /// See [`FrameError`]; the connection is of no use afterwards.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T, FrameError> {
+        self.next_noting(|| {}).await
+    }
+
+    /// The same; `on_bytes` is called whenever bytes have come, of a whole message or not.
+    ///
+    /// # Errors
+    /// See [`FrameError`]; the connection is of no use afterwards.
+    pub async fn next_noting<T: DeserializeOwned>(
+        &mut self,
+        mut on_bytes: impl FnMut(),
+    ) -> Result<T, FrameError> {
         loop {
             if let Some(message) = self.take()? {
                 return Ok(message);
@@ -122,6 +133,7 @@
             if self.input.read_buf(&mut self.buffer).await? == 0 {
                 return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
             }
+            on_bytes();
         }
     }
 
