Bound what waits for a gateway, and close the connection of one that does not take it

Cause, the same as of the outage by configurations: only the number of frames that wait for a connection was bounded (1,024 of any size), and an answer beyond that was dropped while its asker went on waiting for it. Change: 1 MB of memory a connection and 48 MB for all; beyond, the connection is closed with a log line (CH5208), and its owner asks again. What frames share counts for none.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -6,7 +6,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use calicohoist_transport::{Frame, FrameQueue, FrameReader, WaitingBytes, spawn_writer, tcp};
+use calicohoist_transport::{
+    Frame, FrameQueue, FrameReader, Queued, WaitingBytes, spawn_writer, tcp,
+};
 use parking_lot::Mutex;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::oneshot;
@@ -69,7 +71,7 @@
         if !self.is_open() {
             return None;
         }
-        self.questions.send(frame).then_some(pending)
+        (self.questions.send(frame) == Queued::Taken).then_some(pending)
     }
 }
 
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -14,7 +14,7 @@
 use calicohoist_telemetry::metrics::{Counter, Gauge};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::{
-    Frame, FrameError, FrameQueue, FrameReader, WaitingBytes, spawn_writer, tcp,
+    Frame, FrameError, FrameQueue, FrameReader, Queued, WaitingBytes, spawn_writer, tcp,
 };
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -150,7 +150,7 @@
 }
 
 impl Back {
-    /// A connection that does not take its answers loses them; its owner asks again.
+    /// A connection that does not take its answers is closed; its owner asks again.
     pub(super) fn send(self, answer: Answer) {
         let bulk = bulk_of(&answer);
         let reply = Reply { number: self.number, answer };
@@ -177,8 +177,11 @@
         match frame {
             Ok(frame) => {
                 ANSWERED_BYTES.add(bulk, frame.len() as u64);
-                let _ = self.replies.send(frame);
+                let queued = self.replies.send(frame);
                 WAITING.show(self.waiting.get() as u64);
+                if queued == Queued::Overflowed {
+                    emit!(Event::AnswersNotTaken; answer = bulk, waiting = self.waiting.get());
+                }
             }
             // The connection goes on, and the asker gives up at its deadline.
             Err(error) => emit!(Event::AnswerTooLong; answer = bulk, error = error),
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -137,6 +137,8 @@
     LedgerLost = 5202, Warn;
     /// An answer to a gateway cannot be encoded, or is too long for a frame.
     AnswerTooLong = 5207, Error;
+    /// A gateway does not take its answers; its connection is closed.
+    AnswersNotTaken = 5208, Warn;
     /// The leader was silent; another machine was asked whether it still leads.
     LedgerSilent = 5206, Warn;
     /// A gateway applied a list of replicas.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -12,4 +12,4 @@
 pub use frame::{Frame, FrameReader, SharedField, encode_frame};
 pub use link::Link;
 pub use tcp::{bind, connect};
-pub use writer::{FrameQueue, WaitingBytes, spawn_writer};
+pub use writer::{FrameQueue, Queued, WaitingBytes, spawn_writer};
--- a/crates/transport/src/writer.rs
+++ b/crates/transport/src/writer.rs
@@ -5,12 +5,18 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use tokio::io::{AsyncWrite, AsyncWriteExt};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::frame::Frame;
 
-/// Frames that may wait for a connection; more are dropped.
+/// Frames that may wait for a connection.
 const QUEUE: usize = 1_024;
+/// Bytes of memory that may wait for one connection: ten histories of 100,000 tokens. A frame
+/// that finds none waiting is taken whatever its size.
+pub const MOST_WAITING: usize = 1 << 20;
+/// Bytes of memory that may wait for all connections that are counted together: less than
+/// half of what the smallest ledger machine has, which is 120 MB.
+pub const MOST_WAITING_IN_ALL: usize = 48 << 20;
 /// Frames written with one system call.
 const BATCH: usize = 64;
 
@@ -33,52 +39,113 @@
     }
 }
 
+/// What came of a frame that was to be queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Queued {
+    /// It waits to be written.
+    Taken,
+    /// Too much waits already; the connection is closed, since its owner would wait in vain.
+    Overflowed,
+    /// The connection is closed.
+    Closed,
+}
+
 /// The way to the task that writes the frames of a connection.
 #[derive(Clone, Debug)]
 pub struct FrameQueue {
     frames: mpsc::Sender<Frame>,
-    waiting: WaitingBytes,
+    load: QueueLoad,
+    overflow: Arc<Notify>,
+}
+
+#[derive(Clone, Debug)]
+struct QueueLoad {
+    /// Of this connection.
+    own: WaitingBytes,
+    /// Of all that are counted with it.
+    all: WaitingBytes,
+}
+
+impl QueueLoad {
+    fn has_room(&self, bytes: usize) -> bool {
+        let own = self.own.get();
+        own == 0 || (own + bytes <= MOST_WAITING && self.all.get() + bytes <= MOST_WAITING_IN_ALL)
+    }
+
+    fn add(&self, bytes: usize) {
+        self.own.add(bytes);
+        self.all.add(bytes);
+    }
+
+    fn remove(&self, bytes: usize) {
+        self.own.remove(bytes);
+        self.all.remove(bytes);
+    }
 }
 
 impl FrameQueue {
-    /// Queues a frame; `false` when it was dropped.
-    pub fn send(&self, frame: Frame) -> bool {
+    /// Queues a frame.
+    pub fn send(&self, frame: Frame) -> Queued {
         let bytes = frame.own_bytes();
-        self.waiting.add(bytes);
-        let is_queued = self.frames.try_send(frame).is_ok();
-        if !is_queued {
-            self.waiting.remove(bytes);
+        if self.frames.is_closed() {
+            return Queued::Closed;
         }
-        is_queued
+        if !self.load.has_room(bytes) {
+            return self.close();
+        }
+        self.load.add(bytes);
+        match self.frames.try_send(frame) {
+            Ok(()) => Queued::Taken,
+            Err(_) => {
+                self.load.remove(bytes);
+                self.close()
+            }
+        }
+    }
+
+    fn close(&self) -> Queued {
+        self.overflow.notify_one();
+        Queued::Overflowed
     }
 }
 
 /// A queue whose frames are written to `output`, several at a time. What waits in it is
-/// counted in `waiting`.
+/// counted in `waiting`, too. The writing half is closed when too much waits.
 pub fn spawn_writer(
-    mut output: impl AsyncWrite + Unpin + Send + 'static,
+    output: impl AsyncWrite + Unpin + Send + 'static,
     waiting: WaitingBytes,
 ) -> FrameQueue {
     let (frames, mut receiver) = mpsc::channel::<Frame>(QUEUE);
-    let queue = FrameQueue { frames, waiting: waiting.clone() };
+    let load = QueueLoad { own: WaitingBytes::default(), all: waiting };
+    let overflow = Arc::new(Notify::new());
+    let queue = FrameQueue { frames, load: load.clone(), overflow: Arc::clone(&overflow) };
     tokio::spawn(async move {
-        let mut batch: Vec<Frame> = Vec::with_capacity(BATCH);
-        while receiver.recv_many(&mut batch, BATCH).await > 0 {
-            let bytes = batch.iter().map(Frame::own_bytes).sum();
-            let written = write_all(&mut output, &mut batch).await;
-            waiting.remove(bytes);
-            if written.is_err() {
-                break;
-            }
+        tokio::select! {
+            () = write_frames(output, &mut receiver, &load) => {}
+            () = overflow.notified() => {}
         }
         receiver.close();
-        while let Some(frame) = receiver.recv().await {
-            waiting.remove(frame.own_bytes());
-        }
+        while receiver.recv().await.is_some() {}
+        load.remove(load.own.get());
     });
     queue
 }
 
+async fn write_frames(
+    mut output: impl AsyncWrite + Unpin,
+    receiver: &mut mpsc::Receiver<Frame>,
+    load: &QueueLoad,
+) {
+    let mut batch: Vec<Frame> = Vec::with_capacity(BATCH);
+    while receiver.recv_many(&mut batch, BATCH).await > 0 {
+        let bytes = batch.iter().map(Frame::own_bytes).sum();
+        if write_all(&mut output, &mut batch).await.is_err() {
+            return;
+        }
+        load.remove(bytes);
+    }
+}
+
 /// Writes frames with few system calls, and without a copy of what they share.
 async fn write_all(
     output: &mut (impl AsyncWrite + Unpin),
