A leader tells machines outside its group who leads; an order to stand by carries its term

Cause: whoever is no member has to ask for the group, and asks the machines named in its settings. When these were exchanged for machines that stand by, a loss of all power left them, all other machines outside the group and all gateways with nobody that knows a member, although a leader was elected in 0.4 s. Change: once a second the leader names itself to machines outside its group that have not asked it for 2 s: those named in its settings, those that asked it before, and those enrolled in the log. A hint counts whatever the disk of its receiver, as a request to join does. Ruled out: the stalled disk at 31.5 s (a machine outside the group; the leader of term 1 answered reads until the loss); a quorum that was lost (read with a quorum from 43.6 s on). Programs that began in the ten seconds before the loss were cut by it.

--- a/crates/lab/tests/ledger_members/seeds.rs
+++ b/crates/lab/tests/ledger_members/seeds.rs
@@ -16,6 +16,7 @@
 
 use std::time::Duration;
 
+use calicohoist_types::Moment;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 
@@ -48,6 +49,14 @@
         (0..self.machines.len()).for_each(|index| self.crash(index));
     }
 
+    fn crash_seeds(&mut self) {
+        for index in 0..self.machines.len() {
+            if self.seeds.contains(&self.machines[index].number) {
+                self.crash(index);
+            }
+        }
+    }
+
     /// Power comes back at half of the machines 3 s later than at the others.
     fn keep_half_down(&mut self) {
         for machine in self.machines.iter_mut().skip(1).step_by(2) {
@@ -93,3 +102,48 @@
         cluster.judge_found(seed);
     }
 }
+
+/// A disk is lost besides, of a member or of another machine.
+#[test]
+fn they_find_it_when_one_of_them_comes_back_empty() {
+    for seed in 0..SEEDS {
+        let mut cluster = settled(seed);
+        cluster.lose_all_power();
+        let lost = cluster.random.random_range(0..cluster.machines.len());
+        cluster.wipe(lost);
+        cluster.wait_until_all_run();
+        cluster.run_for(FOUND_AGAIN);
+        cluster.judge_found(seed);
+    }
+}
+
+/// The leader has run since before the change, and was told of other machines.
+#[test]
+fn machines_to_ask_first_find_the_leader_when_only_they_start_again() {
+    for seed in 0..SEEDS {
+        let mut cluster = settled(seed);
+        cluster.crash_seeds();
+        cluster.wait_until_all_run();
+        cluster.run_for(FOUND_AGAIN);
+        cluster.judge_found(seed);
+    }
+}
+
+/// The disks of two machines stall while power is lost: they are back last.
+#[test]
+fn two_machines_whose_disks_stall_are_waited_for_by_nobody() {
+    for seed in 0..SEEDS {
+        let mut cluster = settled(seed);
+        cluster.lose_all_power();
+        cluster.wait_until_all_run();
+        let stalled = cluster.now + FOUND_AGAIN * 2;
+        for _ in 0..2 {
+            let index = cluster.random.random_range(0..cluster.machines.len());
+            cluster.machines[index].frozen_until = stalled;
+        }
+        cluster.run_for(FOUND_AGAIN);
+        cluster.machines.iter_mut().for_each(|machine| machine.frozen_until = Moment::ZERO);
+        cluster.run_for(FOUND_AGAIN);
+        cluster.judge_found(seed);
+    }
+}
--- a/crates/ledger/src/server/peers.rs
+++ b/crates/ledger/src/server/peers.rs
@@ -79,8 +79,7 @@
         let messages: Vec<GroupMessage> = if is_for_us {
             messages
         } else {
-            // Joining is asked of machines, whatever their disk.
-            messages.into_iter().filter(calicohoist_replication::node::is_join).collect()
+            messages.into_iter().filter(calicohoist_replication::node::is_for_machine).collect()
         };
         if !messages.is_empty() {
             replica.frame(from, messages);
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -6,7 +6,7 @@
 pub mod pending;
 mod request;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,6 +44,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// How often a leader lets the state's clock run on.
 const ADVANCE_EVERY: Duration = Duration::from_secs(5);
+/// How often a leader looks up which machines there are; those outside the group are called once
+/// a second.
+const NAME_EVERY: Duration = Duration::from_millis(500);
 const ENTRIES_PER_SNAPSHOT: u64 = 8_000;
 /// Size of the log file, in bytes, from which it is rewritten.
 const LOG_REWRITE_BYTES: usize = 6 << 20;
@@ -68,6 +71,8 @@
     pending: PendingTable,
     names: BTreeMap<u32, String>,
     advanced: Instant,
+    /// When the known machines were named last.
+    named: Instant,
     seal_proposed: Option<Instant>,
     slowness: Slowness,
     standing: Standing,
@@ -140,6 +145,7 @@
             pending: PendingTable::default(),
             names: BTreeMap::from([(machine, settings.name.clone())]),
             advanced: origin,
+            named: origin,
             seal_proposed: None,
             slowness: Slowness::default(),
             standing: Standing::default(),
@@ -325,6 +331,7 @@
         }
         self.names.clear();
         self.names.insert(self.node.id().machine, self.name.clone());
+        self.name_known_machines(&retiring);
         self.seal_when_due();
         let elapsed = self.advanced.elapsed();
         if elapsed >= ADVANCE_EVERY {
@@ -334,6 +341,20 @@
         }
     }
 
+    /// Names the machines that may have to be told who leads.
+    fn name_known_machines(&mut self, retiring: &BTreeSet<u32>) {
+        if self.named.elapsed() < NAME_EVERY {
+            return;
+        }
+        self.named = Instant::now();
+        let Some(state) = self.node.machine(GROUP) else {
+            return;
+        };
+        let known = state.machines().numbers().filter(|machine| !retiring.contains(machine));
+        let known = known.collect();
+        self.node.set_known_machines(known);
+    }
+
     /// Moves retained turns out of memory once they have become many.
     fn seal_when_due(&mut self) {
         let unsealed = self.node.machine(GROUP).map(|state| state.turns().unsealed_bytes());
--- a/crates/ledger/src/state/machines.rs
+++ b/crates/ledger/src/state/machines.rs
@@ -41,6 +41,11 @@
         self.names.get(name).copied()
     }
 
+    /// Numbers of all machines that were ever part of the ledger, or asked to be.
+    pub fn numbers(&self) -> impl Iterator<Item = u32> + '_ {
+        self.names.values().copied()
+    }
+
     /// Whether a machine is being emptied, or has been.
     pub fn is_retiring(&self, name: &str) -> bool {
         self.retiring.contains(name)
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -257,6 +257,8 @@
     /// The leader's answer to [`Message::Join`] when the group has replicas enough: the
     /// asker holds nothing, and asks again after a while.
     Standby {
+        /// Term of the leader. It raises no term of the asker, who has no part in the group.
+        leader_term: Term,
         /// Machines of the group.
         machines: Vec<u32>,
     },
--- a/crates/replication/src/node/mod.rs
+++ b/crates/replication/src/node/mod.rs
@@ -153,6 +153,8 @@
     machines: Vec<u32>,
     groups: BTreeMap<GroupId, Group<S>>,
     next_join: Moment,
+    /// Machines that may belong to no group and know of none.
+    known_machines: BTreeSet<u32>,
     /// Size of the log file after it was rewritten last.
     rewritten_bytes: usize,
 }
@@ -174,6 +176,7 @@
             machines: machines.to_vec(),
             groups: BTreeMap::new(),
             next_join: now,
+            known_machines: BTreeSet::new(),
             rewritten_bytes: 0,
             settings,
         };
@@ -255,6 +258,20 @@
         if now >= self.next_join {
             self.next_join = now + self.settings.raft.election_min;
             self.ask_to_join(now);
+            self.call_outsiders(now);
+        }
+    }
+
+    /// Names machines that a leader of any group may have to be shown to, beside the contacts.
+    pub fn set_known_machines(&mut self, machines: BTreeSet<u32>) {
+        self.known_machines = machines;
+    }
+
+    fn call_outsiders(&mut self, now: Moment) {
+        let mut known = self.known_machines.clone();
+        known.extend(&self.settings.contacts);
+        for state in self.groups.values_mut() {
+            state.raft.call_outsiders(now, &known);
         }
     }
 
@@ -472,7 +489,8 @@
     Ok(())
 }
 
-/// Whether a message asks to join; it is the only one from a stranger that counts.
-pub fn is_join(message: &GroupMessage) -> bool {
-    matches!(message.message, Message::Join)
+/// Whether a message is meant for a machine, whatever its disk: one that asks to join, or that
+/// tells whom to ask. No other one from a stranger counts.
+pub fn is_for_machine(message: &GroupMessage) -> bool {
+    matches!(message.message, Message::Join | Message::LeaderHint { .. })
 }
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -58,6 +58,8 @@
     transfer_to: Option<(ReplicaId, Moment)>,
     /// Machines that stand by, with the moment at which each asked last.
     pub(super) standbys: BTreeMap<u32, Moment>,
+    /// When machines outside the group are told next who leads.
+    pub(super) next_call: Moment,
 }
 
 impl Progress {
@@ -106,6 +108,7 @@
             elected: now,
             transfer_to: None,
             standbys: BTreeMap::new(),
+            next_call: now,
         });
         self.sync_progress(now);
         self.append_own(EntryKind::Empty);
--- a/crates/replication/src/raft/membership.rs
+++ b/crates/replication/src/raft/membership.rs
@@ -11,7 +11,7 @@
 
 use super::leader::Progress;
 use super::{Raft, Role, peers};
-use crate::message::{EntryKind, Membership, Message, ReplicaId};
+use crate::message::{EntryKind, Membership, Message, ReplicaId, Term};
 
 /// A silent learner is dropped after this many times the patience with a voter.
 const FORGET_FACTOR: u32 = 3;
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct StandbyOrder {
     leader: ReplicaId,
+    term: Term,
     machines: Vec<u32>,
     /// When to ask again.
     renew_at: Moment,
@@ -52,7 +53,9 @@
                 self.send(*leader, Message::Join);
             }
             Message::Join if self.is_leader() => self.on_join(now, from),
-            Message::Standby { machines } => self.on_standby(now, from, machines.clone()),
+            Message::Standby { leader_term, machines } => {
+                self.on_standby(now, from, *leader_term, machines.clone());
+            }
             Message::Join => {
                 if let Some(leader) = self.leader.filter(|leader| *leader != from) {
                     self.send(from, Message::LeaderHint { leader });
@@ -80,28 +83,30 @@
     /// Whether a replica may learn: its machine has a part in the group already, or there
     /// are fewer replicas than wanted.
     fn has_room_for(&self, from: ReplicaId) -> bool {
-        let membership = self.membership();
-        let machines: BTreeSet<u32> = membership.all().map(|replica| replica.machine).collect();
+        let machines = self.machines();
         let wanted = self.settings.voters.saturating_add(self.settings.spares);
         machines.contains(&from.machine) || machines.len() < wanted
     }
 
     fn let_stand_by(&mut self, now: Moment, from: ReplicaId) {
-        let machines = self.membership().all().map(|replica| replica.machine).collect();
+        let machines = self.member_machines();
         if let Role::Leader(state) = &mut self.role {
             state.standbys.insert(from.machine, now);
         }
-        self.send(from, Message::Standby { machines });
+        let leader_term = self.hard_state.term;
+        self.send(from, Message::Standby { leader_term, machines });
     }
 
     /// A leader whose group needs no further replica: there is nothing to campaign for.
-    fn on_standby(&mut self, now: Moment, leader: ReplicaId, machines: Vec<u32>) {
-        if self.is_leader() {
+    fn on_standby(&mut self, now: Moment, leader: ReplicaId, term: Term, machines: Vec<u32>) {
+        // A leader that was frozen answers before it notices that another one leads.
+        let is_stale = self.standby.as_ref().is_some_and(|order| order.term > term);
+        if self.is_leader() || is_stale {
             return;
         }
         let ends = now + STANDBY_HOLDS;
-        self.standby =
-            Some(StandbyOrder { leader, machines, renew_at: now + STANDBY_RENEWAL, ends });
+        let renew_at = now + STANDBY_RENEWAL;
+        self.standby = Some(StandbyOrder { leader, term, machines, renew_at, ends });
         self.role = Role::Follower;
         self.leader = Some(leader);
         self.election_deadline = ends;
@@ -131,6 +136,39 @@
         }
     }
 
+    /// Tells machines outside the group who leads: those of `known` that have not asked lately,
+    /// and those that asked once. Otherwise machines that every new process asks first, and that
+    /// hold nothing, know only each other after a loss of power, and whoever asks them finds no leader.
+    pub fn call_outsiders(&mut self, now: Moment, known: &BTreeSet<u32>) {
+        let members = self.machines();
+        let Role::Leader(state) = &mut self.role else {
+            return;
+        };
+        if now < state.next_call {
+            return;
+        }
+        state.next_call = now + STANDBY_RENEWAL;
+        let asked_lately = |machine: &u32| {
+            state
+                .standbys
+                .get(machine)
+                .is_some_and(|asked| now.since(*asked) <= STANDBY_RENEWAL * 2)
+        };
+        let mut outsiders: BTreeSet<u32> =
+            known.iter().chain(state.standbys.keys()).copied().collect();
+        outsiders.retain(|machine| !members.contains(machine) && !asked_lately(machine));
+        for machine in outsiders {
+            // Whatever its disk: a hint is taken by any.
+            let outsider = ReplicaId { machine, disk: 0 };
+            self.send(outsider, Message::LeaderHint { leader: self.id });
+        }
+    }
+
+    /// Machines that have a part in the group.
+    fn machines(&self) -> BTreeSet<u32> {
+        self.membership().all().map(|replica| replica.machine).collect()
+    }
+
     /// Machines of the group: those that the leader named, while this replica stands by.
     pub fn member_machines(&self) -> Vec<u32> {
         match &self.standby {
@@ -145,8 +183,7 @@
             return BTreeSet::new();
         };
         let asked_lately = |(_, asked): &(&u32, &Moment)| now.since(**asked) <= STANDBY_HOLDS;
-        let members: BTreeSet<u32> =
-            self.membership().all().map(|replica| replica.machine).collect();
+        let members = self.machines();
         let standbys = state.standbys.iter().filter(asked_lately);
         let standbys = standbys.map(|(machine, _)| *machine);
         standbys.filter(|machine| !members.contains(machine)).collect()
