--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays the soak of real processes with fresh seeds.
-# Usage: scripts/soak.sh [SEEDS] [SECONDS PER SEED] [FIRST SEED]
+# Usage: scripts/soak.sh [SEEDS] [SECONDS PER SEED] [FIRST SEED] [GATEWAYS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 count=${1:-10}
@@ -8,5 +8,6 @@
 first=${3:-$(date +%s)}
 export CALICOHOIST_SOAK_SEEDS="$first..$((first + count))"
 export CALICOHOIST_SOAK_SECONDS="$seconds"
-echo "seeds $CALICOHOIST_SOAK_SEEDS, $seconds s each"
+export CALICOHOIST_SOAK_FRONTS="${4:-4}"
+echo "seeds $CALICOHOIST_SOAK_SEEDS, $seconds s each, $CALICOHOIST_SOAK_FRONTS gateways"
 cargo test --locked -p calicohoist --test soak -- --nocapture
