Catch signals from the first moment of a process

Traced: the process had written no line, not even that it opened its log; handlers stood only once the settings were read, the log set up and the runtime built. A SIGHUP then ended a process, too. Change: handlers are the first thing that serve does. Test: settings from a pipe, signalled before they come; both failed with the signal, and end with status 0 now. What is left of the window, from exec to the handler, cannot be closed by the process: the soak's check passes over a process that ends with the signal before it has written a line, and over nothing else.

--- a/crates/calicohoist/src/cli/serve.rs
+++ b/crates/calicohoist/src/cli/serve.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use bpaf::Bpaf;
 use bytes::Bytes;
@@ -15,6 +17,8 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::flag;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -42,6 +46,7 @@
 /// # Errors
 /// When the file is not accepted, or the role cannot start or go on.
 pub fn run(arguments: ServeArguments, mut log: LogSettings) -> Result<()> {
+    let early_stop = catch_early_signals()?;
     let file = &arguments.node_file;
     let text = std::fs::read_to_string(file)
         .wrap_err_with(|| format!("cannot read {}", file.display()))?;
@@ -59,7 +64,7 @@
     // One thread carries all sockets: on a fraction of a core, threads only take turns.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let result = runtime.block_on(async {
-        let stop = watch_signals()?;
+        let stop = watch_signals(&early_stop)?;
         if let Some(port) = arguments.metrics_port {
             let listener = calicohoist_transport::bind(SocketAddr::new(ip, port))?;
             tokio::spawn(serve_metrics(listener));
@@ -83,13 +88,28 @@
     result
 }
 
-/// Turns true at SIGTERM or SIGINT. SIGHUP is noted and changes nothing: what a role
+/// Catches signals before anything else is done; the flag tells whether one asked to stop. Until a
+/// handler stands, SIGTERM and SIGHUP end a process as if it had crashed: told to stop within some
+/// milliseconds of its start, a process ended with a signal in 2 of 50 runs of the soak.
+fn catch_early_signals() -> std::io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for number in [SIGTERM, SIGINT] {
+        flag::register(number, Arc::clone(&stop))?;
+    }
+    flag::register(SIGHUP, Arc::default())?;
+    Ok(stop)
+}
+
+/// Turns true at SIGTERM or SIGINT, or if one came early. SIGHUP is noted and changes nothing: what a role
 /// needs of the file it needs at its start only.
-fn watch_signals() -> Result<watch::Receiver<bool>> {
+fn watch_signals(early_stop: &AtomicBool) -> Result<watch::Receiver<bool>> {
     let (stop, stopped) = watch::channel(false);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
+    if early_stop.load(Ordering::SeqCst) {
+        stop.send_replace(true);
+    }
     tokio::spawn(async move {
         loop {
             tokio::select! {
