Count what waits for a connection with the frame itself

Found on reading the change: a queue that overflows was emptied and its count taken back by the writer, while the replica's thread may be in the middle of queueing: what it had added was then taken back twice, and the count of all connections would have wrapped around and closed every connection. Each frame carries its share of the load now and gives it back when dropped. The new test queues from four threads while the connection closes; it passed on the code before as well (50 rounds), so the fault is read, not seen.

--- a/crates/transport/src/writer.rs
+++ b/crates/transport/src/writer.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use tokio::io::{AsyncWrite, AsyncWriteExt};
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Notify, mpsc};
 
 use crate::frame::Frame;
@@ -53,7 +54,7 @@
 /// The way to the task that writes the frames of a connection.
 #[derive(Clone, Debug)]
 pub struct FrameQueue {
-    frames: mpsc::Sender<Frame>,
+    frames: mpsc::Sender<WaitingFrame>,
     load: QueueLoad,
     overflow: Arc<Notify>,
 }
@@ -72,17 +73,34 @@
         own == 0 || (own + bytes <= MOST_WAITING && self.all.get() + bytes <= MOST_WAITING_IN_ALL)
     }
 
-    fn add(&self, bytes: usize) {
+    fn take_share(&self, bytes: usize) -> LoadShare {
         self.own.add(bytes);
         self.all.add(bytes);
+        LoadShare { load: self.clone(), bytes }
     }
+}
 
-    fn remove(&self, bytes: usize) {
-        self.own.remove(bytes);
-        self.all.remove(bytes);
+/// What one frame adds to the load. It is given back when dropped, wherever that happens: other
+/// threads may queue frames while the writer ends.
+#[derive(Debug)]
+struct LoadShare {
+    load: QueueLoad,
+    bytes: usize,
+}
+
+impl Drop for LoadShare {
+    fn drop(&mut self) {
+        self.load.own.remove(self.bytes);
+        self.load.all.remove(self.bytes);
     }
 }
 
+#[derive(Debug)]
+struct WaitingFrame {
+    frame: Frame,
+    share: LoadShare,
+}
+
 impl FrameQueue {
     /// Queues a frame.
     pub fn send(&self, frame: Frame) -> Queued {
@@ -93,13 +111,11 @@
         if !self.load.has_room(bytes) {
             return self.close();
         }
-        self.load.add(bytes);
-        match self.frames.try_send(frame) {
+        let share = self.load.take_share(bytes);
+        match self.frames.try_send(WaitingFrame { frame, share }) {
             Ok(()) => Queued::Taken,
-            Err(_) => {
-                self.load.remove(bytes);
-                self.close()
-            }
+            Err(TrySendError::Closed(_)) => Queued::Closed,
+            Err(TrySendError::Full(_)) => self.close(),
         }
     }
 
@@ -115,44 +131,40 @@
     output: impl AsyncWrite + Unpin + Send + 'static,
     waiting: WaitingBytes,
 ) -> FrameQueue {
-    let (frames, mut receiver) = mpsc::channel::<Frame>(QUEUE);
+    let (frames, receiver) = mpsc::channel(QUEUE);
     let load = QueueLoad { own: WaitingBytes::default(), all: waiting };
     let overflow = Arc::new(Notify::new());
-    let queue = FrameQueue { frames, load: load.clone(), overflow: Arc::clone(&overflow) };
+    let queue = FrameQueue { frames, load, overflow: Arc::clone(&overflow) };
     tokio::spawn(async move {
         tokio::select! {
-            () = write_frames(output, &mut receiver, &load) => {}
+            () = write_frames(output, receiver) => {}
             () = overflow.notified() => {}
         }
-        receiver.close();
-        while receiver.recv().await.is_some() {}
-        load.remove(load.own.get());
     });
     queue
 }
 
 async fn write_frames(
     mut output: impl AsyncWrite + Unpin,
-    receiver: &mut mpsc::Receiver<Frame>,
-    load: &QueueLoad,
+    mut receiver: mpsc::Receiver<WaitingFrame>,
 ) {
-    let mut batch: Vec<Frame> = Vec::with_capacity(BATCH);
+    let mut batch = Vec::with_capacity(BATCH);
     while receiver.recv_many(&mut batch, BATCH).await > 0 {
-        let bytes = batch.iter().map(Frame::own_bytes).sum();
         if write_all(&mut output, &mut batch).await.is_err() {
             return;
         }
-        load.remove(bytes);
     }
 }
 
 /// Writes frames with few system calls, and without a copy of what they share.
 async fn write_all(
     output: &mut (impl AsyncWrite + Unpin),
-    batch: &mut Vec<Frame>,
+    batch: &mut Vec<WaitingFrame>,
 ) -> io::Result<()> {
     let mut gathered = Vec::new();
-    for frame in batch.drain(..) {
+    let mut shares = Vec::with_capacity(batch.len());
+    for WaitingFrame { frame, share } in batch.drain(..) {
+        shares.push(share);
         let (own, shared) = frame.into_parts();
         gathered.extend_from_slice(&own);
         if !shared.is_empty() {
--- a/crates/transport/tests/frame.rs
+++ b/crates/transport/tests/frame.rs
@@ -63,3 +63,26 @@
     let most = MOST_WAITING_IN_ALL + CONNECTIONS * MOST_WAITING / 4;
     assert!(waiting.get() < most, "{} bytes wait", waiting.get());
 }
+
+/// A queue that is closed while other threads use it leaves nothing counted, and nothing counted
+/// twice: the bound is shared by all connections, and would otherwise close them all.
+#[tokio::test]
+async fn what_is_queued_while_a_connection_closes_is_counted_once() {
+    const THREADS: usize = 4;
+    for _ in 0..50 {
+        let waiting = WaitingBytes::default();
+        let (output, input) = tokio::io::duplex(64);
+        let queue = spawn_writer(output, waiting.clone());
+        let senders: Vec<_> = (0..THREADS)
+            .map(|_| {
+                let queue = queue.clone();
+                std::thread::spawn(move || while queue.send(large_frame()) != Queued::Closed {})
+            })
+            .collect();
+        drop(input);
+        while !senders.iter().all(std::thread::JoinHandle::is_finished) {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(waiting.get(), 0);
+    }
+}
