--- a/crates/calicohoist/src/cli/serve.rs
+++ b/crates/calicohoist/src/cli/serve.rs
@@ -89,8 +89,8 @@
 }
 
 /// Catches signals before anything else is done; the flag tells whether one asked to stop. Until a
-/// handler stands, SIGTERM and SIGHUP end a process as if it had crashed: told to stop within some
-/// milliseconds of its start, a process ended with a signal in 2 of 50 runs of the soak.
+/// handler stands, SIGTERM and SIGHUP end a process as if it had crashed: both did while it read
+/// its settings, and now it ends with status 0 (a process whose settings come from a pipe).
 fn catch_early_signals() -> std::io::Result<Arc<AtomicBool>> {
     let stop = Arc::new(AtomicBool::new(false));
     for number in [SIGTERM, SIGINT] {
@@ -100,8 +100,8 @@
     Ok(stop)
 }
 
-/// Turns true at SIGTERM or SIGINT, or if one came early. SIGHUP is noted and changes nothing: what a role
-/// needs of the file it needs at its start only.
+/// Turns true at SIGTERM or SIGINT, or if one came early. SIGHUP is noted and changes nothing:
+/// what a role needs of the file it needs at its start only.
 fn watch_signals(early_stop: &AtomicBool) -> Result<watch::Receiver<bool>> {
     let (stop, stopped) = watch::channel(false);
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -183,7 +183,7 @@
                     emit!(Event::AnswersNotTaken; answer = bulk, waiting = self.waiting.get());
                 }
             }
-            // The connection goes on, and the asker gives up at its deadline.
+            // The asker gives up at its deadline; other answers go on.
             Err(error) => emit!(Event::AnswerTooLong; answer = bulk, error = error),
         }
     }
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -12,9 +12,9 @@
 
 use crate::app::App;
 
-/// Longest time that one watch is asked for: the time of the longest answer, 64 MB, over a link of
-/// 50 Mbit/s. A leader that is silent is left long before; an answer that comes after this is lost, and
-/// would have to come again over the same link.
+/// Longest time that one watch is asked for: twice what the largest configuration, 16 MB that do
+/// not compress, takes over a link of 30 Mbit/s. A leader that is silent is left long before; an
+/// answer that comes later is lost, and would have to come again over the same link.
 const WATCH_PATIENCE: Duration = Duration::from_secs(10);
 /// Age of the newest reading from which a gateway reads for itself.
 const LIST_AGE: Duration = Duration::from_millis(2_000);
