Interfaces: topology, eligibility, drained zones, cold replicas, one view of the fleet

Cause: two further customers need zones that can be drained, replicas that are cold for a while after their start, and a fleet over regions. Placer and gateway each had a rule of their own for which replica may get work, and neither knew zones' regions. Change: routing::Topology, HomeRegions, DrainedZones, EligibilityRules (leaving, outside home, drained, in this order) asked by the placer through FleetView and by a gateway through Fleet; ColdReplicas, ColdLimit and ColdTolerance; ListedReplica carries what is left of a cold time; settings read zones and cold tolerances, the configuration reads allowed regions and cold limits. Nothing drains a zone yet and nothing asks whether a replica is cold. Ruled out: the time left in the replica itself, since every reading would then be another list and go out to all gateways. Checked: tests of routing, scheduler, ledger, proxy, platform; clippy.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -20,11 +20,20 @@
 /// More pages than any fleet has: an endless list must not hold the reader.
 const MAX_PAGES: usize = 256;
 
+/// A replica as one reading shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedReplica {
+    /// What does not change from one reading to the next.
+    pub replica: Replica,
+    /// For how long it will still be cold; zero when it is warm.
+    pub cold_left: Duration,
+}
+
 /// One page of the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     /// Its replicas.
-    pub replicas: Vec<Replica>,
+    pub replicas: Vec<ListedReplica>,
     /// Names the next page; `None` on the last.
     pub next: Option<String>,
 }
@@ -75,12 +84,12 @@
     ///
     /// # Errors
     /// See [`ReadError`].
-    pub async fn read(&self) -> Result<Vec<Replica>, ReadError> {
+    pub async fn read(&self) -> Result<Vec<ListedReplica>, ReadError> {
         let reading = tokio::time::timeout(PATIENCE, self.read_pages());
         reading.await.unwrap_or(Err(ReadError::Timeout))
     }
 
-    async fn read_pages(&self) -> Result<Vec<Replica>, ReadError> {
+    async fn read_pages(&self) -> Result<Vec<ListedReplica>, ReadError> {
         let stream = tcp::connect(self.address, PATIENCE, PATIENCE).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection);
@@ -92,7 +101,7 @@
     async fn follow_pages(
         &self,
         sender: &mut SendRequest<Empty<Bytes>>,
-    ) -> Result<Vec<Replica>, ReadError> {
+    ) -> Result<Vec<ListedReplica>, ReadError> {
         let mut replicas = Vec::new();
         let mut token = None;
         for _ in 0..MAX_PAGES {
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use calicohoist_routing::Topology;
 use calicohoist_telemetry::metrics::{Counter, Gauge};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::{
@@ -61,6 +62,8 @@
     /// Answers that wait on all connections.
     waiting: WaitingBytes,
     shared: Arc<Mutex<SharedAnswers>>,
+    /// Where zones lie.
+    topology: Arc<Topology>,
     /// Runs what the replica's thread must not wait for.
     runtime: Handle,
 }
@@ -73,6 +76,7 @@
         list: watch::Receiver<Reading>,
         turns: Arc<TurnDesk>,
         limits: Arc<LimitDesk>,
+        topology: Arc<Topology>,
     ) -> Self {
         Self {
             replica,
@@ -84,6 +88,7 @@
             failures: Arc::default(),
             waiting: WaitingBytes::default(),
             shared: Arc::default(),
+            topology,
             runtime: Handle::current(),
         }
     }
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -1,5 +1,6 @@
 //! Turns and permits: whether, when and where a request runs.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use calicohoist_limiter::{Issued, PermitAnswer, PermitRequest, Purpose};
@@ -9,7 +10,7 @@
 use super::{Back, Hub};
 use crate::commands::{Command, Output, Reservation, ReserveTurn, SettleTurn};
 use crate::protocol::Answer;
-use crate::server::list::Reading;
+use crate::server::list::{FleetSnapshot, Reading};
 use crate::server::replica::{Request, Response};
 
 /// Time between two looks at waiting turns.
@@ -77,7 +78,7 @@
             && let Some(placement) = placement
         {
             let placement = PlacementRequest { is_under_way: *is_under_way, ..placement };
-            *decision = Some(self.turns.arrive(self.term(), turn, placement, &self.reading()));
+            *decision = Some(self.turns.arrive(self.term(), turn, placement, &self.fleet()));
         }
         answer
     }
@@ -113,7 +114,7 @@
         if !standing.is_leader {
             return back.send(self.not_leader(standing.leader));
         }
-        self.turns.place(standing.term, turn, placement, &self.reading(), back);
+        self.turns.place(standing.term, turn, placement, &self.fleet(), back);
     }
 
     fn term(&self) -> u64 {
@@ -125,9 +126,18 @@
         self.list.borrow().clone()
     }
 
+    /// The newest reading with what else decides where requests go.
+    fn fleet(&self) -> FleetSnapshot {
+        FleetSnapshot {
+            reading: self.reading(),
+            drained: Arc::clone(&self.standing.borrow().drained),
+            topology: Arc::clone(&self.topology),
+        }
+    }
+
     /// Settles. The turn has ended, whether or not that becomes durable here.
     pub(super) fn settle(&self, settle: SettleTurn, back: Back) {
-        self.turns.end(&settle, &self.reading());
+        self.turns.end(&settle, &self.fleet());
         let hub = self.clone();
         let respond = Box::new(move |response| back.send(hub.answer(response)));
         self.replica.ask(Request::Change(Command::Settle(settle)), respond);
@@ -151,7 +161,7 @@
             self.turns.wait_for_work().await;
             let standing = self.standing.borrow().clone();
             if standing.is_leader {
-                self.turns.decide(&self.reading());
+                self.turns.decide(&self.fleet());
             } else {
                 self.turns.dismiss(&self.not_leader(standing.leader));
             }
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use calicohoist_routing::ReplicaList;
+use calicohoist_discovery::ListedReplica;
+use calicohoist_routing::{ColdReplicas, DrainedZones, ReplicaList, Topology};
+use calicohoist_scheduler::FleetView;
 use calicohoist_telemetry::{Event, emit};
 use tokio::sync::watch;
 
@@ -22,6 +24,32 @@
     pub list: Arc<ReplicaList>,
     /// When it was read last, changed or not.
     pub read_at: Option<Instant>,
+    /// Those that have just started. They are no part of the mark: a list of which only a
+    /// time left has changed is the same list.
+    pub cold: Arc<ColdReplicas>,
+}
+
+/// The newest reading with what else decides where requests go.
+#[derive(Clone, Debug, Default)]
+pub struct FleetSnapshot {
+    /// The replicas.
+    pub reading: Reading,
+    /// Zones whose replicas get nothing.
+    pub drained: Arc<DrainedZones>,
+    /// Where zones lie.
+    pub topology: Arc<Topology>,
+}
+
+impl FleetSnapshot {
+    /// The same for the scheduler.
+    pub fn view(&self) -> FleetView<'_> {
+        FleetView {
+            replicas: &self.reading.list.replicas,
+            topology: &self.topology,
+            drained: &self.drained,
+            cold: &self.reading.cold,
+        }
+    }
 }
 
 /// Reads the list while this machine leads.
@@ -57,15 +85,16 @@
     }
 }
 
-fn publish(
-    out: &watch::Sender<Reading>,
-    term: u64,
-    replicas: Vec<calicohoist_routing::Replica>,
-    read_at: Instant,
-) {
+fn publish(out: &watch::Sender<Reading>, term: u64, listed: Vec<ListedReplica>, read_at: Instant) {
+    let mut cold = ColdReplicas::default();
+    for listed in listed.iter().filter(|listed| !listed.cold_left.is_zero()) {
+        cold.note(&listed.replica.id, read_at + listed.cold_left);
+    }
+    let replicas: Vec<_> = listed.into_iter().map(|listed| listed.replica).collect();
     let mark = ListMark::of(&replicas);
     out.send_if_modified(|reading| {
         reading.read_at = Some(read_at);
+        reading.cold = Arc::new(cold);
         let is_same = reading.term == term && reading.mark == mark;
         if is_same {
             return false;
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -23,6 +23,7 @@
 use calicohoist_discovery::ListReader;
 use calicohoist_limiter::LimitTolerance;
 use calicohoist_replication::RaftSettings;
+use calicohoist_routing::{ColdTolerance, Topology};
 use calicohoist_telemetry::{Event, emit};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -68,6 +69,12 @@
     pub control: Arc<dyn ControlCodec>,
     /// How exactly limits of tenants are kept.
     pub limit_tolerance: LimitTolerance,
+    /// Where it runs.
+    pub zone: String,
+    /// Where zones lie.
+    pub topology: Arc<Topology>,
+    /// How exactly limits of cold replicas are kept.
+    pub cold_tolerance: ColdTolerance,
 }
 
 impl LedgerSettings {
@@ -154,7 +161,14 @@
     tokio::spawn(peers::accept(listeners.peers, identity, handle.clone()));
     let list = list::spawn(&settings, standing.clone());
     tokio::spawn(Arc::clone(&limits).keep_notes(handle.clone()));
-    let hub = gateways::Hub::new(handle.clone(), standing.clone(), list, turns, limits);
+    let hub = gateways::Hub::new(
+        handle.clone(),
+        standing.clone(),
+        list,
+        turns,
+        limits,
+        Arc::clone(&settings.topology),
+    );
     tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
     let control = control::accept(listeners.control, settings.clone(), handle.clone(), standing);
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -525,6 +525,7 @@
             is_leader: raft.is_leader(),
             configuration: configuration.unwrap_or_default(),
             machines: raft.member_machines(),
+            drained: Arc::clone(&self.standing.drained),
         };
         if standing != self.standing {
             self.standing = standing.clone();
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -1,8 +1,10 @@
 //! The way into the replica's thread: what is asked, and what it answers.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use calicohoist_replication::{GroupMessage, ReplicaId};
+use calicohoist_routing::DrainedZones;
 use crossbeam::channel::Sender;
 use tokio::sync::oneshot;
 
@@ -82,6 +84,8 @@
     pub configuration: u64,
     /// Machines of the group.
     pub machines: Vec<u32>,
+    /// Zones whose replicas get nothing, as applied here.
+    pub drained: Arc<DrainedZones>,
 }
 
 /// The way into the thread.
--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::gateways::Back;
-use super::list::Reading;
+use super::list::{FleetSnapshot, Reading};
 use crate::commands::SettleTurn;
 use crate::protocol::{Answer, ListMark};
 
@@ -61,11 +61,11 @@
         term: u64,
         turn: &str,
         request: PlacementRequest,
-        reading: &Reading,
+        fleet: &FleetSnapshot,
     ) -> Decision {
         self.note_term(term);
-        self.note_list(reading);
-        self.scheduler.arrive(turn, request, &reading.list.replicas, Instant::now())
+        self.note_list(&fleet.reading);
+        self.scheduler.arrive(turn, request, &fleet.view(), Instant::now())
     }
 
     /// Logs the learned rates now and then.
@@ -87,11 +87,11 @@
         }
     }
 
-    fn decide(&mut self, reading: &Reading) {
+    fn decide(&mut self, fleet: &FleetSnapshot) {
         if self.scheduler.waiting() == 0 {
             return;
         }
-        for (turn, decision) in self.scheduler.decide(&reading.list.replicas, Instant::now()) {
+        for (turn, decision) in self.scheduler.decide(&fleet.view(), Instant::now()) {
             if let Some(back) = self.backs.remove(&turn) {
                 back.send(Answer::Placed(decision));
             }
@@ -106,9 +106,9 @@
         term: u64,
         turn: &str,
         request: PlacementRequest,
-        reading: &Reading,
+        fleet: &FleetSnapshot,
     ) -> Decision {
-        let decision = self.state.lock().arrive(term, turn, request, reading);
+        let decision = self.state.lock().arrive(term, turn, request, fleet);
         if decision == Decision::Wait {
             self.work.notify_one();
         }
@@ -141,11 +141,11 @@
         term: u64,
         turn: String,
         request: PlacementRequest,
-        reading: &Reading,
+        fleet: &FleetSnapshot,
         back: Back,
     ) {
         let mut state = self.state.lock();
-        match state.arrive(term, &turn, request, reading) {
+        match state.arrive(term, &turn, request, fleet) {
             Decision::Wait => {
                 state.backs.insert(turn, back);
                 self.work.notify_one();
@@ -155,20 +155,20 @@
     }
 
     /// A turn has ended; others may run now.
-    pub fn end(&self, settle: &SettleTurn, reading: &Reading) {
+    pub fn end(&self, settle: &SettleTurn, fleet: &FleetSnapshot) {
         let ran_at = settle.run.as_ref().map(|run| run.replica.as_str());
         let mut state = self.state.lock();
         state.scheduler.end(&settle.turn, ran_at, Instant::now());
         state.backs.remove(&settle.turn);
         state.tell_speeds();
-        state.decide(reading);
+        state.decide(fleet);
     }
 
     /// Decides what can be decided now.
-    pub fn decide(&self, reading: &Reading) {
+    pub fn decide(&self, fleet: &FleetSnapshot) {
         let mut state = self.state.lock();
-        state.note_list(reading);
-        state.decide(reading);
+        state.note_list(&fleet.reading);
+        state.decide(fleet);
     }
 
     /// Tells everybody who waits that another machine decides.
--- a/crates/ledger/tests/fan_out.rs
+++ b/crates/ledger/tests/fan_out.rs
@@ -84,6 +84,9 @@
             list_interval: LedgerSettings::LIST_INTERVAL,
             control: Arc::new(OneVersion),
             limit_tolerance: Default::default(),
+            zone: "hall".to_owned(),
+            topology: Arc::default(),
+            cold_tolerance: Default::default(),
         };
         let gateways = listeners.gateways.local_addr().expect("bound");
         let control = listeners.control.local_addr().expect("bound");
--- a/crates/ledger/tests/loads.rs
+++ b/crates/ledger/tests/loads.rs
@@ -23,7 +23,7 @@
     let replicas: Vec<Replica> = ids.iter().map(|id| replica(id)).collect();
     let mark = ListMark::of(&replicas);
     let list = Arc::new(ReplicaList { version: 1, replicas });
-    Reading { mark, list, term: 1, read_at: None }
+    Reading { mark, list, term: 1, ..Reading::default() }
 }
 
 fn loads(of: &[(&str, u32)]) -> Vec<(String, u32)> {
--- a/crates/ledger/tests/turns.rs
+++ b/crates/ledger/tests/turns.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use calicohoist_ledger::Answer;
-use calicohoist_ledger::server::list::Reading;
+use calicohoist_ledger::server::list::FleetSnapshot;
 use calicohoist_ledger::server::turns::TurnDesk;
 use calicohoist_scheduler::{Decision, PlacementRequest};
 
@@ -21,13 +21,14 @@
         finish_ms: None,
         priority: 0,
         is_under_way: false,
+        homes: Default::default(),
     }
 }
 
 /// A desk at which one turn waits: a new term decides nothing at first.
 fn desk_with_a_waiting_turn() -> TurnDesk {
     let desk = TurnDesk::default();
-    assert_eq!(desk.arrive(TERM, "t", request(), &Reading::default()), Decision::Wait);
+    assert_eq!(desk.arrive(TERM, "t", request(), &FleetSnapshot::default()), Decision::Wait);
     desk
 }
 
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -46,7 +46,7 @@
     /// A gateway that knows nothing yet.
     pub fn new(settings: ProxySettings) -> Self {
         let ledger = LedgerClient::new(&settings.ledger_seeds, settings.ledger_port);
-        let fleet = Fleet::new(&settings.name);
+        let fleet = Fleet::new(&settings.name, Arc::clone(&settings.topology));
         Self {
             settings,
             ledger,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -6,7 +6,10 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::select::Affinity;
-use calicohoist_routing::{Candidate, CostWeights, Replica, ReplicaState, choose, stable_hash};
+use calicohoist_routing::{
+    Candidate, CostWeights, DrainedZones, EligibilityRules, HomeRegions, Replica, Topology, choose,
+    stable_hash,
+};
 use parking_lot::{Mutex, RwLock};
 
 use crate::upstream::Pool;
@@ -82,6 +85,21 @@
     }
 }
 
+/// What a request wants of a replica.
+#[derive(Clone, Copy, Debug)]
+pub struct WantedReplica<'a> {
+    /// The service that runs it.
+    pub service: &'a str,
+    /// Zone of this gateway.
+    pub zone: &'a str,
+    /// Where it may be served.
+    pub homes: &'a HomeRegions,
+    /// Replicas that are left out.
+    pub excluded: &'a [String],
+    /// Where it would like to run.
+    pub affinity: Affinity,
+}
+
 type ByService = HashMap<String, Vec<Arc<Member>>>;
 
 /// All replicas, by service.
@@ -89,6 +107,9 @@
 pub struct Fleet {
     /// Name of this gateway.
     gateway: String,
+    topology: Arc<Topology>,
+    /// Zones whose replicas get nothing.
+    drained: RwLock<DrainedZones>,
     services: RwLock<Arc<ByService>>,
     /// The same members in the order of the list.
     listed: RwLock<Vec<Arc<Member>>>,
@@ -100,9 +121,11 @@
 
 impl Fleet {
     /// Knows no replica yet; `gateway` is who chooses.
-    pub fn new(gateway: &str) -> Self {
+    pub fn new(gateway: &str, topology: Arc<Topology>) -> Self {
         Self {
             gateway: gateway.to_owned(),
+            topology,
+            drained: RwLock::default(),
             services: RwLock::default(),
             listed: RwLock::default(),
             list_read: Mutex::default(),
@@ -194,36 +217,50 @@
         services.values().flatten().map(|member| member.replica.id.clone()).collect()
     }
 
-    /// Whether this start of a replica is listed and takes new work.
-    pub fn is_open(&self, replica: &Replica) -> bool {
+    /// Whether this start of a replica is listed and may get a request with these homes.
+    pub fn is_open(&self, replica: &Replica, homes: &HomeRegions) -> bool {
         let services = self.services.read();
         let members = services.get(&replica.service).map(Vec::as_slice).unwrap_or_default();
         let mut listed = members.iter().map(|member| &member.replica);
-        listed.any(|listed| listed.id == replica.id && listed.state == ReplicaState::Ready)
+        listed.any(|listed| listed.id == replica.id && self.admits(listed, homes))
     }
 
-    /// A replica that takes new work and gave no trouble lately.
-    pub fn untroubled(&self, service: &str, id: &str) -> Option<Arc<Member>> {
+    /// A replica that may get a request with these homes and gave no trouble lately.
+    pub fn untroubled(&self, service: &str, id: &str, homes: &HomeRegions) -> Option<Arc<Member>> {
         let services = self.services.read();
         let member = services.get(service)?.iter().find(|member| member.replica.id == id)?;
-        let is_open = member.replica.state == ReplicaState::Ready;
+        let is_open = self.admits(&member.replica, homes);
         let is_fine = member.penalty(Instant::now()).is_zero();
         (is_open && is_fine).then(|| Arc::clone(member))
     }
 
-    /// The cheapest replica of `service` that takes new work and is not in `excluded`.
+    /// Whether a replica may get a request with these homes.
+    fn admits(&self, replica: &Replica, homes: &HomeRegions) -> bool {
+        let drained = self.drained.read();
+        EligibilityRules { topology: &self.topology, homes, drained: &drained }.admits(replica)
+    }
+
+    /// Takes in which zones get nothing.
+    pub fn set_drained(&self, drained: DrainedZones) {
+        *self.drained.write() = drained;
+    }
+
+    /// Version of the drained zones that are known here.
+    pub fn drained_version(&self) -> u64 {
+        self.drained.read().version
+    }
+
+    /// The cheapest replica that may get the request.
     pub fn choose(
         &self,
-        service: &str,
-        zone: &str,
-        excluded: &[String],
-        affinity: Affinity,
+        wanted: &WantedReplica<'_>,
         weights: &CostWeights,
         pool: &Pool,
     ) -> Option<Arc<Member>> {
+        let WantedReplica { service, zone, homes, excluded, affinity } = *wanted;
         let services = self.services.read().clone();
         let is_open = |member: &&Arc<Member>| {
-            member.replica.state == ReplicaState::Ready && !excluded.contains(&member.replica.id)
+            self.admits(&member.replica, homes) && !excluded.contains(&member.replica.id)
         };
         let members: Vec<&Arc<Member>> = services.get(service)?.iter().filter(is_open).collect();
         let now = Instant::now();
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use calicohoist_routing::select::Affinity;
-use calicohoist_routing::{Route, RouteKind, RouteTable, Service, Tenant, stable_hash};
+use calicohoist_routing::{
+    HomeRegions, Route, RouteKind, RouteTable, Service, Tenant, stable_hash,
+};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
 
@@ -94,6 +96,14 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Where it may be served and kept: both its route and its tenant have a say.
+    pub fn homes(&self) -> HomeRegions {
+        match &self.tenant {
+            Some(tenant) => self.route.homes.intersection(&tenant.homes),
+            None => self.route.homes.clone(),
+        }
+    }
+
     /// Time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -16,7 +16,7 @@
 use super::permit::{self, Permit};
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
-use crate::fleet::Member;
+use crate::fleet::{Member, WantedReplica};
 use crate::upstream::{Exchange, ExchangeError, Outgoing, exchange};
 
 static ATTEMPTS_FAILED: Counter = Counter::new(
@@ -196,18 +196,25 @@
 /// Where to go next: back to where the request began, then where it was placed, else to
 /// the cheapest replica.
 fn choose(app: &App, call: &Call, service: &str, trail: &mut Trail) -> Option<Arc<Member>> {
+    let homes = call.homes();
     if let Some(began_at) = trail.began_at.take()
-        && app.fleet.is_open(&began_at.replica)
+        && app.fleet.is_open(&began_at.replica, &homes)
     {
         return Some(began_at);
     }
     if let Some(placed_on) = trail.placed_on.take()
-        && let Some(member) = app.fleet.untroubled(service, &placed_on)
+        && let Some(member) = app.fleet.untroubled(service, &placed_on, &homes)
     {
         return Some(member);
     }
-    let zone = &app.settings.zone;
-    app.fleet.choose(service, zone, &trail.excluded, call.affinity(), &app.weights, &app.pool)
+    let wanted = WantedReplica {
+        service,
+        zone: &app.settings.zone,
+        homes: &homes,
+        excluded: &trail.excluded,
+        affinity: call.affinity(),
+    };
+    app.fleet.choose(&wanted, &app.weights, &app.pool)
 }
 
 fn no_replica() -> Refusal {
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -357,6 +357,7 @@
         finish_ms: call.finish_left().map(millis),
         priority: call.priority(),
         is_under_way: false,
+        homes: call.homes(),
     })
 }
 
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -134,7 +134,7 @@
             match self.app.settings.list.read().await {
                 Ok(replicas) => {
                     emit!(Event::ListApplied; source = "own reading", replicas = replicas.len());
-                    self.put_list(replicas);
+                    self.put_list(replicas.into_iter().map(|listed| listed.replica).collect());
                     let mut state = self.state.lock();
                     // The leader's list is to be told anew, whatever its version.
                     state.list = ListMark::default();
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use calicohoist_discovery::ListReader;
+use calicohoist_routing::Topology;
 
 use crate::dialect::Dialect;
 
@@ -15,6 +16,8 @@
     pub name: String,
     /// Where it runs.
     pub zone: String,
+    /// Where zones lie.
+    pub topology: Arc<Topology>,
     /// Where callers connect.
     pub http: SocketAddr,
     /// Where it is asked whether it is ready.
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -5,6 +5,8 @@
 
 use calicohoist_types::{Finding, Findings};
 
+use crate::cold::ColdLimit;
+use crate::eligibility::HomeRegions;
 use crate::tenant::{self, Tenant};
 
 /// What may be repeated on a route.
@@ -57,6 +59,8 @@
     pub resumable: bool,
     /// Whether requests need no key.
     pub is_public: bool,
+    /// Where its requests may be served and kept.
+    pub homes: HomeRegions,
 }
 
 impl Route {
@@ -104,6 +108,8 @@
     pub max_connections: u32,
     /// Set where replicas are inference engines.
     pub engine: Option<Engine>,
+    /// What a replica bears that has just started; `None` for as much as any other.
+    pub cold: Option<ColdLimit>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,16 +6,25 @@
 //! - [`configuration`]: a whole, versioned configuration and what makes it valid;
 //! - [`table`]: from host and path to a route;
 //! - [`replica`]: the replicas of services, as discovery lists them;
+//! - [`topology`]: where zones lie;
+//! - [`eligibility`]: which replicas may get a request at all;
+//! - [`cold`]: replicas that have just started;
 //! - [`select`]: the choice of a replica by cost.
 
+pub mod cold;
 pub mod configuration;
+pub mod eligibility;
 pub mod replica;
 pub mod select;
 pub mod table;
 pub mod tenant;
+pub mod topology;
 
+pub use cold::{ColdLimit, ColdReplicas, ColdTolerance};
 pub use configuration::{Backend, Configuration, Engine, Limits, Route, RouteKind, Service};
+pub use eligibility::{DrainedZones, Eligibility, EligibilityRules, HomeRegions};
 pub use replica::{Replica, ReplicaList, ReplicaState};
 pub use select::{Affinity, Candidate, CostWeights, choose, stable_hash};
 pub use table::RouteTable;
 pub use tenant::{ApiKey, Credential, KeyRing, KeySecret, RateLimit, Tenant};
+pub use topology::{Distance, Topology};
--- a/crates/routing/src/tenant.rs
+++ b/crates/routing/src/tenant.rs
@@ -11,6 +11,8 @@
 use calicohoist_types::{Finding, TenantId};
 use serde::{Deserialize, Serialize};
 
+use crate::eligibility::HomeRegions;
+
 /// A key as a caller or an operator wrote it. It is never shown.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ApiKey(String);
@@ -65,6 +67,8 @@
     pub priority: Option<u8>,
     /// What it may send; `None` for no limit.
     pub limit: Option<RateLimit>,
+    /// Where its requests may be served and kept.
+    pub homes: HomeRegions,
 }
 
 /// Adds what is wrong with the tenants of a configuration.
--- a/crates/routing/tests/configuration.rs
+++ b/crates/routing/tests/configuration.rs
@@ -25,11 +25,12 @@
         retention: Duration::from_secs(60),
         resumable: false,
         is_public: false,
+        homes: Default::default(),
     }
 }
 
 fn service(name: &str) -> Service {
-    Service { name: name.to_owned(), max_connections: 10, engine: None }
+    Service { name: name.to_owned(), max_connections: 10, engine: None, cold: None }
 }
 
 fn configuration(routes: Vec<Route>) -> Configuration {
--- /dev/null
+++ b/crates/routing/tests/eligibility.rs
@@ -0,0 +1,92 @@
+//! Which replicas may get a request, and how far zones are apart.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use calicohoist_routing::{
+    ColdReplicas, Distance, DrainedZones, Eligibility, EligibilityRules, HomeRegions, Replica,
+    ReplicaState, Topology,
+};
+use calicohoist_types::{Region, Zone};
+
+fn topology() -> Topology {
+    let zones = [("north-a", "north"), ("north-b", "north"), ("south-a", "south")];
+    let regions = zones.map(|(zone, region)| (Zone::new(zone), Region::new(region)));
+    Topology::new(BTreeMap::from(regions))
+}
+
+fn replica(zone: &str, state: ReplicaState) -> Replica {
+    Replica {
+        id: "r".to_owned(),
+        service: "llm".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 8,
+        state,
+    }
+}
+
+fn drained(zone: &str) -> DrainedZones {
+    DrainedZones { version: 1, zones: [Zone::new(zone)].into() }
+}
+
+#[test]
+fn the_first_reason_against_a_replica_is_told() {
+    let topology = topology();
+    let north = HomeRegions::only([Region::new("north")]);
+    let judge = |homes: &HomeRegions, drained: &DrainedZones, replica: &Replica| {
+        EligibilityRules { topology: &topology, homes, drained }.judge(replica)
+    };
+    let ready = replica("south-a", ReplicaState::Ready);
+    let leaving = replica("south-a", ReplicaState::Draining);
+    let anywhere = HomeRegions::anywhere();
+    assert_eq!(judge(&anywhere, &DrainedZones::none(), &ready), Eligibility::Eligible);
+    assert_eq!(judge(&north, &drained("south-a"), &leaving), Eligibility::Leaving);
+    assert_eq!(judge(&north, &drained("south-a"), &ready), Eligibility::OutsideHome);
+    assert_eq!(judge(&anywhere, &drained("south-a"), &ready), Eligibility::ZoneDrained);
+    assert_eq!(judge(&anywhere, &drained("north-a"), &ready), Eligibility::Eligible);
+}
+
+#[test]
+fn a_replica_of_an_unknown_zone_is_in_no_home() {
+    let north = HomeRegions::only([Region::new("north")]);
+    let topology = topology();
+    let rules = EligibilityRules { topology: &topology, homes: &north, drained: &drained("x") };
+    let stray = replica("nowhere", ReplicaState::Ready);
+    assert_eq!(rules.judge(&stray), Eligibility::OutsideHome);
+}
+
+#[test]
+fn homes_of_route_and_tenant_bind_together() {
+    let (north, south) = (Region::new("north"), Region::new("south"));
+    let both = HomeRegions::only([north.clone(), south.clone()]);
+    let one = HomeRegions::only([south.clone()]);
+    assert_eq!(both.intersection(&one), one);
+    assert_eq!(one.intersection(&HomeRegions::anywhere()), one);
+    assert!(!HomeRegions::anywhere().intersection(&HomeRegions::anywhere()).is_bound());
+    let none = one.intersection(&HomeRegions::only([north.clone()]));
+    assert!(!none.allows(Some(&north)) && !none.allows(Some(&south)) && !none.allows(None));
+}
+
+#[test]
+fn zones_are_in_the_same_region_where_no_regions_are_named() {
+    assert_eq!(Topology::empty().distance("a", "b"), Distance::SameRegion);
+    assert_eq!(Topology::empty().distance("a", "a"), Distance::SameZone);
+    assert_eq!(topology().distance("north-a", "north-b"), Distance::SameRegion);
+    assert_eq!(topology().distance("north-a", "south-a"), Distance::OtherRegion);
+    assert_eq!(topology().distance("north-a", "unknown"), Distance::OtherRegion);
+}
+
+#[test]
+fn a_replica_is_cold_until_its_time_is_over_and_may_be_cold_again() {
+    let now = Instant::now();
+    let mut cold = ColdReplicas::default();
+    cold.note("r", now + Duration::from_secs(3));
+    assert!(cold.is_cold("r", now) && !cold.is_cold("other", now));
+    let later = now + Duration::from_secs(3);
+    assert!(!cold.is_cold("r", later));
+    cold.expire(later);
+    assert_eq!(cold, ColdReplicas::none());
+    cold.note("r", later + Duration::from_secs(1));
+    assert_eq!(cold.left(later).collect::<Vec<_>>(), [("r", Duration::from_secs(1))]);
+}
--- a/crates/routing/tests/tenant.rs
+++ b/crates/routing/tests/tenant.rs
@@ -21,6 +21,7 @@
         keys: keys.iter().map(|key| ApiKey::new(*key)).collect(),
         priority: None,
         limit: None,
+        homes: Default::default(),
     }
 }
 
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -11,7 +11,7 @@
 use calicohoist_routing::Replica;
 use serde::{Deserialize, Serialize};
 
-use crate::placement::{Placement, PlacementRequest, Placer, RunLimit, TurnRun};
+use crate::placement::{FleetView, Placement, PlacementRequest, Placer, RunLimit, TurnRun};
 use crate::speed::EngineSpeed;
 
 /// Turns that may wait at a time.
@@ -137,7 +137,7 @@
         &mut self,
         turn: &str,
         request: PlacementRequest,
-        replicas: &[Replica],
+        view: &FleetView<'_>,
         now: Instant,
     ) -> Decision {
         if self.waiting.contains_key(turn) {
@@ -151,7 +151,7 @@
         let goes_first = |waiting: &WaitingTurn| waiting.rank(now) < rank;
         let must_queue = !arrived.request.is_under_way && self.waiting.values().any(goes_first);
         if self.is_open(now) && (!must_queue || self.placer.is_placed(turn)) {
-            let placed = self.placer.place(turn, &arrived.request, replicas, arrived.limit(), now);
+            let placed = self.placer.place(turn, &arrived.request, view, arrived.limit(), now);
             match placed {
                 Placement::At(replica) => return Decision::Run(replica),
                 Placement::NoReplica => return Decision::RunAnywhere,
@@ -163,14 +163,14 @@
     }
 
     /// Decides about waiting turns, as far as something can be decided now.
-    pub fn decide(&mut self, replicas: &[Replica], now: Instant) -> Vec<(String, Decision)> {
+    pub fn decide(&mut self, view: &FleetView<'_>, now: Instant) -> Vec<(String, Decision)> {
         let mut decided = Vec::new();
         while self.is_open(now)
             && let Some(turn) = self.first(now)
         {
             let waiting = &self.waiting[&turn];
             let limit = waiting.limit();
-            let placed = self.placer.place(&turn, &waiting.request, replicas, limit, now);
+            let placed = self.placer.place(&turn, &waiting.request, view, limit, now);
             let decision = match placed {
                 Placement::At(replica) => Decision::Run(replica),
                 Placement::NoReplica => Decision::RunAnywhere,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -26,7 +26,9 @@
 pub use cost::{CostInputs, CostWeights, choose, cost_millis};
 pub use failures::FailureBoard;
 pub use ownership::owner_of;
-pub use placement::{Placement, PlacementRequest, PlacementWeights, Placer, RunLimit, TurnRun};
+pub use placement::{
+    FleetView, Placement, PlacementRequest, PlacementWeights, Placer, RunLimit, TurnRun,
+};
 pub use prefix::{PrefixIndex, PromptPart};
 pub use queue::{EngineQueue, QueueEntry, QueueFull};
 pub use retry::{RetryBudget, backoff};
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -8,7 +8,9 @@
 
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::{Replica, ReplicaState};
+use calicohoist_routing::{
+    ColdReplicas, DrainedZones, EligibilityRules, HomeRegions, Replica, Topology,
+};
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +61,43 @@
     pub priority: u8,
     /// Whether its program has begun with an earlier turn.
     pub is_under_way: bool,
+    /// Where it may run.
+    pub homes: HomeRegions,
+}
+
+/// The replicas and what is known of them from outside, as of one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetView<'a> {
+    /// All that are listed.
+    pub replicas: &'a [Replica],
+    /// Where zones lie.
+    pub topology: &'a Topology,
+    /// Zones whose replicas get nothing.
+    pub drained: &'a DrainedZones,
+    /// Replicas that have just started.
+    pub cold: &'a ColdReplicas,
+}
+
+impl<'a> FleetView<'a> {
+    /// Replicas of which nothing more is known: all are warm, no zone is drained.
+    pub fn of(replicas: &'a [Replica]) -> Self {
+        static TOPOLOGY: Topology = Topology::empty();
+        static DRAINED: DrainedZones = DrainedZones::none();
+        static COLD: ColdReplicas = ColdReplicas::none();
+        Self { replicas, topology: &TOPOLOGY, drained: &DRAINED, cold: &COLD }
+    }
+
+    /// The replicas that may get this turn.
+    fn open_to(&self, request: &PlacementRequest) -> Vec<&'a Replica> {
+        let rules = EligibilityRules {
+            topology: self.topology,
+            homes: &request.homes,
+            drained: self.drained,
+        };
+        let is_open =
+            |replica: &&Replica| replica.service == request.service && rules.admits(replica);
+        self.replicas.iter().filter(is_open).collect()
+    }
 }
 
 /// Where a turn ran, and what its replica has read by it.
@@ -263,21 +302,18 @@
         Self { weights, ..Self::default() }
     }
 
-    /// The replica for a turn, among those of `replicas` that are below the limit. A turn
+    /// The replica for a turn, among those of `view` that are below the limit. A turn
     /// that is asked for again stays where it was placed.
     pub fn place(
         &mut self,
         turn: &str,
         request: &PlacementRequest,
-        replicas: &[Replica],
+        view: &FleetView<'_>,
         limit: RunLimit,
         now: Instant,
     ) -> Placement {
         self.expire(now);
-        let is_open = |replica: &&Replica| {
-            replica.service == request.service && replica.state == ReplicaState::Ready
-        };
-        let open: Vec<&Replica> = replicas.iter().filter(is_open).collect();
+        let open = view.open_to(request);
         if let Some(placed) = self.turns.get(turn)
             && open.iter().any(|replica| replica.id == placed.replica)
         {
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -4,7 +4,7 @@
 
 use calicohoist_routing::{Replica, ReplicaState};
 use calicohoist_scheduler::{
-    Decision, PlacementRequest, PromptPart, RunSample, TurnRun, TurnScheduler,
+    Decision, FleetView, PlacementRequest, PromptPart, RunSample, TurnRun, TurnScheduler,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -36,6 +36,7 @@
         finish_ms: Some(finish_ms),
         priority: 1,
         is_under_way: false,
+        homes: Default::default(),
     }
 }
 
@@ -47,7 +48,8 @@
 fn busy(replicas: &[Replica], now: Instant) -> TurnScheduler {
     let mut scheduler = TurnScheduler::default();
     for turn in 0..ROOM {
-        let decision = scheduler.arrive(&format!("busy{turn}"), request(9_000), replicas, now);
+        let decision =
+            scheduler.arrive(&format!("busy{turn}"), request(9_000), &FleetView::of(replicas), now);
         assert!(matches!(decision, Decision::Run(_)));
     }
     scheduler
@@ -61,10 +63,13 @@
 fn new_programs_wait_while_replicas_are_busy() {
     let (replicas, now) = (replicas(1), Instant::now());
     let mut scheduler = busy(&replicas, now);
-    assert_eq!(scheduler.arrive("n", request(2_000), &replicas, now), Decision::Wait);
-    assert_eq!(scheduler.decide(&replicas, now), []);
+    assert_eq!(
+        scheduler.arrive("n", request(2_000), &FleetView::of(&replicas), now),
+        Decision::Wait
+    );
+    assert_eq!(scheduler.decide(&FleetView::of(&replicas), now), []);
     scheduler.end("busy0", Some("r0"), now);
-    let decided = scheduler.decide(&replicas, now);
+    let decided = scheduler.decide(&FleetView::of(&replicas), now);
     assert_eq!(decided, [("n".to_owned(), Decision::Run("r0".to_owned()))]);
     assert_eq!(scheduler.waiting(), 0);
 }
@@ -73,8 +78,8 @@
 fn programs_under_way_do_not_wait() {
     let (replicas, now) = (replicas(1), Instant::now());
     let mut scheduler = busy(&replicas, now);
-    scheduler.arrive("n", request(2_000), &replicas, now);
-    let decision = scheduler.arrive("u", under_way(), &replicas, now);
+    scheduler.arrive("n", request(2_000), &FleetView::of(&replicas), now);
+    let decision = scheduler.arrive("u", under_way(), &FleetView::of(&replicas), now);
     assert_eq!(decision, Decision::Run("r0".to_owned()));
 }
 
@@ -82,15 +87,15 @@
 fn who_can_still_be_in_time_goes_before_who_cannot() {
     let (replicas, now) = (replicas(1), Instant::now());
     let mut scheduler = busy(&replicas, now);
-    scheduler.arrive("late", request(0), &replicas, now);
-    scheduler.arrive("soon", request(2_000), &replicas, now);
-    scheduler.arrive("sooner", request(1_000), &replicas, now);
+    scheduler.arrive("late", request(0), &FleetView::of(&replicas), now);
+    scheduler.arrive("soon", request(2_000), &FleetView::of(&replicas), now);
+    scheduler.arrive("sooner", request(1_000), &FleetView::of(&replicas), now);
     let urgent = PlacementRequest { priority: 0, ..request(3_000) };
-    scheduler.arrive("urgent", urgent, &replicas, now);
+    scheduler.arrive("urgent", urgent, &FleetView::of(&replicas), now);
     let mut order = Vec::new();
     for turn in 0..ROOM {
         scheduler.end(&format!("busy{turn}"), Some("r0"), now);
-        order.extend(scheduler.decide(&replicas, now));
+        order.extend(scheduler.decide(&FleetView::of(&replicas), now));
     }
     assert_eq!(turns_of(&order), ["urgent", "sooner", "soon", "late"]);
 }
@@ -99,9 +104,9 @@
 fn a_turn_that_waits_too_long_is_told_when_to_come_back() {
     let (replicas, now) = (replicas(1), Instant::now());
     let mut scheduler = busy(&replicas, now);
-    scheduler.arrive("n", request(2_000), &replicas, now);
+    scheduler.arrive("n", request(2_000), &FleetView::of(&replicas), now);
     let later = now + Duration::from_millis(1_900);
-    let decided = scheduler.decide(&replicas, later);
+    let decided = scheduler.decide(&FleetView::of(&replicas), later);
     assert_eq!(turns_of(&decided), ["n"]);
     assert!(matches!(decided[0].1, Decision::Refuse(after) if !after.is_zero()));
     assert!(later < now + Duration::from_millis(4_000) / 2, "well before its deadline");
@@ -112,7 +117,9 @@
     let (replicas, now) = (replicas(1), Instant::now());
     let mut scheduler = busy(&replicas, now);
     let decisions: Vec<Decision> = (0..2_000)
-        .map(|turn| scheduler.arrive(&format!("n{turn}"), request(2_000), &replicas, now))
+        .map(|turn| {
+            scheduler.arrive(&format!("n{turn}"), request(2_000), &FleetView::of(&replicas), now)
+        })
         .collect();
     assert!(scheduler.waiting() <= 1_000);
     assert!(matches!(decisions.last(), Some(Decision::Refuse(_))));
@@ -123,12 +130,19 @@
     let (replicas, now) = (replicas(1), Instant::now());
     let mut scheduler = TurnScheduler::default();
     scheduler.begin_term(now);
-    assert_eq!(scheduler.arrive("n", request(2_000), &replicas, now), Decision::Wait);
+    assert_eq!(
+        scheduler.arrive("n", request(2_000), &FleetView::of(&replicas), now),
+        Decision::Wait
+    );
     scheduler.inherit(&[("r0".to_owned(), SLOTS)], now);
     let open = now + Duration::from_millis(100);
-    assert_eq!(scheduler.decide(&replicas, open), [], "the replica is full already");
+    assert_eq!(
+        scheduler.decide(&FleetView::of(&replicas), open),
+        [],
+        "the replica is full already"
+    );
     scheduler.end("of another leader", Some("r0"), open);
-    assert_eq!(turns_of(&scheduler.decide(&replicas, open)), ["n"]);
+    assert_eq!(turns_of(&scheduler.decide(&FleetView::of(&replicas), open)), ["n"]);
 }
 
 #[test]
@@ -148,16 +162,24 @@
     // Three turns beside each other take six times as long.
     for round in 0..100 {
         for turn in 0..3 {
-            scheduler.arrive(&format!("{round}-{turn}"), under_way(), &replicas, now);
+            scheduler.arrive(
+                &format!("{round}-{turn}"),
+                under_way(),
+                &FleetView::of(&replicas),
+                now,
+            );
         }
         for turn in 0..3 {
             scheduler.end(&format!("{round}-{turn}"), Some("r0"), now);
             scheduler.learn(&run(600));
         }
     }
-    let first = scheduler.arrive("a", request(2_000), &replicas, now);
+    let first = scheduler.arrive("a", request(2_000), &FleetView::of(&replicas), now);
     assert_eq!(first, Decision::Run("r0".to_owned()), "one at least");
-    assert_eq!(scheduler.arrive("b", request(2_000), &replicas, now), Decision::Wait);
+    assert_eq!(
+        scheduler.arrive("b", request(2_000), &FleetView::of(&replicas), now),
+        Decision::Wait
+    );
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -202,7 +224,7 @@
                         priority: *priority,
                         ..request(*finish_ms)
                     };
-                    match scheduler.arrive(&turn, request, &replicas, now) {
+                    match scheduler.arrive(&turn, request, &FleetView::of(&replicas), now) {
                         Decision::Run(replica) => running.push((turn, replica)),
                         Decision::Wait => waiting.push((turn, now)),
                         decision => prop_assert!(false, "{decision:?}"),
@@ -215,7 +237,7 @@
                 }
                 Step::Pass { ms } => now += Duration::from_millis(*ms),
             }
-            for (turn, decision) in scheduler.decide(&replicas, now) {
+            for (turn, decision) in scheduler.decide(&FleetView::of(&replicas), now) {
                 let place = waiting.iter().position(|(waiting, _)| *waiting == turn);
                 prop_assert!(place.is_some(), "{turn} is decided about twice");
                 waiting.swap_remove(place.unwrap_or_default());
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -4,8 +4,8 @@
 
 use calicohoist_routing::{Replica, ReplicaState};
 use calicohoist_scheduler::{
-    Placement, PlacementRequest, PlacementWeights, Placer, PrefixIndex, PromptPart, RunLimit,
-    RunSample, TurnRun,
+    FleetView, Placement, PlacementRequest, PlacementWeights, Placer, PrefixIndex, PromptPart,
+    RunLimit, RunSample, TurnRun,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -42,6 +42,7 @@
         finish_ms: None,
         priority: 0,
         is_under_way: false,
+        homes: Default::default(),
     }
 }
 
@@ -53,7 +54,7 @@
     replicas: &[Replica],
     now: Instant,
 ) -> Option<String> {
-    match placer.place(turn, request, replicas, RunLimit::Unlimited, now) {
+    match placer.place(turn, request, &FleetView::of(replicas), RunLimit::Unlimited, now) {
         Placement::At(replica) => Some(replica),
         Placement::NoRoom => panic!("there is no limit"),
         Placement::NoReplica => None,
@@ -208,7 +209,7 @@
     let replicas = fleet(1);
     let now = Instant::now();
     let place_new = |placer: &mut Placer, turn: &str, limit| {
-        placer.place(turn, &request(&[part(1, 10)]), &replicas, limit, now)
+        placer.place(turn, &request(&[part(1, 10)]), &FleetView::of(&replicas), limit, now)
     };
     let at_home = Placement::At("r0".to_owned());
     // While nothing is learned, as many as there are slots.
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -81,6 +81,10 @@
     /// A zone in which machines fail together.
     Zone
 );
+text_id!(
+    /// Zones that lie near each other; their data may be bound to stay there.
+    Region
+);
 text_id!(
     /// A key under which a back end executes a request at most once.
     IdempotencyKey
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,7 +17,7 @@
 pub use digest::{Digest, HistoryDigest};
 pub use finding::{Finding, Findings, Place};
 pub use ids::{
-    AttemptId, CallId, EngineId, IdempotencyKey, Incarnation, ModelId, NodeId, ProgramId,
+    AttemptId, CallId, EngineId, IdempotencyKey, Incarnation, ModelId, NodeId, ProgramId, Region,
     RequestId, Revision, ServiceId, TenantId, Zone, is_valid_name,
 };
 pub use machine::{MachineState, MachineStatus};
