Cold replicas: learned from the list, bounded by the placer, left out by gateways

Cause: a replica that has just started falls over when it gets as much as the others, and nobody asked whether one is cold. Change: ColdWatch learns from readings of the list; the leader tells gateways what became cold; PlacementRequest carries the limit; ColdGate counts placements over a sliding window; a placement at a cold replica lapses; gateways leave cold replicas out of their own choices.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -25,8 +25,9 @@
 pub struct ListedReplica {
     /// What does not change from one reading to the next.
     pub replica: Replica,
-    /// For how long it will still be cold; zero when it is warm.
-    pub cold_left: Duration,
+    /// For how long it will still be cold; zero when it is warm, `None` when the list does not
+    /// tell.
+    pub cold_left: Option<Duration>,
 }
 
 /// One page of the list.
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -78,9 +78,12 @@
     pub loads: Vec<(String, u32)>,
     /// The newest of its leader's changes to the replicas that are left alone.
     pub failing: FailingMark,
+    /// The newest of its leader's changes to the replicas that are cold.
+    pub cold: FailingMark,
 }
 
-/// Tells two states of the replicas that are left alone from each other.
+/// Tells two states of the replicas that are left alone from each other, or two of those that
+/// are cold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailingMark {
     /// Term of the leader.
@@ -186,4 +189,6 @@
     pub machines: Vec<u32>,
     /// The replicas that are to be left alone, each for so many ms, if that has changed.
     pub failing: Option<(FailingMark, Vec<(String, u32)>)>,
+    /// The replicas that are cold, each for so many ms, if one became cold.
+    pub cold: Option<(FailingMark, Vec<(String, u32)>)>,
 }
--- a/crates/ledger/src/server/gateways/news.rs
+++ b/crates/ledger/src/server/gateways/news.rs
@@ -29,6 +29,7 @@
                         || (failing.term == standing.term && *failing != seen.failing)
                         || standing.configuration > seen.configuration
                         || (list.term == standing.term && list.mark != seen.list)
+                        || (list.cold_mark.term == standing.term && list.cold_mark != seen.cold)
                 };
                 if is_stale {
                     return;
@@ -70,12 +71,14 @@
         let is_current = reading.term == standing.term;
         let age = reading.read_at.filter(|_| is_current).map(|at| at.elapsed().as_millis());
         let failing = self.failures.news(seen.failing);
+        let cold = reading.cold_news(seen.cold, Instant::now());
         News {
             list_age_ms: age.and_then(|age| u64::try_from(age).ok()),
             loads: self.loads.lock().of_others(&seen.gateway, reading, Instant::now()),
             loads_of: reading.mark,
             machines: standing.machines.clone(),
             failing: failing.filter(|(mark, _)| mark.term == standing.term),
+            cold: cold.filter(|(mark, _)| mark.term == standing.term),
         }
     }
 
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -1,17 +1,28 @@
 //! The leader reads the list of replicas for all gateways.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use calicohoist_discovery::ListedReplica;
-use calicohoist_routing::{ColdReplicas, DrainedZones, ReplicaList, Topology};
+use calicohoist_routing::{
+    ColdChange, ColdReplicas, ColdWatch, DrainedZones, ReplicaList, Topology,
+};
 use calicohoist_scheduler::FleetView;
+use calicohoist_telemetry::metrics::Gauge;
 use calicohoist_telemetry::{Event, emit};
 use tokio::sync::watch;
 
 use super::LedgerSettings;
 use super::replica::Standing;
-use crate::protocol::ListMark;
+use crate::protocol::{FailingMark, ListMark};
+
+static COLD_REPLICAS: Gauge = Gauge::new(
+    "calicohoist_ledger_cold_replicas",
+    "Replicas that are cold, as the leader knows them",
+);
+
+/// Replicas that one log line names: a whole region may start at once.
+const MOST_NAMED: usize = 8;
 
 /// The newest reading of this machine.
 #[derive(Clone, Debug, Default)]
@@ -27,6 +38,25 @@
     /// Those that have just started. They are no part of the mark: a list of which only a
     /// time left has changed is the same list.
     pub cold: Arc<ColdReplicas>,
+    /// Counts in this term when a replica became cold: gateways are told that, and see for
+    /// themselves when it is over.
+    pub cold_mark: FailingMark,
+}
+
+impl Reading {
+    /// The replicas that are cold, each for so many ms, unless a gateway has seen that.
+    pub fn cold_news(
+        &self,
+        seen: FailingMark,
+        now: Instant,
+    ) -> Option<(FailingMark, Vec<(String, u32)>)> {
+        if self.cold_mark == seen {
+            return None;
+        }
+        let in_ms = |left: Duration| u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let left = self.cold.left(now).map(|(id, left)| (id.to_owned(), in_ms(left)));
+        Some((self.cold_mark, left.collect()))
+    }
 }
 
 /// The newest reading with what else decides where requests go.
@@ -71,33 +101,51 @@
     let Some(reader) = settings.list else {
         return;
     };
+    let mut watch = (0, ColdWatch::default());
     loop {
         if standing.wait_for(|standing| standing.is_leader).await.is_err() {
             return;
         }
         let term = standing.borrow().term;
+        if watch.0 != term {
+            // What was listed when this machine led before tells nothing of what is new now.
+            watch = (term, ColdWatch::default());
+        }
         let began = Instant::now();
         match reader.read().await {
-            Ok(replicas) => publish(&out, term, replicas, began),
+            Ok(replicas) => publish(&out, &mut watch.1, term, replicas, began),
             Err(error) => emit!(Event::PlatformUnreachable, "list of replicas: {error}"),
         }
         tokio::time::sleep(settings.list_interval.saturating_sub(began.elapsed())).await;
     }
 }
 
-fn publish(out: &watch::Sender<Reading>, term: u64, listed: Vec<ListedReplica>, read_at: Instant) {
-    let mut cold = ColdReplicas::default();
-    for listed in listed.iter().filter(|listed| !listed.cold_left.is_zero()) {
-        cold.note(&listed.replica.id, read_at + listed.cold_left);
-    }
+fn publish(
+    out: &watch::Sender<Reading>,
+    watch: &mut ColdWatch,
+    term: u64,
+    listed: Vec<ListedReplica>,
+    read_at: Instant,
+) {
+    let times = listed.iter().map(|listed| (listed.replica.id.as_str(), listed.cold_left));
+    let change = watch.take(times, read_at);
+    tell_cold(&change, watch.cold().left(read_at).count());
     let replicas: Vec<_> = listed.into_iter().map(|listed| listed.replica).collect();
     let mark = ListMark::of(&replicas);
     out.send_if_modified(|reading| {
         reading.read_at = Some(read_at);
-        reading.cold = Arc::new(cold);
+        reading.cold = Arc::new(watch.cold().clone());
         let is_same = reading.term == term && reading.mark == mark;
+        // A new leader tells everything anew: a gateway knows only one leader's marks.
+        let is_cold_news = !change.became_cold.is_empty()
+            || (reading.term != term && reading.cold.left(read_at).next().is_some());
+        if is_cold_news {
+            let before = reading.cold_mark;
+            let count = if before.term == term { before.change + 1 } else { 1 };
+            reading.cold_mark = FailingMark { term, change: count };
+        }
         if is_same {
-            return false;
+            return is_cold_news;
         }
         reading.term = term;
         if reading.mark != mark {
@@ -108,3 +156,27 @@
         true
     });
 }
+
+/// One line for each reading that shows a change, whatever the size of the fleet.
+fn tell_cold(change: &ColdChange, cold: usize) {
+    COLD_REPLICAS.show(cold as u64);
+    if *change == ColdChange::default() {
+        return;
+    }
+    emit!(
+        Event::ColdReplicasChanged;
+        cold = cold,
+        became_cold = change.became_cold.len(),
+        became_warm = change.became_warm.len(),
+        named_cold = named(&change.became_cold),
+        named_warm = named(&change.became_warm),
+    );
+}
+
+/// The first of them, with a dash for none.
+fn named(replicas: &[String]) -> String {
+    match replicas {
+        [] => "-".to_owned(),
+        some => some[..some.len().min(MOST_NAMED)].join(","),
+    }
+}
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -151,7 +151,7 @@
     mut stop: watch::Receiver<bool>,
 ) -> eyre::Result<()> {
     let (frames_out, frames) = tokio::sync::mpsc::channel(peers::RING);
-    let turns = Arc::new(turns::TurnDesk::default());
+    let turns = Arc::new(turns::TurnDesk::new(settings.cold_tolerance));
     let limits = Arc::new(limits::LimitDesk::new(settings.limit_tolerance));
     let desks = Desks { turns: Arc::clone(&turns), limits: Arc::clone(&limits) };
     let thread = ReplicaThread::open(&settings, frames_out, desks)?;
--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use calicohoist_routing::ColdTolerance;
 use calicohoist_scheduler::{Decision, PlacementRequest, TurnRun, TurnScheduler};
 use calicohoist_telemetry::{Event, emit};
 use parking_lot::Mutex;
@@ -100,6 +101,12 @@
 }
 
 impl TurnDesk {
+    /// A desk with no turn; `tolerance` may come on top of the limits of cold replicas.
+    pub fn new(tolerance: ColdTolerance) -> Self {
+        let scheduler = TurnScheduler::new(tolerance);
+        Self { state: Mutex::new(DeskState { scheduler, ..DeskState::default() }), ..Self::default() }
+    }
+
     /// What becomes of a turn that arrives, or is asked for again.
     pub fn arrive(
         &self,
--- a/crates/ledger/tests/turns.rs
+++ b/crates/ledger/tests/turns.rs
@@ -22,6 +22,7 @@
         priority: 0,
         is_under_way: false,
         homes: Default::default(),
+        cold: None,
     }
 }
 
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -7,8 +7,8 @@
 
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
-    Candidate, CostWeights, DrainedZones, EligibilityRules, HomeRegions, Replica, Topology, choose,
-    stable_hash,
+    Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, HomeRegions, Replica,
+    ReturnedZones, Topology, choose, stable_hash,
 };
 use parking_lot::{Mutex, RwLock};
 
@@ -17,6 +17,10 @@
 /// What a replica is avoided with that others found to fail: more than any wait.
 const FAILING_PENALTY: Duration = Duration::from_millis(800);
 
+/// How long a replica that a gateway did not know counts as cold there: what the leader knows of it
+/// comes with the next watch, within half a second.
+const FIRST_SIGHT: Duration = Duration::from_millis(1_000);
+
 /// A replica with its load and its recent troubles.
 #[derive(Debug)]
 pub struct Member {
@@ -98,6 +102,9 @@
     pub excluded: &'a [String],
     /// Where it would like to run.
     pub affinity: Affinity,
+    /// Whether cold replicas are left out: the service has a limit for them, which holds over all
+    /// gateways and which only the leader can keep.
+    pub is_warm: bool,
 }
 
 type ByService = HashMap<String, Vec<Arc<Member>>>;
@@ -110,6 +117,10 @@
     topology: Arc<Topology>,
     /// Zones whose replicas get nothing.
     drained: RwLock<DrainedZones>,
+    /// Replicas that have just started, as the leader or an own reading tells.
+    cold: RwLock<ColdReplicas>,
+    /// Zones whose replicas may have turned cold while they were drained.
+    returned: RwLock<ReturnedZones>,
     services: RwLock<Arc<ByService>>,
     /// The same members in the order of the list.
     listed: RwLock<Vec<Arc<Member>>>,
@@ -126,6 +137,8 @@
             gateway: gateway.to_owned(),
             topology,
             drained: RwLock::default(),
+            cold: RwLock::default(),
+            returned: RwLock::default(),
             services: RwLock::default(),
             listed: RwLock::default(),
             list_read: Mutex::default(),
@@ -240,8 +253,48 @@
         EligibilityRules { topology: &self.topology, homes, drained: &drained }.admits(replica)
     }
 
+    /// Takes in replicas that are cold, each for so many ms at least.
+    pub fn note_cold(&self, cold: &[(String, u32)], now: Instant) {
+        let mut known = self.cold.write();
+        known.expire(now);
+        for (id, left_ms) in cold {
+            known.note(id, now + Duration::from_millis(u64::from(*left_ms)));
+        }
+    }
+
+    /// Takes in a list that does not tell who is cold: replicas that were not known here count
+    /// as cold until that is told. In the first list all are new, and none does.
+    pub fn note_first_sight(&self, replicas: &[Replica], now: Instant) {
+        let ids = self.ids();
+        if ids.is_empty() {
+            return;
+        }
+        let ids: HashSet<&str> = ids.iter().map(String::as_str).collect();
+        let mut cold = self.cold.write();
+        for replica in replicas.iter().filter(|replica| !ids.contains(replica.id.as_str())) {
+            cold.note(&replica.id, now + FIRST_SIGHT);
+        }
+    }
+
+    /// Whether a replica is cold, or may be.
+    pub fn is_cold(&self, replica: &Replica, now: Instant) -> bool {
+        self.cold.read().is_cold(&replica.id, now)
+            || self.returned.read().contains(&replica.zone, now)
+    }
+
+    /// Whether the only replicas of a service that may get a request with these homes are cold.
+    pub fn has_only_cold(&self, service: &str, homes: &HomeRegions) -> bool {
+        let now = Instant::now();
+        let services = self.services.read();
+        let members = services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let mut open =
+            members.iter().filter(|member| self.admits(&member.replica, homes)).peekable();
+        open.peek().is_some() && open.all(|member| self.is_cold(&member.replica, now))
+    }
+
     /// Takes in which zones get nothing.
     pub fn set_drained(&self, drained: DrainedZones) {
+        self.returned.write().note(&drained, Instant::now());
         *self.drained.write() = drained;
     }
 
@@ -257,13 +310,15 @@
         weights: &CostWeights,
         pool: &Pool,
     ) -> Option<Arc<Member>> {
-        let WantedReplica { service, zone, homes, excluded, affinity } = *wanted;
+        let WantedReplica { service, zone, homes, excluded, affinity, is_warm } = *wanted;
+        let now = Instant::now();
         let services = self.services.read().clone();
         let is_open = |member: &&Arc<Member>| {
-            self.admits(&member.replica, homes) && !excluded.contains(&member.replica.id)
+            self.admits(&member.replica, homes)
+                && !excluded.contains(&member.replica.id)
+                && !(is_warm && self.is_cold(&member.replica, now))
         };
         let members: Vec<&Arc<Member>> = services.get(service)?.iter().filter(is_open).collect();
-        let now = Instant::now();
         let candidates: Vec<Candidate<'_>> = members
             .iter()
             .map(|member| Candidate {
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -8,12 +8,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_routing::Service;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
 use super::failure;
 use super::permit::{self, Permit};
+use super::placed::PlacedReplica;
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 use crate::fleet::{Member, WantedReplica};
@@ -25,6 +27,12 @@
     "error",
 );
 
+static COLD_REQUESTS: Counter = Counter::new(
+    "calicohoist_proxy_cold_requests_total",
+    "Requests placed at cold replicas, and those that found only cold ones, by outcome",
+    "outcome",
+);
+
 /// Replicas that are asked before a request is refused.
 const MAX_REPLICAS_ASKED: usize = 4;
 /// Less time than this is no offer to a replica.
@@ -59,14 +67,14 @@
     pub attempts: u32,
     refused_at: usize,
     /// The replica to begin with, while nothing speaks against it.
-    placed_on: Option<String>,
+    placed_on: Option<PlacedReplica>,
     /// Leave of the tenant's limit for the next attempt.
     permit: Permit,
 }
 
 impl Trail {
     /// Nobody was asked yet; `placed_on` is to be asked first.
-    pub fn new(placed_on: Option<String>, permit: Permit) -> Self {
+    pub fn new(placed_on: Option<PlacedReplica>, permit: Permit) -> Self {
         Self { placed_on, permit, ..Self::default() }
     }
 
@@ -107,8 +115,8 @@
             return Err(out_of_time(trail));
         }
         ensure_permit(app, call, trail).await?;
-        let Some(member) = choose(app, call, &service.name, trail) else {
-            return Err(nobody_left(trail));
+        let Some((member, send_by)) = choose(app, call, service, trail) else {
+            return Err(nobody_left(app, call, service, trail));
         };
         let dialect = app.dialect();
         let patience = call.attempt_deadline(trail.attempts);
@@ -123,9 +131,12 @@
             list_age_ms = app.fleet.list_age().as_millis(),
             left_ms = call.left().as_millis(),
         );
-        let result = exchange(&app.pool, dialect, &member, &outgoing, patience).await;
+        let result = exchange(&app.pool, dialect, &member, &outgoing, send_by, patience).await;
         let error = match result {
             Ok(exchange) => {
+                if send_by.is_some() {
+                    COLD_REQUESTS.count("sent");
+                }
                 trail.attempts += 1;
                 trail.permit.lapse();
                 return Ok(exchange);
@@ -148,6 +159,7 @@
                 member.note_trouble(UNREACHABLE_PENALTY.0, UNREACHABLE_PENALTY.1);
                 trail.refused_at += 1;
             }
+            ExchangeError::Lapsed => COLD_REQUESTS.count("lapsed"),
             ExchangeError::NotExecuted => {
                 member.note_trouble(FULL_PENALTY.0, FULL_PENALTY.1);
                 trail.refused_at += 1;
@@ -172,7 +184,7 @@
             }
         }
         if trail.refused_at >= MAX_REPLICAS_ASKED {
-            return Err(nobody_left(trail));
+            return Err(nobody_left(app, call, service, trail));
         }
     }
 }
@@ -194,27 +206,40 @@
 }
 
 /// Where to go next: back to where the request began, then where it was placed, else to
-/// the cheapest replica.
-fn choose(app: &App, call: &Call, service: &str, trail: &mut Trail) -> Option<Arc<Member>> {
+/// the cheapest replica. At a cold one with a limit nobody but the leader places anything: a
+/// gateway does not know what others send there. With it, until when the request may be sent.
+fn choose(
+    app: &App,
+    call: &Call,
+    service: &Service,
+    trail: &mut Trail,
+) -> Option<(Arc<Member>, Option<Instant>)> {
     let homes = call.homes();
+    let is_warm = service.cold.is_some();
+    let now = Instant::now();
     if let Some(began_at) = trail.began_at.take()
         && app.fleet.is_open(&began_at.replica, &homes)
+        && !(is_warm && app.fleet.is_cold(&began_at.replica, now))
     {
-        return Some(began_at);
+        return Some((began_at, None));
     }
     if let Some(placed_on) = trail.placed_on.take()
-        && let Some(member) = app.fleet.untroubled(service, &placed_on, &homes)
+        && let Some(member) = app.fleet.untroubled(&service.name, &placed_on.id, &homes)
     {
-        return Some(member);
+        if placed_on.send_by.is_none_or(|send_by| now < send_by) {
+            return Some((member, placed_on.send_by));
+        }
+        COLD_REQUESTS.count("lapsed");
     }
     let wanted = WantedReplica {
-        service,
+        service: &service.name,
         zone: &app.settings.zone,
         homes: &homes,
         excluded: &trail.excluded,
         affinity: call.affinity(),
+        is_warm,
     };
-    app.fleet.choose(&wanted, &app.weights, &app.pool)
+    app.fleet.choose(&wanted, &app.weights, &app.pool).map(|member| (member, None))
 }
 
 fn no_replica() -> Refusal {
@@ -222,11 +247,17 @@
     Refusal::not_run(NotRunReason::NoReplica, RETRY_AFTER)
 }
 
-fn nobody_left(trail: &Trail) -> Refusal {
+fn nobody_left(app: &App, call: &Call, service: &Service, trail: &Trail) -> Refusal {
     const RETRY_AFTER: Duration = Duration::from_millis(150);
+    /// A cold replica bears some requests each second; the leader hands them out.
+    const COLD_RETRY_AFTER: Duration = Duration::from_millis(1_000);
     if trail.attempts > 0 {
         return Refusal::Unknown;
     }
+    if service.cold.is_some() && app.fleet.has_only_cold(&service.name, &call.homes()) {
+        COLD_REQUESTS.count("refused");
+        return Refusal::not_run(NotRunReason::ReplicasCold, COLD_RETRY_AFTER);
+    }
     if trail.refused_at == 0 {
         return no_replica();
     }
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -10,6 +10,7 @@
 mod failure;
 mod headers;
 mod permit;
+mod placed;
 mod plain;
 mod refusal;
 mod stream;
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -99,6 +99,9 @@
     /// Every replica that was asked refused or could not be reached.
     #[error("replicas full")]
     ReplicasFull,
+    /// Every replica that may get it has just started.
+    #[error("replicas cold")]
+    ReplicasCold,
     /// It came with too little time to be offered to a replica.
     #[error("too little time")]
     TooLate,
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -17,6 +17,7 @@
 
 use super::call::Call;
 use super::permit::{self, Permit};
+use super::placed::PlacedReplica;
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 
@@ -43,7 +44,7 @@
     /// Leave of the tenant's limit.
     pub permit: Permit,
     /// The replica that it is best sent to, as the ledger sees it.
-    pub placed_on: Option<String>,
+    pub placed_on: Option<PlacedReplica>,
     /// The replica that runs it.
     pub ran_at: Option<String>,
     /// When it went to that replica.
@@ -111,7 +112,7 @@
                     Some((request, answer)) => permit::accept(app, &request, answer, began)?,
                     None => Permit::Unlimited,
                 };
-                turn.place(decision, is_under_way).await?;
+                turn.place(decision, began, is_under_way).await?;
                 Ok(turn)
             }
             Ok(Answer::Permit(answer)) => {
@@ -127,9 +128,17 @@
     }
 
     /// Waits until it is decided when and where the turn runs.
-    async fn place(&mut self, first: Option<Decision>, is_under_way: bool) -> Result<(), Refusal> {
+    /// The `first` decision, if any, was asked for at `asked`.
+    async fn place(
+        &mut self,
+        first: Option<Decision>,
+        asked: Instant,
+        is_under_way: bool,
+    ) -> Result<(), Refusal> {
+        let mut asked = asked;
         let decision = match first {
             Some(Decision::Wait) => {
+                asked = Instant::now();
                 let decision = self.wait_for_place(is_under_way).await;
                 // It was counted as sent when it was issued.
                 self.permit.lapse();
@@ -138,7 +147,11 @@
             decided => decided,
         };
         match decision {
-            Some(Decision::Run(replica)) => self.placed_on = Some(replica),
+            Some(Decision::Run(replica)) => self.placed_on = Some(PlacedReplica::warm(replica)),
+            Some(Decision::RunCold { replica, waited_ms }) => {
+                let waited = Duration::from_millis(waited_ms);
+                self.placed_on = Some(PlacedReplica::cold(replica, asked, waited));
+            }
             Some(Decision::Refuse(after)) => {
                 return Err(Refusal::not_run(NotRunReason::ReplicasFull, after));
             }
@@ -358,6 +371,7 @@
         priority: call.priority(),
         is_under_way: false,
         homes: call.homes(),
+        cold: service.cold,
     })
 }
 
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use calicohoist_discovery::ListedReplica;
 use calicohoist_ledger::client::AskError;
 use calicohoist_ledger::packed::PackedBytes;
 use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
-use calicohoist_routing::{Replica, ReplicaList, RouteTable};
+use calicohoist_routing::{ColdWatch, Replica, ReplicaList, RouteTable};
 use calicohoist_telemetry::{Event, emit};
 
 use crate::app::App;
@@ -35,6 +36,7 @@
 struct FollowerState {
     list: ListMark,
     failing: FailingMark,
+    cold: FailingMark,
 }
 
 struct Follower {
@@ -45,12 +47,13 @@
 impl Follower {
     async fn watch_ledger(&self) {
         loop {
-            let FollowerState { list, failing } = *self.state.lock();
+            let FollowerState { list, failing, cold } = *self.state.lock();
             let seen = Seen {
                 gateway: self.app.settings.name.clone(),
                 configuration: self.app.table().map_or(0, |table| table.version()),
                 list,
                 failing,
+                cold,
                 loads: self.app.fleet.own_loads(),
             };
             let deadline = Instant::now() + WATCH_PATIENCE;
@@ -76,6 +79,10 @@
             self.state.lock().failing = mark;
             self.app.fleet.note_failing(&failing);
         }
+        if let Some((mark, cold)) = news.cold {
+            self.state.lock().cold = mark;
+            self.app.fleet.note_cold(&cold, Instant::now());
+        }
         if let Some(age) = news.list_age_ms {
             let read = Instant::now().checked_sub(Duration::from_millis(age));
             self.app.fleet.note_list_read(read);
@@ -89,6 +96,7 @@
             list = mark,
             replicas = list.replicas.len(),
         );
+        self.app.fleet.note_first_sight(&list.replicas, Instant::now());
         self.put_list(list.replicas);
         self.state.lock().list = mark;
     }
@@ -122,8 +130,18 @@
         self.app.note_list();
     }
 
+    /// Takes in what a reading of its own tells of cold replicas.
+    fn note_listed_cold(&self, watch: &mut ColdWatch, listed: &[ListedReplica], began: Instant) {
+        let times = listed.iter().map(|listed| (listed.replica.id.as_str(), listed.cold_left));
+        watch.take(times, began);
+        let in_ms = |left: Duration| u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let cold = watch.cold().left(began).map(|(id, left)| (id.to_owned(), in_ms(left)));
+        self.app.fleet.note_cold(&cold.collect::<Vec<_>>(), began);
+    }
+
     /// Reads the list here when no leader has told of a reading lately.
     async fn watch_list(&self) {
+        let mut watch = ColdWatch::default();
         tokio::time::sleep(LIST_AGE).await;
         loop {
             if self.app.fleet.list_age() < LIST_AGE {
@@ -134,6 +152,7 @@
             match self.app.settings.list.read().await {
                 Ok(replicas) => {
                     emit!(Event::ListApplied; source = "own reading", replicas = replicas.len());
+                    self.note_listed_cold(&mut watch, &replicas, began);
                     self.put_list(replicas.into_iter().map(|listed| listed.replica).collect());
                     let mut state = self.state.lock();
                     // The leader's list is to be told anew, whatever its version.
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -41,6 +41,9 @@
     /// Nothing was sent.
     #[error("no connection")]
     NotSent,
+    /// Nothing was sent: its time to arrive at a cold replica was over.
+    #[error("placement at a cold replica lapsed")]
+    Lapsed,
     /// The replica states that it did not run the request.
     #[error("the replica did not run it")]
     NotExecuted,
@@ -80,7 +83,8 @@
     }
 }
 
-/// Sends a request and waits for the head of its answer, until `patience` at the latest.
+/// Sends a request, until `send_by` at the latest, and waits for the head of its answer, until
+/// `patience`.
 ///
 /// # Errors
 /// See [`ExchangeError`].
@@ -89,6 +93,7 @@
     dialect: &dyn Dialect,
     member: &Arc<Member>,
     outgoing: &Outgoing<'_>,
+    send_by: Option<Instant>,
     patience: Instant,
 ) -> Result<Exchange, ExchangeError> {
     let load = member.begin();
@@ -97,6 +102,10 @@
     loop {
         let connection = pool.check_out(&replica.id, replica.address, checkout).await;
         let mut connection = connection.map_err(|_| ExchangeError::NotSent)?;
+        // A new connection may have taken long.
+        if send_by.is_some_and(|send_by| send_by <= Instant::now()) {
+            return Err(ExchangeError::Lapsed);
+        }
         let request = build(dialect, outgoing, &replica.id);
         let sending = connection.sender.try_send_request(request);
         let answered = tokio::time::timeout_at(patience.into(), sending).await;
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -1,10 +1,30 @@
 //! Replicas that have just started and bear little work yet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use calicohoist_types::Zone;
+use serde::{Deserialize, Serialize};
+
+use crate::eligibility::DrainedZones;
+
+/// How far a list of replicas may trail what it shows: a time left is longer by as much at most,
+/// and a replica that goes cold again is shown so much later.
+const LIST_LAG: Duration = Duration::from_millis(800);
+/// Time after which a list that is read every 0.7 s tells what has happened: its lag, the time
+/// between two readings, and the reading itself.
+pub const LIST_SETTLES: Duration = Duration::from_millis(2_000);
+/// Longest time left that is believed: an engine reads its weights in less. Whatever else a list
+/// says must not leave a replica nearly idle for good.
+const MOST_COLD: Duration = Duration::from_secs(60);
+/// How long a new replica counts as cold where the list says nothing of it.
+const ASSUMED_COLD: Duration = Duration::from_secs(5);
+/// How long a placement at a cold replica may be used after it was made: a few times the way from
+/// the leader to the gateway. Later it would arrive beside those of the next second.
+pub const COLD_PLACEMENT_LIFE: Duration = Duration::from_millis(300);
+
 /// Requests that a cold replica of a service bears.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ColdLimit {
     /// Requests a second.
     pub per_second: f64,
@@ -40,9 +60,11 @@
         Self { until: BTreeMap::new() }
     }
 
-    /// Notes that a replica is cold until then, or that it is not when that is past.
+    /// Notes that a replica is cold until then at least: what is known already is never
+    /// shortened, since a list that lags may show an earlier time.
     pub fn note(&mut self, replica: &str, until: Instant) {
-        self.until.insert(replica.to_owned(), until);
+        let known = self.until.entry(replica.to_owned()).or_insert(until);
+        *known = (*known).max(until);
     }
 
     /// Whether a replica is cold.
@@ -56,8 +78,101 @@
         cold.map(move |(replica, until)| (replica.as_str(), *until - now))
     }
 
-    /// Forgets replicas that are warm by now.
-    pub fn expire(&mut self, now: Instant) {
+    /// Forgets replicas that are warm by now; returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<String> {
+        let warm = self.until.iter().filter(|(_, until)| **until <= now);
+        let warm: Vec<String> = warm.map(|(replica, _)| replica.clone()).collect();
+        self.until.retain(|_, until| now < *until);
+        warm
+    }
+}
+
+/// What one reading has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ColdChange {
+    /// Replicas that are cold now, or for longer than was known.
+    pub became_cold: Vec<String>,
+    /// Replicas that are cold no more.
+    pub became_warm: Vec<String>,
+}
+
+/// Learns which replicas are cold from one reading of the list after the other.
+#[derive(Clone, Debug, Default)]
+pub struct ColdWatch {
+    cold: ColdReplicas,
+    /// The replicas of the last reading; `None` before the first.
+    known: Option<BTreeSet<String>>,
+}
+
+impl ColdWatch {
+    /// Takes in a reading that began at `read_at`: each replica with the time for which it is
+    /// still cold, or `None` where the list does not tell. A replica that is listed for the first
+    /// time without one counts as cold; in the very first reading all ages are unknown, and the
+    /// list is believed.
+    pub fn take<'a>(
+        &mut self,
+        listed: impl Iterator<Item = (&'a str, Option<Duration>)>,
+        read_at: Instant,
+    ) -> ColdChange {
+        let mut change =
+            ColdChange { became_warm: self.cold.expire(read_at), became_cold: Vec::new() };
+        let mut ids = BTreeSet::new();
+        for (replica, left) in listed {
+            let is_new = self.known.as_ref().is_some_and(|known| !known.contains(replica));
+            let left = left.unwrap_or(if is_new { ASSUMED_COLD } else { Duration::ZERO });
+            ids.insert(replica.to_owned());
+            if self.note(replica, left, read_at) {
+                change.became_cold.push(replica.to_owned());
+            }
+        }
+        self.known = Some(ids);
+        change
+    }
+
+    /// The replicas that are cold as of the last reading.
+    pub fn cold(&self) -> &ColdReplicas {
+        &self.cold
+    }
+
+    /// Whether a time left is news. What is noted is longer by the lag of the list, so that the
+    /// same cold time told again with another lag is none.
+    fn note(&mut self, replica: &str, left: Duration, read_at: Instant) -> bool {
+        if left.is_zero() {
+            return false;
+        }
+        let until = read_at + left.min(MOST_COLD);
+        let is_news = !self.cold.is_cold(replica, until);
+        if is_news {
+            self.cold.note(replica, until + LIST_LAG);
+        }
+        is_news
+    }
+}
+
+/// Zones that were given back so lately that the list may not show yet which of their replicas
+/// have turned cold meanwhile.
+#[derive(Clone, Debug, Default)]
+pub struct ReturnedZones {
+    drained: BTreeSet<Zone>,
+    until: BTreeMap<Zone, Instant>,
+}
+
+impl ReturnedZones {
+    /// Takes in which zones are drained now.
+    pub fn note(&mut self, drained: &DrainedZones, now: Instant) {
+        if self.drained == drained.zones {
+            return;
+        }
+        for zone in self.drained.difference(&drained.zones) {
+            self.until.insert(zone.clone(), now + LIST_SETTLES);
+        }
         self.until.retain(|_, until| now < *until);
+        self.drained.clone_from(&drained.zones);
+    }
+
+    /// Whether a zone was given back just now.
+    pub fn contains(&self, zone: &str, now: Instant) -> bool {
+        !self.until.is_empty()
+            && self.until.get(&Zone::new(zone)).is_some_and(|until| now < *until)
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,7 +20,10 @@
 pub mod tenant;
 pub mod topology;
 
-pub use cold::{ColdLimit, ColdReplicas, ColdTolerance};
+pub use cold::{
+    COLD_PLACEMENT_LIFE, ColdChange, ColdLimit, ColdReplicas, ColdTolerance, ColdWatch,
+    LIST_SETTLES, ReturnedZones,
+};
 pub use configuration::{Backend, Configuration, Engine, Limits, Route, RouteKind, Service};
 pub use eligibility::{DrainedZones, Eligibility, EligibilityRules, HomeRegions};
 pub use replica::{Replica, ReplicaList, ReplicaState};
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::Replica;
+use calicohoist_routing::{ColdTolerance, Replica};
 use serde::{Deserialize, Serialize};
 
 use crate::placement::{FleetView, Placement, PlacementRequest, Placer, RunLimit, TurnRun};
@@ -39,6 +39,13 @@
 pub enum Decision {
     /// It runs at this replica.
     Run(String),
+    /// It runs at this replica, which is cold, if it is sent there soon after it was placed.
+    RunCold {
+        /// The replica.
+        replica: String,
+        /// Time from the arrival of the question until the turn was placed, in ms.
+        waited_ms: u64,
+    },
     /// No replica is known to take it; whoever asks may know better.
     RunAnywhere,
     /// It waits.
@@ -51,6 +58,8 @@
 #[derive(Clone, Debug)]
 struct WaitingTurn {
     request: PlacementRequest,
+    /// When it was asked for last.
+    arrived: Instant,
     give_up: Instant,
     /// When its program should be over.
     finish: Instant,
@@ -75,6 +84,7 @@
             if request.is_under_way { Duration::ZERO } else { finish_left.mul_f64(NEEDED_SHARE) };
         let finish = now + finish_left;
         Self {
+            arrived: now,
             give_up: now + left.mul_f64(WAIT_SHARE).min(MAX_WAIT),
             finish,
             begin_by: finish.checked_sub(needed).unwrap_or(now),
@@ -91,6 +101,20 @@
         }
     }
 
+    /// What follows from its place; `None` while there is no room.
+    fn decision(&self, placed: Placement, now: Instant) -> Option<Decision> {
+        match placed {
+            Placement::At(replica) => Some(Decision::Run(replica)),
+            Placement::AtCold(replica) => {
+                let waited = now.saturating_duration_since(self.arrived).as_millis();
+                let waited_ms = u64::try_from(waited).unwrap_or_default();
+                Some(Decision::RunCold { replica, waited_ms })
+            }
+            Placement::NoReplica => Some(Decision::RunAnywhere),
+            Placement::NoRoom => None,
+        }
+    }
+
     fn limit(&self) -> RunLimit {
         if self.request.is_under_way {
             RunLimit::Unlimited
@@ -110,9 +134,15 @@
 }
 
 impl TurnScheduler {
+    /// A scheduler that knows of no turn, with what may come on top of the limits of cold
+    /// replicas.
+    pub fn new(cold_tolerance: ColdTolerance) -> Self {
+        Self { placer: Placer::default().with_cold_tolerance(cold_tolerance), ..Self::default() }
+    }
+
     /// Begins a term as leader: turns under way are those that gateways will tell of.
     pub fn begin_term(&mut self, now: Instant) {
-        self.placer.begin_term();
+        self.placer.begin_term(now);
         self.dismiss();
         self.opens = Some(now + REPORTS_WITHIN);
     }
@@ -140,7 +170,9 @@
         view: &FleetView<'_>,
         now: Instant,
     ) -> Decision {
-        if self.waiting.contains_key(turn) {
+        if let Some(waiting) = self.waiting.get_mut(turn) {
+            // Whoever asks again counts the time from this question on.
+            waiting.arrived = now;
             return Decision::Wait;
         }
         if self.waiting.len() >= MAX_WAITING {
@@ -152,10 +184,8 @@
         let must_queue = !arrived.request.is_under_way && self.waiting.values().any(goes_first);
         if self.is_open(now) && (!must_queue || self.placer.is_placed(turn)) {
             let placed = self.placer.place(turn, &arrived.request, view, arrived.limit(), now);
-            match placed {
-                Placement::At(replica) => return Decision::Run(replica),
-                Placement::NoReplica => return Decision::RunAnywhere,
-                Placement::NoRoom => {}
+            if let Some(decision) = arrived.decision(placed, now) {
+                return decision;
             }
         }
         self.waiting.insert(turn.to_owned(), arrived);
@@ -171,10 +201,8 @@
             let waiting = &self.waiting[&turn];
             let limit = waiting.limit();
             let placed = self.placer.place(&turn, &waiting.request, view, limit, now);
-            let decision = match placed {
-                Placement::At(replica) => Decision::Run(replica),
-                Placement::NoReplica => Decision::RunAnywhere,
-                Placement::NoRoom => break,
+            let Some(decision) = waiting.decision(placed, now) else {
+                break;
             };
             self.waiting.remove(&turn);
             decided.push((turn, decision));
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`admission`]: when a turn runs, by a process that sees all of them;
 //! - [`placement`]: where it runs;
+//! - [`cold`]: what replicas get that have just started;
 //! - [`prefix`]: what replicas are believed to hold of prompts;
 //! - [`failures`]: which replicas fail one request after the other;
 //! - [`speed`]: how fast engines are, learned from turns that ended;
@@ -13,6 +14,7 @@
 //! Nothing here reads a clock, draws a random number or knows its callers.
 
 pub mod admission;
+pub mod cold;
 pub mod cost;
 pub mod failures;
 pub mod ownership;
@@ -23,6 +25,7 @@
 pub mod speed;
 
 pub use admission::{Decision, TurnScheduler};
+pub use cold::{ColdAdmission, ColdGate};
 pub use cost::{CostInputs, CostWeights, choose, cost_millis};
 pub use failures::FailureBoard;
 pub use ownership::owner_of;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -9,11 +9,13 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::{
-    ColdReplicas, DrainedZones, EligibilityRules, HomeRegions, Replica, Topology,
+    ColdLimit, ColdReplicas, ColdTolerance, DrainedZones, EligibilityRules, HomeRegions, Replica,
+    Topology,
 };
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
+use crate::cold::{COLD_SLOWNESS, ColdAdmission, ColdGate};
 use crate::prefix::{Memory, PrefixIndex, PromptPart, Unread};
 use crate::speed::{EngineSpeed, RunSample};
 
@@ -41,7 +43,7 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A turn that is to be placed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacementRequest {
     /// The service that runs it.
     pub service: String,
@@ -63,6 +65,9 @@
     pub is_under_way: bool,
     /// Where it may run.
     pub homes: HomeRegions,
+    /// What cold replicas of the service bear, as the gateway's configuration says; `None`
+    /// without a limit.
+    pub cold: Option<ColdLimit>,
 }
 
 /// The replicas and what is known of them from outside, as of one moment.
@@ -148,12 +153,21 @@
 pub enum Placement {
     /// This replica is the best one.
     At(String),
+    /// This one is the best, and cold: the turn has to reach it soon.
+    AtCold(String),
     /// Every replica that takes work has reached the limit.
     NoRoom,
     /// No replica takes work.
     NoReplica,
 }
 
+fn placement_at(replica: String, admission: ColdAdmission) -> Placement {
+    match admission {
+        ColdAdmission::Warm => Placement::At(replica),
+        ColdAdmission::Cold | ColdAdmission::Closed => Placement::AtCold(replica),
+    }
+}
+
 /// What waiting, reading and sharing a replica cost.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementWeights {
@@ -293,6 +307,8 @@
     index: PrefixIndex,
     /// What is learned of engines, by service.
     speeds: HashMap<String, EngineSpeed>,
+    /// What cold replicas get.
+    cold: ColdGate,
     expired_at: Option<Instant>,
 }
 
@@ -302,6 +318,11 @@
         Self { weights, ..Self::default() }
     }
 
+    /// The same with what may come on top of the limits of cold replicas.
+    pub fn with_cold_tolerance(self, tolerance: ColdTolerance) -> Self {
+        Self { cold: ColdGate::new(tolerance), ..self }
+    }
+
     /// The replica for a turn, among those of `view` that are below the limit. A turn
     /// that is asked for again stays where it was placed.
     pub fn place(
@@ -313,11 +334,20 @@
         now: Instant,
     ) -> Placement {
         self.expire(now);
+        self.cold.note_fleet(view, now);
+        let admit = |cold: &ColdGate, replica: &Replica| {
+            cold.admit(replica, request.cold.as_ref(), view, now)
+        };
         let open = view.open_to(request);
         if let Some(placed) = self.turns.get(turn)
-            && open.iter().any(|replica| replica.id == placed.replica)
+            && let Some(replica) = open.iter().find(|replica| replica.id == placed.replica)
         {
-            return Placement::At(placed.replica.clone());
+            let admission = admit(&self.cold, replica);
+            // It may be sent once more: it counts once more.
+            if admission != ColdAdmission::Closed {
+                self.cold.note_placed(&replica.id, request.cold.as_ref(), now);
+                return placement_at(replica.id.clone(), admission);
+            }
         }
         if open.is_empty() {
             return Placement::NoReplica;
@@ -326,17 +356,31 @@
         let candidates = open.iter().map(|replica| self.candidate(replica));
         let has_room = |candidate: &PlacementCandidate<'_>| {
             candidate.view.load() < limit.turns(candidate.replica.slots, &speed)
+                && admit(&self.cold, candidate.replica) != ColdAdmission::Closed
         };
         // Of equals, the one whose memory has most room.
         let rank = |candidate: &PlacementCandidate<'_>| {
-            (self.cost(candidate, request, &speed, now), candidate.holds())
+            let cost = self.cost(candidate, request, &speed, now);
+            let slowness = match admit(&self.cold, candidate.replica) {
+                ColdAdmission::Warm => Duration::ZERO,
+                ColdAdmission::Cold | ColdAdmission::Closed => self.cold_slowness(&speed),
+            };
+            (cost + slowness, candidate.holds())
         };
         let Some(chosen) = candidates.filter(has_room).min_by_key(rank) else {
             return Placement::NoRoom;
         };
+        let admission = admit(&self.cold, chosen.replica);
         let chosen = chosen.replica.id.clone();
+        self.cold.note_placed(&chosen, request.cold.as_ref(), now);
         self.begin(turn, &chosen, request, now);
-        Placement::At(chosen)
+        placement_at(chosen, admission)
+    }
+
+    /// What a cold replica costs more than a warm one.
+    fn cold_slowness(&self, speed: &EngineSpeed) -> Duration {
+        let alone_ms = speed.alone_ms().unwrap_or(self.weights.turn_ms);
+        Duration::from_secs_f64(alone_ms * COLD_SLOWNESS / 1_000.0)
     }
 
     fn candidate<'a>(&'a self, replica: &'a Replica) -> PlacementCandidate<'a> {
@@ -369,6 +413,7 @@
     /// A replica is known to fail until then.
     pub fn note_failing(&mut self, replica: &str, until: Instant) {
         self.view(replica).fails_until = Some(until);
+        self.cold.note_failing(replica, until);
     }
 
     /// What is known of a replica, to be changed.
@@ -400,8 +445,9 @@
     }
 
     /// Begins anew with the turns under way, and keeps what is known of prompts.
-    pub fn begin_term(&mut self) {
+    pub fn begin_term(&mut self, now: Instant) {
         self.turns.clear();
+        self.cold.begin_term(now);
         for view in self.views.values_mut() {
             *view = ReplicaView { spread: view.spread, ..ReplicaView::default() };
         }
@@ -495,6 +541,7 @@
             return;
         }
         self.expired_at = Some(now);
+        self.cold.expire(now);
         for view in self.views.values_mut() {
             view.inherited = view.inherited.filter(|inherited| now < inherited.until);
         }
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -37,6 +37,7 @@
         priority: 1,
         is_under_way: false,
         homes: Default::default(),
+        cold: None,
     }
 }
 
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -43,6 +43,7 @@
         priority: 0,
         is_under_way: false,
         homes: Default::default(),
+        cold: None,
     }
 }
 
@@ -56,6 +57,7 @@
 ) -> Option<String> {
     match placer.place(turn, request, &FleetView::of(replicas), RunLimit::Unlimited, now) {
         Placement::At(replica) => Some(replica),
+        Placement::AtCold(replica) => panic!("{replica} is warm"),
         Placement::NoRoom => panic!("there is no limit"),
         Placement::NoReplica => None,
     }
@@ -230,7 +232,7 @@
     let replicas = fleet(2);
     let now = Instant::now();
     place(&mut placer, "old", &request(&[part(1, 10)]), &replicas, now);
-    placer.begin_term();
+    placer.begin_term(now);
     assert_eq!(placer.load("r0") + placer.load("r1"), 0);
     let lasting = Duration::from_millis(1_500);
     placer.inherit(&[("r0".to_owned(), 2)], now, lasting);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -107,6 +107,8 @@
     ReplicaLeftAlone = 4114, Warn;
     /// A tenant has used up most of what its limit allows.
     LimitPressed = 4115, Info;
+    /// Replicas became cold or warm, as the leader knows it.
+    ColdReplicasChanged = 4121, Info;
     /// Engine memory of an ended program was released.
     CacheReleased = 4201, Debug;
     /// A release order failed and will be retried.
