--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -104,7 +104,10 @@
     /// A desk with no turn; `tolerance` may come on top of the limits of cold replicas.
     pub fn new(tolerance: ColdTolerance) -> Self {
         let scheduler = TurnScheduler::new(tolerance);
-        Self { state: Mutex::new(DeskState { scheduler, ..DeskState::default() }), ..Self::default() }
+        Self {
+            state: Mutex::new(DeskState { scheduler, ..DeskState::default() }),
+            ..Self::default()
+        }
     }
 
     /// What becomes of a turn that arrives, or is asked for again.
--- a/crates/proxy/src/flow/placed.rs
+++ b/crates/proxy/src/flow/placed.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::COLD_PLACEMENT_LIFE;
+use calicohoist_routing::cold;
 
 /// The replica that a request is to be sent to first.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,9 +20,8 @@
         Self { id, send_by: None }
     }
 
-    /// At a cold replica, `waited` after the leader had the question of `asked`. The question
-    /// was on its way meanwhile, so that this is when it was placed, or somewhat earlier.
+    /// At a cold replica, `waited` after the question of `asked` had come to the leader.
     pub fn cold(id: String, asked: Instant, waited: Duration) -> Self {
-        Self { id, send_by: Some(asked + waited + COLD_PLACEMENT_LIFE) }
+        Self { id, send_by: Some(cold::send_by(asked, waited)) }
     }
 }
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -23,6 +23,13 @@
 /// the leader to the gateway. Later it would arrive beside those of the next second.
 pub const COLD_PLACEMENT_LIFE: Duration = Duration::from_millis(300);
 
+/// Until when a request may be sent to the cold replica where it was placed, `waited` after the
+/// question of `asked` had come to the leader. The question was on its way before that, so that
+/// this never is later than [`COLD_PLACEMENT_LIFE`] after the placement.
+pub fn send_by(asked: Instant, waited: Duration) -> Instant {
+    asked + waited + COLD_PLACEMENT_LIFE
+}
+
 /// Requests that a cold replica of a service bears.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ColdLimit {
@@ -172,7 +179,6 @@
 
     /// Whether a zone was given back just now.
     pub fn contains(&self, zone: &str, now: Instant) -> bool {
-        !self.until.is_empty()
-            && self.until.get(&Zone::new(zone)).is_some_and(|until| now < *until)
+        !self.until.is_empty() && self.until.get(&Zone::new(zone)).is_some_and(|until| now < *until)
     }
 }
