--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -104,7 +104,7 @@
     pub affinity: Affinity,
     /// Whether cold replicas are left out: the service has a limit for them, which holds over all
     /// gateways and which only the leader can keep.
-    pub is_warm: bool,
+    pub leaves_out_cold: bool,
 }
 
 type ByService = HashMap<String, Vec<Arc<Member>>>;
@@ -310,13 +310,13 @@
         weights: &CostWeights,
         pool: &Pool,
     ) -> Option<Arc<Member>> {
-        let WantedReplica { service, zone, homes, excluded, affinity, is_warm } = *wanted;
+        let WantedReplica { service, zone, homes, excluded, affinity, leaves_out_cold } = *wanted;
         let now = Instant::now();
         let services = self.services.read().clone();
         let is_open = |member: &&Arc<Member>| {
             self.admits(&member.replica, homes)
                 && !excluded.contains(&member.replica.id)
-                && !(is_warm && self.is_cold(&member.replica, now))
+                && !(leaves_out_cold && self.is_cold(&member.replica, now))
         };
         let members: Vec<&Arc<Member>> = services.get(service)?.iter().filter(is_open).collect();
         let candidates: Vec<Candidate<'_>> = members
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -215,11 +215,11 @@
     trail: &mut Trail,
 ) -> Option<(Arc<Member>, Option<Instant>)> {
     let homes = call.homes();
-    let is_warm = service.cold.is_some();
+    let leaves_out_cold = service.cold.is_some();
     let now = Instant::now();
     if let Some(began_at) = trail.began_at.take()
         && app.fleet.is_open(&began_at.replica, &homes)
-        && !(is_warm && app.fleet.is_cold(&began_at.replica, now))
+        && !(leaves_out_cold && app.fleet.is_cold(&began_at.replica, now))
     {
         return Some((began_at, None));
     }
@@ -237,7 +237,7 @@
         homes: &homes,
         excluded: &trail.excluded,
         affinity: call.affinity(),
-        is_warm,
+        leaves_out_cold,
     };
     app.fleet.choose(&wanted, &app.weights, &app.pool).map(|member| (member, None))
 }
