Cold replicas: a placement does not hold at a replica that has turned cold

Cause: a gateway that stood still, or asked a leader without a list, would send a request to a replica that it knows to be cold. Change: routing::PlacedReplica decides whether a placement holds, for cold and warm ones; the virtual run uses it.

--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -8,14 +8,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_routing::Service;
+use calicohoist_routing::{PlacedReplica, Service};
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
 use super::failure;
 use super::permit::{self, Permit};
-use super::placed::PlacedReplica;
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 use crate::fleet::{Member, WantedReplica};
@@ -226,7 +225,8 @@
     if let Some(placed_on) = trail.placed_on.take()
         && let Some(member) = app.fleet.untroubled(&service.name, &placed_on.id, &homes)
     {
-        if placed_on.send_by.is_none_or(|send_by| now < send_by) {
+        let is_cold = leaves_out_cold && app.fleet.is_cold(&member.replica, now);
+        if placed_on.holds(is_cold, now) {
             return Some((member, placed_on.send_by));
         }
         COLD_REQUESTS.count("lapsed");
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -10,7 +10,6 @@
 mod failure;
 mod headers;
 mod permit;
-mod placed;
 mod plain;
 mod refusal;
 mod stream;
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -11,13 +11,13 @@
 use calicohoist_ledger::client::AskError;
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{Answer, Question};
+use calicohoist_routing::PlacedReplica;
 use calicohoist_scheduler::{Decision, PlacementRequest, RunSample, TurnRun};
 use calicohoist_telemetry::metrics::Times;
 use calicohoist_telemetry::{Event, emit};
 
 use super::call::Call;
 use super::permit::{self, Permit};
-use super::placed::PlacedReplica;
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -23,11 +23,38 @@
 /// the leader to the gateway. Later it would arrive beside those of the next second.
 pub const COLD_PLACEMENT_LIFE: Duration = Duration::from_millis(300);
 
-/// Until when a request may be sent to the cold replica where it was placed, `waited` after the
-/// question of `asked` had come to the leader. The question was on its way before that, so that
-/// this never is later than [`COLD_PLACEMENT_LIFE`] after the placement.
-pub fn send_by(asked: Instant, waited: Duration) -> Instant {
-    asked + waited + COLD_PLACEMENT_LIFE
+/// The replica where the leader has placed a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacedReplica {
+    /// Its identity.
+    pub id: String,
+    /// Until when the request may be sent there; `None` at a replica that the leader holds for
+    /// warm. It counts what it places at a cold one within a second, so that nothing may arrive
+    /// together with what was placed a second later.
+    pub send_by: Option<Instant>,
+}
+
+impl PlacedReplica {
+    /// At a warm replica.
+    pub fn warm(id: String) -> Self {
+        Self { id, send_by: None }
+    }
+
+    /// At a cold replica, `waited` after the question of `asked` had come to the leader. It was on
+    /// its way before that, so that the placement never lapses later than
+    /// [`COLD_PLACEMENT_LIFE`] after it was made, whatever the clocks show.
+    pub fn cold(id: String, asked: Instant, waited: Duration) -> Self {
+        Self { id, send_by: Some(asked + waited + COLD_PLACEMENT_LIFE) }
+    }
+
+    /// Whether the request may still be sent there. A replica that has turned cold since it was
+    /// placed, or that a new leader does not know to be, gets nothing.
+    pub fn holds(&self, is_cold: bool, now: Instant) -> bool {
+        match self.send_by {
+            Some(send_by) => now < send_by,
+            None => !is_cold,
+        }
+    }
 }
 
 /// Requests that a cold replica of a service bears.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use cold::{
     COLD_PLACEMENT_LIFE, ColdChange, ColdLimit, ColdReplicas, ColdTolerance, ColdWatch,
-    LIST_SETTLES, ReturnedZones,
+    LIST_SETTLES, PlacedReplica, ReturnedZones,
 };
 pub use configuration::{Backend, Configuration, Engine, Limits, Route, RouteKind, Service};
 pub use eligibility::{DrainedZones, Eligibility, EligibilityRules, HomeRegions};
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::{ColdWatch, DrainedZones, LIST_SETTLES, ReturnedZones};
+use calicohoist_routing::{
+    COLD_PLACEMENT_LIFE, ColdWatch, DrainedZones, LIST_SETTLES, PlacedReplica, ReturnedZones,
+};
 use calicohoist_types::Zone;
 
 const READING: Duration = Duration::from_millis(700);
@@ -94,3 +96,21 @@
     assert!(!returned.contains("b", now));
     assert!(!returned.contains("a", now + LIST_SETTLES));
 }
+
+#[test]
+fn a_placement_at_a_cold_replica_lapses_and_counts_the_wait_at_the_leader() {
+    let asked = Instant::now();
+    let placed = PlacedReplica::cold("a".to_owned(), asked, ms(700));
+    let placed_at = asked + ms(700);
+    assert!(placed.holds(true, placed_at + COLD_PLACEMENT_LIFE - ms(1)));
+    assert!(!placed.holds(true, placed_at + COLD_PLACEMENT_LIFE));
+    assert!(!placed.holds(false, placed_at + COLD_PLACEMENT_LIFE), "it was counted as cold");
+}
+
+#[test]
+fn a_placement_at_a_replica_that_has_turned_cold_does_not_hold() {
+    let placed = PlacedReplica::warm("a".to_owned());
+    let now = Instant::now();
+    assert!(placed.holds(false, now + ms(10_000)));
+    assert!(!placed.holds(true, now));
+}
--- a/crates/scheduler/tests/cold_return.rs
+++ b/crates/scheduler/tests/cold_return.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::{
-    ColdLimit, ColdReplicas, ColdTolerance, DrainedZones, Replica, ReplicaState, Topology, cold,
-    stable_hash,
+    ColdLimit, ColdReplicas, ColdTolerance, DrainedZones, PlacedReplica, Replica, ReplicaState,
+    Topology, stable_hash,
 };
 use calicohoist_scheduler::{Decision, FleetView, PlacementRequest, TurnScheduler};
 
@@ -116,7 +116,7 @@
             left_ms: 3_000,
             finish_ms: None,
             priority: 0,
-            is_under_way: turn % 2 == 0,
+            is_under_way: turn.is_multiple_of(2),
             homes: Default::default(),
             cold: self.limit,
         }
@@ -183,7 +183,7 @@
 
     fn ask(&mut self, ms: u64, turn: u64, at_old: bool) {
         self.asked.insert(turn, ms);
-        if drawn("gateway", turn, GATEWAYS) % LEADERLESS == 0 {
+        if drawn("gateway", turn, GATEWAYS).is_multiple_of(LEADERLESS) {
             return self.choose(ms, turn);
         }
         let (request, now) = (self.request(turn), self.at(ms));
@@ -221,19 +221,20 @@
     /// The rule of a gateway: a placement at a cold replica lapses, and whoever has none chooses
     /// among warm ones.
     fn told(&mut self, ms: u64, turn: u64, asked: u64, decision: Decision) {
-        match decision {
-            Decision::Run(replica) => self.send(ms, turn, replica),
+        let placed = match decision {
+            Decision::Run(replica) => PlacedReplica::warm(replica),
             Decision::RunCold { replica, waited_ms } => {
-                let waited = Duration::from_millis(waited_ms);
-                if self.at(ms) < cold::send_by(self.at(asked), waited) {
-                    return self.send(ms, turn, replica);
-                }
-                self.lapsed += 1;
-                self.choose(ms, turn);
+                PlacedReplica::cold(replica, self.at(asked), Duration::from_millis(waited_ms))
             }
-            Decision::RunAnywhere => self.choose(ms, turn),
-            Decision::Wait | Decision::Refuse(_) => {}
+            Decision::RunAnywhere => return self.choose(ms, turn),
+            Decision::Wait | Decision::Refuse(_) => return,
+        };
+        let is_cold = self.limit.is_some() && self.cold.is_cold(&placed.id, self.at(ms));
+        if placed.holds(is_cold, self.at(ms)) {
+            return self.send(ms, turn, placed.id);
         }
+        self.lapsed += 1;
+        self.choose(ms, turn);
     }
 
     fn choose(&mut self, ms: u64, turn: u64) {
