--- /dev/null
+++ b/crates/scheduler/tests/overload/load.rs
@@ -0,0 +1,144 @@
+//! Programs drawn from a seed: turns, pauses, sub-agents and what counts as in time.
+
+/// A small generator of random numbers (splitmix64), so that a seed means the same always.
+pub struct Draws(pub u64);
+
+impl Draws {
+    fn bits(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut bits = self.0;
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        bits ^ (bits >> 31)
+    }
+
+    /// Evenly between 0 and 1.
+    pub fn share(&mut self) -> f64 {
+        (self.bits() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Time to the next arrival at a rate, in seconds.
+    pub fn wait_s(&mut self, per_s: f64) -> f64 {
+        -(1.0 - self.share()).ln() / per_s
+    }
+
+    /// Log-normal with this mean, cut off at `max`.
+    fn around(&mut self, mean: f64, spread: f64, max: f64) -> f64 {
+        let angle = std::f64::consts::TAU * self.share();
+        let normal = (-2.0 * (1.0 - self.share()).ln()).sqrt() * angle.cos();
+        (mean * (spread * normal - spread * spread / 2.0).exp()).min(max)
+    }
+}
+
+/// A kind of program.
+#[derive(Clone, Copy, Debug)]
+pub struct ProgramKind {
+    pub priority: u8,
+    pub per_s: f64,
+    pub turns: f64,
+    pub reads: f64,
+    pub think_ms: f64,
+    /// Share of turns after which sub-agents start.
+    pub fan: f64,
+    /// Its time objective, as a multiple of its duration on idle engines.
+    pub aim: f64,
+}
+
+/// Many turns, many sub-agents: the urgent kind.
+pub const LONG: ProgramKind = ProgramKind {
+    priority: 0,
+    per_s: 21.0,
+    turns: 11.0,
+    reads: 327.0,
+    think_ms: 20.0,
+    fan: 0.15,
+    aim: 1.5,
+};
+/// Few turns, few sub-agents.
+pub const SHORT: ProgramKind = ProgramKind {
+    priority: 1,
+    per_s: 43.6,
+    turns: 4.0,
+    reads: 654.0,
+    think_ms: 150.0,
+    fan: 0.05,
+    aim: 1.4,
+};
+
+/// Added to each time objective, in ms.
+const AIM_MS: f64 = 250.0;
+/// Way from the caller to an engine and back, in ms.
+pub const WAY_MS: f64 = 46.0;
+/// Time until an engine begins with a turn, in ms.
+const FIRST_MS: f64 = 11.0;
+/// Tools that a turn may call, as share of turns and mean duration in ms.
+const TOOLS: [(f64, f64); 3] = [(0.7, 52.0), (0.4, 208.0), (0.2, 139.0)];
+
+/// One turn with what follows it.
+#[derive(Clone, Debug)]
+pub struct TurnPlan {
+    pub reads: u32,
+    pub generates: u32,
+    /// Pause after its tools until the next turn, in ms.
+    pub think_ms: f64,
+    /// Time that each tool takes that it calls, in ms; they run side by side.
+    pub tools: Vec<f64>,
+    /// Turns of each sub-agent that starts after it.
+    pub agents: Vec<Vec<TurnPlan>>,
+}
+
+impl TurnPlan {
+    fn draw(kind: &ProgramKind, draws: &mut Draws) -> Self {
+        let mut tools = Vec::new();
+        for (share, mean) in TOOLS {
+            if draws.share() < share {
+                tools.push(draws.around(mean, 1.0, mean * 5.0));
+            }
+        }
+        let reads = draws.around(kind.reads, 0.7, kind.reads * 5.0);
+        Self {
+            reads: reads as u32 + 1,
+            generates: draws.around(73.0, 0.8, 290.0) as u32 + 1,
+            think_ms: draws.around(kind.think_ms, 0.6, kind.think_ms * 4.0),
+            tools,
+            agents: Vec::new(),
+        }
+    }
+
+    /// Duration on idle engines, in ms.
+    fn alone_ms(&self) -> f64 {
+        let turn_ms = f64::from(self.generates) * 2.59 + f64::from(self.reads) / 84.9;
+        let agents = self.agents.iter().map(|turns| line_ms(turns));
+        let tool_ms = self.tools.iter().copied().fold(0.0, f64::max);
+        WAY_MS + FIRST_MS + turn_ms + tool_ms + self.think_ms + agents.fold(0.0, f64::max)
+    }
+}
+
+fn line_ms(turns: &[TurnPlan]) -> f64 {
+    turns.iter().map(TurnPlan::alone_ms).sum()
+}
+
+/// One program.
+#[derive(Clone, Debug)]
+pub struct ProgramPlan {
+    pub turns: Vec<TurnPlan>,
+    /// Time until it should be over, in ms.
+    pub aim_ms: f64,
+}
+
+impl ProgramPlan {
+    pub fn draw(kind: &ProgramKind, draws: &mut Draws) -> Self {
+        let count = draws.around(kind.turns, 0.4, kind.turns * 2.0).round().max(1.0) as usize;
+        let mut turns: Vec<TurnPlan> = (0..count).map(|_| TurnPlan::draw(kind, draws)).collect();
+        for turn in &mut turns {
+            if draws.share() < kind.fan {
+                let width = draws.around(5.0, 0.3, 10.0).round().max(1.0) as usize;
+                let agent =
+                    |draws: &mut Draws| (0..2).map(|_| TurnPlan::draw(kind, draws)).collect();
+                turn.agents = (0..width).map(|_| agent(draws)).collect();
+            }
+        }
+        let aim_ms = line_ms(&turns) * kind.aim + AIM_MS;
+        Self { turns, aim_ms }
+    }
+}
