--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -62,9 +62,7 @@
                 Some(Issued::NotNow) => return back.send(Answer::Unavailable),
             };
             let runtime = hub.runtime.clone();
-            act_after(&runtime, hold, move || {
-                back.send(hub.placed(answer, &turn, program.as_deref(), placement))
-            });
+            act_after(&runtime, hold, move || back.send(hub.placed(answer, &turn, placement)));
         });
         self.replica.ask(Request::Reserve(reserve), respond);
     }
@@ -74,15 +72,13 @@
         &self,
         mut answer: Answer,
         turn: &str,
-        program: Option<&str>,
         placement: Option<PlacementRequest>,
     ) -> Answer {
         if let Answer::Reserved { decision, is_under_way, .. } = &mut answer
             && let Some(placement) = placement
         {
             let placement = PlacementRequest { is_under_way: *is_under_way, ..placement };
-            let (term, fleet) = (self.term(), self.fleet());
-            *decision = Some(self.turns.arrive(term, turn, program, placement, &fleet));
+            *decision = Some(self.turns.arrive(self.term(), turn, placement, &self.fleet()));
         }
         answer
     }
--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -60,14 +60,12 @@
         &mut self,
         term: u64,
         turn: &str,
-        program: Option<&str>,
         request: PlacementRequest,
         fleet: &FleetSnapshot,
     ) -> Decision {
         self.note_term(term);
         self.note_list(&fleet.reading);
-        let program = program.unwrap_or(turn);
-        self.scheduler.arrive_of(turn, program, request, &fleet.view(), Instant::now())
+        self.scheduler.arrive(turn, request, &fleet.view(), Instant::now())
     }
 
     /// Logs the learned rates now and then.
@@ -102,17 +100,15 @@
 }
 
 impl TurnDesk {
-    /// What becomes of a turn that arrives, or is asked for again. One without a program
-    /// counts as a program of its own.
+    /// What becomes of a turn that arrives, or is asked for again.
     pub fn arrive(
         &self,
         term: u64,
         turn: &str,
-        program: Option<&str>,
         request: PlacementRequest,
         fleet: &FleetSnapshot,
     ) -> Decision {
-        let decision = self.state.lock().arrive(term, turn, program, request, fleet);
+        let decision = self.state.lock().arrive(term, turn, request, fleet);
         if decision == Decision::Wait {
             self.work.notify_one();
         }
@@ -149,7 +145,7 @@
         back: Back,
     ) {
         let mut state = self.state.lock();
-        match state.arrive(term, &turn, None, request, fleet) {
+        match state.arrive(term, &turn, request, fleet) {
             Decision::Wait => {
                 state.backs.insert(turn, back);
                 self.work.notify_one();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -2,8 +2,6 @@
 //!
 //! - [`admission`]: when a turn runs, by a process that sees all of them;
 //! - [`placement`]: where it runs;
-//! - [`overload`]: how much work programs under way still bring;
-//! - [`shares`]: which kinds of program are served too seldom;
 //! - [`prefix`]: what replicas are believed to hold of prompts;
 //! - [`failures`]: which replicas fail one request after the other;
 //! - [`speed`]: how fast engines are, learned from turns that ended;
@@ -17,13 +15,11 @@
 pub mod admission;
 pub mod cost;
 pub mod failures;
-pub mod overload;
 pub mod ownership;
 pub mod placement;
 pub mod prefix;
 pub mod queue;
 pub mod retry;
-pub mod shares;
 pub mod speed;
 
 pub use admission::{Decision, TurnScheduler};
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -14,7 +14,6 @@
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
-use crate::overload;
 use crate::prefix::{Memory, PrefixIndex, PromptPart, Unread};
 use crate::speed::{EngineSpeed, RunSample};
 
@@ -340,18 +339,6 @@
         Placement::At(chosen)
     }
 
-    /// Turns that the replicas open to a request carry at this slowdown.
-    pub(crate) fn carried(
-        &self,
-        request: &PlacementRequest,
-        view: &FleetView<'_>,
-        slowdown: f64,
-    ) -> f64 {
-        let speed = self.speed(&request.service);
-        let open = view.open_to(request).into_iter();
-        open.map(|replica| overload::carried(replica.slots, slowdown, &speed)).sum()
-    }
-
     fn candidate<'a>(&'a self, replica: &'a Replica) -> PlacementCandidate<'a> {
         let view = self.views.get(&replica.id).copied().unwrap_or_default();
         PlacementCandidate { replica, view, memory: self.index.memory(&replica.id) }
@@ -390,7 +377,7 @@
     }
 
     /// What is learned of a service's engines.
-    pub(crate) fn speed(&self, service: &str) -> EngineSpeed {
+    fn speed(&self, service: &str) -> EngineSpeed {
         self.speeds.get(service).copied().unwrap_or_default()
     }
 
