Refusals: callers come back spread, and are told while they have time for another try

Change: a wait for the ledger ends after 45% of the caller's time (1 s at most, as before); the time to come back is spread by up to half, by the hash of the request's identity. The end of a limit's window is told as it is. The replay of load knows cold replicas' field of a placement.

--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -56,12 +56,12 @@
             abandoned.disarm();
             result.unwrap_or_else(|refusal| {
                 log_refusal(&call.head.request_id, &call.route.name, received, &refusal);
-                refusal.into_response(app.dialect())
+                refusal.into_response(app.dialect(), &call.head.request_id)
             })
         }
         Err((id, refusal)) => {
             log_refusal(&id, "-", received, &refusal);
-            refusal.into_response(app.dialect())
+            refusal.into_response(app.dialect(), &id)
         }
     }
 }
--- a/crates/proxy/src/flow/permit.rs
+++ b/crates/proxy/src/flow/permit.rs
@@ -7,15 +7,13 @@
 
 use calicohoist_ledger::{Answer, Question};
 use calicohoist_limiter::{PermitAnswer, PermitRequest};
+use calicohoist_scheduler::untried_wait;
 use calicohoist_telemetry::metrics::{Counter, Times};
 
 use super::call::Call;
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 
-/// Share of the time left to a request in which the ledger may answer; the rest is for the
-/// replica.
-const ASK_SHARE: f64 = 0.6;
 /// Longest time for the ledger's answer: an election fits in.
 const ASK_PATIENCE: Duration = Duration::from_millis(1_000);
 const RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -84,7 +82,7 @@
         return Ok(Permit::Until(call.deadline));
     }
     PERMITS.count("asked");
-    let deadline = now + call.left().mul_f64(ASK_SHARE).min(ASK_PATIENCE);
+    let deadline = now + untried_wait(call.left(), ASK_PATIENCE);
     let answer = app.ledger.ask(&Question::Permit(request.clone()), deadline).await;
     match answer {
         Ok(Answer::Permit(answer)) => {
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use calicohoist_routing::RateLimit;
+use calicohoist_routing::{RateLimit, stable_hash};
+use calicohoist_scheduler::spread;
 use calicohoist_types::{Findings, TenantId};
 use hyper::header::{CONTENT_TYPE, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
@@ -148,19 +149,21 @@
         }
     }
 
-    fn retry_after(&self) -> Option<Duration> {
+    /// When the caller of this request may come back. The end of a limit's window is told as
+    /// it is; what nobody has promised is spread.
+    fn retry_after(&self, request_id: &str) -> Option<Duration> {
         const BEFORE_FIRST_CONFIGURATION: Duration = Duration::from_millis(300);
+        let hash = stable_hash(&[request_id.as_bytes()]);
         match self {
-            Self::NoConfiguration => Some(BEFORE_FIRST_CONFIGURATION),
-            Self::NotRun { retry_after, .. } | Self::OverLimit { retry_after, .. } => {
-                Some(*retry_after)
-            }
+            Self::NoConfiguration => Some(spread(BEFORE_FIRST_CONFIGURATION, hash)),
+            Self::NotRun { retry_after, .. } => Some(spread(*retry_after, hash)),
+            Self::OverLimit { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
     }
 
-    /// The answer to the caller.
-    pub fn into_response(self, dialect: &dyn Dialect) -> Response<AnswerBody> {
+    /// The answer to the caller of this request.
+    pub fn into_response(self, dialect: &dyn Dialect, request_id: &str) -> Response<AnswerBody> {
         let body = serde_json_string(&self.to_string());
         let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = self.status();
@@ -169,7 +172,7 @@
         if matches!(self, Self::Unauthorized { .. }) {
             headers.insert(WWW_AUTHENTICATE, hyper::header::HeaderValue::from_static("Bearer"));
         }
-        if let Some(after) = self.retry_after() {
+        if let Some(after) = self.retry_after(request_id) {
             dialect.write_retry_after(headers, after);
         }
         response
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -12,7 +12,7 @@
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{Answer, Question};
 use calicohoist_routing::PlacedReplica;
-use calicohoist_scheduler::{Decision, PlacementRequest, RunSample, TurnRun};
+use calicohoist_scheduler::{Decision, PlacementRequest, RunSample, TurnRun, untried_wait};
 use calicohoist_telemetry::metrics::Times;
 use calicohoist_telemetry::{Event, emit};
 
@@ -93,8 +93,8 @@
             placement: placement_of(app, call),
             permit: permit.clone(),
         };
-        let deadline = call.deadline.min(Instant::now() + RESERVE_PATIENCE);
         let began = Instant::now();
+        let deadline = began + untried_wait(call.left(), RESERVE_PATIENCE);
         let answer = app.ledger.ask(&question, deadline).await;
         LEDGER_TIMES.note("reserve", began.elapsed());
         log_reserved(call, &answer, began);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -34,5 +34,5 @@
 };
 pub use prefix::{PrefixIndex, PromptPart};
 pub use queue::{EngineQueue, QueueEntry, QueueFull};
-pub use retry::{RetryBudget, backoff};
+pub use retry::{RetryBudget, backoff, spread, untried_wait};
 pub use speed::{EngineSpeed, RunSample};
--- a/crates/scheduler/src/retry.rs
+++ b/crates/scheduler/src/retry.rs
@@ -1,5 +1,5 @@
-//! Retries: a budget that keeps them from multiplying an outage, and the pause
-//! before each.
+//! Retries: a budget that keeps them from multiplying an outage, the pause before each, and
+//! when callers are turned away and come back.
 
 use std::time::Duration;
 
@@ -11,6 +11,12 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// Share of a time to come back by which callers are spread. Some room is there after the
+/// time itself; the last of them should still find time for a turn.
+const COME_BACK_SPREAD: f64 = 0.5;
+/// Share of its caller's time after which a request that nobody could be asked to run is turned
+/// away: less than half, so that a second try has as much time as the first had.
+const UNTRIED_SHARE: f64 = 0.45;
 
 /// Lets retries through in proportion to first attempts.
 #[derive(Clone, Debug)]
@@ -47,3 +53,18 @@
     let longest = doubled.min(LONGEST_PAUSE);
     longest.mul_f64(1.0 - jitter.clamp(0.0, 1.0) / 2.0)
 }
+
+/// How long a request may wait for leave to run, of the `left` time of its caller, and `most`
+/// at any rate. A wait ends while its caller has time for another try: until then it is told
+/// nothing, and a request that was held to its end was of use to nobody.
+pub fn untried_wait(left: Duration, most: Duration) -> Duration {
+    left.mul_f64(UNTRIED_SHARE).min(most)
+}
+
+/// When a caller that is turned away may come back: not before `after`, and each at a time
+/// of its own that follows from `hash`, the hash of its request's identity. Callers that a
+/// burst turned away together would else return as the next burst.
+pub fn spread(after: Duration, hash: u64) -> Duration {
+    let share = hash as f64 / u64::MAX as f64;
+    after.mul_f64(1.0 + COME_BACK_SPREAD * share)
+}
--- a/crates/scheduler/tests/overload/replay.rs
+++ b/crates/scheduler/tests/overload/replay.rs
@@ -330,6 +330,7 @@
             priority: self.scenario.kinds[program.kind].priority,
             is_under_way: program.begun,
             homes: Default::default(),
+            cold: None,
         };
         let now = self.instant();
         let view = FleetView::of(&self.replicas);
@@ -358,7 +359,9 @@
         match decision {
             Decision::Run(replica) => self.start(line, replica),
             Decision::Refuse(after) => self.refuse(line, after),
-            Decision::RunAnywhere | Decision::Wait => panic!("no replica for {turn}"),
+            Decision::RunCold { .. } | Decision::RunAnywhere | Decision::Wait => {
+                panic!("no replica for {turn}")
+            }
         }
     }
 
