Distance between zones in placement and in a gateway's own choice

Cause: placement knew the gateway's own zone and elsewhere, 1 or 2 ms apart, so that over three regions two of three turns and tool calls went to another region; bytes between regions were the dearest price. Change: the cost of a replica takes routing::Distance. A crossing of regions counts 60 ms for a turn (a short history is read anew at home, one of tens of thousands of tokens is followed) and 80 ms for a gateway's own choice; there the home of a line of turns is chosen among replicas of the region while it has any. Ruled out: measured distances, since a link in trouble would change what is near. Other weights were not tried.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -240,6 +240,14 @@
         EligibilityRules { topology: &self.topology, homes, drained: &drained }.admits(replica)
     }
 
+    /// Whether the service has a replica in these homes, ready or not.
+    pub fn is_listed_in(&self, service: &str, homes: &HomeRegions) -> bool {
+        let services = self.services.read();
+        let members = services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let region = |member: &Member| self.topology.region_of(&member.replica.zone);
+        members.iter().any(|member| homes.allows(region(member)))
+    }
+
     /// Takes in which zones get nothing.
     pub fn set_drained(&self, drained: DrainedZones) {
         *self.drained.write() = drained;
@@ -270,7 +278,7 @@
                 id: &member.replica.id,
                 slots: member.replica.slots,
                 load: member.load(),
-                is_near: member.replica.zone == zone,
+                distance: self.topology.distance(zone, &member.replica.zone),
                 is_connected: pool.has_idle(&member.replica.id),
                 rank: member.rank,
                 penalty: member.penalty(now),
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// The regions that are named; none when any will do.
+    pub fn regions(&self) -> impl Iterator<Item = &Region> {
+        self.0.iter().flatten()
+    }
+
     /// The regions that both allow.
     pub fn intersection(&self, other: &Self) -> Self {
         match (&self.0, &other.0) {
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use crate::topology::Distance;
+
 /// A replica as the choice sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -17,8 +19,8 @@
     pub slots: u32,
     /// Requests believed to run or wait there, of all gateways.
     pub load: u32,
-    /// Whether it is in the zone of the caller.
-    pub is_near: bool,
+    /// How far it is from the caller.
+    pub distance: Distance,
     /// Whether a connection to it is kept and free.
     pub is_connected: bool,
     /// Place among replicas that cost the same. Each gateway has an order of its own:
@@ -39,10 +41,25 @@
     pub tokens_per_ms: u32,
     /// Cost of leaving the caller's zone.
     pub zone_crossing: Duration,
+    /// Cost of leaving the caller's region: each request and its answer go over the link that
+    /// is slowest and dearest. About one request's time, so that it stays in the region until
+    /// it would wait there for a slot about that long.
+    pub region_crossing: Duration,
     /// Cost of a new connection: a way there and back, and a place at the replica.
     pub connecting: Duration,
 }
 
+impl CostWeights {
+    /// Cost of going so far.
+    fn crossing(&self, distance: Distance) -> Duration {
+        match distance {
+            Distance::SameZone => Duration::ZERO,
+            Distance::SameRegion => self.zone_crossing,
+            Distance::OtherRegion => self.region_crossing,
+        }
+    }
+}
+
 impl Default for CostWeights {
     fn default() -> Self {
         Self {
@@ -50,6 +67,7 @@
             per_running: Duration::from_micros(600),
             tokens_per_ms: 60,
             zone_crossing: Duration::from_millis(1),
+            region_crossing: Duration::from_millis(80),
             connecting: Duration::from_millis(3),
         }
     }
@@ -78,7 +96,7 @@
         } else {
             Duration::from_millis(u64::from(affinity.tokens / weights.tokens_per_ms.max(1)))
         };
-        let crossing = if candidate.is_near { Duration::ZERO } else { weights.zone_crossing };
+        let crossing = weights.crossing(candidate.distance);
         let is_connected = candidate.is_connected;
         let connecting = if is_connected { Duration::ZERO } else { weights.connecting };
         waiting_time(candidate, weights) + reading + crossing + connecting + candidate.penalty
@@ -93,9 +111,14 @@
     weights.per_running * running + weights.service_time * waiting / slots
 }
 
-/// The candidate with the highest hash of key and identity.
+/// The candidate with the highest hash of key and identity, of the caller's region as long as
+/// it has one: gateways of a region agree, and a line of turns stays in its region.
 fn home_of(candidates: &[Candidate<'_>], key: u64) -> Option<usize> {
-    let rank = |index: usize| stable_hash(&[candidates[index].id.as_bytes(), &key.to_le_bytes()]);
+    let rank = |index: usize| {
+        let candidate = &candidates[index];
+        let is_near = candidate.distance < Distance::OtherRegion;
+        (is_near, stable_hash(&[candidate.id.as_bytes(), &key.to_le_bytes()]))
+    };
     (0..candidates.len()).max_by_key(|index| rank(*index))
 }
 
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -4,6 +4,8 @@
 
 use calicohoist_types::{Region, Zone};
 
+use crate::eligibility::HomeRegions;
+
 /// How far a zone is from another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Distance {
@@ -15,6 +17,17 @@
     OtherRegion,
 }
 
+impl Distance {
+    /// One word for logs and metrics.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::SameZone => "same_zone",
+            Self::SameRegion => "same_region",
+            Self::OtherRegion => "other_region",
+        }
+    }
+}
+
 /// The zones of a deployment with their regions.
 ///
 /// A deployment that names no regions is one region: every two of its zones are at
@@ -50,6 +63,26 @@
         self.regions.iter()
     }
 
+    /// Whether some zone lies in this region.
+    pub fn has_region(&self, region: &Region) -> bool {
+        self.regions.values().any(|known| known == region)
+    }
+
+    /// Whether some zone lies in one of these homes. Without homes any zone does.
+    pub fn has_home(&self, homes: &HomeRegions) -> bool {
+        !homes.is_bound() || self.regions.values().any(|region| homes.allows(Some(region)))
+    }
+
+    /// Whether every zone lies in one of these homes. Where zones lie is unknown without a list
+    /// of them: then only homes that leave nothing out do.
+    pub fn is_covered_by(&self, homes: &HomeRegions) -> bool {
+        if !homes.is_bound() {
+            return true;
+        }
+        let mut regions = self.regions.values();
+        !self.regions.is_empty() && regions.all(|region| homes.allows(Some(region)))
+    }
+
     /// How far `to` is from `from`.
     pub fn distance(&self, from: &str, to: &str) -> Distance {
         if from == to {
--- a/crates/routing/tests/select.rs
+++ b/crates/routing/tests/select.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use calicohoist_routing::{Affinity, Candidate, CostWeights, choose};
+use calicohoist_routing::{Affinity, Candidate, CostWeights, Distance, choose};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -11,7 +11,7 @@
         id,
         slots: 4,
         load,
-        is_near: true,
+        distance: Distance::SameZone,
         is_connected: true,
         rank: 0,
         penalty: Duration::ZERO,
@@ -77,6 +77,46 @@
     assert_eq!(choose(&candidates, Affinity::default(), &weights), Some(3));
 }
 
+#[test]
+fn a_region_is_left_only_for_a_wait_or_a_failure_there() {
+    let weights = CostWeights::default();
+    let mut candidates = fleet([4, 4, 0, 0, 0, 0]);
+    candidates[1].distance = Distance::SameRegion;
+    for far in &mut candidates[2..] {
+        far.distance = Distance::OtherRegion;
+    }
+    let chosen = |candidates: &[Candidate<'_>]| {
+        choose(candidates, Affinity::default(), &weights).expect("one")
+    };
+    // One more would have to wait for a moment only.
+    assert_eq!(chosen(&candidates), 0);
+    candidates[0].load = 12;
+    assert_eq!(chosen(&candidates), 1);
+    candidates[1].load = 12;
+    assert_eq!(chosen(&candidates), 2);
+    candidates[1].load = 0;
+    candidates[1].penalty = Duration::from_millis(800);
+    assert_eq!(chosen(&candidates), 2);
+}
+
+#[test]
+fn a_line_of_turns_has_its_home_in_the_region_of_its_callers() {
+    let weights = CostWeights::default();
+    for key in 0..64 {
+        let affinity = Affinity { key: Some(key), tokens: 600 };
+        let mut candidates = fleet([0; 6]);
+        candidates[2..].iter_mut().for_each(|far| far.distance = Distance::OtherRegion);
+        candidates[1].distance = Distance::SameRegion;
+        let first = choose(&candidates, affinity, &weights).expect("one");
+        assert!(first < 2, "key {key} went to {first}");
+        // The same from the region's other zone, whatever the order of the gateway there.
+        candidates[0].distance = Distance::SameRegion;
+        candidates[1].distance = Distance::SameZone;
+        candidates[0].rank = 9;
+        assert_eq!(choose(&candidates, affinity, &weights), Some(first));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(3),
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::{
-    ColdReplicas, DrainedZones, EligibilityRules, HomeRegions, Replica, Topology,
+    ColdReplicas, Distance, DrainedZones, EligibilityRules, HomeRegions, Replica, Topology,
 };
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
@@ -169,12 +169,28 @@
     pub reading_disturbs: f64,
     /// Cost of leaving the zone of the gateway.
     pub zone_crossing: Duration,
+    /// Cost of leaving the region of the gateway. The turn's history and answer go over the
+    /// link that is slowest and dearest, and so do those of the turns after it, which follow
+    /// the prompt that was read: more than reading a history anew nearby, less than a
+    /// noticeable wait.
+    pub region_crossing: Duration,
     /// Cost of a new connection: a way there and back, and a place at the replica.
     pub connecting: Duration,
     /// Cost of a replica that shows no sign of work.
     pub suspicion: Duration,
 }
 
+impl PlacementWeights {
+    /// Cost of going so far.
+    fn crossing(&self, distance: Distance) -> Duration {
+        match distance {
+            Distance::SameZone => Duration::ZERO,
+            Distance::SameRegion => self.zone_crossing,
+            Distance::OtherRegion => self.region_crossing,
+        }
+    }
+}
+
 impl Default for PlacementWeights {
     fn default() -> Self {
         Self {
@@ -184,6 +200,7 @@
             reads_per_token: 200.0,
             reading_disturbs: 1.0,
             zone_crossing: Duration::from_millis(2),
+            region_crossing: Duration::from_millis(60),
             connecting: Duration::from_millis(3),
             suspicion: Duration::from_secs(1),
         }
@@ -270,6 +287,7 @@
 #[derive(Clone, Copy)]
 struct PlacementCandidate<'a> {
     replica: &'a Replica,
+    distance: Distance,
     view: ReplicaView,
     memory: Option<&'a Memory>,
 }
@@ -323,7 +341,10 @@
             return Placement::NoReplica;
         }
         let speed = self.speed(&request.service);
-        let candidates = open.iter().map(|replica| self.candidate(replica));
+        let candidates = open.iter().map(|replica| {
+            let distance = view.topology.distance(&request.zone, &replica.zone);
+            self.candidate(replica, distance)
+        });
         let has_room = |candidate: &PlacementCandidate<'_>| {
             candidate.view.load() < limit.turns(candidate.replica.slots, &speed)
         };
@@ -339,9 +360,9 @@
         Placement::At(chosen)
     }
 
-    fn candidate<'a>(&'a self, replica: &'a Replica) -> PlacementCandidate<'a> {
+    fn candidate<'a>(&'a self, replica: &'a Replica, distance: Distance) -> PlacementCandidate<'a> {
         let view = self.views.get(&replica.id).copied().unwrap_or_default();
-        PlacementCandidate { replica, view, memory: self.index.memory(&replica.id) }
+        PlacementCandidate { replica, distance, view, memory: self.index.memory(&replica.id) }
     }
 
     /// A turn has ended. `ran_at` is the replica that ran it, which may be another than
@@ -532,8 +553,7 @@
         let alone_ms = speed.alone_ms().unwrap_or(weights.turn_ms);
         let sharing_ms = alone_ms * weights.delay_share * f64::from(running);
         let slowness = Duration::from_secs_f64((waiting_ms + reading_ms + sharing_ms) / 1_000.0);
-        let is_near = replica.zone == request.zone;
-        let crossing = if is_near { Duration::ZERO } else { weights.zone_crossing };
+        let crossing = weights.crossing(candidate.distance);
         let is_connected = request.connected.contains(&replica.id);
         let connecting = if is_connected { Duration::ZERO } else { weights.connecting };
         let suspicion = if view.is_suspected(now) { weights.suspicion } else { Duration::ZERO };
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -1,12 +1,14 @@
 //! Placement of turns by a process that sees all of them.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::{Replica, ReplicaState};
+use calicohoist_routing::{Replica, ReplicaState, Topology};
 use calicohoist_scheduler::{
     FleetView, Placement, PlacementRequest, PlacementWeights, Placer, PrefixIndex, PromptPart,
     RunLimit, RunSample, TurnRun,
 };
+use calicohoist_types::{Region, Zone};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -76,6 +78,51 @@
     }
 }
 
+/// Two replicas in the region of the gateway, two in another one.
+fn two_regions() -> (Topology, Vec<Replica>) {
+    let zones = [("z", "here"), ("y", "here"), ("x", "there")];
+    let regions = zones.map(|(zone, region)| (Zone::new(zone), Region::new(region)));
+    let places = [("r0", "z"), ("r1", "y"), ("r2", "x"), ("r3", "x")];
+    let listed = places.map(|(id, zone)| Replica { zone: zone.to_owned(), ..replica(id, 4) });
+    (Topology::new(BTreeMap::from(regions)), listed.to_vec())
+}
+
+#[test]
+fn turns_stay_in_the_region_while_it_has_room() {
+    let (topology, replicas) = two_regions();
+    let view = FleetView { topology: &topology, ..FleetView::of(&replicas) };
+    let mut placer = Placer::new(PlacementWeights::default());
+    let now = Instant::now();
+    let place = |placer: &mut Placer, turn: u32| {
+        let asked = request(&[part(u64::from(turn), 500)]);
+        placer.place(&turn.to_string(), &asked, &view, RunLimit::Unlimited, now)
+    };
+    for turn in 0..4 {
+        let Placement::At(at) = place(&mut placer, turn) else { panic!("no replica") };
+        assert!(at == "r0" || at == "r1", "turn {turn} went to {at}");
+    }
+    let far = (4..24).filter(
+        |turn| matches!(place(&mut placer, *turn), Placement::At(at) if at == "r2" || at == "r3"),
+    );
+    assert!(far.count() > 0, "a full region is left");
+}
+
+#[test]
+fn a_history_in_another_region_is_read_anew_when_it_is_short() {
+    let (topology, replicas) = two_regions();
+    let view = FleetView { topology: &topology, ..FleetView::of(&replicas) };
+    let now = Instant::now();
+    for (tokens, stays_far) in [(500, false), (80_000, true)] {
+        let mut placer = Placer::new(PlacementWeights::default());
+        placer.learn(&run("r2", &[part(1, tokens)], 0));
+        let asked = request(&[part(1, tokens), part(2, 100)]);
+        let Placement::At(at) = placer.place("t", &asked, &view, RunLimit::Unlimited, now) else {
+            panic!("no replica")
+        };
+        assert_eq!(at == "r2", stays_far, "{tokens} tokens went to {at}");
+    }
+}
+
 #[test]
 fn turns_that_share_nothing_are_spread_evenly() {
     let mut placer = Placer::new(PlacementWeights::default());
