Homes: refused at once and truly, told when a configuration is put in force

Cause: homes of route and tenant ruled replicas out, but a request without a home went all the way to the ledger and came back as 'no replica', nobody told an operator of homes that are none, and a retained turn's text went to ledger machines of all regions. Change: a gateway checks homes before any of a request leaves it: no home, no replica there, or turns that would be kept elsewhere, too, are 503 with a reason of their own. routing::question_homes finds regions without a zone, routes and tenants without a home or without one in common, and retained turns outside of their homes; a gateway logs them (CH5210, 20 lines at most) as it puts a configuration in force. Ruled out: refusing such a configuration (regions come and go without it); serving a retained turn without keeping it (the next turn would be 404).

--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -1,6 +1,6 @@
 //! The way of one request.
 //!
-//! [`handle`] decides what it is and whose; [`permit`] whether its tenant's limit lets it
+//! [`handle`] decides what it is and whose; [`home`] whether it may be served anywhere; [`permit`] whether its tenant's limit lets it
 //! run; [`dispatch`] finds a replica that runs it; [`plain`]
 //! and [`stream`] carry the answer; [`turn`] keeps accounts and histories of programs.
 
@@ -9,6 +9,7 @@
 mod dispatch;
 mod failure;
 mod headers;
+mod home;
 mod permit;
 mod plain;
 mod refusal;
@@ -49,9 +50,10 @@
             let call = Arc::new(call);
             log_taken(&call);
             let abandoned = Abandoned::new(&call);
-            let result = match call.route.kind {
-                RouteKind::Stream => stream::serve(&app, &call, guard).await,
-                RouteKind::Safe | RouteKind::Unsafe => plain::serve(&app, &call).await,
+            let result = match (home::check(&app, &call), call.route.kind) {
+                (Err(refusal), _) => Err(refusal),
+                (Ok(()), RouteKind::Stream) => stream::serve(&app, &call, guard).await,
+                (Ok(()), RouteKind::Safe | RouteKind::Unsafe) => plain::serve(&app, &call).await,
             };
             abandoned.disarm();
             result.unwrap_or_else(|refusal| {
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -96,6 +96,15 @@
     /// No replica of the service is listed.
     #[error("no replica")]
     NoReplica,
+    /// Its route and its tenant leave it no region.
+    #[error("no home")]
+    NoHome,
+    /// The service has no replica in the regions where it may be served.
+    #[error("no replica in its homes")]
+    NoReplicaAtHome,
+    /// Its turns are to be kept, and the ledger keeps them outside of its homes, too.
+    #[error("cannot be kept in its homes")]
+    NotKeptAtHome,
     /// Every replica that was asked refused or could not be reached.
     #[error("replicas full")]
     ReplicasFull,
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -7,7 +7,7 @@
 use calicohoist_ledger::packed::PackedBytes;
 use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
-use calicohoist_routing::{Replica, ReplicaList, RouteTable};
+use calicohoist_routing::{HomeProblem, Replica, ReplicaList, RouteTable, question_homes};
 use calicohoist_telemetry::{Event, emit};
 
 use crate::app::App;
@@ -22,6 +22,9 @@
 const OWN_READING_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Pause after a configuration that cannot be read here: it would come again at once.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
+/// Problems with homes that are logged one by one: each of many tenants may have one with each
+/// route.
+const MOST_HOME_LINES: usize = 20;
 /// How often the age is looked at.
 const AGE_CHECK: Duration = Duration::from_millis(400);
 
@@ -104,8 +107,10 @@
         };
         match self.app.dialect().parse_configuration(&document) {
             Ok(configuration) => {
+                let problems = question_homes(&configuration, &self.app.settings.topology);
                 if self.app.put_table(RouteTable::new(configuration, &self.app.key_secret)) {
                     emit!(Event::ConfigurationApplied; version = version, bytes = document.len());
+                    tell_homes(version, &problems);
                 }
                 true
             }
@@ -145,3 +150,14 @@
         }
     }
 }
+
+/// Logs what is questionable about homes, the first problems one by one.
+fn tell_homes(version: u64, problems: &[HomeProblem]) {
+    for problem in problems.iter().take(MOST_HOME_LINES) {
+        emit!(Event::HomeQuestionable; version = version, problem = problem);
+    }
+    if problems.len() > MOST_HOME_LINES {
+        let more = problems.len() - MOST_HOME_LINES;
+        emit!(Event::HomeQuestionable; version = version, problem = format!("{more} more"));
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`replica`]: the replicas of services, as discovery lists them;
 //! - [`topology`]: where zones lie;
 //! - [`eligibility`]: which replicas may get a request at all;
+//! - [`homes`]: what is questionable about homes in a configuration;
 //! - [`cold`]: replicas that have just started;
 //! - [`select`]: the choice of a replica by cost.
 
 pub mod cold;
 pub mod configuration;
 pub mod eligibility;
+pub mod homes;
 pub mod replica;
 pub mod select;
 pub mod table;
@@ -23,6 +25,7 @@
 pub use cold::{ColdLimit, ColdReplicas, ColdTolerance};
 pub use configuration::{Backend, Configuration, Engine, Limits, Route, RouteKind, Service};
 pub use eligibility::{DrainedZones, Eligibility, EligibilityRules, HomeRegions};
+pub use homes::{HomeOwner, HomeProblem, question_homes};
 pub use replica::{Replica, ReplicaList, ReplicaState};
 pub use select::{Affinity, Candidate, CostWeights, choose, stable_hash};
 pub use table::RouteTable;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -65,6 +65,8 @@
     SlowLeader = 2008, Warn;
     /// A replica has read its log after a start.
     LogOpened = 2009, Info;
+    /// A leader gives the leadership to a machine that is nearer to the load and to a quorum.
+    LeaderMoved = 2010, Info;
     /// A frame from a peer could not be read; the link was closed.
     FrameRefused = 3001, Warn;
     /// A connection was refused since the limit is reached.
@@ -143,6 +145,10 @@
     LedgerSilent = 5206, Warn;
     /// A gateway applied a list of replicas.
     ListApplied = 5204, Info;
+    /// What a ledger machine sent and took so far, in bytes.
+    TrafficCounted = 5209, Info;
+    /// Homes in a configuration leave some requests nowhere to go.
+    HomeQuestionable = 5210, Warn;
     /// The platform's list of machines could not be read.
     PlatformUnreachable = 6001, Warn;
 }
