--- a/crates/gateway/src/core/owner.rs
+++ b/crates/gateway/src/core/owner.rs
@@ -102,7 +102,7 @@
         let engines = view.engines().map(|(engine, _)| engine);
         let wanted: BTreeSet<EngineId> = engines.filter(is_own).collect();
         let given_up: Vec<EngineId> =
-            self.engines.keys().filter(|engine| !wanted.contains(engine)).cloned().collect();
+            self.engines.keys().filter(|engine| !wanted.contains(*engine)).cloned().collect();
         for engine in given_up {
             emit!(Event::EngineDisowned, "{engine}");
             if let Some(mut owned) = self.engines.remove(&engine) {
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -292,6 +292,14 @@
         open.peek().is_some() && open.all(|member| self.is_cold(&member.replica, now))
     }
 
+    /// Whether the service has a replica in these homes, ready or not.
+    pub fn is_listed_in(&self, service: &str, homes: &HomeRegions) -> bool {
+        let services = self.services.read();
+        let members = services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let region = |member: &Member| self.topology.region_of(&member.replica.zone);
+        members.iter().any(|member| homes.allows(region(member)))
+    }
+
     /// Takes in which zones get nothing.
     pub fn set_drained(&self, drained: DrainedZones) {
         self.returned.write().note(&drained, Instant::now());
@@ -325,7 +333,7 @@
                 id: &member.replica.id,
                 slots: member.replica.slots,
                 load: member.load(),
-                is_near: member.replica.zone == zone,
+                distance: self.topology.distance(zone, &member.replica.zone),
                 is_connected: pool.has_idle(&member.replica.id),
                 rank: member.rank,
                 penalty: member.penalty(now),
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// The regions that are named; none when any will do.
+    pub fn regions(&self) -> impl Iterator<Item = &Region> {
+        self.0.iter().flatten()
+    }
+
     /// The regions that both allow.
     pub fn intersection(&self, other: &Self) -> Self {
         match (&self.0, &other.0) {
@@ -66,7 +71,7 @@
 
     /// Whether this zone is drained.
     pub fn contains(&self, zone: &str) -> bool {
-        !self.zones.is_empty() && self.zones.contains(&Zone::new(zone))
+        self.zones.contains(zone)
     }
 }
 
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -3,6 +3,7 @@
 //! Every name that crosses a process boundary has a type of its own, so that an
 //! engine cannot be passed where a program is wanted.
 
+use std::borrow::Borrow;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -45,6 +46,12 @@
             }
         }
 
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
                 formatter.write_str(&self.0)
