Drained zones: commands, state, operators' calls, gateways

The operator's order to send nothing more to a zone was answered 404. It is a command in the log now, with a version; the leader places by it and gateways hear of it first of all news. What the log tells is published before anybody is answered, so that no placement after an acknowledgement reads an older state.

--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -5,6 +5,7 @@
 
 use calicohoist_limiter::IssuedPermits;
 use calicohoist_scheduler::TurnRun;
+use calicohoist_types::Zone;
 use serde::{Deserialize, Serialize};
 
 /// Identity of a program, as its caller gave it.
@@ -56,6 +57,16 @@
         /// Time since the last such command of the same leader, in ms.
         elapsed_ms: u64,
     },
+    /// Sends nothing more to the replicas of a zone.
+    DrainZone {
+        /// The zone.
+        zone: Zone,
+    },
+    /// Takes a drained zone into use again.
+    RestoreZone {
+        /// The zone.
+        zone: Zone,
+    },
 }
 
 /// Sets tokens aside for one turn.
@@ -119,6 +130,11 @@
     Done,
     /// The command could not be read; nothing was changed.
     Unreadable,
+    /// The drained zones have this version now.
+    DrainedZones {
+        /// It rises with every change.
+        version: u64,
+    },
 }
 
 /// Whether a turn may run.
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 use calicohoist_limiter::{PermitAnswer, PermitRequest};
-use calicohoist_routing::{Replica, ReplicaList};
+use calicohoist_routing::{DrainedZones, Replica, ReplicaList};
 use calicohoist_scheduler::{Decision, PlacementRequest};
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +78,9 @@
     pub loads: Vec<(String, u32)>,
     /// The newest of its leader's changes to the replicas that are left alone.
     pub failing: FailingMark,
+    /// Version of the drained zones; `None` before it has heard of any state of them. It
+    /// needs no term: it counts changes in the log, on which all leaders agree.
+    pub drained: Option<u64>,
 }
 
 /// Tells two states of the replicas that are left alone from each other.
@@ -170,6 +173,9 @@
     },
     /// It cannot be answered now; nothing is known of its effect.
     Unavailable,
+    /// Drained zones that are not those that were seen. It comes before every other news: a
+    /// gateway that has a configuration knows which zones are drained.
+    DrainedZones(DrainedZones),
 }
 
 /// What a leader with a quorum behind it tells a gateway.
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use calicohoist_telemetry::{Event, emit};
-use calicohoist_types::Findings;
+use calicohoist_types::{Findings, Zone};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::LOCATION;
@@ -19,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::list::Reading;
 use super::replica::{ReplicaHandle, Request, Response, Standing};
 use super::{LedgerSettings, machine_address};
 use crate::commands::{Command, Output, RetiringOutcome};
@@ -29,6 +30,10 @@
 /// Operators give up on a call after about a second and ask elsewhere.
 const PATIENCE: Duration = Duration::from_millis(3_000);
 
+/// Age of the list of replicas up to which a zone that it does not show is unknown: a leader
+/// reads it every 700 ms, and a reading takes up to a second.
+const LIST_FRESH: Duration = Duration::from_millis(2_000);
+
 /// A call of an operator, understood.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlCall {
@@ -49,6 +54,26 @@
         /// Its name.
         machine: String,
     },
+    /// Send nothing more to the replicas of a zone.
+    DrainZone {
+        /// The zone.
+        zone: Zone,
+    },
+    /// Take a drained zone into use again.
+    RestoreZone {
+        /// The zone.
+        zone: Zone,
+    },
+}
+
+impl ControlCall {
+    /// The zone that it is about.
+    fn zone(&self) -> Option<&Zone> {
+        match self {
+            Self::DrainZone { zone } | Self::RestoreZone { zone } => Some(zone),
+            _ => None,
+        }
+    }
 }
 
 /// Why a call was not understood.
@@ -56,6 +81,8 @@
 pub enum CallError {
     /// No such call.
     Unknown,
+    /// There is such a path, but no such method.
+    WrongMethod,
     /// The body is not acceptable.
     Invalid(Findings),
 }
@@ -74,6 +101,8 @@
     },
     /// There is no such thing.
     NotFound,
+    /// There is such a thing, but it takes no call of this method.
+    WrongMethod,
     /// It would leave too few machines.
     TooFewLeft,
     /// The body is not acceptable.
@@ -94,11 +123,43 @@
     fn render(&self, outcome: &ControlOutcome) -> (StatusCode, Vec<u8>);
 }
 
+/// Whether a zone exists, as far as this machine can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ZoneJudgement {
+    Known,
+    /// The newest list of replicas does not show it either.
+    Unknown,
+    /// Replicas may lie there: this machine has no fresh list.
+    Uncertain,
+}
+
+/// Tells whether a caller is still there. Its connection belongs to the library that serves
+/// it, so that a second descriptor looks at the same socket.
+struct CallerWatch(std::net::TcpStream);
+
+impl CallerWatch {
+    fn of(stream: TcpStream) -> std::io::Result<(TcpStream, Self)> {
+        let stream = stream.into_std()?;
+        let watched = Self(stream.try_clone()?);
+        Ok((TcpStream::from_std(stream)?, watched))
+    }
+
+    /// Whether the caller has closed the connection.
+    fn has_left(&self) -> bool {
+        match self.0.peek(&mut [0]) {
+            Ok(read) => read == 0,
+            // The socket never blocks; anything else is a connection that broke.
+            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 #[derive(Clone)]
 struct Control {
     settings: Arc<LedgerSettings>,
     replica: ReplicaHandle,
     standing: watch::Receiver<Standing>,
+    list: watch::Receiver<Reading>,
 }
 
 /// Takes connections of operators.
@@ -107,8 +168,9 @@
     settings: LedgerSettings,
     replica: ReplicaHandle,
     standing: watch::Receiver<Standing>,
+    list: watch::Receiver<Reading>,
 ) {
-    let control = Control { settings: Arc::new(settings), replica, standing };
+    let control = Control { settings: Arc::new(settings), replica, standing, list };
     loop {
         if let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(serve(stream, control.clone()));
@@ -117,9 +179,14 @@
 }
 
 async fn serve(stream: TcpStream, control: Control) {
+    let Ok((stream, watched)) = CallerWatch::of(stream) else {
+        // No descriptor is left to watch it with; the operator asks another machine.
+        return;
+    };
+    let watched = Arc::new(watched);
     let service = service_fn(move |request| {
-        let control = control.clone();
-        async move { Ok::<_, Infallible>(control.handle(request).await) }
+        let (control, watched) = (control.clone(), Arc::clone(&watched));
+        async move { Ok::<_, Infallible>(control.handle(request, &watched).await) }
     });
     let mut server = hyper::server::conn::http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
@@ -128,7 +195,11 @@
 }
 
 impl Control {
-    async fn handle(&self, request: HttpRequest<Incoming>) -> HttpResponse<Full<Bytes>> {
+    async fn handle(
+        &self,
+        request: HttpRequest<Incoming>,
+        caller: &CallerWatch,
+    ) -> HttpResponse<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let body = Limited::new(body, MAX_BODY_BYTES).collect();
@@ -139,13 +210,13 @@
         let call = match self.settings.control.parse(&head.method, &path, &body) {
             Ok(call) => call,
             Err(CallError::Unknown) => return self.render(&ControlOutcome::NotFound),
+            Err(CallError::WrongMethod) => return self.render(&ControlOutcome::WrongMethod),
             Err(CallError::Invalid(findings)) => {
                 emit!(Event::ChangeRefused; call = format!("{} {path}", head.method), findings = findings);
                 return self.render(&ControlOutcome::Invalid(findings));
             }
         };
-        let request = to_request(call.clone(), &body);
-        let response = tokio::time::timeout(PATIENCE, self.replica.call(request)).await;
+        let response = tokio::time::timeout(PATIENCE, self.perform(&call, &body, caller)).await;
         let response = response.unwrap_or(Response::Lost);
         emit!(
             Event::ControlCall;
@@ -159,6 +230,51 @@
         }
     }
 
+    async fn perform(&self, call: &ControlCall, body: &Bytes, caller: &CallerWatch) -> Response {
+        if let Some(zone) = call.zone() {
+            // It has asked another machine since, and may have withdrawn the call there.
+            if caller.has_left() {
+                return Response::Overdue;
+            }
+            if self.judge_zone(zone) != ZoneJudgement::Known {
+                return self.refuse_zone(zone).await;
+            }
+        }
+        self.replica.call(to_request(call.clone(), body)).await
+    }
+
+    /// What becomes of a call for a zone that this machine does not know: nothing is kept.
+    async fn refuse_zone(&self, zone: &Zone) -> Response {
+        match self.replica.call(Request::ConfirmLeadership).await {
+            // Only now is the drained state certain to be the newest.
+            Response::Leads(_) if self.judge_zone(zone) == ZoneJudgement::Unknown => {
+                Response::UnknownZone
+            }
+            Response::Leads(_) => Response::Overdue,
+            response => response,
+        }
+    }
+
+    /// Whether a zone exists: it is named in the settings, some listed replica lies there, or
+    /// it is drained.
+    fn judge_zone(&self, zone: &Zone) -> ZoneJudgement {
+        let standing = self.standing.borrow();
+        let reading = self.list.borrow();
+        let mut replicas = reading.list.replicas.iter();
+        if self.settings.topology.contains(zone)
+            || standing.drained.contains(zone.as_str())
+            || replicas.any(|replica| replica.zone == zone.as_str())
+        {
+            return ZoneJudgement::Known;
+        }
+        let is_current = standing.is_leader && reading.term == standing.term;
+        let age = reading.read_at.filter(|_| is_current).map(|at| at.elapsed());
+        match age {
+            Some(age) if age <= LIST_FRESH => ZoneJudgement::Unknown,
+            _ => ZoneJudgement::Uncertain,
+        }
+    }
+
     fn redirect(&self, leader: Option<u32>, path: &str) -> HttpResponse<Full<Bytes>> {
         let known = leader.or_else(|| self.standing.borrow().leader);
         let own = super::machine_number(self.settings.ip);
@@ -192,12 +308,17 @@
         ControlCall::GetConfiguration => Request::ReadConfiguration { newer_than: 0 },
         ControlCall::Retire { machine } => Request::Retire(machine),
         ControlCall::GetRetiring { machine } => Request::ReadRetiring(machine),
+        ControlCall::DrainZone { zone } => Request::Change(Command::DrainZone { zone }),
+        ControlCall::RestoreZone { zone } => Request::Change(Command::RestoreZone { zone }),
     }
 }
 
 fn to_outcome(response: Response) -> ControlOutcome {
     match response {
-        Response::Changed(Output::Configuration { .. }) => ControlOutcome::Done,
+        Response::Changed(Output::Configuration { .. } | Output::DrainedZones { .. }) => {
+            ControlOutcome::Done
+        }
+        Response::UnknownZone => ControlOutcome::NotFound,
         Response::Configuration(Some(held)) => ControlOutcome::Configuration(held.document),
         // Before the first configuration nothing can be shown.
         Response::Configuration(None) => ControlOutcome::Unavailable,
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -207,6 +207,7 @@
         | Answer::Noted
         | Answer::Leads { .. }
         | Answer::NotLeader { .. }
-        | Answer::Unavailable => "short",
+        | Answer::Unavailable
+        | Answer::DrainedZones(_) => "short",
     }
 }
--- a/crates/ledger/src/server/gateways/news.rs
+++ b/crates/ledger/src/server/gateways/news.rs
@@ -1,7 +1,9 @@
 //! What gateways watch for, and what they report along with it.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use calicohoist_routing::DrainedZones;
 use calicohoist_telemetry::{Event, emit};
 
 use super::{Back, Hub};
@@ -28,6 +30,7 @@
                     !standing.is_leader
                         || (failing.term == standing.term && *failing != seen.failing)
                         || standing.configuration > seen.configuration
+                        || Some(standing.drained.version) != seen.drained
                         || (list.term == standing.term && list.mark != seen.list)
                 };
                 if is_stale {
@@ -44,7 +47,8 @@
         self.tell_news(&seen, back).await;
     }
 
-    /// Tells what is newer, with a quorum behind it: one large thing at a time, and then the rest.
+    /// Tells what is newer, with a quorum behind it: the drained zones, which are small and
+    /// decide where requests must not go, then one large thing at a time, and then the rest.
     async fn tell_news(&self, seen: &Seen, back: Back) {
         let read = Request::ReadConfiguration { newer_than: seen.configuration };
         let held = match self.replica.call(read).await {
@@ -52,6 +56,11 @@
             Response::NotLeader(leader) => return back.send(self.not_leader(leader)),
             _ => return back.send(Answer::Unavailable),
         };
+        // Whatever was applied before the read was answered has been published.
+        let drained = Arc::clone(&self.standing.borrow().drained);
+        if Some(drained.version) != seen.drained {
+            return back.send(Answer::DrainedZones(DrainedZones::clone(&drained)));
+        }
         if let Some(held) = held {
             let answer = self.shared.lock().configuration(&held);
             return back.send_if_encoded(answer);
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -164,14 +164,15 @@
     let hub = gateways::Hub::new(
         handle.clone(),
         standing.clone(),
-        list,
+        list.clone(),
         turns,
         limits,
         Arc::clone(&settings.topology),
     );
     tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
-    let control = control::accept(listeners.control, settings.clone(), handle.clone(), standing);
+    let control =
+        control::accept(listeners.control, settings.clone(), handle.clone(), standing, list);
     tokio::spawn(control);
     emit!(Event::RoleStarted; role = "ledger", replica = identity, ip = settings.ip);
     tokio::select! {
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -55,9 +55,14 @@
 const SEAL_BYTES: u64 = 2 << 20;
 /// Age from which a reservation or a read is not begun any more: gateways wait for 1 s.
 const REQUEST_PATIENCE: Duration = Duration::from_millis(900);
+/// Age from which a drain or its withdrawal is not begun any more: an operator has turned to
+/// another machine after 1 s, and may have had the opposite acknowledged since.
+const OPERATOR_PATIENCE: Duration = Duration::from_millis(900);
 /// How long the leader waits for a sealing that it has proposed.
 const SEAL_PATIENCE: Duration = Duration::from_secs(1);
 
+static DRAINED_ZONES: Gauge =
+    Gauge::new("calicohoist_ledger_drained_zones", "Zones that are drained, as applied here");
 static LEADS: Gauge = Gauge::new("calicohoist_ledger_leads", "1 while this machine leads");
 
 /// The replica with its disk, before its thread runs.
@@ -205,12 +210,14 @@
                 emit!(Event::SlowLeader; machine = self.name, flush_ms = began.elapsed().as_millis());
                 self.node.transfer_leadership(now);
             }
-            for event in events {
-                self.on_event(event);
-            }
+            // What is known of the log is told before anybody is answered: who hears that a
+            // zone is drained must not be sent there by a placement that read an older state.
             self.tell_runs();
             self.tell_permits();
             self.publish(standing);
+            for event in events {
+                self.on_event(event);
+            }
         }
     }
 
@@ -277,21 +284,26 @@
         let Ok(encoded) = encode(command) else {
             return self.answer(asker, Answered::Lost);
         };
-        let digest = CommandDigest::of(&encoded);
-        let Some(asker) = self.pending.join(digest, asker) else {
+        let digest = may_join(command).then(|| CommandDigest::of(&encoded));
+        let asker = match digest {
+            Some(digest) => self.pending.join(digest, asker),
+            None => Some(asker),
+        };
+        let Some(asker) = asker else {
             return;
         };
         let ticket = self.pending.ticket();
-        match self.node.propose(GROUP, encoded, ticket) {
-            Ok(()) => self.pending.add_command(ticket, digest, asker),
-            Err(_) => self.refuse(asker),
+        match (self.node.propose(GROUP, encoded, ticket), digest) {
+            (Ok(()), Some(digest)) => self.pending.add_command(ticket, digest, asker),
+            (Ok(()), None) => self.pending.add_single(ticket, asker),
+            (Err(_), _) => self.refuse(asker),
         }
     }
 
     fn read(&mut self, asker: Pending) {
         let ticket = self.pending.ticket();
         match self.node.read(GROUP, ticket) {
-            Ok(()) => self.pending.add_read(ticket, asker),
+            Ok(()) => self.pending.add_single(ticket, asker),
             Err(_) => self.refuse(asker),
         }
     }
@@ -518,14 +530,24 @@
         let Some(raft) = self.node.raft(GROUP) else {
             return;
         };
-        let configuration = self.node.machine(GROUP).map(|state| state.configuration().version);
+        let state = self.node.machine(GROUP);
+        let configuration = state.map(|state| state.configuration().version);
+        let drained = state.map(LedgerState::drained);
+        let drained = match drained.filter(|drained| **drained != *self.standing.drained) {
+            Some(drained) => {
+                emit!(Event::ZonesDrained; version = drained.version, zones = drained);
+                DRAINED_ZONES.show(drained.zones.len() as u64);
+                Arc::new(drained.clone())
+            }
+            None => Arc::clone(&self.standing.drained),
+        };
         let standing = Standing {
             term: raft.term(),
             leader: raft.leader().map(|leader| leader.machine),
             is_leader: raft.is_leader(),
             configuration: configuration.unwrap_or_default(),
             machines: raft.member_machines(),
-            drained: Arc::clone(&self.standing.drained),
+            drained,
         };
         if standing != self.standing {
             self.standing = standing.clone();
@@ -540,10 +562,20 @@
         Request::Reserve(_) | Request::ReadConfiguration { .. } | Request::ConfirmLeadership => {
             age > REQUEST_PATIENCE
         }
+        Request::Change(Command::DrainZone { .. } | Command::RestoreZone { .. }) => {
+            age > OPERATOR_PATIENCE
+        }
         Request::Change(_) | Request::Retire(_) | Request::ReadRetiring(_) => false,
     }
 }
 
+/// Whether a command is the same as an equal one that is under way. Drains and restores of a
+/// zone are not: with the other order between them, the later one would be answered with the
+/// outcome of the earlier, and be undone.
+fn may_join(command: &Command) -> bool {
+    !matches!(command, Command::DrainZone { .. } | Command::RestoreZone { .. })
+}
+
 /// Whether a turn's program has begun with another one: its account tells, or without an
 /// account the turn that it continues from.
 fn is_under_way(state: &LedgerState, reserve: &ReserveTurn) -> bool {
--- a/crates/ledger/src/server/replica/pending.rs
+++ b/crates/ledger/src/server/replica/pending.rs
@@ -109,8 +109,8 @@
         self.entries.insert(ticket, entry);
     }
 
-    /// Adds a read.
-    pub fn add_read(&mut self, ticket: Ticket, asker: Pending) {
+    /// Adds what nobody joins: a read, or a command that counts each time.
+    pub fn add_single(&mut self, ticket: Ticket, asker: Pending) {
         self.entries.insert(ticket, PendingEntry { command: None, askers: vec![asker] });
     }
 
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -51,6 +51,8 @@
     Retiring(RetiringOutcome),
     /// Whether a machine that is being emptied is empty; `None` when it is not being emptied.
     Retired(Option<bool>),
+    /// No zone of that name exists.
+    UnknownZone,
     /// This machine leads in this term.
     Leads(u64),
     /// Another machine leads.
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod permits;
 mod runs;
 mod turns;
+mod zones;
 
 pub use accounts::Accounts;
 pub use machines::Machines;
@@ -16,6 +17,7 @@
 
 use bytes::Bytes;
 use calicohoist_replication::{GroupId, SealedSegment, SegmentId, StateMachine};
+use calicohoist_routing::DrainedZones;
 use calicohoist_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +42,7 @@
     turns: Turns,
     machines: Machines,
     permits: PermitNotes,
+    drained: DrainedZones,
     /// Where turns ran lately.
     #[serde(skip)]
     runs: RecentRuns,
@@ -48,6 +51,25 @@
     sealed: Vec<SealedSegment>,
 }
 
+/// A snapshot of a version that drained no zones.
+#[derive(Deserialize)]
+struct SnapshotBeforeDrains {
+    clock_ms: u64,
+    configuration: HeldConfiguration,
+    accounts: Accounts,
+    turns: Turns,
+    machines: Machines,
+    permits: PermitNotes,
+}
+
+impl From<SnapshotBeforeDrains> for LedgerState {
+    fn from(snapshot: SnapshotBeforeDrains) -> Self {
+        let SnapshotBeforeDrains { clock_ms, configuration, accounts, turns, machines, permits } =
+            snapshot;
+        Self { clock_ms, configuration, accounts, turns, machines, permits, ..Self::default() }
+    }
+}
+
 /// A snapshot of a version that noted no permits.
 #[derive(Deserialize)]
 struct SnapshotBeforePermits {
@@ -91,6 +113,11 @@
         &self.permits
     }
 
+    /// Zones whose replicas get nothing new.
+    pub fn drained(&self) -> &DrainedZones {
+        &self.drained
+    }
+
     /// Where turns ran lately.
     pub fn runs(&self) -> &RecentRuns {
         &self.runs
@@ -131,6 +158,14 @@
                 self.permits.add(issued, elapsed_ms);
                 Output::Done
             }
+            Command::DrainZone { zone } => {
+                zones::drain(&mut self.drained, zone);
+                Output::DrainedZones { version: self.drained.version }
+            }
+            Command::RestoreZone { zone } => {
+                zones::restore(&mut self.drained, &zone);
+                Output::DrainedZones { version: self.drained.version }
+            }
         }
     }
 
@@ -181,8 +216,9 @@
     }
 
     fn restore(&mut self, data: &[u8]) -> bool {
-        let older = || decode::<SnapshotBeforePermits>(data).map(Self::from);
-        match decode(data).or_else(|_| older()) {
+        let before_drains = || decode::<SnapshotBeforeDrains>(data).map(Self::from);
+        let before_permits = || decode::<SnapshotBeforePermits>(data).map(Self::from);
+        match decode(data).or_else(|_| before_drains()).or_else(|_| before_permits()) {
             Ok(state) => {
                 let runs = std::mem::take(&mut self.runs);
                 *self = Self { runs, ..state };
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -103,7 +103,9 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        let knows_enough = self.has_list.load(Ordering::Relaxed) && self.table.borrow().is_some();
+        let knows_replicas =
+            self.has_list.load(Ordering::Relaxed) && self.fleet.drained_version().is_some();
+        let knows_enough = knows_replicas && self.table.borrow().is_some();
         knows_enough && !self.is_stopping()
     }
 
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -109,7 +109,8 @@
     gateway: String,
     topology: Arc<Topology>,
     /// Zones whose replicas get nothing.
-    drained: RwLock<DrainedZones>,
+    /// Before they are known, every replica may lie in one of them.
+    drained: RwLock<Option<DrainedZones>>,
     services: RwLock<Arc<ByService>>,
     /// The same members in the order of the list.
     listed: RwLock<Vec<Arc<Member>>>,
@@ -237,17 +238,30 @@
     /// Whether a replica may get a request with these homes.
     fn admits(&self, replica: &Replica, homes: &HomeRegions) -> bool {
         let drained = self.drained.read();
-        EligibilityRules { topology: &self.topology, homes, drained: &drained }.admits(replica)
+        drained.as_ref().is_some_and(|drained| {
+            EligibilityRules { topology: &self.topology, homes, drained }.admits(replica)
+        })
     }
 
     /// Takes in which zones get nothing.
     pub fn set_drained(&self, drained: DrainedZones) {
-        *self.drained.write() = drained;
+        *self.drained.write() = Some(drained);
     }
 
-    /// Version of the drained zones that are known here.
-    pub fn drained_version(&self) -> u64 {
-        self.drained.read().version
+    /// Version of the drained zones; `None` before they are known here.
+    pub fn drained_version(&self) -> Option<u64> {
+        self.drained.read().as_ref().map(|drained| drained.version)
+    }
+
+    /// Requests from here that still run in drained zones.
+    pub fn running_in_drained(&self) -> u32 {
+        let drained = self.drained.read();
+        let Some(drained) = drained.as_ref().filter(|drained| !drained.zones.is_empty()) else {
+            return 0;
+        };
+        let listed = self.listed.read();
+        let members = listed.iter().filter(|member| drained.contains(&member.replica.zone));
+        members.map(|member| member.loads().0).sum()
     }
 
     /// The cheapest replica that may get the request.
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -7,11 +7,19 @@
 use calicohoist_ledger::packed::PackedBytes;
 use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
-use calicohoist_routing::{Replica, ReplicaList, RouteTable};
+use calicohoist_routing::{DrainedZones, Replica, ReplicaList, RouteTable};
+use calicohoist_telemetry::metrics::Gauge;
 use calicohoist_telemetry::{Event, emit};
 
 use crate::app::App;
 
+static DRAINED_ZONES: Gauge =
+    Gauge::new("calicohoist_proxy_drained_zones", "Zones that are drained, as known here");
+static RUNNING_IN_DRAINED: Gauge = Gauge::new(
+    "calicohoist_proxy_running_in_drained",
+    "Requests of this gateway that still run in drained zones",
+);
+
 /// Longest time that one watch is asked for: twice what the largest configuration, 16 MB that do
 /// not compress, takes over a link of 30 Mbit/s. A leader that is silent is left long before; an
 /// answer that comes later is lost, and would have to come again over the same link.
@@ -52,7 +60,9 @@
                 list,
                 failing,
                 loads: self.app.fleet.own_loads(),
+                drained: self.app.fleet.drained_version(),
             };
+            RUNNING_IN_DRAINED.show(u64::from(self.app.fleet.running_in_drained()));
             let deadline = Instant::now() + WATCH_PATIENCE;
             match self.app.ledger.ask(&Question::Watch(seen), deadline).await {
                 Ok(Answer::Configuration { version, document }) => {
@@ -61,6 +71,7 @@
                     }
                 }
                 Ok(Answer::List { mark, list }) => self.take_list(mark, list),
+                Ok(Answer::DrainedZones(drained)) => self.take_drained(drained),
                 Ok(Answer::News(news)) => self.take(news),
                 Ok(_) | Err(AskError::Deadline) => {}
             }
@@ -82,6 +93,14 @@
         }
     }
 
+    fn take_drained(&self, drained: DrainedZones) {
+        let (version, zones) = (drained.version, drained.to_string());
+        DRAINED_ZONES.show(drained.zones.len() as u64);
+        self.app.fleet.set_drained(drained);
+        let running = self.app.fleet.running_in_drained();
+        emit!(Event::DrainApplied; version = version, zones = zones, running = running);
+    }
+
     fn take_list(&self, mark: ListMark, list: ReplicaList) {
         emit!(
             Event::ListApplied;
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -4,6 +4,7 @@
 //! that neither sends work where the other would not.
 
 use std::collections::BTreeSet;
+use std::fmt;
 
 use calicohoist_types::{Region, Zone};
 use serde::{Deserialize, Serialize};
@@ -70,6 +71,20 @@
     }
 }
 
+impl fmt::Display for DrainedZones {
+    /// The zones with commas between them, a dash when there are none.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.zones.is_empty() {
+            return formatter.write_str("-");
+        }
+        for (number, zone) in self.zones.iter().enumerate() {
+            let comma = if number == 0 { "" } else { "," };
+            write!(formatter, "{comma}{zone}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Whether a replica may get a request, with the first reason against it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eligibility {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -131,6 +131,8 @@
     ChangeRefused = 5102, Info;
     /// An operator's call was understood and answered.
     ControlCall = 5103, Info;
+    /// A ledger machine has applied a change of the drained zones.
+    ZonesDrained = 5104, Info;
     /// A gateway has a connection to the ledger's leader.
     LedgerConnected = 5201, Info;
     /// A gateway gave up on a ledger machine and turns to another.
@@ -143,6 +145,8 @@
     LedgerSilent = 5206, Warn;
     /// A gateway applied a list of replicas.
     ListApplied = 5204, Info;
+    /// A gateway sends nothing more to the replicas of these zones.
+    DrainApplied = 5209, Info;
     /// The platform's list of machines could not be read.
     PlatformUnreachable = 6001, Warn;
 }
