Soak: an operator drains zones and gives them back, in series with the other faults

Judged is that nothing reaches a replica of a zone from 5 s after the acknowledgement until the zone is first asked back.

--- a/crates/calicohoist/tests/drains.rs
+++ b/crates/calicohoist/tests/drains.rs
@@ -20,10 +20,9 @@
     })
 }
 
-fn order(machines: &Machines, method: &str) {
-    wait_until("the order is acknowledged", || {
-        machines.operator(method, "/-/evacuations/hall", "").is_some()
-    });
+fn order(machines: &Machines, method: &str, zone: &str) {
+    let path = format!("/-/evacuations/{zone}");
+    wait_until("the order is acknowledged", || machines.operator(method, &path, "").is_some());
 }
 
 /// Whoever is ready sends to the other zone only.
@@ -47,7 +46,7 @@
     wait_until("the configuration is accepted", || {
         machines.operator("PUT", "/-/config", &body).is_some()
     });
-    order(&machines, "POST");
+    order(&machines, "POST", "hall");
 
     // The first gateway starts after the drain, under a leader that never took the order.
     let leader = machines.leader();
@@ -67,7 +66,9 @@
     // The one that lost its leader keeps what it knew.
     assert_drained(&machines, FRONTS[0], &near, "gateway that went on");
 
-    order(&machines, "DELETE");
+    // With the other zone drained, whatever is served comes from the one given back.
+    order(&machines, "DELETE", "hall");
+    order(&machines, "POST", "annex");
     wait_until("turns come back", || {
         let before = near.requests().len();
         machines.turn(FRONTS[0], &format!("back-{}", far.requests().len()), None, "go");
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -22,6 +22,15 @@
 const REPAIR: Duration = Duration::from_secs(8);
 /// How often a process that is to end is looked at.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// The replicas, each with its service and its zone.
+pub const REPLICAS: [(&str, &str, &str); 4] = [
+    ("m-1", "models", ZONES[0]),
+    ("m-2", "models", ZONES[1]),
+    ("t-1", "tools", ZONES[0]),
+    ("t-2", "tools", ZONES[1]),
+];
+/// Zones of replicas.
+pub const ZONES: [&str; 2] = ["hall", "annex"];
 /// Most faults in one series.
 const LONGEST_SERIES: usize = 4;
 
@@ -85,12 +94,11 @@
         let into_stores = into_stores.collect();
         let mut into_replicas = Vec::new();
         let mut replicas = Vec::new();
-        let kinds = [("m-1", "models"), ("m-2", "models"), ("t-1", "tools"), ("t-2", "tools")];
-        for (name, service) in kinds {
+        for (name, service, zone) in REPLICAS {
             let mut replica = if service == "models" { model(name) } else { tool(name) };
             let forwarder = Forwarder::start(at("127.0.0.1", 0), replica.address);
             replica.address = forwarder.address;
-            machines.list.show(&replica, service, "ready");
+            machines.list.show_in(zone, &replica, service, "ready");
             into_replicas.push(forwarder);
             replicas.push(replica);
         }
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -17,6 +17,7 @@
 mod machines;
 
 mod caller;
+mod drains;
 mod faults;
 mod operator;
 
@@ -28,6 +29,7 @@
 use std::time::{Duration, Instant};
 
 use caller::{Caller, try_exchange};
+use drains::{Drain, drain_zones, judge_drains};
 use faults::Soak;
 use operator::{operate, put_version, read_version};
 use parking_lot::Mutex;
@@ -86,6 +88,8 @@
     /// Tokens handed out, by program.
     tokens: BTreeMap<String, u64>,
     served: u64,
+    /// Zones that were drained, and for how long.
+    drains: Vec<Drain>,
     violations: Vec<String>,
 }
 
@@ -214,6 +218,11 @@
             operate(controls, random, &records, &acknowledged, &is_over);
         }));
     }
+    {
+        let (records, is_over) = (Arc::clone(&records), Arc::clone(&is_over));
+        let (controls, random) = (controls.clone(), StdRng::seed_from_u64(seed ^ 77));
+        threads.push(thread::spawn(move || drain_zones(&controls, random, &records, &is_over)));
+    }
     let began = Instant::now();
     while began.elapsed() < lasting {
         let pause = soak.millis(50, 700);
@@ -245,11 +254,15 @@
     }
     let mut records = records.lock();
     judge_runs(&soak.replicas, &mut records);
+    let reached = judge_drains(&soak.replicas, &records.drains);
+    records.violations.extend(reached);
     records.violations.append(&mut soak.violations);
     println!(
-        "seed {seed}, {fronts} gateways: {} served, {} turns whole, version {known}, faults {:?}",
+        "seed {seed}, {fronts} gateways: {} served, {} turns whole, version {known}, {} drains, \
+         faults {:?}",
         records.served,
         records.whole.len(),
+        records.drains.len(),
         soak.faults
     );
     if !records.violations.is_empty() {
