--- a/crates/ledger/tests/zones.rs
+++ b/crates/ledger/tests/zones.rs
@@ -318,6 +318,11 @@
     assert_eq!(ledger.call("POST", "b").await, 200);
     let expected = DrainedZones { version: 1, zones: [Zone::new("b")].into() };
     assert_eq!(ledger.drained().await, expected);
+    // The same call is begun while its caller is there, whether or not it reads the answer.
+    let waiting = ledger.send("POST", "a");
+    assert_eq!(ledger.call("POST", "b").await, 200);
+    assert_eq!(ledger.drained().await.version, 2);
+    drop(waiting);
 }
 
 #[tokio::test]
