Comment: which closes of callers the library sees by itself

With the check taken out, a_call_whose_caller_has_left_is_not_begun passes (one run): the library drops the call on a close that it has read.

--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -232,7 +232,9 @@
 
     async fn perform(&self, call: &ControlCall, body: &Bytes, caller: &CallerWatch) -> Response {
         if let Some(zone) = call.zone() {
-            // It has asked another machine since, and may have withdrawn the call there.
+            // It has asked another machine since, and may have withdrawn the call there. Most
+            // closes are read by the library, which then drops this call; this sees one that
+            // came after its last read.
             if caller.has_left() {
                 return Response::Overdue;
             }
