--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -171,14 +171,15 @@
     let hub = gateways::Hub::new(
         handle.clone(),
         standing.clone(),
-        list,
+        list.clone(),
         turns,
         limits,
         HubPlace { zone: settings.zone.clone(), topology: Arc::clone(&settings.topology), loads },
     );
     tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
-    let control = control::accept(listeners.control, settings.clone(), handle.clone(), standing);
+    let control =
+        control::accept(listeners.control, settings.clone(), handle.clone(), standing, list);
     tokio::spawn(control);
     emit!(Event::RoleStarted; role = "ledger", replica = identity, ip = settings.ip);
     tokio::select! {
