Tell gateways who is cold before the list

Cause: the leader told a gateway that had just started its list first and who is cold with the watch after it. With the list the gateway was ready, and until the next answer it held every replica for warm: requests for which it chooses by itself went to cold ones. The same held for a list in which known replicas had become cold; those it did not know count as cold for a second.

Change: a list is told only to a gateway that has seen who is cold in this term (Reading::tells_list). Both come from one reading, so that none lies between. It costs a gateway one question more where something is cold.

Ruled out: to send who is cold with the list (the encoded list is shared by all gateways, and times left change); to hold back readiness at the gateway (it knows no reason to wait when nothing is cold).

Conclusion: a_gateway_is_told_who_is_cold_before_the_list failed before. The pause in the platform's tests stays for the other reason that it has: an earlier reading without the replicas.

--- a/crates/ledger/src/server/gateways/news.rs
+++ b/crates/ledger/src/server/gateways/news.rs
@@ -5,7 +5,7 @@
 use calicohoist_telemetry::{Event, emit};
 
 use super::{Back, Hub};
-use crate::protocol::{Answer, ListMark, News, Seen};
+use crate::protocol::{Answer, News, Seen};
 use crate::server::list::Reading;
 use crate::server::replica::{Request, Response, Standing};
 
@@ -59,8 +59,7 @@
         }
         let reading = self.reading();
         let standing = self.standing.borrow().clone();
-        let is_current = reading.term == standing.term;
-        if is_current && reading.mark != seen.list && reading.mark != ListMark::default() {
+        if reading.tells_list(standing.term, seen) {
             let answer = self.shared.lock().list(&reading);
             return back.send_if_encoded(answer);
         }
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -14,7 +14,7 @@
 
 use super::LedgerSettings;
 use super::replica::Standing;
-use crate::protocol::{FailingMark, ListMark};
+use crate::protocol::{FailingMark, ListMark, Seen};
 
 static COLD_REPLICAS: Gauge = Gauge::new(
     "calicohoist_ledger_cold_replicas",
@@ -44,6 +44,14 @@
 }
 
 impl Reading {
+    /// Whether the list itself is to be told to a gateway by the leader of `term`. Who is cold
+    /// is told before: a gateway that knew only the list would send to all of them alike.
+    pub fn tells_list(&self, term: u64, seen: &Seen) -> bool {
+        let is_new = self.mark != seen.list && self.mark != ListMark::default();
+        let knows_cold = self.cold_mark.term != term || self.cold_mark == seen.cold;
+        self.term == term && is_new && knows_cold
+    }
+
     /// The replicas that are cold, each for so many ms, unless a gateway has seen that.
     pub fn cold_news(
         &self,
--- a/crates/ledger/tests/cold.rs
+++ b/crates/ledger/tests/cold.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::protocol::FailingMark;
+use calicohoist_ledger::protocol::{FailingMark, ListMark, Seen};
 use calicohoist_ledger::server::list::Reading;
-use calicohoist_routing::ColdReplicas;
+use calicohoist_routing::{ColdReplicas, Replica, ReplicaState};
 
 #[test]
 fn a_replica_that_became_cold_is_news_until_it_was_seen() {
@@ -22,3 +22,24 @@
     let again = reading.cold_news(FailingMark { term: 3, change: 9 }, later);
     assert_eq!(again, Some((mark, vec![("i-1".to_owned(), 2_000)])));
 }
+
+#[test]
+fn a_gateway_is_told_who_is_cold_before_the_list() {
+    let replica = Replica {
+        id: "i-1".to_owned(),
+        service: "models".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "hall".to_owned(),
+        slots: 4,
+        state: ReplicaState::Ready,
+    };
+    let (term, mark) = (4, ListMark::of(&[replica]));
+    let cold_mark = FailingMark { term, change: 1 };
+    let reading = Reading { term, mark, cold_mark, ..Reading::default() };
+    let fresh = Seen::default();
+    assert!(!reading.tells_list(term, &fresh), "a gateway that has just started knows no cold one");
+    assert!(reading.tells_list(term, &Seen { cold: cold_mark, ..fresh.clone() }));
+    assert!(!reading.tells_list(term, &Seen { cold: cold_mark, list: mark, ..fresh.clone() }));
+    let without = Reading { cold_mark: FailingMark { term: 3, change: 2 }, ..reading };
+    assert!(without.tells_list(term, &fresh), "none is cold in this term");
+}
