Waiting turns pass one whose replicas are all cold and full

Cause: TurnScheduler::decide ended at the first turn without room. Since cold replicas have a limit, also for turns under way, one whose replicas were all cold and full held up the turns of all other services and homes until it gave up, for up to 1.8 s.

Change: decide goes on with the first turn that may find room elsewhere: of another service, with other homes, or to which another limit of load applies. Turns of one kind keep their order, and the one that was passed is asked for first each time, so that it is not starved. The same now goes for a turn without room at warm replicas.

Ruled out: a Placement of its own for cold and full replicas: a turn held up by load blocks others as wrongly. To compare turns by service alone: homes without room would hold up those with room.

--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -115,6 +115,14 @@
         }
     }
 
+    /// Whether it finds no room where this one finds none: both may go to the same replicas, and
+    /// the same limit holds for both.
+    fn needs_same_room(&self, other: &Self) -> bool {
+        self.request.service == other.request.service
+            && self.request.homes == other.request.homes
+            && self.request.is_under_way == other.request.is_under_way
+    }
+
     fn limit(&self) -> RunLimit {
         if self.request.is_under_way {
             RunLimit::Unlimited
@@ -192,17 +200,20 @@
         Decision::Wait
     }
 
-    /// Decides about waiting turns, as far as something can be decided now.
+    /// Decides about waiting turns, as far as something can be decided now. A turn without room
+    /// is passed by those that may find some elsewhere, and is the first to be asked next time.
     pub fn decide(&mut self, view: &FleetView<'_>, now: Instant) -> Vec<(String, Decision)> {
         let mut decided = Vec::new();
+        let mut passed = Vec::new();
         while self.is_open(now)
-            && let Some(turn) = self.first(now)
+            && let Some(turn) = self.first(&passed, now)
         {
             let waiting = &self.waiting[&turn];
             let limit = waiting.limit();
             let placed = self.placer.place(&turn, &waiting.request, view, limit, now);
             let Some(decision) = waiting.decision(placed, now) else {
-                break;
+                passed.push(turn);
+                continue;
             };
             self.waiting.remove(&turn);
             decided.push((turn, decision));
@@ -241,8 +252,13 @@
         self.opens.is_none_or(|opens| opens <= now)
     }
 
-    fn first(&self, now: Instant) -> Option<String> {
-        let first = self.waiting.iter().min_by_key(|(turn, waiting)| (waiting.rank(now), *turn));
+    /// The first turn that may find room although those that are `passed` did not.
+    fn first(&self, passed: &[String], now: Instant) -> Option<String> {
+        let may_find_room = |(_, waiting): &(&String, &WaitingTurn)| {
+            !passed.iter().any(|turn| self.waiting[turn].needs_same_room(waiting))
+        };
+        let candidates = self.waiting.iter().filter(may_find_room);
+        let first = candidates.min_by_key(|(turn, waiting)| (waiting.rank(now), *turn));
         first.map(|(turn, _)| turn.clone())
     }
 
--- a/crates/scheduler/tests/cold.rs
+++ b/crates/scheduler/tests/cold.rs
@@ -3,13 +3,14 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::{
-    ColdLimit, ColdReplicas, ColdTolerance, DrainedZones, Replica, ReplicaState, Topology,
+    ColdLimit, ColdReplicas, ColdTolerance, DrainedZones, HomeRegions, Replica, ReplicaState,
+    Topology,
 };
 use calicohoist_scheduler::{
     Decision, FleetView, Placement, PlacementRequest, PlacementWeights, Placer, RunLimit,
     TurnScheduler,
 };
-use calicohoist_types::Zone;
+use calicohoist_types::{Region, Zone};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -219,6 +220,64 @@
     assert_eq!(decided, [("t".to_owned(), expected)]);
 }
 
+/// A scheduler whose replica `c` of service `llm` is cold and full, with a turn `first` that
+/// waits for it.
+fn with_waiting_turn(fleet: &Fleet, now: Instant) -> TurnScheduler {
+    let mut scheduler = TurnScheduler::new(TOLERANCE);
+    let under_way = PlacementRequest { is_under_way: true, ..request() };
+    for turn in 0..STEADY {
+        scheduler.arrive(&turn.to_string(), under_way.clone(), &fleet.view(), now);
+    }
+    let decision = scheduler.arrive("first", under_way, &fleet.view(), now);
+    assert_eq!(decision, Decision::Wait);
+    scheduler
+}
+
+#[test]
+fn a_turn_of_another_service_passes_one_whose_replicas_are_cold_and_full() {
+    let now = Instant::now();
+    let mut fleet = with_cold(&["c", "other"], &["c"], now + ms(60_000));
+    fleet.replicas[1].service = "other".to_owned();
+    let mut scheduler = with_waiting_turn(&fleet, now);
+    let other = PlacementRequest { service: "other".to_owned(), cold: None, ..request() };
+    assert_eq!(scheduler.arrive("other", other, &fleet.view(), now), Decision::Wait);
+    let decided = scheduler.decide(&fleet.view(), now + ms(20));
+    assert_eq!(decided, [("other".to_owned(), Decision::Run("other".to_owned()))]);
+}
+
+#[test]
+fn a_turn_with_other_homes_passes_one_whose_replicas_are_cold_and_full() {
+    let now = Instant::now();
+    let mut fleet = with_cold(&["c", "w"], &["c"], now + ms(60_000));
+    fleet.replicas[1].zone = "far".to_owned();
+    let regions = [("z", "near"), ("far", "abroad")];
+    let regions = regions.map(|(zone, region)| (Zone::new(zone), Region::new(region)));
+    fleet.topology = Topology::new(regions.into());
+    let at_home = HomeRegions::only([Region::new("near")]);
+    let bound = PlacementRequest { homes: at_home, is_under_way: true, ..request() };
+    let mut scheduler = TurnScheduler::new(TOLERANCE);
+    for turn in 0..=STEADY {
+        scheduler.arrive(&turn.to_string(), bound.clone(), &fleet.view(), now);
+    }
+    assert_eq!(scheduler.waiting(), 1);
+    assert_eq!(scheduler.arrive("free", request(), &fleet.view(), now), Decision::Wait);
+    let decided = scheduler.decide(&fleet.view(), now + ms(20));
+    assert_eq!(decided, [("free".to_owned(), Decision::Run("w".to_owned()))]);
+}
+
+#[test]
+fn a_turn_that_others_pass_keeps_its_place_before_those_of_its_kind() {
+    let now = Instant::now();
+    let fleet = with_cold(&["c"], &["c"], now + ms(60_000));
+    let mut scheduler = with_waiting_turn(&fleet, now);
+    let sooner = PlacementRequest { left_ms: 3_000, is_under_way: true, ..request() };
+    assert_eq!(scheduler.arrive("sooner", sooner, &fleet.view(), now), Decision::Wait);
+    assert_eq!(scheduler.decide(&fleet.view(), now + ms(20)), []);
+    let decided = scheduler.decide(&fleet.view(), now + ms(1_000));
+    let order: Vec<&str> = decided.iter().map(|(turn, _)| turn.as_str()).collect();
+    assert_eq!(order, ["sooner", "first"]);
+}
+
 /// Most of `times` within any span, which ends where it begins anew.
 fn most_within(times: &[Duration], span: Duration) -> usize {
     let within =
