Ask once for each candidate whether it is cold; forget returned zones

Cause: a placement asked twice for each replica whether it is cold, and a third time for the chosen one. A zone that was given back once stayed in ReturnedZones until the next change of drained zones; meanwhile every question built a Zone, an allocation for each replica, twice for each placement, and at gateways for each choice.

Change: the answer is kept beside the candidate; ReturnedZones forgets at each note, and compares names without a key of its own.

Ruled out: to look up cold replicas by hash: the map is empty but for some seconds.

Conclusion: a_zone_that_was_given_back_long_ago_costs_no_more_look_ups failed before; placements are the same (tests of crates scheduler and routing). Processor time was not measured.

--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -185,27 +185,28 @@
 
 /// Zones that were given back so lately that the list may not show yet which of their replicas
 /// have turned cold meanwhile.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReturnedZones {
     drained: BTreeSet<Zone>,
     until: BTreeMap<Zone, Instant>,
 }
 
 impl ReturnedZones {
-    /// Takes in which zones are drained now.
+    /// Takes in which zones are drained now, and forgets what was given back long ago.
     pub fn note(&mut self, drained: &DrainedZones, now: Instant) {
+        self.until.retain(|_, until| now < *until);
         if self.drained == drained.zones {
             return;
         }
         for zone in self.drained.difference(&drained.zones) {
             self.until.insert(zone.clone(), now + LIST_SETTLES);
         }
-        self.until.retain(|_, until| now < *until);
         self.drained.clone_from(&drained.zones);
     }
 
-    /// Whether a zone was given back just now.
+    /// Whether a zone was given back just now. It is asked for every replica of every choice, so
+    /// that the few zones are compared without a key of their own.
     pub fn contains(&self, zone: &str, now: Instant) -> bool {
-        !self.until.is_empty() && self.until.get(&Zone::new(zone)).is_some_and(|until| now < *until)
+        self.until.iter().any(|(returned, until)| returned.as_str() == zone && now < *until)
     }
 }
--- a/crates/routing/tests/cold.rs
+++ b/crates/routing/tests/cold.rs
@@ -97,6 +97,18 @@
     assert!(!returned.contains("a", now + LIST_SETTLES));
 }
 
+#[test]
+fn a_zone_that_was_given_back_long_ago_costs_no_more_look_ups() {
+    let mut returned = ReturnedZones::default();
+    let now = Instant::now();
+    returned.note(&DrainedZones { version: 1, zones: [Zone::new("a")].into() }, now);
+    let none = DrainedZones { version: 2, zones: [].into() };
+    returned.note(&none, now);
+    assert_ne!(returned, ReturnedZones::default());
+    returned.note(&none, now + LIST_SETTLES);
+    assert_eq!(returned, ReturnedZones::default());
+}
+
 #[test]
 fn a_placement_at_a_cold_replica_lapses_and_counts_the_wait_at_the_leader() {
     let asked = Instant::now();
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -353,24 +353,25 @@
             return Placement::NoReplica;
         }
         let speed = self.speed(&request.service);
-        let candidates = open.iter().map(|replica| self.candidate(replica));
-        let has_room = |candidate: &PlacementCandidate<'_>| {
-            candidate.view.load() < limit.turns(candidate.replica.slots, &speed)
-                && admit(&self.cold, candidate.replica) != ColdAdmission::Closed
+        let admitted = |replica| {
+            let candidate = self.candidate(replica);
+            let is_below = candidate.view.load() < limit.turns(candidate.replica.slots, &speed);
+            let admission = is_below.then(|| admit(&self.cold, replica))?;
+            (admission != ColdAdmission::Closed).then_some((candidate, admission))
         };
         // Of equals, the one whose memory has most room.
-        let rank = |candidate: &PlacementCandidate<'_>| {
+        let rank = |(candidate, admission): &(PlacementCandidate<'_>, ColdAdmission)| {
             let cost = self.cost(candidate, request, &speed, now);
-            let slowness = match admit(&self.cold, candidate.replica) {
+            let slowness = match admission {
                 ColdAdmission::Warm => Duration::ZERO,
                 ColdAdmission::Cold | ColdAdmission::Closed => self.cold_slowness(&speed),
             };
             (cost + slowness, candidate.holds())
         };
-        let Some(chosen) = candidates.filter(has_room).min_by_key(rank) else {
+        let candidates = open.into_iter().filter_map(admitted);
+        let Some((chosen, admission)) = candidates.min_by_key(rank) else {
             return Placement::NoRoom;
         };
-        let admission = admit(&self.cold, chosen.replica);
         let chosen = chosen.replica.id.clone();
         self.cold.note_placed(&chosen, request.cold.as_ref(), now);
         self.begin(turn, &chosen, request, now);
