A turn under way takes no room from one that waits for it

Cause: only new turns queued behind waiting ones. Turns under way were placed at once, which was right while they always found room; now that cold replicas have a limit one may wait for them, and each that arrived later took what came free before the next decision.

Ruled out: to let each wait behind whatever waits: one under way finds room at warm replicas where new ones find none.

--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -188,8 +188,12 @@
         }
         let arrived = WaitingTurn::new(request, now);
         let rank = arrived.rank(now);
-        let goes_first = |waiting: &WaitingTurn| waiting.rank(now) < rank;
-        let must_queue = !arrived.request.is_under_way && self.waiting.values().any(goes_first);
+        // One under way finds room at every warm replica, and waits only for cold ones.
+        let is_ahead = |waiting: &WaitingTurn| {
+            let competes = !arrived.request.is_under_way || waiting.needs_same_room(&arrived);
+            competes && waiting.rank(now) < rank
+        };
+        let must_queue = self.waiting.values().any(is_ahead);
         if self.is_open(now) && (!must_queue || self.placer.is_placed(turn)) {
             let placed = self.placer.place(turn, &arrived.request, view, arrived.limit(), now);
             if let Some(decision) = arrived.decision(placed, now) {
--- a/crates/scheduler/tests/cold.rs
+++ b/crates/scheduler/tests/cold.rs
@@ -278,6 +278,20 @@
     assert_eq!(order, ["sooner", "first"]);
 }
 
+#[test]
+fn a_turn_under_way_takes_no_room_from_one_that_waits_for_it() {
+    let now = Instant::now();
+    let fleet = with_cold(&["c"], &["c"], now + ms(60_000));
+    let mut scheduler = with_waiting_turn(&fleet, now);
+    let under_way = PlacementRequest { is_under_way: true, ..request() };
+    let room_again = now + ms(1_000);
+    let decision = scheduler.arrive("later", under_way, &fleet.view(), room_again);
+    assert_eq!(decision, Decision::Wait);
+    let decided = scheduler.decide(&fleet.view(), room_again);
+    let order: Vec<&str> = decided.iter().map(|(turn, _)| turn.as_str()).collect();
+    assert_eq!(order, ["first", "later"]);
+}
+
 /// Most of `times` within any span, which ends where it begins anew.
 fn most_within(times: &[Duration], span: Duration) -> usize {
     let within =
