Keep the connection of a placement that lapsed

Cause: a placement at a cold replica that lapsed while its connection stood dropped it unused; the next request there had to open one again, at a replica that bears little.

Change: it goes back to the pool.

Ruled out: to look at the time before the connection only: opening one takes up to 400 ms.

Conclusion: a_connection_for_a_placement_that_lapsed_is_kept failed before; nothing was sent on it.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -104,6 +104,8 @@
         let mut connection = connection.map_err(|_| ExchangeError::NotSent)?;
         // A new connection may have taken long.
         if send_by.is_some_and(|send_by| send_by <= Instant::now()) {
+            // Nothing was sent on it, so that the next request may use it.
+            pool.check_in(&replica.id, connection.sender, None);
             return Err(ExchangeError::Lapsed);
         }
         let request = build(dialect, outgoing, &replica.id);
