Placement: look up connections and distances once

Cause: the cost of each candidate searched the gateway's free connections, up to 88 strings, and the topology, two searches of a map of strings: for 300 replicas more than the rest of the cost.

Change: a set of connections and the distances by zone, made once for each placement.

Ruled out: distances kept with the list, which change with the asker's zone.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -302,6 +302,8 @@
 struct PlacementCandidate<'a> {
     replica: &'a Replica,
     distance: Distance,
+    /// Whether the gateway keeps a free connection to it.
+    is_connected: bool,
     view: ReplicaView,
     memory: Option<&'a Memory>,
 }
@@ -316,6 +318,33 @@
     }
 }
 
+/// Ways from the gateway that asks to replicas. Looked up once for each placement: a gateway has
+/// dozens of free connections, and hundreds of replicas lie in a few zones. A search of the list
+/// and of the topology for each replica took 196 µs a placement instead of 54 µs (300 replicas, 6
+/// zones, 88 connections; medians of trials of 9,000 placements in a loop).
+struct GatewayWays<'a> {
+    topology: &'a Topology,
+    zone: &'a str,
+    connected: HashSet<&'a str>,
+    distances: HashMap<&'a str, Distance>,
+}
+
+impl<'a> GatewayWays<'a> {
+    fn new(request: &'a PlacementRequest, topology: &'a Topology) -> Self {
+        let connected = request.connected.iter().map(String::as_str).collect();
+        Self { topology, zone: &request.zone, connected, distances: HashMap::default() }
+    }
+
+    fn distance(&mut self, zone: &'a str) -> Distance {
+        let Self { topology, zone: from, distances, .. } = self;
+        *distances.entry(zone).or_insert_with(|| topology.distance(from, zone))
+    }
+
+    fn is_connected(&self, replica: &str) -> bool {
+        self.connected.contains(replica)
+    }
+}
+
 /// Places turns, and learns from where they ran.
 #[derive(Debug, Default)]
 pub struct Placer {
@@ -371,10 +400,8 @@
             return Placement::NoReplica;
         }
         let speed = self.speed(&request.service);
-        let candidates = open.iter().map(|replica| {
-            let distance = view.topology.distance(&request.zone, &replica.zone);
-            self.candidate(replica, distance)
-        });
+        let mut ways = GatewayWays::new(request, view.topology);
+        let candidates = open.iter().map(|replica| self.candidate(replica, &mut ways));
         let has_room = |candidate: &PlacementCandidate<'_>| {
             candidate.view.load() < limit.turns(candidate.replica.slots, &speed)
                 && admit(&self.cold, candidate.replica) != ColdAdmission::Closed
@@ -404,9 +431,18 @@
         Duration::from_secs_f64(alone_ms * COLD_SLOWNESS / 1_000.0)
     }
 
-    fn candidate<'a>(&'a self, replica: &'a Replica, distance: Distance) -> PlacementCandidate<'a> {
-        let view = self.views.get(&replica.id).copied().unwrap_or_default();
-        PlacementCandidate { replica, distance, view, memory: self.index.memory(&replica.id) }
+    fn candidate<'a>(
+        &'a self,
+        replica: &'a Replica,
+        ways: &mut GatewayWays<'a>,
+    ) -> PlacementCandidate<'a> {
+        PlacementCandidate {
+            replica,
+            distance: ways.distance(&replica.zone),
+            is_connected: ways.is_connected(&replica.id),
+            view: self.views.get(&replica.id).copied().unwrap_or_default(),
+            memory: self.index.memory(&replica.id),
+        }
     }
 
     /// A turn has ended. `ran_at` is the replica that ran it, which may be another than
@@ -601,8 +637,7 @@
         let sharing_ms = alone_ms * weights.delay_share * f64::from(running);
         let slowness = Duration::from_secs_f64((waiting_ms + reading_ms + sharing_ms) / 1_000.0);
         let crossing = weights.crossing(candidate.distance);
-        let is_connected = request.connected.contains(&replica.id);
-        let connecting = if is_connected { Duration::ZERO } else { weights.connecting };
+        let connecting = if candidate.is_connected { Duration::ZERO } else { weights.connecting };
         let suspicion = if view.is_suspected(now) { weights.suspicion } else { Duration::ZERO };
         slowness + crossing + connecting + suspicion
     }
