Leader preference: rest after taking over, forget old load, ignore machines long retired

Cause: a leader forgot its last hand-over as it lost the leadership, so that the rest of 30 s held only where the other machine had not taken over. Load that swings moved the leadership every 8 s, and a preferred leader that gives up for a slow disk got it back after 5 s. Counts of turns were halved once however long ago they were made: a machine that led earlier weighed the load of then. A retired machine stays in the set of retiring ones, so one retiring switched the preference off for good.

Change: a machine that has followed another leader rests as long after taking over; counts fade by all half-lives that passed, also before they are weighed; only a retiring machine that still votes holds the leadership up, and time with one counts as trouble.

Ruled out: a rest after every election, which would keep the first leader after a start of all machines far from its load for half a minute; a replicated note of hand-overs, an entry for something that each machine sees by itself.

--- a/crates/ledger/src/server/preference.rs
+++ b/crates/ledger/src/server/preference.rs
@@ -4,7 +4,7 @@
 //! voters that make a quorum with it. Both are weighed by where turns come from. Distances are
 //! not measured: a link in trouble would look far, and the leadership must not follow trouble.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::{Distance, Topology};
@@ -21,6 +21,8 @@
 /// load and machines that come and go are over by then.
 const STABLE_FOR: Duration = Duration::from_secs(5);
 /// Least time between two hand-overs, so that load that moves does not drag the leadership along.
+/// A machine that takes the leadership over from another one rests as long, whatever the reason:
+/// handing it straight back would undo what a leader with a slow disk has just done.
 const REST: Duration = Duration::from_secs(30);
 /// Half-life of the counts of turns by zone.
 const HALF_LIFE: Duration = Duration::from_secs(10);
@@ -44,11 +46,15 @@
         }
     }
 
-    fn fade(&mut self, now: Instant) {
+    /// Lets older turns count less, for each half-life that has passed: a machine that led long ago
+    /// counted none since.
+    pub fn fade(&mut self, now: Instant) {
         let since = *self.halved.get_or_insert(now);
-        if now.saturating_duration_since(since) >= HALF_LIFE {
+        let passed = now.saturating_duration_since(since);
+        if passed >= HALF_LIFE {
             self.halved = Some(now);
-            self.turns.values_mut().for_each(|turns| *turns /= 2.0);
+            let share = 0.5_f64.powf((passed.as_secs_f64() / HALF_LIFE.as_secs_f64()).floor());
+            self.turns.values_mut().for_each(|turns| *turns *= share);
             self.turns.retain(|_, turns| *turns >= 1.0);
         }
     }
@@ -85,13 +91,27 @@
     pub loads: &'a ZoneLoads,
     /// Whether all voters are there and caught up, and no change is under way.
     pub is_calm: bool,
+    /// Machines that are to hold no replica, or did so once: they stay in this set when they
+    /// are gone.
+    pub retiring: &'a BTreeSet<u32>,
+}
+
+impl GroupView<'_> {
+    /// Whether nothing is the matter that a hand-over would get in the way of.
+    fn may_move(&self) -> bool {
+        let is_vacated = self.voters.iter().all(|voter| !self.retiring.contains(&voter.machine));
+        self.is_calm && is_vacated
+    }
 }
 
 /// Remembers for how long another machine has been the better leader.
 #[derive(Clone, Debug, Default)]
 pub struct LeaderPreference {
     better: Option<(u32, Instant)>,
+    /// When the leadership last changed hands here.
     moved: Option<Instant>,
+    /// Whether another machine led before this one does.
+    has_followed: bool,
 }
 
 /// A hand-over that is worth it.
@@ -104,14 +124,18 @@
 }
 
 impl LeaderPreference {
-    /// Forgets everything: this machine does not lead.
-    pub fn reset(&mut self) {
-        *self = Self::default();
+    /// This machine does not lead; another one does, as far as it knows.
+    pub fn follow(&mut self, knows_leader: bool) {
+        self.better = None;
+        self.has_followed |= knows_leader;
     }
 
     /// The machine to hand over to now, if any.
     pub fn decide(&mut self, view: &GroupView<'_>, now: Instant) -> Option<LeaderMove> {
-        let Some(better) = better_leader(view).filter(|_| view.is_calm) else {
+        if std::mem::take(&mut self.has_followed) {
+            self.moved = Some(now);
+        }
+        let Some(better) = better_leader(view).filter(|_| view.may_move()) else {
             self.better = None;
             return None;
         };
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -342,7 +342,8 @@
         let retiring = state.machines().retiring_numbers();
         if !is_leader {
             self.advanced = Instant::now();
-            self.preference.reset();
+            let knows_leader = self.node.leader_machine(GROUP).is_some();
+            self.preference.follow(knows_leader);
             return self.node.set_evicted(&retiring);
         }
         let is_new =
@@ -365,9 +366,7 @@
         self.names.insert(self.node.id().machine, self.name.clone());
         self.name_known_machines(&retiring);
         self.seal_when_due();
-        if retiring.is_empty() {
-            self.prefer_leader();
-        }
+        self.prefer_leader(&retiring);
         let elapsed = self.advanced.elapsed();
         if elapsed >= ADVANCE_EVERY {
             self.advanced = Instant::now();
@@ -377,7 +376,7 @@
     }
 
     /// Hands the leadership to a machine that is clearly nearer, while nothing else is the matter.
-    fn prefer_leader(&mut self) {
+    fn prefer_leader(&mut self, retiring: &BTreeSet<u32>) {
         if self.weighed.elapsed() < WEIGH_EVERY {
             return;
         }
@@ -396,13 +395,18 @@
         let Some(voters) = voters else {
             return;
         };
-        let loads = self.desks.loads.lock().clone();
+        let loads = {
+            let mut loads = self.desks.loads.lock();
+            loads.fade(self.weighed);
+            loads.clone()
+        };
         let view = GroupView {
             topology: &self.topology,
             leader: self.node.id().machine,
             voters: &voters,
             loads: &loads,
             is_calm: raft.is_fully_replicated(now),
+            retiring,
         };
         let Some(LeaderMove { to, gain }) = self.preference.decide(&view, self.weighed) else {
             return;
--- a/crates/ledger/tests/preference.rs
+++ b/crates/ledger/tests/preference.rs
@@ -1,6 +1,6 @@
 //! Which voter leads: where the way of a turn is shortest, and only for a clear gain.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use calicohoist_ledger::server::preference::{GroupView, LeaderPreference, PlacedVoter, ZoneLoads};
@@ -40,8 +40,14 @@
     let mut preference = LeaderPreference::default();
     let mut moves = Vec::new();
     for step in 0..200 {
-        let view =
-            GroupView { topology: &topology, leader: 1, voters, loads, is_calm: is_calm(step) };
+        let view = GroupView {
+            topology: &topology,
+            leader: 1,
+            voters,
+            loads,
+            is_calm: is_calm(step),
+            retiring: &BTreeSet::new(),
+        };
         let now = begin + Duration::from_millis(500 * step);
         moves.extend(preference.decide(&view, now).map(|moved| (step, moved.to)));
     }
@@ -100,3 +106,72 @@
     }
     assert_eq!(moves(&voters, &shifted, |_| true), []);
 }
+
+#[test]
+fn load_that_ended_long_ago_is_outweighed_by_a_few_turns() {
+    let voters = voters(&["north-a", "south-a", "west-a"]);
+    let now = Instant::now();
+    let mut shifted = loads(&[("south-b", 1_000)], now);
+    let later = now + Duration::from_secs(600);
+    (0..10).for_each(|_| shifted.note("north-a", later));
+    assert_eq!(moves(&voters, &shifted, |_| true), []);
+}
+
+#[test]
+fn load_that_swings_does_not_drag_the_leadership_along() {
+    let voters = voters(&["north-a", "south-a", "west-a"]);
+    let topology = topology();
+    let begin = Instant::now();
+    let swings = [loads(&[("south-b", 100)], begin), loads(&[("north-b", 100)], begin)];
+    let mut preferences = BTreeMap::from([1, 2, 3].map(|one| (one, LeaderPreference::default())));
+    let mut leader = 1;
+    let mut moved_at = Vec::new();
+    for step in 0..400_usize {
+        // Each side is the better one for 8 s: longer than what counts as lasting.
+        let view = GroupView {
+            topology: &topology,
+            leader,
+            voters: &voters,
+            loads: &swings[step / 16 % 2],
+            is_calm: true,
+            retiring: &BTreeSet::new(),
+        };
+        let now = begin + Duration::from_millis(500 * step as u64);
+        for (machine, preference) in &mut preferences {
+            if *machine != view.leader {
+                preference.follow(true);
+            } else if let Some(moved) = preference.decide(&view, now) {
+                leader = moved.to;
+                moved_at.push(step);
+            }
+        }
+    }
+    assert!(moved_at.len() > 1, "{moved_at:?}");
+    assert!(moved_at.windows(2).all(|pair| pair[1] - pair[0] >= 60), "{moved_at:?}");
+}
+
+#[test]
+fn only_a_retiring_machine_that_still_votes_holds_the_leadership_up() {
+    let voters = voters(&["west-a", "south-a", "north-a", "north-b", "north-a"]);
+    let topology = topology();
+    let begin = Instant::now();
+    let moves = |retiring: u32| -> Vec<u32> {
+        let mut preference = LeaderPreference::default();
+        let view = GroupView {
+            topology: &topology,
+            leader: 1,
+            voters: &voters,
+            loads: &ZoneLoads::default(),
+            is_calm: true,
+            retiring: &BTreeSet::from([retiring]),
+        };
+        let mut moved = Vec::new();
+        for step in 0..200 {
+            let now = begin + Duration::from_millis(500 * step);
+            moved.extend(preference.decide(&view, now).map(|better| better.to));
+        }
+        moved
+    };
+    assert!(moves(2).is_empty());
+    assert_eq!(moves(9).first(), Some(&3));
+}
