Homes: comparing tenants with routes neither stalls a gateway nor fills its memory

Cause: each tenant with homes was compared with each route by a new set, and each pair that does not meet became a problem in memory, of which 20 are told; on the thread that serves requests, and before the configuration is put in force.

Change: routes without homes are left out (they have one with every tenant that has one), homes that routes share are compared once for each tenant, and problems past a limit are only counted.

Ruled out: telling after the configuration is in force, which would stall requests as long.

Conclusion: what is told is the same, in the same order.

--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -9,7 +9,7 @@
 use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
 use calicohoist_routing::{
-    ColdWatch, DrainedZones, HomeProblem, Replica, ReplicaList, RouteTable, question_homes,
+    ColdWatch, DrainedZones, HomeFindings, Replica, ReplicaList, RouteTable, question_homes,
 };
 use calicohoist_telemetry::metrics::Gauge;
 use calicohoist_telemetry::{Event, emit};
@@ -136,10 +136,11 @@
         };
         match self.app.dialect().parse_configuration(&document) {
             Ok(configuration) => {
-                let problems = question_homes(&configuration, &self.app.settings.topology);
+                let topology = &self.app.settings.topology;
+                let findings = question_homes(&configuration, topology, MOST_HOME_LINES);
                 if self.app.put_table(RouteTable::new(configuration, &self.app.key_secret)) {
                     emit!(Event::ConfigurationApplied; version = version, bytes = document.len());
-                    tell_homes(version, &problems);
+                    tell_homes(version, &findings);
                 }
                 true
             }
@@ -192,12 +193,12 @@
 }
 
 /// Logs what is questionable about homes, the first problems one by one.
-fn tell_homes(version: u64, problems: &[HomeProblem]) {
-    for problem in problems.iter().take(MOST_HOME_LINES) {
+fn tell_homes(version: u64, findings: &HomeFindings) {
+    let HomeFindings { problems, more, .. } = findings;
+    for problem in problems {
         emit!(Event::HomeQuestionable; version = version, problem = problem);
     }
-    if problems.len() > MOST_HOME_LINES {
-        let more = problems.len() - MOST_HOME_LINES;
+    if *more > 0 {
         emit!(Event::HomeQuestionable; version = version, problem = format!("{more} more"));
     }
 }
--- a/crates/routing/src/homes.rs
+++ b/crates/routing/src/homes.rs
@@ -10,6 +10,7 @@
 
 use crate::configuration::{Configuration, Route};
 use crate::eligibility::HomeRegions;
+use crate::tenant::Tenant;
 use crate::topology::Topology;
 
 /// Whose homes they are.
@@ -78,50 +79,108 @@
     }
 }
 
+/// What was found, up to a limit: each of very many tenants may have a problem with each route.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HomeFindings {
+    /// The first problems.
+    pub problems: Vec<HomeProblem>,
+    /// Problems beyond these.
+    pub more: usize,
+    /// How many problems are kept.
+    limit: usize,
+}
+
+impl HomeFindings {
+    fn note(&mut self, problem: impl FnOnce() -> HomeProblem) {
+        if self.problems.len() < self.limit {
+            self.problems.push(problem());
+        } else {
+            self.more += 1;
+        }
+    }
+}
+
 /// Finds what is questionable: regions without a zone, homes that are none, routes and tenants
-/// whose homes do not meet, and retained turns that would be kept outside of their homes.
-pub fn question_homes(configuration: &Configuration, topology: &Topology) -> Vec<HomeProblem> {
+/// whose homes do not meet, and retained turns that would be kept outside of their homes. At most
+/// `limit` problems are kept, the others counted.
+pub fn question_homes(
+    configuration: &Configuration,
+    topology: &Topology,
+    limit: usize,
+) -> HomeFindings {
     let routes = &configuration.routes;
-    let mut problems = Vec::new();
+    let mut findings = HomeFindings { limit, ..HomeFindings::default() };
     for route in routes {
-        question_owner(HomeOwner::Route(route.name.clone()), &route.homes, topology, &mut problems);
+        let owner = || HomeOwner::Route(route.name.clone());
+        question_owner(&owner, &route.homes, topology, &mut findings);
         if route.retain && !topology.is_covered_by(&route.homes) {
-            let owner = HomeOwner::Route(route.name.clone());
-            problems.push(HomeProblem::KeptElsewhere { owner });
+            findings.note(|| HomeProblem::KeptElsewhere { owner: owner() });
         }
     }
+    let retains = routes.iter().any(|route| route.retain);
+    let bound = BoundRoutes::of(routes, topology);
     for tenant in configuration.tenants.iter().filter(|tenant| tenant.homes.is_bound()) {
         let owner = || HomeOwner::Tenant(tenant.id.clone());
-        question_owner(owner(), &tenant.homes, topology, &mut problems);
-        if routes.iter().any(|route| route.retain) && !topology.is_covered_by(&tenant.homes) {
-            problems.push(HomeProblem::KeptElsewhere { owner: owner() });
+        question_owner(&owner, &tenant.homes, topology, &mut findings);
+        if retains && !topology.is_covered_by(&tenant.homes) {
+            findings.note(|| HomeProblem::KeptElsewhere { owner: owner() });
         }
-        let meets = |route: &Route| topology.has_home(&route.homes.intersection(&tenant.homes));
-        let is_apart = |route: &&Route| topology.has_home(&route.homes) && !meets(route);
         if topology.has_home(&tenant.homes) {
-            problems.extend(routes.iter().filter(is_apart).map(|route| HomeProblem::NoOverlap {
-                route: route.name.clone(),
-                tenant: tenant.id.clone(),
-            }));
+            bound.question_overlap(tenant, topology, &mut findings);
         }
     }
-    problems
+    findings
 }
 
 fn question_owner(
-    owner: HomeOwner,
+    owner: &impl Fn() -> HomeOwner,
     homes: &HomeRegions,
     topology: &Topology,
-    problems: &mut Vec<HomeProblem>,
+    findings: &mut HomeFindings,
 ) {
-    let unknown = homes.regions().filter(|region| !topology.has_region(region));
-    problems.extend(
-        unknown.map(|region| HomeProblem::UnknownRegion {
-            owner: owner.clone(),
-            region: region.clone(),
-        }),
-    );
+    for region in homes.regions().filter(|region| !topology.has_region(region)) {
+        let region = || region.clone();
+        findings.note(|| HomeProblem::UnknownRegion { owner: owner(), region: region() });
+    }
     if !topology.has_home(homes) {
-        problems.push(HomeProblem::NoHome { owner });
+        findings.note(|| HomeProblem::NoHome { owner: owner() });
+    }
+}
+
+/// Routes with homes of their own; the others have one with every tenant that has one. Homes that
+/// many routes share are compared with those of a tenant once: configurations have tens of
+/// thousands of tenants, and a gateway serves nobody on the thread that reads one.
+struct BoundRoutes<'a> {
+    homes: Vec<&'a HomeRegions>,
+    /// Each route with the place of its homes.
+    routes: Vec<(&'a Route, usize)>,
+}
+
+impl<'a> BoundRoutes<'a> {
+    fn of(routes: &'a [Route], topology: &Topology) -> Self {
+        let mut homes: Vec<&HomeRegions> = Vec::new();
+        let mut bound = Vec::new();
+        let has_home = |route: &&Route| route.homes.is_bound() && topology.has_home(&route.homes);
+        for route in routes.iter().filter(has_home) {
+            let place = homes.iter().position(|known| **known == route.homes);
+            let place = place.unwrap_or_else(|| {
+                homes.push(&route.homes);
+                homes.len() - 1
+            });
+            bound.push((route, place));
+        }
+        Self { homes, routes: bound }
+    }
+
+    /// Notes the routes that have no home in common with a tenant.
+    fn question_overlap(&self, tenant: &Tenant, topology: &Topology, findings: &mut HomeFindings) {
+        let meets = |homes: &&HomeRegions| topology.has_home(&homes.intersection(&tenant.homes));
+        let meeting: Vec<bool> = self.homes.iter().map(meets).collect();
+        for (route, _) in self.routes.iter().filter(|(_, place)| !meeting[*place]) {
+            findings.note(|| HomeProblem::NoOverlap {
+                route: route.name.clone(),
+                tenant: tenant.id.clone(),
+            });
+        }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,7 +28,7 @@
 };
 pub use configuration::{Backend, Configuration, Engine, Limits, Route, RouteKind, Service};
 pub use eligibility::{DrainedZones, Eligibility, EligibilityRules, HomeRegions};
-pub use homes::{HomeOwner, HomeProblem, question_homes};
+pub use homes::{HomeFindings, HomeOwner, HomeProblem, question_homes};
 pub use replica::{Replica, ReplicaList, ReplicaState};
 pub use select::{Affinity, Candidate, CostWeights, choose, stable_hash};
 pub use table::RouteTable;
--- a/crates/routing/tests/homes.rs
+++ b/crates/routing/tests/homes.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use calicohoist_routing::{
-    Backend, Configuration, HomeOwner, HomeProblem, HomeRegions, Limits, Route, RouteKind, Tenant,
-    Topology, question_homes,
+    Backend, Configuration, HomeFindings, HomeOwner, HomeProblem, HomeRegions, Limits, Route,
+    RouteKind, Tenant, Topology, question_homes,
 };
 use calicohoist_types::{Region, TenantId, Zone};
 
@@ -45,7 +45,9 @@
 fn problems(routes: Vec<Route>, tenants: Vec<Tenant>) -> Vec<HomeProblem> {
     let limits = Limits::default();
     let document = Configuration { version: 1, routes, services: Vec::new(), limits, tenants };
-    question_homes(&document, &topology())
+    let HomeFindings { problems, more, .. } = question_homes(&document, &topology(), usize::MAX);
+    assert_eq!(more, 0);
+    problems
 }
 
 fn of_route(name: &str) -> HomeOwner {
@@ -113,6 +115,20 @@
     let routes = vec![route("a", homes(&["north"]))];
     let tenants = Vec::new();
     let document = Configuration { version: 1, routes, services: Vec::new(), limits, tenants };
-    let found = question_homes(&document, &Topology::empty());
-    assert!(found.contains(&HomeProblem::NoHome { owner: of_route("a") }));
+    let found = question_homes(&document, &Topology::empty(), usize::MAX);
+    assert!(found.problems.contains(&HomeProblem::NoHome { owner: of_route("a") }));
+}
+
+#[test]
+fn of_very_many_problems_the_first_are_kept_and_the_others_counted() {
+    let name = |number: usize| format!("n{number}");
+    let routes = (0..50).map(|number| route(&name(number), homes(&["north"]))).collect();
+    let tenants = (0..2_000).map(|number| tenant(&name(number), homes(&["south"]))).collect();
+    let limits = Limits::default();
+    let document = Configuration { version: 1, routes, services: Vec::new(), limits, tenants };
+    let found = question_homes(&document, &topology(), 3);
+    let apart =
+        |number| HomeProblem::NoOverlap { route: name(number), tenant: TenantId::new("n0") };
+    assert_eq!(found.problems, [apart(0), apart(1), apart(2)]);
+    assert_eq!(found.more, 50 * 2_000 - 3);
 }
