Test: a hand-over that costs an election is not tried again at once

Cause: a voter that reaches the leader and too few others is handed the leadership and cannot take it; the former leader is elected again, and forgot its hand-over with the lost leadership.

Also wraps a module comment.

--- a/crates/ledger/tests/preference.rs
+++ b/crates/ledger/tests/preference.rs
@@ -175,3 +175,28 @@
     assert!(moves(2).is_empty());
     assert_eq!(moves(9).first(), Some(&3));
 }
+
+#[test]
+fn a_hand_over_that_cost_an_election_is_not_tried_again_at_once() {
+    let voters = voters(&["west-a", "south-a", "north-a", "north-b", "north-a"]);
+    let topology = topology();
+    let begin = Instant::now();
+    let mut preference = LeaderPreference::default();
+    let mut moved_at = Vec::new();
+    for step in 0..100 {
+        let view = GroupView {
+            topology: &topology,
+            leader: 1,
+            voters: &voters,
+            loads: &ZoneLoads::default(),
+            is_calm: true,
+            retiring: &BTreeSet::new(),
+        };
+        if preference.decide(&view, begin + Duration::from_millis(500 * step)).is_some() {
+            moved_at.push(step);
+            // The other one reaches too few voters; this one is elected again.
+            preference.follow(false);
+        }
+    }
+    assert_eq!(moved_at, [10, 70]);
+}
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -1,8 +1,8 @@
 //! The way of one request.
 //!
-//! [`handle`] decides what it is and whose; [`home`] whether it may be served anywhere; [`permit`] whether its tenant's limit lets it
-//! run; [`dispatch`] finds a replica that runs it; [`plain`]
-//! and [`stream`] carry the answer; [`turn`] keeps accounts and histories of programs.
+//! [`handle`] decides what it is and whose; [`home`] whether it may be served anywhere;
+//! [`permit`] whether its tenant's limit lets it run; [`dispatch`] finds a replica that runs it;
+//! [`plain`] and [`stream`] carry the answer; [`turn`] keeps accounts and histories of programs.
 
 mod answer;
 mod call;
