--- a/crates/proxy/tests/cold.rs
+++ b/crates/proxy/tests/cold.rs
@@ -29,6 +29,8 @@
 
 fn fleet_of(replicas: &[Replica]) -> Fleet {
     let fleet = Fleet::new("front-1", Arc::default());
+    // Before a gateway has heard which zones are drained it chooses nothing.
+    fleet.set_drained(DrainedZones::none());
     take_list(&fleet, replicas, Instant::now());
     fleet
 }
