Tests of cold replicas: the gateway has heard of the drained zones

Change: the fleet of these tests has heard that none is. Ruled out: letting a gateway that has heard nothing choose; a drained zone could be sent to, and platform/tests/drains.rs holds it to that.

--- a/crates/proxy/tests/cold.rs
+++ b/crates/proxy/tests/cold.rs
@@ -27,8 +27,10 @@
     fleet.update(replicas.to_vec());
 }
 
+/// Of a gateway that has heard that no zone is drained: before that it chooses nothing.
 fn fleet_of(replicas: &[Replica]) -> Fleet {
     let fleet = Fleet::new("front-1", Arc::default());
+    fleet.set_drained(DrainedZones::none());
     take_list(&fleet, replicas, Instant::now());
     fleet
 }
