Ledger: reservations are answered in the term that granted them

Cause: the whole standing was published before the answers of a batch. When a commit and a vote for the next leader came in one batch, the reservation was answered with the next term: the desks of turns and limits began anew in a term that another machine leads, forgetting who waited and what permits were not noted yet. Change: before the answers only the drained zones are published, with the rest as it was; term and leadership follow after the answers.

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -228,14 +228,18 @@
                 emit!(Event::SlowLeader; machine = self.name, flush_ms = began.elapsed().as_millis());
                 self.node.transfer_leadership(now);
             }
-            // What is known of the log is told before anybody is answered: who hears that a
-            // zone is drained must not be sent there by a placement that read an older state.
+            // What the log tells is told before anybody is answered: who hears that a zone is
+            // drained must not be sent there by a placement that read an older state.
             self.tell_runs();
             self.tell_permits();
-            self.publish(standing);
+            self.publish_drained(standing);
             for event in events {
                 self.on_event(event);
             }
+            // Only now: a reservation that was committed along with the loss of leadership is
+            // answered in the term that granted it. In the next one, which another machine
+            // leads, desks would begin anew and forget who waits.
+            self.publish(standing);
         }
     }
 
@@ -591,28 +595,30 @@
         }
     }
 
+    /// Publishes the drained zones, with what was published before of everything else.
+    fn publish_drained(&mut self, out: &watch::Sender<Standing>) {
+        let drained = self.node.machine(GROUP).map(LedgerState::drained);
+        let Some(drained) = drained.filter(|drained| **drained != *self.standing.drained) else {
+            return;
+        };
+        emit!(Event::ZonesDrained; version = drained.version, zones = drained);
+        DRAINED_ZONES.show(drained.zones.len() as u64);
+        self.standing.drained = Arc::new(drained.clone());
+        out.send_replace(self.standing.clone());
+    }
+
     fn publish(&mut self, out: &watch::Sender<Standing>) {
         let Some(raft) = self.node.raft(GROUP) else {
             return;
         };
-        let state = self.node.machine(GROUP);
-        let configuration = state.map(|state| state.configuration().version);
-        let drained = state.map(LedgerState::drained);
-        let drained = match drained.filter(|drained| **drained != *self.standing.drained) {
-            Some(drained) => {
-                emit!(Event::ZonesDrained; version = drained.version, zones = drained);
-                DRAINED_ZONES.show(drained.zones.len() as u64);
-                Arc::new(drained.clone())
-            }
-            None => Arc::clone(&self.standing.drained),
-        };
+        let configuration = self.node.machine(GROUP).map(|state| state.configuration().version);
         let standing = Standing {
             term: raft.term(),
             leader: raft.leader().map(|leader| leader.machine),
             is_leader: raft.is_leader(),
             configuration: configuration.unwrap_or_default(),
             machines: raft.member_machines(),
-            drained,
+            drained: Arc::clone(&self.standing.drained),
         };
         if standing != self.standing {
             self.standing = standing.clone();
