Comment: a call is begun before the close that came along is read

Cause: the comment said that the library sees most closes by itself, and it was thought that no test fails without the second look at the socket. Change: the comment says what was found; the watch stays. Ruled out: removing the watch.

--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -232,9 +232,9 @@
 
     async fn perform(&self, call: &ControlCall, body: &Bytes, caller: &CallerWatch) -> Response {
         if let Some(zone) = call.zone() {
-            // It has asked another machine since, and may have withdrawn the call there. Most
-            // closes are read by the library, which then drops this call; this sees one that
-            // came after its last read.
+            // It has asked another machine since, and may have withdrawn the call there. The
+            // library drops a call that waits when its caller closes, but it begins one before
+            // it reads the close that came along: without this, each such copy was begun.
             if caller.has_left() {
                 return Response::Overdue;
             }
