Protocol: FailingMark is ChangeMark, and counts in one place

What stopped me: FailingMark also names states of the cold replicas, and both users counted changes and terms by the same three lines. Changed: the name, and ChangeMark::next. Encoding and behaviour are the same.

--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol.rs
@@ -77,24 +77,32 @@
     /// Requests that it has under way, by replica.
     pub loads: Vec<(String, u32)>,
     /// The newest of its leader's changes to the replicas that are left alone.
-    pub failing: FailingMark,
+    pub failing: ChangeMark,
     /// The newest of its leader's changes to the replicas that are cold.
-    pub cold: FailingMark,
-    /// Version of the drained zones; `None` before it has heard of any state of them. It
-    /// needs no term: it counts changes in the log, on which all leaders agree.
+    pub cold: ChangeMark,
+    /// Version of the drained zones; `None` before the gateway has been told any. It needs no
+    /// term: it counts changes in the log, on which all leaders agree.
     pub drained: Option<u64>,
 }
 
-/// Tells two states of the replicas that are left alone from each other, or two of those that
-/// are cold.
+/// Names a state of something that a leader keeps in memory and tells gateways about: which
+/// replicas are left alone, which are cold. Each of these has a mark of its own.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct FailingMark {
+pub struct ChangeMark {
     /// Term of the leader.
     pub term: u64,
     /// Counts its changes.
     pub change: u64,
 }
 
+impl ChangeMark {
+    /// The mark after one more change by the leader of `term`.
+    pub fn next(self, term: u64) -> Self {
+        let change = if self.term == term { self.change + 1 } else { 1 };
+        Self { term, change }
+    }
+}
+
 /// Digest of a list of replicas. Leaders that read the same list give it the same mark, so
 /// that a change of leader is no reason to send it to every gateway; 0 is no list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -177,8 +185,8 @@
     },
     /// It cannot be answered now; nothing is known of its effect.
     Unavailable,
-    /// Drained zones that are not those that were seen. It comes before every other news: a
-    /// gateway that has a configuration knows which zones are drained.
+    /// The drained zones, when the gateway has seen another version of them. Sent before all
+    /// other news, so that a gateway with a configuration knows which zones are drained.
     DrainedZones(DrainedZones),
 }
 
@@ -194,8 +202,8 @@
     pub loads_of: ListMark,
     /// All machines known.
     pub machines: Vec<u32>,
-    /// The replicas that are to be left alone, each for so many ms, if that has changed.
-    pub failing: Option<(FailingMark, Vec<(String, u32)>)>,
-    /// The replicas that are cold, each for so many ms, if one became cold.
-    pub cold: Option<(FailingMark, Vec<(String, u32)>)>,
+    /// The replicas to be left alone, each with the ms left, if that has changed.
+    pub failing: Option<(ChangeMark, Vec<(String, u32)>)>,
+    /// The cold replicas, each with the ms left, if one became cold.
+    pub cold: Option<(ChangeMark, Vec<(String, u32)>)>,
 }
--- a/crates/ledger/src/server/failures.rs
+++ b/crates/ledger/src/server/failures.rs
@@ -7,13 +7,13 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::protocol::FailingMark;
+use crate::protocol::ChangeMark;
 
 /// Counts what gateways report in one term after the other.
 pub struct FailureDesk {
     state: Mutex<DeskState>,
     /// The newest change, for those who wait for one.
-    mark: watch::Sender<FailingMark>,
+    mark: watch::Sender<ChangeMark>,
 }
 
 #[derive(Default)]
@@ -24,7 +24,7 @@
 
 impl Default for FailureDesk {
     fn default() -> Self {
-        Self { state: Mutex::default(), mark: watch::Sender::new(FailingMark::default()) }
+        Self { state: Mutex::default(), mark: watch::Sender::new(ChangeMark::default()) }
     }
 }
 
@@ -37,21 +37,18 @@
         }
         state.board.retain(replicas);
         let rest = state.board.note(replica, replicas, Instant::now())?;
-        self.mark.send_modify(|mark| {
-            let change = if mark.term == term { mark.change + 1 } else { 1 };
-            *mark = FailingMark { term, change };
-        });
+        self.mark.send_modify(|mark| *mark = mark.next(term));
         Some(rest)
     }
 
     /// Follows the changes.
-    pub fn subscribe(&self) -> watch::Receiver<FailingMark> {
+    pub fn subscribe(&self) -> watch::Receiver<ChangeMark> {
         self.mark.subscribe()
     }
 
     /// What has changed since `seen`: the replicas that are to be left alone, each for so many
     /// ms.
-    pub fn news(&self, seen: FailingMark) -> Option<(FailingMark, Vec<(String, u32)>)> {
+    pub fn news(&self, seen: ChangeMark) -> Option<(ChangeMark, Vec<(String, u32)>)> {
         let mark = *self.mark.borrow();
         if mark == seen {
             return None;
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -14,7 +14,7 @@
 
 use super::LedgerSettings;
 use super::replica::Standing;
-use crate::protocol::{FailingMark, ListMark, Seen};
+use crate::protocol::{ChangeMark, ListMark, Seen};
 
 static COLD_REPLICAS: Gauge = Gauge::new(
     "calicohoist_ledger_cold_replicas",
@@ -40,7 +40,7 @@
     pub cold: Arc<ColdReplicas>,
     /// Counts in this term when a replica became cold: gateways are told that, and see for
     /// themselves when it is over.
-    pub cold_mark: FailingMark,
+    pub cold_mark: ChangeMark,
 }
 
 impl Reading {
@@ -55,9 +55,9 @@
     /// The replicas that are cold, each for so many ms, unless a gateway has seen that.
     pub fn cold_news(
         &self,
-        seen: FailingMark,
+        seen: ChangeMark,
         now: Instant,
-    ) -> Option<(FailingMark, Vec<(String, u32)>)> {
+    ) -> Option<(ChangeMark, Vec<(String, u32)>)> {
         if self.cold_mark == seen {
             return None;
         }
@@ -148,9 +148,7 @@
         let is_cold_news = !change.became_cold.is_empty()
             || (reading.term != term && reading.cold.left(read_at).next().is_some());
         if is_cold_news {
-            let before = reading.cold_mark;
-            let count = if before.term == term { before.change + 1 } else { 1 };
-            reading.cold_mark = FailingMark { term, change: count };
+            reading.cold_mark = reading.cold_mark.next(term);
         }
         if is_same {
             return is_cold_news;
--- a/crates/ledger/tests/failures.rs
+++ b/crates/ledger/tests/failures.rs
@@ -1,6 +1,6 @@
 //! The leader tells every gateway which replicas are left alone, once for each change.
 
-use calicohoist_ledger::protocol::FailingMark;
+use calicohoist_ledger::protocol::ChangeMark;
 use calicohoist_ledger::server::failures::FailureDesk;
 use calicohoist_routing::{Replica, ReplicaState};
 
@@ -19,14 +19,14 @@
 #[test]
 fn a_change_is_news_until_it_was_seen() {
     let desk = FailureDesk::default();
-    let nothing = FailingMark::default();
+    let nothing = ChangeMark::default();
     assert_eq!(desk.news(nothing), None);
     assert!(desk.note(1, "i-1", &replicas()).is_none());
     assert!(desk.note(1, "i-1", &replicas()).is_none());
     assert_eq!(desk.news(nothing), None);
     assert!(desk.note(1, "i-1", &replicas()).is_some());
     let (mark, failing) = desk.news(nothing).expect("news");
-    assert_eq!(mark, FailingMark { term: 1, change: 1 });
+    assert_eq!(mark, ChangeMark { term: 1, change: 1 });
     assert_eq!(failing.len(), 1);
     assert_eq!(failing[0].0, "i-1");
     assert!(failing[0].1 > 0);
@@ -44,5 +44,5 @@
         desk.note(2, "i-1", &replicas());
     }
     let mark = *desk.subscribe().borrow();
-    assert_eq!(mark, FailingMark { term: 2, change: 1 });
+    assert_eq!(mark, ChangeMark { term: 2, change: 1 });
 }
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -6,7 +6,7 @@
 use calicohoist_discovery::ListedReplica;
 use calicohoist_ledger::client::AskError;
 use calicohoist_ledger::packed::PackedBytes;
-use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
+use calicohoist_ledger::protocol::{ChangeMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
 use calicohoist_routing::{
     ColdWatch, DrainedZones, HomeFindings, Replica, ReplicaList, RouteTable, question_homes,
@@ -48,8 +48,8 @@
 #[derive(Clone, Copy, Default)]
 struct FollowerState {
     list: ListMark,
-    failing: FailingMark,
-    cold: FailingMark,
+    failing: ChangeMark,
+    cold: ChangeMark,
 }
 
 struct Follower {
