Routing: cold replicas, homes and topology say what they mean

What stopped me: times 'for which' and 'by which' a list trails, a doc comment that says 'whether' on a function that changes state, 'it' without a noun, the same conversion to ms in the leader's list and in the gateway, and a pair of term and watch called watch.0 and watch.1. Changed: comments, ColdReplicas::left_ms, two named variables. Behaviour is the same.

--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -1,7 +1,7 @@
 //! The leader reads the list of replicas for all gateways.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use calicohoist_discovery::ListedReplica;
 use calicohoist_routing::{
@@ -35,24 +35,24 @@
     pub list: Arc<ReplicaList>,
     /// When it was read last, changed or not.
     pub read_at: Option<Instant>,
-    /// Those that have just started. They are no part of the mark: a list of which only a
-    /// time left has changed is the same list.
+    /// The replicas that have just started. They do not change `mark`: a list in which only a
+    /// time left differs is the same list.
     pub cold: Arc<ColdReplicas>,
-    /// Counts in this term when a replica became cold: gateways are told that, and see for
-    /// themselves when it is over.
+    /// Changes when a replica becomes cold. It does not when one becomes warm: gateways are told
+    /// how long each stays cold.
     pub cold_mark: ChangeMark,
 }
 
 impl Reading {
-    /// Whether the list itself is to be told to a gateway by the leader of `term`. Who is cold
-    /// is told before: a gateway that knew only the list would send to all of them alike.
+    /// Whether the leader of `term` tells a gateway the list itself. The gateway hears first which
+    /// replicas are cold: with the list alone it would send to all of them alike.
     pub fn tells_list(&self, term: u64, seen: &Seen) -> bool {
         let is_new = self.mark != seen.list && self.mark != ListMark::default();
         let knows_cold = self.cold_mark.term != term || self.cold_mark == seen.cold;
         self.term == term && is_new && knows_cold
     }
 
-    /// The replicas that are cold, each for so many ms, unless a gateway has seen that.
+    /// The cold replicas, each with the ms left, unless a gateway has `seen` them.
     pub fn cold_news(
         &self,
         seen: ChangeMark,
@@ -61,9 +61,7 @@
         if self.cold_mark == seen {
             return None;
         }
-        let in_ms = |left: Duration| u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-        let left = self.cold.left(now).map(|(id, left)| (id.to_owned(), in_ms(left)));
-        Some((self.cold_mark, left.collect()))
+        Some((self.cold_mark, self.cold.left_ms(now)))
     }
 }
 
@@ -109,19 +107,19 @@
     let Some(reader) = settings.list else {
         return;
     };
-    let mut watch = (0, ColdWatch::default());
+    let (mut watched_term, mut watch) = (0, ColdWatch::default());
     loop {
         if standing.wait_for(|standing| standing.is_leader).await.is_err() {
             return;
         }
         let term = standing.borrow().term;
-        if watch.0 != term {
-            // What was listed when this machine led before tells nothing of what is new now.
-            watch = (term, ColdWatch::default());
+        if watched_term != term {
+            // What was listed when this machine led before does not show what is new now.
+            (watched_term, watch) = (term, ColdWatch::default());
         }
         let began = Instant::now();
         match reader.read().await {
-            Ok(replicas) => publish(&out, &mut watch.1, term, replicas, began),
+            Ok(replicas) => publish(&out, &mut watch, term, replicas, began),
             Err(error) => emit!(Event::PlatformUnreachable, "list of replicas: {error}"),
         }
         tokio::time::sleep(settings.list_interval.saturating_sub(began.elapsed())).await;
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -157,13 +157,11 @@
         self.app.note_list();
     }
 
-    /// Takes in what a reading of its own tells of cold replicas.
+    /// Takes in what this gateway's own reading tells of cold replicas.
     fn note_listed_cold(&self, watch: &mut ColdWatch, listed: &[ListedReplica], began: Instant) {
         let times = listed.iter().map(|listed| (listed.replica.id.as_str(), listed.cold_left));
         watch.take(times, began);
-        let in_ms = |left: Duration| u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-        let cold = watch.cold().left(began).map(|(id, left)| (id.to_owned(), in_ms(left)));
-        self.app.fleet.note_cold(&cold.collect::<Vec<_>>(), began);
+        self.app.fleet.note_cold(&watch.cold().left_ms(began), began);
     }
 
     /// Reads the list here when no leader has told of a reading lately.
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -8,14 +8,14 @@
 
 use crate::eligibility::DrainedZones;
 
-/// How far a list of replicas may trail what it shows: a time left is longer by as much at most,
-/// and a replica that goes cold again is shown so much later.
+/// Longest delay of the list of replicas. A time left that it shows is up to this much too long,
+/// and a replica that starts again is shown as cold up to this much later.
 const LIST_LAG: Duration = Duration::from_millis(800);
-/// Time after which a list that is read every 0.7 s tells what has happened: its lag, the time
-/// between two readings, and the reading itself.
+/// Time from a change of a replica until a reading that shows it has surely been taken in: the
+/// delay of the list, the 0.7 s between two readings, and the reading itself.
 pub const LIST_SETTLES: Duration = Duration::from_millis(2_000);
-/// Longest time left that is believed: an engine reads its weights in less. Whatever else a list
-/// says must not leave a replica nearly idle for good.
+/// Longest time left that is believed: an engine reads its weights in less. Without this bound a
+/// wrong list could leave a replica nearly idle for good.
 const MOST_COLD: Duration = Duration::from_secs(60);
 /// How long a new replica counts as cold where the list says nothing of it.
 const ASSUMED_COLD: Duration = Duration::from_secs(5);
@@ -28,9 +28,9 @@
 pub struct PlacedReplica {
     /// Its identity.
     pub id: String,
-    /// Until when the request may be sent there; `None` at a replica that the leader holds for
-    /// warm. It counts what it places at a cold one within a second, so that nothing may arrive
-    /// together with what was placed a second later.
+    /// Until when the request may be sent there; `None` at a replica that the leader takes for
+    /// warm. The leader limits what it places at a cold one in each second: a request sent much
+    /// later would arrive together with those of another second.
     pub send_by: Option<Instant>,
 }
 
@@ -40,15 +40,16 @@
         Self { id, send_by: None }
     }
 
-    /// At a cold replica, `waited` after the question of `asked` had come to the leader. It was on
-    /// its way before that, so that the placement never lapses later than
-    /// [`COLD_PLACEMENT_LIFE`] after it was made, whatever the clocks show.
+    /// At a cold replica. The gateway asked at `asked`, and the leader placed the request `waited`
+    /// after the question had reached it. The time that the question took on its way is not
+    /// counted, so the placement lapses at most [`COLD_PLACEMENT_LIFE`] after it was made. No
+    /// clocks of two machines are compared.
     pub fn cold(id: String, asked: Instant, waited: Duration) -> Self {
         Self { id, send_by: Some(asked + waited + COLD_PLACEMENT_LIFE) }
     }
 
-    /// Whether the request may still be sent there. A replica that has turned cold since it was
-    /// placed, or that a new leader does not know to be, gets nothing.
+    /// Whether the request may still be sent there. `is_cold` is what the gateway knows: a replica
+    /// that the leader took for warm and that is cold gets nothing.
     pub fn holds(&self, is_cold: bool, now: Instant) -> bool {
         match self.send_by {
             Some(send_by) => now < send_by,
@@ -85,6 +86,7 @@
 /// The replicas known to be cold, each until when.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ColdReplicas {
+    /// When each of them is warm, by replica.
     until: BTreeMap<String, Instant>,
 }
 
@@ -112,6 +114,12 @@
         cold.map(move |(replica, until)| (replica.as_str(), *until - now))
     }
 
+    /// The same in whole ms, as it is told to gateways.
+    pub fn left_ms(&self, now: Instant) -> Vec<(String, u32)> {
+        let in_ms = |left: Duration| u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        self.left(now).map(|(replica, left)| (replica.to_owned(), in_ms(left))).collect()
+    }
+
     /// Forgets replicas that are warm by now; returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<String> {
         let warm = self.until.iter().filter(|(_, until)| **until <= now);
@@ -130,7 +138,7 @@
     pub became_warm: Vec<String>,
 }
 
-/// Learns which replicas are cold from one reading of the list after the other.
+/// Learns which replicas are cold from successive readings of the list.
 #[derive(Clone, Debug, Default)]
 pub struct ColdWatch {
     cold: ColdReplicas,
@@ -168,8 +176,8 @@
         &self.cold
     }
 
-    /// Whether a time left is news. What is noted is longer by the lag of the list, so that the
-    /// same cold time told again with another lag is none.
+    /// Notes a time left; returns whether it is news. The time noted is longer by the delay of the
+    /// list, so that the same end of the cold time, read with another delay, is no news.
     fn note(&mut self, replica: &str, left: Duration, read_at: Instant) -> bool {
         if left.is_zero() {
             return false;
@@ -184,10 +192,12 @@
 }
 
 /// Zones that were given back so lately that the list may not show yet which of their replicas
-/// have turned cold meanwhile.
+/// started again, and are cold, while the zone was drained.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReturnedZones {
+    /// The zones that were drained when last told.
     drained: BTreeSet<Zone>,
+    /// When the list shows the replicas of a zone that was given back, by zone.
     until: BTreeMap<Zone, Instant>,
 }
 
@@ -204,8 +214,8 @@
         self.drained.clone_from(&drained.zones);
     }
 
-    /// Whether a zone was given back just now. It is asked for every replica of every choice, so
-    /// that the few zones are compared without a key of their own.
+    /// Whether a zone was given back just now. Asked for every replica of every choice: comparing
+    /// the few zones one by one spares an allocation of a key.
     pub fn contains(&self, zone: &str, now: Instant) -> bool {
         self.until.iter().any(|(returned, until)| returned.as_str() == zone && now < *until)
     }
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// The zones whose replicas get nothing new, as the operator wants it.
+/// The zones whose replicas get nothing new, by order of an operator.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainedZones {
     /// Rises with every change; 0 before the first.
@@ -93,7 +93,7 @@
 /// Whether a replica may get a request, with the first reason against it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Eligibility {
-    /// It may.
+    /// No reason is against it.
     Eligible,
     /// It is leaving.
     Leaving,
@@ -115,7 +115,7 @@
 }
 
 impl EligibilityRules<'_> {
-    /// Whether `replica` may get the request.
+    /// The first reason against sending the request to `replica`, if there is one.
     pub fn judge(&self, replica: &Replica) -> Eligibility {
         if replica.state != ReplicaState::Ready {
             return Eligibility::Leaving;
--- a/crates/routing/src/homes.rs
+++ b/crates/routing/src/homes.rs
@@ -1,7 +1,7 @@
 //! What is questionable about the homes in a configuration.
 //!
-//! A configuration is valid whatever its homes are: regions come and go without it. Whoever puts
-//! one in force tells what [`question_homes`] finds. Names of regions are compared as they are
+//! A configuration is valid whatever its homes are, since regions come and go without a new
+//! configuration. Whoever puts one in force logs what [`question_homes`] finds. Names of regions are compared as they are
 //! written, so that `North` is not `north`.
 
 use std::fmt;
@@ -34,7 +34,7 @@
 /// Something about homes that an operator may not have meant.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HomeProblem {
-    /// No zone lies in a region that is named. It is no home; the others are.
+    /// No zone lies in a region that is named. The name is ignored; the other regions count.
     UnknownRegion {
         /// Who names it.
         owner: HomeOwner,
@@ -100,8 +100,8 @@
     }
 }
 
-/// Finds what is questionable: regions without a zone, homes that are none, routes and tenants
-/// whose homes do not meet, and retained turns that would be kept outside of their homes. At most
+/// Finds what is questionable: regions without a zone, homes without a known region, routes and
+/// tenants without a home in common, and retained turns that would be kept outside of their homes. At most
 /// `limit` problems are kept, the others counted.
 pub fn question_homes(
     configuration: &Configuration,
@@ -147,12 +147,12 @@
     }
 }
 
-/// Routes with homes of their own; the others have one with every tenant that has one. Homes that
-/// many routes share are compared with those of a tenant once: configurations have tens of
-/// thousands of tenants, and a gateway serves nobody on the thread that reads one.
+/// Routes that name homes. Routes that name none overlap with every tenant. Homes that several
+/// routes share are compared with those of a tenant only once: configurations have tens of
+/// thousands of tenants, and the thread that reads one serves no requests meanwhile.
 struct BoundRoutes<'a> {
     homes: Vec<&'a HomeRegions>,
-    /// Each route with the place of its homes.
+    /// Each route with the index of its homes in `homes`.
     routes: Vec<(&'a Route, usize)>,
 }
 
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -111,8 +111,8 @@
     weights.per_running * running + weights.service_time * waiting / slots
 }
 
-/// The candidate with the highest hash of key and identity, of the caller's region as long as
-/// it has one: gateways of a region agree, and a line of turns stays in its region.
+/// The candidate with the highest hash of key and identity. Candidates of the caller's region go
+/// before all others: gateways of a region agree on one, and a line of turns stays in its region.
 fn home_of(candidates: &[Candidate<'_>], key: u64) -> Option<usize> {
     let rank = |index: usize| {
         let candidate = &candidates[index];
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -68,13 +68,14 @@
         self.regions.values().any(|known| known == region)
     }
 
-    /// Whether some zone lies in one of these homes. Without homes any zone does.
+    /// Whether some zone lies in one of these homes. Homes that allow any region always have one,
+    /// also where no zones are listed.
     pub fn has_home(&self, homes: &HomeRegions) -> bool {
         !homes.is_bound() || self.regions.values().any(|region| homes.allows(Some(region)))
     }
 
-    /// Whether every zone lies in one of these homes. Where zones lie is unknown without a list
-    /// of them: then only homes that leave nothing out do.
+    /// Whether every zone lies in one of these homes. Where no zones are listed, only homes that
+    /// allow any region cover them.
     pub fn is_covered_by(&self, homes: &HomeRegions) -> bool {
         if !homes.is_bound() {
             return true;
