Proxy: what follows a failed attempt is a function, replicas of a service are found in one place

What stopped me: dispatch sent, logged, judged and counted in one loop of a hundred lines; three copies of the lookup of a service's replicas; the comment on drained began twice; the comment on REPLICA_RETRY_AFTER said that lists are read more often than every 500 ms (a leader reads one every 700 ms). Changed: note_failed, log_sent, Trail::note_attempt, Fleet::members_of, and comments. Log lines, counters and behaviour are the same.

--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -10,15 +10,15 @@
     Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, HomeRegions, Replica,
     ReturnedZones, Topology, choose, stable_hash,
 };
-use parking_lot::{Mutex, RwLock};
+use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
 
 use crate::upstream::Pool;
 
 /// What a replica is avoided with that others found to fail: more than any wait.
 const FAILING_PENALTY: Duration = Duration::from_millis(800);
 
-/// How long a replica that a gateway did not know counts as cold there: what the leader knows of it
-/// comes with the next watch, within half a second.
+/// How long a replica that is new to a gateway counts as cold there. Which replicas are cold is
+/// told by the leader's next answer, half a second later at most; as much again is margin.
 const FIRST_SIGHT: Duration = Duration::from_millis(1_000);
 
 /// A replica with its load and its recent troubles.
@@ -102,8 +102,8 @@
     pub excluded: &'a [String],
     /// Where it would like to run.
     pub affinity: Affinity,
-    /// Whether cold replicas are left out: the service has a limit for them, which holds over all
-    /// gateways and which only the leader can keep.
+    /// Whether cold replicas are left out: where the service limits what they get, the limit holds
+    /// for all gateways together, and only the leader can keep it.
     pub leaves_out_cold: bool,
 }
 
@@ -115,10 +115,11 @@
     /// Name of this gateway.
     gateway: String,
     topology: Arc<Topology>,
-    /// Zones whose replicas get nothing.
-    /// Before they are known, every replica may lie in one of them.
+    /// Zones whose replicas get nothing. `None` until the ledger has told them: until then every
+    /// replica may lie in one, and none is chosen.
     drained: RwLock<Option<Arc<DrainedZones>>>,
-    /// Replicas that have just started, as the leader or an own reading tells.
+    /// Replicas that have just started, as the leader tells or this gateway's own reading of the
+    /// list shows.
     cold: RwLock<ColdReplicas>,
     /// Zones whose replicas may have turned cold while they were drained.
     returned: RwLock<ReturnedZones>,
@@ -231,18 +232,24 @@
         services.values().flatten().map(|member| member.replica.id.clone()).collect()
     }
 
+    /// The replicas of a service; none when it is not listed.
+    fn members_of(&self, service: &str) -> MappedRwLockReadGuard<'_, [Arc<Member>]> {
+        RwLockReadGuard::map(self.services.read(), |services| {
+            services.get(service).map(Vec::as_slice).unwrap_or_default()
+        })
+    }
+
     /// Whether this start of a replica is listed and may get a request with these homes.
     pub fn is_open(&self, replica: &Replica, homes: &HomeRegions) -> bool {
-        let services = self.services.read();
-        let members = services.get(&replica.service).map(Vec::as_slice).unwrap_or_default();
+        let members = self.members_of(&replica.service);
         let mut listed = members.iter().map(|member| &member.replica);
         listed.any(|listed| listed.id == replica.id && self.admits(listed, homes))
     }
 
     /// A replica that may get a request with these homes and gave no trouble lately.
     pub fn untroubled(&self, service: &str, id: &str, homes: &HomeRegions) -> Option<Arc<Member>> {
-        let services = self.services.read();
-        let member = services.get(service)?.iter().find(|member| member.replica.id == id)?;
+        let members = self.members_of(service);
+        let member = members.iter().find(|member| member.replica.id == id)?;
         let is_open = self.admits(&member.replica, homes);
         let is_fine = member.penalty(Instant::now()).is_zero();
         (is_open && is_fine).then(|| Arc::clone(member))
@@ -262,7 +269,7 @@
         EligibilityRules { topology: &self.topology, homes, drained }
     }
 
-    /// Takes in replicas that are cold, each for so many ms at least.
+    /// Takes in replicas that are cold, each with the ms left.
     pub fn note_cold(&self, cold: &[(String, u32)], now: Instant) {
         let mut known = self.cold.write();
         known.expire(now);
@@ -271,8 +278,8 @@
         }
     }
 
-    /// Takes in a list that does not tell who is cold: replicas that were not known here count
-    /// as cold until that is told. In the first list all are new, and none does.
+    /// Takes in a list that does not tell which replicas are cold: those that are new here count
+    /// as cold until that is told. In the first list all are new, and none counts as cold.
     pub fn note_first_sight(&self, replicas: &[Replica], now: Instant) {
         let ids = self.ids();
         if ids.is_empty() {
@@ -291,11 +298,11 @@
             || self.returned.read().contains(&replica.zone, now)
     }
 
-    /// Whether the only replicas of a service that may get a request with these homes are cold.
+    /// Whether some replicas of a service may get a request with these homes, and all of them are
+    /// cold.
     pub fn has_only_cold(&self, service: &str, homes: &HomeRegions) -> bool {
         let now = Instant::now();
-        let services = self.services.read();
-        let members = services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let members = self.members_of(service);
         let mut open =
             members.iter().filter(|member| self.admits(&member.replica, homes)).peekable();
         open.peek().is_some() && open.all(|member| self.is_cold(&member.replica, now))
@@ -303,13 +310,12 @@
 
     /// Whether the service has a replica in these homes, ready or not.
     pub fn is_listed_in(&self, service: &str, homes: &HomeRegions) -> bool {
-        let services = self.services.read();
-        let members = services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let members = self.members_of(service);
         let region = |member: &Member| self.topology.region_of(&member.replica.zone);
         members.iter().any(|member| homes.allows(region(member)))
     }
 
-    /// Takes in which zones get nothing.
+    /// Takes in which zones are drained.
     pub fn set_drained(&self, drained: DrainedZones) {
         self.returned.write().note(&drained, Instant::now());
         *self.drained.write() = Some(Arc::new(drained));
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -82,6 +82,12 @@
         self.began_at = Some(Arc::clone(member));
     }
 
+    /// Counts an attempt that may have run; it has used up its permit.
+    fn note_attempt(&mut self) {
+        self.attempts += 1;
+        self.permit.lapse();
+    }
+
     /// Leaves a replica out from now on.
     pub fn exclude(&mut self, replica: &str) {
         self.excluded.push(replica.to_owned());
@@ -120,24 +126,14 @@
         let dialect = app.dialect();
         let patience = call.attempt_deadline(trail.attempts);
         let began = Instant::now();
-        let (own_load, other_load) = member.loads();
-        emit!(
-            Event::RequestSent;
-            request = call.head.request_id,
-            replica = member.replica.id,
-            own_load = own_load,
-            other_load = other_load,
-            list_age_ms = app.fleet.list_age().as_millis(),
-            left_ms = call.left().as_millis(),
-        );
+        log_sent(app, call, &member);
         let result = exchange(&app.pool, dialect, &member, &outgoing, send_by, patience).await;
         let error = match result {
             Ok(exchange) => {
                 if send_by.is_some() {
                     COLD_REQUESTS.count("sent");
                 }
-                trail.attempts += 1;
-                trail.permit.lapse();
+                trail.note_attempt();
                 return Ok(exchange);
             }
             Err(error) => error,
@@ -151,43 +147,69 @@
             attempts = trail.attempts,
             after_ms = began.elapsed().as_millis(),
         );
-        trail.exclude(&member.replica.id);
-        match error {
-            ExchangeError::NotSent => {
-                failure::report(app, &member.replica.id);
-                member.note_trouble(UNREACHABLE_PENALTY.0, UNREACHABLE_PENALTY.1);
-                trail.refused_at += 1;
-            }
-            ExchangeError::Lapsed => COLD_REQUESTS.count("lapsed"),
-            ExchangeError::NotExecuted => {
-                member.note_trouble(FULL_PENALTY.0, FULL_PENALTY.1);
-                trail.refused_at += 1;
-            }
-            ExchangeError::Unknown => {
-                failure::report(app, &member.replica.id);
-                member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
-                trail.attempts += 1;
-                trail.permit.lapse();
-                let may_repeat = call.route.is_repeatable();
-                if !may_repeat || trail.attempts >= call.route.max_attempts {
-                    return Err(Refusal::Unknown);
-                }
-            }
-            ExchangeError::Deadline => {
-                member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
-                trail.attempts += 1;
-                trail.permit.lapse();
-                if call.left() < LEAST_TIME {
-                    return Err(Refusal::Deadline);
-                }
-            }
-        }
+        note_failed(app, call, &member, &error, trail)?;
         if trail.refused_at >= MAX_REPLICAS_ASKED {
             return Err(nobody_left(app, call, service, trail));
         }
     }
 }
 
+fn log_sent(app: &App, call: &Call, member: &Member) {
+    let (own_load, other_load) = member.loads();
+    emit!(
+        Event::RequestSent;
+        request = call.head.request_id,
+        replica = member.replica.id,
+        own_load = own_load,
+        other_load = other_load,
+        list_age_ms = app.fleet.list_age().as_millis(),
+        left_ms = call.left().as_millis(),
+    );
+}
+
+/// Notes an attempt without an answer, at the replica and in the trail.
+///
+/// # Errors
+/// When no other replica may be asked.
+fn note_failed(
+    app: &Arc<App>,
+    call: &Call,
+    member: &Member,
+    error: &ExchangeError,
+    trail: &mut Trail,
+) -> Result<(), Refusal> {
+    trail.exclude(&member.replica.id);
+    match error {
+        ExchangeError::NotSent => {
+            failure::report(app, &member.replica.id);
+            member.note_trouble(UNREACHABLE_PENALTY.0, UNREACHABLE_PENALTY.1);
+            trail.refused_at += 1;
+        }
+        ExchangeError::Lapsed => COLD_REQUESTS.count("lapsed"),
+        ExchangeError::NotExecuted => {
+            member.note_trouble(FULL_PENALTY.0, FULL_PENALTY.1);
+            trail.refused_at += 1;
+        }
+        ExchangeError::Unknown => {
+            failure::report(app, &member.replica.id);
+            member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
+            trail.note_attempt();
+            let may_repeat = call.route.is_repeatable();
+            if !may_repeat || trail.attempts >= call.route.max_attempts {
+                return Err(Refusal::Unknown);
+            }
+        }
+        ExchangeError::Deadline => {
+            member.note_trouble(SILENT_PENALTY.0, SILENT_PENALTY.1);
+            trail.note_attempt();
+            if call.left() < LEAST_TIME {
+                return Err(Refusal::Deadline);
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Sees to it that the tenant's limit lets the next attempt run: each one that may run counts.
 async fn ensure_permit(app: &App, call: &Call, trail: &mut Trail) -> Result<(), Refusal> {
     if trail.permit.holds(Instant::now()) {
@@ -204,9 +226,10 @@
     }
 }
 
-/// Where to go next: back to where the request began, then where it was placed, else to
-/// the cheapest replica. At a cold one with a limit nobody but the leader places anything: a
-/// gateway does not know what others send there. With it, until when the request may be sent.
+/// The replica to ask next, and until when the request may be sent there, if that is limited:
+/// the one where the request began, then the one where it was placed, else the cheapest. Where
+/// a limit holds for cold replicas, only the leader sends requests to them: a gateway does not
+/// know what others send there.
 fn choose(
     app: &App,
     call: &Call,
@@ -249,7 +272,7 @@
 
 fn nobody_left(app: &App, call: &Call, service: &Service, trail: &Trail) -> Refusal {
     const RETRY_AFTER: Duration = Duration::from_millis(150);
-    /// A cold replica bears some requests each second; the leader hands them out.
+    /// The leader lets some requests a second through to cold replicas.
     const COLD_RETRY_AFTER: Duration = Duration::from_millis(1_000);
     if trail.attempts > 0 {
         return Refusal::Unknown;
--- a/crates/proxy/src/flow/home.rs
+++ b/crates/proxy/src/flow/home.rs
@@ -6,16 +6,17 @@
 use super::refusal::{NotRunReason, Refusal};
 use crate::app::App;
 
-/// When a request may come back that no replica at home can run: lists of replicas are read
-/// more often than this.
+/// When a request may come back that has no replica in its homes: about the time between two
+/// readings of the list of replicas.
 const REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// The same when only another configuration would help.
+/// The same when only another configuration would help, which an operator has to write.
 const CONFIGURATION_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Refuses what its homes leave nowhere to go, before any of it leaves this machine.
+/// Refuses a request that cannot be served within its homes, before any of it leaves this
+/// gateway.
 ///
 /// # Errors
-/// When it has no home, none with a replica, or would be kept elsewhere, too.
+/// When no zone or no replica lies in its homes, or its turns would be kept outside of them, too.
 pub fn check(app: &App, call: &Call) -> Result<(), Refusal> {
     let homes = call.homes();
     if !homes.is_bound() {
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -103,7 +103,7 @@
     /// The service has no replica in the regions where it may be served.
     #[error("no replica in its homes")]
     NoReplicaAtHome,
-    /// Its turns are to be kept, and the ledger keeps them outside of its homes, too.
+    /// Its route keeps turns, and the ledger would keep them outside of its homes, too.
     #[error("cannot be kept in its homes")]
     NotKeptAtHome,
     /// Every replica that was asked refused or could not be reached.
@@ -158,8 +158,8 @@
         }
     }
 
-    /// When the caller of this request may come back. The end of a limit's window is told as
-    /// it is; what nobody has promised is spread.
+    /// When the caller of this request may come back. The end of a limit's window is told
+    /// exactly; any other time is an estimate, and callers are spread around it.
     fn retry_after(&self, request_id: &str) -> Option<Duration> {
         const BEFORE_FIRST_CONFIGURATION: Duration = Duration::from_millis(300);
         let hash = stable_hash(&[request_id.as_bytes()]);
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -127,8 +127,8 @@
         }
     }
 
-    /// Waits until it is decided when and where the turn runs.
-    /// The `first` decision, if any, was asked for at `asked`.
+    /// Waits until it is decided when and where the turn runs. `first` is the decision that came
+    /// with the reservation, if any; it was asked for at `asked`.
     async fn place(
         &mut self,
         first: Option<Decision>,
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -33,8 +33,8 @@
 const OWN_READING_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Pause after a configuration that cannot be read here: it would come again at once.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
-/// Problems with homes that are logged one by one: each of many tenants may have one with each
-/// route.
+/// Problems with homes that are logged one by one; the others are counted. Each of tens of
+/// thousands of tenants may have one with each route.
 const MOST_HOME_LINES: usize = 20;
 /// How often the age is looked at.
 const AGE_CHECK: Duration = Duration::from_millis(400);
@@ -140,7 +140,7 @@
                 let findings = question_homes(&configuration, topology, MOST_HOME_LINES);
                 if self.app.put_table(RouteTable::new(configuration, &self.app.key_secret)) {
                     emit!(Event::ConfigurationApplied; version = version, bytes = document.len());
-                    tell_homes(version, &findings);
+                    log_homes(version, &findings);
                 }
                 true
             }
@@ -191,7 +191,7 @@
 }
 
 /// Logs what is questionable about homes, the first problems one by one.
-fn tell_homes(version: u64, findings: &HomeFindings) {
+fn log_homes(version: u64, findings: &HomeFindings) {
     let HomeFindings { problems, more, .. } = findings;
     for problem in problems {
         emit!(Event::HomeQuestionable; version = version, problem = problem);
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -41,7 +41,7 @@
     /// Nothing was sent.
     #[error("no connection")]
     NotSent,
-    /// Nothing was sent: its time to arrive at a cold replica was over.
+    /// Nothing was sent: the time to send it to a cold replica was over.
     #[error("placement at a cold replica lapsed")]
     Lapsed,
     /// The replica states that it did not run the request.
@@ -102,7 +102,7 @@
     loop {
         let connection = pool.check_out(&replica.id, replica.address, checkout).await;
         let mut connection = connection.map_err(|_| ExchangeError::NotSent)?;
-        // A new connection may have taken long.
+        // Looked at only now, since a new connection may have taken long.
         if send_by.is_some_and(|send_by| send_by <= Instant::now()) {
             // Nothing was sent on it, so that the next request may use it.
             pool.check_in(&replica.id, connection.sender, None);
