--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -30,8 +30,8 @@
 /// Operators give up on a call after about a second and ask elsewhere.
 const PATIENCE: Duration = Duration::from_millis(3_000);
 
-/// Age of the list of replicas up to which a zone that it does not show is unknown: a leader
-/// reads it every 700 ms, and a reading takes up to a second.
+/// Age of the list of replicas up to which a zone that it does not show counts as unknown: a
+/// leader reads it every 700 ms, and a reading takes up to a second.
 const LIST_FRESH: Duration = Duration::from_millis(2_000);
 
 /// A call of an operator, understood.
@@ -81,7 +81,7 @@
 pub enum CallError {
     /// No such call.
     Unknown,
-    /// There is such a path, but no such method.
+    /// The path exists, but not with this method.
     WrongMethod,
     /// The body is not acceptable.
     Invalid(Findings),
@@ -101,7 +101,7 @@
     },
     /// There is no such thing.
     NotFound,
-    /// There is such a thing, but it takes no call of this method.
+    /// The path exists, but not with this method.
     WrongMethod,
     /// It would leave too few machines.
     TooFewLeft,
@@ -133,8 +133,8 @@
     Uncertain,
 }
 
-/// Tells whether a caller is still there. Its connection belongs to the library that serves
-/// it, so that a second descriptor looks at the same socket.
+/// Tells whether a caller is still there. The connection belongs to the library that serves it, so
+/// this is a second descriptor of the same socket.
 struct CallerWatch(std::net::TcpStream);
 
 impl CallerWatch {
@@ -148,7 +148,7 @@
     fn has_left(&self) -> bool {
         match self.0.peek(&mut [0]) {
             Ok(read) => read == 0,
-            // The socket never blocks; anything else is a connection that broke.
+            // The socket is non-blocking; any other error is a broken connection.
             Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
         }
     }
@@ -232,9 +232,9 @@
 
     async fn perform(&self, call: &ControlCall, body: &Bytes, caller: &CallerWatch) -> Response {
         if let Some(zone) = call.zone() {
-            // It has asked another machine since, and may have withdrawn the call there. The
-            // library drops a call that waits when its caller closes, but it begins one before
-            // it reads the close that came along: without this, each such copy was begun.
+            // A caller that has closed its connection may have asked another machine since, and
+            // withdrawn the order there. The library drops a call under way when its caller
+            // closes, but it begins a call before it reads a close that came along with it.
             if caller.has_left() {
                 return Response::Overdue;
             }
@@ -245,10 +245,10 @@
         self.replica.call(to_request(call.clone(), body)).await
     }
 
-    /// What becomes of a call for a zone that this machine does not know: nothing is kept.
+    /// Answers an order for a zone that this machine does not know, without proposing it.
     async fn refuse_zone(&self, zone: &Zone) -> Response {
         match self.replica.call(Request::ConfirmLeadership).await {
-            // Only now is the drained state certain to be the newest.
+            // Looked up again: only now are the drained zones known here certain to be the newest.
             Response::Leads(_) if self.judge_zone(zone) == ZoneJudgement::Unknown => {
                 Response::UnknownZone
             }
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -168,7 +168,7 @@
     }
 }
 
-/// The placement that a question asks for: it tells in which zone the asker is.
+/// The placement that a question asks for, which names the asker's zone.
 fn placement_in(question: &Question) -> Option<&PlacementRequest> {
     match question {
         Question::Reserve { placement, .. } => placement.as_ref(),
--- a/crates/ledger/src/server/gateways/news.rs
+++ b/crates/ledger/src/server/gateways/news.rs
@@ -48,8 +48,8 @@
         self.tell_news(&seen, back).await;
     }
 
-    /// Tells what is newer, with a quorum behind it: the drained zones, which are small and
-    /// decide where requests must not go, then one large thing at a time, and then the rest.
+    /// Tells what is newer, with a quorum behind it, one thing at a time: first the drained zones,
+    /// where nothing may be sent; then the configuration, the list, and all small news together.
     async fn tell_news(&self, seen: &Seen, back: Back) {
         let read = Request::ReadConfiguration { newer_than: seen.configuration };
         let held = match self.replica.call(read).await {
@@ -57,7 +57,7 @@
             Response::NotLeader(leader) => return back.send(self.not_leader(leader)),
             _ => return back.send(Answer::Unavailable),
         };
-        // Whatever was applied before the read was answered has been published.
+        // All drains that were applied before the read was answered are published by now.
         let drained = Arc::clone(&self.standing.borrow().drained);
         if Some(drained.version) != seen.drained {
             return back.send(Answer::DrainedZones(DrainedZones::clone(&drained)));
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -77,7 +77,7 @@
 }
 
 impl FleetSnapshot {
-    /// The same for the scheduler.
+    /// The same as the scheduler takes it.
     pub fn view(&self) -> FleetView<'_> {
         FleetView {
             replicas: &self.reading.list.replicas,
@@ -135,7 +135,7 @@
 ) {
     let times = listed.iter().map(|listed| (listed.replica.id.as_str(), listed.cold_left));
     let change = watch.take(times, read_at);
-    tell_cold(&change, watch.cold().left(read_at).count());
+    log_cold(&change, watch.cold().left(read_at).count());
     let replicas: Vec<_> = listed.into_iter().map(|listed| listed.replica).collect();
     let mark = ListMark::of(&replicas);
     out.send_if_modified(|reading| {
@@ -161,8 +161,8 @@
     });
 }
 
-/// One line for each reading that shows a change, whatever the size of the fleet.
-fn tell_cold(change: &ColdChange, cold: usize) {
+/// Logs one line for each reading that shows a change, whatever the size of the fleet.
+fn log_cold(change: &ColdChange, cold: usize) {
     COLD_REPLICAS.show(cold as u64);
     if *change == ColdChange::default() {
         return;
@@ -177,7 +177,7 @@
     );
 }
 
-/// The first of them, with a dash for none.
+/// The first [`MOST_NAMED`] replicas, or a dash for none.
 fn named(replicas: &[String]) -> String {
     match replicas {
         [] => "-".to_owned(),
--- a/crates/ledger/src/server/peers.rs
+++ b/crates/ledger/src/server/peers.rs
@@ -52,8 +52,8 @@
     }
 }
 
-/// Messages for one receiver. It is named, since a machine that lost its disk is another replica
-/// at the same address.
+/// Messages with their receiver. A machine that lost its disk is another replica at the same
+/// address, and drops what is meant for the one before.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Parcel {
     /// The receiver.
@@ -62,7 +62,7 @@
     pub messages: Vec<GroupMessage>,
 }
 
-/// Every further frame.
+/// Every frame after the greeting.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerFrame {
     /// A parcel as it is.
@@ -76,8 +76,7 @@
 pub const PACKED_FROM: usize = 256;
 
 impl PeerFrame {
-    /// Packs what goes to another region, where bytes are paid for: a copy of the entries becomes
-    /// 14% smaller (bytes a leader counted for each copy elsewhere against one nearby, a day of each).
+    /// Packs what goes to another region, where bytes are paid for.
     pub fn wrap(parcel: Parcel, distance: Option<Distance>) -> Self {
         if distance != Some(Distance::OtherRegion) {
             return Self::Plain(parcel);
@@ -165,7 +164,7 @@
     zones.note(from.machine, &zone);
     replica.greeting(from, name, zone);
     while let Ok(frame) = frames.next::<PeerFrame>().await {
-        // Damaged bytes do not pass a frame's checksum; whoever packs otherwise is left.
+        // The checksum has found no damage, so the sender packs in a way unknown here.
         let Some(Parcel { to, messages }) = frame.open() else {
             return;
         };
--- a/crates/ledger/src/server/preference.rs
+++ b/crates/ledger/src/server/preference.rs
@@ -9,16 +9,16 @@
 
 use calicohoist_routing::{Distance, Topology};
 
-/// One way within a region, about; within a zone it counts as nothing.
+/// Typical one-way delay between zones of a region; within a zone it counts as zero.
 const REGION_WAY: Duration = Duration::from_millis(1);
-/// One way between regions, about: between those of one continent. What matters is that it is
-/// long beside [`REGION_WAY`].
+/// Typical one-way delay between regions of one continent. What matters is that it is long beside
+/// [`REGION_WAY`].
 const FAR_WAY: Duration = Duration::from_millis(10);
-/// A hand-over stops turns for a moment; less than this gain for each of them is not worth it.
-/// Leaving the load's zone for another one of its region never is.
+/// Least gain for each turn that is worth a hand-over, which stops turns for a moment. It is more
+/// than [`REGION_WAY`], so that the leadership never moves within a region.
 const LEAST_GAIN: Duration = Duration::from_millis(3);
-/// How long the same machine must have been the better one, with all voters caught up: waves of
-/// load and machines that come and go are over by then.
+/// How long the same machine must have been the better one, with all voters caught up: short
+/// bursts of load and restarts of machines are over by then.
 const STABLE_FOR: Duration = Duration::from_secs(5);
 /// Least time between two hand-overs, so that load that moves does not drag the leadership along.
 /// A machine that takes the leadership over from another one rests as long, whatever the reason:
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Lets older turns count less, for each half-life that has passed: a machine that led long ago
-    /// counted none since.
+    /// Halves the counts for each half-life that has passed; more than one has where this machine
+    /// did not lead for a while, and so counted none.
     pub fn fade(&mut self, now: Instant) {
         let since = *self.halved.get_or_insert(now);
         let passed = now.saturating_duration_since(since);
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Mean of a figure over where turns come from; nothing without any turn.
+    /// Mean of a duration over the zones that turns come from; zero without any turn.
     fn mean(&self, of_zone: impl Fn(&str) -> Duration) -> Duration {
         let all: f64 = self.turns.values().sum();
         if all <= 0.0 {
@@ -91,16 +91,15 @@
     pub loads: &'a ZoneLoads,
     /// Whether all voters are there and caught up, and no change is under way.
     pub is_calm: bool,
-    /// Machines that are to hold no replica, or did so once: they stay in this set when they
-    /// are gone.
+    /// Machines that are being emptied, or were once: they stay in this set when they are gone.
     pub retiring: &'a BTreeSet<u32>,
 }
 
 impl GroupView<'_> {
-    /// Whether nothing is the matter that a hand-over would get in the way of.
+    /// Whether a hand-over would disturb nothing: the group is calm, and no voter is retiring.
     fn may_move(&self) -> bool {
-        let is_vacated = self.voters.iter().all(|voter| !self.retiring.contains(&voter.machine));
-        self.is_calm && is_vacated
+        let is_retiring = |voter: &PlacedVoter| self.retiring.contains(&voter.machine);
+        self.is_calm && !self.voters.iter().any(is_retiring)
     }
 }
 
@@ -108,9 +107,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct LeaderPreference {
     better: Option<(u32, Instant)>,
-    /// When the leadership last changed hands here.
+    /// When this machine last handed the leadership over, or took it over from another one.
     moved: Option<Instant>,
-    /// Whether another machine led before this one does.
+    /// Whether another machine has led since this one last did.
     has_followed: bool,
 }
 
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -51,7 +51,8 @@
 /// How often a leader looks up which machines there are; those outside the group are called once
 /// a second.
 const NAME_EVERY: Duration = Duration::from_millis(500);
-/// How often a leader looks whether another voter is nearer.
+/// How often a leader looks whether another voter had better lead: often beside the 5 s for which
+/// one must be better, and little work.
 const WEIGH_EVERY: Duration = Duration::from_millis(500);
 const ENTRIES_PER_SNAPSHOT: u64 = 8_000;
 /// Size of the log file, in bytes, from which it is rewritten.
@@ -81,11 +82,11 @@
     frames: mpsc::Sender<Outgoing>,
     pending: PendingTable,
     names: BTreeMap<u32, String>,
-    /// Where machines are, as they said; this one, too.
+    /// Zones of machines by number, as they named them; this one's too.
     zones: BTreeMap<u32, String>,
     topology: Arc<Topology>,
     preference: LeaderPreference,
-    /// When the better leader was looked for last.
+    /// When a better leader was last sought.
     weighed: Instant,
     advanced: Instant,
     /// When the known machines were named last.
@@ -228,17 +229,17 @@
                 emit!(Event::SlowLeader; machine = self.name, flush_ms = began.elapsed().as_millis());
                 self.node.transfer_leadership(now);
             }
-            // What the log tells is told before anybody is answered: who hears that a zone is
-            // drained must not be sent there by a placement that read an older state.
+            // What the log says is passed on before anybody is answered: once an operator hears
+            // that a zone is drained, no placement may use an older state.
             self.tell_runs();
             self.tell_permits();
             self.publish_drained(standing);
             for event in events {
                 self.on_event(event);
             }
-            // Only now: a reservation that was committed along with the loss of leadership is
-            // answered in the term that granted it. In the next one, which another machine
-            // leads, desks would begin anew and forget who waits.
+            // Term and leadership follow after the answers. A reservation that was committed along
+            // with the loss of leadership is so placed in the term that granted it: in the next
+            // one, which another machine leads, the desk would drop the turns that wait.
             self.publish(standing);
         }
     }
@@ -379,7 +380,7 @@
         }
     }
 
-    /// Hands the leadership to a machine that is clearly nearer, while nothing else is the matter.
+    /// Hands the leadership to a voter with a clearly shorter way, while the group is calm.
     fn prefer_leader(&mut self, retiring: &BTreeSet<u32>) {
         if self.weighed.elapsed() < WEIGH_EVERY {
             return;
@@ -599,7 +600,8 @@
         }
     }
 
-    /// Publishes the drained zones, with what was published before of everything else.
+    /// Publishes the drained zones if they have changed; all else that is published stays as it
+    /// is until [`Self::publish`].
     fn publish_drained(&mut self, out: &watch::Sender<Standing>) {
         let drained = self.node.machine(GROUP).map(LedgerState::drained);
         let Some(drained) = drained.filter(|drained| **drained != *self.standing.drained) else {
@@ -644,9 +646,9 @@
     }
 }
 
-/// Whether a command is the same as an equal one that is under way. Drains and restores of a
-/// zone are not: with the other order between them, the later one would be answered with the
-/// outcome of the earlier, and be undone.
+/// Whether a command may share the outcome of an equal one that is under way. A drain or a restore
+/// of a zone may not: the opposite order may stand between the two in the log, and would undo what
+/// the later one was told is done.
 fn may_join(command: &Command) -> bool {
     !matches!(command, Command::DrainZone { .. } | Command::RestoreZone { .. })
 }
--- a/crates/ledger/src/server/traffic.rs
+++ b/crates/ledger/src/server/traffic.rs
@@ -1,4 +1,4 @@
-//! Bytes that a ledger machine sends and takes, by kind and by how far they go.
+//! Counts of the bytes that a ledger machine sends and takes, by kind and by distance.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -9,7 +9,7 @@
 use calicohoist_telemetry::{Event, emit};
 use parking_lot::Mutex;
 
-/// Time between two log lines.
+/// Time between two log lines: a few bytes a second, and a crash loses little of the count.
 const TELL_INTERVAL: Duration = Duration::from_secs(5);
 
 static PEER_BYTES: TrafficCounter = TrafficCounter::new(
@@ -23,7 +23,7 @@
     "Bytes of questions of gateways",
 );
 
-/// The other end, and who sends.
+/// At which other end bytes are sent or taken. The names of the variants appear in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Peer {
     /// Frames to another ledger machine.
@@ -38,7 +38,7 @@
 
 static TOTALS: Mutex<Totals> = Mutex::new(Totals::new());
 
-/// Counts bytes of this kind; `None` is a distance that is not known yet.
+/// Counts bytes of this kind; a `distance` of `None` is not known yet.
 pub fn note(peer: Peer, kind: &'static str, distance: Option<Distance>, bytes: usize) {
     let distance = distance.map_or("unknown", Distance::word);
     let counter = match peer {
--- a/crates/ledger/src/state/turns.rs
+++ b/crates/ledger/src/state/turns.rs
@@ -104,8 +104,8 @@
     /// Keeps a turn and all it continued from until `until_ms` at least.
     ///
     /// A turn is kept at least as long as any that continues from it, so the walk ends at the
-    /// first that is kept for so long already: the clock moves every few seconds, and a line of
-    /// fifty turns would else be walked twice for each further one.
+    /// first that is kept for so long already. Without that, each further turn of a long line would
+    /// walk the whole line.
     pub fn keep_until(&mut self, id: &str, until_ms: u64) {
         let mut next = Some(id.to_owned());
         while let Some(id) = next {
