--- a/crates/ledger/tests/lines.rs
+++ b/crates/ledger/tests/lines.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-/// Turns that may be named.
+/// Number of different turns that steps may name.
 const TURNS: u8 = 12;
 
 #[derive(Clone, Debug)]
@@ -32,7 +32,7 @@
     format!("t{turn}")
 }
 
-/// Each turn walked to its root, as slowly as can be.
+/// A model that walks from each turn to its root.
 #[derive(Default)]
 struct PlainTurns(BTreeMap<u8, (Option<u8>, u64)>);
 
--- a/crates/ledger/tests/order.rs
+++ b/crates/ledger/tests/order.rs
@@ -1,4 +1,5 @@
-//! In which order the replica's thread tells what has happened, with peers that the test plays.
+//! The order in which the replica's thread publishes what was applied and answers requests; the
+//! test plays its peer.
 
 use std::net::Ipv4Addr;
 use std::sync::{Arc, mpsc as std_mpsc};
@@ -54,7 +55,7 @@
     }
 }
 
-/// What one step of a follower makes of an entry that carries a command.
+/// How the peer answers an entry that carries a command.
 enum OnCommand {
     Acknowledge,
     /// The follower acknowledges, and stands for election in the next term with it.
--- a/crates/ledger/tests/zones.rs
+++ b/crates/ledger/tests/zones.rs
@@ -101,11 +101,11 @@
     Send,
     /// The copy of this number, of those on their way, arrives at the leader.
     Arrive(usize),
-    /// The same at a machine that still believes to lead.
+    /// The copy of this number arrives at a former leader that does not know it yet.
     ArriveAtFormer(usize),
     /// The oldest entries of the leader's log are committed.
     Commit(usize),
-    /// Another leader follows, with as many of the entries that are not committed.
+    /// Another leader follows, which has the first so many of the entries that are not committed.
     ElectWith(usize),
 }
 
--- a/crates/scheduler/tests/cold_return.rs
+++ b/crates/scheduler/tests/cold_return.rs
@@ -14,7 +14,7 @@
 
 const LIMIT: ColdLimit = ColdLimit { per_second: 27.0, lasts: Duration::from_secs(3) };
 const TOLERANCE: ColdTolerance = ColdTolerance { overshoot: 1.5, slack: 5.0 };
-/// 27 x 1.5 + 5.
+/// Requests that may arrive at a cold replica within a second: 27 x 1.5 + 5, rounded down.
 const MOST: usize = 45;
 const SECOND: u64 = 1_000;
 const GATEWAYS: u64 = 300;
@@ -42,7 +42,7 @@
     Told { turn: u64, asked: u64, decision: Decision },
     /// The turn reaches a replica.
     Reach { turn: u64, replica: String },
-    /// It has ended there.
+    /// The turn has ended at its replica.
     End { turn: u64, replica: String },
 }
 
@@ -64,7 +64,7 @@
     lapsed: usize,
 }
 
-/// The same number for the same words, below `most`.
+/// A number below `most` that depends only on the words and the turn.
 fn drawn(words: &str, turn: u64, most: u64) -> u64 {
     stable_hash(&[words.as_bytes(), &turn.to_le_bytes()]) % most.max(1)
 }
--- a/crates/scheduler/tests/overload/main.rs
+++ b/crates/scheduler/tests/overload/main.rs
@@ -29,13 +29,14 @@
     }
 }
 
-/// All of `times` as much for six seconds, from 8 s.
+/// Programs of both kinds come `times` as often for six seconds, from 8 s on.
 fn burst_of(times: f64, leader_us: u64) -> LoadScenario {
     let all = LoadBurst { from_s: 8.0, to_s: 14.0, times, priority: None };
     LoadScenario { bursts: vec![all], ..calm(leader_us) }
 }
 
-/// All of 1.8 times as much for six seconds, 2.3 times as much of the urgent kind for three.
+/// Programs of both kinds come 1.8 times as often for six seconds, and for three of these the
+/// urgent kind 2.3 times as often again.
 fn burst(leader_us: u64) -> LoadScenario {
     let mut scenario = burst_of(1.8, leader_us);
     let urgent = LoadBurst { from_s: 9.5, to_s: 12.5, times: 2.3, priority: Some(0) };
