Replica thread: looking for a better leader and handing over are separate functions

What stopped me: prefer_leader found zones, weighed, logged and handed over in one function. Changed: placed_voters and hand_over are split off. Behaviour is the same.

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -390,14 +390,7 @@
         let Some(raft) = self.node.raft(GROUP) else {
             return;
         };
-        let voters = raft.membership().voters.iter();
-        let placed = |machine: u32| {
-            let zone = self.zones.get(&machine)?.clone();
-            Some(PlacedVoter { machine, zone })
-        };
-        let voters: Option<Vec<_>> = voters.map(|voter| placed(voter.machine)).collect();
-        // Until all have said where they are, nothing can be weighed.
-        let Some(voters) = voters else {
+        let Some(voters) = self.placed_voters(&raft.membership().voters) else {
             return;
         };
         let loads = {
@@ -413,9 +406,21 @@
             is_calm: raft.is_fully_replicated(now),
             retiring,
         };
-        let Some(LeaderMove { to, gain }) = self.preference.decide(&view, self.weighed) else {
-            return;
+        if let Some(better) = self.preference.decide(&view, self.weighed) {
+            self.hand_over(better);
+        }
+    }
+
+    /// The voters with their zones; `None` until all of them have named theirs.
+    fn placed_voters(&self, voters: &BTreeSet<ReplicaId>) -> Option<Vec<PlacedVoter>> {
+        let placed = |voter: &ReplicaId| {
+            let zone = self.zones.get(&voter.machine)?.clone();
+            Some(PlacedVoter { machine: voter.machine, zone })
         };
+        voters.iter().map(placed).collect()
+    }
+
+    fn hand_over(&mut self, LeaderMove { to, gain }: LeaderMove) {
         let zone = self.zones.get(&to).cloned().unwrap_or_default();
         emit!(
             Event::LeaderMoved;
@@ -424,6 +429,7 @@
             zone = zone,
             gain_us = gain.as_micros(),
         );
+        let now = self.now();
         self.node.transfer_leadership_to(now, GROUP, to);
     }
 
