Routing: the cost of a distance is one function

What stopped me: the same match over Distance in the gateway's weights, the placer's weights and the leader preference. Behaviour is the same.

--- a/crates/ledger/src/server/preference.rs
+++ b/crates/ledger/src/server/preference.rs
@@ -174,9 +174,5 @@
 }
 
 fn way_of(distance: Distance) -> Duration {
-    match distance {
-        Distance::SameZone => Duration::ZERO,
-        Distance::SameRegion => REGION_WAY,
-        Distance::OtherRegion => FAR_WAY,
-    }
+    distance.cost(REGION_WAY, FAR_WAY)
 }
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -52,11 +52,7 @@
 impl CostWeights {
     /// Cost of going so far.
     fn crossing(&self, distance: Distance) -> Duration {
-        match distance {
-            Distance::SameZone => Duration::ZERO,
-            Distance::SameRegion => self.zone_crossing,
-            Distance::OtherRegion => self.region_crossing,
-        }
+        distance.cost(self.zone_crossing, self.region_crossing)
     }
 }
 
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -1,6 +1,7 @@
 //! Where zones lie: which region each belongs to, and how far two of them are apart.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use calicohoist_types::{Region, Zone};
 
@@ -18,6 +19,16 @@
 }
 
 impl Distance {
+    /// What a way of this distance costs, given the costs of leaving a zone and a region; nothing
+    /// within a zone.
+    pub const fn cost(self, same_region: Duration, other_region: Duration) -> Duration {
+        match self {
+            Self::SameZone => Duration::ZERO,
+            Self::SameRegion => same_region,
+            Self::OtherRegion => other_region,
+        }
+    }
+
     /// One word for logs and metrics.
     pub const fn word(self) -> &'static str {
         match self {
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -199,11 +199,7 @@
 impl PlacementWeights {
     /// Cost of going so far.
     fn crossing(&self, distance: Distance) -> Duration {
-        match distance {
-            Distance::SameZone => Duration::ZERO,
-            Distance::SameRegion => self.zone_crossing,
-            Distance::OtherRegion => self.region_crossing,
-        }
+        distance.cost(self.zone_crossing, self.region_crossing)
     }
 }
 
