--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -6,7 +6,7 @@
 use calicohoist_discovery::ListedReplica;
 use calicohoist_ledger::client::AskError;
 use calicohoist_ledger::packed::PackedBytes;
-use calicohoist_ledger::protocol::{FailingMark, ListMark, News, Seen};
+use calicohoist_ledger::protocol::{ChangeMark, ListMark, News, Seen};
 use calicohoist_ledger::{Answer, Question};
 use calicohoist_routing::{
     ColdWatch, DrainedZones, HomeFindings, Replica, ReplicaList, RouteTable, question_homes,
@@ -33,8 +33,8 @@
 const OWN_READING_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Pause after a configuration that cannot be read here: it would come again at once.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
-/// Problems with homes that are logged one by one: each of many tenants may have one with each
-/// route.
+/// Problems with homes that are logged one by one; the others are counted. Each of tens of
+/// thousands of tenants may have one with each route.
 const MOST_HOME_LINES: usize = 20;
 /// How often the age is looked at.
 const AGE_CHECK: Duration = Duration::from_millis(400);
@@ -48,8 +48,8 @@
 #[derive(Clone, Copy, Default)]
 struct FollowerState {
     list: ListMark,
-    failing: FailingMark,
-    cold: FailingMark,
+    failing: ChangeMark,
+    cold: ChangeMark,
 }
 
 struct Follower {
@@ -140,7 +140,7 @@
                 let findings = question_homes(&configuration, topology, MOST_HOME_LINES);
                 if self.app.put_table(RouteTable::new(configuration, &self.app.key_secret)) {
                     emit!(Event::ConfigurationApplied; version = version, bytes = document.len());
-                    tell_homes(version, &findings);
+                    log_homes(version, &findings);
                 }
                 true
             }
@@ -157,13 +157,11 @@
         self.app.note_list();
     }
 
-    /// Takes in what a reading of its own tells of cold replicas.
+    /// Takes in what this gateway's own reading tells of cold replicas.
     fn note_listed_cold(&self, watch: &mut ColdWatch, listed: &[ListedReplica], began: Instant) {
         let times = listed.iter().map(|listed| (listed.replica.id.as_str(), listed.cold_left));
         watch.take(times, began);
-        let in_ms = |left: Duration| u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-        let cold = watch.cold().left(began).map(|(id, left)| (id.to_owned(), in_ms(left)));
-        self.app.fleet.note_cold(&cold.collect::<Vec<_>>(), began);
+        self.app.fleet.note_cold(&watch.cold().left_ms(began), began);
     }
 
     /// Reads the list here when no leader has told of a reading lately.
@@ -193,7 +191,7 @@
 }
 
 /// Logs what is questionable about homes, the first problems one by one.
-fn tell_homes(version: u64, findings: &HomeFindings) {
+fn log_homes(version: u64, findings: &HomeFindings) {
     let HomeFindings { problems, more, .. } = findings;
     for problem in problems {
         emit!(Event::HomeQuestionable; version = version, problem = problem);
--- a/crates/routing/src/select.rs
+++ b/crates/routing/src/select.rs
@@ -52,11 +52,7 @@
 impl CostWeights {
     /// Cost of going so far.
     fn crossing(&self, distance: Distance) -> Duration {
-        match distance {
-            Distance::SameZone => Duration::ZERO,
-            Distance::SameRegion => self.zone_crossing,
-            Distance::OtherRegion => self.region_crossing,
-        }
+        distance.cost(self.zone_crossing, self.region_crossing)
     }
 }
 
@@ -111,8 +107,8 @@
     weights.per_running * running + weights.service_time * waiting / slots
 }
 
-/// The candidate with the highest hash of key and identity, of the caller's region as long as
-/// it has one: gateways of a region agree, and a line of turns stays in its region.
+/// The candidate with the highest hash of key and identity. Candidates of the caller's region go
+/// before all others: gateways of a region agree on one, and a line of turns stays in its region.
 fn home_of(candidates: &[Candidate<'_>], key: u64) -> Option<usize> {
     let rank = |index: usize| {
         let candidate = &candidates[index];
--- a/crates/routing/src/topology.rs
+++ b/crates/routing/src/topology.rs
@@ -1,6 +1,7 @@
 //! Where zones lie: which region each belongs to, and how far two of them are apart.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use calicohoist_types::{Region, Zone};
 
@@ -18,6 +19,16 @@
 }
 
 impl Distance {
+    /// What a way of this distance costs, given the costs of leaving a zone and a region; nothing
+    /// within a zone.
+    pub const fn cost(self, same_region: Duration, other_region: Duration) -> Duration {
+        match self {
+            Self::SameZone => Duration::ZERO,
+            Self::SameRegion => same_region,
+            Self::OtherRegion => other_region,
+        }
+    }
+
     /// One word for logs and metrics.
     pub const fn word(self) -> &'static str {
         match self {
@@ -68,13 +79,14 @@
         self.regions.values().any(|known| known == region)
     }
 
-    /// Whether some zone lies in one of these homes. Without homes any zone does.
+    /// Whether some zone lies in one of these homes. Homes that allow any region always have one,
+    /// also where no zones are listed.
     pub fn has_home(&self, homes: &HomeRegions) -> bool {
         !homes.is_bound() || self.regions.values().any(|region| homes.allows(Some(region)))
     }
 
-    /// Whether every zone lies in one of these homes. Where zones lie is unknown without a list
-    /// of them: then only homes that leave nothing out do.
+    /// Whether every zone lies in one of these homes. Where no zones are listed, only homes that
+    /// allow any region cover them.
     pub fn is_covered_by(&self, homes: &HomeRegions) -> bool {
         if !homes.is_bound() {
             return true;
