Sight: what a new leader takes over of limits, and how long permits still hold

A new leader logs when it has applied all that earlier leaders committed, and with which note of permits its desk of limits began; a gateway logs for how long the permit of a request that it sends still holds.

--- a/crates/ledger/src/server/limits.rs
+++ b/crates/ledger/src/server/limits.rs
@@ -196,6 +196,13 @@
     /// they are.
     fn inherit(&mut self) {
         let (clock_ms, read) = self.clock;
+        let issued = self.known.iter().flat_map(|note| &note.issued);
+        emit!(
+            Event::PermitsInherited;
+            term = self.term,
+            newest_note = self.known.back().map_or(0, |note| note.number),
+            permits = issued.map(|issued| u64::from(issued.count)).sum::<u64>(),
+        );
         for note in &self.known {
             let age = Duration::from_millis(clock_ms.saturating_sub(note.at_ms));
             let Some(at) = read.checked_sub(age) else {
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -100,6 +100,8 @@
     next_run: u64,
     /// Number of the newest note of permits that was told.
     told_permits: u64,
+    /// Since when this machine leads without knowing all that earlier leaders have committed.
+    catches_up_since: Option<Instant>,
 }
 
 /// Who at this machine wants to know what the log tells of runs and permits.
@@ -176,6 +178,7 @@
             desks,
             next_run: 0,
             told_permits: 0,
+            catches_up_since: None,
         })
     }
 
@@ -237,6 +240,7 @@
             for event in events {
                 self.on_event(event);
             }
+            self.tell_caught_up();
             // Term and leadership follow after the answers. A reservation that was committed along
             // with the loss of leadership is so placed in the term that granted it: in the next
             // one, which another machine leads, the desk would drop the turns that wait.
@@ -476,6 +480,7 @@
             NodeEvent::Leadership { is_leader, .. } => {
                 let event = if is_leader { Event::BecameLeader } else { Event::LostLeadership };
                 LEADS.show(u64::from(is_leader));
+                self.catches_up_since = is_leader.then(Instant::now);
                 emit!(event; machine = self.name, term = self.term());
             }
         }
@@ -619,6 +624,24 @@
         out.send_replace(self.standing.clone());
     }
 
+    /// Logs how long this machine has led without knowing all that earlier leaders have committed.
+    fn tell_caught_up(&mut self) {
+        let Some(since) = self.catches_up_since else {
+            return;
+        };
+        let Some(raft) = self.node.raft(GROUP).filter(|raft| raft.has_committed_in_term()) else {
+            return;
+        };
+        self.catches_up_since = None;
+        emit!(
+            Event::LeaderCaughtUp;
+            machine = self.name,
+            term = raft.term(),
+            after_us = since.elapsed().as_micros(),
+            newest_permit_note = self.told_permits,
+        );
+    }
+
     fn publish(&mut self, out: &watch::Sender<Standing>) {
         let Some(raft) = self.node.raft(GROUP) else {
             return;
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -126,7 +126,7 @@
         let dialect = app.dialect();
         let patience = call.attempt_deadline(trail.attempts);
         let began = Instant::now();
-        log_sent(app, call, &member);
+        log_sent(app, call, &member, trail.permit);
         let result = exchange(&app.pool, dialect, &member, &outgoing, send_by, patience).await;
         let error = match result {
             Ok(exchange) => {
@@ -154,7 +154,7 @@
     }
 }
 
-fn log_sent(app: &App, call: &Call, member: &Member) {
+fn log_sent(app: &App, call: &Call, member: &Member, permit: Permit) {
     let (own_load, other_load) = member.loads();
     emit!(
         Event::RequestSent;
@@ -164,6 +164,7 @@
         other_load = other_load,
         list_age_ms = app.fleet.list_age().as_millis(),
         left_ms = call.left().as_millis(),
+        permit_left_ms = permit.left(Instant::now()).map_or(-1, |left| left.as_millis().cast_signed()),
     );
 }
 
--- a/crates/proxy/src/flow/permit.rs
+++ b/crates/proxy/src/flow/permit.rs
@@ -51,6 +51,14 @@
         }
     }
 
+    /// How long it still holds; `None` without a limit.
+    pub fn left(self, now: Instant) -> Option<Duration> {
+        match self {
+            Self::Missing | Self::Unlimited => None,
+            Self::Until(until) => Some(until.saturating_duration_since(now)),
+        }
+    }
+
     /// A request was sent that may have run, or long after the permit was issued.
     pub fn lapse(&mut self) {
         if matches!(self, Self::Until(_)) {
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -357,8 +357,9 @@
         self.deliver();
     }
 
-    /// Whether this leader has committed an entry of its own term.
-    pub(super) fn has_committed_in_term(&self) -> bool {
+    /// Whether this leader has committed an entry of its own term, and with it all that earlier
+    /// leaders have committed.
+    pub fn has_committed_in_term(&self) -> bool {
         match &self.role {
             Role::Leader(state) => self.commit >= state.first_index,
             Role::Follower | Role::Candidate { .. } => false,
@@ -370,9 +371,8 @@
         let Role::Leader(state) = &self.role else {
             return ReadReadiness::NotLeader;
         };
-        let knows_commit = self.commit >= state.first_index;
         let is_alone = self.membership().has_quorum(&BTreeSet::from([self.id]));
-        if knows_commit && (is_alone || now < state.lease_until) {
+        if self.has_committed_in_term() && (is_alone || now < state.lease_until) {
             ReadReadiness::Ready
         } else {
             ReadReadiness::NotYet
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -67,6 +67,8 @@
     LogOpened = 2009, Info;
     /// A leader gives the leadership to a machine that is nearer to the load and to a quorum.
     LeaderMoved = 2010, Info;
+    /// A new leader has applied all that earlier leaders have committed.
+    LeaderCaughtUp = 2011, Info;
     /// A frame from a peer could not be read; the link was closed.
     FrameRefused = 3001, Warn;
     /// A connection was refused since the limit is reached.
@@ -109,6 +111,8 @@
     ReplicaLeftAlone = 4114, Warn;
     /// A tenant has used up most of what its limit allows.
     LimitPressed = 4115, Info;
+    /// A new leader counts what earlier leaders have noted as issued towards the limits of tenants.
+    PermitsInherited = 4116, Info;
     /// Replicas became cold or warm, as the leader knows it.
     ColdReplicasChanged = 4121, Info;
     /// Engine memory of an ended program was released.
