Test: a limit that is used up stays so when all ledger machines lose power (red)

A ledger machine restarts with its log, wins the election, and is asked for a reservation before its peer has acknowledged an entry.

--- /dev/null
+++ b/crates/ledger/tests/new_leader.rs
@@ -0,0 +1,80 @@
+//! What a machine that has just won an election may decide.
+//!
+//! All machines of the ledger lost power while tenants pressed on their limits. Within 5 s of that
+//! moment, before and after, a tenant had 94 requests run where its limit allows 93 with all that
+//! may come on top. What leaders issue is noted in the log. The machine that won the next election
+//! told its tasks that it leads 28 ms before it had applied its log: a leader knows what earlier
+//! ones have committed only once an entry of its own is. Reservations that waited for a leader came
+//! in between, the desk of limits began the term with what the last snapshot held, and
+//! issued anew what had been issued since. The log lines that settled it, all of term 2:
+//!
+//! ```text
+//! 11.2719 store-hala-a-1 BecameLeader
+//! 11.2719 store-hala-a-1 PermitsInherited newest_note=827
+//! 11.2999 store-hala-a-1 LeaderCaughtUp after_us=28472 newest_permit_note=947
+//! ```
+
+mod support;
+
+use std::time::Duration;
+
+use calicohoist_ledger::commands::{Command, ReserveTurn};
+use calicohoist_ledger::protocol::{Answer, Question};
+use calicohoist_ledger::server::replica::{Request, Response};
+use calicohoist_limiter::{IssuedPermits, LimitTolerance, PermitAnswer, PermitRequest};
+use calicohoist_routing::RateLimit;
+use calicohoist_types::TenantId;
+use support::{Asker, OnCommand, Pair, SHORT};
+
+/// Longer than any test.
+const TOLERANCE: LimitTolerance =
+    LimitTolerance { window: Duration::from_secs(600), overshoot: 0.0, slack: 0.0 };
+/// Less the reserve for changes of leader, [`ISSUABLE`] requests in a window.
+const LIMIT: RateLimit = RateLimit { per_second: 0.0, burst: 13.0 };
+const ISSUABLE: u32 = 10;
+
+fn permit() -> PermitRequest {
+    PermitRequest { tenant: TenantId::new("t"), limit: LIMIT, configuration: 1, spare: 0 }
+}
+
+fn reservation(turn: &str) -> Question {
+    let reserve = ReserveTurn {
+        program: None,
+        turn: turn.to_owned(),
+        most_tokens: 1,
+        budget: u64::MAX,
+        previous: None,
+        retention_ms: 1_000,
+    };
+    Question::Reserve { reserve, placement: None, permit: Some(permit()) }
+}
+
+/// A machine that has lost power, and whose log holds that the limit of a tenant is used up.
+async fn restarted() -> Pair {
+    let mut pair = Pair::open(tempfile::tempdir().expect("a folder"), TOLERANCE);
+    pair.follow(None).await;
+    let issued = vec![IssuedPermits { tenant: TenantId::new("t"), count: ISSUABLE }];
+    let note = Request::Change(Command::NotePermits { issued, elapsed_ms: 0 });
+    let (response, _) = pair.ask(note, OnCommand::Acknowledge).await;
+    assert!(matches!(response, Response::Changed(_)), "{response:?}");
+    Pair::open(pair.stop().await, TOLERANCE)
+}
+
+#[tokio::test]
+async fn a_limit_that_is_used_up_stays_so_when_all_lose_power() {
+    let mut pair = restarted().await;
+    let mut asker = Asker::connect(pair.serve_gateways().await).await;
+    pair.elect().await;
+    asker.send(reservation("first")).await;
+    tokio::time::sleep(SHORT).await;
+    let first = pair.follow_while(asker.answer()).await;
+    assert!(!runs(&first), "{first:?}");
+    // Whatever was said to that one, a later one is refused for its limit.
+    asker.send(reservation("second")).await;
+    let second = pair.follow_while(asker.answer()).await;
+    assert!(matches!(second, Answer::Permit(PermitAnswer::OverLimit(_))), "{second:?}");
+}
+
+fn runs(answer: &Answer) -> bool {
+    matches!(answer, Answer::Reserved { permit: Some(PermitAnswer::Granted(_)), .. })
+}
--- /dev/null
+++ b/crates/ledger/tests/support/mod.rs
@@ -0,0 +1,263 @@
+//! A ledger machine whose peer the test plays.
+
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, mpsc as std_mpsc};
+use std::time::Duration;
+
+use calicohoist_ledger::protocol::{Answer, Ask, Question, Reply};
+use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
+use calicohoist_ledger::server::gateways::{self, Hub, HubPlace};
+use calicohoist_ledger::server::limits::LimitDesk;
+use calicohoist_ledger::server::list::Reading;
+use calicohoist_ledger::server::peers::Outgoing;
+use calicohoist_ledger::server::replica::{
+    Desks, ReplicaHandle, ReplicaThread, Request, Response, Standing,
+};
+use calicohoist_ledger::server::turns::TurnDesk;
+use calicohoist_ledger::server::{LedgerSettings, Ports, machine_number};
+use calicohoist_limiter::LimitTolerance;
+use calicohoist_replication::{EntryKind, GroupId, GroupMessage, Message, ReplicaId};
+use calicohoist_transport::{FrameReader, encode_frame};
+use hyper::{Method, StatusCode};
+use tempfile::TempDir;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+
+const LOCAL: Ipv4Addr = Ipv4Addr::LOCALHOST;
+const PEER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+const AWAY: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 3);
+/// Only a test that fails takes so long.
+pub const LONG: Duration = Duration::from_secs(60);
+/// What was sent has been taken then. A leader without its peer goes on for longer.
+pub const SHORT: Duration = Duration::from_millis(50);
+
+struct NoOperator;
+
+impl ControlCodec for NoOperator {
+    fn parse(&self, _: &Method, _: &str, _: &[u8]) -> Result<ControlCall, CallError> {
+        Err(CallError::Unknown)
+    }
+
+    fn render(&self, _: &ControlOutcome) -> (StatusCode, Vec<u8>) {
+        (StatusCode::NOT_FOUND, Vec::new())
+    }
+}
+
+fn settings(folder: &TempDir) -> LedgerSettings {
+    LedgerSettings {
+        name: "store-1".to_owned(),
+        ip: LOCAL,
+        seeds: vec![LOCAL, PEER, AWAY],
+        bootstrap: true,
+        data_folder: folder.path().to_owned(),
+        ports: Ports { peers: 0, gateways: 0, control: 0 },
+        raft: LedgerSettings::raft_for(1),
+        tolerated_losses: 1,
+        list: None,
+        list_interval: LedgerSettings::LIST_INTERVAL,
+        control: Arc::new(NoOperator),
+        limit_tolerance: Default::default(),
+        zone: "a".to_owned(),
+        topology: Arc::default(),
+        cold_tolerance: Default::default(),
+    }
+}
+
+/// How the peer answers an entry that carries a command.
+pub enum OnCommand {
+    Acknowledge,
+    /// The follower acknowledges, and stands for election in the next term with it.
+    AcknowledgeAndCampaign,
+}
+
+/// The machine under test with one peer; the third one is away.
+pub struct Pair {
+    pub handle: ReplicaHandle,
+    pub standing: watch::Receiver<Standing>,
+    turns: Arc<TurnDesk>,
+    limits: Arc<LimitDesk>,
+    frames: mpsc::Receiver<Outgoing>,
+    ended: oneshot::Receiver<String>,
+    folder: TempDir,
+}
+
+impl Pair {
+    pub fn start() -> Self {
+        Self::open(tempfile::tempdir().expect("a folder"), LimitTolerance::default())
+    }
+
+    /// Starts the machine with what its folder holds.
+    pub fn open(folder: TempDir, tolerance: LimitTolerance) -> Self {
+        let (out, frames) = mpsc::channel(1_024);
+        let (turns, limits) = (Arc::default(), Arc::new(LimitDesk::new(tolerance)));
+        let desks =
+            Desks { turns: Arc::clone(&turns), limits: Arc::clone(&limits), loads: Arc::default() };
+        let thread = ReplicaThread::open(&settings(&folder), out, desks).expect("opens");
+        let (handle, standing, ended) = thread.start().expect("starts");
+        Self { handle, standing, turns, limits, frames, ended, folder }
+    }
+
+    /// Ends the machine; returns its folder.
+    pub async fn stop(self) -> TempDir {
+        let Self { handle, ended, folder, .. } = self;
+        drop(handle);
+        let end = tokio::time::timeout(LONG, ended).await.expect("in time");
+        assert!(end.is_err(), "{end:?}");
+        folder
+    }
+
+    /// Serves gateways; returns the address.
+    pub async fn serve_gateways(&self) -> SocketAddr {
+        let listener = TcpListener::bind((LOCAL, 0)).await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let (_, list) = watch::channel(Reading::default());
+        let place =
+            HubPlace { zone: "a".to_owned(), topology: Arc::default(), loads: Arc::default() };
+        let (turns, limits) = (Arc::clone(&self.turns), Arc::clone(&self.limits));
+        let hub = Hub::new(self.handle.clone(), self.standing.clone(), list, turns, limits, place);
+        tokio::spawn(gateways::accept(listener, hub));
+        address
+    }
+
+    fn peer() -> ReplicaId {
+        ReplicaId { machine: machine_number(PEER), disk: 0 }
+    }
+
+    fn send(&self, messages: Vec<Message>) {
+        let group = GroupId(0);
+        let in_group = |message| GroupMessage { group, message };
+        self.handle.frame(Self::peer(), messages.into_iter().map(in_group).collect());
+    }
+
+    /// The next messages to the peer.
+    async fn messages(&mut self) -> Vec<Message> {
+        loop {
+            let frame = tokio::time::timeout(LONG, self.frames.recv()).await;
+            let frame = frame.expect("in time").expect("the thread runs");
+            if frame.to == Self::peer() {
+                return frame.messages.into_iter().map(|message| message.message).collect();
+            }
+        }
+    }
+
+    /// Plays the peer until a command has been acknowledged, or the machine leads.
+    pub async fn follow(&mut self, on_command: Option<OnCommand>) {
+        loop {
+            if on_command.is_none() && self.standing.borrow().is_leader {
+                return;
+            }
+            for message in self.messages().await {
+                if self.answer(message, on_command.as_ref()) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Plays a peer that votes for the machine, and acknowledges no entry of its term. None of
+    /// what is in its log is known to be committed then.
+    pub async fn elect(&mut self) {
+        loop {
+            for message in self.messages().await {
+                if matches!(message, Message::Append { .. }) {
+                    tokio::time::sleep(SHORT).await;
+                    return;
+                }
+                self.answer(message, None);
+            }
+        }
+    }
+
+    /// Plays the peer for as long as somebody waits for something.
+    pub async fn follow_while<T>(&mut self, waits: impl Future<Output = T>) -> T {
+        let mut waits = std::pin::pin!(waits);
+        loop {
+            tokio::select! {
+                done = &mut waits => return done,
+                messages = self.messages() => {
+                    for message in messages {
+                        self.answer(message, None);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns whether it acknowledged a command.
+    fn answer(&self, message: Message, on_command: Option<&OnCommand>) -> bool {
+        match message {
+            Message::Vote { term, pre, .. } => {
+                self.send(vec![Message::VoteReply { term, granted: true, pre }]);
+                false
+            }
+            Message::Append { term, previous_index, entries, round, .. } => {
+                let matched = previous_index + entries.len() as u64;
+                let is_command =
+                    entries.iter().any(|entry| matches!(entry.kind, EntryKind::Command(_)));
+                let reply = Message::AppendReply { term, matched, refused: None, round };
+                let campaign = Message::Vote {
+                    term: term + 1,
+                    last_index: matched,
+                    last_term: term,
+                    pre: false,
+                    transfer: true,
+                };
+                match on_command.filter(|_| is_command) {
+                    Some(OnCommand::AcknowledgeAndCampaign) => self.send(vec![reply, campaign]),
+                    _ => self.send(vec![reply]),
+                }
+                is_command && on_command.is_some()
+            }
+            _ => false,
+        }
+    }
+
+    /// Asks, and returns the response with what was known to all as it was given.
+    pub async fn ask(&mut self, request: Request, on_command: OnCommand) -> (Response, Standing) {
+        let (answered, answer) = std_mpsc::channel();
+        let standing = self.standing.clone();
+        let respond = move |response| {
+            let known = standing.borrow().clone();
+            let _ = answered.send((response, known));
+        };
+        self.handle.ask(request, Box::new(respond));
+        self.follow(Some(on_command)).await;
+        tokio::task::spawn_blocking(move || answer.recv_timeout(LONG).expect("answered"))
+            .await
+            .expect("no panic")
+    }
+}
+
+/// A gateway's connection.
+pub struct Asker {
+    frames: FrameReader<OwnedReadHalf>,
+    output: OwnedWriteHalf,
+    number: u64,
+}
+
+impl Asker {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("listens");
+        let (input, output) = stream.into_split();
+        Self { frames: FrameReader::new(input), output, number: 0 }
+    }
+
+    pub async fn send(&mut self, question: Question) {
+        self.number += 1;
+        let ask = Ask { number: self.number, question };
+        let frame = encode_frame(&ask).expect("encodes");
+        self.output.write_all(&frame).await.expect("written");
+    }
+
+    /// The answer to the question that was asked last.
+    pub async fn answer(&mut self) -> Answer {
+        let reply = tokio::time::timeout(LONG, self.frames.next()).await.expect("in time");
+        let Reply { number, answer } = reply.expect("answered");
+        assert_eq!(number, self.number);
+        answer
+    }
+}
