Test: a machine that is needed is not emptied after a loss of power (red)

A placement asked for before the log is applied waits for the gateways' reports and is not wrong (played and left out).

--- a/crates/ledger/tests/new_leader.rs
+++ b/crates/ledger/tests/new_leader.rs
@@ -18,7 +18,7 @@
 
 use std::time::Duration;
 
-use calicohoist_ledger::commands::{Command, ReserveTurn};
+use calicohoist_ledger::commands::{Command, ReserveTurn, RetiringOutcome};
 use calicohoist_ledger::protocol::{Answer, Question};
 use calicohoist_ledger::server::replica::{Request, Response};
 use calicohoist_limiter::{IssuedPermits, LimitTolerance, PermitAnswer, PermitRequest};
@@ -49,20 +49,24 @@
     Question::Reserve { reserve, placement: None, permit: Some(permit()) }
 }
 
-/// A machine that has lost power, and whose log holds that the limit of a tenant is used up.
-async fn restarted() -> Pair {
+/// A machine that has lost power after a command was committed.
+async fn restarted_after(command: Command) -> Pair {
     let mut pair = Pair::open(tempfile::tempdir().expect("a folder"), TOLERANCE);
-    pair.follow(None).await;
-    let issued = vec![IssuedPermits { tenant: TenantId::new("t"), count: ISSUABLE }];
-    let note = Request::Change(Command::NotePermits { issued, elapsed_ms: 0 });
-    let (response, _) = pair.ask(note, OnCommand::Acknowledge).await;
+    pair.follow().await;
+    let (response, _) = pair.ask(Request::Change(command), OnCommand::Acknowledge).await;
     assert!(matches!(response, Response::Changed(_)), "{response:?}");
     Pair::open(pair.stop().await, TOLERANCE)
 }
 
+/// The limit of a tenant is used up.
+fn note_all() -> Command {
+    let issued = vec![IssuedPermits { tenant: TenantId::new("t"), count: ISSUABLE }];
+    Command::NotePermits { issued, elapsed_ms: 0 }
+}
+
 #[tokio::test]
 async fn a_limit_that_is_used_up_stays_so_when_all_lose_power() {
-    let mut pair = restarted().await;
+    let mut pair = restarted_after(note_all()).await;
     let mut asker = Asker::connect(pair.serve_gateways().await).await;
     pair.elect().await;
     asker.send(reservation("first")).await;
@@ -75,6 +79,18 @@
     assert!(matches!(second, Answer::Permit(PermitAnswer::OverLimit(_))), "{second:?}");
 }
 
+/// The same with the machines that must remain: the log names this one, one of three.
+#[tokio::test]
+async fn a_machine_that_is_needed_stays_when_all_lose_power() {
+    let mut pair = restarted_after(note_all()).await;
+    pair.elect().await;
+    let handle = pair.handle.clone();
+    let retire = handle.call(Request::Retire("store-1".to_owned()));
+    let response = pair.follow_while(retire).await;
+    let is_accepted = matches!(response, Response::Retiring(RetiringOutcome::Accepted));
+    assert!(!is_accepted, "{response:?}");
+}
+
 fn runs(answer: &Answer) -> bool {
     matches!(answer, Answer::Reserved { permit: Some(PermitAnswer::Granted(_)), .. })
 }
--- a/crates/ledger/tests/order.rs
+++ b/crates/ledger/tests/order.rs
@@ -11,7 +11,7 @@
 #[tokio::test]
 async fn a_drain_is_known_to_all_before_it_is_acknowledged() {
     let mut pair = Pair::start();
-    pair.follow(None).await;
+    pair.follow().await;
     let drain = Request::Change(Command::DrainZone { zone: Zone::new("a") });
     let (response, known) = pair.ask(drain, OnCommand::Acknowledge).await;
     assert!(matches!(response, Response::Changed(_)), "{response:?}");
@@ -22,7 +22,7 @@
 #[tokio::test]
 async fn a_reservation_is_answered_in_the_term_that_granted_it() {
     let mut pair = Pair::start();
-    pair.follow(None).await;
+    pair.follow().await;
     let term = pair.standing.borrow().term;
     let reserve = ReserveTurn {
         program: None,
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, mpsc as std_mpsc};
 use std::time::Duration;
 
+use calicohoist_ledger::commands::Command;
 use calicohoist_ledger::protocol::{Answer, Ask, Question, Reply};
 use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
 use calicohoist_ledger::server::gateways::{self, Hub, HubPlace};
@@ -18,8 +19,9 @@
 use calicohoist_ledger::server::turns::TurnDesk;
 use calicohoist_ledger::server::{LedgerSettings, Ports, machine_number};
 use calicohoist_limiter::LimitTolerance;
-use calicohoist_replication::{EntryKind, GroupId, GroupMessage, Message, ReplicaId};
+use calicohoist_replication::{Entry, EntryKind, GroupId, GroupMessage, Message, ReplicaId};
 use calicohoist_transport::{FrameReader, encode_frame};
+use calicohoist_wire::encode;
 use hyper::{Method, StatusCode};
 use tempfile::TempDir;
 use tokio::io::AsyncWriteExt;
@@ -74,6 +76,31 @@
     AcknowledgeAndCampaign,
 }
 
+/// A command that the test has asked for. A leader proposes others by itself.
+struct AwaitedCommand {
+    encoded: Vec<u8>,
+    then: OnCommand,
+}
+
+impl AwaitedCommand {
+    fn new(request: &Request, then: OnCommand) -> Self {
+        let command = match request {
+            Request::Change(command) => command.clone(),
+            Request::Reserve(reserve) => Command::Reserve(reserve.clone()),
+            other => panic!("no command: {other:?}"),
+        };
+        Self { encoded: encode(&command).expect("encodes"), then }
+    }
+
+    fn is_among(&self, entries: &[Entry]) -> bool {
+        let is_it = |entry: &Entry| match &entry.kind {
+            EntryKind::Command(command) => command[..] == self.encoded[..],
+            _ => false,
+        };
+        entries.iter().any(is_it)
+    }
+}
+
 /// The machine under test with one peer; the third one is away.
 pub struct Pair {
     pub handle: ReplicaHandle,
@@ -144,18 +171,11 @@
         }
     }
 
-    /// Plays the peer until a command has been acknowledged, or the machine leads.
-    pub async fn follow(&mut self, on_command: Option<OnCommand>) {
-        loop {
-            if on_command.is_none() && self.standing.borrow().is_leader {
-                return;
-            }
-            for message in self.messages().await {
-                if self.answer(message, on_command.as_ref()) {
-                    return;
-                }
-            }
-        }
+    /// Plays the peer until the machine leads.
+    pub async fn follow(&mut self) {
+        let mut standing = self.standing.clone();
+        let leads = standing.wait_for(|standing| standing.is_leader);
+        self.follow_while(leads).await.expect("the thread runs");
     }
 
     /// Plays a peer that votes for the machine, and acknowledges no entry of its term. None of
@@ -187,8 +207,8 @@
         }
     }
 
-    /// Returns whether it acknowledged a command.
-    fn answer(&self, message: Message, on_command: Option<&OnCommand>) -> bool {
+    /// Returns whether it acknowledged the command that is awaited.
+    fn answer(&self, message: Message, awaited: Option<&AwaitedCommand>) -> bool {
         match message {
             Message::Vote { term, pre, .. } => {
                 self.send(vec![Message::VoteReply { term, granted: true, pre }]);
@@ -196,8 +216,6 @@
             }
             Message::Append { term, previous_index, entries, round, .. } => {
                 let matched = previous_index + entries.len() as u64;
-                let is_command =
-                    entries.iter().any(|entry| matches!(entry.kind, EntryKind::Command(_)));
                 let reply = Message::AppendReply { term, matched, refused: None, round };
                 let campaign = Message::Vote {
                     term: term + 1,
@@ -206,16 +224,28 @@
                     pre: false,
                     transfer: true,
                 };
-                match on_command.filter(|_| is_command) {
+                let came = awaited.filter(|awaited| awaited.is_among(&entries));
+                match came.map(|awaited| &awaited.then) {
                     Some(OnCommand::AcknowledgeAndCampaign) => self.send(vec![reply, campaign]),
-                    _ => self.send(vec![reply]),
+                    Some(OnCommand::Acknowledge) | None => self.send(vec![reply]),
                 }
-                is_command && on_command.is_some()
+                came.is_some()
             }
             _ => false,
         }
     }
 
+    /// Plays the peer until it has acknowledged the command that is awaited.
+    async fn follow_up_to(&mut self, awaited: &AwaitedCommand) {
+        loop {
+            for message in self.messages().await {
+                if self.answer(message, Some(awaited)) {
+                    return;
+                }
+            }
+        }
+    }
+
     /// Asks, and returns the response with what was known to all as it was given.
     pub async fn ask(&mut self, request: Request, on_command: OnCommand) -> (Response, Standing) {
         let (answered, answer) = std_mpsc::channel();
@@ -224,8 +254,9 @@
             let known = standing.borrow().clone();
             let _ = answered.send((response, known));
         };
+        let awaited = AwaitedCommand::new(&request, on_command);
         self.handle.ask(request, Box::new(respond));
-        self.follow(Some(on_command)).await;
+        self.follow_up_to(&awaited).await;
         tokio::task::spawn_blocking(move || answer.recv_timeout(LONG).expect("answered"))
             .await
             .expect("no panic")
