A machine leads for its tasks once it has applied what earlier leaders committed

Its tasks were told of the leadership before. The early refusal of reservations began the term of the desk of limits with that state and issued anew what was noted since; emptying a machine was weighed without the names and retirements.

Change: leadership is published with the first entry of the term that is committed, and emptying a machine is refused until then. Proposals and reads with a quorum behind them are taken from the election on, as before.

Ruled out by reading: placements (they wait for the gateways' reports), configuration, drains and limits in reads (they wait for the commit), enrolment and eviction (repeated when applied).

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -283,10 +283,10 @@
                 let command = Command::Reserve(reserve.clone());
                 self.propose(&command, Pending::Reserve(reserve, respond));
             }
-            Request::Retire(name) => {
-                let command = self.retire_command(name);
-                self.propose(&command, Pending::Retire(respond));
-            }
+            Request::Retire(name) => match self.retire_command(name) {
+                Some(command) => self.propose(&command, Pending::Retire(respond)),
+                None => self.refuse(Pending::Retire(respond)),
+            },
             Request::ReadConfiguration { newer_than } => {
                 self.read(Pending::ReadConfiguration { newer_than, respond });
             }
@@ -295,7 +295,10 @@
         }
     }
 
-    fn retire_command(&self, name: String) -> Command {
+    /// The command that empties a machine; `None` while it is not known here which are emptied
+    /// already.
+    fn retire_command(&self, name: String) -> Option<Command> {
+        self.node.raft(GROUP).filter(|raft| raft.has_committed_in_term())?;
         let machines = self.node.machine(GROUP).map(LedgerState::machines);
         let retiring = machines.map(|machines| machines.retiring_numbers()).unwrap_or_default();
         let number = machines.and_then(|machines| machines.number(&name));
@@ -305,7 +308,7 @@
         let standbys = standbys.unwrap_or_default();
         let remaining = self.standing.machines.iter().chain(&standbys).filter(stays).count();
         let must_remain = 2 * self.tolerated_losses + 1;
-        Command::Retire { name, remaining, must_remain }
+        Some(Command::Retire { name, remaining, must_remain })
     }
 
     fn propose(&mut self, command: &Command, asker: Pending) {
@@ -647,10 +650,12 @@
             return;
         };
         let configuration = self.node.machine(GROUP).map(|state| state.configuration().version);
+        let is_leader = raft.has_committed_in_term();
+        let leader = raft.leader().filter(|_| is_leader || !raft.is_leader());
         let standing = Standing {
             term: raft.term(),
-            leader: raft.leader().map(|leader| leader.machine),
-            is_leader: raft.is_leader(),
+            leader: leader.map(|leader| leader.machine),
+            is_leader,
             configuration: configuration.unwrap_or_default(),
             machines: raft.member_machines(),
             drained: Arc::clone(&self.standing.drained),
