--- a/crates/limiter/tests/limits.rs
+++ b/crates/limiter/tests/limits.rs
@@ -7,7 +7,9 @@
 use calicohoist_routing::RateLimit;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use support::{APPLY, Demand, Flaw, Trouble, Way, World, tolerance, traffic, worst_excess};
+use support::{
+    APPLY, Demand, Flaw, Trouble, Way, World, delayed, tolerance, traffic, worst_excess,
+};
 
 const GATEWAYS: usize = 12;
 const SECONDS: f64 = 24.0;
@@ -78,6 +80,19 @@
         }
     }
 
+    /// A request goes to its replica up to the life of its permit after that was issued.
+    #[test]
+    fn requests_that_are_sent_late_stay_within_the_limit(
+        demands in demands(), troubles in troubles(), seed in any::<u64>(),
+    ) {
+        let traffic = delayed(traffic(&demands, GATEWAYS, SECONDS, seed), seed);
+        let world = World::new(Way::LeasedLearned, Flaw::None, &demands, GATEWAYS);
+        for (tenant, ran) in &world.play(&traffic, &troubles).ran {
+            let excess = worst_excess(ran, demands[*tenant].limit, Duration::ZERO);
+            prop_assert!(excess <= 0.0, "tenant {tenant}: over by {excess}");
+        }
+    }
+
     /// A lower limit binds one window after the gateways know it.
     #[test]
     fn a_lowered_limit_binds(
--- a/crates/limiter/tests/support/mod.rs
+++ b/crates/limiter/tests/support/mod.rs
@@ -73,6 +73,9 @@
     pub program: usize,
     pub is_turn: bool,
     pub is_first: bool,
+    /// How long after its permit was asked for it goes to a replica: a replica that takes no more
+    /// work comes first, or a connection that is not there yet.
+    pub delay: Duration,
 }
 
 /// What happens beside requests.
@@ -123,6 +126,7 @@
                     program,
                     is_turn: true,
                     is_first: true,
+                    delay: Duration::ZERO,
                 },
             );
             program += 1;
@@ -132,6 +136,20 @@
     sent
 }
 
+/// The same, with some requests that are delayed for nearly as long as a permit holds.
+pub fn delayed(mut traffic: Vec<Sent>, seed: u64) -> Vec<Sent> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let longest = tolerance().permit_life();
+    for sent in &mut traffic {
+        // Spells of trouble, so that many are late one after the other.
+        let is_troubled = (sent.at.as_secs_f64() * 0.7).fract() < 0.4;
+        if is_troubled {
+            sent.delay = longest.mul_f64(rng.random_range(0.0..1.0));
+        }
+    }
+    traffic
+}
+
 fn add_program(sent: &mut Vec<Sent>, rng: &mut ChaCha8Rng, begins: f64, first: Sent) {
     let turns = rng.random_range(2..12);
     let mut at = begins;
@@ -230,7 +248,11 @@
             if let Some(hold) = self.run(sent) {
                 begun.insert(sent.program);
                 self.outcome.held += usize::from(!hold.is_zero());
-                self.outcome.ran.entry(sent.tenant).or_default().push(sent.at + hold);
+                self.outcome
+                    .ran
+                    .entry(sent.tenant)
+                    .or_default()
+                    .push(sent.at + hold.max(sent.delay));
             } else {
                 self.outcome.refused += 1;
                 cut.insert(sent.program);
