A permit is counted until what was sent with it has left the window

Cause: the leader counted the permit of a turn, or of a call that asked, for a window from its issue; it is sent up to 500 ms later. A call that took a permit in advance could be sent at any time within its own deadline, and a connection that took long was not looked at. Change: all permits of a tenant are in one window that is longer by their life; nothing is sent once the permit has ended, and another one is asked for.

--- a/crates/limiter/src/account.rs
+++ b/crates/limiter/src/account.rs
@@ -47,10 +47,7 @@
     configuration: u64,
     /// `None` before anything but what an earlier leader issued is known.
     limit: Option<RateLimit>,
-    /// Permits for requests that were sent at once.
-    spent: IssueWindow,
-    /// Permits for later requests.
-    advance: IssueWindow,
+    issued: IssueWindow,
     /// Permits that were issued and are not known to be noted.
     unnoted: u32,
     /// Those of them that nobody is noting yet.
@@ -72,8 +69,7 @@
             tolerance,
             configuration: 0,
             limit: None,
-            spent: IssueWindow::default(),
-            advance: IssueWindow::default(),
+            issued: IssueWindow::default(),
             unnoted: 0,
             to_note: 0,
             programs: HashMap::new(),
@@ -86,7 +82,7 @@
 
     /// Takes in what an earlier leader has issued at some time.
     pub fn inherit(&mut self, count: u32, at: Instant) {
-        self.advance.add(count, at);
+        self.issued.add(count, at);
     }
 
     /// Takes the limit of a configuration, if that is the newest one so far.
@@ -151,7 +147,7 @@
     /// before the limit is known.
     pub fn usage(&mut self, now: Instant) -> Option<(RateLimit, u64, usize)> {
         self.forget_ended(now);
-        Some((self.limit?, self.issued(now), self.programs.len()))
+        Some((self.limit?, self.in_window(now), self.programs.len()))
     }
 
     fn issuable(&self) -> f64 {
@@ -160,7 +156,7 @@
 
     /// Permits that may be issued now.
     fn left(&mut self, now: Instant) -> f64 {
-        self.issuable() - self.issued(now) as f64
+        self.issuable() - self.in_window(now) as f64
     }
 
     /// How long it takes until one permit more may be issued. What was issued for a later time
@@ -170,8 +166,7 @@
         if missing <= 0.0 {
             return Duration::ZERO;
         }
-        // Permits for later requests are few when there is no room; they are not counted on.
-        self.spent.time_until_gone(missing.ceil() as u64, self.tolerance.window, now)
+        self.issued.time_until_gone(missing.ceil() as u64, self.tolerance.counted_for(), now)
     }
 
     /// Permits that may be issued before any of the others is noted.
@@ -183,17 +178,14 @@
 
     /// Issues a permit for a request that is sent now, and some for later ones.
     fn issue(&mut self, spare: u32, now: Instant) {
-        self.spent.add(1, now);
-        self.advance.add(spare, now);
+        self.issued.add(1 + spare, now);
         self.unnoted += 1 + spare;
         self.to_note += 1 + spare;
     }
 
     /// Permits that count towards the present window.
-    fn issued(&mut self, now: Instant) -> u64 {
-        let LimitTolerance { window, .. } = self.tolerance;
-        let life = self.tolerance.permit_life();
-        self.spent.total(window, now) + self.advance.total(window + life, now)
+    fn in_window(&mut self, now: Instant) -> u64 {
+        self.issued.total(self.tolerance.counted_for(), now)
     }
 
     fn is_pressing(&mut self, now: Instant) -> bool {
@@ -205,8 +197,8 @@
         self.forget_ended(now);
         let programs = self.programs.len() + 1;
         let needed = programs as f64 * self.program_rate * LOOK_AHEAD.as_secs_f64();
-        let stays = self.tolerance.window.saturating_sub(LOOK_AHEAD);
-        let gone = self.spent.older_than(stays, now) + self.advance.older_than(stays, now);
+        let stays = self.tolerance.counted_for().saturating_sub(LOOK_AHEAD);
+        let gone = self.issued.older_than(stays, now);
         needed <= self.left(now) + gone as f64
     }
 
@@ -256,7 +248,8 @@
         };
         let apart = window.mul_f64((needed / self.issuable().max(1.0)).min(1.0));
         let missing = (needed - self.left(now)).max(1.0);
-        let room = now + self.spent.time_until_gone(missing as u64, window, now);
+        let room =
+            now + self.issued.time_until_gone(missing as u64, self.tolerance.counted_for(), now);
         let next = self.next_return.max(room) + apart;
         self.next_return = next.min(now + window);
         self.next_return - now
--- a/crates/limiter/src/purse.rs
+++ b/crates/limiter/src/purse.rs
@@ -45,17 +45,16 @@
 }
 
 impl PermitPurse {
-    /// Spends one permit on a request that is no turn; `false` when there is none.
-    pub fn spend(&mut self, tenant: &TenantId, now: Instant) -> bool {
+    /// Spends one permit on a request that is no turn; returns until when it must be sent, `None`
+    /// when there is no permit.
+    pub fn spend(&mut self, tenant: &TenantId, now: Instant) -> Option<Instant> {
         let purse = self.tenants.entry(tenant.clone()).or_default();
         purse.since_turn += 1;
         purse.permits.retain(|permits| permits.until > now && permits.count > 0);
         // What ends first goes first.
-        let Some(first) = purse.permits.iter_mut().min_by_key(|permits| permits.until) else {
-            return false;
-        };
+        let first = purse.permits.iter_mut().min_by_key(|permits| permits.until)?;
         first.count -= 1;
-        true
+        Some(first.until)
     }
 
     /// Notes a turn; returns how many permits are wanted for the requests after it.
--- a/crates/limiter/src/tolerance.rs
+++ b/crates/limiter/src/tolerance.rs
@@ -6,8 +6,8 @@
 //!
 //! - A leader notes in the log what it issues, a little later. The next one does not know
 //!   the rest, which is [`LimitTolerance::most_unnoted`] at most for each change of leader.
-//! - A permit for later requests is spent up to [`LimitTolerance::permit_life`] after it was
-//!   issued; it is counted for that much longer.
+//! - A request is sent up to [`LimitTolerance::permit_life`] after its permit was issued; the
+//!   permit is counted for that much longer.
 
 use std::time::Duration;
 
@@ -45,11 +45,16 @@
     /// such a window and the life of a permit in it, and a third more.
     pub const LONGEST_WINDOW: Duration = Duration::from_secs(10);
 
-    /// Time from the asking for a permit in advance to its end.
+    /// Time from the asking for a permit to its end: nothing is sent with it afterwards.
     pub fn permit_life(&self) -> Duration {
         self.window.mul_f64(self.overshoot.clamp(0.0, 1.0))
     }
 
+    /// How long a permit counts: until a request that was sent with it has left the window.
+    pub fn counted_for(&self) -> Duration {
+        self.window + self.permit_life()
+    }
+
     /// Requests that a window holds at most by the limit alone; one at least.
     pub fn allowed(&self, limit: RateLimit) -> f64 {
         (limit.per_second * self.window.as_secs_f64() + limit.burst).max(1.0)
--- a/crates/limiter/tests/support/mod.rs
+++ b/crates/limiter/tests/support/mod.rs
@@ -248,11 +248,7 @@
             if let Some(hold) = self.run(sent) {
                 begun.insert(sent.program);
                 self.outcome.held += usize::from(!hold.is_zero());
-                self.outcome
-                    .ran
-                    .entry(sent.tenant)
-                    .or_default()
-                    .push(sent.at + hold.max(sent.delay));
+                self.outcome.ran.entry(sent.tenant).or_default().push(sent.at + hold);
             } else {
                 self.outcome.refused += 1;
                 cut.insert(sent.program);
@@ -361,8 +357,8 @@
             let learned = purse.note_turn(&tenant, now);
             return self.ask(sent, spare.unwrap_or(learned), is_cut, now);
         }
-        if purse.spend(&tenant, now) {
-            return Some(Duration::ZERO);
+        if let Some(until) = purse.spend(&tenant, now) {
+            return Some(sent.delay.min(until - now));
         }
         self.ask(sent, 0, is_cut, now)
     }
@@ -406,7 +402,7 @@
                     grant.permits += 40;
                 }
                 gateway.purse.put(&tenant, grant, now, now);
-                Some(hold)
+                Some(hold.max(sent.delay))
             }
             PermitAnswer::OverLimit(_) => None,
         }
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -127,7 +127,8 @@
         let patience = call.attempt_deadline(trail.attempts);
         let began = Instant::now();
         log_sent(app, call, &member, trail.permit);
-        let result = exchange(&app.pool, dialect, &member, &outgoing, send_by, patience).await;
+        let latest = send_by.into_iter().chain(trail.permit.until()).min();
+        let result = exchange(&app.pool, dialect, &member, &outgoing, latest, patience).await;
         let error = match result {
             Ok(exchange) => {
                 if send_by.is_some() {
@@ -147,6 +148,12 @@
             attempts = trail.attempts,
             after_ms = began.elapsed().as_millis(),
         );
+        let may_still_go = send_by.is_none_or(|send_by| Instant::now() < send_by);
+        if error == ExchangeError::Lapsed && may_still_go {
+            // Its permit ended while a connection was opened. Nothing speaks against the replica.
+            trail.permit.lapse();
+            continue;
+        }
         note_failed(app, call, &member, &error, trail)?;
         if trail.refused_at >= MAX_REPLICAS_ASKED {
             return Err(nobody_left(app, call, service, trail));
@@ -164,10 +171,14 @@
         other_load = other_load,
         list_age_ms = app.fleet.list_age().as_millis(),
         left_ms = call.left().as_millis(),
-        permit_left_ms = permit.left(Instant::now()).map_or(-1, |left| left.as_millis().cast_signed()),
+        permit_left_ms = permit.until().map_or(-1, ms_until),
     );
 }
 
+fn ms_until(then: Instant) -> i128 {
+    then.saturating_duration_since(Instant::now()).as_millis().cast_signed()
+}
+
 /// Notes an attempt without an answer, at the replica and in the trail.
 ///
 /// # Errors
--- a/crates/proxy/src/flow/permit.rs
+++ b/crates/proxy/src/flow/permit.rs
@@ -51,11 +51,11 @@
         }
     }
 
-    /// How long it still holds; `None` without a limit.
-    pub fn left(self, now: Instant) -> Option<Duration> {
+    /// When it ends; `None` without a limit.
+    pub fn until(self) -> Option<Instant> {
         match self {
             Self::Missing | Self::Unlimited => None,
-            Self::Until(until) => Some(until.saturating_duration_since(now)),
+            Self::Until(until) => Some(until),
         }
     }
 
@@ -84,10 +84,10 @@
         return Ok(Permit::Unlimited);
     };
     let now = Instant::now();
-    if app.purse.lock().spend(&request.tenant, now) {
+    let held = app.purse.lock().spend(&request.tenant, now);
+    if let Some(until) = held {
         PERMITS.count("held");
-        // It was spent here; how long it would have held does not matter any more.
-        return Ok(Permit::Until(call.deadline));
+        return Ok(Permit::Until(until));
     }
     PERMITS.count("asked");
     let deadline = now + untried_wait(call.left(), ASK_PATIENCE);
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -41,8 +41,8 @@
     /// Nothing was sent.
     #[error("no connection")]
     NotSent,
-    /// Nothing was sent: the time to send it to a cold replica was over.
-    #[error("placement at a cold replica lapsed")]
+    /// Nothing was sent: the time to send it was over.
+    #[error("too late to be sent")]
     Lapsed,
     /// The replica states that it did not run the request.
     #[error("the replica did not run it")]
