What is known of a replica belongs to one start; lists are read entry by entry

Cause: one entry that cannot be used made a reading fail, and with it every change of the list; what is known of a replica was kept by its identity, so a replica that starts again was believed to hold and run what died with it.

Change: the edge decodes identity and start into an Incarnation, which names the replica inside; loads, places, engine memory, cold, failures and connections are kept by it without further code. Lists are parted by their brackets and read entry by entry, strictly; what is left out is counted and logged in one line. The newest start of an identity counts, in whatever order lists come; entries that differ about one start are not used.

--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -5,10 +5,11 @@
 
 use calicohoist_discovery::ListedReplica;
 use calicohoist_routing::{
-    ColdChange, ColdReplicas, ColdWatch, DrainedZones, ReplicaList, Topology,
+    ColdChange, ColdReplicas, ColdWatch, DrainedZones, ListedStart, NewestStarts, ReplicaList,
+    Topology,
 };
 use calicohoist_scheduler::FleetView;
-use calicohoist_telemetry::metrics::Gauge;
+use calicohoist_telemetry::metrics::{Counter, Gauge};
 use calicohoist_telemetry::{Event, emit};
 use tokio::sync::watch;
 
@@ -21,6 +22,12 @@
     "Replicas that are cold, as the leader knows them",
 );
 
+static RESTARTS: Counter = Counter::new(
+    "calicohoist_ledger_replica_starts_total",
+    "Replicas that started again under their identity, and entries of earlier or unclear starts",
+    "outcome",
+);
+
 /// Replicas that one log line names: a whole region may start at once.
 const MOST_NAMED: usize = 8;
 
@@ -108,6 +115,7 @@
         return;
     };
     let (mut watched_term, mut watch) = (0, ColdWatch::default());
+    let mut starts = NewestStarts::default();
     loop {
         if standing.wait_for(|standing| standing.is_leader).await.is_err() {
             return;
@@ -119,13 +127,29 @@
         }
         let began = Instant::now();
         match reader.read().await {
-            Ok(replicas) => publish(&out, &mut watch, term, replicas, began),
+            Ok(listed) => {
+                let listed = newest_starts(&mut starts, listed);
+                publish(&out, &mut watch, term, listed, began);
+            }
             Err(error) => emit!(Event::PlatformUnreachable, "list of replicas: {error}"),
         }
         tokio::time::sleep(settings.list_interval.saturating_sub(began.elapsed())).await;
     }
 }
 
+/// The entries that count: the newest start of each replica.
+fn newest_starts(starts: &mut NewestStarts, listed: Vec<ListedReplica>) -> Vec<ListedReplica> {
+    let review = starts.take(listed.iter().map(|listed| &listed.replica));
+    let left_out = review.left_out();
+    RESTARTS.add("restarted", review.restarted as u64);
+    RESTARTS.add("left_out", left_out as u64);
+    if review.restarted > 0 {
+        emit!(Event::ReplicasRestarted; replicas = review.restarted, left_out = left_out);
+    }
+    let counts = review.entries.iter().map(|entry| *entry == ListedStart::Newest);
+    listed.into_iter().zip(counts).filter_map(|(listed, counts)| counts.then_some(listed)).collect()
+}
+
 fn publish(
     out: &watch::Sender<Reading>,
     watch: &mut ColdWatch,
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -7,8 +7,8 @@
 
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
-    Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, HomeRegions, Replica,
-    ReturnedZones, Topology, choose, stable_hash,
+    Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, HomeRegions, ListedStart,
+    NewestStarts, Replica, ReturnedZones, Topology, choose, stable_hash,
 };
 use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
 
@@ -124,6 +124,8 @@
     /// Zones whose replicas may have turned cold while they were drained.
     returned: RwLock<ReturnedZones>,
     services: RwLock<Arc<ByService>>,
+    /// The newest starts that lists have shown: those of two leaders may come in any order.
+    starts: Mutex<NewestStarts>,
     /// The same members in the order of the list.
     listed: RwLock<Vec<Arc<Member>>>,
     /// When the newest list known here was read, by whomever.
@@ -142,6 +144,7 @@
             cold: RwLock::default(),
             returned: RwLock::default(),
             services: RwLock::default(),
+            starts: Mutex::default(),
             listed: RwLock::default(),
             list_read: Mutex::default(),
             reporting: Mutex::default(),
@@ -154,12 +157,13 @@
 
     /// Replaces the list. What is known of replicas that stay is kept.
     pub fn update(&self, replicas: Vec<Replica>) {
+        let review = self.starts.lock().take(replicas.iter());
         let before = self.services.read().clone();
         let known: HashMap<&str, &Arc<Member>> =
             before.values().flatten().map(|member| (member.replica.id.as_str(), member)).collect();
         let mut services = ByService::new();
         let mut listed = Vec::with_capacity(replicas.len());
-        for replica in replicas {
+        for (replica, start) in replicas.into_iter().zip(review.entries) {
             let member = match known.get(replica.id.as_str()) {
                 Some(member) if member.replica == replica => Arc::clone(member),
                 Some(member) => Arc::new(member.with(replica)),
@@ -168,7 +172,11 @@
                     Arc::new(Member::new(replica, rank))
                 }
             };
+            // Loads go by the place in the list, so that each entry keeps its own.
             listed.push(Arc::clone(&member));
+            if start != ListedStart::Newest {
+                continue;
+            }
             services.entry(member.replica.service.clone()).or_default().push(member);
         }
         *self.listed.write() = listed;
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_routing::Incarnation;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -108,7 +109,7 @@
             pool.check_in(&replica.id, connection.sender, None);
             return Err(ExchangeError::Lapsed);
         }
-        let request = build(dialect, outgoing, &replica.id);
+        let request = build(dialect, outgoing, Incarnation::identity_of(&replica.id));
         let sending = connection.sender.try_send_request(request);
         let answered = tokio::time::timeout_at(patience.into(), sending).await;
         match answered {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`configuration`]: a whole, versioned configuration and what makes it valid;
 //! - [`table`]: from host and path to a route;
 //! - [`replica`]: the replicas of services, as discovery lists them;
+//! - [`incarnation`]: starts of replicas under one identity;
 //! - [`topology`]: where zones lie;
 //! - [`eligibility`]: which replicas may get a request at all;
 //! - [`homes`]: what is questionable about homes in a configuration;
@@ -16,6 +17,7 @@
 pub mod configuration;
 pub mod eligibility;
 pub mod homes;
+pub mod incarnation;
 pub mod replica;
 pub mod select;
 pub mod table;
@@ -29,6 +31,7 @@
 pub use configuration::{Backend, Configuration, Engine, Limits, Route, RouteKind, Service};
 pub use eligibility::{DrainedZones, Eligibility, EligibilityRules, HomeRegions};
 pub use homes::{HomeFindings, HomeOwner, HomeProblem, question_homes};
+pub use incarnation::{Incarnation, ListedStart, NewestStarts, StartReview, StartTime};
 pub use replica::{Replica, ReplicaList, ReplicaState};
 pub use select::{Affinity, Candidate, CostWeights, choose, stable_hash};
 pub use table::RouteTable;
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -13,10 +13,11 @@
     Draining,
 }
 
-/// One running replica of a service. Every start has an identity of its own.
+/// One running replica of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
-    /// Identity of this start.
+    /// Names this start, as [`Incarnation`](crate::Incarnation) shows it. Whatever is known of a
+    /// replica is kept by it, so that a later start under the same identity begins anew.
     pub id: String,
     /// Its service.
     pub service: String,
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -115,6 +115,8 @@
     PermitsInherited = 4116, Info;
     /// Replicas became cold or warm, as the leader knows it.
     ColdReplicasChanged = 4121, Info;
+    /// Replicas started again under the identity that they had.
+    ReplicasRestarted = 4122, Info;
     /// Engine memory of an ended program was released.
     CacheReleased = 4201, Debug;
     /// A release order failed and will be retried.
@@ -161,6 +163,8 @@
     DrainApplied = 5211, Info;
     /// The platform's list of machines could not be read.
     PlatformUnreachable = 6001, Warn;
+    /// Some entries of the platform's list name no replica to use.
+    ListEntriesLeftOut = 6002, Warn;
 }
 
 impl Event {
