--- a/crates/routing/src/incarnation.rs
+++ b/crates/routing/src/incarnation.rs
@@ -15,6 +15,10 @@
 /// reading every 700 ms, far longer than a list lags.
 const FORGOTTEN_AFTER: u64 = 100;
 
+/// Replicas whose starts are kept at most: two lists of the longest that is read, a few MB. Beyond it
+/// only those of the present list stay.
+const MOST_KNOWN: usize = 32_768;
+
 /// When a process started, in ms of Unix time by its own clock. It orders the starts of one replica
 /// and is compared with nothing else.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -137,7 +141,8 @@
     pub fn take<'a>(&mut self, list: impl Iterator<Item = &'a Replica> + Clone) -> StartReview {
         self.reading += 1;
         let restarted = list.clone().filter(|replica| self.note(replica)).count();
-        self.known.retain(|_, known| known.reading + FORGOTTEN_AFTER > self.reading);
+        let kept = if self.known.len() > MOST_KNOWN { 1 } else { FORGOTTEN_AFTER };
+        self.known.retain(|_, known| known.reading + kept > self.reading);
         let mut chosen: HashMap<&str, ChosenEntry<'a>> = HashMap::new();
         for replica in list.clone().filter(|replica| self.is_newest(replica)) {
             chosen
--- a/crates/routing/tests/incarnation.rs
+++ b/crates/routing/tests/incarnation.rs
@@ -106,8 +106,7 @@
     assert_eq!(starts.take([replica("i-1", Some(7), 1)].iter()).restarted, 0);
 }
 
-/// A start that was wrong about its time does not keep its successors out for good, and identities
-/// that come and go take no memory.
+/// A start that was wrong about its time does not keep its successors out for good.
 #[test]
 fn a_start_that_is_listed_no_more_is_forgotten() {
     let mut starts = NewestStarts::default();
