Soak: replicas start again under their identity, and the list has a bad entry

After three of ten series a replica loses its connections and is listed with a later start; draws of their own keep the faults of earlier seeds as they were.

--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -11,6 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
+use serde_json::json;
 use signal_hook::consts::SIGTERM;
 
 use crate::machines::forwarder::Forwarder;
@@ -31,6 +32,12 @@
 ];
 /// Zones of replicas.
 pub const ZONES: [&str; 2] = ["hall", "annex"];
+/// Share of the series after which a replica starts again under its identity.
+const RESTART_SHARE: f64 = 0.3;
+/// Sets the draws of these starts apart from those of all other faults, which a seed fixes.
+const STARTS_SEED: u64 = 47;
+/// When replicas started first, in ms of Unix time.
+const FIRST_START_MS: u64 = 1_790_000_000_000;
 /// Most faults in one series.
 const LONGEST_SERIES: usize = 4;
 
@@ -71,6 +78,9 @@
     into_stores: Vec<[Forwarder; 2]>,
     into_replicas: Vec<Forwarder>,
     random: StdRng,
+    starts: StdRng,
+    /// When the replica that started last did so, in ms of Unix time.
+    newest_start_ms: u64,
     endings: Vec<(Instant, Ending)>,
     /// When the last fault of a store machine ends.
     stores_disturbed: Instant,
@@ -99,9 +109,12 @@
             let forwarder = Forwarder::start(at("127.0.0.1", 0), replica.address);
             replica.address = forwarder.address;
             machines.list.show_in(zone, &replica, service, "ready");
+            machines.list.change(&replica, "born", json!(FIRST_START_MS));
             into_replicas.push(forwarder);
             replicas.push(replica);
         }
+        // Another writer's entry, which names no replica.
+        machines.list.instances.lock().push(json!({ "id": 7, "service": "models", "slots": "4" }));
         let place = |ip, bound| Place {
             ip,
             bound,
@@ -120,6 +133,8 @@
             into_stores,
             into_replicas,
             random: StdRng::seed_from_u64(seed),
+            starts: StdRng::seed_from_u64(seed ^ STARTS_SEED),
+            newest_start_ms: FIRST_START_MS,
             endings: Vec::new(),
             stores_disturbed: Instant::now(),
             may_disturb_stores_from: Instant::now(),
@@ -149,6 +164,19 @@
             let pause = self.millis(0, 120);
             self.run_for(pause);
         }
+        if self.starts.random_bool(RESTART_SHARE) {
+            self.restart_replica();
+        }
+    }
+
+    /// A replica loses its connections, and is listed with a later start.
+    fn restart_replica(&mut self) {
+        *self.faults.entry("replica started again").or_default() += 1;
+        let index = self.starts.random_range(0..self.replicas.len());
+        self.newest_start_ms += 1;
+        self.into_replicas[index].break_connections();
+        let start = json!(self.newest_start_ms);
+        self.machines.list.change(&self.replicas[index], "born", start);
     }
 
     /// Lets time pass, and ends the faults whose time has come.
