--- a/crates/limiter/src/account.rs
+++ b/crates/limiter/src/account.rs
@@ -47,6 +47,8 @@
     configuration: u64,
     /// `None` before anything but what an earlier leader issued is known.
     limit: Option<RateLimit>,
+    /// Permits, each until what was sent with it has left the window: a request may go out as long
+    /// as its permit holds, and counts from then on.
     issued: IssueWindow,
     /// Permits that were issued and are not known to be noted.
     unnoted: u32,
--- a/crates/routing/src/incarnation.rs
+++ b/crates/routing/src/incarnation.rs
@@ -56,7 +56,7 @@
 }
 
 impl Incarnation {
-    /// Parts what [`Replica::id`] holds.
+    /// Splits what [`Replica::id`] holds.
     fn split(id: &str) -> (&str, Option<StartTime>) {
         match id.rsplit_once('@') {
             Some((identity, "")) => (identity, None),
@@ -137,7 +137,7 @@
 }
 
 impl NewestStarts {
-    /// Takes in a whole list.
+    /// Takes in a whole list, and judges each of its entries.
     pub fn take<'a>(&mut self, list: impl Iterator<Item = &'a Replica> + Clone) -> StartReview {
         self.reading += 1;
         let restarted = list.clone().filter(|replica| self.note(replica)).count();
--- a/crates/routing/tests/incarnation.rs
+++ b/crates/routing/tests/incarnation.rs
@@ -39,7 +39,7 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// An identity may be any text, with what parts a start from it in it, too.
+    /// An identity may be any text, with the separator of a start in it, too.
     #[test]
     fn a_start_is_read_as_it_was_shown(
         identity in "[a-z0-9@-]{1,12}", start in proptest::option::of(any::<u64>()),
