Revert "A permit for a request at hand counts 100 ms longer than the window, not 500"

A leader without processor time answers later than that, the permit has ended when it comes, and the gateway asks again.

--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -1,7 +1,7 @@
 //! Turns and permits: whether, when and where a request runs.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use calicohoist_limiter::{Issued, PermitAnswer, PermitRequest, Purpose};
 use calicohoist_scheduler::PlacementRequest;
@@ -29,7 +29,6 @@
             return back.send(refusal);
         }
         let hub = self.clone();
-        let received = Instant::now();
         let turn = reserve.turn.clone();
         let program = reserve.program.clone();
         let respond = Box::new(move |response| {
@@ -46,19 +45,18 @@
                 Some(program) => Purpose::Begin(program),
                 None => Purpose::Single,
             };
-            let waited = received.elapsed();
             let issued = permit.map(|permit| hub.limits.issue(hub.term(), &permit, purpose));
             let hold = match issued {
                 None => Duration::ZERO,
                 Some(Issued::Answer(known)) => {
-                    *permitted = Some(known.after(waited));
+                    *permitted = Some(known);
                     if let PermitAnswer::OverLimit(_) = known {
                         return back.send(answer);
                     }
                     Duration::ZERO
                 }
                 Some(Issued::Later(grant, hold)) => {
-                    *permitted = Some(PermitAnswer::Granted(grant.after(waited)));
+                    *permitted = Some(PermitAnswer::Granted(grant));
                     hold
                 }
                 Some(Issued::NotNow) => return back.send(Answer::Unavailable),
@@ -96,15 +94,13 @@
     /// deposed must not issue what its successor issues again.
     pub(super) fn permit(&self, permit: PermitRequest, back: Back) {
         let hub = self.clone();
-        let received = Instant::now();
         let respond = Box::new(move |response| {
             let Response::Leads(term) = response else {
                 return back.send(hub.answer(response));
             };
-            let waited = received.elapsed();
             let (known, hold) = match hub.limits.issue(term, &permit, Purpose::Single) {
-                Issued::Answer(known) => (known.after(waited), Duration::ZERO),
-                Issued::Later(grant, hold) => (PermitAnswer::Granted(grant.after(waited)), hold),
+                Issued::Answer(known) => (known, Duration::ZERO),
+                Issued::Later(grant, hold) => (PermitAnswer::Granted(grant), hold),
                 Issued::NotNow => return back.send(Answer::Unavailable),
             };
             act_after(&hub.runtime, hold, move || back.send(Answer::Permit(known)));
--- a/crates/limiter/src/account.rs
+++ b/crates/limiter/src/account.rs
@@ -7,7 +7,7 @@
 
 use crate::issuer::Issued;
 use crate::permit::{PermitAnswer, PermitGrant, Purpose};
-use crate::tolerance::{LimitTolerance, SEND_WITHIN};
+use crate::tolerance::LimitTolerance;
 use crate::window::IssueWindow;
 
 /// A gateway gets permits in advance while a tenant has more than this share of its limit
@@ -47,11 +47,9 @@
     configuration: u64,
     /// `None` before anything but what an earlier leader issued is known.
     limit: Option<RateLimit>,
-    /// Permits for the requests that asked. Each counts until what was sent with it has left the
-    /// window: a request may go out as long as its permit holds.
-    spent: IssueWindow,
-    /// Permits for later requests, which hold longer.
-    advance: IssueWindow,
+    /// Permits, each until what was sent with it has left the window: a request may go out as long
+    /// as its permit holds, and counts from then on.
+    issued: IssueWindow,
     /// Permits that were issued and are not known to be noted.
     unnoted: u32,
     /// Those of them that nobody is noting yet.
@@ -73,8 +71,7 @@
             tolerance,
             configuration: 0,
             limit: None,
-            spent: IssueWindow::default(),
-            advance: IssueWindow::default(),
+            issued: IssueWindow::default(),
             unnoted: 0,
             to_note: 0,
             programs: HashMap::new(),
@@ -87,7 +84,7 @@
 
     /// Takes in what an earlier leader has issued at some time.
     pub fn inherit(&mut self, count: u32, at: Instant) {
-        self.advance.add(count, at);
+        self.issued.add(count, at);
     }
 
     /// Takes the limit of a configuration, if that is the newest one so far.
@@ -121,11 +118,7 @@
         self.note(purpose, now);
         let spare = self.spare(spare, now).min(noteless - 1);
         self.issue(spare, now + hold);
-        let grant = PermitGrant {
-            permits: 1 + spare,
-            life: self.tolerance.permit_life(),
-            send_within: hold + SEND_WITHIN,
-        };
+        let grant = PermitGrant { permits: 1 + spare, life: self.tolerance.permit_life() };
         if hold.is_zero() {
             return Issued::Answer(PermitAnswer::Granted(grant));
         }
@@ -156,7 +149,7 @@
     /// before the limit is known.
     pub fn usage(&mut self, now: Instant) -> Option<(RateLimit, u64, usize)> {
         self.forget_ended(now);
-        Some((self.limit?, self.issued(now), self.programs.len()))
+        Some((self.limit?, self.in_window(now), self.programs.len()))
     }
 
     fn issuable(&self) -> f64 {
@@ -165,7 +158,7 @@
 
     /// Permits that may be issued now.
     fn left(&mut self, now: Instant) -> f64 {
-        self.issuable() - self.issued(now) as f64
+        self.issuable() - self.in_window(now) as f64
     }
 
     /// How long it takes until one permit more may be issued. What was issued for a later time
@@ -175,8 +168,7 @@
         if missing <= 0.0 {
             return Duration::ZERO;
         }
-        // Permits for later requests are few when there is no room; they are not counted on.
-        self.spent.time_until_gone(missing.ceil() as u64, self.tolerance.spent_for(), now)
+        self.issued.time_until_gone(missing.ceil() as u64, self.tolerance.counted_for(), now)
     }
 
     /// Permits that may be issued before any of the others is noted.
@@ -188,16 +180,14 @@
 
     /// Issues a permit for a request that is sent now, and some for later ones.
     fn issue(&mut self, spare: u32, now: Instant) {
-        self.spent.add(1, now);
-        self.advance.add(spare, now);
+        self.issued.add(1 + spare, now);
         self.unnoted += 1 + spare;
         self.to_note += 1 + spare;
     }
 
     /// Permits that count towards the present window.
-    fn issued(&mut self, now: Instant) -> u64 {
-        let spent = self.spent.total(self.tolerance.spent_for(), now);
-        spent + self.advance.total(self.tolerance.advance_for(), now)
+    fn in_window(&mut self, now: Instant) -> u64 {
+        self.issued.total(self.tolerance.counted_for(), now)
     }
 
     fn is_pressing(&mut self, now: Instant) -> bool {
@@ -209,11 +199,8 @@
         self.forget_ended(now);
         let programs = self.programs.len() + 1;
         let needed = programs as f64 * self.program_rate * LOOK_AHEAD.as_secs_f64();
-        let gone_of = |issued: &IssueWindow, counted_for: Duration| {
-            issued.older_than(counted_for.saturating_sub(LOOK_AHEAD), now)
-        };
-        let gone = gone_of(&self.spent, self.tolerance.spent_for())
-            + gone_of(&self.advance, self.tolerance.advance_for());
+        let stays = self.tolerance.counted_for().saturating_sub(LOOK_AHEAD);
+        let gone = self.issued.older_than(stays, now);
         needed <= self.left(now) + gone as f64
     }
 
@@ -263,9 +250,8 @@
         };
         let apart = window.mul_f64((needed / self.issuable().max(1.0)).min(1.0));
         let missing = (needed - self.left(now)).max(1.0);
-        let until_room =
-            self.spent.time_until_gone(missing as u64, self.tolerance.spent_for(), now);
-        let room = now + until_room;
+        let room =
+            now + self.issued.time_until_gone(missing as u64, self.tolerance.counted_for(), now);
         let next = self.next_return.max(room) + apart;
         self.next_return = next.min(now + window);
         self.next_return - now
--- a/crates/limiter/src/lib.rs
+++ b/crates/limiter/src/lib.rs
@@ -25,5 +25,5 @@
 pub use issuer::{Issued, PermitIssuer, TenantUse};
 pub use permit::{IssuedPermits, PermitAnswer, PermitGrant, PermitRequest, Purpose};
 pub use purse::PermitPurse;
-pub use tolerance::{LimitTolerance, SEND_WITHIN};
+pub use tolerance::LimitTolerance;
 pub use window::IssueWindow;
--- a/crates/limiter/src/permit.rs
+++ b/crates/limiter/src/permit.rs
@@ -34,20 +34,10 @@
 /// Permits for one gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitGrant {
-    /// How many, from 1 on: one for the request that asked, the others for later ones.
+    /// How many, from 1 on.
     pub permits: u32,
-    /// How long the others hold, from the time of asking on.
+    /// How long they hold, from the time of asking on.
     pub life: Duration,
-    /// The same for the request that asked. It includes the time for which the question waited at the
-    /// leader, so that what is left for sending does not depend on the leader's load.
-    pub send_within: Duration,
-}
-
-impl PermitGrant {
-    /// The same after the question has waited at the leader.
-    pub fn after(self, waited: Duration) -> Self {
-        Self { send_within: self.send_within + waited, ..self }
-    }
 }
 
 /// Permits that were issued to one tenant.
@@ -67,13 +57,3 @@
     /// The tenant has used up what it may send; there will be room after this time.
     OverLimit(Duration),
 }
-
-impl PermitAnswer {
-    /// The same after the question has waited at the leader.
-    pub fn after(self, waited: Duration) -> Self {
-        match self {
-            Self::Granted(grant) => Self::Granted(grant.after(waited)),
-            Self::OverLimit(_) => self,
-        }
-    }
-}
--- a/crates/limiter/src/tolerance.rs
+++ b/crates/limiter/src/tolerance.rs
@@ -6,8 +6,8 @@
 //!
 //! - A leader notes in the log what it issues, a little later. The next one does not know
 //!   the rest, which is [`LimitTolerance::most_unnoted`] at most for each change of leader.
-//! - A request is sent up to [`SEND_WITHIN`] after its permit was issued, one with a permit in
-//!   advance up to [`LimitTolerance::permit_life`]; a permit is counted for that much longer.
+//! - A request is sent up to [`LimitTolerance::permit_life`] after its permit was issued; the
+//!   permit is counted for that much longer.
 
 use std::time::Duration;
 
@@ -21,11 +21,6 @@
 /// some ms a leader rarely waits for one, and seven tenths of the tolerance serve callers.
 const UNNOTED_SHARE: f64 = 0.1;
 
-/// Longest time between the issue of a permit for a request at hand and its going out. Within it the
-/// answer comes back and a connection is opened, or a replica that is full says so; whoever
-/// takes longer asks again. Each 100 ms more take 2% of a limit over five seconds from callers.
-pub const SEND_WITHIN: Duration = Duration::from_millis(100);
-
 /// How exact a limit must be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitTolerance {
@@ -50,18 +45,13 @@
     /// such a window and the life of a permit in it, and a third more.
     pub const LONGEST_WINDOW: Duration = Duration::from_secs(10);
 
-    /// Time from the asking for a permit in advance to its end: nothing is sent with it afterwards.
+    /// Time from the asking for a permit to its end: nothing is sent with it afterwards.
     pub fn permit_life(&self) -> Duration {
         self.window.mul_f64(self.overshoot.clamp(0.0, 1.0))
     }
 
-    /// How long a permit for a request at hand counts: until that has left the window.
-    pub fn spent_for(&self) -> Duration {
-        self.window + SEND_WITHIN
-    }
-
-    /// How long a permit in advance counts: until what was sent with it has left the window.
-    pub fn advance_for(&self) -> Duration {
+    /// How long a permit counts: until a request that was sent with it has left the window.
+    pub fn counted_for(&self) -> Duration {
         self.window + self.permit_life()
     }
 
--- a/crates/limiter/tests/support/mod.rs
+++ b/crates/limiter/tests/support/mod.rs
@@ -402,7 +402,7 @@
                     grant.permits += 40;
                 }
                 gateway.purse.put(&tenant, grant, now, now);
-                Some(hold.max(sent.delay.min(grant.send_within)))
+                Some(hold.max(sent.delay))
             }
             PermitAnswer::OverLimit(_) => None,
         }
--- a/crates/proxy/src/flow/permit.rs
+++ b/crates/proxy/src/flow/permit.rs
@@ -117,7 +117,7 @@
     match answer {
         PermitAnswer::Granted(grant) => {
             app.purse.lock().put(&request.tenant, grant, asked, Instant::now());
-            Ok(Permit::Until(asked + grant.send_within))
+            Ok(Permit::Until(asked + grant.life))
         }
         PermitAnswer::OverLimit(retry_after) => Err(Refusal::OverLimit {
             tenant: request.tenant.clone(),
