Permits hold for 100 ms at least

Where nothing may come on top of a limit a permit lived for 0 ms. It was sent all the same, until nothing is sent with a permit that has ended: then no request of a tenant with a limit would be.

--- a/crates/limiter/src/tolerance.rs
+++ b/crates/limiter/src/tolerance.rs
@@ -21,6 +21,10 @@
 /// some ms a leader rarely waits for one, and seven tenths of the tolerance serve callers.
 const UNNOTED_SHARE: f64 = 0.1;
 
+/// A permit holds at least for so long, however exact a limit must be: an answer of the leader takes
+/// some ms, and a permit that ends before it comes lets nothing through.
+const LEAST_PERMIT_LIFE: Duration = Duration::from_millis(100);
+
 /// How exact a limit must be.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitTolerance {
@@ -47,7 +51,7 @@
 
     /// Time from the asking for a permit to its end: nothing is sent with it afterwards.
     pub fn permit_life(&self) -> Duration {
-        self.window.mul_f64(self.overshoot.clamp(0.0, 1.0))
+        self.window.mul_f64(self.overshoot.clamp(0.0, 1.0)).max(LEAST_PERMIT_LIFE)
     }
 
     /// How long a permit counts: until a request that was sent with it has left the window.
--- a/crates/limiter/tests/limits.rs
+++ b/crates/limiter/tests/limits.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use calicohoist_limiter::LimitTolerance;
 use calicohoist_routing::RateLimit;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -167,3 +168,10 @@
         assert!(broken > 0.0, "{flaw:?} is not found: {broken}");
     }
 }
+
+/// Where nothing may come on top of a limit, what is below it is served all the same.
+#[test]
+fn a_permit_holds_for_a_while_however_exact_a_limit_must_be() {
+    let exact = LimitTolerance { overshoot: 0.0, slack: 0.0, ..tolerance() };
+    assert!(exact.permit_life() >= Duration::from_millis(100));
+}
