--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -80,9 +80,8 @@
     pub term: u64,
     /// Machine believed to lead; `None` while this one is about to, see `is_leader`.
     pub leader: Option<u32>,
-    /// Whether it is this one, and all that earlier leaders have committed is applied here. What
-    /// decides by the state waits for that: a machine that has just won an election does not know
-    /// the last entries, and none since its snapshot after a restart.
+    /// Whether it is this one, with all applied that earlier leaders committed: a machine that has
+    /// just won an election may know nothing of it since its last snapshot.
     pub is_leader: bool,
     /// Version of the configuration applied here.
     pub configuration: u64,
