Test: a machine that is needed stays while the log is being applied (red)

The acknowledgement that commits the first entry of a term and an order to empty a machine come in one batch of the replica's thread: the commit is known, what it commits is applied after the batch. The order is accepted.

--- a/crates/ledger/tests/new_leader.rs
+++ b/crates/ledger/tests/new_leader.rs
@@ -16,6 +16,7 @@
 
 mod support;
 
+use std::sync::mpsc;
 use std::time::Duration;
 
 use calicohoist_ledger::commands::{Command, ReserveTurn, RetiringOutcome};
@@ -91,6 +92,28 @@
     assert!(!is_accepted, "{response:?}");
 }
 
+/// The same when the commit is known, and not applied yet: both come in one batch.
+#[tokio::test]
+async fn a_machine_that_is_needed_stays_while_the_log_is_being_applied() {
+    let mut pair = restarted_after(note_all()).await;
+    pair.elect().await;
+    let acknowledgement = pair.acknowledgement().await;
+    // Holds the machine's thread until the batch is complete.
+    let (release, released) = mpsc::channel::<()>();
+    let hold = Box::new(move |_| drop(released.recv()));
+    pair.handle.ask(Request::Retire("unknown".to_owned()), hold);
+    tokio::time::sleep(SHORT).await;
+    pair.send(vec![acknowledgement]);
+    let handle = pair.handle.clone();
+    let retire =
+        tokio::spawn(async move { handle.call(Request::Retire("store-1".to_owned())).await });
+    tokio::time::sleep(SHORT).await;
+    drop(release);
+    let response = pair.follow_while(retire).await.expect("no panic");
+    let is_accepted = matches!(response, Response::Retiring(RetiringOutcome::Accepted));
+    assert!(!is_accepted, "{response:?}");
+}
+
 fn runs(answer: &Answer) -> bool {
     matches!(answer, Answer::Reserved { permit: Some(PermitAnswer::Granted(_)), .. })
 }
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -154,7 +154,7 @@
         ReplicaId { machine: machine_number(PEER), disk: 0 }
     }
 
-    fn send(&self, messages: Vec<Message>) {
+    pub fn send(&self, messages: Vec<Message>) {
         let group = GroupId(0);
         let in_group = |message| GroupMessage { group, message };
         self.handle.frame(Self::peer(), messages.into_iter().map(in_group).collect());
@@ -192,6 +192,18 @@
         }
     }
 
+    /// The peer's answer to the next entries or heartbeat, which is still to be sent.
+    pub async fn acknowledgement(&mut self) -> Message {
+        loop {
+            for message in self.messages().await {
+                if let Message::Append { term, previous_index, entries, round, .. } = message {
+                    let matched = previous_index + entries.len() as u64;
+                    return Message::AppendReply { term, matched, refused: None, round };
+                }
+            }
+        }
+    }
+
     /// Plays the peer for as long as somebody waits for something.
     pub async fn follow_while<T>(&mut self, waits: impl Future<Output = T>) -> T {
         let mut waits = std::pin::pin!(waits);
