Emptying a machine is weighed by what is published as applied

Found on reading the change again: it asked whether an entry of the term is committed, a check of its own beside the published leadership. A commit is known some ms before it is applied.

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -298,7 +298,10 @@
     /// The command that empties a machine; `None` while it is not known here which are emptied
     /// already.
     fn retire_command(&self, name: String) -> Option<Command> {
-        self.node.raft(GROUP).filter(|raft| raft.has_committed_in_term())?;
+        // What was published holds what is applied; a commit may be known before that.
+        if !self.standing.is_leader {
+            return None;
+        }
         let machines = self.node.machine(GROUP).map(LedgerState::machines);
         let retiring = machines.map(|machines| machines.retiring_numbers()).unwrap_or_default();
         let number = machines.and_then(|machines| machines.number(&name));
