--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -196,9 +196,8 @@
     pub async fn acknowledgement(&mut self) -> Message {
         loop {
             for message in self.messages().await {
-                if let Message::Append { term, previous_index, entries, round, .. } = message {
-                    let matched = previous_index + entries.len() as u64;
-                    return Message::AppendReply { term, matched, refused: None, round };
+                if let Some(reply) = reply_to(&message) {
+                    return reply;
                 }
             }
         }
@@ -221,17 +220,16 @@
 
     /// Returns whether it acknowledged the command that is awaited.
     fn answer(&self, message: Message, awaited: Option<&AwaitedCommand>) -> bool {
-        match message {
-            Message::Vote { term, pre, .. } => {
+        let reply = reply_to(&message);
+        match (message, reply) {
+            (Message::Vote { term, pre, .. }, _) => {
                 self.send(vec![Message::VoteReply { term, granted: true, pre }]);
                 false
             }
-            Message::Append { term, previous_index, entries, round, .. } => {
-                let matched = previous_index + entries.len() as u64;
-                let reply = Message::AppendReply { term, matched, refused: None, round };
+            (Message::Append { term, previous_index, entries, .. }, Some(reply)) => {
                 let campaign = Message::Vote {
                     term: term + 1,
-                    last_index: matched,
+                    last_index: previous_index + entries.len() as u64,
                     last_term: term,
                     pre: false,
                     transfer: true,
@@ -275,6 +273,15 @@
     }
 }
 
+/// A follower's answer to entries or a heartbeat, all of which it holds.
+fn reply_to(message: &Message) -> Option<Message> {
+    let Message::Append { term, previous_index, entries, round, .. } = message else {
+        return None;
+    };
+    let matched = previous_index + entries.len() as u64;
+    Some(Message::AppendReply { term: *term, matched, refused: None, round: *round })
+}
+
 /// A gateway's connection.
 pub struct Asker {
     frames: FrameReader<OwnedReadHalf>,
