--- a/crates/ledger/tests/new_leader.rs
+++ b/crates/ledger/tests/new_leader.rs
@@ -100,7 +100,10 @@
     let acknowledgement = pair.acknowledgement().await;
     // Holds the machine's thread until the batch is complete.
     let (release, released) = mpsc::channel::<()>();
-    let hold = Box::new(move |_| drop(released.recv()));
+    let hold = Box::new(move |_| {
+        // An error, once the other end is dropped.
+        let _ = released.recv();
+    });
     pair.handle.ask(Request::Retire("unknown".to_owned()), hold);
     tokio::time::sleep(SHORT).await;
     pair.send(vec![acknowledgement]);
