Sight: frames that cannot be read are counted, and logged once a second

Cause: a ledger machine or gateway that cannot read what a peer sends closed the connection without a word. Change: FrameRefused (CH3001) with the kind of link, the peer and the reason, once a second and kind at most; calicohoist_frames_refused_total counts all. A connection that broke is neither. Ruled out: a line for each, since a peer of another build tries again every 180 ms. No logic changed.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_transport::{
-    Frame, FrameQueue, FrameReader, Queued, WaitingBytes, spawn_writer, tcp,
+    Frame, FrameQueue, FrameReader, Queued, RefusalLog, WaitingBytes, spawn_writer, tcp,
 };
 use parking_lot::Mutex;
 use tokio::net::tcp::OwnedReadHalf;
@@ -15,6 +15,8 @@
 
 use crate::protocol::{Answer, Ask, Question, Reply};
 
+static REFUSALS: RefusalLog = RefusalLog::new("ledger");
+
 /// Within one zone or the next a connection opens in a few milliseconds.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
 /// Written bytes that stay unacknowledged for so long break the connection.
@@ -48,7 +50,7 @@
         };
         let questions = spawn_writer(output, WaitingBytes::default());
         let connection = Self { questions, state: Arc::new(state) };
-        tokio::spawn(read_answers(FrameReader::new(input), Arc::clone(&connection.state)));
+        tokio::spawn(read_answers(FrameReader::new(input), Arc::clone(&connection.state), address));
         Some(connection)
     }
 
@@ -95,13 +97,22 @@
     }
 }
 
-async fn read_answers(mut frames: FrameReader<OwnedReadHalf>, state: Arc<ConnectionState>) {
+async fn read_answers(
+    mut frames: FrameReader<OwnedReadHalf>,
+    state: Arc<ConnectionState>,
+    address: SocketAddr,
+) {
     let note_sign_of_life = || *state.heard.lock() = Instant::now();
-    while let Ok(Reply { number, answer }) = frames.next_noting(note_sign_of_life).await {
+    let error = loop {
+        let Reply { number, answer } = match frames.next_noting(note_sign_of_life).await {
+            Ok(reply) => reply,
+            Err(error) => break error,
+        };
         if let Some(sender) = state.waiting.lock().remove(&number) {
             let _ = sender.send(answer);
         }
-    }
+    };
+    REFUSALS.note(address, &error);
     // Whoever waits sees that the connection broke, and nobody begins to.
     state.is_open.store(false, Ordering::Relaxed);
     state.waiting.lock().clear();
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -16,7 +16,7 @@
 use calicohoist_telemetry::metrics::{Counter, Gauge};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::{
-    Frame, FrameError, FrameQueue, FrameReader, Queued, WaitingBytes, spawn_writer, tcp,
+    Frame, FrameError, FrameQueue, FrameReader, Queued, RefusalLog, WaitingBytes, spawn_writer, tcp,
 };
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -39,6 +39,8 @@
 const FIND_HOLD: Duration = Duration::from_millis(150);
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+static REFUSALS: RefusalLog = RefusalLog::new("gateway");
+
 static ANSWERED_BYTES: Counter = Counter::new(
     "calicohoist_ledger_answered_bytes_total",
     "Bytes of answers to gateways, by what takes most of them",
@@ -127,20 +129,26 @@
 /// Takes connections of gateways.
 pub async fn accept(listener: TcpListener, hub: Hub) {
     loop {
-        if let Ok((stream, _)) = listener.accept().await
+        if let Ok((stream, address)) = listener.accept().await
             && tcp::prepare(&stream, USER_TIMEOUT).is_ok()
         {
-            tokio::spawn(serve(stream, hub.clone()));
+            let hub = hub.clone();
+            tokio::spawn(async move {
+                if let Err(error) = serve(stream, hub).await {
+                    REFUSALS.note(address, &error);
+                }
+            });
         }
     }
 }
 
-async fn serve(stream: TcpStream, hub: Hub) {
+async fn serve(stream: TcpStream, hub: Hub) -> Result<(), FrameError> {
     let (input, output) = stream.into_split();
     let replies = spawn_writer(output, hub.waiting.clone());
     let mut frames = FrameReader::new(input);
     let mut distance = None;
-    while let Ok(Ask { number, question }) = frames.next().await {
+    loop {
+        let Ask { number, question } = frames.next().await?;
         if let Some(placement) = placement_in(&question) {
             distance = Some(hub.place.topology.distance(&hub.place.zone, &placement.zone));
             hub.place.loads.lock().note(&placement.zone, Instant::now());
--- a/crates/ledger/src/server/peers.rs
+++ b/crates/ledger/src/server/peers.rs
@@ -5,7 +5,7 @@
 
 use calicohoist_replication::{GroupMessage, Message, ReplicaId};
 use calicohoist_routing::{Distance, Topology};
-use calicohoist_transport::{FrameReader, Link, encode_frame};
+use calicohoist_transport::{FrameError, FrameReader, Link, RefusalLog, encode_frame};
 use calicohoist_wire::{decode, encode};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -20,6 +20,8 @@
 /// Messages that may wait between the replica's thread and the network's.
 pub const RING: usize = 4_096;
 
+static REFUSALS: RefusalLog = RefusalLog::new("ledger machine");
+
 /// Messages for one replica.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -150,23 +152,32 @@
     zones: PeerZones,
 ) {
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(read(stream, identity, replica.clone(), zones.clone()));
+        if let Ok((stream, address)) = listener.accept().await {
+            let (replica, zones) = (replica.clone(), zones.clone());
+            tokio::spawn(async move {
+                if let Err(error) = read(stream, identity, replica, zones).await {
+                    REFUSALS.note(address, &error);
+                }
+            });
         }
     }
 }
 
-async fn read(stream: TcpStream, identity: ReplicaId, replica: ReplicaHandle, zones: PeerZones) {
+async fn read(
+    stream: TcpStream,
+    identity: ReplicaId,
+    replica: ReplicaHandle,
+    zones: PeerZones,
+) -> Result<(), FrameError> {
     let mut frames = FrameReader::new(stream);
-    let Ok(Greeting { from, name, zone }) = frames.next().await else {
-        return;
-    };
+    let Greeting { from, name, zone } = frames.next().await?;
     zones.note(from.machine, &zone);
     replica.greeting(from, name, zone);
-    while let Ok(frame) = frames.next::<PeerFrame>().await {
+    loop {
+        let frame: PeerFrame = frames.next().await?;
         // The checksum has found no damage, so the sender packs in a way unknown here.
         let Some(Parcel { to, messages }) = frame.open() else {
-            return;
+            return Ok(());
         };
         let is_for_us = to == identity;
         let messages: Vec<GroupMessage> = if is_for_us {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,11 +5,13 @@
 
 pub mod frame;
 pub mod link;
+pub mod refusal;
 pub mod tcp;
 pub mod writer;
 
 pub use calicohoist_wire::FrameError;
 pub use frame::{Frame, FrameReader, SharedField, encode_frame};
 pub use link::Link;
+pub use refusal::RefusalLog;
 pub use tcp::{bind, connect};
 pub use writer::{FrameQueue, Queued, WaitingBytes, spawn_writer};
