Links agree on a version of their messages; those of the build before are read and written

Cause: messages between processes are positional, bytes left over are an error, and nothing named a version. Fields were added to the greeting between ledger machines, to their frames, to what gateways ask and are told, and a value in the middle of a decision, so that no process of the older build could talk to one of the newer. Change: whoever opens a link offers the versions that it speaks, the other side chooses. A build without versions closes a connection that begins with an offer, and is spoken to in version 1; a first frame that is no offer is version 1, too. protocol::v1 and peers translate at the edge; inside there are only today's forms. Gateways of that build are told replicas by their identity alone and those of drained zones as leaving. Zones are drained only once every ledger machine has been heard to know of it and no older gateway has asked for 10 s: refused at once, with the reason in the log. Ruled out: a self-describing codec (bytes of every turn, for what is needed for minutes), trying both decodings of each frame (a shorter form may be a prefix of a longer one), a version in every frame. Tests that play gateways offer a version now, as gateways do.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -7,13 +7,14 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_transport::{
-    Frame, FrameQueue, FrameReader, Queued, RefusalLog, WaitingBytes, spawn_writer, tcp,
+    FrameQueue, FrameReader, ProtocolVersion, Queued, RefusalLog, WaitingBytes, spawn_writer,
+    version,
 };
 use parking_lot::Mutex;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::oneshot;
 
-use crate::protocol::{Answer, Ask, Question, Reply};
+use crate::protocol::{Answer, Ask, Question, Reply, SPOKEN};
 
 static REFUSALS: RefusalLog = RefusalLog::new("ledger");
 
@@ -27,6 +28,7 @@
 pub(super) struct Connection {
     questions: FrameQueue,
     state: Arc<ConnectionState>,
+    version: ProtocolVersion,
 }
 
 struct ConnectionState {
@@ -41,7 +43,9 @@
 impl Connection {
     /// Connects; `None` when the machine refuses or stays silent.
     pub(super) async fn open(address: SocketAddr) -> Option<Self> {
-        let stream = tcp::connect(address, CONNECT_PATIENCE, USER_TIMEOUT).await.ok()?;
+        let opened = version::connect(address, CONNECT_PATIENCE, USER_TIMEOUT, SPOKEN).await;
+        let (stream, version) =
+            opened.inspect_err(|error| REFUSALS.note_version(address, error)).ok()?;
         let (input, output) = stream.into_split();
         let state = ConnectionState {
             is_open: AtomicBool::new(true),
@@ -49,8 +53,9 @@
             heard: Mutex::new(Instant::now()),
         };
         let questions = spawn_writer(output, WaitingBytes::default());
-        let connection = Self { questions, state: Arc::new(state) };
-        tokio::spawn(read_answers(FrameReader::new(input), Arc::clone(&connection.state), address));
+        let connection = Self { questions, state: Arc::new(state), version };
+        let state = Arc::clone(&connection.state);
+        tokio::spawn(read_answers(FrameReader::new(input), version, state, address));
         Some(connection)
     }
 
@@ -59,6 +64,11 @@
         self.state.is_open.load(Ordering::Relaxed)
     }
 
+    /// Version of the protocol that is spoken on it.
+    pub(super) fn version(&self) -> ProtocolVersion {
+        self.version
+    }
+
     /// When the machine last showed that it answers.
     pub(super) fn heard(&self) -> Instant {
         *self.state.heard.lock()
@@ -66,8 +76,14 @@
 
     /// Sends a question; `None` when the connection is broken or its queue is full.
     pub(super) fn ask(&self, number: u64, question: &Question) -> Option<PendingAnswer> {
-        let frame = Frame::encode(&Ask { number, question: question.clone() }).ok()?;
         let (sender, receiver) = oneshot::channel();
+        if self.version == ProtocolVersion::UNNAMED
+            && let Some(answer) = question.answer_for_v1()
+        {
+            let _ = sender.send(answer);
+            return Some(PendingAnswer { number, receiver, state: Arc::clone(&self.state) });
+        }
+        let frame = Ask { number, question: question.clone() }.encode(self.version).ok()?;
         self.state.waiting.lock().insert(number, sender);
         let pending = PendingAnswer { number, receiver, state: Arc::clone(&self.state) };
         if !self.is_open() {
@@ -99,12 +115,14 @@
 
 async fn read_answers(
     mut frames: FrameReader<OwnedReadHalf>,
+    version: ProtocolVersion,
     state: Arc<ConnectionState>,
     address: SocketAddr,
 ) {
     let note_sign_of_life = || *state.heard.lock() = Instant::now();
     let error = loop {
-        let Reply { number, answer } = match frames.next_noting(note_sign_of_life).await {
+        let read = Reply::read(&mut frames, version, note_sign_of_life).await;
+        let Reply { number, answer } = match read {
             Ok(reply) => reply,
             Err(error) => break error,
         };
--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -266,7 +266,7 @@
         let address = machine_address(machine, self.shared.port);
         let connection = Connection::open(address).await?;
         self.shared.state.lock().connections.insert(machine, connection.clone());
-        emit!(Event::LedgerConnected; machine = address);
+        emit!(Event::LedgerConnected; machine = address, version = connection.version());
         Some(connection)
     }
 
--- a/crates/ledger/src/protocol.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -1,7 +1,11 @@
 //! What gateways ask of a ledger machine.
 //!
 //! One connection carries many questions at a time; the number tells which answer
-//! belongs to which. Every question may be asked again, of any machine.
+//! belongs to which. Every question may be asked again, of any machine. The forms here are those of
+//! the newest version, see [`SPOKEN`].
+
+mod v1;
+mod version;
 
 use std::fmt;
 
@@ -12,6 +16,7 @@
 
 use crate::commands::{Reservation, ReserveTurn, SettleTurn, TurnId};
 use crate::packed::PackedBytes;
+pub use version::{NEWEST, SPOKEN};
 
 /// A numbered question.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/ledger/src/protocol/v1.rs
@@ -0,0 +1,352 @@
+//! Messages of version 1, which builds without version numbers speak, and their translation.
+//!
+//! Only this module knows their form. What the other side does not know is left out, or told in a
+//! way that it understands and that is safe; each conversion says how.
+
+use std::time::Duration;
+
+use calicohoist_limiter::{PermitAnswer, PermitRequest};
+use calicohoist_routing::{DrainedZones, HomeRegions, Incarnation, ReplicaList};
+use calicohoist_scheduler::{Decision, PlacementRequest, PromptPart};
+use serde::{Deserialize, Serialize};
+
+use super::{Answer, Ask, ChangeMark, ListMark, News, Question, Reply, Seen};
+use crate::commands::{Reservation, ReserveTurn, SettleTurn, TurnId};
+use crate::packed::PackedBytes;
+
+/// A numbered question of version 1.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AskV1 {
+    number: u64,
+    question: QuestionV1,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum QuestionV1 {
+    Reserve {
+        reserve: ReserveTurn,
+        placement: Option<PlacementRequestV1>,
+        permit: Option<PermitRequest>,
+    },
+    Permit(PermitRequest),
+    Place {
+        turn: TurnId,
+        placement: PlacementRequestV1,
+    },
+    Settle(SettleTurn),
+    Watch(SeenV1),
+    ReportFailure {
+        replica: String,
+    },
+    FindLeader,
+}
+
+/// Without homes and limits of cold replicas.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct PlacementRequestV1 {
+    service: String,
+    zone: String,
+    connected: Vec<String>,
+    prompt: Vec<PromptPart>,
+    memory_tokens: u64,
+    left_ms: u64,
+    finish_ms: Option<u64>,
+    priority: u8,
+    is_under_way: bool,
+}
+
+/// Without cold replicas and drained zones.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct SeenV1 {
+    gateway: String,
+    configuration: u64,
+    list: ListMark,
+    loads: Vec<(String, u32)>,
+    failing: ChangeMark,
+}
+
+/// A numbered answer of version 1.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReplyV1 {
+    number: u64,
+    answer: AnswerV1,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum AnswerV1 {
+    Reserved {
+        reservation: Reservation,
+        #[serde(with = "serde_bytes")]
+        history: Vec<u8>,
+        decision: Option<DecisionV1>,
+        is_under_way: bool,
+        permit: Option<PermitAnswer>,
+    },
+    Permit(PermitAnswer),
+    Placed(DecisionV1),
+    Settled,
+    Noted,
+    Configuration {
+        version: u64,
+        document: PackedBytes,
+    },
+    List {
+        mark: ListMark,
+        list: ReplicaList,
+    },
+    News(NewsV1),
+    Leads {
+        machines: Vec<u32>,
+    },
+    NotLeader {
+        leader: Option<u32>,
+        machines: Vec<u32>,
+    },
+    Unavailable,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum DecisionV1 {
+    Run(String),
+    RunAnywhere,
+    Wait,
+    Refuse(Duration),
+}
+
+/// Without cold replicas.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct NewsV1 {
+    list_age_ms: Option<u64>,
+    loads: Vec<u32>,
+    loads_of: ListMark,
+    machines: Vec<u32>,
+    failing: Option<(ChangeMark, Vec<(String, u32)>)>,
+}
+
+impl From<AskV1> for Ask {
+    fn from(AskV1 { number, question }: AskV1) -> Self {
+        let question = match question {
+            QuestionV1::Reserve { reserve, placement, permit } => {
+                Question::Reserve { reserve, placement: placement.map(Into::into), permit }
+            }
+            QuestionV1::Permit(permit) => Question::Permit(permit),
+            QuestionV1::Place { turn, placement } => {
+                Question::Place { turn, placement: placement.into() }
+            }
+            QuestionV1::Settle(settle) => Question::Settle(settle),
+            QuestionV1::Watch(seen) => Question::Watch(seen.into()),
+            QuestionV1::ReportFailure { replica } => Question::ReportFailure { replica },
+            QuestionV1::FindLeader => Question::FindLeader,
+        };
+        Self { number, question }
+    }
+}
+
+/// Builds of version 1 know replicas by their identity alone, whenever they started.
+impl From<Ask> for AskV1 {
+    fn from(Ask { number, question }: Ask) -> Self {
+        let question = match question {
+            Question::Reserve { reserve, placement, permit } => {
+                QuestionV1::Reserve { reserve, placement: placement.map(Into::into), permit }
+            }
+            Question::Permit(permit) => QuestionV1::Permit(permit),
+            Question::Place { turn, placement } => {
+                QuestionV1::Place { turn, placement: placement.into() }
+            }
+            Question::Settle(mut settle) => {
+                if let Some(run) = &mut settle.run {
+                    strip(&mut run.replica);
+                }
+                QuestionV1::Settle(settle)
+            }
+            Question::Watch(seen) => QuestionV1::Watch(seen.into()),
+            Question::ReportFailure { mut replica } => {
+                strip(&mut replica);
+                QuestionV1::ReportFailure { replica }
+            }
+            Question::FindLeader => QuestionV1::FindLeader,
+        };
+        Self { number, question }
+    }
+}
+
+/// A gateway of version 1 binds no request to regions and limits no cold replica.
+impl From<PlacementRequestV1> for PlacementRequest {
+    fn from(request: PlacementRequestV1) -> Self {
+        let PlacementRequestV1 {
+            service,
+            zone,
+            connected,
+            prompt,
+            memory_tokens,
+            left_ms,
+            finish_ms,
+            priority,
+            is_under_way,
+        } = request;
+        Self {
+            service,
+            zone,
+            connected,
+            prompt,
+            memory_tokens,
+            left_ms,
+            finish_ms,
+            priority,
+            is_under_way,
+            homes: HomeRegions::anywhere(),
+            cold: None,
+        }
+    }
+}
+
+/// A leader of version 1 knows neither homes nor cold replicas. The gateway sends nothing to a
+/// replica that it may not use itself, wherever the leader has placed the request.
+impl From<PlacementRequest> for PlacementRequestV1 {
+    fn from(request: PlacementRequest) -> Self {
+        let PlacementRequest {
+            service,
+            zone,
+            mut connected,
+            prompt,
+            memory_tokens,
+            left_ms,
+            finish_ms,
+            priority,
+            is_under_way,
+            homes: _,
+            cold: _,
+        } = request;
+        connected.iter_mut().for_each(strip);
+        Self {
+            service,
+            zone,
+            connected,
+            prompt,
+            memory_tokens,
+            left_ms,
+            finish_ms,
+            priority,
+            is_under_way,
+        }
+    }
+}
+
+/// A gateway of version 1 has been told nothing of cold replicas and drained zones.
+impl From<SeenV1> for Seen {
+    fn from(SeenV1 { gateway, configuration, list, loads, failing }: SeenV1) -> Self {
+        let (cold, drained) = (ChangeMark::default(), None);
+        Self { gateway, configuration, list, loads, failing, cold, drained }
+    }
+}
+
+impl From<Seen> for SeenV1 {
+    fn from(seen: Seen) -> Self {
+        let Seen { gateway, configuration, list, mut loads, failing, cold: _, drained: _ } = seen;
+        loads.iter_mut().for_each(|(replica, _)| strip(replica));
+        Self { gateway, configuration, list, loads, failing }
+    }
+}
+
+impl From<ReplyV1> for Reply {
+    fn from(ReplyV1 { number, answer }: ReplyV1) -> Self {
+        let answer = match answer {
+            AnswerV1::Reserved { reservation, history, decision, is_under_way, permit } => {
+                let decision = decision.map(Into::into);
+                Answer::Reserved { reservation, history, decision, is_under_way, permit }
+            }
+            AnswerV1::Permit(permit) => Answer::Permit(permit),
+            AnswerV1::Placed(decision) => Answer::Placed(decision.into()),
+            AnswerV1::Settled => Answer::Settled,
+            AnswerV1::Noted => Answer::Noted,
+            AnswerV1::Configuration { version, document } => {
+                Answer::Configuration { version, document }
+            }
+            AnswerV1::List { mark, list } => Answer::List { mark, list },
+            AnswerV1::News(news) => Answer::News(news.into()),
+            AnswerV1::Leads { machines } => Answer::Leads { machines },
+            AnswerV1::NotLeader { leader, machines } => Answer::NotLeader { leader, machines },
+            AnswerV1::Unavailable => Answer::Unavailable,
+        };
+        Self { number, answer }
+    }
+}
+
+impl From<Reply> for ReplyV1 {
+    fn from(Reply { number, answer }: Reply) -> Self {
+        let answer = match answer {
+            Answer::Reserved { reservation, history, decision, is_under_way, permit } => {
+                let decision = decision.map(Into::into);
+                AnswerV1::Reserved { reservation, history, decision, is_under_way, permit }
+            }
+            Answer::Permit(permit) => AnswerV1::Permit(permit),
+            Answer::Placed(decision) => AnswerV1::Placed(decision.into()),
+            Answer::Settled => AnswerV1::Settled,
+            Answer::Noted => AnswerV1::Noted,
+            Answer::Configuration { version, document } => {
+                AnswerV1::Configuration { version, document }
+            }
+            Answer::List { mark, list } => AnswerV1::List { mark, list },
+            Answer::News(news) => AnswerV1::News(news.into()),
+            Answer::Leads { machines } => AnswerV1::Leads { machines },
+            Answer::NotLeader { leader, machines } => AnswerV1::NotLeader { leader, machines },
+            // Drained zones are told in the list; the gateway asks again and gets that one.
+            Answer::Unavailable | Answer::DrainedZones(_) => AnswerV1::Unavailable,
+        };
+        Self { number, answer }
+    }
+}
+
+impl From<DecisionV1> for Decision {
+    fn from(decision: DecisionV1) -> Self {
+        match decision {
+            DecisionV1::Run(replica) => Self::Run(replica),
+            DecisionV1::RunAnywhere => Self::RunAnywhere,
+            DecisionV1::Wait => Self::Wait,
+            DecisionV1::Refuse(after) => Self::Refuse(after),
+        }
+    }
+}
+
+impl From<Decision> for DecisionV1 {
+    fn from(decision: Decision) -> Self {
+        match decision {
+            Decision::Run(replica) | Decision::RunCold { replica, .. } => Self::Run(replica),
+            Decision::RunAnywhere => Self::RunAnywhere,
+            Decision::Wait => Self::Wait,
+            Decision::Refuse(after) => Self::Refuse(after),
+        }
+    }
+}
+
+impl From<NewsV1> for News {
+    fn from(NewsV1 { list_age_ms, loads, loads_of, machines, failing }: NewsV1) -> Self {
+        Self { list_age_ms, loads, loads_of, machines, failing, cold: None }
+    }
+}
+
+impl From<News> for NewsV1 {
+    fn from(news: News) -> Self {
+        let News { list_age_ms, loads, loads_of, machines, failing, cold: _ } = news;
+        Self { list_age_ms, loads, loads_of, machines, failing }
+    }
+}
+
+impl Question {
+    /// What a leader of version 1 need not be asked. It has never drained a zone, since that takes
+    /// a ledger without machines of its version.
+    pub fn answer_for_v1(&self) -> Option<Answer> {
+        match self {
+            Self::Watch(Seen { drained: None, .. }) => {
+                Some(Answer::DrainedZones(DrainedZones::none()))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Leaves the identity of a replica and drops when it started.
+fn strip(replica: &mut String) {
+    let identity = Incarnation::identity_of(replica).len();
+    replica.truncate(identity);
+}
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -5,7 +5,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_telemetry::{Event, emit};
@@ -21,6 +21,7 @@
 
 use super::list::Reading;
 use super::replica::{ReplicaHandle, Request, Response, Standing};
+use super::versions::{FleetLag, FleetVersions};
 use super::{LedgerSettings, machine_address};
 use crate::commands::{Command, Output, RetiringOutcome};
 
@@ -154,23 +155,23 @@
     }
 }
 
+/// What operators' calls are answered from.
 #[derive(Clone)]
-struct Control {
-    settings: Arc<LedgerSettings>,
-    replica: ReplicaHandle,
-    standing: watch::Receiver<Standing>,
-    list: watch::Receiver<Reading>,
+pub struct Control {
+    /// Settings of this machine.
+    pub settings: Arc<LedgerSettings>,
+    /// The replicated log.
+    pub replica: ReplicaHandle,
+    /// What is known of the group.
+    pub standing: watch::Receiver<Standing>,
+    /// The list of replicas.
+    pub list: watch::Receiver<Reading>,
+    /// What the other processes speak.
+    pub versions: Arc<FleetVersions>,
 }
 
 /// Takes connections of operators.
-pub async fn accept(
-    listener: TcpListener,
-    settings: LedgerSettings,
-    replica: ReplicaHandle,
-    standing: watch::Receiver<Standing>,
-    list: watch::Receiver<Reading>,
-) {
-    let control = Control { settings: Arc::new(settings), replica, standing, list };
+pub async fn accept(listener: TcpListener, control: Control) {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(serve(stream, control.clone()));
@@ -241,10 +242,22 @@
             if self.judge_zone(zone) != ZoneJudgement::Known {
                 return self.refuse_zone(zone).await;
             }
+            if let Some(lag) = self.fleet_lag() {
+                return Response::FleetLags(lag);
+            }
         }
         self.replica.call(to_request(call.clone(), body)).await
     }
 
+    /// What keeps the fleet from draining zones, as far as the leader knows. A ledger machine of an
+    /// older build would leave the order out of its state, and a gateway would not hear of it.
+    fn fleet_lag(&self) -> Option<FleetLag> {
+        let standing = self.standing.borrow();
+        let own = super::machine_number(self.settings.ip);
+        let others = standing.machines.iter().copied().filter(|machine| *machine != own);
+        standing.is_leader.then(|| self.versions.lag(others, Instant::now())).flatten()
+    }
+
     /// Answers an order for a zone that this machine does not know, without proposing it.
     async fn refuse_zone(&self, zone: &Zone) -> Response {
         match self.replica.call(Request::ConfirmLeadership).await {
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -1,10 +1,12 @@
 //! Questions of gateways.
 //!
 //! - [`news`]: what they watch for, and what they report along with it;
+//! - [`older`]: what those of older builds are told;
 //! - [`shared`]: answers that are the same for all of them;
 //! - [`turns`]: whether, when and where a request runs.
 
 mod news;
+mod older;
 mod shared;
 mod turns;
 
@@ -15,8 +17,10 @@
 use calicohoist_scheduler::PlacementRequest;
 use calicohoist_telemetry::metrics::{Counter, Gauge};
 use calicohoist_telemetry::{Event, emit};
+use calicohoist_transport::version::choose;
 use calicohoist_transport::{
-    Frame, FrameError, FrameQueue, FrameReader, Queued, RefusalLog, WaitingBytes, spawn_writer, tcp,
+    Frame, FrameError, FrameQueue, FrameReader, ProtocolVersion, Queued, RefusalLog, VersionError,
+    WaitingBytes, spawn_writer, tcp,
 };
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -31,7 +35,9 @@
 use super::replica::{ReplicaHandle, Standing};
 use super::traffic::{self, Peer};
 use super::turns::TurnDesk;
-use crate::protocol::{Answer, Ask, Question, Reply};
+use super::versions::FleetVersions;
+use crate::protocol::{Answer, Ask, NEWEST, Question, Reply, SPOKEN};
+use older::OlderGateways;
 use shared::{SharedAnswer, SharedAnswers};
 
 /// How long a gateway that looks for a leader is kept waiting while nobody leads: what it
@@ -60,6 +66,8 @@
     pub topology: Arc<Topology>,
     /// Turns by the zone of their gateways.
     pub loads: Arc<Mutex<ZoneLoads>>,
+    /// What askers speak.
+    pub versions: Arc<FleetVersions>,
 }
 
 /// What all connections of gateways share.
@@ -78,6 +86,7 @@
     /// Answers that wait on all connections.
     waiting: WaitingBytes,
     shared: Arc<Mutex<SharedAnswers>>,
+    older: OlderGateways,
     /// Where this machine and its askers are.
     place: Arc<HubPlace>,
     /// Runs what the replica's thread must not wait for.
@@ -104,6 +113,7 @@
             failures: Arc::default(),
             waiting: WaitingBytes::default(),
             shared: Arc::default(),
+            older: OlderGateways::default(),
             place: Arc::new(place),
             runtime: Handle::current(),
         }
@@ -135,27 +145,34 @@
             let hub = hub.clone();
             tokio::spawn(async move {
                 if let Err(error) = serve(stream, hub).await {
-                    REFUSALS.note(address, &error);
+                    REFUSALS.note_version(address, &error);
                 }
             });
         }
     }
 }
 
-async fn serve(stream: TcpStream, hub: Hub) -> Result<(), FrameError> {
-    let (input, output) = stream.into_split();
-    let replies = spawn_writer(output, hub.waiting.clone());
+async fn serve(stream: TcpStream, hub: Hub) -> Result<(), VersionError> {
+    let (input, mut output) = stream.into_split();
     let mut frames = FrameReader::new(input);
+    let version = choose(&mut frames, &mut output, SPOKEN).await?;
+    let older = (version < NEWEST).then(|| Box::new(hub.clone()));
+    let replies = spawn_writer(output, hub.waiting.clone());
     let mut distance = None;
     loop {
-        let Ask { number, question } = frames.next().await?;
+        let Ask { number, question } = Ask::read(&mut frames, version).await?;
+        hub.place.versions.note_gateway(version, Instant::now());
+        let question = match &older {
+            Some(hub) => hub.older.read(question, &hub.fleet()),
+            None => question,
+        };
         if let Some(placement) = placement_in(&question) {
             distance = Some(hub.place.topology.distance(&hub.place.zone, &placement.zone));
             hub.place.loads.lock().note(&placement.zone, Instant::now());
         }
         traffic::note(Peer::Asker, word_of(&question), distance, frames.last_len());
-        let replies = replies.clone();
-        let back = Back { number, replies, waiting: hub.waiting.clone(), distance };
+        let (replies, waiting) = (replies.clone(), hub.waiting.clone());
+        let back = Back { number, replies, waiting, distance, version, older: older.clone() };
         match question {
             Question::Reserve { reserve, placement, permit } => {
                 hub.reserve(reserve, placement, permit, back);
@@ -204,17 +221,29 @@
     waiting: WaitingBytes,
     /// How far the asker is, once that is known.
     distance: Option<Distance>,
+    version: ProtocolVersion,
+    /// Translates for an asker of an older build.
+    older: Option<Box<Hub>>,
 }
 
 impl Back {
     /// A connection that does not take its answers is closed; its owner asks again.
     pub(super) fn send(self, answer: Answer) {
+        let answer = match &self.older {
+            Some(hub) => hub.older.tell(answer, &hub.fleet()),
+            None => answer,
+        };
         let bulk = bulk_of(&answer);
-        let reply = Reply { number: self.number, answer };
-        self.send_frame(bulk, Frame::encode(&reply));
+        let frame = Reply { number: self.number, answer }.encode(self.version);
+        self.send_frame(bulk, frame);
+    }
+
+    /// Whether the asker is of an older build.
+    fn is_older(&self) -> bool {
+        self.older.is_some()
     }
 
-    /// Sends an answer that other connections send, too.
+    /// Sends an answer that other connections send, too, and that is the same in all versions.
     fn send_shared(self, answer: &SharedAnswer) {
         let frame = Frame::with_shared(&self.number, &answer.encoded);
         self.send_frame(answer.bulk, frame);
--- a/crates/ledger/src/server/gateways/news.rs
+++ b/crates/ledger/src/server/gateways/news.rs
@@ -69,6 +69,10 @@
         let reading = self.reading();
         let standing = self.standing.borrow().clone();
         if reading.tells_list(standing.term, seen) {
+            if back.is_older() {
+                let list = reading.list.as_ref().clone();
+                return back.send(Answer::List { mark: reading.mark, list });
+            }
             let answer = self.shared.lock().list(&reading);
             return back.send_if_encoded(answer);
         }
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -127,7 +127,7 @@
     }
 
     /// The newest reading with what else decides where requests go.
-    fn fleet(&self) -> FleetSnapshot {
+    pub(super) fn fleet(&self) -> FleetSnapshot {
         FleetSnapshot {
             reading: self.reading(),
             drained: Arc::clone(&self.standing.borrow().drained),
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -16,6 +16,7 @@
 pub mod slowness;
 pub mod traffic;
 pub mod turns;
+pub mod versions;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -30,9 +31,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use control::ControlCodec;
+use control::{Control, ControlCodec};
 use gateways::HubPlace;
 use replica::{Desks, ReplicaHandle, ReplicaThread};
+use versions::FleetVersions;
 
 /// Where ledger machines listen; the ports are the same on all of them.
 #[derive(Clone, Copy, Debug)]
@@ -164,7 +166,10 @@
     let (handle, standing, failure) = thread.start()?;
     let zones = peers::PeerZones::default();
     tokio::spawn(peers::send(settings.clone(), identity, frames, zones.clone()));
-    tokio::spawn(peers::accept(listeners.peers, identity, handle.clone(), zones));
+    let versions = Arc::new(FleetVersions::default());
+    let accepting =
+        peers::accept(listeners.peers, identity, handle.clone(), zones, Arc::clone(&versions));
+    tokio::spawn(accepting);
     tokio::spawn(traffic::tell(settings.name.clone()));
     let list = list::spawn(&settings, standing.clone());
     tokio::spawn(Arc::clone(&limits).keep_notes(handle.clone()));
@@ -174,13 +179,23 @@
         list.clone(),
         turns,
         limits,
-        HubPlace { zone: settings.zone.clone(), topology: Arc::clone(&settings.topology), loads },
+        HubPlace {
+            zone: settings.zone.clone(),
+            topology: Arc::clone(&settings.topology),
+            loads,
+            versions: Arc::clone(&versions),
+        },
     );
     tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
-    let control =
-        control::accept(listeners.control, settings.clone(), handle.clone(), standing, list);
-    tokio::spawn(control);
+    let control = Control {
+        settings: Arc::new(settings.clone()),
+        replica: handle.clone(),
+        standing,
+        list,
+        versions,
+    };
+    tokio::spawn(control::accept(listeners.control, control));
     emit!(Event::RoleStarted; role = "ledger", replica = identity, ip = settings.ip);
     tokio::select! {
         failed = failure => eyre::bail!("the replica stopped: {}", failed.unwrap_or_default()),
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -31,7 +31,7 @@
 pub use request::{ReplicaHandle, Request, Respond, Response, Standing};
 
 use super::limits::LimitDesk;
-use super::peers::Outgoing;
+use super::peers::{Outgoing, PeerCard};
 use super::preference::{GroupView, LeaderMove, LeaderPreference, PlacedVoter, ZoneLoads};
 use super::slowness::Slowness;
 use super::turns::TurnDesk;
@@ -259,9 +259,11 @@
                 let now = self.now();
                 self.node.receive(now, from, messages);
             }
-            Input::Greeting { from, name, zone } => {
-                self.zones.insert(from.machine, zone);
-                self.names.insert(from.machine, name);
+            Input::Greeting(PeerCard { replica, name, zone }) => {
+                if let Some(zone) = zone {
+                    self.zones.insert(replica.machine, zone);
+                }
+                self.names.insert(replica.machine, name);
             }
             Input::Request { request, respond, asked } => {
                 if is_overdue(&request, asked.elapsed()) {
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -9,6 +9,8 @@
 use tokio::sync::oneshot;
 
 use crate::commands::{Command, Output, Reservation, ReserveTurn, RetiringOutcome};
+use crate::server::peers::PeerCard;
+use crate::server::versions::FleetLag;
 use crate::state::HeldConfiguration;
 
 /// What is asked of the replica.
@@ -53,6 +55,8 @@
     Retired(Option<bool>),
     /// No zone of that name exists.
     UnknownZone,
+    /// Some process of the fleet does not know this kind of change; it was not begun.
+    FleetLags(FleetLag),
     /// This machine leads in this term.
     Leads(u64),
     /// Another machine leads.
@@ -68,7 +72,7 @@
 
 pub(super) enum Input {
     Frame { from: ReplicaId, messages: Vec<GroupMessage> },
-    Greeting { from: ReplicaId, name: String, zone: String },
+    Greeting(PeerCard),
     Request { request: Request, respond: Respond, asked: Instant },
     HandOver,
 }
@@ -104,8 +108,8 @@
     }
 
     /// Hands in the name and the zone of another machine.
-    pub fn greeting(&self, from: ReplicaId, name: String, zone: String) {
-        let _ = self.inputs.try_send(Input::Greeting { from, name, zone });
+    pub fn greeting(&self, card: PeerCard) {
+        let _ = self.inputs.try_send(Input::Greeting(card));
     }
 
     /// Asks something; a full ring answers at once that it is not begun.
--- a/crates/ledger/tests/fan_out.rs
+++ b/crates/ledger/tests/fan_out.rs
@@ -19,10 +19,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_ledger::protocol::{Ask, Question, Seen};
+use calicohoist_ledger::protocol::{Ask, Question, SPOKEN, Seen};
 use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
 use calicohoist_ledger::server::{self, LedgerSettings, Listeners, Ports};
 use calicohoist_transport::encode_frame;
+use calicohoist_transport::version::offer;
 use hyper::{Method, StatusCode};
 use peak_alloc::PeakAlloc;
 use rand::rngs::StdRng;
@@ -121,6 +122,7 @@
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a size");
         socket.bind(SocketAddr::new(IpAddr::V4(LOCAL), 0)).expect("a port");
         let mut stream = socket.connect(self.gateways).await.expect("listens");
+        offer(&mut stream, SPOKEN).await.expect("speaks the newest version");
         let ask = Ask { number: 1, question: Question::Watch(Seen::default()) };
         stream.write_all(&encode_frame(&ask).expect("encodes")).await.expect("written");
         stream
--- a/crates/ledger/tests/zones.rs
+++ b/crates/ledger/tests/zones.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use calicohoist_ledger::commands::Command;
-use calicohoist_ledger::protocol::{Answer, Ask, Question, Reply, Seen};
+use calicohoist_ledger::protocol::{Answer, Ask, Question, Reply, SPOKEN, Seen};
 use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
 use calicohoist_ledger::server::{self, LedgerSettings, Listeners, Ports};
 use calicohoist_ledger::{LedgerState, Output};
 use calicohoist_replication::{GroupId, StateMachine};
 use calicohoist_routing::{DrainedZones, Topology};
+use calicohoist_transport::version::offer;
 use calicohoist_transport::{FrameReader, encode_frame};
 use calicohoist_types::{Region, Zone};
 use calicohoist_wire::encode;
@@ -290,6 +291,7 @@
     /// The drained zones, as a gateway is told that knows nothing yet.
     async fn drained(&self) -> DrainedZones {
         let mut stream = TcpStream::connect(self.gateways).await.expect("listens");
+        offer(&mut stream, SPOKEN).await.expect("speaks the newest version");
         let ask = Ask { number: 1, question: Question::Watch(Seen::default()) };
         stream.write_all(&encode_frame(&ask).expect("encodes")).await.expect("written");
         let reply: Reply = FrameReader::new(stream).next().await.expect("answered");
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -8,7 +8,8 @@
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-const HEADER_BYTES: usize = 8;
+/// Length and checksum before each payload.
+pub const HEADER_BYTES: usize = 8;
 const READ_BYTES: usize = 16 << 10;
 
 /// Encodes `message` as a frame.
@@ -21,6 +22,21 @@
     Ok(frame)
 }
 
+/// The frame of an encoded message.
+pub fn frame_of(payload: &[u8]) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
+    frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&crc32c::crc32c(payload).to_le_bytes());
+    frame.extend_from_slice(payload);
+    frame
+}
+
+/// Length and checksum of the payload that follows a header.
+pub(crate) fn split_header(header: &[u8; HEADER_BYTES]) -> (usize, u32) {
+    let [a, b, c, d, e, f, g, h] = *header;
+    (u32::from_le_bytes([a, b, c, d]) as usize, u32::from_le_bytes([e, f, g, h]))
+}
+
 /// The last field of a message, encoded once for the frames of many connections.
 #[derive(Clone, Debug)]
 pub struct SharedField {
@@ -131,9 +147,28 @@
         &mut self,
         mut on_bytes: impl FnMut(),
     ) -> Result<T, FrameError> {
+        self.fill(&mut on_bytes).await?;
+        calicohoist_wire::decode(&self.take_payload()?)
+    }
+
+    /// The next payload if `is_wanted`; else it is left to be read.
+    ///
+    /// # Errors
+    /// See [`FrameError`]; the connection is of no use afterwards.
+    pub async fn take_if(
+        &mut self,
+        is_wanted: impl FnOnce(&[u8]) -> bool,
+    ) -> Result<Option<Bytes>, FrameError> {
+        let length = self.fill(&mut || {}).await?;
+        let is_wanted = is_wanted(&self.buffer[HEADER_BYTES..HEADER_BYTES + length]);
+        is_wanted.then(|| self.take_payload()).transpose()
+    }
+
+    /// Reads until a whole frame is here; returns the length of its payload.
+    async fn fill(&mut self, on_bytes: &mut impl FnMut()) -> Result<usize, FrameError> {
         loop {
-            if let Some(message) = self.take()? {
-                return Ok(message);
+            if let Some(length) = self.whole_payload()? {
+                return Ok(length);
             }
             self.buffer.reserve(READ_BYTES);
             if self.input.read_buf(&mut self.buffer).await? == 0 {
@@ -143,25 +178,30 @@
         }
     }
 
-    fn take<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+    /// Length of the next payload, once all of it is here.
+    fn whole_payload(&self) -> Result<Option<usize>, FrameError> {
         let Some(header) = self.buffer.first_chunk::<HEADER_BYTES>() else {
             return Ok(None);
         };
-        let [a, b, c, d, e, f, g, h] = *header;
-        let length = u32::from_le_bytes([a, b, c, d]) as usize;
-        let checksum = u32::from_le_bytes([e, f, g, h]);
+        let (length, _) = split_header(header);
         if length > MAX_FRAME_BYTES {
             return Err(FrameError::TooLong(length));
         }
-        if self.buffer.len() < HEADER_BYTES + length {
-            return Ok(None);
-        }
+        Ok((self.buffer.len() >= HEADER_BYTES + length).then_some(length))
+    }
+
+    /// Takes a payload that is here as a whole.
+    fn take_payload(&mut self) -> Result<Bytes, FrameError> {
+        let Some(header) = self.buffer.first_chunk::<HEADER_BYTES>() else {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        };
+        let (length, checksum) = split_header(header);
         self.buffer.advance(HEADER_BYTES);
-        let payload = self.buffer.split_to(length);
+        let payload = self.buffer.split_to(length).freeze();
         self.last_len = HEADER_BYTES + length;
         if crc32c::crc32c(&payload) != checksum {
             return Err(FrameError::Checksum);
         }
-        calicohoist_wire::decode(&payload).map(Some)
+        Ok(payload)
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,11 +7,13 @@
 pub mod link;
 pub mod refusal;
 pub mod tcp;
+pub mod version;
 pub mod writer;
 
 pub use calicohoist_wire::FrameError;
-pub use frame::{Frame, FrameReader, SharedField, encode_frame};
-pub use link::Link;
+pub use frame::{Frame, FrameReader, HEADER_BYTES, SharedField, encode_frame, frame_of};
+pub use link::{Link, LinkMessage, LinkOpening};
 pub use refusal::RefusalLog;
 pub use tcp::{bind, connect};
+pub use version::{ProtocolVersion, VersionError, VersionRange};
 pub use writer::{FrameQueue, Queued, WaitingBytes, spawn_writer};
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -8,10 +8,13 @@
 
 use serde::Serialize;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 use crate::frame::encode_frame;
+use crate::refusal::RefusalLog;
 use crate::tcp;
+use crate::version::{self, ProtocolVersion, VersionError, VersionRange};
 
 /// Frames that may wait for a connection; more are dropped.
 const QUEUE: usize = 1_024;
@@ -24,36 +27,98 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(1_000);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 
+static REFUSALS: RefusalLog = RefusalLog::new("link");
+
+/// What a link sends. It gets its form once the version is agreed on.
+pub trait LinkMessage: Send + 'static {
+    /// Bytes that it holds while it waits.
+    fn waiting_bytes(&self) -> usize;
+
+    /// Its frame.
+    fn into_frame(self, version: ProtocolVersion) -> Vec<u8>;
+}
+
+/// A frame that looks the same in every version.
+impl LinkMessage for Vec<u8> {
+    fn waiting_bytes(&self) -> usize {
+        self.len()
+    }
+
+    fn into_frame(self, _: ProtocolVersion) -> Vec<u8> {
+        self
+    }
+}
+
+/// How each connection of a link begins.
+pub struct LinkOpening {
+    /// Versions to offer; `None` for no offer.
+    versions: Option<VersionRange>,
+    greet: Box<dyn Fn(ProtocolVersion) -> Vec<u8> + Send + Sync>,
+}
+
+impl LinkOpening {
+    /// Offers `versions`, and then sends the frame that `greet` makes for the one that is chosen.
+    pub fn offer(
+        versions: VersionRange,
+        greet: impl Fn(ProtocolVersion) -> Vec<u8> + Send + Sync + 'static,
+    ) -> Self {
+        Self { versions: Some(versions), greet: Box::new(greet) }
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(TcpStream, ProtocolVersion), VersionError> {
+        match self.versions {
+            Some(versions) => {
+                version::connect(address, CONNECT_PATIENCE, USER_TIMEOUT, versions).await
+            }
+            None => {
+                let stream = tcp::connect(address, CONNECT_PATIENCE, USER_TIMEOUT).await?;
+                Ok((stream, ProtocolVersion::UNNAMED))
+            }
+        }
+    }
+}
+
 /// Sends frames to one address. Frames are dropped while there is no connection or
 /// the queue is full: what matters is repeated by the protocol above.
 #[derive(Debug)]
-pub struct Link {
-    queue: mpsc::Sender<Vec<u8>>,
-    /// Bytes of frames that are queued.
+pub struct Link<M = Vec<u8>> {
+    queue: mpsc::Sender<M>,
+    /// Bytes of messages that are queued.
     waiting: Arc<AtomicUsize>,
 }
 
 impl Link {
     /// Opens a link within a runtime. Every connection begins with `greeting`.
     pub fn open(address: SocketAddr, greeting: Vec<u8>) -> Self {
-        let (queue, frames) = mpsc::channel(QUEUE);
-        let waiting = Arc::new(AtomicUsize::new(0));
-        let frames = LinkFrames { frames, waiting: Arc::clone(&waiting) };
-        tokio::spawn(run(address, greeting, frames));
-        Self { queue, waiting }
+        let greet = Box::new(move |_| greeting.clone());
+        Self::open_with(address, LinkOpening { versions: None, greet })
     }
 
     /// Queues a message; `false` when it was dropped.
     pub fn send<T: Serialize>(&self, message: &T) -> bool {
-        encode_frame(message).is_ok_and(|frame| self.send_frame(frame))
+        encode_frame(message).is_ok_and(|frame| self.queue(frame))
     }
+}
 
-    /// Queues a frame; `false` when it was dropped.
-    pub fn send_frame(&self, frame: Vec<u8>) -> bool {
-        let bytes = frame.len();
+impl<M: LinkMessage> Link<M> {
+    /// Opens a link within a runtime.
+    pub fn open_with(address: SocketAddr, opening: LinkOpening) -> Self {
+        let (queue, messages) = mpsc::channel(QUEUE);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let messages = LinkMessages { messages, waiting: Arc::clone(&waiting) };
+        tokio::spawn(run(address, opening, messages));
+        Self { queue, waiting }
+    }
+
+    /// Queues a message; `false` when it was dropped.
+    pub fn queue(&self, message: M) -> bool {
+        let bytes = message.waiting_bytes();
         let before = self.waiting.fetch_add(bytes, Ordering::Relaxed);
         let has_room = before == 0 || before + bytes <= QUEUE_BYTES;
-        let is_queued = has_room && self.queue.try_send(frame).is_ok();
+        let is_queued = has_room && self.queue.try_send(message).is_ok();
         if !is_queued {
             self.waiting.fetch_sub(bytes, Ordering::Relaxed);
         }
@@ -62,51 +127,65 @@
 }
 
 /// The receiving end of a link's queue.
-struct LinkFrames {
-    frames: mpsc::Receiver<Vec<u8>>,
+struct LinkMessages<M> {
+    messages: mpsc::Receiver<M>,
     waiting: Arc<AtomicUsize>,
 }
 
-impl LinkFrames {
-    /// Waits for frames and takes up to [`BATCH`] of them; none once the link is gone.
-    async fn take(&mut self) -> Vec<Vec<u8>> {
+impl<M: LinkMessage> LinkMessages<M> {
+    /// Waits for messages and takes up to [`BATCH`] of them; none once the link is gone.
+    async fn take(&mut self) -> Vec<M> {
         let mut taken = Vec::new();
-        self.frames.recv_many(&mut taken, BATCH).await;
-        let bytes = taken.iter().map(Vec::len).sum();
+        self.messages.recv_many(&mut taken, BATCH).await;
+        let bytes = taken.iter().map(M::waiting_bytes).sum();
         self.waiting.fetch_sub(bytes, Ordering::Relaxed);
         taken
     }
 
     /// Drops what waits: it is out of date.
     fn drop_all(&mut self) {
-        while let Ok(frame) = self.frames.try_recv() {
-            self.waiting.fetch_sub(frame.len(), Ordering::Relaxed);
+        while let Ok(message) = self.messages.try_recv() {
+            self.waiting.fetch_sub(message.waiting_bytes(), Ordering::Relaxed);
         }
     }
 }
 
 /// Connects when there is something to send, so that links to machines that are
 /// gone cost nothing.
-async fn run(address: SocketAddr, greeting: Vec<u8>, mut frames: LinkFrames) {
+async fn run<M: LinkMessage>(
+    address: SocketAddr,
+    opening: LinkOpening,
+    mut messages: LinkMessages<M>,
+) {
     loop {
-        let first = frames.take().await;
+        let first = messages.take().await;
         if first.is_empty() {
             return;
         }
-        match tcp::connect(address, CONNECT_PATIENCE, USER_TIMEOUT).await {
-            Ok(mut stream) => {
-                let opening = [greeting.as_slice(), &first.concat()].concat();
-                let mut written = stream.write_all(&opening).await;
+        match opening.connect(address).await {
+            Ok((mut stream, version)) => {
+                let greeting = (opening.greet)(version);
+                let begin = [greeting, frames(first, version)].concat();
+                let mut written = stream.write_all(&begin).await;
                 while written.is_ok() {
-                    let batch = frames.take().await;
+                    let batch = messages.take().await;
                     if batch.is_empty() {
                         return;
                     }
-                    written = stream.write_all(&batch.concat()).await;
+                    written = stream.write_all(&frames(batch, version)).await;
                 }
             }
-            Err(_) => tokio::time::sleep(RECONNECT_PAUSE).await,
+            Err(error) => {
+                REFUSALS.note_version(address, &error);
+                tokio::time::sleep(RECONNECT_PAUSE).await;
+            }
         }
-        frames.drop_all();
+        messages.drop_all();
     }
 }
+
+fn frames<M: LinkMessage>(messages: Vec<M>, version: ProtocolVersion) -> Vec<u8> {
+    let frames: Vec<Vec<u8>> =
+        messages.into_iter().map(|message| message.into_frame(version)).collect();
+    frames.concat()
+}
--- a/crates/transport/src/refusal.rs
+++ b/crates/transport/src/refusal.rs
@@ -8,6 +8,8 @@
 use calicohoist_wire::FrameError;
 use parking_lot::Mutex;
 
+use crate::version::VersionError;
+
 /// Time between two log lines of one kind of link: a peer of another build opens a connection
 /// after the other, each of which fails alike.
 const LINE_EVERY: Duration = Duration::from_secs(1);
@@ -32,9 +34,23 @@
 
     /// Notes that a frame of `peer` could not be read. A connection that broke is no refusal.
     pub fn note(&self, peer: impl Display, error: &FrameError) {
-        if matches!(error, FrameError::Io(_)) {
-            return;
+        if !matches!(error, FrameError::Io(_)) {
+            self.refuse(peer, error);
         }
+    }
+
+    /// Notes that no version could be agreed on with `peer`.
+    pub fn note_version(&self, peer: impl Display, error: &VersionError) {
+        match error {
+            VersionError::Io(_) => {}
+            VersionError::Unreadable(error) => self.note(peer, error),
+            VersionError::NotAnswered | VersionError::NoneCommon { .. } => {
+                self.refuse(peer, error);
+            }
+        }
+    }
+
+    fn refuse(&self, peer: impl Display, error: impl Display) {
         REFUSED.count(self.link);
         let now = Instant::now();
         let mut logged = self.logged.lock();
