--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -131,7 +131,7 @@
     Retiring(RetiringOutcome),
     /// It was done.
     Done,
-    /// The command could not be read; nothing was changed.
+    /// The command could not be read; nothing was changed, and the replica stops.
     Unreadable,
     /// The drained zones have this version now.
     DrainedZones {
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -13,6 +13,7 @@
 pub use runs::RecentRuns;
 pub use turns::{HistoryPiece, StoredBytes, Turns};
 
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
@@ -51,22 +52,44 @@
     sealed: Vec<SealedSegment>,
 }
 
-/// A snapshot of a version that drained no zones.
-#[derive(Deserialize)]
-struct SnapshotBeforeDrains {
+/// A snapshot of a build that drained no zones. It is still written while there is nothing to say
+/// of zones, so that machines of that build can take it: one that cannot goes on with no state.
+#[derive(Serialize, Deserialize)]
+struct SnapshotBeforeDrains<'a> {
     clock_ms: u64,
-    configuration: HeldConfiguration,
-    accounts: Accounts,
-    turns: Turns,
-    machines: Machines,
-    permits: PermitNotes,
+    configuration: Cow<'a, HeldConfiguration>,
+    accounts: Cow<'a, Accounts>,
+    turns: Cow<'a, Turns>,
+    machines: Cow<'a, Machines>,
+    permits: Cow<'a, PermitNotes>,
 }
 
-impl From<SnapshotBeforeDrains> for LedgerState {
-    fn from(snapshot: SnapshotBeforeDrains) -> Self {
-        let SnapshotBeforeDrains { clock_ms, configuration, accounts, turns, machines, permits } =
-            snapshot;
-        Self { clock_ms, configuration, accounts, turns, machines, permits, ..Self::default() }
+impl<'a> SnapshotBeforeDrains<'a> {
+    /// Of a state that has drained no zone so far; `None` of any other.
+    fn of(state: &'a LedgerState) -> Option<Self> {
+        let LedgerState { configuration, accounts, turns, machines, permits, .. } = state;
+        (state.drained == DrainedZones::none()).then(|| Self {
+            clock_ms: state.clock_ms,
+            configuration: Cow::Borrowed(configuration),
+            accounts: Cow::Borrowed(accounts),
+            turns: Cow::Borrowed(turns),
+            machines: Cow::Borrowed(machines),
+            permits: Cow::Borrowed(permits),
+        })
+    }
+}
+
+impl From<SnapshotBeforeDrains<'_>> for LedgerState {
+    fn from(snapshot: SnapshotBeforeDrains<'_>) -> Self {
+        Self {
+            clock_ms: snapshot.clock_ms,
+            configuration: snapshot.configuration.into_owned(),
+            accounts: snapshot.accounts.into_owned(),
+            turns: snapshot.turns.into_owned(),
+            machines: snapshot.machines.into_owned(),
+            permits: snapshot.permits.into_owned(),
+            ..Self::default()
+        }
     }
 }
 
@@ -203,8 +226,16 @@
         decode(command).map_or(Output::Unreadable, |command| self.perform(command))
     }
 
+    fn is_unreadable(output: &Output) -> bool {
+        *output == Output::Unreadable
+    }
+
     fn snapshot(&self) -> Vec<u8> {
-        encode(self).unwrap_or_default()
+        let encoded = match SnapshotBeforeDrains::of(self) {
+            Some(snapshot) => encode(&snapshot),
+            None => encode(self),
+        };
+        encoded.unwrap_or_default()
     }
 
     fn segments(&self) -> BTreeSet<SegmentId> {
--- a/crates/ledger/tests/builds.rs
+++ b/crates/ledger/tests/builds.rs
@@ -17,15 +17,17 @@
 use std::time::Instant;
 
 use calicohoist_ledger::client::LedgerClient;
-use calicohoist_ledger::commands::Command;
+use calicohoist_ledger::commands::{Command, Output};
 use calicohoist_ledger::protocol::{Ask, ChangeMark, ListMark, Reply, Seen};
 use calicohoist_ledger::server::replica::Request;
 use calicohoist_ledger::server::{self, Listeners, Ports, machine_address, machine_number};
-use calicohoist_ledger::{Answer, Question};
-use calicohoist_replication::ReplicaId;
+use calicohoist_ledger::{Answer, LedgerState, Question};
+use calicohoist_replication::{GroupId, ReplicaId, StateMachine};
 use calicohoist_routing::DrainedZones;
 use calicohoist_scheduler::Decision;
 use calicohoist_transport::{Frame, FrameReader, ProtocolVersion, bind, frame_of};
+use calicohoist_types::Zone;
+use calicohoist_wire::encode;
 use support::older::{OlderGateway, OlderLeader, OlderMachine, sample};
 use support::{LOCAL, LONG, OnCommand, PEER, Pair, settings};
 use tokio::sync::watch;
@@ -134,6 +136,21 @@
     payload.expect("wanted").to_vec()
 }
 
+#[test]
+fn a_machine_of_the_build_before_can_take_a_snapshot_until_a_zone_was_drained() {
+    let mut state = LedgerState::new(GroupId(0));
+    for name in support::older::names().filter(|name| name.starts_with("command.")) {
+        assert_ne!(state.apply(&sample(name)), Output::Unreadable, "{name}");
+    }
+    assert_eq!(state.snapshot(), sample("snapshot"));
+
+    let drain = Command::DrainZone { zone: Zone::new("a") };
+    state.apply(&encode(&drain).expect("encodes"));
+    let mut restored = LedgerState::new(GroupId(0));
+    assert!(restored.restore(&state.snapshot()));
+    assert!(restored.drained().contains("a"));
+}
+
 #[tokio::test]
 async fn every_message_of_the_build_before_is_read_and_written_as_it_was() {
     for name in support::older::names() {
--- a/crates/replication/src/node/group.rs
+++ b/crates/replication/src/node/group.rs
@@ -34,6 +34,8 @@
     incoming: Option<Incoming>,
     /// What has to go through the disk at the next flush.
     parcels: Vec<Parcel>,
+    /// What of the log could not be read, and its index. Nothing is applied from there on.
+    unreadable: Option<(&'static str, Index)>,
 }
 
 impl<S: StateMachine> Group<S> {
@@ -48,6 +50,7 @@
             held,
             incoming: None,
             parcels: Vec::new(),
+            unreadable: None,
         }
     }
 
@@ -173,12 +176,32 @@
         if self.machine.restore(&snapshot.data) {
             emit!(Event::SnapshotInstalled, "group {group} at {}", snapshot.index);
         } else {
-            emit!(Event::LogCorrupt, "group {group}: unreadable snapshot {}", snapshot.index);
+            self.stop_at("snapshot", snapshot.index);
         }
         self.applied = snapshot.index;
     }
 
+    /// Notes that something in the log cannot be read. Nothing after it is applied.
+    pub(super) fn stop_at(&mut self, what: &'static str, index: Index) {
+        emit!(Event::LogUnreadable; group = self.id, what = what, index = index);
+        self.unreadable = Some((what, index));
+    }
+
+    /// Whether everything was read so far.
+    ///
+    /// # Errors
+    /// [`DiskError::Unreadable`].
+    pub(super) fn check_readable(&self) -> Result<(), DiskError> {
+        match self.unreadable {
+            Some((what, index)) => Err(DiskError::Unreadable { group: self.id, what, index }),
+            None => Ok(()),
+        }
+    }
+
     fn apply(&mut self, entry: Entry, outbox: &mut Outbox<S::Output>) {
+        if self.unreadable.is_some() {
+            return;
+        }
         self.applied = entry.index;
         let waiting = self.proposals.remove(&entry.index);
         let EntryKind::Command(command) = &entry.kind else {
@@ -188,6 +211,9 @@
             return;
         };
         let output = self.machine.apply(command);
+        if S::is_unreadable(&output) {
+            return self.stop_at("entry", entry.index);
+        }
         match waiting {
             Some((term, ticket)) if term == entry.term => {
                 outbox.events.push(NodeEvent::Applied { ticket, output });
--- a/crates/replication/src/node/mod.rs
+++ b/crates/replication/src/node/mod.rs
@@ -35,6 +35,12 @@
     /// Applies one committed command.
     fn apply(&mut self, command: &[u8]) -> Self::Output;
 
+    /// Whether an output says that the command could not be read. The replica stops then: had it gone
+    /// on without the command, its state would differ from the others' for good.
+    fn is_unreadable(_output: &Self::Output) -> bool {
+        false
+    }
+
     /// The whole state, encoded, without what its segments hold.
     fn snapshot(&self) -> Vec<u8>;
 
@@ -192,11 +198,13 @@
             let held = of_group.map(|(_, segment)| *segment).collect();
             let raft_settings = node.settings.raft;
             let mut machine = S::new(*group);
-            if !snapshot.data.is_empty() {
-                machine.restore(&snapshot.data);
-            }
+            let is_read = snapshot.data.is_empty() || machine.restore(&snapshot.data);
             let raft = Raft::new(id, raft_settings, seed, hard_state, snapshot, entries, now);
-            node.groups.insert(*group, Group::new(*group, raft, machine, held));
+            let mut state = Group::new(*group, raft, machine, held);
+            if !is_read {
+                state.stop_at("snapshot", state.raft.snapshot_index());
+            }
+            node.groups.insert(*group, state);
         }
         node
     }
@@ -383,6 +391,9 @@
         log: &mut DiskLog<D>,
         mut send_early: impl FnMut(ReplicaId, Vec<GroupMessage>),
     ) -> Result<Vec<NodeEvent<S::Output>>, DiskError> {
+        for state in self.groups.values() {
+            state.check_readable()?;
+        }
         let mut early: Outbox<()> = Outbox::default();
         let mut outbox = Outbox::default();
         let mut writes = Vec::new();
@@ -405,6 +416,7 @@
             state.raft.persisted(last);
             let effects = state.raft.take_effects();
             state.take(effects, &mut outbox);
+            state.check_readable()?;
             state.answer_reads(now, &mut outbox);
         }
         self.compact(log)?;
--- a/crates/replication/src/storage/mod.rs
+++ b/crates/replication/src/storage/mod.rs
@@ -7,6 +7,8 @@
 pub use disk::{DirectoryDisk, Disk};
 pub use log::{DiskLog, Recovered, RecoveredGroup, Write};
 
+use crate::message::{GroupId, Index};
+
 /// Why storage failed. A replica that meets any of these stops taking part.
 #[derive(Debug, thiserror::Error)]
 pub enum DiskError {
@@ -30,6 +32,16 @@
         /// What is wrong.
         problem: String,
     },
+    /// What the log holds is whole, and of a kind that this build does not know.
+    #[error("{what} {index} of group {group} cannot be read by this build; start a newer one")]
+    Unreadable {
+        /// The group.
+        group: GroupId,
+        /// An entry or a snapshot.
+        what: &'static str,
+        /// Its index.
+        index: Index,
+    },
 }
 
 impl DiskError {
@@ -37,7 +49,7 @@
     pub fn is_full(&self) -> bool {
         match self {
             Self::Io { source, .. } => source.kind() == std::io::ErrorKind::StorageFull,
-            Self::Corrupt { .. } => false,
+            Self::Corrupt { .. } | Self::Unreadable { .. } => false,
         }
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -69,6 +69,8 @@
     LeaderMoved = 2010, Info;
     /// A new leader has applied all that earlier leaders have committed.
     LeaderCaughtUp = 2011, Info;
+    /// An entry or a snapshot is of a kind that this build does not know; the replica stops.
+    LogUnreadable = 2012, Error;
     /// A frame from a peer could not be read; the link was closed.
     FrameRefused = 3001, Warn;
     /// A connection was refused since the limit is reached.
