A gateway that does not follow a leader calls no route and no key unknown

Change: 404 for a missing route and 401 for an unknown key are given only within 1.5 s of the leader's last word; else 503 with a time to come back, since a newer configuration may allow the request. Routes that are known go on as before. Ruled out: refusing everything then: requests that need no ledger are served through its outages.

--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use calicohoist_ledger::client::LedgerClient;
 use calicohoist_limiter::PermitPurse;
@@ -15,6 +15,9 @@
 use crate::settings::ProxySettings;
 use crate::upstream::Pool;
 
+/// How long the leader's last news count: three times as long as it holds a question for news, and
+/// less than a change may take to be in force everywhere.
+const NEWS_COUNT_FOR: Duration = Duration::from_millis(1_500);
 /// Requests that may wait for the first table.
 const MAX_TABLE_WAITERS: usize = 256;
 
@@ -38,6 +41,8 @@
     /// Places for requests that wait for the first table.
     table_waiters: Semaphore,
     has_list: AtomicBool,
+    /// When the leader last told what is new, or that nothing is.
+    followed: Mutex<Option<Instant>>,
     is_stopping: AtomicBool,
     under_way: AtomicUsize,
 }
@@ -58,6 +63,7 @@
             table: watch::Sender::new(None),
             table_waiters: Semaphore::new(MAX_TABLE_WAITERS),
             has_list: AtomicBool::new(false),
+            followed: Mutex::new(None),
             is_stopping: AtomicBool::new(false),
             under_way: AtomicUsize::new(0),
         }
@@ -96,6 +102,18 @@
         })
     }
 
+    /// Notes that a leader told what is new.
+    pub fn note_followed(&self, now: Instant) {
+        *self.followed.lock() = Some(now);
+    }
+
+    /// Whether the table in force is the newest one, but for the time that a change takes. A gateway
+    /// that does not follow must not say that something does not exist: it may be new.
+    pub fn follows(&self, now: Instant) -> bool {
+        let followed = *self.followed.lock();
+        followed.is_some_and(|at| now.saturating_duration_since(at) < NEWS_COUNT_FOR)
+    }
+
     /// Notes that the replicas are known.
     pub fn note_list(&self) {
         self.has_list.store(true, Ordering::Relaxed);
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -32,7 +32,7 @@
 use crate::app::App;
 pub use answer::{AnswerBody, BodyError};
 use call::{Admission, Call};
-use refusal::{KeyProblem, Refusal};
+use refusal::{KeyProblem, NotRunReason, Refusal};
 
 /// Longest time that a request's body may take.
 const BODY_PATIENCE: Duration = Duration::from_secs(5);
@@ -41,6 +41,10 @@
 /// together with its ledger has it within this.
 const CONFIGURATION_PATIENCE: Duration = Duration::from_millis(800);
 
+/// When the caller of a request may come back that needs a newer configuration: an election takes up
+/// to 360 ms, and what is new is told at once.
+const OLD_CONFIGURATION_PAUSE: Duration = Duration::from_millis(500);
+
 /// Serves one request of a caller.
 pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<AnswerBody> {
     let received = Instant::now();
@@ -158,11 +162,22 @@
     let table = app.wait_for_table(CONFIGURATION_PATIENCE).await;
     let table = table.ok_or(Refusal::NoConfiguration)?;
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let route = table.find(host, parts.uri.path()).cloned().ok_or(Refusal::NoRoute)?;
-    let tenant = find_tenant(app, &table, &route, &mut parts.headers)?;
+    let route = table.find(host, parts.uri.path()).cloned();
+    let route = route.ok_or_else(|| unless_old(app, Refusal::NoRoute))?;
+    let tenant = find_tenant(app, &table, &route, &mut parts.headers);
+    let tenant = tenant.map_err(|refusal| unless_old(app, refusal))?;
     Ok(Admission { table, route, tenant })
 }
 
+/// A refusal that the configuration in force here leads to. Callers take it as final, so a gateway
+/// that does not follow its leader sends them away for a moment instead.
+fn unless_old(app: &App, refusal: Refusal) -> Refusal {
+    if app.follows(Instant::now()) {
+        return refusal;
+    }
+    Refusal::not_run(NotRunReason::OldConfiguration, OLD_CONFIGURATION_PAUSE)
+}
+
 /// The tenant that holds the key of a request. Without any tenant in the configuration,
 /// requests need no key, and what looks like one is a header like others.
 fn find_tenant(
--- a/crates/proxy/src/flow/refusal.rs
+++ b/crates/proxy/src/flow/refusal.rs
@@ -118,6 +118,9 @@
     /// The ledger did not answer.
     #[error("ledger unavailable")]
     LedgerUnavailable,
+    /// The configuration held here does not allow it, and there may be a newer one.
+    #[error("configuration may be out of date")]
+    OldConfiguration,
 }
 
 impl Refusal {
--- a/crates/proxy/src/news.rs
+++ b/crates/proxy/src/news.rs
@@ -72,7 +72,11 @@
             };
             RUNNING_IN_DRAINED.show(u64::from(self.app.fleet.running_in_drained()));
             let deadline = Instant::now() + WATCH_PATIENCE;
-            match self.app.ledger.ask(&Question::Watch(seen), deadline).await {
+            let answer = self.app.ledger.ask(&Question::Watch(seen), deadline).await;
+            if answer.is_ok() {
+                self.app.note_followed(Instant::now());
+            }
+            match answer {
                 Ok(Answer::Configuration { version, document }) => {
                     if !self.apply(version, &document) {
                         tokio::time::sleep(REFUSED_PAUSE).await;
