Soak: processes of two builds, forth and back

Zones are not drained and the list has no bad entry then, since the older build knows neither. By hand only.

--- a/crates/calicohoist/tests/machines/mod.rs
+++ b/crates/calicohoist/tests/machines/mod.rs
@@ -8,7 +8,7 @@
 use std::fs;
 use std::io::Write as _;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -21,6 +21,8 @@
 pub const STORES: [&str; 3] = ["127.0.0.11", "127.0.0.12", "127.0.0.13"];
 /// Where store processes listen behind forwarders.
 pub const BOUND: [&str; 3] = ["127.0.1.11", "127.0.1.12", "127.0.1.13"];
+/// The binary of the build under test.
+pub const THIS_BUILD: &str = env!("CARGO_BIN_EXE_calicohoist");
 pub const FRONTS: [&str; 2] = ["127.0.0.21", "127.0.0.22"];
 
 /// Ports that are alike on all machines.
@@ -113,6 +115,17 @@
 
     /// Starts a machine whose store process listens on `bind`.
     pub fn start_bound(&self, ip: &'static str, bind: &str, bootstrap: bool) -> Process {
+        self.start_build(Path::new(THIS_BUILD), ip, bind, bootstrap)
+    }
+
+    /// The same with the binary of some build.
+    pub fn start_build(
+        &self,
+        binary: &Path,
+        ip: &'static str,
+        bind: &str,
+        bootstrap: bool,
+    ) -> Process {
         let Ports { internal, control, http, ready } = self.ports;
         let is_store = STORES.contains(&ip);
         let seeds: Vec<String> =
@@ -141,7 +154,7 @@
             .open(self.folder.path().join(format!("{ip}.log")))
             .expect("a log");
         let bind: &[&str] = if is_store { &["--bind", bind] } else { &[] };
-        let child = Command::new(env!("CARGO_BIN_EXE_calicohoist"))
+        let child = Command::new(binary)
             .args(["--log-format", "json", "serve", "--node-file"])
             .arg(&file)
             .args(bind)
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -5,6 +5,7 @@
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::process::ExitStatusExt as _;
+use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,7 +16,7 @@
 use signal_hook::consts::SIGTERM;
 
 use crate::machines::forwarder::Forwarder;
-use crate::machines::{BOUND, Machines, Process, STORES};
+use crate::machines::{BOUND, Machines, Process, STORES, THIS_BUILD};
 use crate::support::ScriptedReplica;
 use crate::{model, tool};
 
@@ -36,8 +37,15 @@
 const RESTART_SHARE: f64 = 0.3;
 /// Sets the draws of these starts apart from those of all other faults, which a seed fixes.
 const STARTS_SEED: u64 = 47;
+/// Sets the draws of builds apart from all others, too.
+const UPGRADES_SEED: u64 = 51;
+/// Share of the starts of a process at which it is of this build; else it is of the older one, also
+/// where this one ran before.
+const UPGRADE_SHARE: f64 = 0.6;
 /// When replicas started first, in ms of Unix time.
 const FIRST_START_MS: u64 = 1_790_000_000_000;
+/// Time between two machines that are replaced as planned.
+const UPGRADE_PAUSE: Duration = Duration::from_millis(1_500);
 /// Most faults in one series.
 const LONGEST_SERIES: usize = 4;
 
@@ -45,6 +53,8 @@
 struct Place {
     ip: &'static str,
     bound: &'static str,
+    /// The binary of its process, or of the one that runs next.
+    binary: PathBuf,
     process: Option<Process>,
     /// Length of its log when the process was started.
     log_bytes: u64,
@@ -79,6 +89,9 @@
     into_replicas: Vec<Forwarder>,
     random: StdRng,
     starts: StdRng,
+    /// Binary of the build that runs at first, when machines are upgraded meanwhile.
+    older: Option<PathBuf>,
+    upgrades: StdRng,
     /// When the replica that started last did so, in ms of Unix time.
     newest_start_ms: u64,
     endings: Vec<(Instant, Ending)>,
@@ -94,8 +107,10 @@
 }
 
 impl Soak {
-    pub fn start(seed: u64, fronts: usize) -> Self {
+    /// Starts all machines, with the binary of an older build if there is one.
+    pub fn start(seed: u64, fronts: usize, older: Option<PathBuf>) -> Self {
         let machines = Machines::new();
+        let first = older.clone().unwrap_or_else(|| THIS_BUILD.into());
         let internal = machines.ports.internal;
         let at = |ip: &str, port: u16| SocketAddr::new(ip.parse().expect("an address"), port);
         let into_stores = STORES.iter().zip(BOUND).map(|(ip, bound)| {
@@ -113,12 +128,16 @@
             into_replicas.push(forwarder);
             replicas.push(replica);
         }
-        // Another writer's entry, which names no replica.
-        machines.list.instances.lock().push(json!({ "id": 7, "service": "models", "slots": "4" }));
+        // Another writer's entry, which names no replica. An older build may read no list that has one.
+        if older.is_none() {
+            let entry = json!({ "id": 7, "service": "models", "slots": "4" });
+            machines.list.instances.lock().push(entry);
+        }
         let place = |ip, bound| Place {
             ip,
             bound,
-            process: Some(machines.start_bound(ip, bound, true)),
+            binary: first.clone(),
+            process: Some(machines.start_build(&first, ip, bound, true)),
             log_bytes: 0,
         };
         let stores = STORES.into_iter().zip(BOUND).map(|(ip, bound)| place(ip, bound)).collect();
@@ -134,6 +153,8 @@
             into_replicas,
             random: StdRng::seed_from_u64(seed),
             starts: StdRng::seed_from_u64(seed ^ STARTS_SEED),
+            older,
+            upgrades: StdRng::seed_from_u64(seed ^ UPGRADES_SEED),
             newest_start_ms: FIRST_START_MS,
             endings: Vec::new(),
             stores_disturbed: Instant::now(),
@@ -236,12 +257,38 @@
         }
         let (ip, bound) = (place.ip, place.bound);
         let log_bytes = self.log_bytes(ip);
-        let process = self.machines.start_bound(ip, bound, false);
+        let binary = self.draw_binary();
+        let process = self.machines.start_build(&binary, ip, bound, false);
         let place = self.place(target);
+        place.binary = binary;
         place.process = Some(process);
         place.log_bytes = log_bytes;
     }
 
+    /// The build of the next process.
+    fn draw_binary(&mut self) -> PathBuf {
+        match &self.older {
+            Some(older) if !self.upgrades.random_bool(UPGRADE_SHARE) => older.clone(),
+            _ => THIS_BUILD.into(),
+        }
+    }
+
+    /// Replaces the machines that still run the older build, one after the other.
+    pub fn finish_upgrade(&mut self) {
+        if self.older.take().is_none() {
+            return;
+        }
+        let fronts = (0..self.fronts.len()).map(Target::Front);
+        let targets: Vec<Target> = fronts.chain((0..STORES.len()).map(Target::Store)).collect();
+        for target in targets {
+            if self.place(target).binary != Path::new(THIS_BUILD) {
+                *self.faults.entry("upgraded at the end").or_default() += 1;
+                self.stop(target);
+                self.run_for(UPGRADE_PAUSE);
+            }
+        }
+    }
+
     fn log_bytes(&self, ip: &str) -> u64 {
         let log = self.machines.folder.path().join(format!("{ip}.log"));
         fs::metadata(log).map_or(0, |known| known.len())
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -8,6 +8,8 @@
 //!
 //! `CALICOHOIST_SOAK_SEEDS=FROM..TO`, `CALICOHOIST_SOAK_SECONDS=N` and `CALICOHOIST_SOAK_FRONTS=N`
 //! choose what is played (see `scripts/soak.sh`); without them the regression runs are played.
+//! `CALICOHOIST_SOAK_OLDER_BINARY` names the binary of another build: all processes are of it at first,
+//! each start draws one of the two builds, and in the end the rest is replaced as planned.
 //! A seed fixes the order of the faults, not what the processes make of them.
 
 #[path = "../../../../platform/tests/support/mod.rs"]
@@ -23,6 +25,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{self, JoinHandle};
@@ -189,7 +192,9 @@
 
 fn play(SoakRun { seed, fronts, seconds }: SoakRun) {
     let lasting = Duration::from_secs(seconds);
-    let mut soak = Soak::start(seed, fronts);
+    let older = std::env::var_os("CALICOHOIST_SOAK_OLDER_BINARY").map(PathBuf::from);
+    let is_mixed = older.is_some();
+    let mut soak = Soak::start(seed, fronts, older);
     let controls = soak.controls();
     wait_until("the configuration is accepted", || {
         controls.iter().any(|control| put_version(*control, FIRST_VERSION))
@@ -218,7 +223,8 @@
             operate(controls, random, &records, &acknowledged, &is_over);
         }));
     }
-    {
+    // An older build may know no drains.
+    if !is_mixed {
         let (records, is_over) = (Arc::clone(&records), Arc::clone(&is_over));
         let (controls, random) = (controls.clone(), StdRng::seed_from_u64(seed ^ 77));
         threads.push(thread::spawn(move || drain_zones(&controls, random, &records, &is_over)));
@@ -230,6 +236,8 @@
         soak.disturb();
     }
     soak.calm();
+    soak.finish_upgrade();
+    soak.calm();
     is_over.store(true, Ordering::Relaxed);
     threads.into_iter().for_each(|thread| thread.join().expect("a caller goes on"));
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Plays the soak of real processes with fresh seeds.
 # Usage: scripts/soak.sh [SEEDS] [SECONDS PER SEED] [FIRST SEED] [GATEWAYS]
+# With CALICOHOIST_SOAK_OLDER_BINARY two builds run side by side, see scripts/mixed-soak.sh.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 count=${1:-10}
