--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -31,6 +31,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::protocol::SPOKEN;
 use control::{Control, ControlCodec};
 use gateways::HubPlace;
 use replica::{Desks, ReplicaHandle, ReplicaThread};
@@ -196,7 +197,13 @@
         versions,
     };
     tokio::spawn(control::accept(listeners.control, control));
-    emit!(Event::RoleStarted; role = "ledger", replica = identity, ip = settings.ip);
+    emit!(
+        Event::RoleStarted;
+        role = "ledger",
+        replica = identity,
+        ip = settings.ip,
+        protocol = SPOKEN,
+    );
     tokio::select! {
         failed = failure => eyre::bail!("the replica stopped: {}", failed.unwrap_or_default()),
         _ = stop.wait_for(|stop| *stop) => {}
--- a/crates/ledger/tests/zones.rs
+++ b/crates/ledger/tests/zones.rs
@@ -1,25 +1,29 @@
 //! Drained zones: what the log makes of orders, in whatever order they come, and which calls of
 //! operators are not begun.
 
+mod support;
+
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use calicohoist_ledger::commands::Command;
-use calicohoist_ledger::protocol::{Answer, Ask, Question, Reply, SPOKEN, Seen};
+use calicohoist_ledger::protocol::{Answer, Ask, NEWEST, Question, Reply, SPOKEN, Seen};
 use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
+use calicohoist_ledger::server::versions::{FleetLag, FleetVersions};
 use calicohoist_ledger::server::{self, LedgerSettings, Listeners, Ports};
 use calicohoist_ledger::{LedgerState, Output};
 use calicohoist_replication::{GroupId, StateMachine};
 use calicohoist_routing::{DrainedZones, Topology};
 use calicohoist_transport::version::offer;
-use calicohoist_transport::{FrameReader, encode_frame};
+use calicohoist_transport::{FrameReader, ProtocolVersion, encode_frame};
 use calicohoist_types::{Region, Zone};
 use calicohoist_wire::encode;
 use hyper::{Method, StatusCode};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use support::older::{OlderGateway, sample};
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -312,6 +316,37 @@
     reply.split(' ').nth(1).and_then(|code| code.parse().ok()).expect("a status")
 }
 
+/// Its gateway would go on to send to the zone.
+#[tokio::test]
+async fn a_zone_is_not_drained_while_a_gateway_of_an_older_build_asks() {
+    let ledger = Ledger::leading().await;
+    let mut gateway = OlderGateway::connect(ledger.gateways).await;
+    assert!(gateway.ask(&sample("ask.watch")).await.is_some());
+    assert_eq!(ledger.call("POST", "a").await, 503);
+    assert_eq!(ledger.drained().await, DrainedZones::none());
+}
+
+#[test]
+fn zones_wait_for_every_machine_and_for_a_while_after_the_last_older_gateway() {
+    const NEWER: u32 = 2;
+    const OTHER: u32 = 3;
+    let lag = |versions: &FleetVersions, now| versions.lag([NEWER, OTHER], now);
+    let ip = Ipv4Addr::from_bits(OTHER);
+    let versions = FleetVersions::default();
+    let now = Instant::now();
+    versions.note_machine(NEWER, NEWEST);
+    assert_eq!(lag(&versions, now), Some(FleetLag::UnheardMachine(ip)));
+    versions.note_machine(OTHER, ProtocolVersion::UNNAMED);
+    assert_eq!(lag(&versions, now), Some(FleetLag::Machine(ip)));
+    versions.note_machine(OTHER, NEWEST);
+    assert_eq!(lag(&versions, now), None);
+    versions.note_gateway(ProtocolVersion::UNNAMED, now);
+    assert_eq!(lag(&versions, now), Some(FleetLag::Gateway));
+    assert_eq!(lag(&versions, now + Duration::from_secs(60)), None);
+    versions.note_machine(OTHER, ProtocolVersion::UNNAMED);
+    assert_eq!(lag(&versions, now), Some(FleetLag::Machine(ip)), "it went back");
+}
+
 #[tokio::test]
 async fn a_call_whose_caller_has_left_is_not_begun() {
     let ledger = Ledger::leading().await;
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -54,7 +54,12 @@
     let Listeners { http, ready } = listeners;
     let app = Arc::new(App::new(settings));
     let (closing, closing_seen) = watch::channel(false);
-    emit!(Event::RoleStarted; role = "gateway", http = app.settings.http);
+    emit!(
+        Event::RoleStarted;
+        role = "gateway",
+        http = app.settings.http,
+        protocol = calicohoist_ledger::protocol::SPOKEN,
+    );
     tokio::spawn(news::follow(Arc::clone(&app)));
     tokio::spawn(ready::accept(ready, Arc::clone(&app)));
     let accepting = tokio::spawn(connections::accept(http, Arc::clone(&app), closing_seen));
