--- /dev/null
+++ b/crates/ledger/tests/formats.rs
@@ -0,0 +1,258 @@
+//! What this build writes stays as it is: other builds read it, side by side with this one and after
+//! it. A change of form needs a new version of the protocol, a translation from the one before, and a
+//! file of samples of its own; what is told here of the newest version may grow until that is released.
+//!
+//! `CALICOHOIST_WRITE_SAMPLES=1 cargo test -p calicohoist-ledger --test formats` writes the file.
+
+use std::time::Duration;
+
+use calicohoist_ledger::commands::{Command, Reservation, ReserveTurn, RetainedTurn, SettleTurn};
+use calicohoist_ledger::packed::PackedBytes;
+use calicohoist_ledger::protocol::{Ask, ChangeMark, ListMark, News, Reply, Seen};
+use calicohoist_ledger::server::peers::{Parcel, PeerFrame};
+use calicohoist_ledger::{Answer, LedgerState, Question};
+use calicohoist_limiter::{IssuedPermits, PermitAnswer, PermitGrant, PermitRequest};
+use calicohoist_replication::{
+    Entry, EntryKind, GroupId, GroupMessage, Message, ReplicaId, StateMachine,
+};
+use calicohoist_routing::{
+    ColdLimit, DrainedZones, HomeRegions, RateLimit, Replica, ReplicaList, ReplicaState,
+};
+use calicohoist_scheduler::{Decision, PlacementRequest, PromptPart, RunSample, TurnRun};
+use calicohoist_types::{Region, TenantId, Zone};
+use calicohoist_wire::encode;
+use serde::Serialize;
+
+const SAMPLES: &str = include_str!("data/protocol-2.txt");
+const SAMPLES_FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/protocol-2.txt");
+
+/// Encoded samples, a line each.
+#[derive(Default)]
+struct Samples(String);
+
+impl Samples {
+    fn add<T: Serialize>(&mut self, name: &str, value: &T) {
+        self.add_bytes(name, &encode(value).expect("encodes"));
+    }
+
+    fn add_bytes(&mut self, name: &str, bytes: &[u8]) {
+        let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        self.0.push_str(&format!("{name} {hex}\n"));
+    }
+}
+
+fn placement() -> PlacementRequest {
+    PlacementRequest {
+        service: "lm".into(),
+        zone: "a".into(),
+        connected: vec!["r1".into()],
+        prompt: vec![PromptPart { id: 7, tokens: 512 }],
+        memory_tokens: 139_361,
+        left_ms: 4_000,
+        finish_ms: Some(5_200),
+        priority: 1,
+        is_under_way: true,
+        homes: HomeRegions::only([Region::new("north")]),
+        cold: Some(ColdLimit { per_second: 2.0, lasts: Duration::from_secs(5) }),
+    }
+}
+
+fn permit() -> PermitRequest {
+    PermitRequest {
+        tenant: TenantId::new("t-1"),
+        limit: RateLimit { per_second: 2.5, burst: 4.0 },
+        configuration: 9,
+        spare: 3,
+    }
+}
+
+fn reserve() -> ReserveTurn {
+    ReserveTurn {
+        program: Some("p".into()),
+        turn: "t1".into(),
+        most_tokens: 40,
+        budget: 100,
+        previous: None,
+        retention_ms: 60_000,
+    }
+}
+
+fn run() -> TurnRun {
+    TurnRun {
+        replica: "r1".into(),
+        prompt: vec![PromptPart { id: 7, tokens: 520 }],
+        memory_tokens: 139_361,
+        service: "lm".into(),
+        sample: Some(RunSample { generated: 80, time_ms: 400 }),
+    }
+}
+
+fn settle(turn: &str, previous: Option<&str>) -> SettleTurn {
+    SettleTurn {
+        program: Some("p".into()),
+        turn: turn.into(),
+        used_tokens: 10,
+        retention_ms: 60_000,
+        retained: Some(RetainedTurn {
+            previous: previous.map(str::to_owned),
+            input: b"hello".to_vec(),
+            output: b"event\n".to_vec(),
+        }),
+        run: Some(Box::new(run())),
+    }
+}
+
+fn ask(number: u64, question: Question) -> Ask {
+    Ask { number, question }
+}
+
+fn reply(number: u64, answer: Answer) -> Reply {
+    Reply { number, answer }
+}
+
+fn replica(id: &str, state: ReplicaState) -> Replica {
+    Replica {
+        id: id.into(),
+        service: "lm".into(),
+        address: "10.128.0.9:8080".parse().expect("an address"),
+        zone: "a".into(),
+        slots: 12,
+        state,
+    }
+}
+
+fn samples() -> String {
+    let mut samples = Samples::default();
+    let reserve_all = Question::Reserve {
+        reserve: reserve(),
+        placement: Some(placement()),
+        permit: Some(permit()),
+    };
+    samples.add("ask.reserve", &ask(1, reserve_all));
+    samples.add("ask.permit", &ask(2, Question::Permit(permit())));
+    samples
+        .add("ask.place", &ask(3, Question::Place { turn: "t1".into(), placement: placement() }));
+    samples.add("ask.settle", &ask(4, Question::Settle(settle("t1", None))));
+    let seen = Seen {
+        gateway: "front-1".into(),
+        configuration: 73,
+        list: ListMark::default(),
+        loads: vec![("r1".into(), 2)],
+        failing: ChangeMark { term: 3, change: 1 },
+        cold: ChangeMark { term: 3, change: 2 },
+        drained: Some(4),
+    };
+    samples.add("ask.watch", &ask(5, Question::Watch(seen)));
+    samples.add("ask.report_failure", &ask(6, Question::ReportFailure { replica: "r1".into() }));
+    samples.add("ask.find_leader", &ask(300, Question::FindLeader));
+
+    let grant = PermitAnswer::Granted(PermitGrant { permits: 4, life: Duration::from_millis(500) });
+    for (name, decision) in [
+        ("run", Decision::Run("r1".into())),
+        ("run_cold", Decision::RunCold { replica: "r1".into(), waited_ms: 7 }),
+        ("run_anywhere", Decision::RunAnywhere),
+        ("wait", Decision::Wait),
+        ("refuse", Decision::Refuse(Duration::from_millis(700))),
+    ] {
+        samples.add(&format!("reply.placed.{name}"), &reply(3, Answer::Placed(decision)));
+    }
+    let reserved = Answer::Reserved {
+        reservation: Reservation::Granted,
+        history: b"hello".to_vec(),
+        decision: Some(Decision::Run("r1".into())),
+        is_under_way: true,
+        permit: Some(grant),
+    };
+    samples.add("reply.reserved", &reply(1, reserved));
+    samples.add(
+        "reply.permit",
+        &reply(2, Answer::Permit(PermitAnswer::OverLimit(Duration::from_millis(250)))),
+    );
+    samples.add("reply.settled", &reply(4, Answer::Settled));
+    samples.add("reply.noted", &reply(6, Answer::Noted));
+    let document = PackedBytes::pack(b"{\"version\":74}");
+    samples.add("reply.configuration", &reply(5, Answer::Configuration { version: 74, document }));
+    let replicas = vec![replica("r1", ReplicaState::Ready), replica("r2", ReplicaState::Draining)];
+    let mark = ListMark::of(&replicas);
+    samples.add(
+        "reply.list",
+        &reply(5, Answer::List { mark, list: ReplicaList { version: 5, replicas } }),
+    );
+    let news = News {
+        list_age_ms: Some(120),
+        loads: vec![1, 2],
+        loads_of: mark,
+        machines: vec![167_837_962],
+        failing: Some((ChangeMark { term: 3, change: 2 }, vec![("r1".into(), 900)])),
+        cold: Some((ChangeMark { term: 3, change: 3 }, vec![("r2".into(), 4_000)])),
+    };
+    samples.add("reply.news", &reply(5, Answer::News(news)));
+    samples.add("reply.leads", &reply(7, Answer::Leads { machines: vec![1, 2, 3] }));
+    samples.add(
+        "reply.not_leader",
+        &reply(7, Answer::NotLeader { leader: Some(2), machines: vec![1, 2, 3] }),
+    );
+    samples.add("reply.unavailable", &reply(7, Answer::Unavailable));
+    let drained = DrainedZones { version: 4, zones: [Zone::new("a")].into() };
+    samples.add("reply.drained_zones", &reply(8, Answer::DrainedZones(drained)));
+
+    let id = ReplicaId { machine: 2_130_706_434, disk: 0 };
+    let entries = vec![
+        Entry { term: 2, index: 8, kind: EntryKind::Empty },
+        Entry { term: 2, index: 9, kind: EntryKind::Command(b"c".to_vec().into()) },
+    ];
+    let append = Message::Append {
+        term: 2,
+        previous_index: 7,
+        previous_term: 1,
+        entries,
+        commit: 6,
+        round: 11,
+    };
+    let messages = vec![GroupMessage { group: GroupId(0), message: append }];
+    samples.add("peer.plain", &PeerFrame::Plain(Parcel { to: id, messages }));
+    samples.add("peer.packed", &PeerFrame::Packed(PackedBytes::pack(b"a parcel")));
+
+    let mut state = LedgerState::new(GroupId(0));
+    let commands = [
+        (
+            "put_configuration",
+            Command::PutConfiguration { version: 74, document: b"{\"version\":74}".to_vec() },
+        ),
+        ("reserve", Command::Reserve(reserve())),
+        ("settle", Command::Settle(settle("t1", None))),
+        ("advance", Command::Advance { elapsed_ms: 5_000 }),
+        ("enroll", Command::Enroll { name: "store-1".into(), machine: 1 }),
+        ("retire", Command::Retire { name: "store-1".into(), remaining: 3, must_remain: 3 }),
+        ("seal", Command::Seal),
+        (
+            "note_permits",
+            Command::NotePermits {
+                issued: vec![IssuedPermits { tenant: TenantId::new("t-1"), count: 4 }],
+                elapsed_ms: 100,
+            },
+        ),
+        ("settle_again", Command::Settle(settle("t2", Some("t1")))),
+        ("drain_zone", Command::DrainZone { zone: Zone::new("a") }),
+        ("drain_other", Command::DrainZone { zone: Zone::new("b") }),
+        ("restore_zone", Command::RestoreZone { zone: Zone::new("b") }),
+    ];
+    for (name, command) in commands {
+        samples.add(&format!("command.{name}"), &command);
+        state.apply(&encode(&command).expect("encodes"));
+    }
+    samples.add_bytes("snapshot", &state.snapshot());
+    samples.0
+}
+
+#[test]
+fn what_this_build_writes_has_not_changed() {
+    let samples = samples();
+    if std::env::var_os("CALICOHOIST_WRITE_SAMPLES").is_some() {
+        return std::fs::write(SAMPLES_FILE, samples).expect("a file");
+    }
+    for (written, kept) in samples.lines().zip(SAMPLES.lines()) {
+        assert_eq!(written, kept);
+    }
+    assert_eq!(samples.lines().count(), SAMPLES.lines().count());
+}
