Zones wait for ledger machines only; older gateways are told drained zones as leaving replicas

Cause: a drain was refused while a gateway of an older build had asked within 10 s, though such gateways are told a list in which replicas of drained zones leave. An operator who has to empty a zone in the middle of an upgrade would wait for nothing. Change: only ledger machines hold such orders back. Test: an older gateway at a leader with a drained zone and a replica that has a start gets the bare identity, the zone as leaving, and a mark of that list; it passed at once, since the translation was there before.

--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -5,7 +5,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use calicohoist_telemetry::{Event, emit};
@@ -166,7 +166,7 @@
     pub standing: watch::Receiver<Standing>,
     /// The list of replicas.
     pub list: watch::Receiver<Reading>,
-    /// What the other processes speak.
+    /// What the other ledger machines speak.
     pub versions: Arc<FleetVersions>,
 }
 
@@ -249,13 +249,13 @@
         self.replica.call(to_request(call.clone(), body)).await
     }
 
-    /// What keeps the fleet from draining zones, as far as the leader knows. A ledger machine of an
-    /// older build would leave the order out of its state, and a gateway would not hear of it.
+    /// What keeps the ledger from draining zones, as far as the leader knows: a machine of an older
+    /// build would leave the order out of its state.
     fn fleet_lag(&self) -> Option<FleetLag> {
         let standing = self.standing.borrow();
         let own = super::machine_number(self.settings.ip);
         let others = standing.machines.iter().copied().filter(|machine| *machine != own);
-        standing.is_leader.then(|| self.versions.lag(others, Instant::now())).flatten()
+        standing.is_leader.then(|| self.versions.lag(others)).flatten()
     }
 
     /// Answers an order for a zone that this machine does not know, without proposing it.
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -35,7 +35,6 @@
 use super::replica::{ReplicaHandle, Standing};
 use super::traffic::{self, Peer};
 use super::turns::TurnDesk;
-use super::versions::FleetVersions;
 use crate::protocol::{Answer, Ask, NEWEST, Question, Reply, SPOKEN};
 use older::OlderGateways;
 use shared::{SharedAnswer, SharedAnswers};
@@ -66,8 +65,6 @@
     pub topology: Arc<Topology>,
     /// Turns by the zone of their gateways.
     pub loads: Arc<Mutex<ZoneLoads>>,
-    /// What askers speak.
-    pub versions: Arc<FleetVersions>,
 }
 
 /// What all connections of gateways share.
@@ -161,7 +158,6 @@
     let mut distance = None;
     loop {
         let Ask { number, question } = Ask::read(&mut frames, version).await?;
-        hub.place.versions.note_gateway(version, Instant::now());
         let question = match &older {
             Some(hub) => hub.older.read(question, &hub.fleet()),
             None => question,
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -180,12 +180,7 @@
         list.clone(),
         turns,
         limits,
-        HubPlace {
-            zone: settings.zone.clone(),
-            topology: Arc::clone(&settings.topology),
-            loads,
-            versions: Arc::clone(&versions),
-        },
+        HubPlace { zone: settings.zone.clone(), topology: Arc::clone(&settings.topology), loads },
     );
     tokio::spawn(hub.clone().tend_turns());
     tokio::spawn(gateways::accept(listeners.gateways, hub));
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -55,7 +55,7 @@
     Retired(Option<bool>),
     /// No zone of that name exists.
     UnknownZone,
-    /// Some process of the fleet does not know this kind of change; it was not begun.
+    /// Some machine of the ledger may not know this kind of change; it was not begun.
     FleetLags(FleetLag),
     /// This machine leads in this term.
     Leads(u64),
--- a/crates/ledger/tests/builds.rs
+++ b/crates/ledger/tests/builds.rs
@@ -14,16 +14,18 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use calicohoist_ledger::client::LedgerClient;
 use calicohoist_ledger::commands::{Command, Output};
 use calicohoist_ledger::protocol::{Ask, ChangeMark, ListMark, Reply, Seen};
+use calicohoist_ledger::server::list::Reading;
 use calicohoist_ledger::server::replica::Request;
 use calicohoist_ledger::server::{self, Listeners, Ports, machine_address, machine_number};
 use calicohoist_ledger::{Answer, LedgerState, Question};
 use calicohoist_replication::{GroupId, ReplicaId, StateMachine};
-use calicohoist_routing::DrainedZones;
+use calicohoist_routing::{DrainedZones, Replica, ReplicaList, ReplicaState};
 use calicohoist_scheduler::Decision;
 use calicohoist_transport::{Frame, FrameReader, ProtocolVersion, bind, frame_of};
 use calicohoist_types::Zone;
@@ -58,6 +60,48 @@
     assert!([any[2], waits[2]].contains(&reserved[5]), "{reserved:?}");
 }
 
+/// It names replicas to themselves by what it is told, and knows no drained zones.
+#[tokio::test]
+async fn a_gateway_of_the_build_before_is_told_bare_identities_and_drained_zones_as_leaving() {
+    let mut pair = Pair::start();
+    pair.follow().await;
+    let drain = Command::DrainZone { zone: Zone::new("b") };
+    pair.ask(Request::Change(drain), OnCommand::Acknowledge).await;
+    let replica = |id: &str, zone: &str| Replica {
+        id: id.to_owned(),
+        service: "lm".to_owned(),
+        address: ([10, 128, 0, 9], 8080).into(),
+        zone: zone.to_owned(),
+        slots: 12,
+        state: ReplicaState::Ready,
+    };
+    let replicas = vec![replica("r1@1790000000000", "a"), replica("r2", "b")];
+    let reading = Reading {
+        mark: ListMark::of(&replicas),
+        term: pair.standing.borrow().term,
+        list: Arc::new(ReplicaList { version: 1, replicas }),
+        ..Reading::default()
+    };
+    let address = pair.serve_gateways_with(reading).await;
+    let asked = async {
+        let mut gateway = OlderGateway::connect(address).await;
+        let listed = gateway.ask(&sample("ask.watch")).await.expect("answered");
+        let placed = gateway.ask(&sample("ask.reserve")).await.expect("answered");
+        (listed, placed)
+    };
+    let (listed, placed) = pair.follow_while(asked).await;
+
+    let framed = frame_of(&listed);
+    let mut frames = FrameReader::new(framed.as_slice());
+    let reply = Reply::read(&mut frames, ProtocolVersion::UNNAMED, || {}).await.expect("read");
+    let Answer::List { mark, list } = reply.answer else { panic!("{reply:?}") };
+    let told: Vec<_> = list.replicas.iter().map(|told| (told.id.as_str(), told.state)).collect();
+    assert_eq!(told, [("r1", ReplicaState::Ready), ("r2", ReplicaState::Draining)]);
+    assert_eq!(mark, ListMark::of(&list.replicas), "another mark than that of the list itself");
+    let start = placed.windows(2).any(|bytes| bytes == b"1@");
+    assert!(!start, "a placement names the identity alone: {placed:?}");
+}
+
 #[tokio::test]
 async fn a_gateway_of_this_build_follows_a_leader_of_the_build_before() {
     let mut leader = OlderLeader::bind().await;
