--- a/crates/ledger/src/server/peers.rs
+++ b/crates/ledger/src/server/peers/mod.rs
@@ -1,4 +1,8 @@
 //! Messages between ledger machines.
+//!
+//! - [`frame`]: what goes over a connection, in each version of the protocol.
+
+mod frame;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,13 +11,10 @@
 use calicohoist_routing::{Distance, Topology};
 use calicohoist_transport::version::choose;
 use calicohoist_transport::{
-    FrameError, FrameReader, HEADER_BYTES, Link, LinkMessage, LinkOpening, ProtocolVersion,
-    RefusalLog, VersionError, encode_frame, frame_of,
+    FrameReader, HEADER_BYTES, Link, LinkOpening, RefusalLog, VersionError,
 };
-use calicohoist_wire::{decode, encode};
+use calicohoist_wire::encode;
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -21,8 +22,9 @@
 use super::traffic::{self, Peer};
 use super::versions::FleetVersions;
 use super::{LedgerSettings, machine_address};
-use crate::packed::PackedBytes;
 use crate::protocol::SPOKEN;
+use frame::{Greeting, QueuedFrame};
+pub use frame::{PACKED_FROM, Parcel, PeerCard, PeerFrame};
 
 /// Messages that may wait between the replica's thread and the network's.
 pub const RING: usize = 4_096;
@@ -38,60 +40,6 @@
     pub messages: Vec<GroupMessage>,
 }
 
-/// First frame of a connection, after the version was agreed on.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Greeting {
-    from: ReplicaId,
-    name: String,
-    zone: String,
-}
-
-/// The same in version 1, which names no zone.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct GreetingV1 {
-    from: ReplicaId,
-    name: String,
-}
-
-impl Greeting {
-    fn frame(&self, version: ProtocolVersion) -> Vec<u8> {
-        let Self { from, name, .. } = self;
-        let frame = match version {
-            ProtocolVersion::UNNAMED => {
-                encode_frame(&GreetingV1 { from: *from, name: name.clone() })
-            }
-            _ => encode_frame(self),
-        };
-        // An identity and two names always fit.
-        frame.unwrap_or_default()
-    }
-}
-
-/// How another machine presents itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PeerCard {
-    /// Its replica.
-    pub replica: ReplicaId,
-    /// Its name for operators.
-    pub name: String,
-    /// Where it runs; `None` from a build that does not say so.
-    pub zone: Option<String>,
-}
-
-impl PeerCard {
-    async fn read(
-        frames: &mut FrameReader<OwnedReadHalf>,
-        version: ProtocolVersion,
-    ) -> Result<Self, FrameError> {
-        if version == ProtocolVersion::UNNAMED {
-            let GreetingV1 { from, name } = frames.next().await?;
-            return Ok(Self { replica: from, name, zone: None });
-        }
-        let Greeting { from, name, zone } = frames.next().await?;
-        Ok(Self { replica: from, name, zone: Some(zone) })
-    }
-}
-
 /// In which zones the other machines are, as they said themselves.
 #[derive(Clone, Debug, Default)]
 pub struct PeerZones(Arc<Mutex<HashMap<u32, String>>>);
@@ -107,84 +55,6 @@
     }
 }
 
-/// Messages with their receiver. A machine that lost its disk is another replica at the same
-/// address, and drops what is meant for the one before.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Parcel {
-    /// The receiver.
-    pub to: ReplicaId,
-    /// The messages.
-    pub messages: Vec<GroupMessage>,
-}
-
-/// Every frame after the greeting. In version 1 it is a bare [`Parcel`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PeerFrame {
-    /// A parcel as it is.
-    Plain(Parcel),
-    /// An encoded parcel, packed.
-    Packed(PackedBytes),
-}
-
-/// Size of a parcel, in bytes, from which packing is worth its time: below, there is little that
-/// repeats.
-pub const PACKED_FROM: usize = 256;
-
-impl PeerFrame {
-    /// Packs what goes to another region, where bytes are paid for.
-    pub fn wrap(parcel: Parcel, distance: Option<Distance>) -> Self {
-        if distance != Some(Distance::OtherRegion) {
-            return Self::Plain(parcel);
-        }
-        match encode(&parcel) {
-            Ok(encoded) if encoded.len() >= PACKED_FROM => {
-                Self::Packed(PackedBytes::pack(&encoded))
-            }
-            // What cannot be encoded is refused as a frame, too.
-            _ => Self::Plain(parcel),
-        }
-    }
-
-    /// What was wrapped; `None` when it is damaged.
-    pub fn open(self) -> Option<Parcel> {
-        match self {
-            Self::Plain(parcel) => Some(parcel),
-            Self::Packed(packed) => decode(&packed.unpack().ok()?).ok(),
-        }
-    }
-
-    /// The next one that comes in this version.
-    async fn read(
-        frames: &mut FrameReader<OwnedReadHalf>,
-        version: ProtocolVersion,
-    ) -> Result<Self, FrameError> {
-        match version {
-            ProtocolVersion::UNNAMED => frames.next().await.map(Self::Plain),
-            _ => frames.next().await,
-        }
-    }
-}
-
-/// An encoded frame in a link's queue.
-struct QueuedFrame {
-    payload: Vec<u8>,
-}
-
-impl LinkMessage for QueuedFrame {
-    fn waiting_bytes(&self) -> usize {
-        self.payload.len()
-    }
-
-    fn into_frame(self, version: ProtocolVersion) -> Vec<u8> {
-        if version != ProtocolVersion::UNNAMED {
-            return frame_of(&self.payload);
-        }
-        let parcel = decode(&self.payload).ok().and_then(PeerFrame::open);
-        // It was encoded here, so it can be read. Without a frame it is as if it were lost.
-        parcel.and_then(|parcel| encode_frame(&parcel).ok()).unwrap_or_default()
-    }
-}
-
 /// Sends what the replica's thread hands out.
 pub async fn send(
     settings: LedgerSettings,
