One kind of link, one place for what peers say, one for stripping starts

Read once more as a whole. PeerZones and FleetVersions were two maps by machine, filled at the same moment from the same greeting: KnownPeers is both. Starts of replicas were dropped in two places for older builds; version 1 does it for what it writes, either way. Header and first part of a frame are written by one function. One difference: a parcel that cannot be unpacked closed its link without a line; it is a FrameRefused now like any other. Left as they are: the forms of version 1 beside today's (a released form must not follow the newest one), and offer and answer read byte by byte, not with a frame reader that may read ahead.

--- a/crates/ledger/src/protocol/v1.rs
+++ b/crates/ledger/src/protocol/v1.rs
@@ -311,7 +311,10 @@
 impl From<Decision> for DecisionV1 {
     fn from(decision: Decision) -> Self {
         match decision {
-            Decision::Run(replica) | Decision::RunCold { replica, .. } => Self::Run(replica),
+            Decision::Run(mut replica) | Decision::RunCold { mut replica, .. } => {
+                strip(&mut replica);
+                Self::Run(replica)
+            }
             Decision::RunAnywhere => Self::RunAnywhere,
             Decision::Wait => Self::Wait,
             Decision::Refuse(after) => Self::Refuse(after),
@@ -327,7 +330,9 @@
 
 impl From<News> for NewsV1 {
     fn from(news: News) -> Self {
-        let News { list_age_ms, loads, loads_of, machines, failing, cold: _ } = news;
+        let News { list_age_ms, loads, loads_of, machines, mut failing, cold: _ } = news;
+        let replicas = failing.iter_mut().flat_map(|(_, replicas)| replicas);
+        replicas.for_each(|(replica, _)| strip(replica));
         Self { list_age_ms, loads, loads_of, machines, failing }
     }
 }
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -20,8 +20,8 @@
 use tokio::sync::watch;
 
 use super::list::Reading;
+use super::peers::{FleetLag, KnownPeers};
 use super::replica::{ReplicaHandle, Request, Response, Standing};
-use super::versions::{FleetLag, FleetVersions};
 use super::{LedgerSettings, machine_address};
 use crate::commands::{Command, Output, RetiringOutcome};
 
@@ -166,8 +166,8 @@
     pub standing: watch::Receiver<Standing>,
     /// The list of replicas.
     pub list: watch::Receiver<Reading>,
-    /// What the other ledger machines speak.
-    pub versions: Arc<FleetVersions>,
+    /// The other ledger machines.
+    pub peers: KnownPeers,
 }
 
 /// Takes connections of operators.
@@ -255,7 +255,7 @@
         let standing = self.standing.borrow();
         let own = super::machine_number(self.settings.ip);
         let others = standing.machines.iter().copied().filter(|machine| *machine != own);
-        standing.is_leader.then(|| self.versions.lag(others)).flatten()
+        standing.is_leader.then(|| self.peers.lag(others)).flatten()
     }
 
     /// Answers an order for a zone that this machine does not know, without proposing it.
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -153,7 +153,7 @@
     let (input, mut output) = stream.into_split();
     let mut frames = FrameReader::new(input);
     let version = choose(&mut frames, &mut output, SPOKEN).await?;
-    let older = (version < NEWEST).then(|| Box::new(hub.clone()));
+    let older = (version < NEWEST).then(|| Arc::new(hub.clone()));
     let replies = spawn_writer(output, hub.waiting.clone());
     let mut distance = None;
     loop {
@@ -219,7 +219,7 @@
     distance: Option<Distance>,
     version: ProtocolVersion,
     /// Translates for an asker of an older build.
-    older: Option<Box<Hub>>,
+    older: Option<Arc<Hub>>,
 }
 
 impl Back {
--- a/crates/ledger/src/server/gateways/older.rs
+++ b/crates/ledger/src/server/gateways/older.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 
 use calicohoist_routing::{Incarnation, Replica, ReplicaList, ReplicaState};
-use calicohoist_scheduler::Decision;
 use parking_lot::Mutex;
 
 use crate::protocol::{Answer, ListMark, Question};
@@ -38,8 +37,8 @@
                 ..replica.clone()
             }
         };
-        let starts = replicas.iter().filter(|replica| identity(&replica.id) != replica.id);
-        let starts = starts.map(|replica| (identity(&replica.id), replica.id.clone())).collect();
+        let names = replicas.iter().map(|replica| (identity(&replica.id), replica.id.clone()));
+        let starts = names.filter(|(identity, id)| identity != id).collect();
         let replicas: Vec<Replica> = replicas.iter().map(told).collect();
         Self {
             of: fleet.reading.mark,
@@ -102,14 +101,9 @@
         question
     }
 
-    /// An answer with the names that these gateways use.
+    /// An answer with the list that these gateways are told.
     pub(super) fn tell(&self, mut answer: Answer, fleet: &FleetSnapshot) -> Answer {
         match &mut answer {
-            Answer::Reserved { decision: Some(decision), .. } | Answer::Placed(decision) => {
-                if let Decision::Run(replica) | Decision::RunCold { replica, .. } = decision {
-                    *replica = identity(replica);
-                }
-            }
             Answer::List { mark, list } => {
                 let told = self.list(fleet);
                 *mark = told.mark;
@@ -120,8 +114,6 @@
                 if news.loads_of == told.of {
                     news.loads_of = told.mark;
                 }
-                let failing = news.failing.iter_mut().flat_map(|(_, replicas)| replicas);
-                failing.for_each(|(replica, _)| *replica = identity(replica));
             }
             _ => {}
         }
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -16,7 +16,6 @@
 pub mod slowness;
 pub mod traffic;
 pub mod turns;
-pub mod versions;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -35,7 +34,6 @@
 use control::{Control, ControlCodec};
 use gateways::HubPlace;
 use replica::{Desks, ReplicaHandle, ReplicaThread};
-use versions::FleetVersions;
 
 /// Where ledger machines listen; the ports are the same on all of them.
 #[derive(Clone, Copy, Debug)]
@@ -165,11 +163,9 @@
     let thread = ReplicaThread::open(&settings, frames_out, desks)?;
     let identity = thread.id();
     let (handle, standing, failure) = thread.start()?;
-    let zones = peers::PeerZones::default();
-    tokio::spawn(peers::send(settings.clone(), identity, frames, zones.clone()));
-    let versions = Arc::new(FleetVersions::default());
-    let accepting =
-        peers::accept(listeners.peers, identity, handle.clone(), zones, Arc::clone(&versions));
+    let known_peers = peers::KnownPeers::default();
+    tokio::spawn(peers::send(settings.clone(), identity, frames, known_peers.clone()));
+    let accepting = peers::accept(listeners.peers, identity, handle.clone(), known_peers.clone());
     tokio::spawn(accepting);
     tokio::spawn(traffic::tell(settings.name.clone()));
     let list = list::spawn(&settings, standing.clone());
@@ -189,7 +185,7 @@
         replica: handle.clone(),
         standing,
         list,
-        versions,
+        peers: known_peers,
     };
     tokio::spawn(control::accept(listeners.control, control));
     emit!(
--- a/crates/ledger/src/server/peers/frame.rs
+++ b/crates/ledger/src/server/peers/frame.rs
@@ -110,15 +110,17 @@
             Self::Packed(packed) => decode(&packed.unpack().ok()?).ok(),
         }
     }
+}
 
+impl Parcel {
     /// The next one that comes in this version.
     pub(super) async fn read(
         frames: &mut FrameReader<OwnedReadHalf>,
         version: ProtocolVersion,
     ) -> Result<Self, FrameError> {
         match version {
-            ProtocolVersion::UNNAMED => frames.next().await.map(Self::Plain),
-            _ => frames.next().await,
+            ProtocolVersion::UNNAMED => frames.next().await,
+            _ => frames.next::<PeerFrame>().await?.open().ok_or(FrameError::Unpack),
         }
     }
 }
--- a/crates/ledger/src/server/peers/mod.rs
+++ b/crates/ledger/src/server/peers/mod.rs
@@ -1,30 +1,29 @@
 //! Messages between ledger machines.
 //!
-//! - [`frame`]: what goes over a connection, in each version of the protocol.
+//! - [`frame`]: what goes over a connection, in each version of the protocol;
+//! - [`known`]: what the others say of themselves.
 
 mod frame;
+mod known;
 
 use std::collections::HashMap;
-use std::sync::Arc;
 
 use calicohoist_replication::{GroupMessage, Message, ReplicaId};
-use calicohoist_routing::{Distance, Topology};
 use calicohoist_transport::version::choose;
 use calicohoist_transport::{
     FrameReader, HEADER_BYTES, Link, LinkOpening, RefusalLog, VersionError,
 };
 use calicohoist_wire::encode;
-use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
 use super::replica::ReplicaHandle;
 use super::traffic::{self, Peer};
-use super::versions::FleetVersions;
 use super::{LedgerSettings, machine_address};
 use crate::protocol::SPOKEN;
 use frame::{Greeting, QueuedFrame};
 pub use frame::{PACKED_FROM, Parcel, PeerCard, PeerFrame};
+pub use known::{FleetLag, KnownPeers};
 
 /// Messages that may wait between the replica's thread and the network's.
 pub const RING: usize = 4_096;
@@ -40,27 +39,12 @@
     pub messages: Vec<GroupMessage>,
 }
 
-/// In which zones the other machines are, as they said themselves.
-#[derive(Clone, Debug, Default)]
-pub struct PeerZones(Arc<Mutex<HashMap<u32, String>>>);
-
-impl PeerZones {
-    fn note(&self, machine: u32, zone: &str) {
-        self.0.lock().insert(machine, zone.to_owned());
-    }
-
-    /// How far a machine is from `zone`; `None` until it has said where it is.
-    fn distance(&self, topology: &Topology, zone: &str, machine: u32) -> Option<Distance> {
-        self.0.lock().get(&machine).map(|known| topology.distance(zone, known))
-    }
-}
-
 /// Sends what the replica's thread hands out.
 pub async fn send(
     settings: LedgerSettings,
     identity: ReplicaId,
     mut frames: mpsc::Receiver<Outgoing>,
-    zones: PeerZones,
+    peers: KnownPeers,
 ) {
     let LedgerSettings { name, zone, .. } = settings.clone();
     let greeting = Greeting { from: identity, name, zone };
@@ -72,12 +56,9 @@
         let link = links.entry(to.machine).or_insert_with(|| {
             let address = machine_address(to.machine, settings.ports.peers);
             let greeting = greeting.clone();
-            Link::open_with(
-                address,
-                LinkOpening::offer(SPOKEN, move |version| greeting.frame(version)),
-            )
+            Link::open(address, LinkOpening::offer(SPOKEN, move |version| greeting.frame(version)))
         });
-        let distance = zones.distance(&settings.topology, &settings.zone, to.machine);
+        let distance = peers.distance(&settings.topology, &settings.zone, to.machine);
         let kind = kind_of(&messages);
         let frame = PeerFrame::wrap(Parcel { to, messages }, distance);
         if let Ok(payload) = encode(&frame) {
@@ -106,17 +87,12 @@
     listener: TcpListener,
     identity: ReplicaId,
     replica: ReplicaHandle,
-    zones: PeerZones,
-    versions: Arc<FleetVersions>,
+    peers: KnownPeers,
 ) {
     loop {
         if let Ok((stream, address)) = listener.accept().await {
-            let receiver = PeerReceiver {
-                identity,
-                replica: replica.clone(),
-                zones: zones.clone(),
-                versions: Arc::clone(&versions),
-            };
+            let receiver =
+                PeerReceiver { identity, replica: replica.clone(), peers: peers.clone() };
             tokio::spawn(async move {
                 if let Err(error) = receiver.read(stream).await {
                     REFUSALS.note_version(address, &error);
@@ -130,8 +106,7 @@
 struct PeerReceiver {
     identity: ReplicaId,
     replica: ReplicaHandle,
-    zones: PeerZones,
-    versions: Arc<FleetVersions>,
+    peers: KnownPeers,
 }
 
 impl PeerReceiver {
@@ -141,17 +116,10 @@
         let version = choose(&mut frames, &mut output, SPOKEN).await?;
         let card = PeerCard::read(&mut frames, version).await?;
         let from = card.replica;
-        self.versions.note_machine(from.machine, version);
-        if let Some(zone) = &card.zone {
-            self.zones.note(from.machine, zone);
-        }
+        self.peers.note(&card, version);
         self.replica.greeting(card);
         loop {
-            let frame = PeerFrame::read(&mut frames, version).await?;
-            // The checksum has found no damage, so the sender packs in a way unknown here.
-            let Some(Parcel { to, messages }) = frame.open() else {
-                return Ok(());
-            };
+            let Parcel { to, messages } = Parcel::read(&mut frames, version).await?;
             let is_for_us = to == self.identity;
             let messages: Vec<GroupMessage> = if is_for_us {
                 messages
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -9,8 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::commands::{Command, Output, Reservation, ReserveTurn, RetiringOutcome};
-use crate::server::peers::PeerCard;
-use crate::server::versions::FleetLag;
+use crate::server::peers::{FleetLag, PeerCard};
 use crate::state::HeldConfiguration;
 
 /// What is asked of the replica.
--- a/crates/ledger/tests/zones.rs
+++ b/crates/ledger/tests/zones.rs
@@ -9,10 +9,10 @@
 use calicohoist_ledger::commands::Command;
 use calicohoist_ledger::protocol::{Answer, Ask, NEWEST, Question, Reply, SPOKEN, Seen};
 use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
-use calicohoist_ledger::server::versions::{FleetLag, FleetVersions};
+use calicohoist_ledger::server::peers::{FleetLag, KnownPeers, PeerCard};
 use calicohoist_ledger::server::{self, LedgerSettings, Listeners, Ports};
 use calicohoist_ledger::{LedgerState, Output};
-use calicohoist_replication::{GroupId, StateMachine};
+use calicohoist_replication::{GroupId, ReplicaId, StateMachine};
 use calicohoist_routing::{DrainedZones, Topology};
 use calicohoist_transport::version::offer;
 use calicohoist_transport::{FrameReader, ProtocolVersion, encode_frame};
@@ -318,15 +318,20 @@
     const NEWER: u32 = 2;
     const OTHER: u32 = 3;
     let ip = Ipv4Addr::from_bits(OTHER);
-    let versions = FleetVersions::default();
-    let lag = || versions.lag([NEWER, OTHER]);
-    versions.note_machine(NEWER, NEWEST);
+    let peers = KnownPeers::default();
+    let note = |machine, version| {
+        let replica = ReplicaId { machine, disk: 0 };
+        let card = PeerCard { replica, name: "store".to_owned(), zone: None };
+        peers.note(&card, version);
+    };
+    let lag = || peers.lag([NEWER, OTHER]);
+    note(NEWER, NEWEST);
     assert_eq!(lag(), Some(FleetLag::UnheardMachine(ip)));
-    versions.note_machine(OTHER, ProtocolVersion::UNNAMED);
+    note(OTHER, ProtocolVersion::UNNAMED);
     assert_eq!(lag(), Some(FleetLag::Machine(ip)));
-    versions.note_machine(OTHER, NEWEST);
+    note(OTHER, NEWEST);
     assert_eq!(lag(), None);
-    versions.note_machine(OTHER, ProtocolVersion::UNNAMED);
+    note(OTHER, ProtocolVersion::UNNAMED);
     assert_eq!(lag(), Some(FleetLag::Machine(ip)), "it went back");
 }
 
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -24,10 +24,15 @@
 
 /// The frame of an encoded message.
 pub fn frame_of(payload: &[u8]) -> Vec<u8> {
-    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
-    frame.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    frame.extend_from_slice(&crc32c::crc32c(payload).to_le_bytes());
-    frame.extend_from_slice(payload);
+    begin_frame(payload.len(), crc32c::crc32c(payload), payload)
+}
+
+/// The header of a payload of this length and checksum, with the `first` part of the payload.
+fn begin_frame(length: usize, checksum: u32, first: &[u8]) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(HEADER_BYTES + first.len());
+    frame.extend_from_slice(&(length as u32).to_le_bytes());
+    frame.extend_from_slice(&checksum.to_le_bytes());
+    frame.extend_from_slice(first);
     frame
 }
 
@@ -85,11 +90,7 @@
             return Err(FrameError::TooLong(length));
         }
         let checksum = crc32c::crc32c_combine(crc32c::crc32c(&first), last.checksum, shared.len());
-        let mut own = Vec::with_capacity(HEADER_BYTES + first.len());
-        own.extend_from_slice(&(length as u32).to_le_bytes());
-        own.extend_from_slice(&checksum.to_le_bytes());
-        own.extend_from_slice(&first);
-        Ok(Self { own, shared })
+        Ok(Self { own: begin_frame(length, checksum, &first), shared })
     }
 
     /// Bytes on the wire.
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -6,15 +6,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use serde::Serialize;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::frame::encode_frame;
 use crate::refusal::RefusalLog;
-use crate::tcp;
-use crate::version::{self, ProtocolVersion, VersionError, VersionRange};
+use crate::version::{self, ProtocolVersion, VersionRange};
 
 /// Frames that may wait for a connection; more are dropped.
 const QUEUE: usize = 1_024;
@@ -38,21 +34,9 @@
     fn into_frame(self, version: ProtocolVersion) -> Vec<u8>;
 }
 
-/// A frame that looks the same in every version.
-impl LinkMessage for Vec<u8> {
-    fn waiting_bytes(&self) -> usize {
-        self.len()
-    }
-
-    fn into_frame(self, _: ProtocolVersion) -> Vec<u8> {
-        self
-    }
-}
-
 /// How each connection of a link begins.
 pub struct LinkOpening {
-    /// Versions to offer; `None` for no offer.
-    versions: Option<VersionRange>,
+    versions: VersionRange,
     greet: Box<dyn Fn(ProtocolVersion) -> Vec<u8> + Send + Sync>,
 }
 
@@ -62,50 +46,22 @@
         versions: VersionRange,
         greet: impl Fn(ProtocolVersion) -> Vec<u8> + Send + Sync + 'static,
     ) -> Self {
-        Self { versions: Some(versions), greet: Box::new(greet) }
-    }
-
-    async fn connect(
-        &self,
-        address: SocketAddr,
-    ) -> Result<(TcpStream, ProtocolVersion), VersionError> {
-        match self.versions {
-            Some(versions) => {
-                version::connect(address, CONNECT_PATIENCE, USER_TIMEOUT, versions).await
-            }
-            None => {
-                let stream = tcp::connect(address, CONNECT_PATIENCE, USER_TIMEOUT).await?;
-                Ok((stream, ProtocolVersion::UNNAMED))
-            }
-        }
+        Self { versions, greet: Box::new(greet) }
     }
 }
 
 /// Sends frames to one address. Frames are dropped while there is no connection or
 /// the queue is full: what matters is repeated by the protocol above.
 #[derive(Debug)]
-pub struct Link<M = Vec<u8>> {
+pub struct Link<M> {
     queue: mpsc::Sender<M>,
     /// Bytes of messages that are queued.
     waiting: Arc<AtomicUsize>,
 }
 
-impl Link {
-    /// Opens a link within a runtime. Every connection begins with `greeting`.
-    pub fn open(address: SocketAddr, greeting: Vec<u8>) -> Self {
-        let greet = Box::new(move |_| greeting.clone());
-        Self::open_with(address, LinkOpening { versions: None, greet })
-    }
-
-    /// Queues a message; `false` when it was dropped.
-    pub fn send<T: Serialize>(&self, message: &T) -> bool {
-        encode_frame(message).is_ok_and(|frame| self.queue(frame))
-    }
-}
-
 impl<M: LinkMessage> Link<M> {
     /// Opens a link within a runtime.
-    pub fn open_with(address: SocketAddr, opening: LinkOpening) -> Self {
+    pub fn open(address: SocketAddr, opening: LinkOpening) -> Self {
         let (queue, messages) = mpsc::channel(QUEUE);
         let waiting = Arc::new(AtomicUsize::new(0));
         let messages = LinkMessages { messages, waiting: Arc::clone(&waiting) };
@@ -162,7 +118,8 @@
         if first.is_empty() {
             return;
         }
-        match opening.connect(address).await {
+        let versions = opening.versions;
+        match version::connect(address, CONNECT_PATIENCE, USER_TIMEOUT, versions).await {
             Ok((mut stream, version)) => {
                 let greeting = (opening.greet)(version);
                 let begin = [greeting, frames(first, version)].concat();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -28,6 +28,10 @@
     /// The payload is not a message.
     #[error("payload: {0}")]
     Decode(#[from] bincode::error::DecodeError),
+    /// What is packed in a message cannot be unpacked. The checksum has found no damage, so the sender
+    /// packs in a way unknown here.
+    #[error("packed in a way unknown here")]
+    Unpack,
     /// A message cannot be encoded.
     #[error("encode: {0}")]
     Encode(#[from] bincode::error::EncodeError),
