Placement: find the candidates of a large service by index

Cause: for each turn the leader collected and costed every replica of the service: 6,666 in the fleet, at about 460 turns a second, on 0.3 of a core.

Change: a service of more than 512 replicas is not scanned. Candidates are the replicas that hold a part of the prompt (16 a part), those the gateway is connected to, the fastest where speeds differ, and the first three by load and cached tokens of each group of equal zone and slots. The cost function is the same. Smaller services are scanned as before.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,6 +19,7 @@
 //! All functions are deterministic: time and randomness are passed in by the caller.
 
 pub mod admission;
+mod candidates;
 pub mod cold;
 pub mod cost;
 pub mod outliers;
@@ -31,6 +32,7 @@
 pub mod speed;
 
 pub use admission::{Decision, TurnScheduler};
+pub use candidates::MAX_SCANNED_REPLICAS;
 pub use cold::{ColdAdmission, ColdLimiter};
 pub use cost::{CostInputs, CostWeights, choose, cost_millis};
 pub use outliers::OutlierDetector;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -15,6 +15,7 @@
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
+use crate::candidates::{CandidateIndex, LoadKey, ReplicaGroup};
 use crate::cold::{COLD_PENALTY, ColdAdmission, ColdLimiter};
 use crate::prefix::{PrefixCache, PrefixIndex, PromptPart, UncachedTokens};
 use crate::relative_speed::{RelativeSpeed, RelativeSpeedTracker};
@@ -40,6 +41,13 @@
 /// The concurrency limit is at least the slots divided by this.
 const MIN_LIMIT_DIVISOR: u32 = 4;
 
+/// Number of warm and healthy replicas of each group that are candidates in a large service.
+const CANDIDATES_PER_GROUP: usize = 3;
+/// Maximum number of replicas of each group that are examined for candidates.
+const MAX_EXAMINED_PER_GROUP: usize = 32;
+/// Maximum number of connected replicas that are candidates in a large service.
+const MAX_CONNECTED: usize = 64;
+
 /// Minimum time between two scans for expired turns.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -96,14 +104,16 @@
 
     /// Returns the replicas that are eligible for a turn.
     fn eligible_for(&self, request: &PlacementRequest) -> Vec<&'a Replica> {
+        self.replicas.iter().filter(|replica| self.is_eligible(replica, request)).collect()
+    }
+
+    fn is_eligible(&self, replica: &Replica, request: &PlacementRequest) -> bool {
         let rules = EligibilityRules {
             topology: self.topology,
             homes: &request.homes,
             drained: self.drained,
         };
-        let is_eligible =
-            |replica: &&Replica| replica.service == request.service && rules.admits(replica);
-        self.replicas.iter().filter(is_eligible).collect()
+        replica.service == request.service && rules.admits(replica)
     }
 }
 
@@ -344,6 +354,18 @@
     }
 }
 
+/// Returns the position of a replica among those of its group.
+fn load_key(
+    statuses: &HashMap<String, ReplicaStatus>,
+    prefix_index: &PrefixIndex,
+    replica: &str,
+) -> LoadKey {
+    LoadKey {
+        load: statuses.get(replica).map_or(0, ReplicaStatus::load),
+        cached_tokens: prefix_index.cache(replica).map_or(0, PrefixCache::tokens),
+    }
+}
+
 /// Places turns and tracks the state of replicas.
 #[derive(Debug, Default)]
 pub struct Placer {
@@ -351,6 +373,8 @@
     turns: HashMap<String, PlacedTurn>,
     statuses: HashMap<String, ReplicaStatus>,
     prefix_index: PrefixIndex,
+    /// Replicas of the list that [`Self::retain`] was last called with.
+    candidate_index: CandidateIndex,
     /// Speed estimates by service.
     speeds: HashMap<String, EngineSpeed>,
     /// Speed of replicas relative to others of their service.
@@ -384,7 +408,7 @@
         self.expire(now);
         self.relative_speeds.compare(now);
         self.cold_limiter.update_drained_zones(view, now);
-        let eligible = view.eligible_for(request);
+        let eligible = self.candidates(turn, request, view, now);
         if let Some((replica, admission)) =
             self.existing_placement(turn, &eligible, request, view, now)
         {
@@ -403,6 +427,70 @@
         placement_for(replica, admission)
     }
 
+    /// Returns the eligible replicas among which the cheapest one is searched: all of a small
+    /// service. In a large one, those that may be cheaper than others of their group, and the first
+    /// ones of each group.
+    fn candidates<'a>(
+        &self,
+        turn: &str,
+        request: &PlacementRequest,
+        view: &FleetView<'a>,
+        now: Instant,
+    ) -> Vec<&'a Replica> {
+        let index = &self.candidate_index;
+        if !index.covers(&request.service, view.replicas) {
+            return view.eligible_for(request);
+        }
+        let placed = self.turns.get(turn).map(|placed| placed.replica.as_str());
+        let connected = request.connected.iter().map(String::as_str).take(MAX_CONNECTED);
+        let holders = self.prefix_index.holders(&request.prompt);
+        let fastest = self.relative_speeds.fastest(&request.service);
+        let known = placed.into_iter().chain(connected).chain(holders).chain(fastest);
+        let known = known.filter_map(|id| index.find(id, view.replicas));
+        let mut candidates: Vec<&Replica> =
+            known.filter(|replica| view.is_eligible(replica, request)).collect();
+        for group in index.groups_of(&request.service) {
+            if !self.add_least_loaded(group, request, view, now, &mut candidates) {
+                return view.eligible_for(request);
+            }
+        }
+        candidates
+    }
+
+    /// Adds the least loaded replicas of a group. Returns `false` if none of the first ones
+    /// accepts the turn although a later one may.
+    fn add_least_loaded<'a>(
+        &self,
+        group: &ReplicaGroup,
+        request: &PlacementRequest,
+        view: &FleetView<'a>,
+        now: Instant,
+        candidates: &mut Vec<&'a Replica>,
+    ) -> bool {
+        let mut usable = 0;
+        for (number, id) in group.ids().enumerate() {
+            let Some(replica) = self.candidate_index.find(id, view.replicas) else {
+                continue;
+            };
+            if !view.is_eligible(replica, request) {
+                // The whole group is in a zone that is drained or outside the home regions.
+                return true;
+            }
+            if number >= MAX_EXAMINED_PER_GROUP {
+                return usable > 0;
+            }
+            candidates.push(replica);
+            let cold = request.cold.as_ref();
+            let is_suspected = self.statuses.get(id).is_some_and(|status| status.is_suspected(now));
+            let admission = self.cold_limiter.admit(replica, cold, view, now);
+            usable += usize::from(!is_suspected && admission == ColdAdmission::Warm);
+            if usable >= CANDIDATES_PER_GROUP {
+                break;
+            }
+        }
+        true
+    }
+
     /// Returns the replica where a turn was placed before, if it is still admitted there.
     fn existing_placement<'a>(
         &self,
@@ -471,6 +559,56 @@
         }
     }
 
+    /// Returns the least cost of all eligible replicas for a turn, without limits; `None` if no
+    /// replica is eligible.
+    pub fn least_cost(
+        &self,
+        request: &PlacementRequest,
+        view: &FleetView<'_>,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.least_cost_of(view.eligible_for(request), request, view, now)
+    }
+
+    /// Returns the least cost of the replicas that [`Self::place`] compares; see
+    /// [`Self::least_cost`].
+    pub fn candidate_cost(
+        &self,
+        turn: &str,
+        request: &PlacementRequest,
+        view: &FleetView<'_>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let candidates = self.candidates(turn, request, view, now);
+        self.least_cost_of(candidates, request, view, now)
+    }
+
+    /// Returns the number of replicas that [`Self::place`] compares for a turn.
+    pub fn candidate_count(
+        &self,
+        turn: &str,
+        request: &PlacementRequest,
+        view: &FleetView<'_>,
+        now: Instant,
+    ) -> usize {
+        self.candidates(turn, request, view, now).len()
+    }
+
+    fn least_cost_of(
+        &self,
+        replicas: Vec<&Replica>,
+        request: &PlacementRequest,
+        view: &FleetView<'_>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let speed = self.speed(&request.service);
+        let mut proximity = GatewayProximity::new(request, view.topology);
+        let costs = replicas.into_iter().map(|replica| {
+            self.cost(&self.candidate(replica, &mut proximity), request, &speed, now)
+        });
+        costs.min()
+    }
+
     /// Records the end of a turn. `ran_at` is the replica that ran it, which may differ from the
     /// placement, or `None` if no replica answered.
     pub fn end_turn(&mut self, turn: &str, ran_at: Option<&str>, now: Instant) {
@@ -489,6 +627,7 @@
             && let Some(inherited) = &mut status.inherited
         {
             inherited.turns = inherited.turns.saturating_sub(1);
+            self.update_index(ran_at);
         }
         self.status_mut(ran_at).liveness =
             Some(Liveness { last_activity: now, suspected_until: None });
@@ -529,6 +668,7 @@
     /// Records a turn that ran, whether or not this leader placed it.
     pub fn record_run(&mut self, run: &TurnRun) {
         self.prefix_index.record(&run.replica, &run.prompt, run.memory_tokens);
+        self.update_index(&run.replica);
         if let Some(sample) = run.sample {
             self.speeds.entry(run.service.clone()).or_default().record_sample(sample);
             self.relative_speeds.record_sample(&run.replica, &run.service, sample);
@@ -546,6 +686,8 @@
             };
         }
         self.speeds.values_mut().for_each(EngineSpeed::reset_concurrency);
+        let Self { candidate_index, statuses, prefix_index, .. } = self;
+        candidate_index.update_all_keys(|id| load_key(statuses, prefix_index, id));
     }
 
     /// Adds turns placed by an earlier leader, until they end or `ttl` has passed.
@@ -555,6 +697,7 @@
             let inherited = self.status_mut(replica).inherited.get_or_insert(none);
             inherited.turns += turns;
             inherited.expires_at = now + ttl;
+            self.update_index(replica);
         }
     }
 
@@ -570,6 +713,14 @@
             }
         }
         self.statuses.retain(|id, status| status.load() > 0 || listed.contains(id.as_str()));
+        let Self { candidate_index, statuses, prefix_index, .. } = self;
+        candidate_index.update_list(replicas, |id| load_key(statuses, prefix_index, id));
+    }
+
+    /// Updates the load of a replica in the index.
+    fn update_index(&mut self, replica: &str) {
+        let key = load_key(&self.statuses, &self.prefix_index, replica);
+        self.candidate_index.update_key(replica, key);
     }
 
     /// Returns whether a turn is under way.
@@ -598,6 +749,7 @@
             status.liveness.get_or_insert(initial).last_activity = now;
         }
         status.placed_turns += 1;
+        self.update_index(replica);
         let placed = PlacedTurn {
             replica: replica.to_owned(),
             service: request.service.clone(),
@@ -627,6 +779,7 @@
         if let Some(status) = self.statuses.get_mut(&placed.replica) {
             status.placed_turns = status.placed_turns.saturating_sub(1);
         }
+        self.update_index(&placed.replica);
         Some(placed)
     }
 
@@ -637,8 +790,14 @@
         }
         self.last_expiry = Some(now);
         self.cold_limiter.expire(now);
-        for status in self.statuses.values_mut() {
-            status.inherited = status.inherited.filter(|inherited| now < inherited.expires_at);
+        let mut without_inherited = Vec::new();
+        for (id, status) in &mut self.statuses {
+            if status.inherited.take_if(|inherited| now >= inherited.expires_at).is_some() {
+                without_inherited.push(id.clone());
+            }
+        }
+        for replica in without_inherited {
+            self.update_index(&replica);
         }
         let ended = self.turns.iter().filter(|(_, placed)| placed.deadline <= now);
         let ended: Vec<String> = ended.map(|(turn, _)| turn.clone()).collect();
--- a/crates/scheduler/src/prefix.rs
+++ b/crates/scheduler/src/prefix.rs
@@ -5,6 +5,9 @@
 //! An error in the estimate only costs the computation of a prompt that was believed to be
 //! cached.
 
+use std::collections::VecDeque;
+use std::sync::Arc;
+
 use foldhash::HashMap;
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +23,12 @@
 
 /// Fraction of the capacity that remains in use after an eviction.
 const EVICTION_TARGET: f64 = 0.9;
+/// Number of replicas that are tracked for each part.
+const MAX_HOLDERS: usize = 64;
+/// Number of the holders of a part that are candidates for a prompt: this many of the most
+/// recently used, which have probably cached most of it, and of the least recently used, which are
+/// probably idle.
+const CANDIDATE_HOLDERS: usize = 8;
 
 #[derive(Clone, Copy, Debug)]
 struct CachedPart {
@@ -74,10 +83,11 @@
         self.tokens += u64::from(cached_part.tokens);
     }
 
-    /// Evicts the least recently used parts if the cache exceeds `capacity`.
-    fn evict(&mut self, capacity: u64) {
+    /// Evicts the least recently used parts if the cache exceeds `capacity`, and returns them.
+    fn evict(&mut self, capacity: u64) -> Vec<u64> {
+        let mut evicted_parts = Vec::new();
         if self.tokens <= capacity {
-            return;
+            return evicted_parts;
         }
         let mut by_last_use: Vec<(u64, u64)> =
             self.parts.iter().map(|(id, part)| (part.last_use, *id)).collect();
@@ -85,11 +95,13 @@
         let target = (capacity as f64 * EVICTION_TARGET) as u64;
         for (_, id) in by_last_use {
             if self.tokens <= target {
-                return;
+                break;
             }
             let evicted = self.parts.remove(&id).map_or(0, |part| part.tokens);
             self.tokens -= u64::from(evicted);
+            evicted_parts.push(id);
         }
+        evicted_parts
     }
 }
 
@@ -110,6 +122,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PrefixIndex {
     caches: HashMap<String, PrefixCache>,
+    /// Replicas that have cached a part, least recently used first; at most [`MAX_HOLDERS`].
+    holders: HashMap<u64, VecDeque<Arc<str>>>,
     use_counter: u64,
 }
 
@@ -138,11 +152,58 @@
         for part in prompt {
             cache.record(*part, self.use_counter);
         }
-        cache.evict(capacity);
+        let evicted = cache.evict(capacity);
+        for part in prompt {
+            record_holder(self.holders.entry(part.id).or_default(), replica);
+        }
+        for part in evicted {
+            self.remove_holder(part, replica);
+        }
+    }
+
+    fn remove_holder(&mut self, part: u64, replica: &str) {
+        let Some(holders) = self.holders.get_mut(&part) else {
+            return;
+        };
+        holders.retain(|holder| holder.as_ref() != replica);
+        if holders.is_empty() {
+            self.holders.remove(&part);
+        }
+    }
+
+    /// Iterates over replicas that have cached a part of the prompt; a replica may occur several
+    /// times.
+    pub(crate) fn holders(&self, prompt: &[PromptPart]) -> impl Iterator<Item = &str> {
+        let holders = prompt.iter().filter_map(|part| self.holders.get(&part.id));
+        holders.flat_map(|holders| {
+            let recent = holders.iter().rev().take(CANDIDATE_HOLDERS);
+            let idle = holders.len().saturating_sub(CANDIDATE_HOLDERS).min(CANDIDATE_HOLDERS);
+            recent.chain(holders.iter().take(idle)).map(AsRef::as_ref)
+        })
     }
 
     /// Drops replicas for which `is_listed` is false.
     pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
-        self.caches.retain(|replica, _| is_listed(replica));
+        let unlisted: Vec<String> =
+            self.caches.keys().filter(|replica| !is_listed(replica)).cloned().collect();
+        for replica in unlisted {
+            let parts = self.caches.remove(&replica).map(|cache| cache.parts).unwrap_or_default();
+            for part in parts.keys() {
+                self.remove_holder(*part, &replica);
+            }
+        }
+    }
+}
+
+/// Moves a replica to the end of the holders of a part.
+fn record_holder(holders: &mut VecDeque<Arc<str>>, replica: &str) {
+    let known = holders.iter().position(|holder| holder.as_ref() == replica);
+    let holder = match known {
+        Some(position) => holders.remove(position),
+        None => None,
+    };
+    holders.push_back(holder.unwrap_or_else(|| Arc::from(replica)));
+    if holders.len() > MAX_HOLDERS {
+        holders.pop_front();
     }
 }
--- a/crates/scheduler/src/relative_speed.rs
+++ b/crates/scheduler/src/relative_speed.rs
@@ -18,6 +18,8 @@
 const HETEROGENEITY_THRESHOLD: f64 = 1.4;
 /// Maximum ratio of a replica's time per token to the fastest.
 const MAX_RELATIVE_TIME: f64 = 8.0;
+/// Number of the fastest replicas that are kept for each heterogeneous service.
+const FASTEST_REPLICAS: usize = 32;
 /// Minimum time between two comparisons.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -43,10 +45,12 @@
 }
 
 /// A service whose replicas differ in speed; times per token in ms.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct HeterogeneousService {
     best_ms: f64,
     mean_ms: f64,
+    /// The fastest replicas.
+    fastest: Vec<String>,
 }
 
 /// Compares the replicas of each service.
@@ -72,14 +76,14 @@
             return;
         }
         self.last_compared = Some(now);
-        let mut times: HashMap<&str, Vec<f64>> = HashMap::default();
-        for estimate in self.replicas.values() {
+        let mut times: HashMap<&str, Vec<(f64, &str)>> = HashMap::default();
+        for (replica, estimate) in &self.replicas {
             if let Some(token_ms) = estimate.speed.best_token_ms() {
-                times.entry(&estimate.service).or_default().push(token_ms);
+                times.entry(&estimate.service).or_default().push((token_ms, replica));
             }
         }
         let heterogeneous = times.into_iter().filter_map(|(service, times)| {
-            Some((service.to_owned(), HeterogeneousService::from_times(&times)?))
+            Some((service.to_owned(), HeterogeneousService::from_times(times)?))
         });
         self.heterogeneous = heterogeneous.collect();
     }
@@ -107,6 +111,12 @@
             .map_or(1.0, |heterogeneous| heterogeneous.mean_ms / heterogeneous.best_ms)
     }
 
+    /// Iterates over the fastest replicas of a service; empty if it is homogeneous.
+    pub fn fastest(&self, service: &str) -> impl Iterator<Item = &str> {
+        let fastest = self.heterogeneous.get(service).map(|service| service.fastest.as_slice());
+        fastest.unwrap_or_default().iter().map(String::as_str)
+    }
+
     /// Drops the replicas for which `is_listed` is false.
     pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.replicas.retain(|replica, _| is_listed(replica));
@@ -114,14 +124,18 @@
 }
 
 impl HeterogeneousService {
-    /// Compares times per token; `None` if the differences are small.
-    fn from_times(times: &[f64]) -> Option<Self> {
-        let best_ms = times.iter().copied().fold(f64::INFINITY, f64::min);
-        let worst_ms = times.iter().copied().fold(0.0, f64::max);
+    /// Compares the times per token of replicas; `None` if the differences are small.
+    fn from_times(mut times: Vec<(f64, &str)>) -> Option<Self> {
+        let best_ms = times.iter().map(|(token_ms, _)| *token_ms).fold(f64::INFINITY, f64::min);
+        let worst_ms = times.iter().map(|(token_ms, _)| *token_ms).fold(0.0, f64::max);
         if worst_ms < best_ms * HETEROGENEITY_THRESHOLD {
             return None;
         }
-        let capped = times.iter().map(|token_ms| token_ms.min(best_ms * MAX_RELATIVE_TIME));
-        Some(Self { best_ms, mean_ms: capped.sum::<f64>() / times.len() as f64 })
+        let capped = times.iter().map(|(token_ms, _)| token_ms.min(best_ms * MAX_RELATIVE_TIME));
+        let mean_ms = capped.sum::<f64>() / times.len() as f64;
+        times.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+        times.truncate(FASTEST_REPLICAS);
+        let fastest = times.into_iter().map(|(_, replica)| replica.to_owned()).collect();
+        Some(Self { best_ms, mean_ms, fastest })
     }
 }
