Discovery: resume readings page by page, at intervals that follow the rate limit

Cause: a reading was one attempt of a second for all pages, and all gateways read the list themselves, each 1.2 s, as soon as no leader's reading was 2 s old.

Change: a page that is refused (429, 5xx, a closed connection) is fetched again after a random delay, without the pages before it. ListPace computes the intervals from the rate limit and the drain bound of the settings: the leader takes a tenth of the rate, more only to read three times within the bound; all substitutes together a quarter, spread at random. Whoever is refused backs off. A list of few pages is read at the intervals as before. Lists may have 65,536 replicas instead of 16,384.

Before, the whole reading failed at the first refusal.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,10 +1,14 @@
 //! Client of the platform's discovery service, which lists the replicas.
 //!
 //! A list is fetched as a series of pages over one connection. An incomplete list is an error,
-//! because replicas that it does not contain are treated as removed.
+//! because replicas that it does not contain are treated as removed. A page that is refused by the
+//! service's rate limit, or whose connection fails, is fetched again without the pages before it.
+
+mod pace;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,14 +22,22 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use rand::RngExt;
+
+pub use pace::{CallRate, ListPace};
 
-/// Timeout of connecting and of fetching the whole list.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout of connecting and of fetching one page.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Maximum number of times that one page is fetched again.
+const MAX_RETRIES_PER_PAGE: u32 = 3;
+/// Range of the delay before a page is fetched again, in ms. It is random, because other readers
+/// share the rate limit.
+const RETRY_DELAY_MS: Range<u64> = 100..300;
 const MAX_PAGE_BYTES: usize = 4 << 20;
 /// Limit on the number of pages, so that an endless list is rejected.
-const MAX_PAGES: usize = 256;
+const MAX_PAGES: usize = 1_024;
 /// Limit on the number of replicas, which bounds memory usage.
-const MAX_REPLICAS: usize = 16_384;
+const MAX_REPLICAS: usize = 65_536;
 /// Maximum number of characters of an invalid value in a log line.
 const MAX_LOGGED_CHARS: usize = 64;
 
@@ -139,6 +151,44 @@
     Timeout,
 }
 
+impl ReadError {
+    /// Whether a page may be fetched again: the service limits the rate of calls, was unavailable
+    /// for a moment, or closed the connection.
+    fn is_transient(&self) -> bool {
+        match self {
+            Self::Status(status) => {
+                *status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error()
+            }
+            Self::Io(_) | Self::Http(_) => true,
+            Self::InvalidList | Self::Timeout => false,
+        }
+    }
+
+    /// Whether the service refused the call because of its rate limit.
+    pub fn is_rate_limited(&self) -> bool {
+        matches!(self, Self::Status(StatusCode::TOO_MANY_REQUESTS))
+    }
+}
+
+/// A complete list.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Valid replicas, in the order of the list.
+    pub replicas: Vec<ListedReplica>,
+    /// Number of pages.
+    pub pages: usize,
+}
+
+/// Pages fetched so far.
+#[derive(Default)]
+struct PartialList {
+    replicas: Vec<ListedReplica>,
+    skipped: SkippedEntries,
+    pages: usize,
+    /// Token of the next page.
+    token: Option<String>,
+}
+
 /// A reader of the list at one address.
 #[derive(Clone)]
 pub struct ListReader {
@@ -154,49 +204,74 @@
         Self { address, codec, skipped: Arc::default() }
     }
 
-    /// Fetches the current list of replicas.
+    /// Fetches the current list of replicas. Returns once it is complete, or after `timeout`.
     ///
     /// # Errors
     /// See [`ReadError`].
-    pub async fn read(&self) -> Result<Vec<ListedReplica>, ReadError> {
-        let result = tokio::time::timeout(READ_TIMEOUT, self.read_pages());
+    pub async fn read(&self, timeout: Duration) -> Result<Reading, ReadError> {
+        let result = tokio::time::timeout(timeout, self.read_pages());
         result.await.unwrap_or(Err(ReadError::Timeout))
     }
 
-    async fn read_pages(&self) -> Result<Vec<ListedReplica>, ReadError> {
-        let stream = tcp::connect(self.address, READ_TIMEOUT, READ_TIMEOUT).await?;
+    async fn read_pages(&self) -> Result<Reading, ReadError> {
+        let mut partial = PartialList::default();
+        let mut retries = 0;
+        loop {
+            let pages = partial.pages;
+            let error = match self.fetch_pages(&mut partial).await {
+                Ok(()) => break,
+                Err(error) => error,
+            };
+            if partial.pages > pages {
+                retries = 0;
+            }
+            if !error.is_transient() || retries >= MAX_RETRIES_PER_PAGE {
+                return Err(error);
+            }
+            retries += 1;
+            let delay_ms = rand::rng().random_range(RETRY_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        let mut previous = self.skipped.lock();
+        partial.skipped.report(&previous);
+        *previous = partial.skipped;
+        Ok(Reading { replicas: partial.replicas, pages: partial.pages })
+    }
+
+    /// Fetches the remaining pages over a new connection.
+    async fn fetch_pages(&self, partial: &mut PartialList) -> Result<(), ReadError> {
+        let stream = tcp::connect(self.address, PAGE_TIMEOUT, PAGE_TIMEOUT).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection);
-        let result = self.fetch_pages(&mut sender).await;
+        let result = loop {
+            match self.fetch_page(&mut sender, partial).await {
+                Ok(true) => {}
+                Ok(false) => break Ok(()),
+                Err(error) => break Err(error),
+            }
+        };
         driver.abort();
         result
     }
 
-    async fn fetch_pages(
+    /// Fetches the next page. Returns whether another one follows.
+    async fn fetch_page(
         &self,
         sender: &mut SendRequest<Empty<Bytes>>,
-    ) -> Result<Vec<ListedReplica>, ReadError> {
-        let mut replicas = Vec::new();
-        let mut skipped = SkippedEntries::default();
-        let mut token = None;
-        for _ in 0..MAX_PAGES {
-            let path = self.codec.page_path(token.as_deref());
-            let body = self.get(sender, &path).await?;
-            let page = self.codec.parse_page(&body).ok_or(ReadError::InvalidList)?;
-            replicas.extend(page.replicas);
-            skipped.merge(page.skipped);
-            if replicas.len() > MAX_REPLICAS {
-                break;
-            }
-            token = page.next;
-            if token.is_none() {
-                let mut previous = self.skipped.lock();
-                skipped.report(&previous);
-                *previous = skipped;
-                return Ok(replicas);
-            }
+        partial: &mut PartialList,
+    ) -> Result<bool, ReadError> {
+        if partial.pages >= MAX_PAGES || partial.replicas.len() > MAX_REPLICAS {
+            return Err(ReadError::InvalidList);
         }
-        Err(ReadError::InvalidList)
+        let path = self.codec.page_path(partial.token.as_deref());
+        let body = tokio::time::timeout(PAGE_TIMEOUT, self.get(sender, &path));
+        let body = body.await.map_err(|_| ReadError::Timeout)??;
+        let page = self.codec.parse_page(&body).ok_or(ReadError::InvalidList)?;
+        partial.replicas.extend(page.replicas);
+        partial.skipped.merge(page.skipped);
+        partial.pages += 1;
+        partial.token = page.next;
+        Ok(partial.token.is_some())
     }
 
     async fn get(
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use calicohoist_discovery::ListedReplica;
+use calicohoist_discovery::{ListedReplica, Reading};
 use calicohoist_routing::{
     ColdChange, ColdReplicas, ColdTracker, DrainedZones, EntryStatus, IncarnationTracker,
     ReplicaList, Topology,
@@ -40,6 +40,8 @@
     pub term: u64,
     /// The list of replicas.
     pub list: Arc<ReplicaList>,
+    /// Number of pages of the last read.
+    pub pages: usize,
     /// Time of the last successful read, whether or not the list changed.
     pub read_at: Option<Instant>,
     /// Recently started replicas that are still warming up. They are not part of `mark`.
@@ -126,16 +128,18 @@
             (watched_term, watch) = (term, ColdTracker::default());
         }
         let read_started = Instant::now();
-        match reader.read().await {
-            Ok(listed) => {
-                let listed = newest_starts(&mut starts, listed);
-                publish(&out, &mut watch, term, listed, read_started);
+        let pages = out.borrow().pages;
+        match reader.read(settings.list_pace.timeout(pages)).await {
+            Ok(Reading { replicas, pages }) => {
+                let listed = newest_starts(&mut starts, replicas);
+                publish(&out, &mut watch, term, listed, pages, read_started);
             }
             Err(error) => {
                 emit!(Event::PlatformUnreachable, "cannot read the list of replicas: {error}")
             }
         }
-        tokio::time::sleep(settings.list_interval.saturating_sub(read_started.elapsed())).await;
+        let interval = settings.list_pace.interval(out.borrow().pages);
+        tokio::time::sleep(interval.saturating_sub(read_started.elapsed())).await;
     }
 }
 
@@ -164,6 +168,7 @@
     watch: &mut ColdTracker,
     term: u64,
     listed: Vec<ListedReplica>,
+    pages: usize,
     read_at: Instant,
 ) {
     let times = listed.iter().map(|listed| (listed.replica.id.as_str(), listed.cold_left));
@@ -173,6 +178,7 @@
     let mark = ListDigest::of(&replicas);
     out.send_if_modified(|discovery| {
         discovery.read_at = Some(read_at);
+        discovery.pages = pages;
         discovery.cold = Arc::new(watch.cold().clone());
         let is_same = discovery.term == term && discovery.mark == mark;
         // Change marks are only comparable within a term, so a new leader sends the cold replicas
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_discovery::ListReader;
+use calicohoist_discovery::{ListPace, ListReader};
 use calicohoist_limiter::LimitTolerance;
 use calicohoist_replication::RaftSettings;
 use calicohoist_routing::{ColdTolerance, Topology};
@@ -67,8 +67,8 @@
     pub tolerated_losses: usize,
     /// Reads the list of replicas from discovery while this machine leads.
     pub list: Option<ListReader>,
-    /// Interval between reads of the list.
-    pub list_interval: Duration,
+    /// Intervals between reads of the list.
+    pub list_pace: ListPace,
     /// Codec for operator requests.
     pub control: Arc<dyn ControlCodec>,
     /// Tolerance when enforcing tenant limits.
@@ -82,8 +82,15 @@
 }
 
 impl LedgerSettings {
-    /// Default interval between reads of the list of replicas.
+    /// Minimum interval between reads of the list of replicas.
     pub const LIST_INTERVAL: Duration = Duration::from_millis(700);
+    /// Default time after which a listed change must have taken effect.
+    pub const LIST_DEADLINE: Duration = Duration::from_millis(3_000);
+
+    /// Default intervals between reads of the list, for a discovery service without a rate limit.
+    pub const fn list_pace() -> ListPace {
+        ListPace { rate: None, deadline: Self::LIST_DEADLINE, min_interval: Self::LIST_INTERVAL }
+    }
 
     /// Default Raft timing, tuned for fast failover because every turn waits for the leader.
     pub fn raft() -> RaftSettings {
--- a/crates/ledger/tests/drained_zones.rs
+++ b/crates/ledger/tests/drained_zones.rs
@@ -258,7 +258,7 @@
             raft: LedgerSettings::raft_for(losses),
             tolerated_losses: losses,
             list: None,
-            list_interval: LedgerSettings::LIST_INTERVAL,
+            list_pace: LedgerSettings::list_pace(),
             control: Arc::new(ZoneFromPath),
             limit_tolerance: Default::default(),
             zone: "a".to_owned(),
--- a/crates/ledger/tests/fan_out.rs
+++ b/crates/ledger/tests/fan_out.rs
@@ -72,7 +72,7 @@
             raft: LedgerSettings::raft_for(0),
             tolerated_losses: 0,
             list: None,
-            list_interval: LedgerSettings::LIST_INTERVAL,
+            list_pace: LedgerSettings::list_pace(),
             control: Arc::new(PutVersionOne),
             limit_tolerance: Default::default(),
             zone: "hall".to_owned(),
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -65,7 +65,7 @@
         raft: LedgerSettings::raft_for(1),
         tolerated_losses: 1,
         list: None,
-        list_interval: LedgerSettings::LIST_INTERVAL,
+        list_pace: LedgerSettings::list_pace(),
         control: Arc::new(NoControlApi),
         limit_tolerance: Default::default(),
         zone: "a".to_owned(),
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_discovery::ListedReplica;
+use calicohoist_discovery::{ListedReplica, Reading};
 use calicohoist_ledger::client::RequestError;
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{ListDigest, TermVersion, WatchRequest, WatchUpdate};
@@ -13,6 +13,7 @@
 };
 use calicohoist_telemetry::metrics::Gauge;
 use calicohoist_telemetry::{Event, emit};
+use rand::RngExt;
 
 use crate::app::App;
 
@@ -26,10 +27,14 @@
 /// Timeout of a watch request. Long enough to receive the largest configuration over a slow link;
 /// an unresponsive leader is detected earlier.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
-/// Age of the replica list from which the gateway reads it from discovery itself.
+/// Minimum age of the replica list from which the gateway reads it from discovery itself.
 const MAX_LIST_AGE: Duration = Duration::from_millis(2_000);
-/// Interval between the gateway's own readings of the list.
+/// Time in which a list that the leader has read reaches the gateway.
+const LIST_DELIVERY_TIME: Duration = Duration::from_millis(600);
+/// Minimum interval between the gateway's own readings of the list.
 const LIST_READ_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Maximum factor by which the interval grows while readings are refused by the rate limit.
+const MAX_READ_BACKOFF: u32 = 64;
 /// Delay after a rejected configuration, which the leader would send again immediately.
 const REJECTED_CONFIGURATION_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of home problems that are logged individually.
@@ -48,6 +53,22 @@
     list: ListDigest,
     failing: TermVersion,
     cold: TermVersion,
+    size: FleetSize,
+}
+
+/// What determines how often the gateway may read the list itself.
+#[derive(Clone, Copy)]
+struct FleetSize {
+    /// Number of pages of the list.
+    list_pages: usize,
+    /// Number of gateways that may read it.
+    gateways: usize,
+}
+
+impl Default for FleetSize {
+    fn default() -> Self {
+        Self { list_pages: 1, gateways: 1 }
+    }
 }
 
 struct LedgerWatcher {
@@ -58,7 +79,7 @@
 impl LedgerWatcher {
     async fn watch_ledger(&self) {
         loop {
-            let WatchState { list, failing, cold } = *self.state.lock();
+            let WatchState { list, failing, cold, .. } = *self.state.lock();
             let seen = WatchRequest {
                 gateway: self.app.settings.name.clone(),
                 configuration: self.app.table().map_or(0, |table| table.version()),
@@ -171,28 +192,76 @@
         self.app.fleet.mark_cold(&cold_tracker.cold().remaining_ms(started_at), started_at);
     }
 
+    /// Age of the list from which this gateway reads it itself.
+    fn max_list_age(&self) -> Duration {
+        let interval = self.app.settings.list_pace.interval(self.state.lock().size.list_pages);
+        MAX_LIST_AGE.max(interval * 2 + LIST_DELIVERY_TIME)
+    }
+
+    /// Interval between own readings, such that those of all gateways together stay within their
+    /// part of the rate limit.
+    fn own_read_interval(&self) -> Duration {
+        let FleetSize { list_pages, gateways } = self.state.lock().size;
+        let interval = self.app.settings.list_pace.substitute_interval(list_pages, gateways);
+        interval.max(LIST_READ_INTERVAL)
+    }
+
+    /// Returns whether the list stays out of date for `duration`.
+    async fn stays_outdated(&self, duration: Duration) -> bool {
+        let until = Instant::now() + duration;
+        while Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now());
+            tokio::time::sleep(left.min(LIST_AGE_CHECK_INTERVAL)).await;
+            if self.app.fleet.list_age() < self.max_list_age() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Reads the replica list from discovery while the leader provides no recent one.
     async fn poll_list(&self) {
         let mut cold_tracker = ColdTracker::default();
+        let mut backoff = 1;
         tokio::time::sleep(MAX_LIST_AGE).await;
         loop {
-            if self.app.fleet.list_age() < MAX_LIST_AGE {
+            if self.app.fleet.list_age() < self.max_list_age() {
+                backoff = 1;
                 tokio::time::sleep(LIST_AGE_CHECK_INTERVAL).await;
                 continue;
             }
+            let interval = self.own_read_interval();
+            // Many gateways notice at the same time that the leader is gone.
+            if interval > LIST_READ_INTERVAL {
+                let delay = interval.mul_f64(rand::rng().random_range(0.0..1.0));
+                if !self.stays_outdated(delay).await {
+                    continue;
+                }
+            }
             let started_at = Instant::now();
-            match self.app.settings.list.read().await {
-                Ok(replicas) => {
+            let timeout = self.app.settings.list_pace.timeout(self.state.lock().size.list_pages);
+            match self.app.settings.list.read(timeout).await {
+                Ok(Reading { replicas, pages }) => {
+                    backoff = 1;
                     emit!(Event::ListApplied; source = "own reading", replicas = replicas.len());
                     self.mark_listed_cold(&mut cold_tracker, &replicas, started_at);
                     self.install_list(replicas.into_iter().map(|listed| listed.replica).collect());
                     let mut state = self.state.lock();
+                    state.size.list_pages = pages.max(1);
                     // Makes the leader send its list again, whatever its version.
                     state.list = ListDigest::default();
                 }
-                Err(error) => emit!(Event::PlatformUnreachable, "list of replicas: {error}"),
+                Err(error) => {
+                    if error.is_rate_limited() {
+                        backoff = (backoff * 2).min(MAX_READ_BACKOFF);
+                    }
+                    emit!(Event::PlatformUnreachable, "list of replicas: {error}");
+                }
             }
-            tokio::time::sleep(LIST_READ_INTERVAL.saturating_sub(started_at.elapsed())).await;
+            let interval =
+                (self.own_read_interval() * backoff).saturating_sub(started_at.elapsed());
+            let jitter = if backoff > 1 { rand::rng().random_range(0.5..1.0) } else { 1.0 };
+            tokio::time::sleep(interval.mul_f64(jitter)).await;
         }
     }
 }
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_discovery::ListReader;
+use calicohoist_discovery::{ListPace, ListReader};
 use calicohoist_routing::Topology;
 
 use crate::dialect::Dialect;
@@ -28,6 +28,8 @@
     pub ledger_port: u16,
     /// Reads the replica list when no leader provides it.
     pub list: ListReader,
+    /// Intervals between readings of the list.
+    pub list_pace: ListPace,
     /// Time between a shutdown request and the termination of the process.
     pub grace: Duration,
     /// Memory of the machine in bytes, if known.
