Lists as changes, loads without idle replicas: protocol version 3

Cause: at each change of the list the leader sent all of it to every gateway (9,999 replicas, about 0.7 MB, 864 times), and every answer to a watch held one number for each replica. Both are gateways times replicas: 86 to 468 MB by one leader before traffic began.

Change: the leader keeps four earlier lists and sends the difference from the one that a gateway has, encoded once for all; the whole list, compressed, goes only to a gateway whose list is not known here. Loads name the busy replicas alone. The answers are additions to the protocol, sent to gateways of version 3; those of version 2 get what they got. Updates tell the number of gateways and pages, which bounds the gateways' own readings. Gateways find a replica by its id instead of searching the service, and keep unchanged entries.

--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -4,19 +4,21 @@
 //! is idempotent and may be retried on any machine. The types here are those of the latest
 //! protocol version, see [`SUPPORTED_VERSIONS`].
 
+mod packed;
 mod v1;
 mod version;
 
 use std::fmt;
 
 use calicohoist_limiter::{PermitAnswer, PermitRequest};
-use calicohoist_routing::{DrainedZones, Replica, ReplicaList};
+use calicohoist_routing::{DrainedZones, ListPatch, Replica, ReplicaList};
 use calicohoist_scheduler::{Decision, PlacementRequest};
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{Reservation, ReserveTurn, SettleTurn, TurnId};
 use crate::compression::CompressedBytes;
-pub use version::{LATEST_VERSION, SUPPORTED_VERSIONS};
+pub use packed::{Packed, UnpackError};
+pub use version::{LATEST_VERSION, LIST_PATCH_VERSION, SUPPORTED_VERSIONS};
 
 /// A request with its number.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -112,7 +114,7 @@
 
 /// Digest of a replica list; 0 stands for no list. It does not depend on the leader, so a change
 /// of leader does not cause the list to be sent to every gateway again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ListDigest(u64);
 
@@ -196,6 +198,25 @@
     /// The drained zones, if the gateway has another version. Sent before all other updates, so
     /// that a gateway with a configuration always knows which zones are drained.
     DrainedZones(DrainedZones),
+    /// A replica list that differs from the one that the gateway has.
+    PackedList {
+        /// Digest of the list.
+        mark: ListDigest,
+        /// Replicas.
+        replicas: Packed<Vec<Replica>>,
+    },
+    /// Changes since the replica list that the gateway has.
+    ListChanges {
+        /// Digest of the list that the gateway has.
+        since: ListDigest,
+        /// Digest of the new list.
+        mark: ListDigest,
+        /// Changes that lead to the new list.
+        patch: Packed<ListPatch>,
+    },
+    /// Response to [`LedgerRequest::Watch`] as [`Self::News`], but of a size that does not depend
+    /// on the number of idle replicas.
+    Update(FleetUpdate),
 }
 
 /// Update that a leader with a confirmed quorum sends to a gateway.
@@ -216,3 +237,35 @@
     /// Cold replicas, each with the remaining time in ms, if a replica has become cold.
     pub cold: Option<(TermVersion, Vec<(String, u32)>)>,
 }
+
+/// Requests in flight at one replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaLoad {
+    /// Position of the replica in the list.
+    pub position: u32,
+    /// Number of requests in flight.
+    pub requests: u32,
+}
+
+/// Update that a leader with a confirmed quorum sends to a gateway.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetUpdate {
+    /// Age of the latest replica list from discovery, in ms; `None` before the first.
+    pub list_age_ms: Option<u64>,
+    /// Number of pages of the latest replica list.
+    pub list_pages: u32,
+    /// Number of gateways that watch this leader.
+    pub gateways: u32,
+    /// Requests in flight from all other gateways, in the order of the latest list, without idle
+    /// replicas.
+    pub loads: Vec<ReplicaLoad>,
+    /// Digest of the list that `loads` refers to.
+    pub loads_of: ListDigest,
+    /// All known members of the group.
+    pub machines: Vec<u32>,
+    /// Failing replicas that receive no requests, each with the remaining time in ms, if the set
+    /// has changed.
+    pub failing: Option<(TermVersion, Vec<(String, u32)>)>,
+    /// Cold replicas, each with the remaining time in ms, if a replica has become cold.
+    pub cold: Option<(TermVersion, Vec<(String, u32)>)>,
+}
--- a/crates/ledger/src/protocol/v1.rs
+++ b/crates/ledger/src/protocol/v1.rs
@@ -302,9 +302,12 @@
                 ResponseV1::NotLeader { leader, machines }
             }
             // Version 1 gateways retry and then receive drained zones as part of the replica list.
-            LedgerResponse::Unavailable | LedgerResponse::DrainedZones(_) => {
-                ResponseV1::Unavailable
-            }
+            // The answers added in version 3 are not sent to them.
+            LedgerResponse::Unavailable
+            | LedgerResponse::DrainedZones(_)
+            | LedgerResponse::PackedList { .. }
+            | LedgerResponse::ListChanges { .. }
+            | LedgerResponse::Update(_) => ResponseV1::Unavailable,
         };
         Self { number, answer }
     }
--- a/crates/ledger/src/protocol/version.rs
+++ b/crates/ledger/src/protocol/version.rs
@@ -4,9 +4,12 @@
 //! |---|---|---|
 //! | 1 | builds without protocol versions | |
 //! | 2 | drained zones | versions, zones of ledger machines, compressed frames, drained zones, cold replicas, home regions |
+//! | 3 | list patches | additional answers to a watch: packed lists, list changes, updates without idle replicas |
 //!
 //! Any change to the encoding of a message requires a new version and a module that converts from
-//! and to the previous version. All other code uses the types of the latest version only.
+//! and to the previous version. All other code uses the types of the latest version only. Version 3
+//! only adds answers, so that version 2 needs no types of its own: a leader sends them to gateways
+//! of version 3 alone.
 
 use calicohoist_transport::{Frame, FrameError, FrameReader, ProtocolVersion, VersionRange};
 use tokio::io::AsyncRead;
@@ -15,7 +18,11 @@
 use super::{RequestEnvelope, ResponseEnvelope};
 
 /// Latest protocol version.
-pub const LATEST_VERSION: ProtocolVersion = ProtocolVersion::new(2);
+pub const LATEST_VERSION: ProtocolVersion = LIST_PATCH_VERSION;
+/// First version with [`LedgerResponse::PackedList`](super::LedgerResponse::PackedList),
+/// [`LedgerResponse::ListChanges`](super::LedgerResponse::ListChanges) and
+/// [`LedgerResponse::Update`](super::LedgerResponse::Update).
+pub const LIST_PATCH_VERSION: ProtocolVersion = ProtocolVersion::new(3);
 /// Protocol versions that this build supports. During a rolling upgrade, machines of the previous
 /// build run alongside it.
 pub const SUPPORTED_VERSIONS: VersionRange =
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -36,7 +36,7 @@
 use super::traffic::{self, Peer};
 use super::turns::TurnDispatcher;
 use crate::protocol::{
-    LATEST_VERSION, LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope,
+    LIST_PATCH_VERSION, LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope,
     SUPPORTED_VERSIONS,
 };
 use legacy::LegacyGateways;
@@ -154,7 +154,7 @@
     let (input, mut output) = stream.into_split();
     let mut frames = FrameReader::new(input);
     let version = accept_offer(&mut frames, &mut output, SUPPORTED_VERSIONS).await?;
-    let legacy = (version < LATEST_VERSION).then(|| Arc::new(service.clone()));
+    let legacy = (version == ProtocolVersion::LEGACY).then(|| Arc::new(service.clone()));
     let replies = spawn_writer(output, service.queued_bytes.clone());
     let mut distance = None;
     loop {
@@ -243,7 +243,13 @@
         self.legacy.is_some()
     }
 
-    /// Sends an answer shared with other connections. It must be the same in all versions.
+    /// Returns whether the gateway supports the answers added with list patches.
+    fn supports_list_patches(&self) -> bool {
+        self.version >= LIST_PATCH_VERSION
+    }
+
+    /// Sends an answer shared with other connections. It must be the same in all versions that the
+    /// gateway may use.
     fn send_shared(self, answer: &SharedAnswer) {
         let frame = Frame::with_shared(&self.number, &answer.encoded);
         self.send_frame(answer.kind, frame);
@@ -280,8 +286,9 @@
 fn answer_kind(answer: &LedgerResponse) -> &'static str {
     match answer {
         LedgerResponse::Configuration { .. } => "configuration",
-        LedgerResponse::List { .. } => "list",
-        LedgerResponse::News(_) => "loads",
+        LedgerResponse::List { .. } | LedgerResponse::PackedList { .. } => "list",
+        LedgerResponse::ListChanges { .. } => "list_changes",
+        LedgerResponse::News(_) | LedgerResponse::Update(_) => "loads",
         LedgerResponse::Reserved { .. } => "history",
         LedgerResponse::Permit(_)
         | LedgerResponse::Placed(_)
--- a/crates/ledger/src/server/gateways/shared.rs
+++ b/crates/ledger/src/server/gateways/shared.rs
@@ -1,10 +1,13 @@
 //! Answers that are the same for all gateways, and therefore compressed and encoded only once.
 
+use std::collections::HashMap;
+
+use calicohoist_routing::ListPatch;
 use calicohoist_transport::{FrameError, SharedField};
 
 use super::answer_kind;
 use crate::compression::CompressedBytes;
-use crate::protocol::{LedgerResponse, ListDigest};
+use crate::protocol::{LedgerResponse, ListDigest, Packed};
 use crate::server::list::DiscoverySnapshot;
 use crate::state::VersionedConfiguration;
 
@@ -21,6 +24,17 @@
     }
 }
 
+/// Answers that lead to one list.
+#[derive(Debug, Default)]
+struct ListAnswers {
+    mark: ListDigest,
+    /// The list as sent to gateways that do not support packed lists.
+    plain: Option<SharedAnswer>,
+    packed: Option<SharedAnswer>,
+    /// Changes by the list that the gateway has.
+    changes: HashMap<ListDigest, SharedAnswer>,
+}
+
 /// A cache of the newest configuration and list.
 ///
 /// Sharing the encoded answers bounds the memory used when many slow gateways fetch a large
@@ -28,7 +42,7 @@
 #[derive(Debug, Default)]
 pub(super) struct SharedAnswers {
     configuration: Option<(u64, SharedAnswer)>,
-    list: Option<(ListDigest, SharedAnswer)>,
+    list: ListAnswers,
 }
 
 impl SharedAnswers {
@@ -51,19 +65,63 @@
         Ok(answer)
     }
 
-    /// Returns the answer with this list.
-    pub(super) fn list(
+    /// Returns the answer with this list for gateways that do not support packed lists.
+    pub(super) fn plain_list(
         &mut self,
         discovery: &DiscoverySnapshot,
     ) -> Result<SharedAnswer, FrameError> {
-        if let Some((mark, answer)) = &self.list
-            && *mark == discovery.mark
-        {
+        let answers = self.list_answers(discovery);
+        if let Some(answer) = &answers.plain {
             return Ok(answer.clone());
         }
         let list = discovery.list.as_ref().clone();
         let answer = SharedAnswer::encode(&LedgerResponse::List { mark: discovery.mark, list })?;
-        self.list = Some((discovery.mark, answer.clone()));
+        Ok(answers.plain.insert(answer).clone())
+    }
+
+    /// Returns the answer that leads from the list that a gateway has to this one: the changes if
+    /// that list is known here, else the whole list.
+    pub(super) fn list(
+        &mut self,
+        discovery: &DiscoverySnapshot,
+        since: ListDigest,
+    ) -> Result<SharedAnswer, FrameError> {
+        let answers = self.list_answers(discovery);
+        if let Some(answer) = answers.changes.get(&since) {
+            return Ok(answer.clone());
+        }
+        let patch = discovery
+            .earlier_list(since)
+            .map(|earlier| ListPatch::between(&earlier.replicas, &discovery.list.replicas));
+        let Some(patch) = patch.filter(|patch| !patch.is_complete()) else {
+            return answers.packed(discovery);
+        };
+        let answer = SharedAnswer::encode(&LedgerResponse::ListChanges {
+            since,
+            mark: discovery.mark,
+            patch: Packed::pack(&patch)?,
+        })?;
+        answers.changes.insert(since, answer.clone());
         Ok(answer)
     }
+
+    fn list_answers(&mut self, discovery: &DiscoverySnapshot) -> &mut ListAnswers {
+        if self.list.mark != discovery.mark {
+            self.list = ListAnswers { mark: discovery.mark, ..ListAnswers::default() };
+        }
+        &mut self.list
+    }
+}
+
+impl ListAnswers {
+    fn packed(&mut self, discovery: &DiscoverySnapshot) -> Result<SharedAnswer, FrameError> {
+        if let Some(answer) = &self.packed {
+            return Ok(answer.clone());
+        }
+        let answer = SharedAnswer::encode(&LedgerResponse::PackedList {
+            mark: discovery.mark,
+            replicas: Packed::pack(&discovery.list.replicas)?,
+        })?;
+        Ok(self.packed.insert(answer).clone())
+    }
 }
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -127,7 +127,7 @@
         self.turns.place(status.term, turn, placement, &self.fleet(), responder);
     }
 
-    fn term(&self) -> u64 {
+    pub(super) fn term(&self) -> u64 {
         self.status.borrow().term
     }
 
--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -7,9 +7,8 @@
 use calicohoist_telemetry::{Event, emit};
 
 use super::{GatewayService, Responder};
-use crate::protocol::{LedgerResponse, WatchRequest, WatchUpdate};
-use crate::server::list::DiscoverySnapshot;
-use crate::server::replica::{GroupStatus, Request, Response};
+use crate::protocol::{FleetUpdate, LedgerResponse, WatchRequest, WatchUpdate};
+use crate::server::replica::{Request, Response};
 
 /// Maximum time that a watch is held without an update.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -67,33 +66,55 @@
             return responder.send_if_encoded(answer);
         }
         let discovery = self.discovery();
-        let status = self.status.borrow().clone();
-        if discovery.should_send_list(status.term, seen) {
+        if discovery.should_send_list(self.term(), seen) {
             if responder.is_legacy() {
                 let list = discovery.list.as_ref().clone();
                 return responder.send(LedgerResponse::List { mark: discovery.mark, list });
             }
-            let answer = self.shared.lock().list(&discovery);
+            let answer = if responder.supports_list_patches() {
+                self.shared.lock().list(&discovery, seen.list)
+            } else {
+                self.shared.lock().plain_list(&discovery)
+            };
             return responder.send_if_encoded(answer);
         }
-        responder.send(LedgerResponse::News(self.status_update(seen, &status, &discovery)));
+        self.send_status(seen, responder);
+    }
+
+    fn send_status(&self, seen: &WatchRequest, responder: Responder) {
+        let update = self.fleet_update(seen);
+        if responder.supports_list_patches() {
+            return responder.send(LedgerResponse::Update(update));
+        }
+        let discovery = self.discovery();
+        let loads = self.loads.lock().load_from_others(&seen.gateway, &discovery, Instant::now());
+        let FleetUpdate { list_age_ms, machines, failing, cold, .. } = update;
+        responder.send(LedgerResponse::News(WatchUpdate {
+            list_age_ms,
+            loads,
+            loads_of: discovery.mark,
+            machines,
+            failing,
+            cold,
+        }));
     }
 
-    fn status_update(
-        &self,
-        seen: &WatchRequest,
-        status: &GroupStatus,
-        discovery: &DiscoverySnapshot,
-    ) -> WatchUpdate {
+    fn fleet_update(&self, seen: &WatchRequest) -> FleetUpdate {
+        let discovery = self.discovery();
+        let status = self.status.borrow().clone();
         let is_current = discovery.term == status.term;
         let age = discovery.read_at.filter(|_| is_current).map(|at| at.elapsed().as_millis());
         let failing = self.failures.changes_since(seen.failing);
-        let cold = discovery.cold_update(seen.cold, Instant::now());
-        WatchUpdate {
+        let now = Instant::now();
+        let cold = discovery.cold_update(seen.cold, now);
+        let mut loads = self.loads.lock();
+        FleetUpdate {
             list_age_ms: age.and_then(|age| u64::try_from(age).ok()),
-            loads: self.loads.lock().load_from_others(&seen.gateway, discovery, Instant::now()),
+            list_pages: discovery.pages as u32,
+            gateways: loads.gateways() as u32,
+            loads: loads.busy_replicas(&seen.gateway, &discovery, now),
             loads_of: discovery.mark,
-            machines: status.machines.clone(),
+            machines: status.machines,
             failing: failing.filter(|(mark, _)| mark.term == status.term),
             cold: cold.filter(|(mark, _)| mark.term == status.term),
         }
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -1,11 +1,12 @@
 //! Reads the list of replicas from discovery on the leader, on behalf of all gateways.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Instant;
 
 use calicohoist_discovery::{ListedReplica, Reading};
 use calicohoist_routing::{
-    ColdChange, ColdReplicas, ColdTracker, DrainedZones, EntryStatus, IncarnationTracker,
+    ColdChange, ColdReplicas, ColdTracker, DrainedZones, EntryStatus, IncarnationTracker, Replica,
     ReplicaList, Topology,
 };
 use calicohoist_scheduler::FleetView;
@@ -28,6 +29,8 @@
     "outcome",
 );
 
+/// Number of earlier lists from which changes are computed.
+const KEPT_LISTS: usize = 4;
 /// Maximum number of replica names in a log line.
 const MAX_LOGGED_NAMES: usize = 8;
 
@@ -40,6 +43,8 @@
     pub term: u64,
     /// The list of replicas.
     pub list: Arc<ReplicaList>,
+    /// The lists before it, oldest first; at most [`KEPT_LISTS`].
+    pub earlier: Arc<VecDeque<(ListDigest, Arc<ReplicaList>)>>,
     /// Number of pages of the last read.
     pub pages: usize,
     /// Time of the last successful read, whether or not the list changed.
@@ -60,6 +65,25 @@
         self.term == term && is_new && knows_cold
     }
 
+    /// Returns an earlier list with this digest, if it is kept.
+    pub fn earlier_list(&self, mark: ListDigest) -> Option<&ReplicaList> {
+        let found = self.earlier.iter().find(|(earlier, _)| *earlier == mark);
+        found.map(|(_, list)| list.as_ref())
+    }
+
+    /// Replaces the list and keeps the current one as an earlier list.
+    fn replace_list(&mut self, mark: ListDigest, replicas: Vec<Replica>) {
+        let version = self.list.version + 1;
+        let mut earlier = VecDeque::clone(&self.earlier);
+        earlier.push_back((self.mark, Arc::clone(&self.list)));
+        if earlier.len() > KEPT_LISTS {
+            earlier.pop_front();
+        }
+        self.earlier = Arc::new(earlier);
+        self.mark = mark;
+        self.list = Arc::new(ReplicaList { version, replicas });
+    }
+
     /// Returns the cold replicas with the remaining time in ms, unless the gateway has `seen`
     /// them.
     pub fn cold_update(
@@ -193,9 +217,7 @@
         }
         discovery.term = term;
         if discovery.mark != mark {
-            let version = discovery.list.version + 1;
-            discovery.mark = mark;
-            discovery.list = Arc::new(ReplicaList { version, replicas });
+            discovery.replace_list(mark, replicas);
         }
         true
     });
--- a/crates/ledger/src/server/loads.rs
+++ b/crates/ledger/src/server/loads.rs
@@ -3,11 +3,11 @@
 //! The sum of all reports is cached for a short time. The load from all other gateways is computed
 //! by subtracting a gateway's own report from it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::list::DiscoverySnapshot;
-use crate::protocol::ListDigest;
+use crate::protocol::{ListDigest, ReplicaLoad};
 
 /// Reports expire after this time, several times the interval at which gateways send them.
 const REPORT_TTL: Duration = Duration::from_millis(2_000);
@@ -33,7 +33,8 @@
 struct LoadSum {
     list: ListDigest,
     computed_at: Option<Instant>,
-    loads: Vec<u32>,
+    /// Requests in progress by index, without idle replicas.
+    busy: BTreeMap<usize, u32>,
     /// Index of each replica in the list.
     indices: HashMap<String, usize>,
 }
@@ -52,14 +53,33 @@
         discovery: &DiscoverySnapshot,
         now: Instant,
     ) -> Vec<u32> {
-        self.refresh(discovery, now);
-        let mut others = self.sum.loads.clone();
-        if let Some(own) = self.reports.get(gateway) {
-            for (index, load) in self.sum.indexed(&own.loads) {
-                others[index] = others[index].saturating_sub(load);
-            }
+        let mut loads = vec![0; discovery.list.replicas.len()];
+        for ReplicaLoad { position, requests } in self.busy_replicas(gateway, discovery, now) {
+            loads[position as usize] = requests;
         }
-        others
+        loads
+    }
+
+    /// Returns the replicas of the list with requests in progress from other gateways.
+    pub fn busy_replicas(
+        &mut self,
+        gateway: &str,
+        discovery: &DiscoverySnapshot,
+        now: Instant,
+    ) -> Vec<ReplicaLoad> {
+        self.refresh(discovery, now);
+        let own = self.reports.get(gateway).map(|report| self.sum.indexed(&report.loads));
+        let own: HashMap<usize, u32> = own.into_iter().flatten().collect();
+        let others = self.sum.busy.iter().map(|(index, load)| {
+            let own_load = own.get(index).copied().unwrap_or_default();
+            ReplicaLoad { position: *index as u32, requests: load.saturating_sub(own_load) }
+        });
+        others.filter(|load| load.requests > 0).collect()
+    }
+
+    /// Returns the number of gateways that have reported recently.
+    pub fn gateways(&self) -> usize {
+        self.reports.len()
     }
 
     fn refresh(&mut self, discovery: &DiscoverySnapshot, now: Instant) {
@@ -70,13 +90,13 @@
             return;
         }
         self.reports.retain(|_, report| now < report.at + REPORT_TTL);
-        let mut loads = vec![0; discovery.list.replicas.len()];
+        let mut busy = BTreeMap::new();
         for report in self.reports.values() {
             for (index, load) in self.sum.indexed(&report.loads) {
-                loads[index] += load;
+                *busy.entry(index).or_default() += load;
             }
         }
-        self.sum.loads = loads;
+        self.sum.busy = busy;
         self.sum.computed_at = Some(now);
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -4,19 +4,26 @@
 //! elected leader of the ledger, which is called the leader here. If the leader provides no recent
 //! list, the gateway reads the list from discovery itself.
 
-use std::collections::{HashMap, HashSet};
+mod member;
+mod services;
+
+use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use calicohoist_ledger::protocol::ReplicaLoad;
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
     Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, EntryStatus, HomeRegions,
-    IncarnationTracker, MeanLoad, Replica, Topology, UndrainedZones, choose, spread, stable_hash,
+    IncarnationTracker, ListPart, ListPatch, PatchError, Replica, Topology, UndrainedZones, choose,
+    spread, stable_hash,
 };
 use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
 
 use crate::upstream::Pool;
+pub use member::{LoadGuard, Member};
+use services::Services;
 
 /// Cost penalty for replicas that the leader reports as failing.
 const REPORTED_FAILURE_PENALTY: Duration = Duration::from_millis(800);
@@ -25,87 +32,6 @@
 /// reports the cold replicas.
 const ASSUMED_COLD_TIME: Duration = Duration::from_millis(1_000);
 
-/// A replica with its load and recent failures.
-#[derive(Debug)]
-pub struct Member {
-    /// Replica as listed by discovery.
-    pub replica: Replica,
-    /// Tie-breaker among replicas with equal cost; differs between gateways.
-    rank: u64,
-    own_load: AtomicU32,
-    /// Sequence number of this gateway's last request to the replica; 0 for none.
-    last_used: AtomicU64,
-    other_load: Mutex<OtherLoad>,
-    active_penalty: Mutex<Option<ActivePenalty>>,
-}
-
-/// Total load that all other gateways place on a replica, as reported by the leader.
-#[derive(Clone, Copy, Debug, Default)]
-struct OtherLoad {
-    mean: MeanLoad,
-    reported_at: Option<Instant>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ActivePenalty {
-    until: Instant,
-    penalty: Duration,
-}
-
-impl Member {
-    fn new(replica: Replica, rank: u64) -> Self {
-        Self {
-            replica,
-            rank,
-            own_load: AtomicU32::new(0),
-            last_used: AtomicU64::new(0),
-            other_load: Mutex::default(),
-            active_penalty: Mutex::new(None),
-        }
-    }
-
-    /// Counts a request as load of the replica until the guard is dropped.
-    pub fn begin_request(self: &Arc<Self>) -> LoadGuard {
-        self.own_load.fetch_add(1, Ordering::Relaxed);
-        LoadGuard { member: Arc::clone(self) }
-    }
-
-    /// Adds a cost penalty to the replica for a limited time.
-    pub fn penalize(&self, penalty: Duration, duration: Duration) {
-        *self.active_penalty.lock() =
-            Some(ActivePenalty { until: Instant::now() + duration, penalty });
-    }
-
-    fn penalty(&self, now: Instant) -> Duration {
-        let current = *self.active_penalty.lock();
-        current.filter(|current| current.until > now).map_or(Duration::ZERO, |known| known.penalty)
-    }
-
-    /// Returns the number of active requests of this gateway, and the moving average of the
-    /// total of all other gateways.
-    pub fn loads(&self) -> (u32, MeanLoad) {
-        (self.own_load.load(Ordering::Relaxed), self.other_load.lock().mean)
-    }
-
-    fn record_other_load(&self, load: u32, now: Instant) {
-        let mut known = self.other_load.lock();
-        let since = known.reported_at.map(|at| now.saturating_duration_since(at));
-        *known = OtherLoad { mean: known.mean.updated(load, since), reported_at: Some(now) };
-    }
-}
-
-/// Counts a request as load of a replica until dropped.
-#[derive(Debug)]
-pub struct LoadGuard {
-    member: Arc<Member>,
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        self.member.own_load.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Criteria for the selection of a replica.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaCriteria<'a> {
@@ -126,7 +52,14 @@
     pub exclude_cold: bool,
 }
 
-type ByService = HashMap<String, Vec<Arc<Member>>>;
+/// Result of applying changes to the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListChange {
+    /// Number of listed replicas.
+    pub listed: usize,
+    /// Number of replicas that are new or have changed.
+    pub inserted: usize,
+}
 
 /// All known replicas of the back-end services, by service.
 #[derive(Debug)]
@@ -142,7 +75,7 @@
     cold: RwLock<ColdReplicas>,
     /// Recently undrained zones, whose replicas may have become cold.
     undrained: RwLock<UndrainedZones>,
-    services: RwLock<Arc<ByService>>,
+    services: RwLock<Arc<Services>>,
     /// Newest known incarnation of each replica. Lists from different leaders may arrive out of
     /// order.
     incarnations: Mutex<IncarnationTracker>,
@@ -182,31 +115,65 @@
 
     /// Replaces the replica list. The state of replicas that remain listed is kept.
     pub fn update(&self, replicas: Vec<Replica>) {
-        let incarnation_update = self.incarnations.lock().update(replicas.iter());
         let previous = self.services.read().clone();
-        let known: HashMap<&str, &Arc<Member>> = previous
-            .values()
-            .flatten()
-            .map(|member| (member.replica.id.as_str(), member))
-            .collect();
-        let mut services = ByService::new();
-        let mut listed = Vec::with_capacity(replicas.len());
-        for (replica, status) in replicas.into_iter().zip(incarnation_update.entries) {
-            let member = match known.get(replica.id.as_str()) {
-                Some(member) if member.replica == replica => Arc::clone(member),
-                Some(member) => Arc::new(member.with_replica(replica)),
-                None => {
-                    let rank = self.rank_of(&replica);
-                    Arc::new(Member::new(replica, rank))
+        let listed = replicas.into_iter().map(|replica| self.member(&previous, replica)).collect();
+        self.install(listed);
+    }
+
+    /// Applies changes to the replica list. Replicas that are new in it are marked as cold, as by
+    /// [`Self::mark_new_as_cold`].
+    ///
+    /// # Errors
+    /// When the changes are those of another list; the current one is kept.
+    pub fn apply_patch(&self, patch: ListPatch, now: Instant) -> Result<ListChange, PatchError> {
+        let previous_list = self.listed.read().clone();
+        let previous = self.services.read().clone();
+        let mut listed = Vec::with_capacity(previous_list.len());
+        let mut new = Vec::new();
+        let mut inserted = 0;
+        for part in patch.parts(previous_list.len())? {
+            match part {
+                ListPart::Copied(range) => listed.extend_from_slice(&previous_list[range]),
+                ListPart::Inserted(replica) => {
+                    inserted += 1;
+                    if previous.find(&replica.id).is_none() {
+                        new.push(replica.id.clone());
+                    }
+                    listed.push(self.member(&previous, replica));
                 }
-            };
-            // Load reports refer to list positions, so superseded and ambiguous entries are
-            // included.
-            listed.push(Arc::clone(&member));
-            if status != EntryStatus::Newest {
-                continue;
             }
-            services.entry(member.replica.service.clone()).or_default().push(member);
+        }
+        if !previous.is_empty() {
+            let mut cold = self.cold.write();
+            new.iter().for_each(|id| cold.mark_cold(id, now + ASSUMED_COLD_TIME));
+        }
+        let change = ListChange { listed: listed.len(), inserted };
+        self.install(listed);
+        Ok(change)
+    }
+
+    /// Returns the entry for a listed replica, with the state of the previous one.
+    fn member(&self, previous: &Services, replica: Replica) -> Arc<Member> {
+        match previous.find(&replica.id) {
+            Some(member) if member.replica == replica => Arc::clone(member),
+            Some(member) => Arc::new(member.with_replica(replica)),
+            None => {
+                let rank = self.rank_of(&replica);
+                Arc::new(Member::new(replica, rank))
+            }
+        }
+    }
+
+    fn install(&self, listed: Vec<Arc<Member>>) {
+        let replicas = listed.iter().map(|member| &member.replica);
+        let incarnation_update = self.incarnations.lock().update(replicas);
+        let mut services = Services::default();
+        for (member, status) in listed.iter().zip(incarnation_update.entries) {
+            // Load reports refer to list positions, so superseded and ambiguous entries stay in
+            // `listed`.
+            if status == EntryStatus::Newest {
+                services.add(Arc::clone(member));
+            }
         }
         *self.listed.write() = listed;
         *self.services.write() = Arc::new(services);
@@ -215,11 +182,10 @@
     /// Penalizes replicas that other gateways reported as failing. Each is listed with the
     /// remaining time in ms.
     pub fn mark_failing(&self, failing: &[(String, u32)]) {
-        let listed = self.listed.read();
+        let services = self.services.read();
         for (id, remaining_ms) in failing {
             let duration = Duration::from_millis(u64::from(*remaining_ms));
-            let member = listed.iter().find(|member| member.replica.id == *id);
-            if let Some(member) = member {
+            if let Some(member) = services.find(id) {
                 member.penalize(REPORTED_FAILURE_PENALTY, duration);
             }
         }
@@ -254,35 +220,43 @@
         }
     }
 
+    /// Records the total load of all other gateways at the replicas that are not idle, in the
+    /// order of the last list.
+    pub fn record_busy_replicas(&self, loads: &[ReplicaLoad], now: Instant) {
+        let mut busy = loads.iter().peekable();
+        for (position, member) in self.listed.read().iter().enumerate() {
+            let load = busy.next_if(|load| load.position as usize == position);
+            member.record_other_load(load.map_or(0, |load| load.requests), now);
+        }
+    }
+
     /// Returns the number of active requests of this gateway by replica id, without idle replicas.
     pub fn own_loads(&self) -> Vec<(String, u32)> {
         let services = self.services.read();
-        let loads = services
-            .values()
-            .flatten()
-            .map(|member| (member.replica.id.clone(), member.own_load.load(Ordering::Relaxed)));
-        loads.filter(|(_, load)| *load > 0).collect()
+        let members = services.members();
+        let loads = members.map(|member| (member, member.own_load.load(Ordering::Relaxed)));
+        let busy = loads.filter(|(_, load)| *load > 0);
+        busy.map(|(member, load)| (member.replica.id.clone(), load)).collect()
     }
 
-    /// Returns the ids of all replicas.
-    pub fn ids(&self) -> Vec<String> {
-        let services = self.services.read();
-        services.values().flatten().map(|member| member.replica.id.clone()).collect()
+    /// Returns whether the newest incarnation of a replica has this id.
+    pub fn is_listed(&self, id: &str) -> bool {
+        self.services.read().find(id).is_some()
     }
 
     /// Returns the replicas of a service, or an empty slice if it is not listed.
     fn members_of(&self, service: &str) -> MappedRwLockReadGuard<'_, [Arc<Member>]> {
-        RwLockReadGuard::map(self.services.read(), |services| {
-            services.get(service).map(Vec::as_slice).unwrap_or_default()
-        })
+        RwLockReadGuard::map(self.services.read(), |services| services.members_of(service))
     }
 
     /// Returns whether a replica is listed with the same id, i.e. has not restarted, and is
     /// eligible for requests with these home regions.
     pub fn is_eligible(&self, replica: &Replica, homes: &HomeRegions) -> bool {
-        let members = self.members_of(&replica.service);
-        let mut listed = members.iter().map(|member| &member.replica);
-        listed.any(|listed| listed.id == replica.id && self.meets_rules(listed, homes))
+        let services = self.services.read();
+        let listed = services.find(&replica.id).map(|member| &member.replica);
+        listed.is_some_and(|listed| {
+            listed.service == replica.service && self.meets_rules(listed, homes)
+        })
     }
 
     /// Returns a replica if it is eligible for requests with these home regions and has no
@@ -293,8 +267,8 @@
         id: &str,
         homes: &HomeRegions,
     ) -> Option<Arc<Member>> {
-        let members = self.members_of(service);
-        let member = members.iter().find(|member| member.replica.id == id)?;
+        let services = self.services.read();
+        let member = services.find(id).filter(|member| member.replica.service == service)?;
         let is_eligible = self.meets_rules(&member.replica, homes);
         let is_healthy = member.penalty(Instant::now()).is_zero();
         (is_eligible && is_healthy).then(|| Arc::clone(member))
@@ -326,13 +300,12 @@
     /// Marks as cold the replicas that are new in this list, for a short time until the leader
     /// reports which replicas are cold. Replicas of the first list are not marked.
     pub fn mark_new_as_cold(&self, replicas: &[Replica], now: Instant) {
-        let ids = self.ids();
-        if ids.is_empty() {
+        let services = self.services.read();
+        if services.is_empty() {
             return;
         }
-        let ids: HashSet<&str> = ids.iter().map(String::as_str).collect();
         let mut cold = self.cold.write();
-        for replica in replicas.iter().filter(|replica| !ids.contains(replica.id.as_str())) {
+        for replica in replicas.iter().filter(|replica| services.find(&replica.id).is_none()) {
             cold.mark_cold(&replica.id, now + ASSUMED_COLD_TIME);
         }
     }
@@ -401,35 +374,46 @@
                 && !excluded.contains(&member.replica.id)
                 && !(exclude_cold && self.is_cold(&member.replica, now))
         };
-        let members: Vec<&Arc<Member>> =
-            services.get(service)?.iter().filter(is_eligible).collect();
-        let candidates: Vec<Candidate<'_>> = members
-            .iter()
-            .map(|member| {
-                let (own_load, other_load) = member.loads();
-                Candidate {
-                    id: &member.replica.id,
-                    slots: member.replica.slots,
-                    own_load,
-                    other_load,
-                    distance: self.topology.distance(zone, &member.replica.zone),
-                    is_connected: pool.has_idle(&member.replica.id),
-                    rank: member.rank,
-                    last_used: member.last_used.load(Ordering::Relaxed),
-                    penalty: member.penalty(now),
-                }
-            })
-            .collect();
+        let all = services.members_of(service);
+        let members: Vec<&Arc<Member>> = all.iter().filter(is_eligible).collect();
+        let candidates = self.candidates(&members, zone, pool, now);
         // `choose` prefers the replica that has probably cached the prompt prefix; `spread`
         // balances requests without a shared prefix.
         let chosen = match affinity.key {
             Some(_) => choose(&candidates, affinity, weights),
             None => spread(&candidates, uniform_hash(request), weights),
         };
-        let chosen = members[chosen?];
+        chosen.map(|index| self.record_choice(members[index]))
+    }
+
+    fn candidates<'a>(
+        &self,
+        members: &[&'a Arc<Member>],
+        zone: &str,
+        pool: &Pool,
+        now: Instant,
+    ) -> Vec<Candidate<'a>> {
+        let candidate = |member: &&'a Arc<Member>| {
+            let (own_load, other_load) = member.loads();
+            Candidate {
+                id: &member.replica.id,
+                slots: member.replica.slots,
+                own_load,
+                other_load,
+                distance: self.topology.distance(zone, &member.replica.zone),
+                is_connected: pool.has_idle(&member.replica.id),
+                rank: member.rank,
+                last_used: member.last_used.load(Ordering::Relaxed),
+                penalty: member.penalty(now),
+            }
+        };
+        members.iter().map(candidate).collect()
+    }
+
+    fn record_choice(&self, chosen: &Arc<Member>) -> Arc<Member> {
         let sequence_number = self.choice_count.fetch_add(1, Ordering::Relaxed) + 1;
         chosen.last_used.store(sequence_number, Ordering::Relaxed);
-        Some(Arc::clone(chosen))
+        Arc::clone(chosen)
     }
 }
 
@@ -437,13 +421,3 @@
 fn uniform_hash(request: &str) -> f64 {
     stable_hash(&[request.as_bytes()]) as f64 / u64::MAX as f64
 }
-
-impl Member {
-    /// Returns a new entry for a replica whose properties changed.
-    fn with_replica(&self, replica: Replica) -> Self {
-        let member = Self::new(replica, self.rank);
-        // Existing load guards refer to the old entry, so its load is not carried over.
-        *member.active_penalty.lock() = *self.active_penalty.lock();
-        member
-    }
-}
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -6,10 +6,12 @@
 use calicohoist_discovery::{ListedReplica, Reading};
 use calicohoist_ledger::client::RequestError;
 use calicohoist_ledger::compression::CompressedBytes;
-use calicohoist_ledger::protocol::{ListDigest, TermVersion, WatchRequest, WatchUpdate};
+use calicohoist_ledger::protocol::{
+    FleetUpdate, ListDigest, Packed, TermVersion, WatchRequest, WatchUpdate,
+};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
 use calicohoist_routing::{
-    ColdTracker, DrainedZones, HomeFindings, Replica, ReplicaList, RouteTable, check_homes,
+    ColdTracker, DrainedZones, HomeFindings, ListPatch, Replica, RouteTable, check_homes,
 };
 use calicohoist_telemetry::metrics::Gauge;
 use calicohoist_telemetry::{Event, emit};
@@ -101,28 +103,57 @@
                         tokio::time::sleep(REJECTED_CONFIGURATION_DELAY).await;
                     }
                 }
-                Ok(LedgerResponse::List { mark, list }) => self.apply_list(mark, list),
+                Ok(LedgerResponse::List { mark, list }) => self.apply_list(mark, list.replicas),
+                Ok(LedgerResponse::PackedList { mark, replicas }) => match replicas.unpack() {
+                    Ok(replicas) => self.apply_list(mark, replicas),
+                    Err(error) => emit!(Event::ListRejected; list = mark, error = error),
+                },
+                Ok(LedgerResponse::ListChanges { since, mark, patch }) => {
+                    self.apply_list_changes(since, mark, &patch);
+                }
                 Ok(LedgerResponse::DrainedZones(drained)) => self.apply_drained_zones(drained),
                 Ok(LedgerResponse::News(news)) => self.apply_news(news),
+                Ok(LedgerResponse::Update(update)) => self.apply_update(update),
                 Ok(_) | Err(RequestError::DeadlineExceeded) => {}
             }
         }
     }
 
+    /// Applies an update from a leader that does not omit idle replicas.
     fn apply_news(&self, news: WatchUpdate) {
-        self.app.ledger.update_members(news.machines);
         if news.loads_of == self.state.lock().list {
             self.app.fleet.record_other_loads(&news.loads, Instant::now());
         }
-        if let Some((mark, failing)) = news.failing {
+        self.apply_update(FleetUpdate {
+            list_age_ms: news.list_age_ms,
+            machines: news.machines,
+            failing: news.failing,
+            cold: news.cold,
+            ..FleetUpdate::default()
+        });
+    }
+
+    fn apply_update(&self, update: FleetUpdate) {
+        self.app.ledger.update_members(update.machines);
+        {
+            let mut state = self.state.lock();
+            state.size = FleetSize {
+                list_pages: (update.list_pages as usize).max(1),
+                gateways: (update.gateways as usize).max(1),
+            };
+            if update.loads_of == state.list && state.list != ListDigest::default() {
+                self.app.fleet.record_busy_replicas(&update.loads, Instant::now());
+            }
+        }
+        if let Some((mark, failing)) = update.failing {
             self.state.lock().failing = mark;
             self.app.fleet.mark_failing(&failing);
         }
-        if let Some((mark, cold)) = news.cold {
+        if let Some((mark, cold)) = update.cold {
             self.state.lock().cold = mark;
             self.app.fleet.mark_cold(&cold, Instant::now());
         }
-        if let Some(age) = news.list_age_ms {
+        if let Some(age) = update.list_age_ms {
             let read_at = Instant::now().checked_sub(Duration::from_millis(age));
             self.app.fleet.record_list_read(read_at);
         }
@@ -136,18 +167,49 @@
         emit!(Event::DrainApplied; version = version, zones = zones, running = running);
     }
 
-    fn apply_list(&self, mark: ListDigest, list: ReplicaList) {
+    fn apply_list(&self, mark: ListDigest, replicas: Vec<Replica>) {
         emit!(
             Event::ListApplied;
             source = "leader",
             list = mark,
-            replicas = list.replicas.len(),
+            replicas = replicas.len(),
         );
-        self.app.fleet.mark_new_as_cold(&list.replicas, Instant::now());
-        self.install_list(list.replicas);
+        self.app.fleet.mark_new_as_cold(&replicas, Instant::now());
+        self.install_list(replicas);
         self.state.lock().list = mark;
     }
 
+    /// Applies changes to the list. If they are not those of the current list, the leader is asked
+    /// for the whole list.
+    fn apply_list_changes(&self, since: ListDigest, mark: ListDigest, patch: &Packed<ListPatch>) {
+        let mut state = self.state.lock();
+        if state.list != since {
+            return;
+        }
+        // Until the changes are applied, and if that fails, no list is held.
+        state.list = ListDigest::default();
+        let patch = match patch.unpack() {
+            Ok(patch) => patch,
+            Err(error) => return emit!(Event::ListRejected; list = mark, error = error),
+        };
+        let now = Instant::now();
+        match self.app.fleet.apply_patch(patch, now) {
+            Ok(changes) => {
+                emit!(
+                    Event::ListApplied;
+                    source = "leader's changes",
+                    list = mark,
+                    replicas = changes.listed,
+                    inserted = changes.inserted,
+                );
+                state.list = mark;
+                drop(state);
+                self.finish_list();
+            }
+            Err(error) => emit!(Event::ListRejected; list = mark, error = error),
+        }
+    }
+
     /// Applies a configuration; returns `false` if it is invalid.
     fn apply_configuration(&self, version: u64, document: &CompressedBytes) -> bool {
         let document = match document.decompress() {
@@ -176,7 +238,11 @@
 
     fn install_list(&self, replicas: Vec<Replica>) {
         self.app.fleet.update(replicas);
-        self.app.pool.retain(&self.app.fleet.ids());
+        self.finish_list();
+    }
+
+    fn finish_list(&self) {
+        self.app.pool.retain(|replica| self.app.fleet.is_listed(replica));
         self.app.mark_list_received();
     }
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -141,10 +141,10 @@
     }
 
     /// Closes connections to replicas that are not listed, and expired ones.
-    pub fn retain(&self, listed: &[String]) {
+    pub fn retain(&self, is_listed: impl Fn(&str) -> bool) {
         let now = Instant::now();
         let mut idle = self.idle.lock();
-        idle.retain(|replica, _| listed.contains(replica));
+        idle.retain(|replica, _| is_listed(replica));
         for connections in idle.values_mut() {
             connections.retain(|idle| idle.is_usable(now));
         }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -163,6 +163,8 @@
     HomeQuestionable = 5210, Warn;
     /// A gateway stopped sending requests to the replicas of drained zones.
     DrainApplied = 5211, Info;
+    /// A replica list or its changes could not be applied; the gateway asks for the whole list.
+    ListRejected = 5212, Warn;
     /// The platform's machine list could not be read.
     PlatformUnreachable = 6001, Warn;
     /// Some entries of the platform's machine list do not describe a usable replica.
