Ledger: limit the bytes of large answers that are under way

Cause: after a change all gateways' watches wake at once and get the same large answer in the same moment: 864 configurations of 47 kB are half a second of the leader's link, 864 lists several seconds.

A watch that is not admitted within 500 ms gets the status instead.

Weighed: a rate in bytes a second needs the speed of the link, which the settings do not always give.

--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -1,10 +1,12 @@
 //! The service for gateways.
 //!
+//! - [`bulk`]: limit on the large answers that are under way;
 //! - [`legacy`]: translation for gateways running older builds;
 //! - [`shared`]: answers that are encoded once for all gateways;
 //! - [`turns`]: reservations, permits and placement;
 //! - [`updates`]: long polling for updates, and the load reports sent with it.
 
+pub mod bulk;
 mod legacy;
 mod shared;
 mod turns;
@@ -25,7 +27,7 @@
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use super::failures::FailureTracker;
 use super::limits::TenantLimiter;
@@ -39,6 +41,7 @@
     LIST_PATCH_VERSION, LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope,
     SUPPORTED_VERSIONS,
 };
+use bulk::BulkLimiter;
 use legacy::LegacyGateways;
 use shared::{SharedAnswer, SharedAnswers};
 
@@ -85,6 +88,9 @@
     /// Bytes of answers queued on all connections.
     queued_bytes: QueuedBytes,
     shared: Arc<Mutex<SharedAnswers>>,
+    /// Limits the configurations under way. Separate from the lists, which take longer.
+    bulk_configurations: BulkLimiter,
+    bulk_lists: BulkLimiter,
     legacy: LegacyGateways,
     location: Arc<ServiceLocation>,
     /// Runs delayed work, because the replica thread must not block.
@@ -111,6 +117,8 @@
             failures: Arc::default(),
             queued_bytes: QueuedBytes::default(),
             shared: Arc::default(),
+            bulk_configurations: BulkLimiter::default(),
+            bulk_lists: BulkLimiter::default(),
             legacy: LegacyGateways::default(),
             location: Arc::new(location),
             runtime: Handle::current(),
@@ -249,28 +257,29 @@
     }
 
     /// Sends an answer shared with other connections. It must be the same in all versions that the
-    /// gateway may use.
-    fn send_shared(self, answer: &SharedAnswer) {
+    /// gateway may use. `written` is dropped once the answer has been written.
+    fn send_shared(self, answer: &SharedAnswer, written: oneshot::Sender<()>) {
         let frame = Frame::with_shared(&self.number, &answer.encoded);
-        self.send_frame(answer.kind, frame);
+        self.queue_frame(answer.kind, frame, |replies, frame| {
+            replies.send_with_notice(frame, written)
+        });
     }
 
-    fn send_if_encoded(self, answer: Result<SharedAnswer, FrameError>) {
-        match answer {
-            Ok(answer) => self.send_shared(&answer),
-            Err(error) => {
-                emit!(Event::AnswerTooLong; error = error);
-                self.send(LedgerResponse::Unavailable);
-            }
-        }
+    fn send_frame(self, kind: &'static str, frame: Result<Frame, FrameError>) {
+        self.queue_frame(kind, frame, FrameQueue::send);
     }
 
-    fn send_frame(self, kind: &'static str, frame: Result<Frame, FrameError>) {
+    fn queue_frame(
+        self,
+        kind: &'static str,
+        frame: Result<Frame, FrameError>,
+        queue: impl FnOnce(&FrameQueue, Frame) -> SendOutcome,
+    ) {
         match frame {
             Ok(frame) => {
                 ANSWERED_BYTES.add(kind, frame.len() as u64);
                 traffic::record(Peer::Gateway, kind, self.distance, frame.len());
-                let queued = self.replies.send(frame);
+                let queued = queue(&self.replies, frame);
                 QUEUED_BYTES.set(self.queued_bytes.get() as u64);
                 if queued == SendOutcome::Overflowed {
                     emit!(Event::AnswersNotTaken; answer = kind, waiting = self.queued_bytes.get());
--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -5,13 +5,19 @@
 
 use calicohoist_routing::DrainedZones;
 use calicohoist_telemetry::{Event, emit};
+use calicohoist_transport::FrameError;
 
+use super::bulk::BulkLimiter;
+use super::shared::SharedAnswer;
 use super::{GatewayService, Responder};
 use crate::protocol::{FleetUpdate, LedgerResponse, WatchRequest, WatchUpdate};
 use crate::server::replica::{Request, Response};
 
 /// Maximum time that a watch is held without an update.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time that an answer waits for other large answers to be sent. Shorter than the time
+/// after which a gateway doubts a silent leader.
+const MAX_BULK_WAIT: Duration = Duration::from_millis(500);
 
 impl GatewayService {
     /// Answers once there is an update that the gateway has not seen, or after [`WATCH_TIMEOUT`].
@@ -63,7 +69,7 @@
         }
         if let Some(configuration) = configuration {
             let answer = self.shared.lock().configuration(&configuration);
-            return responder.send_if_encoded(answer);
+            return self.send_bulk(answer, &self.bulk_configurations, seen, responder).await;
         }
         let discovery = self.discovery();
         if discovery.should_send_list(self.term(), seen) {
@@ -76,11 +82,33 @@
             } else {
                 self.shared.lock().plain_list(&discovery)
             };
-            return responder.send_if_encoded(answer);
+            return self.send_bulk(answer, &self.bulk_lists, seen, responder).await;
         }
         self.send_status(seen, responder);
     }
 
+    /// Sends a large answer as soon as `limiter` admits it. If that takes too long, sends the
+    /// status instead, which shows the gateway that the leader is alive; the gateway asks again.
+    async fn send_bulk(
+        &self,
+        answer: Result<SharedAnswer, FrameError>,
+        limiter: &BulkLimiter,
+        seen: &WatchRequest,
+        responder: Responder,
+    ) {
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                emit!(Event::AnswerTooLong; error = error);
+                return responder.send(LedgerResponse::Unavailable);
+            }
+        };
+        match limiter.admit(answer.encoded.len(), MAX_BULK_WAIT).await {
+            Some(permit) => responder.send_shared(&answer, permit.hold_until_written()),
+            None => self.send_status(seen, responder),
+        }
+    }
+
     fn send_status(&self, seen: &WatchRequest, responder: Responder) {
         let update = self.fleet_update(seen);
         if responder.supports_list_patches() {
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -59,6 +59,16 @@
         let checksum = crc32c::crc32c(&encoded);
         Ok(Self { encoded, checksum })
     }
+
+    /// Length of the serialized field, in bytes.
+    pub fn len(&self) -> usize {
+        self.encoded.len()
+    }
+
+    /// Whether the serialized field has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.encoded.is_empty()
+    }
 }
 
 /// A frame to be sent.
--- a/crates/transport/src/writer.rs
+++ b/crates/transport/src/writer.rs
@@ -6,7 +6,7 @@
 
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::frame::Frame;
 
@@ -101,11 +101,22 @@
 struct QueuedFrame {
     frame: Frame,
     reservation: Reservation,
+    /// Dropped once the frame has been written or discarded.
+    written: Option<oneshot::Sender<()>>,
 }
 
 impl FrameQueue {
     /// Queues a frame.
     pub fn send(&self, frame: Frame) -> SendOutcome {
+        self.queue(frame, None)
+    }
+
+    /// Queues a frame. `written` is dropped once the frame has been written or discarded.
+    pub fn send_with_notice(&self, frame: Frame, written: oneshot::Sender<()>) -> SendOutcome {
+        self.queue(frame, Some(written))
+    }
+
+    fn queue(&self, frame: Frame, written: Option<oneshot::Sender<()>>) -> SendOutcome {
         let bytes = frame.unshared_bytes();
         if self.frames.is_closed() {
             return SendOutcome::Closed;
@@ -114,7 +125,7 @@
             return self.close_on_overflow();
         }
         let reservation = self.usage.reserve(bytes);
-        match self.frames.try_send(QueuedFrame { frame, reservation }) {
+        match self.frames.try_send(QueuedFrame { frame, reservation, written }) {
             Ok(()) => SendOutcome::Queued,
             Err(TrySendError::Closed(_)) => SendOutcome::Closed,
             Err(TrySendError::Full(_)) => self.close_on_overflow(),
@@ -167,9 +178,9 @@
     batch: &mut Vec<QueuedFrame>,
 ) -> io::Result<()> {
     let mut buffer = Vec::new();
-    let mut reservations = Vec::with_capacity(batch.len());
-    for QueuedFrame { frame, reservation } in batch.drain(..) {
-        reservations.push(reservation);
+    let mut held = Vec::with_capacity(batch.len());
+    for QueuedFrame { frame, reservation, written } in batch.drain(..) {
+        held.push((reservation, written));
         let (head, shared_tail) = frame.into_parts();
         buffer.extend_from_slice(&head);
         if !shared_tail.is_empty() {
