Gateways: meet on few connections in a large service

Cause: for each plain call a gateway looked at all 3,333 replicas of the service, with a lock each, and took the one that it had not used for longest: 29,791 new connections for 34,484 requests.

Change: in a service of more than 64 replicas the candidates are the replicas with an idle connection, and the first idle ones in an order of the gateway's own: four in the nearest zones, two elsewhere; more where these are in use or failing. The least expected time, including that of a new connection, decides. The order is by rendezvous rank and differs between gateways, as in deterministic subsetting (Site Reliability Engineering, chapter 20). Smaller services are spread as before.

--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -23,11 +23,18 @@
 
 use crate::upstream::Pool;
 pub use member::{LoadGuard, Member};
-use services::Services;
+use services::{PreferenceOrder, Services};
 
 /// Cost penalty for replicas that the leader reports as failing.
 const REPORTED_FAILURE_PENALTY: Duration = Duration::from_millis(800);
 
+/// Services with up to this many replicas are scanned in full for each request.
+const MAX_SCANNED_MEMBERS: usize = 64;
+/// Number of idle replicas of a larger service that are considered for a request: in the nearest
+/// zones and elsewhere. Few, so that requests meet on the same connections.
+const NEAR_CANDIDATES: usize = 4;
+const FAR_CANDIDATES: usize = 2;
+
 /// Time for which a newly listed replica is assumed to be cold. Covers the delay until the leader
 /// reports the cold replicas.
 const ASSUMED_COLD_TIME: Duration = Duration::from_millis(1_000);
@@ -375,6 +382,17 @@
                 && !(exclude_cold && self.is_cold(&member.replica, now))
         };
         let all = services.members_of(service);
+        if all.len() > MAX_SCANNED_MEMBERS {
+            let order = services.preference_order(service, zone, &self.topology)?;
+            let connected = pool.connected();
+            let connected = connected.iter().filter_map(|id| services.find(id));
+            let connected = connected.filter(|member| member.replica.service == service);
+            let mut members: Vec<&Arc<Member>> = connected.filter(is_eligible).collect();
+            add_preferred(&mut members, order, is_eligible, now);
+            let candidates = self.candidates(&members, zone, pool, now);
+            let chosen = choose(&candidates, affinity, weights);
+            return chosen.map(|index| self.record_choice(members[index]));
+        }
         let members: Vec<&Arc<Member>> = all.iter().filter(is_eligible).collect();
         let candidates = self.candidates(&members, zone, pool, now);
         // `choose` prefers the replica that has probably cached the prompt prefix; `spread`
@@ -417,6 +435,25 @@
     }
 }
 
+/// Adds the first members of the order of preference: more of them the more are in use or failing.
+fn add_preferred<'a>(
+    members: &mut Vec<&'a Arc<Member>>,
+    order: &'a PreferenceOrder,
+    is_eligible: impl Fn(&&Arc<Member>) -> bool,
+    now: Instant,
+) {
+    for (zone, wanted) in [(&order.near, NEAR_CANDIDATES), (&order.far, FAR_CANDIDATES)] {
+        let mut idle = 0;
+        for member in zone.iter().filter(&is_eligible).take(MAX_SCANNED_MEMBERS) {
+            members.push(member);
+            idle += usize::from(member.loads().0 == 0 && member.penalty(now).is_zero());
+            if idle >= wanted {
+                break;
+            }
+        }
+    }
+}
+
 /// Maps a request id to a uniformly distributed number between 0 and 1.
 fn uniform_hash(request: &str) -> f64 {
     stable_hash(&[request.as_bytes()]) as f64 / u64::MAX as f64
