--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -444,7 +444,7 @@
 ) {
     for (zone, wanted) in [(&order.near, NEAR_CANDIDATES), (&order.far, FAR_CANDIDATES)] {
         let mut idle = 0;
-        for member in zone.iter().filter(&is_eligible).take(MAX_SCANNED_MEMBERS) {
+        for member in zone.iter().filter(&is_eligible) {
             members.push(member);
             idle += usize::from(member.loads().0 == 0 && member.penalty(now).is_zero());
             if idle >= wanted {
