Placement: no further copies of a shared part while a replica that has it is idle

Change: in a large service the discount ends while one of the tracked holders of the part is idle. Candidates among the holders are the twelve least loaded, those of the gateway's zone first, instead of the most and the least recently used. Small services are unchanged.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -47,6 +47,9 @@
 const MAX_EXAMINED_PER_GROUP: usize = 32;
 /// Maximum number of connected replicas that are candidates in a large service.
 const MAX_CONNECTED: usize = 64;
+/// Number of replicas that are candidates in a large service for each part of the prompt that they
+/// have cached.
+const HOLDERS_PER_PART: usize = 12;
 
 /// Minimum time between two scans for expired turns.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -329,6 +332,16 @@
     }
 }
 
+/// Inputs of the cost that are the same for all replicas.
+#[derive(Clone, Copy)]
+struct CostInputs<'a> {
+    request: &'a PlacementRequest,
+    speed: EngineSpeed,
+    /// Whether further copies of the shared prompt parts are useful.
+    replicates_shared: bool,
+    now: Instant,
+}
+
 /// Distances and connections from one gateway to replicas, collected once per placement.
 /// Distances are cached by zone, since many replicas share a few zones.
 struct GatewayProximity<'a> {
@@ -443,7 +456,8 @@
         }
         let placed = self.turns.get(turn).map(|placed| placed.replica.as_str());
         let connected = request.connected.iter().map(String::as_str).take(MAX_CONNECTED);
-        let holders = self.prefix_index.holders(&request.prompt);
+        let parts = request.prompt.iter();
+        let holders = parts.flat_map(|part| self.best_holders(part.id, request, view));
         let fastest = self.relative_speeds.fastest(&request.service);
         let known = placed.into_iter().chain(connected).chain(holders).chain(fastest);
         let known = known.filter_map(|id| index.find(id, view.replicas));
@@ -457,6 +471,40 @@
         candidates
     }
 
+    /// Returns the least loaded replicas that have cached a part, those of the gateway's zone first.
+    fn best_holders(
+        &self,
+        part: u64,
+        request: &PlacementRequest,
+        view: &FleetView<'_>,
+    ) -> Vec<&str> {
+        let rank = |id: &&str| {
+            let replica = self.candidate_index.find(id, view.replicas);
+            let is_remote = replica.is_none_or(|replica| replica.zone != request.zone);
+            (self.load(id), is_remote)
+        };
+        let mut holders: Vec<&str> = self.prefix_index.holders(part).collect();
+        holders.sort_by_cached_key(rank);
+        holders.truncate(HOLDERS_PER_PART);
+        holders
+    }
+
+    /// Returns whether an idle replica has cached a shared part of the prompt, so that no further
+    /// copy of it is needed. Only known in a large service.
+    fn has_idle_holder(&self, request: &PlacementRequest, view: &FleetView<'_>) -> bool {
+        let shared = request.prompt.split_last().and_then(|(_, shared)| shared.last());
+        let Some(part) =
+            shared.filter(|_| self.candidate_index.covers(&request.service, view.replicas))
+        else {
+            return false;
+        };
+        let mut holders = self.prefix_index.holders(part.id);
+        holders.any(|id| {
+            let listed = self.candidate_index.find(id, view.replicas);
+            self.load(id) == 0 && listed.is_some_and(|replica| view.is_eligible(replica, request))
+        })
+    }
+
     /// Adds the least loaded replicas of a group. Returns `false` if none of the first ones
     /// accepts the turn although a later one may.
     fn add_least_loaded<'a>(
@@ -515,11 +563,12 @@
         limit: ConcurrencyLimit,
         now: Instant,
     ) -> Option<(String, ColdAdmission)> {
-        let speed = self.speed(&request.service);
+        let inputs = self.cost_inputs(request, view, now);
+        let speed = inputs.speed;
         let mut proximity = GatewayProximity::new(request, view.topology);
         // Among equal costs, the replica with the fewest cached tokens wins.
         let rank = |(candidate, admission): &(PlacementCandidate<'_>, ColdAdmission)| {
-            let cost = self.cost(candidate, request, &speed, now);
+            let cost = self.cost(candidate, &inputs);
             let penalty = match admission {
                 ColdAdmission::Warm => Duration::ZERO,
                 ColdAdmission::Cold | ColdAdmission::AtLimit => self.cold_penalty(&speed),
@@ -601,11 +650,11 @@
         view: &FleetView<'_>,
         now: Instant,
     ) -> Option<Duration> {
-        let speed = self.speed(&request.service);
+        let inputs = self.cost_inputs(request, view, now);
         let mut proximity = GatewayProximity::new(request, view.topology);
-        let costs = replicas.into_iter().map(|replica| {
-            self.cost(&self.candidate(replica, &mut proximity), request, &speed, now)
-        });
+        let costs = replicas
+            .into_iter()
+            .map(|replica| self.cost(&self.candidate(replica, &mut proximity), &inputs));
         costs.min()
     }
 
@@ -806,13 +855,22 @@
         }
     }
 
-    fn cost(
+    fn cost_inputs<'a>(
         &self,
-        candidate: &PlacementCandidate<'_>,
-        request: &PlacementRequest,
-        speed: &EngineSpeed,
+        request: &'a PlacementRequest,
+        view: &FleetView<'_>,
         now: Instant,
-    ) -> Duration {
+    ) -> CostInputs<'a> {
+        CostInputs {
+            request,
+            speed: self.speed(&request.service),
+            replicates_shared: !self.has_idle_holder(request, view),
+            now,
+        }
+    }
+
+    fn cost(&self, candidate: &PlacementCandidate<'_>, inputs: &CostInputs<'_>) -> Duration {
+        let CostInputs { request, speed, replicates_shared, now } = *inputs;
         let weights = &self.weights;
         let PlacementCandidate { replica, status, relative_speed, .. } = candidate;
         let slots = replica.slots.max(1);
@@ -822,17 +880,16 @@
         let turn_ms = relative_speed.turn_ms.or(speed.mean_turn_ms()).unwrap_or(weights.turn_ms);
         let waiting_ms = turn_ms * f64::from(queued) / f64::from(slots);
         let uncached = candidate.uncached(&request.prompt);
-        let waived = if status.may_replicate_shared(
-            replica,
-            candidate.cached_tokens(),
-            uncached.all,
-            request,
-            now,
-        ) {
-            uncached.shared as f64 * REPLICATION_DISCOUNT
-        } else {
-            0.0
-        };
+        let may_replicate = replicates_shared
+            && status.may_replicate_shared(
+                replica,
+                candidate.cached_tokens(),
+                uncached.all,
+                request,
+                now,
+            );
+        let waived =
+            if may_replicate { uncached.shared as f64 * REPLICATION_DISCOUNT } else { 0.0 };
         let interference = 1.0 + weights.prefill_interference * f64::from(running);
         let token_ms =
             speed.best_token_ms().unwrap_or(weights.token_ms) * relative_speed.relative_token_time;
--- a/crates/scheduler/src/prefix.rs
+++ b/crates/scheduler/src/prefix.rs
@@ -25,10 +25,6 @@
 const EVICTION_TARGET: f64 = 0.9;
 /// Number of replicas that are tracked for each part.
 const MAX_HOLDERS: usize = 64;
-/// Number of the holders of a part that are candidates for a prompt: this many of the most
-/// recently used, which have probably cached most of it, and of the least recently used, which are
-/// probably idle.
-const CANDIDATE_HOLDERS: usize = 8;
 
 #[derive(Clone, Copy, Debug)]
 struct CachedPart {
@@ -171,15 +167,9 @@
         }
     }
 
-    /// Iterates over replicas that have cached a part of the prompt; a replica may occur several
-    /// times.
-    pub(crate) fn holders(&self, prompt: &[PromptPart]) -> impl Iterator<Item = &str> {
-        let holders = prompt.iter().filter_map(|part| self.holders.get(&part.id));
-        holders.flat_map(|holders| {
-            let recent = holders.iter().rev().take(CANDIDATE_HOLDERS);
-            let idle = holders.len().saturating_sub(CANDIDATE_HOLDERS).min(CANDIDATE_HOLDERS);
-            recent.chain(holders.iter().take(idle)).map(AsRef::as_ref)
-        })
+    /// Iterates over the tracked replicas that have cached a part, most recently used first.
+    pub(crate) fn holders(&self, part: u64) -> impl Iterator<Item = &str> {
+        self.holders.get(&part).into_iter().flatten().rev().map(AsRef::as_ref)
     }
 
     /// Drops replicas for which `is_listed` is false.
--- a/crates/scheduler/tests/large_service.rs
+++ b/crates/scheduler/tests/large_service.rs
@@ -4,7 +4,7 @@
 //! Load pattern: a fleet of thousands of mostly idle replicas, whose leader places hundreds of
 //! turns a second on a fraction of a core.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::{ColdReplicas, DrainedZones, Replica, ReplicaState, Topology};
@@ -275,3 +275,40 @@
     }
     assert_eq!(place(&mut placer, "t", &request, &view, now), first);
 }
+
+/// Load pattern: conversations of a few kinds begin all the time at many gateways, while a fleet of
+/// thousands of replicas is nearly idle. A replica to which the gateway is connected saves it a
+/// connection, but would have to prefill the shared part of the prompt.
+#[test]
+fn shared_parts_are_copied_for_load_only() {
+    const GATEWAYS: usize = 60;
+    const KINDS: u64 = 4;
+    const UNDER_WAY: usize = 8;
+    let replicas = fleet(2_000);
+    let mut placer = placer_for(&replicas);
+    let view = FleetView::from_replicas(&replicas);
+    let mut now = Instant::now();
+    let mut copies = BTreeSet::new();
+    let mut connected = vec![Vec::new(); GATEWAYS];
+    let mut under_way = VecDeque::new();
+    for session in 0..600 {
+        now += Duration::from_millis(20);
+        let gateway = session as usize * 7 % GATEWAYS;
+        let kind = (session + session / GATEWAYS as u64) % KINDS;
+        let mut request = request(gateway, conversation(kind, session, 300));
+        request.connected = connected[gateway].clone();
+        let turn = session.to_string();
+        let Placement::Warm(replica) = place(&mut placer, &turn, &request, &view, now) else {
+            panic!("every replica has capacity")
+        };
+        copies.insert((kind, replica.clone()));
+        connected[gateway].push(replica.clone());
+        under_way.push_back((turn, replica));
+        if under_way.len() > UNDER_WAY {
+            let (turn, replica) = under_way.pop_front().expect("a turn");
+            placer.end_turn(&turn, Some(&replica), now);
+        }
+    }
+    let most = KINDS as usize * UNDER_WAY;
+    assert!(copies.len() <= most, "{} copies of {KINDS} shared parts", copies.len());
+}
