Ledger: time and longest run of the leader's duties, as metric and log line

Whether a leader loses its place to a stall of a thread or to a full link could not be told from its logs. The end of a turn now passes a new list to the scheduler before it places waiting turns, as the other ways do.

--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -11,6 +11,7 @@
 use super::shared::SharedAnswer;
 use super::{GatewayService, Responder};
 use crate::protocol::{FleetUpdate, LedgerResponse, WatchRequest, WatchUpdate};
+use crate::server::duties::{self, Duty};
 use crate::server::replica::{Request, Response};
 
 /// Maximum time that a watch is held without an update.
@@ -78,7 +79,7 @@
                 return responder.send(LedgerResponse::List { mark: discovery.mark, list });
             }
             let answer = if responder.supports_list_patches() {
-                self.shared.lock().list(&discovery, seen.list)
+                duties::timed(Duty::EncodeList, || self.shared.lock().list(&discovery, seen.list))
             } else {
                 self.shared.lock().plain_list(&discovery)
             };
@@ -110,7 +111,7 @@
     }
 
     fn send_status(&self, seen: &WatchRequest, responder: Responder) {
-        let update = self.fleet_update(seen);
+        let update = duties::timed(Duty::Status, || self.fleet_update(seen));
         if responder.supports_list_patches() {
             return responder.send(LedgerResponse::Update(update));
         }
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use super::LedgerSettings;
+use super::duties::{self, Duty};
 use super::replica::GroupStatus;
 use crate::protocol::{ListDigest, TermVersion, WatchRequest};
 
@@ -155,8 +156,10 @@
         let pages = out.borrow().pages;
         match reader.read(settings.list_pace.timeout(pages)).await {
             Ok(Reading { replicas, pages }) => {
-                let listed = newest_starts(&mut starts, replicas);
-                publish(&out, &mut watch, term, listed, pages, read_started);
+                duties::timed(Duty::PublishList, || {
+                    let listed = newest_starts(&mut starts, replicas);
+                    publish(&out, &mut watch, term, listed, pages, read_started);
+                });
             }
             Err(error) => {
                 emit!(Event::PlatformUnreachable, "cannot read the list of replicas: {error}")
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -5,6 +5,7 @@
 //! queues connect the threads.
 
 pub mod control;
+pub mod duties;
 pub mod failures;
 pub mod gateways;
 pub mod limits;
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -30,6 +30,7 @@
 use request::Input;
 pub use request::{GroupStatus, ReplicaHandle, Request, Response, ResponseCallback};
 
+use super::duties::{self, Duty};
 use super::limits::TenantLimiter;
 use super::peers::{OutgoingMessages, PeerInfo};
 use super::preference::{
@@ -212,9 +213,13 @@
         status: &watch::Sender<GroupStatus>,
     ) -> Result<(), DiskError> {
         loop {
+            let batch_started;
             match inputs.recv_timeout(TICK_INTERVAL) {
-                Ok(input) => self.handle_input(input),
-                Err(RecvTimeoutError::Timeout) => {}
+                Ok(input) => {
+                    batch_started = Instant::now();
+                    self.handle_input(input);
+                }
+                Err(RecvTimeoutError::Timeout) => batch_started = Instant::now(),
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
             for input in inputs.try_iter().take(MAX_BATCH) {
@@ -223,10 +228,12 @@
             let now = self.now();
             self.node.tick(now);
             self.run_periodic_tasks();
+            duties::record(Duty::Replicate, batch_started.elapsed());
             let outgoing = self.outgoing.clone();
             let send_early = |to, messages| send(&outgoing, to, messages);
             let flush_started = Instant::now();
             let events = self.node.flush_with(now, &mut self.log, send_early)?;
+            duties::record(Duty::Flush, flush_started.elapsed());
             if self.slow_disk.record_flush(flush_started.elapsed()) && self.node.leads_any() {
                 emit!(Event::SlowLeader; machine = self.name, flush_ms = flush_started.elapsed().as_millis());
                 self.node.transfer_leadership(now);
--- a/crates/ledger/src/server/traffic.rs
+++ b/crates/ledger/src/server/traffic.rs
@@ -9,6 +9,8 @@
 use calicohoist_telemetry::{Event, emit};
 use parking_lot::Mutex;
 
+use super::duties;
+
 /// Interval at which the totals are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -61,5 +63,6 @@
             let _ = write!(text, " {peer:?}/{kind}/{distance}={bytes}");
         }
         emit!(Event::TrafficCounted; machine = machine, bytes = text.trim_start());
+        duties::log_runs(&machine);
     }
 }
--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+use super::duties::{self, Duty};
 use super::gateways::Responder;
 use super::list::{DiscoverySnapshot, FleetSnapshot};
 use crate::commands::SettleTurn;
@@ -121,7 +122,8 @@
         request: PlacementRequest,
         fleet: &FleetSnapshot,
     ) -> Decision {
-        let decision = self.state.lock().arrive(term, turn, request, fleet);
+        let decision =
+            duties::timed(Duty::Place, || self.state.lock().arrive(term, turn, request, fleet));
         if decision == Decision::Wait {
             self.waiting.notify_one();
         }
@@ -169,19 +171,24 @@
 
     /// Removes an ended turn, and places waiting turns that may run now.
     pub fn end(&self, settle: &SettleTurn, fleet: &FleetSnapshot) {
-        let ran_at = settle.run.as_ref().map(|run| run.replica.as_str());
-        let mut state = self.state.lock();
-        state.scheduler.end_turn(&settle.turn, ran_at, Instant::now());
-        state.responders.remove(&settle.turn);
-        state.log_speeds();
-        state.decide(fleet);
+        duties::timed(Duty::EndTurn, || {
+            let ran_at = settle.run.as_ref().map(|run| run.replica.as_str());
+            let mut state = self.state.lock();
+            state.scheduler.end_turn(&settle.turn, ran_at, Instant::now());
+            state.responders.remove(&settle.turn);
+            state.log_speeds();
+            state.update_list(&fleet.discovery);
+            state.decide(fleet);
+        });
     }
 
     /// Places the waiting turns that can run now.
     pub fn decide(&self, fleet: &FleetSnapshot) {
-        let mut state = self.state.lock();
-        state.update_list(&fleet.discovery);
-        state.decide(fleet);
+        duties::timed(Duty::Place, || {
+            let mut state = self.state.lock();
+            state.update_list(&fleet.discovery);
+            state.decide(fleet);
+        });
     }
 
     /// Removes all waiting turns and sends `answer` to each, because this machine no longer leads.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -165,6 +165,8 @@
     DrainApplied = 5211, Info;
     /// A replica list or its changes could not be applied; the gateway asks for the whole list.
     ListRejected = 5212, Warn;
+    /// Time for which a duty of a ledger machine occupied its thread.
+    DutyTimed = 5213, Info;
     /// The platform's machine list could not be read.
     PlatformUnreachable = 6001, Warn;
     /// Some entries of the platform's machine list do not describe a usable replica.
