Gateways: no reading of the list before a leader has told the size of the fleet

Cause: a gateway that had no list for 2 s after its start read it itself, without knowing how many others do.

Change: a gateway reads only once a leader has reported pages and gateways. Before, it has no configuration and serves nothing, so a list alone is of no use to it.

--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -55,7 +55,8 @@
     list: ListDigest,
     failing: TermVersion,
     cold: TermVersion,
-    size: FleetSize,
+    /// `None` until a leader has reported its status.
+    size: Option<FleetSize>,
 }
 
 /// What determines how often the gateway may read the list itself.
@@ -67,9 +68,10 @@
     gateways: usize,
 }
 
-impl Default for FleetSize {
-    fn default() -> Self {
-        Self { list_pages: 1, gateways: 1 }
+impl FleetSize {
+    /// Size reported by a leader; 0 stands for an unknown number.
+    fn reported(list_pages: u32, gateways: u32) -> Self {
+        Self { list_pages: list_pages.max(1) as usize, gateways: gateways.max(1) as usize }
     }
 }
 
@@ -137,10 +139,7 @@
         self.app.ledger.update_members(update.machines);
         {
             let mut state = self.state.lock();
-            state.size = FleetSize {
-                list_pages: (update.list_pages as usize).max(1),
-                gateways: (update.gateways as usize).max(1),
-            };
+            state.size = Some(FleetSize::reported(update.list_pages, update.gateways));
             if update.loads_of == state.list && state.list != ListDigest::default() {
                 self.app.fleet.record_busy_replicas(&update.loads, Instant::now());
             }
@@ -258,16 +257,21 @@
         self.app.fleet.mark_cold(&cold_tracker.cold().remaining_ms(started_at), started_at);
     }
 
-    /// Age of the list from which this gateway reads it itself.
-    fn max_list_age(&self) -> Duration {
-        let interval = self.app.settings.list_pace.interval(self.state.lock().size.list_pages);
-        MAX_LIST_AGE.max(interval * 2 + LIST_DELIVERY_TIME)
+    /// Returns the size of the fleet if the list is so old that this gateway should read it itself.
+    ///
+    /// Before a leader has reported the size, a gateway does not know how often it may read, and
+    /// cannot serve requests for lack of a configuration.
+    fn size_if_outdated(&self) -> Option<FleetSize> {
+        let size = self.state.lock().size?;
+        let interval = self.app.settings.list_pace.interval(size.list_pages);
+        let max_age = MAX_LIST_AGE.max(interval * 2 + LIST_DELIVERY_TIME);
+        (self.app.fleet.list_age() >= max_age).then_some(size)
     }
 
     /// Interval between own readings, such that those of all gateways together stay within their
     /// part of the rate limit.
-    fn own_read_interval(&self) -> Duration {
-        let FleetSize { list_pages, gateways } = self.state.lock().size;
+    fn own_read_interval(&self, size: FleetSize) -> Duration {
+        let FleetSize { list_pages, gateways } = size;
         let interval = self.app.settings.list_pace.substitute_interval(list_pages, gateways);
         interval.max(LIST_READ_INTERVAL)
     }
@@ -278,7 +282,7 @@
         while Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             tokio::time::sleep(left.min(LIST_AGE_CHECK_INTERVAL)).await;
-            if self.app.fleet.list_age() < self.max_list_age() {
+            if self.size_if_outdated().is_none() {
                 return false;
             }
         }
@@ -291,12 +295,12 @@
         let mut backoff = 1;
         tokio::time::sleep(MAX_LIST_AGE).await;
         loop {
-            if self.app.fleet.list_age() < self.max_list_age() {
+            let Some(size) = self.size_if_outdated() else {
                 backoff = 1;
                 tokio::time::sleep(LIST_AGE_CHECK_INTERVAL).await;
                 continue;
-            }
-            let interval = self.own_read_interval();
+            };
+            let interval = self.own_read_interval(size);
             // Many gateways notice at the same time that the leader is gone.
             if interval > LIST_READ_INTERVAL {
                 let delay = interval.mul_f64(rand::rng().random_range(0.0..1.0));
@@ -305,7 +309,7 @@
                 }
             }
             let started_at = Instant::now();
-            let timeout = self.app.settings.list_pace.timeout(self.state.lock().size.list_pages);
+            let timeout = self.app.settings.list_pace.timeout(size.list_pages);
             match self.app.settings.list.read(timeout).await {
                 Ok(Reading { replicas, pages }) => {
                     backoff = 1;
@@ -313,7 +317,7 @@
                     self.mark_listed_cold(&mut cold_tracker, &replicas, started_at);
                     self.install_list(replicas.into_iter().map(|listed| listed.replica).collect());
                     let mut state = self.state.lock();
-                    state.size.list_pages = pages.max(1);
+                    state.size = Some(FleetSize { list_pages: pages.max(1), ..size });
                     // Makes the leader send its list again, whatever its version.
                     state.list = ListDigest::default();
                 }
@@ -325,7 +329,7 @@
                 }
             }
             let interval =
-                (self.own_read_interval() * backoff).saturating_sub(started_at.elapsed());
+                (self.own_read_interval(size) * backoff).saturating_sub(started_at.elapsed());
             let jitter = if backoff > 1 { rand::rng().random_range(0.5..1.0) } else { 1.0 };
             tokio::time::sleep(interval.mul_f64(jitter)).await;
         }
