--- a/crates/routing/src/incarnation.rs
+++ b/crates/routing/src/incarnation.rs
@@ -4,7 +4,6 @@
 //! therefore belongs to one incarnation.
 
 use std::collections::HashMap;
-use std::collections::hash_map::Entry;
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
@@ -162,14 +161,15 @@
     fn record(&mut self, replica: &Replica) -> bool {
         let (identity, start) = Incarnation::split(&replica.id);
         let new_start = TrackedStart { start, reading: self.reading };
-        match self.tracked.entry(identity.to_owned()) {
-            Entry::Vacant(vacant) => {
-                vacant.insert(new_start);
-                false
-            }
-            Entry::Occupied(known) if known.get().start > start => false,
-            Entry::Occupied(mut known) => known.insert(new_start).start < start,
+        // Most replicas are known, so the key is allocated only for new ones.
+        let Some(known) = self.tracked.get_mut(identity) else {
+            self.tracked.insert(identity.to_owned(), new_start);
+            return false;
+        };
+        if known.start > start {
+            return false;
         }
+        std::mem::replace(known, new_start).start < start
     }
 
     fn is_newest(&self, replica: &Replica) -> bool {
