Discovery: fetch the zones of a long list side by side; count gateways after an election

Change: once a list has more than eight pages and all its replicas are in zones of the settings, the zones are fetched at the same time, each page after page. A reading may take up to the drain bound, a tenth of a second for each page. A leader tells the number of gateways only after two seconds in its term. Each reading of a leader is logged with its pages and its time.

Not shown: a zone that the settings don't name is not found while a list is read by zone.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A list is fetched as a series of pages over one connection. An incomplete list is an error,
 //! because replicas that it does not contain are treated as removed. A page that is refused by the
-//! service's rate limit, or whose connection fails, is fetched again without the pages before it.
+//! service's rate limit, or whose connection fails, is fetched again without the pages before it. The
+//! zones of a long list are fetched side by side, since a page is known only after the one before.
 
 mod pace;
 
@@ -10,7 +11,8 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_routing::Replica;
@@ -23,6 +25,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rand::RngExt;
+use tokio::task::JoinSet;
 
 pub use pace::{CallRate, ListPace};
 
@@ -34,6 +37,8 @@
 /// share the rate limit.
 const RETRY_DELAY_MS: Range<u64> = 100..300;
 const MAX_PAGE_BYTES: usize = 4 << 20;
+/// Lists of more pages are fetched by zone.
+const MAX_SEQUENTIAL_PAGES: usize = 8;
 /// Limit on the number of pages, so that an endless list is rejected.
 const MAX_PAGES: usize = 1_024;
 /// Limit on the number of replicas, which bounds memory usage.
@@ -124,8 +129,9 @@
 
 /// Request paths and encoding of the platform's list.
 pub trait ListCodec: Send + Sync {
-    /// Returns path and query of a page; `token` is `None` for the first page.
-    fn page_path(&self, token: Option<&str>) -> String;
+    /// Returns path and query of a page of the replicas in `zone`, or of all replicas; `token` is
+    /// `None` for the first page.
+    fn page_path(&self, zone: Option<&str>, token: Option<&str>) -> String;
 
     /// Parses a page; returns `None` if it is malformed or truncated.
     fn parse_page(&self, body: &[u8]) -> Option<Page>;
@@ -177,6 +183,8 @@
     pub replicas: Vec<ListedReplica>,
     /// Number of pages.
     pub pages: usize,
+    /// Time that the reading took.
+    pub duration: Duration,
 }
 
 /// Pages fetched so far.
@@ -189,11 +197,23 @@
     token: Option<String>,
 }
 
+impl PartialList {
+    fn append(&mut self, other: Self) {
+        self.replicas.extend(other.replicas);
+        self.skipped.merge(other.skipped);
+        self.pages += other.pages;
+    }
+}
+
 /// A reader of the list at one address.
 #[derive(Clone)]
 pub struct ListReader {
     address: SocketAddr,
     codec: Arc<dyn ListCodec>,
+    /// All zones, by which a long list is fetched; empty to fetch it as a whole.
+    zones: Arc<[String]>,
+    /// Whether the latest complete list is fetched by zone the next time.
+    is_by_zone: Arc<AtomicBool>,
     /// Skipped entries of the latest complete fetch.
     skipped: Arc<Mutex<SkippedEntries>>,
 }
@@ -201,7 +221,19 @@
 impl ListReader {
     /// Creates a reader of the list at `address`.
     pub fn new(address: SocketAddr, codec: Arc<dyn ListCodec>) -> Self {
-        Self { address, codec, skipped: Arc::default() }
+        Self {
+            address,
+            codec,
+            zones: Arc::default(),
+            is_by_zone: Arc::default(),
+            skipped: Arc::default(),
+        }
+    }
+
+    /// Fetches long lists by zone. Replicas outside `zones` are then not found, unless they were
+    /// listed before the list grew long.
+    pub fn with_zones(self, zones: impl IntoIterator<Item = String>) -> Self {
+        Self { zones: zones.into_iter().collect(), ..self }
     }
 
     /// Fetches the current list of replicas. Returns once it is complete, or after `timeout`.
@@ -209,16 +241,52 @@
     /// # Errors
     /// See [`ReadError`].
     pub async fn read(&self, timeout: Duration) -> Result<Reading, ReadError> {
-        let result = tokio::time::timeout(timeout, self.read_pages());
-        result.await.unwrap_or(Err(ReadError::Timeout))
+        let started_at = Instant::now();
+        let result = tokio::time::timeout(timeout, self.read_list());
+        let partial = result.await.unwrap_or(Err(ReadError::Timeout))?;
+        let mut previous = self.skipped.lock();
+        partial.skipped.report(&previous);
+        *previous = partial.skipped;
+        let is_by_zone =
+            partial.pages > MAX_SEQUENTIAL_PAGES && self.zones_cover(&partial.replicas);
+        self.is_by_zone.store(is_by_zone, Ordering::Relaxed);
+        Ok(Reading {
+            replicas: partial.replicas,
+            pages: partial.pages,
+            duration: started_at.elapsed(),
+        })
+    }
+
+    fn zones_cover(&self, replicas: &[ListedReplica]) -> bool {
+        !self.zones.is_empty()
+            && replicas.iter().all(|listed| self.zones.contains(&listed.replica.zone))
     }
 
-    async fn read_pages(&self) -> Result<Reading, ReadError> {
+    async fn read_list(&self) -> Result<PartialList, ReadError> {
+        if !self.is_by_zone.load(Ordering::Relaxed) {
+            return self.read_pages(None).await;
+        }
+        let mut readings = JoinSet::new();
+        for (number, zone) in self.zones.iter().cloned().enumerate() {
+            let reader = self.clone();
+            readings.spawn(async move { (number, reader.read_pages(Some(&zone)).await) });
+        }
+        let mut by_zone = BTreeMap::new();
+        while let Some(joined) = readings.join_next().await {
+            let (number, partial) = joined.map_err(|_| ReadError::InvalidList)?;
+            by_zone.insert(number, partial?);
+        }
+        let mut list = PartialList::default();
+        by_zone.into_values().for_each(|partial| list.append(partial));
+        Ok(list)
+    }
+
+    async fn read_pages(&self, zone: Option<&str>) -> Result<PartialList, ReadError> {
         let mut partial = PartialList::default();
         let mut retries = 0;
         loop {
             let pages = partial.pages;
-            let error = match self.fetch_pages(&mut partial).await {
+            let error = match self.fetch_pages(zone, &mut partial).await {
                 Ok(()) => break,
                 Err(error) => error,
             };
@@ -232,19 +300,20 @@
             let delay_ms = rand::rng().random_range(RETRY_DELAY_MS);
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
-        let mut previous = self.skipped.lock();
-        partial.skipped.report(&previous);
-        *previous = partial.skipped;
-        Ok(Reading { replicas: partial.replicas, pages: partial.pages })
+        Ok(partial)
     }
 
     /// Fetches the remaining pages over a new connection.
-    async fn fetch_pages(&self, partial: &mut PartialList) -> Result<(), ReadError> {
+    async fn fetch_pages(
+        &self,
+        zone: Option<&str>,
+        partial: &mut PartialList,
+    ) -> Result<(), ReadError> {
         let stream = tcp::connect(self.address, PAGE_TIMEOUT, PAGE_TIMEOUT).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection);
         let result = loop {
-            match self.fetch_page(&mut sender, partial).await {
+            match self.fetch_page(&mut sender, zone, partial).await {
                 Ok(true) => {}
                 Ok(false) => break Ok(()),
                 Err(error) => break Err(error),
@@ -258,12 +327,13 @@
     async fn fetch_page(
         &self,
         sender: &mut SendRequest<Empty<Bytes>>,
+        zone: Option<&str>,
         partial: &mut PartialList,
     ) -> Result<bool, ReadError> {
         if partial.pages >= MAX_PAGES || partial.replicas.len() > MAX_REPLICAS {
             return Err(ReadError::InvalidList);
         }
-        let path = self.codec.page_path(partial.token.as_deref());
+        let path = self.codec.page_path(zone, partial.token.as_deref());
         let body = tokio::time::timeout(PAGE_TIMEOUT, self.get(sender, &path));
         let body = body.await.map_err(|_| ReadError::Timeout)??;
         let page = self.codec.parse_page(&body).ok_or(ReadError::InvalidList)?;
--- a/crates/discovery/src/pace.rs
+++ b/crates/discovery/src/pace.rs
@@ -59,6 +59,9 @@
 /// even if it then uses more than [`REGULAR_FRACTION`].
 const READINGS_PER_DEADLINE: u32 = 3;
 
+/// Time that a page may take on average, much longer than usual.
+const TIMEOUT_PER_PAGE: Duration = Duration::from_millis(100);
+
 /// Computes the intervals between readings of the list.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ListPace {
@@ -78,9 +81,10 @@
         by_rate.unwrap_or_default().min(max).max(self.min_interval)
     }
 
-    /// Returns the time after which a reading is given up. The next one is then due.
+    /// Returns the time after which a reading of about `pages` is given up.
     pub fn timeout(&self, pages: usize) -> Duration {
-        self.interval(pages).max(self.deadline / READINGS_PER_DEADLINE)
+        let by_pages = TIMEOUT_PER_PAGE.saturating_mul(u32::try_from(pages).unwrap_or(u32::MAX));
+        by_pages.min(self.deadline).max(self.deadline / READINGS_PER_DEADLINE)
     }
 
     /// Returns the interval between readings by each of `readers` that substitute for the regular
--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -254,8 +254,8 @@
     pub list_age_ms: Option<u64>,
     /// Number of pages of the latest replica list.
     pub list_pages: u32,
-    /// Number of gateways that watch this leader.
-    pub gateways: u32,
+    /// Number of gateways; `None` while they turn to a new leader one after the other.
+    pub gateways: Option<u32>,
     /// Requests in flight from all other gateways, in the order of the latest list, without idle
     /// replicas.
     pub loads: Vec<ReplicaLoad>,
--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -140,7 +140,7 @@
         FleetUpdate {
             list_age_ms: age.and_then(|age| u64::try_from(age).ok()),
             list_pages: discovery.pages as u32,
-            gateways: loads.gateways() as u32,
+            gateways: loads.gateways(status.term, now).map(|gateways| gateways as u32),
             loads: loads.busy_replicas(&seen.gateway, &discovery, now),
             loads_of: discovery.mark,
             machines: status.machines,
--- a/crates/ledger/src/server/list.rs
+++ b/crates/ledger/src/server/list.rs
@@ -155,7 +155,13 @@
         let read_started = Instant::now();
         let pages = out.borrow().pages;
         match reader.read(settings.list_pace.timeout(pages)).await {
-            Ok(Reading { replicas, pages }) => {
+            Ok(Reading { replicas, pages, duration }) => {
+                emit!(
+                    Event::ListRead;
+                    replicas = replicas.len(),
+                    pages = pages,
+                    after_ms = duration.as_millis(),
+                );
                 duties::timed(Duty::PublishList, || {
                     let listed = newest_starts(&mut starts, replicas);
                     publish(&out, &mut watch, term, listed, pages, read_started);
--- a/crates/ledger/src/server/loads.rs
+++ b/crates/ledger/src/server/loads.rs
@@ -19,6 +19,8 @@
 pub struct LoadAggregator {
     reports: HashMap<String, LoadReport>,
     sum: LoadSum,
+    /// Term of the leader, and when its first update was sent.
+    term: Option<(u64, Instant)>,
 }
 
 #[derive(Debug)]
@@ -77,9 +79,14 @@
         others.filter(|load| load.requests > 0).collect()
     }
 
-    /// Returns the number of gateways that have reported recently.
-    pub fn gateways(&self) -> usize {
-        self.reports.len()
+    /// Returns the number of gateways that have reported recently to the leader of `term`; `None`
+    /// until all of them have had the time to do so.
+    pub fn gateways(&mut self, term: u64, now: Instant) -> Option<usize> {
+        if self.term.is_none_or(|(known, _)| known != term) {
+            self.term = Some((term, now));
+        }
+        let (_, since) = self.term?;
+        (now >= since + REPORT_TTL).then_some(self.reports.len())
     }
 
     fn refresh(&mut self, discovery: &DiscoverySnapshot, now: Instant) {
--- a/crates/ledger/tests/loads.rs
+++ b/crates/ledger/tests/loads.rs
@@ -71,3 +71,16 @@
     draining.state = ReplicaState::Draining;
     assert_ne!(ListDigest::of(&[draining]), digest(&["a"]));
 }
+
+/// A count that is too low lets each gateway read the list more often than all of them may.
+#[test]
+fn a_new_leader_does_not_know_the_number_of_gateways_at_once() {
+    let start = Instant::now();
+    let mut board = LoadAggregator::default();
+    assert_eq!(board.gateways(1, start), None);
+    let later = start + Duration::from_secs(2);
+    board.record_report("front-1", &[], later);
+    board.record_report("front-2", &[], later);
+    assert_eq!(board.gateways(1, later), Some(2));
+    assert_eq!(board.gateways(2, later), None);
+}
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -131,6 +131,7 @@
             machines: news.machines,
             failing: news.failing,
             cold: news.cold,
+            gateways: Some(0),
             ..FleetUpdate::default()
         });
     }
@@ -139,7 +140,9 @@
         self.app.ledger.update_members(update.machines);
         {
             let mut state = self.state.lock();
-            state.size = Some(FleetSize::reported(update.list_pages, update.gateways));
+            if let Some(gateways) = update.gateways {
+                state.size = Some(FleetSize::reported(update.list_pages, gateways));
+            }
             if update.loads_of == state.list && state.list != ListDigest::default() {
                 self.app.fleet.record_busy_replicas(&update.loads, Instant::now());
             }
@@ -311,7 +314,7 @@
             let started_at = Instant::now();
             let timeout = self.app.settings.list_pace.timeout(size.list_pages);
             match self.app.settings.list.read(timeout).await {
-                Ok(Reading { replicas, pages }) => {
+                Ok(Reading { replicas, pages, .. }) => {
                     backoff = 1;
                     emit!(Event::ListApplied; source = "own reading", replicas = replicas.len());
                     self.mark_listed_cold(&mut cold_tracker, &replicas, started_at);
--- a/crates/scheduler/benches/placement.rs
+++ b/crates/scheduler/benches/placement.rs
@@ -2,6 +2,8 @@
 //!
 //! Run with `cargo bench -p calicohoist-scheduler`.
 
+#![expect(missing_docs, reason = "criterion generates undocumented functions")]
+
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -167,6 +167,8 @@
     ListRejected = 5212, Warn;
     /// Time for which a duty of a ledger machine occupied its thread.
     DutyTimed = 5213, Info;
+    /// A leader read the list of replicas.
+    ListRead = 5214, Info;
     /// The platform's machine list could not be read.
     PlatformUnreachable = 6001, Warn;
     /// Some entries of the platform's machine list do not describe a usable replica.
