Ledger: talk to the other ledger machines on a thread of its own

Cause: after a change every gateway's watch wakes at once, and the thread that answers 864 of them also sends and receives heartbeats.

Change: PeerThread runs sending and receiving between ledger machines on a runtime of its own.

--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -1,8 +1,8 @@
 //! The server process of a ledger machine.
 //!
 //! The thread of [`replica`] participates in the replicated log and performs all disk I/O. The
-//! network thread runs the tasks of [`peers`], [`gateways`], [`control`] and [`list`]. Bounded
-//! queues connect the threads.
+//! thread of [`peers`] exchanges its messages with the other machines. The network thread runs the
+//! tasks of [`gateways`], [`control`] and [`list`]. Bounded queues connect the threads.
 
 pub mod control;
 pub mod duties;
@@ -34,6 +34,7 @@
 use crate::protocol::SUPPORTED_VERSIONS;
 use control::{Control, ControlCodec};
 use gateways::ServiceLocation;
+use peers::PeerThread;
 use replica::{LeaderServices, ReplicaHandle, ReplicaThread};
 
 /// Listening ports, the same on all ledger machines.
@@ -175,9 +176,14 @@
     let identity = thread.id();
     let (handle, status, failure) = thread.start()?;
     let known_peers = peers::KnownPeers::default();
-    tokio::spawn(peers::send(settings.clone(), identity, outgoing, known_peers.clone()));
-    let accepting = peers::accept(listeners.peers, identity, handle.clone(), known_peers.clone());
-    tokio::spawn(accepting);
+    let _peer_thread = PeerThread::start(
+        settings.clone(),
+        listeners.peers,
+        outgoing,
+        identity,
+        handle.clone(),
+        known_peers.clone(),
+    )?;
     tokio::spawn(traffic::log_totals(settings.name.clone()));
     let list = list::spawn(&settings, status.clone());
     tokio::spawn(Arc::clone(&limits).persist_permits(handle.clone()));
--- a/crates/ledger/src/server/peers/mod.rs
+++ b/crates/ledger/src/server/peers/mod.rs
@@ -7,6 +7,7 @@
 mod known;
 
 use std::collections::HashMap;
+use std::{io, thread};
 
 use calicohoist_replication::{GroupMessage, Message, ReplicaId};
 use calicohoist_transport::version::accept_offer;
@@ -15,7 +16,8 @@
 };
 use calicohoist_wire::encode;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::runtime::Builder;
+use tokio::sync::{mpsc, oneshot};
 
 use super::replica::ReplicaHandle;
 use super::traffic::{self, Peer};
@@ -39,8 +41,48 @@
     pub messages: Vec<GroupMessage>,
 }
 
+/// Thread that communicates with the other machines.
+///
+/// It is separate from the one that serves gateways, so that heartbeats do not wait while hundreds
+/// of gateways are answered. The thread ends when this value is dropped.
+#[derive(Debug)]
+pub struct PeerThread {
+    _stop: oneshot::Sender<()>,
+}
+
+impl PeerThread {
+    /// Starts the thread; `listener` accepts connections from other machines.
+    ///
+    /// # Errors
+    /// Fails if the thread or its runtime cannot be started.
+    pub fn start(
+        settings: LedgerSettings,
+        listener: TcpListener,
+        outgoing: mpsc::Receiver<OutgoingMessages>,
+        identity: ReplicaId,
+        replica: ReplicaHandle,
+        peers: KnownPeers,
+    ) -> io::Result<Self> {
+        let listener = listener.into_std()?;
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let listener = {
+            let _context = runtime.enter();
+            TcpListener::from_std(listener)?
+        };
+        let (stop, stopped) = oneshot::channel();
+        thread::Builder::new().name("peers".to_owned()).spawn(move || {
+            runtime.block_on(async move {
+                tokio::spawn(send(settings, identity, outgoing, peers.clone()));
+                tokio::spawn(accept(listener, identity, replica, peers));
+                let _ = stopped.await;
+            });
+        })?;
+        Ok(Self { _stop: stop })
+    }
+}
+
 /// Sends the messages queued by the replica thread.
-pub async fn send(
+async fn send(
     settings: LedgerSettings,
     identity: ReplicaId,
     mut outgoing: mpsc::Receiver<OutgoingMessages>,
@@ -87,7 +129,7 @@
 }
 
 /// Accepts connections from other machines.
-pub async fn accept(
+async fn accept(
     listener: TcpListener,
     identity: ReplicaId,
     replica: ReplicaHandle,
