Protocol version 3: samples, and drains need version 2 only

The check that all ledger machines support drained zones compared with the latest version, so during an upgrade from version 2 no zone could be drained. It compares with the version that brought them; the test covers it. The answers of version 3 have stored samples as those of version 2, which are unchanged.

Reported failures look listed replicas up in a set.

--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -18,7 +18,7 @@
 use crate::commands::{Reservation, ReserveTurn, SettleTurn, TurnId};
 use crate::compression::CompressedBytes;
 pub use packed::{Packed, UnpackError};
-pub use version::{LATEST_VERSION, LIST_PATCH_VERSION, SUPPORTED_VERSIONS};
+pub use version::{DRAINED_ZONES_VERSION, LATEST_VERSION, LIST_PATCH_VERSION, SUPPORTED_VERSIONS};
 
 /// A request with its number.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/ledger/src/protocol/version.rs
+++ b/crates/ledger/src/protocol/version.rs
@@ -19,6 +19,8 @@
 
 /// Latest protocol version.
 pub const LATEST_VERSION: ProtocolVersion = LIST_PATCH_VERSION;
+/// First version whose machines apply commands about drained zones.
+pub const DRAINED_ZONES_VERSION: ProtocolVersion = ProtocolVersion::new(2);
 /// First version with [`LedgerResponse::PackedList`](super::LedgerResponse::PackedList),
 /// [`LedgerResponse::ListChanges`](super::LedgerResponse::ListChanges) and
 /// [`LedgerResponse::Update`](super::LedgerResponse::Update).
--- a/crates/ledger/src/server/peers/known.rs
+++ b/crates/ledger/src/server/peers/known.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 
 use super::PeerInfo;
-use crate::protocol::LATEST_VERSION;
+use crate::protocol::{DRAINED_ZONES_VERSION, LATEST_VERSION};
 
 static OLDER_MACHINES: Gauge = Gauge::new(
     "calicohoist_ledger_older_machines",
@@ -73,14 +73,14 @@
         Some(topology.distance(zone, known))
     }
 
-    /// Returns the first of `members` that may not support commands of the newest version, or
-    /// `None` if all of them do.
+    /// Returns the first of `members` that may not support commands about drained zones, or `None`
+    /// if all of them do.
     pub fn version_skew(&self, members: impl IntoIterator<Item = u32>) -> Option<VersionSkew> {
         let peers = self.0.lock();
         members.into_iter().find_map(|machine| {
             let ip = Ipv4Addr::from_bits(machine);
             match peers.get(&machine) {
-                Some(known) if known.version >= LATEST_VERSION => None,
+                Some(known) if known.version >= DRAINED_ZONES_VERSION => None,
                 Some(_) => Some(VersionSkew::Machine(ip)),
                 None => Some(VersionSkew::UnheardMachine(ip)),
             }
--- a/crates/ledger/tests/drained_zones.rs
+++ b/crates/ledger/tests/drained_zones.rs
@@ -7,8 +7,8 @@
 
 use calicohoist_ledger::commands::Command;
 use calicohoist_ledger::protocol::{
-    LATEST_VERSION, LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope,
-    SUPPORTED_VERSIONS, WatchRequest,
+    DRAINED_ZONES_VERSION, LATEST_VERSION, LedgerRequest, LedgerResponse, RequestEnvelope,
+    ResponseEnvelope, SUPPORTED_VERSIONS, WatchRequest,
 };
 use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
 use calicohoist_ledger::server::peers::{KnownPeers, PeerInfo, VersionSkew};
@@ -339,6 +339,8 @@
     assert_eq!(lag(), None);
     note(OTHER, ProtocolVersion::LEGACY);
     assert_eq!(lag(), Some(VersionSkew::Machine(ip)), "the machine was downgraded");
+    note(OTHER, DRAINED_ZONES_VERSION);
+    assert_eq!(lag(), None, "later versions don't change the commands");
 }
 
 #[tokio::test]
--- a/crates/ledger/tests/formats.rs
+++ b/crates/ledger/tests/formats.rs
@@ -11,7 +11,8 @@
 use calicohoist_ledger::commands::{Command, Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
-    ListDigest, RequestEnvelope, ResponseEnvelope, TermVersion, WatchRequest, WatchUpdate,
+    FleetUpdate, ListDigest, Packed, ReplicaLoad, RequestEnvelope, ResponseEnvelope, TermVersion,
+    WatchRequest, WatchUpdate,
 };
 use calicohoist_ledger::server::peers::{Envelope, PeerFrame};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse, LedgerState};
@@ -20,7 +21,7 @@
     Entry, EntryKind, GroupId, GroupMessage, Message, ReplicaId, StateMachine,
 };
 use calicohoist_routing::{
-    ColdLimit, DrainedZones, HomeRegions, RateLimit, Replica, ReplicaList, ReplicaState,
+    ColdLimit, DrainedZones, HomeRegions, ListPatch, RateLimit, Replica, ReplicaList, ReplicaState,
 };
 use calicohoist_scheduler::{Decision, PlacementRequest, PromptPart, RunSample, TurnRun};
 use calicohoist_types::{Region, TenantId, Zone};
@@ -30,6 +31,10 @@
 const SAMPLES: &str = include_str!("data/protocol-2.txt");
 const SAMPLES_FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/protocol-2.txt");
 
+/// Answers that protocol version 3 added. The other messages are those of version 2.
+const ADDED_SAMPLES: &str = include_str!("data/protocol-3.txt");
+const ADDED_SAMPLES_FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/protocol-3.txt");
+
 /// Hex-encoded samples, one per line.
 #[derive(Default)]
 struct Samples(String);
@@ -258,14 +263,46 @@
     samples.0
 }
 
+fn added_samples() -> String {
+    let mut samples = Samples::default();
+    let old = vec![replica("r1", ReplicaState::Ready), replica("r2", ReplicaState::Ready)];
+    let new = vec![replica("r1", ReplicaState::Ready), replica("r2", ReplicaState::Draining)];
+    let (since, mark) = (ListDigest::of(&old), ListDigest::of(&new));
+    let replicas = Packed::pack(&new).expect("pack");
+    samples.add("reply.packed_list", &response(5, LedgerResponse::PackedList { mark, replicas }));
+    let patch = ListPatch::between(&old, &new);
+    samples.add("patch", &patch);
+    let patch = Packed::pack(&patch).expect("pack");
+    samples.add(
+        "reply.list_changes",
+        &response(5, LedgerResponse::ListChanges { since, mark, patch }),
+    );
+    let update = FleetUpdate {
+        list_age_ms: Some(120),
+        list_pages: 50,
+        gateways: Some(864),
+        loads: vec![ReplicaLoad { position: 1, requests: 2 }],
+        loads_of: mark,
+        machines: vec![167_837_962],
+        failing: Some((TermVersion { term: 3, change: 2 }, vec![("r1".into(), 900)])),
+        cold: Some((TermVersion { term: 3, change: 3 }, vec![("r2".into(), 4_000)])),
+    };
+    samples.add("reply.update", &response(5, LedgerResponse::Update(update)));
+    samples.0
+}
+
 #[test]
 fn encodings_match_the_stored_samples() {
-    let samples = samples();
-    if std::env::var_os("CALICOHOIST_WRITE_SAMPLES").is_some() {
-        return std::fs::write(SAMPLES_FILE, samples).expect("write samples");
-    }
-    for (encoded, stored) in samples.lines().zip(SAMPLES.lines()) {
-        assert_eq!(encoded, stored);
+    let versions =
+        [(samples(), SAMPLES, SAMPLES_FILE), (added_samples(), ADDED_SAMPLES, ADDED_SAMPLES_FILE)];
+    for (samples, stored_samples, file) in versions {
+        if std::env::var_os("CALICOHOIST_WRITE_SAMPLES").is_some() {
+            std::fs::write(file, samples).expect("write samples");
+            continue;
+        }
+        for (encoded, stored) in samples.lines().zip(stored_samples.lines()) {
+            assert_eq!(encoded, stored);
+        }
+        assert_eq!(samples.lines().count(), stored_samples.lines().count());
     }
-    assert_eq!(samples.lines().count(), SAMPLES.lines().count());
 }
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -26,6 +26,11 @@
     "Requests of this gateway that still run in drained zones",
 );
 
+static LIST_AGE_MS: Gauge = Gauge::new(
+    "calicohoist_proxy_list_age_ms",
+    "Time since a leader read the list of replicas that this gateway has",
+);
+
 /// Timeout of a watch request. Long enough to receive the largest configuration over a slow link;
 /// an unresponsive leader is detected earlier.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
@@ -93,6 +98,7 @@
                 loads: self.app.fleet.own_loads(),
                 drained: self.app.fleet.drained_version(),
             };
+            LIST_AGE_MS.set(self.app.fleet.list_age().as_millis().try_into().unwrap_or(u64::MAX));
             REQUESTS_IN_DRAINED_ZONES.set(u64::from(self.app.fleet.requests_in_drained_zones()));
             let deadline = Instant::now() + WATCH_TIMEOUT;
             let answer = self.app.ledger.request(&LedgerRequest::Watch(seen), deadline).await;
--- a/crates/scheduler/src/outliers.rs
+++ b/crates/scheduler/src/outliers.rs
@@ -5,7 +5,7 @@
 //! ejected for a time that doubles with each ejection. Replicas that fail only occasionally stay
 //! in use.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::Replica;
@@ -92,7 +92,11 @@
 
     /// Drops replicas that are not listed.
     pub fn retain(&mut self, replicas: &[Replica]) {
-        self.records.retain(|id, _| replicas.iter().any(|replica| replica.id == *id));
+        if self.records.is_empty() {
+            return;
+        }
+        let listed: HashSet<&str> = replicas.iter().map(|replica| replica.id.as_str()).collect();
+        self.records.retain(|id, _| listed.contains(id.as_str()));
     }
 
     fn is_ejected(&self, id: &str, now: Instant) -> bool {
