--- a/crates/ledger/tests/busy_leader.rs
+++ b/crates/ledger/tests/busy_leader.rs
@@ -3,19 +3,18 @@
 //! Guards against heartbeats that wait while hundreds of gateways are answered after a change, so
 //! that the leader is replaced, and its successor has the same work to do.
 
+mod support;
+
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use calicohoist_ledger::protocol::{
     LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope, SUPPORTED_VERSIONS,
 };
-use calicohoist_ledger::server::control::{CallError, ControlCall, ControlCodec, ControlOutcome};
 use calicohoist_ledger::server::{self, LedgerSettings, Listeners, Ports};
 use calicohoist_replication::RaftSettings;
 use calicohoist_transport::{FrameReader, encode_frame, version};
-use hyper::{Method, StatusCode};
 use tempfile::TempDir;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -30,18 +29,6 @@
 const BUSY_TIME: Duration = Duration::from_millis(3_000);
 const TIMEOUT: Duration = Duration::from_secs(60);
 
-struct NoControlApi;
-
-impl ControlCodec for NoControlApi {
-    fn parse(&self, _: &Method, _: &str, _: &[u8]) -> Result<ControlCall, CallError> {
-        Err(CallError::Unknown)
-    }
-
-    fn render(&self, _: &ControlOutcome) -> (StatusCode, Vec<u8>) {
-        (StatusCode::NOT_FOUND, Vec::new())
-    }
-}
-
 /// Binds one port on all machines.
 async fn bind_everywhere() -> (u16, Vec<TcpListener>) {
     loop {
@@ -115,22 +102,13 @@
             name: ip.to_string(),
             ip: *ip,
             seeds: MACHINES.to_vec(),
-            bootstrap: true,
-            data_folder: folder.path().to_owned(),
             ports: Ports { peers: peers_port, gateways: gateways_port, control: control_port },
             raft: RaftSettings {
                 election_min: ELECTION_TIMEOUT,
                 election_max: ELECTION_TIMEOUT * 2,
                 ..LedgerSettings::raft_for(1)
             },
-            tolerated_losses: 1,
-            list: None,
-            list_pace: LedgerSettings::list_pace(),
-            control: Arc::new(NoControlApi),
-            limit_tolerance: Default::default(),
-            zone: "hall".to_owned(),
-            topology: Arc::default(),
-            cold_tolerance: Default::default(),
+            ..support::settings(folder)
         };
         runtimes.push(start(settings, [peers, gateways, control]));
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,7 +19,6 @@
 //! All functions are deterministic: time and randomness are passed in by the caller.
 
 pub mod admission;
-mod candidates;
 pub mod cold;
 pub mod cost;
 pub mod outliers;
@@ -32,13 +31,13 @@
 pub mod speed;
 
 pub use admission::{Decision, TurnScheduler};
-pub use candidates::MAX_SCANNED_REPLICAS;
 pub use cold::{ColdAdmission, ColdLimiter};
 pub use cost::{CostInputs, CostWeights, choose, cost_millis};
 pub use outliers::OutlierDetector;
 pub use ownership::owner_of;
 pub use placement::{
-    ConcurrencyLimit, FleetView, Placement, PlacementRequest, PlacementWeights, Placer, TurnRun,
+    ConcurrencyLimit, FleetView, MAX_SCANNED_REPLICAS, Placement, PlacementRequest,
+    PlacementWeights, Placer, TurnRun,
 };
 pub use prefix::{PrefixIndex, PromptPart};
 pub use queue::{EngineQueue, QueueEntry, QueueFull};
