Ledger: tell the age of the list only to a gateway that has it

Cause: found on reading. While a gateway waits for its turn to get a large answer it is sent a status, with the age of the leader's list: it took its own, older list for a recent one. With the configuration, an answer of any kind made its own count as current, so that it could refuse a route that had just been added.

Change: the age is told to gateways that have the list; a gateway that waits for a configuration is asked to come again.

--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -70,7 +70,9 @@
         }
         if let Some(configuration) = configuration {
             let answer = self.shared.lock().configuration(&configuration);
-            return self.send_bulk(answer, &self.bulk_configurations, seen, responder).await;
+            // Without the newest configuration, the gateway must not take its own for current.
+            let unsent = |responder: Responder| responder.send(LedgerResponse::Unavailable);
+            return self.send_bulk(answer, &self.bulk_configurations, responder, unsent).await;
         }
         let discovery = self.discovery();
         if discovery.should_send_list(self.term(), seen) {
@@ -83,19 +85,20 @@
             } else {
                 self.shared.lock().plain_list(&discovery)
             };
-            return self.send_bulk(answer, &self.bulk_lists, seen, responder).await;
+            let unsent = |responder| self.send_status(seen, responder);
+            return self.send_bulk(answer, &self.bulk_lists, responder, unsent).await;
         }
         self.send_status(seen, responder);
     }
 
-    /// Sends a large answer as soon as `limiter` admits it. If that takes too long, sends the
-    /// status instead, which shows the gateway that the leader is alive; the gateway asks again.
+    /// Sends a large answer as soon as `limiter` admits it. If that takes too long, answers with
+    /// `unsent` instead, which shows the gateway that the leader is alive; the gateway asks again.
     async fn send_bulk(
         &self,
         answer: Result<SharedAnswer, FrameError>,
         limiter: &BulkLimiter,
-        seen: &WatchRequest,
         responder: Responder,
+        unsent: impl FnOnce(Responder),
     ) {
         let answer = match answer {
             Ok(answer) => answer,
@@ -106,7 +109,7 @@
         };
         match limiter.admit(answer.encoded.len(), MAX_BULK_WAIT).await {
             Some(permit) => responder.send_shared(&answer, permit.hold_until_written()),
-            None => self.send_status(seen, responder),
+            None => unsent(responder),
         }
     }
 
@@ -131,7 +134,8 @@
     fn fleet_update(&self, seen: &WatchRequest) -> FleetUpdate {
         let discovery = self.discovery();
         let status = self.status.borrow().clone();
-        let is_current = discovery.term == status.term;
+        // The age is that of the list that the gateway has.
+        let is_current = discovery.term == status.term && discovery.mark == seen.list;
         let age = discovery.read_at.filter(|_| is_current).map(|at| at.elapsed().as_millis());
         let failing = self.failures.changes_since(seen.failing);
         let now = Instant::now();
