--- a/crates/ledger/src/protocol/packed.rs
+++ b/crates/ledger/src/protocol/packed.rs
@@ -1,19 +1,25 @@
 //! Values that are encoded and compressed once and sent to many gateways.
+//!
+//! The compression is slower than that of [`CompressedBytes`](crate::compression::CompressedBytes)
+//! and saves more, since each byte is sent to every gateway.
 
 use std::fmt;
+use std::io::{self, Read};
 use std::marker::PhantomData;
 
-use calicohoist_wire::{FrameError, decode, encode};
+use calicohoist_wire::{FrameError, MAX_FRAME_BYTES, decode, encode};
+use flate2::Compression;
+use flate2::read::{DeflateDecoder, DeflateEncoder};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::compression::{CompressedBytes, DecompressionError};
-
 /// A value in encoded and compressed form.
 #[derive(Serialize, Deserialize)]
 #[serde(transparent, bound = "")]
 pub struct Packed<T> {
-    bytes: CompressedBytes,
+    /// Encoded value, compressed with DEFLATE.
+    #[serde(with = "serde_bytes")]
+    bytes: Vec<u8>,
     #[serde(skip)]
     value: PhantomData<fn() -> T>,
 }
@@ -22,8 +28,11 @@
 #[derive(Debug, thiserror::Error)]
 pub enum UnpackError {
     /// The value cannot be decompressed.
-    #[error(transparent)]
-    Compression(#[from] DecompressionError),
+    #[error("corrupt compressed data: {0}")]
+    Compression(#[from] io::Error),
+    /// The encoded value exceeds the frame size limit.
+    #[error("encoded value exceeds the frame size limit")]
+    TooLarge,
     /// The value cannot be decoded.
     #[error(transparent)]
     Encoding(#[from] FrameError),
@@ -35,7 +44,9 @@
     /// # Errors
     /// When the value cannot be encoded.
     pub fn pack(value: &T) -> Result<Self, FrameError> {
-        let bytes = CompressedBytes::compress(&encode(value)?);
+        let encoded = encode(value)?;
+        let mut bytes = Vec::new();
+        DeflateEncoder::new(encoded.as_slice(), Compression::default()).read_to_end(&mut bytes)?;
         Ok(Self { bytes, value: PhantomData })
     }
 }
@@ -46,7 +57,13 @@
     /// # Errors
     /// When the bytes are corrupt or are those of another type.
     pub fn unpack(&self) -> Result<T, UnpackError> {
-        Ok(decode(&self.bytes.decompress()?)?)
+        let limit = MAX_FRAME_BYTES as u64 + 1;
+        let mut encoded = Vec::new();
+        DeflateDecoder::new(self.bytes.as_slice()).take(limit).read_to_end(&mut encoded)?;
+        if encoded.len() > MAX_FRAME_BYTES {
+            return Err(UnpackError::TooLarge);
+        }
+        Ok(decode(&encoded)?)
     }
 }
 
@@ -58,6 +75,6 @@
 
 impl<T> fmt::Debug for Packed<T> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_tuple("Packed").field(&self.bytes).finish()
+        write!(formatter, "Packed({} bytes)", self.bytes.len())
     }
 }
