--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -212,7 +212,7 @@
     codec: Arc<dyn ListCodec>,
     /// All zones, by which a long list is fetched; empty to fetch it as a whole.
     zones: Arc<[String]>,
-    /// Whether the latest complete list is fetched by zone the next time.
+    /// Whether the next list is fetched by zone, because the last one was long.
     is_by_zone: Arc<AtomicBool>,
     /// Skipped entries of the latest complete fetch.
     skipped: Arc<Mutex<SkippedEntries>>,
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_discovery::{ListedReplica, Reading};
+use calicohoist_discovery::{ListedReplica, ReadError, Reading};
 use calicohoist_ledger::client::RequestError;
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
@@ -298,6 +298,25 @@
         true
     }
 
+    /// Reads the replica list from discovery and installs it.
+    async fn read_list(
+        &self,
+        size: FleetSize,
+        cold_tracker: &mut ColdTracker,
+    ) -> Result<(), ReadError> {
+        let started_at = Instant::now();
+        let timeout = self.app.settings.list_pace.timeout(size.list_pages);
+        let Reading { replicas, pages, .. } = self.app.settings.list.read(timeout).await?;
+        emit!(Event::ListApplied; source = "own reading", replicas = replicas.len());
+        self.mark_listed_cold(cold_tracker, &replicas, started_at);
+        self.install_list(replicas.into_iter().map(|listed| listed.replica).collect());
+        let mut state = self.state.lock();
+        state.size = Some(FleetSize { list_pages: pages.max(1), ..size });
+        // Makes the leader send its list again, whatever its version.
+        state.list = ListDigest::default();
+        Ok(())
+    }
+
     /// Reads the replica list from discovery while the leader provides no recent one.
     async fn poll_list(&self) {
         let mut cold_tracker = ColdTracker::default();
@@ -318,18 +337,8 @@
                 }
             }
             let started_at = Instant::now();
-            let timeout = self.app.settings.list_pace.timeout(size.list_pages);
-            match self.app.settings.list.read(timeout).await {
-                Ok(Reading { replicas, pages, .. }) => {
-                    backoff = 1;
-                    emit!(Event::ListApplied; source = "own reading", replicas = replicas.len());
-                    self.mark_listed_cold(&mut cold_tracker, &replicas, started_at);
-                    self.install_list(replicas.into_iter().map(|listed| listed.replica).collect());
-                    let mut state = self.state.lock();
-                    state.size = Some(FleetSize { list_pages: pages.max(1), ..size });
-                    // Makes the leader send its list again, whatever its version.
-                    state.list = ListDigest::default();
-                }
+            match self.read_list(size, &mut cold_tracker).await {
+                Ok(()) => backoff = 1,
                 Err(error) => {
                     if error.is_rate_limited() {
                         backoff = (backoff * 2).min(MAX_READ_BACKOFF);
