Replicas: software version in lists and log lines

Change: Replica has a version, the leader sends it to gateways (protocol version 4: two more answers to a watch), RequestSent and StreamBroken name it, RequestTaken names what a request resumes. The digest of a list covers versions, so a replica that is listed with another version under its id reaches gateways. Encodings of versions 1 to 3 are unchanged (samples equal byte for byte); gateways of those versions get lists without versions. No decision reads the version yet.

Ruled out: a field in the encoding of a replica (each older form would need types of its own); an entry whose version is missing stays usable with an unknown version, one of another type is left out.

--- a/crates/discovery/tests/by_zone.rs
+++ b/crates/discovery/tests/by_zone.rs
@@ -38,6 +38,7 @@
             zone: replica_zone.to_owned(),
             slots: 4,
             state: ReplicaState::Ready,
+            version: None,
         };
         Some(Page {
             replicas: vec![ListedReplica { replica, cold_left: None }],
--- a/crates/discovery/tests/reading.rs
+++ b/crates/discovery/tests/reading.rs
@@ -30,6 +30,7 @@
             zone: "hall".to_owned(),
             slots: 4,
             state: ReplicaState::Ready,
+            version: None,
         };
         Some(Page {
             replicas: vec![ListedReplica { replica, cold_left: None }],
--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -7,6 +7,7 @@
 mod packed;
 mod v1;
 mod version;
+mod versioned;
 
 use std::fmt;
 
@@ -18,7 +19,11 @@
 use crate::commands::{Reservation, ReserveTurn, SettleTurn, TurnId};
 use crate::compression::CompressedBytes;
 pub use packed::{Packed, UnpackError};
-pub use version::{DRAINED_ZONES_VERSION, LATEST_VERSION, LIST_PATCH_VERSION, SUPPORTED_VERSIONS};
+pub use version::{
+    DRAINED_ZONES_VERSION, LATEST_VERSION, LIST_PATCH_VERSION, REPLICA_VERSIONS_VERSION,
+    SUPPORTED_VERSIONS,
+};
+pub use versioned::{VersionedPatch, VersionedReplicas};
 
 /// A request with its number.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -127,6 +132,10 @@
             let encoded = calicohoist_wire::encode(replica).unwrap_or_default();
             digest.update(&(encoded.len() as u64).to_le_bytes());
             digest.update(&encoded);
+            if let Some(version) = &replica.version {
+                digest.update(&(version.as_str().len() as u64).to_le_bytes());
+                digest.update(version.as_str().as_bytes());
+            }
         }
         let first = digest.finalize().as_bytes().first_chunk().copied().unwrap_or_default();
         Self(u64::from_le_bytes(first).max(1))
@@ -217,6 +226,22 @@
     /// Response to [`LedgerRequest::Watch`] as [`Self::News`], but of a size that does not depend
     /// on the number of idle replicas.
     Update(FleetUpdate),
+    /// As [`Self::PackedList`], with software versions.
+    VersionedList {
+        /// Digest of the list.
+        mark: ListDigest,
+        /// Replicas.
+        replicas: Packed<VersionedReplicas>,
+    },
+    /// As [`Self::ListChanges`], with software versions.
+    VersionedChanges {
+        /// Digest of the list that the gateway has.
+        since: ListDigest,
+        /// Digest of the new list.
+        mark: ListDigest,
+        /// Changes that lead to the new list.
+        patch: Packed<VersionedPatch>,
+    },
 }
 
 /// Update that a leader with a confirmed quorum sends to a gateway.
--- a/crates/ledger/src/protocol/v1.rs
+++ b/crates/ledger/src/protocol/v1.rs
@@ -302,12 +302,14 @@
                 ResponseV1::NotLeader { leader, machines }
             }
             // Version 1 gateways retry and then receive drained zones as part of the replica list.
-            // The answers added in version 3 are not sent to them.
+            // The answers added in later versions are not sent to them.
             LedgerResponse::Unavailable
             | LedgerResponse::DrainedZones(_)
             | LedgerResponse::PackedList { .. }
             | LedgerResponse::ListChanges { .. }
-            | LedgerResponse::Update(_) => ResponseV1::Unavailable,
+            | LedgerResponse::Update(_)
+            | LedgerResponse::VersionedList { .. }
+            | LedgerResponse::VersionedChanges { .. } => ResponseV1::Unavailable,
         };
         Self { number, answer }
     }
--- a/crates/ledger/src/protocol/version.rs
+++ b/crates/ledger/src/protocol/version.rs
@@ -5,11 +5,12 @@
 //! | 1 | builds without protocol versions | |
 //! | 2 | drained zones | versions, zones of ledger machines, compressed frames, drained zones, cold replicas, home regions |
 //! | 3 | list patches | additional answers to a watch: packed lists, list changes, updates without idle replicas |
+//! | 4 | software versions of replicas | additional answers to a watch: lists and list changes with versions |
 //!
 //! Any change to the encoding of a message requires a new version and a module that converts from
-//! and to the previous version. All other code uses the types of the latest version only. Version 3
-//! only adds answers, so that version 2 needs no types of its own: a leader sends them to gateways
-//! of version 3 alone.
+//! and to the previous version. All other code uses the types of the latest version only. Versions
+//! 3 and 4 only add answers, so that versions 2 and 3 need no types of their own: a leader sends
+//! them only to gateways that support them.
 
 use calicohoist_transport::{Frame, FrameError, FrameReader, ProtocolVersion, VersionRange};
 use tokio::io::AsyncRead;
@@ -18,13 +19,16 @@
 use super::{RequestEnvelope, ResponseEnvelope};
 
 /// Latest protocol version.
-pub const LATEST_VERSION: ProtocolVersion = LIST_PATCH_VERSION;
+pub const LATEST_VERSION: ProtocolVersion = REPLICA_VERSIONS_VERSION;
 /// First version whose machines apply commands about drained zones.
 pub const DRAINED_ZONES_VERSION: ProtocolVersion = ProtocolVersion::new(2);
 /// First version with [`LedgerResponse::PackedList`](super::LedgerResponse::PackedList),
 /// [`LedgerResponse::ListChanges`](super::LedgerResponse::ListChanges) and
 /// [`LedgerResponse::Update`](super::LedgerResponse::Update).
 pub const LIST_PATCH_VERSION: ProtocolVersion = ProtocolVersion::new(3);
+/// First version with [`LedgerResponse::VersionedList`](super::LedgerResponse::VersionedList) and
+/// [`LedgerResponse::VersionedChanges`](super::LedgerResponse::VersionedChanges).
+pub const REPLICA_VERSIONS_VERSION: ProtocolVersion = ProtocolVersion::new(4);
 /// Protocol versions that this build supports. During a rolling upgrade, machines of the previous
 /// build run alongside it.
 pub const SUPPORTED_VERSIONS: VersionRange =
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -38,12 +38,12 @@
 use super::traffic::{self, Peer};
 use super::turns::TurnDispatcher;
 use crate::protocol::{
-    LIST_PATCH_VERSION, LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope,
-    SUPPORTED_VERSIONS,
+    LIST_PATCH_VERSION, LedgerRequest, LedgerResponse, REPLICA_VERSIONS_VERSION, RequestEnvelope,
+    ResponseEnvelope, SUPPORTED_VERSIONS,
 };
 use bulk::BulkLimiter;
 use legacy::LegacyGateways;
-use shared::{SharedAnswer, SharedAnswers};
+use shared::{ListForm, SharedAnswer, SharedAnswers};
 
 /// How long a request for the leader is held while there is none.
 const FIND_LEADER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -256,6 +256,17 @@
         self.version >= LIST_PATCH_VERSION
     }
 
+    /// Returns the form in which the gateway receives lists.
+    fn list_form(&self) -> ListForm {
+        if self.version >= REPLICA_VERSIONS_VERSION {
+            ListForm::Versioned
+        } else if self.supports_list_patches() {
+            ListForm::Packed
+        } else {
+            ListForm::Plain
+        }
+    }
+
     /// Sends an answer shared with other connections. It must be the same in all versions that the
     /// gateway may use. `written` is dropped once the answer has been written.
     fn send_shared(self, answer: &SharedAnswer, written: oneshot::Sender<()>) {
@@ -295,8 +306,12 @@
 fn answer_kind(answer: &LedgerResponse) -> &'static str {
     match answer {
         LedgerResponse::Configuration { .. } => "configuration",
-        LedgerResponse::List { .. } | LedgerResponse::PackedList { .. } => "list",
-        LedgerResponse::ListChanges { .. } => "list_changes",
+        LedgerResponse::List { .. }
+        | LedgerResponse::PackedList { .. }
+        | LedgerResponse::VersionedList { .. } => "list",
+        LedgerResponse::ListChanges { .. } | LedgerResponse::VersionedChanges { .. } => {
+            "list_changes"
+        }
         LedgerResponse::News(_) | LedgerResponse::Update(_) => "loads",
         LedgerResponse::Reserved { .. } => "history",
         LedgerResponse::Permit(_)
--- a/crates/ledger/src/server/gateways/shared.rs
+++ b/crates/ledger/src/server/gateways/shared.rs
@@ -8,7 +8,7 @@
 
 use super::answer_kind;
 use crate::compression::CompressedBytes;
-use crate::protocol::{LedgerResponse, ListDigest, Packed};
+use crate::protocol::{LedgerResponse, ListDigest, Packed, VersionedReplicas};
 use crate::server::list::DiscoverySnapshot;
 use crate::state::VersionedConfiguration;
 
@@ -31,15 +31,25 @@
     }
 }
 
+/// Form in which a gateway receives lists, by the protocol version that it supports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum ListForm {
+    /// Whole lists, not compressed.
+    Plain,
+    /// Packed lists, or changes since a known list.
+    Packed,
+    /// As [`Self::Packed`], with software versions.
+    Versioned,
+}
+
 /// Answers that lead to one list.
 #[derive(Debug, Default)]
 struct ListAnswers {
     mark: ListDigest,
-    /// The list as sent to gateways that do not support packed lists.
-    plain: Option<SharedAnswer>,
-    packed: Option<SharedAnswer>,
+    /// The whole list.
+    whole: HashMap<ListForm, SharedAnswer>,
     /// Changes by the list that the gateway has.
-    changes: HashMap<ListDigest, SharedAnswer>,
+    changes: HashMap<(ListForm, ListDigest), SharedAnswer>,
 }
 
 /// A cache of the newest configuration and list.
@@ -72,48 +82,31 @@
         Ok(answer)
     }
 
-    /// Returns the answer with this list for gateways that do not support packed lists.
-    pub(super) fn plain_list(
-        &mut self,
-        discovery: &DiscoverySnapshot,
-    ) -> Result<SharedAnswer, FrameError> {
-        let answers = self.list_answers(discovery);
-        if let Some(answer) = &answers.plain {
-            return Ok(answer.clone());
-        }
-        LISTS_ENCODED.inc("plain");
-        let list = discovery.list.as_ref().clone();
-        let answer = SharedAnswer::encode(&LedgerResponse::List { mark: discovery.mark, list })?;
-        Ok(answers.plain.insert(answer).clone())
-    }
-
     /// Returns the answer that leads from the list that a gateway has to this one: the changes if
-    /// that list is known here, else the whole list.
+    /// that list is known here and the form allows it, else the whole list.
     pub(super) fn list(
         &mut self,
         discovery: &DiscoverySnapshot,
+        form: ListForm,
         since: ListDigest,
     ) -> Result<SharedAnswer, FrameError> {
         let answers = self.list_answers(discovery);
-        if let Some(answer) = answers.changes.get(&since) {
+        if let Some(answer) = answers.changes.get(&(form, since)) {
             return Ok(answer.clone());
         }
-        let Some(earlier) = discovery.earlier_list(since) else {
-            return answers.packed(discovery);
+        let earlier = discovery.earlier_list(since).filter(|_| form != ListForm::Plain);
+        let Some(earlier) = earlier else {
+            return answers.whole(discovery, form);
         };
         LISTS_ENCODED.inc("compared");
         let patch = ListPatch::between(&earlier.replicas, &discovery.list.replicas);
         let answer = if patch.is_complete() {
-            answers.packed(discovery)?
+            answers.whole(discovery, form)?
         } else {
             LISTS_ENCODED.inc("changes");
-            SharedAnswer::encode(&LedgerResponse::ListChanges {
-                since,
-                mark: discovery.mark,
-                patch: Packed::pack(&patch)?,
-            })?
+            SharedAnswer::encode(&changes_answer(since, discovery.mark, patch, form)?)?
         };
-        answers.changes.insert(since, answer.clone());
+        answers.changes.insert((form, since), answer.clone());
         Ok(answer)
     }
 
@@ -126,15 +119,46 @@
 }
 
 impl ListAnswers {
-    fn packed(&mut self, discovery: &DiscoverySnapshot) -> Result<SharedAnswer, FrameError> {
-        if let Some(answer) = &self.packed {
+    fn whole(
+        &mut self,
+        discovery: &DiscoverySnapshot,
+        form: ListForm,
+    ) -> Result<SharedAnswer, FrameError> {
+        if let Some(answer) = self.whole.get(&form) {
             return Ok(answer.clone());
         }
-        LISTS_ENCODED.inc("packed");
-        let answer = SharedAnswer::encode(&LedgerResponse::PackedList {
-            mark: discovery.mark,
-            replicas: Packed::pack(&discovery.list.replicas)?,
-        })?;
-        Ok(self.packed.insert(answer).clone())
+        let mark = discovery.mark;
+        let replicas = &discovery.list.replicas;
+        let answer = match form {
+            ListForm::Plain => {
+                LISTS_ENCODED.inc("plain");
+                LedgerResponse::List { mark, list: discovery.list.as_ref().clone() }
+            }
+            ListForm::Packed => {
+                LISTS_ENCODED.inc("packed");
+                LedgerResponse::PackedList { mark, replicas: Packed::pack(replicas)? }
+            }
+            ListForm::Versioned => {
+                LISTS_ENCODED.inc("packed");
+                let replicas = Packed::pack(&VersionedReplicas::new(replicas))?;
+                LedgerResponse::VersionedList { mark, replicas }
+            }
+        };
+        let answer = SharedAnswer::encode(&answer)?;
+        self.whole.insert(form, answer.clone());
+        Ok(answer)
+    }
+}
+
+fn changes_answer(
+    since: ListDigest,
+    mark: ListDigest,
+    patch: ListPatch,
+    form: ListForm,
+) -> Result<LedgerResponse, FrameError> {
+    if form == ListForm::Versioned {
+        let patch = Packed::pack(&patch.into())?;
+        return Ok(LedgerResponse::VersionedChanges { since, mark, patch });
     }
+    Ok(LedgerResponse::ListChanges { since, mark, patch: Packed::pack(&patch)? })
 }
--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -80,11 +80,10 @@
                 let list = discovery.list.as_ref().clone();
                 return responder.send(LedgerResponse::List { mark: discovery.mark, list });
             }
-            let answer = if responder.supports_list_patches() {
-                duties::timed(Duty::EncodeList, || self.shared.lock().list(&discovery, seen.list))
-            } else {
-                self.shared.lock().plain_list(&discovery)
-            };
+            let form = responder.list_form();
+            let answer = duties::timed(Duty::EncodeList, || {
+                self.shared.lock().list(&discovery, form, seen.list)
+            });
             let unsent = |responder| self.send_status(seen, responder);
             return self.send_bulk(answer, &self.bulk_lists, responder, unsent).await;
         }
--- a/crates/ledger/tests/cold_replicas.rs
+++ b/crates/ledger/tests/cold_replicas.rs
@@ -33,6 +33,7 @@
         zone: "hall".to_owned(),
         slots: 4,
         state: ReplicaState::Ready,
+        version: None,
     };
     let (term, mark) = (4, ListDigest::of(&[replica]));
     let cold_mark = TermVersion { term, change: 1 };
--- a/crates/ledger/tests/compatibility.rs
+++ b/crates/ledger/tests/compatibility.rs
@@ -69,6 +69,7 @@
         zone: zone.to_owned(),
         slots: 12,
         state: ReplicaState::Ready,
+        version: None,
     };
     let replicas = vec![replica("r1@1790000000000", "a"), replica("r2", "b")];
     let reading = DiscoverySnapshot {
--- a/crates/ledger/tests/failing_replicas.rs
+++ b/crates/ledger/tests/failing_replicas.rs
@@ -12,6 +12,7 @@
         zone: "hall".to_owned(),
         slots: 8,
         state: ReplicaState::Ready,
+        version: None,
     };
     (0..6).map(replica).collect()
 }
--- a/crates/ledger/tests/formats.rs
+++ b/crates/ledger/tests/formats.rs
@@ -12,7 +12,7 @@
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
     FleetUpdate, ListDigest, Packed, ReplicaLoad, RequestEnvelope, ResponseEnvelope, TermVersion,
-    WatchRequest, WatchUpdate,
+    VersionedPatch, VersionedReplicas, WatchRequest, WatchUpdate,
 };
 use calicohoist_ledger::server::peers::{Envelope, PeerFrame};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse, LedgerState};
@@ -22,6 +22,7 @@
 };
 use calicohoist_routing::{
     ColdLimit, DrainedZones, HomeRegions, ListPatch, RateLimit, Replica, ReplicaList, ReplicaState,
+    SoftwareVersion,
 };
 use calicohoist_scheduler::{Decision, PlacementRequest, PromptPart, RunSample, TurnRun};
 use calicohoist_types::{Region, TenantId, Zone};
@@ -35,6 +36,11 @@
 const ADDED_SAMPLES: &str = include_str!("data/protocol-3.txt");
 const ADDED_SAMPLES_FILE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/protocol-3.txt");
 
+/// Answers that protocol version 4 added. The other messages are those of version 3.
+const VERSIONED_SAMPLES: &str = include_str!("data/protocol-4.txt");
+const VERSIONED_SAMPLES_FILE: &str =
+    concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/protocol-4.txt");
+
 /// Hex-encoded samples, one per line.
 #[derive(Default)]
 struct Samples(String);
@@ -127,6 +133,7 @@
         zone: "a".into(),
         slots: 12,
         state,
+        version: None,
     }
 }
 
@@ -291,10 +298,39 @@
     samples.0
 }
 
+fn versioned_samples() -> String {
+    let mut samples = Samples::default();
+    let versioned = |id, version: Option<&str>| Replica {
+        version: version.map(SoftwareVersion::new),
+        ..replica(id, ReplicaState::Ready)
+    };
+    let old = vec![versioned("r1", Some("v1")), versioned("r2", None)];
+    let new = vec![versioned("r1", Some("v1")), versioned("r2", Some("v1.2"))];
+    let (since, mark) = (ListDigest::of(&old), ListDigest::of(&new));
+    let replicas = VersionedReplicas::new(&new);
+    samples.add("versioned_replicas", &replicas);
+    let replicas = Packed::pack(&replicas).expect("pack");
+    samples.add(
+        "reply.versioned_list",
+        &response(5, LedgerResponse::VersionedList { mark, replicas }),
+    );
+    let patch = VersionedPatch::from(ListPatch::between(&old, &new));
+    samples.add("versioned_patch", &patch);
+    let patch = Packed::pack(&patch).expect("pack");
+    samples.add(
+        "reply.versioned_changes",
+        &response(5, LedgerResponse::VersionedChanges { since, mark, patch }),
+    );
+    samples.0
+}
+
 #[test]
 fn encodings_match_the_stored_samples() {
-    let versions =
-        [(samples(), SAMPLES, SAMPLES_FILE), (added_samples(), ADDED_SAMPLES, ADDED_SAMPLES_FILE)];
+    let versions = [
+        (samples(), SAMPLES, SAMPLES_FILE),
+        (added_samples(), ADDED_SAMPLES, ADDED_SAMPLES_FILE),
+        (versioned_samples(), VERSIONED_SAMPLES, VERSIONED_SAMPLES_FILE),
+    ];
     for (samples, stored_samples, file) in versions {
         if std::env::var_os("CALICOHOIST_WRITE_SAMPLES").is_some() {
             std::fs::write(file, samples).expect("write samples");
--- a/crates/ledger/tests/list_age.rs
+++ b/crates/ledger/tests/list_age.rs
@@ -23,6 +23,7 @@
         zone: "hall".to_owned(),
         slots: 4,
         state: ReplicaState::Ready,
+        version: None,
     }]
 }
 
--- a/crates/ledger/tests/loads.rs
+++ b/crates/ledger/tests/loads.rs
@@ -16,6 +16,7 @@
         zone: "hall".to_owned(),
         slots: 4,
         state: ReplicaState::Ready,
+        version: None,
     }
 }
 
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -34,6 +34,8 @@
     pub previous_turn: Option<String>,
     /// Id of the last event that the client received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Id of the request that began the stream, if it is resumed.
+    pub resumes: Option<String>,
 }
 
 /// Request metadata sent to a replica.
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_routing::{PlacedReplica, Service};
+use calicohoist_routing::{PlacedReplica, Replica, Service, SoftwareVersion};
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 
@@ -163,12 +163,18 @@
     }
 }
 
+/// Returns the software version of a replica for log lines.
+pub fn version_label(replica: &Replica) -> &str {
+    replica.version.as_ref().map_or("-", SoftwareVersion::as_str)
+}
+
 fn log_sent(app: &App, call: &Call, member: &Member, permit: Permit) {
     let (own_load, other_load) = member.loads();
     emit!(
         Event::RequestSent;
         request = call.head.request_id,
         replica = member.replica.id,
+        version = version_label(&member.replica),
         own_load = own_load,
         other_load = format!("{:.1}", other_load.get()),
         list_age_ms = app.fleet.list_age().as_millis(),
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -104,6 +104,8 @@
         route = call.route.name,
         configuration = call.table.version(),
         bytes = call.body.len(),
+        resumes = call.head.resumes.as_deref().unwrap_or("-"),
+        last_event = call.head.last_event_id.as_deref().unwrap_or("-"),
         left_ms = call.time_left().as_millis(),
     );
 }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -16,7 +16,7 @@
 
 use super::buffered;
 use super::call::Call;
-use super::dispatch::{AttemptState, Payload, dispatch};
+use super::dispatch::{AttemptState, Payload, dispatch, version_label};
 use super::error::GatewayError;
 use super::failure;
 use super::headers::remove_hop_by_hop_headers;
@@ -260,6 +260,7 @@
             Event::StreamBroken;
             request = self.call.head.request_id,
             replica = failed.replica.id,
+            version = version_label(&failed.replica),
             events = self.events,
             resumable = self.call.route.resumable,
         );
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -7,7 +7,7 @@
 use calicohoist_ledger::client::RequestError;
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
-    FleetUpdate, ListDigest, Packed, TermVersion, WatchRequest, WatchUpdate,
+    FleetUpdate, ListDigest, TermVersion, UnpackError, WatchRequest, WatchUpdate,
 };
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
 use calicohoist_routing::{
@@ -116,8 +116,15 @@
                     Ok(replicas) => self.apply_list(mark, replicas),
                     Err(error) => emit!(Event::ListRejected; list = mark, error = error),
                 },
+                Ok(LedgerResponse::VersionedList { mark, replicas }) => match replicas.unpack() {
+                    Ok(replicas) => self.apply_list(mark, replicas.into_replicas()),
+                    Err(error) => emit!(Event::ListRejected; list = mark, error = error),
+                },
                 Ok(LedgerResponse::ListChanges { since, mark, patch }) => {
-                    self.apply_list_changes(since, mark, &patch);
+                    self.apply_list_changes(since, mark, || patch.unpack());
+                }
+                Ok(LedgerResponse::VersionedChanges { since, mark, patch }) => {
+                    self.apply_list_changes(since, mark, || patch.unpack().map(ListPatch::from));
                 }
                 Ok(LedgerResponse::DrainedZones(drained)) => self.apply_drained_zones(drained),
                 Ok(LedgerResponse::News(news)) => self.apply_news(news),
@@ -189,14 +196,19 @@
 
     /// Applies changes to the list. If they are not those of the current list, the leader is asked
     /// for the whole list.
-    fn apply_list_changes(&self, since: ListDigest, mark: ListDigest, patch: &Packed<ListPatch>) {
+    fn apply_list_changes(
+        &self,
+        since: ListDigest,
+        mark: ListDigest,
+        unpack: impl FnOnce() -> Result<ListPatch, UnpackError>,
+    ) {
         let mut state = self.state.lock();
         if state.list != since {
             return;
         }
         // Until the changes are applied, and if that fails, no list is held.
         state.list = ListDigest::default();
-        let patch = match patch.unpack() {
+        let patch = match unpack() {
             Ok(patch) => patch,
             Err(error) => return emit!(Event::ListRejected; list = mark, error = error),
         };
--- a/crates/proxy/tests/cold.rs
+++ b/crates/proxy/tests/cold.rs
@@ -18,6 +18,7 @@
         zone: zone.to_owned(),
         slots: 4,
         state: ReplicaState::Ready,
+        version: None,
     }
 }
 
--- a/crates/proxy/tests/incarnations.rs
+++ b/crates/proxy/tests/incarnations.rs
@@ -22,6 +22,7 @@
         zone: "hall".to_owned(),
         slots: 4,
         state: ReplicaState::Ready,
+        version: None,
     }
 }
 
--- a/crates/proxy/tests/preference.rs
+++ b/crates/proxy/tests/preference.rs
@@ -22,6 +22,7 @@
         zone: ZONES[number % ZONES.len()].to_owned(),
         slots: 4,
         state: ReplicaState::Ready,
+        version: None,
     };
     (0..count).map(replica).collect()
 }
--- a/crates/routing/src/patch.rs
+++ b/crates/routing/src/patch.rs
@@ -95,6 +95,22 @@
         self.edits.into_iter().map(part).collect()
     }
 
+    /// Returns the replicas that are new or have changed, in the order of the new list.
+    pub fn inserted(&self) -> impl Iterator<Item = &Replica> {
+        self.edits.iter().filter_map(|edit| match edit {
+            ListEdit::Insert(replica) => Some(replica),
+            ListEdit::Copy { .. } => None,
+        })
+    }
+
+    /// Returns the replicas that are new or have changed, in the order of the new list.
+    pub fn inserted_mut(&mut self) -> impl Iterator<Item = &mut Replica> {
+        self.edits.iter_mut().filter_map(|edit| match edit {
+            ListEdit::Insert(replica) => Some(replica),
+            ListEdit::Copy { .. } => None,
+        })
+    }
+
     /// Returns whether the patch contains every replica anew.
     pub fn is_complete(&self) -> bool {
         self.edits.iter().all(|edit| matches!(edit, ListEdit::Insert(_)))
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -1,6 +1,9 @@
 //! Replicas of services, as listed by discovery.
 
+use std::convert::Infallible;
+use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -13,6 +16,37 @@
     Draining,
 }
 
+/// Version of the software that a replica runs, as its operator names it. Versions have no order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Creates a version from its name.
+    pub fn new(name: impl Into<String>) -> Self {
+        Self(name.into())
+    }
+
+    /// Returns the name of the version.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        Ok(Self::new(name))
+    }
+}
+
 /// One running replica of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
@@ -29,6 +63,10 @@
     pub slots: u32,
     /// Whether the replica accepts new requests.
     pub state: ReplicaState,
+    /// Version of the software; `None` if unknown. Not encoded, so that the encoding stays the one
+    /// that earlier builds read.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// All replicas, as read from discovery at one time.
--- a/crates/routing/tests/eligibility.rs
+++ b/crates/routing/tests/eligibility.rs
@@ -23,6 +23,7 @@
         zone: zone.to_owned(),
         slots: 8,
         state,
+        version: None,
     }
 }
 
--- a/crates/routing/tests/incarnation.rs
+++ b/crates/routing/tests/incarnation.rs
@@ -26,6 +26,7 @@
         zone: "hall".to_owned(),
         slots: 4,
         state: ReplicaState::Ready,
+        version: None,
     }
 }
 
--- a/crates/routing/tests/patch.rs
+++ b/crates/routing/tests/patch.rs
@@ -14,6 +14,7 @@
         zone: "hall".to_owned(),
         slots: 4,
         state,
+        version: None,
     }
 }
 
--- a/crates/scheduler/benches/placement.rs
+++ b/crates/scheduler/benches/placement.rs
@@ -25,6 +25,7 @@
         zone: ZONES[number % ZONES.len()].to_owned(),
         slots: 6,
         state: ReplicaState::Ready,
+        version: None,
     };
     (0..count).map(replica).collect()
 }
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -21,6 +21,7 @@
         zone: "z".to_owned(),
         slots: SLOTS,
         state: ReplicaState::Ready,
+        version: None,
     };
     (0..count).map(replica).collect()
 }
--- a/crates/scheduler/tests/cold.rs
+++ b/crates/scheduler/tests/cold.rs
@@ -35,6 +35,7 @@
         zone: zone.to_owned(),
         slots: 8,
         state: ReplicaState::Ready,
+        version: None,
     }
 }
 
--- a/crates/scheduler/tests/cold_return.rs
+++ b/crates/scheduler/tests/cold_return.rs
@@ -78,6 +78,7 @@
         zone: zone.to_owned(),
         slots: 8,
         state: ReplicaState::Ready,
+        version: None,
     }
 }
 
--- a/crates/scheduler/tests/failures.rs
+++ b/crates/scheduler/tests/failures.rs
@@ -15,6 +15,7 @@
         zone: "hall".to_owned(),
         slots: 8,
         state: ReplicaState::Ready,
+        version: None,
     };
     (0..count).map(replica).collect()
 }
--- a/crates/scheduler/tests/large_service.rs
+++ b/crates/scheduler/tests/large_service.rs
@@ -31,6 +31,7 @@
         zone: ZONES[number % ZONES.len()].to_owned(),
         slots: SLOTS,
         state: ReplicaState::Ready,
+        version: None,
     };
     (0..count).map(replica).collect()
 }
--- a/crates/scheduler/tests/overload/simulation.rs
+++ b/crates/scheduler/tests/overload/simulation.rs
@@ -150,6 +150,7 @@
             zone: "z".to_owned(),
             slots: scenario.engine.slots,
             state: ReplicaState::Ready,
+            version: None,
         };
         let mut simulation = Self {
             rng: Rng(scenario.seed),
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -26,6 +26,7 @@
         zone: "z".to_owned(),
         slots,
         state: ReplicaState::Ready,
+        version: None,
     }
 }
 
