Gateways: continue an interrupted stream only at the version that began it

Callers got answers whose events come from replicas of two software versions, within one answer.

Cause: when a replica broke off a resumable stream, the gateway chose the next one by health, load and distance; the version of a replica was no part of the choice.

Change: the first event that is forwarded binds the stream to the software of its replica. Every way to choose a replica checks it: the one that began the stream, the placement of the leader, the search. A replica that is listed with another version under its id by then no longer counts as the one that began it. Where the version is unknown, only the same replica continues. With no such replica the answer is cut, so that the client takes the stream up or starts again.

Streams without events yet are not bound.

--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -16,8 +16,8 @@
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
     Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, EntryStatus, HomeRegions,
-    IncarnationTracker, ListPart, ListPatch, PatchError, Replica, Topology, UndrainedZones, choose,
-    spread, stable_hash,
+    IncarnationTracker, ListPart, ListPatch, PatchError, Replica, SoftwareRequirement, Topology,
+    UndrainedZones, choose, spread, stable_hash,
 };
 use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
 
@@ -48,6 +48,8 @@
     pub zone: &'a str,
     /// Home regions of the request: the regions in which it may be served.
     pub homes: &'a HomeRegions,
+    /// Software that may run the request.
+    pub software: &'a SoftwareRequirement,
     /// Ids of replicas that must not be selected.
     pub excluded: &'a [String],
     /// Id of the request.
@@ -256,29 +258,32 @@
         RwLockReadGuard::map(self.services.read(), |services| services.members_of(service))
     }
 
-    /// Returns whether a replica is listed with the same id, i.e. has not restarted, and is
-    /// eligible for requests with these home regions.
-    pub fn is_eligible(&self, replica: &Replica, homes: &HomeRegions) -> bool {
+    /// Returns the current entry of a replica if it is listed with the same id, i.e. has not
+    /// restarted, and is eligible for requests with these home regions and this software.
+    pub fn find_eligible(
+        &self,
+        service: &str,
+        id: &str,
+        homes: &HomeRegions,
+        software: &SoftwareRequirement,
+    ) -> Option<Arc<Member>> {
         let services = self.services.read();
-        let listed = services.find(&replica.id).map(|member| &member.replica);
-        listed.is_some_and(|listed| {
-            listed.service == replica.service && self.meets_rules(listed, homes)
-        })
+        let member = services.find(id).filter(|member| member.replica.service == service)?;
+        let is_eligible =
+            software.admits(&member.replica) && self.meets_rules(&member.replica, homes);
+        is_eligible.then(|| Arc::clone(member))
     }
 
-    /// Returns a replica if it is eligible for requests with these home regions and has no
-    /// penalty.
+    /// Returns a replica if it is eligible, see [`Self::find_eligible`], and has no penalty.
     pub fn find_healthy(
         &self,
         service: &str,
         id: &str,
         homes: &HomeRegions,
+        software: &SoftwareRequirement,
     ) -> Option<Arc<Member>> {
-        let services = self.services.read();
-        let member = services.find(id).filter(|member| member.replica.service == service)?;
-        let is_eligible = self.meets_rules(&member.replica, homes);
-        let is_healthy = member.penalty(Instant::now()).is_zero();
-        (is_eligible && is_healthy).then(|| Arc::clone(member))
+        let member = self.find_eligible(service, id, homes, software)?;
+        member.penalty(Instant::now()).is_zero().then_some(member)
     }
 
     /// Returns whether a replica is eligible for requests with these home regions.
@@ -369,8 +374,16 @@
         weights: &CostWeights,
         pool: &Pool,
     ) -> Option<Arc<Member>> {
-        let ReplicaCriteria { service, zone, homes, excluded, request, affinity, exclude_cold } =
-            *criteria;
+        let ReplicaCriteria {
+            service,
+            zone,
+            homes,
+            software,
+            excluded,
+            request,
+            affinity,
+            exclude_cold,
+        } = *criteria;
         let now = Instant::now();
         let services = self.services.read().clone();
         // Taken once, so that all candidates are checked against the same zones.
@@ -378,6 +391,7 @@
         let rules = self.rules(homes, &drained);
         let is_eligible = |member: &&Arc<Member>| {
             rules.admits(&member.replica)
+                && software.admits(&member.replica)
                 && !excluded.contains(&member.replica.id)
                 && !(exclude_cold && self.is_cold(&member.replica, now))
         };
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_routing::{PlacedReplica, Replica, Service, SoftwareVersion};
+use calicohoist_routing::{PlacedReplica, Replica, Service, SoftwareRequirement, SoftwareVersion};
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 
@@ -65,6 +65,8 @@
     /// Number of attempts that may have run.
     pub attempts: u32,
     rejections: usize,
+    /// Software that may run the request.
+    software: SoftwareRequirement,
     /// Placement by the leader, used for the first attempt if it is still valid.
     placement: Option<PlacedReplica>,
     /// Permit for the next attempt under the tenant's rate limit.
@@ -77,6 +79,11 @@
         Self { placement, permit, ..Self::default() }
     }
 
+    /// Restricts further attempts to the software that continues a stream which `replica` began.
+    pub fn require_software_of(&mut self, replica: &Replica) {
+        self.software = SoftwareRequirement::to_continue(replica);
+    }
+
     /// Records the replica on which the request started.
     pub fn record_started(&mut self, member: &Arc<Member>) {
         self.started_on = Some(Arc::clone(member));
@@ -263,14 +270,17 @@
     let homes = call.homes();
     let exclude_cold = service.cold.is_some();
     let now = Instant::now();
-    if let Some(started_on) = attempt_state.started_on.take()
-        && app.fleet.is_eligible(&started_on.replica, &homes)
-        && !(exclude_cold && app.fleet.is_cold(&started_on.replica, now))
+    let started_on = attempt_state.started_on.take();
+    let software = &attempt_state.software;
+    if let Some(Member { replica, .. }) = started_on.as_deref()
+        && let Some(member) =
+            app.fleet.find_eligible(&replica.service, &replica.id, &homes, software)
+        && !(exclude_cold && app.fleet.is_cold(&member.replica, now))
     {
-        return Some((started_on, None));
+        return Some((member, None));
     }
     if let Some(placement) = attempt_state.placement.take()
-        && let Some(member) = app.fleet.find_healthy(&service.name, &placement.id, &homes)
+        && let Some(member) = app.fleet.find_healthy(&service.name, &placement.id, &homes, software)
     {
         let is_cold = exclude_cold && app.fleet.is_cold(&member.replica, now);
         if placement.is_valid(is_cold, now) {
@@ -282,6 +292,7 @@
         service: &service.name,
         zone: &app.settings.zone,
         homes: &homes,
+        software,
         excluded: &attempt_state.excluded,
         request: &call.head.request_id,
         affinity: call.affinity(),
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -52,6 +52,7 @@
     // The head is sent only after the first event, so that another replica can still be used until
     // then.
     let first = relay.next_event().await?;
+    relay.pin_software();
     let headers = relay.headers();
     let (sender, chunks) = mpsc::unbounded_channel();
     tokio::spawn(relay.run(first, sender));
@@ -118,6 +119,11 @@
         }
     }
 
+    /// Binds the stream to the software of the current replica, whose first event is forwarded.
+    fn pin_software(&mut self) {
+        self.attempt_state.require_software_of(&self.exchange.member.replica);
+    }
+
     fn headers(&self) -> HeaderMap {
         self.headers.clone()
     }
--- a/crates/proxy/tests/cold.rs
+++ b/crates/proxy/tests/cold.rs
@@ -6,7 +6,7 @@
 use calicohoist_proxy::fleet::{Fleet, ReplicaCriteria};
 use calicohoist_proxy::upstream::Pool;
 use calicohoist_routing::{
-    Affinity, CostWeights, DrainedZones, HomeRegions, Replica, ReplicaState,
+    Affinity, CostWeights, DrainedZones, HomeRegions, Replica, ReplicaState, SoftwareRequirement,
 };
 use calicohoist_types::Zone;
 
@@ -43,6 +43,7 @@
         service: "models",
         zone: "near",
         homes: &homes,
+        software: &SoftwareRequirement::Any,
         excluded: &[],
         affinity: Affinity::default(),
         exclude_cold,
--- a/crates/proxy/tests/incarnations.rs
+++ b/crates/proxy/tests/incarnations.rs
@@ -6,7 +6,7 @@
 
 use calicohoist_proxy::fleet::Fleet;
 use calicohoist_routing::{
-    DrainedZones, HomeRegions, Incarnation, Replica, ReplicaState, StartTime,
+    DrainedZones, HomeRegions, Incarnation, Replica, ReplicaState, SoftwareRequirement, StartTime,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -42,6 +42,7 @@
             proptest::collection::vec(0_u64..5, IDENTITIES as usize), 1..12,
         ),
     ) {
+        let any = SoftwareRequirement::Any;
         let fleet = Fleet::new("front-1", Arc::default());
         fleet.set_drained(DrainedZones::none());
         let mut newest = [0; IDENTITIES as usize];
@@ -54,8 +55,8 @@
                 newest[position] = newest[position].max(*start_time);
                 let homes = HomeRegions::anywhere();
                 let is_newest = *start_time == newest[position];
-                prop_assert_eq!(fleet.is_eligible(listed, &homes), is_newest);
-                let member = fleet.find_healthy("models", &listed.id, &homes);
+                prop_assert_eq!(fleet.find_eligible("models", &listed.id, &homes, &any).is_some(), is_newest);
+                let member = fleet.find_healthy("models", &listed.id, &homes, &any);
                 let load = member.map(|member| member.loads().1.get());
                 prop_assert_eq!(load, is_newest.then_some(10.0 + position as f64));
             }
--- a/crates/proxy/tests/preference.rs
+++ b/crates/proxy/tests/preference.rs
@@ -10,7 +10,9 @@
 use calicohoist_proxy::fleet::{Fleet, LoadGuard, ReplicaCriteria};
 use calicohoist_proxy::upstream::Pool;
 use calicohoist_routing::select::Affinity;
-use calicohoist_routing::{CostWeights, DrainedZones, HomeRegions, Replica, ReplicaState};
+use calicohoist_routing::{
+    CostWeights, DrainedZones, HomeRegions, Replica, ReplicaState, SoftwareRequirement,
+};
 
 const ZONES: [&str; 2] = ["hall", "annex"];
 
@@ -40,6 +42,7 @@
         service: "tools",
         zone: "hall",
         homes: &HomeRegions::anywhere(),
+        software: &SoftwareRequirement::Any,
         excluded,
         request: &request.to_string(),
         affinity: Affinity::default(),
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -69,6 +69,38 @@
     pub version: Option<SoftwareVersion>,
 }
 
+/// Software that may run a request. The output of two versions does not fit together, so a stream
+/// continues only at the version that began it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum SoftwareRequirement {
+    /// Any software.
+    #[default]
+    Any,
+    /// Replicas of this version.
+    Version(SoftwareVersion),
+    /// Only the replica with this id, because the version that began the stream is unknown.
+    Replica(String),
+}
+
+impl SoftwareRequirement {
+    /// Returns the requirement for continuing a stream that `replica` began.
+    pub fn to_continue(replica: &Replica) -> Self {
+        match &replica.version {
+            Some(version) => Self::Version(version.clone()),
+            None => Self::Replica(replica.id.clone()),
+        }
+    }
+
+    /// Returns whether `replica` may run the request.
+    pub fn admits(&self, replica: &Replica) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Version(version) => replica.version.as_ref() == Some(version),
+            Self::Replica(id) => replica.id == *id,
+        }
+    }
+}
+
 /// All replicas, as read from discovery at one time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaList {
