Gateways: continue a resumed stream only at the service and version that began it

Cause: the gateway that is asked for the rest of a stream knew nothing of its beginning; the header that names the request that began it was passed on unread.

Change: the gateway that forwards the first event records the stream's origin (service, version, replica) in the ledger, under the id of the request and its tenant, in the background: the first event waits for nothing. A request that resumes a stream looks the origin up, there and at any other gateway, and is bound to its service and version. Without a replica of that version: 503 at once, with Retry-After. Without a ledger: 503. Unknown origin, or a service that the route no longer sends to: 409, not run. The service of a route with weights follows the origin instead of the request id.

Weighed: a command and a part of the state of its own. Ledger machines of the build before would stop at the first such entry of the log, also when a machine goes back. The form of a retained turn is read by all builds. A wait for the record before the first event: a write to disk in each stream's first event, for a window in which the client cannot yet have reached another gateway. A record that is still on its way is looked up a second time after 50 ms.

--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -338,6 +338,18 @@
         eligible.peek().is_some() && eligible.all(|member| self.is_cold(&member.replica, now))
     }
 
+    /// Returns whether the service has an eligible replica with this software.
+    pub fn has_eligible(
+        &self,
+        service: &str,
+        homes: &HomeRegions,
+        software: &SoftwareRequirement,
+    ) -> bool {
+        let members = self.members_of(service);
+        let mut replicas = members.iter().map(|member| &member.replica);
+        replicas.any(|replica| software.admits(replica) && self.meets_rules(replica, homes))
+    }
+
     /// Returns whether the service has a replica in these home regions, ready or not.
     pub fn has_replica_in(&self, service: &str, homes: &HomeRegions) -> bool {
         let members = self.members_of(service);
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -1,21 +1,21 @@
 //! A client request whose body has been read.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
-    HomeRegions, Route, RouteKind, RouteTable, Service, Tenant, stable_hash,
+    HomeRegions, Route, RouteKind, RouteTable, Service, StreamOrigin, Tenant, stable_hash,
 };
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
 
 use crate::dialect::RequestHead;
 
-/// Separates the tenant name from a program or turn id. Neither can contain it: tenant names are
+/// Separates the tenant name from a program or turn id, and the parts of other ledger keys. Neither can contain it: tenant names are
 /// validated, and ids come from headers, which exclude control characters.
-const SCOPE_SEPARATOR: char = '\u{1f}';
+pub(super) const SCOPE_SEPARATOR: char = '\u{1f}';
 
 /// Route and tenant of a request.
 pub struct ResolvedRoute {
@@ -49,6 +49,8 @@
     pub received_at: Instant,
     /// Deadline for the response.
     pub deadline: Instant,
+    /// Origin of the stream that the request resumes, once known.
+    origin: OnceLock<StreamOrigin>,
 }
 
 impl Call {
@@ -73,9 +75,25 @@
             body,
             received_at,
             deadline: received_at + timeout,
+            origin: OnceLock::new(),
         }
     }
 
+    /// Returns whether the request resumes a stream that another request began.
+    pub fn resumes_stream(&self) -> bool {
+        self.route.resumable && (self.head.resumes.is_some() || self.head.last_event_id.is_some())
+    }
+
+    /// Binds the request to the origin of the stream that it resumes.
+    pub fn bind_to(&self, origin: StreamOrigin) {
+        let _ = self.origin.set(origin);
+    }
+
+    /// Returns the origin of the stream that the request resumes.
+    pub fn origin(&self) -> Option<&StreamOrigin> {
+        self.origin.get()
+    }
+
     /// Returns the name of the tenant.
     pub fn tenant_name(&self) -> Option<&str> {
         self.tenant.as_ref().map(|tenant| tenant.id.as_str())
@@ -126,9 +144,13 @@
         if may_retry { Instant::now() + self.time_left() / 2 } else { self.deadline }
     }
 
-    /// Returns the service selected by the weights of the route. A program always uses the same
-    /// service, since a replica's prompt cache is useless to another service.
+    /// Returns the service selected by the weights of the route, or the one that began the stream.
+    /// A program always uses the same service, since a replica's prompt cache is useless to another
+    /// service.
     pub fn service(&self) -> Option<&Arc<Service>> {
+        if let Some(origin) = self.origin() {
+            return self.table.service(&origin.service);
+        }
         let key = self.head.program.as_deref().unwrap_or(&self.head.request_id);
         let name = self.route.backend_for(stable_hash(&[key.as_bytes()]))?;
         self.table.service(name)
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_routing::{PlacedReplica, Replica, Service, SoftwareRequirement, SoftwareVersion};
+use calicohoist_routing::{
+    PlacedReplica, Replica, Service, SoftwareRequirement, SoftwareVersion, StreamOrigin,
+};
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 
@@ -79,9 +81,9 @@
         Self { placement, permit, ..Self::default() }
     }
 
-    /// Restricts further attempts to the software that continues a stream which `replica` began.
-    pub fn require_software_of(&mut self, replica: &Replica) {
-        self.software = SoftwareRequirement::to_continue(replica);
+    /// Restricts further attempts to the software that may continue a stream.
+    pub fn continue_from(&mut self, origin: &StreamOrigin) {
+        self.software = origin.software();
     }
 
     /// Records the replica on which the request started.
--- a/crates/proxy/src/flow/error.rs
+++ b/crates/proxy/src/flow/error.rs
@@ -49,6 +49,9 @@
     /// The turn to be continued does not exist.
     #[error("no such turn")]
     NoSuchTurn,
+    /// It is not known what began the stream to be resumed, so it cannot continue.
+    #[error("unknown stream")]
+    UnknownStream,
     /// The tenant has reached its rate limit.
     #[error("over the limit of {tenant}, {limit}, configuration {configuration}")]
     OverLimit {
@@ -106,6 +109,9 @@
     /// The route retains turns, and the ledger would store them outside the request's homes.
     #[error("cannot be kept in its homes")]
     RetainedOutsideHomes,
+    /// No replica runs the software version that began the stream.
+    #[error("no replica of its version")]
+    NoReplicaOfVersion,
     /// Every replica that was tried rejected the request or was unreachable.
     #[error("replicas full")]
     ReplicasFull,
@@ -142,6 +148,7 @@
             Self::BodyTooLarge | Self::BodyTruncated | Self::BodyTooSlow => "bad_body",
             Self::BudgetSpent => "budget_spent",
             Self::NoSuchTurn => "no_such_turn",
+            Self::UnknownStream => "unknown_stream",
             Self::OverLimit { .. } => "over_limit",
             Self::NotExecuted { .. } => "not_run",
             Self::Unknown => "unknown",
@@ -158,6 +165,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Self::UnknownStream => StatusCode::CONFLICT,
             Self::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -1,7 +1,8 @@
 //! Processing of a single request.
 //!
-//! [`handle`] reads a request and looks up its route and tenant; [`home`] checks whether it may be
-//! served in any region; [`permit`] enforces the tenant's rate limit; [`dispatch`] sends the
+//! [`handle`] reads a request and looks up its route and tenant; [`origin`]
+//! looks up which software began a stream that it resumes; [`home`] checks whether it may be served
+//! in any region; [`permit`] enforces the tenant's rate limit; [`dispatch`] sends the
 //! request to a replica; [`buffered`] and [`stream`] forward the response; [`turn`] manages the
 //! token budgets and turn histories of programs.
 
@@ -13,6 +14,7 @@
 mod failure;
 mod headers;
 mod home;
+mod origin;
 mod permit;
 mod response;
 mod stream;
@@ -30,7 +32,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
 
-use crate::app::App;
+use crate::app::{App, RequestGuard};
 use crate::memory::MemoryClass;
 use body::BodyReadError;
 use call::{Call, ResolvedRoute};
@@ -55,11 +57,7 @@
             let call = Arc::new(call);
             log_received(&call);
             let disconnect_guard = DisconnectGuard::new(&call);
-            let result = match (home::check(&app, &call), call.route.kind) {
-                (Err(error), _) => Err(error),
-                (Ok(()), RouteKind::Stream) => stream::serve(&app, &call, guard).await,
-                (Ok(()), RouteKind::Safe | RouteKind::Unsafe) => buffered::serve(&app, &call).await,
-            };
+            let result = serve(&app, &call, guard).await;
             disconnect_guard.disarm();
             result.unwrap_or_else(|error| {
                 log_error(&call.head.request_id, &call.route.name, received_at, &error);
@@ -73,6 +71,19 @@
     }
 }
 
+async fn serve(
+    app: &Arc<App>,
+    call: &Arc<Call>,
+    guard: RequestGuard,
+) -> Result<Response<ResponseBody>, GatewayError> {
+    origin::resolve(app, call).await?;
+    home::check(app, call)?;
+    match call.route.kind {
+        RouteKind::Stream => stream::serve(app, call, guard).await,
+        RouteKind::Safe | RouteKind::Unsafe => buffered::serve(app, call).await,
+    }
+}
+
 fn log_error(id: &str, route: &str, received_at: Instant, error: &GatewayError) {
     record_end(error.metric_label(), received_at.elapsed());
     emit!(
--- /dev/null
+++ b/crates/proxy/src/flow/origin.rs
@@ -0,0 +1,168 @@
+//! Origins of resumable streams.
+//!
+//! A client may resume a stream at any gateway, and replicas do not check which software began it.
+//! The gateway that forwards the first event therefore records the origin of the stream in the
+//! ledger, where all gateways find it.
+//!
+//! The record has the form of a retained turn with a key of its own: ledger machines of every build
+//! store it, also while two builds run side by side.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
+use calicohoist_ledger::{LedgerRequest, LedgerResponse};
+use calicohoist_routing::StreamOrigin;
+use calicohoist_scheduler::queue_timeout;
+use calicohoist_telemetry::metrics::Counter;
+use calicohoist_telemetry::{Event, emit};
+use calicohoist_wire::{decode, encode};
+use serde::{Deserialize, Serialize};
+
+use super::call::{Call, SCOPE_SEPARATOR};
+use super::error::{GatewayError, NotExecutedReason};
+use super::turn::{RESERVE_TIMEOUT, RETRY_AFTER, millis};
+use crate::app::App;
+
+/// Timeout for recording an origin. A stream that is still running then is rarely resumed.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Delay before an origin is looked up again that may still be on its way to the ledger.
+const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(50);
+/// Maximum time for which an origin is kept after the stream began or was resumed.
+const MAX_RETENTION: Duration = Duration::from_secs(60);
+/// Retry delay if no replica has the required software. About the interval between readings of the
+/// replica list.
+const REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+static STREAMS_RESUMED: Counter = Counter::new(
+    "calicohoist_proxy_streams_resumed_total",
+    "Streams that clients resumed, by what is known of their origin",
+    "origin",
+);
+
+/// Stored form of an origin. New variants are added at the end.
+#[derive(Debug, Serialize, Deserialize)]
+enum OriginRecord {
+    V1(StreamOrigin),
+}
+
+/// Records the origin of the stream that `call` begins, in the background.
+pub fn record(app: &Arc<App>, call: &Call, origin: StreamOrigin) {
+    let id = call.head.request_id.clone();
+    let Ok(input) = encode(&OriginRecord::V1(origin)) else {
+        return emit!(Event::StreamOriginLost; request = id, reason = "cannot be encoded");
+    };
+    let retained = RetainedTurn { previous: None, input, output: Vec::new() };
+    let question = LedgerRequest::Settle(SettleTurn {
+        program: None,
+        turn: origin_key(call, &id),
+        used_tokens: 0,
+        retention_ms: millis(retention(call)),
+        retained: Some(retained),
+        run: None,
+    });
+    let app = Arc::clone(app);
+    let guard = app.begin_request();
+    tokio::spawn(async move {
+        let _guard = guard;
+        if app.ledger.request(&question, Instant::now() + RECORD_TIMEOUT).await.is_err() {
+            emit!(Event::StreamOriginLost; request = id, reason = "no ledger leader responded");
+        }
+    });
+}
+
+/// Binds `call` to the origin of the stream that it resumes, if it resumes one.
+///
+/// # Errors
+/// Returns an error if the origin is unknown, or if no replica can continue the stream.
+pub async fn resolve(app: &App, call: &Call) -> Result<(), GatewayError> {
+    if !call.resumes_stream() {
+        return Ok(());
+    }
+    let result = match &call.head.resumes {
+        Some(first) => bind(app, call, first).await,
+        None => Err(GatewayError::UnknownStream),
+    };
+    STREAMS_RESUMED.inc(match &result {
+        Ok(()) => "known",
+        Err(GatewayError::UnknownStream) => "unknown",
+        Err(GatewayError::NotExecuted {
+            reason: NotExecutedReason::NoReplicaOfVersion, ..
+        }) => "no_replica",
+        Err(_) => "unavailable",
+    });
+    result
+}
+
+async fn bind(app: &App, call: &Call, first: &str) -> Result<(), GatewayError> {
+    let origin = match find(app, call, first).await? {
+        Some(origin) => Some(origin),
+        None => {
+            tokio::time::sleep(SECOND_LOOKUP_DELAY).await;
+            find(app, call, first).await?
+        }
+    };
+    let origin = origin.filter(|origin| call.route.sends_to(&origin.service));
+    let origin = origin.ok_or(GatewayError::UnknownStream)?;
+    emit!(
+        Event::StreamResumed;
+        request = call.head.request_id,
+        resumes = first,
+        service = origin.service,
+        version = origin.version.as_ref().map_or("-", |version| version.as_str()),
+        replica = origin.replica,
+    );
+    let has_replica = app.fleet.has_eligible(&origin.service, &call.homes(), &origin.software());
+    call.bind_to(origin);
+    if has_replica {
+        return Ok(());
+    }
+    Err(GatewayError::not_executed(NotExecutedReason::NoReplicaOfVersion, REPLICA_RETRY_AFTER))
+}
+
+/// Looks up the origin of the stream that the request `first` began. Returns `None` if the ledger
+/// has none.
+async fn find(app: &App, call: &Call, first: &str) -> Result<Option<StreamOrigin>, GatewayError> {
+    let question = LedgerRequest::Reserve {
+        reserve: ReserveTurn {
+            program: None,
+            turn: origin_key(call, &call.head.request_id),
+            most_tokens: 0,
+            budget: u64::MAX,
+            previous: Some(origin_key(call, first)),
+            retention_ms: millis(retention(call)),
+        },
+        placement: None,
+        permit: None,
+    };
+    let deadline = Instant::now() + queue_timeout(call.time_left(), RESERVE_TIMEOUT);
+    match app.ledger.request(&question, deadline).await {
+        Ok(LedgerResponse::Reserved { reservation: Reservation::Granted, history, .. }) => {
+            Ok(read_record(&call.head.request_id, &history))
+        }
+        Ok(LedgerResponse::Reserved { reservation: Reservation::NoSuchTurn, .. }) => Ok(None),
+        _ => Err(GatewayError::not_executed(NotExecutedReason::LedgerUnavailable, RETRY_AFTER)),
+    }
+}
+
+/// Decodes a record. One that a later build wrote counts as unknown.
+fn read_record(request: &str, record: &[u8]) -> Option<StreamOrigin> {
+    match decode(record) {
+        Ok(OriginRecord::V1(origin)) => Some(origin),
+        Err(error) => {
+            emit!(Event::StreamOriginLost; request = request, reason = error);
+            None
+        }
+    }
+}
+
+/// Returns the key of a stream's origin. Keys of turns never begin with the separator.
+fn origin_key(call: &Call, first: &str) -> String {
+    format!("{SCOPE_SEPARATOR}origin{SCOPE_SEPARATOR}{}", call.scoped(first))
+}
+
+/// Returns how long a stream that begins or is resumed now may be resumed.
+fn retention(call: &Call) -> Duration {
+    let client_deadline = call.head.deadline.unwrap_or_default();
+    client_deadline.max(call.route.timeout).min(MAX_RETENTION)
+}
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_routing::StreamOrigin;
 use calicohoist_telemetry::{Event, emit};
 use http_body_util::BodyExt;
 use hyper::header::CONTENT_TYPE;
@@ -20,6 +21,7 @@
 use super::error::GatewayError;
 use super::failure;
 use super::headers::remove_hop_by_hop_headers;
+use super::origin;
 use super::response::{BodyAborted, ResponseBody};
 use super::turn::Turn;
 use crate::app::{App, RequestGuard};
@@ -39,6 +41,9 @@
     let payload =
         Payload { body: turn.body.clone(), last_event_id: call.head.last_event_id.clone() };
     let mut attempt_state = AttemptState::new(turn.placement.take(), turn.permit);
+    if let Some(origin) = call.origin() {
+        attempt_state.continue_from(origin);
+    }
     let sent_at = Instant::now();
     let exchange = dispatch(app, call, &payload, &mut attempt_state).await?;
     turn.sent_at = Some(sent_at);
@@ -52,7 +57,9 @@
     // The head is sent only after the first event, so that another replica can still be used until
     // then.
     let first = relay.next_event().await?;
-    relay.pin_software();
+    if first.is_some() {
+        relay.begin_stream();
+    }
     let headers = relay.headers();
     let (sender, chunks) = mpsc::unbounded_channel();
     tokio::spawn(relay.run(first, sender));
@@ -119,9 +126,19 @@
         }
     }
 
-    /// Binds the stream to the software of the current replica, whose first event is forwarded.
-    fn pin_software(&mut self) {
-        self.attempt_state.require_software_of(&self.exchange.member.replica);
+    /// Binds a new stream to the software of the current replica, whose first event is forwarded.
+    ///
+    /// The record is written in the background: the first event does not wait for the ledger, and a
+    /// stream without a record is not continued.
+    fn begin_stream(&mut self) {
+        if self.call.origin().is_some() {
+            return;
+        }
+        let origin = StreamOrigin::at(&self.exchange.member.replica);
+        self.attempt_state.continue_from(&origin);
+        if self.call.route.resumable {
+            origin::record(&self.app, &self.call, origin);
+        }
     }
 
     fn headers(&self) -> HeaderMap {
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -28,12 +28,13 @@
 );
 
 /// Timeout of a reservation. Covers a leader election.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(super) const RESERVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Timeout for settling a turn in the background.
 const BACKGROUND_SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum time for which a turn waits for its placement.
 const PLACEMENT_TIMEOUT: Duration = Duration::from_millis(2_500);
-const RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry delay if the ledger does not respond.
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// A turn with its reservation. If dropped before it has completed, it is settled in the
 /// background.
@@ -351,7 +352,7 @@
     body.freeze()
 }
 
-fn millis(duration: Duration) -> u64 {
+pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -368,6 +369,10 @@
 
 /// Builds the placement request for a turn whose prompt is known.
 fn placement_request(app: &App, call: &Call) -> Option<PlacementRequest> {
+    // The leader places turns regardless of versions.
+    if call.origin().is_some() {
+        return None;
+    }
     let service = call.service()?;
     let engine = service.engine.as_ref()?;
     Some(PlacementRequest {
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns whether the route sends requests to the service.
+    pub fn sends_to(&self, service: &str) -> bool {
+        self.backends.iter().any(|backend| backend.weight > 0 && backend.service == service)
+    }
+
     /// Returns the service for a request with this hash, which must be uniformly distributed.
     pub fn backend_for(&self, hash: u64) -> Option<&str> {
         let total: u64 = self.backends.iter().map(|backend| u64::from(backend.weight)).sum();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -38,7 +38,9 @@
 pub use incarnation::{EntryStatus, Incarnation, IncarnationTracker, IncarnationUpdate, StartTime};
 pub use load::{MeanLoad, expected_queue_length};
 pub use patch::{ListPart, ListPatch, PatchError};
-pub use replica::{Replica, ReplicaList, ReplicaState, SoftwareRequirement, SoftwareVersion};
+pub use replica::{
+    Replica, ReplicaList, ReplicaState, SoftwareRequirement, SoftwareVersion, StreamOrigin,
+};
 pub use select::{Affinity, Candidate, CostWeights, choose, spread, stable_hash};
 pub use table::RouteTable;
 pub use tenant::{ApiKey, ApiKeyIndex, Credential, KeySecret, RateLimit, Tenant};
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -83,14 +83,6 @@
 }
 
 impl SoftwareRequirement {
-    /// Returns the requirement for continuing a stream that `replica` began.
-    pub fn to_continue(replica: &Replica) -> Self {
-        match &replica.version {
-            Some(version) => Self::Version(version.clone()),
-            None => Self::Replica(replica.id.clone()),
-        }
-    }
-
     /// Returns whether `replica` may run the request.
     pub fn admits(&self, replica: &Replica) -> bool {
         match self {
@@ -101,6 +93,33 @@
     }
 }
 
+/// Service and software that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Name of the service.
+    pub service: String,
+    /// Version of the replica that began the stream; `None` if unknown.
+    pub version: Option<SoftwareVersion>,
+    /// Id of the replica that began the stream.
+    pub replica: String,
+}
+
+impl StreamOrigin {
+    /// Returns the origin of a stream that `replica` begins.
+    pub fn at(replica: &Replica) -> Self {
+        let Replica { id, service, version, .. } = replica;
+        Self { service: service.clone(), version: version.clone(), replica: id.clone() }
+    }
+
+    /// Returns the software that may continue the stream.
+    pub fn software(&self) -> SoftwareRequirement {
+        match &self.version {
+            Some(version) => SoftwareRequirement::Version(version.clone()),
+            None => SoftwareRequirement::Replica(self.replica.clone()),
+        }
+    }
+}
+
 /// All replicas, as read from discovery at one time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaList {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -115,6 +115,10 @@
     LimitPressed = 4115, Info;
     /// A new leader counts permits issued by earlier leaders towards tenant limits.
     PermitsInherited = 4116, Info;
+    /// A client resumes a stream whose origin is known.
+    StreamResumed = 4117, Info;
+    /// The origin of a stream could not be recorded or read; the stream cannot be resumed.
+    StreamOriginLost = 4118, Warn;
     /// The leader's set of cold replicas changed.
     ColdReplicasChanged = 4121, Info;
     /// Replicas restarted with an unchanged identity.
