Leader: place resumed streams at replicas of the version that began them

Cause: the leader placed turns regardless of versions, so a gateway could not ask it where a resumed stream should continue, and chose by itself: blind to what the leader had placed since, and never at cold replicas, which during a release may be all that a version has.

Change: a placement may require a software version; groups of the candidate index and turns that compete for the same replicas differ by it. On the wire the requirement wraps the request (protocol version 4), since the encoding of a placement is read by earlier builds; a leader of an earlier version places the turn anywhere, and the gateway, which checks each replica anyway, chooses by itself.

Tests: a turn that requires a version, in a small service and as two of 1,200 replicas; the wrapped request reaches a leader that supports it and leaves the others' encoding as it was (samples equal byte for byte).

--- a/crates/ledger/src/client/timing.rs
+++ b/crates/ledger/src/client/timing.rs
@@ -55,7 +55,8 @@
             | LedgerRequest::Permit(_)
             | LedgerRequest::Settle { .. }
             | LedgerRequest::ReportFailure { .. }
-            | LedgerRequest::FindLeader => self.response_timeout,
+            | LedgerRequest::FindLeader
+            | LedgerRequest::ForVersion { .. } => self.response_timeout,
         }
     }
 }
--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -12,7 +12,7 @@
 use std::fmt;
 
 use calicohoist_limiter::{PermitAnswer, PermitRequest};
-use calicohoist_routing::{DrainedZones, ListPatch, Replica, ReplicaList};
+use calicohoist_routing::{DrainedZones, ListPatch, Replica, ReplicaList, SoftwareVersion};
 use calicohoist_scheduler::{Decision, PlacementRequest};
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,10 @@
 pub use versioned::{VersionedPatch, VersionedReplicas};
 
 /// A request with its number.
+///
+/// The encoding of a placement leaves out the required software version. [`Self::encode`] wraps such
+/// a request in [`LedgerRequest::ForVersion`], and [`Self::read`] unwraps it. A leader that does not
+/// support that places the turn anywhere; the gateway then chooses a replica by itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RequestEnvelope {
     /// Number that the response repeats; unique within the connection.
@@ -77,6 +81,43 @@
     /// Requests the current leader. The response is held for a while if there is none. Needs no
     /// access to log or disk.
     FindLeader,
+    /// A [`Self::Reserve`] or [`Self::Place`] whose placement requires a software version. Only used
+    /// on the wire; see [`RequestEnvelope`].
+    ForVersion {
+        /// Required version.
+        version: SoftwareVersion,
+        /// The request.
+        request: Box<LedgerRequest>,
+    },
+}
+
+impl LedgerRequest {
+    fn placement_mut(&mut self) -> Option<&mut PlacementRequest> {
+        match self {
+            Self::Reserve { placement, .. } => placement.as_mut(),
+            Self::Place { placement, .. } => Some(placement),
+            _ => None,
+        }
+    }
+
+    /// Wraps a request whose placement requires a software version.
+    fn wrap_version(mut self) -> Self {
+        match self.placement_mut().and_then(|placement| placement.version.take()) {
+            Some(version) => Self::ForVersion { version, request: Box::new(self) },
+            None => self,
+        }
+    }
+
+    /// Reverses [`Self::wrap_version`].
+    fn unwrap_version(self) -> Self {
+        let Self::ForVersion { version, mut request } = self else {
+            return self;
+        };
+        if let Some(placement) = request.placement_mut() {
+            placement.version = Some(version);
+        }
+        *request
+    }
 }
 
 /// Versions of the data that a gateway holds, and its load report.
--- a/crates/ledger/src/protocol/v1.rs
+++ b/crates/ledger/src/protocol/v1.rs
@@ -169,6 +169,9 @@
                 RequestV1::ReportFailure { replica }
             }
             LedgerRequest::FindLeader => RequestV1::FindLeader,
+            LedgerRequest::ForVersion { request, .. } => {
+                return Self::from(RequestEnvelope { number, question: *request });
+            }
         };
         Self { number, question }
     }
@@ -200,11 +203,12 @@
             is_under_way,
             homes: HomeRegions::anywhere(),
             cold: None,
+            version: None,
         }
     }
 }
 
-/// Leaders of version 1 support neither home regions nor cold replicas. The gateway enforces these
+/// Leaders of version 1 support neither home regions nor cold replicas nor software versions. The gateway enforces these
 /// restrictions itself, whatever placement the leader returns.
 impl From<PlacementRequest> for PlacementRequestV1 {
     fn from(request: PlacementRequest) -> Self {
@@ -220,6 +224,7 @@
             is_under_way,
             homes: _,
             cold: _,
+            version: _,
         } = request;
         connected.iter_mut().for_each(strip_incarnation);
         Self {
--- a/crates/ledger/src/protocol/version.rs
+++ b/crates/ledger/src/protocol/version.rs
@@ -5,12 +5,12 @@
 //! | 1 | builds without protocol versions | |
 //! | 2 | drained zones | versions, zones of ledger machines, compressed frames, drained zones, cold replicas, home regions |
 //! | 3 | list patches | additional answers to a watch: packed lists, list changes, updates without idle replicas |
-//! | 4 | software versions of replicas | additional answers to a watch: lists and list changes with versions |
+//! | 4 | software versions of replicas | additional answers to a watch: lists and list changes with versions; placements that require a version |
 //!
 //! Any change to the encoding of a message requires a new version and a module that converts from
 //! and to the previous version. All other code uses the types of the latest version only. Versions
-//! 3 and 4 only add answers, so that versions 2 and 3 need no types of their own: a leader sends
-//! them only to gateways that support them.
+//! 3 and 4 only add messages, so that versions 2 and 3 need no types of their own: these messages are
+//! sent only to processes that support them.
 
 use calicohoist_transport::{Frame, FrameError, FrameReader, ProtocolVersion, VersionRange};
 use tokio::io::AsyncRead;
@@ -26,8 +26,9 @@
 /// [`LedgerResponse::ListChanges`](super::LedgerResponse::ListChanges) and
 /// [`LedgerResponse::Update`](super::LedgerResponse::Update).
 pub const LIST_PATCH_VERSION: ProtocolVersion = ProtocolVersion::new(3);
-/// First version with [`LedgerResponse::VersionedList`](super::LedgerResponse::VersionedList) and
-/// [`LedgerResponse::VersionedChanges`](super::LedgerResponse::VersionedChanges).
+/// First version with [`LedgerResponse::VersionedList`](super::LedgerResponse::VersionedList),
+/// [`LedgerResponse::VersionedChanges`](super::LedgerResponse::VersionedChanges) and
+/// [`LedgerRequest::ForVersion`](super::LedgerRequest::ForVersion).
 pub const REPLICA_VERSIONS_VERSION: ProtocolVersion = ProtocolVersion::new(4);
 /// Protocol versions that this build supports. During a rolling upgrade, machines of the previous
 /// build run alongside it.
@@ -42,7 +43,11 @@
     pub fn encode(self, version: ProtocolVersion) -> Result<Frame, FrameError> {
         match version {
             ProtocolVersion::LEGACY => Frame::encode(&RequestEnvelopeV1::from(self)),
-            _ => Frame::encode(&self),
+            version if version < REPLICA_VERSIONS_VERSION => Frame::encode(&self),
+            _ => {
+                let Self { number, question } = self;
+                Frame::encode(&Self { number, question: question.wrap_version() })
+            }
         }
     }
 
@@ -56,7 +61,10 @@
     ) -> Result<Self, FrameError> {
         match version {
             ProtocolVersion::LEGACY => frames.next::<RequestEnvelopeV1>().await.map(Self::from),
-            _ => frames.next().await,
+            _ => {
+                let Self { number, question } = frames.next().await?;
+                Ok(Self { number, question: question.unwrap_version() })
+            }
         }
     }
 }
--- a/crates/ledger/src/server/gateways/legacy.rs
+++ b/crates/ledger/src/server/gateways/legacy.rs
@@ -100,7 +100,8 @@
             }
             LedgerRequest::Reserve { placement: None, .. }
             | LedgerRequest::Permit(_)
-            | LedgerRequest::FindLeader => {}
+            | LedgerRequest::FindLeader
+            | LedgerRequest::ForVersion { .. } => {}
         }
         question
     }
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -197,6 +197,8 @@
                 let service = service.clone();
                 tokio::spawn(async move { service.watch(seen, responder).await });
             }
+            // Unwrapped when read, unless a peer wraps a request twice.
+            LedgerRequest::ForVersion { .. } => responder.send(LedgerResponse::Unavailable),
         }
     }
 }
@@ -219,6 +221,7 @@
         LedgerRequest::Watch(_) => "watch",
         LedgerRequest::ReportFailure { .. } => "failure",
         LedgerRequest::FindLeader => "find_leader",
+        LedgerRequest::ForVersion { request, .. } => question_kind(request),
     }
 }
 
--- a/crates/ledger/tests/formats.rs
+++ b/crates/ledger/tests/formats.rs
@@ -11,8 +11,9 @@
 use calicohoist_ledger::commands::{Command, Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
-    FleetUpdate, ListDigest, Packed, ReplicaLoad, RequestEnvelope, ResponseEnvelope, TermVersion,
-    VersionedPatch, VersionedReplicas, WatchRequest, WatchUpdate,
+    FleetUpdate, LATEST_VERSION, LIST_PATCH_VERSION, ListDigest, Packed, ReplicaLoad,
+    RequestEnvelope, ResponseEnvelope, TermVersion, VersionedPatch, VersionedReplicas,
+    WatchRequest, WatchUpdate,
 };
 use calicohoist_ledger::server::peers::{Envelope, PeerFrame};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse, LedgerState};
@@ -25,6 +26,7 @@
     SoftwareVersion,
 };
 use calicohoist_scheduler::{Decision, PlacementRequest, PromptPart, RunSample, TurnRun};
+use calicohoist_transport::{FrameReader, encode_frame};
 use calicohoist_types::{Region, TenantId, Zone};
 use calicohoist_wire::encode;
 use serde::Serialize;
@@ -69,6 +71,7 @@
         is_under_way: true,
         homes: HomeRegions::only([Region::new("north")]),
         cold: Some(ColdLimit { per_second: 2.0, lasts: Duration::from_secs(5) }),
+        version: None,
     }
 }
 
@@ -298,8 +301,18 @@
     samples.0
 }
 
+fn reserve_for_version(version: Option<SoftwareVersion>) -> LedgerRequest {
+    let placement = PlacementRequest { version, ..placement() };
+    LedgerRequest::Reserve { reserve: reserve(), placement: Some(placement), permit: None }
+}
+
 fn versioned_samples() -> String {
     let mut samples = Samples::default();
+    let for_version = LedgerRequest::ForVersion {
+        version: SoftwareVersion::new("v1.2"),
+        request: Box::new(reserve_for_version(None)),
+    };
+    samples.add("ask.reserve_for_version", &request(1, for_version));
     let versioned = |id, version: Option<&str>| Replica {
         version: version.map(SoftwareVersion::new),
         ..replica(id, ReplicaState::Ready)
@@ -324,6 +337,30 @@
     samples.0
 }
 
+#[tokio::test]
+async fn a_required_version_reaches_leaders_that_support_it() {
+    let version = SoftwareVersion::new("v1.2");
+    let wrapped = LedgerRequest::ForVersion {
+        version: version.clone(),
+        request: Box::new(reserve_for_version(None)),
+    };
+    let sent = encode_frame(&request(1, wrapped)).expect("encode");
+    let mut frames = FrameReader::new(sent.as_slice());
+    let read = RequestEnvelope::read(&mut frames, LATEST_VERSION).await.expect("read");
+    let LedgerRequest::Reserve { placement: Some(placement), .. } = read.question else {
+        panic!("{:?}", read.question)
+    };
+    assert_eq!(placement.version, Some(version.clone()));
+
+    let encoded_len =
+        |question, protocol| request(1, question).encode(protocol).expect("encode").len();
+    let required = || reserve_for_version(Some(version.clone()));
+    assert_eq!(encoded_len(required(), LATEST_VERSION), sent.len());
+    // A leader of an earlier version places the turn anywhere.
+    let plain = encoded_len(reserve_for_version(None), LIST_PATCH_VERSION);
+    assert_eq!(encoded_len(required(), LIST_PATCH_VERSION), plain);
+}
+
 #[test]
 fn encodings_match_the_stored_samples() {
     let versions = [
--- a/crates/ledger/tests/turn_queue.rs
+++ b/crates/ledger/tests/turn_queue.rs
@@ -23,6 +23,7 @@
         is_under_way: false,
         homes: Default::default(),
         cold: None,
+        version: None,
     }
 }
 
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -11,7 +11,7 @@
 use calicohoist_ledger::client::RequestError;
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
-use calicohoist_routing::PlacedReplica;
+use calicohoist_routing::{PlacedReplica, StreamOrigin};
 use calicohoist_scheduler::{Decision, PlacementRequest, RunSample, TurnRun, queue_timeout};
 use calicohoist_telemetry::metrics::DurationHistogram;
 use calicohoist_telemetry::{Event, emit};
@@ -369,10 +369,11 @@
 
 /// Builds the placement request for a turn whose prompt is known.
 fn placement_request(app: &App, call: &Call) -> Option<PlacementRequest> {
-    // The leader places turns regardless of versions.
-    if call.origin().is_some() {
-        return None;
-    }
+    let version = match call.origin() {
+        // Only the replica that began the stream may continue it, so there is nothing to choose.
+        Some(StreamOrigin { version: None, .. }) => return None,
+        origin => origin.and_then(|origin| origin.version.clone()),
+    };
     let service = call.service()?;
     let engine = service.engine.as_ref()?;
     Some(PlacementRequest {
@@ -387,6 +388,7 @@
         is_under_way: false,
         homes: call.homes(),
         cold: service.cold,
+        version,
     })
 }
 
--- a/crates/scheduler/benches/placement.rs
+++ b/crates/scheduler/benches/placement.rs
@@ -46,6 +46,7 @@
         is_under_way: true,
         homes: Default::default(),
         cold: None,
+        version: None,
     }
 }
 
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -124,6 +124,7 @@
     fn competes_with(&self, other: &Self) -> bool {
         self.request.service == other.request.service
             && self.request.homes == other.request.homes
+            && self.request.version == other.request.version
             && self.request.is_under_way == other.request.is_under_way
     }
 
--- a/crates/scheduler/src/placement/index.rs
+++ b/crates/scheduler/src/placement/index.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use calicohoist_routing::{Replica, ReplicaState};
+use calicohoist_routing::{Replica, ReplicaState, SoftwareVersion};
 use foldhash::HashMap;
 
 /// Services with up to this many replicas are scanned in full.
@@ -23,18 +23,23 @@
     pub(crate) cached_tokens: u64,
 }
 
-/// Ready replicas of a service that share a zone and a number of slots, in order of load.
+/// Ready replicas of a service that share a zone, a number of slots and a software version, in order
+/// of load.
 #[derive(Debug)]
 pub(crate) struct ReplicaGroup {
     service: String,
     zone: String,
     slots: u32,
+    version: Option<SoftwareVersion>,
     order: BTreeSet<(LoadKey, Arc<str>)>,
 }
 
 impl ReplicaGroup {
     fn contains(&self, replica: &Replica) -> bool {
-        self.slots == replica.slots && self.zone == replica.zone && self.service == replica.service
+        self.slots == replica.slots
+            && self.version == replica.version
+            && self.zone == replica.zone
+            && self.service == replica.service
     }
 
     /// Iterates over the ids of the replicas, least loaded first.
@@ -126,6 +131,7 @@
                 service: replica.service.clone(),
                 zone: replica.zone.clone(),
                 slots: replica.slots,
+                version: replica.version.clone(),
                 order: BTreeSet::new(),
             });
             self.groups.len() - 1
--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -16,7 +16,7 @@
 
 use calicohoist_routing::{
     ColdLimit, ColdReplicas, ColdTolerance, Distance, DrainedZones, EligibilityRules, HomeRegions,
-    Replica, Topology,
+    Replica, SoftwareVersion, Topology,
 };
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
@@ -78,6 +78,10 @@
     /// Rate limit for cold replicas of the service, from the gateway's configuration; `None` for
     /// no limit.
     pub cold: Option<ColdLimit>,
+    /// Software version that must run the turn, because it began the stream; `None` for any. Not
+    /// encoded, so that the encoding stays the one that earlier builds read.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Snapshot of the replicas and their state.
@@ -113,7 +117,8 @@
             homes: &request.homes,
             drained: self.drained,
         };
-        replica.service == request.service && rules.admits(replica)
+        let is_required_version = request.version.is_none() || request.version == replica.version;
+        replica.service == request.service && is_required_version && rules.admits(replica)
     }
 }
 
--- a/crates/scheduler/src/placement/search.rs
+++ b/crates/scheduler/src/placement/search.rs
@@ -104,7 +104,8 @@
                 continue;
             };
             if !view.is_eligible(replica, request) {
-                // The whole group is in a zone that is drained or outside the home regions.
+                // The whole group is in a zone that is drained or outside the home regions, or of
+                // another version.
                 return true;
             }
             if number >= MAX_EXAMINED_PER_GROUP {
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -39,6 +39,7 @@
         is_under_way: false,
         homes: Default::default(),
         cold: None,
+        version: None,
     }
 }
 
--- a/crates/scheduler/tests/cold.rs
+++ b/crates/scheduler/tests/cold.rs
@@ -52,6 +52,7 @@
         is_under_way: false,
         homes: Default::default(),
         cold: Some(LIMIT),
+        version: None,
     }
 }
 
--- a/crates/scheduler/tests/cold_return.rs
+++ b/crates/scheduler/tests/cold_return.rs
@@ -121,6 +121,7 @@
             is_under_way: turn.is_multiple_of(2),
             homes: Default::default(),
             cold: self.limit,
+            version: None,
         }
     }
 
--- a/crates/scheduler/tests/large_service.rs
+++ b/crates/scheduler/tests/large_service.rs
@@ -7,7 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::{ColdReplicas, DrainedZones, Replica, ReplicaState, Topology};
+use calicohoist_routing::{
+    ColdReplicas, DrainedZones, Replica, ReplicaState, SoftwareVersion, Topology,
+};
 use calicohoist_scheduler::{
     ConcurrencyLimit, FleetView, MAX_SCANNED_REPLICAS, Placement, PlacementRequest,
     PlacementWeights, Placer, PromptPart, RunSample, TurnRun,
@@ -49,6 +51,7 @@
         is_under_way: true,
         homes: Default::default(),
         cold: None,
+        version: None,
     }
 }
 
@@ -313,3 +316,27 @@
     let most = KINDS as usize * UNDER_WAY;
     assert!(copies.len() <= most, "{} copies of {KINDS} shared parts", copies.len());
 }
+
+#[test]
+fn turn_that_requires_a_version_finds_one_of_few_replicas_in_a_large_service() {
+    let now = Instant::now();
+    let mut replicas = fleet(1_200);
+    let new = [17, 703];
+    for replica in &mut replicas {
+        replica.version = Some(SoftwareVersion::new("v1"));
+    }
+    for number in new {
+        replicas[number].version = Some(SoftwareVersion::new("v1.2"));
+    }
+    let mut placer = placer_for(&replicas);
+    let view = FleetView::from_replicas(&replicas);
+    let required = PlacementRequest {
+        version: Some(SoftwareVersion::new("v1.2")),
+        ..request(0, conversation(0, 0, 300))
+    };
+    for turn in 0..6 {
+        let placement = place(&mut placer, &format!("t{turn}"), &required, &view, now);
+        let Placement::Warm(placed) = placement else { panic!("{placement:?}") };
+        assert!(new.iter().any(|number| replicas[*number].id == placed), "{placed}");
+    }
+}
--- a/crates/scheduler/tests/overload/simulation.rs
+++ b/crates/scheduler/tests/overload/simulation.rs
@@ -330,6 +330,7 @@
             is_under_way: program.has_started,
             homes: Default::default(),
             cold: None,
+            version: None,
         };
         let now = self.instant();
         let view = FleetView::from_replicas(&self.replicas);
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use calicohoist_routing::{Replica, ReplicaState, Topology};
+use calicohoist_routing::{Replica, ReplicaState, SoftwareVersion, Topology};
 use calicohoist_scheduler::{
     ConcurrencyLimit, FleetView, Placement, PlacementRequest, PlacementWeights, Placer,
     PrefixIndex, PromptPart, RunSample, TurnRun,
@@ -47,6 +47,7 @@
         is_under_way: false,
         homes: Default::default(),
         cold: None,
+        version: None,
     }
 }
 
@@ -544,3 +545,24 @@
         }
     }
 }
+
+/// A stream continues only at the version that began it, whatever the load and the caches.
+#[test]
+fn turn_that_requires_a_version_is_placed_at_its_replicas_only() {
+    let now = Instant::now();
+    let version = |number: usize| Some(SoftwareVersion::new(["v1", "v1.2"][number % 2]));
+    let listed: Vec<Replica> = (0..4)
+        .map(|number| Replica { version: version(number), ..replica(&format!("r{number}"), 4) })
+        .collect();
+    let mut placer = Placer::default();
+    placer.retain(&listed);
+    let required = PlacementRequest { version: version(1), ..request(&[part(1, 500)]) };
+    for turn in 0..8 {
+        let placed = place(&mut placer, &format!("t{turn}"), &required, &listed, now);
+        assert!(["r1", "r3"].contains(&placed.as_deref().expect("a replica")), "{placed:?}");
+    }
+    let gone = PlacementRequest { version: Some(SoftwareVersion::new("v2")), ..required };
+    let view = FleetView::from_replicas(&listed);
+    let placement = placer.place("t9", &gone, &view, ConcurrencyLimit::Unlimited, now);
+    assert_eq!(placement, Placement::NoReplica);
+}
