Gateways: continue a stream without a record while its service has a single version

Cause: origins are known only of streams that a gateway of this build began and whose client names them. The same holds for streams of gateways of the build before.

Change: a stream of unknown origin continues at the service's version if all its replicas have had this one since before the stream can have begun (timeout of the route and three seconds for lists to arrive) and the list is current. With several versions: 409. A gateway that has not known the service for so long, or whose list is old: 503 with Retry-After, since another gateway may know. On a route with weights only with a program, since the service of another request may differ.

What remains: such a stream is as certain as the lists; a version that reached another gateway's list before this one's is not seen.

--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! list, the gateway reads the list from discovery itself.
 
 mod member;
+mod only_version;
 mod services;
 
 use std::collections::HashSet;
@@ -16,13 +17,15 @@
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
     Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, EntryStatus, HomeRegions,
-    IncarnationTracker, ListPart, ListPatch, PatchError, Replica, SoftwareRequirement, Topology,
-    UndrainedZones, choose, spread, stable_hash,
+    IncarnationTracker, ListPart, ListPatch, PatchError, Replica, SoftwareRequirement,
+    SoftwareVersion, Topology, UndrainedZones, choose, spread, stable_hash,
 };
 use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
 
 use crate::upstream::Pool;
 pub use member::{LoadGuard, Member};
+use only_version::OnlyVersions;
+pub use only_version::VersionUncertainty;
 use services::{PreferenceOrder, Services};
 
 /// Cost penalty for replicas that the leader reports as failing.
@@ -85,6 +88,8 @@
     /// Recently undrained zones, whose replicas may have become cold.
     undrained: RwLock<UndrainedZones>,
     services: RwLock<Arc<Services>>,
+    /// Services all of whose replicas have the same software version.
+    only_versions: Mutex<OnlyVersions>,
     /// Newest known incarnation of each replica. Lists from different leaders may arrive out of
     /// order.
     incarnations: Mutex<IncarnationTracker>,
@@ -110,6 +115,7 @@
             cold: RwLock::default(),
             undrained: RwLock::default(),
             services: RwLock::default(),
+            only_versions: Mutex::default(),
             incarnations: Mutex::default(),
             listed: RwLock::default(),
             list_read_at: Mutex::default(),
@@ -184,6 +190,7 @@
                 services.add(Arc::clone(member));
             }
         }
+        self.only_versions.lock().update(&services, Instant::now());
         *self.listed.write() = listed;
         *self.services.write() = Arc::new(services);
     }
@@ -350,6 +357,24 @@
         replicas.any(|replica| software.admits(replica) && self.meets_rules(replica, homes))
     }
 
+    /// Returns the software version of the service if all listed replicas have had this one for at
+    /// least `duration`, and the list is not older than `max_list_age`.
+    ///
+    /// # Errors
+    /// Returns why the service cannot be said to have had a single version.
+    pub fn only_version(
+        &self,
+        service: &str,
+        duration: Duration,
+        max_list_age: Duration,
+    ) -> Result<SoftwareVersion, VersionUncertainty> {
+        let version = self.only_versions.lock().get(service, duration, Instant::now())?;
+        if self.list_age() > max_list_age {
+            return Err(VersionUncertainty::OldList);
+        }
+        Ok(version)
+    }
+
     /// Returns whether the service has a replica in these home regions, ready or not.
     pub fn has_replica_in(&self, service: &str, homes: &HomeRegions) -> bool {
         let members = self.members_of(service);
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
-    HomeRegions, Route, RouteKind, RouteTable, Service, StreamOrigin, Tenant, stable_hash,
+    HomeRegions, Route, RouteKind, RouteTable, Service, SoftwareRequirement, StreamOrigin, Tenant,
+    stable_hash,
 };
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
@@ -49,8 +50,26 @@
     pub received_at: Instant,
     /// Deadline for the response.
     pub deadline: Instant,
-    /// Origin of the stream that the request resumes, once known.
-    origin: OnceLock<StreamOrigin>,
+    /// How the stream that the request resumes continues, once known.
+    continuation: OnceLock<Continuation>,
+}
+
+/// Where a resumed stream may continue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Continuation {
+    /// Name of the service that began the stream.
+    pub service: String,
+    /// Software that may continue it.
+    pub software: SoftwareRequirement,
+    /// Id of the replica that began the stream, if known.
+    pub began_at: Option<String>,
+}
+
+impl From<StreamOrigin> for Continuation {
+    fn from(origin: StreamOrigin) -> Self {
+        let software = origin.software();
+        Self { service: origin.service, software, began_at: Some(origin.replica) }
+    }
 }
 
 impl Call {
@@ -75,7 +94,7 @@
             body,
             received_at,
             deadline: received_at + timeout,
-            origin: OnceLock::new(),
+            continuation: OnceLock::new(),
         }
     }
 
@@ -84,14 +103,14 @@
         self.route.resumable && (self.head.resumes.is_some() || self.head.last_event_id.is_some())
     }
 
-    /// Binds the request to the origin of the stream that it resumes.
-    pub fn bind_to(&self, origin: StreamOrigin) {
-        let _ = self.origin.set(origin);
+    /// Sets how the stream that the request resumes continues.
+    pub fn continue_at(&self, continuation: Continuation) {
+        let _ = self.continuation.set(continuation);
     }
 
-    /// Returns the origin of the stream that the request resumes.
-    pub fn origin(&self) -> Option<&StreamOrigin> {
-        self.origin.get()
+    /// Returns how the stream that the request resumes continues; `None` for any other request.
+    pub fn continuation(&self) -> Option<&Continuation> {
+        self.continuation.get()
     }
 
     /// Returns the name of the tenant.
@@ -148,8 +167,8 @@
     /// A program always uses the same service, since a replica's prompt cache is useless to another
     /// service.
     pub fn service(&self) -> Option<&Arc<Service>> {
-        if let Some(origin) = self.origin() {
-            return self.table.service(&origin.service);
+        if let Some(continuation) = self.continuation() {
+            return self.table.service(&continuation.service);
         }
         let key = self.head.program.as_deref().unwrap_or(&self.head.request_id);
         let name = self.route.backend_for(stable_hash(&[key.as_bytes()]))?;
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -7,9 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_routing::{
-    PlacedReplica, Replica, Service, SoftwareRequirement, SoftwareVersion, StreamOrigin,
-};
+use calicohoist_routing::{PlacedReplica, Replica, Service, SoftwareRequirement, SoftwareVersion};
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 
@@ -81,9 +79,9 @@
         Self { placement, permit, ..Self::default() }
     }
 
-    /// Restricts further attempts to the software that may continue a stream.
-    pub fn continue_from(&mut self, origin: &StreamOrigin) {
-        self.software = origin.software();
+    /// Restricts further attempts to this software.
+    pub fn require(&mut self, software: SoftwareRequirement) {
+        self.software = software;
     }
 
     /// Records the replica on which the request started.
--- a/crates/proxy/src/flow/error.rs
+++ b/crates/proxy/src/flow/error.rs
@@ -112,6 +112,9 @@
     /// No replica runs the software version that began the stream.
     #[error("no replica of its version")]
     NoReplicaOfVersion,
+    /// The gateway cannot tell yet which software version began the stream.
+    #[error("its version is uncertain")]
+    UncertainVersion,
     /// Every replica that was tried rejected the request or was unreachable.
     #[error("replicas full")]
     ReplicasFull,
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -12,17 +12,18 @@
 
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
-use calicohoist_routing::StreamOrigin;
+use calicohoist_routing::{SoftwareRequirement, StreamOrigin};
 use calicohoist_scheduler::queue_timeout;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
 
-use super::call::{Call, SCOPE_SEPARATOR};
+use super::call::{Call, Continuation, SCOPE_SEPARATOR};
 use super::error::{GatewayError, NotExecutedReason};
 use super::turn::{RESERVE_TIMEOUT, RETRY_AFTER, millis};
 use crate::app::App;
+use crate::fleet::VersionUncertainty;
 
 /// Timeout for recording an origin. A stream that is still running then is rarely resumed.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -30,6 +31,8 @@
 const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time for which an origin is kept after the stream began or was resumed.
 const MAX_RETENTION: Duration = Duration::from_secs(60);
+/// Time within which a change of the replicas reaches all gateways.
+const MAX_LIST_DELAY: Duration = Duration::from_secs(3);
 /// Retry delay if no replica has the required software. About the interval between readings of the
 /// replica list.
 const REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -79,45 +82,88 @@
     if !call.resumes_stream() {
         return Ok(());
     }
-    let result = match &call.head.resumes {
-        Some(first) => bind(app, call, first).await,
-        None => Err(GatewayError::UnknownStream),
-    };
+    let result = bind(app, call).await;
     STREAMS_RESUMED.inc(match &result {
-        Ok(()) => "known",
+        Ok(StreamKnowledge::Recorded) => "recorded",
+        Ok(StreamKnowledge::OnlyVersion) => "only_version",
         Err(GatewayError::UnknownStream) => "unknown",
         Err(GatewayError::NotExecuted {
             reason: NotExecutedReason::NoReplicaOfVersion, ..
         }) => "no_replica",
         Err(_) => "unavailable",
     });
-    result
+    result.map(|_| ())
 }
 
-async fn bind(app: &App, call: &Call, first: &str) -> Result<(), GatewayError> {
-    let origin = match find(app, call, first).await? {
-        Some(origin) => Some(origin),
-        None => {
-            tokio::time::sleep(SECOND_LOOKUP_DELAY).await;
-            find(app, call, first).await?
-        }
+/// From what the software that may continue a stream is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamKnowledge {
+    /// The origin of the stream was recorded.
+    Recorded,
+    /// The service has had one version since before the stream can have begun.
+    OnlyVersion,
+}
+
+async fn bind(app: &App, call: &Call) -> Result<StreamKnowledge, GatewayError> {
+    let recorded = match &call.head.resumes {
+        Some(first) => find_twice(app, call, first).await?,
+        None => None,
     };
-    let origin = origin.filter(|origin| call.route.sends_to(&origin.service));
-    let origin = origin.ok_or(GatewayError::UnknownStream)?;
+    let (continuation, knowledge) = match recorded {
+        Some(origin) => (Continuation::from(origin), StreamKnowledge::Recorded),
+        None => (continue_at_only_version(app, call)?, StreamKnowledge::OnlyVersion),
+    };
+    let Continuation { service, software, began_at } = &continuation;
     emit!(
         Event::StreamResumed;
         request = call.head.request_id,
-        resumes = first,
-        service = origin.service,
-        version = origin.version.as_ref().map_or("-", |version| version.as_str()),
-        replica = origin.replica,
+        resumes = call.head.resumes.as_deref().unwrap_or("-"),
+        service = service,
+        software = software,
+        began_at = began_at.as_deref().unwrap_or("-"),
     );
-    let has_replica = app.fleet.has_eligible(&origin.service, &call.homes(), &origin.software());
-    call.bind_to(origin);
-    if has_replica {
-        return Ok(());
+    if !call.route.sends_to(service) {
+        return Err(GatewayError::UnknownStream);
+    }
+    if !app.fleet.has_eligible(service, &call.homes(), software) {
+        let reason = NotExecutedReason::NoReplicaOfVersion;
+        return Err(GatewayError::not_executed(reason, REPLICA_RETRY_AFTER));
+    }
+    call.continue_at(continuation);
+    Ok(knowledge)
+}
+
+/// Returns how a stream without a record continues: one that a gateway of an earlier build began, or
+/// whose client does not name it.
+fn continue_at_only_version(app: &App, call: &Call) -> Result<Continuation, GatewayError> {
+    // Without a program, the service of a route with weights differs between requests.
+    let has_same_service = call.head.program.is_some() || call.route.services().count() == 1;
+    let service = call.service().filter(|_| has_same_service);
+    let service = service.ok_or(GatewayError::UnknownStream)?.name.clone();
+    let duration = call.route.timeout + MAX_LIST_DELAY;
+    match app.fleet.only_version(&service, duration, MAX_LIST_DELAY) {
+        Ok(version) => {
+            let software = SoftwareRequirement::Version(version);
+            Ok(Continuation { service, software, began_at: None })
+        }
+        Err(VersionUncertainty::SeveralVersions) => Err(GatewayError::UnknownStream),
+        Err(VersionUncertainty::RecentList | VersionUncertainty::OldList) => {
+            let reason = NotExecutedReason::UncertainVersion;
+            Err(GatewayError::not_executed(reason, REPLICA_RETRY_AFTER))
+        }
+    }
+}
+
+async fn find_twice(
+    app: &App,
+    call: &Call,
+    first: &str,
+) -> Result<Option<StreamOrigin>, GatewayError> {
+    if let Some(origin) = find(app, call, first).await? {
+        return Ok(Some(origin));
     }
-    Err(GatewayError::not_executed(NotExecutedReason::NoReplicaOfVersion, REPLICA_RETRY_AFTER))
+    tokio::time::sleep(SECOND_LOOKUP_DELAY).await;
+    find(app, call, first).await
 }
 
 /// Looks up the origin of the stream that the request `first` began. Returns `None` if the ledger
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -41,8 +41,8 @@
     let payload =
         Payload { body: turn.body.clone(), last_event_id: call.head.last_event_id.clone() };
     let mut attempt_state = AttemptState::new(turn.placement.take(), turn.permit);
-    if let Some(origin) = call.origin() {
-        attempt_state.continue_from(origin);
+    if let Some(continuation) = call.continuation() {
+        attempt_state.require(continuation.software.clone());
     }
     let sent_at = Instant::now();
     let exchange = dispatch(app, call, &payload, &mut attempt_state).await?;
@@ -131,11 +131,11 @@
     /// The record is written in the background: the first event does not wait for the ledger, and a
     /// stream without a record is not continued.
     fn begin_stream(&mut self) {
-        if self.call.origin().is_some() {
+        if self.call.continuation().is_some() {
             return;
         }
         let origin = StreamOrigin::at(&self.exchange.member.replica);
-        self.attempt_state.continue_from(&origin);
+        self.attempt_state.require(origin.software());
         if self.call.route.resumable {
             origin::record(&self.app, &self.call, origin);
         }
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -11,7 +11,7 @@
 use calicohoist_ledger::client::RequestError;
 use calicohoist_ledger::commands::{Reservation, ReserveTurn, RetainedTurn, SettleTurn};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
-use calicohoist_routing::{PlacedReplica, StreamOrigin};
+use calicohoist_routing::{PlacedReplica, SoftwareRequirement};
 use calicohoist_scheduler::{Decision, PlacementRequest, RunSample, TurnRun, queue_timeout};
 use calicohoist_telemetry::metrics::DurationHistogram;
 use calicohoist_telemetry::{Event, emit};
@@ -369,10 +369,11 @@
 
 /// Builds the placement request for a turn whose prompt is known.
 fn placement_request(app: &App, call: &Call) -> Option<PlacementRequest> {
-    let version = match call.origin() {
-        // Only the replica that began the stream may continue it, so there is nothing to choose.
-        Some(StreamOrigin { version: None, .. }) => return None,
-        origin => origin.and_then(|origin| origin.version.clone()),
+    let version = match call.continuation().map(|continuation| &continuation.software) {
+        None | Some(SoftwareRequirement::Any) => None,
+        Some(SoftwareRequirement::Version(version)) => Some(version.clone()),
+        // There is nothing to choose.
+        Some(SoftwareRequirement::Replica(_)) => return None,
     };
     let service = call.service()?;
     let engine = service.engine.as_ref()?;
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -72,9 +72,15 @@
         }
     }
 
+    /// Iterates over the services that the route sends requests to.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let backends = self.backends.iter().filter(|backend| backend.weight > 0);
+        backends.map(|backend| backend.service.as_str())
+    }
+
     /// Returns whether the route sends requests to the service.
     pub fn sends_to(&self, service: &str) -> bool {
-        self.backends.iter().any(|backend| backend.weight > 0 && backend.service == service)
+        self.services().any(|name| name == service)
     }
 
     /// Returns the service for a request with this hash, which must be uniformly distributed.
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -93,6 +93,16 @@
     }
 }
 
+impl fmt::Display for SoftwareRequirement {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Any => formatter.write_str("any"),
+            Self::Version(version) => version.fmt(formatter),
+            Self::Replica(id) => write!(formatter, "replica {id}"),
+        }
+    }
+}
+
 /// Service and software that began a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOrigin {
