Gateways: check for restarts before a stream continues

Cause: a replica that keeps its id over restarts may come back with other software before the list shows it. Its requests name the id only, so it runs what is meant for its earlier start: the rest of a stream of the listed version, or a whole stream that is then recorded under that version.

Change: a request that continues a stream asks the replica on the same connection when it started, and is sent only if that is the listed start. Before a stream continues anywhere, the replica that began it is asked too; if it has restarted, and its listed version is another one or unknown yet, the stream does not continue (409, or a cut answer). Only where the list has start times, and only for streams that continue.

Weighed: the same check for each new connection, which would also settle the origin at the beginning.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use calicohoist_routing::{Configuration, Credential};
+use calicohoist_routing::{Configuration, Credential, StartTime};
 use calicohoist_scheduler::PromptPart;
 use calicohoist_types::Findings;
 use hyper::HeaderMap;
@@ -100,6 +100,12 @@
     /// Reads the metadata of a response.
     fn read_response(&self, headers: &HeaderMap) -> ResponseHead;
 
+    /// Returns the path at which a replica reports its state.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads the start time from the report of a replica.
+    fn parse_start(&self, report: &[u8]) -> Option<StartTime>;
+
     /// Sets the header that tells the client when to retry.
     fn write_retry_after(&self, headers: &mut HeaderMap, after: Duration);
 }
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
     Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, EntryStatus, HomeRegions,
-    IncarnationTracker, ListPart, ListPatch, PatchError, Replica, SoftwareRequirement,
+    Incarnation, IncarnationTracker, ListPart, ListPatch, PatchError, Replica, SoftwareRequirement,
     SoftwareVersion, Topology, UndrainedZones, choose, spread, stable_hash,
 };
 use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
@@ -357,6 +357,14 @@
         replicas.any(|replica| software.admits(replica) && self.meets_rules(replica, homes))
     }
 
+    /// Returns the listed incarnation of the replica whose incarnation `id` is or was listed.
+    pub fn current_incarnation(&self, service: &str, id: &str) -> Option<Arc<Member>> {
+        let identity = Incarnation::identity_of(id);
+        let is_same =
+            |member: &&Arc<Member>| Incarnation::identity_of(&member.replica.id) == identity;
+        self.members_of(service).iter().find(is_same).cloned()
+    }
+
     /// Returns the software version of the service if all listed replicas have had this one for at
     /// least `duration`, and the list is not older than `max_list_age`.
     ///
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -119,6 +119,7 @@
         request_id: &call.head.request_id,
         body: payload.body.clone(),
         last_event_id: payload.last_event_id.as_deref(),
+        check_start: attempt_state.software != SoftwareRequirement::Any,
         tenant: call.tenant_name(),
         deadline: call.deadline,
     };
@@ -212,6 +213,7 @@
             member.penalize(UNREACHABLE_PENALTY.0, UNREACHABLE_PENALTY.1);
             attempt_state.rejections += 1;
         }
+        ExchangeError::Restarted => attempt_state.rejections += 1,
         ExchangeError::SendTimeout => COLD_REQUESTS.inc("lapsed"),
         ExchangeError::NotExecuted => {
             member.penalize(AT_CAPACITY_PENALTY.0, AT_CAPACITY_PENALTY.1);
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -24,6 +24,7 @@
 use super::turn::{RESERVE_TIMEOUT, RETRY_AFTER, millis};
 use crate::app::App;
 use crate::fleet::VersionUncertainty;
+use crate::upstream::{StartCheck, check_start};
 
 /// Timeout for recording an origin. A stream that is still running then is rarely resumed.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -122,7 +123,7 @@
         software = software,
         began_at = began_at.as_deref().unwrap_or("-"),
     );
-    if !call.route.sends_to(service) {
+    if !call.route.sends_to(service) || is_doubtful(app, &continuation).await {
         return Err(GatewayError::UnknownStream);
     }
     if !app.fleet.has_eligible(service, &call.homes(), software) {
@@ -133,6 +134,22 @@
     Ok(knowledge)
 }
 
+/// Returns whether other software than recorded may have begun the stream: the replica has restarted
+/// with other software, possibly before the stream began and before the list showed it.
+pub async fn is_doubtful(app: &App, continuation: &Continuation) -> bool {
+    let Continuation { service, software, began_at } = continuation;
+    let Some(began_at) = began_at else {
+        return false;
+    };
+    let Some(current) = app.fleet.current_incarnation(service, began_at) else {
+        return false;
+    };
+    if current.replica.id != *began_at {
+        return !software.admits(&current.replica);
+    }
+    check_start(&app.pool, app.dialect(), &current.replica).await == StartCheck::Restarted
+}
+
 /// Returns how a stream without a record continues: one that a gateway of an earlier build began, or
 /// whose client does not name it.
 fn continue_at_only_version(app: &App, call: &Call) -> Result<Continuation, GatewayError> {
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 
 use super::buffered;
-use super::call::Call;
+use super::call::{Call, Continuation};
 use super::dispatch::{AttemptState, Payload, dispatch, version_label};
 use super::error::GatewayError;
 use super::failure;
@@ -83,6 +83,8 @@
     attempt_state: AttemptState,
     exchange: Exchange,
     splitter: EventSplitter,
+    /// How the stream continues if it is interrupted; `None` before its first event.
+    continuation: Option<Continuation>,
     /// Headers of the first replica's response, which are sent to the client.
     headers: HeaderMap,
     tokens_per_event: u64,
@@ -114,6 +116,7 @@
         Self {
             app: Arc::clone(app),
             call: Arc::clone(call),
+            continuation: call.continuation().cloned(),
             turn,
             payload,
             attempt_state,
@@ -131,11 +134,12 @@
     /// The record is written in the background: the first event does not wait for the ledger, and a
     /// stream without a record is not continued.
     fn begin_stream(&mut self) {
-        if self.call.continuation().is_some() {
+        if self.continuation.is_some() {
             return;
         }
         let origin = StreamOrigin::at(&self.exchange.member.replica);
         self.attempt_state.require(origin.software());
+        self.continuation = Some(Continuation::from(origin.clone()));
         if self.call.route.resumable {
             origin::record(&self.app, &self.call, origin);
         }
@@ -290,6 +294,11 @@
         if !self.call.route.resumable {
             return Err(GatewayError::Unknown);
         }
+        if let Some(continuation) = &self.continuation
+            && origin::is_doubtful(&self.app, continuation).await
+        {
+            return Err(GatewayError::Unknown);
+        }
         self.attempt_state.record_started(failed);
         self.payload.last_event_id = self.last_event_id.map(|id| id.to_string());
         let exchange =
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -11,6 +11,7 @@
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
+use super::start_check::{StartCheck, check_connection};
 use super::{Checkout, Pool};
 use crate::dialect::{Dialect, OutgoingHead, ResponseHead};
 use crate::fleet::{LoadGuard, Member};
@@ -30,6 +31,8 @@
     pub body: Bytes,
     /// Id of the event after which a stream is resumed.
     pub last_event_id: Option<&'a str>,
+    /// Whether the replica must run the listed process, because its software matters.
+    pub check_start: bool,
     /// Tenant that sent the request.
     pub tenant: Option<&'a str>,
     /// Deadline of the client. The replica receives the remaining time.
@@ -42,6 +45,9 @@
     /// The connection failed before the request was sent.
     #[error("no connection")]
     NotSent,
+    /// The replica has restarted under its identity since it was listed; nothing was sent.
+    #[error("the replica has restarted")]
+    Restarted,
     /// The deadline for sending passed before the request was sent.
     #[error("too late to be sent")]
     SendTimeout,
@@ -109,6 +115,18 @@
             pool.check_in(&replica.id, connection.sender, None);
             return Err(ExchangeError::SendTimeout);
         }
+        if outgoing.check_start {
+            match check_connection(&mut connection.sender, dialect, replica).await {
+                StartCheck::Listed => {}
+                StartCheck::Restarted => return Err(ExchangeError::Restarted),
+                // A reused connection may have been closed.
+                StartCheck::NoAnswer if connection.is_reused => {
+                    checkout = Checkout::New;
+                    continue;
+                }
+                StartCheck::NoAnswer => return Err(ExchangeError::NotSent),
+            }
+        }
         let request = build_request(dialect, outgoing, Incarnation::identity_of(&replica.id));
         let sending = connection.sender.try_send_request(request);
         let result = tokio::time::timeout_at(response_deadline.into(), sending).await;
--- /dev/null
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -0,0 +1,100 @@
+//! Checks whether a replica still runs the process that the list shows.
+//!
+//! A replica may restart under its identity with other software before the list shows it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use calicohoist_routing::{Incarnation, Replica, StartTime};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+
+use super::pool::{Checkout, Pool};
+use crate::dialect::Dialect;
+
+/// Timeout of a check, including a new connection.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum size of a report.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
+/// Result of a check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartCheck {
+    /// The replica runs the listed process, or the list has no start times.
+    Listed,
+    /// The replica has restarted since.
+    Restarted,
+    /// The replica did not answer.
+    NoAnswer,
+}
+
+/// Asks a replica when it started.
+pub async fn check_start(pool: &Pool, dialect: &dyn Dialect, replica: &Replica) -> StartCheck {
+    let Some(start) = listed_start(replica) else {
+        return StartCheck::Listed;
+    };
+    let check = async {
+        let connection = pool.check_out(&replica.id, replica.address, Checkout::Any).await;
+        let Ok(mut connection) = connection else {
+            return StartCheck::NoAnswer;
+        };
+        let check = compare_start(&mut connection.sender, dialect, replica, start).await;
+        if check == StartCheck::Listed {
+            pool.check_in(&replica.id, connection.sender, None);
+        }
+        check
+    };
+    tokio::time::timeout(CHECK_TIMEOUT, check).await.unwrap_or(StartCheck::NoAnswer)
+}
+
+/// Asks on the given connection, all of whose requests reach the same process.
+pub(super) async fn check_connection(
+    sender: &mut SendRequest<Full<Bytes>>,
+    dialect: &dyn Dialect,
+    replica: &Replica,
+) -> StartCheck {
+    let Some(start) = listed_start(replica) else {
+        return StartCheck::Listed;
+    };
+    let check = compare_start(sender, dialect, replica, start);
+    tokio::time::timeout(CHECK_TIMEOUT, check).await.unwrap_or(StartCheck::NoAnswer)
+}
+
+fn listed_start(replica: &Replica) -> Option<StartTime> {
+    Incarnation::from(replica.id.as_str()).start
+}
+
+async fn compare_start(
+    sender: &mut SendRequest<Full<Bytes>>,
+    dialect: &dyn Dialect,
+    replica: &Replica,
+    listed: StartTime,
+) -> StartCheck {
+    let Some(report) = fetch_report(sender, dialect, replica).await else {
+        return StartCheck::NoAnswer;
+    };
+    match dialect.parse_start(&report) {
+        Some(start) if start == listed => StartCheck::Listed,
+        Some(_) => StartCheck::Restarted,
+        None => StartCheck::NoAnswer,
+    }
+}
+
+async fn fetch_report(
+    sender: &mut SendRequest<Full<Bytes>>,
+    dialect: &dyn Dialect,
+    replica: &Replica,
+) -> Option<Bytes> {
+    let host = HeaderValue::from_str(&replica.address.to_string()).ok()?;
+    let request = Request::get(dialect.report_path()).header(HOST, host);
+    sender.ready().await.ok()?;
+    let response = sender.send_request(request.body(Full::default()).ok()?).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
+    sender.ready().await.ok()?;
+    Some(body.to_bytes())
+}
