Gateways: ask for a retry while the list does not show restarted software yet

Change: 503 with Retry-After while the version of the restarted replica is not listed; 409 once it is listed with another version; the stream goes on once it is listed with its own.

--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -123,9 +123,10 @@
         software = software,
         began_at = began_at.as_deref().unwrap_or("-"),
     );
-    if !call.route.sends_to(service) || is_doubtful(app, &continuation).await {
+    if !call.route.sends_to(service) {
         return Err(GatewayError::UnknownStream);
     }
+    check_beginning(app, &continuation).await?;
     if !app.fleet.has_eligible(service, &call.homes(), software) {
         let reason = NotExecutedReason::NoReplicaOfVersion;
         return Err(GatewayError::not_executed(reason, REPLICA_RETRY_AFTER));
@@ -134,20 +135,32 @@
     Ok(knowledge)
 }
 
-/// Returns whether other software than recorded may have begun the stream: the replica has restarted
-/// with other software, possibly before the stream began and before the list showed it.
-pub async fn is_doubtful(app: &App, continuation: &Continuation) -> bool {
+/// Checks that no other software than recorded can have begun the stream: a replica that has restarted
+/// under its identity may have begun it before the list showed that.
+///
+/// # Errors
+/// Returns an error if the replica has restarted with other software, or with software that the list
+/// does not show yet.
+pub async fn check_beginning(app: &App, continuation: &Continuation) -> Result<(), GatewayError> {
     let Continuation { service, software, began_at } = continuation;
     let Some(began_at) = began_at else {
-        return false;
+        return Ok(());
     };
     let Some(current) = app.fleet.current_incarnation(service, began_at) else {
-        return false;
+        return Ok(());
     };
     if current.replica.id != *began_at {
-        return !software.admits(&current.replica);
+        let has_same_software = software.admits(&current.replica);
+        return if has_same_software { Ok(()) } else { Err(GatewayError::UnknownStream) };
     }
-    check_start(&app.pool, app.dialect(), &current.replica).await == StartCheck::Restarted
+    match check_start(&app.pool, app.dialect(), &current.replica).await {
+        StartCheck::Restarted => Err(uncertain_version()),
+        StartCheck::Listed | StartCheck::NoAnswer => Ok(()),
+    }
+}
+
+fn uncertain_version() -> GatewayError {
+    GatewayError::not_executed(NotExecutedReason::UncertainVersion, REPLICA_RETRY_AFTER)
 }
 
 /// Returns how a stream without a record continues: one that a gateway of an earlier build began, or
@@ -165,8 +178,7 @@
         }
         Err(VersionUncertainty::SeveralVersions) => Err(GatewayError::UnknownStream),
         Err(VersionUncertainty::RecentList | VersionUncertainty::OldList) => {
-            let reason = NotExecutedReason::UncertainVersion;
-            Err(GatewayError::not_executed(reason, REPLICA_RETRY_AFTER))
+            Err(uncertain_version())
         }
     }
 }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -295,7 +295,7 @@
             return Err(GatewayError::Unknown);
         }
         if let Some(continuation) = &self.continuation
-            && origin::is_doubtful(&self.app, continuation).await
+            && origin::check_beginning(&self.app, continuation).await.is_err()
         {
             return Err(GatewayError::Unknown);
         }
