Soak: streams that break off and are resumed while two versions serve

Three callers resume streams at any gateway; each must have events of one version, without gaps.

The leader no longer ends a placement for a record that was never placed.

--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -6,6 +6,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::process::ExitStatusExt as _;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,6 +19,7 @@
 
 use crate::cluster::forwarder::Forwarder;
 use crate::cluster::{BUILD_UNDER_TEST, Cluster, Process, STORE_BIND_IPS, STORE_IPS};
+use crate::streams::software_version;
 use crate::support::ScriptedReplica;
 use crate::{start_model, start_tool};
 
@@ -91,6 +94,8 @@
     /// Binary of the older build in an upgrade run.
     older_binary: Option<PathBuf>,
     upgrade_rng: StdRng,
+    /// Start time that each replica reports, in Unix milliseconds.
+    replica_starts: Vec<Arc<AtomicU64>>,
     /// Latest start time of a replica, in Unix milliseconds.
     latest_start_ms: u64,
     pending_recoveries: Vec<(Instant, Recovery)>,
@@ -120,13 +125,19 @@
         let store_forwarders = store_forwarders.collect();
         let mut replica_forwarders = Vec::new();
         let mut replicas = Vec::new();
+        let mut replica_starts = Vec::new();
         for (name, service, zone) in REPLICAS {
-            let mut replica =
-                if service == "models" { start_model(name) } else { start_tool(name) };
+            let start = Arc::new(AtomicU64::new(FIRST_START_MS));
+            let mut replica = match service {
+                "models" => start_model(name, Arc::clone(&start)),
+                _ => start_tool(name),
+            };
             let forwarder = Forwarder::start(socket("127.0.0.1", 0), replica.address);
             replica.address = forwarder.address;
             cluster.platform_list.put_in_zone(zone, &replica, service, "ready");
             cluster.platform_list.set_field(&replica, "born", json!(FIRST_START_MS));
+            cluster.platform_list.set_field(&replica, "version", json!(software_version(name)));
+            replica_starts.push(start);
             replica_forwarders.push(forwarder);
             replicas.push(replica);
         }
@@ -161,6 +172,7 @@
             restart_rng: StdRng::seed_from_u64(seed ^ RESTART_SEED),
             older_binary,
             upgrade_rng: StdRng::seed_from_u64(seed ^ UPGRADE_SEED),
+            replica_starts,
             latest_start_ms: FIRST_START_MS,
             pending_recoveries: Vec::new(),
             last_store_fault_end: Instant::now(),
@@ -202,6 +214,7 @@
         let index = self.restart_rng.random_range(0..self.replicas.len());
         self.latest_start_ms += 1;
         self.replica_forwarders[index].break_connections();
+        self.replica_starts[index].store(self.latest_start_ms, Ordering::SeqCst);
         let start = json!(self.latest_start_ms);
         self.cluster.platform_list.set_field(&self.replicas[index], "born", start);
     }
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -22,6 +22,7 @@
 mod faults;
 mod operator;
 mod slow_reader;
+mod streams;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -38,7 +39,9 @@
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde_json::json;
 use slow_reader::{large_answer, read_slowly};
+use streams::{StreamRecords, check_versions, resume_streams, serve_stream};
 use support::{ScriptedReplica, request_head, wait_until};
 
 /// Runs of the regular test suite, including seeds that failed before.
@@ -72,6 +75,7 @@
 const INPUT_BYTES: usize = 1_500;
 const CALLERS: usize = 6;
 const SLOW_READERS: usize = 2;
+const STREAM_CALLERS: usize = 3;
 const TURNS_PER_PROGRAM: usize = 6;
 const MAX_ATTEMPTS: usize = 3;
 const EVENTS_PER_ANSWER: u64 = 3;
@@ -94,6 +98,8 @@
     /// Tokens delivered, by program.
     tokens: BTreeMap<String, u64>,
     served: u64,
+    /// Streams and their continuations.
+    streams: StreamRecords,
     /// Drains of zones, with their duration.
     drains: Vec<Drain>,
     violations: Vec<String>,
@@ -126,8 +132,16 @@
     exchange.respond("503 Full", "Calicohoist-Not-Executed: full\r\n", "");
 }
 
-fn start_model(name: &str) -> ScriptedReplica {
-    ScriptedReplica::start(name, |exchange| {
+fn start_model(name: &str, start_ms: Arc<AtomicU64>) -> ScriptedReplica {
+    let name = name.to_owned();
+    ScriptedReplica::start(&name.clone(), move |exchange| {
+        if exchange.request.line.starts_with("GET /-/report ") {
+            let report = json!({ "born": start_ms.load(Ordering::SeqCst) });
+            return exchange.respond("200 OK", "", &report.to_string());
+        }
+        if serve_stream(exchange, &name) {
+            return;
+        }
         let id = exchange.request.id().to_owned();
         let behaviour = behaviour(&id);
         if behaviour == Behaviour::Reject {
@@ -239,6 +253,14 @@
             operate(controls, rng, &records, &acknowledged, &stop_flag);
         }));
     }
+    for number in 0..STREAM_CALLERS {
+        let rng = StdRng::seed_from_u64(seed << 8 | 0xc0 | number as u64);
+        let (gateways, records, stop_flag) =
+            (soak.gateways(), Arc::clone(&records), Arc::clone(&stop_flag));
+        threads.push(thread::spawn(move || {
+            resume_streams(number, &gateways, rng, &records, &stop_flag);
+        }));
+    }
     // An older build may not support drains.
     if !is_mixed {
         let (records, stop_flag) = (Arc::clone(&records), Arc::clone(&stop_flag));
@@ -282,13 +304,18 @@
     check_executions(&soak.replicas, &mut records);
     let drain_violations = check_drains(&soak.replicas, &records.drains);
     records.violations.extend(drain_violations);
+    // Gateways of an older build continue streams at any version.
+    if !is_mixed {
+        check_versions(&mut records);
+    }
     records.violations.append(&mut soak.violations);
     println!(
         "seed {seed}, {gateways} gateways: {} served, {} turns whole, version {acknowledged_version}, {} drains, \
-         faults {:?}",
+         {}, faults {:?}",
         records.served,
         records.completed.len(),
         records.drains.len(),
+        records.streams,
         soak.fault_counts
     );
     if !records.violations.is_empty() {
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -147,7 +147,10 @@
 
     /// Settles a turn. The scheduler is updated at once, whether or not the command is committed.
     pub(super) fn settle(&self, settle: SettleTurn, responder: Responder) {
-        self.turns.end(&settle, &self.fleet());
+        // A record that ran nowhere, such as the origin of a stream, was not placed.
+        if settle.run.is_some() || settle.retained.is_none() {
+            self.turns.end(&settle, &self.fleet());
+        }
         let service = self.clone();
         let respond = Box::new(move |response| responder.send(service.answer(response)));
         self.replica.submit(Request::Change(Command::Settle(settle)), respond);
