--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -14,8 +14,9 @@
 
 use crate::dialect::RequestHead;
 
-/// Separates the tenant name from a program or turn id, and the parts of other ledger keys. Neither can contain it: tenant names are
-/// validated, and ids come from headers, which exclude control characters.
+/// Separates the tenant name from a program or turn id, and the parts of other ledger keys. None of
+/// them can contain it: tenant names are validated, and ids come from headers, which exclude control
+/// characters.
 pub(super) const SCOPE_SEPARATOR: char = '\u{1f}';
 
 /// Route and tenant of a request.
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -75,7 +75,7 @@
     });
 }
 
-/// Binds `call` to the origin of the stream that it resumes, if it resumes one.
+/// Determines where the stream that `call` resumes may continue, if it resumes one.
 ///
 /// # Errors
 /// Returns an error if the origin is unknown, or if no replica can continue the stream.
@@ -83,7 +83,7 @@
     if !call.resumes_stream() {
         return Ok(());
     }
-    let result = bind(app, call).await;
+    let result = find_continuation(app, call).await;
     STREAMS_RESUMED.inc(match &result {
         Ok(StreamKnowledge::Recorded) => "recorded",
         Ok(StreamKnowledge::OnlyVersion) => "only_version",
@@ -105,7 +105,7 @@
     OnlyVersion,
 }
 
-async fn bind(app: &App, call: &Call) -> Result<StreamKnowledge, GatewayError> {
+async fn find_continuation(app: &App, call: &Call) -> Result<StreamKnowledge, GatewayError> {
     let recorded = match &call.head.resumes {
         Some(first) => find_twice(app, call, first).await?,
         None => None,
