--- a/crates/ledger/src/protocol/v1.rs
+++ b/crates/ledger/src/protocol/v1.rs
@@ -208,8 +208,8 @@
     }
 }
 
-/// Leaders of version 1 support neither home regions nor cold replicas nor software versions. The gateway enforces these
-/// restrictions itself, whatever placement the leader returns.
+/// Leaders of version 1 support neither home regions nor cold replicas nor software versions. The
+/// gateway enforces these restrictions itself, whatever placement the leader returns.
 impl From<PlacementRequest> for PlacementRequestV1 {
     fn from(request: PlacementRequest) -> Self {
         let PlacementRequest {
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -131,8 +131,8 @@
 
     /// Binds a new stream to the software of the current replica, whose first event is forwarded.
     ///
-    /// The record is written in the background: the first event does not wait for the ledger, and a
-    /// stream without a record is not continued.
+    /// The record is written in the background, so that the first event does not wait for the ledger.
+    /// A client can resume a stream without a record only while its service has a single version.
     fn begin_stream(&mut self) {
         if self.continuation.is_some() {
             return;
