--- /dev/null
+++ b/crates/calicohoist/tests/stops/main.rs
@@ -0,0 +1,119 @@
+//! Requests that are in progress while their gateway stops, as callers see them, with real
+//! processes.
+
+#[path = "../../../../platform/tests/support/mod.rs"]
+mod support;
+
+#[path = "../cluster/mod.rs"]
+mod cluster;
+
+mod arrivals;
+mod half_closed;
+mod slow_readers;
+
+use std::io::{BufReader, Read, Write as _};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use cluster::{Cluster, GATEWAY_IPS, Process, STORE_IPS};
+use rustix::process::Signal;
+use support::{Response, ScriptedReplica, client, configuration, request_head, wait_until};
+
+/// A gateway with its ledger and one replica for each service.
+struct Deployment {
+    cluster: Cluster,
+    gateway: Process,
+    replicas: Vec<ScriptedReplica>,
+    _stores: Vec<Process>,
+}
+
+impl Deployment {
+    /// Starts a deployment in which one replica runs the given script for both services.
+    fn start(script: impl Fn(&mut support::replica::Exchange<'_>) + Send + Sync + 'static) -> Self {
+        let cluster = Cluster::new();
+        let script = Arc::new(script);
+        let replicas = ["tools", "models"].map(|service| {
+            let script = Arc::clone(&script);
+            let replica = ScriptedReplica::start(service, move |exchange| script(exchange));
+            cluster.platform_list.put(&replica, service, "ready");
+            replica
+        });
+        let stores = STORE_IPS.iter().map(|ip| cluster.start(ip, true)).collect();
+        let gateway = cluster.start(GATEWAY_IPS[0], true);
+        let body = configuration(5).to_string();
+        wait_until("the configuration is accepted", || {
+            cluster.operator_request("PUT", "/-/config", &body).is_some()
+        });
+        wait_until("the gateway is ready", || cluster.is_ready(GATEWAY_IPS[0]));
+        Self { cluster, gateway, replicas: replicas.into(), _stores: stores }
+    }
+
+    fn connect(&self) -> TcpStream {
+        client::connect(self.cluster.http(GATEWAY_IPS[0]))
+    }
+
+    /// Opens a connection and sends a request on it.
+    fn send(&self, method: &str, path: &str, id: &str, headers: &[&str]) -> TcpStream {
+        let mut stream = self.connect();
+        let head = request_head(method, path, id, 0, headers);
+        stream.write_all(head.as_bytes()).expect("send the request");
+        stream
+    }
+
+    /// Waits until the replica has received a request.
+    fn wait_until_running(&self, id: &str) {
+        wait_until("the request runs", || self.has_run(id));
+    }
+
+    fn has_run(&self, id: &str) -> bool {
+        let mut requests = self.replicas.iter().flat_map(ScriptedReplica::requests);
+        requests.any(|request| request.id() == id)
+    }
+
+    fn stop_gateway(&self) {
+        self.gateway.signal(Signal::TERM);
+    }
+
+    /// Waits until the gateway has exited, and asserts that it was a graceful stop.
+    fn wait_until_stopped(&mut self) {
+        let status = self.gateway.child.wait().expect("the gateway exits");
+        assert!(status.success(), "{status}");
+    }
+}
+
+/// Reads a response at `bytes_per_second`; an error ends it early.
+fn read_slowly(stream: TcpStream, bytes_per_second: usize) -> Response {
+    const TICK: Duration = Duration::from_millis(20);
+    let mut input = PacedReader { stream, pause: TICK, most: bytes_per_second / 50 };
+    client::read_response(&mut BufReader::with_capacity(bytes_per_second / 50, &mut input))
+}
+
+struct PacedReader {
+    stream: TcpStream,
+    pause: Duration,
+    most: usize,
+}
+
+impl Read for PacedReader {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        thread::sleep(self.pause);
+        let most = self.most.min(buffer.len());
+        self.stream.read(&mut buffer[..most])
+    }
+}
+
+fn read_response(stream: TcpStream) -> Response {
+    client::read_response(&mut BufReader::new(stream))
+}
+
+/// Asserts that a response is complete.
+fn assert_complete(response: &Response, status: u16) {
+    let Response { body, is_complete, .. } = response;
+    assert_eq!((response.status, *is_complete), (status, true), "after {} bytes", body.len());
+}
+
+fn sleep_until(moment: Instant) {
+    thread::sleep(moment.saturating_duration_since(Instant::now()));
+}
