Gateways: wait for connections instead of requests when stopping

Connections in the queue of the listener were reset without a byte.

Cause: the guard of a buffered request was dropped when its response was built, the one of a stream when hyper had taken the last chunk. The stop waited for the guards and not for the sockets, and aborted the task that accepts connections whatever its queue held.

Change: crates/connections serves connections and counts each as open until its response is written. A stop lets idle connections close, between two requests only, and waits for all to close. The accept loop prefers a queued connection to its end. Guards remain for background tasks.

Ruled out: the last bytes of a stream (passed before, hyper keeps a body until at most 16 KiB are unsent).

--- /dev/null
+++ b/crates/connections/src/connection.rs
@@ -0,0 +1,183 @@
+//! Serves the requests of one connection.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use calicohoist_telemetry::metrics::Counter;
+use calicohoist_telemetry::{Event, emit};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+
+use crate::drain::{Drain, DrainStage};
+use crate::exchange::Progress;
+use crate::socket::RequestSocket;
+
+/// Minimum buffer size accepted by hyper.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+static CONNECTIONS_CLOSED: Counter = Counter::new(
+    "calicohoist_connections_closed",
+    "Closed connections of callers, by the way in which they ended",
+    "end",
+);
+
+/// Limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionSettings {
+    /// Time limit for receiving the head of a request, including the idle time before it.
+    pub head_timeout: Duration,
+    /// Maximum size of a request head, in bytes.
+    pub max_head_bytes: usize,
+    /// Time after which a peer is considered lost that neither acknowledges what it is sent nor
+    /// makes room for more.
+    pub stall_timeout: Duration,
+}
+
+/// Handle of a request's connection.
+#[derive(Clone, Debug)]
+pub struct RequestContext(Progress);
+
+impl RequestContext {
+    /// Records that the body of the request was received. From then on, the request is cancelled
+    /// when its peer closes the connection.
+    pub fn body_received(&self) {
+        self.0.record_body_received();
+    }
+}
+
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// Between two requests, or after a response that announced it.
+    Finished,
+    /// It failed, or the request was malformed.
+    Failed,
+}
+
+impl ConnectionEnd {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Finished => "finished",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Serves a connection until it is closed.
+pub async fn serve<H, F, B>(
+    stream: TcpStream,
+    settings: ConnectionSettings,
+    drain: &Drain,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, RequestContext) -> F,
+    F: Future<Output = Response<B>>,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let _open = drain.open_connection();
+    let progress = Progress::new();
+    let end = serve_requests(stream, settings, drain, &progress, handler).await;
+    CONNECTIONS_CLOSED.inc(end.label());
+}
+
+async fn serve_requests<H, F, B>(
+    stream: TcpStream,
+    settings: ConnectionSettings,
+    drain: &Drain,
+    progress: &Progress,
+    handler: H,
+) -> ConnectionEnd
+where
+    H: Fn(Request<Incoming>, RequestContext) -> F,
+    F: Future<Output = Response<B>>,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let service = service_fn(|request: Request<Incoming>| {
+        let body_bytes = request.body().size_hint().exact();
+        progress.begin_request(body_bytes);
+        let response = handler(request, RequestContext(progress.clone()));
+        async {
+            let mut response = response.await;
+            if drain.stage() >= DrainStage::Announced {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
+        }
+    });
+    let mut server = hyper::server::conn::http1::Builder::new();
+    server
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.head_timeout)
+        .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES));
+    let socket = RequestSocket::new(stream, progress.clone());
+    let mut connection = pin!(server.serve_connection(TokioIo::new(socket), service));
+    let mut closing = pin!(close_when_idle(drain, progress));
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => return match result {
+                Ok(()) => ConnectionEnd::Finished,
+                Err(error) => {
+                    emit!(Event::ConnectionFailed, "connection of a caller failed: {error}");
+                    ConnectionEnd::Failed
+                }
+            },
+            // The connection is polled again, and then finds that it may be idle no longer.
+            () = closing.as_mut(), if !is_closing => is_closing = true,
+        }
+    }
+}
+
+/// Lets a connection close when it is idle, once the drain closes connections.
+async fn close_when_idle(drain: &Drain, progress: &Progress) {
+    drain.closing().await;
+    progress.close_when_idle();
+}
+
+/// Response body that records its end.
+struct TrackedBody<B> {
+    body: B,
+    progress: Progress,
+}
+
+impl<B> TrackedBody<B> {
+    fn new(body: B, progress: &Progress) -> Self {
+        Self { body, progress: progress.clone() }
+    }
+}
+
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        self.progress.record_response_end();
+    }
+}
+
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/connections/src/drain.rs
@@ -0,0 +1,85 @@
+//! Closing of all connections of a process.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+
+/// Interval at which it is checked whether all connections are closed.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Progress of closing the connections of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DrainStage {
+    /// Connections are accepted and kept open between requests.
+    Serving,
+    /// Connections are accepted; responses ask the peer to close its connection.
+    Announced,
+    /// No connections are accepted, and those without a request are closed.
+    Closing,
+}
+
+/// Closes the connections of a process. Clones share the same connections.
+#[derive(Clone, Debug)]
+pub struct Drain {
+    stage: Arc<watch::Sender<DrainStage>>,
+    open_connections: Arc<AtomicUsize>,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        let stage = Arc::new(watch::Sender::new(DrainStage::Serving));
+        Self { stage, open_connections: Arc::default() }
+    }
+}
+
+impl Drain {
+    /// Moves on to a later stage.
+    pub fn advance(&self, stage: DrainStage) {
+        self.stage.send_if_modified(|current| {
+            let is_later = *current < stage;
+            *current = stage.max(*current);
+            is_later
+        });
+    }
+
+    /// Returns the current stage.
+    pub fn stage(&self) -> DrainStage {
+        *self.stage.borrow()
+    }
+
+    /// Returns the number of connections that are not closed yet.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
+    /// Waits until all connections are closed, or until `deadline`.
+    pub async fn wait_until_closed(&self, deadline: Instant) {
+        while self.open_connections() > 0 && Instant::now() < deadline {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until connections without a request are to be closed.
+    pub(crate) async fn closing(&self) {
+        let mut stages = self.stage.subscribe();
+        // The sender lives as long as `self`.
+        let _ = stages.wait_for(|stage| *stage == DrainStage::Closing).await;
+    }
+
+    /// Counts a connection as open until the guard is dropped.
+    pub(crate) fn open_connection(&self) -> OpenConnection {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(Arc::clone(&self.open_connections))
+    }
+}
+
+/// Counts a connection as open until dropped.
+pub(crate) struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/connections/src/lib.rs
@@ -0,0 +1,15 @@
+//! Server side of HTTP connections.
+//!
+//! [`accept`] serves the connections of a listener until its [`Drain`] closes them. The drain
+//! counts a connection as open until its response is written, so that a process knows when it may
+//! exit.
+
+mod accept;
+mod connection;
+mod drain;
+mod exchange;
+mod socket;
+
+pub use accept::accept;
+pub use connection::{ConnectionSettings, RequestContext};
+pub use drain::{Drain, DrainStage};
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -54,7 +54,7 @@
     /// The leader's last answer to a watch request.
     last_leader_answer: Mutex<Option<LeaderAnswer>>,
     is_stopping: AtomicBool,
-    active_requests: AtomicUsize,
+    running_tasks: AtomicUsize,
 }
 
 /// An answer of the leader to a watch request.
@@ -85,7 +85,7 @@
             has_replica_list: AtomicBool::new(false),
             last_leader_answer: Mutex::new(None),
             is_stopping: AtomicBool::new(false),
-            active_requests: AtomicUsize::new(0),
+            running_tasks: AtomicUsize::new(0),
         }
     }
 
@@ -166,30 +166,30 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Begins a graceful shutdown: the gateway reports itself as not ready and closes connections.
+    /// Begins a graceful shutdown: the gateway reports itself as not ready.
     pub fn stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
-    /// Counts a request as active until the guard is dropped.
-    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
-        self.active_requests.fetch_add(1, Ordering::Relaxed);
-        RequestGuard { app: Arc::clone(self) }
+    /// Counts a background task for which a graceful shutdown waits, until the guard is dropped.
+    pub fn begin_task(self: &Arc<Self>) -> TaskGuard {
+        self.running_tasks.fetch_add(1, Ordering::Relaxed);
+        TaskGuard { app: Arc::clone(self) }
     }
 
-    /// Returns the number of requests whose responses are incomplete.
-    pub fn active_requests(&self) -> usize {
-        self.active_requests.load(Ordering::Relaxed)
+    /// Returns the number of background tasks for which a graceful shutdown waits.
+    pub fn running_tasks(&self) -> usize {
+        self.running_tasks.load(Ordering::Relaxed)
     }
 }
 
-/// Counts a request as active until dropped.
-pub struct RequestGuard {
+/// Counts a background task as running until dropped.
+pub struct TaskGuard {
     app: Arc<App>,
 }
 
-impl Drop for RequestGuard {
+impl Drop for TaskGuard {
     fn drop(&mut self) {
-        self.app.active_requests.fetch_sub(1, Ordering::Relaxed);
+        self.app.running_tasks.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/proxy/src/flow/crash.rs
+++ b/crates/proxy/src/flow/crash.rs
@@ -206,7 +206,7 @@
 /// Records a crash in the ledger. Returns whether it was recorded.
 async fn store(app: Arc<App>, record: CrashRecord) -> bool {
     // A graceful shutdown waits for the record.
-    let _guard = app.begin_request();
+    let _guard = app.begin_task();
     let question = LedgerRequest::Settle(store_crash(&record));
     let answer = app.ledger.request(&question, Instant::now() + RECORD_TIMEOUT).await;
     // `Noted`: the tenant has too many records, and the crash counts at this gateway only.
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -25,6 +25,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_connections::RequestContext;
 use calicohoist_routing::{Credential, Limits, Route, RouteKind, RouteTable, Tenant};
 use calicohoist_telemetry::metrics::DurationHistogram;
 use calicohoist_telemetry::{Event, emit};
@@ -33,7 +34,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
 
-use crate::app::{App, RequestGuard};
+use crate::app::App;
 use crate::memory::MemoryClass;
 use body::BodyReadError;
 use call::{Call, ResolvedRoute};
@@ -50,15 +51,19 @@
 const STALE_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Serves a single client request.
-pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn handle(
+    app: Arc<App>,
+    request: Request<Incoming>,
+    context: RequestContext,
+) -> Response<ResponseBody> {
     let received_at = Instant::now();
-    let guard = app.begin_request();
     match read_request(&app, request, received_at).await {
         Ok(call) => {
+            context.body_received();
             let call = Arc::new(call);
             log_received(&call);
             let disconnect_guard = DisconnectGuard::new(&call);
-            let result = serve(&app, &call, guard).await;
+            let result = serve(&app, &call).await;
             disconnect_guard.disarm();
             result.unwrap_or_else(|error| {
                 log_error(&call.head.request_id, &call.route.name, received_at, &error);
@@ -72,16 +77,12 @@
     }
 }
 
-async fn serve(
-    app: &Arc<App>,
-    call: &Arc<Call>,
-    guard: RequestGuard,
-) -> Result<Response<ResponseBody>, GatewayError> {
+async fn serve(app: &Arc<App>, call: &Arc<Call>) -> Result<Response<ResponseBody>, GatewayError> {
     crash::reject_quarantined(app, call)?;
     origin::resolve(app, call).await?;
     home::check(app, call)?;
     match call.route.kind {
-        RouteKind::Stream => stream::serve(app, call, guard).await,
+        RouteKind::Stream => stream::serve(app, call).await,
         RouteKind::Safe | RouteKind::Unsafe => buffered::serve(app, call).await,
     }
 }
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -68,7 +68,7 @@
         run: None,
     });
     let app = Arc::clone(app);
-    let guard = app.begin_request();
+    let guard = app.begin_task();
     tokio::spawn(async move {
         let _guard = guard;
         if app.ledger.request(&question, Instant::now() + RECORD_TIMEOUT).await.is_err() {
--- a/crates/proxy/src/flow/response.rs
+++ b/crates/proxy/src/flow/response.rs
@@ -9,8 +9,6 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::app::RequestGuard;
-
 /// Aborts a response body, so that the connection closes without the end-of-body marker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("response body aborted")]
@@ -26,13 +24,8 @@
 pub enum ResponseBody {
     /// The complete body.
     Buffered(Full<Bytes>),
-    /// Chunks that are sent as they become available.
-    Streamed {
-        /// Receives the chunks; the body ends when the channel closes.
-        chunks: mpsc::UnboundedReceiver<Result<Bytes, BodyAborted>>,
-        /// Counts the request as active until the body is dropped.
-        guard: RequestGuard,
-    },
+    /// Chunks that are sent as they become available; the body ends when the channel closes.
+    Streamed(mpsc::UnboundedReceiver<Result<Bytes, BodyAborted>>),
 }
 
 impl ResponseBody {
@@ -52,7 +45,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match self.get_mut() {
             Self::Buffered(body) => Pin::new(body).poll_frame(context).map_err(BodyAborted::from),
-            Self::Streamed { chunks, .. } => {
+            Self::Streamed(chunks) => {
                 let chunk = chunks.poll_recv(context);
                 chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
@@ -62,14 +55,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(body) => body.is_end_stream(),
-            Self::Streamed { .. } => false,
+            Self::Streamed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(body) => body.size_hint(),
-            Self::Streamed { .. } => SizeHint::default(),
+            Self::Streamed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -25,7 +25,7 @@
 use super::origin;
 use super::response::{BodyAborted, ResponseBody};
 use super::turn::Turn;
-use crate::app::{App, RequestGuard};
+use crate::app::App;
 use crate::events::{EventSplitter, ServerEvent};
 use crate::upstream::{Exchange, is_closed_by_peer};
 
@@ -36,7 +36,6 @@
 pub async fn serve(
     app: &Arc<App>,
     call: &Arc<Call>,
-    guard: RequestGuard,
 ) -> Result<Response<ResponseBody>, GatewayError> {
     let mut turn = Turn::begin(app, call).await?;
     let payload =
@@ -78,7 +77,7 @@
     let headers = relay.headers();
     let (sender, chunks) = mpsc::unbounded_channel();
     tokio::spawn(relay.run(first, sender));
-    let mut response = Response::new(ResponseBody::Streamed { chunks, guard });
+    let mut response = Response::new(ResponseBody::Streamed(chunks));
     *response.headers_mut() = headers;
     Ok(response)
 }
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -298,7 +298,7 @@
         let id = self.call.head.request_id.clone();
         let question = LedgerRequest::Settle(self.settle_command(None));
         // A graceful shutdown waits for the settlement.
-        let guard = app.begin_request();
+        let guard = app.begin_task();
         tokio::spawn(async move {
             let _guard = guard;
             let deadline = Instant::now() + BACKGROUND_SETTLE_TIMEOUT;
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use calicohoist_connections::{Drain, DrainStage};
 use calicohoist_telemetry::{Event, emit};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -20,9 +21,8 @@
 const LAME_DUCK_PERIOD: Duration = Duration::from_millis(2_600);
 /// Part of the grace period that is reserved for aborting incomplete responses.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Time without active requests after which the process exits.
-const IDLE_TIME: Duration = Duration::from_millis(150);
+/// Interval at which it is checked whether background tasks have ended.
+const TASK_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Listening sockets of a gateway.
 #[derive(Debug)]
@@ -54,7 +54,7 @@
 ) -> eyre::Result<()> {
     let Listeners { http, ready } = listeners;
     let app = Arc::new(App::new(settings));
-    let (closing, closing_receiver) = watch::channel(false);
+    let drain = Drain::default();
     emit!(
         Event::RoleStarted;
         role = "gateway",
@@ -62,34 +62,32 @@
         protocol = calicohoist_ledger::protocol::SUPPORTED_VERSIONS,
     );
     tokio::spawn(ledger_watch::run(Arc::clone(&app)));
-    tokio::spawn(ready::accept(ready, Arc::clone(&app)));
-    let accept_task = tokio::spawn(connections::accept(http, Arc::clone(&app), closing_receiver));
+    tokio::spawn(ready::serve(ready, Arc::clone(&app)));
+    let accept_task = tokio::spawn(connections::serve(http, Arc::clone(&app), drain.clone()));
     if stop.wait_for(|stop| *stop).await.is_err() {
         return Ok(());
     }
-    emit!(Event::StopRequested; role = "gateway", under_way = app.active_requests());
+    emit!(Event::StopRequested; role = "gateway", connections = drain.open_connections());
     let grace = app.settings.grace.saturating_sub(GRACE_RESERVE);
     let abort_at = Instant::now() + grace;
     app.stop();
+    drain.advance(DrainStage::Announced);
     tokio::time::sleep(LAME_DUCK_PERIOD.min(grace / 2)).await;
-    accept_task.abort();
-    closing.send_replace(true);
-    wait_until_idle(&app, abort_at).await;
-    let remaining = app.active_requests();
-    let event = if remaining == 0 { Event::StopFinished } else { Event::StopForced };
-    emit!(event; role = "gateway", cut = remaining);
+    drain.advance(DrainStage::Closing);
+    // Only panics end the task otherwise, and those were reported.
+    let _ = accept_task.await;
+    drain.wait_until_closed(abort_at).await;
+    wait_for_tasks(&app, abort_at).await;
+    let (connections, tasks) = (drain.open_connections(), app.running_tasks());
+    let event = if connections + tasks == 0 { Event::StopFinished } else { Event::StopForced };
+    emit!(event; role = "gateway", cut = connections, unfinished_tasks = tasks);
     Ok(())
 }
 
-/// Waits until there has been no active request for [`IDLE_TIME`], or until `abort_at`. Requests
-/// in transit may still arrive after their connections have started to close.
-async fn wait_until_idle(app: &App, abort_at: Instant) {
-    let mut idle_since = Instant::now();
-    while idle_since.elapsed() < IDLE_TIME && Instant::now() < abort_at {
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        if app.active_requests() > 0 {
-            idle_since = Instant::now();
-        }
+/// Waits until the background tasks have ended, or until `abort_at`.
+async fn wait_for_tasks(app: &App, abort_at: Instant) {
+    while app.running_tasks() > 0 && Instant::now() < abort_at {
+        tokio::time::sleep(TASK_POLL_INTERVAL).await;
     }
 }
 
