Gateways: serve what has arrived before closing idle connections

Callers saw: a request sent on a kept connection ends without a byte when its gateway closes idle connections just then; twenty of twenty when the gateway is paused around that moment, as a machine with a quarter of a core is.

Cause: an idle connection was closed without looking into its receive buffer. The runtime may not have learned of the arrivals.

Change: an idle connection is closed only when the kernel holds nothing for it, and the listener only when its queue is empty. A new connection has 150 ms for its first request. A request that is still on its way at that moment crosses the close and can be sent again.

--- a/crates/connections/src/accept.rs
+++ b/crates/connections/src/accept.rs
@@ -1,6 +1,7 @@
 //! Accepts the connections of a listener.
 
 use std::error::Error;
+use std::io;
 
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::tcp;
@@ -11,7 +12,8 @@
 use crate::connection::{ConnectionSettings, RequestContext, serve};
 use crate::drain::Drain;
 
-/// Accepts and serves connections until the drain closes them. `settings` is called for each connection.
+/// Accepts and serves connections until the drain closes them; returns once the queue of the
+/// listener is empty then. `settings` is called for each connection.
 pub async fn accept<S, H, F, B>(listener: TcpListener, drain: Drain, settings: S, handler: H)
 where
     S: Fn() -> ConnectionSettings,
@@ -41,4 +43,23 @@
             spawn(stream);
         }
     }
+    if let Err(error) = accept_queued(listener, spawn) {
+        emit!(Event::ConnectionFailed, "cannot accept queued connections: {error}");
+    }
+}
+
+/// Accepts the connections in the queue of the listener, and closes the listener.
+fn accept_queued(listener: TcpListener, spawn: impl Fn(TcpStream)) -> io::Result<()> {
+    // Asks the kernel, because the runtime may not have learned of the latest arrivals yet.
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                spawn(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
 }
--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -3,8 +3,9 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::pin::{Pin, pin};
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
@@ -19,6 +20,8 @@
 use crate::exchange::Progress;
 use crate::socket::RequestSocket;
 
+/// Time that a new connection has for its first request while connections are being closed.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
 /// Minimum buffer size accepted by hyper.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -101,6 +104,7 @@
     B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    let accepted_at = Instant::now();
     let service = service_fn(|request: Request<Incoming>| {
         let body_bytes = request.body().size_hint().exact();
         progress.begin_request(body_bytes);
@@ -118,9 +122,9 @@
         .timer(TokioTimer::new())
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES));
-    let socket = RequestSocket::new(stream, progress.clone());
+    let socket = RequestSocket::new(Arc::new(stream), progress.clone());
     let mut connection = pin!(server.serve_connection(TokioIo::new(socket), service));
-    let mut closing = pin!(close_when_idle(drain, progress));
+    let mut closing = pin!(close_when_idle(drain, progress, accepted_at));
     let mut is_closing = false;
     loop {
         tokio::select! {
@@ -138,10 +142,17 @@
     }
 }
 
-/// Lets a connection close when it is idle, once the drain closes connections.
-async fn close_when_idle(drain: &Drain, progress: &Progress) {
+/// Lets a connection close when it is idle, once the drain closes connections. A new connection
+/// gets time for its first request.
+async fn close_when_idle(drain: &Drain, progress: &Progress, accepted_at: Instant) {
     drain.closing().await;
-    progress.close_when_idle();
+    let first_request_deadline = accepted_at + FIRST_REQUEST_TIMEOUT;
+    if progress.has_requests() {
+        progress.close_idle_at(Instant::now());
+        return;
+    }
+    progress.close_idle_at(first_request_deadline);
+    tokio::time::sleep_until(first_request_deadline.into()).await;
 }
 
 /// Response body that records its end.
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Progress of the current request of a connection, shared by its socket and its handler.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 
@@ -20,8 +21,9 @@
 #[derive(Debug)]
 struct State {
     phase: Phase,
-    /// Whether the connection is to be closed when it is idle.
-    closes_when_idle: bool,
+    requests: u64,
+    /// Time from which the connection is to be closed when it is idle.
+    close_idle_at: Option<Instant>,
 }
 
 /// Progress of a connection.
@@ -30,7 +32,7 @@
 
 impl Progress {
     pub fn new() -> Self {
-        Self(Arc::new(Mutex::new(State { phase: Phase::Idle, closes_when_idle: false })))
+        Self(Arc::new(Mutex::new(State { phase: Phase::Idle, requests: 0, close_idle_at: None })))
     }
 
     pub fn record_read(&self) {
@@ -51,7 +53,9 @@
     /// Records that the head of a request was received.
     pub fn begin_request(&self, body_bytes: Option<u64>) {
         let has_body = body_bytes != Some(0);
-        self.0.lock().phase = if has_body { Phase::Receiving } else { Phase::Answering };
+        let mut state = self.0.lock();
+        state.requests += 1;
+        state.phase = if has_body { Phase::Receiving } else { Phase::Answering };
     }
 
     /// Records that the body of the current request was received.
@@ -64,14 +68,18 @@
         self.0.lock().phase = Phase::Flushing;
     }
 
-    /// Closes the connection when it is idle.
-    pub fn close_when_idle(&self) {
-        self.0.lock().closes_when_idle = true;
+    pub fn has_requests(&self) -> bool {
+        self.0.lock().requests > 0
+    }
+
+    /// Closes the connection when it is idle at `moment` or later.
+    pub fn close_idle_at(&self, moment: Instant) {
+        self.0.lock().close_idle_at = Some(moment);
     }
 
-    /// Returns whether the connection is to be closed now.
-    pub fn is_closable(&self) -> bool {
+    /// Returns whether the connection is to be closed unless a request has arrived.
+    pub fn is_closable(&self, now: Instant) -> bool {
         let state = self.0.lock();
-        state.phase == Phase::Idle && state.closes_when_idle
+        state.phase == Phase::Idle && state.close_idle_at.is_some_and(|moment| moment <= now)
     }
 }
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -1,8 +1,8 @@
 //! Server side of HTTP connections.
 //!
-//! [`accept`] serves the connections of a listener until its [`Drain`] closes them. The drain
-//! counts a connection as open until its response is written, so that a process knows when it may
-//! exit.
+//! [`accept`] serves the connections of a listener until its [`Drain`] closes them. A request that
+//! has arrived is answered before the connection is closed. The drain counts a connection as open
+//! until its response is written, so that a process knows when it may exit.
 
 mod accept;
 mod connection;
--- a/crates/connections/src/socket.rs
+++ b/crates/connections/src/socket.rs
@@ -2,8 +2,11 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
+use rustix::net::{RecvFlags, Shutdown, recv, shutdown};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -14,28 +17,47 @@
 /// Reports the end of the stream on an idle connection that is to be closed, so that hyper closes
 /// it between two requests and never within one.
 pub struct RequestSocket {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     progress: Progress,
 }
 
 impl RequestSocket {
-    pub fn new(stream: TcpStream, progress: Progress) -> Self {
+    pub fn new(stream: Arc<TcpStream>, progress: Progress) -> Self {
         Self { stream, progress }
     }
+
+    /// Returns whether the connection is to be closed and nothing has arrived on it. Asks the
+    /// kernel, because the runtime may not have learned of the latest arrivals yet.
+    fn is_finished(&self) -> bool {
+        self.progress.is_closable(Instant::now()) && !has_received(&self.stream)
+    }
+}
+
+/// Returns whether the kernel holds bytes, the end of the stream or an error for the reader.
+fn has_received(stream: &TcpStream) -> bool {
+    let received = recv(stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    !matches!(received, Err(rustix::io::Errno::AGAIN))
 }
 
 impl AsyncRead for RequestSocket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        match Pin::new(&mut self.stream).poll_read(context, buffer) {
-            Poll::Pending if self.progress.is_closable() => Poll::Ready(Ok(())),
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(result) => {
-                self.progress.record_read();
-                Poll::Ready(result)
+        loop {
+            match self.stream.poll_read_ready(context)? {
+                Poll::Ready(()) => {}
+                Poll::Pending if self.is_finished() => return Poll::Ready(Ok(())),
+                Poll::Pending => return Poll::Pending,
+            }
+            match self.stream.try_read_buf(buffer) {
+                Ok(_) => {
+                    self.progress.record_read();
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
@@ -43,32 +65,38 @@
 
 impl AsyncWrite for RequestSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.poll_write_vectored(context, &[IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write_vectored(slices) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.progress.record_flush();
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        shutdown(&self.stream, Shutdown::Write)?;
+        Poll::Ready(Ok(()))
     }
 }
