Gateways: answer pipelined requests before closing a connection

Callers saw: of three requests sent at once on one connection, only the first is answered when the gateway stops meanwhile.

Cause: every response of a stopping gateway announces that the connection closes, and hyper then drops what it has read behind the request.

Change: a response announces it only if nothing beyond its request has been received, in the server's buffer or in the kernel. The end of a request is found by its blank line and the length of its body; where that is not known, nothing is announced, and the connection closes when it is idle.

--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -18,7 +18,8 @@
 
 use crate::drain::{Drain, DrainStage};
 use crate::exchange::Progress;
-use crate::socket::RequestSocket;
+use crate::request_end::Surplus;
+use crate::socket::{RequestSocket, has_received};
 
 /// Time that a new connection has for its first request while connections are being closed.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
@@ -105,13 +106,14 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let accepted_at = Instant::now();
+    let stream = Arc::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
         let body_bytes = request.body().size_hint().exact();
         progress.begin_request(body_bytes);
         let response = handler(request, RequestContext(progress.clone()));
         async {
             let mut response = response.await;
-            if drain.stage() >= DrainStage::Announced {
+            if drain.stage() >= DrainStage::Announced && !has_next_request(&stream, progress) {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
@@ -122,7 +124,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES));
-    let socket = RequestSocket::new(Arc::new(stream), progress.clone());
+    let socket = RequestSocket::new(Arc::clone(&stream), progress.clone());
     let mut connection = pin!(server.serve_connection(TokioIo::new(socket), service));
     let mut closing = pin!(close_when_idle(drain, progress, accepted_at));
     let mut is_closing = false;
@@ -155,6 +157,12 @@
     tokio::time::sleep_until(first_request_deadline.into()).await;
 }
 
+/// Returns whether a further request may have arrived behind the current one. The peer must not be
+/// told then that it will not be served.
+fn has_next_request(stream: &TcpStream, progress: &Progress) -> bool {
+    progress.surplus() == Surplus::Possible || has_received(stream)
+}
+
 /// Response body that records its end.
 struct TrackedBody<B> {
     body: B,
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -5,6 +5,8 @@
 
 use parking_lot::Mutex;
 
+use crate::request_end::{RequestEnd, Surplus};
+
 /// Progress of the current request and its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -21,6 +23,9 @@
 #[derive(Debug)]
 struct State {
     phase: Phase,
+    request_end: RequestEnd,
+    /// Length of the current request's body, if known.
+    body_bytes: Option<u64>,
     requests: u64,
     /// Time from which the connection is to be closed when it is idle.
     close_idle_at: Option<Instant>,
@@ -32,20 +37,29 @@
 
 impl Progress {
     pub fn new() -> Self {
-        Self(Arc::new(Mutex::new(State { phase: Phase::Idle, requests: 0, close_idle_at: None })))
+        Self(Arc::new(Mutex::new(State {
+            phase: Phase::Idle,
+            request_end: RequestEnd::default(),
+            body_bytes: None,
+            requests: 0,
+            close_idle_at: None,
+        })))
     }
 
-    pub fn record_read(&self) {
+    pub fn record_read(&self, bytes: &[u8]) {
         let mut state = self.0.lock();
         if state.phase == Phase::Idle {
             state.phase = Phase::Receiving;
         }
+        state.request_end.push(bytes);
     }
 
     /// Records that everything handed over so far has been written.
     pub fn record_flush(&self) {
         let mut state = self.0.lock();
         if state.phase == Phase::Flushing {
+            let surplus = state.request_end.surplus(state.body_bytes);
+            state.request_end.begin_next(surplus);
             state.phase = Phase::Idle;
         }
     }
@@ -55,6 +69,7 @@
         let has_body = body_bytes != Some(0);
         let mut state = self.0.lock();
         state.requests += 1;
+        state.body_bytes = body_bytes;
         state.phase = if has_body { Phase::Receiving } else { Phase::Answering };
     }
 
@@ -68,6 +83,12 @@
         self.0.lock().phase = Phase::Flushing;
     }
 
+    /// Returns whether bytes beyond the current request may have been received.
+    pub fn surplus(&self) -> Surplus {
+        let state = self.0.lock();
+        state.request_end.surplus(state.body_bytes)
+    }
+
     pub fn has_requests(&self) -> bool {
         self.0.lock().requests > 0
     }
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod drain;
 mod exchange;
+pub mod request_end;
 mod socket;
 
 pub use accept::accept;
--- a/crates/connections/src/socket.rs
+++ b/crates/connections/src/socket.rs
@@ -34,7 +34,7 @@
 }
 
 /// Returns whether the kernel holds bytes, the end of the stream or an error for the reader.
-fn has_received(stream: &TcpStream) -> bool {
+pub fn has_received(stream: &TcpStream) -> bool {
     let received = recv(stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT);
     !matches!(received, Err(rustix::io::Errno::AGAIN))
 }
@@ -45,6 +45,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
         loop {
             match self.stream.poll_read_ready(context)? {
                 Poll::Ready(()) => {}
@@ -53,7 +54,7 @@
             }
             match self.stream.try_read_buf(buffer) {
                 Ok(_) => {
-                    self.progress.record_read();
+                    self.progress.record_read(&buffer.filled()[filled..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
