Gateways: serve callers that shut down their sending side

Callers saw: the connection of a request ends without a byte when the caller shuts its sending side while the request runs; the replica's work is cancelled.

Cause: the end of a caller's bytes was taken for the end of the caller. The two look alike until something is sent.

Change: when a caller sends nothing more while its response is awaited, the first byte of the response is sent ahead of the rest. A closed connection is reset by it and the request is cancelled; a half-closed one takes it as what it is.

--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -17,7 +17,8 @@
 use tokio::net::TcpStream;
 
 use crate::drain::{Drain, DrainStage};
-use crate::exchange::Progress;
+use crate::exchange::{PeerEnd, Progress};
+use crate::peer::PeerWatch;
 use crate::request_end::Surplus;
 use crate::socket::{RequestSocket, has_received};
 
@@ -61,6 +62,8 @@
 enum ConnectionEnd {
     /// Between two requests, or after a response that announced it.
     Finished,
+    /// The peer closed it while its response was awaited.
+    PeerLeft,
     /// It failed, or the request was malformed.
     Failed,
 }
@@ -69,6 +72,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Finished => "finished",
+            Self::PeerLeft => "peer_left",
             Self::Failed => "failed",
         }
     }
@@ -87,13 +91,14 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let _open = drain.open_connection();
+    let stream = Arc::new(stream);
     let progress = Progress::new();
-    let end = serve_requests(stream, settings, drain, &progress, handler).await;
+    let end = serve_requests(&stream, settings, drain, &progress, handler).await;
     CONNECTIONS_CLOSED.inc(end.label());
 }
 
 async fn serve_requests<H, F, B>(
-    stream: TcpStream,
+    stream: &Arc<TcpStream>,
     settings: ConnectionSettings,
     drain: &Drain,
     progress: &Progress,
@@ -106,14 +111,13 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let accepted_at = Instant::now();
-    let stream = Arc::new(stream);
     let service = service_fn(|request: Request<Incoming>| {
         let body_bytes = request.body().size_hint().exact();
         progress.begin_request(body_bytes);
         let response = handler(request, RequestContext(progress.clone()));
         async {
             let mut response = response.await;
-            if drain.stage() >= DrainStage::Announced && !has_next_request(&stream, progress) {
+            if drain.stage() >= DrainStage::Announced && !has_next_request(stream, progress) {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
@@ -122,10 +126,12 @@
     let mut server = hyper::server::conn::http1::Builder::new();
     server
         .timer(TokioTimer::new())
+        .half_close(true)
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES));
-    let socket = RequestSocket::new(Arc::clone(&stream), progress.clone());
+    let socket = RequestSocket::new(Arc::clone(stream), progress.clone());
     let mut connection = pin!(server.serve_connection(TokioIo::new(socket), service));
+    let mut watch = PeerWatch::new(Arc::clone(stream), progress.clone());
     let mut closing = pin!(close_when_idle(drain, progress, accepted_at));
     let mut is_closing = false;
     loop {
@@ -138,6 +144,9 @@
                     ConnectionEnd::Failed
                 }
             },
+            () = std::future::poll_fn(|context| watch.poll_left(context)) => {
+                return ConnectionEnd::PeerLeft;
+            }
             // The connection is polled again, and then finds that it may be idle no longer.
             () = closing.as_mut(), if !is_closing => is_closing = true,
         }
@@ -160,7 +169,8 @@
 /// Returns whether a further request may have arrived behind the current one. The peer must not be
 /// told then that it will not be served.
 fn has_next_request(stream: &TcpStream, progress: &Progress) -> bool {
-    progress.surplus() == Surplus::Possible || has_received(stream)
+    let is_open = progress.peer_end() == PeerEnd::Open;
+    progress.surplus() == Surplus::Possible || is_open && has_received(stream)
 }
 
 /// Response body that records its end.
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -20,13 +20,35 @@
     Flushing,
 }
 
+/// How much of a response was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseStart {
+    /// Nothing.
+    None,
+    /// Its first byte, ahead of the rest.
+    FirstByte,
+    /// More than that.
+    Begun,
+}
+
+/// How the peer has ended its side of the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerEnd {
+    /// It has not.
+    Open,
+    /// It sends nothing more, but may still receive.
+    HalfClosed,
+}
+
 #[derive(Debug)]
 struct State {
     phase: Phase,
     request_end: RequestEnd,
     /// Length of the current request's body, if known.
     body_bytes: Option<u64>,
+    response_start: ResponseStart,
     requests: u64,
+    peer_end: PeerEnd,
     /// Time from which the connection is to be closed when it is idle.
     close_idle_at: Option<Instant>,
 }
@@ -41,11 +63,17 @@
             phase: Phase::Idle,
             request_end: RequestEnd::default(),
             body_bytes: None,
+            response_start: ResponseStart::None,
             requests: 0,
+            peer_end: PeerEnd::Open,
             close_idle_at: None,
         })))
     }
 
+    pub fn phase(&self) -> Phase {
+        self.0.lock().phase
+    }
+
     pub fn record_read(&self, bytes: &[u8]) {
         let mut state = self.0.lock();
         if state.phase == Phase::Idle {
@@ -54,6 +82,14 @@
         state.request_end.push(bytes);
     }
 
+    pub fn response_start(&self) -> ResponseStart {
+        self.0.lock().response_start
+    }
+
+    pub fn record_write(&self, start: ResponseStart) {
+        self.0.lock().response_start = start;
+    }
+
     /// Records that everything handed over so far has been written.
     pub fn record_flush(&self) {
         let mut state = self.0.lock();
@@ -66,10 +102,11 @@
 
     /// Records that the head of a request was received.
     pub fn begin_request(&self, body_bytes: Option<u64>) {
-        let has_body = body_bytes != Some(0);
         let mut state = self.0.lock();
         state.requests += 1;
         state.body_bytes = body_bytes;
+        state.response_start = ResponseStart::None;
+        let has_body = body_bytes != Some(0);
         state.phase = if has_body { Phase::Receiving } else { Phase::Answering };
     }
 
@@ -83,14 +120,22 @@
         self.0.lock().phase = Phase::Flushing;
     }
 
+    pub fn has_requests(&self) -> bool {
+        self.0.lock().requests > 0
+    }
+
     /// Returns whether bytes beyond the current request may have been received.
     pub fn surplus(&self) -> Surplus {
         let state = self.0.lock();
         state.request_end.surplus(state.body_bytes)
     }
 
-    pub fn has_requests(&self) -> bool {
-        self.0.lock().requests > 0
+    pub fn set_peer_end(&self, end: PeerEnd) {
+        self.0.lock().peer_end = end;
+    }
+
+    pub fn peer_end(&self) -> PeerEnd {
+        self.0.lock().peer_end
     }
 
     /// Closes the connection when it is idle at `moment` or later.
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod drain;
 mod exchange;
+mod peer;
 pub mod request_end;
 mod socket;
 
--- a/crates/connections/src/socket.rs
+++ b/crates/connections/src/socket.rs
@@ -10,7 +10,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use crate::exchange::Progress;
+use crate::exchange::{PeerEnd, Progress, ResponseStart};
 
 /// Socket that records the progress of its requests.
 ///
@@ -26,6 +26,18 @@
         Self { stream, progress }
     }
 
+    /// Writes bytes without those that were sent ahead.
+    fn try_write(&self, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+        if self.progress.response_start() != ResponseStart::FirstByte {
+            return self.stream.try_write_vectored(slices);
+        }
+        match slices.iter().find_map(|slice| slice.split_first()) {
+            Some((_, [])) => Ok(1),
+            Some((_, rest)) => Ok(1 + self.stream.try_write(rest)?),
+            None => Ok(0),
+        }
+    }
+
     /// Returns whether the connection is to be closed and nothing has arrived on it. Asks the
     /// kernel, because the runtime may not have learned of the latest arrivals yet.
     fn is_finished(&self) -> bool {
@@ -53,6 +65,10 @@
                 Poll::Pending => return Poll::Pending,
             }
             match self.stream.try_read_buf(buffer) {
+                Ok(0) => {
+                    self.progress.set_peer_end(PeerEnd::HalfClosed);
+                    return Poll::Ready(Ok(()));
+                }
                 Ok(_) => {
                     self.progress.record_read(&buffer.filled()[filled..]);
                     return Poll::Ready(Ok(()));
@@ -80,9 +96,12 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write_vectored(slices) {
+            match self.try_write(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    self.progress.record_write(ResponseStart::Begun);
+                    return Poll::Ready(result);
+                }
             }
         }
     }
