Connections: read with the runtime's own methods

Cause: not traced to its end. What differs: poll_read never reads until the kernel says that there is nothing more.

Change: the stream is shared under a lock, and read and written with its poll methods. A reset of a half-closed connection is found by asking the socket every 25 ms.

--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::pin::{Pin, pin};
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -20,7 +19,8 @@
 use crate::exchange::{PeerEnd, Progress};
 use crate::peer::PeerWatch;
 use crate::request_end::Surplus;
-use crate::socket::{RequestSocket, has_received};
+use crate::shared_stream::SharedStream;
+use crate::socket::RequestSocket;
 
 /// Time that a new connection has for its first request while connections are being closed.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
@@ -91,14 +91,14 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let _open = drain.open_connection();
-    let stream = Arc::new(stream);
+    let stream = SharedStream::new(stream);
     let progress = Progress::new();
     let end = serve_requests(&stream, settings, drain, &progress, handler).await;
     CONNECTIONS_CLOSED.inc(end.label());
 }
 
 async fn serve_requests<H, F, B>(
-    stream: &Arc<TcpStream>,
+    stream: &SharedStream,
     settings: ConnectionSettings,
     drain: &Drain,
     progress: &Progress,
@@ -129,9 +129,9 @@
         .half_close(true)
         .header_read_timeout(settings.head_timeout)
         .max_buf_size(settings.max_head_bytes.max(MIN_BUFFER_BYTES));
-    let socket = RequestSocket::new(Arc::clone(stream), progress.clone());
+    let socket = RequestSocket::new(stream.clone(), progress.clone());
     let mut connection = pin!(server.serve_connection(TokioIo::new(socket), service));
-    let mut watch = PeerWatch::new(Arc::clone(stream), progress.clone());
+    let mut watch = PeerWatch::new(stream.clone(), progress.clone());
     let mut closing = pin!(close_when_idle(drain, progress, accepted_at));
     let mut is_closing = false;
     loop {
@@ -168,9 +168,9 @@
 
 /// Returns whether a further request may have arrived behind the current one. The peer must not be
 /// told then that it will not be served.
-fn has_next_request(stream: &TcpStream, progress: &Progress) -> bool {
+fn has_next_request(stream: &SharedStream, progress: &Progress) -> bool {
     let is_open = progress.peer_end() == PeerEnd::Open;
-    progress.surplus() == Surplus::Possible || is_open && has_received(stream)
+    progress.surplus() == Surplus::Possible || is_open && stream.has_received()
 }
 
 /// Response body that records its end.
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod peer;
 pub mod request_end;
+mod shared_stream;
 mod socket;
 
 pub use accept::accept;
--- a/crates/connections/src/peer.rs
+++ b/crates/connections/src/peer.rs
@@ -1,32 +1,30 @@
 //! Detects peers that leave while their response is awaited.
 
-use std::io;
-use std::pin::Pin;
-use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use calicohoist_telemetry::{Event, emit};
-use tokio::io::{Interest, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::time::{Interval, MissedTickBehavior, interval};
 
 use crate::exchange::{PeerEnd, Phase, Progress, ResponseStart};
+use crate::shared_stream::SharedStream;
 
 /// First byte of every response.
 const FIRST_BYTE: &[u8] = b"H";
-
-type ErrorReadiness = Pin<Box<dyn Future<Output = ()> + Send>>;
+/// Interval at which a half-closed connection is checked for a reset.
+const RESET_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Watches the peer of a connection.
 pub struct PeerWatch {
-    stream: Arc<TcpStream>,
+    stream: SharedStream,
     progress: Progress,
-    /// Completes when the connection fails; present once the peer has half-closed it.
-    failure: Option<ErrorReadiness>,
+    /// Present once the peer has half-closed the connection.
+    reset_checks: Option<Interval>,
 }
 
 impl PeerWatch {
-    pub fn new(stream: Arc<TcpStream>, progress: Progress) -> Self {
-        Self { stream, progress, failure: None }
+    pub fn new(stream: SharedStream, progress: Progress) -> Self {
+        Self { stream, progress, reset_checks: None }
     }
 
     /// Completes when the peer has closed the connection while its response is awaited.
@@ -37,28 +35,31 @@
             return Poll::Pending;
         }
         if self.progress.peer_end() == PeerEnd::Open {
-            match self.poll_half_closed(context) {
-                Poll::Pending | Poll::Ready(Ok(false)) => return Poll::Pending,
-                Poll::Ready(Ok(true)) => self.progress.set_peer_end(PeerEnd::HalfClosed),
-                Poll::Ready(Err(_)) => return Poll::Ready(()),
+            match ready!(self.stream.poll_has_bytes(context)) {
+                // A further request has arrived, behind which the end cannot be seen.
+                Ok(true) => return Poll::Pending,
+                Ok(false) => self.progress.set_peer_end(PeerEnd::HalfClosed),
+                Err(_) => return Poll::Ready(()),
             }
         }
-        let failure = match &mut self.failure {
-            Some(failure) => failure,
-            None => {
-                self.probe();
-                self.failure.insert(error_readiness(Arc::clone(&self.stream)))
-            }
-        };
-        failure.as_mut().poll(context)
+        self.poll_reset(context)
     }
 
-    /// Returns whether the peer sends nothing more; `false` if a further request has arrived, in
-    /// which case it is not watched any longer.
-    fn poll_half_closed(&self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
-        let mut byte = [0];
-        let peeked = self.stream.poll_peek(context, &mut ReadBuf::new(&mut byte));
-        peeked.map_ok(|length| length == 0)
+    fn poll_reset(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if self.reset_checks.is_none() {
+            self.probe();
+        }
+        let checks = self.reset_checks.get_or_insert_with(|| {
+            let mut checks = interval(RESET_CHECK_INTERVAL);
+            checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            checks
+        });
+        loop {
+            ready!(checks.poll_tick(context));
+            if !matches!(self.stream.lock().take_error(), Ok(None)) {
+                return Poll::Ready(());
+            }
+        }
     }
 
     /// Sends the first byte of the response ahead of the rest: a peer that has closed its connection
@@ -68,7 +69,7 @@
         if self.progress.response_start() != ResponseStart::None {
             return;
         }
-        match self.stream.try_write(FIRST_BYTE) {
+        match self.stream.lock().try_write(FIRST_BYTE) {
             Ok(_) => self.progress.record_write(ResponseStart::FirstByte),
             Err(error) => {
                 emit!(Event::ConnectionFailed, "cannot probe a half-closed connection: {error}");
@@ -76,10 +77,3 @@
         }
     }
 }
-
-fn error_readiness(stream: Arc<TcpStream>) -> ErrorReadiness {
-    Box::pin(async move {
-        // An error means that the runtime is shutting down.
-        let _ = stream.ready(Interest::ERROR).await;
-    })
-}
