Gateways: let callers read a refusal before closing over their body

Callers saw: a caller that sends a body of 4 MiB over some time gets its connection reset (EPIPE) instead of the 413.

Cause: the socket was closed over unread bytes, which makes the kernel reset the connection; the caller then may lose what was sent before.

Change: after a response to a request whose rest is not read, the server shuts down its side and discards what still arrives until the caller closes, for 2 s at the most. After a response that announces the end of the connection it waits as long without reading.

--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -17,6 +17,7 @@
 
 use crate::drain::{Drain, DrainStage};
 use crate::exchange::{PeerEnd, Progress};
+use crate::linger::{LateBytes, linger};
 use crate::peer::PeerWatch;
 use crate::request_end::Surplus;
 use crate::shared_stream::SharedStream;
@@ -95,6 +96,23 @@
     let progress = Progress::new();
     let end = serve_requests(&stream, settings, drain, &progress, handler).await;
     CONNECTIONS_CLOSED.inc(end.label());
+    if let Some(late_bytes) = late_bytes(end, &progress)
+        && let Some(stream) = stream.into_inner()
+    {
+        linger(stream, late_bytes).await;
+    }
+}
+
+/// Returns how to treat bytes that arrive after the last response; `None` if none can arrive, or if
+/// no response may be on its way.
+fn late_bytes(end: ConnectionEnd, progress: &Progress) -> Option<LateBytes> {
+    if end == ConnectionEnd::PeerLeft || progress.peer_end() == PeerEnd::HalfClosed {
+        None
+    } else if progress.is_request_cut() {
+        Some(LateBytes::Discard)
+    } else {
+        progress.is_close_announced().then_some(LateBytes::Leave)
+    }
 }
 
 async fn serve_requests<H, F, B>(
@@ -118,6 +136,7 @@
         async {
             let mut response = response.await;
             if drain.stage() >= DrainStage::Announced && !has_next_request(stream, progress) {
+                progress.announce_close();
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -46,6 +46,10 @@
     request_end: RequestEnd,
     /// Length of the current request's body, if known.
     body_bytes: Option<u64>,
+    /// Whether the body of the current request was received.
+    is_body_received: bool,
+    /// Whether a response asked the peer to close the connection.
+    is_close_announced: bool,
     response_start: ResponseStart,
     requests: u64,
     peer_end: PeerEnd,
@@ -63,6 +67,8 @@
             phase: Phase::Idle,
             request_end: RequestEnd::default(),
             body_bytes: None,
+            is_body_received: false,
+            is_close_announced: false,
             response_start: ResponseStart::None,
             requests: 0,
             peer_end: PeerEnd::Open,
@@ -106,13 +112,15 @@
         state.requests += 1;
         state.body_bytes = body_bytes;
         state.response_start = ResponseStart::None;
-        let has_body = body_bytes != Some(0);
-        state.phase = if has_body { Phase::Receiving } else { Phase::Answering };
+        state.is_body_received = body_bytes == Some(0);
+        state.phase = if state.is_body_received { Phase::Answering } else { Phase::Receiving };
     }
 
     /// Records that the body of the current request was received.
     pub fn record_body_received(&self) {
-        self.0.lock().phase = Phase::Answering;
+        let mut state = self.0.lock();
+        state.is_body_received = true;
+        state.phase = Phase::Answering;
     }
 
     /// Records that the whole response was handed over.
@@ -130,6 +138,21 @@
         state.request_end.surplus(state.body_bytes)
     }
 
+    /// Returns whether the connection ends within a request whose rest is not read.
+    pub fn is_request_cut(&self) -> bool {
+        let state = self.0.lock();
+        let has_unread_body = state.requests > 0 && !state.is_body_received;
+        state.phase == Phase::Receiving || has_unread_body
+    }
+
+    pub fn announce_close(&self) {
+        self.0.lock().is_close_announced = true;
+    }
+
+    pub fn is_close_announced(&self) -> bool {
+        self.0.lock().is_close_announced
+    }
+
     pub fn set_peer_end(&self, end: PeerEnd) {
         self.0.lock().peer_end = end;
     }
--- a/crates/connections/src/shared_stream.rs
+++ b/crates/connections/src/shared_stream.rs
@@ -23,6 +23,11 @@
         self.0.lock()
     }
 
+    /// Returns the stream if this is its only handle.
+    pub fn into_inner(self) -> Option<TcpStream> {
+        Arc::into_inner(self.0).map(Mutex::into_inner)
+    }
+
     /// Returns whether the kernel holds bytes, the end of the stream or an error for the reader.
     ///
     /// Asks the kernel, because the runtime may not have learned of the latest arrivals yet.
