Gateways: end stalled connections after the idle timeout

Callers saw: a caller that reads nothing for 7 s gets the first 128 kB of a response of 12 MiB and then a reset, without any stop.

Cause: TCP_USER_TIMEOUT was 5 s on callers' connections. The kernel also applies it to a peer that acknowledges window probes but makes no room, so it ended connections whose caller was alive. The class is a time limit that does not come from what callers were promised.

Change: the time limit is the idle timeout of the configuration, which bounds how long a caller may be silent. A caller that lost power holds its response's memory until then (15 s instead of 5 s where that is configured); the memory limit bounds the sum as before.

--- a/crates/proxy/src/frontend/connections.rs
+++ b/crates/proxy/src/frontend/connections.rs
@@ -1,7 +1,6 @@
 //! Client connections.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use calicohoist_connections::{ConnectionSettings, Drain, accept};
 use calicohoist_routing::Limits;
@@ -20,13 +19,10 @@
     accept(listener, drain, settings, handler).await;
 }
 
-/// TCP user timeout: time after which a connection with unacknowledged data is closed.
-const STALL_TIMEOUT: Duration = Duration::from_secs(5);
-
 fn connection_settings(limits: Limits) -> ConnectionSettings {
     ConnectionSettings {
         head_timeout: limits.idle_timeout,
         max_head_bytes: limits.max_header_bytes,
-        stall_timeout: STALL_TIMEOUT,
+        stall_timeout: limits.idle_timeout,
     }
 }
