--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -75,6 +75,8 @@
     FrameRefused = 3001, Warn;
     /// A connection was refused because the connection limit is reached.
     LinkLimitReached = 3002, Warn;
+    /// A connection could not be accepted, for example without a free file descriptor.
+    AcceptFailed = 3003, Warn;
     /// A caller's connection failed, or was closed because of a malformed request.
     ConnectionFailed = 3004, Debug;
     /// A request was rejected before it was fully parsed.
