--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -129,18 +129,16 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let accepted_at = Instant::now();
-    let service = service_fn(|request: Request<Incoming>| {
-        let body_bytes = request.body().size_hint().exact();
-        progress.begin_request(body_bytes);
-        let response = handler(request, RequestContext(progress.clone()));
-        async {
-            let mut response = response.await;
-            if drain.stage() >= DrainStage::Announced && !has_next_request(stream, progress) {
-                progress.announce_close();
-                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            }
-            Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
+    let handler = &handler;
+    let service = service_fn(move |request: Request<Incoming>| async move {
+        progress.begin_request(request.body().size_hint().exact());
+        let mut response = handler(request, RequestContext(progress.clone())).await;
+        let is_announced = drain.stage() >= DrainStage::Announced;
+        if is_announced && !has_next_request(stream, progress) {
+            progress.announce_close();
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, progress)))
     });
     let mut server = hyper::server::conn::http1::Builder::new();
     server
