Gateways: large responses beyond their share leave room for small ones

Cause: a large response may exceed its share of the memory limit if it is the only one, but it was counted with its full size when small ones were admitted, so nothing was left for them. A response of unknown length counted as a small one whatever it grew to, with the same outcome.

Change: a large response counts as its share at most for the others, and a growing one becomes a large one.

Evidence: three tests failed before and pass; the property that the limit holds passes unchanged.

--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -42,15 +42,24 @@
     /// Returns whether `bytes` more bytes may be reserved. Request bodies get a quarter of the
     /// limit and responses the rest, so that accepted requests find room for their responses;
     /// large responses leave a quarter for small ones. If nothing else is reserved in its share, a
-    /// reservation of any size is granted, since it could never succeed otherwise.
+    /// reservation of any size is granted, since it could never succeed otherwise; a large response
+    /// that exceeds its share counts as that share for the others.
     fn admits(self, bytes: usize, reserved: &BytesByClass, limit: usize) -> bool {
         let fits = |used: usize, share: usize| used == 0 || used.saturating_add(bytes) <= share;
-        let responses = reserved.responses + reserved.large_responses;
+        let large_share = limit / 2;
+        let responses_fit = |responses: usize, large_responses: usize| {
+            responses.saturating_add(large_responses.min(large_share)) <= limit / 4 * 3
+        };
+        let BytesByClass { request_bodies, responses, large_responses } = *reserved;
         match self {
-            Self::RequestBody => fits(reserved.request_bodies, limit / 4),
-            Self::Response => fits(responses, limit / 4 * 3),
+            Self::RequestBody => fits(request_bodies, limit / 4),
+            Self::Response => {
+                let is_first = responses + large_responses == 0;
+                is_first || responses_fit(responses.saturating_add(bytes), large_responses)
+            }
             Self::LargeResponse => {
-                fits(reserved.large_responses, limit / 2) && fits(responses, limit / 4 * 3)
+                fits(large_responses, large_share)
+                    && responses_fit(responses, large_responses.saturating_add(bytes))
             }
         }
     }
@@ -157,7 +166,7 @@
 
     /// Grows the reservation to at least `bytes` bytes; returns whether that succeeded. For
     /// responses it always succeeds, since two partially read responses could wait for each other
-    /// forever.
+    /// forever; one that becomes large counts as a large one from then on.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
         let mut reserved = self.budget.reserved.lock();
@@ -165,8 +174,12 @@
         if may_fail && !self.class.admits(more, &reserved, self.budget.limit) {
             return false;
         }
-        *reserved.class_mut(self.class) += more;
+        *reserved.class_mut(self.class) -= self.bytes;
         self.bytes += more;
+        if self.class == MemoryClass::Response {
+            self.class = MemoryClass::of_response(self.bytes, self.budget.limit);
+        }
+        *reserved.class_mut(self.class) += self.bytes;
         true
     }
 }
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -35,6 +35,34 @@
     drop(large);
 }
 
+/// Otherwise one slow reader of a large response holds up all small ones.
+#[test]
+fn large_response_beyond_its_share_leaves_room_for_small_ones() {
+    let budget = MemoryBudget::with_limit(100);
+    let large = budget.try_reserve(MemoryClass::LargeResponse, 1_000).expect("nothing else");
+    let short = budget.try_reserve(MemoryClass::Response, 25).expect("a quarter is left");
+    assert!(budget.try_reserve(MemoryClass::Response, 1).is_none());
+    drop((large, short));
+}
+
+#[test]
+fn large_response_beyond_its_share_does_not_wait_for_all_small_ones() {
+    let budget = MemoryBudget::with_limit(100);
+    let short = budget.try_reserve(MemoryClass::Response, 25).expect("within its share");
+    assert!(budget.try_reserve(MemoryClass::LargeResponse, 1_000).is_some());
+    drop(short);
+}
+
+#[test]
+fn response_of_unknown_length_that_becomes_large_leaves_room_for_small_ones() {
+    let budget = MemoryBudget::with_limit(100);
+    let mut response = budget.try_reserve(MemoryClass::Response, 5).expect("nothing else");
+    assert!(response.grow_to(1_000));
+    let short = budget.try_reserve(MemoryClass::Response, 25).expect("a quarter is left");
+    drop((response, short));
+    assert_eq!(budget.reserved(), 0);
+}
+
 #[test]
 fn only_response_reservations_grow_beyond_their_share() {
     let budget = MemoryBudget::with_limit(100);
