--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -29,7 +29,7 @@
 const MIN_BUFFER_BYTES: usize = 8_192;
 
 static CONNECTIONS_CLOSED: Counter = Counter::new(
-    "calicohoist_connections_closed",
+    "calicohoist_connections_closed_total",
     "Closed connections of callers, by the way in which they ended",
     "end",
 );
