Ledger: pause and log when a connection cannot be accepted

The cause of the gateway's accept loop at the two of the ledger (gateways, other machines): errors of accept were passed over, and accept returns at once as long as the process has no descriptor.

Change: tcp::accept waits and logs, and all asynchronous listeners use it. A connection that cannot be configured is logged as well.

--- a/crates/connections/src/accept.rs
+++ b/crates/connections/src/accept.rs
@@ -2,7 +2,6 @@
 
 use std::error::Error;
 use std::io;
-use std::time::Duration;
 
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::tcp;
@@ -13,9 +12,6 @@
 use crate::connection::{ConnectionSettings, RequestContext, serve};
 use crate::drain::Drain;
 
-/// Pause after a failed accept, for example without a free file descriptor.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Accepts and serves connections until the drain closes them; returns once the queue of the
 /// listener is empty then. `settings` is called for each connection.
 pub async fn accept<S, H, F, B>(listener: TcpListener, drain: Drain, settings: S, handler: H)
@@ -38,17 +34,10 @@
         tokio::spawn(async move { serve(stream, settings, &drain, handler).await });
     };
     loop {
-        let accepted = tokio::select! {
+        tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            (stream, _) = tcp::accept(&listener) => spawn(stream),
             () = drain.closing() => break,
-        };
-        match accepted {
-            Ok((stream, _)) => spawn(stream),
-            Err(error) => {
-                emit!(Event::AcceptFailed, "cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
-            }
         }
     }
     if let Err(error) = accept_queued(listener, spawn) {
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -150,16 +150,18 @@
 /// Accepts connections from gateways.
 pub async fn accept(listener: TcpListener, service: GatewayService) {
     loop {
-        if let Ok((stream, address)) = listener.accept().await
-            && tcp::configure(&stream, USER_TIMEOUT).is_ok()
-        {
-            let service = service.clone();
-            tokio::spawn(async move {
-                if let Err(error) = serve(stream, service).await {
-                    REFUSALS.record_version_error(address, &error);
-                }
-            });
+        let (stream, address) = tcp::accept(&listener).await;
+        if let Err(error) = tcp::configure(&stream, USER_TIMEOUT) {
+            // The gateway has reset the connection meanwhile.
+            emit!(Event::ConnectionFailed, "cannot configure a connection: {error}");
+            continue;
         }
+        let service = service.clone();
+        tokio::spawn(async move {
+            if let Err(error) = serve(stream, service).await {
+                REFUSALS.record_version_error(address, &error);
+            }
+        });
     }
 }
 
--- a/crates/ledger/src/server/peers/mod.rs
+++ b/crates/ledger/src/server/peers/mod.rs
@@ -12,7 +12,7 @@
 use calicohoist_replication::{GroupMessage, Message, ReplicaId};
 use calicohoist_transport::version::accept_offer;
 use calicohoist_transport::{
-    FrameReader, HEADER_BYTES, Link, LinkHandshake, RefusedFrameLog, VersionError,
+    FrameReader, HEADER_BYTES, Link, LinkHandshake, RefusedFrameLog, VersionError, tcp,
 };
 use calicohoist_wire::encode;
 use tokio::net::{TcpListener, TcpStream};
@@ -136,15 +136,13 @@
     peers: KnownPeers,
 ) {
     loop {
-        if let Ok((stream, address)) = listener.accept().await {
-            let receiver =
-                PeerReceiver { identity, replica: replica.clone(), peers: peers.clone() };
-            tokio::spawn(async move {
-                if let Err(error) = receiver.read(stream).await {
-                    REFUSALS.record_version_error(address, &error);
-                }
-            });
-        }
+        let (stream, address) = tcp::accept(&listener).await;
+        let receiver = PeerReceiver { identity, replica: replica.clone(), peers: peers.clone() };
+        tokio::spawn(async move {
+            if let Err(error) = receiver.read(stream).await {
+                REFUSALS.record_version_error(address, &error);
+            }
+        });
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,6 @@
 pub use frame::{Frame, FrameReader, HEADER_BYTES, SharedField, encode_frame, frame_payload};
 pub use link::{Link, LinkHandshake, LinkMessage};
 pub use refusal::RefusedFrameLog;
-pub use tcp::{bind, connect};
+pub use tcp::{accept, bind, connect};
 pub use version::{ProtocolVersion, VersionError, VersionRange};
 pub use writer::{FrameQueue, QueuedBytes, SendOutcome, spawn_writer};
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -4,11 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use calicohoist_telemetry::{Event, emit};
 use rustix::net::sockopt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
+/// Pause after a failed accept, for example without a free file descriptor.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Connects within `connect_timeout`. The connection fails when sent data stays unacknowledged
 /// for `user_timeout`, for example after a power failure of the peer.
@@ -47,3 +50,16 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// Accepts a connection. Failures are logged, and the next attempt follows after a pause.
+pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                emit!(Event::AcceptFailed, "cannot accept a connection: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+            }
+        }
+    }
+}
