Gateways: log when crashes are recorded, and when gateways learn of them

The logs told which gateway found a crash, but not when its record was stored nor when other gateways had it, so that a late record and one that never came looked the same. The soak also removed its logs unless another check failed.

Change: two events, `CrashRecorded` with the time that it took, and `CrashesReceived` with the version that the gateway has and the time since it asked. Both are written only after a crash. The soak keeps the logs of a run in which too many replicas crashed, and prints their folder.

--- a/crates/calicohoist/tests/soak/crashes.rs
+++ b/crates/calicohoist/tests/soak/crashes.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -177,7 +178,7 @@
 /// gateways that did not follow the ledger, or could not record the crash in time.
 fn gateways_in_touch(log_folder: &Path) -> BTreeMap<String, String> {
     let files = fs::read_dir(log_folder).into_iter().flatten().flatten();
-    let logs = files.filter(|file| file.path().extension().is_some_and(|name| name == "log"));
+    let logs = files.filter(|file| is_log(&file.path()));
     let (mut gateways, mut late) = (BTreeMap::new(), BTreeSet::new());
     for log in logs {
         let text = fs::read_to_string(log.path()).unwrap_or_default();
@@ -201,6 +202,22 @@
     pauses.iter().filter(is_own).any(|pause| pause.from <= at && at <= pause.until + RESUME_TIME)
 }
 
+/// Copies the logs, since the folder is removed at the end of the run.
+fn copy_logs(log_folder: &Path, copy: &Path) -> io::Result<()> {
+    fs::create_dir_all(copy)?;
+    for entry in fs::read_dir(log_folder)? {
+        let path = entry?.path();
+        if let Some(name) = path.file_name().filter(|_| is_log(&path)) {
+            fs::copy(&path, copy.join(name))?;
+        }
+    }
+    Ok(())
+}
+
+fn is_log(path: &Path) -> bool {
+    path.extension().is_some_and(|name| name == "log")
+}
+
 /// Returns the requests that crashed more than [`MAX_CRASHES`] replicas at gateways that were in
 /// touch with the ledger, and checks that other requests were served.
 pub fn check_crashes(records: &mut Records, log_folder: &Path, pauses: &[Pause]) -> Vec<String> {
@@ -218,6 +235,11 @@
         crashes.uncounted += (replicas.len() - counted) as u64;
         crashes.exceeded += u64::from(replicas.len() > MAX_CRASHES);
     }
+    if !fatal.is_empty() {
+        let copy = log_folder.with_extension("crashes");
+        copy_logs(log_folder, &copy).expect("copy the logs");
+        println!("logs in {}", copy.display());
+    }
     if crashes.harmless > 0 && crashes.served == 0 {
         violations.push("no harmless request was served beside fatal ones".to_owned());
     }
--- a/crates/proxy/src/flow/crash.rs
+++ b/crates/proxy/src/flow/crash.rs
@@ -207,10 +207,20 @@
 async fn store(app: Arc<App>, record: CrashRecord) -> bool {
     // A graceful shutdown waits for the record.
     let _guard = app.begin_task();
+    let started_at = Instant::now();
     let question = LedgerRequest::Settle(store_crash(&record));
-    let answer = app.ledger.request(&question, Instant::now() + RECORD_TIMEOUT).await;
+    let answer = app.ledger.request(&question, started_at + RECORD_TIMEOUT).await;
     // `Noted`: the tenant has too many records, and the crash counts at this gateway only.
-    matches!(answer, Ok(LedgerResponse::Settled | LedgerResponse::Noted))
+    let is_recorded = matches!(answer, Ok(LedgerResponse::Settled | LedgerResponse::Noted));
+    if is_recorded {
+        emit!(
+            Event::CrashRecorded;
+            content = record.request,
+            replica = record.replica,
+            took_ms = started_at.elapsed().as_millis(),
+        );
+    }
+    is_recorded
 }
 
 /// Returns whether the replica is listed as ready. One that drains or has left the list ends by
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -103,7 +103,8 @@
             LIST_AGE_MS.set(self.app.fleet.list_age().as_millis().try_into().unwrap_or(u64::MAX));
             REQUESTS_IN_DRAINED_ZONES.set(u64::from(self.app.fleet.requests_in_drained_zones()));
             self.app.crashes.lock().expire(Instant::now());
-            let deadline = Instant::now() + WATCH_TIMEOUT;
+            let asked_at = Instant::now();
+            let deadline = asked_at + WATCH_TIMEOUT;
             let answer = self.app.ledger.request(&LedgerRequest::Watch(seen), deadline).await;
             // Crash records come without a confirmation of the leadership.
             if answer.is_ok() && !matches!(answer, Ok(LedgerResponse::Crashes { .. })) {
@@ -133,6 +134,14 @@
                 Ok(LedgerResponse::Crashes { mark, crashes }) => {
                     self.record_crashes(&crashes);
                     self.state.lock().crashes = mark;
+                    let waited_ms = asked_at.elapsed().as_millis();
+                    emit!(
+                        Event::CrashesReceived;
+                        term = mark.term,
+                        change = mark.change,
+                        crashes = crashes.len(),
+                        waited_ms = waited_ms,
+                    );
                 }
                 Ok(LedgerResponse::DrainedZones(drained)) => self.apply_drained_zones(drained),
                 Ok(LedgerResponse::News(news)) => self.apply_news(news),
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -129,6 +129,10 @@
     ColdReplicasChanged = 4121, Info;
     /// Replicas restarted with an unchanged identity.
     ReplicasRestarted = 4122, Info;
+    /// A crash under a request is recorded in the ledger.
+    CrashRecorded = 4123, Info;
+    /// A gateway learned of crashes from the ledger.
+    CrashesReceived = 4124, Info;
     /// An engine released the cache of a program that has ended.
     CacheReleased = 4201, Debug;
     /// A request to release cache failed and will be retried.
