Ledger client: offer the versions again after a second

Cause: a build without versions closes a connection that begins with an offer, and the opener then connects without one. A machine that is starting behind a forwarder closes in order as well. Its gateways spoke version 1 to it for as long as the connection lasted, also once it led: no crash records, lists without incarnations or software versions.

Change: a connection of the legacy version is replaced after a second by one that begins with an offer. Requests in flight are answered on the old one. Nothing more is sent between processes of this build; towards a legacy build it costs two connections a second and gateway.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -30,6 +30,7 @@
     requests: FrameQueue,
     state: Arc<ConnectionState>,
     version: ProtocolVersion,
+    opened_at: Instant,
 }
 
 struct ConnectionState {
@@ -56,7 +57,8 @@
             last_received: Mutex::new(Instant::now()),
         };
         let requests = spawn_writer(output, QueuedBytes::default());
-        let connection = Self { requests, state: Arc::new(state), version };
+        let connection =
+            Self { requests, state: Arc::new(state), version, opened_at: Instant::now() };
         let state = Arc::clone(&connection.state);
         tokio::spawn(read_responses(FrameReader::new(input), version, state, address));
         Some(connection)
@@ -67,6 +69,12 @@
         self.state.is_open.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the machine may support later versions than the legacy one by which it was
+    /// connected at least `ttl` ago.
+    pub(super) fn is_outdated(&self, ttl: Duration) -> bool {
+        self.version == ProtocolVersion::LEGACY && self.opened_at.elapsed() >= ttl
+    }
+
     /// Returns the negotiated protocol version.
     pub(super) fn version(&self) -> ProtocolVersion {
         self.version
--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -19,6 +19,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
+use calicohoist_transport::ProtocolVersion;
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::time::timeout;
@@ -63,9 +64,18 @@
     leader_confirmed_until: Option<Instant>,
 }
 
+/// A response with the version of the connection on which it arrived.
+#[derive(Clone, Debug)]
+pub struct VersionedResponse {
+    /// The response.
+    pub response: LedgerResponse,
+    /// Version of the connection.
+    pub version: ProtocolVersion,
+}
+
 /// Outcome of a single attempt to send a request.
 enum Attempt {
-    Answered(LedgerResponse),
+    Answered(VersionedResponse),
     /// The leader cannot answer at present; retried after a backoff.
     Unavailable,
     /// The machine does not lead, is unreachable or timed out.
@@ -108,17 +118,29 @@
         request: &LedgerRequest,
         deadline: Instant,
     ) -> Result<LedgerResponse, RequestError> {
+        self.request_versioned(request, deadline).await.map(|answer| answer.response)
+    }
+
+    /// The same as [`Self::request`], with the version of the connection.
+    ///
+    /// # Errors
+    /// See [`Self::request`].
+    pub async fn request_versioned(
+        &self,
+        request: &LedgerRequest,
+        deadline: Instant,
+    ) -> Result<VersionedResponse, RequestError> {
         let until_deadline = deadline.saturating_duration_since(Instant::now());
         let result = timeout(until_deadline, self.retry_until_answered(request)).await;
         result.map_err(|_| RequestError::DeadlineExceeded)
     }
 
-    async fn retry_until_answered(&self, request: &LedgerRequest) -> LedgerResponse {
+    async fn retry_until_answered(&self, request: &LedgerRequest) -> VersionedResponse {
         let mut backoff = self.shared.timing.initial_backoff;
         loop {
             let leader = self.leader().await;
             match self.attempt(leader, request).await {
-                Attempt::Answered(response) => return response,
+                Attempt::Answered(answer) => return answer,
                 Attempt::Abandoned => {}
                 Attempt::Unavailable => self.back_off(&mut backoff).await,
             }
@@ -204,7 +226,10 @@
                     return Attempt::Abandoned;
                 }
                 Ok(Some(LedgerResponse::Unavailable)) => return Attempt::Unavailable,
-                Ok(Some(response)) => return Attempt::Answered(response),
+                Ok(Some(response)) => {
+                    let version = connection.version();
+                    return Attempt::Answered(VersionedResponse { response, version });
+                }
                 Ok(None) => return self.abandon(leader),
                 Err(_) => {}
             }
@@ -271,6 +296,7 @@
             return Some(connection);
         }
         let address = machine_address(machine, self.shared.port);
+        // Requests in flight on a replaced connection are still answered there.
         let connection = Connection::open(address).await?;
         self.shared.state.lock().connections.insert(machine, connection.clone());
         emit!(Event::LedgerConnected; machine = address, version = connection.version());
@@ -280,7 +306,9 @@
     fn open_connection(&self, machine: u32) -> Option<Connection> {
         let state = self.shared.state.lock();
         let connection = state.connections.get(&machine)?;
-        connection.is_open().then(|| connection.clone())
+        let is_usable = connection.is_open()
+            && !connection.is_outdated(self.shared.timing.legacy_connection_ttl);
+        is_usable.then(|| connection.clone())
     }
 
     /// Updates the known members of the group.
--- a/crates/ledger/src/client/timing.rs
+++ b/crates/ledger/src/client/timing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use calicohoist_transport::version::LEGACY_CONNECTION_TTL;
+
 use crate::protocol::LedgerRequest;
 
 /// Timeouts and retry backoff of a [`LedgerClient`](super::LedgerClient).
@@ -21,6 +23,9 @@
     pub leader_confirmation_ttl: Duration,
     /// Timeout of a request for the current leader.
     pub find_leader_timeout: Duration,
+    /// Time after which versions are offered again to a machine with a connection of the legacy
+    /// version. A machine that was starting or stopping closes a connection as legacy builds do.
+    pub legacy_connection_ttl: Duration,
     /// Initial retry backoff, which doubles with each retry.
     pub initial_backoff: Duration,
     /// Maximum retry backoff.
@@ -42,6 +47,7 @@
             leader_confirmation_ttl: Duration::from_millis(400),
             // Longer than a machine without a leader holds the request, 150 ms.
             find_leader_timeout: Duration::from_millis(300),
+            legacy_connection_ttl: LEGACY_CONNECTION_TTL,
             initial_backoff: Duration::from_millis(20),
             // Shorter than an election.
             max_backoff: Duration::from_millis(160),
--- a/crates/transport/src/version.rs
+++ b/crates/transport/src/version.rs
@@ -30,6 +30,10 @@
 /// Time within which an offer must be answered.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time after which a process of the legacy version is offered the versions again. A process that is
+/// starting or stopping may close a connection as legacy builds do.
+pub const LEGACY_CONNECTION_TTL: Duration = Duration::from_millis(1_000);
+
 /// Version of the message format on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
