Gateways: do not follow the ledger without crash records

Cause: a gateway counted as following when the leader had answered a watch, whatever the version of the connection.

Change: it follows only over a version with crash records. Otherwise it sends a request under which it knows of a crash nowhere, as one that is cut off.

--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_ledger::client::LedgerClient;
+use calicohoist_ledger::protocol::CRASH_RECORDS_VERSION;
 use calicohoist_limiter::PermitCache;
 use calicohoist_quarantine::CrashTable;
 use calicohoist_routing::{CostWeights, KeySecret, RouteTable};
+use calicohoist_transport::ProtocolVersion;
 use parking_lot::Mutex;
 use tokio::sync::{Semaphore, watch};
 
@@ -61,6 +63,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LeaderAnswer {
     at: Instant,
+    /// Version of the connection to the leader.
+    version: ProtocolVersion,
     /// Number of ledger connections that had been given up by then.
     dropped_connections: u64,
 }
@@ -124,10 +128,11 @@
         })
     }
 
-    /// Records that the leader answered a watch request.
-    pub fn record_leader_answer(&self, now: Instant) {
+    /// Records that the leader answered a watch request on a connection of this version.
+    pub fn record_leader_answer(&self, version: ProtocolVersion, now: Instant) {
         let dropped_connections = self.ledger.dropped_connections();
-        *self.last_leader_answer.lock() = Some(LeaderAnswer { at: now, dropped_connections });
+        let answer = LeaderAnswer { at: now, version, dropped_connections };
+        *self.last_leader_answer.lock() = Some(answer);
     }
 
     /// Returns whether the routing table is current, up to the usual propagation delay. Otherwise
@@ -139,12 +144,16 @@
     }
 
     /// Returns whether the gateway receives what the ledger records as it is recorded. It does not
-    /// while it is cut off from the leader, or has not heard a new one.
+    /// while it is cut off from the leader, has not heard a new one, or is connected to it by a version
+    /// without crash records.
     pub fn follows_ledger(&self, now: Instant) -> bool {
         let answer = *self.last_leader_answer.lock();
         answer.is_some_and(|answer| {
             let is_recent = now.saturating_duration_since(answer.at) < MAX_FOLLOWER_SILENCE;
-            is_recent && answer.dropped_connections == self.ledger.dropped_connections()
+            let receives_crashes = answer.version >= CRASH_RECORDS_VERSION;
+            is_recent
+                && receives_crashes
+                && answer.dropped_connections == self.ledger.dropped_connections()
         })
     }
 
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_discovery::{ListedReplica, ReadError, Reading};
-use calicohoist_ledger::client::RequestError;
+use calicohoist_ledger::client::{RequestError, VersionedResponse};
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
     CrashNotice, FleetUpdate, ListDigest, TermVersion, UnpackError, WatchRequest, WatchUpdate,
@@ -105,12 +105,15 @@
             self.app.crashes.lock().expire(Instant::now());
             let asked_at = Instant::now();
             let deadline = asked_at + WATCH_TIMEOUT;
-            let answer = self.app.ledger.request(&LedgerRequest::Watch(seen), deadline).await;
+            let request = LedgerRequest::Watch(seen);
+            let answer = self.app.ledger.request_versioned(&request, deadline).await;
             // Crash records come without a confirmation of the leadership.
-            if answer.is_ok() && !matches!(answer, Ok(LedgerResponse::Crashes { .. })) {
-                self.app.record_leader_answer(Instant::now());
+            if let Ok(VersionedResponse { response, version }) = &answer
+                && !matches!(response, LedgerResponse::Crashes { .. })
+            {
+                self.app.record_leader_answer(*version, Instant::now());
             }
-            match answer {
+            match answer.map(|answer| answer.response) {
                 Ok(LedgerResponse::Configuration { version, document }) => {
                     if !self.apply_configuration(version, &document) {
                         tokio::time::sleep(REJECTED_CONFIGURATION_DELAY).await;
