Links: offer the versions again after a second

What operators would see: a zone drain is refused with the reason that a machine is of an older build, although all are of one.

Cause: as in the ledger client: a machine that was starting when a link was opened counts as one of a legacy build for as long as the connection lasts, here among ledger machines.

Change: a link of the legacy version is opened anew for the next messages after a second; no message is dropped for it.

--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
 
 use crate::refusal::RefusedFrameLog;
-use crate::version::{self, ProtocolVersion, VersionRange};
+use crate::version::{self, LEGACY_CONNECTION_TTL, ProtocolVersion, VersionRange};
 
 /// Maximum number of messages in the queue of a link. Further ones are dropped.
 const QUEUE_CAPACITY: usize = 1_024;
@@ -113,14 +113,19 @@
     handshake: LinkHandshake,
     mut messages: LinkReceiver<M>,
 ) {
+    let mut unsent = Vec::new();
     loop {
-        let first = messages.recv_batch().await;
+        let first = match std::mem::take(&mut unsent) {
+            unsent if unsent.is_empty() => messages.recv_batch().await,
+            unsent => unsent,
+        };
         if first.is_empty() {
             return;
         }
         let versions = handshake.versions;
         match version::connect(address, CONNECT_TIMEOUT, TCP_USER_TIMEOUT, versions).await {
             Ok((mut stream, version)) => {
+                let opened_at = Instant::now();
                 let greeting = (handshake.greeting)(version);
                 let first_bytes = [greeting, encode_batch(first, version)].concat();
                 let mut written = stream.write_all(&first_bytes).await;
@@ -129,6 +134,10 @@
                     if batch.is_empty() {
                         return;
                     }
+                    if is_outdated(version, opened_at) {
+                        unsent = batch;
+                        break;
+                    }
                     written = stream.write_all(&encode_batch(batch, version)).await;
                 }
             }
@@ -137,10 +146,18 @@
                 tokio::time::sleep(RECONNECT_DELAY).await;
             }
         }
-        messages.discard_queued();
+        if unsent.is_empty() {
+            messages.discard_queued();
+        }
     }
 }
 
+/// Returns whether the versions are to be offered again. A machine that was starting or stopping
+/// closes a connection as legacy builds do.
+fn is_outdated(version: ProtocolVersion, opened_at: Instant) -> bool {
+    version == ProtocolVersion::LEGACY && opened_at.elapsed() >= LEGACY_CONNECTION_TTL
+}
+
 fn encode_batch<M: LinkMessage>(messages: Vec<M>, version: ProtocolVersion) -> Vec<u8> {
     let frames: Vec<Vec<u8>> =
         messages.into_iter().map(|message| message.into_frame(version)).collect();
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use calicohoist_transport::version::accept_offer;
+use calicohoist_transport::version::{LEGACY_CONNECTION_TTL, accept_offer};
 use calicohoist_transport::{
     FrameReader, Link, LinkHandshake, LinkMessage, ProtocolVersion, VersionRange, encode_frame,
 };
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
 const MEGABYTE: usize = 1 << 20;
@@ -69,3 +70,33 @@
         assert_eq!(next.len(), size);
     }
 }
+
+/// Guards against ledger machines that speak the legacy version among themselves for as long as a
+/// connection lasts, because one of them was starting when it was opened.
+#[tokio::test]
+async fn machine_that_was_starting_is_offered_the_versions_again() {
+    let (address, listener) = listener().await;
+    let link = open(address);
+    assert!(link.queue(message(1)));
+    let (mut first, _) = listener.accept().await.expect("the link connects");
+    let mut offer = [0; 64];
+    assert!(first.read(&mut offer).await.expect("an offer") > 0);
+    drop(first);
+
+    let mut versions = Vec::new();
+    for _ in 0..2 {
+        let (stream, _) = listener.accept().await.expect("the link connects");
+        let (input, mut output) = stream.into_split();
+        let mut frames = FrameReader::new(input);
+        let version = accept_offer(&mut frames, &mut output, VERSIONS).await;
+        versions.push(version.expect("negotiated"));
+        let received: Vec<u8> = frames.next().await.expect("a frame");
+        assert_eq!(received.len(), 1);
+        if versions.len() == 1 {
+            tokio::time::sleep(LEGACY_CONNECTION_TTL).await;
+            assert!(link.queue(message(1)));
+            assert!(frames.next::<Vec<u8>>().await.is_err(), "the old connection is still used");
+        }
+    }
+    assert_eq!(versions, [ProtocolVersion::LEGACY, VERSIONS.newest]);
+}
