--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_discovery::{ListedReplica, ReadError, Reading};
-use calicohoist_ledger::client::RequestError;
+use calicohoist_ledger::client::{RequestError, VersionedResponse};
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
     CrashNotice, FleetUpdate, ListDigest, TermVersion, UnpackError, WatchRequest, WatchUpdate,
@@ -103,13 +103,17 @@
             LIST_AGE_MS.set(self.app.fleet.list_age().as_millis().try_into().unwrap_or(u64::MAX));
             REQUESTS_IN_DRAINED_ZONES.set(u64::from(self.app.fleet.requests_in_drained_zones()));
             self.app.crashes.lock().expire(Instant::now());
-            let deadline = Instant::now() + WATCH_TIMEOUT;
-            let answer = self.app.ledger.request(&LedgerRequest::Watch(seen), deadline).await;
+            let asked_at = Instant::now();
+            let deadline = asked_at + WATCH_TIMEOUT;
+            let request = LedgerRequest::Watch(seen);
+            let answer = self.app.ledger.request_versioned(&request, deadline).await;
             // Crash records come without a confirmation of the leadership.
-            if answer.is_ok() && !matches!(answer, Ok(LedgerResponse::Crashes { .. })) {
-                self.app.record_leader_answer(Instant::now());
+            if let Ok(VersionedResponse { response, version }) = &answer
+                && !matches!(response, LedgerResponse::Crashes { .. })
+            {
+                self.app.record_leader_answer(*version, Instant::now());
             }
-            match answer {
+            match answer.map(|answer| answer.response) {
                 Ok(LedgerResponse::Configuration { version, document }) => {
                     if !self.apply_configuration(version, &document) {
                         tokio::time::sleep(REJECTED_CONFIGURATION_DELAY).await;
@@ -133,6 +137,14 @@
                 Ok(LedgerResponse::Crashes { mark, crashes }) => {
                     self.record_crashes(&crashes);
                     self.state.lock().crashes = mark;
+                    let waited_ms = asked_at.elapsed().as_millis();
+                    emit!(
+                        Event::CrashesReceived;
+                        term = mark.term,
+                        change = mark.change,
+                        crashes = crashes.len(),
+                        waited_ms = waited_ms,
+                    );
                 }
                 Ok(LedgerResponse::DrainedZones(drained)) => self.apply_drained_zones(drained),
                 Ok(LedgerResponse::News(news)) => self.apply_news(news),
