Replication: store replayed log content again before relying on it

Callers: an acknowledged change could be missing after a loss of power that followed the restart of a machine.

Cause: a replica acknowledges its replayed entries without writing them. If the previous process had ended between an append and its sync, they were only in the page cache. After a failed sync the kernel takes them for stored, so that not even a later sync of the same file stores them. The same holds for a rename whose folder was not synced.

Change: opening the log replaces its file with the replayed content, which also cuts a torn tail and syncs the folder. Disk::truncate is no longer used.

Ruled out: acknowledgements by the process whose sync failed. Every error of a disk operation ends the replica thread before anything is answered.

Conclusion: what a replica has acknowledged is in a file that was synced after its last write. Opening a log writes it once, at most a few MiB.

--- a/crates/lab/src/sim/disk.rs
+++ b/crates/lab/src/sim/disk.rs
@@ -97,16 +97,6 @@
         Ok(())
     }
 
-    fn truncate(&mut self, name: &str, length: usize) -> Result<(), DiskError> {
-        self.syncs += 1;
-        if let Some(file) = self.files.get_mut(name) {
-            file.sync();
-            file.finish_syncs();
-            file.durable.truncate(length);
-        }
-        Ok(())
-    }
-
     fn remove(&mut self, name: &str) -> Result<(), DiskError> {
         self.files.remove(name);
         Ok(())
--- a/crates/replication/src/storage/disk.rs
+++ b/crates/replication/src/storage/disk.rs
@@ -53,12 +53,6 @@
     /// When the disk fails or is full. The old content is then kept.
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError>;
 
-    /// Truncates the file to `length` bytes durably.
-    ///
-    /// # Errors
-    /// When the disk fails.
-    fn truncate(&mut self, name: &str, length: usize) -> Result<(), DiskError>;
-
     /// Removes the file if it exists.
     ///
     /// # Errors
@@ -188,15 +182,6 @@
         self.sync_folder()
     }
 
-    fn truncate(&mut self, name: &str, length: usize) -> Result<(), DiskError> {
-        let cut = || {
-            let file = OpenOptions::new().write(true).open(self.path(name))?;
-            file.set_len(length as u64)?;
-            file.sync_all()
-        };
-        Self::with_context("truncate", name, cut())
-    }
-
     fn remove(&mut self, name: &str) -> Result<(), DiskError> {
         match fs::remove_file(self.path(name)) {
             Err(error) if error.kind() != io::ErrorKind::NotFound => {
--- a/crates/replication/src/storage/log.rs
+++ b/crates/replication/src/storage/log.rs
@@ -270,7 +270,6 @@
                 FrameRead::End => break,
                 FrameRead::Torn => {
                     emit!(Event::LogTailCut, "{name}: truncated torn write at byte {offset}");
-                    self.disk.truncate(&name, offset)?;
                     break;
                 }
                 FrameRead::Frame(payload, next) => {
@@ -280,10 +279,20 @@
                 }
             }
         }
-        self.bytes = offset;
+        if !bytes.is_empty() {
+            self.make_durable(&name, &bytes[..offset])?;
+        }
         Ok(groups)
     }
 
+    /// Stores the replayed content again. The previous process may have ended between an append
+    /// and its sync, or because a sync failed, after which the kernel no longer writes that data.
+    /// A replica acknowledges its replayed entries without another write.
+    fn make_durable(&mut self, name: &str, replayed: &[u8]) -> Result<(), DiskError> {
+        self.bytes = replayed.len();
+        self.disk.replace(name, replayed)
+    }
+
     fn read_identity(&self) -> Result<(Option<u32>, Vec<u32>), DiskError> {
         let Some(bytes) = self.disk.read(IDENTITY_FILE)? else {
             return Ok((None, Vec::new()));
--- a/crates/replication/tests/log.rs
+++ b/crates/replication/tests/log.rs
@@ -140,10 +140,6 @@
         self.disk.replace(name, bytes)
     }
 
-    fn truncate(&mut self, name: &str, length: usize) -> Result<(), DiskError> {
-        self.disk.truncate(name, length)
-    }
-
     fn remove(&mut self, name: &str) -> Result<(), DiskError> {
         self.disk.remove(name)
     }
