Ledger: answer operators before a stopping machine exits

Callers: a stopping ledger machine exited 400 ms after SIGTERM, whatever calls were in progress. A configuration that was being sent in parts ended with a reset connection, a large configuration was delivered in part (3.9 of 4.2 MB), and operators on kept connections got no answer while machines stopped in series.

Cause: the machine waited for a fixed time instead of for its connections, and served its kept connections until the process ended.

Change: operators are served by the connections crate. While the leadership is transferred, responses announce the end of their connections; then what has arrived is answered, and the machine exits once its connections are closed, or at the end of bounds.grace_s. It gives the leadership away again if it was elected meanwhile. The request of a caller that has left is cancelled by the server of the connection, which replaces the ConnectionMonitor.

Ruled out: a change without a quorum (503 before and after), connections that were not accepted yet (60 of 60 answered before: they are accepted within the 400 ms), late zone changes of callers that left (none executed).

--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -3,20 +3,18 @@
 //! Every machine accepts requests. A follower redirects the caller to the leader. A machine that
 //! knows no leader, or does not know the outcome of a change, answers that it is unavailable.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use calicohoist_connections::{ConnectionSettings, Drain, RequestContext, accept};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::{Findings, Zone};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::LOCATION;
-use hyper::service::service_fn;
 use hyper::{Method, Request as HttpRequest, Response as HttpResponse, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::list::DiscoverySnapshot;
@@ -26,7 +24,11 @@
 use crate::commands::{Command, Output, RetiringOutcome};
 
 const MAX_BODY_BYTES: usize = 16 << 20;
-const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+const CONNECTION_SETTINGS: ConnectionSettings = ConnectionSettings {
+    head_timeout: Duration::from_secs(5),
+    max_head_bytes: 64 << 10,
+    stall_timeout: Duration::from_secs(10),
+};
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 const CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -133,27 +135,6 @@
     Uncertain,
 }
 
-/// Detects whether the caller has closed its connection. Holds a duplicate of the socket's file
-/// descriptor, because hyper owns the stream.
-struct ConnectionMonitor(std::net::TcpStream);
-
-impl ConnectionMonitor {
-    fn new(stream: TcpStream) -> std::io::Result<(TcpStream, Self)> {
-        let stream = stream.into_std()?;
-        let monitor = Self(stream.try_clone()?);
-        Ok((TcpStream::from_std(stream)?, monitor))
-    }
-
-    /// Returns whether the caller has closed the connection.
-    fn is_closed(&self) -> bool {
-        match self.0.peek(&mut [0]) {
-            Ok(read) => read == 0,
-            // The socket is non-blocking. All other errors mean a broken connection.
-            Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
-        }
-    }
-}
-
 /// Handles operator requests.
 #[derive(Clone)]
 pub struct Control {
@@ -169,36 +150,20 @@
     pub peers: KnownPeers,
 }
 
-/// Accepts connections from operators.
-pub async fn accept(listener: TcpListener, control: Control) {
-    loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, control.clone()));
-        }
-    }
-}
-
-async fn serve(stream: TcpStream, control: Control) {
-    let Ok((stream, monitor)) = ConnectionMonitor::new(stream) else {
-        // No file descriptor is available. The operator can use another machine.
-        return;
+/// Serves operators until the drain closes their connections.
+pub async fn serve(listener: TcpListener, control: Control, drain: Drain) {
+    let handler = move |request, context| {
+        let control = control.clone();
+        async move { control.handle(request, context).await }
     };
-    let monitor = Arc::new(monitor);
-    let service = service_fn(move |request| {
-        let (control, monitor) = (control.clone(), Arc::clone(&monitor));
-        async move { Ok::<_, Infallible>(control.handle(request, &monitor).await) }
-    });
-    let mut server = hyper::server::conn::http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
-    // Connection errors are not logged: the operator has disconnected.
-    let _ = server.serve_connection(TokioIo::new(stream), service).await;
+    accept(listener, drain, || CONNECTION_SETTINGS, handler).await;
 }
 
 impl Control {
     async fn handle(
         &self,
         request: HttpRequest<Incoming>,
-        caller: &ConnectionMonitor,
+        context: RequestContext,
     ) -> HttpResponse<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
@@ -207,6 +172,7 @@
             return json_response(StatusCode::BAD_REQUEST, Vec::new());
         };
         let body = body.to_bytes();
+        context.body_received();
         let call = match self.settings.control.parse(&head.method, &path, &body) {
             Ok(call) => call,
             Err(CallError::Unknown) => return self.render(&ControlOutcome::NotFound),
@@ -216,7 +182,7 @@
                 return self.render(&ControlOutcome::Invalid(findings));
             }
         };
-        let response = tokio::time::timeout(CALL_TIMEOUT, self.perform(&call, &body, caller)).await;
+        let response = tokio::time::timeout(CALL_TIMEOUT, self.perform(&call, &body)).await;
         let response = response.unwrap_or(Response::Lost);
         emit!(
             Event::ControlCall;
@@ -230,19 +196,12 @@
         }
     }
 
-    async fn perform(
-        &self,
-        call: &ControlCall,
-        body: &Bytes,
-        caller: &ConnectionMonitor,
-    ) -> Response {
+    async fn perform(&self, call: &ControlCall, body: &Bytes) -> Response {
         if let Some(zone) = call.zone() {
             // A caller that has disconnected may already have requested the opposite change from
-            // another machine. Hyper cancels a running handler when the caller disconnects, but
-            // starts a handler before it notices that the connection is closed.
-            if caller.is_closed() {
-                return Response::Overdue;
-            }
+            // another machine. Its request is cancelled, but not before the connection is polled
+            // again.
+            tokio::task::yield_now().await;
             if self.zone_existence(zone) != ZoneExistence::Known {
                 return self.reject_zone(zone).await;
             }
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -22,8 +22,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use calicohoist_connections::{Drain, DrainStage};
 use calicohoist_discovery::{ListPace, ListReader};
 use calicohoist_limiter::LimitTolerance;
 use calicohoist_replication::RaftSettings;
@@ -31,6 +32,7 @@
 use calicohoist_telemetry::{Event, emit};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::protocol::SUPPORTED_VERSIONS;
 use control::{Control, ControlCodec};
@@ -38,6 +40,9 @@
 use peers::PeerThread;
 use replica::{LeaderServices, ReplicaHandle, ReplicaThread};
 
+/// Part of the grace period that is reserved for a second transfer of the leadership.
+const GRACE_RESERVE: Duration = Duration::from_millis(600);
+
 /// Listening ports, the same on all ledger machines.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -82,6 +87,8 @@
     pub topology: Arc<Topology>,
     /// Tolerance when enforcing the limits of cold replicas.
     pub cold_tolerance: ColdTolerance,
+    /// Maximum duration of a graceful shutdown.
+    pub grace: Duration,
 }
 
 impl LedgerSettings {
@@ -208,11 +215,12 @@
     let control = Control {
         settings: Arc::new(settings.clone()),
         replica: handle.clone(),
-        group_status: status,
+        group_status: status.clone(),
         list,
         peers: known_peers,
     };
-    tokio::spawn(control::accept(listeners.control, control));
+    let drain = Drain::default();
+    let control_task = tokio::spawn(control::serve(listeners.control, control, drain.clone()));
     emit!(
         Event::RoleStarted;
         role = "ledger",
@@ -224,12 +232,29 @@
         failed = failure => eyre::bail!("the replica thread stopped: {}", failed.unwrap_or_default()),
         _ = stop.wait_for(|stop| *stop) => {}
     }
-    emit!(Event::StopRequested; role = "ledger");
+    emit!(Event::StopRequested; role = "ledger", connections = drain.open_connections());
+    let cut_at = Instant::now() + settings.grace.saturating_sub(GRACE_RESERVE);
+    drain.advance(DrainStage::Announced);
     transfer_leadership(&handle).await;
-    emit!(Event::StopFinished; role = "ledger");
+    close_connections(&drain, control_task, cut_at).await;
+    if status.borrow().is_leader {
+        // Elected while the connections were being closed.
+        transfer_leadership(&handle).await;
+    }
+    let cut = drain.open_connections();
+    let event = if cut == 0 { Event::StopFinished } else { Event::StopForced };
+    emit!(event; role = "ledger", cut = cut);
     Ok(())
 }
 
+/// Closes the connections of operators, which ends calls in progress at `cut_at` at the latest.
+async fn close_connections(drain: &Drain, control_task: JoinHandle<()>, cut_at: Instant) {
+    drain.advance(DrainStage::Closing);
+    // Only panics end the task otherwise, and those were reported.
+    let _ = control_task.await;
+    drain.wait_until_closed(cut_at).await;
+}
+
 fn listen(ip: Ipv4Addr, port: u16) -> eyre::Result<TcpListener> {
     let address = SocketAddr::new(IpAddr::V4(ip), port);
     let listener = calicohoist_transport::bind(address);
--- a/crates/ledger/tests/drained_zones.rs
+++ b/crates/ledger/tests/drained_zones.rs
@@ -264,6 +264,7 @@
             zone: "a".to_owned(),
             topology: Arc::new(Topology::new([zone("a"), zone("b")].into())),
             cold_tolerance: Default::default(),
+            grace: Duration::from_secs(8),
         };
         let gateways = listeners.gateways.local_addr().expect("local address");
         let control = listeners.control.local_addr().expect("local address");
--- a/crates/ledger/tests/fan_out.rs
+++ b/crates/ledger/tests/fan_out.rs
@@ -78,6 +78,7 @@
             zone: "hall".to_owned(),
             topology: Arc::default(),
             cold_tolerance: Default::default(),
+            grace: Duration::from_secs(8),
         };
         let gateways = listeners.gateways.local_addr().expect("local address");
         let control = listeners.control.local_addr().expect("local address");
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -71,6 +71,7 @@
         zone: "a".to_owned(),
         topology: Arc::default(),
         cold_tolerance: Default::default(),
+        grace: Duration::from_secs(8),
     }
 }
 
