HTTP server: flush events and the end of a stream

Callers saw: on a connection that they keep open, neither small events nor the end of a stream arrive. Events came together when 1 KiB was filled, the rest only with the next response or the end of the connection. A caller that waits for the last chunk waits without end.

Cause: the flush of the chunked encoder ends at the buffer of the connection (1 KiB), and the last chunk is written on drop without a flush.

Change: EventWriter writes its chunks itself, one for each event, and flushes each and the end.

Ruled out: callers that send Connection: close get the end, because closing flushes the buffer; this is why the back ends' client did not show it.

--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -2,25 +2,27 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 
-use chunked_transfer::Encoder;
 use serde::Serialize;
 
 use crate::exchange::HeaderPair;
 
 /// Maximum length of a line of an event stream, in bytes.
 const MAX_LINE_BYTES: u64 = 8 << 20;
-/// Buffer size of the chunked encoder, in bytes.
-const CHUNK_BYTES: usize = 4096;
+/// Last chunk of a response with chunked transfer coding.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 const DATA_FIELD: &str = "data: ";
 
-/// Writes an event stream; each event is flushed immediately.
+/// Writes an event stream; each event is flushed immediately, the end of the stream on drop.
 pub struct EventWriter {
-    output: Output,
+    writer: Box<dyn Write + Send>,
+    framing: Framing,
 }
 
-enum Output {
-    Chunked(Encoder<Box<dyn Write + Send>>),
-    Plain(Box<dyn Write + Send>),
+/// How the end of a stream is marked.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Chunked,
+    UntilClose,
 }
 
 impl EventWriter {
@@ -34,15 +36,11 @@
         for (name, value) in headers {
             write!(writer, "{name}: {value}\r\n")?;
         }
-        let framing = if chunked { "transfer-encoding: chunked" } else { "connection: close" };
-        write!(writer, "{framing}\r\n\r\n")?;
+        let header = if chunked { "transfer-encoding: chunked" } else { "connection: close" };
+        write!(writer, "{header}\r\n\r\n")?;
         writer.flush()?;
-        let output = if chunked {
-            Output::Chunked(Encoder::with_chunks_size(writer, CHUNK_BYTES))
-        } else {
-            Output::Plain(writer)
-        };
-        Ok(Self { output })
+        let framing = if chunked { Framing::Chunked } else { Framing::UntilClose };
+        Ok(Self { writer, framing })
     }
 
     /// Sends an event with `data` encoded as JSON.
@@ -60,15 +58,19 @@
     /// Returns an error if the connection is closed.
     pub fn send_text(&mut self, data: &str) -> io::Result<()> {
         let event = format!("{DATA_FIELD}{data}\n\n");
-        match &mut self.output {
-            Output::Chunked(encoder) => {
-                encoder.write_all(event.as_bytes())?;
-                encoder.flush()
-            }
-            Output::Plain(writer) => {
-                writer.write_all(event.as_bytes())?;
-                writer.flush()
-            }
+        match self.framing {
+            Framing::Chunked => write!(self.writer, "{:x}\r\n{event}\r\n", event.len())?,
+            Framing::UntilClose => self.writer.write_all(event.as_bytes())?,
+        }
+        self.writer.flush()
+    }
+}
+
+impl Drop for EventWriter {
+    fn drop(&mut self) {
+        if self.framing == Framing::Chunked {
+            // Fails only if the connection is closed, when there is nobody to tell.
+            let _ = self.writer.write_all(LAST_CHUNK).and_then(|()| self.writer.flush());
         }
     }
 }
