HTTP server: deadlines end only the exchange that they are for

Callers saw: a large response that takes longer to read than the body timeout ends early (6.9 of 25.2 MB); of two pipelined requests none is answered when the first runs longer than the body timeout; a caller whose body is late gets no response, and neither does an earlier request of its connection.

Cause: the deadline for the rest of a request body began before the response was written, so it bounded the whole write and the wait for earlier responses. It was kept by peer, so pipelined requests shared one, and it shut down both sides of the connection.

Change: each exchange has a deadline of its own. While a response is written, each part that the peer takes renews it (30 s without progress); it begins when the earlier responses are written.

--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -1,6 +1,6 @@
 //! HTTP request and its response.
 
-use std::io::{self, Read};
+use std::io::{self, Cursor, Read};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -9,7 +9,10 @@
 
 use crate::events::EventWriter;
 use crate::server::ServerSettings;
-use crate::slow_peer::BodyDeadlines;
+use crate::slow_peer::{Awaited, DeadlineGuard, PeerDeadlines};
+
+/// Time without progress after which the connection of a reader is closed.
+const READER_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Limits on a request body.
 #[derive(Clone, Copy, Debug)]
@@ -51,16 +54,16 @@
 pub struct Exchange {
     request: Request,
     limits: BodyLimits,
-    body_deadlines: BodyDeadlines,
+    deadlines: PeerDeadlines,
     path: String,
     query: String,
 }
 
 impl Exchange {
-    pub(crate) fn new(request: Request, limits: BodyLimits, body_deadlines: BodyDeadlines) -> Self {
+    pub(crate) fn new(request: Request, limits: BodyLimits, deadlines: PeerDeadlines) -> Self {
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        Self { path: path.to_owned(), query: query.to_owned(), request, limits, body_deadlines }
+        Self { path: path.to_owned(), query: query.to_owned(), request, limits, deadlines }
     }
 
     /// Returns the method in upper case.
@@ -105,8 +108,10 @@
             return Err(BodyError::TooLarge { limit });
         }
         let timeout = self.limits.timeout;
-        let peer = self.request.remote_addr().copied();
-        let guard = peer.map(|peer| self.body_deadlines.guard(peer, timeout));
+        let guard = self.guard();
+        if let Some(guard) = &guard {
+            guard.renew(Awaited::Body, timeout);
+        }
         let expected = self.request.body_length();
         let mut body = Vec::new();
         let mut reader = self.request.as_reader().take(limit as u64 + 1);
@@ -143,19 +148,25 @@
     }
 
     fn reply(self, status: u16, content_type: &str, headers: &[HeaderPair], body: Vec<u8>) {
-        let mut response = Response::from_data(body).with_status_code(StatusCode(status));
+        let guard = self.guard();
+        let length = Some(body.len());
+        let timeout = self.limits.timeout;
+        let body = GuardedBody { body: Cursor::new(body), guard: guard.as_ref(), timeout };
+        let mut response = Response::new(StatusCode(status), Vec::new(), body, length, None);
         add_header(&mut response, "content-type", content_type);
         for (name, value) in headers {
             add_header(&mut response, name, value);
         }
-        // Dropping the request reads the rest of the body. The guard bounds the time that a slow
-        // sender can block the worker.
-        let peer = self.request.remote_addr().copied();
-        let guard = peer.map(|peer| self.body_deadlines.guard(peer, self.limits.timeout));
+        // Fails only if the peer has closed the connection or is too slow, which is logged.
         let _ = self.request.respond(response);
         drop(guard);
     }
 
+    fn guard(&self) -> Option<DeadlineGuard> {
+        let peer = self.request.remote_addr().copied();
+        peer.map(|peer| self.deadlines.guard(peer))
+    }
+
     /// Starts a response of server-sent events.
     ///
     /// # Errors
@@ -172,3 +183,30 @@
         response.add_header(header);
     }
 }
+
+/// Response body whose reads renew the deadline of the connection.
+///
+/// The first read follows the head, which waits until earlier responses are written.
+struct GuardedBody<'a> {
+    body: Cursor<Vec<u8>>,
+    guard: Option<&'a DeadlineGuard>,
+    timeout: Duration,
+}
+
+impl Read for GuardedBody<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if let Some(guard) = self.guard {
+            guard.renew(Awaited::Progress, READER_STALL_TIMEOUT);
+        }
+        self.body.read(buffer)
+    }
+}
+
+impl Drop for GuardedBody<'_> {
+    fn drop(&mut self) {
+        // Dropping the request reads the rest of its body.
+        if let Some(guard) = self.guard {
+            guard.renew(Awaited::Progress, self.timeout);
+        }
+    }
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -14,7 +14,7 @@
 use rustix::net::sockopt;
 
 use crate::exchange::{BodyLimits, Exchange};
-use crate::slow_peer::{BodyDeadlines, Watchdog};
+use crate::slow_peer::{PeerDeadlines, Watchdog};
 
 /// Interval at which threads check whether the server is stopping.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -93,7 +93,7 @@
         set_read_timeout(&listener)?;
         let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
         let stop = Arc::new(AtomicBool::new(false));
-        let (body_deadlines, watchdog) = Watchdog::start(stop.clone())?;
+        let (deadlines, watchdog) = Watchdog::start(stop.clone())?;
         let (sender, receiver) = bounded(settings.queue);
         let mut threads = vec![watchdog];
         for index in 0..settings.workers {
@@ -103,7 +103,7 @@
             server,
             sender,
             handler,
-            body_deadlines,
+            deadlines,
             limits: BodyLimits::from(&settings),
             stop: stop.clone(),
         };
@@ -178,7 +178,7 @@
     server: tiny_http::Server,
     sender: Sender<Exchange>,
     handler: Arc<dyn Handler>,
-    body_deadlines: BodyDeadlines,
+    deadlines: PeerDeadlines,
     limits: BodyLimits,
     stop: Arc<AtomicBool>,
 }
@@ -187,11 +187,7 @@
     fn run(self) {
         while !self.stop.load(Ordering::SeqCst) {
             if let Ok(Some(request)) = self.server.recv_timeout(STOP_POLL_INTERVAL) {
-                self.queue_request(Exchange::new(
-                    request,
-                    self.limits,
-                    self.body_deadlines.clone(),
-                ));
+                self.queue_request(Exchange::new(request, self.limits, self.deadlines.clone()));
             }
         }
     }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -79,7 +79,7 @@
     ConnectionFailed = 3004, Debug;
     /// A request was rejected before it was fully parsed.
     RequestRefused = 4001, Debug;
-    /// A connection was closed because its request body arrived too slowly.
+    /// A connection was shut down because its peer sent a request body or read a response too slowly.
     SlowBodyClosed = 4002, Warn;
     /// A request was rejected because all workers are busy and the queue is full.
     WorkersBusy = 4003, Warn;
