Soak: judge requests that end without a complete answer

What callers saw: connections that close or reset before an answer is complete, which the soak's callers passed over: a closed connection, a status of 0 and an incomplete body were retried or skipped. Change: callers record how each request ended, replicas what was passed on to them and how they answered, and the fault injector what was done to which node or replica. A pure function judges each request that has no complete answer; hand-made records test it. New callers, with random streams of their own: many on kept and on new connections, pipelined requests, callers that shut their sending side, slow readers of bulk answers and of streams with large events. Gateways are also stopped in series.

--- /dev/null
+++ b/crates/calicohoist/tests/soak/attempts.rs
@@ -0,0 +1,301 @@
+//! Requests as their callers saw them.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufReader, ErrorKind, Read, Write as _};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+use crate::support::{Response, client};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const READ_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// How a connection ended on which an answer was due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cut {
+    Closed,
+    Reset,
+    /// The caller gave up waiting.
+    TimedOut,
+    /// The caller left early, as it had intended.
+    Left,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ending {
+    Complete(u16),
+    /// The answer broke off.
+    Incomplete(u16, Cut),
+    /// Not a byte of the answer arrived.
+    Unanswered(Cut),
+    /// The connection was refused or timed out.
+    Unconnected,
+    /// The connection failed before the last byte was sent.
+    Unsent,
+}
+
+/// What a caller is about to send.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub id: String,
+    pub bytes: Vec<u8>,
+    /// The deadline or the timeout of the route, whichever comes first.
+    pub time_limit: Duration,
+}
+
+impl Submission {
+    pub fn new(id: &str, text: &str, time_limit: Duration) -> Self {
+        Self { id: id.to_owned(), bytes: text.as_bytes().to_vec(), time_limit }
+    }
+}
+
+/// A request as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub id: String,
+    pub node: IpAddr,
+    pub time_limit: Duration,
+    /// When the first byte was about to be sent.
+    pub started: Instant,
+    /// When the last byte had been sent.
+    pub sent: Option<Instant>,
+    pub first_received: Option<Instant>,
+    pub last_received: Option<Instant>,
+    pub ended: Instant,
+    pub ending: Ending,
+    /// Position on its connection, starting at 1.
+    pub position: usize,
+    /// Whether an earlier answer on the connection announced that it closes.
+    pub is_behind_close: bool,
+}
+
+#[derive(Default)]
+struct AttemptCounts {
+    by_ending: BTreeMap<Ending, u64>,
+    /// Attempts that did not end with a complete answer.
+    unfinished: Vec<Attempt>,
+}
+
+/// Attempts of all callers.
+#[derive(Clone, Default)]
+pub struct AttemptLog(Arc<Mutex<AttemptCounts>>);
+
+impl AttemptLog {
+    pub fn record(&self, attempt: Attempt) {
+        let mut counts = self.0.lock();
+        *counts.by_ending.entry(attempt.ending).or_default() += 1;
+        if !matches!(attempt.ending, Ending::Complete(_)) {
+            counts.unfinished.push(attempt);
+        }
+    }
+
+    pub fn endings(&self) -> BTreeMap<Ending, u64> {
+        self.0.lock().by_ending.clone()
+    }
+
+    pub fn unfinished(&self) -> Vec<Attempt> {
+        self.0.lock().unfinished.clone()
+    }
+}
+
+/// Stream that notes when bytes arrive, and how it ends.
+pub struct ObservedStream {
+    stream: TcpStream,
+    /// Pause before each read and maximum number of bytes per read.
+    pace: Option<(Duration, usize)>,
+    first_received: Option<Instant>,
+    last_received: Option<Instant>,
+    cut: Option<(Cut, Instant)>,
+}
+
+impl ObservedStream {
+    fn reset_observations(&mut self) {
+        self.first_received = None;
+        self.last_received = None;
+    }
+}
+
+impl Read for ObservedStream {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let most = match self.pace {
+            Some((pause, most)) => {
+                std::thread::sleep(pause);
+                most.min(buffer.len())
+            }
+            None => buffer.len(),
+        };
+        let result = self.stream.read(&mut buffer[..most]);
+        let now = Instant::now();
+        match &result {
+            Ok(0) => self.cut = Some((Cut::Closed, now)),
+            Ok(_) => {
+                self.first_received.get_or_insert(now);
+                self.last_received = Some(now);
+            }
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                self.cut = Some((Cut::TimedOut, now));
+            }
+            Err(_) => self.cut = Some((Cut::Reset, now)),
+        }
+        result
+    }
+}
+
+/// A request that was sent and whose answer is due.
+pub struct SentRequest {
+    id: String,
+    time_limit: Duration,
+    started: Instant,
+    sent: Option<Instant>,
+    position: usize,
+}
+
+/// Connection of a caller to a node, whose requests are recorded.
+pub struct RecordedConnection {
+    node: SocketAddr,
+    input: BufReader<ObservedStream>,
+    /// Number of requests sent so far.
+    sent_count: usize,
+    is_closing: bool,
+    log: AttemptLog,
+}
+
+impl RecordedConnection {
+    /// Connects for the given request, and records it if that fails.
+    pub fn open(node: SocketAddr, submission: &Submission, log: &AttemptLog) -> Option<Self> {
+        let started = Instant::now();
+        let stream = TcpStream::connect_timeout(&node, CONNECT_TIMEOUT).and_then(|stream| {
+            stream.set_read_timeout(Some(READ_TIMEOUT))?;
+            stream.set_nodelay(true)?;
+            Ok(stream)
+        });
+        let Ok(stream) = stream else {
+            let request = SentRequest {
+                id: submission.id.clone(),
+                time_limit: submission.time_limit,
+                started,
+                sent: None,
+                position: 1,
+            };
+            log.record(request.attempt(node, Instant::now(), Ending::Unconnected));
+            return None;
+        };
+        let stream = ObservedStream {
+            stream,
+            pace: None,
+            first_received: None,
+            last_received: None,
+            cut: None,
+        };
+        let input = BufReader::new(stream);
+        Some(Self { node, input, sent_count: 0, is_closing: false, log: log.clone() })
+    }
+
+    /// Makes the caller read slowly from now on.
+    pub fn set_pace(&mut self, pause: Duration, most_bytes: usize) {
+        self.input.get_mut().pace = Some((pause, most_bytes));
+    }
+
+    /// Sends requests at once, and returns them in the order of their answers.
+    pub fn send(&mut self, submissions: &[Submission]) -> Vec<SentRequest> {
+        let bytes: Vec<u8> =
+            submissions.iter().flat_map(|submission| submission.bytes.iter().copied()).collect();
+        let started = Instant::now();
+        let result = self.input.get_mut().stream.write_all(&bytes);
+        let sent = result.is_ok().then(Instant::now);
+        self.input.get_mut().reset_observations();
+        let mut requests = Vec::new();
+        for submission in submissions {
+            self.sent_count += 1;
+            requests.push(SentRequest {
+                id: submission.id.clone(),
+                time_limit: submission.time_limit,
+                started,
+                sent,
+                position: self.sent_count,
+            });
+        }
+        requests
+    }
+
+    /// Shuts the sending side.
+    pub fn finish_sending(&self) {
+        let _ = self.input.get_ref().stream.shutdown(Shutdown::Write);
+    }
+
+    /// Reads the answer to a request and records how it ended.
+    pub fn receive(&mut self, request: SentRequest) -> Response {
+        let reply = client::read_response(&mut self.input);
+        let cut = self.input.get_ref().cut;
+        let (cut, ended) = cut.unwrap_or((Cut::Closed, Instant::now()));
+        let ending = match reply.status {
+            0 if request.sent.is_none() => Ending::Unsent,
+            0 => Ending::Unanswered(cut),
+            status if reply.is_complete => Ending::Complete(status),
+            status => Ending::Incomplete(status, cut),
+        };
+        self.record(request, ending, ended);
+        self.is_closing |= reply.header("connection").is_some_and(|value| value == "close");
+        reply
+    }
+
+    /// Reads part of the answer, and leaves; returns `false` if the answer ended before.
+    pub fn leave_after(&mut self, request: SentRequest, bytes: usize) -> bool {
+        let mut part = vec![0; bytes];
+        if self.input.read_exact(&mut part).is_err() {
+            return false;
+        }
+        self.record(request, Ending::Incomplete(0, Cut::Left), Instant::now());
+        true
+    }
+
+    /// Returns whether further requests may be sent after this answer.
+    pub fn is_reusable(&self, reply: &Response) -> bool {
+        reply.is_complete && !self.is_closing
+    }
+
+    fn record(&self, request: SentRequest, ending: Ending, ended: Instant) {
+        let stream = self.input.get_ref();
+        let attempt = Attempt {
+            first_received: stream.first_received,
+            last_received: stream.last_received,
+            is_behind_close: self.is_closing,
+            ..request.attempt(self.node, ended, ending)
+        };
+        self.log.record(attempt);
+    }
+}
+
+impl SentRequest {
+    fn attempt(self, node: SocketAddr, ended: Instant, ending: Ending) -> Attempt {
+        Attempt {
+            id: self.id,
+            node: node.ip(),
+            time_limit: self.time_limit,
+            started: self.started,
+            sent: self.sent,
+            first_received: None,
+            last_received: None,
+            ended,
+            ending,
+            position: self.position,
+            is_behind_close: false,
+        }
+    }
+}
+
+/// Sends a request over a new connection; returns `None` without an answer's head.
+pub fn exchange_recorded(
+    node: SocketAddr,
+    submission: &Submission,
+    log: &AttemptLog,
+) -> Option<Response> {
+    let mut connection = RecordedConnection::open(node, submission, log)?;
+    let request = connection.send(std::slice::from_ref(submission)).pop()?;
+    let reply = connection.receive(request);
+    (reply.status != 0).then_some(reply)
+}
--- a/crates/calicohoist/tests/soak/caller.rs
+++ b/crates/calicohoist/tests/soak/caller.rs
@@ -1,8 +1,7 @@
 //! Callers that run programs of turns and calls over persistent connections.
 
 use std::collections::HashMap;
-use std::io::{BufReader, Write as _};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -11,44 +10,47 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-use crate::support::{Response, client, request_head};
+use crate::attempts::{AttemptLog, RecordedConnection, Submission, exchange_recorded};
+use crate::support::{Response, request_head};
 use crate::{
-    EVENTS_PER_ANSWER, INPUT_BYTES, MAX_ATTEMPTS, MAX_TURN_TOKENS, Shared, TOKEN_BUDGET,
-    TOKENS_PER_EVENT, TURNS_PER_PROGRAM, expected_output,
+    EVENTS_PER_ANSWER, INPUT_BYTES, MAX_ATTEMPTS, MAX_TURN_TOKENS, ROUTE_TIMEOUT, Shared,
+    TOKEN_BUDGET, TOKENS_PER_EVENT, TURNS_PER_PROGRAM, expected_output,
 };
 
-const READ_TIMEOUT: Duration = Duration::from_secs(6);
+/// Deadline of the calls of a program.
+const CALL_DEADLINE: Duration = Duration::from_secs(2);
 
 /// Persistent connections, at most one per gateway.
 #[derive(Default)]
-struct ConnectionPool(HashMap<SocketAddr, BufReader<TcpStream>>);
+struct ConnectionPool(HashMap<SocketAddr, RecordedConnection>);
 
 impl ConnectionPool {
     /// Sends a request; returns `None` without a connection or a response head.
-    fn exchange(&mut self, address: SocketAddr, request: &[u8]) -> Option<Response> {
+    fn exchange(
+        &mut self,
+        address: SocketAddr,
+        submission: &Submission,
+        log: &AttemptLog,
+    ) -> Option<Response> {
         let mut connection = match self.0.remove(&address) {
             Some(connection) => connection,
-            None => connect(address)?,
+            None => RecordedConnection::open(address, submission, log)?,
         };
-        connection.get_mut().write_all(request).ok()?;
-        let reply = client::read_response(&mut connection);
-        let closes = reply.header("connection").is_some_and(|value| value == "close");
-        if reply.is_complete && !closes {
+        let request = connection.send(std::slice::from_ref(submission)).pop()?;
+        let reply = connection.receive(request);
+        if connection.is_reusable(&reply) {
             self.0.insert(address, connection);
         }
         (reply.status != 0).then_some(reply)
     }
 }
 
-fn connect(address: SocketAddr) -> Option<BufReader<TcpStream>> {
-    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
-    Some(BufReader::new(stream))
-}
-
-/// Sends a request over a new connection; returns `None` without a connection or a response head.
+/// Sends a request over a new connection without recording it; returns `None` without a connection
+/// or a response head.
 pub fn try_exchange(address: SocketAddr, request: &[u8]) -> Option<Response> {
-    ConnectionPool::default().exchange(address, request)
+    let submission =
+        Submission { id: String::new(), bytes: request.to_vec(), time_limit: ROUTE_TIMEOUT };
+    exchange_recorded(address, &submission, &AttemptLog::default())
 }
 
 /// Caller that runs programs sequentially.
@@ -59,6 +61,7 @@
     pub records: Shared,
     pub stop_flag: Arc<AtomicBool>,
     connections: ConnectionPool,
+    attempts: AttemptLog,
 }
 
 impl Caller {
@@ -69,7 +72,9 @@
         records: Shared,
         stop_flag: Arc<AtomicBool>,
     ) -> Self {
-        Self { number, gateways, rng, records, stop_flag, connections: ConnectionPool::default() }
+        let attempts = records.lock().attempts.clone();
+        let connections = ConnectionPool::default();
+        Self { number, gateways, rng, records, stop_flag, connections, attempts }
     }
 
     pub fn run(mut self) {
@@ -118,7 +123,8 @@
                 records.at_most_once.insert(id.clone());
             }
             let gateway = self.pick_gateway();
-            let reply = self.connections.exchange(gateway, format!("{head}{input}").as_bytes());
+            let submission = Submission::new(&id, &format!("{head}{input}"), ROUTE_TIMEOUT);
+            let reply = self.connections.exchange(gateway, &submission, &self.attempts);
             let reply = reply.unwrap_or_default();
             if self.record_turn_reply(program, &id, previous, &input, &reply) {
                 return Some(id);
@@ -176,9 +182,11 @@
         if path.starts_with("/unsafe") {
             self.records.lock().at_most_once.insert(id.clone());
         }
-        let head = request_head("GET", path, &id, 0, &["Calicohoist-Deadline-Ms: 2000"]);
+        let deadline = format!("Calicohoist-Deadline-Ms: {}", CALL_DEADLINE.as_millis());
+        let head = request_head("GET", path, &id, 0, &[&deadline]);
         let gateway = self.pick_gateway();
-        let Some(reply) = self.connections.exchange(gateway, head.as_bytes()) else {
+        let submission = Submission::new(&id, &head, CALL_DEADLINE);
+        let Some(reply) = self.connections.exchange(gateway, &submission, &self.attempts) else {
             return;
         };
         let mut records = self.records.lock();
--- a/crates/calicohoist/tests/soak/crashes.rs
+++ b/crates/calicohoist/tests/soak/crashes.rs
@@ -15,10 +15,12 @@
 use rand::rngs::StdRng;
 use serde_json::{Value, json};
 
-use crate::caller::try_exchange;
+use crate::arrivals::{ArrivalLog, Outcome};
+use crate::attempts::{AttemptLog, Submission, exchange_recorded};
 use crate::faults::{Pause, ZONES};
 use crate::support::replica::Exchange;
-use crate::support::{HOST, ListServer, ScriptedReplica, request_head};
+use crate::support::{HOST, ListServer, request_head};
+use crate::timeline::{Disruption, DisruptionKind, Machine};
 use crate::{Records, Shared};
 
 /// Service whose replicas crash under fatal requests.
@@ -29,6 +31,7 @@
 const REPLICAS: usize = 8;
 /// Number of replicas that may crash under one request.
 const MAX_CRASHES: usize = 3;
+const DEADLINE: Duration = Duration::from_millis(1_500);
 /// Number of times that a caller sends each request.
 const CALLER_TRIES: usize = 5;
 /// Event of a gateway that checked a replica after it closed a connection.
@@ -70,6 +73,18 @@
     }
 }
 
+impl CrashRecords {
+    /// Returns the crashes as disruptions of the replicas.
+    pub fn disruptions(&self) -> impl Iterator<Item = Disruption> {
+        self.crashed.values().flatten().map(|(replica, at)| Disruption {
+            machine: Machine::Replica(replica.clone()),
+            kind: DisruptionKind::Killed,
+            from: *at,
+            until: None,
+        })
+    }
+}
+
 /// Adds the route and the service to a configuration.
 pub fn add_fragile_service(document: &mut Value) {
     let route = json!({
@@ -89,6 +104,7 @@
     list: ListServer,
     mut rng: StdRng,
     records: &Shared,
+    arrivals: ArrivalLog,
     stop_flag: &Arc<AtomicBool>,
 ) -> JoinHandle<()> {
     let (sender, crashes): (Sender<usize>, Receiver<usize>) = channel();
@@ -97,13 +113,15 @@
     let start = move |number: usize| {
         let (records, sender) = (Arc::clone(&records), sender.clone());
         let id = replica_id(number);
-        let replica = ScriptedReplica::start(&id.clone(), move |exchange| {
+        let replica = arrivals.start_replica(&id.clone(), move |exchange| {
             if is_fatal(exchange) && !exchange.process.has_crashed() {
                 record_crash(exchange, &id, &records);
                 exchange.crash_replica();
                 let _ = sender.send(number);
+                Outcome::BrokenOff
             } else {
                 exchange.respond("200 OK", "", "whole");
+                Outcome::Whole
             }
         });
         list.put_in_zone(ZONES[number % ZONES.len()], &replica, SERVICE, "ready");
@@ -147,17 +165,20 @@
     records: &Shared,
     stop_flag: &AtomicBool,
 ) {
+    let attempts = records.lock().attempts.clone();
     let mut count = 0;
     while !stop_flag.load(Ordering::Relaxed) {
         count += 1;
         for attempt in 0..CALLER_TRIES {
             let gateway = gateways[rng.random_range(0..gateways.len())];
             let fatal = format!("{FATAL_PREFIX}{number}-{count}");
-            let status = get(gateway, &fatal, &format!("fatal-{number}-{count}-{attempt}"));
+            let id = format!("fatal-{number}-{count}-{attempt}");
+            let status = get(gateway, &fatal, &id, &attempts);
             records.lock().crashes.rejected += u64::from(status == Some(503));
             let gateway = gateways[rng.random_range(0..gateways.len())];
             let harmless = format!("{PATH_PREFIX}fine-{number}-{count}-{attempt}");
-            let status = get(gateway, &harmless, &format!("fine-{number}-{count}-{attempt}"));
+            let id = format!("fine-{number}-{count}-{attempt}");
+            let status = get(gateway, &harmless, &id, &attempts);
             let mut records = records.lock();
             records.crashes.harmless += 1;
             records.crashes.served += u64::from(status == Some(200));
@@ -168,9 +189,11 @@
     }
 }
 
-fn get(gateway: SocketAddr, path: &str, id: &str) -> Option<u16> {
-    let head = request_head("GET", path, id, 0, &["Calicohoist-Deadline-Ms: 1500"]);
-    try_exchange(gateway, head.as_bytes()).map(|reply| reply.status)
+fn get(gateway: SocketAddr, path: &str, id: &str, attempts: &AttemptLog) -> Option<u16> {
+    let deadline = format!("Calicohoist-Deadline-Ms: {}", DEADLINE.as_millis());
+    let head = request_head("GET", path, id, 0, &[&deadline]);
+    let submission = Submission::new(id, &head, DEADLINE);
+    exchange_recorded(gateway, &submission, attempts).map(|reply| reply.status)
 }
 
 /// Reads from the logs of the gateways under whose requests replicas crashed, by replica. Leaves out
--- a/crates/calicohoist/tests/soak/drains.rs
+++ b/crates/calicohoist/tests/soak/drains.rs
@@ -8,10 +8,10 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-use crate::Shared;
-use crate::caller::try_exchange;
+use crate::attempts::{Submission, exchange_recorded};
 use crate::faults::{REPLICAS, ZONES};
 use crate::support::ScriptedReplica;
+use crate::{ROUTE_TIMEOUT, Shared};
 
 /// Maximum time until an acknowledged drain is effective on all gateways.
 const DRAIN_DEADLINE: Duration = Duration::from_secs(5);
@@ -64,10 +64,13 @@
         "{method} /-/evacuations/{zone} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
          Content-Length: 0\r\n\r\n"
     );
+    let attempts = records.lock().attempts.clone();
+    let submission = Submission::new(&format!("{method} {zone}"), &request, ROUTE_TIMEOUT);
     let until = Instant::now() + COMMAND_TIMEOUT;
     while Instant::now() < until {
         for control in controls {
-            let status = try_exchange(*control, request.as_bytes()).map(|reply| reply.status);
+            let reply = exchange_recorded(*control, &submission, &attempts);
+            let status = reply.map(|reply| reply.status);
             match status {
                 Some(200) => return Some(Instant::now()),
                 Some(status) if (400..500).contains(&status) => {
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::Write as _;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::os::unix::process::ExitStatusExt as _;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
@@ -17,10 +17,12 @@
 use serde_json::json;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 
+use crate::arrivals::ArrivalLog;
 use crate::cluster::forwarder::Forwarder;
 use crate::cluster::{BUILD_UNDER_TEST, Cluster, Process, STORE_BIND_IPS, STORE_IPS};
 use crate::streams::software_version;
 use crate::support::ScriptedReplica;
+use crate::timeline::{DisruptionKind, Machine, SignalKind, Timeline};
 use crate::{start_model, start_tool};
 
 /// Time in which a store recovers from disk loss without further store faults.
@@ -40,6 +42,10 @@
 const RESTART_PROBABILITY: f64 = 0.3;
 /// Separates the random stream of replica restarts from that of the other faults.
 const RESTART_SEED: u64 = 47;
+/// Separates the random stream of stops in series.
+const STOP_SEED: u64 = 74;
+/// Probability that a round of faults includes the next stop of the series.
+const STOP_PROBABILITY: f64 = 0.35;
 /// Separates the random stream of build selection.
 const UPGRADE_SEED: u64 = 51;
 /// Probability that a process of an upgrade run starts with the build under test.
@@ -94,6 +100,8 @@
     pub violations: Vec<String>,
     /// Pauses of processes so far.
     pub pauses: Vec<Pause>,
+    pub timeline: Timeline,
+    pub arrivals: ArrivalLog,
     stores: Vec<Node>,
     gateways: Vec<Node>,
     /// Two per store: for connections from peers and from gateways.
@@ -101,6 +109,11 @@
     replica_forwarders: Vec<Forwarder>,
     rng: StdRng,
     restart_rng: StdRng,
+    stop_rng: StdRng,
+    /// Gateway that the series of stops reaches next.
+    next_stop: usize,
+    /// Binary of the build under test.
+    binary: PathBuf,
     /// Binary of the older build in an upgrade run.
     older_binary: Option<PathBuf>,
     upgrade_rng: StdRng,
@@ -115,6 +128,12 @@
     no_store_faults_before: Instant,
 }
 
+/// Returns the binary of the build under test, which `CALICOHOIST_SOAK_BINARY` may replace.
+fn binary_under_test() -> PathBuf {
+    std::env::var_os("CALICOHOIST_SOAK_BINARY")
+        .map_or_else(|| BUILD_UNDER_TEST.into(), PathBuf::from)
+}
+
 /// Returns the address of a gateway.
 fn gateway_ip(number: usize) -> &'static str {
     let last_octet = u8::try_from(21 + number).expect("the gateway number fits the address range");
@@ -125,7 +144,9 @@
     /// Starts all nodes, with the older binary if one is given.
     pub fn start(seed: u64, gateway_count: usize, older_binary: Option<PathBuf>) -> Self {
         let cluster = Cluster::new();
-        let initial_binary = older_binary.clone().unwrap_or_else(|| BUILD_UNDER_TEST.into());
+        let binary = binary_under_test();
+        let initial_binary = older_binary.clone().unwrap_or_else(|| binary.clone());
+        let arrivals = ArrivalLog::default();
         let internal = cluster.ports.internal;
         let socket = |ip: &str, port: u16| SocketAddr::new(ip.parse().expect("an address"), port);
         let store_forwarders = STORE_IPS.iter().zip(STORE_BIND_IPS).map(|(ip, bind_ip)| {
@@ -139,8 +160,8 @@
         for (name, service, zone) in REPLICAS {
             let start = Arc::new(AtomicU64::new(FIRST_START_MS));
             let mut replica = match service {
-                "models" => start_model(name, Arc::clone(&start)),
-                _ => start_tool(name),
+                "models" => start_model(name, Arc::clone(&start), &arrivals),
+                _ => start_tool(name, &arrivals),
             };
             let forwarder = Forwarder::start(socket("127.0.0.1", 0), replica.address);
             replica.address = forwarder.address;
@@ -175,12 +196,17 @@
             fault_counts: BTreeMap::new(),
             violations: Vec::new(),
             pauses: Vec::new(),
+            timeline: Timeline::default(),
+            arrivals,
             stores,
             gateways,
             store_forwarders,
             replica_forwarders,
             rng: StdRng::seed_from_u64(seed),
             restart_rng: StdRng::seed_from_u64(seed ^ RESTART_SEED),
+            stop_rng: StdRng::seed_from_u64(seed ^ STOP_SEED),
+            next_stop: 0,
+            binary,
             older_binary,
             upgrade_rng: StdRng::seed_from_u64(seed ^ UPGRADE_SEED),
             replica_starts,
@@ -217,6 +243,17 @@
         if self.restart_rng.random_bool(RESTART_PROBABILITY) {
             self.restart_replica();
         }
+        if self.stop_rng.random_bool(STOP_PROBABILITY) {
+            self.stop_next_gateway();
+        }
+    }
+
+    /// Stops the gateways in turn, without waiting for each other.
+    fn stop_next_gateway(&mut self) {
+        *self.fault_counts.entry("front stopped in series").or_default() += 1;
+        let target = Target::Gateway(self.next_stop);
+        self.next_stop = (self.next_stop + 1) % self.gateways.len();
+        self.stop_with_signals(target, &[]);
     }
 
     /// Simulates a replica restart: closes its connections and lists a later start time.
@@ -224,7 +261,7 @@
         *self.fault_counts.entry("replica started again").or_default() += 1;
         let index = self.restart_rng.random_range(0..self.replicas.len());
         self.latest_start_ms += 1;
-        self.replica_forwarders[index].break_connections();
+        self.break_replica_connections(index);
         self.replica_starts[index].store(self.latest_start_ms, Ordering::SeqCst);
         let start = json!(self.latest_start_ms);
         self.cluster.platform_list.set_field(&self.replicas[index], "born", start);
@@ -270,7 +307,11 @@
     fn recover(&mut self, recovery: Recovery, now: Instant) {
         match recovery {
             Recovery::Start(target) => self.start_process(target),
-            Recovery::Resume(target) => self.signal(target, Signal::CONT),
+            Recovery::Resume(target) => {
+                self.signal(target, Signal::CONT);
+                let machine = self.machine(target);
+                self.timeline.end(&machine, DisruptionKind::Paused);
+            }
             Recovery::ClearLinkFaults(index) => {
                 self.store_forwarders[index].iter().for_each(Forwarder::clear_faults)
             }
@@ -298,6 +339,9 @@
         node.binary = binary;
         node.process = Some(process);
         node.log_bytes = log_bytes;
+        let machine = self.machine(target);
+        self.timeline.end(&machine, DisruptionKind::Killed);
+        self.timeline.end(&machine, DisruptionKind::Paused);
     }
 
     /// Picks the build of the next process.
@@ -306,7 +350,7 @@
             Some(older_binary) if !self.upgrade_rng.random_bool(UPGRADE_PROBABILITY) => {
                 older_binary.clone()
             }
-            _ => BUILD_UNDER_TEST.into(),
+            _ => self.binary.clone(),
         }
     }
 
@@ -319,7 +363,8 @@
         let targets: Vec<Target> =
             gateways.chain((0..STORE_IPS.len()).map(Target::Store)).collect();
         for target in targets {
-            if self.node_mut(target).binary != Path::new(BUILD_UNDER_TEST) {
+            let binary = self.binary.clone();
+            if self.node_mut(target).binary != binary {
                 *self.fault_counts.entry("upgraded at the end").or_default() += 1;
                 self.stop(target);
                 self.run_for(UPGRADE_PAUSE);
@@ -339,6 +384,8 @@
     }
 
     fn kill(&mut self, target: Target) {
+        let machine = self.machine(target);
+        self.timeline.begin(machine, DisruptionKind::Killed);
         self.node_mut(target).process = None;
         let downtime = self.random_millis(0, 900);
         self.pending_recoveries.push((Instant::now() + downtime, Recovery::Start(target)));
@@ -357,6 +404,8 @@
                 .pending_recoveries
                 .push((now + EXIT_POLL_INTERVAL, Recovery::RestartAfterExit(target, pid))),
             Ok(Some(status)) => {
+                let address = self.address(target);
+                self.timeline.exit(address);
                 let has_logged = self.log_bytes(ip) > self.node_mut(target).log_bytes;
                 self.node_mut(target).process = None;
                 self.start_process(target);
@@ -375,26 +424,64 @@
         }
     }
 
+    /// Returns the address at which callers reach a node.
+    fn address(&mut self, target: Target) -> IpAddr {
+        self.node_mut(target).bind_ip.parse().expect("an address")
+    }
+
+    fn machine(&mut self, target: Target) -> Machine {
+        Machine::Node(self.address(target))
+    }
+
+    fn replica_machine(&self, index: usize) -> Machine {
+        Machine::Replica(self.replicas[index].id.clone())
+    }
+
+    fn break_replica_connections(&mut self, index: usize) {
+        let machine = self.replica_machine(index);
+        self.timeline.add(machine, DisruptionKind::ConnectionsBroken, Duration::ZERO);
+        self.replica_forwarders[index].break_connections();
+    }
+
+    fn reload(&mut self, target: Target) {
+        let address = self.address(target);
+        self.timeline.signal(address, SignalKind::Reload);
+        self.signal(target, Signal::HUP);
+    }
+
     fn pause(&mut self, target: Target, duration: Duration) {
         let now = Instant::now();
         let ip = self.node_mut(target).ip;
         self.pauses.push(Pause { ip, from: now, until: now + duration });
+        let machine = self.machine(target);
+        self.timeline.begin(machine, DisruptionKind::Paused);
         self.signal(target, Signal::STOP);
         self.pending_recoveries.push((Instant::now() + duration, Recovery::Resume(target)));
     }
 
     /// Stops a node gracefully, sometimes with redundant signals.
     fn stop(&mut self, target: Target) {
-        let Some(pid) = self.node_mut(target).process.as_ref().map(|process| process.child.id())
-        else {
+        if self.node_mut(target).process.is_none() {
             return;
-        };
-        self.signal(target, Signal::TERM);
+        }
+        let mut signals = Vec::new();
         for signal in [Signal::HUP, Signal::TERM] {
             if self.rng.random_bool(0.3) {
-                self.signal(target, signal);
+                signals.push(signal);
             }
         }
+        self.stop_with_signals(target, &signals);
+    }
+
+    fn stop_with_signals(&mut self, target: Target, further_signals: &[Signal]) {
+        let process = self.node_mut(target).process.as_ref();
+        let Some(pid) = process.map(|process| process.child.id()) else {
+            return;
+        };
+        let address = self.address(target);
+        self.timeline.signal(address, SignalKind::Stop);
+        self.signal(target, Signal::TERM);
+        further_signals.iter().for_each(|signal| self.signal(target, *signal));
         self.pending_recoveries
             .push((Instant::now() + EXIT_POLL_INTERVAL, Recovery::RestartAfterExit(target, pid)));
     }
@@ -508,7 +595,7 @@
                 "stores left alone"
             }
             6 | 7 => {
-                self.signal(target, Signal::HUP);
+                self.reload(target);
                 "store hung up on"
             }
             _ => {
@@ -536,7 +623,7 @@
                 "front stopped"
             }
             3 => {
-                self.signal(gateway, Signal::HUP);
+                self.reload(gateway);
                 "front hung up on"
             }
             4 => {
@@ -548,12 +635,14 @@
                 "many fronts killed"
             }
             5 => {
-                self.replica_forwarders[replica].break_connections();
+                self.break_replica_connections(replica);
                 "replica connections broken"
             }
             _ => {
                 let duration = self.random_millis(100, 1_500);
                 self.replica_forwarders[replica].stall(true, true, duration);
+                let machine = self.replica_machine(replica);
+                self.timeline.add(machine, DisruptionKind::LinkStalled, duration);
                 "replica silenced"
             }
         }
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -4,11 +4,13 @@
 //! operator updates the configuration, while processes are killed, paused, stopped and restarted,
 //! disks are wiped, and forwarders delay, stall and close connections. Faults overlap. At the end,
 //! all faults are cleared and the observations of callers, replicas and the operator are checked.
+//! Among these are the requests that ended without a complete answer, see [`unanswered`].
 //!
 //! `CALICOHOIST_SOAK_SEEDS=FROM..TO`, `CALICOHOIST_SOAK_SECONDS=N` and `CALICOHOIST_SOAK_FRONTS=N`
 //! select the runs (see `scripts/soak.sh`); the default is [`REGRESSION_RUNS`].
 //! `CALICOHOIST_SOAK_OLDER_BINARY` tests rolling upgrades: all processes start with that binary,
 //! each restart picks one of the two builds, and the remaining ones are upgraded at the end.
+//! `CALICOHOIST_SOAK_BINARY` replaces the build under test.
 //! A seed determines the sequence of faults, but not the timing of the processes.
 
 #[path = "../../../../platform/tests/support/mod.rs"]
@@ -17,13 +19,20 @@
 #[path = "../cluster/mod.rs"]
 mod cluster;
 
+mod arrivals;
+mod attempts;
 mod caller;
 mod crashes;
 mod drains;
 mod faults;
+mod load;
 mod operator;
 mod slow_reader;
+mod sound;
 mod streams;
+mod timeline;
+mod unanswered;
+mod unanswered_tests;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -33,18 +42,24 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use arrivals::{ArrivalLog, Outcome};
+use attempts::AttemptLog;
 use caller::{Caller, try_exchange};
 use crashes::{CrashRecords, check_crashes, run_replicas, send_fatal_requests};
 use drains::{Drain, check_drains, drain_zones};
 use faults::Soak;
+use load::start_callers;
 use operator::{operate, put_version, read_version};
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use serde_json::json;
 use slow_reader::{large_answer, read_slowly};
+use sound::start_replicas;
 use streams::{StreamRecords, check_versions, resume_streams, serve_stream};
 use support::{ListServer, ScriptedReplica, request_head, wait_until};
+use timeline::SentConfiguration;
+use unanswered::judge_all;
 
 /// Runs of the regular test suite, including seeds that failed before.
 ///
@@ -83,6 +98,8 @@
 const MAX_ATTEMPTS: usize = 3;
 /// Separates the random stream of replicas that crash.
 const CRASH_SEED: u64 = 71;
+/// Timeout of the routes of the initial configuration.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
 const EVENTS_PER_ANSWER: u64 = 3;
 const TOKENS_PER_EVENT: u64 = 9;
 const MAX_TURN_TOKENS: u64 = EVENTS_PER_ANSWER * TOKENS_PER_EVENT;
@@ -109,6 +126,9 @@
     crashes: CrashRecords,
     /// Drains of zones, with their duration.
     drains: Vec<Drain>,
+    /// Requests of all callers and operators.
+    attempts: AttemptLog,
+    configurations: Vec<SentConfiguration>,
     violations: Vec<String>,
 }
 
@@ -135,19 +155,21 @@
     (1..=EVENTS_PER_ANSWER).map(|number| format!("{id}/{number}\n")).collect()
 }
 
-fn reject(exchange: &mut support::replica::Exchange<'_>) {
+fn reject(exchange: &mut support::replica::Exchange<'_>) -> Outcome {
     exchange.respond("503 Full", "Calicohoist-Not-Executed: full\r\n", "");
+    Outcome::Rejected
 }
 
-fn start_model(name: &str, start_ms: Arc<AtomicU64>) -> ScriptedReplica {
+fn start_model(name: &str, start_ms: Arc<AtomicU64>, arrivals: &ArrivalLog) -> ScriptedReplica {
     let name = name.to_owned();
-    ScriptedReplica::start(&name.clone(), move |exchange| {
+    arrivals.start_replica(&name.clone(), move |exchange| {
         if exchange.request.line.starts_with("GET /-/report ") {
             let report = json!({ "born": start_ms.load(Ordering::SeqCst) });
-            return exchange.respond("200 OK", "", &report.to_string());
+            exchange.respond("200 OK", "", &report.to_string());
+            return Outcome::Whole;
         }
-        if serve_stream(exchange, &name) {
-            return;
+        if let Some(outcome) = serve_stream(exchange, &name) {
+            return outcome;
         }
         let id = exchange.request.id().to_owned();
         let behaviour = behaviour(&id);
@@ -157,23 +179,29 @@
         exchange.start_stream();
         for number in 1..=EVENTS_PER_ANSWER {
             if behaviour == Behaviour::Abort && number == 2 {
-                return exchange.abort_connection();
+                exchange.abort_connection();
+                return Outcome::BrokenOff;
             }
             thread::sleep(Duration::from_millis(4));
             exchange.send_event(number, &format!("{id}/{number}"));
         }
         exchange.end_stream();
+        Outcome::Whole
     })
 }
 
-fn start_tool(name: &str) -> ScriptedReplica {
-    ScriptedReplica::start(name, |exchange| {
+fn start_tool(name: &str, arrivals: &ArrivalLog) -> ScriptedReplica {
+    arrivals.start_replica(name, |exchange| {
         let id = exchange.request.id().to_owned();
         match behaviour(&id) {
             Behaviour::Reject => reject(exchange),
-            Behaviour::Abort => exchange.abort_connection(),
+            Behaviour::Abort => {
+                exchange.abort_connection();
+                Outcome::BrokenOff
+            }
             Behaviour::Succeed => {
                 exchange.respond("200 OK", "", &large_answer(&id).unwrap_or(id));
+                Outcome::Whole
             }
         }
     })
@@ -273,8 +301,11 @@
         let ListServer { address, instances } = &soak.cluster.platform_list;
         let list = ListServer { address: *address, instances: Arc::clone(instances) };
         let rng = StdRng::seed_from_u64(seed ^ CRASH_SEED);
-        threads.push(run_replicas(list, rng, &records, &stop_flag));
+        let arrivals = soak.arrivals.clone();
+        threads.push(run_replicas(list, rng, &records, arrivals, &stop_flag));
     }
+    let _sound_replicas = start_replicas(&soak.cluster.platform_list, &soak.arrivals);
+    threads.extend(start_callers(seed, &soak.gateways(), &records, &stop_flag));
     for number in 0..FATAL_CALLERS {
         let rng = StdRng::seed_from_u64(seed << 8 | 0xe0 | number as u64);
         let (gateways, records, stop_flag) =
@@ -334,6 +365,14 @@
         fatal_requests = check_crashes(&mut records, log_folder, &soak.pauses);
     }
     records.violations.append(&mut soak.violations);
+    let mut timeline = std::mem::take(&mut soak.timeline);
+    timeline.configurations.append(&mut records.configurations);
+    timeline.disruptions.extend(records.crashes.disruptions());
+    let findings = judge_all(&records.attempts, &soak.arrivals, &timeline, started);
+    if findings.is_violation() {
+        records.violations.extend(findings.descriptions.iter().cloned());
+    }
+    println!("seed {seed}: {findings}");
     println!(
         "seed {seed}, {gateways} gateways: {} served, {} turns whole, version {acknowledged_version}, {} drains, \
          {}, {}, faults {:?}",
--- a/crates/calicohoist/tests/soak/operator.rs
+++ b/crates/calicohoist/tests/soak/operator.rs
@@ -3,15 +3,18 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use crate::attempts::{Submission, exchange_recorded};
 use crate::caller::try_exchange;
 use crate::crashes::add_fragile_service;
+use crate::sound::add_sound_service;
 use crate::support::configuration;
-use crate::{INITIAL_VERSION, Shared};
+use crate::timeline::SentConfiguration;
+use crate::{INITIAL_VERSION, ROUTE_TIMEOUT, Shared};
 
 /// Number of additional routes in a large configuration.
 const EXTRA_ROUTES: usize = 1_000;
@@ -24,15 +27,23 @@
     acknowledged: &AtomicU64,
     stop_flag: &AtomicBool,
 ) {
+    let attempts = records.lock().attempts.clone();
     let mut version = INITIAL_VERSION;
     while !stop_flag.load(Ordering::Relaxed) {
         let routes = if rng.random_bool(0.2) { EXTRA_ROUTES } else { 0 };
         for _ in 0..rng.random_range(1..4) {
             version += rng.random_range(1..4);
             let control = controls[rng.random_range(0..controls.len())];
-            if put_config(control, version, routes) {
+            let submission = config_submission(version, routes);
+            let sent = Instant::now();
+            let reply = exchange_recorded(control, &submission, &attempts);
+            let is_acknowledged = reply.is_some_and(|reply| reply.status == 200);
+            if is_acknowledged {
                 acknowledged.fetch_max(version, Ordering::SeqCst);
             }
+            let acknowledged = is_acknowledged.then(Instant::now);
+            let configuration = SentConfiguration { sent, acknowledged };
+            records.lock().configurations.push(configuration);
         }
         let latest_acknowledged = acknowledged.load(Ordering::SeqCst);
         let control = controls[rng.random_range(0..controls.len())];
@@ -49,12 +60,14 @@
 
 /// Submits a version; returns whether it was acknowledged.
 pub fn put_version(control: SocketAddr, version: u64) -> bool {
-    put_config(control, version, 0)
+    let submission = config_submission(version, 0);
+    try_exchange(control, &submission.bytes).is_some_and(|reply| reply.status == 200)
 }
 
-fn put_config(control: SocketAddr, version: u64, extra_routes: usize) -> bool {
+fn config_submission(version: u64, extra_routes: usize) -> Submission {
     let mut document = configuration(version);
     add_fragile_service(&mut document);
+    add_sound_service(&mut document);
     if let Some(routes) = document["routes"].as_array_mut() {
         let template = routes[0].clone();
         routes.extend((0..extra_routes).map(|number| {
@@ -70,7 +83,7 @@
         "PUT /-/config HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
          Content-Length: {length}\r\n\r\n{body}"
     );
-    try_exchange(control, request.as_bytes()).is_some_and(|reply| reply.status == 200)
+    Submission::new(&format!("config-{version}"), &request, ROUTE_TIMEOUT)
 }
 
 pub fn read_version(control: SocketAddr) -> Option<u64> {
--- a/crates/calicohoist/tests/soak/slow_reader.rs
+++ b/crates/calicohoist/tests/soak/slow_reader.rs
@@ -1,7 +1,6 @@
 //! Callers that read large answers slowly or disconnect before the end.
 
-use std::io::{Read, Write as _};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -10,12 +9,12 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-use crate::Shared;
-use crate::support::request_head;
+use crate::attempts::{AttemptLog, RecordedConnection, Submission};
+use crate::support::{Response, request_head};
+use crate::{ROUTE_TIMEOUT, Shared};
 
 /// Id prefix of requests for large answers.
 const LARGE_PREFIX: &str = "large";
-const READ_TIMEOUT: Duration = Duration::from_secs(6);
 /// Maximum number of bytes per read; the reader pauses after each.
 const READ_BYTES: usize = 64 << 10;
 
@@ -33,6 +32,7 @@
     records: &Shared,
     stop_flag: &Arc<AtomicBool>,
 ) {
+    let attempts = records.lock().attempts.clone();
     let mut count = 0;
     while !stop_flag.load(Ordering::Relaxed) {
         count += 1;
@@ -42,59 +42,47 @@
         let gateway = gateways[rng.random_range(0..gateways.len())];
         let disconnects_early = rng.random_bool(0.2);
         let pause = Duration::from_millis(rng.random_range(0..20));
-        match exchange(gateway, &id, pause, disconnects_early) {
-            Some(answer) => check_response(&id, &answer, records),
+        match exchange(gateway, &id, pause, disconnects_early, &attempts) {
+            Some(reply) => check_response(&id, &reply, records),
             None => thread::sleep(Duration::from_millis(50)),
         }
     }
 }
 
-/// Sends a request; returns the response bytes, or `None` on failure or early disconnect.
+/// Sends a request; returns the response, or `None` on failure or early disconnect.
 fn exchange(
     gateway: SocketAddr,
     id: &str,
     pause: Duration,
     disconnects_early: bool,
-) -> Option<Vec<u8>> {
-    let mut stream = TcpStream::connect_timeout(&gateway, Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
-    let path = "/unsafe/large";
-    let head = request_head("GET", path, id, 0, &["Connection: close"]);
-    stream.write_all(head.as_bytes()).ok()?;
-    let mut answer = Vec::new();
-    let mut buffer = vec![0; READ_BYTES];
-    loop {
-        match stream.read(&mut buffer).ok()? {
-            0 => return Some(answer),
-            length => answer.extend_from_slice(&buffer[..length]),
-        }
-        if disconnects_early && answer.len() > READ_BYTES {
-            return None;
-        }
-        thread::sleep(pause);
+    attempts: &AttemptLog,
+) -> Option<Response> {
+    let head = request_head("GET", "/unsafe/large", id, 0, &["Connection: close"]);
+    let submission = Submission::new(id, &head, ROUTE_TIMEOUT);
+    let mut connection = RecordedConnection::open(gateway, &submission, attempts)?;
+    let request = connection.send(&[submission]).pop()?;
+    connection.set_pace(pause, READ_BYTES);
+    if disconnects_early {
+        connection.leave_after(request, READ_BYTES + 1);
+        return None;
     }
+    let reply = connection.receive(request);
+    (reply.status != 0).then_some(reply)
 }
 
 /// Records a rejection and checks that a complete answer belongs to its request.
-fn check_response(id: &str, answer: &[u8], records: &Shared) {
-    let text = String::from_utf8_lossy(answer);
-    let Some((head, body)) = text.split_once("\r\n\r\n") else {
-        return;
-    };
+fn check_response(id: &str, reply: &Response, records: &Shared) {
     let mut records = records.lock();
-    let status = head.split(' ').nth(1).unwrap_or_default();
-    if matches!(status, "408" | "429" | "503") {
+    if matches!(reply.status, 408 | 429 | 503) {
         records.rejected.insert(id.to_owned());
     }
-    if status != "200" {
+    if reply.status != 200 || !reply.is_complete {
         return;
     }
-    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-    let is_complete = length.and_then(|length| length.parse().ok()) == Some(body.len());
-    if is_complete && large_answer(id).as_deref() != Some(body) {
+    if large_answer(id).as_deref() != Some(reply.text().as_str()) {
         records
             .violations
-            .push(format!("{id} received {} bytes that are not its answer", body.len()));
+            .push(format!("{id} received {} bytes that are not its answer", reply.body.len()));
     }
-    records.served += u64::from(is_complete);
+    records.served += 1;
 }
--- a/crates/calicohoist/tests/soak/streams.rs
+++ b/crates/calicohoist/tests/soak/streams.rs
@@ -12,10 +12,11 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-use crate::caller::try_exchange;
+use crate::arrivals::Outcome;
+use crate::attempts::{AttemptLog, Submission, exchange_recorded};
 use crate::support::replica::Exchange;
 use crate::support::{Response, request_head};
-use crate::{Records, Shared};
+use crate::{ROUTE_TIMEOUT, Records, Shared};
 
 /// Id prefix of requests for streams that break off.
 const STREAM_PREFIX: &str = "stream";
@@ -54,13 +55,13 @@
     if replica.ends_with('1') { "v1" } else { "v1.2" }
 }
 
-/// Serves a request for a stream that breaks off; returns `false` for other requests.
+/// Serves a request for a stream that breaks off; returns `None` for other requests.
 ///
 /// A replica breaks off a stream that it begins half of the time, and one that it continues never.
-pub fn serve_stream(exchange: &mut Exchange<'_>, replica: &str) -> bool {
+pub fn serve_stream(exchange: &mut Exchange<'_>, replica: &str) -> Option<Outcome> {
     let id = exchange.request.id().to_owned();
     if !id.starts_with(STREAM_PREFIX) {
-        return false;
+        return None;
     }
     let last = exchange.request.header("last-event-id").and_then(|last| last.parse().ok());
     let is_odd = id.bytes().fold(0, |sum: u32, byte| sum + u32::from(byte)) % 2 == 1;
@@ -68,13 +69,13 @@
     for number in last.unwrap_or(0) + 1..=EVENTS_PER_STREAM {
         if last.is_none() && is_odd && number == EVENTS_PER_STREAM / 2 {
             exchange.abort_connection();
-            return true;
+            return Some(Outcome::BrokenOff);
         }
         thread::sleep(Duration::from_millis(4));
         exchange.send_event(number, &format!("{} {number}", software_version(replica)));
     }
     exchange.end_stream();
-    true
+    Some(Outcome::Whole)
 }
 
 /// Requests streams sequentially, and resumes those that end early.
@@ -85,6 +86,7 @@
     records: &Shared,
     stop_flag: &Arc<AtomicBool>,
 ) {
+    let attempts = records.lock().attempts.clone();
     let mut count = 0;
     while !stop_flag.load(Ordering::Relaxed) {
         count += 1;
@@ -92,7 +94,8 @@
         let mut events = Vec::new();
         for attempt in 0..=MAX_RESUMPTIONS {
             let gateway = gateways[rng.random_range(0..gateways.len())];
-            let reply = request(gateway, &first, attempt, events.len()).unwrap_or_default();
+            let reply = request(gateway, &first, attempt, events.len(), &attempts);
+            let reply = reply.unwrap_or_default();
             let arrived = events_of(&reply);
             let mut records = records.lock();
             records.streams.begun += u64::from(attempt == 0 && !arrived.is_empty());
@@ -116,12 +119,19 @@
     }
 }
 
-fn request(gateway: SocketAddr, first: &str, attempt: usize, received: usize) -> Option<Response> {
+fn request(
+    gateway: SocketAddr,
+    first: &str,
+    attempt: usize,
+    received: usize,
+    attempts: &AttemptLog,
+) -> Option<Response> {
     let (last, resumes) = (format!("Last-Event-Id: {received}"), format!("Resumes: {first}"));
     let id = if attempt == 0 { first.to_owned() } else { format!("{first}-again-{attempt}") };
     let headers = if attempt == 0 { vec![] } else { vec![last.as_str(), resumes.as_str()] };
     let head = request_head("POST", "/resumable/a", &id, 2, &headers);
-    try_exchange(gateway, format!("{head}hi").as_bytes())
+    let submission = Submission::new(&id, &format!("{head}hi"), ROUTE_TIMEOUT);
+    exchange_recorded(gateway, &submission, attempts)
 }
 
 /// Returns the data of the events, each the version and the number.
