Soak: gateways under planned work only; continue all retained turns; read back the last drain

Two further gateways are stopped and reloaded in turn, and never disrupted, beside kills and pauses of the others, so that most requests there have no excuse. Counts name the kind of caller.

--- a/crates/calicohoist/tests/soak/attempts.rs
+++ b/crates/calicohoist/tests/soak/attempts.rs
@@ -4,6 +4,7 @@
 use std::io::{self, BufReader, ErrorKind, Read, Write as _};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -73,9 +74,17 @@
     pub is_behind_close: bool,
 }
 
+impl Attempt {
+    /// Returns the kind of caller, which the letters that begin the id name.
+    pub fn caller_kind(&self) -> String {
+        self.id.chars().take_while(char::is_ascii_alphabetic).collect()
+    }
+}
+
 #[derive(Default)]
 struct AttemptCounts {
-    by_ending: BTreeMap<Ending, u64>,
+    /// Number of attempts by ending and kind of caller.
+    by_ending: BTreeMap<(Ending, String), u64>,
     /// Attempts that did not end with a complete answer.
     unfinished: Vec<Attempt>,
 }
@@ -87,13 +96,13 @@
 impl AttemptLog {
     pub fn record(&self, attempt: Attempt) {
         let mut counts = self.0.lock();
-        *counts.by_ending.entry(attempt.ending).or_default() += 1;
+        *counts.by_ending.entry((attempt.ending, attempt.caller_kind())).or_default() += 1;
         if !matches!(attempt.ending, Ending::Complete(_)) {
             counts.unfinished.push(attempt);
         }
     }
 
-    pub fn endings(&self) -> BTreeMap<Ending, u64> {
+    pub fn endings(&self) -> BTreeMap<(Ending, String), u64> {
         self.0.lock().by_ending.clone()
     }
 
@@ -107,6 +116,8 @@
     stream: TcpStream,
     /// Pause before each read and maximum number of bytes per read.
     pace: Option<(Duration, usize)>,
+    /// Makes the caller leave once it is set.
+    stop_flag: Option<Arc<AtomicBool>>,
     first_received: Option<Instant>,
     last_received: Option<Instant>,
     cut: Option<(Cut, Instant)>,
@@ -121,6 +132,10 @@
 
 impl Read for ObservedStream {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if self.stop_flag.as_ref().is_some_and(|flag| flag.load(Ordering::Relaxed)) {
+            self.cut = Some((Cut::Left, Instant::now()));
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
         let most = match self.pace {
             Some((pause, most)) => {
                 std::thread::sleep(pause);
@@ -187,6 +202,7 @@
         let stream = ObservedStream {
             stream,
             pace: None,
+            stop_flag: None,
             first_received: None,
             last_received: None,
             cut: None,
@@ -200,6 +216,11 @@
         self.input.get_mut().pace = Some((pause, most_bytes));
     }
 
+    /// Makes the caller leave in the middle of an answer once the flag is set.
+    pub fn leave_on(&mut self, stop_flag: &Arc<AtomicBool>) {
+        self.input.get_mut().stop_flag = Some(Arc::clone(stop_flag));
+    }
+
     /// Sends requests at once, and returns them in the order of their answers.
     pub fn send(&mut self, submissions: &[Submission]) -> Vec<SentRequest> {
         let bytes: Vec<u8> =
--- a/crates/calicohoist/tests/soak/caller.rs
+++ b/crates/calicohoist/tests/soak/caller.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -162,6 +162,7 @@
                 let transcript =
                     format!("{}{input}{}", earlier.unwrap_or_default(), expected_output(id));
                 records.completed.insert(id.to_owned(), transcript);
+                records.completed_at.insert(id.to_owned(), Instant::now());
                 records.served += 1;
                 true
             }
--- a/crates/calicohoist/tests/soak/drains.rs
+++ b/crates/calicohoist/tests/soak/drains.rs
@@ -1,20 +1,24 @@
 //! Operator that drains and restores zones.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
 use rand::rngs::StdRng;
 
+use crate::arrivals::ArrivalLog;
 use crate::attempts::{Submission, exchange_recorded};
+use crate::caller::try_exchange;
 use crate::faults::{REPLICAS, ZONES};
-use crate::support::ScriptedReplica;
+use crate::support::{ScriptedReplica, request_head, wait_until};
 use crate::{ROUTE_TIMEOUT, Shared};
 
 /// Maximum time until an acknowledged drain is effective on all gateways.
 const DRAIN_DEADLINE: Duration = Duration::from_secs(5);
+/// Zone of the gateways.
+const PREFERRED_ZONE: &str = ZONES[0];
 /// Retry timeout of a drain command.
 const COMMAND_TIMEOUT: Duration = Duration::from_secs(5);
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -53,6 +57,61 @@
     }
 }
 
+/// Drains the preferred zone and returns when that was acknowledged; panics if it never is.
+pub fn drain_preferred_zone(controls: &[SocketAddr], records: &Shared) -> Instant {
+    let acknowledged = send_command(controls, "POST", PREFERRED_ZONE, records);
+    acknowledged.expect("the drain is acknowledged")
+}
+
+/// Checks after faults that the preferred zone is still drained and the other one is not, restores
+/// it, and checks that it serves again.
+pub fn check_last_drain(
+    acknowledged: Instant,
+    controls: &[SocketAddr],
+    gateways: &[SocketAddr],
+    arrivals: &ArrivalLog,
+    records: &Shared,
+) {
+    let probe = ZoneProbe { gateways, arrivals, count: AtomicUsize::new(0) };
+    thread::sleep((acknowledged + DRAIN_DEADLINE).saturating_duration_since(Instant::now()));
+    wait_until("the other zone serves while the preferred one is drained", || {
+        let zones = probe.zones();
+        if zones.contains(&PREFERRED_ZONE) {
+            let violation = format!("{PREFERRED_ZONE} was served from after it had been drained");
+            records.lock().violations.push(violation);
+        }
+        !zones.is_empty()
+    });
+    let restored = send_command(controls, "DELETE", PREFERRED_ZONE, records);
+    restored.expect("the restoration is acknowledged");
+    wait_until("the preferred zone serves again", || probe.zones().contains(&PREFERRED_ZONE));
+}
+
+/// Sends requests that tell from which zone they are served.
+struct ZoneProbe<'a> {
+    gateways: &'a [SocketAddr],
+    arrivals: &'a ArrivalLog,
+    /// Number of requests so far.
+    count: AtomicUsize,
+}
+
+impl ZoneProbe<'_> {
+    /// Sends a request to each gateway; returns the zones of the replicas that got them.
+    fn zones(&self) -> Vec<&'static str> {
+        let mut zones = Vec::new();
+        for gateway in self.gateways {
+            let id = format!("zone-{}", self.count.fetch_add(1, Ordering::Relaxed));
+            let request = request_head("GET", "/safe/x", &id, 0, &[]);
+            let _ = try_exchange(*gateway, request.as_bytes());
+            let is_own =
+                |name: &str| self.arrivals.of(&id).iter().any(|arrival| arrival.replica == name);
+            let reached = REPLICAS.iter().filter(|(name, ..)| is_own(name));
+            zones.extend(reached.map(|(_, _, zone)| *zone));
+        }
+        zones
+    }
+}
+
 /// Sends a command to the stores in turn; returns the time of its acknowledgement.
 fn send_command(
     controls: &[SocketAddr],
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -45,7 +45,13 @@
 /// Separates the random stream of stops in series.
 const STOP_SEED: u64 = 74;
 /// Probability that a round of faults includes the next stop of the series.
-const STOP_PROBABILITY: f64 = 0.35;
+const STOP_PROBABILITY: f64 = 0.5;
+/// Probability that a stop reaches one of the gateways that are never disrupted.
+const PLANNED_STOP_PROBABILITY: f64 = 0.6;
+/// Probability that such a gateway reloads its settings instead.
+const PLANNED_RELOAD_PROBABILITY: f64 = 0.3;
+/// Number of gateways that are stopped and reloaded, but never disrupted.
+const PLANNED_GATEWAYS: usize = 2;
 /// Separates the random stream of build selection.
 const UPGRADE_SEED: u64 = 51;
 /// Probability that a process of an upgrade run starts with the build under test.
@@ -103,15 +109,17 @@
     pub timeline: Timeline,
     pub arrivals: ArrivalLog,
     stores: Vec<Node>,
+    /// First those that are disrupted, then those that are only stopped and reloaded.
     gateways: Vec<Node>,
+    disrupted_gateways: usize,
     /// Two per store: for connections from peers and from gateways.
     store_forwarders: Vec<[Forwarder; 2]>,
     replica_forwarders: Vec<Forwarder>,
     rng: StdRng,
     restart_rng: StdRng,
     stop_rng: StdRng,
-    /// Gateway that the series of stops reaches next.
-    next_stop: usize,
+    /// Gateways that the series of stops reach next, among the disrupted ones and the others.
+    next_stops: [usize; 2],
     /// Binary of the build under test.
     binary: PathBuf,
     /// Binary of the older build in an upgrade run.
@@ -189,7 +197,10 @@
             .zip(STORE_BIND_IPS)
             .map(|(ip, bind_ip)| start_node(ip, bind_ip))
             .collect();
-        let gateways = (0..gateway_count).map(gateway_ip).map(|ip| start_node(ip, ip)).collect();
+        let gateways = (0..gateway_count + PLANNED_GATEWAYS)
+            .map(gateway_ip)
+            .map(|ip| start_node(ip, ip))
+            .collect();
         Self {
             cluster,
             replicas,
@@ -200,12 +211,13 @@
             arrivals,
             stores,
             gateways,
+            disrupted_gateways: gateway_count,
             store_forwarders,
             replica_forwarders,
             rng: StdRng::seed_from_u64(seed),
             restart_rng: StdRng::seed_from_u64(seed ^ RESTART_SEED),
             stop_rng: StdRng::seed_from_u64(seed ^ STOP_SEED),
-            next_stop: 0,
+            next_stops: [0, 0],
             binary,
             older_binary,
             upgrade_rng: StdRng::seed_from_u64(seed ^ UPGRADE_SEED),
@@ -225,7 +237,16 @@
     }
 
     pub fn gateways(&self) -> Vec<SocketAddr> {
-        self.gateways.iter().map(|gateway| self.cluster.http(gateway.ip)).collect()
+        self.addresses(&self.gateways[..self.disrupted_gateways])
+    }
+
+    /// Gateways that are stopped and reloaded, but never disrupted.
+    pub fn planned_gateways(&self) -> Vec<SocketAddr> {
+        self.addresses(&self.gateways[self.disrupted_gateways..])
+    }
+
+    fn addresses(&self, gateways: &[Node]) -> Vec<SocketAddr> {
+        gateways.iter().map(|gateway| self.cluster.http(gateway.ip)).collect()
     }
 
     pub fn random_millis(&mut self, from: u64, to: u64) -> Duration {
@@ -248,12 +269,23 @@
         }
     }
 
-    /// Stops the gateways in turn, without waiting for each other.
+    /// Stops or reloads the gateways in turn, without waiting for each other.
     fn stop_next_gateway(&mut self) {
-        *self.fault_counts.entry("front stopped in series").or_default() += 1;
-        let target = Target::Gateway(self.next_stop);
-        self.next_stop = (self.next_stop + 1) % self.gateways.len();
-        self.stop_with_signals(target, &[]);
+        let is_planned = self.stop_rng.random_bool(PLANNED_STOP_PROBABILITY);
+        let (first, count) = match is_planned {
+            true => (self.disrupted_gateways, PLANNED_GATEWAYS),
+            false => (0, self.disrupted_gateways),
+        };
+        let next = &mut self.next_stops[usize::from(is_planned)];
+        let target = Target::Gateway(first + *next % count);
+        *next += 1;
+        let is_reload = is_planned && self.stop_rng.random_bool(PLANNED_RELOAD_PROBABILITY);
+        let kind = if is_reload { "front reloaded in series" } else { "front stopped in series" };
+        *self.fault_counts.entry(kind).or_default() += 1;
+        match is_reload {
+            true => self.reload(target),
+            false => self.stop_with_signals(target, &[]),
+        }
     }
 
     /// Simulates a replica restart: closes its connections and lists a later start time.
@@ -298,6 +330,13 @@
         }
     }
 
+    /// Kills all stores at once and restarts them.
+    pub fn restart_stores(&mut self) {
+        *self.fault_counts.entry("all stores killed at the end").or_default() += 1;
+        self.kill_stores(&[0, 1, 2]);
+        self.clear_faults();
+    }
+
     fn run_due_recoveries(&mut self, now: Instant) {
         let due_recoveries: Vec<_> =
             self.pending_recoveries.extract_if(.., |(at, _)| *at <= now).collect();
@@ -606,7 +645,7 @@
     }
 
     fn inject_other_fault(&mut self) -> &'static str {
-        let gateway = Target::Gateway(self.rng.random_range(0..self.gateways.len()));
+        let gateway = Target::Gateway(self.rng.random_range(0..self.disrupted_gateways));
         let replica = self.rng.random_range(0..self.replicas.len());
         match self.rng.random_range(0..7) {
             0 => {
@@ -627,9 +666,9 @@
                 "front hung up on"
             }
             4 => {
-                let kill_count = self.rng.random_range(0..=self.gateways.len() / 4);
+                let kill_count = self.rng.random_range(0..=self.disrupted_gateways / 4);
                 for _ in 0..kill_count {
-                    let index = self.rng.random_range(0..self.gateways.len());
+                    let index = self.rng.random_range(0..self.disrupted_gateways);
                     self.kill(Target::Gateway(index));
                 }
                 "many fronts killed"
--- a/crates/calicohoist/tests/soak/load.rs
+++ b/crates/calicohoist/tests/soak/load.rs
@@ -12,6 +12,7 @@
 
 use crate::Shared;
 use crate::attempts::{AttemptLog, RecordedConnection, Submission, exchange_recorded};
+use crate::faults::Soak;
 use crate::sound::{EVENTS, SOUND_TIMEOUT, bulk_answer, bulk_path, stream_path, work_path};
 use crate::support::{Response, request_head};
 
@@ -21,12 +22,14 @@
 const CONNECTING_CALLERS: usize = 10;
 const PIPELINING_CALLERS: usize = 2;
 const HALF_CLOSING_CALLERS: usize = 2;
-const BULK_READERS: usize = 2;
+const BULK_READERS: usize = 4;
 const STREAM_READERS: usize = 1;
 /// Requests that a caller sends back to back.
 const BURST: usize = 10;
 /// Requests after which a caller changes its gateway.
 const REQUESTS_PER_CONNECTION: usize = 50;
+/// Probability that a caller picks a gateway that is only stopped and reloaded.
+const PLANNED_PROBABILITY: f64 = 0.6;
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Interval between two reads of a slow reader.
 const READ_INTERVAL: Duration = Duration::from_millis(20);
@@ -58,7 +61,7 @@
 /// Starts all callers.
 pub fn start_callers(
     seed: u64,
-    gateways: &[SocketAddr],
+    soak: &Soak,
     records: &Shared,
     stop_flag: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<()>> {
@@ -67,7 +70,8 @@
         kind,
         number,
         count: 0,
-        gateways: gateways.to_vec(),
+        gateways: soak.gateways(),
+        planned_gateways: soak.planned_gateways(),
         rng: StdRng::seed_from_u64((seed << 8 | number as u64) ^ LOAD_SEED),
         attempts: records.lock().attempts.clone(),
         records: Arc::clone(records),
@@ -82,6 +86,7 @@
     /// Number of requests so far.
     count: usize,
     gateways: Vec<SocketAddr>,
+    planned_gateways: Vec<SocketAddr>,
     rng: StdRng,
     attempts: AttemptLog,
     records: Shared,
@@ -91,7 +96,7 @@
 impl LoadCaller {
     fn run(mut self) {
         while !self.has_stopped() {
-            let gateway = self.gateways[self.rng.random_range(0..self.gateways.len())];
+            let gateway = self.pick_gateway();
             let is_served = match self.kind {
                 Kind::Keeping => self.keep_connection(gateway),
                 Kind::Connecting => self.connect(gateway),
@@ -106,6 +111,12 @@
         }
     }
 
+    fn pick_gateway(&mut self) -> SocketAddr {
+        let is_planned = self.rng.random_bool(PLANNED_PROBABILITY);
+        let gateways = if is_planned { &self.planned_gateways } else { &self.gateways };
+        gateways[self.rng.random_range(0..gateways.len())]
+    }
+
     fn has_stopped(&self) -> bool {
         self.stop_flag.load(Ordering::Relaxed)
     }
@@ -197,6 +208,7 @@
         let request = connection.send(std::slice::from_ref(submission)).pop()?;
         let bytes_per_second = self.rng.random_range(BULK_BYTES_PER_SECOND);
         connection.set_pace(READ_INTERVAL, bytes_per_second / READS_PER_SECOND);
+        connection.leave_on(&self.stop_flag);
         Some(connection.receive(request))
     }
 
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -27,6 +27,7 @@
 mod faults;
 mod load;
 mod operator;
+mod retention;
 mod slow_reader;
 mod sound;
 mod streams;
@@ -46,13 +47,14 @@
 use attempts::AttemptLog;
 use caller::{Caller, try_exchange};
 use crashes::{CrashRecords, check_crashes, run_replicas, send_fatal_requests};
-use drains::{Drain, check_drains, drain_zones};
+use drains::{Drain, check_drains, check_last_drain, drain_preferred_zone, drain_zones};
 use faults::Soak;
 use load::start_callers;
 use operator::{operate, put_version, read_version};
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use retention::continue_turns;
 use serde_json::json;
 use slow_reader::{large_answer, read_slowly};
 use sound::start_replicas;
@@ -113,6 +115,7 @@
     submitted: BTreeMap<String, (Option<String>, String)>,
     /// Completed turns, with the transcript up to their end.
     completed: BTreeMap<String, String>,
+    completed_at: BTreeMap<String, Instant>,
     /// Requests that were rejected without being executed.
     rejected: BTreeSet<String>,
     /// Requests that must be executed at most once.
@@ -258,7 +261,7 @@
         controls.iter().any(|control| put_version(*control, INITIAL_VERSION))
     });
     wait_until("the gateways are ready", || {
-        soak.gateways().iter().all(|gateway| {
+        soak.gateways().iter().chain(&soak.planned_gateways()).all(|gateway| {
             let request = request_head("GET", "/safe/x", "first", 0, &[]);
             try_exchange(*gateway, request.as_bytes()).is_some_and(|reply| reply.status == 200)
         })
@@ -305,7 +308,7 @@
         threads.push(run_replicas(list, rng, &records, arrivals, &stop_flag));
     }
     let _sound_replicas = start_replicas(&soak.cluster.platform_list, &soak.arrivals);
-    threads.extend(start_callers(seed, &soak.gateways(), &records, &stop_flag));
+    threads.extend(start_callers(seed, &soak, &records, &stop_flag));
     for number in 0..FATAL_CALLERS {
         let rng = StdRng::seed_from_u64(seed << 8 | 0xe0 | number as u64);
         let (gateways, records, stop_flag) =
@@ -332,26 +335,17 @@
     stop_flag.store(true, Ordering::Relaxed);
     threads.into_iter().for_each(|thread| thread.join().expect("a client thread panicked"));
 
+    let drained = (!is_mixed).then(|| drain_preferred_zone(&controls, &records));
+    soak.restart_stores();
     let acknowledged_version = acknowledged.load(Ordering::SeqCst);
     wait_until("the configuration is read back", || {
         controls.iter().any(|control| {
             read_version(*control).is_some_and(|version| version >= acknowledged_version)
         })
     });
-    let samples: Vec<String> = {
-        let records = records.lock();
-        let step = (records.completed.len() / 20).max(1);
-        records.completed.keys().step_by(step).cloned().collect()
-    };
-    let rng = StdRng::seed_from_u64(seed);
-    let verifier = Caller::new(99, soak.gateways(), rng, Arc::clone(&records), stop_flag);
-    let verifier = Mutex::new(verifier);
-    for (number, turn) in samples.iter().enumerate() {
-        let count = AtomicU64::new(0);
-        wait_until("every completed turn can be continued", || {
-            let program = format!("end{number}-{}", count.fetch_add(1, Ordering::Relaxed));
-            verifier.lock().turn(&program, 0, Some(turn)).is_some()
-        });
+    let continued = continue_turns(&soak.gateways(), seed, &records, &stop_flag);
+    if let Some(drained) = drained {
+        check_last_drain(drained, &controls, &soak.gateways(), &soak.arrivals, &records);
     }
     let mut records = records.lock();
     check_executions(&soak.replicas, &mut records);
@@ -374,7 +368,7 @@
     }
     println!("seed {seed}: {findings}");
     println!(
-        "seed {seed}, {gateways} gateways: {} served, {} turns whole, version {acknowledged_version}, {} drains, \
+        "seed {seed}, {gateways} gateways: {} served, {} turns whole, {continued} continued, version {acknowledged_version}, {} drains, \
          {}, {}, faults {:?}",
         records.served,
         records.completed.len(),
--- a/crates/calicohoist/tests/soak/unanswered.rs
+++ b/crates/calicohoist/tests/soak/unanswered.rs
@@ -194,8 +194,9 @@
 /// What was found about all attempts of a run.
 #[derive(Debug, Default)]
 pub struct Findings {
-    pub endings: BTreeMap<Ending, u64>,
-    pub excuses: BTreeMap<Excuse, u64>,
+    pub endings: BTreeMap<(Ending, String), u64>,
+    /// Excused requests by reason and caller.
+    pub excuses: BTreeMap<(Excuse, String), u64>,
     /// Losses by kind and caller.
     pub losses: BTreeMap<(Loss, String), u64>,
     pub descriptions: Vec<String>,
@@ -219,14 +220,26 @@
     }
 }
 
+/// Formats counts by reason and caller as one entry for each reason.
+fn by_reason<Reason: fmt::Debug + Ord>(counts: &BTreeMap<(Reason, String), u64>) -> String {
+    let mut entries: BTreeMap<&Reason, Vec<String>> = BTreeMap::new();
+    for ((reason, caller), count) in counts {
+        entries.entry(reason).or_default().push(format!("{count} {caller}"));
+    }
+    let texts =
+        entries.iter().map(|(reason, callers)| format!("{reason:?} ({})", callers.join(", ")));
+    texts.collect::<Vec<_>>().join(", ")
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let total: u64 = self.endings.values().sum();
         let lost: u64 = self.losses.values().sum();
         write!(
             formatter,
-            "{lost} of {total} requests lost, endings {:?}, excused {:?}",
-            self.endings, self.excuses
+            "{lost} of {total} requests lost; endings {}; excused {}",
+            by_reason(&self.endings),
+            by_reason(&self.excuses)
         )?;
         for ((loss, caller), count) in &self.losses {
             write!(formatter, "\n  {count} of {caller}: {loss}")?;
@@ -245,11 +258,13 @@
     let mut findings = Findings { endings: attempts.endings(), ..Findings::default() };
     for attempt in attempts.unfinished() {
         let passed_on = arrivals.of(&attempt.id);
+        let caller = attempt.caller_kind();
         match judge(&attempt, &passed_on, timeline) {
             Verdict::Answered => {}
-            Verdict::Excused(excuse) => *findings.excuses.entry(excuse).or_default() += 1,
+            Verdict::Excused(excuse) => {
+                *findings.excuses.entry((excuse, caller)).or_default() += 1;
+            }
             Verdict::Lost(loss) => {
-                let caller = attempt.id.split('-').next().unwrap_or_default().to_owned();
                 let count = findings.losses.entry((loss, caller)).or_default();
                 *count += 1;
                 if *count <= MAX_DESCRIBED {
