--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -4,11 +4,13 @@
 //! operator updates the configuration, while processes are killed, paused, stopped and restarted,
 //! disks are wiped, and forwarders delay, stall and close connections. Faults overlap. At the end,
 //! all faults are cleared and the observations of callers, replicas and the operator are checked.
+//! Among these are the requests that ended without a complete answer, see [`unanswered`].
 //!
 //! `CALICOHOIST_SOAK_SEEDS=FROM..TO`, `CALICOHOIST_SOAK_SECONDS=N` and `CALICOHOIST_SOAK_FRONTS=N`
 //! select the runs (see `scripts/soak.sh`); the default is [`REGRESSION_RUNS`].
 //! `CALICOHOIST_SOAK_OLDER_BINARY` tests rolling upgrades: all processes start with that binary,
 //! each restart picks one of the two builds, and the remaining ones are upgraded at the end.
+//! `CALICOHOIST_SOAK_BINARY` replaces the build under test.
 //! A seed determines the sequence of faults, but not the timing of the processes.
 
 #[path = "../../../../platform/tests/support/mod.rs"]
@@ -17,13 +19,21 @@
 #[path = "../cluster/mod.rs"]
 mod cluster;
 
+mod arrivals;
+mod attempts;
 mod caller;
 mod crashes;
 mod drains;
 mod faults;
+mod load;
 mod operator;
+mod retention;
 mod slow_reader;
+mod sound;
 mod streams;
+mod timeline;
+mod unanswered;
+mod unanswered_tests;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -33,18 +43,25 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use arrivals::{ArrivalLog, Outcome};
+use attempts::AttemptLog;
 use caller::{Caller, try_exchange};
 use crashes::{CrashRecords, check_crashes, run_replicas, send_fatal_requests};
-use drains::{Drain, check_drains, drain_zones};
+use drains::{Drain, check_drains, check_last_drain, drain_preferred_zone, drain_zones};
 use faults::Soak;
+use load::start_callers;
 use operator::{operate, put_version, read_version};
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use retention::continue_turns;
 use serde_json::json;
 use slow_reader::{large_answer, read_slowly};
+use sound::start_replicas;
 use streams::{StreamRecords, check_versions, resume_streams, serve_stream};
 use support::{ListServer, ScriptedReplica, request_head, wait_until};
+use timeline::SentConfiguration;
+use unanswered::judge_all;
 
 /// Runs of the regular test suite, including seeds that failed before.
 ///
@@ -83,6 +100,8 @@
 const MAX_ATTEMPTS: usize = 3;
 /// Separates the random stream of replicas that crash.
 const CRASH_SEED: u64 = 71;
+/// Timeout of the routes of the initial configuration.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
 const EVENTS_PER_ANSWER: u64 = 3;
 const TOKENS_PER_EVENT: u64 = 9;
 const MAX_TURN_TOKENS: u64 = EVENTS_PER_ANSWER * TOKENS_PER_EVENT;
@@ -96,6 +115,7 @@
     submitted: BTreeMap<String, (Option<String>, String)>,
     /// Completed turns, with the transcript up to their end.
     completed: BTreeMap<String, String>,
+    completed_at: BTreeMap<String, Instant>,
     /// Requests that were rejected without being executed.
     rejected: BTreeSet<String>,
     /// Requests that must be executed at most once.
@@ -109,6 +129,9 @@
     crashes: CrashRecords,
     /// Drains of zones, with their duration.
     drains: Vec<Drain>,
+    /// Requests of all callers and operators.
+    attempts: AttemptLog,
+    configurations: Vec<SentConfiguration>,
     violations: Vec<String>,
 }
 
@@ -135,19 +158,21 @@
     (1..=EVENTS_PER_ANSWER).map(|number| format!("{id}/{number}\n")).collect()
 }
 
-fn reject(exchange: &mut support::replica::Exchange<'_>) {
+fn reject(exchange: &mut support::replica::Exchange<'_>) -> Outcome {
     exchange.respond("503 Full", "Calicohoist-Not-Executed: full\r\n", "");
+    Outcome::Rejected
 }
 
-fn start_model(name: &str, start_ms: Arc<AtomicU64>) -> ScriptedReplica {
+fn start_model(name: &str, start_ms: Arc<AtomicU64>, arrivals: &ArrivalLog) -> ScriptedReplica {
     let name = name.to_owned();
-    ScriptedReplica::start(&name.clone(), move |exchange| {
+    arrivals.start_replica(&name.clone(), move |exchange| {
         if exchange.request.line.starts_with("GET /-/report ") {
             let report = json!({ "born": start_ms.load(Ordering::SeqCst) });
-            return exchange.respond("200 OK", "", &report.to_string());
+            exchange.respond("200 OK", "", &report.to_string());
+            return Outcome::Whole;
         }
-        if serve_stream(exchange, &name) {
-            return;
+        if let Some(outcome) = serve_stream(exchange, &name) {
+            return outcome;
         }
         let id = exchange.request.id().to_owned();
         let behaviour = behaviour(&id);
@@ -157,23 +182,29 @@
         exchange.start_stream();
         for number in 1..=EVENTS_PER_ANSWER {
             if behaviour == Behaviour::Abort && number == 2 {
-                return exchange.abort_connection();
+                exchange.abort_connection();
+                return Outcome::BrokenOff;
             }
             thread::sleep(Duration::from_millis(4));
             exchange.send_event(number, &format!("{id}/{number}"));
         }
         exchange.end_stream();
+        Outcome::Whole
     })
 }
 
-fn start_tool(name: &str) -> ScriptedReplica {
-    ScriptedReplica::start(name, |exchange| {
+fn start_tool(name: &str, arrivals: &ArrivalLog) -> ScriptedReplica {
+    arrivals.start_replica(name, |exchange| {
         let id = exchange.request.id().to_owned();
         match behaviour(&id) {
             Behaviour::Reject => reject(exchange),
-            Behaviour::Abort => exchange.abort_connection(),
+            Behaviour::Abort => {
+                exchange.abort_connection();
+                Outcome::BrokenOff
+            }
             Behaviour::Succeed => {
                 exchange.respond("200 OK", "", &large_answer(&id).unwrap_or(id));
+                Outcome::Whole
             }
         }
     })
@@ -230,7 +261,7 @@
         controls.iter().any(|control| put_version(*control, INITIAL_VERSION))
     });
     wait_until("the gateways are ready", || {
-        soak.gateways().iter().all(|gateway| {
+        soak.gateways().iter().chain(&soak.planned_gateways()).all(|gateway| {
             let request = request_head("GET", "/safe/x", "first", 0, &[]);
             try_exchange(*gateway, request.as_bytes()).is_some_and(|reply| reply.status == 200)
         })
@@ -273,8 +304,11 @@
         let ListServer { address, instances } = &soak.cluster.platform_list;
         let list = ListServer { address: *address, instances: Arc::clone(instances) };
         let rng = StdRng::seed_from_u64(seed ^ CRASH_SEED);
-        threads.push(run_replicas(list, rng, &records, &stop_flag));
+        let arrivals = soak.arrivals.clone();
+        threads.push(run_replicas(list, rng, &records, arrivals, &stop_flag));
     }
+    let _sound_replicas = start_replicas(&soak.cluster.platform_list, &soak.arrivals);
+    threads.extend(start_callers(seed, &soak, &records, &stop_flag));
     for number in 0..FATAL_CALLERS {
         let rng = StdRng::seed_from_u64(seed << 8 | 0xe0 | number as u64);
         let (gateways, records, stop_flag) =
@@ -301,26 +335,17 @@
     stop_flag.store(true, Ordering::Relaxed);
     threads.into_iter().for_each(|thread| thread.join().expect("a client thread panicked"));
 
+    let drained = (!is_mixed).then(|| drain_preferred_zone(&controls, &records));
+    soak.restart_stores();
     let acknowledged_version = acknowledged.load(Ordering::SeqCst);
     wait_until("the configuration is read back", || {
         controls.iter().any(|control| {
             read_version(*control).is_some_and(|version| version >= acknowledged_version)
         })
     });
-    let samples: Vec<String> = {
-        let records = records.lock();
-        let step = (records.completed.len() / 20).max(1);
-        records.completed.keys().step_by(step).cloned().collect()
-    };
-    let rng = StdRng::seed_from_u64(seed);
-    let verifier = Caller::new(99, soak.gateways(), rng, Arc::clone(&records), stop_flag);
-    let verifier = Mutex::new(verifier);
-    for (number, turn) in samples.iter().enumerate() {
-        let count = AtomicU64::new(0);
-        wait_until("every completed turn can be continued", || {
-            let program = format!("end{number}-{}", count.fetch_add(1, Ordering::Relaxed));
-            verifier.lock().turn(&program, 0, Some(turn)).is_some()
-        });
+    let continued = continue_turns(&soak.gateways(), seed, &records, &stop_flag);
+    if let Some(drained) = drained {
+        check_last_drain(drained, &controls, &soak.gateways(), &soak.arrivals, &records);
     }
     let mut records = records.lock();
     check_executions(&soak.replicas, &mut records);
@@ -334,8 +359,16 @@
         fatal_requests = check_crashes(&mut records, log_folder, &soak.pauses);
     }
     records.violations.append(&mut soak.violations);
+    let mut timeline = std::mem::take(&mut soak.timeline);
+    timeline.configurations.append(&mut records.configurations);
+    timeline.disruptions.extend(records.crashes.disruptions());
+    let findings = judge_all(&records.attempts, &soak.arrivals, &timeline, started);
+    if findings.is_violation() {
+        records.violations.extend(findings.descriptions.iter().cloned());
+    }
+    println!("seed {seed}: {findings}");
     println!(
-        "seed {seed}, {gateways} gateways: {} served, {} turns whole, version {acknowledged_version}, {} drains, \
+        "seed {seed}, {gateways} gateways: {} served, {} turns whole, {continued} continued, version {acknowledged_version}, {} drains, \
          {}, {}, faults {:?}",
         records.served,
         records.completed.len(),
