Ledger: find out whether an operator left before changing a zone

Cause: since a half-closed connection no longer ends its request at once, a caller that left is recognized only when its connection is reset.

Change: RequestContext::confirm_peer asks the kernel whether the caller sends nothing more, and then waits for the reset. Only such callers wait.

Evidence: zone_change_of_a_caller_that_left_is_not_executed failed and passes; request_of_a_peer_that_left_is_not_confirmed failed with the first attempt, a yield (hyper polls the handler twice in one turn).

--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -25,6 +25,8 @@
 
 /// Time that a new connection has for its first request while connections are being closed.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time in which the reset of a peer arrives that has closed its connection.
+const RESET_TIMEOUT: Duration = Duration::from_millis(150);
 /// Minimum buffer size accepted by hyper.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -48,13 +50,24 @@
 
 /// Handle of a request's connection.
 #[derive(Clone, Debug)]
-pub struct RequestContext(Progress);
+pub struct RequestContext {
+    stream: SharedStream,
+    progress: Progress,
+}
 
 impl RequestContext {
     /// Records that the body of the request was received. From then on, the request is cancelled
     /// when its peer closes the connection.
     pub fn body_received(&self) {
-        self.0.record_body_received();
+        self.progress.record_body_received();
+    }
+
+    /// Waits until it is known whether a peer that sends nothing more has left. The request is
+    /// cancelled meanwhile if it has.
+    pub async fn confirm_peer(&self) {
+        if self.stream.is_half_closed() {
+            tokio::time::sleep(RESET_TIMEOUT).await;
+        }
     }
 }
 
@@ -132,7 +145,8 @@
     let handler = &handler;
     let service = service_fn(move |request: Request<Incoming>| async move {
         progress.begin_request(request.body().size_hint().exact());
-        let mut response = handler(request, RequestContext(progress.clone())).await;
+        let context = RequestContext { stream: stream.clone(), progress: progress.clone() };
+        let mut response = handler(request, context).await;
         let is_announced = drain.stage() >= DrainStage::Announced;
         if is_announced && !has_next_request(stream, progress) {
             progress.announce_close();
--- a/crates/connections/src/shared_stream.rs
+++ b/crates/connections/src/shared_stream.rs
@@ -5,6 +5,7 @@
 use std::task::{Context, Poll};
 
 use parking_lot::{Mutex, MutexGuard};
+use rustix::io::Errno;
 use rustix::net::{RecvFlags, recv};
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
@@ -29,12 +30,20 @@
     }
 
     /// Returns whether the kernel holds bytes, the end of the stream or an error for the reader.
-    ///
-    /// Asks the kernel, because the runtime may not have learned of the latest arrivals yet.
     pub fn has_received(&self) -> bool {
-        let stream = self.lock();
-        let received = recv(&*stream, &mut [0u8; 1][..], RecvFlags::PEEK | RecvFlags::DONTWAIT);
-        !matches!(received, Err(rustix::io::Errno::AGAIN))
+        !matches!(self.peek_kernel(), Err(Errno::AGAIN))
+    }
+
+    /// Returns whether the peer sends nothing more.
+    pub fn is_half_closed(&self) -> bool {
+        self.peek_kernel() == Ok(0)
+    }
+
+    /// Returns how many bytes can be read, one at the most. The runtime may not have learned of the
+    /// latest arrivals yet.
+    fn peek_kernel(&self) -> Result<usize, Errno> {
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        recv(&*self.lock(), &mut [0u8; 1][..], flags).map(|(_, length)| length)
     }
 
     /// Waits for bytes without reading them; `false` at the end of the stream.
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -182,7 +182,8 @@
                 return self.render(&ControlOutcome::Invalid(findings));
             }
         };
-        let response = tokio::time::timeout(CALL_TIMEOUT, self.perform(&call, &body)).await;
+        let response =
+            tokio::time::timeout(CALL_TIMEOUT, self.perform(&call, &body, &context)).await;
         let response = response.unwrap_or(Response::Lost);
         emit!(
             Event::ControlCall;
@@ -196,12 +197,16 @@
         }
     }
 
-    async fn perform(&self, call: &ControlCall, body: &Bytes) -> Response {
+    async fn perform(
+        &self,
+        call: &ControlCall,
+        body: &Bytes,
+        context: &RequestContext,
+    ) -> Response {
         if let Some(zone) = call.zone() {
             // A caller that has disconnected may already have requested the opposite change from
-            // another machine. Its request is cancelled, but not before the connection is polled
-            // again.
-            tokio::task::yield_now().await;
+            // another machine.
+            context.confirm_peer().await;
             if self.zone_existence(zone) != ZoneExistence::Known {
                 return self.reject_zone(zone).await;
             }
