Ledger: answer operators when the disk refuses a write

Callers: a change whose write the disk refused, and those that waited behind it, ended without an answer: the process exited as soon as the replica had failed.

Cause: run() returned on the failure of the replica thread and the runtime was dropped with all connections.

Change: a failed replica answers its pending requests with an unknown outcome, reports that it does not lead, and operators are answered (503) for at most two seconds before the process exits. Gateways learn of it by the same answers.

Ruled out: a change that is acknowledged and lost because a disk refuses writes.

--- a/crates/calicohoist/tests/acknowledged/main.rs
+++ b/crates/calicohoist/tests/acknowledged/main.rs
@@ -9,6 +9,7 @@
 
 mod calls;
 mod durability;
+mod failing_disk;
 mod stops;
 
 use std::cell::RefCell;
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -43,6 +43,9 @@
 /// Part of the grace period that is reserved for a second transfer of the leadership.
 const GRACE_RESERVE: Duration = Duration::from_millis(600);
 
+/// Time in which calls in progress are answered once the replica has failed.
+const FAILURE_GRACE: Duration = Duration::from_secs(2);
+
 /// Listening ports, the same on all ledger machines.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -228,9 +231,14 @@
         ip = settings.ip,
         protocol = SUPPORTED_VERSIONS,
     );
-    tokio::select! {
-        failed = failure => eyre::bail!("the replica thread stopped: {}", failed.unwrap_or_default()),
-        _ = stop.wait_for(|stop| *stop) => {}
+    let failure = tokio::select! {
+        failed = failure => Some(failed.unwrap_or_default()),
+        _ = stop.wait_for(|stop| *stop) => None,
+    };
+    if let Some(failure) = failure {
+        let cut_at = Instant::now() + FAILURE_GRACE.min(settings.grace);
+        close_connections(&drain, control_task, cut_at).await;
+        eyre::bail!("the replica thread stopped: {failure}");
     }
     emit!(Event::StopRequested; role = "ledger", connections = drain.open_connections());
     let cut_at = Instant::now() + settings.grace.saturating_sub(GRACE_RESERVE);
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -198,7 +198,7 @@
     /// # Errors
     /// Fails if the thread cannot be started.
     pub fn start(
-        self,
+        mut self,
     ) -> std::io::Result<(ReplicaHandle, watch::Receiver<GroupStatus>, oneshot::Receiver<String>)>
     {
         let (inputs, receiver) = bounded(INPUT_QUEUE_CAPACITY);
@@ -207,14 +207,29 @@
         thread::Builder::new().name("replica".to_owned()).spawn(move || {
             if let Err(error) = self.run(&receiver, &status_sender) {
                 emit!(Event::DiskFailed, "{error}");
+                self.answer_remaining(&receiver);
+                status_sender.send_modify(GroupStatus::leave);
+                // Without a receiver, the process is ending already.
                 let _ = failure_sender.send(error.to_string());
             }
         })?;
         Ok((ReplicaHandle { inputs }, status, failure))
     }
 
+    /// Answers the requests of a replica that has failed.
+    fn answer_remaining(&mut self, inputs: &Receiver<Input>) {
+        for request in self.pending.take_all() {
+            request.callback()(Response::Lost);
+        }
+        for input in inputs.try_iter() {
+            if let Input::Request { respond, .. } = input {
+                respond(Response::Overdue);
+            }
+        }
+    }
+
     fn run(
-        mut self,
+        &mut self,
         inputs: &Receiver<Input>,
         status: &watch::Sender<GroupStatus>,
     ) -> Result<(), DiskError> {
--- a/crates/ledger/src/server/replica/pending.rs
+++ b/crates/ledger/src/server/replica/pending.rs
@@ -128,4 +128,11 @@
         }
         entry.requests
     }
+
+    /// Removes and returns all requests.
+    pub fn take_all(&mut self) -> Vec<PendingRequest> {
+        self.tickets.clear();
+        let entries = std::mem::take(&mut self.entries);
+        entries.into_values().flat_map(|entry| entry.requests).collect()
+    }
 }
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -96,6 +96,14 @@
     pub drained: Arc<DrainedZones>,
 }
 
+impl GroupStatus {
+    /// Records that this machine no longer takes part in the group.
+    pub(super) fn leave(&mut self) {
+        self.is_leader = false;
+        self.leader = None;
+    }
+}
+
 /// Handle for sending input to the replica thread.
 #[derive(Clone)]
 pub struct ReplicaHandle {
