HTTP server: accept again after descriptors ran out

Callers saw: once a gateway has no free descriptor for a new connection, it refuses all connections for good, while its process runs on.

Cause: tiny_http ends its accepting thread at any accept error, or by a panic when a connection needs a second descriptor and none is free. It closes its listener then. Our server swallowed the error, and learns of the panic in no other way.

Change: the server keeps the listener, sees that tiny_http has closed its descriptor of it, logs CH3005, and accepts again once some descriptors are free; connections that are open are served meanwhile. The lines of tiny_http itself are dropped from the log.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod events;
 pub mod exchange;
+mod listener;
 pub mod server;
 mod slow_peer;
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use rustix::net::sockopt;
 
 use crate::exchange::{BodyLimits, Exchange};
+use crate::listener::AcceptingServer;
 use crate::slow_peer::{PeerDeadlines, Watchdog};
 
 /// Interval at which threads check whether the server is stopping.
@@ -24,6 +25,8 @@
 /// after [`READ_TIMEOUT`]; see [`set_read_timeout`].
 const LISTENER_WAKE_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Pause after an accept error, which usually means that descriptors are used up.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSettings {
@@ -91,7 +94,7 @@
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         set_read_timeout(&listener)?;
-        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let current = AcceptingServer::start(&listener)?;
         let stop = Arc::new(AtomicBool::new(false));
         let (deadlines, watchdog) = Watchdog::start(stop.clone())?;
         let (sender, receiver) = bounded(settings.queue);
@@ -100,7 +103,9 @@
             threads.push(spawn_worker(index, receiver.clone(), handler.clone())?);
         }
         let acceptor = Acceptor {
-            server,
+            listener,
+            current,
+            retired: Vec::new(),
             sender,
             handler,
             deadlines,
@@ -175,7 +180,10 @@
 
 /// Receives requests from `tiny_http` and queues them for the workers.
 struct Acceptor {
-    server: tiny_http::Server,
+    listener: TcpListener,
+    current: AcceptingServer,
+    /// Servers that accept no more; requests still arrive on their connections.
+    retired: Vec<AcceptingServer>,
     sender: Sender<Exchange>,
     handler: Arc<dyn Handler>,
     deadlines: PeerDeadlines,
@@ -184,15 +192,56 @@
 }
 
 impl Acceptor {
-    fn run(self) {
+    fn run(mut self) {
         while !self.stop.load(Ordering::SeqCst) {
-            if let Ok(Some(request)) = self.server.recv_timeout(STOP_POLL_INTERVAL) {
-                self.queue_request(Exchange::new(request, self.limits, self.deadlines.clone()));
+            self.serve_next();
+            if !self.current.is_accepting() {
+                self.accept_again();
             }
         }
     }
 
-    fn queue_request(&self, exchange: Exchange) {
+    /// Queues the next request; returns `false` if none arrives for [`STOP_POLL_INTERVAL`].
+    fn serve_next(&self) -> bool {
+        let mut requests = self.retired.iter().filter_map(|retired| {
+            // Its error, which ended the accepting thread, has been reported.
+            retired.server.try_recv().ok().flatten()
+        });
+        if let Some(request) = requests.next() {
+            self.queue_request(request);
+            return true;
+        }
+        match self.current.server.recv_timeout(STOP_POLL_INTERVAL) {
+            Ok(Some(request)) => self.queue_request(request),
+            Ok(None) => return false,
+            Err(_) if self.stop.load(Ordering::SeqCst) => {}
+            Err(error) => emit!(Event::AcceptFailed, "{error}"),
+        }
+        true
+    }
+
+    /// Replaces the server, whose accepting thread has ended.
+    fn accept_again(&mut self) {
+        emit!(Event::AcceptFailed, "connections are not accepted; trying again");
+        while !self.stop.load(Ordering::SeqCst) {
+            if let Ok(server) = AcceptingServer::restart(&self.listener) {
+                self.retired.push(std::mem::replace(&mut self.current, server));
+                return;
+            }
+            self.serve_for(ACCEPT_RETRY_INTERVAL);
+        }
+    }
+
+    /// Serves requests of open connections for `duration`.
+    fn serve_for(&self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.serve_next();
+        }
+    }
+
+    fn queue_request(&self, request: tiny_http::Request) {
+        let exchange = Exchange::new(request, self.limits, self.deadlines.clone());
         match self.sender.try_send(exchange) {
             Ok(()) => {}
             Err(TrySendError::Full(exchange) | TrySendError::Disconnected(exchange)) => {
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -10,6 +10,9 @@
 use crate::events::Event;
 use crate::non_blocking::{LinePriority, NonBlockingWriter};
 
+/// Target whose lines are dropped: our server reports its errors, and closes its listener on a stop.
+const HTTP_LIBRARY: &str = "tiny_http";
+
 /// Format of a log line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogFormat {
@@ -38,6 +41,7 @@
     let level = settings.level;
     fern::Dispatch::new()
         .level(level)
+        .level_for(HTTP_LIBRARY, LevelFilter::Off)
         .format(move |out, message, record| {
             let line = format_line(&settings, &message.to_string(), record);
             out.finish(format_args!("{line}"));
@@ -60,6 +64,7 @@
     };
     fern::Dispatch::new()
         .level(level)
+        .level_for(HTTP_LIBRARY, LevelFilter::Off)
         .chain(fern::Output::call(write))
         .apply()
         .wrap_err("a logger is already installed")
