HTTP server: serve what has arrived before a stop ends

Callers saw, while a gateway stops: a request on a kept connection gets no byte when the stop waits for another request; 2 to 7 requests of eight callers that connect throughout get no byte. A gateway whose caller has sent half of a body never ends.

Cause: the thread that passes requests to the workers, and the one that ends overdue exchanges, ended at the beginning of the stop. Requests that tiny_http received later stayed in its queue; connections in the queue of the listener were reset; workers waited without a deadline.

Change: a stopping server first takes the connections from the queue of the listener and closes it, and serves requests until none is running and none arrives (at most 2 s after the last running one). Deadlines apply until all workers have ended.

--- a/crates/calicohoist/tests/gateway_stops.rs
+++ b/crates/calicohoist/tests/gateway_stops.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, ChildStderr, ChildStdout, Command, Stdio};
 use std::sync::mpsc::channel;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -142,6 +142,20 @@
     assert!(received > LARGE_PATH_BYTES, "{received} bytes were received");
 }
 
+#[test]
+fn requests_on_kept_connections_are_answered_while_a_stop_waits_for_another_request() {
+    let gateway = Gateway::start("", None);
+    let mut kept = gateway.send(HEALTH_REQUEST);
+    assert!(read_response(&mut kept).is_some());
+    let mut slow = gateway.send(SLOW_REQUEST);
+    thread::sleep(PAUSE);
+    gateway.signal(Signal::TERM);
+    thread::sleep(PAUSE * 4);
+    kept.write_all(HEALTH_REQUEST.as_bytes()).expect("sent");
+    assert!(read_response(&mut kept).is_some(), "the connection ends without a response");
+    assert!(read_response(&mut slow).is_some(), "the slow request ends without a response");
+}
+
 #[test]
 fn pipelined_requests_are_all_answered_by_a_stopping_gateway() {
     let gateway = Gateway::start("", None);
@@ -182,6 +196,45 @@
     assert!(head.starts_with("HTTP/1.1 413"), "{head}");
 }
 
+#[test]
+fn new_connections_are_refused_or_answered_while_a_gateway_stops() {
+    let gateway = Gateway::start("", None);
+    let address = gateway.address;
+    let callers: Vec<_> = (0..8)
+        .map(|_| {
+            thread::spawn(move || {
+                let mut unanswered = 0;
+                while let Ok(mut stream) = TcpStream::connect(address) {
+                    let _ = stream.set_read_timeout(Some(CALLER_TIMEOUT));
+                    let sent = stream.write_all(HEALTH_REQUEST.as_bytes()).is_ok();
+                    if !sent || read_response(&mut stream).is_none() {
+                        unanswered += 1;
+                    }
+                }
+                unanswered
+            })
+        })
+        .collect();
+    thread::sleep(PAUSE);
+    gateway.signal(Signal::TERM);
+    let unanswered: usize = callers.into_iter().map(|caller| caller.join().expect("ended")).sum();
+    assert_eq!(unanswered, 0);
+}
+
+#[test]
+fn gateway_stops_although_a_request_body_never_arrives() {
+    let mut gateway = Gateway::start("body_timeout_ms = 3000\n", None);
+    let _stream =
+        gateway.send("POST /v1/programs HTTP/1.1\r\nhost: test\r\ncontent-length: 2000\r\n\r\n");
+    thread::sleep(PAUSE);
+    gateway.signal(Signal::TERM);
+    let deadline = Instant::now() + CALLER_TIMEOUT;
+    while gateway.child.try_wait().expect("a status").is_none() {
+        assert!(Instant::now() < deadline, "the gateway does not stop");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 #[test]
 fn gateway_accepts_again_after_it_ran_out_of_descriptors() {
     let gateway = Gateway::start("workers = 2\n", Some(64));
--- a/crates/http/src/listener.rs
+++ b/crates/http/src/listener.rs
@@ -5,6 +5,8 @@
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+
 /// Descriptors that must be free before connections are accepted again.
 const FREE_DESCRIPTORS: usize = 8;
 
@@ -42,3 +44,10 @@
         self.descriptor.read_link().is_ok_and(|socket| socket == self.socket)
     }
 }
+
+/// Returns whether a connection waits to be accepted.
+pub(crate) fn has_queued_connection(listener: &TcpListener) -> bool {
+    let mut descriptors = [PollFd::new(listener, PollFlags::IN)];
+    let ready = poll(&mut descriptors, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }));
+    ready.is_ok_and(|count| count > 0)
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -11,10 +11,10 @@
 
 use calicohoist_telemetry::{Event, emit};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
-use rustix::net::sockopt;
+use rustix::net::{Shutdown, shutdown, sockopt};
 
 use crate::exchange::{BodyLimits, Exchange};
-use crate::listener::AcceptingServer;
+use crate::listener::{AcceptingServer, has_queued_connection};
 use crate::slow_peer::{PeerDeadlines, Watchdog};
 
 /// Interval at which threads check whether the server is stopping.
@@ -27,6 +27,10 @@
 
 /// Pause after an accept error, which usually means that descriptors are used up.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum time that a stopping server accepts connections, and that it serves requests of kept
+/// connections after its last running request.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSettings {
@@ -67,6 +71,9 @@
     address: SocketAddr,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
+    /// Ends the helpers, which are needed until all requests have ended.
+    ended: Arc<AtomicBool>,
+    helpers: Vec<JoinHandle<()>>,
 }
 
 impl HttpServer {
@@ -96,9 +103,10 @@
         set_read_timeout(&listener)?;
         let current = AcceptingServer::start(&listener)?;
         let stop = Arc::new(AtomicBool::new(false));
-        let (deadlines, watchdog) = Watchdog::start(stop.clone())?;
+        let ended = Arc::new(AtomicBool::new(false));
+        let (deadlines, watchdog) = Watchdog::start(ended.clone())?;
         let (sender, receiver) = bounded(settings.queue);
-        let mut threads = vec![watchdog];
+        let mut threads = Vec::new();
         for index in 0..settings.workers {
             threads.push(spawn_worker(index, receiver.clone(), handler.clone())?);
         }
@@ -107,14 +115,15 @@
             current,
             retired: Vec::new(),
             sender,
+            running: Arc::new(()),
             handler,
             deadlines,
             limits: BodyLimits::from(&settings),
             stop: stop.clone(),
         };
         threads.push(spawn_named("http-accept", move || acceptor.run())?);
-        threads.push(spawn_listener_wake(address, stop.clone())?);
-        Ok(Self { address, stop, threads })
+        let helpers = vec![watchdog, spawn_listener_wake(address, stop.clone())?];
+        Ok(Self { address, stop, threads, ended, helpers })
     }
 
     /// Returns the bound address.
@@ -122,12 +131,16 @@
         self.address
     }
 
-    /// Stops accepting requests and waits until running requests and all threads have ended.
+    /// Closes the listener, and waits until requests that have arrived and all threads have ended.
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
+        self.ended.store(true, Ordering::SeqCst);
+        for thread in self.helpers.drain(..) {
+            let _ = thread.join();
+        }
     }
 }
 
@@ -165,15 +178,22 @@
     std::thread::Builder::new().name(name.to_owned()).spawn(run)
 }
 
+/// Request in the queue of the workers, and the token that counts it as running.
+struct QueuedRequest {
+    exchange: Exchange,
+    running: Arc<()>,
+}
+
 fn spawn_worker(
     index: usize,
-    receiver: Receiver<Exchange>,
+    receiver: Receiver<QueuedRequest>,
     handler: Arc<dyn Handler>,
 ) -> io::Result<JoinHandle<()>> {
     spawn_named(&format!("http-worker-{index}"), move || {
         // The channel is closed when the acceptor ends.
-        while let Ok(exchange) = receiver.recv() {
+        while let Ok(QueuedRequest { exchange, running }) = receiver.recv() {
             handler.handle(exchange);
+            drop(running);
         }
     })
 }
@@ -184,7 +204,8 @@
     current: AcceptingServer,
     /// Servers that accept no more; requests still arrive on their connections.
     retired: Vec<AcceptingServer>,
-    sender: Sender<Exchange>,
+    sender: Sender<QueuedRequest>,
+    running: Arc<()>,
     handler: Arc<dyn Handler>,
     deadlines: PeerDeadlines,
     limits: BodyLimits,
@@ -199,6 +220,7 @@
                 self.accept_again();
             }
         }
+        self.drain();
     }
 
     /// Queues the next request; returns `false` if none arrives for [`STOP_POLL_INTERVAL`].
@@ -240,17 +262,49 @@
         }
     }
 
+    /// Serves what has arrived, closes the listener, and returns when no request is running.
+    fn drain(&self) {
+        let listen_deadline = Instant::now() + DRAIN_TIMEOUT;
+        let mut is_listening = true;
+        let mut idle_deadline = Instant::now() + DRAIN_TIMEOUT;
+        loop {
+            let is_quiet = !self.serve_next();
+            let accepts_queued = self.current.is_accepting()
+                && Instant::now() < listen_deadline
+                && has_queued_connection(&self.listener);
+            if is_listening && !accepts_queued {
+                is_listening = false;
+                self.close_listener();
+                // The connections that were accepted last may have sent a request.
+                continue;
+            }
+            let is_idle = Arc::strong_count(&self.running) == 1;
+            if !is_idle {
+                idle_deadline = Instant::now() + DRAIN_TIMEOUT;
+            } else if !is_listening && (is_quiet || Instant::now() >= idle_deadline) {
+                return;
+            }
+        }
+    }
+
+    fn close_listener(&self) {
+        if let Err(error) = shutdown(&self.listener, Shutdown::Both) {
+            emit!(Event::AcceptFailed, "cannot close the listener: {error}");
+        }
+    }
+
     fn queue_request(&self, request: tiny_http::Request) {
         let exchange = Exchange::new(request, self.limits, self.deadlines.clone());
-        match self.sender.try_send(exchange) {
+        let queued = QueuedRequest { exchange, running: self.running.clone() };
+        match self.sender.try_send(queued) {
             Ok(()) => {}
-            Err(TrySendError::Full(exchange) | TrySendError::Disconnected(exchange)) => {
+            Err(TrySendError::Full(queued) | TrySendError::Disconnected(queued)) => {
                 emit!(
                     Event::WorkersBusy,
                     "rejected request for {}: request queue is full or closed",
-                    exchange.path()
+                    queued.exchange.path()
                 );
-                self.handler.handle_overload(exchange);
+                self.handler.handle_overload(queued.exchange);
             }
         }
     }
