--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,13 +7,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
-use rustix::net::sockopt;
+use rustix::net::{Shutdown, shutdown, sockopt};
 
 use crate::exchange::{BodyLimits, Exchange};
+use crate::listener::{AcceptingServer, has_queued_connection};
 use crate::slow_peer::{PeerDeadlines, Watchdog};
 
 /// Interval at which threads check whether the server is stopping.
@@ -24,6 +25,12 @@
 /// after [`READ_TIMEOUT`]; see [`set_read_timeout`].
 const LISTENER_WAKE_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Pause after an accept error, which usually means that descriptors are used up.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum time that a stopping server accepts connections, and that it serves requests of kept
+/// connections after its last running request.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerSettings {
@@ -64,6 +71,9 @@
     address: SocketAddr,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
+    /// Ends the helpers, which are needed until all requests have ended.
+    ended: Arc<AtomicBool>,
+    helpers: Vec<JoinHandle<()>>,
 }
 
 impl HttpServer {
@@ -91,25 +101,29 @@
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         set_read_timeout(&listener)?;
-        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let current = AcceptingServer::start(&listener)?;
         let stop = Arc::new(AtomicBool::new(false));
-        let (deadlines, watchdog) = Watchdog::start(stop.clone())?;
+        let ended = Arc::new(AtomicBool::new(false));
+        let (deadlines, watchdog) = Watchdog::start(ended.clone())?;
         let (sender, receiver) = bounded(settings.queue);
-        let mut threads = vec![watchdog];
+        let mut threads = Vec::new();
         for index in 0..settings.workers {
             threads.push(spawn_worker(index, receiver.clone(), handler.clone())?);
         }
         let acceptor = Acceptor {
-            server,
+            listener,
+            current,
+            retired: Vec::new(),
             sender,
+            running: Arc::new(()),
             handler,
             deadlines,
             limits: BodyLimits::from(&settings),
             stop: stop.clone(),
         };
         threads.push(spawn_named("http-accept", move || acceptor.run())?);
-        threads.push(spawn_listener_wake(address, stop.clone())?);
-        Ok(Self { address, stop, threads })
+        let helpers = vec![watchdog, spawn_listener_wake(address, stop.clone())?];
+        Ok(Self { address, stop, threads, ended, helpers })
     }
 
     /// Returns the bound address.
@@ -117,12 +131,16 @@
         self.address
     }
 
-    /// Stops accepting requests and waits until running requests and all threads have ended.
+    /// Closes the listener, and waits until requests that have arrived and all threads have ended.
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
+        self.ended.store(true, Ordering::SeqCst);
+        for thread in self.helpers.drain(..) {
+            let _ = thread.join();
+        }
     }
 }
 
@@ -160,23 +178,34 @@
     std::thread::Builder::new().name(name.to_owned()).spawn(run)
 }
 
+/// Request in the queue of the workers, and the token that counts it as running.
+struct QueuedRequest {
+    exchange: Exchange,
+    running: Arc<()>,
+}
+
 fn spawn_worker(
     index: usize,
-    receiver: Receiver<Exchange>,
+    receiver: Receiver<QueuedRequest>,
     handler: Arc<dyn Handler>,
 ) -> io::Result<JoinHandle<()>> {
     spawn_named(&format!("http-worker-{index}"), move || {
         // The channel is closed when the acceptor ends.
-        while let Ok(exchange) = receiver.recv() {
+        while let Ok(QueuedRequest { exchange, running }) = receiver.recv() {
             handler.handle(exchange);
+            drop(running);
         }
     })
 }
 
 /// Receives requests from `tiny_http` and queues them for the workers.
 struct Acceptor {
-    server: tiny_http::Server,
-    sender: Sender<Exchange>,
+    listener: TcpListener,
+    current: AcceptingServer,
+    /// Servers that accept no more; requests still arrive on their connections.
+    retired: Vec<AcceptingServer>,
+    sender: Sender<QueuedRequest>,
+    running: Arc<()>,
     handler: Arc<dyn Handler>,
     deadlines: PeerDeadlines,
     limits: BodyLimits,
@@ -184,24 +213,98 @@
 }
 
 impl Acceptor {
-    fn run(self) {
+    fn run(mut self) {
         while !self.stop.load(Ordering::SeqCst) {
-            if let Ok(Some(request)) = self.server.recv_timeout(STOP_POLL_INTERVAL) {
-                self.queue_request(Exchange::new(request, self.limits, self.deadlines.clone()));
+            self.serve_next();
+            if !self.current.is_accepting() {
+                self.accept_again();
             }
         }
+        self.drain();
+    }
+
+    /// Queues the next request; returns `false` if none arrives for [`STOP_POLL_INTERVAL`].
+    fn serve_next(&self) -> bool {
+        let mut requests = self.retired.iter().filter_map(|retired| {
+            // Its error, which ended the accepting thread, has been reported.
+            retired.server.try_recv().ok().flatten()
+        });
+        if let Some(request) = requests.next() {
+            self.queue_request(request);
+            return true;
+        }
+        match self.current.server.recv_timeout(STOP_POLL_INTERVAL) {
+            Ok(Some(request)) => self.queue_request(request),
+            Ok(None) => return false,
+            Err(_) if self.stop.load(Ordering::SeqCst) => {}
+            Err(error) => emit!(Event::AcceptFailed, "{error}"),
+        }
+        true
+    }
+
+    /// Replaces the server, whose accepting thread has ended.
+    fn accept_again(&mut self) {
+        emit!(Event::AcceptFailed, "connections are not accepted; trying again");
+        while !self.stop.load(Ordering::SeqCst) {
+            if let Ok(server) = AcceptingServer::restart(&self.listener) {
+                self.retired.push(std::mem::replace(&mut self.current, server));
+                return;
+            }
+            self.serve_for(ACCEPT_RETRY_INTERVAL);
+        }
+    }
+
+    /// Serves requests of open connections for `duration`.
+    fn serve_for(&self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.serve_next();
+        }
+    }
+
+    /// Serves what has arrived, closes the listener, and returns when no request is running.
+    fn drain(&self) {
+        let listen_deadline = Instant::now() + DRAIN_TIMEOUT;
+        let mut is_listening = true;
+        let mut idle_deadline = Instant::now() + DRAIN_TIMEOUT;
+        loop {
+            let is_quiet = !self.serve_next();
+            let accepts_queued = self.current.is_accepting()
+                && Instant::now() < listen_deadline
+                && has_queued_connection(&self.listener);
+            if is_listening && !accepts_queued {
+                is_listening = false;
+                self.close_listener();
+                // The connections that were accepted last may have sent a request.
+                continue;
+            }
+            let is_idle = Arc::strong_count(&self.running) == 1;
+            if !is_idle {
+                idle_deadline = Instant::now() + DRAIN_TIMEOUT;
+            } else if !is_listening && (is_quiet || Instant::now() >= idle_deadline) {
+                return;
+            }
+        }
+    }
+
+    fn close_listener(&self) {
+        if let Err(error) = shutdown(&self.listener, Shutdown::Both) {
+            emit!(Event::AcceptFailed, "cannot close the listener: {error}");
+        }
     }
 
-    fn queue_request(&self, exchange: Exchange) {
-        match self.sender.try_send(exchange) {
+    fn queue_request(&self, request: tiny_http::Request) {
+        let exchange = Exchange::new(request, self.limits, self.deadlines.clone());
+        let queued = QueuedRequest { exchange, running: self.running.clone() };
+        match self.sender.try_send(queued) {
             Ok(()) => {}
-            Err(TrySendError::Full(exchange) | TrySendError::Disconnected(exchange)) => {
+            Err(TrySendError::Full(queued) | TrySendError::Disconnected(queued)) => {
                 emit!(
                     Event::WorkersBusy,
                     "rejected request for {}: request queue is full or closed",
-                    exchange.path()
+                    queued.exchange.path()
                 );
-                self.handler.handle_overload(exchange);
+                self.handler.handle_overload(queued.exchange);
             }
         }
     }
