--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -476,6 +476,11 @@
         Machine::Replica(self.replicas[index].id.clone())
     }
 
+    fn record_link_fault(&mut self, target: Target, kind: DisruptionKind, duration: Duration) {
+        let machine = Machine::StoreLinks(self.address(target));
+        self.timeline.add(machine, kind, duration);
+    }
+
     fn break_replica_connections(&mut self, index: usize) {
         let machine = self.replica_machine(index);
         self.timeline.add(machine, DisruptionKind::ConnectionsBroken, Duration::ZERO);
@@ -613,6 +618,7 @@
                 self.store_forwarders[index].iter().for_each(|forwarder| {
                     forwarder.stall(to_target, from_target, duration);
                 });
+                self.record_link_fault(target, DisruptionKind::LinkStalled, duration);
                 "store silenced"
             }
             4 => {
@@ -622,10 +628,12 @@
                     .for_each(|forwarder| forwarder.set_delay(delay));
                 self.pending_recoveries
                     .push((Instant::now() + duration / 2, Recovery::ClearLinkFaults(index)));
+                self.record_link_fault(target, DisruptionKind::LinkDelayed, duration / 2);
                 "store delayed"
             }
             5 => {
                 self.store_forwarders[index].iter().for_each(Forwarder::break_connections);
+                self.record_link_fault(target, DisruptionKind::ConnectionsBroken, Duration::ZERO);
                 "store connections broken"
             }
             6 if self.rng.random_bool(0.4) => {
--- a/crates/calicohoist/tests/soak/timeline.rs
+++ b/crates/calicohoist/tests/soak/timeline.rs
@@ -8,6 +8,8 @@
 pub enum Machine {
     Node(IpAddr),
     Replica(String),
+    /// The links of a store to its peers and to gateways.
+    StoreLinks(IpAddr),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +17,7 @@
     Killed,
     Paused,
     LinkStalled,
+    LinkDelayed,
     ConnectionsBroken,
 }
 
@@ -96,12 +99,19 @@
         self.signals.iter_mut().filter(is_open).for_each(|signal| signal.exited = Some(now));
     }
 
+    /// Returns the disruptions between two moments.
+    pub fn disruptions_between(
+        &self,
+        from: Instant,
+        until: Instant,
+    ) -> impl Iterator<Item = &Disruption> {
+        self.disruptions.iter().filter(move |disruption| {
+            disruption.from <= until && disruption.until.is_none_or(|end| end >= from)
+        })
+    }
+
     /// Returns whether a machine was disrupted between two moments.
     pub fn is_disrupted(&self, machine: &Machine, from: Instant, until: Instant) -> bool {
-        self.disruptions.iter().any(|disruption| {
-            disruption.machine == *machine
-                && disruption.from <= until
-                && disruption.until.is_none_or(|end| end >= from)
-        })
+        self.disruptions_between(from, until).any(|disruption| disruption.machine == *machine)
     }
 }
--- a/crates/calicohoist/tests/soak/unanswered.rs
+++ b/crates/calicohoist/tests/soak/unanswered.rs
@@ -300,9 +300,14 @@
             format!("{:?} {}..{:?}", signal.kind, millis(signal.at), signal.exited.map(millis))
         })
         .collect();
+    let disruptions: Vec<String> = timeline
+        .disruptions_between(attempt.started, attempt.ended)
+        .map(|disruption| format!("{:?} {:?}", disruption.machine, disruption.kind))
+        .collect();
     format!(
         "{id} at {node}, request {position} of its connection, started {}, sent {:?}, received \
-         {:?}..{:?}, ended {}: {ending:?}; passed on to {passed_on:?}; signals {:?}",
+         {:?}..{:?}, ended {}: {ending:?}; passed on to {passed_on:?}; signals {:?}; \
+         disruptions elsewhere {disruptions:?}",
         millis(attempt.started),
         attempt.sent.map(millis),
         attempt.first_received.map(millis),
--- a/crates/calicohoist/tests/soak/unanswered_tests.rs
+++ b/crates/calicohoist/tests/soak/unanswered_tests.rs
@@ -176,6 +176,8 @@
     assert_eq!(own_replica.verdict(), excused(Excuse::ReplicaDisrupted));
     let other_replica = case().disruption(Machine::Replica("m-2".to_owned()), 20_000, 20_300);
     assert!(other_replica.loss().is_some());
+    let store = case().disruption(Machine::StoreLinks(OTHER_NODE), 20_000, 20_300);
+    assert!(store.loss().is_some());
 }
 
 #[test]
