--- a/crates/calicohoist/tests/soak/load.rs
+++ b/crates/calicohoist/tests/soak/load.rs
@@ -23,9 +23,7 @@
 const CONNECTING_CALLERS: usize = 10;
 const PIPELINING_CALLERS: usize = 2;
 const HALF_CLOSING_CALLERS: usize = 2;
-const BULK_READERS: usize = 4;
-/// Groups of bulk readers, each with gateways of its own.
-const BULK_GROUPS: usize = 2;
+const BULK_READERS: usize = 2;
 const STREAM_READERS: usize = 1;
 /// Requests that a caller sends back to back.
 const BURST: usize = 10;
@@ -37,9 +35,10 @@
 /// Interval between two reads of a slow reader.
 const READ_INTERVAL: Duration = Duration::from_millis(20);
 const READS_PER_SECOND: usize = 50;
-/// Larger than what socket buffers hold, and read in less than half of a node's grace.
-const BULK_BYTES: std::ops::Range<usize> = 8_000_000..10_000_000;
-const BULK_BYTES_PER_SECOND: std::ops::Range<usize> = 3_000_000..4_000_000;
+/// Larger than what socket buffers hold. The slowest answer takes less than a node's grace, and
+/// longer than a gateway without requests takes to stop.
+const BULK_BYTES: std::ops::Range<usize> = 8_000_000..12_000_000;
+const BULK_BYTES_PER_SECOND: std::ops::Range<usize> = 2_000_000..3_000_000;
 /// At most what a gateway accepts as an event.
 const EVENT_BYTES: std::ops::Range<usize> = 300_000..1_000_000;
 
@@ -121,9 +120,9 @@
         let is_planned = self.rng.random_bool(PLANNED_PROBABILITY);
         let gateways = if is_planned { &self.planned_gateways } else { &self.gateways };
         let index = self.rng.random_range(0..gateways.len());
-        // Two of the slowest answers, one after the other, take less than a node's grace.
+        // A gateway may buffer one bulk answer at a time, so each reader has gateways of its own.
         let index = match self.kind {
-            Kind::Bulk => index - index % BULK_GROUPS + self.number % BULK_GROUPS,
+            Kind::Bulk => index - index % BULK_READERS + self.number % BULK_READERS,
             _ => index,
         };
         gateways[index % gateways.len()]
