Telemetry: one event for connections that cannot be accepted

The metrics endpoint and the frame server had the same fault, found by reading: errors of accept were passed over, without a pause at the metrics endpoint, which shares the gateway's thread.

--- a/crates/calicohoist/src/cli/serve.rs
+++ b/crates/calicohoist/src/cli/serve.rs
@@ -128,9 +128,7 @@
 /// Serves the metrics of this process on every path.
 async fn serve_metrics(listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let (stream, _) = calicohoist_transport::accept(&listener).await;
         let service = service_fn(|_request| async {
             let mut response = hyper::Response::new(Full::new(Bytes::from(metrics::render())));
             let content_type = HeaderValue::from_static(metrics::CONTENT_TYPE);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -79,8 +79,6 @@
     AcceptFailed = 3003, Warn;
     /// A caller's connection failed, or was closed because of a malformed request.
     ConnectionFailed = 3004, Debug;
-    /// Connections cannot be accepted; the server tries again.
-    AcceptFailed = 3005, Warn;
     /// A request was rejected before it was fully parsed.
     RequestRefused = 4001, Debug;
     /// A connection was shut down because its peer sent a request body or read a response too slowly.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -115,7 +115,12 @@
                 }
             }
             Ok((_, peer)) => emit!(Event::LinkLimitReached, "refused connection from {peer}"),
-            Err(_) => std::thread::sleep(ACCEPT_POLL_INTERVAL),
+            Err(error) => {
+                if error.kind() != std::io::ErrorKind::WouldBlock {
+                    emit!(Event::AcceptFailed, "cannot accept a connection: {error}");
+                }
+                std::thread::sleep(ACCEPT_POLL_INTERVAL);
+            }
         }
     }
 }
