Frame server: send queued replies when a peer shuts its sending side

A peer that shuts its sending side after a thousand frames got 360, 853 and 988 replies in three of five plays.

Cause: the reader's end shut both sides of the connection, and the writer left its queue as soon as the reader had exited.

Change: the end of the peer's frames lets the writer send what is queued before it closes the connection; every other failure closes it at once.

--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,7 +1,7 @@
 //! Server that accepts framed connections and replies on them.
 
 use std::convert::Infallible;
-use std::io::{BufReader, BufWriter, Write};
+use std::io::{BufReader, BufWriter, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -176,6 +176,8 @@
     loop {
         match read_frame(&mut input) {
             Ok(frame) => on_frame(frame, replies),
+            // The writer still sends the queued replies, and then closes the connection.
+            Err(FrameError::Io(error)) if error.kind() == ErrorKind::UnexpectedEof => return,
             Err(FrameError::Io(_)) => break,
             Err(error) => {
                 emit!(Event::FrameRefused, "cannot read frame from {peer}: {error}");
@@ -194,10 +196,10 @@
     let mut output = BufWriter::new(stream);
     loop {
         let reply = select! {
-            recv(receiver) -> reply => reply,
-            recv(reader_exited) -> _ => break,
+            recv(receiver) -> reply => reply.ok(),
+            recv(reader_exited) -> _ => receiver.try_recv().ok(),
         };
-        let Ok(reply) = reply else {
+        let Some(reply) = reply else {
             break;
         };
         if write_batch(&mut output, reply, receiver).is_err() {
