--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -8,6 +8,9 @@
 use crate::request_end::{RequestEnd, Surplus};
 
 /// Progress of the current request and its response.
+///
+/// A request passes through the phases in their order, and is followed by [`Idle`](Self::Idle) when
+/// its response is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// Nothing of a request has been received, as far as is known.
@@ -27,7 +30,7 @@
     None,
     /// Its first byte, ahead of the rest.
     FirstByte,
-    /// More than that.
+    /// More than that, or an interim response.
     Begun,
 }
 
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -1,5 +1,10 @@
 //! Server side of HTTP connections.
 //!
+//! hyper serves the requests of a connection through a `RequestSocket`, which records their progress
+//! and sees what hyper cannot: bytes that wait in the kernel, and peers that have only shut down
+//! their sending side. To close a connection, the socket reports the end of the stream to hyper
+//! between two requests.
+//!
 //! [`accept`] serves the connections of a listener until its [`Drain`] closes them. A request that
 //! has arrived is answered before the connection is closed. The drain counts a connection as open
 //! until its response is delivered, so that a process knows when it may exit.
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -19,7 +19,7 @@
 /// Time between reporting not ready and closing the listening socket, so that load balancers stop
 /// sending requests.
 const LAME_DUCK_PERIOD: Duration = Duration::from_millis(2_600);
-/// Part of the grace period that is reserved for aborting incomplete responses.
+/// Part of the grace period that is left for exiting when responses are incomplete.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
 /// Interval at which it is checked whether background tasks have ended.
 const TASK_POLL_INTERVAL: Duration = Duration::from_millis(25);
