Soak: restart processes that a signal killed before their handlers were registered

A signal before the first instruction of a program cannot be handled by it.

Change: a process that is gone without having been stopped is started again, and is a violation unless such a signal killed it. That is stricter than before, when a process that ended by itself went unnoticed.

--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -27,6 +27,8 @@
 
 /// Time in which a store recovers from disk loss without further store faults.
 const REPAIR_TIME: Duration = Duration::from_secs(8);
+/// Time in which a resumed process receives the signals that it was sent meanwhile.
+const SIGNAL_TIME: Duration = Duration::from_millis(200);
 /// Polling interval for process exits.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Replicas as (name, service, zone).
@@ -328,6 +330,7 @@
         while !self.pending_recoveries.is_empty() {
             self.run_for(EXIT_POLL_INTERVAL);
         }
+        self.run_for(SIGNAL_TIME);
     }
 
     /// Kills all stores at once and restarts them.
@@ -341,6 +344,28 @@
         let due_recoveries: Vec<_> =
             self.pending_recoveries.extract_if(.., |(at, _)| *at <= now).collect();
         due_recoveries.into_iter().for_each(|(_, recovery)| self.recover(recovery, now));
+        self.restart_exited(now);
+    }
+
+    /// Restarts nodes that exited without being stopped. SIGHUP kills a process that has not
+    /// registered its handlers, also one that is paused until later.
+    fn restart_exited(&mut self, now: Instant) {
+        let gateways = (0..self.gateways.len()).map(Target::Gateway);
+        let targets: Vec<Target> =
+            (0..self.stores.len()).map(Target::Store).chain(gateways).collect();
+        for target in targets {
+            let Some(process) = &mut self.node_mut(target).process else {
+                continue;
+            };
+            let pid = process.child.id();
+            let is_running = matches!(process.child.try_wait(), Ok(None));
+            let is_stopping = self.pending_recoveries.iter().any(|(_, recovery)| {
+                matches!(recovery, Recovery::RestartAfterExit(_, stopping) if *stopping == pid)
+            });
+            if !is_running && !is_stopping {
+                self.restart_after_exit(target, pid, now);
+            }
+        }
     }
 
     fn recover(&mut self, recovery: Recovery, now: Instant) {
@@ -453,7 +478,7 @@
                 let was_before_handlers =
                     matches!(status.signal(), Some(SIGTERM | SIGHUP)) && !has_logged;
                 if !status.success() && !was_before_handlers {
-                    let violation = format!("{ip} exited from a graceful stop with {status}");
+                    let violation = format!("{ip} exited with {status}");
                     self.violations.push(violation);
                 }
             }
