Tests: clusters that start side by side reserve their ports

Suspected: two clusters found the same port free. Each takes four ports that it has bound and released again; with eight clusters at a time, two of them meet in about one run of twenty, by the number of ephemeral ports. No log of the two runs was kept, so this is not traced.

Change: a port and its neighbour are reserved by a listener that stays open, on an address that no cluster uses.

--- a/crates/calicohoist/tests/cluster/mod.rs
+++ b/crates/calicohoist/tests/cluster/mod.rs
@@ -11,6 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 
@@ -34,8 +35,23 @@
     pub ready: u16,
 }
 
+/// Address on which ports are reserved for a cluster.
+const RESERVATION_IP: &str = "127.0.0.99";
+/// Reservations of this process, which keep ports from clusters that start side by side.
+static RESERVATIONS: Mutex<Vec<[TcpListener; 2]>> = Mutex::new(Vec::new());
+
+/// Reserves a port and the following one; `false` if another cluster has one of them.
+fn reserve(port: u16) -> bool {
+    let bind = |port| TcpListener::bind((RESERVATION_IP, port));
+    let (Ok(first), Ok(second)) = (bind(port), bind(port + 1)) else {
+        return false;
+    };
+    RESERVATIONS.lock().push([first, second]);
+    true
+}
+
 impl Ports {
-    /// Finds ports that are currently free on all addresses.
+    /// Finds ports that are currently free on all addresses, and reserves them.
     pub fn free() -> Self {
         let candidates = std::iter::repeat_with(|| {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -44,6 +60,7 @@
         let is_free = |port: &u16| {
             let addresses = STORE_IPS.iter().chain(&GATEWAY_IPS).chain(&STORE_BIND_IPS);
             *port < u16::MAX
+                && reserve(*port)
                 && addresses.into_iter().all(|address| {
                     TcpListener::bind((*address, *port)).is_ok()
                         && TcpListener::bind((*address, port + 1)).is_ok()
