Checks: ask the process that answers at a replica's address who it is

Where the list has no start times, whoever accepted a connection at the address of a replica counted as the replica.

A replica without a listed start time is now asked for its health, for the listed identity only; another one answers 421 or names itself. Ruled out: the report, which needs no slot, but names nobody. A health request waits for a slot, 200 ms at most, and is sent only after a connection closed under a request.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -10,6 +10,7 @@
 use calicohoist_types::Findings;
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
+use hyper::http::response::Parts;
 
 /// Request metadata from the headers of a client.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -100,6 +101,12 @@
     /// Reads the metadata of a response.
     fn read_response(&self, headers: &HeaderMap) -> ResponseHead;
 
+    /// Asks that only this replica handles the request.
+    fn write_expected_replica(&self, headers: &mut HeaderMap, replica: &str);
+
+    /// Returns whether a response to a request for `replica` came from another one.
+    fn is_other_replica(&self, response: &Parts, replica: &str) -> bool;
+
     /// Returns the path at which a replica reports its state.
     fn report_path(&self) -> &'static str;
 
--- a/crates/proxy/src/flow/crash.rs
+++ b/crates/proxy/src/flow/crash.rs
@@ -172,7 +172,9 @@
     closed: ClosedConnection,
 ) -> CheckResult {
     let follows_ledger = app.follows_ledger(Instant::now());
-    let process = check_process(app.dialect(), &replica).await;
+    let service = call.table.service(&replica.service);
+    let health_path = service.and_then(|service| service.health_path.as_deref());
+    let process = check_process(app.dialect(), &replica, health_path).await;
     CHECKS.inc(process.as_str());
     let has_crashed = has_crashed_under_request(process, closed);
     let request = call.fingerprint();
--- a/crates/proxy/src/upstream/process_check.rs
+++ b/crates/proxy/src/upstream/process_check.rs
@@ -1,4 +1,4 @@
-//! Checks whether a replica has crashed after it closed a connection during a request.
+//! Checks whether the process of a replica still runs.
 //!
 //! A closed connection alone does not show that: replicas also reset connections, and a frozen or
 //! unreachable replica closes none.
@@ -7,14 +7,21 @@
 use std::io;
 use std::time::Duration;
 
-use calicohoist_routing::Replica;
+use bytes::Bytes;
+use calicohoist_routing::{Incarnation, Replica};
+use http_body_util::Full;
+use hyper::Request;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::{HOST, HeaderValue};
 
-use super::pool::open_connection;
+use super::pool::{PooledConnection, open_connection};
 use super::start_check::{StartCheck, check_connection};
 use crate::dialect::Dialect;
 
 /// Timeout for a new connection. Hosts that are up accept or refuse it within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout of a health request, which waits for a slot of the replica.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// State of the process that an entry of the replica list stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,7 +30,7 @@
     Running,
     /// The host is up, and nothing listens at the address.
     Ended,
-    /// Another process has started under the identity of the replica.
+    /// Another process answers at the address.
     Restarted,
     /// Unknown: the host does not respond, or the process accepts connections without responding.
     Unresponsive,
@@ -47,19 +54,61 @@
     }
 }
 
-/// Opens a connection to a replica to find out whether the listed process still runs.
-pub async fn check_process(dialect: &dyn Dialect, replica: &Replica) -> ProcessState {
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(replica.address)).await;
-    let mut connection = match opened {
-        Ok(Ok(connection)) => connection,
+/// Opens a connection to a replica, and asks there whether the listed process still runs. The
+/// replica is asked for its start time if the list has one, and otherwise for its health.
+pub async fn check_process(
+    dialect: &dyn Dialect,
+    replica: &Replica,
+    health_path: Option<&str>,
+) -> ProcessState {
+    let mut connection = match connect(replica).await {
+        Ok(connection) => connection,
+        Err(state) => return state,
+    };
+    match (Incarnation::from(replica.id.as_str()).start, health_path) {
+        (None, Some(path)) => check_health(&mut connection.sender, dialect, replica, path).await,
+        _ => match check_connection(&mut connection.sender, dialect, replica).await {
+            StartCheck::Listed => ProcessState::Running,
+            StartCheck::Restarted => ProcessState::Restarted,
+            StartCheck::NoAnswer => ProcessState::Unresponsive,
+        },
+    }
+}
+
+async fn connect(replica: &Replica) -> Result<PooledConnection, ProcessState> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, open_connection(replica.address)).await {
+        Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            return ProcessState::Ended;
+            Err(ProcessState::Ended)
         }
-        Ok(Err(_)) | Err(_) => return ProcessState::Unresponsive,
+        Ok(Err(_)) | Err(_) => Err(ProcessState::Unresponsive),
+    }
+}
+
+/// Asks a replica for its health. Only the listed process handles the request, well or not.
+async fn check_health(
+    sender: &mut SendRequest<Full<Bytes>>,
+    dialect: &dyn Dialect,
+    replica: &Replica,
+    path: &str,
+) -> ProcessState {
+    let identity = Incarnation::identity_of(&replica.id);
+    let host = HeaderValue::from_str(&replica.address.to_string());
+    let request = Request::get(path).body(Full::default());
+    let (Ok(host), Ok(mut request)) = (host, request) else {
+        return ProcessState::Unresponsive;
+    };
+    request.headers_mut().insert(HOST, host);
+    dialect.write_expected_replica(request.headers_mut(), identity);
+    let response = async {
+        sender.ready().await?;
+        sender.send_request(request).await
     };
-    match check_connection(&mut connection.sender, dialect, replica).await {
-        StartCheck::Listed => ProcessState::Running,
-        StartCheck::Restarted => ProcessState::Restarted,
-        StartCheck::NoAnswer => ProcessState::Unresponsive,
+    match tokio::time::timeout(HEALTH_TIMEOUT, response).await {
+        Ok(Ok(response)) => match dialect.is_other_replica(&response.into_parts().0, identity) {
+            true => ProcessState::Restarted,
+            false => ProcessState::Running,
+        },
+        Ok(Err(_)) | Err(_) => ProcessState::Unresponsive,
     }
 }
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -114,6 +114,8 @@
 pub struct Service {
     /// Name in routes and in discovery.
     pub name: String,
+    /// Path at which a replica reports its health and identity; `None` if unknown.
+    pub health_path: Option<String>,
     /// Maximum number of connections to one replica, from all gateways together.
     pub max_connections: u32,
     /// Engine properties, if the replicas are inference engines.
--- a/crates/routing/tests/configuration.rs
+++ b/crates/routing/tests/configuration.rs
@@ -29,7 +29,8 @@
 }
 
 fn service(name: &str) -> Service {
-    Service { name: name.to_owned(), max_connections: 10, engine: None, cold: None }
+    let name = name.to_owned();
+    Service { name, health_path: None, max_connections: 10, engine: None, cold: None }
 }
 
 fn configuration(routes: Vec<Route>) -> Configuration {
