Ledger: answer a crash record once the gateways that watch have received it

A record counted as stored as soon as it was committed. The client saw its stream break and sent the next try to a gateway that learned of the crash 0.1 s later: a stream sent to six gateways in turn without a pause ended 4 or 5 replicas. A gateway also did not wait for the record before a request failed that may not be repeated, which a program sends again.

The leader answers when every gateway that has watched within 1.1 s has acknowledged the record with its next watch. A new leader first waits that long to learn of the gateways. The gateway now waits 2.5 s, and the client allows a record the silence of a watch. After records, the next watch is answered at once, since a gateway follows the ledger only with an answer that confirms the leader.

--- a/crates/ledger/src/client/timing.rs
+++ b/crates/ledger/src/client/timing.rs
@@ -4,6 +4,7 @@
 
 use calicohoist_transport::version::LEGACY_CONNECTION_TTL;
 
+use crate::commands::find_crash;
 use crate::protocol::LedgerRequest;
 
 /// Timeouts and retry backoff of a [`LedgerClient`](super::LedgerClient).
@@ -60,6 +61,10 @@
     pub(super) fn timeout_for(&self, request: &LedgerRequest) -> Duration {
         match request {
             LedgerRequest::Watch(_) | LedgerRequest::WatchCrashes { .. } => self.watch_timeout,
+            // Answered once other gateways have received the record.
+            LedgerRequest::Settle(settle) if find_crash(&settle.turn).is_some() => {
+                self.watch_timeout
+            }
             LedgerRequest::Place { .. } => self.place_timeout,
             LedgerRequest::Reserve { .. }
             | LedgerRequest::Permit(_)
--- a/crates/ledger/src/server/crashes.rs
+++ b/crates/ledger/src/server/crashes.rs
@@ -65,6 +65,12 @@
         records.iter().filter(is_counted).count() < MAX_RECORDS_PER_TENANT
     }
 
+    /// Returns the number of the change that added a record.
+    pub fn change_of(&self, record: &CrashRecord) -> Option<u64> {
+        let records = self.records.lock();
+        records.iter().find(|known| known.record == *record).map(|known| known.change)
+    }
+
     /// Subscribes to the number of the newest change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -35,6 +35,7 @@
 use super::list::DiscoverySnapshot;
 use super::loads::LoadAggregator;
 use super::preference::ZoneLoads;
+use super::receipts::CrashReceipts;
 use super::replica::{GroupStatus, ReplicaHandle};
 use super::traffic::{self, Peer};
 use super::turns::TurnDispatcher;
@@ -88,6 +89,8 @@
     failures: Arc<FailureTracker>,
     /// Replicas that crashed under requests.
     crashes: Arc<CrashBoard>,
+    /// Which of these each gateway has received.
+    receipts: Arc<CrashReceipts>,
     /// Bytes of answers queued on all connections.
     queued_bytes: QueuedBytes,
     shared: Arc<Mutex<SharedAnswers>>,
@@ -120,6 +123,7 @@
             limits,
             failures: Arc::default(),
             crashes,
+            receipts: Arc::default(),
             queued_bytes: QueuedBytes::default(),
             shared: Arc::default(),
             bulk_configurations: BulkLimiter::default(),
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -151,13 +151,27 @@
         if settle.run.is_some() || settle.retained.is_none() {
             self.turns.end(&settle, &self.fleet());
         }
-        if let Some(crash) = find_crash(&settle.turn)
-            && !self.crashes.has_room(crash.tenant.as_deref(), Instant::now())
-        {
+        let service = self.clone();
+        let Some(crash) = find_crash(&settle.turn) else {
+            let respond = Box::new(move |response| responder.send(service.answer(response)));
+            return self.replica.submit(Request::Change(Command::Settle(settle)), respond);
+        };
+        if !self.crashes.has_room(crash.tenant.as_deref(), Instant::now()) {
             return responder.send(LedgerResponse::Noted);
         }
-        let service = self.clone();
-        let respond = Box::new(move |response| responder.send(service.answer(response)));
+        // Answered once the other gateways know of the crash, so that none of them sends the next
+        // try of the client without a permission.
+        let respond = Box::new(move |response| {
+            let answer = service.answer(response);
+            if !matches!(answer, LedgerResponse::Settled) {
+                return responder.send(answer);
+            }
+            let (term, runtime) = (service.term(), service.runtime.clone());
+            runtime.spawn(async move {
+                service.receipts.wait_until_received(&service.crashes, term, &crash).await;
+                responder.send(answer);
+            });
+        });
         self.replica.submit(Request::Change(Command::Settle(settle)), respond);
     }
 
--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -24,6 +24,11 @@
     /// Answers once there is an update that the gateway has not seen, or after [`WATCH_TIMEOUT`].
     pub(super) async fn watch(&self, seen: WatchRequest, responder: Responder) {
         self.record_load(&seen);
+        if self.record_receipt(&seen) {
+            // Crash records come without a confirmation of the leadership, which the gateway needs
+            // to rely on them.
+            return self.send_update(&seen, responder).await;
+        }
         let mut status = self.status.clone();
         let mut list = self.list.clone();
         let mut failing = self.failures.subscribe();
@@ -58,6 +63,16 @@
         self.send_update(&seen, responder).await;
     }
 
+    /// Records which crash records a gateway has. Returns whether it has just received some.
+    fn record_receipt(&self, seen: &WatchRequest) -> bool {
+        let Some(crashes) = seen.crashes else {
+            return false;
+        };
+        let (term, now) = (self.status.borrow().term, Instant::now());
+        self.receipts.term_start(term, now);
+        self.receipts.record(&seen.gateway, crashes, now)
+    }
+
     /// Returns whether this machine leads and has crash records that the gateway has not received.
     /// Gateways that do not support them have no version of them.
     fn has_crashes(&self, status: &GroupStatus, seen: &WatchRequest) -> bool {
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -14,6 +14,7 @@
 pub mod loads;
 pub mod peers;
 pub mod preference;
+pub mod receipts;
 pub mod replica;
 pub mod slow_disk;
 pub mod traffic;
--- a/crates/proxy/src/flow/crash.rs
+++ b/crates/proxy/src/flow/crash.rs
@@ -27,8 +27,9 @@
     "state",
 );
 
-/// Maximum time for which a request waits for the record of a crash. Covers a leader election.
-const RECORD_WAIT: Duration = Duration::from_millis(1_000);
+/// Maximum time for which a request waits for the record of a crash. Covers a leader election, and
+/// the time after which the leader stops waiting for a silent gateway.
+const RECORD_WAIT: Duration = Duration::from_millis(2_500);
 /// Timeout for recording a crash in the background.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -135,9 +136,6 @@
     /// Waits for all checks, at most until the deadline, before a request fails that its client may
     /// repeat at once.
     pub async fn finish_before_retry(&mut self, call: &Call) {
-        if !call.route.is_repeatable() {
-            return;
-        }
         let finish = async {
             while !self.unfinished.is_empty() {
                 self.finish_one().await;
