Gateways: find ends of replicas that no closed connection shows

A replica was checked only if it closed the connection of a request, once, and only while it was listed.

Every request is now followed until its outcome is known. If it fails in whatever way, its replica is checked up to four times within 1.4 s, and after that a replica that leaves the list without having drained counts for another 10 s. Another open connection serves as evidence that the process runs, and a new one is kept for later requests, since callers leave often. A request on an idle connection that the host never acknowledged, or whose replica leaves the list together with others, did not run there.

--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -16,6 +16,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
 use crate::memory::MemoryBudget;
+use crate::sends::OpenSends;
 use crate::settings::ProxySettings;
 use crate::upstream::Pool;
 
@@ -47,6 +48,8 @@
     pub permits: Mutex<PermitCache>,
     /// Replicas that have crashed under requests.
     pub crashes: Mutex<CrashTable>,
+    /// Requests sent to replicas whose outcome is not known.
+    pub sends: OpenSends,
     /// Secret for hashing API keys.
     pub key_secret: KeySecret,
     table: watch::Sender<Option<Arc<RouteTable>>>,
@@ -83,6 +86,7 @@
             weights: CostWeights::default(),
             permits: Mutex::default(),
             crashes: Mutex::default(),
+            sends: OpenSends::default(),
             key_secret: KeySecret::new(rand::random()),
             table: watch::Sender::new(None),
             table_waiters: Semaphore::new(MAX_TABLE_WAITERS),
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! elected leader of the ledger, which is called the leader here. If the leader provides no recent
 //! list, the gateway reads the list from discovery itself.
 
+mod departures;
 mod member;
 mod only_version;
 mod services;
@@ -17,12 +18,14 @@
 use calicohoist_routing::select::Affinity;
 use calicohoist_routing::{
     Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, EntryStatus, HomeRegions,
-    Incarnation, IncarnationTracker, ListPart, ListPatch, PatchError, Replica, SoftwareRequirement,
-    SoftwareVersion, Topology, UndrainedZones, choose, spread, stable_hash,
+    Incarnation, IncarnationTracker, ListPart, ListPatch, PatchError, Replica, ReplicaState,
+    SoftwareRequirement, SoftwareVersion, Topology, UndrainedZones, choose, spread, stable_hash,
 };
 use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
 
 use crate::upstream::Pool;
+use departures::Departures;
+pub use departures::ListStatus;
 pub use member::{LoadGuard, Member};
 use only_version::OnlyVersions;
 pub use only_version::VersionUncertainty;
@@ -99,6 +102,8 @@
     /// Newest known incarnation of each replica. Lists from different leaders may arrive out of
     /// order.
     incarnations: Mutex<IncarnationTracker>,
+    /// Replicas that have left the list recently.
+    departures: Mutex<Departures>,
     /// All entries of the last replica list, in its order. Includes entries that `services` leaves
     /// out because they are superseded or ambiguous.
     listed: RwLock<Vec<Arc<Member>>>,
@@ -123,6 +128,7 @@
             services: RwLock::default(),
             only_versions: Mutex::default(),
             incarnations: Mutex::default(),
+            departures: Mutex::default(),
             listed: RwLock::default(),
             list_read_at: Mutex::default(),
             pending_reports: Mutex::default(),
@@ -196,7 +202,9 @@
                 services.add(Arc::clone(member));
             }
         }
-        self.only_versions.lock().update(&services, Instant::now());
+        let now = Instant::now();
+        self.only_versions.lock().update(&services, now);
+        self.departures.lock().update(&self.services.read(), &services, now);
         *self.listed.write() = listed;
         *self.services.write() = Arc::new(services);
     }
@@ -271,6 +279,15 @@
         self.services.read().find(id).is_some()
     }
 
+    /// Returns what the list shows of the incarnation of a replica with this id.
+    pub fn list_status(&self, id: &str) -> ListStatus {
+        match self.find(id).map(|member| member.replica.state) {
+            Some(ReplicaState::Ready) => ListStatus::Ready,
+            Some(ReplicaState::Draining) => ListStatus::EndsByPlan,
+            None => self.departures.lock().status(id),
+        }
+    }
+
     /// Returns the replicas of a service, or an empty slice if it is not listed.
     fn members_of(&self, service: &str) -> MappedRwLockReadGuard<'_, [Arc<Member>]> {
         RwLockReadGuard::map(self.services.read(), |services| services.members_of(service))
--- a/crates/proxy/src/flow/buffered.rs
+++ b/crates/proxy/src/flow/buffered.rs
@@ -49,7 +49,7 @@
         let exchange = dispatch(app, call, &payload, attempt_state).await?;
         let replica = exchange.member.replica.id.clone();
         let deadline = call.attempt_deadline(attempt_state.attempts - 1);
-        match collect_response(app, call, deadline, exchange, attempt_state).await {
+        match collect_response(app, deadline, exchange, attempt_state).await {
             Ok(response) => {
                 log_end(call, &replica, &response, attempt_state);
                 return Ok(response.map(ResponseBody::buffered));
@@ -68,7 +68,6 @@
 /// Reads a complete response.
 pub async fn collect_response(
     app: &Arc<App>,
-    call: &Arc<Call>,
     deadline: Instant,
     exchange: Exchange,
     attempt_state: &mut AttemptState,
@@ -78,15 +77,18 @@
     let mut exchange = exchange;
     let body = read_response_body(app, exchange.response.body_mut());
     let body = match tokio::time::timeout_at(deadline.into(), body).await {
-        Err(_) => return Err(GatewayError::Deadline),
+        Err(_) => {
+            attempt_state.crashes.record_given_up();
+            return Err(GatewayError::Deadline);
+        }
         Ok(Err(_)) => {
             exchange.member.penalize(PENALTY, PENALTY_DURATION);
-            let replica = &exchange.member.replica;
-            attempt_state.crashes.check(app, call, replica, ClosedConnection::WasInUse);
+            attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
             return Err(GatewayError::Unknown);
         }
         Ok(Ok(body)) => body,
     };
+    attempt_state.crashes.record_answered();
     let mut response = Response::new(body);
     *response.status_mut() = exchange.response.status();
     *response.headers_mut() = std::mem::take(exchange.response.headers_mut());
--- /dev/null
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -0,0 +1,218 @@
+//! Replicas that crash while they run a request.
+//!
+//! When a request fails at a replica, it is checked in the background whether the replica has crashed
+//! ([`check`]). A crash is recorded in the ledger, which all gateways follow.
+
+mod check;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use calicohoist_quarantine::MAX_CRASHES;
+use calicohoist_routing::Replica;
+use tokio::runtime::Handle;
+
+use super::call::Call;
+use super::error::{GatewayError, NotExecutedReason};
+use super::turn::RETRY_AFTER;
+use crate::app::App;
+use crate::sends::{OpenSend, SendStage};
+use crate::upstream::SendProgress;
+use check::{CheckSubject, RequestFailure};
+
+/// How a replica closed the connection of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClosedConnection {
+    /// The connection had been idle before the request, and no byte of a response arrived on it.
+    /// The replica may have crashed before the request reached it.
+    WasIdle,
+    /// The replica had accepted the connection, or begun to respond, for this request.
+    WasInUse,
+}
+
+/// Rejects a request that is in quarantine. A gateway that is cut off from the ledger can neither
+/// record crashes nor learn of others, and rejects a request under which any replica has crashed.
+///
+/// # Errors
+/// Returns an error if too many replicas have crashed under the request.
+pub fn reject_quarantined(app: &App, call: &Call) -> Result<(), GatewayError> {
+    let crashes = app.crashes.lock();
+    if crashes.is_empty() {
+        return Ok(());
+    }
+    let (request, now) = (call.fingerprint(), Instant::now());
+    if let Some(left) = crashes.quarantine(&request, now) {
+        return Err(GatewayError::not_executed(NotExecutedReason::Quarantined, left));
+    }
+    if crashes.crashes(&request, now) >= max_crashes(app) {
+        let reason = NotExecutedReason::LedgerUnavailable;
+        return Err(GatewayError::not_executed(reason, RETRY_AFTER));
+    }
+    Ok(())
+}
+
+/// Returns the number of crashes from which on this gateway does not send a request.
+fn max_crashes(app: &App) -> usize {
+    if app.follows_ledger(Instant::now()) { MAX_CRASHES } else { 1 }
+}
+
+/// Returns whether a replica is known to have crashed under the request.
+fn has_crashes(app: &App, call: &Call) -> bool {
+    let crashes = app.crashes.lock();
+    !crashes.is_empty() && crashes.crashes(&call.fingerprint(), Instant::now()) > 0
+}
+
+/// A request that a replica runs. If it is dropped without an outcome, the client has left.
+struct RunningRequest {
+    app: Arc<App>,
+    open: Arc<OpenSend>,
+    call: Arc<Call>,
+    replica: Replica,
+    has_outcome: bool,
+}
+
+impl RunningRequest {
+    /// Ends a request under which the replica did not crash.
+    fn end(mut self) {
+        self.has_outcome = true;
+        self.app.sends.set_stage(&self.open, SendStage::Ended);
+    }
+
+    /// Checks in the background whether the replica has crashed under the request.
+    fn fail(mut self, failure: RequestFailure) -> Arc<OpenSend> {
+        self.has_outcome = true;
+        self.check(failure);
+        Arc::clone(&self.open)
+    }
+
+    fn check(&self, failure: RequestFailure) {
+        // There is no runtime once the gateway has ended.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        let Self { app, open, call, replica, .. } = self;
+        app.sends.set_stage(open, SendStage::Checking);
+        let health_path = call.table.service(&replica.service);
+        let subject = CheckSubject {
+            replica: replica.clone(),
+            health_path: health_path.and_then(|service| service.health_path.clone()),
+            request: call.head.request_id.clone(),
+            tenant: call.tenant_name().map(str::to_owned),
+            failure,
+        };
+        runtime.spawn(check::run(Arc::clone(app), Arc::clone(open), subject));
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        if self.has_outcome {
+            return;
+        }
+        if self.open.progress.is_sent() {
+            self.check(RequestFailure::GivenUp);
+        } else {
+            self.app.sends.set_stage(&self.open, SendStage::Ended);
+        }
+    }
+}
+
+/// Follows the attempts of one request.
+#[derive(Default)]
+pub struct CrashMonitor {
+    running: Option<RunningRequest>,
+    /// Attempts that failed.
+    failed: Vec<Arc<OpenSend>>,
+}
+
+impl CrashMonitor {
+    /// Waits until it is known whether replicas have crashed under earlier attempts at this gateway.
+    ///
+    /// # Errors
+    /// Returns an error if too many replicas have crashed under the request, if a crash under it
+    /// could not be recorded, or if the deadline passes.
+    pub async fn admit(&mut self, app: &App, call: &Call) -> Result<(), GatewayError> {
+        if app.sends.has_checks() {
+            let checks = app.sends.under_check(&call.fingerprint());
+            let finish = wait_until_checked(&checks);
+            let finish = tokio::time::timeout_at(call.deadline.into(), finish);
+            finish.await.map_err(|_| GatewayError::Deadline)?;
+        }
+        // Other gateways do not count a crash that is not recorded, so the request is not sent again
+        // here.
+        if self.failed.iter().any(|open| open.is_unrecorded()) {
+            return Err(GatewayError::Unknown);
+        }
+        reject_quarantined(app, call)
+    }
+
+    /// Begins an attempt.
+    pub fn begin(
+        &mut self,
+        app: &Arc<App>,
+        call: &Arc<Call>,
+        replica: &Replica,
+    ) -> Arc<SendProgress> {
+        let request = Arc::clone(call);
+        let open = app.sends.insert(&replica.id, move || request.fingerprint());
+        let progress = Arc::clone(&open.progress);
+        self.running = Some(RunningRequest {
+            app: Arc::clone(app),
+            open,
+            call: Arc::clone(call),
+            replica: replica.clone(),
+            has_outcome: false,
+        });
+        progress
+    }
+
+    /// Records that the replica did not run the request.
+    pub fn record_not_executed(&mut self) {
+        self.end();
+    }
+
+    /// Records that the replica has answered completely.
+    pub fn record_answered(&mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        if let Some(running) = self.running.take() {
+            running.end();
+        }
+    }
+
+    /// Records that the replica closed the connection of the request.
+    pub fn record_closed(&mut self, closed: ClosedConnection) {
+        self.record_failure(RequestFailure::Closed(closed));
+    }
+
+    /// Records that this gateway closed the connection of the request.
+    pub fn record_given_up(&mut self) {
+        self.record_failure(RequestFailure::GivenUp);
+    }
+
+    fn record_failure(&mut self, failure: RequestFailure) {
+        self.failed.extend(self.running.take().map(|running| running.fail(failure)));
+    }
+
+    /// Returns whether a replica has or may have crashed under the request.
+    pub fn is_suspect(&self, app: &App, call: &Call) -> bool {
+        let is_unclear = |open: &Arc<OpenSend>| open.stage() != SendStage::Ended;
+        self.failed.iter().any(is_unclear) || has_crashes(app, call)
+    }
+
+    /// Waits until the replicas have been checked and crashes recorded, at most until the deadline,
+    /// before a request fails that its client may send again at once.
+    pub async fn finish_before_retry(&self, call: &Call) {
+        let finish = wait_until_checked(&self.failed);
+        // The checks continue in the background.
+        let _ = tokio::time::timeout_at(call.deadline.into(), finish).await;
+    }
+}
+
+async fn wait_until_checked(sends: &[Arc<OpenSend>]) {
+    for open in sends {
+        open.checked().await;
+    }
+}
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -59,7 +59,7 @@
 }
 
 /// State of a request across its attempts.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct AttemptState {
     excluded: Vec<String>,
     /// Replica that may have started the request. It is tried again before any other, since it may
@@ -129,6 +129,7 @@
         is_suspect: false,
         tenant: call.tenant_name(),
         deadline: call.deadline,
+        progress: Arc::default(),
     };
     loop {
         if call.time_left() < MIN_TIME_LEFT {
@@ -145,6 +146,7 @@
         let Some((member, send_by)) = choice else {
             return Err(no_replica_left(app, call, service, attempt_state));
         };
+        outgoing.progress = attempt_state.crashes.begin(app, call, &member.replica);
         let dialect = app.dialect();
         let response_deadline = call.attempt_deadline(attempt_state.attempts);
         let started_at = Instant::now();
@@ -172,6 +174,7 @@
             attempts = attempt_state.attempts,
             after_ms = started_at.elapsed().as_millis(),
         );
+        record_outcome(&error, &mut attempt_state.crashes);
         let may_still_send = send_by.is_none_or(|send_by| Instant::now() < send_by);
         if error == ExchangeError::SendTimeout && may_still_send {
             // The permit expired while a connection was opened. The replica is not at fault.
@@ -210,6 +213,24 @@
     then.saturating_duration_since(Instant::now()).as_millis().cast_signed()
 }
 
+/// Records what a failed attempt shows of the replica's process.
+fn record_outcome(error: &ExchangeError, crashes: &mut CrashMonitor) {
+    match error {
+        ExchangeError::NotSent
+        | ExchangeError::Restarted
+        | ExchangeError::SendTimeout
+        | ExchangeError::NotExecuted
+        | ExchangeError::Unacknowledged => crashes.record_not_executed(),
+        ExchangeError::Closed { was_idle: true } => {
+            crashes.record_closed(ClosedConnection::WasIdle);
+        }
+        ExchangeError::Closed { was_idle: false } => {
+            crashes.record_closed(ClosedConnection::WasInUse);
+        }
+        ExchangeError::Unknown | ExchangeError::Deadline => crashes.record_given_up(),
+    }
+}
+
 /// Records a failed attempt in the replica's and the request's state.
 ///
 /// # Errors
@@ -234,12 +255,7 @@
             member.penalize(AT_CAPACITY_PENALTY.0, AT_CAPACITY_PENALTY.1);
             attempt_state.rejections += 1;
         }
-        ExchangeError::Unknown | ExchangeError::Closed { .. } => {
-            if let ExchangeError::Closed { was_idle } = *error {
-                let closed =
-                    if was_idle { ClosedConnection::WasIdle } else { ClosedConnection::WasInUse };
-                attempt_state.crashes.check(app, call, &member.replica, closed);
-            }
+        ExchangeError::Unknown | ExchangeError::Unacknowledged | ExchangeError::Closed { .. } => {
             failure::report(app, &member.replica.id);
             member.penalize(NO_RESPONSE_PENALTY.0, NO_RESPONSE_PENALTY.1);
             attempt_state.record_attempt();
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -57,7 +57,7 @@
     if !is_event_stream(&exchange) {
         let deadline = call.deadline;
         let response =
-            buffered::collect_response(app, call, deadline, exchange, &mut attempt_state).await?;
+            buffered::collect_response(app, deadline, exchange, &mut attempt_state).await?;
         buffered::log_end(call, "-", &response, &attempt_state);
         return Ok(response.map(ResponseBody::buffered));
     }
@@ -217,8 +217,9 @@
     }
 
     /// Completes the turn after a complete response, then ends the response to the client.
-    async fn complete(self, chunks: mpsc::UnboundedSender<Result<Bytes, BodyAborted>>) {
+    async fn complete(mut self, chunks: mpsc::UnboundedSender<Result<Bytes, BodyAborted>>) {
         self.log_end("200");
+        self.attempt_state.crashes.record_answered();
         let Self { call, turn, exchange, app, .. } = self;
         exchange.finish(&app.pool);
         if turn.complete().await.is_err() {
@@ -252,15 +253,18 @@
                     }
                 }
                 Ok(None) => return Ok(None),
-                Err(ReadError::Deadline) => return Err(GatewayError::Deadline),
+                Err(ReadError::Deadline) => {
+                    self.attempt_state.crashes.record_given_up();
+                    return Err(GatewayError::Deadline);
+                }
                 Err(ReadError::Closed) => {
-                    let Self { app, call, exchange, attempt_state, .. } = self;
-                    let replica = &exchange.member.replica;
-                    let closed = ClosedConnection::WasInUse;
-                    attempt_state.crashes.check(app, call, replica, closed);
+                    self.attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
+                    self.resume().await?;
+                }
+                Err(ReadError::Broken) => {
+                    self.attempt_state.crashes.record_given_up();
                     self.resume().await?;
                 }
-                Err(ReadError::Broken) => self.resume().await?,
             }
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`memory`]: memory limit for buffered bodies;
 //! - [`fleet`]: known replicas with their load and health;
 //! - [`upstream`]: connection pool for replicas, and single request-response exchanges;
+//! - [`sends`]: requests sent to replicas whose outcome is not known;
 //! - [`app`]: state shared by all requests of a process;
 //! - [`flow`]: processing of a single request;
 //! - [`ledger_watch`]: watches the ledger for configuration, replicas and loads;
@@ -21,6 +22,7 @@
 pub mod frontend;
 pub mod ledger_watch;
 pub mod memory;
+pub mod sends;
 pub mod settings;
 pub mod upstream;
 
--- /dev/null
+++ b/crates/proxy/src/sends.rs
@@ -0,0 +1,131 @@
+//! Requests that were sent to a replica and whose outcome is not known yet.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, LazyLock};
+
+use calicohoist_quarantine::RequestFingerprint;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::upstream::SendProgress;
+
+/// Fingerprint of a request, computed when it is first needed. Until then it holds the request.
+type LazyFingerprint = LazyLock<RequestFingerprint, Box<dyn FnOnce() -> RequestFingerprint + Send>>;
+
+/// What is known of the outcome of a send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendStage {
+    /// The replica runs the request.
+    Running,
+    /// The request has failed, and the replica is being checked.
+    Checking,
+    /// The replica could not be reached, or may still crash under the request.
+    Unclear,
+    /// The outcome is known.
+    Ended,
+}
+
+/// A request that was sent to a replica.
+pub struct OpenSend {
+    number: u64,
+    /// Incarnation of the replica.
+    pub replica: String,
+    /// How far the request has come.
+    pub progress: Arc<SendProgress>,
+    fingerprint: LazyFingerprint,
+    stage: watch::Sender<SendStage>,
+    /// Whether a crash could not be recorded.
+    is_unrecorded: AtomicBool,
+}
+
+impl fmt::Debug for OpenSend {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut fields = formatter.debug_struct("OpenSend");
+        fields.field("number", &self.number).field("replica", &self.replica).finish()
+    }
+}
+
+impl OpenSend {
+    /// Returns the fingerprint of the request.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint
+    }
+
+    /// Returns what is known of the outcome.
+    pub fn stage(&self) -> SendStage {
+        *self.stage.borrow()
+    }
+
+    /// Waits until the replica has been checked, if it is being checked.
+    pub async fn checked(&self) {
+        let mut stage = self.stage.subscribe();
+        // The sender lives as long as `self`.
+        let _ = stage.wait_for(|stage| *stage != SendStage::Checking).await;
+    }
+
+    /// Marks that a crash under the request could not be recorded.
+    pub fn mark_unrecorded(&self) {
+        self.is_unrecorded.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a crash under the request could not be recorded.
+    pub fn is_unrecorded(&self) -> bool {
+        self.is_unrecorded.load(Ordering::Relaxed)
+    }
+}
+
+/// All requests of this gateway whose outcome is not known.
+#[derive(Debug, Default)]
+pub struct OpenSends {
+    last_number: AtomicU64,
+    open: Mutex<HashMap<u64, Arc<OpenSend>>>,
+    /// Number of sends that are being checked.
+    checking: AtomicUsize,
+}
+
+impl OpenSends {
+    /// Adds a request that is about to be sent to `replica`.
+    pub fn insert(
+        &self,
+        replica: &str,
+        fingerprint: impl FnOnce() -> RequestFingerprint + Send + 'static,
+    ) -> Arc<OpenSend> {
+        let number = self.last_number.fetch_add(1, Ordering::Relaxed);
+        let open = Arc::new(OpenSend {
+            number,
+            replica: replica.to_owned(),
+            progress: Arc::default(),
+            fingerprint: LazyLock::new(Box::new(fingerprint)),
+            stage: watch::Sender::new(SendStage::Running),
+            is_unrecorded: AtomicBool::new(false),
+        });
+        self.open.lock().insert(number, Arc::clone(&open));
+        open
+    }
+
+    /// Records what is known of the outcome of a send.
+    pub fn set_stage(&self, open: &OpenSend, stage: SendStage) {
+        if stage == SendStage::Ended {
+            self.open.lock().remove(&open.number);
+        }
+        let is_checking = stage == SendStage::Checking;
+        self.checking.fetch_add(usize::from(is_checking), Ordering::Relaxed);
+        let previous = open.stage.send_replace(stage);
+        let was_checking = previous == SendStage::Checking;
+        self.checking.fetch_sub(usize::from(was_checking), Ordering::Relaxed);
+    }
+
+    /// Returns whether any replica is being checked.
+    pub fn has_checks(&self) -> bool {
+        self.checking.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns the sends of a request whose replicas are being checked.
+    pub fn under_check(&self, request: &RequestFingerprint) -> Vec<Arc<OpenSend>> {
+        let open = self.open.lock();
+        let checking = open.values().filter(|open| open.stage() == SendStage::Checking);
+        checking.filter(|open| open.fingerprint() == *request).cloned().collect()
+    }
+}
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -18,6 +19,30 @@
 use crate::dialect::{Dialect, OutgoingHead, ResponseHead};
 use crate::fleet::{LoadGuard, Member};
 
+/// How far a request has come, for whoever finds it abandoned.
+#[derive(Debug, Default)]
+pub struct SendProgress {
+    is_sent: AtomicBool,
+    is_on_reused_connection: AtomicBool,
+}
+
+impl SendProgress {
+    /// Returns whether the replica may have received the request.
+    pub fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the request was sent on a connection that had been idle.
+    pub fn is_on_reused_connection(&self) -> bool {
+        self.is_on_reused_connection.load(Ordering::Relaxed)
+    }
+
+    fn record_sent(&self, is_reused: bool) {
+        self.is_on_reused_connection.store(is_reused, Ordering::Relaxed);
+        self.is_sent.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Request to a replica.
 #[derive(Clone, Debug)]
 pub struct OutgoingRequest<'a> {
@@ -41,6 +66,8 @@
     pub tenant: Option<&'a str>,
     /// Deadline of the client. The replica receives the remaining time.
     pub deadline: Instant,
+    /// Records how far the request has come.
+    pub progress: Arc<SendProgress>,
 }
 
 /// Reason for which an exchange yielded no response.
@@ -58,6 +85,9 @@
     /// The replica reports that it did not run the request.
     #[error("the replica did not run it")]
     NotExecuted,
+    /// The host of the replica did not acknowledge the request.
+    #[error("not acknowledged")]
+    Unacknowledged,
     /// The request was sent and may have run.
     #[error("no answer")]
     Unknown,
@@ -139,6 +169,7 @@
             }
         }
         let request = build_request(dialect, outgoing, Incarnation::identity_of(&replica.id));
+        outgoing.progress.record_sent(connection.is_reused);
         let sending = connection.sender.try_send_request(request);
         let result = tokio::time::timeout_at(response_deadline.into(), sending).await;
         match result {
@@ -169,29 +200,39 @@
 /// Returns the error for a request that was sent on a connection which then failed.
 fn sent_error(error: &hyper::Error, was_idle: bool) -> ExchangeError {
     if is_closed_by_peer(error) {
-        ExchangeError::Closed { was_idle }
-    } else {
-        ExchangeError::Unknown
+        return ExchangeError::Closed { was_idle };
+    }
+    match io_error_kind(error) {
+        Some(io::ErrorKind::TimedOut) => ExchangeError::Unacknowledged,
+        _ => ExchangeError::Unknown,
     }
 }
 
 /// Returns whether the peer closed or reset the connection, as opposed to a timeout or a malformed
 /// response.
 pub fn is_closed_by_peer(error: &hyper::Error) -> bool {
+    match io_error_kind(error) {
+        Some(kind) => matches!(
+            kind,
+            io::ErrorKind::ConnectionReset
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::BrokenPipe
+                | io::ErrorKind::UnexpectedEof
+        ),
+        None => error.is_incomplete_message(),
+    }
+}
+
+/// Returns the kind of the I/O error that caused an error, if any.
+fn io_error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
     let mut source = error.source();
     while let Some(cause) = source {
         if let Some(cause) = cause.downcast_ref::<io::Error>() {
-            return matches!(
-                cause.kind(),
-                io::ErrorKind::ConnectionReset
-                    | io::ErrorKind::ConnectionAborted
-                    | io::ErrorKind::BrokenPipe
-                    | io::ErrorKind::UnexpectedEof
-            );
+            return Some(cause.kind());
         }
         source = cause.source();
     }
-    error.is_incomplete_message()
+    None
 }
 
 /// Checks that the response belongs to the request. Otherwise it is ignored and the connection is
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -6,7 +6,9 @@
 mod process_check;
 mod start_check;
 
-pub use exchange::{Exchange, ExchangeError, OutgoingRequest, exchange, is_closed_by_peer};
+pub use exchange::{
+    Exchange, ExchangeError, OutgoingRequest, SendProgress, exchange, is_closed_by_peer,
+};
 pub use pool::{Checkout, Pool, PooledConnection};
-pub use process_check::{ProcessState, check_process};
+pub use process_check::{ProcessState, check_listener, check_process};
 pub use start_check::{StartCheck, check_start};
--- a/crates/proxy/src/upstream/process_check.rs
+++ b/crates/proxy/src/upstream/process_check.rs
@@ -14,7 +14,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HOST, HeaderValue};
 
-use super::pool::{PooledConnection, open_connection};
+use super::pool::{Pool, PooledConnection, open_connection};
 use super::start_check::{StartCheck, check_connection};
 use crate::dialect::Dialect;
 
@@ -75,6 +75,18 @@
     }
 }
 
+/// Opens a connection to a replica to find out whether anything listens at its address. The
+/// connection is left to later requests.
+pub async fn check_listener(pool: &Pool, replica: &Replica) -> ProcessState {
+    match connect(replica).await {
+        Ok(connection) => {
+            pool.check_in(&replica.id, connection.sender, None);
+            ProcessState::Running
+        }
+        Err(state) => state,
+    }
+}
+
 async fn connect(replica: &Replica) -> Result<PooledConnection, ProcessState> {
     match tokio::time::timeout(CONNECT_TIMEOUT, open_connection(replica.address)).await {
         Ok(Ok(connection)) => Ok(connection),
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -123,7 +123,7 @@
     StreamResumed = 4117, Info;
     /// The origin of a stream could not be recorded or read; the stream cannot be resumed.
     StreamOriginLost = 4118, Warn;
-    /// A replica closed the connection of a request, and it was checked whether it still runs.
+    /// A request ended without a whole response, and it was checked whether the replica still runs.
     ReplicaChecked = 4119, Info;
     /// A crash under a request is not recorded yet; other gateways do not count it.
     CrashRecordLate = 4120, Warn;
