Gateways: the ledger permits each further send of a request that crashed a replica

A gateway sent a request as long as it knew of fewer than three crashes, whatever the others had under way: three gateways with three attempts each ended 6 replicas; a send whose gateway was lost before its record was not counted, 4 ended; a replica that could not be reached when it was checked held nothing back, 8 ended.

A request under which no crash is known is still sent without a message. After the first crash, each send takes a token from an account of the request in the ledger, which has one for each crash that may happen. A crash uses the token up, any other outcome gives it back, and a gateway that is lost keeps it. A gateway that learns of a crash takes tokens for the same request that it has under way before it acknowledges the record. The accounts are those of program budgets, so that ledger machines of every build apply the commands, and the encoding of crash records is unchanged.

Weighed: a wait until other gateways' checks end (they last up to 1.4 s); counting at the leader without the log (lost with it).

--- a/crates/ledger/src/commands/crash.rs
+++ b/crates/ledger/src/commands/crash.rs
@@ -1,14 +1,18 @@
-//! Records of crashed replicas.
+//! Records of crashed replicas, and permission to send a request under which replicas crashed.
 //!
 //! A record has the form of a retained turn with a key of its own: ledger machines of every build
-//! store it until it expires, also while two builds run side by side.
+//! store it until it expires, also while two builds run side by side. Sends are permitted by a
+//! token account per request, which has one token for each crash that may happen: a crash uses a
+//! token up, and a send holds one until its outcome is known.
 
-use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord};
+use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord, MAX_CRASHES, RequestFingerprint};
 
-use super::{KEY_SEPARATOR, RetainedTurn, SettleTurn, TurnId};
+use super::{KEY_SEPARATOR, ProgramId, ReserveTurn, RetainedTurn, SettleTurn, TurnId};
 
 /// Second part of the keys of crash records. The first one is empty, as in no key of a turn.
 const CRASH_KEYS: &str = "crash";
+/// Second part of the keys of the accounts of requests.
+const ACCOUNT_KEYS: &str = "sends";
 
 /// Returns the beginning of the keys of all crash records.
 pub fn crash_key_prefix() -> String {
@@ -17,18 +21,69 @@
 
 /// Returns the command that stores a record. It may be repeated.
 pub fn store_crash(record: &CrashRecord) -> SettleTurn {
-    let retention_ms = u64::try_from(CRASH_RETENTION.as_millis()).unwrap_or(u64::MAX);
     let input = record.replica.as_bytes().to_vec();
     SettleTurn {
         program: None,
         turn: crash_key(record),
         used_tokens: 0,
-        retention_ms,
+        retention_ms: retention_ms(),
         retained: Some(RetainedTurn { previous: None, input, output: Vec::new() }),
         run: None,
     }
 }
 
+/// Returns the command that charges a crash to the account of the request. It may be repeated, and
+/// a replica is charged once, whichever gateway reports it.
+pub fn charge_crash(record: &CrashRecord) -> SettleTurn {
+    settle_send(&record.request, replica_charge(&record.replica), 1)
+}
+
+/// Returns the command that permits one send of a request under which replicas have crashed, unless
+/// the crashes and the sends under way use up its account. `send` is unique.
+pub fn reserve_send(request: &RequestFingerprint, send: &str) -> ReserveTurn {
+    ReserveTurn {
+        program: Some(account_of(request)),
+        turn: send_charge(send),
+        most_tokens: 1,
+        budget: MAX_CRASHES as u64,
+        previous: None,
+        retention_ms: retention_ms(),
+    }
+}
+
+/// Returns the command that ends a permitted send, after any crash under it was charged.
+pub fn release_send(request: &RequestFingerprint, send: &str) -> SettleTurn {
+    settle_send(request, send_charge(send), 0)
+}
+
+fn settle_send(request: &RequestFingerprint, charge: TurnId, used_tokens: u64) -> SettleTurn {
+    SettleTurn {
+        program: Some(account_of(request)),
+        turn: charge,
+        used_tokens,
+        retention_ms: retention_ms(),
+        retained: None,
+        run: None,
+    }
+}
+
+fn retention_ms() -> u64 {
+    u64::try_from(CRASH_RETENTION.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Keys of accounts begin with the separator, as in no id of a program.
+fn account_of(request: &RequestFingerprint) -> ProgramId {
+    format!("{KEY_SEPARATOR}{ACCOUNT_KEYS}{KEY_SEPARATOR}{request}")
+}
+
+fn send_charge(send: &str) -> TurnId {
+    format!("{KEY_SEPARATOR}send{KEY_SEPARATOR}{send}")
+}
+
+fn replica_charge(replica: &str) -> TurnId {
+    format!("{KEY_SEPARATOR}replica{KEY_SEPARATOR}{replica}")
+}
+
 fn crash_key(record: &CrashRecord) -> TurnId {
     let CrashRecord { tenant, request, replica } = record;
     let tenant = tenant.as_deref().unwrap_or_default();
--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -10,7 +10,9 @@
 use calicohoist_types::Zone;
 use serde::{Deserialize, Serialize};
 
-pub use crash::{crash_key_prefix, find_crash, store_crash};
+pub use crash::{
+    charge_crash, crash_key_prefix, find_crash, release_send, reserve_send, store_crash,
+};
 
 /// Separates the parts of keys, such as the tenant name from a program or turn ID. None of them can
 /// contain it: tenant names are validated, and IDs come from headers, which exclude control
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::commands::{Command, find_crash, store_crash};
+use calicohoist_ledger::commands::{
+    Command, Reservation, charge_crash, find_crash, release_send, reserve_send, store_crash,
+};
 use calicohoist_ledger::protocol::TermVersion;
 use calicohoist_ledger::server::crashes::CrashBoard;
 use calicohoist_ledger::{LedgerState, Output};
@@ -123,3 +125,50 @@
     let (_, notices) = board.changes_since(1, TermVersion::default(), now);
     assert_eq!(notices.len(), CAPACITY);
 }
+
+fn reserve(state: &mut LedgerState, record: &CrashRecord, send: &str) -> Reservation {
+    let command = Command::Reserve(reserve_send(&record.request, send));
+    match state.apply(&encode(&command).expect("encode")) {
+        Output::Reservation(reservation) => reservation,
+        other => panic!("unexpected output {other:?}"),
+    }
+}
+
+#[test]
+fn request_is_permitted_as_often_as_replicas_may_still_crash() {
+    let mut state = LedgerState::new(GroupId(0));
+    let first = crash(Some("t-1"), 1, "r1");
+    // Two gateways report the same crash.
+    for _ in 0..2 {
+        apply(&mut state, Command::Settle(charge_crash(&first)));
+    }
+    assert_eq!(reserve(&mut state, &first, "front-1-a"), Reservation::Granted);
+    assert_eq!(reserve(&mut state, &first, "front-2-a"), Reservation::Granted);
+    assert_eq!(reserve(&mut state, &first, "front-3-a"), Reservation::BudgetSpent);
+
+    apply(&mut state, Command::Settle(release_send(&first.request, "front-1-a")));
+    assert_eq!(reserve(&mut state, &first, "front-3-b"), Reservation::Granted);
+    for (send, replica) in [("front-2-a", "r2"), ("front-3-b", "r3")] {
+        apply(&mut state, Command::Settle(charge_crash(&crash(Some("t-1"), 1, replica))));
+        apply(&mut state, Command::Settle(release_send(&first.request, send)));
+        assert_eq!(reserve(&mut state, &first, "front-1-b"), Reservation::BudgetSpent);
+    }
+    let other = crash(Some("t-1"), 2, "r1");
+    assert_eq!(reserve(&mut state, &other, "front-1-c"), Reservation::Granted);
+}
+
+#[test]
+fn permissions_survive_a_snapshot_until_they_expire() {
+    let mut state = LedgerState::new(GroupId(0));
+    let record = crash(None, 1, "r1");
+    for number in 0..MAX_CRASHES {
+        let granted = reserve(&mut state, &record, &format!("front-1-{number}"));
+        assert_eq!(granted, Reservation::Granted);
+    }
+    let mut restored = LedgerState::new(GroupId(0));
+    assert!(restored.restore(&state.snapshot()));
+    assert_eq!(reserve(&mut restored, &record, "front-2-a"), Reservation::BudgetSpent);
+    let elapsed_ms = CRASH_RETENTION.as_millis() as u64;
+    apply(&mut restored, Command::Advance { elapsed_ms });
+    assert_eq!(reserve(&mut restored, &record, "front-2-b"), Reservation::Granted);
+}
--- a/crates/proxy/src/flow/crash/check.rs
+++ b/crates/proxy/src/flow/crash/check.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::commands::store_crash;
+use calicohoist_ledger::commands::{charge_crash, store_crash};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
 use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord, RequestFingerprint};
 use calicohoist_routing::Replica;
@@ -98,6 +98,7 @@
 }
 
 fn end(app: &App, open: &OpenSend) {
+    drop(open.take_grant());
     app.sends.set_stage(open, SendStage::Ended);
 }
 
@@ -224,7 +225,7 @@
     let replica = subject.replica.id.clone();
     app.crashes.lock().record(request, &replica, CRASH_RETENTION, Instant::now());
     let record = CrashRecord { tenant: subject.tenant.clone(), request, replica };
-    let storing = tokio::spawn(store(Arc::clone(app), record));
+    let storing = tokio::spawn(store(Arc::clone(app), Arc::clone(open), record));
     match tokio::time::timeout(RECORD_WAIT, storing).await {
         Ok(Ok(true)) => {}
         Ok(Ok(false) | Err(_)) | Err(_) => {
@@ -236,16 +237,20 @@
 }
 
 /// Records a crash in the ledger. Returns whether it was recorded.
-async fn store(app: Arc<App>, record: CrashRecord) -> bool {
+async fn store(app: Arc<App>, open: Arc<OpenSend>, record: CrashRecord) -> bool {
     // A graceful shutdown waits for the record.
     let _guard = app.begin_task();
     let started_at = Instant::now();
     let deadline = started_at + RECORD_TIMEOUT;
+    let charge = LedgerRequest::Settle(charge_crash(&record));
+    let charged = app.ledger.request(&charge, deadline).await;
+    // Given back after the crash was charged, so that the account is never too full.
+    drop(open.take_grant());
     let question = LedgerRequest::Settle(store_crash(&record));
     let answer = app.ledger.request(&question, deadline).await;
     // `Noted`: the tenant has too many records, and the crash counts at this gateway only.
     let is_stored = matches!(answer, Ok(LedgerResponse::Settled | LedgerResponse::Noted));
-    if !is_stored {
+    if !is_stored || charged.is_err() {
         return false;
     }
     emit!(
--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -1,9 +1,11 @@
 //! Replicas that crash while they run a request.
 //!
 //! When a request fails at a replica, it is checked in the background whether the replica has crashed
-//! ([`check`]). A crash is recorded in the ledger, which all gateways follow.
+//! ([`check`]). A crash is recorded in the ledger, which all gateways follow. A request under which no
+//! crash is known is sent freely; after that, the ledger permits each further send ([`grant`]).
 
 mod check;
+mod grant;
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -19,6 +21,7 @@
 use crate::sends::{OpenSend, SendStage};
 use crate::upstream::SendProgress;
 use check::{CheckSubject, RequestFailure};
+pub use grant::{SendGrant, count_exposed};
 
 /// How a replica closed the connection of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,10 +75,12 @@
 }
 
 impl RunningRequest {
-    /// Ends a request under which the replica did not crash.
-    fn end(mut self) {
+    /// Ends a request under which the replica did not crash. Returns the permission for the send.
+    fn end(mut self) -> Option<SendGrant> {
         self.has_outcome = true;
+        let grant = self.open.take_grant();
         self.app.sends.set_stage(&self.open, SendStage::Ended);
+        grant
     }
 
     /// Checks in the background whether the replica has crashed under the request.
@@ -112,6 +117,7 @@
         if self.open.progress.is_sent() {
             self.check(RequestFailure::GivenUp);
         } else {
+            drop(self.open.take_grant());
             self.app.sends.set_stage(&self.open, SendStage::Ended);
         }
     }
@@ -123,6 +129,8 @@
     running: Option<RunningRequest>,
     /// Attempts that failed.
     failed: Vec<Arc<OpenSend>>,
+    /// Permission for the next attempt, left by one that did not run.
+    grant: Option<SendGrant>,
 }
 
 impl CrashMonitor {
@@ -146,40 +154,44 @@
         reject_quarantined(app, call)
     }
 
-    /// Begins an attempt.
-    pub fn begin(
+    /// Begins an attempt. Asks for a permission if a crash under the request is known.
+    ///
+    /// # Errors
+    /// Returns an error if the request must not be sent.
+    pub async fn begin(
         &mut self,
         app: &Arc<App>,
         call: &Arc<Call>,
         replica: &Replica,
-    ) -> Arc<SendProgress> {
+    ) -> Result<Arc<SendProgress>, GatewayError> {
         let request = Arc::clone(call);
+        // Known to `count_exposed` before crashes are looked up, so that either side sees the other.
         let open = app.sends.insert(&replica.id, move || request.fingerprint());
         let progress = Arc::clone(&open.progress);
-        self.running = Some(RunningRequest {
+        let running = self.running.insert(RunningRequest {
             app: Arc::clone(app),
             open,
             call: Arc::clone(call),
             replica: replica.clone(),
             has_outcome: false,
         });
-        progress
+        if let Some(grant) = self.grant.take() {
+            running.open.hold_grant(grant);
+        } else if has_crashes(app, call) {
+            let grant = grant::acquire(app, call.fingerprint(), call.deadline).await?;
+            running.open.hold_grant(grant);
+        }
+        Ok(progress)
     }
 
     /// Records that the replica did not run the request.
     pub fn record_not_executed(&mut self) {
-        self.end();
+        self.grant = self.running.take().and_then(RunningRequest::end);
     }
 
     /// Records that the replica has answered completely.
     pub fn record_answered(&mut self) {
-        self.end();
-    }
-
-    fn end(&mut self) {
-        if let Some(running) = self.running.take() {
-            running.end();
-        }
+        drop(self.running.take().and_then(RunningRequest::end));
     }
 
     /// Records that the replica closed the connection of the request.
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -146,7 +146,11 @@
         let Some((member, send_by)) = choice else {
             return Err(no_replica_left(app, call, service, attempt_state));
         };
-        outgoing.progress = attempt_state.crashes.begin(app, call, &member.replica);
+        outgoing.progress = match attempt_state.crashes.begin(app, call, &member.replica).await {
+            Ok(progress) => progress,
+            Err(_) if attempt_state.attempts > 0 => return Err(GatewayError::Unknown),
+            Err(error) => return Err(error),
+        };
         let dialect = app.dialect();
         let response_deadline = call.attempt_deadline(attempt_state.attempts);
         let started_at = Instant::now();
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -38,6 +38,7 @@
 use crate::memory::MemoryClass;
 use body::BodyReadError;
 use call::{Call, ResolvedRoute};
+pub use crash::{SendGrant, count_exposed};
 use error::{GatewayError, KeyError, NotExecutedReason};
 pub use response::{BodyAborted, ResponseBody};
 
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -18,6 +18,7 @@
 use rand::RngExt;
 
 use crate::app::App;
+use crate::flow;
 
 static DRAINED_ZONES: Gauge =
     Gauge::new("calicohoist_proxy_drained_zones", "Zones that are drained, as known here");
@@ -136,6 +137,8 @@
                 }
                 Ok(LedgerResponse::Crashes { mark, crashes }) => {
                     self.record_crashes(&crashes);
+                    // The next watch acknowledges the crashes.
+                    flow::count_exposed(&self.app, &crashes).await;
                     self.state.lock().crashes = mark;
                     let waited_ms = asked_at.elapsed().as_millis();
                     emit!(
--- a/crates/proxy/src/sends.rs
+++ b/crates/proxy/src/sends.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
+use crate::flow::SendGrant;
 use crate::upstream::SendProgress;
 
 /// Fingerprint of a request, computed when it is first needed. Until then it holds the request.
@@ -35,6 +36,8 @@
     /// How far the request has come.
     pub progress: Arc<SendProgress>,
     fingerprint: LazyFingerprint,
+    /// Permission to send the request, held until its outcome is known.
+    grant: Mutex<Option<SendGrant>>,
     stage: watch::Sender<SendStage>,
     /// Whether a crash could not be recorded.
     is_unrecorded: AtomicBool,
@@ -53,6 +56,21 @@
         *self.fingerprint
     }
 
+    /// Returns whether the ledger has permitted the send.
+    pub fn has_grant(&self) -> bool {
+        self.grant.lock().is_some()
+    }
+
+    /// Keeps the permission until the outcome is known.
+    pub fn hold_grant(&self, grant: SendGrant) {
+        *self.grant.lock() = Some(grant);
+    }
+
+    /// Takes the permission, if any.
+    pub fn take_grant(&self) -> Option<SendGrant> {
+        self.grant.lock().take()
+    }
+
     /// Returns what is known of the outcome.
     pub fn stage(&self) -> SendStage {
         *self.stage.borrow()
@@ -98,6 +116,7 @@
             replica: replica.to_owned(),
             progress: Arc::default(),
             fingerprint: LazyLock::new(Box::new(fingerprint)),
+            grant: Mutex::new(None),
             stage: watch::Sender::new(SendStage::Running),
             is_unrecorded: AtomicBool::new(false),
         });
@@ -128,4 +147,9 @@
         let checking = open.values().filter(|open| open.stage() == SendStage::Checking);
         checking.filter(|open| open.fingerprint() == *request).cloned().collect()
     }
+
+    /// Returns the sends without a permission, of any request.
+    pub fn without_grant(&self) -> Vec<Arc<OpenSend>> {
+        self.open.lock().values().filter(|open| !open.has_grant()).cloned().collect()
+    }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -135,6 +135,8 @@
     CrashRecorded = 4123, Info;
     /// A gateway learned of crashes from the ledger.
     CrashesReceived = 4124, Info;
+    /// The ledger answered whether a request under which replicas crashed may be sent again.
+    SendPermitted = 4125, Info;
     /// An engine released the cache of a program that has ended.
     CacheReleased = 4201, Debug;
     /// A request to release cache failed and will be retried.
