Permissions: a request that is answered needs none

A permission is needed for 10 s after a crash, longer than a request that is under way elsewhere takes to end, and only until a replica answers the request: under a fatal one that never happens. The three crashes of the quarantine count as before.

--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! When a request fails at a replica, it is checked in the background whether the replica has crashed
 //! ([`check`]). A crash is recorded in the ledger, which all gateways follow. A request under which no
-//! crash is known is sent freely; after that, the ledger permits each further send ([`grant`]).
+//! crash is known is sent freely; after one, the ledger permits each further send ([`grant`]) until the
+//! request is answered.
 
 mod check;
 mod grant;
@@ -65,6 +66,12 @@
     !crashes.is_empty() && crashes.crashes(&call.fingerprint(), Instant::now()) > 0
 }
 
+/// Returns whether the request must not be sent without a permission of the ledger.
+fn needs_permission(app: &App, call: &Call) -> bool {
+    let crashes = app.crashes.lock();
+    !crashes.is_empty() && crashes.needs_permission(&call.fingerprint(), Instant::now())
+}
+
 /// A request that a replica runs. If it is dropped without an outcome, the client has left.
 struct RunningRequest {
     app: Arc<App>,
@@ -177,7 +184,7 @@
         });
         if let Some(grant) = self.grant.take() {
             running.open.hold_grant(grant);
-        } else if has_crashes(app, call) {
+        } else if needs_permission(app, call) {
             let grant = grant::acquire(app, call.fingerprint(), call.deadline).await?;
             running.open.hold_grant(grant);
         }
@@ -191,7 +198,16 @@
 
     /// Records that the replica has answered completely.
     pub fn record_answered(&mut self) {
-        drop(self.running.take().and_then(RunningRequest::end));
+        let Some(running) = self.running.take() else {
+            return;
+        };
+        {
+            let mut crashes = running.app.crashes.lock();
+            if !crashes.is_empty() {
+                crashes.record_answered(&running.call.fingerprint());
+            }
+        }
+        drop(running.end());
     }
 
     /// Records that the replica closed the connection of the request.
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -10,6 +10,10 @@
 /// Time for which a crash is remembered. Longer than clients and programs retry.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(120);
 
+/// Time after a crash in which the request is sent only with a permission, unless it was answered
+/// since. Longer than a request that is under way elsewhere takes to end.
+pub const PERMISSION_TIME: Duration = Duration::from_secs(10);
+
 /// A replica that crashed while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashRecord {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,13 +11,14 @@
 pub mod fingerprint;
 pub mod table;
 
-pub use crash::{CRASH_RETENTION, CrashRecord, MAX_CRASHES};
+pub use crash::{CRASH_RETENTION, CrashRecord, MAX_CRASHES, PERMISSION_TIME};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use table::CrashTable;
 
 /// The types that users of this crate need.
 pub mod prelude {
     pub use crate::{
-        CRASH_RETENTION, CrashRecord, CrashTable, MAX_CRASHES, RequestContent, RequestFingerprint,
+        CRASH_RETENTION, CrashRecord, CrashTable, MAX_CRASHES, PERMISSION_TIME, RequestContent,
+        RequestFingerprint,
     };
 }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::crash::MAX_CRASHES;
+use crate::crash::{MAX_CRASHES, PERMISSION_TIME};
 use crate::fingerprint::RequestFingerprint;
 
 /// Maximum number of requests in a table, under 1 MB.
@@ -15,6 +15,10 @@
     /// Incarnations of the replicas, at most [`MAX_CRASHES`].
     replicas: Vec<String>,
     forget_at: Instant,
+    /// When the newest crash was recorded.
+    crashed_at: Instant,
+    /// Whether a replica has answered the request since.
+    is_answered: bool,
 }
 
 /// Recent crashes by request.
@@ -40,17 +44,35 @@
             self.evict();
         }
         let forget_at = now + retention;
-        let crashes = self
-            .requests
-            .entry(request)
-            .or_insert_with(|| RequestCrashes { replicas: Vec::new(), forget_at });
+        let crashes = self.requests.entry(request).or_insert_with(|| RequestCrashes {
+            replicas: Vec::new(),
+            forget_at,
+            crashed_at: now,
+            is_answered: false,
+        });
         crashes.forget_at = crashes.forget_at.max(forget_at);
         let is_known = crashes.replicas.iter().any(|known| known == replica);
         if !is_known && crashes.replicas.len() < MAX_CRASHES {
             crashes.replicas.push(replica.to_owned());
+            crashes.crashed_at = now;
+            crashes.is_answered = false;
         }
     }
 
+    /// Records that a replica has answered the request, as it does if many clients send the same
+    /// harmless one.
+    pub fn record_answered(&mut self, request: &RequestFingerprint) {
+        if let Some(crashes) = self.requests.get_mut(request) {
+            crashes.is_answered = true;
+        }
+    }
+
+    /// Returns whether the request must not be sent without a permission of the ledger.
+    pub fn needs_permission(&self, request: &RequestFingerprint, now: Instant) -> bool {
+        let crashes = self.find(request, now);
+        crashes.is_some_and(|known| !known.is_answered && now < known.crashed_at + PERMISSION_TIME)
+    }
+
     /// Forgets the requests whose retention has ended.
     pub fn expire(&mut self, now: Instant) {
         self.requests.retain(|_, crashes| crashes.forget_at > now);
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -109,3 +109,21 @@
         prop_assert_eq!(text.parse::<RequestFingerprint>().is_ok(), is_fingerprint);
     }
 }
+
+#[test]
+fn request_needs_a_permission_until_it_is_answered() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    let request = request(1);
+    assert!(!table.needs_permission(&request, now));
+    table.record(request, "r1", CRASH_RETENTION, now);
+    assert!(table.needs_permission(&request, now));
+    table.record_answered(&request);
+    assert!(!table.needs_permission(&request, now));
+    // The same crash, as another gateway reports it.
+    table.record(request, "r1", CRASH_RETENTION, now);
+    assert!(!table.needs_permission(&request, now));
+    table.record(request, "r2", CRASH_RETENTION, now);
+    assert!(table.needs_permission(&request, now));
+    assert!(!table.needs_permission(&request, now + PERMISSION_TIME));
+    assert_eq!(table.crashes(&request, now + PERMISSION_TIME), 2);
+}
