Soak: replicas end in seven ways, counted by the replicas

The replicas of the soak ended at once, closed their connections, and were counted only if a gateway logged the crash: an end that no gateway saw could not fail a run. They now end at once, after working, after their caller left, after they left the list, replaced at their address, in silence, and after being unreachable; some tries overlap. Every end counts, but for those at gateways that were paused, did not follow the ledger, could not record the crash, or were killed within the time that a record takes.

A graceful stop of a gateway waits for checks under way, so that their crashes are recorded.

--- a/crates/calicohoist/tests/soak/crashes.rs
+++ b/crates/calicohoist/tests/soak/crashes.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::fs;
-use std::io;
-use std::net::SocketAddr;
+use std::io::{self, Write};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,6 +12,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use serde_json::{Value, json};
@@ -33,8 +34,18 @@
 /// Number of replicas that may crash under one request.
 const MAX_CRASHES: usize = 3;
 const DEADLINE: Duration = Duration::from_millis(1_500);
-/// Number of times that a caller sends each request.
+/// Number of times that a caller sends each request, and of gateways that get it at once.
 const CALLER_TRIES: usize = 5;
+const OVERLAPPING_TRIES: usize = 2;
+/// Time after which a caller leaves, and after which the replica ends that runs its request.
+const CALLER_PATIENCE: Duration = Duration::from_millis(100);
+const END_DELAY: Duration = Duration::from_millis(150);
+/// Time for which a replica that will end cannot be reached.
+const SILENCE: Duration = Duration::from_millis(500);
+/// Deadline of requests whose replica falls silent.
+const SILENT_DEADLINE: Duration = Duration::from_millis(600);
+/// Time in which a gateway records a crash. One that is lost before that leaves no record.
+const RECORD_TIME: Duration = Duration::from_millis(2_500);
 /// Event of a gateway that checked a replica after it closed a connection.
 const REPLICA_CHECKED: u64 = 4119;
 /// Event of a gateway that could not record a crash in time.
@@ -44,11 +55,94 @@
 /// How often the callers look for a signal to stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How a replica ends under a request, as the path of the request says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReplicaEnd {
+    /// At once.
+    AtOnce,
+    /// After it has worked for some time.
+    Later,
+    /// After its caller has left.
+    AfterCaller,
+    /// After it has left the list without a drain.
+    Unlisted,
+    /// Another process answers at its address at once.
+    Replaced,
+    /// It falls silent and leaves the list.
+    Silent,
+    /// It closes the connection, cannot be reached, and ends.
+    Unreachable,
+}
+
+impl ReplicaEnd {
+    const ALL: [Self; 7] = [
+        Self::AtOnce,
+        Self::Later,
+        Self::AfterCaller,
+        Self::Unlisted,
+        Self::Replaced,
+        Self::Silent,
+        Self::Unreachable,
+    ];
+
+    /// Returns the prefix of the paths of requests under which replicas end in this way.
+    fn path_prefix(self) -> String {
+        format!("{FATAL_PREFIX}{self:?}-")
+    }
+
+    fn of_path(path: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|end| path.starts_with(&end.path_prefix()))
+    }
+
+    /// Ends the replica that serves the request.
+    fn apply(self, exchange: &mut Exchange<'_>, id: &str, instances: &Mutex<Vec<Value>>) {
+        let process = exchange.process;
+        match self {
+            Self::AtOnce => process.crash(),
+            Self::Later | Self::AfterCaller => {
+                thread::sleep(END_DELAY);
+                process.crash();
+            }
+            Self::Unlisted => {
+                remove_entry(instances, id);
+                thread::sleep(SILENCE);
+                process.crash();
+            }
+            Self::Replaced => process.restart(|exchange| {
+                let refusal = "Calicohoist-Not-Executed: instance\r\n";
+                exchange.respond("421 Misdirected Request", refusal, "");
+            }),
+            Self::Silent => {
+                process.fall_silent();
+                remove_entry(instances, id);
+                exchange.wait_for_close();
+            }
+            Self::Unreachable => {
+                process.fall_silent();
+                exchange.abort_connection();
+                thread::sleep(SILENCE);
+                process.crash();
+            }
+        }
+    }
+}
+
+/// A replica that ended under a request.
+#[derive(Clone, Debug)]
+struct EndedReplica {
+    replica: String,
+    /// Id of the try that reached the replica.
+    request: String,
+    at: Instant,
+}
+
 /// What replicas and callers of the service observed.
 #[derive(Clone, Debug, Default)]
 pub struct CrashRecords {
-    /// Replicas that crashed, by the path of the request.
-    crashed: BTreeMap<String, Vec<(String, Instant)>>,
+    /// Replicas that ended, by the path of the request.
+    crashed: BTreeMap<String, Vec<EndedReplica>>,
+    /// Gateway that received each try of a fatal request.
+    gateways: BTreeMap<String, IpAddr>,
     /// Requests that crash nothing, and those that were served.
     harmless: u64,
     served: u64,
@@ -62,7 +156,7 @@
 
 impl fmt::Display for CrashRecords {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { crashed, harmless, served, rejected, uncounted, exceeded } = self;
+        let Self { crashed, harmless, served, rejected, uncounted, exceeded, .. } = self;
         let crashes: usize = crashed.values().map(Vec::len).sum();
         write!(
             formatter,
@@ -77,10 +171,10 @@
 impl CrashRecords {
     /// Returns the crashes as disruptions of the replicas.
     pub fn disruptions(&self) -> impl Iterator<Item = Disruption> {
-        self.crashed.values().flatten().map(|(replica, at)| Disruption {
-            machine: Machine::Replica(replica.clone()),
+        self.crashed.values().flatten().map(|ended| Disruption {
+            machine: Machine::Replica(ended.replica.clone()),
             kind: DisruptionKind::Killed,
-            from: *at,
+            from: ended.at,
             until: None,
         })
     }
@@ -111,19 +205,22 @@
     let (sender, crashes): (Sender<usize>, Receiver<usize>) = channel();
     let (records, stop_flag) = (Arc::clone(records), Arc::clone(stop_flag));
     let instances = Arc::clone(&list.instances);
+    let listed = Arc::clone(&list.instances);
     let start = move |number: usize| {
         let (records, sender) = (Arc::clone(&records), sender.clone());
         let id = replica_id(number);
+        let (listed, has_ended) = (Arc::clone(&listed), AtomicBool::new(false));
         let replica = arrivals.start_replica(&id.clone(), move |exchange| {
-            if is_fatal(exchange) && !exchange.process.has_crashed() {
+            let Some(end) = ReplicaEnd::of_path(path_of(exchange)) else {
+                exchange.respond("200 OK", "", "whole");
+                return Outcome::Whole;
+            };
+            if !has_ended.swap(true, Ordering::SeqCst) {
                 record_crash(exchange, &id, &records);
-                exchange.crash_replica();
                 let _ = sender.send(number);
-                Outcome::BrokenOff
-            } else {
-                exchange.respond("200 OK", "", "whole");
-                Outcome::Whole
+                end.apply(exchange, &id, &listed);
             }
+            Outcome::BrokenOff
         });
         list.put_in_zone(ZONES[number % ZONES.len()], &replica, SERVICE, "ready");
     };
@@ -135,7 +232,7 @@
             };
             thread::sleep(Duration::from_millis(rng.random_range(20..300)));
             let id = replica_id(crashed);
-            instances.lock().retain(|instance| instance["id"] != id.as_str());
+            remove_entry(&instances, &id);
             start(crashed + REPLICAS);
         }
     })
@@ -145,17 +242,19 @@
     format!("f-{number}")
 }
 
-fn path_of<'a>(exchange: &'a Exchange<'_>) -> &'a str {
-    exchange.request.line.split(' ').nth(1).unwrap_or_default()
+fn remove_entry(instances: &Mutex<Vec<Value>>, id: &str) {
+    instances.lock().retain(|instance| instance["id"] != id);
 }
 
-fn is_fatal(exchange: &Exchange<'_>) -> bool {
-    path_of(exchange).starts_with(FATAL_PREFIX)
+fn path_of<'a>(exchange: &'a Exchange<'_>) -> &'a str {
+    exchange.request.line.split(' ').nth(1).unwrap_or_default()
 }
 
 fn record_crash(exchange: &Exchange<'_>, id: &str, records: &Shared) {
     let path = path_of(exchange).to_owned();
-    records.lock().crashes.crashed.entry(path).or_default().push((id.to_owned(), Instant::now()));
+    let request = exchange.request.id().to_owned();
+    let ended = EndedReplica { replica: id.to_owned(), request, at: Instant::now() };
+    records.lock().crashes.crashed.entry(path).or_default().push(ended);
 }
 
 /// Sends fatal requests, each several times at any gateway, and harmless ones between them.
@@ -170,12 +269,23 @@
     let mut count = 0;
     while !stop_flag.load(Ordering::Relaxed) {
         count += 1;
+        let end = ReplicaEnd::ALL[rng.random_range(0..ReplicaEnd::ALL.len())];
+        let fatal = format!("{}{number}-{count}", end.path_prefix());
+        let overlapping = if rng.random_bool(0.3) { OVERLAPPING_TRIES } else { 1 };
         for attempt in 0..CALLER_TRIES {
-            let gateway = gateways[rng.random_range(0..gateways.len())];
-            let fatal = format!("{FATAL_PREFIX}{number}-{count}");
-            let id = format!("fatal-{number}-{count}-{attempt}");
-            let status = get(gateway, &fatal, &id, &attempts);
-            records.lock().crashes.rejected += u64::from(status == Some(503));
+            let tries: Vec<FatalTry> = (0..overlapping)
+                .map(|copy| FatalTry {
+                    end,
+                    path: fatal.clone(),
+                    id: format!("fatal-{number}-{count}-{attempt}-{copy}"),
+                    gateway: gateways[rng.random_range(0..gateways.len())],
+                })
+                .collect();
+            thread::scope(|scope| {
+                for fatal_try in &tries {
+                    scope.spawn(|| fatal_try.send(records, &attempts));
+                }
+            });
             let gateway = gateways[rng.random_range(0..gateways.len())];
             let harmless = format!("{PATH_PREFIX}fine-{number}-{count}-{attempt}");
             let id = format!("fine-{number}-{count}-{attempt}");
@@ -190,38 +300,88 @@
     }
 }
 
+/// One try of a fatal request.
+struct FatalTry {
+    end: ReplicaEnd,
+    path: String,
+    id: String,
+    gateway: SocketAddr,
+}
+
+impl FatalTry {
+    fn send(&self, records: &Shared, attempts: &AttemptLog) {
+        let Self { end, path, id, gateway } = self;
+        records.lock().crashes.gateways.insert(id.clone(), gateway.ip());
+        let deadline = match end {
+            ReplicaEnd::AfterCaller => return self.send_and_leave(),
+            ReplicaEnd::Silent => SILENT_DEADLINE,
+            _ => DEADLINE,
+        };
+        let status = get_within(*gateway, path, id, deadline, attempts);
+        records.lock().crashes.rejected += u64::from(status == Some(503));
+    }
+
+    /// Sends the request and closes the connection while it is served. A gateway that is down is an
+    /// expected fault.
+    fn send_and_leave(&self) {
+        if let Ok(mut connection) = TcpStream::connect(self.gateway) {
+            let head = request_head("GET", &self.path, &self.id, 0, &[]);
+            let _ = connection.write_all(head.as_bytes());
+            thread::sleep(CALLER_PATIENCE);
+        }
+    }
+}
+
 fn get(gateway: SocketAddr, path: &str, id: &str, attempts: &AttemptLog) -> Option<u16> {
-    let deadline = format!("Calicohoist-Deadline-Ms: {}", DEADLINE.as_millis());
+    get_within(gateway, path, id, DEADLINE, attempts)
+}
+
+fn get_within(
+    gateway: SocketAddr,
+    path: &str,
+    id: &str,
+    time_limit: Duration,
+    attempts: &AttemptLog,
+) -> Option<u16> {
+    let deadline = format!("Calicohoist-Deadline-Ms: {}", time_limit.as_millis());
     let head = request_head("GET", path, id, 0, &[&deadline]);
-    let submission = Submission::new(id, &head, DEADLINE);
+    let submission = Submission::new(id, &head, time_limit);
     exchange_recorded(gateway, &submission, attempts).map(|reply| reply.status)
 }
 
-/// Reads from the logs of the gateways under whose requests replicas crashed, by replica. Leaves out
-/// gateways that did not follow the ledger, or could not record the crash in time.
-fn gateways_in_touch(log_folder: &Path) -> BTreeMap<String, String> {
+/// Reads from the logs which crashes a gateway found that did not follow the ledger, or could not
+/// record the crash in time. Returns the replicas.
+fn crashes_out_of_touch(log_folder: &Path) -> BTreeSet<String> {
     let files = fs::read_dir(log_folder).into_iter().flatten().flatten();
     let logs = files.filter(|file| is_log(&file.path()));
-    let (mut gateways, mut late) = (BTreeMap::new(), BTreeSet::new());
+    let mut replicas = BTreeSet::new();
     for log in logs {
         let text = fs::read_to_string(log.path()).unwrap_or_default();
         for line in text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok()) {
             let is_in_touch = line["follows_ledger"] == "true";
-            let text = |field: &str| line[field].as_str().unwrap_or_default().to_owned();
-            if line["event"] == REPLICA_CHECKED && line["crashed"] == "true" && is_in_touch {
-                gateways.insert(text("replica"), text("node"));
-            } else if line["event"] == CRASH_RECORD_LATE {
-                late.insert(text("replica"));
+            let is_found = line["event"] == REPLICA_CHECKED && line["crashed"] == "true";
+            if (is_found && !is_in_touch) || line["event"] == CRASH_RECORD_LATE {
+                replicas.insert(line["replica"].as_str().unwrap_or_default().to_owned());
             }
         }
     }
-    gateways.retain(|replica, _| !late.contains(replica));
-    gateways
+    replicas
+}
+
+/// Returns whether the gateway was killed before it can have recorded the crash.
+fn is_lost(gateway: IpAddr, at: Instant, disruptions: &[Disruption]) -> bool {
+    disruptions.iter().any(|disruption| {
+        let Disruption { machine, kind, from, until } = disruption;
+        *machine == Machine::Node(gateway)
+            && *kind == DisruptionKind::Killed
+            && *from <= at + RECORD_TIME
+            && until.is_none_or(|until| at <= until)
+    })
 }
 
 /// Returns whether the gateway was paused, or had just resumed and not read what it missed.
-fn is_paused(gateway: &str, at: Instant, pauses: &[Pause]) -> bool {
-    let is_own = |pause: &&Pause| gateway == format!("node-{}", pause.ip);
+fn is_paused(gateway: IpAddr, at: Instant, pauses: &[Pause]) -> bool {
+    let is_own = |pause: &&Pause| pause.ip.parse() == Ok(gateway);
     pauses.iter().filter(is_own).any(|pause| pause.from <= at && at <= pause.until + RESUME_TIME)
 }
 
@@ -243,17 +403,27 @@
 
 /// Returns the requests that crashed more than [`MAX_CRASHES`] replicas at gateways that were in
 /// touch with the ledger, and checks that other requests were served.
-pub fn check_crashes(records: &mut Records, log_folder: &Path, pauses: &[Pause]) -> Vec<String> {
-    let gateways = gateways_in_touch(log_folder);
+pub fn check_crashes(
+    records: &mut Records,
+    log_folder: &Path,
+    pauses: &[Pause],
+    disruptions: &[Disruption],
+) -> Vec<String> {
+    let out_of_touch = crashes_out_of_touch(log_folder);
     let Records { crashes, violations, .. } = records;
     let mut fatal = Vec::new();
     for (path, replicas) in &crashes.crashed {
-        let is_counted = |(replica, at): &&(String, Instant)| {
-            gateways.get(replica).is_some_and(|gateway| !is_paused(gateway, *at, pauses))
+        let is_counted = |ended: &&EndedReplica| {
+            let EndedReplica { replica, request, at } = ended;
+            let gateway = crashes.gateways.get(request).copied();
+            let is_disrupted = gateway.is_some_and(|gateway| {
+                is_paused(gateway, *at, pauses) || is_lost(gateway, *at, disruptions)
+            });
+            !is_disrupted && !out_of_touch.contains(replica)
         };
         let counted = replicas.iter().filter(is_counted).count();
         if counted > MAX_CRASHES {
-            fatal.push(format!("{path} crashed {replicas:?}, {counted} in touch"));
+            fatal.push(format!("{path} ended {replicas:?}, {counted} in touch"));
         }
         crashes.uncounted += (replicas.len() - counted) as u64;
         crashes.exceeded += u64::from(replicas.len() > MAX_CRASHES);
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -365,7 +365,8 @@
     if !is_mixed {
         check_versions(&mut records);
         let log_folder = soak.cluster.folder.path();
-        fatal_requests = check_crashes(&mut records, log_folder, &soak.pauses);
+        fatal_requests =
+            check_crashes(&mut records, log_folder, &soak.pauses, &soak.timeline.disruptions);
     }
     records.violations.append(&mut soak.violations);
     let mut timeline = std::mem::take(&mut soak.timeline);
--- a/crates/proxy/src/flow/crash/check.rs
+++ b/crates/proxy/src/flow/crash/check.rs
@@ -102,7 +102,9 @@
     app.sends.set_stage(open, SendStage::Ended);
 }
 
-async fn check_repeatedly(app: &App, open: &OpenSend, subject: &CheckSubject) -> Finding {
+async fn check_repeatedly(app: &Arc<App>, open: &OpenSend, subject: &CheckSubject) -> Finding {
+    // A graceful shutdown waits for the checks.
+    let _guard = app.begin_task();
     let mut finding = Finding::Unknown;
     for delay in CHECK_DELAYS {
         tokio::time::sleep(delay).await;
