Gateways: count replicas that were replaced behind an idle connection

The soak found five ends under one request whose replicas are replaced at once: it had been sent on idle connections. If a process ends and another one answers, the request may have come too late to end it, so none of these counted, however many there were.

Such an end is now kept at the gateway, which sends the request on new connections from then on. Once a crash is certain, the kept ones are recorded as well; a harmless request is served by then. Ruled out: counting them at once, which stops a request after three replicas restarted behind idle connections (a test of crashes.rs).

--- a/crates/proxy/src/flow/crash/check.rs
+++ b/crates/proxy/src/flow/crash/check.rs
@@ -65,11 +65,20 @@
     pub failure: RequestFailure,
 }
 
+impl CheckSubject {
+    fn record(&self, request: RequestFingerprint) -> CrashRecord {
+        let (tenant, replica) = (self.tenant.clone(), self.replica.id.clone());
+        CrashRecord { tenant, request, replica }
+    }
+}
+
 /// Result of one check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Finding {
     /// The replica has crashed under the request.
     Crashed,
+    /// The replica has crashed, possibly before the request reached it.
+    Unconfirmed,
     /// The replica has not crashed under the request, and will not.
     NotCrashed,
     /// The replica runs, and may still crash under the request.
@@ -84,7 +93,8 @@
     let request = open.fingerprint();
     match check_repeatedly(&app, &open, &subject).await {
         Finding::Crashed => record(&app, &open, request, &subject).await,
-        Finding::NotCrashed => end(&app, &open),
+        Finding::Unconfirmed => record_unconfirmed(&app, request, &subject),
+        Finding::NotCrashed => {}
         finding @ (Finding::Running | Finding::Unknown) => {
             if finding == Finding::Running {
                 end(&app, &open);
@@ -110,7 +120,7 @@
         tokio::time::sleep(delay).await;
         finding = check(app, open, subject).await;
         match finding {
-            Finding::Crashed | Finding::NotCrashed => return finding,
+            Finding::Crashed | Finding::Unconfirmed | Finding::NotCrashed => return finding,
             Finding::Running | Finding::Unknown => app.sends.set_stage(open, SendStage::Unclear),
         }
     }
@@ -176,9 +186,8 @@
 ) -> Finding {
     match (process, subject.failure) {
         (ProcessState::Ended, _) => Finding::Crashed,
-        // The process may have ended before the request came.
         (ProcessState::Restarted, RequestFailure::Closed(ClosedConnection::WasIdle)) => {
-            Finding::NotCrashed
+            Finding::Unconfirmed
         }
         (ProcessState::Restarted, _) => Finding::Crashed,
         (ProcessState::Running, RequestFailure::Closed(_)) => Finding::NotCrashed,
@@ -224,10 +233,10 @@
     request: RequestFingerprint,
     subject: &CheckSubject,
 ) {
-    let replica = subject.replica.id.clone();
-    app.crashes.lock().record(request, &replica, CRASH_RETENTION, Instant::now());
-    let record = CrashRecord { tenant: subject.tenant.clone(), request, replica };
-    let storing = tokio::spawn(store(Arc::clone(app), Arc::clone(open), record));
+    let record = subject.record(request);
+    app.crashes.lock().record(request, &record.replica, CRASH_RETENTION, Instant::now());
+    record_confirmed(app, &request);
+    let storing = tokio::spawn(store(Arc::clone(app), Some(Arc::clone(open)), record));
     match tokio::time::timeout(RECORD_WAIT, storing).await {
         Ok(Ok(true)) => {}
         Ok(Ok(false) | Err(_)) | Err(_) => {
@@ -238,8 +247,24 @@
     }
 }
 
+/// Records a crash at this gateway that counts once another one under the request is known.
+fn record_unconfirmed(app: &Arc<App>, request: RequestFingerprint, subject: &CheckSubject) {
+    let record = subject.record(request);
+    app.crashes.lock().record_unconfirmed(record, CRASH_RETENTION, Instant::now());
+    record_confirmed(app, &request);
+}
+
+/// Records the crashes under a request that another crash under it has confirmed.
+pub fn record_confirmed(app: &Arc<App>, request: &RequestFingerprint) {
+    let confirmed = app.crashes.lock().take_confirmed(request);
+    for record in confirmed {
+        app.crashes.lock().record(*request, &record.replica, CRASH_RETENTION, Instant::now());
+        tokio::spawn(store(Arc::clone(app), None, record));
+    }
+}
+
 /// Records a crash in the ledger. Returns whether it was recorded.
-async fn store(app: Arc<App>, open: Arc<OpenSend>, record: CrashRecord) -> bool {
+async fn store(app: Arc<App>, open: Option<Arc<OpenSend>>, record: CrashRecord) -> bool {
     // A graceful shutdown waits for the record.
     let _guard = app.begin_task();
     let started_at = Instant::now();
@@ -247,7 +272,7 @@
     let charge = LedgerRequest::Settle(charge_crash(&record));
     let charged = app.ledger.request(&charge, deadline).await;
     // Given back after the crash was charged, so that the account is never too full.
-    drop(open.take_grant());
+    drop(open.and_then(|open| open.take_grant()));
     let question = LedgerRequest::Settle(store_crash(&record));
     let answer = app.ledger.request(&question, deadline).await;
     // `Noted`: the tenant has too many records, and the crash counts at this gateway only.
--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -21,6 +21,7 @@
 use crate::app::App;
 use crate::sends::{OpenSend, SendStage};
 use crate::upstream::SendProgress;
+pub use check::record_confirmed;
 use check::{CheckSubject, RequestFailure};
 pub use grant::{SendGrant, count_exposed};
 
@@ -60,10 +61,10 @@
     if app.follows_ledger(Instant::now()) { MAX_CRASHES } else { 1 }
 }
 
-/// Returns whether a replica is known to have crashed under the request.
-fn has_crashes(app: &App, call: &Call) -> bool {
+/// Returns whether a replica has or may have crashed under the request, as this gateway knows.
+fn is_known_suspect(app: &App, call: &Call) -> bool {
     let crashes = app.crashes.lock();
-    !crashes.is_empty() && crashes.crashes(&call.fingerprint(), Instant::now()) > 0
+    !crashes.is_empty() && crashes.is_suspect(&call.fingerprint(), Instant::now())
 }
 
 /// Returns whether the request must not be sent without a permission of the ledger.
@@ -227,7 +228,7 @@
     /// Returns whether a replica has or may have crashed under the request.
     pub fn is_suspect(&self, app: &App, call: &Call) -> bool {
         let is_unclear = |open: &Arc<OpenSend>| open.stage() != SendStage::Ended;
-        self.failed.iter().any(is_unclear) || has_crashes(app, call)
+        self.failed.iter().any(is_unclear) || is_known_suspect(app, call)
     }
 
     /// Waits until the replicas have been checked and crashes recorded, at most until the deadline,
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -38,7 +38,7 @@
 use crate::memory::MemoryClass;
 use body::BodyReadError;
 use call::{Call, ResolvedRoute};
-pub use crash::{SendGrant, count_exposed};
+pub use crash::{SendGrant, count_exposed, record_confirmed};
 use error::{GatewayError, KeyError, NotExecutedReason};
 pub use response::{BodyAborted, ResponseBody};
 
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -204,6 +204,10 @@
             let left = Duration::from_millis(u64::from(*left_ms));
             crashes.record(*request, replica, left, now);
         }
+        drop(crashes);
+        for notice in notices {
+            flow::record_confirmed(&self.app, &notice.request);
+        }
     }
 
     fn apply_drained_zones(&self, drained: DrainedZones) {
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -146,7 +146,8 @@
 ) -> Result<Exchange, ExchangeError> {
     let load = member.begin_request(outgoing.is_suspect);
     let replica = &member.replica;
-    let mut checkout = Checkout::Any;
+    // A crash on a new connection is certain to have happened after the request arrived.
+    let mut checkout = if outgoing.is_suspect { Checkout::New } else { Checkout::Any };
     loop {
         let connection = pool.check_out(&replica.id, replica.address, checkout).await;
         let mut connection = connection.map_err(|_| ExchangeError::NotSent)?;
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::crash::{MAX_CRASHES, PERMISSION_TIME};
+use crate::crash::{CrashRecord, MAX_CRASHES, PERMISSION_TIME};
 use crate::fingerprint::RequestFingerprint;
 
 /// Maximum number of requests in a table, under 1 MB.
@@ -14,6 +14,8 @@
 struct RequestCrashes {
     /// Incarnations of the replicas, at most [`MAX_CRASHES`].
     replicas: Vec<String>,
+    /// Crashes before which the request may not have reached the replica, at most [`MAX_CRASHES`].
+    unconfirmed: Vec<CrashRecord>,
     forget_at: Instant,
     /// When the newest crash was recorded.
     crashed_at: Instant,
@@ -39,6 +41,47 @@
         retention: Duration,
         now: Instant,
     ) {
+        let crashes = self.entry(request, retention, now);
+        let is_known = crashes.replicas.iter().any(|known| known == replica);
+        if !is_known && crashes.replicas.len() < MAX_CRASHES {
+            crashes.replicas.push(replica.to_owned());
+            crashes.crashed_at = now;
+            crashes.is_answered = false;
+        }
+    }
+
+    /// Records a crash before which the request may not have reached the replica. It counts once
+    /// another crash under the request is known.
+    pub fn record_unconfirmed(&mut self, record: CrashRecord, retention: Duration, now: Instant) {
+        let crashes = self.entry(record.request, retention, now);
+        let is_known = crashes.unconfirmed.contains(&record);
+        if !is_known && crashes.unconfirmed.len() < MAX_CRASHES {
+            crashes.unconfirmed.push(record);
+        }
+    }
+
+    /// Takes the unconfirmed crashes under a request, if another crash under it is known.
+    pub fn take_confirmed(&mut self, request: &RequestFingerprint) -> Vec<CrashRecord> {
+        match self.requests.get_mut(request) {
+            Some(crashes) if !crashes.replicas.is_empty() => {
+                std::mem::take(&mut crashes.unconfirmed)
+            }
+            Some(_) | None => Vec::new(),
+        }
+    }
+
+    /// Returns whether a replica has or may have crashed under the request.
+    pub fn is_suspect(&self, request: &RequestFingerprint, now: Instant) -> bool {
+        self.find(request, now).is_some()
+    }
+
+    /// Returns the entry of a request, which is kept for `retention`.
+    fn entry(
+        &mut self,
+        request: RequestFingerprint,
+        retention: Duration,
+        now: Instant,
+    ) -> &mut RequestCrashes {
         self.expire(now);
         if !self.requests.contains_key(&request) && self.requests.len() >= MAX_REQUESTS {
             self.evict();
@@ -46,17 +89,13 @@
         let forget_at = now + retention;
         let crashes = self.requests.entry(request).or_insert_with(|| RequestCrashes {
             replicas: Vec::new(),
+            unconfirmed: Vec::new(),
             forget_at,
             crashed_at: now,
             is_answered: false,
         });
         crashes.forget_at = crashes.forget_at.max(forget_at);
-        let is_known = crashes.replicas.iter().any(|known| known == replica);
-        if !is_known && crashes.replicas.len() < MAX_CRASHES {
-            crashes.replicas.push(replica.to_owned());
-            crashes.crashed_at = now;
-            crashes.is_answered = false;
-        }
+        crashes
     }
 
     /// Records that a replica has answered the request, as it does if many clients send the same
@@ -70,7 +109,10 @@
     /// Returns whether the request must not be sent without a permission of the ledger.
     pub fn needs_permission(&self, request: &RequestFingerprint, now: Instant) -> bool {
         let crashes = self.find(request, now);
-        crashes.is_some_and(|known| !known.is_answered && now < known.crashed_at + PERMISSION_TIME)
+        crashes.is_some_and(|known| {
+            let is_recent = now < known.crashed_at + PERMISSION_TIME;
+            !known.replicas.is_empty() && !known.is_answered && is_recent
+        })
     }
 
     /// Forgets the requests whose retention has ended.
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -127,3 +127,23 @@
     assert!(!table.needs_permission(&request, now + PERMISSION_TIME));
     assert_eq!(table.crashes(&request, now + PERMISSION_TIME), 2);
 }
+
+#[test]
+fn unconfirmed_crash_counts_once_another_one_is_known() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    let record = |replica: &str| CrashRecord {
+        tenant: None,
+        request: request(1),
+        replica: replica.to_owned(),
+    };
+    for _ in 0..2 {
+        table.record_unconfirmed(record("a"), CRASH_RETENTION, now);
+    }
+    assert_eq!(table.crashes(&request(1), now), 0);
+    assert!(table.is_suspect(&request(1), now));
+    assert!(!table.needs_permission(&request(1), now));
+    assert!(table.take_confirmed(&request(1)).is_empty());
+    table.record(request(1), "b", CRASH_RETENTION, now);
+    assert_eq!(table.take_confirmed(&request(1)), [record("a")]);
+    assert!(table.take_confirmed(&request(1)).is_empty());
+}
