Gateways: hold a request back while three replicas under it cannot be reached

Replicas that stay cut off are not counted: the request of the test with five cuts is still served.

Not covered: tries at other gateways while the replicas cannot be reached, since nobody knows of an end by then.

--- a/crates/proxy/src/flow/crash/check.rs
+++ b/crates/proxy/src/flow/crash/check.rs
@@ -96,8 +96,9 @@
         Finding::Unconfirmed => record_unconfirmed(&app, request, &subject),
         Finding::NotCrashed => {}
         finding @ (Finding::Running | Finding::Unknown) => {
-            if finding == Finding::Running {
-                end(&app, &open);
+            match finding {
+                Finding::Unknown => app.sends.set_stage(&open, SendStage::Unclear),
+                _ => end(&app, &open),
             }
             if watch_departure(&app, &subject, &open).await {
                 record(&app, &open, request, &subject).await;
@@ -121,7 +122,8 @@
         finding = check(app, open, subject).await;
         match finding {
             Finding::Crashed | Finding::Unconfirmed | Finding::NotCrashed => return finding,
-            Finding::Running | Finding::Unknown => app.sends.set_stage(open, SendStage::Unclear),
+            Finding::Running => app.sends.set_stage(open, SendStage::Unclear),
+            Finding::Unknown => app.sends.set_stage(open, SendStage::Unreachable),
         }
     }
     finding
--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -9,9 +9,9 @@
 mod grant;
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use calicohoist_quarantine::MAX_CRASHES;
+use calicohoist_quarantine::{MAX_CRASHES, RequestFingerprint};
 use calicohoist_routing::Replica;
 use tokio::runtime::Handle;
 
@@ -25,6 +25,9 @@
 use check::{CheckSubject, RequestFailure};
 pub use grant::{SendGrant, count_exposed};
 
+/// How often a request looks whether unreachable replicas have been reached.
+const UNREACHABLE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How a replica closed the connection of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClosedConnection {
@@ -148,9 +151,9 @@
     /// Returns an error if too many replicas have crashed under the request, if a crash under it
     /// could not be recorded, or if the deadline passes.
     pub async fn admit(&mut self, app: &App, call: &Call) -> Result<(), GatewayError> {
-        if app.sends.has_checks() {
-            let checks = app.sends.under_check(&call.fingerprint());
-            let finish = wait_until_checked(&checks);
+        if app.sends.has_pending() {
+            let request = call.fingerprint();
+            let finish = finish_pending(app, &request);
             let finish = tokio::time::timeout_at(call.deadline.into(), finish);
             finish.await.map_err(|_| GatewayError::Deadline)?;
         }
@@ -240,6 +243,20 @@
     }
 }
 
+/// Waits until all replicas under a request have been checked, and until it stays out of quarantine
+/// even if all of them that could not be reached have crashed.
+async fn finish_pending(app: &App, request: &RequestFingerprint) {
+    wait_until_checked(&app.sends.at_stage(request, SendStage::Checking)).await;
+    loop {
+        let unreachable = app.sends.at_stage(request, SendStage::Unreachable).len();
+        let crashes = app.crashes.lock().crashes(request, Instant::now());
+        if unreachable == 0 || crashes + unreachable < MAX_CRASHES {
+            return;
+        }
+        tokio::time::sleep(UNREACHABLE_INTERVAL).await;
+    }
+}
+
 async fn wait_until_checked(sends: &[Arc<OpenSend>]) {
     for open in sends {
         open.checked().await;
--- a/crates/proxy/src/sends.rs
+++ b/crates/proxy/src/sends.rs
@@ -22,7 +22,9 @@
     Running,
     /// The request has failed, and the replica is being checked.
     Checking,
-    /// The replica could not be reached, or may still crash under the request.
+    /// The replica could not be reached, and is being checked again.
+    Unreachable,
+    /// The replica runs and may still crash under the request, or cannot be reached for long.
     Unclear,
     /// The outcome is known.
     Ended,
@@ -99,8 +101,8 @@
 pub struct OpenSends {
     last_number: AtomicU64,
     open: Mutex<HashMap<u64, Arc<OpenSend>>>,
-    /// Number of sends that are being checked.
-    checking: AtomicUsize,
+    /// Number of sends whose replica is being checked or could not be reached.
+    pending: AtomicUsize,
 }
 
 impl OpenSends {
@@ -129,23 +131,22 @@
         if stage == SendStage::Ended {
             self.open.lock().remove(&open.number);
         }
-        let is_checking = stage == SendStage::Checking;
-        self.checking.fetch_add(usize::from(is_checking), Ordering::Relaxed);
+        let is_pending = |stage| matches!(stage, SendStage::Checking | SendStage::Unreachable);
+        self.pending.fetch_add(usize::from(is_pending(stage)), Ordering::Relaxed);
         let previous = open.stage.send_replace(stage);
-        let was_checking = previous == SendStage::Checking;
-        self.checking.fetch_sub(usize::from(was_checking), Ordering::Relaxed);
+        self.pending.fetch_sub(usize::from(is_pending(previous)), Ordering::Relaxed);
     }
 
-    /// Returns whether any replica is being checked.
-    pub fn has_checks(&self) -> bool {
-        self.checking.load(Ordering::Relaxed) > 0
+    /// Returns whether the replica of any send is being checked or could not be reached.
+    pub fn has_pending(&self) -> bool {
+        self.pending.load(Ordering::Relaxed) > 0
     }
 
-    /// Returns the sends of a request whose replicas are being checked.
-    pub fn under_check(&self, request: &RequestFingerprint) -> Vec<Arc<OpenSend>> {
+    /// Returns the sends of a request that are at this stage.
+    pub fn at_stage(&self, request: &RequestFingerprint, stage: SendStage) -> Vec<Arc<OpenSend>> {
         let open = self.open.lock();
-        let checking = open.values().filter(|open| open.stage() == SendStage::Checking);
-        checking.filter(|open| open.fingerprint() == *request).cloned().collect()
+        let at_stage = open.values().filter(|open| open.stage() == stage);
+        at_stage.filter(|open| open.fingerprint() == *request).cloned().collect()
     }
 
     /// Returns the sends without a permission, of any request.
