Connections: complete handshakes under way before the listener is closed

A stopping server accepted until its queue was empty and then closed the listener. The kernel completes handshakes in between; it resets such a connection with the request that its peer has sent.

The listener now drops segments with SYN before that (a socket filter), waits until handshakes under way are completed, accepts the queue, and closes.

The other way that fits, a peer that takes more than 150 ms between connect and request while the server stops, would now be told by the time in the message. The product's own server (crates/http) closes its listener with the same window; read, not changed.

--- a/crates/calicohoist/tests/acknowledged/stops.rs
+++ b/crates/calicohoist/tests/acknowledged/stops.rs
@@ -1,10 +1,10 @@
 //! Operators that keep their connections and send without a pause while machines stop in series.
 
-use std::io::{self, BufReader, ErrorKind, Write as _};
+use std::io::{BufReader, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::support::{Response, client, configuration};
 use crate::{Ledger, STORE_IPS, request};
@@ -26,6 +26,7 @@
             thread::sleep(Duration::from_millis(2));
             continue;
         };
+        let connected_at = Instant::now();
         stream.set_read_timeout(Some(Duration::from_secs(12))).expect("set the read timeout");
         let mut connection = BufReader::new(stream);
         for number in 0.. {
@@ -35,15 +36,16 @@
             } else {
                 request("GET", "/-/config", "")
             };
+            let sent_after = connected_at.elapsed();
             let sent = connection.get_mut().write_all(call.as_bytes());
-            if number == 0 && is_reset(&sent) {
-                // The listener was closed behind the handshake, before anything was sent.
-                break;
-            }
             let response = client::read_response(&mut connection);
             if response.status == 0 || !response.is_complete {
                 let sent = sent.map_err(|error| error.kind());
-                tally.unanswered.push(format!("request {number} of its connection, sent {sent:?}"));
+                tally.unanswered.push(format!(
+                    "request {number} of its connection, sent {sent:?} after {sent_after:?}, ended \
+                     after {:?}",
+                    connected_at.elapsed(),
+                ));
                 break;
             }
             tally.answered += 1;
@@ -55,10 +57,6 @@
     tally
 }
 
-fn is_reset(sent: &io::Result<()>) -> bool {
-    sent.as_ref().is_err_and(|error| error.kind() == ErrorKind::ConnectionReset)
-}
-
 fn closes(response: &Response) -> bool {
     response.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
--- a/crates/connections/src/accept.rs
+++ b/crates/connections/src/accept.rs
@@ -13,6 +13,8 @@
 use crate::connection::{ConnectionSettings, RequestContext, serve};
 use crate::drain::Drain;
 
+/// Time in which a handshake is completed. Longer than a round trip within a region.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
 /// Maximum time for accepting the connections that are queued when the listener is closed.
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(1);
 const QUEUE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -50,6 +52,15 @@
             () = drain.closing() => break,
         }
     }
+    // A connection that is completed between the last accept and the close would be reset, with the
+    // request that its peer may have sent on it.
+    if let Err(error) = tcp::ignore_new_peers(&listener) {
+        emit!(
+            Event::AcceptFailed,
+            "cannot ignore new peers before the listener is closed: {error}"
+        );
+    }
+    tokio::time::sleep(HANDSHAKE_TIME).await;
     // The timeout applies while there is no free file descriptor.
     let _ = tokio::time::timeout(QUEUE_TIMEOUT, accept_queued(listener, spawn)).await;
 }
--- a/crates/connections/tests/draining.rs
+++ b/crates/connections/tests/draining.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_connections::{ConnectionSettings, Drain, DrainStage, accept};
@@ -11,6 +11,12 @@
 use hyper::Response;
 
 const RESPONSE_BYTES: usize = 2 << 20;
+/// Time limit for a connection; shorter than the kernel's, which sends again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+const SERVING_TIME: Duration = Duration::from_millis(10);
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+const LAST_REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 const SETTINGS: ConnectionSettings = ConnectionSettings {
     head_timeout: Duration::from_secs(5),
@@ -26,8 +32,12 @@
 }
 
 async fn serve(listener: std::net::TcpListener, drain: Drain) {
+    serve_body(listener, drain, RESPONSE_BYTES).await;
+}
+
+async fn serve_body(listener: std::net::TcpListener, drain: Drain, bytes: usize) {
     let listener = tokio::net::TcpListener::from_std(listener).expect("register the listener");
-    let body = Bytes::from(vec![b'x'; RESPONSE_BYTES]);
+    let body = Bytes::from(vec![b'x'; bytes]);
     let handler = move |_request, _context| {
         let response = Response::new(Full::new(body.clone()));
         async { response }
@@ -35,6 +45,11 @@
     accept(listener, drain, || SETTINGS, handler).await;
 }
 
+async fn serve_until_closed(listener: std::net::TcpListener, drain: Drain) {
+    serve_body(listener, drain.clone(), 1).await;
+    drain.wait_until_closed(Instant::now() + CLOSE_TIMEOUT).await;
+}
+
 fn run<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.expect("build the runtime").block_on(future)
@@ -82,3 +97,39 @@
     assert_eq!(open, CONNECTIONS);
     drop(streams);
 }
+
+/// Connects and sends a request again and again until no connection is accepted; returns how many
+/// requests stayed without an answer.
+fn send_until_refused(address: SocketAddr) -> usize {
+    let mut unanswered = 0;
+    while let Ok(mut stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) {
+        stream.set_read_timeout(Some(READ_TIMEOUT)).expect("set the read timeout");
+        let sent = stream.write_all(LAST_REQUEST);
+        let mut response = Vec::new();
+        let received = stream.read_to_end(&mut response);
+        unanswered += usize::from(sent.is_err() || received.is_err() || response.is_empty());
+    }
+    unanswered
+}
+
+#[test]
+fn connections_made_while_the_listener_is_closed_are_served() {
+    const ROUNDS: usize = 40;
+    const PEERS: usize = 8;
+    let unanswered: usize = (0..ROUNDS)
+        .map(|_| {
+            let (listener, address) = bind();
+            let drain = Drain::default();
+            thread::scope(|scope| {
+                let peers: Vec<_> =
+                    (0..PEERS).map(|_| scope.spawn(move || send_until_refused(address))).collect();
+                let server_drain = drain.clone();
+                scope.spawn(move || run(serve_until_closed(listener, server_drain)));
+                thread::sleep(SERVING_TIME);
+                drain.advance(DrainStage::Closing);
+                peers.into_iter().map(|peer| peer.join().expect("a peer")).sum::<usize>()
+            })
+        })
+        .sum();
+    assert_eq!(unanswered, 0, "requests without an answer");
+}
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -6,6 +6,7 @@
 
 use calicohoist_telemetry::{Event, emit};
 use rustix::net::sockopt;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Maximum number of connections waiting to be accepted.
@@ -13,6 +14,26 @@
 /// Pause after a failed accept, for example without a free file descriptor.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Classic BPF program that drops segments with the SYN flag. Offsets count from the TCP header.
+mod handshake_filter {
+    use socket2::SockFilter;
+
+    const LOAD_BYTE: u16 = 0x30;
+    const JUMP_IF_ANY_BIT: u16 = 0x45;
+    const RETURN: u16 = 0x06;
+    const FLAGS_OFFSET: u32 = 13;
+    const SYN_FLAG: u32 = 0x02;
+    const DROP: u32 = 0;
+    const KEEP_ALL_BYTES: u32 = u32::MAX;
+
+    pub const PROGRAM: [SockFilter; 4] = [
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_OFFSET),
+        SockFilter::new(JUMP_IF_ANY_BIT, 0, 1, SYN_FLAG),
+        SockFilter::new(RETURN, 0, 0, DROP),
+        SockFilter::new(RETURN, 0, 0, KEEP_ALL_BYTES),
+    ];
+}
+
 /// Connects within `connect_timeout`. The connection fails when sent data stays unacknowledged
 /// for `user_timeout`, for example after a power failure of the peer.
 ///
@@ -51,6 +72,15 @@
     socket.listen(BACKLOG)
 }
 
+/// Ignores peers that begin to connect from now on; handshakes under way are completed. A peer tries
+/// again after a second, and is then refused if the listener is closed.
+///
+/// # Errors
+/// When the kernel does not accept the filter.
+pub fn ignore_new_peers(listener: &TcpListener) -> io::Result<()> {
+    SockRef::from(listener).attach_filter(&handshake_filter::PROGRAM)
+}
+
 /// Accepts a connection. Failures are logged, and the next attempt follows after a pause.
 pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
