Gateways: wait for replicas that closed the connection and cannot be reached

Callers saw more than three replicas end under one request when these closed its connection, could not be reached for a moment, and then ended, while tries reached several gateways. A gateway counted such a replica as possibly lost and sent the request on at once, and failed requests that may not be repeated at once, so that clients sent them to the next gateway. Nothing had ended by then, hence nothing was known anywhere.

A request now waits for its own such replicas before its next attempt and before it fails, for 1 s or two thirds of its time at most. Silence without a closed connection (power loss, freezes) is not waited for. No message is sent.

--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -28,6 +28,10 @@
 /// How often a request looks whether unreachable replicas have been reached.
 const UNREACHABLE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum time for which a request waits for replicas that closed its connection and cannot be
+/// reached.
+const MAX_REACH_TIME: Duration = Duration::from_secs(1);
+
 /// How a replica closed the connection of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClosedConnection {
@@ -95,10 +99,10 @@
     }
 
     /// Checks in the background whether the replica has crashed under the request.
-    fn fail(mut self, failure: RequestFailure) -> Arc<OpenSend> {
+    fn fail(mut self, failure: RequestFailure) -> FailedSend {
         self.has_outcome = true;
         self.check(failure);
-        Arc::clone(&self.open)
+        FailedSend { open: Arc::clone(&self.open), failure }
     }
 
     fn check(&self, failure: RequestFailure) {
@@ -134,12 +138,20 @@
     }
 }
 
+/// An attempt that failed.
+struct FailedSend {
+    open: Arc<OpenSend>,
+    failure: RequestFailure,
+}
+
 /// Follows the attempts of one request.
 #[derive(Default)]
 pub struct CrashMonitor {
     running: Option<RunningRequest>,
-    /// Attempts that failed.
-    failed: Vec<Arc<OpenSend>>,
+    failed: Vec<FailedSend>,
+    /// End of the time for which the request waits for replicas that closed its connection and
+    /// cannot be reached.
+    reach_until: Option<Instant>,
     /// Permission for the next attempt, left by one that did not run.
     grant: Option<SendGrant>,
 }
@@ -153,13 +165,16 @@
     pub async fn admit(&mut self, app: &App, call: &Call) -> Result<(), GatewayError> {
         if app.sends.has_pending() {
             let request = call.fingerprint();
-            let finish = finish_pending(app, &request);
+            let finish = async {
+                self.wait_until_checked().await;
+                finish_pending(app, &request).await;
+            };
             let finish = tokio::time::timeout_at(call.deadline.into(), finish);
             finish.await.map_err(|_| GatewayError::Deadline)?;
         }
         // Other gateways do not count a crash that is not recorded, so the request is not sent again
         // here.
-        if self.failed.iter().any(|open| open.is_unrecorded()) {
+        if self.failed.iter().any(|failed| failed.open.is_unrecorded()) {
             return Err(GatewayError::Unknown);
         }
         reject_quarantined(app, call)
@@ -225,28 +240,49 @@
     }
 
     fn record_failure(&mut self, failure: RequestFailure) {
-        self.failed.extend(self.running.take().map(|running| running.fail(failure)));
+        let Some(running) = self.running.take() else {
+            return;
+        };
+        if matches!(failure, RequestFailure::Closed(_)) {
+            self.reach_until.get_or_insert_with(|| reach_until(running.call.deadline));
+        }
+        self.failed.push(running.fail(failure));
+    }
+
+    /// Waits until the replicas of failed attempts have been checked. One that closed the connection
+    /// and cannot be reached is probably crashing, and is waited for; one that did not respond may
+    /// have lost its power or network.
+    async fn wait_until_checked(&self) {
+        for FailedSend { open, failure } in &self.failed {
+            open.checked().await;
+            if let (RequestFailure::Closed(_), Some(until)) = (failure, self.reach_until) {
+                // Afterwards, the replica counts as unreachable.
+                let _ = tokio::time::timeout_at(until.into(), open.reached()).await;
+            }
+        }
     }
 
     /// Returns whether a replica has or may have crashed under the request.
     pub fn is_suspect(&self, app: &App, call: &Call) -> bool {
-        let is_unclear = |open: &Arc<OpenSend>| open.stage() != SendStage::Ended;
+        let is_unclear = |failed: &FailedSend| failed.open.stage() != SendStage::Ended;
         self.failed.iter().any(is_unclear) || is_known_suspect(app, call)
     }
 
     /// Waits until the replicas have been checked and crashes recorded, at most until the deadline,
     /// before a request fails that its client may send again at once.
     pub async fn finish_before_retry(&self, call: &Call) {
-        let finish = wait_until_checked(&self.failed);
+        let finish = self.wait_until_checked();
         // The checks continue in the background.
         let _ = tokio::time::timeout_at(call.deadline.into(), finish).await;
     }
 }
 
-/// Waits until all replicas under a request have been checked, and until it stays out of quarantine
+/// Waits until all replicas under a request have been checked once, and until it stays out of quarantine
 /// even if all of them that could not be reached have crashed.
 async fn finish_pending(app: &App, request: &RequestFingerprint) {
-    wait_until_checked(&app.sends.at_stage(request, SendStage::Checking)).await;
+    for open in app.sends.at_stage(request, SendStage::Checking) {
+        open.checked().await;
+    }
     loop {
         let unreachable = app.sends.at_stage(request, SendStage::Unreachable).len();
         let crashes = app.crashes.lock().crashes(request, Instant::now());
@@ -257,8 +293,9 @@
     }
 }
 
-async fn wait_until_checked(sends: &[Arc<OpenSend>]) {
-    for open in sends {
-        open.checked().await;
-    }
+/// Returns until when a request waits for unreachable replicas that closed its connection just now.
+/// Leaves time for another attempt.
+fn reach_until(deadline: Instant) -> Instant {
+    let now = Instant::now();
+    now + MAX_REACH_TIME.min(deadline.saturating_duration_since(now) * 2 / 3)
 }
--- a/crates/proxy/src/sends.rs
+++ b/crates/proxy/src/sends.rs
@@ -30,6 +30,13 @@
     Ended,
 }
 
+impl SendStage {
+    /// Returns whether a check will tell more soon.
+    fn is_pending(self) -> bool {
+        matches!(self, Self::Checking | Self::Unreachable)
+    }
+}
+
 /// A request that was sent to a replica.
 pub struct OpenSend {
     number: u64,
@@ -85,6 +92,15 @@
         let _ = stage.wait_for(|stage| *stage != SendStage::Checking).await;
     }
 
+    /// Like [`OpenSend::checked`], and waits on while the replica cannot be reached. The checks bound
+    /// that time.
+    pub async fn reached(&self) {
+        let mut stage = self.stage.subscribe();
+        let is_reached = |stage: &SendStage| !stage.is_pending();
+        // The sender lives as long as `self`.
+        let _ = stage.wait_for(is_reached).await;
+    }
+
     /// Marks that a crash under the request could not be recorded.
     pub fn mark_unrecorded(&self) {
         self.is_unrecorded.store(true, Ordering::Relaxed);
@@ -131,10 +147,9 @@
         if stage == SendStage::Ended {
             self.open.lock().remove(&open.number);
         }
-        let is_pending = |stage| matches!(stage, SendStage::Checking | SendStage::Unreachable);
-        self.pending.fetch_add(usize::from(is_pending(stage)), Ordering::Relaxed);
+        self.pending.fetch_add(usize::from(stage.is_pending()), Ordering::Relaxed);
         let previous = open.stage.send_replace(stage);
-        self.pending.fetch_sub(usize::from(is_pending(previous)), Ordering::Relaxed);
+        self.pending.fetch_sub(usize::from(previous.is_pending()), Ordering::Relaxed);
     }
 
     /// Returns whether the replica of any send is being checked or could not be reached.
