--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -277,8 +277,8 @@
     }
 }
 
-/// Waits until all replicas under a request have been checked once, and until it stays out of quarantine
-/// even if all of them that could not be reached have crashed.
+/// Waits until all replicas under a request have been checked once, and until it stays out of
+/// quarantine even if all of them that could not be reached have crashed.
 async fn finish_pending(app: &App, request: &RequestFingerprint) {
     for open in app.sends.at_stage(request, SendStage::Checking) {
         open.checked().await;
