Gateway: do not send a call to a fourth back end after three were lost under it

A back end counts as lost when it received an attempt and did not answer it; an attempt that it refused or never received does not. After three the call ends with an unknown outcome. A call that is taken over from a lost gateway counts each earlier attempt, since the store does not record which of them were received.

Open: a client that sends the same content under another idempotency key starts a new count.

--- a/crates/gateway/src/core/call.rs
+++ b/crates/gateway/src/core/call.rs
@@ -135,6 +135,8 @@
     pub prefix_len: usize,
     /// Back ends to avoid because an attempt on them failed.
     pub excluded: BTreeSet<String>,
+    /// Number of back ends that received an earlier attempt and did not answer it.
+    pub lost_back_ends: usize,
     /// The complete answer, while it is being stored.
     pub answer: Option<StoredAnswer>,
     /// Failure to report once the unknown outcome is recorded.
@@ -170,6 +172,7 @@
             text: String::new(),
             prefix_len: 0,
             excluded: BTreeSet::new(),
+            lost_back_ends: 0,
             answer: None,
             failure_cause: None,
             cancelled: false,
--- a/crates/gateway/src/core/flow/admit.rs
+++ b/crates/gateway/src/core/flow/admit.rs
@@ -226,6 +226,8 @@
             return;
         };
         self.by_attempt.insert(attempt.clone(), id);
+        // Which of the attempts of another gateway were received is not recorded.
+        call.lost_back_ends = attempt.number.saturating_sub(1) as usize;
         call.attempt = Some(attempt);
         call.admission = Some(admission);
         if previous.is_none() {
--- a/crates/gateway/src/core/flow/run.rs
+++ b/crates/gateway/src/core/flow/run.rs
@@ -1,5 +1,6 @@
 //! Back-end events, retries, and recovery of attempts of other gateways.
 
+use calicohoist_quarantine::MAX_CRASHES;
 use calicohoist_scheduler::backoff;
 use calicohoist_store::broken_rules::{Rule, is_broken};
 use calicohoist_store::commands::program::ProgramCommand;
@@ -96,8 +97,12 @@
             BackendFailure::NothingToResume => repeatable,
             _ => false,
         };
+        let was_received = !never_sent || is_resumption;
+        call.lost_back_ends += usize::from(was_received);
+        let is_quarantined = was_received && call.lost_back_ends >= MAX_CRASHES;
         self.release_slot(now, id);
-        let may_retry = never_sent || (repeatable && !was_lookup && self.retries.withdraw());
+        let may_retry = !is_quarantined
+            && (never_sent || (repeatable && !was_lookup && self.retries.withdraw()));
         if may_retry {
             self.retry(now, id, never_sent);
         } else {
