Connections: close a connection that its peer reset during the response

A stopping process waited for the acknowledgement of bytes that the peer will never read: after a reset, the kernel still reports them as unsent. Such a connection counted as open for the stall timeout (5 s at gateways, 10 s at ledger machines), and the stop took as long. Now it is closed when the socket has no peer any more.

Found by the time that connections_made_while_the_listener_is_closed_are_served took at first, when its peers left early. The time limit in this test file goes from 5 to 60 s, so that none of its tests passes because of it.

--- a/crates/connections/src/linger.rs
+++ b/crates/connections/src/linger.rs
@@ -65,11 +65,16 @@
 }
 
 async fn wait_until_delivered(stream: &TcpStream) {
-    while unacknowledged_bytes(stream) > 0 {
+    while unacknowledged_bytes(stream) > 0 && !is_reset(stream) {
         tokio::time::sleep(DELIVERY_CHECK_INTERVAL).await;
     }
 }
 
+/// The kernel keeps what it did not send, but knows no peer any more.
+fn is_reset(stream: &TcpStream) -> bool {
+    stream.peer_addr().is_err()
+}
+
 /// Returns the number of bytes that the peer has not acknowledged; 0 if the kernel cannot tell.
 fn unacknowledged_bytes(stream: &TcpStream) -> i32 {
     // SAFETY: the kernel writes one `int` for this opcode.
--- a/crates/connections/tests/draining.rs
+++ b/crates/connections/tests/draining.rs
@@ -21,7 +21,7 @@
 const SETTINGS: ConnectionSettings = ConnectionSettings {
     head_timeout: Duration::from_secs(5),
     max_head_bytes: 8 << 10,
-    stall_timeout: Duration::from_secs(5),
+    stall_timeout: Duration::from_secs(60),
 };
 
 fn bind() -> (std::net::TcpListener, SocketAddr) {
@@ -98,6 +98,28 @@
     drop(streams);
 }
 
+/// Otherwise a stopping process waits for peers that are gone.
+#[test]
+fn connection_that_its_peer_reset_during_the_response_is_closed() {
+    let (listener, address) = bind();
+    let drain = Drain::default();
+    let server_drain = drain.clone();
+    thread::spawn(move || {
+        run(async {
+            serve(listener, server_drain.clone()).await;
+            std::future::pending::<()>().await;
+        })
+    });
+    let mut stream = TcpStream::connect(address).expect("connect");
+    stream.write_all(REQUEST).expect("send the request");
+    stream.read_exact(&mut [0; 12]).expect("the start of the response");
+    // The kernel resets a connection that is closed over unread bytes.
+    drop(stream);
+    drain.advance(DrainStage::Closing);
+    run(drain.wait_until_closed(Instant::now() + CLOSE_TIMEOUT));
+    assert_eq!(drain.open_connections(), 0);
+}
+
 /// Connects and sends a request again and again until no connection is accepted; returns how many
 /// requests stayed without an answer.
 fn send_until_refused(address: SocketAddr) -> usize {
