Gateways: one function for the requests that check a replica

check_health built and sent its request as fetch_report does: host header, ready, send. Both now call probe::get, and differ in their headers, time limits and what they read from the response. No change of behaviour.

--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod pool;
+mod probe;
 mod process_check;
 mod start_check;
 
--- a/crates/proxy/src/upstream/process_check.rs
+++ b/crates/proxy/src/upstream/process_check.rs
@@ -10,11 +10,11 @@
 use bytes::Bytes;
 use calicohoist_routing::{Incarnation, Replica};
 use http_body_util::Full;
-use hyper::Request;
+use hyper::HeaderMap;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{HOST, HeaderValue};
 
 use super::pool::{Pool, PooledConnection, open_connection};
+use super::probe;
 use super::start_check::{StartCheck, check_connection};
 use crate::dialect::Dialect;
 
@@ -105,22 +105,13 @@
     path: &str,
 ) -> ProcessState {
     let identity = Incarnation::identity_of(&replica.id);
-    let host = HeaderValue::from_str(&replica.address.to_string());
-    let request = Request::get(path).body(Full::default());
-    let (Ok(host), Ok(mut request)) = (host, request) else {
-        return ProcessState::Unresponsive;
-    };
-    request.headers_mut().insert(HOST, host);
-    dialect.write_expected_replica(request.headers_mut(), identity);
-    let response = async {
-        sender.ready().await?;
-        sender.send_request(request).await
-    };
+    let add_headers = |headers: &mut HeaderMap| dialect.write_expected_replica(headers, identity);
+    let response = probe::get(sender, replica, path, add_headers);
     match tokio::time::timeout(HEALTH_TIMEOUT, response).await {
-        Ok(Ok(response)) => match dialect.is_other_replica(&response.into_parts().0, identity) {
+        Ok(Some(response)) => match dialect.is_other_replica(&response.into_parts().0, identity) {
             true => ProcessState::Restarted,
             false => ProcessState::Running,
         },
-        Ok(Err(_)) | Err(_) => ProcessState::Unresponsive,
+        Ok(None) | Err(_) => ProcessState::Unresponsive,
     }
 }
--- a/crates/proxy/src/upstream/start_check.rs
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use calicohoist_routing::{Incarnation, Replica, StartTime};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::StatusCode;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode};
 
 use super::pool::{Checkout, Pool};
+use super::probe;
 use crate::dialect::Dialect;
 
 /// Timeout of a check, including a new connection.
@@ -87,10 +87,7 @@
     dialect: &dyn Dialect,
     replica: &Replica,
 ) -> Option<Bytes> {
-    let host = HeaderValue::from_str(&replica.address.to_string()).ok()?;
-    let request = Request::get(dialect.report_path()).header(HOST, host);
-    sender.ready().await.ok()?;
-    let response = sender.send_request(request.body(Full::default()).ok()?).await.ok()?;
+    let response = probe::get(sender, replica, dialect.report_path(), |_| {}).await?;
     if response.status() != StatusCode::OK {
         return None;
     }
