--- a/crates/gateway/src/core/flow/run.rs
+++ b/crates/gateway/src/core/flow/run.rs
@@ -99,10 +99,10 @@
         };
         let was_received = !never_sent || is_resumption;
         call.lost_back_ends += usize::from(was_received);
-        let is_quarantined = was_received && call.lost_back_ends >= MAX_CRASHES;
+        let may_run_again = !was_received || call.lost_back_ends < MAX_CRASHES;
         self.release_slot(now, id);
-        let may_retry = !is_quarantined
-            && (never_sent || (repeatable && !was_lookup && self.retries.withdraw()));
+        let may_retry =
+            may_run_again && (never_sent || (repeatable && !was_lookup && self.retries.withdraw()));
         if may_retry {
             self.retry(now, id, never_sent);
         } else {
