--- a/crates/calicohoist/tests/soak/crashes.rs
+++ b/crates/calicohoist/tests/soak/crashes.rs
@@ -21,7 +21,7 @@
 use crate::attempts::{AttemptLog, Submission, exchange_recorded};
 use crate::faults::{Pause, ZONES};
 use crate::support::replica::Exchange;
-use crate::support::{HOST, ListServer, request_head};
+use crate::support::{HOST, ListServer, remove_entry, request_head};
 use crate::timeline::{Disruption, DisruptionKind, Machine};
 use crate::{Records, Shared};
 
@@ -117,12 +117,7 @@
                 remove_entry(instances, id);
                 exchange.wait_for_close();
             }
-            Self::Unreachable => {
-                process.fall_silent();
-                exchange.abort_connection();
-                thread::sleep(SILENCE);
-                process.crash();
-            }
+            Self::Unreachable => exchange.crash_unreachable(SILENCE),
         }
     }
 }
@@ -242,10 +237,6 @@
     format!("f-{number}")
 }
 
-fn remove_entry(instances: &Mutex<Vec<Value>>, id: &str) {
-    instances.lock().retain(|instance| instance["id"] != id);
-}
-
 fn path_of<'a>(exchange: &'a Exchange<'_>) -> &'a str {
     exchange.request.line.split(' ').nth(1).unwrap_or_default()
 }
--- a/crates/connections/tests/draining.rs
+++ b/crates/connections/tests/draining.rs
@@ -55,21 +55,27 @@
     runtime.expect("build the runtime").block_on(future)
 }
 
-/// The request makes the kernel reset the connection if its socket is closed already, which discards
-/// what the peer has not read.
-#[test]
-fn response_in_socket_buffers_survives_a_request_after_the_close() {
+/// Starts a server that keeps its connections, and sends it a request.
+fn start_exchange() -> (Drain, TcpStream) {
     let (listener, address) = bind();
     let drain = Drain::default();
     let server_drain = drain.clone();
     thread::spawn(move || {
         run(async {
-            serve(listener, server_drain.clone()).await;
+            serve(listener, server_drain).await;
             std::future::pending::<()>().await;
         })
     });
     let mut stream = TcpStream::connect(address).expect("connect");
     stream.write_all(REQUEST).expect("send the request");
+    (drain, stream)
+}
+
+/// The request makes the kernel reset the connection if its socket is closed already, which discards
+/// what the peer has not read.
+#[test]
+fn response_in_socket_buffers_survives_a_request_after_the_close() {
+    let (drain, mut stream) = start_exchange();
     let mut received = vec![0; 64 << 10];
     stream.read_exact(&mut received).expect("the start of the response");
     thread::sleep(Duration::from_millis(300));
@@ -101,17 +107,7 @@
 /// Otherwise a stopping process waits for peers that are gone.
 #[test]
 fn connection_that_its_peer_reset_during_the_response_is_closed() {
-    let (listener, address) = bind();
-    let drain = Drain::default();
-    let server_drain = drain.clone();
-    thread::spawn(move || {
-        run(async {
-            serve(listener, server_drain.clone()).await;
-            std::future::pending::<()>().await;
-        })
-    });
-    let mut stream = TcpStream::connect(address).expect("connect");
-    stream.write_all(REQUEST).expect("send the request");
+    let (drain, mut stream) = start_exchange();
     stream.read_exact(&mut [0; 12]).expect("the start of the response");
     // The kernel resets a connection that is closed over unread bytes.
     drop(stream);
