--- a/crates/calicohoist/tests/cluster/mod.rs
+++ b/crates/calicohoist/tests/cluster/mod.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
@@ -26,6 +27,8 @@
 pub const BUILD_UNDER_TEST: &str = env!("CARGO_BIN_EXE_calicohoist");
 pub const GATEWAY_IPS: [&str; 2] = ["127.0.0.21", "127.0.0.22"];
 
+const DEFAULT_MEMORY_MB: usize = 20;
+
 /// Ports, the same on all nodes.
 #[derive(Clone, Copy)]
 pub struct Ports {
@@ -95,6 +98,26 @@
         let _ = kill_process(Pid::from_child(&self.child), signal);
     }
 
+    /// Returns the processor time used so far.
+    pub fn processor_time(&self) -> Duration {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = fs::read_to_string(path).expect("the process runs");
+        // The fields after the name, which is in parentheses, begin with the state.
+        let fields = text.rsplit(')').next().unwrap_or_default().split_whitespace();
+        let ticks: u64 =
+            fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum();
+        Duration::from_secs(ticks) / rustix::param::clock_ticks_per_second() as u32
+    }
+
+    /// Returns the peak of the resident memory in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).expect("the process runs");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<usize>().ok());
+        kib.expect("a peak") << 10
+    }
+
     pub fn terminate(&mut self) -> bool {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, Signal::TERM).expect("signalled");
@@ -114,6 +137,8 @@
     pub ports: Ports,
     /// Address of the platform list given to the nodes, if not that of `platform_list`.
     pub platform_list_address: Option<SocketAddr>,
+    /// Memory of each machine in MiB.
+    pub memory_mb: usize,
 }
 
 impl Cluster {
@@ -124,6 +149,7 @@
             platform_list: ListServer::start(),
             ports: Ports::free(),
             platform_list_address: None,
+            memory_mb: DEFAULT_MEMORY_MB,
         }
     }
 
@@ -163,9 +189,10 @@
             "node_name = \"node-{ip}\"\nip = \"{ip}\"\nzone = \"hall\"\nserves = [{serves}]\n\
              internal_ports = [{internal},{}]\nseeds = [{}]\nbootstrap = {bootstrap}\n{data}\
              [listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n[bounds]\ngrace_s = 8\n\
-             [limits]\nmemory_mb = 20\n[cloud]\naddress = \"{}\"\n",
+             [limits]\nmemory_mb = {}\n[cloud]\naddress = \"{}\"\n",
             internal + 1,
             seeds.join(","),
+            self.memory_mb,
             self.platform_list_address.unwrap_or(self.platform_list.address),
         );
         let file = self.folder.path().join(format!("{ip}.toml"));
