Connections to replicas and the list: limit response heads, pace large responses

What callers saw: beside twelve calls whose replica sends interim responses without end, 22 of about 1,100 requests were served in 3 s; the gateway used 2.69 s of 3 s of its core. The same on the replica list took 2.04 s of 3 s of a ledger machine.

Cause: the HTTP library limits a response head, but discards interim responses without a limit, and a task that always has something to read keeps the thread of the runtime. Nothing limited the time spent on what a server sends.

Change: the new crate outbound holds every HTTP connection to a replica and to the list. A head has 64 KiB together with the interim responses before it, and about a thousand reads; the request then fails with a reason of its own. Pages and reports had size limits already.

Ruled out: a limit on bytes per second, since no figure fits a slow and a fast machine; a limit of the HTTP library, which has none for interim responses.

--- a/crates/calicohoist/tests/endless/main.rs
+++ b/crates/calicohoist/tests/endless/main.rs
@@ -10,6 +10,7 @@
 mod lists;
 mod load;
 
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -27,7 +28,6 @@
 static TURN: Mutex<()> = Mutex::new(());
 
 /// What a process has used during a run.
-#[derive(Debug)]
 struct ProcessCost {
     ip: &'static str,
     elapsed: Duration,
@@ -39,10 +39,17 @@
 impl ProcessCost {
     /// Asserts that the process used no more than its share.
     fn check(&self) {
-        println!("{self:?}");
+        println!("{self}");
         let allowed = self.elapsed * MAX_PROCESSOR_PERCENT / 100;
-        assert!(self.processor_time <= allowed, "{self:?}");
-        assert!(self.peak_memory <= MACHINE_MEMORY_MB << 20, "{self:?}");
+        assert!(self.processor_time <= allowed, "{self}");
+        assert!(self.peak_memory <= MACHINE_MEMORY_MB << 20, "{self}");
+    }
+}
+
+impl fmt::Display for ProcessCost {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { ip, elapsed, processor_time, peak_memory } = self;
+        write!(formatter, "{ip}: {processor_time:?} in {elapsed:?}, {} MiB", peak_memory >> 20)
     }
 }
 
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -15,14 +15,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection};
 use calicohoist_routing::Replica;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::tcp;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::task::JoinSet;
@@ -216,6 +215,7 @@
     is_by_zone: Arc<AtomicBool>,
     /// Skipped entries of the latest complete fetch.
     skipped: Arc<Mutex<SkippedEntries>>,
+    pacer: Arc<ReadPacer>,
 }
 
 impl ListReader {
@@ -227,6 +227,7 @@
             zones: Arc::default(),
             is_by_zone: Arc::default(),
             skipped: Arc::default(),
+            pacer: ReadPacer::new(ReadShare::OF_LIST),
         }
     }
 
@@ -310,23 +311,15 @@
         partial: &mut PartialList,
     ) -> Result<(), ReadError> {
         let stream = tcp::connect(self.address, PAGE_TIMEOUT, PAGE_TIMEOUT).await?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let driver = tokio::spawn(connection);
-        let result = loop {
-            match self.fetch_page(&mut sender, zone, partial).await {
-                Ok(true) => {}
-                Ok(false) => break Ok(()),
-                Err(error) => break Err(error),
-            }
-        };
-        driver.abort();
-        result
+        let mut connection = ServerConnection::open(stream, &self.pacer).await?;
+        while self.fetch_page(&mut connection, zone, partial).await? {}
+        Ok(())
     }
 
     /// Fetches the next page. Returns whether another one follows.
     async fn fetch_page(
         &self,
-        sender: &mut SendRequest<Empty<Bytes>>,
+        connection: &mut ServerConnection<Empty<Bytes>>,
         zone: Option<&str>,
         partial: &mut PartialList,
     ) -> Result<bool, ReadError> {
@@ -334,7 +327,7 @@
             return Err(ReadError::InvalidList);
         }
         let path = self.codec.page_path(zone, partial.token.as_deref());
-        let body = tokio::time::timeout(PAGE_TIMEOUT, self.get(sender, &path));
+        let body = tokio::time::timeout(PAGE_TIMEOUT, self.get(connection, &path));
         let body = body.await.map_err(|_| ReadError::Timeout)??;
         let page = self.codec.parse_page(&body).ok_or(ReadError::InvalidList)?;
         partial.replicas.extend(page.replicas);
@@ -346,13 +339,13 @@
 
     async fn get(
         &self,
-        sender: &mut SendRequest<Empty<Bytes>>,
+        connection: &mut ServerConnection<Empty<Bytes>>,
         path: &str,
     ) -> Result<Bytes, ReadError> {
-        sender.ready().await?;
+        connection.ready().await?;
         let request = Request::get(path).header("host", self.address.to_string());
         let request = request.body(Empty::new()).map_err(|_| ReadError::InvalidList)?;
-        let response = sender.send_request(request).await?;
+        let response = connection.send_request(request).await?;
         if response.status() != StatusCode::OK {
             return Err(ReadError::Status(response.status()));
         }
--- /dev/null
+++ b/crates/outbound/src/lane.rs
@@ -0,0 +1,136 @@
+//! Limits and paces the reading of one connection.
+//!
+//! The head of a response, including interim responses, has a size limit. A body has none here,
+//! since its consumer knows how much of it is needed; but once a response is large, the time spent
+//! on it is limited to the connection's part of a [`ReadPacer`]'s share. The time is measured
+//! rather than the bytes, so that the share holds on slow machines too.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+
+use crate::pacer::ReadPacer;
+
+/// Maximum size of a response head with the interim responses before it, in bytes.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Size in bytes above which a response is large.
+const LARGE_RESPONSE_BYTES: usize = 64 << 10;
+/// Maximum size of one read in bytes.
+const MAX_READ_BYTES: usize = 64 << 10;
+/// Smallest size in bytes as which a read counts, since every read costs time.
+const MIN_READ_COST: usize = 64;
+/// Longest time that is charged at once: that of a scheduling period. A longer one is that of a
+/// suspended process.
+const MAX_CHARGE: Duration = Duration::from_millis(100);
+
+/// The head of a response exceeds [`MAX_HEAD_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("response head too large")]
+pub struct HeadTooLong;
+
+/// Part of a response that a connection receives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResponsePart {
+    Head,
+    Body,
+}
+
+/// Reading state of one connection.
+#[derive(Debug)]
+pub struct ReadLane {
+    pacer: Arc<ReadPacer>,
+    progress: Mutex<ReadProgress>,
+}
+
+#[derive(Debug)]
+struct ReadProgress {
+    part: ResponsePart,
+    /// Cost of the current response in bytes.
+    cost: usize,
+    /// Time by which the connection has used no more than its share; `None` until the response is
+    /// large.
+    even_at: Option<Instant>,
+}
+
+impl ReadProgress {
+    const fn new() -> Self {
+        Self { part: ResponsePart::Head, cost: 0, even_at: None }
+    }
+}
+
+impl ReadLane {
+    /// Creates the state of a connection that has not received anything.
+    pub fn new(pacer: &Arc<ReadPacer>) -> Self {
+        Self { pacer: Arc::clone(pacer), progress: Mutex::new(ReadProgress::new()) }
+    }
+
+    /// Starts to count a new response.
+    pub fn begin_response(&self) {
+        let previous = std::mem::replace(&mut *self.progress.lock(), ReadProgress::new());
+        if previous.even_at.is_some() {
+            self.pacer.end_large_response();
+        }
+    }
+
+    /// Records that the head is complete.
+    pub fn end_head(&self) {
+        self.progress.lock().part = ResponsePart::Body;
+    }
+
+    /// Returns how many bytes the next read may yield.
+    ///
+    /// # Errors
+    /// Returns an error if the head is too long.
+    pub fn read_limit(&self) -> Result<usize, HeadTooLong> {
+        let progress = self.progress.lock();
+        match progress.part {
+            ResponsePart::Body => Ok(MAX_READ_BYTES),
+            ResponsePart::Head => match MAX_HEAD_BYTES.saturating_sub(progress.cost) {
+                0 => Err(HeadTooLong),
+                left => Ok(left),
+            },
+        }
+    }
+
+    /// Records a read of `bytes` bytes.
+    pub fn record_read(&self, bytes: usize, now: Instant) {
+        let mut progress = self.progress.lock();
+        progress.cost = progress.cost.saturating_add(bytes.max(MIN_READ_COST));
+        if progress.cost > LARGE_RESPONSE_BYTES && progress.even_at.is_none() {
+            progress.even_at = Some(now);
+            drop(progress);
+            self.pacer.begin_large_response();
+        }
+    }
+
+    /// Returns whether the response is large, so that time spent on it has to be charged.
+    pub fn is_large(&self) -> bool {
+        self.progress.lock().even_at.is_some()
+    }
+
+    /// Charges time spent on the response, which counts only if the response is large.
+    pub fn charge(&self, spent: Duration, now: Instant) {
+        let mut progress = self.progress.lock();
+        if let Some(even_at) = progress.even_at {
+            let period = self.pacer.charge(spent.min(MAX_CHARGE), now);
+            progress.even_at = Some(even_at.max(now) + period);
+        }
+    }
+
+    /// Returns until when the connection has to pause, if at all: until it has used no more than
+    /// its part of the share, or all connections no more than the share.
+    pub fn pause_until(&self, now: Instant) -> Option<Instant> {
+        let even_at = self.progress.lock().even_at?;
+        let resumes_at = even_at.min(self.pacer.used_up_until()?);
+        (resumes_at > now).then_some(resumes_at)
+    }
+}
+
+impl Drop for ReadLane {
+    fn drop(&mut self) {
+        if self.progress.get_mut().even_at.is_some() {
+            self.pacer.end_large_response();
+        }
+    }
+}
--- /dev/null
+++ b/crates/outbound/src/lib.rs
@@ -0,0 +1,18 @@
+//! Connections to servers that may misbehave.
+//!
+//! A server can send bytes without end: in a response head, as interim responses, in a body. This
+//! crate limits what such a server costs its client:
+//!
+//! - [`lane`]: limits and paces the reading of one connection, as a state machine without I/O;
+//! - [`pacer`]: the share of processor time for large responses of a process;
+//! - [`socket`]: TCP socket that reads within the limits of its lane;
+//! - [`connection`]: HTTP connection on such a socket.
+
+pub mod connection;
+pub mod lane;
+pub mod pacer;
+pub mod socket;
+
+pub use connection::ServerConnection;
+pub use lane::{HeadTooLong, ReadLane};
+pub use pacer::{ReadPacer, ReadShare};
--- a/crates/proxy/src/flow/crash/check.rs
+++ b/crates/proxy/src/flow/crash/check.rs
@@ -155,7 +155,8 @@
         RequestFailure::GivenUp if !has_departed => check_given_up(app, open, subject).await,
         RequestFailure::GivenUp | RequestFailure::Closed(_) => {
             let CheckSubject { replica, health_path, .. } = subject;
-            let process = check_process(app.dialect(), replica, health_path.as_deref()).await;
+            let process =
+                check_process(&app.pool, app.dialect(), replica, health_path.as_deref()).await;
             let finding = assess(open, subject, process, status);
             report(app, open, subject, process, finding);
             finding
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -231,7 +231,9 @@
         ExchangeError::Closed { was_idle: false } => {
             crashes.record_closed(ClosedConnection::WasInUse);
         }
-        ExchangeError::Unknown | ExchangeError::Deadline => crashes.record_given_up(),
+        ExchangeError::Unknown | ExchangeError::HeadTooLong | ExchangeError::Deadline => {
+            crashes.record_given_up();
+        }
     }
 }
 
@@ -259,7 +261,10 @@
             member.penalize(AT_CAPACITY_PENALTY.0, AT_CAPACITY_PENALTY.1);
             attempt_state.rejections += 1;
         }
-        ExchangeError::Unknown | ExchangeError::Unacknowledged | ExchangeError::Closed { .. } => {
+        ExchangeError::Unknown
+        | ExchangeError::HeadTooLong
+        | ExchangeError::Unacknowledged
+        | ExchangeError::Closed { .. } => {
             failure::report(app, &member.replica.id);
             member.penalize(NO_RESPONSE_PENALTY.0, NO_RESPONSE_PENALTY.1);
             attempt_state.record_attempt();
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -7,15 +7,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_outbound::{HeadTooLong, ReadLane};
 use calicohoist_routing::Incarnation;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
 use super::start_check::{StartCheck, check_connection};
-use super::{Checkout, Pool};
+use super::{Checkout, Pool, ReplicaConnection};
 use crate::dialect::{Dialect, OutgoingHead, ResponseHead};
 use crate::fleet::{LoadGuard, Member};
 
@@ -91,6 +91,9 @@
     /// The request was sent and may have run.
     #[error("no answer")]
     Unknown,
+    /// The request was sent and may have run; the head of the response is endless or too large.
+    #[error("response head too large")]
+    HeadTooLong,
     /// The request was sent and may have run; the replica closed the connection.
     #[error("connection closed")]
     Closed {
@@ -109,7 +112,7 @@
     pub response: Response<Incoming>,
     /// Replica that sent the response.
     pub member: Arc<Member>,
-    sender: SendRequest<Full<Bytes>>,
+    sender: ReplicaConnection,
     reuse: ConnectionReuse,
     /// Counts the request as load of the replica.
     _load: LoadGuard,
@@ -123,6 +126,11 @@
 }
 
 impl Exchange {
+    /// Returns the reading state, to which the consumer of the body charges its work.
+    pub fn lane(&self) -> Arc<ReadLane> {
+        Arc::clone(self.sender.lane())
+    }
+
     /// Returns the connection to the pool after the whole body was read.
     pub fn finish(self, pool: &Pool) {
         if let ConnectionReuse::For(keep_alive) = self.reuse {
@@ -203,6 +211,9 @@
     if is_closed_by_peer(error) {
         return ExchangeError::Closed { was_idle };
     }
+    if error.is_parse_too_large() || is_caused_by::<HeadTooLong>(error) {
+        return ExchangeError::HeadTooLong;
+    }
     match io_error_kind(error) {
         Some(io::ErrorKind::TimedOut) => ExchangeError::Unacknowledged,
         _ => ExchangeError::Unknown,
@@ -226,14 +237,20 @@
 
 /// Returns the kind of the I/O error that caused an error, if any.
 fn io_error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
-    let mut source = error.source();
-    while let Some(cause) = source {
-        if let Some(cause) = cause.downcast_ref::<io::Error>() {
-            return Some(cause.kind());
-        }
-        source = cause.source();
-    }
-    None
+    causes(error).find_map(|cause| cause.downcast_ref::<io::Error>()).map(io::Error::kind)
+}
+
+/// Returns whether an error of type `E` caused an error.
+fn is_caused_by<E: Error + 'static>(error: &hyper::Error) -> bool {
+    causes(error).any(|cause| {
+        // The source of an I/O error is that of the error inside, which it does not list itself.
+        let inner = cause.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
+        cause.is::<E>() || inner.is_some_and(|inner| inner.is::<E>())
+    })
+}
+
+fn causes(error: &hyper::Error) -> impl Iterator<Item = &(dyn Error + 'static)> {
+    std::iter::successors(error.source(), |cause: &&(dyn Error + 'static)| (*cause).source())
 }
 
 /// Checks that the response belongs to the request. Otherwise it is ignored and the connection is
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -10,6 +10,6 @@
 pub use exchange::{
     Exchange, ExchangeError, OutgoingRequest, SendProgress, exchange, is_closed_by_peer,
 };
-pub use pool::{Checkout, Pool, PooledConnection};
+pub use pool::{Checkout, Pool, PooledConnection, ReplicaConnection};
 pub use process_check::{ProcessState, check_listener, check_process};
 pub use start_check::{StartCheck, check_start};
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -7,13 +7,13 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection};
 use calicohoist_transport::tcp;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 
 /// Maximum number of idle connections per replica.
@@ -27,18 +27,21 @@
 /// Maximum time for an idle connection to become ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Connection to a replica.
+pub type ReplicaConnection = ServerConnection<Full<Bytes>>;
+
 /// A connection that is ready for a request.
 #[derive(Debug)]
 pub struct PooledConnection {
     /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: ReplicaConnection,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: ReplicaConnection,
     usable_until: Instant,
 }
 
@@ -49,9 +52,17 @@
 }
 
 /// Idle connections by replica id.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
+    /// Shared by all connections to replicas.
+    pacer: Arc<ReadPacer>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self { idle: Mutex::default(), pacer: ReadPacer::new(ReadShare::OF_REPLICAS) }
+    }
 }
 
 /// Which connections [`Pool::check_out`] may return.
@@ -79,11 +90,21 @@
         {
             return Ok(PooledConnection { sender, is_reused: true });
         }
-        open_connection(address).await
+        self.open(address).await
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// Returns an error if the replica refuses the connection or does not respond in time.
+    pub(super) async fn open(&self, address: SocketAddr) -> io::Result<PooledConnection> {
+        let stream = tcp::connect(address, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
+        let sender = ServerConnection::open(stream, &self.pacer).await.map_err(io::Error::other)?;
+        Ok(PooledConnection { sender, is_reused: false })
     }
 
     /// Returns the most recently used idle connection that is ready.
-    async fn idle_connection(&self, replica: &str) -> Option<SendRequest<Full<Bytes>>> {
+    async fn idle_connection(&self, replica: &str) -> Option<ReplicaConnection> {
         loop {
             let mut idle = self.pop(replica)?;
             let ready = tokio::time::timeout(READY_TIMEOUT, idle.sender.ready()).await;
@@ -103,15 +124,11 @@
 
     /// Returns a connection to the pool after a complete response. `keep_alive` is the time that
     /// the replica announced, if any.
-    pub fn check_in(
-        &self,
-        replica: &str,
-        sender: SendRequest<Full<Bytes>>,
-        keep_alive: Option<Duration>,
-    ) {
+    pub fn check_in(&self, replica: &str, sender: ReplicaConnection, keep_alive: Option<Duration>) {
         if sender.is_closed() {
             return;
         }
+        sender.end_response();
         let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
         let usable_until = Instant::now() + keep_alive;
         let mut idle = self.idle.lock();
@@ -150,18 +167,3 @@
         }
     }
 }
-
-/// Opens a connection.
-///
-/// # Errors
-/// Returns an error if the replica refuses the connection or does not respond in time.
-pub(super) async fn open_connection(address: SocketAddr) -> io::Result<PooledConnection> {
-    let stream = tcp::connect(address, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    tokio::spawn(async move {
-        // Errors are reported by the exchange that uses the connection.
-        let _ = connection.await;
-    });
-    Ok(PooledConnection { sender, is_reused: false })
-}
--- a/crates/proxy/src/upstream/probe.rs
+++ b/crates/proxy/src/upstream/probe.rs
@@ -1,17 +1,17 @@
 //! Requests that a gateway sends to a replica on its own account.
 
-use bytes::Bytes;
 use calicohoist_routing::Replica;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 
+use super::ReplicaConnection;
+
 /// Sends a GET request to a replica. `add_headers` adds headers to that of the host. Returns `None`
 /// if there is no response.
 pub(super) async fn get(
-    sender: &mut SendRequest<Full<Bytes>>,
+    sender: &mut ReplicaConnection,
     replica: &Replica,
     path: &str,
     add_headers: impl FnOnce(&mut HeaderMap),
--- a/crates/proxy/src/upstream/process_check.rs
+++ b/crates/proxy/src/upstream/process_check.rs
@@ -7,13 +7,10 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
 use calicohoist_routing::{Incarnation, Replica};
-use http_body_util::Full;
 use hyper::HeaderMap;
-use hyper::client::conn::http1::SendRequest;
 
-use super::pool::{Pool, PooledConnection, open_connection};
+use super::pool::{Pool, PooledConnection, ReplicaConnection};
 use super::probe;
 use super::start_check::{StartCheck, check_connection};
 use crate::dialect::Dialect;
@@ -57,11 +54,12 @@
 /// Opens a connection to a replica, and asks there whether the listed process still runs. The
 /// replica is asked for its start time if the list has one, and otherwise for its health.
 pub async fn check_process(
+    pool: &Pool,
     dialect: &dyn Dialect,
     replica: &Replica,
     health_path: Option<&str>,
 ) -> ProcessState {
-    let mut connection = match connect(replica).await {
+    let mut connection = match connect(pool, replica).await {
         Ok(connection) => connection,
         Err(state) => return state,
     };
@@ -78,7 +76,7 @@
 /// Opens a connection to a replica to find out whether anything listens at its address. The
 /// connection is left to later requests.
 pub async fn check_listener(pool: &Pool, replica: &Replica) -> ProcessState {
-    match connect(replica).await {
+    match connect(pool, replica).await {
         Ok(connection) => {
             pool.check_in(&replica.id, connection.sender, None);
             ProcessState::Running
@@ -87,8 +85,8 @@
     }
 }
 
-async fn connect(replica: &Replica) -> Result<PooledConnection, ProcessState> {
-    match tokio::time::timeout(CONNECT_TIMEOUT, open_connection(replica.address)).await {
+async fn connect(pool: &Pool, replica: &Replica) -> Result<PooledConnection, ProcessState> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, pool.open(replica.address)).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
             Err(ProcessState::Ended)
@@ -99,7 +97,7 @@
 
 /// Asks a replica for its health. Only the listed process handles the request, well or not.
 async fn check_health(
-    sender: &mut SendRequest<Full<Bytes>>,
+    sender: &mut ReplicaConnection,
     dialect: &dyn Dialect,
     replica: &Replica,
     path: &str,
--- a/crates/proxy/src/upstream/start_check.rs
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -6,11 +6,10 @@
 
 use bytes::Bytes;
 use calicohoist_routing::{Incarnation, Replica, StartTime};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
-use hyper::client::conn::http1::SendRequest;
 
-use super::pool::{Checkout, Pool};
+use super::pool::{Checkout, Pool, ReplicaConnection};
 use super::probe;
 use crate::dialect::Dialect;
 
@@ -51,7 +50,7 @@
 
 /// Asks on the given connection, all of whose requests reach the same process.
 pub(super) async fn check_connection(
-    sender: &mut SendRequest<Full<Bytes>>,
+    sender: &mut ReplicaConnection,
     dialect: &dyn Dialect,
     replica: &Replica,
 ) -> StartCheck {
@@ -67,7 +66,7 @@
 }
 
 async fn compare_start(
-    sender: &mut SendRequest<Full<Bytes>>,
+    sender: &mut ReplicaConnection,
     dialect: &dyn Dialect,
     replica: &Replica,
     listed: StartTime,
@@ -83,7 +82,7 @@
 }
 
 async fn fetch_report(
-    sender: &mut SendRequest<Full<Bytes>>,
+    sender: &mut ReplicaConnection,
     dialect: &dyn Dialect,
     replica: &Replica,
 ) -> Option<Bytes> {
