Gateway: responses of unknown length wait for memory when they grow

Seen by callers: beside 40 callers whose responses are chunked bodies without end, a gateway of 260 MB used 718 MB. On the sites' machines such a process is ended, and each request on it is lost.

Cause: a reservation for a response grew without a check, up to 16 MiB each. The reason given was right: two partly read responses that wait for room could wait for each other forever. It bounds nothing, though. The reservation also followed the length, whereas the buffer doubles.

Now a response that grows waits until it fits into the share of large responses. If it doesn't, one at a time has a turn to exceed the limit, provided that the others are within it: so one always makes progress, and what is reserved is at most the limit and one response. The turn ends with the response; if it is still being read after a second while others wait, it gives way, and its request ends with 502. Growth is reserved by the capacity that is allocated, before the data is copied. The first 64 KiB count as a small response, so small ones without a length wait for no endless one. The second is a part of the callers' deadlines, which are seconds; it was not measured.

Evidence: eight bodies of 12 MiB without an end, at a gateway with a limit of 30 MiB (platform/tests/memory.rs): 100,663,296 bytes reserved before, at most 46 MiB after, with a small response without a length served meanwhile. Bound and progress hold for random sequences of operations (crates/proxy/tests/memory.rs).

Ruled out: a limit for each response instead (any number of them is too much), and a wait without a turn (it stalls as described).

The tests of growth call try_grow_to, which is what grow_to was, and assert the same.

--- a/crates/proxy/src/flow/body.rs
+++ b/crates/proxy/src/flow/body.rs
@@ -1,13 +1,10 @@
 //! Reads whole bodies within the memory limit.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 
-use crate::memory::MemoryReservation;
-
-/// Assumed size in bytes of a body of unknown length.
-const DEFAULT_LENGTH: usize = 64 << 10;
+use crate::memory::{MemoryLimitReached, MemoryReservation, UNANNOUNCED_BYTES};
 
 /// Reason for which a body was not read completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -23,16 +20,22 @@
     Truncated,
 }
 
+impl From<MemoryLimitReached> for BodyReadError {
+    fn from(_: MemoryLimitReached) -> Self {
+        Self::MemoryLimit
+    }
+}
+
 /// Returns the number of bytes to reserve before reading a body: its length if known, or an
 /// estimate.
 pub fn expected_bytes(body: &Incoming) -> usize {
     body.size_hint()
         .exact()
-        .map_or(DEFAULT_LENGTH, |exact| usize::try_from(exact).unwrap_or(usize::MAX))
+        .map_or(UNANNOUNCED_BYTES, |exact| usize::try_from(exact).unwrap_or(usize::MAX))
 }
 
 /// Reads a whole body of at most `max_bytes` bytes. If it turns out longer than the reservation,
-/// the reservation grows; for a response that always succeeds.
+/// the reservation grows before more is copied; a response waits for that.
 ///
 /// # Errors
 /// Returns an error if the body is too long, exceeds the memory limit, or ends early.
@@ -42,20 +45,48 @@
     mut reservation: MemoryReservation,
 ) -> Result<Bytes, BodyReadError> {
     // The buffer is not preallocated, since the body may be shorter than announced.
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyReadError::Truncated)?;
+    let mut buffer = Vec::new();
+    while let Some(frame) = next_frame(body, &reservation).await? {
         let Some(data) = frame.data_ref() else {
             continue;
         };
-        let length = bytes.len() + data.len();
+        let length = buffer.len() + data.len();
         if length > max_bytes {
             return Err(BodyReadError::TooLarge);
         }
-        if !reservation.grow_to(length) {
-            return Err(BodyReadError::MemoryLimit);
-        }
-        bytes.extend_from_slice(data);
+        make_room(&mut buffer, length, max_bytes, &mut reservation).await?;
+        buffer.extend_from_slice(data);
+    }
+    Ok(reservation.attach_to(buffer.into()))
+}
+
+/// Reads a frame, unless the body has to give way to others.
+async fn next_frame(
+    body: &mut Incoming,
+    reservation: &MemoryReservation,
+) -> Result<Option<Frame<Bytes>>, BodyReadError> {
+    tokio::select! {
+        biased;
+        () = reservation.revoked() => Err(BodyReadError::MemoryLimit),
+        frame = body.frame() => frame.transpose().map_err(|_| BodyReadError::Truncated),
+    }
+}
+
+/// Reserves and allocates memory for `length` bytes. The capacity doubles, like that of any vector,
+/// but never exceeds what is reserved.
+async fn make_room(
+    buffer: &mut Vec<u8>,
+    length: usize,
+    max_bytes: usize,
+    reservation: &mut MemoryReservation,
+) -> Result<(), BodyReadError> {
+    if length <= buffer.capacity() {
+        return Ok(());
     }
-    Ok(reservation.attach_to(bytes.freeze()))
+    let reserved = reservation.bytes();
+    let max_capacity = if length <= reserved { reserved } else { max_bytes };
+    let capacity = length.max(buffer.capacity() * 2).min(max_capacity);
+    reservation.grow_to(capacity).await?;
+    buffer.reserve_exact(capacity - buffer.len());
+    Ok(())
 }
--- a/crates/proxy/src/flow/buffered.rs
+++ b/crates/proxy/src/flow/buffered.rs
@@ -81,6 +81,11 @@
             attempt_state.crashes.record_given_up();
             return Err(GatewayError::Deadline);
         }
+        Ok(Err(BodyReadError::MemoryLimit)) => {
+            // The replica was not at fault.
+            attempt_state.crashes.record_given_up();
+            return Err(GatewayError::Unknown);
+        }
         Ok(Err(_)) => {
             exchange.member.penalize(PENALTY, PENALTY_DURATION);
             attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -1,7 +1,11 @@
 //! Memory limit for buffered request and response bodies.
 //!
 //! Slow clients and replicas make the gateway buffer data for them. The memory is reserved before
-//! the data is read, so that many of them at a time cannot exhaust the memory of the machine.
+//! the data is read or copied, so that many of them at a time cannot exhaust the memory of the
+//! machine.
+
+mod shares;
+mod usage;
 
 use std::sync::Arc;
 
@@ -9,92 +13,37 @@
 use calicohoist_telemetry::metrics::Gauge;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio::time::Instant;
+
+pub use shares::{MemoryClass, UNANNOUNCED_BYTES};
+pub use usage::TURN_DURATION;
+use usage::{Growth, Holding, MemoryUsage};
 
 /// Limit in percent of the machine's memory. The rest is for sockets, the configuration and the
 /// process itself.
 const LIMIT_PERCENT: usize = 30;
-/// Responses above this fraction of the limit are large.
-const LARGE_RESPONSE_DIVISOR: usize = 16;
 /// Limit in bytes if the memory of the machine is unknown.
 const DEFAULT_LIMIT: usize = 64 << 20;
 
 static RESERVED: Gauge =
     Gauge::new("calicohoist_held_bytes", "Bytes held for callers and replicas");
 
-/// Purpose of reserved memory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemoryClass {
-    /// Body of a request, which may still be rejected.
-    RequestBody,
-    /// Response or part of one, which must be delivered to the client.
-    Response,
-    /// Large response. Limited separately, so that slow readers of large responses do not block
-    /// small ones.
-    LargeResponse,
-}
-
-impl MemoryClass {
-    /// Returns the class of a response of `bytes` bytes.
-    pub fn of_response(bytes: usize, limit: usize) -> Self {
-        if bytes > limit / LARGE_RESPONSE_DIVISOR { Self::LargeResponse } else { Self::Response }
-    }
-
-    /// Returns whether `bytes` more bytes may be reserved. Request bodies get a quarter of the
-    /// limit and responses the rest, so that accepted requests find room for their responses;
-    /// large responses leave a quarter for small ones. If nothing else is reserved in its share, a
-    /// reservation of any size is granted, since it could never succeed otherwise; a large response
-    /// that exceeds its share counts as that share for the others.
-    fn admits(self, bytes: usize, reserved: &BytesByClass, limit: usize) -> bool {
-        let fits = |used: usize, share: usize| used == 0 || used.saturating_add(bytes) <= share;
-        let large_share = limit / 2;
-        let responses_fit = |responses: usize, large_responses: usize| {
-            responses.saturating_add(large_responses.min(large_share)) <= limit / 4 * 3
-        };
-        let BytesByClass { request_bodies, responses, large_responses } = *reserved;
-        match self {
-            Self::RequestBody => fits(request_bodies, limit / 4),
-            Self::Response => {
-                let is_first = responses + large_responses == 0;
-                is_first || responses_fit(responses.saturating_add(bytes), large_responses)
-            }
-            Self::LargeResponse => {
-                fits(large_responses, large_share)
-                    && responses_fit(responses, large_responses.saturating_add(bytes))
-            }
-        }
-    }
-}
-
-/// Reserved bytes by class.
-#[derive(Clone, Copy, Debug, Default)]
-struct BytesByClass {
-    request_bodies: usize,
-    responses: usize,
-    large_responses: usize,
-}
-
-impl BytesByClass {
-    fn class_mut(&mut self, class: MemoryClass) -> &mut usize {
-        match class {
-            MemoryClass::RequestBody => &mut self.request_bodies,
-            MemoryClass::Response => &mut self.responses,
-            MemoryClass::LargeResponse => &mut self.large_responses,
-        }
-    }
-
-    fn sum(&self) -> usize {
-        self.request_bodies + self.responses + self.large_responses
-    }
-}
-
 /// Memory limit of a process, with the current reservations.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit: usize,
-    reserved: Mutex<BytesByClass>,
-    released: Notify,
+    usage: Mutex<MemoryUsage>,
+    /// Memory was released, or the turn to exceed the limit has changed.
+    changed: Notify,
+    /// A turn to exceed the limit was revoked.
+    revoked: Notify,
 }
 
+/// A reservation cannot grow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("memory limit reached")]
+pub struct MemoryLimitReached;
+
 impl MemoryBudget {
     /// Creates a budget for a machine with `memory` bytes of memory, or a default one if that is
     /// unknown.
@@ -104,12 +53,13 @@
 
     /// Creates a budget of `limit` bytes.
     pub fn with_limit(limit: usize) -> Arc<Self> {
-        Arc::new(Self { limit, reserved: Mutex::default(), released: Notify::new() })
+        let usage = Mutex::new(MemoryUsage::new(limit));
+        Arc::new(Self { limit, usage, changed: Notify::new(), revoked: Notify::new() })
     }
 
     /// Returns the number of reserved bytes.
     pub fn reserved(&self) -> usize {
-        self.reserved.lock().sum()
+        self.usage.lock().reserved()
     }
 
     /// Reserves `bytes` bytes if they fit.
@@ -118,34 +68,45 @@
         class: MemoryClass,
         bytes: usize,
     ) -> Option<MemoryReservation> {
-        let mut reserved = self.reserved.lock();
-        if !class.admits(bytes, &reserved, self.limit) {
-            return None;
-        }
-        *reserved.class_mut(class) += bytes;
-        RESERVED.set(reserved.sum() as u64);
-        Some(MemoryReservation { budget: Arc::clone(self), class, bytes })
+        let holding = self.update(|usage| usage.reserve(class, bytes))?;
+        Some(MemoryReservation { budget: Arc::clone(self), holding })
     }
 
     /// Reserves `bytes` bytes for a response or part of one, waiting until they fit.
     pub async fn reserve_response(self: &Arc<Self>, bytes: usize) -> MemoryReservation {
         let class = MemoryClass::of_response(bytes, self.limit);
+        self.wait_for(|| self.try_reserve(class, bytes)).await
+    }
+
+    /// Waits until an attempt to reserve memory succeeds. The response that exceeds the limit gives
+    /// way meanwhile if it takes too long.
+    async fn wait_for<T>(&self, mut attempt: impl FnMut() -> Option<T>) -> T {
         loop {
-            // Registered before the attempt, so that no release in between is missed.
-            let released = self.released.notified();
-            if let Some(reservation) = self.try_reserve(class, bytes) {
-                return reservation;
+            // Registered before the attempt, so that no change in between is missed.
+            let changed = self.changed.notified();
+            if let Some(result) = attempt() {
+                return result;
+            }
+            let turn_end = self.usage.lock().turn_end();
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(turn_end.unwrap_or_else(Instant::now)),
+                    if turn_end.is_some() => self.revoke_turn(),
             }
-            released.await;
         }
     }
 
-    fn release(&self, class: MemoryClass, bytes: usize) {
-        let mut reserved = self.reserved.lock();
-        *reserved.class_mut(class) -= bytes;
-        RESERVED.set(reserved.sum() as u64);
-        drop(reserved);
-        self.released.notify_waiters();
+    fn revoke_turn(&self) {
+        if self.usage.lock().revoke_turn(Instant::now()) {
+            self.revoked.notify_waiters();
+        }
+    }
+
+    fn update<T>(&self, change: impl FnOnce(&mut MemoryUsage) -> T) -> T {
+        let mut usage = self.usage.lock();
+        let result = change(&mut usage);
+        RESERVED.set(usage.reserved() as u64);
+        result
     }
 }
 
@@ -153,42 +114,66 @@
 #[derive(Debug)]
 pub struct MemoryReservation {
     budget: Arc<MemoryBudget>,
-    class: MemoryClass,
-    bytes: usize,
+    holding: Holding,
 }
 
 impl MemoryReservation {
-    /// Attaches the reservation to `bytes`. It is released when the last handle to them is
-    /// dropped, which a connection does after writing them.
+    /// Returns the number of reserved bytes.
+    pub fn bytes(&self) -> usize {
+        self.holding.bytes
+    }
+
+    /// Attaches the reservation to `bytes`, which are complete. It is released when the last handle
+    /// to them is dropped, which a connection does after writing them.
     pub fn attach_to(self, bytes: Bytes) -> Bytes {
+        self.budget.usage.lock().end_turn(&self.holding);
+        self.budget.changed.notify_waiters();
         Bytes::from_owner(ReservedBytes { bytes, _reservation: self })
     }
 
-    /// Grows the reservation to at least `bytes` bytes; returns whether that succeeded. For
-    /// responses it always succeeds, since two partially read responses could wait for each other
-    /// forever; one that becomes large counts as a large one from then on.
-    pub fn grow_to(&mut self, bytes: usize) -> bool {
-        let more = bytes.saturating_sub(self.bytes);
-        let mut reserved = self.budget.reserved.lock();
-        let may_fail = self.class == MemoryClass::RequestBody && more > 0;
-        if may_fail && !self.class.admits(more, &reserved, self.budget.limit) {
-            return false;
+    /// Grows the reservation to at least `bytes` bytes, waiting until there is room. One response
+    /// at a time may exceed the limit, since two partly read ones could wait for each other forever.
+    ///
+    /// # Errors
+    /// Returns an error if the reservation is for a request body, which does not wait.
+    pub async fn grow_to(&mut self, bytes: usize) -> Result<(), MemoryLimitReached> {
+        if self.try_grow_to(bytes) {
+            return Ok(());
+        }
+        if self.holding.class == MemoryClass::RequestBody {
+            return Err(MemoryLimitReached);
+        }
+        let budget = Arc::clone(&self.budget);
+        budget.wait_for(|| self.try_grow_to(bytes).then_some(())).await;
+        Ok(())
+    }
+
+    /// Grows the reservation to at least `bytes` bytes if there is room, or if it may exceed the
+    /// limit; returns whether that succeeded.
+    pub fn try_grow_to(&mut self, bytes: usize) -> bool {
+        if bytes <= self.holding.bytes {
+            return true;
         }
-        let earlier_class = self.class;
-        *reserved.class_mut(earlier_class) -= self.bytes;
-        self.bytes += more;
-        if self.class == MemoryClass::Response {
-            self.class = MemoryClass::of_response(self.bytes, self.budget.limit);
+        let Self { budget, holding } = self;
+        let growth = budget.update(|usage| usage.grow(holding, bytes, Instant::now()));
+        if growth != Growth::Refused {
+            // Others may take the turn or have to watch a new one, and a response that has become
+            // large leaves room for small ones.
+            budget.changed.notify_waiters();
         }
-        *reserved.class_mut(self.class) += self.bytes;
-        RESERVED.set(reserved.sum() as u64);
-        let has_moved = self.class != earlier_class;
-        drop(reserved);
-        if has_moved {
-            // A large response may count less for the others than it did as a small one.
-            self.budget.released.notify_waiters();
+        growth == Growth::Granted
+    }
+
+    /// Waits until this response has to give way, because it exceeds the limit for too long while
+    /// others wait. It must then be dropped.
+    pub async fn revoked(&self) {
+        loop {
+            let revoked = self.budget.revoked.notified();
+            if self.budget.usage.lock().is_revoked(&self.holding) {
+                return;
+            }
+            revoked.await;
         }
-        true
     }
 }
 
@@ -205,6 +190,8 @@
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.budget.release(self.class, self.bytes);
+        let Self { budget, holding } = self;
+        budget.update(|usage| usage.shrink(holding, 0));
+        budget.changed.notify_waiters();
     }
 }
