HTTP client: bound the time, the size and the head of a response

What callers saw: with a back end whose response never ends, or arrives a byte at a time, a thread of the gateway's pool never came back: attempts and probes waited behind it, and the bytes cost a core and memory without a limit.

Cause: attohttpc has a time limit for each read, none for a response or for sending a request. It passes over header lines with an invalid name without counting them, takes `100 Continue` for the final response, and the client then read the body of that error to its end.

Ruled out: attohttpc's own options. `timeout` takes a thread for each request, does not bound bytes, and leaves a write to a closed window waiting until then; `max_headers` does not count the lines above, and there is no option for the bytes of a head. Header lines with valid names, lines without an end and chunk extensions were bounded before; their tests guard that.

Fix: the client reads responses itself with httparse, which hyper uses already, over a socket that counts bytes and ends at a deadline. A response is counted as received, so that heads, chunk sizes and extensions cannot be used to pass the limit. A head with its interim responses has 64 KiB; an error body 64 KiB and half a second, so that it does not delay the status. Streams restart the time limit when they make progress.

Changes of behaviour: a time-out while connecting counts as not connected, as the request was not sent. A body that ends early is an error. Interim responses are skipped. Proxy variables of the environment are ignored. attohttpc is no longer a dependency.

--- a/crates/calicohoist/src/cli/operator.rs
+++ b/crates/calicohoist/src/cli/operator.rs
@@ -3,8 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use attohttpc::Method;
-use calicohoist_http::{ClientError, HttpClient};
+use calicohoist_http::{ClientError, HttpClient, Method};
 use calicohoist_types::{Finding, Findings, ResourceKind};
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
@@ -158,11 +157,11 @@
     let DeclaredResource { line, kind, name, spec } = resource;
     let path = format!("/apis/v1/{kind}/{name}?dry_run={dry_run}");
     let client = client(target).with_header(REQUEST_ID_HEADER, request_id());
-    let response = client.request_json(Method::PUT, &path, spec)?;
+    let response = client.request_json(Method::Put, &path, spec)?;
     if response.is_success() {
         return Ok(Vec::new());
     }
-    let body: Value = response.json().unwrap_or_default();
+    let body: Value = response.read_json().unwrap_or_default();
     let mut findings: Vec<Finding> =
         serde_json::from_value(body["error"]["findings"].clone()).unwrap_or_default();
     if findings.is_empty() {
--- a/crates/gateway/src/backend/engine.rs
+++ b/crates/gateway/src/backend/engine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use calicohoist_http::{ClientError, EventReader, HttpClient, STREAM_DONE};
+use calicohoist_http::{ClientError, EventReader, HttpClient, ResponseBody, STREAM_DONE};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::backend_api::{CacheListing, CacheReleased, LoadReport};
 use calicohoist_types::openai::{
@@ -27,7 +27,7 @@
     }
 }
 
-type Events = EventReader<attohttpc::ResponseReader>;
+type Events = EventReader<ResponseBody>;
 
 fn client(address: SocketAddr, read_timeout: Duration) -> HttpClient {
     HttpClient::new(address, CONNECT_TIMEOUT, read_timeout)
@@ -59,7 +59,9 @@
 /// Maps a client error: an engine sends an error status only before it starts a request.
 fn classify_error(error: &ClientError) -> BackendFailure {
     match error {
-        ClientError::NotConnected(_) | ClientError::Status { .. } => BackendFailure::NotStarted,
+        ClientError::InvalidRequest(_)
+        | ClientError::NotConnected(_)
+        | ClientError::Status { .. } => BackendFailure::NotStarted,
         ClientError::Broken(_) | ClientError::Malformed(_) => BackendFailure::Broken,
     }
 }
@@ -85,6 +87,7 @@
             let start = offset;
             offset += text.len();
             report(BackendEvent::Text { offset: start, text });
+            events.restart_timeout();
         }
         if let (Some(reason), Some(usage)) = (chunk.finish_reason(), chunk.usage) {
             return report(BackendEvent::Done {
--- a/crates/gateway/src/backend/service.rs
+++ b/crates/gateway/src/backend/service.rs
@@ -36,7 +36,7 @@
         input: task.input.clone(),
     };
     let result = client.post::<_, JobResult>("/v1/jobs", &job).map_err(|error| match error {
-        ClientError::NotConnected(_) => BackendFailure::NotStarted,
+        ClientError::InvalidRequest(_) | ClientError::NotConnected(_) => BackendFailure::NotStarted,
         // Replicas send 503 only before a job starts; other errors may come later.
         ClientError::Status { status: 503, .. } => BackendFailure::NotStarted,
         _ => BackendFailure::Broken,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,27 +1,33 @@
-//! HTTP client based on `attohttpc`, whose errors tell whether a request may have reached the
-//! server.
+//! HTTP client whose errors tell whether a request may have reached the server, and whose requests
+//! end in bounded time and memory whatever the server sends.
 
-use std::io;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use attohttpc::{ErrorKind, Method, RequestBuilder, ResponseReader};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::events::EventReader;
+use crate::limited_stream::{LimitedStream, ResponseLimits};
+use crate::request::{EncodedRequest, Method};
+use crate::response::{Response, ResponseBody};
 
-/// JSON responses are read up to this size, in bytes.
+/// Default of the maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 
 /// Error of a request.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
+    /// The request cannot be encoded; it was not sent.
+    #[error("invalid request: {0}")]
+    InvalidRequest(String),
     /// The connection could not be established; the server did not receive the request.
     #[error("cannot connect: {0}")]
     NotConnected(String),
-    /// The connection failed or timed out; the server may have processed the request.
-    #[error("connection failed or timed out: {0}")]
+    /// The connection failed or timed out, or the response exceeded a limit; the server may have
+    /// processed the request.
+    #[error("no complete response: {0}")]
     Broken(String),
     /// The server responded with a status other than 2xx.
     #[error("status {status}: {body}")]
@@ -37,30 +43,27 @@
 }
 
 impl ClientError {
-    /// Returns whether the request is known not to have been response.
+    /// Returns whether the request is known not to have been sent.
     pub fn never_sent(&self) -> bool {
-        matches!(self, Self::NotConnected(_))
+        matches!(self, Self::InvalidRequest(_) | Self::NotConnected(_))
     }
 }
 
 /// HTTP client for one server address.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    base: String,
+    address: SocketAddr,
     connect_timeout: Duration,
-    read_timeout: Duration,
+    limits: ResponseLimits,
     headers: Vec<(&'static str, String)>,
 }
 
 impl HttpClient {
-    /// Creates a client for the server at `address`.
-    pub fn new(address: SocketAddr, connect_timeout: Duration, read_timeout: Duration) -> Self {
-        Self {
-            base: format!("http://{address}"),
-            connect_timeout,
-            read_timeout,
-            headers: Vec::new(),
-        }
+    /// Creates a client for the server at `address`. `timeout` limits the whole time from connecting
+    /// to the end of the response, unless it is restarted.
+    pub fn new(address: SocketAddr, connect_timeout: Duration, timeout: Duration) -> Self {
+        let limits = ResponseLimits { timeout, max_bytes: MAX_RESPONSE_BYTES };
+        Self { address, connect_timeout, limits, headers: Vec::new() }
     }
 
     /// Adds a header to every request.
@@ -70,13 +73,19 @@
         self
     }
 
+    /// Sets the maximum size of a response, including its head and framing, in bytes.
+    #[must_use]
+    pub fn with_max_response_bytes(mut self, max_bytes: u64) -> Self {
+        self.limits.max_bytes = max_bytes;
+        self
+    }
+
     /// Sends `GET path` and parses the response as JSON.
     ///
     /// # Errors
     /// See [`ClientError`].
     pub fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
-        let response = self.send_empty(Method::GET, path)?;
-        read_json(response)
+        self.send_empty(Method::Get, path)?.read_json()
     }
 
     /// Sends `DELETE path` and parses the response as JSON.
@@ -84,8 +93,7 @@
     /// # Errors
     /// See [`ClientError`].
     pub fn delete<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
-        let response = self.send_empty(Method::DELETE, path)?;
-        read_json(response)
+        self.send_empty(Method::Delete, path)?.read_json()
     }
 
     /// Sends `POST path` with a JSON body and parses the response as JSON.
@@ -97,7 +105,7 @@
         path: &str,
         body: &B,
     ) -> Result<T, ClientError> {
-        self.send_json(Method::POST, path, body).and_then(read_json)
+        self.send_json(Method::Post, path, body)?.read_json()
     }
 
     /// Sends `PUT path` with a JSON body and parses the response as JSON.
@@ -109,7 +117,7 @@
         path: &str,
         body: &B,
     ) -> Result<T, ClientError> {
-        self.send_json(Method::PUT, path, body).and_then(read_json)
+        self.send_json(Method::Put, path, body)?.read_json()
     }
 
     /// Sends `POST path` with a JSON body and reads the response as an event stream.
@@ -120,33 +128,30 @@
         &self,
         path: &str,
         body: &B,
-    ) -> Result<EventReader<ResponseReader>, ClientError> {
-        let response = self.send_json(Method::POST, path, body)?;
-        Ok(EventReader::new(response.split().2))
+    ) -> Result<EventReader<ResponseBody>, ClientError> {
+        self.send_json(Method::Post, path, body).map(Response::into_events)
     }
 
     /// Sends `GET path` and reads the response as an event stream.
     ///
     /// # Errors
     /// See [`ClientError`].
-    pub fn get_event_stream(&self, path: &str) -> Result<EventReader<ResponseReader>, ClientError> {
-        let response = self.send_empty(Method::GET, path)?;
-        Ok(EventReader::new(response.split().2))
+    pub fn get_event_stream(&self, path: &str) -> Result<EventReader<ResponseBody>, ClientError> {
+        self.send_empty(Method::Get, path).map(Response::into_events)
     }
 
     /// Sends `body` as JSON and returns the response, regardless of its status.
     ///
     /// # Errors
-    /// Returns [`ClientError::NotConnected`] or [`ClientError::Broken`].
+    /// See [`ClientError`]; never returns [`ClientError::Status`].
     pub fn request_json<B: Serialize>(
         &self,
         method: Method,
         path: &str,
         body: &B,
-    ) -> Result<attohttpc::Response, ClientError> {
-        let request = self.builder(method, path);
-        let request = request.json(body).map_err(classify_error)?;
-        request.send().map_err(classify_error)
+    ) -> Result<Response, ClientError> {
+        let request = EncodedRequest::new(method, path, self.address, &self.headers)?;
+        self.exchange(&request.with_json(body)?)
     }
 
     fn send_json<B: Serialize>(
@@ -154,62 +159,20 @@
         method: Method,
         path: &str,
         body: &B,
-    ) -> Result<attohttpc::Response, ClientError> {
-        self.request_json(method, path, body).and_then(check_status)
-    }
-
-    fn send_empty(&self, method: Method, path: &str) -> Result<attohttpc::Response, ClientError> {
-        let response = self.builder(method, path).send().map_err(classify_error);
-        response.and_then(check_status)
-    }
-
-    fn builder(&self, method: Method, path: &str) -> RequestBuilder {
-        let mut builder = RequestBuilder::new(method, format!("{}{path}", self.base))
-            .connect_timeout(self.connect_timeout)
-            .read_timeout(self.read_timeout)
-            .follow_redirects(false);
-        for (name, value) in &self.headers {
-            builder = builder.header(*name, value.as_str());
-        }
-        builder
+    ) -> Result<Response, ClientError> {
+        self.request_json(method, path, body)?.require_success()
     }
-}
 
-fn check_status(response: attohttpc::Response) -> Result<attohttpc::Response, ClientError> {
-    if response.is_success() {
-        return Ok(response);
+    fn send_empty(&self, method: Method, path: &str) -> Result<Response, ClientError> {
+        let request = EncodedRequest::new(method, path, self.address, &self.headers)?;
+        self.exchange(&request.without_body())?.require_success()
     }
-    let status = response.status().as_u16();
-    let body = response.text().unwrap_or_default();
-    Err(ClientError::Status { status, body })
-}
 
-fn read_json<T: DeserializeOwned>(response: attohttpc::Response) -> Result<T, ClientError> {
-    use std::io::Read;
-    let mut body = Vec::new();
-    let mut reader = response.split().2.take(MAX_RESPONSE_BYTES);
-    reader.read_to_end(&mut body).map_err(|error| ClientError::Broken(error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| ClientError::Malformed(error.to_string()))
-}
-
-fn classify_error(error: attohttpc::Error) -> ClientError {
-    let message = error.to_string();
-    match error.kind() {
-        ErrorKind::ConnectNotSupported | ErrorKind::InvalidBaseUrl | ErrorKind::InvalidUrlHost => {
-            ClientError::NotConnected(message)
-        }
-        ErrorKind::Io(source) if is_connect_failure(source) => ClientError::NotConnected(message),
-        _ => ClientError::Broken(message),
+    fn exchange(&self, request: &[u8]) -> Result<Response, ClientError> {
+        let stream = LimitedStream::connect(self.address, self.connect_timeout, self.limits);
+        let mut stream = stream.map_err(|error| ClientError::NotConnected(error.to_string()))?;
+        let sent = stream.write_all(request);
+        sent.map_err(|error| ClientError::Broken(error.to_string()))?;
+        Response::receive(stream).map_err(|error| ClientError::Broken(error.to_string()))
     }
 }
-
-/// Returns whether `error` can only occur while a connection is being established.
-fn is_connect_failure(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        io::ErrorKind::ConnectionRefused
-            | io::ErrorKind::HostUnreachable
-            | io::ErrorKind::NetworkUnreachable
-            | io::ErrorKind::AddrNotAvailable
-    )
-}
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::exchange::HeaderPair;
+use crate::response::ResponseBody;
 
 /// Maximum length of a line of an event stream, in bytes.
 const MAX_LINE_BYTES: u64 = 8 << 20;
@@ -80,6 +81,13 @@
     input: BufReader<R>,
 }
 
+impl EventReader<ResponseBody> {
+    /// Restarts the time limit of the client, for a stream that makes progress.
+    pub fn restart_timeout(&mut self) {
+        self.input.get_mut().restart_timeout();
+    }
+}
+
 impl<R: Read> EventReader<R> {
     /// Creates a reader of `input`.
     pub fn new(input: R) -> Self {
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -143,6 +143,7 @@
     let mut events = client.post_event_stream("/v1/chat/completions", request)?;
     let mut is_complete = false;
     while let Some(data) = events.next_data()? {
+        events.restart_timeout();
         is_complete |= data == calicohoist_http::STREAM_DONE;
     }
     if is_complete {
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -1,16 +1,14 @@
 //! Client of the gateway API that retries calls, resumes interrupted streams and records
 //! every attempt.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use attohttpc::{Method, Response};
 use calicohoist_emulator::RealClock;
 use calicohoist_gateway::api::services::{ServiceReply, ServiceRequest};
-use calicohoist_http::{ClientError, EventReader, HttpClient, STREAM_DONE};
+use calicohoist_http::{ClientError, HttpClient, Method, Response, STREAM_DONE};
 use calicohoist_types::openai::{
     ChatChunk, ChatRequest, ErrorBody, HEADER_KEY, HEADER_PROGRAM, HEADER_REPEATABLE,
     HEADER_SEQUENCE, HEADER_TENANT,
@@ -204,13 +202,13 @@
             CallInput::Model { model, messages } => {
                 let request = ChatRequest::streamed(model, messages);
                 let path = "/v1/chat/completions";
-                let response = client.request_json(Method::POST, path, &request);
+                let response = client.request_json(Method::Post, path, &request);
                 self.read_model_response(response, gateway, sequence, disconnect)
             }
             CallInput::Service { service, input } => {
                 let request = ServiceRequest { input: input.clone() };
                 let path = format!("/v1/services/{service}");
-                read_service_response(client.request_json(Method::POST, &path, &request))
+                read_service_response(client.request_json(Method::Post, &path, &request))
             }
         };
         std::thread::sleep(self.context.delay);
@@ -256,7 +254,7 @@
             self.program,
             text.len()
         );
-        let response = self.client(gateway).request_json(Method::GET, &path, &());
+        let response = self.client(gateway).request_json(Method::Get, &path, &());
         match response {
             Ok(response) if response.is_success() => read_stream(response, &mut text, false),
             Ok(response) => read_error_response(response),
@@ -320,7 +318,7 @@
 const CHUNKS_BEFORE_DISCONNECT: usize = 3;
 
 fn read_stream(response: Response, text: &mut String, disconnect: bool) -> CallResult {
-    let mut events = EventReader::new(response.split().2);
+    let mut events = response.into_events();
     let mut finish_reason = None;
     let mut usage = Usage::default();
     let mut chunks = 0;
@@ -329,6 +327,7 @@
             Ok(Some(data)) => data,
             Ok(None) | Err(_) => return CallResult::Cut,
         };
+        events.restart_timeout();
         if data == STREAM_DONE {
             let finish_reason = finish_reason.unwrap_or_default();
             return CallResult::Answered { text: std::mem::take(text), finish_reason, usage };
@@ -355,7 +354,7 @@
 
 fn read_service_response(response: Result<Response, ClientError>) -> CallResult {
     match response {
-        Ok(response) if response.is_success() => match response.json::<ServiceReply>() {
+        Ok(response) if response.is_success() => match response.read_json::<ServiceReply>() {
             Ok(reply) => CallResult::Answered {
                 text: reply.output,
                 finish_reason: "stop".to_owned(),
@@ -369,11 +368,9 @@
 }
 
 fn read_error_response(response: Response) -> CallResult {
-    let mut body = Vec::new();
-    let read = response.split().2.read_to_end(&mut body);
-    match (read, serde_json::from_slice::<ErrorBody>(&body)) {
-        (Ok(_), Ok(error)) => refusal_from_body(&error),
-        _ => CallResult::Cut,
+    match response.read_json::<ErrorBody>() {
+        Ok(error) => refusal_from_body(&error),
+        Err(_) => CallResult::Cut,
     }
 }
 
