Streams: end one that exceeds its tokens or sends no event

What callers saw: beside an engine that sends text beyond max_tokens, chunks without text or comments without end, threads of the gateway's attempts stay busy, each with a line of up to 8 MiB.

Cause: the reader of events skipped comments and empty lines without counting them, and its limit held for a line. The client of engines had no limit on the text or on the bytes of a stream.

Ruled out: trickles of comments, empty chunks and a single event.

Fix: an event with what precedes it has 1 MiB, as at the gateways of the platform. A stream has a size for each token that it may generate, so that its whole cost is bounded, and the text of its tokens a smaller one. The time limit restarts with text only, as the core's does. A stream that exceeds a limit breaks its attempt, and the reason is logged.

--- a/crates/gateway/src/backend/engine.rs
+++ b/crates/gateway/src/backend/engine.rs
@@ -14,6 +14,13 @@
 use super::{CONNECT_TIMEOUT, CONTROL_TIMEOUT};
 use crate::core::message::{BackendEvent, BackendFailure, EngineReport, EngineTask};
 
+/// Maximum length of the text of a token, in bytes.
+const MAX_TOKEN_BYTES: u64 = 256;
+/// Maximum size of the events of a token, including those that keep its connection alive, in bytes.
+const MAX_TOKEN_EVENT_BYTES: u64 = 16 << 10;
+/// Maximum size of a stream without the events of tokens, in bytes.
+const MAX_STREAM_OVERHEAD_BYTES: u64 = 1 << 20;
+
 /// Runs a task on an engine; the last event passed to `report` ends the attempt.
 pub fn run(task: &EngineTask, read_timeout: Duration, mut report: impl FnMut(BackendEvent)) {
     let opened = match &task.resume {
@@ -33,11 +40,18 @@
     HttpClient::new(address, CONNECT_TIMEOUT, read_timeout)
 }
 
+/// Client of streams, which end when they exceed what `max_tokens` tokens can need.
+fn stream_client(task: &EngineTask, timeout: Duration) -> HttpClient {
+    let max_token_bytes = task.max_tokens.saturating_mul(MAX_TOKEN_EVENT_BYTES);
+    client(task.address, timeout)
+        .with_max_response_bytes(max_token_bytes.saturating_add(MAX_STREAM_OVERHEAD_BYTES))
+}
+
 fn start(task: &EngineTask, read_timeout: Duration) -> Result<Events, BackendFailure> {
     let mut request = ChatRequest::streamed(task.model.as_str(), &task.prompt);
     request.max_tokens = Some(task.max_tokens);
     request.continuation = task.continuation.clone();
-    let client = client(task.address, read_timeout)
+    let client = stream_client(task, read_timeout)
         .with_header(HEADER_ENGINE_ATTEMPT, task.attempt.to_string())
         .with_header(HEADER_ENGINE_PROGRAM, task.attempt.call.program.as_str())
         .with_header(HEADER_ENGINE_PRIORITY, task.priority.to_string());
@@ -51,8 +65,8 @@
     earlier: &AttemptId,
     read_timeout: Duration,
 ) -> Result<Events, BackendFailure> {
-    let opened =
-        client(task.address, read_timeout).get_event_stream(&format!("/v1/attempts/{earlier}"));
+    let path = format!("/v1/attempts/{earlier}");
+    let opened = stream_client(task, read_timeout).get_event_stream(&path);
     opened.map_err(|_| BackendFailure::NothingToResume)
 }
 
@@ -72,9 +86,10 @@
     mut events: Events,
     report: &mut impl FnMut(BackendEvent),
 ) {
+    let max_text_bytes = task.max_tokens.saturating_mul(MAX_TOKEN_BYTES);
     let mut offset = if task.resume.is_some() { 0 } else { task.continuation.len() };
     loop {
-        let chunk = match next_chunk(&mut events) {
+        let chunk = match next_chunk(&mut events, expected) {
             Some(chunk) => chunk,
             None => return report(BackendEvent::Failed(BackendFailure::Broken)),
         };
@@ -86,6 +101,10 @@
         if !text.is_empty() {
             let start = offset;
             offset += text.len();
+            if offset as u64 > max_text_bytes {
+                emit!(Event::StreamBroken, "{expected}: more than {max_text_bytes} bytes of text");
+                return report(BackendEvent::Failed(BackendFailure::Broken));
+            }
             report(BackendEvent::Text { offset: start, text });
             events.restart_timeout();
         }
@@ -98,8 +117,14 @@
     }
 }
 
-fn next_chunk(events: &mut Events) -> Option<ChatChunk> {
-    let data = events.next_data().ok()??;
+fn next_chunk(events: &mut Events, expected: &str) -> Option<ChatChunk> {
+    let data = match events.next_data() {
+        Ok(data) => data?,
+        Err(error) => {
+            emit!(Event::StreamBroken, "{expected}: {error}");
+            return None;
+        }
+    };
     if data == STREAM_DONE {
         return None;
     }
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -7,8 +7,8 @@
 use crate::exchange::HeaderPair;
 use crate::response::ResponseBody;
 
-/// Maximum length of a line of an event stream, in bytes.
-const MAX_LINE_BYTES: u64 = 8 << 20;
+/// Maximum size of an event, including comments and other fields before its data, in bytes.
+const MAX_EVENT_BYTES: u64 = 1 << 20;
 /// Last chunk of a response with chunked transfer coding.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 const DATA_FIELD: &str = "data: ";
@@ -97,20 +97,22 @@
     /// Returns the next `data` field, or `None` at the end of the stream.
     ///
     /// # Errors
-    /// Returns an error if the connection fails or a line is too long.
+    /// Returns an error if the connection fails, or if no event ends within the size limit.
     pub fn next_data(&mut self) -> io::Result<Option<String>> {
+        let mut input = (&mut self.input).take(MAX_EVENT_BYTES);
+        let mut line = String::new();
         loop {
-            let mut line = String::new();
-            let read = (&mut self.input).take(MAX_LINE_BYTES).read_line(&mut line)?;
-            if read == 0 {
-                return Ok(None);
-            }
-            if read as u64 == MAX_LINE_BYTES {
+            line.clear();
+            let read = input.read_line(&mut line)?;
+            if input.limit() == 0 {
                 return Err(io::Error::new(
                     io::ErrorKind::InvalidData,
-                    "event stream line exceeds the size limit",
+                    "an event exceeds the size limit",
                 ));
             }
+            if read == 0 {
+                return Ok(None);
+            }
             if let Some(data) = line.trim_end().strip_prefix(DATA_FIELD) {
                 return Ok(Some(data.to_owned()));
             }
