Gateway: bound the results of jobs, lists and control requests

What callers saw: a replica, an engine or the platform with a body without end costs 64 MiB for each job, lookup, probe or poll, and the time to parse it.

Cause: all requests had the client's default limit, which is meant for tools.

Fix: 4 MiB for the result of a job, as for the request, and for a list; 256 KiB for other control requests. A larger result breaks its attempt; results between 4 and 64 MiB were served before.

--- a/crates/gateway/src/backend/engine.rs
+++ b/crates/gateway/src/backend/engine.rs
@@ -11,7 +11,7 @@
 };
 use calicohoist_types::{AttemptId, ProgramId};
 
-use super::{CONNECT_TIMEOUT, CONTROL_TIMEOUT};
+use super::{CONNECT_TIMEOUT, CONTROL_TIMEOUT, MAX_CONTROL_RESPONSE_BYTES, MAX_LIST_BYTES};
 use crate::core::message::{BackendEvent, BackendFailure, EngineReport, EngineTask};
 
 /// Maximum length of the text of a token, in bytes.
@@ -36,14 +36,15 @@
 
 type Events = EventReader<ResponseBody>;
 
-fn client(address: SocketAddr, read_timeout: Duration) -> HttpClient {
-    HttpClient::new(address, CONNECT_TIMEOUT, read_timeout)
+fn control_client(address: SocketAddr) -> HttpClient {
+    HttpClient::new(address, CONNECT_TIMEOUT, CONTROL_TIMEOUT)
+        .with_max_response_bytes(MAX_CONTROL_RESPONSE_BYTES)
 }
 
 /// Client of streams, which end when they exceed what `max_tokens` tokens can need.
 fn stream_client(task: &EngineTask, timeout: Duration) -> HttpClient {
     let max_token_bytes = task.max_tokens.saturating_mul(MAX_TOKEN_EVENT_BYTES);
-    client(task.address, timeout)
+    HttpClient::new(task.address, CONNECT_TIMEOUT, timeout)
         .with_max_response_bytes(max_token_bytes.saturating_add(MAX_STREAM_OVERHEAD_BYTES))
 }
 
@@ -134,23 +135,24 @@
 /// Cancels an attempt; errors are ignored, as its result is no longer used.
 pub fn cancel(address: SocketAddr, attempt: &AttemptId) {
     let path = format!("/v1/attempts/{attempt}");
-    let _ = client(address, CONTROL_TIMEOUT).delete::<serde_json::Value>(&path);
+    let _ = control_client(address).delete::<serde_json::Value>(&path);
 }
 
 /// Releases a program's cache memory; returns whether the engine confirmed it.
 pub fn release(address: SocketAddr, program: &ProgramId) -> bool {
     let path = format!("/v1/cache/{program}");
-    client(address, CONTROL_TIMEOUT).delete::<CacheReleased>(&path).is_ok()
+    control_client(address).delete::<CacheReleased>(&path).is_ok()
 }
 
 /// Lists the programs in the engine's cache; `None` when the engine does not answer.
 pub fn list(address: SocketAddr) -> Option<Vec<ProgramId>> {
-    let listing = client(address, CONTROL_TIMEOUT).get::<CacheListing>("/v1/cache").ok()?;
+    let client = control_client(address).with_max_response_bytes(MAX_LIST_BYTES);
+    let listing = client.get::<CacheListing>("/v1/cache").ok()?;
     Some(listing.programs.into_iter().map(|held| held.program).collect())
 }
 
 /// Queries the engine's status; `None` when the engine does not answer.
 pub fn probe(address: SocketAddr) -> Option<EngineReport> {
-    let report = client(address, CONTROL_TIMEOUT).get::<LoadReport>("/v1/load").ok()?;
+    let report = control_client(address).get::<LoadReport>("/v1/load").ok()?;
     Some(EngineReport { leaving: report.leaving })
 }
--- a/crates/gateway/src/backend/service.rs
+++ b/crates/gateway/src/backend/service.rs
@@ -6,15 +6,16 @@
 use calicohoist_types::backend_api::{JobRequest, JobResult};
 use calicohoist_types::{Usage, openai};
 
-use super::CONNECT_TIMEOUT;
+use super::{CONNECT_TIMEOUT, MAX_JOB_RESULT_BYTES};
 use crate::core::message::{BackendEvent, BackendFailure, ServiceTask};
 
 /// Finish reason of service answers.
 const FINISH_REASON: &str = "stop";
 
-/// Runs a task on a replica and reports its answer or failure.
-pub fn run(task: &ServiceTask, read_timeout: Duration, mut report: impl FnMut(BackendEvent)) {
-    let client = HttpClient::new(task.address, CONNECT_TIMEOUT, read_timeout)
+/// Runs a task on a replica within `timeout`, and reports its answer or failure.
+pub fn run(task: &ServiceTask, timeout: Duration, mut report: impl FnMut(BackendEvent)) {
+    let client = HttpClient::new(task.address, CONNECT_TIMEOUT, timeout)
+        .with_max_response_bytes(MAX_JOB_RESULT_BYTES)
         .with_header(openai::HEADER_KEY, task.key.as_str());
     let result = if task.lookup_only { look_up(&client, task) } else { execute(&client, task) };
     match result {
