HTTP client: hyper instead of a reader of our own

The project reads HTTP by library, and has one that holds servers without end: the connections of the crate outbound, on hyper. The client uses them now, by blocking calls with a runtime each; time limits, sizes and error bodies are as they were. The size limit counts the body only, since hyper limits heads, chunk extensions and trailers.

attohttpc stays out: it counts no header lines with invalid names, takes 100 Continue for the final response, and has no limit for bytes of a head. Its wish for a thread per time limit alone would have been acceptable.

--- a/crates/calicohoist/src/cli/operator.rs
+++ b/crates/calicohoist/src/cli/operator.rs
@@ -157,7 +157,7 @@
     let DeclaredResource { line, kind, name, spec } = resource;
     let path = format!("/apis/v1/{kind}/{name}?dry_run={dry_run}");
     let client = client(target).with_header(REQUEST_ID_HEADER, request_id());
-    let response = client.request_json(Method::Put, &path, spec)?;
+    let response = client.request_json(Method::PUT, &path, spec)?;
     if response.is_success() {
         return Ok(Vec::new());
     }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,16 +1,16 @@
 //! HTTP client whose errors tell whether a request may have reached the server, and whose requests
 //! end in bounded time and memory whatever the server sends.
 
-use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::Method;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::connection::{RequestConnection, ResponseLimits};
 use crate::events::EventReader;
-use crate::limited_stream::{LimitedStream, ResponseLimits};
-use crate::request::{EncodedRequest, Method};
+use crate::request::{RequestContent, build_request};
 use crate::response::{Response, ResponseBody};
 
 /// Default of the maximum size of a response, in bytes.
@@ -73,7 +73,7 @@
         self
     }
 
-    /// Sets the maximum size of a response, including its head and framing, in bytes.
+    /// Sets the maximum size of the body of a response, in bytes.
     #[must_use]
     pub fn with_max_response_bytes(mut self, max_bytes: u64) -> Self {
         self.limits.max_bytes = max_bytes;
@@ -85,7 +85,7 @@
     /// # Errors
     /// See [`ClientError`].
     pub fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
-        self.send_empty(Method::Get, path)?.read_json()
+        self.send_empty(Method::GET, path)?.read_json()
     }
 
     /// Sends `DELETE path` and parses the response as JSON.
@@ -93,7 +93,7 @@
     /// # Errors
     /// See [`ClientError`].
     pub fn delete<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
-        self.send_empty(Method::Delete, path)?.read_json()
+        self.send_empty(Method::DELETE, path)?.read_json()
     }
 
     /// Sends `POST path` with a JSON body and parses the response as JSON.
@@ -105,7 +105,7 @@
         path: &str,
         body: &B,
     ) -> Result<T, ClientError> {
-        self.send_json(Method::Post, path, body)?.read_json()
+        self.send_json(Method::POST, path, body)?.read_json()
     }
 
     /// Sends `PUT path` with a JSON body and parses the response as JSON.
@@ -117,7 +117,7 @@
         path: &str,
         body: &B,
     ) -> Result<T, ClientError> {
-        self.send_json(Method::Put, path, body)?.read_json()
+        self.send_json(Method::PUT, path, body)?.read_json()
     }
 
     /// Sends `POST path` with a JSON body and reads the response as an event stream.
@@ -129,7 +129,7 @@
         path: &str,
         body: &B,
     ) -> Result<EventReader<ResponseBody>, ClientError> {
-        self.send_json(Method::Post, path, body).map(Response::into_events)
+        self.send_json(Method::POST, path, body).map(Response::into_events)
     }
 
     /// Sends `GET path` and reads the response as an event stream.
@@ -137,7 +137,7 @@
     /// # Errors
     /// See [`ClientError`].
     pub fn get_event_stream(&self, path: &str) -> Result<EventReader<ResponseBody>, ClientError> {
-        self.send_empty(Method::Get, path).map(Response::into_events)
+        self.send_empty(Method::GET, path).map(Response::into_events)
     }
 
     /// Sends `body` as JSON and returns the response, regardless of its status.
@@ -150,8 +150,7 @@
         path: &str,
         body: &B,
     ) -> Result<Response, ClientError> {
-        let request = EncodedRequest::new(method, path, self.address, &self.headers)?;
-        self.exchange(&request.with_json(body)?)
+        self.exchange(method, path, &RequestContent::Json(body))
     }
 
     fn send_json<B: Serialize>(
@@ -164,15 +163,20 @@
     }
 
     fn send_empty(&self, method: Method, path: &str) -> Result<Response, ClientError> {
-        let request = EncodedRequest::new(method, path, self.address, &self.headers)?;
-        self.exchange(&request.without_body())?.require_success()
+        self.exchange::<()>(method, path, &RequestContent::Empty)?.require_success()
     }
 
-    fn exchange(&self, request: &[u8]) -> Result<Response, ClientError> {
-        let stream = LimitedStream::connect(self.address, self.connect_timeout, self.limits);
-        let mut stream = stream.map_err(|error| ClientError::NotConnected(error.to_string()))?;
-        let sent = stream.write_all(request);
-        sent.map_err(|error| ClientError::Broken(error.to_string()))?;
-        Response::receive(stream).map_err(|error| ClientError::Broken(error.to_string()))
+    fn exchange<B: Serialize>(
+        &self,
+        method: Method,
+        path: &str,
+        content: &RequestContent<'_, B>,
+    ) -> Result<Response, ClientError> {
+        let ResponseLimits { timeout, max_bytes } = self.limits;
+        let request = build_request(method, path, self.address, &self.headers, content)?;
+        let mut connection = RequestConnection::open(self.address, self.connect_timeout, timeout)?;
+        let response = connection.send(request);
+        let response = response.map_err(|error| ClientError::Broken(error.to_string()))?;
+        Ok(Response::new(connection, response, max_bytes))
     }
 }
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -2,6 +2,10 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{ACCEPT, CONNECTION, CONTENT_TYPE, HOST};
+use hyper::{Method, Request};
 use serde::Serialize;
 
 use crate::client::ClientError;
@@ -9,70 +13,41 @@
 /// Characters of a request target that are sent as they are, besides letters and digits.
 const TARGET_CHARACTERS: &[u8] = b"-._~:/?[]@!$&'()*+,;=%";
 
-/// Method of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Method {
-    /// GET.
-    Get,
-    /// POST.
-    Post,
-    /// PUT.
-    Put,
-    /// DELETE.
-    Delete,
+/// Content of a request.
+pub(crate) enum RequestContent<'a, T> {
+    /// No body.
+    Empty,
+    /// A body in JSON.
+    Json(&'a T),
 }
 
-impl Method {
-    /// Returns the method as sent.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Get => "GET",
-            Self::Post => "POST",
-            Self::Put => "PUT",
-            Self::Delete => "DELETE",
-        }
+/// Builds a request after whose response the connection is closed.
+pub(crate) fn build_request<T: Serialize>(
+    method: Method,
+    path: &str,
+    host: SocketAddr,
+    headers: &[(&'static str, String)],
+    content: &RequestContent<'_, T>,
+) -> Result<Request<Full<Bytes>>, ClientError> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(encode_target(path))
+        .header(HOST, host.to_string())
+        .header(CONNECTION, "close")
+        .header(ACCEPT, "*/*");
+    for (name, value) in headers {
+        builder = builder.header(*name, value);
     }
-}
-
-/// Request in the form in which it is sent.
-pub(crate) struct EncodedRequest(Vec<u8>);
-
-impl EncodedRequest {
-    /// Encodes the head of a request. The connection is closed after the response.
-    pub(crate) fn new(
-        method: Method,
-        path: &str,
-        host: SocketAddr,
-        headers: &[(&'static str, String)],
-    ) -> Result<Self, ClientError> {
-        let mut head = format!("{} {} HTTP/1.1\r\n", method.as_str(), encode_target(path));
-        head.push_str(&format!("host: {host}\r\nconnection: close\r\naccept: */*\r\n"));
-        for (name, value) in headers {
-            if value.bytes().any(|byte| byte.is_ascii_control()) {
-                let reason = format!("the value of the header {name} is not valid");
-                return Err(ClientError::InvalidRequest(reason));
-            }
-            head.push_str(&format!("{name}: {value}\r\n"));
+    let body = match content {
+        RequestContent::Empty => Vec::new(),
+        RequestContent::Json(value) => {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+            serde_json::to_vec(value)
+                .map_err(|error| ClientError::InvalidRequest(error.to_string()))?
         }
-        Ok(Self(head.into_bytes()))
-    }
-
-    /// Ends a request without a body.
-    pub(crate) fn without_body(mut self) -> Vec<u8> {
-        self.0.extend_from_slice(b"\r\n");
-        self.0
-    }
-
-    /// Ends the request with `body` as JSON.
-    pub(crate) fn with_json<B: Serialize>(mut self, body: &B) -> Result<Vec<u8>, ClientError> {
-        let invalid = |error: serde_json::Error| ClientError::InvalidRequest(error.to_string());
-        let body = serde_json::to_vec(body).map_err(invalid)?;
-        let length = body.len();
-        let headers = format!("content-type: application/json\r\ncontent-length: {length}\r\n\r\n");
-        self.0.extend_from_slice(headers.as_bytes());
-        self.0.extend_from_slice(&body);
-        Ok(self.0)
-    }
+    };
+    let request = builder.body(Full::from(body));
+    request.map_err(|error| ClientError::InvalidRequest(error.to_string()))
 }
 
 /// Encodes all characters of a path and query that a request line must not contain.
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -202,13 +202,13 @@
             CallInput::Model { model, messages } => {
                 let request = ChatRequest::streamed(model, messages);
                 let path = "/v1/chat/completions";
-                let response = client.request_json(Method::Post, path, &request);
+                let response = client.request_json(Method::POST, path, &request);
                 self.read_model_response(response, gateway, sequence, disconnect)
             }
             CallInput::Service { service, input } => {
                 let request = ServiceRequest { input: input.clone() };
                 let path = format!("/v1/services/{service}");
-                read_service_response(client.request_json(Method::Post, &path, &request))
+                read_service_response(client.request_json(Method::POST, &path, &request))
             }
         };
         std::thread::sleep(self.context.delay);
@@ -254,7 +254,7 @@
             self.program,
             text.len()
         );
-        let response = self.client(gateway).request_json(Method::Get, &path, &());
+        let response = self.client(gateway).request_json(Method::GET, &path, &());
         match response {
             Ok(response) if response.is_success() => read_stream(response, &mut text, false),
             Ok(response) => read_error_response(response),
