--- a/crates/calicohoist/src/cli/operator.rs
+++ b/crates/calicohoist/src/cli/operator.rs
@@ -3,8 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use attohttpc::Method;
-use calicohoist_http::{ClientError, HttpClient};
+use calicohoist_http::{ClientError, HttpClient, Method};
 use calicohoist_types::{Finding, Findings, ResourceKind};
 use comfy_table::Table;
 use comfy_table::presets::NOTHING;
@@ -162,7 +161,7 @@
     if response.is_success() {
         return Ok(Vec::new());
     }
-    let body: Value = response.json().unwrap_or_default();
+    let body: Value = response.read_json().unwrap_or_default();
     let mut findings: Vec<Finding> =
         serde_json::from_value(body["error"]["findings"].clone()).unwrap_or_default();
     if findings.is_empty() {
