Replication: logs larger than a frame of a connection can be read again

What callers saw: nothing, until the machines were started again. A machine whose log had been rewritten above 64 MiB ended at its start with "log-… is damaged at byte 0: cannot decode payload: LimitExceeded". All machines write the same entries, so a fault that ends them all at once lost everything that they had acknowledged. Not seen with real processes here.

Encoding has no limit, whereas decoding stops at MAX_FRAME_BYTES, the limit for frames of connections. The limit counts decoded bytes (eight for any number), so that a frame may be refused from 8 MiB on in the worst case.

Ruled out: damage by the disk (the checksums match); a limit on the sender's side only, since that leaves logs that exist already unreadable.

Why it works: stored frames are decoded with a limit that follows from their size, so that the form of another build still cannot cause a large allocation. Logs and batches are divided into frames of at most half the old limit, counted in decoded bytes, which the build before can read as well; an entry alone is at most as large as the frame that brought it. A rewritten log still replaces the old one atomically. The frames of a batch are synced one by one, so that only the last frame of a file can be torn, as before. A crash between them leaves a prefix of the batch. That is safe: nothing in a batch is acknowledged before all of it is stored, the term and vote come first, truncated entries conflict with a leader's and are not committed, and a prefix of entries is a valid log. Contents that the header's length cannot hold are refused before anything is written; before, their length was cut to 32 bits.

--- a/crates/replication/src/storage/frame.rs
+++ b/crates/replication/src/storage/frame.rs
@@ -12,15 +12,21 @@
 /// Number of trailing zero bytes from which the last frame is considered torn.
 const MIN_TORN_ZEROS: usize = 8;
 
-/// Appends a frame with `payload` to `output`.
-pub(super) fn write(output: &mut Vec<u8>, payload: &[u8]) {
+/// Appends a frame with `payload` to `output`, which is the content of `file`.
+///
+/// # Errors
+/// [`DiskError::TooLarge`] if the header cannot hold the length.
+pub(super) fn write(file: &str, output: &mut Vec<u8>, payload: &[u8]) -> Result<(), DiskError> {
+    let too_large = |_| DiskError::TooLarge { file: file.to_owned(), bytes: payload.len() };
+    let length = u32::try_from(payload.len()).map_err(too_large)?;
     let start = output.len();
     output.extend(MAGIC.to_le_bytes());
-    output.extend((payload.len() as u32).to_le_bytes());
+    output.extend(length.to_le_bytes());
     output.extend(crc32c::crc32c(payload).to_le_bytes());
     let header_checksum = crc32c::crc32c(&output[start..]);
     output.extend(header_checksum.to_le_bytes());
     output.extend(payload);
+    Ok(())
 }
 
 /// Result of reading a frame.
--- a/crates/replication/src/storage/log.rs
+++ b/crates/replication/src/storage/log.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 
 use calicohoist_telemetry::{Event, emit};
-use calicohoist_wire::{decode, encode};
+use calicohoist_wire::{decode_stored, encode};
 use serde::{Deserialize, Serialize};
 
+use super::batch::batches;
 use super::frame::{self, FrameRead};
 use super::{Disk, DiskError};
 use crate::message::{Entry, GroupId, HardState, Index, Membership, SegmentId, Snapshot};
@@ -111,21 +112,25 @@
         let mut file = Vec::new();
         let words = std::iter::once(&disk).chain(initial_machines);
         let payload: Vec<u8> = words.flat_map(|word| word.to_le_bytes()).collect();
-        frame::write(&mut file, &payload);
+        frame::write(IDENTITY_FILE, &mut file, &payload)?;
         self.disk.replace(IDENTITY_FILE, &file)
     }
 
-    /// Appends `writes` as one batch and syncs it.
+    /// Appends `writes` and syncs them. Writes too large for one frame take several; a crash may
+    /// then leave only the first ones.
     ///
     /// # Errors
     /// When the disk fails or is full. It is then unknown which writes were stored.
     pub fn commit(&mut self, writes: &[Write]) -> Result<(), DiskError> {
         let name = log_name(self.number);
-        let mut batch = Vec::new();
-        frame::write(&mut batch, &encode_payload(&name, &writes)?);
-        self.disk.append(&name, &batch)?;
-        self.disk.sync(&name)?;
-        self.bytes += batch.len();
+        for batch in batches(writes) {
+            let mut bytes = Vec::new();
+            frame::write(&name, &mut bytes, &encode_payload(&name, &batch)?)?;
+            self.disk.append(&name, &bytes)?;
+            // Before the next frame, since only the last one of a file may be torn.
+            self.disk.sync(&name)?;
+            self.bytes += bytes.len();
+        }
         Ok(())
     }
 
@@ -142,7 +147,7 @@
     pub fn store_snapshot(&mut self, group: GroupId, snapshot: &Snapshot) -> Result<(), DiskError> {
         let name = snapshot_name(group, snapshot.index);
         let mut file = Vec::new();
-        frame::write(&mut file, &encode_payload(&name, snapshot)?);
+        frame::write(&name, &mut file, &encode_payload(&name, snapshot)?)?;
         self.disk.replace(&name, &file)
     }
 
@@ -221,7 +226,9 @@
         let number = self.number + 1;
         let name = log_name(number);
         let mut file = Vec::new();
-        frame::write(&mut file, &encode_payload(&name, &writes)?);
+        for batch in batches(writes) {
+            frame::write(&name, &mut file, &encode_payload(&name, &batch)?)?;
+        }
         self.disk.replace(&name, &file)?;
         self.disk.remove(&log_name(self.number))?;
         self.number = number;
@@ -384,5 +391,5 @@
     offset: usize,
     payload: &[u8],
 ) -> Result<T, DiskError> {
-    decode(payload).map_err(|error| corrupt(file, offset, &error.to_string()))
+    decode_stored(payload).map_err(|error| corrupt(file, offset, &error.to_string()))
 }
--- a/crates/replication/src/storage/mod.rs
+++ b/crates/replication/src/storage/mod.rs
@@ -1,5 +1,6 @@
 //! Durable storage: a checksummed log file shared by all groups of a machine.
 
+mod batch;
 mod disk;
 mod frame;
 mod log;
@@ -32,6 +33,14 @@
         /// Description of the damage.
         problem: String,
     },
+    /// The content is too large for a frame of the file, and was not written.
+    #[error("{file}: {bytes} bytes exceed the size of a frame")]
+    TooLarge {
+        /// File name.
+        file: String,
+        /// Size of the content, in bytes.
+        bytes: usize,
+    },
     /// An intact entry or snapshot has a format unknown to this build.
     #[error("{what} {index} of group {group} can only be decoded by a newer build")]
     Unreadable {
@@ -49,7 +58,7 @@
     pub fn is_full(&self) -> bool {
         match self {
             Self::Io { source, .. } => source.kind() == std::io::ErrorKind::StorageFull,
-            Self::Corrupt { .. } | Self::Unreadable { .. } => false,
+            Self::Corrupt { .. } | Self::TooLarge { .. } | Self::Unreadable { .. } => false,
         }
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 
-use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bincode::config::{Config, Configuration, Limit, LittleEndian, Varint};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -43,7 +43,7 @@
     bincode::config::standard().with_limit::<MAX_FRAME_BYTES>()
 }
 
-/// Encodes a message without a frame header.
+/// Encodes a message of any size without a frame header.
 ///
 /// # Errors
 /// Returns an error if the message cannot be encoded.
@@ -51,12 +51,37 @@
     Ok(bincode::serde::encode_to_vec(message, bincode_config())?)
 }
 
-/// Decodes a message.
+/// Decodes a message of a peer. Its decoded size is limited to [`MAX_FRAME_BYTES`], at up to eight
+/// bytes for a number that is encoded as one.
 ///
 /// # Errors
-/// Returns an error if `bytes` is not exactly one encoded message.
+/// Returns an error if `bytes` is not exactly one encoded message, or its size exceeds the limit.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
-    let (message, consumed) = bincode::serde::decode_from_slice(bytes, bincode_config())?;
+    decode_with(bytes, bincode_config())
+}
+
+/// Decodes a message of any size that [`encode`] produced. Its size limits what is allocated for it,
+/// since a message of another build may not have the expected form.
+///
+/// # Errors
+/// Returns an error if `bytes` is not exactly one encoded message.
+pub fn decode_stored<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
+    const MIB: usize = 1 << 20;
+    let config = bincode_config();
+    // Each limit is eight times the size, since a number of one byte may be decoded as eight.
+    if bytes.len() <= 8 * MIB {
+        decode_with(bytes, config.with_limit::<{ 64 * MIB }>())
+    } else if bytes.len() <= 64 * MIB {
+        decode_with(bytes, config.with_limit::<{ 512 * MIB }>())
+    } else if bytes.len() <= 512 * MIB {
+        decode_with(bytes, config.with_limit::<{ 4_096 * MIB }>())
+    } else {
+        decode_with(bytes, config.with_no_limit())
+    }
+}
+
+fn decode_with<T: DeserializeOwned>(bytes: &[u8], config: impl Config) -> Result<T, FrameError> {
+    let (message, consumed) = bincode::serde::decode_from_slice(bytes, config)?;
     if consumed != bytes.len() {
         return Err(FrameError::Decode(bincode::error::DecodeError::Other(
             "trailing bytes after the message",
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod link;
 pub mod server;
 
-pub use frame::{FrameError, MAX_FRAME_BYTES, decode, encode, read_frame, write_frame};
+pub use frame::{
+    FrameError, MAX_FRAME_BYTES, decode, decode_stored, encode, read_frame, write_frame,
+};
 pub use link::Link;
 pub use server::{FrameServer, ReplySender};
