Tests: what was acknowledged before all processes end at the same moment

An operator activates one configuration after another, six callers run retained turns that continue from any turn before, and machines of the ledger and gateways are killed one at a time. Then all five processes are killed at once, one ledger machine loses its disk, and all start again. The active configuration must not be older than the last acknowledged one, and each turn that was answered whole must reach a replica with its whole history.

Not tried: whether it notices a fault that is put in. What a kill leaves in the kernel's cache survives it, so that it says nothing about a loss of power.

--- a/crates/calicohoist/tests/acknowledged/durability.rs
+++ b/crates/calicohoist/tests/acknowledged/durability.rs
@@ -265,7 +265,7 @@
 }
 
 /// Starts a replica that answers each request with its identifier.
-fn start_model(name: &str) -> ScriptedReplica {
+pub fn start_model(name: &str) -> ScriptedReplica {
     ScriptedReplica::start(name, |exchange| {
         let id = exchange.request.id().to_owned();
         exchange.start_stream();
@@ -274,7 +274,7 @@
     })
 }
 
-fn number_from_environment(name: &str, default: u64) -> u64 {
+pub fn number_from_environment(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
--- /dev/null
+++ b/crates/calicohoist/tests/acknowledged/final_fault.rs
@@ -0,0 +1,223 @@
+//! Acknowledged changes after a fault that ends all processes at the same moment.
+
+use std::collections::HashMap;
+use std::fs;
+use std::io::{BufReader, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom as _;
+use rand::{RngExt as _, SeedableRng as _};
+use rustix::process::Signal;
+use serde_json::Value;
+
+use crate::cluster::{Cluster, GATEWAY_IPS, Process};
+use crate::durability::{number_from_environment, start_model};
+use crate::support::{Response, ScriptedReplica, client, configuration, request_head, wait_until};
+use crate::{Ledger, STORE_IPS, request};
+
+/// Seed of the first deployment; overridden by `FINAL_FAULT_SEED`.
+const FIRST_SEED: u64 = 1;
+/// Number of deployments; overridden by `FINAL_FAULT_DEPLOYMENTS`.
+const DEPLOYMENTS: u64 = 3;
+const CALLERS: usize = 6;
+/// Turns after which a caller begins a new history.
+const MAX_DEPTH: usize = 5;
+const MAX_INPUT_BYTES: usize = 16 << 10;
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A turn that was answered whole.
+#[derive(Clone)]
+struct Turn {
+    id: String,
+    depth: usize,
+    /// Inputs and outputs up to this turn.
+    history: String,
+}
+
+/// Callers of a deployment, with what was acknowledged to them.
+struct Workload<'a> {
+    cluster: &'a Cluster,
+    is_over: AtomicBool,
+    /// Last acknowledged version of the configuration.
+    version: AtomicU64,
+    turns: Mutex<Vec<Turn>>,
+}
+
+impl<'a> Workload<'a> {
+    fn new(cluster: &'a Cluster) -> Self {
+        let (is_over, turns) = (AtomicBool::new(false), Mutex::default());
+        Self { cluster, is_over, version: AtomicU64::new(1), turns }
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::SeqCst)
+    }
+
+    /// Activates one configuration after another.
+    fn operate(&self) {
+        while !self.is_over() {
+            let version = self.version.load(Ordering::SeqCst) + 1;
+            let put = request("PUT", "/-/config", &configuration(version).to_string());
+            let is_acknowledged = STORE_IPS.iter().any(|ip| {
+                let response = try_exchange(self.cluster.control(ip), &put);
+                response.is_some_and(|response| response.status == 200 && response.is_complete)
+            });
+            if is_acknowledged {
+                self.version.store(version, Ordering::SeqCst);
+            }
+            thread::sleep(RETRY_INTERVAL);
+        }
+    }
+
+    /// Runs turns that continue from any turn before them.
+    fn call(&self, caller: usize, mut random: StdRng) {
+        for number in 0.. {
+            if self.is_over() {
+                return;
+            }
+            let previous = self.turns.lock().choose(&mut random).cloned();
+            let previous = previous.filter(|turn| turn.depth < MAX_DEPTH);
+            let id = format!("turn-{caller}-{number}");
+            let filler = "x".repeat(random.random_range(0..MAX_INPUT_BYTES));
+            let input = format!("input of {id} {filler} ");
+            let gateway = GATEWAY_IPS[random.random_range(0..GATEWAY_IPS.len())];
+            if self.run_turn(gateway, &id, previous.as_ref(), &input) {
+                let (depth, history) =
+                    previous.map_or_else(Default::default, |turn| (turn.depth, turn.history));
+                let history = format!("{history}{input}{id}\n");
+                self.turns.lock().push(Turn { id, depth: depth + 1, history });
+            } else {
+                thread::sleep(RETRY_INTERVAL);
+            }
+        }
+    }
+
+    /// Runs a turn once; returns whether it was answered whole.
+    fn run_turn(&self, gateway: &str, id: &str, previous: Option<&Turn>, input: &str) -> bool {
+        let header = previous.map(|turn| format!("Calicohoist-Previous-Turn: {}", turn.id));
+        let headers: Vec<&str> = header.as_deref().into_iter().collect();
+        let head = request_head("POST", "/retained/a", id, input.len(), &headers);
+        let response = try_exchange(self.cluster.http(gateway), &format!("{head}{input}"));
+        response.is_some_and(|response| {
+            assert!(![404, 410].contains(&response.status), "{id} after {header:?}");
+            response.status == 200 && response.is_complete
+        })
+    }
+}
+
+/// Sends a request; `None` if there is no connection.
+fn try_exchange(address: SocketAddr, request: &str) -> Option<Response> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    Some(client::read_response(&mut BufReader::new(stream)))
+}
+
+/// Kills one machine after another, and starts it again, until the final fault.
+fn kill_in_turn(cluster: &Cluster, processes: &mut [Process], random: &mut StdRng) {
+    let ends_at = Instant::now() + Duration::from_millis(random.random_range(1_000..2_500));
+    while Instant::now() < ends_at {
+        thread::sleep(Duration::from_millis(random.random_range(100..600)));
+        let number = random.random_range(0..processes.len());
+        let process = &mut processes[number];
+        process.kill();
+        thread::sleep(Duration::from_millis(random.random_range(0..300)));
+        *process = cluster.start(process.ip, false);
+    }
+}
+
+/// Ends all processes at the same moment.
+fn kill_all(processes: &mut [Process]) {
+    processes.iter().for_each(|process| process.signal(Signal::KILL));
+    processes.iter_mut().for_each(Process::kill);
+}
+
+/// Asserts that the active configuration is the last acknowledged one or a later one.
+fn assert_configuration(cluster: &Cluster, acknowledged: u64) {
+    wait_until("a configuration is read", || {
+        cluster.operator_request("GET", "/-/config", "").is_some()
+    });
+    let read = cluster.operator_request("GET", "/-/config", "");
+    let (response, ip) = read.expect("a machine answers once it has answered");
+    let document: Value = serde_json::from_slice(&response.body).expect("a configuration");
+    let version = document["version"].as_u64().expect("a version");
+    assert!(version >= acknowledged, "{ip}: version {version}, acknowledged {acknowledged}");
+    assert_eq!(document, configuration(version));
+}
+
+/// Continues each turn, and asserts that the replica receives its history.
+fn assert_turns(cluster: &Cluster, turns: &[Turn], models: &[ScriptedReplica]) {
+    let share = turns.len().div_ceil(CALLERS).max(1);
+    let run = |turn: &Turn| {
+        let name = format!("after-{}", turn.id);
+        cluster.turn(GATEWAY_IPS[0], &name, Some(&turn.id), "next ")
+    };
+    let run_all = |turns: &'_ [Turn]| -> Vec<String> { turns.iter().map(run).collect() };
+    let ids = thread::scope(|scope| {
+        let callers = turns.chunks(share).map(|turns| scope.spawn(move || run_all(turns)));
+        let callers: Vec<_> = callers.collect();
+        let ids = callers.into_iter().flat_map(|caller| caller.join().expect("all are continued"));
+        ids.collect::<Vec<String>>()
+    });
+    let continued: HashMap<String, &Turn> = ids.into_iter().zip(turns).collect();
+    let mut found = 0;
+    for request in models.iter().flat_map(ScriptedReplica::requests) {
+        if let Some(turn) = continued.get(request.id()) {
+            let body = String::from_utf8_lossy(&request.body);
+            assert!(body == format!("{}next ", turn.history), "history of {}", turn.id);
+            found += 1;
+        }
+    }
+    assert!(found >= turns.len(), "{found} of {} turns reached a replica", turns.len());
+}
+
+fn play(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let Ledger { cluster, machines: mut processes } = Ledger::start();
+    let models = ["hall", "attic"].map(|zone| {
+        let model = start_model(zone);
+        cluster.platform_list.put_in_zone(zone, &model, "models", "ready");
+        model
+    });
+    processes.extend(GATEWAY_IPS.map(|ip| cluster.start(ip, true)));
+    let is_ready = || GATEWAY_IPS.iter().all(|ip| cluster.is_ready(ip));
+    wait_until("the gateways are ready", is_ready);
+
+    let workload = Workload::new(&cluster);
+    thread::scope(|scope| {
+        scope.spawn(|| workload.operate());
+        for caller in 0..CALLERS {
+            let random = StdRng::seed_from_u64(random.random());
+            let workload = &workload;
+            scope.spawn(move || workload.call(caller, random));
+        }
+        kill_in_turn(&cluster, &mut processes, &mut random);
+        kill_all(&mut processes);
+        workload.is_over.store(true, Ordering::SeqCst);
+    });
+    let version = workload.version.into_inner();
+    let turns = workload.turns.into_inner();
+
+    let lost = *STORE_IPS.choose(&mut random).expect("a machine");
+    println!("seed {seed}: {version} configurations, {} turns, {lost} loses its disk", turns.len());
+    fs::remove_dir_all(cluster.data_folder(lost)).expect("the data folder is removed");
+    for process in &mut processes {
+        *process = cluster.start(process.ip, false);
+    }
+    assert_configuration(&cluster, version);
+    wait_until("the gateways are ready again", is_ready);
+    assert_turns(&cluster, &turns, &models);
+}
+
+#[test]
+fn acknowledged_changes_survive_the_end_of_all_processes_and_the_loss_of_a_disk() {
+    let first = number_from_environment("FINAL_FAULT_SEED", FIRST_SEED);
+    let deployments = number_from_environment("FINAL_FAULT_DEPLOYMENTS", DEPLOYMENTS);
+    (first..first + deployments).for_each(play);
+}
--- a/crates/calicohoist/tests/acknowledged/main.rs
+++ b/crates/calicohoist/tests/acknowledged/main.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod durability;
 mod failing_disk;
+mod final_fault;
 mod stops;
 
 use std::cell::RefCell;
