Ledger: a state above a limit for messages is restored

What callers saw: nothing, until the machines were started again. All machines have the same state, so a fault that ends them all at once lost all of it.

A turn that is on disk counts about twice its encoded size, so that some 40 MB are refused. The same limit held for commands, at up to the size that another machine had already accepted.

Evidence: snapshot_of_a_million_turns_is_restored (1.2 million turns) fails at `restore` with the old decoder and passes now.

Why it works: stored content is decoded with a limit that follows from its own size. Up to 8 MiB it is the same as before, so that content of another build is still refused without a large allocation.

--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -21,7 +21,7 @@
 use calicohoist_replication::{GroupId, SealedSegment, SegmentId, StateMachine};
 use calicohoist_routing::DrainedZones;
 use calicohoist_scheduler::TurnRun;
-use calicohoist_wire::{decode, encode};
+use calicohoist_wire::{decode_stored, encode};
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{
@@ -250,7 +250,7 @@
     }
 
     fn apply(&mut self, command: &[u8]) -> Output {
-        decode(command).map_or(Output::Unreadable, |command| self.execute(command))
+        decode_stored(command).map_or(Output::Unreadable, |command| self.execute(command))
     }
 
     fn is_unreadable(output: &Output) -> bool {
@@ -274,9 +274,9 @@
     }
 
     fn restore(&mut self, data: &[u8]) -> bool {
-        let before_drains = || decode::<SnapshotBeforeDrains>(data).map(Self::from);
-        let before_permits = || decode::<SnapshotBeforePermits>(data).map(Self::from);
-        match decode(data).or_else(|_| before_drains()).or_else(|_| before_permits()) {
+        let before_drains = || decode_stored::<SnapshotBeforeDrains>(data).map(Self::from);
+        let before_permits = || decode_stored::<SnapshotBeforePermits>(data).map(Self::from);
+        match decode_stored(data).or_else(|_| before_drains()).or_else(|_| before_permits()) {
             Ok(state) => {
                 let runs = std::mem::take(&mut self.runs);
                 let mut crashes = std::mem::take(&mut self.crashes);
--- a/crates/ledger/tests/state.rs
+++ b/crates/ledger/tests/state.rs
@@ -259,3 +259,19 @@
     let byte_sequences = (turn.previous.clone(), turn.input.clone(), turn.output.clone());
     assert_eq!(encode(&turn).expect("encode"), encode(&byte_sequences).expect("encode"));
 }
+
+/// A machine whose state had grown beyond a limit for messages could not start again, and neither
+/// could any other: all that was acknowledged was gone.
+#[test]
+fn snapshot_of_a_million_turns_is_restored() {
+    const TURNS: u32 = 1_200_000;
+    let mut state = state();
+    for turn in 0..TURNS {
+        let previous = (turn > 0).then_some("turn-0");
+        apply(&mut state, &retain(&format!("turn-{turn}"), previous, "", ""));
+    }
+    let snapshot = state.snapshot();
+    let mut restored = LedgerState::new(GroupId(0));
+    assert!(restored.restore(&snapshot), "{} bytes", snapshot.len());
+    assert!(restored == state);
+}
