Gateway: partial events count as held memory

Seen by callers: nothing yet by itself; up to 1 MiB for each stream whose event does not end (and twice that while it is copied) was held beyond the memory limit, so that 40 streams at a gateway of 100 MB could hold more than its whole limit.

Cause: the event splitter buffered and copied without a reservation; memory was reserved for an event after it was complete and copied.

Now the buffer of a stream has a reservation that grows by the rule of responses of unknown length, before bytes are copied to it. An event is copied out of it once there is memory for both; if there is no room, this is the one part that may exceed the limit. What is parsed refers to the event's bytes instead of copying them. An empty buffer is freed, so that streams hold nothing between events. Received bytes are split 4 KiB at a time, with a yield in between, so that the buffer holds little more than the partial event, and that a burst of small events is not split at once. A stream gives way by the same rule as a body, and its request then ends.

A stream whose events find no memory until its deadline now ends with the outcome "deadline" in the log instead of "no memory until its deadline".

Ruled out: reserving each event while its buffer is held, without a turn (streams wait for each other's buffers).

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -11,6 +11,7 @@
 use calicohoist_routing::StreamOrigin;
 use calicohoist_telemetry::{Event, emit};
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use hyper::header::CONTENT_TYPE;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::sync::mpsc;
@@ -26,9 +27,13 @@
 use super::response::{BodyAborted, ResponseBody};
 use super::turn::Turn;
 use crate::app::App;
-use crate::events::{EventSplitter, ServerEvent};
+use crate::events::{EventSplitter, EventTooLong, ServerEvent};
+use crate::memory::{MemoryLimitReached, MemoryReservation};
 use crate::upstream::{Exchange, is_closed_by_peer};
 
+/// Number of received bytes that are split into events at a time.
+const PART_BYTES: usize = 4 << 10;
+
 /// Serves a request on a stream route.
 ///
 /// # Errors
@@ -96,7 +101,11 @@
     payload: Payload,
     attempt_state: AttemptState,
     exchange: Exchange,
+    /// Received bytes that were not passed to the splitter yet.
+    unsplit: Bytes,
     splitter: EventSplitter,
+    /// Memory for the buffer of the splitter.
+    partial: MemoryReservation,
     /// How the stream continues if it is interrupted; `None` before its first event.
     continuation: Option<Continuation>,
     /// Headers of the first replica's response, which are sent to the client.
@@ -114,6 +123,8 @@
     Broken,
     /// The deadline passed.
     Deadline,
+    /// The part of an event that was read exceeds the memory limit, and others wait for memory.
+    GaveWay,
 }
 
 impl Relay {
@@ -137,7 +148,9 @@
             payload,
             attempt_state,
             exchange,
+            unsplit: Bytes::new(),
             splitter: EventSplitter::default(),
+            partial: app.memory.reserve_nothing(),
             headers,
             tokens_per_event: engine.map_or(1, |engine| u64::from(engine.tokens_per_event)),
             last_event_id,
@@ -177,18 +190,9 @@
             let tokens = self.tokens_per_event;
             self.turn.record_event(event.data.as_deref(), tokens);
             self.events += 1;
-            let chunk = tokio::select! {
-                biased;
-                () = chunks.closed() => return self.log_end("caller left"),
-                chunk = self.reserve(event.bytes) => chunk,
-            };
-            let is_aborted = chunk.is_err();
-            if chunks.send(chunk).is_err() {
+            if chunks.send(Ok(event.into_bytes())).is_err() {
                 return self.log_end("caller left");
             }
-            if is_aborted {
-                return self.log_end("no memory until its deadline");
-            }
             let following = tokio::select! {
                 biased;
                 () = chunks.closed() => return self.log_end("caller left"),
@@ -207,15 +211,6 @@
         self.complete(chunks).await;
     }
 
-    /// Reserves memory for an event. Events are read as they arrive, so that a slow client does
-    /// not occupy a slot of the replica; the replica has to wait only when the memory limit is
-    /// reached.
-    async fn reserve(&self, bytes: Bytes) -> Result<Bytes, BodyAborted> {
-        let reservation = self.app.memory.reserve_response(bytes.len());
-        let reservation = tokio::time::timeout_at(self.call.deadline.into(), reservation).await;
-        reservation.map(|reservation| reservation.attach_to(bytes)).map_err(|_| BodyAborted)
-    }
-
     /// Completes the turn after a complete response, then ends the response to the client.
     async fn complete(mut self, chunks: mpsc::UnboundedSender<Result<Bytes, BodyAborted>>) {
         self.log_end("200");
@@ -257,6 +252,10 @@
                     self.attempt_state.crashes.record_given_up();
                     return Err(GatewayError::Deadline);
                 }
+                Err(ReadError::GaveWay) => {
+                    self.attempt_state.crashes.record_given_up();
+                    return Err(GatewayError::Unknown);
+                }
                 Err(ReadError::Closed) => {
                     self.attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
                     self.resume().await?;
@@ -284,30 +283,60 @@
 
     async fn read_event(&mut self) -> Result<Option<ServerEvent>, ReadError> {
         loop {
-            match self.splitter.next_event() {
-                Ok(Some(event)) => return Ok(Some(event)),
+            match self.splitter.event_bytes() {
+                Ok(Some(bytes)) => return self.take_event(bytes).await.map(Some),
                 Ok(None) => {}
-                Err(_) => return Err(ReadError::Broken),
+                Err(EventTooLong) => return Err(ReadError::Broken),
             }
-            let frame = self.exchange.response.body_mut().frame();
-            let frame = tokio::time::timeout_at(self.call.deadline.into(), frame).await;
-            match frame {
-                Err(_) => return Err(ReadError::Deadline),
-                Ok(Some(Ok(frame))) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.push(data);
-                    }
-                }
-                Ok(Some(Err(error))) if is_closed_by_peer(&error) => {
-                    return Err(ReadError::Closed);
-                }
-                Ok(Some(Err(_))) => return Err(ReadError::Broken),
-                Ok(None) if self.splitter.has_partial_event() => return Err(ReadError::Closed),
-                Ok(None) => return Ok(None),
+            if !self.unsplit.is_empty() {
+                self.split_part().await?;
+                continue;
             }
+            match self.read_frame().await? {
+                Some(frame) => self.unsplit = frame.into_data().unwrap_or_default(),
+                None if self.splitter.has_partial_event() => return Err(ReadError::Closed),
+                None => return Ok(None),
+            }
+        }
+    }
+
+    async fn read_frame(&mut self) -> Result<Option<Frame<Bytes>>, ReadError> {
+        let frame = tokio::select! {
+            biased;
+            () = self.partial.revoked() => return Err(ReadError::GaveWay),
+            frame = before(self.call.deadline, self.exchange.response.body_mut().frame()) => frame?,
+        };
+        match frame {
+            Some(Err(error)) if is_closed_by_peer(&error) => Err(ReadError::Closed),
+            Some(Err(_)) => Err(ReadError::Broken),
+            Some(Ok(frame)) => Ok(Some(frame)),
+            None => Ok(None),
         }
     }
 
+    /// Takes a complete event from the splitter. Events are read as they arrive, so that a slow
+    /// client does not occupy a slot of the replica; the replica has to wait only when the memory
+    /// limit is reached.
+    async fn take_event(&mut self, bytes: usize) -> Result<ServerEvent, ReadError> {
+        let reservation = self.partial.reserve_beside(bytes);
+        let reservation = before(self.call.deadline, reservation).await?;
+        let event = self.splitter.take_event(bytes);
+        self.partial.shrink_to(self.splitter.capacity());
+        Ok(ServerEvent::parse(reservation.attach_to(event)))
+    }
+
+    /// Passes a part of the received bytes to the splitter, once there is memory for it.
+    async fn split_part(&mut self) -> Result<(), ReadError> {
+        let part = self.unsplit.split_to(PART_BYTES.min(self.unsplit.len()));
+        let capacity = self.splitter.capacity_with(part.len());
+        let grown = before(self.call.deadline, self.partial.grow_to(capacity)).await?;
+        grown.map_err(|MemoryLimitReached| ReadError::GaveWay)?;
+        self.splitter.push(&part);
+        // Many small events can arrive at once, and other requests must not wait for all of them.
+        tokio::task::yield_now().await;
+        Ok(())
+    }
+
     /// Resumes the stream on another replica after the last event.
     async fn resume(&mut self) -> Result<(), GatewayError> {
         const PENALTY: Duration = Duration::from_millis(100);
@@ -342,7 +371,14 @@
         self.turn.sent_at = None;
         self.turn.replica_id = Some(exchange.member.replica.id.clone());
         self.exchange = exchange;
+        self.unsplit = Bytes::new();
         self.splitter = EventSplitter::default();
+        self.partial.shrink_to(0);
         Ok(())
     }
 }
+
+/// Waits for a result until a deadline.
+async fn before<T>(deadline: Instant, result: impl Future<Output = T>) -> Result<T, ReadError> {
+    tokio::time::timeout_at(deadline.into(), result).await.map_err(|_| ReadError::Deadline)
+}
--- a/crates/proxy/src/memory.rs
+++ b/crates/proxy/src/memory.rs
@@ -78,6 +78,12 @@
         self.wait_for(|| self.try_reserve(class, bytes)).await
     }
 
+    /// Creates an empty reservation for a response that will grow.
+    pub fn reserve_nothing(self: &Arc<Self>) -> MemoryReservation {
+        let holding = self.update(|usage| usage.reserve_nothing(MemoryClass::Response));
+        MemoryReservation { budget: Arc::clone(self), holding }
+    }
+
     /// Waits until an attempt to reserve memory succeeds. The response that exceeds the limit gives
     /// way meanwhile if it takes too long.
     async fn wait_for<T>(&self, mut attempt: impl FnMut() -> Option<T>) -> T {
@@ -164,6 +170,36 @@
         growth == Growth::Granted
     }
 
+    /// Reserves `bytes` bytes for a complete part of the response that this reservation reads,
+    /// waiting until there is room. Like growth, this may exceed the limit.
+    pub async fn reserve_beside(&mut self, bytes: usize) -> Self {
+        let budget = Arc::clone(&self.budget);
+        budget.wait_for(|| self.try_reserve_beside(bytes)).await
+    }
+
+    /// Like [`reserve_beside`](Self::reserve_beside), without waiting.
+    pub fn try_reserve_beside(&mut self, bytes: usize) -> Option<Self> {
+        let Self { budget, holding } = self;
+        let class = MemoryClass::of_response(bytes, budget.limit);
+        let (part, has_turn_ended) = budget.update(|usage| {
+            let part = usage.reserve_beside(holding, class, bytes);
+            (part, usage.end_turn(holding))
+        });
+        if has_turn_ended {
+            budget.changed.notify_waiters();
+        }
+        part.map(|holding| Self { budget: Arc::clone(budget), holding })
+    }
+
+    /// Releases what is reserved beyond `bytes` bytes.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let Self { budget, holding } = self;
+        if bytes < holding.bytes {
+            budget.update(|usage| usage.shrink(holding, bytes));
+            budget.changed.notify_waiters();
+        }
+    }
+
     /// Waits until this response has to give way, because it exceeds the limit for too long while
     /// others wait. It must then be dropped.
     pub async fn revoked(&self) {
@@ -190,8 +226,6 @@
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        let Self { budget, holding } = self;
-        budget.update(|usage| usage.shrink(holding, 0));
-        budget.changed.notify_waiters();
+        self.shrink_to(0);
     }
 }
--- a/crates/proxy/src/memory/usage.rs
+++ b/crates/proxy/src/memory/usage.rs
@@ -63,6 +63,24 @@
         class.admits(bytes, &self.reserved, self.limit).then(|| self.hold(class, bytes))
     }
 
+    /// Returns an empty holding that will grow.
+    pub(super) fn reserve_nothing(&mut self, class: MemoryClass) -> Holding {
+        self.hold(class, 0)
+    }
+
+    /// Reserves memory for a complete part of what a holding reads, which may exceed the limit in
+    /// its turn.
+    pub(super) fn reserve_beside(
+        &mut self,
+        holding: &Holding,
+        class: MemoryClass,
+        bytes: usize,
+    ) -> Option<Holding> {
+        let has_room = class.has_room(bytes, &self.reserved, self.limit);
+        let may_reserve = has_room || self.may_exceed_limit(holding, &self.others(holding));
+        may_reserve.then(|| self.hold(class, bytes))
+    }
+
     /// Grows a holding to `bytes` bytes, if need be in its turn to exceed the limit.
     pub(super) fn grow(&mut self, holding: &mut Holding, bytes: usize, now: Instant) -> Growth {
         let class = holding.class.when_grown(bytes, self.limit);
@@ -90,6 +108,9 @@
         holding.bytes -= released;
         if holding.bytes == 0 {
             self.end_turn(holding);
+            if holding.class == MemoryClass::LargeResponse {
+                holding.class = MemoryClass::Response;
+            }
         }
     }
 
