Gateway: queued events count with what the queue uses for them

Seen by callers: beside 12 callers of streams of tiny events without end, a gateway of 260 MB used 505 MB. On the sites' machines such a process is ended, and each request on it is lost.

Cause: an event of nine bytes counted as nine bytes, but an entry of the queue, the owner that releases its memory and the allocator's additions cost more than ten times that.

Now each counts 256 bytes more: 32 for the entry, 80 for the owner with the reservation, 32 for the smallest copy of the event, and their headers and rounding, rounded up. Events are delivered as before, one by one and in order; a slow caller still occupies no slot of a replica until the budget is reached.

Ruled out: batches of events in a queue entry. They need less memory for each, but a bound by bytes would still have to count the entries of single events.

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -31,6 +31,9 @@
 use crate::memory::{MemoryLimitReached, MemoryReservation};
 use crate::upstream::{Exchange, is_closed_by_peer};
 
+/// Bytes that a queued event uses beside its own: an entry of the queue, the owner that releases the
+/// memory, and what the allocator adds to both and to the event.
+const EVENT_OVERHEAD_BYTES: usize = 256;
 /// Number of received bytes that are split into events at a time.
 const PART_BYTES: usize = 4 << 10;
 
@@ -318,7 +321,7 @@
     /// client does not occupy a slot of the replica; the replica has to wait only when the memory
     /// limit is reached.
     async fn take_event(&mut self, bytes: usize) -> Result<ServerEvent, ReadError> {
-        let reservation = self.partial.reserve_beside(bytes);
+        let reservation = self.partial.reserve_beside(bytes + EVENT_OVERHEAD_BYTES);
         let reservation = before(self.call.deadline, reservation).await?;
         let event = self.splitter.take_event(bytes);
         self.partial.shrink_to(self.splitter.capacity());
