Gateway: charge the work on large responses to their connections

What callers saw: beside 40 calls whose responses are events without end, the gateway used 2.71 s of 3 s of a core; 40 bodies 2.99 s, 12 streams of small events 3 s. Pacing the connections alone left 2.4 s, 2.7 s and 2.8 s: most of the time goes into what is read, in the tasks that collect a body or forward events.

Change: these tasks are timed as the connections are, and charged to the connection that they read from.

--- a/crates/proxy/src/flow/buffered.rs
+++ b/crates/proxy/src/flow/buffered.rs
@@ -75,7 +75,8 @@
     const PENALTY_DURATION: Duration = Duration::from_millis(1_000);
     const PENALTY: Duration = Duration::from_millis(50);
     let mut exchange = exchange;
-    let body = read_response_body(app, exchange.response.body_mut());
+    let lane = exchange.lane();
+    let body = lane.charge_polls(read_response_body(app, exchange.response.body_mut()));
     let body = match tokio::time::timeout_at(deadline.into(), body).await {
         Err(_) => {
             attempt_state.crashes.record_given_up();
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -72,7 +72,8 @@
     let mut relay = Relay::new(app, call, turn, payload, attempt_state, exchange);
     // The head is sent only after the first event, so that another replica can still be used until
     // then.
-    let first = match relay.next_event().await {
+    let lane = relay.exchange.lane();
+    let first = match lane.charge_polls(relay.next_event()).await {
         Ok(first) => first,
         Err(error) => {
             relay.attempt_state.crashes.finish_before_retry(call).await;
@@ -190,30 +191,45 @@
     ) {
         let mut next = first;
         while let Some(event) = next {
-            let tokens = self.tokens_per_event;
-            self.turn.record_event(event.data.as_deref(), tokens);
-            self.events += 1;
-            if chunks.send(Ok(event.into_bytes())).is_err() {
-                return self.log_end("caller left");
-            }
-            let following = tokio::select! {
-                biased;
-                () = chunks.closed() => return self.log_end("caller left"),
-                following = self.next_event() => following,
-            };
-            next = match following {
+            let lane = self.exchange.lane();
+            next = match lane.charge_polls(self.forward(event, &chunks)).await {
                 Ok(following) => following,
-                Err(error) => {
-                    self.attempt_state.crashes.finish_before_retry(&self.call).await;
-                    self.log_end(&error.to_string());
-                    let _ = chunks.send(Err(BodyAborted));
-                    return;
-                }
+                Err(outcome) => return self.log_end(&outcome),
             };
         }
         self.complete(chunks).await;
     }
 
+    /// Forwards an event, and returns the following one; `None` at the end of the response.
+    ///
+    /// # Errors
+    /// Returns the outcome of the request if the client has left or the stream cannot go on.
+    async fn forward(
+        &mut self,
+        event: ServerEvent,
+        chunks: &mpsc::UnboundedSender<Result<Bytes, BodyAborted>>,
+    ) -> Result<Option<ServerEvent>, String> {
+        const CALLER_LEFT: &str = "caller left";
+        self.turn.record_event(event.data.as_deref(), self.tokens_per_event);
+        self.events += 1;
+        if chunks.send(Ok(event.into_bytes())).is_err() {
+            return Err(CALLER_LEFT.to_owned());
+        }
+        let following = tokio::select! {
+            biased;
+            () = chunks.closed() => return Err(CALLER_LEFT.to_owned()),
+            following = self.next_event() => following,
+        };
+        match following {
+            Ok(following) => Ok(following),
+            Err(error) => {
+                self.attempt_state.crashes.finish_before_retry(&self.call).await;
+                let _ = chunks.send(Err(BodyAborted));
+                Err(error.to_string())
+            }
+        }
+    }
+
     /// Completes the turn after a complete response, then ends the response to the client.
     async fn complete(mut self, chunks: mpsc::UnboundedSender<Result<Bytes, BodyAborted>>) {
         self.log_end("200");
