Gateway: events that wait together are sent together

Each event was a chunk of its own on the caller's connection. An event that comes alone is sent at once, as before.

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -86,7 +86,7 @@
     let headers = relay.headers();
     let (sender, chunks) = mpsc::unbounded_channel();
     tokio::spawn(relay.run(first, sender));
-    let mut response = Response::new(ResponseBody::Streamed(chunks));
+    let mut response = Response::new(ResponseBody::streamed(chunks));
     *response.headers_mut() = headers;
     Ok(response)
 }
