HTTP server: close event streams whose reader stalls

What callers saw: a caller that stops reading an event stream holds a worker of the gateway without a limit. As many such callers as there are workers, and every other request is refused as busy; a stop waits for them.

Cause: only request bodies and buffered responses had a deadline.

Ruled out: a deadline for each write only. A blocked write returns when a third of the socket's buffer is free, which a slow reader takes longer than the limit for.

Fix: writes of a stream have a deadline, in parts of 16 KiB, and none between them. The watchdog asks the kernel how much the peer has not acknowledged, and extends the deadline of a peer that acknowledged more since the previous check. So a reader is closed after one to two times the limit. Buffered responses share the watchdog and its extension (not shown by a test). A deadline that is renewed while it is checked no longer closes the connection. The limit is a setting of the server, 30 s as before. The query of the kernel moves from the connections' linger to the transport, for both.

--- a/crates/calicohoist/src/roles.rs
+++ b/crates/calicohoist/src/roles.rs
@@ -70,6 +70,7 @@
             queue: section.workers * 2,
             max_body_bytes: section.max_body_bytes,
             body_timeout: section.body_timeout,
+            ..ServerSettings::default()
         },
         attempt_threads: section.workers,
     }
--- a/crates/connections/src/linger.rs
+++ b/crates/connections/src/linger.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use rustix::ioctl::{Getter, Opcode, ioctl};
+use calicohoist_transport::tcp;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
@@ -17,8 +17,6 @@
 const DISCARD_BYTES: usize = 16 << 10;
 /// Interval at which it is checked whether the peer has acknowledged everything.
 const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// `SIOCOUTQ`: bytes that the peer has not acknowledged.
-const UNACKNOWLEDGED_BYTES: Opcode = 0x5411;
 
 /// What to do with bytes that arrive after the last response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,7 +63,8 @@
 }
 
 async fn wait_until_delivered(stream: &TcpStream) {
-    while unacknowledged_bytes(stream) > 0 && !is_reset(stream) {
+    // Without an answer of the kernel there is nothing to wait for.
+    while tcp::unacknowledged_bytes(stream).is_ok_and(|bytes| bytes > 0) && !is_reset(stream) {
         tokio::time::sleep(DELIVERY_CHECK_INTERVAL).await;
     }
 }
@@ -75,14 +74,6 @@
     stream.peer_addr().is_err()
 }
 
-/// Returns the number of bytes that the peer has not acknowledged; 0 if the kernel cannot tell.
-fn unacknowledged_bytes(stream: &TcpStream) -> i32 {
-    // SAFETY: the kernel writes one `int` for this opcode.
-    #[allow(unsafe_code)]
-    let bytes = unsafe { ioctl(stream, Getter::<UNACKNOWLEDGED_BYTES, i32>::new()) };
-    bytes.unwrap_or(0)
-}
-
 async fn wait_for_end(stream: &TcpStream) {
     if let Ok(1..) = stream.peek(&mut [0]).await {
         std::future::pending::<()>().await;
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::exchange::HeaderPair;
+use crate::guarded_writer::GuardedWriter;
 use crate::response::ResponseBody;
 
 /// Maximum size of an event, including comments and other fields before its data, in bytes.
@@ -15,7 +16,7 @@
 
 /// Writes an event stream; each event is flushed immediately, the end of the stream on drop.
 pub struct EventWriter {
-    writer: Box<dyn Write + Send>,
+    writer: GuardedWriter,
     framing: Framing,
 }
 
@@ -28,7 +29,7 @@
 
 impl EventWriter {
     pub(crate) fn start(
-        mut writer: Box<dyn Write + Send>,
+        mut writer: GuardedWriter,
         chunked: bool,
         headers: &[HeaderPair],
     ) -> io::Result<Self> {
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -8,22 +8,25 @@
 use tiny_http::{Header, Method, Request, Response, StatusCode};
 
 use crate::events::EventWriter;
+use crate::guarded_writer::GuardedWriter;
 use crate::server::ServerSettings;
 use crate::slow_peer::{Awaited, DeadlineGuard, PeerDeadlines};
 
-/// Time without progress after which the connection of a reader is closed.
-const READER_STALL_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Limits on a request body.
+/// Limits on a request and its response.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct BodyLimits {
-    max_bytes: usize,
-    timeout: Duration,
+pub(crate) struct ExchangeLimits {
+    max_body_bytes: usize,
+    body_timeout: Duration,
+    stall_timeout: Duration,
 }
 
-impl From<&ServerSettings> for BodyLimits {
+impl From<&ServerSettings> for ExchangeLimits {
     fn from(settings: &ServerSettings) -> Self {
-        Self { max_bytes: settings.max_body_bytes, timeout: settings.body_timeout }
+        Self {
+            max_body_bytes: settings.max_body_bytes,
+            body_timeout: settings.body_timeout,
+            stall_timeout: settings.reader_stall_timeout,
+        }
     }
 }
 
@@ -53,14 +56,14 @@
 /// Request that is being handled, with the means to respond to it.
 pub struct Exchange {
     request: Request,
-    limits: BodyLimits,
+    limits: ExchangeLimits,
     deadlines: PeerDeadlines,
     path: String,
     query: String,
 }
 
 impl Exchange {
-    pub(crate) fn new(request: Request, limits: BodyLimits, deadlines: PeerDeadlines) -> Self {
+    pub(crate) fn new(request: Request, limits: ExchangeLimits, deadlines: PeerDeadlines) -> Self {
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
         Self { path: path.to_owned(), query: query.to_owned(), request, limits, deadlines }
@@ -103,11 +106,11 @@
     /// # Errors
     /// See [`BodyError`].
     pub fn read_body(&mut self) -> Result<Vec<u8>, BodyError> {
-        let limit = self.limits.max_bytes;
+        let limit = self.limits.max_body_bytes;
         if self.request.body_length().is_some_and(|length| length > limit) {
             return Err(BodyError::TooLarge { limit });
         }
-        let timeout = self.limits.timeout;
+        let timeout = self.limits.body_timeout;
         let guard = self.guard();
         if let Some(guard) = &guard {
             guard.renew(Awaited::Body, timeout);
@@ -150,8 +153,8 @@
     fn reply(self, status: u16, content_type: &str, headers: &[HeaderPair], body: Vec<u8>) {
         let guard = self.guard();
         let length = Some(body.len());
-        let timeout = self.limits.timeout;
-        let body = GuardedBody { body: Cursor::new(body), guard: guard.as_ref(), timeout };
+        let body =
+            GuardedBody { body: Cursor::new(body), guard: guard.as_ref(), limits: self.limits };
         let mut response = Response::new(StatusCode(status), Vec::new(), body, length, None);
         add_header(&mut response, "content-type", content_type);
         for (name, value) in headers {
@@ -174,7 +177,10 @@
     pub fn start_event_stream(self, headers: &[HeaderPair]) -> io::Result<EventWriter> {
         let chunked = *self.request.http_version() >= tiny_http::HTTPVersion(1, 1);
         let is_head = *self.request.method() == Method::Head;
-        EventWriter::start(self.request.into_writer(), chunked && !is_head, headers)
+        let guard = self.guard();
+        let stall_timeout = self.limits.stall_timeout;
+        let writer = GuardedWriter::start(self.request.into_writer(), guard, stall_timeout)?;
+        EventWriter::start(writer, chunked && !is_head, headers)
     }
 }
 
@@ -190,13 +196,13 @@
 struct GuardedBody<'a> {
     body: Cursor<Vec<u8>>,
     guard: Option<&'a DeadlineGuard>,
-    timeout: Duration,
+    limits: ExchangeLimits,
 }
 
 impl Read for GuardedBody<'_> {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         if let Some(guard) = self.guard {
-            guard.renew(Awaited::Progress, READER_STALL_TIMEOUT);
+            guard.renew(Awaited::Progress, self.limits.stall_timeout);
         }
         self.body.read(buffer)
     }
@@ -206,7 +212,7 @@
     fn drop(&mut self) {
         // Dropping the request reads the rest of its body.
         if let Some(guard) = self.guard {
-            guard.renew(Awaited::Progress, self.timeout);
+            guard.renew(Awaited::Progress, self.limits.body_timeout);
         }
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod events;
 pub mod exchange;
+mod guarded_writer;
 mod limited_stream;
 mod listener;
 pub mod request;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,7 +13,7 @@
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use rustix::net::{Shutdown, shutdown, sockopt};
 
-use crate::exchange::{BodyLimits, Exchange};
+use crate::exchange::{Exchange, ExchangeLimits};
 use crate::listener::{AcceptingServer, has_queued_connection};
 use crate::slow_peer::{PeerDeadlines, Watchdog};
 
@@ -42,6 +42,9 @@
     pub max_body_bytes: usize,
     /// Time limit for receiving a request body.
     pub body_timeout: Duration,
+    /// Time after which a connection is closed whose peer reads nothing of a response. It takes up
+    /// to twice as long until the server notices.
+    pub reader_stall_timeout: Duration,
 }
 
 impl Default for ServerSettings {
@@ -51,6 +54,7 @@
             queue: 64,
             max_body_bytes: 4 << 20,
             body_timeout: Duration::from_secs(10),
+            reader_stall_timeout: Duration::from_secs(30),
         }
     }
 }
@@ -118,7 +122,7 @@
             running: Arc::new(()),
             handler,
             deadlines,
-            limits: BodyLimits::from(&settings),
+            limits: ExchangeLimits::from(&settings),
             stop: stop.clone(),
         };
         threads.push(spawn_named("http-accept", move || acceptor.run())?);
@@ -208,7 +212,7 @@
     running: Arc<()>,
     handler: Arc<dyn Handler>,
     deadlines: PeerDeadlines,
-    limits: BodyLimits,
+    limits: ExchangeLimits,
     stop: Arc<AtomicBool>,
 }
 
--- a/crates/http/src/slow_peer.rs
+++ b/crates/http/src/slow_peer.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
+use calicohoist_transport::tcp;
 use parking_lot::Mutex;
 use rustix::net::{Shutdown, getpeername, shutdown};
 
@@ -44,7 +45,10 @@
 struct Deadline {
     peer: SocketAddr,
     awaited: Awaited,
+    timeout: Duration,
     at: Instant,
+    /// Bytes of the response that the peer had not acknowledged at the previous check.
+    unacknowledged_bytes: Option<i32>,
 }
 
 /// Deadlines of running exchanges. A connection has several with pipelined requests.
@@ -61,10 +65,43 @@
         DeadlineGuard { deadlines: self.clone(), id, peer }
     }
 
-    fn take_overdue(&self, now: Instant) -> Vec<Deadline> {
+    fn overdue(&self, now: Instant) -> Vec<(u64, Deadline)> {
+        let by_id = self.by_id.lock();
+        let overdue = by_id.iter().filter(|(_, deadline)| deadline.at <= now);
+        overdue.map(|(id, deadline)| (*id, *deadline)).collect()
+    }
+
+    /// Extends a deadline that was not renewed meanwhile.
+    fn extend(&self, id: u64, overdue: &Deadline, unacknowledged_bytes: i32) {
+        let mut by_id = self.by_id.lock();
+        if let Some(deadline) = by_id.get_mut(&id).filter(|deadline| deadline.at == overdue.at) {
+            deadline.at = Instant::now() + deadline.timeout;
+            deadline.unacknowledged_bytes = Some(unacknowledged_bytes);
+        }
+    }
+
+    /// Removes a deadline; returns `false` if it was renewed or removed meanwhile.
+    fn remove(&self, id: u64, overdue: &Deadline) -> bool {
         let mut by_id = self.by_id.lock();
-        let is_overdue = |_: &u64, deadline: &mut Deadline| deadline.at <= now;
-        by_id.extract_if(is_overdue).map(|(_, deadline)| deadline).collect()
+        let is_same = by_id.get(&id).is_some_and(|deadline| deadline.at == overdue.at);
+        is_same && by_id.remove(&id).is_some()
+    }
+
+    /// Closes the connection of an overdue deadline unless its peer makes progress.
+    fn enforce(&self, id: u64, overdue: &Deadline) {
+        let Deadline { peer, awaited, .. } = *overdue;
+        if awaited == Awaited::Progress {
+            let unacknowledged_bytes = unacknowledged_bytes(peer);
+            if let Some(bytes) = unacknowledged_bytes
+                && unacknowledged_bytes != overdue.unacknowledged_bytes
+            {
+                return self.extend(id, overdue, bytes);
+            }
+        }
+        if self.remove(id, overdue) {
+            emit!(Event::SlowBodyClosed, "{peer} is too slow ({awaited:?})");
+            shut_down_peer(peer, awaited.overdue_side());
+        }
     }
 }
 
@@ -78,14 +115,25 @@
 impl DeadlineGuard {
     /// Sets the deadline, or replaces it.
     pub(crate) fn renew(&self, awaited: Awaited, timeout: Duration) {
-        let deadline = Deadline { peer: self.peer, awaited, at: Instant::now() + timeout };
+        let deadline = Deadline {
+            peer: self.peer,
+            awaited,
+            timeout,
+            at: Instant::now() + timeout,
+            unacknowledged_bytes: None,
+        };
         self.deadlines.by_id.lock().insert(self.id, deadline);
     }
+
+    /// Removes the deadline.
+    pub(crate) fn clear(&self) {
+        self.deadlines.by_id.lock().remove(&self.id);
+    }
 }
 
 impl Drop for DeadlineGuard {
     fn drop(&mut self) {
-        self.deadlines.by_id.lock().remove(&self.id);
+        self.clear();
     }
 }
 
@@ -100,10 +148,8 @@
             std::thread::Builder::new().name("http-watchdog".to_owned()).spawn(move || {
                 while !stop.load(Ordering::SeqCst) {
                     std::thread::sleep(CHECK_INTERVAL);
-                    for overdue in checked_deadlines.take_overdue(Instant::now()) {
-                        let Deadline { peer, awaited, .. } = overdue;
-                        emit!(Event::SlowBodyClosed, "{peer} is too slow ({awaited:?})");
-                        shut_down_peer(peer, awaited.overdue_side());
+                    for (id, overdue) in checked_deadlines.overdue(Instant::now()) {
+                        checked_deadlines.enforce(id, &overdue);
                     }
                 }
             })?;
@@ -113,28 +159,27 @@
 
 /// Shuts down every socket of this process that is connected to `peer`.
 fn shut_down_peer(peer: SocketAddr, side: Shutdown) {
-    let Ok(entries) = std::fs::read_dir("/proc/self/fd") else {
-        return;
-    };
-    for entry in entries.flatten() {
-        let name = entry.file_name();
-        let Some(fd) = name.to_str().and_then(|text| text.parse::<RawFd>().ok()) else {
-            continue;
-        };
-        shut_down_if_connected_to(fd, peer, side);
+    for socket in sockets_to(peer) {
+        // Fails only if the connection has ended.
+        let _ = shutdown(socket, side);
     }
 }
 
-fn shut_down_if_connected_to(fd: RawFd, peer: SocketAddr, side: Shutdown) {
-    let Some(socket) = borrow_fd(fd) else {
-        return;
-    };
-    let Ok(Some(peer_address)) = getpeername(socket) else {
-        return;
-    };
-    if SocketAddr::try_from(peer_address) == Ok(peer) {
-        let _ = shutdown(socket, side);
-    }
+/// Returns how many bytes `peer` has not acknowledged, or `None` if the connection has ended.
+fn unacknowledged_bytes(peer: SocketAddr) -> Option<i32> {
+    sockets_to(peer).find_map(|socket| tcp::unacknowledged_bytes(socket).ok())
+}
+
+/// Returns the sockets of this process that are connected to `peer`.
+fn sockets_to(peer: SocketAddr) -> impl Iterator<Item = BorrowedFd<'static>> {
+    let entries = std::fs::read_dir("/proc/self/fd").into_iter().flatten().flatten();
+    let fds = entries.filter_map(|entry| entry.file_name().to_str()?.parse::<RawFd>().ok());
+    fds.filter_map(borrow_fd).filter(move |socket| is_connected_to(*socket, peer))
+}
+
+fn is_connected_to(socket: BorrowedFd<'_>, peer: SocketAddr) -> bool {
+    let address = getpeername(socket).ok().flatten();
+    address.is_some_and(|address| SocketAddr::try_from(address) == Ok(peer))
 }
 
 #[allow(unsafe_code)]
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use calicohoist_telemetry::{Event, emit};
+use rustix::ioctl::{Getter, Opcode, ioctl};
 use rustix::net::sockopt;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -14,6 +16,9 @@
 /// Pause after a failed accept, for example without a free file descriptor.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// `SIOCOUTQ`: bytes that the peer has not acknowledged.
+const UNACKNOWLEDGED_BYTES: Opcode = 0x5411;
+
 /// Classic BPF program that drops segments with the SYN flag. Offsets count from the TCP header.
 mod handshake_filter {
     use socket2::SockFilter;
@@ -81,6 +86,17 @@
     SockRef::from(listener).attach_filter(&handshake_filter::PROGRAM)
 }
 
+/// Returns the number of bytes that were written and that the peer has not acknowledged.
+///
+/// # Errors
+/// When `socket` is not a connected socket.
+pub fn unacknowledged_bytes(socket: impl AsFd) -> io::Result<i32> {
+    // SAFETY: the kernel writes one `int` for this opcode.
+    #[allow(unsafe_code)]
+    let bytes = unsafe { ioctl(socket, Getter::<UNACKNOWLEDGED_BYTES, i32>::new()) };
+    Ok(bytes?)
+}
+
 /// Accepts a connection. Failures are logged, and the next attempt follows after a pause.
 pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
