HTTP server: serve connections that are completed while it stops

What callers saw: a request on a new connection is reset without a response while its server stops.

Cause: the kernel completes handshakes between the last look into the listener's queue and the close of the listener, which resets them.

Ruled out: a longer drain of the queue, which leaves the same window.

Fix: as for the gateways' connections, with the same function: a stopping server ignores new SYNs, waits for handshakes under way, empties the queue and closes the listener. The time for a handshake moves to the transport, beside the filter.

--- a/crates/connections/src/accept.rs
+++ b/crates/connections/src/accept.rs
@@ -13,8 +13,6 @@
 use crate::connection::{ConnectionSettings, RequestContext, serve};
 use crate::drain::Drain;
 
-/// Time in which a handshake is completed. Longer than a round trip within a region.
-const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
 /// Maximum time for accepting the connections that are queued when the listener is closed.
 const QUEUE_TIMEOUT: Duration = Duration::from_secs(1);
 const QUEUE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -60,7 +58,7 @@
             "cannot ignore new peers before the listener is closed: {error}"
         );
     }
-    tokio::time::sleep(HANDSHAKE_TIME).await;
+    tokio::time::sleep(tcp::HANDSHAKE_TIME).await;
     // The timeout applies while there is no free file descriptor.
     let _ = tokio::time::timeout(QUEUE_TIMEOUT, accept_queued(listener, spawn)).await;
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
+use calicohoist_transport::tcp;
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use rustix::net::{Shutdown, shutdown, sockopt};
 
@@ -268,14 +269,17 @@
 
     /// Serves what has arrived, closes the listener, and returns when no request is running.
     fn drain(&self) {
+        self.ignore_new_peers();
+        let handshakes_end = Instant::now() + tcp::HANDSHAKE_TIME;
         let listen_deadline = Instant::now() + DRAIN_TIMEOUT;
         let mut is_listening = true;
         let mut idle_deadline = Instant::now() + DRAIN_TIMEOUT;
         loop {
             let is_quiet = !self.serve_next();
-            let accepts_queued = self.current.is_accepting()
-                && Instant::now() < listen_deadline
-                && has_queued_connection(&self.listener);
+            let has_arrivals =
+                Instant::now() < handshakes_end || has_queued_connection(&self.listener);
+            let accepts_queued =
+                self.current.is_accepting() && Instant::now() < listen_deadline && has_arrivals;
             if is_listening && !accepts_queued {
                 is_listening = false;
                 self.close_listener();
@@ -291,6 +295,17 @@
         }
     }
 
+    /// Keeps connections from being completed between the last accept and the close of the listener,
+    /// which would reset them.
+    fn ignore_new_peers(&self) {
+        if let Err(error) = tcp::ignore_new_peers(&self.listener) {
+            emit!(
+                Event::AcceptFailed,
+                "cannot ignore new peers before the listener is closed: {error}"
+            );
+        }
+    }
+
     fn close_listener(&self) {
         if let Err(error) = shutdown(&self.listener, Shutdown::Both) {
             emit!(Event::AcceptFailed, "cannot close the listener: {error}");
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -13,6 +13,8 @@
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
+/// Time in which a handshake is completed. Longer than a round trip within a region.
+pub const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
 /// Pause after a failed accept, for example without a free file descriptor.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -82,7 +84,7 @@
 ///
 /// # Errors
 /// When the kernel does not accept the filter.
-pub fn ignore_new_peers(listener: &TcpListener) -> io::Result<()> {
+pub fn ignore_new_peers(listener: &impl AsFd) -> io::Result<()> {
     SockRef::from(listener).attach_filter(&handshake_filter::PROGRAM)
 }
 
