--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 pub mod events;
 pub mod exchange;
+mod guarded_writer;
 mod listener;
 mod request;
 pub mod response;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -10,10 +10,11 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
+use calicohoist_transport::tcp;
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
 use rustix::net::{Shutdown, shutdown, sockopt};
 
-use crate::exchange::{BodyLimits, Exchange};
+use crate::exchange::{Exchange, ExchangeLimits};
 use crate::listener::{AcceptingServer, has_queued_connection};
 use crate::slow_peer::{PeerDeadlines, Watchdog};
 
@@ -42,6 +43,9 @@
     pub max_body_bytes: usize,
     /// Time limit for receiving a request body.
     pub body_timeout: Duration,
+    /// Time after which a connection is closed whose peer reads nothing of a response. It takes up
+    /// to twice as long until the server notices.
+    pub reader_stall_timeout: Duration,
 }
 
 impl Default for ServerSettings {
@@ -51,6 +55,7 @@
             queue: 64,
             max_body_bytes: 4 << 20,
             body_timeout: Duration::from_secs(10),
+            reader_stall_timeout: Duration::from_secs(30),
         }
     }
 }
@@ -118,7 +123,7 @@
             running: Arc::new(()),
             handler,
             deadlines,
-            limits: BodyLimits::from(&settings),
+            limits: ExchangeLimits::from(&settings),
             stop: stop.clone(),
         };
         threads.push(spawn_named("http-accept", move || acceptor.run())?);
@@ -208,7 +213,7 @@
     running: Arc<()>,
     handler: Arc<dyn Handler>,
     deadlines: PeerDeadlines,
-    limits: BodyLimits,
+    limits: ExchangeLimits,
     stop: Arc<AtomicBool>,
 }
 
@@ -264,14 +269,17 @@
 
     /// Serves what has arrived, closes the listener, and returns when no request is running.
     fn drain(&self) {
+        self.ignore_new_peers();
+        let handshakes_end = Instant::now() + tcp::HANDSHAKE_TIME;
         let listen_deadline = Instant::now() + DRAIN_TIMEOUT;
         let mut is_listening = true;
         let mut idle_deadline = Instant::now() + DRAIN_TIMEOUT;
         loop {
             let is_quiet = !self.serve_next();
-            let accepts_queued = self.current.is_accepting()
-                && Instant::now() < listen_deadline
-                && has_queued_connection(&self.listener);
+            let has_arrivals =
+                Instant::now() < handshakes_end || has_queued_connection(&self.listener);
+            let accepts_queued =
+                self.current.is_accepting() && Instant::now() < listen_deadline && has_arrivals;
             if is_listening && !accepts_queued {
                 is_listening = false;
                 self.close_listener();
@@ -287,6 +295,17 @@
         }
     }
 
+    /// Keeps connections from being completed between the last accept and the close of the listener,
+    /// which would reset them.
+    fn ignore_new_peers(&self) {
+        if let Err(error) = tcp::ignore_new_peers(&self.listener) {
+            emit!(
+                Event::AcceptFailed,
+                "cannot ignore new peers before the listener is closed: {error}"
+            );
+        }
+    }
+
     fn close_listener(&self) {
         if let Err(error) = shutdown(&self.listener, Shutdown::Both) {
             emit!(Event::AcceptFailed, "cannot close the listener: {error}");
