Links: a peer that makes no progress does not hold its connection

What callers saw: nothing directly. A ledger machine kept each connection of another process open for as long as that process liked, with as many open at once as it liked: one that sent a frame a byte at a time, or nothing at all, and one whose machine had lost power.

Cause: a frame was read without a limit in time, the first frame as well, and connections were not counted. Listeners did not notice a peer that is lost while nothing is sent to it.

Evidence: three tests of slow_frames.rs fail on the code before (an hour of paused time passes: frame and header that trickle, peer that never begins) and pass now; the slow but legitimate transfers beside them pass on both. The limit of connections is tested by itself, not with 2,048 connections.

Ruled out, by reading: that a frame is allocated when it is announced. Both readers (this one, and that of calicohoist-wire) grow with the bytes that arrive.

Why it works: a frame gets ten seconds and then must have arrived at 16 KiB/s on average, which any link that can carry the traffic of a machine does; silence between frames stays unlimited. At most 2,048 gateways and 256 machines are connected, more than the size to design for; keep-alive probes free the places of lost ones.

Not changed: frames that arrive fast enough may still hold up to 64 MiB each. The blocking reader of calicohoist-wire has no limit in time.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -131,7 +131,7 @@
     state: Arc<ConnectionState>,
     address: SocketAddr,
 ) {
-    let record_received = || *state.last_received.lock() = Instant::now();
+    let record_received = |_| *state.last_received.lock() = Instant::now();
     let error = loop {
         let read = ResponseEnvelope::read(&mut frames, version, record_received).await;
         let ResponseEnvelope { number, answer } = match read {
--- a/crates/ledger/src/protocol/version.rs
+++ b/crates/ledger/src/protocol/version.rs
@@ -89,15 +89,15 @@
         }
     }
 
-    /// Reads the next message in the given protocol version. Calls `on_bytes` whenever bytes
-    /// arrive, even if the message is still incomplete.
+    /// Reads the next message in the given protocol version. Calls `on_bytes` with the number of
+    /// bytes whenever some arrive, even if the message is still incomplete.
     ///
     /// # Errors
     /// See [`FrameError`]; the connection is unusable afterwards.
     pub async fn read<R: AsyncRead + Unpin>(
         frames: &mut FrameReader<R>,
         version: ProtocolVersion,
-        on_bytes: impl FnMut(),
+        on_bytes: impl FnMut(usize),
     ) -> Result<Self, FrameError> {
         match version {
             ProtocolVersion::LEGACY => {
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -21,8 +21,8 @@
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::version::accept_offer;
 use calicohoist_transport::{
-    Frame, FrameError, FrameQueue, FrameReader, ProtocolVersion, QueuedBytes, RefusedFrameLog,
-    SendOutcome, VersionError, spawn_writer, tcp,
+    ConnectionLimit, Frame, FrameError, FrameQueue, FrameReader, ProtocolVersion, QueuedBytes,
+    RefusedFrameLog, SendOutcome, VersionError, spawn_writer, tcp,
 };
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -50,6 +50,8 @@
 /// How long a request for the leader is held while there is none.
 const FIND_LEADER_TIMEOUT: Duration = Duration::from_millis(150);
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Maximum number of open connections of gateways. Each needs one.
+const MAX_CONNECTIONS: usize = 2_048;
 
 static REFUSALS: RefusedFrameLog = RefusedFrameLog::new("gateway");
 
@@ -153,9 +155,15 @@
 
 /// Accepts connections from gateways.
 pub async fn accept(listener: TcpListener, service: GatewayService) {
+    let limit = ConnectionLimit::new(MAX_CONNECTIONS);
     loop {
         let (stream, address) = tcp::accept(&listener).await;
-        if let Err(error) = tcp::configure(&stream, USER_TIMEOUT) {
+        let Some(open) = limit.open(address) else {
+            continue;
+        };
+        let configured =
+            tcp::configure(&stream, USER_TIMEOUT).and_then(|()| tcp::keep_alive(&stream));
+        if let Err(error) = configured {
             // The gateway has reset the connection meanwhile.
             emit!(Event::ConnectionFailed, "cannot configure a connection: {error}");
             continue;
@@ -165,6 +173,7 @@
             if let Err(error) = serve(stream, service).await {
                 REFUSALS.record_version_error(address, &error);
             }
+            drop(open);
         });
     }
 }
--- a/crates/ledger/src/server/peers/mod.rs
+++ b/crates/ledger/src/server/peers/mod.rs
@@ -10,9 +10,11 @@
 use std::{io, thread};
 
 use calicohoist_replication::{GroupMessage, Message, ReplicaId};
+use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::version::accept_offer;
 use calicohoist_transport::{
-    FrameReader, HEADER_BYTES, Link, LinkHandshake, RefusedFrameLog, VersionError, tcp,
+    ConnectionLimit, FrameReader, HEADER_BYTES, Link, LinkHandshake, RefusedFrameLog, VersionError,
+    tcp,
 };
 use calicohoist_wire::encode;
 use tokio::net::{TcpListener, TcpStream};
@@ -29,6 +31,8 @@
 
 /// Capacity of the queue from the replica thread to the network thread.
 pub const OUTGOING_QUEUE_CAPACITY: usize = 4_096;
+/// Maximum number of open connections of other machines. Each needs one.
+const MAX_CONNECTIONS: usize = 256;
 
 static REFUSALS: RefusedFrameLog = RefusedFrameLog::new("ledger machine");
 
@@ -135,13 +139,23 @@
     replica: ReplicaHandle,
     peers: KnownPeers,
 ) {
+    let limit = ConnectionLimit::new(MAX_CONNECTIONS);
     loop {
         let (stream, address) = tcp::accept(&listener).await;
+        let Some(open) = limit.open(address) else {
+            continue;
+        };
+        if let Err(error) = tcp::keep_alive(&stream) {
+            // The machine has reset the connection meanwhile.
+            emit!(Event::ConnectionFailed, "cannot configure a connection: {error}");
+            continue;
+        }
         let receiver = PeerReceiver { identity, replica: replica.clone(), peers: peers.clone() };
         tokio::spawn(async move {
             if let Err(error) = receiver.read(stream).await {
                 REFUSALS.record_version_error(address, &error);
             }
+            drop(open);
         });
     }
 }
--- a/crates/ledger/tests/busy_leader.rs
+++ b/crates/ledger/tests/busy_leader.rs
@@ -71,7 +71,8 @@
     let question = LedgerRequest::FindLeader;
     let frame = encode_frame(&RequestEnvelope { number: 1, question }).expect("encode");
     output.write_all(&frame).await.ok()?;
-    let answer = ResponseEnvelope::read(&mut FrameReader::new(input), version, || {}).await.ok()?;
+    let answer =
+        ResponseEnvelope::read(&mut FrameReader::new(input), version, |_| {}).await.ok()?;
     Some(matches!(answer.answer, LedgerResponse::Leads { .. }))
 }
 
--- a/crates/ledger/tests/compatibility.rs
+++ b/crates/ledger/tests/compatibility.rs
@@ -89,7 +89,7 @@
 
     let framed = frame_payload(&list_response);
     let mut frames = FrameReader::new(framed.as_slice());
-    let reply = ResponseEnvelope::read(&mut frames, ProtocolVersion::LEGACY, || {})
+    let reply = ResponseEnvelope::read(&mut frames, ProtocolVersion::LEGACY, |_| {})
         .await
         .expect("read reply");
     let LedgerResponse::List { mark, list } = reply.answer else { panic!("{reply:?}") };
@@ -210,7 +210,7 @@
             }
             Some("reply") => {
                 let reply =
-                    ResponseEnvelope::read(&mut frames, ProtocolVersion::LEGACY, || {}).await;
+                    ResponseEnvelope::read(&mut frames, ProtocolVersion::LEGACY, |_| {}).await;
                 let reply = reply.unwrap_or_else(|error| panic!("{name}: {error}"));
                 reply.encode(ProtocolVersion::LEGACY)
             }
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -1,16 +1,24 @@
 //! Frame format: length, CRC-32C checksum, payload.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use calicohoist_wire::{FrameError, MAX_FRAME_BYTES, encode, write_frame};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::time::{Instant, timeout_at};
 
 /// Size of the frame header: payload length and checksum.
 pub const HEADER_BYTES: usize = 8;
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Time in which the first frame of a connection begins.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time that any frame may take, however slow its link is.
+const FRAME_GRACE: Duration = Duration::from_secs(10);
+/// Minimum rate at which the bytes of a frame arrive that takes longer, in bytes a second.
+const MIN_BYTES_PER_SECOND: u32 = 16 << 10;
 
 /// Encodes `message` as a frame.
 ///
@@ -130,12 +138,14 @@
     input: R,
     buffer: BytesMut,
     last_frame_len: usize,
+    /// When the first bytes of the incomplete frame in the buffer arrived.
+    frame_began_at: Option<Instant>,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
     /// Creates a reader of `input`.
     pub fn new(input: R) -> Self {
-        Self { input, buffer: BytesMut::new(), last_frame_len: 0 }
+        Self { input, buffer: BytesMut::new(), last_frame_len: 0, frame_began_at: None }
     }
 
     /// Length of the last frame that was read, in bytes.
@@ -148,17 +158,17 @@
     /// # Errors
     /// See [`FrameError`]; the connection is unusable afterwards.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<T, FrameError> {
-        self.next_with_progress(|| {}).await
+        self.next_with_progress(|_| {}).await
     }
 
-    /// Reads the next message and calls `on_bytes` whenever data arrives, even if the message is
-    /// incomplete.
+    /// Reads the next message and calls `on_bytes` with the number of bytes whenever some arrive,
+    /// even if the message is incomplete.
     ///
     /// # Errors
     /// See [`FrameError`]; the connection is unusable afterwards.
     pub async fn next_with_progress<T: DeserializeOwned>(
         &mut self,
-        mut on_bytes: impl FnMut(),
+        mut on_bytes: impl FnMut(usize),
     ) -> Result<T, FrameError> {
         self.buffer_frame(&mut on_bytes).await?;
         calicohoist_wire::decode(&self.take_payload()?)
@@ -172,22 +182,56 @@
         &mut self,
         predicate: impl FnOnce(&[u8]) -> bool,
     ) -> Result<Option<Bytes>, FrameError> {
-        let length = self.buffer_frame(&mut || {}).await?;
+        let length = self.buffer_frame(&mut |_| {}).await?;
         let is_accepted = predicate(&self.buffer[HEADER_BYTES..HEADER_BYTES + length]);
         is_accepted.then(|| self.take_payload()).transpose()
     }
 
+    /// Waits until the first frame of a connection begins.
+    ///
+    /// # Errors
+    /// [`FrameError::Stalled`] if it does not begin in time, and errors of the connection.
+    pub async fn wait_for_first_frame(&mut self) -> Result<(), FrameError> {
+        let began = tokio::time::timeout(FIRST_FRAME_TIMEOUT, self.read_some()).await;
+        match began.map_err(|_| FrameError::Stalled)?? {
+            0 => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            _ => Ok(()),
+        }
+    }
+
     /// Reads until a complete frame is buffered and returns the length of its payload.
-    async fn buffer_frame(&mut self, on_bytes: &mut impl FnMut()) -> Result<usize, FrameError> {
+    async fn buffer_frame(
+        &mut self,
+        on_bytes: &mut impl FnMut(usize),
+    ) -> Result<usize, FrameError> {
         loop {
             if let Some(length) = self.buffered_payload_len()? {
+                self.frame_began_at = None;
                 return Ok(length);
             }
-            self.buffer.reserve(READ_BUFFER_BYTES);
-            if self.input.read_buf(&mut self.buffer).await? == 0 {
+            let count = self.read_some().await?;
+            if count == 0 {
                 return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
             }
-            on_bytes();
+            on_bytes(count);
+        }
+    }
+
+    /// Reads some bytes. Waits without a limit between two frames, but within a frame only as long
+    /// as its bytes arrive at the minimum rate.
+    async fn read_some(&mut self) -> Result<usize, FrameError> {
+        let buffered = self.buffer.len();
+        let deadline = (buffered > 0).then(|| {
+            let began_at = *self.frame_began_at.get_or_insert_with(Instant::now);
+            began_at + FRAME_GRACE + Duration::from_secs(buffered as u64) / MIN_BYTES_PER_SECOND
+        });
+        self.buffer.reserve(READ_BUFFER_BYTES);
+        let read = self.input.read_buf(&mut self.buffer);
+        match deadline {
+            Some(deadline) => {
+                Ok(timeout_at(deadline, read).await.map_err(|_| FrameError::Stalled)??)
+            }
+            None => Ok(read.await?),
         }
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 //! crate is for asynchronous code, `calicohoist-wire` for blocking code.
 
 pub mod frame;
+pub mod limit;
 pub mod link;
 pub mod refusal;
 pub mod tcp;
@@ -12,6 +13,7 @@
 
 pub use calicohoist_wire::FrameError;
 pub use frame::{Frame, FrameReader, HEADER_BYTES, SharedField, encode_frame, frame_payload};
+pub use limit::{ConnectionLimit, OpenConnection};
 pub use link::{Link, LinkHandshake, LinkMessage};
 pub use refusal::RefusedFrameLog;
 pub use tcp::{accept, bind, connect};
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -6,11 +6,15 @@
 
 use calicohoist_telemetry::{Event, emit};
 use rustix::net::sockopt;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
+/// Idle time after which a peer is asked whether it still has a connection.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(10);
+/// Time between two such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, for example without a free file descriptor.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -61,6 +65,15 @@
     Ok(())
 }
 
+/// Ends the connection when its peer is lost while nothing is sent, for example in a power failure.
+///
+/// # Errors
+/// When a socket option cannot be set.
+pub fn keep_alive(stream: &TcpStream) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_INTERVAL);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
 /// Listens on `address`, even if connections of a previous process are in `TIME_WAIT`.
 ///
 /// # Errors
--- a/crates/transport/src/version.rs
+++ b/crates/transport/src/version.rs
@@ -173,6 +173,7 @@
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
 {
+    frames.wait_for_first_frame().await?;
     let legacy = VersionRange { oldest: ProtocolVersion::LEGACY, newest: ProtocolVersion::LEGACY };
     let offered =
         match frames.next_payload_if(|payload| payload.first() == Some(&HANDSHAKE_MARKER)).await? {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -23,6 +23,9 @@
     /// The payload is longer than [`MAX_FRAME_BYTES`].
     #[error("frame of {0} bytes exceeds the size limit")]
     TooLong(usize),
+    /// The bytes of the payload arrive too slowly.
+    #[error("frame arrives too slowly")]
+    Stalled,
     /// The checksum does not match.
     #[error("checksum mismatch")]
     Checksum,
