Ledger control: bodies without end cost a bounded share of memory

What callers saw: nothing beside 40 callers whose bodies did not end, but the machine held 592 MiB. With the 128 MB that a machine is designed for it would have been ended, and with it all requests on it.

Cause: each body was limited, to 16 MiB and 10 s, but not all of them together.

Ruled out, by reading: heads without end (64 KiB, 5 s), extensions of chunks and trailers (limits of the HTTP library), and slow bodies (10 s).

Why it works: bodies reserve memory as they arrive, 32 MiB together. One that finds none left is refused with 503 at once instead of waiting, since the bodies it would wait for may wait as well. Why a body is refused is now logged.

Not changed: an operator may get that 503 too while such callers are at work, and is to try again. What is sent behind a refusal is read and dropped for up to 30 s without a limit on its rate.

--- a/crates/calicohoist/tests/acknowledged/main.rs
+++ b/crates/calicohoist/tests/acknowledged/main.rs
@@ -9,6 +9,7 @@
 
 mod calls;
 mod durability;
+mod endless_calls;
 mod failing_disk;
 mod final_fault;
 mod stops;
--- /dev/null
+++ b/crates/ledger/src/server/bodies.rs
@@ -0,0 +1,91 @@
+//! Receives the bodies of operator requests, in bounded time and memory.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+const MAX_BODY_BYTES: usize = 16 << 20;
+/// Maximum size of all bodies together.
+const MAX_TOTAL_BYTES: usize = 2 * MAX_BODY_BYTES;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Memory for the bodies of operator requests. Clones share it.
+#[derive(Clone, Debug)]
+pub struct BodyMemory {
+    free_bytes: Arc<Semaphore>,
+}
+
+/// A complete body, which takes memory until this value is dropped.
+#[derive(Debug)]
+pub struct ReceivedBody {
+    /// The content.
+    pub bytes: Bytes,
+    _memory: Option<OwnedSemaphorePermit>,
+}
+
+/// Why a body was not received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// It is longer than [`MAX_BODY_BYTES`].
+    #[error("body is too long")]
+    TooLong,
+    /// The connection ended, or the body is malformed.
+    #[error("body is incomplete")]
+    Incomplete,
+    /// It did not arrive in time.
+    #[error("body did not arrive in time")]
+    TimedOut,
+    /// The bodies of other requests take all the memory.
+    #[error("no memory for another body")]
+    NoMemory,
+}
+
+impl Default for BodyMemory {
+    fn default() -> Self {
+        Self { free_bytes: Arc::new(Semaphore::new(MAX_TOTAL_BYTES)) }
+    }
+}
+
+impl BodyMemory {
+    /// Receives a body.
+    ///
+    /// # Errors
+    /// See [`BodyError`].
+    pub async fn receive(&self, body: Incoming) -> Result<ReceivedBody, BodyError> {
+        timeout(BODY_TIMEOUT, self.collect(body)).await.unwrap_or(Err(BodyError::TimedOut))
+    }
+
+    async fn collect(&self, mut body: Incoming) -> Result<ReceivedBody, BodyError> {
+        let mut bytes = BytesMut::new();
+        let mut memory: Option<OwnedSemaphorePermit> = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| BodyError::Incomplete)?;
+            let Ok(data) = frame.into_data() else {
+                // Trailers.
+                continue;
+            };
+            if bytes.len() + data.len() > MAX_BODY_BYTES {
+                return Err(BodyError::TooLong);
+            }
+            let more = self.reserve(data.len())?;
+            match &mut memory {
+                Some(memory) => memory.merge(more),
+                None => memory = Some(more),
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(ReceivedBody { bytes: bytes.freeze(), _memory: memory })
+    }
+
+    /// Does not wait for other bodies, which may in turn wait for this one.
+    fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, BodyError> {
+        let bytes = u32::try_from(bytes).map_err(|_| BodyError::TooLong)?;
+        let free_bytes = Arc::clone(&self.free_bytes);
+        free_bytes.try_acquire_many_owned(bytes).map_err(|_| BodyError::NoMemory)
+    }
+}
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -10,26 +10,25 @@
 use calicohoist_connections::{ConnectionSettings, Drain, RequestContext, accept};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::{Findings, Zone};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::LOCATION;
 use hyper::{Method, Request as HttpRequest, Response as HttpResponse, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::bodies::{BodyError, BodyMemory};
 use super::list::DiscoverySnapshot;
 use super::peers::{KnownPeers, VersionSkew};
 use super::replica::{GroupStatus, ReplicaHandle, Request, Response};
 use super::{LedgerSettings, machine_address};
 use crate::commands::{Command, Output, RetiringOutcome};
 
-const MAX_BODY_BYTES: usize = 16 << 20;
 const CONNECTION_SETTINGS: ConnectionSettings = ConnectionSettings {
     head_timeout: Duration::from_secs(5),
     max_head_bytes: 64 << 10,
     stall_timeout: Duration::from_secs(10),
 };
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 const CALL_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Maximum age of a list of replicas from which a zone may be considered unknown. It covers the
@@ -148,6 +147,8 @@
     pub list: watch::Receiver<DiscoverySnapshot>,
     /// The other ledger machines.
     pub peers: KnownPeers,
+    /// Memory for the bodies of requests.
+    pub bodies: BodyMemory,
 }
 
 /// Serves operators until the drain closes their connections.
@@ -167,13 +168,13 @@
     ) -> HttpResponse<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-        let body = Limited::new(body, MAX_BODY_BYTES).collect();
-        let Ok(Ok(body)) = tokio::time::timeout(BODY_TIMEOUT, body).await else {
-            return json_response(StatusCode::BAD_REQUEST, Vec::new());
+        let received = match self.bodies.receive(body).await {
+            Ok(received) => received,
+            Err(error) => return self.refuse(&head.method, &path, error),
         };
-        let body = body.to_bytes();
+        let body = &received.bytes;
         context.body_received();
-        let call = match self.settings.control.parse(&head.method, &path, &body) {
+        let call = match self.settings.control.parse(&head.method, &path, body) {
             Ok(call) => call,
             Err(CallError::Unknown) => return self.render(&ControlOutcome::NotFound),
             Err(CallError::WrongMethod) => return self.render(&ControlOutcome::WrongMethod),
@@ -183,7 +184,7 @@
             }
         };
         let response =
-            tokio::time::timeout(CALL_TIMEOUT, self.perform(&call, &body, &context)).await;
+            tokio::time::timeout(CALL_TIMEOUT, self.perform(&call, body, &context)).await;
         let response = response.unwrap_or(Response::Lost);
         emit!(
             Event::ControlCall;
@@ -197,6 +198,17 @@
         }
     }
 
+    /// Refuses a request whose body was not received.
+    fn refuse(&self, method: &Method, path: &str, error: BodyError) -> HttpResponse<Full<Bytes>> {
+        emit!(Event::ChangeRefused; call = format!("{method} {path}"), findings = error);
+        match error {
+            BodyError::NoMemory => self.render(&ControlOutcome::Unavailable),
+            BodyError::TooLong | BodyError::Incomplete | BodyError::TimedOut => {
+                json_response(StatusCode::BAD_REQUEST, Vec::new())
+            }
+        }
+    }
+
     async fn perform(
         &self,
         call: &ControlCall,
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -4,6 +4,7 @@
 //! thread of [`peers`] exchanges its messages with the other machines. The network thread runs the
 //! tasks of [`gateways`], [`control`] and [`list`]. Bounded queues connect the threads.
 
+pub mod bodies;
 pub mod control;
 pub mod crashes;
 pub mod duties;
@@ -36,6 +37,7 @@
 use tokio::task::JoinHandle;
 
 use crate::protocol::SUPPORTED_VERSIONS;
+use bodies::BodyMemory;
 use control::{Control, ControlCodec};
 use gateways::ServiceLocation;
 use peers::PeerThread;
@@ -222,6 +224,7 @@
         group_status: status.clone(),
         list,
         peers: known_peers,
+        bodies: BodyMemory::default(),
     };
     let drain = Drain::default();
     let control_task = tokio::spawn(control::serve(listeners.control, control, drain.clone()));
