Ledger client: a machine whose responses never end is abandoned

What callers saw: their requests at a gateway failed at their deadlines, one after another, while a ledger machine that had led sent a response a byte at a time, or responses to requests that were never sent; another machine led meanwhile.

Cause: any byte counted as a sign of life, so that neither was another machine asked who leads nor the connection given up. A connection that was given up was still read until its machine closed it.

Evidence: both tests of endless_responses.rs end with DeadlineExceeded after 10 s on the code before, and pass in 0.1 s now. `a_partially_received_response_is_not_requested_again`, the reason for the old rule, passes as before.

Ruled out, by reading: the negotiation of the version, which has limits in time and size.

Why it works: a response must come forward by 1 KiB, less than a full segment holds, or end, before its machine counts as alive. A connection on which 128 MiB arrive without a response that somebody waits for is closed: twice the largest response. The reader ends with the last user of its connection.

Not changed: unrequested responses of 1 KiB and more that arrive slowly keep a connection until they are 128 MiB together; requests then still end at their deadlines.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -2,18 +2,19 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use calicohoist_transport::{
-    FrameQueue, FrameReader, ProtocolVersion, QueuedBytes, RefusedFrameLog, SendOutcome,
-    spawn_writer, version,
+    FrameError, FrameQueue, FrameReader, ProtocolVersion, QueuedBytes, RefusedFrameLog,
+    SendOutcome, spawn_writer, version,
 };
 use parking_lot::Mutex;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::oneshot;
 
+use super::progress::{ReceivedBytes, ResponseProgress};
 use crate::protocol::{
     LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope, SUPPORTED_VERSIONS,
 };
@@ -37,10 +38,9 @@
     is_open: AtomicBool,
     /// Response channels of the requests in flight, by number.
     pending: Mutex<HashMap<u64, oneshot::Sender<LedgerResponse>>>,
-    /// When bytes were last received, even of an incomplete response. A large response may take
-    /// longer than the response timeout to arrive and must not be requested again meanwhile: one of
-    /// 2.6 MB that took 4 s had not arrived after 60 s of repeated requests.
-    last_received: Mutex<Instant>,
+    progress: ResponseProgress,
+    /// Tells the reader that the connection is no longer used.
+    _in_use: oneshot::Sender<()>,
 }
 
 impl Connection {
@@ -51,16 +51,23 @@
         let (stream, version) =
             opened.inspect_err(|error| REFUSALS.record_version_error(address, error)).ok()?;
         let (input, output) = stream.into_split();
+        let (in_use, released) = oneshot::channel();
         let state = ConnectionState {
             is_open: AtomicBool::new(true),
             pending: Mutex::default(),
-            last_received: Mutex::new(Instant::now()),
+            progress: ResponseProgress::new(),
+            _in_use: in_use,
         };
         let requests = spawn_writer(output, QueuedBytes::default());
         let connection =
             Self { requests, state: Arc::new(state), version, opened_at: Instant::now() };
-        let state = Arc::clone(&connection.state);
-        tokio::spawn(read_responses(FrameReader::new(input), version, state, address));
+        let reader = ResponseReader {
+            frames: FrameReader::new(input),
+            version,
+            state: Arc::downgrade(&connection.state),
+            received: ReceivedBytes::default(),
+        };
+        tokio::spawn(reader.run(released, address));
         Some(connection)
     }
 
@@ -80,9 +87,9 @@
         self.version
     }
 
-    /// Returns when bytes were last received.
-    pub(super) fn last_received(&self) -> Instant {
-        *self.state.last_received.lock()
+    /// Returns when the machine last made progress with a response.
+    pub(super) fn last_progress(&self) -> Instant {
+        self.state.progress.last()
     }
 
     /// Sends a request; returns `None` if the connection is closed or its queue is full.
@@ -125,25 +132,57 @@
     }
 }
 
-async fn read_responses(
-    mut frames: FrameReader<OwnedReadHalf>,
+/// Reads the responses of a connection while it is used.
+struct ResponseReader {
+    frames: FrameReader<OwnedReadHalf>,
     version: ProtocolVersion,
-    state: Arc<ConnectionState>,
-    address: SocketAddr,
-) {
-    let record_received = |_| *state.last_received.lock() = Instant::now();
-    let error = loop {
-        let read = ResponseEnvelope::read(&mut frames, version, record_received).await;
-        let ResponseEnvelope { number, answer } = match read {
-            Ok(reply) => reply,
-            Err(error) => break error,
+    state: Weak<ConnectionState>,
+    received: ReceivedBytes,
+}
+
+impl ResponseReader {
+    async fn run(mut self, released: oneshot::Receiver<()>, address: SocketAddr) {
+        let error = tokio::select! {
+            // The sender is dropped with the last handle and the last request in flight.
+            _ = released => return,
+            error = self.read_until_error() => error,
         };
-        if let Some(sender) = state.pending.lock().remove(&number) {
-            let _ = sender.send(answer);
+        REFUSALS.record(address, &error);
+        if let Some(state) = self.state.upgrade() {
+            // Rejects new requests before the pending ones are cancelled.
+            state.is_open.store(false, Ordering::Relaxed);
+            state.pending.lock().clear();
+        }
+    }
+
+    async fn read_until_error(&mut self) -> FrameError {
+        loop {
+            if let Err(error) = self.read_response().await {
+                return error;
+            }
+            if self.received.exceed_responses() {
+                return FrameError::Unrequested;
+            }
         }
-    };
-    REFUSALS.record(address, &error);
-    // Rejects new requests before the pending ones are cancelled.
-    state.is_open.store(false, Ordering::Relaxed);
-    state.pending.lock().clear();
+    }
+
+    async fn read_response(&mut self) -> Result<(), FrameError> {
+        let Self { frames, version, state, received } = self;
+        let on_bytes = |count| {
+            if let Some(state) = state.upgrade() {
+                state.progress.record_bytes(received, count);
+            }
+        };
+        let response = ResponseEnvelope::read(frames, *version, on_bytes).await?;
+        let Some(state) = state.upgrade() else {
+            return Ok(());
+        };
+        let awaited = state.pending.lock().remove(&response.number);
+        if let Some(sender) = awaited {
+            state.progress.record_response(received);
+            // The request may have been given up meanwhile.
+            let _ = sender.send(response.answer);
+        }
+        Ok(())
+    }
 }
--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -11,6 +11,7 @@
 
 mod connection;
 mod leader_tracker;
+mod progress;
 mod timing;
 
 use std::collections::HashMap;
@@ -210,7 +211,7 @@
         let max_silence = self.shared.timing.max_silence;
         let mut silence_limit = self.shared.timing.timeout_for(request);
         loop {
-            let silent_since = connection.last_received().max(sent_at);
+            let silent_since = connection.last_progress().max(sent_at);
             let silent_for = silent_since.elapsed();
             if silent_for >= silence_limit {
                 if silence_limit >= max_silence || !self.is_leader_confirmed(leader).await {
--- a/crates/ledger/src/client/timing.rs
+++ b/crates/ledger/src/client/timing.rs
@@ -10,14 +10,14 @@
 /// Timeouts and retry backoff of a [`LedgerClient`](super::LedgerClient).
 #[derive(Clone, Copy, Debug)]
 pub struct ClientTiming {
-    /// Time without data from the leader after which another machine is asked whether it still
+    /// Time without progress of the leader with a response after which another machine is asked whether it still
     /// leads.
     pub response_timeout: Duration,
     /// `response_timeout` for watch requests, which are long polls.
     pub watch_timeout: Duration,
     /// `response_timeout` for placement requests, whose turn may be queued.
     pub place_timeout: Duration,
-    /// Time without data after which the leader is abandoned even if others confirm it: the
+    /// Time without progress after which the leader is abandoned even if others confirm it: the
     /// network between gateway and leader may be partitioned.
     pub max_silence: Duration,
     /// How long a confirmation of the leader by another machine stays valid.
@@ -57,7 +57,7 @@
 }
 
 impl ClientTiming {
-    /// Returns how long to wait for data from the leader before its leadership is checked.
+    /// Returns how long to wait for progress of the leader before its leadership is checked.
     pub(super) fn timeout_for(&self, request: &LedgerRequest) -> Duration {
         match request {
             LedgerRequest::Watch(_) | LedgerRequest::WatchCrashes { .. } => self.watch_timeout,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -26,6 +26,9 @@
     /// The bytes of the payload arrive too slowly.
     #[error("frame arrives too slowly")]
     Stalled,
+    /// The peer sends one frame after another that nothing waits for.
+    #[error("too many frames that were not requested")]
+    Unrequested,
     /// The checksum does not match.
     #[error("checksum mismatch")]
     Checksum,
