Tests: close both sockets of a forwarded connection that has ended

What tests saw: a scripted replica that writes without end behind a forwarder never notices that its reader has left, and its thread stays blocked until the connections are broken or the test ends.

Cause: the forwarder keeps clones of both sockets, so that they can be broken later. When one side is gone, it shuts the other one's two directions, but a clone keeps the socket open. With a full receive queue no further byte of the writer arrives, so the kernel answers nothing.

Why the fix works: both clones are dropped when both directions have ended; closing a socket with unread bytes resets the connection, which ends the writer.

--- a/crates/calicohoist/tests/cluster/forwarder.rs
+++ b/crates/calicohoist/tests/cluster/forwarder.rs
@@ -1,5 +1,6 @@
 //! Loopback TCP forwarder that injects delays, stalls and connection resets.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -24,7 +25,8 @@
 struct ForwarderState {
     to_target: LinkFaults,
     from_target: LinkFaults,
-    connections: Vec<TcpStream>,
+    /// Open connections by number, each with its two sockets.
+    connections: BTreeMap<usize, [TcpStream; 2]>,
 }
 
 /// Forwards connections from one address to another.
@@ -41,9 +43,13 @@
         let state: Arc<Mutex<ForwarderState>> = Arc::default();
         let shared = Arc::clone(&state);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
                 let shared = Arc::clone(&shared);
-                thread::spawn(move || forward(&stream, target, &shared));
+                thread::spawn(move || {
+                    forward(&stream, target, number, &shared);
+                    // A clone keeps the socket open, and with it a peer that still sends.
+                    shared.lock().connections.remove(&number);
+                });
             }
         });
         Self { address, state }
@@ -69,8 +75,9 @@
 
     /// Closes all open connections.
     pub fn break_connections(&self) {
-        for connection in self.state.lock().connections.drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
+        let connections = std::mem::take(&mut self.state.lock().connections);
+        for socket in connections.values().flatten() {
+            let _ = socket.shutdown(Shutdown::Both);
         }
     }
 
@@ -82,7 +89,12 @@
     }
 }
 
-fn forward(caller: &TcpStream, target: SocketAddr, state: &Arc<Mutex<ForwarderState>>) {
+fn forward(
+    caller: &TcpStream,
+    target: SocketAddr,
+    number: usize,
+    state: &Arc<Mutex<ForwarderState>>,
+) {
     let Ok(target) = TcpStream::connect_timeout(&target, Duration::from_secs(1)) else {
         let _ = caller.shutdown(Shutdown::Both);
         return;
@@ -90,11 +102,8 @@
     let (Ok(caller_out), Ok(target_out)) = (caller.try_clone(), target.try_clone()) else {
         return;
     };
-    {
-        let mut state = state.lock();
-        state.connections.retain(|connection| connection.peer_addr().is_ok());
-        state.connections.extend(caller.try_clone());
-        state.connections.extend(target.try_clone());
+    if let (Ok(caller), Ok(target)) = (caller.try_clone(), target.try_clone()) {
+        state.lock().connections.insert(number, [caller, target]);
     }
     let _ = (caller.set_nodelay(true), target.set_nodelay(true));
     let reply_state = Arc::clone(state);
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -25,6 +25,7 @@
 mod crashes;
 mod drains;
 mod faults;
+mod forwarder_tests;
 mod load;
 mod operator;
 mod retention;
