Soak: print what each node has used

A run that loses nothing may still have come close: what a node used could not be seen. Processor time and the peak memory of each node's processes are noted every 250 ms and before each kill, and printed as one line per node at the end. What a process uses between the last note and its end is missing.

--- a/crates/calicohoist/tests/cluster/mod.rs
+++ b/crates/calicohoist/tests/cluster/mod.rs
@@ -100,22 +100,32 @@
 
     /// Returns the processor time used so far.
     pub fn processor_time(&self) -> Duration {
+        self.try_processor_time().expect("the process runs")
+    }
+
+    /// Returns the peak of the resident memory in bytes.
+    pub fn peak_memory(&self) -> usize {
+        self.try_peak_memory().expect("the process runs")
+    }
+
+    /// Like [`processor_time`](Self::processor_time); `None` once the process was waited for.
+    pub fn try_processor_time(&self) -> Option<Duration> {
         let path = format!("/proc/{}/stat", self.child.id());
-        let text = fs::read_to_string(path).expect("the process runs");
+        let text = fs::read_to_string(path).ok()?;
         // The fields after the name, which is in parentheses, begin with the state.
         let fields = text.rsplit(')').next().unwrap_or_default().split_whitespace();
         let ticks: u64 =
             fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum();
-        Duration::from_secs(ticks) / rustix::param::clock_ticks_per_second() as u32
+        Some(Duration::from_secs(ticks) / rustix::param::clock_ticks_per_second() as u32)
     }
 
-    /// Returns the peak of the resident memory in bytes.
-    pub fn peak_memory(&self) -> usize {
+    /// Like [`peak_memory`](Self::peak_memory); `None` once the process has ended.
+    pub fn try_peak_memory(&self) -> Option<usize> {
         let path = format!("/proc/{}/status", self.child.id());
-        let text = fs::read_to_string(path).expect("the process runs");
-        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let kib = line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<usize>().ok());
-        kib.expect("a peak") << 10
+        let text = fs::read_to_string(path).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: usize = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kib << 10)
     }
 
     pub fn terminate(&mut self) -> bool {
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -23,6 +23,7 @@
 use crate::streams::software_version;
 use crate::support::ScriptedReplica;
 use crate::timeline::{DisruptionKind, Machine, SignalKind, Timeline};
+use crate::usage::UsageLog;
 use crate::{start_model, start_tool};
 
 /// Time in which a store recovers from disk loss without further store faults.
@@ -110,6 +111,7 @@
     pub pauses: Vec<Pause>,
     pub timeline: Timeline,
     pub arrivals: ArrivalLog,
+    usage: UsageLog,
     stores: Vec<Node>,
     /// First those that are disrupted, then those that are only stopped and reloaded.
     gateways: Vec<Node>,
@@ -211,6 +213,7 @@
             pauses: Vec::new(),
             timeline: Timeline::default(),
             arrivals,
+            usage: UsageLog::start(),
             stores,
             gateways,
             disrupted_gateways: gateway_count,
@@ -306,6 +309,9 @@
         let until = Instant::now() + span;
         loop {
             self.run_due_recoveries(Instant::now());
+            if self.usage.begin_observation() {
+                self.observe_usage();
+            }
             let remaining = until.saturating_duration_since(Instant::now());
             if remaining.is_zero() {
                 return;
@@ -314,6 +320,19 @@
         }
     }
 
+    /// Returns what all nodes have used so far.
+    pub fn usage(&mut self) -> &UsageLog {
+        self.observe_usage();
+        &self.usage
+    }
+
+    fn observe_usage(&mut self) {
+        let nodes = self.stores.iter().chain(&self.gateways);
+        for process in nodes.filter_map(|node| node.process.as_ref()) {
+            self.usage.observe(process);
+        }
+    }
+
     /// Ends all faults and restarts all processes.
     pub fn clear_faults(&mut self) {
         self.store_forwarders.iter().flatten().for_each(Forwarder::clear_faults);
@@ -448,6 +467,7 @@
     }
 
     fn kill(&mut self, target: Target) {
+        self.observe_usage();
         let machine = self.machine(target);
         self.timeline.begin(machine, DisruptionKind::Killed);
         self.node_mut(target).process = None;
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -5,6 +5,7 @@
 //! disks are wiped, and forwarders delay, stall and close connections. Faults overlap. At the end,
 //! all faults are cleared and the observations of callers, replicas and the operator are checked.
 //! Among these are the requests that ended without a complete answer, see [`unanswered`].
+//! What each node has used is printed at the end.
 //!
 //! `CALICOHOIST_SOAK_SEEDS=FROM..TO`, `CALICOHOIST_SOAK_SECONDS=N` and `CALICOHOIST_SOAK_FRONTS=N`
 //! select the runs (see `scripts/soak.sh`); the default is [`REGRESSION_RUNS`].
@@ -35,6 +36,7 @@
 mod timeline;
 mod unanswered;
 mod unanswered_tests;
+mod usage;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -378,6 +380,7 @@
         records.violations.extend(findings.descriptions.iter().cloned());
     }
     println!("seed {seed}: {findings}");
+    println!("seed {seed}, nodes:\n{}", soak.usage());
     println!(
         "seed {seed}, {gateways} gateways: {} served, {} turns whole, {continued} continued, version {acknowledged_version}, {} drains, \
          {}, {}, faults {:?}",
