Streams: a replica that sends a malformed response is not asked again

What was seen: in soak runs beside endless responses, single requests on the resumable route reached replicas up to 266 times within their 4 s, each time with 1 MiB read by the gateway.

Cause: a stream whose event is too large or whose framing is malformed was resumed like one whose connection closed, at the replica that had begun it, and without an end but the deadline.

Change: a malformed response excludes its replica from the request. A connection that closes or times out is resumed as before, since its replica may still run the request.

Evidence: stream_whose_first_event_never_ends_is_sent_to_each_replica_once was red (836 times at one of two replicas) and passes; tests of crashes and requests of the platform pass (14 and 24).

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -29,7 +29,7 @@
 use crate::app::App;
 use crate::events::{EventSplitter, EventTooLong, ServerEvent};
 use crate::memory::{MemoryLimitReached, MemoryReservation};
-use crate::upstream::{Exchange, is_closed_by_peer};
+use crate::upstream::{Exchange, is_closed_by_peer, is_timed_out};
 
 /// Bytes that a queued event uses beside its own: an entry of the queue, the owner that releases the
 /// memory, and what the allocator adds to both and to the event.
@@ -123,8 +123,10 @@
 enum ReadError {
     /// The response ended early because the replica closed the connection.
     Closed,
-    /// The response is malformed, or the connection timed out.
-    Broken,
+    /// The connection timed out.
+    TimedOut,
+    /// The response is malformed, or an event is too large.
+    Malformed,
     /// The deadline passed.
     Deadline,
     /// The part of an event that was read exceeds the memory limit, and others wait for memory.
@@ -277,10 +279,18 @@
                 }
                 Err(ReadError::Closed) => {
                     self.attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
+                    self.attempt_state.record_started(&self.exchange.member);
                     self.resume().await?;
                 }
-                Err(ReadError::Broken) => {
+                Err(ReadError::TimedOut) => {
                     self.attempt_state.crashes.record_given_up();
+                    self.attempt_state.record_started(&self.exchange.member);
+                    self.resume().await?;
+                }
+                Err(ReadError::Malformed) => {
+                    self.attempt_state.crashes.record_given_up();
+                    // The replica would send the same again.
+                    self.attempt_state.exclude(&self.exchange.member.replica.id);
                     self.resume().await?;
                 }
             }
@@ -305,7 +315,7 @@
             match self.splitter.event_bytes() {
                 Ok(Some(bytes)) => return self.take_event(bytes).await.map(Some),
                 Ok(None) => {}
-                Err(EventTooLong) => return Err(ReadError::Broken),
+                Err(EventTooLong) => return Err(ReadError::Malformed),
             }
             if !self.unsplit.is_empty() {
                 self.split_part().await?;
@@ -327,7 +337,8 @@
         };
         match frame {
             Some(Err(error)) if is_closed_by_peer(&error) => Err(ReadError::Closed),
-            Some(Err(_)) => Err(ReadError::Broken),
+            Some(Err(error)) if is_timed_out(&error) => Err(ReadError::TimedOut),
+            Some(Err(_)) => Err(ReadError::Malformed),
             Some(Ok(frame)) => Ok(Some(frame)),
             None => Ok(None),
         }
@@ -379,7 +390,6 @@
         {
             return Err(GatewayError::Unknown);
         }
-        self.attempt_state.record_started(failed);
         self.payload.last_event_id = self.last_event_id.map(|id| id.to_string());
         let exchange =
             dispatch(&self.app, &self.call, &self.payload, &mut self.attempt_state).await?;
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -235,6 +235,11 @@
     }
 }
 
+/// Returns whether the connection failed because the peer's host did not respond.
+pub fn is_timed_out(error: &hyper::Error) -> bool {
+    io_error_kind(error) == Some(io::ErrorKind::TimedOut)
+}
+
 /// Returns the kind of the I/O error that caused an error, if any.
 fn io_error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
     causes(error).find_map(|cause| cause.downcast_ref::<io::Error>()).map(io::Error::kind)
