Outbound: a connection whose response is given up closes despite its pause

A response that is given up while its connection pauses kept the socket, its buffers and its part of the share until the pause ended, which is long beside many large responses on a slow machine. The pause now ends with the connection's handle; the test gives it minutes.

--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -96,6 +96,13 @@
     }
 }
 
+impl<B> Drop for ServerConnection<B> {
+    fn drop(&mut self) {
+        // A connection that pauses has to notice that nobody reads its response any more.
+        self.lane.begin_response();
+    }
+}
+
 impl ReadLane {
     /// Runs a task that consumes the response, and charges the time that it takes.
     pub async fn charge_polls<F: Future>(&self, task: F) -> F::Output {
--- a/crates/outbound/tests/connection.rs
+++ b/crates/outbound/tests/connection.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection};
@@ -44,6 +44,15 @@
     (ServerConnection::open(stream, &pacer).await.expect("open"), server)
 }
 
+/// A pause of minutes, as many large responses on a slow machine can have.
+fn pause_for_long(connection: &ServerConnection<Empty<Bytes>>) {
+    let lane = connection.lane();
+    for _ in 0..1_000 {
+        lane.charge(Duration::from_millis(100), Instant::now());
+    }
+    assert!(lane.pause_until(Instant::now()).is_some());
+}
+
 fn request() -> Request<Empty<Bytes>> {
     Request::get("/").header("host", "x").body(Empty::new()).expect("a request")
 }
@@ -96,6 +105,7 @@
     };
     assert!(tokio::time::timeout(Duration::from_millis(200), reading).await.is_err());
     assert!(count.load(Ordering::Relaxed) > 0);
+    pause_for_long(&connection);
     drop((body, connection));
     server.await.expect("the server ends");
 }
