Tests: large configurations and the end of all processes

Eight configurations of 15 MiB are acknowledged, and then all three ledger processes are killed and started again. With the storage module before two of two plays end in a timeout; the logs were read in the second one: no machine starts, "log- is damaged at byte 0: cannot decode payload: LimitExceeded" on all three (157 MB), so that everything that was ever acknowledged is gone.

--- a/crates/calicohoist/tests/acknowledged/final_fault.rs
+++ b/crates/calicohoist/tests/acknowledged/final_fault.rs
@@ -18,7 +18,7 @@
 use crate::cluster::{Cluster, GATEWAY_IPS, Process};
 use crate::durability::{number_from_environment, start_model};
 use crate::support::{Response, ScriptedReplica, client, configuration, request_head, wait_until};
-use crate::{Ledger, STORE_IPS, request};
+use crate::{Ledger, STORE_IPS, large_configuration, request};
 
 /// Seed of the first deployment; overridden by `FINAL_FAULT_SEED`.
 const FIRST_SEED: u64 = 1;
@@ -30,6 +30,9 @@
 const MAX_INPUT_BYTES: usize = 16 << 10;
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The log is rewritten with more than 64 MiB, the size of a frame of a connection.
+const LARGE_CONFIGURATIONS: u64 = 9;
+const LARGE_BYTES: usize = 15 << 20;
 
 /// A turn that was answered whole.
 #[derive(Clone)]
@@ -221,3 +224,16 @@
     let deployments = number_from_environment("FINAL_FAULT_DEPLOYMENTS", DEPLOYMENTS);
     (first..first + deployments).for_each(play);
 }
+
+/// Guards against a log that grows beyond what can be read at the next start.
+#[test]
+fn large_configurations_survive_the_end_of_all_processes() {
+    let mut ledger = Ledger::start();
+    for version in 2..=LARGE_CONFIGURATIONS {
+        let body = large_configuration(version, LARGE_BYTES);
+        ledger.operate("PUT", "/-/config", &body);
+    }
+    kill_all(&mut ledger.machines);
+    STORE_IPS.into_iter().for_each(|ip| ledger.restart(ip));
+    assert_eq!(ledger.active_version(), LARGE_CONFIGURATIONS);
+}
