Gateway: a line for each response that is given up while its body is read

Seen by operators: callers get 502 or 504, and RequestEnded says "outcome unknown", but not whether the body was too large, ended early, took too long or had to give its memory back; nothing names the replica.

Cause: every error of reading a body was mapped to the same error of the gateway.

Now the reason is typed, and ResponseFailed (CH4126) names request, replica, reason and the bytes that were read, once for each response. For streams it tells of those given up by the gateway: a deadline, an event that is too long, memory; StreamBroken still tells of those that a replica ended. What callers get is unchanged.

--- a/crates/proxy/src/flow/body.rs
+++ b/crates/proxy/src/flow/body.rs
@@ -34,30 +34,78 @@
         .map_or(UNANNOUNCED_BYTES, |exact| usize::try_from(exact).unwrap_or(usize::MAX))
 }
 
-/// Reads a whole body of at most `max_bytes` bytes. If it turns out longer than the reservation,
-/// the reservation grows before more is copied; a response waits for that.
+/// Reads a whole body of at most `max_bytes` bytes.
 ///
 /// # Errors
 /// Returns an error if the body is too long, exceeds the memory limit, or ends early.
 pub async fn read_whole(
     body: &mut Incoming,
     max_bytes: usize,
-    mut reservation: MemoryReservation,
+    reservation: MemoryReservation,
 ) -> Result<Bytes, BodyReadError> {
-    // The buffer is not preallocated, since the body may be shorter than announced.
-    let mut buffer = Vec::new();
-    while let Some(frame) = next_frame(body, &reservation).await? {
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        let length = buffer.len() + data.len();
-        if length > max_bytes {
-            return Err(BodyReadError::TooLarge);
+    let mut reader = BodyReader::new(max_bytes, reservation);
+    reader.read(body).await?;
+    Ok(reader.into_bytes())
+}
+
+/// Reader of a whole body, which tells how much it has read if it is interrupted.
+pub struct BodyReader {
+    buffer: Vec<u8>,
+    max_bytes: usize,
+    reservation: MemoryReservation,
+}
+
+impl BodyReader {
+    /// Creates a reader of a body of at most `max_bytes` bytes.
+    pub fn new(max_bytes: usize, reservation: MemoryReservation) -> Self {
+        // The buffer is not preallocated, since the body may be shorter than announced.
+        Self { buffer: Vec::new(), max_bytes, reservation }
+    }
+
+    /// Returns the number of bytes that were read.
+    pub fn bytes_read(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Reads the body to its end. If it turns out longer than the reservation, the reservation grows
+    /// before more is copied; a response waits for that.
+    ///
+    /// # Errors
+    /// Returns an error if the body is too long, exceeds the memory limit, or ends early.
+    pub async fn read(&mut self, body: &mut Incoming) -> Result<(), BodyReadError> {
+        while let Some(frame) = next_frame(body, &self.reservation).await? {
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            let length = self.buffer.len() + data.len();
+            if length > self.max_bytes {
+                return Err(BodyReadError::TooLarge);
+            }
+            self.make_room(length).await?;
+            self.buffer.extend_from_slice(data);
         }
-        make_room(&mut buffer, length, max_bytes, &mut reservation).await?;
-        buffer.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Returns the bytes that were read, with their reservation.
+    pub fn into_bytes(self) -> Bytes {
+        self.reservation.attach_to(self.buffer.into())
+    }
+
+    /// Reserves and allocates memory for `length` bytes. The capacity doubles, like that of any
+    /// vector, but never exceeds what is reserved.
+    async fn make_room(&mut self, length: usize) -> Result<(), BodyReadError> {
+        let Self { buffer, max_bytes, reservation } = self;
+        if length <= buffer.capacity() {
+            return Ok(());
+        }
+        let reserved = reservation.bytes();
+        let max_capacity = if length <= reserved { reserved } else { *max_bytes };
+        let capacity = length.max(buffer.capacity() * 2).min(max_capacity);
+        reservation.grow_to(capacity).await?;
+        buffer.reserve_exact(capacity - buffer.len());
+        Ok(())
     }
-    Ok(reservation.attach_to(buffer.into()))
 }
 
 /// Reads a frame, unless the body has to give way to others.
@@ -71,22 +119,3 @@
         frame = body.frame() => frame.transpose().map_err(|_| BodyReadError::Truncated),
     }
 }
-
-/// Reserves and allocates memory for `length` bytes. The capacity doubles, like that of any vector,
-/// but never exceeds what is reserved.
-async fn make_room(
-    buffer: &mut Vec<u8>,
-    length: usize,
-    max_bytes: usize,
-    reservation: &mut MemoryReservation,
-) -> Result<(), BodyReadError> {
-    if length <= buffer.capacity() {
-        return Ok(());
-    }
-    let reserved = reservation.bytes();
-    let max_capacity = if length <= reserved { reserved } else { max_bytes };
-    let capacity = length.max(buffer.capacity() * 2).min(max_capacity);
-    reservation.grow_to(capacity).await?;
-    buffer.reserve_exact(capacity - buffer.len());
-    Ok(())
-}
--- a/crates/proxy/src/flow/buffered.rs
+++ b/crates/proxy/src/flow/buffered.rs
@@ -9,13 +9,14 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
-use super::body::{BodyReadError, expected_bytes, read_whole};
+use super::body::{BodyReader, expected_bytes};
 use super::call::Call;
 use super::crash::ClosedConnection;
 use super::dispatch::{AttemptState, Payload, dispatch};
 use super::error::GatewayError;
 use super::headers::remove_hop_by_hop_headers;
 use super::response::ResponseBody;
+use super::response_failure::{FailureReason, ResponseFailure};
 use crate::app::App;
 use crate::upstream::Exchange;
 
@@ -49,7 +50,8 @@
         let exchange = dispatch(app, call, &payload, attempt_state).await?;
         let replica = exchange.member.replica.id.clone();
         let deadline = call.attempt_deadline(attempt_state.attempts - 1);
-        match collect_response(app, deadline, exchange, attempt_state).await {
+        let request = &call.head.request_id;
+        match collect_response(app, request, deadline, exchange, attempt_state).await {
             Ok(response) => {
                 log_end(call, &replica, &response, attempt_state);
                 return Ok(response.map(ResponseBody::buffered));
@@ -65,9 +67,10 @@
     }
 }
 
-/// Reads a complete response.
+/// Reads the complete response to the request with the id `request`.
 pub async fn collect_response(
     app: &Arc<App>,
+    request: &str,
     deadline: Instant,
     exchange: Exchange,
     attempt_state: &mut AttemptState,
@@ -76,23 +79,23 @@
     const PENALTY: Duration = Duration::from_millis(50);
     let mut exchange = exchange;
     let lane = exchange.lane();
-    let body = lane.charge_polls(read_response_body(app, exchange.response.body_mut()));
-    let body = match tokio::time::timeout_at(deadline.into(), body).await {
-        Err(_) => {
-            attempt_state.crashes.record_given_up();
-            return Err(GatewayError::Deadline);
-        }
-        Ok(Err(BodyReadError::MemoryLimit)) => {
-            // The replica was not at fault.
-            attempt_state.crashes.record_given_up();
-            return Err(GatewayError::Unknown);
-        }
-        Ok(Err(_)) => {
-            exchange.member.penalize(PENALTY, PENALTY_DURATION);
-            attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
-            return Err(GatewayError::Unknown);
+    let body = read_response_body(app, deadline, exchange.response.body_mut());
+    let body = match lane.charge_polls(body).await {
+        Ok(body) => body,
+        Err(failure) => {
+            failure.log(request, &exchange.member.replica.id);
+            match failure.reason {
+                // The replica may not be at fault.
+                FailureReason::Deadline | FailureReason::NoMemory => {
+                    attempt_state.crashes.record_given_up();
+                }
+                FailureReason::TooLarge | FailureReason::Truncated => {
+                    exchange.member.penalize(PENALTY, PENALTY_DURATION);
+                    attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
+                }
+            }
+            return Err(failure.into());
         }
-        Ok(Ok(body)) => body,
     };
     attempt_state.crashes.record_answered();
     let mut response = Response::new(body);
@@ -104,10 +107,24 @@
 }
 
 /// Reads a response body once there is memory for it; the replica has to wait until then.
-async fn read_response_body(app: &App, body: &mut Incoming) -> Result<Bytes, BodyReadError> {
+async fn read_response_body(
+    app: &App,
+    deadline: Instant,
+    body: &mut Incoming,
+) -> Result<Bytes, ResponseFailure> {
+    let too_late = |bytes_read| ResponseFailure { reason: FailureReason::Deadline, bytes_read };
     let expected_bytes = expected_bytes(body).min(MAX_RESPONSE_BYTES);
-    let reservation = app.memory.reserve_response(expected_bytes).await;
-    read_whole(body, MAX_RESPONSE_BYTES, reservation).await
+    let reservation = app.memory.reserve_response(expected_bytes);
+    let reservation = tokio::time::timeout_at(deadline.into(), reservation).await;
+    let mut reader = BodyReader::new(MAX_RESPONSE_BYTES, reservation.map_err(|_| too_late(0))?);
+    let result = tokio::time::timeout_at(deadline.into(), reader.read(body)).await;
+    match result {
+        Ok(Ok(())) => Ok(reader.into_bytes()),
+        Ok(Err(error)) => {
+            Err(ResponseFailure { reason: error.into(), bytes_read: reader.bytes_read() })
+        }
+        Err(_) => Err(too_late(reader.bytes_read())),
+    }
 }
 
 /// Logs the end of a request with a response from a replica.
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -18,6 +18,7 @@
 mod origin;
 mod permit;
 mod response;
+mod response_failure;
 mod stream;
 mod turn;
 
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -25,6 +25,7 @@
 use super::headers::remove_hop_by_hop_headers;
 use super::origin;
 use super::response::{BodyAborted, ResponseBody};
+use super::response_failure::{FailureReason, ResponseFailure};
 use super::turn::Turn;
 use crate::app::App;
 use crate::events::{EventSplitter, EventTooLong, ServerEvent};
@@ -64,8 +65,10 @@
     turn.replica_id = Some(exchange.member.replica.id.clone());
     if !is_event_stream(&exchange) {
         let deadline = call.deadline;
+        let request = &call.head.request_id;
         let response =
-            buffered::collect_response(app, deadline, exchange, &mut attempt_state).await?;
+            buffered::collect_response(app, request, deadline, exchange, &mut attempt_state)
+                .await?;
         buffered::log_end(call, "-", &response, &attempt_state);
         return Ok(response.map(ResponseBody::buffered));
     }
@@ -117,6 +120,8 @@
     tokens_per_event: u64,
     last_event_id: Option<u64>,
     events: u64,
+    /// Number of bytes that were read from the current replica.
+    bytes_read: usize,
 }
 
 /// Reason for which no further event could be read.
@@ -161,6 +166,7 @@
             tokens_per_event: engine.map_or(1, |engine| u64::from(engine.tokens_per_event)),
             last_event_id,
             events: 0,
+            bytes_read: 0,
         }
     }
 
@@ -244,6 +250,11 @@
         }
     }
 
+    fn log_failure(&self, reason: FailureReason) {
+        let failure = ResponseFailure { reason, bytes_read: self.bytes_read };
+        failure.log(&self.call.head.request_id, &self.exchange.member.replica.id);
+    }
+
     fn log_end(&self, outcome: &str) {
         super::record_end(outcome, self.call.received_at.elapsed());
         emit!(
@@ -270,10 +281,12 @@
                 }
                 Ok(None) => return Ok(None),
                 Err(ReadError::Deadline) => {
+                    self.log_failure(FailureReason::Deadline);
                     self.attempt_state.crashes.record_given_up();
                     return Err(GatewayError::Deadline);
                 }
                 Err(ReadError::GaveWay) => {
+                    self.log_failure(FailureReason::NoMemory);
                     self.attempt_state.crashes.record_given_up();
                     return Err(GatewayError::Unknown);
                 }
@@ -315,14 +328,20 @@
             match self.splitter.event_bytes() {
                 Ok(Some(bytes)) => return self.take_event(bytes).await.map(Some),
                 Ok(None) => {}
-                Err(EventTooLong) => return Err(ReadError::Malformed),
+                Err(EventTooLong) => {
+                    self.log_failure(FailureReason::TooLarge);
+                    return Err(ReadError::Malformed);
+                }
             }
             if !self.unsplit.is_empty() {
                 self.split_part().await?;
                 continue;
             }
             match self.read_frame().await? {
-                Some(frame) => self.unsplit = frame.into_data().unwrap_or_default(),
+                Some(frame) => {
+                    self.unsplit = frame.into_data().unwrap_or_default();
+                    self.bytes_read += self.unsplit.len();
+                }
                 None if self.splitter.has_partial_event() => return Err(ReadError::Closed),
                 None => return Ok(None),
             }
@@ -403,6 +422,7 @@
         self.unsplit = Bytes::new();
         self.splitter = EventSplitter::default();
         self.partial.shrink_to(0);
+        self.bytes_read = 0;
         Ok(())
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -137,6 +137,8 @@
     CrashesReceived = 4124, Info;
     /// The ledger answered whether a request under which replicas crashed may be sent again.
     SendPermitted = 4125, Info;
+    /// A response was given up while its body was read.
+    ResponseFailed = 4126, Warn;
     /// An engine released the cache of a program that has ended.
     CacheReleased = 4201, Debug;
     /// A request to release cache failed and will be retried.
