Streams: bound resumptions without an event, and release memory before them

Found by the review, by reading. A replica that breaks or ends every response within its first event was asked again without a limit, like the one with an endless event. A stream that is resumed kept the memory of its partial event, and its turn to exceed the limit, until the next replica had answered; others that waited for memory waited as long.

Change: one recovery for all ends of a response. It releases the memory first, excludes a replica whose response is malformed, and tries any other one first again, though only once without a new event. Errors of the connection other than a malformed response no longer exclude the replica.

Tests of crashes (14) pass. The release of memory has no test of its own.

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -30,7 +30,7 @@
 use crate::app::App;
 use crate::events::{EventSplitter, EventTooLong, ServerEvent};
 use crate::memory::{MemoryLimitReached, MemoryReservation};
-use crate::upstream::{Exchange, is_closed_by_peer, is_timed_out};
+use crate::upstream::{Exchange, is_closed_by_peer, is_malformed};
 
 /// Bytes that a queued event uses beside its own: an entry of the queue, the owner that releases the
 /// memory, and what the allocator adds to both and to the event.
@@ -119,19 +119,24 @@
     headers: HeaderMap,
     tokens_per_event: u64,
     last_event_id: Option<u64>,
+    /// Replica that was asked again and has not sent a new event since.
+    retried: Option<String>,
     events: u64,
     /// Number of bytes that were read from the current replica.
     bytes_read: usize,
 }
 
 /// Reason for which no further event could be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadError {
     /// The response ended early because the replica closed the connection.
     Closed,
-    /// The connection timed out.
-    TimedOut,
-    /// The response is malformed, or an event is too large.
+    /// The connection failed in another way, for example because the replica's host is silent.
+    ConnectionFailed,
+    /// The response is malformed.
     Malformed,
+    /// An event exceeds its size limit.
+    EventTooLong,
     /// The deadline passed.
     Deadline,
     /// The part of an event that was read exceeds the memory limit, and others wait for memory.
@@ -165,6 +170,7 @@
             headers,
             tokens_per_event: engine.map_or(1, |engine| u64::from(engine.tokens_per_event)),
             last_event_id,
+            retried: None,
             events: 0,
             bytes_read: 0,
         }
@@ -280,36 +286,62 @@
                     }
                 }
                 Ok(None) => return Ok(None),
-                Err(ReadError::Deadline) => {
-                    self.log_failure(FailureReason::Deadline);
-                    self.attempt_state.crashes.record_given_up();
-                    return Err(GatewayError::Deadline);
-                }
-                Err(ReadError::GaveWay) => {
-                    self.log_failure(FailureReason::NoMemory);
-                    self.attempt_state.crashes.record_given_up();
-                    return Err(GatewayError::Unknown);
-                }
-                Err(ReadError::Closed) => {
-                    self.attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
-                    self.attempt_state.record_started(&self.exchange.member);
-                    self.resume().await?;
-                }
-                Err(ReadError::TimedOut) => {
-                    self.attempt_state.crashes.record_given_up();
-                    self.attempt_state.record_started(&self.exchange.member);
-                    self.resume().await?;
-                }
-                Err(ReadError::Malformed) => {
-                    self.attempt_state.crashes.record_given_up();
-                    // The replica would send the same again.
-                    self.attempt_state.exclude(&self.exchange.member.replica.id);
-                    self.resume().await?;
-                }
+                Err(error) => self.recover(error).await?,
             }
         }
     }
 
+    /// Continues the stream after its response has ended early, if that is allowed.
+    async fn recover(&mut self, error: ReadError) -> Result<(), GatewayError> {
+        self.log_read_error(error);
+        // Others may wait for this memory.
+        self.discard_received();
+        let crashes = &mut self.attempt_state.crashes;
+        match error {
+            ReadError::Closed => crashes.record_closed(ClosedConnection::WasInUse),
+            _ => crashes.record_given_up(),
+        }
+        match error {
+            ReadError::Deadline => return Err(GatewayError::Deadline),
+            ReadError::GaveWay => return Err(GatewayError::Unknown),
+            ReadError::Closed | ReadError::ConnectionFailed => self.prefer_same_replica(),
+            // The replica would send the same again.
+            ReadError::Malformed | ReadError::EventTooLong => self.exclude_replica(),
+        }
+        self.resume().await
+    }
+
+    /// Tries the same replica first, since it may still run the request although the connection
+    /// broke. Without a new event, that is done only once.
+    fn prefer_same_replica(&mut self) {
+        let member = &self.exchange.member;
+        if self.retried.as_deref() == Some(member.replica.id.as_str()) {
+            return self.exclude_replica();
+        }
+        self.retried = Some(member.replica.id.clone());
+        self.attempt_state.record_started(member);
+    }
+
+    fn exclude_replica(&mut self) {
+        self.attempt_state.exclude(&self.exchange.member.replica.id);
+    }
+
+    fn discard_received(&mut self) {
+        self.unsplit = Bytes::new();
+        self.splitter = EventSplitter::default();
+        self.partial.shrink_to(0);
+    }
+
+    fn log_read_error(&self, error: ReadError) {
+        match error {
+            ReadError::Deadline => self.log_failure(FailureReason::Deadline),
+            ReadError::GaveWay => self.log_failure(FailureReason::NoMemory),
+            ReadError::EventTooLong => self.log_failure(FailureReason::TooLarge),
+            // Logged as a broken stream.
+            ReadError::Closed | ReadError::ConnectionFailed | ReadError::Malformed => {}
+        }
+    }
+
     /// Returns whether the client has not received this event yet. A resumed run may repeat
     /// events.
     fn is_new(&mut self, event: &ServerEvent) -> bool {
@@ -319,6 +351,7 @@
         let is_new = self.last_event_id.is_none_or(|last| id > last);
         if is_new {
             self.last_event_id = Some(id);
+            self.retried = None;
         }
         is_new
     }
@@ -328,10 +361,7 @@
             match self.splitter.event_bytes() {
                 Ok(Some(bytes)) => return self.take_event(bytes).await.map(Some),
                 Ok(None) => {}
-                Err(EventTooLong) => {
-                    self.log_failure(FailureReason::TooLarge);
-                    return Err(ReadError::Malformed);
-                }
+                Err(EventTooLong) => return Err(ReadError::EventTooLong),
             }
             if !self.unsplit.is_empty() {
                 self.split_part().await?;
@@ -356,8 +386,8 @@
         };
         match frame {
             Some(Err(error)) if is_closed_by_peer(&error) => Err(ReadError::Closed),
-            Some(Err(error)) if is_timed_out(&error) => Err(ReadError::TimedOut),
-            Some(Err(_)) => Err(ReadError::Malformed),
+            Some(Err(error)) if is_malformed(&error) => Err(ReadError::Malformed),
+            Some(Err(_)) => Err(ReadError::ConnectionFailed),
             Some(Ok(frame)) => Ok(Some(frame)),
             None => Ok(None),
         }
@@ -419,9 +449,6 @@
         self.turn.sent_at = None;
         self.turn.replica_id = Some(exchange.member.replica.id.clone());
         self.exchange = exchange;
-        self.unsplit = Bytes::new();
-        self.splitter = EventSplitter::default();
-        self.partial.shrink_to(0);
         self.bytes_read = 0;
         Ok(())
     }
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -235,9 +235,11 @@
     }
 }
 
-/// Returns whether the connection failed because the peer's host did not respond.
-pub fn is_timed_out(error: &hyper::Error) -> bool {
-    io_error_kind(error) == Some(io::ErrorKind::TimedOut)
+/// Returns whether the peer has sent a malformed response, as opposed to a connection that failed.
+pub fn is_malformed(error: &hyper::Error) -> bool {
+    let kind = io_error_kind(error);
+    error.is_parse()
+        || matches!(kind, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
 }
 
 /// Returns the kind of the I/O error that caused an error, if any.
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -9,7 +9,7 @@
 
 pub use exchange::{
     Exchange, ExchangeError, OutgoingRequest, SendProgress, exchange, is_closed_by_peer,
-    is_timed_out,
+    is_malformed,
 };
 pub use pool::{Checkout, Pool, PooledConnection, ReplicaConnection};
 pub use process_check::{ProcessState, check_listener, check_process};
