Review, case 1: streams of two software versions in one answer

Cause: a gateway records the software of its list entry as the origin of a stream. When the replica has started again under its id with other software and crashes before the list shows that, the check before the stream goes on gets no answer from it, and counts that like the listed process. The stream ends at a replica of the older software.

--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -53,22 +53,36 @@
     pub address: SocketAddr,
     pub slots: u32,
     pub state: &'static str,
+    /// Version of the software.
+    pub version: String,
+    /// Unix millisecond of the start.
+    pub born: u64,
 }
 
 impl ListEntry {
     fn json(&self) -> String {
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall\",\"version\":\"v1\",\
-             \"slots\":{},\"state\":\"{}\",\"cold_left_ms\":0,\"id\":\"{}\"}}",
-            self.service, self.address, self.slots, self.state, self.id
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall\",\"version\":\"{}\",\
+             \"slots\":{},\"state\":\"{}\",\"cold_left_ms\":0,\"stage\":\"both\",\
+             \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"born\":{},\
+             \"id\":\"{}\"}}",
+            self.service, self.address, self.version, self.slots, self.state, self.born, self.id
         )
     }
 }
 
+/// Unix millisecond of this moment.
+pub fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// The platform's list of replicas.
 pub struct Platform {
     pub address: SocketAddr,
     entries: Arc<Mutex<Vec<ListEntry>>>,
+    /// Entries of other writers, as they stand in the list.
+    foreign: Arc<Mutex<Vec<String>>>,
     is_down: Arc<AtomicBool>,
     pub readings: Arc<AtomicUsize>,
 }
@@ -78,6 +92,8 @@
         let listener = TcpListener::bind((ip, 0))?;
         let address = listener.local_addr()?;
         let entries: Arc<Mutex<Vec<ListEntry>>> = Arc::default();
+        let foreign: Arc<Mutex<Vec<String>>> = Arc::default();
+        let others = Arc::clone(&foreign);
         let (shown, readings) = (Arc::clone(&entries), Arc::new(AtomicUsize::new(0)));
         let is_down = Arc::new(AtomicBool::new(false));
         let (count, down) = (Arc::clone(&readings), Arc::clone(&is_down));
@@ -87,7 +103,7 @@
                     continue;
                 }
                 let (shown, count) = (Arc::clone(&shown), Arc::clone(&count));
-                let down = Arc::clone(&down);
+                let (down, others) = (Arc::clone(&down), Arc::clone(&others));
                 thread::spawn(move || {
                     let mut reader = BufReader::new(stream);
                     while let Some(request) = Request::read(&mut reader) {
@@ -95,8 +111,9 @@
                             return;
                         }
                         count.fetch_add(1, Ordering::SeqCst);
-                        let entries: Vec<String> =
+                        let mut entries: Vec<String> =
                             shown.lock().unwrap().iter().map(ListEntry::json).collect();
+                        entries.extend(others.lock().unwrap().iter().cloned());
                         let body =
                             format!("{{\"instances\":[{}],\"next_token\":null}}", entries.join(","));
                         let is_list = request.path().starts_with("/instances");
@@ -114,13 +131,17 @@
                 });
             }
         });
-        Ok(Self { address, entries, is_down, readings })
+        Ok(Self { address, entries, foreign, is_down, readings })
     }
 
     pub fn show(&self, entries: Vec<ListEntry>) {
         *self.entries.lock().unwrap() = entries;
     }
 
+    pub fn show_foreign(&self, entries: Vec<String>) {
+        *self.foreign.lock().unwrap() = entries;
+    }
+
     pub fn set_state(&self, id: &str, state: &'static str) {
         for entry in self.entries.lock().unwrap().iter_mut().filter(|entry| entry.id == id) {
             entry.state = state;
@@ -190,40 +211,106 @@
 pub struct Replica {
     pub id: String,
     pub address: SocketAddr,
+    work: Arc<Work>,
+    process: Mutex<Arc<ReplicaProcess>>,
+}
+
+/// One start of a replica.
+pub struct ReplicaProcess {
+    pub id: String,
+    pub version: String,
+    pub born: u64,
+    has_ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 /// What a replica does with a request that it runs. Returns whether it keeps the connection.
-pub type Work = dyn Fn(&str, &Request, &mut TcpStream) -> bool + Send + Sync;
+pub type Work = dyn Fn(&ReplicaProcess, &Request, &mut TcpStream) -> bool + Send + Sync;
 
 impl Replica {
+    /// Starts a replica whose software has version `v1`.
     pub fn start(ip: &str, id: &str, work: Arc<Work>) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
         let address = listener.local_addr()?;
-        let own = id.to_owned();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (own, work) = (own.clone(), Arc::clone(&work));
-                let _ = stream.set_nodelay(true);
-                thread::spawn(move || serve(&own, stream, &*work));
-            }
-        });
-        Ok(Self { id: id.to_owned(), address })
+        let process = begin_process(listener, id, "v1", &work)?;
+        Ok(Self { id: id.to_owned(), address, work, process: Mutex::new(process) })
+    }
+
+    /// Ends the process: its connections are closed, and further ones are refused.
+    pub fn crash(&self) {
+        let process = Arc::clone(&self.process.lock().unwrap());
+        process.has_ended.store(true, Ordering::SeqCst);
+        // The listener closes at the next look at the flag.
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
+        for connection in process.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts a process again at the same address and under the same id, after a crash.
+    pub fn restart(&self, version: &str) -> io::Result<()> {
+        let listener = TcpListener::bind(self.address)?;
+        *self.process.lock().unwrap() = begin_process(listener, &self.id, version, &self.work)?;
+        Ok(())
     }
 
+    /// What the list shows of the present process.
     pub fn entry(&self, service: &str, slots: u32) -> ListEntry {
+        let process = self.process.lock().unwrap();
         ListEntry {
             id: self.id.clone(),
             service: service.to_owned(),
             address: self.address,
             slots,
             state: "ready",
+            version: process.version.clone(),
+            born: process.born,
         }
     }
 }
 
-fn serve(own: &str, stream: TcpStream, work: &Work) {
+fn begin_process(
+    listener: TcpListener,
+    id: &str,
+    version: &str,
+    work: &Arc<Work>,
+) -> io::Result<Arc<ReplicaProcess>> {
+    listener.set_nonblocking(true)?;
+    let process = Arc::new(ReplicaProcess {
+        id: id.to_owned(),
+        version: version.to_owned(),
+        born: unix_ms(),
+        has_ended: AtomicBool::new(false),
+        connections: Mutex::default(),
+    });
+    let (accepting, work) = (Arc::clone(&process), Arc::clone(work));
+    thread::spawn(move || {
+        while !accepting.has_ended.load(Ordering::SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let _ = stream.set_nodelay(true);
+            if let Ok(handle) = stream.try_clone() {
+                accepting.connections.lock().unwrap().push(handle);
+            }
+            let (process, work) = (Arc::clone(&accepting), Arc::clone(&work));
+            thread::spawn(move || serve(&process, stream, &*work));
+        }
+    });
+    Ok(process)
+}
+
+fn serve(process: &ReplicaProcess, stream: TcpStream, work: &Work) {
+    let own = &process.id;
     let mut reader = BufReader::new(stream);
     while let Some(request) = Request::read(&mut reader) {
+        if process.has_ended.load(Ordering::SeqCst) {
+            return;
+        }
         let stream = reader.get_mut();
         let is_other =
             request.header("calicohoist-expect-instance").is_some_and(|named| named != own);
@@ -234,12 +321,16 @@
             let extra = format!("Calicohoist-Instance: {own}\r\n");
             respond(stream, request.id(), "200 OK", &extra, "")
         } else if request.path() == "/-/report" {
-            let body = "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\
-                        \"adapters\":[]}],\"busy\":false,\"call_seq\":0,\"waiting\":0,\
-                        \"running\":0,\"kv_used\":0,\"kv_total\":139361,\"handles\":0}";
-            respond(stream, request.id(), "200 OK", "", body)
+            let body = format!(
+                "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\
+                 \"adapters\":[]}}],\"busy\":false,\"call_seq\":0,\"waiting\":0,\
+                 \"running\":0,\"kv_used\":0,\"kv_total\":139361,\"handles\":0,\
+                 \"born\":{}}}",
+                process.born
+            );
+            respond(stream, request.id(), "200 OK", "", &body)
         } else {
-            work(own, &request, stream)
+            work(process, &request, stream)
         };
         if !goes_on {
             let _ = reader.get_mut().shutdown(Shutdown::Both);
@@ -322,7 +413,42 @@
         answer
     }
 
+    /// Sends the request on a new connection, and counts the bytes after the head of the answer up to
+    /// its end without keeping them.
+    pub fn count(&self, to: SocketAddr) -> (Answer, u64) {
+        let started_at = Instant::now();
+        let (mut answer, mut bytes) = (Answer::default(), 0);
+        if let Some(mut reader) = self.open(to) {
+            let mut line = String::new();
+            let _ = reader.read_line(&mut line);
+            answer.status = line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+            answer.headers = read_headers(&mut reader).unwrap_or_default();
+            let mut last = Vec::new();
+            while let Ok(part) = reader.fill_buf() {
+                let length = part.len();
+                if length == 0 {
+                    break;
+                }
+                last.extend_from_slice(&part[length.saturating_sub(7)..]);
+                last.drain(..last.len().saturating_sub(7));
+                reader.consume(length);
+                bytes += length as u64;
+            }
+            let is_chunked = answer.header("transfer-encoding").is_some();
+            let length = answer.header("content-length").and_then(|length| length.parse().ok());
+            answer.is_whole =
+                if is_chunked { last.ends_with(b"0\r\n\r\n") } else { length == Some(bytes) };
+        }
+        answer.took = started_at.elapsed();
+        (answer, bytes)
+    }
+
     fn exchange(&self, to: SocketAddr, answer: &mut Answer) -> Option<()> {
+        read_answer(&mut self.open(to)?, answer)
+    }
+
+    /// Sends the request, and returns the reader of its answer.
+    fn open(&self, to: SocketAddr) -> Option<BufReader<TcpStream>> {
         let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
         let _ = stream.set_nodelay(true);
         stream.set_read_timeout(Some(self.timeout)).ok()?;
@@ -339,7 +465,7 @@
         );
         stream.write_all(head.as_bytes()).ok()?;
         stream.write_all(self.body).ok()?;
-        read_answer(&mut BufReader::new(stream), answer)
+        Some(BufReader::with_capacity(64 << 10, stream))
     }
 }
 
