--- a/review/common/harness.rs
+++ b/review/common/harness.rs
@@ -8,6 +8,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::panic::{self, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -114,8 +115,10 @@
                         let mut entries: Vec<String> =
                             shown.lock().unwrap().iter().map(ListEntry::json).collect();
                         entries.extend(others.lock().unwrap().iter().cloned());
-                        let body =
-                            format!("{{\"instances\":[{}],\"next_token\":null}}", entries.join(","));
+                        let body = format!(
+                            "{{\"instances\":[{}],\"next_token\":null}}",
+                            entries.join(",")
+                        );
                         let is_list = request.path().starts_with("/instances");
                         let status = if is_list { "200 OK" } else { "404 Not Found" };
                         let head = format!(
@@ -792,9 +795,9 @@
 
 fn find_ports(net: &str) -> io::Result<Ports> {
     let is_free = |port: u16| {
-        [11, 12, 13, 21, 22, 100].iter().all(|host| {
-            TcpListener::bind((format!("{net}.{host}").as_str(), port)).is_ok()
-        })
+        [11, 12, 13, 21, 22, 100]
+            .iter()
+            .all(|host| TcpListener::bind((format!("{net}.{host}").as_str(), port)).is_ok())
     };
     let mut base = 20_000 + (std::process::id() % 200) as u16 * 50;
     for _ in 0..100 {
@@ -844,12 +847,15 @@
         std::process::exit(COULD_NOT_RUN);
     };
     record.line(format!("begins, disruption: {}", has_trouble()));
-    let code = match case(&root, &record) {
-        Ok(code) => code,
-        Err(error) => {
+    // A panic ends the processes as well.
+    let played = panic::catch_unwind(AssertUnwindSafe(|| case(&root, &record)));
+    let code = match played {
+        Ok(Ok(code)) => code,
+        Ok(Err(error)) => {
             record.line(format!("could not run: {error}"));
             COULD_NOT_RUN
         }
+        Err(_) => COULD_NOT_RUN,
     };
     record.line(match code {
         HELD => "the rule held",
