--- /dev/null
+++ b/crates/calicohoist/tests/taken_up/main.rs
@@ -0,0 +1,86 @@
+//! Streams that clients take up again after all gateways were killed, while replicas of two
+//! software versions serve or those of the older one have left, with real processes.
+
+#[path = "../../../../platform/tests/support/mod.rs"]
+mod support;
+
+#[path = "../cluster/mod.rs"]
+mod cluster;
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::{Fleet, LedgerFault, Serving, StreamFate};
+
+/// Times after the kill at which clients take up their streams, in seconds.
+const WAITS_S: [u64; 6] = [1, 3, 5, 8, 14, 20];
+/// Streams that are taken up at each of these times.
+const STREAMS_PER_WAIT: usize = 4;
+
+/// Kills all gateways `delay` after the first events, and judges every stream that is taken up.
+fn judge_after_kill(delay: Duration, serving: Serving, fault: LedgerFault) {
+    let mut fleet = Fleet::start(serving);
+    fleet.begin_fault(fault);
+    let streams = fleet.begin_streams(WAITS_S.len() * STREAMS_PER_WAIT);
+    fleet.kill_gateways_after(delay, fault);
+    let mut fates: Vec<(Duration, StreamFate)> = Vec::new();
+    let waits = WAITS_S.map(Duration::from_secs);
+    for (wait, group) in waits.into_iter().zip(streams.chunks(STREAMS_PER_WAIT)) {
+        fleet.wait_since_kill(wait);
+        fates.extend(group.iter().map(|stream| (wait, fleet.take_up(stream))));
+    }
+    println!("{delay:?}, {serving:?}, {fault:?}:");
+    fates.iter().for_each(|(wait, fate)| println!("{wait:?}: {fate}"));
+    let joined: Vec<_> = fates.iter().filter(|(_, fate)| fate.is_joined()).collect();
+    assert!(joined.is_empty(), "events of two versions: {joined:#?}");
+    if fault.keeps_records() {
+        let lost: Vec<_> = fates.iter().filter(|(_, fate)| fate.is_lost()).collect();
+        assert!(lost.is_empty(), "not continued although the version serves: {lost:#?}");
+    }
+}
+
+#[test]
+fn streams_of_two_serving_versions_go_on_after_all_gateways_were_killed_at_once() {
+    judge_after_kill(Duration::ZERO, Serving::BothVersions, LedgerFault::None);
+}
+
+#[test]
+fn streams_of_two_serving_versions_go_on_after_all_gateways_were_killed_later() {
+    judge_after_kill(Duration::from_millis(600), Serving::BothVersions, LedgerFault::None);
+}
+
+#[test]
+fn streams_are_not_joined_after_their_version_left_while_all_gateways_were_killed_at_once() {
+    judge_after_kill(Duration::ZERO, Serving::OlderLeaves, LedgerFault::None);
+}
+
+#[test]
+fn streams_are_not_joined_after_their_version_left_while_all_gateways_were_killed_later() {
+    judge_after_kill(Duration::from_millis(600), Serving::OlderLeaves, LedgerFault::None);
+}
+
+#[test]
+fn streams_are_not_joined_after_a_release_while_all_gateways_were_killed_at_once() {
+    judge_after_kill(Duration::ZERO, Serving::OlderIsReplaced, LedgerFault::None);
+}
+
+#[test]
+fn streams_are_not_joined_after_a_release_while_all_gateways_were_killed_later() {
+    judge_after_kill(Duration::from_millis(600), Serving::OlderIsReplaced, LedgerFault::None);
+}
+
+#[test]
+fn streams_go_on_after_gateways_and_ledger_machines_were_killed_together() {
+    judge_after_kill(Duration::ZERO, Serving::OlderLeaves, LedgerFault::Killed);
+}
+
+#[test]
+fn streams_that_began_without_a_leader_are_not_joined() {
+    judge_after_kill(Duration::ZERO, Serving::OlderIsReplaced, LedgerFault::NoLeader);
+}
+
+#[test]
+fn streams_whose_record_is_late_are_not_joined() {
+    judge_after_kill(Duration::from_millis(600), Serving::OlderLeaves, LedgerFault::LateLeader);
+}
