Streams: log when the origin of a stream is recorded

After the loss of all gateways, logs did not tell a stream whose origin was never recorded from one whose record had expired: both are answered as unknown or, with a single version, go on. A line per record tells them apart, and the line of a resumed stream says whether its origin was recorded or inferred from the replicas in service. No change of behaviour.

--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -71,8 +71,14 @@
     let guard = app.begin_task();
     tokio::spawn(async move {
         let _guard = guard;
-        if app.ledger.request(&question, Instant::now() + RECORD_TIMEOUT).await.is_err() {
-            emit!(Event::StreamOriginLost; request = id, reason = "no ledger leader responded");
+        let asked_at = Instant::now();
+        match app.ledger.request(&question, asked_at + RECORD_TIMEOUT).await {
+            Ok(_) => emit!(
+                Event::StreamOriginRecorded;
+                request = id,
+                took_ms = asked_at.elapsed().as_millis(),
+            ),
+            Err(error) => emit!(Event::StreamOriginLost; request = id, reason = error),
         }
     });
 }
@@ -120,6 +126,7 @@
     emit!(
         Event::StreamResumed;
         request = call.head.request_id,
+        knowledge = format!("{knowledge:?}"),
         resumes = call.head.resumes.as_deref().unwrap_or("-"),
         service = service,
         software = software,
