Streams: a missing record is no knowledge of what began a stream

Cause: without a record of a stream's origin, a gateway took the only version that it had seen for the route's timeout and 3 s for the one that began the stream. Nothing bounds when a client comes back, and a gateway that has just started has not seen what served before. Change: without a record the request is answered with 409 and not run, whatever serves. The inference and its state are gone.

Ruled out: a record that is written too late as the only cause; with 600 ms to write it as many streams were joined, and with the leader absent no more than that.

--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -6,7 +6,6 @@
 
 mod departures;
 mod member;
-mod only_version;
 mod services;
 
 use std::collections::HashSet;
@@ -19,7 +18,7 @@
 use calicohoist_routing::{
     Candidate, ColdReplicas, CostWeights, DrainedZones, EligibilityRules, EntryStatus, HomeRegions,
     Incarnation, IncarnationTracker, ListPart, ListPatch, PatchError, Replica, ReplicaState,
-    SoftwareRequirement, SoftwareVersion, Topology, UndrainedZones, choose, spread, stable_hash,
+    SoftwareRequirement, Topology, UndrainedZones, choose, spread, stable_hash,
 };
 use parking_lot::{MappedRwLockReadGuard, Mutex, RwLock, RwLockReadGuard};
 
@@ -27,8 +26,6 @@
 use departures::Departures;
 pub use departures::ListStatus;
 pub use member::{LoadGuard, Member};
-use only_version::OnlyVersions;
-pub use only_version::VersionUncertainty;
 use services::{PreferenceOrder, Services};
 
 /// Cost penalty for replicas that the leader reports as failing.
@@ -97,8 +94,6 @@
     /// Recently undrained zones, whose replicas may have become cold.
     undrained: RwLock<UndrainedZones>,
     services: RwLock<Arc<Services>>,
-    /// Services all of whose replicas have the same software version.
-    only_versions: Mutex<OnlyVersions>,
     /// Newest known incarnation of each replica. Lists from different leaders may arrive out of
     /// order.
     incarnations: Mutex<IncarnationTracker>,
@@ -126,7 +121,6 @@
             cold: RwLock::default(),
             undrained: RwLock::default(),
             services: RwLock::default(),
-            only_versions: Mutex::default(),
             incarnations: Mutex::default(),
             departures: Mutex::default(),
             listed: RwLock::default(),
@@ -202,9 +196,7 @@
                 services.add(Arc::clone(member));
             }
         }
-        let now = Instant::now();
-        self.only_versions.lock().update(&services, now);
-        self.departures.lock().update(&self.services.read(), &services, now);
+        self.departures.lock().update(&self.services.read(), &services, Instant::now());
         *self.listed.write() = listed;
         *self.services.write() = Arc::new(services);
     }
@@ -393,24 +385,6 @@
         self.members_of(service).iter().find(is_same).cloned()
     }
 
-    /// Returns the software version of the service if all listed replicas have had this one for at
-    /// least `duration`, and the list is not older than `max_list_age`.
-    ///
-    /// # Errors
-    /// Returns why the service cannot be said to have had a single version.
-    pub fn only_version(
-        &self,
-        service: &str,
-        duration: Duration,
-        max_list_age: Duration,
-    ) -> Result<SoftwareVersion, VersionUncertainty> {
-        let version = self.only_versions.lock().get(service, duration, Instant::now())?;
-        if self.list_age() > max_list_age {
-            return Err(VersionUncertainty::OldList);
-        }
-        Ok(version)
-    }
-
     /// Returns whether the service has a replica in these home regions, ready or not.
     pub fn has_replica_in(&self, service: &str, homes: &HomeRegions) -> bool {
         let members = self.members_of(service);
--- a/crates/proxy/src/fleet/services.rs
+++ b/crates/proxy/src/fleet/services.rs
@@ -93,11 +93,6 @@
         self.by_id.insert(MemberById(member));
     }
 
-    /// Iterates over the names of the listed services.
-    pub(super) fn names(&self) -> impl Iterator<Item = &str> {
-        self.by_service.keys().map(String::as_str)
-    }
-
     /// Returns the members of a service, or an empty slice if it is not listed.
     pub(super) fn members_of(&self, service: &str) -> &[Arc<Member>] {
         self.by_service.get(service).map(|members| members.all.as_slice()).unwrap_or_default()
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -14,7 +14,7 @@
     KEY_SEPARATOR, Reservation, ReserveTurn, RetainedTurn, SettleTurn,
 };
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
-use calicohoist_routing::{SoftwareRequirement, StreamOrigin};
+use calicohoist_routing::StreamOrigin;
 use calicohoist_scheduler::queue_timeout;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
@@ -25,7 +25,6 @@
 use super::error::{GatewayError, NotExecutedReason};
 use super::turn::{RESERVE_TIMEOUT, RETRY_AFTER, millis};
 use crate::app::App;
-use crate::fleet::VersionUncertainty;
 use crate::upstream::{StartCheck, check_start};
 
 /// Timeout for recording an origin. A stream that is still running then is rarely resumed.
@@ -34,8 +33,6 @@
 const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time for which an origin is kept after the stream began or was resumed.
 const MAX_RETENTION: Duration = Duration::from_secs(60);
-/// Time within which a change of the replicas reaches all gateways.
-const MAX_LIST_DELAY: Duration = Duration::from_secs(3);
 /// Retry delay if no replica has the required software. About the interval between readings of the
 /// replica list.
 const REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -93,41 +90,27 @@
     }
     let result = find_continuation(app, call).await;
     STREAMS_RESUMED.inc(match &result {
-        Ok(StreamKnowledge::Recorded) => "recorded",
-        Ok(StreamKnowledge::OnlyVersion) => "only_version",
+        Ok(()) => "recorded",
         Err(GatewayError::UnknownStream) => "unknown",
         Err(GatewayError::NotExecuted {
             reason: NotExecutedReason::NoReplicaOfVersion, ..
         }) => "no_replica",
         Err(_) => "unavailable",
     });
-    result.map(|_| ())
+    result
 }
 
-/// From what the software that may continue a stream is known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StreamKnowledge {
-    /// The origin of the stream was recorded.
-    Recorded,
-    /// The service has had one version since before the stream can have begun.
-    OnlyVersion,
-}
-
-async fn find_continuation(app: &App, call: &Call) -> Result<StreamKnowledge, GatewayError> {
-    let recorded = match &call.head.resumes {
-        Some(first) => find_twice(app, call, first).await?,
-        None => None,
-    };
-    let (continuation, knowledge) = match recorded {
-        Some(origin) => (Continuation::from(origin), StreamKnowledge::Recorded),
-        None => (continue_at_only_version(app, call)?, StreamKnowledge::OnlyVersion),
-    };
+/// Finds where the stream may continue. A missing record says nothing about the software that began
+/// the stream, whatever the replicas run now.
+async fn find_continuation(app: &App, call: &Call) -> Result<(), GatewayError> {
+    let first = call.head.resumes.as_deref().ok_or(GatewayError::UnknownStream)?;
+    let origin = find_twice(app, call, first).await?.ok_or(GatewayError::UnknownStream)?;
+    let continuation = Continuation::from(origin);
     let Continuation { service, software, began_at } = &continuation;
     emit!(
         Event::StreamResumed;
         request = call.head.request_id,
-        knowledge = format!("{knowledge:?}"),
-        resumes = call.head.resumes.as_deref().unwrap_or("-"),
+        resumes = first,
         service = service,
         software = software,
         began_at = began_at.as_deref().unwrap_or("-"),
@@ -141,7 +124,7 @@
         return Err(GatewayError::not_executed(reason, REPLICA_RETRY_AFTER));
     }
     call.continue_at(continuation);
-    Ok(knowledge)
+    Ok(())
 }
 
 /// Checks that no other software than recorded can have begun the stream: a replica that has restarted
@@ -172,26 +155,6 @@
     GatewayError::not_executed(NotExecutedReason::UncertainVersion, REPLICA_RETRY_AFTER)
 }
 
-/// Returns how a stream without a record continues: one that a gateway of an earlier build began, or
-/// whose client does not name it.
-fn continue_at_only_version(app: &App, call: &Call) -> Result<Continuation, GatewayError> {
-    // Without a program, the service of a route with weights differs between requests.
-    let has_same_service = call.head.program.is_some() || call.route.services().count() == 1;
-    let service = call.service().filter(|_| has_same_service);
-    let service = service.ok_or(GatewayError::UnknownStream)?.name.clone();
-    let duration = call.route.timeout + MAX_LIST_DELAY;
-    match app.fleet.only_version(&service, duration, MAX_LIST_DELAY) {
-        Ok(version) => {
-            let software = SoftwareRequirement::Version(version);
-            Ok(Continuation { service, software, began_at: None })
-        }
-        Err(VersionUncertainty::SeveralVersions) => Err(GatewayError::UnknownStream),
-        Err(VersionUncertainty::RecentList | VersionUncertainty::OldList) => {
-            Err(uncertain_version())
-        }
-    }
-}
-
 async fn find_twice(
     app: &App,
     call: &Call,
