Streams: the record of an origin is durable before the first event, and kept

Callers that took their streams up again 3 s or later after the loss of all gateways got 409 (unknown stream), although replicas of their version served: none of 32 of both versions went on from 5 s on.

Cause: the record was written after the first event had left, and kept for the longer of the client's deadline and the route's timeout, while nothing bounds when a client comes back. Change: the record is written when the head of the answer arrives, while the replica works on the first event, which is forwarded once the record is durable. It is kept for five minutes. Without a leader the first event waits for a second at most, and not at all in a longer absence.

Ruled out: retention in proportion to the room that is left. After a rise of the rate it kept new records for less than 20 s while old ones filled the room (the test showed it). A maximum in the state machine: machines of two builds would hold different turns.

--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -4,6 +4,7 @@
 //! with another leader.
 
 mod crash;
+mod origin;
 
 use calicohoist_limiter::IssuedPermits;
 use calicohoist_scheduler::TurnRun;
@@ -13,6 +14,7 @@
 pub use crash::{
     charge_crash, crash_key_prefix, find_crash, release_send, reserve_send, store_crash,
 };
+pub use origin::{ORIGIN_RETENTION, is_origin, origin_key_prefix, read_origin, store_origin};
 
 /// Separates the parts of keys, such as the tenant name from a program or turn ID. None of them can
 /// contain it: tenant names are validated, and IDs come from headers, which exclude control
--- /dev/null
+++ b/crates/ledger/src/commands/origin.rs
@@ -0,0 +1,59 @@
+//! Records of what began a stream, which tell where a client may resume it.
+//!
+//! A record has the form of a retained turn with a key of its own: ledger machines of every build
+//! store it until it expires, also while two builds run side by side.
+
+use std::time::Duration;
+
+use super::{KEY_SEPARATOR, ReserveTurn, RetainedTurn, SettleTurn, TurnId};
+
+/// Time after the beginning or the last resumption of a stream for which its record is kept, unless
+/// there are many.
+pub const ORIGIN_RETENTION: Duration = Duration::from_secs(300);
+/// Second part of the keys of records. The first one is empty, as in no key of a turn.
+const ORIGIN_KEYS: &str = "origin";
+
+/// Returns the beginning of the keys of all records.
+pub fn origin_key_prefix() -> String {
+    format!("{KEY_SEPARATOR}{ORIGIN_KEYS}{KEY_SEPARATOR}")
+}
+
+/// Returns the command that stores the record of the stream that the request `stream` begins. It may
+/// be repeated.
+pub fn store_origin(stream: &str, record: Vec<u8>) -> SettleTurn {
+    SettleTurn {
+        program: None,
+        turn: origin_key(stream),
+        used_tokens: 0,
+        retention_ms: retention_ms(),
+        retained: Some(RetainedTurn { previous: None, input: record, output: Vec::new() }),
+        run: None,
+    }
+}
+
+/// Returns the command that reads the record of the stream that the request `stream` began, for the
+/// request `reader`, and keeps it for longer.
+pub fn read_origin(stream: &str, reader: &str) -> ReserveTurn {
+    ReserveTurn {
+        program: None,
+        turn: origin_key(reader),
+        most_tokens: 0,
+        budget: u64::MAX,
+        previous: Some(origin_key(stream)),
+        retention_ms: retention_ms(),
+    }
+}
+
+/// Returns whether a key is that of a record.
+pub fn is_origin(key: &str) -> bool {
+    let key = key.strip_prefix(KEY_SEPARATOR).and_then(|key| key.strip_prefix(ORIGIN_KEYS));
+    key.is_some_and(|key| key.starts_with(KEY_SEPARATOR))
+}
+
+fn origin_key(request: &str) -> TurnId {
+    format!("{}{request}", origin_key_prefix())
+}
+
+fn retention_ms() -> u64 {
+    u64::try_from(ORIGIN_RETENTION.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -243,7 +243,8 @@
     Placed(Decision),
     /// Response to [`LedgerRequest::Settle`]: the end of the turn is durable.
     Settled,
-    /// Response to [`LedgerRequest::ReportFailure`].
+    /// Response to [`LedgerRequest::ReportFailure`], and to [`LedgerRequest::Settle`] if there is no
+    /// room for another record, which is not stored.
     Noted,
     /// A configuration newer than the one that the gateway has.
     Configuration {
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -182,6 +182,7 @@
                 LedgerResponse::Reserved { reservation, history, decision, is_under_way, permit }
             }
             Response::Changed(Output::Done) => LedgerResponse::Settled,
+            Response::NoRoom => LedgerResponse::Noted,
             Response::NotLeader(leader) => self.not_leader(leader),
             _ => LedgerResponse::Unavailable,
         }
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -3,6 +3,7 @@
 //! It performs all disk I/O. A leader whose disk hangs therefore stops sending heartbeats and
 //! loses the leadership.
 
+pub mod origins;
 pub mod pending;
 mod request;
 
@@ -26,6 +27,7 @@
 use rand::RngExt;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use origins::{ORIGIN_COUNT_INTERVAL, OriginQuota};
 use pending::{CommandDigest, Outcome, PendingRequest, PendingTable};
 use request::Input;
 pub use request::{GroupStatus, ReplicaHandle, Request, Response, ResponseCallback};
@@ -40,7 +42,7 @@
 use super::slow_disk::SlowDiskDetector;
 use super::turns::TurnDispatcher;
 use super::{LedgerSettings, machine_number};
-use crate::commands::{Command, Output, Reservation, ReserveTurn};
+use crate::commands::{Command, Output, Reservation, ReserveTurn, origin_key_prefix};
 use crate::queries;
 use crate::state::{HistoryPiece, LedgerState, StoredBytes};
 
@@ -102,6 +104,9 @@
     next_crash: u64,
     /// Number of the last forwarded permit batch.
     last_permit_batch: u64,
+    /// Bounds the stream origins that this machine stores as the leader.
+    origins: OriginQuota,
+    origins_counted_at: Instant,
     /// Since when this machine has been leader without having applied all entries committed by
     /// earlier leaders.
     catching_up_since: Option<Instant>,
@@ -184,6 +189,8 @@
             next_run: 0,
             next_crash: 0,
             last_permit_batch: 0,
+            origins: OriginQuota::default(),
+            origins_counted_at: started_at,
             catching_up_since: None,
         })
     }
@@ -308,8 +315,16 @@
 
     fn on_request(&mut self, request: Request, respond: ResponseCallback) {
         match request {
-            Request::Change(command) => self.propose(&command, PendingRequest::Change(respond)),
-            Request::Reserve(reserve) => {
+            Request::Change(mut command) => {
+                if let Command::Settle(settle) = &mut command
+                    && !self.origins.admit(settle)
+                {
+                    return respond(Response::NoRoom);
+                }
+                self.propose(&command, PendingRequest::Change(respond));
+            }
+            Request::Reserve(mut reserve) => {
+                self.origins.limit_extension(&mut reserve);
                 let command = Command::Reserve(reserve.clone());
                 self.propose(&command, PendingRequest::Reserve(reserve, respond));
             }
@@ -411,6 +426,7 @@
         self.names.clear();
         self.names.insert(self.node.id().machine, self.name.clone());
         self.update_known_machines(&retiring);
+        self.count_origins_if_due();
         self.seal_if_due();
         self.move_leadership_if_better(&retiring);
         let elapsed = self.clock_advanced_at.elapsed();
@@ -421,6 +437,19 @@
         }
     }
 
+    fn count_origins_if_due(&mut self) {
+        if self.origins_counted_at.elapsed() >= ORIGIN_COUNT_INTERVAL {
+            self.count_origins();
+        }
+    }
+
+    fn count_origins(&mut self) {
+        self.origins_counted_at = Instant::now();
+        if let Some(state) = self.node.machine(GROUP) {
+            self.origins.recount(state.turns().ids_with_prefix(&origin_key_prefix()).count());
+        }
+    }
+
     /// Transfers the leadership to a voter with a clearly lower expected delay, if there is one.
     fn move_leadership_if_better(&mut self, retiring: &BTreeSet<u32>) {
         if self.preference_checked_at.elapsed() < PREFERENCE_INTERVAL {
@@ -519,6 +548,7 @@
                 let event = if is_leader { Event::BecameLeader } else { Event::LostLeadership };
                 IS_LEADER.set(u64::from(is_leader));
                 self.catching_up_since = is_leader.then(Instant::now);
+                self.count_origins();
                 emit!(event; machine = self.name, term = self.term());
             }
         }
--- a/crates/ledger/src/server/replica/request.rs
+++ b/crates/ledger/src/server/replica/request.rs
@@ -55,6 +55,8 @@
     Retired(Option<bool>),
     /// The zone does not exist.
     UnknownZone,
+    /// There is no room for another record of this kind, which was not proposed.
+    NoRoom,
     /// A ledger machine may not support the command, which was not proposed.
     FleetLags(VersionSkew),
     /// This machine is the leader in this term.
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -1,18 +1,14 @@
 //! Origins of resumable streams.
 //!
 //! A client may resume a stream at any gateway, and replicas do not check which software began it.
-//! The gateway that forwards the first event therefore records the origin of the stream in the
-//! ledger, where all gateways find it.
-//!
-//! The record has the form of a retained turn with a key of its own: ledger machines of every build
-//! store it, also while two builds run side by side.
+//! The gateway that begins a stream therefore records its origin in the ledger, where all gateways
+//! find it. The first event is forwarded once the record is stored, so that the loss of the gateway
+//! leaves no client with events of unknown origin.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::commands::{
-    KEY_SEPARATOR, Reservation, ReserveTurn, RetainedTurn, SettleTurn,
-};
+use calicohoist_ledger::commands::{Reservation, read_origin, store_origin};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
 use calicohoist_routing::StreamOrigin;
 use calicohoist_scheduler::queue_timeout;
@@ -20,19 +16,20 @@
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
 
 use super::call::{Call, Continuation};
 use super::error::{GatewayError, NotExecutedReason};
-use super::turn::{RESERVE_TIMEOUT, RETRY_AFTER, millis};
+use super::turn::{LEDGER_TIMES, RESERVE_TIMEOUT, RETRY_AFTER};
 use crate::app::App;
 use crate::upstream::{StartCheck, check_start};
 
-/// Timeout for recording an origin. A stream that is still running then is rarely resumed.
-const RECORD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout for recording an origin. Covers a long absence of a leader.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum time for which the first event of a stream waits for the record. Covers a leader election.
+const RECORD_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay before an origin is looked up again that may still be on its way to the ledger.
 const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(50);
-/// Maximum time for which an origin is kept after the stream began or was resumed.
-const MAX_RETENTION: Duration = Duration::from_secs(60);
 /// Retry delay if no replica has the required software. About the interval between readings of the
 /// replica list.
 const REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -42,6 +39,11 @@
     "Streams that clients resumed, by what is known of their origin",
     "origin",
 );
+static ORIGINS_RECORDED: Counter = Counter::new(
+    "calicohoist_proxy_stream_origins_total",
+    "Streams that began on resumable routes, by what became of the record of their origin",
+    "outcome",
+);
 
 /// Stored form of an origin. New variants are added at the end.
 #[derive(Debug, Serialize, Deserialize)]
@@ -49,35 +51,70 @@
     V1(StreamOrigin),
 }
 
+/// An origin that is being recorded.
+pub struct PendingRecord {
+    /// Closed without a message if the origin cannot be recorded.
+    stored: oneshot::Receiver<()>,
+}
+
+impl PendingRecord {
+    /// Waits until the origin is recorded or cannot be. Without a leader the stream goes on after
+    /// [`RECORD_WAIT`], and at once if there has been none for longer: its client can resume it
+    /// once the record is stored, which this gateway goes on trying.
+    pub async fn wait(self, app: &App, call: &Call) {
+        if !app.is_current(Instant::now()) {
+            return;
+        }
+        let limit = queue_timeout(call.time_left(), RECORD_WAIT);
+        if tokio::time::timeout(limit, self.stored).await.is_err() {
+            ORIGINS_RECORDED.inc("late");
+        }
+    }
+}
+
 /// Records the origin of the stream that `call` begins, in the background.
-pub fn record(app: &Arc<App>, call: &Call, origin: StreamOrigin) {
+pub fn record(app: &Arc<App>, call: &Call, origin: StreamOrigin) -> PendingRecord {
+    let (sender, stored) = oneshot::channel();
+    let pending = PendingRecord { stored };
     let id = call.head.request_id.clone();
-    let Ok(input) = encode(&OriginRecord::V1(origin)) else {
-        return emit!(Event::StreamOriginLost; request = id, reason = "cannot be encoded");
+    let record = match encode(&OriginRecord::V1(origin)) {
+        Ok(record) => record,
+        Err(error) => {
+            emit!(Event::StreamOriginLost; request = id, reason = error);
+            return pending;
+        }
     };
-    let retained = RetainedTurn { previous: None, input, output: Vec::new() };
-    let question = LedgerRequest::Settle(SettleTurn {
-        program: None,
-        turn: origin_key(call, &id),
-        used_tokens: 0,
-        retention_ms: millis(retention(call)),
-        retained: Some(retained),
-        run: None,
-    });
+    let question = LedgerRequest::Settle(store_origin(&call.scoped(&id), record));
     let app = Arc::clone(app);
     let guard = app.begin_task();
     tokio::spawn(async move {
         let _guard = guard;
-        let asked_at = Instant::now();
-        match app.ledger.request(&question, asked_at + RECORD_TIMEOUT).await {
-            Ok(_) => emit!(
-                Event::StreamOriginRecorded;
-                request = id,
-                took_ms = asked_at.elapsed().as_millis(),
-            ),
-            Err(error) => emit!(Event::StreamOriginLost; request = id, reason = error),
+        if store(&app, &id, &question).await {
+            // The stream may have ended, or may not have waited.
+            let _ = sender.send(());
         }
     });
+    pending
+}
+
+/// Stores a record; returns whether it is durable.
+async fn store(app: &App, id: &str, question: &LedgerRequest) -> bool {
+    let asked_at = Instant::now();
+    let answer = app.ledger.request(question, asked_at + RECORD_TIMEOUT).await;
+    LEDGER_TIMES.observe("origin", asked_at.elapsed());
+    let reason = match answer {
+        Ok(LedgerResponse::Settled) => {
+            ORIGINS_RECORDED.inc("recorded");
+            let took_ms = asked_at.elapsed().as_millis();
+            emit!(Event::StreamOriginRecorded; request = id, took_ms = took_ms);
+            return true;
+        }
+        Ok(_) => "the ledger has no room for it".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    ORIGINS_RECORDED.inc("lost");
+    emit!(Event::StreamOriginLost; request = id, reason = reason);
+    false
 }
 
 /// Determines where the stream that `call` resumes may continue, if it resumes one.
@@ -170,18 +207,8 @@
 /// Looks up the origin of the stream that the request `first` began. Returns `None` if the ledger
 /// has none.
 async fn find(app: &App, call: &Call, first: &str) -> Result<Option<StreamOrigin>, GatewayError> {
-    let question = LedgerRequest::Reserve {
-        reserve: ReserveTurn {
-            program: None,
-            turn: origin_key(call, &call.head.request_id),
-            most_tokens: 0,
-            budget: u64::MAX,
-            previous: Some(origin_key(call, first)),
-            retention_ms: millis(retention(call)),
-        },
-        placement: None,
-        permit: None,
-    };
+    let reserve = read_origin(&call.scoped(first), &call.scoped(&call.head.request_id));
+    let question = LedgerRequest::Reserve { reserve, placement: None, permit: None };
     let deadline = Instant::now() + queue_timeout(call.time_left(), RESERVE_TIMEOUT);
     match app.ledger.request(&question, deadline).await {
         Ok(LedgerResponse::Reserved { reservation: Reservation::Granted, history, .. }) => {
@@ -202,14 +229,3 @@
         }
     }
 }
-
-/// Returns the key of a stream's origin. Keys of turns never begin with the separator.
-fn origin_key(call: &Call, first: &str) -> String {
-    format!("{KEY_SEPARATOR}origin{KEY_SEPARATOR}{}", call.scoped(first))
-}
-
-/// Returns how long a stream that begins or is resumed now may be resumed.
-fn retention(call: &Call) -> Duration {
-    let client_deadline = call.head.deadline.unwrap_or_default();
-    client_deadline.max(call.route.timeout).min(MAX_RETENTION)
-}
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -23,7 +23,7 @@
 use super::error::GatewayError;
 use super::failure;
 use super::headers::remove_hop_by_hop_headers;
-use super::origin;
+use super::origin::{self, PendingRecord};
 use super::response::{BodyAborted, ResponseBody};
 use super::response_failure::{FailureReason, ResponseFailure};
 use super::turn::Turn;
@@ -73,6 +73,7 @@
         return Ok(response.map(ResponseBody::buffered));
     }
     let mut relay = Relay::new(app, call, turn, payload, attempt_state, exchange);
+    let record = relay.bind_stream();
     // The head is sent only after the first event, so that another replica can still be used until
     // then.
     let lane = relay.exchange.lane();
@@ -83,8 +84,10 @@
             return Err(error);
         }
     };
-    if first.is_some() {
-        relay.begin_stream();
+    if let Some(record) = record
+        && first.is_some()
+    {
+        record.wait(app, call).await;
     }
     let headers = relay.headers();
     let (sender, chunks) = mpsc::unbounded_channel();
@@ -113,7 +116,7 @@
     splitter: EventSplitter,
     /// Memory for the buffer of the splitter.
     partial: MemoryReservation,
-    /// How the stream continues if it is interrupted; `None` before its first event.
+    /// How the stream continues if it is interrupted; `None` if it cannot be resumed.
     continuation: Option<Continuation>,
     /// Headers of the first replica's response, which are sent to the client.
     headers: HeaderMap,
@@ -176,20 +179,16 @@
         }
     }
 
-    /// Binds a new stream to the software of the current replica, whose first event is forwarded.
-    ///
-    /// The record is written in the background, so that the first event does not wait for the ledger.
-    /// A client can resume a stream without a record only while its service has a single version.
-    fn begin_stream(&mut self) {
-        if self.continuation.is_some() {
-            return;
+    /// Binds a new stream of a resumable route to the software of the replica that answers it, and
+    /// records that as its origin.
+    fn bind_stream(&mut self) -> Option<PendingRecord> {
+        if self.continuation.is_some() || !self.call.route.resumable {
+            return None;
         }
         let origin = StreamOrigin::at(&self.exchange.member.replica);
         self.attempt_state.require(origin.software());
         self.continuation = Some(Continuation::from(origin.clone()));
-        if self.call.route.resumable {
-            origin::record(&self.app, &self.call, origin);
-        }
+        Some(origin::record(&self.app, &self.call, origin))
     }
 
     fn headers(&self) -> HeaderMap {
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -21,7 +21,7 @@
 use super::permit::{self, Permit};
 use crate::app::App;
 
-static LEDGER_TIMES: DurationHistogram = DurationHistogram::new(
+pub(super) static LEDGER_TIMES: DurationHistogram = DurationHistogram::new(
     "calicohoist_ledger_answer_seconds",
     "Time until the ledger answered, by question",
     "question",
