Streams: an origin is recorded at the first event, and kept by a clock that lags

A review of the record before the first event found, from the code:

- Written at the head of the answer, a record bound the stream to a version before the client had any of it.
A replica that failed before its first event then ended the stream if no other of its version was left, where it had begun elsewhere before.
- The clock of the state moves every five seconds, so a record was kept for up to five seconds less than meant; that is added to the retention, and the test plays a clock that lags by as much.
- A machine that no longer leads and has a full quota answered that there is no room instead of naming the leader.
Only a leader asks its quota.

Price: the write is no longer hidden behind the replica's work on the prompt.

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -53,7 +53,7 @@
 const MAX_BATCH: usize = 512;
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a leader advances the clock of the state.
-const CLOCK_INTERVAL: Duration = Duration::from_secs(5);
+pub const CLOCK_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval at which a leader passes the known machines to the replication layer.
 const KNOWN_MACHINES_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a leader checks whether another voter would be a better leader.
@@ -317,6 +317,7 @@
         match request {
             Request::Change(mut command) => {
                 if let Command::Settle(settle) = &mut command
+                    && self.leads()
                     && !self.origins.admit(settle)
                 {
                     return respond(Response::NoRoom);
@@ -396,7 +397,7 @@
 
     /// Runs periodic tasks, most of them on the leader only.
     fn run_periodic_tasks(&mut self) {
-        let is_leader = self.node.raft(GROUP).is_some_and(|raft| raft.is_leader());
+        let is_leader = self.leads();
         let Some(state) = self.node.machine(GROUP) else {
             return;
         };
@@ -554,6 +555,10 @@
         }
     }
 
+    fn leads(&self) -> bool {
+        self.node.raft(GROUP).is_some_and(|raft| raft.is_leader())
+    }
+
     fn term(&self) -> u64 {
         self.node.raft(GROUP).map_or(0, |raft| raft.term())
     }
--- a/crates/ledger/src/server/replica/origins.rs
+++ b/crates/ledger/src/server/replica/origins.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::CLOCK_INTERVAL;
 use crate::commands::{ReserveTurn, SettleTurn, is_origin};
 
 /// Number of origins at a steady rate of new streams. Each takes about 350 bytes of memory.
@@ -42,21 +43,29 @@
         }
         self.held += 1;
         self.admitted += 1;
-        settle.retention_ms = settle.retention_ms.min(self.max_retention_ms());
+        settle.retention_ms = self.retention_ms(settle.retention_ms);
         true
     }
 
     /// Shortens the time by which a reader extends the retention of an origin.
     pub fn limit_extension(&self, reserve: &mut ReserveTurn) {
         if reserve.previous.as_deref().is_some_and(is_origin) {
-            reserve.retention_ms = reserve.retention_ms.min(self.max_retention_ms());
+            reserve.retention_ms = self.retention_ms(reserve.retention_ms);
         }
     }
 
+    /// Returns the retention by the clock of the state, which lags by up to [`CLOCK_INTERVAL`].
+    fn retention_ms(&self, requested_ms: u64) -> u64 {
+        requested_ms.min(self.max_retention_ms()).saturating_add(millis(CLOCK_INTERVAL))
+    }
+
     /// Returns the time in which [`STEADY_ORIGINS`] streams begin at the present rate.
     fn max_retention_ms(&self) -> u64 {
         let per_interval = self.admitted.max(self.previously_admitted).max(1);
-        let interval_ms = u64::try_from(ORIGIN_COUNT_INTERVAL.as_millis()).unwrap_or(u64::MAX);
-        interval_ms.saturating_mul(STEADY_ORIGINS as u64) / per_interval as u64
+        millis(ORIGIN_COUNT_INTERVAL).saturating_mul(STEADY_ORIGINS as u64) / per_interval as u64
     }
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/ledger/tests/stream_origins.rs
+++ b/crates/ledger/tests/stream_origins.rs
@@ -5,6 +5,7 @@
 use calicohoist_ledger::commands::{
     KEY_SEPARATOR, ORIGIN_RETENTION, SettleTurn, is_origin, read_origin, store_origin,
 };
+use calicohoist_ledger::server::replica::CLOCK_INTERVAL;
 use calicohoist_ledger::server::replica::origins::{
     MAX_ORIGINS, ORIGIN_COUNT_INTERVAL, OriginQuota,
 };
@@ -23,7 +24,7 @@
 fn origins_are_kept_in_full_while_few_streams_begin() {
     let mut settle = origin();
     assert!(quota_holding(MAX_ORIGINS / 2).admit(&mut settle));
-    assert_eq!(Duration::from_millis(settle.retention_ms), ORIGIN_RETENTION);
+    assert_eq!(Duration::from_millis(settle.retention_ms), ORIGIN_RETENTION + CLOCK_INTERVAL);
 }
 
 #[test]
@@ -40,10 +41,10 @@
     const SECONDS_PER_RATE: u64 = 600;
     let mut quota = OriginQuota::default();
     let mut expiries_ms = Vec::new();
-    let mut shortest_ms = u64::MAX;
+    let mut shortest = Duration::MAX;
     let mut second = 0;
     for rate in rates_per_s {
-        shortest_ms = u64::MAX;
+        shortest = Duration::MAX;
         for _ in 0..SECONDS_PER_RATE {
             if second % ORIGIN_COUNT_INTERVAL.as_secs() == 0 {
                 expiries_ms.retain(|expiry_ms| *expiry_ms > second * 1_000);
@@ -52,13 +53,15 @@
             for _ in 0..*rate {
                 let mut settle = origin();
                 assert!(quota.admit(&mut settle), "no room at {rate} streams a second");
-                shortest_ms = shortest_ms.min(settle.retention_ms);
+                // The clock of the state has last moved up to an interval ago.
+                let retention = Duration::from_millis(settle.retention_ms) - CLOCK_INTERVAL;
+                shortest = shortest.min(retention);
                 expiries_ms.push(second * 1_000 + settle.retention_ms);
             }
             second += 1;
         }
     }
-    shortest_ms / 1_000
+    shortest.as_secs()
 }
 
 /// A client that comes back 20 s after the loss of its gateway finds the origin of its stream.
@@ -75,7 +78,7 @@
 fn readers_extend_the_retention_as_far_as_new_origins_are_kept() {
     let mut quota = OriginQuota::default();
     let mut last = origin();
-    while last.retention_ms == origin().retention_ms {
+    while last.retention_ms >= origin().retention_ms {
         last = origin();
         assert!(quota.admit(&mut last));
     }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -73,7 +73,6 @@
         return Ok(response.map(ResponseBody::buffered));
     }
     let mut relay = Relay::new(app, call, turn, payload, attempt_state, exchange);
-    let record = relay.bind_stream();
     // The head is sent only after the first event, so that another replica can still be used until
     // then.
     let lane = relay.exchange.lane();
@@ -84,8 +83,8 @@
             return Err(error);
         }
     };
-    if let Some(record) = record
-        && first.is_some()
+    if first.is_some()
+        && let Some(record) = relay.bind_stream()
     {
         record.wait(app, call).await;
     }
@@ -179,8 +178,8 @@
         }
     }
 
-    /// Binds a new stream of a resumable route to the software of the replica that answers it, and
-    /// records that as its origin.
+    /// Binds a new stream of a resumable route to the software of the replica that sends its first
+    /// event, and records that as its origin.
     fn bind_stream(&mut self) -> Option<PendingRecord> {
         if self.continuation.is_some() || !self.call.route.resumable {
             return None;
