Streams: the origin is the process that began the stream, not the listed one

Cause: the origin was taken from the list. A later check asked the replica, and took no answer for that of the listed process. Change: before the first stream on a connection its process is asked for its start time, once for a connection, since all its requests reach the same process. If it is the listed one, the version is certain and recorded without the replica. Otherwise the record has the start that was reported, and its version is the one that the list shows for this start, once it does. Without an answer on two connections the stream begins, and is bound to nothing. For records that an earlier build has written, no answer is no longer taken for yes.

Cost: a report for each new connection that carries a resumable stream.

Ruled out: asking only when a stream continues; a process that has ended cannot say.

--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -62,14 +62,15 @@
     pub service: String,
     /// Software that may continue it.
     pub software: SoftwareRequirement,
-    /// Id of the replica that began the stream, if known.
+    /// Id of the replica that began the stream, unless its version is certain.
     pub began_at: Option<String>,
 }
 
 impl From<StreamOrigin> for Continuation {
     fn from(origin: StreamOrigin) -> Self {
         let software = origin.software();
-        Self { service: origin.service, software, began_at: Some(origin.replica) }
+        let began_at = Some(origin.replica).filter(|replica| !replica.is_empty());
+        Self { service: origin.service, software, began_at }
     }
 }
 
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -18,7 +18,7 @@
 use super::permit::{self, Permit};
 use crate::app::App;
 use crate::fleet::{Member, ReplicaCriteria};
-use crate::upstream::{Exchange, ExchangeError, OutgoingRequest, exchange};
+use crate::upstream::{Exchange, ExchangeError, OutgoingRequest, ProcessCheck, exchange};
 
 static ATTEMPTS_FAILED: Counter = Counter::new(
     "calicohoist_proxy_attempts_failed_total",
@@ -125,7 +125,11 @@
         request_id: &call.head.request_id,
         body: payload.body.clone(),
         last_event_id: payload.last_event_id.as_deref(),
-        check_start: attempt_state.software != SoftwareRequirement::Any,
+        process_check: match attempt_state.software {
+            SoftwareRequirement::Any if call.route.resumable => ProcessCheck::Identify,
+            SoftwareRequirement::Any => ProcessCheck::None,
+            _ => ProcessCheck::RequireListed,
+        },
         is_suspect: false,
         tenant: call.tenant_name(),
         deadline: call.deadline,
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -10,7 +10,7 @@
 
 use calicohoist_ledger::commands::{Reservation, read_origin, store_origin};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
-use calicohoist_routing::StreamOrigin;
+use calicohoist_routing::{Incarnation, SoftwareRequirement, StreamOrigin};
 use calicohoist_scheduler::queue_timeout;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
@@ -142,7 +142,8 @@
 async fn find_continuation(app: &App, call: &Call) -> Result<(), GatewayError> {
     let first = call.head.resumes.as_deref().ok_or(GatewayError::UnknownStream)?;
     let origin = find_twice(app, call, first).await?.ok_or(GatewayError::UnknownStream)?;
-    let continuation = Continuation::from(origin);
+    let mut continuation = Continuation::from(origin);
+    add_listed_version(app, &mut continuation);
     let Continuation { service, software, began_at } = &continuation;
     emit!(
         Event::StreamResumed;
@@ -178,16 +179,41 @@
     let Some(current) = app.fleet.current_incarnation(service, began_at) else {
         return Ok(());
     };
+    if is_later_start(began_at, &current.replica.id) {
+        return Err(uncertain_version());
+    }
     if current.replica.id != *began_at {
         let has_same_software = software.admits(&current.replica);
         return if has_same_software { Ok(()) } else { Err(GatewayError::UnknownStream) };
     }
     match check_start(&app.pool, app.dialect(), &current.replica).await {
-        StartCheck::Restarted => Err(uncertain_version()),
-        StartCheck::Listed | StartCheck::NoAnswer => Ok(()),
+        StartCheck::Listed => Ok(()),
+        StartCheck::Restarted(_) | StartCheck::NoAnswer => Err(uncertain_version()),
+    }
+}
+
+/// Adds the version of the process that began a stream, if the list shows it by now.
+pub fn add_listed_version(app: &App, continuation: &mut Continuation) {
+    let SoftwareRequirement::Replica(id) = &continuation.software else {
+        return;
+    };
+    // Without a start time, the listed process may be another one.
+    if Incarnation::from(id.as_str()).start.is_none() {
+        return;
+    }
+    let current = app.fleet.current_incarnation(&continuation.service, id);
+    let version = current.filter(|current| current.replica.id == *id);
+    if let Some(version) = version.and_then(|current| current.replica.version.clone()) {
+        continuation.software = SoftwareRequirement::Version(version);
+        continuation.began_at = None;
     }
 }
 
+/// Returns whether `id` is a later start of the replica than the `listed` one.
+fn is_later_start(id: &str, listed: &str) -> bool {
+    Incarnation::from(id).start > Incarnation::from(listed).start
+}
+
 fn uncertain_version() -> GatewayError {
     GatewayError::not_executed(NotExecutedReason::UncertainVersion, REPLICA_RETRY_AFTER)
 }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_routing::StreamOrigin;
+use calicohoist_routing::SoftwareRequirement;
 use calicohoist_telemetry::{Event, emit};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
@@ -184,7 +184,10 @@
         if self.continuation.is_some() || !self.call.route.resumable {
             return None;
         }
-        let origin = StreamOrigin::at(&self.exchange.member.replica);
+        let Some(origin) = self.exchange.stream_origin() else {
+            self.attempt_state.require(SoftwareRequirement::Unknown);
+            return None;
+        };
         self.attempt_state.require(origin.software());
         self.continuation = Some(Continuation::from(origin.clone()));
         Some(origin::record(&self.app, &self.call, origin))
@@ -432,10 +435,12 @@
         if !self.call.route.resumable {
             return Err(GatewayError::Unknown);
         }
-        if let Some(continuation) = &self.continuation
-            && origin::check_beginning(&self.app, continuation).await.is_err()
-        {
-            return Err(GatewayError::Unknown);
+        if let Some(continuation) = &mut self.continuation {
+            origin::add_listed_version(&self.app, continuation);
+            self.attempt_state.require(continuation.software.clone());
+            if origin::check_beginning(&self.app, continuation).await.is_err() {
+                return Err(GatewayError::Unknown);
+            }
         }
         self.payload.last_event_id = self.last_event_id.map(|id| id.to_string());
         let exchange =
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -373,7 +373,7 @@
         None | Some(SoftwareRequirement::Any) => None,
         Some(SoftwareRequirement::Version(version)) => Some(version.clone()),
         // There is nothing to choose.
-        Some(SoftwareRequirement::Replica(_)) => return None,
+        Some(SoftwareRequirement::Replica(_) | SoftwareRequirement::Unknown) => return None,
     };
     let service = call.service()?;
     let engine = service.engine.as_ref()?;
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -8,17 +8,20 @@
 
 use bytes::Bytes;
 use calicohoist_outbound::{HeadTooLong, ReadLane};
-use calicohoist_routing::Incarnation;
+use calicohoist_routing::{Incarnation, StartTime, StreamOrigin};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
-use super::start_check::{StartCheck, check_connection};
-use super::{Checkout, Pool, ReplicaConnection};
+use super::start_check::{StartCheck, check_connection, listed_start};
+use super::{Checkout, Pool, PooledConnection};
 use crate::dialect::{Dialect, OutgoingHead, ResponseHead};
 use crate::fleet::{LoadGuard, Member};
 
+/// Number of new connections on which a process is asked before a stream begins at an unknown one.
+const MAX_IDENTIFICATIONS: usize = 2;
+
 /// How far a request has come, for whoever finds it abandoned.
 #[derive(Debug, Default)]
 pub struct SendProgress {
@@ -58,8 +61,8 @@
     pub body: Bytes,
     /// Id of the event after which a stream is resumed.
     pub last_event_id: Option<&'a str>,
-    /// Whether the replica must run the listed process, because its software matters.
-    pub check_start: bool,
+    /// What must be known of the process that runs the request.
+    pub process_check: ProcessCheck,
     /// Whether a replica has or may have crashed under the request.
     pub is_suspect: bool,
     /// Tenant that sent the request.
@@ -70,6 +73,30 @@
     pub progress: Arc<SendProgress>,
 }
 
+/// What must be known of the process that runs a request before it is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessCheck {
+    /// Nothing.
+    None,
+    /// Which process it is, if the replica says so, because a stream may begin.
+    Identify,
+    /// That it is the listed process, because its software matters.
+    RequireListed,
+}
+
+/// Process that has run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServerProcess {
+    /// Not asked for, or the list has no start times.
+    Unchecked,
+    /// The listed process.
+    Listed,
+    /// Another process than the listed one, which started at this time.
+    Restarted(StartTime),
+    /// Asked for without an answer.
+    Unknown,
+}
+
 /// Reason for which an exchange yielded no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ExchangeError {
@@ -112,7 +139,8 @@
     pub response: Response<Incoming>,
     /// Replica that sent the response.
     pub member: Arc<Member>,
-    sender: ReplicaConnection,
+    connection: PooledConnection,
+    process: ServerProcess,
     reuse: ConnectionReuse,
     /// Counts the request as load of the replica.
     _load: LoadGuard,
@@ -128,13 +156,25 @@
 impl Exchange {
     /// Returns the reading state, to which the consumer of the body charges its work.
     pub fn lane(&self) -> Arc<ReadLane> {
-        Arc::clone(self.sender.lane())
+        Arc::clone(self.connection.sender.lane())
+    }
+
+    /// Returns the origin of a stream that this response begins; `None` if it is unknown which process
+    /// sends it.
+    pub fn stream_origin(&self) -> Option<StreamOrigin> {
+        let replica = &self.member.replica;
+        match self.process {
+            ServerProcess::Unchecked => Some(StreamOrigin::at(replica)),
+            ServerProcess::Listed => Some(StreamOrigin::confirmed_at(replica)),
+            ServerProcess::Restarted(start) => Some(StreamOrigin::restarted_at(replica, start)),
+            ServerProcess::Unknown => None,
+        }
     }
 
     /// Returns the connection to the pool after the whole body was read.
     pub fn finish(self, pool: &Pool) {
         if let ConnectionReuse::For(keep_alive) = self.reuse {
-            pool.check_in(&self.member.replica.id, self.sender, keep_alive);
+            pool.check_in(&self.member.replica.id, self.connection, keep_alive);
         }
     }
 }
@@ -155,28 +195,46 @@
     let load = member.begin_request(outgoing.is_suspect);
     let replica = &member.replica;
     // A crash on a new connection is certain to have happened after the request arrived.
+    let mut process = ServerProcess::Unchecked;
+    let mut identifications = 0;
+    let mut process_check = match listed_start(replica) {
+        Some(_) => outgoing.process_check,
+        None => ProcessCheck::None,
+    };
     let mut checkout = if outgoing.is_suspect { Checkout::New } else { Checkout::Any };
     loop {
         let connection = pool.check_out(&replica.id, replica.address, checkout).await;
         let mut connection = connection.map_err(|_| ExchangeError::NotSent)?;
-        // Checked after connecting, which may take long.
-        if send_by.is_some_and(|send_by| send_by <= Instant::now()) {
-            // Nothing was sent on the connection, so it can be reused.
-            pool.check_in(&replica.id, connection.sender, None);
-            return Err(ExchangeError::SendTimeout);
-        }
-        if outgoing.check_start {
-            match check_connection(&mut connection.sender, dialect, replica).await {
-                StartCheck::Listed => {}
-                StartCheck::Restarted => return Err(ExchangeError::Restarted),
+        if process_check != ProcessCheck::None {
+            let must_be_listed = process_check == ProcessCheck::RequireListed;
+            match check_connection(&mut connection, dialect, replica).await {
+                StartCheck::Listed => process = ServerProcess::Listed,
+                StartCheck::Restarted(_) if must_be_listed => return Err(ExchangeError::Restarted),
+                StartCheck::Restarted(start) => process = ServerProcess::Restarted(start),
                 // A reused connection may have been closed.
                 StartCheck::NoAnswer if connection.is_reused => {
                     checkout = Checkout::New;
                     continue;
                 }
-                StartCheck::NoAnswer => return Err(ExchangeError::NotSent),
+                StartCheck::NoAnswer if must_be_listed => return Err(ExchangeError::NotSent),
+                // The replica may have closed the connection, or answer later.
+                StartCheck::NoAnswer => {
+                    identifications += 1;
+                    if identifications == MAX_IDENTIFICATIONS {
+                        process = ServerProcess::Unknown;
+                        process_check = ProcessCheck::None;
+                    }
+                    checkout = Checkout::New;
+                    continue;
+                }
             }
         }
+        // Checked after connecting, which may take long, as may the check.
+        if send_by.is_some_and(|send_by| send_by <= Instant::now()) {
+            // Nothing was sent on the connection, so it can be reused.
+            pool.check_in(&replica.id, connection, None);
+            return Err(ExchangeError::SendTimeout);
+        }
         let request = build_request(dialect, outgoing, Incarnation::identity_of(&replica.id));
         outgoing.progress.record_sent(connection.is_reused);
         let sending = connection.sender.try_send_request(request);
@@ -199,8 +257,7 @@
                 check_response(&head, outgoing.request_id)?;
                 let reuse = connection_reuse(&response);
                 let member = Arc::clone(member);
-                let sender = connection.sender;
-                return Ok(Exchange { response, member, sender, reuse, _load: load });
+                return Ok(Exchange { response, member, connection, process, reuse, _load: load });
             }
         }
     }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -8,8 +8,8 @@
 mod start_check;
 
 pub use exchange::{
-    Exchange, ExchangeError, OutgoingRequest, SendProgress, exchange, is_closed_by_peer,
-    is_malformed,
+    Exchange, ExchangeError, OutgoingRequest, ProcessCheck, SendProgress, exchange,
+    is_closed_by_peer, is_malformed,
 };
 pub use pool::{Checkout, Pool, PooledConnection, ReplicaConnection};
 pub use process_check::{ProcessState, check_listener, check_process};
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection};
+use calicohoist_routing::StartTime;
 use calicohoist_transport::tcp;
 use http_body_util::Full;
 use parking_lot::Mutex;
@@ -37,11 +38,14 @@
     pub sender: ReplicaConnection,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
+    /// Start time that the process at the other end has reported on this connection, if it was asked.
+    pub start: Option<StartTime>,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
     sender: ReplicaConnection,
+    start: Option<StartTime>,
     usable_until: Instant,
 }
 
@@ -86,9 +90,9 @@
         checkout: Checkout,
     ) -> io::Result<PooledConnection> {
         if checkout == Checkout::Any
-            && let Some(sender) = self.idle_connection(replica).await
+            && let Some(connection) = self.idle_connection(replica).await
         {
-            return Ok(PooledConnection { sender, is_reused: true });
+            return Ok(connection);
         }
         self.open(address).await
     }
@@ -100,16 +104,16 @@
     pub(super) async fn open(&self, address: SocketAddr) -> io::Result<PooledConnection> {
         let stream = tcp::connect(address, CONNECT_TIMEOUT, USER_TIMEOUT).await?;
         let sender = ServerConnection::open(stream, &self.pacer).await.map_err(io::Error::other)?;
-        Ok(PooledConnection { sender, is_reused: false })
+        Ok(PooledConnection { sender, is_reused: false, start: None })
     }
 
     /// Returns the most recently used idle connection that is ready.
-    async fn idle_connection(&self, replica: &str) -> Option<ReplicaConnection> {
+    async fn idle_connection(&self, replica: &str) -> Option<PooledConnection> {
         loop {
-            let mut idle = self.pop(replica)?;
-            let ready = tokio::time::timeout(READY_TIMEOUT, idle.sender.ready()).await;
+            let IdleConnection { mut sender, start, .. } = self.pop(replica)?;
+            let ready = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Some(idle.sender);
+                return Some(PooledConnection { sender, is_reused: true, start });
             }
         }
     }
@@ -124,7 +128,13 @@
 
     /// Returns a connection to the pool after a complete response. `keep_alive` is the time that
     /// the replica announced, if any.
-    pub fn check_in(&self, replica: &str, sender: ReplicaConnection, keep_alive: Option<Duration>) {
+    pub fn check_in(
+        &self,
+        replica: &str,
+        connection: PooledConnection,
+        keep_alive: Option<Duration>,
+    ) {
+        let PooledConnection { sender, start, .. } = connection;
         if sender.is_closed() {
             return;
         }
@@ -136,7 +146,7 @@
         if connections.len() >= MAX_IDLE_PER_REPLICA {
             connections.remove(0);
         }
-        connections.push(IdleConnection { sender, usable_until });
+        connections.push(IdleConnection { sender, start, usable_until });
     }
 
     /// Returns whether there is a usable idle connection to the replica.
--- a/crates/proxy/src/upstream/process_check.rs
+++ b/crates/proxy/src/upstream/process_check.rs
@@ -65,9 +65,9 @@
     };
     match (Incarnation::from(replica.id.as_str()).start, health_path) {
         (None, Some(path)) => check_health(&mut connection.sender, dialect, replica, path).await,
-        _ => match check_connection(&mut connection.sender, dialect, replica).await {
+        _ => match check_connection(&mut connection, dialect, replica).await {
             StartCheck::Listed => ProcessState::Running,
-            StartCheck::Restarted => ProcessState::Restarted,
+            StartCheck::Restarted(_) => ProcessState::Restarted,
             StartCheck::NoAnswer => ProcessState::Unresponsive,
         },
     }
@@ -78,7 +78,7 @@
 pub async fn check_listener(pool: &Pool, replica: &Replica) -> ProcessState {
     match connect(pool, replica).await {
         Ok(connection) => {
-            pool.check_in(&replica.id, connection.sender, None);
+            pool.check_in(&replica.id, connection, None);
             ProcessState::Running
         }
         Err(state) => state,
--- a/crates/proxy/src/upstream/start_check.rs
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 
-use super::pool::{Checkout, Pool, ReplicaConnection};
+use super::pool::{Checkout, Pool, PooledConnection, ReplicaConnection};
 use super::probe;
 use crate::dialect::Dialect;
 
@@ -23,8 +23,8 @@
 pub enum StartCheck {
     /// The replica runs the listed process, or the list has no start times.
     Listed,
-    /// The replica has restarted since.
-    Restarted,
+    /// The replica runs another process, which started at this time.
+    Restarted(StartTime),
     /// The replica did not answer.
     NoAnswer,
 }
@@ -39,48 +39,55 @@
         let Ok(mut connection) = connection else {
             return StartCheck::NoAnswer;
         };
-        let check = compare_start(&mut connection.sender, dialect, replica, start).await;
+        connection.start = fetch_start(&mut connection.sender, dialect, replica).await;
+        let check = compare_start(connection.start, start);
         if check == StartCheck::Listed {
-            pool.check_in(&replica.id, connection.sender, None);
+            pool.check_in(&replica.id, connection, None);
         }
         check
     };
     tokio::time::timeout(CHECK_TIMEOUT, check).await.unwrap_or(StartCheck::NoAnswer)
 }
 
-/// Asks on the given connection, all of whose requests reach the same process.
+/// Asks on the given connection, all of whose requests reach the same process, unless that was asked
+/// on it before.
 pub(super) async fn check_connection(
-    sender: &mut ReplicaConnection,
+    connection: &mut PooledConnection,
     dialect: &dyn Dialect,
     replica: &Replica,
 ) -> StartCheck {
-    let Some(start) = listed_start(replica) else {
+    let Some(listed) = listed_start(replica) else {
         return StartCheck::Listed;
     };
-    let check = compare_start(sender, dialect, replica, start);
-    tokio::time::timeout(CHECK_TIMEOUT, check).await.unwrap_or(StartCheck::NoAnswer)
+    if connection.start.is_none() {
+        let start = fetch_start(&mut connection.sender, dialect, replica);
+        connection.start = tokio::time::timeout(CHECK_TIMEOUT, start).await.ok().flatten();
+    }
+    compare_start(connection.start, listed)
 }
 
-fn listed_start(replica: &Replica) -> Option<StartTime> {
+/// Returns the start time of a replica's listed process, if the list has start times.
+pub(super) fn listed_start(replica: &Replica) -> Option<StartTime> {
     Incarnation::from(replica.id.as_str()).start
 }
 
-async fn compare_start(
-    sender: &mut ReplicaConnection,
-    dialect: &dyn Dialect,
-    replica: &Replica,
-    listed: StartTime,
-) -> StartCheck {
-    let Some(report) = fetch_report(sender, dialect, replica).await else {
-        return StartCheck::NoAnswer;
-    };
-    match dialect.parse_start(&report) {
+fn compare_start(reported: Option<StartTime>, listed: StartTime) -> StartCheck {
+    match reported {
         Some(start) if start == listed => StartCheck::Listed,
-        Some(_) => StartCheck::Restarted,
+        Some(start) => StartCheck::Restarted(start),
         None => StartCheck::NoAnswer,
     }
 }
 
+async fn fetch_start(
+    sender: &mut ReplicaConnection,
+    dialect: &dyn Dialect,
+    replica: &Replica,
+) -> Option<StartTime> {
+    let report = fetch_report(sender, dialect, replica).await?;
+    dialect.parse_start(&report)
+}
+
 async fn fetch_report(
     sender: &mut ReplicaConnection,
     dialect: &dyn Dialect,
--- a/crates/routing/src/replica.rs
+++ b/crates/routing/src/replica.rs
@@ -7,6 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::incarnation::{Incarnation, StartTime};
+
 /// Whether a replica accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReplicaState {
@@ -80,6 +82,8 @@
     Version(SoftwareVersion),
     /// Only the replica with this id, because the version that began the stream is unknown.
     Replica(String),
+    /// None, because it is unknown what began the stream.
+    Unknown,
 }
 
 impl SoftwareRequirement {
@@ -89,6 +93,7 @@
             Self::Any => true,
             Self::Version(version) => replica.version.as_ref() == Some(version),
             Self::Replica(id) => replica.id == *id,
+            Self::Unknown => false,
         }
     }
 }
@@ -99,6 +104,7 @@
             Self::Any => formatter.write_str("any"),
             Self::Version(version) => version.fmt(formatter),
             Self::Replica(id) => write!(formatter, "replica {id}"),
+            Self::Unknown => formatter.write_str("unknown"),
         }
     }
 }
@@ -110,17 +116,35 @@
     pub service: String,
     /// Version of the replica that began the stream; `None` if unknown.
     pub version: Option<SoftwareVersion>,
-    /// Id of the replica that began the stream.
+    /// Id of the replica that began the stream; empty if its process has confirmed that it is the
+    /// listed one, so that the version is certain.
     pub replica: String,
 }
 
 impl StreamOrigin {
-    /// Returns the origin of a stream that `replica` begins.
+    /// Returns the origin of a stream that `replica` begins, whose process is taken for the listed one.
     pub fn at(replica: &Replica) -> Self {
         let Replica { id, service, version, .. } = replica;
         Self { service: service.clone(), version: version.clone(), replica: id.clone() }
     }
 
+    /// Returns the origin of a stream that the listed process of `replica` begins.
+    pub fn confirmed_at(replica: &Replica) -> Self {
+        let origin = Self::at(replica);
+        match origin.version {
+            Some(_) => Self { replica: String::new(), ..origin },
+            None => origin,
+        }
+    }
+
+    /// Returns the origin of a stream that another process of `replica` begins, which started at
+    /// `start` and whose version is not listed yet.
+    pub fn restarted_at(replica: &Replica, start: StartTime) -> Self {
+        let identity = Incarnation::identity_of(&replica.id).to_owned();
+        let incarnation = Incarnation { identity, start: Some(start) };
+        Self { service: replica.service.clone(), version: None, replica: incarnation.to_string() }
+    }
+
     /// Returns the software that may continue the stream.
     pub fn software(&self) -> SoftwareRequirement {
         match &self.version {
