--- a/crates/proxy/src/upstream/start_check.rs
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use calicohoist_routing::{Incarnation, Replica, StartTime};
-use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 
 use super::pool::{Checkout, Pool, ReplicaConnection};
@@ -15,8 +14,6 @@
 
 /// Timeout of a check, including a new connection.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
-/// Maximum size of a report.
-const MAX_REPORT_BYTES: usize = 64 << 10;
 
 /// Result of a check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,7 +87,6 @@
     if response.status() != StatusCode::OK {
         return None;
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect().await.ok()?;
     sender.ready().await.ok()?;
-    Some(body.to_bytes())
+    Some(response.into_body())
 }
