Outbound: responses with an unknown transfer coding are no responses

What callers saw: a 200 of a replica with Transfer-Encoding: gzip, also with chunked after it, or with a coding whose name is cut, reached them as a whole 200 with a length, whose body was the encoded bytes or the chunks themselves.

Cause: hyper decodes the chunked coding only. It leaves other codings in the body, and reads a body whose last coding is not chunked until the connection ends. The gateway drops the header and frames what it has read as whole.

Change: a response with any coding but chunked, or that switches protocols, counts as none: in calls, streams, checks, the replica list and the client of crates/http. A response without a length that ends with its connection stays whole, as the users' rules have it; a reset cuts it.

Ruled out: Content-Length twice with two values, or not a number, and chunked in HTTP/1.0 are errors already, at both gateways.

Conclusion: what the connection cannot decode is not passed on.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection};
+use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection, has_readable_body};
 use calicohoist_routing::Replica;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
@@ -354,6 +354,9 @@
         if response.status() != StatusCode::OK {
             return Err(ReadError::Status(response.status()));
         }
+        if !has_readable_body(&response) {
+            return Err(ReadError::InvalidList);
+        }
         let body = Limited::new(response.into_body(), MAX_PAGE_BYTES);
         let body = body.collect().await.map_err(|_| ReadError::InvalidList)?;
         Ok(body.to_bytes())
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection};
+use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection, has_readable_body};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -60,9 +60,16 @@
     /// Sends a request and receives the head of its response.
     pub(crate) fn send(&mut self, request: Request<Full<Bytes>>) -> io::Result<Response<Incoming>> {
         let Self { connection, deadline, runtime, .. } = self;
-        block_until(runtime, *deadline, async {
+        let response = block_until(runtime, *deadline, async {
             connection.send_request(request).await.map_err(io::Error::other)
-        })
+        })?;
+        match has_readable_body(&response) {
+            true => Ok(response),
+            false => Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the response has an unknown transfer coding or switches protocols",
+            )),
+        }
     }
 
     /// Receives the next part of a body; `None` at its end.
--- a/crates/http/tests/support/mod.rs
+++ b/crates/http/tests/support/mod.rs
@@ -1,7 +1,9 @@
 //! Server that sends scripted bytes.
 
+#![allow(dead_code)]
+
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -73,3 +75,58 @@
     }
     true
 }
+
+/// Marks a place in a response at which it is cut.
+const MARK: &str = "|";
+
+/// How a server ends a connection within a response.
+#[derive(Clone, Copy, Debug)]
+pub enum ConnectionEnd {
+    /// It closes its sending side.
+    Closed,
+    /// It resets the connection.
+    Reset,
+}
+
+/// Both ends.
+pub const ENDS: [ConnectionEnd; 2] = [ConnectionEnd::Closed, ConnectionEnd::Reset];
+
+/// Returns the part of a response before each of its marks.
+pub fn cut(response: &str) -> Vec<String> {
+    let parts: Vec<&str> = response.split(MARK).collect();
+    (1..parts.len()).map(|count| parts[..count].concat()).collect()
+}
+
+/// Starts a server that answers a single request with `part`, and then ends the connection.
+pub fn start_cut(part: &str, end: ConnectionEnd) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let part = part.to_owned();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accepted");
+        wait_for_head(&stream);
+        stream.write_all(part.as_bytes()).expect("sent");
+        match end {
+            ConnectionEnd::Closed => {
+                stream.shutdown(Shutdown::Write).expect("shut down");
+                // Fails if the client resets the connection.
+                let _ = std::io::copy(&mut stream, &mut std::io::sink());
+            }
+            // The kernel resets a connection that is closed over unread bytes.
+            ConnectionEnd::Reset => drop(stream),
+        }
+    });
+    address
+}
+
+/// Waits until the head of a request has arrived, and leaves it unread.
+fn wait_for_head(stream: &TcpStream) {
+    let mut head = [0; 4096];
+    loop {
+        let length = stream.peek(&mut head).expect("the request arrives");
+        if head[..length].windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+            return;
+        }
+        thread::yield_now();
+    }
+}
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -6,13 +6,16 @@
 //! - [`lane`]: limits and paces the reading of one connection, as a state machine without I/O;
 //! - [`pacer`]: the share of processor time for large responses of a process;
 //! - [`socket`]: TCP socket that reads within the limits of its lane;
-//! - [`connection`]: HTTP connection on such a socket.
+//! - [`connection`]: HTTP connection on such a socket;
+//! - [`framing`]: heads of responses whose body cannot be read.
 
 pub mod connection;
+pub mod framing;
 pub mod lane;
 pub mod pacer;
 pub mod socket;
 
 pub use connection::ServerConnection;
+pub use framing::has_readable_body;
 pub use lane::{HeadTooLong, ReadLane};
 pub use pacer::{ReadPacer, ReadShare};
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_outbound::{HeadTooLong, ReadLane};
+use calicohoist_outbound::{HeadTooLong, ReadLane, has_readable_body};
 use calicohoist_routing::Incarnation;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -197,6 +197,9 @@
             Ok(Ok(response)) => {
                 let head = dialect.read_response(response.headers());
                 check_response(&head, outgoing.request_id)?;
+                if !has_readable_body(&response) {
+                    return Err(ExchangeError::Unknown);
+                }
                 let reuse = connection_reuse(&response);
                 let member = Arc::clone(member);
                 let sender = connection.sender;
--- a/crates/proxy/src/upstream/probe.rs
+++ b/crates/proxy/src/upstream/probe.rs
@@ -1,6 +1,7 @@
 //! Requests that a gateway sends to a replica on its own account.
 
 use bytes::Bytes;
+use calicohoist_outbound::has_readable_body;
 use calicohoist_routing::Replica;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HOST, HeaderValue};
@@ -23,7 +24,8 @@
     let mut request = Request::get(path).header(HOST, host).body(Full::default()).ok()?;
     add_headers(request.headers_mut());
     sender.ready().await.ok()?;
-    let (head, body) = sender.send_request(request).await.ok()?.into_parts();
+    let response = sender.send_request(request).await.ok().filter(has_readable_body)?;
+    let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
     Some(Response::from_parts(head, body.to_bytes()))
 }
