HTTP: an event that is cut within a line is an error

What callers saw: nothing that is known; an engine stream that ended within the line of its last event was taken for complete, and one that ended within an earlier line ended without an error.

Cause: the reader of events took the end of input for the end of a line.

Change: input that ends within a line is an error, which breaks the attempt.

A body in chunks that ends within a chunk still looks complete to Exchange::read_body, since tiny_http does not tell; its JSON is not valid.

--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -98,7 +98,8 @@
     /// Returns the next `data` field, or `None` at the end of the stream.
     ///
     /// # Errors
-    /// Returns an error if the connection fails, or if no event ends within the size limit.
+    /// Returns an error if the connection fails, if the stream ends within a line, or if no event
+    /// ends within the size limit.
     pub fn next_data(&mut self) -> io::Result<Option<String>> {
         let mut input = (&mut self.input).take(MAX_EVENT_BYTES);
         let mut line = String::new();
@@ -114,6 +115,12 @@
             if read == 0 {
                 return Ok(None);
             }
+            if !line.ends_with('\n') {
+                return Err(io::Error::new(
+                    io::ErrorKind::UnexpectedEof,
+                    "the stream ends within a line",
+                ));
+            }
             if let Some(data) = line.trim_end().strip_prefix(DATA_FIELD) {
                 return Ok(Some(data.to_owned()));
             }
--- a/crates/http/tests/cut_messages.rs
+++ b/crates/http/tests/cut_messages.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_http::{Exchange, Handler, HttpClient, HttpServer, ServerSettings};
+use calicohoist_http::{EventReader, Exchange, Handler, HttpClient, HttpServer, ServerSettings};
 use serde_json::Value;
 use support::{ConnectionEnd, ENDS, cut, start_cut};
 
@@ -30,6 +30,14 @@
     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 1\r\n\r\n42",
     "HTTP/1.1 200 OK\r\ncontent-length: 2x\r\n\r\n42",
 ];
+/// Streams whose second event is cut.
+const STREAMS: [&str; 2] = [
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+     d\r\ndata: first\n\n\r\n|4|\r\nda|ta|\r\n|a|\r\n: second\n|\n\r\n|0|\r\n|\r|\n",
+    "HTTP/1.1 200 OK\r\ncontent-length: 27\r\n\r\ndata: first\n\n|da|ta: sec|ond|\n|",
+];
+/// Stream that ends with its connection.
+const UNFRAMED_STREAM: &str = "HTTP/1.1 200 OK\r\n\r\ndata: first\n\nda|ta: |sec|ond|";
 const REQUESTS: [&str; 2] = [
     "POST / HTTP/1.1\r\nhost: test\r\nconten|t-length: 1|0\r\n|\r\n|{\"key\"|: 1}",
     "POST / HTTP/1.1\r\nhost: test\r\ntransfer-encoding: chunked\r\n|\r\n|4|\r\n{\"|ke|\r\n|\
@@ -58,6 +66,38 @@
     AMBIGUOUS_RESPONSES.iter().for_each(|part| assert_not_whole(part, ConnectionEnd::Closed));
 }
 
+#[test]
+fn cut_event_is_an_error() {
+    let streams = STREAMS.iter().chain([&UNFRAMED_STREAM]);
+    for part in streams.flat_map(|stream| cut(stream)) {
+        for end in ENDS {
+            let opened = client(start_cut(&part, end)).get_event_stream("/");
+            let Ok(mut events) = opened else {
+                continue;
+            };
+            let first = events.next_data();
+            if matches!(end, ConnectionEnd::Closed) {
+                assert_eq!(first.expect("an event").as_deref(), Some("first"), "{part:?}");
+            } else if first.is_err() {
+                continue;
+            }
+            let mut next = events.next_data();
+            if matches!(&next, Ok(Some(data)) if data == "second") {
+                next = events.next_data();
+            }
+            assert!(next.is_err(), "{part:?}, {end:?}: {next:?}");
+        }
+    }
+}
+
+#[test]
+fn event_without_its_line_end_is_an_error() {
+    let mut events = EventReader::new("data: first\n\ndata: sec".as_bytes());
+    assert_eq!(events.next_data().expect("an event").as_deref(), Some("first"));
+    let cut = events.next_data();
+    assert!(cut.is_err(), "{cut:?}");
+}
+
 /// Answers 200 to a request whose body is whole.
 struct WholeBodies;
 
