Connections: a cut stream resets the connection of an HTTP/1.0 caller

What callers saw: a caller of HTTP/1.0 whose stream broke got a 200 with the events so far and an orderly end of its connection, which is how a complete stream ends for it.

Cause: without chunks only the end of the connection shows the end of a body, and a failed connection was closed like any other.

Change: when a body without length and chunks fails, the connection is reset, once its peer has acknowledged what was sent.

Before: cut_stream_resets_the_connection_of_a_caller_without_chunks failed, 3 of 3 runs (read to the end without an error). After: passed, 1 of 1.

Conclusion: a cut answer looks complete to no caller. If a gateway is killed under such a stream, its kernel may still close the connection in order.

--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -17,7 +17,7 @@
 
 use crate::drain::{Drain, DrainStage};
 use crate::exchange::{PeerEnd, Progress};
-use crate::linger::{LateBytes, linger};
+use crate::linger::{LateBytes, linger, reset};
 use crate::peer::PeerWatch;
 use crate::request_end::Surplus;
 use crate::shared_stream::SharedStream;
@@ -112,6 +112,12 @@
     if end == ConnectionEnd::PeerLeft || !progress.has_requests() && !is_request_cut {
         return;
     }
+    if progress.is_cut_unnoticeably() {
+        if let Some(stream) = stream.into_inner() {
+            reset(stream, settings.stall_timeout).await;
+        }
+        return;
+    }
     let late_bytes = match progress.peer_end() {
         PeerEnd::HalfClosed => LateBytes::None,
         PeerEnd::Open if is_request_cut => LateBytes::Discard,
@@ -228,7 +234,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Err(_))) = &frame {
+            self.progress.record_body_failure();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -57,6 +57,8 @@
     is_flushed: bool,
     /// Whether the current response has chunked transfer coding.
     is_chunked: bool,
+    /// Whether the body of the current response has failed.
+    has_failed_body: bool,
     /// When the last response was written.
     answered_at: Option<Instant>,
     peer_end: PeerEnd,
@@ -79,6 +81,7 @@
             requests: 0,
             is_flushed: true,
             is_chunked: false,
+            has_failed_body: false,
             answered_at: None,
             peer_end: PeerEnd::Open,
             close_idle_at: None,
@@ -127,6 +130,7 @@
         state.body_bytes = body_bytes;
         state.response_start = ResponseStart::None;
         state.is_chunked = false;
+        state.has_failed_body = false;
         state.is_body_received = body_bytes == Some(0);
         state.phase = if state.is_body_received { Phase::Answering } else { Phase::Receiving };
     }
@@ -145,6 +149,18 @@
         self.0.lock().is_chunked = is_chunked;
     }
 
+    /// Records that the body of the current response ends before it is complete.
+    pub fn record_body_failure(&self) {
+        self.0.lock().has_failed_body = true;
+    }
+
+    /// Returns whether the current response is cut, and looks complete to a peer that sees the end of
+    /// the connection.
+    pub fn is_cut_unnoticeably(&self) -> bool {
+        let state = self.0.lock();
+        state.has_failed_body && !state.is_chunked
+    }
+
     /// Returns whether the next byte of the current response begins the size of a chunk.
     pub fn is_between_chunks(&self) -> bool {
         let state = self.0.lock();
--- a/crates/connections/src/linger.rs
+++ b/crates/connections/src/linger.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::tcp;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -56,6 +57,15 @@
     }
 }
 
+/// Resets a connection once the peer has received everything, for which it has `stall_timeout`.
+pub async fn reset(stream: TcpStream, stall_timeout: Duration) {
+    // What is not delivered by then is discarded by the reset.
+    let _ = timeout(stall_timeout, wait_until_delivered(&stream)).await;
+    if let Err(error) = stream.set_zero_linger() {
+        emit!(Event::ConnectionFailed, "cannot reset the connection of a caller: {error}");
+    }
+}
+
 /// Reads until the peer closes the connection or sends nothing for [`LINGER_TIMEOUT`].
 async fn discard(stream: &mut TcpStream) {
     let mut buffer = vec![0; DISCARD_BYTES];
