Proxy: a streamed response ends only with an explicit end

What callers saw: nothing that is known. A stream whose task ended without saying so, as in a panic, was framed as whole after its last event.

Cause: the body of a stream ended when its channel closed, and had to be told that it was cut.

Change: it has to be told that it is complete; a channel that closes before aborts the response.

Ruled out: that a relay leaves its channel open on an error path of its own; each returns after the last event, and ends as cut now as before.

Conclusion: what is not known to be complete ends as cut.

--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -41,7 +41,7 @@
 use call::{Call, ResolvedRoute};
 pub use crash::{SendGrant, count_exposed, record_confirmed};
 use error::{GatewayError, KeyError, NotExecutedReason};
-pub use response::{BodyAborted, ResponseBody};
+pub use response::{BodyAborted, BodyPart, ResponseBody};
 
 /// Timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/proxy/src/flow/response.rs
+++ b/crates/proxy/src/flow/response.rs
@@ -37,7 +37,7 @@
         Self::Buffered(Full::new(bytes))
     }
 
-    /// Creates a body that ends when the channel closes.
+    /// Creates a body that ends with [`BodyPart::End`], and is aborted when the channel closes before.
     pub fn streamed(chunks: ChunkReceiver) -> Self {
         Self::Streamed(StreamedBody { chunks, next: None })
     }
@@ -75,15 +75,24 @@
     }
 }
 
-/// Receives the chunks of a body, or that it is aborted.
-pub type ChunkReceiver = mpsc::UnboundedReceiver<Result<Bytes, BodyAborted>>;
+/// Part of a streamed body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyPart {
+    /// Bytes that follow the previous part.
+    Chunk(Bytes),
+    /// The end of the body.
+    End,
+}
+
+/// Receives the parts of a body.
+pub type ChunkReceiver = mpsc::UnboundedReceiver<BodyPart>;
 
 /// Body whose chunks arrive over time. Those that wait together are sent together, since each
 /// chunk costs time.
 pub struct StreamedBody {
     chunks: ChunkReceiver,
     /// Received after the chunk that was sent last.
-    next: Option<Result<Bytes, BodyAborted>>,
+    next: Option<BodyPart>,
 }
 
 impl StreamedBody {
@@ -92,22 +101,23 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BodyAborted>>> {
         let first = match self.next.take() {
-            Some(next) => next,
-            None => match ready!(self.chunks.poll_recv(context)) {
-                Some(chunk) => chunk,
-                None => return Poll::Ready(None),
-            },
+            Some(next) => Some(next),
+            None => ready!(self.chunks.poll_recv(context)),
         };
-        Poll::Ready(Some(first.map(|first| self.join_waiting(first))))
+        Poll::Ready(match first {
+            Some(BodyPart::Chunk(first)) => Some(Ok(self.join_waiting(first))),
+            Some(BodyPart::End) => None,
+            None => Some(Err(BodyAborted)),
+        })
     }
 
     /// Appends the chunks that wait to `first`, up to a maximum size.
     fn join_waiting(&mut self, first: Bytes) -> Bytes {
         let mut joined = BytesMut::new();
-        while let Ok(chunk) = self.chunks.try_recv() {
+        while let Ok(part) = self.chunks.try_recv() {
             let length = first.len().max(joined.len());
-            match chunk {
-                Ok(chunk) if length + chunk.len() <= MAX_JOINED_BYTES => {
+            match part {
+                BodyPart::Chunk(chunk) if length + chunk.len() <= MAX_JOINED_BYTES => {
                     if joined.is_empty() {
                         joined.extend_from_slice(&first);
                     }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -24,7 +24,7 @@
 use super::failure;
 use super::headers::remove_hop_by_hop_headers;
 use super::origin;
-use super::response::{BodyAborted, ResponseBody};
+use super::response::{BodyPart, ResponseBody};
 use super::response_failure::{FailureReason, ResponseFailure};
 use super::turn::Turn;
 use crate::app::App;
@@ -198,11 +198,7 @@
 
     /// Forwards events until the response ends, the client disconnects, or the stream cannot be
     /// resumed.
-    async fn run(
-        mut self,
-        first: Option<ServerEvent>,
-        chunks: mpsc::UnboundedSender<Result<Bytes, BodyAborted>>,
-    ) {
+    async fn run(mut self, first: Option<ServerEvent>, chunks: mpsc::UnboundedSender<BodyPart>) {
         let mut next = first;
         while let Some(event) = next {
             let lane = self.exchange.lane();
@@ -221,12 +217,12 @@
     async fn forward(
         &mut self,
         event: ServerEvent,
-        chunks: &mpsc::UnboundedSender<Result<Bytes, BodyAborted>>,
+        chunks: &mpsc::UnboundedSender<BodyPart>,
     ) -> Result<Option<ServerEvent>, String> {
         const CALLER_LEFT: &str = "caller left";
         self.turn.record_event(event.data.as_deref(), self.tokens_per_event);
         self.events += 1;
-        if chunks.send(Ok(event.into_bytes())).is_err() {
+        if chunks.send(BodyPart::Chunk(event.into_bytes())).is_err() {
             return Err(CALLER_LEFT.to_owned());
         }
         let following = tokio::select! {
@@ -238,21 +234,23 @@
             Ok(following) => Ok(following),
             Err(error) => {
                 self.attempt_state.crashes.finish_before_retry(&self.call).await;
-                let _ = chunks.send(Err(BodyAborted));
                 Err(error.to_string())
             }
         }
     }
 
     /// Completes the turn after a complete response, then ends the response to the client.
-    async fn complete(mut self, chunks: mpsc::UnboundedSender<Result<Bytes, BodyAborted>>) {
+    async fn complete(mut self, chunks: mpsc::UnboundedSender<BodyPart>) {
         self.log_end("200");
         self.attempt_state.crashes.record_answered();
         let Self { call, turn, exchange, app, .. } = self;
         exchange.finish(&app.pool);
-        if turn.complete().await.is_err() {
-            emit!(Event::SettlementLost; request = call.head.request_id);
-            let _ = chunks.send(Err(BodyAborted));
+        match turn.complete().await {
+            Ok(()) => {
+                // Fails if the client has left.
+                let _ = chunks.send(BodyPart::End);
+            }
+            Err(_) => emit!(Event::SettlementLost; request = call.head.request_id),
         }
     }
 
