Turns: what a request may generate bounds its output

What callers saw: a replica that sends events without end filled the memory of a gateway on a route that retains turns, so that the gateway was ended and the sound requests on it were cut. On any stream route, and for a program with a budget of 2,304 tokens, all events were passed on until the deadline.

Cause: `Turn::record_event` appended the data of each event to a buffer without a limit that the memory budget did not count, and compared nothing with the tokens that the request states.

Change: `TurnOutput` holds the tokens and the retained data of a turn. Before an event is passed on, it is compared with the tokens that the request states, and its data with their number times 4 KiB. The last event may contain fewer tokens than others. A retained or charged turn that states nothing is limited by the budget of its program, the memory of a replica and the size limit of bodies; other streams that state nothing retain nothing, and are limited by their deadline as before. Retained data is reserved in the memory budget together with the buffer of the stream, so it waits and gives way like that. A response that exceeds its limits is logged as `more than requested` and cut; it is not resumed elsewhere. Repeated events of a resumed stream don't count.

Conclusion: the memory and the tokens of a turn no longer depend on what its replica sends. Not counted yet: the conversation that is sent to the replica with a turn, which the ledger returns.

--- a/crates/proxy/src/flow/buffered.rs
+++ b/crates/proxy/src/flow/buffered.rs
@@ -21,7 +21,7 @@
 use crate::upstream::Exchange;
 
 /// Maximum size of a buffered response in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 /// Serves a request with a buffered response. If the response is truncated, a safe request can be
 /// retried on another replica.
@@ -89,7 +89,9 @@
                 FailureReason::Deadline | FailureReason::NoMemory => {
                     attempt_state.crashes.record_given_up();
                 }
-                FailureReason::TooLarge | FailureReason::Truncated => {
+                FailureReason::TooLarge
+                | FailureReason::MoreThanRequested
+                | FailureReason::Truncated => {
                     exchange.member.penalize(PENALTY, PENALTY_DURATION);
                     attempt_state.crashes.record_closed(ClosedConnection::WasInUse);
                 }
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -4,7 +4,8 @@
 //! began a stream that it resumes; [`home`] checks whether it may be served in any region; [`permit`]
 //! enforces the tenant's rate limit; [`dispatch`] sends the request to a replica; [`crash`] keeps
 //! requests that crash replicas from further ones; [`buffered`] and [`stream`] forward the response;
-//! [`turn`] manages the token budgets and turn histories of programs.
+//! [`turn`] manages the token budgets and turn histories of programs, and [`turn_output`] limits what
+//! their responses may contain.
 
 mod body;
 mod buffered;
@@ -21,6 +22,7 @@
 mod response_failure;
 mod stream;
 mod turn;
+mod turn_output;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/proxy/src/flow/response_failure.rs
+++ b/crates/proxy/src/flow/response_failure.rs
@@ -11,6 +11,9 @@
     /// The body or an event exceeds its size limit.
     #[error("too large")]
     TooLarge,
+    /// The response contains more than its request may generate.
+    #[error("more than requested")]
+    MoreThanRequested,
     /// The response exceeded the memory limit while others waited for memory.
     #[error("no memory")]
     NoMemory,
@@ -59,9 +62,10 @@
         match failure.reason {
             FailureReason::Deadline => Self::Deadline,
             // The request has run.
-            FailureReason::TooLarge | FailureReason::NoMemory | FailureReason::Truncated => {
-                Self::Unknown
-            }
+            FailureReason::TooLarge
+            | FailureReason::MoreThanRequested
+            | FailureReason::NoMemory
+            | FailureReason::Truncated => Self::Unknown,
         }
     }
 }
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -27,6 +27,7 @@
 use super::response::{BodyAborted, ResponseBody};
 use super::response_failure::{FailureReason, ResponseFailure};
 use super::turn::Turn;
+use super::turn_output::OutputTooLong;
 use crate::app::App;
 use crate::events::{EventSplitter, EventTooLong, ServerEvent};
 use crate::memory::{MemoryLimitReached, MemoryReservation};
@@ -111,13 +112,12 @@
     /// Received bytes that were not passed to the splitter yet.
     unsplit: Bytes,
     splitter: EventSplitter,
-    /// Memory for the buffer of the splitter.
-    partial: MemoryReservation,
+    /// Memory for the buffer of the splitter and for the output of the turn.
+    held: MemoryReservation,
     /// How the stream continues if it is interrupted; `None` before its first event.
     continuation: Option<Continuation>,
     /// Headers of the first replica's response, which are sent to the client.
     headers: HeaderMap,
-    tokens_per_event: u64,
     last_event_id: Option<u64>,
     /// Replica that was asked again and has not sent a new event since.
     retried: Option<String>,
@@ -137,9 +137,11 @@
     Malformed,
     /// An event exceeds its size limit.
     EventTooLong,
+    /// The response exceeds what its request may generate.
+    OutputTooLong,
     /// The deadline passed.
     Deadline,
-    /// The part of an event that was read exceeds the memory limit, and others wait for memory.
+    /// What is held of the response exceeds the memory limit, and others wait for memory.
     GaveWay,
 }
 
@@ -154,7 +156,6 @@
     ) -> Self {
         let mut headers = exchange.response.headers().clone();
         remove_hop_by_hop_headers(app.dialect(), &mut headers);
-        let engine = call.service().and_then(|service| service.engine.clone());
         let last_event_id = payload.last_event_id.as_deref().and_then(|id| id.parse().ok());
         Self {
             app: Arc::clone(app),
@@ -166,9 +167,8 @@
             exchange,
             unsplit: Bytes::new(),
             splitter: EventSplitter::default(),
-            partial: app.memory.reserve_nothing(),
+            held: app.memory.reserve_nothing(),
             headers,
-            tokens_per_event: engine.map_or(1, |engine| u64::from(engine.tokens_per_event)),
             last_event_id,
             retried: None,
             events: 0,
@@ -224,7 +224,6 @@
         chunks: &mpsc::UnboundedSender<Result<Bytes, BodyAborted>>,
     ) -> Result<Option<ServerEvent>, String> {
         const CALLER_LEFT: &str = "caller left";
-        self.turn.record_event(event.data.as_deref(), self.tokens_per_event);
         self.events += 1;
         if chunks.send(Ok(event.into_bytes())).is_err() {
             return Err(CALLER_LEFT.to_owned());
@@ -279,18 +278,45 @@
     /// `None` at the end of the response.
     async fn next_event(&mut self) -> Result<Option<ServerEvent>, GatewayError> {
         loop {
-            match self.read_event().await {
-                Ok(Some(event)) => {
-                    if self.is_new(&event) {
-                        return Ok(Some(event));
-                    }
-                }
-                Ok(None) => return Ok(None),
+            match self.read_new_event().await {
+                Ok(event) => return Ok(event),
                 Err(error) => self.recover(error).await?,
             }
         }
     }
 
+    /// Reads an event that the client has not received yet, and adds it to the output of the turn.
+    async fn read_new_event(&mut self) -> Result<Option<ServerEvent>, ReadError> {
+        while let Some(event) = self.read_event().await? {
+            if self.is_new(&event) {
+                self.record_event(&event).await?;
+                return Ok(Some(event));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Adds an event to the output of the turn, once there is memory for it.
+    async fn record_event(&mut self, event: &ServerEvent) -> Result<(), ReadError> {
+        let data = event.data.as_deref();
+        let capacity = self.turn.output.capacity_with(data);
+        let capacity = capacity.map_err(|OutputTooLong| ReadError::OutputTooLong)?;
+        self.hold(self.splitter.capacity() + capacity).await?;
+        self.turn.output.append(data, capacity);
+        Ok(())
+    }
+
+    /// Reserves memory for at least `bytes` bytes.
+    async fn hold(&mut self, bytes: usize) -> Result<(), ReadError> {
+        let grown = before(self.call.deadline, self.held.grow_to(bytes)).await?;
+        grown.map_err(|MemoryLimitReached| ReadError::GaveWay)
+    }
+
+    /// Releases the memory that is no longer used.
+    fn release_unused(&mut self) {
+        self.held.shrink_to(self.splitter.capacity() + self.turn.output.capacity());
+    }
+
     /// Continues the stream after its response has ended early, if that is allowed.
     async fn recover(&mut self, error: ReadError) -> Result<(), GatewayError> {
         self.log_read_error(error);
@@ -305,6 +331,10 @@
             ReadError::Deadline => return Err(GatewayError::Deadline),
             ReadError::GaveWay => return Err(GatewayError::Unknown),
             ReadError::Closed | ReadError::ConnectionFailed => self.prefer_same_replica(),
+            ReadError::OutputTooLong => {
+                self.report_broken();
+                return Err(GatewayError::Unknown);
+            }
             // The replica would send the same again.
             ReadError::Malformed | ReadError::EventTooLong => self.exclude_replica(),
         }
@@ -329,7 +359,7 @@
     fn discard_received(&mut self) {
         self.unsplit = Bytes::new();
         self.splitter = EventSplitter::default();
-        self.partial.shrink_to(0);
+        self.release_unused();
     }
 
     fn log_read_error(&self, error: ReadError) {
@@ -337,6 +367,7 @@
             ReadError::Deadline => self.log_failure(FailureReason::Deadline),
             ReadError::GaveWay => self.log_failure(FailureReason::NoMemory),
             ReadError::EventTooLong => self.log_failure(FailureReason::TooLarge),
+            ReadError::OutputTooLong => self.log_failure(FailureReason::MoreThanRequested),
             // Logged as a broken stream.
             ReadError::Closed | ReadError::ConnectionFailed | ReadError::Malformed => {}
         }
@@ -381,7 +412,7 @@
     async fn read_frame(&mut self) -> Result<Option<Frame<Bytes>>, ReadError> {
         let frame = tokio::select! {
             biased;
-            () = self.partial.revoked() => return Err(ReadError::GaveWay),
+            () = self.held.revoked() => return Err(ReadError::GaveWay),
             frame = before(self.call.deadline, self.exchange.response.body_mut().frame()) => frame?,
         };
         match frame {
@@ -397,10 +428,10 @@
     /// client does not occupy a slot of the replica; the replica has to wait only when the memory
     /// limit is reached.
     async fn take_event(&mut self, bytes: usize) -> Result<ServerEvent, ReadError> {
-        let reservation = self.partial.reserve_beside(bytes + EVENT_OVERHEAD_BYTES);
+        let reservation = self.held.reserve_beside(bytes + EVENT_OVERHEAD_BYTES);
         let reservation = before(self.call.deadline, reservation).await?;
         let event = self.splitter.take_event(bytes);
-        self.partial.shrink_to(self.splitter.capacity());
+        self.release_unused();
         Ok(ServerEvent::parse(reservation.attach_to(event)))
     }
 
@@ -408,16 +439,15 @@
     async fn split_part(&mut self) -> Result<(), ReadError> {
         let part = self.unsplit.split_to(PART_BYTES.min(self.unsplit.len()));
         let capacity = self.splitter.capacity_with(part.len());
-        let grown = before(self.call.deadline, self.partial.grow_to(capacity)).await?;
-        grown.map_err(|MemoryLimitReached| ReadError::GaveWay)?;
+        self.hold(capacity + self.turn.output.capacity()).await?;
         self.splitter.push(&part);
         // Many small events can arrive at once, and other requests must not wait for all of them.
         tokio::task::yield_now().await;
         Ok(())
     }
 
-    /// Resumes the stream on another replica after the last event.
-    async fn resume(&mut self) -> Result<(), GatewayError> {
+    /// Records that the replica has broken the stream, so that others are preferred.
+    fn report_broken(&self) {
         const PENALTY: Duration = Duration::from_millis(100);
         const PENALTY_DURATION: Duration = Duration::from_millis(2_000);
         let failed = &self.exchange.member;
@@ -431,6 +461,11 @@
             events = self.events,
             resumable = self.call.route.resumable,
         );
+    }
+
+    /// Resumes the stream on another replica after the last event.
+    async fn resume(&mut self) -> Result<(), GatewayError> {
+        self.report_broken();
         if !self.call.route.resumable {
             return Err(GatewayError::Unknown);
         }
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -19,6 +19,7 @@
 use super::call::Call;
 use super::error::{GatewayError, NotExecutedReason};
 use super::permit::{self, Permit};
+use super::turn_output::TurnOutput;
 use crate::app::App;
 
 static LEDGER_TIMES: DurationHistogram = DurationHistogram::new(
@@ -53,10 +54,8 @@
     pub sent_at: Option<Instant>,
     /// Whether the response is complete.
     is_complete: bool,
-    /// Number of tokens sent to the client.
-    pub used_tokens: u64,
-    /// Event data sent to the client, if the turn is retained.
-    output: Vec<u8>,
+    /// Events sent to the client.
+    pub output: TurnOutput,
     is_settled: bool,
 }
 
@@ -81,8 +80,7 @@
             replica_id: None,
             sent_at: None,
             is_complete: false,
-            used_tokens: 0,
-            output: Vec::new(),
+            output: TurnOutput::new(call),
             is_settled: false,
         };
         if !needs_ledger(call) {
@@ -210,20 +208,11 @@
         }
     }
 
-    /// Records an event that is sent to the client.
-    pub fn record_event(&mut self, data: Option<&[u8]>, tokens: u64) {
-        self.used_tokens += tokens;
-        if let (Some(data), true) = (data, self.call.route.retain) {
-            self.output.extend_from_slice(data);
-            self.output.push(b'\n');
-        }
-    }
-
     fn settle_command(&self, retained: Option<RetainedTurn>) -> SettleTurn {
         SettleTurn {
             program: account_id(&self.call),
             turn: self.call.scoped(&self.call.head.request_id),
-            used_tokens: self.used_tokens,
+            used_tokens: self.output.tokens(),
             retention_ms: millis(self.call.route.retention),
             retained,
             run: self.turn_run().map(Box::new),
@@ -236,7 +225,7 @@
         let replica = self.replica_id.clone()?;
         let service = self.call.service()?;
         let engine = service.engine.as_ref()?;
-        let generated = u32::try_from(self.used_tokens).unwrap_or(u32::MAX);
+        let generated = u32::try_from(self.output.tokens()).unwrap_or(u32::MAX);
         let mut prompt = self.call.head.prompt.clone();
         if let Some(last) = prompt.last_mut() {
             last.tokens = last.tokens.saturating_add(generated);
@@ -265,7 +254,7 @@
         let retained = RetainedTurn {
             previous: previous_turn_id(&self.call),
             input: self.call.body.to_vec(),
-            output: std::mem::take(&mut self.output),
+            output: self.output.take_data(),
         };
         let question = LedgerRequest::Settle(self.settle_command(Some(retained)));
         let started_at = Instant::now();
@@ -277,7 +266,7 @@
                 emit!(
                     Event::TurnSettled;
                     request = self.call.head.request_id,
-                    tokens = self.used_tokens,
+                    tokens = self.output.tokens(),
                     after_ms = started_at.elapsed().as_millis(),
                 );
                 Ok(())
