Streams: the connection of a broken stream is closed before it goes on

What callers saw: two replicas worked on one stream. After an event without end, the gateway sent the request on to another replica, and the first one went on sending for as long as the second needed for its head.

Cause: `Relay::recover` kept the exchange until `dispatch` had returned the next one. hyper closes a connection by itself only when it failed or when its body is malformed.

Change: a connection can be closed through its reading state: its task drops the socket, also in a pause, and reports that it has. `Relay::recover` does so and waits for it after each error, before anything else is asked or sent. This covers streams that end in the middle of an event, and those that are given up.

Ruled out: malformed bodies, whose test passes before and after.

Conclusion: no replica is asked to continue a stream while the connection of the one before is open. Attempts whose head fails are closed by the exchange as before, which was not examined.

--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -126,12 +126,33 @@
     }
 }
 
-/// Runs a connection, with pauses while it has used more than its share.
+/// Records on drop that a connection is closed.
+struct ClosedGuard(Arc<ReadLane>);
+
+impl Drop for ClosedGuard {
+    fn drop(&mut self) {
+        self.0.closing().record_closed();
+    }
+}
+
+/// Runs a connection until it ends or is to be closed.
 async fn drive<F: Future>(connection: F, lane: Arc<ReadLane>) {
+    let guard = ClosedGuard(lane);
+    let lane = &guard.0;
+    // The connection is dropped with its socket before the guard.
+    tokio::select! {
+        biased;
+        () = lane.closing().requested() => {}
+        () = run_paced(connection, lane) => {}
+    }
+}
+
+/// Runs a connection, with pauses while it has used more than its share.
+async fn run_paced<F: Future>(connection: F, lane: &ReadLane) {
     let mut connection = pin!(connection);
     let mut pause = pin!(tokio::time::sleep_until(Instant::now().into()));
     poll_fn(|context| {
-        if poll_pause(pause.as_mut(), &lane, context).is_pending() {
+        if poll_pause(pause.as_mut(), lane, context).is_pending() {
             return Poll::Pending;
         }
         // Errors are reported to the request that uses the connection.
--- a/crates/outbound/src/lane.rs
+++ b/crates/outbound/src/lane.rs
@@ -10,6 +10,7 @@
 
 use parking_lot::Mutex;
 
+use crate::closing::Closing;
 use crate::pacer::ReadPacer;
 
 /// Maximum size of a response head with the interim responses before it, in bytes.
@@ -42,6 +43,7 @@
 pub struct ReadLane {
     pacer: Arc<ReadPacer>,
     progress: Mutex<ReadProgress>,
+    closing: Closing,
 }
 
 #[derive(Debug)]
@@ -81,7 +83,13 @@
 impl ReadLane {
     /// Creates the state of a connection that has not received anything.
     pub fn new(pacer: &Arc<ReadPacer>) -> Self {
-        Self { pacer: Arc::clone(pacer), progress: Mutex::new(ReadProgress::new()) }
+        let progress = Mutex::new(ReadProgress::new());
+        Self { pacer: Arc::clone(pacer), progress, closing: Closing::default() }
+    }
+
+    /// Returns whether the connection is to be closed, or is closed.
+    pub fn closing(&self) -> &Closing {
+        &self.closing
     }
 
     /// Starts to count a new response.
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -6,13 +6,16 @@
 //! - [`lane`]: limits and paces the reading of one connection, as a state machine without I/O;
 //! - [`pacer`]: the share of processor time for large responses of a process;
 //! - [`socket`]: TCP socket that reads within the limits of its lane;
+//! - [`closing`]: closing of a connection on request;
 //! - [`connection`]: HTTP connection on such a socket.
 
+pub mod closing;
 pub mod connection;
 pub mod lane;
 pub mod pacer;
 pub mod socket;
 
+pub use closing::Closing;
 pub use connection::ServerConnection;
 pub use lane::{HeadTooLong, ReadLane};
 pub use pacer::{ReadPacer, ReadShare};
--- a/crates/outbound/tests/connection.rs
+++ b/crates/outbound/tests/connection.rs
@@ -109,3 +109,20 @@
     drop((body, connection));
     server.await.expect("the server ends");
 }
+
+#[tokio::test]
+async fn connection_that_pauses_is_closed_on_request_while_its_body_is_held() {
+    let start = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+    let (mut connection, server) = connect(start, chunk).await;
+    let response = connection.send_request(request()).await.expect("a response");
+    let mut body = response.into_body();
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    assert!(tokio::time::timeout(Duration::from_millis(200), reading).await.is_err());
+    pause_for_long(&connection);
+    connection.lane().closing().close().await;
+    server.await.expect("the server ends");
+    assert!(connection.is_closed());
+    // A connection that is closed already does not wait.
+    connection.lane().closing().close().await;
+}
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -322,6 +322,8 @@
         self.log_read_error(error);
         // Others may wait for this memory.
         self.discard_received();
+        // No two replicas may work on a stream, and the next one may need long for its head.
+        self.exchange.lane().closing().close().await;
         let crashes = &mut self.attempt_state.crashes;
         match error {
             ReadError::Closed => crashes.record_closed(ClosedConnection::WasInUse),
