--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -140,7 +140,7 @@
     /// A response was given up while its body was read.
     ResponseFailed = 4126, Warn;
     /// The origin of a stream is recorded in the ledger.
-    StreamOriginRecorded = 4127, Info;
+    StreamOriginRecorded = 4128, Info;
     /// An engine released the cache of a program that has ended.
     CacheReleased = 4201, Debug;
     /// A request to release cache failed and will be retried.
