Quarantine: answers between crashes clear a harmless request

Cause: crashes were counted by the content of a request, whatever was answered in between. An answer lifted the need for a permission, not the count.

Change: once one gateway has seen twelve whole answers since the newest crash under a request, and at least four for each replica that answered, the crashes are cleared, here and through the ledger at all gateways. A record with a key of its own clears a crash, in the form of a retained turn, which machines of earlier builds store and do not pass on. Gateways get it as a crash notice without time left; no message changes its encoding. A cleared crash stays charged, and the account of the request has another token instead.

Not mended, and not caused by this: a fourth replica ends under tries that overlap ("Silent", "Unreachable"); such requests are never answered.

table.rs: record_answered takes the replica and the time. tests of the ledger: reserve_send takes the number of cleared crashes. What they check is unchanged.

Conclusion: what separates a harmless request from a fatal one is answers since the crash; three crashes that come before enough of them still quarantine a harmless request, which is mended in part.

--- a/crates/calicohoist/tests/crashes.rs
+++ b/crates/calicohoist/tests/crashes.rs
@@ -6,6 +6,10 @@
 
 mod cluster;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::SeqCst;
+
 use cluster::{Cluster, GATEWAY_IPS, Process, STORE_IPS};
 use support::{Response, ScriptedReplica, configuration, exchange, request_head, wait_until};
 
@@ -14,13 +18,23 @@
 const REPLICAS: usize = 8;
 
 fn start_tools(cluster: &Cluster) -> Vec<ScriptedReplica> {
+    start_crashing(cluster, |line| line.contains("crash"))
+}
+
+/// Starts replicas that crash under these requests.
+fn start_crashing(
+    cluster: &Cluster,
+    is_fatal: impl Fn(&str) -> bool + Clone + Send + Sync + 'static,
+) -> Vec<ScriptedReplica> {
     let start = |number| {
-        let replica = ScriptedReplica::start(&format!("t-{number}"), |exchange| {
-            match exchange.request.line.contains("crash") {
-                true => exchange.crash_replica(),
-                false => exchange.respond("200 OK", "", "whole"),
-            }
-        });
+        let is_fatal = is_fatal.clone();
+        let replica =
+            ScriptedReplica::start(&format!("t-{number}"), move |exchange| {
+                match is_fatal(&exchange.request.line) {
+                    true => exchange.crash_replica(),
+                    false => exchange.respond("200 OK", "", "whole"),
+                }
+            });
         cluster.platform_list.put(&replica, "tools", "ready");
         replica
     };
@@ -68,3 +82,35 @@
     assert_eq!((response.status, crashed(&tools)), (503, MAX_CRASHES));
     assert_eq!(get(&cluster, GATEWAY_IPS[0], "/safe/other", "o1").status, 200);
 }
+
+#[test]
+fn harmless_request_is_served_after_crashes_and_a_restart_of_all_machines() {
+    const CRASHES: usize = 4;
+    const CLIENTS: usize = 50;
+    let cluster = Cluster::new();
+    let crashes_next = Arc::new(AtomicBool::new(false));
+    let due = Arc::clone(&crashes_next);
+    let tools = start_crashing(&cluster, move |_| due.swap(false, SeqCst));
+    let start_all = |is_first| -> Vec<Process> {
+        let ips = STORE_IPS.iter().chain(&GATEWAY_IPS[..1]);
+        ips.map(|ip| cluster.start(ip, is_first)).collect()
+    };
+    let mut machines = start_all(true);
+    let body = configuration(5).to_string();
+    wait_until("the configuration is accepted", || {
+        cluster.operator_request("PUT", "/-/config", &body).is_some()
+    });
+    wait_until("the gateway is ready", || cluster.is_ready(GATEWAY_IPS[0]));
+    let serve = |id: &str| get(&cluster, GATEWAY_IPS[0], "/safe/status", id).status;
+    for round in 1..=CRASHES {
+        crashes_next.store(true, SeqCst);
+        for client in 0..CLIENTS {
+            assert_eq!(serve(&format!("c{round}-{client}")), 200);
+        }
+        assert_eq!(crashed(&tools), round);
+    }
+    machines.iter_mut().for_each(Process::kill);
+    let _machines = start_all(false);
+    wait_until("the gateway is ready again", || cluster.is_ready(GATEWAY_IPS[0]));
+    assert_eq!(serve("last"), 200);
+}
--- a/crates/ledger/src/commands/crash.rs
+++ b/crates/ledger/src/commands/crash.rs
@@ -4,6 +4,10 @@
 //! store it until it expires, also while two builds run side by side. Sends are permitted by a
 //! token account per request, which has one token for each crash that may happen: a crash uses a
 //! token up, and a send holds one until its outcome is known.
+//!
+//! A crash is cleared by a second record with a key of its own, which ledger machines of earlier
+//! builds store as well and do not distribute. A cleared crash stays charged; the account has another
+//! token instead.
 
 use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord, MAX_CRASHES, RequestFingerprint};
 
@@ -11,20 +15,37 @@
 
 /// Second part of the keys of crash records. The first one is empty, as in no key of a turn.
 const CRASH_KEYS: &str = "crash";
+/// Second part of the keys of cleared crashes.
+const CLEARED_KEYS: &str = "cleared";
 /// Second part of the keys of the accounts of requests.
 const ACCOUNT_KEYS: &str = "sends";
 
 /// Returns the beginning of the keys of all crash records.
 pub fn crash_key_prefix() -> String {
-    format!("{KEY_SEPARATOR}{CRASH_KEYS}{KEY_SEPARATOR}")
+    key_prefix(CRASH_KEYS)
+}
+
+/// Returns the beginning of the keys of all cleared crashes.
+pub fn cleared_key_prefix() -> String {
+    key_prefix(CLEARED_KEYS)
 }
 
 /// Returns the command that stores a record. It may be repeated.
 pub fn store_crash(record: &CrashRecord) -> SettleTurn {
+    store(CRASH_KEYS, record)
+}
+
+/// Returns the command that clears a crash, whether its record is stored before or after that. It may
+/// be repeated.
+pub fn clear_crash(record: &CrashRecord) -> SettleTurn {
+    store(CLEARED_KEYS, record)
+}
+
+fn store(keys: &str, record: &CrashRecord) -> SettleTurn {
     let input = record.replica.as_bytes().to_vec();
     SettleTurn {
         program: None,
-        turn: crash_key(record),
+        turn: record_key(keys, record),
         used_tokens: 0,
         retention_ms: retention_ms(),
         retained: Some(RetainedTurn { previous: None, input, output: Vec::new() }),
@@ -39,13 +60,14 @@
 }
 
 /// Returns the command that permits one send of a request under which replicas have crashed, unless
-/// the crashes and the sends under way use up its account. `send` is unique.
-pub fn reserve_send(request: &RequestFingerprint, send: &str) -> ReserveTurn {
+/// the crashes and the sends under way use up its account, which has a token more for each of the
+/// `cleared` crashes. `send` is unique.
+pub fn reserve_send(request: &RequestFingerprint, send: &str, cleared: usize) -> ReserveTurn {
     ReserveTurn {
         program: Some(account_of(request)),
         turn: send_charge(send),
         most_tokens: 1,
-        budget: MAX_CRASHES as u64,
+        budget: (MAX_CRASHES + cleared) as u64,
         previous: None,
         retention_ms: retention_ms(),
     }
@@ -84,16 +106,29 @@
     format!("{KEY_SEPARATOR}replica{KEY_SEPARATOR}{replica}")
 }
 
-fn crash_key(record: &CrashRecord) -> TurnId {
+fn key_prefix(keys: &str) -> String {
+    format!("{KEY_SEPARATOR}{keys}{KEY_SEPARATOR}")
+}
+
+fn record_key(keys: &str, record: &CrashRecord) -> TurnId {
     let CrashRecord { tenant, request, replica } = record;
     let tenant = tenant.as_deref().unwrap_or_default();
-    let prefix = crash_key_prefix();
+    let prefix = key_prefix(keys);
     format!("{prefix}{tenant}{KEY_SEPARATOR}{request}{KEY_SEPARATOR}{replica}")
 }
 
-/// Returns the record with this key; `None` for the key of anything else.
+/// Returns the crash whose record has this key; `None` for the key of anything else.
 pub fn find_crash(key: &str) -> Option<CrashRecord> {
-    let key = key.strip_prefix(KEY_SEPARATOR)?.strip_prefix(CRASH_KEYS)?;
+    find_record(CRASH_KEYS, key)
+}
+
+/// Returns the crash that the record with this key clears; `None` for the key of anything else.
+pub fn find_cleared_crash(key: &str) -> Option<CrashRecord> {
+    find_record(CLEARED_KEYS, key)
+}
+
+fn find_record(keys: &str, key: &str) -> Option<CrashRecord> {
+    let key = key.strip_prefix(KEY_SEPARATOR)?.strip_prefix(keys)?;
     let mut parts = key.strip_prefix(KEY_SEPARATOR)?.splitn(3, KEY_SEPARATOR);
     let tenant = parts.next()?;
     let request = parts.next()?.parse().ok()?;
--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -11,7 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 pub use crash::{
-    charge_crash, crash_key_prefix, find_crash, release_send, reserve_send, store_crash,
+    charge_crash, clear_crash, cleared_key_prefix, crash_key_prefix, find_cleared_crash,
+    find_crash, release_send, reserve_send, store_crash,
 };
 
 /// Separates the parts of keys, such as the tenant name from a program or turn ID. None of them can
--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -331,10 +331,18 @@
     pub request: RequestFingerprint,
     /// Incarnation of the replica.
     pub replica: String,
-    /// Remaining time for which the crash is remembered, in ms.
+    /// Remaining time for which the crash is remembered, in ms; 0 if it was cleared. A gateway of an
+    /// earlier build goes on counting a cleared crash that it knows.
     pub left_ms: u32,
 }
 
+impl CrashNotice {
+    /// Returns whether the crash was cleared.
+    pub fn is_cleared(&self) -> bool {
+        self.left_ms == 0
+    }
+}
+
 /// Update that a leader with a confirmed quorum sends to a gateway.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct WatchUpdate {
--- a/crates/ledger/src/server/crashes.rs
+++ b/crates/ledger/src/server/crashes.rs
@@ -4,7 +4,7 @@
 //! them.
 
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord};
 use parking_lot::Mutex;
@@ -21,9 +21,22 @@
 struct NumberedRecord {
     change: u64,
     record: CrashRecord,
+    is_cleared: bool,
     forget_at: Instant,
 }
 
+impl NumberedRecord {
+    fn notice(&self, now: Instant) -> CrashNotice {
+        let left = match self.is_cleared {
+            true => Duration::ZERO,
+            false => self.forget_at.saturating_duration_since(now),
+        };
+        let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let CrashRecord { request, replica, .. } = &self.record;
+        CrashNotice { request: *request, replica: replica.clone(), left_ms }
+    }
+}
+
 /// Crash records of the last [`CRASH_RETENTION`].
 pub struct CrashBoard {
     /// Records, oldest first.
@@ -39,20 +52,42 @@
 }
 
 impl CrashBoard {
-    /// Adds a record from the log unless it is known.
+    /// Adds a record from the log unless it is known, or cleared.
     pub fn add(&self, record: CrashRecord, now: Instant) {
         let mut records = self.records.lock();
-        while records.front().is_some_and(|oldest| oldest.forget_at <= now) {
-            records.pop_front();
+        expire(&mut records, now);
+        if !records.iter().any(|known| known.record == record) {
+            self.push(&mut records, record, false, now);
         }
-        if records.iter().any(|known| known.record == record) {
+    }
+
+    /// Clears a crash, whether its record is known yet or not.
+    pub fn clear(&self, record: CrashRecord, now: Instant) {
+        let mut records = self.records.lock();
+        expire(&mut records, now);
+        let known = records.iter().position(|known| known.record == record);
+        if known.is_some_and(|index| records[index].is_cleared) {
             return;
         }
+        if let Some(index) = known {
+            records.remove(index);
+        }
+        self.push(&mut records, record, true, now);
+    }
+
+    fn push(
+        &self,
+        records: &mut VecDeque<NumberedRecord>,
+        record: CrashRecord,
+        is_cleared: bool,
+        now: Instant,
+    ) {
         if records.len() >= MAX_RECORDS {
             records.pop_front();
         }
         let change = *self.changes.borrow() + 1;
-        records.push_back(NumberedRecord { change, record, forget_at: now + CRASH_RETENTION });
+        let forget_at = now + CRASH_RETENTION;
+        records.push_back(NumberedRecord { change, record, is_cleared, forget_at });
         self.changes.send_replace(change);
     }
 
@@ -96,17 +131,18 @@
         let records = self.records.lock();
         let change = records.back().map_or(seen, |newest| newest.change);
         let is_new = |known: &&NumberedRecord| known.change > seen && known.forget_at > now;
-        let notice = |known: &NumberedRecord| {
-            let left = known.forget_at.saturating_duration_since(now);
-            let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-            let CrashRecord { request, replica, .. } = &known.record;
-            CrashNotice { request: *request, replica: replica.clone(), left_ms }
-        };
-        let notices = records.iter().filter(is_new).map(notice).collect();
+        let notices = records.iter().filter(is_new).map(|known| known.notice(now)).collect();
         (TermVersion { term, change }, notices)
     }
 }
 
+/// Removes the records whose retention has ended.
+fn expire(records: &mut VecDeque<NumberedRecord>, now: Instant) {
+    while records.front().is_some_and(|oldest| oldest.forget_at <= now) {
+        records.pop_front();
+    }
+}
+
 /// Returns the number of the last change that a gateway has received in this term.
 fn seen_change(term: u64, seen: TermVersion) -> u64 {
     if seen.term == term { seen.change } else { 0 }
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -100,6 +100,8 @@
     next_run: u64,
     /// Number of the next crash record to forward.
     next_crash: u64,
+    /// Number of the next cleared crash to forward.
+    next_cleared: u64,
     /// Number of the last forwarded permit batch.
     last_permit_batch: u64,
     /// Since when this machine has been leader without having applied all entries committed by
@@ -183,6 +185,7 @@
             services,
             next_run: 0,
             next_crash: 0,
+            next_cleared: 0,
             last_permit_batch: 0,
             catching_up_since: None,
         })
@@ -655,11 +658,12 @@
         }
     }
 
-    /// Forwards newly stored crash records to the gateways' service.
+    /// Forwards newly stored crash records and cleared crashes to the gateways' service.
     fn forward_crashes(&mut self) {
-        let Some(crashes) = self.node.machine(GROUP).map(LedgerState::crashes) else {
+        let Some(state) = self.node.machine(GROUP) else {
             return;
         };
+        let (crashes, cleared) = (state.crashes(), state.cleared_crashes());
         if crashes.next() != self.next_crash {
             let now = Instant::now();
             for record in crashes.since(self.next_crash) {
@@ -667,6 +671,13 @@
             }
             self.next_crash = crashes.next();
         }
+        if cleared.next() != self.next_cleared {
+            let now = Instant::now();
+            for record in cleared.since(self.next_cleared) {
+                self.services.crashes.clear(record.clone(), now);
+            }
+            self.next_cleared = cleared.next();
+        }
     }
 
     /// Publishes the drained zones if they have changed. The rest of the status is published by
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -25,7 +25,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{
-    Command, Output, Reservation, ReserveTurn, SettleTurn, crash_key_prefix, find_crash,
+    Command, Output, Reservation, ReserveTurn, SettleTurn, cleared_key_prefix, crash_key_prefix,
+    find_cleared_crash, find_crash,
 };
 
 /// Maximum number of runs buffered for the reader.
@@ -64,6 +65,9 @@
     /// Recently stored crash records.
     #[serde(skip)]
     crashes: RecentCrashes,
+    /// Recently cleared crashes.
+    #[serde(skip)]
+    cleared: RecentCrashes,
     /// Sealed segments that have not been written to disk yet.
     #[serde(skip)]
     sealed: Vec<SealedSegment>,
@@ -170,6 +174,11 @@
         &self.crashes
     }
 
+    /// Returns the recently cleared crashes. A crash stays cleared, whatever is stored later.
+    pub fn cleared_crashes(&self) -> &RecentCrashes {
+        &self.cleared
+    }
+
     fn execute(&mut self, command: Command) -> Output {
         match command {
             Command::PutConfiguration { version, document } => {
@@ -236,6 +245,9 @@
             if let Some(record) = find_crash(&settle.turn) {
                 self.crashes.push(record);
             }
+            if let Some(record) = find_cleared_crash(&settle.turn) {
+                self.cleared.push(record);
+            }
             let until_ms = self.clock_ms + settle.retention_ms;
             self.turns.insert(settle.turn, retained, until_ms);
         }
@@ -280,10 +292,14 @@
             Ok(state) => {
                 let runs = std::mem::take(&mut self.runs);
                 let mut crashes = std::mem::take(&mut self.crashes);
+                let mut cleared = std::mem::take(&mut self.cleared);
                 let prefix = crash_key_prefix();
                 let stored = state.turns.ids_with_prefix(&prefix);
                 stored.filter_map(find_crash).for_each(|record| crashes.push(record));
-                *self = Self { runs, crashes, ..state };
+                let prefix = cleared_key_prefix();
+                let stored = state.turns.ids_with_prefix(&prefix);
+                stored.filter_map(find_cleared_crash).for_each(|record| cleared.push(record));
+                *self = Self { runs, crashes, cleared, ..state };
                 true
             }
             Err(_) => false,
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_ledger::commands::{
-    Command, Reservation, charge_crash, find_crash, release_send, reserve_send, store_crash,
+    Command, Reservation, charge_crash, clear_crash, find_cleared_crash, find_crash, release_send,
+    reserve_send, store_crash,
 };
 use calicohoist_ledger::protocol::TermVersion;
 use calicohoist_ledger::server::crashes::CrashBoard;
@@ -127,7 +128,17 @@
 }
 
 fn reserve(state: &mut LedgerState, record: &CrashRecord, send: &str) -> Reservation {
-    let command = Command::Reserve(reserve_send(&record.request, send));
+    reserve_after(state, record, send, 0)
+}
+
+/// Asks for a permission after some crashes were cleared.
+fn reserve_after(
+    state: &mut LedgerState,
+    record: &CrashRecord,
+    send: &str,
+    cleared: usize,
+) -> Reservation {
+    let command = Command::Reserve(reserve_send(&record.request, send, cleared));
     match state.apply(&encode(&command).expect("encode")) {
         Output::Reservation(reservation) => reservation,
         other => panic!("unexpected output {other:?}"),
@@ -172,3 +183,91 @@
     apply(&mut restored, Command::Advance { elapsed_ms });
     assert_eq!(reserve(&mut restored, &record, "front-2-b"), Reservation::Granted);
 }
+
+#[test]
+fn cleared_crash_is_not_taken_for_a_crash() {
+    for tenant in [None, Some("t-1")] {
+        let crash = crash(tenant, 1, "r1@1790000000000");
+        let key = clear_crash(&crash).turn;
+        assert_eq!(find_crash(&key), None);
+        assert_eq!(find_cleared_crash(&key), Some(crash.clone()));
+        assert_eq!(find_cleared_crash(&store_crash(&crash).turn), None);
+    }
+}
+
+#[test]
+fn cleared_crashes_survive_a_snapshot_until_they_expire() {
+    let crashes = ["r1", "r2"].map(|replica| crash(Some("t-1"), 1, replica));
+    let mut state = LedgerState::new(GroupId(0));
+    for crash in &crashes {
+        apply(&mut state, Command::Settle(store_crash(crash)));
+    }
+    apply(&mut state, Command::Settle(clear_crash(&crashes[0])));
+    let mut restored = LedgerState::new(GroupId(0));
+    assert!(restored.restore(&state.snapshot()));
+    for state in [&state, &restored] {
+        let stored: Vec<CrashRecord> = state.crashes().since(0).cloned().collect();
+        assert_eq!(stored, crashes);
+        let cleared: Vec<CrashRecord> = state.cleared_crashes().since(0).cloned().collect();
+        assert_eq!(cleared, crashes[..1]);
+    }
+
+    let elapsed_ms = CRASH_RETENTION.as_millis() as u64;
+    apply(&mut state, Command::Advance { elapsed_ms });
+    let mut restored = LedgerState::new(GroupId(0));
+    assert!(restored.restore(&state.snapshot()));
+    assert_eq!(restored.cleared_crashes().next(), 0);
+}
+
+#[test]
+fn gateway_learns_of_cleared_crashes() {
+    let (board, now) = (CrashBoard::default(), Instant::now());
+    let records = ["r1", "r2"].map(|replica| crash(None, 1, replica));
+    for record in &records {
+        board.add(record.clone(), now);
+    }
+    let (seen, _) = board.changes_since(1, TermVersion::default(), now);
+    // Repeated, and reported by another gateway after that.
+    for _ in 0..2 {
+        board.clear(records[0].clone(), now);
+        board.add(records[0].clone(), now);
+    }
+    let (mark, notices) = board.changes_since(1, seen, now);
+    assert_eq!((mark.change, notices.len()), (seen.change + 1, 1));
+    assert!(notices[0].replica == "r1" && notices[0].is_cleared());
+    assert!(!board.has_changes(1, mark, now));
+    assert_eq!(board.change_of(&records[0]), Some(mark.change));
+
+    let (_, notices) = board.changes_since(2, mark, now);
+    let known: Vec<(&str, bool)> =
+        notices.iter().map(|notice| (notice.replica.as_str(), notice.is_cleared())).collect();
+    assert_eq!(known, [("r2", false), ("r1", true)]);
+}
+
+#[test]
+fn crash_that_is_cleared_before_it_is_stored_does_not_count() {
+    let (board, now) = (CrashBoard::default(), Instant::now());
+    board.clear(crash(None, 1, "r1"), now);
+    board.add(crash(None, 1, "r1"), now);
+    let (_, notices) = board.changes_since(1, TermVersion::default(), now);
+    assert!(notices.len() == 1 && notices[0].is_cleared());
+}
+
+#[test]
+fn cleared_crashes_use_up_no_permission() {
+    let mut state = LedgerState::new(GroupId(0));
+    let record = crash(None, 1, "r0");
+    for number in 0..2 * MAX_CRASHES {
+        let crash = crash(None, 1, &format!("r{number}"));
+        apply(&mut state, Command::Settle(charge_crash(&crash)));
+        let send = format!("front-1-{number}");
+        let granted = reserve_after(&mut state, &record, &send, number);
+        assert_eq!(granted, Reservation::Granted, "{number}");
+        apply(&mut state, Command::Settle(release_send(&record.request, &send)));
+    }
+    for crashed in ["s1", "s2"] {
+        apply(&mut state, Command::Settle(charge_crash(&crash(None, 1, crashed))));
+    }
+    let refused = reserve_after(&mut state, &record, "front-1-a", 2 * MAX_CRASHES - 1);
+    assert_eq!(refused, Reservation::BudgetSpent);
+}
--- a/crates/ledger/tests/formats.rs
+++ b/crates/ledger/tests/formats.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use calicohoist_ledger::commands::{
-    Command, Reservation, ReserveTurn, RetainedTurn, SettleTurn, store_crash,
+    Command, Reservation, ReserveTurn, RetainedTurn, SettleTurn, clear_crash, store_crash,
 };
 use calicohoist_ledger::compression::CompressedBytes;
 use calicohoist_ledger::protocol::{
@@ -370,11 +370,13 @@
     let crashes = watch.crashes.unwrap_or_default();
     samples.add("ask.watch_crashes", &request(5, LedgerRequest::WatchCrashes { crashes, watch }));
     samples.add("ask.store_crash", &request(4, LedgerRequest::Settle(store_crash(&crash))));
+    let clear = request(4, LedgerRequest::Settle(clear_crash(&crash)));
     let CrashRecord { request, replica, .. } = crash;
     let notice = CrashNotice { request, replica, left_ms: 119_000 };
     let mark = TermVersion { term: 3, change: 8 };
     let answer = LedgerResponse::Crashes { mark, crashes: vec![notice] };
     samples.add("reply.crashes", &response(5, answer));
+    samples.add("ask.clear_crash", &clear);
     samples.0
 }
 
--- a/crates/proxy/src/flow/crash/grant.rs
+++ b/crates/proxy/src/flow/crash/grant.rs
@@ -95,8 +95,9 @@
     deadline: Instant,
 ) -> Result<SendGrant, Refusal> {
     let send = format!("{}-{:016x}", app.settings.name, rand::random::<u64>());
+    let cleared = app.crashes.lock().cleared(&request, Instant::now());
     let question = LedgerRequest::Reserve {
-        reserve: reserve_send(&request, &send),
+        reserve: reserve_send(&request, &send, cleared),
         placement: None,
         permit: None,
     };
@@ -117,7 +118,7 @@
 /// become known, as sends that may crash a replica.
 pub async fn count_exposed(app: &Arc<App>, notices: &[CrashNotice]) {
     let is_exposed = |request: RequestFingerprint, replica: &str| {
-        let is_same = |notice: &&CrashNotice| notice.request == request;
+        let is_same = |notice: &&CrashNotice| notice.request == request && !notice.is_cleared();
         let mut crashes = notices.iter().filter(is_same).peekable();
         crashes.peek().is_some() && crashes.all(|notice| notice.replica != replica)
     };
--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -3,9 +3,10 @@
 //! When a request fails at a replica, it is checked in the background whether the replica has crashed
 //! ([`check`]). A crash is recorded in the ledger, which all gateways follow. A request under which no
 //! crash is known is sent freely; after one, the ledger permits each further send ([`grant`]) until the
-//! request is answered.
+//! request is answered. Answers that show the request to be harmless clear its crashes ([`clear`]).
 
 mod check;
+mod clear;
 mod grant;
 
 use std::sync::Arc;
@@ -220,12 +221,7 @@
         let Some(running) = self.running.take() else {
             return;
         };
-        {
-            let mut crashes = running.app.crashes.lock();
-            if !crashes.is_empty() {
-                crashes.record_answered(&running.call.fingerprint());
-            }
-        }
+        clear::record_answer(&running.app, &running.call, &running.replica.id);
         drop(running.end());
     }
 
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -10,6 +10,7 @@
     CrashNotice, FleetUpdate, ListDigest, TermVersion, UnpackError, WatchRequest, WatchUpdate,
 };
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
+use calicohoist_quarantine::CRASH_RETENTION;
 use calicohoist_routing::{
     ColdTracker, DrainedZones, HomeFindings, ListPatch, Replica, RouteTable, check_homes,
 };
@@ -200,9 +201,14 @@
     fn record_crashes(&self, notices: &[CrashNotice]) {
         let now = Instant::now();
         let mut crashes = self.app.crashes.lock();
-        for CrashNotice { request, replica, left_ms } in notices {
-            let left = Duration::from_millis(u64::from(*left_ms));
-            crashes.record(*request, replica, left, now);
+        for notice in notices {
+            let CrashNotice { request, replica, left_ms } = notice;
+            if notice.is_cleared() {
+                crashes.clear(*request, replica, CRASH_RETENTION, now);
+            } else {
+                let left = Duration::from_millis(u64::from(*left_ms));
+                crashes.record(*request, replica, left, now);
+            }
         }
         drop(crashes);
         for notice in notices {
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -4,7 +4,7 @@
 
 use crate::fingerprint::RequestFingerprint;
 
-/// Number of replicas that may crash under one request.
+/// Number of replicas that may crash under one request with hardly an answer between them.
 pub const MAX_CRASHES: usize = 3;
 
 /// Time for which a crash is remembered. Longer than clients and programs retry.
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,13 +1,17 @@
 //! Recent crashes by request.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::answers::Answers;
 use crate::crash::{CrashRecord, MAX_CRASHES, PERMISSION_TIME};
 use crate::fingerprint::RequestFingerprint;
 
 /// Maximum number of requests in a table, under 1 MB.
 const MAX_REQUESTS: usize = 4_096;
+/// Maximum number of crashes of one request that are known to be cleared. A crash may be reported
+/// by another gateway after it was cleared.
+const MAX_CLEARED: usize = 64;
 
 /// Crashes under one request.
 #[derive(Clone, Debug)]
@@ -16,15 +20,56 @@
     replicas: Vec<String>,
     /// Crashes before which the request may not have reached the replica, at most [`MAX_CRASHES`].
     unconfirmed: Vec<CrashRecord>,
+    /// Incarnations whose crash was cleared, oldest first, at most [`MAX_CLEARED`].
+    cleared: VecDeque<String>,
+    /// Number of crashes that were cleared.
+    cleared_count: usize,
     forget_at: Instant,
     /// When the newest crash was recorded.
     crashed_at: Instant,
-    /// Whether a replica has answered the request since.
-    is_answered: bool,
+    /// Answers since then.
+    answers: Answers,
+}
+
+impl RequestCrashes {
+    fn new(forget_at: Instant, now: Instant) -> Self {
+        Self {
+            replicas: Vec::new(),
+            unconfirmed: Vec::new(),
+            cleared: VecDeque::new(),
+            cleared_count: 0,
+            forget_at,
+            crashed_at: now,
+            answers: Answers::default(),
+        }
+    }
+
+    fn is_suspect(&self) -> bool {
+        !self.replicas.is_empty() || !self.unconfirmed.is_empty()
+    }
+
+    fn is_cleared(&self, replica: &str) -> bool {
+        self.cleared.iter().any(|known| known == replica)
+    }
+
+    fn clear(&mut self, replica: &str) {
+        self.replicas.retain(|known| known != replica);
+        if self.is_cleared(replica) {
+            return;
+        }
+        if self.cleared.len() >= MAX_CLEARED {
+            self.cleared.pop_front();
+        }
+        self.cleared.push_back(replica.to_owned());
+        self.cleared_count += 1;
+    }
 }
 
 /// Recent crashes by request.
 ///
+/// A crash counts until enough answers since the newest one show that the request is harmless; see
+/// [`CrashTable::record_answered`]. So what counts are crashes with hardly an answer between them.
+///
 /// A full table forgets the request with the fewest crashes, and among these the oldest one. So a
 /// table that overflows sends too much rather than too little, whoever fills it.
 #[derive(Clone, Debug, Default)]
@@ -33,7 +78,8 @@
 }
 
 impl CrashTable {
-    /// Records a crash for `retention`. Each incarnation of a replica counts once.
+    /// Records a crash for `retention`. Each incarnation of a replica counts once, and not again
+    /// after its crash was cleared.
     pub fn record(
         &mut self,
         request: RequestFingerprint,
@@ -43,10 +89,13 @@
     ) {
         let crashes = self.entry(request, retention, now);
         let is_known = crashes.replicas.iter().any(|known| known == replica);
-        if !is_known && crashes.replicas.len() < MAX_CRASHES {
+        if is_known || crashes.is_cleared(replica) {
+            return;
+        }
+        crashes.answers = Answers::default();
+        if crashes.replicas.len() < MAX_CRASHES {
             crashes.replicas.push(replica.to_owned());
             crashes.crashed_at = now;
-            crashes.is_answered = false;
         }
     }
 
@@ -72,7 +121,7 @@
 
     /// Returns whether a replica has or may have crashed under the request.
     pub fn is_suspect(&self, request: &RequestFingerprint, now: Instant) -> bool {
-        self.find(request, now).is_some()
+        self.find(request, now).is_some_and(RequestCrashes::is_suspect)
     }
 
     /// Returns the entry of a request, which is kept for `retention`.
@@ -87,23 +136,48 @@
             self.evict();
         }
         let forget_at = now + retention;
-        let crashes = self.requests.entry(request).or_insert_with(|| RequestCrashes {
-            replicas: Vec::new(),
-            unconfirmed: Vec::new(),
-            forget_at,
-            crashed_at: now,
-            is_answered: false,
-        });
+        let new = || RequestCrashes::new(forget_at, now);
+        let crashes = self.requests.entry(request).or_insert_with(new);
         crashes.forget_at = crashes.forget_at.max(forget_at);
         crashes
     }
 
-    /// Records that a replica has answered the request, as it does if many clients send the same
-    /// harmless one.
-    pub fn record_answered(&mut self, request: &RequestFingerprint) {
-        if let Some(crashes) = self.requests.get_mut(request) {
-            crashes.is_answered = true;
+    /// Records that a replica has answered the request. Once the answers show that the request is
+    /// harmless, clears its crashes and returns their replicas.
+    pub fn record_answered(
+        &mut self,
+        request: &RequestFingerprint,
+        replica: &str,
+        now: Instant,
+    ) -> Vec<String> {
+        let crashes = self.requests.get_mut(request).filter(|crashes| crashes.forget_at > now);
+        let Some(crashes) = crashes.filter(|crashes| crashes.is_suspect()) else {
+            return Vec::new();
+        };
+        crashes.answers.add(replica);
+        if !crashes.answers.show_harmless() {
+            return Vec::new();
         }
+        crashes.unconfirmed.clear();
+        let replicas = std::mem::take(&mut crashes.replicas);
+        replicas.iter().for_each(|replica| crashes.clear(replica));
+        replicas
+    }
+
+    /// Clears the crash of a replica for `retention`: it counts no more, also if it is recorded again.
+    pub fn clear(
+        &mut self,
+        request: RequestFingerprint,
+        replica: &str,
+        retention: Duration,
+        now: Instant,
+    ) {
+        self.entry(request, retention, now).clear(replica);
+    }
+
+    /// Returns the number of crashes under the request that were cleared.
+    pub fn cleared(&self, request: &RequestFingerprint, now: Instant) -> usize {
+        self.find(request, now).map_or(0, |crashes| crashes.cleared_count)
     }
 
     /// Returns whether the request must not be sent without a permission of the ledger.
@@ -111,7 +185,7 @@
         let crashes = self.find(request, now);
         crashes.is_some_and(|known| {
             let is_recent = now < known.crashed_at + PERMISSION_TIME;
-            !known.replicas.is_empty() && !known.is_answered && is_recent
+            !known.replicas.is_empty() && !known.answers.any() && is_recent
         })
     }
 
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -117,7 +117,7 @@
     assert!(!table.needs_permission(&request, now));
     table.record(request, "r1", CRASH_RETENTION, now);
     assert!(table.needs_permission(&request, now));
-    table.record_answered(&request);
+    assert!(table.record_answered(&request, "r0", now).is_empty());
     assert!(!table.needs_permission(&request, now));
     // The same crash, as another gateway reports it.
     table.record(request, "r1", CRASH_RETENTION, now);
@@ -147,3 +147,104 @@
     assert_eq!(table.take_confirmed(&request(1)), [record("a")]);
     assert!(table.take_confirmed(&request(1)).is_empty());
 }
+
+/// Answers a request at these replicas in turn. Returns the replicas whose crashes were cleared.
+fn answer(table: &mut CrashTable, replicas: &[&str], count: usize, now: Instant) -> Vec<String> {
+    let turns = replicas.iter().cycle().take(count);
+    turns.flat_map(|replica| table.record_answered(&request(1), replica, now)).collect()
+}
+
+#[test]
+fn harmless_request_is_not_refused_after_crashes_with_many_answers_between_them() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    for number in 0..10 * MAX_CRASHES {
+        let crashed = format!("r{number}");
+        record(&mut table, 1, &crashed, now);
+        assert_eq!(table.quarantine(&request(1), now), None, "{number}");
+        assert_eq!(table.crashes(&request(1), now), 1);
+        assert!(answer(&mut table, &["a", "b", "c"], HARMLESS_ANSWERS - 1, now).is_empty());
+        assert_eq!(answer(&mut table, &["a"], 1, now), [crashed]);
+        assert_eq!(table.crashes(&request(1), now), 0);
+        assert_eq!(table.cleared(&request(1), now), number + 1);
+        assert!(!table.is_suspect(&request(1), now));
+    }
+}
+
+#[test]
+fn answers_before_a_crash_do_not_clear_it() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    for replica in ["r1", "r2", "r3"] {
+        assert!(answer(&mut table, &["a", "b"], HARMLESS_ANSWERS - 1, now).is_empty());
+        record(&mut table, 1, replica, now);
+    }
+    assert_eq!(table.quarantine(&request(1), now), Some(CRASH_RETENTION));
+}
+
+#[test]
+fn request_under_which_replicas_crash_after_two_answers_each_is_quarantined() {
+    for replicas in [8, 50, 400] {
+        let (mut table, now) = (CrashTable::default(), Instant::now());
+        let names: Vec<String> = (0..replicas).map(|number| format!("r{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        for replica in &names[..MAX_CRASHES] {
+            record(&mut table, 1, replica, now);
+            // As many answers as fresh replicas may give before the next one crashes.
+            assert!(answer(&mut table, &names, 2 * replicas, now).is_empty(), "{replicas}");
+        }
+        assert!(table.quarantine(&request(1), now).is_some(), "{replicas}");
+    }
+}
+
+#[test]
+fn crash_of_a_quarantined_request_ends_the_count_of_answers() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    for replica in ["r1", "r2", "r3"] {
+        record(&mut table, 1, replica, now);
+    }
+    assert!(answer(&mut table, &["a"], HARMLESS_ANSWERS - 1, now).is_empty());
+    record(&mut table, 1, "r4", now);
+    assert!(answer(&mut table, &["a"], HARMLESS_ANSWERS - 1, now).is_empty());
+    assert!(table.quarantine(&request(1), now).is_some());
+}
+
+#[test]
+fn answers_of_a_quarantined_request_that_was_under_way_clear_its_crashes() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    for replica in ["r1", "r2", "r3"] {
+        record(&mut table, 1, replica, now);
+    }
+    assert!(table.quarantine(&request(1), now).is_some());
+    let mut cleared = answer(&mut table, &["a"], HARMLESS_ANSWERS, now);
+    cleared.sort();
+    assert_eq!(cleared, ["r1", "r2", "r3"]);
+    assert_eq!(table.quarantine(&request(1), now), None);
+}
+
+#[test]
+fn cleared_crash_does_not_count_when_it_is_reported_again() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    for number in 0..MAX_CRASHES {
+        let replica = format!("r{number}");
+        // Another gateway has cleared it.
+        table.clear(request(1), &replica, CRASH_RETENTION, now);
+        record(&mut table, 1, &replica, now);
+    }
+    assert_eq!(table.crashes(&request(1), now), 0);
+    assert_eq!(table.cleared(&request(1), now), MAX_CRASHES);
+    for replica in ["s1", "s2", "s3"] {
+        record(&mut table, 1, replica, now);
+    }
+    assert!(table.quarantine(&request(1), now).is_some());
+    assert_eq!(table.cleared(&request(1), now + CRASH_RETENTION), 0);
+}
+
+#[test]
+fn unconfirmed_crash_of_a_harmless_request_is_forgotten() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    let unconfirmed = CrashRecord { tenant: None, request: request(1), replica: "r1".to_owned() };
+    table.record_unconfirmed(unconfirmed, CRASH_RETENTION, now);
+    assert!(answer(&mut table, &["a"], HARMLESS_ANSWERS, now).is_empty());
+    assert!(!table.is_suspect(&request(1), now));
+    record(&mut table, 1, "r2", now);
+    assert!(table.take_confirmed(&request(1)).is_empty());
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -139,6 +139,8 @@
     SendPermitted = 4125, Info;
     /// A response was given up while its body was read.
     ResponseFailed = 4126, Warn;
+    /// A crash under a request does not count any more, since the request turned out to be harmless.
+    CrashCleared = 4127, Info;
     /// An engine released the cache of a program that has ended.
     CacheReleased = 4201, Debug;
     /// A request to release cache failed and will be retried.
