--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -102,6 +102,8 @@
     next_run: u64,
     /// Number of the next crash record to forward.
     next_crash: u64,
+    /// Number of the next cleared crash to forward.
+    next_cleared: u64,
     /// Number of the last forwarded permit batch.
     last_permit_batch: u64,
     /// Bounds the stream origins that this machine stores as the leader.
@@ -188,6 +190,7 @@
             services,
             next_run: 0,
             next_crash: 0,
+            next_cleared: 0,
             last_permit_batch: 0,
             origins: OriginQuota::default(),
             origins_counted_at: started_at,
@@ -690,11 +693,12 @@
         }
     }
 
-    /// Forwards newly stored crash records to the gateways' service.
+    /// Forwards newly stored crash records and cleared crashes to the gateways' service.
     fn forward_crashes(&mut self) {
-        let Some(crashes) = self.node.machine(GROUP).map(LedgerState::crashes) else {
+        let Some(state) = self.node.machine(GROUP) else {
             return;
         };
+        let (crashes, cleared) = (state.crashes(), state.cleared_crashes());
         if crashes.next() != self.next_crash {
             let now = Instant::now();
             for record in crashes.since(self.next_crash) {
@@ -702,6 +706,13 @@
             }
             self.next_crash = crashes.next();
         }
+        if cleared.next() != self.next_cleared {
+            let now = Instant::now();
+            for record in cleared.since(self.next_cleared) {
+                self.services.crashes.clear(record.clone(), now);
+            }
+            self.next_cleared = cleared.next();
+        }
     }
 
     /// Publishes the drained zones if they have changed. The rest of the status is published by
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -139,6 +139,8 @@
     SendPermitted = 4125, Info;
     /// A response was given up while its body was read.
     ResponseFailed = 4126, Warn;
+    /// A crash under a request does not count any more, since the request turned out to be harmless.
+    CrashCleared = 4127, Info;
     /// The origin of a stream is recorded in the ledger.
     StreamOriginRecorded = 4128, Info;
     /// An engine released the cache of a program that has ended.
