Discovery: a long or deeply nested entry costs only itself

Cause: a page was collected as a whole and thrown away if it was longer than 4 MiB, or if any of its entries was nested deeper than 64 brackets.

Change: pages are parsed as they arrive (PageParser). A page may have 16 MiB, which bounds processor time; it was 4 MiB in memory, twice. The limit on the replicas of a reading is checked while a page arrives, not after it. The codecs of two test files implement the new interface; what these tests check is unchanged.

Ruled out: serde_json over the page or its sequence of entries, whose error at one unreadable entry ends the page; a higher limit on pages that are collected, since some gateways have 48 MB.

Conclusion: an entry cannot take its page with it by length or depth. A page whose brackets do not close is still no page. By arithmetic, not run: a link of 30 Mbit/s carries 3.7 MB in the second that a page may take.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -21,6 +21,7 @@
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::tcp;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use parking_lot::Mutex;
 use rand::RngExt;
@@ -35,7 +36,9 @@
 /// Range of the delay before a page is fetched again, in ms. It is random, because other readers
 /// share the rate limit.
 const RETRY_DELAY_MS: Range<u64> = 100..300;
-const MAX_PAGE_BYTES: usize = 4 << 20;
+/// Maximum length of a page, so that an endless one is rejected. Pages are parsed as they arrive, so
+/// this bounds processor time rather than memory usage.
+const MAX_PAGE_BYTES: usize = 16 << 20;
 /// Lists of more pages are fetched by zone.
 const MAX_SEQUENTIAL_PAGES: usize = 8;
 /// Limit on the number of pages, so that an endless list is rejected.
@@ -126,14 +129,38 @@
     pub next: Option<String>,
 }
 
+/// A page is malformed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("malformed page")]
+pub struct MalformedPage;
+
+/// Parser of one page, which is parsed as it arrives.
+pub trait PageParser: Send {
+    /// Parses the next bytes of the page, and adds what they complete to `page`.
+    ///
+    /// # Errors
+    /// Returns an error if the page is malformed.
+    fn parse(&mut self, bytes: &[u8], page: &mut Page) -> Result<(), MalformedPage>;
+
+    /// Whether the bytes so far are a complete page.
+    fn is_complete(&self) -> bool;
+}
+
 /// Request paths and encoding of the platform's list.
 pub trait ListCodec: Send + Sync {
     /// Returns path and query of a page of the replicas in `zone`, or of all replicas; `token` is
     /// `None` for the first page.
     fn page_path(&self, zone: Option<&str>, token: Option<&str>) -> String;
 
+    /// Creates a parser of one page.
+    fn page_parser(&self) -> Box<dyn PageParser>;
+
     /// Parses a page; returns `None` if it is malformed or truncated.
-    fn parse_page(&self, body: &[u8]) -> Option<Page>;
+    fn parse_page(&self, body: &[u8]) -> Option<Page> {
+        let (mut parser, mut page) = (self.page_parser(), Page::default());
+        parser.parse(body, &mut page).ok()?;
+        parser.is_complete().then_some(page)
+    }
 }
 
 /// An error returned by [`ListReader::read`].
@@ -328,13 +355,13 @@
         zone: Option<&str>,
         partial: &mut PartialList,
     ) -> Result<bool, ReadError> {
-        if partial.pages >= MAX_PAGES || partial.replicas.len() > MAX_REPLICAS {
+        if partial.pages >= MAX_PAGES {
             return Err(ReadError::InvalidList);
         }
         let path = self.codec.page_path(zone, partial.token.as_deref());
-        let body = tokio::time::timeout(PAGE_TIMEOUT, self.get(connection, &path));
-        let body = body.await.map_err(|_| ReadError::Timeout)??;
-        let page = self.codec.parse_page(&body).ok_or(ReadError::InvalidList)?;
+        let most = MAX_REPLICAS.saturating_sub(partial.replicas.len());
+        let page = tokio::time::timeout(PAGE_TIMEOUT, self.get(connection, &path, most));
+        let page = page.await.map_err(|_| ReadError::Timeout)??;
         partial.replicas.extend(page.replicas);
         partial.skipped.merge(page.skipped);
         partial.pages += 1;
@@ -342,11 +369,13 @@
         Ok(partial.token.is_some())
     }
 
+    /// Fetches a page of at most `most` replicas.
     async fn get(
         &self,
         connection: &mut ServerConnection<Empty<Bytes>>,
         path: &str,
-    ) -> Result<Bytes, ReadError> {
+        most: usize,
+    ) -> Result<Page, ReadError> {
         connection.ready().await?;
         let request = Request::get(path).header("host", self.address.to_string());
         let request = request.body(Empty::new()).map_err(|_| ReadError::InvalidList)?;
@@ -354,8 +383,23 @@
         if response.status() != StatusCode::OK {
             return Err(ReadError::Status(response.status()));
         }
-        let body = Limited::new(response.into_body(), MAX_PAGE_BYTES);
-        let body = body.collect().await.map_err(|_| ReadError::InvalidList)?;
-        Ok(body.to_bytes())
+        self.parse_body(response.into_body(), most).await
+    }
+
+    /// Parses a page as it arrives, so that it is never in memory as a whole.
+    async fn parse_body(&self, body: Incoming, most: usize) -> Result<Page, ReadError> {
+        let mut body = Limited::new(body, MAX_PAGE_BYTES);
+        let (mut parser, mut page) = (self.codec.page_parser(), Page::default());
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| ReadError::InvalidList)?;
+            let Some(bytes) = frame.data_ref() else {
+                continue;
+            };
+            parser.parse(bytes, &mut page).map_err(|_| ReadError::InvalidList)?;
+            if page.replicas.len() > most {
+                return Err(ReadError::InvalidList);
+            }
+        }
+        parser.is_complete().then_some(page).ok_or(ReadError::InvalidList)
     }
 }
--- a/crates/discovery/tests/by_zone.rs
+++ b/crates/discovery/tests/by_zone.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_discovery::{ListCodec, ListReader, ListedReplica, Page};
+use calicohoist_discovery::{ListCodec, ListReader, ListedReplica, Page, PageParser};
 use calicohoist_routing::{Replica, ReplicaState};
-use support::{Calls, Reply, start};
+use support::{Calls, Reply, ShortPageParser, start};
 
 const PAGES_PER_ZONE: usize = 5;
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
@@ -24,7 +24,14 @@
         format!("/{}/{}", zone.unwrap_or("all"), token.unwrap_or("0"))
     }
 
-    fn parse_page(&self, body: &[u8]) -> Option<Page> {
+    fn page_parser(&self) -> Box<dyn PageParser> {
+        let Self(zones) = *self;
+        ShortPageParser::boxed(move |body| Self(zones).parse(body))
+    }
+}
+
+impl ZoneCodec {
+    fn parse(&self, body: &[u8]) -> Option<Page> {
         let (zone, number) = std::str::from_utf8(body).ok()?.split_once('/')?;
         let number: usize = number.parse().ok()?;
         let (pages, replica_zone) = match zone {
--- a/crates/discovery/tests/reading.rs
+++ b/crates/discovery/tests/reading.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_discovery::{ListCodec, ListReader, ListedReplica, Page, ReadError};
+use calicohoist_discovery::{ListCodec, ListReader, ListedReplica, Page, PageParser, ReadError};
 use calicohoist_routing::{Replica, ReplicaState};
-use support::{Reply, start};
+use support::{Reply, ShortPageParser, start};
 
 const PAGES: usize = 5;
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
@@ -21,7 +21,13 @@
         format!("/{}", token.unwrap_or("0"))
     }
 
-    fn parse_page(&self, body: &[u8]) -> Option<Page> {
+    fn page_parser(&self) -> Box<dyn PageParser> {
+        ShortPageParser::boxed(Self::parse_number)
+    }
+}
+
+impl NumberCodec {
+    fn parse_number(body: &[u8]) -> Option<Page> {
         let number: usize = std::str::from_utf8(body).ok()?.parse().ok()?;
         let replica = Replica {
             id: format!("r{number}"),
--- a/crates/discovery/tests/support/mod.rs
+++ b/crates/discovery/tests/support/mod.rs
@@ -4,10 +4,35 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use calicohoist_discovery::{MalformedPage, Page, PageParser};
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Parses a page that arrives at once.
+pub struct ShortPageParser<F> {
+    parse: F,
+    is_complete: bool,
+}
+
+impl<F: Fn(&[u8]) -> Option<Page> + Send + 'static> ShortPageParser<F> {
+    pub fn boxed(parse: F) -> Box<dyn PageParser> {
+        Box::new(Self { parse, is_complete: false })
+    }
+}
+
+impl<F: Fn(&[u8]) -> Option<Page> + Send> PageParser for ShortPageParser<F> {
+    fn parse(&mut self, bytes: &[u8], page: &mut Page) -> Result<(), MalformedPage> {
+        *page = (self.parse)(bytes).filter(|_| !self.is_complete).ok_or(MalformedPage)?;
+        self.is_complete = true;
+        Ok(())
+    }
+
+    fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+}
+
 /// How the service answers a call.
 #[derive(Clone, Copy)]
 pub enum Reply {
