Tests: requests while their gateway gets signals in series

Change: callers on kept and new connections, with pipelined requests, a shut sending side, streams and small receive windows, while their gateway gets SIGHUP, SIGTERM, a second SIGTERM, SIGSTOP and SIGCONT in three orders, or configurations around a SIGTERM; each order once directly, and once with 60 ms of delay per 16 KiB on the links of callers and replicas. A request counts as lost if a replica has run it, or if its connection ends more than 200 ms after its last byte without an answer.

--- a/crates/calicohoist/tests/stops/main.rs
+++ b/crates/calicohoist/tests/stops/main.rs
@@ -9,6 +9,7 @@
 
 mod arrivals;
 mod half_closed;
+mod series;
 mod slow_readers;
 
 use std::io::{BufReader, Read, Write as _};
