Tests: full disks in turn, and a lost disk beside an absent machine

Full disks and the loss of power with real processes were left open by the earlier postmortems.

Change: two tests with turns and configurations under load, judged from what was acknowledged. One limits the disk of one ledger machine after the other (files of 1 MiB), starts those that end over it, and ends all processes at the same moment. The other ends all processes, and starts one ledger machine without its disk while another one stays away, twice; until it is back, no turn may be answered 404 or 410, and no older configuration may be read. The common part of the test of the final fault is shared; its play is the same.

--- a/crates/calicohoist/tests/acknowledged/failing_disk.rs
+++ b/crates/calicohoist/tests/acknowledged/failing_disk.rs
@@ -4,15 +4,27 @@
 use std::os::unix::fs::PermissionsExt as _;
 use std::path::PathBuf;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crate::cluster::{BUILD_UNDER_TEST, Cluster};
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use crate::cluster::{BUILD_UNDER_TEST, Cluster, Process};
+use crate::durability::number_from_environment;
+use crate::final_fault::KilledDeployment;
 use crate::{
     Ledger, STORE_IPS, assert_answered, configuration, large_configuration, read_response,
 };
 
 /// Larger than the limit on the size of files.
 const LARGE_BYTES: usize = 4 << 20;
+/// Seed of the first deployment; overridden by `FAILING_DISK_SEED`.
+const FIRST_SEED: u64 = 1;
+/// Number of deployments; overridden by `FAILING_DISK_DEPLOYMENTS`.
+const DEPLOYMENTS: u64 = 1;
+/// Time for which the disk of a machine is limited, and in which the machine then catches up.
+const LIMITED_TIME: Duration = Duration::from_millis(1_500);
+const RECOVERY_TIME: Duration = Duration::from_millis(1_500);
 
 /// Writes a program that starts the build under test with a limit on the size of files. Writes
 /// beyond it fail instead of ending the process.
@@ -89,3 +101,37 @@
     }
     thread::sleep(Duration::from_millis(50));
 }
+
+/// Limits the disk of one ledger machine after another, and starts those that end over it.
+fn limit_disks_in_turn(cluster: &Cluster, processes: &mut [Process], _: &mut StdRng) {
+    let build = limited_build(cluster);
+    for process in processes.iter_mut().filter(|process| STORE_IPS.contains(&process.ip)) {
+        process.kill();
+        *process = cluster.start_with_binary(&build, process.ip, process.ip, false);
+        let (until, mut exits) = (Instant::now() + LIMITED_TIME, 0);
+        while Instant::now() < until {
+            thread::sleep(Duration::from_millis(50));
+            if process.child.try_wait().expect("a status").is_some() {
+                exits += 1;
+                *process = cluster.start_with_binary(&build, process.ip, process.ip, false);
+            }
+        }
+        println!("{} ended {exits} times over its disk", process.ip);
+        process.kill();
+        *process = cluster.start(process.ip, false);
+        thread::sleep(RECOVERY_TIME);
+    }
+}
+
+#[test]
+fn acknowledged_changes_survive_full_disks_in_turn_and_the_end_of_all_processes() {
+    let first = number_from_environment("FAILING_DISK_SEED", FIRST_SEED);
+    let deployments = number_from_environment("FAILING_DISK_DEPLOYMENTS", DEPLOYMENTS);
+    for seed in first..first + deployments {
+        println!("seed {seed}");
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut deployment = KilledDeployment::play(&mut random, limit_disks_in_turn);
+        deployment.start_all();
+        deployment.assert_all_kept();
+    }
+}
--- a/crates/calicohoist/tests/acknowledged/final_fault.rs
+++ b/crates/calicohoist/tests/acknowledged/final_fault.rs
@@ -1,6 +1,6 @@
 //! Acknowledged changes after a fault that ends all processes at the same moment.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fs;
 use std::io::{BufReader, Write as _};
 use std::net::{SocketAddr, TcpStream};
@@ -18,7 +18,7 @@
 use crate::cluster::{Cluster, GATEWAY_IPS, Process};
 use crate::durability::{number_from_environment, start_model};
 use crate::support::{Response, ScriptedReplica, client, configuration, request_head, wait_until};
-use crate::{Ledger, STORE_IPS, large_configuration, request};
+use crate::{Ledger, STORE_IPS, large_configuration, request, version_of};
 
 /// Seed of the first deployment; overridden by `FINAL_FAULT_SEED`.
 const FIRST_SEED: u64 = 1;
@@ -123,7 +123,7 @@
 }
 
 /// Kills one machine after another, and starts it again, until the final fault.
-fn kill_in_turn(cluster: &Cluster, processes: &mut [Process], random: &mut StdRng) {
+pub fn kill_in_turn(cluster: &Cluster, processes: &mut [Process], random: &mut StdRng) {
     let ends_at = Instant::now() + Duration::from_millis(random.random_range(1_000..2_500));
     while Instant::now() < ends_at {
         thread::sleep(Duration::from_millis(random.random_range(100..600)));
@@ -180,42 +180,123 @@
     assert!(found >= turns.len(), "{found} of {} turns reached a replica", turns.len());
 }
 
-fn play(seed: u64) {
-    let mut random = StdRng::seed_from_u64(seed);
-    let Ledger { cluster, machines: mut processes } = Ledger::start();
-    let models = ["hall", "attic"].map(|zone| {
-        let model = start_model(zone);
-        cluster.platform_list.put_in_zone(zone, &model, "models", "ready");
-        model
-    });
-    processes.extend(GATEWAY_IPS.map(|ip| cluster.start(ip, true)));
-    let is_ready = || GATEWAY_IPS.iter().all(|ip| cluster.is_ready(ip));
-    wait_until("the gateways are ready", is_ready);
-
-    let workload = Workload::new(&cluster);
-    thread::scope(|scope| {
-        scope.spawn(|| workload.operate());
-        for caller in 0..CALLERS {
-            let random = StdRng::seed_from_u64(random.random());
-            let workload = &workload;
-            scope.spawn(move || workload.call(caller, random));
+/// A deployment whose processes have all been killed, with what was acknowledged to its callers.
+pub struct KilledDeployment {
+    cluster: Cluster,
+    processes: Vec<Process>,
+    models: [ScriptedReplica; 2],
+    version: u64,
+    turns: Vec<Turn>,
+}
+
+impl KilledDeployment {
+    /// Starts a deployment, causes faults under load, and kills all processes at the same moment.
+    pub fn play(
+        random: &mut StdRng,
+        cause_faults: impl FnOnce(&Cluster, &mut [Process], &mut StdRng),
+    ) -> Self {
+        let Ledger { cluster, machines: mut processes } = Ledger::start();
+        let models = ["hall", "attic"].map(|zone| {
+            let model = start_model(zone);
+            cluster.platform_list.put_in_zone(zone, &model, "models", "ready");
+            model
+        });
+        processes.extend(GATEWAY_IPS.map(|ip| cluster.start(ip, true)));
+        wait_until("the gateways are ready", || are_gateways_ready(&cluster));
+
+        let workload = Workload::new(&cluster);
+        thread::scope(|scope| {
+            scope.spawn(|| workload.operate());
+            for caller in 0..CALLERS {
+                let random = StdRng::seed_from_u64(random.random());
+                let workload = &workload;
+                scope.spawn(move || workload.call(caller, random));
+            }
+            cause_faults(&cluster, &mut processes, random);
+            kill_all(&mut processes);
+            workload.is_over.store(true, Ordering::SeqCst);
+        });
+        let version = workload.version.into_inner();
+        let turns = workload.turns.into_inner();
+        println!("{version} configurations, {} turns", turns.len());
+        Self { cluster, processes, models, version, turns }
+    }
+
+    pub fn kill(&mut self) {
+        kill_all(&mut self.processes);
+    }
+
+    pub fn start_all(&mut self) {
+        self.start_those(|_| true);
+    }
+
+    pub fn start_all_but(&mut self, absent: &str) {
+        self.start_those(|ip| ip != absent);
+    }
+
+    fn start_those(&mut self, is_started: impl Fn(&str) -> bool) {
+        for process in self.processes.iter_mut().filter(|process| is_started(process.ip)) {
+            *process = self.cluster.start(process.ip, false);
         }
-        kill_in_turn(&cluster, &mut processes, &mut random);
-        kill_all(&mut processes);
-        workload.is_over.store(true, Ordering::SeqCst);
-    });
-    let version = workload.version.into_inner();
-    let turns = workload.turns.into_inner();
+    }
 
-    let lost = *STORE_IPS.choose(&mut random).expect("a machine");
-    println!("seed {seed}: {version} configurations, {} turns, {lost} loses its disk", turns.len());
-    fs::remove_dir_all(cluster.data_folder(lost)).expect("the data folder is removed");
-    for process in &mut processes {
-        *process = cluster.start(process.ip, false);
+    /// Removes what a machine has stored.
+    pub fn lose_disk(&self, ip: &str) {
+        println!("{ip} loses its disk");
+        let folder = self.cluster.data_folder(ip);
+        fs::remove_dir_all(folder).expect("the data folder is removed");
+    }
+
+    /// Asserts for some time that nothing acknowledged is denied, whether it can be served or not.
+    /// Returns the number of turns that were asked for, by the status of their response.
+    pub fn assert_nothing_denied(&self, phase: usize, duration: Duration) -> BTreeMap<u16, usize> {
+        let ends_at = Instant::now() + duration;
+        let mut statuses = BTreeMap::new();
+        for (number, turn) in self.turns.iter().rev().cycle().enumerate() {
+            if Instant::now() > ends_at {
+                break;
+            }
+            let header = format!("Calicohoist-Previous-Turn: {}", turn.id);
+            let id = format!("probe-{phase}-{number}");
+            let head = request_head("POST", "/retained/a", &id, 2, &[&header]);
+            let gateway = self.cluster.http(GATEWAY_IPS[number % GATEWAY_IPS.len()]);
+            let response = try_exchange(gateway, &format!("{head}hi")).unwrap_or_default();
+            assert!(![404, 410].contains(&response.status), "{} is denied", turn.id);
+            *statuses.entry(response.status).or_default() += 1;
+            self.assert_no_older_configuration();
+            thread::sleep(RETRY_INTERVAL);
+        }
+        statuses
+    }
+
+    /// Asserts that a configuration, if it is read at all, is not an older one.
+    fn assert_no_older_configuration(&self) {
+        let read = self.cluster.operator_request("GET", "/-/config", "");
+        if let Some((response, ip)) = read {
+            let read = version_of(&response);
+            assert!(read >= self.version, "{ip}: version {read}, acknowledged {}", self.version);
+        }
     }
-    assert_configuration(&cluster, version);
-    wait_until("the gateways are ready again", is_ready);
-    assert_turns(&cluster, &turns, &models);
+
+    /// Asserts that everything acknowledged is there.
+    pub fn assert_all_kept(&self) {
+        assert_configuration(&self.cluster, self.version);
+        wait_until("the gateways are ready again", || are_gateways_ready(&self.cluster));
+        assert_turns(&self.cluster, &self.turns, &self.models);
+    }
+}
+
+fn are_gateways_ready(cluster: &Cluster) -> bool {
+    GATEWAY_IPS.iter().all(|ip| cluster.is_ready(ip))
+}
+
+fn play(seed: u64) {
+    println!("seed {seed}");
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut deployment = KilledDeployment::play(&mut random, kill_in_turn);
+    deployment.lose_disk(STORE_IPS.choose(&mut random).expect("a machine"));
+    deployment.start_all();
+    deployment.assert_all_kept();
 }
 
 #[test]
--- a/crates/calicohoist/tests/acknowledged/main.rs
+++ b/crates/calicohoist/tests/acknowledged/main.rs
@@ -8,6 +8,7 @@
 mod cluster;
 
 mod calls;
+mod double_fault;
 mod durability;
 mod endless_calls;
 mod failing_disk;
