Soak: kill all gateways beside releases, and judge streams taken up late

What callers saw: streams joined from two software versions after all gateways were killed, and streams that don't go on although their version serves. The soak showed neither: it killed up to a quarter of the gateways, had one replica for each version, all of which served all the time, clients came back within 440 ms, and it judged joins only.

Cause in the product: the record of an origin expires before the client comes back, and without one the only version that a gateway has seen is taken for the one that began the stream. This commit doesn't change it.

Change: a service of its own with two replicas for each version, in a zone that is never drained. Every 4 to 6 s a newer version takes over, and all disrupted gateways are killed at the same moment: the older version is replaced then, leaves then after serving beside the newer one, or stays until the next release. Callers leave streams that they have begun, and take them up within 0.4 s, after 1 to 5 s, or after 5 to 20 s. Judged are joins, and for streams taken up sooner and later than 5 s the share that goes on while two replicas of their version serve: 12 or more, at least half of the share of new ones that begin. The judgement has tests of its own, and findings fail a test of their own, as fatal requests do. Other seeded sequences of faults don't change. A disruption that kills is noted before the signal for all machines that are killed together.

--- a/crates/calicohoist/tests/soak/attempts.rs
+++ b/crates/calicohoist/tests/soak/attempts.rs
@@ -186,6 +186,29 @@
     }
 }
 
+/// Ends with the given number of events.
+struct EventReader<'a> {
+    input: &'a mut BufReader<ObservedStream>,
+    /// The line being read, and the number of events still to come.
+    line: Vec<u8>,
+    missing: usize,
+}
+
+impl Read for EventReader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if self.missing == 0 {
+            return Ok(0);
+        }
+        let length = self.input.read(&mut buffer[..1])?;
+        self.line.extend_from_slice(&buffer[..length]);
+        if self.line.ends_with(b"\n") {
+            self.missing -= usize::from(self.line.starts_with(b"data: "));
+            self.line.clear();
+        }
+        Ok(length)
+    }
+}
+
 /// A request that was sent and whose answer is due.
 pub struct SentRequest {
     id: String,
@@ -284,17 +307,22 @@
         };
         let cut = self.input.get_ref().cut;
         let (cut, ended) = cut.unwrap_or((Cut::Closed, Instant::now()));
-        let ending = match reply.status {
-            0 if request.sent.is_none() => Ending::Unsent,
-            0 => Ending::Unanswered(cut),
-            status if reply.is_complete => Ending::Complete(status),
-            status => Ending::Incomplete(status, cut),
-        };
+        let ending = request.ending(&reply, cut);
         self.record(request, ending, ended);
         self.is_closing |= reply.header("connection").is_some_and(|value| value == "close");
         reply
     }
 
+    /// Reads the answer up to the given number of events, and leaves.
+    pub fn receive_events(&mut self, request: SentRequest, count: usize) -> Response {
+        let mut events = EventReader { input: &mut self.input, line: Vec::new(), missing: count };
+        let reply = client::read_response(&mut BufReader::with_capacity(1, &mut events));
+        let (cut, ended) = self.input.get_ref().cut.unwrap_or((Cut::Left, Instant::now()));
+        let ending = request.ending(&reply, cut);
+        self.record(request, ending, ended);
+        reply
+    }
+
     /// Reads part of the answer, and leaves; returns `false` if the answer ended before.
     pub fn leave_after(&mut self, request: SentRequest, bytes: usize) -> bool {
         let mut part = vec![0; bytes];
@@ -323,6 +351,16 @@
 }
 
 impl SentRequest {
+    /// Returns how the request ended for its caller; `cut` counts if the answer is not complete.
+    fn ending(&self, reply: &Response, cut: Cut) -> Ending {
+        match reply.status {
+            0 if self.sent.is_none() => Ending::Unsent,
+            0 => Ending::Unanswered(cut),
+            status if reply.is_complete => Ending::Complete(status),
+            status => Ending::Incomplete(status, cut),
+        }
+    }
+
     fn attempt(self, node: SocketAddr, ended: Instant, ending: Ending) -> Attempt {
         Attempt {
             id: self.id,
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -467,12 +467,27 @@
     }
 
     fn kill(&mut self, target: Target) {
-        self.observe_usage();
-        let machine = self.machine(target);
-        self.timeline.begin(machine, DisruptionKind::Killed);
-        self.node_mut(target).process = None;
         let downtime = self.random_millis(0, 900);
-        self.pending_recoveries.push((Instant::now() + downtime, Recovery::Start(target)));
+        self.kill_together(&[target], downtime);
+    }
+
+    /// Kills all gateways that are disrupted at the same moment.
+    pub fn kill_gateways(&mut self, downtime: Duration) {
+        let targets: Vec<Target> = (0..self.disrupted_gateways).map(Target::Gateway).collect();
+        self.kill_together(&targets, downtime);
+    }
+
+    fn kill_together(&mut self, targets: &[Target], downtime: Duration) {
+        self.observe_usage();
+        for target in targets {
+            let machine = self.machine(*target);
+            self.timeline.begin(machine, DisruptionKind::Killed);
+            self.signal(*target, Signal::KILL);
+        }
+        for target in targets {
+            self.node_mut(*target).process = None;
+            self.pending_recoveries.push((Instant::now() + downtime, Recovery::Start(*target)));
+        }
     }
 
     /// Restarts a node if its stopping process has exited; otherwise checks again later.
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -6,7 +6,8 @@
 //! all faults are cleared and the observations of callers, replicas and the operator are checked.
 //! Among these are the requests that ended without a complete answer, see [`unanswered`]. Some
 //! callers ask for responses that never end, see [`endless`]; `CALICOHOIST_SOAK_ENDLESS=0` leaves
-//! these out. What each node has used is printed at the end.
+//! these out. A service is released while all gateways are killed, see [`releases`]. What each node
+//! has used is printed at the end.
 //!
 //! `CALICOHOIST_SOAK_SEEDS=FROM..TO`, `CALICOHOIST_SOAK_SECONDS=N` and `CALICOHOIST_SOAK_FRONTS=N`
 //! select the runs (see `scripts/soak.sh`); the default is [`REGRESSION_RUNS`].
@@ -32,6 +33,8 @@
 mod forwarder_tests;
 mod load;
 mod operator;
+mod releases;
+mod releases_tests;
 mod retention;
 mod slow_reader;
 mod sound;
@@ -61,6 +64,7 @@
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use releases::{ReleaseRecords, ReleasedService, judge_releases, start_release_callers};
 use retention::continue_turns;
 use serde_json::json;
 use slow_reader::{large_answer, read_slowly};
@@ -84,6 +88,8 @@
     SoakRun { seed: 146, gateways: 2, seconds: 15 },
     SoakRun { seed: 5218, gateways: 4, seconds: 10 },
 ];
+/// Runs that are judged by the streams of the service that is released.
+const RELEASE_RUNS: [SoakRun; 1] = [SoakRun { seed: 86, gateways: 4, seconds: 20 }];
 const DEFAULT_SECONDS: u64 = 20;
 const DEFAULT_GATEWAYS: usize = 4;
 
@@ -132,6 +138,8 @@
     served: u64,
     /// Streams and their continuations.
     streams: StreamRecords,
+    /// Streams of the service that is released.
+    releases: ReleaseRecords,
     /// Replicas that crashed, and the requests under which they did.
     crashes: CrashRecords,
     /// Drains of zones, with their duration.
@@ -274,6 +282,8 @@
     fatal_requests: Vec<String>,
     /// Requests that reached a zone which had been drained before all stores were killed.
     drained_requests: usize,
+    /// Streams that went on at another version, or stopped although their version served.
+    release_violations: Vec<String>,
 }
 
 /// Runs the soak.
@@ -333,6 +343,8 @@
         let arrivals = soak.arrivals.clone();
         threads.push(run_replicas(list, rng, &records, arrivals, &stop_flag));
     }
+    let mut released_service = ReleasedService::start(seed, &soak);
+    threads.extend(start_release_callers(seed, &soak, &records, &stop_flag));
     let _sound_replicas = start_replicas(&soak.cluster.platform_list, &soak.arrivals);
     threads.extend(start_callers(seed, &soak, &records, &stop_flag));
     // An older build may not bound what an endless response costs.
@@ -358,6 +370,7 @@
         let pause = soak.random_millis(50, 700);
         soak.run_for(pause);
         soak.inject_faults();
+        released_service.advance(&mut soak);
     }
     soak.clear_faults();
     soak.finish_upgrade();
@@ -381,10 +394,13 @@
     check_executions(&soak.replicas, &mut records);
     let drain_violations = check_drains(&soak.replicas, &records.drains, &soak.arrivals);
     records.violations.extend(drain_violations);
-    let mut fatal_requests = Vec::new();
+    let (mut fatal_requests, mut release_violations) = (Vec::new(), Vec::new());
     // Gateways of an older build continue streams at any version, and count no crashes.
     if !is_mixed {
         check_versions(&mut records);
+        let findings = judge_releases(&records.releases, &released_service.listings);
+        println!("seed {seed}, releases: {findings}");
+        release_violations = findings.violations();
         let log_folder = soak.cluster.folder.path();
         fatal_requests =
             check_crashes(&mut records, log_folder, &soak.pauses, &soak.timeline.disruptions);
@@ -425,7 +441,7 @@
         panic!("seed {seed}, logs in {}: {:#?}", log_folder.display(), records.violations);
     }
     assert!(records.served > 0, "seed {seed}: nothing was served");
-    RunFindings { fatal_requests, drained_requests }
+    RunFindings { fatal_requests, drained_requests, release_violations }
 }
 
 /// Reads a number from an environment variable.
@@ -433,11 +449,12 @@
     std::env::var(variable).ok()?.parse().ok()
 }
 
-fn selected_runs() -> Vec<SoakRun> {
+/// Returns the runs that the environment selects, or else the given ones.
+fn selected_runs(regression_runs: &[SoakRun]) -> Vec<SoakRun> {
     let range = std::env::var("CALICOHOIST_SOAK_SEEDS").ok();
     let range = range.as_deref().and_then(|range| range.split_once(".."));
     let Some((Ok(from), Ok(to))) = range.map(|(from, to)| (from.parse::<u64>(), to.parse())) else {
-        return REGRESSION_RUNS.to_vec();
+        return regression_runs.to_vec();
     };
     let seconds = env_number("CALICOHOIST_SOAK_SECONDS").unwrap_or(DEFAULT_SECONDS);
     let gateways = env_number("CALICOHOIST_SOAK_FRONTS").unwrap_or(DEFAULT_GATEWAYS);
@@ -446,15 +463,24 @@
 
 #[test]
 fn promises_hold_while_everything_around_fails() {
-    for run in selected_runs() {
+    for run in selected_runs(&REGRESSION_RUNS) {
         println!("{:?}", run_soak(run));
     }
 }
 
 #[test]
 fn no_request_crashes_a_fourth_replica_while_everything_around_fails() {
-    let found: Vec<String> =
-        selected_runs().into_iter().flat_map(|run| run_soak(run).fatal_requests).collect();
+    let found: Vec<String> = selected_runs(&REGRESSION_RUNS)
+        .into_iter()
+        .flat_map(|run| run_soak(run).fatal_requests)
+        .collect();
+    assert!(found.is_empty(), "{found:#?}");
+}
+
+#[test]
+fn streams_keep_their_version_while_all_gateways_are_killed_beside_releases() {
+    let runs = selected_runs(&RELEASE_RUNS).into_iter();
+    let found: Vec<String> = runs.flat_map(|run| run_soak(run).release_violations).collect();
     assert!(found.is_empty(), "{found:#?}");
 }
 
--- a/crates/calicohoist/tests/soak/operator.rs
+++ b/crates/calicohoist/tests/soak/operator.rs
@@ -11,6 +11,7 @@
 use crate::attempts::{Submission, exchange_recorded};
 use crate::caller::try_exchange;
 use crate::crashes::add_fragile_service;
+use crate::releases::add_released_service;
 use crate::sound::add_sound_service;
 use crate::support::configuration;
 use crate::timeline::SentConfiguration;
@@ -68,6 +69,7 @@
     let mut document = configuration(version);
     add_fragile_service(&mut document);
     add_sound_service(&mut document);
+    add_released_service(&mut document);
     if let Some(routes) = document["routes"].as_array_mut() {
         let template = routes[0].clone();
         routes.extend((0..extra_routes).map(|number| {
