Tests: tasks for back ends in one place

The tests of responses without an end and of those that are cut built the same tasks and events, each with a copy of its own. They share one module; no assertion changed. The soak's faults are named after gateways.

--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -739,7 +739,7 @@
                     let index = self.rng.random_range(0..self.disrupted_gateways);
                     self.kill(Target::Gateway(index));
                 }
-                "many fronts killed"
+                "many gateways killed"
             }
             5 => {
                 self.break_replica_connections(replica);
--- a/crates/calicohoist/tests/soak/releases.rs
+++ b/crates/calicohoist/tests/soak/releases.rs
@@ -85,9 +85,9 @@
 
     fn name(self) -> &'static str {
         match self {
-            Self::Replace => "all fronts killed, version replaced",
-            Self::Overlap => "all fronts killed, older version left",
-            Self::SideBySide => "all fronts killed beside two versions",
+            Self::Replace => "all gateways killed, version replaced",
+            Self::Overlap => "all gateways killed, older version left",
+            Self::SideBySide => "all gateways killed beside two versions",
         }
     }
 }
--- a/crates/gateway/tests/cut_results.rs
+++ b/crates/gateway/tests/cut_results.rs
@@ -3,20 +3,20 @@
 #[path = "../../http/tests/support/mod.rs"]
 mod support;
 
+mod tasks;
+
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use calicohoist_gateway::backend::{engine, platform, service};
-use calicohoist_gateway::core::message::{BackendEvent, BackendFailure, EngineTask, ServiceTask};
-use calicohoist_types::openai::ChatChunk;
-use calicohoist_types::{AttemptId, EngineId, IdempotencyKey, ModelId, ProgramId, ServiceId};
+use calicohoist_gateway::backend::{engine, platform};
+use calicohoist_gateway::core::message::{BackendEvent, BackendFailure};
+use calicohoist_types::{AttemptId, ProgramId};
 use support::{ConnectionEnd, ENDS, cut, start_cut};
+use tasks::{ATTEMPT, engine_event, engine_task, run_job};
 
 /// Far above the time that a response takes.
 const TIMEOUT: Duration = Duration::from_secs(20);
-const ATTEMPT: &str = "program/1/1";
-const MODEL: &str = "model";
 /// Stands for the body of a response.
 const BODY: &str = "{body}";
 const LENGTH: &str = "{length}";
@@ -65,31 +65,17 @@
     assert_each_fails(body, &cut_responses(body), failure, request);
 }
 
-fn run_job(address: SocketAddr, lookup_only: bool) -> Vec<BackendEvent> {
-    let task = ServiceTask {
-        attempt: AttemptId::parse(ATTEMPT).expect("valid"),
-        address,
-        service: ServiceId::new("tools"),
-        key: IdempotencyKey::new("key"),
-        input: "input".to_owned(),
-        lookup_only,
-    };
-    let mut events = Vec::new();
-    service::run(&task, TIMEOUT, |event| events.push(event));
-    events
-}
-
 #[test]
 fn cut_job_result_breaks_the_attempt() {
     let failure = vec![BackendEvent::Failed(BackendFailure::Broken)];
-    let run = |address| run_job(address, false);
+    let run = |address| run_job(address, TIMEOUT, false);
     assert_each_cut_fails(r#"{"key":"key",|"output":"who|le"|}"#, failure, run);
 }
 
 #[test]
 fn cut_result_that_is_looked_up_is_not_seen() {
     let failure = vec![BackendEvent::Failed(BackendFailure::NotSeen)];
-    let run = |address| run_job(address, true);
+    let run = |address| run_job(address, TIMEOUT, true);
     assert_each_cut_fails(r#"{"key":"key",|"output":"who|le"|}"#, failure, run);
 }
 
@@ -116,33 +102,15 @@
     assert_each_cut_fails(r#"{"tokens":1|}"#, false, release);
 }
 
-fn event(text: Option<&str>, finish_reason: Option<&str>) -> String {
-    let text = text.map(str::to_owned);
-    let mut chunk = ChatChunk::new(ATTEMPT, 0, MODEL, text, finish_reason.map(str::to_owned));
-    chunk.usage = finish_reason.map(|_| Default::default());
-    format!("data: {}", serde_json::to_string(&chunk).expect("valid"))
-}
-
 fn run_attempt(address: SocketAddr, resume: Option<AttemptId>) -> Vec<BackendEvent> {
-    let task = EngineTask {
-        attempt: AttemptId::parse(ATTEMPT).expect("valid"),
-        engine: EngineId::new("engine"),
-        address,
-        model: ModelId::new(MODEL),
-        prompt: Vec::new(),
-        continuation: String::new(),
-        max_tokens: 100,
-        priority: 0,
-        resume,
-    };
     let mut events = Vec::new();
-    engine::run(&task, TIMEOUT, |event| events.push(event));
+    engine::run(&engine_task(address, resume), TIMEOUT, |event| events.push(event));
     events
 }
 
 #[test]
 fn cut_stream_breaks_the_attempt() {
-    let (first, last) = (event(Some("word"), None), event(None, Some("stop")));
+    let (first, last) = (engine_event(Some("word"), None), engine_event(None, Some("stop")));
     let (begun, rest) = last.split_at(last.len() / 2);
     let body = format!("da|ta: |{}|\n|\n|{begun}|{rest}|\n\n", &first["data: ".len()..]);
     // A stream is complete with its last event, whatever follows.
--- a/crates/gateway/tests/endless_results.rs
+++ b/crates/gateway/tests/endless_results.rs
@@ -3,13 +3,16 @@
 #[path = "../../http/tests/support/mod.rs"]
 mod support;
 
+mod tasks;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use calicohoist_gateway::backend::{engine, platform, service};
-use calicohoist_gateway::core::message::{BackendEvent, BackendFailure, ServiceTask};
-use calicohoist_types::{AttemptId, IdempotencyKey, ProgramId, ServiceId};
+use calicohoist_gateway::backend::{engine, platform};
+use calicohoist_gateway::core::message::{BackendEvent, BackendFailure};
+use calicohoist_types::ProgramId;
 use support::{MAX_TAKEN_BYTES, ScriptedServer, send_without_end, trickle};
+use tasks::run_job;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 /// Far above the time that a response of the size limit takes.
@@ -27,20 +30,6 @@
     result
 }
 
-fn run_job(address: SocketAddr, timeout: Duration, lookup_only: bool) -> Vec<BackendEvent> {
-    let task = ServiceTask {
-        attempt: AttemptId::parse("program/1/1").expect("valid"),
-        address,
-        service: ServiceId::new("tools"),
-        key: IdempotencyKey::new("key"),
-        input: "input".to_owned(),
-        lookup_only,
-    };
-    let mut events = Vec::new();
-    service::run(&task, timeout, |event| events.push(event));
-    events
-}
-
 #[test]
 fn job_result_without_end_breaks_the_attempt() {
     let start = r#"{"key":"key","output":""#;
--- a/crates/gateway/tests/endless_streams.rs
+++ b/crates/gateway/tests/endless_streams.rs
@@ -3,49 +3,31 @@
 #[path = "../../http/tests/support/mod.rs"]
 mod support;
 
+mod tasks;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use calicohoist_gateway::backend::engine;
-use calicohoist_gateway::core::message::{BackendEvent, BackendFailure, EngineTask};
-use calicohoist_types::openai::ChatChunk;
-use calicohoist_types::{AttemptId, EngineId, ModelId};
+use calicohoist_gateway::core::message::{BackendEvent, BackendFailure};
 use support::{MAX_TAKEN_BYTES, ScriptedServer, send_without_end, trickle};
+use tasks::{MAX_TOKENS, engine_event, engine_task};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
-const MODEL: &str = "model";
-const ATTEMPT: &str = "program/1/1";
-const MAX_TOKENS: u64 = 100;
 /// Far above the time that a stream of the size limit takes.
 const LONG_TIMEOUT: Duration = Duration::from_secs(20);
 /// Far below the time that a trickled stream takes, and above the time between its parts.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(400);
 
-fn task(address: SocketAddr) -> EngineTask {
-    EngineTask {
-        attempt: AttemptId::parse(ATTEMPT).expect("valid"),
-        engine: EngineId::new("engine"),
-        address,
-        model: ModelId::new(MODEL),
-        prompt: Vec::new(),
-        continuation: String::new(),
-        max_tokens: MAX_TOKENS,
-        priority: 0,
-        resume: None,
-    }
-}
-
+/// Returns an event with the empty line that ends it.
 fn event(text: Option<&str>, finish_reason: Option<&str>) -> String {
-    let text = text.map(str::to_owned);
-    let mut chunk = ChatChunk::new(ATTEMPT, 0, MODEL, text, finish_reason.map(str::to_owned));
-    chunk.usage = finish_reason.map(|_| Default::default());
-    format!("data: {}\n\n", serde_json::to_string(&chunk).expect("valid"))
+    format!("{}\n\n", engine_event(text, finish_reason))
 }
 
 /// Runs an attempt; returns its last event and the length of its text.
 fn run(address: SocketAddr, timeout: Duration) -> (Option<BackendEvent>, usize) {
     let (mut last, mut text_bytes) = (None, 0);
-    engine::run(&task(address), timeout, |event| {
+    engine::run(&engine_task(address, None), timeout, |event| {
         if let BackendEvent::Text { text, .. } = &event {
             text_bytes += text.len();
         }
