--- a/crates/calicohoist/tests/soak/releases.rs
+++ b/crates/calicohoist/tests/soak/releases.rs
@@ -17,7 +17,9 @@
 use crate::attempts::{AttemptLog, RecordedConnection, Submission};
 use crate::faults::Soak;
 use crate::support::replica::Exchange;
-use crate::support::{HOST, ListServer, Response, ScriptedReplica, remove_entry, request_head};
+use crate::support::{
+    HOST, ListServer, Response, ScriptedReplica, list_entry, remove_entry, request_head,
+};
 use crate::{ROUTE_TIMEOUT, Shared};
 
 const SERVICE: &str = "released";
@@ -193,10 +195,9 @@
                 .arrivals
                 .start_replica(&name, move |exchange| serve(exchange, &script_version));
             // One step, since no reader may see the entry without its version.
-            self.list.instances.lock().push(json!({
-                "id": replica.id, "service": SERVICE, "address": replica.address.to_string(),
-                "zone": ZONE, "version": version, "slots": 4, "state": "ready", "cold_left_ms": 0,
-            }));
+            let mut entry = list_entry(&replica, ZONE, SERVICE, "ready");
+            entry["version"] = json!(version);
+            self.list.instances.lock().push(entry);
             self.replicas.push(replica);
         }
         self.listings.insert(version, Listing { from: Instant::now(), until: None });
