Streams: a record that may be on its way is not rejected as unknown

What callers saw: a stream began while the ledger had no leader, so its first event did not wait for the record of its origin. Its client lost the connection and came to another gateway, which had found the new leader a moment before the first gateway wrote the record: 409, for good, although a replica of the version served.

Cause: the ledger's answer that it has no record was taken for "never". It says so only once every gateway has had time to write what it could not while there was no leader.

Change: a gateway answers 409 for a missing record only after 2.5 s of uninterrupted contact with the leader, the time in which another gateway notices a dead connection, finds the leader and retries. Before that it answers 503 with Retry-After, and the request has not run. Contact begins anew after 750 ms without an answer of the leader, with a connection to the ledger that was given up, and at the start of a gateway. A request without a name is answered 409 at once, as is a record that this build cannot read. The origin of these answers in calicohoist_proxy_streams_resumed_total is "pending".

Not covered: a gateway that alone is cut off from the leader. Others are in contact, and answer 409 until it has written its records.

--- a/crates/calicohoist/tests/taken_up/fixture.rs
+++ b/crates/calicohoist/tests/taken_up/fixture.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::io::{BufRead, BufReader, Write as _};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -23,9 +23,14 @@
 const REPLICAS_PER_VERSION: usize = 2;
 /// Tries of a client that is asked to come back.
 const MAX_TRIES: usize = 3;
+/// Tries of a client that comes back for as long as it is asked to.
+const MAX_PATIENT_TRIES: usize = 50;
+/// Time for which a gateway is held up.
+const GATEWAY_PAUSE: Duration = Duration::from_millis(800);
 /// Time within which the gateways learn of a change of the list.
 const LIST_DELAY: Duration = Duration::from_millis(1_500);
 const GATEWAY: &str = GATEWAY_IPS[0];
+const OTHER_GATEWAY: &str = GATEWAY_IPS[1];
 
 /// Which replicas serve before and after the kill.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,7 +66,7 @@
 pub struct BegunStream {
     id: String,
     version: String,
-    _connection: TcpStream,
+    connection: TcpStream,
 }
 
 /// What became of a stream that was taken up.
@@ -159,6 +164,31 @@
         }
     }
 
+    /// Starts a second gateway, and waits until it is ready.
+    pub fn start_other_gateway(&self) -> Process {
+        let gateway = self.cluster.start(OTHER_GATEWAY, false);
+        wait_until("the other gateway is ready", || self.cluster.is_ready(OTHER_GATEWAY));
+        gateway
+    }
+
+    /// Breaks the connections of all clients, which come to the other gateway at the same time. The ledger
+    /// has a leader again while they do, and the gateway that began the streams is held up for a moment.
+    pub fn take_up_while_leader_returns(&self, streams: &[BegunStream]) -> Vec<StreamFate> {
+        for stream in streams {
+            let _ = stream.connection.shutdown(Shutdown::Both);
+        }
+        let take_up = |stream| self.take_up_at(OTHER_GATEWAY, MAX_PATIENT_TRIES, stream);
+        thread::scope(|scope| {
+            let clients: Vec<_> =
+                streams.iter().map(|stream| scope.spawn(move || take_up(stream))).collect();
+            self.gateway.signal(Signal::STOP);
+            self.signal_ledger(Signal::CONT);
+            thread::sleep(GATEWAY_PAUSE);
+            self.gateway.signal(Signal::CONT);
+            clients.into_iter().map(|client| client.join().expect("a client")).collect()
+        })
+    }
+
     fn signal_ledger(&self, signal: Signal) {
         self.ledger.iter().for_each(|machine| machine.signal(signal));
     }
@@ -209,10 +239,14 @@
 
     /// Takes a stream up after its first event. A client that is asked to come back does so.
     pub fn take_up(&self, stream: &BegunStream) -> StreamFate {
-        let address = self.cluster.http(GATEWAY);
+        self.take_up_at(GATEWAY, MAX_TRIES, stream)
+    }
+
+    fn take_up_at(&self, gateway: &str, max_tries: usize, stream: &BegunStream) -> StreamFate {
+        let address = self.cluster.http(gateway);
         let mut response = Response::default();
         let mut continued_at = Vec::new();
-        for attempt in 0..MAX_TRIES {
+        for attempt in 0..max_tries {
             let id = format!("{}-again-{attempt}", stream.id);
             response = resume(address, &id, &stream.id);
             let runs = self.runs.lock();
@@ -275,7 +309,7 @@
     let mut lines = reader.lines().map_while(Result::ok);
     let data = lines.find_map(|line| line.strip_prefix("data: ").map(str::to_owned));
     let version = data.unwrap_or_else(|| panic!("{id} has no event"));
-    BegunStream { id: id.to_owned(), version, _connection: connection }
+    BegunStream { id: id.to_owned(), version, connection }
 }
 
 fn resume(address: SocketAddr, id: &str, first: &str) -> Response {
--- a/crates/calicohoist/tests/taken_up/main.rs
+++ b/crates/calicohoist/tests/taken_up/main.rs
@@ -9,6 +9,7 @@
 
 mod fixture;
 
+use std::thread;
 use std::time::Duration;
 
 use fixture::{Fleet, LedgerFault, Serving, StreamFate};
@@ -18,6 +19,9 @@
 /// Streams that are taken up at each of these times.
 const STREAMS_PER_WAIT: usize = 4;
 
+/// Time without a leader after which no gateway waits for it any more.
+const LEADER_ABSENCE: Duration = Duration::from_millis(2_000);
+
 /// Kills all gateways `delay` after the first events, and judges every stream that is taken up.
 fn judge_after_kill(delay: Duration, serving: Serving, fault: LedgerFault) {
     let mut fleet = Fleet::start(serving);
@@ -32,14 +36,22 @@
     }
     println!("{delay:?}, {serving:?}, {fault:?}:");
     fates.iter().for_each(|(wait, fate)| println!("{wait:?}: {fate}"));
-    let joined: Vec<_> = fates.iter().filter(|(_, fate)| fate.is_joined()).collect();
-    assert!(joined.is_empty(), "events of two versions: {joined:#?}");
+    assert_none_joined(fates.iter().map(|(_, fate)| fate));
     if fault.keeps_records() {
-        let lost: Vec<_> = fates.iter().filter(|(_, fate)| fate.is_lost()).collect();
-        assert!(lost.is_empty(), "not continued although the version serves: {lost:#?}");
+        assert_none_lost(fates.iter().map(|(_, fate)| fate));
     }
 }
 
+fn assert_none_joined<'a>(fates: impl Iterator<Item = &'a StreamFate>) {
+    let joined: Vec<_> = fates.filter(|fate| fate.is_joined()).collect();
+    assert!(joined.is_empty(), "events of two versions: {joined:#?}");
+}
+
+fn assert_none_lost<'a>(fates: impl Iterator<Item = &'a StreamFate>) {
+    let lost: Vec<_> = fates.filter(|fate| fate.is_lost()).collect();
+    assert!(lost.is_empty(), "not continued although the version serves: {lost:#?}");
+}
+
 #[test]
 fn streams_of_two_serving_versions_go_on_after_all_gateways_were_killed_at_once() {
     judge_after_kill(Duration::ZERO, Serving::BothVersions, LedgerFault::None);
@@ -84,3 +96,17 @@
 fn streams_whose_record_is_late_are_not_joined() {
     judge_after_kill(Duration::from_millis(600), Serving::OlderLeaves, LedgerFault::LateLeader);
 }
+
+/// Their gateway writes the records once there is a leader, beside clients that ask for them.
+#[test]
+fn streams_that_began_without_a_leader_go_on_at_another_gateway() {
+    let fleet = Fleet::start(Serving::BothVersions);
+    let _other = fleet.start_other_gateway();
+    fleet.begin_fault(LedgerFault::LateLeader);
+    thread::sleep(LEADER_ABSENCE);
+    let streams = fleet.begin_streams(WAITS_S.len() * STREAMS_PER_WAIT);
+    let fates = fleet.take_up_while_leader_returns(&streams);
+    fates.iter().for_each(|fate| println!("{fate}"));
+    assert_none_joined(fates.iter());
+    assert_none_lost(fates.iter());
+}
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -27,6 +27,10 @@
 /// Maximum time since the leader's last answer for which the gateway counts as following the ledger.
 /// Longer than a leader holds a watch.
 const MAX_FOLLOWER_SILENCE: Duration = Duration::from_millis(750);
+/// Time after contact with the leader was resumed in which other gateways, which may find the leader
+/// later, write what they could not before: they notice that a connection is dead, look for the
+/// leader at two other machines, and retry.
+const PENDING_WRITES_TIME: Duration = Duration::from_millis(2_500);
 /// Maximum number of requests that wait for the first routing table.
 const MAX_TABLE_WAITERS: usize = 256;
 
@@ -70,6 +74,16 @@
     version: ProtocolVersion,
     /// Number of ledger connections that had been given up by then.
     dropped_connections: u64,
+    /// First of the answers since which the gateway has not been cut off from the leader.
+    contact_since: Instant,
+}
+
+impl LeaderAnswer {
+    /// Returns whether the gateway has not been cut off from the leader between the answer and `now`.
+    fn is_in_contact(&self, ledger: &LedgerClient, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < MAX_FOLLOWER_SILENCE
+            && self.dropped_connections == ledger.dropped_connections()
+    }
 }
 
 impl App {
@@ -135,8 +149,10 @@
     /// Records that the leader answered a watch request on a connection of this version.
     pub fn record_leader_answer(&self, version: ProtocolVersion, now: Instant) {
         let dropped_connections = self.ledger.dropped_connections();
-        let answer = LeaderAnswer { at: now, version, dropped_connections };
-        *self.last_leader_answer.lock() = Some(answer);
+        let mut last = self.last_leader_answer.lock();
+        let contact = last.filter(|last| last.is_in_contact(&self.ledger, now));
+        let contact_since = contact.map_or(now, |last| last.contact_since);
+        *last = Some(LeaderAnswer { at: now, version, dropped_connections, contact_since });
     }
 
     /// Returns whether the routing table is current, up to the usual propagation delay. Otherwise
@@ -153,11 +169,17 @@
     pub fn follows_ledger(&self, now: Instant) -> bool {
         let answer = *self.last_leader_answer.lock();
         answer.is_some_and(|answer| {
-            let is_recent = now.saturating_duration_since(answer.at) < MAX_FOLLOWER_SILENCE;
-            let receives_crashes = answer.version >= CRASH_RECORDS_VERSION;
-            is_recent
-                && receives_crashes
-                && answer.dropped_connections == self.ledger.dropped_connections()
+            answer.version >= CRASH_RECORDS_VERSION && answer.is_in_contact(&self.ledger, now)
+        })
+    }
+
+    /// Returns whether other gateways may still write what they could not while there was no leader, as
+    /// far as this gateway can tell from its own contact with the leader.
+    pub fn may_have_pending_writes(&self, now: Instant) -> bool {
+        let answer = *self.last_leader_answer.lock();
+        let contact = answer.filter(|answer| answer.is_in_contact(&self.ledger, now));
+        contact.is_none_or(|answer| {
+            now.saturating_duration_since(answer.contact_since) < PENDING_WRITES_TIME
         })
     }
 
--- a/crates/proxy/src/flow/error.rs
+++ b/crates/proxy/src/flow/error.rs
@@ -115,6 +115,9 @@
     /// The gateway cannot tell yet which software version began the stream.
     #[error("its version is uncertain")]
     UncertainVersion,
+    /// The record of what began the stream may still be on its way to the ledger.
+    #[error("its record may be pending")]
+    PendingRecord,
     /// Every replica that was tried rejected the request or was unreachable.
     #[error("replicas full")]
     ReplicasFull,
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -132,6 +132,9 @@
         Err(GatewayError::NotExecuted {
             reason: NotExecutedReason::NoReplicaOfVersion, ..
         }) => "no_replica",
+        Err(GatewayError::NotExecuted { reason: NotExecutedReason::PendingRecord, .. }) => {
+            "pending"
+        }
         Err(_) => "unavailable",
     });
     result
@@ -141,7 +144,7 @@
 /// the stream, whatever the replicas run now.
 async fn find_continuation(app: &App, call: &Call) -> Result<(), GatewayError> {
     let first = call.head.resumes.as_deref().ok_or(GatewayError::UnknownStream)?;
-    let origin = find_twice(app, call, first).await?.ok_or(GatewayError::UnknownStream)?;
+    let origin = find_twice(app, call, first).await?.ok_or_else(|| missing_record(app))?;
     let mut continuation = Continuation::from(origin);
     add_listed_version(app, &mut continuation);
     let Continuation { service, software, began_at } = &continuation;
@@ -218,6 +221,15 @@
     GatewayError::not_executed(NotExecutedReason::UncertainVersion, REPLICA_RETRY_AFTER)
 }
 
+/// Returns the error for a stream of which the ledger has no record. Another gateway writes it late if
+/// there was no leader.
+fn missing_record(app: &App) -> GatewayError {
+    if app.may_have_pending_writes(Instant::now()) {
+        return GatewayError::not_executed(NotExecutedReason::PendingRecord, RETRY_AFTER);
+    }
+    GatewayError::UnknownStream
+}
+
 async fn find_twice(
     app: &App,
     call: &Call,
@@ -238,20 +250,23 @@
     let deadline = Instant::now() + queue_timeout(call.time_left(), RESERVE_TIMEOUT);
     match app.ledger.request(&question, deadline).await {
         Ok(LedgerResponse::Reserved { reservation: Reservation::Granted, history, .. }) => {
-            Ok(read_record(&call.head.request_id, &history))
+            read_record(&call.head.request_id, &history).map(Some)
         }
         Ok(LedgerResponse::Reserved { reservation: Reservation::NoSuchTurn, .. }) => Ok(None),
         _ => Err(GatewayError::not_executed(NotExecutedReason::LedgerUnavailable, RETRY_AFTER)),
     }
 }
 
-/// Decodes a record. One that a later build wrote counts as unknown.
-fn read_record(request: &str, record: &[u8]) -> Option<StreamOrigin> {
+/// Decodes a record.
+///
+/// # Errors
+/// Returns an error for a record that a later build wrote.
+fn read_record(request: &str, record: &[u8]) -> Result<StreamOrigin, GatewayError> {
     match decode(record) {
-        Ok(OriginRecord::V1(origin)) => Some(origin),
+        Ok(OriginRecord::V1(origin)) => Ok(origin),
         Err(error) => {
             emit!(Event::StreamOriginLost; request = request, reason = error);
-            None
+            Err(GatewayError::UnknownStream)
         }
     }
 }
