Streams: a replica that lost two reports is asked again while its stream runs

What callers saw: before a stream begins, its replica is asked on up to two new connections which process it runs. When both reports were lost or took longer than 200 ms, the stream began and was bound to nothing: it ended when its replica broke off although others of its version served, and its client got 409 for good.

Change: the replica is asked again on a new connection once the stream has begun, at the first event and 0.25, 0.75, 1.75 and 3.75 s later. If it reports the listed start, the stream is bound to the listed version and recorded; otherwise it stays bound to nothing. The first event waits for the first of these answers, 200 ms at most, and for the record if there is one.

Why that is sound: the connection of the stream was opened after the list showed the process, and the one of the report after that of the stream. The processes of one replica follow one another at its address, and one that has ended does not come back, so no other can have accepted the connection in between. A report of any other start proves nothing, since the replica may have restarted before or after the stream began, and is not used. Start times are only compared for being equal.

A client that comes back before the replica has answered still gets 409, and so does one whose replica never answers or has restarted.

--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -5,12 +5,12 @@
 //! find it. The first event is forwarded once the record is stored, so that the loss of the gateway
 //! leaves no client with events of unknown origin.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use calicohoist_ledger::commands::{Reservation, read_origin, store_origin};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
-use calicohoist_routing::{Incarnation, SoftwareRequirement, StreamOrigin};
+use calicohoist_routing::{Incarnation, Replica, SoftwareRequirement, StreamOrigin};
 use calicohoist_scheduler::queue_timeout;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
@@ -22,7 +22,7 @@
 use super::error::{GatewayError, NotExecutedReason};
 use super::turn::{LEDGER_TIMES, RESERVE_TIMEOUT, RETRY_AFTER};
 use crate::app::App;
-use crate::upstream::{StartCheck, check_start};
+use crate::upstream::{StartCheck, check_start, check_start_anew};
 
 /// Timeout for recording an origin. Covers a long absence of a leader.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,6 +30,14 @@
 const RECORD_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay before an origin is looked up again that may still be on its way to the ledger.
 const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(50);
+/// Delays before a replica is asked again which process serves a stream that has begun.
+const IDENTIFICATION_DELAYS: [Duration; 5] = [
+    Duration::ZERO,
+    Duration::from_millis(250),
+    Duration::from_millis(500),
+    Duration::from_millis(1_000),
+    Duration::from_millis(2_000),
+];
 /// Retry delay if no replica has the required software. About the interval between readings of the
 /// replica list.
 const REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -72,51 +80,116 @@
     }
 }
 
+/// A stream as named in log lines and in the ledger.
+struct StreamName {
+    request: String,
+    scoped: String,
+}
+
+impl StreamName {
+    fn of(call: &Call) -> Self {
+        let request = call.head.request_id.clone();
+        Self { scoped: call.scoped(&request), request }
+    }
+}
+
+/// Origin of a stream whose replica is asked while the stream runs which process serves it.
+#[derive(Clone, Default)]
+pub struct LateOrigin {
+    origin: Arc<OnceLock<StreamOrigin>>,
+}
+
+impl LateOrigin {
+    /// Returns the origin, once it is known.
+    pub fn get(&self) -> Option<&StreamOrigin> {
+        self.origin.get()
+    }
+}
+
 /// Records the origin of the stream that `call` begins, in the background.
 pub fn record(app: &Arc<App>, call: &Call, origin: StreamOrigin) -> PendingRecord {
     let (sender, stored) = oneshot::channel();
-    let pending = PendingRecord { stored };
-    let id = call.head.request_id.clone();
-    let record = match encode(&OriginRecord::V1(origin)) {
-        Ok(record) => record,
-        Err(error) => {
-            emit!(Event::StreamOriginLost; request = id, reason = error);
-            return pending;
-        }
-    };
-    let question = LedgerRequest::Settle(store_origin(&call.scoped(&id), record));
+    let name = StreamName::of(call);
     let app = Arc::clone(app);
     let guard = app.begin_task();
     tokio::spawn(async move {
         let _guard = guard;
-        if store(&app, &id, &question).await {
+        if store(&app, &name, origin).await {
             // The stream may have ended, or may not have waited.
             let _ = sender.send(());
         }
     });
-    pending
+    PendingRecord { stored }
+}
+
+/// Finds out which process of `replica` serves the stream that `call` begins, which is on a connection
+/// that was opened since the replica was listed, and records the origin, in the background. The first
+/// event waits for the first answer only.
+pub fn record_once_identified(
+    app: &Arc<App>,
+    call: &Call,
+    replica: &Replica,
+) -> (LateOrigin, PendingRecord) {
+    let (sender, stored) = oneshot::channel();
+    let late = LateOrigin::default();
+    let (found, name) = (late.clone(), StreamName::of(call));
+    let (app, replica) = (Arc::clone(app), replica.clone());
+    tokio::spawn(async move {
+        let mut sender = Some(sender);
+        for delay in IDENTIFICATION_DELAYS {
+            tokio::time::sleep(delay).await;
+            match check_start_anew(&app.pool, app.dialect(), &replica).await {
+                StartCheck::Listed => {
+                    let _guard = app.begin_task();
+                    let origin = found.origin.get_or_init(|| StreamOrigin::confirmed_at(&replica));
+                    if store(&app, &name, origin.clone()).await
+                        && let Some(sender) = sender
+                    {
+                        let _ = sender.send(());
+                    }
+                    return;
+                }
+                // The process that serves the stream may be this one, the listed one or another.
+                StartCheck::Restarted(_) => break,
+                StartCheck::NoAnswer => sender = None,
+            }
+        }
+        record_loss(&name, "the replica did not identify the process");
+    });
+    (late, PendingRecord { stored })
 }
 
 /// Stores a record; returns whether it is durable.
-async fn store(app: &App, id: &str, question: &LedgerRequest) -> bool {
+async fn store(app: &App, name: &StreamName, origin: StreamOrigin) -> bool {
+    let record = match encode(&OriginRecord::V1(origin)) {
+        Ok(record) => record,
+        Err(error) => {
+            record_loss(name, &error.to_string());
+            return false;
+        }
+    };
+    let question = LedgerRequest::Settle(store_origin(&name.scoped, record));
     let asked_at = Instant::now();
-    let answer = app.ledger.request(question, asked_at + RECORD_TIMEOUT).await;
+    let answer = app.ledger.request(&question, asked_at + RECORD_TIMEOUT).await;
     LEDGER_TIMES.observe("origin", asked_at.elapsed());
-    let reason = match answer {
+    match answer {
         Ok(LedgerResponse::Settled) => {
             ORIGINS_RECORDED.inc("recorded");
             let took_ms = asked_at.elapsed().as_millis();
-            emit!(Event::StreamOriginRecorded; request = id, took_ms = took_ms);
+            emit!(Event::StreamOriginRecorded; request = name.request, took_ms = took_ms);
             return true;
         }
-        Ok(_) => "the ledger has no room for it".to_owned(),
-        Err(error) => error.to_string(),
-    };
-    ORIGINS_RECORDED.inc("lost");
-    emit!(Event::StreamOriginLost; request = id, reason = reason);
+        Ok(_) => record_loss(name, "the ledger has no room for it"),
+        Err(error) => record_loss(name, &error.to_string()),
+    }
     false
 }
 
+fn record_loss(name: &StreamName, reason: &str) {
+    ORIGINS_RECORDED.inc("lost");
+    emit!(Event::StreamOriginLost; request = name.request, reason = reason);
+}
+
 /// Determines where the stream that `call` resumes may continue, if it resumes one.
 ///
 /// # Errors
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -23,7 +23,7 @@
 use super::error::GatewayError;
 use super::failure;
 use super::headers::remove_hop_by_hop_headers;
-use super::origin::{self, PendingRecord};
+use super::origin::{self, LateOrigin, PendingRecord};
 use super::response::{BodyPart, ResponseBody};
 use super::response_failure::{FailureReason, ResponseFailure};
 use super::turn::Turn;
@@ -118,6 +118,8 @@
     held: MemoryReservation,
     /// How the stream continues if it is interrupted; `None` if it cannot be resumed.
     continuation: Option<Continuation>,
+    /// What began the stream, if its replica did not say so before.
+    late_origin: LateOrigin,
     /// Headers of the first replica's response, which are sent to the client.
     headers: HeaderMap,
     last_event_id: Option<u64>,
@@ -163,6 +165,7 @@
             app: Arc::clone(app),
             call: Arc::clone(call),
             continuation: call.continuation().cloned(),
+            late_origin: LateOrigin::default(),
             turn,
             payload,
             attempt_state,
@@ -186,7 +189,10 @@
         }
         let Some(origin) = self.exchange.stream_origin() else {
             self.attempt_state.require(SoftwareRequirement::Unknown);
-            return None;
+            let replica = &self.exchange.member.replica;
+            let (late, record) = origin::record_once_identified(&self.app, &self.call, replica);
+            self.late_origin = late;
+            return Some(record);
         };
         self.attempt_state.require(origin.software());
         self.continuation = Some(Continuation::from(origin.clone()));
@@ -470,6 +476,9 @@
         if !self.call.route.resumable {
             return Err(GatewayError::Unknown);
         }
+        if self.continuation.is_none() {
+            self.continuation = self.late_origin.get().cloned().map(Continuation::from);
+        }
         if let Some(continuation) = &mut self.continuation {
             origin::add_listed_version(&self.app, continuation);
             self.attempt_state.require(continuation.software.clone());
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -13,4 +13,4 @@
 };
 pub use pool::{Checkout, Pool, PooledConnection, ReplicaConnection};
 pub use process_check::{ProcessState, check_listener, check_process};
-pub use start_check::{StartCheck, check_start};
+pub use start_check::{StartCheck, check_start, check_start_anew};
--- a/crates/proxy/src/upstream/start_check.rs
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -28,11 +28,29 @@
 
 /// Asks a replica when it started.
 pub async fn check_start(pool: &Pool, dialect: &dyn Dialect, replica: &Replica) -> StartCheck {
+    check(pool, dialect, replica, Checkout::Any).await
+}
+
+/// Asks a replica on a new connection when it started.
+///
+/// [`StartCheck::Listed`] then also tells which process is at the other end of every connection that was
+/// opened since the replica was listed: its processes follow one another, so none can have come between
+/// two times at which the listed one accepts connections.
+pub async fn check_start_anew(pool: &Pool, dialect: &dyn Dialect, replica: &Replica) -> StartCheck {
+    check(pool, dialect, replica, Checkout::New).await
+}
+
+async fn check(
+    pool: &Pool,
+    dialect: &dyn Dialect,
+    replica: &Replica,
+    checkout: Checkout,
+) -> StartCheck {
     let Some(start) = listed_start(replica) else {
         return StartCheck::Listed;
     };
     let check = async {
-        let connection = pool.check_out(&replica.id, replica.address, Checkout::Any).await;
+        let connection = pool.check_out(&replica.id, replica.address, checkout).await;
         let Ok(mut connection) = connection else {
             return StartCheck::NoAnswer;
         };
