Streams: a request id with two origins names none of them

What callers saw: a client that used a request id for a second stream, which another version began, and resumed it by that id got the rest from the version of the first: events of two versions in one stream, with a 200.

Cause: the state never replaces a retained turn, so the record of the second stream was dropped and answered as stored. The protocol gives every request of a client an id of its own; that the id names the stream was inferred from that and stored as a fact.

Change: when a leader has applied the record of an origin, it compares it with what the state holds for that id. If they differ, it stores a conflict under another key and answers once that is applied, before the first event of the second stream leaves. Whoever reads the record gets the conflict in its place, which counts as unknown: 409. Two streams of the same origin do not conflict.

Open: a second stream without a record, whose gateway was lost while there was no leader, leaves the record of the first as it is.

--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -15,7 +15,10 @@
     charge_crash, clear_crash, cleared_key_prefix, crash_key_prefix, find_cleared_crash,
     find_crash, release_send, reserve_send, store_crash,
 };
-pub use origin::{ORIGIN_RETENTION, is_origin, origin_key_prefix, read_origin, store_origin};
+pub use origin::{
+    ORIGIN_CONFLICT, ORIGIN_RETENTION, is_origin, origin_conflict_key, origin_key_prefix,
+    read_origin, store_origin, store_origin_conflict,
+};
 
 /// Separates the parts of keys, such as the tenant name from a program or turn ID. None of them can
 /// contain it: tenant names are validated, and IDs come from headers, which exclude control
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -27,7 +27,7 @@
 use rand::RngExt;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use origins::{ORIGIN_COUNT_INTERVAL, OriginQuota};
+use origins::{ORIGIN_COUNT_INTERVAL, OriginQuota, PendingOrigin, resolve_conflict};
 use pending::{CommandDigest, Outcome, PendingRequest, PendingTable};
 use request::Input;
 pub use request::{GroupStatus, ReplicaHandle, Request, Response, ResponseCallback};
@@ -325,10 +325,17 @@
                 {
                     return respond(Response::NoRoom);
                 }
-                self.propose(&command, PendingRequest::Change(respond));
+                let request = match PendingOrigin::of(&command) {
+                    Some(origin) => PendingRequest::StoreOrigin(origin, respond),
+                    None => PendingRequest::Change(respond),
+                };
+                self.propose(&command, request);
             }
             Request::Reserve(mut reserve) => {
                 self.origins.limit_extension(&mut reserve);
+                if let Some(state) = self.node.machine(GROUP) {
+                    reserve.previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
+                }
                 let command = Command::Reserve(reserve.clone());
                 self.propose(&command, PendingRequest::Reserve(reserve, respond));
             }
@@ -568,7 +575,27 @@
 
     fn answer_all(&mut self, ticket: Ticket, outcome: &Outcome) {
         for request in self.pending.take(ticket) {
-            self.answer(request, outcome.clone());
+            match request {
+                PendingRequest::StoreOrigin(origin, respond) => {
+                    self.finish_origin(&origin, respond, outcome.clone());
+                }
+                request => self.answer(request, outcome.clone()),
+            }
+        }
+    }
+
+    /// Answers the request to store an origin, once its conflict is stored if there is one.
+    fn finish_origin(
+        &mut self,
+        origin: &PendingOrigin,
+        respond: ResponseCallback,
+        outcome: Outcome,
+    ) {
+        let request = PendingRequest::Change(respond);
+        let state = self.node.machine(GROUP).filter(|_| matches!(outcome, Outcome::Output(_)));
+        match state.and_then(|state| origin.conflict(state.turns())) {
+            Some(conflict) => self.propose(&Command::Settle(conflict), request),
+            None => self.answer(request, outcome),
         }
     }
 
@@ -617,7 +644,9 @@
         if reservation != Reservation::Granted {
             return without_history(reservation);
         }
-        let Some(pieces) = queries::history(state, reserve.previous.as_ref()) else {
+        // A conflict may have been stored after the request was proposed.
+        let previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
+        let Some(pieces) = queries::history(state, previous.as_ref()) else {
             // The previous turn expired after the reservation was applied.
             return without_history(Reservation::NoSuchTurn);
         };
--- a/crates/ledger/src/server/replica/origins.rs
+++ b/crates/ledger/src/server/replica/origins.rs
@@ -1,9 +1,15 @@
-//! Bounds the number of stream origins that the ledger keeps.
+//! Bounds the number of stream origins that the ledger keeps, and marks those that conflict.
+//!
+//! A request id that has begun streams of different origins names none of them. The state keeps the first
+//! record, so the leader stores a conflict beside it, and readers get that in place of the record.
 
 use std::time::Duration;
 
 use super::CLOCK_INTERVAL;
-use crate::commands::{ReserveTurn, SettleTurn, is_origin};
+use crate::commands::{
+    Command, ReserveTurn, SettleTurn, TurnId, is_origin, origin_conflict_key, store_origin_conflict,
+};
+use crate::state::Turns;
 
 /// Number of origins at a steady rate of new streams. Each takes up to 373 bytes of memory.
 const STEADY_ORIGINS: usize = 32_768;
@@ -66,6 +72,36 @@
     }
 }
 
+/// Origin that is being stored.
+pub struct PendingOrigin {
+    key: TurnId,
+    record: Vec<u8>,
+}
+
+impl PendingOrigin {
+    /// Returns the origin that `command` stores, if it stores one.
+    pub fn of(command: &Command) -> Option<Self> {
+        let Command::Settle(SettleTurn { turn, retained: Some(retained), .. }) = command else {
+            return None;
+        };
+        is_origin(turn).then(|| Self { key: turn.clone(), record: retained.input.clone() })
+    }
+
+    /// Returns the command that stores a conflict, if the same request id has begun a stream of another
+    /// origin before.
+    pub fn conflict(&self, turns: &Turns) -> Option<SettleTurn> {
+        let is_other = turns.has_other_content(&self.key, &self.record);
+        let key = origin_conflict_key(&self.key).filter(|_| is_other)?;
+        Some(store_origin_conflict(key))
+    }
+}
+
+/// Returns the key that a reader of `previous` gets: that of the conflict, if there is one.
+pub fn resolve_conflict(turns: &Turns, previous: Option<&TurnId>) -> Option<TurnId> {
+    let conflict = previous.and_then(|previous| origin_conflict_key(previous));
+    conflict.filter(|conflict| turns.contains(conflict)).or_else(|| previous.cloned())
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/ledger/src/server/replica/pending.rs
+++ b/crates/ledger/src/server/replica/pending.rs
@@ -7,6 +7,7 @@
 
 use calicohoist_replication::Ticket;
 
+use super::origins::PendingOrigin;
 use super::request::ResponseCallback;
 use crate::commands::{Output, ReserveTurn};
 
@@ -14,6 +15,8 @@
 pub enum PendingRequest {
     /// Waits for a change.
     Change(ResponseCallback),
+    /// Waits for the origin of a stream to be stored, and for its conflict if there is one.
+    StoreOrigin(PendingOrigin, ResponseCallback),
     /// Waits for a reservation and the history.
     Reserve(ReserveTurn, ResponseCallback),
     /// Waits for the retirement of a machine to be accepted.
@@ -36,6 +39,7 @@
     pub fn callback(self) -> ResponseCallback {
         match self {
             Self::Change(respond)
+            | Self::StoreOrigin(_, respond)
             | Self::Reserve(_, respond)
             | Self::Retire(respond)
             | Self::Confirm(respond)
--- a/crates/ledger/src/state/turns.rs
+++ b/crates/ledger/src/state/turns.rs
@@ -102,6 +102,14 @@
         self.turns.contains_key(id)
     }
 
+    /// Returns whether the turn is retained with other content than `content`.
+    pub fn has_other_content(&self, id: &str, content: &[u8]) -> bool {
+        self.turns.get(id).is_some_and(|turn| match &turn.content {
+            Content::Held(bytes) => bytes != content,
+            Content::Stored(stored) => !stored.matches(content),
+        })
+    }
+
     /// Iterates over the IDs that begin with `prefix`.
     pub fn ids_with_prefix<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a str> {
         let from = (Bound::Included(prefix), Bound::Unbounded);
--- a/crates/ledger/tests/stream_origins.rs
+++ b/crates/ledger/tests/stream_origins.rs
@@ -3,12 +3,17 @@
 use std::time::Duration;
 
 use calicohoist_ledger::commands::{
-    KEY_SEPARATOR, ORIGIN_RETENTION, SettleTurn, is_origin, read_origin, store_origin,
+    Command, KEY_SEPARATOR, ORIGIN_CONFLICT, ORIGIN_RETENTION, SettleTurn, is_origin, read_origin,
+    store_origin,
 };
 use calicohoist_ledger::server::replica::CLOCK_INTERVAL;
 use calicohoist_ledger::server::replica::origins::{
-    MAX_ORIGINS, ORIGIN_COUNT_INTERVAL, OriginQuota,
+    MAX_ORIGINS, ORIGIN_COUNT_INTERVAL, OriginQuota, PendingOrigin, resolve_conflict,
 };
+use calicohoist_ledger::state::HistoryPiece;
+use calicohoist_ledger::{LedgerState, Output};
+use calicohoist_replication::{GroupId, StateMachine};
+use calicohoist_wire::encode;
 
 fn origin() -> SettleTurn {
     store_origin("r1", b"origin".to_vec())
@@ -97,3 +102,76 @@
         assert_eq!(settle.retention_ms, origin().retention_ms);
     }
 }
+
+fn apply(state: &mut LedgerState, command: &Command) {
+    assert_ne!(state.apply(&encode(command).expect("encode")), Output::Unreadable);
+}
+
+/// Stores an origin as a leader does. Returns whether it conflicts with an earlier one.
+fn store(state: &mut LedgerState, stream: &str, record: &[u8]) -> bool {
+    let command = Command::Settle(store_origin(stream, record.to_vec()));
+    apply(state, &command);
+    let pending = PendingOrigin::of(&command).expect("an origin");
+    let conflict = pending.conflict(state.turns());
+    if let Some(conflict) = &conflict {
+        apply(state, &Command::Settle(conflict.clone()));
+    }
+    conflict.is_some()
+}
+
+/// Returns what a reader gets. It reads as a leader lets it, which extends the retention.
+fn read(state: &mut LedgerState, stream: &str) -> Option<Vec<u8>> {
+    let mut reserve = read_origin(stream, "reader");
+    reserve.previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
+    apply(state, &Command::Reserve(reserve.clone()));
+    let pieces = state.turns().history(reserve.previous.as_deref()?)?;
+    match pieces[..] {
+        [HistoryPiece::InMemory(bytes)] => Some(bytes.to_vec()),
+        _ => panic!("{pieces:?} is not one record"),
+    }
+}
+
+#[test]
+fn origins_of_one_request_conflict_if_they_differ() {
+    let mut state = LedgerState::new(GroupId(0));
+    for (stream, record) in [("r1", b"v1"), ("r1", b"v1"), ("r2", b"v2")] {
+        assert!(!store(&mut state, stream, record));
+    }
+    assert!(store(&mut state, "r1", b"v2"));
+    assert_eq!(read(&mut state, "r1").as_deref(), Some(ORIGIN_CONFLICT));
+    assert_eq!(read(&mut state, "r2").as_deref(), Some(&b"v2"[..]));
+    assert_eq!(read(&mut state, "r3"), None);
+}
+
+/// Records on disk are compared by length and checksum.
+#[test]
+fn origins_on_disk_conflict_if_they_differ() {
+    let mut state = LedgerState::new(GroupId(0));
+    store(&mut state, "r1", b"v1");
+    apply(&mut state, &Command::Seal);
+    assert!(!store(&mut state, "r1", b"v1"));
+    assert!(store(&mut state, "r1", b"v2"));
+    assert_eq!(read(&mut state, "r1").as_deref(), Some(ORIGIN_CONFLICT));
+}
+
+/// However long readers ask, none gets the first record again.
+#[test]
+fn conflicts_outlast_the_record_of_the_first_origin() {
+    const HALF_RETENTION: Duration = ORIGIN_RETENTION.checked_div(2).expect("not zero");
+    let mut state = LedgerState::new(GroupId(0));
+    store(&mut state, "r1", b"v1");
+    assert!(store(&mut state, "r1", b"v2"));
+    let elapsed_ms = HALF_RETENTION.as_millis() as u64;
+    for _ in 0..8 {
+        apply(&mut state, &Command::Advance { elapsed_ms });
+        assert_eq!(read(&mut state, "r1").as_deref(), Some(ORIGIN_CONFLICT));
+    }
+    let mut last = Vec::new();
+    for _ in 0..8 {
+        apply(&mut state, &Command::Advance { elapsed_ms });
+        last.push(resolve_conflict(state.turns(), read_origin("r1", "r").previous.as_ref()));
+        let first = read_origin("r1", "r").previous.expect("a key");
+        assert!(!state.turns().contains(&first));
+    }
+    assert_eq!(last.last(), Some(&read_origin("r1", "r").previous), "the conflict never expires");
+}
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::commands::{Reservation, read_origin, store_origin};
+use calicohoist_ledger::commands::{ORIGIN_CONFLICT, Reservation, read_origin, store_origin};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
 use calicohoist_routing::{Incarnation, Replica, SoftwareRequirement, StreamOrigin};
 use calicohoist_scheduler::queue_timeout;
@@ -333,8 +333,14 @@
 /// Decodes a record.
 ///
 /// # Errors
-/// Returns an error for a record that a later build wrote.
+/// Returns an error for a record that a later build wrote, and for a request id that has begun streams of
+/// different origins.
 fn read_record(request: &str, record: &[u8]) -> Result<StreamOrigin, GatewayError> {
+    if record == ORIGIN_CONFLICT {
+        let reason = "its request id has begun several streams";
+        emit!(Event::StreamOriginLost; request = request, reason = reason);
+        return Err(GatewayError::UnknownStream);
+    }
     match decode(record) {
         Ok(OriginRecord::V1(origin)) => Ok(origin),
         Err(error) => {
