Streams: nothing is resumed on a route that is not resumable

What callers saw: a route stopped being resumable between the break of a stream and its client's next request. `Resumes` and `Last-Event-Id` were then passed on without any check, and the replica, which continues any stream, sent the rest: events of v1 and v1.2 in one stream.

Cause: whether a request resumes a stream was read from the route, which says what is allowed now, not what the client does.

Change: on a stream route that is not resumable, a request with either header is answered 409 `not resumable` without running, and 503 while the gateway's configuration may be outdated. On routes without streams, whose services may use either header for themselves, that holds for requests with both. Counted as `not_resumable` in calicohoist_proxy_streams_resumed_total.

Weighed: continuing where there is a record. The configuration in force says that such a request runs once, so the stream is not followed by another run.

--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -106,6 +106,18 @@
         self.route.resumable && (self.head.resumes.is_some() || self.head.last_event_id.is_some())
     }
 
+    /// Returns whether the request resumes a stream although its route does not allow that, or has no
+    /// streams.
+    pub fn resumes_without_permission(&self) -> bool {
+        let RequestHead { resumes, last_event_id, .. } = &self.head;
+        !self.route.resumable
+            && match self.route.kind {
+                RouteKind::Stream => resumes.is_some() || last_event_id.is_some(),
+                // Services without streams may use either header for themselves.
+                RouteKind::Safe | RouteKind::Unsafe => resumes.is_some() && last_event_id.is_some(),
+            }
+    }
+
     /// Sets how the stream that the request resumes continues.
     pub fn continue_at(&self, continuation: Continuation) {
         let _ = self.continuation.set(continuation);
--- a/crates/proxy/src/flow/error.rs
+++ b/crates/proxy/src/flow/error.rs
@@ -52,6 +52,9 @@
     /// It is not known what began the stream to be resumed, so it cannot continue.
     #[error("unknown stream")]
     UnknownStream,
+    /// The route does not allow streams to be resumed.
+    #[error("not resumable")]
+    NotResumable,
     /// The tenant has reached its rate limit.
     #[error("over the limit of {tenant}, {limit}, configuration {configuration}")]
     OverLimit {
@@ -158,6 +161,7 @@
             Self::BudgetSpent => "budget_spent",
             Self::NoSuchTurn => "no_such_turn",
             Self::UnknownStream => "unknown_stream",
+            Self::NotResumable => "not_resumable",
             Self::OverLimit { .. } => "over_limit",
             Self::NotExecuted { .. } => "not_run",
             Self::Unknown => "unknown",
@@ -174,7 +178,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
-            Self::UnknownStream => StatusCode::CONFLICT,
+            Self::UnknownStream | Self::NotResumable => StatusCode::CONFLICT,
             Self::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -21,6 +21,7 @@
 use super::call::{Call, Continuation};
 use super::error::{GatewayError, NotExecutedReason};
 use super::turn::{LEDGER_TIMES, RESERVE_TIMEOUT, RETRY_AFTER};
+use super::unless_stale;
 use crate::app::App;
 use crate::upstream::{StartCheck, check_start, check_start_anew};
 
@@ -193,15 +194,21 @@
 /// Determines where the stream that `call` resumes may continue, if it resumes one.
 ///
 /// # Errors
-/// Returns an error if the origin is unknown, or if no replica can continue the stream.
+/// Returns an error if the origin is unknown, if no replica can continue the stream, or if its route does
+/// not allow that.
 pub async fn resolve(app: &App, call: &Call) -> Result<(), GatewayError> {
-    if !call.resumes_stream() {
+    let result = if call.resumes_without_permission() {
+        // The route may have been resumable when the stream began, and replicas continue any stream.
+        Err(unless_stale(app, GatewayError::NotResumable))
+    } else if call.resumes_stream() {
+        find_continuation(app, call).await
+    } else {
         return Ok(());
-    }
-    let result = find_continuation(app, call).await;
+    };
     STREAMS_RESUMED.inc(match &result {
         Ok(()) => "recorded",
         Err(GatewayError::UnknownStream) => "unknown",
+        Err(GatewayError::NotResumable) => "not_resumable",
         Err(GatewayError::NotExecuted {
             reason: NotExecutedReason::NoReplicaOfVersion, ..
         }) => "no_replica",
