--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -5,12 +5,12 @@
 //! find it. The first event is forwarded once the record is stored, so that the loss of the gateway
 //! leaves no client with events of unknown origin.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::commands::{Reservation, read_origin, store_origin};
+use calicohoist_ledger::commands::{ORIGIN_CONFLICT, Reservation, read_origin, store_origin};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
-use calicohoist_routing::{Incarnation, SoftwareRequirement, StreamOrigin};
+use calicohoist_routing::{Incarnation, Replica, SoftwareRequirement, StreamOrigin};
 use calicohoist_scheduler::queue_timeout;
 use calicohoist_telemetry::metrics::Counter;
 use calicohoist_telemetry::{Event, emit};
@@ -21,8 +21,9 @@
 use super::call::{Call, Continuation};
 use super::error::{GatewayError, NotExecutedReason};
 use super::turn::{LEDGER_TIMES, RESERVE_TIMEOUT, RETRY_AFTER};
+use super::unless_stale;
 use crate::app::App;
-use crate::upstream::{StartCheck, check_start};
+use crate::upstream::{StartCheck, check_start, check_start_anew};
 
 /// Timeout for recording an origin. Covers a long absence of a leader.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,6 +31,14 @@
 const RECORD_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay before an origin is looked up again that may still be on its way to the ledger.
 const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(50);
+/// Delays before a replica is asked again which process serves a stream that has begun.
+const IDENTIFICATION_DELAYS: [Duration; 5] = [
+    Duration::ZERO,
+    Duration::from_millis(250),
+    Duration::from_millis(500),
+    Duration::from_millis(1_000),
+    Duration::from_millis(2_000),
+];
 /// Retry delay if no replica has the required software. About the interval between readings of the
 /// replica list.
 const REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -72,66 +81,140 @@
     }
 }
 
+/// A stream as named in log lines and in the ledger.
+struct StreamName {
+    request: String,
+    scoped: String,
+}
+
+impl StreamName {
+    fn of(call: &Call) -> Self {
+        let request = call.head.request_id.clone();
+        Self { scoped: call.scoped(&request), request }
+    }
+}
+
+/// Origin of a stream whose replica is asked while the stream runs which process serves it.
+#[derive(Clone, Default)]
+pub struct LateOrigin {
+    origin: Arc<OnceLock<StreamOrigin>>,
+}
+
+impl LateOrigin {
+    /// Returns the origin, once it is known.
+    pub fn get(&self) -> Option<&StreamOrigin> {
+        self.origin.get()
+    }
+}
+
 /// Records the origin of the stream that `call` begins, in the background.
 pub fn record(app: &Arc<App>, call: &Call, origin: StreamOrigin) -> PendingRecord {
     let (sender, stored) = oneshot::channel();
-    let pending = PendingRecord { stored };
-    let id = call.head.request_id.clone();
-    let record = match encode(&OriginRecord::V1(origin)) {
-        Ok(record) => record,
-        Err(error) => {
-            emit!(Event::StreamOriginLost; request = id, reason = error);
-            return pending;
-        }
-    };
-    let question = LedgerRequest::Settle(store_origin(&call.scoped(&id), record));
+    let name = StreamName::of(call);
     let app = Arc::clone(app);
     let guard = app.begin_task();
     tokio::spawn(async move {
         let _guard = guard;
-        if store(&app, &id, &question).await {
+        if store(&app, &name, origin).await {
             // The stream may have ended, or may not have waited.
             let _ = sender.send(());
         }
     });
-    pending
+    PendingRecord { stored }
+}
+
+/// Finds out which process of `replica` serves the stream that `call` begins, which is on a connection
+/// that was opened since the replica was listed, and records the origin, in the background. The first
+/// event waits for the first answer only.
+pub fn record_once_identified(
+    app: &Arc<App>,
+    call: &Call,
+    replica: &Replica,
+) -> (LateOrigin, PendingRecord) {
+    let (sender, stored) = oneshot::channel();
+    let late = LateOrigin::default();
+    let (found, name) = (late.clone(), StreamName::of(call));
+    let (app, replica) = (Arc::clone(app), replica.clone());
+    tokio::spawn(async move {
+        let mut sender = Some(sender);
+        for delay in IDENTIFICATION_DELAYS {
+            tokio::time::sleep(delay).await;
+            match check_start_anew(&app.pool, app.dialect(), &replica).await {
+                StartCheck::Listed => {
+                    let _guard = app.begin_task();
+                    let origin = found.origin.get_or_init(|| StreamOrigin::confirmed_at(&replica));
+                    if store(&app, &name, origin.clone()).await
+                        && let Some(sender) = sender
+                    {
+                        let _ = sender.send(());
+                    }
+                    return;
+                }
+                // The process that serves the stream may be this one, the listed one or another.
+                StartCheck::Restarted(_) => break,
+                StartCheck::NoAnswer => sender = None,
+            }
+        }
+        record_loss(&name, "the replica did not identify the process");
+    });
+    (late, PendingRecord { stored })
 }
 
 /// Stores a record; returns whether it is durable.
-async fn store(app: &App, id: &str, question: &LedgerRequest) -> bool {
+async fn store(app: &App, name: &StreamName, origin: StreamOrigin) -> bool {
+    let record = match encode(&OriginRecord::V1(origin)) {
+        Ok(record) => record,
+        Err(error) => {
+            record_loss(name, &error.to_string());
+            return false;
+        }
+    };
+    let question = LedgerRequest::Settle(store_origin(&name.scoped, record));
     let asked_at = Instant::now();
-    let answer = app.ledger.request(question, asked_at + RECORD_TIMEOUT).await;
+    let answer = app.ledger.request(&question, asked_at + RECORD_TIMEOUT).await;
     LEDGER_TIMES.observe("origin", asked_at.elapsed());
-    let reason = match answer {
+    match answer {
         Ok(LedgerResponse::Settled) => {
             ORIGINS_RECORDED.inc("recorded");
             let took_ms = asked_at.elapsed().as_millis();
-            emit!(Event::StreamOriginRecorded; request = id, took_ms = took_ms);
+            emit!(Event::StreamOriginRecorded; request = name.request, took_ms = took_ms);
             return true;
         }
-        Ok(_) => "the ledger has no room for it".to_owned(),
-        Err(error) => error.to_string(),
-    };
-    ORIGINS_RECORDED.inc("lost");
-    emit!(Event::StreamOriginLost; request = id, reason = reason);
+        Ok(_) => record_loss(name, "the ledger has no room for it"),
+        Err(error) => record_loss(name, &error.to_string()),
+    }
     false
 }
 
+fn record_loss(name: &StreamName, reason: &str) {
+    ORIGINS_RECORDED.inc("lost");
+    emit!(Event::StreamOriginLost; request = name.request, reason = reason);
+}
+
 /// Determines where the stream that `call` resumes may continue, if it resumes one.
 ///
 /// # Errors
-/// Returns an error if the origin is unknown, or if no replica can continue the stream.
+/// Returns an error if the origin is unknown, if no replica can continue the stream, or if its route does
+/// not allow that.
 pub async fn resolve(app: &App, call: &Call) -> Result<(), GatewayError> {
-    if !call.resumes_stream() {
+    let result = if call.resumes_without_permission() {
+        // The route may have been resumable when the stream began, and replicas continue any stream.
+        Err(unless_stale(app, GatewayError::NotResumable))
+    } else if call.resumes_stream() {
+        find_continuation(app, call).await
+    } else {
         return Ok(());
-    }
-    let result = find_continuation(app, call).await;
+    };
     STREAMS_RESUMED.inc(match &result {
         Ok(()) => "recorded",
         Err(GatewayError::UnknownStream) => "unknown",
+        Err(GatewayError::NotResumable) => "not_resumable",
         Err(GatewayError::NotExecuted {
             reason: NotExecutedReason::NoReplicaOfVersion, ..
         }) => "no_replica",
+        Err(GatewayError::NotExecuted { reason: NotExecutedReason::PendingRecord, .. }) => {
+            "pending"
+        }
         Err(_) => "unavailable",
     });
     result
@@ -141,7 +224,7 @@
 /// the stream, whatever the replicas run now.
 async fn find_continuation(app: &App, call: &Call) -> Result<(), GatewayError> {
     let first = call.head.resumes.as_deref().ok_or(GatewayError::UnknownStream)?;
-    let origin = find_twice(app, call, first).await?.ok_or(GatewayError::UnknownStream)?;
+    let origin = find_twice(app, call, first).await?.ok_or_else(|| missing_record(app))?;
     let mut continuation = Continuation::from(origin);
     add_listed_version(app, &mut continuation);
     let Continuation { service, software, began_at } = &continuation;
@@ -218,6 +301,15 @@
     GatewayError::not_executed(NotExecutedReason::UncertainVersion, REPLICA_RETRY_AFTER)
 }
 
+/// Returns the error for a stream of which the ledger has no record. Another gateway writes it late if
+/// there was no leader.
+fn missing_record(app: &App) -> GatewayError {
+    if app.may_have_pending_writes(Instant::now()) {
+        return GatewayError::not_executed(NotExecutedReason::PendingRecord, RETRY_AFTER);
+    }
+    GatewayError::UnknownStream
+}
+
 async fn find_twice(
     app: &App,
     call: &Call,
@@ -238,20 +330,29 @@
     let deadline = Instant::now() + queue_timeout(call.time_left(), RESERVE_TIMEOUT);
     match app.ledger.request(&question, deadline).await {
         Ok(LedgerResponse::Reserved { reservation: Reservation::Granted, history, .. }) => {
-            Ok(read_record(&call.head.request_id, &history))
+            read_record(&call.head.request_id, &history).map(Some)
         }
         Ok(LedgerResponse::Reserved { reservation: Reservation::NoSuchTurn, .. }) => Ok(None),
         _ => Err(GatewayError::not_executed(NotExecutedReason::LedgerUnavailable, RETRY_AFTER)),
     }
 }
 
-/// Decodes a record. One that a later build wrote counts as unknown.
-fn read_record(request: &str, record: &[u8]) -> Option<StreamOrigin> {
+/// Decodes a record.
+///
+/// # Errors
+/// Returns an error for a record that a later build wrote, and for a request id that has begun streams of
+/// different origins.
+fn read_record(request: &str, record: &[u8]) -> Result<StreamOrigin, GatewayError> {
+    if record == ORIGIN_CONFLICT {
+        let reason = "its request id has begun several streams";
+        emit!(Event::StreamOriginLost; request = request, reason = reason);
+        return Err(GatewayError::UnknownStream);
+    }
     match decode(record) {
-        Ok(OriginRecord::V1(origin)) => Some(origin),
+        Ok(OriginRecord::V1(origin)) => Ok(origin),
         Err(error) => {
             emit!(Event::StreamOriginLost; request = request, reason = error);
-            None
+            Err(GatewayError::UnknownStream)
         }
     }
 }
