Soak: tell of answers to probes and of crashes under harmless requests

What callers saw: nothing new. A run that ended with "timed out waiting until the other zone serves while the preferred one is drained" told neither what its probes were answered nor which crashes were counted against them, and its logs were removed.

Change: each run prints what gateways found, recorded and cleared of crashes under requests that crash nothing. If a run panics, it prints that as well, with the answers to its probes by gateway, and keeps the logs. No check has changed; the logs are read by one function that crashes_out_of_touch had before.

--- a/crates/calicohoist/tests/soak/crashes.rs
+++ b/crates/calicohoist/tests/soak/crashes.rs
@@ -50,6 +50,12 @@
 const REPLICA_CHECKED: u64 = 4119;
 /// Event of a gateway that could not record a crash in time.
 const CRASH_RECORD_LATE: u64 = 4120;
+/// Event of a gateway that recorded a crash.
+const CRASH_RECORDED: u64 = 4123;
+/// Event of a gateway that cleared a crash.
+const CRASH_CLEARED: u64 = 4127;
+/// Prefix of the ids of fatal requests.
+const FATAL_ID_PREFIX: &str = "fatal-";
 /// Time in which a resumed gateway reads what it has missed.
 const RESUME_TIME: Duration = Duration::from_millis(200);
 /// How often the callers look for a signal to stop.
@@ -268,7 +274,7 @@
                 .map(|copy| FatalTry {
                     end,
                     path: fatal.clone(),
-                    id: format!("fatal-{number}-{count}-{attempt}-{copy}"),
+                    id: format!("{FATAL_ID_PREFIX}{number}-{count}-{attempt}-{copy}"),
                     gateway: gateways[rng.random_range(0..gateways.len())],
                 })
                 .collect();
@@ -343,22 +349,77 @@
 /// Reads from the logs which crashes a gateway found that did not follow the ledger, or could not
 /// record the crash in time. Returns the replicas.
 fn crashes_out_of_touch(log_folder: &Path) -> BTreeSet<String> {
-    let files = fs::read_dir(log_folder).into_iter().flatten().flatten();
-    let logs = files.filter(|file| is_log(&file.path()));
     let mut replicas = BTreeSet::new();
-    for log in logs {
-        let text = fs::read_to_string(log.path()).unwrap_or_default();
-        for line in text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok()) {
-            let is_in_touch = line["follows_ledger"] == "true";
-            let is_found = line["event"] == REPLICA_CHECKED && line["crashed"] == "true";
-            if (is_found && !is_in_touch) || line["event"] == CRASH_RECORD_LATE {
-                replicas.insert(line["replica"].as_str().unwrap_or_default().to_owned());
-            }
+    for line in log_lines(log_folder) {
+        let is_in_touch = line["follows_ledger"] == "true";
+        if (is_found_crash(&line) && !is_in_touch) || line["event"] == CRASH_RECORD_LATE {
+            replicas.insert(line["replica"].as_str().unwrap_or_default().to_owned());
         }
     }
     replicas
 }
 
+/// Returns the lines of all logs.
+fn log_lines(log_folder: &Path) -> Vec<Value> {
+    let files = fs::read_dir(log_folder).into_iter().flatten().flatten();
+    let logs = files.filter(|file| is_log(&file.path()));
+    let texts = logs.map(|log| fs::read_to_string(log.path()).unwrap_or_default());
+    let parse = |text: String| -> Vec<Value> {
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    };
+    texts.flat_map(parse).collect()
+}
+
+fn is_found_crash(line: &Value) -> bool {
+    line["event"] == REPLICA_CHECKED && line["crashed"] == "true"
+}
+
+/// Returns what gateways logged of the crashes that they found, recorded and cleared under requests
+/// that crash nothing, oldest first.
+pub fn harmless_crashes(log_folder: &Path) -> Vec<String> {
+    let events = [CRASH_RECORD_LATE, CRASH_RECORDED, CRASH_CLEARED];
+    let is_told = |line: &Value| {
+        is_found_crash(line) || line["event"].as_u64().is_some_and(|event| events.contains(&event))
+    };
+    let lines: Vec<Value> = log_lines(log_folder).into_iter().filter(is_told).collect();
+    let is_fatal = |line: &&Value| {
+        line["request"].as_str().is_some_and(|request| request.starts_with(FATAL_ID_PREFIX))
+    };
+    let fatal: BTreeSet<String> =
+        lines.iter().filter(is_fatal).map(|line| line["content"].to_string()).collect();
+    let harmless = lines.iter().filter(|line| !fatal.contains(&line["content"].to_string()));
+    let text = |line: &Value, key: &str| line[key].as_str().unwrap_or("-").to_owned();
+    let mut told: Vec<String> = harmless
+        .map(|line| {
+            ["time", "node", "name", "content", "replica", "request", "process", "closed", "stored"]
+                .map(|key| text(line, key))
+                .join(" ")
+        })
+        .collect();
+    told.sort();
+    told
+}
+
+/// Tells of the crashes under harmless requests and keeps the logs if a run panics.
+pub struct PanicReport<'a> {
+    pub log_folder: &'a Path,
+}
+
+impl Drop for PanicReport<'_> {
+    fn drop(&mut self) {
+        if !thread::panicking() || !self.log_folder.exists() {
+            return;
+        }
+        let copy = self.log_folder.with_extension("panic");
+        match copy_logs(self.log_folder, &copy) {
+            Ok(()) => println!("logs in {}", copy.display()),
+            Err(error) => println!("the logs were not copied: {error}"),
+        }
+        println!("crashes under harmless requests:");
+        harmless_crashes(self.log_folder).iter().for_each(|line| println!("  {line}"));
+    }
+}
+
 /// Returns whether the gateway was killed before it can have recorded the crash.
 fn is_lost(gateway: IpAddr, at: Instant, disruptions: &[Disruption]) -> bool {
     disruptions.iter().any(|disruption| {
--- a/crates/calicohoist/tests/soak/drains.rs
+++ b/crates/calicohoist/tests/soak/drains.rs
@@ -1,10 +1,12 @@
 //! Operator that drains and restores zones.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use rand::RngExt;
 use rand::rngs::StdRng;
 
@@ -77,7 +79,8 @@
     records: &Shared,
 ) -> usize {
     let drained_count = AtomicUsize::new(0);
-    let probe = ZoneProbe { gateways, arrivals, count: AtomicUsize::new(0) };
+    let probe =
+        ZoneProbe { gateways, arrivals, count: AtomicUsize::new(0), answers: Mutex::default() };
     thread::sleep((acknowledged + DRAIN_DEADLINE).saturating_duration_since(Instant::now()));
     wait_until("the other zone serves while the preferred one is drained", || {
         let zones = probe.zones();
@@ -97,6 +100,19 @@
     arrivals: &'a ArrivalLog,
     /// Number of requests so far.
     count: AtomicUsize,
+    /// Answers to them, and how often each came.
+    answers: Mutex<BTreeMap<String, usize>>,
+}
+
+/// Tells of the answers if a run panics.
+impl Drop for ZoneProbe<'_> {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            println!("answers to probes of zones:");
+            let answers = self.answers.lock();
+            answers.iter().for_each(|(answer, count)| println!("  {count} times {answer}"));
+        }
+    }
 }
 
 impl ZoneProbe<'_> {
@@ -106,7 +122,13 @@
         for gateway in self.gateways {
             let id = format!("zone-{}", self.count.fetch_add(1, Ordering::Relaxed));
             let request = request_head("GET", "/safe/x", &id, 0, &[]);
-            let _ = try_exchange(*gateway, request.as_bytes());
+            let reply = try_exchange(*gateway, request.as_bytes());
+            let answer = match reply {
+                Some(reply) if reply.status == 200 => "200".to_owned(),
+                Some(reply) => format!("{} {}", reply.status, reply.text()),
+                None => "none".to_owned(),
+            };
+            *self.answers.lock().entry(format!("{gateway}: {answer}")).or_default() += 1;
             let is_own =
                 |name: &str| self.arrivals.of(&id).iter().any(|arrival| arrival.replica == name);
             let reached = REPLICAS.iter().filter(|(name, ..)| is_own(name));
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -55,7 +55,9 @@
 use arrivals::{ArrivalLog, Outcome};
 use attempts::AttemptLog;
 use caller::{Caller, try_exchange};
-use crashes::{CrashRecords, check_crashes, run_replicas, send_fatal_requests};
+use crashes::{
+    CrashRecords, PanicReport, check_crashes, harmless_crashes, run_replicas, send_fatal_requests,
+};
 use drains::{Drain, check_drains, check_last_drain, drain_preferred_zone, drain_zones};
 use endless::{judge_endless, serve_endless, start_endless_callers};
 use faults::Soak;
@@ -292,6 +294,9 @@
     let older_binary = std::env::var_os("CALICOHOIST_SOAK_OLDER_BINARY").map(PathBuf::from);
     let is_mixed = older_binary.is_some();
     let mut soak = Soak::start(seed, gateways, older_binary);
+    let log_folder = soak.cluster.folder.path().to_owned();
+    // Dropped before the folder is removed.
+    let _report = PanicReport { log_folder: &log_folder };
     let controls = soak.controls();
     wait_until("the configuration is accepted", || {
         controls.iter().any(|control| put_version(*control, INITIAL_VERSION))
@@ -401,9 +406,10 @@
         let findings = judge_releases(&records.releases, &released_service.listings);
         println!("seed {seed}, releases: {findings}");
         release_violations = findings.violations();
-        let log_folder = soak.cluster.folder.path();
-        fatal_requests =
-            check_crashes(&mut records, log_folder, &soak.pauses, &soak.timeline.disruptions);
+        let (pauses, disruptions) = (&soak.pauses, &soak.timeline.disruptions);
+        fatal_requests = check_crashes(&mut records, &log_folder, pauses, disruptions);
+        println!("seed {seed}, crashes under harmless requests:");
+        harmless_crashes(&log_folder).iter().for_each(|line| println!("  {line}"));
     }
     records.violations.append(&mut soak.violations);
     let mut timeline = std::mem::take(&mut soak.timeline);
@@ -436,9 +442,9 @@
         soak.fault_counts
     );
     if !records.violations.is_empty() {
-        let log_folder = soak.cluster.folder.path().with_extension("soak");
-        let _ = fs::rename(soak.cluster.folder.path(), &log_folder);
-        panic!("seed {seed}, logs in {}: {:#?}", log_folder.display(), records.violations);
+        let kept = log_folder.with_extension("soak");
+        let _ = fs::rename(&log_folder, &kept);
+        panic!("seed {seed}, logs in {}: {:#?}", kept.display(), records.violations);
     }
     assert!(records.served > 0, "seed {seed}: nothing was served");
     RunFindings { fatal_requests, drained_requests, release_violations }
