Quarantine: a replica that answers a request later has not crashed under it

What the replica had answered in between did not matter. Three restarts count as three crashes of whatever was asked for at them within 10 s.

Change: once a replica has answered the same request, sent after the failed one, that one is settled: no crash. A request that is never answered is treated as before.

--- a/crates/proxy/src/flow/crash/check.rs
+++ b/crates/proxy/src/flow/crash/check.rs
@@ -106,6 +106,7 @@
         }
     }
     end(&app, &open);
+    app.sends.end_check(&open);
 }
 
 fn end(app: &App, open: &OpenSend) {
@@ -146,6 +147,9 @@
 }
 
 async fn check(app: &App, open: &OpenSend, subject: &CheckSubject) -> Finding {
+    if open.is_answered_since() {
+        return Finding::NotCrashed;
+    }
     let status = app.fleet.list_status(&subject.replica.id);
     if status == ListStatus::EndsByPlan {
         return Finding::NotCrashed;
--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -113,6 +113,7 @@
         };
         let Self { app, open, call, replica, .. } = self;
         app.sends.set_stage(open, SendStage::Checking);
+        app.sends.begin_check(open);
         let health_path = call.table.service(&replica.service);
         let subject = CheckSubject {
             replica: replica.clone(),
@@ -193,7 +194,8 @@
     ) -> Result<Arc<SendProgress>, GatewayError> {
         let request = Arc::clone(call);
         // Known to `count_exposed` before crashes are looked up, so that either side sees the other.
-        let open = app.sends.insert(&replica.id, move || request.fingerprint());
+        let body_bytes = call.body.len();
+        let open = app.sends.insert(&replica.id, body_bytes, move || request.fingerprint());
         let progress = Arc::clone(&open.progress);
         let running = self.running.insert(RunningRequest {
             app: Arc::clone(app),
@@ -221,6 +223,7 @@
         let Some(running) = self.running.take() else {
             return;
         };
+        running.app.sends.record_answered(&running.open);
         clear::record_answer(&running.app, &running.call, &running.replica.id);
         drop(running.end());
     }
--- a/crates/proxy/src/sends.rs
+++ b/crates/proxy/src/sends.rs
@@ -45,11 +45,15 @@
     /// How far the request has come.
     pub progress: Arc<SendProgress>,
     fingerprint: LazyFingerprint,
+    /// Length of the body, which differs between most requests.
+    body_bytes: usize,
     /// Permission to send the request, held until its outcome is known.
     grant: Mutex<Option<SendGrant>>,
     stage: watch::Sender<SendStage>,
     /// Whether a crash could not be recorded.
     is_unrecorded: AtomicBool,
+    /// Whether the replica has answered the same request since this send failed.
+    is_answered_since: AtomicBool,
 }
 
 impl fmt::Debug for OpenSend {
@@ -65,6 +69,11 @@
         *self.fingerprint
     }
 
+    /// Returns whether both are sends of the same request.
+    fn is_same(&self, other: &Self) -> bool {
+        self.body_bytes == other.body_bytes && self.fingerprint() == other.fingerprint()
+    }
+
     /// Returns whether the ledger has permitted the send.
     pub fn has_grant(&self) -> bool {
         self.grant.lock().is_some()
@@ -110,6 +119,20 @@
     pub fn is_unrecorded(&self) -> bool {
         self.is_unrecorded.load(Ordering::Relaxed)
     }
+
+    /// Returns whether the replica has answered the same request, sent after this send failed. So it
+    /// has not crashed under this one.
+    pub fn is_answered_since(&self) -> bool {
+        self.is_answered_since.load(Ordering::Relaxed)
+    }
+}
+
+/// A failed send under which the replica may have crashed.
+#[derive(Debug)]
+struct FailedSend {
+    open: Arc<OpenSend>,
+    /// Number of the first send that began after the failure.
+    next_number: u64,
 }
 
 /// All requests of this gateway whose outcome is not known.
@@ -119,13 +142,18 @@
     open: Mutex<HashMap<u64, Arc<OpenSend>>>,
     /// Number of sends whose replica is being checked or could not be reached.
     pending: AtomicUsize,
+    /// Failed sends by replica, until it is known whether the replica has crashed.
+    failed: Mutex<HashMap<String, Vec<FailedSend>>>,
+    /// Number of failed sends.
+    failed_count: AtomicUsize,
 }
 
 impl OpenSends {
-    /// Adds a request that is about to be sent to `replica`.
+    /// Adds a request with a body of this length that is about to be sent to `replica`.
     pub fn insert(
         &self,
         replica: &str,
+        body_bytes: usize,
         fingerprint: impl FnOnce() -> RequestFingerprint + Send + 'static,
     ) -> Arc<OpenSend> {
         let number = self.last_number.fetch_add(1, Ordering::Relaxed);
@@ -134,9 +162,11 @@
             replica: replica.to_owned(),
             progress: Arc::default(),
             fingerprint: LazyLock::new(Box::new(fingerprint)),
+            body_bytes,
             grant: Mutex::new(None),
             stage: watch::Sender::new(SendStage::Running),
             is_unrecorded: AtomicBool::new(false),
+            is_answered_since: AtomicBool::new(false),
         });
         self.open.lock().insert(number, Arc::clone(&open));
         open
@@ -152,6 +182,43 @@
         self.pending.fetch_sub(usize::from(previous.is_pending()), Ordering::Relaxed);
     }
 
+    /// Records that a send has failed and its replica may have crashed.
+    pub fn begin_check(&self, open: &Arc<OpenSend>) {
+        let next_number = self.last_number.load(Ordering::Relaxed);
+        let failed = FailedSend { open: Arc::clone(open), next_number };
+        self.failed.lock().entry(open.replica.clone()).or_default().push(failed);
+        self.failed_count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that it is known whether the replica has crashed under a failed send.
+    pub fn end_check(&self, open: &OpenSend) {
+        let mut failed = self.failed.lock();
+        let Some(at_replica) = failed.get_mut(&open.replica) else {
+            return;
+        };
+        let count = at_replica.len();
+        at_replica.retain(|known| known.open.number != open.number);
+        self.failed_count.fetch_sub(count - at_replica.len(), Ordering::Relaxed);
+        if at_replica.is_empty() {
+            failed.remove(&open.replica);
+        }
+    }
+
+    /// Records that a replica has answered a request completely. So it has not crashed under sends of
+    /// the same request that had failed before.
+    pub fn record_answered(&self, answered: &OpenSend) {
+        if self.failed_count.load(Ordering::Relaxed) == 0 {
+            return;
+        }
+        let failed = self.failed.lock();
+        for earlier in failed.get(&answered.replica).into_iter().flatten() {
+            let is_later = earlier.next_number <= answered.number;
+            if is_later && !earlier.open.is_answered_since() && earlier.open.is_same(answered) {
+                earlier.open.is_answered_since.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Returns whether the replica of any send is being checked or could not be reached.
     pub fn has_pending(&self) -> bool {
         self.pending.load(Ordering::Relaxed) > 0
