Quarantine: the leader adds up the answers of all gateways

What callers saw: a harmless request under which three replicas had crashed, for other reasons and one after the other, was refused to all for 120 s if no single gateway had seen twelve answers between them (RECOVER). The more gateways share the load, the fewer each of them sees.

Cause: gateways did not add up their answers.

The leader adds up those that name the newest crash in its log, by the same rule as a gateway, and clears the crashes through the log. Answers from before a crash still say nothing of it: a gateway that does not know the newest crash is not counted. The report is a turn that is neither charged nor retained, so no form of a message or an entry changes; a leader of an earlier build passes it to its log, where it has no effect. The new leader stores none.

--- a/crates/ledger/src/commands/crash.rs
+++ b/crates/ledger/src/commands/crash.rs
@@ -8,6 +8,10 @@
 //! A crash is cleared by a second record with a key of its own, which ledger machines of earlier
 //! builds store as well and do not distribute. A cleared crash stays charged; the account has another
 //! token instead.
+//!
+//! An answer since the newest crash is reported by a turn that is neither charged nor retained. The
+//! leader adds the answers of all gateways up without storing them; ledger machines of earlier builds
+//! ignore them.
 
 use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord, MAX_CRASHES, RequestFingerprint};
 
@@ -17,6 +21,8 @@
 const CRASH_KEYS: &str = "crash";
 /// Second part of the keys of cleared crashes.
 const CLEARED_KEYS: &str = "cleared";
+/// Second part of the keys of answers.
+const ANSWER_KEYS: &str = "answer";
 /// Second part of the keys of the accounts of requests.
 const ACCOUNT_KEYS: &str = "sends";
 
@@ -53,6 +59,27 @@
     }
 }
 
+/// Returns the report that `replica` has answered the request since this crash, the newest one under
+/// it.
+pub fn report_answer(newest: &CrashRecord, replica: &str) -> SettleTurn {
+    let key = record_key(ANSWER_KEYS, newest);
+    SettleTurn {
+        program: None,
+        turn: format!("{key}{KEY_SEPARATOR}{replica}"),
+        used_tokens: 0,
+        retention_ms: 0,
+        retained: None,
+        run: None,
+    }
+}
+
+/// Returns the newest crash and the replica of the answer that has this key; `None` for the key of
+/// anything else.
+pub fn find_answer(key: &str) -> Option<(CrashRecord, String)> {
+    let (newest, replica) = key.rsplit_once(KEY_SEPARATOR)?;
+    Some((find_record(ANSWER_KEYS, newest)?, replica.to_owned()))
+}
+
 /// Returns the command that charges a crash to the account of the request. It may be repeated, and
 /// a replica is charged once, whichever gateway reports it.
 pub fn charge_crash(record: &CrashRecord) -> SettleTurn {
--- a/crates/ledger/src/server/crashes.rs
+++ b/crates/ledger/src/server/crashes.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord};
+use calicohoist_quarantine::{Answers, CRASH_RETENTION, CrashRecord};
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
@@ -23,6 +23,8 @@
     record: CrashRecord,
     is_cleared: bool,
     forget_at: Instant,
+    /// Answers to the request since this crash, at all gateways. Counted by the leader only.
+    answers: Answers,
 }
 
 impl NumberedRecord {
@@ -75,6 +77,33 @@
         self.push(&mut records, record, true, now);
     }
 
+    /// Records an answer of a replica since the newest crash under a request, as the gateway knows
+    /// it; answers from before a crash say nothing of it. Once the answers show that the request is
+    /// harmless, returns its crashes, which are to be cleared.
+    pub fn record_answer(
+        &self,
+        newest: &CrashRecord,
+        replica: &str,
+        now: Instant,
+    ) -> Vec<CrashRecord> {
+        let mut records = self.records.lock();
+        let is_counted = |known: &&mut NumberedRecord| {
+            known.record.request == newest.request && !known.is_cleared && known.forget_at > now
+        };
+        let Some(last) = records.iter_mut().rev().find(is_counted) else {
+            return Vec::new();
+        };
+        if last.record != *newest {
+            return Vec::new();
+        }
+        last.answers.add(replica);
+        if !last.answers.show_harmless() {
+            return Vec::new();
+        }
+        last.answers = Answers::default();
+        records.iter_mut().filter(is_counted).map(|known| known.record.clone()).collect()
+    }
+
     fn push(
         &self,
         records: &mut VecDeque<NumberedRecord>,
@@ -87,7 +116,8 @@
         }
         let change = *self.changes.borrow() + 1;
         let forget_at = now + CRASH_RETENTION;
-        records.push_back(NumberedRecord { change, record, is_cleared, forget_at });
+        let answers = Answers::default();
+        records.push_back(NumberedRecord { change, record, is_cleared, forget_at, answers });
         self.changes.send_replace(change);
     }
 
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -4,11 +4,15 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_limiter::{IssueOutcome, PermitAnswer, PermitPurpose, PermitRequest};
+use calicohoist_quarantine::CrashRecord;
 use calicohoist_scheduler::PlacementRequest;
+use calicohoist_telemetry::{Event, emit};
 use tokio::runtime::Handle;
 
 use super::{GatewayService, Responder};
-use crate::commands::{Command, Output, Reservation, ReserveTurn, SettleTurn, find_crash};
+use crate::commands::{
+    Command, Output, Reservation, ReserveTurn, SettleTurn, clear_crash, find_answer, find_crash,
+};
 use crate::protocol::LedgerResponse;
 use crate::server::list::{DiscoverySnapshot, FleetSnapshot};
 use crate::server::replica::{Request, Response};
@@ -147,6 +151,9 @@
 
     /// Settles a turn. The scheduler is updated at once, whether or not the command is committed.
     pub(super) fn settle(&self, settle: SettleTurn, responder: Responder) {
+        if let Some((newest, replica)) = find_answer(&settle.turn) {
+            return self.record_answer(&newest, &replica, responder);
+        }
         // A record that ran nowhere, such as the origin of a stream, was not placed.
         if settle.run.is_some() || settle.retained.is_none() {
             self.turns.end(&settle, &self.fleet());
@@ -175,6 +182,26 @@
         self.replica.submit(Request::Change(Command::Settle(settle)), respond);
     }
 
+    /// Adds up the answers of all gateways to a request under which replicas have crashed, and clears
+    /// the crashes once the answers show that the request is harmless.
+    fn record_answer(&self, newest: &CrashRecord, replica: &str, responder: Responder) {
+        let status = self.status.borrow().clone();
+        if !status.is_leader {
+            return responder.send(self.not_leader(status.leader));
+        }
+        for crash in self.crashes.record_answer(newest, replica, Instant::now()) {
+            let clear = Command::Settle(clear_crash(&crash));
+            // The gateways learn of it from the log.
+            let respond = Box::new(move |response| {
+                let is_stored = matches!(response, Response::Changed(Output::Done));
+                let CrashRecord { request, replica, .. } = crash;
+                emit!(Event::CrashCleared; content = request, replica = replica, stored = is_stored);
+            });
+            self.replica.submit(Request::Change(clear), respond);
+        }
+        responder.send(LedgerResponse::Noted);
+    }
+
     fn answer(&self, response: Response) -> LedgerResponse {
         match response {
             Response::Reserved { reservation, history, is_under_way } => {
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_ledger::commands::{
-    Command, Reservation, charge_crash, clear_crash, find_cleared_crash, find_crash, release_send,
-    reserve_send, store_crash,
+    Command, Reservation, charge_crash, clear_crash, find_answer, find_cleared_crash, find_crash,
+    release_send, report_answer, reserve_send, store_crash,
 };
 use calicohoist_ledger::protocol::TermVersion;
 use calicohoist_ledger::server::crashes::CrashBoard;
@@ -271,3 +271,67 @@
     let refused = reserve_after(&mut state, &record, "front-1-a", 2 * MAX_CRASHES - 1);
     assert_eq!(refused, Reservation::BudgetSpent);
 }
+
+#[test]
+fn answer_is_found_by_its_key() {
+    for tenant in [None, Some("t-1")] {
+        let newest = crash(tenant, 1, "r1@1790000000000");
+        let key = report_answer(&newest, "r2@1790000000000").turn;
+        assert_eq!(find_answer(&key), Some((newest.clone(), "r2@1790000000000".to_owned())));
+        assert_eq!((find_crash(&key), find_cleared_crash(&key)), (None, None));
+        for command in [store_crash(&newest), clear_crash(&newest), charge_crash(&newest)] {
+            assert_eq!(find_answer(&command.turn), None);
+        }
+    }
+    for key in ["", "t1", "\u{1f}answer\u{1f}t\u{1f}no digest\u{1f}r1\u{1f}r2"] {
+        assert_eq!(find_answer(key), None, "{key}");
+    }
+}
+
+/// Reports answers of these replicas in turn. Returns the crashes that are to be cleared.
+fn answer(
+    board: &CrashBoard,
+    newest: &CrashRecord,
+    replicas: &[&str],
+    count: usize,
+    now: Instant,
+) -> Vec<CrashRecord> {
+    let turns = replicas.iter().cycle().take(count);
+    turns.flat_map(|replica| board.record_answer(newest, replica, now)).collect()
+}
+
+#[test]
+fn answers_at_all_gateways_clear_the_crashes_of_a_harmless_request() {
+    let (board, now) = (CrashBoard::default(), Instant::now());
+    let crashes = ["r1", "r2"].map(|replica| crash(None, 1, replica));
+    crashes.iter().for_each(|record| board.add(record.clone(), now));
+    board.add(crash(None, 2, "r1"), now);
+    let newest = &crashes[1];
+    assert!(answer(&board, newest, &["a", "b", "c"], HARMLESS_ANSWERS - 1, now).is_empty());
+    assert_eq!(answer(&board, newest, &["a"], 1, now), crashes);
+    crashes.iter().for_each(|record| board.clear(record.clone(), now));
+    assert!(answer(&board, newest, &["a"], 2 * HARMLESS_ANSWERS, now).is_empty());
+}
+
+#[test]
+fn answers_of_gateways_that_do_not_know_the_newest_crash_do_not_count() {
+    let (board, now) = (CrashBoard::default(), Instant::now());
+    let crashes = ["r1", "r2"].map(|replica| crash(None, 1, replica));
+    board.add(crashes[0].clone(), now);
+    assert!(answer(&board, &crashes[0], &["a"], HARMLESS_ANSWERS - 1, now).is_empty());
+    board.add(crashes[1].clone(), now);
+    assert!(answer(&board, &crashes[0], &["a"], 2 * HARMLESS_ANSWERS, now).is_empty());
+    assert!(answer(&board, &crashes[1], &["a"], HARMLESS_ANSWERS - 1, now).is_empty());
+    let end = now + CRASH_RETENTION;
+    assert!(answer(&board, &crashes[1], &["a"], HARMLESS_ANSWERS, end).is_empty());
+}
+
+#[test]
+fn two_answers_of_each_replica_clear_no_crash() {
+    let (board, now) = (CrashBoard::default(), Instant::now());
+    let record = crash(None, 1, "r0");
+    board.add(record.clone(), now);
+    let replicas: Vec<String> = (1..=50).map(|number| format!("r{number}")).collect();
+    let replicas: Vec<&str> = replicas.iter().map(String::as_str).collect();
+    assert!(answer(&board, &record, &replicas, 2 * replicas.len(), now).is_empty());
+}
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -207,7 +207,7 @@
                 crashes.clear(*request, replica, CRASH_RETENTION, now);
             } else {
                 let left = Duration::from_millis(u64::from(*left_ms));
-                crashes.record(*request, replica, left, now);
+                crashes.record_stored(*request, replica, left, now);
             }
         }
         drop(crashes);
--- a/crates/quarantine/src/answers.rs
+++ b/crates/quarantine/src/answers.rs
@@ -12,7 +12,7 @@
 
 /// Whole answers of replicas to one request.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Answers {
+pub struct Answers {
     count: usize,
     /// Incarnations that have answered.
     replicas: HashSet<String>,
@@ -20,7 +20,7 @@
 
 impl Answers {
     /// Adds an answer of a replica.
-    pub(crate) fn add(&mut self, replica: &str) {
+    pub fn add(&mut self, replica: &str) {
         self.count += 1;
         if !self.replicas.contains(replica) {
             self.replicas.insert(replica.to_owned());
@@ -28,12 +28,12 @@
     }
 
     /// Returns whether a replica has answered.
-    pub(crate) fn any(&self) -> bool {
+    pub fn any(&self) -> bool {
         self.count > 0
     }
 
     /// Returns whether the answers show that the request is harmless.
-    pub(crate) fn show_harmless(&self) -> bool {
+    pub fn show_harmless(&self) -> bool {
         self.count >= HARMLESS_ANSWERS.max(ANSWERS_PER_REPLICA * self.replicas.len())
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod fingerprint;
 pub mod table;
 
-pub use answers::{ANSWERS_PER_REPLICA, HARMLESS_ANSWERS};
+pub use answers::{ANSWERS_PER_REPLICA, Answers, HARMLESS_ANSWERS};
 pub use crash::{CRASH_RETENTION, CrashRecord, MAX_CRASHES, PERMISSION_TIME};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use table::CrashTable;
@@ -21,7 +21,7 @@
 /// The types that users of this crate need.
 pub mod prelude {
     pub use crate::{
-        ANSWERS_PER_REPLICA, CRASH_RETENTION, CrashRecord, CrashTable, HARMLESS_ANSWERS,
+        ANSWERS_PER_REPLICA, Answers, CRASH_RETENTION, CrashRecord, CrashTable, HARMLESS_ANSWERS,
         MAX_CRASHES, PERMISSION_TIME, RequestContent, RequestFingerprint,
     };
 }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -24,6 +24,8 @@
     cleared: VecDeque<String>,
     /// Number of crashes that were cleared.
     cleared_count: usize,
+    /// Incarnation whose crash is the newest one that counts.
+    newest: Option<String>,
     forget_at: Instant,
     /// When the newest crash was recorded.
     crashed_at: Instant,
@@ -38,6 +40,7 @@
             unconfirmed: Vec::new(),
             cleared: VecDeque::new(),
             cleared_count: 0,
+            newest: None,
             forget_at,
             crashed_at: now,
             answers: Answers::default(),
@@ -54,6 +57,9 @@
 
     fn clear(&mut self, replica: &str) {
         self.replicas.retain(|known| known != replica);
+        if self.newest.as_deref() == Some(replica) {
+            self.newest = self.replicas.last().cloned();
+        }
         if self.is_cleared(replica) {
             return;
         }
@@ -93,12 +99,30 @@
             return;
         }
         crashes.answers = Answers::default();
+        crashes.newest = Some(replica.to_owned());
         if crashes.replicas.len() < MAX_CRASHES {
             crashes.replicas.push(replica.to_owned());
             crashes.crashed_at = now;
         }
     }
 
+    /// Records a crash that the ledger has stored after those that this table knows of. Tables that
+    /// record their own crashes before the ledger does agree on the newest one in this way.
+    pub fn record_stored(
+        &mut self,
+        request: RequestFingerprint,
+        replica: &str,
+        retention: Duration,
+        now: Instant,
+    ) {
+        self.record(request, replica, retention, now);
+        if let Some(crashes) = self.requests.get_mut(&request)
+            && !crashes.is_cleared(replica)
+        {
+            crashes.newest = Some(replica.to_owned());
+        }
+    }
+
     /// Records a crash before which the request may not have reached the replica. It counts once
     /// another crash under the request is known.
     pub fn record_unconfirmed(&mut self, record: CrashRecord, retention: Duration, now: Instant) {
@@ -164,6 +188,11 @@
         replicas
     }
 
+    /// Returns the replica of the newest crash under the request that counts.
+    pub fn newest_crash(&self, request: &RequestFingerprint, now: Instant) -> Option<&str> {
+        self.find(request, now)?.newest.as_deref()
+    }
+
     /// Clears the crash of a replica for `retention`: it counts no more, also if it is recorded again.
     pub fn clear(
         &mut self,
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -248,3 +248,26 @@
     record(&mut table, 1, "r2", now);
     assert!(table.take_confirmed(&request(1)).is_empty());
 }
+
+#[test]
+fn newest_crash_is_the_one_that_the_ledger_stored_last() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    assert_eq!(table.newest_crash(&request(1), now), None);
+    let own = ["r1", "r3"];
+    own.iter().for_each(|replica| record(&mut table, 1, replica, now));
+    // The ledger stored the crash that another gateway found first.
+    for replica in ["r2", "r1", "r3", "r4"] {
+        table.record_stored(request(1), replica, CRASH_RETENTION, now);
+        assert_eq!(table.newest_crash(&request(1), now), Some(replica));
+    }
+    // Another request has found the same crash.
+    record(&mut table, 1, "r1", now);
+    assert_eq!(table.newest_crash(&request(1), now), Some("r4"));
+    for replica in ["r4", "r3", "r2", "r1"] {
+        table.clear(request(1), replica, CRASH_RETENTION, now);
+        assert_ne!(table.newest_crash(&request(1), now), Some(replica));
+    }
+    table.record_stored(request(1), "r1", CRASH_RETENTION, now);
+    assert_eq!(table.newest_crash(&request(1), now), None);
+    assert_eq!(table.newest_crash(&request(1), now + CRASH_RETENTION), None);
+}
