Streams: a stream continues only after events that have a number

Callers saw events twice: where events had no id, or one that is no number, a gateway that continued a broken stream sent no `Last-Event-Id`, so the next replica began anew, and all its events counted as new. The same happened to a stream that a client resumed with an id that is no number, if its replica broke before the next event: the id that the client had sent was dropped.

Cause: no id of a last event was taken for no event.

After an event with data and without a number, a broken stream now ends, as it does on a route that is not resumable. Comments and `retry` fields carry nothing that could be repeated. Until a replica sends a number, the id that the client sent is repeated as it is.

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -123,6 +123,8 @@
     /// Headers of the first replica's response, which are sent to the client.
     headers: HeaderMap,
     last_event_id: Option<u64>,
+    /// Whether an event with data had no number, after which no replica can continue.
+    has_unnumbered_data: bool,
     /// Replica that was asked again and has not sent a new event since.
     retried: Option<String>,
     events: u64,
@@ -175,6 +177,7 @@
             held: app.memory.reserve_nothing(),
             headers,
             last_event_id,
+            has_unnumbered_data: false,
             retried: None,
             events: 0,
             bytes_read: 0,
@@ -384,6 +387,7 @@
     /// events.
     fn is_new(&mut self, event: &ServerEvent) -> bool {
         let Some(id) = event.id.as_deref().and_then(|id| id.parse::<u64>().ok()) else {
+            self.has_unnumbered_data |= event.data.is_some();
             return true;
         };
         let is_new = self.last_event_id.is_none_or(|last| id > last);
@@ -473,7 +477,7 @@
     /// Resumes the stream on another replica after the last event.
     async fn resume(&mut self) -> Result<(), GatewayError> {
         self.report_broken();
-        if !self.call.route.resumable {
+        if !self.call.route.resumable || self.has_unnumbered_data {
             return Err(GatewayError::Unknown);
         }
         if self.continuation.is_none() {
@@ -486,7 +490,10 @@
                 return Err(GatewayError::Unknown);
             }
         }
-        self.payload.last_event_id = self.last_event_id.map(|id| id.to_string());
+        // Until then, the client has what it had when it resumed the stream.
+        if let Some(id) = self.last_event_id {
+            self.payload.last_event_id = Some(id.to_string());
+        }
         let exchange =
             dispatch(&self.app, &self.call, &self.payload, &mut self.attempt_state).await?;
         if !is_event_stream(&exchange) {
