Turns: events without data contain no tokens

Callers saw sound streams cut: comments that keep a connection alive, and `retry` fields, counted as an event of tokens each, so a stream with as many tokens as requested and one comment between them exceeded what its request may generate. Until the output was limited, they were charged too much, and nothing else.

Cause: an event was taken for tokens, whatever it contains.

Only events with data are counted, charged and limited. Events without data are not retained, so they take no memory with the turn; they are forwarded until the deadline, as an endless comment is.

--- a/crates/proxy/src/flow/turn_output.rs
+++ b/crates/proxy/src/flow/turn_output.rs
@@ -86,11 +86,11 @@
     ///
     /// # Errors
     /// Returns an error if the output would exceed its limits. The last event may contain fewer tokens
-    /// than others.
+    /// than others, and one without data contains none.
     pub fn capacity_with(&self, data: Option<&[u8]>) -> Result<usize, OutputTooLong> {
         let length = self.data.len() + self.retained_bytes(data);
         let has_tokens_left = self.limit.tokens.is_none_or(|limit| self.tokens < limit);
-        if !has_tokens_left || length > self.limit.bytes {
+        if data.is_some() && !has_tokens_left || length > self.limit.bytes {
             return Err(OutputTooLong);
         }
         let capacity = self.data.capacity();
@@ -100,8 +100,11 @@
 
     /// Appends an event, using `capacity` bytes of memory.
     pub fn append(&mut self, data: Option<&[u8]>, capacity: usize) {
+        let Some(data) = data else {
+            return;
+        };
         self.tokens += self.tokens_per_event;
-        if let (Some(data), true) = (data, self.is_retained) {
+        if self.is_retained {
             self.data.reserve_exact(capacity.saturating_sub(self.data.len()));
             self.data.extend_from_slice(data);
             self.data.push(b'\n');
