Turns: the rest of a stream is not retained as a whole turn

On a route that is resumable and retains turns, a client that resumed a stream got a complete answer, and the next turn then reached a replica without the events from before the break: a body that is not the chain's inputs and outputs. On a route that only retains turns, a `Last-Event-Id` did the same.

Cause: the output of the request that brought the rest was taken for the output of the turn. The events before it were sent by another request, of which nothing is stored.

A request that resumes a stream on a route that retains turns is answered 409 and not run, as is any stream whose beginning is unknown. No origin is recorded there, so its first events wait for no write. A gateway still continues such a stream within one answer.

--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -223,6 +223,10 @@
 /// Finds where the stream may continue. A missing record says nothing about the software that began
 /// the stream, whatever the replicas run now.
 async fn find_continuation(app: &App, call: &Call) -> Result<(), GatewayError> {
+    // What the client has of a retained turn is part of it, and is not stored anywhere.
+    if call.route.retain {
+        return Err(GatewayError::UnknownStream);
+    }
     let first = call.head.resumes.as_deref().ok_or(GatewayError::UnknownStream)?;
     let origin = find_twice(app, call, first).await?.ok_or_else(|| missing_record(app))?;
     let mut continuation = Continuation::from(origin);
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -199,7 +199,8 @@
         };
         self.attempt_state.require(origin.software());
         self.continuation = Some(Continuation::from(origin.clone()));
-        Some(origin::record(&self.app, &self.call, origin))
+        let is_resumed_by_clients = !self.call.route.retain;
+        is_resumed_by_clients.then(|| origin::record(&self.app, &self.call, origin))
     }
 
     fn headers(&self) -> HeaderMap {
