Quarantine: the account of a request counts a cleared crash until it is forgotten

It permits as many sends as crashes may still happen, and one more for each crash that gateways know to be cleared. They know that for 120 s after it was cleared, but the account counted the crash for 120 s after it happened, or after the last permitted send. In between, three crashes that were cleared late permitted three more sends without being counted: with one new crash, five sends at the same time in place of two.

A gateway that clears a crash now charges it once more before, which a known charge ignores but for its retention. If that cannot be stored, the crash is not cleared elsewhere.

Not covered: a gateway that learns of a cleared crash from a new leader, or after its own start, knows of it for 120 s from then on.

--- a/crates/ledger/src/commands/crash.rs
+++ b/crates/ledger/src/commands/crash.rs
@@ -47,6 +47,12 @@
     store(CLEARED_KEYS, record)
 }
 
+/// Returns the commands with which a gateway clears a crash. The account of the request counts it for as
+/// long as gateways know that it was cleared, and so permit a further send.
+pub fn clear_commands(record: &CrashRecord) -> [SettleTurn; 2] {
+    [charge_crash(record), clear_crash(record)]
+}
+
 fn store(keys: &str, record: &CrashRecord) -> SettleTurn {
     let input = record.replica.as_bytes().to_vec();
     SettleTurn {
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -11,7 +11,7 @@
 
 use super::{GatewayService, Responder};
 use crate::commands::{
-    Command, Output, Reservation, ReserveTurn, SettleTurn, clear_crash, find_answer, find_crash,
+    Command, Output, Reservation, ReserveTurn, SettleTurn, clear_commands, find_answer, find_crash,
 };
 use crate::protocol::LedgerResponse;
 use crate::server::list::{DiscoverySnapshot, FleetSnapshot};
@@ -190,14 +190,16 @@
             return responder.send(self.not_leader(status.leader));
         }
         for crash in self.crashes.record_answer(newest, replica, Instant::now()) {
-            let clear = Command::Settle(clear_crash(&crash));
+            let [charge, clear] = clear_commands(&crash);
+            // The log keeps their order, so no crash is cleared unless its account goes on counting it.
+            self.replica.submit(Request::Change(Command::Settle(charge)), Box::new(|_| {}));
             // The gateways learn of it from the log.
             let respond = Box::new(move |response| {
                 let is_stored = matches!(response, Response::Changed(Output::Done));
                 let CrashRecord { request, replica, .. } = crash;
                 emit!(Event::CrashCleared; content = request, replica = replica, stored = is_stored);
             });
-            self.replica.submit(Request::Change(clear), respond);
+            self.replica.submit(Request::Change(Command::Settle(clear)), respond);
         }
         responder.send(LedgerResponse::Noted);
     }
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_ledger::commands::{
-    Command, Reservation, charge_crash, clear_crash, find_answer, find_cleared_crash, find_crash,
-    release_send, report_answer, reserve_send, store_crash,
+    Command, Reservation, charge_crash, clear_commands, clear_crash, find_answer,
+    find_cleared_crash, find_crash, release_send, report_answer, reserve_send, store_crash,
 };
 use calicohoist_ledger::protocol::TermVersion;
 use calicohoist_ledger::server::crashes::CrashBoard;
@@ -335,3 +335,27 @@
     let replicas: Vec<&str> = replicas.iter().map(String::as_str).collect();
     assert!(answer(&board, &record, &replicas, 2 * replicas.len(), now).is_empty());
 }
+
+/// Gateways know of a cleared crash for as long as of a new one.
+#[test]
+fn account_counts_a_crash_for_as_long_as_it_is_known_to_be_cleared() {
+    let mut state = LedgerState::new(GroupId(0));
+    let cleared = ["r1", "r2", "r3"].map(|replica| crash(None, 1, replica));
+    let record = &cleared[0];
+    for crash in &cleared {
+        apply(&mut state, Command::Settle(store_crash(crash)));
+        apply(&mut state, Command::Settle(charge_crash(crash)));
+    }
+    let elapsed_ms = CRASH_RETENTION.as_millis() as u64 * 2 / 3;
+    apply(&mut state, Command::Advance { elapsed_ms });
+    for command in cleared.iter().flat_map(clear_commands) {
+        apply(&mut state, Command::Settle(command));
+    }
+    apply(&mut state, Command::Advance { elapsed_ms });
+    apply(&mut state, Command::Settle(charge_crash(&crash(None, 1, "s1"))));
+    let sends = ["front-1-a", "front-1-b", "front-1-c", "front-1-d", "front-1-e"];
+    let granted = sends.iter().filter(|send| {
+        reserve_after(&mut state, record, send, cleared.len()) == Reservation::Granted
+    });
+    assert_eq!(granted.count(), MAX_CRASHES - 1);
+}
--- a/crates/proxy/src/flow/crash/clear.rs
+++ b/crates/proxy/src/flow/crash/clear.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_ledger::commands::{clear_crash, report_answer};
+use calicohoist_ledger::commands::{clear_commands, report_answer};
 use calicohoist_ledger::{LedgerRequest, LedgerResponse};
 use calicohoist_quarantine::CrashRecord;
 use calicohoist_telemetry::{Event, emit};
@@ -50,9 +50,15 @@
 async fn store(app: Arc<App>, record: CrashRecord) {
     // A graceful shutdown waits for the record.
     let _guard = app.begin_task();
-    let question = LedgerRequest::Settle(clear_crash(&record));
-    let answer = app.ledger.request(&question, Instant::now() + CLEAR_TIMEOUT).await;
-    let is_stored = matches!(answer, Ok(LedgerResponse::Settled));
+    let deadline = Instant::now() + CLEAR_TIMEOUT;
+    let mut is_stored = true;
+    for command in clear_commands(&record) {
+        // A crash is not cleared unless its account goes on counting it.
+        if is_stored {
+            let answer = app.ledger.request(&LedgerRequest::Settle(command), deadline).await;
+            is_stored = matches!(answer, Ok(LedgerResponse::Settled));
+        }
+    }
     let CrashRecord { request, replica, .. } = record;
     emit!(Event::CrashCleared; content = request, replica = replica, stored = is_stored);
 }
