Streams: no origin is recorded under an id that no client can name

A client can name a stream whose id has up to 255 bytes; a longer one is refused as malformed. The origin of a stream with a longer id was recorded all the same, under a key as long as the headers allow, for five minutes. The number of origins is limited and not their size: 32,768 with ids of 16 KB are half a gigabyte (computed, not played) on machines of 230 MB, and whoever may send requests can choose the ids.

Such a stream now begins without a record and without waiting for one.

--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -29,6 +29,8 @@
 const RECORD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum time for which the first event of a stream waits for the record. Covers a leader election.
 const RECORD_WAIT: Duration = Duration::from_millis(1_000);
+/// Maximum length of the id of a stream, in bytes. No client can name a stream with a longer one.
+const MAX_ID_BYTES: usize = 255;
 /// Delay before an origin is looked up again that may still be on its way to the ledger.
 const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(50);
 /// Delays before a replica is asked again which process serves a stream that has begun.
@@ -162,6 +164,10 @@
 
 /// Stores a record; returns whether it is durable.
 async fn store(app: &App, name: &StreamName, origin: StreamOrigin) -> bool {
+    if name.request.len() > MAX_ID_BYTES {
+        record_loss(name, "its id is too long");
+        return false;
+    }
     let record = match encode(&OriginRecord::V1(origin)) {
         Ok(record) => record,
         Err(error) => {
@@ -188,7 +194,8 @@
 
 fn record_loss(name: &StreamName, reason: &str) {
     ORIGINS_RECORDED.inc("lost");
-    emit!(Event::StreamOriginLost; request = name.request, reason = reason);
+    let shown = name.request.get(..MAX_ID_BYTES).unwrap_or(&name.request);
+    emit!(Event::StreamOriginLost; request = shown, reason = reason);
 }
 
 /// Determines where the stream that `call` resumes may continue, if it resumes one.
