Streams: a report counts also if its connection is closed after it

Each stream took up to seven connections to it.

Cause: a report was dropped unless a request could follow it on its connection. So the answer to which process runs was taken for none, twice, and the stream was bound to nothing.

The report counts. Where the connection is closed after it, the stream is sent on the next one, and the replica is asked again on a third once the first event is there. The same start both times is that of the process between, since one process at a time listens at an address; otherwise the stream is bound to nothing, as before. Crash checks no longer take such a replica for unresponsive.

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -85,7 +85,7 @@
         }
     };
     if first.is_some()
-        && let Some(record) = relay.bind_stream()
+        && let Some(record) = relay.bind_stream().await
     {
         record.wait(app, call).await;
     }
@@ -186,10 +186,11 @@
 
     /// Binds a new stream of a resumable route to the software of the replica that sends its first
     /// event, and records that as its origin.
-    fn bind_stream(&mut self) -> Option<PendingRecord> {
+    async fn bind_stream(&mut self) -> Option<PendingRecord> {
         if self.continuation.is_some() || !self.call.route.resumable {
             return None;
         }
+        self.exchange.identify_process(&self.app.pool, self.app.dialect()).await;
         let Some(origin) = self.exchange.stream_origin() else {
             self.attempt_state.require(SoftwareRequirement::Unknown);
             let replica = &self.exchange.member.replica;
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -14,7 +14,7 @@
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
-use super::start_check::{StartCheck, check_connection, listed_start};
+use super::start_check::{StartCheck, check_connection, is_open, listed_start};
 use super::{Checkout, Pool, PooledConnection};
 use crate::dialect::{Dialect, OutgoingHead, ResponseHead};
 use crate::fleet::{LoadGuard, Member};
@@ -93,6 +93,9 @@
     Listed,
     /// Another process than the listed one, which started at this time.
     Restarted(StartTime),
+    /// Not asked for on this connection. One that was opened before reached a process which started at
+    /// this time.
+    Preceded(StartTime),
     /// Asked for without an answer.
     Unknown,
 }
@@ -159,6 +162,30 @@
         Arc::clone(self.connection.sender.lane())
     }
 
+    /// Asks which process answers now if one that closes its connections answered before this one was
+    /// opened. If it is the same, it has accepted this connection too: one process at a time listens at
+    /// an address.
+    pub async fn identify_process(&mut self, pool: &Pool, dialect: &dyn Dialect) {
+        let ServerProcess::Preceded(before) = self.process else {
+            return;
+        };
+        let replica = &self.member.replica;
+        // A kept connection may lead to a process that listens no more.
+        let Ok(mut connection) = pool.open(replica.address).await else {
+            self.process = ServerProcess::Unknown;
+            return;
+        };
+        let check = check_connection(&mut connection, dialect, replica).await;
+        if is_open(&mut connection).await {
+            pool.check_in(&replica.id, connection, None);
+        }
+        self.process = match check {
+            StartCheck::Listed if listed_start(replica) == Some(before) => ServerProcess::Listed,
+            StartCheck::Restarted(start) if start == before => ServerProcess::Restarted(start),
+            _ => ServerProcess::Unknown,
+        };
+    }
+
     /// Returns the origin of a stream that this response begins; `None` if it is unknown which process
     /// sends it.
     pub fn stream_origin(&self) -> Option<StreamOrigin> {
@@ -167,7 +194,7 @@
             ServerProcess::Unchecked => Some(StreamOrigin::at(replica)),
             ServerProcess::Listed => Some(StreamOrigin::confirmed_at(replica)),
             ServerProcess::Restarted(start) => Some(StreamOrigin::restarted_at(replica, start)),
-            ServerProcess::Unknown => None,
+            ServerProcess::Preceded(_) | ServerProcess::Unknown => None,
         }
     }
 
@@ -250,7 +277,7 @@
     let is_checked = process_check != ProcessCheck::None && listed_start(replica).is_some();
     let must_be_listed = process_check == ProcessCheck::RequireListed;
     let mut checkout = checkout;
-    let mut unanswered = 0;
+    let (mut unanswered, mut preceding) = (0, None);
     loop {
         let connection = pool.check_out(&replica.id, replica.address, checkout).await;
         let mut connection = connection.map_err(|_| ExchangeError::NotSent)?;
@@ -260,14 +287,22 @@
         if unanswered == MAX_IDENTIFICATIONS {
             return Ok((connection, ServerProcess::Unknown));
         }
-        match check_connection(&mut connection, dialect, replica).await {
-            StartCheck::Listed => return Ok((connection, ServerProcess::Listed)),
+        if let Some(start) = preceding {
+            return Ok((connection, ServerProcess::Preceded(start)));
+        }
+        let check = check_connection(&mut connection, dialect, replica).await;
+        let is_open = check != StartCheck::NoAnswer && is_open(&mut connection).await;
+        match check {
             StartCheck::Restarted(_) if must_be_listed => return Err(ExchangeError::Restarted),
-            StartCheck::Restarted(start) => {
+            StartCheck::Listed if is_open => return Ok((connection, ServerProcess::Listed)),
+            StartCheck::Restarted(start) if is_open => {
                 return Ok((connection, ServerProcess::Restarted(start)));
             }
             // A reused connection may have been closed.
-            StartCheck::NoAnswer if connection.is_reused => {}
+            _ if connection.is_reused => {}
+            StartCheck::Listed if must_be_listed => return Err(ExchangeError::NotSent),
+            // The replica closes each connection after a response.
+            StartCheck::Listed | StartCheck::Restarted(_) => preceding = connection.start,
             StartCheck::NoAnswer if must_be_listed => return Err(ExchangeError::NotSent),
             // The replica may have closed the connection, or answer later.
             StartCheck::NoAnswer => unanswered += 1,
--- a/crates/proxy/src/upstream/start_check.rs
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -81,6 +81,12 @@
     compare_start(connection.start, listed)
 }
 
+/// Returns whether a connection can carry a request after a response was read from it.
+pub(super) async fn is_open(connection: &mut PooledConnection) -> bool {
+    let ready = tokio::time::timeout(CHECK_TIMEOUT, connection.sender.ready()).await;
+    matches!(ready, Ok(Ok(())))
+}
+
 /// Returns the start time of a replica's listed process, if the list has start times.
 pub(super) fn listed_start(replica: &Replica) -> Option<StartTime> {
     Incarnation::from(replica.id.as_str()).start
@@ -112,6 +118,5 @@
     if response.status() != StatusCode::OK {
         return None;
     }
-    sender.ready().await.ok()?;
     Some(response.into_body())
 }
