Streams: only an open connection is kept after a check of the process

A check of the process that answers kept its connection for further requests without looking whether the replica had closed it after the report, since a report counts also then. A test of the replica that reports only after its first event joins those of lost reports.

--- a/crates/proxy/src/upstream/start_check.rs
+++ b/crates/proxy/src/upstream/start_check.rs
@@ -56,7 +56,7 @@
         };
         connection.start = fetch_start(&mut connection.sender, dialect, replica).await;
         let check = compare_start(connection.start, start);
-        if check == StartCheck::Listed {
+        if check == StartCheck::Listed && is_open(&mut connection).await {
             pool.check_in(&replica.id, connection, None);
         }
         check
