Ledger: an origin that is stored again counts once

Where a write takes long, as beside a slow disk or without a quorum, a gateway asks for it again after 250 ms, for 30 s. Each time counted as a stream that begins, so the leader took the rate for many times what it was and shortened the retention of all origins, just when clients come back late: 500 streams that are stored 16 times in 5 s got 20 s in place of 300 (computed from the quota).

Cause: a repeated question was taken for a new stream.

The leader remembers by hash which origins it has admitted since the last count but one. A repeated one is neither counted nor refused for lack of room.

--- a/crates/ledger/src/server/replica/origins.rs
+++ b/crates/ledger/src/server/replica/origins.rs
@@ -3,6 +3,8 @@
 //! A request id that has begun streams of different origins names none of them. The state keeps the first
 //! record, so the leader stores a conflict beside it, and readers get that in place of the record.
 
+use std::collections::HashSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use super::CLOCK_INTERVAL;
@@ -27,15 +29,25 @@
     /// Origins at the last count, and those admitted since.
     held: usize,
     /// Origins admitted since the last count.
-    admitted: usize,
+    admitted: AdmittedOrigins,
     /// Origins admitted between the last two counts.
-    previously_admitted: usize,
+    previously_admitted: AdmittedOrigins,
+}
+
+/// Origins admitted between two counts.
+#[derive(Debug, Default)]
+struct AdmittedOrigins {
+    /// Hashes of the keys, also of those that are repeated because their write takes long.
+    keys: HashSet<u64>,
+    /// Number of origins that were not admitted before.
+    count: usize,
 }
 
 impl OriginQuota {
     /// Sets the number of origins that the ledger holds, every [`ORIGIN_COUNT_INTERVAL`].
     pub fn recount(&mut self, held: usize) {
-        *self = Self { held, admitted: 0, previously_admitted: self.admitted };
+        self.held = held;
+        self.previously_admitted = std::mem::take(&mut self.admitted);
     }
 
     /// Shortens the retention of an origin that is to be stored; `false` if there is no room for it.
@@ -44,11 +56,17 @@
         if !is_origin(&settle.turn) {
             return true;
         }
-        if self.held >= MAX_ORIGINS {
-            return false;
+        let key = hash(&settle.turn);
+        let is_known =
+            self.admitted.keys.contains(&key) || self.previously_admitted.keys.contains(&key);
+        if !is_known {
+            if self.held >= MAX_ORIGINS {
+                return false;
+            }
+            self.held += 1;
+            self.admitted.count += 1;
         }
-        self.held += 1;
-        self.admitted += 1;
+        self.admitted.keys.insert(key);
         settle.retention_ms = self.retention_ms(settle.retention_ms);
         true
     }
@@ -67,7 +85,7 @@
 
     /// Returns the time in which [`STEADY_ORIGINS`] streams begin at the present rate.
     fn max_retention_ms(&self) -> u64 {
-        let per_interval = self.admitted.max(self.previously_admitted).max(1);
+        let per_interval = self.admitted.count.max(self.previously_admitted.count).max(1);
         millis(ORIGIN_COUNT_INTERVAL).saturating_mul(STEADY_ORIGINS as u64) / per_interval as u64
     }
 }
@@ -102,6 +120,12 @@
     conflict.filter(|conflict| turns.contains(conflict)).or_else(|| previous.cloned())
 }
 
+fn hash(key: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
