Streams: identifying a replica ends with the deadline of its request

A replica that is asked once more after its first event could take 800 ms for a connection, the report and its end, also where the request had less time left. Asking now ends at the deadline; the process then counts as unknown. Read in the code, no test plays it.

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -190,7 +190,9 @@
         if self.continuation.is_some() || !self.call.route.resumable {
             return None;
         }
-        self.exchange.identify_process(&self.app.pool, self.app.dialect()).await;
+        let identify = self.exchange.identify_process(&self.app.pool, self.app.dialect());
+        // A process that is not identified by then is unknown.
+        let _ = before(self.call.deadline, identify).await;
         let Some(origin) = self.exchange.stream_origin() else {
             self.attempt_state.require(SoftwareRequirement::Unknown);
             let replica = &self.exchange.member.replica;
