--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -288,6 +288,18 @@
     }
 }
 
+/// A leader of an earlier build passes reports to its log.
+#[test]
+fn answer_in_the_log_has_no_effect() {
+    let mut state = LedgerState::new(GroupId(0));
+    let newest = crash(Some("t-1"), 1, "r1");
+    apply(&mut state, Command::Settle(store_crash(&newest)));
+    let before = state.snapshot();
+    apply(&mut state, Command::Settle(report_answer(&newest, "r2")));
+    assert_eq!(state.snapshot(), before);
+    assert_eq!((state.crashes().next(), state.cleared_crashes().next()), (1, 0));
+}
+
 /// Reports answers of these replicas in turn. Returns the crashes that are to be cleared.
 fn answer(
     board: &CrashBoard,
