--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -82,13 +82,17 @@
 /// - 3: many gateways, which load elections and configuration updates.
 /// - 109, 146: SIGTERM right after the start of a store.
 /// - 5218: SIGTERM and SIGHUP right after the start of a store.
-const REGRESSION_RUNS: [SoakRun; 6] = [
+/// - 1796406271: overlapping tries of a request under which replicas fall silent.
+/// - 2026120519: the only tool that serves restarts three times with few answers between.
+const REGRESSION_RUNS: [SoakRun; 8] = [
     SoakRun { seed: 1, gateways: 2, seconds: 20 },
     SoakRun { seed: 2, gateways: 4, seconds: 20 },
     SoakRun { seed: 3, gateways: 40, seconds: 20 },
     SoakRun { seed: 109, gateways: 4, seconds: 15 },
     SoakRun { seed: 146, gateways: 2, seconds: 15 },
     SoakRun { seed: 5218, gateways: 4, seconds: 10 },
+    SoakRun { seed: 1_796_406_271, gateways: 4, seconds: 20 },
+    SoakRun { seed: 2_026_120_519, gateways: 4, seconds: 20 },
 ];
 /// Runs that are judged by the streams of the service that is released.
 const RELEASE_RUNS: [SoakRun; 1] = [SoakRun { seed: 86, gateways: 4, seconds: 20 }];
