Tests: retained turns after a fault that ends all processes

Turns answered whole before the fault are now tried again by their callers, under their own program and under others, beside first turns, from the kill on, while all machines start again in random order, with and without the loss of a ledger disk. Replicas' requests give the shares for each second; the last four seconds of the recovery time are judged. The workload of the final fault sends programs with budgets, so that reservations of killed gateways are there.

--- a/crates/calicohoist/tests/acknowledged/final_fault.rs
+++ b/crates/calicohoist/tests/acknowledged/final_fault.rs
@@ -10,13 +10,14 @@
 
 use parking_lot::Mutex;
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom as _;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use rand::{RngExt as _, SeedableRng as _};
 use rustix::process::Signal;
 use serde_json::Value;
 
 use crate::cluster::{Cluster, GATEWAY_IPS, Process};
 use crate::durability::{number_from_environment, start_model};
+use crate::support::replica::RecordedRequest;
 use crate::support::{Response, ScriptedReplica, client, configuration, request_head, wait_until};
 use crate::{Ledger, STORE_IPS, large_configuration, request, version_of};
 
@@ -28,19 +29,26 @@
 /// Turns after which a caller begins a new history.
 const MAX_DEPTH: usize = 5;
 const MAX_INPUT_BYTES: usize = 16 << 10;
-const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// More than all turns of a program use.
+const PROGRAM_BUDGET: u64 = 1_000_000;
+const MAX_TURN_TOKENS: u64 = 90;
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time between the starts of two machines.
+const MAX_START_INTERVAL_MS: u64 = 500;
 /// The log is rewritten with more than 64 MiB, the size of a frame of a connection.
 const LARGE_CONFIGURATIONS: u64 = 9;
 const LARGE_BYTES: usize = 15 << 20;
 
 /// A turn that was answered whole.
 #[derive(Clone)]
-struct Turn {
-    id: String,
+pub struct Turn {
+    pub id: String,
+    /// Program that the turn belongs to.
+    pub program: String,
     depth: usize,
     /// Inputs and outputs up to this turn.
-    history: String,
+    pub history: String,
 }
 
 /// Callers of a deployment, with what was acknowledged to them.
@@ -90,11 +98,12 @@
             let filler = "x".repeat(random.random_range(0..MAX_INPUT_BYTES));
             let input = format!("input of {id} {filler} ");
             let gateway = GATEWAY_IPS[random.random_range(0..GATEWAY_IPS.len())];
-            if self.run_turn(gateway, &id, previous.as_ref(), &input) {
+            let program = previous.as_ref().map_or(&id, |turn| &turn.program).clone();
+            if self.run_turn(gateway, &program, &id, previous.as_ref(), &input) {
                 let (depth, history) =
                     previous.map_or_else(Default::default, |turn| (turn.depth, turn.history));
                 let history = format!("{history}{input}{id}\n");
-                self.turns.lock().push(Turn { id, depth: depth + 1, history });
+                self.turns.lock().push(Turn { id, program, depth: depth + 1, history });
             } else {
                 thread::sleep(RETRY_INTERVAL);
             }
@@ -102,20 +111,39 @@
     }
 
     /// Runs a turn once; returns whether it was answered whole.
-    fn run_turn(&self, gateway: &str, id: &str, previous: Option<&Turn>, input: &str) -> bool {
-        let header = previous.map(|turn| format!("Calicohoist-Previous-Turn: {}", turn.id));
-        let headers: Vec<&str> = header.as_deref().into_iter().collect();
-        let head = request_head("POST", "/retained/a", id, input.len(), &headers);
-        let response = try_exchange(self.cluster.http(gateway), &format!("{head}{input}"));
+    fn run_turn(
+        &self,
+        gateway: &str,
+        program: &str,
+        id: &str,
+        previous: Option<&Turn>,
+        input: &str,
+    ) -> bool {
+        let previous = previous.map(|turn| turn.id.as_str());
+        let request = turn_request(program, id, previous, input);
+        let response = try_exchange(self.cluster.http(gateway), &request);
         response.is_some_and(|response| {
-            assert!(![404, 410].contains(&response.status), "{id} after {header:?}");
+            assert!(![404, 410].contains(&response.status), "{id} after {previous:?}");
             response.status == 200 && response.is_complete
         })
     }
 }
 
+/// Returns a turn of a program whose budget is never spent.
+pub fn turn_request(program: &str, id: &str, previous: Option<&str>, input: &str) -> String {
+    let mut headers = vec![
+        format!("Calicohoist-Program-Id: {program}"),
+        format!("Calicohoist-Token-Budget: {PROGRAM_BUDGET}"),
+        format!("Calicohoist-Token-Usage: 10,{MAX_TURN_TOKENS}"),
+    ];
+    headers.extend(previous.map(|previous| format!("Calicohoist-Previous-Turn: {previous}")));
+    let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
+    let head = request_head("POST", "/retained/a", id, input.len(), &headers);
+    format!("{head}{input}")
+}
+
 /// Sends a request; `None` if there is no connection.
-fn try_exchange(address: SocketAddr, request: &str) -> Option<Response> {
+pub fn try_exchange(address: SocketAddr, request: &str) -> Option<Response> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(ANSWER_TIMEOUT)).ok()?;
     stream.write_all(request.as_bytes()).ok()?;
@@ -222,10 +250,29 @@
         Self { cluster, processes, models, version, turns }
     }
 
+    pub fn cluster(&self) -> &Cluster {
+        &self.cluster
+    }
+
+    /// Returns the turns that were answered whole.
+    pub fn turns(&self) -> &[Turn] {
+        &self.turns
+    }
+
+    /// Returns the requests that have reached a replica.
+    pub fn arrivals(&self) -> Vec<RecordedRequest> {
+        self.models.iter().flat_map(ScriptedReplica::requests).collect()
+    }
+
     pub fn kill(&mut self) {
         kill_all(&mut self.processes);
     }
 
+    /// Returns the machines, which start again with [`start_in_random_order`].
+    pub fn take_machines(&mut self) -> Vec<Process> {
+        std::mem::take(&mut self.processes)
+    }
+
     pub fn start_all(&mut self) {
         self.start_those(|_| true);
     }
@@ -286,6 +333,15 @@
     }
 }
 
+/// Starts machines one after another, in random order.
+pub fn start_in_random_order(cluster: &Cluster, machines: &mut [Process], random: &mut StdRng) {
+    machines.shuffle(random);
+    for machine in machines {
+        thread::sleep(Duration::from_millis(random.random_range(0..MAX_START_INTERVAL_MS)));
+        *machine = cluster.start(machine.ip, false);
+    }
+}
+
 fn are_gateways_ready(cluster: &Cluster) -> bool {
     GATEWAY_IPS.iter().all(|ip| cluster.is_ready(ip))
 }
--- a/crates/calicohoist/tests/acknowledged/main.rs
+++ b/crates/calicohoist/tests/acknowledged/main.rs
@@ -13,6 +13,7 @@
 mod endless_calls;
 mod failing_disk;
 mod final_fault;
+mod recovery;
 mod stops;
 
 use std::cell::RefCell;
