Let a gateway find the leader over slow links

What was seen: a gateway that is started behind links to the ledger of 100 ms each way is not ready after 20 s, and refuses everything as long as the links are slow.

Cause: the search for the leader bounds the opening of a connection, the exchange of versions and its own question together by 300 ms. An opening that is cut short begins anew with the next search, so that a round trip above 150 ms is enough that it never succeeds.

--- a/crates/calicohoist/tests/stops/main.rs
+++ b/crates/calicohoist/tests/stops/main.rs
@@ -10,15 +10,17 @@
 mod arrivals;
 mod half_closed;
 mod series;
+mod slow_ledger;
 mod slow_readers;
 
 use std::io::{BufReader, Read, Write as _};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use cluster::{Cluster, GATEWAY_IPS, Process, STORE_IPS};
+use cluster::forwarder::Forwarder;
+use cluster::{Cluster, GATEWAY_IPS, Ports, Process, STORE_BIND_IPS, STORE_IPS};
 use rustix::net::sockopt;
 use rustix::process::Signal;
 use support::{Response, ScriptedReplica, client, configuration, request_head, wait_until};
@@ -31,11 +33,28 @@
     gateway: Process,
     replicas: Vec<ScriptedReplica>,
     _stores: Vec<Process>,
+    /// Links from gateways to the ledger.
+    ledger_links: Vec<Forwarder>,
 }
 
 impl Deployment {
     /// Starts a deployment in which one replica runs the given script for both services.
     fn start(script: impl Fn(&mut support::replica::Exchange<'_>) + Send + Sync + 'static) -> Self {
+        Self::start_with_stores(script, STORE_IPS)
+    }
+
+    /// Like [`start`](Self::start), with links in front of the ledger machines.
+    fn start_behind_ledger_links(
+        script: impl Fn(&mut support::replica::Exchange<'_>) + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with_stores(script, STORE_BIND_IPS)
+    }
+
+    /// Starts a deployment whose ledger machines listen on the given addresses.
+    fn start_with_stores(
+        script: impl Fn(&mut support::replica::Exchange<'_>) + Send + Sync + 'static,
+        bind_ips: [&str; 3],
+    ) -> Self {
         let cluster = Cluster::new();
         let script = Arc::new(script);
         let replicas = ["tools", "models"].map(|service| {
@@ -44,14 +63,20 @@
             cluster.platform_list.put(&replica, service, "ready");
             replica
         });
-        let stores = STORE_IPS.iter().map(|ip| cluster.start(ip, true)).collect();
+        let stores = STORE_IPS.into_iter().zip(bind_ips);
+        let ledger_links = stores.clone().filter(|(ip, bind_ip)| ip != bind_ip);
+        let ledger_links =
+            ledger_links.map(|(ip, bind_ip)| start_ledger_link(cluster.ports, ip, bind_ip));
+        let ledger_links = ledger_links.collect();
+        let stores = stores.map(|(ip, bind_ip)| cluster.start_with_bind(ip, bind_ip, true));
+        let stores = stores.collect();
         let gateway = cluster.start(GATEWAY_IPS[0], true);
         let body = configuration(5).to_string();
         wait_until("the configuration is accepted", || {
             cluster.operator_request("PUT", "/-/config", &body).is_some()
         });
         wait_until("the gateway is ready", || cluster.is_ready(GATEWAY_IPS[0]));
-        Self { cluster, gateway, replicas: replicas.into(), _stores: stores }
+        Self { cluster, gateway, replicas: replicas.into(), _stores: stores, ledger_links }
     }
 
     /// Opens a connection whose receive buffer is smaller than every large response.
@@ -93,6 +118,18 @@
     }
 }
 
+/// Forwards all connections to a ledger machine; returns the link for those of gateways.
+fn start_ledger_link(ports: Ports, ip: &str, bind_ip: &str) -> Forwarder {
+    let forward = |port: u16| {
+        let socket = |ip: &str| SocketAddr::new(ip.parse().expect("an address"), port);
+        Forwarder::start(socket(ip), socket(bind_ip))
+    };
+    for port in [ports.internal, ports.control] {
+        forward(port);
+    }
+    forward(ports.internal + 1)
+}
+
 /// Reads a response at `bytes_per_second`; an error ends it early.
 fn read_slowly(stream: TcpStream, bytes_per_second: usize) -> Response {
     const TICK: Duration = Duration::from_millis(20);
--- a/crates/calicohoist/tests/stops/series.rs
+++ b/crates/calicohoist/tests/stops/series.rs
@@ -14,48 +14,59 @@
 
 use crate::cluster::GATEWAY_IPS;
 use crate::cluster::forwarder::Forwarder;
+use crate::support::replica::Exchange;
 use crate::support::{Response, client, configuration, request_head};
 use crate::{Deployment, assert_complete};
 
-const CALLERS_PER_KIND: usize = 4;
-const WARM_UP: Duration = Duration::from_millis(700);
+pub const CALLERS_PER_KIND: usize = 4;
+pub const WARM_UP: Duration = Duration::from_millis(700);
 const MAX_WORK_MS: u64 = 400;
 const PIPELINED_REQUESTS: usize = 3;
 const EVENTS: u64 = 4;
+/// Turns after which a caller continues no earlier one.
+const TURNS_PER_CHAIN: usize = 6;
 /// Larger than the small window, and read within the grace time behind the slowest link.
 const LARGE_BYTES: usize = 200 << 10;
 const SMALL_WINDOW_BYTES: usize = 4 << 10;
 const LINK_DELAY: Duration = Duration::from_millis(60);
 /// Time within which the gateway learns of a change of the list.
 const LIST_DELAY: Duration = Duration::from_millis(1_500);
+/// Histories take several reads of a link.
+const TURN_EVENT_BYTES: usize = 4 << 10;
 const READ_TIMEOUT: Duration = Duration::from_secs(12);
-const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Later than the version of the configuration that the deployment starts with.
 const FIRST_CHANGE: u64 = 10;
 /// Time after its last byte in which a request may cross the close of its connection.
-const CROSSING_SLACK: Duration = Duration::from_millis(200);
+pub const CROSSING_SLACK: Duration = Duration::from_millis(200);
 
 /// What is done to the gateway.
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub enum Step {
     Signal(Signal),
     Configure,
     WaitMillis(u64),
+    /// Holds back all bytes between gateways and the ledger for a time.
+    StallLedgerMillis(u64),
 }
 
-const HUP: Step = Step::Signal(Signal::HUP);
-const TERM: Step = Step::Signal(Signal::TERM);
-const PAUSE: Step = Step::Signal(Signal::STOP);
-const RESUME: Step = Step::Signal(Signal::CONT);
+pub const HUP: Step = Step::Signal(Signal::HUP);
+pub const TERM: Step = Step::Signal(Signal::TERM);
+pub const PAUSE: Step = Step::Signal(Signal::STOP);
+pub const RESUME: Step = Step::Signal(Signal::CONT);
 
-#[derive(Clone, Copy, Debug)]
-enum Kind {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
     Keeping,
     Connecting,
     Pipelining,
     HalfClosing,
     Streaming,
     SmallWindow,
+    /// Sends turns that are retained, each continuing the one before.
+    Retaining,
+    /// Sends streams whose origin is recorded before their first event.
+    Resumable,
 }
 
 const KINDS: [Kind; 6] = [
@@ -69,20 +80,22 @@
 
 /// A request without a complete answer.
 #[derive(Debug)]
-struct Unanswered {
-    id: String,
+pub struct Unanswered {
+    pub id: String,
     /// Time from its last byte to the end of its connection.
-    after: Duration,
+    pub after: Duration,
     /// Whether an earlier request on its connection was answered.
     is_kept: bool,
 }
 
 /// How the requests of a caller ended.
 #[derive(Debug, Default)]
-struct Tally {
-    answered: usize,
-    refused: usize,
-    unanswered: Vec<Unanswered>,
+pub struct Tally {
+    pub answered: usize,
+    pub refused: usize,
+    pub unanswered: Vec<Unanswered>,
+    /// Retained turns that were answered whole.
+    pub turns: Vec<String>,
 }
 
 impl Tally {
@@ -96,15 +109,16 @@
         }
     }
 
-    fn add(mut self, other: Self) -> Self {
+    pub fn add(mut self, other: Self) -> Self {
         self.answered += other.answered;
         self.refused += other.refused;
         self.unanswered.extend(other.unanswered);
+        self.turns.extend(other.turns);
         self
     }
 }
 
-struct Caller<'a> {
+pub struct Caller<'a> {
     kind: Kind,
     name: String,
     address: SocketAddr,
@@ -114,8 +128,23 @@
     tally: Tally,
 }
 
-impl Caller<'_> {
-    fn run(mut self) -> Tally {
+impl<'a> Caller<'a> {
+    /// Creates the callers of all kinds.
+    pub fn of_kinds(kinds: &[Kind], address: SocketAddr, is_over: &'a AtomicBool) -> Vec<Self> {
+        let kinds = kinds.iter().flat_map(|kind| [*kind; CALLERS_PER_KIND]).enumerate();
+        let callers = kinds.map(|(number, kind)| Self {
+            kind,
+            name: format!("{kind:?}-{number}"),
+            address,
+            random: StdRng::seed_from_u64(number as u64),
+            count: 0,
+            is_over,
+            tally: Tally::default(),
+        });
+        callers.collect()
+    }
+
+    pub fn run(mut self) -> Tally {
         while !self.is_over.load(Ordering::SeqCst) {
             let Ok(stream) = TcpStream::connect(self.address) else {
                 thread::sleep(RETRY_INTERVAL);
@@ -126,7 +155,9 @@
                 Kind::Keeping => self.keep(stream),
                 Kind::Pipelining => self.exchange(stream, PIPELINED_REQUESTS, false),
                 Kind::HalfClosing => self.exchange(stream, 1, true),
-                Kind::Connecting | Kind::Streaming => self.exchange(stream, 1, false),
+                Kind::Connecting | Kind::Streaming | Kind::Retaining | Kind::Resumable => {
+                    self.exchange(stream, 1, false);
+                }
                 Kind::SmallWindow => {
                     let set = sockopt::set_socket_recv_buffer_size(&stream, SMALL_WINDOW_BYTES);
                     set.expect("set the size");
@@ -145,9 +176,15 @@
         let path = match self.kind {
             Kind::Streaming => format!("/stream/{work}"),
             Kind::SmallWindow => format!("/unsafe/large-{work}"),
+            Kind::Retaining => format!("/retained/{work}"),
+            Kind::Resumable => format!("/resumable/{work}"),
             _ => format!("/unsafe/{work}"),
         };
-        let head = request_head("GET", &path, &id, 0, &[]);
+        let previous =
+            self.tally.turns.last().filter(|_| !self.count.is_multiple_of(TURNS_PER_CHAIN));
+        let header = previous.map(|previous| format!("Calicohoist-Previous-Turn: {previous}"));
+        let headers: Vec<&str> = header.as_deref().into_iter().collect();
+        let head = request_head("GET", &path, &id, 0, &headers);
         (id, head)
     }
 
@@ -185,29 +222,39 @@
         let mut is_kept = false;
         for (id, _) in requests {
             let response = client::read_response(&mut input);
+            if self.kind == Kind::Retaining && response.status == 200 && response.is_complete {
+                self.tally.turns.push(id.clone());
+            }
             self.tally.record(id, &response, sent_at, is_kept);
             is_kept = response.is_complete;
         }
     }
 }
 
-fn start() -> Deployment {
-    Deployment::start(|exchange| {
-        let path = exchange.request.line.split(' ').nth(1).unwrap_or_default().to_owned();
-        let work = path.rsplit(['/', '-']).next().and_then(|work| work.parse().ok());
-        let work = Duration::from_millis(work.unwrap_or(0));
-        if path.starts_with("/stream/") {
-            exchange.start_stream();
-            for event in 1..=EVENTS {
-                exchange.send_event(event, "event");
-                thread::sleep(work / EVENTS as u32);
-            }
-            return exchange.end_stream();
+/// Answers a request after the work that its path names.
+pub fn serve(exchange: &mut Exchange<'_>) {
+    let path = exchange.request.line.split(' ').nth(1).unwrap_or_default().to_owned();
+    let work = path.rsplit(['/', '-']).next().and_then(|work| work.parse().ok());
+    let work = Duration::from_millis(work.unwrap_or(0));
+    if path.starts_with("/-/report") {
+        return exchange.respond("200 OK", "", "{\"born\":1}");
+    }
+    let data = match path.split('/').nth(1) {
+        Some("stream" | "resumable") => Some("event".to_owned()),
+        Some("retained") => Some("x".repeat(TURN_EVENT_BYTES)),
+        _ => None,
+    };
+    if let Some(data) = data {
+        exchange.start_stream();
+        for event in 1..=EVENTS {
+            exchange.send_event(event, &data);
+            thread::sleep(work / EVENTS as u32);
         }
-        thread::sleep(work);
-        let body = if path.contains("large") { "x".repeat(LARGE_BYTES) } else { "small".into() };
-        exchange.respond("200 OK", "", &body);
-    })
+        return exchange.end_stream();
+    }
+    thread::sleep(work);
+    let body = if path.contains("large") { "x".repeat(LARGE_BYTES) } else { "small".into() };
+    exchange.respond("200 OK", "", &body);
 }
 
 /// Starts a link with a delay; returns its address.
@@ -227,11 +274,15 @@
     thread::sleep(LIST_DELAY);
 }
 
-fn take_steps(deployment: &Deployment, steps: &[Step]) {
+pub fn take_steps(deployment: &Deployment, steps: &[Step]) {
     for (number, step) in steps.iter().enumerate() {
         match step {
             Step::Signal(signal) => deployment.gateway.signal(*signal),
             Step::WaitMillis(millis) => thread::sleep(Duration::from_millis(*millis)),
+            Step::StallLedgerMillis(millis) => {
+                let duration = Duration::from_millis(*millis);
+                deployment.ledger_links.iter().for_each(|link| link.stall(true, true, duration));
+            }
             Step::Configure => {
                 let body = configuration(FIRST_CHANGE + number as u64).to_string();
                 let _ = deployment.cluster.operator_request("PUT", "/-/config", &body);
@@ -258,7 +309,7 @@
 /// Plays a series of steps under load; asserts that the gateway stops gracefully and that no
 /// request is lost.
 fn play(name: &str, steps: &[Step], delay: Duration) {
-    let mut deployment = start();
+    let mut deployment = Deployment::start(serve);
     let gateway = deployment.cluster.http(GATEWAY_IPS[0]);
     let address = if delay.is_zero() { gateway } else { start_link(gateway, delay) };
     if !delay.is_zero() {
@@ -268,19 +319,8 @@
     assert_complete(&crate::read_response(warm), 200);
     let is_over = AtomicBool::new(false);
     let tally = thread::scope(|scope| {
-        let kinds = KINDS.iter().flat_map(|kind| [*kind; CALLERS_PER_KIND]).enumerate();
-        let callers: Vec<_> = kinds
-            .map(|(number, kind)| Caller {
-                kind,
-                name: format!("{kind:?}-{number}"),
-                address,
-                random: StdRng::seed_from_u64(number as u64),
-                count: 0,
-                is_over: &is_over,
-                tally: Tally::default(),
-            })
-            .map(|caller| scope.spawn(|| caller.run()))
-            .collect();
+        let callers = Caller::of_kinds(&KINDS, address, &is_over).into_iter();
+        let callers: Vec<_> = callers.map(|caller| scope.spawn(|| caller.run())).collect();
         thread::sleep(WARM_UP);
         take_steps(&deployment, steps);
         let status = deployment.gateway.child.wait().expect("the gateway exits");
--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -192,11 +192,11 @@
     }
 
     async fn find_leader_via(&self, machine: u32) -> Option<LedgerResponse> {
-        let response = async {
-            let connection = self.connection(machine).await?;
-            connection.send(self.next_number(), &LedgerRequest::FindLeader)?.receive().await
-        };
-        timeout(self.shared.timing.find_leader_timeout, response).await.ok().flatten()
+        // Opening a connection takes several round trips and has timeouts of its own. An opening that
+        // is cut short begins anew with the next search, and never succeeds on a slow link.
+        let connection = self.connection(machine).await?;
+        let mut pending = connection.send(self.next_number(), &LedgerRequest::FindLeader)?;
+        timeout(self.shared.timing.find_leader_timeout, pending.receive()).await.ok().flatten()
     }
 
     /// Sends the request to `leader` once and waits while its leadership is confirmed.
