Queue turns with long inputs one after another

What was seen: with 12 callers whose turns have inputs of 600 KB at one gateway, that gateway lost its connection to the ledger 33 and 40 times in 4 s (two plays), and with it the questions of all other requests.

A turn that ends is stored with its input; a few of them at the same moment exceed the 1 MiB that may wait on the connection, which closes it, and are sent again together.

Requests to the ledger from 16 KiB on wait for their turn on the connection.

--- a/crates/ledger/src/client/connection.rs
+++ b/crates/ledger/src/client/connection.rs
@@ -22,6 +22,9 @@
 static REFUSALS: RefusedFrameLog = RefusedFrameLog::new("ledger");
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Length from which a request waits for those before it, so that a few turns with long inputs that
+/// end at the same moment don't overflow the queue, which closes the connection.
+const MIN_BYTES_IN_TURN: usize = 16 << 10;
 /// TCP user timeout: the connection fails if sent data stays unacknowledged for this long.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -93,7 +96,11 @@
     }
 
     /// Sends a request; returns `None` if the connection is closed or its queue is full.
-    pub(super) fn send(&self, number: u64, request: &LedgerRequest) -> Option<PendingResponse> {
+    pub(super) async fn send(
+        &self,
+        number: u64,
+        request: &LedgerRequest,
+    ) -> Option<PendingResponse> {
         let (sender, receiver) = oneshot::channel();
         if self.version == ProtocolVersion::LEGACY
             && let Some(response) = request.local_response_for_v1()
@@ -108,7 +115,11 @@
         if !self.is_open() {
             return None;
         }
-        (self.requests.send(frame) == SendOutcome::Queued).then_some(pending)
+        let outcome = match frame.len() {
+            MIN_BYTES_IN_TURN.. => self.requests.send_in_turn(frame).await,
+            _ => self.requests.send(frame),
+        };
+        (outcome == SendOutcome::Queued).then_some(pending)
     }
 }
 
--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -195,7 +195,7 @@
         // Opening a connection takes several round trips and has timeouts of its own. An opening that
         // is cut short begins anew with the next search, and never succeeds on a slow link.
         let connection = self.connection(machine).await?;
-        let mut pending = connection.send(self.next_number(), &LedgerRequest::FindLeader)?;
+        let mut pending = connection.send(self.next_number(), &LedgerRequest::FindLeader).await?;
         timeout(self.shared.timing.find_leader_timeout, pending.receive()).await.ok().flatten()
     }
 
@@ -204,7 +204,7 @@
         let Some(connection) = self.connection(leader).await else {
             return self.abandon(leader);
         };
-        let Some(mut pending) = connection.send(self.next_number(), request) else {
+        let Some(mut pending) = connection.send(self.next_number(), request).await else {
             return self.abandon(leader);
         };
         let sent_at = Instant::now();
