Soak: judge retained turns that are refused again and again

The soak only continued turns after all faults had ended, and its programs give a turn up after three tries.

Three callers now continue any turn of the run up to 40 s old, each until it is answered whole, and three begin programs, at the gateways that see planned work only. A turn with five refused tries in a row counts as a violation if at least ten first turns were tried meanwhile and nine tenths of them reached a replica, with no excuse for faults elsewhere.

--- a/crates/calicohoist/tests/soak/caller.rs
+++ b/crates/calicohoist/tests/soak/caller.rs
@@ -53,6 +53,14 @@
     exchange_recorded(address, &submission, &AttemptLog::default())
 }
 
+/// How a turn ended for its caller.
+pub struct TurnOutcome {
+    /// 0 without a response head.
+    pub status: u16,
+    /// Whether the turn was answered whole.
+    pub is_whole: bool,
+}
+
 /// Caller that runs programs sequentially.
 pub struct Caller {
     pub number: usize,
@@ -86,7 +94,7 @@
         }
     }
 
-    fn pick_gateway(&mut self) -> SocketAddr {
+    pub fn pick_gateway(&mut self) -> SocketAddr {
         self.gateways[self.rng.random_range(0..self.gateways.len())]
     }
 
@@ -106,30 +114,12 @@
     pub fn turn(&mut self, program: &str, turn: usize, previous: Option<&str>) -> Option<String> {
         for attempt in 0..MAX_ATTEMPTS {
             let id = format!("{program}-t{turn}-{attempt}");
-            let input = format!("<{id}>{}", ".".repeat(INPUT_BYTES));
-            let mut headers = vec![
-                format!("Calicohoist-Program-Id: {program}"),
-                format!("Calicohoist-Token-Budget: {TOKEN_BUDGET}"),
-                format!("Calicohoist-Token-Usage: 10,{MAX_TURN_TOKENS}"),
-            ];
-            headers
-                .extend(previous.map(|previous| format!("Calicohoist-Previous-Turn: {previous}")));
-            let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
-            let head = request_head("POST", "/retained/a", &id, input.len(), &headers);
-            {
-                let mut records = self.records.lock();
-                let submitted = (previous.map(str::to_owned), input.clone());
-                records.submitted.insert(id.clone(), submitted);
-                records.at_most_once.insert(id.clone());
-            }
             let gateway = self.pick_gateway();
-            let submission = Submission::new(&id, &format!("{head}{input}"), ROUTE_TIMEOUT);
-            let reply = self.connections.exchange(gateway, &submission, &self.attempts);
-            let reply = reply.unwrap_or_default();
-            if self.record_turn_reply(program, &id, previous, &input, &reply) {
+            let outcome = self.try_turn(gateway, program, &id, previous);
+            if outcome.is_whole {
                 return Some(id);
             }
-            if reply.status == 402 {
+            if outcome.status == 402 {
                 return None;
             }
             thread::sleep(Duration::from_millis(30));
@@ -137,6 +127,36 @@
         None
     }
 
+    /// Sends a turn once.
+    pub fn try_turn(
+        &mut self,
+        gateway: SocketAddr,
+        program: &str,
+        id: &str,
+        previous: Option<&str>,
+    ) -> TurnOutcome {
+        let input = format!("<{id}>{}", ".".repeat(INPUT_BYTES));
+        let mut headers = vec![
+            format!("Calicohoist-Program-Id: {program}"),
+            format!("Calicohoist-Token-Budget: {TOKEN_BUDGET}"),
+            format!("Calicohoist-Token-Usage: 10,{MAX_TURN_TOKENS}"),
+        ];
+        headers.extend(previous.map(|previous| format!("Calicohoist-Previous-Turn: {previous}")));
+        let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
+        let head = request_head("POST", "/retained/a", id, input.len(), &headers);
+        {
+            let mut records = self.records.lock();
+            let submitted = (previous.map(str::to_owned), input.clone());
+            records.submitted.insert(id.to_owned(), submitted);
+            records.at_most_once.insert(id.to_owned());
+        }
+        let submission = Submission::new(id, &format!("{head}{input}"), ROUTE_TIMEOUT);
+        let reply = self.connections.exchange(gateway, &submission, &self.attempts);
+        let reply = reply.unwrap_or_default();
+        let is_whole = self.record_turn_reply(program, id, previous, &input, &reply);
+        TurnOutcome { status: reply.status, is_whole }
+    }
+
     fn record_turn_reply(
         &self,
         program: &str,
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -33,6 +33,8 @@
 mod forwarder_tests;
 mod load;
 mod operator;
+mod refusals;
+mod refusals_tests;
 mod releases;
 mod releases_tests;
 mod retention;
@@ -64,6 +66,7 @@
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use refusals::{TurnTry, judge_refusals, start_persistent_callers};
 use releases::{ReleaseRecords, ReleasedService, judge_releases, start_release_callers};
 use retention::continue_turns;
 use serde_json::json;
@@ -136,6 +139,8 @@
     /// Tokens delivered, by program.
     tokens: BTreeMap<String, u64>,
     served: u64,
+    /// Tries of the callers that do not give a turn up.
+    turn_tries: Vec<TurnTry>,
     /// Streams and their continuations.
     streams: StreamRecords,
     /// Streams of the service that is released.
@@ -347,6 +352,7 @@
     threads.extend(start_release_callers(seed, &soak, &records, &stop_flag));
     let _sound_replicas = start_replicas(&soak.cluster.platform_list, &soak.arrivals);
     threads.extend(start_callers(seed, &soak, &records, &stop_flag));
+    threads.extend(start_persistent_callers(seed, &soak, &records, &stop_flag));
     // An older build may not bound what an endless response costs.
     if !is_mixed && endless::is_enabled() {
         threads.extend(start_endless_callers(seed, &soak, &records, &stop_flag));
@@ -401,6 +407,10 @@
         let findings = judge_releases(&records.releases, &released_service.listings);
         println!("seed {seed}, releases: {findings}");
         release_violations = findings.violations();
+        let arrivals = soak.arrivals.clone();
+        let refusals = judge_refusals(&records.turn_tries, |id| !arrivals.of(id).is_empty());
+        println!("seed {seed}, turns tried again: {refusals}");
+        records.violations.extend(refusals.violations());
         let log_folder = soak.cluster.folder.path();
         fatal_requests =
             check_crashes(&mut records, log_folder, &soak.pauses, &soak.timeline.disruptions);
