Count frames queued in turn towards the limit of all connections

Found on reading the change again: frames queued in turn counted towards no limit once they were queued, 512 KiB for each connection of a gateway that does not read.

They count towards that limit again, and a history waits no longer when 24 MiB are queued: the gateway is asked to come back. The test of the queue asserts the count.

--- a/crates/ledger/src/server/gateways/histories.rs
+++ b/crates/ledger/src/server/gateways/histories.rs
@@ -14,6 +14,8 @@
 const MAX_BYTES: usize = 4 << 20;
 /// Maximum number of bytes that wait for all connections.
 const MAX_TOTAL_BYTES: usize = 24 << 20;
+/// Maximum number of bytes queued on all connections with which another history is admitted.
+const MAX_QUEUED_BYTES: usize = 24 << 20;
 /// Bytes that one permit of a semaphore stands for.
 const BYTES_PER_PERMIT: usize = 1 << 10;
 
@@ -40,8 +42,11 @@
     }
 
     /// Admits a history of `bytes` bytes, for as long as the permits are held; `None` if too many
-    /// wait. One of any length is admitted if no other waits.
-    pub(super) fn admit(&self, bytes: usize) -> Option<[OwnedSemaphorePermit; 2]> {
+    /// wait or are among the `queued` ones. One of any length is admitted if there is no other.
+    pub(super) fn admit(&self, bytes: usize, queued: usize) -> Option<[OwnedSemaphorePermit; 2]> {
+        if queued > MAX_QUEUED_BYTES {
+            return None;
+        }
         let permits = u32::try_from(bytes.min(MAX_BYTES) / BYTES_PER_PERMIT).ok()?;
         let connection = Arc::clone(&self.connection).try_acquire_many_owned(permits).ok()?;
         let total = Arc::clone(&self.total.0).try_acquire_many_owned(permits).ok()?;
--- a/crates/transport/src/writer.rs
+++ b/crates/transport/src/writer.rs
@@ -85,7 +85,13 @@
     fn reserve(&self, bytes: usize) -> Reservation {
         self.connection.add(bytes);
         self.total.add(bytes);
-        Reservation { usage: self.clone(), bytes }
+        Reservation { usage: self.clone(), connection_bytes: bytes, bytes }
+    }
+
+    /// Counts a frame that was queued in turn.
+    fn reserve_in_turn(&self, bytes: usize) -> Reservation {
+        self.total.add(bytes);
+        Reservation { usage: self.clone(), connection_bytes: 0, bytes }
     }
 }
 
@@ -94,12 +100,14 @@
 #[derive(Debug)]
 struct Reservation {
     usage: QueueUsage,
+    /// Bytes that count towards the limit of the connection.
+    connection_bytes: usize,
     bytes: usize,
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.usage.connection.remove(self.bytes);
+        self.usage.connection.remove(self.connection_bytes);
         self.usage.total.remove(self.bytes);
     }
 }
@@ -114,7 +122,7 @@
 #[derive(Debug)]
 enum FrameHold {
     Counted { _reservation: Reservation, _written: Option<oneshot::Sender<()>> },
-    InTurn { _permit: OwnedSemaphorePermit },
+    InTurn { _reservation: Reservation, _permit: OwnedSemaphorePermit },
 }
 
 impl FrameQueue {
@@ -129,14 +137,16 @@
     }
 
     /// Queues a long frame once those that were queued in turn before it leave room. Such frames
-    /// don't count towards the limits whose excess closes the connection.
+    /// don't count towards the limit of the connection, whose excess closes it.
     pub async fn send_in_turn(&self, frame: Frame) -> SendOutcome {
         let permits = frame.len().min(MAX_BYTES_IN_TURN).div_ceil(BYTES_PER_PERMIT);
         let permits = u32::try_from(permits).unwrap_or(u32::MAX);
         let Ok(permit) = Arc::clone(&self.turns).acquire_many_owned(permits).await else {
             return SendOutcome::Closed;
         };
-        self.try_queue(QueuedFrame { frame, hold: FrameHold::InTurn { _permit: permit } })
+        let reservation = self.usage.reserve_in_turn(frame.len());
+        let hold = FrameHold::InTurn { _reservation: reservation, _permit: permit };
+        self.try_queue(QueuedFrame { frame, hold })
     }
 
     fn queue(&self, frame: Frame, written: Option<oneshot::Sender<()>>) -> SendOutcome {
--- a/crates/transport/tests/frame.rs
+++ b/crates/transport/tests/frame.rs
@@ -70,6 +70,8 @@
     let senders: Vec<_> = senders.collect();
     tokio::task::yield_now().await;
     assert_eq!(queue.send(large_frame_of(99)), SendOutcome::Queued, "short frames find room");
+    let queued = queued_bytes.get();
+    assert!((1..2 * MAX_QUEUED_BYTES).contains(&queued), "{queued} bytes queued");
     let mut frames = FrameReader::new(input);
     let mut received = 0;
     while received < FRAMES {
