--- a/crates/calicohoist/tests/acknowledged/main.rs
+++ b/crates/calicohoist/tests/acknowledged/main.rs
@@ -13,6 +13,9 @@
 mod endless_calls;
 mod failing_disk;
 mod final_fault;
+mod long_histories;
+mod long_inputs;
+mod recovery;
 mod stops;
 
 use std::cell::RefCell;
