--- a/crates/proxy/src/fleet/member.rs
+++ b/crates/proxy/src/fleet/member.rs
@@ -19,8 +19,6 @@
     suspects: AtomicU32,
     /// Sequence number of this gateway's last request to the replica; 0 for none.
     pub(super) last_used: AtomicU64,
-    /// Number of this gateway's last send that the replica has answered; 0 for none.
-    last_answered: AtomicU64,
     other_load: Mutex<OtherLoad>,
     active_penalty: Mutex<Option<ActivePenalty>>,
 }
@@ -46,7 +44,6 @@
             own_load: AtomicU32::new(0),
             suspects: AtomicU32::new(0),
             last_used: AtomicU64::new(0),
-            last_answered: AtomicU64::new(0),
             other_load: Mutex::default(),
             active_penalty: Mutex::new(None),
         }
@@ -74,16 +71,6 @@
         self.suspects.load(Ordering::Relaxed) > 0
     }
 
-    /// Records that the replica has answered the send with this number.
-    pub fn record_answered(&self, send: u64) {
-        self.last_answered.fetch_max(send, Ordering::Relaxed);
-    }
-
-    /// Returns whether the replica has answered a send that began after the one with this number.
-    pub fn has_answered_after(&self, send: u64) -> bool {
-        self.last_answered.load(Ordering::Relaxed) > send
-    }
-
     /// Adds a cost penalty to the replica for a limited time.
     pub fn penalize(&self, penalty: Duration, duration: Duration) {
         *self.active_penalty.lock() =
--- a/crates/proxy/src/flow/crash/check.rs
+++ b/crates/proxy/src/flow/crash/check.rs
@@ -14,7 +14,7 @@
 use crate::app::App;
 use crate::fleet::ListStatus;
 use crate::sends::{OpenSend, SendStage};
-use crate::upstream::{ProcessState, check_answer, check_listener, check_process};
+use crate::upstream::{ProcessState, check_listener, check_process};
 
 static CHECKS: Counter = Counter::new(
     "calicohoist_proxy_replica_checks_total",
@@ -34,10 +34,6 @@
 const DEPARTURE_TIME: Duration = Duration::from_secs(10);
 /// Interval between looks at the list.
 const DEPARTURE_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval between looks at the list while the replica is silent.
-const SILENT_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which a replica that answered nothing is taken to be silent without another check.
-const SILENCE_VALIDITY: Duration = Duration::from_millis(300);
 /// Maximum time for which a request waits for the record of a crash. Covers a leader election, and
 /// the time after which the leader stops waiting for a silent gateway.
 const RECORD_WAIT: Duration = Duration::from_millis(2_500);
@@ -49,11 +45,9 @@
 pub(super) enum RequestFailure {
     /// The replica closed the connection.
     Closed(ClosedConnection),
-    /// The gateway closed the connection: the client left, the time for a whole response passed, or
-    /// the response was malformed.
+    /// The gateway closed the connection: the client left, the deadline passed, or the response was
+    /// malformed.
     GivenUp,
-    /// The replica did not begin to respond in time.
-    TimedOut,
 }
 
 /// What is checked.
@@ -89,8 +83,6 @@
     NotCrashed,
     /// The replica runs, and may still crash under the request.
     Running,
-    /// The replica accepts connections and answers nothing.
-    Silent,
     /// Nothing is known.
     Unknown,
 }
@@ -103,11 +95,9 @@
         Finding::Crashed => record(&app, &open, request, &subject).await,
         Finding::Unconfirmed => record_unconfirmed(&app, request, &subject),
         Finding::NotCrashed => {}
-        finding @ (Finding::Running | Finding::Silent | Finding::Unknown) => {
+        finding @ (Finding::Running | Finding::Unknown) => {
             match finding {
-                Finding::Unknown | Finding::Silent => {
-                    app.sends.set_stage(&open, SendStage::Unclear)
-                }
+                Finding::Unknown => app.sends.set_stage(&open, SendStage::Unclear),
                 _ => end(&app, &open),
             }
             if watch_departure(&app, &subject, &open).await {
@@ -129,52 +119,17 @@
     let _guard = app.begin_task();
     let mut finding = Finding::Unknown;
     for delay in CHECK_DELAYS {
-        let is_silent = finding == Finding::Silent;
-        let watched = if is_silent { delay.min(SILENCE_VALIDITY) } else { Duration::ZERO };
-        finding = if is_silent && departs_within(app, subject, watched).await {
-            assess_silent(app, open, subject)
-        } else {
-            tokio::time::sleep(delay - watched).await;
-            check(app, open, subject).await
-        };
+        tokio::time::sleep(delay).await;
+        finding = check(app, open, subject).await;
         match finding {
             Finding::Crashed | Finding::Unconfirmed | Finding::NotCrashed => return finding,
             Finding::Running => app.sends.set_stage(open, SendStage::Unclear),
-            Finding::Silent => app.sends.set_stage(open, SendStage::Silent),
             Finding::Unknown => app.sends.set_stage(open, SendStage::Unreachable),
         }
     }
     finding
 }
 
-/// Returns whether a silent replica leaves the list without having drained within a time.
-async fn departs_within(app: &App, subject: &CheckSubject, time: Duration) -> bool {
-    let until = Instant::now() + time;
-    loop {
-        let status = app.fleet.list_status(&subject.replica.id);
-        if matches!(status, ListStatus::Departed { .. }) {
-            return true;
-        }
-        if Instant::now() >= until {
-            return false;
-        }
-        tokio::time::sleep(SILENT_INTERVAL).await;
-    }
-}
-
-/// Assesses a replica that answered nothing just now and has left the list, so that other gateways
-/// learn of it before the client's next try.
-fn assess_silent(app: &App, open: &OpenSend, subject: &CheckSubject) -> Finding {
-    if open.is_answered_since() {
-        return Finding::NotCrashed;
-    }
-    let process = ProcessState::Unresponsive;
-    let status = app.fleet.list_status(&subject.replica.id);
-    let finding = assess(open, subject, process, status);
-    report(app, open, subject, process, finding);
-    finding
-}
-
 /// Returns whether the replica leaves the list without having drained.
 async fn watch_departure(app: &App, subject: &CheckSubject, open: &OpenSend) -> bool {
     let until = Instant::now() + DEPARTURE_TIME;
@@ -202,8 +157,7 @@
     let has_departed = matches!(status, ListStatus::Departed { .. });
     match subject.failure {
         RequestFailure::GivenUp if !has_departed => check_given_up(app, open, subject).await,
-        RequestFailure::TimedOut if !has_departed => check_timed_out(app, open, subject).await,
-        RequestFailure::GivenUp | RequestFailure::TimedOut | RequestFailure::Closed(_) => {
+        RequestFailure::GivenUp | RequestFailure::Closed(_) => {
             let CheckSubject { replica, health_path, .. } = subject;
             let process =
                 check_process(&app.pool, app.dialect(), replica, health_path.as_deref()).await;
@@ -230,35 +184,6 @@
     finding
 }
 
-/// Checks a replica that did not begin to respond in time. One that ended in silence may still
-/// accept connections, so it is asked for its health, unless it has answered a later request.
-async fn check_timed_out(app: &App, open: &OpenSend, subject: &CheckSubject) -> Finding {
-    let CheckSubject { replica, health_path, .. } = subject;
-    let member = app.fleet.find(&replica.id);
-    if member.as_ref().is_some_and(|member| member.has_answered_after(open.number())) {
-        return Finding::Running;
-    }
-    // The request is sent again meanwhile, as the replica is probably slow.
-    let mark_silent = || {
-        if open.stage() == SendStage::Checking {
-            app.sends.set_stage(open, SendStage::Silent);
-        }
-    };
-    if app.pool.has_idle(&replica.id) || member.is_some_and(|member| member.loads().0 > 0) {
-        mark_silent();
-    }
-    let process =
-        check_answer(&app.pool, app.dialect(), replica, health_path.as_deref(), mark_silent).await;
-    let finding = match process {
-        ProcessState::Unresponsive if open.stage() == SendStage::Silent => Finding::Silent,
-        _ => assess(open, subject, process, ListStatus::Ready),
-    };
-    if finding == Finding::Crashed {
-        report(app, open, subject, process, finding);
-    }
-    finding
-}
-
 /// Decides whether the process ended after the request had reached it.
 fn assess(
     open: &OpenSend,
@@ -273,9 +198,7 @@
         }
         (ProcessState::Restarted, _) => Finding::Crashed,
         (ProcessState::Running, RequestFailure::Closed(_)) => Finding::NotCrashed,
-        (ProcessState::Running, RequestFailure::GivenUp | RequestFailure::TimedOut) => {
-            Finding::Running
-        }
+        (ProcessState::Running, RequestFailure::GivenUp) => Finding::Running,
         (ProcessState::Unresponsive, _) => match status {
             ListStatus::Ready | ListStatus::EndsByPlan => Finding::Unknown,
             // Replicas that lose power together may have been lost before the request was sent on a
--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -13,14 +13,13 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_quarantine::{MAX_CRASHES, RequestFingerprint};
+use calicohoist_routing::Replica;
 use tokio::runtime::Handle;
 
 use super::call::Call;
-use super::dispatch::MIN_TIME_LEFT;
 use super::error::{GatewayError, NotExecutedReason};
 use super::turn::RETRY_AFTER;
 use crate::app::App;
-use crate::fleet::Member;
 use crate::sends::{OpenSend, SendStage};
 use crate::upstream::SendProgress;
 pub use check::record_confirmed;
@@ -87,7 +86,7 @@
     app: Arc<App>,
     open: Arc<OpenSend>,
     call: Arc<Call>,
-    member: Arc<Member>,
+    replica: Replica,
     has_outcome: bool,
 }
 
@@ -112,8 +111,7 @@
         let Ok(runtime) = Handle::try_current() else {
             return;
         };
-        let Self { app, open, call, member, .. } = self;
-        let replica = &member.replica;
+        let Self { app, open, call, replica, .. } = self;
         app.sends.set_stage(open, SendStage::Checking);
         app.sends.begin_check(open);
         let health_path = call.table.service(&replica.service);
@@ -192,9 +190,9 @@
         &mut self,
         app: &Arc<App>,
         call: &Arc<Call>,
-        member: &Arc<Member>,
+        replica: &Replica,
     ) -> Result<Arc<SendProgress>, GatewayError> {
-        let (request, replica) = (Arc::clone(call), &member.replica);
+        let request = Arc::clone(call);
         // Known to `count_exposed` before crashes are looked up, so that either side sees the other.
         let body_bytes = call.body.len();
         let open = app.sends.insert(&replica.id, body_bytes, move || request.fingerprint());
@@ -203,13 +201,9 @@
             app: Arc::clone(app),
             open,
             call: Arc::clone(call),
-            member: Arc::clone(member),
+            replica: replica.clone(),
             has_outcome: false,
         });
-        if app.sends.has_silent() {
-            wait_for_silent(app, call, &running.open).await?;
-            reject_quarantined(app, call)?;
-        }
         if let Some(grant) = self.grant.take() {
             running.open.hold_grant(grant);
         } else if needs_permission(app, call) {
@@ -229,9 +223,8 @@
         let Some(running) = self.running.take() else {
             return;
         };
-        running.member.record_answered(running.open.number());
         running.app.sends.record_answered(&running.open);
-        clear::record_answer(&running.app, &running.call, &running.member.replica.id);
+        clear::record_answer(&running.app, &running.call, &running.replica.id);
         drop(running.end());
     }
 
@@ -255,11 +248,6 @@
         self.failed.push(running.fail(failure));
     }
 
-    /// Records that the replica did not respond in time.
-    pub fn record_timed_out(&mut self) {
-        self.record_failure(RequestFailure::TimedOut);
-    }
-
     /// Waits until the replicas of failed attempts have been checked. One that closed the connection
     /// and cannot be reached is probably crashing, and is waited for; one that did not respond may
     /// have lost its power or network.
@@ -304,24 +292,6 @@
     }
 }
 
-/// Waits until it stays within the limit even if the replicas under the request that answer nothing
-/// have crashed, and those that run it will. Ends once any replica answers it, or the silent ones
-/// have been checked for the last time.
-async fn wait_for_silent(app: &App, call: &Call, open: &OpenSend) -> Result<(), GatewayError> {
-    loop {
-        let crashes = app.crashes.lock().crashes(&open.fingerprint(), Instant::now());
-        let exposed = app.sends.exposed_replicas(open);
-        if exposed == 0 || crashes + exposed < MAX_CRASHES {
-            return Ok(());
-        }
-        if call.time_left() < MIN_TIME_LEFT {
-            let reason = NotExecutedReason::Quarantined;
-            return Err(GatewayError::not_executed(reason, RETRY_AFTER));
-        }
-        tokio::time::sleep(UNREACHABLE_INTERVAL).await;
-    }
-}
-
 /// Returns until when a request waits for unreachable replicas that closed its connection just now.
 /// Leaves time for another attempt.
 fn reach_until(deadline: Instant) -> Instant {
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -37,7 +37,7 @@
 /// Number of replicas that may be unreachable before a request fails. Covers the loss of a rack.
 const MAX_UNREACHABLE: usize = 64;
 /// Minimum remaining time with which a request is sent to a replica.
-pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
 /// Cost penalty and its duration for a replica that could not be reached.
 const UNREACHABLE_PENALTY: (Duration, Duration) =
@@ -150,7 +150,7 @@
         let Some((member, send_by)) = choice else {
             return Err(no_replica_left(app, call, service, attempt_state));
         };
-        outgoing.progress = match attempt_state.crashes.begin(app, call, &member).await {
+        outgoing.progress = match attempt_state.crashes.begin(app, call, &member.replica).await {
             Ok(progress) => progress,
             Err(_) if attempt_state.attempts > 0 => return Err(GatewayError::Unknown),
             Err(error) => return Err(error),
@@ -235,8 +235,9 @@
         ExchangeError::Closed { was_idle: false } => {
             crashes.record_closed(ClosedConnection::WasInUse);
         }
-        ExchangeError::Unknown | ExchangeError::HeadTooLong => crashes.record_given_up(),
-        ExchangeError::Deadline => crashes.record_timed_out(),
+        ExchangeError::Unknown | ExchangeError::HeadTooLong | ExchangeError::Deadline => {
+            crashes.record_given_up();
+        }
     }
 }
 
--- a/crates/proxy/src/sends.rs
+++ b/crates/proxy/src/sends.rs
@@ -1,6 +1,6 @@
 //! Requests that were sent to a replica and whose outcome is not known yet.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, LazyLock};
@@ -24,8 +24,6 @@
     Checking,
     /// The replica could not be reached, and is being checked again.
     Unreachable,
-    /// The replica accepts connections and answers nothing, and is being checked again.
-    Silent,
     /// The replica runs and may still crash under the request, or cannot be reached for long.
     Unclear,
     /// The outcome is known.
@@ -56,8 +54,6 @@
     is_unrecorded: AtomicBool,
     /// Whether the replica has answered the same request since this send failed.
     is_answered_since: AtomicBool,
-    /// Whether any replica has answered the same request since this send began.
-    is_answered_elsewhere: AtomicBool,
 }
 
 impl fmt::Debug for OpenSend {
@@ -68,11 +64,6 @@
 }
 
 impl OpenSend {
-    /// Returns the number, which is higher than those of earlier sends.
-    pub fn number(&self) -> u64 {
-        self.number
-    }
-
     /// Returns the fingerprint of the request.
     pub fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint
@@ -151,8 +142,6 @@
     open: Mutex<HashMap<u64, Arc<OpenSend>>>,
     /// Number of sends whose replica is being checked or could not be reached.
     pending: AtomicUsize,
-    /// Number of sends whose replica is silent.
-    silent: AtomicUsize,
     /// Failed sends by replica, until it is known whether the replica has crashed.
     failed: Mutex<HashMap<String, Vec<FailedSend>>>,
     /// Number of failed sends.
@@ -167,8 +156,6 @@
         body_bytes: usize,
         fingerprint: impl FnOnce() -> RequestFingerprint + Send + 'static,
     ) -> Arc<OpenSend> {
-        let mut sends = self.open.lock();
-        // Under the lock, so that a send sees all with lower numbers.
         let number = self.last_number.fetch_add(1, Ordering::Relaxed);
         let open = Arc::new(OpenSend {
             number,
@@ -180,10 +167,8 @@
             stage: watch::Sender::new(SendStage::Running),
             is_unrecorded: AtomicBool::new(false),
             is_answered_since: AtomicBool::new(false),
-            is_answered_elsewhere: AtomicBool::new(false),
         });
-        sends.insert(number, Arc::clone(&open));
-        drop(sends);
+        self.open.lock().insert(number, Arc::clone(&open));
         open
     }
 
@@ -193,10 +178,8 @@
             self.open.lock().remove(&open.number);
         }
         self.pending.fetch_add(usize::from(stage.is_pending()), Ordering::Relaxed);
-        self.silent.fetch_add(usize::from(stage == SendStage::Silent), Ordering::Relaxed);
         let previous = open.stage.send_replace(stage);
         self.pending.fetch_sub(usize::from(previous.is_pending()), Ordering::Relaxed);
-        self.silent.fetch_sub(usize::from(previous == SendStage::Silent), Ordering::Relaxed);
     }
 
     /// Records that a send has failed and its replica may have crashed.
@@ -224,17 +207,6 @@
     /// Records that a replica has answered a request completely. So it has not crashed under sends of
     /// the same request that had failed before.
     pub fn record_answered(&self, answered: &OpenSend) {
-        // Fingerprints are compared without the lock, since computing one may take long.
-        let similar: Vec<_> = {
-            let open = self.open.lock();
-            let is_similar = |open: &&Arc<OpenSend>| {
-                open.number != answered.number && open.body_bytes == answered.body_bytes
-            };
-            open.values().filter(is_similar).cloned().collect()
-        };
-        for same in similar.iter().filter(|open| open.is_same(answered)) {
-            same.is_answered_elsewhere.store(true, Ordering::Relaxed);
-        }
         if self.failed_count.load(Ordering::Relaxed) == 0 {
             return;
         }
@@ -252,31 +224,6 @@
         self.pending.load(Ordering::Relaxed) > 0
     }
 
-    /// Returns whether the replica of any send is silent.
-    pub fn has_silent(&self) -> bool {
-        self.silent.load(Ordering::Relaxed) > 0
-    }
-
-    /// Returns how many other replicas may crash under the request of a send that is about to begin:
-    /// those that are silent, and those that run it for sends that began earlier. None if no replica
-    /// is silent, or if any has answered the request since then.
-    pub fn exposed_replicas(&self, send: &OpenSend) -> usize {
-        let sends = self.open.lock();
-        let is_silent = |open: &&Arc<OpenSend>| open.stage() == SendStage::Silent;
-        let silent: Vec<_> =
-            sends.values().filter(is_silent).filter(|open| open.is_same(send)).collect();
-        let is_answered =
-            |open: &&Arc<OpenSend>| open.is_answered_elsewhere.load(Ordering::Relaxed);
-        if silent.is_empty() || silent.iter().any(is_answered) {
-            return 0;
-        }
-        let is_running =
-            |open: &&Arc<OpenSend>| open.stage() == SendStage::Running && open.number < send.number;
-        let running = sends.values().filter(is_running).filter(|open| open.is_same(send));
-        let replicas = running.chain(silent).map(|open| open.replica.as_str());
-        replicas.collect::<HashSet<_>>().len()
-    }
-
     /// Returns the sends of a request that are at this stage.
     pub fn at_stage(&self, request: &RequestFingerprint, stage: SendStage) -> Vec<Arc<OpenSend>> {
         let open = self.open.lock();
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -12,5 +12,5 @@
     is_closed_by_peer, is_malformed,
 };
 pub use pool::{Checkout, Pool, PooledConnection, ReplicaConnection};
-pub use process_check::{ProcessState, check_answer, check_listener, check_process};
+pub use process_check::{ProcessState, check_listener, check_process};
 pub use start_check::{StartCheck, check_start, check_start_anew};
--- a/crates/proxy/src/upstream/process_check.rs
+++ b/crates/proxy/src/upstream/process_check.rs
@@ -73,30 +73,6 @@
     }
 }
 
-/// Opens a connection to a replica to find out whether it answers anything there, after it has
-/// `accepted` the connection. A process that answers counts as running, whichever it is.
-pub async fn check_answer(
-    pool: &Pool,
-    dialect: &dyn Dialect,
-    replica: &Replica,
-    health_path: Option<&str>,
-    accepted: impl FnOnce(),
-) -> ProcessState {
-    let mut connection = match connect(pool, replica).await {
-        Ok(connection) => connection,
-        Err(state) => return state,
-    };
-    accepted();
-    let path = health_path.unwrap_or_else(|| dialect.report_path());
-    let identity = Incarnation::identity_of(&replica.id);
-    let add_headers = |headers: &mut HeaderMap| dialect.write_expected_replica(headers, identity);
-    let response = probe::get(&mut connection.sender, replica, path, add_headers);
-    match tokio::time::timeout(HEALTH_TIMEOUT, response).await {
-        Ok(Some(_)) => ProcessState::Running,
-        Ok(None) | Err(_) => ProcessState::Unresponsive,
-    }
-}
-
 /// Opens a connection to a replica to find out whether anything listens at its address. The
 /// connection is left to later requests.
 pub async fn check_listener(pool: &Pool, replica: &Replica) -> ProcessState {
