--- a/crates/gateway/tests/endless_streams.rs
+++ b/crates/gateway/tests/endless_streams.rs
@@ -11,7 +11,7 @@
 use calicohoist_gateway::backend::engine;
 use calicohoist_gateway::core::message::{BackendEvent, BackendFailure};
 use support::{MAX_TAKEN_BYTES, ScriptedServer, send_without_end, trickle};
-use tasks::{MAX_TOKENS, engine_event, engine_task};
+use tasks::{engine_event, engine_task};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 /// Far above the time that a stream of the size limit takes.
--- a/crates/gateway/tests/tasks/mod.rs
+++ b/crates/gateway/tests/tasks/mod.rs
@@ -11,7 +11,7 @@
 use calicohoist_types::{AttemptId, EngineId, IdempotencyKey, ModelId, ServiceId};
 
 pub const ATTEMPT: &str = "program/1/1";
-pub const MAX_TOKENS: u64 = 100;
+const MAX_TOKENS: u64 = 100;
 const MODEL: &str = "model";
 
 /// Returns an attempt on the engine at `address`, as a resumption of another one if that is given.
