Streams: one check of a process on a new connection

Exchange::identify_process opened a connection, asked which process answers, and kept the connection if it was open: what check_start_anew does for streams whose replica did not report before. It calls that now.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -14,7 +14,7 @@
 use hyper::header::{CONNECTION, HeaderName};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
 
-use super::start_check::{StartCheck, check_connection, is_open, listed_start};
+use super::start_check::{StartCheck, check_connection, check_start_anew, is_open, listed_start};
 use super::{Checkout, Pool, PooledConnection};
 use crate::dialect::{Dialect, OutgoingHead, ResponseHead};
 use crate::fleet::{LoadGuard, Member};
@@ -171,14 +171,7 @@
         };
         let replica = &self.member.replica;
         // A kept connection may lead to a process that listens no more.
-        let Ok(mut connection) = pool.open(replica.address).await else {
-            self.process = ServerProcess::Unknown;
-            return;
-        };
-        let check = check_connection(&mut connection, dialect, replica).await;
-        if is_open(&mut connection).await {
-            pool.check_in(&replica.id, connection, None);
-        }
+        let check = check_start_anew(pool, dialect, replica).await;
         self.process = match check {
             StartCheck::Listed if listed_start(replica) == Some(before) => ServerProcess::Listed,
             StartCheck::Restarted(start) if start == before => ServerProcess::Restarted(start),
