Tests: turns are answered before the faults of a final fault begin

The play had acknowledged 7 configurations and answered no turn before all processes ended, so there was nothing to continue; 4,389 of 4,389 first turns that were answered reached a replica afterwards, from the first second on. The faults lasted 1 to 2.5 s whether the callers had been served meanwhile or not.

The faults begin once six turns were answered whole, and a play without them fails by name.

--- a/crates/calicohoist/tests/acknowledged/final_fault.rs
+++ b/crates/calicohoist/tests/acknowledged/final_fault.rs
@@ -26,6 +26,9 @@
 /// Number of deployments; overridden by `FINAL_FAULT_DEPLOYMENTS`.
 const DEPLOYMENTS: u64 = 3;
 const CALLERS: usize = 6;
+/// Turns that are answered before faults begin, and the time limit for these.
+const MIN_TURNS: usize = CALLERS;
+const MIN_TURNS_TIMEOUT: Duration = Duration::from_secs(20);
 /// Turns after which a caller begins a new history.
 const MAX_DEPTH: usize = 5;
 const MAX_INPUT_BYTES: usize = 16 << 10;
@@ -70,6 +73,19 @@
         self.is_over.load(Ordering::SeqCst)
     }
 
+    /// Waits until turns were answered whole, without which nothing can be lost; returns whether they
+    /// were.
+    fn wait_for_turns(&self) -> bool {
+        let ends_at = Instant::now() + MIN_TURNS_TIMEOUT;
+        while self.turns.lock().len() < MIN_TURNS {
+            if Instant::now() > ends_at {
+                return false;
+            }
+            thread::sleep(RETRY_INTERVAL);
+        }
+        true
+    }
+
     /// Activates one configuration after another.
     fn operate(&self) {
         while !self.is_over() {
@@ -233,17 +249,20 @@
         wait_until("the gateways are ready", || are_gateways_ready(&cluster));
 
         let workload = Workload::new(&cluster);
-        thread::scope(|scope| {
+        let has_turns = thread::scope(|scope| {
             scope.spawn(|| workload.operate());
             for caller in 0..CALLERS {
                 let random = StdRng::seed_from_u64(random.random());
                 let workload = &workload;
                 scope.spawn(move || workload.call(caller, random));
             }
+            let has_turns = workload.wait_for_turns();
             cause_faults(&cluster, &mut processes, random);
             kill_all(&mut processes);
             workload.is_over.store(true, Ordering::SeqCst);
+            has_turns
         });
+        assert!(has_turns, "no turns were answered before the faults");
         let version = workload.version.into_inner();
         let turns = workload.turns.into_inner();
         println!("{version} configurations, {} turns", turns.len());
