Connections: schedule of a graceful shutdown

A process that stops closes its connections when its grace period ends, and nothing that takes a request on knows of that time. The drain now holds the schedule of the stop: the time by which every request is answered, and the time at which remaining connections are cut, with time between them to deliver the last responses. Nothing uses it yet.

--- a/crates/connections/src/drain.rs
+++ b/crates/connections/src/drain.rs
@@ -1,11 +1,13 @@
 //! Closing of all connections of a process.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
+use crate::stop_schedule::StopSchedule;
+
 /// Interval at which it is checked whether all connections are closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -24,17 +26,45 @@
 #[derive(Clone, Debug)]
 pub struct Drain {
     stage: Arc<watch::Sender<DrainStage>>,
+    schedule: Arc<OnceLock<StopSchedule>>,
     open_connections: Arc<AtomicUsize>,
 }
 
 impl Default for Drain {
     fn default() -> Self {
         let stage = Arc::new(watch::Sender::new(DrainStage::Serving));
-        Self { stage, open_connections: Arc::default() }
+        Self { stage, schedule: Arc::default(), open_connections: Arc::default() }
     }
 }
 
 impl Drain {
+    /// Announces that the process stops. Only the schedule of the first call counts.
+    pub fn announce(&self, schedule: StopSchedule) {
+        // Set before the stage, so that it is known at every later stage.
+        let _ = self.schedule.set(schedule);
+        self.advance(DrainStage::Announced);
+    }
+
+    /// Returns the time by which the process answers its requests; `None` while it does not stop.
+    pub fn answer_by(&self) -> Option<Instant> {
+        self.schedule.get().map(StopSchedule::answer_by)
+    }
+
+    /// Returns `deadline`, or the time by which the process answers its requests if that is earlier.
+    pub fn limit(&self, deadline: Instant) -> Instant {
+        self.answer_by().map_or(deadline, |answer_by| deadline.min(answer_by))
+    }
+
+    /// Waits until the process has to answer its requests, which is never without an announced stop.
+    pub async fn answers_due(&self) {
+        let mut stages = self.stage.subscribe();
+        // The sender lives as long as `self`.
+        let _ = stages.wait_for(|_| self.schedule.get().is_some()).await;
+        if let Some(answer_by) = self.answer_by() {
+            tokio::time::sleep_until(answer_by.into()).await;
+        }
+    }
+
     /// Moves on to a later stage.
     pub fn advance(&self, stage: DrainStage) {
         self.stage.send_if_modified(|current| {
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -18,7 +18,9 @@
 pub mod request_end;
 mod shared_stream;
 mod socket;
+mod stop_schedule;
 
 pub use accept::accept;
 pub use connection::{ConnectionSettings, RequestContext};
 pub use drain::{Drain, DrainStage};
+pub use stop_schedule::StopSchedule;
