--- /dev/null
+++ b/crates/calicohoist/tests/late_requests/deployment.rs
@@ -0,0 +1,85 @@
+//! Three ledger machines, a gateway and replicas that work for as long as their requests say.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use serde_json::json;
+
+use crate::cluster::{Cluster, GATEWAY_IPS, Process, STORE_IPS};
+use crate::support::replica::{Exchange, RecordedRequest};
+use crate::support::{ScriptedReplica, configuration, wait_until};
+
+/// Grace period of the cluster.
+pub const GRACE: Duration = Duration::from_secs(8);
+/// Header that tells a replica how long to work, in milliseconds.
+pub const WORK_HEADER: &str = "X-Work-Ms";
+const REPLICAS_PER_SERVICE: usize = 8;
+
+pub struct Deployment {
+    cluster: Cluster,
+    gateway: Process,
+    replicas: Vec<ScriptedReplica>,
+    _stores: Vec<Process>,
+}
+
+impl Deployment {
+    /// Starts a deployment whose routes have the given timeout.
+    pub fn start(timeout: Duration) -> Self {
+        let cluster = Cluster::new();
+        let mut replicas = Vec::new();
+        for service in ["tools", "models"] {
+            for number in 0..REPLICAS_PER_SERVICE {
+                let id = format!("{service}-{number}");
+                let replica = ScriptedReplica::start(&id, work);
+                cluster.platform_list.put(&replica, service, "ready");
+                replicas.push(replica);
+            }
+        }
+        let stores = STORE_IPS.map(|ip| cluster.start(ip, true)).into();
+        let gateway = cluster.start(GATEWAY_IPS[0], true);
+        let mut document = configuration(5);
+        for route in document["routes"].as_array_mut().expect("a list of routes") {
+            route["timeout_ms"] = json!(timeout.as_millis());
+        }
+        let body = document.to_string();
+        wait_until("the configuration is accepted", || {
+            cluster.operator_request("PUT", "/-/config", &body).is_some()
+        });
+        wait_until("the gateway is ready", || cluster.is_ready(GATEWAY_IPS[0]));
+        Self { cluster, gateway, replicas, _stores: stores }
+    }
+
+    pub fn http(&self) -> SocketAddr {
+        self.cluster.http(GATEWAY_IPS[0])
+    }
+
+    pub fn stop_gateway(&self) {
+        self.gateway.signal(Signal::TERM);
+    }
+
+    /// Waits until the gateway has exited; returns when that was.
+    pub fn wait_until_stopped(&mut self) -> Instant {
+        let status = self.gateway.child.wait().expect("the gateway exits");
+        assert!(status.success(), "{status}");
+        Instant::now()
+    }
+
+    /// Returns the requests that the replicas have received.
+    pub fn requests(&self) -> Vec<RecordedRequest> {
+        self.replicas.iter().flat_map(ScriptedReplica::requests).collect()
+    }
+}
+
+/// Answers a request after the time that it asks for.
+fn work(exchange: &mut Exchange<'_>) {
+    let work = exchange.request.header(WORK_HEADER).and_then(|work| work.parse().ok());
+    thread::sleep(Duration::from_millis(work.unwrap_or(0)));
+    let line = &exchange.request.line;
+    if line.contains("/stream/") || line.contains("/resumable/") {
+        exchange.send_stream("done");
+    } else {
+        exchange.respond("200 OK", "", "done");
+    }
+}
