Gateways: no request is promised an answer beyond the end of the process

Cause: the stop cuts what is open when the grace period ends, and nothing that takes a request on, waits for it, sends it again or tells a replica its deadline knew of that time.

Change: the deadline of a request is asked from the drain, which limits it to the time by which a stopping gateway answers. A request that is still being read or served then is answered at once: 503 if it certainly was not sent, 504 otherwise; a stream is aborted. A request whose own deadline lies beyond that time is taken on only if the usual duration of its route fits (moving mean and deviation, as RFC 6298), and refused with 503 before it runs otherwise. Those that must not run twice need time for a long response, others for a short one.

Ruled out: refusing every request whose timeout does not fit, which would refuse all requests of routes with long timeouts from the signal on; ending answers of silent replicas earlier.

--- a/crates/calicohoist/tests/late_requests/deployment.rs
+++ b/crates/calicohoist/tests/late_requests/deployment.rs
@@ -59,11 +59,17 @@
         self.gateway.signal(Signal::TERM);
     }
 
-    /// Waits until the gateway has exited; returns when that was.
+    /// Waits until the gateway has exited, and asserts that it cut no connection; returns when that
+    /// was.
     pub fn wait_until_stopped(&mut self) -> Instant {
         let status = self.gateway.child.wait().expect("the gateway exits");
+        let exited_at = Instant::now();
         assert!(status.success(), "{status}");
-        Instant::now()
+        let log = self.cluster.folder.path().join(format!("{}.log", GATEWAY_IPS[0]));
+        let log = std::fs::read_to_string(log).expect("the log of the gateway");
+        let stopped = log.lines().rfind(|line| line.contains("\"Stop")).unwrap_or_default();
+        assert!(stopped.contains("\"cut\":\"0\""), "connections were cut: {stopped}");
+        exited_at
     }
 
     /// Returns the requests that the replicas have received.
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use calicohoist_connections::{Drain, DrainStage};
 use calicohoist_ledger::client::LedgerClient;
 use calicohoist_ledger::protocol::CRASH_RECORDS_VERSION;
 use calicohoist_limiter::PermitCache;
@@ -16,6 +17,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
 use crate::memory::MemoryBudget;
+use crate::response_times::ResponseTimes;
 use crate::sends::OpenSends;
 use crate::settings::ProxySettings;
 use crate::upstream::Pool;
@@ -54,6 +56,10 @@
     pub crashes: Mutex<CrashTable>,
     /// Requests sent to replicas whose outcome is not known.
     pub sends: OpenSends,
+    /// Usual durations of responses.
+    pub response_times: ResponseTimes,
+    /// Connections of clients, and the schedule of a graceful shutdown.
+    pub drain: Drain,
     /// Secret for hashing API keys.
     pub key_secret: KeySecret,
     table: watch::Sender<Option<Arc<RouteTable>>>,
@@ -62,7 +68,6 @@
     has_replica_list: AtomicBool,
     /// The leader's last answer to a watch request.
     last_leader_answer: Mutex<Option<LeaderAnswer>>,
-    is_stopping: AtomicBool,
     running_tasks: AtomicUsize,
 }
 
@@ -101,12 +106,13 @@
             permits: Mutex::default(),
             crashes: Mutex::default(),
             sends: OpenSends::default(),
+            response_times: ResponseTimes::default(),
+            drain: Drain::default(),
             key_secret: KeySecret::new(rand::random()),
             table: watch::Sender::new(None),
             table_waiters: Semaphore::new(MAX_TABLE_WAITERS),
             has_replica_list: AtomicBool::new(false),
             last_leader_answer: Mutex::new(None),
-            is_stopping: AtomicBool::new(false),
             running_tasks: AtomicUsize::new(0),
         }
     }
@@ -136,14 +142,18 @@
     /// Installs a routing table unless the current one is at least as new. Returns whether it was
     /// installed.
     pub fn install_table(&self, table: RouteTable) -> bool {
-        self.table.send_if_modified(|current| {
+        let is_installed = self.table.send_if_modified(|current| {
             let is_newer =
                 current.as_ref().is_none_or(|current| current.version() < table.version());
             if is_newer {
                 *current = Some(Arc::new(table));
             }
             is_newer
-        })
+        });
+        if is_installed && let Some(table) = self.table() {
+            self.response_times.retain_routes(&table);
+        }
+        is_installed
     }
 
     /// Records that the leader answered a watch request on a connection of this version.
@@ -198,12 +208,7 @@
 
     /// Returns whether a graceful shutdown has begun.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
-    }
-
-    /// Begins a graceful shutdown: the gateway reports itself as not ready.
-    pub fn stop(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+        self.drain.stage() >= DrainStage::Announced
     }
 
     /// Counts a background task for which a graceful shutdown waits, until the guard is dropped.
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use calicohoist_connections::Drain;
 use calicohoist_ledger::commands::KEY_SEPARATOR;
 use calicohoist_quarantine::{RequestContent, RequestFingerprint};
 use calicohoist_routing::select::Affinity;
@@ -14,8 +15,10 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
+use parking_lot::Mutex;
 
 use crate::dialect::RequestHead;
+use crate::upstream::SendProgress;
 
 /// Route and tenant of a request.
 pub struct ResolvedRoute {
@@ -47,8 +50,12 @@
     pub body: Bytes,
     /// Time at which the head of the request was received.
     pub received_at: Instant,
-    /// Deadline for the response.
-    pub deadline: Instant,
+    /// Deadline of the client for the response.
+    client_deadline: Instant,
+    /// Tells when the gateway stops.
+    drain: Drain,
+    /// Attempts that may have run.
+    attempts: Mutex<Vec<Arc<SendProgress>>>,
     /// How the stream that the request resumes continues, once known.
     continuation: OnceLock<Continuation>,
     /// Computed when it is first needed, which is after a crash.
@@ -74,6 +81,11 @@
     }
 }
 
+/// Returns the time that a request has from its head to its response.
+pub fn response_timeout(head: &RequestHead, route: &Route) -> Duration {
+    head.deadline.map_or(route.timeout, |requested| requested.min(route.timeout))
+}
+
 impl Call {
     /// Creates a call from its parts; `head` contains the metadata from its headers.
     pub fn new(
@@ -82,9 +94,10 @@
         parts: Parts,
         body: Bytes,
         received_at: Instant,
+        drain: Drain,
     ) -> Self {
         let ResolvedRoute { table, route, tenant } = resolved;
-        let timeout = head.deadline.map_or(route.timeout, |requested| requested.min(route.timeout));
+        let timeout = response_timeout(&head, &route);
         Self {
             table,
             route,
@@ -95,7 +108,9 @@
             headers: parts.headers,
             body,
             received_at,
-            deadline: received_at + timeout,
+            client_deadline: received_at + timeout,
+            drain,
+            attempts: Mutex::default(),
             continuation: OnceLock::new(),
             fingerprint: OnceLock::new(),
         }
@@ -174,9 +189,29 @@
         }
     }
 
+    /// Returns the deadline for the response, which lies before the end of the gateway if that stops.
+    pub fn deadline(&self) -> Instant {
+        self.drain.limit(self.client_deadline)
+    }
+
+    /// Records that the request is about to be sent.
+    pub fn begin_attempt(&self, progress: &Arc<SendProgress>) {
+        self.attempts.lock().push(Arc::clone(progress));
+    }
+
+    /// Records that the latest attempt certainly did not run.
+    pub fn withdraw_attempt(&self) {
+        self.attempts.lock().pop();
+    }
+
+    /// Returns whether a replica may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.attempts.lock().iter().any(|progress| progress.is_sent())
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline().saturating_duration_since(Instant::now())
     }
 
     /// Returns the time until the program should finish.
@@ -192,7 +227,7 @@
     pub fn attempt_deadline(&self, attempts: u32) -> Instant {
         let may_retry =
             self.route.kind == RouteKind::Safe && attempts + 1 < self.route.max_attempts;
-        if may_retry { Instant::now() + self.time_left() / 2 } else { self.deadline }
+        if may_retry { Instant::now() + self.time_left() / 2 } else { self.deadline() }
     }
 
     /// Returns the service selected by the weights of the route, or the one that began the stream.
--- a/crates/proxy/src/flow/crash/mod.rs
+++ b/crates/proxy/src/flow/crash/mod.rs
@@ -171,7 +171,7 @@
                 self.wait_until_checked().await;
                 finish_pending(app, &request).await;
             };
-            let finish = tokio::time::timeout_at(call.deadline.into(), finish);
+            let finish = tokio::time::timeout_at(call.deadline().into(), finish);
             finish.await.map_err(|_| GatewayError::Deadline)?;
         }
         // Other gateways do not count a crash that is not recorded, so the request is not sent again
@@ -207,7 +207,7 @@
         if let Some(grant) = self.grant.take() {
             running.open.hold_grant(grant);
         } else if needs_permission(app, call) {
-            let grant = grant::acquire(app, call.fingerprint(), call.deadline).await?;
+            let grant = grant::acquire(app, call.fingerprint(), call.deadline()).await?;
             running.open.hold_grant(grant);
         }
         Ok(progress)
@@ -243,7 +243,7 @@
             return;
         };
         if matches!(failure, RequestFailure::Closed(_)) {
-            self.reach_until.get_or_insert_with(|| reach_until(running.call.deadline));
+            self.reach_until.get_or_insert_with(|| reach_until(running.call.deadline()));
         }
         self.failed.push(running.fail(failure));
     }
@@ -272,7 +272,7 @@
     pub async fn finish_before_retry(&self, call: &Call) {
         let finish = self.wait_until_checked();
         // The checks continue in the background.
-        let _ = tokio::time::timeout_at(call.deadline.into(), finish).await;
+        let _ = tokio::time::timeout_at(call.deadline().into(), finish).await;
     }
 }
 
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -132,7 +132,7 @@
         },
         is_suspect: false,
         tenant: call.tenant_name(),
-        deadline: call.deadline,
+        deadline: call.deadline(),
         progress: Arc::default(),
     };
     loop {
@@ -157,6 +157,8 @@
         };
         let dialect = app.dialect();
         let response_deadline = call.attempt_deadline(attempt_state.attempts);
+        outgoing.deadline = call.deadline();
+        call.begin_attempt(&outgoing.progress);
         let started_at = Instant::now();
         log_sent(app, call, &member, attempt_state.permit);
         let send_deadline = send_by.into_iter().chain(attempt_state.permit.expires_at()).min();
@@ -182,6 +184,9 @@
             attempts = attempt_state.attempts,
             after_ms = started_at.elapsed().as_millis(),
         );
+        if error.is_not_executed() {
+            call.withdraw_attempt();
+        }
         record_outcome(&error, &mut attempt_state.crashes);
         let may_still_send = send_by.is_none_or(|send_by| Instant::now() < send_by);
         if error == ExchangeError::SendTimeout && may_still_send {
--- a/crates/proxy/src/flow/error.rs
+++ b/crates/proxy/src/flow/error.rs
@@ -130,6 +130,9 @@
     /// Too many replicas have crashed under the request.
     #[error("replicas crash under it")]
     Quarantined,
+    /// The gateway stops before the request could be answered.
+    #[error("gateway stops")]
+    Stopping,
     /// Too little time was left to send the request to a replica.
     #[error("too little time")]
     TooLittleTime,
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -3,7 +3,8 @@
 //! [`handle`] reads a request and looks up its route and tenant; [`origin`] looks up which software
 //! began a stream that it resumes; [`home`] checks whether it may be served in any region; [`permit`]
 //! enforces the tenant's rate limit; [`dispatch`] sends the request to a replica; [`crash`] keeps
-//! requests that crash replicas from further ones; [`buffered`] and [`stream`] forward the response;
+//! requests that crash replicas from further ones; [`late`] rejects requests that cannot be answered
+//! before the gateway stops; [`buffered`] and [`stream`] forward the response;
 //! [`turn`] manages the token budgets and turn histories of programs, and [`turn_output`] limits what
 //! their responses may contain.
 
@@ -16,6 +17,7 @@
 mod failure;
 mod headers;
 mod home;
+mod late;
 mod origin;
 mod permit;
 mod response;
@@ -61,14 +63,26 @@
     context: RequestContext,
 ) -> Response<ResponseBody> {
     let received_at = Instant::now();
-    match read_request(&app, request, received_at).await {
+    let read = tokio::select! {
+        biased;
+        read = read_request(&app, request, received_at) => read,
+        () = app.drain.answers_due() => Err(("-".to_owned(), late::rejection())),
+    };
+    match read {
         Ok(call) => {
             context.body_received();
             let call = Arc::new(call);
             log_received(&call);
             let disconnect_guard = DisconnectGuard::new(&call);
-            let result = serve(&app, &call).await;
+            let result = tokio::select! {
+                biased;
+                result = serve(&app, &call) => result,
+                () = app.drain.answers_due() => Err(late::unanswered(&call)),
+            };
             disconnect_guard.disarm();
+            if matches!(result, Err(GatewayError::Deadline)) {
+                app.response_times.record(&call.route, received_at.elapsed());
+            }
             result.unwrap_or_else(|error| {
                 log_error(&call.head.request_id, &call.route.name, received_at, &error);
                 error.into_response(app.dialect(), &call.head.request_id)
@@ -174,8 +188,13 @@
     headers::remove_gateway_headers(app.dialect(), &mut parts.headers);
     let id = head.request_id.clone();
     let limits = resolved.table.limits();
-    let body = read_body(app, body, limits).await.map_err(|error| (id, error))?;
-    Ok(Call::new(resolved, head, parts, body, received_at))
+    let timeout = call::response_timeout(&head, &resolved.route);
+    let with_id = |error| (id.clone(), error);
+    // Before the body, and again after it, which may take long to arrive.
+    late::check(app, &resolved.route, received_at + timeout).map_err(with_id)?;
+    let body = read_body(app, body, limits).await.map_err(with_id)?;
+    late::check(app, &resolved.route, received_at + timeout).map_err(with_id)?;
+    Ok(Call::new(resolved, head, parts, body, received_at, app.drain.clone()))
 }
 
 /// Looks up the route and the tenant of a request. The API key is not passed on.
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -23,6 +23,7 @@
 use super::error::GatewayError;
 use super::failure;
 use super::headers::remove_hop_by_hop_headers;
+use super::late;
 use super::origin::{self, LateOrigin, PendingRecord};
 use super::response::{BodyPart, ResponseBody};
 use super::response_failure::{FailureReason, ResponseFailure};
@@ -65,7 +66,7 @@
     turn.sent_at = Some(sent_at);
     turn.replica_id = Some(exchange.member.replica.id.clone());
     if !is_event_stream(&exchange) {
-        let deadline = call.deadline;
+        let deadline = call.deadline();
         let request = &call.head.request_id;
         let response =
             buffered::collect_response(app, request, deadline, exchange, &mut attempt_state)
@@ -192,7 +193,7 @@
         }
         let identify = self.exchange.identify_process(&self.app.pool, self.app.dialect());
         // A process that is not identified by then is unknown.
-        let _ = before(self.call.deadline, identify).await;
+        let _ = before(self.call.deadline(), identify).await;
         let Some(origin) = self.exchange.stream_origin() else {
             self.attempt_state.require(SoftwareRequirement::Unknown);
             let replica = &self.exchange.member.replica;
@@ -210,9 +211,23 @@
         self.headers.clone()
     }
 
+    /// Forwards the response until it ends, or until the gateway stops, which aborts it.
+    async fn run(self, first: Option<ServerEvent>, chunks: mpsc::UnboundedSender<BodyPart>) {
+        let (drain, call) = (self.app.drain.clone(), Arc::clone(&self.call));
+        tokio::select! {
+            biased;
+            () = self.forward_all(first, chunks) => {}
+            () = drain.answers_due() => late::log_aborted(&call),
+        }
+    }
+
     /// Forwards events until the response ends, the client disconnects, or the stream cannot be
     /// resumed.
-    async fn run(mut self, first: Option<ServerEvent>, chunks: mpsc::UnboundedSender<BodyPart>) {
+    async fn forward_all(
+        mut self,
+        first: Option<ServerEvent>,
+        chunks: mpsc::UnboundedSender<BodyPart>,
+    ) {
         let mut next = first;
         while let Some(event) = next {
             let lane = self.exchange.lane();
@@ -255,6 +270,7 @@
     /// Completes the turn after a complete response, then ends the response to the client.
     async fn complete(mut self, chunks: mpsc::UnboundedSender<BodyPart>) {
         self.log_end("200");
+        self.app.response_times.record(&self.call.route, self.call.received_at.elapsed());
         self.attempt_state.crashes.record_answered();
         let Self { call, turn, exchange, app, .. } = self;
         exchange.finish(&app.pool);
@@ -320,7 +336,7 @@
 
     /// Reserves memory for at least `bytes` bytes.
     async fn hold(&mut self, bytes: usize) -> Result<(), ReadError> {
-        let grown = before(self.call.deadline, self.held.grow_to(bytes)).await?;
+        let grown = before(self.call.deadline(), self.held.grow_to(bytes)).await?;
         grown.map_err(|MemoryLimitReached| ReadError::GaveWay)
     }
 
@@ -428,7 +444,7 @@
         let frame = tokio::select! {
             biased;
             () = self.held.revoked() => return Err(ReadError::GaveWay),
-            frame = before(self.call.deadline, self.exchange.response.body_mut().frame()) => frame?,
+            frame = before(self.call.deadline(), self.exchange.response.body_mut().frame()) => frame?,
         };
         match frame {
             Some(Err(error)) if is_closed_by_peer(&error) => Err(ReadError::Closed),
@@ -444,7 +460,7 @@
     /// limit is reached.
     async fn take_event(&mut self, bytes: usize) -> Result<ServerEvent, ReadError> {
         let reservation = self.held.reserve_beside(bytes + EVENT_OVERHEAD_BYTES);
-        let reservation = before(self.call.deadline, reservation).await?;
+        let reservation = before(self.call.deadline(), reservation).await?;
         let event = self.splitter.take_event(bytes);
         self.release_unused();
         Ok(ServerEvent::parse(reservation.attach_to(event)))
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -171,7 +171,7 @@
         let question =
             LedgerRequest::Place { turn: self.call.scoped(&self.call.head.request_id), placement };
         let started_at = Instant::now();
-        let deadline = self.call.deadline.min(started_at + PLACEMENT_TIMEOUT);
+        let deadline = self.call.deadline().min(started_at + PLACEMENT_TIMEOUT);
         let decision = match self.app.ledger.request(&question, deadline).await {
             Ok(LedgerResponse::Placed(decision)) => Some(decision),
             _ => None,
@@ -258,7 +258,7 @@
         };
         let question = LedgerRequest::Settle(self.settle_command(Some(retained)));
         let started_at = Instant::now();
-        let answer = self.app.ledger.request(&question, self.call.deadline).await;
+        let answer = self.app.ledger.request(&question, self.call.deadline()).await;
         LEDGER_TIMES.observe("settle", started_at.elapsed());
         match answer {
             Ok(LedgerResponse::Settled) => {
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_connections::{Drain, DrainStage};
+use calicohoist_connections::{DrainStage, StopSchedule};
 use calicohoist_telemetry::{Event, emit};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -19,8 +19,6 @@
 /// Time between reporting not ready and closing the listening socket, so that load balancers stop
 /// sending requests.
 const LAME_DUCK_PERIOD: Duration = Duration::from_millis(2_600);
-/// Part of the grace period that is left for exiting when responses are incomplete.
-const GRACE_RESERVE: Duration = Duration::from_millis(400);
 /// Interval at which it is checked whether background tasks have ended.
 const TASK_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -54,7 +52,7 @@
 ) -> eyre::Result<()> {
     let Listeners { http, ready } = listeners;
     let app = Arc::new(App::new(settings));
-    let drain = Drain::default();
+    let drain = app.drain.clone();
     emit!(
         Event::RoleStarted;
         role = "gateway",
@@ -68,25 +66,24 @@
         return Ok(());
     }
     emit!(Event::StopRequested; role = "gateway", connections = drain.open_connections());
-    let grace = app.settings.grace.saturating_sub(GRACE_RESERVE);
-    let abort_at = Instant::now() + grace;
-    app.stop();
-    drain.advance(DrainStage::Announced);
+    let grace = app.settings.grace;
+    let schedule = StopSchedule::new(Instant::now(), grace);
+    drain.announce(schedule);
     tokio::time::sleep(LAME_DUCK_PERIOD.min(grace / 2)).await;
     drain.advance(DrainStage::Closing);
     // Only panics end the task otherwise, and those were reported.
     let _ = accept_task.await;
-    drain.wait_until_closed(abort_at).await;
-    wait_for_tasks(&app, abort_at).await;
+    drain.wait_until_closed(schedule.exit_by()).await;
+    wait_for_tasks(&app, schedule.exit_by()).await;
     let (connections, tasks) = (drain.open_connections(), app.running_tasks());
     let event = if connections + tasks == 0 { Event::StopFinished } else { Event::StopForced };
     emit!(event; role = "gateway", cut = connections, unfinished_tasks = tasks);
     Ok(())
 }
 
-/// Waits until the background tasks have ended, or until `abort_at`.
-async fn wait_for_tasks(app: &App, abort_at: Instant) {
-    while app.running_tasks() > 0 && Instant::now() < abort_at {
+/// Waits until the background tasks have ended, or until `deadline`.
+async fn wait_for_tasks(app: &App, deadline: Instant) {
+    while app.running_tasks() > 0 && Instant::now() < deadline {
         tokio::time::sleep(TASK_POLL_INTERVAL).await;
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod frontend;
 pub mod ledger_watch;
 pub mod memory;
+pub mod response_times;
 pub mod sends;
 pub mod settings;
 pub mod upstream;
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -136,6 +136,20 @@
     Deadline,
 }
 
+impl ExchangeError {
+    /// Returns whether the request certainly did not run.
+    pub fn is_not_executed(&self) -> bool {
+        match self {
+            Self::NotSent | Self::Restarted | Self::SendTimeout | Self::NotExecuted => true,
+            Self::Unacknowledged
+            | Self::Unknown
+            | Self::HeadTooLong
+            | Self::Closed { .. }
+            | Self::Deadline => false,
+        }
+    }
+}
+
 /// A response whose body has not been read yet.
 pub struct Exchange {
     /// Head and body of the response.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -63,6 +63,11 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Iterates over the routes of all hosts.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
