Gateways: late streams are refused, and admission is checked before the first send

Once the listener is closed, a stream is taken on only if its own deadline lies before the end; until then clients cannot know of the stop, and routes with long timeouts are served. - only the arrival was checked; a request may wait for a placement, a permit or replicas before it is sent. Checked again before the first send. - a retained turn whose replica has finished was cut when answers are due. It now waits for the ledger until connections are cut. - safe requests got half of the time left of the gateway for each attempt, which ended sound responses early. They get half of their own time, within that. - a body was refused before it was read, with no close of the connection; a request behind it would have been lost. It is read first, until answers are due. - short deadlines of clients and errors of replicas counted as usual durations. - answers of a stop are logged and counted apart: "interrupted" for an unknown outcome, "gateway stops" for one that has not run.

--- a/crates/calicohoist/tests/late_requests/deployment.rs
+++ b/crates/calicohoist/tests/late_requests/deployment.rs
@@ -15,6 +15,11 @@
 pub const GRACE: Duration = Duration::from_secs(8);
 /// Header that tells a replica how long to work, in milliseconds.
 pub const WORK_HEADER: &str = "X-Work-Ms";
+/// Header that tells a replica for how long to send events, in milliseconds.
+pub const EVENTS_HEADER: &str = "X-Events-Ms";
+/// Timeout of the route whose streams outlast the gateway.
+const LONG_TIMEOUT: Duration = Duration::from_secs(20);
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 const REPLICAS_PER_SERVICE: usize = 8;
 
 pub struct Deployment {
@@ -40,7 +45,15 @@
         let stores = STORE_IPS.map(|ip| cluster.start(ip, true)).into();
         let gateway = cluster.start(GATEWAY_IPS[0], true);
         let mut document = configuration(5);
-        for route in document["routes"].as_array_mut().expect("a list of routes") {
+        let routes = document["routes"].as_array_mut().expect("a list of routes");
+        let mut long =
+            routes.iter().find(|route| route["name"] == "stream").expect("a route").clone();
+        long["name"] = json!("long");
+        long["path_prefix"] = json!("/long/");
+        routes.push(long);
+        for route in routes {
+            let is_long = route["name"] == "long";
+            let timeout = if is_long { LONG_TIMEOUT } else { timeout };
             route["timeout_ms"] = json!(timeout.as_millis());
         }
         let body = document.to_string();
@@ -82,6 +95,10 @@
 fn work(exchange: &mut Exchange<'_>) {
     let work = exchange.request.header(WORK_HEADER).and_then(|work| work.parse().ok());
     thread::sleep(Duration::from_millis(work.unwrap_or(0)));
+    let span = exchange.request.header(EVENTS_HEADER).and_then(|span| span.parse().ok());
+    if let Some(span) = span.map(Duration::from_millis) {
+        return send_events(exchange, span);
+    }
     let line = &exchange.request.line;
     if line.contains("/stream/") || line.contains("/resumable/") {
         exchange.send_stream("done");
@@ -89,3 +106,16 @@
         exchange.respond("200 OK", "", "done");
     }
 }
+
+/// Sends events for the given time.
+fn send_events(exchange: &mut Exchange<'_>, span: Duration) {
+    let until = Instant::now() + span;
+    exchange.start_stream();
+    for number in 1.. {
+        if Instant::now() >= until {
+            return exchange.end_stream();
+        }
+        exchange.send_event(number, "more");
+        thread::sleep(EVENT_INTERVAL);
+    }
+}
--- a/crates/calicohoist/tests/late_requests/main.rs
+++ b/crates/calicohoist/tests/late_requests/main.rs
@@ -10,14 +10,16 @@
 mod caller;
 mod deployment;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use caller::{CallerConnection, CallerReport, TimedBytes};
 use deployment::{Deployment, GRACE};
+use support::replica::RecordedRequest;
 
 /// Route kinds that a late request is tried on.
 const ROUTES: [&str; 4] = ["unsafe", "safe", "stream", "resumable"];
-/// Route kinds whose requests must not run twice, or whose response is a stream.
+/// Route kinds on which two requests are sent one behind the other.
 const PAIRED_ROUTES: [&str; 3] = ["unsafe", "safe", "stream"];
 
 const fn ms(milliseconds: u64) -> Duration {
@@ -32,6 +34,39 @@
     (id, head)
 }
 
+/// Streams that begin before the stop, early in it and late in it, and whose replicas send events until
+/// after the end of the gateway.
+fn streams_until_the_end(address: SocketAddr, stop: Instant) -> Vec<CallerConnection> {
+    let begin = |name: &str, parts: &dyn Fn(String) -> Vec<TimedBytes>| {
+        let mut connection = CallerConnection::open(address);
+        let id = format!("long-{name}");
+        let span = format!("{}: 9000", deployment::EVENTS_HEADER);
+        let head = support::request_head("POST", "/long/a", &id, 0, &[&span]);
+        connection.send(&id, parts(head));
+        connection
+    };
+    let late_head = |head: String| {
+        let (first, second) = head.split_at(head.len() / 2);
+        vec![
+            TimedBytes::at(stop + ms(2_200), first.to_owned()),
+            TimedBytes::at(stop + ms(4_200), second.to_owned()),
+        ]
+    };
+    vec![
+        begin("before", &|head| vec![TimedBytes::at(stop - ms(500), head)]),
+        begin("early", &|head| vec![TimedBytes::at(stop + ms(1_000), head)]),
+        begin("late", &late_head),
+    ]
+}
+
+/// A request whose body is never completed.
+fn unfinished_body(address: SocketAddr, stop: Instant) -> CallerConnection {
+    let mut connection = CallerConnection::open(address);
+    let head = support::request_head("POST", "/unsafe/a", "unfinished-body", 4, &[]);
+    connection.send("unfinished-body", vec![TimedBytes::at(stop + ms(2_200), head)]);
+    connection
+}
+
 /// Plays all cases beside each other at one gateway; `stop` is when it gets SIGTERM.
 fn play(deployment: &Deployment, stop: Instant) -> Vec<CallerReport> {
     let mut connections = Vec::new();
@@ -95,10 +130,69 @@
         quick_second.send(&id, vec![TimedBytes::at(stop + ms(at), head)]);
     }
     connections.push(quick_second);
+    connections.extend(streams_until_the_end(address, stop));
+    connections.push(unfinished_body(address, stop));
     let callers: Vec<_> = connections.into_iter().map(CallerConnection::start).collect();
     callers.into_iter().flat_map(|caller| caller.join().expect("the caller ends")).collect()
 }
 
+/// Requests that are served although they arrive during the stop.
+const SERVED: [&str; 5] = [
+    "unsafe-pair-first",
+    "stream-pair-first",
+    "unsafe-triple-first",
+    "unsafe-long-first",
+    "safe-quick-second",
+];
+/// Requests that cannot be answered in the time left and are refused before they run.
+const REFUSED: [&str; 5] = [
+    "unsafe-pair-second",
+    "stream-pair-second",
+    "unsafe-triple-third",
+    "long-late",
+    "unfinished-body",
+];
+/// Part of the grace period after which a stream may be aborted whose replica still sends events.
+const STREAM_SHARE: (u32, u32) = (5, 6);
+
+/// Judges a request as its caller and the replicas saw it.
+fn judge(report: &CallerReport, runs: usize, stop: Instant) -> Option<String> {
+    let CallerReport { id, status, is_complete, ended_at } = report;
+    let problem = |what: &str| Some(format!("{id}: {what}, {status}, {runs} runs"));
+    if id.starts_with("long-") && id != "long-late" {
+        let (numerator, denominator) = STREAM_SHARE;
+        let is_early = *ended_at < stop + GRACE * numerator / denominator;
+        let is_begun = *status == 200 && !is_complete;
+        return if is_begun && !is_early {
+            None
+        } else {
+            problem("a stream that was not aborted late")
+        };
+    }
+    if !report.is_answered() {
+        return problem("no answer");
+    }
+    let is_served = id.ends_with("before") || SERVED.contains(&id.as_str());
+    match status {
+        503 | 408 if runs > 0 => problem("refused and run"),
+        503 | 408 if !is_served => None,
+        200 | 504 if REFUSED.contains(&id.as_str()) => problem("taken on"),
+        200 if runs == 1 || id.starts_with("safe") => None,
+        504 if !is_served && (runs <= 1 || !id.starts_with("unsafe")) => None,
+        _ => problem("unexpected answer"),
+    }
+}
+
+/// Judges the deadline that a replica was told.
+fn judge_deadline(record: &RecordedRequest, stop: Instant, exited_at: Instant) -> Option<String> {
+    let left = record.header("calicohoist-deadline-ms").and_then(|left| left.parse().ok());
+    let Some((received, left)) = record.received_at.zip(left.map(Duration::from_millis)) else {
+        return Some(format!("{} was sent without a deadline", record.id()));
+    };
+    let is_late = received > stop && received + left > exited_at;
+    is_late.then(|| format!("the deadline of {} ends after the gateway", record.id()))
+}
+
 /// Plays all cases on routes with the given timeout and returns what callers saw.
 fn stop_with_late_requests(timeout: Duration) {
     let mut deployment = Deployment::start(timeout);
@@ -113,28 +207,12 @@
     let records = deployment.requests();
     let mut problems = Vec::new();
     for report in &reports {
-        let run = records.iter().find(|record| record.id() == report.id);
-        let ran = if run.is_some() { "ran" } else { "did not run" };
-        println!("{}, {ran}", report.relative_to(stop));
-        if !report.is_answered() {
-            problems.push(format!("{} has no answer ({ran})", report.id));
-        }
-        if report.status == 503 && run.is_some() {
-            problems.push(format!("{} was refused and has run", report.id));
-        }
+        let runs = records.iter().filter(|record| record.id() == report.id).count();
+        println!("{}, {runs} runs", report.relative_to(stop));
+        problems.extend(judge(report, runs, stop));
     }
     for record in &records {
-        let deadline = record.header("calicohoist-deadline-ms").and_then(|left| left.parse().ok());
-        let promised = record.received_at.zip(deadline.map(Duration::from_millis));
-        let is_in_stop = record.received_at.is_some_and(|received| received > stop);
-        match promised {
-            Some((received, left)) if is_in_stop && received + left > stop + GRACE => {
-                let excess = received + left - (stop + GRACE);
-                problems.push(format!("the deadline of {} ends {excess:?} late", record.id()));
-            }
-            Some(_) => {}
-            None => problems.push(format!("{} was sent without a deadline", record.id())),
-        }
+        problems.extend(judge_deadline(record, stop, exited_at));
     }
     println!("the gateway exited {:?} after SIGTERM", exited_at - stop);
     assert!(problems.is_empty(), "{problems:#?}");
--- a/crates/proxy/src/flow/buffered.rs
+++ b/crates/proxy/src/flow/buffered.rs
@@ -54,7 +54,9 @@
         match collect_response(app, request, deadline, exchange, attempt_state).await {
             Ok(response) => {
                 log_end(call, &replica, &response, attempt_state);
-                app.response_times.record(&call.route, call.received_at.elapsed());
+                if response.status().is_success() {
+                    app.response_times.record(&call.route, call.received_at.elapsed());
+                }
                 return Ok(response.map(ResponseBody::buffered));
             }
             Err(error) => {
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -54,8 +54,8 @@
     client_deadline: Instant,
     /// Tells when the gateway stops.
     drain: Drain,
-    /// Attempts that may have run.
-    attempts: Mutex<Vec<Arc<SendProgress>>>,
+    /// Sends of which it is not certain that they did not run.
+    sends: Mutex<Vec<Arc<SendProgress>>>,
     /// How the stream that the request resumes continues, once known.
     continuation: OnceLock<Continuation>,
     /// Computed when it is first needed, which is after a crash.
@@ -81,11 +81,6 @@
     }
 }
 
-/// Returns the time that a request has from its head to its response.
-pub fn response_timeout(head: &RequestHead, route: &Route) -> Duration {
-    head.deadline.map_or(route.timeout, |requested| requested.min(route.timeout))
-}
-
 impl Call {
     /// Creates a call from its parts; `head` contains the metadata from its headers.
     pub fn new(
@@ -97,7 +92,7 @@
         drain: Drain,
     ) -> Self {
         let ResolvedRoute { table, route, tenant } = resolved;
-        let timeout = response_timeout(&head, &route);
+        let timeout = head.deadline.map_or(route.timeout, |requested| requested.min(route.timeout));
         Self {
             table,
             route,
@@ -110,7 +105,7 @@
             received_at,
             client_deadline: received_at + timeout,
             drain,
-            attempts: Mutex::default(),
+            sends: Mutex::default(),
             continuation: OnceLock::new(),
             fingerprint: OnceLock::new(),
         }
@@ -194,19 +189,29 @@
         self.drain.limit(self.client_deadline)
     }
 
+    /// Returns the deadline of the client, which may lie beyond the end of the gateway.
+    pub fn client_deadline(&self) -> Instant {
+        self.client_deadline
+    }
+
+    /// Returns whether the client waits for as long as the route allows.
+    pub fn has_whole_timeout(&self) -> bool {
+        self.head.deadline.is_none_or(|requested| requested >= self.route.timeout)
+    }
+
     /// Records that the request is about to be sent.
-    pub fn begin_attempt(&self, progress: &Arc<SendProgress>) {
-        self.attempts.lock().push(Arc::clone(progress));
+    pub fn begin_send(&self, progress: &Arc<SendProgress>) {
+        self.sends.lock().push(Arc::clone(progress));
     }
 
-    /// Records that the latest attempt certainly did not run.
-    pub fn withdraw_attempt(&self) {
-        self.attempts.lock().pop();
+    /// Records that a send certainly did not run.
+    pub fn withdraw_send(&self, progress: &Arc<SendProgress>) {
+        self.sends.lock().retain(|send| !Arc::ptr_eq(send, progress));
     }
 
     /// Returns whether a replica may have run the request.
     pub fn may_have_run(&self) -> bool {
-        self.attempts.lock().iter().any(|progress| progress.is_sent())
+        self.sends.lock().iter().any(|send| send.is_sent())
     }
 
     /// Returns the time until the deadline.
@@ -227,7 +232,12 @@
     pub fn attempt_deadline(&self, attempts: u32) -> Instant {
         let may_retry =
             self.route.kind == RouteKind::Safe && attempts + 1 < self.route.max_attempts;
-        if may_retry { Instant::now() + self.time_left() / 2 } else { self.deadline() }
+        if !may_retry {
+            return self.deadline();
+        }
+        let now = Instant::now();
+        let client_time = self.client_deadline.saturating_duration_since(now);
+        self.drain.limit(now + client_time / 2)
     }
 
     /// Returns the service selected by the weights of the route, or the one that began the stream.
--- a/crates/proxy/src/flow/dispatch.rs
+++ b/crates/proxy/src/flow/dispatch.rs
@@ -15,6 +15,7 @@
 use super::crash::{ClosedConnection, CrashMonitor};
 use super::error::{GatewayError, NotExecutedReason};
 use super::failure;
+use super::late;
 use super::permit::{self, Permit};
 use crate::app::App;
 use crate::fleet::{Member, ReplicaCriteria};
@@ -139,6 +140,9 @@
         if call.time_left() < MIN_TIME_LEFT {
             return Err(out_of_time(attempt_state));
         }
+        if attempt_state.attempts == 0 {
+            late::check(app, call)?;
+        }
         if let Err(error) = attempt_state.crashes.admit(app, call).await {
             // An earlier attempt may have run, so the request must not be reported as not executed.
             return Err(if attempt_state.attempts > 0 { GatewayError::Unknown } else { error });
@@ -158,7 +162,7 @@
         let dialect = app.dialect();
         let response_deadline = call.attempt_deadline(attempt_state.attempts);
         outgoing.deadline = call.deadline();
-        call.begin_attempt(&outgoing.progress);
+        call.begin_send(&outgoing.progress);
         let started_at = Instant::now();
         log_sent(app, call, &member, attempt_state.permit);
         let send_deadline = send_by.into_iter().chain(attempt_state.permit.expires_at()).min();
@@ -185,7 +189,7 @@
             after_ms = started_at.elapsed().as_millis(),
         );
         if error.is_not_executed() {
-            call.withdraw_attempt();
+            call.withdraw_send(&outgoing.progress);
         }
         record_outcome(&error, &mut attempt_state.crashes);
         let may_still_send = send_by.is_none_or(|send_by| Instant::now() < send_by);
--- a/crates/proxy/src/flow/error.rs
+++ b/crates/proxy/src/flow/error.rs
@@ -81,6 +81,9 @@
     /// The request may have run, and its deadline passed.
     #[error("deadline")]
     Deadline,
+    /// The request may have run, and the gateway stops.
+    #[error("gateway stops, outcome unknown")]
+    Interrupted,
 }
 
 /// Problem with the API key of a request.
@@ -169,6 +172,7 @@
             Self::NotExecuted { .. } => "not_run",
             Self::Unknown => "unknown",
             Self::Deadline => "deadline",
+            Self::Interrupted => "interrupted",
         }
     }
 
@@ -184,7 +188,7 @@
             Self::UnknownStream | Self::NotResumable => StatusCode::CONFLICT,
             Self::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::Unknown => StatusCode::BAD_GATEWAY,
-            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::Deadline | Self::Interrupted => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -80,7 +80,7 @@
                 () = app.drain.answers_due() => Err(late::unanswered(&call)),
             };
             disconnect_guard.disarm();
-            if matches!(result, Err(GatewayError::Deadline)) {
+            if matches!(result, Err(GatewayError::Deadline)) && call.has_whole_timeout() {
                 app.response_times.record(&call.route, received_at.elapsed());
             }
             result.unwrap_or_else(|error| {
@@ -96,6 +96,7 @@
 }
 
 async fn serve(app: &Arc<App>, call: &Arc<Call>) -> Result<Response<ResponseBody>, GatewayError> {
+    late::check(app, call)?;
     crash::reject_quarantined(app, call)?;
     origin::resolve(app, call).await?;
     home::check(app, call)?;
@@ -188,12 +189,7 @@
     headers::remove_gateway_headers(app.dialect(), &mut parts.headers);
     let id = head.request_id.clone();
     let limits = resolved.table.limits();
-    let timeout = call::response_timeout(&head, &resolved.route);
-    let with_id = |error| (id.clone(), error);
-    // Before the body, and again after it, which may take long to arrive.
-    late::check(app, &resolved.route, received_at + timeout).map_err(with_id)?;
-    let body = read_body(app, body, limits).await.map_err(with_id)?;
-    late::check(app, &resolved.route, received_at + timeout).map_err(with_id)?;
+    let body = read_body(app, body, limits).await.map_err(|error| (id, error))?;
     Ok(Call::new(resolved, head, parts, body, received_at, app.drain.clone()))
 }
 
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -23,7 +23,6 @@
 use super::error::GatewayError;
 use super::failure;
 use super::headers::remove_hop_by_hop_headers;
-use super::late;
 use super::origin::{self, LateOrigin, PendingRecord};
 use super::response::{BodyPart, ResponseBody};
 use super::response_failure::{FailureReason, ResponseFailure};
@@ -212,31 +211,35 @@
     }
 
     /// Forwards the response until it ends, or until the gateway stops, which aborts it.
-    async fn run(self, first: Option<ServerEvent>, chunks: mpsc::UnboundedSender<BodyPart>) {
-        let (drain, call) = (self.app.drain.clone(), Arc::clone(&self.call));
-        tokio::select! {
+    async fn run(mut self, first: Option<ServerEvent>, chunks: mpsc::UnboundedSender<BodyPart>) {
+        let drain = self.app.drain.clone();
+        let end = tokio::select! {
             biased;
-            () = self.forward_all(first, chunks) => {}
-            () = drain.answers_due() => late::log_aborted(&call),
+            end = self.forward_all(first, &chunks) => end,
+            () = drain.answers_due() => Err(GatewayError::Interrupted.to_string()),
+        };
+        match end {
+            // Waits for the ledger until the connections are cut: the replica has done its work.
+            Ok(()) => self.complete(chunks).await,
+            Err(outcome) => self.log_end(&outcome),
         }
     }
 
-    /// Forwards events until the response ends, the client disconnects, or the stream cannot be
-    /// resumed.
+    /// Forwards events until the response ends.
+    ///
+    /// # Errors
+    /// Returns the outcome of the request if the client has left or the stream cannot go on.
     async fn forward_all(
-        mut self,
+        &mut self,
         first: Option<ServerEvent>,
-        chunks: mpsc::UnboundedSender<BodyPart>,
-    ) {
+        chunks: &mpsc::UnboundedSender<BodyPart>,
+    ) -> Result<(), String> {
         let mut next = first;
         while let Some(event) = next {
             let lane = self.exchange.lane();
-            next = match lane.charge_polls(self.forward(event, &chunks)).await {
-                Ok(following) => following,
-                Err(outcome) => return self.log_end(&outcome),
-            };
+            next = lane.charge_polls(self.forward(event, chunks)).await?;
         }
-        self.complete(chunks).await;
+        Ok(())
     }
 
     /// Forwards an event, and returns the following one; `None` at the end of the response.
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -258,7 +258,7 @@
         };
         let question = LedgerRequest::Settle(self.settle_command(Some(retained)));
         let started_at = Instant::now();
-        let answer = self.app.ledger.request(&question, self.call.deadline()).await;
+        let answer = self.app.ledger.request(&question, self.call.client_deadline()).await;
         LEDGER_TIMES.observe("settle", started_at.elapsed());
         match answer {
             Ok(LedgerResponse::Settled) => {
--- a/crates/proxy/src/frontend/connections.rs
+++ b/crates/proxy/src/frontend/connections.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use calicohoist_connections::{ConnectionSettings, Drain, accept};
+use calicohoist_connections::{ConnectionSettings, accept};
 use calicohoist_routing::Limits;
 use tokio::net::TcpListener;
 
@@ -11,11 +11,12 @@
 use crate::flow;
 
 /// Serves client requests until the drain closes their connections.
-pub async fn serve(listener: TcpListener, app: Arc<App>, drain: Drain) {
+pub async fn serve(listener: TcpListener, app: Arc<App>) {
     let settings = {
         let app = Arc::clone(&app);
         move || connection_settings(app.table().map(|table| table.limits()).unwrap_or_default())
     };
+    let drain = app.drain.clone();
     let handler = move |request, context| flow::handle(Arc::clone(&app), request, context);
     accept(listener, drain, settings, handler).await;
 }
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -61,7 +61,7 @@
     );
     tokio::spawn(ledger_watch::run(Arc::clone(&app)));
     tokio::spawn(ready::serve(ready, Arc::clone(&app)));
-    let accept_task = tokio::spawn(connections::serve(http, Arc::clone(&app), drain.clone()));
+    let accept_task = tokio::spawn(connections::serve(http, Arc::clone(&app)));
     if stop.wait_for(|stop| *stop).await.is_err() {
         return Ok(());
     }
