Crashes: a permission that is asked for is given back if its request ends

Found by review, from the code: a request that ends while the ledger is asked for a permission to send it again, because its caller leaves or its gateway stops, never gave the permission back, if it was given. The account of the request then counted a send for its whole retention, and others were refused. The guard now exists before the question. No test plays it.

--- a/crates/proxy/src/flow/crash/grant.rs
+++ b/crates/proxy/src/flow/crash/grant.rs
@@ -101,16 +101,13 @@
         placement: None,
         permit: None,
     };
-    let answer = app.ledger.request(&question, deadline).await;
-    let grant = || SendGrant { app: Arc::clone(app), request, send };
-    match answer {
-        Ok(LedgerResponse::Reserved { reservation: Reservation::Granted, .. }) => Ok(grant()),
+    // Given back unless it is returned, also if the request ends meanwhile: it may have been given although
+    // no answer says so.
+    let grant = SendGrant { app: Arc::clone(app), request, send };
+    match app.ledger.request(&question, deadline).await {
+        Ok(LedgerResponse::Reserved { reservation: Reservation::Granted, .. }) => Ok(grant),
         Ok(LedgerResponse::Reserved { .. }) => Err(Refusal::AccountSpent),
-        Ok(_) | Err(_) => {
-            // The permission may have been given nevertheless.
-            drop(grant());
-            Err(Refusal::NoLeader)
-        }
+        Ok(_) | Err(_) => Err(Refusal::NoLeader),
     }
 }
 
