Tests: ledger of a cluster is shared by test binaries

Cause: a second test binary needs the three ledger machines of `acknowledged`, their calls and another grace period.

Conclusion: no test changes what it asserts.

--- a/crates/calicohoist/tests/cluster/mod.rs
+++ b/crates/calicohoist/tests/cluster/mod.rs
@@ -17,6 +17,7 @@
 use tempfile::TempDir;
 
 pub mod forwarder;
+pub mod ledger;
 
 use crate::support::{ListServer, Response, client, exchange, request_head, wait_until};
 
@@ -28,6 +29,7 @@
 pub const GATEWAY_IPS: [&str; 2] = ["127.0.0.21", "127.0.0.22"];
 
 const DEFAULT_MEMORY_MB: usize = 20;
+const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 
 /// Ports, the same on all nodes.
 #[derive(Clone, Copy)]
@@ -149,6 +151,8 @@
     pub platform_list_address: Option<SocketAddr>,
     /// Memory of each machine in MiB.
     pub memory_mb: usize,
+    /// Grace period of each machine.
+    pub grace: Duration,
 }
 
 impl Cluster {
@@ -160,6 +164,7 @@
             ports: Ports::free(),
             platform_list_address: None,
             memory_mb: DEFAULT_MEMORY_MB,
+            grace: DEFAULT_GRACE,
         }
     }
 
@@ -198,10 +203,11 @@
         let text = format!(
             "node_name = \"node-{ip}\"\nip = \"{ip}\"\nzone = \"hall\"\nserves = [{serves}]\n\
              internal_ports = [{internal},{}]\nseeds = [{}]\nbootstrap = {bootstrap}\n{data}\
-             [listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n[bounds]\ngrace_s = 8\n\
+             [listen]\n{listen}\n[fault_tolerance]\nmachines = 1\n[bounds]\ngrace_s = {}\n\
              [limits]\nmemory_mb = {}\n[cloud]\naddress = \"{}\"\n",
             internal + 1,
             seeds.join(","),
+            self.grace.as_secs_f64(),
             self.memory_mb,
             self.platform_list_address.unwrap_or(self.platform_list.address),
         );
