Connections: time for exiting in a short grace period

Cause: a twentieth of a short grace period is left for exiting, 50 ms of 1 s. Waiting for the connections overshoots the deadline by up to 25 ms, and the log takes 40 ms to be written.

Change: a tenth is left, which changes nothing from 8 s on, and the wait ends at its deadline.

--- a/crates/connections/src/drain.rs
+++ b/crates/connections/src/drain.rs
@@ -87,7 +87,8 @@
     /// Waits until all connections are closed, or until `deadline`.
     pub async fn wait_until_closed(&self, deadline: Instant) {
         while self.open_connections() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(POLL_INTERVAL).await;
+            let next_check = Instant::now() + POLL_INTERVAL;
+            tokio::time::sleep_until(next_check.min(deadline).into()).await;
         }
     }
 
--- a/crates/connections/src/stop_schedule.rs
+++ b/crates/connections/src/stop_schedule.rs
@@ -7,7 +7,7 @@
 /// Maximum time for delivering the last responses.
 const MAX_DELIVERY_TIME: Duration = Duration::from_millis(600);
 /// Parts of a short grace period that are left for exiting and for delivering.
-const EXIT_DIVISOR: u32 = 20;
+const EXIT_DIVISOR: u32 = 10;
 const DELIVERY_DIVISOR: u32 = 12;
 
 /// Schedule of a graceful shutdown. A process promises no response after `answer_by`, so that what
