Ledger: a stopping machine answers its calls before it exits

Callers: of 52 operator calls around a stop with `grace_s = 3`, 46 had no answer from a leader whose disk hangs, and 28 from such a follower: each was cut after 2.45 s (follower) or 2.85 s (leader), 0.3 to 2.9 s after it was sent, whole. With `grace_s = 1`, 28 from such a leader. With disks that work, without and with a quorum, no call was cut; the others lose their leadership, or redirect, within milliseconds.

Cause: the time for a call is 3 s and that for a body 10 s, whatever is left of the grace period, at whose end all connections are cut. A call takes that long while the replica thread does not run.

Change: a stop has a schedule. Calls and bodies that are under way when answers are due get 503, whose meaning stays that the outcome is unknown or the change not applied. A call that arrives later is not started: it gets a redirect if another machine leads, else 503. Then the responses are delivered while the leadership is transferred once more if need be, and the process exits by the schedule; no step of the stop can exceed it, the queue of the listener and the transfers included.

Conclusion: a ledger machine promises no answer beyond its end.

--- a/crates/ledger/src/server/bodies.rs
+++ b/crates/ledger/src/server/bodies.rs
@@ -43,6 +43,9 @@
     /// The bodies of other requests take all the memory.
     #[error("no memory for another body")]
     NoMemory,
+    /// It had not arrived when the machine had to answer its calls before it stops.
+    #[error("machine stops")]
+    Stopping,
 }
 
 impl Default for BodyMemory {
--- a/crates/ledger/src/server/control.rs
+++ b/crates/ledger/src/server/control.rs
@@ -4,7 +4,7 @@
 //! knows no leader, or does not know the outcome of a change, answers that it is unavailable.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use calicohoist_connections::{ConnectionSettings, Drain, RequestContext, accept};
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::bodies::{BodyError, BodyMemory};
+use super::bodies::{BodyError, BodyMemory, ReceivedBody};
 use super::list::DiscoverySnapshot;
 use super::peers::{KnownPeers, VersionSkew};
 use super::replica::{GroupStatus, ReplicaHandle, Request, Response};
@@ -149,10 +149,13 @@
     pub peers: KnownPeers,
     /// Memory for the bodies of requests.
     pub bodies: BodyMemory,
+    /// Closes the connections of operators.
+    pub drain: Drain,
 }
 
 /// Serves operators until the drain closes their connections.
-pub async fn serve(listener: TcpListener, control: Control, drain: Drain) {
+pub async fn serve(listener: TcpListener, control: Control) {
+    let drain = control.drain.clone();
     let handler = move |request, context| {
         let control = control.clone();
         async move { control.handle(request, context).await }
@@ -168,7 +171,7 @@
     ) -> HttpResponse<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-        let received = match self.bodies.receive(body).await {
+        let received = match self.receive(body).await {
             Ok(received) => received,
             Err(error) => return self.refuse(&head.method, &path, error),
         };
@@ -183,9 +186,7 @@
                 return self.render(&ControlOutcome::Invalid(findings));
             }
         };
-        let response =
-            tokio::time::timeout(CALL_TIMEOUT, self.perform(&call, body, &context)).await;
-        let response = response.unwrap_or(Response::Lost);
+        let response = self.perform_in_time(&call, body, &context).await;
         emit!(
             Event::ControlCall;
             call = format!("{call:?}"),
@@ -198,17 +199,44 @@
         }
     }
 
+    /// Receives a body until the machine has to answer its calls.
+    async fn receive(&self, body: Incoming) -> Result<ReceivedBody, BodyError> {
+        tokio::select! {
+            biased;
+            received = self.bodies.receive(body) => received,
+            () = self.drain.answers_due() => Err(BodyError::Stopping),
+        }
+    }
+
     /// Refuses a request whose body was not received.
     fn refuse(&self, method: &Method, path: &str, error: BodyError) -> HttpResponse<Full<Bytes>> {
         emit!(Event::ChangeRefused; call = format!("{method} {path}"), findings = error);
         match error {
-            BodyError::NoMemory => self.render(&ControlOutcome::Unavailable),
+            BodyError::NoMemory | BodyError::Stopping => self.render(&ControlOutcome::Unavailable),
             BodyError::TooLong | BodyError::Incomplete | BodyError::TimedOut => {
                 json_response(StatusCode::BAD_REQUEST, Vec::new())
             }
         }
     }
 
+    /// Performs a call in the time that is left for it. One that arrives too late is not started,
+    /// and is redirected to the leader if that is another machine.
+    async fn perform_in_time(
+        &self,
+        call: &ControlCall,
+        body: &Bytes,
+        context: &RequestContext,
+    ) -> Response {
+        if self.drain.answer_by().is_some_and(|answer_by| answer_by <= Instant::now()) {
+            return Response::NotLeader(None);
+        }
+        tokio::select! {
+            response = self.perform(call, body, context) => response,
+            () = tokio::time::sleep(CALL_TIMEOUT) => Response::Lost,
+            () = self.drain.answers_due() => Response::Lost,
+        }
+    }
+
     async fn perform(
         &self,
         call: &ControlCall,
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use calicohoist_connections::{Drain, DrainStage};
+use calicohoist_connections::{Drain, DrainStage, StopSchedule};
 use calicohoist_discovery::{ListPace, ListReader};
 use calicohoist_limiter::LimitTolerance;
 use calicohoist_replication::RaftSettings;
@@ -35,16 +35,14 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::protocol::SUPPORTED_VERSIONS;
 use bodies::BodyMemory;
 use control::{Control, ControlCodec};
 use gateways::ServiceLocation;
 use peers::PeerThread;
-use replica::{LeaderServices, ReplicaHandle, ReplicaThread};
-
-/// Part of the grace period that is reserved for a second transfer of the leadership.
-const GRACE_RESERVE: Duration = Duration::from_millis(600);
+use replica::{GroupStatus, LeaderServices, ReplicaHandle, ReplicaThread};
 
 /// Time in which calls in progress are answered once the replica has failed.
 const FAILURE_GRACE: Duration = Duration::from_secs(2);
@@ -218,6 +216,7 @@
     );
     tokio::spawn(service.clone().run_placement());
     tokio::spawn(gateways::accept(listeners.gateways, service));
+    let drain = Drain::default();
     let control = Control {
         settings: Arc::new(settings.clone()),
         replica: handle.clone(),
@@ -225,9 +224,9 @@
         list,
         peers: known_peers,
         bodies: BodyMemory::default(),
+        drain: drain.clone(),
     };
-    let drain = Drain::default();
-    let control_task = tokio::spawn(control::serve(listeners.control, control, drain.clone()));
+    let control_task = tokio::spawn(control::serve(listeners.control, control));
     emit!(
         Event::RoleStarted;
         role = "ledger",
@@ -240,31 +239,45 @@
         _ = stop.wait_for(|stop| *stop) => None,
     };
     if let Some(failure) = failure {
-        let cut_at = Instant::now() + FAILURE_GRACE.min(settings.grace);
-        close_connections(&drain, control_task, cut_at).await;
+        let schedule = StopSchedule::new(Instant::now(), FAILURE_GRACE.min(settings.grace));
+        drain.announce(schedule);
+        close_listener(&drain, control_task, schedule).await;
+        drain.wait_until_closed(schedule.exit_by()).await;
         eyre::bail!("the replica thread stopped: {failure}");
     }
     emit!(Event::StopRequested; role = "ledger", connections = drain.open_connections());
-    let cut_at = Instant::now() + settings.grace.saturating_sub(GRACE_RESERVE);
-    drain.advance(DrainStage::Announced);
-    transfer_leadership(&handle).await;
-    close_connections(&drain, control_task, cut_at).await;
-    if status.borrow().is_leader {
-        // Elected while the connections were being closed.
-        transfer_leadership(&handle).await;
-    }
+    let schedule = StopSchedule::new(Instant::now(), settings.grace);
+    drain.announce(schedule);
+    transfer_leadership(&handle, schedule).await;
+    close_listener(&drain, control_task, schedule).await;
+    finish_calls(&drain, &handle, &status, schedule).await;
     let cut = drain.open_connections();
     let event = if cut == 0 { Event::StopFinished } else { Event::StopForced };
     emit!(event; role = "ledger", cut = cut);
     Ok(())
 }
 
-/// Closes the connections of operators, which ends calls in progress at `cut_at` at the latest.
-async fn close_connections(drain: &Drain, control_task: JoinHandle<()>, cut_at: Instant) {
+/// Accepts no more connections of operators, and lets those without a call close.
+async fn close_listener(drain: &Drain, control_task: JoinHandle<()>, schedule: StopSchedule) {
     drain.advance(DrainStage::Closing);
-    // Only panics end the task otherwise, and those were reported.
-    let _ = control_task.await;
-    drain.wait_until_closed(cut_at).await;
+    // Only panics end the task otherwise, and those were reported. The listener is closed by the end
+    // of the process if there was no file descriptor for the queued connections.
+    let _ = timeout_at(schedule.exit_by().into(), control_task).await;
+}
+
+/// Waits until all calls are answered and their responses delivered.
+async fn finish_calls(
+    drain: &Drain,
+    handle: &ReplicaHandle,
+    status: &watch::Receiver<GroupStatus>,
+    schedule: StopSchedule,
+) {
+    drain.wait_until_closed(schedule.answer_by()).await;
+    if status.borrow().is_leader {
+        // Not transferred before, or elected since then.
+        transfer_leadership(handle, schedule).await;
+    }
+    drain.wait_until_closed(schedule.exit_by()).await;
 }
 
 fn listen(ip: Ipv4Addr, port: u16) -> eyre::Result<TcpListener> {
@@ -274,8 +287,8 @@
 }
 
 /// Transfers the leadership and waits for requests in progress.
-async fn transfer_leadership(handle: &ReplicaHandle) {
+async fn transfer_leadership(handle: &ReplicaHandle, schedule: StopSchedule) {
     const GRACE_PERIOD: Duration = Duration::from_millis(400);
     handle.transfer_leadership();
-    tokio::time::sleep(GRACE_PERIOD).await;
+    sleep_until((Instant::now() + GRACE_PERIOD).min(schedule.exit_by()).into()).await;
 }
