Tests: streams taken up at a gateway out of step during a release

Another operator reports that streams which began at one gateway went on at a replica of another version at a gateway that was out of step while that version joined. Not reproduced here: guarded from now on.

--- a/crates/calicohoist/tests/taken_up/fixture.rs
+++ b/crates/calicohoist/tests/taken_up/fixture.rs
@@ -1,25 +1,17 @@
 //! A cluster with replicas of two software versions, and clients whose streams break off.
 
-use std::fmt;
-use std::io::{BufRead, BufReader, Write as _};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use parking_lot::Mutex;
 use rustix::process::Signal;
 use serde_json::json;
 
 use crate::cluster::{Cluster, GATEWAY_IPS, Process, STORE_IPS};
-use crate::support::replica::Exchange;
-use crate::support::{
-    Response, ScriptedReplica, client, configuration, remove_entry, request_head, wait_until,
-};
+use crate::streams::{BegunStream, ReplicaSoftware, RunLog, StreamFate, TakeUp, begin_streams};
+use crate::support::{ScriptedReplica, configuration, remove_entry, wait_until};
 
 const OLDER: &str = "v1";
 const NEWER: &str = "v2";
-const EVENTS_PER_STREAM: u64 = 3;
 const REPLICAS_PER_VERSION: usize = 2;
 /// Tries of a client that is asked to come back.
 const MAX_TRIES: usize = 3;
@@ -62,51 +54,6 @@
     }
 }
 
-/// A stream that has had its first event.
-pub struct BegunStream {
-    id: String,
-    version: String,
-    connection: TcpStream,
-}
-
-/// What became of a stream that was taken up.
-#[derive(Debug)]
-pub struct StreamFate {
-    id: String,
-    began_at: String,
-    /// Versions that sent the remaining events.
-    continued_at: Vec<String>,
-    status: u16,
-    is_whole: bool,
-    is_served: bool,
-    reason: String,
-}
-
-impl fmt::Display for StreamFate {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { id, began_at, continued_at, status, is_whole, reason, .. } = self;
-        write!(
-            formatter,
-            "{id} began at {began_at}, ran at {continued_at:?}, {status} {reason}, whole: {is_whole}"
-        )
-    }
-}
-
-impl StreamFate {
-    /// Returns whether the stream has events of two versions.
-    pub fn is_joined(&self) -> bool {
-        self.continued_at.iter().any(|version| *version != self.began_at)
-    }
-
-    /// Returns whether the stream did not go on although replicas of its version serve.
-    pub fn is_lost(&self) -> bool {
-        self.is_served && !self.is_whole
-    }
-}
-
-/// Request ids of the runs, with the software version of the replica.
-type RunLog = Arc<Mutex<Vec<(String, &'static str)>>>;
-
 pub struct Fleet {
     cluster: Cluster,
     ledger: Vec<Process>,
@@ -175,7 +122,7 @@
     /// has a leader again while they do, and the gateway that began the streams is held up for a moment.
     pub fn take_up_while_leader_returns(&self, streams: &[BegunStream]) -> Vec<StreamFate> {
         for stream in streams {
-            let _ = stream.connection.shutdown(Shutdown::Both);
+            stream.break_off();
         }
         let take_up = |stream| self.take_up_at(OTHER_GATEWAY, MAX_PATIENT_TRIES, stream);
         thread::scope(|scope| {
@@ -195,11 +142,7 @@
 
     /// Begins streams at the same time, and waits for their first events.
     pub fn begin_streams(&self, count: usize) -> Vec<BegunStream> {
-        let address = self.cluster.http(GATEWAY);
-        let clients: Vec<_> = (0..count)
-            .map(|number| thread::spawn(move || begin_stream(address, &format!("s{number}"))))
-            .collect();
-        clients.into_iter().map(|client| client.join().expect("a stream begins")).collect()
+        begin_streams(self.cluster.http(GATEWAY), "s", count)
     }
 
     /// Kills the gateway, changes the list as `serving` says, and starts the gateway again.
@@ -243,77 +186,13 @@
     }
 
     fn take_up_at(&self, gateway: &str, max_tries: usize, stream: &BegunStream) -> StreamFate {
-        let address = self.cluster.http(gateway);
-        let mut response = Response::default();
-        let mut continued_at = Vec::new();
-        for attempt in 0..max_tries {
-            let id = format!("{}-again-{attempt}", stream.id);
-            response = resume(address, &id, &stream.id);
-            let runs = self.runs.lock();
-            let of_request = runs.iter().filter(|(run, _)| *run == id);
-            continued_at.extend(of_request.map(|(_, version)| (*version).to_owned()));
-            if response.status != 503 {
-                break;
-            }
-            drop(runs);
-            thread::sleep(retry_after(&response));
-        }
-        let is_whole = response.status == 200
-            && response.is_complete
-            && response.text().matches("data: ").count() as u64 == EVENTS_PER_STREAM - 1;
-        StreamFate {
-            id: stream.id.clone(),
-            began_at: stream.version.clone(),
-            continued_at,
-            status: response.status,
-            is_whole,
-            is_served: stream.version == NEWER || self.serving == Serving::BothVersions,
-            reason: if response.status == 200 { String::new() } else { response.text() },
-        }
+        let is_served = stream.version == NEWER || self.serving == Serving::BothVersions;
+        let take_up = TakeUp { gateway: self.cluster.http(gateway), max_tries, runs: &self.runs };
+        take_up.run(stream, is_served)
     }
 }
 
-fn retry_after(response: &Response) -> Duration {
-    let seconds = response.header("retry-after").and_then(|value| value.parse().ok());
-    Duration::from_secs_f64(seconds.unwrap_or(0.5))
-}
-
-/// Starts a replica that breaks off no stream: a new one pauses after its first event.
-fn start_replica(number: usize, version: &'static str, runs: &RunLog) -> ScriptedReplica {
-    let runs = Arc::clone(runs);
-    ScriptedReplica::start(&format!("i-{number}"), move |exchange| {
-        let last = exchange.request.header("last-event-id").and_then(|last| last.parse().ok());
-        runs.lock().push((exchange.request.id().to_owned(), version));
-        exchange.start_stream();
-        send_events(exchange, version, last);
-    })
-}
-
-fn send_events(exchange: &mut Exchange<'_>, version: &str, last: Option<u64>) {
-    for number in last.unwrap_or(0) + 1..=EVENTS_PER_STREAM {
-        if last.is_none() && number == 2 {
-            exchange.wait_for_close();
-            return;
-        }
-        exchange.send_event(number, version);
-    }
-    exchange.end_stream();
-}
-
-/// Begins a stream and reads its first event.
-fn begin_stream(address: SocketAddr, id: &str) -> BegunStream {
-    let mut connection = client::connect(address);
-    let head = request_head("POST", "/resumable/a", id, 2, &[]);
-    connection.write_all(format!("{head}hi").as_bytes()).expect("the request is sent");
-    let reader = BufReader::new(connection.try_clone().expect("a handle"));
-    let mut lines = reader.lines().map_while(Result::ok);
-    let data = lines.find_map(|line| line.strip_prefix("data: ").map(str::to_owned));
-    let version = data.unwrap_or_else(|| panic!("{id} has no event"));
-    BegunStream { id: id.to_owned(), version, connection }
-}
-
-fn resume(address: SocketAddr, id: &str, first: &str) -> Response {
-    let resumes = format!("Resumes: {first}");
-    let head = request_head("POST", "/resumable/a", id, 2, &["Last-Event-Id: 1", &resumes]);
-    client::exchange(address, format!("{head}hi").as_bytes())
+fn start_replica(number: usize, version: &str, runs: &RunLog) -> ScriptedReplica {
+    let (id, version) = (format!("i-{number}"), version.to_owned());
+    ReplicaSoftware { id, version, start: None }.start(runs)
 }
--- a/crates/calicohoist/tests/taken_up/main.rs
+++ b/crates/calicohoist/tests/taken_up/main.rs
@@ -1,5 +1,6 @@
-//! Streams that clients take up again after all gateways were killed, while replicas of two
-//! software versions serve or those of the older one have left, with real processes.
+//! Streams that clients take up again after all gateways were killed, or at a gateway that is out of step
+//! during a release, while replicas of two software versions serve or those of the older one have left,
+//! with real processes.
 
 #[path = "../../../../platform/tests/support/mod.rs"]
 mod support;
@@ -8,11 +9,17 @@
 mod cluster;
 
 mod fixture;
+mod judge;
+mod out_of_step;
+mod release;
+mod streams;
 
 use std::thread;
 use std::time::Duration;
 
-use fixture::{Fleet, LedgerFault, Serving, StreamFate};
+use fixture::{Fleet, LedgerFault, Serving};
+use judge::{assert_none_joined, assert_none_lost};
+use streams::StreamFate;
 
 /// Times after the kill at which clients take up their streams, in seconds.
 const WAITS_S: [u64; 6] = [1, 3, 5, 8, 14, 20];
@@ -42,16 +49,6 @@
     }
 }
 
-fn assert_none_joined<'a>(fates: impl Iterator<Item = &'a StreamFate>) {
-    let joined: Vec<_> = fates.filter(|fate| fate.is_joined()).collect();
-    assert!(joined.is_empty(), "events of two versions: {joined:#?}");
-}
-
-fn assert_none_lost<'a>(fates: impl Iterator<Item = &'a StreamFate>) {
-    let lost: Vec<_> = fates.filter(|fate| fate.is_lost()).collect();
-    assert!(lost.is_empty(), "not continued although the version serves: {lost:#?}");
-}
-
 #[test]
 fn streams_of_two_serving_versions_go_on_after_all_gateways_were_killed_at_once() {
     judge_after_kill(Duration::ZERO, Serving::BothVersions, LedgerFault::None);
