Streams of a gateway that alone is cut off go on at the others

Cause: a gateway that cannot write the record of a stream lets it begin after a second and writes the record once it is back. Other gateways took the missing record for knowledge as soon as their own contact was 2.5 s old: they cannot tell that another one is cut off.

Change: the leader can. It keeps the time of each gateway's last watch, and while one is silent (900 ms to 10 s), or has been back for less than 2.5 s, it answers a question for a record that it does not have with `Noted`. The gateway answers 503, not run.

Conclusion: 409 is given once every gateway that may have begun the stream has had the time to write its record. Not covered: a leader elected while the gateway is cut off has never heard it.

--- a/crates/calicohoist/tests/taken_up/out_of_step.rs
+++ b/crates/calicohoist/tests/taken_up/out_of_step.rs
@@ -53,3 +53,17 @@
         (Fault::LeaderBehind, Joining::AtUsedAddresses),
     ]);
 }
+
+/// Their gateway writes the records once it is in step again.
+#[test]
+fn streams_that_began_at_a_gateway_that_was_cut_off_go_on_at_another() {
+    let mut release = Release::start();
+    for fault in [Fault::LeaderCut, Fault::CutOff, Fault::RequestsHeld, Fault::AnswersHeld] {
+        let fates = release.play_from_lagging(fault);
+        println!("begun: {fault:?}:");
+        fates.iter().for_each(|fate| println!("{fate}"));
+        assert_none_joined(fates.iter());
+        assert_refusals_are_true(fates.iter());
+        assert_none_lost(fates.iter());
+    }
+}
--- a/crates/calicohoist/tests/taken_up/release.rs
+++ b/crates/calicohoist/tests/taken_up/release.rs
@@ -23,6 +23,8 @@
 const MAX_TRIES: usize = 30;
 /// Time within which the gateways learn of a change of the list.
 const LIST_DELAY: Duration = Duration::from_millis(1_500);
+/// Time without a leader after which a gateway waits for it no more.
+const LEADER_ABSENCE: Duration = Duration::from_millis(2_000);
 /// Time after the first take-ups at which the rest of the streams are taken up.
 const SECOND_WAVE: Duration = Duration::from_millis(400);
 /// Time after the first take-ups at which the gateway is in step again.
@@ -221,6 +223,20 @@
         fates
     }
 
+    /// Adds a version before `fault` begins. Streams of both versions begin at the gateway that is out of
+    /// step, break off, and are taken up at the steady one.
+    pub fn play_from_lagging(&mut self, fault: Fault) -> Vec<StreamFate> {
+        let next = self.start_version(REPLICAS_PER_VERSION);
+        thread::sleep(LIST_DELAY);
+        let leader = self.leader();
+        self.begin(fault, leader);
+        thread::sleep(LEADER_ABSENCE);
+        let streams = self.begin_streams(LAGGING, &next, fault);
+        let fates = self.take_up(STEADY, &streams, fault, leader);
+        self.finish(next);
+        fates
+    }
+
     /// Removes the older version.
     fn finish(&mut self, mut next: VersionInService) {
         self.add_reserve(&mut next);
--- a/crates/ledger/src/protocol/mod.rs
+++ b/crates/ledger/src/protocol/mod.rs
@@ -243,8 +243,9 @@
     Placed(Decision),
     /// Response to [`LedgerRequest::Settle`]: the end of the turn is durable.
     Settled,
-    /// Response to [`LedgerRequest::ReportFailure`], and to [`LedgerRequest::Settle`] if there is no
-    /// room for another record, which is not stored.
+    /// Response to [`LedgerRequest::ReportFailure`], to [`LedgerRequest::Settle`] if there is no room for
+    /// another record, which is not stored, and to [`LedgerRequest::Reserve`] if it reads the record of a
+    /// stream that a gateway may still write.
     Noted,
     /// A configuration newer than the one that the gateway has.
     Configuration {
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -31,6 +31,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::{oneshot, watch};
 
+use super::contacts::GatewayContacts;
 use super::crashes::CrashBoard;
 use super::failures::FailureTracker;
 use super::limits::TenantLimiter;
@@ -96,6 +97,8 @@
     crashes: Arc<CrashBoard>,
     /// Which of these each gateway has received.
     receipts: Arc<CrashReceipts>,
+    /// Which gateways watch; used on the leader only.
+    contacts: Arc<GatewayContacts>,
     /// Bytes of answers queued on all connections.
     queued_bytes: QueuedBytes,
     shared: Arc<Mutex<SharedAnswers>>,
@@ -130,6 +133,7 @@
             failures: Arc::default(),
             crashes,
             receipts: Arc::default(),
+            contacts: Arc::default(),
             queued_bytes: QueuedBytes::default(),
             shared: Arc::default(),
             history_memory: HistoryMemory::default(),
--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -12,6 +12,7 @@
 use super::{GatewayService, Responder};
 use crate::commands::{
     Command, Output, Reservation, ReserveTurn, SettleTurn, clear_commands, find_answer, find_crash,
+    is_origin,
 };
 use crate::protocol::LedgerResponse;
 use crate::server::list::{DiscoverySnapshot, FleetSnapshot};
@@ -35,6 +36,7 @@
         let service = self.clone();
         let turn = reserve.turn.clone();
         let program = reserve.program.clone();
+        let reads_origin = reserve.previous.as_deref().is_some_and(is_origin);
         let respond = Box::new(move |response| {
             let mut answer = service.answer(response);
             let LedgerResponse::Reserved {
@@ -43,6 +45,12 @@
             else {
                 return responder.send(answer);
             };
+            if *reservation == Reservation::NoSuchTurn
+                && reads_origin
+                && service.contacts.may_have_pending_writes(Instant::now())
+            {
+                return responder.send(LedgerResponse::Noted);
+            }
             if *reservation != Reservation::Granted {
                 return responder.send(answer);
             }
--- a/crates/ledger/src/server/gateways/updates.rs
+++ b/crates/ledger/src/server/gateways/updates.rs
@@ -23,6 +23,7 @@
 impl GatewayService {
     /// Answers once there is an update that the gateway has not seen, or after [`WATCH_TIMEOUT`].
     pub(super) async fn watch(&self, seen: WatchRequest, responder: Responder) {
+        self.contacts.record(&seen.gateway, Instant::now());
         self.record_load(&seen);
         if self.record_receipt(&seen) {
             // Crash records come without a confirmation of the leadership, which the gateway needs
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -5,6 +5,7 @@
 //! tasks of [`gateways`], [`control`] and [`list`]. Bounded queues connect the threads.
 
 pub mod bodies;
+pub mod contacts;
 pub mod control;
 pub mod crashes;
 pub mod duties;
--- a/crates/proxy/src/flow/origin.rs
+++ b/crates/proxy/src/flow/origin.rs
@@ -316,11 +316,15 @@
 /// there was no leader.
 fn missing_record(app: &App) -> GatewayError {
     if app.may_have_pending_writes(Instant::now()) {
-        return GatewayError::not_executed(NotExecutedReason::PendingRecord, RETRY_AFTER);
+        return pending_record();
     }
     GatewayError::UnknownStream
 }
 
+fn pending_record() -> GatewayError {
+    GatewayError::not_executed(NotExecutedReason::PendingRecord, RETRY_AFTER)
+}
+
 async fn find_twice(
     app: &App,
     call: &Call,
@@ -335,6 +339,10 @@
 
 /// Looks up the origin of the stream that the request `first` began. Returns `None` if the ledger
 /// has none.
+///
+/// # Errors
+/// Returns an error if there is no leader, if another gateway that is cut off from it may still write the
+/// record, or if the record names no single origin.
 async fn find(app: &App, call: &Call, first: &str) -> Result<Option<StreamOrigin>, GatewayError> {
     let reserve = read_origin(&call.scoped(first), &call.scoped(&call.head.request_id));
     let question = LedgerRequest::Reserve { reserve, placement: None, permit: None };
@@ -344,6 +352,7 @@
             read_record(&call.head.request_id, &history).map(Some)
         }
         Ok(LedgerResponse::Reserved { reservation: Reservation::NoSuchTurn, .. }) => Ok(None),
+        Ok(LedgerResponse::Noted) => Err(pending_record()),
         _ => Err(GatewayError::not_executed(NotExecutedReason::LedgerUnavailable, RETRY_AFTER)),
     }
 }
