Exchange: status 421 means that a replica did not run the request

Cause: only the header `Calicohoist-Not-Executed` counted as a rejection. A replica may also say so with the status alone.

Change: the dialect reads the status beside the headers. The request goes to another replica.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -8,9 +8,9 @@
 use calicohoist_routing::{Configuration, Credential, StartTime};
 use calicohoist_scheduler::PromptPart;
 use calicohoist_types::Findings;
-use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::http::response::Parts;
+use hyper::{HeaderMap, StatusCode};
 
 /// Request metadata from the headers of a client.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -99,7 +99,7 @@
     fn write_request(&self, headers: &mut HeaderMap, outgoing: &OutgoingHead<'_>);
 
     /// Reads the metadata of a response.
-    fn read_response(&self, headers: &HeaderMap) -> ResponseHead;
+    fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
     /// Asks that only this replica handles the request.
     fn write_expected_replica(&self, headers: &mut HeaderMap, replica: &str);
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -243,7 +243,7 @@
                 checkout = Checkout::New;
             }
             Ok(Ok(response)) => {
-                let head = dialect.read_response(response.headers());
+                let head = dialect.read_response(response.status(), response.headers());
                 check_response(&head, outgoing.request_id)?;
                 if !has_readable_body(&response) {
                     return Err(ExchangeError::Unknown);
