Ledger: contacts of gateways are pruned when one is added

Each watch of each gateway looked at the contacts of all, which grows with the square of their number. The contacts of ended gateways are removed when another one begins to watch; the tests of contacts are unchanged.

--- a/crates/ledger/src/server/contacts.rs
+++ b/crates/ledger/src/server/contacts.rs
@@ -26,6 +26,13 @@
 }
 
 impl Contact {
+    fn renew(&mut self, now: Instant) {
+        if self.is_silent(now) {
+            self.returned_at = Some(now);
+        }
+        self.at = now;
+    }
+
     fn has_ended(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) >= ABSENCE_LIMIT
     }
@@ -50,15 +57,13 @@
     /// Records a watch of a gateway.
     pub fn record(&self, gateway: &str, now: Instant) {
         let mut contacts = self.contacts.lock();
-        contacts.retain(|_, contact| !contact.has_ended(now));
-        let Some(contact) = contacts.get_mut(gateway) else {
-            contacts.insert(gateway.to_owned(), Contact { at: now, returned_at: None });
-            return;
-        };
-        if contact.is_silent(now) {
-            contact.returned_at = Some(now);
+        match contacts.get_mut(gateway) {
+            Some(contact) if !contact.has_ended(now) => contact.renew(now),
+            Some(_) | None => {
+                contacts.retain(|_, contact| !contact.has_ended(now));
+                contacts.insert(gateway.to_owned(), Contact { at: now, returned_at: None });
+            }
         }
-        contact.at = now;
     }
 
     /// Returns whether a gateway may still write what it could not while it was cut off.
