Replication: bytes in flight to one follower are bounded

Seen: three ledger machines hold up to 1,024 entries for a follower that does not answer, of whatever length; an entry may be as long as a request body, 4 MB. A follower of unknown progress is sent the same entries, up to 1 MB, with each heartbeat (45 ms) until it answers. What a slow follower has not taken waits in its input queue, its sockets and the leader's link.

Cause: the window counted entries only, and a heartbeat in the probe state repeated the probe with its entries.

Change: the window also counts bytes, by message, so that entries that the leader compacts meanwhile stay counted (2 MB for the ledger; one command of any size alone). A heartbeat that repeats a probe carries no entries: its reply shows as well where the logs match.

Tests (tests/replication_window.rs), 400 commands of 100 KB and 20 heartbeats, bytes sent to the silent follower: 40,960,000 before, within 8 MB and a command after; to one of unknown progress 23,654,400 before, within 4 MB and a command after. One that answers again still gets each entry once.

--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -118,6 +118,7 @@
             replace_after: Duration::from_millis(2_000),
             max_bytes_per_message: 1 << 20,
             max_entries_in_flight: 1_024,
+            max_bytes_in_flight: 2 << 20,
             ..RaftSettings::default()
         }
     }
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -4,6 +4,7 @@
 
 use calicohoist_types::Moment;
 
+use super::window::{MessageLimit, SendWindow};
 use super::{Raft, ReadReadiness, Role, peers, quorum_value};
 use crate::message::{AppendRejection, EntryKind, Index, Message, ReplicaId};
 
@@ -16,7 +17,7 @@
 const LEARNER_BATCH_ENTRIES: u64 = 128;
 
 /// Replication progress of one follower, as known to the leader.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Progress {
     /// Index of the next entry to send.
     next: Index,
@@ -29,6 +30,8 @@
     /// A snapshot transfer is assumed to be in progress until this moment.
     snapshot_transfer_until: Moment,
     mode: ReplicationMode,
+    /// Entries that were streamed and are not acknowledged.
+    window: SendWindow,
 }
 
 /// How entries are sent to one follower.
@@ -73,6 +76,7 @@
             // A probe at the same index is not repeated before the next heartbeat.
             self.mode = ReplicationMode::Probe { is_awaiting_reply: next == self.next };
             self.next = next;
+            self.window.clear();
         }
     }
 
@@ -81,6 +85,7 @@
             self.matched = matched.min(last);
             self.snapshot_transfer_until = Moment::ZERO;
         }
+        self.window.acknowledge(matched);
         if matched + 1 >= self.next {
             self.mode = ReplicationMode::Stream;
         }
@@ -131,6 +136,7 @@
                 last_reply: now,
                 snapshot_transfer_until: Moment::ZERO,
                 mode: ReplicationMode::Probe { is_awaiting_reply: false },
+                window: SendWindow::default(),
             });
         }
     }
@@ -224,22 +230,22 @@
         let Some(previous_term) = self.log.term_at(previous_index) else {
             return self.send_snapshot(now, to, send_empty);
         };
-        let in_flight = match progress.mode {
-            ReplicationMode::Stream => previous_index.saturating_sub(progress.matched),
-            ReplicationMode::Probe { .. } => 0,
+        let limit = match progress.mode {
+            // The reply to a heartbeat without entries shows where the logs match, too.
+            ReplicationMode::Probe { is_awaiting_reply: true } => MessageLimit::EMPTY,
+            ReplicationMode::Probe { is_awaiting_reply: false } | ReplicationMode::Stream => {
+                progress.window.room(&settings)
+            }
         };
-        let room = settings.max_entries_in_flight.saturating_sub(in_flight);
-        let limit = usize::try_from(room).unwrap_or(usize::MAX);
-        let limit = limit.min(settings.max_entries_per_message);
-        let entries = self.log.slice(progress.next, limit, settings.max_bytes_per_message);
-        if !send_empty
-            && (entries.is_empty()
-                || progress.mode == ReplicationMode::Probe { is_awaiting_reply: true })
-        {
+        let entries = self.log.slice(progress.next, limit.entries, limit.bytes);
+        if !send_empty && entries.is_empty() {
             return;
         }
         match &mut progress.mode {
-            ReplicationMode::Stream => progress.next += entries.len() as u64,
+            ReplicationMode::Stream => {
+                progress.next += entries.len() as u64;
+                progress.window.record(&entries);
+            }
             ReplicationMode::Probe { is_awaiting_reply } => *is_awaiting_reply = true,
         }
         let message = Message::Append {
--- a/crates/replication/src/raft/log.rs
+++ b/crates/replication/src/raft/log.rs
@@ -135,7 +135,8 @@
     matches!(entry.kind, EntryKind::Membership(_))
 }
 
-fn entry_bytes(entry: &Entry) -> usize {
+/// Size of the command of an entry, in bytes.
+pub(crate) fn entry_bytes(entry: &Entry) -> usize {
     match &entry.kind {
         EntryKind::Command(command) => command.len(),
         EntryKind::Empty | EntryKind::Membership(_) => 0,
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod log;
 mod membership;
+mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -50,6 +51,9 @@
     /// Maximum number of unacknowledged entries sent to one follower. Bounds what a leader
     /// queues for a slow follower.
     pub max_entries_in_flight: u64,
+    /// Maximum size of the unacknowledged commands sent to one follower, in bytes. A single
+    /// command of any size is sent if no other is unacknowledged.
+    pub max_bytes_in_flight: usize,
 }
 
 impl Default for RaftSettings {
@@ -65,6 +69,7 @@
             max_entries_per_message: 512,
             max_bytes_per_message: 4 << 20,
             max_entries_in_flight: 4_096,
+            max_bytes_in_flight: 8 << 20,
         }
     }
 }
