--- a/crates/replication/src/node/group.rs
+++ b/crates/replication/src/node/group.rs
@@ -262,8 +262,10 @@
     /// were applied since the last one, and returns the write that puts it into effect.
     pub(super) fn compact<D: Disk>(
         &mut self,
+        now: Moment,
         log: &mut DiskLog<D>,
         entries_per_snapshot: u64,
+        outbox: &mut Outbox<S::Output>,
     ) -> Result<Option<Write>, DiskError> {
         let sealed = self.machine.take_sealed();
         let has_sealed = !sealed.is_empty();
@@ -274,6 +276,9 @@
         if !has_sealed && applied_since < entries_per_snapshot {
             return Ok(None);
         }
+        self.raft.replicate_before_compaction(now);
+        let effects = self.raft.take_effects();
+        self.apply_effects(effects, outbox);
         let segments = self.machine.segments();
         let data = self.machine.snapshot();
         let Some(snapshot) = self.raft.compact(self.applied, segments, data) else {
--- a/crates/replication/src/node/mod.rs
+++ b/crates/replication/src/node/mod.rs
@@ -421,16 +421,22 @@
             state.check_readable()?;
             state.answer_reads(now, &mut outbox);
         }
-        self.compact(log)?;
+        self.compact(now, log, &mut outbox)?;
         Ok(outbox.into_events())
     }
 
-    fn compact<D: Disk>(&mut self, log: &mut DiskLog<D>) -> Result<(), DiskError> {
+    fn compact<D: Disk>(
+        &mut self,
+        now: Moment,
+        log: &mut DiskLog<D>,
+        outbox: &mut Outbox<S::Output>,
+    ) -> Result<(), DiskError> {
         let mut writes = Vec::new();
         let mut replaced = Vec::new();
         for (group, state) in &mut self.groups {
             let previous = state.raft.snapshot().clone();
-            if let Some(write) = state.compact(log, self.settings.entries_per_snapshot)? {
+            let entries_per_snapshot = self.settings.entries_per_snapshot;
+            if let Some(write) = state.compact(now, log, entries_per_snapshot, outbox)? {
                 writes.push(write);
                 replaced.push((*group, previous));
             }
--- a/crates/replication/src/raft/leader.rs
+++ b/crates/replication/src/raft/leader.rs
@@ -203,6 +203,37 @@
         }
     }
 
+    /// Sends followers whose logs are known to match the entries that they lack, as far as their
+    /// windows allow. After a compaction these entries could only be sent as a snapshot.
+    pub fn replicate_before_compaction(&mut self, now: Moment) {
+        let Role::Leader(state) = &self.role else {
+            return;
+        };
+        let is_streamed = |(_, progress): &(&ReplicaId, &Progress)| {
+            progress.mode == ReplicationMode::Stream
+                && self.log.term_at(progress.next - 1).is_some()
+        };
+        let streamed = state.progress.iter().filter(is_streamed);
+        let followers: Vec<ReplicaId> = streamed.map(|(peer, _)| *peer).collect();
+        for follower in followers {
+            while self.send_more(now, follower) {}
+        }
+    }
+
+    /// Sends the next entries to a follower. Returns `false` if there are none, or no room.
+    fn send_more(&mut self, now: Moment, to: ReplicaId) -> bool {
+        let before = self.next_index(to);
+        self.send_append(now, to, false);
+        self.next_index(to) > before
+    }
+
+    fn next_index(&self, follower: ReplicaId) -> Option<Index> {
+        match &self.role {
+            Role::Leader(state) => state.progress.get(&follower).map(|progress| progress.next),
+            Role::Follower | Role::Candidate { .. } => None,
+        }
+    }
+
     /// Whether new entries are sent to a follower before the next heartbeat. Learners that are
     /// not about to be promoted receive them in batches to reduce the leader's load.
     fn is_replication_due(
--- /dev/null
+++ b/crates/replication/tests/spare_snapshots.rs
@@ -0,0 +1,192 @@
+//! Snapshots that a spare is sent while the group compacts its log again and again.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use calicohoist_replication::{
+    Disk, DiskError, DiskLog, GroupId, GroupMessage, Message, Node, NodeEvent, NodeSettings,
+    RaftSettings, ReplicaId, StateMachine,
+};
+use calicohoist_types::Moment;
+
+const GROUP: GroupId = GroupId(0);
+const VOTERS: [u32; 3] = [1, 2, 3];
+const SPARE: ReplicaId = ReplicaId { machine: 4, disk: 7 };
+const SEED: u64 = 1;
+const STEP: Duration = Duration::from_millis(10);
+const MAX_STEPS: usize = 1_000;
+const ENTRIES_PER_SNAPSHOT: u64 = 60;
+/// Commands between two heartbeats; fewer than a learner is sent without one.
+const COMMANDS_PER_STEP: usize = 10;
+const STEPS_UNDER_LOAD: usize = 200;
+
+#[derive(Debug, Default)]
+struct MemoryDisk(BTreeMap<String, Vec<u8>>);
+
+impl Disk for MemoryDisk {
+    fn read(&self, name: &str) -> Result<Option<Vec<u8>>, DiskError> {
+        Ok(self.0.get(name).cloned())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
+        self.0.entry(name.to_owned()).or_default().extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn sync(&mut self, _name: &str) -> Result<(), DiskError> {
+        Ok(())
+    }
+
+    fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
+        self.0.insert(name.to_owned(), bytes.to_vec());
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), DiskError> {
+        self.0.remove(name);
+        Ok(())
+    }
+
+    fn list(&self) -> Result<Vec<String>, DiskError> {
+        Ok(self.0.keys().cloned().collect())
+    }
+}
+
+/// Counts commands.
+struct Counter(u64);
+
+impl StateMachine for Counter {
+    type Output = ();
+
+    fn new(_group: GroupId) -> Self {
+        Self(0)
+    }
+
+    fn apply(&mut self, _command: &[u8]) {
+        self.0 += 1;
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.to_le_bytes().to_vec()
+    }
+
+    fn restore(&mut self, data: &[u8]) -> bool {
+        data.try_into().map(|bytes| self.0 = u64::from_le_bytes(bytes)).is_ok()
+    }
+}
+
+struct Machine {
+    node: Node<Counter>,
+    log: DiskLog<MemoryDisk>,
+}
+
+struct Cluster {
+    now: Moment,
+    machines: BTreeMap<u32, Machine>,
+    /// Messages that arrive with the next step: sender, receiver, content.
+    under_way: Vec<(ReplicaId, ReplicaId, Vec<GroupMessage>)>,
+    snapshots_to_spare: usize,
+    next_ticket: u64,
+}
+
+impl Cluster {
+    fn start() -> Self {
+        let voters = VOTERS.map(|machine| ReplicaId { machine, disk: 0 });
+        let machines = voters.into_iter().chain([SPARE]).map(start_machine);
+        Self {
+            now: Moment::ZERO,
+            machines: machines.collect(),
+            under_way: Vec::new(),
+            snapshots_to_spare: 0,
+            next_ticket: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        for (from, to, messages) in std::mem::take(&mut self.under_way) {
+            if let Some(machine) = self.machines.get_mut(&to.machine) {
+                machine.node.receive(self.now, from, messages);
+            }
+        }
+        for machine in self.machines.values_mut() {
+            machine.node.tick(self.now);
+            let from = machine.node.id();
+            let events = machine.node.flush(self.now, &mut machine.log).expect("a flush");
+            for event in events {
+                let NodeEvent::Send { to, messages } = event else {
+                    continue;
+                };
+                let is_snapshot =
+                    |grouped: &&GroupMessage| matches!(grouped.message, Message::Install { .. });
+                if to == SPARE {
+                    self.snapshots_to_spare += messages.iter().filter(is_snapshot).count();
+                }
+                self.under_way.push((from, to, messages));
+            }
+        }
+    }
+
+    fn propose(&mut self) {
+        self.next_ticket += 1;
+        for machine in self.machines.values_mut() {
+            if machine.node.leads_any() {
+                let proposed = machine.node.propose(GROUP, vec![0; 100], self.next_ticket);
+                proposed.expect("the leader stays");
+            }
+        }
+    }
+
+    fn wait_until(&mut self, what: &str, is_met: impl Fn(&Self) -> bool) {
+        for _ in 0..MAX_STEPS {
+            if is_met(self) {
+                return;
+            }
+            self.step();
+        }
+        panic!("not met: {what}");
+    }
+
+    fn applied(&self, machine: u32) -> u64 {
+        self.machines[&machine].node.machine(GROUP).expect("a group").0
+    }
+
+    fn leads(&self) -> bool {
+        self.machines.values().any(|machine| machine.node.leads_any())
+    }
+
+    fn has_spare(&self) -> bool {
+        let raft = self.machines[&SPARE.machine].node.raft(GROUP).expect("a group");
+        raft.membership().learners.contains(&SPARE)
+    }
+}
+
+fn start_machine(id: ReplicaId) -> (u32, Machine) {
+    let (log, recovered) = DiskLog::open(MemoryDisk::default()).expect("an empty disk");
+    let settings = NodeSettings {
+        raft: RaftSettings { voters: VOTERS.len(), spares: 1, ..RaftSettings::default() },
+        entries_per_snapshot: ENTRIES_PER_SNAPSHOT,
+        seed: SEED,
+        contacts: VOTERS.to_vec(),
+        ..NodeSettings::default()
+    };
+    let node = Node::new(id, settings, &VOTERS, &[GROUP], recovered, Moment::ZERO);
+    (id.machine, Machine { node, log })
+}
+
+#[test]
+fn spare_that_keeps_up_is_sent_no_snapshot() {
+    let mut cluster = Cluster::start();
+    cluster.wait_until("a leader is elected", Cluster::leads);
+    cluster.wait_until("the spare is a member", Cluster::has_spare);
+    cluster.snapshots_to_spare = 0;
+    for _ in 0..STEPS_UNDER_LOAD {
+        (0..COMMANDS_PER_STEP).for_each(|_| cluster.propose());
+        cluster.step();
+    }
+    let proposed = cluster.next_ticket;
+    let is_applied = |cluster: &Cluster| cluster.applied(SPARE.machine) == proposed;
+    cluster.wait_until("the spare has applied all commands", is_applied);
+    let compactions = proposed / ENTRIES_PER_SNAPSHOT;
+    assert_eq!(cluster.snapshots_to_spare, 0, "snapshots after about {compactions} compactions");
+}
