Ledger: retained turns that are not committed are bounded

Seen: while a quorum is slow or silent, a leader takes on as many retained turns as come, and holds each several times: in the log, in the batch that is encoded and in the frame that is written.

Change: with more than 8 MB of commands that are not committed, a leader answers another retained turn as not begun; the gateway asks again after its pause. One of any size is proposed if no other waits. All other commands are proposed as before, and a follower names the leader as before.

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_replication::{
-    DirectoryDisk, DiskError, DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings,
+    DirectoryDisk, DiskError, DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings, Raft,
     ReplicaId, Ticket,
 };
 use calicohoist_routing::Topology;
@@ -31,9 +31,8 @@
 use input_memory::InputMemory;
 use origins::{ORIGIN_COUNT_INTERVAL, OriginQuota, PendingOrigin, resolve_conflict};
 use pending::{CommandDigest, Outcome, PendingRequest, PendingTable};
-use request::Input;
-use request::QueuedInput;
 pub use request::{GroupStatus, ReplicaHandle, Request, Response, ResponseCallback};
+use request::{Input, QueuedInput};
 
 use super::crashes::CrashBoard;
 use super::duties::{self, Duty};
@@ -66,6 +65,9 @@
 const LOG_REWRITE_BYTES: usize = 6 << 20;
 /// Bytes of retained turns in memory above which they are sealed into a segment.
 const SEAL_THRESHOLD_BYTES: u64 = 2 << 20;
+/// Maximum size of the commands in the log that are not committed, in bytes, with which another
+/// retained turn is proposed.
+const MAX_UNCOMMITTED_BYTES: usize = 8 << 20;
 /// Age above which a reservation or read is rejected; less than the timeout of gateways.
 const MAX_REQUEST_AGE: Duration = Duration::from_millis(900);
 /// Age above which draining or restoring a zone is rejected. After its timeout an operator may
@@ -386,6 +388,9 @@
         let Some(request) = request else {
             return;
         };
+        if self.leads() && !self.has_room_for(command) {
+            return request.callback()(Response::Overdue);
+        }
         let ticket = self.pending.ticket();
         match (self.node.propose(GROUP, encoded, ticket), digest) {
             (Ok(()), Some(digest)) => self.pending.add_command(ticket, digest, request),
@@ -394,6 +399,17 @@
         }
     }
 
+    /// Returns whether a command may be proposed. Retained turns wait while a quorum is slow, one of
+    /// any size if nothing else does; they would fill the memory of the leader.
+    fn has_room_for(&self, command: &Command) -> bool {
+        let bytes = match command {
+            Command::Settle(settle) => settle.content_bytes(),
+            _ => 0,
+        };
+        let uncommitted = self.node.raft(GROUP).map_or(0, Raft::uncommitted_bytes);
+        bytes == 0 || uncommitted == 0 || uncommitted + bytes <= MAX_UNCOMMITTED_BYTES
+    }
+
     fn read(&mut self, request: PendingRequest) {
         let ticket = self.pending.ticket();
         match self.node.read(GROUP, ticket) {
--- a/crates/ledger/tests/input_memory.rs
+++ b/crates/ledger/tests/input_memory.rs
@@ -1,9 +1,10 @@
-//! Memory of a ledger machine whose replica thread is held up, while turns with long inputs and long
-//! entries of a leader arrive.
+//! Memory of a ledger machine whose replica thread is held up or whose entries are not committed,
+//! while turns with long inputs and long entries of a leader arrive.
 
 mod support;
 
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 use calicohoist_ledger::commands::{Command, RetainedTurn, SettleTurn};
 use calicohoist_ledger::server::replica::{Request, Response};
@@ -21,6 +22,8 @@
 const LONG_INPUTS: usize = 100;
 /// Much less than the long inputs together, and than the memory of the smallest machines.
 const MAX_HELD_BYTES: usize = 16 << 20;
+/// Leaves room for what is encoded and written to the disk.
+const MAX_PEAK_BYTES: usize = 64 << 20;
 const RETENTION_MS: u64 = 60_000;
 
 fn measure() -> MutexGuard<'static, ()> {
@@ -125,3 +128,28 @@
     assert!(held <= MAX_HELD_BYTES, "{} MiB held", held >> 20);
     drop(release);
 }
+
+/// The peer has voted for the machine, and acknowledges nothing any more.
+#[tokio::test]
+async fn long_turns_that_are_not_committed_are_bounded() {
+    let _measurement = measure();
+    let mut machine = MachineWithPeer::start();
+    machine.run_peer_until_leader().await;
+    ALLOCATOR.reset_peak_usage();
+    let before = ALLOCATOR.current_usage();
+    let (sender, responses) = channel();
+    for number in 0..LONG_INPUTS {
+        let sender = sender.clone();
+        let respond = move |response| drop(sender.send(response));
+        machine.handle.submit(settle(number, LONG_INPUT_BYTES), Box::new(respond));
+        // The replica thread takes one after the other.
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let responses = collect(&responses);
+    let peak = ALLOCATOR.peak_usage().saturating_sub(before);
+    assert!(peak <= MAX_PEAK_BYTES, "{} MiB at the peak", peak >> 20);
+    assert!(
+        responses.iter().any(|response| matches!(response, Response::Lost)),
+        "none was proposed"
+    );
+}
--- a/crates/replication/src/raft/log.rs
+++ b/crates/replication/src/raft/log.rs
@@ -69,6 +69,13 @@
         wanted.unwrap_or_default().to_vec()
     }
 
+    /// Size of the commands of the entries after index `after`, in bytes.
+    pub(crate) fn command_bytes_after(&self, after: Index) -> usize {
+        let offset = after.saturating_sub(self.snapshot.index) as usize;
+        let counted = self.entries.get(offset..).unwrap_or_default();
+        counted.iter().map(Entry::command_bytes).sum()
+    }
+
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
         if is_membership_change(&entry) {
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -208,6 +208,11 @@
         self.commit
     }
 
+    /// Size of the commands that are not known to be committed, in bytes.
+    pub fn uncommitted_bytes(&self) -> usize {
+        self.log.command_bytes_after(self.commit)
+    }
+
     /// Index of the last entry.
     pub fn last_index(&self) -> Index {
         self.log.last_index()
