--- a/crates/replication/src/raft/log.rs
+++ b/crates/replication/src/raft/log.rs
@@ -56,7 +56,7 @@
         let mut size = 0;
         let fits = |entry: &&Entry| {
             let has_room = size < max_bytes;
-            size += entry_bytes(entry);
+            size += entry.command_bytes();
             has_room
         };
         tail.iter().take(limit).take_while(fits).cloned().collect()
@@ -69,6 +69,13 @@
         wanted.unwrap_or_default().to_vec()
     }
 
+    /// Size of the commands of the entries after index `after`, in bytes.
+    pub(crate) fn command_bytes_after(&self, after: Index) -> usize {
+        let offset = after.saturating_sub(self.snapshot.index) as usize;
+        let counted = self.entries.get(offset..).unwrap_or_default();
+        counted.iter().map(Entry::command_bytes).sum()
+    }
+
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
         if is_membership_change(&entry) {
@@ -134,10 +141,3 @@
 fn is_membership_change(entry: &Entry) -> bool {
     matches!(entry.kind, EntryKind::Membership(_))
 }
-
-fn entry_bytes(entry: &Entry) -> usize {
-    match &entry.kind {
-        EntryKind::Command(command) => command.len(),
-        EntryKind::Empty | EntryKind::Membership(_) => 0,
-    }
-}
--- a/crates/replication/src/raft/mod.rs
+++ b/crates/replication/src/raft/mod.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod log;
 mod membership;
+mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -50,6 +51,9 @@
     /// Maximum number of unacknowledged entries sent to one follower. Bounds what a leader
     /// queues for a slow follower.
     pub max_entries_in_flight: u64,
+    /// Maximum size of the unacknowledged commands sent to one follower, in bytes. A single
+    /// command of any size is sent if no other is unacknowledged.
+    pub max_bytes_in_flight: usize,
 }
 
 impl Default for RaftSettings {
@@ -65,6 +69,7 @@
             max_entries_per_message: 512,
             max_bytes_per_message: 4 << 20,
             max_entries_in_flight: 4_096,
+            max_bytes_in_flight: 8 << 20,
         }
     }
 }
@@ -203,6 +208,11 @@
         self.commit
     }
 
+    /// Size of the commands that are not known to be committed, in bytes.
+    pub fn uncommitted_bytes(&self) -> usize {
+        self.log.command_bytes_after(self.commit)
+    }
+
     /// Index of the last entry.
     pub fn last_index(&self) -> Index {
         self.log.last_index()
