--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -406,8 +406,11 @@
             Command::Settle(settle) => settle.content_bytes(),
             _ => 0,
         };
+        if bytes == 0 {
+            return true;
+        }
         let uncommitted = self.node.raft(GROUP).map_or(0, Raft::uncommitted_bytes);
-        bytes == 0 || uncommitted == 0 || uncommitted + bytes <= MAX_UNCOMMITTED_BYTES
+        uncommitted == 0 || uncommitted + bytes <= MAX_UNCOMMITTED_BYTES
     }
 
     fn read(&mut self, request: PendingRequest) {
