--- a/crates/calicohoist/tests/late_calls/late_call.rs
+++ b/crates/calicohoist/tests/late_calls/late_call.rs
@@ -15,7 +15,7 @@
 /// Time between the first bytes of the late calls and the stop.
 pub const LEAD_TIME: Duration = Duration::from_millis(100);
 /// Time after its last byte in which a call may cross the close of its connection.
-const CROSSING_SLACK: Duration = Duration::from_millis(200);
+pub const CROSSING_SLACK: Duration = Duration::from_millis(200);
 
 /// An operator call, sent in parts.
 pub struct LateCall {
--- a/crates/calicohoist/tests/late_calls/signals.rs
+++ b/crates/calicohoist/tests/late_calls/signals.rs
@@ -10,7 +10,7 @@
 
 use crate::cluster::STORE_IPS;
 use crate::cluster::ledger::{Ledger, read_response};
-use crate::late_call::put;
+use crate::late_call::{CROSSING_SLACK, put};
 use crate::support::Response;
 
 const GRACE: Duration = Duration::from_secs(3);
@@ -24,16 +24,33 @@
     (100, Signal::INT),
 ];
 
+/// A change of the configuration and its answer.
+struct Change {
+    version: u64,
+    response: Response,
+    /// Time from the last byte of the call to the end of the answer or connection.
+    after: Duration,
+}
+
+impl Change {
+    fn is_lost(&self) -> bool {
+        let is_answered = self.response.status != 0 && self.response.is_complete;
+        !is_answered && self.after > CROSSING_SLACK
+    }
+}
+
 /// Activates versions on one machine until it no longer accepts connections.
-fn operate(address: SocketAddr, version: &AtomicU64) -> Vec<(u64, Response)> {
-    let mut answers = Vec::new();
+fn operate(address: SocketAddr, version: &AtomicU64) -> Vec<Change> {
+    let mut changes = Vec::new();
     while let Ok(mut stream) = TcpStream::connect(address) {
         let next = version.fetch_add(1, Ordering::SeqCst);
         // The machine may have closed the connection.
         let _ = stream.write_all(put(next).as_bytes());
-        answers.push((next, read_response(stream)));
+        let sent_at = Instant::now();
+        let response = read_response(stream);
+        changes.push(Change { version: next, response, after: sent_at.elapsed() });
     }
-    answers
+    changes
 }
 
 #[test]
@@ -42,7 +59,7 @@
     let version = AtomicU64::new(2);
     for ip in STORE_IPS {
         let address = ledger.cluster.control(ip);
-        let answers: Vec<(u64, Response)> = thread::scope(|scope| {
+        let changes: Vec<Change> = thread::scope(|scope| {
             let operator = || scope.spawn(|| operate(address, &version));
             let operators: Vec<_> = (0..OPERATORS).map(|_| operator()).collect();
             thread::sleep(Duration::from_millis(200));
@@ -57,9 +74,11 @@
             let operators = operators.into_iter();
             operators.flat_map(|operator| operator.join().expect("an operator")).collect()
         });
-        let acknowledged = answers.iter().filter(|(_, response)| response.status == 200);
-        let newest = acknowledged.map(|(version, _)| *version).max().unwrap_or_default();
-        println!("{ip}: {} calls, acknowledged version {newest}", answers.len());
+        let acknowledged = changes.iter().filter(|change| change.response.status == 200);
+        let newest = acknowledged.map(|change| change.version).max().unwrap_or_default();
+        let lost = changes.iter().filter(|change| change.is_lost()).count();
+        println!("{ip}: {} calls, {lost} lost, acknowledged version {newest}", changes.len());
+        assert_eq!(lost, 0, "{ip}");
         ledger.restart(ip);
         assert!(ledger.active_version() >= newest);
     }
