--- a/crates/ledger/tests/input_memory.rs
+++ b/crates/ledger/tests/input_memory.rs
@@ -12,6 +12,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use peak_alloc::PeakAlloc;
 use support::{MachineWithPeer, TEST_TIMEOUT};
+use tokio::runtime::Builder;
 
 #[global_allocator]
 static ALLOCATOR: PeakAlloc = PeakAlloc;
@@ -130,11 +131,12 @@
 }
 
 /// The peer has voted for the machine, and acknowledges nothing any more.
-#[tokio::test]
-async fn long_turns_that_are_not_committed_are_bounded() {
+#[test]
+fn long_turns_that_are_not_committed_are_bounded() {
     let _measurement = measure();
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
     let mut machine = MachineWithPeer::start();
-    machine.run_peer_until_leader().await;
+    runtime.block_on(machine.run_peer_until_leader());
     ALLOCATOR.reset_peak_usage();
     let before = ALLOCATOR.current_usage();
     let (sender, responses) = channel();
