Memory: freed buffers go back to the kernel

Seen: with the queue, the log and the windows bounded, ledger machines still peak at 162 to 277 MiB under retained turns of 3 MB and histories of 2.4 MB at two gateways (no fault, 8 s), where 120 MB is the limit.

Cause: glibc raises the size from which it maps a buffer on its own, up to 32 MiB, as soon as one of that size is freed. Buffers of megabytes (inputs, batches, histories) are then cut from the heap of each thread, which keeps them, up to 64 MiB at its end alone, and more where anything small lies behind.

Other C libraries than glibc stay as they are.

--- a/crates/calicohoist/src/cli/serve.rs
+++ b/crates/calicohoist/src/cli/serve.rs
@@ -23,6 +23,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::allocator;
+
 /// Arguments of `serve`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct ServeArguments {
@@ -46,6 +48,7 @@
 /// # Errors
 /// Returns an error if the file is invalid or the role fails to start or to run.
 pub fn run(arguments: ServeArguments, mut log: LogSettings) -> Result<()> {
+    allocator::return_freed_buffers();
     let early_stop = register_early_signal_handlers()?;
     let file = &arguments.node_file;
     let text = std::fs::read_to_string(file)
