Ledger: less is held at the same moment for histories and for the disk

What is encoded for the log was written in batches of up to 32 MB, each held three times: entries, batch, frame. Histories of turns that wait for gateways could take 24 MB, and as much again in the queues: now 12 MB each. Both were too much for a machine of 120 MB, less so for one of 58 MB.

Test (crates/calicohoist/tests/acknowledged/memory.rs): real processes, memory read from outside, eight callers with retained turns of 3 MB and eight that continue histories of 2.4 MB at two gateways for 8 s, without faults and with a follower or the leader that stands still for 0.3 or 1.5 s each second, a follower or all machines started again each second, and a follower that loses its disk.

--- a/crates/calicohoist/tests/acknowledged/long_histories.rs
+++ b/crates/calicohoist/tests/acknowledged/long_histories.rs
@@ -2,6 +2,7 @@
 //! turns.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -55,7 +56,7 @@
 
 /// Sends turns that continue `previous`, or first ones, one after another until it is over.
 pub fn send_turns(
-    cluster: &Cluster,
+    gateway: SocketAddr,
     name: &str,
     previous: Option<&str>,
     input: &str,
@@ -69,7 +70,7 @@
         let id = format!("{name}-{number}");
         let request = turn_request(&id, &id, previous, input);
         let sent_at = Instant::now();
-        let response = try_exchange(cluster.http(GATEWAY), &request).unwrap_or_default();
+        let response = try_exchange(gateway, &request).unwrap_or_default();
         tally.slowest = tally.slowest.max(sent_at.elapsed());
         tally.tried += 1;
         if response.status == 200 && response.is_complete {
@@ -115,11 +116,12 @@
         let programs: Vec<_> = programs.collect();
         programs.into_iter().map(|program| program.join().expect("a program")).collect()
     });
+    let gateway = cluster.http(GATEWAY);
     let is_over = AtomicBool::new(false);
     let (continued, first) = thread::scope(|scope| {
         let is_over = &is_over;
         let send = |name: String, previous: Option<String>| {
-            scope.spawn(move || send_turns(cluster, &name, previous.as_deref(), INPUT, is_over))
+            scope.spawn(move || send_turns(gateway, &name, previous.as_deref(), INPUT, is_over))
         };
         let continuing = programs.iter().enumerate();
         let continuing: Vec<_> = continuing
--- a/crates/calicohoist/tests/acknowledged/long_inputs.rs
+++ b/crates/calicohoist/tests/acknowledged/long_inputs.rs
@@ -44,13 +44,14 @@
     wait_until("the gateway is ready", || cluster.is_ready(GATEWAY));
     cluster.turn(GATEWAY, "warm-up", None, "first ");
     let lost_before = lost_connections(cluster);
+    let gateway = cluster.http(GATEWAY);
     let input = "x".repeat(INPUT_BYTES);
     let is_over = AtomicBool::new(false);
     let [long, short] = thread::scope(|scope| {
         let (is_over, input) = (&is_over, input.as_str());
         let send = |name: String, input: &'_ str| {
             let input = input.to_owned();
-            scope.spawn(move || send_turns(cluster, &name, None, &input, is_over))
+            scope.spawn(move || send_turns(gateway, &name, None, &input, is_over))
         };
         let long: Vec<_> =
             (0..LONG_CALLERS).map(|number| send(format!("long-{number}"), input)).collect();
--- a/crates/calicohoist/tests/acknowledged/main.rs
+++ b/crates/calicohoist/tests/acknowledged/main.rs
@@ -15,6 +15,7 @@
 mod final_fault;
 mod long_histories;
 mod long_inputs;
+mod memory;
 mod recovery;
 mod stops;
 
--- a/crates/ledger/src/server/gateways/histories.rs
+++ b/crates/ledger/src/server/gateways/histories.rs
@@ -13,9 +13,9 @@
 /// Maximum number of bytes that wait for one connection.
 const MAX_BYTES: usize = 4 << 20;
 /// Maximum number of bytes that wait for all connections.
-const MAX_TOTAL_BYTES: usize = 24 << 20;
+const MAX_TOTAL_BYTES: usize = 12 << 20;
 /// Maximum number of bytes queued on all connections with which another history is admitted.
-const MAX_QUEUED_BYTES: usize = 24 << 20;
+const MAX_QUEUED_BYTES: usize = 12 << 20;
 /// Bytes that one permit of a semaphore stands for.
 const BYTES_PER_PERMIT: usize = 1 << 10;
 
--- a/crates/replication/src/storage/batch.rs
+++ b/crates/replication/src/storage/batch.rs
@@ -1,15 +1,13 @@
-//! Division of writes into batches that fit into one frame of the log.
+//! Division of writes into batches, each of which is one frame of the log.
 
 use std::borrow::Cow;
 
-use calicohoist_wire::MAX_FRAME_BYTES;
-
 use super::Write;
 use crate::message::{Entry, EntryKind, GroupId};
 
-/// Maximum decoded size of a batch that consists of more than one entry. Builds before this limit
-/// decode at most [`MAX_FRAME_BYTES`].
-const MAX_BATCH_BYTES: usize = MAX_FRAME_BYTES / 2;
+/// Maximum decoded size of a batch that consists of more than one entry. A batch is held in memory
+/// three times while it is written. Builds before this limit decode at most 64 MB.
+const MAX_BATCH_BYTES: usize = 4 << 20;
 /// Upper bound of the decoded size of a write without its entries, or an entry without its content.
 const BASE_BYTES: usize = 64;
 /// Upper bound of the decoded size of a member of a group.
