Gateway: a planned stop has an end that its calls know of

What callers saw (trials with real processes, arm64): a gateway with two jobs running and two waiting got a second SIGTERM 1 s after the first; all 4 calls were cut without an answer. With jobs of 130 s a planned stop lasted 130.8 s, although its limit was 120 s; the jobs were answered with 503 store_unavailable after 119.7 s by a safeguard of the HTTP workers, and nothing bounded the wait for workers after the limit.

Cause: the time limit of a stop was known to nothing that takes work on. The driver only gave up waiting for the core, then waited for all HTTP workers; a second signal ended the process.

Change: the input that begins a stop says how long calls have. The core's StopSchedule is the one clock: an attempt begins only while the stop leaves it stall_timeout, waiting calls are refused as not run as soon as it doesn't, and what still runs at the end of that time is answered with 504 gateway_stopped and an unknown outcome. The store keeps the attempt, so that another gateway can take it over. Requests to the store end at the same time. A quarter of the stop, at most 10 s, is kept for sending these answers, and the HTTP server stops by the deadline. A second signal shortens the schedule to 500 ms and ends the process within 2 s. Attempt threads, which may wait for a back end up to stall_timeout, no longer delay the end. The limit is a setting, stop_timeout_ms.

Conclusion: what a stopping gateway takes on ends before the process does.

--- a/crates/calicohoist/src/cli/mod.rs
+++ b/crates/calicohoist/src/cli/mod.rs
@@ -30,7 +30,11 @@
 
 /// Exit status for invalid settings or arguments.
 const EXIT_INVALID: u8 = 2;
+/// Exit status of a forced stop.
+const EXIT_FAILURE: i32 = 1;
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum duration of a stop that a second signal forces.
+const FORCED_STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -267,16 +271,22 @@
 fn run_gateway(settings: &Settings) -> Result<()> {
     let signals = count_stop_signals()?;
     let server = roles::start_gateway(settings)?;
+    let stop_timeout =
+        settings.gateway.as_ref().map_or(Duration::ZERO, |section| section.stop_timeout);
     wait_for_signals(&signals, 1);
     let forced_stop = signals.clone();
+    let handle = server.force_stop_handle();
     std::thread::Builder::new().name("second-signal".to_owned()).spawn(move || {
         wait_for_signals(&forced_stop, 2);
         emit!(Event::StopForced, "second signal");
-        std::process::exit(1);
+        handle.force();
+        std::thread::sleep(FORCED_STOP_TIMEOUT);
+        std::process::exit(EXIT_FAILURE);
     })?;
-    if roles::stop_gateway(server) {
+    let is_complete = server.stop_gracefully(stop_timeout);
+    if is_complete && signals.load(Ordering::SeqCst) == 1 {
         Ok(())
     } else {
-        eyre::bail!("graceful stop timed out with calls still in flight")
+        eyre::bail!("the planned stop was forced or interrupted calls")
     }
 }
--- a/crates/calicohoist/src/roles.rs
+++ b/crates/calicohoist/src/roles.rs
@@ -2,7 +2,6 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
 
 use calicohoist_gateway::{GatewayServer, GatewaySettings, ServerConfig};
 use calicohoist_http::{Exchange, Handler, HttpServer, ServerSettings};
@@ -16,9 +15,6 @@
 
 use crate::settings::{GatewaySection, Settings, StoreSection};
 
-/// Maximum time that a graceful gateway stop waits for calls in flight.
-const GRACEFUL_STOP_TIMEOUT: Duration = Duration::from_secs(120);
-
 /// Builds the driver settings of a store node.
 pub fn store_settings(settings: &Settings, section: &StoreSection) -> StoreSettings {
     let raft = RaftSettings {
@@ -126,11 +122,6 @@
     Ok(HttpServer::start_on(bind(address)?, settings, Arc::new(HealthHandler))?)
 }
 
-/// Stops a gateway gracefully; returns `false` if calls in flight were aborted.
-pub fn stop_gateway(server: GatewayServer) -> bool {
-    server.stop_gracefully(GRACEFUL_STOP_TIMEOUT)
-}
-
 /// HTTP handler for `/healthz`, `/readyz` and `/metrics` of a store node.
 struct HealthHandler;
 
--- a/crates/calicohoist/src/settings/mod.rs
+++ b/crates/calicohoist/src/settings/mod.rs
@@ -76,6 +76,8 @@
     pub max_attempts: u32,
     /// Maximum number of calls queued per engine.
     pub max_waiting_per_engine: usize,
+    /// Maximum duration of a planned stop.
+    pub stop_timeout: Duration,
 }
 
 impl Settings {
@@ -237,6 +239,12 @@
             1..=100_000,
             256,
         ) as usize,
+        stop_timeout: millis(reader.number(
+            &mut section,
+            "stop_timeout_ms",
+            1_000..=3_600_000,
+            120_000,
+        )),
     };
     reader.report_unknown_fields(section);
     (http.is_some() && peers.is_some()).then_some(gateway)
--- a/crates/gateway/src/api/errors.rs
+++ b/crates/gateway/src/api/errors.rs
@@ -154,6 +154,13 @@
                 let message = "another gateway took the call over; ask for its answer";
                 Self::new(409, CONFLICT, "taken_over", message)
             }
+            FailureCause::GatewayStopped => {
+                let message = "the gateway stopped before the answer; ask another one for it";
+                Self {
+                    retry_after: Some(RETRY_AFTER_SECONDS),
+                    ..Self::new(504, UNAVAILABLE, "gateway_stopped", message)
+                }
+            }
             FailureCause::StillRunning => {
                 let message = "the same request is under way; ask for its answer";
                 Self {
--- a/crates/gateway/src/core/flow/admit.rs
+++ b/crates/gateway/src/core/flow/admit.rs
@@ -46,7 +46,7 @@
 
     /// Returns a failure if the request can be refused without contacting the store.
     fn early_refusal(&self, now: Moment, request: &CallRequest) -> Option<Failure> {
-        let cause = if self.stopping {
+        let cause = if self.stop.is_some() {
             FailureCause::NotRun(NotRunReason::ShuttingDown)
         } else if self.calls.len() >= self.settings.max_calls {
             FailureCause::NotRun(NotRunReason::Overloaded)
@@ -63,10 +63,18 @@
                 _ => return None,
             }
         };
-        // A request with the caller's idempotency key may be a resend of one that
-        // ran, so only a request without a key is certain not to have run.
-        let outcome = if request.key.is_some() { Outcome::Unknown } else { Outcome::NotRun };
-        Some(Failure { outcome, cause, call: None })
+        Some(Failure { outcome: outcome_before_admission(request), cause, call: None })
+    }
+
+    /// Fails a call that waits for admission when a stop leaves no time to run it.
+    pub(super) fn refuse_waiting(&mut self, now: Moment, id: u64) {
+        let request = self.calls.get(&id).and_then(|call| call.request.as_ref());
+        match request.map(outcome_before_admission) {
+            Some(outcome) => {
+                self.fail(now, id, outcome, FailureCause::NotRun(NotRunReason::ShuttingDown));
+            }
+            None => self.fail_unknown(now, id, FailureCause::StillRunning),
+        }
     }
 
     fn make_key(&mut self) -> IdempotencyKey {
@@ -332,6 +340,14 @@
     }
 }
 
+/// Returns the outcome of a request that was not admitted.
+///
+/// A request with the caller's idempotency key may be a resend of one that ran, so only a request
+/// without a key is certain not to have run.
+fn outcome_before_admission(request: &CallRequest) -> Outcome {
+    if request.key.is_some() { Outcome::Unknown } else { Outcome::NotRun }
+}
+
 /// Returns the ID of a single-call program; resends get the same ID.
 fn single_call_program_id(tenant: &TenantId, key: &IdempotencyKey) -> ProgramId {
     let digest = calicohoist_types::Digest::of(format!("{tenant}\n{key}").as_bytes());
--- a/crates/gateway/src/core/flow/finish.rs
+++ b/crates/gateway/src/core/flow/finish.rs
@@ -153,6 +153,14 @@
         self.fail(now, id, Outcome::Unknown, cause);
     }
 
+    /// Ends a call whose outcome a stopping gateway cannot await.
+    ///
+    /// The store keeps the attempt, so that another gateway can take it over.
+    pub(super) fn interrupt(&mut self, now: Moment, id: u64) {
+        self.interrupted_calls += 1;
+        self.fail_unknown(now, id, FailureCause::GatewayStopped);
+    }
+
     pub(super) fn fail_given_up(&mut self, now: Moment, id: u64) {
         let cause = self.calls.get_mut(&id).and_then(|call| call.failure_cause.take());
         self.fail_unknown(now, id, cause.unwrap_or(FailureCause::BackendLost));
--- a/crates/gateway/src/core/flow/route.rs
+++ b/crates/gateway/src/core/flow/route.rs
@@ -32,6 +32,9 @@
         if admission.attempt.number > self.settings.max_attempts + 1 {
             return self.close(now, id, NotRunReason::RefusedByBackend);
         }
+        if !self.has_time_for_attempt(now) {
+            return self.close(now, id, NotRunReason::ShuttingDown);
+        }
         match admission.target.clone() {
             CallTarget::Model(model) => self.route_to_engine(now, id, &model),
             CallTarget::Service(service) => self.route_to_replica(now, id, &service),
--- a/crates/gateway/src/core/flow/timers.rs
+++ b/crates/gateway/src/core/flow/timers.rs
@@ -20,6 +20,8 @@
     QueueTimedOut(NotRunReason),
     Stalled,
     LookupTimedOut,
+    RefuseWaiting,
+    Interrupt,
 }
 
 impl Gateway {
@@ -34,6 +36,9 @@
 
     fn due_action(&self, now: Moment, id: u64) -> Option<DueAction> {
         let call = self.calls.get(&id)?;
+        if let Some(due) = self.due_at_stop(now, &call.phase) {
+            return Some(due);
+        }
         let queue_timed_out = now.since(call.arrived_at) >= self.settings.queue_timeout;
         match &call.phase {
             Phase::WaitingForTurn { deadline, reason, .. } if now >= *deadline => {
@@ -65,6 +70,23 @@
         }
     }
 
+    /// Returns what a planned stop demands of a call.
+    fn due_at_stop(&self, now: Moment, phase: &Phase) -> Option<DueAction> {
+        if self.stop.is_some_and(|stop| stop.is_over(now)) {
+            return Some(DueAction::Interrupt);
+        }
+        if self.has_time_for_attempt(now) {
+            return None;
+        }
+        match phase {
+            Phase::WaitingForTurn { .. } => Some(DueAction::RefuseWaiting),
+            Phase::Routing { .. } | Phase::Queued { .. } => {
+                Some(DueAction::QueueTimedOut(NotRunReason::ShuttingDown))
+            }
+            _ => None,
+        }
+    }
+
     fn run_due_action(&mut self, now: Moment, id: u64, due: DueAction) {
         match due {
             DueAction::RequestAdmission => self.request_admission(now, id),
@@ -85,6 +107,8 @@
                 self.cancel_on_engine(id);
                 self.on_attempt_failed(now, id, BackendFailure::Broken);
             }
+            DueAction::RefuseWaiting => self.refuse_waiting(now, id),
+            DueAction::Interrupt => self.interrupt(now, id),
             DueAction::LookupTimedOut => self.on_attempt_failed(now, id, BackendFailure::NotSeen),
         }
     }
--- a/crates/gateway/src/core/message.rs
+++ b/crates/gateway/src/core/message.rs
@@ -1,6 +1,7 @@
 //! Inputs and actions of the core, and the messages between gateways.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use calicohoist_store::{StoreReply, StoreRequest};
 use calicohoist_types::{
@@ -114,6 +115,8 @@
     TakenOver,
     /// A duplicate of the request is running and did not finish in time.
     StillRunning,
+    /// The gateway stopped before the outcome was known; the call may go on.
+    GatewayStopped,
 }
 
 /// An event of an attempt, as reported by its back end.
@@ -321,8 +324,11 @@
     },
     /// The platform's machine list; `None` when it could not be read.
     Platform(Option<Vec<MachineStatus>>),
-    /// Begins a graceful stop.
-    Stop,
+    /// Begins a planned stop, or shortens one that has begun.
+    Stop {
+        /// Time in which calls must end.
+        call_time: Duration,
+    },
 }
 
 /// An action for the driver to execute.
@@ -382,6 +388,9 @@
         /// Its address.
         address: SocketAddr,
     },
-    /// Report that the graceful stop is complete.
-    Stopped,
+    /// Report that the planned stop is complete.
+    Stopped {
+        /// Calls that ended before their outcome was known.
+        interrupted_calls: usize,
+    },
 }
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -6,6 +6,7 @@
 //! - [`owner`]: the queues of the engines that the gateway owns;
 //! - [`cache_release`]: release of the cache memory of ended programs;
 //! - [`call`]: the state of one active call;
+//! - [`stop`]: the schedule of a planned stop;
 //! - `flow`: the steps of a call, from admission to the response.
 
 pub mod cache_release;
@@ -14,6 +15,7 @@
 pub mod message;
 mod metrics;
 pub mod owner;
+mod stop;
 pub mod view;
 
 use std::collections::BTreeMap;
@@ -38,6 +40,7 @@
 use call::Call;
 pub use message::{Action, CallerEvent, Input, PeerMessage, Ticket};
 use owner::EngineOwner;
+use stop::StopSchedule;
 use view::FleetView;
 
 /// Settings of the gateway core.
@@ -77,8 +80,6 @@
 
 /// Time between heartbeats to the store.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-/// Minimum duration of a graceful stop, in which requests in transit are still read and refused.
-const STOP_GRACE: Duration = Duration::from_millis(250);
 /// Timeout of one store request.
 const STORE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between reports of held slots to the owners of engines.
@@ -122,10 +123,10 @@
     next_heartbeat: Moment,
     heartbeat_pending: bool,
     next_slot_report: Moment,
-    stopping: bool,
-    /// Earliest time at which a graceful stop completes.
-    earliest_stop: Moment,
+    stop: Option<StopSchedule>,
     stopped: bool,
+    /// Calls that a stop ended before their outcome was known.
+    interrupted_calls: usize,
     actions: Vec<Action>,
 }
 
@@ -151,9 +152,9 @@
             next_heartbeat: now,
             heartbeat_pending: false,
             next_slot_report: now,
-            stopping: false,
-            earliest_stop: Moment::ZERO,
+            stop: None,
             stopped: false,
+            interrupted_calls: 0,
             actions: Vec::new(),
             settings,
         }
@@ -171,12 +172,12 @@
 
     /// Returns whether a graceful stop has begun.
     pub fn is_stopping(&self) -> bool {
-        self.stopping
+        self.stop.is_some()
     }
 
     /// Returns whether the gateway may start new work.
     pub fn is_ready(&self, now: Moment) -> bool {
-        !self.stopping && self.view.has_lease(now)
+        self.stop.is_none() && self.view.has_lease(now)
     }
 
     /// Processes one input and returns the resulting actions.
@@ -187,7 +188,7 @@
                 self.on_attach(now, ticket, tenant, call, offset)
             }
             Input::StoreRequest(ticket, request) => {
-                self.send_store_request(now, PendingRequest::Caller(ticket), *request);
+                self.on_store_request(now, ticket, *request);
             }
             Input::CallerDisconnected(ticket) => self.on_caller_disconnected(ticket),
             Input::StoreReply { id, reply } => self.router.on_reply(now, id, reply),
@@ -204,7 +205,7 @@
                 self.run_owner(now);
             }
             Input::Platform(list) => self.view.on_platform(now, list),
-            Input::Stop => self.begin_stop(now),
+            Input::Stop { call_time } => self.begin_stop(now, call_time),
         }
         self.take_actions(now)
     }
@@ -297,6 +298,14 @@
         }
     }
 
+    fn on_store_request(&mut self, now: Moment, ticket: Ticket, request: StoreRequest) {
+        if self.stop.is_some_and(|stop| stop.is_over(now)) {
+            let event = CallerEvent::StoreReply(None);
+            return self.actions.push(Action::ToCaller(ticket, event));
+        }
+        self.send_store_request(now, PendingRequest::Caller(ticket), request);
+    }
+
     fn on_caller_answer(&mut self, now: Moment, ticket: Ticket, reply: Option<StoreReply>) {
         if let Some(StoreReply::Output(Output::Program(ProgramOutput::Cancelled(running)))) = &reply
         {
@@ -334,7 +343,7 @@
             nodes_version: self.view.nodes_version(),
             loads: self.owner.loads(now, &self.view),
             loads_version: self.view.loads_version(),
-            stopping: self.stopping,
+            stopping: self.stop.is_some(),
         };
         let request = StoreRequest::Heartbeat(Box::new(heartbeat));
         self.next_token += 1;
@@ -361,7 +370,7 @@
     /// Updates the set of owned engines and grants slots.
     fn run_owner(&mut self, now: Moment) {
         let own_node = self.settings.node.node.clone();
-        let stopping = self.stopping;
+        let stopping = self.stop.is_some();
         let outcome = self.owner.run(now, &own_node, &self.view, stopping);
         for (engine, address) in outcome.probes {
             self.actions.push(Action::ProbeEngine { engine, address });
@@ -411,25 +420,48 @@
         }
     }
 
-    fn begin_stop(&mut self, now: Moment) {
-        if self.stopping {
-            return;
+    fn begin_stop(&mut self, now: Moment, call_time: Duration) {
+        if let Some(stop) = &mut self.stop {
+            return stop.shorten(now, call_time);
         }
         emit!(Event::StopRequested, "{} active calls", self.calls.len());
-        self.stopping = true;
-        self.earliest_stop = now + STOP_GRACE;
+        self.stop = Some(StopSchedule::begin(now, call_time));
         self.next_heartbeat = now;
         self.run_owner(now);
     }
 
     fn finish_stop(&mut self, now: Moment) {
-        let handed_over =
-            self.view.is_listed_as_stopping(&self.settings.node) || !self.view.has_lease(now);
+        let Some(stop) = self.stop else {
+            return;
+        };
+        if stop.is_over(now) {
+            self.interrupt_store_requests();
+        }
+        let handed_over = self.view.is_listed_as_stopping(&self.settings.node)
+            || !self.view.has_lease(now)
+            || stop.is_over(now);
         let is_idle = self.calls.is_empty() || is_broken(Rule::FinishCalls);
-        let is_due = self.stopping && !self.stopped && now >= self.earliest_stop;
-        if is_due && is_idle && handed_over {
+        if !self.stopped && stop.may_complete(now) && is_idle && handed_over {
             self.stopped = true;
-            self.actions.push(Action::Stopped);
+            let interrupted_calls = self.interrupted_calls;
+            self.actions.push(Action::Stopped { interrupted_calls });
+        }
+    }
+
+    /// Returns whether a planned stop leaves an attempt the time that it may need.
+    fn has_time_for_attempt(&self, now: Moment) -> bool {
+        self.stop.is_none_or(|stop| stop.has_time_for(now, self.settings.stall_timeout))
+    }
+
+    /// Reports to callers that their requests to the store have timed out.
+    fn interrupt_store_requests(&mut self) {
+        let interrupted = self
+            .pending_requests
+            .extract_if(.., |_, pending| matches!(pending, PendingRequest::Caller(_)));
+        for (_, pending) in interrupted {
+            if let PendingRequest::Caller(ticket) = pending {
+                self.actions.push(Action::ToCaller(ticket, CallerEvent::StoreReply(None)));
+            }
         }
     }
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -41,6 +41,12 @@
 /// Time between polls of the platform's machine list.
 const PLATFORM_INTERVAL: Duration = Duration::from_secs(1);
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// Time of a planned stop that is kept for sending the last answers.
+const ANSWER_TIME: Duration = Duration::from_secs(10);
+/// Largest share of a planned stop that is kept for sending the last answers.
+const ANSWER_SHARE: u32 = 4;
+/// Time in which calls end in a forced stop.
+const FORCED_CALL_TIME: Duration = Duration::from_millis(500);
 
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
@@ -79,7 +85,7 @@
     peer_address: SocketAddr,
     core: Sender<CoreInput>,
     stop: Arc<AtomicBool>,
-    stopped: Receiver<()>,
+    stopped: Receiver<usize>,
     threads: Vec<JoinHandle<()>>,
     _peers: FrameServer,
 }
@@ -103,9 +109,9 @@
         let caller_channels = Arc::new(CallerChannels::default());
         let view = Arc::new(SharedView::default());
         let peer_server = FrameServer::start(peers, peer_handler(sender.clone()))?;
-        let (attempts, mut threads) = start_attempt_threads(&config, &sender, &stop)?;
-        let (control, control_threads) = start_control_threads(&sender, &stop)?;
-        threads.extend(control_threads);
+        // Attempts may outlast their calls; nothing waits for their threads.
+        let (attempts, _) = start_attempt_threads(&config, &sender, &stop)?;
+        let (control, mut threads) = start_control_threads(&sender, &stop)?;
         let core_thread = CoreThread {
             receiver,
             caller_channels: caller_channels.clone(),
@@ -147,25 +153,43 @@
         self.peer_address
     }
 
-    /// Begins a graceful stop: refuses new calls and finishes active ones.
-    pub fn begin_stop(&self) {
-        let _ = self.core.send(CoreInput::Input(Input::Stop));
+    /// Returns a handle that forces a planned stop.
+    pub fn force_stop_handle(&self) -> ForceStopHandle {
+        ForceStopHandle { core: self.core.clone() }
     }
 
-    /// Waits for the graceful stop to complete; returns `false` after the timeout.
-    pub fn wait_stopped(&self, timeout: Duration) -> bool {
-        self.stopped.recv_timeout(timeout).is_ok()
-    }
-
-    /// Stops the gateway; returns `true` when all active calls finished before the timeout.
+    /// Stops the gateway within `timeout`: refuses new calls, finishes active ones, and ends those
+    /// that take too long in time to send their answers.
+    ///
+    /// Returns whether all active calls finished and all answers were sent.
     pub fn stop_gracefully(mut self, timeout: Duration) -> bool {
-        self.begin_stop();
-        let complete = self.wait_stopped(timeout);
-        let event = if complete { Event::StopFinished } else { Event::StopForced };
-        emit!(event, "gateway");
+        let deadline = Instant::now() + timeout;
+        let call_time = timeout - ANSWER_TIME.min(timeout / ANSWER_SHARE);
+        // Fails only if the core has ended, when there is nothing to stop.
+        let _ = self.core.send(CoreInput::Input(Input::Stop { call_time }));
+        let interrupted_calls = self.stopped.recv_timeout(timeout).ok();
         // Workers may still be writing the end of complete answers.
-        self.http.stop();
-        complete
+        let all_sent = self.http.stop_by(deadline);
+        let is_complete = interrupted_calls == Some(0) && all_sent;
+        let event = if is_complete { Event::StopFinished } else { Event::StopForced };
+        emit!(event, "gateway, interrupted calls: {interrupted_calls:?}, all sent: {all_sent}");
+        is_complete
+    }
+}
+
+/// Forces the planned stop of a gateway.
+#[derive(Clone)]
+pub struct ForceStopHandle {
+    core: Sender<CoreInput>,
+}
+
+impl ForceStopHandle {
+    /// Ends all calls at once: refuses those that have not run, and answers the others with an
+    /// unknown outcome.
+    pub fn force(&self) {
+        let input = Input::Stop { call_time: FORCED_CALL_TIME };
+        // Fails only if the core has ended.
+        let _ = self.core.send(CoreInput::Input(input));
     }
 }
 
@@ -277,7 +301,7 @@
     own_node: NodeId,
     stop: Arc<AtomicBool>,
     stopping: Arc<AtomicBool>,
-    stopped: Sender<()>,
+    stopped: Sender<usize>,
 }
 
 impl CoreThread {
@@ -368,8 +392,8 @@
                 let report = engine::probe(address);
                 let _ = core.send(CoreInput::Input(Input::EngineProbe { engine, report }));
             }),
-            Action::Stopped => {
-                let _ = self.stopped.try_send(());
+            Action::Stopped { interrupted_calls } => {
+                let _ = self.stopped.try_send(interrupted_calls);
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,4 +13,4 @@
 pub mod view;
 
 pub use core::{Action, Gateway, GatewaySettings, Input};
-pub use driver::{GatewayServer, ServerConfig};
+pub use driver::{ForceStopHandle, GatewayServer, ServerConfig};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,8 +4,8 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,8 @@
 
 /// Interval at which threads check whether the server is stopping.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a stop with a deadline checks whether the threads have ended.
+const STOP_WAIT_INTERVAL: Duration = Duration::from_millis(10);
 /// Read timeout of connections; idle connections are closed after it.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval at which the server connects to its own listener, so that accept does not time out
@@ -75,6 +77,8 @@
 pub struct HttpServer {
     address: SocketAddr,
     stop: Arc<AtomicBool>,
+    /// Time at which a stop no longer waits for requests.
+    deadline: Arc<OnceLock<Instant>>,
     threads: Vec<JoinHandle<()>>,
     /// Ends the helpers, which are needed until all requests have ended.
     ended: Arc<AtomicBool>,
@@ -108,6 +112,7 @@
         set_read_timeout(&listener)?;
         let current = AcceptingServer::start(&listener)?;
         let stop = Arc::new(AtomicBool::new(false));
+        let deadline = Arc::new(OnceLock::new());
         let ended = Arc::new(AtomicBool::new(false));
         let (deadlines, watchdog) = Watchdog::start(ended.clone())?;
         let (sender, receiver) = bounded(settings.queue);
@@ -125,10 +130,11 @@
             deadlines,
             limits: ExchangeLimits::from(&settings),
             stop: stop.clone(),
+            deadline: deadline.clone(),
         };
         threads.push(spawn_named("http-accept", move || acceptor.run())?);
         let helpers = vec![watchdog, spawn_listener_wake(address, stop.clone())?];
-        Ok(Self { address, stop, threads, ended, helpers })
+        Ok(Self { address, stop, deadline, threads, ended, helpers })
     }
 
     /// Returns the bound address.
@@ -136,6 +142,24 @@
         self.address
     }
 
+    /// Like [`HttpServer::stop`], but waits no longer than until `deadline`; returns whether all
+    /// requests have ended.
+    pub fn stop_by(&mut self, deadline: Instant) -> bool {
+        // Set before by another call, which keeps its deadline.
+        let _ = self.deadline.set(deadline);
+        self.stop.store(true, Ordering::SeqCst);
+        while self.threads.iter().any(|thread| !thread.is_finished()) {
+            if Instant::now() >= deadline {
+                // Their requests end with the process.
+                self.threads.clear();
+                return false;
+            }
+            std::thread::sleep(STOP_WAIT_INTERVAL);
+        }
+        self.stop();
+        true
+    }
+
     /// Closes the listener, and waits until requests that have arrived and all threads have ended.
     pub fn stop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
@@ -215,6 +239,7 @@
     deadlines: PeerDeadlines,
     limits: ExchangeLimits,
     stop: Arc<AtomicBool>,
+    deadline: Arc<OnceLock<Instant>>,
 }
 
 impl Acceptor {
@@ -280,6 +305,9 @@
                 Instant::now() < handshakes_end || has_queued_connection(&self.listener);
             let accepts_queued =
                 self.current.is_accepting() && Instant::now() < listen_deadline && has_arrivals;
+            if self.deadline.get().is_some_and(|deadline| Instant::now() >= *deadline) {
+                return self.close_listener();
+            }
             if is_listening && !accepts_queued {
                 is_listening = false;
                 self.close_listener();
--- a/crates/lab/src/fleet/embedded.rs
+++ b/crates/lab/src/fleet/embedded.rs
@@ -176,5 +176,6 @@
         stall_timeout: Duration::from_secs(10),
         max_attempts: 4,
         max_waiting_per_engine: 256,
+        stop_timeout: STOP_TIMEOUT,
     }
 }
--- a/crates/lab/src/sim/fault_injection.rs
+++ b/crates/lab/src/sim/fault_injection.rs
@@ -23,6 +23,8 @@
 const DISK_REPLACEMENT_DELAY: Duration = Duration::from_secs(1);
 /// Time between the announcement and the removal of an engine.
 const REMOVAL_NOTICE: Duration = Duration::from_secs(10);
+/// Time in which the calls of a stopping gateway must end.
+const STOP_CALL_TIME: Duration = Duration::from_secs(110);
 /// Exceeds the duration of any run.
 const PERMANENT: Duration = Duration::from_secs(100_000);
 /// Interval between checks whether the fleet is fully replicated.
@@ -273,12 +275,12 @@
         }
         gateway.stop_requested_at = Some(now);
         gateway.downtime = downtime;
-        let actions = core.step(now, Input::Stop);
+        let actions = core.step(now, Input::Stop { call_time: STOP_CALL_TIME });
         self.perform_all(index, actions);
     }
 
     /// Terminates a gateway after its graceful shutdown and schedules its restart.
-    pub(super) fn finish_gateway_stop(&mut self, index: usize) {
+    pub(super) fn finish_gateway_stop(&mut self, index: usize, interrupted_calls: usize) {
         let gateway = &self.gateways[index];
         let unfinished_calls = gateway.core.as_ref().map_or(0, |core| core.active_calls());
         let began = gateway.stop_requested_at.unwrap_or(Moment::ZERO);
@@ -287,7 +289,7 @@
             gateway: index,
             began,
             ended: self.now,
-            complete: unfinished_calls == 0,
+            complete: unfinished_calls + interrupted_calls == 0,
         });
         self.kill_gateway(index);
         self.schedule_in(downtime, SimEvent::HealFault(Fault::StopGateway(index, downtime)));
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -727,7 +727,9 @@
                 let frame = Frame::EngineProbe { gateway: index, generation };
                 self.send(from, Actor::Engine(engine), frame);
             }
-            Action::Stopped => self.finish_gateway_stop(index),
+            Action::Stopped { interrupted_calls } => {
+                self.finish_gateway_stop(index, interrupted_calls);
+            }
         }
     }
 
