HTTP: a stopping server asks its callers to close their connections

What callers saw (trial with a real gateway, arm64): 4 callers that sent requests one after the other on kept connections were served for 11.1 s after SIGTERM although nothing else was under way; then all 4 connections ended with a request sent and no answer. No answer had told them to leave.

Cause: tiny_http omits a header named connection, so no response of this server had it, and each running request extends the time in which the server serves kept connections.

Change: HttpServer::close_connections marks each response from then on with connection: close, events included; a stop begins with it, and a gateway calls it before it refuses calls. The header is the second line of cache-control, the only way past tiny_http that keeps its order of answering before the rest of a body is read.

Conclusion: callers leave while the server still answers.

--- a/crates/calicohoist/tests/late_calls/caller.rs
+++ b/crates/calicohoist/tests/late_calls/caller.rs
@@ -49,6 +49,11 @@
         Self::read(&mut send(address, request))
     }
 
+    /// Returns whether the caller is asked to close the connection.
+    pub fn closes_connection(&self) -> bool {
+        self.headers.get("connection").is_some_and(|value| value == "close")
+    }
+
     /// Returns the stated outcome of a call.
     pub fn outcome(&self) -> Option<&str> {
         self.headers.get("calicohoist-outcome").map(String::as_str)
--- a/crates/calicohoist/tests/late_calls/main.rs
+++ b/crates/calicohoist/tests/late_calls/main.rs
@@ -65,12 +65,14 @@
     let (mut running, mut waiting) = start_calls(&deployment);
     let begun = deployment.replica.begun();
     deployment.signal(Signal::TERM);
-    let late = send(deployment.address, &deployment.job("", 0));
+    let mut late = send(deployment.address, &deployment.job("", 0));
+    let refusal = Answer::read(&mut late).expect("a late call is answered");
     let status = deployment.wait_for_end(END_TIMEOUT).expect("the gateway ends");
     assert!(!status.success(), "{status}");
     assert_eq!(statuses(&mut running), expected(504, "unknown"));
     assert_eq!(statuses(&mut waiting), expected(503, "not_run"));
-    assert_eq!(statuses(&mut [late]), expected(503, "not_run")[..1]);
+    assert_eq!((refusal.status, refusal.outcome()), (503, Some("not_run")));
+    assert!(refusal.closes_connection(), "{refusal:?}");
     assert_eq!(deployment.replica.begun(), begun);
 }
 
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -164,6 +164,7 @@
     /// Returns whether all active calls finished and all answers were sent.
     pub fn stop_gracefully(mut self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
+        self.http.close_connections();
         let call_time = timeout - ANSWER_TIME.min(timeout / ANSWER_SHARE);
         // Fails only if the core has ended, when there is nothing to stop.
         let _ = self.core.send(CoreInput::Input(Input::Stop { call_time }));
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -1,6 +1,8 @@
 //! HTTP request and its response.
 
 use std::io::{self, Cursor, Read};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -12,6 +14,11 @@
 use crate::server::ServerSettings;
 use crate::slow_peer::{Awaited, DeadlineGuard, PeerDeadlines};
 
+/// Header that asks the peer to close the connection.
+///
+/// `tiny_http` omits a header named `connection`, so it follows another one in the same value.
+const CLOSE_HEADER: (&str, &str) = ("cache-control", "no-store\r\nconnection: close");
+
 /// Limits on a request and its response.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ExchangeLimits {
@@ -58,15 +65,23 @@
     request: Request,
     limits: ExchangeLimits,
     deadlines: PeerDeadlines,
+    /// Whether the response asks the peer to close the connection.
+    closing: Arc<AtomicBool>,
     path: String,
     query: String,
 }
 
 impl Exchange {
-    pub(crate) fn new(request: Request, limits: ExchangeLimits, deadlines: PeerDeadlines) -> Self {
+    pub(crate) fn new(
+        request: Request,
+        limits: ExchangeLimits,
+        deadlines: PeerDeadlines,
+        closing: Arc<AtomicBool>,
+    ) -> Self {
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        Self { path: path.to_owned(), query: query.to_owned(), request, limits, deadlines }
+        let (path, query) = (path.to_owned(), query.to_owned());
+        Self { request, limits, deadlines, closing, path, query }
     }
 
     /// Returns the method in upper case.
@@ -160,11 +175,19 @@
         for (name, value) in headers {
             add_header(&mut response, name, value);
         }
+        if self.is_closing() {
+            let (name, value) = CLOSE_HEADER;
+            add_header(&mut response, name, value);
+        }
         // Fails only if the peer has closed the connection or is too slow, which is logged.
         let _ = self.request.respond(response);
         drop(guard);
     }
 
+    fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::SeqCst)
+    }
+
     fn guard(&self) -> Option<DeadlineGuard> {
         let peer = self.request.remote_addr().copied();
         peer.map(|peer| self.deadlines.guard(peer))
@@ -179,8 +202,12 @@
         let is_head = *self.request.method() == Method::Head;
         let guard = self.guard();
         let stall_timeout = self.limits.stall_timeout;
+        let mut headers = headers.to_vec();
+        if self.is_closing() && chunked {
+            headers.push(("connection", "close".to_owned()));
+        }
         let writer = GuardedWriter::start(self.request.into_writer(), guard, stall_timeout)?;
-        EventWriter::start(writer, chunked && !is_head, headers)
+        EventWriter::start(writer, chunked && !is_head, &headers)
     }
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -77,6 +77,8 @@
 pub struct HttpServer {
     address: SocketAddr,
     stop: Arc<AtomicBool>,
+    /// Whether responses ask peers to close their connections.
+    closing: Arc<AtomicBool>,
     /// Time at which a stop no longer waits for requests.
     deadline: Arc<OnceLock<Instant>>,
     threads: Vec<JoinHandle<()>>,
@@ -112,6 +114,7 @@
         set_read_timeout(&listener)?;
         let current = AcceptingServer::start(&listener)?;
         let stop = Arc::new(AtomicBool::new(false));
+        let closing = Arc::new(AtomicBool::new(false));
         let deadline = Arc::new(OnceLock::new());
         let ended = Arc::new(AtomicBool::new(false));
         let (deadlines, watchdog) = Watchdog::start(ended.clone())?;
@@ -130,11 +133,12 @@
             deadlines,
             limits: ExchangeLimits::from(&settings),
             stop: stop.clone(),
+            closing: closing.clone(),
             deadline: deadline.clone(),
         };
         threads.push(spawn_named("http-accept", move || acceptor.run())?);
         let helpers = vec![watchdog, spawn_listener_wake(address, stop.clone())?];
-        Ok(Self { address, stop, deadline, threads, ended, helpers })
+        Ok(Self { address, stop, closing, deadline, threads, ended, helpers })
     }
 
     /// Returns the bound address.
@@ -142,11 +146,17 @@
         self.address
     }
 
+    /// Asks peers in each response from now on to close their connections.
+    pub fn close_connections(&self) {
+        self.closing.store(true, Ordering::SeqCst);
+    }
+
     /// Like [`HttpServer::stop`], but waits no longer than until `deadline`; returns whether all
     /// requests have ended.
     pub fn stop_by(&mut self, deadline: Instant) -> bool {
         // Set before by another call, which keeps its deadline.
         let _ = self.deadline.set(deadline);
+        self.close_connections();
         self.stop.store(true, Ordering::SeqCst);
         while self.threads.iter().any(|thread| !thread.is_finished()) {
             if Instant::now() >= deadline {
@@ -162,6 +172,7 @@
 
     /// Closes the listener, and waits until requests that have arrived and all threads have ended.
     pub fn stop(&mut self) {
+        self.close_connections();
         self.stop.store(true, Ordering::SeqCst);
         for thread in self.threads.drain(..) {
             let _ = thread.join();
@@ -239,6 +250,7 @@
     deadlines: PeerDeadlines,
     limits: ExchangeLimits,
     stop: Arc<AtomicBool>,
+    closing: Arc<AtomicBool>,
     deadline: Arc<OnceLock<Instant>>,
 }
 
@@ -341,7 +353,8 @@
     }
 
     fn queue_request(&self, request: tiny_http::Request) {
-        let exchange = Exchange::new(request, self.limits, self.deadlines.clone());
+        let (deadlines, closing) = (self.deadlines.clone(), self.closing.clone());
+        let exchange = Exchange::new(request, self.limits, deadlines, closing);
         let queued = QueuedRequest { exchange, running: self.running.clone() };
         match self.sender.try_send(queued) {
             Ok(()) => {}
