Tests: callers commit while each store machine stops and returns

Three store machines are stopped as planned and started again one after the other while four callers create programs through one gateway.

--- a/crates/calicohoist/tests/late_calls/main.rs
+++ b/crates/calicohoist/tests/late_calls/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod deployment;
+mod stores;
 
 use std::net::TcpStream;
 use std::thread;
