Transport: joint memory of the frames that ledger machines receive

What callers saw: machines that ran out of memory beside peers whose bytes never end lose all that they held. Frames had a limit of 64 MiB each and none together, so that a few connections are enough.

Cause: a frame that has not arrived whole took what it brought, on up to 256 connections of peers and 2,048 of gateways, and a connection kept the buffer of its largest frame for ever.

Without room a slow frame gives way, or one of an address that holds more than half, or the newest; older frames never wait for newer ones, so that Raft traffic cannot be locked out. Time spent waiting does not count as lateness. Frames before the greeting of a ledger machine have 16 KiB; a refused frame holds its connection, unread, for half a second; large frames are followed by a pause. A buffer is released after a large frame.

The endless tests now bound a ledger machine by 120 MB instead of 260.

Decoded messages in queues, and the gateway's own connections to the ledger, have no joint limit yet.

--- a/crates/calicohoist/tests/endless/load.rs
+++ b/crates/calicohoist/tests/endless/load.rs
@@ -41,16 +41,31 @@
 
 /// Runs harmless callers alone, then beside `endless_callers` that ask for endless responses, and
 /// stops the gateway while some of these are being read. Asserts that each harmless request is served, that
-/// each other one is answered, and that no process uses more than its share.
-pub fn run(deployment: Deployment, endless_callers: usize, endless_path: &'static str) {
+/// each other one is answered, and that no process uses more than its share. Returns what still runs.
+pub fn run(
+    deployment: Deployment,
+    endless_callers: usize,
+    endless_path: &'static str,
+) -> Deployment {
+    run_beside(deployment, endless_callers, endless_path, || {})
+}
+
+/// Like [`run`]; calls `begin` when the harmless callers have been alone.
+pub fn run_beside(
+    deployment: Deployment,
+    endless_callers: usize,
+    endless_path: &'static str,
+    begin: impl FnOnce() + Send,
+) -> Deployment {
     let gateway = deployment.cluster.http(GATEWAY_IPS[0]);
     let counts = LoadCounts::default();
     let counts = &counts;
-    let (alone, beside, requests) = thread::scope(move |scope| {
+    let (deployment, alone, beside, requests) = thread::scope(move |scope| {
         for _ in 0..HARMLESS_CALLERS {
             call_harmlessly(scope, gateway, counts);
         }
         let alone = measure(&deployment, counts, ALONE_DURATION);
+        begin();
         for _ in 0..endless_callers {
             call_endlessly(scope, gateway, endless_path, counts);
         }
@@ -58,8 +73,8 @@
         counts.is_over.store(true, Ordering::Relaxed);
         // Callers send nothing more after this.
         thread::sleep(SETTLE_TIME);
-        deployment.stop_gateway();
-        (alone.0, beside.0, [alone.1, beside.1])
+        let deployment = deployment.stop_gateway();
+        (deployment, alone.0, beside.0, [alone.1, beside.1])
     });
     let [served, ended] =
         [&counts.served, &counts.ended].map(|count| count.load(Ordering::Relaxed));
@@ -68,6 +83,7 @@
         beside.check(alone, f64::from(requests[1]) / f64::from(requests[0].max(1)));
     }
     assert!(served > 0 && (ended > 0 || endless_callers == 0), "nothing ran");
+    deployment
 }
 
 /// Waits for `duration`; returns what the processes have cost meanwhile, and the number of requests
--- a/crates/calicohoist/tests/endless/main.rs
+++ b/crates/calicohoist/tests/endless/main.rs
@@ -7,6 +7,7 @@
 mod cluster;
 
 mod calls;
+mod links;
 mod lists;
 mod load;
 
@@ -21,6 +22,8 @@
 
 /// Memory of a front of the larger sites, in MiB.
 const MACHINE_MEMORY_MB: usize = 260;
+/// Memory of a ledger machine, in MiB.
+const LEDGER_MEMORY_MB: usize = 120;
 /// Processor time that endless responses may cost a process, in percent of one core: twice the share
 /// for large responses, so that the same is left for what is not measured by the process itself.
 const MAX_PROCESSOR_PERCENT: u32 = 40;
@@ -44,7 +47,11 @@
         println!("{self}, {own:?} for requests");
         let allowed = own + self.elapsed * MAX_PROCESSOR_PERCENT / 100;
         assert!(self.processor_time <= allowed, "{self}, {allowed:?} allowed");
-        assert!(self.peak_memory <= MACHINE_MEMORY_MB << 20, "{self}");
+        let memory_mb = match STORE_IPS.contains(&self.ip) {
+            true => LEDGER_MEMORY_MB,
+            false => MACHINE_MEMORY_MB,
+        };
+        assert!(self.peak_memory <= memory_mb << 20, "{self}");
     }
 }
 
@@ -113,11 +120,12 @@
         std::iter::once(&self.gateway).chain(&self.stores)
     }
 
-    /// Stops the gateway, and asserts that it cut no request.
-    fn stop_gateway(mut self) {
+    /// Stops the gateway, and asserts that it cut no request. The others still run.
+    fn stop_gateway(mut self) -> Self {
         assert!(self.gateway.terminate(), "the gateway fails");
         let log = self.cluster.folder.path().join(format!("{}.log", GATEWAY_IPS[0]));
         let log = std::fs::read_to_string(log).expect("the log of the gateway");
         assert!(log.contains("\"StopFinished\""), "the stop was forced");
+        self
     }
 }
--- a/crates/ledger/src/server/gateways/mod.rs
+++ b/crates/ledger/src/server/gateways/mod.rs
@@ -14,6 +14,7 @@
 mod turns;
 mod updates;
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,7 @@
     RefusedFrameLog, SendOutcome, VersionError, spawn_writer, tcp,
 };
 use parking_lot::Mutex;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{oneshot, watch};
@@ -36,6 +38,7 @@
 use super::limits::TenantLimiter;
 use super::list::DiscoverySnapshot;
 use super::loads::LoadAggregator;
+use super::peers::FRAME_MEMORY;
 use super::preference::ZoneLoads;
 use super::receipts::CrashReceipts;
 use super::replica::{GroupStatus, ReplicaHandle};
@@ -175,7 +178,7 @@
         }
         let service = service.clone();
         tokio::spawn(async move {
-            if let Err(error) = serve(stream, service).await {
+            if let Err(error) = serve(stream, address.ip(), service).await {
                 REFUSALS.record_version_error(address, &error);
             }
             drop(open);
@@ -183,17 +186,36 @@
     }
 }
 
-async fn serve(stream: TcpStream, service: GatewayService) -> Result<(), VersionError> {
+async fn serve(
+    stream: TcpStream,
+    gateway: IpAddr,
+    service: GatewayService,
+) -> Result<(), VersionError> {
     let (input, mut output) = stream.into_split();
-    let mut frames = FrameReader::new(input);
-    let version = accept_offer(&mut frames, &mut output, SUPPORTED_VERSIONS).await?;
+    let mut frames = FrameReader::with_memory(input, &FRAME_MEMORY, gateway);
+    let result = match accept_offer(&mut frames, &mut output, SUPPORTED_VERSIONS).await {
+        Ok(version) => answer(&mut frames, output, version, service).await.map_err(Into::into),
+        Err(error) => Err(error),
+    };
+    if let Err(VersionError::Malformed(error)) = &result {
+        frames.pause_after(error).await;
+    }
+    result
+}
+
+/// Answers the questions of a connection until it fails.
+async fn answer(
+    frames: &mut FrameReader<OwnedReadHalf>,
+    output: OwnedWriteHalf,
+    version: ProtocolVersion,
+    service: GatewayService,
+) -> Result<(), FrameError> {
     let legacy = (version == ProtocolVersion::LEGACY).then(|| Arc::new(service.clone()));
     let replies = spawn_writer(output, service.queued_bytes.clone());
     let histories = WaitingHistories::new(service.history_memory.clone());
     let mut distance = None;
     loop {
-        let RequestEnvelope { number, question } =
-            RequestEnvelope::read(&mut frames, version).await?;
+        let RequestEnvelope { number, question } = RequestEnvelope::read(frames, version).await?;
         let question = match &legacy {
             Some(service) => service.legacy.translate_question(question, &service.fleet()),
             None => question,
--- a/crates/ledger/src/server/peers/mod.rs
+++ b/crates/ledger/src/server/peers/mod.rs
@@ -7,16 +7,19 @@
 mod known;
 
 use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::LazyLock;
 use std::{io, thread};
 
 use calicohoist_replication::{GroupMessage, Message, ReplicaId};
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::version::accept_offer;
 use calicohoist_transport::{
-    ConnectionLimit, FrameReader, HEADER_BYTES, Link, LinkHandshake, RefusedFrameLog, VersionError,
-    tcp,
+    ConnectionLimit, FrameMemory, FrameReader, HEADER_BYTES, Link, LinkHandshake, RefusedFrameLog,
+    VersionError, tcp,
 };
-use calicohoist_wire::encode;
+use calicohoist_wire::{MAX_FRAME_BYTES, encode};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, oneshot};
@@ -34,8 +37,17 @@
 /// Maximum number of open connections of other machines. Each needs one.
 const MAX_CONNECTIONS: usize = 256;
 
+/// Maximum length of the frames before the first message, in bytes.
+const MAX_GREETING_BYTES: usize = 16 << 10;
+/// Memory of the frames that other machines and gateways send, in bytes.
+const FRAME_MEMORY_BYTES: usize = 16 << 20;
+
 static REFUSALS: RefusedFrameLog = RefusedFrameLog::new("ledger machine");
 
+/// Memory of the incoming frames of this process.
+pub(super) static FRAME_MEMORY: LazyLock<FrameMemory> =
+    LazyLock::new(|| FrameMemory::new(FRAME_MEMORY_BYTES));
+
 /// Messages to be sent to a replica.
 #[derive(Debug)]
 pub struct OutgoingMessages {
@@ -152,7 +164,7 @@
         }
         let receiver = PeerReceiver { identity, replica: replica.clone(), peers: peers.clone() };
         tokio::spawn(async move {
-            if let Err(error) = receiver.read(stream).await {
+            if let Err(error) = receiver.read(stream, address.ip()).await {
                 REFUSALS.record_version_error(address, &error);
             }
             drop(open);
@@ -168,16 +180,30 @@
 }
 
 impl PeerReceiver {
-    async fn read(self, stream: TcpStream) -> Result<(), VersionError> {
+    async fn read(self, stream: TcpStream, peer: IpAddr) -> Result<(), VersionError> {
         let (input, mut output) = stream.into_split();
-        let mut frames = FrameReader::new(input);
-        let version = accept_offer(&mut frames, &mut output, SUPPORTED_VERSIONS).await?;
-        let info = PeerInfo::read(&mut frames, version).await?;
+        let mut frames = FrameReader::with_memory(input, &FRAME_MEMORY, peer);
+        let result = self.receive(&mut frames, &mut output).await;
+        if let Err(VersionError::Malformed(error)) = &result {
+            frames.pause_after(error).await;
+        }
+        result
+    }
+
+    async fn receive(
+        self,
+        frames: &mut FrameReader<OwnedReadHalf>,
+        output: &mut OwnedWriteHalf,
+    ) -> Result<(), VersionError> {
+        frames.set_max_payload_len(MAX_GREETING_BYTES);
+        let version = accept_offer(frames, output, SUPPORTED_VERSIONS).await?;
+        let info = PeerInfo::read(frames, version).await?;
+        frames.set_max_payload_len(MAX_FRAME_BYTES);
         let from = info.replica;
         self.peers.record(&info, version);
         self.replica.register_peer(info);
         loop {
-            let Envelope { to, messages } = Envelope::read(&mut frames, version).await?;
+            let Envelope { to, messages } = Envelope::read(frames, version).await?;
             let is_for_this_replica = to == self.identity;
             let messages: Vec<GroupMessage> = if is_for_this_replica {
                 messages
--- a/crates/transport/src/frame.rs
+++ b/crates/transport/src/frame.rs
@@ -1,6 +1,7 @@
 //! Frame format: length, CRC-32C checksum, payload.
 
 use std::io;
+use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -10,13 +11,22 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::time::{Instant, timeout_at};
 
+use crate::memory::{FrameLease, FrameMemory};
+
 /// Size of the frame header: payload length and checksum.
 pub const HEADER_BYTES: usize = 8;
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Size up to which the buffer of a connection does not count as memory of frames.
+const UNCOUNTED_BUFFER_BYTES: usize = 2 * READ_BUFFER_BYTES;
+/// Capacity up to which a buffer grows by doubling.
+const MAX_DOUBLED_BYTES: usize = 4 << 20;
 /// Time in which the first frame of a connection begins.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time that any frame may take, however slow its link is.
 const FRAME_GRACE: Duration = Duration::from_secs(10);
+/// Time for which a connection stays open, unread, after a frame that was refused. This limits how
+/// often a peer sends such frames.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
 /// Minimum rate at which the bytes of a frame arrive that takes longer, in bytes a second.
 const MIN_BYTES_PER_SECOND: u32 = 16 << 10;
 
@@ -138,14 +148,46 @@
     input: R,
     buffer: BytesMut,
     last_frame_len: usize,
+    /// Maximum length of a payload in bytes.
+    max_payload_len: usize,
     /// When the first bytes of the incomplete frame in the buffer arrived.
     frame_began_at: Option<Instant>,
+    /// Memory of the buffer, which is released after it.
+    lease: FrameLease,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
-    /// Creates a reader of `input`.
+    /// Creates a reader of `input` with memory of its own for one frame.
     pub fn new(input: R) -> Self {
-        Self { input, buffer: BytesMut::new(), last_frame_len: 0, frame_began_at: None }
+        let memory = FrameMemory::new(MAX_FRAME_BYTES);
+        Self::with_memory(input, &memory, Ipv4Addr::UNSPECIFIED.into())
+    }
+
+    /// Creates a reader of `input`, which `peer` sends, that shares its memory with other readers.
+    pub fn with_memory(input: R, memory: &FrameMemory, peer: IpAddr) -> Self {
+        Self {
+            input,
+            buffer: BytesMut::new(),
+            last_frame_len: 0,
+            max_payload_len: MAX_FRAME_BYTES,
+            frame_began_at: None,
+            lease: memory.lease(peer),
+        }
+    }
+
+    /// Sets the maximum length of the next payloads, at most [`MAX_FRAME_BYTES`].
+    pub fn set_max_payload_len(&mut self, bytes: usize) {
+        self.max_payload_len = bytes.min(MAX_FRAME_BYTES);
+    }
+
+    /// Keeps the connection open for a while after an error, without memory. Returns at once if the
+    /// connection has failed.
+    pub async fn pause_after(mut self, error: &FrameError) {
+        if !matches!(error, FrameError::Io(_)) {
+            self.buffer = BytesMut::new();
+            self.lease.shrink(0);
+            tokio::time::sleep(REFUSAL_PAUSE).await;
+        }
     }
 
     /// Length of the last frame that was read, in bytes.
@@ -171,7 +213,9 @@
         mut on_bytes: impl FnMut(usize),
     ) -> Result<T, FrameError> {
         self.buffer_frame(&mut on_bytes).await?;
-        calicohoist_wire::decode(&self.take_payload()?)
+        let message = calicohoist_wire::decode(&self.take_payload()?);
+        self.release_buffer();
+        message
     }
 
     /// Reads the next payload if `predicate` accepts it. Otherwise leaves it for the next read.
@@ -225,14 +269,59 @@
             let began_at = *self.frame_began_at.get_or_insert_with(Instant::now);
             began_at + FRAME_GRACE + Duration::from_secs(buffered as u64) / MIN_BYTES_PER_SECOND
         });
-        self.buffer.reserve(READ_BUFFER_BYTES);
-        let read = self.input.read_buf(&mut self.buffer);
+        self.reserve_buffer().await?;
+        let Self { input, buffer, lease, .. } = self;
+        let read = async {
+            tokio::select! {
+                biased;
+                error = lease.evicted() => Err(error),
+                read = input.read_buf(buffer) => Ok(read?),
+            }
+        };
         match deadline {
-            Some(deadline) => {
-                Ok(timeout_at(deadline, read).await.map_err(|_| FrameError::Stalled)??)
+            Some(deadline) => timeout_at(deadline, read).await.map_err(|_| FrameError::Stalled)?,
+            None => read.await,
+        }
+    }
+
+    /// Makes room in the buffer for the next read, within its memory. A buffer doubles up to a limit and
+    /// then has room for the whole frame, so that it is not copied again.
+    async fn reserve_buffer(&mut self) -> Result<(), FrameError> {
+        let needed = self.buffer.len() + READ_BUFFER_BYTES;
+        if needed <= UNCOUNTED_BUFFER_BYTES {
+            self.buffer.reserve(READ_BUFFER_BYTES);
+        } else if needed > self.buffer.capacity() || self.lease.is_empty() {
+            let waits_from = Instant::now();
+            let grown = needed.max(match self.buffer.capacity() {
+                capacity @ ..MAX_DOUBLED_BYTES => 2 * capacity,
+                _ => self.announced_bytes(),
+            });
+            if self.lease.is_empty() {
+                // A buffer without bytes of earlier frames grows in place.
+                self.buffer = BytesMut::from(&self.buffer[..]);
             }
-            None => Ok(read.await?),
+            self.lease.grow(grown).await?;
+            // The peer is not late while its frame waits.
+            self.frame_began_at = self.frame_began_at.map(|at| at + waits_from.elapsed());
+            self.buffer.reserve(grown - self.buffer.len());
+        }
+        Ok(())
+    }
+
+    /// Size of the next frame according to its header, as far as this has arrived, in bytes.
+    fn announced_bytes(&self) -> usize {
+        let header = self.buffer.first_chunk::<HEADER_BYTES>();
+        header.map_or(0, |header| HEADER_BYTES + split_header(header).0)
+    }
+
+    /// Releases the memory of a large frame that has been decoded.
+    fn release_buffer(&mut self) {
+        if self.lease.is_empty() {
+            return;
         }
+        self.buffer = BytesMut::from(&self.buffer[..]);
+        let is_counted = self.buffer.len() + READ_BUFFER_BYTES > UNCOUNTED_BUFFER_BYTES;
+        self.lease.shrink(if is_counted { self.buffer.len() } else { 0 });
     }
 
     /// Length of the next payload if it is completely buffered.
@@ -241,7 +330,7 @@
             return Ok(None);
         };
         let (length, _) = split_header(header);
-        if length > MAX_FRAME_BYTES {
+        if length > self.max_payload_len {
             return Err(FrameError::TooLong(length));
         }
         Ok((self.buffer.len() >= HEADER_BYTES + length).then_some(length))
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -26,6 +26,9 @@
     /// The bytes of the payload arrive too slowly.
     #[error("frame arrives too slowly")]
     Stalled,
+    /// The frame gives way to those of other connections, which need less memory or arrive faster.
+    #[error("no memory for the frame beside those of other connections")]
+    NoMemory,
     /// The peer sends one frame after another that nothing waits for.
     #[error("too many frames that were not requested")]
     Unrequested,
