--- a/crates/calicohoist/tests/gateway_stops.rs
+++ b/crates/calicohoist/tests/gateway_stops.rs
@@ -1,14 +1,17 @@
 //! Gateways of a settings file under stops and a lack of descriptors, from the callers' side.
 
+#[path = "support/gateway_log.rs"]
+mod gateway_log;
+
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, ChildStderr, ChildStdout, Command, Stdio};
-use std::sync::mpsc::channel;
+use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use gateway_log::read_address;
 use rustix::process::{Pid, Signal, kill_process};
 
 /// Longer than the gateway waits for a store.
@@ -37,7 +40,7 @@
         );
         fs::write(&file, text).expect("written");
         let mut child = gateway_command(&file, max_descriptors).spawn().expect("started");
-        let address = read_address(&mut child);
+        let address = read_address(&mut child, CALLER_TIMEOUT);
         Self { child, address, _folder: folder }
     }
 
@@ -80,28 +83,6 @@
     command
 }
 
-/// Returns the address in the log line of the start, and reads the rest of the log.
-fn read_address(child: &mut Child) -> SocketAddr {
-    let (sender, receiver) = channel();
-    let stdout: ChildStdout = child.stdout.take().expect("piped");
-    let stderr: ChildStderr = child.stderr.take().expect("piped");
-    let outputs: [Box<dyn Read + Send>; 2] = [Box::new(stdout), Box::new(stderr)];
-    for output in outputs {
-        let sender = sender.clone();
-        thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                eprintln!("{line}");
-                let mut words = line.split_whitespace();
-                if let Some(address) = words.find_map(|word| word.strip_prefix("http=")) {
-                    let _ = sender.send(address.to_owned());
-                }
-            }
-        });
-    }
-    let address = receiver.recv_timeout(CALLER_TIMEOUT).expect("the gateway starts");
-    address.parse().expect("an address")
-}
-
 /// Reads one response whole; `None` if the connection ends before its end.
 fn read_response(stream: &mut TcpStream) -> Option<String> {
     let mut input = BufReader::with_capacity(1, stream);
--- a/crates/calicohoist/tests/planned_stops/deployment.rs
+++ b/crates/calicohoist/tests/planned_stops/deployment.rs
@@ -1,11 +1,9 @@
 //! A gateway process with a store and a tool service in the test's own process.
 
-use std::io::{BufRead, BufReader, Read};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,6 +15,7 @@
 use serde_json::json;
 
 use crate::caller::{Answer, request};
+use crate::gateway_log::read_address;
 
 /// Longest wait for a step of the deployment.
 const STEP_TIMEOUT: Duration = Duration::from_secs(20);
@@ -105,7 +104,7 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("started");
-        let address = read_address(&mut child);
+        let address = read_address(&mut child, STEP_TIMEOUT);
         let deployment = Self {
             child,
             address,
@@ -169,25 +168,3 @@
         let _ = self.child.wait();
     }
 }
-
-/// Returns the address in the log line of the start, and reads the rest of the log.
-fn read_address(child: &mut Child) -> SocketAddr {
-    let (sender, receiver) = channel();
-    let stdout = child.stdout.take().expect("piped");
-    let stderr = child.stderr.take().expect("piped");
-    let outputs: [Box<dyn Read + Send>; 2] = [Box::new(stdout), Box::new(stderr)];
-    for output in outputs {
-        let sender = sender.clone();
-        thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                eprintln!("{line}");
-                let mut words = line.split_whitespace();
-                if let Some(address) = words.find_map(|word| word.strip_prefix("http=")) {
-                    let _ = sender.send(address.to_owned());
-                }
-            }
-        });
-    }
-    let address = receiver.recv_timeout(STEP_TIMEOUT).expect("the gateway starts");
-    address.parse().expect("an address")
-}
--- a/crates/calicohoist/tests/planned_stops/main.rs
+++ b/crates/calicohoist/tests/planned_stops/main.rs
@@ -1,5 +1,8 @@
 //! Calls of a stopping gateway, as callers see them.
 
+#[path = "../support/gateway_log.rs"]
+mod gateway_log;
+
 mod caller;
 mod deployment;
 mod stores;
