Scheduler: count the work done for waiting turns

How much of a leader's time goes to turns that wait could be seen in samples of a process only. The scheduler counts rankings of waiting turns and searches of replicas for them; EngineSpeed logs both.

--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use calicohoist_routing::ColdTolerance;
-use calicohoist_scheduler::{Decision, PlacementRequest, TurnRun, TurnScheduler};
+use calicohoist_scheduler::{Decision, PlacementRequest, QueueWork, TurnRun, TurnScheduler};
 use calicohoist_telemetry::{Event, emit};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -78,6 +78,7 @@
             return;
         }
         self.speeds_logged_at = Some(now);
+        let QueueWork { ranked, searches } = self.scheduler.work();
         for (service, speed) in self.scheduler.engine_speeds() {
             emit!(
                 Event::EngineSpeed;
@@ -86,6 +87,8 @@
                 slowdown = format_estimate(speed.slowdown()),
                 alone_ms = format_estimate(speed.uncontended_turn_ms()),
                 waiting = self.scheduler.waiting(),
+                ranked = ranked,
+                searches = searches,
                 spread = format!("{:.2}", self.scheduler.mean_relative_token_time(service)),
             );
         }
@@ -130,6 +133,11 @@
         decision
     }
 
+    /// Returns the work done for waiting turns.
+    pub fn work(&self) -> QueueWork {
+        self.state.lock().scheduler.work()
+    }
+
     /// Passes the load reported by a gateway to the scheduler, once per term.
     pub fn record_report(&self, term: u64, gateway: &str, loads: &[(String, u32)]) {
         let mut state = self.state.lock();
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -137,11 +137,21 @@
     }
 }
 
+/// Work done for waiting turns, since the scheduler was created.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueWork {
+    /// Waiting turns that were ranked.
+    pub ranked: u64,
+    /// Searches of the replicas for a waiting turn.
+    pub searches: u64,
+}
+
 /// Decides when and where turns run.
 #[derive(Debug, Default)]
 pub struct TurnScheduler {
     placer: Placer,
     waiting: HashMap<String, WaitingTurn>,
+    work: QueueWork,
     /// Time before which no decision is made, because load reports are still arriving.
     paused_until: Option<Instant>,
 }
@@ -219,8 +229,10 @@
         while self.is_ready(now)
             && let Some(turn) = self.next_turn(&skipped, now)
         {
+            self.work.ranked += self.waiting.len() as u64;
             let waiting = &self.waiting[&turn];
             let limit = waiting.limit();
+            self.work.searches += 1;
             let placement = self.placer.place(&turn, &waiting.request, view, limit, now);
             let Some(decision) = waiting.decision_for(placement, now) else {
                 skipped.push(turn);
@@ -264,6 +276,11 @@
         self.waiting.len()
     }
 
+    /// Returns the work done for waiting turns.
+    pub fn work(&self) -> QueueWork {
+        self.work
+    }
+
     fn is_ready(&self, now: Instant) -> bool {
         self.paused_until.is_none_or(|paused_until| paused_until <= now)
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -30,7 +30,7 @@
 pub mod retry;
 pub mod speed;
 
-pub use admission::{Decision, TurnScheduler};
+pub use admission::{Decision, QueueWork, TurnScheduler};
 pub use cold::{ColdAdmission, ColdLimiter};
 pub use cost::{CostInputs, CostWeights, choose, cost_millis};
 pub use outliers::OutlierDetector;
