Scheduler: waiting turns are placed once for all turns that have ended

Callers saw turns answered late or not at all on a large deployment after a burst, and for tens of seconds after its end.

Cause: each end of a turn, also one that the leader had recorded before, ranked all waiting turns once for each that could run and once more, and searched all replicas for the first of them. The more turns waited the slower the leader was, and the slower it was the more of them waited and the more settlements were sent again.

Change: an end of a turn only signals the placement, which runs at most every 5 ms and ranks the waiting turns once. The order of decisions is the same.

Ruled out: the searches alone; with 600 turns waiting, ranking is most of it.

Before and after, 255 gateways settling 5,100 turns while 600 wait: 5,100 and 0 searches, 3,060,000 and 0 rankings; 255 replicas freed: 511 and at most 256 searches, 241,320 and at most 600 rankings. The leader is still behind for 15 s; that has other causes.

--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -18,8 +18,11 @@
 use crate::server::list::{DiscoverySnapshot, FleetSnapshot};
 use crate::server::replica::{Request, Response};
 
-/// Interval at which waiting turns are reconsidered.
+/// Interval at which waiting turns are reconsidered while no turn ends.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(20);
+/// Minimum time between two placements of waiting turns. Each takes longer the more turns wait, so
+/// their rate must not follow that of the turns that end.
+const MIN_PLACEMENT_INTERVAL: Duration = Duration::from_millis(5);
 
 impl GatewayService {
     /// Makes a reservation. Once it is granted, issues the permit and places the turn.
@@ -225,7 +228,7 @@
         }
     }
 
-    /// Places waiting turns periodically. Runs until the process ends.
+    /// Places waiting turns once others have ended, and periodically. Runs until the process ends.
     pub async fn run_placement(self) {
         loop {
             self.turns.wait_for_work().await;
@@ -235,7 +238,8 @@
             } else {
                 self.turns.cancel_waiting(&self.not_leader(status.leader));
             }
-            tokio::time::sleep(PLACEMENT_INTERVAL).await;
+            tokio::time::sleep(MIN_PLACEMENT_INTERVAL).await;
+            self.turns.wait_for_capacity(PLACEMENT_INTERVAL - MIN_PLACEMENT_INTERVAL).await;
         }
     }
 }
--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -24,6 +24,8 @@
     state: Mutex<DispatcherState>,
     /// Signals that a turn waits.
     waiting: Notify,
+    /// Signals that a turn has ended, which may let another one run.
+    ended: Notify,
 }
 
 #[derive(Default)]
@@ -177,7 +179,7 @@
         }
     }
 
-    /// Removes an ended turn, and places waiting turns that may run now.
+    /// Removes an ended turn. [`Self::wait_for_capacity`] returns for those that wait.
     pub fn end(&self, settle: &SettleTurn, fleet: &FleetSnapshot) {
         duties::timed(Duty::EndTurn, || {
             let ran_at = settle.run.as_ref().map(|run| run.replica.as_str());
@@ -186,8 +188,8 @@
             state.responders.remove(&settle.turn);
             state.log_speeds();
             state.update_list(&fleet.discovery);
-            state.decide(fleet);
         });
+        self.ended.notify_one();
     }
 
     /// Places the waiting turns that can run now.
@@ -208,6 +210,12 @@
         }
     }
 
+    /// Returns once a turn has ended since the last call, or after `timeout`.
+    pub async fn wait_for_capacity(&self, timeout: Duration) {
+        // Waiting turns also expire while none ends.
+        let _ = tokio::time::timeout(timeout, self.ended.notified()).await;
+    }
+
     /// Returns once at least one turn is waiting.
     pub async fn wait_for_work(&self) {
         loop {
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -224,24 +224,34 @@
     /// Decides on waiting turns in order of rank. A turn for which no replica has capacity stays
     /// queued and does not block turns with other eligible replicas.
     pub fn decide(&mut self, view: &FleetView<'_>, now: Instant) -> Vec<(String, Decision)> {
+        let mut decisions =
+            if self.is_ready(now) { self.place_waiting(view, now) } else { Vec::new() };
+        for (turn, _) in &decisions {
+            self.waiting.remove(turn);
+        }
+        self.expire(now, &mut decisions);
+        decisions
+    }
+
+    /// Places the waiting turns for which there is capacity. All of them are ranked once.
+    fn place_waiting(&mut self, view: &FleetView<'_>, now: Instant) -> Vec<(String, Decision)> {
+        let Self { placer, waiting, work, .. } = self;
+        work.ranked += waiting.len() as u64;
+        let mut ranked: Vec<_> = waiting.iter().collect();
+        ranked.sort_unstable_by_key(|(turn, waiting)| (waiting.rank(now), turn.as_str()));
         let mut decisions = Vec::new();
-        let mut skipped = Vec::new();
-        while self.is_ready(now)
-            && let Some(turn) = self.next_turn(&skipped, now)
-        {
-            self.work.ranked += self.waiting.len() as u64;
-            let waiting = &self.waiting[&turn];
-            let limit = waiting.limit();
-            self.work.searches += 1;
-            let placement = self.placer.place(&turn, &waiting.request, view, limit, now);
-            let Some(decision) = waiting.decision_for(placement, now) else {
-                skipped.push(turn);
+        let mut without_capacity: Vec<&WaitingTurn> = Vec::new();
+        for (turn, waiting) in ranked {
+            if without_capacity.iter().any(|other| other.competes_with(waiting)) {
                 continue;
-            };
-            self.waiting.remove(&turn);
-            decisions.push((turn, decision));
+            }
+            work.searches += 1;
+            let placement = placer.place(turn, &waiting.request, view, waiting.limit(), now);
+            match waiting.decision_for(placement, now) {
+                Some(decision) => decisions.push((turn.clone(), decision)),
+                None => without_capacity.push(waiting),
+            }
         }
-        self.expire(now, &mut decisions);
         decisions
     }
 
@@ -285,16 +295,6 @@
         self.paused_until.is_none_or(|paused_until| paused_until <= now)
     }
 
-    /// Returns the first waiting turn, by rank, that does not compete with any of `skipped`.
-    fn next_turn(&self, skipped: &[String], now: Instant) -> Option<String> {
-        let may_have_capacity = |(_, waiting): &(&String, &WaitingTurn)| {
-            !skipped.iter().any(|turn| self.waiting[turn].competes_with(waiting))
-        };
-        let candidates = self.waiting.iter().filter(may_have_capacity);
-        let first = candidates.min_by_key(|(turn, waiting)| (waiting.rank(now), *turn));
-        first.map(|(turn, _)| turn.clone())
-    }
-
     fn expire(&mut self, now: Instant, decisions: &mut Vec<(String, Decision)>) {
         let is_expired = |waiting: &WaitingTurn| waiting.expires_at <= now;
         let expired = self.waiting.iter().filter(|(_, waiting)| is_expired(waiting));
