Streams: a response is read while its record is stored

Callers were refused for a lack of replicas, and waited for them, while most slots were free.

Cause: the gateway read the first event of a resumable stream, then waited up to a second for the record of its origin, and only then read on. While the ledger was slow the replica was held up, and the time of its turn, from which the leader estimates the speed of all replicas, contained the wait. The leader took its own delay for that of the engines (slowdown 12 of engines at 1.3), and let new programs begin only where a quarter of the slots was taken, so that more turns waited at the leader.

Change: events are read while the record is stored; none of them reaches the client before, as before.

Ruled out: slow engines.

--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -84,14 +84,15 @@
             return Err(error);
         }
     };
-    if first.is_some()
-        && let Some(record) = relay.bind_stream().await
-    {
-        record.wait(app, call).await;
-    }
+    let record = if first.is_some() { relay.bind_stream().await } else { None };
     let headers = relay.headers();
     let (sender, chunks) = mpsc::unbounded_channel();
+    // The replica's response is read meanwhile: neither its slot nor the time of its turn depends on
+    // how long the ledger takes.
     tokio::spawn(relay.run(first, sender));
+    if let Some(record) = record {
+        record.wait(app, call).await;
+    }
     let mut response = Response::new(ResponseBody::streamed(chunks));
     *response.headers_mut() = headers;
     Ok(response)
