Ledger: programs that have spent their budget cost no entry of the log

Change: the leader answers from its state if all turns of the program have ended, when charges only grow, so the answer is the one that the log would give. Near the end of the account's retention the reservation is proposed as before, so that it is extended.

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -340,6 +340,10 @@
                 self.origins.limit_extension(&mut reserve);
                 if let Some(state) = self.node.machine(GROUP) {
                     reserve.previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
+                    if self.leads() && state.has_spent_budget(&reserve) {
+                        // A program that goes on asking costs no entry of the log for each question.
+                        return respond(without_history(Reservation::BudgetSpent));
+                    }
                 }
                 let command = Command::Reserve(reserve.clone());
                 self.propose(&command, PendingRequest::Reserve(reserve, respond));
@@ -658,11 +662,6 @@
         reserve: &ReserveTurn,
         reservation: Reservation,
     ) -> Response {
-        let without_history = |reservation| Response::Reserved {
-            reservation,
-            history: Vec::new(),
-            is_under_way: false,
-        };
         if reservation != Reservation::Granted {
             return without_history(reservation);
         }
@@ -819,6 +818,11 @@
     }
 }
 
+/// Returns the response to a reservation that was not granted.
+fn without_history(reservation: Reservation) -> Response {
+    Response::Reserved { reservation, history: Vec::new(), is_under_way: false }
+}
+
 /// Returns whether the requester has timed out. Gateways do not give up on settling turns.
 fn is_overdue(request: &Request, age: Duration) -> bool {
     match request {
--- a/crates/ledger/src/state/accounts.rs
+++ b/crates/ledger/src/state/accounts.rs
@@ -61,6 +61,21 @@
         Reservation::Granted
     }
 
+    /// Returns whether a reservation will be rejected for its budget whatever is applied before it:
+    /// charges of ended turns never fall. Not answered shortly before the account expires, so that
+    /// rejected reservations extend its retention too.
+    pub fn is_spent_for(&self, reserve: &ReserveTurn, now_ms: u64) -> bool {
+        let program = reserve.program.as_ref();
+        let Some(account) = program.and_then(|program| self.programs.get(program)) else {
+            return false;
+        };
+        let has_ended = |charge: &Charge| matches!(charge, Charge::Settled(_));
+        account.charged.saturating_add(reserve.most_tokens) > reserve.budget
+            && account.keep_until_ms >= now_ms.saturating_add(reserve.retention_ms / 2)
+            && !account.charges.contains_key(&reserve.turn)
+            && account.charges.values().all(has_ended)
+    }
+
     /// Replaces the charge of a turn by the tokens it used. Repeated reports are ignored.
     pub fn settle(&mut self, settle: &SettleTurn, now_ms: u64) {
         let Some(program) = &settle.program else {
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -25,8 +25,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{
-    Command, Output, Reservation, ReserveTurn, SettleTurn, cleared_key_prefix, crash_key_prefix,
-    find_cleared_crash, find_crash,
+    Command, Output, Reservation, ReserveTurn, SettleTurn, TurnId, cleared_key_prefix,
+    crash_key_prefix, find_cleared_crash, find_crash,
 };
 
 /// Maximum number of runs buffered for the reader.
@@ -149,6 +149,13 @@
         &self.accounts
     }
 
+    /// Returns whether applying a reservation would reject it for its budget, now and later.
+    pub fn has_spent_budget(&self, reserve: &ReserveTurn) -> bool {
+        let is_retained = |previous: &TurnId| self.turns.contains(previous);
+        reserve.previous.as_ref().is_none_or(is_retained)
+            && self.accounts.is_spent_for(reserve, self.clock_ms)
+    }
+
     /// Returns the ledger machines.
     pub fn machines(&self) -> &Machines {
         &self.machines
