Placement: less is computed for each replica that is compared

Now the region of a replica is looked up only for a request with home regions, the parts of a prompt once instead of twice, whether turns compete begins with what differs most often, gateways name connected replicas of the turn's service only, and waiting turns are placed at most every 10 ms.

--- a/crates/ledger/src/server/gateways/turns.rs
+++ b/crates/ledger/src/server/gateways/turns.rs
@@ -22,7 +22,7 @@
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum time between two placements of waiting turns. Each takes longer the more turns wait, so
 /// their rate must not follow that of the turns that end.
-const MIN_PLACEMENT_INTERVAL: Duration = Duration::from_millis(5);
+const MIN_PLACEMENT_INTERVAL: Duration = Duration::from_millis(10);
 
 impl GatewayService {
     /// Makes a reservation. Once it is granted, issues the permit and places the turn.
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -117,6 +117,16 @@
         }
     }
 
+    /// Returns the ids of the replicas of a service to which there is an idle connection.
+    pub fn connected_replicas(&self, service: &str) -> Vec<String> {
+        let mut connected = self.pool.connected();
+        let is_of_service = |id: &String| {
+            self.fleet.find(id).is_some_and(|member| member.replica.service == service)
+        };
+        connected.retain(is_of_service);
+        connected
+    }
+
     /// Returns the dialect of the platform.
     pub fn dialect(&self) -> &dyn Dialect {
         self.settings.dialect.as_ref()
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -369,7 +369,7 @@
     Some(PlacementRequest {
         service: service.name.clone(),
         zone: app.settings.zone.clone(),
-        connected: app.pool.connected(),
+        connected: app.connected_replicas(&service.name),
         prompt: call.head.prompt.clone(),
         memory_tokens: engine.memory_tokens,
         left_ms: millis(call.time_left()),
--- a/crates/routing/src/eligibility.rs
+++ b/crates/routing/src/eligibility.rs
@@ -121,7 +121,8 @@
         if replica.state != ReplicaState::Ready {
             return Eligibility::Draining;
         }
-        if !self.homes.allows(self.topology.region_of(&replica.zone)) {
+        if self.homes.is_restricted() && !self.homes.allows(self.topology.region_of(&replica.zone))
+        {
             return Eligibility::OutsideHome;
         }
         if self.drained.contains(&replica.zone) {
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -122,10 +122,10 @@
     /// Whether both turns have the same eligible replicas and the same limit, so that neither can
     /// be placed if the other cannot.
     fn competes_with(&self, other: &Self) -> bool {
-        self.request.service == other.request.service
+        self.request.is_under_way == other.request.is_under_way
+            && self.request.service == other.request.service
             && self.request.homes == other.request.homes
             && self.request.version == other.request.version
-            && self.request.is_under_way == other.request.is_under_way
     }
 
     fn limit(&self) -> ConcurrencyLimit {
--- a/crates/scheduler/src/prefix.rs
+++ b/crates/scheduler/src/prefix.rs
@@ -47,10 +47,15 @@
 
     /// Counts the tokens of a prompt that are not cached.
     pub(crate) fn uncached(&self, prompt: &[PromptPart]) -> UncachedTokens {
-        let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
+        let Some((last, shared)) = prompt.split_last() else {
+            return UncachedTokens { all: 0, shared: 0 };
+        };
+        let uncached_shared = total_tokens(shared) - self.cached(shared);
+        // Without the parts before it, the last one is computed again.
+        let cached_last = if uncached_shared == 0 { self.cached_tokens(last) } else { 0 };
         UncachedTokens {
-            all: total_tokens(prompt) - self.cached(prompt),
-            shared: total_tokens(shared) - self.cached(shared),
+            all: uncached_shared + u64::from(last.tokens - cached_last),
+            shared: uncached_shared,
         }
     }
 
@@ -58,10 +63,7 @@
     fn cached(&self, prompt: &[PromptPart]) -> u64 {
         let mut cached = 0;
         for part in prompt {
-            let cached_tokens = self
-                .parts
-                .get(&part.id)
-                .map_or(0, |cached_part| cached_part.tokens.min(part.tokens));
+            let cached_tokens = self.cached_tokens(part);
             cached += u64::from(cached_tokens);
             if cached_tokens < part.tokens {
                 break;
@@ -70,6 +72,10 @@
         cached
     }
 
+    fn cached_tokens(&self, part: &PromptPart) -> u32 {
+        self.parts.get(&part.id).map_or(0, |cached_part| cached_part.tokens.min(part.tokens))
+    }
+
     fn record(&mut self, part: PromptPart, last_use: u64) {
         let cached_part =
             self.parts.entry(part.id).or_insert(CachedPart { tokens: 0, last_use: 0 });
