Streams: events are written before a stream that broke off is aborted

Since responses are read while their record is stored, a stream whose replica broke off meanwhile reached its client without the events that were read: chunks and abort came to the connection at once, and an aborted connection discards what it has not written.

Change: a streamed body is pending once between its chunks and the abort, when the connection writes them. That also holds for streams that break off just after an event.

--- a/crates/proxy/src/flow/response.rs
+++ b/crates/proxy/src/flow/response.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
@@ -39,7 +39,7 @@
 
     /// Creates a body that ends with [`BodyPart::End`], and is aborted when the channel closes before.
     pub fn streamed(chunks: ChunkReceiver) -> Self {
-        Self::Streamed(StreamedBody { chunks, next: None })
+        Self::Streamed(StreamedBody { chunks, next: None, is_flushed: true })
     }
 }
 
@@ -93,6 +93,8 @@
     chunks: ChunkReceiver,
     /// Received after the chunk that was sent last.
     next: Option<BodyPart>,
+    /// Whether the connection has had the occasion to write all chunks.
+    is_flushed: bool,
 }
 
 impl StreamedBody {
@@ -102,13 +104,28 @@
     ) -> Poll<Option<Result<Bytes, BodyAborted>>> {
         let first = match self.next.take() {
             Some(next) => Some(next),
-            None => ready!(self.chunks.poll_recv(context)),
+            None => match self.chunks.poll_recv(context) {
+                Poll::Ready(part) => part,
+                Poll::Pending => {
+                    self.is_flushed = true;
+                    return Poll::Pending;
+                }
+            },
         };
-        Poll::Ready(match first {
-            Some(BodyPart::Chunk(first)) => Some(Ok(self.join_waiting(first))),
-            Some(BodyPart::End) => None,
-            None => Some(Err(BodyAborted)),
-        })
+        match first {
+            Some(BodyPart::Chunk(first)) => {
+                self.is_flushed = false;
+                Poll::Ready(Some(Ok(self.join_waiting(first))))
+            }
+            Some(BodyPart::End) => Poll::Ready(None),
+            None if self.is_flushed => Poll::Ready(Some(Err(BodyAborted))),
+            // An aborted connection discards what it has not written. It writes while a body is pending.
+            None => {
+                self.is_flushed = true;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
     }
 
     /// Appends the chunks that wait to `first`, up to a maximum size.
