--- a/crates/ledger/src/server/turns.rs
+++ b/crates/ledger/src/server/turns.rs
@@ -179,7 +179,7 @@
         }
     }
 
-    /// Removes an ended turn. [`Self::wait_for_capacity`] returns for those that wait.
+    /// Removes an ended turn, and wakes [`Self::wait_for_capacity`].
     pub fn end(&self, settle: &SettleTurn, fleet: &FleetSnapshot) {
         duties::timed(Duty::EndTurn, || {
             let ran_at = settle.run.as_ref().map(|run| run.replica.as_str());
