Tests: retained turns and budgets that are forgotten up to 5 s early, red

With real processes (three ledger machines, one gateway), judged at callers: a turn each 100 ms, each continued 0.3 s before its retention ends, counted from its last byte; programs whose budget is spent and that ask again 0.4 s before it ends.

The number from an environment variable is read in one place now, tests/cluster.

--- a/crates/calicohoist/tests/acknowledged/double_fault.rs
+++ b/crates/calicohoist/tests/acknowledged/double_fault.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom as _;
 
 use crate::STORE_IPS;
-use crate::durability::number_from_environment;
+use crate::cluster::number_from_environment;
 use crate::final_fault::{KilledDeployment, kill_in_turn};
 
 /// Seed of the first deployment; overridden by `DOUBLE_FAULT_SEED`.
--- a/crates/calicohoist/tests/acknowledged/durability.rs
+++ b/crates/calicohoist/tests/acknowledged/durability.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rustix::process::Signal;
 
-use crate::cluster::{GATEWAY_IPS, Process};
+use crate::cluster::{GATEWAY_IPS, Process, number_from_environment};
 use crate::support::{ScriptedReplica, client, configuration, wait_until};
 use crate::{Ledger, STORE_IPS, version_of};
 
@@ -274,10 +274,6 @@
     })
 }
 
-pub fn number_from_environment(name: &str, default: u64) -> u64 {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 #[test]
 fn acknowledged_changes_survive_faults_of_the_machine_that_acknowledged_them() {
     let first = number_from_environment("ACKNOWLEDGED_SEED", FIRST_SEED);
--- a/crates/calicohoist/tests/acknowledged/failing_disk.rs
+++ b/crates/calicohoist/tests/acknowledged/failing_disk.rs
@@ -9,8 +9,7 @@
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
 
-use crate::cluster::{BUILD_UNDER_TEST, Cluster, Process};
-use crate::durability::number_from_environment;
+use crate::cluster::{BUILD_UNDER_TEST, Cluster, Process, number_from_environment};
 use crate::final_fault::KilledDeployment;
 use crate::{
     Ledger, STORE_IPS, assert_answered, configuration, large_configuration, read_response,
--- a/crates/calicohoist/tests/acknowledged/final_fault.rs
+++ b/crates/calicohoist/tests/acknowledged/final_fault.rs
@@ -15,8 +15,8 @@
 use rustix::process::Signal;
 use serde_json::Value;
 
-use crate::cluster::{Cluster, GATEWAY_IPS, Process};
-use crate::durability::{number_from_environment, start_model};
+use crate::cluster::{Cluster, GATEWAY_IPS, Process, number_from_environment};
+use crate::durability::start_model;
 use crate::support::replica::RecordedRequest;
 use crate::support::{Response, ScriptedReplica, client, configuration, request_head, wait_until};
 use crate::{Ledger, STORE_IPS, large_configuration, request, version_of};
--- a/crates/calicohoist/tests/acknowledged/growing_configuration.rs
+++ b/crates/calicohoist/tests/acknowledged/growing_configuration.rs
@@ -11,8 +11,8 @@
 use serde_json::json;
 
 use crate::Ledger;
-use crate::cluster::{Cluster, GATEWAY_IPS, Process, STORE_IPS};
-use crate::durability::{number_from_environment, start_model};
+use crate::cluster::{Cluster, GATEWAY_IPS, Process, STORE_IPS, number_from_environment};
+use crate::durability::start_model;
 use crate::final_fault::{try_exchange, turn_request};
 use crate::support::{configuration, wait_until};
 
--- a/crates/calicohoist/tests/acknowledged/large_configurations.rs
+++ b/crates/calicohoist/tests/acknowledged/large_configurations.rs
@@ -9,8 +9,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rustix::process::Signal;
 
-use crate::cluster::Cluster;
-use crate::durability::number_from_environment;
+use crate::cluster::{Cluster, number_from_environment};
 use crate::final_fault::{RETRY_INTERVAL, try_exchange};
 use crate::support::configuration;
 use crate::{Ledger, Process, STORE_IPS, request, version_of};
--- a/crates/calicohoist/tests/acknowledged/recovery.rs
+++ b/crates/calicohoist/tests/acknowledged/recovery.rs
@@ -13,8 +13,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 
 use crate::STORE_IPS;
-use crate::cluster::GATEWAY_IPS;
-use crate::durability::number_from_environment;
+use crate::cluster::{GATEWAY_IPS, number_from_environment};
 use crate::final_fault::{
     KilledDeployment, RETRY_INTERVAL, Turn, kill_in_turn, start_in_random_order, try_exchange,
     turn_request,
--- a/crates/calicohoist/tests/cluster/mod.rs
+++ b/crates/calicohoist/tests/cluster/mod.rs
@@ -33,6 +33,12 @@
 const DEFAULT_LEDGER_MEMORY_MB: usize = 120;
 const DEFAULT_GRACE: Duration = Duration::from_secs(8);
 
+/// Returns the number in an environment variable, or `default` if it is not set.
+pub fn number_from_environment(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| text.parse().expect("a number"))
+}
+
 /// Ports, the same on all nodes.
 #[derive(Clone, Copy)]
 pub struct Ports {
--- /dev/null
+++ b/crates/calicohoist/tests/retained/main.rs
@@ -0,0 +1,14 @@
+//! What is kept for a time, with real processes: retained turns and the accounts of programs, judged
+//! at their callers.
+//!
+//! `RETAINED_RETENTION_S` and `RETAINED_LOAD_S` lengthen the runs by hand.
+
+#[path = "../../../../platform/tests/support/mod.rs"]
+mod support;
+
+#[path = "../cluster/mod.rs"]
+mod cluster;
+
+mod budgets;
+mod deployment;
+mod turns;
