Ledger: durations in the log begin when they are proposed, not at the last step of the clock

Callers got 404 for turns up to 5 s before their retention ended, and programs had a spent budget again. The clock of the state moves once in 5 s by all the time since; what was stored in between ended at the clock's old time plus its retention, and the next step took the time from before the record away again. After a pause of the leader it was worse: inputs that had waited are handled before the next step, so a pause of 30 s was taken away from a turn stored right after it. And the first step of a new leader covered the time since its last tick as a follower, which the leader before had counted: the clock ran ahead after a long flush.

A leader now has a LeaderClock: it knows up to which moment of its term the state's clock was advanced. Each command passes it once, where it is proposed, and has the lag added to its durations; Command::retention_ms_mut names them exhaustively, so a new command must say whether it has one. Time is counted from the moment at which the term is seen, whole milliseconds at a time and without a remainder that is lost.

Ruled out: a shorter interval (each step looks at all turns, and the lag stays), a step before each command (twice the entries), an interval added to all durations (wrong after a pause of the leader), an end computed when a command is applied (builds side by side would differ).

--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -87,6 +87,26 @@
     },
 }
 
+impl Command {
+    /// Returns the time for which the command keeps anything, in ms; `None` if it keeps nothing for a
+    /// time of the clock of the state.
+    pub fn retention_ms_mut(&mut self) -> Option<&mut u64> {
+        match self {
+            Self::Reserve(reserve) => Some(&mut reserve.retention_ms),
+            Self::Settle(settle) => Some(&mut settle.retention_ms),
+            // Permits have a clock of their own.
+            Self::NotePermits { .. } => None,
+            Self::PutConfiguration { .. }
+            | Self::Advance { .. }
+            | Self::Enroll { .. }
+            | Self::Retire { .. }
+            | Self::Seal
+            | Self::DrainZone { .. }
+            | Self::RestoreZone { .. } => None,
+        }
+    }
+}
+
 /// Reserves tokens for one turn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReserveTurn {
--- /dev/null
+++ b/crates/ledger/src/server/replica/clock.rs
@@ -0,0 +1,66 @@
+//! Time of a leadership that the clock of the state does not show yet.
+//!
+//! The clock of the state moves in steps, each by the time since the one before. A duration that is
+//! written to the log between two steps would lose the time since the last one, so a leader adds it.
+//! The clock never runs ahead of real time: a leader counts no time from before it led, which earlier
+//! leaders have counted.
+
+use std::time::Duration;
+
+use calicohoist_types::Moment;
+
+use super::CLOCK_INTERVAL;
+use crate::commands::Command;
+
+/// Clock of a leader, from which it advances the clock of the state.
+#[derive(Debug, Default)]
+pub struct LeaderClock {
+    leadership: Option<Leadership>,
+}
+
+/// A term in which this machine leads.
+#[derive(Clone, Copy, Debug)]
+struct Leadership {
+    term: u64,
+    /// Time up to which the clock of the state has been advanced.
+    counted_until: Moment,
+}
+
+impl LeaderClock {
+    /// Follows the leadership of this machine; `term` is the one in which it leads, if it does. Called
+    /// before each use of the clock.
+    pub fn follow(&mut self, term: Option<u64>, now: Moment) {
+        if self.leadership.map(|leadership| leadership.term) != term {
+            self.leadership = term.map(|term| Leadership { term, counted_until: now });
+        }
+    }
+
+    /// Returns the command that advances the clock of the state, if it is due.
+    pub fn next_step(&mut self, now: Moment) -> Option<Command> {
+        let leadership = self.leadership.as_mut()?;
+        let elapsed = now.since(leadership.counted_until);
+        if elapsed < CLOCK_INTERVAL {
+            return None;
+        }
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        leadership.counted_until = leadership.counted_until + Duration::from_millis(elapsed_ms);
+        Some(Command::Advance { elapsed_ms })
+    }
+
+    /// Returns the time by which the clock of the state lags, in ms, rounded up.
+    pub fn lag_ms(&self, now: Moment) -> u64 {
+        let counted_until = self.leadership.map_or(now, |leadership| leadership.counted_until);
+        let lag = now.since(counted_until).as_micros().div_ceil(1_000);
+        u64::try_from(lag).unwrap_or(u64::MAX)
+    }
+
+    /// Makes the durations of a command begin now, rather than at the last step of the clock of the
+    /// state. Every command passes here once, when it is proposed. Returns `false` if it has none.
+    pub fn date(&self, command: &mut Command, now: Moment) -> bool {
+        let Some(retention_ms) = command.retention_ms_mut() else {
+            return false;
+        };
+        *retention_ms = retention_ms.saturating_add(self.lag_ms(now));
+        true
+    }
+}
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -3,6 +3,7 @@
 //! It performs all disk I/O. A leader whose disk hangs therefore stops sending heartbeats and
 //! loses the leadership.
 
+pub mod clock;
 mod held;
 mod input_memory;
 pub mod origins;
@@ -29,6 +30,7 @@
 use rand::RngExt;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use clock::LeaderClock;
 pub use held::HeldBytes;
 use input_memory::InputMemory;
 use origins::{ORIGIN_COUNT_INTERVAL, OriginQuota, PendingOrigin, resolve_conflict};
@@ -94,7 +96,7 @@
     topology: Arc<Topology>,
     preference: LeaderPreference,
     preference_checked_at: Instant,
-    clock_advanced_at: Instant,
+    clock: LeaderClock,
     known_machines_updated_at: Instant,
     seal_proposed_at: Option<Instant>,
     slow_disk: SlowDiskDetector,
@@ -190,7 +192,7 @@
             topology: Arc::clone(&settings.topology),
             preference: LeaderPreference::default(),
             preference_checked_at: started_at,
-            clock_advanced_at: started_at,
+            clock: LeaderClock::default(),
             known_machines_updated_at: started_at,
             seal_proposed_at: None,
             slow_disk: SlowDiskDetector::default(),
@@ -343,7 +345,7 @@
                     Some(origin) => PendingRequest::StoreOrigin(origin, respond),
                     None => PendingRequest::Change(respond),
                 };
-                self.propose(&command, request);
+                self.propose(command, request);
             }
             Request::Reserve(mut reserve) => {
                 self.origins.limit_extension(&mut reserve);
@@ -355,10 +357,10 @@
                     }
                 }
                 let command = Command::Reserve(reserve.clone());
-                self.propose(&command, PendingRequest::Reserve(reserve, respond));
+                self.propose(command, PendingRequest::Reserve(reserve, respond));
             }
             Request::Retire(name) => match self.retire_command(name) {
-                Some(command) => self.propose(&command, PendingRequest::Retire(respond)),
+                Some(command) => self.propose(command, PendingRequest::Retire(respond)),
                 None => self.reject(PendingRequest::Retire(respond)),
             },
             Request::ReadConfiguration { newer_than } => {
@@ -389,11 +391,11 @@
         Some(Command::Retire { name, remaining, must_remain })
     }
 
-    fn propose(&mut self, command: &Command, request: PendingRequest) {
-        let Ok(encoded) = encode(command) else {
+    fn propose(&mut self, mut command: Command, request: PendingRequest) {
+        let Ok(mut encoded) = encode(&command) else {
             return self.answer(request, Outcome::Lost);
         };
-        let digest = can_share_outcome(command).then(|| CommandDigest::of(&encoded));
+        let digest = can_share_outcome(&command).then(|| CommandDigest::of(&encoded));
         let request = match digest {
             Some(digest) => self.pending.join(digest, request),
             None => Some(request),
@@ -401,9 +403,16 @@
         let Some(request) = request else {
             return;
         };
-        if self.leads() && !self.has_room_for(command) {
+        if self.leads() && !self.has_room_for(&command) {
             return request.callback()(Response::Overdue);
         }
+        if self.date(&mut command) {
+            drop(encoded);
+            encoded = match encode(&command) {
+                Ok(dated) => dated,
+                Err(_) => return self.answer(request, Outcome::Lost),
+            };
+        }
         let ticket = self.pending.ticket();
         match (self.node.propose(GROUP, encoded, ticket), digest) {
             (Ok(()), Some(digest)) => self.pending.add_command(ticket, digest, request),
@@ -412,6 +421,12 @@
         }
     }
 
+    /// Writes the durations of a command as the log has them; `false` if it has none.
+    fn date(&mut self, command: &mut Command) -> bool {
+        let now = self.follow_leadership();
+        self.clock.date(command, now)
+    }
+
     /// Returns whether a command may be proposed. Retained turns wait while a quorum is slow, one of
     /// any size if nothing else does; they would fill the memory of the leader.
     fn has_room_for(&self, command: &Command) -> bool {
@@ -448,7 +463,6 @@
         };
         let retiring = state.machines().retiring_numbers();
         if !is_leader {
-            self.clock_advanced_at = Instant::now();
             let knows_leader = self.node.leader_machine(GROUP).is_some();
             self.preference.follow(knows_leader);
             return self.node.set_evicted(&retiring);
@@ -467,7 +481,7 @@
         }
         self.node.set_evicted(&retiring);
         for (machine, name) in unregistered {
-            self.propose_without_reply(&Command::Enroll { name, machine });
+            self.propose_without_reply(Command::Enroll { name, machine });
         }
         self.names.clear();
         self.names.insert(self.node.id().machine, self.name.clone());
@@ -475,14 +489,20 @@
         self.count_origins_if_due();
         self.seal_if_due();
         self.move_leadership_if_better(&retiring);
-        let elapsed = self.clock_advanced_at.elapsed();
-        if elapsed >= CLOCK_INTERVAL {
-            self.clock_advanced_at = Instant::now();
-            let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or_default();
-            self.propose_without_reply(&Command::Advance { elapsed_ms });
+        let now = self.follow_leadership();
+        if let Some(step) = self.clock.next_step(now) {
+            self.propose_without_reply(step);
         }
     }
 
+    /// Informs the clock of the state of who leads; returns the time.
+    fn follow_leadership(&mut self) -> Moment {
+        let now = self.now();
+        let term = self.leads().then(|| self.term());
+        self.clock.follow(term, now);
+        now
+    }
+
     fn count_origins_if_due(&mut self) {
         if self.origins_counted_at.elapsed() >= ORIGIN_COUNT_INTERVAL {
             self.count_origins();
@@ -574,11 +594,11 @@
             self.seal_proposed_at.is_some_and(|at| at.elapsed() < SEAL_RETRY_INTERVAL);
         if !is_proposed {
             self.seal_proposed_at = Some(Instant::now());
-            self.propose_without_reply(&Command::Seal);
+            self.propose_without_reply(Command::Seal);
         }
     }
 
-    fn propose_without_reply(&mut self, command: &Command) {
+    fn propose_without_reply(&mut self, command: Command) {
         self.propose(command, PendingRequest::Change(Box::new(|_| {})));
     }
 
@@ -629,7 +649,7 @@
         let request = PendingRequest::Change(respond);
         let state = self.node.machine(GROUP).filter(|_| matches!(outcome, Outcome::Output(_)));
         match state.and_then(|state| origin.conflict(state.turns())) {
-            Some(conflict) => self.propose(&Command::Settle(conflict), request),
+            Some(conflict) => self.propose(Command::Settle(conflict), request),
             None => self.answer(request, outcome),
         }
     }
