Gateway: what a turn needs is kept for longer than the turn runs

Callers got 404 for a turn that was answered whole 0.7 s before, on a route with a retention of 1 s, if the turn had run for 3 s; and programs had their whole budget again when a turn of theirs ran for longer than the retention, also side by side with that turn.

Cause: a reservation kept the ancestors of a turn, and the account of its program, for the retention from the start of the turn. A step of the clock between that end and the end of the turn removed them. The turn was then stored without its ancestors, whose history can't be read, and its tokens were settled in a new account.

Change: retention.rs says what the gateway asks the ledger for: the retention and the timeout of the route, which bounds how long a turn runs, from its start; and from its record the retention and the time for the delivery of its response and for the arrival of the request that continues it (the timeout of the route each, 1 to 8 s). The upper bound keeps memory of ledger machines independent of long timeouts; with a retention of 60 s and a timeout of 4 s a turn is kept for 68 s.

Ruled out: the same sum for both (a route with a timeout of minutes would keep each turn for minutes more); extending the ancestors while a turn runs (an entry of the log more for each turn).

--- a/crates/calicohoist/tests/cluster/ledger.rs
+++ b/crates/calicohoist/tests/cluster/ledger.rs
@@ -30,7 +30,7 @@
         Self::start_in(Cluster { memory_mb, ledger_memory_mb: memory_mb, ..Cluster::new() })
     }
 
-    fn start_in(cluster: Cluster) -> Self {
+    pub fn start_in(cluster: Cluster) -> Self {
         let machines = STORE_IPS.iter().map(|ip| cluster.start(ip, true)).collect();
         let ledger = Self { cluster, machines };
         ledger.operate("PUT", "/-/config", &configuration(1).to_string());
--- a/crates/calicohoist/tests/retained/main.rs
+++ b/crates/calicohoist/tests/retained/main.rs
@@ -11,4 +11,6 @@
 
 mod budgets;
 mod deployment;
+mod long_turns;
+mod slow_readers;
 mod turns;
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -5,8 +5,8 @@
 //! enforces the tenant's rate limit; [`dispatch`] sends the request to a replica; [`crash`] keeps
 //! requests that crash replicas from further ones; [`late`] rejects requests that cannot be answered
 //! before the gateway stops; [`buffered`] and [`stream`] forward the response;
-//! [`turn`] manages the token budgets and turn histories of programs, and [`turn_output`] limits what
-//! their responses may contain.
+//! [`turn`] manages the token budgets and turn histories of programs, [`retention`] how long those are
+//! kept, and [`turn_output`] limits what their responses may contain.
 
 mod body;
 mod buffered;
@@ -22,6 +22,7 @@
 mod permit;
 mod response;
 mod response_failure;
+mod retention;
 mod stream;
 mod turn;
 mod turn_output;
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -19,6 +19,7 @@
 use super::call::Call;
 use super::error::{GatewayError, NotExecutedReason};
 use super::permit::{self, Permit};
+use super::retention;
 use super::turn_output::TurnOutput;
 use crate::app::App;
 
@@ -213,7 +214,7 @@
             program: account_id(&self.call),
             turn: self.call.scoped(&self.call.head.request_id),
             used_tokens: self.output.tokens(),
-            retention_ms: millis(self.call.route.retention),
+            retention_ms: millis(retention::once_ended(&self.call.route)),
             retained,
             run: self.turn_run().map(Box::new),
         }
@@ -352,7 +353,7 @@
         most_tokens: call.head.max_tokens,
         budget: call.head.budget.unwrap_or(u64::MAX),
         previous: previous_turn_id(call).filter(|_| call.route.retain),
-        retention_ms: millis(call.route.retention),
+        retention_ms: millis(retention::while_running(&call.route)),
     }
 }
 
