Gateway: the retention of a turn is extended until its response is delivered

Callers that read a response slowly got 404 for the turn less than its retention after the last byte: it was counted from the record, which precedes the last byte by as long as bytes wait in the gateway and in the buffers of sockets.

Nothing looked at the delivery.

Change: connections tell whether the peer has acknowledged the whole response to a request (Delivery). Half of the allowance after the record, and again as long as that is not so, the gateway reads the turn as one that continues it does, which extends its retention and that of its ancestors; no new message, and no entry of the log for a caller that reads at once. What the gateway holds meanwhile is an id and a timer, not the body. A turn whose record is confirmed after the deadline of its caller, which only a process that stood still sees, is aborted in place of answered: its retention may have ended. A counter tells what became of extensions.

Ruled out: a retention that covers each delivery from the start (no bound is known: a response is read for as long as its caller acknowledges); waiting for the delivery before the last byte is sent (the last byte is part of it); storing the content again (one megabyte for each extension).

What remains: bytes that the kernel of the caller has acknowledged, and the caller has not read, can't be seen; beyond the allowance they count from the acknowledgement. A gateway that stands still for longer than a retention and its allowance while it delivers can't extend it.

--- a/crates/calicohoist/tests/retained/deployment.rs
+++ b/crates/calicohoist/tests/retained/deployment.rs
@@ -122,6 +122,8 @@
     pub is_retained: bool,
     /// Whether the turn may have a large response.
     pub is_large: bool,
+    /// Whether the connection ends with the response.
+    pub is_last: bool,
 }
 
 /// Sends a turn; status 0 without a response.
@@ -156,6 +158,9 @@
     let tokens = if turn.is_large { LARGE_TURN_TOKENS } else { TURN_TOKENS };
     let mut headers = vec![format!("Calicohoist-Token-Usage: 10,{tokens}")];
     headers.extend(turn.previous.map(|previous| format!("Calicohoist-Previous-Turn: {previous}")));
+    if turn.is_last {
+        headers.push("Connection: close".to_owned());
+    }
     if let Some((program, budget)) = turn.account {
         headers.push(format!("Calicohoist-Program-Id: {program}"));
         headers.push(format!("Calicohoist-Token-Budget: {budget}"));
--- a/crates/calicohoist/tests/retained/slow_readers.rs
+++ b/crates/calicohoist/tests/retained/slow_readers.rs
@@ -41,7 +41,7 @@
     letters.map(|letter| letter.to_string().repeat(EVENT_BYTES)).collect()
 }
 
-fn assert_kept_for_slow_reader(response_bytes: usize) {
+fn assert_kept_for_slow_reader(response_bytes: usize, is_last: bool) {
     let model = ScriptedReplica::start("model", move |exchange| {
         if exchange.request.id() != "large" {
             return exchange.send_stream("x");
@@ -55,7 +55,7 @@
     let deployment = RetainingDeployment::start_with_times(model, TIMES);
     let mut stream = TcpStream::connect(deployment.gateway()).expect("connect");
     sockopt::set_socket_recv_buffer_size(&stream, RECEIVE_BUFFER_BYTES).expect("set the size");
-    let turn = Turn { id: "large", is_retained: true, is_large: true, ..Turn::default() };
+    let turn = Turn { id: "large", is_retained: true, is_large: true, is_last, ..Turn::default() };
     begin(&mut stream, &turn).expect("send the turn");
     let reads = READING_TIME.as_millis() / READ_INTERVAL.as_millis();
     let most = response_bytes / usize::try_from(reads).expect("few reads");
@@ -74,11 +74,16 @@
 
 #[test]
 fn turn_whose_response_waits_in_socket_buffers_is_kept_from_its_last_byte() {
-    assert_kept_for_slow_reader(1 << 20);
+    assert_kept_for_slow_reader(1 << 20, false);
+}
+
+#[test]
+fn turn_whose_connection_ends_with_its_response_is_kept_from_its_last_byte() {
+    assert_kept_for_slow_reader(1 << 20, true);
 }
 
 /// More than the socket buffers hold.
 #[test]
 fn turn_whose_response_waits_in_the_gateway_is_kept_from_its_last_byte() {
-    assert_kept_for_slow_reader(6 << 20);
+    assert_kept_for_slow_reader(6 << 20, false);
 }
--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
+use crate::delivery::{Delivery, StageRecord};
 use crate::drain::{Drain, DrainStage};
 use crate::exchange::{PeerEnd, Progress};
 use crate::linger::{LateBytes, linger, reset};
@@ -53,9 +54,15 @@
 pub struct RequestContext {
     stream: SharedStream,
     progress: Progress,
+    delivery: Delivery,
 }
 
 impl RequestContext {
+    /// Returns the delivery of the response.
+    pub fn delivery(&self) -> &Delivery {
+        &self.delivery
+    }
+
     /// Records that the body of the request was received. From then on, the request is cancelled
     /// when its peer closes the connection.
     pub fn body_received(&self) {
@@ -106,7 +113,9 @@
 {
     let stream = SharedStream::new(stream);
     let progress = Progress::new();
-    let end = serve_requests(&stream, settings, drain, &progress, handler).await;
+    let stage = StageRecord::open();
+    let end = serve_requests(&stream, settings, drain, &progress, &stage, handler).await;
+    stage.begin_linger();
     CONNECTIONS_CLOSED.inc(end.label());
     let is_request_cut = progress.is_request_cut();
     if end == ConnectionEnd::PeerLeft || !progress.has_requests() && !is_request_cut {
@@ -136,6 +145,7 @@
     settings: ConnectionSettings,
     drain: &Drain,
     progress: &Progress,
+    stage: &StageRecord,
     handler: H,
 ) -> ConnectionEnd
 where
@@ -150,7 +160,11 @@
         // Before hyper reads any of its body.
         progress.begin_request(request.body().size_hint().exact());
         async move {
-            let context = RequestContext { stream: stream.clone(), progress: progress.clone() };
+            let context = RequestContext {
+                stream: stream.clone(),
+                progress: progress.clone(),
+                delivery: stage.delivery(stream, progress),
+            };
             let may_be_chunked = request.version() == Version::HTTP_11;
             let mut response = handler(request, context).await;
             let has_length = response.body().size_hint().exact().is_some()
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -92,6 +92,18 @@
         self.0.lock().phase
     }
 
+    /// Returns the number of requests so far.
+    pub fn requests(&self) -> u64 {
+        self.0.lock().requests
+    }
+
+    /// Returns whether the response to a request, given by its number, was written.
+    pub fn is_written(&self, request: u64) -> bool {
+        let state = self.0.lock();
+        let is_answered = matches!(state.phase, Phase::Idle | Phase::Receiving);
+        state.requests > request || is_answered && state.is_flushed
+    }
+
     pub fn record_read(&self, bytes: &[u8]) {
         let mut state = self.0.lock();
         if state.phase == Phase::Idle {
--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod accept;
 mod connection;
+mod delivery;
 mod drain;
 mod exchange;
 mod linger;
@@ -22,5 +23,6 @@
 
 pub use accept::accept;
 pub use connection::{ConnectionSettings, RequestContext};
+pub use delivery::Delivery;
 pub use drain::{Drain, DrainStage};
 pub use stop_schedule::StopSchedule;
--- a/crates/connections/src/shared_stream.rs
+++ b/crates/connections/src/shared_stream.rs
@@ -1,7 +1,7 @@
 //! TCP stream that is shared by the socket of a connection and the watch on its peer.
 
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::task::{Context, Poll};
 
 use parking_lot::{Mutex, MutexGuard};
@@ -15,7 +15,21 @@
 #[derive(Clone, Debug)]
 pub struct SharedStream(Arc<Mutex<TcpStream>>);
 
+/// Handle that does not keep its stream open.
+#[derive(Clone, Debug)]
+pub struct WeakStream(Weak<Mutex<TcpStream>>);
+
+impl WeakStream {
+    pub fn upgrade(&self) -> Option<SharedStream> {
+        self.0.upgrade().map(SharedStream)
+    }
+}
+
 impl SharedStream {
+    pub fn downgrade(&self) -> WeakStream {
+        WeakStream(Arc::downgrade(&self.0))
+    }
+
     pub fn new(stream: TcpStream) -> Self {
         Self(Arc::new(Mutex::new(stream)))
     }
--- a/crates/proxy/src/flow/call.rs
+++ b/crates/proxy/src/flow/call.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_connections::Drain;
+use calicohoist_connections::{Delivery, Drain};
 use calicohoist_ledger::commands::KEY_SEPARATOR;
 use calicohoist_quarantine::{RequestContent, RequestFingerprint};
 use calicohoist_routing::select::Affinity;
@@ -54,6 +54,8 @@
     client_deadline: Instant,
     /// Tells when the gateway stops.
     drain: Drain,
+    /// Delivery of the response.
+    pub delivery: Delivery,
     /// Sends of which it is not certain that they did not run.
     sends: Mutex<Vec<Arc<SendProgress>>>,
     /// How the stream that the request resumes continues, once known.
@@ -90,6 +92,7 @@
         body: Bytes,
         received_at: Instant,
         drain: Drain,
+        delivery: Delivery,
     ) -> Self {
         let ResolvedRoute { table, route, tenant } = resolved;
         let timeout = head.deadline.map_or(route.timeout, |requested| requested.min(route.timeout));
@@ -105,6 +108,7 @@
             received_at,
             client_deadline: received_at + timeout,
             drain,
+            delivery,
             sends: Mutex::default(),
             continuation: OnceLock::new(),
             fingerprint: OnceLock::new(),
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -31,7 +31,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_connections::RequestContext;
+use calicohoist_connections::{Delivery, RequestContext};
 use calicohoist_routing::{Credential, Limits, Route, RouteKind, RouteTable, Tenant};
 use calicohoist_telemetry::metrics::DurationHistogram;
 use calicohoist_telemetry::{Event, emit};
@@ -66,7 +66,7 @@
     let received_at = Instant::now();
     let read = tokio::select! {
         biased;
-        read = read_request(&app, request, received_at) => read,
+        read = read_request(&app, request, received_at, context.delivery()) => read,
         () = app.drain.answers_due() => Err(("-".to_owned(), late::rejection())),
     };
     match read {
@@ -181,6 +181,7 @@
     app: &Arc<App>,
     request: Request<Incoming>,
     received_at: Instant,
+    delivery: &Delivery,
 ) -> Result<Call, (String, GatewayError)> {
     let (mut parts, body) = request.into_parts();
     let without_id = |error| ("-".to_owned(), error);
@@ -191,7 +192,8 @@
     let id = head.request_id.clone();
     let limits = resolved.table.limits();
     let body = read_body(app, body, limits).await.map_err(|error| (id, error))?;
-    Ok(Call::new(resolved, head, parts, body, received_at, app.drain.clone()))
+    let (drain, delivery) = (app.drain.clone(), delivery.clone());
+    Ok(Call::new(resolved, head, parts, body, received_at, drain, delivery))
 }
 
 /// Looks up the route and the tenant of a request. The API key is not passed on.
--- a/crates/proxy/src/flow/retention.rs
+++ b/crates/proxy/src/flow/retention.rs
@@ -2,11 +2,27 @@
 //!
 //! A caller counts the retention of a turn from the last byte of its response, and a request that
 //! continues the turn in time takes a while to reach the ledger. The ledger counts from the record,
-//! which precedes the last byte, so it is asked for both times in addition.
+//! which precedes the last byte, so it is asked for both times in addition. While a caller takes longer
+//! to read the response, the retention is extended.
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use calicohoist_connections::Delivery;
+use calicohoist_ledger::commands::{Reservation, ReserveTurn, TurnId};
+use calicohoist_ledger::{LedgerRequest, LedgerResponse};
 use calicohoist_routing::Route;
+use calicohoist_telemetry::metrics::Counter;
+
+use super::call::Call;
+use super::turn::{RETRY_AFTER, millis};
+use crate::app::App;
+
+static RETENTIONS_EXTENDED: Counter = Counter::new(
+    "calicohoist_proxy_retentions_extended_total",
+    "Retained turns whose responses were read slowly, by what became of the extension",
+    "outcome",
+);
 
 /// Least time allowed for the delivery of a response, and for the arrival of a request. Covers a leader
 /// election.
@@ -29,3 +45,79 @@
 pub fn once_ended(route: &Route) -> Duration {
     route.retention.saturating_add(2 * transit_time(route))
 }
+
+/// A retained turn whose response is being delivered.
+pub struct DeliveredTurn {
+    app: Arc<App>,
+    id: TurnId,
+    delivery: Delivery,
+    transit_time: Duration,
+    retention_ms: u64,
+    /// A response that is delivered by then needs no extension.
+    covered_until: Instant,
+}
+
+impl DeliveredTurn {
+    /// Creates the delivery of the response to `call`, whose turn was recorded at `recorded_at` or later.
+    pub fn new(app: &Arc<App>, call: &Call, recorded_at: Instant) -> Self {
+        let transit_time = transit_time(&call.route);
+        Self {
+            app: Arc::clone(app),
+            id: call.scoped(&call.head.request_id),
+            delivery: call.delivery.clone(),
+            transit_time,
+            retention_ms: millis(once_ended(&call.route)),
+            covered_until: recorded_at + transit_time,
+        }
+    }
+
+    /// Keeps the turn for its retention from the end of the delivery, in the background.
+    pub fn keep_in_background(self) {
+        // The gateway waits for the connection when it stops.
+        tokio::spawn(self.keep());
+    }
+
+    async fn keep(mut self) {
+        loop {
+            tokio::time::sleep_until((self.covered_until - self.transit_time / 2).into()).await;
+            let has_ended = self.delivery.has_ended();
+            let asked_at = Instant::now();
+            if has_ended && asked_at <= self.covered_until {
+                return;
+            }
+            match self.extend(asked_at + self.transit_time / 2).await {
+                Some(Reservation::Granted) => {
+                    RETENTIONS_EXTENDED.inc("extended");
+                    self.covered_until = asked_at + self.transit_time;
+                }
+                Some(_) => return RETENTIONS_EXTENDED.inc("expired"),
+                None => {
+                    RETENTIONS_EXTENDED.inc("unanswered");
+                    tokio::time::sleep(RETRY_AFTER).await;
+                    continue;
+                }
+            }
+            if has_ended {
+                return;
+            }
+        }
+    }
+
+    /// Reads the turn as one that continues it does, which extends its retention and that of its
+    /// ancestors.
+    async fn extend(&self, deadline: Instant) -> Option<Reservation> {
+        let reserve = ReserveTurn {
+            program: None,
+            turn: self.id.clone(),
+            most_tokens: 0,
+            budget: u64::MAX,
+            previous: Some(self.id.clone()),
+            retention_ms: self.retention_ms,
+        };
+        let question = LedgerRequest::Reserve { reserve, placement: None, permit: None };
+        match self.app.ledger.request(&question, deadline).await {
+            Ok(LedgerResponse::Reserved { reservation, .. }) => Some(reservation),
+            _ => None,
+        }
+    }
+}
--- a/crates/proxy/src/flow/stream.rs
+++ b/crates/proxy/src/flow/stream.rs
@@ -279,9 +279,11 @@
         let Self { call, turn, exchange, app, .. } = self;
         exchange.finish(&app.pool);
         match turn.complete().await {
-            Ok(()) => {
-                // Fails if the client has left.
-                let _ = chunks.send(BodyPart::End);
+            Ok(retained) => {
+                let has_client_left = chunks.send(BodyPart::End).is_err();
+                if let Some(turn) = retained.filter(|_| !has_client_left) {
+                    turn.keep_in_background();
+                }
             }
             Err(_) => emit!(Event::SettlementLost; request = call.head.request_id),
         }
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -19,7 +19,7 @@
 use super::call::Call;
 use super::error::{GatewayError, NotExecutedReason};
 use super::permit::{self, Permit};
-use super::retention;
+use super::retention::{self, DeliveredTurn};
 use super::turn_output::TurnOutput;
 use crate::app::App;
 
@@ -239,18 +239,19 @@
         Some(TurnRun { replica, prompt, memory_tokens: engine.memory_tokens, service, sample })
     }
 
-    /// Completes a turn whose response is complete; a retained turn is durable afterwards.
+    /// Completes a turn whose response is complete. A retained turn, which is returned, is durable
+    /// afterwards.
     ///
     /// # Errors
     /// Returns an error if the ledger does not confirm in time. The response must then be aborted.
-    pub async fn complete(mut self) -> Result<(), GatewayError> {
+    pub async fn complete(mut self) -> Result<Option<DeliveredTurn>, GatewayError> {
         if self.is_settled {
-            return Ok(());
+            return Ok(None);
         }
         self.is_complete = true;
         if !self.call.route.retain {
             // Settled in the background by `drop`, without delaying the response.
-            return Ok(());
+            return Ok(None);
         }
         let retained = RetainedTurn {
             previous: previous_turn_id(&self.call),
@@ -261,8 +262,11 @@
         let started_at = Instant::now();
         let answer = self.app.ledger.request(&question, self.call.client_deadline()).await;
         LEDGER_TIMES.observe("settle", started_at.elapsed());
+        // The retention of a turn that was recorded long before it is answered may have ended. The
+        // process may have stood still.
+        let is_in_time = Instant::now() <= self.call.client_deadline();
         match answer {
-            Ok(LedgerResponse::Settled) => {
+            Ok(LedgerResponse::Settled) if is_in_time => {
                 self.is_settled = true;
                 emit!(
                     Event::TurnSettled;
@@ -270,7 +274,7 @@
                     tokens = self.output.tokens(),
                     after_ms = started_at.elapsed().as_millis(),
                 );
-                Ok(())
+                Ok(Some(DeliveredTurn::new(&self.app, &self.call, started_at)))
             }
             _ => Err(GatewayError::Unknown),
         }
