--- a/crates/calicohoist/tests/retained/main.rs
+++ b/crates/calicohoist/tests/retained/main.rs
@@ -9,6 +9,7 @@
 #[path = "../cluster/mod.rs"]
 mod cluster;
 
+mod branches;
 mod budgets;
 mod deployment;
 mod long_turns;
