Ledger: a 402 without an entry of the log keeps the account for the whole retention; idle accounts outlast their route's

A program whose budget was spent could return within its retention and have its budget again: a 402 was answered without an entry of the log, which extends nothing, while the account was kept for another half of the retention. A program that asked once in that half and then again 0.6 of a retention later found no account. And a program that was idle for longer than its route's retention, in a tool for example, had its whole budget again, although the rule knows no time.

A rejection without an entry now needs an account that is kept for the whole retention that the reservation asks for. Otherwise the reservation is applied, without its history, which a rejected turn does not need, and with twice the retention. Commands that affect a program's account and no turn keep it for ten minutes while there are few accounts, as the product's own store does, and less the more there are; never less than the route asks. Both decisions are functions of their own before the log, so the state and all forms are unchanged. Accounts of sends keep their retention: they end with the crash records that they count.

Decided: an account is kept for the retention of the route after the last answer of its program, 402 included, always; up to ten minutes as far as 2,048 accounts (about 2 MB) allow, since a state that keeps every program for ever has no bound. A program whose turns are all retained has the ten minutes from its first turn.

--- a/crates/calicohoist/tests/retained/budgets.rs
+++ b/crates/calicohoist/tests/retained/budgets.rs
@@ -64,3 +64,15 @@
 fn a_spent_budget_is_not_spent_again_by_retained_turns_before_the_retention_ends() {
     assert_budgets_stay_spent(true);
 }
+
+/// Its turns are not kept, so that its callers may go on after any time.
+#[test]
+fn a_spent_budget_is_not_spent_again_after_the_retention() {
+    let deployment = RetainingDeployment::start();
+    let account = Some(("idle", TURN_TOKENS));
+    let first = Turn { id: "first", account, ..Turn::default() };
+    let _ = complete(deployment.gateway(), &first, TURN_LIMIT).expect("the first turn is served");
+    thread::sleep(3 * deployment.retention);
+    let status = deployment.send(&Turn { id: "second", account, ..Turn::default() }).status;
+    assert_eq!(status, BUDGET_SPENT);
+}
--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -30,6 +30,12 @@
 /// ID of a turn: the ID of the request that it answers.
 pub type TurnId = String;
 
+/// Returns whether an account is that of a program. Other accounts have keys that begin with the
+/// separator.
+pub fn is_program(account: &str) -> bool {
+    !account.starts_with(KEY_SEPARATOR)
+}
+
 /// A command that changes the replicated state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -3,6 +3,7 @@
 //! It performs all disk I/O. A leader whose disk hangs therefore stops sending heartbeats and
 //! loses the leadership.
 
+pub mod accounts;
 pub mod clock;
 mod held;
 mod input_memory;
@@ -349,10 +350,11 @@
             }
             Request::Reserve(mut reserve) => {
                 self.origins.limit_extension(&mut reserve);
+                let now = self.follow_leadership();
                 if let Some(state) = self.node.machine(GROUP) {
                     reserve.previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
-                    if self.leads() && state.has_spent_budget(&reserve) {
-                        // A program that goes on asking costs no entry of the log for each question.
+                    let lag_ms = self.clock.lag_ms(now);
+                    if self.leads() && accounts::is_rejected_at_once(state, &mut reserve, lag_ms) {
                         return respond(without_history(Reservation::BudgetSpent));
                     }
                 }
@@ -424,6 +426,8 @@
     /// Writes the durations of a command as the log has them; `false` if it has none.
     fn date(&mut self, command: &mut Command) -> bool {
         let now = self.follow_leadership();
+        let held = self.node.machine(GROUP).map_or(0, |state| state.accounts().len());
+        accounts::extend_account(command, held);
         self.clock.date(command, now)
     }
 
--- a/crates/ledger/src/state/accounts.rs
+++ b/crates/ledger/src/state/accounts.rs
@@ -61,19 +61,30 @@
         Reservation::Granted
     }
 
-    /// Returns whether a reservation will be rejected for its budget whatever is applied before it:
-    /// charges of ended turns never fall. Not answered shortly before the account expires, so that
-    /// rejected reservations extend its retention too.
-    pub fn is_spent_for(&self, reserve: &ReserveTurn, now_ms: u64) -> bool {
-        let program = reserve.program.as_ref();
-        let Some(account) = program.and_then(|program| self.programs.get(program)) else {
-            return false;
-        };
+    /// Returns whether a reservation will be rejected for its budget, whatever is applied before it:
+    /// charges of ended turns never fall.
+    pub fn will_reject(&self, reserve: &ReserveTurn) -> bool {
         let has_ended = |charge: &Charge| matches!(charge, Charge::Settled(_));
-        account.charged.saturating_add(reserve.most_tokens) > reserve.budget
-            && account.keep_until_ms >= now_ms.saturating_add(reserve.retention_ms / 2)
-            && !account.charges.contains_key(&reserve.turn)
-            && account.charges.values().all(has_ended)
+        self.account_of(reserve).is_some_and(|account| {
+            account.charged.saturating_add(reserve.most_tokens) > reserve.budget
+                && !account.charges.contains_key(&reserve.turn)
+                && account.charges.values().all(has_ended)
+        })
+    }
+
+    /// Returns whether the account is kept for the retention that a reservation asks for.
+    pub fn is_kept_for(&self, reserve: &ReserveTurn, now_ms: u64) -> bool {
+        let until_ms = now_ms.saturating_add(reserve.retention_ms);
+        self.account_of(reserve).is_some_and(|account| account.keep_until_ms >= until_ms)
+    }
+
+    /// Returns whether a reservation will be rejected, and need not be applied to keep the account.
+    pub fn is_spent_for(&self, reserve: &ReserveTurn, now_ms: u64) -> bool {
+        self.will_reject(reserve) && self.is_kept_for(reserve, now_ms)
+    }
+
+    fn account_of(&self, reserve: &ReserveTurn) -> Option<&Account> {
+        self.programs.get(reserve.program.as_ref()?)
     }
 
     /// Replaces the charge of a turn by the tokens it used. Repeated reports are ignored.
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -151,10 +151,15 @@
     }
 
     /// Returns whether applying a reservation would reject it for its budget, now and later.
-    pub fn has_spent_budget(&self, reserve: &ReserveTurn) -> bool {
+    pub fn will_reject(&self, reserve: &ReserveTurn) -> bool {
         let is_retained = |previous: &TurnId| self.turns.contains(previous);
-        reserve.previous.as_ref().is_none_or(is_retained)
-            && self.accounts.is_spent_for(reserve, self.clock_ms)
+        reserve.previous.as_ref().is_none_or(is_retained) && self.accounts.will_reject(reserve)
+    }
+
+    /// Returns whether the account of a reservation is kept for the retention that it asks for. The
+    /// clock of the state lags by `lag_ms`.
+    pub fn keeps_account(&self, reserve: &ReserveTurn, lag_ms: u64) -> bool {
+        self.accounts.is_kept_for(reserve, self.clock_ms.saturating_add(lag_ms))
     }
 
     /// Returns the ledger machines.
