Ledger: the replica thread in modules of one job each

Only moved: functions keep their bodies; constants go with their only user. calicohoist-ledger passes whole.

--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -4,28 +4,30 @@
 //! loses the leadership.
 
 pub mod accounts;
+mod answers;
 pub mod clock;
 mod held;
+mod housekeeping;
 mod input_memory;
 pub mod origins;
 pub mod pending;
+mod proposals;
+mod publication;
 mod request;
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::Ipv4Addr;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use calicohoist_replication::{
-    DirectoryDisk, DiskError, DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings, Raft,
-    ReplicaId, Ticket,
+    DirectoryDisk, DiskError, DiskLog, GroupId, GroupMessage, Node, NodeEvent, NodeSettings,
+    ReplicaId,
 };
 use calicohoist_routing::Topology;
 use calicohoist_telemetry::metrics::Gauge;
 use calicohoist_telemetry::{Event, emit};
 use calicohoist_types::Moment;
-use calicohoist_wire::encode;
 use crossbeam::channel::{Receiver, RecvTimeoutError, bounded};
 use parking_lot::Mutex;
 use rand::RngExt;
@@ -34,8 +36,9 @@
 use clock::LeaderClock;
 pub use held::HeldBytes;
 use input_memory::InputMemory;
-use origins::{ORIGIN_COUNT_INTERVAL, OriginQuota, PendingOrigin, resolve_conflict};
-use pending::{CommandDigest, Outcome, PendingRequest, PendingTable};
+use origins::OriginQuota;
+use pending::{Outcome, PendingTable};
+use proposals::is_overdue;
 pub use request::{GroupStatus, ReplicaHandle, Request, Response, ResponseCallback};
 use request::{Input, QueuedInput};
 
@@ -44,15 +47,12 @@
 use super::limits::TenantLimiter;
 use super::memory::MemoryPlan;
 use super::peers::{OutgoingMessages, PeerInfo};
-use super::preference::{
-    GroupView, LeaderPreference, LeadershipTransfer, VoterLocation, ZoneLoads,
-};
+use super::preference::{LeaderPreference, ZoneLoads};
 use super::slow_disk::SlowDiskDetector;
 use super::turns::TurnDispatcher;
 use super::{LedgerSettings, machine_number};
-use crate::commands::{Command, Output, Reservation, ReserveTurn, origin_key_prefix};
-use crate::queries;
-use crate::state::{HistoryPiece, LedgerState, StoredBytes};
+use crate::commands::Output;
+use crate::state::LedgerState;
 
 /// The only Raft group.
 const GROUP: GroupId = GroupId(0);
@@ -62,20 +62,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a leader advances the clock of the state.
 pub const CLOCK_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval at which a leader passes the known machines to the replication layer.
-const KNOWN_MACHINES_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval at which a leader checks whether another voter would be a better leader.
-const PREFERENCE_INTERVAL: Duration = Duration::from_millis(500);
 const ENTRIES_PER_SNAPSHOT: u64 = 8_000;
-/// Age above which a reservation or read is rejected; less than the timeout of gateways.
-const MAX_REQUEST_AGE: Duration = Duration::from_millis(900);
-/// Age above which draining or restoring a zone is rejected. After its timeout an operator may
-/// have made the opposite change on another machine, which this request would undo.
-const MAX_ZONE_CHANGE_AGE: Duration = Duration::from_millis(900);
-/// Time after which a proposed seal command is proposed again.
-const SEAL_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval at which the bytes that the replica holds are counted.
-const HELD_COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
 static DRAINED_ZONES: Gauge =
     Gauge::new("calicohoist_ledger_drained_zones", "Zones that are drained, as applied here");
@@ -333,279 +320,6 @@
         }
     }
 
-    fn on_request(&mut self, request: Request, respond: ResponseCallback) {
-        match request {
-            Request::Change(mut command) => {
-                if let Command::Settle(settle) = &mut command
-                    && self.leads()
-                    && !self.origins.admit(settle)
-                {
-                    return respond(Response::NoRoom);
-                }
-                let request = match PendingOrigin::of(&command) {
-                    Some(origin) => PendingRequest::StoreOrigin(origin, respond),
-                    None => PendingRequest::Change(respond),
-                };
-                self.propose(command, request);
-            }
-            Request::Reserve(mut reserve) => {
-                self.origins.limit_extension(&mut reserve);
-                let now = self.follow_leadership();
-                if let Some(state) = self.node.machine(GROUP) {
-                    reserve.previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
-                    let lag_ms = self.clock.lag_ms(now);
-                    if self.leads() && accounts::is_rejected_at_once(state, &mut reserve, lag_ms) {
-                        return respond(without_history(Reservation::BudgetSpent));
-                    }
-                }
-                let command = Command::Reserve(reserve.clone());
-                self.propose(command, PendingRequest::Reserve(reserve, respond));
-            }
-            Request::Retire(name) => match self.retire_command(name) {
-                Some(command) => self.propose(command, PendingRequest::Retire(respond)),
-                None => self.reject(PendingRequest::Retire(respond)),
-            },
-            Request::ReadConfiguration { newer_than } => {
-                self.read(PendingRequest::ReadConfiguration { newer_than, respond });
-            }
-            Request::ConfirmLeadership => self.read(PendingRequest::Confirm(respond)),
-            Request::ReadRetiring(name) => self.read(PendingRequest::ReadRetiring(name, respond)),
-        }
-    }
-
-    /// Returns the command to retire a machine, or `None` unless this machine is the leader and
-    /// has applied all earlier retirements.
-    fn retire_command(&self, name: String) -> Option<Command> {
-        // The published status reflects applied entries, whereas Raft may already know of later
-        // commits.
-        if !self.status.is_leader {
-            return None;
-        }
-        let machines = self.node.machine(GROUP).map(LedgerState::machines);
-        let retiring = machines.map(|machines| machines.retiring_numbers()).unwrap_or_default();
-        let number = machines.and_then(|machines| machines.number(&name));
-        let stays = |machine: &&u32| !retiring.contains(machine) && Some(**machine) != number;
-        let now = self.now();
-        let standbys = self.node.raft(GROUP).map(|raft| raft.standby_machines(now));
-        let standbys = standbys.unwrap_or_default();
-        let remaining = self.status.machines.iter().chain(&standbys).filter(stays).count();
-        let must_remain = 2 * self.tolerated_losses + 1;
-        Some(Command::Retire { name, remaining, must_remain })
-    }
-
-    fn propose(&mut self, mut command: Command, request: PendingRequest) {
-        let Ok(mut encoded) = encode(&command) else {
-            return self.answer(request, Outcome::Lost);
-        };
-        let digest = can_share_outcome(&command).then(|| CommandDigest::of(&encoded));
-        let request = match digest {
-            Some(digest) => self.pending.join(digest, request),
-            None => Some(request),
-        };
-        let Some(request) = request else {
-            return;
-        };
-        if self.leads() && !self.has_room_for(&command) {
-            return request.callback()(Response::Overdue);
-        }
-        if self.date(&mut command) {
-            drop(encoded);
-            encoded = match encode(&command) {
-                Ok(dated) => dated,
-                Err(_) => return self.answer(request, Outcome::Lost),
-            };
-        }
-        let ticket = self.pending.ticket();
-        match (self.node.propose(GROUP, encoded, ticket), digest) {
-            (Ok(()), Some(digest)) => self.pending.add_command(ticket, digest, request),
-            (Ok(()), None) => self.pending.add_unshared(ticket, request),
-            (Err(_), _) => self.reject(request),
-        }
-    }
-
-    /// Writes the durations of a command as the log has them; `false` if it has none.
-    fn date(&mut self, command: &mut Command) -> bool {
-        let now = self.follow_leadership();
-        let held = self.node.machine(GROUP).map_or(0, |state| state.accounts().len());
-        accounts::extend_account(command, held);
-        self.clock.date(command, now)
-    }
-
-    /// Returns whether a command may be proposed. Retained turns wait while a quorum is slow, one of
-    /// any size if nothing else does; they would fill the memory of the leader.
-    fn has_room_for(&self, command: &Command) -> bool {
-        let bytes = match command {
-            Command::Settle(settle) => settle.content_bytes(),
-            _ => 0,
-        };
-        if bytes == 0 {
-            return true;
-        }
-        let uncommitted = self.node.raft(GROUP).map_or(0, Raft::uncommitted_bytes);
-        uncommitted == 0 || uncommitted + bytes <= self.plan.uncommitted
-    }
-
-    fn read(&mut self, request: PendingRequest) {
-        let ticket = self.pending.ticket();
-        match self.node.read(GROUP, ticket) {
-            Ok(()) => self.pending.add_unshared(ticket, request),
-            Err(_) => self.reject(request),
-        }
-    }
-
-    fn reject(&mut self, pending: PendingRequest) {
-        let leader = self.node.leader_machine(GROUP);
-        let leader = leader.filter(|leader| *leader != self.node.id().machine);
-        self.answer(pending, Outcome::NotLeader(leader));
-    }
-
-    /// Runs periodic tasks, most of them on the leader only.
-    fn run_periodic_tasks(&mut self) {
-        let is_leader = self.leads();
-        let Some(state) = self.node.machine(GROUP) else {
-            return;
-        };
-        let retiring = state.machines().retiring_numbers();
-        if !is_leader {
-            let knows_leader = self.node.leader_machine(GROUP).is_some();
-            self.preference.follow(knows_leader);
-            return self.node.set_evicted(&retiring);
-        }
-        let is_unregistered =
-            |(machine, name): &(&u32, &String)| state.machines().number(name) != Some(**machine);
-        let unregistered: Vec<(u32, String)> = self
-            .names
-            .iter()
-            .filter(is_unregistered)
-            .map(|(machine, name)| (*machine, name.clone()))
-            .collect();
-        if retiring.contains(&self.node.id().machine) {
-            let now = self.now();
-            self.node.transfer_leadership(now);
-        }
-        self.node.set_evicted(&retiring);
-        for (machine, name) in unregistered {
-            self.propose_without_reply(Command::Enroll { name, machine });
-        }
-        self.names.clear();
-        self.names.insert(self.node.id().machine, self.name.clone());
-        self.update_known_machines(&retiring);
-        self.count_origins_if_due();
-        self.seal_if_due();
-        self.move_leadership_if_better(&retiring);
-        let now = self.follow_leadership();
-        if let Some(step) = self.clock.next_step(now) {
-            self.propose_without_reply(step);
-        }
-    }
-
-    /// Informs the clock of the state of who leads; returns the time.
-    fn follow_leadership(&mut self) -> Moment {
-        let now = self.now();
-        let term = self.leads().then(|| self.term());
-        self.clock.follow(term, now);
-        now
-    }
-
-    fn count_origins_if_due(&mut self) {
-        if self.origins_counted_at.elapsed() >= ORIGIN_COUNT_INTERVAL {
-            self.count_origins();
-        }
-    }
-
-    fn count_origins(&mut self) {
-        self.origins_counted_at = Instant::now();
-        if let Some(state) = self.node.machine(GROUP) {
-            self.origins.recount(state.turns().ids_with_prefix(&origin_key_prefix()).count());
-        }
-    }
-
-    /// Transfers the leadership to a voter with a clearly lower expected delay, if there is one.
-    fn move_leadership_if_better(&mut self, retiring: &BTreeSet<u32>) {
-        if self.preference_checked_at.elapsed() < PREFERENCE_INTERVAL {
-            return;
-        }
-        self.preference_checked_at = Instant::now();
-        let now = self.now();
-        let Some(raft) = self.node.raft(GROUP) else {
-            return;
-        };
-        let Some(voters) = self.locate_voters(&raft.membership().voters) else {
-            return;
-        };
-        let loads = {
-            let mut loads = self.services.loads.lock();
-            loads.decay(self.preference_checked_at);
-            loads.clone()
-        };
-        let view = GroupView {
-            topology: &self.topology,
-            leader: self.node.id().machine,
-            voters: &voters,
-            loads: &loads,
-            is_stable: raft.is_fully_replicated(now),
-            retiring,
-        };
-        if let Some(transfer) = self.preference.decide(&view, self.preference_checked_at) {
-            self.transfer_leadership(transfer);
-        }
-    }
-
-    /// Returns the voters with their zones, or `None` until the zones of all voters are known.
-    fn locate_voters(&self, voters: &BTreeSet<ReplicaId>) -> Option<Vec<VoterLocation>> {
-        let located = |voter: &ReplicaId| {
-            let zone = self.zones.get(&voter.machine)?.clone();
-            Some(VoterLocation { machine: voter.machine, zone })
-        };
-        voters.iter().map(located).collect()
-    }
-
-    fn transfer_leadership(&mut self, LeadershipTransfer { to, gain }: LeadershipTransfer) {
-        let zone = self.zones.get(&to).cloned().unwrap_or_default();
-        emit!(
-            Event::LeaderMoved;
-            machine = self.name,
-            to = Ipv4Addr::from_bits(to),
-            zone = zone,
-            gain_us = gain.as_micros(),
-        );
-        let now = self.now();
-        self.node.transfer_leadership_to(now, GROUP, to);
-    }
-
-    /// Passes the known machines to the replication layer, which informs them of the leader.
-    fn update_known_machines(&mut self, retiring: &BTreeSet<u32>) {
-        if self.known_machines_updated_at.elapsed() < KNOWN_MACHINES_INTERVAL {
-            return;
-        }
-        self.known_machines_updated_at = Instant::now();
-        let Some(state) = self.node.machine(GROUP) else {
-            return;
-        };
-        let known = state.machines().numbers().filter(|machine| !retiring.contains(machine));
-        let known = known.collect();
-        self.node.set_known_machines(known);
-    }
-
-    /// Seals retained turns once they exceed their share of the memory.
-    fn seal_if_due(&mut self) {
-        let unsealed = self.node.machine(GROUP).map(|state| state.turns().unsealed_bytes());
-        if unsealed.unwrap_or_default() < self.plan.unsealed_turns as u64 {
-            self.seal_proposed_at = None;
-            return;
-        }
-        let is_proposed =
-            self.seal_proposed_at.is_some_and(|at| at.elapsed() < SEAL_RETRY_INTERVAL);
-        if !is_proposed {
-            self.seal_proposed_at = Some(Instant::now());
-            self.propose_without_reply(Command::Seal);
-        }
-    }
-
-    fn propose_without_reply(&mut self, command: Command) {
-        self.propose(command, PendingRequest::Change(Box::new(|_| {})));
-    }
-
     fn on_event(&mut self, event: NodeEvent<Output>) {
         match event {
             NodeEvent::Send { to, messages } => send(&self.outgoing, to, messages),
@@ -631,277 +345,6 @@
     fn term(&self) -> u64 {
         self.node.raft(GROUP).map_or(0, |raft| raft.term())
     }
-
-    fn answer_all(&mut self, ticket: Ticket, outcome: &Outcome) {
-        for request in self.pending.take(ticket) {
-            match request {
-                PendingRequest::StoreOrigin(origin, respond) => {
-                    self.finish_origin(&origin, respond, outcome.clone());
-                }
-                request => self.answer(request, outcome.clone()),
-            }
-        }
-    }
-
-    /// Answers the request to store an origin, once its conflict is stored if there is one.
-    fn finish_origin(
-        &mut self,
-        origin: &PendingOrigin,
-        respond: ResponseCallback,
-        outcome: Outcome,
-    ) {
-        let request = PendingRequest::Change(respond);
-        let state = self.node.machine(GROUP).filter(|_| matches!(outcome, Outcome::Output(_)));
-        match state.and_then(|state| origin.conflict(state.turns())) {
-            Some(conflict) => self.propose(Command::Settle(conflict), request),
-            None => self.answer(request, outcome),
-        }
-    }
-
-    fn answer(&self, pending: PendingRequest, outcome: Outcome) {
-        let output = match outcome {
-            Outcome::NotLeader(leader) => return pending.callback()(Response::NotLeader(leader)),
-            Outcome::Lost => return pending.callback()(Response::Lost),
-            Outcome::Output(output) => Some(output),
-            Outcome::ReadReady => None,
-        };
-        let Some(state) = self.node.machine(GROUP) else {
-            return pending.callback()(Response::Lost);
-        };
-        match (pending, output) {
-            (PendingRequest::Change(respond), Some(output)) => respond(Response::Changed(output)),
-            (PendingRequest::Reserve(reserve, respond), Some(Output::Reservation(reservation))) => {
-                respond(self.reservation_response(state, &reserve, reservation));
-            }
-            (PendingRequest::Retire(respond), Some(Output::Retiring(outcome))) => {
-                respond(Response::Retiring(outcome));
-            }
-            (PendingRequest::ReadConfiguration { newer_than, respond }, None) => {
-                let configuration = queries::configuration(state)
-                    .filter(|configuration| configuration.version > newer_than);
-                respond(Response::Configuration(configuration.cloned()));
-            }
-            (PendingRequest::Confirm(respond), None) => respond(Response::Leads(self.term())),
-            (PendingRequest::ReadRetiring(name, respond), None) => {
-                respond(Response::Retired(self.is_retired(state, &name)));
-            }
-            (pending, _) => pending.callback()(Response::Lost),
-        }
-    }
-
-    fn reservation_response(
-        &self,
-        state: &LedgerState,
-        reserve: &ReserveTurn,
-        reservation: Reservation,
-    ) -> Response {
-        if reservation != Reservation::Granted {
-            return without_history(reservation);
-        }
-        // A conflict may have been stored after the request was proposed.
-        let previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
-        let Some(pieces) = queries::history(state, previous.as_ref()) else {
-            // The previous turn expired after the reservation was applied.
-            return without_history(Reservation::NoSuchTurn);
-        };
-        match self.read_history(&pieces) {
-            Ok(history) => {
-                let is_under_way = is_under_way(state, reserve);
-                Response::Reserved { reservation, history, is_under_way }
-            }
-            Err(error) => {
-                emit!(
-                    Event::DiskFailed,
-                    "cannot read the history of turn {}: {error}",
-                    reserve.turn
-                );
-                Response::Lost
-            }
-        }
-    }
-
-    fn read_history(&self, pieces: &[HistoryPiece<'_>]) -> Result<Vec<u8>, DiskError> {
-        let mut history = Vec::new();
-        for piece in pieces {
-            match piece {
-                HistoryPiece::InMemory(bytes) => history.extend_from_slice(bytes),
-                HistoryPiece::OnDisk(stored) => {
-                    let length = stored.length as usize;
-                    let bytes =
-                        self.log.read_segment(GROUP, stored.segment, stored.offset, length)?;
-                    if !stored.matches(&bytes) {
-                        return Err(corrupt_segment(stored));
-                    }
-                    history.extend(bytes);
-                }
-            }
-        }
-        Ok(history)
-    }
-
-    /// Returns whether a retiring machine is no longer a member and the group has enough voters
-    /// without it. Returns `None` if the machine is not being retired.
-    fn is_retired(&self, state: &LedgerState, name: &str) -> Option<bool> {
-        if !state.machines().is_retiring(name) {
-            return None;
-        }
-        let number = state.machines().number(name);
-        let raft = self.node.raft(GROUP)?;
-        let membership = raft.membership();
-        let is_member = membership.all().any(|replica| Some(replica.machine) == number);
-        let has_enough_voters = membership.voters.len() > 2 * self.tolerated_losses;
-        let is_settled = raft.is_membership_committed();
-        Some(!is_member && has_enough_voters && is_settled)
-    }
-
-    /// Forwards newly applied runs to the scheduler.
-    fn forward_runs(&mut self) {
-        let Some(runs) = self.node.machine(GROUP).map(LedgerState::runs) else {
-            return;
-        };
-        if runs.next() != self.next_run {
-            self.services.turns.record_runs(runs.since(self.next_run));
-            self.next_run = runs.next();
-        }
-    }
-
-    /// Forwards newly applied permit batches to the limiter.
-    fn forward_permits(&mut self) {
-        let Some(permits) = self.node.machine(GROUP).map(LedgerState::permits) else {
-            return;
-        };
-        if permits.newest() != self.last_permit_batch {
-            self.last_permit_batch = permits.newest();
-            self.services.limits.update_from_log(permits);
-        }
-    }
-
-    /// Forwards newly stored crash records and cleared crashes to the gateways' service.
-    fn forward_crashes(&mut self) {
-        let Some(state) = self.node.machine(GROUP) else {
-            return;
-        };
-        let (crashes, cleared) = (state.crashes(), state.cleared_crashes());
-        if crashes.next() != self.next_crash {
-            let now = Instant::now();
-            for record in crashes.since(self.next_crash) {
-                self.services.crashes.add(record.clone(), now);
-            }
-            self.next_crash = crashes.next();
-        }
-        if cleared.next() != self.next_cleared {
-            let now = Instant::now();
-            for record in cleared.since(self.next_cleared) {
-                self.services.crashes.clear(record.clone(), now);
-            }
-            self.next_cleared = cleared.next();
-        }
-    }
-
-    /// Publishes the drained zones if they have changed. The rest of the status is published by
-    /// [`Self::publish`].
-    fn publish_drained(&mut self, out: &watch::Sender<GroupStatus>) {
-        let drained = self.node.machine(GROUP).map(LedgerState::drained);
-        let Some(drained) = drained.filter(|drained| **drained != *self.status.drained) else {
-            return;
-        };
-        emit!(Event::ZonesDrained; version = drained.version, zones = drained);
-        DRAINED_ZONES.set(drained.zones.len() as u64);
-        self.status.drained = Arc::new(drained.clone());
-        out.send_replace(self.status.clone());
-    }
-
-    fn count_held_if_due(&mut self) {
-        if self.held_counted_at.elapsed() < HELD_COUNT_INTERVAL {
-            return;
-        }
-        self.held_counted_at = Instant::now();
-        if let (Some(raft), Some(state)) = (self.node.raft(GROUP), self.node.machine(GROUP)) {
-            self.held.count(raft, state);
-        }
-    }
-
-    /// Logs how long it took a new leader to apply all entries committed by earlier leaders.
-    fn log_caught_up(&mut self) {
-        let Some(since) = self.catching_up_since else {
-            return;
-        };
-        let Some(raft) = self.node.raft(GROUP).filter(|raft| raft.has_committed_in_term()) else {
-            return;
-        };
-        self.catching_up_since = None;
-        emit!(
-            Event::LeaderCaughtUp;
-            machine = self.name,
-            term = raft.term(),
-            after_us = since.elapsed().as_micros(),
-            newest_permit_note = self.last_permit_batch,
-        );
-    }
-
-    fn publish(&mut self, out: &watch::Sender<GroupStatus>) {
-        let Some(raft) = self.node.raft(GROUP) else {
-            return;
-        };
-        let configuration = self.node.machine(GROUP).map(|state| state.configuration().version);
-        let is_leader = raft.has_committed_in_term();
-        let leader = raft.leader().filter(|_| is_leader || !raft.is_leader());
-        let status = GroupStatus {
-            term: raft.term(),
-            leader: leader.map(|leader| leader.machine),
-            is_leader,
-            configuration: configuration.unwrap_or_default(),
-            machines: raft.member_machines(),
-            drained: Arc::clone(&self.status.drained),
-        };
-        if status != self.status {
-            self.status = status.clone();
-            out.send_replace(status);
-        }
-    }
-}
-
-/// Returns the response to a reservation that was not granted.
-fn without_history(reservation: Reservation) -> Response {
-    Response::Reserved { reservation, history: Vec::new(), is_under_way: false }
-}
-
-/// Returns whether the requester has timed out. Gateways do not give up on settling turns.
-fn is_overdue(request: &Request, age: Duration) -> bool {
-    match request {
-        Request::Reserve(_) | Request::ReadConfiguration { .. } | Request::ConfirmLeadership => {
-            age > MAX_REQUEST_AGE
-        }
-        Request::Change(Command::DrainZone { .. } | Command::RestoreZone { .. }) => {
-            age > MAX_ZONE_CHANGE_AGE
-        }
-        Request::Change(_) | Request::Retire(_) | Request::ReadRetiring(_) => false,
-    }
-}
-
-/// Returns whether a command may share the outcome of an identical pending one.
-///
-/// Draining or restoring a zone may not: the opposite command may be in the log between the two,
-/// and the later request would be acknowledged although its effect was undone.
-fn can_share_outcome(command: &Command) -> bool {
-    !matches!(command, Command::DrainZone { .. } | Command::RestoreZone { .. })
-}
-
-/// Returns whether the program of a turn has already started with another turn. Without a program
-/// account, this is the case if the turn continues from another one.
-fn is_under_way(state: &LedgerState, reserve: &ReserveTurn) -> bool {
-    match &reserve.program {
-        Some(program) => state.accounts().has_other_started_turn(program, &reserve.turn),
-        None => reserve.previous.is_some(),
-    }
-}
-
-fn corrupt_segment(stored: &StoredBytes) -> DiskError {
-    DiskError::Corrupt {
-        file: format!("segment {}", stored.segment),
-        offset: usize::try_from(stored.offset).unwrap_or(usize::MAX),
-        problem: "length or checksum mismatch".to_owned(),
-    }
 }
 
 /// Returns the disk identity for a new data directory: 0 for a founding member when bootstrapping,
