--- a/crates/ledger/tests/input_memory.rs
+++ b/crates/ledger/tests/input_memory.rs
@@ -3,15 +3,14 @@
 
 mod support;
 
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
-use calicohoist_ledger::commands::{Command, RetainedTurn, SettleTurn};
 use calicohoist_ledger::server::replica::{Request, Response};
 use calicohoist_replication::{Entry, EntryKind, Message};
 use parking_lot::{Mutex, MutexGuard};
 use peak_alloc::PeakAlloc;
-use support::{MachineWithPeer, TEST_TIMEOUT};
+use support::{MachineWithPeer, TEST_TIMEOUT, block_replica, retain_turn};
 use tokio::runtime::Builder;
 
 #[global_allocator]
@@ -25,38 +24,11 @@
 const MAX_HELD_BYTES: usize = 16 << 20;
 /// Leaves room for what is encoded and written to the disk.
 const MAX_PEAK_BYTES: usize = 64 << 20;
-const RETENTION_MS: u64 = 60_000;
 
 fn measure() -> MutexGuard<'static, ()> {
     MEASUREMENT.lock()
 }
 
-/// Blocks the replica thread, as a disk does that hangs, until the returned sender is dropped.
-fn block(machine: &MachineWithPeer) -> Sender<()> {
-    let (release, released) = channel::<()>();
-    let (entered, is_blocked) = channel();
-    let respond = move |_| {
-        entered.send(()).expect("the test waits");
-        // The sender is dropped without a value.
-        let _ = released.recv();
-    };
-    machine.handle.submit(Request::ReadRetiring("store-9".to_owned()), Box::new(respond));
-    is_blocked.recv_timeout(TEST_TIMEOUT).expect("the replica thread is blocked");
-    release
-}
-
-fn settle(number: usize, bytes: usize) -> Request {
-    let retained = RetainedTurn { previous: None, input: vec![b'x'; bytes], output: Vec::new() };
-    Request::Change(Command::Settle(SettleTurn {
-        program: None,
-        turn: format!("turn-{number}"),
-        used_tokens: 1,
-        retention_ms: RETENTION_MS,
-        retained: Some(retained),
-        run: None,
-    }))
-}
-
 /// Submits long turns; returns the receiver of the responses.
 fn submit_long_turns(machine: &MachineWithPeer) -> Receiver<Response> {
     let (sender, responses) = channel();
@@ -64,7 +36,9 @@
         let sender = sender.clone();
         // The test may have ended.
         let respond = move |response| drop(sender.send(response));
-        machine.handle.submit(settle(number, LONG_INPUT_BYTES), Box::new(respond));
+        machine
+            .handle
+            .submit(retain_turn(&format!("turn-{number}"), LONG_INPUT_BYTES), Box::new(respond));
     }
     responses
 }
@@ -78,7 +52,7 @@
 fn long_turns_that_wait_for_the_disk_are_bounded() {
     let _measurement = measure();
     let machine = MachineWithPeer::start();
-    let release = block(&machine);
+    let release = block_replica(&machine);
     let before = ALLOCATOR.current_usage();
     let responses = submit_long_turns(&machine);
     let held = ALLOCATOR.current_usage().saturating_sub(before);
@@ -88,7 +62,9 @@
     assert!(collect(&responses).iter().any(|response| !is_refused(response)), "all are refused");
     let (sender, later) = channel();
     let respond = move |response| drop(sender.send(response));
-    machine.handle.submit(settle(LONG_INPUTS, LONG_INPUT_BYTES), Box::new(respond));
+    machine
+        .handle
+        .submit(retain_turn(&format!("turn-{LONG_INPUTS}"), LONG_INPUT_BYTES), Box::new(respond));
     let response = later.recv_timeout(TEST_TIMEOUT).expect("a response");
     assert!(!is_refused(&response), "memory is not given back");
 }
@@ -97,7 +73,7 @@
 fn short_requests_are_taken_while_long_turns_wait() {
     let _measurement = measure();
     let machine = MachineWithPeer::start();
-    let release = block(&machine);
+    let release = block_replica(&machine);
     let responses = submit_long_turns(&machine);
     let (sender, confirmed) = channel();
     let respond = move |response| drop(sender.send(response));
@@ -112,7 +88,7 @@
 fn entries_that_wait_for_the_disk_are_bounded() {
     let _measurement = measure();
     let machine = MachineWithPeer::start();
-    let release = block(&machine);
+    let release = block_replica(&machine);
     let before = ALLOCATOR.current_usage();
     for index in 1..=LONG_INPUTS as u64 {
         let kind = EntryKind::Command(vec![0; LONG_INPUT_BYTES].into());
@@ -143,7 +119,9 @@
     for number in 0..LONG_INPUTS {
         let sender = sender.clone();
         let respond = move |response| drop(sender.send(response));
-        machine.handle.submit(settle(number, LONG_INPUT_BYTES), Box::new(respond));
+        machine
+            .handle
+            .submit(retain_turn(&format!("turn-{number}"), LONG_INPUT_BYTES), Box::new(respond));
         // The replica thread takes one after the other.
         std::thread::sleep(Duration::from_millis(1));
     }
--- a/crates/ledger/tests/memory.rs
+++ b/crates/ledger/tests/memory.rs
@@ -2,14 +2,10 @@
 
 mod support;
 
-use std::sync::mpsc::channel;
-
-use calicohoist_ledger::commands::{Command, RetainedTurn, SettleTurn};
 use calicohoist_ledger::server::memory::{MachineMemory, MemoryCounter, MemoryOwner};
-use calicohoist_ledger::server::replica::Request;
 use calicohoist_replication::{Entry, EntryKind, Message};
 use calicohoist_transport::{Frame, spawn_writer};
-use support::{MachineWithPeer, TEST_TIMEOUT};
+use support::{MachineWithPeer, TEST_TIMEOUT, block_replica, retain_turn};
 use tokio::runtime::Builder;
 
 const CONTENT_BYTES: usize = 1 << 20;
@@ -19,32 +15,6 @@
     counted.expect("every owner is counted").1
 }
 
-/// Blocks the replica thread until the returned value is dropped.
-fn block(machine: &MachineWithPeer) -> std::sync::mpsc::Sender<()> {
-    let (release, released) = channel::<()>();
-    let (entered, is_blocked) = channel();
-    let respond = move |_| {
-        entered.send(()).expect("the test waits");
-        // The sender is dropped without a value.
-        let _ = released.recv();
-    };
-    machine.handle.submit(Request::ReadRetiring("store-9".to_owned()), Box::new(respond));
-    is_blocked.recv_timeout(TEST_TIMEOUT).expect("the replica thread is blocked");
-    release
-}
-
-fn settle(bytes: usize) -> Request {
-    let retained = RetainedTurn { previous: None, input: vec![b'x'; bytes], output: Vec::new() };
-    Request::Change(Command::Settle(SettleTurn {
-        program: None,
-        turn: "turn".to_owned(),
-        used_tokens: 1,
-        retention_ms: 60_000,
-        retained: Some(retained),
-        run: None,
-    }))
-}
-
 /// Returns entries that the leader of the peer sends.
 fn append(bytes: usize) -> Message {
     let kind = EntryKind::Command(vec![0; bytes].into());
@@ -57,9 +27,9 @@
 fn inputs_that_wait_are_counted() {
     let machine = MachineWithPeer::start();
     let counter = MemoryCounter::new(MachineMemory::default(), machine.handle.clone());
-    let release = block(&machine);
+    let release = block_replica(&machine);
     assert_eq!(bytes_of(&counter, MemoryOwner::Requests), 0);
-    machine.handle.submit(settle(CONTENT_BYTES), Box::new(|_| {}));
+    machine.handle.submit(retain_turn("turn", CONTENT_BYTES), Box::new(|_| {}));
     machine.send(vec![append(CONTENT_BYTES)]);
     assert!(bytes_of(&counter, MemoryOwner::Requests) >= CONTENT_BYTES);
     assert!(bytes_of(&counter, MemoryOwner::Messages) >= CONTENT_BYTES);
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, mpsc as std_mpsc};
 use std::time::Duration;
 
-use calicohoist_ledger::commands::Command;
+use calicohoist_ledger::commands::{Command, RetainedTurn, SettleTurn};
 use calicohoist_ledger::protocol::{
     LedgerRequest, LedgerResponse, RequestEnvelope, ResponseEnvelope, SUPPORTED_VERSIONS,
 };
@@ -351,6 +351,33 @@
     }
 }
 
+/// Blocks the replica thread, as a disk does that hangs, until the returned sender is dropped.
+pub fn block_replica(machine: &MachineWithPeer) -> std_mpsc::Sender<()> {
+    let (release, released) = std_mpsc::channel::<()>();
+    let (entered, is_blocked) = std_mpsc::channel();
+    let respond = move |_| {
+        entered.send(()).expect("the test waits");
+        // The sender is dropped without a value.
+        let _ = released.recv();
+    };
+    machine.handle.submit(Request::ReadRetiring("store-9".to_owned()), Box::new(respond));
+    is_blocked.recv_timeout(TEST_TIMEOUT).expect("the replica thread is blocked");
+    release
+}
+
+/// Returns a request that stores a turn with an input of `bytes` bytes.
+pub fn retain_turn(turn: &str, bytes: usize) -> Request {
+    let retained = RetainedTurn { previous: None, input: vec![b'x'; bytes], output: Vec::new() };
+    Request::Change(Command::Settle(SettleTurn {
+        program: None,
+        turn: turn.to_owned(),
+        used_tokens: 1,
+        retention_ms: 60_000,
+        retained: Some(retained),
+        run: None,
+    }))
+}
+
 /// Returns the response of a follower that has stored all entries of `message`.
 pub fn reply_to(message: &Message) -> Option<Message> {
     let Message::Append { term, previous_index, entries, round, .. } = message else {
