Ledger: a crash in its last millisecond is not sent to gateways as cleared

A notice of a crash has the time for which it still counts, in ms; none left says that it was cleared. The time was rounded down, so that in its last millisecond a crash that was never cleared went out as cleared: the gateway stopped counting it, went on ignoring it when it was reported again, and asked the ledger for a further send under the request.

The time left is rounded up.

Ruled out: other times in ms that are rounded down on the way to gateways (cold replicas, failing replicas, age of the list) mean no more than a millisecond.

--- a/crates/ledger/src/server/crashes.rs
+++ b/crates/ledger/src/server/crashes.rs
@@ -4,7 +4,7 @@
 //! them.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use calicohoist_quarantine::{Answers, CRASH_RETENTION, CrashRecord};
 use parking_lot::Mutex;
@@ -29,11 +29,12 @@
 
 impl NumberedRecord {
     fn notice(&self, now: Instant) -> CrashNotice {
-        let left = match self.is_cleared {
-            true => Duration::ZERO,
-            false => self.forget_at.saturating_duration_since(now),
+        let left_ms = match self.is_cleared {
+            true => 0,
+            // Rounded up: without any time left, a notice says that the crash was cleared.
+            false => self.forget_at.saturating_duration_since(now).as_micros().div_ceil(1_000),
         };
-        let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
         let CrashRecord { request, replica, .. } = &self.record;
         CrashNotice { request: *request, replica: replica.clone(), left_ms }
     }
--- a/crates/ledger/tests/crashes.rs
+++ b/crates/ledger/tests/crashes.rs
@@ -109,6 +109,17 @@
     assert!(board.changes_since(1, TermVersion::default(), end).1.is_empty());
 }
 
+#[test]
+fn crash_is_not_sent_as_cleared_shortly_before_it_is_forgotten() {
+    let (board, now) = (CrashBoard::default(), Instant::now());
+    board.add(crash(None, 1, "r1"), now);
+    for micros in [1, 500, 999, 1_000] {
+        let now = now + CRASH_RETENTION - Duration::from_micros(micros);
+        let (_, notices) = board.changes_since(1, TermVersion::default(), now);
+        assert!(!notices[0].is_cleared(), "{micros} us before its end");
+    }
+}
+
 #[test]
 fn records_are_limited_in_total_and_by_tenant() {
     let (board, now) = (CrashBoard::default(), Instant::now());
