Quarantine: the account of a request outlasts what gateways know of its cleared crashes

A gateway that asks for a permission to send a request under which replicas crashed says how many of the crashes were cleared, and the ledger permits as many sends more, since its account of the request still counts these crashes. The account kept them for 120 s since the clearing was stored. A gateway counts 120 s since it learned of it: a message later at the least, after a pause half a minute later, and with a new leader, which sends all that it knows again, up to 120 s later. Between the two ends the account was empty, and 3 sends and one for each cleared crash were permitted. A crash that may not have reached its replica extended the gateway's end as well, and no account knows of these.

A charge is kept for the longest time for which a gateway counts the crash: 150 s for a crash (30 s for a gateway that stood still), 300 s for a cleared one (as long at the machine that sends it). Cleared crashes have an end of their own in the gateway's table, which other crashes don't extend. The commands have the same form; only their durations differ.

Ruled out: the time left in the notice of a cleared crash (none is what marks it; the form of messages stays); charges kept for as long in all cases (crashes that were not cleared would cost permissions for longer than they count).

--- a/crates/ledger/src/commands/crash.rs
+++ b/crates/ledger/src/commands/crash.rs
@@ -13,7 +13,12 @@
 //! leader adds the answers of all gateways up without storing them; ledger machines of earlier builds
 //! ignore them.
 
-use calicohoist_quarantine::{CRASH_RETENTION, CrashRecord, MAX_CRASHES, RequestFingerprint};
+use std::time::Duration;
+
+use calicohoist_quarantine::{
+    CLEARED_CHARGE_RETENTION, CRASH_CHARGE_RETENTION, CRASH_RETENTION, CrashRecord, MAX_CRASHES,
+    RequestFingerprint,
+};
 
 use super::{KEY_SEPARATOR, ProgramId, ReserveTurn, RetainedTurn, SettleTurn, TurnId};
 
@@ -50,7 +55,7 @@
 /// Returns the commands with which a gateway clears a crash. The account of the request counts it for as
 /// long as gateways know that it was cleared, and so permit a further send.
 pub fn clear_commands(record: &CrashRecord) -> [SettleTurn; 2] {
-    [charge_crash(record), clear_crash(record)]
+    [charge(record, CLEARED_CHARGE_RETENTION), clear_crash(record)]
 }
 
 fn store(keys: &str, record: &CrashRecord) -> SettleTurn {
@@ -59,7 +64,7 @@
         program: None,
         turn: record_key(keys, record),
         used_tokens: 0,
-        retention_ms: retention_ms(),
+        retention_ms: millis(CRASH_RETENTION),
         retained: Some(RetainedTurn { previous: None, input, output: Vec::new() }),
         run: None,
     }
@@ -89,7 +94,11 @@
 /// Returns the command that charges a crash to the account of the request. It may be repeated, and
 /// a replica is charged once, whichever gateway reports it.
 pub fn charge_crash(record: &CrashRecord) -> SettleTurn {
-    settle_send(&record.request, replica_charge(&record.replica), 1)
+    charge(record, CRASH_CHARGE_RETENTION)
+}
+
+fn charge(record: &CrashRecord, retention: Duration) -> SettleTurn {
+    settle_send(&record.request, replica_charge(&record.replica), 1, retention)
 }
 
 /// Returns the command that permits one send of a request under which replicas have crashed, unless
@@ -102,28 +111,33 @@
         most_tokens: 1,
         budget: (MAX_CRASHES + cleared) as u64,
         previous: None,
-        retention_ms: retention_ms(),
+        retention_ms: millis(CRASH_RETENTION),
     }
 }
 
 /// Returns the command that ends a permitted send, after any crash under it was charged.
 pub fn release_send(request: &RequestFingerprint, send: &str) -> SettleTurn {
-    settle_send(request, send_charge(send), 0)
+    settle_send(request, send_charge(send), 0, CRASH_RETENTION)
 }
 
-fn settle_send(request: &RequestFingerprint, charge: TurnId, used_tokens: u64) -> SettleTurn {
+fn settle_send(
+    request: &RequestFingerprint,
+    charge: TurnId,
+    used_tokens: u64,
+    retention: Duration,
+) -> SettleTurn {
     SettleTurn {
         program: Some(account_of(request)),
         turn: charge,
         used_tokens,
-        retention_ms: retention_ms(),
+        retention_ms: millis(retention),
         retained: None,
         run: None,
     }
 }
 
-fn retention_ms() -> u64 {
-    u64::try_from(CRASH_RETENTION.as_millis()).unwrap_or(u64::MAX)
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Keys of accounts begin with the separator, as in no id of a program.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -14,7 +14,10 @@
 pub mod table;
 
 pub use answers::{ANSWERS_PER_REPLICA, Answers, HARMLESS_ANSWERS};
-pub use crash::{CRASH_RETENTION, CrashRecord, MAX_CRASHES, PERMISSION_TIME};
+pub use crash::{
+    CLEARED_CHARGE_RETENTION, CRASH_CHARGE_RETENTION, CRASH_RETENTION, CrashRecord, MAX_CRASHES,
+    MAX_NOTICE_DELAY, PERMISSION_TIME,
+};
 pub use fingerprint::{RequestContent, RequestFingerprint};
 pub use table::CrashTable;
 
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -24,11 +24,16 @@
     cleared: VecDeque<String>,
     /// Number of crashes that were cleared.
     cleared_count: usize,
+    /// End of the time for which they count as cleared. Not extended by other crashes, which the
+    /// account of the request may not know.
+    cleared_until: Instant,
     /// Incarnation whose crash is the newest one that counts.
     newest: Option<String>,
     forget_at: Instant,
     /// When the newest crash was recorded.
     crashed_at: Instant,
+    /// End of the retention of the newest crash.
+    crashed_until: Instant,
     /// Answers since then.
     answers: Answers,
 }
@@ -40,9 +45,11 @@
             unconfirmed: Vec::new(),
             cleared: VecDeque::new(),
             cleared_count: 0,
+            cleared_until: now,
             newest: None,
             forget_at,
             crashed_at: now,
+            crashed_until: now,
             answers: Answers::default(),
         }
     }
@@ -55,7 +62,8 @@
         self.cleared.iter().any(|known| known == replica)
     }
 
-    fn clear(&mut self, replica: &str) {
+    fn clear(&mut self, replica: &str, until: Instant) {
+        self.cleared_until = self.cleared_until.max(until);
         self.replicas.retain(|known| known != replica);
         if self.newest.as_deref() == Some(replica) {
             self.newest = self.replicas.last().cloned();
@@ -100,6 +108,7 @@
         }
         crashes.answers = Answers::default();
         crashes.newest = Some(replica.to_owned());
+        crashes.crashed_until = crashes.crashed_until.max(now + retention);
         if crashes.replicas.len() < MAX_CRASHES {
             crashes.replicas.push(replica.to_owned());
             crashes.crashed_at = now;
@@ -184,7 +193,9 @@
         }
         crashes.unconfirmed.clear();
         let replicas = std::mem::take(&mut crashes.replicas);
-        replicas.iter().for_each(|replica| crashes.clear(replica));
+        // The ledger may not learn that they were cleared.
+        let until = crashes.crashed_until;
+        replicas.iter().for_each(|replica| crashes.clear(replica, until));
         replicas
     }
 
@@ -201,12 +212,13 @@
         retention: Duration,
         now: Instant,
     ) {
-        self.entry(request, retention, now).clear(replica);
+        self.entry(request, retention, now).clear(replica, now + retention);
     }
 
     /// Returns the number of crashes under the request that were cleared.
     pub fn cleared(&self, request: &RequestFingerprint, now: Instant) -> usize {
-        self.find(request, now).map_or(0, |crashes| crashes.cleared_count)
+        let crashes = self.find(request, now).filter(|crashes| crashes.cleared_until > now);
+        crashes.map_or(0, |crashes| crashes.cleared_count)
     }
 
     /// Returns whether the request must not be sent without a permission of the ledger.
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -238,6 +238,21 @@
     assert_eq!(table.cleared(&request(1), now + CRASH_RETENTION), 0);
 }
 
+/// The account of the request does not learn of all other crashes.
+#[test]
+fn other_crashes_do_not_extend_the_time_for_which_crashes_count_as_cleared() {
+    let (mut table, now) = (CrashTable::default(), Instant::now());
+    table.clear(request(1), "r1", CRASH_RETENTION, now);
+    let later = now + CRASH_RETENTION / 2;
+    let unconfirmed = CrashRecord { tenant: None, request: request(1), replica: "r2".to_owned() };
+    table.record_unconfirmed(unconfirmed, CRASH_RETENTION, later);
+    record(&mut table, 1, "r3", later);
+    let end = now + CRASH_RETENTION;
+    assert_eq!(table.cleared(&request(1), end - Duration::from_millis(1)), 1);
+    assert_eq!(table.cleared(&request(1), end), 0);
+    assert_eq!(table.crashes(&request(1), end), 1);
+}
+
 #[test]
 fn unconfirmed_crash_of_a_harmless_request_is_forgotten() {
     let (mut table, now) = (CrashTable::default(), Instant::now());
