Gateways: following the ledger ends before the leader stops waiting for a gateway

The leader acknowledges a crash record once every gateway that has watched in the last 1.1 s has it; a gateway without it must not count itself as following by then, since it would send a request that is in quarantine. But a gateway counted 750 ms since it had read the last answer. The watch of that answer was sent up to 500 ms earlier, so a gateway whose next watch was lost went on for 1.25 s since the leader had last heard it; and one that stood still read an old answer and took itself for in touch for 750 ms more, with records of the whole pause missing.

An answer now counts from when the leader gave it at the latest: at most 600 ms after the watch was sent, as it was in the attempt that was answered. So a gateway follows for at most 1.35 s since the leader heard it, and the leader waits 1.4 s. The same moment tells whether the routing table is current.

Ruled out: a shorter time at gateways (a watch is held for 500 ms; in touch, the times are as before); the time of the request instead of that of the attempt (after a change of leader gateways would be out of touch for another watch).

Cost: a crash record near a gateway that is lost, or after a change of leader, is acknowledged 0.3 s later.

--- a/crates/ledger/src/client/mod.rs
+++ b/crates/ledger/src/client/mod.rs
@@ -72,6 +72,8 @@
     pub response: LedgerResponse,
     /// Version of the connection.
     pub version: ProtocolVersion,
+    /// When the request was sent that was answered, after any retries.
+    pub sent_at: Instant,
 }
 
 /// Outcome of a single attempt to send a request.
@@ -204,6 +206,7 @@
         let Some(connection) = self.connection(leader).await else {
             return self.abandon(leader);
         };
+        let begun_at = Instant::now();
         let Some(mut pending) = connection.send(self.next_number(), request).await else {
             return self.abandon(leader);
         };
@@ -229,7 +232,8 @@
                 Ok(Some(LedgerResponse::Unavailable)) => return Attempt::Unavailable,
                 Ok(Some(response)) => {
                     let version = connection.version();
-                    return Attempt::Answered(VersionedResponse { response, version });
+                    let answer = VersionedResponse { response, version, sent_at: begun_at };
+                    return Attempt::Answered(answer);
                 }
                 Ok(None) => return self.abandon(leader),
                 Err(_) => {}
--- a/crates/ledger/src/server/receipts.rs
+++ b/crates/ledger/src/server/receipts.rs
@@ -12,7 +12,7 @@
 
 /// Time without a watch after which a gateway no longer follows the ledger. Longer than the time
 /// after which the gateway itself assumes that.
-pub const GATEWAY_SILENCE: Duration = Duration::from_millis(1_100);
+pub const GATEWAY_SILENCE: Duration = Duration::from_millis(1_400);
 /// How often a waiting record is compared with the gateways that have fallen silent.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -6,7 +6,6 @@
 
 use calicohoist_connections::{Drain, DrainStage};
 use calicohoist_ledger::client::LedgerClient;
-use calicohoist_ledger::protocol::CRASH_RECORDS_VERSION;
 use calicohoist_limiter::PermitCache;
 use calicohoist_quarantine::CrashTable;
 use calicohoist_routing::{CostWeights, KeySecret, RouteTable};
@@ -16,23 +15,13 @@
 
 use crate::dialect::Dialect;
 use crate::fleet::Fleet;
+use crate::ledger_contact::{LeaderAnswer, LedgerContact};
 use crate::memory::MemoryBudget;
 use crate::response_times::ResponseTimes;
 use crate::sends::OpenSends;
 use crate::settings::ProxySettings;
 use crate::upstream::Pool;
 
-/// Maximum time since the leader's last answer for which the routing table counts as current.
-/// Covers several watch intervals, but is shorter than the time in which a configuration change
-/// must be applied everywhere.
-const MAX_LEADER_SILENCE: Duration = Duration::from_millis(1_500);
-/// Maximum time since the leader's last answer for which the gateway counts as following the ledger.
-/// Longer than a leader holds a watch.
-const MAX_FOLLOWER_SILENCE: Duration = Duration::from_millis(750);
-/// Time after contact with the leader was resumed in which other gateways, which may find the leader
-/// later, write what they could not before: they notice that a connection is dead, look for the
-/// leader at two other machines, and retry.
-const PENDING_WRITES_TIME: Duration = Duration::from_millis(2_500);
 /// Maximum number of requests that wait for the first routing table.
 const MAX_TABLE_WAITERS: usize = 256;
 
@@ -66,31 +55,10 @@
     /// Limits the number of requests that wait for the first routing table.
     table_waiters: Semaphore,
     has_replica_list: AtomicBool,
-    /// The leader's last answer to a watch request.
-    last_leader_answer: Mutex<Option<LeaderAnswer>>,
+    contact: Mutex<LedgerContact>,
     running_tasks: AtomicUsize,
 }
 
-/// An answer of the leader to a watch request.
-#[derive(Clone, Copy, Debug)]
-struct LeaderAnswer {
-    at: Instant,
-    /// Version of the connection to the leader.
-    version: ProtocolVersion,
-    /// Number of ledger connections that had been given up by then.
-    dropped_connections: u64,
-    /// First of the answers since which the gateway has not been cut off from the leader.
-    contact_since: Instant,
-}
-
-impl LeaderAnswer {
-    /// Returns whether the gateway has not been cut off from the leader between the answer and `now`.
-    fn is_in_contact(&self, ledger: &LedgerClient, now: Instant) -> bool {
-        now.saturating_duration_since(self.at) < MAX_FOLLOWER_SILENCE
-            && self.dropped_connections == ledger.dropped_connections()
-    }
-}
-
 impl App {
     /// Creates the state of a gateway without configuration or replicas.
     pub fn new(settings: ProxySettings) -> Self {
@@ -112,7 +80,7 @@
             table: watch::Sender::new(None),
             table_waiters: Semaphore::new(MAX_TABLE_WAITERS),
             has_replica_list: AtomicBool::new(false),
-            last_leader_answer: Mutex::new(None),
+            contact: Mutex::default(),
             running_tasks: AtomicUsize::new(0),
         }
     }
@@ -166,41 +134,34 @@
         is_installed
     }
 
-    /// Records that the leader answered a watch request on a connection of this version.
-    pub fn record_leader_answer(&self, version: ProtocolVersion, now: Instant) {
+    /// Records that the leader answered a watch, at the latest at `given_at`, on a connection of this
+    /// version.
+    pub fn record_leader_answer(&self, version: ProtocolVersion, given_at: Instant) {
         let dropped_connections = self.ledger.dropped_connections();
-        let mut last = self.last_leader_answer.lock();
-        let contact = last.filter(|last| last.is_in_contact(&self.ledger, now));
-        let contact_since = contact.map_or(now, |last| last.contact_since);
-        *last = Some(LeaderAnswer { at: now, version, dropped_connections, contact_since });
+        let answer = LeaderAnswer { given_at, version, dropped_connections };
+        self.contact.lock().record_answer(answer);
     }
 
     /// Returns whether the routing table is current, up to the usual propagation delay. Otherwise
     /// the gateway must not report a route or key as unknown, since it may have been added
     /// recently.
     pub fn is_current(&self, now: Instant) -> bool {
-        let answer = *self.last_leader_answer.lock();
-        answer.is_some_and(|answer| now.saturating_duration_since(answer.at) < MAX_LEADER_SILENCE)
+        self.contact.lock().is_current(now)
     }
 
     /// Returns whether the gateway receives what the ledger records as it is recorded. It does not
     /// while it is cut off from the leader, has not heard a new one, or is connected to it by a version
     /// without crash records.
     pub fn follows_ledger(&self, now: Instant) -> bool {
-        let answer = *self.last_leader_answer.lock();
-        answer.is_some_and(|answer| {
-            answer.version >= CRASH_RECORDS_VERSION && answer.is_in_contact(&self.ledger, now)
-        })
+        let dropped_connections = self.ledger.dropped_connections();
+        self.contact.lock().follows_ledger(dropped_connections, now)
     }
 
     /// Returns whether other gateways may still write what they could not while there was no leader, as
     /// far as this gateway can tell from its own contact with the leader.
     pub fn may_have_pending_writes(&self, now: Instant) -> bool {
-        let answer = *self.last_leader_answer.lock();
-        let contact = answer.filter(|answer| answer.is_in_contact(&self.ledger, now));
-        contact.is_none_or(|answer| {
-            now.saturating_duration_since(answer.contact_since) < PENDING_WRITES_TIME
-        })
+        let dropped_connections = self.ledger.dropped_connections();
+        self.contact.lock().may_have_pending_writes(dropped_connections, now)
     }
 
     /// Records that a replica list has been received.
--- a/crates/proxy/src/ledger_watch.rs
+++ b/crates/proxy/src/ledger_watch.rs
@@ -19,7 +19,7 @@
 use rand::RngExt;
 
 use crate::app::App;
-use crate::flow;
+use crate::{flow, ledger_contact};
 
 static DRAINED_ZONES: Gauge =
     Gauge::new("calicohoist_proxy_drained_zones", "Zones that are drained, as known here");
@@ -110,10 +110,11 @@
             let request = LedgerRequest::Watch(seen);
             let answer = self.app.ledger.request_versioned(&request, deadline).await;
             // Crash records come without a confirmation of the leadership.
-            if let Ok(VersionedResponse { response, version }) = &answer
+            if let Ok(VersionedResponse { response, version, sent_at }) = &answer
                 && !matches!(response, LedgerResponse::Crashes { .. })
             {
-                self.app.record_leader_answer(*version, Instant::now());
+                let given_at = ledger_contact::given_at(*sent_at, Instant::now());
+                self.app.record_leader_answer(*version, given_at);
             }
             match answer.map(|answer| answer.response) {
                 Ok(LedgerResponse::Configuration { version, document }) => {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet;
 pub mod flow;
 pub mod frontend;
+pub mod ledger_contact;
 pub mod ledger_watch;
 pub mod memory;
 pub mod response_times;
