Soak: runs in which turns and budgets expire, continued at any age

Continuing only at the end, after all stores were killed, and oldest first hid the rest. That a 404 is tried again hides nothing: each one is a violation at once.

CALICOHOIST_SOAK_RETENTION_S makes a run reach the ends: stores have calm periods (the retention and three steps of the clock), callers continue turns that nobody has continued at any age during the run, most of them in the last 0.6 s, programs that received their budget return within the retention after their last answer, and 15 s after the retention nothing of the run may be found. Ages count from the last byte of the answer to the last byte of the request.

Checks: a 404 or 410 is a violation if the turn is younger than the retention of the run (before: any 404; the runs of before never get as old as 60 s). Persistent callers give a turn up once its retention has ended, and a turn whose retention ends while it is continued at the end of a run need not be found. MAX_AGE is two thirds of the retention, the 40 s of before. Seeds, bounds and faults of the earlier runs are unchanged.

--- a/crates/calicohoist/tests/soak/attempts.rs
+++ b/crates/calicohoist/tests/soak/attempts.rs
@@ -333,6 +333,11 @@
         true
     }
 
+    /// Returns when the last bytes arrived; `None` if none came since the last request was sent.
+    pub fn last_received(&self) -> Option<Instant> {
+        self.input.get_ref().last_received
+    }
+
     /// Returns whether further requests may be sent after this answer.
     pub fn is_reusable(&self, reply: &Response) -> bool {
         reply.is_complete && !self.is_closing
@@ -351,6 +356,11 @@
 }
 
 impl SentRequest {
+    /// Returns when the last byte had been sent; `None` if the connection failed before.
+    pub fn sent(&self) -> Option<Instant> {
+        self.sent
+    }
+
     /// Returns how the request ended for its caller; `cut` counts if the answer is not complete.
     fn ending(&self, reply: &Response, cut: Cut) -> Ending {
         match reply.status {
--- a/crates/calicohoist/tests/soak/caller.rs
+++ b/crates/calicohoist/tests/soak/caller.rs
@@ -20,6 +20,15 @@
 /// Deadline of the calls of a program.
 const CALL_DEADLINE: Duration = Duration::from_secs(2);
 
+/// A request that was sent, and its answer.
+struct Exchange {
+    reply: Response,
+    /// When the last byte of the request had been sent.
+    sent: Option<Instant>,
+    /// When the last byte of the answer arrived.
+    ended: Option<Instant>,
+}
+
 /// Persistent connections, at most one per gateway.
 #[derive(Default)]
 struct ConnectionPool(HashMap<SocketAddr, RecordedConnection>);
@@ -31,17 +40,19 @@
         address: SocketAddr,
         submission: &Submission,
         log: &AttemptLog,
-    ) -> Option<Response> {
+    ) -> Option<Exchange> {
         let mut connection = match self.0.remove(&address) {
             Some(connection) => connection,
             None => RecordedConnection::open(address, submission, log)?,
         };
         let request = connection.send(std::slice::from_ref(submission)).pop()?;
+        let sent = request.sent();
         let reply = connection.receive(request);
+        let ended = connection.last_received();
         if connection.is_reusable(&reply) {
             self.0.insert(address, connection);
         }
-        (reply.status != 0).then_some(reply)
+        (reply.status != 0).then_some(Exchange { reply, sent, ended })
     }
 }
 
@@ -59,6 +70,10 @@
     pub status: u16,
     /// Whether the turn was answered whole.
     pub is_whole: bool,
+    /// When the turn had been sent, or the caller gave that up.
+    pub sent: Instant,
+    /// When the last byte of the answer arrived, or the caller gave that up.
+    pub ended: Instant,
 }
 
 /// Caller that runs programs sequentially.
@@ -149,12 +164,22 @@
             let submitted = (previous.map(str::to_owned), input.clone());
             records.submitted.insert(id.to_owned(), submitted);
             records.at_most_once.insert(id.to_owned());
+            if let Some(previous) = previous {
+                records.note_continued(previous);
+            }
         }
         let submission = Submission::new(id, &format!("{head}{input}"), ROUTE_TIMEOUT);
-        let reply = self.connections.exchange(gateway, &submission, &self.attempts);
-        let reply = reply.unwrap_or_default();
-        let is_whole = self.record_turn_reply(program, id, previous, &input, &reply);
-        TurnOutcome { status: reply.status, is_whole }
+        let exchange = self.connections.exchange(gateway, &submission, &self.attempts);
+        let now = Instant::now();
+        let mut outcome = TurnOutcome { status: 0, is_whole: false, sent: now, ended: now };
+        if let Some(Exchange { reply, sent, ended }) = exchange {
+            outcome.status = reply.status;
+            outcome.sent = sent.unwrap_or(now);
+            outcome.ended = ended.unwrap_or(now);
+            outcome.is_whole =
+                self.record_turn_reply(program, id, previous, &input, &reply, &outcome);
+        }
+        outcome
     }
 
     fn record_turn_reply(
@@ -164,6 +189,7 @@
         previous: Option<&str>,
         input: &str,
         reply: &Response,
+        outcome: &TurnOutcome,
     ) -> bool {
         let text = reply.text();
         let events = text.matches("data: ").count() as u64;
@@ -182,12 +208,18 @@
                 let transcript =
                     format!("{}{input}{}", earlier.unwrap_or_default(), expected_output(id));
                 records.completed.insert(id.to_owned(), transcript);
-                records.completed_at.insert(id.to_owned(), Instant::now());
+                records.completed_at.insert(id.to_owned(), outcome.ended);
+                records.leaves.insert((outcome.ended, id.to_owned()));
                 records.served += 1;
                 true
             }
-            404 => {
-                records.violations.push(format!("{id}: 404, although {previous:?} was completed"));
+            status @ (404 | 410) => {
+                let age = previous.and_then(|previous| records.age(previous, outcome.sent));
+                if age.is_none_or(|age| age < records.retention) {
+                    records.violations.push(format!(
+                        "{id}: {status}, although {previous:?} was completed {age:?} before"
+                    ));
+                }
                 false
             }
             402 | 408 | 429 | 503 => {
@@ -207,7 +239,8 @@
         let head = request_head("GET", path, &id, 0, &[&deadline]);
         let gateway = self.pick_gateway();
         let submission = Submission::new(&id, &head, CALL_DEADLINE);
-        let Some(reply) = self.connections.exchange(gateway, &submission, &self.attempts) else {
+        let exchange = self.connections.exchange(gateway, &submission, &self.attempts);
+        let Some(Exchange { reply, .. }) = exchange else {
             return;
         };
         let mut records = self.records.lock();
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -65,6 +65,40 @@
 const UPGRADE_PAUSE: Duration = Duration::from_millis(1_500);
 /// Maximum number of faults per round.
 const MAX_FAULTS_PER_ROUND: usize = 4;
+/// Separates the random stream of calm periods.
+const CALM_SEED: u64 = 98;
+/// Number of steps of the clock of the ledger's state, of [`CLOCK_INTERVAL`] each, in a calm period
+/// beyond the retention.
+const CALM_STEPS: u32 = 3;
+/// How often a leader advances the clock of the ledger's state.
+const CLOCK_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Periods without faults of stores, between which these are disrupted. The clock of the ledger's state
+/// moves only while a leader stays for a time.
+#[derive(Clone, Copy, Debug)]
+struct CalmPeriods {
+    started: Instant,
+    /// Time of the first period that is over at the start.
+    offset: Duration,
+    calm: Duration,
+    disrupted: Duration,
+}
+
+impl CalmPeriods {
+    fn start(seed: u64, retention: Duration) -> Self {
+        let calm = retention + CALM_STEPS * CLOCK_INTERVAL;
+        let disrupted = calm / 4;
+        let mut rng = StdRng::seed_from_u64(seed ^ CALM_SEED);
+        let offset = (calm + disrupted).mul_f64(rng.random_range(0.0..1.0));
+        Self { started: Instant::now(), offset, calm, disrupted }
+    }
+
+    fn is_calm(&self) -> bool {
+        let period = (self.calm + self.disrupted).as_secs_f64();
+        let position = (self.offset + self.started.elapsed()).as_secs_f64() % period;
+        position < self.calm.as_secs_f64()
+    }
+}
 
 /// Node and its process, if it is running.
 struct Node {
@@ -138,6 +172,7 @@
     last_store_fault_end: Instant,
     /// Time before which no store fault is injected.
     no_store_faults_before: Instant,
+    calm_periods: Option<CalmPeriods>,
 }
 
 /// Returns the binary of the build under test, which `CALICOHOIST_SOAK_BINARY` may replace.
@@ -231,9 +266,15 @@
             pending_recoveries: Vec::new(),
             last_store_fault_end: Instant::now(),
             no_store_faults_before: Instant::now(),
+            calm_periods: None,
         }
     }
 
+    /// Lets faults of stores come in periods between which turns expire.
+    pub fn set_calm_periods(&mut self, seed: u64, retention: Duration) {
+        self.calm_periods = Some(CalmPeriods::start(seed, retention));
+    }
+
     pub fn controls(&self) -> Vec<SocketAddr> {
         let control = |ip: &&str| {
             SocketAddr::new(ip.parse().expect("an address"), self.cluster.ports.control)
@@ -250,6 +291,12 @@
         self.addresses(&self.gateways[self.disrupted_gateways..])
     }
 
+    /// All gateways, those that are never disrupted twice.
+    pub fn mostly_planned_gateways(&self) -> Vec<SocketAddr> {
+        let planned = self.planned_gateways();
+        [self.gateways(), planned.clone(), planned].concat()
+    }
+
     fn addresses(&self, gateways: &[Node]) -> Vec<SocketAddr> {
         gateways.iter().map(|gateway| self.cluster.http(gateway.ip)).collect()
     }
@@ -643,7 +690,8 @@
 
     fn inject_fault(&mut self) -> &'static str {
         let is_store_fault = self.rng.random_bool(0.5);
-        if !is_store_fault || Instant::now() < self.no_store_faults_before {
+        let is_calm = self.calm_periods.is_some_and(|periods| periods.is_calm());
+        if !is_store_fault || is_calm || Instant::now() < self.no_store_faults_before {
             return self.inject_other_fault();
         }
         let index = self.rng.random_range(0..STORE_IPS.len());
--- /dev/null
+++ b/crates/calicohoist/tests/soak/forgetting.rs
@@ -0,0 +1,64 @@
+//! Turns whose retention has ended are forgotten.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::Shared;
+use crate::caller::Caller;
+use crate::support::wait_until;
+
+/// Time after its retention in which a turn is forgotten while the leader stays the same: three steps
+/// of the clock of the ledger's state.
+const FORGETTING_TIME: Duration = Duration::from_secs(15);
+/// Maximum number of turns that are asked for.
+const MAX_TURNS: usize = 100;
+/// Number of the caller among the callers of turns.
+const CALLER: usize = 500;
+
+/// Returns when all turns that were stored until now have been forgotten.
+pub fn forgotten_by(records: &Shared) -> Instant {
+    Instant::now() + records.lock().retention + FORGETTING_TIME
+}
+
+/// Asks for a sample of all turns; returns a violation for each that is still kept.
+pub fn check_forgotten(
+    gateways: Vec<SocketAddr>,
+    records: &Shared,
+    stop_flag: &Arc<AtomicBool>,
+) -> Vec<String> {
+    let turns: Vec<String> = records.lock().completed.keys().cloned().collect();
+    let step = turns.len().div_ceil(MAX_TURNS).max(1);
+    let rng = StdRng::seed_from_u64(0);
+    let (records, stop_flag) = (Arc::clone(records), Arc::clone(stop_flag));
+    let mut caller = Caller::new(CALLER, gateways, rng, records, stop_flag);
+    let mut kept = Vec::new();
+    for turn in turns.iter().step_by(step) {
+        match status_after(&mut caller, turn) {
+            404 => {}
+            status => kept.push(format!("{turn} is still kept after its retention: {status}")),
+        }
+    }
+    kept
+}
+
+/// Continues a turn until the answer tells whether it is kept; returns the status.
+fn status_after(caller: &mut Caller, turn: &str) -> u16 {
+    let caller = parking_lot::Mutex::new(caller);
+    let status = parking_lot::Mutex::new((0, 0));
+    wait_until("the answer tells whether a turn is kept", || {
+        let (attempt, last) = &mut *status.lock();
+        *attempt += 1;
+        let program = format!("old-{turn}");
+        let mut caller = caller.lock();
+        let gateway = caller.pick_gateway();
+        let id = format!("{program}-{attempt}");
+        *last = caller.try_turn(gateway, &program, &id, Some(turn)).status;
+        matches!(*last, 200 | 404)
+    });
+    status.into_inner().1
+}
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -11,6 +11,10 @@
 //!
 //! `CALICOHOIST_SOAK_SEEDS=FROM..TO`, `CALICOHOIST_SOAK_SECONDS=N` and `CALICOHOIST_SOAK_FRONTS=N`
 //! select the runs (see `scripts/soak.sh`); the default is [`REGRESSION_RUNS`].
+//! `CALICOHOIST_SOAK_RETENTION_S=N` makes them reach the end of what is kept for a time: turns are kept
+//! for N seconds and continued at any age, see [`ages`], programs return after they have spent their
+//! budget, see [`budgets`], and turns are forgotten in the end, see [`forgetting`]. Stores then have
+//! periods without faults.
 //! `CALICOHOIST_SOAK_OLDER_BINARY` tests rolling upgrades: all processes start with that binary,
 //! each restart picks one of the two builds, and the remaining ones are upgraded at the end.
 //! `CALICOHOIST_SOAK_BINARY` replaces the build under test.
@@ -22,14 +26,17 @@
 #[path = "../cluster/mod.rs"]
 mod cluster;
 
+mod ages;
 mod arrivals;
 mod attempts;
+mod budgets;
 mod caller;
 mod crashes;
 mod drains;
 mod endless;
 mod endless_tests;
 mod faults;
+mod forgetting;
 mod forwarder_tests;
 mod load;
 mod operator;
@@ -54,8 +61,10 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use ages::{AgeCounts, start_aging_callers};
 use arrivals::{ArrivalLog, Outcome};
 use attempts::AttemptLog;
+use budgets::{BudgetCounts, start_returning_callers};
 use caller::{Caller, try_exchange};
 use crashes::{
     CrashRecords, PanicReport, check_crashes, harmless_crashes, run_replicas, send_fatal_requests,
@@ -63,6 +72,7 @@
 use drains::{Drain, check_drains, check_last_drain, drain_preferred_zone, drain_zones};
 use endless::{judge_endless, serve_endless, start_endless_callers};
 use faults::Soak;
+use forgetting::{check_forgotten, forgotten_by};
 use load::start_callers;
 use operator::{operate, put_version, read_version};
 use parking_lot::Mutex;
@@ -88,19 +98,30 @@
 /// - 1796406271: overlapping tries of a request under which replicas fall silent.
 /// - 2026120519: the only tool that serves restarts three times with few answers between.
 const REGRESSION_RUNS: [SoakRun; 8] = [
-    SoakRun { seed: 1, gateways: 2, seconds: 20 },
-    SoakRun { seed: 2, gateways: 4, seconds: 20 },
-    SoakRun { seed: 3, gateways: 40, seconds: 20 },
-    SoakRun { seed: 109, gateways: 4, seconds: 15 },
-    SoakRun { seed: 146, gateways: 2, seconds: 15 },
-    SoakRun { seed: 5218, gateways: 4, seconds: 10 },
-    SoakRun { seed: 1_796_406_271, gateways: 4, seconds: 20 },
-    SoakRun { seed: 2_026_120_519, gateways: 4, seconds: 20 },
+    SoakRun::new(1, 2, 20),
+    SoakRun::new(2, 4, 20),
+    SoakRun::new(3, 40, 20),
+    SoakRun::new(109, 4, 15),
+    SoakRun::new(146, 2, 15),
+    SoakRun::new(5218, 4, 10),
+    SoakRun::new(1_796_406_271, 4, 20),
+    SoakRun::new(2_026_120_519, 4, 20),
+];
+/// Runs in which turns and budgets expire.
+const RETENTION_RUNS: [SoakRun; 2] = [
+    SoakRun::new(98, 4, 15).with_retention(SHORT_RETENTION),
+    SoakRun::new(99, 2, 15).with_retention(SHORT_RETENTION),
 ];
 /// Runs that are judged by the streams of the service that is released.
-const RELEASE_RUNS: [SoakRun; 1] = [SoakRun { seed: 86, gateways: 4, seconds: 20 }];
+const RELEASE_RUNS: [SoakRun; 1] = [SoakRun::new(86, 4, 20)];
 const DEFAULT_SECONDS: u64 = 20;
 const DEFAULT_GATEWAYS: usize = 4;
+/// Retention of turns of a run that does not reach it.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
+/// Retention of turns in the runs of the regular test suite in which they expire. A multiple of the
+/// interval at which a leader advances the clock of the state, so that each turn ends with a step of
+/// it.
+const SHORT_RETENTION: Duration = Duration::from_secs(5);
 
 /// Parameters of one soak run.
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +130,19 @@
     /// Number of gateways; there are always three stores.
     gateways: usize,
     seconds: u64,
+    /// Retention of turns, which are continued at any age, if the run is to reach it.
+    retention: Option<Duration>,
+}
+
+impl SoakRun {
+    const fn new(seed: u64, gateways: usize, seconds: u64) -> Self {
+        Self { seed, gateways, seconds, retention: None }
+    }
+
+    const fn with_retention(mut self, retention: Duration) -> Self {
+        self.retention = Some(retention);
+        self
+    }
 }
 
 const INITIAL_VERSION: u64 = 5;
@@ -137,7 +171,14 @@
     submitted: BTreeMap<String, (Option<String>, String)>,
     /// Completed turns, with the transcript up to their end.
     completed: BTreeMap<String, String>,
+    /// When the last byte of a completed turn arrived.
     completed_at: BTreeMap<String, Instant>,
+    /// Completed turns that nobody has tried to continue.
+    leaves: BTreeSet<(Instant, String)>,
+    /// Retention of turns.
+    retention: Duration,
+    ages: AgeCounts,
+    budgets: BudgetCounts,
     /// Requests that were rejected without being executed.
     rejected: BTreeSet<String>,
     /// Requests that must be executed at most once.
@@ -165,6 +206,19 @@
     violations: Vec<String>,
 }
 
+impl Records {
+    /// Returns the age of a completed turn at a moment.
+    fn age(&self, turn: &str, at: Instant) -> Option<Duration> {
+        self.completed_at.get(turn).map(|completed| at.saturating_duration_since(*completed))
+    }
+
+    fn note_continued(&mut self, turn: &str) {
+        if let Some(completed) = self.completed_at.get(turn) {
+            self.leaves.remove(&(*completed, turn.to_owned()));
+        }
+    }
+}
+
 type Shared = Arc<Mutex<Records>>;
 
 /// Scripted reaction of a replica to a request, derived from the request id.
@@ -298,8 +352,9 @@
 }
 
 /// Runs the soak.
-fn run_soak(SoakRun { seed, gateways, seconds }: SoakRun) -> RunFindings {
+fn run_soak(SoakRun { seed, gateways, seconds, retention: reached }: SoakRun) -> RunFindings {
     let duration = Duration::from_secs(seconds);
+    let retention = reached.unwrap_or(DEFAULT_RETENTION);
     let older_binary = std::env::var_os("CALICOHOIST_SOAK_OLDER_BINARY").map(PathBuf::from);
     let is_mixed = older_binary.is_some();
     let mut soak = Soak::start(seed, gateways, older_binary);
@@ -308,7 +363,7 @@
     let _report = PanicReport { log_folder: &log_folder };
     let controls = soak.controls();
     wait_until("the configuration is accepted", || {
-        controls.iter().any(|control| put_version(*control, INITIAL_VERSION))
+        controls.iter().any(|control| put_version(*control, INITIAL_VERSION, retention))
     });
     wait_until("the gateways are ready", || {
         soak.gateways().iter().chain(&soak.planned_gateways()).all(|gateway| {
@@ -316,7 +371,7 @@
             try_exchange(*gateway, request.as_bytes()).is_some_and(|reply| reply.status == 200)
         })
     });
-    let records: Shared = Arc::default();
+    let records: Shared = Arc::new(Mutex::new(Records { retention, ..Records::default() }));
     let stop_flag = Arc::new(AtomicBool::new(false));
     let acknowledged = Arc::new(AtomicU64::new(INITIAL_VERSION));
     let mut threads: Vec<JoinHandle<()>> = Vec::new();
@@ -339,7 +394,7 @@
         let (acknowledged, rng) = (Arc::clone(&acknowledged), StdRng::seed_from_u64(seed ^ 99));
         let controls = controls.clone();
         threads.push(thread::spawn(move || {
-            operate(controls, rng, &records, &acknowledged, &stop_flag);
+            operate(controls, retention, rng, &records, &acknowledged, &stop_flag);
         }));
     }
     for number in 0..STREAM_CALLERS {
@@ -362,6 +417,11 @@
     let _sound_replicas = start_replicas(&soak.cluster.platform_list, &soak.arrivals);
     threads.extend(start_callers(seed, &soak, &records, &stop_flag));
     threads.extend(start_persistent_callers(seed, &soak, &records, &stop_flag));
+    if reached.is_some() {
+        threads.extend(start_aging_callers(seed, &soak, &records, &stop_flag));
+        threads.extend(start_returning_callers(seed, &soak, &records, &stop_flag));
+        soak.set_calm_periods(seed, retention);
+    }
     // An older build may not bound what an endless response costs.
     if !is_mixed && endless::is_enabled() {
         threads.extend(start_endless_callers(seed, &soak, &records, &stop_flag));
@@ -405,6 +465,15 @@
     let drained_requests = drained.map_or(0, |drained| {
         check_last_drain(drained, &controls, &soak.gateways(), &soak.arrivals, &records)
     });
+    if reached.is_some() {
+        let forgotten_by = forgotten_by(&records);
+        soak.run_for(forgotten_by.saturating_duration_since(Instant::now()));
+        let violations = check_forgotten(soak.gateways(), &records, &stop_flag);
+        records.lock().violations.extend(violations);
+        let records = records.lock();
+        println!("seed {seed}, continued by age: {}", records.ages);
+        println!("seed {seed}, budgets: {}", records.budgets);
+    }
     let mut records = records.lock();
     check_executions(&soak.replicas, &mut records);
     let drain_violations = check_drains(&soak.replicas, &records.drains, &soak.arrivals);
@@ -478,7 +547,8 @@
     };
     let seconds = env_number("CALICOHOIST_SOAK_SECONDS").unwrap_or(DEFAULT_SECONDS);
     let gateways = env_number("CALICOHOIST_SOAK_FRONTS").unwrap_or(DEFAULT_GATEWAYS);
-    (from..to).map(|seed| SoakRun { seed, gateways, seconds }).collect()
+    let retention = env_number("CALICOHOIST_SOAK_RETENTION_S").map(Duration::from_secs_f64);
+    (from..to).map(|seed| SoakRun { seed, gateways, seconds, retention }).collect()
 }
 
 #[test]
@@ -504,6 +574,14 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
+#[test]
+fn turns_and_budgets_are_kept_until_their_retention_ends_and_no_longer() {
+    for run in selected_runs(&RETENTION_RUNS) {
+        let retention = run.retention.unwrap_or(SHORT_RETENTION);
+        println!("{:?}", run_soak(run.with_retention(retention)));
+    }
+}
+
 #[test]
 fn acknowledged_drain_holds_after_all_stores_were_killed() {
     let findings = run_soak(REGRESSION_RUNS[2]);
--- a/crates/calicohoist/tests/soak/operator.rs
+++ b/crates/calicohoist/tests/soak/operator.rs
@@ -23,6 +23,7 @@
 /// Submits bursts of increasing versions and checks that reads never return an older one.
 pub fn operate(
     controls: Vec<SocketAddr>,
+    retention: Duration,
     mut rng: StdRng,
     records: &Shared,
     acknowledged: &AtomicU64,
@@ -35,7 +36,7 @@
         for _ in 0..rng.random_range(1..4) {
             version += rng.random_range(1..4);
             let control = controls[rng.random_range(0..controls.len())];
-            let submission = config_submission(version, routes);
+            let submission = config_submission(version, retention, routes);
             let sent = Instant::now();
             let reply = exchange_recorded(control, &submission, &attempts);
             let is_acknowledged = reply.is_some_and(|reply| reply.status == 200);
@@ -60,17 +61,19 @@
 }
 
 /// Submits a version; returns whether it was acknowledged.
-pub fn put_version(control: SocketAddr, version: u64) -> bool {
-    let submission = config_submission(version, 0);
+pub fn put_version(control: SocketAddr, version: u64, retention: Duration) -> bool {
+    let submission = config_submission(version, retention, 0);
     try_exchange(control, &submission.bytes).is_some_and(|reply| reply.status == 200)
 }
 
-fn config_submission(version: u64, extra_routes: usize) -> Submission {
+fn config_submission(version: u64, retention: Duration, extra_routes: usize) -> Submission {
     let mut document = configuration(version);
     add_fragile_service(&mut document);
     add_sound_service(&mut document);
     add_released_service(&mut document);
     if let Some(routes) = document["routes"].as_array_mut() {
+        let retention_s = retention.as_secs_f64();
+        routes.iter_mut().for_each(|route| route["retention_s"] = retention_s.into());
         let template = routes[0].clone();
         routes.extend((0..extra_routes).map(|number| {
             let mut route = template.clone();
--- a/crates/calicohoist/tests/soak/refusals.rs
+++ b/crates/calicohoist/tests/soak/refusals.rs
@@ -26,8 +26,8 @@
 /// Pause between two tries of a continued turn.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const FIRST_TURN_PAUSE: Duration = Duration::from_millis(20);
-/// Age up to which turns are continued; well below their retention.
-const MAX_AGE: Duration = Duration::from_secs(40);
+/// Age up to which turns are continued, as a share of their retention.
+const MAX_AGE: (u32, u32) = (2, 3);
 /// Refused tries in a row from which a continued turn is judged.
 pub const MIN_REFUSALS: usize = 5;
 /// First turns that must have been tried meanwhile.
@@ -98,7 +98,7 @@
         };
         for attempt in 0.. {
             let is_over = self.try_turn(program, attempt, Some(&previous));
-            if is_over || self.has_stopped() {
+            if is_over || self.has_stopped() || self.has_expired(&previous) {
                 return;
             }
             thread::sleep(RETRY_PAUSE);
@@ -108,10 +108,17 @@
     fn pick_turn(&mut self) -> Option<String> {
         let Caller { records, rng, .. } = &mut self.caller;
         let records = records.lock();
-        let retained = records.completed_at.iter().filter(|(_, at)| at.elapsed() < MAX_AGE);
+        let (numerator, denominator) = MAX_AGE;
+        let max_age = records.retention * numerator / denominator;
+        let retained = records.completed_at.iter().filter(|(_, at)| at.elapsed() < max_age);
         retained.choose(rng).map(|(turn, _)| turn.clone())
     }
 
+    fn has_expired(&self, turn: &str) -> bool {
+        let records = self.caller.records.lock();
+        records.age(turn, Instant::now()).is_some_and(|age| age >= records.retention)
+    }
+
     /// Sends a turn once; returns whether it needs no other try.
     fn try_turn(&mut self, program: &str, attempt: usize, previous: Option<&str>) -> bool {
         let (id, from) = (format!("{program}-{attempt}"), Instant::now());
--- a/crates/calicohoist/tests/soak/retention.rs
+++ b/crates/calicohoist/tests/soak/retention.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use rand::SeedableRng;
@@ -14,8 +14,6 @@
 use crate::caller::Caller;
 use crate::support::wait_until;
 
-/// Retention of turns on the route of the programs.
-const RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of turns that are continued.
 const MAX_TURNS: usize = 300;
 const VERIFIERS: usize = 6;
@@ -29,6 +27,7 @@
     records: &Shared,
     stop_flag: &Arc<AtomicBool>,
 ) -> u64 {
+    let retention = records.lock().retention;
     let turns = Mutex::new(retained_turns(records).into_iter().enumerate());
     let continued = AtomicU64::new(0);
     thread::scope(|scope| {
@@ -42,8 +41,8 @@
                 let verifier = Mutex::new(verifier);
                 let next_turn = || turns.lock().next();
                 while let Some((number, (turn, completed))) = next_turn() {
-                    if completed.elapsed() < RETENTION {
-                        continue_turn(&verifier, number, &turn);
+                    if completed.elapsed() < retention {
+                        continue_turn(&verifier, number, &turn, completed + retention);
                         continued.fetch_add(1, Ordering::Relaxed);
                     }
                 }
@@ -53,11 +52,13 @@
     continued.into_inner()
 }
 
-fn continue_turn(verifier: &Mutex<Caller>, number: usize, turn: &str) {
+/// Continues a turn. One whose retention ends meanwhile need not be found.
+fn continue_turn(verifier: &Mutex<Caller>, number: usize, turn: &str, retained_until: Instant) {
     let count = AtomicU64::new(0);
     wait_until("every completed turn can be continued", || {
         let program = format!("end{number}-{}", count.fetch_add(1, Ordering::Relaxed));
-        verifier.lock().turn(&program, 0, Some(turn)).is_some()
+        let is_continued = verifier.lock().turn(&program, 0, Some(turn)).is_some();
+        is_continued || Instant::now() >= retained_until
     });
 }
 
