Soak: tests of the judgement of forgotten turns and spent budgets

The new checks of the soak are played on emulated gateways that answer wrongly: 404 and 410 before and after the retention, and a turn too many of a program whose budget was spent.

--- a/crates/calicohoist/tests/soak/budgets.rs
+++ b/crates/calicohoist/tests/soak/budgets.rs
@@ -40,6 +40,13 @@
     unclear: u64,
 }
 
+impl BudgetCounts {
+    /// Returns whether a return was answered.
+    pub fn has_returned(&self) -> bool {
+        self.refused + self.served > 0
+    }
+}
+
 impl fmt::Display for BudgetCounts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { spent, refused, served, unclear } = self;
@@ -64,12 +71,13 @@
         let retention = records.lock().retention;
         let number = FIRST_CALLER + number;
         let caller = Caller::new(number, gateways.clone(), rng, records, stop_flag);
-        ReturningCaller { caller, retention }
+        ReturningCaller::new(caller, retention)
     });
     callers.map(|caller| thread::spawn(|| caller.run())).collect()
 }
 
-struct ReturningCaller {
+/// Runs programs sequentially, each of which spends its budget and returns.
+pub struct ReturningCaller {
     caller: Caller,
     retention: Duration,
 }
@@ -82,7 +90,11 @@
 }
 
 impl ReturningCaller {
-    fn run(mut self) {
+    pub fn new(caller: Caller, retention: Duration) -> Self {
+        Self { caller, retention }
+    }
+
+    pub fn run(mut self) {
         for number in 0.. {
             if self.has_stopped() {
                 return;
--- a/crates/calicohoist/tests/soak/forgetting.rs
+++ b/crates/calicohoist/tests/soak/forgetting.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
@@ -10,22 +11,24 @@
 
 use crate::Shared;
 use crate::caller::Caller;
-use crate::support::wait_until;
 
 /// Time after its retention in which a turn is forgotten while the leader stays the same: three steps
 /// of the clock of the ledger's state.
 const FORGETTING_TIME: Duration = Duration::from_secs(15);
 /// Maximum number of turns that are asked for.
 const MAX_TURNS: usize = 100;
+/// Time in which a turn is asked for until the answer tells whether it is kept.
+const ANSWER_TIME: Duration = Duration::from_secs(20);
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Number of the caller among the callers of turns.
 const CALLER: usize = 500;
 
-/// Returns when all turns that were stored until now have been forgotten.
+/// Returns when all turns that were stored until now must have been forgotten.
 pub fn forgotten_by(records: &Shared) -> Instant {
     Instant::now() + records.lock().retention + FORGETTING_TIME
 }
 
-/// Asks for a sample of all turns; returns a violation for each that is still kept.
+/// Asks for a sample of all turns; returns a violation for each that is not forgotten.
 pub fn check_forgotten(
     gateways: Vec<SocketAddr>,
     records: &Shared,
@@ -40,25 +43,25 @@
     for turn in turns.iter().step_by(step) {
         match status_after(&mut caller, turn) {
             404 => {}
-            status => kept.push(format!("{turn} is still kept after its retention: {status}")),
+            status => kept.push(format!("{turn}, whose retention has ended, got {status}")),
         }
     }
     kept
 }
 
-/// Continues a turn until the answer tells whether it is kept; returns the status.
+/// Continues a turn until the answer tells whether it is kept; returns the last status.
 fn status_after(caller: &mut Caller, turn: &str) -> u16 {
-    let caller = parking_lot::Mutex::new(caller);
-    let status = parking_lot::Mutex::new((0, 0));
-    wait_until("the answer tells whether a turn is kept", || {
-        let (attempt, last) = &mut *status.lock();
-        *attempt += 1;
-        let program = format!("old-{turn}");
-        let mut caller = caller.lock();
+    let program = format!("old-{turn}");
+    let until = Instant::now() + ANSWER_TIME;
+    let mut attempt = 0;
+    loop {
+        attempt += 1;
         let gateway = caller.pick_gateway();
         let id = format!("{program}-{attempt}");
-        *last = caller.try_turn(gateway, &program, &id, Some(turn)).status;
-        matches!(*last, 200 | 404)
-    });
-    status.into_inner().1
+        let status = caller.try_turn(gateway, &program, &id, Some(turn)).status;
+        if matches!(status, 200 | 404) || Instant::now() >= until {
+            return status;
+        }
+        thread::sleep(RETRY_PAUSE);
+    }
 }
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -27,9 +27,11 @@
 mod cluster;
 
 mod ages;
+mod ages_tests;
 mod arrivals;
 mod attempts;
 mod budgets;
+mod budgets_tests;
 mod caller;
 mod crashes;
 mod drains;
