--- a/crates/calicohoist/tests/soak/budgets_tests.rs
+++ b/crates/calicohoist/tests/soak/budgets_tests.rs
@@ -37,8 +37,8 @@
     })
 }
 
-/// Returns the violations after programs have spent their budget and returned.
-fn violations(turns: u64) -> Vec<String> {
+/// Returns the number of violations after programs have spent their budget and returned.
+fn violations(turns: u64) -> usize {
     let gateway = start_gateway(turns);
     let records: Shared =
         Arc::new(Mutex::new(Records { retention: RETENTION, ..Records::default() }));
@@ -50,16 +50,15 @@
     wait_until("a program has returned", || records.lock().budgets.has_returned());
     stop_flag.store(true, Ordering::Relaxed);
     caller.join().expect("the caller");
-    let violations = records.lock().violations.clone();
-    violations
+    records.lock().violations.len()
 }
 
 #[test]
 fn programs_that_are_served_beyond_their_budget_are_violations() {
-    assert_eq!(violations(TURNS + 1).len(), 1);
+    assert_eq!(violations(TURNS + 1), 1);
 }
 
 #[test]
 fn programs_that_are_refused_once_their_budget_is_spent_are_no_violations() {
-    assert!(violations(TURNS).is_empty());
+    assert_eq!(violations(TURNS), 0);
 }
