--- a/crates/calicohoist/tests/soak/arrivals.rs
+++ b/crates/calicohoist/tests/soak/arrivals.rs
@@ -1,5 +1,7 @@
 //! Requests as replicas saw them.
 
+#![allow(dead_code)]
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
@@ -64,6 +66,14 @@
         arrivals.any(condition)
     }
 
+    /// Calls `visit` with the id of each request that arrived at a replica, and the arrival.
+    pub fn for_each_at(&self, replica: &str, mut visit: impl FnMut(&str, &Arrival)) {
+        for (id, arrivals) in &*self.0.lock() {
+            let here = arrivals.iter().filter(|arrival| arrival.replica == replica);
+            here.for_each(|arrival| visit(id, arrival));
+        }
+    }
+
     /// Returns the request that reached replicas most often among those whose id has a prefix, with
     /// the number of its arrivals.
     pub fn most_sent(&self, prefix: &str) -> Option<(String, usize)> {
--- a/crates/calicohoist/tests/soak/attempts.rs
+++ b/crates/calicohoist/tests/soak/attempts.rs
@@ -1,5 +1,7 @@
 //! Requests as their callers saw them.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, ErrorKind, Read, Write as _};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
@@ -292,6 +294,31 @@
         requests
     }
 
+    /// Sends a request up to byte `cut`, and the rest after `pause`.
+    pub fn send_in_parts(
+        &mut self,
+        submission: &Submission,
+        cut: usize,
+        pause: Duration,
+    ) -> SentRequest {
+        let (first, rest) = submission.bytes.split_at(cut);
+        let started = Instant::now();
+        let stream = &mut self.input.get_mut().stream;
+        let result = stream.write_all(first).and_then(|()| {
+            std::thread::sleep(pause);
+            stream.write_all(rest)
+        });
+        self.input.get_mut().reset_observations();
+        self.sent_count += 1;
+        SentRequest {
+            id: submission.id.clone(),
+            time_limit: submission.time_limit,
+            started,
+            sent: result.is_ok().then(Instant::now),
+            position: self.sent_count,
+        }
+    }
+
     /// Shuts the sending side.
     pub fn finish_sending(&self) {
         let _ = self.input.get_ref().stream.shutdown(Shutdown::Write);
--- a/crates/calicohoist/tests/soak/caller.rs
+++ b/crates/calicohoist/tests/soak/caller.rs
@@ -1,6 +1,5 @@
 //! Callers that run programs of turns and calls over persistent connections.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,7 +9,8 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-use crate::attempts::{AttemptLog, RecordedConnection, Submission, exchange_recorded};
+use crate::attempts::{AttemptLog, Submission, exchange_recorded};
+use crate::pool::ConnectionPool;
 use crate::support::{Response, request_head};
 use crate::{
     EVENTS_PER_ANSWER, INPUT_BYTES, MAX_ATTEMPTS, MAX_TURN_TOKENS, ROUTE_TIMEOUT, Shared,
@@ -20,31 +20,6 @@
 /// Deadline of the calls of a program.
 const CALL_DEADLINE: Duration = Duration::from_secs(2);
 
-/// Persistent connections, at most one per gateway.
-#[derive(Default)]
-struct ConnectionPool(HashMap<SocketAddr, RecordedConnection>);
-
-impl ConnectionPool {
-    /// Sends a request; returns `None` without a connection or a response head.
-    fn exchange(
-        &mut self,
-        address: SocketAddr,
-        submission: &Submission,
-        log: &AttemptLog,
-    ) -> Option<Response> {
-        let mut connection = match self.0.remove(&address) {
-            Some(connection) => connection,
-            None => RecordedConnection::open(address, submission, log)?,
-        };
-        let request = connection.send(std::slice::from_ref(submission)).pop()?;
-        let reply = connection.receive(request);
-        if connection.is_reusable(&reply) {
-            self.0.insert(address, connection);
-        }
-        (reply.status != 0).then_some(reply)
-    }
-}
-
 /// Sends a request over a new connection without recording it; returns `None` without a connection
 /// or a response head.
 pub fn try_exchange(address: SocketAddr, request: &[u8]) -> Option<Response> {
--- a/crates/calicohoist/tests/soak/timeline.rs
+++ b/crates/calicohoist/tests/soak/timeline.rs
@@ -1,5 +1,7 @@
 //! What was done to nodes and replicas, and when.
 
+#![allow(dead_code)]
+
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
--- a/crates/calicohoist/tests/soak/unanswered.rs
+++ b/crates/calicohoist/tests/soak/unanswered.rs
@@ -1,6 +1,8 @@
 //! Decides which requests ended without a complete answer for no reason outside the node that
 //! took them.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::{Duration, Instant};
