Ledger: the replica's thread opens its log, so that a slow disk holds up neither callers nor a stop

Cause: the listeners are bound first, so connections come up, and then the log is opened on the only thread of the runtime. As long as the disk hangs, no connection is read and SIGTERM is not seen. The answers that a running machine owes while its disk hangs (late_calls) did not hold for one that starts.

Change: the thread of the replica opens the log; the machine serves from the start, requests wait for the replica as they do for a slow flush and are refused after the same time. Links to peers start when the identity is known. Listening later was ruled out: the port in use keeps a second process from the same data folder.

Test: late_calls, opening: an empty data folder whose first write hangs (a named pipe).

The runner's clients no longer use connections that have rested for longer than four fifths of the idle timeout, and the gateway to which a request goes is the one that is recorded.

--- a/crates/calicohoist/tests/late_calls/main.rs
+++ b/crates/calicohoist/tests/late_calls/main.rs
@@ -12,6 +12,7 @@
 
 mod hanging_disk;
 mod late_call;
+mod opening;
 mod play;
 mod signals;
 
--- a/crates/calicohoist/tests/shapes/client.rs
+++ b/crates/calicohoist/tests/shapes/client.rs
@@ -21,6 +21,8 @@
 
 /// Probability that a client takes a new connection without need.
 const NEW_CONNECTION_PROBABILITY: f64 = 0.05;
+/// Longest rest of a connection that is used again: four fifths of the idle timeout.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(12);
 const TORN_PROBABILITY: f64 = 0.05;
 const SLOW_PROBABILITY: f64 = 0.03;
 /// Pace of slow readers.
@@ -70,6 +72,7 @@
     pub tenant: usize,
     connections: ConnectionPool,
     gateway: Option<Arc<Node>>,
+    last_sent_at: Instant,
 }
 
 impl Client {
@@ -81,6 +84,7 @@
             tenant,
             connections: ConnectionPool::default(),
             gateway: None,
+            last_sent_at: Instant::now(),
         }
     }
 
@@ -100,7 +104,9 @@
     }
 
     pub fn gateway(&mut self) -> Arc<Node> {
-        if self.rng.random_bool(NEW_CONNECTION_PROBABILITY) {
+        let is_old = self.last_sent_at.elapsed() > MAX_IDLE_TIME;
+        self.last_sent_at = Instant::now();
+        if is_old || self.rng.random_bool(NEW_CONNECTION_PROBABILITY) {
             self.reconnect();
         }
         if let Some(gateway) = &self.gateway {
@@ -112,9 +118,8 @@
     }
 
     /// Sends a request; returns the default without an answer's head.
-    pub fn send(&mut self, submission: &Submission) -> Response {
-        let gateway = self.gateway();
-        let address = self.world.fleet.http(&gateway);
+    pub fn send(&mut self, gateway: &Node, submission: &Submission) -> Response {
+        let address = self.world.fleet.http(gateway);
         let log = self.world.fleet.attempts.clone();
         let is_torn = self.rng.random_bool(TORN_PROBABILITY);
         let is_slow = self.rng.random_bool(SLOW_PROBABILITY);
@@ -166,7 +171,7 @@
         records.send(id, &format!("POST {path} HTTP/1.1"), &body, &gateway, true);
         let from = Instant::now();
         let submission = Submission::new(id, &format!("{head}{input}"), route.timeout());
-        let reply = self.send(&submission);
+        let reply = self.send(&gateway, &submission);
         records.note_status(route_kind(route), &reply);
         let retention = route.retention();
         let sent = SentTurn { id, previous, account, tenant: self.tenant, retention, body: &body };
@@ -233,7 +238,7 @@
             let gateway = self.gateway();
             let records = Arc::clone(&self.world.records);
             records.send(&id, &format!("{method} {path} HTTP/1.1"), "", &gateway, !is_safe);
-            let reply = self.send(&Submission::new(&id, &head, limit));
+            let reply = self.send(&gateway, &Submission::new(&id, &head, limit));
             records.note_status(route_kind(route), &reply);
             records.check_answer(&id, &reply, None);
             if reply.status == 200 && reply.is_complete && reply.text() != id {
--- a/crates/calicohoist/tests/shapes/programs.rs
+++ b/crates/calicohoist/tests/shapes/programs.rs
@@ -6,8 +6,9 @@
 
 use rand::RngExt;
 
-use crate::attempts::Submission;
+use crate::attempts::{RecordedConnection, Submission};
 use crate::client::{Client, TurnEnd, World, route_kind};
+use crate::fleet::Node;
 use crate::records::{Account, CompleteTurn, EVENTS_PER_TURN, TURN_TOKENS};
 use crate::shape::{Route, RouteKind};
 use crate::support::{Response, request_head};
@@ -168,8 +169,8 @@
     world.records.send(&id, &format!("POST {path} HTTP/1.1"), INPUT, &gateway, false);
     let submission = Submission::new(&id, &format!("{head}{INPUT}"), route.timeout());
     let reply = match attempt == 0 && client.rng.random_bool(LEAVE_PROBABILITY) {
-        true => leave_stream(client, &submission),
-        false => client.send(&submission),
+        true => leave_stream(client, &gateway, &submission),
+        false => client.send(&gateway, &submission),
     };
     world.records.note_status(route_kind(route), &reply);
     world.records.check_answer(&id, &reply, None);
@@ -177,12 +178,9 @@
 }
 
 /// Reads a part of a stream, and leaves.
-fn leave_stream(client: &mut Client, submission: &Submission) -> Response {
-    use crate::attempts::RecordedConnection;
-
-    let gateway = client.gateway();
+fn leave_stream(client: &mut Client, gateway: &Node, submission: &Submission) -> Response {
     let fleet = &client.world.fleet;
-    let connection = RecordedConnection::open(fleet.http(&gateway), submission, &fleet.attempts);
+    let connection = RecordedConnection::open(fleet.http(gateway), submission, &fleet.attempts);
     let Some(mut connection) = connection else {
         client.reconnect();
         return Response::default();
--- a/crates/ledger/src/server/mod.rs
+++ b/crates/ledger/src/server/mod.rs
@@ -44,7 +44,7 @@
 use gateways::ServiceLocation;
 use memory::{MachineMemory, MemoryCounter, MemoryPlan};
 use peers::PeerThread;
-use replica::{GroupStatus, LeaderServices, ReplicaHandle, ReplicaThread};
+use replica::{GroupStatus, LeaderServices, OpeningReplica, ReplicaHandle};
 
 /// Time in which calls in progress are answered once the replica has failed.
 const FAILURE_GRACE: Duration = Duration::from_secs(2);
@@ -191,20 +191,10 @@
         crashes: Arc::clone(&crashes),
         loads: Arc::clone(&loads),
     };
-    let thread = ReplicaThread::open(&settings, outgoing_sender, services)?;
-    let identity = thread.id();
-    let (handle, status, failure) = thread.start()?;
+    let OpeningReplica { handle, status, identity, failure } =
+        OpeningReplica::start(settings.clone(), outgoing_sender, services)?;
     let memory = MachineMemory::new(&MemoryPlan::for_machine(settings.memory));
     let known_peers = peers::KnownPeers::default();
-    let _peer_thread = PeerThread::start(
-        settings.clone(),
-        listeners.peers,
-        outgoing,
-        identity,
-        handle.clone(),
-        known_peers.clone(),
-        memory.clone(),
-    )?;
     let counter = MemoryCounter::new(memory.clone(), handle.clone());
     tokio::spawn(traffic::log_totals(settings.name.clone(), counter));
     let list = list::spawn(&settings, status.clone());
@@ -231,18 +221,37 @@
         replica: handle.clone(),
         group_status: status.clone(),
         list,
-        peers: known_peers,
-        bodies: memory.bodies,
+        peers: known_peers.clone(),
+        bodies: memory.bodies.clone(),
         drain: drain.clone(),
     };
     let control_task = tokio::spawn(control::serve(listeners.control, control));
-    emit!(
-        Event::RoleStarted;
-        role = "ledger",
-        replica = identity,
-        ip = settings.ip,
-        protocol = SUPPORTED_VERSIONS,
-    );
+    // Without an identity, the failure says why the log cannot be opened.
+    let identity = tokio::select! {
+        identity = identity => identity.ok(),
+        _ = stop.wait_for(|stop| *stop) => None,
+    };
+    let _peer_thread = match identity {
+        Some(identity) => Some(PeerThread::start(
+            settings.clone(),
+            listeners.peers,
+            outgoing,
+            identity,
+            handle.clone(),
+            known_peers,
+            memory,
+        )?),
+        None => None,
+    };
+    if let Some(identity) = identity {
+        emit!(
+            Event::RoleStarted;
+            role = "ledger",
+            replica = identity,
+            ip = settings.ip,
+            protocol = SUPPORTED_VERSIONS,
+        );
+    }
     let failure = tokio::select! {
         failed = failure => Some(failed.unwrap_or_default()),
         _ = stop.wait_for(|stop| *stop) => None,
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 mod held;
 mod input_memory;
+mod opening;
 pub mod origins;
 pub mod pending;
 mod request;
@@ -34,6 +35,7 @@
 use clock::LeaderClock;
 pub use held::HeldBytes;
 use input_memory::InputMemory;
+pub use opening::OpeningReplica;
 use origins::{ORIGIN_COUNT_INTERVAL, OriginQuota, PendingOrigin, resolve_conflict};
 use pending::{CommandDigest, Outcome, PendingRequest, PendingTable};
 pub use request::{GroupStatus, ReplicaHandle, Request, Response, ResponseCallback};
@@ -222,7 +224,7 @@
     /// # Errors
     /// Fails if the thread cannot be started.
     pub fn start(
-        mut self,
+        self,
     ) -> std::io::Result<(ReplicaHandle, watch::Receiver<GroupStatus>, oneshot::Receiver<String>)>
     {
         let (inputs, receiver) = bounded(INPUT_QUEUE_CAPACITY);
@@ -230,28 +232,34 @@
         let (failure_sender, failure) = oneshot::channel();
         let held = Arc::clone(&self.held);
         let memory = InputMemory::new(self.plan.requests, self.plan.messages);
-        thread::Builder::new().name("replica".to_owned()).spawn(move || {
-            if let Err(error) = self.run(&receiver, &status_sender) {
-                emit!(Event::DiskFailed, "{error}");
-                self.answer_remaining(&receiver);
-                status_sender.send_modify(GroupStatus::leave);
-                // Without a receiver, the process is ending already.
-                let _ = failure_sender.send(error.to_string());
-            }
-        })?;
+        thread::Builder::new()
+            .name("replica".to_owned())
+            .spawn(move || self.run_to_end(&receiver, &status_sender, failure_sender))?;
         Ok((ReplicaHandle { inputs, memory, held }, status, failure))
     }
 
+    /// Runs the replica until all handles are dropped or the disk fails.
+    fn run_to_end(
+        mut self,
+        inputs: &Receiver<QueuedInput>,
+        status: &watch::Sender<GroupStatus>,
+        failure: oneshot::Sender<String>,
+    ) {
+        if let Err(error) = self.run(inputs, status) {
+            emit!(Event::DiskFailed, "{error}");
+            self.answer_remaining(inputs);
+            status.send_modify(GroupStatus::leave);
+            // Without a receiver, the process is ending already.
+            let _ = failure.send(error.to_string());
+        }
+    }
+
     /// Answers the requests of a replica that has failed.
     fn answer_remaining(&mut self, inputs: &Receiver<QueuedInput>) {
         for request in self.pending.take_all() {
             request.callback()(Response::Lost);
         }
-        for queued in inputs.try_iter() {
-            if let Input::Request { respond, .. } = queued.input {
-                respond(Response::Overdue);
-            }
-        }
+        refuse_queued(inputs);
     }
 
     fn run(
@@ -915,3 +923,12 @@
     // Messages are dropped if the queue is full; Raft tolerates lost messages.
     let _ = outgoing.try_send(OutgoingMessages { to, messages });
 }
+
+/// Answers the requests that no replica will handle.
+fn refuse_queued(inputs: &Receiver<QueuedInput>) {
+    for queued in inputs.try_iter() {
+        if let Input::Request { respond, .. } = queued.input {
+            respond(Response::Overdue);
+        }
+    }
+}
