--- a/crates/calicohoist/tests/soak/attempts.rs
+++ b/crates/calicohoist/tests/soak/attempts.rs
@@ -1,5 +1,7 @@
 //! Requests as their callers saw them.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, ErrorKind, Read, Write as _};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
@@ -292,6 +294,31 @@
         requests
     }
 
+    /// Sends a request up to byte `cut`, and the rest after `pause`.
+    pub fn send_in_parts(
+        &mut self,
+        submission: &Submission,
+        cut: usize,
+        pause: Duration,
+    ) -> SentRequest {
+        let (first, rest) = submission.bytes.split_at(cut);
+        let started = Instant::now();
+        let stream = &mut self.input.get_mut().stream;
+        let result = stream.write_all(first).and_then(|()| {
+            std::thread::sleep(pause);
+            stream.write_all(rest)
+        });
+        self.input.get_mut().reset_observations();
+        self.sent_count += 1;
+        SentRequest {
+            id: submission.id.clone(),
+            time_limit: submission.time_limit,
+            started,
+            sent: result.is_ok().then(Instant::now),
+            position: self.sent_count,
+        }
+    }
+
     /// Shuts the sending side.
     pub fn finish_sending(&self) {
         let _ = self.input.get_ref().stream.shutdown(Shutdown::Write);
@@ -333,6 +360,11 @@
         true
     }
 
+    /// Returns when the last bytes arrived; `None` if none came since the last request was sent.
+    pub fn last_received(&self) -> Option<Instant> {
+        self.input.get_ref().last_received
+    }
+
     /// Returns whether further requests may be sent after this answer.
     pub fn is_reusable(&self, reply: &Response) -> bool {
         reply.is_complete && !self.is_closing
@@ -351,6 +383,11 @@
 }
 
 impl SentRequest {
+    /// Returns when the last byte had been sent; `None` if the connection failed before.
+    pub fn sent(&self) -> Option<Instant> {
+        self.sent
+    }
+
     /// Returns how the request ended for its caller; `cut` counts if the answer is not complete.
     fn ending(&self, reply: &Response, cut: Cut) -> Ending {
         match reply.status {
