Soak: runs in which turns expire write segments

These runs now have ledger machines of 48 MiB and turns of 8 KB, and print how many segments were written, were there at most and are left.

--- a/crates/calicohoist/tests/soak/ages.rs
+++ b/crates/calicohoist/tests/soak/ages.rs
@@ -13,7 +13,7 @@
 
 use crate::caller::Caller;
 use crate::faults::Soak;
-use crate::{Records, Shared};
+use crate::{LARGE_INPUT_BYTES, Records, Shared};
 
 /// Separates the random streams of these callers from those of the others.
 const AGE_SEED: u64 = 98 << 40;
@@ -75,7 +75,8 @@
         let (records, stop_flag) = (Arc::clone(records), Arc::clone(stop_flag));
         let retention = records.lock().retention;
         let number = FIRST_CALLER + number;
-        let caller = Caller::new(number, gateways.clone(), rng, records, stop_flag);
+        let mut caller = Caller::new(number, gateways.clone(), rng, records, stop_flag);
+        caller.input_bytes = LARGE_INPUT_BYTES;
         AgingCaller { caller, retention }
     });
     callers.map(|caller| thread::spawn(|| caller.run())).collect()
--- a/crates/calicohoist/tests/soak/budgets.rs
+++ b/crates/calicohoist/tests/soak/budgets.rs
@@ -12,7 +12,7 @@
 use crate::ages::late_age;
 use crate::caller::{Caller, TurnOutcome};
 use crate::faults::Soak;
-use crate::{MAX_TURN_TOKENS, Shared, TOKEN_BUDGET};
+use crate::{LARGE_INPUT_BYTES, MAX_TURN_TOKENS, Shared, TOKEN_BUDGET};
 
 /// Separates the random streams of these callers from those of the others.
 const BUDGET_SEED: u64 = 99 << 40;
@@ -70,7 +70,8 @@
         let (records, stop_flag) = (Arc::clone(records), Arc::clone(stop_flag));
         let retention = records.lock().retention;
         let number = FIRST_CALLER + number;
-        let caller = Caller::new(number, gateways.clone(), rng, records, stop_flag);
+        let mut caller = Caller::new(number, gateways.clone(), rng, records, stop_flag);
+        caller.input_bytes = LARGE_INPUT_BYTES;
         ReturningCaller::new(caller, retention)
     });
     callers.map(|caller| thread::spawn(|| caller.run())).collect()
--- a/crates/calicohoist/tests/soak/caller.rs
+++ b/crates/calicohoist/tests/soak/caller.rs
@@ -83,6 +83,8 @@
     pub rng: StdRng,
     pub records: Shared,
     pub stop_flag: Arc<AtomicBool>,
+    /// Bytes of the input of a turn, beyond its id.
+    pub input_bytes: usize,
     connections: ConnectionPool,
     attempts: AttemptLog,
 }
@@ -97,7 +99,8 @@
     ) -> Self {
         let attempts = records.lock().attempts.clone();
         let connections = ConnectionPool::default();
-        Self { number, gateways, rng, records, stop_flag, connections, attempts }
+        let input_bytes = INPUT_BYTES;
+        Self { number, gateways, rng, records, stop_flag, input_bytes, connections, attempts }
     }
 
     pub fn run(mut self) {
@@ -150,7 +153,7 @@
         id: &str,
         previous: Option<&str>,
     ) -> TurnOutcome {
-        let input = format!("<{id}>{}", ".".repeat(INPUT_BYTES));
+        let input = format!("<{id}>{}", ".".repeat(self.input_bytes));
         let mut headers = vec![
             format!("Calicohoist-Program-Id: {program}"),
             format!("Calicohoist-Token-Budget: {TOKEN_BUDGET}"),
--- a/crates/calicohoist/tests/soak/faults.rs
+++ b/crates/calicohoist/tests/soak/faults.rs
@@ -20,6 +20,7 @@
 use crate::arrivals::ArrivalLog;
 use crate::cluster::forwarder::Forwarder;
 use crate::cluster::{BUILD_UNDER_TEST, Cluster, Process, STORE_BIND_IPS, STORE_IPS};
+use crate::segments::SegmentLog;
 use crate::streams::software_version;
 use crate::support::ScriptedReplica;
 use crate::timeline::{DisruptionKind, Machine, SignalKind, Timeline};
@@ -146,6 +147,7 @@
     pub timeline: Timeline,
     pub arrivals: ArrivalLog,
     usage: UsageLog,
+    segments: SegmentLog,
     stores: Vec<Node>,
     /// First those that are disrupted, then those that are only stopped and reloaded.
     gateways: Vec<Node>,
@@ -189,8 +191,14 @@
 
 impl Soak {
     /// Starts all nodes, with the older binary if one is given.
-    pub fn start(seed: u64, gateway_count: usize, older_binary: Option<PathBuf>) -> Self {
-        let cluster = Cluster::new();
+    pub fn start(
+        seed: u64,
+        gateway_count: usize,
+        ledger_memory_mb: Option<usize>,
+        older_binary: Option<PathBuf>,
+    ) -> Self {
+        let mut cluster = Cluster::new();
+        cluster.ledger_memory_mb = ledger_memory_mb.unwrap_or(cluster.ledger_memory_mb);
         let binary = binary_under_test();
         let initial_binary = older_binary.clone().unwrap_or_else(|| binary.clone());
         let arrivals = ArrivalLog::default();
@@ -249,6 +257,7 @@
             timeline: Timeline::default(),
             arrivals,
             usage: UsageLog::start(),
+            segments: SegmentLog::default(),
             stores,
             gateways,
             disrupted_gateways: gateway_count,
@@ -373,7 +382,15 @@
         &self.usage
     }
 
+    /// Returns the segments of retained turns so far.
+    pub fn segments(&mut self) -> &SegmentLog {
+        self.observe_usage();
+        &self.segments
+    }
+
     fn observe_usage(&mut self) {
+        let folders = STORE_IPS.map(|ip| self.cluster.data_folder(ip));
+        self.segments.observe(&folders);
         let nodes = self.stores.iter().chain(&self.gateways);
         for process in nodes.filter_map(|node| node.process.as_ref()) {
             self.usage.observe(process);
--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -47,6 +47,7 @@
 mod releases;
 mod releases_tests;
 mod retention;
+mod segments;
 mod slow_reader;
 mod sound;
 mod streams;
@@ -130,6 +131,9 @@
 /// it.
 const SHORT_RETENTION: Duration = Duration::from_secs(5);
 
+/// Memory of a ledger machine that writes retained turns to disk in small segments, in MiB.
+const SMALL_LEDGER_MEMORY_MB: usize = 48;
+
 /// Parameters of one soak run.
 #[derive(Clone, Copy, Debug)]
 struct SoakRun {
@@ -155,6 +159,8 @@
 const INITIAL_VERSION: u64 = 5;
 /// Large enough that retained turns spill to disk during a run.
 const INPUT_BYTES: usize = 1_500;
+/// Input of the turns that expire; segments are written several times during a run.
+const LARGE_INPUT_BYTES: usize = 8_000;
 const CALLERS: usize = 6;
 const SLOW_READERS: usize = 2;
 const STREAM_CALLERS: usize = 3;
@@ -364,7 +370,8 @@
     let retention = reached.unwrap_or(DEFAULT_RETENTION);
     let older_binary = std::env::var_os("CALICOHOIST_SOAK_OLDER_BINARY").map(PathBuf::from);
     let is_mixed = older_binary.is_some();
-    let mut soak = Soak::start(seed, gateways, older_binary);
+    let ledger_memory_mb = reached.map(|_| SMALL_LEDGER_MEMORY_MB);
+    let mut soak = Soak::start(seed, gateways, ledger_memory_mb, older_binary);
     let log_folder = soak.cluster.folder.path().to_owned();
     // Dropped before the folder is removed.
     let _report = PanicReport { log_folder: &log_folder };
@@ -479,6 +486,7 @@
         let records = records.lock();
         println!("seed {seed}, continued by age: {}", records.ages);
         println!("seed {seed}, budgets: {}", records.budgets);
+        println!("seed {seed}, retained turns: {}", soak.segments());
     }
     let mut records = records.lock();
     check_executions(&soak.replicas, &mut records);
