Connections: what crosses the close of an idle connection is refused with 408

Callers lost requests on kept connections around a planned stop: the gateway looks whether anything has arrived, and closes the connection; a process that loses the processor in between ends the connection of a request that arrived meanwhile, hundreds of milliseconds later and without a word. The same at the idle timeout and for an incomplete head.

Cause: no system call closes a connection only if nothing has arrived, so the last look and the close are never one step. The end of a connection says nothing about a request. Now a connection that this side closes while it waits for a request ends with 408 and the close (RFC 9110, 15.5.9): not read, not run, may be sent again. hyper's end of the connection is held back until it is written.

Ruled out: half-close and reading on (nothing can be answered behind it), a reset (comes as late as the close), a socket filter that drops segments before the last look (the same), keeping idle connections until answers are due (the same close later).

Not shown: how other callers take a response that they did not ask for.

--- a/crates/calicohoist/tests/stops/main.rs
+++ b/crates/calicohoist/tests/stops/main.rs
@@ -9,6 +9,7 @@
 
 mod arrivals;
 mod half_closed;
+mod idle_connections;
 mod ledger_stops;
 mod series;
 mod slow_ledger;
--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -17,7 +17,7 @@
 
 use crate::drain::{Drain, DrainStage};
 use crate::exchange::{PeerEnd, Progress};
-use crate::linger::{LateBytes, linger, reset};
+use crate::linger::{LateBytes, linger, refuse, reset};
 use crate::peer::PeerWatch;
 use crate::request_end::Surplus;
 use crate::shared_stream::SharedStream;
@@ -74,8 +74,10 @@
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionEnd {
-    /// Between two requests, or after a response that announced it.
+    /// By the peer between two requests, or after a response that announced it.
     Finished,
+    /// By this side, while it waited for a request or for the rest of its head.
+    Unused,
     /// The peer closed it while its response was awaited.
     PeerLeft,
     /// It failed, or the request was malformed.
@@ -86,6 +88,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Finished => "finished",
+            Self::Unused => "unused",
             Self::PeerLeft => "peer_left",
             Self::Failed => "failed",
         }
@@ -109,7 +112,9 @@
     let end = serve_requests(&stream, settings, drain, &progress, handler).await;
     CONNECTIONS_CLOSED.inc(end.label());
     let is_request_cut = progress.is_request_cut();
-    if end == ConnectionEnd::PeerLeft || !progress.has_requests() && !is_request_cut {
+    let is_refused = end == ConnectionEnd::Unused;
+    let is_unused_by_peer = !progress.has_requests() && !is_request_cut && !is_refused;
+    if end == ConnectionEnd::PeerLeft || is_unused_by_peer {
         return;
     }
     // A peer that sees the end of the connection cannot tell whether its further request was read.
@@ -126,7 +131,10 @@
         PeerEnd::Open | PeerEnd::HalfClosed => LateBytes::Leave,
     };
     let answered_at = progress.answered_at().unwrap_or_else(Instant::now);
-    if let Some(stream) = stream.into_inner() {
+    if let Some(mut stream) = stream.into_inner() {
+        if is_refused && refuse(&mut stream, settings.stall_timeout).await.is_err() {
+            return;
+        }
         linger(stream, late_bytes, answered_at, settings.stall_timeout).await;
     }
 }
@@ -178,10 +186,11 @@
         tokio::select! {
             biased;
             result = connection.as_mut() => return match result {
+                Ok(()) if progress.is_closed_idle() => ConnectionEnd::Unused,
                 Ok(()) => ConnectionEnd::Finished,
                 Err(error) => {
                     emit!(Event::ConnectionFailed, "connection of a caller failed: {error}");
-                    ConnectionEnd::Failed
+                    if error.is_timeout() { ConnectionEnd::Unused } else { ConnectionEnd::Failed }
                 }
             },
             () = std::future::poll_fn(|context| watch.poll_left(context)) => {
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -64,6 +64,8 @@
     peer_end: PeerEnd,
     /// Time from which the connection is to be closed when it is idle.
     close_idle_at: Option<Instant>,
+    /// Whether this side has closed the connection while it was idle.
+    is_closed_idle: bool,
 }
 
 /// Progress of a connection.
@@ -85,6 +87,7 @@
             answered_at: None,
             peer_end: PeerEnd::Open,
             close_idle_at: None,
+            is_closed_idle: false,
         })))
     }
 
@@ -237,6 +240,15 @@
         self.0.lock().close_idle_at = Some(moment);
     }
 
+    /// Records that this side closes the connection while it is idle.
+    pub fn record_idle_close(&self) {
+        self.0.lock().is_closed_idle = true;
+    }
+
+    pub fn is_closed_idle(&self) -> bool {
+        self.0.lock().is_closed_idle
+    }
+
     /// Returns whether the connection is to be closed unless a request has arrived.
     pub fn is_closable(&self, now: Instant) -> bool {
         let state = self.0.lock();
--- a/crates/connections/src/linger.rs
+++ b/crates/connections/src/linger.rs
@@ -3,6 +3,7 @@
 //! The kernel resets a connection that is closed over unread bytes, or that receives bytes after it
 //! was closed. A reset discards what the peer has not read yet.
 
+use std::io;
 use std::time::{Duration, Instant};
 
 use calicohoist_telemetry::{Event, emit};
@@ -19,6 +20,10 @@
 /// Interval at which it is checked whether the peer has acknowledged everything.
 const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Response to a request that crosses the close of its connection.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// What to do with bytes that arrive after the last response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LateBytes {
@@ -31,6 +36,15 @@
     None,
 }
 
+/// Refuses the request that may arrive while a connection without a request is closed. Otherwise its
+/// peer could not tell whether it was read.
+///
+/// # Errors
+/// Returns an error if the peer does not take the refusal in `stall_timeout`, or has left.
+pub async fn refuse(stream: &mut TcpStream, stall_timeout: Duration) -> io::Result<()> {
+    timeout(stall_timeout, stream.write_all(REFUSAL)).await?
+}
+
 /// Waits until the peer has received everything, for `stall_timeout` at most, and then until it
 /// closes the connection, for a limited time since the last response at `answered_at`.
 pub async fn linger(
--- a/crates/connections/src/socket.rs
+++ b/crates/connections/src/socket.rs
@@ -68,7 +68,10 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         match self.poll_read_request(context, buffer) {
-            Poll::Pending if self.is_finished() => return Poll::Ready(Ok(())),
+            Poll::Pending if self.is_finished() => {
+                self.progress.record_idle_close();
+                return Poll::Ready(Ok(()));
+            }
             Poll::Pending => return Poll::Pending,
             Poll::Ready(result) => result?,
         }
@@ -121,6 +124,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The end of an idle connection follows a refusal.
+        if self.progress.is_closed_idle() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut *self.stream.lock()).poll_shutdown(context)
     }
 }
