Connections: the delivery of a response doesn't wait for later ones

Delivery::has_ended was false while anything was unacknowledged on a connection, so a caller that keeps its connection busy made the gateway extend the retention of turns that it had long read: an entry of the log and a history read for nothing.

Change: the socket counts the bytes it has written, and a response knows where it ends in that count once it is flushed, also when hyper has begun the next request before. A response is delivered when the bytes up to there are acknowledged.

--- a/crates/connections/src/delivery.rs
+++ b/crates/connections/src/delivery.rs
@@ -5,7 +5,7 @@
 use calicohoist_transport::tcp;
 use parking_lot::Mutex;
 
-use crate::exchange::Progress;
+use crate::exchange::{Progress, ResponseEnd};
 use crate::shared_stream::{SharedStream, WeakStream};
 
 /// Stage of a connection. Its stream has no other user from [`Lingering`](Self::Lingering) on.
@@ -40,7 +40,7 @@
             stage: Arc::clone(&self.0),
             stream: stream.downgrade(),
             progress: progress.clone(),
-            request: progress.requests(),
+            response_end: progress.response_end(),
         }
     }
 }
@@ -57,28 +57,31 @@
     stage: SharedStage,
     stream: WeakStream,
     progress: Progress,
-    /// Number of the request on its connection.
-    request: u64,
+    response_end: ResponseEnd,
 }
 
 impl Delivery {
     /// Returns whether the peer has acknowledged the whole response, or its connection has ended.
-    /// Later responses on the connection that it has not acknowledged may hide that.
     pub fn has_ended(&self) -> bool {
         // Held while the stream is used, so that a lingering connection is its only user.
         let stage = self.stage.lock();
         match *stage {
-            Stage::Open => self.progress.is_written(self.request) && self.is_acknowledged(),
+            Stage::Open => self.response_end.get().is_some_and(|end| self.is_acknowledged(end)),
             Stage::Lingering => false,
             Stage::Closed => true,
         }
     }
 
-    fn is_acknowledged(&self) -> bool {
+    /// Returns whether the peer has acknowledged the first `end` bytes.
+    fn is_acknowledged(&self, end: u64) -> bool {
+        // Counted first: bytes that are written meanwhile are not acknowledged.
+        let written = self.progress.written_bytes();
         let unacknowledged = self
             .stream
             .upgrade()
             .and_then(|stream| tcp::unacknowledged_bytes(&*stream.lock()).ok());
-        unacknowledged.is_none_or(|bytes| bytes == 0)
+        // Without an answer of the kernel there is nothing to wait for.
+        unacknowledged
+            .is_none_or(|bytes| written.saturating_sub(bytes.unsigned_abs().into()) >= end)
     }
 }
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Progress of the current request of a connection, shared by its socket and its handler.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Instant;
 
 use parking_lot::Mutex;
@@ -34,6 +34,20 @@
     Begun,
 }
 
+/// Number of bytes of a connection up to the end of one response, once that was written.
+#[derive(Clone, Debug, Default)]
+pub struct ResponseEnd(Arc<OnceLock<u64>>);
+
+impl ResponseEnd {
+    pub fn get(&self) -> Option<u64> {
+        self.0.get().copied()
+    }
+
+    fn record(&self, bytes: u64) {
+        let _ = self.0.set(bytes);
+    }
+}
+
 /// How the peer has ended its side of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerEnd {
@@ -53,6 +67,10 @@
     is_body_received: bool,
     response_start: ResponseStart,
     requests: u64,
+    written_bytes: u64,
+    response_end: ResponseEnd,
+    /// Ends of earlier responses that may not have been written yet.
+    earlier_ends: Vec<ResponseEnd>,
     /// Whether everything handed over so far has been written.
     is_flushed: bool,
     /// Whether the current response has chunked transfer coding.
@@ -79,6 +97,9 @@
             is_body_received: false,
             response_start: ResponseStart::None,
             requests: 0,
+            written_bytes: 0,
+            response_end: ResponseEnd::default(),
+            earlier_ends: Vec::new(),
             is_flushed: true,
             is_chunked: false,
             has_failed_body: false,
@@ -92,16 +113,14 @@
         self.0.lock().phase
     }
 
-    /// Returns the number of requests so far.
-    pub fn requests(&self) -> u64 {
-        self.0.lock().requests
+    /// Returns where the response to the current request ends, once it was written.
+    pub fn response_end(&self) -> ResponseEnd {
+        self.0.lock().response_end.clone()
     }
 
-    /// Returns whether the response to a request, given by its number, was written.
-    pub fn is_written(&self, request: u64) -> bool {
-        let state = self.0.lock();
-        let is_answered = matches!(state.phase, Phase::Idle | Phase::Receiving);
-        state.requests > request || is_answered && state.is_flushed
+    /// Returns the number of bytes written so far.
+    pub fn written_bytes(&self) -> u64 {
+        self.0.lock().written_bytes
     }
 
     pub fn record_read(&self, bytes: &[u8]) {
@@ -116,8 +135,9 @@
         self.0.lock().response_start
     }
 
-    pub fn record_write(&self, start: ResponseStart) {
+    pub fn record_write(&self, start: ResponseStart, bytes: usize) {
         let mut state = self.0.lock();
+        state.written_bytes += bytes as u64;
         state.response_start = start;
         state.is_flushed = false;
     }
@@ -126,6 +146,8 @@
     pub fn record_flush(&self) {
         let mut state = self.0.lock();
         state.is_flushed = true;
+        let written_bytes = state.written_bytes;
+        state.earlier_ends.drain(..).for_each(|end| end.record(written_bytes));
         if state.phase == Phase::Flushing {
             let surplus = state.request_end.surplus(state.body_bytes);
             let has_next = state.request_end.has_surplus(state.body_bytes);
@@ -136,6 +158,7 @@
             state.body_bytes = None;
             state.phase = if has_next { Phase::Receiving } else { Phase::Idle };
             state.answered_at = Some(Instant::now());
+            state.response_end.record(written_bytes);
         }
     }
 
@@ -143,6 +166,10 @@
     pub fn begin_request(&self, body_bytes: Option<u64>) {
         let mut state = self.0.lock();
         state.requests += 1;
+        let earlier = std::mem::take(&mut state.response_end);
+        if state.requests > 1 && earlier.get().is_none() {
+            state.earlier_ends.push(earlier);
+        }
         state.body_bytes = body_bytes;
         state.response_start = ResponseStart::None;
         state.is_chunked = false;
--- a/crates/connections/src/peer.rs
+++ b/crates/connections/src/peer.rs
@@ -85,7 +85,8 @@
     fn probe(&self) {
         let probed = if self.progress.response_start() == ResponseStart::None {
             let written = self.stream.lock().try_write(FIRST_BYTE);
-            written.map(|_| self.progress.record_write(ResponseStart::FirstByte))
+            // Counted with the rest.
+            written.map(|_| self.progress.record_write(ResponseStart::FirstByte, 0))
         } else if self.progress.is_between_chunks() {
             self.stream.lock().try_write(LEADING_ZERO).map(|_| ())
         } else {
--- a/crates/connections/src/socket.rs
+++ b/crates/connections/src/socket.rs
@@ -106,7 +106,7 @@
         } else {
             ready!(stream.poll_write_vectored(context, slices))?
         };
-        self.progress.record_write(ResponseStart::Begun);
+        self.progress.record_write(ResponseStart::Begun, written);
         Poll::Ready(Ok(written))
     }
 
