Routing: a gateway that gets few lists forgets the later start of a replica

A replica whose time of day stepped back before it started again seems to be an earlier start. It is left out until the later one has been unlisted for 100 lists: about 70 s at the leader, which reads the list all the time. A gateway gets a list only when it changes, so at a quiet site it saw the later start go, and the list with the new one a minute later as its third, and never used the replica; only a restart of the gateway or 97 further changes helped.

A gateway counts time, 30 s since a list without the start replaced the one with it: less than the leader's time by more than half a minute, for gateways that stand still, and far more than lists are late. Leaders go on counting readings.

Ruled out: time at the leader as well (its readings are regular); accepting what the leader lists as it is (lists of two leaders may arrive out of order).

--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -187,7 +187,8 @@
 
     fn install(&self, listed: Vec<Arc<Member>>) {
         let replicas = listed.iter().map(|member| &member.replica);
-        let incarnation_update = self.incarnations.lock().update(replicas);
+        let now = Instant::now();
+        let incarnation_update = self.incarnations.lock().replace(replicas, now);
         let mut services = Services::default();
         for (member, status) in listed.iter().zip(incarnation_update.entries) {
             // Load reports refer to list positions, so superseded and ambiguous entries stay in
@@ -196,7 +197,7 @@
                 services.add(Arc::clone(member));
             }
         }
-        self.departures.lock().update(&self.services.read(), &services, Instant::now());
+        self.departures.lock().update(&self.services.read(), &services, now);
         *self.listed.write() = listed;
         *self.services.write() = Arc::new(services);
     }
--- a/crates/routing/src/incarnation.rs
+++ b/crates/routing/src/incarnation.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
+use std::time::{Duration, Instant};
 
 use crate::replica::Replica;
 
@@ -14,6 +15,11 @@
 /// reading every 700 ms, far longer than a list lags.
 const FORGET_AFTER_READINGS: u64 = 100;
 
+/// Time after which an unlisted replica is forgotten by who gets a list only when it changes. Shorter
+/// than that of the regular readers, by more than a process stands still, so that a start that
+/// they list again is used at once; far longer than a list lags.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
 /// Maximum number of tracked replicas, a few MB. Above it, only those in the current list are kept.
 const MAX_TRACKED: usize = 32_768;
 
@@ -123,6 +129,8 @@
     start: Option<StartTime>,
     /// Number of the last list that contained the replica.
     reading: u64,
+    /// When a list replaced it that does not contain the replica, if that is known.
+    left_at: Option<Instant>,
 }
 
 /// Tracks the newest start of each replica over successive lists. An older start never replaces a
@@ -134,6 +142,26 @@
 }
 
 impl IncarnationTracker {
+    /// Processes a list that is in force until the next one, however long that is, as
+    /// [`Self::update`].
+    pub fn replace<'a>(
+        &mut self,
+        list: impl Iterator<Item = &'a Replica> + Clone,
+        now: Instant,
+    ) -> IncarnationUpdate {
+        let is_kept = |tracked: &TrackedStart| {
+            tracked.left_at.is_none_or(|left_at| left_at + FORGET_AFTER > now)
+        };
+        self.tracked.retain(|_, tracked| is_kept(tracked));
+        let update = self.update(list);
+        for tracked in self.tracked.values_mut() {
+            if tracked.reading < self.reading {
+                tracked.left_at.get_or_insert(now);
+            }
+        }
+        update
+    }
+
     /// Processes a complete list, and determines the status of each entry.
     pub fn update<'a>(
         &mut self,
@@ -161,7 +189,7 @@
     /// Records the start of a replica. Returns whether it is a restart.
     fn record(&mut self, replica: &Replica) -> bool {
         let (identity, start) = Incarnation::split(&replica.id);
-        let new_start = TrackedStart { start, reading: self.reading };
+        let new_start = TrackedStart { start, reading: self.reading, left_at: None };
         // Most replicas are known, so the key is allocated only for new ones.
         let Some(known) = self.tracked.get_mut(identity) else {
             self.tracked.insert(identity.to_owned(), new_start);
--- a/crates/routing/tests/incarnation.rs
+++ b/crates/routing/tests/incarnation.rs
@@ -1,6 +1,7 @@
 //! Tracking of replica incarnations over successive lists.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
 
 use calicohoist_routing::{
     EntryStatus, Incarnation, IncarnationTracker, Replica, ReplicaState, StartTime,
@@ -111,6 +112,16 @@
     assert_eq!(tracker.update([replica("i-1", Some(7), 1)].iter()).restarted, 0);
 }
 
+/// Interval of a leader's readings.
+const READING_INTERVAL: Duration = Duration::from_millis(700);
+
+fn replace(tracker: &mut IncarnationTracker, list: &[Replica], now: Instant) -> Vec<Replica> {
+    let update = tracker.replace(list.iter(), now);
+    let used = list.iter().zip(update.entries);
+    let used = used.filter(|(_, status)| *status == EntryStatus::Newest);
+    used.map(|(replica, _)| replica.clone()).collect()
+}
+
 /// A wrong start time must not exclude later incarnations forever.
 #[test]
 fn an_unlisted_start_is_forgotten() {
@@ -121,3 +132,41 @@
         (0..1_000).position(|_| !usable_entries(&mut tracker, &earlier).is_empty());
     assert!(readings_until_used.is_some_and(|readings| readings > 50), "{readings_until_used:?}");
 }
+
+/// A leader reads the list all the time, and passes it on when what it makes of it has changed.
+#[test]
+fn an_unlisted_start_is_forgotten_by_a_gateway_that_gets_few_lists() {
+    let (mut leader, mut gateway) = (IncarnationTracker::default(), IncarnationTracker::default());
+    let (later, earlier) = ([replica("i-1", Some(9), 1)], [replica("i-1", Some(7), 1)]);
+    let mut passed_on = usable_entries(&mut leader, &later);
+    let mut now = Instant::now();
+    let mut used = replace(&mut gateway, &passed_on, now);
+    assert_eq!(used, later);
+    // The later one is listed for a while, without a change.
+    now += Duration::from_secs(600);
+    let restarted_at = now;
+    while used != earlier {
+        now += READING_INTERVAL;
+        assert!(now - restarted_at < Duration::from_secs(300), "the restarted replica is not used");
+        let listed = usable_entries(&mut leader, &earlier);
+        if listed != passed_on {
+            passed_on = listed;
+            used = replace(&mut gateway, &passed_on, now);
+        }
+    }
+}
+
+/// Lists of different leaders may arrive out of order.
+#[test]
+fn a_late_list_brings_back_no_earlier_start_at_a_gateway() {
+    let mut gateway = IncarnationTracker::default();
+    let (later, earlier) = ([replica("i-1", Some(9), 1)], [replica("i-1", Some(7), 1)]);
+    let mut now = Instant::now();
+    replace(&mut gateway, &later, now);
+    now += Duration::from_secs(600);
+    replace(&mut gateway, &[], now);
+    for _ in 0..20 {
+        now += Duration::from_secs(1);
+        assert!(replace(&mut gateway, &earlier, now).is_empty());
+    }
+}
