Store: programs end by measured time, not by the time of day of the leader

The clock of a group of programs is the timestamp of its latest command, which its leader took from the time of day. A step forward by 11 minutes, or a leader whose time of day was ahead, ended the retention of all ended programs and the lifetime of all running ones; after a step back neither ended until the time of day had come that far again.

GroupClock estimates the present time of a group's clock: the latest timestamp, and the measured time since it was seen. The time of day only begins the clock of a new group. Each machine follows the clock of all its groups, so that a new leader goes on from there. Resources keep the time of day, which operators read in their history. The form of commands is unchanged, and builds side by side differ only in the timestamp that the leader writes.

Ruled out: the time of day at the start of the process and measured time from then on (machines differ, and restarts step); a bound on the steps (any bound is one on the promise).

Cost: time in which all machines are down isn't counted, so what ends by this clock ends later by it.

--- a/crates/store/src/commands/mod.rs
+++ b/crates/store/src/commands/mod.rs
@@ -21,7 +21,7 @@
 /// timestamp as their only clock, which keeps replicas deterministic.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TimestampedCommand {
-    /// Proposal time in Unix milliseconds.
+    /// Proposal time in Unix milliseconds, in groups of programs by the clock of the group.
     pub at: u64,
     /// The command.
     pub command: Command,
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,12 +3,14 @@
 //! - [`state`]: replicated state of each Raft group;
 //! - [`commands`]: commands that change the state, with their results;
 //! - [`queries`]: read-only queries and their answers;
+//! - [`clock`]: timestamps of the commands of program groups;
 //! - [`nodes`]: gateway leases, kept in memory by the leader of group 0;
 //! - [`service`]: one store machine as a state machine without I/O;
 //! - [`router`]: client-side routing with leader discovery, retries and timeouts;
 //! - [`driver`]: threads, sockets and disk I/O of the service.
 
 pub mod broken_rules;
+pub mod clock;
 pub mod commands;
 pub mod driver;
 pub mod loads;
--- a/crates/store/src/service.rs
+++ b/crates/store/src/service.rs
@@ -14,6 +14,7 @@
 use calicohoist_types::Moment;
 use calicohoist_wire::encode;
 
+use crate::clock::GroupClock;
 use crate::commands::program::ProgramCommand;
 use crate::commands::{Command, Output, TimestampedCommand};
 use crate::metrics;
@@ -73,6 +74,8 @@
     next_ticket: Ticket,
     actions: Vec<StoreAction>,
     next_housekeeping: Moment,
+    /// Clocks of the groups of programs.
+    clocks: BTreeMap<GroupId, GroupClock>,
 }
 
 impl StoreService {
@@ -95,6 +98,7 @@
             next_ticket: 0,
             actions: Vec::new(),
             next_housekeeping: now + HOUSEKEEPING_INTERVAL,
+            clocks: BTreeMap::new(),
         }
     }
 
@@ -130,7 +134,8 @@
         metrics::REQUESTS.inc(request.kind());
         match request {
             StoreRequest::Command(group, command) => {
-                self.propose(unix_millis, group, command, Pending::Command(client, id));
+                let at = self.timestamp(group, now, unix_millis);
+                self.propose(at, group, command, Pending::Command(client, id));
             }
             StoreRequest::Query(group, query) => {
                 self.read(group, Pending::Query(client, id, query));
@@ -158,6 +163,19 @@
         self.next_ticket
     }
 
+    /// Returns the timestamp of a command: of resources the time of day, which operators read.
+    fn timestamp(&mut self, group: GroupId, now: Moment, unix_millis: u64) -> u64 {
+        self.observe_clock(group, now);
+        self.clocks.get_mut(&group).map_or(unix_millis, |clock| clock.timestamp(unix_millis, now))
+    }
+
+    /// Follows the clock of a group that stores programs.
+    fn observe_clock(&mut self, group: GroupId, now: Moment) {
+        if let Some(GroupState::Programs(shard)) = self.node.machine(group) {
+            self.clocks.entry(group).or_default().observe(shard.clock(), now);
+        }
+    }
+
     fn propose(&mut self, at: u64, group: GroupId, command: Command, pending: Pending) {
         let ticket = self.add_pending(pending);
         let Ok(bytes) = encode(&TimestampedCommand { at, command }) else {
@@ -197,6 +215,9 @@
     pub fn tick(&mut self, now: Moment, unix_millis: u64) {
         self.node.tick(now);
         self.nodes.expire(now);
+        for group in self.groups.program_groups() {
+            self.observe_clock(group, now);
+        }
         if now < self.next_housekeeping {
             return;
         }
@@ -204,7 +225,8 @@
         let led: Vec<GroupId> = self.led_groups.iter().copied().collect();
         for group in led.into_iter().filter(|group| *group != RESOURCE_GROUP) {
             let command = Command::Program(ProgramCommand::Housekeeping);
-            self.propose(unix_millis, group, command, Pending::Housekeeping);
+            let at = self.timestamp(group, now, unix_millis);
+            self.propose(at, group, command, Pending::Housekeeping);
         }
     }
 
