--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -164,6 +164,9 @@
 const INPUT_BYTES: usize = 1_500;
 /// Input of the turns that expire; segments are written several times during a run.
 const LARGE_INPUT_BYTES: usize = 8_000;
+/// Transcript of a turn that is not continued at random any more. A long run would otherwise hold
+/// transcripts of a hundred turns for each turn.
+const MAX_TRANSCRIPT_BYTES: usize = 64_000;
 const CALLERS: usize = 6;
 const SLOW_READERS: usize = 2;
 const STREAM_CALLERS: usize = 3;
@@ -228,6 +231,11 @@
         self.completed_at.get(turn).map(|completed| at.saturating_duration_since(*completed))
     }
 
+    /// Returns whether the transcript up to a completed turn is short enough to be continued.
+    fn is_short(&self, turn: &str) -> bool {
+        self.completed.get(turn).is_some_and(|transcript| transcript.len() < MAX_TRANSCRIPT_BYTES)
+    }
+
     fn note_continued(&mut self, turn: &str) {
         if let Some(completed) = self.completed_at.get(turn) {
             self.leaves.remove(&(*completed, turn.to_owned()));
