--- a/crates/connections/src/connection.rs
+++ b/crates/connections/src/connection.rs
@@ -15,9 +15,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
+use crate::delivery::{Delivery, StageRecord};
 use crate::drain::{Drain, DrainStage};
 use crate::exchange::{PeerEnd, Progress};
-use crate::linger::{LateBytes, linger, reset};
+use crate::linger::{LateBytes, linger, refuse, reset};
 use crate::peer::PeerWatch;
 use crate::request_end::Surplus;
 use crate::shared_stream::SharedStream;
@@ -53,9 +54,15 @@
 pub struct RequestContext {
     stream: SharedStream,
     progress: Progress,
+    delivery: Delivery,
 }
 
 impl RequestContext {
+    /// Returns the delivery of the response.
+    pub fn delivery(&self) -> &Delivery {
+        &self.delivery
+    }
+
     /// Records that the body of the request was received. From then on, the request is cancelled
     /// when its peer closes the connection.
     pub fn body_received(&self) {
@@ -74,8 +81,10 @@
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionEnd {
-    /// Between two requests, or after a response that announced it.
+    /// By the peer between two requests, or after a response that announced it.
     Finished,
+    /// By this side, while it waited for a request or for the rest of its head.
+    Unused,
     /// The peer closed it while its response was awaited.
     PeerLeft,
     /// It failed, or the request was malformed.
@@ -86,6 +95,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Finished => "finished",
+            Self::Unused => "unused",
             Self::PeerLeft => "peer_left",
             Self::Failed => "failed",
         }
@@ -106,10 +116,14 @@
 {
     let stream = SharedStream::new(stream);
     let progress = Progress::new();
-    let end = serve_requests(&stream, settings, drain, &progress, handler).await;
+    let stage = StageRecord::open();
+    let end = serve_requests(&stream, settings, drain, &progress, &stage, handler).await;
+    stage.begin_linger();
     CONNECTIONS_CLOSED.inc(end.label());
     let is_request_cut = progress.is_request_cut();
-    if end == ConnectionEnd::PeerLeft || !progress.has_requests() && !is_request_cut {
+    let is_refused = end == ConnectionEnd::Unused;
+    let is_unused_by_peer = !progress.has_requests() && !is_request_cut && !is_refused;
+    if end == ConnectionEnd::PeerLeft || is_unused_by_peer {
         return;
     }
     // A peer that sees the end of the connection cannot tell whether its further request was read.
@@ -126,7 +140,10 @@
         PeerEnd::Open | PeerEnd::HalfClosed => LateBytes::Leave,
     };
     let answered_at = progress.answered_at().unwrap_or_else(Instant::now);
-    if let Some(stream) = stream.into_inner() {
+    if let Some(mut stream) = stream.into_inner() {
+        if is_refused && refuse(&mut stream, settings.stall_timeout).await.is_err() {
+            return;
+        }
         linger(stream, late_bytes, answered_at, settings.stall_timeout).await;
     }
 }
@@ -136,6 +153,7 @@
     settings: ConnectionSettings,
     drain: &Drain,
     progress: &Progress,
+    stage: &StageRecord,
     handler: H,
 ) -> ConnectionEnd
 where
@@ -150,7 +168,11 @@
         // Before hyper reads any of its body.
         progress.begin_request(request.body().size_hint().exact());
         async move {
-            let context = RequestContext { stream: stream.clone(), progress: progress.clone() };
+            let context = RequestContext {
+                stream: stream.clone(),
+                progress: progress.clone(),
+                delivery: stage.delivery(stream, progress),
+            };
             let may_be_chunked = request.version() == Version::HTTP_11;
             let mut response = handler(request, context).await;
             let has_length = response.body().size_hint().exact().is_some()
@@ -178,10 +200,11 @@
         tokio::select! {
             biased;
             result = connection.as_mut() => return match result {
+                Ok(()) if progress.is_closed_idle() => ConnectionEnd::Unused,
                 Ok(()) => ConnectionEnd::Finished,
                 Err(error) => {
                     emit!(Event::ConnectionFailed, "connection of a caller failed: {error}");
-                    ConnectionEnd::Failed
+                    if error.is_timeout() { ConnectionEnd::Unused } else { ConnectionEnd::Failed }
                 }
             },
             () = std::future::poll_fn(|context| watch.poll_left(context)) => {
--- a/crates/connections/src/exchange.rs
+++ b/crates/connections/src/exchange.rs
@@ -64,6 +64,8 @@
     peer_end: PeerEnd,
     /// Time from which the connection is to be closed when it is idle.
     close_idle_at: Option<Instant>,
+    /// Whether this side has closed the connection while it was idle.
+    is_closed_idle: bool,
 }
 
 /// Progress of a connection.
@@ -85,6 +87,7 @@
             answered_at: None,
             peer_end: PeerEnd::Open,
             close_idle_at: None,
+            is_closed_idle: false,
         })))
     }
 
@@ -92,6 +95,18 @@
         self.0.lock().phase
     }
 
+    /// Returns the number of requests so far.
+    pub fn requests(&self) -> u64 {
+        self.0.lock().requests
+    }
+
+    /// Returns whether the response to a request, given by its number, was written.
+    pub fn is_written(&self, request: u64) -> bool {
+        let state = self.0.lock();
+        let is_answered = matches!(state.phase, Phase::Idle | Phase::Receiving);
+        state.requests > request || is_answered && state.is_flushed
+    }
+
     pub fn record_read(&self, bytes: &[u8]) {
         let mut state = self.0.lock();
         if state.phase == Phase::Idle {
@@ -237,6 +252,15 @@
         self.0.lock().close_idle_at = Some(moment);
     }
 
+    /// Records that this side closes the connection while it is idle.
+    pub fn record_idle_close(&self) {
+        self.0.lock().is_closed_idle = true;
+    }
+
+    pub fn is_closed_idle(&self) -> bool {
+        self.0.lock().is_closed_idle
+    }
+
     /// Returns whether the connection is to be closed unless a request has arrived.
     pub fn is_closable(&self, now: Instant) -> bool {
         let state = self.0.lock();
