--- a/crates/calicohoist/tests/soak/forgetting.rs
+++ b/crates/calicohoist/tests/soak/forgetting.rs
@@ -9,10 +9,10 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::{ROUTE_TIMEOUT, Shared};
 use crate::caller::Caller;
 use crate::faults::Soak;
 use crate::operator::read_version;
+use crate::{ROUTE_TIMEOUT, Shared};
 
 /// Time after its retention in which a turn is forgotten while the ledger runs: three steps of the clock
 /// of its state, and what gateways add for the delivery of the response and the arrival of a request.
