--- a/crates/calicohoist/tests/soak/main.rs
+++ b/crates/calicohoist/tests/soak/main.rs
@@ -118,11 +118,15 @@
 /// - 98: general coverage; budgets that are refused without an entry of the log.
 /// - 1796573402: the ledger stands still while turns are to be forgotten.
 /// - 1796573406: a gateway stands still for longer than the retention.
-const RETENTION_RUNS: [SoakRun; 3] = [
+/// - 1796573429: turns expire while the request that continues them is on its way.
+const RETENTION_RUNS: [SoakRun; 4] = [
     SoakRun::new(98, 4, 15).with_retention(SHORT_RETENTION),
     SoakRun::new(1_796_573_402, 4, 10).with_retention(SHORT_RETENTION),
     SoakRun::new(1_796_573_406, 4, 10).with_retention(SHORT_RETENTION),
+    SoakRun::new(1_796_573_429, 4, 10).with_retention(SHORT_RETENTION),
 ];
+/// Number of these runs that are played at the same time; they wait for most of theirs.
+const RETENTION_RUNS_SIDE_BY_SIDE: usize = 2;
 /// Runs that are judged by the streams of the service that is released.
 const RELEASE_RUNS: [SoakRun; 1] = [SoakRun::new(86, 4, 20)];
 const DEFAULT_SECONDS: u64 = 20;
@@ -601,9 +605,13 @@
 
 #[test]
 fn turns_and_budgets_are_kept_until_their_retention_ends_and_no_longer() {
-    for run in selected_runs(&RETENTION_RUNS) {
-        let retention = run.retention.unwrap_or(SHORT_RETENTION);
-        println!("{:?}", run_soak(run.with_retention(retention)));
+    for runs in selected_runs(&RETENTION_RUNS).chunks(RETENTION_RUNS_SIDE_BY_SIDE) {
+        thread::scope(|scope| {
+            for run in runs {
+                let retention = run.retention.unwrap_or(SHORT_RETENTION);
+                scope.spawn(move || println!("{:?}", run_soak(run.with_retention(retention))));
+            }
+        });
     }
 }
 
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,7 +7,7 @@
 # CALICOHOIST_SOAK_OLDER_BINARY is set, the fleet mixes two builds; see scripts/mixed-soak.sh.
 # CALICOHOIST_SOAK_ENDLESS=0 leaves out the callers that ask for responses that never end.
 # CALICOHOIST_SOAK_RETENTION_S plays the runs in which turns and budgets are kept for that many seconds
-# and expire; each then takes as long as retention plus about 35 s more.
+# and expire; two are played side by side, and each takes the retention and about 45 s more.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed_count=${1:-10}
