--- a/crates/calicohoist/tests/shapes/client.rs
+++ b/crates/calicohoist/tests/shapes/client.rs
@@ -121,6 +121,7 @@
     pub fn send(&mut self, gateway: &Node, submission: &Submission) -> Response {
         let address = self.world.fleet.http(gateway);
         let log = self.world.fleet.attempts.clone();
+        self.connections.drop_closed();
         let is_torn = self.rng.random_bool(TORN_PROBABILITY);
         let is_slow = self.rng.random_bool(SLOW_PROBABILITY);
         let reply = match is_torn || is_slow {
--- a/crates/calicohoist/tests/soak/attempts.rs
+++ b/crates/calicohoist/tests/soak/attempts.rs
@@ -365,6 +365,15 @@
         self.input.get_ref().last_received
     }
 
+    /// Returns whether the node has closed the connection, which no answer is due on.
+    pub fn is_closed(&self) -> bool {
+        let stream = &self.input.get_ref().stream;
+        let _ = stream.set_nonblocking(true);
+        let peeked = stream.peek(&mut [0]);
+        let _ = stream.set_nonblocking(false);
+        !matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Returns whether further requests may be sent after this answer.
     pub fn is_reusable(&self, reply: &Response) -> bool {
         reply.is_complete && !self.is_closing
--- a/crates/calicohoist/tests/soak/pool.rs
+++ b/crates/calicohoist/tests/soak/pool.rs
@@ -23,6 +23,11 @@
 pub struct ConnectionPool(HashMap<SocketAddr, RecordedConnection>);
 
 impl ConnectionPool {
+    /// Forgets the connections that their gateways have closed.
+    pub fn drop_closed(&mut self) {
+        self.0.retain(|_, connection| !connection.is_closed());
+    }
+
     /// Sends a request; returns `None` without a connection or a response head.
     pub fn exchange(
         &mut self,
