--- a/crates/calicohoist/tests/shapes/fleet.rs
+++ b/crates/calicohoist/tests/shapes/fleet.rs
@@ -27,7 +27,7 @@
 const SEED_COUNT: usize = 3;
 const OPERATOR_TIME_LIMIT: Duration = Duration::from_secs(4);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub enum Role {
     Gateway,
     Ledger,
@@ -38,10 +38,11 @@
     pub name: String,
     pub ip: &'static str,
     zone: String,
-    role: Role,
+    pub role: Role,
     process: Mutex<Option<Process>>,
     /// Intervals from a stop to the end of the next start.
     outages: Mutex<Vec<(Instant, Option<Instant>)>>,
+    is_removed: AtomicBool,
     /// Held during planned work on the machine.
     pub work: Mutex<()>,
 }
@@ -51,6 +52,16 @@
         self.ip.parse().expect("an address")
     }
 
+    pub fn signal(&self, signal: Signal) {
+        if let Some(process) = &*self.process.lock() {
+            process.signal(signal);
+        }
+    }
+
+    pub fn is_removed(&self) -> bool {
+        self.is_removed.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the process ran through the contact time before a moment.
     pub fn is_in_touch(&self, moment: Instant) -> bool {
         let from = moment.checked_sub(CONTACT_TIME).unwrap_or(moment);
@@ -126,6 +137,7 @@
     pub fn remove_ledger(&self, node: &Arc<Node>) {
         let _work = node.work.lock();
         self.ledger.lock().retain(|other| !Arc::ptr_eq(other, node));
+        node.is_removed.store(true, Ordering::Relaxed);
         node.outages.lock().push((Instant::now(), None));
         drop(node.process.lock().take());
         let _ = fs::remove_dir_all(self.data_folder(node));
@@ -201,9 +213,7 @@
         self.timeline.lock().signal(node.address(), SignalKind::Stop);
         let asked_at = Instant::now();
         node.outages.lock().push((asked_at, None));
-        if let Some(process) = &*node.process.lock() {
-            process.signal(Signal::TERM);
-        }
+        node.signal(Signal::TERM);
         loop {
             thread::sleep(EXIT_POLL_INTERVAL);
             let mut process = node.process.lock();
@@ -229,10 +239,8 @@
     pub fn reload(&self, node: &Node) {
         let file = self.folder.path().join(format!("{}.toml", node.name));
         fs::write(file, self.settings(node, false)).expect("a settings file");
-        if let Some(process) = &*node.process.lock() {
-            self.timeline.lock().signal(node.address(), SignalKind::Reload);
-            process.signal(Signal::HUP);
-        }
+        self.timeline.lock().signal(node.address(), SignalKind::Reload);
+        node.signal(Signal::HUP);
     }
 
     /// Notes a process that has ended by itself, or used more memory than it has.
@@ -326,6 +334,7 @@
         role,
         process: Mutex::default(),
         outages: Mutex::default(),
+        is_removed: AtomicBool::new(false),
         work: Mutex::default(),
     })
 }
--- a/crates/calicohoist/tests/shapes/main.rs
+++ b/crates/calicohoist/tests/shapes/main.rs
@@ -38,6 +38,7 @@
 mod records;
 mod replicas;
 mod shape;
+mod shares;
 
 use std::path::Path;
 use std::sync::Arc;
@@ -56,6 +57,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use shape::Shape;
+use shares::share_core;
 use support::wait_until;
 
 const DEFAULT_SHAPE: &str = "small.toml";
@@ -128,7 +130,11 @@
         let (ledger_rng, reload_rng, retire_rng) = (rng(50), rng(51), rng(52));
         scope.spawn(move || restart_ledger(world, work, ledger_rng));
         scope.spawn(move || reload(world, work, reload_rng));
-        scope.spawn(move || retire(world, work, retire_rng));
+        let share = move |node| {
+            scope.spawn(move || share_core(world, &node));
+        };
+        world.fleet.gateways.iter().cloned().chain(world.fleet.ledger()).for_each(share);
+        scope.spawn(move || retire(world, work, retire_rng, share));
         for index in 0..world.shape().services.len() {
             scope.spawn(move || release(world, work, index));
         }
--- a/crates/calicohoist/tests/shapes/planned.rs
+++ b/crates/calicohoist/tests/shapes/planned.rs
@@ -160,14 +160,14 @@
     }
 }
 
-/// Retires ledger machines, each after another one has joined.
-pub fn retire(world: &World, work: &PlannedWork, mut rng: StdRng) {
+/// Retires ledger machines, each after another one has joined; calls `on_join` with that one.
+pub fn retire(world: &World, work: &PlannedWork, mut rng: StdRng, on_join: impl Fn(Arc<Node>)) {
     let planned = world.shape().planned;
     let pause = Duration::from_millis(planned.retirement_pause_ms);
     let shape = world.shape().ledger;
     while world.pause(pause) {
         while world.fleet.ledger().len() < shape.machines + shape.spares {
-            world.fleet.join_ledger();
+            on_join(world.fleet.join_ledger());
             work.count("ledger machines joined");
         }
         let ledger = world.fleet.ledger();
--- a/crates/calicohoist/tests/shapes/shape.rs
+++ b/crates/calicohoist/tests/shapes/shape.rs
@@ -28,6 +28,8 @@
     #[serde(default)]
     pub spares: usize,
     pub memory_mb: usize,
+    /// Part of a core that a process has; absent means no limit.
+    pub core_share: Option<f64>,
 }
 
 /// Number of callers of each kind.
