Tests: a removed ledger machine leaves the others out of touch for a while only

Until now, after the first retirement no ledger was calm any more: drains were not judged from then on, and probes of the configuration had 5 s longer than the rule.

--- a/crates/calicohoist/tests/shapes/fleet.rs
+++ b/crates/calicohoist/tests/shapes/fleet.rs
@@ -138,7 +138,9 @@
         let _work = node.work.lock();
         self.ledger.lock().retain(|other| !Arc::ptr_eq(other, node));
         node.is_removed.store(true, Ordering::Relaxed);
-        node.outages.lock().push((Instant::now(), None));
+        // It counts no more, but the others are out of touch for a while.
+        let now = Instant::now();
+        node.outages.lock().push((now, Some(now)));
         drop(node.process.lock().take());
         let _ = fs::remove_dir_all(self.data_folder(node));
         self.removed.lock().push(Arc::clone(node));
