Stops: a process that stood still when its answers were due delivers them before it exits

Callers lost requests that replicas ran, at the exit of a stopping gateway or ledger machine without processor time for a moment: answers are due 0.5 s before connections are cut, and a process that stands still over both times finds both past when it goes on. The task that waits for the exit then ended the process before the requests were polled again.

Now the drain keeps when the process first saw that its answers are due, and cuts connections only after the time for delivering since then: at most until half of the time for exiting is over (0.2 s of 0.4 s with a grace period of 8 s), and 50 ms in any case. A process that sees it in time exits as before.

Ruled out: earlier times for all stops (requests would get less time in each stop, and a longer pause is the same again), counting passes of the event loop in place of time (a pass takes as long as what is ready, with no bound).

--- a/crates/calicohoist/tests/stops/main.rs
+++ b/crates/calicohoist/tests/stops/main.rs
@@ -14,6 +14,8 @@
 mod series;
 mod slow_ledger;
 mod slow_readers;
+mod small_share;
+mod standing_still;
 
 use std::io::{BufReader, Read, Write as _};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/connections/src/drain.rs
+++ b/crates/connections/src/drain.rs
@@ -27,13 +27,20 @@
 pub struct Drain {
     stage: Arc<watch::Sender<DrainStage>>,
     schedule: Arc<OnceLock<StopSchedule>>,
+    /// When the process has first seen that its answers are due.
+    due_seen_at: Arc<OnceLock<Instant>>,
     open_connections: Arc<AtomicUsize>,
 }
 
 impl Default for Drain {
     fn default() -> Self {
         let stage = Arc::new(watch::Sender::new(DrainStage::Serving));
-        Self { stage, schedule: Arc::default(), open_connections: Arc::default() }
+        Self {
+            stage,
+            schedule: Arc::default(),
+            due_seen_at: Arc::default(),
+            open_connections: Arc::default(),
+        }
     }
 }
 
@@ -62,6 +69,7 @@
         let _ = stages.wait_for(|_| self.schedule.get().is_some()).await;
         if let Some(answer_by) = self.answer_by() {
             tokio::time::sleep_until(answer_by.into()).await;
+            self.due_seen_at.get_or_init(Instant::now);
         }
     }
 
@@ -84,12 +92,32 @@
         self.open_connections.load(Ordering::Relaxed)
     }
 
-    /// Waits until all connections are closed, or until `deadline`.
+    /// Waits until all connections are closed, or until `deadline`. If the process stood still when its
+    /// answers were due, a later deadline is put off until they are delivered.
     pub async fn wait_until_closed(&self, deadline: Instant) {
-        while self.open_connections() > 0 && Instant::now() < deadline {
-            let next_check = Instant::now() + POLL_INTERVAL;
-            tokio::time::sleep_until(next_check.min(deadline).into()).await;
+        loop {
+            let now = Instant::now();
+            let end = self.delivered_by(deadline, now);
+            if self.open_connections() == 0 || now >= end {
+                return;
+            }
+            let due = self.answer_by().filter(|answer_by| now < *answer_by).unwrap_or(end);
+            let next_check = (now + POLL_INTERVAL).min(due).min(end);
+            tokio::time::sleep_until(next_check.into()).await;
+        }
+    }
+
+    /// Returns the time until which responses are delivered, `deadline` or later.
+    fn delivered_by(&self, deadline: Instant, now: Instant) -> Instant {
+        let Some(schedule) = self.schedule.get().filter(|schedule| schedule.answer_by() <= now)
+        else {
+            return deadline;
+        };
+        let due_seen_at = *self.due_seen_at.get_or_init(|| now);
+        if deadline <= schedule.answer_by() {
+            return deadline;
         }
+        deadline.max(schedule.cut_by(due_seen_at))
     }
 
     /// Waits until connections without a request are to be closed.
--- a/crates/connections/tests/draining.rs
+++ b/crates/connections/tests/draining.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_connections::{ConnectionSettings, Drain, DrainStage, accept};
+use calicohoist_connections::{ConnectionSettings, Drain, DrainStage, StopSchedule, accept};
 use http_body_util::Full;
 use hyper::Response;
 use rustix::io::Errno;
@@ -198,3 +198,51 @@
     // One more is waiting when the listener is closed.
     assert_eq!(accepted.get(), ACCEPTED_BEFORE + 1, "accepted connections");
 }
+
+/// Serves requests that are answered when the stop makes them due, and stops.
+async fn stop_with_waiting_requests(listener: std::net::TcpListener, grace: Duration) -> usize {
+    let listener = tokio::net::TcpListener::from_std(listener).expect("register the listener");
+    let drain = Drain::default();
+    let handler_drain = drain.clone();
+    let handler = move |_request, _context| {
+        let drain = handler_drain.clone();
+        async move {
+            drain.answers_due().await;
+            Response::new(Full::new(Bytes::from_static(b"due")))
+        }
+    };
+    let accepting = tokio::spawn(accept(listener, drain.clone(), || SETTINGS, handler));
+    tokio::time::sleep(SERVING_TIME).await;
+    let schedule = StopSchedule::new(Instant::now(), grace);
+    drain.announce(schedule);
+    drain.advance(DrainStage::Closing);
+    accepting.await.expect("the listener is closed");
+    // Stands still from before the answers are due until after the connections are to be cut.
+    thread::sleep((schedule.exit_by() + SERVING_TIME).saturating_duration_since(Instant::now()));
+    drain.wait_until_closed(schedule.exit_by()).await;
+    drain.open_connections()
+}
+
+/// Otherwise it cuts at once what it should have answered meanwhile.
+#[test]
+fn requests_are_answered_by_a_process_that_stood_still_until_its_exit() {
+    const PEERS: usize = 8;
+    const GRACE: Duration = Duration::from_secs(1);
+    let (listener, address) = bind();
+    let peers: Vec<_> = (0..PEERS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).expect("connect");
+            stream.set_read_timeout(Some(READ_TIMEOUT)).expect("set the read timeout");
+            stream.write_all(LAST_REQUEST).expect("send the request");
+            thread::spawn(move || {
+                let mut response = Vec::new();
+                let _ = stream.read_to_end(&mut response);
+                response.ends_with(b"due")
+            })
+        })
+        .collect();
+    let open = run(stop_with_waiting_requests(listener, GRACE));
+    let answered = peers.into_iter().map(|peer| peer.join().expect("a peer"));
+    assert_eq!(answered.filter(|is_answered| *is_answered).count(), PEERS);
+    assert_eq!(open, 0, "open connections");
+}
--- a/crates/connections/tests/stop_schedule.rs
+++ b/crates/connections/tests/stop_schedule.rs
@@ -54,3 +54,25 @@
     drain.announce(StopSchedule::new(start, Duration::from_secs(8)));
     assert_eq!(drain.answer_by(), Some(first.answer_by()));
 }
+
+#[test]
+fn connections_are_cut_later_only_by_a_process_that_stood_still() {
+    let start = Instant::now();
+    for grace in GRACES {
+        let schedule = StopSchedule::new(start, grace);
+        let exit_by = schedule.exit_by();
+        assert_eq!(schedule.cut_by(schedule.answer_by()), exit_by, "{grace:?}");
+        assert!(schedule.cut_by(exit_by) > exit_by, "{grace:?}");
+        assert!(schedule.cut_by(start + grace) > start + grace, "{grace:?}");
+    }
+}
+
+/// A process that stood still until its exit still exits before it is terminated.
+#[test]
+fn late_responses_are_delivered_within_the_grace_period() {
+    let start = Instant::now();
+    for grace in GRACES.into_iter().filter(|grace| *grace >= Duration::from_secs(1)) {
+        let schedule = StopSchedule::new(start, grace);
+        assert!(schedule.cut_by(schedule.exit_by()) < start + grace, "{grace:?}");
+    }
+}
