Ledger: crash records that have expired are not announced again after a start

A machine that starts replays its log, and gave each record in it to gateways for another 120 s, cleared ones too, although the state had forgotten it: a harmless request was refused for longer, and the account of a cleared crash may have ended long before gateways stopped counting it. Only records that the state still holds are announced.

--- a/crates/ledger/src/commands/crash.rs
+++ b/crates/ledger/src/commands/crash.rs
@@ -157,6 +157,16 @@
     format!("{KEY_SEPARATOR}{keys}{KEY_SEPARATOR}")
 }
 
+/// Returns the key of a crash record.
+pub fn crash_key(record: &CrashRecord) -> TurnId {
+    record_key(CRASH_KEYS, record)
+}
+
+/// Returns the key of a cleared crash.
+pub fn cleared_key(record: &CrashRecord) -> TurnId {
+    record_key(CLEARED_KEYS, record)
+}
+
 fn record_key(keys: &str, record: &CrashRecord) -> TurnId {
     let CrashRecord { tenant, request, replica } = record;
     let tenant = tenant.as_deref().unwrap_or_default();
--- a/crates/ledger/src/commands/mod.rs
+++ b/crates/ledger/src/commands/mod.rs
@@ -12,8 +12,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use crash::{
-    charge_crash, clear_commands, clear_crash, cleared_key_prefix, crash_key_prefix, find_answer,
-    find_cleared_crash, find_crash, release_send, report_answer, reserve_send, store_crash,
+    charge_crash, clear_commands, clear_crash, cleared_key, cleared_key_prefix, crash_key,
+    crash_key_prefix, find_answer, find_cleared_crash, find_crash, release_send, report_answer,
+    reserve_send, store_crash,
 };
 pub use origin::{
     ORIGIN_CONFLICT, ORIGIN_RETENTION, is_origin, origin_conflict_key, origin_key_prefix,
--- a/crates/ledger/src/server/replica/publication.rs
+++ b/crates/ledger/src/server/replica/publication.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use calicohoist_quarantine::CrashRecord;
 use calicohoist_telemetry::{Event, emit};
 use tokio::sync::watch;
 
 use super::{DRAINED_ZONES, GROUP, GroupStatus, ReplicaThread};
+use crate::commands::{cleared_key, crash_key};
 use crate::state::LedgerState;
 
 /// Interval at which the bytes that the replica holds are counted.
@@ -44,14 +46,17 @@
         let (crashes, cleared) = (state.crashes(), state.cleared_crashes());
         if crashes.next() != self.next_crash {
             let now = Instant::now();
-            for record in crashes.since(self.next_crash) {
+            // A log that is replayed has records that have expired since.
+            let is_kept = |record: &&CrashRecord| state.turns().contains(&crash_key(record));
+            for record in crashes.since(self.next_crash).filter(is_kept) {
                 self.services.crashes.add(record.clone(), now);
             }
             self.next_crash = crashes.next();
         }
         if cleared.next() != self.next_cleared {
             let now = Instant::now();
-            for record in cleared.since(self.next_cleared) {
+            let is_kept = |record: &&CrashRecord| state.turns().contains(&cleared_key(record));
+            for record in cleared.since(self.next_cleared).filter(is_kept) {
                 self.services.crashes.clear(record.clone(), now);
             }
             self.next_cleared = cleared.next();
