Ledger: a turn that is only kept for longer is not read

A gateway extends the retention of a turn while its caller reads slowly, as a turn that continues it would: the replica thread read the whole history from disk and sent it, and the gateway threw it away, after a pause of a gateway for all turns of the pause at once. A reservation of a turn that continues itself gets no history now. Records of streams, whose readers may bear the same id, are read as before.

--- a/crates/ledger/src/server/replica/answers.rs
+++ b/crates/ledger/src/server/replica/answers.rs
@@ -6,7 +6,7 @@
 use super::origins::{PendingOrigin, resolve_conflict};
 use super::pending::{Outcome, PendingRequest};
 use super::{GROUP, ReplicaThread, Response, ResponseCallback};
-use crate::commands::{Command, Output, Reservation, ReserveTurn};
+use crate::commands::{Command, Output, Reservation, ReserveTurn, is_origin};
 use crate::queries;
 use crate::state::{HistoryPiece, LedgerState, StoredBytes};
 
@@ -77,6 +77,10 @@
         if reservation != Reservation::Granted {
             return without_history(reservation);
         }
+        // A gateway that keeps a turn for longer does not need its history.
+        if reserve.previous.as_ref() == Some(&reserve.turn) && !is_origin(&reserve.turn) {
+            return without_history(reservation);
+        }
         // A conflict may have been stored after the request was proposed.
         let previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
         let Some(pieces) = queries::history(state, previous.as_ref()) else {
