Ledger: a rejected reservation keeps its history, and is answered at once only from a state that has all steps

A reservation of a program whose budget was spent was proposed without its previous turn, since it would be rejected. A step of the clock that was proposed and not applied yet, after a pause or at a new leader, could remove the account first: the turn was then granted, ran without its history, and on a fresh budget. And the 402 without an entry took the time of steps that were not applied for time of the account, which was kept for too short.

A reservation keeps its previous turn whatever is expected of it. It is rejected without an entry only by a leader that has committed in its term and has applied all of its steps; LeaderClock counts those in flight.

--- a/crates/ledger/src/server/replica/answers.rs
+++ b/crates/ledger/src/server/replica/answers.rs
@@ -17,6 +17,7 @@
                 PendingRequest::StoreOrigin(origin, respond) => {
                     self.finish_origin(&origin, respond, outcome.clone());
                 }
+                PendingRequest::Step(term) => self.clock.end_step(term),
                 request => self.answer(request, outcome.clone()),
             }
         }
--- a/crates/ledger/src/server/replica/clock.rs
+++ b/crates/ledger/src/server/replica/clock.rs
@@ -22,8 +22,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Leadership {
     term: u64,
-    /// Time up to which the clock of the state has been advanced.
+    /// Time up to which steps of the clock of the state were proposed.
     counted_until: Moment,
+    /// Steps that were proposed and are not applied.
+    steps_in_flight: usize,
 }
 
 impl LeaderClock {
@@ -31,7 +33,8 @@
     /// before each use of the clock.
     pub fn follow(&mut self, term: Option<u64>, now: Moment) {
         if self.leadership.map(|leadership| leadership.term) != term {
-            self.leadership = term.map(|term| Leadership { term, counted_until: now });
+            self.leadership =
+                term.map(|term| Leadership { term, counted_until: now, steps_in_flight: 0 });
         }
     }
 
@@ -44,10 +47,25 @@
         }
         let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
         leadership.counted_until = leadership.counted_until + Duration::from_millis(elapsed_ms);
+        leadership.steps_in_flight += 1;
         Some(Command::Advance { elapsed_ms })
     }
 
-    /// Returns the time by which the clock of the state lags, in ms, rounded up.
+    /// Records that a step which was proposed in `term` is applied, or lost with its term.
+    pub fn end_step(&mut self, term: u64) {
+        if let Some(leadership) = self.leadership.as_mut().filter(|known| known.term == term) {
+            leadership.steps_in_flight = leadership.steps_in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Returns the time by which the applied state lags, in ms, rounded up; `None` while steps are not
+    /// applied, or without a leadership. The state must have all entries of earlier terms.
+    pub fn applied_lag_ms(&self, now: Moment) -> Option<u64> {
+        let leadership = self.leadership?;
+        (leadership.steps_in_flight == 0).then(|| self.lag_ms(now))
+    }
+
+    /// Returns the time by which the clock of the log lags, in ms, rounded up.
     pub fn lag_ms(&self, now: Moment) -> u64 {
         let counted_until = self.leadership.map_or(now, |leadership| leadership.counted_until);
         let lag = now.since(counted_until).as_micros().div_ceil(1_000);
--- a/crates/ledger/src/server/replica/housekeeping.rs
+++ b/crates/ledger/src/server/replica/housekeeping.rs
@@ -9,9 +9,11 @@
 use calicohoist_types::Moment;
 
 use super::origins::ORIGIN_COUNT_INTERVAL;
+use super::pending::PendingRequest;
 use super::{GROUP, ReplicaThread};
 use crate::commands::{Command, origin_key_prefix};
 use crate::server::preference::{GroupView, LeadershipTransfer, VoterLocation};
+use crate::state::{Accounts, LedgerState};
 
 /// Interval at which a leader passes the known machines to the replication layer.
 const KNOWN_MACHINES_INTERVAL: Duration = Duration::from_millis(500);
@@ -57,10 +59,17 @@
         self.move_leadership_if_better(&retiring);
         let now = self.follow_leadership();
         if let Some(step) = self.clock.next_step(now) {
-            self.propose_without_reply(step);
+            self.count_charges();
+            let request = PendingRequest::Step(self.term());
+            self.propose(step, request);
         }
     }
 
+    pub(super) fn count_charges(&mut self) {
+        let accounts = self.node.machine(GROUP).map(LedgerState::accounts);
+        self.charges = accounts.map_or(0, Accounts::charges);
+    }
+
     /// Informs the clock of the state of who leads; returns the time.
     pub(super) fn follow_leadership(&mut self) -> Moment {
         let now = self.now();
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -87,6 +87,8 @@
     preference: LeaderPreference,
     preference_checked_at: Instant,
     clock: LeaderClock,
+    /// Charges in all accounts, counted with each step of the clock.
+    charges: usize,
     known_machines_updated_at: Instant,
     seal_proposed_at: Option<Instant>,
     slow_disk: SlowDiskDetector,
@@ -183,6 +185,7 @@
             preference: LeaderPreference::default(),
             preference_checked_at: started_at,
             clock: LeaderClock::default(),
+            charges: 0,
             known_machines_updated_at: started_at,
             seal_proposed_at: None,
             slow_disk: SlowDiskDetector::default(),
@@ -341,6 +344,7 @@
                 IS_LEADER.set(u64::from(is_leader));
                 self.catching_up_since = is_leader.then(Instant::now);
                 self.count_origins();
+                self.count_charges();
                 emit!(event; machine = self.name, term = self.term());
             }
         }
--- a/crates/ledger/src/server/replica/pending.rs
+++ b/crates/ledger/src/server/replica/pending.rs
@@ -19,6 +19,8 @@
     StoreOrigin(PendingOrigin, ResponseCallback),
     /// Waits for a reservation and the history.
     Reserve(ReserveTurn, ResponseCallback),
+    /// Waits for a step of the clock of the state that was proposed in this term.
+    Step(u64),
     /// Waits for the retirement of a machine to be accepted.
     Retire(ResponseCallback),
     /// Reads the configuration if it is newer than a given version.
@@ -45,6 +47,7 @@
             | Self::Confirm(respond)
             | Self::ReadConfiguration { respond, .. }
             | Self::ReadRetiring(_, respond) => respond,
+            Self::Step(_) => Box::new(|_| {}),
         }
     }
 }
--- a/crates/ledger/src/server/replica/proposals.rs
+++ b/crates/ledger/src/server/replica/proposals.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use calicohoist_replication::Raft;
+use calicohoist_types::Moment;
 use calicohoist_wire::encode;
 
 use super::answers::without_history;
@@ -40,10 +41,11 @@
                 let now = self.follow_leadership();
                 if let Some(state) = self.node.machine(GROUP) {
                     reserve.previous = resolve_conflict(state.turns(), reserve.previous.as_ref());
-                    let lag_ms = self.clock.lag_ms(now);
-                    if self.leads() && accounts::is_rejected_at_once(state, &mut reserve, lag_ms) {
+                    let lag_ms = self.applied_lag_ms(now);
+                    if accounts::is_rejected_at_once(state, &reserve, lag_ms) {
                         return respond(without_history(Reservation::BudgetSpent));
                     }
+                    accounts::extend_rejected(state, &mut reserve);
                 }
                 let command = Command::Reserve(reserve.clone());
                 self.propose(command, PendingRequest::Reserve(reserve, respond));
@@ -110,11 +112,17 @@
         }
     }
 
+    /// Returns the time by which the applied state lags, in ms; `None` unless this machine leads and
+    /// has applied all steps of the clock.
+    fn applied_lag_ms(&self, now: Moment) -> Option<u64> {
+        let has_committed = self.node.raft(GROUP).is_some_and(Raft::has_committed_in_term);
+        self.clock.applied_lag_ms(now).filter(|_| has_committed)
+    }
+
     /// Writes the durations of a command as the log has them; `false` if it has none.
     fn date(&mut self, command: &mut Command) -> bool {
         let now = self.follow_leadership();
-        let held = self.node.machine(GROUP).map_or(0, |state| state.accounts().len());
-        accounts::extend_account(command, held);
+        accounts::extend_account(command, self.charges);
         self.clock.date(command, now)
     }
 
--- a/crates/ledger/src/state/accounts.rs
+++ b/crates/ledger/src/state/accounts.rs
@@ -61,7 +61,7 @@
         Reservation::Granted
     }
 
-    /// Returns whether a reservation will be rejected for its budget, whatever is applied before it:
+    /// Returns whether a reservation will be rejected for its budget for as long as its account is kept:
     /// charges of ended turns never fall.
     pub fn will_reject(&self, reserve: &ReserveTurn) -> bool {
         let has_ended = |charge: &Charge| matches!(charge, Charge::Settled(_));
@@ -122,6 +122,11 @@
         account.charges.iter().any(|(known, charge)| known != turn && has_started(charge))
     }
 
+    /// Returns the number of charges in all accounts.
+    pub fn charges(&self) -> usize {
+        self.programs.values().map(|account| account.charges.len()).sum()
+    }
+
     /// Returns the number of accounts.
     pub fn len(&self) -> usize {
         self.programs.len()
