Gateway: a turn that the ledger never confirms as kept is given up

While no leader answers, the task that extends the retention of a delivered turn went on for ever, five times a second. It ends when the turn would have expired. Found by review.

--- a/crates/proxy/src/flow/retention.rs
+++ b/crates/proxy/src/flow/retention.rs
@@ -52,7 +52,7 @@
     id: TurnId,
     delivery: Delivery,
     transit_time: Duration,
-    retention_ms: u64,
+    retention: Duration,
     /// A response that is delivered by then needs no extension.
     covered_until: Instant,
 }
@@ -66,7 +66,7 @@
             id: call.scoped(&call.head.request_id),
             delivery: call.delivery.clone(),
             transit_time,
-            retention_ms: millis(once_ended(&call.route)),
+            retention: once_ended(&call.route),
             covered_until: recorded_at + transit_time,
         }
     }
@@ -85,6 +85,9 @@
             if has_ended && asked_at <= self.covered_until {
                 return;
             }
+            if asked_at > self.covered_until + self.retention {
+                return RETENTIONS_EXTENDED.inc("expired");
+            }
             match self.extend(asked_at + self.transit_time / 2).await {
                 Some(Reservation::Granted) => {
                     RETENTIONS_EXTENDED.inc("extended");
@@ -112,7 +115,7 @@
             most_tokens: 0,
             budget: u64::MAX,
             previous: Some(self.id.clone()),
-            retention_ms: self.retention_ms,
+            retention_ms: millis(self.retention),
         };
         let question = LedgerRequest::Reserve { reserve, placement: None, permit: None };
         match self.app.ledger.request(&question, deadline).await {
