Gateway: a turn whose record is confirmed late is delivered if it is still kept

Since a turn whose record was confirmed after its caller's deadline, which only a process that stood still sees, was aborted, also if it was kept: a ready answer ended sooner than before. The gateway asks the ledger to keep it for longer, and delivers it then. It is aborted only if the turn has expired or the ledger does not answer.

--- a/crates/proxy/src/flow/retention.rs
+++ b/crates/proxy/src/flow/retention.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Keeps the turn for its retention from now on; `false` if it has expired, or if the ledger does not
+    /// answer.
+    pub async fn extend_now(&mut self) -> bool {
+        let asked_at = Instant::now();
+        let reservation = self.extend(asked_at + self.transit_time).await;
+        self.covered_until = asked_at + self.transit_time;
+        reservation == Some(Reservation::Granted)
+    }
+
     /// Keeps the turn for its retention from the end of the delivery, in the background.
     pub fn keep_in_background(self) {
         // The gateway waits for the connection when it stops.
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -262,11 +262,8 @@
         let started_at = Instant::now();
         let answer = self.app.ledger.request(&question, self.call.client_deadline()).await;
         LEDGER_TIMES.observe("settle", started_at.elapsed());
-        // The retention of a turn that was recorded long before it is answered may have ended. The
-        // process may have stood still.
-        let is_in_time = Instant::now() <= self.call.client_deadline();
         match answer {
-            Ok(LedgerResponse::Settled) if is_in_time => {
+            Ok(LedgerResponse::Settled) => {
                 self.is_settled = true;
                 emit!(
                     Event::TurnSettled;
@@ -274,7 +271,14 @@
                     tokens = self.output.tokens(),
                     after_ms = started_at.elapsed().as_millis(),
                 );
-                Ok(Some(DeliveredTurn::new(&self.app, &self.call, started_at)))
+                let mut delivered = DeliveredTurn::new(&self.app, &self.call, started_at);
+                // The process may have stood still since the turn was recorded, for longer than its
+                // retention.
+                let is_late = Instant::now() > self.call.client_deadline();
+                if is_late && !delivered.extend_now().await {
+                    return Err(GatewayError::Unknown);
+                }
+                Ok(Some(delivered))
             }
             _ => Err(GatewayError::Unknown),
         }
