Ledger: one rule for a reservation that needs no entry of the log

The leader combined the two conditions of Accounts::is_spent_for again, which only tests still called. It asks the state, which asks the account: has_spent_budget. Whether the turn to continue from is kept is one function, which applying a reservation uses too.

--- a/crates/ledger/src/server/replica/accounts.rs
+++ b/crates/ledger/src/server/replica/accounts.rs
@@ -37,7 +37,7 @@
     reserve: &ReserveTurn,
     lag_ms: Option<u64>,
 ) -> bool {
-    lag_ms.is_some_and(|lag_ms| state.will_reject(reserve) && state.keeps_account(reserve, lag_ms))
+    lag_ms.is_some_and(|lag_ms| state.has_spent_budget(reserve, lag_ms))
 }
 
 /// Lengthens a reservation that will be rejected unless its account expires first, so that most further
--- a/crates/ledger/src/state/accounts.rs
+++ b/crates/ledger/src/state/accounts.rs
@@ -73,7 +73,7 @@
     }
 
     /// Returns whether the account is kept for the retention that a reservation asks for.
-    pub fn is_kept_for(&self, reserve: &ReserveTurn, now_ms: u64) -> bool {
+    fn is_kept_for(&self, reserve: &ReserveTurn, now_ms: u64) -> bool {
         let until_ms = now_ms.saturating_add(reserve.retention_ms);
         self.account_of(reserve).is_some_and(|account| account.keep_until_ms >= until_ms)
     }
--- a/crates/ledger/src/state/mod.rs
+++ b/crates/ledger/src/state/mod.rs
@@ -26,8 +26,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::commands::{
-    Command, Output, Reservation, ReserveTurn, SettleTurn, TurnId, cleared_key_prefix,
-    crash_key_prefix, find_cleared_crash, find_crash,
+    Command, Output, Reservation, ReserveTurn, SettleTurn, cleared_key_prefix, crash_key_prefix,
+    find_cleared_crash, find_crash,
 };
 
 /// Maximum number of runs buffered for the reader.
@@ -152,14 +152,18 @@
 
     /// Returns whether applying a reservation would reject it for its budget, now and later.
     pub fn will_reject(&self, reserve: &ReserveTurn) -> bool {
-        let is_retained = |previous: &TurnId| self.turns.contains(previous);
-        reserve.previous.as_ref().is_none_or(is_retained) && self.accounts.will_reject(reserve)
+        self.can_continue(reserve) && self.accounts.will_reject(reserve)
     }
 
-    /// Returns whether the account of a reservation is kept for the retention that it asks for. The
-    /// clock of the state lags by `lag_ms`.
-    pub fn keeps_account(&self, reserve: &ReserveTurn, lag_ms: u64) -> bool {
-        self.accounts.is_kept_for(reserve, self.clock_ms.saturating_add(lag_ms))
+    /// Returns whether a reservation will be rejected for its budget, and need not be applied to keep the
+    /// account. The clock of the state lags by `lag_ms`.
+    pub fn has_spent_budget(&self, reserve: &ReserveTurn, lag_ms: u64) -> bool {
+        let now_ms = self.clock_ms.saturating_add(lag_ms);
+        self.can_continue(reserve) && self.accounts.is_spent_for(reserve, now_ms)
+    }
+
+    fn can_continue(&self, reserve: &ReserveTurn) -> bool {
+        reserve.previous.as_ref().is_none_or(|previous| self.turns.contains(previous))
     }
 
     /// Returns the ledger machines.
@@ -239,8 +243,7 @@
     }
 
     fn reserve(&mut self, reserve: ReserveTurn) -> Reservation {
-        let is_missing = reserve.previous.as_ref().is_some_and(|turn| !self.turns.contains(turn));
-        if is_missing {
+        if !self.can_continue(&reserve) {
             return Reservation::NoSuchTurn;
         }
         if let Some(previous) = &reserve.previous {
