Soak: callers of large turns are created in one place

The callers that continue turns at any age and those that return after their budget was spent had the same loop. Caller::with_large_turns serves both; numbers, seeds, gateways and sizes of input are the same.

--- a/crates/calicohoist/tests/soak/ages.rs
+++ b/crates/calicohoist/tests/soak/ages.rs
@@ -8,12 +8,12 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 
 use crate::caller::Caller;
 use crate::faults::Soak;
-use crate::{LARGE_INPUT_BYTES, Records, Shared};
+use crate::{Records, Shared};
 
 /// Separates the random streams of these callers from those of the others.
 const AGE_SEED: u64 = 98 << 40;
@@ -69,16 +69,10 @@
     records: &Shared,
     stop_flag: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<()>> {
-    let gateways = soak.mostly_planned_gateways();
-    let callers = (0..CALLERS).map(|number| {
-        let rng = StdRng::seed_from_u64((seed << 8 | number as u64) ^ AGE_SEED);
-        let (records, stop_flag) = (Arc::clone(records), Arc::clone(stop_flag));
-        let retention = records.lock().retention;
-        let number = FIRST_CALLER + number;
-        let mut caller = Caller::new(number, gateways.clone(), rng, records, stop_flag);
-        caller.input_bytes = LARGE_INPUT_BYTES;
-        AgingCaller { caller, retention }
-    });
+    let retention = records.lock().retention;
+    let numbers = (FIRST_CALLER, CALLERS);
+    let callers = Caller::with_large_turns(numbers, seed, AGE_SEED, soak, records, stop_flag);
+    let callers = callers.into_iter().map(|caller| AgingCaller { caller, retention });
     callers.map(|caller| thread::spawn(|| caller.run())).collect()
 }
 
--- a/crates/calicohoist/tests/soak/budgets.rs
+++ b/crates/calicohoist/tests/soak/budgets.rs
@@ -6,13 +6,12 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::RngExt;
 
 use crate::ages::late_age;
 use crate::caller::{Caller, TurnOutcome};
 use crate::faults::Soak;
-use crate::{LARGE_INPUT_BYTES, MAX_TURN_TOKENS, Shared, TOKEN_BUDGET};
+use crate::{MAX_TURN_TOKENS, Shared, TOKEN_BUDGET};
 
 /// Separates the random streams of these callers from those of the others.
 const BUDGET_SEED: u64 = 99 << 40;
@@ -64,16 +63,10 @@
     records: &Shared,
     stop_flag: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<()>> {
-    let gateways = soak.mostly_planned_gateways();
-    let callers = (0..CALLERS).map(|number| {
-        let rng = StdRng::seed_from_u64((seed << 8 | number as u64) ^ BUDGET_SEED);
-        let (records, stop_flag) = (Arc::clone(records), Arc::clone(stop_flag));
-        let retention = records.lock().retention;
-        let number = FIRST_CALLER + number;
-        let mut caller = Caller::new(number, gateways.clone(), rng, records, stop_flag);
-        caller.input_bytes = LARGE_INPUT_BYTES;
-        ReturningCaller::new(caller, retention)
-    });
+    let retention = records.lock().retention;
+    let numbers = (FIRST_CALLER, CALLERS);
+    let callers = Caller::with_large_turns(numbers, seed, BUDGET_SEED, soak, records, stop_flag);
+    let callers = callers.into_iter().map(|caller| ReturningCaller::new(caller, retention));
     callers.map(|caller| thread::spawn(|| caller.run())).collect()
 }
 
--- a/crates/calicohoist/tests/soak/caller.rs
+++ b/crates/calicohoist/tests/soak/caller.rs
@@ -6,15 +6,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rand::RngExt;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 use crate::attempts::{AttemptLog, Submission, exchange_recorded};
+use crate::faults::Soak;
 use crate::pool::{ConnectionPool, Exchange};
 use crate::support::{Response, request_head};
 use crate::{
-    EVENTS_PER_ANSWER, INPUT_BYTES, MAX_ATTEMPTS, MAX_TURN_TOKENS, ROUTE_TIMEOUT, Shared,
-    TOKEN_BUDGET, TOKENS_PER_EVENT, TURNS_PER_PROGRAM, expected_output,
+    EVENTS_PER_ANSWER, INPUT_BYTES, LARGE_INPUT_BYTES, MAX_ATTEMPTS, MAX_TURN_TOKENS,
+    ROUTE_TIMEOUT, Shared, TOKEN_BUDGET, TOKENS_PER_EVENT, TURNS_PER_PROGRAM, expected_output,
 };
 
 /// Deadline of the calls of a program.
@@ -67,6 +68,26 @@
         Self { number, gateways, rng, records, stop_flag, input_bytes, connections, attempts }
     }
 
+    /// Creates `count` callers of large turns, numbered from `first`, at gateways that are mostly stopped as
+    /// planned. `stream` separates their random streams from those of others.
+    pub fn with_large_turns(
+        (first, count): (usize, usize),
+        seed: u64,
+        stream: u64,
+        soak: &Soak,
+        records: &Shared,
+        stop_flag: &Arc<AtomicBool>,
+    ) -> Vec<Self> {
+        let gateways = soak.mostly_planned_gateways();
+        let callers = (0..count).map(|number| {
+            let rng = StdRng::seed_from_u64((seed << 8 | number as u64) ^ stream);
+            let (records, stop_flag) = (Arc::clone(records), Arc::clone(stop_flag));
+            let caller = Self::new(first + number, gateways.clone(), rng, records, stop_flag);
+            Self { input_bytes: LARGE_INPUT_BYTES, ..caller }
+        });
+        callers.collect()
+    }
+
     pub fn run(mut self) {
         let mut program = 0;
         while !self.stop_flag.load(Ordering::Relaxed) {
