Ledger: the next seal follows the last one at once

Cause: a seal was proposed again only once the contents of retained turns in memory were seen below their share, or one second after the last proposal. Turns behind the seal in the log exceed the share as soon as it is applied, so contents grew for up to a second at any rate, and were then written as one segment through a buffer that doubles.

Change: SealSchedule proposes the next seal once the last one is applied or lost; turns wait while unsealed and uncommitted contents exceed the share and two shares of uncommitted ones. A segment is written from a buffer of its size.

Conclusion: bounded by bytes now.

--- a/crates/ledger/src/server/replica/answers.rs
+++ b/crates/ledger/src/server/replica/answers.rs
@@ -18,6 +18,7 @@
                     self.finish_origin(&origin, respond, outcome.clone());
                 }
                 PendingRequest::Step(term) => self.clock.end_step(term),
+                PendingRequest::Seal => self.sealing.end(),
                 request => self.answer(request, outcome.clone()),
             }
         }
--- a/crates/ledger/src/server/replica/housekeeping.rs
+++ b/crates/ledger/src/server/replica/housekeeping.rs
@@ -19,8 +19,6 @@
 const KNOWN_MACHINES_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a leader checks whether another voter would be a better leader.
 const PREFERENCE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after which a proposed seal command is proposed again.
-const SEAL_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 impl ReplicaThread {
     /// Runs periodic tasks, most of them on the leader only.
@@ -160,16 +158,13 @@
 
     /// Seals retained turns once they exceed their share of the memory.
     fn seal_if_due(&mut self) {
-        let unsealed = self.node.machine(GROUP).map(|state| state.turns().unsealed_bytes());
-        if unsealed.unwrap_or_default() < self.plan.unsealed_turns as u64 {
-            self.seal_proposed_at = None;
-            return;
-        }
-        let is_proposed =
-            self.seal_proposed_at.is_some_and(|at| at.elapsed() < SEAL_RETRY_INTERVAL);
-        if !is_proposed {
-            self.seal_proposed_at = Some(Instant::now());
-            self.propose_without_reply(Command::Seal);
+        if self.sealing.begin_if_due(self.term(), self.unsealed_bytes()) {
+            self.propose(Command::Seal, PendingRequest::Seal);
         }
     }
+
+    /// Returns the contents of retained turns in memory, in bytes.
+    pub(super) fn unsealed_bytes(&self) -> u64 {
+        self.node.machine(GROUP).map_or(0, |state| state.turns().unsealed_bytes())
+    }
 }
--- a/crates/ledger/src/server/replica/mod.rs
+++ b/crates/ledger/src/server/replica/mod.rs
@@ -15,6 +15,7 @@
 mod proposals;
 mod publication;
 mod request;
+pub mod sealing;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -43,6 +44,7 @@
 use proposals::is_overdue;
 pub use request::{GroupStatus, ReplicaHandle, Request, Response, ResponseCallback};
 use request::{Input, QueuedInput};
+use sealing::SealSchedule;
 
 use super::crashes::CrashBoard;
 use super::duties::{self, Duty};
@@ -90,7 +92,7 @@
     /// Charges in all accounts, counted with each step of the clock.
     charges: usize,
     known_machines_updated_at: Instant,
-    seal_proposed_at: Option<Instant>,
+    sealing: SealSchedule,
     slow_disk: SlowDiskDetector,
     status: GroupStatus,
     /// Receive updates from the log.
@@ -187,7 +189,7 @@
             clock: LeaderClock::default(),
             charges: 0,
             known_machines_updated_at: started_at,
-            seal_proposed_at: None,
+            sealing: SealSchedule::new(&plan),
             slow_disk: SlowDiskDetector::default(),
             status: GroupStatus::default(),
             services,
--- a/crates/ledger/src/server/replica/pending.rs
+++ b/crates/ledger/src/server/replica/pending.rs
@@ -21,6 +21,8 @@
     Reserve(ReserveTurn, ResponseCallback),
     /// Waits for a step of the clock of the state that was proposed in this term.
     Step(u64),
+    /// Waits for retained turns to be sealed.
+    Seal,
     /// Waits for the retirement of a machine to be accepted.
     Retire(ResponseCallback),
     /// Reads the configuration if it is newer than a given version.
@@ -47,7 +49,7 @@
             | Self::Confirm(respond)
             | Self::ReadConfiguration { respond, .. }
             | Self::ReadRetiring(_, respond) => respond,
-            Self::Step(_) => Box::new(|_| {}),
+            Self::Step(_) | Self::Seal => Box::new(|_| {}),
         }
     }
 }
--- a/crates/ledger/src/server/replica/proposals.rs
+++ b/crates/ledger/src/server/replica/proposals.rs
@@ -127,7 +127,8 @@
     }
 
     /// Returns whether a command may be proposed. Retained turns wait while a quorum is slow, one of
-    /// any size if nothing else does; they would fill the memory of the leader.
+    /// any size if nothing else does, and while many are to be sealed; they would fill the memory of
+    /// all machines.
     fn has_room_for(&self, command: &Command) -> bool {
         let bytes = match command {
             Command::Settle(settle) => settle.content_bytes(),
@@ -137,7 +138,9 @@
             return true;
         }
         let uncommitted = self.node.raft(GROUP).map_or(0, Raft::uncommitted_bytes);
-        uncommitted == 0 || uncommitted + bytes <= self.plan.uncommitted
+        let next = uncommitted + bytes;
+        (uncommitted == 0 || next <= self.plan.uncommitted)
+            && self.sealing.has_room(self.unsealed_bytes(), next as u64)
     }
 
     fn read(&mut self, request: PendingRequest) {
@@ -149,6 +152,9 @@
     }
 
     pub(super) fn reject(&mut self, pending: PendingRequest) {
+        if matches!(pending, PendingRequest::Seal) {
+            return self.sealing.end();
+        }
         let leader = self.node.leader_machine(GROUP);
         let leader = leader.filter(|leader| *leader != self.node.id().machine);
         self.answer(pending, Outcome::NotLeader(leader));
--- a/crates/replication/src/node/group.rs
+++ b/crates/replication/src/node/group.rs
@@ -338,7 +338,8 @@
         log: &mut DiskLog<D>,
         sealed: SealedSegment,
     ) -> Result<(), DiskError> {
-        let mut bytes = Vec::new();
+        let length = sealed.pieces.iter().map(SegmentPiece::length).sum();
+        let mut bytes = Vec::with_capacity(length);
         for piece in sealed.pieces {
             match piece {
                 SegmentPiece::Bytes(piece) => bytes.extend(piece),
--- a/crates/replication/src/node/mod.rs
+++ b/crates/replication/src/node/mod.rs
@@ -83,6 +83,16 @@
     },
 }
 
+impl SegmentPiece {
+    /// Returns the number of bytes.
+    pub(crate) fn length(&self) -> usize {
+        match self {
+            Self::Bytes(bytes) => bytes.len(),
+            Self::Stored { length, .. } => *length,
+        }
+    }
+}
+
 /// Identifies a proposal or read of the driver.
 pub type Ticket = u64;
 
