--- a/crates/replication/src/storage/disk.rs
+++ b/crates/replication/src/storage/disk.rs
@@ -53,6 +53,14 @@
     /// When the disk fails or is full. The old content is then kept.
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError>;
 
+    /// Like [`Disk::replace`], with the content in parts.
+    ///
+    /// # Errors
+    /// When the disk fails or is full. The old content is then kept.
+    fn replace_with_parts(&mut self, name: &str, parts: &[&[u8]]) -> Result<(), DiskError> {
+        self.replace(name, &parts.concat())
+    }
+
     /// Writes the first `length` bytes of the file again, atomically and durably, and removes the
     /// rest. `checksum` is their CRC-32C.
     ///
@@ -210,7 +218,11 @@
     }
 
     fn replace(&mut self, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
-        self.replace_with(name, |file| file.write_all(bytes))
+        self.replace_with_parts(name, &[bytes])
+    }
+
+    fn replace_with_parts(&mut self, name: &str, parts: &[&[u8]]) -> Result<(), DiskError> {
+        self.replace_with(name, |file| parts.iter().try_for_each(|part| file.write_all(part)))
     }
 
     fn store_again(&mut self, name: &str, length: u64, checksum: u32) -> Result<(), DiskError> {
--- a/crates/replication/src/storage/frame.rs
+++ b/crates/replication/src/storage/frame.rs
@@ -19,12 +19,23 @@
 /// [`DiskError::TooLarge`] if the header cannot hold the length, [`DiskError::Corrupt`] if the value
 /// cannot be encoded.
 pub(super) fn encode<T: Serialize>(file: &str, value: &T) -> Result<Vec<u8>, DiskError> {
-    let corrupt = |error: FrameError| DiskError::Corrupt {
+    complete(file, encode_payload(file, HEADER_BYTES, value)?)
+}
+
+/// Encodes a value after `header_bytes` bytes, which the caller replaces.
+///
+/// # Errors
+/// [`DiskError::Corrupt`] if the value cannot be encoded.
+pub(super) fn encode_payload<T: Serialize>(
+    file: &str,
+    header_bytes: usize,
+    value: &T,
+) -> Result<Vec<u8>, DiskError> {
+    encode_after(header_bytes, value).map_err(|error: FrameError| DiskError::Corrupt {
         file: file.to_owned(),
         offset: 0,
         problem: error.to_string(),
-    };
-    complete(file, encode_after(HEADER_BYTES, value).map_err(corrupt)?)
+    })
 }
 
 /// Returns a frame of `file` with a payload that is encoded already.
@@ -38,13 +49,24 @@
 /// Fills in the header of a frame.
 fn complete(file: &str, mut frame: Vec<u8>) -> Result<Vec<u8>, DiskError> {
     let (header, payload) = frame.split_at_mut(HEADER_BYTES);
-    let too_large = |_| DiskError::TooLarge { file: file.to_owned(), bytes: payload.len() };
-    let length = u32::try_from(payload.len()).map_err(too_large)?;
-    let checksum = crc32c::crc32c(payload);
+    header.copy_from_slice(&encode_header(file, &[payload])?);
+    Ok(frame)
+}
+
+/// Returns the header of a frame of `file` whose payload consists of `parts`.
+///
+/// # Errors
+/// [`DiskError::TooLarge`] if the header cannot hold the length.
+pub(super) fn encode_header(file: &str, parts: &[&[u8]]) -> Result<[u8; HEADER_BYTES], DiskError> {
+    let bytes = parts.iter().map(|part| part.len()).sum();
+    let too_large = |_| DiskError::TooLarge { file: file.to_owned(), bytes };
+    let length = u32::try_from(bytes).map_err(too_large)?;
+    let checksum = parts.iter().fold(0, |sum, part| crc32c::crc32c_append(sum, part));
     let fields = [MAGIC, length, checksum].map(u32::to_le_bytes).concat();
+    let mut header = [0; HEADER_BYTES];
     header[..fields.len()].copy_from_slice(&fields);
     header[fields.len()..].copy_from_slice(&crc32c::crc32c(&fields).to_le_bytes());
-    Ok(frame)
+    Ok(header)
 }
 
 /// Header of a frame.
--- a/crates/replication/src/storage/log.rs
+++ b/crates/replication/src/storage/log.rs
@@ -144,7 +144,15 @@
     /// When the disk fails or is full.
     pub fn store_snapshot(&mut self, group: GroupId, snapshot: &Snapshot) -> Result<(), DiskError> {
         let name = snapshot_name(group, snapshot.index);
-        self.disk.replace(&name, &frame::encode(&name, snapshot)?)
+        let Some(data) = snapshot.data.loaded() else {
+            return Err(corrupt(&name, 0, "the snapshot is not loaded"));
+        };
+        let Snapshot { index, term, membership, segments, .. } = snapshot;
+        // The form of a whole snapshot, without a copy of its data.
+        let head = (index, term, membership, segments, data.len() as u64);
+        let head = frame::encode_payload(&name, 0, &head)?;
+        let header = frame::encode_header(&name, &[&head, data])?;
+        self.disk.replace_with_parts(&name, &[&header, &head, data])
     }
 
     /// Reads a snapshot file.
--- a/crates/replication/tests/start_memory.rs
+++ b/crates/replication/tests/start_memory.rs
@@ -2,10 +2,11 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::path::Path;
 
 use calicohoist_replication::storage::Write;
-use calicohoist_replication::{Entry, EntryKind};
+use calicohoist_replication::{Entry, EntryKind, Membership, SegmentId, Snapshot};
 use parking_lot::{Mutex, MutexGuard};
 use peak_alloc::PeakAlloc;
 use support::{GROUP, Replica, open};
@@ -62,6 +63,24 @@
     assert!(bytes <= target, "{what}: {bytes} bytes for a state of {COMMAND_BYTES}");
 }
 
+#[test]
+fn snapshot_is_stored_without_a_copy() {
+    let _measurement = measure();
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut log, _) = open(folder.path());
+    let snapshot = Snapshot {
+        index: 300,
+        term: 2,
+        membership: Membership::default(),
+        segments: BTreeSet::from([SegmentId(1), SegmentId(400)]),
+        data: vec![7; COMMAND_BYTES].into(),
+    };
+    let (peak, stored) = peak_of(|| log.store_snapshot(GROUP, &snapshot));
+    stored.expect("a stored snapshot");
+    assert_at_most("peak of storing a snapshot", peak, 0);
+    assert_eq!(log.load_snapshot(GROUP, 300).expect("a snapshot"), snapshot);
+}
+
 #[test]
 fn state_is_held_once_beside_its_snapshot_on_the_disk() {
     let _measurement = measure();
