Gateway: a machine list from before a lost lease starts no attempt

A lease says that the configuration is in force; the machine list comes from the platform and had no time, so that any lease made a list of any age valid.

Change: the view keeps when the reading of its list began, and since when it has held the lease without a gap. FleetView::may_start_attempts is true if the lease is held and the list was asked for after it came back, or at most 1.5 s before. Whoever begins an attempt asks it: the choice of an engine or replica, a granted slot, and again before the first byte. It compares times and needs no timer. A gateway that starts is not ready before its first list. Resumed streams are as before: they start nothing new. 1.5 s is the interval of the readings and time for an answer, and leaves half a second of the 4 s that the check allows, after the lag of the list (1 s) and the time until the next reading (1 s). Price: while the platform is down, a gateway that loses its lease starts nothing when it is back (docs/design/0002-calls.md).

The store that answers gateways in tests is shared with lost_back_ends.rs.

Ruled out: the check (4 s after the announcement, from the lag of 1 s, one reading and one probe) is right; the configuration was in force (revision 19); the owner of the queue (the gateway's own probes see no platform).

--- a/crates/gateway/src/core/flow/route.rs
+++ b/crates/gateway/src/core/flow/route.rs
@@ -64,7 +64,7 @@
     }
 
     fn choose_engine(&self, now: Moment, id: u64, model: &ModelId) -> Option<EngineId> {
-        if !self.view.has_lease(now) {
+        if !self.view.may_start_attempts(now) {
             return None;
         }
         let call = self.calls.get(&id)?;
@@ -194,8 +194,8 @@
             return;
         };
         let address = self.view.engine(&engine).map(|spec| spec.address);
-        let usable =
-            address.filter(|_| self.view.has_lease(now) && self.view.is_schedulable(&engine));
+        let may_start = self.view.may_start_attempts(now) && self.view.is_schedulable(&engine);
+        let usable = address.filter(|_| may_start);
         let target =
             usable.map(|address| Target { backend: Backend::Engine(engine.clone()), address });
         match target {
@@ -222,7 +222,7 @@
             let busy = self.calls.values().filter(|other| other.is_at_replica(name)).count();
             (busy, spec.zone != self.settings.zone, name.clone())
         });
-        match least_busy.filter(|_| self.view.has_lease(now)) {
+        match least_busy.filter(|_| self.view.may_start_attempts(now)) {
             Some((name, spec)) => {
                 let target = Target { backend: Backend::Replica(name), address: spec.address };
                 self.dispatch(now, id, target);
@@ -250,15 +250,20 @@
         self.send_command(now, PendingRequest::Call(id), &program, command);
     }
 
-    /// Returns whether the back end of a new attempt no longer accepts work. Always
+    /// Returns whether the back end of a new attempt no longer accepts work, or may not. Always
     /// false for an attempt that resumes a stream.
-    fn target_is_leaving(&self, id: u64) -> bool {
+    fn target_may_be_leaving(&self, now: Moment, id: u64) -> bool {
         let call = self.calls.get(&id).filter(|call| call.resumes.is_none());
-        match call.and_then(|call| call.target.as_ref()).map(|target| &target.backend) {
-            Some(Backend::Engine(engine)) => !self.view.is_schedulable(engine),
-            Some(Backend::Replica(name)) => !self.view.is_replica_schedulable(name),
-            None => false,
-        }
+        let is_schedulable = match call.and_then(|call| call.target.as_ref()) {
+            Some(Target { backend: Backend::Engine(engine), .. }) => {
+                self.view.is_schedulable(engine)
+            }
+            Some(Target { backend: Backend::Replica(name), .. }) => {
+                self.view.is_replica_schedulable(name)
+            }
+            None => return false,
+        };
+        !is_schedulable || !self.view.may_start_attempts(now)
     }
 
     /// Sends the attempt after its dispatch record became durable.
@@ -267,8 +272,9 @@
             // Without a lease the view may not show that the back end is leaving.
             return self.retry(now, id, true);
         }
-        if self.target_is_leaving(id) {
-            // The back end began to leave before the record became durable.
+        if self.target_may_be_leaving(now, id) {
+            // The back end began to leave before the record became durable, or the gateway lost its
+            // lease meanwhile.
             return self.retry(now, id, true);
         }
         let Some(call) = self.calls.get_mut(&id) else {
--- a/crates/gateway/src/core/message.rs
+++ b/crates/gateway/src/core/message.rs
@@ -5,8 +5,8 @@
 
 use calicohoist_store::{StoreReply, StoreRequest};
 use calicohoist_types::{
-    AttemptId, CallId, ChatMessage, EngineId, IdempotencyKey, MachineStatus, ModelId, NodeId,
-    NotRunReason, Outcome, ProgramId, ServiceId, TenantId, Usage,
+    AttemptId, CallId, ChatMessage, EngineId, IdempotencyKey, MachineStatus, ModelId, Moment,
+    NodeId, NotRunReason, Outcome, ProgramId, ServiceId, TenantId, Usage,
 };
 use serde::{Deserialize, Serialize};
 
@@ -322,8 +322,13 @@
         /// The engine's report.
         report: Option<EngineReport>,
     },
-    /// The platform's machine list; `None` when it could not be read.
-    Platform(Option<Vec<MachineStatus>>),
+    /// The platform's machine list.
+    Platform {
+        /// When the reading began. The list may be newer.
+        asked_at: Moment,
+        /// The list; `None` when it could not be read.
+        list: Option<Vec<MachineStatus>>,
+    },
     /// Begins a planned stop, or shortens one that has begun.
     Stop {
         /// Time in which calls must end.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -177,7 +177,7 @@
 
     /// Returns whether the gateway may start new work.
     pub fn is_ready(&self, now: Moment) -> bool {
-        self.stop.is_none() && self.view.has_lease(now)
+        self.stop.is_none() && self.view.may_start_attempts(now)
     }
 
     /// Processes one input and returns the resulting actions.
@@ -204,7 +204,7 @@
                 self.owner.on_probe(now, &engine, report);
                 self.run_owner(now);
             }
-            Input::Platform(list) => self.view.on_platform(now, list),
+            Input::Platform { asked_at, list } => self.view.on_platform(asked_at, list),
             Input::Stop { call_time } => self.begin_stop(now, call_time),
         }
         self.take_actions(now)
--- a/crates/gateway/src/core/view.rs
+++ b/crates/gateway/src/core/view.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use calicohoist_scheduler::owner_of;
 use calicohoist_store::broken_rules::{Rule, is_broken};
@@ -20,9 +21,15 @@
 pub const DEFAULT_TENANT: TenantSpec =
     TenantSpec { default_program_tokens: 200_000, max_program_tokens: 1_000_000, max_calls: 1_000 };
 
+/// Maximum age of the machine list with which a gateway takes a lease and starts work. Covers the time
+/// between two readings and that of their answers on the way.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1_500);
+
 /// A gateway's copy of the fleet state.
 #[derive(Debug)]
 pub struct FleetView {
+    /// Since when the gateway has held its lease without a gap.
+    lease_since: Moment,
     lease_until: Moment,
     had_lease: bool,
     applied: Revision,
@@ -39,12 +46,15 @@
     owners_version: u64,
     leaving: BTreeSet<String>,
     has_platform: bool,
+    /// When the reading of the machine list began that yielded `leaving`.
+    listed_at: Option<Moment>,
 }
 
 impl FleetView {
     /// Creates an empty view.
     pub fn new(has_platform: bool, _now: Moment) -> Self {
         Self {
+            lease_since: Moment::ZERO,
             lease_until: Moment::ZERO,
             had_lease: false,
             applied: Revision::default(),
@@ -59,14 +69,27 @@
             owners_version: 0,
             leaving: BTreeSet::new(),
             has_platform,
+            listed_at: None,
         }
     }
 
-    /// Returns whether the gateway holds a lease and may start work.
+    /// Returns whether the gateway holds a lease.
     pub fn has_lease(&self, now: Moment) -> bool {
         now < self.lease_until
     }
 
+    /// Returns whether the gateway may start attempts: it holds a lease, and knows which back ends left
+    /// while it held none.
+    pub fn may_start_attempts(&self, now: Moment) -> bool {
+        self.has_lease(now) && self.is_list_current()
+    }
+
+    /// Returns whether the machine list was read in the current lease, or shortly before it.
+    fn is_list_current(&self) -> bool {
+        let is_current = |listed_at| listed_at + MAX_LIST_AGE >= self.lease_since;
+        !self.has_platform || self.listed_at.is_some_and(is_current)
+    }
+
     /// Returns the configuration revision that this gateway applies.
     pub fn applied(&self) -> Revision {
         self.applied
@@ -110,6 +133,9 @@
         }
         if self.applied >= self.in_force {
             // A gateway with a lease must apply the configuration in force.
+            if !self.has_lease(now) {
+                self.lease_since = now;
+            }
             self.lease_until = self.lease_until.max(sent_at + reply.lease);
         }
         self.tick(now);
@@ -172,10 +198,12 @@
         self.applied = update.revision;
     }
 
-    pub(crate) fn on_platform(&mut self, _now: Moment, list: Option<Vec<MachineStatus>>) {
-        let Some(list) = list else {
+    /// Applies the machine list unless one is known whose reading began later.
+    pub(crate) fn on_platform(&mut self, asked_at: Moment, list: Option<Vec<MachineStatus>>) {
+        let Some(list) = list.filter(|_| self.listed_at <= Some(asked_at)) else {
             return;
         };
+        self.listed_at = Some(asked_at);
         let leaving = list.into_iter().filter(|machine| machine.state == MachineState::Leaving);
         self.leaving = leaving.map(|machine| machine.name).collect();
     }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -48,6 +48,25 @@
 /// Time in which calls end in a forced stop.
 const FORCED_CALL_TIME: Duration = Duration::from_millis(500);
 
+/// Clock of the core.
+#[derive(Clone, Copy, Debug)]
+struct CoreClock {
+    origin: Instant,
+}
+
+impl CoreClock {
+    /// Moment at which a clock starts; not zero, so that short durations can be subtracted from now.
+    const START: Moment = Moment::from_micros(1_000_000);
+
+    fn start() -> Self {
+        Self { origin: Instant::now() }
+    }
+
+    fn now(self) -> Moment {
+        Self::START + self.origin.elapsed()
+    }
+}
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug)]
 pub struct ServerConfig {
@@ -127,10 +146,12 @@
             stopped: stopped_sender,
         };
         let settings = config.core.clone();
-        threads.push(spawn("core", move || core_thread.run(settings))?);
+        let clock = CoreClock::start();
+        threads.push(spawn("core", move || core_thread.run(settings, clock))?);
         if let Some(address) = config.platform {
             let (sender, stop) = (sender.clone(), stop.clone());
-            threads.push(spawn("platform", move || poll_platform(address, &sender, &stop))?);
+            let poll = move || poll_platform(address, clock, &sender, &stop);
+            threads.push(spawn("platform", poll)?);
         }
         let handler = ApiHandler {
             core: sender.clone(),
@@ -233,13 +254,19 @@
     Ok(links)
 }
 
-fn poll_platform(address: SocketAddr, core: &Sender<CoreInput>, stop: &AtomicBool) {
+fn poll_platform(
+    address: SocketAddr,
+    clock: CoreClock,
+    core: &Sender<CoreInput>,
+    stop: &AtomicBool,
+) {
     let mut next = Instant::now();
     while !stop.load(Ordering::SeqCst) {
         if Instant::now() >= next {
             next = Instant::now() + PLATFORM_INTERVAL;
+            let asked_at = clock.now();
             let list = platform::list(address);
-            let _ = core.send(CoreInput::Input(Input::Platform(list)));
+            let _ = core.send(CoreInput::Input(Input::Platform { asked_at, list }));
         }
         std::thread::sleep(STOP_POLL);
     }
@@ -306,10 +333,8 @@
 }
 
 impl CoreThread {
-    fn run(mut self, settings: GatewaySettings) {
-        let origin = Instant::now();
-        // Start at one second, so that short durations can be subtracted from now.
-        let now = || Moment::from_micros(1_000_000) + origin.elapsed();
+    fn run(mut self, settings: GatewaySettings, clock: CoreClock) {
+        let now = || clock.now();
         let stall_timeout = settings.stall_timeout;
         let mut gateway = Gateway::new(settings, now());
         let mut next_tick = now();
--- a/crates/gateway/tests/lost_back_ends.rs
+++ b/crates/gateway/tests/lost_back_ends.rs
@@ -1,118 +1,23 @@
 //! Calls under which back ends are lost.
 
+mod store;
+
 use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use calicohoist_gateway::core::message::{
-    BackendEvent, BackendFailure, CallPayload, CallRequest, CallerEvent,
-};
-use calicohoist_gateway::{Action, Gateway, GatewaySettings, Input};
-use calicohoist_store::commands::program::{
-    Admission, BeginCall, BeginOutcome, ProgramCommand, ProgramOutput,
-};
-use calicohoist_store::queries::resource::{ResourceUpdate, UpdateContent};
-use calicohoist_store::{
-    Command, HeartbeatReply, LoadsUpdate, NodeRef, Output, StoreReply, StoreRequest,
-};
-use calicohoist_types::{
-    AttemptId, CallId, HistoryDigest, IdempotencyKey, Incarnation, Moment, NodeId, Resource,
-    ResourceKey, ResourceKind, ResourceSpec, Revision, ServiceId, ServiceSpec, TenantId, Zone,
-};
+use calicohoist_gateway::core::message::{BackendEvent, BackendFailure, CallerEvent};
+use calicohoist_gateway::{Action, Gateway, Input};
+use calicohoist_types::Moment;
+use store::{call, reply_to, settings};
 
 /// Number of back ends that may be lost under one call.
 const MAX_LOST: usize = 3;
-const REPLICAS: u16 = 10;
-const SERVICE: &str = "tools";
+const LEASE: Duration = Duration::from_secs(60);
 const TICK: Duration = Duration::from_millis(10);
 /// Longer than all backoffs of a call.
 const CALL_TIME: Duration = Duration::from_secs(20);
 
-fn settings() -> GatewaySettings {
-    GatewaySettings {
-        node: NodeRef { node: NodeId::new("gateway-0"), incarnation: Incarnation(1) },
-        peer_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-        zone: Zone::new("a"),
-        store_machines: vec![1],
-        program_groups: 1,
-        queue_timeout: Duration::from_secs(15),
-        gap_timeout: Duration::from_secs(1),
-        stall_timeout: Duration::from_secs(3),
-        duplicate_timeout: Duration::from_secs(15),
-        max_calls: 10,
-        max_waiting_per_engine: 10,
-        max_attempts: 8,
-        weights: Default::default(),
-        has_platform: false,
-        seed: 1,
-    }
-}
-
-fn replica(number: u16) -> Resource {
-    let spec = ServiceSpec {
-        service: SERVICE.to_owned(),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1_000 + number)),
-        zone: Zone::new("a"),
-        slots: 1,
-        drain: false,
-    };
-    Resource {
-        key: ResourceKey { kind: ResourceKind::Service, name: format!("replica-{number}") },
-        version: Revision(1),
-        spec: ResourceSpec::Service(spec),
-    }
-}
-
-fn heartbeat_reply() -> HeartbeatReply {
-    HeartbeatReply {
-        lease: Duration::from_secs(60),
-        nodes_version: 0,
-        nodes: None,
-        nodes_complete: true,
-        loads: LoadsUpdate { version: 0, is_whole: true, changed: Vec::new(), gone: Vec::new() },
-        update: ResourceUpdate {
-            revision: Revision(1),
-            content: UpdateContent::Whole((0..REPLICAS).map(replica).collect()),
-        },
-        in_force: Revision(1),
-    }
-}
-
-fn admit(begin: BeginCall, number: u32) -> Admission {
-    let call = CallId { program: begin.program.clone(), sequence: 1 };
-    Admission {
-        attempt: AttemptId { call, number },
-        target: begin.target,
-        repeatable: begin.repeatable,
-        prompt: begin.messages,
-        prompt_tokens: 0,
-        digest: HistoryDigest::empty(&begin.program),
-        max_tokens: begin.max_tokens,
-        holdings: Vec::new(),
-        attained_tokens: 0,
-        previous: None,
-    }
-}
-
-/// Replies as a store that permits everything, and admits calls with this attempt.
-fn reply_to(request: StoreRequest, attempt: u32) -> StoreReply {
-    let command = match request {
-        StoreRequest::Heartbeat(_) => return StoreReply::Heartbeat(Box::new(heartbeat_reply())),
-        StoreRequest::Command(_, Command::Program(command)) => command,
-        _ => return StoreReply::Unavailable,
-    };
-    let output = match command {
-        ProgramCommand::Begin(begin) => {
-            ProgramOutput::Begin(BeginOutcome::Admitted(Box::new(admit(*begin, attempt))))
-        }
-        ProgramCommand::Retry { attempt, .. } => {
-            ProgramOutput::Retry(AttemptId { number: attempt.number + 1, ..attempt })
-        }
-        _ => ProgramOutput::Done,
-    };
-    StoreReply::Output(Output::Program(output))
-}
-
 /// A gateway with a store, and replicas that fail each attempt.
 struct Fleet {
     gateway: Gateway,
@@ -143,7 +48,7 @@
         while let Some(action) = actions.pop() {
             let input = match action {
                 Action::ToStore { id, request, .. } => {
-                    Input::StoreReply { id, reply: reply_to(*request, self.first_attempt) }
+                    Input::StoreReply { id, reply: reply_to(*request, LEASE, self.first_attempt) }
                 }
                 Action::RunOnService(task) => {
                     self.sent_to.insert(task.address);
@@ -162,18 +67,7 @@
     fn run_call(&mut self) {
         let actions = self.gateway.tick(self.now);
         self.apply(actions);
-        let request = CallRequest {
-            tenant: TenantId::new("tenant"),
-            program: None,
-            sequence: None,
-            key: Some(IdempotencyKey::new("key")),
-            repeatable: true,
-            payload: CallPayload::Service {
-                service: ServiceId::new(SERVICE),
-                input: "fatal".to_owned(),
-            },
-        };
-        let actions = self.gateway.step(self.now, Input::Call(1, Box::new(request)));
+        let actions = self.gateway.step(self.now, Input::Call(1, Box::new(call())));
         self.apply(actions);
         let end = self.now + CALL_TIME;
         while self.now < end {
--- a/crates/lab/src/sim/frame.rs
+++ b/crates/lab/src/sim/frame.rs
@@ -6,7 +6,7 @@
 };
 use calicohoist_replication::{GroupMessage, ReplicaId};
 use calicohoist_store::{StoreReply, StoreRequest};
-use calicohoist_types::{AttemptId, CallId, MachineStatus, NodeId, ProgramId, TenantId};
+use calicohoist_types::{AttemptId, CallId, MachineStatus, Moment, NodeId, ProgramId, TenantId};
 
 /// A node of the fleet or an external participant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -184,6 +184,8 @@
     Machines {
         /// Generation of the gateway.
         generation: Generation,
+        /// When the gateway asked for the list.
+        asked_at: Moment,
         /// The machines.
         list: Vec<MachineStatus>,
     },
--- a/crates/lab/src/sim/world.rs
+++ b/crates/lab/src/sim/world.rs
@@ -658,8 +658,8 @@
             Frame::Report { generation, engine, report } if generation == current => {
                 Some(Input::EngineProbe { engine: engine_name(engine), report })
             }
-            Frame::Machines { generation, list } if generation == current => {
-                Some(Input::Platform(Some(list)))
+            Frame::Machines { generation, asked_at, list } if generation == current => {
+                Some(Input::Platform { asked_at, list: Some(list) })
             }
             Frame::Client { ticket, request } => Some(match request {
                 ClientRequest::Call(call) => Input::Call(ticket, call),
@@ -757,7 +757,8 @@
         }
         self.schedule_in(PLATFORM_INTERVAL, SimEvent::ReadPlatform(index, generation));
         let list = self.platform.list(self.now);
-        self.send(Actor::Platform, Actor::Gateway(index), Frame::Machines { generation, list });
+        let frame = Frame::Machines { generation, asked_at: self.now, list };
+        self.send(Actor::Platform, Actor::Gateway(index), frame);
     }
 
     // Clients.
--- a/crates/lab/tests/simulation.rs
+++ b/crates/lab/tests/simulation.rs
@@ -136,6 +136,11 @@
     run_seed(Deployment::Celje, Scenario::Twice, 9_443);
 }
 
+#[test]
+fn a_returning_gateway_sends_nothing_to_an_engine_that_left_the_machine_list_meanwhile() {
+    run_seed(Deployment::Celje, Scenario::Combined, 178);
+}
+
 fn any_fault() -> impl Strategy<Value = Fault> {
     let duration = (200u64..6_000).prop_map(Duration::from_millis);
     prop_oneof![
