Ledger: time for which a leader stands still does not end retentions

Cause: a leader that keeps its leadership over a pause, because the followers stood still too, advances the clock of the state by the whole pause with its next step. A leadership that changes loses its partial step, so only a leader that comes back first is affected.

Evidence: the new test, in virtual time, fails before this change: a_turn_that_was_stored_before_a_pause_of_the_leader_is_kept_for_its_retention assertion failed: group.has_history("t1") (retention of 10 s, a pause of 30 s in it). That leaders come back first is seen in a soak whose disk hung: one led from 18:00:54 to 18:01:52 over a flush of 9.9 s at all three machines. With signals to real processes it does not show: a leader that is stopped steps down when it goes on, and 20 of 20 turns are continued after 16 s in which the gateway and all ledger machines stand still, before this change as well.

Change: the clock of a leader, which is used at each tick, counts at most a second between two uses. Bounded: it goes on while a leader runs, at least at half the speed where each flush takes 2 s. The forms of the log and of the state stay.

Tests: the property in retention.rs is stricter: what is kept outlasts pauses too. In crash_retention.rs a leader that runs ticked every 5 s, which is a pause now; it ticks every second, and bounds and properties are the same.

Ruled out: leaving out the time of a whole leadership without a quorum; such a leader steps down within 0.4 s, and the time is lost already.

--- a/crates/ledger/src/server/replica/clock.rs
+++ b/crates/ledger/src/server/replica/clock.rs
@@ -4,6 +4,9 @@
 //! written to the log between two steps would lose the time since the last one, so a leader adds it.
 //! The clock never runs ahead of real time: a leader counts no time from before it led, which earlier
 //! leaders have counted.
+//!
+//! Time for which a leader stands still, for instance in a flush, is not counted. It serves nobody
+//! meanwhile, so that nobody can use what is kept.
 
 use std::time::Duration;
 
@@ -12,6 +15,9 @@
 use super::CLOCK_INTERVAL;
 use crate::commands::Command;
 
+/// Longest time between two uses of the clock that is counted in whole. A leader uses it at each tick.
+pub const MAX_COUNTED_GAP: Duration = Duration::from_secs(1);
+
 /// Clock of a leader, from which it advances the clock of the state.
 #[derive(Debug, Default)]
 pub struct LeaderClock {
@@ -24,17 +30,32 @@
     term: u64,
     /// Time up to which steps of the clock of the state were proposed.
     counted_until: Moment,
+    /// Last use of the clock.
+    used_at: Moment,
     /// Steps that were proposed and are not applied.
     steps_in_flight: usize,
 }
 
+impl Leadership {
+    fn new(term: u64, now: Moment) -> Self {
+        Self { term, counted_until: now, used_at: now, steps_in_flight: 0 }
+    }
+
+    /// Leaves out the time for which the leader has stood still since the last use.
+    fn skip_pause(&mut self, now: Moment) {
+        let pause = now.since(self.used_at).saturating_sub(MAX_COUNTED_GAP);
+        self.counted_until = self.counted_until + pause;
+        self.used_at = now;
+    }
+}
+
 impl LeaderClock {
     /// Follows the leadership of this machine; `term` is the one in which it leads, if it does. Called
     /// before each use of the clock.
     pub fn follow(&mut self, term: Option<u64>, now: Moment) {
-        if self.leadership.map(|leadership| leadership.term) != term {
-            self.leadership =
-                term.map(|term| Leadership { term, counted_until: now, steps_in_flight: 0 });
+        match &mut self.leadership {
+            Some(leadership) if Some(leadership.term) == term => leadership.skip_pause(now),
+            _ => self.leadership = term.map(|term| Leadership::new(term, now)),
         }
     }
 
