Gateway: a turn that expired while the gateway stood still is not called unknown

Cause: the gateway counts a request from when it reads it. One that had no processor time reads it long after it was sent, and asks the ledger for a turn that has expired meanwhile.

Evidence: the new test stops a gateway for 16 s, and continues 10 turns with a retention of 2 s meanwhile.

Change: a gateway beats four times a second, and knows from the gap since when a request that it reads first after a pause may have waited. If that is longer than what the ledger was asked for in addition, the answer is 503 `read late, its turn has expired`. Pauses of up to a second, requests that are read in time and gateways that run are answered as before.

Ruled out: keeping the turn. The ledger can't tell a gateway that stands still from one that is gone, and would keep all turns for longer after each kill.

--- a/crates/calicohoist/tests/retained/main.rs
+++ b/crates/calicohoist/tests/retained/main.rs
@@ -14,6 +14,7 @@
 mod deployment;
 mod faults;
 mod long_turns;
+mod pauses;
 mod settings;
 mod slow_readers;
 mod turns;
--- a/crates/proxy/src/app.rs
+++ b/crates/proxy/src/app.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Fleet;
 use crate::ledger_contact::{LeaderAnswer, LedgerContact};
 use crate::memory::MemoryBudget;
+use crate::pauses::PauseDetector;
 use crate::response_times::ResponseTimes;
 use crate::sends::OpenSends;
 use crate::settings::ProxySettings;
@@ -47,6 +48,8 @@
     pub sends: OpenSends,
     /// Usual durations of responses.
     pub response_times: ResponseTimes,
+    /// Times for which the process stood still.
+    pub pauses: Mutex<PauseDetector>,
     /// Connections of clients, and the schedule of a graceful shutdown.
     pub drain: Drain,
     /// Secret for hashing API keys.
@@ -75,6 +78,7 @@
             crashes: Mutex::default(),
             sends: OpenSends::default(),
             response_times: ResponseTimes::default(),
+            pauses: Mutex::new(PauseDetector::new(Instant::now())),
             drain: Drain::default(),
             key_secret: KeySecret::new(rand::random()),
             table: watch::Sender::new(None),
--- a/crates/proxy/src/flow/error.rs
+++ b/crates/proxy/src/flow/error.rs
@@ -142,6 +142,9 @@
     /// The memory limit for buffered bodies was reached.
     #[error("memory in use")]
     MemoryLimit,
+    /// The request was read long after it was sent, and the turn that it continues has expired since.
+    #[error("read late, its turn has expired")]
+    ReadLate,
     /// The ledger did not respond.
     #[error("ledger unavailable")]
     LedgerUnavailable,
--- a/crates/proxy/src/flow/retention.rs
+++ b/crates/proxy/src/flow/retention.rs
@@ -46,6 +46,12 @@
     route.retention.saturating_add(2 * transit_time(route))
 }
 
+/// Returns whether a turn that has expired may have been kept when a request was sent that has been
+/// under way for `time`.
+pub fn may_expire_under_way(route: &Route, time: Duration) -> bool {
+    time > transit_time(route)
+}
+
 /// A retained turn whose response is being delivered.
 pub struct DeliveredTurn {
     app: Arc<App>,
--- a/crates/proxy/src/flow/turn.rs
+++ b/crates/proxy/src/flow/turn.rs
@@ -22,6 +22,7 @@
 use super::retention::{self, DeliveredTurn};
 use super::turn_output::TurnOutput;
 use crate::app::App;
+use crate::pauses::CATCH_UP_TIME;
 
 pub(super) static LEDGER_TIMES: DurationHistogram = DurationHistogram::new(
     "calicohoist_ledger_answer_seconds",
@@ -43,6 +44,8 @@
 pub struct Turn {
     app: Arc<App>,
     call: Arc<Call>,
+    /// Since when the request may have been under way.
+    under_way_since: Instant,
     /// Body for the replica: the conversation so far, followed by the new input.
     pub body: Bytes,
     /// Permit under the tenant's rate limit.
@@ -72,9 +75,11 @@
     /// # Errors
     /// Returns an error if the turn must not run, or if the ledger does not respond.
     pub async fn begin(app: &Arc<App>, call: &Arc<Call>) -> Result<Self, GatewayError> {
+        let started_at = Instant::now();
         let mut turn = Self {
             app: Arc::clone(app),
             call: Arc::clone(call),
+            under_way_since: app.pauses.lock().waiting_since(call.received_at, started_at),
             body: call.body.clone(),
             permit: Permit::Missing,
             placement: None,
@@ -94,7 +99,6 @@
             placement: placement_request(app, call),
             permit: permit.clone(),
         };
-        let started_at = Instant::now();
         let deadline = started_at + queue_timeout(call.time_left(), RESERVE_TIMEOUT);
         let answer = app.ledger.request(&question, deadline).await;
         LEDGER_TIMES.observe("reserve", started_at.elapsed());
@@ -200,7 +204,7 @@
             }
             Reservation::NoSuchTurn => {
                 self.is_settled = true;
-                Err(GatewayError::NoSuchTurn)
+                Err(self.unknown_turn())
             }
             Reservation::Ended => {
                 self.is_settled = true;
@@ -209,6 +213,15 @@
         }
     }
 
+    /// Returns the error for a turn that the ledger does not have. Clients treat it as final, so one that
+    /// was kept when the request was sent, as far as this gateway can tell, is not called unknown.
+    fn unknown_turn(&self) -> GatewayError {
+        if retention::may_expire_under_way(&self.call.route, self.under_way_since.elapsed()) {
+            return GatewayError::not_executed(NotExecutedReason::ReadLate, CATCH_UP_TIME);
+        }
+        GatewayError::NoSuchTurn
+    }
+
     fn settle_command(&self, retained: Option<RetainedTurn>) -> SettleTurn {
         SettleTurn {
             program: account_id(&self.call),
--- a/crates/proxy/src/frontend/mod.rs
+++ b/crates/proxy/src/frontend/mod.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch;
 
 use crate::app::App;
-use crate::ledger_watch;
 use crate::settings::ProxySettings;
+use crate::{ledger_watch, pauses};
 
 /// Time between reporting not ready and closing the listening socket, so that load balancers stop
 /// sending requests.
@@ -60,6 +60,7 @@
         protocol = calicohoist_ledger::protocol::SUPPORTED_VERSIONS,
     );
     tokio::spawn(ledger_watch::run(Arc::clone(&app)));
+    tokio::spawn(pauses::run(Arc::clone(&app)));
     tokio::spawn(ready::serve(ready, Arc::clone(&app)));
     let accept_task = tokio::spawn(connections::serve(http, Arc::clone(&app)));
     if stop.wait_for(|stop| *stop).await.is_err() {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`fleet`]: known replicas with their load and health;
 //! - [`upstream`]: connection pool for replicas, and single request-response exchanges;
 //! - [`sends`]: requests sent to replicas whose outcome is not known;
+//! - [`pauses`]: times for which the process stood still;
 //! - [`app`]: state shared by all requests of a process;
 //! - [`flow`]: processing of a single request;
 //! - [`ledger_watch`]: watches the ledger for configuration, replicas and loads;
@@ -23,6 +24,7 @@
 pub mod ledger_contact;
 pub mod ledger_watch;
 pub mod memory;
+pub mod pauses;
 pub mod response_times;
 pub mod sends;
 pub mod settings;
