Gateway: a request is not sent behind bytes that nobody asked for

Cause: the HTTP library looks for bytes on a kept connection, but through the runtime, which learns of arrivals only when it polls the kernel. Bytes that arrived since then stay unseen, the request is written behind them, and they are taken for its answer. A whole response that nobody asked for is taken for the answer to the next request as well; the gateway refuses it by its id.

Change: before the first write of a request the kernel is asked whether anything has arrived. If so, nothing is written (UsedBeforeRequest), and the request, which has not run, goes to a new connection.

That leaves bytes that arrive while the request is written or is on its way: they cannot be told from a malformed answer. So a replica that has sent bytes nobody asked for gets each request on a new connection for a minute (CH4129).

Ruled out: retries after such an answer; the request may have run. What remains open: the first such bytes of a replica, if they arrive just then.

That this was the cause of the one failure is suspected; it was not traced.

--- a/crates/connections/src/shared_stream.rs
+++ b/crates/connections/src/shared_stream.rs
@@ -4,10 +4,9 @@
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll};
 
+use calicohoist_transport::tcp;
 use parking_lot::{Mutex, MutexGuard};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use rustix::io::Errno;
-use rustix::net::{RecvFlags, recv};
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
@@ -46,12 +45,12 @@
 
     /// Returns whether the kernel holds bytes, the end of the stream or an error for the reader.
     pub fn has_received(&self) -> bool {
-        !matches!(self.peek_kernel(), Err(Errno::AGAIN))
+        tcp::has_received(&*self.lock())
     }
 
     /// Returns whether the kernel holds bytes for the reader.
     pub fn has_bytes(&self) -> bool {
-        self.peek_kernel().is_ok_and(|length| length > 0)
+        tcp::peek_kernel(&*self.lock()).is_ok_and(|length| length > 0)
     }
 
     /// Returns whether the peer sends nothing more, even if the kernel holds bytes that it sent
@@ -69,13 +68,6 @@
         !matches!(self.lock().take_error(), Ok(None))
     }
 
-    /// Returns how many bytes can be read, one at the most. The runtime may not have learned of the
-    /// latest arrivals yet.
-    fn peek_kernel(&self) -> Result<usize, Errno> {
-        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-        recv(&*self.lock(), &mut [0u8; 1][..], flags).map(|(_, length)| length)
-    }
-
     /// Waits for bytes without reading them; `false` at the end of the stream.
     pub fn poll_has_bytes(&self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
         let mut byte = [0];
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -1,5 +1,6 @@
 //! HTTP connection to a server, with limits on what is read.
 
+use std::error::Error;
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -67,7 +68,7 @@
         &mut self,
         request: Request<B>,
     ) -> Result<Response<Incoming>, TrySendError<Request<B>>> {
-        self.lane.begin_response();
+        self.lane.end_response();
         let response = self.sender.try_send_request(request).await?;
         self.lane.end_head();
         Ok(response)
@@ -78,7 +79,7 @@
     /// # Errors
     /// Returns an error if the connection fails.
     pub async fn send_request(&mut self, request: Request<B>) -> hyper::Result<Response<Incoming>> {
-        self.lane.begin_response();
+        self.lane.end_response();
         let response = self.sender.send_request(request).await?;
         self.lane.end_head();
         Ok(response)
@@ -87,7 +88,12 @@
     /// Records that the response was read completely, so that the connection no longer counts as
     /// the reader of a large response.
     pub fn end_response(&self) {
-        self.lane.begin_response();
+        self.lane.end_response();
+    }
+
+    /// Returns whether the server has sent bytes that nobody asked for.
+    pub fn has_unrequested_bytes(&self) -> bool {
+        self.lane.has_unrequested_bytes()
     }
 
     /// Returns the reading state, to which the consumer of a body charges its work.
@@ -99,7 +105,7 @@
 impl<B> Drop for ServerConnection<B> {
     fn drop(&mut self) {
         // A connection that pauses has to notice that nobody reads its response any more.
-        self.lane.begin_response();
+        self.lane.end_response();
     }
 }
 
@@ -136,29 +142,42 @@
 }
 
 /// Runs a connection until it ends or is to be closed.
-async fn drive<F: Future>(connection: F, lane: Arc<ReadLane>) {
+async fn drive<F>(connection: F, lane: Arc<ReadLane>)
+where
+    F: Future<Output = hyper::Result<()>>,
+{
     let guard = ClosedGuard(lane);
     let lane = &guard.0;
     // The connection is dropped with its socket before the guard.
     tokio::select! {
         biased;
         () = lane.closing().requested() => {}
-        () = run_paced(connection, lane) => {}
+        result = run_paced(connection, lane) => record_end(&result, lane),
+    }
+}
+
+/// Records why a connection has ended. Errors are reported to the request that uses the connection,
+/// unless there is none: then the connection has failed, or the server has sent bytes for no request.
+fn record_end(result: &hyper::Result<()>, lane: &ReadLane) {
+    if let Err(error) = result
+        && error.source().is_none()
+        && !error.is_incomplete_message()
+    {
+        lane.record_unrequested_bytes();
     }
 }
 
 /// Runs a connection, with pauses while it has used more than its share.
-async fn run_paced<F: Future>(connection: F, lane: &ReadLane) {
+async fn run_paced<F: Future>(connection: F, lane: &ReadLane) -> F::Output {
     let mut connection = pin!(connection);
     let mut pause = pin!(tokio::time::sleep_until(Instant::now().into()));
     poll_fn(|context| {
         if poll_pause(pause.as_mut(), lane, context).is_pending() {
             return Poll::Pending;
         }
-        // Errors are reported to the request that uses the connection.
-        lane.poll_charged(connection.as_mut(), context).map(|_| ())
+        lane.poll_charged(connection.as_mut(), context)
     })
-    .await;
+    .await
 }
 
 /// Waits until the connection may read again.
--- a/crates/outbound/src/lane.rs
+++ b/crates/outbound/src/lane.rs
@@ -6,6 +6,7 @@
 //! rather than the bytes, so that the share holds on slow machines too.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -31,9 +32,17 @@
 #[error("response head too large")]
 pub struct HeadTooLong;
 
-/// Part of a response that a connection receives.
+/// The peer sent bytes or closed the connection before anything of the request was sent, so the request
+/// did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("connection not idle before the request")]
+pub struct UsedBeforeRequest;
+
+/// Part of an exchange at which a connection is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ResponsePart {
+    /// Nothing of the request was sent.
+    BeforeRequest,
     Head,
     Body,
 }
@@ -43,6 +52,8 @@
 pub struct ReadLane {
     pacer: Arc<ReadPacer>,
     progress: Mutex<ReadProgress>,
+    /// Whether the peer has sent bytes that nobody asked for.
+    has_unrequested_bytes: AtomicBool,
     closing: Closing,
 }
 
@@ -60,7 +71,7 @@
 
 impl ReadProgress {
     const fn new() -> Self {
-        Self { part: ResponsePart::Head, cost: 0, read_at: None, even_at: None }
+        Self { part: ResponsePart::BeforeRequest, cost: 0, read_at: None, even_at: None }
     }
 }
 
@@ -84,7 +95,8 @@
     /// Creates the state of a connection that has not received anything.
     pub fn new(pacer: &Arc<ReadPacer>) -> Self {
         let progress = Mutex::new(ReadProgress::new());
-        Self { pacer: Arc::clone(pacer), progress, closing: Closing::default() }
+        let (pacer, closing) = (Arc::clone(pacer), Closing::default());
+        Self { pacer, progress, has_unrequested_bytes: AtomicBool::new(false), closing }
     }
 
     /// Returns whether the connection is to be closed, or is closed.
@@ -92,14 +104,34 @@
         &self.closing
     }
 
-    /// Starts to count a new response.
-    pub fn begin_response(&self) {
+    /// Ends the current response. Nothing is to arrive before the next request is sent.
+    pub fn end_response(&self) {
         let previous = std::mem::replace(&mut *self.progress.lock(), ReadProgress::new());
         if previous.even_at.is_some() {
             self.pacer.end_large_response();
         }
     }
 
+    /// Records that the peer has sent bytes that nobody asked for.
+    pub fn record_unrequested_bytes(&self) {
+        self.has_unrequested_bytes.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the peer has sent bytes that nobody asked for.
+    pub fn has_unrequested_bytes(&self) -> bool {
+        self.has_unrequested_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Records a write; returns whether it is the first of a request.
+    pub fn begin_write(&self) -> bool {
+        let mut progress = self.progress.lock();
+        let is_first = progress.part == ResponsePart::BeforeRequest;
+        if is_first {
+            progress.part = ResponsePart::Head;
+        }
+        is_first
+    }
+
     /// Records that the head is complete.
     pub fn end_head(&self) {
         self.progress.lock().part = ResponsePart::Body;
@@ -113,16 +145,21 @@
         let progress = self.progress.lock();
         match progress.part {
             ResponsePart::Body => Ok(MAX_READ_BYTES),
-            ResponsePart::Head => match MAX_HEAD_BYTES.saturating_sub(progress.cost) {
-                0 => Err(HeadTooLong),
-                left => Ok(left),
-            },
+            ResponsePart::BeforeRequest | ResponsePart::Head => {
+                match MAX_HEAD_BYTES.saturating_sub(progress.cost) {
+                    0 => Err(HeadTooLong),
+                    left => Ok(left),
+                }
+            }
         }
     }
 
     /// Records a read of `bytes` bytes.
     pub fn record_read(&self, bytes: usize, now: Instant) {
         let mut progress = self.progress.lock();
+        if bytes > 0 && progress.part == ResponsePart::BeforeRequest {
+            self.record_unrequested_bytes();
+        }
         progress.record_read(bytes, now);
         let (was_large, is_large) = (progress.even_at.is_some(), progress.is_large());
         if is_large && !was_large {
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -20,5 +20,5 @@
 pub use closing::Closing;
 pub use connection::ServerConnection;
 pub use framing::has_readable_body;
-pub use lane::{HeadTooLong, ReadLane};
+pub use lane::{HeadTooLong, ReadLane, UsedBeforeRequest};
 pub use pacer::{ReadPacer, ReadShare};
--- a/crates/outbound/src/socket.rs
+++ b/crates/outbound/src/socket.rs
@@ -6,10 +6,12 @@
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
+use calicohoist_transport::tcp;
+use rustix::io::Errno;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 
-use crate::lane::ReadLane;
+use crate::lane::{ReadLane, UsedBeforeRequest};
 
 /// Socket whose reads are limited by a [`ReadLane`].
 #[derive(Debug)]
@@ -28,6 +30,21 @@
     fn stream(&mut self) -> Pin<&mut TcpStream> {
         Pin::new(self.stream.get_mut())
     }
+
+    /// Checks before the first write of a request that the peer has sent nothing which the runtime has
+    /// not seen yet: it would be taken for the response.
+    fn check_write(&self) -> io::Result<()> {
+        if !self.lane.begin_write() {
+            return Ok(());
+        }
+        match tcp::peek_kernel(self.stream.get_ref()) {
+            Err(Errno::AGAIN) => return Ok(()),
+            Ok(1..) => self.lane.record_unrequested_bytes(),
+            // The end of the stream, or an error.
+            Ok(0) | Err(_) => {}
+        }
+        Err(io::Error::other(UsedBeforeRequest))
+    }
 }
 
 impl AsyncRead for LimitedSocket {
@@ -52,6 +69,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_write()?;
         self.stream().poll_write(context, bytes)
     }
 
@@ -60,6 +78,7 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_write()?;
         self.stream().poll_write_vectored(context, parts)
     }
 
--- a/crates/outbound/tests/lane.rs
+++ b/crates/outbound/tests/lane.rs
@@ -45,7 +45,7 @@
     lane.record_read(MAX_HEAD_BYTES, Instant::now());
     lane.end_head();
     assert!(lane.read_limit().is_ok());
-    lane.begin_response();
+    lane.end_response();
     assert_eq!(lane.read_limit(), Ok(MAX_HEAD_BYTES));
 }
 
@@ -97,7 +97,7 @@
         lane.record_read(LARGE, Instant::now());
     }
     assert_eq!(pacer.large_responses(), 2);
-    lanes[0].begin_response();
+    lanes[0].end_response();
     assert_eq!(pacer.large_responses(), 1);
     drop(lanes);
     assert_eq!(pacer.large_responses(), 0);
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use calicohoist_outbound::{HeadTooLong, ReadLane, has_readable_body};
+use calicohoist_outbound::{HeadTooLong, ReadLane, UsedBeforeRequest, has_readable_body};
 use calicohoist_routing::{Incarnation, Replica, StartTime, StreamOrigin};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -247,10 +247,12 @@
             Err(_) => return Err(ExchangeError::Deadline),
             Ok(Err(mut error)) => {
                 // hyper returns the message if the connection closed before it was sent.
-                let was_sent = error.take_message().is_none();
+                let was_sent = error.take_message().is_none()
+                    && !is_caused_by::<UsedBeforeRequest>(error.error());
                 if was_sent {
                     return Err(sent_error(error.error(), connection.is_reused));
                 }
+                pool.discard(&replica.id, &connection);
                 if !connection.is_reused {
                     return Err(ExchangeError::NotSent);
                 }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -2,7 +2,9 @@
 //!
 //! A connection carries one request at a time. It is kept only after a complete response, and
 //! reused only well within the replica's keep-alive time: if the replica closes the connection
-//! while a request is being sent, it is unknown whether the request ran.
+//! while a request is being sent, it is unknown whether the request ran. The same holds if bytes behind the
+//! last response arrive while a request is being sent, so a replica that sends such bytes gets each request
+//! on a new connection for a time.
 
 use std::collections::HashMap;
 use std::io;
@@ -13,6 +15,7 @@
 use bytes::Bytes;
 use calicohoist_outbound::{ReadPacer, ReadShare, ServerConnection};
 use calicohoist_routing::StartTime;
+use calicohoist_telemetry::{Event, emit};
 use calicohoist_transport::tcp;
 use http_body_util::Full;
 use parking_lot::Mutex;
@@ -25,6 +28,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time for which no connection is kept to a replica that has sent bytes nobody asked for.
+const UNREQUESTED_BYTES_MEMORY: Duration = Duration::from_mins(1);
 /// Maximum time for an idle connection to become ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
@@ -55,17 +60,66 @@
     }
 }
 
+/// Idle connections to one replica.
+#[derive(Debug, Default)]
+struct ReplicaConnections {
+    idle: Vec<IdleConnection>,
+    /// Time until which no connection is kept.
+    unkept_until: Option<Instant>,
+}
+
+impl ReplicaConnections {
+    /// Closes connections that cannot be used any more.
+    fn remove_unusable(&mut self, replica: &str, now: Instant) {
+        if self.idle.iter().any(|idle| idle.sender.has_unrequested_bytes()) {
+            self.keep_none(replica, now);
+        }
+        self.idle.retain(|idle| idle.is_usable(now));
+    }
+
+    /// Closes all connections, and keeps none for a time.
+    fn keep_none(&mut self, replica: &str, now: Instant) {
+        if self.keeps_connections(now) {
+            emit!(Event::UnrequestedBytes; replica = replica);
+        }
+        self.idle.clear();
+        self.unkept_until = Some(now + UNREQUESTED_BYTES_MEMORY);
+    }
+
+    fn keeps_connections(&self, now: Instant) -> bool {
+        self.unkept_until.is_none_or(|unkept_until| unkept_until <= now)
+    }
+
+    /// Takes a connection whose response is complete.
+    fn push(&mut self, replica: &str, connection: IdleConnection, now: Instant) {
+        if connection.sender.has_unrequested_bytes() {
+            self.keep_none(replica, now);
+        }
+        if !self.keeps_connections(now) || connection.sender.is_closed() {
+            return;
+        }
+        if self.idle.len() >= MAX_IDLE_PER_REPLICA {
+            self.idle.remove(0);
+        }
+        self.idle.push(connection);
+    }
+
+    fn has_usable(&self, now: Instant) -> bool {
+        self.idle.iter().any(|idle| idle.is_usable(now))
+    }
+}
+
 /// Idle connections by replica id.
 #[derive(Debug)]
 pub struct Pool {
-    idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
+    replicas: Mutex<HashMap<String, ReplicaConnections>>,
     /// Shared by all connections to replicas.
     pacer: Arc<ReadPacer>,
 }
 
 impl Default for Pool {
     fn default() -> Self {
-        Self { idle: Mutex::default(), pacer: ReadPacer::new(ReadShare::OF_REPLICAS) }
+        Self { replicas: Mutex::default(), pacer: ReadPacer::new(ReadShare::OF_REPLICAS) }
     }
 }
 
@@ -119,11 +173,10 @@
     }
 
     fn pop(&self, replica: &str) -> Option<IdleConnection> {
-        let now = Instant::now();
-        let mut idle = self.idle.lock();
-        let connections = idle.get_mut(replica)?;
-        connections.retain(|idle| idle.is_usable(now));
-        connections.pop()
+        let mut replicas = self.replicas.lock();
+        let connections = replicas.get_mut(replica)?;
+        connections.remove_unusable(replica, Instant::now());
+        connections.idle.pop()
     }
 
     /// Returns a connection to the pool after a complete response. `keep_alive` is the time that
@@ -135,45 +188,44 @@
         keep_alive: Option<Duration>,
     ) {
         let PooledConnection { sender, start, .. } = connection;
-        if sender.is_closed() {
-            return;
-        }
         sender.end_response();
         let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
-        let usable_until = Instant::now() + keep_alive;
-        let mut idle = self.idle.lock();
-        let connections = idle.entry(replica.to_owned()).or_default();
-        if connections.len() >= MAX_IDLE_PER_REPLICA {
-            connections.remove(0);
+        let now = Instant::now();
+        let connection = IdleConnection { sender, start, usable_until: now + keep_alive };
+        let mut replicas = self.replicas.lock();
+        replicas.entry(replica.to_owned()).or_default().push(replica, connection, now);
+    }
+
+    /// Closes a connection on which nothing of a request was sent, since it was not idle before.
+    pub fn discard(&self, replica: &str, connection: &PooledConnection) {
+        if connection.sender.has_unrequested_bytes() {
+            let mut replicas = self.replicas.lock();
+            replicas.entry(replica.to_owned()).or_default().keep_none(replica, Instant::now());
         }
-        connections.push(IdleConnection { sender, start, usable_until });
     }
 
     /// Returns whether there is a usable idle connection to the replica.
     pub fn has_idle(&self, replica: &str) -> bool {
         let now = Instant::now();
-        let idle = self.idle.lock();
-        idle.get(replica)
-            .is_some_and(|connections| connections.iter().any(|idle| idle.is_usable(now)))
+        let replicas = self.replicas.lock();
+        replicas.get(replica).is_some_and(|connections| connections.has_usable(now))
     }
 
     /// Returns the ids of replicas with a usable idle connection.
     pub fn connected(&self) -> Vec<String> {
         let now = Instant::now();
-        let idle = self.idle.lock();
-        let is_usable =
-            |connections: &[IdleConnection]| connections.iter().any(|idle| idle.is_usable(now));
-        let usable = idle.iter().filter(|(_, connections)| is_usable(connections));
+        let replicas = self.replicas.lock();
+        let usable = replicas.iter().filter(|(_, connections)| connections.has_usable(now));
         usable.map(|(replica, _)| replica.clone()).collect()
     }
 
     /// Closes connections to replicas that are not listed, and expired ones.
     pub fn retain(&self, is_listed: impl Fn(&str) -> bool) {
         let now = Instant::now();
-        let mut idle = self.idle.lock();
-        idle.retain(|replica, _| is_listed(replica));
-        for connections in idle.values_mut() {
-            connections.retain(|idle| idle.is_usable(now));
+        let mut replicas = self.replicas.lock();
+        replicas.retain(|replica, _| is_listed(replica));
+        for (replica, connections) in replicas.iter_mut() {
+            connections.remove_unusable(replica, now);
         }
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -143,6 +143,8 @@
     CrashCleared = 4127, Info;
     /// The origin of a stream is recorded in the ledger.
     StreamOriginRecorded = 4128, Info;
+    /// A replica sends bytes that nobody asked for.
+    UnrequestedBytes = 4129, Warn;
     /// An engine released the cache of a program that has ended.
     CacheReleased = 4201, Debug;
     /// A request to release cache failed and will be retried.
--- a/crates/transport/src/tcp.rs
+++ b/crates/transport/src/tcp.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use calicohoist_telemetry::{Event, emit};
+use rustix::io::Errno;
 use rustix::ioctl::{Getter, Opcode, ioctl};
-use rustix::net::sockopt;
+use rustix::net::{RecvFlags, recv, sockopt};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -112,6 +113,21 @@
     Ok(bytes?)
 }
 
+/// Returns how many bytes can be read, one at the most. The runtime may not have learned of the latest
+/// arrivals yet.
+///
+/// # Errors
+/// [`Errno::AGAIN`] when nothing has arrived, or the error of the connection.
+pub fn peek_kernel(socket: impl AsFd) -> Result<usize, Errno> {
+    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    recv(socket, &mut [0u8; 1][..], flags).map(|(_, length)| length)
+}
+
+/// Returns whether the kernel holds bytes, the end of the stream or an error for the reader.
+pub fn has_received(socket: impl AsFd) -> bool {
+    !matches!(peek_kernel(socket), Err(Errno::AGAIN))
+}
+
 /// Accepts a connection. Failures are logged, and the next attempt follows after a pause.
 pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
