--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -1,9 +1,10 @@
 //! HTTP connection to a server, with limits on what is read.
 
+use std::error::Error;
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
 use hyper::body::{Body, Incoming};
@@ -16,6 +17,7 @@
 
 use crate::lane::{MAX_HEAD_BYTES, ReadLane};
 use crate::pacer::ReadPacer;
+use crate::pausable_stream::PausableStream;
 use crate::socket::LimitedSocket;
 
 /// Sends requests on a connection, one at a time. The connection closes when this is dropped and no
@@ -38,11 +40,12 @@
     /// Returns an error if the connection failed already.
     pub async fn open(stream: TcpStream, pacer: &Arc<ReadPacer>) -> hyper::Result<Self> {
         let lane = Arc::new(ReadLane::new(pacer));
-        let socket = TokioIo::new(LimitedSocket::new(stream, Arc::clone(&lane)));
+        let stream = PausableStream::new(stream);
+        let socket = TokioIo::new(LimitedSocket::new(stream.clone(), Arc::clone(&lane)));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, connection) = builder.handshake(socket).await?;
-        tokio::spawn(drive(connection, Arc::clone(&lane)));
+        tokio::spawn(drive(connection, stream, Arc::clone(&lane)));
         Ok(Self { sender, lane })
     }
 
@@ -67,7 +70,7 @@
         &mut self,
         request: Request<B>,
     ) -> Result<Response<Incoming>, TrySendError<Request<B>>> {
-        self.lane.begin_response();
+        self.lane.end_response();
         let response = self.sender.try_send_request(request).await?;
         self.lane.end_head();
         Ok(response)
@@ -78,7 +81,7 @@
     /// # Errors
     /// Returns an error if the connection fails.
     pub async fn send_request(&mut self, request: Request<B>) -> hyper::Result<Response<Incoming>> {
-        self.lane.begin_response();
+        self.lane.end_response();
         let response = self.sender.send_request(request).await?;
         self.lane.end_head();
         Ok(response)
@@ -87,7 +90,12 @@
     /// Records that the response was read completely, so that the connection no longer counts as
     /// the reader of a large response.
     pub fn end_response(&self) {
-        self.lane.begin_response();
+        self.lane.end_response();
+    }
+
+    /// Returns whether the server has sent bytes that nobody asked for.
+    pub fn has_unrequested_bytes(&self) -> bool {
+        self.lane.has_unrequested_bytes()
     }
 
     /// Returns the reading state, to which the consumer of a body charges its work.
@@ -99,7 +107,7 @@
 impl<B> Drop for ServerConnection<B> {
     fn drop(&mut self) {
         // A connection that pauses has to notice that nobody reads its response any more.
-        self.lane.begin_response();
+        self.lane.end_response();
     }
 }
 
@@ -136,34 +144,56 @@
 }
 
 /// Runs a connection until it ends or is to be closed.
-async fn drive<F: Future>(connection: F, lane: Arc<ReadLane>) {
+async fn drive<F>(connection: F, stream: PausableStream, lane: Arc<ReadLane>)
+where
+    F: Future<Output = hyper::Result<()>>,
+{
     let guard = ClosedGuard(lane);
     let lane = &guard.0;
     // The connection is dropped with its socket before the guard.
     tokio::select! {
         biased;
         () = lane.closing().requested() => {}
-        () = run_paced(connection, lane) => {}
+        result = run_paced(connection, stream, lane) => record_end(&result, lane),
+    }
+}
+
+/// Records why a connection has ended. Errors are reported to the request that uses the connection,
+/// unless there is none: then the connection has failed, or the server has sent bytes for no request.
+fn record_end(result: &hyper::Result<()>, lane: &ReadLane) {
+    if let Err(error) = result
+        && error.source().is_none()
+        && !error.is_incomplete_message()
+    {
+        lane.record_unrequested_bytes();
     }
 }
 
 /// Runs a connection, with pauses while it has used more than its share.
-async fn run_paced<F: Future>(connection: F, lane: &ReadLane) {
+async fn run_paced<F: Future>(connection: F, stream: PausableStream, lane: &ReadLane) -> F::Output {
     let mut connection = pin!(connection);
     let mut pause = pin!(tokio::time::sleep_until(Instant::now().into()));
+    let mut is_paused = false;
     poll_fn(|context| {
-        if poll_pause(pause.as_mut(), lane, context).is_pending() {
-            return Poll::Pending;
+        if is_paused {
+            ready!(poll_pause(pause.as_mut(), lane, context));
+            stream.resume();
         }
-        // Errors are reported to the request that uses the connection.
-        lane.poll_charged(connection.as_mut(), context).map(|_| ())
+        let polled = lane.poll_charged(connection.as_mut(), context);
+        is_paused = polled.is_pending() && poll_pause(pause.as_mut(), lane, context).is_pending();
+        if is_paused {
+            stream.pause();
+        }
+        polled
     })
-    .await;
+    .await
 }
 
 /// Waits until the connection may read again.
 fn poll_pause(mut pause: Pin<&mut Sleep>, lane: &ReadLane, context: &mut Context<'_>) -> Poll<()> {
-    while let Some(resumes_at) = lane.pause_until(Instant::now()) {
+    while lane.is_large()
+        && let Some(resumes_at) = lane.pause_until(Instant::now())
+    {
         pause.as_mut().reset(resumes_at.into());
         if pause.as_mut().poll(context).is_pending() {
             return Poll::Pending;
--- a/crates/outbound/src/lane.rs
+++ b/crates/outbound/src/lane.rs
@@ -6,6 +6,7 @@
 //! rather than the bytes, so that the share holds on slow machines too.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -19,8 +20,14 @@
 const LARGE_RESPONSE_BYTES: usize = 64 << 10;
 /// Maximum size of one read in bytes.
 const MAX_READ_BYTES: usize = 64 << 10;
-/// Smallest size in bytes as which a read counts, since every read costs time.
-const MIN_READ_COST: usize = 64;
+/// Smallest size in bytes as which a read of a head counts, since every read costs time.
+const MIN_HEAD_READ_COST: usize = 64;
+/// The same for a body, which may have any number of reads.
+const MIN_BODY_READ_COST: usize = 256;
+/// Size in bytes of a read of a large response below which it was too early.
+const SMALL_READ_BYTES: usize = 1 << 10;
+/// Time for which bytes are left to accumulate after such a read.
+const ACCUMULATION_TIME: Duration = Duration::from_millis(5);
 /// Rate in bytes per second at which a body is never large, however long it is.
 const SMALL_BYTES_PER_SECOND: usize = 64 << 10;
 /// Longest time that is charged at once. A longer one is that of a suspended process.
@@ -31,9 +38,17 @@
 #[error("response head too large")]
 pub struct HeadTooLong;
 
-/// Part of a response that a connection receives.
+/// The peer sent bytes or closed the connection before anything of the request was sent, so the request
+/// did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("connection not idle before the request")]
+pub struct UsedBeforeRequest;
+
+/// Part of an exchange at which a connection is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ResponsePart {
+    /// Nothing of the request was sent.
+    BeforeRequest,
     Head,
     Body,
 }
@@ -43,6 +58,8 @@
 pub struct ReadLane {
     pacer: Arc<ReadPacer>,
     progress: Mutex<ReadProgress>,
+    /// Whether the peer has sent bytes that nobody asked for.
+    has_unrequested_bytes: AtomicBool,
     closing: Closing,
 }
 
@@ -56,15 +73,16 @@
     /// Time by which the connection has used no more than its share; `None` until the response is
     /// large.
     even_at: Option<Instant>,
+    /// Time until which bytes are left to accumulate.
+    rests_until: Option<Instant>,
 }
 
 impl ReadProgress {
     const fn new() -> Self {
-        Self { part: ResponsePart::Head, cost: 0, read_at: None, even_at: None }
+        let part = ResponsePart::BeforeRequest;
+        Self { part, cost: 0, read_at: None, even_at: None, rests_until: None }
     }
-}
 
-impl ReadProgress {
     fn record_read(&mut self, bytes: usize, now: Instant) {
         if self.part == ResponsePart::Body {
             let elapsed = self.read_at.map_or(Duration::ZERO, |read_at| now - read_at);
@@ -72,7 +90,16 @@
             self.cost = self.cost.saturating_sub(decrease as usize);
         }
         self.read_at = Some(now);
-        self.cost = self.cost.saturating_add(bytes.max(MIN_READ_COST));
+        self.cost = self.cost.saturating_add(bytes.max(self.min_read_cost()));
+        let is_early = self.is_large() && bytes < SMALL_READ_BYTES;
+        self.rests_until = is_early.then(|| now + ACCUMULATION_TIME);
+    }
+
+    fn min_read_cost(&self) -> usize {
+        match self.part {
+            ResponsePart::BeforeRequest | ResponsePart::Head => MIN_HEAD_READ_COST,
+            ResponsePart::Body => MIN_BODY_READ_COST,
+        }
     }
 
     fn is_large(&self) -> bool {
@@ -84,7 +111,8 @@
     /// Creates the state of a connection that has not received anything.
     pub fn new(pacer: &Arc<ReadPacer>) -> Self {
         let progress = Mutex::new(ReadProgress::new());
-        Self { pacer: Arc::clone(pacer), progress, closing: Closing::default() }
+        let (pacer, closing) = (Arc::clone(pacer), Closing::default());
+        Self { pacer, progress, has_unrequested_bytes: AtomicBool::new(false), closing }
     }
 
     /// Returns whether the connection is to be closed, or is closed.
@@ -92,14 +120,34 @@
         &self.closing
     }
 
-    /// Starts to count a new response.
-    pub fn begin_response(&self) {
+    /// Ends the current response. Nothing is to arrive before the next request is sent.
+    pub fn end_response(&self) {
         let previous = std::mem::replace(&mut *self.progress.lock(), ReadProgress::new());
         if previous.even_at.is_some() {
             self.pacer.end_large_response();
         }
     }
 
+    /// Records that the peer has sent bytes that nobody asked for.
+    pub fn record_unrequested_bytes(&self) {
+        self.has_unrequested_bytes.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the peer has sent bytes that nobody asked for.
+    pub fn has_unrequested_bytes(&self) -> bool {
+        self.has_unrequested_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Records a write; returns whether it is the first of a request.
+    pub fn begin_write(&self) -> bool {
+        let mut progress = self.progress.lock();
+        let is_first = progress.part == ResponsePart::BeforeRequest;
+        if is_first {
+            progress.part = ResponsePart::Head;
+        }
+        is_first
+    }
+
     /// Records that the head is complete.
     pub fn end_head(&self) {
         self.progress.lock().part = ResponsePart::Body;
@@ -113,16 +161,21 @@
         let progress = self.progress.lock();
         match progress.part {
             ResponsePart::Body => Ok(MAX_READ_BYTES),
-            ResponsePart::Head => match MAX_HEAD_BYTES.saturating_sub(progress.cost) {
-                0 => Err(HeadTooLong),
-                left => Ok(left),
-            },
+            ResponsePart::BeforeRequest | ResponsePart::Head => {
+                match MAX_HEAD_BYTES.saturating_sub(progress.cost) {
+                    0 => Err(HeadTooLong),
+                    left => Ok(left),
+                }
+            }
         }
     }
 
     /// Records a read of `bytes` bytes.
     pub fn record_read(&self, bytes: usize, now: Instant) {
         let mut progress = self.progress.lock();
+        if bytes > 0 && progress.part == ResponsePart::BeforeRequest {
+            self.record_unrequested_bytes();
+        }
         progress.record_read(bytes, now);
         let (was_large, is_large) = (progress.even_at.is_some(), progress.is_large());
         if is_large && !was_large {
@@ -148,12 +201,16 @@
         }
     }
 
-    /// Returns until when the connection has to pause, if at all: until it has used no more than
-    /// its part of the share, or all connections no more than the share.
+    /// Returns until when the connection has to pause, if at all: while bytes accumulate, and until it
+    /// has used no more than its part of the share, or all connections no more than the share.
     pub fn pause_until(&self, now: Instant) -> Option<Instant> {
-        let even_at = self.progress.lock().even_at?;
-        let resumes_at = even_at.min(self.pacer.used_up_until()?);
-        (resumes_at > now).then_some(resumes_at)
+        let (even_at, rests_until) = {
+            let progress = self.progress.lock();
+            (progress.even_at?, progress.rests_until)
+        };
+        let used_up_until =
+            self.pacer.used_up_until().map(|used_up_until| used_up_until.min(even_at));
+        used_up_until.max(rests_until).filter(|resumes_at| *resumes_at > now)
     }
 }
 
