Ledger tests: one configuration of property tests

Six test files had the same configuration of proptest but for cases and seed, among them crash_retention, permit_retention and retention with the same ones. They share tests/properties. Cases and seeds are unchanged: 1,000 and 98 (these three), 2,000 and 17 (turn_retention), 500 and 12 (drained_zones), 300 and 11 (state).

--- a/crates/ledger/tests/crash_retention.rs
+++ b/crates/ledger/tests/crash_retention.rs
@@ -1,6 +1,8 @@
 //! How long crashes, their clearing and the accounts of sends are known, in virtual time, over changes of
 //! leader, pauses and late notices.
 
+mod properties;
+
 use std::time::{Duration, Instant};
 
 use calicohoist_ledger::commands::{
@@ -16,7 +18,6 @@
 use calicohoist_types::Moment;
 use calicohoist_wire::encode;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const MACHINES: usize = 2;
 const GATEWAYS: usize = 2;
@@ -297,12 +298,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 1_000,
-        rng_seed: RngSeed::Fixed(98),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(properties::fixed(1_000, 98))]
 
     #[test]
     fn crashes_and_their_accounts_are_kept_for_their_time_and_not_for_ever(
--- a/crates/ledger/tests/drained_zones.rs
+++ b/crates/ledger/tests/drained_zones.rs
@@ -1,5 +1,7 @@
 //! Drained zones: idempotence and ordering of drain commands, and rejected calls of operators.
 
+mod properties;
+
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -22,7 +24,6 @@
 use calicohoist_wire::encode;
 use hyper::{Method, StatusCode};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -191,12 +192,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 500,
-        rng_seed: RngSeed::Fixed(12),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(properties::fixed(500, 12))]
 
     /// Messages may be delayed, duplicated, lost with a leader or committed late; the state always
     /// matches the last acknowledged command.
--- a/crates/ledger/tests/permit_retention.rs
+++ b/crates/ledger/tests/permit_retention.rs
@@ -1,5 +1,7 @@
 //! How long the log keeps issued permits, in virtual time, over changes of leader, pauses and snapshots.
 
+mod properties;
+
 use std::time::Duration;
 
 use calicohoist_ledger::LedgerState;
@@ -9,7 +11,6 @@
 use calicohoist_types::{Moment, TenantId};
 use calicohoist_wire::encode;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 /// The tolerance whose permits count for longest.
 const LONGEST: LimitTolerance =
@@ -93,12 +94,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 1_000,
-        rng_seed: RngSeed::Fixed(98),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(properties::fixed(1_000, 98))]
 
     #[test]
     fn permits_are_kept_while_they_may_count_and_not_for_ever(
--- a/crates/ledger/tests/retention.rs
+++ b/crates/ledger/tests/retention.rs
@@ -1,6 +1,8 @@
 //! How long turns and accounts are kept, in virtual time, over changes of leader, pauses, snapshots and
 //! restarts.
 
+mod properties;
+
 use std::time::Duration;
 
 use calicohoist_ledger::LedgerState;
@@ -13,7 +15,6 @@
 use calicohoist_types::Moment;
 use calicohoist_wire::encode;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const MACHINES: usize = 3;
 /// Number of different turns and programs of a run.
@@ -301,12 +302,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 1_000,
-        rng_seed: RngSeed::Fixed(98),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(properties::fixed(1_000, 98))]
 
     #[test]
     fn nothing_is_forgotten_before_its_retention_ends_nor_kept_for_ever(
--- a/crates/ledger/tests/state.rs
+++ b/crates/ledger/tests/state.rs
@@ -1,5 +1,7 @@
 //! Tests of the state machine: budgets, retained turns, configurations and machines.
 
+mod properties;
+
 use std::collections::BTreeMap;
 
 use calicohoist_ledger::commands::{
@@ -9,19 +11,9 @@
 use calicohoist_replication::{GroupId, StateMachine};
 use calicohoist_wire::encode;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const RETENTION_MS: u64 = 1_000;
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        cases: 300,
-        rng_seed: RngSeed::Fixed(11),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 fn state() -> LedgerState {
     LedgerState::new(GroupId(0))
 }
@@ -192,7 +184,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(properties::fixed(300, 11))]
 
     /// Reservations and settlements may arrive in any order and repeatedly; reserved and used
     /// tokens together never exceed the budget.
--- a/crates/ledger/tests/turn_retention.rs
+++ b/crates/ledger/tests/turn_retention.rs
@@ -1,11 +1,12 @@
 //! Retention of turns and of the turns that they continue from.
 
+mod properties;
+
 use std::collections::BTreeMap;
 
 use calicohoist_ledger::commands::RetainedTurn;
 use calicohoist_ledger::state::Turns;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 /// Number of distinct turns in the generated operations.
 const TURNS: u8 = 12;
@@ -70,12 +71,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(17),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(properties::fixed(2_000, 17))]
 
     /// `Turns` stops at the first ancestor whose retention does not change, which must be
     /// equivalent to the reference model if turns continue from existing ones only.
