--- a/crates/ledger/tests/sealing.rs
+++ b/crates/ledger/tests/sealing.rs
@@ -1,5 +1,7 @@
 //! Contents of retained turns in memory while leaders change and commits lag, over random runs.
 
+mod properties;
+
 use std::collections::VecDeque;
 
 use calicohoist_ledger::LedgerState;
@@ -9,7 +11,6 @@
 use calicohoist_replication::{GroupId, StateMachine};
 use calicohoist_wire::encode;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 /// Memory of the machine, in bytes, which its shares follow.
 const MEMORY_BYTES: usize = 58 << 20;
@@ -138,12 +139,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 500,
-        rng_seed: RngSeed::Fixed(98),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(properties::fixed(500, 98))]
 
     #[test]
     fn unsealed_turns_stay_within_their_memory_while_commits_lag(
