Placement: turns stay near, over connections that their gateway has open

The first turn of a program left for load, the others followed its prompt, from all gateways of the zone.

Change: the weights of contention (0.12 to 0.03), of leaving the zone (2 to 30 ms) and of a connection (3 to 7 ms); in a large service a shared part is not copied for a shorter way while an idle replica has it. Selection of tool services, retries, drain and quarantine are untouched.

--- a/crates/scheduler/src/placement/mod.rs
+++ b/crates/scheduler/src/placement/mod.rs
@@ -193,8 +193,8 @@
 pub struct PlacementWeights {
     /// Duration of a turn, in ms, until it is estimated.
     pub turn_ms: f64,
-    /// Delay that each running turn adds to another one, as a fraction of the duration of a turn
-    /// alone.
+    /// Delay that each running turn adds to another one while both generate, as a fraction of the
+    /// duration of a turn alone. Prefills and waiting for a slot have costs of their own.
     pub contention: f64,
     /// Time per generated token without contention, in ms, until it is estimated.
     pub token_ms: f64,
@@ -202,7 +202,8 @@
     pub prefill_ratio: f64,
     /// Increase of the prefill cost with each running turn, as a fraction.
     pub prefill_interference: f64,
-    /// Cost of leaving the gateway's zone.
+    /// Cost of leaving the gateway's zone. The turns that follow in the program leave it as well,
+    /// since they are placed where their prompt is cached.
     pub cross_zone: Duration,
     /// Cost of leaving the gateway's region. The turns that follow use the same link, since they
     /// are placed where their prompt is cached. More than prefilling a history again nearby, less
@@ -219,19 +220,25 @@
     fn network_cost(&self, distance: Distance) -> Duration {
         distance.cost(self.cross_zone, self.cross_region)
     }
+
+    /// Cost of copying shared prompt parts while an idle replica has them: what the copy saves by
+    /// a shorter way at most, so that it pays off only for load.
+    fn copy_cost(&self) -> Duration {
+        self.cross_zone + self.connection_setup
+    }
 }
 
 impl Default for PlacementWeights {
     fn default() -> Self {
         Self {
             turn_ms: 250.0,
-            contention: 0.12,
+            contention: 0.03,
             token_ms: 3.125,
             prefill_ratio: 200.0,
             prefill_interference: 1.0,
-            cross_zone: Duration::from_millis(2),
+            cross_zone: Duration::from_millis(30),
             cross_region: Duration::from_millis(60),
-            connection_setup: Duration::from_millis(3),
+            connection_setup: Duration::from_millis(7),
             suspect_penalty: Duration::from_secs(1),
         }
     }
@@ -760,8 +767,10 @@
         let network_cost = weights.network_cost(candidate.distance);
         let connection_setup =
             if candidate.is_connected { Duration::ZERO } else { weights.connection_setup };
+        let copies_shared = !replicates_shared && uncached.shared > 0;
+        let copy_cost = if copies_shared { weights.copy_cost() } else { Duration::ZERO };
         let suspect_penalty =
             if status.is_suspected(now) { weights.suspect_penalty } else { Duration::ZERO };
-        turn_cost + network_cost + connection_setup + suspect_penalty
+        turn_cost + network_cost + connection_setup + copy_cost + suspect_penalty
     }
 }
