Gateway: a paused connection checks for bytes until its request is written

Callers saw: nothing yet; found in a review. A response that nobody asked for may be taken for the answer to a request that was not sent, so that the request counts as "outcome unknown" although it has not run.

Cause: after a pause the reactor does not know yet that the stream can be written to. The first write of the next request is then refused for a turn of the runtime, after the look for bytes, and what arrives in that turn is read first.

Change: the look is repeated with each attempt to write, until something was written, and a read before that ends the connection with UsedBeforeRequest.

--- a/crates/outbound/src/lane.rs
+++ b/crates/outbound/src/lane.rs
@@ -49,6 +49,8 @@
 enum ResponsePart {
     /// Nothing of the request was sent.
     BeforeRequest,
+    /// A request is to be written, of which nothing was sent either.
+    BeforeWrite,
     Head,
     Body,
 }
@@ -97,8 +99,10 @@
 
     fn min_read_cost(&self) -> usize {
         match self.part {
-            ResponsePart::BeforeRequest | ResponsePart::Head => MIN_HEAD_READ_COST,
             ResponsePart::Body => MIN_BODY_READ_COST,
+            ResponsePart::BeforeRequest | ResponsePart::BeforeWrite | ResponsePart::Head => {
+                MIN_HEAD_READ_COST
+            }
         }
     }
 
@@ -138,14 +142,23 @@
         self.has_unrequested_bytes.load(Ordering::Relaxed)
     }
 
-    /// Records a write; returns whether it is the first of a request.
+    /// Records that something is to be written; returns whether it is the begin of a request.
     pub fn begin_write(&self) -> bool {
         let mut progress = self.progress.lock();
-        let is_first = progress.part == ResponsePart::BeforeRequest;
-        if is_first {
-            progress.part = ResponsePart::Head;
+        if progress.part == ResponsePart::BeforeRequest {
+            progress.part = ResponsePart::BeforeWrite;
         }
-        is_first
+        progress.part == ResponsePart::BeforeWrite
+    }
+
+    /// Records that the begin of a request was written.
+    pub fn end_first_write(&self) {
+        self.progress.lock().part = ResponsePart::Head;
+    }
+
+    /// Returns whether a request is to be written of which nothing was sent.
+    pub fn awaits_write(&self) -> bool {
+        self.progress.lock().part == ResponsePart::BeforeWrite
     }
 
     /// Records that the head is complete.
@@ -161,7 +174,7 @@
         let progress = self.progress.lock();
         match progress.part {
             ResponsePart::Body => Ok(MAX_READ_BYTES),
-            ResponsePart::BeforeRequest | ResponsePart::Head => {
+            ResponsePart::BeforeRequest | ResponsePart::BeforeWrite | ResponsePart::Head => {
                 match MAX_HEAD_BYTES.saturating_sub(progress.cost) {
                     0 => Err(HeadTooLong),
                     left => Ok(left),
@@ -173,7 +186,8 @@
     /// Records a read of `bytes` bytes.
     pub fn record_read(&self, bytes: usize, now: Instant) {
         let mut progress = self.progress.lock();
-        if bytes > 0 && progress.part == ResponsePart::BeforeRequest {
+        let is_requested = matches!(progress.part, ResponsePart::Head | ResponsePart::Body);
+        if bytes > 0 && !is_requested {
             self.record_unrequested_bytes();
         }
         progress.record_read(bytes, now);
--- a/crates/outbound/src/socket.rs
+++ b/crates/outbound/src/socket.rs
@@ -34,12 +34,25 @@
         self.stream.with(|stream| poll(Pin::new(stream.get_mut().get_mut())))?
     }
 
-    /// Checks before the first write of a request that the peer has sent nothing which the runtime has
-    /// not seen yet: it would be taken for the response.
-    fn check_write(&self) -> io::Result<()> {
-        if !self.lane.begin_write() {
-            return Ok(());
+    fn poll_checked_write(
+        &self,
+        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let is_first = self.lane.begin_write();
+        if is_first {
+            self.check_nothing_received()?;
+        }
+        let written = ready!(self.poll_stream(poll))?;
+        // The reactor may not know yet that a stream which has paused can be written to.
+        if is_first {
+            self.lane.end_first_write();
         }
+        Poll::Ready(Ok(written))
+    }
+
+    /// Checks that the peer has sent nothing which the runtime has not seen yet: it would be taken for
+    /// the response.
+    fn check_nothing_received(&self) -> io::Result<()> {
         match self.stream.with(|stream| tcp::peek_kernel(stream.get_ref()))? {
             Err(Errno::AGAIN) => return Ok(()),
             Ok(1..) => self.lane.record_unrequested_bytes(),
@@ -63,7 +76,11 @@
             stream.set_limit(limit as u64);
             stream.as_mut().poll_read(context, buffer)
         })?)?;
-        self.lane.record_read(buffer.filled().len() - filled, Instant::now());
+        let read = buffer.filled().len() - filled;
+        self.lane.record_read(read, Instant::now());
+        if read > 0 && self.lane.awaits_write() {
+            return Poll::Ready(Err(io::Error::other(UsedBeforeRequest)));
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -74,8 +91,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check_write()?;
-        self.poll_stream(|stream| stream.poll_write(context, bytes))
+        self.poll_checked_write(|stream| stream.poll_write(context, bytes))
     }
 
     fn poll_write_vectored(
@@ -83,8 +99,7 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check_write()?;
-        self.poll_stream(|stream| stream.poll_write_vectored(context, parts))
+        self.poll_checked_write(|stream| stream.poll_write_vectored(context, parts))
     }
 
     fn is_write_vectored(&self) -> bool {
