Tests: seals of a machine that is elected again, and the reason of a refusal

Found in a review. The property of seals took every election for one of another machine, and its bound always allowed for the longest turn; it follows the turns that were taken now. The test of a gateway that stood still accepted any 503; one at least must be for being read late.

--- a/crates/calicohoist/tests/retained/pauses.rs
+++ b/crates/calicohoist/tests/retained/pauses.rs
@@ -23,6 +23,7 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 const NOT_FOUND: u16 = 404;
 const NOT_RUN: u16 = 503;
+const READ_LATE: &str = "read late";
 
 fn start() -> RetainingDeployment {
     let model = ScriptedReplica::start("model", |exchange| {
@@ -104,6 +105,8 @@
             response.header("retry-after").and_then(|seconds| seconds.parse().ok());
         assert!(retry_after_s.is_some_and(|seconds| seconds > 0.0), "{id}: {retry_after_s:?}");
     }
+    let is_read_late = |turn: &ContinuedTurn| turn.response.text().contains(READ_LATE);
+    assert!(continued.iter().any(is_read_late), "no turn was refused for being read late");
     // A request that is sent after the retention has the final answer.
     assert_eq!(continue_again(&deployment, &continued[0].id), NOT_FOUND);
 }
--- a/crates/ledger/tests/sealing.rs
+++ b/crates/ledger/tests/sealing.rs
@@ -24,8 +24,9 @@
     Settle { kib: usize },
     /// This many entries are committed and applied, and the leader looks for work.
     Commit { entries: usize },
-    /// Another machine is elected. It lacks this many of the entries that are not committed.
-    Elect { lost: usize },
+    /// Another machine is elected, or the same one again. It lacks this many of the entries that are not
+    /// committed.
+    Elect { is_same: bool, lost: usize },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -33,7 +34,7 @@
         6 => (1..64usize).prop_map(|kib| Step::Settle { kib }),
         6 => (1..MAX_INPUT_KIB).prop_map(|kib| Step::Settle { kib }),
         6 => (0..6usize).prop_map(|entries| Step::Commit { entries }),
-        1 => (0..4usize).prop_map(|lost| Step::Elect { lost }),
+        1 => (any::<bool>(), 0..4usize).prop_map(|(is_same, lost)| Step::Elect { is_same, lost }),
     ]
 }
 
@@ -52,6 +53,8 @@
     term: u64,
     uncommitted: VecDeque<LogEntry>,
     settled: usize,
+    /// Contents of the longest turn that was taken, in bytes.
+    longest: usize,
     /// Turns that had to wait in a row.
     waited: usize,
 }
@@ -66,6 +69,7 @@
             term: 1,
             uncommitted: VecDeque::new(),
             settled: 0,
+            longest: 0,
             waited: 0,
         }
     }
@@ -91,6 +95,7 @@
         }
         self.waited = 0;
         self.settled += 1;
+        self.longest = self.longest.max(bytes);
         let settle = SettleTurn {
             program: None,
             turn: format!("t{}", self.settled),
@@ -123,18 +128,21 @@
         }
     }
 
-    fn elect(&mut self, lost: usize) {
+    fn elect(&mut self, is_same: bool, lost: usize) {
         let kept = self.uncommitted.len().saturating_sub(lost);
         self.uncommitted.truncate(kept);
-        self.sealing = SealSchedule::new(&self.plan);
+        // A machine that loses its leadership learns that its proposals are lost, which may be applied.
+        match is_same {
+            true => self.sealing.end(),
+            false => self.sealing = SealSchedule::new(&self.plan),
+        }
         self.term += 1;
     }
 
     /// Returns the most contents that may be in memory: a seal is due at one share, and turns behind
     /// it have two more, or one turn of any size has.
     fn max_unsealed(&self) -> u64 {
-        let largest = (MAX_INPUT_KIB << 10).max(2 * self.plan.uncommitted);
-        (self.plan.unsealed_turns + largest) as u64
+        (self.plan.unsealed_turns + self.longest.max(2 * self.plan.uncommitted)) as u64
     }
 }
 
@@ -150,7 +158,7 @@
             match step {
                 Step::Settle { kib } => leader.settle(kib << 10),
                 Step::Commit { entries } => leader.commit(entries),
-                Step::Elect { lost } => leader.elect(lost),
+                Step::Elect { is_same, lost } => leader.elect(is_same, lost),
             }
             prop_assert!(leader.unsealed() <= leader.max_unsealed(), "{}", leader.unsealed());
         }
