--- a/crates/scheduler/tests/connections.rs
+++ b/crates/scheduler/tests/connections.rs
@@ -1,5 +1,7 @@
 //! Placement and connections: gateways reuse what they have open, and load stays balanced.
 
+mod requests;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -10,6 +12,7 @@
 use calicohoist_types::{Region, Zone};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use requests::request_under_way;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const SLOTS: u32 = 6;
@@ -33,20 +36,7 @@
 }
 
 fn request(zone: &str, connected: Vec<String>, prompt: Vec<PromptPart>) -> PlacementRequest {
-    PlacementRequest {
-        connected,
-        service: "llm".to_owned(),
-        zone: zone.to_owned(),
-        prompt,
-        memory_tokens: CACHE_TOKENS,
-        left_ms: 4_000,
-        finish_ms: None,
-        priority: 0,
-        is_under_way: true,
-        homes: Default::default(),
-        cold: None,
-        version: None,
-    }
+    PlacementRequest { connected, ..request_under_way("llm", zone, CACHE_TOKENS, prompt) }
 }
 
 fn place(
--- a/crates/scheduler/tests/large_service.rs
+++ b/crates/scheduler/tests/large_service.rs
@@ -4,6 +4,8 @@
 //! Load pattern: a fleet of thousands of mostly idle replicas, whose leader places hundreds of
 //! turns a second on a fraction of a core.
 
+mod requests;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -17,6 +19,7 @@
 use calicohoist_types::{Region, Zone};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use requests::request_under_way;
 
 const SERVICE: &str = "llm";
 const CACHE_TOKENS: u64 = 20_000;
@@ -39,20 +42,7 @@
 }
 
 fn request(zone: usize, prompt: Vec<PromptPart>) -> PlacementRequest {
-    PlacementRequest {
-        connected: Vec::new(),
-        service: SERVICE.to_owned(),
-        zone: ZONES[zone % ZONES.len()].to_owned(),
-        prompt,
-        memory_tokens: CACHE_TOKENS,
-        left_ms: 4_000,
-        finish_ms: None,
-        priority: 0,
-        is_under_way: true,
-        homes: Default::default(),
-        cold: None,
-        version: None,
-    }
+    request_under_way(SERVICE, ZONES[zone % ZONES.len()], CACHE_TOKENS, prompt)
 }
 
 /// A conversation of one of a few kinds, which share the first part of their prompts.
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Placement of turns: load, prefix caches, regions and failed replicas.
 
+mod requests;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -11,6 +13,7 @@
 use calicohoist_types::{Region, Zone};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use requests::request_under_way;
 
 const CACHE_TOKENS: u64 = 100_000;
 
@@ -35,20 +38,8 @@
 }
 
 fn request(prompt: &[PromptPart]) -> PlacementRequest {
-    PlacementRequest {
-        connected: Vec::new(),
-        service: "llm".to_owned(),
-        zone: "z".to_owned(),
-        prompt: prompt.to_vec(),
-        memory_tokens: CACHE_TOKENS,
-        left_ms: 4_000,
-        finish_ms: None,
-        priority: 0,
-        is_under_way: false,
-        homes: Default::default(),
-        cold: None,
-        version: None,
-    }
+    let request = request_under_way("llm", "z", CACHE_TOKENS, prompt.to_vec());
+    PlacementRequest { is_under_way: false, ..request }
 }
 
 /// Places a turn without a concurrency limit.
