Gateway: a process check remembers bytes that nobody asked for

Found by reading in a review; no test of its own. A replica whose start is listed is asked for it on each kept connection. Where that met bytes that nobody asked for, the connection was dropped without the minute of new connections that the request itself would have begun.

--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -307,8 +307,8 @@
             StartCheck::Restarted(start) if is_open => {
                 return Ok((connection, ServerProcess::Restarted(start)));
             }
-            // A reused connection may have been closed.
-            _ if connection.is_reused => {}
+            // A reused connection may have been closed, or received what nobody asked for.
+            _ if connection.is_reused => pool.discard(&replica.id, &connection),
             StartCheck::Listed if must_be_listed => return Err(ExchangeError::NotSent),
             // The replica closes each connection after a response.
             StartCheck::Listed | StartCheck::Restarted(_) => preceding = connection.start,
