--- a/review/common-2/src/client.rs
+++ b/review/common-2/src/client.rs
@@ -50,37 +50,50 @@
         self
     }
 
-    fn open(&self, address: SocketAddr, timeout: Duration) -> io::Result<BufReader<TcpStream>> {
-        let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
-        stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(timeout))?;
+    /// Opens a connection, sends the request on it and reads its response. The connection is kept.
+    ///
+    /// # Errors
+    /// When the connection fails.
+    pub fn send_first(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> io::Result<(Response, BufReader<TcpStream>)> {
+        let mut input = self.open(address, timeout)?;
+        Ok((read_response(&mut input)?, input))
+    }
+
+    /// Sends the request on a kept connection and reads its response.
+    ///
+    /// # Errors
+    /// When the connection fails.
+    pub fn send_next(&self, input: &mut BufReader<TcpStream>) -> io::Result<Response> {
+        input.get_mut().write_all(&self.to_bytes())?;
+        read_response(input)
+    }
+
+    fn to_bytes(&self) -> Vec<u8> {
         let mut message =
             format!("{} {} HTTP/1.1\r\nHost: {}\r\n", self.method, self.path, self.host);
         for (name, value) in &self.headers {
             message.push_str(&format!("{name}: {value}\r\n"));
         }
         message.push_str(&format!("Content-Length: {}\r\n\r\n", self.body.len()));
-        stream.write_all(&[message.as_bytes(), self.body.as_slice()].concat())?;
+        [message.as_bytes(), self.body.as_slice()].concat()
+    }
+
+    fn open(&self, address: SocketAddr, timeout: Duration) -> io::Result<BufReader<TcpStream>> {
+        let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(timeout))?;
+        stream.write_all(&self.to_bytes())?;
         Ok(BufReader::new(stream))
     }
 
     /// Sends the request and reads its response.
     pub fn send(&self, address: SocketAddr, timeout: Duration) -> Response {
-        let read = || {
-            let mut input = self.open(address, timeout)?;
-            let head = read_head(&mut input)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-            let body = read_body(&mut input, &head);
-            Ok::<_, io::Error>((head, body))
-        };
-        match read() {
-            Ok((head, body)) => Response {
-                status: head.word(1).parse().unwrap_or(0),
-                head,
-                is_whole: body.is_ok(),
-                body: body.unwrap_or_default(),
-            },
-            Err(_) => Response::default(),
-        }
+        let sent = self.send_first(address, timeout);
+        sent.map(|(response, _)| response).unwrap_or_default()
     }
 
     /// Sends the request and reads the events of its response until it ends or breaks off. `on_event` gets
@@ -123,3 +136,14 @@
         }
     }
 }
+
+fn read_response(input: &mut BufReader<TcpStream>) -> io::Result<Response> {
+    let head = read_head(input)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let body = read_body(input, &head);
+    Ok(Response {
+        status: head.word(1).parse().unwrap_or(0),
+        head,
+        is_whole: body.is_ok(),
+        body: body.unwrap_or_default(),
+    })
+}
