--- a/review/common-2/src/fleet.rs
+++ b/review/common-2/src/fleet.rs
@@ -32,6 +32,8 @@
 /// A signal to a process.
 #[derive(Clone, Copy, Debug)]
 pub enum Signal {
+    /// States that the settings file has changed.
+    HangUp = 1,
     /// Ends the process at once.
     Kill = 9,
     /// Asks the process to end.
@@ -112,8 +114,8 @@
         Machine { name, ip: format!("{}.{}", self.net, 40 + number), is_store: false }
     }
 
-    /// Starts the process of a machine.
-    pub fn start(&self, machine: &Machine, bootstrap: bool) {
+    /// Writes the settings file of a machine.
+    pub fn write_settings(&self, machine: &Machine, bootstrap: bool) {
         let Machine { name, ip, is_store } = machine;
         let Ports { internal, control, http, ready } = self.ports;
         let (serves, class, listen) = match is_store {
@@ -154,14 +156,18 @@
             seeds.join(","),
             self.platform.address,
         );
-        let file = self.folder.join(format!("{name}.toml"));
-        fs::write(&file, text).expect("a settings file");
+        fs::write(self.settings_file(machine), text).expect("a settings file");
+    }
+
+    /// Starts the process of a machine.
+    pub fn start(&self, machine: &Machine, bootstrap: bool) {
+        self.write_settings(machine, bootstrap);
         let log = File::options().create(true).append(true).open(self.log_file(machine));
         let log = log.expect("a log");
         let child = Command::new(COMMAND[0])
             .args(&COMMAND[1..])
             .arg(METRICS_PORT)
-            .env("CALICOHOIST_NODE_FILE", &file)
+            .env("CALICOHOIST_NODE_FILE", self.settings_file(machine))
             .stdout(Stdio::from(log.try_clone().expect("a handle")))
             .stderr(Stdio::from(log))
             .spawn()
@@ -170,6 +176,10 @@
         CHILDREN.lock().expect("the processes").push(child);
     }
 
+    fn settings_file(&self, machine: &Machine) -> PathBuf {
+        self.folder.join(format!("{}.toml", machine.ip))
+    }
+
     fn process_file(&self, machine: &Machine) -> PathBuf {
         self.folder.join(format!("{}.pid", machine.ip))
     }
@@ -186,12 +196,18 @@
         self.folder.join(format!("data-{}", machine.ip))
     }
 
-    /// Sends a signal to the process of a machine and waits until it has ended.
-    pub fn end(&self, machine: &Machine, signal: Signal) {
+    /// Sends a signal to the process of a machine; returns the id of the process.
+    pub fn signal(&self, machine: &Machine, signal: Signal) -> u32 {
         let id = fs::read_to_string(self.process_file(machine)).expect("the id of a process");
         let id: u32 = id.parse().expect("a number");
         // SAFETY: the call has no memory effects; the process is one that this case has started.
         unsafe { kill(i32::try_from(id).expect("an id"), signal as i32) };
+        id
+    }
+
+    /// Sends a signal to the process of a machine and waits until it has ended.
+    pub fn end(&self, machine: &Machine, signal: Signal) {
+        let id = self.signal(machine, signal);
         let mut children = CHILDREN.lock().expect("the processes");
         let child = children.iter_mut().rfind(|child| child.id() == id).expect("the process");
         child.wait().expect("the end of the process");
