Review: a status that is asked for now and then is refused to all

Cause: crashes of replicas are cleared by twelve answers, and four of each replica that answered. A request that is asked for three times a second does not reach that between two crashes, and is refused for 120 s after the third.

--- a/review/common-2/src/client.rs
+++ b/review/common-2/src/client.rs
@@ -50,28 +50,6 @@
         self
     }
 
-    /// Opens a connection, sends the request on it and reads its response. The connection is kept.
-    ///
-    /// # Errors
-    /// When the connection fails.
-    pub fn send_first(
-        &self,
-        address: SocketAddr,
-        timeout: Duration,
-    ) -> io::Result<(Response, BufReader<TcpStream>)> {
-        let mut input = self.open(address, timeout)?;
-        Ok((read_response(&mut input)?, input))
-    }
-
-    /// Sends the request on a kept connection and reads its response.
-    ///
-    /// # Errors
-    /// When the connection fails.
-    pub fn send_next(&self, input: &mut BufReader<TcpStream>) -> io::Result<Response> {
-        input.get_mut().write_all(&self.to_bytes())?;
-        read_response(input)
-    }
-
     fn to_bytes(&self) -> Vec<u8> {
         let mut message =
             format!("{} {} HTTP/1.1\r\nHost: {}\r\n", self.method, self.path, self.host);
@@ -92,8 +70,8 @@
 
     /// Sends the request and reads its response.
     pub fn send(&self, address: SocketAddr, timeout: Duration) -> Response {
-        let sent = self.send_first(address, timeout);
-        sent.map(|(response, _)| response).unwrap_or_default()
+        let sent = self.open(address, timeout).and_then(|mut input| read_response(&mut input));
+        sent.unwrap_or_default()
     }
 
     /// Sends the request and reads the events of its response until it ends or breaks off. `on_event` gets
--- a/review/common-2/src/fleet.rs
+++ b/review/common-2/src/fleet.rs
@@ -288,11 +288,6 @@
 
 /// A configuration document with these routes, as JSON, and the services `models`, `moved` and `desk`.
 pub fn configuration(version: u64, routes: &[String]) -> String {
-    limited_configuration(version, routes, MAX_HEADER_BYTES)
-}
-
-/// The same with another limit on the heads of requests.
-pub fn limited_configuration(version: u64, routes: &[String], max_header_bytes: usize) -> String {
     let engine = "{\"slots\":12,\"kv_capacity\":139361,\"kv_token_bytes\":131072,\
                   \"link_mbps\":1100000.0,\"backups\":true,\"tokens_per_event\":9,\"most\":12,\
                   \"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}";
@@ -306,7 +301,7 @@
                 \"protocol\":\"h1\",\"tls\":false}";
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{},{},{desk}],\
-         \"limits\":{{\"max_header_bytes\":{max_header_bytes},\"max_body_bytes\":4194304,\
+         \"limits\":{{\"max_header_bytes\":{MAX_HEADER_BYTES},\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
         routes.join(","),
         model("models"),
--- a/review/common-2/src/platform.rs
+++ b/review/common-2/src/platform.rs
@@ -85,6 +85,11 @@
         self.entries.lock().expect("the list").push(entry);
     }
 
+    /// Removes a replica.
+    pub fn remove(&self, id: &str) {
+        self.entries.lock().expect("the list").retain(|entry| entry.id != id);
+    }
+
     /// Shows a replica as one that leaves.
     pub fn drain(&self, id: &str) {
         let mut entries = self.entries.lock().expect("the list");
--- a/review/common-2/src/replica.rs
+++ b/review/common-2/src/replica.rs
@@ -1,8 +1,8 @@
 //! Stand-in for a replica: a model that streams events, or a plain service.
 
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -34,6 +34,8 @@
     },
     /// Responds with a short body.
     Reply,
+    /// The same after some time.
+    ReplyAfter(Duration),
 }
 
 /// Requests run by all replicas of a case.
@@ -47,6 +49,16 @@
     pub id: String,
     /// Address at which it listens.
     pub address: SocketAddr,
+    work: Work,
+    runs: Runs,
+    process: Arc<Process>,
+}
+
+/// What ends with a crash.
+#[derive(Default)]
+struct Process {
+    has_crashed: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Replica {
@@ -55,15 +67,44 @@
         let listener = TcpListener::bind((ip, 0)).expect("an address for a replica");
         let address = listener.local_addr().expect("a bound address");
         let id = format!("i-{:08x}", NUMBER.fetch_add(1, Ordering::Relaxed));
-        let (name, runs) = (id.clone(), Arc::clone(runs));
+        let process = Arc::default();
+        let replica = Self { id, address, work, runs: Arc::clone(runs), process };
+        replica.listen(listener);
+        replica
+    }
+
+    /// Closes all connections; the address refuses new ones from then on.
+    pub fn crash(&self) {
+        self.process.has_crashed.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then closes.
+        drop(TcpStream::connect(self.address));
+        for connection in self.process.connections.lock().expect("the connections").drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts again after a crash, under the same id and address.
+    pub fn restart(&mut self) {
+        let listener = TcpListener::bind(self.address).expect("the address of the replica");
+        self.process = Arc::default();
+        self.listen(listener);
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let (name, runs, work) = (self.id.clone(), Arc::clone(&self.runs), self.work);
+        let process = Arc::clone(&self.process);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if process.has_crashed.load(Ordering::SeqCst) {
+                    return;
+                }
+                let handle = stream.try_clone().expect("a handle");
+                process.connections.lock().expect("the connections").push(handle);
                 let (name, runs) = (name.clone(), Arc::clone(&runs));
                 // The caller may leave at any time.
                 thread::spawn(move || drop(serve(&stream, &name, work, &runs)));
             }
         });
-        Self { id, address }
     }
 }
 
@@ -107,7 +148,10 @@
         Work::Stream { events, pause } => {
             stream_events(stream, &request, &stamp, after_event + 1..=events, pause)
         }
-        Work::Reply => {
+        Work::Reply | Work::ReplyAfter(_) => {
+            if let Work::ReplyAfter(time) = work {
+                thread::sleep(time);
+            }
             let headers =
                 [("Calicohoist-Request-Id", &*request), ("Calicohoist-Server-Stamp", &*stamp)];
             write_response(stream, 200, &headers, b"done")
